--- /dev/null
+++ b/crates/bench/benches/speed/control.rs
@@ -0,0 +1,4 @@
+//! Speed of `control`.
+
+/// Registers the benchmarks of this part.
+pub fn register(_criterion: &mut criterion::Criterion) {}
--- /dev/null
+++ b/crates/bench/benches/speed/schedule.rs
@@ -0,0 +1,4 @@
+//! Speed of `schedule`.
+
+/// Registers the benchmarks of this part.
+pub fn register(_criterion: &mut criterion::Criterion) {}
--- /dev/null
+++ b/crates/bench/src/policy/mod.rs
@@ -0,0 +1,20 @@
+//! Policy measurements, one module per part.
+
+use crate::measure;
+
+pub mod consensus;
+pub mod control;
+pub mod gossip;
+pub mod request;
+pub mod schedule;
+
+/// Returns the rows of every part.
+pub fn rows(seed: u64, length: measure::Length) -> Vec<measure::Row> {
+    let mut rows = Vec::new();
+    rows.extend(consensus::rows(seed, length));
+    rows.extend(control::rows(seed, length));
+    rows.extend(gossip::rows(seed, length));
+    rows.extend(request::rows(seed, length));
+    rows.extend(schedule::rows(seed, length));
+    rows
+}
--- /dev/null
+++ b/crates/cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' command line, the demo and the report.
--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command line.
+
+fn main() {}
--- /dev/null
+++ b/crates/consensus/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, replication, membership and snapshots, without I/O.
--- /dev/null
+++ b/crates/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Replicated control state: root group and zone group state machines.
--- /dev/null
+++ b/crates/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! The daemon: control thread, traffic runtime, peers and outside interfaces.
--- /dev/null
+++ b/crates/daemon/src/main.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/crates/gossip/src/lib.rs
@@ -0,0 +1,1 @@
+//! Soft state dissemination: targets, load and liveness of processes.
--- /dev/null
+++ b/crates/language/src/lib.rs
@@ -0,0 +1,1 @@
+//! The operators' query and command language.
--- /dev/null
+++ b/crates/standin/src/lib.rs
@@ -0,0 +1,1 @@
+//! Stand-ins for targets, workers and callers, used by the demo and the tests.
--- /dev/null
+++ b/crates/storage/src/lib.rs
@@ -0,0 +1,1 @@
+//! Durable files of a replica: checksummed log segments, snapshots and votes.
