--- /dev/null
+++ b/crates/language/src/display.rs
@@ -0,0 +1,1 @@
+//! Rendering.
--- /dev/null
+++ b/crates/language/src/fault.rs
@@ -0,0 +1,30 @@
+//! Faults in a line.
+
+use std::fmt;
+
+use serde::{Deserialize, Serialize};
+
+/// Why a line is not a statement.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Fault {
+    /// Column of the first character that does not fit, in characters from 1.
+    pub column: usize,
+    /// Word at that column, shortened; empty at the end of the line.
+    pub found: String,
+    /// What is allowed there.
+    pub expected: String,
+}
+
+impl fmt::Display for Fault {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "column {}: ", self.column)?;
+        if self.found.is_empty() {
+            write!(formatter, "the line ends here")?;
+        } else {
+            write!(formatter, "found `{}`", self.found)?;
+        }
+        write!(formatter, "; expected {}", self.expected)
+    }
+}
+
+impl std::error::Error for Fault {}
