--- a/crates/language/src/answer.rs
+++ b/crates/language/src/answer.rs
@@ -146,8 +146,8 @@
 }
 
 impl fmt::Display for Code {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        formatter.write_str(match self {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
             Self::Syntax => "syntax",
             Self::Invalid => "invalid",
             Self::NotFound => "not found",
--- a/crates/language/src/fault.rs
+++ b/crates/language/src/fault.rs
@@ -16,14 +16,14 @@
 }
 
 impl fmt::Display for Fault {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "column {}: ", self.column)?;
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "column {}: ", self.column)?;
         if self.found.is_empty() {
-            write!(formatter, "the line ends here")?;
+            write!(f, "the line ends here")?;
         } else {
-            write!(formatter, "found `{}`", self.found)?;
+            write!(f, "found `{}`", self.found)?;
         }
-        write!(formatter, "; expected {}", self.expected)
+        write!(f, "; expected {}", self.expected)
     }
 }
 
--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -7,10 +7,12 @@
 pub mod answer;
 pub mod fault;
 pub mod parse;
+pub mod render;
 pub mod statement;
 pub mod unit;
 
 mod display;
 
+pub use display::hexadecimal;
 pub use fault::Fault;
 pub use parse::parse;
--- /dev/null
+++ b/crates/language/src/parse/field.rs
@@ -0,0 +1,134 @@
+//! Fields of the form `name=value`.
+
+use std::ops::RangeInclusive;
+
+use super::{Input, Outcome, expectation::Expectation, word};
+use crate::unit;
+
+/// A field and where its parts start.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct Field<'a> {
+    pub(super) name: word::Word<'a>,
+    pub(super) value: word::Word<'a>,
+}
+
+/// Takes fields up to the end of the line or the word `stop`, and passes each to `set`.
+///
+/// Each field is one of `allowed` and is given once at most, so at most `allowed.len()` fields are taken.
+pub(super) fn each<'a>(
+    input: &mut Input<'a>,
+    allowed: &[&str],
+    stop: Option<&str>,
+    mut set: impl FnMut(Field<'a>) -> Outcome<()>,
+) -> Outcome<usize> {
+    let mut seen = Vec::new();
+    loop {
+        let word = word::peek(input)?;
+        if word.text.is_empty() || Some(word.text) == stop {
+            return Ok(seen.len());
+        }
+        let field = split(word::next(input)?, allowed)?;
+        if seen.contains(&field.name.text) {
+            let expected = format!("`{}` once only", field.name.text);
+            return Err(Expectation::cut(word.offset, expected));
+        }
+        seen.push(field.name.text);
+        set(field)?;
+    }
+}
+
+/// Like [`each`], but at least one field is needed.
+pub(super) fn some<'a>(
+    input: &mut Input<'a>,
+    allowed: &[&str],
+    stop: Option<&str>,
+    set: impl FnMut(Field<'a>) -> Outcome<()>,
+) -> Outcome<()> {
+    if each(input, allowed, stop, set)? == 0 {
+        return Err(Expectation::cut(word::peek(input)?.offset, names(allowed)));
+    }
+    Ok(())
+}
+
+/// Returns the value of a needed field, or the error that it is missing at the end of the fields.
+pub(super) fn needed<T>(input: &mut Input<'_>, name: &str, value: Option<T>) -> Outcome<T> {
+    match value {
+        Some(value) => Ok(value),
+        None => Err(Expectation::cut(word::peek(input)?.offset, format!("`{name}=`"))),
+    }
+}
+
+fn split<'a>(word: word::Word<'a>, allowed: &[&str]) -> Outcome<Field<'a>> {
+    let (name, value) = word.text.split_once('=').unwrap_or((word.text, ""));
+    if name.len() == word.text.len() || !allowed.contains(&name) {
+        return Err(Expectation::cut(word.offset, names(allowed)));
+    }
+    Ok(Field {
+        name: word::Word {
+            text: name,
+            offset: word.offset,
+        },
+        value: word::Word {
+            text: value,
+            offset: word.offset + name.len() + 1,
+        },
+    })
+}
+
+fn names(allowed: &[&str]) -> String {
+    let names = allowed.iter().map(|name| format!("{name}=")).collect::<Vec<_>>();
+    word::list(&names.iter().map(String::as_str).collect::<Vec<_>>())
+}
+
+impl Field<'_> {
+    /// Reads the value as a whole number in a range that fits 32 bits.
+    pub(super) fn count(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
+        let range = u64::from(*range.start())..=u64::from(*range.end());
+        Ok(word::number(self.value, &range)? as u32)
+    }
+
+    /// Reads the value as processors, in thousandths of a core.
+    pub(super) fn cpu(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
+        let value = unit::read_cpu(self.value.text).filter(|value| range.contains(value));
+        value.ok_or_else(|| {
+            let (low, high) = (unit::write_cpu(*range.start()), unit::write_cpu(*range.end()));
+            self.reject(format!("processors from {low} to {high}, such as 2.5 or 2500m"))
+        })
+    }
+
+    /// Reads the value as memory, in MiB.
+    pub(super) fn memory(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
+        let value = unit::read_memory(self.value.text).filter(|value| range.contains(value));
+        value.ok_or_else(|| {
+            let (low, high) = (
+                unit::write_memory(*range.start()),
+                unit::write_memory(*range.end()),
+            );
+            self.reject(format!("memory from {low} to {high}, such as 512MiB or 4GiB"))
+        })
+    }
+
+    /// Reads the value as bytes.
+    pub(super) fn bytes(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
+        let value = unit::read_bytes(self.value.text).and_then(|value| u32::try_from(value).ok());
+        value.filter(|value| range.contains(value)).ok_or_else(|| {
+            let low = unit::write_bytes(u64::from(*range.start()));
+            let high = unit::write_bytes(u64::from(*range.end()));
+            self.reject(format!("a size from {low} to {high}, such as 64KiB"))
+        })
+    }
+
+    /// Reads the value as a duration, in milliseconds.
+    pub(super) fn duration(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
+        let value = unit::read_duration(self.value.text).and_then(|value| u32::try_from(value).ok());
+        value.filter(|value| range.contains(value)).ok_or_else(|| {
+            let low = unit::write_duration(u64::from(*range.start()));
+            let high = unit::write_duration(u64::from(*range.end()));
+            self.reject(format!("a duration from {low} to {high}, such as 250ms or 30s"))
+        })
+    }
+
+    fn reject(&self, expected: String) -> winnow::error::ErrMode<Expectation> {
+        Expectation::cut(self.value.offset, expected)
+    }
+}
--- a/crates/language/src/statement.rs
+++ b/crates/language/src/statement.rs
@@ -211,6 +211,17 @@
 }
 
 impl QuotaChange {
+    /// Returns a change that sets every field to the value in `quota`.
+    pub const fn all(quota: &team::Quota) -> Self {
+        Self {
+            weight: Some(quota.weight),
+            cpu_milli: Some(quota.limit.cpu_milli),
+            memory_mib: Some(quota.limit.memory_mib),
+            accelerators: Some(quota.limit.accelerators),
+            requests: Some(quota.requests),
+        }
+    }
+
     /// Returns the quota after the change.
     pub const fn apply(&self, quota: &team::Quota) -> team::Quota {
         team::Quota {
--- a/crates/rpc/src/command.rs
+++ b/crates/rpc/src/command.rs
@@ -19,8 +19,8 @@
 }
 
 impl fmt::Display for Id {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(formatter, "{:032x}", self.0)
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:032x}", self.0)
     }
 }
 
@@ -53,7 +53,7 @@
 }
 
 impl fmt::Display for Malformed {
-    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
             formatter,
             "`{}` is not a command id; 1 to {DIGITS} hexadecimal digits are allowed",
