--- a/crates/rpc/src/command.rs
+++ b/crates/rpc/src/command.rs
@@ -55,7 +55,7 @@
 impl fmt::Display for Malformed {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(
-            formatter,
+            f,
             "`{}` is not a command id; 1 to {DIGITS} hexadecimal digits are allowed",
             self.text
         )
