consensus: add the replicated log, its feed and its store

A replica elects, replicates, commits and restarts from its files. Messages that depend on a write are held back until the store reports it as durable, so the store may run on another thread.

PersistFailed reports a failed write. Restored carries the commit index that was stored with the newest entries.

--- /dev/null
+++ b/crates/consensus/src/feed/follower.rs
@@ -0,0 +1,248 @@
+//! The polling side of the feed.
+
+use std::time::Duration;
+
+use bronzespoke_model::id;
+use rand::{Rng, SeedableRng, rngs};
+
+use super::{Answer, Content, Request};
+use crate::snapshot;
+
+const INTERVAL: Duration = Duration::from_millis(500);
+const TIMEOUT: Duration = Duration::from_millis(1_000);
+const DRIFT: f64 = 0.02;
+
+/// Settings of a follower.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// Seed of the request tokens; must differ at every start of a process.
+    pub seed: u64,
+    /// Time between two requests when there is nothing new.
+    pub interval: Duration,
+    /// When a request counts as lost.
+    pub timeout: Duration,
+    /// Largest difference between the rates of two monotonic clocks, as a fraction.
+    pub drift: f64,
+}
+
+impl Config {
+    /// Returns the default settings.
+    pub const fn new(seed: u64) -> Self {
+        Self {
+            seed,
+            interval: INTERVAL,
+            timeout: TIMEOUT,
+            drift: DRIFT,
+        }
+    }
+}
+
+/// What happened.
+#[derive(Debug, Clone)]
+pub enum Input {
+    /// Time passed.
+    Tick,
+    /// An answer arrived.
+    Receive {
+        /// Sender.
+        from: id::VmId,
+        /// Answer.
+        answer: Answer,
+    },
+    /// Another VM answers from now on, or none.
+    Relay {
+        /// That VM.
+        to: Option<id::VmId>,
+    },
+}
+
+/// What the caller has to do, before the next step.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Output {
+    /// Send a request; it may be lost.
+    Send {
+        /// Receiver.
+        to: id::VmId,
+        /// Request.
+        request: Request,
+    },
+    /// Apply an entry. Indices are consecutive.
+    Apply(crate::log::Entry),
+    /// Replace the state by a snapshot.
+    Install(snapshot::Snapshot),
+    /// A request got no answer in time; the caller may choose another relay.
+    Unanswered {
+        /// Relay that was asked.
+        relay: id::VmId,
+    },
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Pending {
+    token: u32,
+    sent: Duration,
+}
+
+/// Follows the committed entries of a group through a relay.
+///
+/// Invariant: neither `applied` nor `basis` ever goes back.
+#[derive(Debug)]
+pub struct Follower {
+    config: Config,
+    rng: rngs::SmallRng,
+    relay: Option<id::VmId>,
+    pending: Option<Pending>,
+    request_at: Duration,
+    partial: Option<snapshot::Partial>,
+    applied: u64,
+    basis: Option<Duration>,
+}
+
+impl Follower {
+    /// Returns a follower that has nothing yet.
+    pub fn new(config: Config, now: Duration) -> Self {
+        let rng = rngs::SmallRng::seed_from_u64(config.seed);
+        Self {
+            config,
+            rng,
+            relay: None,
+            pending: None,
+            request_at: now,
+            partial: None,
+            applied: 0,
+            basis: None,
+        }
+    }
+
+    /// Handles one input and appends what has to be done.
+    pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
+        match input {
+            Input::Tick => {}
+            Input::Receive { from, answer } => self.receive(now, from, answer, out),
+            Input::Relay { to } => {
+                if to != self.relay {
+                    self.relay = to;
+                    self.pending = None;
+                    self.request_at = now;
+                }
+            }
+        }
+        self.expire(now, out);
+        self.request(now, out);
+    }
+
+    /// Time at which the follower must be stepped again.
+    pub fn next_wake(&self) -> Duration {
+        self.pending
+            .map_or(self.request_at, |pending| pending.sent + self.config.timeout)
+    }
+
+    /// Last entry or snapshot that was handed out.
+    pub const fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Relay that is asked.
+    pub const fn relay(&self) -> Option<id::VmId> {
+        self.relay
+    }
+
+    /// Instant on the local clock before which nothing is missing from the state.
+    pub const fn basis(&self) -> Option<Duration> {
+        self.basis
+    }
+
+    fn expire(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let Some(pending) = self.pending else { return };
+        if now < pending.sent + self.config.timeout {
+            return;
+        }
+        self.pending = None;
+        self.request_at = now;
+        if let Some(relay) = self.relay {
+            out.push(Output::Unanswered { relay });
+        }
+    }
+
+    fn request(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let Some(to) = self.relay else {
+            self.request_at = now + self.config.interval;
+            return;
+        };
+        if self.pending.is_some() || now < self.request_at {
+            return;
+        }
+        let token = self.rng.random();
+        self.pending = Some(Pending { token, sent: now });
+        let partial = self
+            .partial
+            .as_ref()
+            .map(|partial| (partial.label(), partial.received()));
+        out.push(Output::Send {
+            to,
+            request: Request {
+                token,
+                after: self.applied,
+                partial,
+            },
+        });
+    }
+
+    fn receive(&mut self, now: Duration, from: id::VmId, answer: Answer, out: &mut Vec<Output>) {
+        let Some(pending) = self.pending.filter(|pending| pending.token == answer.token) else {
+            return;
+        };
+        if self.relay != Some(from) {
+            return;
+        }
+        self.pending = None;
+        let more = !answer.content.is_empty();
+        self.request_at = if more {
+            now
+        } else {
+            pending.sent + self.config.interval
+        };
+        match answer.content {
+            Content::Entries(items) => {
+                for item in items {
+                    self.applied += 1;
+                    out.push(Output::Apply(item.at(self.applied)));
+                }
+            }
+            Content::Chunk(chunk) => self.take_chunk(&chunk, out),
+        }
+        self.note_basis(pending.sent, answer.age, answer.through);
+    }
+
+    fn take_chunk(&mut self, chunk: &snapshot::Chunk, out: &mut Vec<Output>) {
+        // A relay that is behind must not take this state back.
+        let older = chunk.label.position.index <= self.applied;
+        if older || chunk.label.total > snapshot::MAX_SNAPSHOT_BYTES {
+            return;
+        }
+        let mut partial = self
+            .partial
+            .take()
+            .filter(|partial| partial.label() == chunk.label);
+        let progress = partial
+            .get_or_insert_with(|| snapshot::Partial::new(chunk.label))
+            .add(chunk);
+        match progress {
+            snapshot::Progress::More(_) => self.partial = partial,
+            snapshot::Progress::Corrupt => {}
+            snapshot::Progress::Complete(snapshot) => {
+                self.applied = snapshot.position.index;
+                out.push(Output::Install(snapshot));
+            }
+        }
+    }
+
+    /// Counts the age back from the instant of the own request, so that delays only make the state look older.
+    fn note_basis(&mut self, sent: Duration, age: Option<u64>, through: u64) {
+        let Some(age) = age else { return };
+        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.drift);
+        if self.applied >= through {
+            self.basis = self.basis.max(sent.checked_sub(age));
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/config.rs
@@ -0,0 +1,122 @@
+//! Settings of a replica and the state that it restarts from.
+
+use std::time::Duration;
+
+use bronzespoke_model::id;
+
+use crate::{log, membership, rules, snapshot, write};
+
+const HEARTBEAT: Duration = Duration::from_millis(100);
+/// Six heartbeats, so that the loss of a few messages between regions (12 ms one way) starts no election.
+const ELECTION: Duration = Duration::from_millis(600);
+/// Drift margin of the design (section 2.5).
+const DRIFT: f64 = 0.02;
+const BATCH_BYTES: usize = 128 * 1024;
+const IN_FLIGHT_MESSAGES: usize = 64;
+const IN_FLIGHT_BYTES: usize = 1024 * 1024;
+const UNCOMMITTED_ENTRIES: usize = 8_192;
+const UNCOMMITTED_BYTES: usize = 8 * 1024 * 1024;
+/// Above the largest stored answer (64 KiB) and below the largest frame (1 MiB).
+const ENTRY_BYTES: usize = 256 * 1024;
+const CHUNK_BYTES: usize = 64 * 1024;
+/// A member that missed 1,000 changes still catches up from the log.
+const RETAINED_ENTRIES: u64 = 4_096;
+
+/// Settings of a replica.
+#[derive(Debug, Clone)]
+pub struct Config {
+    /// This member.
+    pub id: id::VmId,
+    /// Group that the log belongs to.
+    pub group: id::GroupId,
+    /// Seed of the election timeouts and answer tokens; must differ at every start of a process.
+    pub seed: u64,
+    /// Longest time between two messages of a leader to a member.
+    pub heartbeat: Duration,
+    /// Shortest election timeout; each timeout is drawn between one and two times this value.
+    pub election: Duration,
+    /// Largest difference between the rates of two monotonic clocks, as a fraction.
+    pub drift: f64,
+    /// Bytes of entries in one message.
+    pub batch_bytes: usize,
+    /// How long a proposal waits for others to share its message.
+    pub batch_delay: Duration,
+    /// Unanswered messages with entries for each member.
+    pub in_flight_messages: usize,
+    /// Unanswered bytes of entries for each member.
+    pub in_flight_bytes: usize,
+    /// Uncommitted entries of a leader; further proposals are rejected.
+    pub uncommitted_entries: usize,
+    /// Uncommitted bytes of a leader; further proposals are rejected.
+    pub uncommitted_bytes: usize,
+    /// Largest command in bytes.
+    pub entry_bytes: usize,
+    /// Bytes of a snapshot in one message.
+    pub chunk_bytes: usize,
+    /// Entries before a snapshot that stay in the log for members that are a little behind.
+    pub retained_entries: u64,
+    /// Safety rules; all on outside tests.
+    #[doc(hidden)]
+    pub rules: rules::Rules,
+}
+
+impl Config {
+    /// Returns the default settings.
+    pub fn new(id: id::VmId, group: id::GroupId, seed: u64) -> Self {
+        Self {
+            id,
+            group,
+            seed,
+            heartbeat: HEARTBEAT,
+            election: ELECTION,
+            drift: DRIFT,
+            batch_bytes: BATCH_BYTES,
+            batch_delay: Duration::ZERO,
+            in_flight_messages: IN_FLIGHT_MESSAGES,
+            in_flight_bytes: IN_FLIGHT_BYTES,
+            uncommitted_entries: UNCOMMITTED_ENTRIES,
+            uncommitted_bytes: UNCOMMITTED_BYTES,
+            entry_bytes: ENTRY_BYTES,
+            chunk_bytes: CHUNK_BYTES,
+            retained_entries: RETAINED_ENTRIES,
+            rules: rules::Rules::default(),
+        }
+    }
+
+    /// How long an acknowledged heartbeat round proves that no other leader was elected.
+    pub fn lease(&self) -> Duration {
+        self.election.mul_f64(1.0 - self.drift)
+    }
+}
+
+/// Durable state that a replica restarts from.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Restored {
+    /// Newest term and vote.
+    pub vote: write::Vote,
+    /// Members at the snapshot; empty without one.
+    pub membership: membership::Membership,
+    /// Newest snapshot.
+    pub snapshot: Option<snapshot::Snapshot>,
+    /// Stored entries; they may begin before the snapshot.
+    pub entries: Vec<log::Entry>,
+    /// Newest commit index that is known to be stored.
+    pub commit: u64,
+}
+
+impl Restored {
+    /// Returns the state of a first voter. All first voters of a group start from the same members.
+    pub fn bootstrap(membership: membership::Membership) -> Self {
+        let position = log::Position { term: 0, index: 1 };
+        let payload = log::Payload::Membership(membership);
+        Self {
+            entries: vec![log::Entry { position, payload }],
+            ..Self::default()
+        }
+    }
+
+    /// Tells whether nothing was ever stored. Such a member waits until a leader adds it.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/follower.rs
@@ -0,0 +1,182 @@
+//! What a member does with the messages of its leader.
+
+use std::time::Duration;
+
+use bronzespoke_model::id;
+
+use super::{Output, Replica, State};
+use crate::message::{Append, AppendReply, Body, Outcome};
+use crate::{log, snapshot, write};
+
+impl Replica {
+    /// Notes a sign of the leader of the current term.
+    fn hear_leader(&mut self, from: id::VmId, out: &mut Vec<Output>) {
+        assert!(!matches!(self.state, State::Leader(_)), "a term has one leader");
+        self.become_follower(Some(from), out);
+        self.contact = Some(self.now);
+    }
+
+    pub(super) fn refuse_append(&mut self, from: id::VmId, append: &Append, out: &mut Vec<Output>) {
+        let outcome = Outcome::Refused {
+            previous: append.previous.index,
+            hint: 0,
+        };
+        self.reply_append(from, outcome, append.sent, self.vote_sequence, out);
+    }
+
+    fn reply_append(
+        &mut self,
+        to: id::VmId,
+        outcome: Outcome,
+        sent: u64,
+        sequence: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let token = self.freshness.token(self.now);
+        self.send_after(
+            sequence,
+            to,
+            Body::AppendReply(AppendReply { outcome, sent, token }),
+            out,
+        );
+    }
+
+    pub(super) fn on_append(&mut self, from: id::VmId, mut append: Append, out: &mut Vec<Output>) {
+        if self.removed {
+            return;
+        }
+        if self.store_failed {
+            // The entries cannot be stored; the rest of the message is a heartbeat.
+            append.entries.clear();
+        }
+        self.hear_leader(from, out);
+        let previous = append.previous;
+        let covered = previous.index < self.log.base().index;
+        if !covered && self.log.term_at(previous.index) != Some(previous.term) {
+            let outcome = Outcome::Refused {
+                previous: previous.index,
+                hint: self.hint(previous.index),
+            };
+            self.reply_append(from, outcome, append.sent, self.vote_sequence, out);
+            return;
+        }
+        let (age, token, commit, sent) = (append.age, append.token, append.commit, append.sent);
+        let matched = previous.index + append.entries.len() as u64;
+        let heartbeat = append.entries.is_empty();
+        self.store_entries(append, out);
+        self.set_commit(commit.min(matched), out);
+        self.note_basis(age, token, commit);
+        // An entry that was covered by a snapshot is committed, hence durable.
+        let durable = matched.min(self.durable.max(self.log.base().index));
+        let (matched, sequence) = match () {
+            () if !self.config.rules.acknowledge_after_sync => (matched, 0),
+            // A heartbeat is answered at once, so that a slow disk does not expire the lease.
+            () if heartbeat || durable == matched => (durable, self.vote_sequence),
+            () => (matched, self.sequence),
+        };
+        self.reply_append(from, Outcome::Accepted { matched }, sent, sequence, out);
+    }
+
+    /// Last index that may agree with the leader's log, when the entry at `previous` does not.
+    fn hint(&self, previous: u64) -> u64 {
+        let last = self.log.last().index;
+        if previous > last {
+            return last;
+        }
+        (self.log.term_start(previous) - 1).max(self.commit.min(previous - 1))
+    }
+
+    fn store_entries(&mut self, append: Append, out: &mut Vec<Output>) {
+        let mut fresh = Vec::new();
+        for (index, item) in (append.previous.index + 1..).zip(append.entries) {
+            let entry = item.at(index);
+            if fresh.is_empty() {
+                if index <= self.log.base().index || self.log.term_at(index) == Some(entry.position.term) {
+                    continue;
+                }
+                if index <= self.log.last().index {
+                    self.truncate(index);
+                }
+            }
+            fresh.push(entry);
+        }
+        if !fresh.is_empty() {
+            self.append(fresh, out);
+        }
+    }
+
+    /// Counts the age back from the answer that the leader names, widened by the clock drift.
+    fn note_basis(&mut self, age: Option<u64>, token: u32, commit: u64) {
+        let (Some(age), Some(instant)) = (age, self.freshness.instant(token)) else {
+            return;
+        };
+        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.drift);
+        if let Some(basis) = instant.checked_sub(age) {
+            self.freshness.note(self.applied, commit, basis);
+        }
+    }
+
+    pub(super) fn on_snapshot(
+        &mut self,
+        from: id::VmId,
+        chunk: &snapshot::Chunk,
+        sent: u64,
+        out: &mut Vec<Output>,
+    ) {
+        if self.removed {
+            return;
+        }
+        self.hear_leader(from, out);
+        let label = chunk.label;
+        let reply = |received| Body::SnapshotReply {
+            label,
+            received,
+            sent,
+        };
+        if label.total > snapshot::MAX_SNAPSHOT_BYTES || self.store_failed {
+            return;
+        }
+        let older = label.position.index <= self.commit && self.config.rules.refuse_older_snapshot;
+        let held = self.log.term_at(label.position.index) == Some(label.position.term);
+        if older || (held && self.config.rules.refuse_older_snapshot) {
+            self.partial = None;
+            self.set_commit(label.position.index, out);
+            // The leader may count the prefix as held, so it has to be durable.
+            self.send_after(self.sequence, from, reply(label.total), out);
+            return;
+        }
+        let mut partial = self.partial.take().filter(|partial| partial.label() == label);
+        let progress = partial
+            .get_or_insert_with(|| snapshot::Partial::new(label))
+            .add(chunk);
+        match progress {
+            snapshot::Progress::More(received) => {
+                self.partial = partial;
+                self.send_after(self.vote_sequence, from, reply(received), out);
+            }
+            snapshot::Progress::Corrupt => self.send_after(self.vote_sequence, from, reply(0), out),
+            snapshot::Progress::Complete(snapshot) => {
+                self.install_snapshot(snapshot, out);
+                self.send_after(self.sequence, from, reply(label.total), out);
+            }
+        }
+    }
+
+    fn install_snapshot(&mut self, snapshot: snapshot::Snapshot, out: &mut Vec<Output>) {
+        let log::Position { index, .. } = snapshot.position;
+        self.log.reset(snapshot.position);
+        self.memberships = vec![(index, snapshot.membership.clone())];
+        self.durable = 0;
+        for (_, last) in &mut self.pending {
+            *last = None;
+        }
+        self.commit = index;
+        self.emitted = index;
+        self.snapshot = Some(snapshot.clone());
+        self.persist(write::Kind::Install(snapshot.clone()), out);
+        out.push(Output::Install(snapshot));
+        if self.membership().removed.contains(&self.config.id) {
+            self.on_removed(out);
+        }
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/replica/replicate.rs
@@ -0,0 +1,238 @@
+//! Sending the log and snapshots to the members.
+
+use std::time::Duration;
+
+use bronzespoke_model::id;
+
+use super::progress::{Mode, Transfer};
+use super::{Output, Replica, State};
+use crate::message::{Append, AppendReply, Body, Item, Outcome};
+use crate::{log, snapshot};
+
+impl Replica {
+    /// Offers new entries to the members when they are due.
+    pub(super) fn flush(&mut self, out: &mut Vec<Output>) {
+        let last = self.log.last().index;
+        let now = self.now;
+        let batch = self.config.batch_bytes;
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let due = leader.flush_at.is_some_and(|at| at <= now) || leader.unflushed_bytes >= batch;
+        if !due || leader.flushed >= last {
+            return;
+        }
+        leader.flushed = last;
+        leader.flush_at = None;
+        leader.unflushed_bytes = 0;
+        let members: Vec<_> = leader.progress.keys().copied().collect();
+        for member in members {
+            self.pump(member, out);
+        }
+    }
+
+    /// Sends entries to a member as far as its window allows.
+    fn pump(&mut self, to: id::VmId, out: &mut Vec<Output>) {
+        loop {
+            let State::Leader(leader) = &self.state else {
+                return;
+            };
+            let Some(progress) = leader.progress.get(&to) else {
+                return;
+            };
+            let room = progress.has_room(self.config.in_flight_messages, self.config.in_flight_bytes);
+            if !matches!(progress.mode, Mode::Pipeline) || !room || progress.next > leader.flushed {
+                return;
+            }
+            if progress.next <= self.log.base().index {
+                self.start_snapshot(to, out);
+                return;
+            }
+            let entries = self.log.slice(progress.next, self.config.batch_bytes);
+            self.send_append(to, entries, out);
+        }
+    }
+
+    fn send_append(&mut self, to: id::VmId, entries: Vec<log::Entry>, out: &mut Vec<Output>) {
+        let age = self.leader_age();
+        let commit = self.commit;
+        let now = self.now;
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        let index = progress.next - 1;
+        let Some(term) = self.log.term_at(index) else {
+            return;
+        };
+        let bytes = entries.iter().map(|entry| entry.payload.size()).sum();
+        if let Some(last) = entries.last() {
+            progress.sent(last.position.index, bytes);
+        }
+        progress.sent_at = now;
+        let append = Append {
+            previous: log::Position { term, index },
+            entries: entries.into_iter().map(Item::of).collect(),
+            commit,
+            sent: now.as_micros() as u64,
+            token: progress.token,
+            age,
+        };
+        self.send(to, Body::Append(append), out);
+    }
+
+    /// Sends a heartbeat to each member that got nothing for one interval.
+    pub(super) fn send_heartbeats(&mut self, out: &mut Vec<Output>) {
+        let State::Leader(leader) = &self.state else {
+            return;
+        };
+        let due = leader
+            .progress
+            .iter()
+            .filter(|(_, progress)| self.now >= progress.sent_at + self.config.heartbeat);
+        let members: Vec<_> = due.map(|(member, _)| *member).collect();
+        for member in members {
+            self.send_heartbeat(member, out);
+        }
+    }
+
+    fn send_heartbeat(&mut self, to: id::VmId, out: &mut Vec<Output>) {
+        let (now, election) = (self.now, self.config.election);
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        let silent = progress.acked.unwrap_or(leader.elected_at) + election < now;
+        if silent && matches!(progress.mode, Mode::Pipeline) {
+            // A member that does not answer gets heartbeats only, so that a lost VM costs few bytes.
+            progress.probe(progress.matched + 1);
+        }
+        match progress.mode {
+            Mode::Snapshot(_) => self.send_chunk(to, true, out),
+            Mode::Probe if progress.next <= self.log.base().index => self.start_snapshot(to, out),
+            Mode::Probe | Mode::Pipeline => self.send_append(to, Vec::new(), out),
+        }
+    }
+
+    pub(super) fn on_append_reply(&mut self, from: id::VmId, reply: AppendReply, out: &mut Vec<Output>) {
+        let (now, election, last) = (self.now, self.config.election, self.log.last().index);
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        progress.answered(Duration::from_micros(reply.sent), now);
+        progress.token = reply.token;
+        match reply.outcome {
+            Outcome::Accepted { matched } => {
+                progress.accept(matched.min(last), last, now, election);
+                if matches!(progress.mode, Mode::Probe) {
+                    progress.next = progress.matched + 1;
+                    progress.mode = Mode::Pipeline;
+                }
+            }
+            Outcome::Refused { previous, hint } if previous > progress.matched => {
+                let place = previous.min(hint + 1);
+                if !matches!(progress.mode, Mode::Snapshot(_)) {
+                    progress.probe(place);
+                    self.send_heartbeat(from, out);
+                }
+            }
+            Outcome::Refused { .. } => {}
+        }
+        self.after_answer(from, out);
+    }
+
+    fn after_answer(&mut self, from: id::VmId, out: &mut Vec<Output>) {
+        self.advance_commit(out);
+        self.note_leader_basis();
+        self.continue_transfer(out);
+        self.pump(from, out);
+    }
+
+    fn start_snapshot(&mut self, to: id::VmId, out: &mut Vec<Output>) {
+        let Some(snapshot) = self.snapshot.clone() else {
+            return;
+        };
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        let label = snapshot.label();
+        progress.mode = Mode::Snapshot(Transfer {
+            snapshot,
+            label,
+            offset: 0,
+        });
+        self.send_chunk(to, true, out);
+    }
+
+    /// Sends the next chunk; a probe carries no bytes and asks how many arrived.
+    fn send_chunk(&mut self, to: id::VmId, probe: bool, out: &mut Vec<Output>) {
+        let (now, size) = (self.now, self.config.chunk_bytes);
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&to) else {
+            return;
+        };
+        let Mode::Snapshot(transfer) = &progress.mode else {
+            return;
+        };
+        let bytes = if probe { 0 } else { size };
+        let chunk = transfer.snapshot.chunk(transfer.label, transfer.offset, bytes);
+        progress.sent_at = now;
+        self.send(
+            to,
+            Body::Snapshot {
+                chunk,
+                sent: now.as_micros() as u64,
+            },
+            out,
+        );
+    }
+
+    pub(super) fn on_snapshot_reply(
+        &mut self,
+        from: id::VmId,
+        label: snapshot::Label,
+        received: u64,
+        sent: u64,
+        out: &mut Vec<Output>,
+    ) {
+        let (now, election, last) = (self.now, self.config.election, self.log.last().index);
+        let State::Leader(leader) = &mut self.state else {
+            return;
+        };
+        let Some(progress) = leader.progress.get_mut(&from) else {
+            return;
+        };
+        progress.answered(Duration::from_micros(sent), now);
+        let Mode::Snapshot(transfer) = &mut progress.mode else {
+            return;
+        };
+        if transfer.label != label {
+            return;
+        }
+        if received < label.total {
+            // Answers to duplicates would send the same bytes again.
+            let repeated = received == transfer.offset && progress.sent_at > Duration::from_micros(sent);
+            transfer.offset = received;
+            if !repeated {
+                self.send_chunk(from, false, out);
+            }
+            return;
+        }
+        progress.probe(label.position.index + 1);
+        progress.accept(label.position.index, last, now, election);
+        progress.mode = Mode::Pipeline;
+        self.after_answer(from, out);
+    }
+}
--- /dev/null
+++ b/crates/consensus/src/rules.rs
@@ -0,0 +1,48 @@
+//! Switches for single safety rules, so that tests can show that their checks find a broken rule.
+
+/// Safety rules. All are on outside tests.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each rule is switched off on its own"
+)]
+pub struct Rules {
+    /// Only acknowledgements and votes of voters count.
+    pub count_voters_only: bool,
+    /// Entries are acknowledged after they are durable.
+    pub acknowledge_after_sync: bool,
+    /// A vote is made durable before it is given.
+    pub remember_vote: bool,
+    /// A leader commits entries of older terms only together with one of its own.
+    pub commit_own_term: bool,
+    /// No vote is given while the leader may hold its lease.
+    pub refuse_vote_under_lease: bool,
+    /// A snapshot older than the applied state is not installed.
+    pub refuse_older_snapshot: bool,
+    /// A vote is given only to a candidate whose log is at least as new.
+    pub compare_logs: bool,
+    /// The lease of a leader expires.
+    pub expire_lease: bool,
+    /// A membership change waits for the one before it.
+    pub one_change_at_a_time: bool,
+    /// A learner is promoted only when it has caught up.
+    pub promote_caught_up: bool,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            count_voters_only: true,
+            acknowledge_after_sync: true,
+            remember_vote: true,
+            commit_own_term: true,
+            refuse_vote_under_lease: true,
+            refuse_older_snapshot: true,
+            compare_logs: true,
+            expire_lease: true,
+            one_change_at_a_time: true,
+            promote_caught_up: true,
+        }
+    }
+}
