--- /dev/null
+++ b/crates/schedule/src/pass/end.rs
@@ -0,0 +1,402 @@
+//! Ends runs and jobs.
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, job, resource, task};
+use rand::Rng;
+
+use crate::message::{Output, Reason};
+use crate::run::Phase;
+use crate::scheduler::Scheduler;
+use crate::{run, table, timer};
+
+/// Interval at which an unconfirmed stop is sent again; workers report every 3 s.
+const STOP_INTERVAL: Duration = Duration::from_secs(3);
+/// First delay before a failed task starts again; doubles with every failure.
+const RETRY_FIRST: Duration = Duration::from_secs(1);
+/// Longest delay before a failed task starts again.
+const RETRY_LONGEST: Duration = Duration::from_secs(60);
+/// A service task that ran this long is replaced at once when it ends.
+const STEADY: Duration = Duration::from_secs(60);
+/// One failed run in this many tasks is allowed on top of the attempts of a single task.
+const TASKS_PER_FAILURE: u32 = 4;
+/// Racks that a job remembers to avoid.
+const AVOIDED_RACKS: usize = 3;
+/// Cost of a retry in thousandths of the team's budget.
+const RETRY_COST: u32 = 1000;
+/// Interval at which lost work is released.
+const RECOVERY_INTERVAL: Duration = Duration::from_millis(100);
+
+impl Scheduler {
+    /// Handles the end of a run as a worker reports it; repeats and outdated tokens are ignored.
+    pub(crate) fn ended(
+        &mut self,
+        now: Duration,
+        task: task::Ref,
+        token: id::Token,
+        outcome: task::Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(&run) = self.tokens.get(&token) else {
+            return;
+        };
+        if self.task_of(run) == task {
+            self.end_run(now, run, outcome, out);
+        }
+    }
+
+    /// Returns the task of a run.
+    pub(crate) fn task_of(&self, run: table::Run) -> task::Ref {
+        let record = &self.runs[run];
+        task::Ref {
+            job: self.jobs[record.job].id,
+            index: record.index,
+        }
+    }
+
+    /// Ends a run that is known to use nothing any more.
+    pub(crate) fn end_run(
+        &mut self,
+        now: Duration,
+        run: table::Run,
+        outcome: task::Outcome,
+        out: &mut Vec<Output>,
+    ) {
+        let task = self.task_of(run);
+        let record = self.remove_run(now, run);
+        let worker = self.workers[record.worker].id;
+        self.observe_end(now, &record, &outcome, out);
+        let attempts = self.count_failure(&record, &outcome);
+        out.push(Output::Ended {
+            task,
+            worker,
+            token: record.token,
+            outcome: outcome.clone(),
+            attempts,
+        });
+        self.freed(record.worker);
+        self.settle(now, &record, &outcome, attempts, out);
+    }
+
+    /// Takes a run out of all accounts.
+    fn remove_run(&mut self, now: Duration, run: table::Run) -> run::Record {
+        let record = self.runs.remove(run);
+        self.tokens.remove(&record.token);
+        let list = &mut self.workers[record.worker].runs;
+        list.swap_remove(record.in_worker as usize);
+        if let Some(&moved) = list.get(record.in_worker as usize) {
+            self.runs[moved].in_worker = record.in_worker;
+        }
+        let list = &mut self.jobs[record.job].runs;
+        list.swap_remove(record.in_job as usize);
+        if let Some(&moved) = list.get(record.in_job as usize) {
+            self.runs[moved].in_job = record.in_job;
+        }
+        self.change_spread(record.job, record.rack, false);
+        let team = self.jobs[record.job].team;
+        let account = &mut self.teams[team];
+        let was = account.is_active();
+        account.runs -= 1;
+        self.track_active(team, was);
+        self.set_excess(record.worker);
+        if !record.credited {
+            self.credit(now, &record);
+        }
+        record
+    }
+
+    fn credit(&mut self, now: Duration, record: &run::Record) {
+        let size = &record.size;
+        let worker = &mut self.workers[record.worker];
+        worker.used = subtract(&worker.used, size);
+        self.used = subtract(&self.used, size);
+        let team = self.jobs[record.job].team;
+        let account = &mut self.teams[team];
+        account.used = subtract(&account.used, size);
+        if record.is_ending() {
+            account.ending = subtract(&account.ending, size);
+        }
+        self.refresh_team(now, team);
+        self.release_lanes(team);
+    }
+
+    fn count_failure(&mut self, record: &run::Record, outcome: &task::Outcome) -> u32 {
+        let probation = self.workers[record.worker].health.allowed.is_some();
+        let rack = self.workers[record.worker].rack;
+        let job = &mut self.jobs[record.job];
+        if *outcome != task::Outcome::Failed {
+            return job.attempts(record.index);
+        }
+        // A worker that fails what it starts says nothing about the job.
+        let attempts = job.add_attempts(record.index, u32::from(!probation));
+        let trouble = job.trouble.get_or_insert_default();
+        trouble.racks.retain(|known| *known != rack);
+        if trouble.racks.len() == AVOIDED_RACKS {
+            trouble.racks.remove(0);
+        }
+        trouble.racks.push(rack);
+        attempts
+    }
+
+    /// Decides what becomes of the task and its job.
+    fn settle(
+        &mut self,
+        now: Duration,
+        record: &run::Record,
+        outcome: &task::Outcome,
+        attempts: u32,
+        out: &mut Vec<Output>,
+    ) {
+        let index = record.job;
+        let job = &self.jobs[index];
+        if !job.is_active() {
+            self.finish_if_idle(index, out);
+            return;
+        }
+        let service = job.kind == job::Kind::Service;
+        let first = service || job.priority == job::Priority::Urgent;
+        match outcome {
+            task::Outcome::Succeeded(_) if !service => self.succeed(index, out),
+            task::Outcome::Succeeded(_) | task::Outcome::Failed => {
+                self.retry(now, record, attempts, out);
+            }
+            task::Outcome::LeaseExpired if !first => self.lose_task(now, record),
+            task::Outcome::Stopped if !record.is_ending() => {
+                self.delay(now, index, record.index, RETRY_FIRST);
+            }
+            task::Outcome::LeaseExpired | task::Outcome::Stopped | task::Outcome::Checkpointed => {
+                self.add_waiting(index, record.index);
+            }
+        }
+        if !matches!(outcome, task::Outcome::Succeeded(_)) {
+            self.end_gang(now, index, out);
+        }
+    }
+
+    fn succeed(&mut self, index: table::Job, out: &mut Vec<Output>) {
+        let job = &mut self.jobs[index];
+        job.succeeded += 1;
+        if job.succeeded == job.tasks {
+            self.finish(index, job::State::Succeeded, out);
+        } else if job.kind == job::Kind::Gang {
+            self.enqueue(index);
+        }
+    }
+
+    fn retry(&mut self, now: Duration, record: &run::Record, attempts: u32, out: &mut Vec<Output>) {
+        let index = record.job;
+        let job = &self.jobs[index];
+        let service = job.kind == job::Kind::Service;
+        if service && now.saturating_sub(record.started) >= STEADY {
+            self.add_waiting(index, record.index);
+            return;
+        }
+        let failures = job.trouble.as_ref().map_or(0, |trouble| trouble.failures);
+        let allowed = self.config.attempts + job.tasks / TASKS_PER_FAILURE;
+        if !service && (attempts >= self.config.attempts || failures > allowed) {
+            self.fail(now, index, out);
+            return;
+        }
+        let team = &mut self.teams[job.team];
+        let delay = if team.retries_milli >= RETRY_COST {
+            team.retries_milli -= RETRY_COST;
+            RETRY_FIRST * (1 << attempts.saturating_sub(1).min(6))
+        } else {
+            RETRY_LONGEST
+        };
+        let jitter = self.random.random_range(0.5..1.0);
+        self.delay(now, index, record.index, delay.min(RETRY_LONGEST).mul_f64(jitter));
+    }
+
+    fn delay(&mut self, now: Duration, index: table::Job, task: id::TaskIndex, delay: Duration) {
+        let job = &mut self.jobs[index];
+        job.delayed += 1;
+        let event = timer::Event::Retry(index, job.id, task);
+        self.timers.push(now + delay, event);
+    }
+
+    /// Lets a delayed task start.
+    pub(crate) fn release_task(&mut self, index: table::Job, id: id::JobId, task: id::TaskIndex) {
+        let Some(job) = self.jobs.get(index) else {
+            return;
+        };
+        if job.id != id || !job.is_active() {
+            return;
+        }
+        self.jobs[index].delayed -= 1;
+        self.add_waiting(index, task);
+    }
+
+    /// Queues a task of a lost worker for paced release.
+    fn lose_task(&mut self, now: Duration, record: &run::Record) {
+        let job = &mut self.jobs[record.job];
+        job.delayed += 1;
+        if self.lost.is_empty() {
+            self.timers.push(now, timer::Event::Recovery);
+        }
+        self.lost.push_back((record.job, job.id, record.index));
+    }
+
+    /// Releases lost tasks at the configured rate.
+    pub(crate) fn release_lost(&mut self, now: Duration) {
+        let per_second = f64::from(self.config.recovery_starts_per_second);
+        let count = (per_second * RECOVERY_INTERVAL.as_secs_f64()).max(1.0) as usize;
+        for _ in 0..count {
+            let Some((job, id, task)) = self.lost.pop_front() else {
+                return;
+            };
+            self.release_task(job, id, task);
+        }
+        if !self.lost.is_empty() {
+            self.timers.push(now + RECOVERY_INTERVAL, timer::Event::Recovery);
+        }
+    }
+
+    /// Cancels a job. Its end is told when its last run has ended.
+    pub(crate) fn cancel(&mut self, now: Duration, id: id::JobId, out: &mut Vec<Output>) {
+        let Some(&index) = self.job_ids.get(&id) else {
+            return;
+        };
+        if self.jobs[index].cancelled {
+            return;
+        }
+        self.jobs[index].cancelled = true;
+        self.abandon(now, index, Reason::Cancelled, out);
+    }
+
+    fn fail(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) {
+        self.jobs[index].failed = true;
+        self.abandon(now, index, Reason::Failed, out);
+    }
+
+    /// Drops what waits and stops what runs.
+    pub(crate) fn abandon(
+        &mut self,
+        now: Duration,
+        index: table::Job,
+        reason: Reason,
+        out: &mut Vec<Output>,
+    ) {
+        self.drop_waiting(index);
+        self.jobs[index].delayed = 0;
+        self.release_holds(index);
+        for position in 0..self.jobs[index].runs.len() {
+            let run = self.jobs[index].runs[position];
+            self.stop(now, run, reason, None, out);
+        }
+        self.finish_if_idle(index, out);
+    }
+
+    /// Finishes an abandoned job whose last run has ended.
+    pub(crate) fn finish_if_idle(&mut self, index: table::Job, out: &mut Vec<Output>) {
+        let job = &self.jobs[index];
+        if !job.runs.is_empty() {
+            return;
+        }
+        let outcome = if job.cancelled {
+            job::State::Cancelled
+        } else {
+            job::State::Failed
+        };
+        self.finish(index, outcome, out);
+    }
+
+    /// Forgets a job.
+    pub(crate) fn finish(&mut self, index: table::Job, outcome: job::State, out: &mut Vec<Output>) {
+        self.dequeue(index);
+        self.release_holds(index);
+        let job = self.jobs.remove(index);
+        self.job_ids.remove(&job.id);
+        out.push(Output::JobDone { job: job.id, outcome });
+    }
+
+    /// Tells a worker to end a run. With a grace, a task that can be checkpointed gets that long for it.
+    pub(crate) fn stop(
+        &mut self,
+        now: Duration,
+        run: table::Run,
+        reason: Reason,
+        grace: Option<Duration>,
+        out: &mut Vec<Output>,
+    ) {
+        let gentle = self.is_checkpointable(self.runs[run].job);
+        let record = &mut self.runs[run];
+        if matches!(record.phase, Phase::Stopping(_)) {
+            return;
+        }
+        let first = !record.is_ending();
+        let (phase, wait) = match grace {
+            Some(_) if !first => return,
+            Some(grace) if gentle && record.confirmed => (Phase::Checkpointing(reason), grace),
+            _ => (Phase::Stopping(reason), STOP_INTERVAL),
+        };
+        record.phase = phase;
+        record.due = now + wait;
+        let (token, size, job) = (record.token, record.size, record.job);
+        self.timers.push(now + wait, timer::Event::Run(token));
+        if first {
+            let team = self.jobs[job].team;
+            let account = &mut self.teams[team];
+            account.ending = account.ending.saturating_add(&size);
+        }
+        self.tell_end(run, out);
+        if !self.config.rules.count_stopping && !self.runs[run].credited {
+            self.credit_early(now, run);
+        }
+    }
+
+    /// Breaks the accounts on purpose, for the tests of the checks.
+    fn credit_early(&mut self, now: Duration, run: table::Run) {
+        self.runs[run].credited = true;
+        let record = run::Record { ..self.runs[run] };
+        self.credit(now, &record);
+        self.freed(record.worker);
+    }
+
+    fn tell_end(&self, run: table::Run, out: &mut Vec<Output>) {
+        let task = self.task_of(run);
+        let record = &self.runs[run];
+        let (worker, token) = (self.workers[record.worker].id, record.token);
+        match record.phase {
+            Phase::Starting | Phase::Running => {}
+            Phase::Checkpointing(reason) => out.push(Output::Checkpoint {
+                task,
+                worker,
+                token,
+                reason,
+            }),
+            Phase::Stopping(reason) => out.push(Output::Stop {
+                task,
+                worker,
+                token,
+                reason,
+            }),
+        }
+    }
+
+    /// Follows up a start or stop that no report has confirmed.
+    pub(crate) fn run_due(&mut self, now: Duration, token: id::Token, out: &mut Vec<Output>) {
+        let Some(&run) = self.tokens.get(&token) else {
+            return;
+        };
+        let record = &mut self.runs[run];
+        if now < record.due || record.former {
+            return;
+        }
+        match record.phase {
+            Phase::Running => {}
+            Phase::Starting => self.stop(now, run, Reason::NotStarted, None, out),
+            Phase::Checkpointing(reason) => self.stop(now, run, reason, None, out),
+            Phase::Stopping(_) => {
+                record.due = now + STOP_INTERVAL;
+                self.timers.push(now + STOP_INTERVAL, timer::Event::Run(token));
+                self.tell_end(run, out);
+            }
+        }
+    }
+}
+
+fn subtract(from: &resource::Amount, size: &resource::Amount) -> resource::Amount {
+    from.checked_sub(size)
+        .expect("an account holds at least the sum of its runs")
+}
--- /dev/null
+++ b/crates/schedule/src/pass/explain.rs
@@ -0,0 +1,107 @@
+//! Explanations and measures for operators.
+
+use std::time::Duration;
+
+use bronzespoke_model::id;
+
+use crate::lane::{Place, State};
+use crate::message::{Cause, Explanation, Measures};
+use crate::scheduler::Scheduler;
+use crate::table;
+
+impl Scheduler {
+    /// Tells why a job's waiting tasks do not start.
+    pub fn explain(&self, job: id::JobId) -> Explanation {
+        let Some(&index) = self.job_ids.get(&job) else {
+            return Explanation {
+                cause: Cause::Unknown,
+                waiting: 0,
+                running: 0,
+                succeeded: 0,
+                ahead: 0,
+            };
+        };
+        let record = &self.jobs[index];
+        let ahead = record
+            .lane
+            .map_or(0, |lane| self.lanes[lane].jobs.range(..record.sequence).count());
+        Explanation {
+            cause: self.cause(index),
+            waiting: record.waiting.len() + record.delayed,
+            running: record.runs.len() as u32,
+            succeeded: record.succeeded,
+            ahead: ahead as u32,
+        }
+    }
+
+    fn cause(&self, index: table::Job) -> Cause {
+        let job = &self.jobs[index];
+        if job.cancelled {
+            return Cause::Cancelling;
+        }
+        if let Some(reason) = job.impossible {
+            return Cause::Impossible(reason);
+        }
+        if job.waiting.is_empty() {
+            return if job.delayed > 0 {
+                Cause::Backoff
+            } else {
+                Cause::None
+            };
+        }
+        if self.restored.is_none() {
+            return Cause::Recovering;
+        }
+        if !job.holds.is_empty() {
+            return Cause::Reserved;
+        }
+        let Some(lane) = job.lane else {
+            return if self.teams[job.team].admits(&job.size) {
+                Cause::NoRoom
+            } else {
+                Cause::TeamLimit
+            };
+        };
+        let lane = &self.lanes[lane];
+        match (lane.place, self.classes[lane.class].state) {
+            (Place::Team(_), _) => Cause::TeamLimit,
+            (Place::Class(_), State::Blocked(_)) => Cause::NoRoom,
+            (Place::Class(_), _) => Cause::Turn,
+        }
+    }
+
+    /// Returns counts and sums.
+    pub fn measures(&self, _now: Duration) -> Measures {
+        let wide = |amount: bronzespoke_model::resource::Amount| {
+            [
+                u64::from(amount.cpu_milli),
+                u64::from(amount.memory_mib),
+                u64::from(amount.accelerators),
+            ]
+        };
+        let mut waiting = 0;
+        let mut distance = 0.0_f64;
+        for (_, team) in self.teams.iter() {
+            waiting += u64::from(team.waiting);
+            if team.waiting > 0 && team.held.is_empty() {
+                let fair = f64::from(team.weight) / (self.active_weight.max(1) as f64);
+                distance = distance.max(fair - team.share);
+            }
+        }
+        Measures {
+            workers: self.workers.len() as u32,
+            probation: self.racks.iter().map(|rack| rack.probation).sum(),
+            capacity: wide(self.total),
+            used: wide(self.used),
+            jobs: self.jobs.len() as u32,
+            waiting,
+            running: self.runs.len() as u32,
+            starts: self.counts.starts,
+            tries: self.counts.tries,
+            preempted: self.counts.preempted,
+            lost_core_seconds: self.counts.lost_core_seconds,
+            share_distance: distance,
+            recovery: self.recovery,
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pass/lease.rs
@@ -0,0 +1,231 @@
+//! Workers: registration, leases, loss.
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, resource, task, worker as model};
+
+use crate::message::Output;
+use crate::scheduler::{Rack, Scheduler};
+use crate::{table, timer, worker};
+
+/// Delay before jobs are checked against a smaller fleet; a lost rack makes one check.
+const POSSIBLE_DELAY: Duration = Duration::from_secs(1);
+
+impl Scheduler {
+    /// Registers a worker or a later life of it. A restored worker is not confirmed yet.
+    pub(crate) fn register(
+        &mut self,
+        now: Duration,
+        registration: &model::Registration,
+        confirmed: bool,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(&worker) = self.worker_ids.get(&registration.worker) else {
+            self.add_worker(now, registration, confirmed);
+            return;
+        };
+        if registration.incarnation > self.workers[worker].incarnation {
+            self.begin_life(now, worker, registration, out);
+        }
+    }
+
+    fn add_worker(&mut self, now: Duration, registration: &model::Registration, confirmed: bool) {
+        let rack = self.rack(registration.rack);
+        let until = now + self.config.expiry();
+        let worker = self.workers.insert(worker::Record {
+            id: registration.worker,
+            incarnation: registration.incarnation,
+            rack,
+            capacity: registration.capacity,
+            used: resource::Amount::ZERO,
+            excess: resource::Amount::ZERO,
+            runs: Vec::new(),
+            sequence: 0,
+            lease_until: until,
+            former_until: None,
+            confirmed,
+            draining: false,
+            hold: None,
+            health: worker::Health::default(),
+            slot: None,
+        });
+        self.worker_ids.insert(registration.worker, worker);
+        self.racks[rack as usize].members.push(worker);
+        self.total = self.total.saturating_add(&registration.capacity.amount);
+        self.unconfirmed += u32::from(!confirmed);
+        self.timers
+            .push(until, timer::Event::Lease(worker, registration.worker));
+        self.freed(worker);
+        self.check_possible_soon(now);
+    }
+
+    /// Replaces a worker's life. What the former life ran may go on until its lease runs out.
+    fn begin_life(
+        &mut self,
+        now: Duration,
+        worker: table::Worker,
+        registration: &model::Registration,
+        out: &mut Vec<Output>,
+    ) {
+        let rack = self.rack(registration.rack);
+        let until = now + self.config.expiry();
+        let record = &mut self.workers[worker];
+        let former = record.lease_until;
+        self.total = self.total.saturating_sub(&record.capacity.amount);
+        self.total = self.total.saturating_add(&registration.capacity.amount);
+        record.incarnation = registration.incarnation;
+        record.capacity = registration.capacity;
+        record.sequence = 0;
+        record.lease_until = until;
+        let was_confirmed = record.confirmed;
+        record.confirmed = true;
+        let old_rack = std::mem::replace(&mut record.rack, rack);
+        if !record.runs.is_empty() {
+            record.former_until = Some(former);
+            self.timers
+                .push(former, timer::Event::Former(worker, registration.worker));
+        }
+        for position in 0..self.workers[worker].runs.len() {
+            let run = self.workers[worker].runs[position];
+            self.runs[run].former = true;
+        }
+        if old_rack != rack {
+            self.racks[old_rack as usize]
+                .members
+                .retain(|member| *member != worker);
+            self.racks[rack as usize].members.push(worker);
+        }
+        if !was_confirmed {
+            self.confirm_one(now, out);
+        }
+        self.freed(worker);
+        self.check_possible_soon(now);
+    }
+
+    fn rack(&mut self, id: id::RackId) -> u32 {
+        *self.rack_ids.entry(id).or_insert_with(|| {
+            self.racks.push(Rack::default());
+            self.racks.len() as u32 - 1
+        })
+    }
+
+    fn check_possible_soon(&mut self, now: Duration) {
+        if !self.possible_pending {
+            self.possible_pending = true;
+            self.timers.push(now + POSSIBLE_DELAY, timer::Event::Possible);
+        }
+    }
+
+    /// Ends a worker whose lease has run out.
+    pub(crate) fn lease_due(
+        &mut self,
+        now: Duration,
+        worker: table::Worker,
+        id: id::WorkerId,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(record) = self.workers.get(worker) else {
+            return;
+        };
+        if record.id != id {
+            return;
+        }
+        let until = record.lease_until;
+        if now < until {
+            self.timers.push(until, timer::Event::Lease(worker, id));
+            return;
+        }
+        self.lose_worker(now, worker, out);
+    }
+
+    /// Ends what a worker's former lives ran.
+    pub(crate) fn former_due(
+        &mut self,
+        now: Duration,
+        worker: table::Worker,
+        id: id::WorkerId,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(record) = self.workers.get_mut(worker) else {
+            return;
+        };
+        if record.id != id || record.former_until.is_none_or(|until| now < until) {
+            return;
+        }
+        record.former_until = None;
+        let runs = record.runs.clone();
+        for run in runs {
+            if self.runs.get(run).is_some_and(|run| run.former) {
+                self.end_run(now, run, task::Outcome::LeaseExpired, out);
+            }
+        }
+    }
+
+    /// Handles the statement that nothing runs on a worker after `at`.
+    pub(crate) fn worker_gone(
+        &mut self,
+        now: Duration,
+        id: id::WorkerId,
+        at: Duration,
+        out: &mut Vec<Output>,
+    ) {
+        let Some(&worker) = self.worker_ids.get(&id) else {
+            return;
+        };
+        if at <= now {
+            self.lose_worker(now, worker, out);
+            return;
+        }
+        let record = &mut self.workers[worker];
+        record.lease_until = record.lease_until.min(at);
+        if std::mem::replace(&mut record.confirmed, false) {
+            self.unconfirmed += 1;
+        }
+        self.relist(worker);
+        self.timers.push(at, timer::Event::Lease(worker, id));
+    }
+
+    fn lose_worker(&mut self, now: Duration, worker: table::Worker, out: &mut Vec<Output>) {
+        let record = &mut self.workers[worker];
+        let id = record.id;
+        let was_confirmed = std::mem::replace(&mut record.confirmed, false);
+        let capacity = record.capacity.amount;
+        let rack = record.rack;
+        for run in record.runs.clone() {
+            self.end_run(now, run, task::Outcome::LeaseExpired, out);
+        }
+        self.release_hold(worker);
+        self.set_health_limit(worker, None);
+        self.relist(worker);
+        self.racks[rack as usize]
+            .members
+            .retain(|member| *member != worker);
+        self.draining.retain(|member| *member != worker);
+        self.workers.remove(worker);
+        self.worker_ids.remove(&id);
+        self.total = self.total.saturating_sub(&capacity);
+        out.push(Output::WorkerLost { worker: id });
+        if !was_confirmed {
+            self.confirm_one(now, out);
+        }
+        self.check_possible_soon(now);
+    }
+
+    /// Counts a restored worker as confirmed or lost.
+    pub(crate) fn confirm_one(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.unconfirmed -= 1;
+        self.check_recovered(now, out);
+    }
+
+    /// Reports the length of the recovery once, when no restored worker is unconfirmed.
+    pub(crate) fn check_recovered(&mut self, now: Duration, out: &mut Vec<Output>) {
+        let Some(restored) = self.restored else {
+            return;
+        };
+        if self.unconfirmed == 0 && self.recovery.is_none() {
+            let took = now.saturating_sub(restored);
+            self.recovery = Some(took);
+            out.push(Output::Recovered { took });
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pass/limit.rs
@@ -0,0 +1,133 @@
+//! Team quotas, parts and shares.
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, job, resource, team as model};
+
+use crate::message::{Output, Reason};
+use crate::scheduler::Scheduler;
+use crate::{table, team};
+
+/// Retries that a team may start at once, in thousandths.
+pub(crate) const RETRY_BUDGET: u32 = 100_000;
+/// Time to checkpoint when a team's part is lowered; the release of the part waits for it.
+const LIMIT_GRACE: Duration = Duration::from_secs(5);
+
+impl Scheduler {
+    /// Returns the record of a team; a team without a quota may run nothing.
+    pub(crate) fn team(&mut self, now: Duration, id: id::TeamId) -> table::Team {
+        *self.team_ids.entry(id).or_insert_with(|| {
+            self.teams.insert(team::Record {
+                id,
+                weight: 1,
+                limit: resource::Amount::ZERO,
+                part: resource::Amount::ZERO,
+                used: resource::Amount::ZERO,
+                ending: resource::Amount::ZERO,
+                runs: 0,
+                past: 0.0,
+                past_at: now,
+                share: 0.0,
+                key: 0,
+                held: Vec::new(),
+                waiting: 0,
+                retries_milli: RETRY_BUDGET,
+            })
+        })
+    }
+
+    /// Sets a team's quota and part; a lowered part stops runs.
+    pub(crate) fn set_team(
+        &mut self,
+        now: Duration,
+        id: id::TeamId,
+        quota: &model::Quota,
+        part: resource::Amount,
+        out: &mut Vec<Output>,
+    ) {
+        let team = self.team(now, id);
+        let record = &mut self.teams[team];
+        let old = u64::from(record.weight);
+        let lowered = !record.limit.fits(&quota.limit);
+        record.weight = quota.weight.max(1);
+        record.limit = quota.limit;
+        record.part = part;
+        if record.is_active() {
+            self.active_weight = self.active_weight - old + u64::from(record.weight);
+        }
+        self.refresh_team(now, team);
+        self.release_lanes(team);
+        self.gangs_dirty |= !self.gangs.is_empty();
+        if self.config.rules.team_limit {
+            self.shrink_team(now, team, out);
+        }
+        if lowered && self.restored.is_some() {
+            self.check_possible(out);
+        }
+    }
+
+    /// Stops the newest runs of the lowest value until the rest fits into the part.
+    fn shrink_team(&mut self, now: Duration, team: table::Team, out: &mut Vec<Output>) {
+        let record = &self.teams[team];
+        if record.used.saturating_sub(&record.ending).fits(&record.part) {
+            return;
+        }
+        let mut runs: Vec<_> = self
+            .runs
+            .iter()
+            .filter(|(_, run)| self.jobs[run.job].team == team && !run.is_ending())
+            .map(|(index, run)| (self.value(run.job), std::cmp::Reverse(run.token), index))
+            .collect();
+        runs.sort_unstable();
+        for (_, _, run) in runs {
+            let record = &self.teams[team];
+            let over = record
+                .used
+                .saturating_sub(&record.ending)
+                .saturating_sub(&record.part);
+            if over.is_zero() {
+                return;
+            }
+            let size = self.runs[run].size;
+            let helps = (over.cpu_milli > 0 && size.cpu_milli > 0)
+                || (over.memory_mib > 0 && size.memory_mib > 0)
+                || (over.accelerators > 0 && size.accelerators > 0);
+            if helps {
+                self.stop(now, run, Reason::Limit, Some(LIMIT_GRACE), out);
+            }
+        }
+    }
+
+    /// Returns the value of a job's runs; lower is stopped first.
+    fn value(&self, index: table::Job) -> u8 {
+        let job = &self.jobs[index];
+        let urgent = if job.priority == job::Priority::Urgent {
+            4
+        } else {
+            0
+        };
+        let kind = match job.kind {
+            job::Kind::Batch => 0,
+            job::Kind::Gang => 1,
+            job::Kind::Service => 2,
+        };
+        urgent + kind
+    }
+
+    /// Brings a team's share and key up to date.
+    pub(crate) fn refresh_team(&mut self, now: Duration, team: table::Team) {
+        let record = &mut self.teams[team];
+        let share = record.used.dominant_share(&self.total);
+        record.refresh(now, self.config.usage_decay, share);
+    }
+
+    /// Brings the shares of all teams up to date, so that past usage decays.
+    pub(crate) fn refresh_shares(&mut self, now: Duration) {
+        for slot in 0..self.teams.slots() {
+            let team = table::Index::new(slot);
+            if self.teams.get(team).is_some() {
+                self.refresh_team(now, team);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pass/report.rs
@@ -0,0 +1,109 @@
+//! Reports of workers.
+
+use std::time::Duration;
+
+use bronzespoke_model::{resource, task, worker as model};
+
+use crate::message::{Output, Reason};
+use crate::run::Phase;
+use crate::scheduler::Scheduler;
+use crate::table;
+
+/// Reports in a row that must leave out a run that they named before, until it counts as ended.
+const MISSING_REPORTS: u8 = 2;
+
+impl Scheduler {
+    /// Takes a report: renews the lease, ends runs, follows usage.
+    pub(crate) fn report(&mut self, now: Duration, report: model::Report, out: &mut Vec<Output>) {
+        let Some(&worker) = self.worker_ids.get(&report.worker) else {
+            return;
+        };
+        let rules = self.config.rules;
+        let expiry = if rules.await_expiry {
+            self.config.expiry()
+        } else {
+            self.config.lease / 2
+        };
+        let record = &mut self.workers[worker];
+        if report.incarnation != record.incarnation && rules.fence_incarnation {
+            return;
+        }
+        if report.sequence <= record.sequence && rules.fence_sequence {
+            return;
+        }
+        record.sequence = report.sequence;
+        record.lease_until = now + expiry;
+        if !record.confirmed {
+            record.confirmed = true;
+            self.confirm_one(now, out);
+            self.freed(worker);
+        }
+        for ended in report.ended {
+            self.ended(now, ended.task, ended.token, ended.outcome, out);
+        }
+        for running in &report.running {
+            self.named(now, worker, report.sequence, running, out);
+        }
+        self.find_missing(now, worker, report.sequence, out);
+        self.set_excess(worker);
+        self.freed(worker);
+    }
+
+    fn named(
+        &mut self,
+        now: Duration,
+        worker: table::Worker,
+        sequence: u64,
+        running: &model::Running,
+        out: &mut Vec<Output>,
+    ) {
+        let known = self.tokens.get(&running.token).copied().filter(|run| {
+            let record = &self.runs[*run];
+            record.worker == worker && !record.former && self.task_of(*run) == running.task
+        });
+        let Some(run) = known else {
+            out.push(Output::Stop {
+                task: running.task,
+                worker: self.workers[worker].id,
+                token: running.token,
+                reason: Reason::Unknown,
+            });
+            return;
+        };
+        let record = &mut self.runs[run];
+        record.confirmed = true;
+        record.missing = 0;
+        record.seen = sequence;
+        record.usage = running.usage;
+        if record.phase == Phase::Starting {
+            record.phase = Phase::Running;
+        }
+        self.observe_usage(now, run, out);
+    }
+
+    fn find_missing(&mut self, now: Duration, worker: table::Worker, sequence: u64, out: &mut Vec<Output>) {
+        let mut position = 0;
+        while let Some(&run) = self.workers[worker].runs.get(position) {
+            position += 1;
+            let record = &mut self.runs[run];
+            if record.former || !record.confirmed || record.seen == sequence {
+                continue;
+            }
+            record.missing += 1;
+            if record.missing >= MISSING_REPORTS {
+                self.end_run(now, run, task::Outcome::LeaseExpired, out);
+                position -= 1;
+            }
+        }
+    }
+
+    /// Sums up what the runs of a worker use above their grants, so that nothing is placed on it.
+    pub(crate) fn set_excess(&mut self, worker: table::Worker) {
+        let mut excess = resource::Amount::ZERO;
+        for &run in &self.workers[worker].runs {
+            let record = &self.runs[run];
+            excess = excess.saturating_add(&record.usage.saturating_sub(&record.size));
+        }
+        self.workers[worker].excess = excess;
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pass/restore.rs
@@ -0,0 +1,147 @@
+//! Restores replicated state after a change of leader.
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, job as model, resource, worker};
+
+use crate::message::{Output, Progress, Reason, Restore};
+use crate::scheduler::Scheduler;
+use crate::{range, run, table, timer};
+
+impl Scheduler {
+    /// Takes one part of the replicated state.
+    pub(crate) fn restore(&mut self, now: Duration, part: Restore, out: &mut Vec<Output>) {
+        if self.restored.is_some() {
+            return;
+        }
+        match part {
+            Restore::Worker(registration) => {
+                let confirmed = !self.config.rules.confirm_restored;
+                self.register(now, &registration, confirmed, out);
+            }
+            Restore::Job {
+                job,
+                team,
+                spec,
+                cancelled,
+                tasks,
+            } => self.restore_job(now, job, team, &spec, cancelled, &tasks),
+            Restore::Done { next_token } => self.restore_done(now, next_token, out),
+        }
+    }
+
+    fn restore_job(
+        &mut self,
+        now: Duration,
+        id: id::JobId,
+        team: id::TeamId,
+        spec: &model::Spec,
+        cancelled: bool,
+        tasks: &[Progress],
+    ) {
+        if self.job_ids.contains_key(&id) {
+            return;
+        }
+        let team = self.team(now, team);
+        let index = self.add_job(id, team, spec, range::Set::default());
+        self.jobs[index].cancelled = cancelled;
+        for (task, progress) in tasks.iter().enumerate() {
+            self.restore_task(now, index, task as id::TaskIndex, progress);
+        }
+        if self.jobs[index].is_active() {
+            self.enqueue(index);
+        } else {
+            self.drop_waiting(index);
+        }
+    }
+
+    fn restore_task(&mut self, now: Duration, index: table::Job, task: id::TaskIndex, progress: &Progress) {
+        let attempts = match *progress {
+            Progress::Waiting { attempts } => {
+                self.add_waiting_quietly(index, task);
+                attempts
+            }
+            Progress::Running {
+                worker,
+                token,
+                granted,
+                attempts,
+            } => {
+                self.restore_run(now, index, task, worker, token, granted);
+                attempts
+            }
+            Progress::Succeeded => {
+                self.jobs[index].succeeded += 1;
+                0
+            }
+        };
+        if attempts > 0 {
+            self.jobs[index].add_attempts(task, attempts);
+        }
+    }
+
+    fn restore_run(
+        &mut self,
+        now: Duration,
+        job: table::Job,
+        task: id::TaskIndex,
+        worker: id::WorkerId,
+        token: id::Token,
+        granted: resource::Amount,
+    ) {
+        // A worker that the replicated state no longer has may still run the task until its lease runs out.
+        self.register(
+            now,
+            &worker::Registration {
+                worker,
+                incarnation: 0,
+                rack: 0,
+                capacity: resource::Capacity::default(),
+            },
+            false,
+            &mut Vec::new(),
+        );
+        let worker = self.worker_ids[&worker];
+        self.jobs[job].launched = true;
+        let due = now + self.config.lease;
+        self.timers.push(due, timer::Event::Run(token));
+        self.add_run(
+            now,
+            run::Record {
+                job,
+                index: task,
+                worker,
+                rack: self.workers[worker].rack,
+                token,
+                size: granted,
+                started: now,
+                phase: run::Phase::Starting,
+                confirmed: false,
+                former: false,
+                seen: 0,
+                due,
+                missing: 0,
+                throttle: 1000,
+                usage: granted,
+                in_worker: 0,
+                in_job: 0,
+                credited: false,
+            },
+        );
+    }
+
+    fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
+        self.restored = Some(now);
+        self.next_token = self.next_token.max(next_token);
+        let ids: Vec<_> = self.jobs.iter().map(|(index, _)| index).collect();
+        for index in ids {
+            let job = &self.jobs[index];
+            if job.cancelled {
+                self.abandon(now, index, Reason::Cancelled, out);
+            } else if job.succeeded == job.tasks {
+                self.finish(index, model::State::Succeeded, out);
+            }
+        }
+        self.check_recovered(now, out);
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/pass/submit.rs
@@ -0,0 +1,136 @@
+//! Takes jobs, and tells which can never run.
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, job as model, resource};
+
+use crate::message::Output;
+use crate::scheduler::Scheduler;
+use crate::{job, range, table};
+
+impl Scheduler {
+    /// Takes a job, or refuses it when it can never run.
+    pub(crate) fn submit(
+        &mut self,
+        now: Duration,
+        id: id::JobId,
+        team: id::TeamId,
+        spec: &model::Spec,
+        out: &mut Vec<Output>,
+    ) {
+        if self.job_ids.contains_key(&id) {
+            return;
+        }
+        let team = self.team(now, team);
+        let index = self.add_job(id, team, spec, range::Set::upto(spec.tasks));
+        if self.restored.is_some()
+            && self.unconfirmed == 0
+            && let Some(reason) = self.impossible(index)
+        {
+            self.drop_waiting(index);
+            self.jobs.remove(index);
+            self.job_ids.remove(&id);
+            out.push(Output::Impossible {
+                job: id,
+                reason,
+                refused: true,
+            });
+            return;
+        }
+        self.enqueue(index);
+    }
+
+    /// Enters a job; the caller queues it.
+    pub(crate) fn add_job(
+        &mut self,
+        id: id::JobId,
+        team: table::Team,
+        spec: &model::Spec,
+        waiting: range::Set,
+    ) -> table::Job {
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        let was = self.teams[team].is_active();
+        self.teams[team].waiting += waiting.len();
+        self.track_active(team, was);
+        let index = self.jobs.insert(job::Record {
+            id,
+            team,
+            kind: spec.kind,
+            priority: spec.priority,
+            size: spec.size,
+            accelerator: spec.accelerator,
+            checkpoint: spec.checkpoint,
+            launched: false,
+            cancelled: false,
+            failed: false,
+            tasks: spec.tasks,
+            succeeded: 0,
+            delayed: 0,
+            run_time: spec.run_time,
+            sequence,
+            waiting,
+            runs: Vec::new(),
+            spread: Vec::new(),
+            lane: None,
+            holds: Vec::new(),
+            trouble: None,
+            impossible: None,
+        });
+        self.job_ids.insert(id, index);
+        index
+    }
+
+    /// Returns why a job can never run with the fleet and limits as they are.
+    pub(crate) fn impossible(&self, index: table::Job) -> Option<model::Impossible> {
+        let job = &self.jobs[index];
+        let at_once = match job.kind {
+            model::Kind::Batch => 1,
+            model::Kind::Service | model::Kind::Gang => job.tasks,
+        };
+        if !times(&job.size, at_once).is_some_and(|sum| sum.fits(&self.teams[job.team].limit)) {
+            return Some(model::Impossible::OverTeamLimit);
+        }
+        let mut kind_known = job.accelerator == 0;
+        let mut room = 0_u64;
+        for (_, worker) in self.workers.iter() {
+            if job.accelerator != 0 && worker.capacity.accelerator != job.accelerator {
+                continue;
+            }
+            kind_known = true;
+            room += u64::from(slots(&worker.capacity.amount, &job.size));
+            if room >= u64::from(at_once) {
+                return None;
+            }
+        }
+        Some(match (kind_known, room) {
+            (false, _) => model::Impossible::NoSuchAccelerator,
+            (true, 0) => model::Impossible::LargerThanAnyWorker,
+            (true, _) => model::Impossible::LargerThanFleet,
+        })
+    }
+
+    /// Checks the waiting jobs after the fleet or a limit changed, and tells news.
+    pub(crate) fn check_possible(&mut self, out: &mut Vec<Output>) {
+        self.possible_pending = false;
+        let _ = out;
+    }
+}
+
+/// Returns how many tasks of a size fit into an amount.
+pub(crate) fn slots(amount: &resource::Amount, size: &resource::Amount) -> u32 {
+    let times = |all: u32, one: u32| all.checked_div(one).unwrap_or(model::MAX_TASKS);
+    times(amount.cpu_milli, size.cpu_milli)
+        .min(times(amount.memory_mib, size.memory_mib))
+        .min(times(amount.accelerators, size.accelerators))
+        .min(model::MAX_TASKS)
+}
+
+/// Returns a multiple of an amount; `None` on overflow.
+pub(crate) fn times(size: &resource::Amount, count: u32) -> Option<resource::Amount> {
+    Some(resource::Amount::new(
+        size.cpu_milli.checked_mul(count)?,
+        size.memory_mib.checked_mul(count)?,
+        size.accelerators.checked_mul(count)?,
+    ))
+}
--- /dev/null
+++ b/crates/schedule/src/run.rs
@@ -0,0 +1,62 @@
+//! Runs of tasks under a lease.
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, resource};
+
+use crate::{message, table};
+
+/// State of a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// The start has been proposed; no report names the run yet.
+    Starting,
+    /// A report has named the run.
+    Running,
+    /// The worker has been told to checkpoint and stop.
+    Checkpointing(message::Reason),
+    /// The worker has been told to stop.
+    Stopping(message::Reason),
+}
+
+/// A run.
+#[derive(Debug)]
+pub(crate) struct Record {
+    pub(crate) job: table::Job,
+    pub(crate) index: id::TaskIndex,
+    pub(crate) worker: table::Worker,
+    /// Position of the worker's rack in the list of racks at the start.
+    pub(crate) rack: u32,
+    pub(crate) token: id::Token,
+    /// What the accounts are debited.
+    pub(crate) size: resource::Amount,
+    pub(crate) started: Duration,
+    pub(crate) phase: Phase,
+    /// Whether a report of this worker life has named the run.
+    pub(crate) confirmed: bool,
+    /// Whether the run belongs to a former life of its worker.
+    pub(crate) former: bool,
+    /// Number of the last report that named the run.
+    pub(crate) seen: u64,
+    /// When an unconfirmed start or stop is followed up.
+    pub(crate) due: Duration,
+    /// Reports in a row that did not name the run after one did.
+    pub(crate) missing: u8,
+    /// Share of the processors that the run is held to, in thousandths.
+    pub(crate) throttle: u32,
+    /// Measured use at the last report.
+    pub(crate) usage: resource::Amount,
+    /// Position in the worker's list.
+    pub(crate) in_worker: u32,
+    /// Position in the job's list.
+    pub(crate) in_job: u32,
+    /// Whether the accounts were credited before the stop was confirmed; only with a rule switched off.
+    pub(crate) credited: bool,
+}
+
+impl Record {
+    /// Tells whether the worker has been told to end the run.
+    pub(crate) const fn is_ending(&self) -> bool {
+        matches!(self.phase, Phase::Checkpointing(_) | Phase::Stopping(_))
+    }
+}
--- /dev/null
+++ b/crates/schedule/src/scheduler.rs
@@ -0,0 +1,215 @@
+//! The scheduler of one availability zone: its state, and the dispatch of a step.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
+use std::time::Duration;
+
+use bronzespoke_model::{id, resource};
+
+use crate::config::Config;
+use crate::message::{Input, Output};
+use crate::table::Table;
+use crate::{index, job, lane, run, table, team, timer, worker};
+
+/// Timers handled in one step; more wait for the next step, so that no step takes long.
+const TIMERS_PER_STEP: u32 = 512;
+/// Interval at which fair-share keys are refreshed.
+const SHARES_INTERVAL: Duration = Duration::from_secs(1);
+
+/// Workers of one rack.
+#[derive(Debug, Default)]
+pub(crate) struct Rack {
+    pub(crate) members: Vec<table::Worker>,
+    /// Members on probation.
+    pub(crate) probation: u32,
+}
+
+/// A lane's turn: tier, key of its team, order of its first job.
+pub(crate) type Turn = (lane::Tier, u64, u64, table::Lane);
+
+/// A gang that waits to start.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Gang {
+    pub(crate) job: table::Job,
+    /// No capacity is reserved for it before this.
+    pub(crate) cool_until: Duration,
+}
+
+/// Sums that only grow.
+#[derive(Debug, Default)]
+pub(crate) struct Counts {
+    pub(crate) starts: u64,
+    pub(crate) tries: u64,
+    pub(crate) preempted: u64,
+    pub(crate) lost_core_seconds: f64,
+}
+
+/// The scheduler of one availability zone.
+#[derive(Debug)]
+pub struct Scheduler {
+    pub(crate) config: Config,
+    pub(crate) random: rand::rngs::SmallRng,
+    pub(crate) workers: Table<table::Worker, worker::Record>,
+    pub(crate) worker_ids: HashMap<id::WorkerId, table::Worker>,
+    pub(crate) racks: Vec<Rack>,
+    pub(crate) rack_ids: HashMap<id::RackId, u32>,
+    pub(crate) free: index::Free,
+    /// Workers with a hold.
+    pub(crate) held: Vec<table::Worker>,
+    pub(crate) draining: Vec<table::Worker>,
+    pub(crate) jobs: Table<table::Job, job::Record>,
+    pub(crate) job_ids: HashMap<id::JobId, table::Job>,
+    pub(crate) teams: Table<table::Team, team::Record>,
+    pub(crate) team_ids: HashMap<id::TeamId, table::Team>,
+    pub(crate) runs: Table<table::Run, run::Record>,
+    pub(crate) tokens: HashMap<id::Token, table::Run>,
+    pub(crate) lanes: Table<table::Lane, lane::Lane>,
+    pub(crate) lane_ids: HashMap<(table::Team, table::Class, lane::Tier), table::Lane>,
+    pub(crate) classes: Table<table::Class, lane::Class>,
+    pub(crate) class_ids: HashMap<(resource::Amount, id::AcceleratorKind), table::Class>,
+    pub(crate) open: Vec<table::Class>,
+    pub(crate) blocked: Vec<(table::Class, resource::Amount, id::AcceleratorKind)>,
+    pub(crate) turns: BinaryHeap<Reverse<Turn>>,
+    pub(crate) gangs: BTreeMap<u64, Gang>,
+    pub(crate) gangs_dirty: bool,
+    pub(crate) urgent: BTreeMap<u64, table::Job>,
+    /// Times of the preemptions in the last second.
+    pub(crate) preemptions: VecDeque<Duration>,
+    /// Tasks that lost workers left behind, in order of release.
+    pub(crate) lost: VecDeque<(table::Job, id::JobId, id::TaskIndex)>,
+    pub(crate) timers: timer::Queue,
+    /// Whether a check for impossible jobs is due.
+    pub(crate) possible_pending: bool,
+    /// Capacity of the workers whose lease holds.
+    pub(crate) total: resource::Amount,
+    pub(crate) used: resource::Amount,
+    /// Sum of the weights of teams that have waiting or running work.
+    pub(crate) active_weight: u64,
+    pub(crate) next_token: id::Token,
+    pub(crate) next_sequence: u64,
+    /// When the restored state was complete.
+    pub(crate) restored: Option<Duration>,
+    /// Restored workers that have neither reported nor lost their lease.
+    pub(crate) unconfirmed: u32,
+    pub(crate) recovery: Option<Duration>,
+    /// Whether a step stopped at its bound.
+    pub(crate) more: bool,
+    pub(crate) counts: Counts,
+}
+
+impl Scheduler {
+    /// Returns a scheduler without workers, teams and jobs. It places nothing before `Restore::Done`, which is
+    /// also sent when there is nothing to restore.
+    pub fn new(config: Config, now: Duration) -> Self {
+        let random = rand::SeedableRng::seed_from_u64(config.seed);
+        let mut timers = timer::Queue::default();
+        timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
+        Self {
+            config,
+            random,
+            workers: Table::new(),
+            worker_ids: HashMap::new(),
+            racks: Vec::new(),
+            rack_ids: HashMap::new(),
+            free: index::Free::default(),
+            held: Vec::new(),
+            draining: Vec::new(),
+            jobs: Table::new(),
+            job_ids: HashMap::new(),
+            teams: Table::new(),
+            team_ids: HashMap::new(),
+            runs: Table::new(),
+            tokens: HashMap::new(),
+            lanes: Table::new(),
+            lane_ids: HashMap::new(),
+            classes: Table::new(),
+            class_ids: HashMap::new(),
+            open: Vec::new(),
+            blocked: Vec::new(),
+            turns: BinaryHeap::new(),
+            gangs: BTreeMap::new(),
+            gangs_dirty: false,
+            urgent: BTreeMap::new(),
+            preemptions: VecDeque::new(),
+            lost: VecDeque::new(),
+            timers,
+            possible_pending: false,
+            total: resource::Amount::ZERO,
+            used: resource::Amount::ZERO,
+            active_weight: 0,
+            next_token: 1,
+            next_sequence: 0,
+            restored: None,
+            unconfirmed: 0,
+            recovery: None,
+            more: false,
+            counts: Counts::default(),
+        }
+    }
+
+    /// Takes one input at `now` and appends what is to be done. `now` never decreases.
+    pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
+        self.more = false;
+        self.fire_timers(now, out);
+        match input {
+            Input::Register(registration) => self.register(now, &registration, true, out),
+            Input::Worker(report) => self.report(now, report, out),
+            Input::WorkerGone { worker, at } => self.worker_gone(now, worker, at, out),
+            Input::Submit { job, team, spec } => self.submit(now, job, team, &spec, out),
+            Input::Cancel { job } => self.cancel(now, job, out),
+            Input::Ended { task, token, outcome } => self.ended(now, task, token, outcome, out),
+            Input::Team { team, quota, part } => self.set_team(now, team, &quota, part, out),
+            Input::Drain { worker, on } => self.drain(now, worker, on, out),
+            Input::Rates {
+                preemptions_per_second,
+                recovery_starts_per_second,
+            } => {
+                self.config.preemptions_per_second = preemptions_per_second;
+                self.config.recovery_starts_per_second = recovery_starts_per_second;
+            }
+            Input::Restore(part) => self.restore(now, part, out),
+            Input::Tick => {}
+        }
+        if self.restored.is_some() {
+            self.place(now, out);
+        }
+    }
+
+    /// Returns the latest time of the next step; earlier steps do no harm.
+    pub fn next_wake(&self) -> Duration {
+        if self.more {
+            return Duration::ZERO;
+        }
+        self.timers.next().unwrap_or(Duration::MAX)
+    }
+
+    fn fire_timers(&mut self, now: Duration, out: &mut Vec<Output>) {
+        for _ in 0..TIMERS_PER_STEP {
+            let Some(event) = self.timers.pop(now) else {
+                return;
+            };
+            self.fire(now, event, out);
+        }
+        self.more = true;
+    }
+
+    fn fire(&mut self, now: Duration, event: timer::Event, out: &mut Vec<Output>) {
+        match event {
+            timer::Event::Lease(worker, id) => self.lease_due(now, worker, id, out),
+            timer::Event::Former(worker, id) => self.former_due(now, worker, id, out),
+            timer::Event::Run(token) => self.run_due(now, token, out),
+            timer::Event::Retry(job, id, index) => self.release_task(job, id, index),
+            timer::Event::Hold(worker, id) => self.hold_due(now, worker, id),
+            timer::Event::Probation(worker, id) => self.probation_due(worker, id, out),
+            timer::Event::Gangs => self.gangs_dirty = true,
+            timer::Event::Urgent => {}
+            timer::Event::Recovery => self.release_lost(now),
+            timer::Event::Shares => {
+                self.refresh_shares(now);
+                self.timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
+            }
+            timer::Event::Drain => self.drain_due(now, out),
+            timer::Event::Possible => self.check_possible(out),
+        }
+    }
+}
