--- /dev/null
+++ b/crates/daemon/src/control/root.rs
@@ -0,0 +1,290 @@
+//! The root state in this process: as a member of the root group, or following it through a relay.
+
+use std::{sync::Arc, time::Duration};
+
+use bronzespoke_consensus::{feed, log, replica};
+use bronzespoke_control::{envelope, root};
+use bronzespoke_model::{event, id};
+
+use crate::{
+    control::{context, member, responder},
+    peer::wire,
+};
+
+/// Bytes of entries that are kept for followers.
+const FEED_BYTES: usize = 1 << 20;
+
+/// How this process takes part.
+#[derive(Debug)]
+enum Role {
+    /// Member of the group.
+    Member(Box<member::Member>),
+    /// Follows through a relay.
+    Follower(Box<feed::Follower>),
+}
+
+/// The root state of this process.
+#[derive(Debug)]
+pub struct Root {
+    state: root::State,
+    role: Role,
+    source: feed::Source,
+    batch: Vec<root::Envelope>,
+    responders: Vec<responder::Responder>,
+    events: Vec<member::Event>,
+    view: Arc<root::View>,
+    unanswered: Option<id::VmId>,
+}
+
+impl Root {
+    /// Returns the state of a process that follows.
+    pub fn follow(seed: u64, now: Duration) -> Self {
+        let follower = feed::Follower::new(feed::Config::new(seed), now);
+        Self::new(Role::Follower(Box::new(follower)))
+    }
+
+    /// Returns the state of a member.
+    pub fn join(member: member::Member) -> Self {
+        Self::new(Role::Member(Box::new(member)))
+    }
+
+    fn new(role: Role) -> Self {
+        let state = root::State::new();
+        let view = state.view();
+        Self {
+            state,
+            role,
+            source: feed::Source::new(FEED_BYTES),
+            batch: Vec::new(),
+            responders: Vec::new(),
+            events: Vec::new(),
+            view,
+            unanswered: None,
+        }
+    }
+
+    /// Makes a follower a member; the state stays, and entries that it has are ignored when they come again.
+    pub fn promote(&mut self, member: member::Member) {
+        if matches!(self.role, Role::Follower(_)) {
+            self.role = Role::Member(Box::new(member));
+        }
+    }
+
+    /// Returns the replica, on a member.
+    pub const fn member(&self) -> Option<&member::Member> {
+        match &self.role {
+            Role::Member(member) => Some(member),
+            Role::Follower(_) => None,
+        }
+    }
+
+    /// Returns the replica, on a member.
+    pub const fn member_mut(&mut self) -> Option<&mut member::Member> {
+        match &mut self.role {
+            Role::Member(member) => Some(member),
+            Role::Follower(_) => None,
+        }
+    }
+
+    /// Tells whether this process leads the root group.
+    pub fn leads(&self, now: Duration) -> bool {
+        self.member().is_some_and(|member| member.leads(now))
+    }
+
+    /// Returns the state.
+    pub const fn state(&self) -> &root::State {
+        &self.state
+    }
+
+    /// Returns the view of the last applied index.
+    pub const fn view(&self) -> &Arc<root::View> {
+        &self.view
+    }
+
+    /// Tells whether a cell is known.
+    pub fn cell_known(&self) -> bool {
+        self.view.applied > 0
+    }
+
+    /// Instant before which nothing is missing from the state.
+    pub fn basis(&self, now: Duration) -> Option<Duration> {
+        match &self.role {
+            Role::Member(member) => member.replica().basis(now),
+            Role::Follower(follower) => follower.basis(),
+        }
+    }
+
+    /// Takes a command for the next entry of a leader.
+    pub fn propose(&mut self, envelope: root::Envelope, responder: responder::Responder) {
+        self.batch.push(envelope);
+        self.responders.push(responder);
+    }
+
+    /// Proposes what was taken.
+    pub fn flush(&mut self, context: &context::Context) {
+        if self.batch.is_empty() {
+            return;
+        }
+        let data = envelope::encode(&self.batch);
+        self.batch.clear();
+        let responders = std::mem::take(&mut self.responders);
+        if let Role::Member(member) = &mut self.role {
+            member.propose(context, data, responders, &mut self.events);
+        }
+    }
+
+    /// Feeds an input to the replica, on a member.
+    pub fn step(&mut self, context: &context::Context, input: replica::Input) {
+        if let Role::Member(member) = &mut self.role {
+            member.step(context, input, &mut self.events);
+        }
+    }
+
+    /// Handles the result of a write.
+    pub fn persisted(&mut self, context: &context::Context, done: &crate::disk::Done) {
+        if let Role::Member(member) = &mut self.role {
+            member.persisted(context, done, &mut self.events);
+        }
+    }
+
+    /// Changes the members of the root group, on its leader.
+    pub fn change(
+        &mut self,
+        context: &context::Context,
+        change: bronzespoke_consensus::membership::Change,
+        responder: responder::Responder,
+    ) {
+        match &mut self.role {
+            Role::Member(member) => member.change(context, change, responder, &mut self.events),
+            Role::Follower(_) => responder.answer(context, wire::Reply::NotLeader),
+        }
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, context: &context::Context) {
+        if let Role::Member(member) = &mut self.role {
+            member.step(context, replica::Input::Tick, &mut self.events);
+            return;
+        }
+        let relay = self.choose_relay(context);
+        self.follow_step(context, feed::Input::Relay { to: relay });
+    }
+
+    /// Answers a follower.
+    pub fn serve_follower(&self, context: &context::Context, from: id::VmId, request: &feed::Request) {
+        let now = context.now();
+        let answer = self.source.answer(now, self.basis(now), request);
+        context.send(from, wire::Body::FeedAnswer(answer));
+    }
+
+    /// Takes a relay's answer.
+    pub fn receive_feed(&mut self, context: &context::Context, from: id::VmId, answer: feed::Answer) {
+        self.follow_step(context, feed::Input::Receive { from, answer });
+    }
+
+    fn follow_step(&mut self, context: &context::Context, input: feed::Input) {
+        let Role::Follower(follower) = &mut self.role else {
+            return;
+        };
+        let mut outputs = Vec::new();
+        follower.step(context.now(), input, &mut outputs);
+        for output in outputs {
+            match output {
+                feed::Output::Send { to, request } => context.send(to, wire::Body::FeedRequest(request)),
+                feed::Output::Apply(entry) => {
+                    self.events.push(member::Event::Apply { entry, responders: Vec::new() });
+                }
+                feed::Output::Install(snapshot) => self.events.push(member::Event::Install(snapshot)),
+                feed::Output::Unanswered { relay } => self.unanswered = Some(relay),
+            }
+        }
+    }
+
+    /// Chooses the nearest root voter that was heard of lately; one that did not answer comes last.
+    fn choose_relay(&self, context: &context::Context) -> Option<id::VmId> {
+        let place = context.me.place;
+        context
+            .peers
+            .values()
+            .filter(|peer| peer.replicas.contains(&id::GroupId::Root) && context.is_alive(peer.vm.id))
+            .min_by_key(|peer| {
+                let avoided = self.unanswered == Some(peer.vm.id);
+                (avoided, place.distance(&peer.vm.place), peer.vm.id)
+            })
+            .map(|peer| peer.vm.id)
+    }
+
+    /// Applies what was committed; returns whether the view changed.
+    pub fn apply(&mut self, context: &context::Context) -> bool {
+        let events = std::mem::take(&mut self.events);
+        if events.is_empty() {
+            return false;
+        }
+        for event in events {
+            match event {
+                member::Event::Apply { entry, responders } => self.apply_entry(context, &entry, responders),
+                member::Event::Install(snapshot) => {
+                    if let Err(error) = self.state.install(&snapshot.data) {
+                        log::warn!("root: A snapshot was not installed: {error}");
+                    }
+                    self.source.install(snapshot);
+                }
+            }
+        }
+        self.compact(context);
+        let before = self.view.version;
+        self.view = self.state.view();
+        if self.view.version != before {
+            context.record(event::Kind::ConfigApplied { version: self.view.version });
+        }
+        true
+    }
+
+    fn apply_entry(
+        &mut self,
+        context: &context::Context,
+        entry: &log::Entry,
+        responders: Vec<responder::Responder>,
+    ) {
+        self.source.push(entry);
+        let log::Payload::Command(data) = &entry.payload else {
+            return;
+        };
+        let envelopes = match envelope::decode::<root::Command>(data) {
+            Ok(envelopes) => envelopes,
+            Err(error) => {
+                // Every replica skips the same entry, so the states stay equal.
+                log::error!("root: Entry {} was not decoded: {error}", entry.position.index);
+                return;
+            }
+        };
+        let outcomes = self.state.apply_all(entry.position.index, &envelopes);
+        for (envelope, outcome) in envelopes.iter().zip(&outcomes) {
+            record(context, &envelope.command, outcome);
+        }
+        for (responder, outcome) in responders.into_iter().zip(outcomes) {
+            responder.answer(context, wire::Reply::Root(outcome));
+        }
+    }
+
+    fn compact(&mut self, context: &context::Context) {
+        let state = &self.state;
+        if let Role::Member(member) = &mut self.role
+            && let Some(snapshot) = member.compact(context, &|| state.encode(), &mut self.events)
+        {
+            self.source.install(snapshot);
+        }
+    }
+}
+
+/// Records the events that operators look for.
+fn record(context: &context::Context, command: &root::Command, outcome: &root::Outcome) {
+    if !matches!(outcome, root::Outcome::Done) {
+        return;
+    }
+    match command {
+        root::Command::GrantKey { team, .. } => context.record(event::Kind::KeyGranted { team: *team }),
+        root::Command::WithdrawKey { .. } => context.record(event::Kind::KeyWithdrawn { team: 0 }),
+        _ => {}
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/scheduling.rs
@@ -0,0 +1,364 @@
+//! The scheduler of a zone, on the leader of its group.
+//!
+//! The scheduler proposes; its starts and ends count only when they are committed in the zone's log. When the lead
+//! is lost, scheduler and sessions are dropped, and the next leader builds them again from the committed state.
+
+use std::{collections::BTreeSet, time::Duration};
+
+use bronzespoke_control::{root, zone as state};
+use bronzespoke_gateway::control;
+use bronzespoke_model::{config, event, id, job, resource, task, worker};
+use bronzespoke_schedule as schedule;
+
+use crate::control::{context, session, zone};
+
+/// The scheduler with the workers' sessions.
+#[derive(Debug)]
+pub struct Scheduling {
+    scheduler: schedule::Scheduler,
+    sessions: session::Sessions,
+    outputs: Vec<schedule::Output>,
+    touched: BTreeSet<id::WorkerId>,
+    drained: BTreeSet<id::WorkerId>,
+    teams: std::collections::BTreeMap<id::TeamId, (bronzespoke_model::team::Quota, resource::Amount)>,
+    config: config::Config,
+}
+
+impl Scheduling {
+    /// Builds the scheduler from the committed state.
+    pub fn restore(
+        context: &context::Context,
+        seed: u64,
+        zone: &mut zone::Zone,
+        view: &root::View,
+    ) -> Self {
+        let now = context.now();
+        let config = schedule::Config { seed, ..schedule::Config::default() };
+        let mut scheduling = Self {
+            scheduler: schedule::Scheduler::new(config, now),
+            sessions: session::Sessions::default(),
+            outputs: Vec::new(),
+            touched: BTreeSet::new(),
+            drained: BTreeSet::new(),
+            teams: std::collections::BTreeMap::new(),
+            config: config::Config::default(),
+        };
+        scheduling.follow_view(context, zone, view);
+        for input in restored(zone.state()) {
+            scheduling.feed(context, zone, schedule::Input::Restore(input));
+        }
+        scheduling.follow_view(context, zone, view);
+        scheduling
+    }
+
+    /// Gives the scheduler one input and takes what it proposes.
+    pub fn feed(&mut self, context: &context::Context, zone: &mut zone::Zone, input: schedule::Input) {
+        let mut outputs = std::mem::take(&mut self.outputs);
+        self.scheduler.step(context.now(), input, &mut outputs);
+        self.carry_out(context, zone, &mut outputs);
+        self.outputs = outputs;
+    }
+
+    fn carry_out(
+        &mut self,
+        context: &context::Context,
+        zone: &mut zone::Zone,
+        outputs: &mut Vec<schedule::Output>,
+    ) {
+        let mut starts = Vec::new();
+        for output in outputs.drain(..) {
+            if let schedule::Output::Start { task, worker, token, granted } = output {
+                self.sessions.grant(token, granted);
+                starts.push(state::Start { task, worker, token });
+                continue;
+            }
+            // An end and a later start of the same task keep their order.
+            propose_starts(zone, &mut starts);
+            self.carry_out_one(context, zone, output);
+        }
+        propose_starts(zone, &mut starts);
+    }
+
+    fn carry_out_one(
+        &mut self,
+        context: &context::Context,
+        zone: &mut zone::Zone,
+        output: schedule::Output,
+    ) {
+        match output {
+            schedule::Output::Start { .. } => {}
+            schedule::Output::Stop { task, worker, token, reason } => {
+                note_preemption(context, reason, task, worker);
+                self.direct(worker, token, task::Directive::Stop { task, token });
+            }
+            schedule::Output::Checkpoint { task, worker, token, reason } => {
+                note_preemption(context, reason, task, worker);
+                self.direct(worker, token, task::Directive::Checkpoint { task, token });
+            }
+            schedule::Output::Throttle { task, worker, token, share_milli } => {
+                self.direct(worker, token, task::Directive::Throttle { task, token, share_milli });
+            }
+            schedule::Output::Ended { task, token, outcome, .. } => {
+                zone.propose(state::Command::End(vec![state::End { task, token, outcome }]));
+            }
+            schedule::Output::Impossible { job, reason, refused } => {
+                log::info!("schedule: Job {job:x} cannot run now: {reason:?}.");
+                if refused {
+                    let state = job::State::Impossible(reason);
+                    zone.propose(state::Command::Finish { job, state });
+                }
+            }
+            schedule::Output::JobDone { job, outcome } => {
+                zone.propose(state::Command::Finish { job, state: outcome });
+            }
+            schedule::Output::WorkerLost { worker } => {
+                log::warn!("schedule: Worker {worker} is lost.");
+                context.record(event::Kind::WorkerLost { worker });
+                if let Some(known) = zone.state().worker(worker) {
+                    let incarnation = known.registration.incarnation;
+                    zone.propose(state::Command::WorkerGone { worker, incarnation });
+                }
+            }
+            schedule::Output::WorkerHealth { worker, allowed } => match allowed {
+                Some(tasks) => log::warn!("schedule: Worker {worker} is limited to {tasks} tasks."),
+                None => log::info!("schedule: Worker {worker} is in full use again."),
+            },
+            schedule::Output::Recovered { took } => {
+                log::info!("schedule: All workers are confirmed after {} ms.", took.as_millis());
+            }
+        }
+    }
+
+    fn direct(&mut self, worker: id::WorkerId, token: id::Token, directive: task::Directive) {
+        self.sessions.direct(worker, token, directive);
+        self.touched.insert(worker);
+    }
+
+    /// Handles commands that were committed.
+    pub fn applied(
+        &mut self,
+        context: &context::Context,
+        zone: &mut zone::Zone,
+        view: &root::View,
+        applied: Vec<zone::Applied>,
+    ) {
+        for (command, outcome) in applied {
+            match (command, outcome) {
+                (state::Command::Start(starts), state::Outcome::Started(refused)) => {
+                    self.started(context, zone, &starts, &refused);
+                }
+                (state::Command::End(ends), state::Outcome::Ended { succeeded, .. }) => {
+                    self.ended(context, zone, &ends, &succeeded);
+                }
+                (state::Command::Submit { .. }, state::Outcome::Job(job)) => {
+                    self.submitted(context, zone, job);
+                }
+                (state::Command::Cancel { job }, state::Outcome::Done) => {
+                    self.feed(context, zone, schedule::Input::Cancel { job });
+                }
+                (state::Command::Register(registration), state::Outcome::Done) => {
+                    context.record(event::Kind::WorkerRegistered { worker: registration.worker });
+                    self.feed(context, zone, schedule::Input::Register(registration));
+                }
+                (state::Command::Finish { job, state }, state::Outcome::Done) => {
+                    note_end(context, zone, job, state);
+                }
+                (state::Command::Granted(_) | state::Command::Release(_), _) => {
+                    self.follow_view(context, zone, view);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    fn started(
+        &mut self,
+        context: &context::Context,
+        zone: &mut zone::Zone,
+        starts: &[state::Start],
+        refused: &[(u32, state::Refusal)],
+    ) {
+        for (number, start) in starts.iter().enumerate() {
+            let state::Start { task, worker, token } = *start;
+            let refusal = refused.iter().find(|(refused, _)| *refused as usize == number);
+            if let Some((_, refusal)) = refusal {
+                log::warn!("schedule: The start of task {} of job {:x} was refused: {refusal:?}.", task.index, task.job);
+                let outcome = task::Outcome::Stopped;
+                self.feed(context, zone, schedule::Input::Ended { task, token, outcome });
+                continue;
+            }
+            context.record(event::Kind::TaskStarted { task, worker, token });
+            self.touched.insert(worker);
+        }
+    }
+
+    fn ended(
+        &mut self,
+        context: &context::Context,
+        zone: &zone::Zone,
+        ends: &[state::End],
+        jobs: &[id::JobId],
+    ) {
+        for end in ends {
+            self.sessions.forget(end.token);
+            let succeeded = matches!(end.outcome, task::Outcome::Succeeded(_));
+            context.record(event::Kind::TaskEnded { task: end.task, token: end.token, succeeded });
+        }
+        for job in jobs {
+            note_end(context, zone, *job, job::State::Succeeded);
+        }
+    }
+
+    fn submitted(&mut self, context: &context::Context, zone: &mut zone::Zone, job: id::JobId) {
+        let Some(record) = zone.state().job(job).filter(|record| !record.state.is_terminal()) else {
+            return;
+        };
+        let (team, spec) = (record.team, record.spec.clone());
+        context.record(event::Kind::JobAccepted { job, team });
+        self.feed(context, zone, schedule::Input::Submit { job, team, spec });
+    }
+
+    /// Takes quotas, parts, drains and rates that changed.
+    pub fn follow_view(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
+        for team in view.teams.values() {
+            let part = zone.state().holdings().get(team.id).part().amount();
+            let current = (team.quota, part);
+            if self.teams.insert(team.id, current) != Some(current) {
+                let input = schedule::Input::Team { team: team.id, quota: team.quota, part };
+                self.feed(context, zone, input);
+            }
+        }
+        self.follow_drains(context, zone, view);
+        if self.config != view.config {
+            self.config = view.config.clone();
+            let input = schedule::Input::Rates {
+                preemptions_per_second: self.config.preemptions_per_second,
+                recovery_starts_per_second: self.config.recovery_starts_per_second,
+            };
+            self.feed(context, zone, input);
+        }
+    }
+
+    fn follow_drains(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
+        let wanted: BTreeSet<id::WorkerId> = view
+            .drains
+            .iter()
+            .filter_map(|subject| match subject {
+                root::Subject::Worker(worker) => Some(*worker),
+                root::Subject::Target(_) | root::Subject::Vm(_) => None,
+            })
+            .filter(|worker| zone.state().worker(*worker).is_some())
+            .collect();
+        let changed: Vec<_> = wanted.symmetric_difference(&self.drained).copied().collect();
+        for worker in changed {
+            let on = wanted.contains(&worker);
+            self.feed(context, zone, schedule::Input::Drain { worker, on });
+        }
+        self.drained = wanted;
+    }
+
+    /// Takes a worker's report.
+    pub fn report(
+        &mut self,
+        context: &context::Context,
+        zone: &mut zone::Zone,
+        report: worker::Report,
+        reply: control::Reply<worker::Reply>,
+    ) {
+        let known = zone
+            .state()
+            .worker(report.worker)
+            .is_some_and(|known| !known.gone && known.registration.incarnation == report.incarnation);
+        if !known {
+            drop(reply.send(Err(control::Refusal::NotFound)));
+            return;
+        }
+        let worker = report.worker;
+        if self.sessions.report(context.now(), &report, reply) {
+            self.feed(context, zone, schedule::Input::Worker(report));
+        }
+        self.touched.insert(worker);
+    }
+
+    /// Lets time pass.
+    pub fn tick(&mut self, context: &context::Context, zone: &mut zone::Zone) {
+        if self.scheduler.next_wake() <= context.now() {
+            self.feed(context, zone, schedule::Input::Tick);
+        }
+    }
+
+    /// Answers the workers that there is something for.
+    pub fn settle(&mut self, now: Duration, zone: &zone::Zone) {
+        for worker in std::mem::take(&mut self.touched) {
+            self.sessions.settle(now, worker, zone.state());
+        }
+        self.sessions.settle_all(now, zone.state());
+    }
+
+    /// Time of the next tick.
+    pub fn next_wake(&self) -> Duration {
+        self.scheduler.next_wake()
+    }
+
+    /// The scheduler, for reads.
+    pub const fn scheduler(&self) -> &schedule::Scheduler {
+        &self.scheduler
+    }
+}
+
+fn propose_starts(zone: &mut zone::Zone, starts: &mut Vec<state::Start>) {
+    if !starts.is_empty() {
+        zone.propose(state::Command::Start(std::mem::take(starts)));
+    }
+}
+
+fn note_preemption(
+    context: &context::Context,
+    reason: schedule::Reason,
+    task: task::Ref,
+    worker: id::WorkerId,
+) {
+    if reason == schedule::Reason::Preempted {
+        context.record(event::Kind::TaskPreempted { task, worker });
+    }
+}
+
+fn note_end(context: &context::Context, zone: &zone::Zone, job: id::JobId, state: job::State) {
+    let team = zone.state().job(job).map_or(0, |record| record.team);
+    context.record(event::Kind::JobEnded { job, team, state });
+}
+
+/// Returns the committed state in the order in which a scheduler takes it.
+fn restored(state: &state::State) -> Vec<schedule::Restore> {
+    let mut inputs = Vec::new();
+    for (_, worker) in state.workers().filter(|(_, worker)| !worker.gone) {
+        inputs.push(schedule::Restore::Worker(worker.registration));
+    }
+    for (job, record) in state.jobs().filter(|(_, record)| !record.state.is_terminal()) {
+        let tasks = (0..record.spec.tasks).map(|index| progress(state, record, task::Ref { job, index }));
+        inputs.push(schedule::Restore::Job {
+            job,
+            team: record.team,
+            spec: record.spec.clone(),
+            cancelled: record.state == job::State::Cancelled,
+            tasks: tasks.collect(),
+        });
+    }
+    inputs.push(schedule::Restore::Done { next_token: state.next_token() });
+    inputs
+}
+
+fn progress(state: &state::State, record: &state::Job, task: task::Ref) -> schedule::Progress {
+    if record.is_done(task.index) {
+        return schedule::Progress::Succeeded;
+    }
+    match state.run(task) {
+        Some(run) => schedule::Progress::Running {
+            worker: run.worker,
+            token: run.token,
+            granted: record.spec.size,
+            attempts: 0,
+        },
+        None => schedule::Progress::Waiting { attempts: 0 },
+    }
+}
