Serve every HTTP route end to end

Adds the request decisions (admission, routing, retries), the hyper server with its filter chain and connection pool, the version-1 translation, and stand-in targets and callers. A test drives every route over loopback against a fake control task.

--- /dev/null
+++ b/crates/gateway/src/filter/body.rs
@@ -0,0 +1,93 @@
+//! Receives a request body within its limits of size, time and memory.
+
+use std::{sync::Arc, time::Duration};
+
+use bytes::{Bytes, BytesMut};
+use http::{HeaderMap, StatusCode, header};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+use tokio::sync::{OwnedSemaphorePermit, Semaphore};
+
+use crate::{fault, settings};
+
+/// A received body; its memory counts until this is dropped.
+#[derive(Debug)]
+pub(crate) struct Received {
+    pub bytes: Bytes,
+    pub memory: OwnedSemaphorePermit,
+}
+
+/// Receives a body of at most `limit` bytes.
+pub(crate) async fn receive(
+    headers: &HeaderMap,
+    body: Incoming,
+    limit: usize,
+    memory: &Arc<Semaphore>,
+    settings: &settings::Settings,
+) -> Result<Received, fault::Fault> {
+    let announced = announced(headers)?;
+    if let Some(length) = announced.filter(|length| *length > limit as u64) {
+        return Err(too_large(&format!("{length} bytes"), limit));
+    }
+    let reserved = announced.map_or(limit, |length| length as usize);
+    let Ok(permit) = Arc::clone(memory).try_acquire_many_owned(reserved as u32) else {
+        return Err(fault::Fault::not_run(
+            StatusCode::SERVICE_UNAVAILABLE,
+            "memory",
+            "the memory for request bodies is in use",
+        )
+        .with_retry_after(Duration::from_secs(1)));
+    };
+    let read = read(body, limit, settings.stall_timeout);
+    let bytes = tokio::time::timeout(settings.body_timeout, read)
+        .await
+        .unwrap_or_else(|_elapsed| Err(slow("the body did not arrive in time", settings.body_timeout)))?;
+    Ok(Received {
+        bytes,
+        memory: permit,
+    })
+}
+
+async fn read(mut body: Incoming, limit: usize, stall: Duration) -> Result<Bytes, fault::Fault> {
+    let mut received = BytesMut::new();
+    loop {
+        let frame = tokio::time::timeout(stall, body.frame())
+            .await
+            .map_err(|_elapsed| slow("the body paused for too long", stall))?;
+        let Some(frame) = frame else {
+            return Ok(received.freeze());
+        };
+        let frame =
+            frame.map_err(|error| fault::Fault::field("body", format!("the body is broken: {error}")))?;
+        let Ok(data) = frame.into_data() else {
+            continue;
+        };
+        if received.len() + data.len() > limit {
+            return Err(too_large(&format!("more than {limit} bytes"), limit));
+        }
+        received.extend_from_slice(&data);
+    }
+}
+
+fn announced(headers: &HeaderMap) -> Result<Option<u64>, fault::Fault> {
+    let Some(value) = headers.get(header::CONTENT_LENGTH) else {
+        return Ok(None);
+    };
+    let shown = String::from_utf8_lossy(value.as_bytes());
+    shown.parse().map(Some).map_err(|_error| {
+        fault::Fault::field(
+            "content-length",
+            format!("`{shown}` is not a length; whole bytes are allowed"),
+        )
+    })
+}
+
+fn too_large(length: &str, limit: usize) -> fault::Fault {
+    let message = format!("the body has {length}, at most {limit} are allowed");
+    fault::Fault::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message).with_field("body")
+}
+
+fn slow(message: &str, allowed: Duration) -> fault::Fault {
+    let message = format!("{message}; {} ms are allowed", allowed.as_millis());
+    fault::Fault::not_run(StatusCode::REQUEST_TIMEOUT, "slow_body", message).with_field("body")
+}
--- /dev/null
+++ b/crates/gateway/src/filter/identity.rs
@@ -0,0 +1,38 @@
+//! The caller's id for a request that must not be repeated.
+
+use http::{HeaderMap, HeaderName};
+
+use crate::fault;
+
+/// Header that makes a request non-repeatable; a request without it is repeatable.
+pub(crate) const HEADER: HeaderName = HeaderName::from_static("idempotency-key");
+/// Bytes of a request id.
+const ID_BYTES: usize = 128;
+
+/// Returns the request id, if there is one.
+pub(crate) fn parse(headers: &HeaderMap) -> Result<Option<String>, fault::Fault> {
+    let mut values = headers.get_all(&HEADER).iter();
+    let Some(value) = values.next() else {
+        return Ok(None);
+    };
+    if values.next().is_some() {
+        return Err(fault::Fault::field(
+            HEADER.as_str(),
+            "the header comes more than once; one is allowed",
+        ));
+    }
+    check(&String::from_utf8_lossy(value.as_bytes()), HEADER.as_str()).map(Some)
+}
+
+/// Checks a request id that came in `field`.
+pub(crate) fn check(id: &str, field: &str) -> Result<String, fault::Fault> {
+    let printable = id.bytes().all(|byte| byte.is_ascii_graphic());
+    if id.is_empty() || id.len() > ID_BYTES || !printable {
+        let shown: String = id.chars().take(ID_BYTES).collect();
+        return Err(fault::Fault::field(
+            field,
+            format!("`{shown}` is not a request id; 1 to {ID_BYTES} printable ASCII characters are allowed"),
+        ));
+    }
+    Ok(id.to_owned())
+}
--- /dev/null
+++ b/crates/gateway/src/filter/json.rs
@@ -0,0 +1,30 @@
+//! Parses JSON bodies with errors that name the field.
+
+use serde::de::DeserializeOwned;
+
+use crate::fault;
+
+/// Parses a JSON body.
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, fault::Fault> {
+    serde_json::from_slice(body).map_err(|error| {
+        let field = field_before(body, error.line(), error.column());
+        fault::Fault::field(field.unwrap_or("body"), error.to_string())
+    })
+}
+
+/// Returns the last object key before a position, which is the field that a type error is about.
+fn field_before(body: &[u8], line: usize, column: usize) -> Option<&str> {
+    let start: usize = body
+        .split_inclusive(|byte| *byte == b'\n')
+        .take(line.saturating_sub(1))
+        .map(<[u8]>::len)
+        .sum();
+    let end = (start + column).min(body.len());
+    let text = std::str::from_utf8(body.get(..end)?).ok()?;
+    let mut pieces = text
+        .rmatch_indices(':')
+        .map(|(position, _)| text[..position].trim_end());
+    let before = pieces.find(|piece| piece.ends_with('"'))?;
+    let inner = &before[..before.len() - 1];
+    inner.rfind('"').map(|open| &inner[open + 1..])
+}
--- /dev/null
+++ b/crates/gateway/src/filter/version_one.rs
@@ -0,0 +1,158 @@
+//! Translates the retired version-1 interface.
+//!
+//! `POST /v1/request` takes `{"key", "service", "id"?, "timeout"?, "body"}`: the key, the service name, the request
+//! id of a request that must not be repeated, the longest wait in seconds, and the body as text. It answers
+//! `{"status": "done", "code", "body"}` with the target's status and body.
+//!
+//! `POST /v1/job` takes `{"key", "kind"?, "tasks"?, "cpu"?, "memory"?, "seconds"?, "command"}`: `kind` is `batch`
+//! (default), `gang` or `service`, `cpu` is in cores and `memory` in MiB per task. It answers `{"job"}`.
+//!
+//! `GET /v1/job/{job}` takes the key in `X-Key` and answers `{"job", "state"}`.
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, job, resource};
+use http::{HeaderValue, Response, StatusCode, header};
+use serde::{Deserialize, Serialize};
+
+use crate::{answer, fault};
+
+/// Date since which the interface is retired, as an RFC 9745 value: 1 January 2025.
+const DEPRECATED_SINCE: &str = "@1735689600";
+/// Date on which it may be switched off, as RFC 8594 asks.
+const SUNSET: &str = "Thu, 31 Dec 2026 23:59:59 GMT";
+/// Most cores that one task may ask for; above it the number does not fit the model.
+const MAX_CORES: f64 = 4_000_000.0;
+/// Header with the key of `GET /v1/job/{job}`.
+pub(crate) const KEY_HEADER: &str = "x-key";
+
+/// Body of `POST /v1/request`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Request {
+    pub key: String,
+    pub service: String,
+    #[serde(default)]
+    pub id: Option<String>,
+    #[serde(default)]
+    pub timeout: Option<f64>,
+    pub body: String,
+}
+
+/// Answer to `POST /v1/request`.
+#[derive(Debug, Serialize)]
+pub(crate) struct Done<'a> {
+    pub status: &'static str,
+    pub code: u16,
+    pub body: &'a str,
+}
+
+/// Body of `POST /v1/job`.
+#[derive(Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub(crate) struct Job {
+    pub key: String,
+    #[serde(default)]
+    pub kind: Option<job::Kind>,
+    #[serde(default)]
+    pub tasks: Option<u32>,
+    #[serde(default)]
+    pub cpu: Option<f64>,
+    #[serde(default)]
+    pub memory: Option<u32>,
+    #[serde(default)]
+    pub seconds: Option<u32>,
+    pub command: String,
+}
+
+/// Answer to `POST /v1/job`.
+#[derive(Debug, Serialize)]
+pub(crate) struct Accepted {
+    pub job: id::JobId,
+}
+
+/// Answer to `GET /v1/job/{job}`.
+#[derive(Debug, Serialize)]
+pub(crate) struct State {
+    pub job: id::JobId,
+    pub state: &'static str,
+}
+
+impl Request {
+    /// Returns the longest wait, at most the configured one.
+    pub(crate) fn wait(&self, longest_ms: u32) -> Result<Duration, fault::Fault> {
+        let longest = Duration::from_millis(u64::from(longest_ms));
+        match self.timeout {
+            None => Ok(longest),
+            Some(seconds) if seconds > 0.0 && seconds.is_finite() => {
+                Ok(Duration::from_secs_f64(seconds.min(longest.as_secs_f64())))
+            }
+            Some(seconds) => Err(fault::Fault::field(
+                "timeout",
+                format!("`{seconds}` is not a wait; seconds above 0 are allowed"),
+            )),
+        }
+    }
+}
+
+impl Job {
+    /// Returns the job as version 2 knows it.
+    pub(crate) fn spec(&self) -> Result<job::Spec, fault::Fault> {
+        let cores = self.cpu.unwrap_or(1.0);
+        if !(cores > 0.0 && cores <= MAX_CORES) {
+            let message = format!("`{cores}` is not a number of cores; above 0 to {MAX_CORES} are allowed");
+            return Err(fault::Fault::field("cpu", message));
+        }
+        Ok(job::Spec {
+            kind: self.kind.unwrap_or(job::Kind::Batch),
+            priority: job::Priority::Normal,
+            tasks: self.tasks.unwrap_or(1),
+            size: resource::Amount::new((cores * 1000.0).ceil() as u32, self.memory.unwrap_or(512), 0),
+            accelerator: 0,
+            run_time: Duration::from_secs(u64::from(self.seconds.unwrap_or(0))),
+            checkpoint: false,
+            command: self.command.clone(),
+        })
+    }
+}
+
+/// Returns the version-1 word for a job state.
+pub(crate) const fn word(state: job::State) -> &'static str {
+    match state {
+        job::State::Waiting => "waiting",
+        job::State::Running => "running",
+        job::State::Succeeded => "done",
+        job::State::Failed => "failed",
+        job::State::Cancelled => "cancelled",
+        job::State::Impossible(_) => "impossible",
+    }
+}
+
+/// Checks that the interface is switched on.
+pub(crate) fn check_enabled(enabled: bool) -> Result<(), fault::Fault> {
+    if enabled {
+        return Ok(());
+    }
+    Err(fault::Fault::not_run(
+        StatusCode::GONE,
+        "version_one_off",
+        "the version-1 interface is switched off; use /v2",
+    ))
+}
+
+/// Counts a call, so that operators see who still uses the interface.
+pub(crate) fn count(team: &str, route: &'static str) {
+    metrics::counter!("bronzespoke_version_one_total", "team" => team.to_owned(), "route" => route)
+        .increment(1);
+}
+
+/// Marks an answer as one of a retired interface.
+pub(crate) fn mark(response: &mut Response<answer::Body>) {
+    let headers = response.headers_mut();
+    headers.insert("deprecation", HeaderValue::from_static(DEPRECATED_SINCE));
+    headers.insert("sunset", HeaderValue::from_static(SUNSET));
+    headers.insert(
+        header::LINK,
+        HeaderValue::from_static("</v2>; rel=\"successor-version\""),
+    );
+}
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,4 +3,14 @@
 //! The gateway runs on the traffic runtime. It reads control state through immutable views and asks control to
 //! change state through a bounded channel of typed calls, so that no request waits on a lock that control holds.
 
+pub mod answer;
+mod attempt;
+mod calls;
 pub mod control;
+pub mod fault;
+mod filter;
+mod gate;
+mod pool;
+mod routes;
+pub mod server;
+pub mod settings;
--- /dev/null
+++ b/crates/gateway/src/routes/announce.rs
@@ -0,0 +1,118 @@
+//! Announcements of targets, and registration and reports of workers.
+
+use bronzespoke_model::{id, target, worker};
+use http::{Response, StatusCode, request::Parts};
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::{answer, calls, control, fault, routes, server::context};
+
+/// Takes a target's announcement; answers with the time after which to renew it.
+pub(crate) async fn target(
+    context: &context::Context,
+    head: &Parts,
+    body: Incoming,
+    target: id::TargetId,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let announcement: target::Announcement = routes::receive_json(context, head, body).await?;
+    same("target", target, announcement.target)?;
+    positive("slots", announcement.slots)?;
+    positive("connections", announcement.connections)?;
+    if announcement.address.port() == 0 {
+        let message = format!("`{}` has port 0; 1 to 65535 are allowed", announcement.address);
+        return Err(fault::Fault::field("address", message));
+    }
+    let renew = ask(context, head, |reply| {
+        control::Call::Announce(announcement, reply)
+    })
+    .await?;
+    let renew_ms = renew.as_millis() as u64;
+    Ok(routes::json(StatusCode::OK, &json!({ "renew_ms": renew_ms })))
+}
+
+/// Takes a target's departure; the query names its incarnation.
+pub(crate) async fn depart(
+    context: &context::Context,
+    head: &Parts,
+    target: id::TargetId,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let query = head.uri.query().unwrap_or("");
+    let incarnation = query.strip_prefix("incarnation=").unwrap_or("");
+    let incarnation = incarnation.parse().map_err(|_error| {
+        let message = format!("`{query}` does not name an incarnation; `incarnation=NUMBER` is allowed");
+        fault::Fault::field("incarnation", message)
+    })?;
+    ask(context, head, |reply| {
+        control::Call::Depart(target, incarnation, reply)
+    })
+    .await?;
+    Ok(routes::json(StatusCode::OK, &json!({})))
+}
+
+/// Registers a worker.
+pub(crate) async fn worker(
+    context: &context::Context,
+    head: &Parts,
+    body: Incoming,
+    worker: id::WorkerId,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let registration: worker::Registration = routes::receive_json(context, head, body).await?;
+    same("worker", worker, registration.worker)?;
+    positive("capacity", registration.capacity.amount.cpu_milli)?;
+    ask(context, head, |reply| {
+        control::Call::Register(registration, reply)
+    })
+    .await?;
+    Ok(routes::json(StatusCode::OK, &json!({})))
+}
+
+/// Takes a worker's report; the answer may wait for directives.
+pub(crate) async fn report(
+    context: &context::Context,
+    head: &Parts,
+    body: Incoming,
+    worker: id::WorkerId,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let report: worker::Report = routes::receive_json(context, head, body).await?;
+    same("worker", worker, report.worker)?;
+    let running = report.running.len();
+    if running > worker::MAX_TASKS_IN_REPORT {
+        let most = worker::MAX_TASKS_IN_REPORT;
+        let message = format!("{running} tasks are named, at most {most} are allowed");
+        return Err(fault::Fault::field("running", message));
+    }
+    let reply = ask(context, head, |reply| control::Call::Report(report, reply)).await?;
+    Ok(routes::json(StatusCode::OK, &reply))
+}
+
+async fn ask<T>(
+    context: &context::Context,
+    head: &Parts,
+    call: impl FnOnce(control::Reply<T>) -> control::Call,
+) -> Result<T, fault::Fault> {
+    calls::ask(
+        &context.handle,
+        context.settings.call_timeout,
+        head.uri.path(),
+        call,
+    )
+    .await
+}
+
+fn same(field: &'static str, path: u64, body: u64) -> Result<(), fault::Fault> {
+    if path == body {
+        return Ok(());
+    }
+    let message = format!("`{body}` differs from `{path}` in the path; the same id is allowed");
+    Err(fault::Fault::field(field, message))
+}
+
+fn positive(field: &'static str, value: u32) -> Result<(), fault::Fault> {
+    if value > 0 {
+        return Ok(());
+    }
+    Err(fault::Fault::field(
+        field,
+        format!("`{value}` is too small; 1 and more are allowed"),
+    ))
+}
--- /dev/null
+++ b/crates/gateway/src/routes/jobs.rs
@@ -0,0 +1,104 @@
+//! Jobs: submit, read and cancel.
+
+use bronzespoke_model::{id, job};
+use http::{Response, StatusCode, request::Parts};
+use hyper::body::Incoming;
+use serde_json::json;
+
+use crate::{answer, calls, control, fault, filter, routes, server::context};
+
+/// Accepts a job.
+pub(crate) async fn submit(
+    context: &context::Context,
+    head: &Parts,
+    body: Incoming,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let team = filter::key::team(&context.handle, &head.headers)?;
+    let id = filter::identity::parse(&head.headers)?;
+    let spec: job::Spec = routes::receive_json(context, head, body).await?;
+    // The key is checked again, because the body may have taken longer than a withdrawal needs.
+    filter::key::team(&context.handle, &head.headers)?;
+    let job = accept(context, head, team.id, id, spec).await?;
+    Ok(routes::json(StatusCode::ACCEPTED, &json!({ "job": job })))
+}
+
+/// Checks a job and hands it to control.
+pub(crate) async fn accept(
+    context: &context::Context,
+    head: &Parts,
+    team: id::TeamId,
+    id: Option<String>,
+    spec: job::Spec,
+) -> Result<id::JobId, fault::Fault> {
+    check(&spec)?;
+    let path = head.uri.path();
+    let timeout = context.settings.call_timeout;
+    calls::ask(&context.handle, timeout, path, |reply| {
+        control::Call::Submit(team, id, spec, reply)
+    })
+    .await
+}
+
+/// Reads a job.
+pub(crate) async fn read(
+    context: &context::Context,
+    head: &Parts,
+    job: id::JobId,
+    results: bool,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let team = filter::key::team(&context.handle, &head.headers)?;
+    let status = status(context, head, team.id, job, results).await?;
+    Ok(routes::json(StatusCode::OK, &status))
+}
+
+/// Asks control for a job.
+pub(crate) async fn status(
+    context: &context::Context,
+    head: &Parts,
+    team: id::TeamId,
+    job: id::JobId,
+    results: bool,
+) -> Result<control::JobStatus, fault::Fault> {
+    let path = head.uri.path();
+    let timeout = context.settings.call_timeout;
+    calls::ask(&context.handle, timeout, path, |reply| {
+        control::Call::Job(team, job, results, reply)
+    })
+    .await
+}
+
+/// Cancels a job.
+pub(crate) async fn cancel(
+    context: &context::Context,
+    head: &Parts,
+    job: id::JobId,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let team = filter::key::team(&context.handle, &head.headers)?;
+    let path = head.uri.path();
+    let timeout = context.settings.call_timeout;
+    let call = |reply| control::Call::Cancel(team.id, job, reply);
+    let status = calls::ask(&context.handle, timeout, path, call).await?;
+    Ok(routes::json(StatusCode::OK, &status))
+}
+
+fn check(spec: &job::Spec) -> Result<(), fault::Fault> {
+    if spec.tasks == 0 || spec.tasks > job::MAX_TASKS {
+        let message = format!(
+            "`{}` is out of range; 1 to {} are allowed",
+            spec.tasks,
+            job::MAX_TASKS
+        );
+        return Err(fault::Fault::field("tasks", message));
+    }
+    if spec.size.is_zero() {
+        let message = "every dimension is 0; at least one above 0 is needed";
+        return Err(fault::Fault::field("size", message));
+    }
+    if spec.command.len() > job::MAX_COMMAND_BYTES {
+        let length = spec.command.len();
+        let most = job::MAX_COMMAND_BYTES;
+        let message = format!("the command has {length} bytes, at most {most} are allowed");
+        return Err(fault::Fault::field("command", message));
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/gateway/src/routes/mod.rs
@@ -0,0 +1,205 @@
+//! From a path and method to the handler.
+
+mod announce;
+mod claimed;
+mod jobs;
+mod operation;
+mod request;
+mod version_one;
+
+use std::sync::Arc;
+
+use bronzespoke_model::id;
+use bytes::Bytes;
+use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use hyper::body::Incoming;
+
+use crate::{answer, fault, filter, server::context};
+
+/// A handler with its arguments from the path.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Route<'a> {
+    Service(&'a str),
+    Queue(&'a str),
+    SubmitJob,
+    ReadJob(id::JobId),
+    CancelJob(id::JobId),
+    JobResult(id::JobId),
+    Announce(id::TargetId),
+    Depart(id::TargetId),
+    Register(id::WorkerId),
+    Report(id::WorkerId),
+    Health,
+    Ready,
+    Metrics,
+    OldRequest,
+    OldJob,
+    OldReadJob(id::JobId),
+}
+
+impl Route<'_> {
+    const fn name(&self) -> &'static str {
+        match self {
+            Self::Service(_) => "service",
+            Self::Queue(_) => "queue",
+            Self::SubmitJob | Self::ReadJob(_) | Self::CancelJob(_) | Self::JobResult(_) => "job",
+            Self::Announce(_) | Self::Depart(_) => "target",
+            Self::Register(_) | Self::Report(_) => "worker",
+            Self::Health | Self::Ready | Self::Metrics => "operation",
+            Self::OldRequest | Self::OldJob | Self::OldReadJob(_) => "version_one",
+        }
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn handle(
+    context: Arc<context::Context>,
+    request: Request<Incoming>,
+) -> Response<answer::Body> {
+    let in_flight = context.enter();
+    let (head, body) = request.into_parts();
+    let path = head.uri.path().to_owned();
+    let mut name = "none";
+    let checked = filter::size::check(&head.uri, &head.headers, context.settings.header_bytes);
+    let result = match checked.and_then(|()| parse(&head.method, &path)) {
+        Ok(route) => {
+            name = route.name();
+            dispatch(&context, route, &head, body).await
+        }
+        Err(fault) => Err(fault),
+    };
+    let mut response = result.unwrap_or_else(fault::Fault::into_response);
+    if path.starts_with("/v1/") {
+        filter::version_one::mark(&mut response);
+    }
+    if context.is_draining() {
+        let close = HeaderValue::from_static("close");
+        response.headers_mut().insert(header::CONNECTION, close);
+    }
+    let status = response.status().as_u16().to_string();
+    metrics::counter!("bronzespoke_requests_total", "route" => name, "status" => status).increment(1);
+    response.body_mut().hold(in_flight);
+    response
+}
+
+async fn dispatch(
+    context: &Arc<context::Context>,
+    route: Route<'_>,
+    head: &http::request::Parts,
+    body: Incoming,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    match route {
+        Route::Service(name) => request::service(context, name, head, body).await,
+        Route::Queue(name) => request::queue(context, name, head, body).await,
+        Route::SubmitJob => jobs::submit(context, head, body).await,
+        Route::ReadJob(job) => jobs::read(context, head, job, false).await,
+        Route::JobResult(job) => jobs::read(context, head, job, true).await,
+        Route::CancelJob(job) => jobs::cancel(context, head, job).await,
+        Route::Announce(target) => announce::target(context, head, body, target).await,
+        Route::Depart(target) => announce::depart(context, head, target).await,
+        Route::Register(worker) => announce::worker(context, head, body, worker).await,
+        Route::Report(worker) => announce::report(context, head, body, worker).await,
+        Route::Health => Ok(operation::health()),
+        Route::Ready => operation::ready(context),
+        Route::Metrics => Ok(operation::metrics(context)),
+        Route::OldRequest => version_one::request(context, head, body).await,
+        Route::OldJob => version_one::submit(context, head, body).await,
+        Route::OldReadJob(job) => version_one::read(context, head, job).await,
+    }
+}
+
+fn parse<'a>(method: &Method, path: &'a str) -> Result<Route<'a>, fault::Fault> {
+    let mut segments = path.strip_prefix('/').unwrap_or(path).split('/');
+    let parts: [&str; 5] = std::array::from_fn(|_| segments.next().unwrap_or(""));
+    if segments.next().is_some() {
+        return Err(no_path(path));
+    }
+    let allowed = |allow: &'static str, route: Result<Route<'a>, fault::Fault>| {
+        let ok = allow.split(", ").any(|name| name == method.as_str());
+        if ok {
+            route
+        } else {
+            Err(wrong_method(method, allow))
+        }
+    };
+    match parts {
+        ["v2", "services", name, "requests", ""] => allowed("POST", Ok(Route::Service(name))),
+        ["v2", "queues", name, "requests", ""] => allowed("POST", Ok(Route::Queue(name))),
+        ["v2", "jobs", "", "", ""] => allowed("POST", Ok(Route::SubmitJob)),
+        ["v2", "jobs", job, "", ""] => allowed(
+            "GET, DELETE",
+            number("job", job).map(|job| {
+                if method == Method::GET {
+                    Route::ReadJob(job)
+                } else {
+                    Route::CancelJob(job)
+                }
+            }),
+        ),
+        ["v2", "jobs", job, "result", ""] => allowed("GET", number("job", job).map(Route::JobResult)),
+        ["v2", "targets", target, "", ""] => allowed(
+            "PUT, DELETE",
+            number("target", target).map(|target| {
+                if method == Method::PUT {
+                    Route::Announce(target)
+                } else {
+                    Route::Depart(target)
+                }
+            }),
+        ),
+        ["v2", "workers", worker, "", ""] => allowed("PUT", number("worker", worker).map(Route::Register)),
+        ["v2", "workers", worker, "report", ""] => {
+            allowed("POST", number("worker", worker).map(Route::Report))
+        }
+        ["healthz", "", "", "", ""] => allowed("GET, HEAD", Ok(Route::Health)),
+        ["readyz", "", "", "", ""] => allowed("GET, HEAD", Ok(Route::Ready)),
+        ["metrics", "", "", "", ""] => allowed("GET", Ok(Route::Metrics)),
+        ["v1", "request", "", "", ""] => allowed("POST", Ok(Route::OldRequest)),
+        ["v1", "job", "", "", ""] => allowed("POST", Ok(Route::OldJob)),
+        ["v1", "job", job, "", ""] => allowed("GET", number("job", job).map(Route::OldReadJob)),
+        _ => Err(no_path(path)),
+    }
+}
+
+fn number(field: &'static str, text: &str) -> Result<u64, fault::Fault> {
+    text.parse().map_err(|_error| {
+        let message = format!("`{text}` is not a {field} id; whole numbers from 0 are allowed");
+        fault::Fault::field(field, message)
+    })
+}
+
+fn no_path(path: &str) -> fault::Fault {
+    let message = format!("`{path}` is not a path of this interface");
+    fault::Fault::not_run(StatusCode::NOT_FOUND, "no_path", message).with_field("path")
+}
+
+fn wrong_method(method: &Method, allow: &'static str) -> fault::Fault {
+    let message = format!("{method} is not allowed here, {allow} is");
+    let fault = fault::Fault::not_run(StatusCode::METHOD_NOT_ALLOWED, "method", message);
+    fault::Fault {
+        allow: Some(allow),
+        ..fault.with_field("method")
+    }
+}
+
+/// Returns a JSON answer.
+fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<answer::Body> {
+    let bytes = serde_json::to_vec(value).expect("answers are plain data");
+    let mut response = Response::new(answer::Body::full(Bytes::from(bytes)));
+    *response.status_mut() = status;
+    let content_type = HeaderValue::from_static("application/json");
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    response
+}
+
+/// Receives and parses a JSON body.
+async fn receive_json<T: serde::de::DeserializeOwned>(
+    context: &context::Context,
+    head: &http::request::Parts,
+    body: Incoming,
+) -> Result<T, fault::Fault> {
+    let limit = context.handle.view.borrow().config.request_body_bytes as usize;
+    let received =
+        filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
+    filter::json::parse(&received.bytes)
+}
--- /dev/null
+++ b/crates/gateway/src/routes/version_one.rs
@@ -0,0 +1,113 @@
+//! The retired version-1 interface, served by the same path as version 2.
+
+use std::sync::Arc;
+
+use bronzespoke_model::id;
+use bronzespoke_request::admission;
+use bytes::BytesMut;
+use http::{Response, StatusCode, request::Parts};
+use http_body_util::BodyExt;
+use hyper::body::Incoming;
+
+use crate::{
+    answer, fault,
+    filter::{self, version_one},
+    routes::{self, jobs, request},
+    server::context,
+};
+
+/// Longest answer of a target that fits the version-1 form, in bytes.
+const ANSWER_BYTES: usize = 1 << 20;
+
+/// Serves `POST /v1/request`.
+pub(crate) async fn request(
+    context: &Arc<context::Context>,
+    head: &Parts,
+    body: Incoming,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    let view = Arc::clone(&context.handle.view.borrow());
+    version_one::check_enabled(view.config.version_one)?;
+    let limit = view.config.request_body_bytes as usize;
+    let received =
+        filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
+    let asked: version_one::Request = filter::json::parse(&received.bytes)?;
+    let team = filter::key::team_of(&context.handle, asked.key.as_bytes())?;
+    version_one::count(&team.name, "request");
+    let time = asked.wait(view.config.request_deadline_ms)?;
+    let id = asked
+        .id
+        .as_deref()
+        .map(|id| filter::identity::check(id, "id"))
+        .transpose()?;
+    let service = view.services.get(&asked.service);
+    let service = service.ok_or_else(|| request::unknown_name("service", &asked.service))?;
+    let order = request::Order {
+        team: Some(&team),
+        owner: admission::Owner::Team(team.id),
+        service: service.id,
+        service_name: &service.name,
+        weight: team.quota.weight,
+        limit: team.quota.requests,
+        time,
+        id,
+        body: filter::body::Received {
+            bytes: asked.body.into(),
+            memory: received.memory,
+        },
+    };
+    translate(request::serve(context, head, order).await?).await
+}
+
+/// Serves `POST /v1/job`.
+pub(crate) async fn submit(
+    context: &context::Context,
+    head: &Parts,
+    body: Incoming,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    version_one::check_enabled(context.handle.view.borrow().config.version_one)?;
+    let asked: version_one::Job = routes::receive_json(context, head, body).await?;
+    let team = filter::key::team_of(&context.handle, asked.key.as_bytes())?;
+    version_one::count(&team.name, "job");
+    let job = jobs::accept(context, head, team.id, None, asked.spec()?).await?;
+    Ok(routes::json(StatusCode::OK, &version_one::Accepted { job }))
+}
+
+/// Serves `GET /v1/job/{job}`.
+pub(crate) async fn read(
+    context: &context::Context,
+    head: &Parts,
+    job: id::JobId,
+) -> Result<Response<answer::Body>, fault::Fault> {
+    version_one::check_enabled(context.handle.view.borrow().config.version_one)?;
+    let key = head.headers.get(version_one::KEY_HEADER);
+    let key = key.map_or(&b""[..], |value| value.as_bytes());
+    let team = filter::key::team_of(&context.handle, key)?;
+    version_one::count(&team.name, "read");
+    let status = jobs::status(context, head, team.id, job, false).await?;
+    let state = version_one::word(status.state);
+    Ok(routes::json(StatusCode::OK, &version_one::State { job, state }))
+}
+
+async fn translate(response: Response<answer::Body>) -> Result<Response<answer::Body>, fault::Fault> {
+    let failed =
+        |message: &str| fault::Fault::unknown(StatusCode::BAD_GATEWAY, "target_failed", message.to_owned());
+    let code = response.status().as_u16();
+    let mut body = response.into_body();
+    let mut received = BytesMut::new();
+    while let Some(frame) = body.frame().await {
+        let frame = frame.map_err(|cut| failed(&cut.to_string()))?;
+        let data = frame.into_data().unwrap_or_default();
+        if received.len() + data.len() > ANSWER_BYTES {
+            return Err(failed("the answer is too long for version 1; use /v2"));
+        }
+        received.extend_from_slice(&data);
+    }
+    let text = std::str::from_utf8(&received)
+        .map_err(|_error| failed("the answer is not text, as version 1 needs; use /v2"))?;
+    let done = version_one::Done {
+        status: "done",
+        code,
+        body: text,
+    };
+    Ok(routes::json(StatusCode::OK, &done))
+}
--- /dev/null
+++ b/crates/gateway/src/server/connection.rs
@@ -0,0 +1,63 @@
+//! One connection from a caller.
+
+use std::{convert::Infallible, sync::Arc};
+
+use hyper::{server::conn::http1, service};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use tokio::{net::TcpStream, sync::OwnedSemaphorePermit};
+
+use crate::{
+    routes,
+    server::{context, stall},
+};
+
+/// Bytes that hyper may buffer per connection; headers above it are refused by hyper itself with 431.
+const BUFFER_BYTES: usize = 64 * 1024;
+
+/// Serves one connection in its own task.
+pub(crate) fn spawn(
+    context: &Arc<context::Context>,
+    stream: TcpStream,
+    permit: Option<OwnedSemaphorePermit>,
+) {
+    let tracker = context.tracker.clone();
+    tracker.spawn(serve(Arc::clone(context), stream, permit));
+}
+
+async fn serve(context: Arc<context::Context>, stream: TcpStream, permit: Option<OwnedSemaphorePermit>) {
+    let _permit = permit;
+    let _counted = context.connect();
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("gateway: a caller's connection is gone: {error}");
+        return;
+    }
+    let io = stall::Io::new(TokioIo::new(stream), context.settings.stall_timeout);
+    let shared = Arc::clone(&context);
+    let handler = service::service_fn(move |request| {
+        let context = Arc::clone(&shared);
+        async move { Ok::<_, Infallible>(routes::handle(context, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(context.settings.header_timeout)
+        .max_buf_size(BUFFER_BYTES)
+        .pipeline_flush(true)
+        .serve_connection(io, handler);
+    tokio::pin!(connection);
+    // The connection comes first, so that a request that has arrived is read before the connection is closed.
+    let ended = tokio::select! {
+        biased;
+        ended = connection.as_mut() => ended,
+        () = context.cancel.cancelled() => return,
+        () = context.closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            tokio::select! {
+                ended = connection.as_mut() => ended,
+                () = context.cancel.cancelled() => return,
+            }
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("gateway: a caller's connection ended: {error}");
+    }
+}
--- /dev/null
+++ b/crates/gateway/src/server/upkeep.rs
@@ -0,0 +1,78 @@
+//! Follows the views of control and reports loads to it.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bronzespoke_model::id;
+
+use crate::{control, server::context};
+
+/// Interval at which waiting requests are looked at again, for targets that are readmitted by time.
+const TICK: Duration = Duration::from_millis(50);
+/// Ticks between two load reports.
+const TICKS_PER_REPORT: u32 = 5;
+
+/// Runs until the server is cancelled.
+pub(crate) async fn run(context: Arc<context::Context>) {
+    let mut view = context.handle.view.clone();
+    let mut targets = context.handle.targets.clone();
+    let mut ticks = tokio::time::interval(TICK);
+    ticks.set_missed_tick_behavior(tokio::time::MissedTickBehavior::Delay);
+    let mut reported = HashMap::new();
+    let mut count = 0;
+    loop {
+        tokio::select! {
+            () = context.cancel.cancelled() => return,
+            changed = view.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                refresh(&context);
+            }
+            changed = targets.changed() => {
+                if changed.is_err() {
+                    return;
+                }
+                refresh(&context);
+            }
+            _ = ticks.tick() => {
+                context.gate.tick();
+                count += 1;
+                if count % TICKS_PER_REPORT == 0 {
+                    report(&context, &mut reported);
+                }
+            }
+        }
+    }
+}
+
+/// Takes in the latest views.
+pub(crate) fn refresh(context: &context::Context) {
+    let view = Arc::clone(&context.handle.view.borrow());
+    let targets = Arc::clone(&context.handle.targets.borrow());
+    context.gate.refresh(&view, &targets);
+    let usable = targets
+        .usable
+        .iter()
+        .map(|status| (status.announcement.target, status.announcement.address))
+        .collect();
+    context.pool.retain(&usable);
+}
+
+/// Reports the loads that changed; a full channel drops the report, and the next one carries the newer figure.
+fn report(context: &context::Context, reported: &mut HashMap<id::TargetId, u32>) {
+    let loads = context.gate.loads();
+    reported.retain(|target, _| loads.iter().any(|(known, _)| known == target));
+    for (target, load) in loads {
+        if reported.get(&target).copied().unwrap_or(0) == load {
+            continue;
+        }
+        if context
+            .handle
+            .calls
+            .try_send(control::Call::Load(target, load))
+            .is_ok()
+        {
+            reported.insert(target, load);
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/caller.rs
@@ -0,0 +1,147 @@
+//! A caller: one HTTP connection that sends requests and notices answers that are not whole.
+
+use std::{fmt, net::SocketAddr};
+
+use bytes::Bytes;
+use http::{HeaderMap, Method, Request, StatusCode, header};
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+
+/// A whole answer.
+#[derive(Debug, Clone)]
+pub struct Answer {
+    /// HTTP status.
+    pub status: StatusCode,
+    /// Headers.
+    pub headers: HeaderMap,
+    /// Body.
+    pub body: Bytes,
+}
+
+impl Answer {
+    /// Returns the body as text; bytes that are not text are replaced.
+    pub fn text(&self) -> String {
+        String::from_utf8_lossy(&self.body).into_owned()
+    }
+
+    /// Returns the body as JSON; `Null` when it is not JSON.
+    pub fn json(&self) -> serde_json::Value {
+        serde_json::from_slice(&self.body).unwrap_or_default()
+    }
+
+    /// Returns a header as text.
+    pub fn header(&self, name: &str) -> Option<&str> {
+        self.headers.get(name).and_then(|value| value.to_str().ok())
+    }
+}
+
+/// Why there is no whole answer.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Error {
+    /// No connection.
+    Connect(String),
+    /// The connection ended before an answer began.
+    NoAnswer(String),
+    /// The answer was cut short.
+    Cut(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Connect(text) => write!(f, "no connection: {text}"),
+            Self::NoAnswer(text) => write!(f, "no answer: {text}"),
+            Self::Cut(text) => write!(f, "the answer was cut short: {text}"),
+        }
+    }
+}
+
+impl std::error::Error for Error {}
+
+/// One connection.
+#[derive(Debug)]
+pub struct Caller {
+    sender: http1::SendRequest<Full<Bytes>>,
+}
+
+impl Caller {
+    /// Connects.
+    pub async fn connect(address: SocketAddr) -> Result<Self, Error> {
+        let connect = |error: &dyn fmt::Display| Error::Connect(error.to_string());
+        let stream = TcpStream::connect(address)
+            .await
+            .map_err(|error| connect(&error))?;
+        stream.set_nodelay(true).map_err(|error| connect(&error))?;
+        let handshake = http1::handshake(TokioIo::new(stream)).await;
+        let (sender, connection) = handshake.map_err(|error| connect(&error))?;
+        tokio::spawn(async move {
+            // The request in flight sees the same error.
+            drop(connection.await);
+        });
+        Ok(Self { sender })
+    }
+
+    /// Sends a request and reads its answer.
+    pub async fn send(
+        &mut self,
+        method: Method,
+        path: &str,
+        headers: &[(&str, &str)],
+        body: impl Into<Bytes>,
+    ) -> Result<Answer, Error> {
+        let failed = |error: &dyn fmt::Display| Error::NoAnswer(error.to_string());
+        let mut builder = Request::builder()
+            .method(method)
+            .uri(path)
+            .header(header::HOST, "entry");
+        for (name, value) in headers {
+            builder = builder.header(*name, *value);
+        }
+        let request = builder
+            .body(Full::new(body.into()))
+            .map_err(|error| failed(&error))?;
+        self.sender.ready().await.map_err(|error| failed(&error))?;
+        let response = self.sender.send_request(request).await;
+        let (head, body) = response.map_err(|error| failed(&error))?.into_parts();
+        let body = body
+            .collect()
+            .await
+            .map_err(|error| Error::Cut(error.to_string()))?;
+        Ok(Answer {
+            status: head.status,
+            headers: head.headers,
+            body: body.to_bytes(),
+        })
+    }
+}
+
+/// Sends one request on a connection of its own.
+pub async fn send(
+    address: SocketAddr,
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: impl Into<Bytes>,
+) -> Result<Answer, Error> {
+    Caller::connect(address)
+        .await?
+        .send(method, path, headers, body)
+        .await
+}
+
+/// Sends one request to a service with a key.
+pub async fn request(
+    address: SocketAddr,
+    service: &str,
+    key: &str,
+    id: Option<&str>,
+    body: impl Into<Bytes>,
+) -> Result<Answer, Error> {
+    let path = format!("/v2/services/{service}/requests");
+    let key = format!("Bearer {key}");
+    let mut headers = vec![("authorization", key.as_str())];
+    headers.extend(id.map(|id| ("idempotency-key", id)));
+    send(address, Method::POST, &path, &headers, body).await
+}
