--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -47,15 +47,9 @@
 
     /// Executes one statement. `command_id` is the same in every attempt.
     ///
-    /// # Errors
-    ///
-    /// One sentence when no daemon answered; it says whether a command may have been done.
-    pub async fn execute(
-        &mut self,
-        line: &str,
-        command_id: Option<command::Id>,
-    ) -> Result<answer::Answer, failure::Failure> {
-        let mut refusal = None;
+    /// When no daemon gives a final answer, the answer is an error with [`answer::Code::Unavailable`], or with
+    /// [`answer::Code::Unconfirmed`] when a daemon may have done the command.
+    pub async fn execute(&mut self, line: &str, command_id: Option<command::Id>) -> answer::Answer {
         let mut reason = String::from("no address is known");
         let mut maybe_done = false;
         for attempt in 0..ROUNDS * self.addresses.len() {
@@ -63,34 +57,35 @@
                 tokio::time::sleep(PAUSE).await;
             }
             let address = self.addresses[self.current];
-            match self.attempt(address, line, command_id).await {
+            let cause = match self.attempt(address, line, command_id).await {
                 Ok(answer::Answer::Error(error)) if error.code.is_retryable() => {
                     maybe_done |= error.code == answer::Code::Unconfirmed;
-                    log::info!("{address} answered {}: {}", error.code, error.message);
-                    refusal = Some(answer::Answer::Error(error));
-                }
-                Ok(answer) => return Ok(answer),
-                Err(Lost::NotSent(cause)) => {
-                    log::info!("{address} does not answer: {cause}");
-                    reason = format!("{address}: {cause}");
+                    error.message
                 }
+                Ok(answer) => return answer,
+                Err(Lost::NotSent(cause)) => cause,
                 Err(Lost::MaybeSent(cause)) => {
-                    log::info!("{address} did not complete its answer: {cause}");
-                    reason = format!("{address}: {cause}");
                     maybe_done = true;
+                    cause
                 }
-            }
+            };
+            log::info!("{address}: no final answer: {cause}");
+            reason = format!("{address}: {cause}");
             self.current = (self.current + 1) % self.addresses.len();
         }
-        match (refusal, command_id) {
-            (_, Some(id)) if maybe_done => Err(failure::Failure::refused(format!(
-                "the command may have been done, but no answer came ({reason}); resend it with --command-id {id}"
-            ))),
-            (Some(answer), _) => Ok(answer),
-            (None, Some(_)) => Err(failure::Failure::refused(format!(
-                "the command was not done, because no daemon answers ({reason})"
-            ))),
-            (None, None) => Err(failure::Failure::refused(format!("no daemon answers ({reason})"))),
+        match command_id {
+            Some(id) if maybe_done => answer::Answer::error(
+                answer::Code::Unconfirmed,
+                format!("the command may have been done ({reason}); resend it with --command-id {id}"),
+            ),
+            Some(_) => answer::Answer::error(
+                answer::Code::Unavailable,
+                format!("the command was not done, because no daemon can do it ({reason})"),
+            ),
+            None => {
+                let message = format!("no daemon can answer ({reason})");
+                answer::Answer::error(answer::Code::Unavailable, message)
+            }
         }
     }
 
--- a/crates/cli/src/shell.rs
+++ b/crates/cli/src/shell.rs
@@ -64,7 +64,7 @@
             }
             Err(fault) => return self.refuse(line, &fault),
         };
-        let answer = self.runtime.block_on(self.session.execute(line, id))?;
+        let answer = self.runtime.block_on(self.session.execute(line, id));
         if self.json {
             output::json(&Record {
                 command_id: id,
--- a/crates/cli/src/timeline/read.rs
+++ b/crates/cli/src/timeline/read.rs
@@ -18,7 +18,7 @@
     pub process: String,
     /// Events in order of sequence number.
     pub events: Vec<event::Event>,
-    /// Events that the ring no longer held.
+    /// Events that the ring no longer held before the first one read; later losses are gaps in the numbers.
     pub lost: u64,
 }
 
@@ -32,11 +32,10 @@
         Some(filter::Team::Id(id)) => return Ok(Some(*id)),
         Some(filter::Team::Name(name)) => name,
     };
-    let answer = session.execute("show teams", None).await?;
-    let answer::Answer::Table(table) = answer else {
-        return Err(failure::Failure::refused(
-            "the teams could not be read to find the name in --team",
-        ));
+    let table = match session.execute("show teams", None).await {
+        answer::Answer::Table(table) => table,
+        answer::Answer::Error(error) => return Err(failure::Failure::Refused(error.message)),
+        answer::Answer::Text(_) => return Err(failure::Failure::refused("`show teams` gave no table")),
     };
     let place = |wanted: &str| table.columns.iter().position(|column| column.name == wanted);
     let found = place("id").zip(place("name")).and_then(|(id, column)| {
@@ -92,7 +91,9 @@
     for _ in 0..MAX_PAGES {
         let page = session.timeline(address, after).await?;
         reading.process = page.process;
-        reading.lost += page.first_sequence_kept.saturating_sub(after + 1);
+        if after == 0 {
+            reading.lost = page.first_sequence_kept.saturating_sub(1);
+        }
         let ended = page.events.is_empty() || page.next <= after;
         reading.events.extend(page.events);
         if ended {
