--- a/crates/cli/src/report/chart.rs
+++ b/crates/cli/src/report/chart.rs
@@ -11,6 +11,8 @@
 const WIDTH: u32 = 1100;
 const LABEL_WIDTH: u32 = 380;
 const ROW_HEIGHT: u32 = 26;
+/// Fewest rows of a chart; a segmented axis needs two.
+const MIN_ROWS: i32 = 2;
 const MARGIN_HEIGHT: u32 = 70;
 const TEXT: (&str, u32) = ("sans-serif", 13);
 /// Most points in the chart of a timeline; browsers draw this many without delay.
@@ -23,8 +25,10 @@
 
 /// Draws a bar for the part of its bound that each measure uses. Measures without a bound have no bar.
 pub fn bounds(measures: &[&measures::Measure]) -> Result<String, String> {
+    // The lowest row of a chart is its first.
     let bounded = measures
         .iter()
+        .rev()
         .filter_map(|measure| Some((*measure, measure.ratio()?)))
         .collect::<Vec<_>>();
     if bounded.is_empty() {
@@ -37,7 +41,8 @@
 
 fn draw_bounds(bounded: &[(&measures::Measure, f64)], svg: &mut String) -> Result<(), Box<dyn Error>> {
     let count = row_number(bounded.len());
-    let area = SVGBackend::with_string(svg, (WIDTH, MARGIN_HEIGHT + ROW_HEIGHT * bounded.len() as u32));
+    let rows = count.max(MIN_ROWS);
+    let area = SVGBackend::with_string(svg, (WIDTH, MARGIN_HEIGHT + ROW_HEIGHT * rows as u32));
     let area = area.into_drawing_area();
     let name = |row: &i32| {
         let row = bounded.get(usize::try_from(*row).unwrap_or(usize::MAX));
@@ -47,7 +52,7 @@
         .margin(10)
         .x_label_area_size(40)
         .y_label_area_size(LABEL_WIDTH)
-        .build_cartesian_2d(0.0..measures::MAX_RATIO, (0..count).into_segmented())?;
+        .build_cartesian_2d(0.0..measures::MAX_RATIO, (0..rows - 1).into_segmented())?;
     let label = |value: &SegmentValue<i32>| match value {
         SegmentValue::CenterOf(row) | SegmentValue::Exact(row) => name(row),
         SegmentValue::Last => String::new(),
@@ -65,16 +70,13 @@
             measures::Verdict::Broken => BAD,
             measures::Verdict::Holds | measures::Verdict::Unbounded => GOOD,
         };
-        let corners = [
-            (0.0, SegmentValue::Exact(row)),
-            (*ratio, SegmentValue::Exact(row + 1)),
-        ];
+        let corners = [(0.0, SegmentValue::Exact(row)), (*ratio, edge_after(row, rows))];
         let mut bar = Rectangle::new(corners, color.filled());
         bar.set_margin(4, 4, 0, 0);
         bar
     });
     chart.draw_series(bars)?;
-    let limit = [(1.0, SegmentValue::Exact(0)), (1.0, SegmentValue::Exact(count))];
+    let limit = [(1.0, SegmentValue::Exact(0)), (1.0, SegmentValue::Last)];
     chart.draw_series(LineSeries::new(limit, LIMIT.stroke_width(2)))?;
     drop(chart);
     area.present()?;
@@ -87,7 +89,8 @@
         .iter()
         .map(|event| event.process.as_str())
         .collect::<Vec<_>>();
-    processes.sort_unstable();
+    // The lowest row of a chart is its first.
+    processes.sort_unstable_by(|left, right| right.cmp(left));
     processes.dedup();
     if processes.is_empty() {
         return Ok(String::new());
@@ -111,14 +114,14 @@
         .unwrap_or_default();
     let seconds = |micros: u64| (micros - first) as f64 / 1e6;
     let length = seconds(last).max(0.001);
-    let count = row_number(processes.len());
-    let area = SVGBackend::with_string(svg, (WIDTH, MARGIN_HEIGHT + ROW_HEIGHT * processes.len() as u32));
+    let rows = row_number(processes.len()).max(MIN_ROWS);
+    let area = SVGBackend::with_string(svg, (WIDTH, MARGIN_HEIGHT + ROW_HEIGHT * rows as u32));
     let area = area.into_drawing_area();
     let mut chart = ChartBuilder::on(&area)
         .margin(10)
         .x_label_area_size(40)
         .y_label_area_size(LABEL_WIDTH / 2)
-        .build_cartesian_2d(0.0..length, (0..count).into_segmented())?;
+        .build_cartesian_2d(0.0..length, (0..rows - 1).into_segmented())?;
     let label = |value: &SegmentValue<i32>| match value {
         SegmentValue::CenterOf(row) | SegmentValue::Exact(row) => {
             let process = processes.get(usize::try_from(*row).unwrap_or(usize::MAX));
@@ -136,7 +139,7 @@
         .draw()?;
     let points = events.iter().take(MAX_POINTS).map(|event| {
         let row = processes
-            .binary_search(&event.process.as_str())
+            .binary_search_by(|process| event.process.as_str().cmp(process))
             .unwrap_or_default();
         let place = (
             seconds(event.stamp.micros),
@@ -150,6 +153,15 @@
     Ok(())
 }
 
+/// Returns the edge between a row and the next one.
+fn edge_after(row: i32, rows: i32) -> SegmentValue<i32> {
+    if row + 1 < rows {
+        SegmentValue::Exact(row + 1)
+    } else {
+        SegmentValue::Last
+    }
+}
+
 /// Returns a row number of a chart; inputs are bounded far below 2^31 rows.
 fn row_number(index: usize) -> i32 {
     i32::try_from(index).unwrap_or(i32::MAX)
--- a/crates/cli/tests/report.rs
+++ b/crates/cli/tests/report.rs
@@ -109,3 +109,35 @@
             .contains(expected)
     );
 }
+
+/// Guards against a chart of one row, whose axis would have no length.
+#[parameterized(
+    measure = { r#"[{"name":"a.b","value":1,"unit":"s","bound":{"at_most":2},"source":"x"}]"#, ">\na.b\n<" },
+    event = { r#"{"events": [{"stamp": {"micros": 1, "logical": 0}, "process": "vm-a", "sequence": 1,
+        "kind": {"event": "started"}}], "lost": [], "unreachable": []}"#, ">\nvm-a\n<" },
+)]
+fn chart_of_one_row_is_drawn(json: &str, label: &str) {
+    let html = report::html(json.as_bytes()).expect("the input is right");
+    assert!(html.contains(label), "{html}");
+    assert!(
+        !html.contains("height=\"-") && !html.contains("width=\"-"),
+        "a negative size: {html}"
+    );
+}
+
+/// Guards against an axis that skips labels when there are many rows.
+#[test]
+fn every_bar_has_a_label() {
+    let names = (0..150)
+        .map(|number| format!("part.measure.{number}"))
+        .collect::<Vec<_>>();
+    let row = |name: &String| {
+        let bound = serde_json::json!({"at_most": 2.0});
+        serde_json::json!({"name": name, "value": 1, "unit": "s", "bound": bound, "source": "x"})
+    };
+    let json = serde_json::Value::Array(names.iter().map(row).collect()).to_string();
+    let html = report::html(json.as_bytes()).expect("the rows are right");
+    for name in names {
+        assert!(html.contains(&format!(">\n{name}\n<")), "{name}");
+    }
+}
