--- a/crates/language/src/statement.rs
+++ b/crates/language/src/statement.rs
@@ -118,7 +118,8 @@
     GrantKey {
         /// Name of the team.
         team: String,
-        /// Hash of the key; without it, the daemon generates a key and shows it once.
+        /// Hash of the key; without it, the daemon generates a key and shows it once. Keys are not stored, so a resend
+        /// cannot show it again.
         hash: Option<team::KeyHash>,
     },
     /// `withdraw key`.
