--- /dev/null
+++ b/crates/cli/src/demo/jobs.rs
@@ -0,0 +1,125 @@
+//! Jobs: batch, service, gang, urgent.
+
+use std::time::{Duration, Instant};
+
+use bronzespoke_model::{id, job, resource};
+use bronzespoke_standin::caller;
+use http::{Method, StatusCode};
+
+use crate::demo::{Demo, cell};
+
+/// Longest wait for a job of the demo.
+const JOB: Duration = Duration::from_secs(20);
+/// Urgent work starts within this time.
+const URGENT: Duration = Duration::from_millis(1_600);
+
+/// Returns a job of the demo.
+fn spec(kind: job::Kind, tasks: u32, cpu: u32, command: &str) -> job::Spec {
+    job::Spec {
+        kind,
+        priority: job::Priority::Normal,
+        tasks,
+        size: resource::Amount::new(cpu * 1000, cpu * 1024, 0),
+        accelerator: 0,
+        run_time: Duration::from_millis(200),
+        checkpoint: true,
+        command: String::from(command),
+    }
+}
+
+impl Demo {
+    /// Submits a job at a VM; returns its id once it is accepted.
+    pub(super) async fn submit(&self, number: usize, spec: &job::Spec) -> Result<id::JobId, String> {
+        let body = serde_json::to_vec(spec).map_err(|error| error.to_string())?;
+        let key = format!("Bearer {}", self.key);
+        let headers = [("authorization", key.as_str()), ("content-type", "application/json")];
+        let answer = caller::send(self.cell.http(number), Method::POST, "/v2/jobs", &headers, body)
+            .await
+            .map_err(|error| error.to_string())?;
+        if answer.status != StatusCode::ACCEPTED {
+            return Err(format!("a job was not accepted: {} {}", answer.status, answer.text()));
+        }
+        answer.json()["job"].as_u64().ok_or_else(|| format!("no job id in {}", answer.text()))
+    }
+
+    /// Reads a job at a VM.
+    pub(super) async fn job(&self, number: usize, job: id::JobId) -> Option<serde_json::Value> {
+        let key = format!("Bearer {}", self.key);
+        let headers = [("authorization", key.as_str())];
+        let path = format!("/v2/jobs/{job}");
+        let answer = caller::send(self.cell.http(number), Method::GET, &path, &headers, "").await.ok()?;
+        (answer.status == StatusCode::OK).then(|| answer.json())
+    }
+
+    /// Waits until a job has succeeded, and counts it.
+    pub(super) async fn finish(&mut self, kind: &'static str, number: usize, job: id::JobId, tasks: u32) {
+        let start = Instant::now();
+        let mut done = false;
+        while !done && start.elapsed() < JOB {
+            let status = self.job(number, job).await;
+            done = status.is_some_and(|status| status["state"] == "succeeded");
+            tokio::time::sleep(Duration::from_millis(20)).await;
+        }
+        let ran = self.fleet.ledger.succeeded(job) == tasks as usize;
+        self.tally.count(kind, done && ran, start.elapsed());
+    }
+
+    pub(super) async fn jobs(&mut self) -> Result<(), String> {
+        println!("Jobs: batch, service, all at once, urgent.");
+        let workers = cell::wait(JOB, || self.registered() == 12).await;
+        workers.ok_or("not all workers registered")?;
+        let batch = self.submit(0, &spec(job::Kind::Batch, 40, 4, "sleep 200")).await?;
+        let service = self.submit(1, &spec(job::Kind::Service, 6, 2, "serve")).await?;
+        let gang = self.submit(4, &spec(job::Kind::Gang, 8, 16, "sleep 300")).await?;
+        self.finish("batch job", 3, batch, 40).await;
+        self.finish("gang job", 5, gang, 8).await;
+        let start = Instant::now();
+        let serving = cell::wait(JOB, || self.fleet.ledger.running(service).len() == 6).await;
+        self.tally.count("service job", serving.is_some(), start.elapsed());
+        self.urgent().await
+    }
+
+    /// Fills a zone, then submits an urgent job that has to push others aside.
+    async fn urgent(&mut self) -> Result<(), String> {
+        let filler = self.submit(0, &spec(job::Kind::Batch, 64, 4, "sleep 60000")).await?;
+        let home = id::job_zone(filler);
+        let full = cell::wait(JOB, || self.fleet.ledger.running(filler).len() >= 58).await;
+        full.ok_or("the zone was not filled")?;
+        let mut urgent = spec(job::Kind::Batch, 4, 8, "sleep 100");
+        urgent.priority = job::Priority::Urgent;
+        let number = (usize::from(home) - 1) * 2;
+        let start = Instant::now();
+        let job = self.submit(number, &urgent).await?;
+        let started = cell::wait(JOB, || self.fleet.ledger.started(job) == 4).await;
+        let took = start.elapsed();
+        println!("  Urgent tasks started after {} ms.", took.as_millis());
+        self.tally.check(started.is_some() && took <= URGENT, "urgent work starts within 1.6 s");
+        self.finish("urgent job", number, job, 4).await;
+        let path = format!("/v2/jobs/{filler}");
+        let key = format!("Bearer {}", self.key);
+        let headers = [("authorization", key.as_str())];
+        let cancelled = caller::send(self.cell.http(3), Method::DELETE, &path, &headers, "").await;
+        let ended = cell::wait(JOB, || self.fleet.ledger.running(filler).is_empty()).await;
+        let cancelled = cancelled.is_ok_and(|answer| answer.status.is_success()) && ended.is_some();
+        self.tally.check(cancelled, "a cancelled job stops everywhere");
+        Ok(())
+    }
+
+    fn registered(&self) -> usize {
+        let registered =
+            |event: &bronzespoke_model::event::Event| matches!(event.kind, bronzespoke_model::event::Kind::WorkerRegistered { .. });
+        self.cell.events().iter().filter(|event| registered(event)).count()
+    }
+
+    /// Submits a small batch job and waits for it.
+    pub(super) async fn small_job(&mut self, number: usize) -> Result<(), String> {
+        let job = self.submit(number, &spec(job::Kind::Batch, 4, 1, "sleep 100")).await?;
+        self.finish("batch job", number, job, 4).await;
+        Ok(())
+    }
+
+    /// Submits a job that runs for a while.
+    pub(super) async fn long_job(&mut self, number: usize) -> Result<id::JobId, String> {
+        self.submit(number, &spec(job::Kind::Batch, 20, 1, "sleep 1500")).await
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/mod.rs
@@ -0,0 +1,124 @@
+//! The demo: a whole cell in one process, every kind of work over real sockets, and the failures that the promises
+//! are about.
+
+pub mod cell;
+mod fleet;
+mod jobs;
+mod outcome;
+mod partitions;
+mod requests;
+pub mod tally;
+
+use std::{ffi::OsString, process::ExitCode, time::Duration};
+
+use tokio_util::sync::CancellationToken;
+
+/// Longest wait for the cell to be ready.
+const START: Duration = Duration::from_secs(20);
+/// Longest wait for one command of an operator.
+const COMMAND: Duration = Duration::from_secs(10);
+/// Exit status for wrong flags.
+const USAGE: u8 = 2;
+
+/// Everything that the steps of the demo share.
+#[derive(Debug)]
+struct Demo {
+    cell: cell::Cell,
+    fleet: fleet::Fleet,
+    tally: tally::Tally,
+    /// Key of the team `federations`.
+    key: String,
+}
+
+/// Runs the demo; the exit status is 0 only when every promise held.
+pub fn run(arguments: &[OsString]) -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_vec(arguments.to_vec());
+    let seed = arguments.opt_value_from_str("--seed");
+    let quiet = arguments.contains("--no-timeline");
+    let rest = arguments.finish();
+    let seed = match seed {
+        Ok(seed) if rest.is_empty() => seed.unwrap_or(1_u64),
+        Ok(_) => return usage(&format!("{} is not a flag of the demo", rest[0].to_string_lossy())),
+        Err(error) => return usage(&format!("--seed: {error}; a whole number is allowed")),
+    };
+    let runtime = match tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            eprintln!("demo: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    match start_and_play(&runtime, seed, quiet) {
+        Ok(true) => ExitCode::SUCCESS,
+        Ok(false) => ExitCode::FAILURE,
+        Err(error) => {
+            eprintln!("demo: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn usage(message: &str) -> ExitCode {
+    eprintln!("demo: {message}; --seed NUMBER and --no-timeline are allowed");
+    ExitCode::from(USAGE)
+}
+
+fn start_and_play(runtime: &tokio::runtime::Runtime, seed: u64, quiet: bool) -> Result<bool, String> {
+    let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
+    println!("Starting a cell: 2 regions, 3 availability zones, 6 entry VMs.");
+    // Daemons own runtimes, which may be neither started nor dropped inside another one.
+    let cell = cell::Cell::start(folder.path(), seed).map_err(|error| error.to_string())?;
+    let cancel = CancellationToken::new();
+    let fleet = fleet::Fleet::new(cancel.clone());
+    let mut demo = Demo { cell, fleet, tally: tally::Tally::default(), key: String::new() };
+    let result = play(runtime, &mut demo);
+    cancel.cancel();
+    let holds = result.map(|()| outcome::print(&demo, quiet));
+    demo.cell.stop();
+    holds
+}
+
+fn play(runtime: &tokio::runtime::Runtime, demo: &mut Demo) -> Result<(), String> {
+    runtime.block_on(async {
+        demo.set_up().await?;
+        demo.requests().await?;
+        demo.jobs().await?;
+        demo.keys().await?;
+        demo.drain().await?;
+        demo.configuration().await?;
+        demo.zone_cut().await
+    })?;
+    demo.vm_lost(runtime)
+}
+
+impl Demo {
+    async fn set_up(&mut self) -> Result<(), String> {
+        let ready = cell::wait(START, || self.cell.is_ready()).await;
+        let took = ready.ok_or("the cell did not become ready")?;
+        println!("The cell is ready after {} ms.", took.as_millis());
+        for line in [
+            "create team federations weight=2 cpu=2000 memory=4000GiB accelerators=64 requests=2000",
+            "create team dojos weight=1 cpu=2000 memory=4000GiB accelerators=64 requests=2000",
+            "create service reconciliations",
+            "create queue open-desk service=reconciliations requests=100",
+        ] {
+            self.cell.insist(0, line, COMMAND).await?;
+        }
+        self.key = self.grant_key("federations").await?;
+        self.fleet.start(&self.cell).await?;
+        let cell = &self.cell;
+        let key = self.key.clone();
+        requests::settle(cell, &key).await
+    }
+
+    /// Grants a generated key and returns it.
+    async fn grant_key(&self, team: &str) -> Result<String, String> {
+        let line = format!("grant key to team {team}");
+        let answer = self.cell.insist(0, &line, COMMAND).await?;
+        let bronzespoke_language::answer::Answer::Text(text) = answer else {
+            return Err(String::from("a granted key was not shown"));
+        };
+        let word = text.text.split_whitespace().find(|word| word.len() > 40);
+        word.map(|word| String::from(word.trim_end_matches('.'))).ok_or_else(|| text.text.clone())
+    }
+}
--- /dev/null
+++ b/crates/cli/src/demo/outcome.rs
@@ -0,0 +1,71 @@
+//! What the demo prints at its end: timeline, measures, promises and the counts.
+
+use bronzespoke_model::event;
+
+use crate::demo::Demo;
+
+/// Kinds of work in the table of waiting times.
+const KINDS: [&str; 8] = [
+    "keyed request",
+    "open request",
+    "non-repeatable request",
+    "batch job",
+    "service job",
+    "gang job",
+    "urgent job",
+    "job of a lost VM",
+];
+
+/// Prints everything and tells whether every promise held.
+pub fn print(demo: &Demo, quiet: bool) -> bool {
+    let events = demo.cell.events();
+    if !quiet {
+        print_timeline(&events);
+    }
+    print_measures(demo, &events);
+    let totals = demo.fleet.ledger.totals();
+    let mut tally_holds = demo.tally.holds();
+    println!(
+        "Workers: {} runs started, {} at the same time, {} in two places, {} over capacity, {} repeated after success.",
+        totals.starts, totals.most_running, totals.doubled, totals.overfilled, totals.repeated
+    );
+    let doubled = demo.tally.doubled + totals.doubled + totals.repeated;
+    tally_holds &= totals.doubled == 0 && totals.overfilled == 0 && totals.repeated == 0;
+    for promise in &demo.tally.broken {
+        println!("BROKEN: {promise}");
+    }
+    println!(
+        "demo: accepted={} completed={} lost={} doubled={doubled}",
+        demo.tally.accepted,
+        demo.tally.completed,
+        demo.tally.lost()
+    );
+    tally_holds
+}
+
+fn print_timeline(events: &[event::Event]) {
+    println!("Timeline over all processes:");
+    let Some(first) = events.first() else {
+        return;
+    };
+    for event in events {
+        let at = event.stamp.micros.saturating_sub(first.stamp.micros) / 1000;
+        println!("  {at:>6} ms  {:<4} {:?}", event.process, event.kind);
+    }
+}
+
+fn print_measures(demo: &Demo, events: &[event::Event]) {
+    println!("{:<24} {:>6} {:>12} {:>12}", "waiting time", "count", "median ms", "largest ms");
+    for kind in KINDS {
+        if let Some((count, median, largest)) = demo.tally.wait_of(kind) {
+            let (median, largest) = (median.as_secs_f64() * 1000.0, largest.as_secs_f64() * 1000.0);
+            println!("{kind:<24} {count:>6} {median:>12.1} {largest:>12.1}");
+        }
+    }
+    let seconds = events.first().zip(events.last()).map_or(1.0, |(first, last)| {
+        (last.stamp.micros.saturating_sub(first.stamp.micros) as f64 / 1e6).max(1.0)
+    });
+    let bytes = demo.cell.sent_bytes() as f64;
+    let daemons = demo.cell.running().count().max(1) as f64;
+    println!("Control cost: {:.0} bytes per second and daemon, sent.", bytes / seconds / daemons);
+}
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! The package is a library with a small program around it, so that its tests call the same code as the program.
 
+pub mod demo;
 pub mod failure;
 pub mod logging;
 pub mod report;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -7,13 +7,12 @@
     time::SystemTime,
 };
 
-use bronzespoke_cli::{failure, logging, report, session, settings, shell, timeline};
+use bronzespoke_cli::{demo, failure, logging, report, session, settings, shell, timeline};
 
 fn main() -> ExitCode {
     let arguments = env::args_os().skip(1).collect::<Vec<_>>();
     if arguments.first().is_some_and(|argument| argument == "demo") {
-        // Call `demo::run(arguments)` here once the `demo` folder exists.
-        return failure::Failure::refused("the demo is not part of this build").report();
+        return demo::run(&arguments[1..]);
     }
     let environment = |name: &str| env::var(name).ok();
     let done = settings::read(arguments, &environment, wall_micros()).and_then(run);
--- /dev/null
+++ b/crates/daemon/src/control/actor.rs
@@ -0,0 +1,275 @@
+//! The actor on the control thread.
+
+use std::{sync::Arc, time::Duration};
+
+use bronzespoke_consensus::{membership, replica};
+use bronzespoke_gateway::control as gateway;
+use bronzespoke_gossip as gossip;
+use bronzespoke_model::{id, vm};
+use ractor::{Actor, ActorProcessingErr, ActorRef};
+
+use crate::{
+    control::{
+        Controller, Inbox, Message, Published, asks, claims, context, member, root, targets, zone,
+    },
+    disk, settings,
+};
+
+/// Longest time between two ticks.
+const LONGEST_TICK: Duration = Duration::from_millis(100);
+/// Shortest time between two ticks, which bounds the work of timers.
+const SHORTEST_TICK: Duration = Duration::from_millis(1);
+/// Time for which commands are collected into one log entry.
+const BATCH_DELAY: Duration = Duration::from_millis(2);
+/// Longest wait for the hand-over of leadership at shutdown.
+const HAND_OVER: Duration = Duration::from_secs(2);
+
+/// What the control thread starts from.
+#[derive(Debug)]
+pub struct Start {
+    /// Settings.
+    pub settings: settings::Settings,
+    /// Time, timeline, network.
+    pub context: context::Context,
+    /// Views for traffic.
+    pub published: Published,
+    /// Targets for traffic.
+    pub targets: tokio::sync::watch::Sender<Arc<gateway::Targets>>,
+}
+
+/// The actor type; its state is the controller.
+#[derive(Debug)]
+pub struct Control;
+
+impl Actor for Control {
+    type Msg = Message;
+    type State = Controller;
+    type Arguments = Start;
+
+    async fn pre_start(
+        &self,
+        myself: ActorRef<Message>,
+        start: Start,
+    ) -> Result<Controller, ActorProcessingErr> {
+        let controller = Controller::start(start, Inbox::new(myself));
+        controller.inbox.send(Message::Tick);
+        Ok(controller)
+    }
+
+    async fn handle(
+        &self,
+        myself: ActorRef<Message>,
+        message: Message,
+        state: &mut Controller,
+    ) -> Result<(), ActorProcessingErr> {
+        if matches!(message, Message::Stop) {
+            myself.stop(None);
+            return Ok(());
+        }
+        state.handle(message);
+        state.advance();
+        state.schedule_tick();
+        Ok(())
+    }
+}
+
+impl Controller {
+    fn start(start: Start, inbox: Inbox) -> Self {
+        let Start { settings, context, published, targets } = start;
+        let now = context.now();
+        let seed = settings.random_seed;
+        let config = gossip::Config {
+            id: context.me.id,
+            place: context.me.place,
+            incarnation: context::Context::wall_ms(),
+            seed,
+        };
+        let mut controller = Self {
+            root: root::Root::follow(seed, now),
+            gossip: gossip::Gossip::new(config, now),
+            targets: targets::Targets::new(targets),
+            zones: std::collections::BTreeMap::new(),
+            known: std::collections::BTreeSet::new(),
+            asks: asks::Asks::default(),
+            claims: claims::Claims::default(),
+            scheduling: None,
+            targets_changed: false,
+            listed: false,
+            replaced: false,
+            fresh: false,
+            hello_at: now,
+            enlist_at: now,
+            duties_at: now,
+            flush_at: None,
+            tick_at: None,
+            leaving: None,
+            context,
+            settings,
+            inbox,
+            published,
+        };
+        controller.reopen();
+        controller
+    }
+
+    /// Opens the groups that the data folder holds.
+    fn reopen(&mut self) {
+        let Some(folder) = self.settings.data.clone() else {
+            return;
+        };
+        for group in disk::groups(&folder) {
+            let Some(member) = self.open(group, None) else {
+                continue;
+            };
+            match group {
+                id::GroupId::Root => self.root.promote(member),
+                id::GroupId::Zone(zone) => self.add_zone(zone, member),
+            }
+        }
+    }
+
+    /// Opens a replica of a group; a failure is logged and leaves the VM without it.
+    pub(super) fn open(
+        &self,
+        group: id::GroupId,
+        found: Option<membership::Membership>,
+    ) -> Option<member::Member> {
+        let salt = match group {
+            id::GroupId::Root => 0,
+            id::GroupId::Zone(zone) => u64::from(zone) + 1,
+        };
+        // The seed differs at every start, as the replica demands of its answer tokens.
+        let seed = self.settings.random_seed ^ (salt << 32) ^ context::Context::wall_ms();
+        let config = replica::Config::new(self.context.me.id, group, seed);
+        let inbox = self.inbox.clone();
+        let notify: disk::Notify = Box::new(move |done| inbox.send(Message::Persisted(done)));
+        let opened =
+            member::Member::open(config, self.settings.data.as_deref(), found, notify, self.context.now());
+        match opened {
+            Ok(member) => Some(member),
+            Err(error) => {
+                log::error!("disk: {group:?} cannot be opened: {error}");
+                None
+            }
+        }
+    }
+
+    /// Takes part in a zone group with an opened replica.
+    pub(super) fn add_zone(&mut self, zone: id::AvailabilityZoneId, member: member::Member) {
+        let mut group = zone::Zone::new(zone, member);
+        group.step(&self.context, replica::Input::Tick);
+        self.zones.insert(zone, group);
+    }
+
+    fn handle(&mut self, message: Message) {
+        match message {
+            Message::Frame(frame, permit) => {
+                self.frame(*frame);
+                drop(permit);
+            }
+            Message::Call(call, permit) => {
+                self.call(call);
+                drop(permit);
+            }
+            Message::Operator(line, command, reply) => self.operator(&line, command, reply),
+            Message::Directory(reply) => drop(reply.send(self.directory())),
+            Message::Persisted(done) => self.persisted(&done),
+            Message::Claimed(pending, answer) => self.claimed(pending, answer),
+            Message::Tick => self.tick(),
+            Message::HandOver(reply) => {
+                self.leaving = Some((reply, self.context.now() + HAND_OVER));
+                self.hand_over();
+            }
+            Message::Stop => {}
+        }
+    }
+
+    fn directory(&self) -> Vec<vm::Vm> {
+        self.root.view().vms.values().cloned().collect()
+    }
+
+    fn persisted(&mut self, done: &disk::Done) {
+        match done.group {
+            id::GroupId::Root => self.root.persisted(&self.context, done),
+            id::GroupId::Zone(zone) => {
+                if let Some(zone) = self.zones.get_mut(&zone) {
+                    zone.persisted(&self.context, done);
+                }
+            }
+        }
+    }
+
+    fn tick(&mut self) {
+        let now = self.context.now();
+        if self.tick_at.is_some_and(|at| at <= now) {
+            self.tick_at = None;
+        }
+        self.root.tick(&self.context);
+        for zone in self.zones.values_mut() {
+            if zone.member().replica().next_wake() <= now {
+                zone.step(&self.context, replica::Input::Tick);
+            }
+        }
+        if now >= self.hello_at {
+            self.announce();
+        }
+        self.enlist();
+        if now >= self.duties_at {
+            self.duties();
+        }
+        self.gossip_tick(now);
+        self.ask_tick();
+        let own = self.context.me.place.zone;
+        if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get_mut(&own)) {
+            scheduling.tick(&self.context, zone);
+        }
+    }
+
+    fn gossip_tick(&mut self, now: Duration) {
+        if self.gossip.next_wake() <= now {
+            let mut messages = Vec::new();
+            self.gossip.tick(now, &mut messages);
+            for (to, message) in messages {
+                self.context.send(to, crate::peer::wire::Body::Gossip(message));
+            }
+            self.targets_changed = true;
+        }
+    }
+
+    fn ask_tick(&mut self) {
+        let mut asks = std::mem::take(&mut self.asks);
+        asks.tick(&self.context, &|group| self.leader(group));
+        // Continuations only send messages, so no call was opened meanwhile.
+        self.asks = asks;
+    }
+
+    /// Makes sure that a tick comes when the next timer is due.
+    fn schedule_tick(&mut self) {
+        let now = self.context.now();
+        let mut next = now + LONGEST_TICK;
+        next = next.min(self.hello_at).min(self.duties_at).min(self.gossip.next_wake());
+        if let Some(member) = self.root.member() {
+            next = next.min(member.replica().next_wake());
+        }
+        for zone in self.zones.values() {
+            next = next.min(zone.member().replica().next_wake());
+        }
+        if let Some(scheduling) = &self.scheduling {
+            next = next.min(scheduling.next_wake());
+        }
+        if let Some(flush) = self.flush_at {
+            next = next.min(flush);
+        }
+        let next = next.max(now + SHORTEST_TICK);
+        if self.tick_at.is_none_or(|at| next + SHORTEST_TICK < at) {
+            self.tick_at = Some(next);
+            self.inbox.tick_after(next.saturating_sub(now));
+        }
+    }
+
+    /// Notes that commands wait to be proposed.
+    pub(super) fn batch(&mut self) {
+        let at = self.context.now() + BATCH_DELAY;
+        self.flush_at = Some(self.flush_at.map_or(at, |earlier| earlier.min(at)));
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/apply.rs
@@ -0,0 +1,154 @@
+//! What follows from an input: applies commits, publishes views, proposes batches.
+
+use std::{collections::HashMap, sync::Arc, time::Duration};
+
+use bronzespoke_gateway::control as gateway;
+use bronzespoke_model::event;
+
+use crate::control::{Controller, scheduling};
+
+/// Rounds of apply and propose in one turn; the rest follows in the next turn.
+const MAX_ROUNDS: usize = 16;
+
+impl Controller {
+    /// Carries on until nothing more follows.
+    pub(super) fn advance(&mut self) {
+        let now = self.context.now();
+        for _ in 0..MAX_ROUNDS {
+            let progressed = self.apply_root() | self.apply_zones() | self.tend_scheduling(now);
+            if !progressed {
+                break;
+            }
+        }
+        self.flush(now);
+        self.publish_freshness(now);
+        self.publish_targets(now);
+        let own = self.context.me.place.zone;
+        if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get(&own)) {
+            scheduling.settle(now, zone);
+        }
+        self.check_leaving(now);
+    }
+
+    fn apply_root(&mut self) -> bool {
+        if !self.root.apply(&self.context) {
+            return false;
+        }
+        let view = Arc::clone(self.root.view());
+        let now = self.context.now();
+        let members: Vec<_> = view.vms.values().map(|vm| (vm.id, vm.place)).collect();
+        self.gossip.set_members(now, &members);
+        self.publish_view();
+        let own = self.context.me.place.zone;
+        if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get_mut(&own)) {
+            scheduling.follow_view(&self.context, zone, &view);
+        }
+        self.targets_changed = true;
+        true
+    }
+
+    fn apply_zones(&mut self) -> bool {
+        let own = self.context.me.place.zone;
+        let view = Arc::clone(self.root.view());
+        let mut progressed = false;
+        for (id, zone) in &mut self.zones {
+            let applied = zone.apply(&self.context);
+            if applied.is_empty() {
+                continue;
+            }
+            progressed = true;
+            if let Some(scheduling) = self.scheduling.as_mut().filter(|_| *id == own) {
+                scheduling.applied(&self.context, zone, &view, applied);
+            }
+        }
+        progressed
+    }
+
+    /// Starts the scheduler when this VM takes the lead of its zone, and drops it when the lead is lost.
+    fn tend_scheduling(&mut self, now: Duration) -> bool {
+        let own = self.context.me.place.zone;
+        let Some(zone) = self.zones.get_mut(&own) else {
+            return false;
+        };
+        let leads = zone.leads(now);
+        if leads == self.scheduling.is_some() {
+            return false;
+        }
+        self.scheduling = leads.then(|| {
+            let view = Arc::clone(self.root.view());
+            scheduling::Scheduling::restore(&self.context, self.settings.random_seed, zone, &view)
+        });
+        leads
+    }
+
+    fn flush(&mut self, now: Duration) {
+        let waits = self.root.has_batch() || self.zones.values().any(super::zone::Zone::has_batch);
+        if !waits {
+            self.flush_at = None;
+            return;
+        }
+        let Some(at) = self.flush_at else {
+            self.batch();
+            return;
+        };
+        if now < at {
+            return;
+        }
+        self.flush_at = None;
+        self.root.flush(&self.context);
+        for zone in self.zones.values_mut() {
+            zone.flush(&self.context);
+        }
+        self.apply_root();
+        self.apply_zones();
+    }
+
+    fn publish_view(&mut self) {
+        let root = self.root.view();
+        let view = gateway::View {
+            version: root.version,
+            config: root.config.clone(),
+            keys: root.keys.iter().map(|(hash, team)| (*hash, *team)).collect(),
+            teams: root.teams.iter().map(|(id, team)| (*id, Arc::clone(team))).collect(),
+            services: root.services.iter().map(|(name, service)| (name.clone(), service.clone())).collect(),
+            queues: root.queues.iter().map(|(name, queue)| (name.clone(), queue.clone())).collect::<HashMap<_, _>>(),
+            entries: root.vms.values().cloned().collect(),
+        };
+        self.published.view.send_replace(Arc::new(view));
+    }
+
+    fn publish_freshness(&mut self, now: Duration) {
+        if let Some(basis) = self.root.basis(now) {
+            self.published.freshness.advance(basis);
+        }
+        let fresh = self.published.freshness.is_fresh();
+        if fresh != self.fresh {
+            self.fresh = fresh;
+            self.context.record(if fresh { event::Kind::ViewFresh } else { event::Kind::ViewStale });
+        }
+        let ready = self.is_ready();
+        self.published.ready.send_if_modified(|current| std::mem::replace(current, ready) != ready);
+    }
+
+    /// A VM is ready once it knows the cell; it stays ready when its view ages, because open queues go on.
+    pub(super) fn is_ready(&self) -> bool {
+        let view = self.root.view();
+        let drained = view.is_draining(bronzespoke_control::root::Subject::Vm(self.context.me.id));
+        self.listed && !self.replaced && !drained && self.leaving.is_none()
+    }
+
+    fn publish_targets(&mut self, now: Duration) {
+        if std::mem::take(&mut self.targets_changed) {
+            self.targets.publish(now, &self.gossip, self.root.view());
+        }
+    }
+
+    fn check_leaving(&mut self, now: Duration) {
+        let leads = self.root.leads(now) || self.zones.values().any(|zone| zone.leads(now));
+        let over = self.leaving.as_ref().is_some_and(|(_, deadline)| !leads || now >= *deadline);
+        if over && let Some((reply, _)) = self.leaving.take() {
+            self.listed = false;
+            drop(reply.send(()));
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/asks.rs
@@ -0,0 +1,119 @@
+//! Calls to the leaders of groups that this process does not lead.
+//!
+//! A call is sent again until it is answered or its time is over. Every command that travels this way has a command
+//! id or is idempotent by itself, so that a resend does no harm.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bronzespoke_model::id;
+
+use crate::{
+    control::{context, responder},
+    peer::wire,
+};
+
+/// Calls that may be open; further ones are answered with `NotDone`.
+pub const MAX_OPEN: usize = 8192;
+/// Time after which an unanswered call is sent again; several round trips between regions.
+const RESEND: Duration = Duration::from_millis(300);
+/// Time after which an unanswered call is over.
+pub const DEADLINE: Duration = Duration::from_secs(3);
+
+struct Open {
+    group: id::GroupId,
+    ask: wire::Ask,
+    then: responder::Then,
+    deadline: Duration,
+    resend_at: Duration,
+    ever_sent: bool,
+}
+
+/// Open calls of this process.
+#[derive(Default)]
+pub struct Asks {
+    next: u64,
+    open: BTreeMap<u64, Open>,
+}
+
+impl std::fmt::Debug for Asks {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        formatter.debug_struct("Asks").field("open", &self.open.len()).finish_non_exhaustive()
+    }
+}
+
+impl Asks {
+    /// Opens a call; `leader` is the leader that is known now.
+    pub fn open(
+        &mut self,
+        context: &context::Context,
+        group: id::GroupId,
+        ask: wire::Ask,
+        deadline: Duration,
+        leader: Option<id::VmId>,
+        then: responder::Then,
+    ) {
+        if self.open.len() >= MAX_OPEN {
+            then(wire::Reply::NotDone(String::from("too many calls to other VMs are open")));
+            return;
+        }
+        self.next += 1;
+        let now = context.now();
+        let deadline = now + deadline;
+        let mut open = Open { group, ask, then, deadline, resend_at: now, ever_sent: false };
+        send(context, self.next, &mut open, leader);
+        self.open.insert(self.next, open);
+    }
+
+    /// Takes an answer. Late and repeated answers change nothing.
+    pub fn answer(&mut self, context: &context::Context, number: u64, reply: wire::Reply) {
+        if matches!(reply, wire::Reply::NotLeader) {
+            if let Some(open) = self.open.get_mut(&number) {
+                // The next leader may not be known yet.
+                open.resend_at = context.now() + RESEND / 3;
+            }
+            return;
+        }
+        if let Some(open) = self.open.remove(&number) {
+            (open.then)(reply);
+        }
+    }
+
+    /// Sends calls again and ends those whose time is over.
+    pub fn tick(
+        &mut self,
+        context: &context::Context,
+        leader: &dyn Fn(id::GroupId) -> Option<id::VmId>,
+    ) {
+        let now = context.now();
+        let over: Vec<u64> =
+            self.open.iter().filter(|(_, open)| now >= open.deadline).map(|(number, _)| *number).collect();
+        for number in over {
+            if let Some(open) = self.open.remove(&number) {
+                (open.then)(expired(open.ever_sent));
+            }
+        }
+        for (number, open) in &mut self.open {
+            if now >= open.resend_at {
+                let leader = leader(open.group);
+                send(context, *number, open, leader);
+            }
+        }
+    }
+}
+
+fn expired(ever_sent: bool) -> wire::Reply {
+    if ever_sent {
+        wire::Reply::Unknown
+    } else {
+        wire::Reply::NotDone(String::from("no leader can be reached"))
+    }
+}
+
+fn send(context: &context::Context, number: u64, open: &mut Open, leader: Option<id::VmId>) {
+    open.resend_at = context.now() + RESEND;
+    let Some(leader) = leader.filter(|leader| *leader != context.me.id) else {
+        return;
+    };
+    open.ever_sent = true;
+    context.send(leader, wire::Body::Ask(number, open.group, open.ask.clone()));
+}
--- /dev/null
+++ b/crates/daemon/src/control/calls.rs
@@ -0,0 +1,316 @@
+//! Calls of the gateway.
+
+use std::time::Duration;
+
+use bronzespoke_control::{request_id, zone};
+use bronzespoke_gateway::control;
+use bronzespoke_model::{id, job, worker};
+use tokio::sync::oneshot;
+
+use crate::{
+    control::{Controller, Message, asks, claims, context, responder},
+    peer::wire,
+};
+
+/// Time for which the end of a claim is sent again; a lost one leaves the id in progress.
+const COMPLETION_DEADLINE: Duration = Duration::from_mins(1);
+
+impl Controller {
+    /// Handles one call.
+    pub(super) fn call(&mut self, call: control::Call) {
+        match call {
+            control::Call::Claim(claim, reply) => self.claim(&claim, reply),
+            control::Call::Complete(_, number, completion) => self.complete(number, &completion),
+            control::Call::Submit(team, submission, spec, reply) => self.submit(team, submission, spec, reply),
+            control::Call::Job(team, job, results, reply) => self.read_job(team, job, results, reply),
+            control::Call::Cancel(team, job, reply) => self.cancel_job(team, job, reply),
+            control::Call::Announce(announcement, reply) => {
+                let result = self.targets.announce(&self.context, &mut self.gossip, announcement);
+                self.targets_changed = true;
+                drop(reply.send(result));
+            }
+            control::Call::Depart(target, incarnation, reply) => {
+                self.targets.depart(&self.context, &mut self.gossip, target, incarnation);
+                self.targets_changed = true;
+                drop(reply.send(Ok(())));
+            }
+            control::Call::Register(registration, reply) => self.register(registration, reply),
+            control::Call::Report(report, reply) => self.report(report, reply),
+            control::Call::Load(target, load) => self.note_load(target, load),
+            control::Call::Event(kind) => self.context.record(kind),
+        }
+    }
+
+    fn note_load(&mut self, target: id::TargetId, load: u32) {
+        let now = self.context.now();
+        let value = bronzespoke_gossip::Value::Load(load);
+        if self.gossip.set(now, bronzespoke_gossip::Key::Load(target), value).is_err() {
+            log::debug!("targets: The load of target {target} is not published; the table is full.");
+        }
+    }
+
+    fn claim(&mut self, claim: &control::Claim, reply: oneshot::Sender<control::Claimed>) {
+        let key = request_id::Key::new(claim.team, &claim.request);
+        let zones = &self.root.view().zones;
+        let Some(owners) = request_id::owners(key, zones, context::Context::wall_ms()) else {
+            let message = String::from("no availability zone is known yet");
+            drop(reply.send(control::Claimed::NotRun(message)));
+            return;
+        };
+        let remaining = owners.second.into_iter().collect();
+        let asked = owners.first;
+        self.ask_owner(claims::Pending { key, remaining, asked, granted: Vec::new(), reply });
+    }
+
+    fn ask_owner(&mut self, pending: claims::Pending) {
+        let command = zone::Command::Claim { key: pending.key, holder: self.context.me.id };
+        let inbox = self.inbox.clone();
+        let group = id::GroupId::Zone(pending.asked);
+        let then = Box::new(move |answer| inbox.send(Message::Claimed(pending, answer)));
+        self.command_zone(group, command, asks::DEADLINE, then);
+    }
+
+    /// Handles an owner's answer to a claim.
+    pub(super) fn claimed(&mut self, mut pending: claims::Pending, answer: wire::Reply) {
+        let claimed = match answer {
+            wire::Reply::Zone(zone::Outcome::Claim(claimed)) => claimed,
+            wire::Reply::NotDone(reason) => return self.refuse_claim(pending, reason),
+            _ => {
+                let reason = String::from("the owner of the request id did not answer");
+                return self.refuse_claim(pending, reason);
+            }
+        };
+        match claimed {
+            zone::Claimed::Granted(number) => {
+                pending.granted.push((pending.asked, number));
+                match pending.remaining.pop() {
+                    Some(next) => {
+                        pending.asked = next;
+                        self.ask_owner(pending);
+                    }
+                    None => self.grant_claim(pending),
+                }
+            }
+            zone::Claimed::InProgress => self.end_claim(pending, control::Claimed::InProgress),
+            zone::Claimed::Answered(answer) => {
+                self.end_claim(pending, control::Claimed::Answered(claims::answer(answer)));
+            }
+            zone::Claimed::Unknown => self.end_claim(pending, control::Claimed::Unknown),
+            zone::Claimed::Full => {
+                let reason = String::from("the table of request ids is full");
+                self.refuse_claim(pending, reason);
+            }
+        }
+    }
+
+    fn grant_claim(&mut self, pending: claims::Pending) {
+        let number = self.claims.keep(pending.granted);
+        if pending.reply.send(control::Claimed::Granted(number)).is_err() {
+            self.complete(number, &control::Completion::NotRun);
+        }
+    }
+
+    fn refuse_claim(&mut self, pending: claims::Pending, reason: String) {
+        self.end_claim(pending, control::Claimed::NotRun(reason));
+    }
+
+    /// Gives back what other owners granted; nothing was sent to a target yet.
+    fn end_claim(&mut self, pending: claims::Pending, claimed: control::Claimed) {
+        for (zone, number) in pending.granted {
+            self.complete_at(zone, number, &control::Completion::NotRun);
+        }
+        drop(pending.reply.send(claimed));
+    }
+
+    fn complete(&mut self, number: u64, completion: &control::Completion) {
+        for (zone, number) in self.claims.take(number) {
+            self.complete_at(zone, number, completion);
+        }
+    }
+
+    fn complete_at(&mut self, zone: id::AvailabilityZoneId, number: u64, completion: &control::Completion) {
+        let completion = claims::completion(completion);
+        let command = zone::Command::Complete { number, completion };
+        let then = Box::new(move |answer| {
+            if !matches!(answer, wire::Reply::Zone(_)) {
+                log::warn!("claims: The end of claim {number} in zone {zone} may not be recorded.");
+            }
+        });
+        self.command_zone(id::GroupId::Zone(zone), command, COMPLETION_DEADLINE, then);
+    }
+
+    fn submit(
+        &mut self,
+        team: id::TeamId,
+        submission: Option<String>,
+        spec: job::Spec,
+        reply: control::Reply<id::JobId>,
+    ) {
+        if let Err(refusal) = self.check_spec(team, &spec) {
+            drop(reply.send(Err(refusal)));
+            return;
+        }
+        let zone = self.home_zone(&spec, team, submission.as_deref());
+        let submission = submission.map(|text| request_id::Key::new(team, &text));
+        let command = zone::Command::Submit { team, submission, spec };
+        let then = Box::new(move |answer| {
+            let result = match answer {
+                wire::Reply::Zone(zone::Outcome::Job(job)) => Ok(job),
+                wire::Reply::Zone(zone::Outcome::Refused(refusal)) => {
+                    Err(control::Refusal::Unavailable(format!("the job was refused: {refusal:?}")))
+                }
+                other => Err(refusal(other)),
+            };
+            drop(reply.send(result));
+        });
+        self.command_zone(id::GroupId::Zone(zone), command, asks::DEADLINE, then);
+    }
+
+    /// Refuses what the team could never run, whatever the fleet is.
+    fn check_spec(&self, team: id::TeamId, spec: &job::Spec) -> Result<(), control::Refusal> {
+        let Some(team) = self.root.view().teams.get(&team) else {
+            return Err(control::Refusal::NotFound);
+        };
+        if !spec.size.fits(&team.quota.limit) {
+            return Err(control::Refusal::Impossible(job::Impossible::OverTeamLimit));
+        }
+        Ok(())
+    }
+
+    /// Returns the availability zone that a job is submitted to.
+    ///
+    /// A submission with an id goes to the zone that owns the id, so that a resend at any VM meets the first one.
+    fn home_zone(&self, spec: &job::Spec, team: id::TeamId, submission: Option<&str>) -> id::AvailabilityZoneId {
+        if let Some(text) = submission {
+            let key = request_id::Key::new(team, text);
+            let owners = request_id::owners(key, &self.root.view().zones, context::Context::wall_ms());
+            if let Some(owners) = owners {
+                return owners.first;
+            }
+        }
+        let now = self.context.now();
+        let place = self.context.me.place;
+        let fitting = self.gossip.usable(now).filter_map(|entry| match (entry.key, entry.value) {
+            (
+                bronzespoke_gossip::Key::Capacity(zone),
+                bronzespoke_gossip::Value::Capacity { free, workers, .. },
+            ) if *workers > 0 && spec.size.fits(free) => Some(zone),
+            _ => None,
+        });
+        fitting
+            .min_by_key(|zone| {
+                let region = self.root.view().zones.get(zone).map_or(0, |record| record.region);
+                let there = bronzespoke_model::vm::Place { region, zone: *zone };
+                (place.distance(&there), *zone)
+            })
+            .unwrap_or(place.zone)
+    }
+
+    fn read_job(
+        &mut self,
+        team: id::TeamId,
+        job: id::JobId,
+        results: bool,
+        reply: control::Reply<control::JobStatus>,
+    ) {
+        let ask = wire::Ask::Job { team: Some(team), job, results };
+        self.ask_job(job, ask, reply);
+    }
+
+    fn cancel_job(&mut self, team: id::TeamId, job: id::JobId, reply: control::Reply<control::JobStatus>) {
+        let ask = wire::Ask::Cancel { team: Some(team), job };
+        self.ask_job(job, ask, reply);
+    }
+
+    fn ask_job(&mut self, job: id::JobId, ask: wire::Ask, reply: control::Reply<control::JobStatus>) {
+        let group = id::GroupId::Zone(id::job_zone(job));
+        let then: responder::Then = Box::new(move |answer| {
+            let result = match answer {
+                wire::Reply::Job(Some(job)) => Ok(status(job)),
+                wire::Reply::Job(None) => Err(control::Refusal::NotFound),
+                other => Err(refusal(other)),
+            };
+            drop(reply.send(result));
+        });
+        if !self.root.view().zones.contains_key(&id::job_zone(job)) {
+            then(wire::Reply::Job(None));
+            return;
+        }
+        self.dispatch(group, ask, asks::DEADLINE, then);
+    }
+
+    fn register(&mut self, registration: worker::Registration, reply: control::Reply<()>) {
+        let command = zone::Command::Register(registration);
+        let then = Box::new(move |answer| {
+            let result = match answer {
+                wire::Reply::Zone(zone::Outcome::Refused(zone::Refusal::StaleIncarnation)) => {
+                    Err(control::Refusal::Invalid {
+                        field: String::from("incarnation"),
+                        message: format!("{} is a former life of the worker", registration.incarnation),
+                    })
+                }
+                wire::Reply::Zone(zone::Outcome::Done) => Ok(()),
+                other => Err(refusal(other)),
+            };
+            drop(reply.send(result));
+        });
+        let group = id::GroupId::Zone(self.context.me.place.zone);
+        self.command_zone(group, command, asks::DEADLINE, then);
+    }
+
+    fn report(&mut self, report: worker::Report, reply: control::Reply<worker::Reply>) {
+        let own = self.context.me.place.zone;
+        let now = self.context.now();
+        if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get_mut(&own))
+            && zone.leads(now)
+        {
+            scheduling.report(&self.context, zone, report, reply);
+            return;
+        }
+        let leader = self.leader(id::GroupId::Zone(own)).filter(|leader| *leader != self.context.me.id);
+        let address = leader.and_then(|leader| self.context.peers.get(&leader)).map(|peer| peer.vm.http);
+        let refusal = match address {
+            Some(address) => control::Refusal::Redirect(address),
+            None => control::Refusal::Unavailable(String::from("the zone has no leader now")),
+        };
+        drop(reply.send(Err(refusal)));
+    }
+
+    /// Commits a zone command at the leader of its group.
+    pub(super) fn command_zone(
+        &mut self,
+        group: id::GroupId,
+        command: zone::Command,
+        deadline: Duration,
+        then: responder::Then,
+    ) {
+        let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
+        envelope.id = Some(rand::random());
+        self.dispatch(group, wire::Ask::Zone(envelope), deadline, then);
+    }
+}
+
+/// Returns the refusal for an answer that is not the wanted one.
+pub(super) fn refusal(answer: wire::Reply) -> control::Refusal {
+    match answer {
+        wire::Reply::NotDone(reason) => control::Refusal::Unavailable(reason),
+        wire::Reply::NotLeader => control::Refusal::Unavailable(String::from("the leader is changing")),
+        wire::Reply::Zone(zone::Outcome::Refused(refusal)) => {
+            control::Refusal::Unavailable(format!("refused: {refusal:?}"))
+        }
+        _ => control::Refusal::Unknown(String::from("the leader did not answer in time")),
+    }
+}
+
+fn status(job: wire::Job) -> control::JobStatus {
+    control::JobStatus {
+        job: job.job,
+        team: job.team,
+        state: job.state,
+        waiting: job.waiting,
+        running: job.running,
+        succeeded: job.succeeded,
+        results: job.results,
+    }
+}
+
--- /dev/null
+++ b/crates/daemon/src/control/duties.rs
@@ -0,0 +1,265 @@
+//! Periodic duties of leaders: members, escrow parts, published soft state.
+
+use std::{collections::BTreeMap, time::Duration};
+
+use bronzespoke_consensus::{membership, replica};
+use bronzespoke_control::{escrow, root, zone};
+use bronzespoke_gossip::{Key, Value};
+use bronzespoke_model::{id, resource, vm};
+
+use crate::{
+    control::{Controller, responder},
+    peer::wire,
+};
+
+/// Time between two rounds of duties.
+pub const INTERVAL: Duration = Duration::from_millis(500);
+
+impl Controller {
+    /// Does one round.
+    pub(super) fn duties(&mut self) {
+        self.duties_at = self.context.now() + INTERVAL;
+        self.targets.expire(&self.context, &mut self.gossip);
+        self.forget_peers();
+        self.publish_self();
+        self.lead_root();
+        self.lead_zones();
+    }
+
+    fn publish_self(&mut self) {
+        let view = self.root.view();
+        let value = Value::Vm { applied: view.applied, version: view.version, ready: self.is_ready() };
+        let now = self.context.now();
+        self.publish(now, Key::Vm(self.context.me.id), value);
+    }
+
+    fn publish(&mut self, now: Duration, key: Key, value: Value) {
+        if self.gossip.set(now, key, value).is_err() {
+            log::debug!("gossip: An entry is not published; the table is full.");
+        }
+    }
+
+    fn lead_root(&mut self) {
+        let now = self.context.now();
+        if !self.root.leads(now) {
+            return;
+        }
+        if let Some(member) = self.root.member() {
+            let status = member.replica().status();
+            let wanted = self.wanted_root();
+            if let Some(change) = self.next_change(&status, &wanted) {
+                self.root.change(&self.context, change, responder::Responder::Nobody);
+            }
+        }
+        self.move_parts(now);
+    }
+
+    /// One durable VM of each zone is a root voter; present voters stay as long as they are listed.
+    fn wanted_root(&self) -> Vec<id::VmId> {
+        let view = self.root.view();
+        let voters = self.root.member().map(|member| member.replica().status().membership.voters);
+        let voters = voters.unwrap_or_default();
+        let mut chosen: BTreeMap<id::AvailabilityZoneId, (bool, bool, &str, id::VmId)> = BTreeMap::new();
+        for vm in view.vms.values().filter(|vm| vm.durable) {
+            let rank = (!voters.contains(&vm.id), !self.context.is_alive(vm.id), vm.name.as_str(), vm.id);
+            let best = chosen.entry(vm.place.zone).or_insert(rank);
+            *best = (*best).min(rank);
+        }
+        chosen.into_values().map(|(_, _, _, vm)| vm).collect()
+    }
+
+    /// Records what zones released and moves parts towards the demand.
+    fn move_parts(&mut self, now: Duration) {
+        let mut demand = root::Demand::new();
+        let mut released: BTreeMap<id::AvailabilityZoneId, Vec<(id::TeamId, escrow::Total)>> = BTreeMap::new();
+        for entry in self.gossip.usable(now) {
+            if let (Key::Released(zone, team), Value::Released { released: total, wanted, .. }) =
+                (entry.key, entry.value)
+            {
+                demand.insert((team, zone), *wanted);
+                let total = escrow::Total::from_dimensions(*total);
+                let known = self.root.state().part(team, zone).unwrap_or_default().released;
+                if !total.fits(&known) {
+                    released.entry(zone).or_default().push((team, total));
+                }
+            }
+        }
+        for (zone, released) in released {
+            self.command_root(root::Command::Released { zone, released });
+        }
+        let grants = root::rebalance(self.root.state(), &demand);
+        if !grants.is_empty() {
+            self.command_root(root::Command::Grant(grants));
+        }
+    }
+
+    fn lead_zones(&mut self) {
+        let now = self.context.now();
+        let led: Vec<_> = self.zones.iter().filter(|(_, zone)| zone.leads(now)).map(|(id, _)| *id).collect();
+        for zone in led {
+            self.tend_members(zone);
+            self.tend_parts(zone);
+            self.tend_claims(zone);
+            if zone == self.context.me.place.zone {
+                self.publish_zone(now, zone);
+            }
+        }
+    }
+
+    fn tend_members(&mut self, zone: id::AvailabilityZoneId) {
+        let wanted = self.wanted_zone(zone);
+        let status = self.zones[&zone].member().replica().status();
+        let change = self.next_change(&status, &wanted);
+        if let (Some(change), Some(group)) = (change, self.zones.get_mut(&zone)) {
+            group.change(&self.context, change, responder::Responder::Nobody);
+        }
+    }
+
+    /// The VMs of the zone and one witness in the nearest other zone.
+    fn wanted_zone(&self, zone: id::AvailabilityZoneId) -> Vec<id::VmId> {
+        let view = self.root.view();
+        let mut wanted: Vec<_> =
+            view.vms.values().filter(|vm| vm.place.zone == zone).map(|vm| vm.id).collect();
+        let Some(place) = view.zones.get(&zone).map(|record| vm::Place { region: record.region, zone }) else {
+            return wanted;
+        };
+        let voters = self.zones[&zone].member().replica().status().membership.voters;
+        let witness = view.vms.values().filter(|vm| vm.place.zone != zone).min_by_key(|vm| {
+            let present = voters.contains(&vm.id);
+            (!present, place.distance(&vm.place), !vm.durable, !self.context.is_alive(vm.id), vm.id)
+        });
+        wanted.extend(witness.map(|vm| vm.id));
+        wanted
+    }
+
+    /// Returns the next single change that brings the members towards the wanted ones.
+    ///
+    /// A lost member is removed only when it is replaced or taken from the directory, so that a short absence does
+    /// not shrink the group.
+    fn next_change(&self, status: &replica::Status, wanted: &[id::VmId]) -> Option<membership::Change> {
+        if status.change_pending {
+            return None;
+        }
+        let members = &status.membership;
+        let caught_up = status.peers.iter().find(|peer| peer.caught_up && members.learners.contains(&peer.id));
+        if let Some(peer) = caught_up.filter(|peer| wanted.contains(&peer.id)) {
+            return Some(membership::Change::Promote(peer.id));
+        }
+        let listed = &self.root.view().vms;
+        let gone = members.voters.iter().chain(&members.learners).find(|vm| !listed.contains_key(vm));
+        if let Some(gone) = gone {
+            return Some(membership::Change::Remove(*gone));
+        }
+        let missing = wanted.iter().find(|vm| {
+            !members.contains(**vm) && !members.removed.contains(vm) && self.context.is_alive(**vm)
+        });
+        if let Some(vm) = missing {
+            return Some(membership::Change::AddLearner(*vm));
+        }
+        let surplus = members.learners.iter().find(|vm| !wanted.contains(vm));
+        surplus.map(|vm| membership::Change::Remove(*vm))
+    }
+
+    /// Takes over granted counters and releases what is above the target parts.
+    fn tend_parts(&mut self, zone: id::AvailabilityZoneId) {
+        let view = std::sync::Arc::clone(self.root.view());
+        let Some(group) = self.zones.get_mut(&zone) else {
+            return;
+        };
+        let mut granted = Vec::new();
+        for (team, parts) in view.parts.iter() {
+            let Some(part) = parts.get(&zone) else {
+                continue;
+            };
+            if !part.granted.fits(&group.state().holdings().get(*team).granted) {
+                granted.push((*team, part.granted));
+            }
+        }
+        if !granted.is_empty() {
+            group.propose(zone::Command::Granted(granted));
+            return;
+        }
+        let target = |team| view.part(team, zone).unwrap_or_default().target;
+        let releases = group.state().releases(target);
+        if !releases.is_empty() {
+            group.propose(zone::Command::Release(releases));
+        }
+    }
+
+    /// Ends the claims of VMs that left the directory.
+    fn tend_claims(&mut self, zone: id::AvailabilityZoneId) {
+        let view = std::sync::Arc::clone(self.root.view());
+        let Some(group) = self.zones.get_mut(&zone) else {
+            return;
+        };
+        let gone = group.state().claims().held().find(|(_, holder)| !view.vms.contains_key(holder));
+        if let Some((_, holder)) = gone {
+            let before = group.state().claims().next_number();
+            group.propose(zone::Command::HolderGone { holder, before });
+        }
+    }
+
+    /// Publishes the zone's capacity, and what each team released and wants.
+    fn publish_zone(&mut self, now: Duration, zone: id::AvailabilityZoneId) {
+        let Some(group) = self.zones.get(&zone) else {
+            return;
+        };
+        let term = group.member().replica().status().term;
+        let state = group.state();
+        let mut wanted: BTreeMap<id::TeamId, escrow::Total> = BTreeMap::new();
+        for (_, job) in state.jobs().filter(|(_, job)| !job.state.is_terminal()) {
+            let tasks = u64::from(job.spec.tasks.saturating_sub(job.succeeded));
+            let size = escrow::Total::from(job.spec.size);
+            let all = size.zip(&size, |one, _| one.saturating_mul(tasks));
+            let sum = wanted.entry(job.team).or_default();
+            *sum = sum.plus(&all);
+        }
+        let mut entries = Vec::new();
+        for (team, holding) in state.holdings().iter() {
+            let wanted = wanted.get(&team).copied().unwrap_or_default().max(&holding.used);
+            let value = Value::Released {
+                term,
+                released: holding.released.dimensions(),
+                wanted: wanted.amount(),
+            };
+            entries.push((Key::Released(zone, team), value));
+        }
+        if let Some(scheduling) = &self.scheduling {
+            let measures = scheduling.scheduler().measures(now);
+            let free = |dimension: usize| {
+                let free = measures.capacity[dimension].saturating_sub(measures.used[dimension]);
+                u32::try_from(free).unwrap_or(u32::MAX)
+            };
+            let free = resource::Amount::new(free(0), free(1), free(2));
+            let value = Value::Capacity { term, free, workers: measures.workers };
+            entries.push((Key::Capacity(zone), value));
+        }
+        for (key, value) in entries {
+            self.publish(now, key, value);
+        }
+    }
+
+    /// Hands over what this VM leads, before it shuts down.
+    pub(super) fn hand_over(&mut self) {
+        self.root.step(&self.context, replica::Input::Transfer { to: None });
+        for zone in self.zones.values_mut() {
+            zone.step(&self.context, replica::Input::Transfer { to: None });
+        }
+    }
+
+    /// Changes the members of a group that this VM leads, as an operator asks.
+    pub(super) fn change_members(
+        &mut self,
+        group: id::GroupId,
+        change: membership::Change,
+        responder: responder::Responder,
+    ) {
+        match group {
+            id::GroupId::Root => self.root.change(&self.context, change, responder),
+            id::GroupId::Zone(zone) => match self.zones.get_mut(&zone) {
+                Some(zone) => zone.change(&self.context, change, responder),
+                None => responder.answer(&self.context, wire::Reply::NotLeader),
+            },
+        }
+    }
+}
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -6,7 +6,7 @@
     time::Duration,
 };
 
-use bronzespoke_consensus::{log, membership, replica, snapshot, write};
+use bronzespoke_consensus::{log as entries, membership, replica, snapshot, write};
 use bronzespoke_model::{event, id};
 use bytes::Bytes;
 
@@ -27,7 +27,7 @@
     /// Apply an entry; entries without a command only move the index.
     Apply {
         /// The entry.
-        entry: log::Entry,
+        entry: entries::Entry,
         /// Who waits for each command; empty on other members.
         responders: Vec<responder::Responder>,
     },
@@ -180,7 +180,7 @@
     fn apply(
         &mut self,
         context: &context::Context,
-        entry: log::Entry,
+        entry: entries::Entry,
         inputs: &mut VecDeque<replica::Input>,
         events: &mut Vec<Event>,
     ) {
@@ -189,15 +189,15 @@
         inputs.push_back(replica::Input::Applied { index });
         let mut responders = self.committed.remove(&index).unwrap_or_default();
         match &entry.payload {
-            log::Payload::Command(data) => self.snapshot_bytes += data.len(),
-            log::Payload::Membership(members) => {
+            entries::Payload::Command(data) => self.snapshot_bytes += data.len(),
+            entries::Payload::Membership(members) => {
                 let voters = members.voters.iter().copied().collect();
                 context.record(event::Kind::MembershipChanged { group: self.group, voters });
                 for responder in responders.drain(..) {
                     responder.answer(context, wire::Reply::Done);
                 }
             }
-            log::Payload::Noop => {}
+            entries::Payload::Noop => {}
         }
         events.push(Event::Apply { entry, responders });
     }
--- /dev/null
+++ b/crates/daemon/src/control/mod.rs
@@ -0,0 +1,105 @@
+//! The control thread: one actor that owns all control state of the daemon.
+//!
+//! Traffic, links, disk and operators send it messages; it answers through channels and publishes immutable views.
+//! Everything that decides runs here in turn, so no control state needs a lock.
+
+mod actor;
+mod apply;
+mod asks;
+mod calls;
+mod claims;
+pub mod context;
+mod directory;
+mod duties;
+mod inbox;
+mod member;
+mod operator;
+mod responder;
+mod root;
+mod scheduling;
+mod serve;
+mod session;
+mod targets;
+mod zone;
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use bronzespoke_gateway::control as gateway;
+use bronzespoke_gossip::Gossip;
+use bronzespoke_language::answer;
+use bronzespoke_model::{id, vm};
+use tokio::sync::{oneshot, watch};
+
+pub use actor::{Control, Start};
+pub use inbox::{Inbox, Permit};
+
+use crate::{disk, peer::wire, settings};
+
+/// A message to the control thread.
+#[derive(Debug)]
+pub enum Message {
+    /// A frame from another daemon.
+    Frame(Box<wire::Frame>, Permit),
+    /// A call of the gateway.
+    Call(gateway::Call, Permit),
+    /// An operator's line, with the command id of a resend.
+    Operator(String, Option<id::CommandId>, oneshot::Sender<answer::Answer>),
+    /// The directory, for operators' programs.
+    Directory(oneshot::Sender<Vec<vm::Vm>>),
+    /// The result of a write.
+    Persisted(disk::Done),
+    /// An owner's answer to a claim.
+    Claimed(claims::Pending, wire::Reply),
+    /// A timer.
+    Tick,
+    /// Hand over what this VM leads; the answer comes when nothing is led any more, or after a short time.
+    HandOver(oneshot::Sender<()>),
+    /// Stop.
+    Stop,
+}
+
+/// What the control thread publishes to traffic.
+#[derive(Debug)]
+pub struct Published {
+    /// View of the root state.
+    pub view: watch::Sender<Arc<gateway::View>>,
+    /// Whether the VM takes work.
+    pub ready: watch::Sender<bool>,
+    /// Freshness of the view.
+    pub freshness: gateway::Freshness,
+}
+
+/// All control state of the daemon.
+#[derive(Debug)]
+pub struct Controller {
+    context: context::Context,
+    settings: settings::Settings,
+    inbox: Inbox,
+    published: Published,
+    root: root::Root,
+    zones: BTreeMap<id::AvailabilityZoneId, zone::Zone>,
+    scheduling: Option<scheduling::Scheduling>,
+    gossip: Gossip,
+    targets: targets::Targets,
+    targets_changed: bool,
+    asks: asks::Asks,
+    claims: claims::Claims,
+    /// Peer addresses learned from other daemons before the directory is known.
+    known: BTreeSet<SocketAddr>,
+    /// Whether the directory listed this VM once.
+    listed: bool,
+    /// Whether the directory dropped this VM; it then takes no more work.
+    replaced: bool,
+    fresh: bool,
+    hello_at: Duration,
+    enlist_at: Duration,
+    duties_at: Duration,
+    flush_at: Option<Duration>,
+    tick_at: Option<Duration>,
+    leaving: Option<(oneshot::Sender<()>, Duration)>,
+}
--- /dev/null
+++ b/crates/daemon/src/control/operator/command.rs
@@ -0,0 +1,236 @@
+//! Operators' commands.
+
+use bronzespoke_consensus::membership;
+use bronzespoke_control::{root, zone};
+use bronzespoke_language::{answer, statement};
+use bronzespoke_model::{id, team};
+use sha2::{Digest, Sha256};
+use tokio::sync::oneshot;
+
+use super::{Reply, local};
+use crate::{
+    control::{Controller, asks, context},
+    peer::wire,
+};
+
+/// Random bytes of a generated key.
+const KEY_BYTES: usize = 24;
+
+/// Why a command is not sent.
+type Fault = (answer::Code, String);
+
+impl Controller {
+    pub(super) fn command(&mut self, command: statement::Command, mut id: id::CommandId, reply: Reply) {
+        let mut shown = None;
+        let planned = match command {
+            statement::Command::CancelJob { job } => return self.cancel(job, reply),
+            statement::Command::CancelJobs { team } => return self.cancel_team(&team, reply),
+            statement::Command::AddMember { vm, group } => {
+                return self.change(group, membership::Change::AddLearner(vm), reply);
+            }
+            statement::Command::RemoveMember { vm, group } => {
+                return self.change(group, membership::Change::Remove(vm), reply);
+            }
+            statement::Command::GrantKey { team, hash: None } => {
+                // The state holds command ids and hashes only, so a lost answer loses the key. A resend grants
+                // another key; the unused one shows up in `show keys`.
+                let key = local::hex(&rand::random::<[u8; KEY_BYTES]>());
+                let hash = Sha256::digest(key.as_bytes()).into();
+                shown = Some(key);
+                id = rand::random();
+                self.grant(&team, hash)
+            }
+            other => self.plan(other),
+        };
+        match planned {
+            Ok(command) => self.commit(command, id, shown, reply),
+            Err((code, message)) => drop(reply.send(answer::Answer::error(code, message))),
+        }
+    }
+
+    /// Returns the root command of a statement.
+    fn plan(&self, command: statement::Command) -> Result<root::Command, Fault> {
+        let view = self.root.view();
+        Ok(match command {
+            statement::Command::CreateTeam { name, quota } => root::Command::CreateTeam { name, quota },
+            statement::Command::SetTeam { name, change } => {
+                let team = self.team(&name)?;
+                let quota = change.apply(&view.teams[&team].quota);
+                root::Command::SetQuota { team, quota }
+            }
+            statement::Command::GrantKey { team, hash } => self.grant(&team, hash.unwrap_or_default())?,
+            statement::Command::WithdrawKey { prefix } => {
+                root::Command::WithdrawKey { hash: self.key(&prefix)? }
+            }
+            statement::Command::CreateService { name } => root::Command::CreateService { name },
+            statement::Command::CreateQueue { name, service, requests } => {
+                let service = view.services.get(&service).ok_or_else(|| missing("service", &service))?.id;
+                root::Command::CreateQueue { name, service, requests }
+            }
+            statement::Command::Drain(node) => {
+                root::Command::Drain { subject: local::subject(node), on: true }
+            }
+            statement::Command::Undrain(node) => {
+                root::Command::Drain { subject: local::subject(node), on: false }
+            }
+            statement::Command::SetConfig { change, expect } => {
+                root::Command::SetConfig { expected: expect, config: change.apply(&view.config) }
+            }
+            statement::Command::DeclareLost { zone } => {
+                // The statement is the operator's word that the zone has been without power for that long.
+                let proof = root::Lost { stopped_ms: root::Lost::LEAST_STOPPED_MS };
+                root::Command::LoseZone { zone, proof }
+            }
+            _ => return Err((answer::Code::Internal, String::from("the command is not planned here"))),
+        })
+    }
+
+    fn team(&self, name: &str) -> Result<id::TeamId, Fault> {
+        self.root.view().team(name).map(|team| team.id).ok_or_else(|| missing("team", name))
+    }
+
+    fn grant(&self, team: &str, hash: team::KeyHash) -> Result<root::Command, Fault> {
+        Ok(root::Command::GrantKey { hash, team: self.team(team)? })
+    }
+
+    fn key(&self, prefix: &str) -> Result<team::KeyHash, Fault> {
+        let view = self.root.view();
+        let mut found = view.keys.keys().filter(|hash| local::hex(*hash).starts_with(prefix));
+        let first = found.next().ok_or_else(|| missing("key", prefix))?;
+        if found.next().is_some() {
+            let message = format!("more than one key starts with {prefix}; give more digits");
+            return Err((answer::Code::Invalid, message));
+        }
+        Ok(*first)
+    }
+
+    fn commit(&mut self, command: root::Command, id: id::CommandId, shown: Option<String>, reply: Reply) {
+        let mut envelope = root::Envelope::new(context::Context::wall_ms(), command);
+        envelope.id = Some(id);
+        let then = Box::new(move |answer| {
+            drop(reply.send(describe(answer, id, shown)));
+        });
+        self.dispatch(id::GroupId::Root, wire::Ask::Root(envelope), asks::DEADLINE, then);
+    }
+
+    fn change(&mut self, group: id::GroupId, change: membership::Change, reply: Reply) {
+        let then = Box::new(move |answer| {
+            let answer = match answer {
+                wire::Reply::Done => answer::Answer::text("The change of members is committed."),
+                other => refused(other),
+            };
+            drop(reply.send(answer));
+        });
+        self.dispatch(group, wire::Ask::Change(change), asks::DEADLINE, then);
+    }
+
+    fn cancel(&mut self, job: id::JobId, reply: Reply) {
+        let then = Box::new(move |answer| {
+            let answer = match answer {
+                wire::Reply::Job(Some(found)) => {
+                    answer::Answer::text(format!("Job {job} is {:?}.", found.state).to_lowercase())
+                }
+                wire::Reply::Job(None) => {
+                    answer::Answer::error(answer::Code::NotFound, format!("there is no job {job}"))
+                }
+                other => refused(other),
+            };
+            drop(reply.send(answer));
+        });
+        let ask = wire::Ask::Cancel { team: None, job };
+        self.dispatch(id::GroupId::Zone(id::job_zone(job)), ask, asks::DEADLINE, then);
+    }
+
+    /// Cancels the jobs of a team in the zones that have a replica here; the others are named.
+    fn cancel_team(&mut self, name: &str, reply: Reply) {
+        let team = match self.team(name) {
+            Ok(team) => team,
+            Err((code, message)) => return drop(reply.send(answer::Answer::error(code, message))),
+        };
+        let jobs: Vec<_> = self
+            .zones
+            .values()
+            .flat_map(|group| group.state().jobs())
+            .filter(|(_, job)| job.team == team && !job.state.is_terminal())
+            .map(|(job, _)| job)
+            .collect();
+        let unseen: Vec<_> =
+            self.root.state().open_zones().filter(|zone| !self.zones.contains_key(zone)).collect();
+        let count = jobs.len();
+        for job in jobs {
+            let (sender, _receiver) = oneshot::channel();
+            self.cancel(job, sender);
+        }
+        let mut text = format!("{count} jobs of team {name} are being cancelled.");
+        if !unseen.is_empty() {
+            text.push_str(&format!(" Repeat the command at a VM of the zones {unseen:?}."));
+        }
+        drop(reply.send(answer::Answer::text(text)));
+    }
+}
+
+fn missing(kind: &str, name: &str) -> Fault {
+    (answer::Code::NotFound, format!("there is no {kind} {name}"))
+}
+
+/// Describes the outcome of a root command.
+fn describe(answer: wire::Reply, id: id::CommandId, shown: Option<String>) -> answer::Answer {
+    let wire::Reply::Root(outcome) = answer else {
+        return refused(answer);
+    };
+    match outcome {
+        root::Outcome::Done => match shown {
+            Some(key) => answer::Answer::text(format!("The key is {key}. It is shown only here.")),
+            None => answer::Answer::text(format!("Accepted, command id {id:x}.")),
+        },
+        root::Outcome::Ignored => answer::Answer::text("Accepted earlier."),
+        root::Outcome::Team(team) => answer::Answer::text(format!("Team {team} is created.")),
+        root::Outcome::Service(service) => answer::Answer::text(format!("Service {service} is created.")),
+        root::Outcome::Queue(queue) => answer::Answer::text(format!("Open queue {queue} is created.")),
+        root::Outcome::Config(version) => {
+            answer::Answer::text(format!("Configuration version {version} is accepted."))
+        }
+        root::Outcome::Conflict { version, winner } => {
+            let winner = winner.map_or_else(|| String::from("unknown"), |winner| format!("{winner:x}"));
+            let message = format!("version {version} was accepted first, by command {winner}");
+            answer::Answer::error(answer::Code::Conflict, message)
+        }
+        root::Outcome::Granted(_) => answer::Answer::text("The parts are changed."),
+        root::Outcome::Refused(refusal) => refuse(refusal),
+    }
+}
+
+fn refuse(refusal: root::Refusal) -> answer::Answer {
+    let (code, message) = match refusal {
+        root::Refusal::NameTaken => (answer::Code::Exists, "the name is taken"),
+        root::Refusal::BadName => (answer::Code::Invalid, "the name is empty or longer than 128 bytes"),
+        root::Refusal::BadQuota => (answer::Code::Invalid, "the weight is 0; at least 1 is allowed"),
+        root::Refusal::NoSuchTeam => (answer::Code::NotFound, "there is no such team"),
+        root::Refusal::NoSuchService => (answer::Code::NotFound, "there is no such service"),
+        root::Refusal::NoSuchZone => (answer::Code::NotFound, "there is no such availability zone"),
+        root::Refusal::NoSuchKey => (answer::Code::NotFound, "there is no such key"),
+        root::Refusal::NoSuchVm => (answer::Code::NotFound, "there is no such VM"),
+        root::Refusal::KeyWithdrawn => (answer::Code::Invalid, "the key was withdrawn and never comes back"),
+        root::Refusal::KeyTaken => (answer::Code::Exists, "the key belongs to another team"),
+        root::Refusal::ZoneTaken => (answer::Code::Exists, "the zone is taken or was declared lost"),
+        root::Refusal::Full => (answer::Code::Full, "the table is full"),
+        root::Refusal::LeasesMayRun => (answer::Code::Invalid, "leases of the zone may still be running"),
+    };
+    answer::Answer::error(code, message)
+}
+
+fn refused(answer: wire::Reply) -> answer::Answer {
+    match answer {
+        wire::Reply::NotDone(reason) => answer::Answer::error(answer::Code::Unavailable, reason),
+        wire::Reply::NotLeader => {
+            answer::Answer::error(answer::Code::Unavailable, "the leader is changing; nothing was done")
+        }
+        wire::Reply::Zone(zone::Outcome::Refused(refusal)) => {
+            answer::Answer::error(answer::Code::Invalid, format!("refused: {refusal:?}"))
+        }
+        _ => answer::Answer::error(
+            answer::Code::Unconfirmed,
+            "no answer came in time; resend with the same command id",
+        ),
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/operator/gather.rs
@@ -0,0 +1,78 @@
+//! Joins the answers of several zones into one.
+
+use std::{
+    fmt::Write as _,
+    sync::{Mutex, PoisonError},
+};
+
+use bronzespoke_language::answer;
+use bronzespoke_model::id;
+use tokio::sync::oneshot;
+
+use crate::peer::wire;
+
+/// Answers of zones as they arrive.
+#[derive(Debug)]
+pub struct Gather {
+    waiting: usize,
+    joined: Option<answer::Answer>,
+    unreachable: Vec<id::AvailabilityZoneId>,
+    reply: Option<oneshot::Sender<answer::Answer>>,
+}
+
+impl Gather {
+    /// Returns a record that waits for a number of zones.
+    pub const fn new(waiting: usize, reply: oneshot::Sender<answer::Answer>) -> Self {
+        Self { waiting, joined: None, unreachable: Vec::new(), reply: Some(reply) }
+    }
+
+    fn join(&mut self, zone: id::AvailabilityZoneId, reply: &wire::Reply) {
+        let answer = match reply {
+            wire::Reply::Answer(bytes) => serde_json::from_slice(bytes).ok(),
+            _ => None,
+        };
+        let Some(answer) = answer else {
+            self.unreachable.push(zone);
+            return;
+        };
+        match (&mut self.joined, answer) {
+            (Some(answer::Answer::Table(all)), answer::Answer::Table(table)) => {
+                for row in table.rows {
+                    all.push(row);
+                }
+                all.omitted += table.omitted;
+            }
+            (joined, answer) => *joined = Some(answer),
+        }
+    }
+
+    fn finish(&mut self) {
+        let Some(reply) = self.reply.take() else {
+            return;
+        };
+        let answer = match self.joined.take() {
+            Some(answer::Answer::Table(mut table)) => {
+                for (position, zone) in self.unreachable.iter().enumerate() {
+                    let lead = if position == 0 { ", unreachable zones: " } else { ", " };
+                    write!(table.title, "{lead}{zone}").expect("writing to a string does not fail");
+                }
+                answer::Answer::Table(table)
+            }
+            Some(answer) => answer,
+            None => answer::Answer::error(answer::Code::Unavailable, "no zone leader can be reached"),
+        };
+        // The operator may have gone away.
+        drop(reply.send(answer));
+    }
+}
+
+/// Adds the answer of one zone; the last one completes the joined answer.
+pub fn add(gather: &Mutex<Gather>, zone: id::AvailabilityZoneId, reply: wire::Reply) {
+    let mut gather = gather.lock().unwrap_or_else(PoisonError::into_inner);
+    gather.join(zone, &reply);
+    drop(reply);
+    gather.waiting = gather.waiting.saturating_sub(1);
+    if gather.waiting == 0 {
+        gather.finish();
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/operator/mod.rs
@@ -0,0 +1,70 @@
+//! Operators' statements.
+//!
+//! Queries about the root state are answered here. Queries about jobs, tasks and workers go to the leader of each
+//! zone, and the rows are joined; a zone that cannot be reached is named in the title instead of being left out
+//! silently. Commands are committed by the leader of the group that owns the state.
+
+mod command;
+mod gather;
+mod local;
+mod zone;
+
+use std::sync::{Arc, Mutex};
+
+use bronzespoke_language::{answer, parse, statement};
+use bronzespoke_model::id;
+use tokio::sync::oneshot;
+
+use crate::{
+    control::{Controller, asks},
+    peer::wire,
+};
+
+/// Channel of an answer.
+type Reply = oneshot::Sender<answer::Answer>;
+
+impl Controller {
+    /// Executes one line.
+    pub(super) fn operator(&mut self, line: &str, command_id: Option<id::CommandId>, reply: Reply) {
+        match parse(line) {
+            Err(fault) => drop(reply.send(answer::Answer::from(fault))),
+            Ok(statement::Statement::Query(query)) => self.query(line, query, reply),
+            Ok(statement::Statement::Command(command)) => {
+                self.command(command, command_id.unwrap_or_else(rand::random), reply);
+            }
+        }
+    }
+
+    fn query(&mut self, line: &str, query: statement::Query, reply: Reply) {
+        match query {
+            statement::Query::Tasks(filter)
+            | statement::Query::Jobs(filter)
+            | statement::Query::Holdings(filter)
+            | statement::Query::Workers(filter) => self.query_zones(line, filter.zone, reply),
+            statement::Query::Why { job } => self.query_zones(line, Some(id::job_zone(job)), reply),
+            other => drop(reply.send(self.query_local(&other))),
+        }
+    }
+
+    /// Asks the leaders of all zones, or of one, and joins their rows.
+    fn query_zones(&mut self, line: &str, only: Option<id::AvailabilityZoneId>, reply: Reply) {
+        let zones: Vec<_> = self
+            .root
+            .state()
+            .open_zones()
+            .filter(|zone| only.is_none_or(|only| only == *zone))
+            .collect();
+        if zones.is_empty() {
+            let message = "there is no such availability zone";
+            drop(reply.send(answer::Answer::error(answer::Code::NotFound, message)));
+            return;
+        }
+        let gather = Arc::new(Mutex::new(gather::Gather::new(zones.len(), reply)));
+        for zone in zones {
+            let gather = Arc::clone(&gather);
+            let then = Box::new(move |answer| gather::add(&gather, zone, answer));
+            let ask = wire::Ask::Query(String::from(line));
+            self.dispatch(id::GroupId::Zone(zone), ask, asks::DEADLINE, then);
+        }
+    }
+}
--- a/crates/daemon/src/control/responder.rs
+++ b/crates/daemon/src/control/responder.rs
@@ -1,7 +1,8 @@
 //! Who waits for the outcome of a command.
 
 use bronzespoke_consensus::replica;
-use bronzespoke_model::id;
+use bronzespoke_control::zone;
+use bronzespoke_model::{id, job};
 
 use crate::{control::context, peer::wire};
 
@@ -21,6 +22,8 @@
         /// Its number for the call.
         number: u64,
     },
+    /// Who waits for the cancellation of a job; gets the job as it is afterwards.
+    Cancellation(Box<Self>, wire::Job),
 }
 
 impl std::fmt::Debug for Responder {
@@ -29,6 +32,7 @@
             Self::Nobody => formatter.write_str("Nobody"),
             Self::Local(_) => formatter.write_str("Local"),
             Self::Remote { to, number } => write!(formatter, "Remote({to}, {number})"),
+            Self::Cancellation(inner, _) => write!(formatter, "Cancellation({inner:?})"),
         }
     }
 }
@@ -40,6 +44,7 @@
             Self::Nobody => {}
             Self::Local(then) => then(reply),
             Self::Remote { to, number } => context.send(to, wire::Body::Reply(number, reply)),
+            Self::Cancellation(inner, job) => inner.answer(context, cancelled(job, reply)),
         }
     }
 
@@ -53,3 +58,19 @@
         self.answer(context, reply);
     }
 }
+
+/// Returns the answer to a cancellation, given the answer to its command.
+fn cancelled(mut job: wire::Job, reply: wire::Reply) -> wire::Reply {
+    match reply {
+        wire::Reply::Zone(zone::Outcome::Done) => {
+            job.state = job::State::Cancelled;
+            job.waiting = 0;
+            wire::Reply::Job(Some(job))
+        }
+        // The job ended first; the caller reads how.
+        wire::Reply::Zone(zone::Outcome::Refused(refusal)) => {
+            wire::Reply::NotDone(format!("the job was not cancelled: {refusal:?}"))
+        }
+        other => other,
+    }
+}
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bronzespoke_consensus::{feed, log, replica};
+use bronzespoke_consensus::{feed, log as entries, replica};
 use bronzespoke_control::{envelope, root};
 use bronzespoke_model::{event, id};
 
@@ -120,6 +120,11 @@
         self.responders.push(responder);
     }
 
+    /// Tells whether commands wait to be proposed.
+    pub const fn has_batch(&self) -> bool {
+        !self.batch.is_empty()
+    }
+
     /// Proposes what was taken.
     pub fn flush(&mut self, context: &context::Context) {
         if self.batch.is_empty() {
@@ -243,11 +248,11 @@
     fn apply_entry(
         &mut self,
         context: &context::Context,
-        entry: &log::Entry,
+        entry: &entries::Entry,
         responders: Vec<responder::Responder>,
     ) {
         self.source.push(entry);
-        let log::Payload::Command(data) = &entry.payload else {
+        let entries::Payload::Command(data) = &entry.payload else {
             return;
         };
         let envelopes = match envelope::decode::<root::Command>(data) {
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -3,12 +3,15 @@
 //! The scheduler proposes; its starts and ends count only when they are committed in the zone's log. When the lead
 //! is lost, scheduler and sessions are dropped, and the next leader builds them again from the committed state.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bronzespoke_control::{root, zone as state};
 use bronzespoke_gateway::control;
-use bronzespoke_model::{config, event, id, job, resource, task, worker};
-use bronzespoke_schedule as schedule;
+use bronzespoke_model::{config, event, id, job, resource, task, team, worker};
+use bronzespoke_schedule::{self as schedule, message};
 
 use crate::control::{context, session, zone};
 
@@ -20,7 +23,7 @@
     outputs: Vec<schedule::Output>,
     touched: BTreeSet<id::WorkerId>,
     drained: BTreeSet<id::WorkerId>,
-    teams: std::collections::BTreeMap<id::TeamId, (bronzespoke_model::team::Quota, resource::Amount)>,
+    teams: BTreeMap<id::TeamId, (team::Quota, resource::Amount)>,
     config: config::Config,
 }
 
@@ -40,7 +43,7 @@
             outputs: Vec::new(),
             touched: BTreeSet::new(),
             drained: BTreeSet::new(),
-            teams: std::collections::BTreeMap::new(),
+            teams: BTreeMap::new(),
             config: config::Config::default(),
         };
         scheduling.follow_view(context, zone, view);
@@ -314,11 +317,11 @@
 
 fn note_preemption(
     context: &context::Context,
-    reason: schedule::Reason,
+    reason: message::Reason,
     task: task::Ref,
     worker: id::WorkerId,
 ) {
-    if reason == schedule::Reason::Preempted {
+    if reason == message::Reason::Preempted {
         context.record(event::Kind::TaskPreempted { task, worker });
     }
 }
@@ -329,36 +332,38 @@
 }
 
 /// Returns the committed state in the order in which a scheduler takes it.
-fn restored(state: &state::State) -> Vec<schedule::Restore> {
+fn restored(state: &state::State) -> Vec<message::Restore> {
     let mut inputs = Vec::new();
     for (_, worker) in state.workers().filter(|(_, worker)| !worker.gone) {
-        inputs.push(schedule::Restore::Worker(worker.registration));
+        inputs.push(message::Restore::Worker(worker.registration));
     }
-    for (job, record) in state.jobs().filter(|(_, record)| !record.state.is_terminal()) {
+    // Runs of a job in its last state still hold their leases until their ends are committed.
+    let open = |record: &state::Job| !record.state.is_terminal() || record.running > 0;
+    for (job, record) in state.jobs().filter(|(_, record)| open(record)) {
         let tasks = (0..record.spec.tasks).map(|index| progress(state, record, task::Ref { job, index }));
-        inputs.push(schedule::Restore::Job {
+        inputs.push(message::Restore::Job {
             job,
             team: record.team,
             spec: record.spec.clone(),
-            cancelled: record.state == job::State::Cancelled,
+            cancelled: record.state.is_terminal(),
             tasks: tasks.collect(),
         });
     }
-    inputs.push(schedule::Restore::Done { next_token: state.next_token() });
+    inputs.push(message::Restore::Done { next_token: state.next_token() });
     inputs
 }
 
-fn progress(state: &state::State, record: &state::Job, task: task::Ref) -> schedule::Progress {
+fn progress(state: &state::State, record: &state::Job, task: task::Ref) -> message::Progress {
     if record.is_done(task.index) {
-        return schedule::Progress::Succeeded;
+        return message::Progress::Succeeded;
     }
     match state.run(task) {
-        Some(run) => schedule::Progress::Running {
+        Some(run) => message::Progress::Running {
             worker: run.worker,
             token: run.token,
             granted: record.spec.size,
             attempts: 0,
         },
-        None => schedule::Progress::Waiting { attempts: 0 },
+        None => message::Progress::Waiting { attempts: 0 },
     }
 }
--- /dev/null
+++ b/crates/daemon/src/control/serve.rs
@@ -0,0 +1,179 @@
+//! Frames of other daemons, and calls to the groups that this VM leads.
+
+use bronzespoke_control::zone;
+use bronzespoke_model::id;
+
+use crate::{
+    control::{Controller, context, responder},
+    peer::wire,
+};
+
+impl Controller {
+    /// Handles a frame.
+    pub(super) fn frame(&mut self, frame: wire::Frame) {
+        self.context.ring.receive_stamp(frame.stamp);
+        let from = frame.from;
+        match frame.body {
+            wire::Body::Hello(hello) => self.hello(from, hello),
+            wire::Body::Consensus(group, message) => self.consensus(from, group, message),
+            wire::Body::FeedRequest(request) => self.root.serve_follower(&self.context, from, &request),
+            wire::Body::FeedAnswer(answer) => self.root.receive_feed(&self.context, from, answer),
+            wire::Body::Gossip(message) => self.receive_gossip(from, message),
+            wire::Body::Ask(number, group, ask) => {
+                let responder = responder::Responder::Remote { to: from, number };
+                self.serve(group, ask, responder);
+            }
+            wire::Body::Reply(number, reply) => self.asks.answer(&self.context, number, reply),
+        }
+    }
+
+    fn receive_gossip(&mut self, from: id::VmId, message: bronzespoke_gossip::Message) {
+        let mut messages = Vec::new();
+        self.gossip.receive(self.context.now(), from, message, &mut messages);
+        for (to, message) in messages {
+            self.context.send(to, wire::Body::Gossip(message));
+        }
+        self.targets_changed = true;
+    }
+
+    fn consensus(
+        &mut self,
+        from: id::VmId,
+        group: id::GroupId,
+        message: bronzespoke_consensus::message::Message,
+    ) {
+        let input = bronzespoke_consensus::replica::Input::Receive { from, message };
+        match group {
+            id::GroupId::Root => {
+                if self.root.member().is_none() && self.context.me.durable {
+                    // A leader adds this VM as a learner.
+                    if let Some(member) = self.open(group, None) {
+                        self.root.promote(member);
+                    }
+                }
+                self.root.step(&self.context, input);
+            }
+            id::GroupId::Zone(zone) => {
+                if !self.zones.contains_key(&zone)
+                    && let Some(member) = self.open(group, None)
+                {
+                    self.add_zone(zone, member);
+                }
+                if let Some(zone) = self.zones.get_mut(&zone) {
+                    zone.step(&self.context, input);
+                }
+            }
+        }
+    }
+
+    /// Returns the leader of a group, as far as this VM knows.
+    pub(super) fn leader(&self, group: id::GroupId) -> Option<id::VmId> {
+        let me = self.context.me.id;
+        let own = match group {
+            id::GroupId::Root => self.root.member().and_then(|member| member.leader(me)),
+            id::GroupId::Zone(zone) => self.zones.get(&zone).and_then(|zone| zone.member().leader(me)),
+        };
+        own.or_else(|| self.context.announced_leader(group))
+    }
+
+    fn leads(&self, group: id::GroupId) -> bool {
+        let now = self.context.now();
+        match group {
+            id::GroupId::Root => self.root.leads(now),
+            id::GroupId::Zone(zone) => self.zones.get(&zone).is_some_and(|zone| zone.leads(now)),
+        }
+    }
+
+    /// Makes a call to the leader of a group, which may be this VM.
+    pub(super) fn dispatch(
+        &mut self,
+        group: id::GroupId,
+        ask: wire::Ask,
+        deadline: std::time::Duration,
+        then: responder::Then,
+    ) {
+        if self.leads(group) {
+            self.serve(group, ask, responder::Responder::Local(then));
+            return;
+        }
+        let leader = self.leader(group);
+        self.asks.open(&self.context, group, ask, deadline, leader, then);
+    }
+
+    /// Serves a call as the leader of a group.
+    fn serve(&mut self, group: id::GroupId, ask: wire::Ask, responder: responder::Responder) {
+        if !self.leads(group) {
+            responder.answer(&self.context, wire::Reply::NotLeader);
+            return;
+        }
+        match (group, ask) {
+            (id::GroupId::Root, wire::Ask::Root(envelope)) => self.root.propose(envelope, responder),
+            (_, wire::Ask::Change(change)) => self.change_members(group, change, responder),
+            (id::GroupId::Zone(zone), ask) => self.serve_zone(zone, ask, responder),
+            (id::GroupId::Root, _) => {
+                let reason = String::from("the call does not belong to the root group");
+                responder.answer(&self.context, wire::Reply::NotDone(reason));
+            }
+        }
+    }
+
+    fn serve_zone(&mut self, zone: id::AvailabilityZoneId, ask: wire::Ask, responder: responder::Responder) {
+        let Some(group) = self.zones.get_mut(&zone) else {
+            responder.answer(&self.context, wire::Reply::NotLeader);
+            return;
+        };
+        match ask {
+            wire::Ask::Zone(envelope) => group.propose_envelope(envelope, responder),
+            wire::Ask::Job { team, job, results } => {
+                let found = find(group.state(), team, job, results);
+                responder.answer(&self.context, wire::Reply::Job(found));
+            }
+            wire::Ask::Cancel { team, job } => {
+                let Some(found) = find(group.state(), team, job, false) else {
+                    responder.answer(&self.context, wire::Reply::Job(None));
+                    return;
+                };
+                if found.state.is_terminal() {
+                    responder.answer(&self.context, wire::Reply::Job(Some(found)));
+                    return;
+                }
+                let responder = responder::Responder::Cancellation(Box::new(responder), found);
+                let command = zone::Command::Cancel { job };
+                let envelope = zone::Envelope::new(context::Context::wall_ms(), command);
+                group.propose_envelope(envelope, responder);
+            }
+            wire::Ask::Query(line) => {
+                let answer = self.query_zone(zone, &line);
+                responder.answer(&self.context, wire::Reply::Answer(answer));
+            }
+            wire::Ask::Root(_) | wire::Ask::Change(_) => {
+                let reason = String::from("the call does not belong to a zone group");
+                responder.answer(&self.context, wire::Reply::NotDone(reason));
+            }
+        }
+    }
+}
+
+/// Looks a job up for a team, or for an operator.
+fn find(
+    state: &zone::State,
+    team: Option<id::TeamId>,
+    job: id::JobId,
+    results: bool,
+) -> Option<wire::Job> {
+    let zone::Lookup::Found(status) = state.lookup(job, results) else {
+        return None;
+    };
+    if team.is_some_and(|team| team != status.team) {
+        return None;
+    }
+    Some(wire::Job {
+        job: status.job,
+        team: status.team,
+        state: status.state,
+        waiting: status.waiting,
+        running: status.running,
+        succeeded: status.succeeded,
+        results: status.results,
+    })
+}
--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -85,13 +85,13 @@
         let Some(session) = self.sessions.get_mut(&worker) else {
             return;
         };
-        let Some(held) = &session.held else {
+        let Some(until) = session.held.as_ref().map(|held| held.until) else {
             return;
         };
         let recorded = session.recorded(state);
         let directives = session.directives(worker, state, granted);
         let idle = directives.is_empty() && (session.ended.is_empty() || !recorded);
-        if idle && now < held.until {
+        if idle && now < until {
             return;
         }
         if recorded {
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bronzespoke_consensus::{log, membership, replica};
+use bronzespoke_consensus::{log as entries, membership, replica};
 use bronzespoke_control::{envelope, zone};
 use bronzespoke_model::id;
 
@@ -64,6 +64,11 @@
         self.responders.push(responder);
     }
 
+    /// Tells whether commands wait to be proposed.
+    pub const fn has_batch(&self) -> bool {
+        !self.batch.is_empty()
+    }
+
     /// Proposes what was taken.
     pub fn flush(&mut self, context: &context::Context) {
         if self.batch.is_empty() {
@@ -118,11 +123,11 @@
     fn apply_entry(
         &mut self,
         context: &context::Context,
-        entry: &log::Entry,
+        entry: &entries::Entry,
         responders: Vec<responder::Responder>,
         applied: &mut Vec<Applied>,
     ) {
-        let log::Payload::Command(data) = &entry.payload else {
+        let entries::Payload::Command(data) = &entry.payload else {
             return;
         };
         let envelopes = match envelope::decode::<zone::Command>(data) {
--- /dev/null
+++ b/crates/daemon/src/daemon.rs
@@ -0,0 +1,316 @@
+//! One daemon: binds its addresses, starts the control thread and the traffic runtime, and stops them in order.
+
+use std::{
+    io,
+    net::TcpListener,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant},
+};
+
+use bronzespoke_gateway::{self as gateway, control as edge, server};
+use bronzespoke_model::{event, vm};
+use ractor::Actor;
+use tokio::{
+    runtime,
+    sync::{mpsc, oneshot, watch},
+};
+use tokio_util::sync::CancellationToken;
+
+use crate::{
+    control::{self, Inbox, Message, Published, context},
+    identity, metric, peer, rpc, settings, timeline,
+};
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// An address cannot be used.
+    Address(&'static str, std::net::SocketAddr, io::Error),
+    /// The data folder cannot be used.
+    Data(io::Error),
+    /// A runtime or thread cannot be started.
+    Runtime(io::Error),
+    /// The control thread ended before it was ready.
+    Control,
+}
+
+impl std::fmt::Display for Error {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Address(flag, address, error) => {
+                write!(formatter, "{flag}: {address} cannot be used: {error}")
+            }
+            Self::Data(error) => write!(formatter, "--data: the folder cannot be used: {error}"),
+            Self::Runtime(error) => write!(formatter, "threads cannot be started: {error}"),
+            Self::Control => formatter.write_str("the control thread ended at the start"),
+        }
+    }
+}
+
+/// Listeners of one daemon. Bound before the start, so that a test can let the system choose the ports.
+#[derive(Debug)]
+pub struct Listeners {
+    peer: TcpListener,
+    http: TcpListener,
+    rpc: TcpListener,
+}
+
+impl Listeners {
+    /// Binds the addresses of the settings and writes back the ports that the system chose.
+    pub fn bind(settings: &mut settings::Settings) -> Result<Self, Error> {
+        let peer = bind("--peer", &mut settings.peer)?;
+        let http = bind("--http", &mut settings.http)?;
+        let rpc = bind("--rpc", &mut settings.rpc)?;
+        Ok(Self { peer, http, rpc })
+    }
+}
+
+fn bind(flag: &'static str, address: &mut std::net::SocketAddr) -> Result<TcpListener, Error> {
+    let failed = |error| Error::Address(flag, *address, error);
+    let kind = socket2::Domain::for_address(*address);
+    let socket = socket2::Socket::new(kind, socket2::Type::STREAM, None).map_err(failed)?;
+    // A restarted daemon takes its address back while old connections are still closing.
+    socket.set_reuse_address(true).map_err(failed)?;
+    socket.bind(&(*address).into()).map_err(failed)?;
+    socket.listen(1024).map_err(failed)?;
+    socket.set_nonblocking(true).map_err(failed)?;
+    let listener = TcpListener::from(socket);
+    let bound = listener.local_addr().map_err(failed)?;
+    *address = bound;
+    Ok(listener)
+}
+
+/// A running daemon.
+#[derive(Debug)]
+pub struct Daemon {
+    vm: vm::Vm,
+    inbox: Inbox,
+    ring: timeline::Ring,
+    network: peer::Network,
+    fault: peer::fault::Switch,
+    server: server::Server,
+    ready: watch::Receiver<bool>,
+    rpc: jsonrpsee::server::ServerHandle,
+    cancel: CancellationToken,
+    traffic: Option<runtime::Runtime>,
+    control: Option<thread::JoinHandle<()>>,
+}
+
+impl Daemon {
+    /// Starts a daemon on bound listeners.
+    pub fn start(settings: settings::Settings, listeners: Listeners) -> Result<Self, Error> {
+        let id = identity::load(settings.data.as_deref()).map_err(Error::Data)?;
+        let vm = vm::Vm {
+            id,
+            name: settings.name.clone(),
+            place: settings.place,
+            peer: settings.peer,
+            http: settings.http,
+            rpc: settings.rpc,
+            durable: settings.data.is_some(),
+        };
+        let traffic = runtime::Builder::new_multi_thread()
+            .worker_threads(settings.traffic_threads)
+            .thread_name("traffic")
+            .enable_all()
+            .build()
+            .map_err(Error::Runtime)?;
+        let started = Self::assemble(settings, listeners, vm, &traffic);
+        started.map(|mut daemon| {
+            daemon.traffic = Some(traffic);
+            daemon
+        })
+    }
+
+    fn assemble(
+        settings: settings::Settings,
+        listeners: Listeners,
+        vm: vm::Vm,
+        traffic: &runtime::Runtime,
+    ) -> Result<Self, Error> {
+        let _entered = traffic.enter();
+        let origin = Instant::now();
+        let cancel = CancellationToken::new();
+        let ring = timeline::Ring::new(&settings.name);
+        let fault = peer::fault::Switch::default();
+        let peers = tokio::net::TcpListener::from_std(listeners.peer).map_err(Error::Runtime)?;
+        let (network, frames) =
+            peer::Network::start(traffic.handle().clone(), peers, fault.clone(), cancel.clone());
+
+        let (view, view_receiver) = watch::channel(Arc::new(edge::View::default()));
+        let (targets, targets_receiver) = watch::channel(Arc::new(edge::Targets::default()));
+        let (ready, ready_receiver) = watch::channel(false);
+        let freshness = edge::Freshness::new(origin);
+        let published = Published { view, ready, freshness: freshness.clone() };
+        let context = context::Context {
+            origin,
+            me: vm.clone(),
+            ring: ring.clone(),
+            network: network.clone(),
+            peers: std::collections::HashMap::new(),
+        };
+        let gateway_settings = gateway::settings::Settings {
+            vm: vm.id,
+            seed: settings.random_seed,
+            drain_notice: settings.drain_notice,
+            ..gateway::settings::Settings::default()
+        };
+        let name = settings.name.clone();
+        let start = control::Start { settings, context, published, targets };
+        let (inbox, control) = spawn_control(start)?;
+
+        let (calls, call_receiver) = mpsc::channel(edge::CALL_QUEUE);
+        let handle = edge::Handle {
+            calls,
+            view: view_receiver,
+            targets: targets_receiver,
+            freshness,
+            place: vm.place,
+        };
+        let http = tokio::net::TcpListener::from_std(listeners.http).map_err(Error::Runtime)?;
+        let render = metric::render(network.clone());
+        let server = server::Server::start(http, gateway_settings, handle, render, cancel.clone())
+            .map_err(Error::Runtime)?;
+        let rpc = traffic
+            .block_on(rpc::Operator::start(listeners.rpc, inbox.clone(), ring.clone(), name))
+            .map_err(Error::Runtime)?;
+        traffic.spawn(pump_frames(frames, inbox.clone(), cancel.clone()));
+        traffic.spawn(pump_calls(call_receiver, inbox.clone(), cancel.clone()));
+        traffic.spawn(follow_ready(server.clone(), ready_receiver.clone()));
+        ring.record(event::Kind::Started);
+        log::info!("daemon: VM {} serves callers at {}.", vm.id, vm.http);
+        Ok(Self {
+            vm,
+            inbox,
+            ring,
+            network,
+            fault,
+            server,
+            ready: ready_receiver,
+            rpc,
+            cancel,
+            traffic: None,
+            control: Some(control),
+        })
+    }
+
+    /// The VM as the directory lists it.
+    pub const fn vm(&self) -> &vm::Vm {
+        &self.vm
+    }
+
+    /// The timeline of this process.
+    pub const fn ring(&self) -> &timeline::Ring {
+        &self.ring
+    }
+
+    /// Byte counts of the links to other daemons.
+    pub fn traffic(&self) -> &peer::Traffic {
+        self.network.traffic()
+    }
+
+    /// The switch that cuts links, for the demo and for tests.
+    pub const fn fault(&self) -> &peer::fault::Switch {
+        &self.fault
+    }
+
+    /// Tells whether the VM takes work.
+    pub fn is_ready(&self) -> bool {
+        *self.ready.borrow()
+    }
+
+    /// Stops without cutting a request: drains callers, hands over what the VM leads, then ends.
+    pub fn shut_down(mut self) {
+        self.ring.record(event::Kind::Stopping);
+        log::info!("daemon: Shutting down.");
+        let Some(traffic) = self.traffic.take() else {
+            return;
+        };
+        traffic.block_on(self.server.drain());
+        let (sender, receiver) = oneshot::channel();
+        self.inbox.send(Message::HandOver(sender));
+        // The control thread answers within its own time limit.
+        drop(traffic.block_on(receiver));
+        self.end(traffic);
+    }
+
+    /// Stops at once, as a lost VM does; requests in flight are cut.
+    pub fn kill(mut self) {
+        if let Some(traffic) = self.traffic.take() {
+            self.end(traffic);
+        }
+    }
+
+    fn end(&mut self, traffic: runtime::Runtime) {
+        self.cancel.cancel();
+        drop(self.rpc.stop());
+        self.inbox.send(Message::Stop);
+        if let Some(control) = self.control.take()
+            && control.join().is_err()
+        {
+            log::error!("daemon: The control thread ended by a broken invariant.");
+        }
+        traffic.shutdown_timeout(Duration::from_secs(1));
+    }
+}
+
+/// Starts the control thread and waits for its inbox.
+fn spawn_control(start: control::Start) -> Result<(Inbox, thread::JoinHandle<()>), Error> {
+    let (sender, receiver) = std::sync::mpsc::channel();
+    let runtime = runtime::Builder::new_current_thread().enable_all().build().map_err(Error::Runtime)?;
+    let thread = thread::Builder::new()
+        .name(String::from("control"))
+        .spawn(move || {
+            runtime.block_on(async move {
+                let Ok((actor, task)) = control::Control::spawn(None, control::Control, start).await else {
+                    return;
+                };
+                if sender.send(Inbox::new(actor)).is_ok() && task.await.is_err() {
+                    log::error!("control: The actor ended by a broken invariant.");
+                }
+            });
+        })
+        .map_err(Error::Runtime)?;
+    let inbox = receiver.recv().map_err(|_closed| Error::Control)?;
+    Ok((inbox, thread))
+}
+
+async fn pump_frames(
+    mut frames: mpsc::Receiver<peer::Received>,
+    inbox: Inbox,
+    cancel: CancellationToken,
+) {
+    loop {
+        let received = tokio::select! {
+            () = cancel.cancelled() => return,
+            received = frames.recv() => received,
+        };
+        let (Some(received), Some(permit)) = (received, inbox.room().await) else {
+            return;
+        };
+        inbox.send(Message::Frame(Box::new(received.frame), permit));
+    }
+}
+
+async fn pump_calls(mut calls: mpsc::Receiver<edge::Call>, inbox: Inbox, cancel: CancellationToken) {
+    loop {
+        let call = tokio::select! {
+            () = cancel.cancelled() => return,
+            call = calls.recv() => call,
+        };
+        let (Some(call), Some(permit)) = (call, inbox.room().await) else {
+            return;
+        };
+        inbox.send(Message::Call(call, permit));
+    }
+}
+
+async fn follow_ready(server: server::Server, mut ready: watch::Receiver<bool>) {
+    loop {
+        server.set_ready(*ready.borrow_and_update());
+        if ready.changed().await.is_err() {
+            return;
+        }
+    }
+}
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -20,7 +20,7 @@
     pub result: Result<u64, bronzespoke_storage::Error>,
 }
 
-pub /// Receives the results of writes.
+/// Receives the results of writes.
 pub type Notify = Box<dyn Fn(Done) + Send>;
 
 /// Handle on the durable state of one group.
@@ -80,3 +80,17 @@
         }
     }
 }
+
+/// Returns the groups that have files below a data folder.
+pub fn groups(folder: &Path) -> Vec<id::GroupId> {
+    let entries = std::fs::read_dir(folder).into_iter().flatten().flatten();
+    let names = entries.filter_map(|entry| entry.file_name().into_string().ok());
+    let mut groups: Vec<_> = names
+        .filter_map(|name| match name.as_str() {
+            "root" => Some(id::GroupId::Root),
+            other => other.strip_prefix("zone-")?.parse().ok().map(id::GroupId::Zone),
+        })
+        .collect();
+    groups.sort_unstable();
+    groups
+}
--- /dev/null
+++ b/crates/daemon/src/identity.rs
@@ -0,0 +1,45 @@
+//! The id of this VM's daemon.
+//!
+//! A daemon with a data folder keeps its id there. Without one, every start is a new life with a new id, so that a
+//! replica that has forgotten its votes never votes as its old self.
+
+use std::{
+    fs::{self, File},
+    io::{self, Write},
+    path::Path,
+};
+
+use bronzespoke_model::id;
+
+const FILE: &str = "vm-id";
+const TEMPORARY: &str = "vm-id.new";
+
+/// Returns the id, drawing and storing a new one when the folder holds none.
+pub fn load(folder: Option<&Path>) -> io::Result<id::VmId> {
+    let Some(folder) = folder else {
+        return Ok(draw());
+    };
+    fs::create_dir_all(folder)?;
+    match fs::read_to_string(folder.join(FILE)) {
+        Ok(text) => text.trim().parse().map_err(|_error| {
+            io::Error::new(io::ErrorKind::InvalidData, format!("{FILE} does not hold a VM id"))
+        }),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => store(folder, draw()),
+        Err(error) => Err(error),
+    }
+}
+
+/// Ids take 32 bits, which keeps them short in frames; a cell has tens of VMs and a few hundred lives a day.
+fn draw() -> id::VmId {
+    u64::from(rand::random::<u32>()).max(1)
+}
+
+fn store(folder: &Path, vm: id::VmId) -> io::Result<id::VmId> {
+    let temporary = folder.join(TEMPORARY);
+    let mut file = File::create(&temporary)?;
+    writeln!(file, "{vm}")?;
+    file.sync_all()?;
+    fs::rename(&temporary, folder.join(FILE))?;
+    File::open(folder)?.sync_all()?;
+    Ok(vm)
+}
--- /dev/null
+++ b/crates/daemon/src/rpc.rs
@@ -0,0 +1,72 @@
+//! JSON-RPC for operators.
+
+use bronzespoke_language::answer;
+use bronzespoke_model::vm;
+use bronzespoke_rpc::{OperatorServer, command, timeline as page};
+use jsonrpsee::{
+    core::{RpcResult, async_trait},
+    server,
+};
+use tokio::sync::oneshot;
+
+use crate::{
+    control::{Inbox, Message},
+    timeline,
+};
+
+/// Operators' connections at one time.
+const MAX_CONNECTIONS: u32 = 64;
+/// Largest call, in bytes.
+const MAX_REQUEST_BYTES: u32 = 64 * 1024;
+
+/// Serves operators.
+#[derive(Debug)]
+pub struct Operator {
+    inbox: Inbox,
+    ring: timeline::Ring,
+    process: String,
+}
+
+impl Operator {
+    /// Starts serving on a bound listener.
+    pub async fn start(
+        listener: std::net::TcpListener,
+        inbox: Inbox,
+        ring: timeline::Ring,
+        process: String,
+    ) -> std::io::Result<server::ServerHandle> {
+        let config = server::ServerConfig::builder()
+            .max_connections(MAX_CONNECTIONS)
+            .max_request_body_size(MAX_REQUEST_BYTES)
+            .build();
+        let server = server::Server::builder().set_config(config).build_from_tcp(listener)?;
+        Ok(server.start(Self { inbox, ring, process }.into_rpc()))
+    }
+}
+
+#[async_trait]
+impl OperatorServer for Operator {
+    async fn execute(&self, line: String, command_id: Option<command::Id>) -> RpcResult<answer::Answer> {
+        let (sender, receiver) = oneshot::channel();
+        self.inbox.send(Message::Operator(line, command_id.map(|id| id.0), sender));
+        let stopped = || answer::Answer::error(answer::Code::Unavailable, "the daemon is stopping");
+        Ok(receiver.await.unwrap_or_else(|_closed| stopped()))
+    }
+
+    async fn timeline(&self, after: u64, limit: u32) -> RpcResult<page::Page> {
+        let limit = limit.min(page::MAX_EVENTS) as usize;
+        let read = self.ring.read(after, limit);
+        Ok(page::Page {
+            process: self.process.clone(),
+            first_sequence_kept: read.first,
+            next: read.next,
+            events: read.events,
+        })
+    }
+
+    async fn directory(&self) -> RpcResult<Vec<vm::Vm>> {
+        let (sender, receiver) = oneshot::channel();
+        self.inbox.send(Message::Directory(sender));
+        Ok(receiver.await.unwrap_or_default())
+    }
+}
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -14,11 +14,12 @@
 /// Events that the ring keeps; about 1 MiB.
 pub const CAPACITY: usize = 8192;
 /// Most events in one reading.
-pub const MAX_READ: usize = 1024;
+pub const MAX_READ: usize = 2000;
 
 #[derive(Debug)]
 struct Inner {
     clock: stamp::Clock,
+    /// Number of the newest event; the first one has number 1.
     next: u64,
     events: VecDeque<event::Event>,
 }
@@ -35,7 +36,7 @@
 pub struct Page {
     /// Number of the oldest event that is kept.
     pub first: u64,
-    /// Number to read on from.
+    /// Number of the last event read; the next reading starts after it.
     pub next: u64,
     /// Events in order.
     pub events: Vec<event::Event>,
@@ -60,8 +61,8 @@
     pub fn record(&self, kind: event::Kind) {
         let mut inner = self.lock();
         let stamp = inner.clock.local(wall_micros());
-        let sequence = inner.next;
         inner.next += 1;
+        let sequence = inner.next;
         if inner.events.len() == CAPACITY {
             inner.events.pop_front();
         }
@@ -79,13 +80,13 @@
         self.lock().clock.receive(wall_micros(), remote);
     }
 
-    /// Returns at most `limit` events from number `after` on.
+    /// Returns at most `limit` events with numbers above `after`.
     pub fn read(&self, after: u64, limit: usize) -> Page {
         let inner = self.lock();
-        let first = inner.next - inner.events.len() as u64;
-        let skip = after.saturating_sub(first) as usize;
+        let first = inner.next - inner.events.len() as u64 + 1;
+        let skip = (after + 1).saturating_sub(first) as usize;
         let events: Vec<_> = inner.events.iter().skip(skip).take(limit.min(MAX_READ)).cloned().collect();
-        let next = events.last().map_or(after.max(first), |event| event.sequence + 1);
+        let next = events.last().map_or(after, |event| event.sequence);
         Page { first, next, events }
     }
 }
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -32,6 +32,7 @@
     running: HashMap<task::Ref, (id::WorkerId, id::Token, resource::Amount)>,
     held: HashMap<id::WorkerId, resource::Amount>,
     succeeded: HashMap<task::Ref, u32>,
+    started: HashMap<task::Ref, u32>,
     totals: Totals,
 }
 
@@ -57,6 +58,7 @@
     ) {
         let mut inner = self.lock();
         inner.totals.starts += 1;
+        *inner.started.entry(task).or_default() += 1;
         if inner.running.insert(task, (worker, token, granted)).is_some() {
             inner.totals.doubled += 1;
         }
@@ -104,6 +106,11 @@
             .count()
     }
 
+    /// Returns how many tasks of `job` started at least once.
+    pub fn started(&self, job: id::JobId) -> usize {
+        self.lock().started.keys().filter(|task| task.job == job).count()
+    }
+
     /// Returns the tasks of `job` that run now, with the worker of each.
     pub fn running(&self, job: id::JobId) -> Vec<(task::Ref, id::WorkerId)> {
         let inner = self.lock();
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -19,7 +19,7 @@
 use crate::{client, ledger};
 
 /// Time after which a report without an answer is sent to another entry VM.
-const REPORT_TIMEOUT: Duration = Duration::from_secs(3);
+const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
 /// Tokens of ended runs that are remembered, so that a late directive does not start them again.
@@ -228,8 +228,23 @@
         });
     }
 
+    /// Stops a run. A run that never started is reported as stopped, and a later start with its token is refused.
     fn stop(&mut self, task: task::Ref, token: id::Token, outcome: task::Outcome) {
-        self.finish(Finish { task, token, outcome });
+        let known = self.running.get(&task).is_some_and(|run| run.token == token);
+        if known {
+            self.finish(Finish { task, token, outcome });
+        } else if !self.forgotten.contains(&token) {
+            let outcome = task::Outcome::Stopped;
+            self.ended.push((self.sequence + 1, worker::Ended { task, token, outcome }));
+            self.remember(token);
+        }
+    }
+
+    fn remember(&mut self, token: id::Token) {
+        self.forgotten.push_back(token);
+        if self.forgotten.len() > REMEMBERED_TOKENS {
+            self.forgotten.pop_front();
+        }
     }
 
     fn finish(&mut self, finish: Finish) {
@@ -244,10 +259,7 @@
         self.ledger.end(task, token, succeeded);
         self.ended
             .push((self.sequence + 1, worker::Ended { task, token, outcome }));
-        self.forgotten.push_back(token);
-        if self.forgotten.len() > REMEMBERED_TOKENS {
-            self.forgotten.pop_front();
-        }
+        self.remember(token);
     }
 
     /// Stops every task, as a worker does whose lease ran out.
