--- a/crates/cli/tests/report.rs
+++ b/crates/cli/tests/report.rs
@@ -1,5 +1,6 @@
 //! Guards against a report that leaves out measures, breaks on odd names or loads anything from elsewhere.
 
+use bronzespoke_bench::measure;
 use bronzespoke_cli::report::{self, measures};
 use yare::parameterized;
 
@@ -141,3 +142,24 @@
         assert!(html.contains(&format!(">\n{name}\n<")), "{name}");
     }
 }
+
+/// Guards against a policy run whose JSON the report cannot read.
+#[parameterized(
+    none = { measure::Bound::None, measures::Bound::None },
+    at_most = { measure::Bound::AtMost(2.5), measures::Bound::AtMost(2.5) },
+    at_least = { measure::Bound::AtLeast(2.5), measures::Bound::AtLeast(2.5) },
+)]
+fn rows_of_a_policy_run_are_read(printed: measure::Bound, bound: measures::Bound) {
+    let rows = [measure::Row::new("part.measure", 1.25, "us", printed, "brief")];
+    let json = serde_json::to_value(rows).expect("plain data");
+    let read = measures::read(json.as_array().expect("rows").clone()).expect("the rows are right");
+    assert_eq!((read[0].value, read[0].bound), (Some(1.25), bound));
+    assert_eq!(
+        (
+            read[0].name.as_str(),
+            read[0].unit.as_str(),
+            read[0].source.as_str()
+        ),
+        ("part.measure", "us", "brief")
+    );
+}
