--- a/crates/daemon/src/control/operator/local.rs
+++ b/crates/daemon/src/control/operator/local.rs
@@ -32,7 +32,7 @@
 
     fn teams(&self) -> answer::Table {
         let columns = [
-            ("team", Kind::Text),
+            ("name", Kind::Text),
             ("id", Kind::Id),
             ("weight", Kind::Count),
             ("cpu", Kind::CpuMilli),
