daemon: know the cell as soon as a replica of the root group exists

Cause: the applied index moves only with commands, so the founder of a cell, which had committed nothing but its own election, did not count as knowing a cell and never listed itself. Before: the cell never became ready.

--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -35,12 +35,17 @@
     let mut arguments = pico_args::Arguments::from_vec(arguments.to_vec());
     let seed = arguments.opt_value_from_str("--seed");
     let quiet = arguments.contains("--no-timeline");
+    let level = arguments.opt_value_from_str::<_, log::LevelFilter>("--log-level");
     let rest = arguments.finish();
     let seed = match seed {
         Ok(seed) if rest.is_empty() => seed.unwrap_or(1_u64),
         Ok(_) => return usage(&format!("{} is not a flag of the demo", rest[0].to_string_lossy())),
         Err(error) => return usage(&format!("--seed: {error}; a whole number is allowed")),
     };
+    match level {
+        Ok(level) => bronzespoke_daemon::logging::start("demo", level.unwrap_or(log::LevelFilter::Error)),
+        Err(error) => return usage(&format!("--log-level: {error}; off, error, warn, info, debug or trace is allowed")),
+    }
     let runtime = match tokio::runtime::Builder::new_multi_thread().worker_threads(2).enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -59,7 +64,7 @@
 }
 
 fn usage(message: &str) -> ExitCode {
-    eprintln!("demo: {message}; --seed NUMBER and --no-timeline are allowed");
+    eprintln!("demo: {message}; --seed NUMBER, --log-level LEVEL and --no-timeline are allowed");
     ExitCode::from(USAGE)
 }
 
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -101,9 +101,9 @@
         &self.view
     }
 
-    /// Tells whether a cell is known.
+    /// Tells whether a cell is known. A replica exists only in a cell, also before its first command.
     pub fn cell_known(&self) -> bool {
-        self.view.applied > 0
+        self.view.applied > 0 || self.member().is_some()
     }
 
     /// Instant before which nothing is missing from the state.
