--- a/crates/consensus/src/feed/follower.rs
+++ b/crates/consensus/src/feed/follower.rs
@@ -9,7 +9,7 @@
 use crate::snapshot;
 
 const INTERVAL: Duration = Duration::from_millis(500);
-const TIMEOUT: Duration = Duration::from_millis(1_000);
+const TIMEOUT: Duration = Duration::from_secs(1);
 const DRIFT: f64 = 0.02;
 
 /// Settings of a follower.
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -292,6 +292,12 @@
         }
     }
 
+    /// Term of the entry at an index, if it is held; for checks.
+    #[doc(hidden)]
+    pub fn term_at(&self, index: u64) -> Option<u64> {
+        self.log.term_at(index)
+    }
+
     /// Returns a snapshot record of the applied state for `Input::Compact`.
     pub fn snapshot(&self, index: u64, data: Bytes) -> Option<snapshot::Snapshot> {
         if index > self.applied {
@@ -342,7 +348,7 @@
         match body {
             Body::VoteReply { granted } => self.on_vote_reply(from, granted, out),
             Body::Append(append) => self.on_append(from, append, out),
-            Body::AppendReply(reply) => self.on_append_reply(from, reply, out),
+            Body::AppendReply(reply) => self.on_append_reply(from, &reply, out),
             Body::Snapshot { chunk, sent } => self.on_snapshot(from, &chunk, sent, out),
             Body::SnapshotReply {
                 label,
--- a/crates/consensus/src/replica/progress.rs
+++ b/crates/consensus/src/replica/progress.rs
@@ -22,6 +22,8 @@
     pub(crate) snapshot: snapshot::Snapshot,
     pub(crate) label: snapshot::Label,
     pub(crate) offset: u64,
+    /// When bytes at this offset were sent, in microseconds.
+    pub(crate) data_sent: Option<u64>,
 }
 
 /// What a leader knows about one member.
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -118,7 +118,7 @@
         }
     }
 
-    pub(super) fn on_append_reply(&mut self, from: id::VmId, reply: AppendReply, out: &mut Vec<Output>) {
+    pub(super) fn on_append_reply(&mut self, from: id::VmId, reply: &AppendReply, out: &mut Vec<Output>) {
         let (now, election, last) = (self.now, self.config.election, self.log.last().index);
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -170,6 +170,7 @@
             snapshot,
             label,
             offset: 0,
+            data_sent: None,
         });
         self.send_chunk(to, true, out);
     }
@@ -222,10 +223,12 @@
             return;
         }
         if received < label.total {
-            // Answers to duplicates would send the same bytes again.
-            let repeated = received == transfer.offset && progress.sent_at > Duration::from_micros(sent);
-            transfer.offset = received;
-            if !repeated {
+            if received != transfer.offset {
+                transfer.offset = received;
+                transfer.data_sent = None;
+            }
+            // An answer to a message from before the bytes were sent does not show that they were lost.
+            if transfer.data_sent.is_none_or(|at| sent >= at) {
                 self.send_chunk(from, false, out);
             }
             return;
--- /dev/null
+++ b/crates/consensus/tests/driver/check.rs
@@ -0,0 +1,222 @@
+//! Invariants that hold after every step.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bronzespoke_consensus::log;
+use bronzespoke_consensus::replica::{Replica, Role};
+use bronzespoke_model::id::VmId;
+
+use super::node::{self, Node};
+
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Violation {
+    /// Two members led in one term.
+    TwoLeaders,
+    /// Two members applied different entries at one index.
+    LogsDiffer,
+    /// Two members have different states at one index.
+    StatesDiffer,
+    /// A new leader lacks a committed entry.
+    CommittedLost,
+    /// An entry was committed without a durable majority of the voters.
+    CommittedWithoutMajority,
+    AppliedWentBack,
+    AppliedOutOfOrder,
+    /// Two members hold a valid lease.
+    TwoLeases,
+    /// A member with a lease does not hold an acknowledged entry.
+    StaleLease,
+    /// A member claims a basis after which it lacks an acknowledged entry.
+    StaleBasis,
+    /// A voter was added that lacks the log committed two election timeouts ago.
+    PromotedTooEarly,
+}
+
+#[derive(Debug, Default)]
+pub struct Check {
+    leaders: BTreeMap<u64, VmId>,
+    entries: BTreeMap<u64, log::Entry>,
+    states: BTreeMap<u64, u64>,
+    /// Last committed position that a leader reported or a member applied.
+    committed: log::Position,
+    /// When each index was first acknowledged to a client.
+    acknowledged: Vec<(Duration, u64)>,
+    /// Last seen commit index of each member of each life.
+    commits: BTreeMap<(VmId, u32), u64>,
+    /// Commit index over time.
+    history: Vec<(Duration, u64)>,
+}
+
+impl Check {
+    pub fn applied(&mut self, _node: VmId, entry: &log::Entry) -> Result<(), Violation> {
+        let known = self
+            .entries
+            .entry(entry.position.index)
+            .or_insert_with(|| entry.clone());
+        if known != entry {
+            return Err(Violation::LogsDiffer);
+        }
+        if entry.position.index > self.committed.index {
+            self.committed = entry.position;
+        }
+        Ok(())
+    }
+
+    pub fn acknowledged(&mut self, now: Duration, index: u64) {
+        let newest = self.acknowledged.last().map_or(0, |held| held.1);
+        if index > newest {
+            self.acknowledged.push((now, index));
+        }
+    }
+
+    pub fn after_step(
+        &mut self,
+        now: Duration,
+        id: VmId,
+        nodes: &BTreeMap<VmId, Node>,
+    ) -> Result<(), Violation> {
+        let Some(node) = nodes.get(&id) else { return Ok(()) };
+        let Some(replica) = &node.replica else {
+            return Ok(());
+        };
+        self.check_state(node)?;
+        self.check_commit(now, node, replica, nodes)?;
+        self.check_leader(node, replica)?;
+        self.check_basis(now, node, replica)?;
+        self.check_leases(now, nodes)
+    }
+
+    fn check_state(&mut self, node: &Node) -> Result<(), Violation> {
+        let known = *self.states.entry(node.applied).or_insert(node.state);
+        if known == node.state {
+            Ok(())
+        } else {
+            Err(Violation::StatesDiffer)
+        }
+    }
+
+    fn check_commit(
+        &mut self,
+        now: Duration,
+        node: &Node,
+        replica: &Replica,
+        nodes: &BTreeMap<VmId, Node>,
+    ) -> Result<(), Violation> {
+        let status = replica.status();
+        let before = self
+            .commits
+            .insert((node.id, node.life), status.commit)
+            .unwrap_or(0);
+        if status.role != Role::Leader || status.commit <= before {
+            return Ok(());
+        }
+        let Some(term) = replica.term_at(status.commit) else {
+            return Ok(());
+        };
+        let position = log::Position {
+            term,
+            index: status.commit,
+        };
+        if position.index > self.committed.index {
+            self.committed = position;
+            self.history.push((now, position.index));
+        }
+        let voters = &status.membership.voters;
+        let holders = voters
+            .iter()
+            .filter(|voter| nodes.get(voter).is_some_and(|node| node.holds(position)));
+        if holders.count() < status.membership.quorum() {
+            return Err(Violation::CommittedWithoutMajority);
+        }
+        Ok(())
+    }
+
+    fn check_leader(&mut self, node: &Node, replica: &Replica) -> Result<(), Violation> {
+        let status = replica.status();
+        if status.role != Role::Leader {
+            return Ok(());
+        }
+        if *self.leaders.entry(status.term).or_insert(node.id) != node.id {
+            return Err(Violation::TwoLeaders);
+        }
+        let newest = self
+            .leaders
+            .last_key_value()
+            .is_some_and(|(term, _)| *term == status.term);
+        let committed = self.committed;
+        let held = replica.term_at(committed.index);
+        let lost = committed.index > status.base.index && held != Some(committed.term);
+        if newest && lost {
+            Err(Violation::CommittedLost)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Checks that a promoted member holds what was committed two election timeouts ago.
+    pub fn promoted(&self, now: Duration, member: &Node) -> Result<(), Violation> {
+        let limit = now.saturating_sub(Duration::from_millis(1_250));
+        let old = self
+            .history
+            .iter()
+            .rev()
+            .find(|(at, _)| *at <= limit)
+            .map_or(0, |held| held.1);
+        let snapshot = member
+            .disk
+            .snapshot
+            .as_ref()
+            .map_or(0, |held| held.position.index);
+        let last = member.disk.entries.last().map_or(0, |entry| entry.position.index);
+        if last.max(snapshot) < old {
+            Err(Violation::PromotedTooEarly)
+        } else {
+            Ok(())
+        }
+    }
+
+    fn check_basis(&self, now: Duration, node: &Node, replica: &Replica) -> Result<(), Violation> {
+        let Some(basis) = replica.basis(node.local(now)) else {
+            return Ok(());
+        };
+        let basis = node.global(basis);
+        let before = self.acknowledged.iter().rev().find(|(at, _)| *at < basis);
+        match before {
+            Some((_, index)) if *index > node.applied => Err(Violation::StaleBasis),
+            _ => Ok(()),
+        }
+    }
+
+    fn check_leases(&self, now: Duration, nodes: &BTreeMap<VmId, Node>) -> Result<(), Violation> {
+        let newest = self.acknowledged.last().map_or(0, |held| held.1);
+        let mut holders = 0;
+        for node in nodes.values() {
+            let Some(replica) = &node.replica else { continue };
+            if !replica.holds_lease(node.local(now)) {
+                continue;
+            }
+            holders += 1;
+            if replica.status().commit < newest {
+                return Err(Violation::StaleLease);
+            }
+        }
+        if holders > 1 {
+            Err(Violation::TwoLeases)
+        } else {
+            Ok(())
+        }
+    }
+
+    /// Entries applied so far.
+    pub fn entries(&self) -> &BTreeMap<u64, log::Entry> {
+        &self.entries
+    }
+}
+
+/// Hash chain over all known entries up to an index.
+pub fn expected_state(entries: &BTreeMap<u64, log::Entry>, index: u64) -> u64 {
+    entries
+        .range(..=index)
+        .fold(0, |state, (_, entry)| node::chain(state, entry))
+}
--- /dev/null
+++ b/crates/consensus/tests/driver/node.rs
@@ -0,0 +1,180 @@
+//! One VM: a replica, its disk, its clock and a state machine that counts.
+
+use std::time::Duration;
+
+use bronzespoke_consensus::replica::{Config, Input, Replica, Restored, Role};
+use bronzespoke_consensus::{log, snapshot, write};
+use bronzespoke_model::id::VmId;
+
+use super::Violation;
+
+pub struct Node {
+    pub id: VmId,
+    pub replica: Option<Replica>,
+    pub disk: Restored,
+    pub durable: bool,
+    /// Lost for good: a VM without a disk that crashed.
+    pub gone: bool,
+    pub unsynced: Vec<write::Write>,
+    pub life: u32,
+    pub paused_until: Duration,
+    pub wake_at: Option<Duration>,
+    started: Duration,
+    rate: f64,
+    /// State machine: last index and a hash chain over the entries.
+    pub applied: u64,
+    pub state: u64,
+}
+
+impl Node {
+    pub fn new(id: VmId, disk: Restored, durable: bool) -> Self {
+        Self {
+            id,
+            replica: None,
+            disk,
+            durable,
+            gone: false,
+            unsynced: Vec::new(),
+            life: 0,
+            paused_until: Duration::ZERO,
+            wake_at: None,
+            started: Duration::ZERO,
+            rate: 1.0,
+            applied: 0,
+            state: 0,
+        }
+    }
+
+    pub fn start(&mut self, config: Config, now: Duration, rate: f64) {
+        self.life += 1;
+        self.started = now;
+        self.rate = rate;
+        self.applied = 0;
+        self.state = 0;
+        self.wake_at = None;
+        self.replica = Some(Replica::new(config, self.disk.clone(), Duration::ZERO));
+    }
+
+    pub fn crash(&mut self, keep: usize) {
+        if self.replica.take().is_none() {
+            return;
+        }
+        self.life += 1;
+        self.keep_prefix(keep);
+        self.gone = !self.durable;
+    }
+
+    fn keep_prefix(&mut self, keep: usize) {
+        let unsynced = std::mem::take(&mut self.unsynced);
+        for write in unsynced.iter().take(keep) {
+            store(&mut self.disk, write);
+        }
+    }
+
+    /// Makes all writes durable.
+    pub fn sync(&mut self) -> Input {
+        let through = self.unsynced.last().map_or(0, |write| write.sequence);
+        for write in std::mem::take(&mut self.unsynced) {
+            store(&mut self.disk, &write);
+        }
+        Input::Persisted { through }
+    }
+
+    /// Loses the writes, but for a prefix that reached the disk.
+    pub fn fail_sync(&mut self, keep: usize) -> Input {
+        self.keep_prefix(keep);
+        Input::PersistFailed
+    }
+
+    pub fn local(&self, now: Duration) -> Duration {
+        now.saturating_sub(self.started).mul_f64(self.rate)
+    }
+
+    pub fn global(&self, local: Duration) -> Duration {
+        self.started + local.div_f64(self.rate)
+    }
+
+    pub fn next_wake(&self) -> Option<Duration> {
+        let wake = self.replica.as_ref()?.next_wake();
+        Some(self.global(wake) + Duration::from_nanos(10))
+    }
+
+    pub fn is_leader(&self) -> bool {
+        self.replica
+            .as_ref()
+            .is_some_and(|replica| replica.status().role == Role::Leader)
+    }
+
+    pub fn apply(&mut self, entry: &log::Entry) -> Result<(), Violation> {
+        if entry.position.index != self.applied + 1 {
+            return Err(Violation::AppliedOutOfOrder);
+        }
+        self.applied += 1;
+        self.state = chain(self.state, entry);
+        Ok(())
+    }
+
+    pub fn install(&mut self, snapshot: &snapshot::Snapshot) -> Result<(), Violation> {
+        if snapshot.position.index < self.applied {
+            return Err(Violation::AppliedWentBack);
+        }
+        self.applied = snapshot.position.index;
+        let mut state = [0; 8];
+        state.copy_from_slice(&snapshot.data[..8]);
+        self.state = u64::from_le_bytes(state);
+        Ok(())
+    }
+
+    /// Snapshot of the applied state, padded so that it takes several chunks.
+    pub fn make_snapshot(&self) -> Option<snapshot::Snapshot> {
+        let mut data = self.state.to_le_bytes().to_vec();
+        data.resize(300, 7);
+        self.replica.as_ref()?.snapshot(self.applied, data.into())
+    }
+
+    /// Tells whether the disk holds a position, in its log or below its snapshot.
+    pub fn holds(&self, position: log::Position) -> bool {
+        let below = self
+            .disk
+            .snapshot
+            .as_ref()
+            .is_some_and(|held| held.position.index >= position.index);
+        let mut entries = self.disk.entries.iter().rev();
+        below || entries.any(|entry| entry.position == position)
+    }
+}
+
+/// Hash chain over the entries.
+pub fn chain(state: u64, entry: &log::Entry) -> u64 {
+    let mut hash = state ^ entry.position.term;
+    if let log::Payload::Command(data) = &entry.payload {
+        for byte in data {
+            hash = (hash ^ u64::from(*byte)).wrapping_mul(0x0100_0000_01b3);
+        }
+    }
+    hash.rotate_left(7).wrapping_add(entry.position.index)
+}
+
+/// What a store does with a write.
+pub fn store(disk: &mut Restored, write: &write::Write) {
+    match &write.kind {
+        write::Kind::Vote(vote) => disk.vote = *vote,
+        write::Kind::Append { entries, commit } => {
+            let first = entries[0].position.index;
+            disk.entries.retain(|entry| entry.position.index < first);
+            disk.entries.extend(entries.iter().cloned());
+            disk.commit = disk.commit.max(*commit);
+        }
+        write::Kind::Compact { snapshot, first } => {
+            disk.entries.retain(|entry| entry.position.index >= *first);
+            disk.membership = snapshot.membership.clone();
+            disk.snapshot = Some(snapshot.clone());
+        }
+        write::Kind::Install(snapshot) => {
+            disk.entries.clear();
+            disk.membership = snapshot.membership.clone();
+            disk.commit = disk.commit.max(snapshot.position.index);
+            disk.snapshot = Some(snapshot.clone());
+        }
+    }
+}
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -232,14 +232,13 @@
             "entries between the snapshot and the log are missing",
         ));
     }
-    let last = first + entries.len() as u64 - 1;
     let agrees = match position.index.checked_sub(first) {
         Some(offset) => entries
             .get(offset as usize)
             .is_some_and(|entry| entry.position == position),
         None => true,
     };
-    if last + 1 >= first && agrees {
+    if agrees {
         return Ok(entries);
     }
     chain.append(&[Item::Reset(position)], &mut Budget::default())?;
