consensus: count the own vote only once it is durable

Cause: a sole voter led as soon as it voted for itself. After a crash before the sync it led the same term again and its learner kept an entry of the first leadership. Conclusion: the own vote waits for its write like every other vote.

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -72,9 +72,8 @@
         self.leader = None;
         self.reset_election();
         self.state = State::Candidate(BTreeSet::new());
-        if self.count_vote(self.config.id) {
-            self.become_leader(out);
-            return;
+        if !self.config.rules.acknowledge_after_sync {
+            self.count_own_vote(out);
         }
         let body = Body::Vote {
             last: self.log.last(),
@@ -99,6 +98,15 @@
         granted.len() >= quorum
     }
 
+    /// Counts the own vote once it is durable. A sole voter that led before that could lead the same term again
+    /// after a crash and write different entries to its learners.
+    pub(super) fn count_own_vote(&mut self, out: &mut Vec<Output>) {
+        let candidate = matches!(self.state, State::Candidate(_));
+        if candidate && self.count_vote(self.config.id) {
+            self.become_leader(out);
+        }
+    }
+
     fn other_voters(&self) -> Vec<id::VmId> {
         let members = self.membership();
         let mut others = members.voters.clone();
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -430,6 +430,9 @@
         while let Some((_, to, message)) = self.held.pop_front_if(|held| held.0 <= through) {
             out.push(Output::Send { to, message });
         }
+        if self.persisted >= self.vote_sequence {
+            self.count_own_vote(out);
+        }
         self.advance_commit(out);
     }
 
