--- a/crates/schedule/src/config.rs
+++ b/crates/schedule/src/config.rs
@@ -23,6 +23,8 @@
     pub attempts: u32,
     /// Longest time that capacity is reserved for one gang.
     pub reservation: Duration,
+    /// Whether batch tasks are granted what earlier runs used instead of what they declare.
+    pub estimates: bool,
     /// Rules that tests may switch off.
     #[doc(hidden)]
     pub rules: Rules,
@@ -37,9 +39,10 @@
             preemptions_per_second: 200,
             recovery_starts_per_second: 50,
             placements_per_step: 256,
-            usage_decay: Duration::from_secs(600),
+            usage_decay: Duration::from_mins(10),
             attempts: 4,
-            reservation: Duration::from_secs(300),
+            reservation: Duration::from_mins(5),
+            estimates: true,
             rules: Rules::default(),
         }
     }
--- a/crates/schedule/src/job.rs
+++ b/crates/schedule/src/job.rs
@@ -18,6 +18,17 @@
     pub(crate) racks: SmallVec<[u32; 4]>,
 }
 
+/// Whether a job goes on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Phase {
+    /// Tasks may start.
+    Active,
+    /// Cancelled; ends with its last run.
+    Cancelled,
+    /// Its retry budget is spent; ends with its last run.
+    Failed,
+}
+
 /// A job.
 #[derive(Debug)]
 pub(crate) struct Record {
@@ -27,12 +38,13 @@
     pub(crate) priority: job::Priority,
     /// What each run is granted.
     pub(crate) size: resource::Amount,
+    /// What the submitter asked for.
+    pub(crate) declared: resource::Amount,
     pub(crate) accelerator: id::AcceleratorKind,
     pub(crate) checkpoint: bool,
     /// Whether a task has been started before.
     pub(crate) launched: bool,
-    pub(crate) cancelled: bool,
-    pub(crate) failed: bool,
+    pub(crate) phase: Phase,
     pub(crate) tasks: u32,
     pub(crate) succeeded: u32,
     /// Tasks that wait for a retry or for paced recovery.
@@ -57,7 +69,7 @@
 impl Record {
     /// Tells whether new runs may start.
     pub(crate) const fn is_active(&self) -> bool {
-        !self.cancelled && !self.failed
+        matches!(self.phase, Phase::Active)
     }
 
     /// Returns the failed runs of a task.
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -6,6 +6,7 @@
 //! drops the scheduler and the next leader restores a new one from the replicated state.
 
 pub mod config;
+mod estimate;
 mod index;
 mod job;
 mod lane;
--- a/crates/schedule/src/message.rs
+++ b/crates/schedule/src/message.rs
@@ -129,6 +129,8 @@
     Limit,
     /// Urgent work needs the room.
     Preempted,
+    /// Capacity reserved for a gang is due, and the run was let onto it meanwhile.
+    Reserved,
     /// The worker is drained.
     Drained,
     /// Another task of the gang was lost.
--- a/crates/schedule/src/pass/end.rs
+++ b/crates/schedule/src/pass/end.rs
@@ -2,11 +2,11 @@
 
 use std::time::Duration;
 
-use bronzespoke_model::{id, job, resource, task};
+use bronzespoke_model::{id, job as model, resource, task};
 use rand::Rng;
 
+use crate::job::Phase;
 use crate::message::{Output, Reason};
-use crate::run::Phase;
 use crate::scheduler::Scheduler;
 use crate::{run, table, timer};
 
@@ -15,9 +15,9 @@
 /// First delay before a failed task starts again; doubles with every failure.
 const RETRY_FIRST: Duration = Duration::from_secs(1);
 /// Longest delay before a failed task starts again.
-const RETRY_LONGEST: Duration = Duration::from_secs(60);
+const RETRY_LONGEST: Duration = Duration::from_mins(1);
 /// A service task that ran this long is replaced at once when it ends.
-const STEADY: Duration = Duration::from_secs(60);
+const STEADY: Duration = Duration::from_mins(1);
 /// One failed run in this many tasks is allowed on top of the attempts of a single task.
 const TASKS_PER_FAILURE: u32 = 4;
 /// Racks that a job remembers to avoid.
@@ -65,17 +65,18 @@
         let task = self.task_of(run);
         let record = self.remove_run(now, run);
         let worker = self.workers[record.worker].id;
-        self.observe_end(now, &record, &outcome, out);
-        let attempts = self.count_failure(&record, &outcome);
+        let end = run::End::of(&outcome);
+        self.observe_end(now, &record, end, out);
+        let attempts = self.count_failure(&record, end);
         out.push(Output::Ended {
             task,
             worker,
             token: record.token,
-            outcome: outcome.clone(),
+            outcome,
             attempts,
         });
         self.freed(record.worker);
-        self.settle(now, &record, &outcome, attempts, out);
+        self.settle(now, &record, end, attempts, out);
     }
 
     /// Takes a run out of all accounts.
@@ -120,11 +121,11 @@
         self.release_lanes(team);
     }
 
-    fn count_failure(&mut self, record: &run::Record, outcome: &task::Outcome) -> u32 {
-        let probation = self.workers[record.worker].health.allowed.is_some();
+    fn count_failure(&mut self, record: &run::Record, end: run::End) -> u32 {
         let rack = self.workers[record.worker].rack;
+        let probation = self.workers[record.worker].health.allowed.is_some() || self.is_rack_cause(rack);
         let job = &mut self.jobs[record.job];
-        if *outcome != task::Outcome::Failed {
+        if end != run::End::Failed {
             return job.attempts(record.index);
         }
         // A worker that fails what it starts says nothing about the job.
@@ -143,7 +144,7 @@
         &mut self,
         now: Duration,
         record: &run::Record,
-        outcome: &task::Outcome,
+        end: run::End,
         attempts: u32,
         out: &mut Vec<Output>,
     ) {
@@ -153,22 +154,22 @@
             self.finish_if_idle(index, out);
             return;
         }
-        let service = job.kind == job::Kind::Service;
-        let first = service || job.priority == job::Priority::Urgent;
-        match outcome {
-            task::Outcome::Succeeded(_) if !service => self.succeed(index, out),
-            task::Outcome::Succeeded(_) | task::Outcome::Failed => {
+        let service = job.kind == model::Kind::Service;
+        let first = service || job.priority == model::Priority::Urgent;
+        match end {
+            run::End::Succeeded if !service => self.succeed(index, out),
+            run::End::Succeeded | run::End::Failed => {
                 self.retry(now, record, attempts, out);
             }
-            task::Outcome::LeaseExpired if !first => self.lose_task(now, record),
-            task::Outcome::Stopped if !record.is_ending() => {
+            run::End::LeaseExpired if !first => self.lose_task(now, record),
+            run::End::Stopped if !record.is_ending() => {
                 self.delay(now, index, record.index, RETRY_FIRST);
             }
-            task::Outcome::LeaseExpired | task::Outcome::Stopped | task::Outcome::Checkpointed => {
+            run::End::LeaseExpired | run::End::Stopped | run::End::Checkpointed => {
                 self.add_waiting(index, record.index);
             }
         }
-        if !matches!(outcome, task::Outcome::Succeeded(_)) {
+        if end != run::End::Succeeded {
             self.end_gang(now, index, out);
         }
     }
@@ -177,8 +178,8 @@
         let job = &mut self.jobs[index];
         job.succeeded += 1;
         if job.succeeded == job.tasks {
-            self.finish(index, job::State::Succeeded, out);
-        } else if job.kind == job::Kind::Gang {
+            self.finish(index, model::State::Succeeded, out);
+        } else if job.kind == model::Kind::Gang {
             self.enqueue(index);
         }
     }
@@ -186,7 +187,7 @@
     fn retry(&mut self, now: Duration, record: &run::Record, attempts: u32, out: &mut Vec<Output>) {
         let index = record.job;
         let job = &self.jobs[index];
-        let service = job.kind == job::Kind::Service;
+        let service = job.kind == model::Kind::Service;
         if service && now.saturating_sub(record.started) >= STEADY {
             self.add_waiting(index, record.index);
             return;
@@ -257,15 +258,15 @@
         let Some(&index) = self.job_ids.get(&id) else {
             return;
         };
-        if self.jobs[index].cancelled {
+        if self.jobs[index].phase == Phase::Cancelled {
             return;
         }
-        self.jobs[index].cancelled = true;
+        self.jobs[index].phase = Phase::Cancelled;
         self.abandon(now, index, Reason::Cancelled, out);
     }
 
     fn fail(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) {
-        self.jobs[index].failed = true;
+        self.jobs[index].phase = Phase::Failed;
         self.abandon(now, index, Reason::Failed, out);
     }
 
@@ -293,16 +294,16 @@
         if !job.runs.is_empty() {
             return;
         }
-        let outcome = if job.cancelled {
-            job::State::Cancelled
-        } else {
-            job::State::Failed
+        let outcome = match job.phase {
+            Phase::Active => return,
+            Phase::Cancelled => model::State::Cancelled,
+            Phase::Failed => model::State::Failed,
         };
         self.finish(index, outcome, out);
     }
 
     /// Forgets a job.
-    pub(crate) fn finish(&mut self, index: table::Job, outcome: job::State, out: &mut Vec<Output>) {
+    pub(crate) fn finish(&mut self, index: table::Job, outcome: model::State, out: &mut Vec<Output>) {
         self.dequeue(index);
         self.release_holds(index);
         let job = self.jobs.remove(index);
@@ -321,14 +322,14 @@
     ) {
         let gentle = self.is_checkpointable(self.runs[run].job);
         let record = &mut self.runs[run];
-        if matches!(record.phase, Phase::Stopping(_)) {
+        if matches!(record.phase, run::Phase::Stopping(_)) {
             return;
         }
         let first = !record.is_ending();
         let (phase, wait) = match grace {
             Some(_) if !first => return,
-            Some(grace) if gentle && record.confirmed => (Phase::Checkpointing(reason), grace),
-            _ => (Phase::Stopping(reason), STOP_INTERVAL),
+            Some(grace) if gentle && record.confirmed => (run::Phase::Checkpointing(reason), grace),
+            _ => (run::Phase::Stopping(reason), STOP_INTERVAL),
         };
         record.phase = phase;
         record.due = now + wait;
@@ -358,14 +359,14 @@
         let record = &self.runs[run];
         let (worker, token) = (self.workers[record.worker].id, record.token);
         match record.phase {
-            Phase::Starting | Phase::Running => {}
-            Phase::Checkpointing(reason) => out.push(Output::Checkpoint {
+            run::Phase::Starting | run::Phase::Running => {}
+            run::Phase::Checkpointing(reason) => out.push(Output::Checkpoint {
                 task,
                 worker,
                 token,
                 reason,
             }),
-            Phase::Stopping(reason) => out.push(Output::Stop {
+            run::Phase::Stopping(reason) => out.push(Output::Stop {
                 task,
                 worker,
                 token,
@@ -384,10 +385,10 @@
             return;
         }
         match record.phase {
-            Phase::Running => {}
-            Phase::Starting => self.stop(now, run, Reason::NotStarted, None, out),
-            Phase::Checkpointing(reason) => self.stop(now, run, reason, None, out),
-            Phase::Stopping(_) => {
+            run::Phase::Running => {}
+            run::Phase::Starting => self.stop(now, run, Reason::NotStarted, None, out),
+            run::Phase::Checkpointing(reason) => self.stop(now, run, reason, None, out),
+            run::Phase::Stopping(_) => {
                 record.due = now + STOP_INTERVAL;
                 self.timers.push(now + STOP_INTERVAL, timer::Event::Run(token));
                 self.tell_end(run, out);
--- a/crates/schedule/src/pass/explain.rs
+++ b/crates/schedule/src/pass/explain.rs
@@ -4,6 +4,7 @@
 
 use bronzespoke_model::id;
 
+use crate::job::Phase;
 use crate::lane::{Place, State};
 use crate::message::{Cause, Explanation, Measures};
 use crate::scheduler::Scheduler;
@@ -36,7 +37,7 @@
 
     fn cause(&self, index: table::Job) -> Cause {
         let job = &self.jobs[index];
-        if job.cancelled {
+        if job.phase != Phase::Active {
             return Cause::Cancelling;
         }
         if let Some(reason) = job.impossible {
--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -5,8 +5,21 @@
 use bronzespoke_model::job;
 
 use crate::message::{Output, Reason};
+use crate::pass::submit::{slots, times};
 use crate::scheduler::Scheduler;
-use crate::table;
+use crate::{table, timer, worker};
+
+/// Shortest interval between two passes over the gangs.
+const PASS_INTERVAL: Duration = Duration::from_millis(100);
+/// Interval at which waiting gangs are looked at when nothing changes.
+const IDLE_INTERVAL: Duration = Duration::from_secs(1);
+/// Gangs for which one pass counts the free room.
+const COUNTED: u32 = 16;
+/// Time to checkpoint for work that was let onto reserved workers.
+const BACKFILL_GRACE: Duration = Duration::from_secs(5);
+
+/// Rooms that together hold a gang.
+type Rooms = Vec<(table::Worker, u32)>;
 
 impl Scheduler {
     /// Stops the rest of a gang that has lost a task.
@@ -23,4 +36,206 @@
         }
         self.enqueue(index);
     }
+
+    /// Starts the gangs that fit, and reserves capacity for one that does not.
+    pub(crate) fn place_gangs(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if !self.gangs_dirty || self.gangs.is_empty() {
+            return;
+        }
+        if now < self.gangs_next {
+            return;
+        }
+        self.gangs_dirty = false;
+        self.gangs_next = now + PASS_INTERVAL;
+        self.timers.push(now + PASS_INTERVAL, timer::Event::Gangs(false));
+        let order = self.gang_order();
+        let mut counted = 0;
+        for &index in &order {
+            if counted == COUNTED {
+                self.gangs_dirty = true;
+                break;
+            }
+            if !self.may_fit(index) {
+                continue;
+            }
+            counted += 1;
+            if let Some(rooms) = self.rooms(index) {
+                self.start_gang(now, index, &rooms, out);
+            }
+        }
+        self.reserve_for_first(now, &order);
+        self.claim_reserved(now, out);
+    }
+
+    /// Returns the waiting gangs: urgent ones, then those with a reservation, then in the order of turns.
+    fn gang_order(&self) -> Vec<table::Job> {
+        let mut order: Vec<_> = self
+            .gangs
+            .iter()
+            .map(|(&sequence, gang)| {
+                let job = &self.jobs[gang.job];
+                let normal = job.priority == job::Priority::Normal;
+                (
+                    normal,
+                    job.holds.is_empty(),
+                    self.teams[job.team].key,
+                    sequence,
+                    gang.job,
+                )
+            })
+            .collect();
+        order.sort_unstable();
+        order.into_iter().map(|entry| entry.4).collect()
+    }
+
+    /// Tells whether the team's part and the sum of the free amounts admit the whole gang.
+    fn may_fit(&self, index: table::Job) -> bool {
+        let job = &self.jobs[index];
+        if !self.config.rules.gang_whole {
+            return true;
+        }
+        let Some(sum) = times(&job.size, job.waiting.len()) else {
+            return false;
+        };
+        let admitted = !self.config.rules.team_limit || self.teams[job.team].admits(&sum);
+        admitted && sum.fits(&self.total.saturating_sub(&self.used))
+    }
+
+    /// Finds room for all waiting tasks of a gang, on the workers held for it first, then tightly packed.
+    fn rooms(&self, index: table::Job) -> Option<Rooms> {
+        let job = &self.jobs[index];
+        let mut left = job.waiting.len();
+        let mut rooms = Rooms::new();
+        let held = job.holds.iter().copied();
+        for worker in held.chain(self.free.members(job.accelerator)) {
+            let record = &self.workers[worker];
+            let mut count = slots(&record.free(), &job.size).min(left);
+            if !record.usable() || count == 0 {
+                continue;
+            }
+            if let Some(allowed) = record.health.allowed {
+                count = count.min(allowed.saturating_sub(record.runs.len() as u32));
+            }
+            rooms.push((worker, count));
+            left -= count;
+            if left == 0 {
+                return Some(rooms);
+            }
+        }
+        (!self.config.rules.gang_whole && !rooms.is_empty()).then_some(rooms)
+    }
+
+    fn start_gang(&mut self, now: Duration, index: table::Job, rooms: &Rooms, out: &mut Vec<Output>) {
+        for &(worker, count) in rooms {
+            for _ in 0..count {
+                let task = self.take_waiting(index);
+                self.start(now, index, task, worker, out);
+            }
+        }
+        self.release_holds(index);
+    }
+
+    /// Reserves workers for the first gang that has none; one reservation at a time for each accelerator kind.
+    fn reserve_for_first(&mut self, now: Duration, order: &[table::Job]) {
+        let next = order.iter().copied().find(|&index| {
+            let Some(job) = self.jobs.get(index) else {
+                return false;
+            };
+            let waits = self
+                .gangs
+                .get(&job.sequence)
+                .is_some_and(|gang| gang.cool_until <= now);
+            let taken = |other: &table::Job| self.jobs[*other].accelerator == job.accelerator;
+            let admitted =
+                times(&job.size, job.waiting.len()).is_some_and(|sum| self.teams[job.team].admits(&sum));
+            let normal = job.priority == job::Priority::Normal;
+            normal && waits && job.holds.is_empty() && admitted && !self.reservations.iter().any(taken)
+        });
+        if let Some(index) = next {
+            self.reserve(now, index);
+        }
+        if !self.gangs.is_empty() && self.gangs_look <= now {
+            self.gangs_look = now + IDLE_INTERVAL;
+            self.timers.push(now + IDLE_INTERVAL, timer::Event::Gangs(true));
+        }
+    }
+
+    /// Reserves the workers that are expected to have room for the whole gang first.
+    fn reserve(&mut self, now: Duration, index: table::Job) {
+        let job = &self.jobs[index];
+        let mut candidates = Vec::new();
+        for (worker, record) in self.workers.iter() {
+            let suits = job.accelerator == 0 || record.capacity.accelerator == job.accelerator;
+            if !suits || !record.usable() || record.hold.is_some() || record.health.allowed.is_some() {
+                continue;
+            }
+            let (count, ready) = self.room_later(now, worker, index);
+            if count > 0 {
+                candidates.push((ready, worker, count));
+            }
+        }
+        candidates.sort_unstable();
+        let mut left = job.waiting.len();
+        let mut chosen = Vec::new();
+        let mut ready = now;
+        for (at, worker, count) in candidates {
+            chosen.push((worker, count.min(left)));
+            left -= count.min(left);
+            ready = ready.max(at);
+            if left == 0 {
+                break;
+            }
+        }
+        if left > 0 || ready > now + self.config.reservation * 2 {
+            return;
+        }
+        let until = ready + self.config.reservation;
+        self.reservations.push(index);
+        for (worker, slots) in chosen {
+            let hold = worker::Hold {
+                job: index,
+                slots,
+                since: now,
+                until,
+                ready: ready.max(Duration::from_nanos(1)),
+            };
+            self.hold(worker, hold);
+        }
+    }
+
+    /// Returns how many tasks of a job a worker will hold when its batch and gang work has ended, and when.
+    fn room_later(&self, now: Duration, worker: table::Worker, index: table::Job) -> (u32, Duration) {
+        let record = &self.workers[worker];
+        let mut room = record.capacity.amount;
+        let mut ready = now;
+        for &run in &record.runs {
+            let run = &self.runs[run];
+            if self.jobs[run.job].kind == job::Kind::Service {
+                room = room.saturating_sub(&run.size);
+            } else {
+                ready = ready.max(self.expected_end(now, run));
+            }
+        }
+        (slots(&room, &self.jobs[index].size), ready)
+    }
+
+    /// Ends backfilled work that outstays a reservation.
+    fn claim_reserved(&mut self, now: Duration, out: &mut Vec<Output>) {
+        for position in 0..self.held.len() {
+            let worker = self.held[position];
+            let record = &self.workers[worker];
+            let Some(hold) = record
+                .hold
+                .filter(|hold| hold.ready > Duration::ZERO && hold.ready <= now)
+            else {
+                continue;
+            };
+            for run in record.runs.clone() {
+                let run_record = &self.runs[run];
+                if run_record.started >= hold.since && self.is_checkpointable(run_record.job) {
+                    self.stop(now, run, Reason::Reserved, Some(BACKFILL_GRACE), out);
+                }
+            }
+        }
+    }
 }
--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -52,6 +52,7 @@
         self.worker_ids.insert(registration.worker, worker);
         self.racks[rack as usize].members.push(worker);
         self.total = self.total.saturating_add(&registration.capacity.amount);
+        self.count_shape(registration.capacity, true);
         self.unconfirmed += u32::from(!confirmed);
         self.timers
             .push(until, timer::Event::Lease(worker, registration.worker));
@@ -74,7 +75,7 @@
         self.total = self.total.saturating_sub(&record.capacity.amount);
         self.total = self.total.saturating_add(&registration.capacity.amount);
         record.incarnation = registration.incarnation;
-        record.capacity = registration.capacity;
+        let old = std::mem::replace(&mut record.capacity, registration.capacity);
         record.sequence = 0;
         record.lease_until = until;
         let was_confirmed = record.confirmed;
@@ -89,7 +90,12 @@
             let run = self.workers[worker].runs[position];
             self.runs[run].former = true;
         }
+        self.count_shape(old, false);
+        self.count_shape(registration.capacity, true);
         if old_rack != rack {
+            let suspected = u32::from(self.workers[worker].health.allowed.is_some());
+            self.racks[old_rack as usize].probation -= suspected;
+            self.racks[rack as usize].probation += suspected;
             self.racks[old_rack as usize]
                 .members
                 .retain(|member| *member != worker);
@@ -102,6 +108,19 @@
         self.check_possible_soon(now);
     }
 
+    fn count_shape(&mut self, capacity: resource::Capacity, added: bool) {
+        let key = (capacity.accelerator, capacity.amount);
+        let count = self.shapes.entry(key).or_insert(0);
+        if added {
+            *count += 1;
+        } else {
+            *count -= 1;
+        }
+        if *count == 0 {
+            self.shapes.remove(&key);
+        }
+    }
+
     fn rack(&mut self, id: id::RackId) -> u32 {
         *self.rack_ids.entry(id).or_insert_with(|| {
             self.racks.push(Rack::default());
@@ -194,14 +213,15 @@
         for run in record.runs.clone() {
             self.end_run(now, run, task::Outcome::LeaseExpired, out);
         }
-        self.release_hold(worker);
+        self.break_hold(worker);
         self.set_health_limit(worker, None);
         self.relist(worker);
         self.racks[rack as usize]
             .members
             .retain(|member| *member != worker);
         self.draining.retain(|member| *member != worker);
-        self.workers.remove(worker);
+        let capacity_of = self.workers.remove(worker).capacity;
+        self.count_shape(capacity_of, false);
         self.worker_ids.remove(&id);
         self.total = self.total.saturating_sub(&capacity);
         out.push(Output::WorkerLost { worker: id });
@@ -226,6 +246,7 @@
             let took = now.saturating_sub(restored);
             self.recovery = Some(took);
             out.push(Output::Recovered { took });
+            self.check_possible(out);
         }
     }
 }
--- a/crates/schedule/src/pass/limit.rs
+++ b/crates/schedule/src/pass/limit.rs
@@ -18,7 +18,6 @@
     pub(crate) fn team(&mut self, now: Duration, id: id::TeamId) -> table::Team {
         *self.team_ids.entry(id).or_insert_with(|| {
             self.teams.insert(team::Record {
-                id,
                 weight: 1,
                 limit: resource::Amount::ZERO,
                 part: resource::Amount::ZERO,
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -3,15 +3,25 @@
 use std::cmp::Reverse;
 use std::time::Duration;
 
-use bronzespoke_model::{id, job, task};
+use bronzespoke_model::{id, job, resource, task};
+
+use smallvec::SmallVec;
 
 use crate::lane::{Place, State};
 use crate::message::Output;
+use crate::pass::limit::RETRY_BUDGET;
 use crate::scheduler::Scheduler;
-use crate::{index, run, table, timer};
+use crate::{index, job as job_record, run, table, timer};
 
 /// Added to the score of a worker in a rack where the job failed before.
 const AVOID_SCORE: f32 = 10.0;
+/// Racks that one placement of a service tries before it takes any worker with room.
+const RACKS_TRIED: usize = 8;
+/// Workers of a rack that are compared; racks hold about eight.
+const RACK_MEMBERS_COMPARED: usize = 32;
+
+/// Retry budget that a start earns, in thousandths: one retry for ten starts.
+const RETRY_GAIN: u32 = 100;
 
 /// What became of a lane's turn.
 enum Turn {
@@ -23,9 +33,13 @@
 impl Scheduler {
     /// Starts what has room, up to the bound of a step.
     pub(crate) fn place(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.fill_holds(now, out);
+        self.place_gangs(now, out);
         if !self.open.is_empty() {
             self.take_turns(now, out);
         }
+        self.preempt(now, out);
+        self.fill_holds(now, out);
     }
 
     fn take_turns(&mut self, now: Duration, out: &mut Vec<Output>) {
@@ -87,7 +101,7 @@
         if self.config.rules.team_limit && !self.teams[record.team].admits(&self.jobs[job].size) {
             return Turn::OverLimit;
         }
-        let Some(worker) = self.choose(job) else {
+        let Some(worker) = self.choose(job).or_else(|| self.backfill(now, job)) else {
             return Turn::NoRoom;
         };
         let task = self.take_waiting(job);
@@ -101,6 +115,11 @@
             size: job.size,
             kind: job.accelerator,
         };
+        if job.kind == job::Kind::Service
+            && let Some(worker) = self.choose_spread(job, &query)
+        {
+            return Some(worker);
+        }
         let avoid = job.avoid();
         self.free.search(&query, &mut |worker| {
             let mut score = self.fit_score(worker, &query)?;
@@ -111,6 +130,49 @@
         })
     }
 
+    /// Returns a worker in one of the racks that have the fewest tasks of a service.
+    fn choose_spread(&self, job: &job_record::Record, query: &index::Query) -> Option<table::Worker> {
+        let count = self.racks.len();
+        let avoid = job.avoid();
+        let mut tried = SmallVec::<[usize; RACKS_TRIED]>::new();
+        while tried.len() < RACKS_TRIED.min(count) {
+            let first = job.sequence as usize;
+            let rack = (0..count)
+                .map(|offset| (first + offset) % count)
+                .filter(|rack| !tried.contains(rack))
+                .min_by_key(|rack| {
+                    let runs = job.spread.get(*rack).copied().unwrap_or(0);
+                    (runs, avoid.contains(&(*rack as u32)))
+                })?;
+            tried.push(rack);
+            if let Some(worker) = self.choose_in_rack(rack, query) {
+                return Some(worker);
+            }
+        }
+        None
+    }
+
+    fn choose_in_rack(&self, rack: usize, query: &index::Query) -> Option<table::Worker> {
+        let mut best: Option<(f32, table::Worker)> = None;
+        for &worker in self.racks[rack].members.iter().take(RACK_MEMBERS_COMPARED) {
+            let record = &self.workers[worker];
+            let suits = query.kind == 0 || query.kind == record.capacity.accelerator;
+            if record.slot.is_none() || !suits {
+                continue;
+            }
+            let Some(mut score) = self.fit_score(worker, query) else {
+                continue;
+            };
+            if query.kind == 0 && record.capacity.accelerator != 0 {
+                score += AVOID_SCORE;
+            }
+            if best.is_none_or(|(lowest, _)| score < lowest) {
+                best = Some((score, worker));
+            }
+        }
+        best.map(|(_, worker)| worker)
+    }
+
     /// Returns how much room a worker would have left, with a penalty for lopsided rooms; lower is tighter.
     fn fit_score(&self, worker: table::Worker, query: &index::Query) -> Option<f32> {
         let record = &self.workers[worker];
@@ -152,7 +214,8 @@
                 due: now + self.config.lease,
                 missing: 0,
                 throttle: 1000,
-                usage: granted,
+                usage: resource::Amount::ZERO,
+                peak: resource::Amount::ZERO,
                 in_worker: 0,
                 in_job: 0,
                 credited: false,
@@ -192,6 +255,7 @@
         let record = &mut self.teams[team];
         let was = record.is_active();
         record.runs += 1;
+        record.retries_milli = (record.retries_milli + RETRY_GAIN).min(RETRY_BUDGET);
         record.used = record.used.saturating_add(&size);
         self.track_active(team, was);
         self.refresh_team(now, team);
@@ -240,7 +304,13 @@
         if record.hold.is_some() || record.slot.is_some() {
             self.gangs_dirty |= !self.gangs.is_empty();
         }
-        if record.slot.is_some() {
+        if let Some(hold) = record.hold {
+            self.hold_ready.push(worker);
+            // Work may be let onto a worker that is reserved for a gang.
+            if hold.ready > Duration::ZERO && record.usable() {
+                self.wake_classes(worker);
+            }
+        } else if record.slot.is_some() {
             self.wake_classes(worker);
         }
     }
--- /dev/null
+++ b/crates/schedule/src/pass/preempt.rs
@@ -0,0 +1,250 @@
+//! Makes room for urgent work.
+//!
+//! Bounds: urgent runs are never stopped, so a stop cannot cause another; a team keeps its protected share; the
+//! number of stops in any second stays within the configured rate.
+
+use std::time::Duration;
+
+use bronzespoke_model::{job, resource};
+use rand::Rng;
+
+use crate::lane::State;
+use crate::message::{Output, Reason};
+use crate::pass::submit::times;
+use crate::scheduler::Scheduler;
+use crate::{table, timer, worker};
+
+/// Interval between two searches for victims.
+const PASS_INTERVAL: Duration = Duration::from_millis(50);
+/// Time that a victim gets for its checkpoint; urgent work starts within 1.6 s.
+const GRACE: Duration = Duration::from_millis(500);
+/// Time that a worker is kept for an urgent task after the stops; then another worker is tried.
+const HOLD: Duration = Duration::from_millis(1200);
+/// Urgent tasks for which one pass looks for room.
+const TASKS_PER_PASS: u32 = 64;
+/// Workers compared for one urgent task.
+const COMPARED: usize = 48;
+/// Core-seconds that a checkpoint counts as lost.
+const CHECKPOINT_COST: f64 = 1.0;
+/// Factor on the loss of runs that are not batch; a stopped gang task stops its whole gang.
+const OTHER_COST: f64 = 100.0;
+const WINDOW: Duration = Duration::from_secs(1);
+
+/// Runs to stop on one worker.
+struct Victims {
+    cost: f64,
+    runs: Vec<table::Run>,
+}
+
+impl Scheduler {
+    /// Looks for room for the urgent jobs that wait.
+    pub(crate) fn preempt(&mut self, now: Duration, out: &mut Vec<Output>) {
+        if self.urgent.is_empty() || now < self.urgent_next {
+            return;
+        }
+        self.urgent_next = now + PASS_INTERVAL;
+        self.timers.push(self.urgent_next, timer::Event::Urgent);
+        let mut left = TASKS_PER_PASS;
+        let waiting: Vec<_> = self
+            .urgent
+            .values()
+            .copied()
+            .take(TASKS_PER_PASS as usize)
+            .collect();
+        for index in waiting {
+            left = self.make_room(now, index, left, out);
+            if left == 0 {
+                return;
+            }
+        }
+    }
+
+    /// Returns the bound that is left.
+    fn make_room(&mut self, now: Duration, index: table::Job, mut left: u32, out: &mut Vec<Output>) -> u32 {
+        let job = &self.jobs[index];
+        let gang = job.kind == job::Kind::Gang;
+        let blocked = job
+            .lane
+            .is_some_and(|lane| matches!(self.classes[self.lanes[lane].class].state, State::Blocked(_)));
+        if !blocked && !gang {
+            return left;
+        }
+        let held: u32 = job
+            .holds
+            .iter()
+            .filter_map(|worker| self.workers[*worker].hold)
+            .map(|hold| hold.slots)
+            .sum();
+        let whole = if gang { job.waiting.len() } else { held + 1 };
+        let (team, size) = (job.team, job.size);
+        for wanted in held..job.waiting.len() {
+            let sum = times(&size, whole.max(wanted + 1));
+            if left == 0 || !sum.is_some_and(|sum| self.teams[team].admits(&sum)) {
+                return left;
+            }
+            left -= 1;
+            if !self.make_room_once(now, index, out) {
+                return left;
+            }
+        }
+        left
+    }
+
+    /// Makes room for one task on the worker where least work is lost.
+    fn make_room_once(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) -> bool {
+        let slots = self.workers.slots();
+        let first = self.random.random_range(0..slots.max(1));
+        let mut best: Option<(f64, table::Worker, Victims)> = None;
+        let mut compared = 0;
+        for offset in 0..slots {
+            let worker = table::Index::new((first + offset) % slots);
+            if !self.suits_urgent(worker, index) {
+                continue;
+            }
+            compared += 1;
+            if let Some(victims) = self.victims(now, worker, index)
+                && best.as_ref().is_none_or(|(cost, _, _)| victims.cost < *cost)
+            {
+                best = Some((victims.cost, worker, victims));
+            }
+            if compared >= COMPARED && best.is_some() {
+                break;
+            }
+        }
+        let Some((_, worker, victims)) = best else {
+            return false;
+        };
+        if !self.take_rate(now, victims.runs.len()) {
+            return false;
+        }
+        for &run in &victims.runs {
+            self.counts.preempted += 1;
+            self.counts.lost_core_seconds += self.loss(now, run);
+            self.stop(now, run, Reason::Preempted, Some(GRACE), out);
+        }
+        let hold = worker::Hold {
+            job: index,
+            slots: 1,
+            since: now,
+            until: now + HOLD,
+            ready: Duration::ZERO,
+        };
+        self.hold(worker, hold);
+        self.hold_ready.push(worker);
+        true
+    }
+
+    fn suits_urgent(&self, worker: table::Worker, index: table::Job) -> bool {
+        let Some(record) = self.workers.get(worker) else {
+            return false;
+        };
+        let kind = self.jobs[index].accelerator;
+        record.usable()
+            && record.health.allowed.is_none()
+            && record.hold.is_none_or(|hold| hold.job == index)
+            && (kind == 0 || kind == record.capacity.accelerator)
+    }
+
+    /// Chooses runs on a worker that make room for one more urgent task, cheapest first.
+    fn victims(&self, now: Duration, worker: table::Worker, index: table::Job) -> Option<Victims> {
+        let record = &self.workers[worker];
+        let job = &self.jobs[index];
+        let count = record.hold.map_or(0, |hold| hold.slots) + 1;
+        let need = times(&job.size, count)?;
+        if !need.fits(&record.capacity.amount) {
+            return None;
+        }
+        let mut room = record.free();
+        let mut candidates = Vec::new();
+        for &run in &record.runs {
+            let other = &self.runs[run];
+            if other.is_ending() {
+                room = room.saturating_add(&other.size);
+            } else if self.jobs[other.job].priority == job::Priority::Normal && !other.former {
+                candidates.push((self.loss(now, run), run));
+            }
+        }
+        candidates.sort_unstable_by(|left, right| left.0.total_cmp(&right.0));
+        let mut victims = Victims {
+            cost: 0.0,
+            runs: Vec::new(),
+        };
+        let mut taken: Vec<(table::Team, resource::Amount)> = Vec::new();
+        for (cost, run) in candidates {
+            let short = need.saturating_sub(&room);
+            if short.is_zero() {
+                break;
+            }
+            let size = self.runs[run].size;
+            let helps = (short.cpu_milli > 0 && size.cpu_milli > 0)
+                || (short.memory_mib > 0 && size.memory_mib > 0)
+                || (short.accelerators > 0 && size.accelerators > 0);
+            let team = self.jobs[self.runs[run].job].team;
+            if !helps || (team != job.team && !self.keeps_share(team, &size, &mut taken)) {
+                continue;
+            }
+            room = room.saturating_add(&size);
+            victims.cost += cost;
+            victims.runs.push(run);
+        }
+        need.fits(&room).then_some(victims)
+    }
+
+    /// Tells whether a team keeps its protected share after one more stop, and counts the stop.
+    fn keeps_share(
+        &self,
+        team: table::Team,
+        size: &resource::Amount,
+        taken: &mut Vec<(table::Team, resource::Amount)>,
+    ) -> bool {
+        if !self.config.rules.protect_share {
+            return true;
+        }
+        let record = &self.teams[team];
+        let position = taken.iter().position(|entry| entry.0 == team).unwrap_or_else(|| {
+            taken.push((team, resource::Amount::ZERO));
+            taken.len() - 1
+        });
+        let sum = taken[position].1.saturating_add(size);
+        let left = record.used.saturating_sub(&record.ending).saturating_sub(&sum);
+        if left.dominant_share(&self.total) < self.protected_share(team) {
+            return false;
+        }
+        taken[position].1 = sum;
+        true
+    }
+
+    /// Returns the share of the fleet that urgent work of other teams leaves to a team.
+    pub(crate) fn protected_share(&self, team: table::Team) -> f64 {
+        f64::from(self.teams[team].weight) / self.active_weight.max(1) as f64
+    }
+
+    /// Returns the core-seconds that a stop loses.
+    fn loss(&self, now: Duration, run: table::Run) -> f64 {
+        let record = &self.runs[run];
+        if self.is_checkpointable(record.job) && record.confirmed {
+            return CHECKPOINT_COST;
+        }
+        let cores = f64::from(record.size.cpu_milli) / 1000.0 + f64::from(record.size.accelerators);
+        let lost = cores * now.saturating_sub(record.started).as_secs_f64();
+        match self.jobs[record.job].kind {
+            job::Kind::Batch => lost,
+            job::Kind::Service | job::Kind::Gang => (lost + 1.0) * OTHER_COST,
+        }
+    }
+
+    /// Takes stops from the rate of the last second.
+    fn take_rate(&mut self, now: Duration, count: usize) -> bool {
+        if !self.config.rules.preemption_rate {
+            return true;
+        }
+        while self.preemptions.front().is_some_and(|at| *at + WINDOW <= now) {
+            self.preemptions.pop_front();
+        }
+        if self.preemptions.len() + count > self.config.preemptions_per_second as usize {
+            return false;
+        }
+        self.preemptions.extend(std::iter::repeat_n(now, count));
+        true
+    }
+}
--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -42,16 +42,18 @@
             self.ended(now, ended.task, ended.token, ended.outcome, out);
         }
         for running in &report.running {
-            self.named(now, worker, report.sequence, running, out);
+            self.named(worker, report.sequence, running, out);
         }
         self.find_missing(now, worker, report.sequence, out);
         self.set_excess(worker);
+        if !self.workers[worker].excess.is_zero() {
+            self.shed_excess(now, worker, out);
+        }
         self.freed(worker);
     }
 
     fn named(
         &mut self,
-        now: Duration,
         worker: table::Worker,
         sequence: u64,
         running: &model::Running,
@@ -78,7 +80,7 @@
         if record.phase == Phase::Starting {
             record.phase = Phase::Running;
         }
-        self.observe_usage(now, run, out);
+        self.observe_usage(run, out);
     }
 
     fn find_missing(&mut self, now: Duration, worker: table::Worker, sequence: u64, out: &mut Vec<Output>) {
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -4,6 +4,7 @@
 
 use bronzespoke_model::{id, job as model, resource, worker};
 
+use crate::job::Phase;
 use crate::message::{Output, Progress, Reason, Restore};
 use crate::scheduler::Scheduler;
 use crate::{range, run, table, timer};
@@ -44,7 +45,9 @@
         }
         let team = self.team(now, team);
         let index = self.add_job(id, team, spec, range::Set::default());
-        self.jobs[index].cancelled = cancelled;
+        if cancelled {
+            self.jobs[index].phase = Phase::Cancelled;
+        }
         for (task, progress) in tasks.iter().enumerate() {
             self.restore_task(now, index, task as id::TaskIndex, progress);
         }
@@ -122,7 +125,8 @@
                 due,
                 missing: 0,
                 throttle: 1000,
-                usage: granted,
+                usage: resource::Amount::ZERO,
+                peak: resource::Amount::ZERO,
                 in_worker: 0,
                 in_job: 0,
                 credited: false,
@@ -136,7 +140,7 @@
         let ids: Vec<_> = self.jobs.iter().map(|(index, _)| index).collect();
         for index in ids {
             let job = &self.jobs[index];
-            if job.cancelled {
+            if job.phase == Phase::Cancelled {
                 self.abandon(now, index, Reason::Cancelled, out);
             } else if job.succeeded == job.tasks {
                 self.finish(index, model::State::Succeeded, out);
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -37,6 +37,7 @@
             });
             return;
         }
+        self.jobs[index].size = self.estimated_size(index);
         self.enqueue(index);
     }
 
@@ -59,11 +60,11 @@
             kind: spec.kind,
             priority: spec.priority,
             size: spec.size,
+            declared: spec.size,
             accelerator: spec.accelerator,
             checkpoint: spec.checkpoint,
             launched: false,
-            cancelled: false,
-            failed: false,
+            phase: job::Phase::Active,
             tasks: spec.tasks,
             succeeded: 0,
             delayed: 0,
@@ -93,12 +94,12 @@
         }
         let mut kind_known = job.accelerator == 0;
         let mut room = 0_u64;
-        for (_, worker) in self.workers.iter() {
-            if job.accelerator != 0 && worker.capacity.accelerator != job.accelerator {
+        for (&(kind, amount), &count) in &self.shapes {
+            if job.accelerator != 0 && kind != job.accelerator {
                 continue;
             }
             kind_known = true;
-            room += u64::from(slots(&worker.capacity.amount, &job.size));
+            room += u64::from(slots(&amount, &job.size)) * u64::from(count);
             if room >= u64::from(at_once) {
                 return None;
             }
@@ -113,7 +114,26 @@
     /// Checks the waiting jobs after the fleet or a limit changed, and tells news.
     pub(crate) fn check_possible(&mut self, out: &mut Vec<Output>) {
         self.possible_pending = false;
-        let _ = out;
+        if self.restored.is_none() || self.unconfirmed > 0 {
+            return;
+        }
+        for slot in 0..self.jobs.slots() {
+            let index: table::Job = table::Index::new(slot);
+            let waits = self.jobs.get(index).is_some_and(|job| !job.waiting.is_empty());
+            if !waits {
+                continue;
+            }
+            let reason = self.impossible(index);
+            let job = &mut self.jobs[index];
+            if let Some(reason) = reason.filter(|_| reason != job.impossible) {
+                out.push(Output::Impossible {
+                    job: job.id,
+                    reason,
+                    refused: false,
+                });
+            }
+            job.impossible = reason;
+        }
     }
 }
 
--- a/crates/schedule/src/pass/verify.rs
+++ b/crates/schedule/src/pass/verify.rs
@@ -1,7 +1,8 @@
 //! Checks the invariants of every structure.
 
-use bronzespoke_model::resource;
+use bronzespoke_model::{job, resource};
 
+use crate::lane::{Place, State};
 use crate::scheduler::Scheduler;
 
 fn check(holds: bool, text: impl FnOnce() -> String) -> Result<(), String> {
@@ -12,7 +13,11 @@
     /// Checks the invariants; returns the first that is broken. Costs time in proportion to the whole state.
     pub fn verify(&self) -> Result<(), String> {
         self.verify_workers()?;
-        self.verify_jobs()
+        self.verify_jobs()?;
+        self.verify_teams()?;
+        self.verify_lanes()?;
+        self.verify_classes()?;
+        self.verify_holds()
     }
 
     fn verify_workers(&self) -> Result<(), String> {
@@ -67,4 +72,107 @@
         }
         Ok(())
     }
+
+    fn verify_teams(&self) -> Result<(), String> {
+        let mut weight = 0;
+        for (index, team) in self.teams.iter() {
+            let mut sums = [resource::Amount::ZERO; 2];
+            let mut runs = 0;
+            for (_, run) in self.runs.iter() {
+                if self.jobs[run.job].team != index {
+                    continue;
+                }
+                runs += 1;
+                if !run.credited {
+                    sums[0] = sums[0].saturating_add(&run.size);
+                    if run.is_ending() {
+                        sums[1] = sums[1].saturating_add(&run.size);
+                    }
+                }
+            }
+            let waiting: u32 = self
+                .jobs
+                .iter()
+                .filter(|(_, job)| job.team == index)
+                .map(|(_, job)| job.waiting.len())
+                .sum();
+            check(sums == [team.used, team.ending], || {
+                format!("team {index:?}: accounts differ from runs")
+            })?;
+            check((runs, waiting) == (team.runs, team.waiting), || {
+                format!("team {index:?}: counts differ")
+            })?;
+            weight += if team.is_active() {
+                u64::from(team.weight)
+            } else {
+                0
+            };
+        }
+        check(weight == self.active_weight, || {
+            format!("active weight {}, teams {weight}", self.active_weight)
+        })
+    }
+
+    fn verify_lanes(&self) -> Result<(), String> {
+        for (index, job) in self.jobs.iter() {
+            let id = job.id;
+            let queued = job.kind != job::Kind::Gang && job.is_active() && !job.waiting.is_empty();
+            check(job.lane.is_some() == queued, || {
+                format!("job {id}: queued wrongly")
+            })?;
+            if let Some(lane) = job.lane {
+                let listed = self.lanes[lane].jobs.get(&job.sequence) == Some(&index);
+                check(listed, || format!("job {id}: not in its lane"))?;
+                let class = &self.classes[self.lanes[lane].class];
+                check(class.size == job.size, || format!("job {id}: wrong class"))?;
+            }
+            let urgent = job.priority == job::Priority::Urgent && job.is_active() && !job.waiting.is_empty();
+            check(!urgent || self.urgent.contains_key(&job.sequence), || {
+                format!("job {id}: not urgent")
+            })?;
+        }
+        for (index, lane) in self.lanes.iter() {
+            let listed = match lane.place {
+                Place::Class(at) => self.classes[lane.class].lanes.get(at) == Some(&index),
+                Place::Team(at) => self.teams[lane.team].held.get(at) == Some(&index),
+            };
+            check(listed && !lane.jobs.is_empty(), || {
+                format!("lane {index:?}: listed wrongly")
+            })?;
+        }
+        Ok(())
+    }
+
+    fn verify_classes(&self) -> Result<(), String> {
+        for (index, class) in self.classes.iter() {
+            let listed = match class.state {
+                State::Idle => class.lanes.is_empty(),
+                State::Open(at) => self.open.get(at) == Some(&index),
+                State::Blocked(at) => self.blocked.get(at).is_some_and(|entry| entry.0 == index),
+            };
+            let filled = class.state == State::Idle || !class.lanes.is_empty();
+            check(listed && filled, || format!("class {index:?}: listed wrongly"))?;
+        }
+        Ok(())
+    }
+
+    fn verify_holds(&self) -> Result<(), String> {
+        for &worker in &self.held {
+            let record = &self.workers[worker];
+            let listed = record.hold.is_some_and(|hold| {
+                self.jobs
+                    .get(hold.job)
+                    .is_some_and(|job| job.holds.contains(&worker))
+            });
+            check(listed, || format!("worker {}: held wrongly", record.id))?;
+        }
+        let held = self
+            .workers
+            .iter()
+            .filter(|(_, worker)| worker.hold.is_some())
+            .count();
+        check(held == self.held.len(), || {
+            format!("{held} holds, {} listed", self.held.len())
+        })
+    }
 }
--- a/crates/schedule/src/run.rs
+++ b/crates/schedule/src/run.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bronzespoke_model::{id, resource};
+use bronzespoke_model::{id, resource, task};
 
 use crate::{message, table};
 
@@ -19,6 +19,34 @@
     Stopping(message::Reason),
 }
 
+/// How a run ended, without its result.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    /// Ran to its end.
+    Succeeded,
+    /// Ended with an error.
+    Failed,
+    /// Stopped on request.
+    Stopped,
+    /// Saved its progress and stopped on request.
+    Checkpointed,
+    /// The lease ran out without a report.
+    LeaseExpired,
+}
+
+impl End {
+    /// Returns the end that an outcome tells.
+    pub(crate) const fn of(outcome: &task::Outcome) -> Self {
+        match outcome {
+            task::Outcome::Succeeded(_) => Self::Succeeded,
+            task::Outcome::Failed => Self::Failed,
+            task::Outcome::Stopped => Self::Stopped,
+            task::Outcome::Checkpointed => Self::Checkpointed,
+            task::Outcome::LeaseExpired => Self::LeaseExpired,
+        }
+    }
+}
+
 /// A run.
 #[derive(Debug)]
 pub(crate) struct Record {
@@ -46,6 +74,8 @@
     pub(crate) throttle: u32,
     /// Measured use at the last report.
     pub(crate) usage: resource::Amount,
+    /// Largest measured use.
+    pub(crate) peak: resource::Amount,
     /// Position in the worker's list.
     pub(crate) in_worker: u32,
     /// Position in the job's list.
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -4,12 +4,12 @@
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
-use bronzespoke_model::{id, resource};
+use bronzespoke_model::{id, job as model_job, resource};
 
 use crate::config::Config;
 use crate::message::{Input, Output};
 use crate::table::Table;
-use crate::{index, job, lane, run, table, team, timer, worker};
+use crate::{estimate, index, job, lane, run, table, team, timer, worker};
 
 /// Timers handled in one step; more wait for the next step, so that no step takes long.
 const TIMERS_PER_STEP: u32 = 512;
@@ -72,6 +72,17 @@
     pub(crate) turns: BinaryHeap<Reverse<Turn>>,
     pub(crate) gangs: BTreeMap<u64, Gang>,
     pub(crate) gangs_dirty: bool,
+    pub(crate) gangs_next: Duration,
+    pub(crate) gangs_look: Duration,
+    /// Gangs for which capacity is reserved.
+    pub(crate) reservations: Vec<table::Job>,
+    /// Held workers on which room was freed in this step.
+    pub(crate) hold_ready: Vec<table::Worker>,
+    pub(crate) urgent_next: Duration,
+    pub(crate) drain_next: Duration,
+    pub(crate) models: HashMap<(table::Team, model_job::Kind), Box<estimate::Model>>,
+    /// Number of workers of each capacity.
+    pub(crate) shapes: HashMap<(id::AcceleratorKind, resource::Amount), u32>,
     pub(crate) urgent: BTreeMap<u64, table::Job>,
     /// Times of the preemptions in the last second.
     pub(crate) preemptions: VecDeque<Duration>,
@@ -129,6 +140,14 @@
             turns: BinaryHeap::new(),
             gangs: BTreeMap::new(),
             gangs_dirty: false,
+            gangs_next: Duration::ZERO,
+            gangs_look: Duration::ZERO,
+            reservations: Vec::new(),
+            hold_ready: Vec::new(),
+            urgent_next: Duration::ZERO,
+            drain_next: Duration::ZERO,
+            models: HashMap::new(),
+            shapes: HashMap::new(),
             urgent: BTreeMap::new(),
             preemptions: VecDeque::new(),
             lost: VecDeque::new(),
@@ -201,7 +220,7 @@
             timer::Event::Retry(job, id, index) => self.release_task(job, id, index),
             timer::Event::Hold(worker, id) => self.hold_due(now, worker, id),
             timer::Event::Probation(worker, id) => self.probation_due(worker, id, out),
-            timer::Event::Gangs => self.gangs_dirty = true,
+            timer::Event::Gangs(look) => self.gangs_dirty |= look,
             timer::Event::Urgent => {}
             timer::Event::Recovery => self.release_lost(now),
             timer::Event::Shares => {
--- a/crates/schedule/src/team.rs
+++ b/crates/schedule/src/team.rs
@@ -2,14 +2,13 @@
 
 use std::time::Duration;
 
-use bronzespoke_model::{id, resource};
+use bronzespoke_model::resource;
 
 use crate::table;
 
 /// A team.
 #[derive(Debug)]
 pub(crate) struct Record {
-    pub(crate) id: id::TeamId,
     pub(crate) weight: u32,
     /// Upper limit over all availability zones.
     pub(crate) limit: resource::Amount,
--- a/crates/schedule/src/timer.rs
+++ b/crates/schedule/src/timer.rs
@@ -23,8 +23,8 @@
     Hold(table::Worker, id::WorkerId),
     /// A worker on probation may be tried again.
     Probation(table::Worker, id::WorkerId),
-    /// Gangs may be tried again.
-    Gangs,
+    /// A pass over the gangs may follow; whether it looks at them even when nothing changed.
+    Gangs(bool),
     /// Urgent work may look for victims again.
     Urgent,
     /// Lost work may be released.
--- a/crates/schedule/src/worker.rs
+++ b/crates/schedule/src/worker.rs
@@ -12,9 +12,14 @@
 pub(crate) struct Hold {
     /// The job.
     pub(crate) job: table::Job,
+    /// Tasks for which room is kept.
+    pub(crate) slots: u32,
+    /// When it began.
+    pub(crate) since: Duration,
     /// When the hold ends.
     pub(crate) until: Duration,
-    /// When the room is expected to be complete; smaller work may run until then.
+    /// When the room is expected to be complete; smaller work may run until then. Zero for an
+    /// urgent job, which keeps all of it.
     pub(crate) ready: Duration,
 }
 
