--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -137,6 +137,9 @@
     fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
         self.restored = Some(now);
         self.next_token = self.next_token.max(next_token);
+        // The former leader may have used the whole rate just now.
+        let rate = self.config.preemptions_per_second as usize;
+        self.preemptions.extend(std::iter::repeat_n(now, rate));
         let ids: Vec<_> = self.jobs.iter().map(|(index, _)| index).collect();
         for index in ids {
             let job = &self.jobs[index];
@@ -144,6 +147,9 @@
                 self.abandon(now, index, Reason::Cancelled, out);
             } else if job.succeeded == job.tasks {
                 self.finish(index, model::State::Succeeded, out);
+            } else if job.kind == model::Kind::Gang && !job.waiting.is_empty() && !job.runs.is_empty() {
+                // A task was lost before the change of leader.
+                self.end_gang(now, index, out);
             }
         }
         self.check_recovered(now, out);
--- /dev/null
+++ b/crates/schedule/tests/cell/check.rs
@@ -0,0 +1,253 @@
+//! The checker.
+
+use std::collections::{BTreeMap, BTreeSet, VecDeque};
+use std::time::Duration;
+
+use bronzespoke_model::{id, job, resource, task, team};
+use bronzespoke_schedule::Output;
+use bronzespoke_schedule::message::{Progress, Reason};
+
+use super::{Job, machine};
+
+/// A lease that the outputs have allocated.
+#[derive(Debug, Clone)]
+struct Lease {
+    task: task::Ref,
+    team: id::TeamId,
+    worker: id::WorkerId,
+    granted: resource::Amount,
+    ending: bool,
+}
+
+#[derive(Debug, Default)]
+pub struct Check {
+    /// First broken rule.
+    pub broken: Option<String>,
+    leases: BTreeMap<id::Token, Lease>,
+    preemptions: VecDeque<Duration>,
+    pub rate: Option<usize>,
+    pub starts: u64,
+    /// Teams whose protected share is checked, with that share.
+    pub protected: BTreeMap<id::TeamId, f64>,
+}
+
+fn sum<'a>(amounts: impl Iterator<Item = &'a resource::Amount>) -> resource::Amount {
+    amounts.fold(resource::Amount::ZERO, |sum, amount| sum.saturating_add(amount))
+}
+
+impl Check {
+    pub fn fail(&mut self, text: String) {
+        self.broken.get_or_insert(text);
+    }
+
+    /// No worker runs more than it has, and no task runs twice.
+    pub fn machines(&mut self, now: Duration, machines: &[machine::Machine]) {
+        let mut places: BTreeMap<task::Ref, id::WorkerId> = BTreeMap::new();
+        for machine in machines {
+            let worker = machine.registration.worker;
+            let used = sum(machine.running.values().map(|process| &process.granted));
+            if !used.fits(&machine.registration.capacity.amount) {
+                self.fail(format!("{now:?}: worker {worker} runs {used:?}"));
+            }
+            for process in machine.running.values() {
+                if let Some(other) = places.insert(process.task, worker) {
+                    self.fail(format!(
+                        "{now:?}: {:?} runs on {other} and {worker}",
+                        process.task
+                    ));
+                }
+            }
+        }
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "the checker sees the whole cell")]
+    pub fn step(
+        &mut self,
+        now: Duration,
+        out: &[Output],
+        jobs: &BTreeMap<id::JobId, Job>,
+        teams: &BTreeMap<id::TeamId, (team::Quota, resource::Amount)>,
+        machines: &[machine::Machine],
+        heard: &BTreeSet<id::WorkerId>,
+    ) {
+        let mut gangs: BTreeMap<id::JobId, u32> = BTreeMap::new();
+        for output in out {
+            match output {
+                Output::Start {
+                    task,
+                    worker,
+                    token,
+                    granted,
+                } => {
+                    let Some(job) = jobs.get(&task.job) else {
+                        self.fail(format!("{now:?}: start of a job that has ended, {task:?}"));
+                        continue;
+                    };
+                    if job.cancelled {
+                        self.fail(format!("{now:?}: start of a cancelled job, {task:?}"));
+                    }
+                    if !heard.contains(worker) {
+                        self.fail(format!("{now:?}: start on {worker}, which is not confirmed"));
+                    }
+                    if job.spec.kind == job::Kind::Gang {
+                        *gangs.entry(task.job).or_default() += 1;
+                    }
+                    self.start(now, *task, job, *worker, *token, granted, teams, machines);
+                }
+                Output::Stop { token, reason, .. } | Output::Checkpoint { token, reason, .. } => {
+                    self.stop(now, *token, *reason, jobs, machines);
+                }
+                Output::Ended { token, .. } if self.leases.remove(token).is_none() => {
+                    self.fail(format!("{now:?}: token {token} ended twice"));
+                }
+                Output::JobDone {
+                    job,
+                    outcome: job::State::Succeeded,
+                } => self.succeeded(*job, jobs, out),
+                _ => {}
+            }
+        }
+        for (job, started) in gangs {
+            let unfinished = Self::unfinished(job, jobs, out).len() as u32;
+            if started != unfinished {
+                self.fail(format!("{now:?}: gang {job} started {started} tasks"));
+            }
+        }
+        self.machines(now, machines);
+    }
+
+    #[allow(clippy::too_many_arguments, reason = "the checker sees the whole cell")]
+    fn start(
+        &mut self,
+        now: Duration,
+        task: task::Ref,
+        job: &Job,
+        worker: id::WorkerId,
+        token: id::Token,
+        granted: &resource::Amount,
+        teams: &BTreeMap<id::TeamId, (team::Quota, resource::Amount)>,
+        machines: &[machine::Machine],
+    ) {
+        self.starts += 1;
+        if self.leases.values().any(|lease| lease.task == task) {
+            self.fail(format!("{now:?}: {task:?} is started while it holds a lease"));
+        }
+        let lease = Lease {
+            task,
+            team: job.team,
+            worker,
+            granted: *granted,
+            ending: false,
+        };
+        self.leases.insert(token, lease);
+        let on_worker = self.leases.values().filter(|lease| lease.worker == worker);
+        let used = sum(on_worker.map(|lease| &lease.granted));
+        let machine = machines
+            .iter()
+            .find(|machine| machine.registration.worker == worker);
+        let capacity = machine.map_or_else(Default::default, |machine| machine.registration.capacity);
+        if !used.fits(&capacity.amount) {
+            self.fail(format!("{now:?}: worker {worker} is allocated {used:?}"));
+        }
+        if job.spec.accelerator != 0 && job.spec.accelerator != capacity.accelerator {
+            self.fail(format!("{now:?}: {task:?} has the wrong accelerator kind"));
+        }
+        let used = self.team_use(job.team, false);
+        if !used.fits(&teams[&job.team].1) {
+            self.fail(format!("{now:?}: team {} is allocated {used:?}", job.team));
+        }
+    }
+
+    fn team_use(&self, team: id::TeamId, without_ending: bool) -> resource::Amount {
+        let leases = self.leases.values().filter(|lease| lease.team == team);
+        sum(leases
+            .filter(|lease| !(without_ending && lease.ending))
+            .map(|lease| &lease.granted))
+    }
+
+    fn stop(
+        &mut self,
+        now: Duration,
+        token: id::Token,
+        reason: Reason,
+        jobs: &BTreeMap<id::JobId, Job>,
+        machines: &[machine::Machine],
+    ) {
+        let Some(lease) = self.leases.get_mut(&token) else {
+            return;
+        };
+        if std::mem::replace(&mut lease.ending, true) {
+            return;
+        }
+        let (job, team) = (lease.task.job, lease.team);
+        if reason == Reason::Drained && jobs[&job].spec.kind == job::Kind::Service {
+            let up = self
+                .leases
+                .values()
+                .filter(|lease| lease.task.job == job && !lease.ending);
+            if up.count() as u32 + 1 < jobs[&job].spec.tasks {
+                self.fail(format!("{now:?}: a drain takes down a second task of {job}"));
+            }
+        }
+        if reason != Reason::Preempted {
+            return;
+        }
+        self.preemptions.push_back(now);
+        while self
+            .preemptions
+            .front()
+            .is_some_and(|at| *at + Duration::from_secs(1) <= now)
+        {
+            self.preemptions.pop_front();
+        }
+        if self.rate.is_some_and(|rate| self.preemptions.len() > rate) {
+            self.fail(format!(
+                "{now:?}: {} preemptions in a second",
+                self.preemptions.len()
+            ));
+        }
+        if let Some(&share) = self.protected.get(&team) {
+            let alive = machines.iter().filter(|machine| machine.alive);
+            let total = sum(alive.map(|machine| &machine.registration.capacity.amount));
+            let left = self.team_use(team, true).dominant_share(&total);
+            if left < share - 1e-9 {
+                self.fail(format!("{now:?}: team {team} is pushed to {left}, below {share}"));
+            }
+        }
+    }
+
+    /// Returns the tasks of a job that have not succeeded after a step.
+    fn unfinished(id: id::JobId, jobs: &BTreeMap<id::JobId, Job>, out: &[Output]) -> BTreeSet<usize> {
+        let job = &jobs[&id];
+        let mut left: BTreeSet<usize> = (0..job.tasks.len()).collect();
+        left.retain(|index| job.tasks[*index] != Progress::Succeeded);
+        for output in out {
+            if let Output::Ended { task, outcome, .. } = output
+                && task.job == id
+                && matches!(outcome, task::Outcome::Succeeded(_))
+            {
+                left.remove(&(task.index as usize));
+            }
+        }
+        left
+    }
+
+    /// A job succeeds only when every task has succeeded.
+    fn succeeded(&mut self, id: id::JobId, jobs: &BTreeMap<id::JobId, Job>, out: &[Output]) {
+        let left = Self::unfinished(id, jobs, out);
+        if !left.is_empty() || jobs[&id].cancelled {
+            self.fail(format!("job {id} is reported as succeeded without {left:?}"));
+        }
+    }
+
+    /// Tells whether a team holds more than an amount.
+    pub fn is_over(&self, team: id::TeamId, part: &resource::Amount) -> bool {
+        !self.team_use(team, false).fits(part)
+    }
+
+    /// Returns how many leases of a job are on each worker.
+    pub fn places(&self, job: id::JobId) -> Vec<id::WorkerId> {
+        let leases = self.leases.values().filter(|lease| lease.task.job == job);
+        leases.map(|lease| lease.worker).collect()
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/cell/machine.rs
@@ -0,0 +1,196 @@
+//! A modelled worker.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bronzespoke_model::{id, resource, task, worker};
+use bronzespoke_schedule::Output;
+use rand::Rng;
+use rand::rngs::SmallRng;
+
+use super::LEASE;
+
+/// A task that really runs.
+#[derive(Debug, Clone)]
+pub struct Process {
+    pub task: task::Ref,
+    pub granted: resource::Amount,
+    pub ends: Duration,
+    pub stops: Option<(Duration, task::Outcome)>,
+    /// Set for what a former life left running.
+    pub orphan_until: Option<Duration>,
+}
+
+#[derive(Debug)]
+pub struct Machine {
+    pub registration: worker::Registration,
+    pub alive: bool,
+    pub cut_until: Duration,
+    pub running: BTreeMap<id::Token, Process>,
+    /// Ended tasks with the number of the first report that named them.
+    pub ended: Vec<(u64, worker::Ended)>,
+    refused: BTreeSet<id::Token>,
+    pub sequence: u64,
+    pub next_report: Duration,
+    pub lease_until: Duration,
+    /// Whether the lease has run out, so that the worker must register again.
+    pub lapsed: bool,
+    /// Whether every task fails here.
+    pub faulty: bool,
+    /// Longest run time of a task, in milliseconds.
+    pub longest: u64,
+}
+
+impl Machine {
+    pub fn new(registration: worker::Registration, now: Duration) -> Self {
+        Self {
+            registration,
+            alive: true,
+            cut_until: Duration::ZERO,
+            running: BTreeMap::new(),
+            ended: Vec::new(),
+            refused: BTreeSet::new(),
+            sequence: 0,
+            next_report: now + Duration::from_millis(500),
+            lease_until: now + LEASE,
+            lapsed: false,
+            faulty: false,
+            longest: 20_000,
+        }
+    }
+
+    pub fn restart(&mut self, now: Duration) -> worker::Registration {
+        let until = self.lease_until;
+        for process in self.running.values_mut() {
+            process.orphan_until.get_or_insert(until);
+        }
+        self.registration.incarnation += 1;
+        self.ended.clear();
+        self.refused.clear();
+        self.sequence = 0;
+        self.next_report = now;
+        self.lease_until = now + LEASE;
+        self.lapsed = false;
+        self.registration
+    }
+
+    pub fn advance(&mut self, now: Duration) {
+        if now >= self.lease_until {
+            self.running.retain(|_, process| process.orphan_until.is_some());
+            self.lapsed = true;
+        }
+        let sequence = self.sequence + 1;
+        let faulty = self.faulty;
+        let ended = &mut self.ended;
+        self.running.retain(|token, process| {
+            if let Some(until) = process.orphan_until {
+                return now < until;
+            }
+            let stop = process.stops.clone().filter(|(at, _)| *at <= now);
+            let outcome = match stop {
+                Some((_, outcome)) => outcome,
+                None if process.ends > now => return true,
+                None if faulty => task::Outcome::Failed,
+                None => task::Outcome::Succeeded(String::new()),
+            };
+            ended.push((
+                sequence,
+                worker::Ended {
+                    task: process.task,
+                    token: *token,
+                    outcome,
+                },
+            ));
+            false
+        });
+    }
+
+    pub fn report(&mut self, now: Duration) -> worker::Report {
+        self.sequence += 1;
+        self.next_report = now + Duration::from_secs(3);
+        worker::Report {
+            worker: self.registration.worker,
+            incarnation: self.registration.incarnation,
+            sequence: self.sequence,
+            running: self
+                .running
+                .iter()
+                .filter(|(_, process)| process.orphan_until.is_none())
+                .map(|(token, process)| worker::Running {
+                    task: process.task,
+                    token: *token,
+                    usage: process.granted,
+                })
+                .collect(),
+            ended: self.ended.iter().map(|(_, ended)| ended.clone()).collect(),
+        }
+    }
+
+    pub fn acknowledge(&mut self, sent: Duration, sequence: u64) {
+        self.lease_until = self.lease_until.max(sent + LEASE);
+        self.ended.retain(|(first, _)| *first > sequence);
+    }
+
+    pub fn obey(
+        &mut self,
+        now: Duration,
+        incarnation: id::Incarnation,
+        order: &Output,
+        random: &mut SmallRng,
+    ) {
+        if !self.alive || incarnation != self.registration.incarnation {
+            return;
+        }
+        match order {
+            Output::Start {
+                task, token, granted, ..
+            } => {
+                let known = self.running.contains_key(token) || !self.refused.insert(*token);
+                if known || now >= self.lease_until {
+                    return;
+                }
+                let least = if self.faulty { 100 } else { 500 };
+                let time = random.random_range(least..=self.longest.max(least));
+                self.running.insert(
+                    *token,
+                    Process {
+                        task: *task,
+                        granted: *granted,
+                        ends: now + Duration::from_millis(if self.faulty { least } else { time }),
+                        stops: None,
+                        orphan_until: None,
+                    },
+                );
+            }
+            Output::Stop { task, token, .. } => self.stop(now, *task, *token, task::Outcome::Stopped, random),
+            Output::Checkpoint { task, token, .. } => {
+                self.stop(now, *task, *token, task::Outcome::Checkpointed, random);
+            }
+            _ => {}
+        }
+        // A directive is answered at the next report, which comes at once.
+        self.next_report = self.next_report.min(now + Duration::from_millis(100));
+    }
+
+    fn stop(
+        &mut self,
+        now: Duration,
+        task: task::Ref,
+        token: id::Token,
+        outcome: task::Outcome,
+        random: &mut SmallRng,
+    ) {
+        self.refused.insert(token);
+        if let Some(process) = self.running.get_mut(&token) {
+            let takes = Duration::from_millis(random.random_range(0..400));
+            process.stops.get_or_insert((now + takes, outcome));
+        } else if !self.ended.iter().any(|(_, ended)| ended.token == token) {
+            let ended = worker::Ended {
+                task,
+                token,
+                outcome: task::Outcome::Stopped,
+            };
+            self.ended.push((self.sequence + 1, ended));
+        }
+    }
+}
--- /dev/null
+++ b/crates/schedule/tests/history.rs
@@ -0,0 +1,161 @@
+//! Random histories: guards against overfilled workers, tasks in two places, teams over their part, broken gangs and
+//! corrupt structures under late, lost, repeated and former-life messages, restarts and changes of leader. Every
+//! rule is also switched off once, to show that the checker notices.
+
+mod cell;
+
+use std::time::Duration;
+
+use bronzespoke_model::{job, resource};
+use bronzespoke_schedule::Config;
+use bronzespoke_schedule::config::Rules;
+use cell::{Action, Cell};
+use proptest::prelude::*;
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const WORKERS: u64 = 8;
+const RATE: u32 = 2;
+
+fn action(random: &mut SmallRng) -> Action {
+    let nth = random.random_range(0..64);
+    match random.random_range(0..100) {
+        0..22 => Action::Submit {
+            team: random.random_range(1..=3),
+            spec: spec(random),
+        },
+        22..27 => Action::Cancel { nth },
+        27..30 => Action::Drain {
+            nth,
+            on: random.random_bool(0.4),
+        },
+        30..33 => Action::Part {
+            team: random.random_range(1..=3),
+            percent: random.random_range(5..=60),
+        },
+        33..37 => Action::Cut {
+            nth,
+            seconds: random.random_range(2..20),
+        },
+        37..40 => Action::Restart { nth },
+        40 => Action::Failover,
+        _ => Action::Wait {
+            millis: random.random_range(100..1500),
+        },
+    }
+}
+
+fn spec(random: &mut SmallRng) -> job::Spec {
+    let kind = match random.random_range(0..10) {
+        0..2 => job::Kind::Service,
+        2..4 => job::Kind::Gang,
+        _ => job::Kind::Batch,
+    };
+    let mut spec = cell::spec(
+        kind,
+        random.random_range(1..=6),
+        random.random_range(1..=8) * 500,
+        random.random_range(1..20),
+    );
+    if random.random_bool(0.3) {
+        spec.size.accelerators = random.random_range(1..=2);
+        spec.accelerator = 1;
+    }
+    if random.random_bool(0.15) {
+        spec.priority = job::Priority::Urgent;
+    }
+    spec.checkpoint = random.random_bool(0.5);
+    spec
+}
+
+fn cell(seed: u64, rules: Rules, loss: u32) -> Cell {
+    let config = Config {
+        rules,
+        preemptions_per_second: RATE,
+        ..Config::default()
+    };
+    let mut cell = Cell::new(seed, config, WORKERS, loss);
+    cell.check.rate = Some(RATE as usize);
+    let part = resource::Amount::new(30_000, 30_000, 8);
+    for team in 1..=3 {
+        cell.set_team(team, team, part);
+    }
+    cell
+}
+
+/// Runs a history; returns the first broken rule.
+fn history(seed: u64, rules: Rules, loss: u32, actions: &[Action]) -> Option<String> {
+    let mut cell = cell(seed, rules, loss);
+    for action in actions {
+        cell.apply(action);
+        if let Some(text) = cell.check.broken.take() {
+            return Some(text);
+        }
+    }
+    cell.loss = 0;
+    cell.run(Duration::from_secs(60));
+    let over: Vec<_> = cell
+        .teams
+        .iter()
+        .filter(|(team, (_, part))| cell.check.is_over(**team, part))
+        .map(|(team, _)| *team)
+        .collect();
+    if !over.is_empty() {
+        cell.check.fail(format!("teams {over:?} stay over their part"));
+    }
+    cell.check.broken.take()
+}
+
+fn actions(seed: u64, count: usize) -> Vec<Action> {
+    let mut random = SmallRng::seed_from_u64(seed);
+    (0..count).map(|_| action(&mut random)).collect()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
+
+    #[test]
+    fn every_invariant_holds_over_random_histories(
+        seed in any::<u64>(),
+        seeds in prop::collection::vec(any::<u64>(), 50..250),
+        loss in 0_u32..25,
+    ) {
+        let actions: Vec<_> = seeds
+            .iter()
+            .map(|seed| action(&mut SmallRng::seed_from_u64(*seed)))
+            .collect();
+        prop_assert_eq!(history(seed, Rules::default(), loss, &actions), None);
+    }
+}
+
+/// Tells which rule a history breaks first with a rule switched off, over a number of seeds.
+fn noticed(rules: Rules, text: &str) -> bool {
+    (0..60)
+        .any(|seed| history(seed, rules, 20, &actions(seed, 200)).is_some_and(|broken| broken.contains(text)))
+}
+
+#[yare::parameterized(
+    stopping = { Rules { count_stopping: false, ..Rules::default() }, "worker" },
+    expiry = { Rules { await_expiry: false, ..Rules::default() }, "runs on" },
+    limit = { Rules { team_limit: false, ..Rules::default() }, "team" },
+    incarnation = { Rules { fence_incarnation: false, ..Rules::default() }, "runs on" },
+    sequence = { Rules { fence_sequence: false, ..Rules::default() }, "runs on" },
+    gang = { Rules { gang_whole: false, ..Rules::default() }, "gang" },
+    drain = { Rules { drain_one: false, ..Rules::default() }, "drain" },
+    restored = { Rules { confirm_restored: false, ..Rules::default() }, "not confirmed" },
+    rate = { Rules { preemption_rate: false, ..Rules::default() }, "preemptions in a second" },
+)]
+fn the_checker_notices_a_missing_rule(rules: Rules, text: &str) {
+    assert!(noticed(rules, text), "no history shows `{text}`");
+}
+
+#[test]
+#[ignore]
+fn scan() {
+    let mut c = cell(0, Rules::default(), 5); for a in actions(0,200) { c.apply(&a); } println!("SCAN starts {} {:?}", c.check.starts, c.scheduler.measures(c.now));
+    for seed in 0..4000 {
+        if let Some(text) = history(seed, Rules::default(), (seed % 25) as u32, &actions(seed, 200)) {
+            println!("SCAN {seed}: {text}");
+        }
+    }
+}
