--- a/crates/schedule/tests/history.rs
+++ b/crates/schedule/tests/history.rs
@@ -152,7 +152,11 @@
 #[test]
 #[ignore]
 fn scan() {
-    let mut c = cell(0, Rules::default(), 5); for a in actions(0,200) { c.apply(&a); } println!("SCAN starts {} {:?}", c.check.starts, c.scheduler.measures(c.now));
+    let mut c = cell(0, Rules::default(), 5);
+    for a in actions(0, 200) {
+        c.apply(&a);
+    }
+    println!("SCAN starts {} {:?}", c.check.starts, c.scheduler.measures(c.now));
     for seed in 0..4000 {
         if let Some(text) = history(seed, Rules::default(), (seed % 25) as u32, &actions(seed, 200)) {
             println!("SCAN {seed}: {text}");
