Bound the memory of an answer to a slow caller, and test faulty targets and callers

Cause: hyper's pipeline_flush lets every write be buffered, so a caller that took nothing of a 64 MiB answer made the gateway hold all of it and the target count as done. Before: the stalled caller's target connection was back in the pool. After: without pipeline_flush the answer waits in the sockets and both connections are closed.

Also: an error about an unknown JSON field names that field, and a new flow starts with a full retry budget, because a flow of eight requests could not retry two cut answers.

--- a/crates/gateway/src/filter/json.rs
+++ b/crates/gateway/src/filter/json.rs
@@ -7,11 +7,20 @@
 /// Parses a JSON body.
 pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, fault::Fault> {
     serde_json::from_slice(body).map_err(|error| {
-        let field = field_before(body, error.line(), error.column());
-        fault::Fault::field(field.unwrap_or("body"), error.to_string())
+        let message = error.to_string();
+        let field = named(&message).or_else(|| field_before(body, error.line(), error.column()));
+        fault::Fault::field(field.unwrap_or("body"), message.as_str())
     })
 }
 
+/// Returns the field that an error about an unknown or missing field names.
+fn named(message: &str) -> Option<&str> {
+    let rest = ["unknown field `", "missing field `"]
+        .iter()
+        .find_map(|start| message.strip_prefix(start))?;
+    rest.split('`').next()
+}
+
 /// Returns the last object key before a position, which is the field that a type error is about.
 fn field_before(body: &[u8], line: usize, column: usize) -> Option<&str> {
     let start: usize = body
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -37,11 +37,11 @@
         let context = Arc::clone(&shared);
         async move { Ok::<_, Infallible>(routes::handle(context, request).await) }
     });
+    // `pipeline_flush` stays off: with it hyper buffers an answer without bound when the caller is slow.
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
         .header_read_timeout(context.settings.header_timeout)
         .max_buf_size(BUFFER_BYTES)
-        .pipeline_flush(true)
         .serve_connection(io, handler);
     tokio::pin!(connection);
     // The connection comes first, so that a request that has arrived is read before the connection is closed.
--- /dev/null
+++ b/crates/gateway/tests/callers.rs
@@ -0,0 +1,272 @@
+//! Callers that are slow, many, absent or wrong: guards against held memory and slots, and unclear refusals.
+
+mod common;
+
+use std::{fmt::Write as _, sync::Arc, time::Duration};
+
+use bronzespoke_gateway::settings;
+use bronzespoke_standin::{
+    caller,
+    target::{Behaviour, Target},
+};
+use http::{Method, StatusCode};
+use tokio::{
+    io::{AsyncReadExt, AsyncWriteExt},
+    net::TcpStream,
+};
+
+const ECHO: Behaviour = Behaviour::Echo(Duration::ZERO);
+const PATH: &str = "/v2/services/lineage/requests";
+const AUTH: (&str, &str) = ("authorization", "Bearer dojo-key");
+
+async fn target(behaviour: Behaviour) -> Target {
+    Target::start(8, behaviour).await.expect("the target starts")
+}
+
+fn quick() -> settings::Settings {
+    settings::Settings {
+        header_timeout: Duration::from_millis(200),
+        stall_timeout: Duration::from_millis(200),
+        ..settings::Settings::default()
+    }
+}
+
+async fn raw(cell: &common::Cell, bytes: &[u8]) -> TcpStream {
+    let mut stream = TcpStream::connect(cell.server.address()).await.expect("connects");
+    stream.write_all(bytes).await.expect("writes");
+    stream
+}
+
+async fn read_all(mut stream: TcpStream) -> String {
+    let mut text = Vec::new();
+    // A reset ends the reading as a close does.
+    drop(stream.read_to_end(&mut text).await);
+    String::from_utf8_lossy(&text).into_owned()
+}
+
+/// Guards against a slow header that holds a connection for ever.
+#[tokio::test]
+async fn a_slow_header_is_cut_off() {
+    let target = target(ECHO).await;
+    let cell = common::cell_with(&[&target], quick(), common::view()).await;
+    let stream = raw(&cell, b"POST /v2/services/lineage/requests HTTP/1.1\r\nhos").await;
+    read_all(stream).await;
+    common::eventually("the connection is closed", || cell.server.connections() == 0).await;
+}
+
+/// Guards against a slow body that holds memory or a target's slot.
+#[tokio::test]
+async fn a_slow_body_is_refused() {
+    let target = target(ECHO).await;
+    let cell = common::cell_with(&[&target], quick(), common::view()).await;
+    let head = b"POST /v2/services/lineage/requests HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\ncontent-length: 10\r\n\r\nabc";
+    let text = read_all(raw(&cell, head).await).await;
+    assert!(
+        text.starts_with("HTTP/1.1 408") && text.contains("not run"),
+        "{text}"
+    );
+    assert_eq!(target.runs(), 0);
+}
+
+/// Guards against a body that is held although it is over the limit.
+#[yare::parameterized(
+    announced = { "content-length: 9999999\r\n\r\n".to_owned() },
+    chunked = { format!("transfer-encoding: chunked\r\n\r\n200000\r\n{}\r\n0\r\n\r\n", "x".repeat(0x20_0000)) },
+)]
+#[test_macro(tokio::test)]
+async fn a_body_over_the_limit_is_refused(rest: String) {
+    let target = target(ECHO).await;
+    let cell = common::cell(&[&target]).await;
+    let head = format!("POST {PATH} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\n{rest}");
+    let mut stream = TcpStream::connect(cell.server.address()).await.expect("connects");
+    let (mut reader, mut writer) = stream.split();
+    let mut answer = vec![0; 4096];
+    // The server may close before it has taken the whole body, so a failed write is allowed.
+    let (length, _) = tokio::join!(reader.read(&mut answer), writer.write_all(head.as_bytes()));
+    let text = String::from_utf8_lossy(&answer[..length.unwrap_or(0)]).into_owned();
+    assert!(
+        text.starts_with("HTTP/1.1 413") && text.contains("1048576 are allowed"),
+        "{text}"
+    );
+    assert_eq!(target.runs(), 0);
+}
+
+/// Guards against pipelined requests that are lost or answered out of order.
+#[tokio::test]
+async fn pipelined_requests_are_answered_in_order() {
+    let target = target(ECHO).await;
+    let cell = common::cell(&[&target]).await;
+    let mut bytes = String::new();
+    for number in 0..5 {
+        let close = if number == 4 { "connection: close\r\n" } else { "" };
+        write!(
+            bytes,
+            "POST {PATH} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\n{close}content-length: 6\r\n\r\nbelt-{number}"
+        )
+        .expect("a string takes every text");
+    }
+    let text = read_all(raw(&cell, bytes.as_bytes()).await).await;
+    let places: Vec<_> = (0..5)
+        .map(|number| text.find(&format!("belt-{number}")))
+        .collect();
+    assert!(places.iter().all(Option::is_some) && places.is_sorted(), "{text}");
+}
+
+/// Guards against idle connections that keep others from being served.
+#[tokio::test]
+async fn many_idle_connections_do_no_harm() {
+    let target = target(ECHO).await;
+    let cell = common::cell(&[&target]).await;
+    let mut idle = Vec::new();
+    for _ in 0..2000 {
+        idle.push(TcpStream::connect(cell.server.address()).await.expect("connects"));
+    }
+    common::eventually("all are accepted", || cell.server.connections() == 2000).await;
+    let answer = caller::request(cell.server.address(), "lineage", common::KEY, None, "x").await;
+    assert_eq!(answer.expect("answers").status, StatusCode::OK);
+}
+
+/// Guards against repeatable work that goes on for nobody, and against a lost non-repeatable answer.
+#[tokio::test]
+async fn a_caller_that_leaves_cancels_repeatable_work_only() {
+    let target = target(Behaviour::Echo(Duration::from_millis(300))).await;
+    let cell = common::cell(&[&target]).await;
+    let head = "host: e\r\nauthorization: Bearer dojo-key\r\ncontent-length: 1\r\n";
+    let repeatable = raw(&cell, format!("POST {PATH} HTTP/1.1\r\n{head}\r\nr").as_bytes()).await;
+    let claimed = raw(
+        &cell,
+        format!("POST {PATH} HTTP/1.1\r\n{head}idempotency-key: id\r\n\r\nc").as_bytes(),
+    )
+    .await;
+    common::eventually("both run", || target.runs() == 2).await;
+    drop((repeatable, claimed));
+    common::eventually("the answer is stored", || {
+        let claims = cell.control.claims.lock().expect("no test panics with the lock");
+        claims.values().any(Option::is_some)
+    })
+    .await;
+    let again = caller::request(cell.server.address(), "lineage", common::KEY, Some("id"), "c").await;
+    assert_eq!(again.expect("answers").text(), "c");
+    assert_eq!(target.runs_of(b"c"), 1);
+    common::eventually("one connection is left", || target.connections().0 == 1).await;
+}
+
+/// Guards against a caller that takes no answer and so holds a target's slot for ever.
+#[tokio::test]
+async fn a_caller_that_takes_nothing_is_cut_off() {
+    let target = target(Behaviour::Long(64 << 20)).await;
+    let cell = common::cell_with(&[&target], quick(), common::view()).await;
+    let head = format!(
+        "POST {PATH} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\ncontent-length: 0\r\n\r\n"
+    );
+    let _stream = raw(&cell, head.as_bytes()).await;
+    common::eventually("it runs", || target.runs() == 1).await;
+    common::eventually("the caller's connection is closed", || {
+        cell.server.connections() == 0
+    })
+    .await;
+    common::eventually("the target's connection is closed", || {
+        target.connections().0 == 0
+    })
+    .await;
+    assert_eq!(cell.server.in_flight(), 0);
+}
+
+/// Guards against keyed work under an old view or a withdrawn key, and against open queues that stop with it.
+#[tokio::test]
+async fn keys_need_a_fresh_view() {
+    let target = target(ECHO).await;
+    let cell = common::cell(&[&target]).await;
+    let mut view = common::view();
+    view.keys.clear();
+    cell.view.send_replace(Arc::new(view));
+    let address = cell.server.address();
+    let withdrawn = caller::request(address, "lineage", common::KEY, None, "x")
+        .await
+        .expect("answers");
+    assert_eq!(withdrawn.status, StatusCode::UNAUTHORIZED);
+    assert!(!withdrawn.text().contains(common::KEY), "a key is never repeated");
+    let stale = common::stale(&[&target]).await;
+    let address = stale.server.address();
+    let refused = caller::request(address, "lineage", common::KEY, None, "x")
+        .await
+        .expect("answers");
+    assert_eq!(refused.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(refused.json()["error"]["run"], "not run");
+    let open = caller::send(address, Method::POST, "/v2/queues/diplomas/requests", &[], "x").await;
+    assert_eq!(open.expect("answers").status, StatusCode::OK);
+}
+
+/// Guards against a refusal that does not name the field, the value and what is allowed.
+#[yare::parameterized(
+    path = { Method::GET, "/v3/x", &[], "", 404, "path", "/v3/x" },
+    method = { Method::GET, PATH, &[], "", 405, "method", "POST" },
+    no_key = { Method::POST, PATH, &[], "", 401, "authorization", "Bearer KEY" },
+    bad_key = { Method::POST, PATH, &[("authorization", "Basic x")], "", 401, "authorization", "Bearer KEY" },
+    service = { Method::POST, "/v2/services/judo/requests", &[AUTH], "", 404, "service", "judo" },
+    queue = { Method::POST, "/v2/queues/judo/requests", &[], "", 404, "queue", "judo" },
+    queue_id = { Method::POST, "/v2/queues/diplomas/requests", &[("idempotency-key", "a")], "", 400, "idempotency-key", "without" },
+    deadline = { Method::POST, PATH, &[AUTH, ("bronzespoke-deadline-ms", "-5")], "", 400, "bronzespoke-deadline-ms", "-5" },
+    id = { Method::POST, PATH, &[AUTH, ("idempotency-key", "a b")], "", 400, "idempotency-key", "a b" },
+    job_id = { Method::GET, "/v2/jobs/belt", &[AUTH], "", 400, "job", "belt" },
+    job_json = { Method::POST, "/v2/jobs", &[AUTH], "{", 400, "body", "EOF" },
+    job_type = { Method::POST, "/v2/jobs", &[AUTH], r#"{"kind":"batch","tasks":-1,"size":{}}"#, 400, "tasks", "-1" },
+    job_field = { Method::POST, "/v2/jobs", &[AUTH], r#"{"colour":1}"#, 400, "colour", "expected one of" },
+    job_tasks = { Method::POST, "/v2/jobs", &[AUTH], r#"{"kind":"batch","tasks":10001,"size":{"cpu_milli":1}}"#, 400, "tasks", "1 to 10000" },
+    job_size = { Method::POST, "/v2/jobs", &[AUTH], r#"{"kind":"batch","tasks":1,"size":{}}"#, 400, "size", "above 0" },
+    target_id = { Method::PUT, "/v2/targets/6", &[], r#"{"target":5,"incarnation":1,"service":"lineage","address":"127.0.0.1:9","slots":8,"connections":64}"#, 400, "target", "`5` differs from `6`" },
+    slots = { Method::PUT, "/v2/targets/5", &[], r#"{"target":5,"incarnation":1,"service":"lineage","address":"127.0.0.1:9","slots":0,"connections":64}"#, 400, "slots", "1 and more" },
+    depart = { Method::DELETE, "/v2/targets/5", &[], "", 400, "incarnation", "incarnation=NUMBER" },
+    old_cpu = { Method::POST, "/v1/job", &[], r#"{"key":"dojo-key","command":"x","cpu":-1}"#, 400, "cpu", "-1" },
+    old_wait = { Method::POST, "/v1/request", &[], r#"{"key":"dojo-key","service":"lineage","timeout":0,"body":""}"#, 400, "timeout", "above 0" },
+)]
+#[test_macro(tokio::test)]
+async fn refusal(
+    method: Method,
+    path: &str,
+    headers: &[(&str, &str)],
+    body: &'static str,
+    status: u16,
+    field: &str,
+    part: &str,
+) {
+    let target = target(ECHO).await;
+    let cell = common::cell(&[&target]).await;
+    let answer = caller::send(cell.server.address(), method, path, headers, body)
+        .await
+        .expect("answers");
+    let error = &answer.json()["error"];
+    assert_eq!(
+        (answer.status.as_u16(), error["field"].as_str()),
+        (status, Some(field)),
+        "{error}"
+    );
+    assert!(
+        error["message"]
+            .as_str()
+            .is_some_and(|message| message.contains(part)),
+        "{error}"
+    );
+    assert_eq!(error["run"], "not run");
+    assert_eq!(target.runs(), 0);
+}
+
+/// Guards against headers that are held or passed on although they are over the limit.
+#[tokio::test]
+async fn large_headers_are_refused() {
+    let target = target(ECHO).await;
+    let cell = common::cell(&[&target]).await;
+    let long = "x".repeat(20_000);
+    let answer = caller::send(
+        cell.server.address(),
+        Method::POST,
+        PATH,
+        &[AUTH, ("x-long", &long)],
+        "",
+    )
+    .await;
+    assert_eq!(
+        answer.expect("answers").status,
+        StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
+    );
+}
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -89,6 +89,21 @@
     targets: &[&standin::Target],
     settings: settings::Settings,
     view: control::View,
+) -> Cell {
+    // Far ahead, so that a slow machine does not let the view go stale.
+    start(targets, settings, view, Some(Duration::from_hours(1))).await
+}
+
+/// A cell whose view was never confirmed.
+pub async fn stale(targets: &[&standin::Target]) -> Cell {
+    start(targets, settings::Settings::default(), view(), None).await
+}
+
+async fn start(
+    targets: &[&standin::Target],
+    settings: settings::Settings,
+    view: control::View,
+    basis: Option<Duration>,
 ) -> Cell {
     let (calls, receiver) = mpsc::channel(control::CALL_QUEUE);
     let usable = targets
@@ -109,8 +124,9 @@
         freshness: freshness.clone(),
         place: PLACE,
     };
-    // Far ahead, so that a slow machine does not let the view go stale.
-    freshness.advance(Duration::from_hours(1));
+    if let Some(basis) = basis {
+        freshness.advance(basis);
+    }
     let control = Arc::new(Control::default());
     tokio::spawn(answer_calls(receiver, Arc::clone(&control)));
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
@@ -206,3 +222,14 @@
         control::Call::Load(..) | control::Call::Event(_) => {}
     }
 }
+
+/// Waits until `condition` holds; the limit is only a safety stop.
+pub async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
+    for _ in 0..3000 {
+        if condition() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+    panic!("did not happen in 30 s: {what}");
+}
--- a/crates/request/src/retry.rs
+++ b/crates/request/src/retry.rs
@@ -89,7 +89,8 @@
             return;
         }
         let earned = f64::from(self.percent.min(100)) / 100.0;
-        let budget = self.budgets.entry(flow).or_insert(1.0);
+        // A new flow starts with a full budget, else a quiet flow could never retry.
+        let budget = self.budgets.entry(flow).or_insert(BUDGET_CAP);
         *budget = (*budget + earned).min(BUDGET_CAP);
     }
 
