--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -187,8 +187,7 @@
         };
         match tokio::time::timeout_at(self.instant(ask.deadline), receiver).await {
             Ok(Ok(admitted)) => Ok(admitted),
-            Ok(Err(_)) => Err(full(Duration::from_secs(1))),
-            Err(_) => Err(refused(admission::Reason::Deadline, Duration::from_secs(1))),
+            Ok(Err(_)) | Err(_) => Err(refused(admission::Reason::Deadline, Duration::from_secs(1))),
         }
     }
 
@@ -271,7 +270,12 @@
     fn wake(self: &Arc<Self>, decider: &mut Decider, now: Duration, service: id::ServiceId) {
         loop {
             let free = decider.router.free(now, service);
-            let Some(ticket) = decider.admission.next(now, service, free) else {
+            let next = decider.admission.next(now, service, free);
+            while let Some(expired) = decider.admission.expired() {
+                // Its waiter sees the closed channel and answers `not run`.
+                decider.waiting.remove(&expired.id);
+            }
+            let Some(ticket) = next else {
                 return;
             };
             let ask = Ask {
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -30,8 +30,13 @@
 const LIMIT_INCREASE: f64 = 2.0;
 /// Weight of a new sample in the running means.
 const SMOOTHING: f64 = 0.05;
-/// Run times that have to fit between the start and the deadline.
-const RUN_TIME_MARGIN: f64 = 1.5;
+/// Deviations above the mean that the expected run time covers.
+const RUN_TIME_DEVIATIONS: f64 = 3.0;
+/// Part of the time left before the deadline that a request may be expected to wait; the rest covers errors of the
+/// estimate.
+const WAIT_PART: f64 = 0.5;
+/// Part of answers in a round that may be signs of overload before the limit is lowered.
+const OVERLOAD_PART: f64 = 0.1;
 
 /// Whom a request is charged to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -118,9 +123,11 @@
 struct Service {
     in_flight: u32,
     limit: f64,
-    lowered_at: Duration,
+    round_at: Duration,
     virtual_time: f64,
     run_time: f64,
+    deviation: f64,
+    round: (u32, u32),
     interval: f64,
     last_start: Duration,
     waiting: usize,
@@ -138,6 +145,7 @@
     services: HashMap<id::ServiceId, Service>,
     owners: HashMap<Owner, u32>,
     waiting: usize,
+    expired: Vec<Ticket>,
 }
 
 impl Admission {
@@ -150,6 +158,7 @@
             services: HashMap::new(),
             owners: HashMap::new(),
             waiting: 0,
+            expired: Vec::new(),
         }
     }
 
@@ -174,7 +183,11 @@
         if full && self.rules.queue_bound {
             return self.refuse(Reason::QueueFull, wait);
         }
-        if now + wait + Duration::from_secs_f64(service.run_time * RUN_TIME_MARGIN) >= ticket.deadline {
+        let left = ticket
+            .deadline
+            .saturating_sub(now)
+            .saturating_sub(service.expected_run());
+        if wait > left.mul_f64(WAIT_PART) || left.is_zero() {
             return self.refuse(Reason::Deadline, wait);
         }
         self.enqueue(ticket, below);
@@ -183,23 +196,27 @@
 
     /// Returns the next waiting request of a service that may run, given `free` room at its targets.
     ///
-    /// A request whose deadline has passed is still returned: the gateway answers it without sending it and
-    /// reports it as [`Done::Other`].
+    /// Requests that could not be answered by their deadline any more are passed over; [`Admission::expired`]
+    /// returns them.
     pub fn next(&mut self, now: Duration, service: id::ServiceId, free: u32) -> Option<Ticket> {
         let state = self.services.get_mut(&service)?;
         if free == 0 || !state.has_room() {
             return None;
         }
         while let Some((_, flow)) = self.services.get_mut(&service)?.ready.pop_first() {
-            let queue = self.queues.get_mut(&flow).expect("a ready flow has a queue");
+            self.expire(now, flow);
+            let Some(queue) = self.queues.get_mut(&flow) else {
+                continue;
+            };
             queue.listed = false;
             let Some(ticket) = queue.waiting.front().copied() else {
+                self.list(flow);
                 continue;
             };
             if self.rules.team_limit && self.owner_in_flight(flow.owner) >= ticket.limit {
                 continue;
             }
-            self.dequeue_front(flow);
+            self.dequeue_front(flow, true);
             self.start(now, &ticket);
             self.list(flow);
             return Some(ticket);
@@ -207,6 +224,11 @@
         None
     }
 
+    /// Returns a request that was passed over because it could not be answered in time; it was not sent.
+    pub fn expired(&mut self) -> Option<Ticket> {
+        self.expired.pop()
+    }
+
     /// Records the end of a request that was started.
     pub fn done(&mut self, now: Duration, flow: Flow, done: Done) {
         if let Some(service) = self.services.get_mut(&flow.service) {
@@ -235,7 +257,7 @@
             return false;
         };
         if position == 0 {
-            self.dequeue_front(flow);
+            self.dequeue_front(flow, false);
             return true;
         }
         queue.waiting.remove(position);
@@ -336,7 +358,26 @@
         }
     }
 
-    fn dequeue_front(&mut self, flow: Flow) {
+    /// Passes over requests at the front of a queue that have too little time left to be answered.
+    fn expire(&mut self, now: Duration, flow: Flow) {
+        let run_time = self
+            .services
+            .get(&flow.service)
+            .map_or(Duration::ZERO, Service::expected_run);
+        loop {
+            let front = self
+                .queues
+                .get(&flow)
+                .and_then(|queue| queue.waiting.front().copied());
+            let Some(ticket) = front.filter(|ticket| now + run_time >= ticket.deadline) else {
+                return;
+            };
+            self.dequeue_front(flow, false);
+            self.expired.push(ticket);
+        }
+    }
+
+    fn dequeue_front(&mut self, flow: Flow, started: bool) {
         let queue = self.queues.get_mut(&flow).expect("the flow has a queue");
         let ticket = queue.waiting.pop_front().expect("the queue is not empty");
         let service = self
@@ -345,7 +386,7 @@
             .expect("the service is known");
         let weight = u64::from(ticket.weight.max(1));
         service.virtual_time = service.virtual_time.max(queue.virtual_time);
-        if self.rules.fair_queues {
+        if self.rules.fair_queues && started {
             queue.virtual_time += 1.0 / weight as f64;
         }
         service.waiting -= 1;
@@ -391,9 +432,11 @@
         Self {
             in_flight: 0,
             limit: f64::from(u16::MAX),
-            lowered_at: Duration::ZERO,
+            round_at: Duration::ZERO,
             virtual_time: 0.0,
             run_time: 0.0,
+            deviation: 0.0,
+            round: (0, 0),
             interval: 0.0,
             last_start: Duration::ZERO,
             waiting: 0,
@@ -415,6 +458,11 @@
         }
     }
 
+    /// Run time that most requests keep within.
+    fn expected_run(&self) -> Duration {
+        Duration::from_secs_f64(self.run_time + RUN_TIME_DEVIATIONS * self.deviation)
+    }
+
     /// Time until a request behind `ahead` others of its flow starts.
     fn expected_wait(&self, ahead: usize, weight: u32) -> Duration {
         let weight = f64::from(weight.max(1));
@@ -426,24 +474,41 @@
     fn learn(&mut self, now: Duration, done: Done) {
         match done {
             Done::Answered { latency } => {
-                let sample = latency.as_secs_f64();
-                self.run_time +=
-                    (sample - self.run_time) * if self.run_time == 0.0 { 1.0 } else { SMOOTHING };
+                self.round.0 += 1;
+                self.learn_run_time(latency.as_secs_f64());
                 if f64::from(self.in_flight + 1) >= self.limit {
                     self.limit = (self.limit + LIMIT_INCREASE / self.limit).min(f64::from(u16::MAX));
                 }
             }
             Done::Overloaded => {
-                // One round of answers has to pass before the limit is lowered again, else one burst of refusals
-                // counts many times.
-                let round = Duration::from_secs_f64(self.run_time.max(0.001));
-                if now.saturating_sub(self.lowered_at) >= round {
-                    self.lowered_at = now;
-                    let used = f64::from(self.in_flight + 1).min(self.limit);
-                    self.limit = (used * LIMIT_DECREASE).max(LIMIT_MIN);
-                }
+                self.round.0 += 1;
+                self.round.1 += 1;
             }
             Done::Other => {}
         }
+        self.end_round(now);
+    }
+
+    fn learn_run_time(&mut self, sample: f64) {
+        if self.run_time == 0.0 {
+            self.run_time = sample;
+            return;
+        }
+        self.deviation += ((sample - self.run_time).abs() - self.deviation) * SMOOTHING;
+        self.run_time += (sample - self.run_time) * SMOOTHING;
+    }
+
+    /// Lowers the limit when a round of answers shows overload; single signs are left to routing.
+    fn end_round(&mut self, now: Duration) {
+        let round = Duration::from_secs_f64(self.run_time.max(0.001));
+        if now.saturating_sub(self.round_at) < round {
+            return;
+        }
+        let (ended, overloaded) = std::mem::take(&mut self.round);
+        self.round_at = now;
+        if f64::from(overloaded) > f64::from(ended) * OVERLOAD_PART {
+            let used = f64::from(self.in_flight + 1).min(self.limit);
+            self.limit = (used * LIMIT_DECREASE).max(LIMIT_MIN);
+        }
     }
 }
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -172,7 +172,7 @@
             return Choice::Missing;
         }
         for class in 0..CLASSES {
-            if class == vm::Distance::Remote as usize && !self.may_go_remote(now, query.bytes) {
+            if class == vm::Distance::Remote as usize && !self.may_go_remote(now) {
                 continue;
             }
             if let Some(index) = self.pick_in(class, query) {
@@ -220,7 +220,7 @@
     /// Returns the requests that may be sent now to targets of a service.
     pub fn free(&mut self, now: Duration, service: id::ServiceId) -> u32 {
         self.readmit(now);
-        let remote = self.may_go_remote(now, 1);
+        let remote = self.may_go_remote(now);
         self.services.get(&service).map_or(0, |state| {
             state.room[0] + state.room[1] + if remote { state.room[2] } else { 0 }
         })
@@ -456,7 +456,9 @@
         }
     }
 
-    fn may_go_remote(&mut self, now: Duration, bytes: u32) -> bool {
+    /// Tells whether the budget for other regions has anything left. The last request may overdraw it, and the
+    /// debt is paid back before the next one, so that the room that [`Router::free`] reports can always be used.
+    fn may_go_remote(&mut self, now: Duration) -> bool {
         if !self.config.rules.remote_budget {
             return true;
         }
@@ -464,7 +466,7 @@
         let earned = now.saturating_sub(self.remote_at).as_secs_f64() * rate;
         self.remote_at = self.remote_at.max(now);
         self.remote_tokens = (self.remote_tokens + earned).min(rate * REMOTE_BURST_SECONDS);
-        self.remote_tokens >= f64::from(bytes)
+        self.remote_tokens > 0.0
     }
 
     fn eject(&mut self, now: Duration, index: Index) {
