Keep a drain from cutting requests on new connections

Cause: hyper closes a connection without a request at once when asked to shut down, also when the request is on its way, and the runtime's listener may not know of the newest connections in the kernel's queue.

Also: a request may be expected to wait for an eighth of its time instead of half.

--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -1,6 +1,6 @@
 //! One connection from a caller.
 
-use std::{convert::Infallible, sync::Arc};
+use std::{convert::Infallible, sync::Arc, time::Duration};
 
 use hyper::{server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -14,6 +14,9 @@
 /// Bytes that hyper may buffer per connection; headers above it are refused by hyper itself with 431.
 const BUFFER_BYTES: usize = 64 * 1024;
 
+/// Time for a request that is on its way when the server closes.
+const CLOSE_GRACE: Duration = Duration::from_secs(1);
+
 /// Serves one connection in its own task.
 pub(crate) fn spawn(
     context: &Arc<context::Context>,
@@ -49,7 +52,7 @@
         biased;
         ended = connection.as_mut() => ended,
         () = context.cancel.cancelled() => return,
-        () = context.closing.cancelled() => {
+        () = close_later(&context) => {
             connection.as_mut().graceful_shutdown();
             tokio::select! {
                 ended = connection.as_mut() => ended,
@@ -61,3 +64,12 @@
         log::debug!("gateway: a caller's connection ended: {error}");
     }
 }
+
+/// Resolves when a connection without a request may be closed.
+///
+/// hyper closes such a connection at once, also when a request is on its way. Answers ask for the close while the
+/// server drains, so a connection that still waits after the grace is one whose caller sends nothing.
+async fn close_later(context: &context::Context) {
+    context.closing.cancelled().await;
+    tokio::time::sleep(CLOSE_GRACE).await;
+}
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -7,7 +7,7 @@
 
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio_util::sync::CancellationToken;
 
 use crate::{control, settings};
@@ -52,7 +52,8 @@
         // The first view counts before the first request is accepted.
         upkeep::refresh(&context);
         tokio::spawn(upkeep::run(Arc::clone(&context)));
-        tokio::spawn(accept(listener, Arc::clone(&context)));
+        // Tracked, so that a drain waits for the connections that are accepted last.
+        context.tracker.spawn(accept(listener, Arc::clone(&context)));
         Ok(Self { context, address })
     }
 
@@ -118,13 +119,23 @@
             }
         }
     }
-    accept_backlog(&listener, &context);
+    if let Err(error) = accept_backlog(listener, &context) {
+        log::warn!("gateway: the last connections could not be accepted: {error}");
+    }
 }
 
 /// Takes the connections that the kernel has accepted already; closing the listener would reset them.
-fn accept_backlog(listener: &TcpListener, context: &Arc<context::Context>) {
-    let mut nothing = std::task::Context::from_waker(std::task::Waker::noop());
-    while let std::task::Poll::Ready(Ok((stream, _))) = listener.poll_accept(&mut nothing) {
-        connection::spawn(context, stream, None);
+///
+/// The system is asked directly, because the runtime's listener may not have been told of the newest ones.
+fn accept_backlog(listener: TcpListener, context: &Arc<context::Context>) -> io::Result<()> {
+    let listener = listener.into_std()?;
+    loop {
+        let stream = match listener.accept() {
+            Ok((stream, _)) => stream,
+            Err(error) if error.kind() == io::ErrorKind::WouldBlock => return Ok(()),
+            Err(error) => return Err(error),
+        };
+        stream.set_nonblocking(true)?;
+        connection::spawn(context, TcpStream::from_std(stream)?, None);
     }
 }
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -34,7 +34,7 @@
 const RUN_TIME_DEVIATIONS: f64 = 3.0;
 /// Part of the time left before the deadline that a request may be expected to wait; the rest covers errors of the
 /// estimate.
-const WAIT_PART: f64 = 0.5;
+const WAIT_PART: f64 = 0.125;
 /// Part of answers in a round that may be signs of overload before the limit is lowered.
 const OVERLOAD_PART: f64 = 0.1;
 
