--- a/crates/bench/src/policy/gossip.rs
+++ b/crates/bench/src/policy/gossip.rs
@@ -1,8 +1,272 @@
-//! Policy measurements of `gossip`.
+//! Policy measurements of `gossip`: bytes on the links and time until news is everywhere.
 
-use crate::measure;
+use std::time::Duration;
+
+use bronzespoke_gossip::{Key, Message, Value, gossip};
+use bronzespoke_model::{id, target, vm};
+use rand::{Rng, SeedableRng, rngs::SmallRng};
+
+use crate::measure::{Bound, Length, Row};
+
+#[path = "../../../gossip/tests/network/mod.rs"]
+#[allow(dead_code, missing_docs, reason = "the tests of gossip use the rest")]
+mod network;
+
+use network::{Faults, Network};
+
+/// Zones of both users today, by region.
+const TODAY: &[id::RegionId] = &[0, 0, 1];
+/// Zones at the target size, by region.
+const TARGET: &[id::RegionId] = &[0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5];
+/// Bytes of the length prefix of a frame.
+const PREFIX_BYTES: usize = 4;
+/// Bytes of the IPv4 and TCP headers of a packet with time stamps, and of its acknowledgement.
+const PACKET_BYTES: u64 = 52 + 52;
+const WARM_UP: Duration = Duration::from_secs(5);
+const STEP: Duration = Duration::from_millis(5);
+const CONTROL_BYTES: Bound = Bound::AtMost(24_000.0);
+const CONTROL_SOURCE: &str = "design 1.7, control cost";
 
 /// Returns the rows of this part.
-pub fn rows(_seed: u64, _length: measure::Length) -> Vec<measure::Row> {
-    Vec::new()
+pub fn rows(seed: u64, length: Length) -> Vec<Row> {
+    let trials = match length {
+        Length::Short => 5,
+        Length::Long => 40,
+    };
+    let mut rows = Vec::new();
+    for (name, regions) in [("6_vms", TODAY), ("34_vms", TARGET)] {
+        bytes(seed, name, regions, &mut rows);
+    }
+    loaded(seed, &mut rows);
+    departures(seed, trials, &mut rows);
+    rows.push(config_everywhere(seed, trials));
+    rows
+}
+
+fn meter(message: &Message) -> usize {
+    postcard::to_stdvec(message).map_or(0, |bytes| bytes.len()) + PREFIX_BYTES
+}
+
+fn build(seed: u64, regions: &[id::RegionId]) -> Network {
+    let mut network = Network::new(seed, regions);
+    network.meter = meter;
+    for id in network.ids() {
+        publish_vm(&mut network, id, 1);
+    }
+    network.run(WARM_UP);
+    network.sent.clear();
+    network
+}
+
+fn publish_vm(network: &mut Network, id: id::VmId, applied: u64) {
+    network.on(id, |gossip, now| {
+        let value = Value::Vm {
+            applied,
+            version: applied,
+            ready: true,
+        };
+        // Few entries are published, so that the table is never full.
+        let _published = gossip.set(now, Key::Vm(id), value);
+    });
+}
+
+/// Returns the largest number of bytes that one VM sends, and all bytes between regions, with the packets of each.
+fn totals(network: &Network) -> (u64, u64, u64) {
+    let most = network
+        .ids()
+        .into_iter()
+        .map(|id| {
+            network
+                .sent
+                .iter()
+                .filter(|((from, _), _)| *from == id)
+                .map(|(_, (_, bytes))| bytes)
+                .sum()
+        })
+        .max()
+        .unwrap_or(0);
+    let mut remote = (0, 0);
+    for ((from, to), (messages, bytes)) in &network.sent {
+        let distance = network.nodes[from].place.distance(&network.nodes[to].place);
+        if distance == vm::Distance::Remote {
+            remote = (remote.0 + messages, remote.1 + bytes);
+        }
+    }
+    (most, remote.1, remote.0)
+}
+
+fn bytes(seed: u64, name: &str, regions: &[id::RegionId], rows: &mut Vec<Row>) {
+    let seconds = 30;
+    let mut network = build(seed, regions);
+    network.run(Duration::from_secs(seconds));
+    let (most, remote, packets) = totals(&network);
+    let per_second = |value: u64| value as f64 / seconds as f64;
+    let mut push = |measure: &str, value: u64, bound: Bound| {
+        rows.push(Row::new(
+            format!("gossip.{measure}.{name}"),
+            per_second(value),
+            "B/s",
+            bound,
+            CONTROL_SOURCE,
+        ));
+    };
+    push("idle_sent_by_a_daemon", most, CONTROL_BYTES);
+    push("idle_between_regions", remote, CONTROL_BYTES);
+    push(
+        "idle_between_regions_with_headers",
+        remote + packets * PACKET_BYTES,
+        Bound::None,
+    );
+}
+
+fn announce(network: &mut Network, id: id::VmId, target: id::TargetId) {
+    let place = network.nodes[&id].place;
+    let announcement = target::Announcement {
+        target,
+        incarnation: 1,
+        service: String::from("checks"),
+        address: ([10, 0, 0, 1], 8080).into(),
+        slots: 8,
+        connections: 64,
+    };
+    let value = Value::Target { announcement, place };
+    network.on(id, |gossip, now| {
+        let _published = gossip.set(now, Key::Target(target), value);
+    });
+}
+
+/// Targets whose load changes once a second, as with steady traffic to all of them.
+fn loaded(seed: u64, rows: &mut Vec<Row>) {
+    let seconds = 10;
+    for targets in [50, 1000] {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut network = build(seed, TARGET);
+        let ids = network.ids();
+        let names: Vec<id::TargetId> = (0..targets).map(|_| random.random()).collect();
+        for (number, target) in names.iter().enumerate() {
+            announce(&mut network, ids[number % ids.len()], *target);
+        }
+        network.run(Duration::from_secs(2));
+        network.sent.clear();
+        for _ in 0..seconds {
+            for (number, target) in names.iter().enumerate() {
+                let load = Value::Load(random.random_range(0..8));
+                network.on(ids[number % ids.len()], |gossip, now| {
+                    let _published = gossip.set(now, Key::Load(*target), load);
+                });
+            }
+            network.run(Duration::from_secs(1));
+        }
+        let (most, remote, _) = totals(&network);
+        let per_second = |value: u64| value as f64 / f64::from(seconds);
+        rows.push(Row::new(
+            format!("gossip.loaded_sent_by_a_daemon.{targets}_targets"),
+            per_second(most),
+            "B/s",
+            CONTROL_BYTES,
+            CONTROL_SOURCE,
+        ));
+        rows.push(Row::new(
+            format!("gossip.loaded_between_regions.{targets}_targets"),
+            per_second(remote),
+            "B/s",
+            Bound::None,
+            CONTROL_SOURCE,
+        ));
+    }
+}
+
+/// Runs until a condition holds for all VMs that are up; returns the simulated time that it took.
+fn run_until(network: &mut Network, holds: impl Fn(&mut Network, id::VmId) -> bool) -> Duration {
+    let start = network.now;
+    let limit = Duration::from_secs(60);
+    loop {
+        let all = network.ids().into_iter().all(|id| holds(network, id));
+        if all || network.now - start >= limit {
+            return network.now - start;
+        }
+        network.run(STEP);
+    }
 }
+
+fn is_out_of_use(network: &mut Network, id: id::VmId, target: id::TargetId) -> bool {
+    network.on(id, |gossip, now| {
+        let found = gossip.targets(now);
+        found.iter().all(|status| status.announcement.target != target)
+    })
+}
+
+fn departures(seed: u64, trials: u64, rows: &mut Vec<Row>) {
+    let mut longest = [Duration::ZERO; 3];
+    for trial in 0..trials {
+        let mut random = SmallRng::seed_from_u64(seed ^ trial);
+        let mut network = build(seed ^ trial, TARGET);
+        let ids = network.ids();
+        for (case, longest) in longest.iter_mut().enumerate() {
+            let target = 1000 + case as u64;
+            let (holder, other) = (
+                ids[random.random_range(0..ids.len())],
+                ids[random.random_range(0..ids.len())],
+            );
+            announce(&mut network, holder, target);
+            network.run(WARM_UP);
+            match case {
+                1 => network.faults.loss = 0.05,
+                // The VM that alone knows of the departure is cut off before it can tell.
+                2 => network.set_cut(&[holder], true),
+                _ => {}
+            }
+            let via = if case == 2 { holder } else { other };
+            network.on(via, |gossip, now| {
+                let _published = gossip.depart(now, target, 1);
+            });
+            let time = run_until(&mut network, |network, id| is_out_of_use(network, id, target));
+            *longest = time.max(*longest);
+            network.faults = Faults::default();
+        }
+    }
+    let cases = [
+        ("normal", 1.0, "brief, departing within 1 s"),
+        ("loss_5_percent", 3.0, "design I8"),
+        ("holder_cut_off", 3.0, "design I8"),
+    ];
+    for ((name, bound, source), longest) in cases.into_iter().zip(longest) {
+        rows.push(Row::new(
+            format!("gossip.departing_known_everywhere.{name}"),
+            longest.as_secs_f64(),
+            "s",
+            Bound::AtMost(bound),
+            source,
+        ));
+    }
+}
+
+/// Time from the application on all VMs until each of them knows that all have applied it.
+fn config_everywhere(seed: u64, trials: u64) -> Row {
+    let mut longest = Duration::ZERO;
+    for trial in 0..trials {
+        let mut network = build(seed ^ trial, TARGET);
+        network.faults = Faults {
+            loss: 0.05,
+            ..Faults::default()
+        };
+        let ids = network.ids();
+        for id in &ids {
+            publish_vm(&mut network, *id, 2);
+        }
+        let time = run_until(&mut network, |network, id| {
+            let applied = network.on(id, |gossip, now| gossip.applied_everywhere(&ids, now));
+            applied.is_some_and(|applied| applied >= 2)
+        });
+        longest = longest.max(time);
+    }
+    Row::new(
+        "gossip.config_known_in_force_everywhere.34_vms_loss_5_percent",
+        longest.as_secs_f64(),
+        "s",
+        Bound::AtMost(11.0),
+        "design I10",
+    )
+}
+
+const _: () = assert!(gossip::USABLE_AGE.as_millis() < 3000);
