Shorten the log form of starts and ends

Cause: the zone in the upper bits of a job moved its sequence number two bytes up, and random 64-bit worker ids took 10 bytes each.

--- a/crates/control/src/zone/compact.rs
+++ b/crates/control/src/zone/compact.rs
@@ -1,62 +1,92 @@
 //! Compact log form of starts and ends.
 //!
-//! Starts are the most frequent entries. Jobs lose the zone in their upper bits, which all jobs of a group share, and
-//! tokens become differences, so that a start takes about as many bytes as its worker id and its sequence number need.
+//! Starts are the most frequent entries. Jobs and tokens become differences to the row before, which takes the zone out
+//! of all jobs but the first, so that a start takes about as many bytes as its worker id and its sequence number need.
 
 use bronzespoke_model::{id, task};
 use serde::{Deserialize, Serialize};
 
-const ZONE_BITS: u32 = 16;
-
-/// Moves the zone to the low bits, so that equal zones leave no long numbers after the first job.
-fn job_delta(previous: id::JobId, job: id::JobId) -> u64 {
-    (previous ^ job).rotate_left(ZONE_BITS)
+/// Returns the job from which the first difference is taken: it takes the zone out of the first job as well.
+fn base(zone: id::AvailabilityZoneId) -> id::JobId {
+    id::job(zone, 0)
 }
 
-fn job_from_delta(previous: id::JobId, delta: u64) -> id::JobId {
-    previous ^ delta.rotate_right(ZONE_BITS)
-}
+/// Worker ids from here on take 8 to 10 bytes as variable-length numbers; 8 fixed bytes are shorter on average.
+const WIDE_WORKER: id::WorkerId = 1 << 49;
 
 /// Form of a list of starts.
 pub mod starts {
     use serde::{Deserializer, Serializer};
 
-    use super::{Deserialize, Serialize, id, job_delta, job_from_delta, task};
+    use super::{Deserialize, Serialize, WIDE_WORKER, base, id, task};
     use crate::zone::command::Start;
 
-    /// Encodes starts.
-    pub fn serialize<S: Serializer>(starts: &[Start], serializer: S) -> Result<S::Ok, S::Error> {
-        let (mut job, mut token) = (0, 0);
-        let mut rows: Vec<(u64, id::TaskIndex, id::WorkerId, u64)> = Vec::with_capacity(starts.len());
+    type Row<W> = (u64, id::TaskIndex, W, u64);
+
+    #[derive(Serialize, Deserialize)]
+    enum Rows {
+        Narrow(Vec<Row<id::WorkerId>>),
+        Wide(Vec<Row<[u8; 8]>>),
+    }
+
+    fn rows<W>(
+        zone: id::AvailabilityZoneId,
+        starts: &[Start],
+        worker: impl Fn(id::WorkerId) -> W,
+    ) -> Vec<Row<W>> {
+        let (mut job, mut token) = (base(zone), 0);
+        let mut rows = Vec::with_capacity(starts.len());
         for start in starts {
             rows.push((
-                job_delta(job, start.task.job),
+                start.task.job ^ job,
                 start.task.index,
-                start.worker,
+                worker(start.worker),
                 start.token.wrapping_sub(token),
             ));
             (job, token) = (start.task.job, start.token);
         }
-        rows.serialize(serializer)
+        rows
+    }
+
+    fn starts<W>(
+        zone: id::AvailabilityZoneId,
+        rows: Vec<Row<W>>,
+        worker: impl Fn(W) -> id::WorkerId,
+    ) -> Vec<Start> {
+        let (mut job, mut token) = (base(zone), 0_u64);
+        let mut starts = Vec::with_capacity(rows.len());
+        for (difference, index, worker_form, step) in rows {
+            job ^= difference;
+            token = token.wrapping_add(step);
+            starts.push(Start {
+                task: task::Ref { job, index },
+                worker: worker(worker_form),
+                token,
+            });
+        }
+        starts
+    }
+
+    /// Encodes starts.
+    pub fn serialize<S: Serializer>(starts: &[Start], serializer: S) -> Result<S::Ok, S::Error> {
+        let wide = starts.iter().filter(|start| start.worker >= WIDE_WORKER).count();
+        let zone = starts.first().map_or(0, |start| id::job_zone(start.task.job));
+        let form = if wide * 2 > starts.len() {
+            Rows::Wide(rows(zone, starts, id::WorkerId::to_le_bytes))
+        } else {
+            Rows::Narrow(rows(zone, starts, |worker| worker))
+        };
+        (zone, form).serialize(serializer)
     }
 
     /// Decodes starts.
     pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Start>, D::Error> {
-        let rows: Vec<(u64, id::TaskIndex, id::WorkerId, u64)> = Vec::deserialize(deserializer)?;
-        let (mut job, mut token) = (0, 0_u64);
-        let starts = rows
-            .into_iter()
-            .map(|(delta, index, worker, step)| {
-                job = job_from_delta(job, delta);
-                token = token.wrapping_add(step);
-                Start {
-                    task: task::Ref { job, index },
-                    worker,
-                    token,
-                }
-            })
-            .collect();
-        Ok(starts)
+        let (zone, form) = <(id::AvailabilityZoneId, Rows)>::deserialize(deserializer)?;
+        let form = match form {
+            Rows::Narrow(rows) => starts(zone, rows, |worker| worker),
+            Rows::Wide(rows) => starts(zone, rows, id::WorkerId::from_le_bytes),
+        };
+        Ok(form)
     }
 }
 
@@ -64,33 +94,36 @@
 pub mod ends {
     use serde::{Deserializer, Serializer};
 
-    use super::{Deserialize, Serialize, id, job_delta, job_from_delta, task};
+    use super::{Deserialize, Serialize, base, id, task};
     use crate::zone::command::End;
 
+    type Row = (u64, id::TaskIndex, i64, task::Outcome);
+
     /// Encodes ends.
     pub fn serialize<S: Serializer>(ends: &[End], serializer: S) -> Result<S::Ok, S::Error> {
-        let (mut job, mut token) = (0, 0);
+        let zone = ends.first().map_or(0, |end| id::job_zone(end.task.job));
+        let (mut job, mut token) = (base(zone), 0);
         let mut rows: Vec<(u64, id::TaskIndex, i64, &task::Outcome)> = Vec::with_capacity(ends.len());
         for end in ends {
             rows.push((
-                job_delta(job, end.task.job),
+                end.task.job ^ job,
                 end.task.index,
                 end.token.wrapping_sub(token).cast_signed(),
                 &end.outcome,
             ));
             (job, token) = (end.task.job, end.token);
         }
-        rows.serialize(serializer)
+        (zone, rows).serialize(serializer)
     }
 
     /// Decodes ends.
     pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<End>, D::Error> {
-        let rows: Vec<(u64, id::TaskIndex, i64, task::Outcome)> = Vec::deserialize(deserializer)?;
-        let (mut job, mut token) = (0, 0_u64);
+        let (zone, rows) = <(id::AvailabilityZoneId, Vec<Row>)>::deserialize(deserializer)?;
+        let (mut job, mut token) = (base(zone), 0_u64);
         let ends = rows
             .into_iter()
-            .map(|(delta, index, step, outcome)| {
-                job = job_from_delta(job, delta);
+            .map(|(difference, index, step, outcome)| {
+                job ^= difference;
                 token = token.wrapping_add(step.cast_unsigned());
                 End {
                     task: task::Ref { job, index },
