daemon: answer commands when they are in force, and place jobs where they fit

A withdrawal, a configuration change, a drain and a new limit answer once every VM applied them; a withdrawal at the latest when no older view can be fresh. A submission id is claimed at its owner before the job goes to the nearest zone in which it fits. The open claims of a restarted or long silent VM become unknown instead of staying in progress.

--- a/crates/cli/src/demo/requests.rs
+++ b/crates/cli/src/demo/requests.rs
@@ -13,6 +13,8 @@
 const KEYED: usize = 60;
 /// Open-queue requests of the demo.
 const OPEN: usize = 20;
+/// Further non-repeatable requests of the demo.
+const ONCE: usize = 30;
 /// A withdrawn key stops within the freshness lease of 3 s, 2% drift and the time of one request.
 const WITHDRAWN: Duration = Duration::from_millis(3_500);
 /// A departing target gets nothing new after this time.
@@ -88,7 +90,17 @@
             same,
             "a resent non-repeatable request gets the first answer at another VM",
         );
-        let runs = self.fleet.runs_of(body.as_bytes());
+        let mut runs = self.fleet.runs_of(body.as_bytes());
+        for number in 0..ONCE {
+            let (id, body) = (format!("credit-{number}"), format!("credit {number}"));
+            let start = Instant::now();
+            let address = self.cell.http(number % cell::VMS);
+            let answer =
+                caller::request(address, "reconciliations", &self.key, Some(&id), body.clone()).await;
+            let whole = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            self.tally.count("non-repeatable request", whole, start.elapsed());
+            runs = runs.max(self.fleet.runs_of(body.as_bytes()));
+        }
         self.tally.doubled += u64::from(runs.saturating_sub(1));
         self.tally.check(runs == 1, "a non-repeatable request ran once");
     }
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -86,7 +86,7 @@
         let config = gossip::Config {
             id: context.me.id,
             place: context.me.place,
-            incarnation: context::Context::wall_ms(),
+            incarnation: context.incarnation,
             seed,
         };
         let mut controller = Self {
@@ -107,6 +107,8 @@
             flush_at: None,
             tick_at: None,
             leaving: None,
+            led: Vec::new(),
+            forces: Vec::new(),
             context,
             settings,
             inbox,
@@ -184,6 +186,8 @@
             Message::Directory(reply) => drop(reply.send(self.directory())),
             Message::Persisted(done) => self.persisted(&done),
             Message::Claimed(pending, answer) => self.claimed(pending, answer),
+            Message::Submitted(submission, answer) => self.submitted(submission, answer),
+            Message::Await(force) => self.forces.push(force),
             Message::Tick => self.tick(),
             Message::HandOver(reply) => {
                 self.leaving = Some((reply, self.context.now() + HAND_OVER));
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -27,6 +27,8 @@
         if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get(&own)) {
             scheduling.settle(now, zone);
         }
+        self.note_leads(now);
+        self.check_forces(now);
         self.check_leaving(now);
     }
 
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -4,7 +4,7 @@
 
 use bronzespoke_control::{request_id, zone};
 use bronzespoke_gateway::control;
-use bronzespoke_model::{id, job, worker};
+use bronzespoke_model::{id, worker};
 use tokio::sync::oneshot;
 
 use crate::{
@@ -60,10 +60,15 @@
 
     fn claim(&mut self, claim: &control::Claim, reply: oneshot::Sender<control::Claimed>) {
         let key = request_id::Key::new(claim.team, &claim.request);
+        self.claim_key(key, claims::Waiter::Request(reply));
+    }
+
+    /// Claims a key at its owners.
+    pub(super) fn claim_key(&mut self, key: request_id::Key, waiter: claims::Waiter) {
         let zones = &self.root.view().zones;
         let Some(owners) = request_id::owners(key, zones, context::Context::wall_ms()) else {
             let message = String::from("no availability zone is known yet");
-            drop(reply.send(control::Claimed::NotRun(message)));
+            self.answer_claim(waiter, control::Claimed::NotRun(message));
             return;
         };
         let remaining = owners.second.into_iter().collect();
@@ -73,10 +78,27 @@
             remaining,
             asked,
             granted: Vec::new(),
-            reply,
+            waiter,
         });
     }
 
+    /// Gives the answer to a claim; an unwanted grant is given back.
+    fn answer_claim(&mut self, waiter: claims::Waiter, claimed: control::Claimed) {
+        let granted = match claimed {
+            control::Claimed::Granted(number) => Some(number),
+            _ => None,
+        };
+        match waiter {
+            claims::Waiter::Request(reply) => {
+                let unwanted = reply.send(claimed).is_err();
+                if let Some(number) = granted.filter(|_| unwanted) {
+                    self.complete(number, &control::Completion::NotRun);
+                }
+            }
+            claims::Waiter::Submission(submission) => self.submission_claimed(*submission, claimed),
+        }
+    }
+
     fn ask_owner(&mut self, pending: claims::Pending) {
         let command = zone::Command::Claim {
             key: pending.key,
@@ -123,9 +145,7 @@
 
     fn grant_claim(&mut self, pending: claims::Pending) {
         let number = self.claims.keep(pending.granted);
-        if pending.reply.send(control::Claimed::Granted(number)).is_err() {
-            self.complete(number, &control::Completion::NotRun);
-        }
+        self.answer_claim(pending.waiter, control::Claimed::Granted(number));
     }
 
     fn refuse_claim(&mut self, pending: claims::Pending, reason: String) {
@@ -137,10 +157,10 @@
         for (zone, number) in pending.granted {
             self.complete_at(zone, number, &control::Completion::NotRun);
         }
-        drop(pending.reply.send(claimed));
+        self.answer_claim(pending.waiter, claimed);
     }
 
-    fn complete(&mut self, number: u64, completion: &control::Completion) {
+    pub(super) fn complete(&mut self, number: u64, completion: &control::Completion) {
         for (zone, number) in self.claims.take(number) {
             self.complete_at(zone, number, completion);
         }
@@ -157,85 +177,6 @@
         self.command_zone(id::GroupId::Zone(zone), command, COMPLETION_DEADLINE, then);
     }
 
-    fn submit(
-        &mut self,
-        team: id::TeamId,
-        submission: Option<String>,
-        spec: job::Spec,
-        reply: control::Reply<id::JobId>,
-    ) {
-        if let Err(refusal) = self.check_spec(team, &spec) {
-            drop(reply.send(Err(refusal)));
-            return;
-        }
-        let zone = self.home_zone(&spec, team, submission.as_deref());
-        let submission = submission.map(|text| request_id::Key::new(team, &text));
-        let command = zone::Command::Submit {
-            team,
-            submission,
-            spec,
-        };
-        let then = Box::new(move |answer| {
-            let result = match answer {
-                wire::Reply::Zone(zone::Outcome::Job(job)) => Ok(job),
-                wire::Reply::Zone(zone::Outcome::Refused(refusal)) => Err(control::Refusal::Unavailable(
-                    format!("the job was refused: {refusal:?}"),
-                )),
-                other => Err(refusal(other)),
-            };
-            drop(reply.send(result));
-        });
-        self.command_zone(id::GroupId::Zone(zone), command, asks::DEADLINE, then);
-    }
-
-    /// Refuses what the team could never run, whatever the fleet is.
-    fn check_spec(&self, team: id::TeamId, spec: &job::Spec) -> Result<(), control::Refusal> {
-        let Some(team) = self.root.view().teams.get(&team) else {
-            return Err(control::Refusal::NotFound);
-        };
-        if !spec.size.fits(&team.quota.limit) {
-            return Err(control::Refusal::Impossible(job::Impossible::OverTeamLimit));
-        }
-        Ok(())
-    }
-
-    /// Returns the availability zone that a job is submitted to.
-    ///
-    /// A submission with an id goes to the zone that owns the id, so that a resend at any VM meets the first one.
-    fn home_zone(
-        &self,
-        spec: &job::Spec,
-        team: id::TeamId,
-        submission: Option<&str>,
-    ) -> id::AvailabilityZoneId {
-        if let Some(text) = submission {
-            let key = request_id::Key::new(team, text);
-            let owners = request_id::owners(key, &self.root.view().zones, context::Context::wall_ms());
-            if let Some(owners) = owners {
-                return owners.first;
-            }
-        }
-        let now = self.context.now();
-        let place = self.context.me.place;
-        let fitting = self
-            .gossip
-            .usable(now)
-            .filter_map(|entry| match (entry.key, entry.value) {
-                (
-                    bronzespoke_gossip::Key::Capacity(zone),
-                    bronzespoke_gossip::Value::Capacity { free, workers, .. },
-                ) if *workers > 0 && spec.size.fits(free) => Some(zone),
-                _ => None,
-            });
-        fitting
-            .min_by_key(|zone| {
-                let region = self.root.view().zones.get(zone).map_or(0, |record| record.region);
-                let there = bronzespoke_model::vm::Place { region, zone: *zone };
-                (place.distance(&there), *zone)
-            })
-            .unwrap_or(place.zone)
-    }
-
     fn read_job(
         &mut self,
         team: id::TeamId,
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -11,6 +11,8 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
+use crate::control::submissions;
+
 /// A claim under way.
 #[derive(Debug)]
 pub struct Pending {
@@ -23,7 +25,16 @@
     /// Owners that granted, with their numbers.
     pub granted: Vec<(id::AvailabilityZoneId, u64)>,
     /// Who waits.
-    pub reply: oneshot::Sender<control::Claimed>,
+    pub waiter: Waiter,
+}
+
+/// Who waits for a claim.
+#[derive(Debug)]
+pub enum Waiter {
+    /// A request of the gateway.
+    Request(oneshot::Sender<control::Claimed>),
+    /// A job with a submission id.
+    Submission(Box<submissions::Submission>),
 }
 
 /// Grants that have not been completed.
--- a/crates/daemon/src/control/context.rs
+++ b/crates/daemon/src/control/context.rs
@@ -21,6 +21,8 @@
 pub struct Peer {
     /// Its VM.
     pub vm: vm::Vm,
+    /// Life of its process.
+    pub incarnation: id::Incarnation,
     /// Groups that it leads, with the term.
     pub leads: Vec<(id::GroupId, u64)>,
     /// Groups in which it holds a replica.
@@ -40,6 +42,8 @@
     pub origin: Instant,
     /// This VM.
     pub me: vm::Vm,
+    /// Life of this process: wall time of its start in milliseconds.
+    pub incarnation: id::Incarnation,
     /// Timeline.
     pub ring: timeline::Ring,
     /// Outgoing links.
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -7,7 +7,7 @@
 use bronzespoke_model::id;
 
 use crate::{
-    control::{Controller, Listing, asks, context},
+    control::{Controller, Listing, asks, context, member},
     peer::wire,
 };
 
@@ -24,21 +24,17 @@
     /// Announces this daemon to all others.
     pub(super) fn announce(&mut self) {
         let now = self.context.now();
-        let mut leads = Vec::new();
-        if let Some(member) = self.root.member().filter(|member| member.leads(now)) {
-            leads.push((id::GroupId::Root, member.replica().status().term));
-        }
-        let mut replicas: Vec<id::GroupId> = self.root.member().iter().map(|_| id::GroupId::Root).collect();
-        for (zone, group) in &self.zones {
-            replicas.push(id::GroupId::Zone(*zone));
-            if group.leads(now) {
-                leads.push((id::GroupId::Zone(*zone), group.member().replica().status().term));
-            }
-        }
+        let leads: Vec<_> = self
+            .replicas()
+            .filter(|(_, member)| member.leads(now))
+            .map(|(group, member)| (group, member.replica().status().term))
+            .collect();
+        let replicas = self.replicas().map(|(group, _)| group).collect();
         let cell_known = self.root.cell_known();
         let addresses = self.addresses();
         let hello = wire::Hello {
             vm: self.context.me.clone(),
+            incarnation: self.context.incarnation,
             leads,
             replicas,
             cell_known,
@@ -55,6 +51,32 @@
         self.hello_at = now + HELLO_INTERVAL;
     }
 
+    /// Replicas in this process.
+    pub(super) fn replicas(&self) -> impl Iterator<Item = (id::GroupId, &member::Member)> {
+        let zones = self
+            .zones
+            .iter()
+            .map(|(zone, group)| (id::GroupId::Zone(*zone), group.member()));
+        self.root
+            .member()
+            .map(|member| (id::GroupId::Root, member))
+            .into_iter()
+            .chain(zones)
+    }
+
+    /// Announces at once when the groups that this VM leads changed, so that calls find their leader.
+    pub(super) fn note_leads(&mut self, now: Duration) {
+        let led: Vec<_> = self
+            .replicas()
+            .filter(|(_, member)| member.leads(now))
+            .map(|(group, _)| group)
+            .collect();
+        if led != self.led {
+            self.led = led;
+            self.hello_at = now;
+        }
+    }
+
     /// Peer addresses of all daemons that this one knows.
     fn addresses(&self) -> BTreeSet<SocketAddr> {
         let listed = self.root.view().vms.values().map(|vm| vm.peer);
@@ -69,12 +91,16 @@
     /// Takes another daemon's announcement.
     pub(super) fn hello(&mut self, from: id::VmId, hello: wire::Hello) {
         let heard = self.context.now();
-        let new = !self.context.peers.contains_key(&from);
+        let known = self.context.peers.get(&from).map(|peer| peer.incarnation);
+        if known.is_some_and(|known| known != hello.incarnation) {
+            self.end_claims_of(from);
+        }
         if self.known.len() < MAX_KNOWN {
             self.known.extend(hello.known);
         }
         let peer = context::Peer {
             vm: hello.vm,
+            incarnation: hello.incarnation,
             leads: hello.leads,
             replicas: hello.replicas,
             cell_known: hello.cell_known,
@@ -82,7 +108,7 @@
             heard,
         };
         self.context.peers.insert(from, peer);
-        if new {
+        if known.is_none() {
             // The newcomer learns of this daemon without waiting for the next round.
             self.hello_at = heard;
         }
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -8,12 +8,14 @@
 use bronzespoke_model::{id, resource, vm};
 
 use crate::{
-    control::{Controller, responder},
+    control::{Controller, context, responder},
     peer::wire,
 };
 
 /// Time between two rounds of duties.
 pub const INTERVAL: Duration = Duration::from_millis(500);
+/// A holder of claims that was silent for this long cannot complete them any more: longer than any request lasts.
+const LOST_HOLDER: Duration = Duration::from_mins(1);
 
 impl Controller {
     /// Does one round.
@@ -235,18 +237,47 @@
         }
     }
 
-    /// Ends the claims of VMs that left the directory.
+    /// Ends the claims of VMs that left the directory or were silent for long.
     fn tend_claims(&mut self, zone: id::AvailabilityZoneId) {
-        let view = std::sync::Arc::clone(self.root.view());
-        let Some(group) = self.zones.get_mut(&zone) else {
+        let Some(group) = self.zones.get(&zone) else {
             return;
         };
         let gone = group
             .state()
             .claims()
             .held()
-            .find(|(_, holder)| !view.vms.contains_key(holder));
+            .find(|(_, holder)| self.is_lost(*holder));
         if let Some((_, holder)) = gone {
+            self.end_claims(zone, holder);
+        }
+    }
+
+    fn is_lost(&self, vm: id::VmId) -> bool {
+        if vm == self.context.me.id {
+            return false;
+        }
+        let now = self.context.now();
+        let silent = |peer: &context::Peer| now.saturating_sub(peer.heard) >= LOST_HOLDER;
+        let heard = self.context.peers.get(&vm);
+        !self.root.view().vms.contains_key(&vm) || heard.is_some_and(silent)
+    }
+
+    /// Ends the open claims of a VM in the groups that this VM leads; a restarted process cannot complete them.
+    pub(super) fn end_claims_of(&mut self, holder: id::VmId) {
+        let now = self.context.now();
+        let led: Vec<_> = self
+            .zones
+            .iter()
+            .filter(|(_, zone)| zone.leads(now))
+            .map(|(id, _)| *id)
+            .collect();
+        for zone in led {
+            self.end_claims(zone, holder);
+        }
+    }
+
+    fn end_claims(&mut self, zone: id::AvailabilityZoneId, holder: id::VmId) {
+        if let Some(group) = self.zones.get_mut(&zone) {
             let before = group.state().claims().next_number();
             group.propose(zone::Command::HolderGone { holder, before });
         }
--- /dev/null
+++ b/crates/daemon/src/control/force.rs
@@ -0,0 +1,106 @@
+//! Commands that answer only when they are in force everywhere.
+//!
+//! A change is in force when every VM of the directory reported that it applied the entry. A withdrawn key is in force
+//! also when no view from before the withdrawal can be fresh any more, which bounds the wait when a VM is cut off.
+
+use std::time::Duration;
+
+use bronzespoke_gateway::control;
+use bronzespoke_language::answer;
+use bronzespoke_model::id;
+use tokio::sync::oneshot;
+
+use crate::control::Controller;
+
+/// Relative drift between two monotonic clocks.
+const DRIFT: f64 = 0.02;
+/// Longest wait for other changes; after it the answer names the processes that lag behind.
+const LONGEST: Duration = Duration::from_secs(8);
+
+/// What has to be so for a command to be in force.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Condition {
+    /// Applied by every VM, or no view without it can be fresh.
+    Withdrawal,
+    /// Applied by every VM.
+    Everywhere,
+    /// The parts of a team fit its limit.
+    Limit(id::TeamId),
+}
+
+/// A command that waits to be in force.
+#[derive(Debug)]
+pub struct Force {
+    /// Index of the entry.
+    pub index: u64,
+    /// What is waited for.
+    pub condition: Condition,
+    /// Start of the answer.
+    pub text: String,
+    /// When the outcome was known here, which is after the commit.
+    pub since: Option<Duration>,
+    /// Who waits.
+    pub reply: oneshot::Sender<answer::Answer>,
+}
+
+impl Controller {
+    /// Answers the commands that are in force, or have waited long enough.
+    pub(super) fn check_forces(&mut self, now: Duration) {
+        let mut waiting = std::mem::take(&mut self.forces);
+        waiting.retain_mut(|force| {
+            let since = *force.since.get_or_insert(now);
+            !self.settle_force(now, since, force)
+        });
+        self.forces = waiting;
+    }
+
+    /// Returns whether the command was answered.
+    fn settle_force(&self, now: Duration, since: Duration, force: &mut Force) -> bool {
+        let waited = now.saturating_sub(since);
+        let ending = if self.is_in_force(now, waited, force) {
+            format!("It is in force everywhere after {} ms.", waited.as_millis())
+        } else if waited >= LONGEST {
+            format!("It is not in force yet in {}.", self.lagging(now, force.index))
+        } else {
+            return false;
+        };
+        let (closed, _receiver) = oneshot::channel();
+        let reply = std::mem::replace(&mut force.reply, closed);
+        // The operator may have gone away.
+        drop(reply.send(answer::Answer::text(format!("{} {ending}", force.text))));
+        true
+    }
+
+    fn is_in_force(&self, now: Duration, waited: Duration, force: &Force) -> bool {
+        let members: Vec<_> = self.root.view().vms.keys().copied().collect();
+        let applied = self
+            .gossip
+            .applied_everywhere(&members, now)
+            .is_some_and(|applied| applied >= force.index);
+        match force.condition {
+            Condition::Withdrawal => {
+                applied || waited >= control::Freshness::KEY_FRESHNESS.mul_f64(1.0 + DRIFT)
+            }
+            Condition::Everywhere => applied,
+            Condition::Limit(team) => {
+                self.root.view().applied >= force.index && self.root.state().limit_in_force(team)
+            }
+        }
+    }
+
+    /// Names of the VMs that have not reported an index.
+    fn lagging(&self, now: Duration, index: u64) -> String {
+        let view = self.root.view();
+        let behind = view.vms.values().filter(|vm| {
+            self.gossip
+                .applied_everywhere(&[vm.id], now)
+                .is_none_or(|applied| applied < index)
+        });
+        let names: Vec<_> = behind.map(|vm| vm.name.as_str()).collect();
+        if names.is_empty() {
+            String::from("some zones: parts above the limit are not released")
+        } else {
+            names.join(", ")
+        }
+    }
+}
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod context;
 mod directory;
 mod duties;
+mod force;
 mod inbox;
 mod member;
 mod operator;
@@ -19,6 +20,7 @@
 mod scheduling;
 mod serve;
 mod session;
+mod submissions;
 mod targets;
 mod zone;
 
@@ -55,6 +57,10 @@
     Persisted(disk::Done),
     /// An owner's answer to a claim.
     Claimed(claims::Pending, wire::Reply),
+    /// A zone's answer to a submission.
+    Submitted(submissions::Submission, wire::Reply),
+    /// A committed command whose answer waits until it is in force.
+    Await(force::Force),
     /// A timer.
     Tick,
     /// Hand over what this VM leads; the answer comes when nothing is led any more, or after a short time.
@@ -109,5 +115,9 @@
     duties_at: Duration,
     flush_at: Option<Duration>,
     tick_at: Option<Duration>,
+    /// Groups that this VM leads, as last announced.
+    led: Vec<id::GroupId>,
+    /// Commands that are not in force everywhere yet.
+    forces: Vec<force::Force>,
     leaving: Option<(oneshot::Sender<()>, Duration)>,
 }
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -11,7 +11,7 @@
 
 use super::{Reply, local};
 use crate::{
-    control::{Controller, asks, context},
+    control::{Controller, Message, asks, context, force},
     peer::wire,
 };
 
@@ -139,10 +139,27 @@
     }
 
     fn commit(&mut self, command: root::Command, id: id::CommandId, shown: Option<String>, reply: Reply) {
+        let condition = condition(&command);
         let mut envelope = root::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(id);
+        let inbox = self.inbox.clone();
         let then = Box::new(move |answer| {
-            drop(reply.send(describe(answer, id, shown)));
+            let index = accepted(&answer);
+            let described = describe(answer, id, shown);
+            match (condition, index, described) {
+                (Some(condition), Some(index), answer::Answer::Text(text)) => {
+                    let force = force::Force {
+                        index,
+                        condition,
+                        text: text.text,
+                        since: None,
+                        reply,
+                    };
+                    inbox.send(Message::Await(force));
+                }
+                // The operator may have gone away.
+                (_, _, described) => drop(reply.send(described)),
+            }
         });
         self.dispatch(id::GroupId::Root, wire::Ask::Root(envelope), asks::DEADLINE, then);
     }
@@ -208,13 +225,31 @@
     }
 }
 
+/// Returns what a command waits for before it is answered.
+const fn condition(command: &root::Command) -> Option<force::Condition> {
+    match command {
+        root::Command::WithdrawKey { .. } => Some(force::Condition::Withdrawal),
+        root::Command::SetConfig { .. } | root::Command::Drain { .. } => Some(force::Condition::Everywhere),
+        root::Command::SetQuota { team, .. } => Some(force::Condition::Limit(*team)),
+        _ => None,
+    }
+}
+
+/// Returns the index of an accepted command.
+const fn accepted(answer: &wire::Reply) -> Option<u64> {
+    match answer {
+        wire::Reply::Root(root::Outcome::Done | root::Outcome::Config(_), index) => Some(*index),
+        _ => None,
+    }
+}
+
 fn missing(kind: &str, name: &str) -> Fault {
     (answer::Code::NotFound, format!("there is no {kind} {name}"))
 }
 
 /// Describes the outcome of a root command.
 fn describe(answer: wire::Reply, id: id::CommandId, shown: Option<String>) -> answer::Answer {
-    let wire::Reply::Root(outcome) = answer else {
+    let wire::Reply::Root(outcome, _) = answer else {
         return refused(answer);
     };
     match outcome {
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -260,7 +260,7 @@
             record(context, &envelope.command, outcome);
         }
         for (responder, outcome) in responders.into_iter().zip(outcomes) {
-            responder.answer(context, wire::Reply::Root(outcome));
+            responder.answer(context, wire::Reply::Root(outcome, entry.position.index));
         }
     }
 
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -195,6 +195,9 @@
                 (state::Command::Finish { job, state }, state::Outcome::Done) => {
                     note_end(context, zone, job, state);
                 }
+                (state::Command::WorkerGone { worker, .. }, state::Outcome::Done) => {
+                    self.sessions.close(worker);
+                }
                 (state::Command::Granted(_) | state::Command::Release(_), _) => {
                     self.follow_view(context, zone, view);
                 }
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,10 +1,10 @@
 //! Frames of other daemons, and calls to the groups that this VM leads.
 
 use bronzespoke_control::zone;
-use bronzespoke_model::id;
+use bronzespoke_model::{id, job};
 
 use crate::{
-    control::{Controller, context, responder},
+    control::{Controller, context, responder, submissions},
     peer::wire,
 };
 
@@ -124,7 +124,10 @@
             return;
         };
         match ask {
-            wire::Ask::Zone(envelope) => group.propose_envelope(envelope, responder),
+            wire::Ask::Zone(envelope) => match refusal(group.state(), &envelope) {
+                Some(reason) => responder.answer(&self.context, wire::Reply::Impossible(reason)),
+                None => group.propose_envelope(envelope, responder),
+            },
             wire::Ask::Job { team, job, results } => {
                 let found = find(group.state(), team, job, results);
                 responder.answer(&self.context, wire::Reply::Job(found));
@@ -155,6 +158,15 @@
     }
 }
 
+/// Tells why a submission is not taken; a resend gets its first outcome whatever the fleet is now.
+fn refusal(state: &zone::State, envelope: &zone::Envelope) -> Option<job::Impossible> {
+    let zone::Command::Submit { spec, .. } = &envelope.command else {
+        return None;
+    };
+    let resent = envelope.id.is_some_and(|id| state.outcome(id).is_some());
+    submissions::impossible(state, spec).filter(|_| !resent)
+}
+
 /// Looks a job up for a team, or for an operator.
 fn find(state: &zone::State, team: Option<id::TeamId>, job: id::JobId, results: bool) -> Option<wire::Job> {
     let zone::Lookup::Found(status) = state.lookup(job, results) else {
--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -74,6 +74,11 @@
         fresh
     }
 
+    /// Closes the session of a worker that is out of use; a held report ends without an answer.
+    pub fn close(&mut self, worker: id::WorkerId) {
+        self.sessions.remove(&worker);
+    }
+
     /// Notes the amount that a start grants.
     pub fn grant(&mut self, token: id::Token, granted: resource::Amount) {
         self.granted.insert(token, granted);
--- /dev/null
+++ b/crates/daemon/src/control/submissions.rs
@@ -0,0 +1,215 @@
+//! Submissions of jobs: the choice of the home zone, and at most one job for each submission id.
+//!
+//! A submission without an id goes to the nearest zone in which it fits. One with an id first claims the id at its
+//! owner, as a non-repeatable request does, so that a resend at any VM meets the first submission whichever zone took
+//! the job.
+
+use std::time::Duration;
+
+use bronzespoke_control::{request_id, zone};
+use bronzespoke_gateway::control;
+use bronzespoke_gossip::{Key, Value};
+use bronzespoke_model::{id, job, vm};
+use bytes::Bytes;
+
+use crate::{
+    control::{Controller, Message, asks, calls, claims},
+    peer::wire,
+};
+
+/// Separates submission ids from request ids of the same team.
+const KEY_PREFIX: &str = "job ";
+
+/// A submission under way.
+#[derive(Debug)]
+pub struct Submission {
+    team: id::TeamId,
+    /// Key of the caller's id for the submission.
+    key: Option<request_id::Key>,
+    /// Number of the claim on the key.
+    claim: Option<u64>,
+    spec: job::Spec,
+    /// Zones that have not been asked, the next one last.
+    zones: Vec<id::AvailabilityZoneId>,
+    reply: control::Reply<id::JobId>,
+}
+
+impl Controller {
+    /// Takes a submission of the gateway.
+    pub(super) fn submit(
+        &mut self,
+        team: id::TeamId,
+        submission: Option<String>,
+        spec: job::Spec,
+        reply: control::Reply<id::JobId>,
+    ) {
+        if let Err(refusal) = self.check_spec(team, &spec) {
+            drop(reply.send(Err(refusal)));
+            return;
+        }
+        let key = submission.map(|text| request_id::Key::new(team, &format!("{KEY_PREFIX}{text}")));
+        let zones = self.home_zones(&spec);
+        let submission = Submission {
+            team,
+            key,
+            claim: None,
+            spec,
+            zones,
+            reply,
+        };
+        match key {
+            Some(key) => self.claim_key(key, claims::Waiter::Submission(Box::new(submission))),
+            None => self.try_next_zone(submission),
+        }
+    }
+
+    /// Refuses what the team could never run, whatever the fleet is.
+    fn check_spec(&self, team: id::TeamId, spec: &job::Spec) -> Result<(), control::Refusal> {
+        let Some(team) = self.root.view().teams.get(&team) else {
+            return Err(control::Refusal::NotFound);
+        };
+        let at_once = if spec.kind == job::Kind::Gang {
+            u64::from(spec.tasks)
+        } else {
+            1
+        };
+        let limit = &team.quota.limit;
+        let within = |size: u32, limit: u32| u64::from(size) * at_once <= u64::from(limit);
+        let fits = within(spec.size.cpu_milli, limit.cpu_milli)
+            && within(spec.size.memory_mib, limit.memory_mib)
+            && within(spec.size.accelerators, limit.accelerators);
+        if fits {
+            Ok(())
+        } else {
+            Err(control::Refusal::Impossible(job::Impossible::OverTeamLimit))
+        }
+    }
+
+    /// Handles the claim on a submission id.
+    pub(super) fn submission_claimed(&mut self, mut submission: Submission, claimed: control::Claimed) {
+        let refusal = match claimed {
+            control::Claimed::Granted(number) => {
+                submission.claim = Some(number);
+                self.try_next_zone(submission);
+                return;
+            }
+            control::Claimed::Answered(answer) => match parse(&answer.body) {
+                Some(job) => {
+                    drop(submission.reply.send(Ok(job)));
+                    return;
+                }
+                None => control::Refusal::Unknown(String::from("the first answer is not kept any more")),
+            },
+            control::Claimed::InProgress => {
+                control::Refusal::Unknown(String::from("the first submission with this id is in progress"))
+            }
+            control::Claimed::Unknown => control::Refusal::Unknown(String::from(
+                "the first submission with this id may have been accepted",
+            )),
+            control::Claimed::NotRun(reason) => control::Refusal::Unavailable(reason),
+        };
+        drop(submission.reply.send(Err(refusal)));
+    }
+
+    /// Submits to the next zone, or gives up.
+    fn try_next_zone(&mut self, mut submission: Submission) {
+        let Some(zone) = submission.zones.pop() else {
+            let impossible = job::Impossible::LargerThanAnyWorker;
+            self.end_submission(submission, Err(control::Refusal::Impossible(impossible)));
+            return;
+        };
+        let command = zone::Command::Submit {
+            team: submission.team,
+            submission: submission.key,
+            spec: submission.spec.clone(),
+        };
+        let inbox = self.inbox.clone();
+        let then = Box::new(move |answer| inbox.send(Message::Submitted(submission, answer)));
+        self.command_zone(id::GroupId::Zone(zone), command, asks::DEADLINE, then);
+    }
+
+    /// Handles a zone's answer.
+    pub(super) fn submitted(&mut self, submission: Submission, answer: wire::Reply) {
+        let more = !submission.zones.is_empty();
+        match answer {
+            wire::Reply::Zone(zone::Outcome::Job(job)) => self.end_submission(submission, Ok(job)),
+            // Nothing was done there, so another zone may take the job.
+            wire::Reply::Impossible(_) | wire::Reply::NotDone(_) | wire::Reply::NotLeader if more => {
+                self.try_next_zone(submission);
+            }
+            wire::Reply::Impossible(reason) => {
+                self.end_submission(submission, Err(control::Refusal::Impossible(reason)));
+            }
+            other => self.end_submission(submission, Err(calls::refusal(other))),
+        }
+    }
+
+    fn end_submission(&mut self, submission: Submission, result: Result<id::JobId, control::Refusal>) {
+        if let Some(number) = submission.claim {
+            let completion = match &result {
+                Ok(job) => control::Completion::Answered(control::Answer {
+                    status: 202,
+                    content_type: String::from("text/plain"),
+                    body: Bytes::from(job.to_string()),
+                }),
+                Err(control::Refusal::Unknown(_)) => control::Completion::Unknown,
+                Err(_) => control::Completion::NotRun,
+            };
+            self.complete(number, &completion);
+        }
+        // The caller may have gone away; the job is accepted all the same.
+        drop(submission.reply.send(result));
+    }
+
+    /// Returns the zones in which a job may run, the nearest with room last.
+    fn home_zones(&self, spec: &job::Spec) -> Vec<id::AvailabilityZoneId> {
+        let now = self.context.now();
+        let here = self.context.me.place;
+        let view = self.root.view();
+        let mut zones: Vec<_> = self
+            .root
+            .state()
+            .open_zones()
+            .map(|zone| {
+                let region = view.zones.get(&zone).map_or(0, |record| record.region);
+                let distance = here.distance(&vm::Place { region, zone });
+                (!self.has_room(now, zone, spec), distance, zone)
+            })
+            .collect();
+        zones.sort_unstable();
+        zones.into_iter().rev().map(|(_, _, zone)| zone).collect()
+    }
+
+    fn has_room(&self, now: Duration, zone: id::AvailabilityZoneId, spec: &job::Spec) -> bool {
+        let entry = self.gossip.get(Key::Capacity(zone), now);
+        match entry.map(|entry| entry.value) {
+            Some(Value::Capacity { free, workers, .. }) => *workers > 0 && spec.size.fits(free),
+            _ => false,
+        }
+    }
+}
+
+fn parse(body: &[u8]) -> Option<id::JobId> {
+    std::str::from_utf8(body).ok()?.parse().ok()
+}
+
+/// Tells why no worker of a zone can run a task of a job; `None` when one can, or when the zone has no workers yet.
+pub(super) fn impossible(state: &zone::State, spec: &job::Spec) -> Option<job::Impossible> {
+    let mut workers = state.workers().filter(|(_, worker)| !worker.gone).peekable();
+    workers.peek()?;
+    let needs = spec.size.accelerators > 0;
+    let mut kind_seen = !needs;
+    for (_, worker) in workers {
+        let capacity = &worker.registration.capacity;
+        let right_kind = !needs || spec.accelerator == capacity.accelerator;
+        kind_seen |= right_kind;
+        if right_kind && spec.size.fits(&capacity.amount) {
+            return None;
+        }
+    }
+    Some(if kind_seen {
+        job::Impossible::LargerThanAnyWorker
+    } else {
+        job::Impossible::NoSuchAccelerator
+    })
+}
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -150,6 +150,7 @@
         let context = context::Context {
             origin,
             me: vm.clone(),
+            incarnation: context::Context::wall_ms(),
             ring: ring.clone(),
             network: network.clone(),
             peers: std::collections::HashMap::new(),
--- a/crates/daemon/src/peer/wire.rs
+++ b/crates/daemon/src/peer/wire.rs
@@ -48,6 +48,8 @@
 pub struct Hello {
     /// The daemon's VM.
     pub vm: vm::Vm,
+    /// Life of the process; a later life has forgotten the requests of an earlier one.
+    pub incarnation: id::Incarnation,
     /// Groups that it leads, with the term.
     pub leads: Vec<(id::GroupId, u64)>,
     /// Groups in which it holds a replica.
@@ -92,14 +94,16 @@
 /// Answer to a call.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Reply {
-    /// Outcome of a root command.
-    Root(root::Outcome),
+    /// Outcome of a root command, and the index of its entry.
+    Root(root::Outcome, u64),
     /// Outcome of a zone command.
     Zone(zone::Outcome),
     /// A job; `None` when there is no such job.
     Job(Option<Job>),
     /// An operator's answer, as JSON.
     Answer(Bytes),
+    /// The job can never run in the zone.
+    Impossible(job::Impossible),
     /// Done.
     Done,
     /// Nothing was done; the reason is for people.
