consensus: reset a member's pipeline once for each round trip

Cause: with reordered messages every refused append went back to probing and sent a heartbeat, and every accepted heartbeat filled the window again, so messages multiplied without bound. The driver now reports more than 100,000 steps as a violation. Conclusion: a refusal counts only if it answers a message sent after probing last began.

--- a/crates/consensus/src/replica/progress.rs
+++ b/crates/consensus/src/replica/progress.rs
@@ -41,6 +41,8 @@
     pub(crate) sent_at: Duration,
     /// When the newest answered message was sent.
     pub(crate) acked: Option<Duration>,
+    /// When probing last began, in microseconds; refusals of older messages tell nothing new.
+    pub(crate) probed_at: u64,
     /// Token of the newest answer.
     pub(crate) token: u32,
     /// Last index of the leader when the current catch-up round began, and that time.
@@ -59,6 +61,7 @@
             in_flight_bytes: 0,
             sent_at: now,
             acked: None,
+            probed_at: 0,
             token: 0,
             round: (next.saturating_sub(1), now),
             caught_up: None,
@@ -96,8 +99,9 @@
     }
 
     /// Goes back to probing from an index.
-    pub(crate) fn probe(&mut self, next: u64) {
+    pub(crate) fn probe(&mut self, next: u64, now: Duration) {
         self.mode = Mode::Probe;
+        self.probed_at = now.as_micros() as u64;
         self.next = next.max(self.matched + 1);
         self.in_flight.clear();
         self.in_flight_bytes = 0;
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -109,7 +109,7 @@
         let silent = progress.acked.unwrap_or(leader.elected_at) + election < now;
         if silent && matches!(progress.mode, Mode::Pipeline) {
             // A member that does not answer gets heartbeats only, so that a lost VM costs few bytes.
-            progress.probe(progress.matched + 1);
+            progress.probe(progress.matched + 1, now);
         }
         match progress.mode {
             Mode::Snapshot(_) => self.send_chunk(to, true, out),
@@ -132,14 +132,15 @@
             Outcome::Accepted { matched } => {
                 progress.accept(matched.min(last), last, now, election);
                 if matches!(progress.mode, Mode::Probe) {
-                    progress.next = progress.matched + 1;
                     progress.mode = Mode::Pipeline;
                 }
             }
             Outcome::Refused { previous, hint } if previous > progress.matched => {
-                let place = previous.min(hint + 1);
-                if !matches!(progress.mode, Mode::Snapshot(_)) {
-                    progress.probe(place);
+                // One reset for each round trip: reordered messages are refused one by one, and a reset for each
+                // of them would multiply the messages.
+                let newer = reply.sent >= progress.probed_at;
+                if newer && !matches!(progress.mode, Mode::Snapshot(_)) {
+                    progress.probe(previous.min(hint + 1), now);
                     self.send_heartbeat(from, out);
                 }
             }
@@ -233,7 +234,7 @@
             }
             return;
         }
-        progress.probe(label.position.index + 1);
+        progress.probe(label.position.index + 1, now);
         progress.accept(label.position.index, last, now, election);
         progress.mode = Mode::Pipeline;
         self.after_answer(from, out);
--- a/crates/consensus/tests/driver/check.rs
+++ b/crates/consensus/tests/driver/check.rs
@@ -31,6 +31,8 @@
     StaleBasis,
     /// A voter was added that lacks the log committed two election timeouts ago.
     PromotedTooEarly,
+    /// Messages or timers multiply.
+    TooManySteps,
 }
 
 #[derive(Debug, Default)]
@@ -120,6 +122,8 @@
         };
         if position.index > self.committed.index {
             self.committed = position;
+        }
+        if self.history.last().is_none_or(|held| held.1 < position.index) {
             self.history.push((now, position.index));
         }
         let voters = &status.membership.voters;
--- a/crates/consensus/tests/driver/mod.rs
+++ b/crates/consensus/tests/driver/mod.rs
@@ -52,6 +52,9 @@
     }
 }
 
+/// A run needs a few thousand steps; more show that messages or timers multiply.
+const STEPS: u64 = 100_000;
+
 /// Network and disk behaviour.
 #[derive(Debug, Clone, Copy)]
 pub struct Weather {
@@ -129,6 +132,7 @@
         config.retained_entries = 20;
         config.chunk_bytes = 64;
         config.in_flight_messages = 8;
+        config.batch_bytes = if self.rng.random_bool(0.5) { 1 } else { 4_096 };
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else {
             return;
@@ -281,6 +285,10 @@
             let mut out = Vec::new();
             replica.step(local, input, &mut out);
             self.steps += 1;
+            if self.steps > STEPS {
+                self.violation.get_or_insert(Violation::TooManySteps);
+                return;
+            }
             let outcome = self.carry_out(id, out, &mut inputs);
             let outcome = outcome.and_then(|()| self.check.after_step(now, id, &self.nodes));
             if let Err(violation) = outcome {
--- a/crates/consensus/tests/driver/plan.rs
+++ b/crates/consensus/tests/driver/plan.rs
@@ -41,6 +41,9 @@
             .unwrap_or(0.0),
     };
     let end = ms(8_000);
+    if seed % 8 == 6 {
+        storm(&mut world);
+    }
     while world.now < end && world.violation.is_none() {
         let pause = ms(world.rng.random_range(5..80));
         let until = world.now + pause;
@@ -118,6 +121,9 @@
         84..86 => {
             let other = any(world);
             world.cuts.insert((target, other));
+            if world.rng.random_bool(0.5) {
+                world.cut(target, other);
+            }
         }
         86..91 => world.cuts.clear(),
         91..94 => world.compact(target),
@@ -130,6 +136,33 @@
     }
 }
 
+/// Elections among late messages, cut pairs and restarts.
+fn storm(world: &mut World) {
+    let calm = world.weather;
+    world.weather.late = 0.4;
+    let end = world.now + ms(3_000);
+    while world.now < end && world.violation.is_none() {
+        let until = world.now + ms(world.rng.random_range(5..60));
+        world.run_until(until);
+        let target = any(world);
+        match world.rng.random_range(0..10) {
+            0..2 => {
+                world.crash(target);
+                world.start(target);
+            }
+            2..4 => {
+                let other = any(world);
+                world.cut(target, other);
+            }
+            4 => world.cuts.clear(),
+            _ => {
+                world.propose(target);
+            }
+        }
+    }
+    world.weather = calm;
+}
+
 /// Loses at most one VM without a disk, so that the calm phase can be judged.
 fn may_lose(world: &World, _id: VmId) -> bool {
     world.nodes.values().all(|node| !node.gone)
