--- /dev/null
+++ b/crates/consensus/tests/feed.rs
@@ -0,0 +1,219 @@
+//! A chain of followers behind a root voter.
+
+use std::time::Duration;
+
+use bronzespoke_consensus::feed::{Answer, Config, Content, Follower, Input, Output, Request, Source};
+use bronzespoke_consensus::{log, membership, message, snapshot};
+use rand::rngs::SmallRng;
+use rand::{Rng, SeedableRng};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+fn entry(index: u64) -> log::Entry {
+    let position = log::Position { term: 1, index };
+    log::Entry {
+        position,
+        payload: log::Payload::Command(vec![7; 12].into()),
+    }
+}
+
+fn snapshot_at(index: u64, bytes: usize) -> snapshot::Snapshot {
+    let position = log::Position { term: 1, index };
+    snapshot::Snapshot {
+        position,
+        membership: membership::Membership::default(),
+        data: vec![index as u8; bytes].into(),
+    }
+}
+
+/// A follower with a clock that began at another time, and its source for the next hop.
+struct Hop {
+    follower: Follower,
+    source: Source,
+    offset: Duration,
+    applied: u64,
+}
+
+impl Hop {
+    fn new(seed: u64, offset: Duration) -> Self {
+        let mut follower = Follower::new(Config::new(seed), Duration::ZERO);
+        follower.step(Duration::ZERO, Input::Relay { to: Some(1) }, &mut Vec::new());
+        Self {
+            follower,
+            source: Source::new(2_000),
+            offset,
+            applied: 0,
+        }
+    }
+
+    fn step(&mut self, now: Duration, input: Input) -> Option<Request> {
+        let mut out = Vec::new();
+        self.follower.step(now + self.offset, input, &mut out);
+        let mut sent = None;
+        for output in out {
+            match output {
+                Output::Apply(entry) => {
+                    assert_eq!(
+                        entry.position.index,
+                        self.applied + 1,
+                        "applied entries are consecutive"
+                    );
+                    self.applied += 1;
+                    self.source.push(&entry);
+                }
+                Output::Install(snapshot) => {
+                    assert!(
+                        snapshot.position.index > self.applied,
+                        "the state never goes back"
+                    );
+                    self.applied = snapshot.position.index;
+                    self.source.install(snapshot);
+                }
+                Output::Send { request, .. } => sent = Some(request),
+                Output::Unanswered { .. } => {}
+            }
+        }
+        if self.source.wants_snapshot() {
+            self.source.install(snapshot_at(self.applied, 150_000));
+        }
+        sent
+    }
+}
+
+/// Guards against a follower that claims to be fresher than it is, or whose state goes back, with lost, late and
+/// repeated messages over two hops and clocks that began at different times.
+#[test]
+fn basis_is_never_too_young() {
+    for seed in 0..40 {
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let mut root = Source::new(2_000);
+        let mut hops = [Hop::new(seed, ms(7_000)), Hop::new(seed + 1, ms(90_000))];
+        let mut committed: Vec<Duration> = Vec::new();
+        let mut requests: Vec<(Duration, usize, Request)> = Vec::new();
+        let mut answers: Vec<(Duration, usize, Answer)> = Vec::new();
+        let mut bases = [None, None];
+        for tick in 0..4_000 {
+            let now = ms(tick * 5);
+            if rng.random_bool(0.1) {
+                committed.push(now);
+                root.push(&entry(committed.len() as u64));
+                if root.wants_snapshot() {
+                    root.install(snapshot_at(committed.len() as u64, 150_000));
+                }
+            }
+            for (_, hop, answer) in answers
+                .extract_if(.., |answer| answer.0 <= now)
+                .collect::<Vec<_>>()
+            {
+                let next = hops[hop].step(now, Input::Receive { from: 1, answer });
+                requests.extend(next.map(|request| (now + ms(rng.random_range(1..60)), hop, request)));
+            }
+            for hop in 0..2 {
+                let next = hops[hop].step(now, Input::Tick);
+                requests.extend(next.map(|request| (now + ms(rng.random_range(1..60)), hop, request)));
+            }
+            for (_, hop, request) in requests
+                .extract_if(.., |request| request.0 <= now)
+                .collect::<Vec<_>>()
+            {
+                // The first hop asks the root; its basis is the present. The second hop asks the first.
+                let answer = match hop {
+                    0 => root.answer(now, Some(now), &request),
+                    _ => hops[0]
+                        .source
+                        .answer(now + hops[0].offset, hops[0].follower.basis(), &request),
+                };
+                if rng.random_bool(0.9) {
+                    answers.push((now + ms(rng.random_range(1..60)), hop, answer.clone()));
+                }
+                if rng.random_bool(0.1) {
+                    answers.push((now + ms(rng.random_range(1..3_000)), hop, answer));
+                }
+            }
+            for (hop, before) in hops.iter().zip(&mut bases) {
+                let basis = hop.follower.basis();
+                assert!(basis >= *before, "seed {seed}: the basis never goes back");
+                *before = basis;
+                let Some(basis) = basis.and_then(|basis| basis.checked_sub(hop.offset)) else {
+                    continue;
+                };
+                let needed = committed.partition_point(|at| *at < basis) as u64;
+                assert!(
+                    hop.applied >= needed,
+                    "seed {seed}: {} of {needed} at {basis:?}",
+                    hop.applied
+                );
+            }
+        }
+        for hop in &hops {
+            assert!(
+                hop.applied + 100 > committed.len() as u64,
+                "seed {seed}: {} applied",
+                hop.applied
+            );
+        }
+    }
+}
+
+/// Guards against a relay that is behind and takes a follower back, and against answers that nobody asked for.
+#[test]
+fn older_snapshot_is_refused() {
+    let mut follower = Follower::new(Config::new(1), ms(0));
+    let mut out = Vec::new();
+    follower.step(ms(0), Input::Relay { to: Some(1) }, &mut out);
+    let mut source = Source::new(1_000);
+    source.install(snapshot_at(50, 10));
+    let mut behind = Source::new(1_000);
+    behind.install(snapshot_at(20, 10));
+    for (millis, source) in [(1, &source), (600, &behind)] {
+        let Some(Output::Send { request, .. }) = out.pop() else {
+            panic!("a request is sent: {out:?}")
+        };
+        // An answer to the first request of an empty follower, as a confused relay would send it.
+        let empty = Request {
+            after: 0,
+            partial: None,
+            ..request
+        };
+        let answer = source.answer(ms(millis), Some(ms(millis)), &empty);
+        follower.step(
+            ms(millis),
+            Input::Receive {
+                from: 1,
+                answer: answer.clone(),
+            },
+            &mut out,
+        );
+        follower.step(ms(millis), Input::Receive { from: 1, answer }, &mut out);
+        follower.step(ms(millis + 550), Input::Tick, &mut out);
+        assert_eq!(follower.applied(), 50);
+    }
+    let installs = out
+        .iter()
+        .filter(|output| matches!(output, Output::Install(_)))
+        .count();
+    assert_eq!(installs, 1);
+}
+
+/// Guards against messages that do not survive the wire, and against entries that cost more than they must.
+#[test]
+fn messages_travel_in_postcard() {
+    let items: Vec<_> = (1..=10).map(|index| message::Item::of(entry(index))).collect();
+    let answer = Answer {
+        token: 1,
+        through: 10,
+        age: Some(5),
+        content: Content::Entries(items),
+    };
+    let bytes = postcard::to_stdvec(&answer).expect("plain data is encoded");
+    assert_eq!(postcard::from_bytes::<Answer>(&bytes), Ok(answer));
+    assert!(
+        bytes.len() <= 10 * 15 + 8,
+        "12 bytes, a tag, a term and a length each: {}",
+        bytes.len()
+    );
+    let entry = entry(300);
+    assert_eq!(message::Item::of(entry.clone()).at(300), entry);
+}
