Check a key again when its request has waited, and test hedging

Cause: a request that waited in a queue was sent although its key had been withdrawn meanwhile; with a 30 s deadline it may wait 3.75 s, longer than a withdrawal may take. The new test fails without the check.

--- a/crates/gateway/src/filter/key.rs
+++ b/crates/gateway/src/filter/key.rs
@@ -16,17 +16,32 @@
 const KEY_BYTES: usize = 512;
 const SCHEME: &str = "Bearer ";
 
+/// A key that was granted when it was checked.
+#[derive(Debug, Clone)]
+pub(crate) struct Granted {
+    pub team: Arc<team::Team>,
+    /// Allows another check, for work that waited.
+    pub hash: team::KeyHash,
+}
+
 /// Returns the team of the key in the `Authorization` header.
-pub(crate) fn team(handle: &control::Handle, headers: &HeaderMap) -> Result<Arc<team::Team>, fault::Fault> {
+pub(crate) fn team(handle: &control::Handle, headers: &HeaderMap) -> Result<Granted, fault::Fault> {
     let key = bearer(headers)?;
     team_of(handle, key.as_bytes())
 }
 
 /// Returns the team of a key.
-pub(crate) fn team_of(handle: &control::Handle, key: &[u8]) -> Result<Arc<team::Team>, fault::Fault> {
+pub(crate) fn team_of(handle: &control::Handle, key: &[u8]) -> Result<Granted, fault::Fault> {
     if key.is_empty() || key.len() > KEY_BYTES {
         return Err(unauthorized(&format!("a key has 1 to {KEY_BYTES} bytes")));
     }
+    let hash: team::KeyHash = Sha256::digest(key).into();
+    let team = check(handle, &hash)?;
+    Ok(Granted { team, hash })
+}
+
+/// Returns the team whose key has this hash, if the key is granted now.
+pub(crate) fn check(handle: &control::Handle, hash: &team::KeyHash) -> Result<Arc<team::Team>, fault::Fault> {
     if !handle.freshness.is_fresh() {
         return Err(fault::Fault::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
@@ -35,12 +50,11 @@
         )
         .with_retry_after(Duration::from_secs(1)));
     }
-    let hash: team::KeyHash = Sha256::digest(key).into();
     let view = handle.view.borrow();
     let found = view
         .keys
-        .get_key_value(&hash)
-        .filter(|(stored, _)| bool::from(stored.ct_eq(&hash)))
+        .get_key_value(hash)
+        .filter(|(stored, _)| bool::from(stored.ct_eq(hash)))
         .and_then(|(_, id)| view.teams.get(id));
     found
         .map(Arc::clone)
--- a/crates/gateway/src/routes/jobs.rs
+++ b/crates/gateway/src/routes/jobs.rs
@@ -13,11 +13,11 @@
     head: &Parts,
     body: Incoming,
 ) -> Result<Response<answer::Body>, fault::Fault> {
-    let team = filter::key::team(&context.handle, &head.headers)?;
+    filter::key::team(&context.handle, &head.headers)?;
     let id = filter::identity::parse(&head.headers)?;
     let spec: job::Spec = routes::receive_json(context, head, body).await?;
     // The key is checked again, because the body may have taken longer than a withdrawal needs.
-    filter::key::team(&context.handle, &head.headers)?;
+    let team = filter::key::team(&context.handle, &head.headers)?.team;
     let job = accept(context, head, team.id, id, spec).await?;
     Ok(routes::json(StatusCode::ACCEPTED, &json!({ "job": job })))
 }
@@ -46,7 +46,7 @@
     job: id::JobId,
     results: bool,
 ) -> Result<Response<answer::Body>, fault::Fault> {
-    let team = filter::key::team(&context.handle, &head.headers)?;
+    let team = filter::key::team(&context.handle, &head.headers)?.team;
     let status = status(context, head, team.id, job, results).await?;
     Ok(routes::json(StatusCode::OK, &status))
 }
@@ -73,7 +73,7 @@
     head: &Parts,
     job: id::JobId,
 ) -> Result<Response<answer::Body>, fault::Fault> {
-    let team = filter::key::team(&context.handle, &head.headers)?;
+    let team = filter::key::team(&context.handle, &head.headers)?.team;
     let path = head.uri.path();
     let timeout = context.settings.call_timeout;
     let call = |reply| control::Call::Cancel(team.id, job, reply);
--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -37,6 +37,8 @@
 
 /// A request that passed the filters.
 pub(crate) struct Work {
+    /// Checked again when the request has waited; open queues have none.
+    pub key: Option<team::KeyHash>,
     pub ask: gate::Ask,
     pub message: attempt::Message,
     /// Counts the body's memory until the work is dropped.
@@ -58,7 +60,7 @@
 
 /// A request as any version of the interface states it.
 pub(crate) struct Order<'a> {
-    pub team: Option<&'a team::Team>,
+    pub granted: Option<&'a filter::key::Granted>,
     pub owner: admission::Owner,
     pub service: id::ServiceId,
     pub service_name: &'a str,
@@ -77,7 +79,7 @@
     head: &Parts,
     body: Incoming,
 ) -> Result<Response<answer::Body>, fault::Fault> {
-    let team = filter::key::team(&context.handle, &head.headers)?;
+    filter::key::team(&context.handle, &head.headers)?;
     let view = Arc::clone(&context.handle.view.borrow());
     let service = view
         .services
@@ -88,9 +90,10 @@
     let limit = view.config.request_body_bytes as usize;
     let body = filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
     // The key is checked again, because the body may have taken longer than a withdrawal needs.
-    let team = filter::key::team(&context.handle, &head.headers).map(|_| team)?;
+    let granted = filter::key::team(&context.handle, &head.headers)?;
+    let team = &granted.team;
     let order = Order {
-        team: Some(&team),
+        granted: Some(&granted),
         owner: admission::Owner::Team(team.id),
         service: service.id,
         service_name: name,
@@ -122,7 +125,7 @@
     let limit = view.config.request_body_bytes as usize;
     let body = filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
     let order = Order {
-        team: None,
+        granted: None,
         owner: admission::Owner::Queue(queue.id),
         service: service.id,
         service_name: &service.name,
@@ -142,7 +145,7 @@
     order: Order<'_>,
 ) -> Result<Response<answer::Body>, fault::Fault> {
     let id = order.id.clone();
-    let team = order.team.map(|team| team.id);
+    let team = order.granted.map(|granted| granted.team.id);
     let work = prepare(context, head, order)?;
     match (team, id) {
         (Some(team), Some(id)) => claimed::serve(context, team, id, work).await,
@@ -162,7 +165,10 @@
         }
     }
     headers.insert(header::HOST, HeaderValue::from_static("target"));
-    if let Some(name) = order.team.and_then(|team| HeaderValue::from_str(&team.name).ok()) {
+    if let Some(name) = order
+        .granted
+        .and_then(|granted| HeaderValue::from_str(&granted.team.name).ok())
+    {
         headers.insert(attempt::TEAM, name);
     }
     if let Some(id) = order.id.as_deref().and_then(|id| HeaderValue::from_str(id).ok()) {
@@ -171,6 +177,7 @@
     let deadline = context.gate.now() + order.time;
     let entries = gate::entries(&context.handle.view.borrow());
     Ok(Work {
+        key: order.granted.map(|granted| granted.hash),
         ask: gate::Ask {
             flow: admission::Flow {
                 service: order.service,
@@ -211,6 +218,9 @@
                 .await
                 .map_err(|fault| fault.with_run(history))?,
         };
+        if let Some(hash) = &work.key {
+            filter::key::check(&context.handle, hash).map_err(|fault| fault.with_run(history))?;
+        }
         attempts += 1;
         tried.push(pick.target);
         let (failure, permit) = match tries(context, &work, pick, repeatable && attempts == 1).await {
--- a/crates/gateway/src/routes/version_one.rs
+++ b/crates/gateway/src/routes/version_one.rs
@@ -31,7 +31,8 @@
     let received =
         filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
     let asked: version_one::Request = filter::json::parse(&received.bytes)?;
-    let team = filter::key::team_of(&context.handle, asked.key.as_bytes())?;
+    let granted = filter::key::team_of(&context.handle, asked.key.as_bytes())?;
+    let team = &granted.team;
     version_one::count(&team.name, "request");
     let time = asked.wait(view.config.request_deadline_ms)?;
     let id = asked
@@ -42,7 +43,7 @@
     let service = view.services.get(&asked.service);
     let service = service.ok_or_else(|| request::unknown_name("service", &asked.service))?;
     let order = request::Order {
-        team: Some(&team),
+        granted: Some(&granted),
         owner: admission::Owner::Team(team.id),
         service: service.id,
         service_name: &service.name,
@@ -66,7 +67,7 @@
 ) -> Result<Response<answer::Body>, fault::Fault> {
     version_one::check_enabled(context.handle.view.borrow().config.version_one)?;
     let asked: version_one::Job = routes::receive_json(context, head, body).await?;
-    let team = filter::key::team_of(&context.handle, asked.key.as_bytes())?;
+    let team = filter::key::team_of(&context.handle, asked.key.as_bytes())?.team;
     version_one::count(&team.name, "job");
     let job = jobs::accept(context, head, team.id, None, asked.spec()?).await?;
     Ok(routes::json(StatusCode::OK, &version_one::Accepted { job }))
@@ -81,7 +82,7 @@
     version_one::check_enabled(context.handle.view.borrow().config.version_one)?;
     let key = head.headers.get(version_one::KEY_HEADER);
     let key = key.map_or(&b""[..], |value| value.as_bytes());
-    let team = filter::key::team_of(&context.handle, key)?;
+    let team = filter::key::team_of(&context.handle, key)?.team;
     version_one::count(&team.name, "read");
     let status = jobs::status(context, head, team.id, job, false).await?;
     let state = version_one::word(status.state);
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -197,6 +197,32 @@
     assert_eq!(open.expect("answers").status, StatusCode::OK);
 }
 
+/// Guards against a withdrawn key whose requests still start after they waited.
+#[tokio::test]
+async fn a_withdrawn_key_stops_waiting_requests() {
+    let target = target(Behaviour::Echo(Duration::from_millis(500))).await;
+    let cell = common::cell(&[&target]).await;
+    let address = cell.server.address();
+    let send = |body: &'static str| caller::request(address, "lineage", common::KEY, None, body);
+    let mut running = tokio::task::JoinSet::new();
+    for _ in 0..9 {
+        running.spawn(send("early"));
+    }
+    common::eventually("every slot is taken", || target.in_flight() == 9).await;
+    let late = tokio::spawn(send("late"));
+    common::eventually("the late request waits", || cell.server.in_flight() == 10).await;
+    let mut view = common::view();
+    view.keys.clear();
+    cell.view.send_replace(Arc::new(view));
+    let late = late.await.expect("no panic").expect("answers");
+    assert_eq!(late.status, StatusCode::UNAUTHORIZED, "{}", late.text());
+    assert_eq!(late.json()["error"]["run"], "not run");
+    while let Some(early) = running.join_next().await {
+        assert_eq!(early.expect("no panic").expect("answers").status, StatusCode::OK);
+    }
+    assert_eq!(target.runs_of(b"late"), 0);
+}
+
 /// Guards against a refusal that does not name the field, the value and what is allowed.
 #[yare::parameterized(
     path = { Method::GET, "/v3/x", &[], "", 404, "path", "/v3/x" },
--- a/crates/gateway/tests/targets.rs
+++ b/crates/gateway/tests/targets.rs
@@ -267,3 +267,25 @@
         assert_eq!(target.runs(), 1);
     }
 }
+
+/// Guards against a late target that makes a repeatable request late, and against copies of non-repeatable ones.
+#[tokio::test]
+async fn a_late_target_is_hedged_for_repeatable_requests_only() {
+    let slow = target(ECHO).await;
+    let good = target(ECHO).await;
+    let cell = common::cell(&[&slow, &good]).await;
+    // Enough answers that the distribution of latencies is known.
+    for _ in 0..220 {
+        send(&cell, None, "30000", "learn").await;
+    }
+    slow.set(Behaviour::StallAfterReading);
+    for number in 0..8 {
+        let answer = send(&cell, None, "30000", &format!("repeatable-{number}")).await;
+        assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
+    }
+    for number in 0..8 {
+        let id = format!("claimed-{number}");
+        send(&cell, Some(&id), "300", &id).await;
+        assert!(slow.runs_of(id.as_bytes()) + good.runs_of(id.as_bytes()) <= 1);
+    }
+}
