--- a/crates/control/src/name.rs
+++ b/crates/control/src/name.rs
@@ -22,13 +22,11 @@
 impl de::Visitor<'_> for Visitor {
     type Value = [u8; BYTES];
 
-    fn expecting(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{BYTES} bytes")
+    fn expecting(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(formatter, "{BYTES} bytes")
     }
 
-    fn visit_bytes<E: de::Error>(self, bytes: &[u8]) -> Result<Self::Value, E> {
-        bytes
-            .try_into()
-            .map_err(|_length| E::invalid_length(bytes.len(), &self))
+    fn visit_bytes<E: de::Error>(self, v: &[u8]) -> Result<Self::Value, E> {
+        v.try_into().map_err(|_length| E::invalid_length(v.len(), &self))
     }
 }
