daemon: leave no request id in progress for nobody, and replace a lost witness

A claim whose answer came too late is asked for again under its command id and given back; a claim that is open for 10 minutes becomes unknown. A witness that was silent for 10 minutes, or whose id was removed, is replaced. A stand-in worker ignores an answer that comes after the lease that it renews.

--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -222,6 +222,13 @@
         self.next_number + 1
     }
 
+    /// Returns the oldest claim that has not ended, when it was made `age_ms` before `now_ms` or earlier.
+    pub fn overdue(&self, now_ms: u64, age_ms: u64) -> Option<u64> {
+        let number = *self.held.first_key_value()?.0;
+        let (_, at_s) = self.order.get(&number)?;
+        (u64::from(*at_s) * 1000 + age_ms <= now_ms).then_some(number)
+    }
+
     /// Returns the claims that have not ended, with their holders.
     pub fn held(&self) -> impl Iterator<Item = (u64, id::VmId)> {
         self.held.iter().map(|(number, holder)| (*number, *holder))
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -186,6 +186,7 @@
             Message::Directory(reply) => drop(reply.send(self.directory())),
             Message::Persisted(done) => self.persisted(&done),
             Message::Claimed(pending, answer) => self.claimed(pending, answer),
+            Message::Abandoned(zone, number) => self.abandoned(zone, number),
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
             Message::Await(force) => self.forces.push(force),
             Message::Tick => self.tick(),
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -73,10 +73,12 @@
         };
         let remaining = owners.second.into_iter().collect();
         let asked = owners.first;
+        let command = 0;
         self.ask_owner(claims::Pending {
             key,
             remaining,
             asked,
+            command,
             granted: Vec::new(),
             waiter,
         });
@@ -99,15 +101,43 @@
         }
     }
 
-    fn ask_owner(&mut self, pending: claims::Pending) {
+    fn ask_owner(&mut self, mut pending: claims::Pending) {
+        pending.command = rand::random();
+        let group = id::GroupId::Zone(pending.asked);
+        let ask = self.claim_command(&pending);
+        let inbox = self.inbox.clone();
+        let then = Box::new(move |answer| inbox.send(Message::Claimed(pending, answer)));
+        self.dispatch(group, ask, asks::DEADLINE, then);
+    }
+
+    fn claim_command(&self, pending: &claims::Pending) -> wire::Ask {
         let command = zone::Command::Claim {
             key: pending.key,
             holder: self.context.me.id,
         };
+        let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
+        envelope.id = Some(pending.command);
+        wire::Ask::Zone(envelope)
+    }
+
+    /// Learns the outcome of a claim whose answer did not come in time, and gives a grant back.
+    ///
+    /// The command id makes this the same claim, so that the id does not stay in progress for nobody.
+    fn abandon(&mut self, pending: &claims::Pending) {
+        let zone = pending.asked;
+        let ask = self.claim_command(pending);
         let inbox = self.inbox.clone();
-        let group = id::GroupId::Zone(pending.asked);
-        let then = Box::new(move |answer| inbox.send(Message::Claimed(pending, answer)));
-        self.command_zone(group, command, asks::DEADLINE, then);
+        let then = Box::new(move |answer| {
+            if let wire::Reply::Zone(zone::Outcome::Claim(zone::Claimed::Granted(number))) = answer {
+                inbox.send(Message::Abandoned(zone, number));
+            }
+        });
+        self.dispatch(id::GroupId::Zone(zone), ask, COMPLETION_DEADLINE, then);
+    }
+
+    /// Gives back a claim that nobody waits for any more.
+    pub(super) fn abandoned(&mut self, zone: id::AvailabilityZoneId, number: u64) {
+        self.complete_at(zone, number, &control::Completion::NotRun);
     }
 
     /// Handles an owner's answer to a claim.
@@ -116,6 +146,7 @@
             wire::Reply::Zone(zone::Outcome::Claim(claimed)) => claimed,
             wire::Reply::NotDone(reason) => return self.refuse_claim(pending, reason),
             _ => {
+                self.abandon(&pending);
                 let reason = String::from("the owner of the request id did not answer");
                 return self.refuse_claim(pending, reason);
             }
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -22,6 +22,8 @@
     pub remaining: Vec<id::AvailabilityZoneId>,
     /// Owner that is asked now.
     pub asked: id::AvailabilityZoneId,
+    /// Id of the command at that owner.
+    pub command: id::CommandId,
     /// Owners that granted, with their numbers.
     pub granted: Vec<(id::AvailabilityZoneId, u64)>,
     /// Who waits.
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -14,6 +14,11 @@
 
 /// Time between two rounds of duties.
 pub const INTERVAL: Duration = Duration::from_millis(500);
+/// A claim that has not ended after this time never will: a request lasts at most 30 s by default, and its end is
+/// sent again for 60 s. A late answer is still taken.
+const OVERDUE_CLAIM: Duration = Duration::from_mins(10);
+/// A witness that was silent for this long is replaced by another VM.
+const LOST_WITNESS: Duration = Duration::from_mins(10);
 /// A holder of claims that was silent for this long cannot complete them any more: longer than any request lasts.
 const LOST_HOLDER: Duration = Duration::from_mins(1);
 
@@ -157,13 +162,18 @@
         }) else {
             return wanted;
         };
-        let voters = self.zones[&zone].member().replica().status().membership.voters;
-        let witness = view
-            .vms
-            .values()
-            .filter(|vm| vm.place.zone != zone)
+        let now = self.context.now();
+        let members = self.zones[&zone].member().replica().status().membership;
+        let silent = |vm: id::VmId| {
+            let peer = self.context.peers.get(&vm);
+            peer.is_some_and(|peer| now.saturating_sub(peer.heard) >= LOST_WITNESS)
+        };
+        let elsewhere = view.vms.values().filter(|vm| vm.place.zone != zone);
+        // A removed id never becomes a member again.
+        let witness = elsewhere
+            .filter(|vm| !members.removed.contains(&vm.id))
             .min_by_key(|vm| {
-                let present = voters.contains(&vm.id);
+                let present = members.voters.contains(&vm.id) && !silent(vm.id);
                 (
                     !present,
                     place.distance(&vm.place),
@@ -208,7 +218,10 @@
             return Some(membership::Change::AddLearner(*vm));
         }
         let surplus = members.learners.iter().find(|vm| !wanted.contains(vm));
-        surplus.map(|vm| membership::Change::Remove(*vm))
+        // A voter leaves only after its replacement votes.
+        let complete = wanted.iter().all(|vm| members.voters.contains(vm));
+        let replaced = members.voters.iter().find(|vm| complete && !wanted.contains(vm));
+        surplus.or(replaced).map(|vm| membership::Change::Remove(*vm))
     }
 
     /// Takes over granted counters and releases what is above the target parts.
@@ -242,14 +255,16 @@
         let Some(group) = self.zones.get(&zone) else {
             return;
         };
-        let gone = group
-            .state()
-            .claims()
-            .held()
-            .find(|(_, holder)| self.is_lost(*holder));
+        let claims = group.state().claims();
+        let overdue = claims.overdue(context::Context::wall_ms(), OVERDUE_CLAIM.as_millis() as u64);
+        let gone = claims.held().find(|(_, holder)| self.is_lost(*holder));
         if let Some((_, holder)) = gone {
             self.end_claims(zone, holder);
         }
+        if let (Some(number), Some(group)) = (overdue, self.zones.get_mut(&zone)) {
+            let completion = zone::Completion::Unknown;
+            group.propose(zone::Command::Complete { number, completion });
+        }
     }
 
     fn is_lost(&self, vm: id::VmId) -> bool {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -57,6 +57,8 @@
     Persisted(disk::Done),
     /// An owner's answer to a claim.
     Claimed(claims::Pending, wire::Reply),
+    /// A claim that was granted after its caller had been refused.
+    Abandoned(id::AvailabilityZoneId, u64),
     /// A zone's answer to a submission.
     Submitted(submissions::Submission, wire::Reply),
     /// A committed command whose answer waits until it is in force.
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -1,6 +1,6 @@
 //! Operators' commands.
 
-use std::fmt::Write as _;
+use std::{fmt::Write as _, time::Duration};
 
 use bronzespoke_consensus::membership;
 use bronzespoke_control::{root, zone};
@@ -94,11 +94,11 @@
                 config: change.apply(&view.config),
             },
             statement::Command::DeclareLost { zone } => {
-                // The statement is the operator's word that the zone has been without power for that long.
-                let proof = root::Lost {
-                    stopped_ms: root::Lost::LEAST_STOPPED_MS,
-                };
-                root::Command::LoseZone { zone, proof }
+                let stopped_ms = self.silence_of(zone)?;
+                root::Command::LoseZone {
+                    zone,
+                    proof: root::Lost { stopped_ms },
+                }
             }
             _ => {
                 return Err((
@@ -109,6 +109,32 @@
         })
     }
 
+    /// Returns for how long this VM has not heard of any VM of a zone, in milliseconds.
+    ///
+    /// Silence alone does not prove that the zone is lost, which is the operator's word; but a zone that is heard
+    /// of is not lost.
+    fn silence_of(&self, zone: id::AvailabilityZoneId) -> Result<u64, Fault> {
+        let now = self.context.now();
+        let mut silence = now;
+        for vm in self.root.view().vms.values().filter(|vm| vm.place.zone == zone) {
+            let heard = self
+                .context
+                .peers
+                .get(&vm.id)
+                .map_or(Duration::ZERO, |peer| peer.heard);
+            let heard = if vm.id == self.context.me.id { now } else { heard };
+            silence = silence.min(now.saturating_sub(heard));
+        }
+        let silence = silence.as_millis() as u64;
+        if silence < root::Lost::LEAST_STOPPED_MS {
+            let least = root::Lost::LEAST_STOPPED_MS;
+            let message =
+                format!("zone {zone} was heard of {silence} ms ago; {least} ms of silence are needed");
+            return Err((answer::Code::Invalid, message));
+        }
+        Ok(silence)
+    }
+
     fn team(&self, name: &str) -> Result<id::TeamId, Fault> {
         self.root
             .view()
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -102,7 +102,10 @@
                 answer = call => match answer {
                     Ok(reply) => {
                         lease_end = sent + Duration::from_millis(reply.lease_ms);
-                        self.accept(reply);
+                        // A late answer may come from a leader that has been replaced since.
+                        if Instant::now() < lease_end {
+                            self.accept(reply);
+                        }
                     }
                     Err(failure) => self.recover(&failure).await,
                 },
