--- a/crates/consensus/tests/driver/mod.rs
+++ b/crates/consensus/tests/driver/mod.rs
@@ -251,7 +251,7 @@
         match event {
             Event::Deliver { from, to, message } => self.input(to, Input::Receive { from, message }),
             Event::Wake { node: id } => {
-                if node.wake_at.is_some_and(|at| at <= self.now) || node.wake_at.is_none() {
+                if node.wake_at.is_none_or(|at| at <= self.now) {
                     node.wake_at = None;
                     self.input(id, Input::Tick);
                 }
@@ -316,7 +316,7 @@
         for output in out {
             match output {
                 Output::Persist(write) => self.store(id, write),
-                Output::Send { to, message } => self.send(id, to, message),
+                Output::Send { to, message } => self.send(id, to, &message),
                 Output::Apply(entry) => {
                     self.check.applied(id, &entry)?;
                     let node = self.nodes.get_mut(&id).expect("the node runs");
@@ -361,7 +361,7 @@
         self.schedule(at, Event::Sync { node: id, life });
     }
 
-    fn send(&mut self, from: VmId, to: VmId, message: Message) {
+    fn send(&mut self, from: VmId, to: VmId, message: &Message) {
         if self.cuts.contains(&(from, to)) || self.rng.random_bool(self.weather.loss) {
             return;
         }
--- a/crates/consensus/tests/feed.rs
+++ b/crates/consensus/tests/feed.rs
@@ -93,7 +93,7 @@
         let mut committed: Vec<Duration> = Vec::new();
         let mut requests: Vec<(Duration, usize, Request)> = Vec::new();
         let mut answers: Vec<(Duration, usize, Answer)> = Vec::new();
-        let mut bases = [None, None];
+        let mut before = [None, None];
         for tick in 0..4_000 {
             let now = ms(tick * 5);
             if rng.random_bool(0.1) {
@@ -110,8 +110,8 @@
                 let next = hops[hop].step(now, Input::Receive { from: 1, answer });
                 requests.extend(next.map(|request| (now + ms(rng.random_range(1..60)), hop, request)));
             }
-            for hop in 0..2 {
-                let next = hops[hop].step(now, Input::Tick);
+            for (hop, state) in hops.iter_mut().enumerate() {
+                let next = state.step(now, Input::Tick);
                 requests.extend(next.map(|request| (now + ms(rng.random_range(1..60)), hop, request)));
             }
             for (_, hop, request) in requests
@@ -132,10 +132,10 @@
                     answers.push((now + ms(rng.random_range(1..3_000)), hop, answer));
                 }
             }
-            for (hop, before) in hops.iter().zip(&mut bases) {
+            for (hop, newest) in hops.iter().zip(&mut before) {
                 let basis = hop.follower.basis();
-                assert!(basis >= *before, "seed {seed}: the basis never goes back");
-                *before = basis;
+                assert!(basis >= *newest, "seed {seed}: the basis never goes back");
+                *newest = basis;
                 let Some(basis) = basis.and_then(|basis| basis.checked_sub(hop.offset)) else {
                     continue;
                 };
--- a/crates/consensus/tests/repair.rs
+++ b/crates/consensus/tests/repair.rs
@@ -206,7 +206,7 @@
     let mut out = Vec::new();
     replica.step(ms(0), Input::Tick, &mut out);
     assert_eq!(replica.status().role, Role::Candidate);
-    let [Output::Persist(write), ..] = &out[..] else {
+    let [Output::Persist(write), ..] = out.as_slice() else {
         panic!("the vote is stored first: {out:?}")
     };
     replica.step(
--- a/crates/storage/tests/restart.rs
+++ b/crates/storage/tests/restart.rs
@@ -42,26 +42,25 @@
     let folder = tempfile::tempdir().expect("a temporary folder");
     let group = GroupId::Zone(3);
     let second = Duration::from_secs(1);
-    {
-        let (mut store, restored) = Store::open(folder.path(), group).expect("a new store");
-        assert!(restored.is_empty(), "nothing is stored yet");
-        let restored = store
-            .bootstrap(membership::Membership::of_voters([1]))
-            .expect("the disk has space");
-        let mut replica = Replica::new(Config::new(1, group, 7), restored, Duration::ZERO);
-        run(&mut replica, &mut store, Duration::ZERO, Input::Tick);
-        let applied = run(
-            &mut replica,
-            &mut store,
-            second,
-            Input::Propose {
-                id: 1,
-                data: "a".into(),
-            },
-        );
-        assert_eq!(applied.len(), 1, "the proposal commits at once");
-        assert!(replica.holds_lease(second), "one voter is a majority");
-    }
+    let (mut store, restored) = Store::open(folder.path(), group).expect("a new store");
+    assert!(restored.is_empty(), "nothing is stored yet");
+    let restored = store
+        .bootstrap(membership::Membership::of_voters([1]))
+        .expect("the disk has space");
+    let mut replica = Replica::new(Config::new(1, group, 7), restored, Duration::ZERO);
+    run(&mut replica, &mut store, Duration::ZERO, Input::Tick);
+    let applied = run(
+        &mut replica,
+        &mut store,
+        second,
+        Input::Propose {
+            id: 1,
+            data: "a".into(),
+        },
+    );
+    assert_eq!(applied.len(), 1, "the proposal commits at once");
+    assert!(replica.holds_lease(second), "one voter is a majority");
+    drop(store);
     let (mut store, restored) = Store::open(folder.path(), group).expect("the store of the first run");
     let mut replica = Replica::new(Config::new(1, group, 8), restored, Duration::ZERO);
     let mut applied = run(&mut replica, &mut store, Duration::ZERO, Input::Tick);
