consensus: retry elections sooner than the first attempt

Cause: an attempt that failed, because another voter had heard the leader a few milliseconds later or because the vote was split, waited a whole first timeout (0.6 to 1.2 s) again. Conclusion: the silence of the voters protects the lease, so retries need not wait for it.

With these retries an election ends before a restarted voter breaks its silence, so the silence hides a forgotten vote from the driver.

--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -9,12 +9,24 @@
 use crate::message::{Body, Message};
 use crate::{log, write};
 
+/// Shortest and longest time until a pre-vote is asked again, in election timeouts; 75 to 300 ms by default.
+const PRE_VOTE_RETRY: (f64, f64) = (0.125, 0.5);
+/// Shortest and longest time of an election; the votes of a slow disk need more time than pre-votes.
+const VOTE_RETRY: (f64, f64) = (0.4, 1.0);
+
 impl Replica {
     pub(super) fn reset_election(&mut self) {
         let factor = self.rng.random_range(1.0..2.0);
         self.election_at = self.now + self.config.election.mul_f64(factor);
     }
 
+    /// Sets when a candidate asks again. The voters' silence protects the lease, so this may be sooner than a first
+    /// attempt: most attempts fail because the other voters heard the leader a little later.
+    fn reset_retry(&mut self, shortest: f64, longest: f64) {
+        let factor = self.rng.random_range(shortest..longest);
+        self.election_at = self.now + self.config.election.mul_f64(factor);
+    }
+
     /// A voter of the newest or of the committed members may stand for election.
     pub(super) fn may_campaign(&self) -> bool {
         let id = self.config.id;
@@ -43,7 +55,7 @@
 
     pub(super) fn start_pre_vote(&mut self, out: &mut Vec<Output>) {
         self.leader = None;
-        self.reset_election();
+        self.reset_retry(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
         self.state = State::PreCandidate(BTreeSet::new());
         if self.count_vote(self.config.id) {
             self.start_election(false, out);
@@ -70,7 +82,7 @@
         };
         self.persist_vote(out);
         self.leader = None;
-        self.reset_election();
+        self.reset_retry(VOTE_RETRY.0, VOTE_RETRY.1);
         self.state = State::Candidate(BTreeSet::new());
         if !self.config.rules.acknowledge_after_sync {
             self.count_own_vote(out);
@@ -208,6 +220,11 @@
         let candidate = matches!(self.state, State::Candidate(_));
         if candidate && granted && self.count_vote(from) {
             self.become_leader(out);
+        } else if candidate && !granted {
+            // A split vote: two candidates that wait for each other would both wait the whole election.
+            let planned = self.election_at;
+            self.reset_retry(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
+            self.election_at = self.election_at.min(planned);
         }
     }
 
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -26,7 +26,6 @@
 #[yare::parameterized(
     count_voters_only = { random, without(|rules| rules.count_voters_only = false) },
     acknowledge_after_sync = { random, without(|rules| rules.acknowledge_after_sync = false) },
-    remember_vote = { focus::two_candidates, without(|rules| rules.remember_vote = false) },
     commit_own_term = { focus::short_terms, without(|rules| rules.commit_own_term = false) },
     refuse_vote_under_lease = { focus::cut_pair, without(|rules| rules.refuse_vote_under_lease = false) },
     refuse_older_snapshot = { random, without(|rules| rules.refuse_older_snapshot = false) },
@@ -59,3 +58,21 @@
         assert_eq!(plan(seed, Rules::default()), None, "seed {seed}");
     }
 }
+
+/// Guards against a vote that a restart forgets. The silence after a restart is longer than an election, so it hides
+/// this fault; it is off here, and the same seeds show that a remembered vote suffices for one leader in a term.
+#[test]
+fn forgotten_vote_is_found() {
+    let silence_off = without(|rules| rules.refuse_vote_under_lease = false);
+    let both_off = Rules {
+        remember_vote: false,
+        ..silence_off
+    };
+    let forgotten =
+        (0..SEEDS).find(|seed| focus::two_candidates(*seed, both_off) == Some(Violation::TwoLeaders));
+    let seed = forgotten.expect("no seed has two leaders in a term");
+    for seed in 0..=seed.max(SOUND_SEEDS) {
+        let found = focus::two_candidates(seed, silence_off);
+        assert_ne!(found, Some(Violation::TwoLeaders), "seed {seed}");
+    }
+}
