Fill a freed worker from the needs below its room

Cause of the cost before: every class of needs that a freed worker woke searched the whole index. Now the classes of waiting needs stand in a second index; a freed worker visits those below its room, and one lane is chosen by turn.

--- a/crates/schedule/src/index.rs
+++ b/crates/schedule/src/index.rs
@@ -1,10 +1,11 @@
-//! Index of the workers' free capacity.
+//! Indices of amounts: the workers' free capacity, and the needs of waiting tasks.
 //!
-//! Workers that take new tasks are kept in cells by the levels of their free processors, memory and
-//! accelerators, one set of cells per accelerator kind. A change moves one worker between two cells; a best-fit
-//! search visits the non-empty cells from the tightest upwards and looks at a bounded number of workers.
+//! Entries are kept in cells by the levels of their processors, memory and accelerators, one set of cells per
+//! accelerator kind. A change moves one entry between two cells. A best-fit search visits the non-empty cells from
+//! the tightest upwards and looks at a bounded number of workers; a freed worker visits the needs below its room.
 
 use std::collections::BTreeMap;
+use std::fmt;
 
 use bronzespoke_model::{id, resource};
 
@@ -40,17 +41,16 @@
     pub(crate) kind: id::AcceleratorKind,
 }
 
-#[derive(Debug)]
-struct Pool {
+struct Pool<T> {
     /// Accelerators, then processors, then memory.
-    cells: Vec<Vec<table::Worker>>,
+    cells: Vec<Vec<(T, resource::Amount)>>,
     /// Non-empty memory levels of each (accelerators, processors) row.
     rows: Vec<u32>,
     /// Non-empty rows of each accelerator level.
     planes: [u32; ACCELERATOR_LEVELS],
 }
 
-impl Pool {
+impl<T: Copy + PartialEq> Pool<T> {
     fn new(kind: id::AcceleratorKind) -> Self {
         let planes = if kind == 0 { 1 } else { ACCELERATOR_LEVELS };
         Self {
@@ -61,10 +61,31 @@
     }
 }
 
+/// Entries with their amounts.
+pub(crate) struct Grid<T> {
+    pools: BTreeMap<id::AcceleratorKind, Pool<T>>,
+}
+
 /// Free capacity of the workers that take new tasks.
-#[derive(Debug, Default)]
-pub(crate) struct Free {
-    pools: BTreeMap<id::AcceleratorKind, Pool>,
+pub(crate) type Free = Grid<table::Worker>;
+/// Needs of waiting tasks.
+pub(crate) type Demand = Grid<table::Class>;
+
+impl<T> Default for Grid<T> {
+    fn default() -> Self {
+        Self {
+            pools: BTreeMap::new(),
+        }
+    }
+}
+
+impl<T> fmt::Debug for Grid<T> {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("Grid")
+            .field("pools", &self.pools.len())
+            .finish()
+    }
 }
 
 fn level(amount: u32, unit: u32) -> usize {
@@ -91,18 +112,13 @@
     (row * LEVELS + level(free.memory_mib, MEMORY_UNIT)) as u32
 }
 
-impl Free {
-    /// Adds a worker.
-    pub(crate) fn insert(
-        &mut self,
-        worker: table::Worker,
-        kind: id::AcceleratorKind,
-        free: &resource::Amount,
-    ) -> Slot {
-        let cell = cell_of(kind, free);
+impl<T: Copy + PartialEq> Grid<T> {
+    /// Adds an entry.
+    pub(crate) fn insert(&mut self, entry: T, kind: id::AcceleratorKind, amount: &resource::Amount) -> Slot {
+        let cell = cell_of(kind, amount);
         let pool = self.pools.entry(kind).or_insert_with(|| Pool::new(kind));
         let members = &mut pool.cells[cell as usize];
-        members.push(worker);
+        members.push((entry, *amount));
         let position = members.len() as u32 - 1;
         let row = cell as usize / LEVELS;
         pool.rows[row] |= 1 << (cell as usize % LEVELS);
@@ -110,12 +126,12 @@
         Slot { kind, cell, position }
     }
 
-    /// Removes a worker; returns the worker that took its position, if any.
-    pub(crate) fn remove(&mut self, slot: Slot) -> Option<(table::Worker, Slot)> {
+    /// Removes an entry; returns the entry that took its position, if any.
+    pub(crate) fn remove(&mut self, slot: Slot) -> Option<(T, Slot)> {
         let pool = self.pools.get_mut(&slot.kind).expect("the pool exists");
         let members = &mut pool.cells[slot.cell as usize];
         members.swap_remove(slot.position as usize);
-        if let Some(&moved) = members.get(slot.position as usize) {
+        if let Some(&(moved, _)) = members.get(slot.position as usize) {
             return Some((moved, slot));
         }
         if members.is_empty() {
@@ -128,11 +144,55 @@
         None
     }
 
-    /// Tells whether a worker with this free amount belongs to the cell of the slot.
-    pub(crate) fn stays(slot: Slot, kind: id::AcceleratorKind, free: &resource::Amount) -> bool {
-        slot.kind == kind && slot.cell == cell_of(kind, free)
+    /// Changes an amount in place; returns whether the entry's cell is still the right one.
+    pub(crate) fn update(
+        &mut self,
+        slot: Slot,
+        kind: id::AcceleratorKind,
+        amount: &resource::Amount,
+    ) -> bool {
+        if slot.kind != kind || slot.cell != cell_of(kind, amount) {
+            return false;
+        }
+        let pool = self.pools.get_mut(&kind).expect("the pool exists");
+        pool.cells[slot.cell as usize][slot.position as usize].1 = *amount;
+        true
+    }
+
+    /// Visits all entries of a kind, or of every kind for 0.
+    pub(crate) fn members(&self, kind: id::AcceleratorKind) -> impl Iterator<Item = T> {
+        self.pools
+            .iter()
+            .filter(move |(other, _)| kind == 0 || **other == kind)
+            .flat_map(|(_, pool)| pool.cells.iter().flatten().map(|(entry, _)| *entry))
+    }
+
+    /// Tells whether the entry is at the slot.
+    pub(crate) fn holds(&self, slot: Slot, entry: T) -> bool {
+        self.pools.get(&slot.kind).is_some_and(|pool| {
+            let found = pool.cells[slot.cell as usize].get(slot.position as usize);
+            found.is_some_and(|(other, _)| *other == entry)
+        })
     }
+}
 
+impl Demand {
+    /// Visits the needs that fit into a free amount of a worker.
+    pub(crate) fn below(
+        &self,
+        kind: id::AcceleratorKind,
+        free: &resource::Amount,
+        visit: &mut impl FnMut(table::Class),
+    ) {
+        for pool in [Some(0), (kind != 0).then_some(kind)].into_iter().flatten() {
+            if let Some(pool) = self.pools.get(&pool) {
+                pool.below(free, visit);
+            }
+        }
+    }
+}
+
+impl Free {
     /// Returns the worker with the lowest score among those compared. `score` returns `None` for a worker
     /// without room. When any indexed worker has room, one is found.
     pub(crate) fn search(
@@ -146,24 +206,39 @@
         // Workers with accelerators take other work only when no plain worker has room.
         self.pools.values().find_map(|pool| pool.search(query, score))
     }
+}
 
-    /// Visits all workers of a kind, or of every kind for 0.
-    pub(crate) fn members(&self, kind: id::AcceleratorKind) -> impl Iterator<Item = table::Worker> {
-        self.pools
-            .iter()
-            .filter(move |(other, _)| kind == 0 || **other == kind)
-            .flat_map(|(_, pool)| pool.cells.iter().flatten().copied())
+impl Pool<table::Class> {
+    fn below(&self, free: &resource::Amount, visit: &mut impl FnMut(table::Class)) {
+        let rows_below = up_to(level(free.cpu_milli, CPU_UNIT));
+        let cells_below = up_to(level(free.memory_mib, MEMORY_UNIT));
+        let last = (free.accelerators as usize).min(self.rows.len() / LEVELS - 1);
+        for plane in 0..=last {
+            let mut rows = self.planes[plane] & rows_below;
+            while rows != 0 {
+                let row = plane * LEVELS + rows.trailing_zeros() as usize;
+                rows &= rows - 1;
+                let mut cells = self.rows[row] & cells_below;
+                while cells != 0 {
+                    let cell = row * LEVELS + cells.trailing_zeros() as usize;
+                    cells &= cells - 1;
+                    for (class, size) in &self.cells[cell] {
+                        if size.fits(free) {
+                            visit(*class);
+                        }
+                    }
+                }
+            }
+        }
     }
+}
 
-    /// Tells whether the worker is at the slot.
-    pub(crate) fn holds(&self, slot: Slot, worker: table::Worker) -> bool {
-        self.pools
-            .get(&slot.kind)
-            .is_some_and(|pool| pool.cells[slot.cell as usize].get(slot.position as usize) == Some(&worker))
-    }
+/// Returns the mask of the levels up to one.
+const fn up_to(level: usize) -> u32 {
+    u32::MAX >> (LEVELS - 1 - level)
 }
 
-impl Pool {
+impl Pool<table::Worker> {
     fn search(
         &self,
         query: &Query,
@@ -201,10 +276,15 @@
                     let column = cells.trailing_zeros() as usize;
                     cells &= cells - 1;
                     let edge = row == cpu || column == memory || plane == ACCELERATOR_LEVELS - 1;
-                    for &worker in &self.cells[(plane * LEVELS + row) * LEVELS + column] {
-                        if edge && skipped >= skip {
+                    for &(worker, free) in &self.cells[(plane * LEVELS + row) * LEVELS + column] {
+                        if !edge || need.fits(&free) {
+                            // The worker has room.
+                        } else if skipped >= skip {
                             left_out = true;
                             break;
+                        } else {
+                            skipped += 1;
+                            continue;
                         }
                         match score(worker) {
                             Some(value) => {
--- a/crates/schedule/src/lane.rs
+++ b/crates/schedule/src/lane.rs
@@ -1,14 +1,15 @@
 //! Queues of waiting jobs, grouped by what their tasks need.
 //!
-//! A lane holds the jobs of one team whose tasks have equal needs and equal urgency; a class groups the lanes of
-//! all teams with equal needs. When no worker has room for a class, all its lanes are passed over at once, until
-//! a worker with room for it is freed.
+//! A lane holds the jobs of one team whose tasks have equal needs and equal urgency, so that each need is compared
+//! once, however long the queue is. A class groups the lanes of all teams with equal needs. A lane is fresh when a
+//! worker with room for it may exist; it is then looked up in the index of free capacity. Other lanes wait until a
+//! worker is freed, and are compared with that worker only.
 
 use std::collections::BTreeMap;
 
 use bronzespoke_model::{id, resource};
 
-use crate::table;
+use crate::{index, table};
 
 /// Order in which waiting work is considered; lower first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -21,44 +22,52 @@
     Normal,
 }
 
-/// Where a lane waits.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Place {
-    /// In the list of its class, at this position.
-    Class(usize),
-    /// In the list of its team, at this position, until the team is further below its part.
-    Team(usize),
-}
+/// Number of tiers.
+pub(crate) const TIERS: usize = 3;
 
 /// Jobs of one team that wait with the same needs.
 #[derive(Debug)]
 pub(crate) struct Lane {
     pub(crate) team: table::Team,
-    pub(crate) class: table::Class,
     pub(crate) tier: Tier,
     /// By order of submission; never empty.
     pub(crate) jobs: BTreeMap<u64, table::Job>,
-    pub(crate) place: Place,
-}
-
-/// Whether workers have room for a class.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum State {
-    /// No lane waits in the class.
-    Idle,
-    /// To be tried; position in the list of open classes.
-    Open(usize),
-    /// No worker has room; position in the list of blocked classes.
-    Blocked(usize),
+    /// Position in the team's list of the tier.
+    pub(crate) position: usize,
+    pub(crate) class: table::Class,
+    /// Position in the list of the class; none while the team's limit holds the lane.
+    pub(crate) listed: Option<usize>,
 }
 
-/// Needs that tasks have in common.
+/// Needs that lanes have in common.
 #[derive(Debug)]
 pub(crate) struct Class {
     pub(crate) size: resource::Amount,
     pub(crate) accelerator: id::AcceleratorKind,
+    /// Lanes that are not held by their team's limit.
     pub(crate) lanes: Vec<table::Lane>,
-    pub(crate) state: State,
-    /// Lanes that refer to the class, listed here or held by their team.
+    /// Lanes that refer to the class, held or not.
     pub(crate) references: u32,
+    /// Whether it is known that no worker has room.
+    pub(crate) full: bool,
+    /// Place in the index of needs; none without lanes.
+    pub(crate) slot: Option<index::Slot>,
 }
+
+/// A lane in the list of its team, with what a search compares.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Entry {
+    pub(crate) size: resource::Amount,
+    pub(crate) accelerator: id::AcceleratorKind,
+    /// Whether a worker with room may exist.
+    pub(crate) fresh: bool,
+    pub(crate) lane: table::Lane,
+    /// Order of the first job.
+    pub(crate) first: u64,
+}
+
+/// What makes lanes equal.
+pub(crate) type Key = (table::Team, Tier, resource::Amount, id::AcceleratorKind);
+
+/// Teams with waiting work in one tier, by turn, each with a lower bound of its needs.
+pub(crate) type Order = BTreeMap<(u64, table::Team), resource::Amount>;
--- a/crates/schedule/src/pass/end.rs
+++ b/crates/schedule/src/pass/end.rs
@@ -118,7 +118,9 @@
             account.ending = subtract(&account.ending, size);
         }
         self.refresh_team(now, team);
-        self.release_lanes(team);
+        if self.teams[team].limited {
+            self.release_lanes(team);
+        }
     }
 
     fn count_failure(&mut self, record: &run::Record, end: run::End) -> u32 {
--- a/crates/schedule/src/pass/explain.rs
+++ b/crates/schedule/src/pass/explain.rs
@@ -5,7 +5,6 @@
 use bronzespoke_model::id;
 
 use crate::job::Phase;
-use crate::lane::{Place, State};
 use crate::message::{Cause, Explanation, Measures};
 use crate::scheduler::Scheduler;
 use crate::table;
@@ -63,11 +62,14 @@
                 Cause::TeamLimit
             };
         };
-        let lane = &self.lanes[lane];
-        match (lane.place, self.classes[lane.class].state) {
-            (Place::Team(_), _) => Cause::TeamLimit,
-            (Place::Class(_), State::Blocked(_)) => Cause::NoRoom,
-            (Place::Class(_), _) => Cause::Turn,
+        if self.lanes[lane].listed.is_none() {
+            Cause::TeamLimit
+        } else if self.entry(lane).fresh {
+            Cause::Turn
+        } else if self.teams[job.team].admits(&job.size) {
+            Cause::NoRoom
+        } else {
+            Cause::TeamLimit
         }
     }
 
@@ -84,7 +86,7 @@
         let mut distance = 0.0_f64;
         for (_, team) in self.teams.iter() {
             waiting += u64::from(team.waiting);
-            if team.waiting > 0 && team.held.is_empty() {
+            if team.waiting > 0 && !team.limited {
                 let fair = f64::from(team.weight) / (self.active_weight.max(1) as f64);
                 distance = distance.max(fair - team.share);
             }
--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -48,6 +48,7 @@
             hold: None,
             health: worker::Health::default(),
             slot: None,
+            dirty: false,
         });
         self.worker_ids.insert(registration.worker, worker);
         self.racks[rack as usize].members.push(worker);
--- a/crates/schedule/src/pass/limit.rs
+++ b/crates/schedule/src/pass/limit.rs
@@ -28,7 +28,8 @@
                 past_at: now,
                 share: 0.0,
                 key: 0,
-                held: Vec::new(),
+                lanes: Default::default(),
+                limited: false,
                 waiting: 0,
                 retries_milli: RETRY_BUDGET,
             })
@@ -117,7 +118,9 @@
     pub(crate) fn refresh_team(&mut self, now: Duration, team: table::Team) {
         let record = &mut self.teams[team];
         let share = record.used.dominant_share(&self.total);
+        let old = record.key;
         record.refresh(now, self.config.usage_decay, share);
+        self.reorder(team, old);
     }
 
     /// Brings the shares of all teams up to date, so that past usage decays.
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -8,7 +8,6 @@
 use bronzespoke_model::{job, resource};
 use rand::Rng;
 
-use crate::lane::State;
 use crate::message::{Output, Reason};
 use crate::pass::submit::times;
 use crate::scheduler::Scheduler;
@@ -63,9 +62,7 @@
     fn make_room(&mut self, now: Duration, index: table::Job, mut left: u32, out: &mut Vec<Output>) -> u32 {
         let job = &self.jobs[index];
         let gang = job.kind == job::Kind::Gang;
-        let blocked = job
-            .lane
-            .is_some_and(|lane| matches!(self.classes[self.lanes[lane].class].state, State::Blocked(_)));
+        let blocked = job.lane.is_some_and(|lane| !self.entry(lane).fresh);
         if !blocked && !gang {
             return left;
         }
--- a/crates/schedule/src/pass/queue.rs
+++ b/crates/schedule/src/pass/queue.rs
@@ -1,15 +1,16 @@
-//! Moves jobs, lanes and classes between the queues.
+//! Moves jobs and lanes between the queues.
 //!
-//! Invariants: a job with tasks that may start stands in exactly one lane, or among the gangs; a lane is listed
-//! by its class or held by its team; a class with listed lanes is open or blocked.
+//! Invariants: a job with tasks that may start stands in exactly one lane, or among the gangs; a team stands in the
+//! order of a tier exactly while it has lanes in it, under its present key.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bronzespoke_model::{id, job};
+use bronzespoke_model::{id, job, resource};
 
-use crate::lane::{Class, Lane, Place, State, Tier};
+use crate::lane::{Class, Entry, Lane, Tier};
 use crate::scheduler::{Gang, Scheduler};
-use crate::table;
+use crate::{lane, range, table};
 
 impl Scheduler {
     /// Puts a job that has tasks to start into its queue.
@@ -30,10 +31,7 @@
             (_, job::Kind::Service, true) => Tier::Replacement,
             _ => Tier::Normal,
         };
-        let (team, sequence) = (record.team, record.sequence);
-        let class = self.class(index);
-        let lane = self.lane(team, class, tier);
-        self.lanes[lane].jobs.insert(sequence, index);
+        let lane = self.lane(index, tier);
         self.jobs[index].lane = Some(lane);
     }
 
@@ -61,8 +59,9 @@
             return;
         };
         self.lanes[lane].jobs.remove(&sequence);
-        if self.lanes[lane].jobs.is_empty() {
-            self.remove_lane(lane);
+        match self.lanes[lane].jobs.first_key_value() {
+            Some((&first, _)) => self.entry_mut(lane).first = first,
+            None => self.remove_lane(lane),
         }
     }
 
@@ -97,7 +96,7 @@
         self.dequeue(index);
         let record = &mut self.jobs[index];
         let count = i64::from(record.waiting.len());
-        record.waiting = crate::range::Set::default();
+        record.waiting = range::Set::default();
         let team = record.team;
         self.change_waiting(team, -count);
     }
@@ -120,149 +119,195 @@
         }
     }
 
-    fn class(&mut self, index: table::Job) -> table::Class {
-        let record = &self.jobs[index];
-        let (size, accelerator) = (record.size, record.accelerator);
-        *self.class_ids.entry((size, accelerator)).or_insert_with(|| {
-            self.classes.insert(Class {
-                size,
-                accelerator,
-                lanes: Vec::new(),
-                state: State::Idle,
-                references: 0,
-            })
-        })
-    }
-
-    fn lane(&mut self, team: table::Team, class: table::Class, tier: Tier) -> table::Lane {
-        if let Some(&lane) = self.lane_ids.get(&(team, class, tier)) {
+    /// Puts a job into the lane of its needs; a new lane is fresh.
+    fn lane(&mut self, index: table::Job, tier: Tier) -> table::Lane {
+        let job = &self.jobs[index];
+        let (team, sequence, size, accelerator) = (job.team, job.sequence, job.size, job.accelerator);
+        if let Some(&lane) = self.lane_ids.get(&(team, tier, size, accelerator)) {
+            self.lanes[lane].jobs.insert(sequence, index);
+            let entry = self.entry_mut(lane);
+            entry.first = entry.first.min(sequence);
             return lane;
         }
+        let class = self.class(size, accelerator);
+        let record = &mut self.teams[team];
+        let list = &mut record.lanes[tier as usize];
         let lane = self.lanes.insert(Lane {
             team,
-            class,
             tier,
-            jobs: std::collections::BTreeMap::new(),
-            place: Place::Class(usize::MAX),
+            jobs: BTreeMap::from([(sequence, index)]),
+            position: list.len(),
+            class,
+            listed: None,
         });
-        self.lane_ids.insert((team, class, tier), lane);
-        self.classes[class].references += 1;
+        self.lane_ids.insert((team, tier, size, accelerator), lane);
+        list.push(Entry {
+            size,
+            accelerator,
+            fresh: false,
+            lane,
+            first: sequence,
+        });
+        let single = list.len() == 1;
+        let key = (record.key, team);
+        let order = &mut self.order[tier as usize];
+        if single {
+            order.insert(key, size);
+        } else if let Some(least) = order.get_mut(&key) {
+            *least = smaller(least, &size);
+        }
         self.list_lane(lane);
         lane
     }
 
-    fn remove_lane(&mut self, lane: table::Lane) {
-        self.unlist_lane(lane);
-        let record = self.lanes.remove(lane);
-        self.lane_ids.remove(&(record.team, record.class, record.tier));
-        let class = &mut self.classes[record.class];
-        class.references -= 1;
-        if class.references == 0 {
-            let key = (class.size, class.accelerator);
-            self.class_ids.remove(&key);
-            self.classes.remove(record.class);
-        }
+    fn class(&mut self, size: resource::Amount, accelerator: id::AcceleratorKind) -> table::Class {
+        let class = *self.class_ids.entry((size, accelerator)).or_insert_with(|| {
+            self.classes.insert(Class {
+                size,
+                accelerator,
+                lanes: Vec::new(),
+                references: 0,
+                full: false,
+                slot: None,
+            })
+        });
+        self.classes[class].references += 1;
+        class
     }
 
-    /// Lists a lane in its class; an idle class becomes open.
-    pub(crate) fn list_lane(&mut self, lane: table::Lane) {
+    /// Lists a lane in its class. It is fresh unless the class is known to have no room.
+    fn list_lane(&mut self, lane: table::Lane) {
         let index = self.lanes[lane].class;
         let class = &mut self.classes[index];
-        self.lanes[lane].place = Place::Class(class.lanes.len());
+        self.lanes[lane].listed = Some(class.lanes.len());
         class.lanes.push(lane);
-        if class.state == State::Idle {
-            class.state = State::Open(self.open.len());
-            self.open.push(index);
+        if class.slot.is_none() {
+            class.full = false;
+            class.slot = Some(self.demand.insert(index, class.accelerator, &class.size));
+        }
+        if !class.full {
+            self.entry_mut(lane).fresh = true;
+            self.fresh.push(lane);
         }
     }
 
-    /// Takes a lane out of the list of its class or team.
+    /// Takes a lane out of the list of its class, when it ends or its team is at its limit.
     pub(crate) fn unlist_lane(&mut self, lane: table::Lane) {
-        let (class, team) = (self.lanes[lane].class, self.lanes[lane].team);
-        match self.lanes[lane].place {
-            Place::Class(position) => {
-                let list = &mut self.classes[class].lanes;
-                list.swap_remove(position);
-                if let Some(&moved) = list.get(position) {
-                    self.lanes[moved].place = Place::Class(position);
-                }
-                if self.classes[class].lanes.is_empty() {
-                    self.unlist_class(class);
-                }
-            }
-            Place::Team(position) => {
-                let list = &mut self.teams[team].held;
-                list.swap_remove(position);
-                if let Some(&moved) = list.get(position) {
-                    self.lanes[moved].place = Place::Team(position);
-                }
-            }
+        let Some(position) = self.lanes[lane].listed.take() else {
+            return;
+        };
+        let class = &mut self.classes[self.lanes[lane].class];
+        class.lanes.swap_remove(position);
+        if let Some(&moved) = class.lanes.get(position) {
+            self.lanes[moved].listed = Some(position);
+        }
+        if !class.lanes.is_empty() {
+            return;
+        }
+        if let Some(slot) = class.slot.take()
+            && let Some((moved, slot)) = self.demand.remove(slot)
+        {
+            self.classes[moved].slot = Some(slot);
         }
     }
 
-    /// Keeps a lane back until its team is further below its part.
+    /// Holds a lane until its team is further below its part.
     pub(crate) fn hold_lane(&mut self, lane: table::Lane) {
-        self.unlist_lane(lane);
         let team = self.lanes[lane].team;
-        let held = &mut self.teams[team].held;
-        self.lanes[lane].place = Place::Team(held.len());
-        held.push(lane);
+        self.teams[team].limited = true;
+        self.entry_mut(lane).fresh = false;
+        self.unlist_lane(lane);
     }
 
-    /// Returns lanes to their classes when their team may run more.
-    pub(crate) fn release_lanes(&mut self, team: table::Team) {
-        let mut position = 0;
-        while let Some(&lane) = self.teams[team].held.get(position) {
-            let size = self.classes[self.lanes[lane].class].size;
-            if self.teams[team].admits(&size) {
-                self.unlist_lane(lane);
-                self.list_lane(lane);
-            } else {
-                position += 1;
+    fn remove_lane(&mut self, lane: table::Lane) {
+        self.unlist_lane(lane);
+        let record = self.lanes.remove(lane);
+        let class = &mut self.classes[record.class];
+        class.references -= 1;
+        if class.references == 0 {
+            self.class_ids.remove(&(class.size, class.accelerator));
+            self.classes.remove(record.class);
+        }
+        let tier = record.tier as usize;
+        let team = &mut self.teams[record.team];
+        let entry = team.lanes[tier].swap_remove(record.position);
+        if let Some(moved) = team.lanes[tier].get(record.position) {
+            self.lanes[moved.lane].position = record.position;
+        }
+        self.lane_ids
+            .remove(&(record.team, record.tier, entry.size, entry.accelerator));
+        let key = (team.key, record.team);
+        if team.lanes[tier].is_empty() {
+            self.order[tier].remove(&key);
+        } else if let Some(least) = self.order[tier].get_mut(&key) {
+            let sizes = team.lanes[tier].iter().map(|entry| entry.size);
+            if touches(least, &entry.size) {
+                *least = sizes
+                    .reduce(|left, right| smaller(&left, &right))
+                    .unwrap_or_default();
             }
         }
     }
 
-    fn unlist_class(&mut self, class: table::Class) {
-        match self.classes[class].state {
-            State::Idle => {}
-            State::Open(position) => {
-                self.open.swap_remove(position);
-                if let Some(&moved) = self.open.get(position) {
-                    self.classes[moved].state = State::Open(position);
+    /// Returns a lane's entry in the list of its team.
+    pub(crate) fn entry(&self, lane: table::Lane) -> &Entry {
+        let record = &self.lanes[lane];
+        &self.teams[record.team].lanes[record.tier as usize][record.position]
+    }
+
+    /// Returns a lane's entry for change.
+    pub(crate) fn entry_mut(&mut self, lane: table::Lane) -> &mut Entry {
+        let record = &self.lanes[lane];
+        &mut self.teams[record.team].lanes[record.tier as usize][record.position]
+    }
+
+    /// Lists those held lanes of a team that fit below its part again.
+    pub(crate) fn release_lanes(&mut self, team: table::Team) {
+        self.teams[team].limited = false;
+        for tier in 0..lane::TIERS {
+            for position in 0..self.teams[team].lanes[tier].len() {
+                let entry = self.teams[team].lanes[tier][position];
+                if self.lanes[entry.lane].listed.is_some() {
+                    continue;
                 }
-            }
-            State::Blocked(position) => {
-                self.blocked.swap_remove(position);
-                if let Some(&(moved, _, _)) = self.blocked.get(position) {
-                    self.classes[moved].state = State::Blocked(position);
+                if !self.teams[team].admits(&entry.size) {
+                    self.teams[team].limited = true;
+                    continue;
                 }
+                self.list_lane(entry.lane);
             }
         }
-        self.classes[class].state = State::Idle;
-    }
-
-    /// Records that no worker has room for a class.
-    pub(crate) fn block_class(&mut self, class: table::Class) {
-        self.unlist_class(class);
-        let record = &mut self.classes[class];
-        record.state = State::Blocked(self.blocked.len());
-        self.blocked.push((class, record.size, record.accelerator));
     }
 
-    /// Opens the blocked classes for which a worker has room.
-    pub(crate) fn wake_classes(&mut self, worker: table::Worker) {
-        let free = self.workers[worker].free();
-        let kind = self.workers[worker].capacity.accelerator;
-        let mut position = 0;
-        while let Some(&(class, size, accelerator)) = self.blocked.get(position) {
-            if size.fits(&free) && (accelerator == 0 || accelerator == kind) {
-                self.unlist_class(class);
-                self.classes[class].state = State::Open(self.open.len());
-                self.open.push(class);
-            } else {
-                position += 1;
+    /// Moves a team in the orders of its turns after its key has changed.
+    pub(crate) fn reorder(&mut self, team: table::Team, old: u64) {
+        let record = &self.teams[team];
+        if record.key == old {
+            return;
+        }
+        for (order, lanes) in self.order.iter_mut().zip(&record.lanes) {
+            if lanes.is_empty() {
+                continue;
+            }
+            if let Some(least) = order.remove(&(old, team)) {
+                order.insert((record.key, team), least);
             }
         }
     }
 }
+
+/// Returns the smaller amount of each dimension.
+pub(crate) fn smaller(left: &resource::Amount, right: &resource::Amount) -> resource::Amount {
+    resource::Amount {
+        cpu_milli: left.cpu_milli.min(right.cpu_milli),
+        memory_mib: left.memory_mib.min(right.memory_mib),
+        accelerators: left.accelerators.min(right.accelerators),
+    }
+}
+
+/// Tells whether a size sets the lower bound in some dimension.
+fn touches(least: &resource::Amount, size: &resource::Amount) -> bool {
+    least.cpu_milli == size.cpu_milli
+        || least.memory_mib == size.memory_mib
+        || (least.accelerators == size.accelerators && size.accelerators > 0)
+}
--- a/crates/schedule/src/table.rs
+++ b/crates/schedule/src/table.rs
@@ -40,7 +40,7 @@
     Run,
     /// Jobs of one team that wait with the same needs.
     Lane,
-    /// Tasks of equal needs.
+    /// Needs that the lanes of several teams have in common.
     Class,
 }
 
--- a/crates/schedule/src/team.rs
+++ b/crates/schedule/src/team.rs
@@ -4,7 +4,7 @@
 
 use bronzespoke_model::resource;
 
-use crate::table;
+use crate::lane;
 
 /// A team.
 #[derive(Debug)]
@@ -26,8 +26,10 @@
     pub(crate) share: f64,
     /// Order of turns; the lowest is next.
     pub(crate) key: u64,
-    /// Queues that wait for room below the team's part.
-    pub(crate) held: Vec<table::Lane>,
+    /// Waiting queues of each tier.
+    pub(crate) lanes: [Vec<lane::Entry>; lane::TIERS],
+    /// Whether a queue was passed over because of the part.
+    pub(crate) limited: bool,
     /// Tasks that wait in the team's queues.
     pub(crate) waiting: u32,
     /// Retries that the team may still start, in thousandths.
--- a/crates/schedule/src/worker.rs
+++ b/crates/schedule/src/worker.rs
@@ -61,6 +61,8 @@
     pub(crate) hold: Option<Hold>,
     pub(crate) health: Health,
     pub(crate) slot: Option<index::Slot>,
+    /// Whether it stands in the list of workers with freed room.
+    pub(crate) dirty: bool,
 }
 
 impl Record {
