Choose racks for services without sorting them, check impossible jobs in parts, add scenario tests

Cause: the choice of a rack compared all racks up to eight times per service task (53% of the profile).

--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -132,6 +132,7 @@
     fn check_possible_soon(&mut self, now: Duration) {
         if !self.possible_pending {
             self.possible_pending = true;
+            self.possible_next = 0;
             self.timers.push(now + POSSIBLE_DELAY, timer::Event::Possible);
         }
     }
@@ -247,7 +248,7 @@
             let took = now.saturating_sub(restored);
             self.recovery = Some(took);
             out.push(Output::Recovered { took });
-            self.check_possible(out);
+            self.check_possible(now);
         }
     }
 }
--- a/crates/schedule/src/pass/limit.rs
+++ b/crates/schedule/src/pass/limit.rs
@@ -62,7 +62,7 @@
             self.shrink_team(now, team, out);
         }
         if lowered && self.restored.is_some() {
-            self.check_possible(out);
+            self.check_possible(now);
         }
     }
 
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -86,9 +86,12 @@
         *left = left.saturating_sub(1);
         self.counts.tries += 1;
         // A service may find a better spread elsewhere.
-        let chosen = match self.jobs[job].kind {
-            model::Kind::Service => self.choose(job).unwrap_or(worker),
-            model::Kind::Batch | model::Kind::Gang => worker,
+        let record = &self.jobs[job];
+        let stays = record.kind != model::Kind::Service || self.is_spread(record, worker);
+        let chosen = if stays {
+            worker
+        } else {
+            self.choose(job).unwrap_or(worker)
         };
         let task = self.take_waiting(job);
         self.start(now, job, task, chosen, out);
@@ -301,6 +304,12 @@
         let avoid = job.avoid();
         self.free.search(&query, &mut |worker| {
             let mut score = self.fit_score(worker, &query)?;
+            score += f32::from(
+                job.spread
+                    .get(self.workers[worker].rack as usize)
+                    .copied()
+                    .unwrap_or(0),
+            );
             if avoid.contains(&self.workers[worker].rack) {
                 score += AVOID_SCORE;
             }
@@ -311,23 +320,29 @@
     /// Returns a worker in one of the racks that have the fewest tasks of a service.
     fn choose_spread(&self, job: &job::Record, query: &index::Query) -> Option<table::Worker> {
         let count = self.racks.len();
+        let least = self.least_spread(job);
+        let first = (job.sequence as usize).wrapping_add(job.runs.len());
         let avoid = job.avoid();
-        let mut tried = SmallVec::<[usize; RACKS_TRIED]>::new();
-        while tried.len() < RACKS_TRIED.min(count) {
-            let first = job.sequence as usize;
-            let rack = (0..count)
-                .map(|offset| (first + offset) % count)
-                .filter(|rack| !tried.contains(rack))
-                .min_by_key(|rack| {
-                    let runs = job.spread.get(*rack).copied().unwrap_or(0);
-                    (runs, avoid.contains(&(*rack as u32)))
-                })?;
-            tried.push(rack);
-            if let Some(worker) = self.choose_in_rack(rack, query) {
-                return Some(worker);
-            }
+        (0..count)
+            .map(|offset| (first + offset) % count)
+            .filter(|rack| job.spread.get(*rack).copied().unwrap_or(0) == least)
+            .filter(|rack| !avoid.contains(&(*rack as u32)))
+            .take(RACKS_TRIED)
+            .find_map(|rack| self.choose_in_rack(rack, query))
+    }
+
+    /// Returns the fewest tasks of a service on any rack.
+    fn least_spread(&self, job: &job::Record) -> u16 {
+        if job.spread.len() < self.racks.len() {
+            return 0;
         }
-        None
+        job.spread.iter().copied().min().unwrap_or(0)
+    }
+
+    /// Tells whether a worker's rack has the fewest tasks of a service.
+    fn is_spread(&self, job: &job::Record, worker: table::Worker) -> bool {
+        let rack = self.workers[worker].rack as usize;
+        job.spread.get(rack).copied().unwrap_or(0) == self.least_spread(job)
     }
 
     fn choose_in_rack(&self, rack: usize, query: &index::Query) -> Option<table::Worker> {
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -6,7 +6,12 @@
 
 use crate::message::Output;
 use crate::scheduler::Scheduler;
-use crate::{job, range, table};
+use crate::{job, range, table, timer};
+
+/// Jobs that one step checks; 100,000 jobs at once would take tens of milliseconds.
+const CHECKED: usize = 4096;
+/// Interval between the steps of one check.
+const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 impl Scheduler {
     /// Takes a job, or refuses it when it can never run.
@@ -111,29 +116,43 @@
         })
     }
 
-    /// Checks the waiting jobs after the fleet or a limit changed, and tells news.
-    pub(crate) fn check_possible(&mut self, out: &mut Vec<Output>) {
+    /// Begins a check of the waiting jobs after the fleet or a limit changed.
+    pub(crate) fn check_possible(&mut self, now: Duration) {
+        self.possible_next = 0;
+        self.timers.push(now, timer::Event::Possible);
+    }
+
+    /// Checks some of the waiting jobs, tells news, and continues in the next step.
+    pub(crate) fn possible_due(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.possible_pending = false;
         if self.restored.is_none() || self.unconfirmed > 0 {
             return;
         }
-        for slot in 0..self.jobs.slots() {
+        let end = self.jobs.slots().min(self.possible_next + CHECKED);
+        for slot in self.possible_next..end {
             let index: table::Job = table::Index::new(slot);
             let waits = self.jobs.get(index).is_some_and(|job| !job.waiting.is_empty());
-            if !waits {
-                continue;
-            }
-            let reason = self.impossible(index);
-            let job = &mut self.jobs[index];
-            if let Some(reason) = reason.filter(|_| reason != job.impossible) {
-                out.push(Output::Impossible {
-                    job: job.id,
-                    reason,
-                    refused: false,
-                });
+            if waits {
+                self.tell_possible(index, out);
             }
-            job.impossible = reason;
         }
+        self.possible_next = end;
+        if end < self.jobs.slots() {
+            self.timers.push(now + CHECK_INTERVAL, timer::Event::Possible);
+        }
+    }
+
+    fn tell_possible(&mut self, index: table::Job, out: &mut Vec<Output>) {
+        let reason = self.impossible(index);
+        let job = &mut self.jobs[index];
+        if let Some(reason) = reason.filter(|_| reason != job.impossible) {
+            out.push(Output::Impossible {
+                job: job.id,
+                reason,
+                refused: false,
+            });
+        }
+        job.impossible = reason;
     }
 }
 
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -99,6 +99,8 @@
     pub(crate) timers: timer::Queue,
     /// Whether a check for impossible jobs is due.
     pub(crate) possible_pending: bool,
+    /// Job slot at which the check goes on.
+    pub(crate) possible_next: usize,
     /// Capacity of the workers whose lease holds.
     pub(crate) total: resource::Amount,
     pub(crate) used: resource::Amount,
@@ -164,6 +166,7 @@
             lost: VecDeque::new(),
             timers,
             possible_pending: false,
+            possible_next: 0,
             total: resource::Amount::ZERO,
             used: resource::Amount::ZERO,
             active_weight: 0,
@@ -239,7 +242,7 @@
                 self.timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
             }
             timer::Event::Drain => self.drain_due(now, out),
-            timer::Event::Possible => self.check_possible(out),
+            timer::Event::Possible => self.possible_due(now, out),
         }
     }
 }
--- a/crates/schedule/tests/history.rs
+++ b/crates/schedule/tests/history.rs
@@ -149,17 +149,11 @@
     assert!(noticed(rules, text), "no history shows `{text}`");
 }
 
+/// The same over fixed seeds, so that a failure names a seed.
 #[test]
-#[ignore]
-fn scan() {
-    let mut c = cell(0, Rules::default(), 5);
-    for a in actions(0, 200) {
-        c.apply(&a);
-    }
-    println!("SCAN starts {} {:?}", c.check.starts, c.scheduler.measures(c.now));
-    for seed in 0..300 {
-        if let Some(text) = history(seed, Rules::default(), (seed % 25) as u32, &actions(seed, 200)) {
-            println!("SCAN {seed}: {text}");
-        }
+fn seeded_histories_hold() {
+    for seed in 0..100 {
+        let broken = history(seed, Rules::default(), (seed % 25) as u32, &actions(seed, 200));
+        assert_eq!(broken, None, "seed {seed}");
     }
 }
--- /dev/null
+++ b/crates/schedule/tests/scenario.rs
@@ -0,0 +1,368 @@
+//! Single situations: each test states which failure it guards against.
+
+mod cell;
+
+use std::time::Duration;
+
+use bronzespoke_model::{id, job, resource, task, worker};
+use bronzespoke_schedule::config::Rules;
+use bronzespoke_schedule::message::Cause;
+use bronzespoke_schedule::{Config, Input, Output};
+use cell::{Cell, spec};
+
+const PART: resource::Amount = resource::Amount::new(900_000, 900_000, 900);
+
+fn cell(workers: u64, rules: Rules) -> Cell {
+    let config = Config {
+        rules,
+        ..Config::default()
+    };
+    let mut cell = Cell::new(7, config, workers, 0);
+    for team in 1..=2 {
+        cell.set_team(team, 1, PART);
+    }
+    cell
+}
+
+fn urgent(tasks: u32, cpu: u32) -> job::Spec {
+    job::Spec {
+        priority: job::Priority::Urgent,
+        ..spec(job::Kind::Batch, tasks, cpu, 5)
+    }
+}
+
+fn sound(cell: &Cell) {
+    assert_eq!(cell.check.broken, None);
+}
+
+/// Fills a cell with long work of team 1 and submits urgent work of team 2.
+fn preempted(rules: Rules, urgent_tasks: u32) -> Cell {
+    let mut cell = cell(4, rules);
+    for machine in &mut cell.machines {
+        machine.longest = 1_000_000;
+    }
+    cell.check.protected.insert(1, 0.5);
+    cell.submit(1, spec(job::Kind::Batch, 16, 2_000, 1_000));
+    cell.run(Duration::from_secs(10));
+    cell.submit(2, urgent(urgent_tasks, 2_000));
+    cell.run(Duration::from_millis(1_600));
+    cell
+}
+
+/// Guards against urgent work that waits behind long work for more than 1.6 s.
+#[test]
+fn urgent_work_starts_within_its_bound() {
+    let cell = preempted(Rules::default(), 8);
+    assert_eq!(cell.check.places(2).len(), 8);
+    sound(&cell);
+}
+
+/// Guards against urgent work that takes a team's protected share; the second half shows that the check notices.
+#[test]
+fn urgent_work_leaves_each_team_its_protected_share() {
+    let cell = preempted(Rules::default(), 16);
+    assert_eq!(cell.check.places(2).len(), 8);
+    sound(&cell);
+    let broken = preempted(
+        Rules {
+            protect_share: false,
+            ..Rules::default()
+        },
+        16,
+    );
+    assert!(broken.check.broken.is_some_and(|text| text.contains("is pushed")));
+}
+
+/// Guards against two gangs that hold half of the fleet each and never start, and against a reservation that small
+/// work of other jobs overruns.
+#[test]
+fn two_large_gangs_start_one_after_the_other() {
+    let mut cell = cell(4, Rules::default());
+    cell.submit(1, spec(job::Kind::Batch, 16, 2_000, 20));
+    cell.run(Duration::from_secs(2));
+    let gangs: Vec<_> = (1..=2)
+        .map(|team| cell.submit(team, spec(job::Kind::Gang, 12, 2_000, 20)))
+        .collect();
+    for _ in 0..60 {
+        cell.submit(1, spec(job::Kind::Batch, 1, 2_000, 20));
+        cell.run(Duration::from_secs(2));
+    }
+    cell.run(Duration::from_mins(2));
+    for gang in gangs {
+        assert_eq!(cell.done.get(&gang), Some(&job::State::Succeeded));
+    }
+    sound(&cell);
+}
+
+/// Guards against a cancellation wave that leaves work behind, starts cancelled work or rescans the queue.
+#[test]
+fn a_wave_of_cancellations_ends_every_job_once() {
+    let mut cell = cell(4, Rules::default());
+    let mut out = Vec::new();
+    for job in 1..=10_000 {
+        let spec = spec(job::Kind::Batch, 3, 2_000, 60);
+        cell.scheduler
+            .step(cell.now, Input::Submit { job, team: 1, spec }, &mut out);
+    }
+    let started = out.len();
+    let tries = cell.scheduler.measures(cell.now).tries;
+    out.clear();
+    for job in 1..=10_000 {
+        cell.scheduler.step(cell.now, Input::Cancel { job }, &mut out);
+        cell.scheduler.step(cell.now, Input::Cancel { job }, &mut out);
+    }
+    let done = |out: &[Output]| {
+        out.iter()
+            .filter(|output| matches!(output, Output::JobDone { .. }))
+            .count()
+    };
+    let stops: Vec<_> = out
+        .iter()
+        .filter_map(|output| match output {
+            Output::Stop { task, token, .. } => Some((*task, *token)),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(
+        (stops.len(), cell.scheduler.measures(cell.now).tries),
+        (started, tries)
+    );
+    for (task, token) in stops {
+        let outcome = task::Outcome::Stopped;
+        cell.scheduler
+            .step(cell.now, Input::Ended { task, token, outcome }, &mut out);
+    }
+    assert_eq!(done(&out), 10_000);
+    assert!(!out.iter().any(|output| matches!(output, Output::Start { .. })));
+    cell.scheduler.verify().expect("the invariants hold");
+}
+
+/// Guards against impossible jobs that wait silently or block others.
+#[yare::parameterized(
+    size = { spec(job::Kind::Batch, 1, 9_000, 5), job::Impossible::LargerThanAnyWorker },
+    gang = { spec(job::Kind::Gang, 100, 8_000, 5), job::Impossible::LargerThanFleet },
+    limit = { spec(job::Kind::Gang, 1_000, 2_000, 5), job::Impossible::OverTeamLimit },
+    kind = { job::Spec { accelerator: 9, ..spec(job::Kind::Batch, 1, 1_000, 5) }, job::Impossible::NoSuchAccelerator },
+)]
+fn an_impossible_job_is_refused(spec: job::Spec, reason: job::Impossible) {
+    let mut cell = cell(3, Rules::default());
+    let job = cell.submit(1, spec);
+    assert_eq!(cell.done.get(&job), Some(&job::State::Impossible(reason)));
+    sound(&cell);
+}
+
+/// Guards against a job that becomes impossible when the fleet shrinks and is not told.
+#[test]
+fn a_job_is_told_when_the_fleet_becomes_too_small() {
+    let mut cell = cell(3, Rules::default());
+    cell.submit(1, spec(job::Kind::Batch, 12, 2_000, 60));
+    let job = cell.submit(1, spec(job::Kind::Gang, 3, 8_000, 60));
+    cell.run(Duration::from_secs(2));
+    cell.machines[0].alive = false;
+    cell.machines[0].running.clear();
+    cell.run(Duration::from_secs(20));
+    let cause = Cause::Impossible(job::Impossible::LargerThanFleet);
+    assert_eq!(cell.scheduler.explain(job).cause, cause);
+    let other = cell.submit(1, spec(job::Kind::Batch, 1, 1_000, 5));
+    cell.run(Duration::from_mins(2));
+    assert_eq!(cell.done.get(&other), Some(&job::State::Succeeded));
+    sound(&cell);
+}
+
+/// Guards against a worker that fails everything and keeps taking work, and against jobs that fail because of it.
+#[test]
+fn a_worker_that_fails_everything_is_put_on_probation() {
+    let mut cell = cell(8, Rules::default());
+    cell.machines[3].faulty = true;
+    for _ in 0..40 {
+        cell.submit(1, spec(job::Kind::Batch, 4, 2_000, 10));
+        cell.run(Duration::from_secs(2));
+    }
+    assert_eq!(cell.scheduler.measures(cell.now).probation, 1);
+    cell.run(Duration::from_mins(5));
+    assert!(cell.done.values().all(|state| *state == job::State::Succeeded));
+    assert_eq!(cell.done.len(), 40);
+    sound(&cell);
+}
+
+/// Guards against a job that fails everywhere and takes the workers out of use, or is retried for ever.
+#[test]
+fn a_job_that_fails_everywhere_fails_and_no_worker_is_blamed() {
+    let mut cell = cell(6, Rules::default());
+    let job = cell.submit(1, spec(job::Kind::Batch, 1, 1_000, 10));
+    for _ in 0..200 {
+        cell.run(Duration::from_millis(500));
+        let token = cell.jobs.get(&job).and_then(|job| match job.tasks[0] {
+            bronzespoke_schedule::message::Progress::Running { token, .. } => Some(token),
+            _ => None,
+        });
+        if let Some(token) = token {
+            let task = task::Ref { job, index: 0 };
+            let outcome = task::Outcome::Failed;
+            cell.machines.iter_mut().for_each(|machine| {
+                machine.running.remove(&token);
+            });
+            cell.step(Input::Ended { task, token, outcome });
+        }
+    }
+    assert_eq!(cell.done.get(&job), Some(&job::State::Failed));
+    assert_eq!(cell.scheduler.measures(cell.now).probation, 0);
+    sound(&cell);
+}
+
+/// Guards against a service whose tasks share a rack, and against a drain that takes two of them down at once.
+#[test]
+fn a_service_is_spread_over_racks_and_drained_one_by_one() {
+    let mut cell = cell(8, Rules::default());
+    for machine in &mut cell.machines {
+        machine.longest = 1_000_000;
+    }
+    let job = cell.submit(1, spec(job::Kind::Service, 4, 1_000, 0));
+    let racks = |cell: &Cell| {
+        let mut racks: Vec<_> = cell.check.places(job).iter().map(|worker| worker / 2).collect();
+        racks.sort_unstable();
+        racks
+    };
+    cell.run(Duration::from_secs(5));
+    assert_eq!(racks(&cell), [0, 1, 2, 3]);
+    for worker in 0..4 {
+        cell.step(Input::Drain { worker, on: true });
+    }
+    cell.run(Duration::from_secs(30));
+    assert!(cell.check.places(job).iter().all(|worker| *worker >= 4));
+    assert_eq!(cell.check.places(job).len(), 4);
+    sound(&cell);
+}
+
+/// Guards against a team that a busier one keeps from its share.
+#[test]
+fn weighted_shares_are_reached_when_the_fleet_is_full() {
+    let mut cell = cell(6, Rules::default());
+    cell.set_team(2, 3, PART);
+    for _ in 0..100 {
+        cell.submit(1, spec(job::Kind::Batch, 8, 1_000, 10));
+    }
+    cell.run(Duration::from_secs(20));
+    for _ in 0..40 {
+        cell.submit(2, spec(job::Kind::Batch, 8, 1_000, 10));
+    }
+    cell.run(Duration::from_mins(1));
+    let held = |team| {
+        let jobs: Vec<id::JobId> = cell
+            .jobs
+            .iter()
+            .filter(|(_, job)| job.team == team)
+            .map(|(id, _)| *id)
+            .collect();
+        jobs.iter()
+            .map(|job| cell.check.places(*job).len())
+            .sum::<usize>()
+    };
+    let (first, second) = (held(1), held(2));
+    assert_eq!(first + second, 48);
+    assert!((34..=40).contains(&second), "team 2 holds {second} of 48");
+    sound(&cell);
+}
+
+/// Guards against runs above their declaration that overfill a worker.
+#[test]
+fn a_run_above_its_declaration_is_throttled_or_ended() {
+    let mut cell = cell(1, Rules::default());
+    let job = cell.submit(1, spec(job::Kind::Batch, 4, 2_000, 60));
+    cell.run(Duration::from_secs(1));
+    let machine = &mut cell.machines[0];
+    let mut report = machine.report(cell.now);
+    report.running[0].usage = resource::Amount::new(3_000, 2_000, 0);
+    report.running[1].usage = resource::Amount::new(2_000, 2_500, 0);
+    let heavy = report.running[1].token;
+    let mut out = Vec::new();
+    cell.scheduler.step(cell.now, Input::Worker(report), &mut out);
+    let throttled = out
+        .iter()
+        .filter(|output| matches!(output, Output::Throttle { .. }))
+        .count();
+    assert_eq!(throttled, 1);
+    let stopped: Vec<_> = out
+        .iter()
+        .filter_map(|output| match output {
+            Output::Stop { token, .. } => Some(*token),
+            _ => None,
+        })
+        .collect();
+    assert_eq!(stopped, [heavy]);
+    assert_eq!(cell.scheduler.explain(job).running, 4);
+}
+
+/// Guards against a rack's work that returns all at once; services come back first.
+#[test]
+fn lost_work_returns_at_a_pace_with_services_first() {
+    let config = Config {
+        recovery_starts_per_second: 10,
+        ..Config::default()
+    };
+    let mut cell = Cell::new(3, config, 0, 0);
+    cell.set_team(1, 1, PART);
+    for id in 0..40 {
+        let capacity = resource::Capacity {
+            amount: resource::Amount::new(8_000, 8_000, 0),
+            accelerator: 0,
+        };
+        cell.add_machine(id, (id / 8) as id::RackId, capacity);
+    }
+    let mut tokens = Vec::new();
+    let service = cell.submit(1, spec(job::Kind::Service, 5, 1_000, 0));
+    cell.submit(1, spec(job::Kind::Batch, 100, 1_000, 1_000));
+    cell.run(Duration::from_secs(1));
+    let before = cell.check.starts;
+    for worker in 0..40 {
+        if worker % 8 < 4 {
+            tokens.extend(cell.machines[worker].running.keys().copied());
+            cell.machines[worker].alive = false;
+            cell.machines[worker].running.clear();
+            let worker = worker as id::WorkerId;
+            cell.step(Input::WorkerGone { worker, at: cell.now });
+        }
+    }
+    assert_eq!(cell.check.places(service).len(), 5);
+    cell.run(Duration::from_secs(2));
+    let returned = cell.check.starts - before;
+    assert!(returned <= 5 + 10 * 2 + 2, "{returned} starts in two seconds");
+    assert!(tokens.len() as u64 > returned);
+    sound(&cell);
+}
+
+/// Guards against a team over a lowered part, and against stopping services before batch work.
+#[test]
+fn a_lowered_part_stops_the_newest_work_of_the_lowest_value() {
+    let mut cell = cell(4, Rules::default());
+    for machine in &mut cell.machines {
+        machine.longest = 1_000_000;
+    }
+    let service = cell.submit(1, spec(job::Kind::Service, 4, 1_000, 0));
+    let old = cell.submit(1, spec(job::Kind::Batch, 4, 1_000, 900));
+    let new = cell.submit(1, spec(job::Kind::Batch, 4, 1_000, 900));
+    cell.run(Duration::from_secs(2));
+    cell.set_team(1, 1, resource::Amount::new(8_000, 8_000, 0));
+    cell.run(Duration::from_secs(10));
+    let held = [service, old, new].map(|job| cell.check.places(job).len());
+    assert_eq!(held, [4, 4, 0]);
+    sound(&cell);
+}
+
+/// Guards against a report of a former life that renews the lease of the present one.
+#[test]
+fn a_report_of_a_former_life_is_ignored() {
+    let mut cell = cell(1, Rules::default());
+    let late = worker::Report {
+        sequence: 1_000,
+        ..cell.machines[0].report(cell.now)
+    };
+    let registration = cell.machines[0].restart(cell.now);
+    cell.step(Input::Register(registration));
+    let mut out = Vec::new();
+    let at = cell.now + Duration::from_secs(10);
+    cell.scheduler.step(at, Input::Worker(late), &mut out);
+    cell.scheduler
+        .step(at + Duration::from_millis(300), Input::Tick, &mut out);
+    assert!(out.contains(&Output::WorkerLost { worker: 0 }));
+}
