--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -48,6 +48,7 @@
             hold: None,
             health: worker::Health::default(),
             slot: None,
+            dirty: false,
         });
         self.worker_ids.insert(registration.worker, worker);
         self.racks[rack as usize].members.push(worker);
@@ -131,6 +132,7 @@
     fn check_possible_soon(&mut self, now: Duration) {
         if !self.possible_pending {
             self.possible_pending = true;
+            self.possible_next = 0;
             self.timers.push(now + POSSIBLE_DELAY, timer::Event::Possible);
         }
     }
@@ -246,7 +248,7 @@
             let took = now.saturating_sub(restored);
             self.recovery = Some(took);
             out.push(Output::Recovered { took });
-            self.check_possible(out);
+            self.check_possible(now);
         }
     }
 }
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -64,12 +64,20 @@
     pub(crate) runs: Table<table::Run, run::Record>,
     pub(crate) tokens: HashMap<id::Token, table::Run>,
     pub(crate) lanes: Table<table::Lane, lane::Lane>,
-    pub(crate) lane_ids: HashMap<(table::Team, table::Class, lane::Tier), table::Lane>,
     pub(crate) classes: Table<table::Class, lane::Class>,
     pub(crate) class_ids: HashMap<(resource::Amount, id::AcceleratorKind), table::Class>,
-    pub(crate) open: Vec<table::Class>,
-    pub(crate) blocked: Vec<(table::Class, resource::Amount, id::AcceleratorKind)>,
+    /// Classes with listed lanes, by need.
+    pub(crate) demand: index::Demand,
+    /// Classes that fit on the worker that is filled.
+    pub(crate) fitting: Vec<table::Class>,
+    pub(crate) lane_ids: HashMap<lane::Key, table::Lane>,
+    /// Teams with lanes, by turn, for each tier.
+    pub(crate) order: [lane::Order; lane::TIERS],
+    /// Lanes for which a worker with room may exist.
+    pub(crate) fresh: Vec<table::Lane>,
     pub(crate) turns: BinaryHeap<Reverse<Turn>>,
+    /// Workers on which room was freed.
+    pub(crate) dirty: Vec<table::Worker>,
     pub(crate) gangs: BTreeMap<u64, Gang>,
     pub(crate) gangs_dirty: bool,
     pub(crate) gangs_next: Duration,
@@ -91,6 +99,8 @@
     pub(crate) timers: timer::Queue,
     /// Whether a check for impossible jobs is due.
     pub(crate) possible_pending: bool,
+    /// Job slot at which the check goes on.
+    pub(crate) possible_next: usize,
     /// Capacity of the workers whose lease holds.
     pub(crate) total: resource::Amount,
     pub(crate) used: resource::Amount,
@@ -132,12 +142,15 @@
             runs: Table::new(),
             tokens: HashMap::new(),
             lanes: Table::new(),
-            lane_ids: HashMap::new(),
             classes: Table::new(),
             class_ids: HashMap::new(),
-            open: Vec::new(),
-            blocked: Vec::new(),
+            demand: index::Demand::default(),
+            fitting: Vec::new(),
+            lane_ids: HashMap::new(),
+            order: Default::default(),
+            fresh: Vec::new(),
             turns: BinaryHeap::new(),
+            dirty: Vec::new(),
             gangs: BTreeMap::new(),
             gangs_dirty: false,
             gangs_next: Duration::ZERO,
@@ -153,6 +166,7 @@
             lost: VecDeque::new(),
             timers,
             possible_pending: false,
+            possible_next: 0,
             total: resource::Amount::ZERO,
             used: resource::Amount::ZERO,
             active_weight: 0,
@@ -228,7 +242,7 @@
                 self.timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
             }
             timer::Event::Drain => self.drain_due(now, out),
-            timer::Event::Possible => self.check_possible(out),
+            timer::Event::Possible => self.possible_due(now, out),
         }
     }
 }
