--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -286,6 +286,8 @@
     state.record(body.clone());
     let mut response = Response::new(Full::new(body));
     match behaviour {
+        // A sleep of no length would still wait for the next tick of the timer.
+        Behaviour::Echo(time) if time.is_zero() => {}
         Behaviour::Echo(time) => tokio::time::sleep(time).await,
         Behaviour::Long(length) => *response.body_mut() = Full::new(Bytes::from(vec![b'x'; length])),
         Behaviour::Status(status) => {
