Judge targets by silence only when it was long for the service

Cause 1: callers that asked for a 1 ms deadline had a good target ejected by five time-outs. Silence now counts from four times the hedge latency, or 1 s while that is not known. Cause 2: a stalled target was never ejected, because the copy that overtook its attempt was the only outcome that was reported. Being overtaken now counts as a failure.

--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -175,7 +175,9 @@
         match cut {
             Cut::Target => pick.end(attempt::End::Failed, bytes),
             Cut::Deadline => {
-                permit.set(admission::Done::Overloaded);
+                if pick.is_late() {
+                    permit.set(admission::Done::Overloaded);
+                }
                 pick.end(attempt::End::TimedOut, bytes);
             }
         }
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -52,11 +52,18 @@
     pub state: attempt::State,
     pub end: attempt::End,
     pub message: &'static str,
+    /// Whether it is a sign that the service has too much to do.
+    pub overload: bool,
 }
 
 impl Failure {
-    const fn new(state: attempt::State, end: attempt::End, message: &'static str) -> Self {
-        Self { state, end, message }
+    pub(crate) const fn new(state: attempt::State, end: attempt::End, message: &'static str) -> Self {
+        Self {
+            state,
+            end,
+            message,
+            overload: matches!(end, attempt::End::TimedOut | attempt::End::Busy { .. }),
+        }
     }
 }
 
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -2,7 +2,10 @@
 
 use std::{
     collections::HashMap,
-    sync::{Arc, Mutex, MutexGuard, PoisonError},
+    sync::{
+        Arc, Mutex, MutexGuard, PoisonError,
+        atomic::{AtomicBool, Ordering},
+    },
     time::{Duration, Instant},
 };
 
@@ -48,6 +51,7 @@
     service: id::ServiceId,
     remote: bool,
     started: Instant,
+    overtaken: Arc<AtomicBool>,
     armed: bool,
 }
 
@@ -263,6 +267,7 @@
             service: ask.flow.service,
             remote: distance == vm::Distance::Remote,
             started: Instant::now(),
+            overtaken: Arc::default(),
             armed: true,
         })
     }
@@ -334,6 +339,17 @@
         self.started.elapsed()
     }
 
+    /// Returns a mark to set when the answer to a later copy makes this attempt superfluous.
+    pub(crate) fn overtaken(&self) -> Arc<AtomicBool> {
+        Arc::clone(&self.overtaken)
+    }
+
+    /// Tells whether the attempt has lasted so long that silence speaks against the target.
+    pub(crate) fn is_late(&self) -> bool {
+        let elapsed = self.started.elapsed();
+        self.gate.lock().retry.is_late(self.service, elapsed)
+    }
+
     /// Reports the end of the attempt.
     pub(crate) fn end(mut self, end: attempt::End, answer_bytes: u64) {
         self.report(end, answer_bytes);
@@ -343,6 +359,11 @@
         self.armed = false;
         let now = self.gate.now();
         let mut decider = self.gate.lock();
+        let late = decider.retry.is_late(self.service, self.started.elapsed());
+        let end = match end {
+            attempt::End::TimedOut if !late => attempt::End::Abandoned,
+            end => end,
+        };
         if self.remote {
             decider.router.charge_remote(answer_bytes);
         }
@@ -354,7 +375,13 @@
 impl Drop for Pick {
     fn drop(&mut self) {
         if self.armed {
-            self.report(attempt::End::Abandoned, 0);
+            let overtaken = self.overtaken.load(Ordering::Acquire);
+            let end = if overtaken {
+                attempt::End::Overtaken
+            } else {
+                attempt::End::Abandoned
+            };
+            self.report(end, 0);
         }
     }
 }
--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -1,6 +1,9 @@
 //! Requests to services and open queues: from a received body to the answer of a target.
 
-use std::{sync::Arc, time::Duration};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bronzespoke_model::{id, team};
 use bronzespoke_request::{admission, attempt as state, part, retry};
@@ -251,7 +254,7 @@
             }
             retry::Decision::Stop(known) => {
                 if let Some(mut permit) = permit
-                    && matches!(failure.end, state::End::TimedOut | state::End::Busy { .. })
+                    && failure.overload
                 {
                     permit.set(admission::Done::Overloaded);
                 }
@@ -277,6 +280,7 @@
     hedge: bool,
 ) -> Result<(gate::Pick, attempt::Got), attempt::Failure> {
     let first_target = pick.target;
+    let overtaken = pick.overtaken();
     let mut first = Box::pin(one(Arc::clone(context), work.message.clone(), pick));
     let late = context.gate.hedge_after(work.ask.flow.service).filter(|_| hedge);
     let Some(late) = late.filter(|late| *late < attempt::left(work.message.deadline)) else {
@@ -293,13 +297,16 @@
     metrics::counter!("bronzespoke_hedges_total").increment(1);
     let mut second = Box::pin(one(Arc::clone(context), work.message.clone(), pick));
     // The copy that is dropped closes its connection, and its guard reports it as abandoned.
-    let (tried, other) = tokio::select! {
+    let (tried, other, second_won) = tokio::select! {
         biased;
-        tried = &mut first => (tried, second),
-        tried = &mut second => (tried, first),
+        tried = &mut first => (tried, second, false),
+        tried = &mut second => (tried, first, true),
     };
     let failure = match settle(tried) {
-        Ok(won) => return Ok(won),
+        Ok(won) => {
+            overtaken.store(second_won, Ordering::Release);
+            return Ok(won);
+        }
         Err(failure) => failure,
     };
     settle(other.await).map_err(|last| attempt::Failure {
@@ -312,7 +319,10 @@
 fn settle((pick, result): Tried) -> Result<(gate::Pick, attempt::Got), attempt::Failure> {
     match result {
         Ok(got) => Ok((pick, got)),
-        Err(failure) => {
+        Err(mut failure) => {
+            if failure.end == state::End::TimedOut && !pick.is_late() {
+                failure.overload = false;
+            }
             pick.end(failure.end, 0);
             Err(failure)
         }
@@ -363,11 +373,7 @@
         answer::Cut::Target => (state::End::Failed, "the target broke off its answer"),
         answer::Cut::Deadline => (state::End::TimedOut, "the deadline passed during the answer"),
     };
-    attempt::Failure {
-        state: state::State::Run,
-        end,
-        message,
-    }
+    attempt::Failure::new(state::State::Run, end, message)
 }
 
 /// Returns the answer for the caller.
--- a/crates/gateway/tests/targets.rs
+++ b/crates/gateway/tests/targets.rs
@@ -279,13 +279,38 @@
         send(&cell, None, "30000", "learn").await;
     }
     slow.set(Behaviour::StallAfterReading);
-    for number in 0..8 {
+    let before = slow.runs();
+    for number in 0..40 {
         let answer = send(&cell, None, "30000", &format!("repeatable-{number}")).await;
         assert_eq!(answer.status, StatusCode::OK, "{}", answer.text());
     }
+    let stalled = slow.runs() - before;
+    assert!(
+        stalled <= 10,
+        "a target that is always overtaken got {stalled} of 40 requests"
+    );
     for number in 0..8 {
         let id = format!("claimed-{number}");
         send(&cell, Some(&id), "300", &id).await;
         assert!(slow.runs_of(id.as_bytes()) + good.runs_of(id.as_bytes()) <= 1);
     }
 }
+
+/// Guards against callers that ask for deadlines too short for the service and so have good targets ejected.
+#[tokio::test]
+async fn short_deadlines_eject_no_target() {
+    let time = Duration::from_millis(50);
+    let targets = [
+        target(Behaviour::Echo(time)).await,
+        target(Behaviour::Echo(time)).await,
+    ];
+    let cell = common::cell(&[&targets[0], &targets[1]]).await;
+    for _ in 0..40 {
+        let answer = send(&cell, None, "1", "short").await;
+        assert!(answer.status.is_server_error());
+    }
+    for _ in 0..20 {
+        assert_eq!(send(&cell, None, "5000", "long").await.status, StatusCode::OK);
+    }
+    assert!(targets.iter().all(|target| target.runs_of(b"long") > 0));
+}
--- a/crates/request/src/attempt.rs
+++ b/crates/request/src/attempt.rs
@@ -54,8 +54,10 @@
     },
     /// The connection failed, the answer was broken, or the target answered with a server error.
     Failed,
-    /// Nothing came before the deadline.
+    /// Nothing came before the deadline, which was long enough for the service.
     TimedOut,
+    /// A copy that was sent later to another target was answered first.
+    Overtaken,
     /// The caller or the gateway gave up; says nothing about the target.
     Abandoned,
 }
--- a/crates/request/src/retry.rs
+++ b/crates/request/src/retry.rs
@@ -19,6 +19,10 @@
 const HEDGE_WINDOW: u64 = 20_000;
 /// Quantile of the latency at which a second copy is sent.
 const HEDGE_QUANTILE: f64 = 0.98;
+/// Multiple of the hedge latency after which silence speaks against a target.
+const LATE_FACTOR: u32 = 4;
+/// Silence that speaks against a target while the distribution is not known.
+const LATE_DEFAULT: Duration = Duration::from_secs(1);
 /// Longest latency that the distribution holds, in microseconds.
 const MAX_LATENCY_MICROS: u64 = 600_000_000;
 
@@ -162,4 +166,13 @@
             .get(&service)
             .and_then(|latency| latency.hedge_after)
     }
+
+    /// Tells whether an attempt without an answer took so long that it speaks against its target. A caller that
+    /// asks for too short a deadline says nothing about targets.
+    pub fn is_late(&self, service: id::ServiceId, elapsed: Duration) -> bool {
+        let late = self
+            .hedge_after(service)
+            .map_or(LATE_DEFAULT, |after| after * LATE_FACTOR);
+        elapsed >= late
+    }
 }
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -206,7 +206,7 @@
                 let full = entry.status.announcement.slots;
                 self.note_load(index, Some(load.unwrap_or(full)));
             }
-            attempt::End::Failed | attempt::End::TimedOut => {
+            attempt::End::Failed | attempt::End::TimedOut | attempt::End::Overtaken => {
                 if entry.health.failed() {
                     self.eject(now, index);
                 }
