--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -105,6 +105,26 @@
     view: control::View,
     basis: Option<Duration>,
 ) -> Cell {
+    let (cell, receiver) = start_silent(targets, settings, view, basis).await;
+    tokio::spawn(answer_calls(receiver, Arc::clone(&cell.control)));
+    cell
+}
+
+/// A cell whose calls are left to the test.
+pub async fn silent(targets: &[&standin::Target]) -> (Cell, mpsc::Receiver<control::Call>) {
+    let settings = settings::Settings {
+        call_timeout: Duration::from_millis(200),
+        ..settings::Settings::default()
+    };
+    start_silent(targets, settings, view(), Some(Duration::from_hours(1))).await
+}
+
+async fn start_silent(
+    targets: &[&standin::Target],
+    settings: settings::Settings,
+    view: control::View,
+    basis: Option<Duration>,
+) -> (Cell, mpsc::Receiver<control::Call>) {
     let (calls, receiver) = mpsc::channel(control::CALL_QUEUE);
     let usable = targets
         .iter()
@@ -128,7 +148,6 @@
         freshness.advance(basis);
     }
     let control = Arc::new(Control::default());
-    tokio::spawn(answer_calls(receiver, Arc::clone(&control)));
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
         .await
         .expect("loopback binds");
@@ -137,14 +156,15 @@
     let server =
         server::Server::start(listener, settings, handle, render, cancel.clone()).expect("the server starts");
     server.set_ready(true);
-    Cell {
+    let cell = Cell {
         server,
         control,
         view,
         targets,
         freshness,
         cancel,
-    }
+    };
+    (cell, receiver)
 }
 
 async fn answer_calls(mut receiver: mpsc::Receiver<control::Call>, control: Arc<Control>) {
