Take in new target lists without a pass over the directory per target

Cause: every list recomputed every target's parts from all entry VMs while holding the lock that requests need. A target that changes its place now starts anew; before, it kept its old distance.

--- a/crates/bench/benches/speed/request.rs
+++ b/crates/bench/benches/speed/request.rs
@@ -24,6 +24,7 @@
 /// Registers the benchmarks of this part.
 pub fn register(criterion: &mut criterion::Criterion) {
     decisions(criterion);
+    replace(criterion);
     entry(criterion);
 }
 
@@ -71,6 +72,31 @@
     group.finish();
 }
 
+/// Taking in a new list of targets, which holds the lock that requests need.
+fn replace(criterion: &mut criterion::Criterion) {
+    let mut group = criterion.benchmark_group("request/replace_targets");
+    for count in [50, 1000, 5000] {
+        group.bench_function(count.to_string(), |bencher| {
+            let mut router = loaded_router(count);
+            let entries: Vec<_> = (1..=34_u16)
+                .map(|vm| part::Entry {
+                    vm: u64::from(vm),
+                    place: vm::Place {
+                        region: vm % 6,
+                        zone: vm % 17,
+                    },
+                })
+                .collect();
+            let targets = targets(count);
+            bencher.iter(|| {
+                router.observe(Duration::ZERO, router::Update::Entries(entries.clone()));
+                router.observe(Duration::ZERO, router::Update::Replace(black_box(&targets)));
+            });
+        });
+    }
+    group.finish();
+}
+
 /// Returns a router with `count` targets, half of whose room is in use.
 fn loaded_router(count: u64) -> router::Router {
     let mut router = router::Router::new(router::Config {
@@ -80,18 +106,7 @@
         sharing: router::Sharing::default(),
         rules: rules::Rules::default(),
     });
-    let address = SocketAddr::from(([127, 0, 0, 1], 1));
-    let targets: Vec<_> = (1..=count)
-        .map(|target| {
-            let zone = (target % 3) as u16;
-            let place = vm::Place {
-                region: zone / 2,
-                zone,
-            };
-            (1, status(target, address, place))
-        })
-        .collect();
-    router.observe(Duration::ZERO, router::Update::Replace(&targets));
+    router.observe(Duration::ZERO, router::Update::Replace(&targets(count)));
     let query = router::Query {
         service: 1,
         avoid: &[],
@@ -103,6 +118,20 @@
     router
 }
 
+fn targets(count: u64) -> Vec<(u32, target::Status)> {
+    let address = SocketAddr::from(([127, 0, 0, 1], 1));
+    (1..=count)
+        .map(|target| {
+            let zone = (target % 3) as u16;
+            let place = vm::Place {
+                region: zone / 2,
+                zone,
+            };
+            (1, status(target, address, place))
+        })
+        .collect()
+}
+
 fn status(target: u64, address: SocketAddr, place: vm::Place) -> target::Status {
     target::Status {
         announcement: target::Announcement {
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -151,6 +151,7 @@
         self.readmit(now);
         match update {
             Update::Replace(targets) => self.replace(targets),
+            Update::Entries(entries) if entries == self.entries => {}
             Update::Entries(entries) => {
                 self.entries = entries;
                 for index in 0..self.targets.len() as Index {
@@ -315,10 +316,11 @@
 
     fn upsert(&mut self, service: id::ServiceId, status: &target::Status) {
         let known = self.by_id.get(&status.announcement.target).copied();
-        // A target that changed its service or came back to life starts anew.
+        // A target that changed its service or place or came back to life starts anew.
         let same = known.filter(|index| {
             let entry = &self.targets[*index as usize];
             entry.service == service
+                && entry.status.place == status.place
                 && entry.status.announcement.incarnation == status.announcement.incarnation
         });
         if let Some(index) = same {
@@ -327,8 +329,16 @@
             if entry.status.in_flight != status.in_flight {
                 entry.others = status.in_flight.saturating_sub(entry.own);
             }
-            entry.status.clone_from(status);
-            self.set_parts(index);
+            let sized =
+                |status: &target::Status| (status.announcement.slots, status.announcement.connections);
+            let resized = sized(&entry.status) != sized(status);
+            if entry.status != *status {
+                entry.status.clone_from(status);
+            }
+            // The parts cost a pass over the directory, so they are computed only when they can differ.
+            if resized {
+                self.set_parts(index);
+            }
             return;
         }
         if let Some(index) = known {
