--- a/crates/bench/src/policy/gossip.rs
+++ b/crates/bench/src/policy/gossip.rs
@@ -40,6 +40,8 @@
     loaded(seed, &mut rows);
     departures(seed, trials, &mut rows);
     rows.push(config_everywhere(seed, trials));
+    rows.push(usable_under_loss(seed));
+    restart(seed, &mut rows);
     rows
 }
 
@@ -270,4 +272,66 @@
     )
 }
 
+/// Share of all pairs of VMs whose entries are young enough, with lost messages.
+fn usable_under_loss(seed: u64) -> Row {
+    let mut network = build(seed, TARGET);
+    network.faults.loss = 0.05;
+    network.run(WARM_UP);
+    let ids = network.ids();
+    let (mut usable, mut all) = (0_u32, 0_u32);
+    for _ in 0..200 {
+        network.run(Duration::from_millis(100));
+        for id in &ids {
+            let young = |vm: &id::VmId, network: &mut Network| {
+                let age = network.on(*id, |gossip, now| gossip.vm_age(*vm, now));
+                age.is_some_and(|age| age < gossip::USABLE_AGE)
+            };
+            usable += ids.iter().filter(|vm| young(vm, &mut network)).count() as u32;
+            all += ids.len() as u32;
+        }
+    }
+    Row::new(
+        "gossip.usable_share.34_vms_loss_5_percent",
+        f64::from(usable) / f64::from(all),
+        "share",
+        Bound::None,
+        "design 5, remote targets drop after 2.5 s",
+    )
+}
+
+/// Time until a VM that starts with nothing holds 1,000 targets again, and the largest message on the way.
+fn restart(seed: u64, rows: &mut Vec<Row>) {
+    let mut network = build(seed, TARGET);
+    let ids = network.ids();
+    let targets = 1000;
+    for target in 0..targets {
+        announce(
+            &mut network,
+            ids[1 + target % (ids.len() - 1)],
+            target as id::TargetId,
+        );
+    }
+    network.run(WARM_UP);
+    network.restart(ids[0]);
+    let first = ids[0];
+    let time = run_until(&mut network, |network, id| {
+        let held = network.on(id, |gossip, now| gossip.targets(now).len());
+        id != first || held == targets
+    });
+    rows.push(Row::new(
+        "gossip.targets_known_after_restart.1000_targets",
+        time.as_secs_f64(),
+        "s",
+        Bound::AtMost(11.0),
+        "design I10, ready within the bound",
+    ));
+    rows.push(Row::new(
+        "gossip.largest_message.1000_targets",
+        network.largest as f64,
+        "B",
+        Bound::AtMost(1_048_576.0),
+        "design 4, frames up to 1 MiB",
+    ));
+}
+
 const _: () = assert!(gossip::USABLE_AGE.as_millis() < 3000);
--- a/crates/gossip/tests/network/mod.rs
+++ b/crates/gossip/tests/network/mod.rs
@@ -40,6 +40,8 @@
     /// Messages and bytes by sender and receiver.
     pub sent: BTreeMap<(id::VmId, id::VmId), (u64, u64)>,
     pub meter: fn(&Message) -> usize,
+    /// Bytes of the largest message.
+    pub largest: u64,
     queue: BTreeMap<(Duration, u64), (id::VmId, id::VmId, Message)>,
     number: u64,
     random: SmallRng,
@@ -74,6 +76,7 @@
             cuts: BTreeSet::new(),
             sent: BTreeMap::new(),
             meter: |_| 0,
+            largest: 0,
             queue: BTreeMap::new(),
             number: 0,
             random,
@@ -91,6 +94,15 @@
         }
     }
 
+    /// Replaces the state of a VM by that of a new life, which knows nothing.
+    pub fn restart(&mut self, id: id::VmId) {
+        let place = self.nodes[&id].place;
+        self.on(id, |gossip, now| {
+            *gossip = Gossip::new(Self::config(id, place, 2), now);
+        });
+        self.set_members();
+    }
+
     fn set_members(&mut self) {
         let members: Vec<_> = self.nodes.iter().map(|(id, node)| (*id, node.place)).collect();
         for node in self.nodes.values_mut() {
@@ -175,6 +187,7 @@
     fn send(&mut self, from: id::VmId, out: Vec<(id::VmId, Message)>) {
         for (to, message) in out {
             let bytes = (self.meter)(&message) as u64;
+            self.largest = self.largest.max(bytes);
             let count = self.sent.entry((from, to)).or_default();
             *count = (count.0 + 1, count.1 + bytes);
             let copies = 1 + u32::from(self.random.random::<f64>() < self.faults.duplicate);
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -295,17 +295,8 @@
         gossip.set(now, Key::Load(1), Value::Load(1)).unwrap();
     });
     network.run(seconds(3));
-    let members: Vec<_> = network.nodes.iter().map(|(id, node)| (*id, node.place)).collect();
-    let place = network.nodes[&ids[0]].place;
+    network.restart(ids[0]);
     network.on(ids[0], |gossip, now| {
-        let config = gossip::Config {
-            id: ids[0],
-            place,
-            incarnation: 2,
-            seed: 1,
-        };
-        *gossip = Gossip::new(config, now);
-        gossip.set_members(now, &members);
         gossip.set(now, Key::Load(2), Value::Load(2)).unwrap();
     });
     network.run(seconds(3));
