--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -253,6 +253,33 @@
     }
 }
 
+/// Guards against a pair of zones that loses each other because the two chosen VMs cannot reach each other.
+#[test]
+fn a_cut_link_between_two_relays_is_bypassed() {
+    for left in 0..6 {
+        for right in 0..left {
+            let mut network = Network::new(9, &REGIONS);
+            let ids = network.ids();
+            let pair = (ids[left], ids[right]);
+            if network.nodes[&pair.0].place == network.nodes[&pair.1].place {
+                continue;
+            }
+            network.run(seconds(3));
+            network.cuts.extend([pair, (pair.1, pair.0)]);
+            network.run(seconds(8));
+            for id in &ids {
+                for other in &ids {
+                    let age = network.on(*id, |gossip, now| gossip.vm_age(*other, now));
+                    assert!(
+                        age.is_some_and(|age| age < gossip::USABLE_AGE),
+                        "{pair:?}: {age:?}"
+                    );
+                }
+            }
+        }
+    }
+}
+
 /// Returns whether a removal that a cut VM missed, and that the others forgot since, reaches it in the end.
 fn missed_removal(rules: Rules) -> bool {
     let mut network = Network::new(7, &REGIONS);
