control: refuse a start that does not fit its worker

Cause: the zone state checked teams' parts, tokens and second runs, but trusted the scheduler's books for the capacity of workers (I1). The tests of other rules used workers without any capacity, so they now use workers with room for everything; the new test covers the rule itself.

--- a/crates/bench/benches/speed/control.rs
+++ b/crates/bench/benches/speed/control.rs
@@ -32,7 +32,10 @@
                 worker,
                 incarnation: 1,
                 rack: 1,
-                capacity: resource::Capacity::default(),
+                capacity: resource::Capacity {
+                    amount: resource::Amount::new(u32::MAX, u32::MAX, u32::MAX),
+                    accelerator: 0,
+                },
             }),
         );
     }
--- a/crates/bench/src/policy/control.rs
+++ b/crates/bench/src/policy/control.rs
@@ -160,7 +160,10 @@
                 worker,
                 incarnation: 1,
                 rack: (worker / 8) as id::RackId,
-                capacity: bronzespoke_model::resource::Capacity::default(),
+                capacity: bronzespoke_model::resource::Capacity {
+                    amount: bronzespoke_model::resource::Amount::new(u32::MAX, u32::MAX, u32::MAX),
+                    accelerator: 0,
+                },
             }));
         }
         let granted = (1..=teams).map(|team| (team, part.into())).collect();
--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -157,10 +157,14 @@
             .get_mut(&start.worker)
             .filter(|worker| !worker.gone)
             .ok_or(Refusal::NoSuchWorker)?;
+        if self.rules.capacity && !worker.has_room(&job.spec) {
+            return Err(Refusal::OverCapacity);
+        }
         if !self.holdings.start(job.team, job.spec.size, self.rules.part) {
             return Err(Refusal::OverPart);
         }
         worker.runs.insert(key);
+        worker.held = worker.held.saturating_add(&job.spec.size);
         job.running += 1;
         job.state = job::State::Running;
         self.next_token = self.next_token.max(start.token.saturating_add(1));
@@ -193,10 +197,11 @@
         let key = (sequence, end.task.index);
         let run = *self.runs.get(&key).filter(|run| run.token == end.token)?;
         self.runs.remove(&key);
+        let job = self.jobs.get_mut(&sequence)?;
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.remove(&key);
+            worker.held = worker.held.saturating_sub(&job.spec.size);
         }
-        let job = self.jobs.get_mut(&sequence)?;
         self.holdings.end(job.team, job.spec.size);
         let before = job.bytes();
         let succeeded = job.end(end.task.index, &end.outcome);
--- a/crates/control/src/zone/command.rs
+++ b/crates/control/src/zone/command.rs
@@ -115,6 +115,8 @@
     GangEnding,
     /// The token is not larger than every earlier one.
     StaleToken,
+    /// The start would take the worker over its capacity.
+    OverCapacity,
     /// The start would take the team over its part.
     OverPart,
     /// The number of tasks or the length of the command line is out of bounds.
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -18,6 +18,8 @@
 #[derive(Debug, Clone, Copy)]
 #[expect(clippy::struct_excessive_bools, reason = "each rule is switched on its own")]
 pub struct Rules {
+    /// A start must fit beside what its worker holds.
+    pub capacity: bool,
     /// A start must fit the part of its team.
     pub part: bool,
     /// A task that runs is not started again.
@@ -35,6 +37,7 @@
 impl Default for Rules {
     fn default() -> Self {
         Self {
+            capacity: true,
             part: true,
             single_run: true,
             token: true,
@@ -224,8 +227,14 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
         let mut state: Self = envelope::from_bytes(bytes)?;
         for (key, run) in &state.runs {
+            let size = state
+                .jobs
+                .get(&key.0)
+                .map(|job| job.spec.size)
+                .unwrap_or_default();
             if let Some(worker) = state.workers.get_mut(&run.worker) {
                 worker.runs.insert(*key);
+                worker.held = worker.held.saturating_add(&size);
             }
         }
         (state.open_bytes, state.ended_bytes) = state.count_bytes();
@@ -321,6 +330,16 @@
         if tokens.len() != self.runs.len() {
             return Err(String::from("two runs share a token"));
         }
+        for (id, worker) in &self.workers {
+            let sizes = worker
+                .runs
+                .iter()
+                .filter_map(|key| Some(self.jobs.get(&key.0)?.spec.size));
+            let held = sizes.fold(resource::Amount::ZERO, |held, size| held.saturating_add(&size));
+            if held != worker.held {
+                return Err(format!("worker {id} does not hold the sum of its tasks"));
+            }
+        }
         let indexed: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
         if indexed != self.runs.len() {
             return Err(String::from("the runs of workers are not those of tasks"));
--- a/crates/control/src/zone/workers.rs
+++ b/crates/control/src/zone/workers.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, BTreeSet};
 
-use bronzespoke_model::{id, worker};
+use bronzespoke_model::{id, job, resource, worker};
 use serde::{Deserialize, Serialize};
 
 use super::command::Refusal;
@@ -20,6 +20,19 @@
     /// Tasks that it runs, as sequence number of the job and index.
     #[serde(skip)]
     pub(super) runs: BTreeSet<(u64, id::TaskIndex)>,
+    /// Sum of the declared sizes of these tasks.
+    #[serde(skip)]
+    pub(super) held: resource::Amount,
+}
+
+impl Worker {
+    /// Tells whether one more task of a job fits beside what the worker holds.
+    pub(super) fn has_room(&self, spec: &job::Spec) -> bool {
+        let capacity = &self.registration.capacity;
+        let right_kind = spec.size.accelerators == 0 || spec.accelerator == capacity.accelerator;
+        let held = self.held.checked_add(&spec.size);
+        right_kind && held.is_some_and(|held| held.fits(&capacity.amount))
+    }
 }
 
 /// Table of workers.
@@ -46,6 +59,7 @@
         registration: *registration,
         gone: false,
         runs: BTreeSet::new(),
+        held: resource::Amount::ZERO,
     };
     workers.insert(registration.worker, worker);
     Ok(())
--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -41,7 +41,10 @@
             worker: 7,
             incarnation: 2,
             rack: 0,
-            capacity: resource::Capacity::default(),
+            capacity: resource::Capacity {
+                amount: resource::Amount::new(50, 5, 0),
+                accelerator: 0,
+            },
         }));
         zone.run(zone::Command::Granted(vec![(
             1,
@@ -99,6 +102,21 @@
     }
 }
 
+/// Guards I1 against a scheduler whose books are wrong: the zone state refuses what does not fit the worker.
+#[test]
+fn a_start_over_the_capacity_of_a_worker_is_refused() {
+    let mut zone = Zone::new();
+    zone.run(zone::Command::Granted(vec![(
+        1,
+        resource::Amount::new(1000, 100, 0).into(),
+    )]));
+    let job = zone.submit(job::Kind::Batch, 6);
+    for index in 0..5 {
+        assert_eq!(zone.start(job, index, u64::from(index) + 1), None);
+    }
+    assert_eq!(zone.start(job, 5, 6), Some(zone::Refusal::OverCapacity));
+}
+
 #[test]
 fn a_batch_job_runs_to_its_end_and_its_record_expires() {
     let mut zone = Zone::new();
--- a/crates/control/tests/bounds.rs
+++ b/crates/control/tests/bounds.rs
@@ -20,7 +20,10 @@
             worker: 1,
             incarnation: 1,
             rack: 1,
-            capacity: resource::Capacity::default(),
+            capacity: resource::Capacity {
+                amount: resource::Amount::new(u32::MAX, u32::MAX, u32::MAX),
+                accelerator: 0,
+            },
         }));
         zone
     }
--- a/crates/control/tests/escrow.rs
+++ b/crates/control/tests/escrow.rs
@@ -86,7 +86,10 @@
                     worker: 1,
                     incarnation: 1,
                     rack: 1,
-                    capacity: bronzespoke_model::resource::Capacity::default(),
+                    capacity: bronzespoke_model::resource::Capacity {
+                        amount: bronzespoke_model::resource::Amount::new(u32::MAX, u32::MAX, u32::MAX),
+                        accelerator: 0,
+                    },
                 }),
             );
             for team in TEAMS {
--- a/crates/control/tests/zone.rs
+++ b/crates/control/tests/zone.rs
@@ -40,7 +40,10 @@
             worker,
             incarnation: 1,
             rack: 1,
-            capacity: resource::Capacity::default(),
+            capacity: resource::Capacity {
+                amount: resource::Amount::new(u32::MAX, u32::MAX, u32::MAX),
+                accelerator: 0,
+            },
         }));
     }
 
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -230,21 +230,14 @@
         let Some(group) = self.zones.get_mut(&zone) else {
             return;
         };
-        let mut granted = Vec::new();
-        for (team, parts) in view.parts.iter() {
-            let Some(part) = parts.get(&zone) else {
-                continue;
-            };
-            if !part.granted.fits(&group.state().holdings().get(*team).granted) {
-                granted.push((*team, part.granted));
-            }
-        }
+        let holdings = group.state().holdings();
+        let mut granted = view.granted(zone);
+        granted.retain(|(team, total)| !total.fits(&holdings.get(*team).granted));
         if !granted.is_empty() {
             group.propose(zone::Command::Granted(granted));
             return;
         }
-        let target = |team| view.part(team, zone).unwrap_or_default().target;
-        let releases = group.state().releases(target);
+        let releases = group.state().releases(|team| view.target(team, zone));
         if !releases.is_empty() {
             group.propose(zone::Command::Release(releases));
         }
