--- a/crates/bench/src/policy/consensus.rs
+++ b/crates/bench/src/policy/consensus.rs
@@ -50,7 +50,7 @@
             NO_BOUND,
         ));
     }
-    for batch in [0, 2, 10] {
+    for batch in [0, 1, 2, 10] {
         let (message, wire) = bytes_per_start(seed, batch);
         let name = format!("consensus.bytes_per_start.batch_{batch}ms");
         rows.push(Row::new(
