--- a/crates/bench/src/policy/consensus.rs
+++ b/crates/bench/src/policy/consensus.rs
@@ -129,7 +129,12 @@
 }
 
 impl World {
-    fn new(seed: u64, voters: u64, batch: Duration, delay: fn(id::VmId, id::VmId) -> Duration) -> Self {
+    fn new(
+        seed: u64,
+        voters: u64,
+        batch: Option<Duration>,
+        delay: fn(id::VmId, id::VmId) -> Duration,
+    ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
         let members = membership::Membership::of_voters(1..=voters);
         let mut world = Self {
@@ -144,7 +149,7 @@
         };
         for vm in 1..=voters {
             let mut config = Config::new(vm, id::GroupId::Root, rng.random());
-            config.batch_delay = batch;
+            config.batch_delay = batch.unwrap_or(config.batch_delay);
             let replica = Replica::new(config, Restored::bootstrap(members.clone()), Duration::ZERO);
             world.schedule(replica.next_wake(), Event::Wake(vm));
             world.replicas.insert(vm, replica);
@@ -276,7 +281,7 @@
 fn leaderless(seed: u64, trials: u64) -> Vec<Row> {
     let mut times = Vec::new();
     for trial in 0..trials {
-        let mut world = World::new(seed.wrapping_add(trial), 3, Duration::ZERO, registry);
+        let mut world = World::new(seed.wrapping_add(trial), 3, None, registry);
         let leader = world.wait_for_leader();
         world.run_for(ms(500 + (trial * 37) % 100));
         world.down.push(leader);
@@ -311,7 +316,7 @@
         3 => |_, _| ms(3),
         _ => |_, _| ms(12),
     };
-    let mut world = World::new(seed, 3, Duration::ZERO, link);
+    let mut world = World::new(seed, 3, None, link);
     let leader = world.wait_for_leader();
     let mut times = Vec::new();
     for proposal in 0..200 {
@@ -336,7 +341,7 @@
 /// Bytes of one follower's link, both directions, for each committed start.
 fn bytes_per_start(seed: u64, batch: u64) -> (f64, f64) {
     const SECONDS: u64 = 20;
-    let mut world = World::new(seed, 3, ms(batch), |_, _| ms(1));
+    let mut world = World::new(seed, 3, Some(ms(batch)), |_, _| ms(1));
     let leader = world.wait_for_leader();
     world.run_for(ms(500));
     world.traffic.clear();
@@ -369,7 +374,7 @@
 
 /// Bytes of an idle follower's link, both directions, in a second.
 fn idle_bytes(seed: u64) -> f64 {
-    let mut world = World::new(seed, 3, Duration::ZERO, registry);
+    let mut world = World::new(seed, 3, None, registry);
     let leader = world.wait_for_leader();
     world.run_for(ms(1_000));
     world.traffic.clear();
@@ -446,7 +451,7 @@
 
 /// Bytes and time until a member, and a follower of the feed, has the changes that it missed, 12 ms away.
 fn catch_up(seed: u64) -> Vec<Row> {
-    let mut world = World::new(seed, 3, Duration::ZERO, |_, _| ms(12));
+    let mut world = World::new(seed, 3, None, |_, _| ms(12));
     let leader = world.wait_for_leader();
     let missing = if leader == 3 { 2 } else { 3 };
     world.down.push(missing);
--- a/crates/consensus/src/replica/config.rs
+++ b/crates/consensus/src/replica/config.rs
@@ -12,6 +12,8 @@
 /// Drift margin of the design (section 2.5).
 const DRIFT: f64 = 0.02;
 const BATCH_BYTES: usize = 128 * 1024;
+/// Proposals of one scheduling round share a message: 59 instead of 165 bytes on the wire for each start.
+const BATCH_DELAY: Duration = Duration::from_millis(1);
 const IN_FLIGHT_MESSAGES: usize = 64;
 const IN_FLIGHT_BYTES: usize = 1024 * 1024;
 const UNCOMMITTED_ENTRIES: usize = 8_192;
@@ -71,7 +73,7 @@
             election: ELECTION,
             drift: DRIFT,
             batch_bytes: BATCH_BYTES,
-            batch_delay: Duration::ZERO,
+            batch_delay: BATCH_DELAY,
             in_flight_messages: IN_FLIGHT_MESSAGES,
             in_flight_bytes: IN_FLIGHT_BYTES,
             uncommitted_entries: UNCOMMITTED_ENTRIES,
