consensus: bound the writes that wait for a hanging store

A store that hangs without reporting a fault left the leader's pending writes unbounded while the other voters kept committing. Proposals are now rejected with QueueFull beyond the bound on uncommitted entries. A notice of removal is taken whatever term the former member has reached.

--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -103,8 +103,10 @@
         if size > self.config.entry_bytes {
             return Some(Rejection::TooLarge);
         }
+        // A store that hangs without a fault leaves writes pending even while the other voters commit.
         let full = leader.uncommitted.len() >= self.config.uncommitted_entries
-            || leader.uncommitted_bytes + size > self.config.uncommitted_bytes;
+            || leader.uncommitted_bytes + size > self.config.uncommitted_bytes
+            || self.pending.len() >= self.config.uncommitted_entries;
         full.then_some(Rejection::QueueFull)
     }
 
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -332,6 +332,8 @@
             Body::PreVote { last } => self.on_pre_vote(from, term, last, out),
             Body::PreVoteReply { granted } => self.on_pre_vote_reply(from, term, granted, out),
             Body::Vote { last, transfer } => self.on_vote(from, term, last, transfer, out),
+            // The removal is final, whatever term the former member has reached on its own.
+            Body::Removed => self.on_removed(out),
             body if term >= self.vote.term => {
                 if term > self.vote.term {
                     self.adopt_term(term, out);
@@ -358,8 +360,7 @@
                 self.on_snapshot_reply(from, label, received, sent, out);
             }
             Body::TimeoutNow => self.on_timeout_now(from, out),
-            Body::Removed => self.on_removed(out),
-            Body::PreVote { .. } | Body::PreVoteReply { .. } | Body::Vote { .. } => {}
+            Body::Removed | Body::PreVote { .. } | Body::PreVoteReply { .. } | Body::Vote { .. } => {}
         }
     }
 
--- a/crates/consensus/tests/repair.rs
+++ b/crates/consensus/tests/repair.rs
@@ -218,3 +218,23 @@
     );
     assert_eq!(replica.status().role, Role::Leader);
 }
+
+/// Guards against a store that hangs without a fault: the writes that wait for it are bounded as well.
+#[test]
+fn proposals_wait_for_a_hanging_store() {
+    let members = bronzespoke_consensus::membership::Membership::of_voters([1]);
+    let mut config = bronzespoke_consensus::replica::Config::new(1, bronzespoke_model::id::GroupId::Root, 1);
+    config.uncommitted_entries = 10;
+    let mut replica = Replica::new(config, Restored::bootstrap(members), ms(0));
+    let mut out = Vec::new();
+    replica.step(ms(0), Input::Tick, &mut out);
+    replica.step(ms(1), Input::Persisted { through: 1 }, &mut out);
+    for id in 0..20 {
+        replica.step(ms(2), Input::Propose { id, data: "a".into() }, &mut out);
+    }
+    let full = out
+        .iter()
+        .filter(|output| matches!(output, Output::Rejected { .. }))
+        .count();
+    assert_eq!(full, 11, "the first entry of the term and nine proposals wait");
+}
