storage: refuse a store whose vote is older than its log

Cause: a lost vote file was taken as no vote, so the member could vote a second time in the term of its newest entry. A replica stores a term before the first entry of it, so the case is damage. Tests that appended without a vote now store one first; the model also compares the whole vote instead of its term.

--- a/crates/bench/benches/speed/consensus.rs
+++ b/crates/bench/benches/speed/consensus.rs
@@ -141,6 +141,16 @@
     for count in APPENDS {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let (mut store, _) = Store::open(folder.path(), GROUP).expect("the store opens");
+        let vote = write::Kind::Vote(write::Vote {
+            term: 1,
+            candidate: Some(1),
+        });
+        store
+            .write(&[write::Write {
+                sequence: 0,
+                kind: vote,
+            }])
+            .expect("the disk has space");
         let mut next = 1;
         criterion.bench_function(&format!("storage/append_synced/{count}_entries"), |bencher| {
             bencher.iter(|| {
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -42,15 +42,16 @@
             .map_or_else(log::Position::default, |snapshot| snapshot.position);
         let entries = reconcile(&folder, position, content.entries, &mut chain)?;
         let newest = entries.last().map_or(position, |entry| entry.position);
+        if newest.term > vote.term {
+            // A term is stored before its first entry, so the vote file was lost or replaced.
+            return Err(Error::corrupt(
+                &folder.join(VOTE),
+                0,
+                "the vote is older than the log",
+            ));
+        }
         let restored = replica::Restored {
-            vote: if newest.term > vote.term {
-                write::Vote {
-                    term: newest.term,
-                    candidate: None,
-                }
-            } else {
-                vote
-            },
+            vote,
             membership: snapshot
                 .as_ref()
                 .map(|snapshot| snapshot.membership.clone())
--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -54,6 +54,7 @@
 /// Writes ten records of one entry each and returns the segment file.
 fn ten_records(folder: &Path) -> PathBuf {
     let (mut store, _) = open(folder);
+    store.write(&[vote(2)]).expect("the disk has space");
     for index in 1..=10 {
         store
             .write(&[append(index..=index, 1)])
@@ -109,7 +110,9 @@
 fn replaced_entries_do_not_return() {
     let folder = tempfile::tempdir().expect("a temporary folder");
     let (mut store, _) = open(folder.path());
-    store.write(&[append(1..=60, 1)]).expect("the disk has space");
+    store
+        .write(&[vote(3), append(1..=60, 1)])
+        .expect("the disk has space");
     let install = write::Write {
         sequence: 9,
         kind: write::Kind::Install(snapshot_at(40, 3)),
@@ -208,6 +211,18 @@
     ));
 }
 
+/// Guards against a lost vote file: the member would vote a second time in a term.
+#[test]
+fn missing_vote_is_refused() {
+    let folder = tempfile::tempdir().expect("a temporary folder");
+    ten_records(folder.path());
+    fs::remove_file(folder.path().join("root/vote")).expect("the vote is stored");
+    assert!(matches!(
+        Store::open(folder.path(), GROUP),
+        Err(Error::Corrupt { .. })
+    ));
+}
+
 /// Guards against a full disk that loses durable data, panics, or lets a later write succeed over a gap.
 #[test]
 fn full_disk_is_an_outcome_at_every_byte() {
@@ -246,6 +261,7 @@
         position: log::Position { term: 1, index },
         payload: log::Payload::Command(vec![0; 1_000_000].into()),
     };
+    store.write(&[vote(1)]).expect("the disk has space");
     for index in 1..=30 {
         let kind = write::Kind::Append {
             entries: vec![big(index)],
--- a/crates/storage/tests/model.rs
+++ b/crates/storage/tests/model.rs
@@ -119,19 +119,29 @@
             let (mut store, restored) = Store::open(folder.path(), GroupId::Root).expect("the store opens");
             let place = format!("seed {seed} round {round}");
             assert_eq!(restored.snapshot, model.snapshot, "{place}");
-            assert!(restored.vote.term >= model.vote.term, "{place}");
+            assert_eq!(restored.vote, model.vote, "{place}");
             let tail = restored
                 .entries
                 .len()
                 .checked_sub(model.entries.len())
                 .expect("no entry is missing");
             assert_eq!(restored.entries[tail..], model.entries, "{place}");
-            let writes: Vec<_> = (0..random.below(6))
-                .map(|sequence| write::Write {
-                    sequence,
-                    kind: model.next(&mut random),
-                })
-                .collect();
+            let mut writes = Vec::new();
+            for sequence in 0..random.below(6) {
+                let kind = model.next(&mut random);
+                if model.vote.term < model.term {
+                    // A replica stores a term before the first entry of it.
+                    model.vote = write::Vote {
+                        term: model.term,
+                        candidate: None,
+                    };
+                    writes.push(write::Write {
+                        sequence,
+                        kind: write::Kind::Vote(model.vote),
+                    });
+                }
+                writes.push(write::Write { sequence, kind });
+            }
             store.write(&writes).expect("the disk has space");
         }
     }
