consensus: let late answers of the feed count and shorten its time-out

Cause: a follower waited 1 s for a lost answer and forgot the request then, so an answer on a slow link never counted. Conclusion: the time-out is 300 ms, doubling up to 1.2 s; up to 16 requests may still be answered.

--- a/crates/consensus/src/feed/follower.rs
+++ b/crates/consensus/src/feed/follower.rs
@@ -1,5 +1,6 @@
 //! The polling side of the feed.
 
+use std::collections::VecDeque;
 use std::time::Duration;
 
 use bronzespoke_model::id;
@@ -9,7 +10,12 @@
 use crate::snapshot;
 
 const INTERVAL: Duration = Duration::from_millis(500);
-const TIMEOUT: Duration = Duration::from_secs(1);
+/// Late answers still count, so this may be shorter than the slowest answer; a second made one loss cost a second.
+const TIMEOUT: Duration = Duration::from_millis(300);
+/// Doublings of the time-out at most.
+const LONGEST_BACKOFF: u32 = 2;
+/// Requests that may still be answered; the oldest is forgotten first.
+const OUTSTANDING: usize = 16;
 const DRIFT: f64 = 0.02;
 
 /// Settings of a follower.
@@ -19,7 +25,7 @@
     pub seed: u64,
     /// Time between two requests when there is nothing new.
     pub interval: Duration,
-    /// When a request counts as lost.
+    /// When another request is sent although the last one is unanswered.
     pub timeout: Duration,
     /// Largest difference between the rates of two monotonic clocks, as a fraction.
     pub drift: f64,
@@ -81,6 +87,7 @@
 struct Pending {
     token: u32,
     sent: Duration,
+    after: u64,
 }
 
 /// Follows the committed entries of a group through a relay.
@@ -91,7 +98,12 @@
     config: Config,
     rng: rngs::SmallRng,
     relay: Option<id::VmId>,
-    pending: Option<Pending>,
+    /// Unanswered requests, oldest first.
+    pending: VecDeque<Pending>,
+    /// Requests since the last answer that got none in time.
+    unanswered: u32,
+    /// Whether the newest request may still be answered in time.
+    waiting: bool,
     request_at: Duration,
     partial: Option<snapshot::Partial>,
     applied: u64,
@@ -106,7 +118,9 @@
             config,
             rng,
             relay: None,
-            pending: None,
+            pending: VecDeque::new(),
+            unanswered: 0,
+            waiting: false,
             request_at: now,
             partial: None,
             applied: 0,
@@ -122,7 +136,8 @@
             Input::Relay { to } => {
                 if to != self.relay {
                     self.relay = to;
-                    self.pending = None;
+                    self.pending.clear();
+                    self.waiting = false;
                     self.request_at = now;
                 }
             }
@@ -133,8 +148,10 @@
 
     /// Time at which the follower must be stepped again.
     pub fn next_wake(&self) -> Duration {
-        self.pending
-            .map_or(self.request_at, |pending| pending.sent + self.config.timeout)
+        match self.pending.back() {
+            Some(newest) if self.waiting => newest.sent + self.timeout(),
+            _ => self.request_at,
+        }
     }
 
     /// Last entry or snapshot that was handed out.
@@ -152,12 +169,18 @@
         self.basis
     }
 
+    /// Doubles with each unanswered request, so that a slow link is not filled with repeated answers.
+    fn timeout(&self) -> Duration {
+        self.config.timeout * (1 << self.unanswered)
+    }
+
     fn expire(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let Some(pending) = self.pending else { return };
-        if now < pending.sent + self.config.timeout {
+        let newest = self.pending.back().filter(|_| self.waiting);
+        if newest.is_none_or(|newest| now < newest.sent + self.timeout()) {
             return;
         }
-        self.pending = None;
+        self.waiting = false;
+        self.unanswered = (self.unanswered + 1).min(LONGEST_BACKOFF);
         self.request_at = now;
         if let Some(relay) = self.relay {
             out.push(Output::Unanswered { relay });
@@ -169,11 +192,19 @@
             self.request_at = now + self.config.interval;
             return;
         };
-        if self.pending.is_some() || now < self.request_at {
+        if self.waiting || now < self.request_at {
             return;
         }
         let token = self.rng.random();
-        self.pending = Some(Pending { token, sent: now });
+        if self.pending.len() >= OUTSTANDING {
+            self.pending.pop_front();
+        }
+        self.pending.push_back(Pending {
+            token,
+            sent: now,
+            after: self.applied,
+        });
+        self.waiting = true;
         let partial = self
             .partial
             .as_ref()
@@ -189,24 +220,34 @@
     }
 
     fn receive(&mut self, now: Duration, from: id::VmId, answer: Answer, out: &mut Vec<Output>) {
-        let Some(pending) = self.pending.filter(|pending| pending.token == answer.token) else {
+        let place = self
+            .pending
+            .iter()
+            .position(|pending| pending.token == answer.token);
+        let Some(place) = place.filter(|_| self.relay == Some(from)) else {
             return;
         };
-        if self.relay != Some(from) {
-            return;
+        let pending = self.pending[place];
+        let newest = place + 1 == self.pending.len();
+        self.pending.drain(..=place);
+        self.unanswered = 0;
+        if newest {
+            let more = !answer.content.is_empty();
+            self.waiting = false;
+            self.request_at = if more {
+                now
+            } else {
+                pending.sent + self.config.interval
+            };
         }
-        self.pending = None;
-        let more = !answer.content.is_empty();
-        self.request_at = if more {
-            now
-        } else {
-            pending.sent + self.config.interval
-        };
         match answer.content {
             Content::Entries(items) => {
-                for item in items {
-                    self.applied += 1;
-                    out.push(Output::Apply(item.at(self.applied)));
+                for (index, item) in (pending.after + 1..).zip(items) {
+                    // An answer to an older request may repeat entries that a newer one brought.
+                    if index == self.applied + 1 {
+                        self.applied = index;
+                        out.push(Output::Apply(item.at(index)));
+                    }
                 }
             }
             Content::Chunk(chunk) => self.take_chunk(&chunk, out),
--- a/crates/consensus/tests/feed.rs
+++ b/crates/consensus/tests/feed.rs
@@ -197,6 +197,45 @@
     assert_eq!(installs, 1);
 }
 
+/// Guards against a link whose answers all come after the time-out: they still bring entries and a basis.
+#[test]
+fn late_answers_count() {
+    let mut source = Source::new(1_000_000);
+    (1..=10_000).for_each(|index| source.push(&entry(index)));
+    let mut follower = Follower::new(Config::new(1), ms(0));
+    let mut answers = Vec::new();
+    let mut input = Input::Relay { to: Some(1) };
+    let mut requests = 0;
+    for now in (0..12_000).map(ms) {
+        let mut out = Vec::new();
+        follower.step(now, input, &mut out);
+        for output in out {
+            if let Output::Send { request, .. } = output {
+                requests += 1;
+                answers.push((
+                    now + ms(900),
+                    source.answer(now + ms(450), Some(now + ms(450)), &request),
+                ));
+            }
+        }
+        let due = answers.first().is_some_and(|(at, _)| *at <= now);
+        input = if due {
+            Input::Receive {
+                from: 1,
+                answer: answers.remove(0).1,
+            }
+        } else {
+            Input::Tick
+        };
+    }
+    assert_eq!(follower.applied(), 10_000);
+    assert!(follower.basis() >= Some(ms(9_000)), "{:?}", follower.basis());
+    assert!(
+        requests < 40,
+        "a slow link is not filled with requests: {requests}"
+    );
+}
+
 /// Guards against messages that do not survive the wire, and against entries that cost more than they must.
 #[test]
 fn messages_travel_in_postcard() {
