--- a/crates/consensus/src/replica/config.rs
+++ b/crates/consensus/src/replica/config.rs
@@ -57,6 +57,9 @@
     pub chunk_bytes: usize,
     /// Entries before a snapshot that stay in the log for members that are a little behind.
     pub retained_entries: u64,
+    /// Whether entries are applied only after the commit index is stored, so that the applied index does not go
+    /// back across a restart. It costs one more sync before a leader applies; on by default in the root group.
+    pub store_commit: bool,
     /// Safety rules; all on outside tests.
     #[doc(hidden)]
     pub rules: rules::Rules,
@@ -81,6 +84,7 @@
             entry_bytes: ENTRY_BYTES,
             chunk_bytes: CHUNK_BYTES,
             retained_entries: RETAINED_ENTRIES,
+            store_commit: group == id::GroupId::Root,
             rules: rules::Rules::default(),
         }
     }
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -174,7 +174,14 @@
         self.emitted = index;
         self.snapshot = Some(snapshot.clone());
         self.persist(write::Kind::Install(snapshot.clone()), out);
-        out.push(Output::Install(snapshot));
+        if self.applies_stored_only() {
+            // The snapshot stores its index; until then a crash would take the applied index back.
+            self.asked_commit = self.asked_commit.max(index);
+            self.pending_commits.push_back((self.sequence, index));
+            self.received = Some((self.sequence, snapshot));
+        } else {
+            out.push(Output::Install(snapshot));
+        }
         if self.membership().removed.contains(&self.config.id) {
             self.on_removed(out);
         }
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -9,6 +9,7 @@
 mod election;
 mod follower;
 mod leader;
+mod persist;
 mod progress;
 mod replicate;
 mod status;
@@ -192,14 +193,21 @@
     sequence: u64,
     persisted: u64,
     vote_sequence: u64,
+    /// Commit index that is stored, and that whose storage was asked for.
+    stored_commit: u64,
+    asked_commit: u64,
     /// Writes that are not durable, with the last index that each makes durable.
     pending: VecDeque<(u64, Option<u64>)>,
+    /// Commit index that each of those writes stores.
+    pending_commits: VecDeque<(u64, u64)>,
     held: VecDeque<(u64, id::VmId, Message)>,
     partial: Option<snapshot::Partial>,
     freshness: basis::Freshness,
     store_failed: bool,
     removed: bool,
     install: Option<snapshot::Snapshot>,
+    /// Received snapshot that is handed out once its write is durable.
+    received: Option<(u64, snapshot::Snapshot)>,
 }
 
 impl Replica {
@@ -241,17 +249,23 @@
             sequence: 0,
             persisted: 0,
             vote_sequence: 0,
+            stored_commit: 0,
+            asked_commit: 0,
             pending: VecDeque::new(),
+            pending_commits: VecDeque::new(),
             held: VecDeque::new(),
             partial: None,
             freshness: basis::Freshness::new(token),
             store_failed: false,
             removed: false,
             install: restored.snapshot.clone(),
+            received: None,
             snapshot: restored.snapshot,
             log,
             config,
         };
+        replica.stored_commit = replica.commit;
+        replica.asked_commit = replica.commit;
         replica.reset_election();
         if replica.vote.term == 0 && replica.is_only_voter() {
             replica.election_at = now;
@@ -279,6 +293,7 @@
             Input::Transfer { to } => self.start_transfer(to, out),
         }
         self.flush(out);
+        self.store_commit(out);
         self.emit_apply(out);
         self.emit_role(out);
     }
@@ -393,120 +408,11 @@
         ));
     }
 
-    fn persist(&mut self, kind: write::Kind, out: &mut Vec<Output>) {
-        self.sequence += 1;
-        let last = match &kind {
-            write::Kind::Append { entries, .. } => entries.last().map(|entry| entry.position.index),
-            write::Kind::Install(snapshot) => Some(snapshot.position.index),
-            write::Kind::Vote(_) | write::Kind::Compact { .. } => None,
-        };
-        if matches!(kind, write::Kind::Vote(_)) {
-            self.vote_sequence = self.sequence;
-        }
-        self.pending.push_back((self.sequence, last));
-        if !self.store_failed {
-            out.push(Output::Persist(write::Write {
-                sequence: self.sequence,
-                kind,
-            }));
-        }
-    }
-
-    fn persist_vote(&mut self, out: &mut Vec<Output>) {
-        self.persist(write::Kind::Vote(self.vote), out);
-    }
-
-    fn on_persisted(&mut self, through: u64, out: &mut Vec<Output>) {
-        if self.store_failed || through <= self.persisted {
-            return;
-        }
-        self.persisted = through.min(self.sequence);
-        while let Some((sequence, last)) = self.pending.front().copied() {
-            if sequence > self.persisted {
-                break;
-            }
-            self.pending.pop_front();
-            self.durable = last.unwrap_or(self.durable).max(self.durable);
-        }
-        while let Some((_, to, message)) = self.held.pop_front_if(|held| held.0 <= through) {
-            out.push(Output::Send { to, message });
-        }
-        if self.persisted >= self.vote_sequence {
-            self.count_own_vote(out);
-        }
-        self.advance_commit(out);
-    }
-
-    fn on_persist_failed(&mut self, out: &mut Vec<Output>) {
-        if self.store_failed {
-            return;
-        }
-        self.store_failed = true;
-        self.held.clear();
-        match self.state {
-            State::Leader(_) => self.start_transfer(None, out),
-            _ => self.state = State::Follower,
-        }
-    }
-
     fn on_applied(&mut self, index: u64) {
         self.applied = self.applied.max(index.min(self.emitted));
         self.freshness.applied(self.applied);
     }
 
-    fn compact(&mut self, snapshot: snapshot::Snapshot, out: &mut Vec<Output>) {
-        let index = snapshot.position.index;
-        let newest = self.snapshot.as_ref().map_or(0, |held| held.position.index);
-        let known = self.log.term_at(index) == Some(snapshot.position.term);
-        if index <= newest || index > self.applied || !known || self.store_failed {
-            return;
-        }
-        let first = (index + 1)
-            .saturating_sub(self.config.retained_entries)
-            .max(self.log.base().index + 1);
-        self.snapshot = Some(snapshot.clone());
-        self.log.compact(first);
-        let base = self.log.base().index;
-        let keep = self
-            .memberships
-            .iter()
-            .rposition(|(index, _)| *index <= base)
-            .unwrap_or(0);
-        self.memberships.drain(..keep);
-        self.persist(write::Kind::Compact { snapshot, first }, out);
-    }
-
-    /// Appends entries to the log and asks for their storage.
-    fn append(&mut self, entries: Vec<log::Entry>, out: &mut Vec<Output>) {
-        for entry in &entries {
-            if let log::Payload::Membership(members) = &entry.payload {
-                self.memberships.push((entry.position.index, members.clone()));
-            }
-            self.log.push(entry.clone());
-        }
-        self.persist(
-            write::Kind::Append {
-                entries,
-                commit: self.commit,
-            },
-            out,
-        );
-        if !self.config.rules.acknowledge_after_sync {
-            self.durable = self.log.last().index;
-        }
-    }
-
-    /// Removes uncommitted entries from an index on.
-    fn truncate(&mut self, from: u64) {
-        assert!(from > self.commit, "committed entries stay");
-        self.log.truncate(from);
-        self.memberships.retain(|(index, _)| *index < from);
-        self.durable = self.durable.min(from - 1);
-        for (_, last) in &mut self.pending {
-            *last = last.map(|index| index.min(from - 1));
-        }
-    }
-
     fn set_commit(&mut self, index: u64, out: &mut Vec<Output>) {
         if index <= self.commit {
             return;
@@ -541,8 +447,17 @@
         self.become_follower(None, out);
     }
 
+    fn applies_stored_only(&self) -> bool {
+        self.config.store_commit && self.config.rules.store_commit
+    }
+
     fn emit_apply(&mut self, out: &mut Vec<Output>) {
-        while self.emitted < self.commit && self.emitted < self.applied + APPLY_WINDOW {
+        let limit = if self.applies_stored_only() {
+            self.stored_commit
+        } else {
+            self.commit
+        };
+        while self.emitted < limit && self.emitted < self.applied + APPLY_WINDOW {
             let Some(entry) = self.log.get(self.emitted + 1) else {
                 return;
             };
--- a/crates/consensus/src/rules.rs
+++ b/crates/consensus/src/rules.rs
@@ -28,6 +28,8 @@
     pub one_change_at_a_time: bool,
     /// A learner is promoted only when it has caught up.
     pub promote_caught_up: bool,
+    /// An entry is applied only after the commit index is stored, if the settings ask for it.
+    pub store_commit: bool,
 }
 
 impl Default for Rules {
@@ -43,6 +45,7 @@
             expire_lease: true,
             one_change_at_a_time: true,
             promote_caught_up: true,
+            store_commit: true,
         }
     }
 }
--- a/crates/consensus/src/write.rs
+++ b/crates/consensus/src/write.rs
@@ -35,6 +35,8 @@
         /// Commit index known at that time; a restart applies the log up to it at once.
         commit: u64,
     },
+    /// Notes the commit index, so that a restart applies at least as much as before.
+    Commit(u64),
     /// Stores a snapshot of own state and drops the entries before `first`, which may lie before the snapshot.
     Compact {
         /// Snapshot.
--- a/crates/consensus/tests/driver/mod.rs
+++ b/crates/consensus/tests/driver/mod.rs
@@ -297,6 +297,14 @@
                 return;
             }
         }
+        let applied = self
+            .nodes
+            .get(&id)
+            .map(|node| (node.applied, node.applied_before));
+        if applied.is_some_and(|(now, before)| now < before) {
+            // The first step of a life applies what the disk says is committed.
+            self.violation.get_or_insert(Violation::AppliedWentBack);
+        }
         self.rearm(id);
     }
 
--- a/crates/consensus/tests/driver/node.rs
+++ b/crates/consensus/tests/driver/node.rs
@@ -24,6 +24,8 @@
     /// State machine: last index and a hash chain over the entries.
     pub applied: u64,
     pub state: u64,
+    /// Applied index of the life before.
+    pub applied_before: u64,
 }
 
 impl Node {
@@ -42,6 +44,7 @@
             rate: 1.0,
             applied: 0,
             state: 0,
+            applied_before: 0,
         }
     }
 
@@ -49,6 +52,7 @@
         self.life += 1;
         self.started = now;
         self.rate = rate;
+        self.applied_before = self.applied;
         self.applied = 0;
         self.state = 0;
         self.wake_at = None;
@@ -159,6 +163,7 @@
 pub fn store(disk: &mut Restored, write: &write::Write) {
     match &write.kind {
         write::Kind::Vote(vote) => disk.vote = *vote,
+        write::Kind::Commit(commit) => disk.commit = disk.commit.max(*commit),
         write::Kind::Append { entries, commit } => {
             let first = entries[0].position.index;
             disk.entries.retain(|entry| entry.position.index < first);
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -32,6 +32,7 @@
     compare_logs = { random, without(|rules| rules.compare_logs = false) },
     expire_lease = { random, without(|rules| rules.expire_lease = false) },
     one_change_at_a_time = { focus::two_changes, without(|rules| rules.one_change_at_a_time = false) },
+    store_commit = { random, without(|rules| rules.store_commit = false) },
     promote_caught_up = { random, without(|rules| rules.promote_caught_up = false) },
 )]
 fn broken_rule_is_found(plan: Plan, rules: Rules) {
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -30,6 +30,8 @@
     Append { entries: Vec<log::Entry>, commit: u64 },
     /// Removes all entries; the next one follows this position.
     Reset(log::Position),
+    /// Notes the commit index.
+    Commit(u64),
 }
 
 /// What the segments hold.
@@ -261,6 +263,7 @@
     let indices = items.iter().map(|item| match item {
         Item::Append { entries, .. } => entries.last().map_or(0, |entry| entry.position.index),
         Item::Reset(position) => position.index,
+        Item::Commit(_) => 0,
     });
     indices.max().unwrap_or(0)
 }
@@ -268,6 +271,7 @@
 fn replay(path: &Path, offset: usize, items: Vec<Item>, content: &mut Content) -> Result<(), Error> {
     for item in items {
         match item {
+            Item::Commit(commit) => content.commit = content.commit.max(commit),
             Item::Reset(position) => {
                 content.entries.clear();
                 content.commit = content.commit.max(position.index);
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -112,6 +112,7 @@
                         commit: *commit,
                     });
                 }
+                write::Kind::Commit(commit) => items.push(Item::Commit(*commit)),
                 write::Kind::Vote(vote) => {
                     self.flush(&mut items)?;
                     self.replace(VOTE, vote)?;
