--- a/crates/consensus/src/replica/config.rs
+++ b/crates/consensus/src/replica/config.rs
@@ -12,6 +12,8 @@
 /// Drift margin of the design (section 2.5).
 const DRIFT: f64 = 0.02;
 const BATCH_BYTES: usize = 128 * 1024;
+/// Proposals of one scheduling round share a message: 59 instead of 165 bytes on the wire for each start.
+const BATCH_DELAY: Duration = Duration::from_millis(1);
 const IN_FLIGHT_MESSAGES: usize = 64;
 const IN_FLIGHT_BYTES: usize = 1024 * 1024;
 const UNCOMMITTED_ENTRIES: usize = 8_192;
@@ -55,6 +57,9 @@
     pub chunk_bytes: usize,
     /// Entries before a snapshot that stay in the log for members that are a little behind.
     pub retained_entries: u64,
+    /// Whether entries are applied only after the commit index is stored, so that the applied index does not go
+    /// back across a restart. It costs one more sync before a leader applies; on by default in the root group.
+    pub store_commit: bool,
     /// Safety rules; all on outside tests.
     #[doc(hidden)]
     pub rules: rules::Rules,
@@ -71,7 +76,7 @@
             election: ELECTION,
             drift: DRIFT,
             batch_bytes: BATCH_BYTES,
-            batch_delay: Duration::ZERO,
+            batch_delay: BATCH_DELAY,
             in_flight_messages: IN_FLIGHT_MESSAGES,
             in_flight_bytes: IN_FLIGHT_BYTES,
             uncommitted_entries: UNCOMMITTED_ENTRIES,
@@ -79,6 +84,7 @@
             entry_bytes: ENTRY_BYTES,
             chunk_bytes: CHUNK_BYTES,
             retained_entries: RETAINED_ENTRIES,
+            store_commit: group == id::GroupId::Root,
             rules: rules::Rules::default(),
         }
     }
