--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -229,6 +229,11 @@
         self.pick_locked(&mut decider, now, ask, avoid)
     }
 
+    /// Returns the admitted and the waiting requests.
+    pub(crate) fn counts(&self) -> (u32, usize) {
+        self.lock().admission.counts()
+    }
+
     /// Returns the requests in flight to each target.
     pub(crate) fn loads(&self) -> Vec<(id::TargetId, u32)> {
         self.lock().router.loads().collect()
--- a/crates/gateway/src/server/upkeep.rs
+++ b/crates/gateway/src/server/upkeep.rs
@@ -39,6 +39,7 @@
                 count += 1;
                 if count % TICKS_PER_REPORT == 0 {
                     report(&context, &mut reported);
+                    show(&context);
                 }
             }
         }
@@ -58,6 +59,15 @@
     context.pool.retain(&usable);
 }
 
+/// Sets the gauges of the entry path.
+fn show(context: &context::Context) {
+    let (admitted, waiting) = context.gate.counts();
+    metrics::gauge!("bronzespoke_requests_admitted").set(f64::from(admitted));
+    metrics::gauge!("bronzespoke_requests_waiting").set(waiting as f64);
+    metrics::gauge!("bronzespoke_requests_in_flight").set(context.in_flight() as f64);
+    metrics::gauge!("bronzespoke_connections").set(context.connections() as f64);
+}
+
 /// Reports the loads that changed; a full channel drops the report, and the next one carries the newer figure.
 fn report(context: &context::Context, reported: &mut HashMap<id::TargetId, u32>) {
     let loads = context.gate.loads();
--- a/crates/gateway/tests/targets.rs
+++ b/crates/gateway/tests/targets.rs
@@ -203,8 +203,21 @@
     let mut usable = vec![common::status(&leaving, 1), common::status(&staying, 2)];
     usable[0].departing = true;
     cell.targets.send_replace(Arc::new(control::Targets { usable }));
-    // The view is taken in by another task; requests before that may still go to the target.
-    tokio::time::sleep(Duration::from_millis(200)).await;
+    // The view is taken in by another task; it is in force when 30 requests in a row go elsewhere.
+    let mut elsewhere = 0;
+    for _ in 0..3000 {
+        let before = leaving.runs();
+        send(&cell, None, "5000", "x").await;
+        elsewhere = if leaving.runs() == before {
+            elsewhere + 1
+        } else {
+            0
+        };
+        if elsewhere == 30 {
+            break;
+        }
+    }
+    assert_eq!(elsewhere, 30);
     let before = leaving.runs();
     for _ in 0..50 {
         assert_eq!(send(&cell, None, "5000", "x").await.status, StatusCode::OK);
