--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -296,3 +296,30 @@
         StatusCode::REQUEST_HEADER_FIELDS_TOO_LARGE
     );
 }
+
+/// Guards against bodies that together take more memory than is set, and against a version 1 that cannot be ended.
+#[tokio::test]
+async fn settings_bound_memory_and_version_one() {
+    let target = target(ECHO).await;
+    let settings = settings::Settings {
+        body_memory_bytes: 1000,
+        ..settings::Settings::default()
+    };
+    let mut view = common::view();
+    view.config.version_one = false;
+    let cell = common::cell_with(&[&target], settings, view).await;
+    let address = cell.server.address();
+    let large = caller::request(address, "lineage", common::KEY, None, vec![b'x'; 2000])
+        .await
+        .expect("answers");
+    assert_eq!(large.status, StatusCode::SERVICE_UNAVAILABLE);
+    assert_eq!(large.json()["error"]["code"], "memory");
+    let small = caller::request(address, "lineage", common::KEY, None, vec![b'x'; 900]).await;
+    assert_eq!(small.expect("answers").status, StatusCode::OK);
+    let body = r#"{"key":"dojo-key","service":"lineage","body":"belt"}"#;
+    let old = caller::send(address, Method::POST, "/v1/request", &[], body)
+        .await
+        .expect("answers");
+    assert_eq!(old.status, StatusCode::GONE);
+    assert!(old.header("sunset").is_some());
+}
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -26,8 +26,10 @@
 const LIMIT_MIN: f64 = 4.0;
 /// Factor by which a sign of overload lowers the limit.
 const LIMIT_DECREASE: f64 = 0.9;
-/// Requests that one round of answers adds to the limit.
+/// Requests that a round without overload adds to a limit that was reached, at least.
 const LIMIT_INCREASE: f64 = 2.0;
+/// Part of the limit that such a round adds, if that is more.
+const LIMIT_GROWTH: f64 = 0.05;
 /// Weight of a new sample in the running means.
 const SMOOTHING: f64 = 0.05;
 /// Deviations above the mean that the expected run time covers.
@@ -127,7 +129,10 @@
     virtual_time: f64,
     run_time: f64,
     deviation: f64,
+    /// Ends and signs of overload in this round.
     round: (u32, u32),
+    /// Most requests in flight in this round.
+    peak: u32,
     interval: f64,
     last_start: Duration,
     waiting: usize,
@@ -337,6 +342,7 @@
             .get_mut(&ticket.flow.service)
             .expect("the service was entered at the offer");
         service.in_flight += 1;
+        service.peak = service.peak.max(service.in_flight);
         service.started(now);
     }
 
@@ -437,6 +443,7 @@
             run_time: 0.0,
             deviation: 0.0,
             round: (0, 0),
+            peak: 0,
             interval: 0.0,
             last_start: Duration::ZERO,
             waiting: 0,
@@ -476,9 +483,6 @@
             Done::Answered { latency } => {
                 self.round.0 += 1;
                 self.learn_run_time(latency.as_secs_f64());
-                if f64::from(self.in_flight + 1) >= self.limit {
-                    self.limit = (self.limit + LIMIT_INCREASE / self.limit).min(f64::from(u16::MAX));
-                }
             }
             Done::Overloaded => {
                 self.round.0 += 1;
@@ -506,9 +510,14 @@
         }
         let (ended, overloaded) = std::mem::take(&mut self.round);
         self.round_at = now;
+        let peak = std::mem::replace(&mut self.peak, self.in_flight);
+        let used = f64::from(peak).min(self.limit);
         if f64::from(overloaded) > f64::from(ended) * OVERLOAD_PART {
-            let used = f64::from(self.in_flight + 1).min(self.limit);
             self.limit = (used * LIMIT_DECREASE).max(LIMIT_MIN);
+        } else if used + 1.0 > self.limit {
+            // Only a limit that was reached is raised, else it would tell nothing when it is needed.
+            let step = LIMIT_INCREASE.max(self.limit * LIMIT_GROWTH);
+            self.limit = (self.limit + step).min(f64::from(u16::MAX));
         }
     }
 }
--- /dev/null
+++ b/crates/request/tests/decisions.rs
@@ -0,0 +1,201 @@
+//! Single decisions with their numbers: guards against limits that do not adapt and steps that are skipped.
+
+use std::time::Duration;
+
+use bronzespoke_model::{target, vm};
+use bronzespoke_request::{
+    admission::{Admission, Done, Flow, Owner, Reason, Ticket, Verdict},
+    attempt::End,
+    part,
+    retry::Retry,
+    router::{self, Choice, Router},
+    rules::Rules,
+};
+
+const FLOW: Flow = Flow {
+    service: 1,
+    owner: Owner::Team(1),
+};
+const PLACE: vm::Place = vm::Place { region: 0, zone: 0 };
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+const fn ticket(id: u64, deadline: Duration) -> Ticket {
+    Ticket {
+        id,
+        flow: FLOW,
+        weight: 1,
+        limit: 10_000,
+        deadline,
+    }
+}
+
+/// Starts `count` requests and ends each after 100 ms, every second one as `other`.
+fn round(admission: &mut Admission, now: &mut Duration, count: u32, other: Done) -> u32 {
+    let mut started = 0;
+    for id in 0..count {
+        let verdict = admission.offer(*now, ticket(u64::from(id), *now + ms(60_000)), 10_000);
+        started += u32::from(verdict == Verdict::Run);
+    }
+    *now += ms(100);
+    for number in 0..started {
+        let answered = Done::Answered { latency: ms(100) };
+        admission.done(*now, FLOW, if number % 2 == 0 { answered } else { other });
+    }
+    while admission.next(*now, 1, 10_000).is_some() {
+        admission.done(*now, FLOW, Done::Other);
+    }
+    started
+}
+
+/// Guards against a limit that stays high when targets have less room than they announce, or that never recovers.
+#[test]
+fn the_limit_follows_signs_of_overload() {
+    let mut admission = Admission::new(1, Rules::default());
+    let mut now = ms(0);
+    for _ in 0..30 {
+        round(&mut admission, &mut now, 100, Done::Overloaded);
+    }
+    let low = admission.limit(1).expect("the service is known");
+    assert!(low < 50, "the limit is {low} after 30 rounds of overload");
+    let good = Done::Answered { latency: ms(100) };
+    for _ in 0..60 {
+        round(&mut admission, &mut now, 100, good);
+    }
+    let high = admission.limit(1).expect("the service is known");
+    assert!(high > low + 20, "the limit rose only from {low} to {high}");
+    admission.verify().expect("the counters agree");
+}
+
+/// Guards against requests that wait although their run would not end in time.
+#[test]
+fn a_request_without_time_is_not_sent() {
+    let mut admission = Admission::new(1, Rules::default());
+    assert_eq!(admission.offer(ms(0), ticket(1, ms(1000)), 1), Verdict::Run);
+    admission.done(ms(100), FLOW, Done::Answered { latency: ms(100) });
+    let refused = admission.offer(ms(100), ticket(2, ms(150)), 0);
+    assert!(
+        matches!(
+            refused,
+            Verdict::Refused {
+                reason: Reason::Deadline,
+                ..
+            }
+        ),
+        "{refused:?}"
+    );
+    assert_eq!(admission.offer(ms(100), ticket(3, ms(1000)), 0), Verdict::Queued);
+    assert_eq!(admission.next(ms(950), 1, 1), None);
+    assert_eq!(admission.expired().map(|ticket| ticket.id), Some(3));
+    admission.verify().expect("the counters agree");
+}
+
+/// Guards against refused callers that all return at the same time.
+#[test]
+fn advice_to_return_is_spread() {
+    let mut admission = Admission::new(1, Rules::default());
+    let mut advice: Vec<Duration> = (0..50)
+        .filter_map(|id| match admission.offer(ms(0), ticket(id, ms(0)), 0) {
+            Verdict::Refused { retry_after, .. } => Some(retry_after),
+            Verdict::Run | Verdict::Queued => None,
+        })
+        .collect();
+    advice.sort_unstable();
+    advice.dedup();
+    assert!(
+        advice.len() > 40,
+        "{} different times for 50 callers",
+        advice.len()
+    );
+}
+
+fn router(targets: u64) -> Router {
+    let mut router = Router::new(router::Config {
+        own: part::Entry { vm: 1, place: PLACE },
+        remote_bytes_per_second: 0,
+        seed: 1,
+        sharing: router::Sharing::Probed,
+        rules: Rules::default(),
+    });
+    let targets: Vec<_> = (1..=targets)
+        .map(|target| {
+            let announcement = target::Announcement {
+                target,
+                incarnation: 1,
+                service: String::new(),
+                address: ([127, 0, 0, 1], 1).into(),
+                slots: 8,
+                connections: 64,
+            };
+            let status = target::Status {
+                announcement,
+                place: PLACE,
+                departing: false,
+                in_flight: 0,
+            };
+            (1, status)
+        })
+        .collect();
+    router.observe(ms(0), router::Update::Replace(&targets));
+    router
+}
+
+/// Sends as much as there is room for; returns how much target 1 got.
+fn fill(router: &mut Router, now: Duration) -> usize {
+    let query = router::Query {
+        service: 1,
+        avoid: &[],
+        bytes: 1,
+    };
+    let mut picked = Vec::new();
+    while let Choice::Target(target) = router.pick(now, &query) {
+        picked.push(target);
+    }
+    for target in &picked {
+        router.finish(now, *target, End::Abandoned);
+    }
+    picked.iter().filter(|target| **target == 1).count()
+}
+
+/// Guards against an ejected target that gets its whole part back at once, or stays out for ever.
+#[test]
+fn readmission_goes_in_steps() {
+    let mut router = router(2);
+    assert_eq!(fill(&mut router, ms(0)), 9);
+    for _ in 0..5 {
+        router.finish(ms(0), 1, End::Failed);
+    }
+    assert_eq!(fill(&mut router, ms(1999)), 0);
+    let mut parts = vec![fill(&mut router, ms(2000))];
+    for _ in 0..3 {
+        for _ in 0..4 {
+            let latency = ms(1);
+            router.finish(ms(2000), 1, End::Answered { latency, load: None });
+        }
+        parts.push(fill(&mut router, ms(2000)));
+    }
+    assert_eq!(parts, [1, 2, 4, 9]);
+    for _ in 0..5 {
+        router.finish(ms(3000), 1, End::Failed);
+    }
+    assert_eq!(
+        fill(&mut router, ms(5000)),
+        0,
+        "the second ejection in a row is longer"
+    );
+    assert_eq!(fill(&mut router, ms(7000)), 1);
+    router.verify().expect("the lists agree");
+}
+
+/// Guards against ejection for silence that was short for the service.
+#[test]
+fn silence_is_judged_by_the_service() {
+    let mut retry = Retry::new(10, Rules::default());
+    assert!(!retry.is_late(1, ms(999)) && retry.is_late(1, ms(1000)));
+    for _ in 0..200 {
+        retry.answered(1, ms(10));
+    }
+    assert!(!retry.is_late(1, ms(39)) && retry.is_late(1, ms(42)));
+}
