Count other VMs' requests before a target gets one above its slots

Cause: each VM of a zone took one above its lent slots, so a slow target got several requests that waited long.

--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -18,7 +18,7 @@
 
 /// Most targets that one VM keeps; further ones are not used.
 pub const MAX_TARGETS: usize = 16_384;
-/// Requests above the lent slots that a VM may have at a target, so that the target does not idle for a round trip.
+/// Requests above its slots that a target may have by a VM's estimate, so that the target does not idle for a round trip.
 const HEADROOM: u32 = 1;
 /// Seconds of the budget for other regions that may be saved up.
 const REMOTE_BURST_SECONDS: f64 = 1.0;
@@ -383,11 +383,13 @@
             return 0;
         }
         let slots = entry.status.announcement.slots;
-        let lent = if entry.lent > 0 { entry.lent + HEADROOM } else { 0 };
+        // Only VMs of the target's zone keep it busy beyond its slots; others would do so over longer links.
+        let headroom = if entry.lent > 0 { HEADROOM } else { 0 };
         let borrowed = match self.config.sharing {
-            Sharing::Lent => 0,
-            Sharing::Reported | Sharing::Probed => slots.saturating_sub(entry.others),
+            Sharing::Lent => entry.lent + headroom,
+            Sharing::Reported | Sharing::Probed => (slots + headroom).saturating_sub(entry.others),
         };
+        let lent = entry.lent;
         let mut most = entry.health.part(lent.max(borrowed));
         if self.config.rules.connection_part {
             most = most.min(entry.connections);
