--- a/crates/bench/src/policy/schedule.rs
+++ /dev/null
@@ -1,8 +0,0 @@
-//! Policy measurements of `schedule`.
-
-use crate::measure;
-
-/// Returns the rows of this part.
-pub fn rows(_seed: u64, _length: measure::Length) -> Vec<measure::Row> {
-    Vec::new()
-}
