Reserve rooms instead of whole workers for gangs, and end backfill when the reservation is due

Cause: a reservation waited until all batch work on its workers had ended, and work that can be checkpointed was let onto the reserved workers again after it had been moved off them.

--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -1,5 +1,6 @@
 //! Gangs: all tasks start together.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bronzespoke_model::job;
@@ -7,7 +8,7 @@
 use crate::message::{Output, Reason};
 use crate::pass::submit::{slots, times};
 use crate::scheduler::Scheduler;
-use crate::{table, timer, worker};
+use crate::{run, table, timer, worker};
 
 /// Shortest interval between two passes over the gangs.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
@@ -169,17 +170,14 @@
             if !suits || !record.usable() || record.hold.is_some() || record.health.allowed.is_some() {
                 continue;
             }
-            let (count, ready) = self.room_later(now, worker, index);
-            if count > 0 {
-                candidates.push((ready, worker, count));
-            }
+            self.rooms_later(now, worker, index, &mut candidates);
         }
         candidates.sort_unstable();
         let mut left = job.waiting.len();
-        let mut chosen = Vec::new();
+        let mut chosen: BTreeMap<table::Worker, u32> = BTreeMap::new();
         let mut ready = now;
         for (at, worker, count) in candidates {
-            chosen.push((worker, count.min(left)));
+            *chosen.entry(worker).or_default() += count.min(left);
             left -= count.min(left);
             ready = ready.max(at);
             if left == 0 {
@@ -203,20 +201,36 @@
         }
     }
 
-    /// Returns how many tasks of a job a worker will hold when its batch and gang work has ended, and when.
-    fn room_later(&self, now: Duration, worker: table::Worker, index: table::Job) -> (u32, Duration) {
+    /// Adds the times at which a worker is expected to have room for more tasks of a job, as its runs end.
+    fn rooms_later(
+        &self,
+        now: Duration,
+        worker: table::Worker,
+        index: table::Job,
+        rooms: &mut Vec<(Duration, table::Worker, u32)>,
+    ) {
         let record = &self.workers[worker];
-        let mut room = record.capacity.amount;
-        let mut ready = now;
-        for &run in &record.runs {
-            let run = &self.runs[run];
-            if self.jobs[run.job].kind == job::Kind::Service {
-                room = room.saturating_sub(&run.size);
-            } else {
-                ready = ready.max(self.expected_end(now, run));
+        let size = &self.jobs[index].size;
+        let mut free = record.free();
+        let mut known = slots(&free, size);
+        if known > 0 {
+            rooms.push((now, worker, known));
+        }
+        let batch = |run: &&run::Record| self.jobs[run.job].kind != job::Kind::Service;
+        let runs = record.runs.iter().map(|run| &self.runs[*run]);
+        let mut ends: Vec<_> = runs
+            .filter(batch)
+            .map(|run| (self.expected_end(now, run), run.token, run.size))
+            .collect();
+        ends.sort_unstable_by_key(|end| (end.0, end.1));
+        for (at, _, freed) in ends {
+            free = free.saturating_add(&freed);
+            let count = slots(&free, size);
+            if count > known {
+                rooms.push((at, worker, count - known));
+                known = count;
             }
         }
-        (slots(&room, &self.jobs[index].size), ready)
     }
 
     /// Ends backfilled work that outstays a reservation.
--- a/crates/schedule/src/pass/hold.rs
+++ b/crates/schedule/src/pass/hold.rs
@@ -131,9 +131,9 @@
         let brief = job.priority == job::Priority::Urgent || job.checkpoint;
         self.held.iter().take(BACKFILL_LOOKS).copied().find(|worker| {
             let record = &self.workers[*worker];
-            let reserved = record.hold.is_some_and(|hold| {
-                hold.job != index && hold.ready > Duration::ZERO && (brief || end <= hold.ready)
-            });
+            let reserved = record
+                .hold
+                .is_some_and(|hold| hold.job != index && now < hold.ready && (brief || end <= hold.ready));
             reserved && record.usable() && record.has_room(&job.size, job.accelerator)
         })
     }
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -216,7 +216,8 @@
             return true;
         };
         job.priority == model::Priority::Urgent
-            || (job.kind != model::Kind::Service
+            || (now < hold.ready
+                && job.kind != model::Kind::Service
                 && (job.checkpoint || now + self.run_time(index) <= hold.ready))
     }
 
