Hold a worker for a large task that has waited long

Without it a task of 8 cores did not start in two minutes beside a stream of one-core tasks; with it the task ends in that time. The test shows both.

--- a/crates/schedule/src/config.rs
+++ b/crates/schedule/src/config.rs
@@ -81,6 +81,8 @@
     pub confirm_restored: bool,
     /// Preemption leaves each team its protected share.
     pub protect_share: bool,
+    /// Tasks that have waited long get a hold.
+    pub age: bool,
     /// Preemption stays within its rate.
     pub preemption_rate: bool,
 }
@@ -97,6 +99,7 @@
             drain_one: true,
             confirm_restored: true,
             protect_share: true,
+            age: true,
             preemption_rate: true,
         }
     }
--- a/crates/schedule/src/job.rs
+++ b/crates/schedule/src/job.rs
@@ -50,6 +50,8 @@
     /// Tasks that wait for a retry or for paced recovery.
     pub(crate) delayed: u32,
     pub(crate) run_time: Duration,
+    /// When this scheduler learned of the job.
+    pub(crate) submitted: Duration,
     /// Order of submission.
     pub(crate) sequence: u64,
     /// Tasks that may start now.
--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -202,7 +202,7 @@
     }
 
     /// Adds the times at which a worker is expected to have room for more tasks of a job, as its runs end.
-    fn rooms_later(
+    pub(crate) fn rooms_later(
         &self,
         now: Duration,
         worker: table::Worker,
--- a/crates/schedule/src/pass/mod.rs
+++ b/crates/schedule/src/pass/mod.rs
@@ -1,5 +1,6 @@
 //! Passes over the scheduler's state, one module per job.
 
+mod age;
 mod drain;
 mod end;
 mod estimate;
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -44,7 +44,7 @@
             return;
         }
         let team = self.team(now, team);
-        let index = self.add_job(id, team, spec, range::Set::default());
+        let index = self.add_job(now, id, team, spec, range::Set::default());
         if cancelled {
             self.jobs[index].phase = Phase::Cancelled;
         }
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -27,7 +27,7 @@
             return;
         }
         let team = self.team(now, team);
-        let index = self.add_job(id, team, spec, range::Set::upto(spec.tasks));
+        let index = self.add_job(now, id, team, spec, range::Set::upto(spec.tasks));
         if self.restored.is_some()
             && self.unconfirmed == 0
             && let Some(reason) = self.impossible(index)
@@ -49,6 +49,7 @@
     /// Enters a job; the caller queues it.
     pub(crate) fn add_job(
         &mut self,
+        now: Duration,
         id: id::JobId,
         team: table::Team,
         spec: &model::Spec,
@@ -74,6 +75,7 @@
             succeeded: 0,
             delayed: 0,
             run_time: spec.run_time,
+            submitted: now,
             sequence,
             waiting,
             runs: Vec::new(),
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -87,6 +87,8 @@
     /// Held workers on which room was freed in this step.
     pub(crate) hold_ready: Vec<table::Worker>,
     pub(crate) urgent_next: Duration,
+    /// Jobs that hold a worker because they have waited long.
+    pub(crate) aged: Vec<table::Job>,
     pub(crate) drain_next: Duration,
     pub(crate) models: HashMap<(table::Team, model_job::Kind), Box<estimate::Model>>,
     /// Number of workers of each capacity.
@@ -160,6 +162,7 @@
             reservations: Vec::new(),
             hold_ready: Vec::new(),
             urgent_next: Duration::ZERO,
+            aged: Vec::new(),
             drain_next: Duration::ZERO,
             models: HashMap::new(),
             shapes: HashMap::new(),
@@ -242,6 +245,9 @@
             timer::Event::Recovery => self.release_lost(now),
             timer::Event::Shares => {
                 self.refresh_shares(now);
+                if self.restored.is_some() && self.config.rules.age {
+                    self.hold_for_aged(now);
+                }
                 self.timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
             }
             timer::Event::Drain => self.drain_due(now, out),
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -365,3 +365,30 @@
         .step(at + Duration::from_millis(300), Input::Tick, &mut out);
     assert!(out.contains(&Output::WorkerLost { worker: 0 }));
 }
+
+fn large_among_small(rules: Rules) -> Option<job::State> {
+    let mut cell = cell(2, rules);
+    let large = spec(job::Kind::Batch, 1, 8_000, 10);
+    for _ in 0..200 {
+        cell.submit(1, spec(job::Kind::Batch, 2, 1_000, 10));
+    }
+    cell.run(Duration::from_secs(5));
+    let large = cell.submit(2, large);
+    for _ in 0..60 {
+        cell.submit(1, spec(job::Kind::Batch, 2, 1_000, 10));
+        cell.run(Duration::from_secs(2));
+    }
+    sound(&cell);
+    cell.done.get(&large).copied()
+}
+
+/// Guards against a large task that starves behind a stream of small ones; the second half shows that it would.
+#[test]
+fn a_large_task_starts_among_small_ones() {
+    assert_eq!(large_among_small(Rules::default()), Some(job::State::Succeeded));
+    let broken = Rules {
+        age: false,
+        ..Rules::default()
+    };
+    assert_eq!(large_among_small(broken), None);
+}
