--- a/crates/schedule/src/pass/age.rs
+++ b/crates/schedule/src/pass/age.rs
@@ -33,10 +33,12 @@
     }
 
     fn aged_jobs(&self, now: Duration, count: usize) -> Vec<table::Job> {
-        let order = &self.order[lane::Tier::Normal as usize];
-        let lanes = order
-            .keys()
-            .flat_map(|(_, team)| &self.teams[*team].lanes[lane::Tier::Normal as usize]);
+        // Urgent work makes room for itself.
+        let tiers = [lane::Tier::Replacement, lane::Tier::Normal].map(|tier| tier as usize);
+        let lanes = tiers.into_iter().flat_map(|tier| {
+            let teams = self.order[tier].keys();
+            teams.flat_map(move |(_, team)| &self.teams[*team].lanes[tier])
+        });
         lanes
             .take(LANES_LOOKED_AT)
             .filter(|entry| !entry.fresh && self.lanes[entry.lane].listed.is_some())
