--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -17,6 +17,8 @@
 /// A claim that has not ended after this time never will: a request lasts at most 30 s by default, and its end is
 /// sent again for 60 s. A late answer is still taken.
 const OVERDUE_CLAIM: Duration = Duration::from_mins(10);
+/// A voter that answered within this time takes a lead that is handed to it.
+const RESPONSIVE: Duration = Duration::from_millis(500);
 /// A witness that was silent for this long is replaced by another VM.
 const LOST_WITNESS: Duration = Duration::from_mins(10);
 /// A holder of claims that was silent for this long cannot complete them any more: longer than any request lasts.
@@ -148,12 +150,15 @@
         let Some(group) = self.zones.get(&zone) else {
             return;
         };
-        let voters = group.member().replica().status().membership.voters;
+        let now = self.context.now();
         let view = self.root.view();
-        let there = |vm: &id::VmId| view.vms.get(vm).is_some_and(|vm| vm.place.zone == zone);
-        let next = voters
-            .into_iter()
-            .find(|vm| there(vm) && self.context.is_alive(*vm));
+        let there = |vm: id::VmId| view.vms.get(&vm).is_some_and(|vm| vm.place.zone == zone);
+        let answers = |acked: Option<Duration>| acked.is_some_and(|at| now.saturating_sub(at) < RESPONSIVE);
+        let peers = group.member().replica().status().peers;
+        let next = peers
+            .iter()
+            .find(|peer| peer.voter && there(peer.id) && answers(peer.acked));
+        let next = next.map(|peer| peer.id);
         if let (Some(next), Some(group)) = (next, self.zones.get_mut(&zone)) {
             log::info!("group: The witness hands zone {zone} to VM {next}.");
             group.step(&self.context, replica::Input::Transfer { to: Some(next) });
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -14,6 +14,11 @@
 /// Bytes of entries that are kept for followers.
 const FEED_BYTES: usize = 1 << 20;
 
+/// Unanswered requests in a row after which another relay is asked.
+const MISSES: u32 = 3;
+/// Time for which a relay that did not answer is avoided.
+const AVOIDANCE: Duration = Duration::from_secs(10);
+
 /// How this process takes part.
 #[derive(Debug)]
 enum Role {
@@ -33,7 +38,10 @@
     responders: Vec<responder::Responder>,
     events: Vec<member::Event>,
     view: Arc<root::View>,
-    unanswered: Option<id::VmId>,
+    /// Requests that the relay left unanswered in a row.
+    misses: u32,
+    /// A relay that is avoided, and until when.
+    avoided: Option<(id::VmId, Duration)>,
 }
 
 impl Root {
@@ -54,7 +62,8 @@
             responders: Vec::new(),
             events: Vec::new(),
             view,
-            unanswered: None,
+            misses: 0,
+            avoided: None,
         }
     }
 
@@ -171,6 +180,7 @@
 
     /// Takes a relay's answer.
     pub fn receive_feed(&mut self, context: &context::Context, from: id::VmId, answer: feed::Answer) {
+        self.misses = 0;
         self.follow_step(context, feed::Input::Receive { from, answer });
     }
 
@@ -190,20 +200,29 @@
                     });
                 }
                 feed::Output::Install(snapshot) => self.events.push(member::Event::Install(snapshot)),
-                feed::Output::Unanswered { relay } => self.unanswered = Some(relay),
+                feed::Output::Unanswered { relay } => {
+                    self.misses += 1;
+                    if self.misses >= MISSES {
+                        self.misses = 0;
+                        self.avoided = Some((relay, context.now() + AVOIDANCE));
+                    }
+                }
             }
         }
     }
 
-    /// Chooses the nearest root voter that was heard of lately; one that did not answer comes last.
+    /// Chooses the nearest root voter that was heard of lately; one that is avoided comes last.
     fn choose_relay(&self, context: &context::Context) -> Option<id::VmId> {
         let place = context.me.place;
+        let now = context.now();
         context
             .peers
             .values()
             .filter(|peer| peer.replicas.contains(&id::GroupId::Root) && context.is_alive(peer.vm.id))
             .min_by_key(|peer| {
-                let avoided = self.unanswered == Some(peer.vm.id);
+                let avoided = self
+                    .avoided
+                    .is_some_and(|(vm, until)| vm == peer.vm.id && now < until);
                 (avoided, place.distance(&peer.vm.place), peer.vm.id)
             })
             .map(|peer| peer.vm.id)
