daemon: test settings and the timeline, and bound a reading from the largest position

A timeline reading after u64::MAX, which any JSON-RPC caller can ask for, overflowed the addition of 1: a panic in debug builds, and events from the start of the ring in release builds. The addition saturates now.

--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -98,7 +98,7 @@
     pub fn read(&self, after: u64, limit: usize) -> Page {
         let inner = self.lock();
         let first = inner.next - inner.events.len() as u64 + 1;
-        let skip = (after + 1).saturating_sub(first) as usize;
+        let skip = after.saturating_add(1).saturating_sub(first) as usize;
         let events: Vec<_> = inner
             .events
             .iter()
--- /dev/null
+++ b/crates/daemon/tests/settings.rs
@@ -0,0 +1,240 @@
+//! Settings of the daemon: flags, their environment twins, and all faults in one report.
+
+use std::{collections::HashMap, ffi::OsString, process::Command};
+
+use bronzespoke_daemon::settings::{self, Fault, Request, Settings};
+use yare::parameterized;
+
+/// Flag, environment variable, and two different allowed values.
+const TWINS: [(&str, &str, [&str; 2]); 12] = [
+    ("--name", "BRONZESPOKE_NAME", ["sur-1", "sur-2.example"]),
+    ("--region", "BRONZESPOKE_REGION", ["2", "9999"]),
+    ("--zone", "BRONZESPOKE_ZONE", ["3", "9998"]),
+    ("--peer", "BRONZESPOKE_PEER", ["127.0.0.1:7101", "[::1]:7102"]),
+    ("--http", "BRONZESPOKE_HTTP", ["127.0.0.1:7201", "[::1]:7202"]),
+    ("--rpc", "BRONZESPOKE_RPC", ["127.0.0.1:7301", "[::1]:7302"]),
+    (
+        "--seeds",
+        "BRONZESPOKE_SEEDS",
+        ["127.0.0.1:7102", "127.0.0.1:7103,127.0.0.1:7104"],
+    ),
+    ("--data", "BRONZESPOKE_DATA", ["state-a", "state-b"]),
+    ("--random-seed", "BRONZESPOKE_RANDOM_SEED", ["5", "6"]),
+    ("--traffic-threads", "BRONZESPOKE_TRAFFIC_THREADS", ["1", "64"]),
+    ("--drain-notice", "BRONZESPOKE_DRAIN_NOTICE", ["0s", "60s"]),
+    ("--log-level", "BRONZESPOKE_LOG_LEVEL", ["off", "trace"]),
+];
+
+const REQUIRED: [(&str, &str); 6] = [
+    ("--name", "sur-1"),
+    ("--region", "1"),
+    ("--zone", "1"),
+    ("--peer", "127.0.0.1:7101"),
+    ("--http", "127.0.0.1:7201"),
+    ("--rpc", "127.0.0.1:7301"),
+];
+
+type Environment = HashMap<&'static str, &'static str>;
+
+fn read(arguments: &[&str], environment: &Environment) -> Result<Request, Vec<Fault>> {
+    let arguments = arguments.iter().map(OsString::from).collect();
+    settings::read(arguments, &|name| environment.get(name).map(ToString::to_string))
+}
+
+/// Required flags without the given one, and `--random-seed`, so that two readings are equal.
+fn base(without: &str) -> Vec<&'static str> {
+    let seed = ("--random-seed", "1");
+    let all = REQUIRED.into_iter().chain([seed]);
+    all.filter(|(flag, _)| *flag != without)
+        .flat_map(|(flag, value)| [flag, value])
+        .collect()
+}
+
+fn settings(request: Result<Request, Vec<Fault>>) -> Settings {
+    match request {
+        Ok(Request::Run(settings)) => *settings,
+        other => panic!("settings were expected, not {other:?}"),
+    }
+}
+
+fn faults(request: Result<Request, Vec<Fault>>) -> Vec<String> {
+    let faults = request.expect_err("the settings are wrong");
+    faults.iter().map(ToString::to_string).collect()
+}
+
+/// Guards against a flag that a unit file cannot set, and against a variable that overrides a flag.
+#[test]
+fn every_flag_has_an_environment_twin_and_takes_precedence() {
+    for (flag, variable, [one, other]) in TWINS {
+        let from = |arguments: &[&'static str], environment: &Environment| {
+            settings(read(&[base(flag), arguments.to_vec()].concat(), environment))
+        };
+        let by_flag = from(&[flag, one], &Environment::new());
+        let by_variable = from(&[], &Environment::from([(variable, one)]));
+        assert_eq!(by_flag, by_variable, "{flag} and {variable} mean the same");
+        let by_both = from(&[flag, one], &Environment::from([(variable, other)]));
+        assert_eq!(by_flag, by_both, "{flag} takes precedence over {variable}");
+        let different = from(&[flag, other], &Environment::new());
+        assert_ne!(by_flag, different, "{flag} has an effect");
+    }
+}
+
+/// Guards against a variable of a flag without a value that is read as set when it says that it is not.
+#[parameterized(
+    one = { "1", true },
+    yes = { "true", true },
+    zero = { "0", false },
+    no = { "false", false },
+    empty = { "", false },
+)]
+fn the_variable_of_found_is_true_or_false(value: &'static str, expected: bool) {
+    let environment = Environment::from([("BRONZESPOKE_FOUND", value)]);
+    let arguments = [base(""), vec!["--data", "state"]].concat();
+    assert_eq!(settings(read(&arguments, &environment)).found, expected);
+}
+
+/// Guards against help that leaves out a flag or its variable.
+#[test]
+fn help_lists_every_flag_with_its_variable() {
+    let help = settings::help();
+    let found = ("--found", "BRONZESPOKE_FOUND", [""; 2]);
+    for (flag, variable, _) in TWINS.into_iter().chain([found]) {
+        assert!(help.contains(&format!("  {flag} ")), "{flag} is in the help");
+        assert!(help.contains(variable), "{variable} is in the help");
+    }
+}
+
+/// Guards against a wrong value that is accepted, or refused without its name, its value and what is allowed.
+#[parameterized(
+    name = { "--name", "a b", "1 to 63 letters" },
+    region_zero = { "--region", "0", "1 to 9999" },
+    region_large = { "--region", "70000", "1 to 9999" },
+    zone_text = { "--zone", "west", "1 to 9999" },
+    peer = { "--peer", "localhost", "an IP address and a port" },
+    http = { "--http", "10.0.0.1", "an IP address and a port" },
+    rpc = { "--rpc", ":7300", "an IP address and a port" },
+    random_seed = { "--random-seed", "-1", "a whole number" },
+    threads_none = { "--traffic-threads", "0", "1 to 64" },
+    threads_many = { "--traffic-threads", "65", "1 to 64" },
+    notice_long = { "--drain-notice", "2m", "0s to 60s" },
+    notice_text = { "--drain-notice", "soon", "0s to 60s" },
+    level = { "--log-level", "loud", "off, error, warn, info, debug or trace" },
+)]
+fn a_wrong_value_is_named(flag: &str, value: &str, allowed: &str) {
+    let arguments = [base(flag), vec![]].concat();
+    let arguments = [&arguments[..], &[flag, value]].concat();
+    let faults = faults(read(&arguments, &Environment::new()));
+    assert_eq!(faults.len(), 1, "one fault, not {faults:?}");
+    for part in [flag, value, allowed] {
+        assert!(faults[0].contains(part), "`{}` has `{part}`", faults[0]);
+    }
+}
+
+/// Guards against a list of seeds that loses its wrong members, or grows without bound.
+#[test]
+fn every_wrong_seed_is_named() {
+    let arguments = [base(""), vec!["--seeds", "127.0.0.1:1,one,127.0.0.1:2,two"]].concat();
+    let found = faults(read(&arguments, &Environment::new()));
+    assert_eq!(found.len(), 2, "{found:?}");
+    assert!(
+        found[0].contains("\"one\"") && found[1].contains("\"two\""),
+        "{found:?}"
+    );
+    let many = vec!["127.0.0.1:1"; 65].join(",");
+    let arguments = [&base("")[..], &["--seeds", &many]].concat();
+    let found = faults(read(&arguments, &Environment::new()));
+    assert!(found[0].contains("at most 64"), "{found:?}");
+}
+
+/// Guards against reports of one fault a round, which cost an operator one restart each.
+#[test]
+fn all_faults_are_reported_at_once() {
+    let arguments = [
+        "--name",
+        "a b",
+        "--region",
+        "0",
+        "--zone",
+        "x",
+        "--traffic-threads",
+        "0",
+        "--speed",
+    ];
+    let environment = Environment::from([("BRONZESPOKE_LOG_LEVEL", "loud")]);
+    let faults = faults(read(&arguments, &environment));
+    let settings = [
+        "--name",
+        "--region",
+        "--zone",
+        "--peer",
+        "--http",
+        "--rpc",
+        "--traffic-threads",
+    ];
+    for setting in settings.into_iter().chain(["--log-level", "--speed"]) {
+        let of_setting = faults.iter().filter(|fault| fault.starts_with(setting)).count();
+        assert_eq!(of_setting, 1, "{setting} is reported once in {faults:#?}");
+    }
+    assert_eq!(faults.len(), 9, "{faults:#?}");
+}
+
+/// Guards against a founder without durable state, whose cell would be lost at its first restart.
+#[test]
+fn a_founder_needs_a_data_folder() {
+    let arguments = [base(""), vec!["--found"]].concat();
+    let faults = faults(read(&arguments, &Environment::new()));
+    assert!(faults.len() == 1 && faults[0].contains("--data"), "{faults:?}");
+}
+
+fn daemon(arguments: &[&str]) -> (Option<i32>, String, String) {
+    let output = Command::new(env!("CARGO_BIN_EXE_bronzespoked"))
+        .args(arguments)
+        .env_clear()
+        .output()
+        .expect("the daemon can be run");
+    let text = |bytes: &[u8]| String::from_utf8_lossy(bytes).into_owned();
+    (output.status.code(), text(&output.stdout), text(&output.stderr))
+}
+
+/// Guards against a program that ends with the wrong status or on the wrong stream.
+#[test]
+fn the_program_checks_explains_and_refuses() {
+    let (status, out, _) = daemon(&["--help"]);
+    assert!(status == Some(0) && out == settings::help(), "{out}");
+    let (status, out, _) = daemon(&["--version"]);
+    assert!(status == Some(0) && out.starts_with("bronzespoked "), "{out}");
+    let (status, out, error) = daemon(&[base(""), vec!["--check"]].concat());
+    assert_eq!((status, error.as_str()), (Some(0), ""), "{out}");
+    let (status, out, error) = daemon(&["--check", "--region", "0", "--http", "x"]);
+    assert_eq!((status, out.as_str()), (Some(2), ""), "{error}");
+    assert_eq!(error.lines().count(), 6, "one line for each fault: {error}");
+}
+
+/// Guards against `--check` that touches the data folder or an address.
+#[test]
+fn a_check_changes_nothing() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let data = folder.path().join("state");
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    let data_text = data.to_str().expect("a path as text");
+    let arguments = [
+        &base("--peer")[..],
+        &["--peer", &address, "--data", data_text, "--check"],
+    ]
+    .concat();
+    assert_eq!(daemon(&arguments).0, Some(0));
+    assert!(!data.exists(), "a check creates no folder");
+}
+
+/// Guards against a taken address that is reported as a panic or as success.
+#[test]
+fn a_taken_address_is_one_clear_error() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
+    let address = taken.local_addr().expect("an address").to_string();
+    let arguments = [&base("--http")[..], &["--http", &address]].concat();
+    let (status, _, error) = daemon(&arguments);
+    assert_eq!(status, Some(1), "{error}");
+    assert!(error.contains("--http") && error.contains(&address), "{error}");
+    assert_eq!(error.lines().count(), 1, "{error}");
+}
