daemon: address frames to one life of a VM, and refuse to start on a damaged data folder

Frames named no receiver. A VM without a data folder comes back at its address under a new id, and took the message that its former life was removed from its zone group as its own: it never caught up and never voted, so the zone stayed at two voters. Frames now carry the id of the receiver's life, and others drop them.

A group whose files cannot be opened at the start was only logged; the VM then took part under its old id without the log and votes that it had promised to keep. The start now fails with one sentence on standard error and status 1. An unusable data folder is named with its path.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -51,7 +51,7 @@
         myself: ActorRef<Message>,
         args: Start,
     ) -> Result<Controller, ActorProcessingErr> {
-        let controller = Controller::start(args, Inbox::new(myself));
+        let controller = Controller::start(args, Inbox::new(myself))?;
         controller.inbox.send(Message::Tick);
         Ok(controller)
     }
@@ -74,7 +74,7 @@
 }
 
 impl Controller {
-    fn start(start: Start, inbox: Inbox) -> Self {
+    fn start(start: Start, inbox: Inbox) -> Result<Self, bronzespoke_storage::Error> {
         let Start {
             settings,
             context,
@@ -112,24 +112,24 @@
             inbox,
             published,
         };
-        controller.reopen();
-        controller
+        controller.reopen()?;
+        Ok(controller)
     }
 
-    /// Opens the groups that the data folder holds.
-    fn reopen(&mut self) {
+    /// Opens the groups that the data folder holds. A group that cannot be opened stops the start: without the log
+    /// and the votes that it promised to keep, this VM must not take part under its old id.
+    fn reopen(&mut self) -> Result<(), bronzespoke_storage::Error> {
         let Some(folder) = self.settings.data.clone() else {
-            return;
+            return Ok(());
         };
         for group in disk::groups(&folder) {
-            let Some(member) = self.open(group, None) else {
-                continue;
-            };
+            let member = self.try_open(group, None)?;
             match group {
                 id::GroupId::Root => self.root.promote(member),
                 id::GroupId::Zone(zone) => self.add_zone(zone, member),
             }
         }
+        Ok(())
     }
 
     /// Opens a replica of a group; a failure is logged and leaves the VM without it.
@@ -138,6 +138,17 @@
         group: id::GroupId,
         found: Option<membership::Membership>,
     ) -> Option<member::Member> {
+        let opened = self.try_open(group, found);
+        opened
+            .inspect_err(|error| log::error!("disk: {group:?} cannot be opened: {error}"))
+            .ok()
+    }
+
+    fn try_open(
+        &self,
+        group: id::GroupId,
+        found: Option<membership::Membership>,
+    ) -> Result<member::Member, bronzespoke_storage::Error> {
         let salt = match group {
             id::GroupId::Root => 0,
             id::GroupId::Zone(zone) => u64::from(zone) + 1,
@@ -147,20 +158,13 @@
         let config = replica::Config::new(self.context.me.id, group, seed);
         let inbox = self.inbox.clone();
         let notify: disk::Notify = Box::new(move |done| inbox.send(Message::Persisted(done)));
-        let opened = member::Member::open(
+        member::Member::open(
             config,
             self.settings.data.as_deref(),
             found,
             notify,
             self.context.now(),
-        );
-        match opened {
-            Ok(member) => Some(member),
-            Err(error) => {
-                log::error!("disk: {group:?} cannot be opened: {error}");
-                None
-            }
-        }
+        )
     }
 
     /// Takes part in a zone group with an opened replica.
--- a/crates/daemon/src/control/context.rs
+++ b/crates/daemon/src/control/context.rs
@@ -64,20 +64,24 @@
     /// Sends a frame to another daemon; a daemon that was never heard of is not reached.
     pub fn send(&self, to: id::VmId, body: wire::Body) {
         if let Some(peer) = self.peers.get(&to) {
-            self.send_to(peer.vm.peer, body);
+            self.send_frame(peer.vm.peer, Some(to), body);
         }
     }
 
-    /// Sends a frame to a peer address.
+    /// Sends a frame to whichever daemon listens at a peer address.
     pub fn send_to(&self, to: SocketAddr, body: wire::Body) {
-        let stamp = self.ring.send_stamp();
+        self.send_frame(to, None, body);
+    }
+
+    fn send_frame(&self, address: SocketAddr, to: Option<id::VmId>, body: wire::Body) {
         let frame = wire::Frame {
             from: self.me.id,
+            to,
             from_peer: self.me.peer,
-            stamp,
+            stamp: self.ring.send_stamp(),
             body,
         };
-        self.network.send(to, &frame);
+        self.network.send(address, &frame);
     }
 
     /// Records an event.
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -12,6 +12,9 @@
     /// Handles a frame.
     pub(super) fn frame(&mut self, frame: wire::Frame) {
         self.context.ring.receive_stamp(frame.stamp);
+        if frame.to.is_some_and(|to| to != self.context.me.id) {
+            return;
+        }
         let from = frame.from;
         match frame.body {
             wire::Body::Hello(hello) => self.hello(from, hello),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -27,8 +27,8 @@
 pub enum Error {
     /// An address cannot be used.
     Address(&'static str, std::net::SocketAddr, io::Error),
-    /// The data folder cannot be used.
-    Data(io::Error),
+    /// The data folder cannot be used; the sentence names the file.
+    Data(String),
     /// A runtime or thread cannot be started.
     Runtime(io::Error),
     /// The control thread ended before it was ready.
@@ -41,7 +41,7 @@
             Self::Address(flag, address, error) => {
                 write!(f, "{flag}: {address} cannot be used: {error}")
             }
-            Self::Data(error) => write!(f, "--data: the folder cannot be used: {error}"),
+            Self::Data(error) => write!(f, "--data: {error}"),
             Self::Runtime(error) => write!(f, "threads cannot be started: {error}"),
             Self::Control => f.write_str("the control thread ended at the start"),
         }
@@ -100,7 +100,10 @@
 impl Daemon {
     /// Starts a daemon on bound listeners.
     pub fn start(settings: settings::Settings, listeners: Listeners) -> Result<Self, Error> {
-        let id = identity::load(settings.data.as_deref()).map_err(Error::Data)?;
+        let id = identity::load(settings.data.as_deref()).map_err(|error| {
+            let folder = settings.data.clone().unwrap_or_default();
+            Error::Data(format!("{} cannot be used: {error}", folder.display()))
+        })?;
         let vm = vm::Vm {
             id,
             name: settings.name.clone(),
@@ -168,7 +171,6 @@
             targets,
         };
         let (inbox, control) = spawn_control(start)?;
-
         let (calls, call_receiver) = mpsc::channel(edge::CALL_QUEUE);
         let handle = edge::Handle {
             calls,
@@ -276,16 +278,23 @@
         .name(String::from("control"))
         .spawn(move || {
             runtime.block_on(async move {
-                let Ok((actor, task)) = control::Control::spawn(None, control::Control, start).await else {
-                    return;
+                let spawned = control::Control::spawn(None, control::Control, start).await;
+                let (actor, task) = match spawned {
+                    Ok(spawned) => spawned,
+                    Err(ractor::SpawnErr::StartupFailed(error)) => {
+                        // The caller waits for either message.
+                        drop(sender.send(Err(Error::Data(error.to_string()))));
+                        return;
+                    }
+                    Err(_) => return,
                 };
-                if sender.send(Inbox::new(actor)).is_ok() && task.await.is_err() {
+                if sender.send(Ok(Inbox::new(actor))).is_ok() && task.await.is_err() {
                     log::error!("control: The actor ended by a broken invariant.");
                 }
             });
         })
         .map_err(Error::Runtime)?;
-    let inbox = receiver.recv().map_err(|_closed| Error::Control)?;
+    let inbox = receiver.recv().map_err(|_closed| Error::Control)??;
     Ok((inbox, thread))
 }
 
--- a/crates/daemon/src/peer/wire.rs
+++ b/crates/daemon/src/peer/wire.rs
@@ -16,6 +16,9 @@
 pub struct Frame {
     /// Sender.
     pub from: id::VmId,
+    /// Life of the daemon that it is meant for; `None` for whoever listens at the address. A VM without a data folder
+    /// returns at its address under a new id, and must not take what was sent to its former life.
+    pub to: Option<id::VmId>,
     /// Peer address of the sender.
     pub from_peer: SocketAddr,
     /// Time-line stamp of the sender.
