daemon: bring running work below a lowered limit; test partitions

Found by the partition test: after 'set team cpu=120' of a team with 3 x 100 cores of services, nothing stopped for 50 s and the lower limit never came into force. The scheduler was given the part that the zone still held, and the zone releases only what is not in use, so both waited. While all parts together exceed the limit, the scheduler now gets no more than the target part. Targets that move between zones under an unchanged limit still stop nothing.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -42,7 +42,7 @@
     until("callers are answered", async || load.answered() >= from + more).await;
 }
 
-/// Submits two jobs in each zone at the given VMs.
+/// Submits six jobs at the given VMs in turn; their ids spread them over the zones.
 async fn jobs(cell: &Cell, numbers: &[usize], name: &str) -> Vec<id::JobId> {
     let mut jobs = Vec::new();
     for count in 0..6 {
--- a/crates/cli/tests/system/contact.rs
+++ b/crates/cli/tests/system/contact.rs
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Submits a job under an id until a VM accepts it; returns the job.
+    /// Submits a job under an id until a VM accepts it; returns the job. The id decides which zone becomes its home.
     pub async fn submit(&self, numbers: &[usize], submission: &str, spec: &job::Spec) -> id::JobId {
         let body = serde_json::to_vec(spec).expect("a job is plain data");
         let key = format!("Bearer {}", self.key);
@@ -219,6 +219,23 @@
         unreachable!("the numbers repeat")
     }
 
+    /// Submits a job without an id, which makes the zone of the VM its home when the job fits there.
+    pub async fn submit_here(&self, number: usize, spec: &job::Spec) -> id::JobId {
+        let body = serde_json::to_vec(spec).expect("a job is plain data");
+        let key = format!("Bearer {}", self.key);
+        let headers = [("authorization", key.as_str())];
+        let answer = caller::send(self.http[number], Method::POST, "/v2/jobs", &headers, body).await;
+        let job = answer.expect("an answer").json()["job"]
+            .as_u64()
+            .expect("a job id");
+        assert_eq!(
+            usize::from(id::job_zone(job)),
+            number / 2 + 1,
+            "the home of the job"
+        );
+        job
+    }
+
     /// Reads the state of a job.
     pub async fn job_state(&self, number: usize, job: id::JobId) -> Option<String> {
         let key = format!("Bearer {}", self.key);
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -8,7 +8,7 @@
     time::Duration,
 };
 
-use bronzespoke_control::{root, zone as state};
+use bronzespoke_control::{escrow, root, zone as state};
 use bronzespoke_gateway::control;
 use bronzespoke_model::{config, event, id, job, resource, task, team, worker};
 use bronzespoke_schedule::{self as schedule, message};
@@ -261,7 +261,7 @@
     /// Takes quotas, parts, drains and rates that changed.
     pub fn follow_view(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         for team in view.teams.values() {
-            let part = zone.state().holdings().get(team.id).part().amount();
+            let part = usable_part(zone, view, team);
             let current = (team.quota, part);
             if self.teams.insert(team.id, current) != Some(current) {
                 let input = schedule::Input::Team {
@@ -350,6 +350,20 @@
     }
 }
 
+/// Returns what the team's tasks may use here: the part that the zone holds, but no more than its target while all
+/// parts together exceed a lowered limit. Targets that move between zones stop nothing that runs.
+fn usable_part(zone: &zone::Zone, view: &root::View, team: &team::Team) -> resource::Amount {
+    let part = zone.state().holdings().get(team.id).part();
+    let parts = view.parts.get(&team.id);
+    let outstanding = parts.into_iter().flat_map(|parts| parts.values());
+    let all = outstanding.fold(escrow::Total::ZERO, |all, part| all.plus(&part.outstanding()));
+    if all.fits(&team.quota.limit.into()) {
+        return part.amount();
+    }
+    let target = view.part(team.id, zone.state().zone()).unwrap_or_default().target;
+    part.min(&target.into()).amount()
+}
+
 fn propose_starts(zone: &mut zone::Zone, starts: &mut Vec<state::Start>) {
     if !starts.is_empty() {
         zone.propose(state::Command::Start(std::mem::take(starts)));
