--- a/crates/cli/tests/partition.rs
+++ b/crates/cli/tests/partition.rs
@@ -130,6 +130,21 @@
     matches!(answer, Answer::Error(error) if error.code == Code::Conflict)
 }
 
+/// Resends requests at every VM; none may have run twice.
+async fn at_most_once(contact: &Contact, fleet: &Fleet, bodies: &[String]) {
+    for body in bodies {
+        for address in &contact.http {
+            let outcome = ask(*address, &contact.key, Some(body), body).await;
+            assert!(!matches!(outcome, Known::Foreign(_)), "{outcome:?}");
+        }
+        assert!(
+            fleet.runs_of(body) <= 1,
+            "{body} ran {} times",
+            fleet.runs_of(body)
+        );
+    }
+}
+
 /// Guards against a zone that stops with its links, goes on with withdrawn keys, or runs a request on both sides.
 #[test]
 fn a_zone_is_cut_off_and_healed() {
@@ -204,23 +219,7 @@
     harness.wait(async {
         harness.healed(1).await;
         let fleet = harness.fleet();
-        for body in &once {
-            for number in ALL {
-                let outcome = ask(
-                    harness.contact.http[number],
-                    &harness.contact.key,
-                    Some(body),
-                    body,
-                )
-                .await;
-                assert!(!matches!(outcome, Known::Foreign(_)), "{outcome:?}");
-            }
-            assert!(
-                fleet.runs_of(body) <= 1,
-                "{body} ran {} times",
-                fleet.runs_of(body)
-            );
-        }
+        at_most_once(&harness.contact, fleet, &once).await;
         for body in ["never-1", "never-2"] {
             assert_eq!(fleet.runs_of(body), 0, "{body} was refused with `not run`");
         }
--- a/crates/cli/tests/system/process.rs
+++ b/crates/cli/tests/system/process.rs
@@ -240,14 +240,14 @@
 
     /// Waits until all VMs are ready; tells whether none ended before.
     async fn ready(&mut self) -> bool {
-        for number in 0..NAMES.len() {
+        for (number, name) in NAMES.iter().enumerate() {
             let start = Instant::now();
             while !is_ready(self.contact.http[number]).await {
                 let ended = self.process(number).child.try_wait().expect("a child");
                 if ended.is_some() {
                     return false;
                 }
-                assert!(start.elapsed() < LIMIT, "{} is not ready", NAMES[number]);
+                assert!(start.elapsed() < LIMIT, "{name} is not ready");
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
--- a/crates/daemon/src/control/operator/local.rs
+++ b/crates/daemon/src/control/operator/local.rs
@@ -238,7 +238,7 @@
 
     fn old_callers(&self) -> answer::Answer {
         answer::Answer::text(format!(
-            "Calls of the version-1 interface are counted by team in the metric gateway_version_one_requests_total at http://{}/metrics of each VM.",
+            "Calls of the version-1 interface are counted by team in the metric bronzespoke_version_one_total at http://{}/metrics of each VM.",
             self.context.me.http
         ))
     }
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -50,6 +50,13 @@
         .collect()
 }
 
+/// The base with further arguments.
+fn with<'a>(without: &str, arguments: &[&'a str]) -> Vec<&'a str> {
+    let mut all: Vec<&str> = base(without);
+    all.extend(arguments);
+    all
+}
+
 fn settings(request: Result<Request, Vec<Fault>>) -> Settings {
     match request {
         Ok(Request::Run(settings)) => *settings,
@@ -67,7 +74,7 @@
 fn every_flag_has_an_environment_twin_and_takes_precedence() {
     for (flag, variable, [one, other]) in TWINS {
         let from = |arguments: &[&'static str], environment: &Environment| {
-            settings(read(&[base(flag), arguments.to_vec()].concat(), environment))
+            settings(read(&with(flag, arguments), environment))
         };
         let by_flag = from(&[flag, one], &Environment::new());
         let by_variable = from(&[], &Environment::from([(variable, one)]));
@@ -89,7 +96,7 @@
 )]
 fn the_variable_of_found_is_true_or_false(value: &'static str, expected: bool) {
     let environment = Environment::from([("BRONZESPOKE_FOUND", value)]);
-    let arguments = [base(""), vec!["--data", "state"]].concat();
+    let arguments = with("", &["--data", "state"]);
     assert_eq!(settings(read(&arguments, &environment)).found, expected);
 }
 
@@ -121,8 +128,7 @@
     level = { "--log-level", "loud", "off, error, warn, info, debug or trace" },
 )]
 fn a_wrong_value_is_named(flag: &str, value: &str, allowed: &str) {
-    let arguments = [base(flag), vec![]].concat();
-    let arguments = [&arguments[..], &[flag, value]].concat();
+    let arguments = with(flag, &[flag, value]);
     let faults = faults(read(&arguments, &Environment::new()));
     assert_eq!(faults.len(), 1, "one fault, not {faults:?}");
     for part in [flag, value, allowed] {
@@ -133,7 +139,7 @@
 /// Guards against a list of seeds that loses its wrong members, or grows without bound.
 #[test]
 fn every_wrong_seed_is_named() {
-    let arguments = [base(""), vec!["--seeds", "127.0.0.1:1,one,127.0.0.1:2,two"]].concat();
+    let arguments = with("", &["--seeds", "127.0.0.1:1,one,127.0.0.1:2,two"]);
     let found = faults(read(&arguments, &Environment::new()));
     assert_eq!(found.len(), 2, "{found:?}");
     assert!(
@@ -141,7 +147,7 @@
         "{found:?}"
     );
     let many = vec!["127.0.0.1:1"; 65].join(",");
-    let arguments = [&base("")[..], &["--seeds", &many]].concat();
+    let arguments = with("", &["--seeds", &many]);
     let found = faults(read(&arguments, &Environment::new()));
     assert!(found[0].contains("at most 64"), "{found:?}");
 }
@@ -181,7 +187,7 @@
 /// Guards against a founder without durable state, whose cell would be lost at its first restart.
 #[test]
 fn a_founder_needs_a_data_folder() {
-    let arguments = [base(""), vec!["--found"]].concat();
+    let arguments = with("", &["--found"]);
     let faults = faults(read(&arguments, &Environment::new()));
     assert!(faults.len() == 1 && faults[0].contains("--data"), "{faults:?}");
 }
@@ -203,7 +209,7 @@
     assert!(status == Some(0) && out == settings::help(), "{out}");
     let (status, out, _) = daemon(&["--version"]);
     assert!(status == Some(0) && out.starts_with("bronzespoked "), "{out}");
-    let (status, out, error) = daemon(&[base(""), vec!["--check"]].concat());
+    let (status, out, error) = daemon(&with("", &["--check"]));
     assert_eq!((status, error.as_str()), (Some(0), ""), "{out}");
     let (status, out, error) = daemon(&["--check", "--region", "0", "--http", "x"]);
     assert_eq!((status, out.as_str()), (Some(2), ""), "{error}");
@@ -218,11 +224,7 @@
     let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address").to_string();
     let data_text = data.to_str().expect("a path as text");
-    let arguments = [
-        &base("--peer")[..],
-        &["--peer", &address, "--data", data_text, "--check"],
-    ]
-    .concat();
+    let arguments = with("--peer", &["--peer", &address, "--data", data_text, "--check"]);
     assert_eq!(daemon(&arguments).0, Some(0));
     assert!(!data.exists(), "a check creates no folder");
 }
@@ -232,7 +234,7 @@
 fn a_taken_address_is_one_clear_error() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address").to_string();
-    let arguments = [&base("--http")[..], &["--http", &address]].concat();
+    let arguments = with("--http", &["--http", &address]);
     let (status, _, error) = daemon(&arguments);
     assert_eq!(status, Some(1), "{error}");
     assert!(error.contains("--http") && error.contains(&address), "{error}");
--- a/crates/daemon/tests/timeline.rs
+++ b/crates/daemon/tests/timeline.rs
@@ -22,9 +22,9 @@
     assert_eq!(page.events[0].sequence, page.first);
     assert_eq!(read_all(&ring, 0).len(), CAPACITY);
     let newest = CAPACITY as u64 + lost as u64;
-    let last = ring.read(newest - 1, 10);
-    assert_eq!(last.events.len(), 1);
-    assert_eq!(last.events[0].kind, Kind::ConfigApplied { version: newest });
+    let end = ring.read(newest - 1, 10);
+    assert_eq!(end.events.len(), 1);
+    assert_eq!(end.events[0].kind, Kind::ConfigApplied { version: newest });
 }
 
 fn read_all(ring: &timeline::Ring, mut after: u64) -> Vec<u64> {
