daemon: start a run only on the life of the worker that it was placed on

A start directive was derived from the committed runs of a worker alone. A worker that registered a later life was told to start the runs of its former life, which may still run them until its lease is over. A run whose end was proposed but not yet committed was started as well, for example after two reports without it, and was then placed a second time.

A run now records the life of its worker, and a start is sent only while the scheduler holds the run on that life. After a change of leader the scheduler learns of former lives as well.

--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -161,6 +161,7 @@
             return Err(Refusal::OverPart);
         }
         worker.runs.insert(key);
+        let incarnation = worker.registration.incarnation;
         job.running += 1;
         job.state = job::State::Running;
         self.next_token = self.next_token.max(start.token.saturating_add(1));
@@ -169,6 +170,7 @@
             Run {
                 worker: start.worker,
                 token: start.token,
+                incarnation,
             },
         );
         Ok(())
--- a/crates/control/src/zone/jobs.rs
+++ b/crates/control/src/zone/jobs.rs
@@ -23,6 +23,8 @@
     pub worker: id::WorkerId,
     /// Token of the lease.
     pub token: id::Token,
+    /// Life of the worker at the start; a later life must not start the task again.
+    pub incarnation: id::Incarnation,
 }
 
 /// A job. Task states take one bit per task, allocated with the first success.
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -48,6 +48,9 @@
         for input in restored(zone.state()) {
             scheduling.feed(context, zone, schedule::Input::Restore(input));
         }
+        for registration in later_lives(zone.state()) {
+            scheduling.feed(context, zone, schedule::Input::Register(registration));
+        }
         scheduling.follow_view(context, zone, view);
         scheduling
     }
@@ -336,10 +339,12 @@
 
     /// Answers the workers that there is something for.
     pub fn settle(&mut self, now: Duration, zone: &zone::Zone) {
+        let scheduler = &self.scheduler;
+        let may_start = |worker, token| scheduler.may_start(worker, token);
         for worker in std::mem::take(&mut self.touched) {
-            self.sessions.settle(now, worker, zone.state());
+            self.sessions.settle(now, worker, zone.state(), &may_start);
         }
-        self.sessions.settle_all(now, zone.state());
+        self.sessions.settle_all(now, zone.state(), &may_start);
     }
 
     /// Time of the next tick.
@@ -378,8 +383,12 @@
 /// Returns the committed state in the order in which a scheduler takes it.
 fn restored(state: &state::State) -> Vec<message::Restore> {
     let mut inputs = Vec::new();
-    for (_, worker) in state.workers().filter(|(_, worker)| !worker.gone) {
-        inputs.push(message::Restore::Worker(worker.registration));
+    for (id, worker) in state.workers().filter(|(_, worker)| !worker.gone) {
+        let incarnation = first_life(state, id, worker.registration.incarnation);
+        inputs.push(message::Restore::Worker(worker::Registration {
+            incarnation,
+            ..worker.registration
+        }));
     }
     // Runs of a job in its last state still hold their leases until their ends are committed.
     let open = |record: &state::Job| !record.state.is_terminal() || record.running > 0;
@@ -399,6 +408,23 @@
     inputs
 }
 
+/// Oldest life of a worker that has runs; the latest life without any.
+fn first_life(state: &state::State, worker: id::WorkerId, latest: id::Incarnation) -> id::Incarnation {
+    let lives = state.runs_of_worker(worker).map(|(_, run)| run.incarnation);
+    lives.min().unwrap_or(latest)
+}
+
+/// Workers that began a new life while a former one had runs. They are registered after the restore, so that the
+/// scheduler waits for the lease of the former life.
+fn later_lives(state: &state::State) -> Vec<worker::Registration> {
+    state
+        .workers()
+        .filter(|(_, worker)| !worker.gone)
+        .map(|(_, worker)| worker.registration)
+        .filter(|latest| first_life(state, latest.worker, latest.incarnation) < latest.incarnation)
+        .collect()
+}
+
 fn progress(state: &state::State, record: &state::Job, task: task::Ref) -> message::Progress {
     if record.is_done(task.index) {
         return message::Progress::Succeeded;
--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -99,7 +99,15 @@
     }
 
     /// Answers the held report of a worker when there is something to say.
-    pub fn settle(&mut self, now: Duration, worker: id::WorkerId, state: &zone::State) {
+    ///
+    /// `may_start` tells whether a worker may still begin a run.
+    pub fn settle(
+        &mut self,
+        now: Duration,
+        worker: id::WorkerId,
+        state: &zone::State,
+        may_start: &dyn Fn(id::WorkerId, id::Token) -> bool,
+    ) {
         let granted = &self.granted;
         let Some(session) = self.sessions.get_mut(&worker) else {
             return;
@@ -108,7 +116,7 @@
             return;
         };
         let recorded = session.recorded(state);
-        let directives = session.directives(worker, state, granted);
+        let directives = session.directives(worker, state, granted, &|token| may_start(worker, token));
         let idle = directives.is_empty() && (session.ended.is_empty() || !recorded);
         if idle && now < until {
             return;
@@ -128,7 +136,12 @@
     }
 
     /// Answers every held report that has something to say or has waited long enough.
-    pub fn settle_all(&mut self, now: Duration, state: &zone::State) {
+    pub fn settle_all(
+        &mut self,
+        now: Duration,
+        state: &zone::State,
+        may_start: &dyn Fn(id::WorkerId, id::Token) -> bool,
+    ) {
         let due: Vec<_> = self
             .sessions
             .iter()
@@ -136,7 +149,7 @@
             .map(|(worker, _)| *worker)
             .collect();
         for worker in due {
-            self.settle(now, worker, state);
+            self.settle(now, worker, state, may_start);
         }
     }
 }
@@ -154,6 +167,7 @@
         worker: id::WorkerId,
         state: &zone::State,
         granted: &HashMap<id::Token, resource::Amount>,
+        may_start: &dyn Fn(id::Token) -> bool,
     ) -> Vec<task::Directive> {
         let ended: HashSet<id::Token> = self.ended.iter().map(|(_, token)| *token).collect();
         let known: HashSet<id::Token> = state.runs_of_worker(worker).map(|(_, run)| run.token).collect();
@@ -166,7 +180,11 @@
             let token = run.token;
             let present =
                 self.running.contains(&token) || ended.contains(&token) || self.pending.contains_key(&token);
-            let Some(job) = state.job(task.job).filter(|_| !present) else {
+            // A run that ends, or that a former life of the worker may still run, must not begin here.
+            if present || run.incarnation != self.incarnation || !may_start(token) {
+                continue;
+            }
+            let Some(job) = state.job(task.job) else {
                 continue;
             };
             directives.push(task::Directive::Start {
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -208,6 +208,14 @@
         }
     }
 
+    /// Tells whether a worker may begin a run: the run has not ended, and belongs to the worker's present life.
+    pub fn may_start(&self, worker: id::WorkerId, token: id::Token) -> bool {
+        self.tokens.get(&token).is_some_and(|run| {
+            let run = &self.runs[*run];
+            !run.former && self.workers[run.worker].id == worker
+        })
+    }
+
     /// Returns the latest time of the next step; earlier steps do no harm.
     pub fn next_wake(&self) -> Duration {
         if self.more {
--- a/crates/schedule/tests/basic.rs
+++ b/crates/schedule/tests/basic.rs
@@ -191,3 +191,33 @@
         took: Duration::from_secs(2),
     }));
 }
+
+/// Guards against a start that is sent to a later life of the worker, or for a run that has ended, while the task may
+/// run elsewhere.
+#[test]
+fn a_run_may_begin_only_on_the_life_that_it_was_placed_on_and_until_it_ends() {
+    let mut scheduler = scheduler();
+    let running = starts(&step(&mut scheduler, NOW, submit(1, 2)));
+    let [(first, ended), (_, former)] = running[..] else {
+        panic!("two tasks start");
+    };
+    assert!(scheduler.may_start(1, ended));
+    assert!(!scheduler.may_start(2, ended));
+    let outcome = task::Outcome::LeaseExpired;
+    step(
+        &mut scheduler,
+        NOW,
+        Input::Ended {
+            task: first,
+            token: ended,
+            outcome,
+        },
+    );
+    assert!(!scheduler.may_start(1, ended));
+    let later = worker::Registration {
+        incarnation: 2,
+        ..registration(1)
+    };
+    step(&mut scheduler, NOW, Input::Register(later));
+    assert!(!scheduler.may_start(1, former));
+}
