daemon: split a batch that is larger than one log entry

All commands of 2 ms were proposed as one entry. A few answers or results of 64 KiB together are above the entry limit of 256 KiB, so that the log refused the whole batch: completions, ends of runs and starts that nobody waits for were lost without a trace. A batch is now proposed in entries within the limit, in order.

--- a/crates/control/src/envelope.rs
+++ b/crates/control/src/envelope.rs
@@ -33,6 +33,20 @@
     to_bytes(&commands)
 }
 
+/// Encodes commands in order as log entries of at most `limit` bytes each; returns each with its count of commands.
+///
+/// A single command above the limit takes an entry of its own, which the log refuses.
+pub fn encode_within<C: Serialize>(commands: &[Envelope<C>], limit: usize) -> Vec<(Bytes, usize)> {
+    let data = encode(commands);
+    if data.len() <= limit || commands.len() <= 1 {
+        return vec![(data, commands.len())];
+    }
+    let (first, second) = commands.split_at(commands.len() / 2);
+    let mut entries = encode_within(first, limit);
+    entries.extend(encode_within(second, limit));
+    entries
+}
+
 /// Decodes the commands of one log entry.
 pub fn decode<C: DeserializeOwned>(bytes: &[u8]) -> Result<Vec<Envelope<C>>, error::Error> {
     from_bytes(bytes)
--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -2,6 +2,7 @@
 
 use bronzespoke_control::{envelope, escrow, request_id, root, zone};
 use bronzespoke_model::{config, id, job, resource, task, team, vm, worker};
+use bytes::Bytes;
 
 const HOUR_MS: u64 = 3_600_000;
 
@@ -251,3 +252,27 @@
     assert_eq!(copy.encode(), state.encode());
     state.verify().unwrap();
 }
+
+/// Guards against a batch that the log refuses as a whole because its answers are large together.
+#[test]
+fn a_large_batch_is_encoded_in_entries_within_the_limit_and_in_order() {
+    let complete = |number| {
+        let answer = zone::Answer {
+            status: 200,
+            content_type: String::new(),
+            body: Bytes::from(vec![0; zone::MAX_ANSWER_BYTES]),
+        };
+        let completion = zone::Completion::Answered(answer);
+        envelope::Envelope::new(0, zone::Command::Complete { number, completion })
+    };
+    let batch: Vec<_> = (0..9).map(complete).collect();
+    let limit = 256 * 1024;
+    let mut decoded = Vec::new();
+    for (data, commands) in envelope::encode_within(&batch, limit) {
+        assert!(data.len() <= limit);
+        let part = envelope::decode::<zone::Command>(&data).expect("an encoded entry is decoded");
+        assert_eq!(part.len(), commands);
+        decoded.extend(part);
+    }
+    assert_eq!(decoded, batch);
+}
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -7,8 +7,10 @@
 };
 
 use bronzespoke_consensus::{log as entries, membership, replica, snapshot, write};
+use bronzespoke_control::envelope;
 use bronzespoke_model::{event, id};
 use bytes::Bytes;
+use serde::Serialize;
 
 use crate::{
     control::{context, responder},
@@ -51,6 +53,8 @@
     applied: u64,
     snapshot_index: u64,
     snapshot_bytes: usize,
+    /// Largest entry that the replica takes.
+    entry_bytes: usize,
 }
 
 impl Member {
@@ -65,6 +69,7 @@
         now: Duration,
     ) -> Result<Self, bronzespoke_storage::Error> {
         let group = config.group;
+        let entry_bytes = config.entry_bytes;
         let (disk, restored) = match folder {
             Some(folder) => {
                 let (disk, restored) = disk::Disk::open(folder, group, found, notify)?;
@@ -86,11 +91,12 @@
             applied: 0,
             snapshot_index: 0,
             snapshot_bytes: 0,
+            entry_bytes,
         })
     }
 
     /// Proposes encoded commands; each responder waits for one of them.
-    pub fn propose(
+    fn propose(
         &mut self,
         context: &context::Context,
         data: Bytes,
@@ -103,6 +109,21 @@
         self.step(context, replica::Input::Propose { id, data }, events);
     }
 
+    /// Proposes commands in order, in as many entries as their size needs.
+    pub fn propose_batch<C: Serialize>(
+        &mut self,
+        context: &context::Context,
+        batch: &[envelope::Envelope<C>],
+        responders: Vec<responder::Responder>,
+        events: &mut Vec<Event>,
+    ) {
+        let mut responders = responders.into_iter();
+        for (data, commands) in envelope::encode_within(batch, self.entry_bytes) {
+            let waiting = responders.by_ref().take(commands).collect();
+            self.propose(context, data, waiting, events);
+        }
+    }
+
     /// Proposes a change of the members.
     pub fn change(
         &mut self,
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -117,11 +117,10 @@
         if self.batch.is_empty() {
             return;
         }
-        let data = envelope::encode(&self.batch);
-        self.batch.clear();
+        let batch = std::mem::take(&mut self.batch);
         let responders = std::mem::take(&mut self.responders);
         if let Role::Member(member) = &mut self.role {
-            member.propose(context, data, responders, &mut self.events);
+            member.propose_batch(context, &batch, responders, &mut self.events);
         }
     }
 
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -74,10 +74,10 @@
         if self.batch.is_empty() {
             return;
         }
-        let data = envelope::encode(&self.batch);
-        self.batch.clear();
+        let batch = std::mem::take(&mut self.batch);
         let responders = std::mem::take(&mut self.responders);
-        self.member.propose(context, data, responders, &mut self.events);
+        self.member
+            .propose_batch(context, &batch, responders, &mut self.events);
     }
 
     /// Feeds an input to the replica.
