daemon: report a call as not done only when no copy of it may be done

When a later copy was refused, for example by a full queue, the call ended as not done although the first copy was still uncommitted at this or an earlier leader. Copies are now counted, and a refusal ends the call only when it answers the last open copy.

--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/asks.rs
@@ -25,7 +25,8 @@
     then: responder::Then,
     deadline: Duration,
     resend_at: Duration,
-    ever_sent: bool,
+    /// Copies that were sent and not answered with the statement that nothing was done.
+    copies: u32,
 }
 
 /// Open calls of this process.
@@ -69,7 +70,7 @@
             then,
             deadline,
             resend_at: now,
-            ever_sent: false,
+            copies: 0,
         };
         send(context, self.next, &mut open, leader);
         self.open.insert(self.next, open);
@@ -77,11 +78,14 @@
 
     /// Takes an answer. Late and repeated answers change nothing.
     pub fn answer(&mut self, context: &context::Context, number: u64, reply: wire::Reply) {
-        if matches!(reply, wire::Reply::NotLeader) {
-            if let Some(open) = self.open.get_mut(&number) {
-                // The next leader may not be known yet.
-                open.resend_at = context.now() + RESEND / 3;
-            }
+        let Some(open) = self.open.get_mut(&number) else {
+            return;
+        };
+        let not_led = matches!(reply, wire::Reply::NotLeader);
+        if not_led || (is_refusal(&reply) && open.copies > 1) {
+            open.copies = open.copies.saturating_sub(1);
+            // The next leader may not be known yet.
+            open.resend_at = context.now() + RESEND / 3;
             return;
         }
         if let Some(open) = self.open.remove(&number) {
@@ -100,7 +104,7 @@
             .collect();
         for number in over {
             if let Some(open) = self.open.remove(&number) {
-                (open.then)(expired(open.ever_sent));
+                (open.then)(expired(open.copies > 0));
             }
         }
         for (number, open) in &mut self.open {
@@ -112,8 +116,14 @@
     }
 }
 
-fn expired(ever_sent: bool) -> wire::Reply {
-    if ever_sent {
+/// Tells whether an answer says that its copy of the call did nothing. Another copy may have done it all the same.
+const fn is_refusal(reply: &wire::Reply) -> bool {
+    matches!(reply, wire::Reply::NotDone(_) | wire::Reply::Impossible(_))
+}
+
+/// Returns the answer to a call whose time is over; `open` tells whether a copy may still be done.
+fn expired(open: bool) -> wire::Reply {
+    if open {
         wire::Reply::Unknown
     } else {
         wire::Reply::NotDone(String::from("no leader can be reached"))
@@ -125,6 +135,6 @@
     let Some(leader) = leader.filter(|leader| *leader != context.me.id) else {
         return;
     };
-    open.ever_sent = true;
+    open.copies = open.copies.saturating_add(1);
     context.send(leader, wire::Body::Ask(number, open.group, open.ask.clone()));
 }
