--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/asks.rs
@@ -19,6 +19,9 @@
 /// Time after which an unanswered call is over.
 pub const DEADLINE: Duration = Duration::from_secs(3);
 
+/// Numbers between the first numbers of two lives of a process.
+const NUMBER_BITS: u32 = 24;
+
 struct Open {
     group: id::GroupId,
     ask: wire::Ask,
@@ -30,12 +33,21 @@
 }
 
 /// Open calls of this process.
-#[derive(Default)]
 pub struct Asks {
     next: u64,
     open: BTreeMap<u64, Open>,
 }
 
+impl Default for Asks {
+    /// The first number is drawn, so that a late answer to a former life of this process finds no call.
+    fn default() -> Self {
+        Self {
+            next: u64::from(rand::random::<u32>()) << NUMBER_BITS,
+            open: BTreeMap::new(),
+        }
+    }
+}
+
 impl std::fmt::Debug for Asks {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         f.debug_struct("Asks")
