daemon: do not send a frame above the limit

A receiver closes the link on a frame above 1 MiB. The results of a large job in one answer closed the link on every resend, and heartbeats and entries of all groups on that link were lost with it. The sender now drops the frame.

--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -98,6 +98,15 @@
                 return;
             }
         };
+        if bytes.len() > MAX_FRAME_BYTES {
+            // The receiver would close the link, and with it lose the frames of every group.
+            log::error!(
+                "peer: a frame of {} bytes for {to} is over the limit",
+                bytes.len()
+            );
+            self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
+            return;
+        }
         let length = bytes.len() as u64;
         let sent = self.link(to).try_send(bytes).is_ok();
         if sent {
