daemon: keep entries for followers only on root members

A process that follows the root group thus kept every entry since its start, without a bound. Followers ask members only, so a follower now keeps none and answers none.

--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -161,8 +161,11 @@
         self.follow_step(context, feed::Input::Relay { to: relay });
     }
 
-    /// Answers a follower.
+    /// Answers a follower, on a member; a follower keeps no entries for others.
     pub fn serve_follower(&self, context: &context::Context, from: id::VmId, request: &feed::Request) {
+        if self.member().is_none() {
+            return;
+        }
         let now = context.now();
         let answer = self.source.answer(now, self.basis(now), request);
         context.send(from, wire::Body::FeedAnswer(answer));
@@ -221,7 +224,9 @@
                     if let Err(error) = self.state.install(&snapshot.data) {
                         log::warn!("root: A snapshot was not installed: {error}");
                     }
-                    self.source.install(snapshot);
+                    if matches!(self.role, Role::Member(_)) {
+                        self.source.install(snapshot);
+                    }
                 }
             }
         }
@@ -242,7 +247,9 @@
         entry: &entries::Entry,
         responders: Vec<responder::Responder>,
     ) {
-        self.source.push(entry);
+        if matches!(self.role, Role::Member(_)) {
+            self.source.push(entry);
+        }
         let entries::Payload::Command(data) = &entry.payload else {
             return;
         };
