daemon: follow the root group again after leaving it

A member that an operator removed, a learner that was no longer wanted, and a learner that the group removed while it was cut off kept their replica and never followed a relay again. Their view aged for good, so that the VM refused all keyed work while it was listed and ready. Such a process is a follower again now. Only messages that a leader sends to members open a replica, and request tokens differ at every start even with a fixed seed, as the feed demands.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -128,7 +128,7 @@
                 continue;
             };
             match group {
-                id::GroupId::Root => self.root.promote(member),
+                id::GroupId::Root => self.root.promote(self.context.now(), member),
                 id::GroupId::Zone(zone) => self.add_zone(zone, member),
             }
         }
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -186,7 +186,7 @@
         let members = membership::Membership::of_voters([self.context.me.id]);
         if let Some(member) = self.open(id::GroupId::Root, Some(members)) {
             log::info!("directory: This VM founds the cell.");
-            self.root.promote(member);
+            self.root.promote(self.context.now(), member);
             self.root.step(&self.context, replica::Input::Tick);
         }
     }
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -287,6 +287,11 @@
         elected && self.applied >= self.lead_from && self.replica.holds_lease(now)
     }
 
+    /// Tells whether the group has removed this member for good.
+    pub const fn is_removed(&self) -> bool {
+        matches!(self.role, replica::Role::Removed)
+    }
+
     /// Leader that this member knows.
     pub const fn leader(&self, me: id::VmId) -> Option<id::VmId> {
         match self.role {
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bronzespoke_consensus::{feed, log as entries, replica};
+use bronzespoke_consensus::{feed, log as entries, message, replica};
 use bronzespoke_control::{envelope, root};
 use bronzespoke_model::{event, id};
 
@@ -14,6 +14,9 @@
 /// Bytes of entries that are kept for followers.
 const FEED_BYTES: usize = 1 << 20;
 
+/// A learner that heard no leader for this long follows through a relay again. Heartbeats come every 100 ms.
+const LEARNER_SILENCE: Duration = Duration::from_secs(5);
+
 /// How this process takes part.
 #[derive(Debug)]
 enum Role {
@@ -34,16 +37,18 @@
     events: Vec<member::Event>,
     view: Arc<root::View>,
     unanswered: Option<id::VmId>,
+    seed: u64,
+    /// When a leader of the group last sent something to this member.
+    contact: Duration,
 }
 
 impl Root {
     /// Returns the state of a process that follows.
     pub fn follow(seed: u64, now: Duration) -> Self {
-        let follower = feed::Follower::new(feed::Config::new(seed), now);
-        Self::new(Role::Follower(Box::new(follower)))
+        Self::new(follower(seed, now), seed, now)
     }
 
-    fn new(role: Role) -> Self {
+    fn new(role: Role, seed: u64, now: Duration) -> Self {
         let state = root::State::new();
         let view = state.view();
         Self {
@@ -55,14 +60,35 @@
             events: Vec::new(),
             view,
             unanswered: None,
+            seed,
+            contact: now,
         }
     }
 
     /// Makes a follower a member; the state stays, and entries that it has are ignored when they come again.
-    pub fn promote(&mut self, member: member::Member) {
+    pub fn promote(&mut self, now: Duration, member: member::Member) {
         if matches!(self.role, Role::Follower(_)) {
             self.role = Role::Member(Box::new(member));
+            self.contact = now;
+        }
+    }
+
+    /// Makes a member that the group has removed, or a learner that no leader talks to, a follower again; otherwise
+    /// its state would age for good.
+    fn leave_group(&mut self, now: Duration, me: id::VmId) {
+        let Role::Member(member) = &self.role else {
+            return;
+        };
+        let silent = || {
+            now.saturating_sub(self.contact) >= LEARNER_SILENCE
+                && !member.replica().status().membership.voters.contains(&me)
+        };
+        if !member.is_removed() && !silent() {
+            return;
         }
+        log::info!("root: This VM is not a member any more; it follows through a relay.");
+        self.role = follower(self.seed, now);
+        self.source = feed::Source::new(FEED_BYTES);
     }
 
     /// Returns the replica, on a member.
@@ -126,6 +152,14 @@
 
     /// Feeds an input to the replica, on a member.
     pub fn step(&mut self, context: &context::Context, input: replica::Input) {
+        if let replica::Input::Receive { message, .. } = &input
+            && matches!(
+                message.body,
+                message::Body::Append(_) | message::Body::Snapshot { .. }
+            )
+        {
+            self.contact = context.now();
+        }
         if let Role::Member(member) = &mut self.role {
             member.step(context, input, &mut self.events);
         }
@@ -153,6 +187,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, context: &context::Context) {
+        self.leave_group(context.now(), context.me.id);
         if let Role::Member(member) = &mut self.role {
             member.step(context, replica::Input::Tick, &mut self.events);
             return;
@@ -280,6 +315,12 @@
     }
 }
 
+/// Returns the role of a process that follows; its request tokens differ from those of an earlier life.
+fn follower(seed: u64, now: Duration) -> Role {
+    let seed = seed ^ context::Context::wall_ms();
+    Role::Follower(Box::new(feed::Follower::new(feed::Config::new(seed), now)))
+}
+
 /// Records the events that operators look for.
 fn record(context: &context::Context, command: &root::Command, outcome: &root::Outcome) {
     if !matches!(outcome, root::Outcome::Done) {
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,5 +1,6 @@
 //! Frames of other daemons, and calls to the groups that this VM leads.
 
+use bronzespoke_consensus::message::Body;
 use bronzespoke_control::zone;
 use bronzespoke_model::{id, job};
 
@@ -43,19 +44,21 @@
         group: id::GroupId,
         message: bronzespoke_consensus::message::Message,
     ) {
+        // A leader that adds this VM as a learner sends entries; other messages need no replica.
+        let joins = matches!(message.body, Body::Append(_) | Body::Snapshot { .. });
         let input = bronzespoke_consensus::replica::Input::Receive { from, message };
         match group {
             id::GroupId::Root => {
-                if self.root.member().is_none() && self.context.me.durable {
-                    // A leader adds this VM as a learner.
+                if self.root.member().is_none() && self.context.me.durable && joins {
                     if let Some(member) = self.open(group, None) {
-                        self.root.promote(member);
+                        self.root.promote(self.context.now(), member);
                     }
                 }
                 self.root.step(&self.context, input);
             }
             id::GroupId::Zone(zone) => {
-                if !self.zones.contains_key(&zone)
+                if joins
+                    && !self.zones.contains_key(&zone)
                     && let Some(member) = self.open(group, None)
                 {
                     self.add_zone(zone, member);
