peer: pause after a failed accept and close idle links

A failed accept, for example without free file descriptors, was tried again at once and took a whole core. A link of a VM that was lost without closing it kept its task and its socket for good. Every link carries an announcement each second, so a link that is silent for 30 s is closed.

--- a/crates/daemon/src/peer/inbound.rs
+++ b/crates/daemon/src/peer/inbound.rs
@@ -1,17 +1,27 @@
 //! Accepts links from other daemons and decodes their frames.
 
-use std::sync::{Arc, atomic::Ordering};
+use std::{
+    sync::{Arc, atomic::Ordering},
+    time::Duration,
+};
 
 use bytes::Bytes;
 use tokio::{
     io::AsyncReadExt,
     net::{TcpListener, TcpStream},
     sync::mpsc,
+    time,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
 use crate::peer::{MAX_FRAME_BYTES, Received, Traffic, fault, wire};
 
+/// Pause after a failed accept, such as one without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// A link without a frame for this long is closed, so that lost VMs leave no links behind; daemons send an
+/// announcement every second.
+const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+
 /// Accepts links until `cancel`.
 pub async fn accept(
     listener: TcpListener,
@@ -26,8 +36,13 @@
             () = cancel.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
-        let Ok((stream, _address)) = accepted else {
-            continue;
+        let (stream, _address) = match accepted {
+            Ok(accepted) => accepted,
+            Err(error) => {
+                log::warn!("peer: accept failed: {error}");
+                time::sleep(ACCEPT_PAUSE).await;
+                continue;
+            }
         };
         let link = read(stream, sender.clone(), Arc::clone(&traffic), fault.clone());
         let cancel = cancel.clone();
@@ -47,7 +62,7 @@
     fault: fault::Switch,
 ) {
     loop {
-        let Ok(length) = stream.read_u32().await else {
+        let Ok(Ok(length)) = time::timeout(IDLE_TIMEOUT, stream.read_u32()).await else {
             return;
         };
         let length = length as usize;
@@ -56,9 +71,9 @@
             return;
         }
         let mut buffer = vec![0; length];
-        if stream.read_exact(&mut buffer).await.is_err() {
+        let Ok(Ok(_)) = time::timeout(IDLE_TIMEOUT, stream.read_exact(&mut buffer)).await else {
             return;
-        }
+        };
         traffic.received.fetch_add(length as u64, Ordering::Relaxed);
         let Ok(frame) = wire::decode(&Bytes::from(buffer)) else {
             log::warn!("peer: a frame was not decoded; the link is closed");
