peer: end a connection whose data is not acknowledged for 5 s

The write timeout acts only once the kernel's send buffer is full, which takes minutes at the rate of control traffic. During a silent partition the kernel doubles the pause between retransmissions up to two minutes, so a link stayed down for as long again after the partition had ended.

--- a/crates/daemon/src/peer/outbound.rs
+++ b/crates/daemon/src/peer/outbound.rs
@@ -19,6 +19,11 @@
 /// frames for later.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// A connection whose data is not acknowledged for this long is ended. Without it, the kernel waits longer for each
+/// retransmission, up to two minutes, so that a link came back long after a silent partition had ended.
+#[cfg(target_os = "linux")]
+const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
+
 /// Writes frames until `cancel` or until the sending side is dropped.
 pub async fn run(to: SocketAddr, mut frames: mpsc::Receiver<Bytes>, cancel: CancellationToken) {
     loop {
@@ -42,7 +47,7 @@
     let Ok(Ok(stream)) = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
         return !frames.is_closed();
     };
-    if stream.set_nodelay(true).is_err() {
+    if prepare(&stream).is_err() {
         return true;
     }
     let (_read, mut write) = stream.into_split();
@@ -54,6 +59,12 @@
     false
 }
 
+fn prepare(stream: &TcpStream) -> Result<(), std::io::Error> {
+    #[cfg(target_os = "linux")]
+    socket2::SockRef::from(stream).set_tcp_user_timeout(Some(UNACKNOWLEDGED_TIMEOUT))?;
+    stream.set_nodelay(true)
+}
+
 async fn write_frame(write: &mut tcp::OwnedWriteHalf, frame: &Bytes) -> Result<(), std::io::Error> {
     let length = (frame.len() as u32).to_be_bytes();
     let mut buffer = Vec::with_capacity(length.len() + frame.len());
