daemon: forget the addresses of newcomers once the directory is known

Addresses that newcomers announced were kept for good, also without a bound when one announcement named many. Each address of a VM that has since been replaced cost an announcement per second and five connection attempts per second. The directory names every daemon, so the addresses are needed only before it is known.

--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -95,8 +95,9 @@
         if known.is_some_and(|known| known != hello.incarnation) {
             self.end_claims_of(from);
         }
-        if self.known.len() < MAX_KNOWN {
-            self.known.extend(hello.known);
+        if self.root.view().vms.is_empty() {
+            let room = MAX_KNOWN.saturating_sub(self.known.len());
+            self.known.extend(hello.known.into_iter().take(room));
         }
         let peer = context::Peer {
             vm: hello.vm,
@@ -118,6 +119,10 @@
     pub(super) fn forget_peers(&mut self) {
         let now = self.context.now();
         let listed = &self.root.view().vms;
+        if !listed.is_empty() {
+            // The directory names every daemon from now on.
+            self.known.clear();
+        }
         self.context
             .peers
             .retain(|vm, peer| listed.contains_key(vm) || now.saturating_sub(peer.heard) < FORGET);
