daemon: record the last commands before leadership is handed over

At shutdown, commands that still waited for their batch were proposed after the transfer had begun and were refused; calls to other leaders were dropped with the process. Answers of the last non-repeatable requests were lost that way, and a resend received unknown. Batches are now proposed before the transfer, and the hand-over waits for open calls within its time limit.

--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -168,7 +168,7 @@
         let over = self
             .leaving
             .as_ref()
-            .is_some_and(|(_, deadline)| !leads || now >= *deadline);
+            .is_some_and(|(_, deadline)| !leads && self.asks.is_empty() || now >= *deadline);
         if over && let Some((reply, _)) = self.leaving.take() {
             self.listing = Listing::Unlisted;
             // The waiting task may have given up.
--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/asks.rs
@@ -88,6 +88,11 @@
         self.open.insert(self.next, open);
     }
 
+    /// Tells whether no call is open.
+    pub fn is_empty(&self) -> bool {
+        self.open.is_empty()
+    }
+
     /// Takes an answer. Late and repeated answers change nothing.
     pub fn answer(&mut self, context: &context::Context, number: u64, reply: wire::Reply) {
         let Some(open) = self.open.get_mut(&number) else {
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -344,6 +344,11 @@
 
     /// Hands over what this VM leads, before it shuts down.
     pub(super) fn hand_over(&mut self) {
+        // A leader that hands over takes no more commands.
+        self.root.flush(&self.context);
+        for zone in self.zones.values_mut() {
+            zone.flush(&self.context);
+        }
         self.root
             .step(&self.context, replica::Input::Transfer { to: None });
         for zone in self.zones.values_mut() {
