daemon: rebuild the scheduler when the log refuses its commands

Starts and ends of the scheduler that the log refused, because it was full or a transfer was tried, were lost: the scheduler counted the run and the state did not have it, until the next change of leader. Such a refusal now ends the scheduler; it is built again from the state after a pause.

A scheduler that follows another one at the same leader, also after a short loss of the lease, was built while starts of the former one were still in the log. Such a start made every later start of the task fail. The next scheduler now waits until all of them are applied.

--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -72,10 +72,13 @@
         let Some(zone) = self.zones.get_mut(&own) else {
             return false;
         };
-        let leads = zone.leads(now);
+        let leads = zone.may_schedule(now);
         if leads == self.scheduling.is_some() {
             return false;
         }
+        if !leads {
+            zone.settle();
+        }
         self.scheduling = leads.then(|| {
             let view = Arc::clone(self.root.view());
             scheduling::Scheduling::restore(&self.context, self.settings.random_seed, zone, &view)
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -50,6 +50,8 @@
     role: replica::Role,
     /// Index that has to be applied before this member serves as leader.
     lead_from: u64,
+    /// Whether a command that nobody waits for was refused while this member led.
+    refused: bool,
     applied: u64,
     snapshot_index: u64,
     snapshot_bytes: usize,
@@ -88,6 +90,7 @@
             committed: HashMap::new(),
             role: replica::Role::Follower { leader: None },
             lead_from: 0,
+            refused: false,
             applied: 0,
             snapshot_index: 0,
             snapshot_bytes: 0,
@@ -188,7 +191,12 @@
                     }
                 }
                 replica::Output::Rejected { id, reason } => {
+                    let busy = matches!(
+                        reason,
+                        replica::Rejection::QueueFull | replica::Rejection::Transferring
+                    );
                     for responder in self.proposed.remove(&id).unwrap_or_default() {
+                        self.refused |= busy && matches!(responder, responder::Responder::Nobody);
                         responder.reject(context, reason);
                     }
                 }
@@ -287,6 +295,16 @@
         elected && self.applied >= self.lead_from && self.replica.holds_lease(now)
     }
 
+    /// Takes the mark that a command which nobody waits for was refused.
+    pub const fn take_refused(&mut self) -> bool {
+        std::mem::replace(&mut self.refused, false)
+    }
+
+    /// Serves as leader only after everything that was proposed so far is applied.
+    pub fn settle(&mut self) {
+        self.lead_from = self.lead_from.max(self.replica.status().last.index);
+    }
+
     /// Tells whether the group has removed this member for good.
     pub const fn is_removed(&self) -> bool {
         matches!(self.role, replica::Role::Removed)
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -20,8 +20,13 @@
     batch: Vec<zone::Envelope>,
     responders: Vec<responder::Responder>,
     events: Vec<member::Event>,
+    /// When a scheduler may run again after the log refused its commands.
+    resume_at: Duration,
 }
 
+/// Pause of a scheduler whose commands the log refused; the log needs time to take commands again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(200);
+
 /// A command that was applied, with its outcome.
 pub type Applied = (zone::Command, zone::Outcome);
 
@@ -34,7 +39,28 @@
             batch: Vec::new(),
             responders: Vec::new(),
             events: Vec::new(),
+            resume_at: Duration::ZERO,
+        }
+    }
+
+    /// Tells whether a scheduler may run here. It may not when the log refused one of its commands: its view then
+    /// differs from the state, so that it has to be built again.
+    pub fn may_schedule(&mut self, now: Duration) -> bool {
+        if self.member.take_refused() {
+            self.resume_at = now + REFUSED_PAUSE;
         }
+        now >= self.resume_at && self.leads(now)
+    }
+
+    /// Drops the commands that nobody waits for, and waits for those that are in the log, so that no command of a
+    /// former scheduler changes the state after the next one was built from it.
+    pub fn settle(&mut self) {
+        let batch = std::mem::take(&mut self.batch).into_iter();
+        let responders = std::mem::take(&mut self.responders).into_iter();
+        let awaited =
+            |(_, responder): &(_, responder::Responder)| !matches!(responder, responder::Responder::Nobody);
+        (self.batch, self.responders) = batch.zip(responders).filter(awaited).unzip();
+        self.member.settle();
     }
 
     /// Returns the state.
