daemon: do not end the claims of a holder that is heard of

A holder that was missing from the directory counted as lost. The view of a zone's leader may be behind, so the claims of a VM that was listed just now were ended, and resends of its running requests received unknown.

--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -274,7 +274,9 @@
         let now = self.context.now();
         let silent = |peer: &context::Peer| now.saturating_sub(peer.heard) >= LOST_HOLDER;
         let heard = self.context.peers.get(&vm);
-        !self.root.view().vms.contains_key(&vm) || heard.is_some_and(silent)
+        // A VM that was listed just now may be missing from the view that this VM has.
+        let unlisted = !self.root.view().vms.contains_key(&vm) && !self.context.is_alive(vm);
+        unlisted || heard.is_some_and(silent)
     }
 
     /// Ends the open claims of a VM in the groups that this VM leads; a restarted process cannot complete them.
