daemon: refuse a report with a number that was used before

The scheduler ignores such a report and does not renew the lease, but the session answered it with a lease.

--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -57,21 +57,29 @@
                 ..Session::default()
             };
         }
-        let fresh = report.sequence > session.sequence;
-        if fresh {
-            session.sequence = report.sequence;
-            session.running = report.running.iter().map(|running| running.token).collect();
-            session.ended = report
-                .ended
-                .iter()
-                .map(|ended| (ended.task, ended.token))
-                .collect();
+        if report.sequence <= session.sequence {
+            // The scheduler does not renew the lease for it, so the worker must not count it as a renewal either.
+            drop(reply.send(Err(control::Refusal::Invalid {
+                field: String::from("sequence"),
+                message: format!(
+                    "{} was sent before; a number above {} is allowed",
+                    report.sequence, session.sequence
+                ),
+            })));
+            return false;
         }
+        session.sequence = report.sequence;
+        session.running = report.running.iter().map(|running| running.token).collect();
+        session.ended = report
+            .ended
+            .iter()
+            .map(|ended| (ended.task, ended.token))
+            .collect();
         session.held = Some(Held {
             reply,
             until: now + HOLD,
         });
-        fresh
+        true
     }
 
     /// Closes the session of a worker that is out of use; a held report ends without an answer.
