--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -49,10 +49,12 @@
         let input = bronzespoke_consensus::replica::Input::Receive { from, message };
         match group {
             id::GroupId::Root => {
-                if self.root.member().is_none() && self.context.me.durable && joins {
-                    if let Some(member) = self.open(group, None) {
-                        self.root.promote(self.context.now(), member);
-                    }
+                if joins
+                    && self.root.member().is_none()
+                    && self.context.me.durable
+                    && let Some(member) = self.open(group, None)
+                {
+                    self.root.promote(self.context.now(), member);
                 }
                 self.root.step(&self.context, input);
             }
