daemon: keep links and control running until the hand-over is done

The gateway's server was given the daemon's own cancellation token and cancels it at the end of a drain. The server now gets a child token.

The hand-over also ended as soon as the next leader was asked, when the request was perhaps not written yet; it now waits until this VM is deposed.

--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -167,7 +167,9 @@
     }
 
     fn check_leaving(&mut self, now: Duration) {
-        let leads = self.root.leads(now) || self.zones.values().any(|zone| zone.leads(now));
+        // The lease ends when the next leader is asked; the request has arrived only when this VM is deposed.
+        let me = self.context.me.id;
+        let leads = self.replicas().any(|(_, member)| member.leader(me) == Some(me));
         let over = self
             .leaving
             .as_ref()
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -180,7 +180,8 @@
         };
         let http = tokio::net::TcpListener::from_std(listeners.http).map_err(Error::Runtime)?;
         let render = metric::render(network.clone());
-        let server = server::Server::start(http, gateway_settings, handle, render, cancel.clone())
+        // The server cancels its token at the end of a drain; links and control have to outlive it for the hand-over.
+        let server = server::Server::start(http, gateway_settings, handle, render, cancel.child_token())
             .map_err(Error::Runtime)?;
         let rpc =
             rpc::Operator::start(listeners.rpc, inbox.clone(), ring.clone(), name).map_err(Error::Runtime)?;
