daemon: hand leadership over after the last calls of the gateway arrived

The hand-over went to control directly and could overtake calls that still waited in the gateway's queue, such as the answer of the last claimed request, which was then refused or dropped.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::{
     runtime,
     sync::{mpsc, oneshot, watch},
+    time,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +23,11 @@
     identity, metric, peer, rpc, settings, timeline,
 };
 
+/// Pause between two looks at the queue of calls at shutdown.
+const CALL_POLL: Duration = Duration::from_millis(10);
+/// Looks at the queue of calls at shutdown; control takes a full queue in far less than a second.
+const CALL_POLLS: usize = 100;
+
 /// Why a daemon did not start.
 #[derive(Debug)]
 pub enum Error {
@@ -90,6 +96,7 @@
     network: peer::Network,
     fault: peer::fault::Switch,
     server: server::Server,
+    calls: mpsc::Sender<edge::Call>,
     ready: watch::Receiver<bool>,
     rpc: jsonrpsee::server::ServerHandle,
     cancel: CancellationToken,
@@ -172,7 +179,7 @@
 
         let (calls, call_receiver) = mpsc::channel(edge::CALL_QUEUE);
         let handle = edge::Handle {
-            calls,
+            calls: calls.clone(),
             view: view_receiver,
             targets: targets_receiver,
             freshness,
@@ -197,6 +204,7 @@
             network,
             fault,
             server,
+            calls,
             ready: ready_receiver,
             rpc,
             cancel,
@@ -238,6 +246,7 @@
             return;
         };
         traffic.block_on(self.server.drain());
+        traffic.block_on(self.pass_on_calls());
         let (sender, receiver) = oneshot::channel();
         self.inbox.send(Message::HandOver(sender));
         // The control thread answers within its own time limit.
@@ -245,6 +254,17 @@
         self.end(traffic);
     }
 
+    /// Waits until control has the last calls of the gateway, such as the answers of claimed requests.
+    async fn pass_on_calls(&self) {
+        for _ in 0..CALL_POLLS {
+            time::sleep(CALL_POLL).await;
+            if self.calls.capacity() == self.calls.max_capacity() {
+                return;
+            }
+        }
+        log::warn!("daemon: Control did not take the last calls in time.");
+    }
+
     /// Stops at once, as a lost VM does; requests in flight are cut.
     pub fn kill(mut self) {
         if let Some(traffic) = self.traffic.take() {
