daemon: let a witness hand the lead of a zone back

When the leader of a zone was lost, its witness in another zone could win the election. The scheduler runs only on a VM of the zone, so the zone scheduled nothing, and its workers were sent to the witness, which registered them in its own zone, until the lost VM came back. The witness now hands the lead to a voter inside the zone as soon as one holds the log, and a report is redirected only to a VM of the zone.

--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -281,6 +281,8 @@
             .filter(|leader| *leader != self.context.me.id);
         let address = leader
             .and_then(|leader| self.context.peers.get(&leader))
+            // A witness that leads for a moment takes no reports.
+            .filter(|peer| peer.vm.place.zone == own)
             .map(|peer| peer.vm.http);
         let refusal = match address {
             Some(address) => control::Refusal::Redirect(address),
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -134,10 +134,30 @@
             self.tend_claims(zone);
             if zone == self.context.me.place.zone {
                 self.publish_zone(now, zone);
+            } else {
+                self.return_lead(zone);
             }
         }
     }
 
+    /// Hands the lead of a zone to a VM inside it. A witness takes the lead when the leader is lost, but only a VM of
+    /// the zone schedules its work and takes its workers' reports.
+    fn return_lead(&mut self, zone: id::AvailabilityZoneId) {
+        let Some(group) = self.zones.get_mut(&zone) else {
+            return;
+        };
+        let vms = &self.root.view().vms;
+        let inside = |vm: id::VmId| vms.get(&vm).is_some_and(|vm| vm.place.zone == zone);
+        let status = group.member().replica().status();
+        let next = status
+            .peers
+            .iter()
+            .find(|peer| peer.voter && peer.caught_up && inside(peer.id) && self.context.is_alive(peer.id));
+        if let Some(to) = next.map(|peer| peer.id) {
+            group.step(&self.context, replica::Input::Transfer { to: Some(to) });
+        }
+    }
+
     fn tend_members(&mut self, zone: id::AvailabilityZoneId) {
         let wanted = self.wanted_zone(zone);
         let status = self.zones[&zone].member().replica().status();
