--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -195,7 +195,10 @@
                     });
                     self.feed(context, zone, schedule::Input::Register(registration));
                 }
-                (state::Command::Finish { job, state }, state::Outcome::Done) => {
+                // The end of the last task has recorded a success.
+                (state::Command::Finish { job, state }, state::Outcome::Done)
+                    if state != job::State::Succeeded =>
+                {
                     note_end(context, zone, job, state);
                 }
                 (state::Command::WorkerGone { worker, .. }, state::Outcome::Done) => {
