daemon: want no removed VM as a member

A removed id never becomes a member again, but it was still wanted. A zone whose root voter an operator had removed got no other one, and a zone group with a removed VM never counted as complete, so that a lost witness stayed.

--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -69,15 +69,17 @@
     /// One durable VM of each zone is a root voter; present voters stay as long as they are listed.
     fn wanted_root(&self) -> Vec<id::VmId> {
         let view = self.root.view();
-        let voters = self
+        let members = self
             .root
             .member()
-            .map(|member| member.replica().status().membership.voters);
-        let voters = voters.unwrap_or_default();
+            .map(|member| member.replica().status().membership);
+        let members = members.unwrap_or_default();
         let mut chosen: BTreeMap<id::AvailabilityZoneId, (bool, bool, &str, id::VmId)> = BTreeMap::new();
-        for vm in view.vms.values().filter(|vm| vm.durable) {
+        // A removed id never becomes a member again.
+        let may_vote = |vm: &&vm::Vm| vm.durable && !members.removed.contains(&vm.id);
+        for vm in view.vms.values().filter(may_vote) {
             let rank = (
-                !voters.contains(&vm.id),
+                !members.voters.contains(&vm.id),
                 !self.context.is_alive(vm.id),
                 vm.name.as_str(),
                 vm.id,
@@ -170,10 +172,12 @@
     /// The VMs of the zone and one witness in the nearest other zone.
     fn wanted_zone(&self, zone: id::AvailabilityZoneId) -> Vec<id::VmId> {
         let view = self.root.view();
+        let members = self.zones[&zone].member().replica().status().membership;
+        // A removed id never becomes a member again.
         let mut wanted: Vec<_> = view
             .vms
             .values()
-            .filter(|vm| vm.place.zone == zone)
+            .filter(|vm| vm.place.zone == zone && !members.removed.contains(&vm.id))
             .map(|vm| vm.id)
             .collect();
         let Some(place) = view.zones.get(&zone).map(|record| vm::Place {
@@ -183,13 +187,11 @@
             return wanted;
         };
         let now = self.context.now();
-        let members = self.zones[&zone].member().replica().status().membership;
         let silent = |vm: id::VmId| {
             let peer = self.context.peers.get(&vm);
             peer.is_some_and(|peer| now.saturating_sub(peer.heard) >= LOST_WITNESS)
         };
         let elsewhere = view.vms.values().filter(|vm| vm.place.zone != zone);
-        // A removed id never becomes a member again.
         let witness = elsewhere
             .filter(|vm| !members.removed.contains(&vm.id))
             .min_by_key(|vm| {
