daemon: be ready only after the view was fresh once

A VM that restarted from its data folder found itself in the stored directory and was ready before it had heard of any leader. It is now ready only after its view was fresh since the start.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -101,6 +101,7 @@
             targets_changed: false,
             listing: Listing::Unlisted,
             fresh: false,
+            caught_up: false,
             hello_at: now,
             enlist_at: now,
             duties_at: now,
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -139,6 +139,7 @@
             self.published.freshness.advance(basis);
         }
         let fresh = self.published.freshness.is_fresh();
+        self.caught_up |= fresh;
         if fresh != self.fresh {
             self.fresh = fresh;
             self.context.record(if fresh {
@@ -153,11 +154,12 @@
             .send_if_modified(|current| std::mem::replace(current, ready) != ready);
     }
 
-    /// A VM is ready once it knows the cell; it stays ready when its view ages, because open queues go on.
+    /// A VM is ready once its view was fresh, so that a restart never serves an older configuration; it stays ready
+    /// when its view ages, because open queues go on.
     pub(super) fn is_ready(&self) -> bool {
         let view = self.root.view();
         let drained = view.is_draining(bronzespoke_control::root::Subject::Vm(self.context.me.id));
-        self.listing == Listing::Listed && !drained && self.leaving.is_none()
+        self.caught_up && self.listing == Listing::Listed && !drained && self.leaving.is_none()
     }
 
     fn publish_targets(&mut self, now: Duration) {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -112,6 +112,8 @@
     known: BTreeSet<SocketAddr>,
     listing: Listing,
     fresh: bool,
+    /// Whether the view was fresh since the start of the process.
+    caught_up: bool,
     hello_at: Duration,
     enlist_at: Duration,
     duties_at: Duration,
