gateway: answer a claimed request only after its end is recorded

The answer was handed to control's queue and sent to the caller at once. The gateway now waits until the owner has recorded the end, for at most 1 s.

--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -1,6 +1,6 @@
 //! Calls of the gateway.
 
-use std::time::Duration;
+use std::{sync::Arc, time::Duration};
 
 use bronzespoke_control::{request_id, zone};
 use bronzespoke_gateway::control;
@@ -15,12 +15,17 @@
 /// Time for which the end of a claim is sent again; a lost one leaves the id in progress.
 const COMPLETION_DEADLINE: Duration = Duration::from_mins(1);
 
+/// Dropped when the end of a claim is recorded.
+type Done = Arc<oneshot::Sender<()>>;
+
 impl Controller {
     /// Handles one call.
     pub(super) fn call(&mut self, call: control::Call) {
         match call {
             control::Call::Claim(claim, reply) => self.claim(&claim, reply),
-            control::Call::Complete(_, number, completion) => self.complete(number, &completion),
+            control::Call::Complete(_, number, completion, done) => {
+                self.complete(number, &completion, Some(&Arc::new(done)));
+            }
             control::Call::Submit(team, submission, spec, reply) => {
                 self.submit(team, submission, spec, reply);
             }
@@ -94,7 +99,7 @@
             claims::Waiter::Request(reply) => {
                 let unwanted = reply.send(claimed).is_err();
                 if let Some(number) = granted.filter(|_| unwanted) {
-                    self.complete(number, &control::Completion::NotRun);
+                    self.complete(number, &control::Completion::NotRun, None);
                 }
             }
             claims::Waiter::Submission(submission) => self.submission_claimed(*submission, claimed),
@@ -137,7 +142,7 @@
 
     /// Gives back a claim that nobody waits for any more.
     pub(super) fn abandoned(&mut self, zone: id::AvailabilityZoneId, number: u64) {
-        self.complete_at(zone, number, &control::Completion::NotRun);
+        self.complete_at(zone, number, &control::Completion::NotRun, None);
     }
 
     /// Handles an owner's answer to a claim.
@@ -186,24 +191,32 @@
     /// Gives back what other owners granted; nothing was sent to a target yet.
     fn end_claim(&mut self, pending: claims::Pending, claimed: control::Claimed) {
         for (zone, number) in pending.granted {
-            self.complete_at(zone, number, &control::Completion::NotRun);
+            self.complete_at(zone, number, &control::Completion::NotRun, None);
         }
         self.answer_claim(pending.waiter, claimed);
     }
 
-    pub(super) fn complete(&mut self, number: u64, completion: &control::Completion) {
+    /// Records the end of a claim at its owners; `done` is dropped when all of them have answered.
+    pub(super) fn complete(&mut self, number: u64, completion: &control::Completion, done: Option<&Done>) {
         for (zone, number) in self.claims.take(number) {
-            self.complete_at(zone, number, completion);
+            self.complete_at(zone, number, completion, done.cloned());
         }
     }
 
-    fn complete_at(&mut self, zone: id::AvailabilityZoneId, number: u64, completion: &control::Completion) {
+    fn complete_at(
+        &mut self,
+        zone: id::AvailabilityZoneId,
+        number: u64,
+        completion: &control::Completion,
+        done: Option<Done>,
+    ) {
         let completion = claims::completion(completion);
         let command = zone::Command::Complete { number, completion };
         let then = Box::new(move |answer| {
             if !matches!(answer, wire::Reply::Zone(_)) {
                 log::warn!("claims: The end of claim {number} in zone {zone} may not be recorded.");
             }
+            drop(done);
         });
         self.command_zone(id::GroupId::Zone(zone), command, COMPLETION_DEADLINE, then);
     }
--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -155,7 +155,7 @@
                 Err(control::Refusal::Unknown(_)) => control::Completion::Unknown,
                 Err(_) => control::Completion::NotRun,
             };
-            self.complete(number, &completion);
+            self.complete(number, &completion, None);
         }
         // The caller may have gone away; the job is accepted all the same.
         drop(submission.reply.send(result));
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -7,6 +7,9 @@
 
 use crate::{control, fault};
 
+/// Longest wait until the end of a claimed request is recorded; after it, the caller gets its answer all the same.
+const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Sends a call and waits for its answer.
 pub(crate) async fn ask<T>(
     handle: &control::Handle,
@@ -48,17 +51,21 @@
     }
 }
 
-/// Records how a claimed request ended; waits for room, because a lost completion leaves the id in progress.
+/// Records how a claimed request ended, and waits until it is recorded; waits for room as well, because a lost completion leaves the id in progress.
 pub(crate) async fn complete(
     handle: &control::Handle,
     claim: control::Claim,
     number: u64,
     completion: control::Completion,
 ) {
-    let call = control::Call::Complete(claim, number, completion);
+    let (sender, receiver) = oneshot::channel();
+    let call = control::Call::Complete(claim, number, completion, sender);
     if handle.calls.send(call).await.is_err() {
         log::warn!("gateway: control is gone, the end of a claimed request was not recorded");
+        return;
     }
+    // Only the end of the wait counts: control drops the sender.
+    drop(tokio::time::timeout(RECORD_TIMEOUT, receiver).await);
 }
 
 fn send(handle: &control::Handle, call: control::Call) -> Result<(), fault::Fault> {
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -140,7 +140,9 @@
     /// Record a request id before its request is sent.
     Claim(Claim, oneshot::Sender<Claimed>),
     /// Record how a claimed request ended.
-    Complete(Claim, u64, Completion),
+    ///
+    /// The sender is dropped when the end is recorded, or cannot be.
+    Complete(Claim, u64, Completion, oneshot::Sender<()>),
     /// Accept a job durably.
     Submit(id::TeamId, Option<String>, job::Spec, Reply<id::JobId>),
     /// Read a job; the flag asks for its results.
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -201,7 +201,7 @@
             };
             drop(reply.send(claimed));
         }
-        control::Call::Complete(claim, _, completion) => {
+        control::Call::Complete(claim, _, completion, _) => {
             let mut claims = control.claims.lock().expect("no test panics with the lock");
             claims.insert((claim.team, claim.request), Some(completion));
         }
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -53,7 +53,7 @@
         .expect("the gateway still waits for the grant");
     let completion = loop {
         match calls.recv().await.expect("control is there") {
-            control::Call::Complete(_, number, completion) => break (number, completion),
+            control::Call::Complete(_, number, completion, _) => break (number, completion),
             control::Call::Load(..) | control::Call::Event(_) => {}
             other => panic!("{other:?}"),
         }
