--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -165,6 +165,7 @@
         }
         worker.runs.insert(key);
         worker.held = worker.held.saturating_add(&job.spec.size);
+        let incarnation = worker.registration.incarnation;
         job.running += 1;
         job.state = job::State::Running;
         self.next_token = self.next_token.max(start.token.saturating_add(1));
@@ -173,6 +174,7 @@
             Run {
                 worker: start.worker,
                 token: start.token,
+                incarnation,
             },
         );
         Ok(())
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -101,6 +101,7 @@
             targets_changed: false,
             listing: Listing::Unlisted,
             fresh: false,
+            caught_up: false,
             hello_at: now,
             enlist_at: now,
             duties_at: now,
@@ -127,7 +128,7 @@
         for group in disk::groups(&folder) {
             let member = self.try_open(group, None)?;
             match group {
-                id::GroupId::Root => self.root.promote(member),
+                id::GroupId::Root => self.root.promote(self.context.now(), member),
                 id::GroupId::Zone(zone) => self.add_zone(zone, member),
             }
         }
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -72,10 +72,13 @@
         let Some(zone) = self.zones.get_mut(&own) else {
             return false;
         };
-        let leads = zone.leads(now);
+        let leads = zone.may_schedule(now);
         if leads == self.scheduling.is_some() {
             return false;
         }
+        if !leads {
+            zone.settle();
+        }
         self.scheduling = leads.then(|| {
             let view = Arc::clone(self.root.view());
             scheduling::Scheduling::restore(&self.context, self.settings.random_seed, zone, &view)
@@ -136,6 +139,7 @@
             self.published.freshness.advance(basis);
         }
         let fresh = self.published.freshness.is_fresh();
+        self.caught_up |= fresh;
         if fresh != self.fresh {
             self.fresh = fresh;
             self.context.record(if fresh {
@@ -150,11 +154,12 @@
             .send_if_modified(|current| std::mem::replace(current, ready) != ready);
     }
 
-    /// A VM is ready once it knows the cell; it stays ready when its view ages, because open queues go on.
+    /// A VM is ready once its view was fresh, so that a restart never serves an older configuration; it stays ready
+    /// when its view ages, because open queues go on.
     pub(super) fn is_ready(&self) -> bool {
         let view = self.root.view();
         let drained = view.is_draining(bronzespoke_control::root::Subject::Vm(self.context.me.id));
-        self.listing == Listing::Listed && !drained && self.leaving.is_none()
+        self.caught_up && self.listing == Listing::Listed && !drained && self.leaving.is_none()
     }
 
     fn publish_targets(&mut self, now: Duration) {
@@ -164,11 +169,13 @@
     }
 
     fn check_leaving(&mut self, now: Duration) {
-        let leads = self.root.leads(now) || self.zones.values().any(|zone| zone.leads(now));
+        // The lease ends when the next leader is asked; the request has arrived only when this VM is deposed.
+        let me = self.context.me.id;
+        let leads = self.replicas().any(|(_, member)| member.leader(me) == Some(me));
         let over = self
             .leaving
             .as_ref()
-            .is_some_and(|(_, deadline)| !leads || now >= *deadline);
+            .is_some_and(|(_, deadline)| !leads && self.asks.is_empty() || now >= *deadline);
         if over && let Some((reply, _)) = self.leaving.take() {
             self.listing = Listing::Unlisted;
             // The waiting task may have given up.
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -71,15 +71,17 @@
     /// One durable VM of each zone is a root voter; present voters stay as long as they are listed.
     fn wanted_root(&self) -> Vec<id::VmId> {
         let view = self.root.view();
-        let voters = self
+        let members = self
             .root
             .member()
-            .map(|member| member.replica().status().membership.voters);
-        let voters = voters.unwrap_or_default();
+            .map(|member| member.replica().status().membership);
+        let members = members.unwrap_or_default();
         let mut chosen: BTreeMap<id::AvailabilityZoneId, (bool, bool, &str, id::VmId)> = BTreeMap::new();
-        for vm in view.vms.values().filter(|vm| vm.durable) {
+        // A removed id never becomes a member again.
+        let may_vote = |vm: &&vm::Vm| vm.durable && !members.removed.contains(&vm.id);
+        for vm in view.vms.values().filter(may_vote) {
             let rank = (
-                !voters.contains(&vm.id),
+                !members.voters.contains(&vm.id),
                 !self.context.is_alive(vm.id),
                 vm.name.as_str(),
                 vm.id,
@@ -177,10 +179,12 @@
     /// The VMs of the zone and one witness in the nearest other zone.
     fn wanted_zone(&self, zone: id::AvailabilityZoneId) -> Vec<id::VmId> {
         let view = self.root.view();
+        let members = self.zones[&zone].member().replica().status().membership;
+        // A removed id never becomes a member again.
         let mut wanted: Vec<_> = view
             .vms
             .values()
-            .filter(|vm| vm.place.zone == zone)
+            .filter(|vm| vm.place.zone == zone && !members.removed.contains(&vm.id))
             .map(|vm| vm.id)
             .collect();
         let Some(place) = view.zones.get(&zone).map(|record| vm::Place {
@@ -190,13 +194,11 @@
             return wanted;
         };
         let now = self.context.now();
-        let members = self.zones[&zone].member().replica().status().membership;
         let silent = |vm: id::VmId| {
             let peer = self.context.peers.get(&vm);
             peer.is_some_and(|peer| now.saturating_sub(peer.heard) >= LOST_WITNESS)
         };
         let elsewhere = view.vms.values().filter(|vm| vm.place.zone != zone);
-        // A removed id never becomes a member again.
         let witness = elsewhere
             .filter(|vm| !members.removed.contains(&vm.id))
             .min_by_key(|vm| {
@@ -294,7 +296,9 @@
         let now = self.context.now();
         let silent = |peer: &context::Peer| now.saturating_sub(peer.heard) >= LOST_HOLDER;
         let heard = self.context.peers.get(&vm);
-        !self.root.view().vms.contains_key(&vm) || heard.is_some_and(silent)
+        // A VM that was listed just now may be missing from the view that this VM has.
+        let unlisted = !self.root.view().vms.contains_key(&vm) && !self.context.is_alive(vm);
+        unlisted || heard.is_some_and(silent)
     }
 
     /// Ends the open claims of a VM in the groups that this VM leads; a restarted process cannot complete them.
@@ -364,6 +368,11 @@
 
     /// Hands over what this VM leads, before it shuts down.
     pub(super) fn hand_over(&mut self) {
+        // A leader that hands over takes no more commands.
+        self.root.flush(&self.context);
+        for zone in self.zones.values_mut() {
+            zone.flush(&self.context);
+        }
         self.root
             .step(&self.context, replica::Input::Transfer { to: None });
         for zone in self.zones.values_mut() {
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -7,8 +7,10 @@
 };
 
 use bronzespoke_consensus::{log as entries, membership, replica, snapshot, write};
+use bronzespoke_control::envelope;
 use bronzespoke_model::{event, id};
 use bytes::Bytes;
+use serde::Serialize;
 
 use crate::{
     control::{context, responder},
@@ -48,9 +50,13 @@
     role: replica::Role,
     /// Index that has to be applied before this member serves as leader.
     lead_from: u64,
+    /// Whether a command that nobody waits for was refused while this member led.
+    refused: bool,
     applied: u64,
     snapshot_index: u64,
     snapshot_bytes: usize,
+    /// Largest entry that the replica takes.
+    entry_bytes: usize,
 }
 
 impl Member {
@@ -65,6 +71,7 @@
         now: Duration,
     ) -> Result<Self, bronzespoke_storage::Error> {
         let group = config.group;
+        let entry_bytes = config.entry_bytes;
         let (disk, restored) = match folder {
             Some(folder) => {
                 let (disk, restored) = disk::Disk::open(folder, group, found, notify)?;
@@ -83,14 +90,16 @@
             committed: HashMap::new(),
             role: replica::Role::Follower { leader: None },
             lead_from: 0,
+            refused: false,
             applied: 0,
             snapshot_index: 0,
             snapshot_bytes: 0,
+            entry_bytes,
         })
     }
 
     /// Proposes encoded commands; each responder waits for one of them.
-    pub fn propose(
+    fn propose(
         &mut self,
         context: &context::Context,
         data: Bytes,
@@ -103,6 +112,21 @@
         self.step(context, replica::Input::Propose { id, data }, events);
     }
 
+    /// Proposes commands in order, in as many entries as their size needs.
+    pub fn propose_batch<C: Serialize>(
+        &mut self,
+        context: &context::Context,
+        batch: &[envelope::Envelope<C>],
+        responders: Vec<responder::Responder>,
+        events: &mut Vec<Event>,
+    ) {
+        let mut responders = responders.into_iter();
+        for (data, commands) in envelope::encode_within(batch, self.entry_bytes) {
+            let waiting = responders.by_ref().take(commands).collect();
+            self.propose(context, data, waiting, events);
+        }
+    }
+
     /// Proposes a change of the members.
     pub fn change(
         &mut self,
@@ -167,7 +191,12 @@
                     }
                 }
                 replica::Output::Rejected { id, reason } => {
+                    let busy = matches!(
+                        reason,
+                        replica::Rejection::QueueFull | replica::Rejection::Transferring
+                    );
                     for responder in self.proposed.remove(&id).unwrap_or_default() {
+                        self.refused |= busy && matches!(responder, responder::Responder::Nobody);
                         responder.reject(context, reason);
                     }
                 }
@@ -266,6 +295,21 @@
         elected && self.applied >= self.lead_from && self.replica.holds_lease(now)
     }
 
+    /// Takes the mark that a command which nobody waits for was refused.
+    pub const fn take_refused(&mut self) -> bool {
+        std::mem::replace(&mut self.refused, false)
+    }
+
+    /// Serves as leader only after everything that was proposed so far is applied.
+    pub fn settle(&mut self) {
+        self.lead_from = self.lead_from.max(self.replica.status().last.index);
+    }
+
+    /// Tells whether the group has removed this member for good.
+    pub const fn is_removed(&self) -> bool {
+        matches!(self.role, replica::Role::Removed)
+    }
+
     /// Leader that this member knows.
     pub const fn leader(&self, me: id::VmId) -> Option<id::VmId> {
         match self.role {
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bronzespoke_consensus::{feed, log as entries, replica};
+use bronzespoke_consensus::{feed, log as entries, message, replica};
 use bronzespoke_control::{envelope, root};
 use bronzespoke_model::{event, id};
 
@@ -18,6 +18,8 @@
 const MISSES: u32 = 3;
 /// Time for which a relay that did not answer is avoided.
 const AVOIDANCE: Duration = Duration::from_secs(10);
+/// A learner that heard no leader for this long follows through a relay again. Heartbeats come every 100 ms.
+const LEARNER_SILENCE: Duration = Duration::from_secs(5);
 
 /// How this process takes part.
 #[derive(Debug)]
@@ -42,16 +44,18 @@
     misses: u32,
     /// A relay that is avoided, and until when.
     avoided: Option<(id::VmId, Duration)>,
+    seed: u64,
+    /// When a leader of the group last sent something to this member.
+    contact: Duration,
 }
 
 impl Root {
     /// Returns the state of a process that follows.
     pub fn follow(seed: u64, now: Duration) -> Self {
-        let follower = feed::Follower::new(feed::Config::new(seed), now);
-        Self::new(Role::Follower(Box::new(follower)))
+        Self::new(follower(seed, now), seed, now)
     }
 
-    fn new(role: Role) -> Self {
+    fn new(role: Role, seed: u64, now: Duration) -> Self {
         let state = root::State::new();
         let view = state.view();
         Self {
@@ -64,16 +68,37 @@
             view,
             misses: 0,
             avoided: None,
+            seed,
+            contact: now,
         }
     }
 
     /// Makes a follower a member; the state stays, and entries that it has are ignored when they come again.
-    pub fn promote(&mut self, member: member::Member) {
+    pub fn promote(&mut self, now: Duration, member: member::Member) {
         if matches!(self.role, Role::Follower(_)) {
             self.role = Role::Member(Box::new(member));
+            self.contact = now;
         }
     }
 
+    /// Makes a member that the group has removed, or a learner that no leader talks to, a follower again; otherwise
+    /// its state would age for good.
+    fn leave_group(&mut self, now: Duration, me: id::VmId) {
+        let Role::Member(member) = &self.role else {
+            return;
+        };
+        let silent = || {
+            now.saturating_sub(self.contact) >= LEARNER_SILENCE
+                && !member.replica().status().membership.voters.contains(&me)
+        };
+        if !member.is_removed() && !silent() {
+            return;
+        }
+        log::info!("root: This VM is not a member any more; it follows through a relay.");
+        self.role = follower(self.seed, now);
+        self.source = feed::Source::new(FEED_BYTES);
+    }
+
     /// Returns the replica, on a member.
     pub const fn member(&self) -> Option<&member::Member> {
         match &self.role {
@@ -126,16 +151,23 @@
         if self.batch.is_empty() {
             return;
         }
-        let data = envelope::encode(&self.batch);
-        self.batch.clear();
+        let batch = std::mem::take(&mut self.batch);
         let responders = std::mem::take(&mut self.responders);
         if let Role::Member(member) = &mut self.role {
-            member.propose(context, data, responders, &mut self.events);
+            member.propose_batch(context, &batch, responders, &mut self.events);
         }
     }
 
     /// Feeds an input to the replica, on a member.
     pub fn step(&mut self, context: &context::Context, input: replica::Input) {
+        if let replica::Input::Receive { message, .. } = &input
+            && matches!(
+                message.body,
+                message::Body::Append(_) | message::Body::Snapshot { .. }
+            )
+        {
+            self.contact = context.now();
+        }
         if let Role::Member(member) = &mut self.role {
             member.step(context, input, &mut self.events);
         }
@@ -163,6 +195,7 @@
 
     /// Lets time pass.
     pub fn tick(&mut self, context: &context::Context) {
+        self.leave_group(context.now(), context.me.id);
         if let Role::Member(member) = &mut self.role {
             member.step(context, replica::Input::Tick, &mut self.events);
             return;
@@ -171,8 +204,11 @@
         self.follow_step(context, feed::Input::Relay { to: relay });
     }
 
-    /// Answers a follower.
+    /// Answers a follower, on a member; a follower keeps no entries for others.
     pub fn serve_follower(&self, context: &context::Context, from: id::VmId, request: &feed::Request) {
+        if self.member().is_none() {
+            return;
+        }
         let now = context.now();
         let answer = self.source.answer(now, self.basis(now), request);
         context.send(from, wire::Body::FeedAnswer(answer));
@@ -241,7 +277,9 @@
                     if let Err(error) = self.state.install(&snapshot.data) {
                         log::warn!("root: A snapshot was not installed: {error}");
                     }
-                    self.source.install(snapshot);
+                    if matches!(self.role, Role::Member(_)) {
+                        self.source.install(snapshot);
+                    }
                 }
             }
         }
@@ -262,7 +300,9 @@
         entry: &entries::Entry,
         responders: Vec<responder::Responder>,
     ) {
-        self.source.push(entry);
+        if matches!(self.role, Role::Member(_)) {
+            self.source.push(entry);
+        }
         let entries::Payload::Command(data) = &entry.payload else {
             return;
         };
@@ -293,6 +333,12 @@
     }
 }
 
+/// Returns the role of a process that follows; its request tokens differ from those of an earlier life.
+fn follower(seed: u64, now: Duration) -> Role {
+    let seed = seed ^ context::Context::wall_ms();
+    Role::Follower(Box::new(feed::Follower::new(feed::Config::new(seed), now)))
+}
+
 /// Records the events that operators look for.
 fn record(context: &context::Context, command: &root::Command, outcome: &root::Outcome) {
     if !matches!(outcome, root::Outcome::Done) {
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -14,6 +14,7 @@
 use tokio::{
     runtime,
     sync::{mpsc, oneshot, watch},
+    time,
 };
 use tokio_util::sync::CancellationToken;
 
@@ -22,6 +23,11 @@
     identity, metric, peer, rpc, settings, timeline,
 };
 
+/// Pause between two looks at the queue of calls at shutdown.
+const CALL_POLL: Duration = Duration::from_millis(10);
+/// Looks at the queue of calls at shutdown; control takes a full queue in far less than a second.
+const CALL_POLLS: usize = 100;
+
 /// Why a daemon did not start.
 #[derive(Debug)]
 pub enum Error {
@@ -90,6 +96,7 @@
     network: peer::Network,
     fault: peer::fault::Switch,
     server: server::Server,
+    calls: mpsc::Sender<edge::Call>,
     ready: watch::Receiver<bool>,
     rpc: jsonrpsee::server::ServerHandle,
     cancel: CancellationToken,
@@ -174,7 +181,7 @@
         let (inbox, control) = spawn_control(start)?;
         let (calls, call_receiver) = mpsc::channel(edge::CALL_QUEUE);
         let handle = edge::Handle {
-            calls,
+            calls: calls.clone(),
             view: view_receiver,
             targets: targets_receiver,
             freshness,
@@ -182,7 +189,8 @@
         };
         let http = tokio::net::TcpListener::from_std(listeners.http).map_err(Error::Runtime)?;
         let render = metric::render(network.clone());
-        let server = server::Server::start(http, gateway_settings, handle, render, cancel.clone())
+        // The server cancels its token at the end of a drain; links and control have to outlive it for the hand-over.
+        let server = server::Server::start(http, gateway_settings, handle, render, cancel.child_token())
             .map_err(Error::Runtime)?;
         let rpc =
             rpc::Operator::start(listeners.rpc, inbox.clone(), ring.clone(), name).map_err(Error::Runtime)?;
@@ -198,6 +206,7 @@
             network,
             fault,
             server,
+            calls,
             ready: ready_receiver,
             rpc,
             cancel,
@@ -239,6 +248,7 @@
             return;
         };
         traffic.block_on(self.server.drain());
+        traffic.block_on(self.pass_on_calls());
         let (sender, receiver) = oneshot::channel();
         self.inbox.send(Message::HandOver(sender));
         // The control thread answers within its own time limit.
@@ -246,6 +256,17 @@
         self.end(traffic);
     }
 
+    /// Waits until control has the last calls of the gateway, such as the answers of claimed requests.
+    async fn pass_on_calls(&self) {
+        for _ in 0..CALL_POLLS {
+            time::sleep(CALL_POLL).await;
+            if self.calls.capacity() == self.calls.max_capacity() {
+                return;
+            }
+        }
+        log::warn!("daemon: Control did not take the last calls in time.");
+    }
+
     /// Stops at once, as a lost VM does; requests in flight are cut.
     pub fn kill(mut self) {
         if let Some(traffic) = self.traffic.take() {
