--- a/crates/schedule/src/pass/hold.rs
+++ b/crates/schedule/src/pass/hold.rs
@@ -82,6 +82,8 @@
             }
             self.release_holds(hold.job);
         } else {
+            // Urgent work then tries another worker.
+            self.workers[worker].reported = None;
             self.release_hold(worker);
         }
     }
--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -41,6 +41,7 @@
             excess: resource::Amount::ZERO,
             runs: Vec::new(),
             sequence: 0,
+            reported: Some(now),
             lease_until: until,
             former_until: None,
             confirmed,
@@ -79,6 +80,7 @@
         let old = std::mem::replace(&mut record.capacity, registration.capacity);
         record.sequence = 0;
         record.lease_until = until;
+        record.reported = Some(now);
         let was_confirmed = record.confirmed;
         record.confirmed = true;
         let old_rack = std::mem::replace(&mut record.rack, rack);
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -16,9 +16,12 @@
 /// Interval between two searches for victims.
 const PASS_INTERVAL: Duration = Duration::from_millis(50);
 /// Time that a victim gets for its checkpoint; urgent work starts within 1.6 s.
-const GRACE: Duration = Duration::from_millis(500);
-/// Time that a worker is kept for an urgent task after the stops; then another worker is tried.
-const HOLD: Duration = Duration::from_millis(1200);
+const GRACE: Duration = Duration::from_millis(350);
+/// Time that a worker is kept for an urgent task after the stops; then another worker is tried. Three tries fit into
+/// 1.6 s: a worker of a lost rack looks alive until its report is overdue.
+const HOLD: Duration = Duration::from_millis(500);
+/// Age of the last report from which a worker is not relied on; workers report every 3 s.
+const REPORT_OVERDUE: Duration = Duration::from_secs(4);
 /// Urgent tasks for which one pass looks for room.
 const TASKS_PER_PASS: u32 = 64;
 /// Workers compared for one urgent task.
@@ -95,7 +98,7 @@
         let mut compared = 0;
         for offset in 0..slots {
             let worker = table::Index::new((first + offset) % slots);
-            if !self.suits_urgent(worker, index) {
+            if !self.suits_urgent(now, worker, index) {
                 continue;
             }
             compared += 1;
@@ -119,6 +122,10 @@
             self.counts.lost_core_seconds += self.loss(now, run);
             self.stop(now, run, Reason::Preempted, Some(GRACE), out);
         }
+        if self.workers[worker].hold.is_some_and(|hold| hold.job != index) {
+            // A reservation for other work is made anew elsewhere.
+            self.break_hold(worker);
+        }
         let hold = worker::Hold {
             job: index,
             slots: 1,
@@ -131,14 +138,19 @@
         true
     }
 
-    fn suits_urgent(&self, worker: table::Worker, index: table::Job) -> bool {
+    fn suits_urgent(&self, now: Duration, worker: table::Worker, index: table::Job) -> bool {
         let Some(record) = self.workers.get(worker) else {
             return false;
         };
         let kind = self.jobs[index].accelerator;
         record.usable()
+            && record
+                .reported
+                .is_some_and(|at| now.saturating_sub(at) <= REPORT_OVERDUE)
             && record.health.allowed.is_none()
-            && record.hold.is_none_or(|hold| hold.job == index)
+            && record
+                .hold
+                .is_none_or(|hold| hold.job == index || self.jobs[hold.job].priority == job::Priority::Normal)
             && (kind == 0 || kind == record.capacity.accelerator)
     }
 
@@ -146,7 +158,8 @@
     fn victims(&self, now: Duration, worker: table::Worker, index: table::Job) -> Option<Victims> {
         let record = &self.workers[worker];
         let job = &self.jobs[index];
-        let count = record.hold.map_or(0, |hold| hold.slots) + 1;
+        let own = record.hold.filter(|hold| hold.job == index);
+        let count = own.map_or(0, |hold| hold.slots) + 1;
         let need = times(&job.size, count)?;
         if !need.fits(&record.capacity.amount) {
             return None;
--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -33,6 +33,7 @@
         }
         record.sequence = report.sequence;
         record.lease_until = now + expiry;
+        record.reported = Some(now);
         if !record.confirmed {
             record.confirmed = true;
             self.confirm_one(now, out);
--- a/crates/schedule/src/worker.rs
+++ b/crates/schedule/src/worker.rs
@@ -51,6 +51,8 @@
     /// Runs under a lease on this worker, of this life or a former one.
     pub(crate) runs: Vec<table::Run>,
     pub(crate) sequence: u64,
+    /// When it last registered or reported; none when room that was asked for has not come since.
+    pub(crate) reported: Option<Duration>,
     /// Nothing of this life runs after this, unless a report comes first.
     pub(crate) lease_until: Duration,
     /// Nothing of former lives runs after this.
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -392,3 +392,20 @@
     };
     assert_eq!(large_among_small(broken), None);
 }
+
+/// Guards against urgent work that waits because all workers are reserved for a gang.
+#[test]
+fn urgent_work_takes_reserved_workers() {
+    let mut cell = cell(3, Rules::default());
+    for machine in &mut cell.machines {
+        machine.longest = 1_000_000;
+    }
+    cell.submit(1, spec(job::Kind::Batch, 12, 2_000, 100));
+    cell.run(Duration::from_secs(5));
+    cell.submit(1, spec(job::Kind::Gang, 3, 8_000, 100));
+    cell.run(Duration::from_secs(5));
+    let urgent = cell.submit(2, urgent(1, 2_000));
+    cell.run(Duration::from_millis(1_600));
+    assert_eq!(cell.check.places(urgent).len(), 1);
+    sound(&cell);
+}
