--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -93,6 +93,10 @@
     pub(super) fn hello(&mut self, from: id::VmId, hello: wire::Hello) {
         let heard = self.context.now();
         let known = self.context.peers.get(&from).map(|peer| peer.incarnation);
+        if known.is_some_and(|known| known > hello.incarnation) {
+            // A late frame of an earlier life tells nothing about the present one.
+            return;
+        }
         if known.is_some_and(|known| known != hello.incarnation) {
             self.end_claims_of(from);
         }
