--- /dev/null
+++ b/crates/bench/benches/capacity/count.rs
@@ -0,0 +1,86 @@
+//! Memory by a counting allocator, and processor time.
+
+#![allow(
+    unsafe_code,
+    reason = "a global allocator can only be written with unsafe code"
+)]
+
+use std::{
+    alloc::{GlobalAlloc, Layout, System},
+    hint::black_box,
+    sync::atomic::{AtomicI64, Ordering},
+    time::{Duration, Instant},
+};
+
+/// Bookkeeping of the allocator and rounding, per allocation; an allowance, not a measurement.
+pub const ALLOWANCE_BYTES: i64 = 16;
+/// Timing runs; the median is reported, because the machine is shared.
+const RUNS: usize = 9;
+
+static BYTES: AtomicI64 = AtomicI64::new(0);
+static BLOCKS: AtomicI64 = AtomicI64::new(0);
+
+/// Counts live bytes and live blocks.
+#[derive(Debug)]
+pub struct Counting;
+
+// SAFETY: every call is passed on to the system allocator unchanged.
+unsafe impl GlobalAlloc for Counting {
+    unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
+        BYTES.fetch_add(layout.size() as i64, Ordering::Relaxed);
+        BLOCKS.fetch_add(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `alloc`.
+        unsafe { System.alloc(layout) }
+    }
+
+    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
+        BYTES.fetch_sub(layout.size() as i64, Ordering::Relaxed);
+        BLOCKS.fetch_sub(1, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `dealloc`.
+        unsafe { System.dealloc(pointer, layout) }
+    }
+
+    unsafe fn realloc(&self, pointer: *mut u8, layout: Layout, size: usize) -> *mut u8 {
+        BYTES.fetch_add(size as i64 - layout.size() as i64, Ordering::Relaxed);
+        // SAFETY: the caller keeps the contract of `realloc`.
+        unsafe { System.realloc(pointer, layout, size) }
+    }
+}
+
+/// Live bytes with the allowance for each block.
+pub fn live() -> f64 {
+    (BYTES.load(Ordering::Relaxed) + ALLOWANCE_BYTES * BLOCKS.load(Ordering::Relaxed)) as f64
+}
+
+/// Returns what a build keeps, in bytes.
+pub fn memory<T>(build: impl FnOnce() -> T) -> f64 {
+    let before = live();
+    let kept = build();
+    let bytes = live() - before;
+    drop(black_box(kept));
+    bytes
+}
+
+/// Returns the median over several runs of the microseconds of one operation.
+pub fn micros(mut operation: impl FnMut()) -> f64 {
+    let mut repeats = 1;
+    while time(repeats, &mut operation) < Duration::from_millis(5) {
+        repeats *= 2;
+    }
+    let runs = (0..RUNS).map(|_| time(repeats, &mut operation).as_secs_f64() * 1e6 / f64::from(repeats));
+    median(runs.collect())
+}
+
+fn time(repeats: u32, operation: &mut impl FnMut()) -> Duration {
+    let begun = Instant::now();
+    for _ in 0..repeats {
+        operation();
+    }
+    begun.elapsed()
+}
+
+/// Returns the median.
+pub fn median(mut values: Vec<f64>) -> f64 {
+    values.sort_by(f64::total_cmp);
+    values[values.len() / 2]
+}
--- /dev/null
+++ b/crates/bench/benches/capacity/main.rs
@@ -0,0 +1,27 @@
+//! Measures the slopes behind `docs/CAPACITY.md` on this machine and works out each role at the target size.
+//!
+//! The output is Markdown; it replaces the generated part of the page. Nothing here fails: a bound that does not hold
+//! is printed as such.
+
+mod count;
+mod line;
+mod links;
+mod replication;
+mod role;
+mod scheduler;
+mod soft;
+mod state;
+
+#[global_allocator]
+static ALLOCATOR: count::Counting = count::Counting;
+
+fn main() {
+    let slopes = role::Slopes {
+        scheduler: scheduler::measure(),
+        state: state::measure(),
+        replication: replication::measure(),
+        links: links::measure(),
+        soft: soft::measure(),
+    };
+    role::print(&slopes);
+}
--- /dev/null
+++ b/crates/bench/benches/capacity/role.rs
@@ -0,0 +1,349 @@
+//! What each role costs at the target size, and what the daemons that combine them cost.
+
+use std::ops::Add;
+
+use crate::{line::short, links, replication, scheduler, soft, state};
+
+const ZONES: f64 = 17.0;
+const VMS: f64 = 34.0;
+const WORKERS: f64 = 2800.0 / ZONES;
+const RUNNING: f64 = 17_000.0 / ZONES;
+const RUNNING_PER_WORKER: f64 = 17_000.0 / 2800.0;
+const STARTS: f64 = 2500.0 / ZONES;
+/// Jobs of one day stay for 24 hours after their end.
+const ENDED_JOBS: f64 = 13_000.0 / ZONES;
+/// The queue of section 1.8, divided among the zones.
+const WAITING: f64 = 100_000.0 / ZONES;
+const TEAMS: f64 = 640.0;
+const CHANGES: f64 = 3600.0 / 86_400.0;
+const TARGETS: f64 = 1000.0;
+const REPORT_SECONDS: f64 = 3.0;
+/// Full tables of `crates/control/src/zone/claims.rs` and `crates/control/src/dedupe.rs`.
+const REQUEST_IDS: f64 = 49_152.0;
+const COMMAND_IDS: f64 = 65_536.0;
+/// Entries of `ENTRIES_PER_SNAPSHOT` in `crates/daemon/src/control/member.rs` and of `RETAINED_ENTRIES` in
+/// `crates/consensus/src/replica/config.rs`.
+const ENTRIES_PER_SNAPSHOT: f64 = 8192.0;
+const LOG_ENTRIES: f64 = ENTRIES_PER_SNAPSHOT + 4096.0;
+/// Polls of the feed in a second.
+const POLLS: f64 = 2.0;
+/// Rounds of duties in a second, `INTERVAL` in `crates/daemon/src/control/duties.rs`.
+const DUTIES: f64 = 2.0;
+
+const CORE_PERCENT: f64 = 1.9;
+const MEGABYTES: f64 = 64.0;
+const BYTES_PER_SECOND: f64 = 24_000.0;
+
+/// Everything measured.
+#[derive(Debug)]
+pub struct Slopes {
+    /// Scheduler.
+    pub scheduler: scheduler::Slopes,
+    /// Zone and root state.
+    pub state: state::Slopes,
+    /// Replication and the feed.
+    pub replication: replication::Slopes,
+    /// Announcements, frames, reports.
+    pub links: links::Slopes,
+    /// Soft state.
+    pub soft: soft::Slopes,
+}
+
+/// Cost of a role.
+#[derive(Debug, Clone, Copy, Default)]
+struct Cost {
+    sent: f64,
+    received: f64,
+    micros: f64,
+    bytes: f64,
+}
+
+impl Add for Cost {
+    type Output = Self;
+
+    fn add(self, other: Self) -> Self {
+        Self {
+            sent: self.sent + other.sent,
+            received: self.received + other.received,
+            micros: self.micros + other.micros,
+            bytes: self.bytes + other.bytes,
+        }
+    }
+}
+
+impl Slopes {
+    /// Time to encode, write, read and decode frames, each half on one side.
+    fn frames(&self, out: f64, bytes_out: f64, inward: f64, bytes_in: f64) -> f64 {
+        let size = |frames: f64, bytes: f64| if frames > 0.0 { bytes / frames } else { 0.0 };
+        let (size_out, size_in) = (size(out, bytes_out), size(inward, bytes_in));
+        out * (self.links.codec[0].at(size_out) + self.links.socket.at(size_out) / 2.0)
+            + inward * (self.links.codec[1].at(size_in) + self.links.socket.at(size_in) / 2.0)
+    }
+
+    fn traffic(&self, traffic: replication::Traffic, micros: f64, bytes: f64) -> Cost {
+        let frames = self.frames(
+            traffic.frames_out,
+            traffic.bytes_out,
+            traffic.frames_in,
+            traffic.bytes_in,
+        );
+        Cost {
+            sent: traffic.bytes_out,
+            received: traffic.bytes_in,
+            micros: micros + frames,
+            bytes,
+        }
+    }
+
+    fn announcements(&self) -> Cost {
+        let bytes = (VMS - 1.0) * self.links.hello.at(1.0);
+        Cost {
+            sent: bytes,
+            received: bytes,
+            micros: self.frames(VMS - 1.0, bytes, VMS - 1.0, bytes),
+            bytes: 0.0,
+        }
+    }
+
+    /// Soft state with loads of all targets; `changed` team entries per zone and second.
+    fn gossip(&self, targets: f64, changed: f64) -> Cost {
+        let sum = |lines: &[crate::line::Line; 3]| {
+            lines[0].at(VMS) + lines[1].slope * targets + lines[2].slope * changed
+        };
+        Cost {
+            sent: sum(&self.soft.sent),
+            received: sum(&self.soft.received),
+            micros: sum(&self.soft.micros),
+            bytes: self.soft.memory.at(TEAMS * ZONES),
+        }
+    }
+
+    fn root_state(&self) -> f64 {
+        self.state.root_memory.at(TEAMS) + self.replication.memory.at(LOG_ENTRIES)
+    }
+
+    fn learner(&self) -> Cost {
+        let (sent, received) = (
+            POLLS * self.replication.feed[0].at(200_000.0),
+            POLLS * self.replication.feed[1].at(CHANGES / POLLS),
+        );
+        Cost {
+            sent,
+            received,
+            micros: self.frames(POLLS, sent, POLLS, received) + CHANGES * self.state.root_change.at(TEAMS),
+            bytes: self.state.root_memory.at(TEAMS),
+        }
+    }
+
+    fn root_voter(&self) -> Cost {
+        let idle = self.replication.idle[1].at(ZONES);
+        let micros = self.replication.micros[1].at(0.0) + CHANGES * self.state.root_change.at(TEAMS);
+        let served = self.learner();
+        let cost = self.traffic(idle, micros, self.root_state());
+        Cost {
+            sent: cost.sent + served.received,
+            received: cost.received + served.sent,
+            micros: cost.micros + served.micros,
+            bytes: cost.bytes,
+        }
+    }
+
+    fn root_leader(&self) -> Cost {
+        let mut traffic = self.replication.idle[0].at(ZONES);
+        let entry =
+            self.replication.loaded[0].at(1.0).bytes_out - self.replication.loaded[0].at(0.0).bytes_out;
+        traffic.bytes_out += CHANGES * entry / 2.0 * (ZONES - 1.0);
+        let duties = DUTIES * self.state.rebalance.at(TEAMS);
+        let micros =
+            self.replication.idle_micros.at(ZONES) + CHANGES * self.state.root_change.at(TEAMS) + duties;
+        self.traffic(traffic, micros, self.root_state())
+    }
+
+    fn zone_state(&self) -> f64 {
+        let by = &self.state.memory;
+        let sizes = [RUNNING, ENDED_JOBS, REQUEST_IDS, COMMAND_IDS, TEAMS];
+        let fixed = by[4].fixed;
+        fixed
+            + by.iter()
+                .zip(sizes)
+                .map(|(line, size)| line.slope * size)
+                .sum::<f64>()
+            + self.replication.memory.at(LOG_ENTRIES)
+    }
+
+    /// Time to apply the starts and ends of a second and to encode a snapshot when the log has grown.
+    fn apply(&self, starts: f64) -> f64 {
+        let snapshots = 2.0 * starts / ENTRIES_PER_SNAPSHOT;
+        let ids = REQUEST_IDS + COMMAND_IDS;
+        let encode = self.state.snapshot[1].at(ENDED_JOBS + RUNNING + ids);
+        starts * self.state.start_and_end.at(RUNNING) + snapshots * encode
+    }
+
+    fn zone_leader(&self, starts: f64) -> Cost {
+        let micros = self.replication.micros[0].at(2.0 * starts) + self.apply(starts);
+        self.traffic(
+            self.replication.loaded[0].at(2.0 * starts),
+            micros,
+            self.zone_state(),
+        )
+    }
+
+    fn zone_follower(&self, starts: f64) -> Cost {
+        let micros = self.replication.micros[1].at(2.0 * starts) + self.apply(starts);
+        self.traffic(
+            self.replication.loaded[1].at(2.0 * starts),
+            micros,
+            self.zone_state(),
+        )
+    }
+
+    fn scheduler(&self, starts: f64) -> Cost {
+        let memory = &self.scheduler.memory;
+        let sizes = [WORKERS, TEAMS, WAITING, RUNNING];
+        let bytes = memory[0].fixed
+            + memory
+                .iter()
+                .zip(sizes)
+                .map(|(line, size)| line.slope * size)
+                .sum::<f64>();
+        Cost {
+            micros: starts * self.scheduler.placement.at(WORKERS),
+            bytes,
+            ..Cost::default()
+        }
+    }
+
+    /// Reports of all workers of the zone. A start answers the held report at once, and an end is reported at once, so
+    /// each of them brings one more report and reply at most.
+    fn reports(&self, starts: f64) -> Cost {
+        let reports = WORKERS / REPORT_SECONDS + 2.0 * starts;
+        let report = self.links.report[0].at(RUNNING_PER_WORKER);
+        let (empty, directive) = (self.links.report[1].fixed, self.links.report[1].slope);
+        let codec = self.links.report_micros[0].at(RUNNING_PER_WORKER) + self.links.report_micros[1].fixed;
+        let (sent, received) = (reports * empty + starts * directive, reports * report);
+        let socket = reports * self.links.socket.at(report);
+        let step = self.scheduler.report.at(RUNNING_PER_WORKER);
+        Cost {
+            sent,
+            received,
+            micros: reports * (codec + step) + starts * self.links.report_micros[1].slope + socket,
+            bytes: 0.0,
+        }
+    }
+}
+
+fn row(name: &str, cost: Cost) {
+    println!(
+        "| {name} | {} | {} | {} | {} |",
+        short(cost.sent),
+        short(cost.received),
+        short(cost.micros / 1e4),
+        short(cost.bytes / 1e6)
+    );
+}
+
+fn verdict(name: &str, value: f64, bound: f64, unit: &str) -> String {
+    let holds = if value <= bound { "holds" } else { "DOES NOT HOLD" };
+    format!(
+        "{name} {} of {bound} {unit} ({:.2} x), {holds}",
+        short(value),
+        value / bound
+    )
+}
+
+fn sum(name: &str, parts: &[Cost]) {
+    let cost = parts.iter().copied().fold(Cost::default(), Cost::add);
+    println!(
+        "| {name} | {} | {} | {} | {} |",
+        verdict("sent", cost.sent, BYTES_PER_SECOND, "B/s"),
+        verdict("received", cost.received, BYTES_PER_SECOND, "B/s"),
+        verdict("CPU", cost.micros / 1e4, CORE_PERCENT, "% of a core"),
+        verdict("memory", cost.bytes / 1e6, MEGABYTES, "MB"),
+    );
+}
+
+/// Team entries that change per zone and second when ends spread evenly over the teams: each round of duties
+/// publishes a changed team once.
+fn changed_teams(ends: f64) -> f64 {
+    let per_round = ends / DUTIES;
+    DUTIES * TEAMS * (1.0 - (1.0 - 1.0 / TEAMS).powf(per_round))
+}
+
+/// Prints roles and daemons, quiet and at peak.
+pub fn print(slopes: &Slopes) {
+    for (name, starts) in [
+        ("no starts", 0.0),
+        ("peak, 147 starts and ends a second in each zone", STARTS),
+    ] {
+        let changed = changed_teams(starts);
+        let targets = if starts > 0.0 { TARGETS } else { 0.0 };
+        let announcements = slopes.announcements();
+        let idle = slopes.gossip(0.0, 0.0);
+        let gossip = slopes.gossip(targets, changed);
+        let (learner, voter, leader) = (slopes.learner(), slopes.root_voter(), slopes.root_leader());
+        let (follower, zone_leader) = (slopes.zone_follower(starts), slopes.zone_leader(starts));
+        let (scheduler, reports) = (slopes.scheduler(starts), slopes.reports(starts));
+        println!("\n### Roles, {name}\n");
+        println!(
+            "| role | sent, B/s | received, B/s | CPU, % of a core | memory, MB |\n| --- | --- | --- | --- | --- |"
+        );
+        row("announcements (every daemon)", announcements);
+        row("gossip member, idle table", idle);
+        row(
+            &format!(
+                "gossip member, {targets} targets, {} team entries per zone and second",
+                short(changed)
+            ),
+            gossip,
+        );
+        row("root learner", learner);
+        row("root voter, one learner served", voter);
+        row("root leader, 17 voters", leader);
+        row("zone follower or witness", follower);
+        row("zone leader, log and state", zone_leader);
+        row("zone leader, scheduler", scheduler);
+        row("zone leader, workers' reports", reports);
+        println!("\n### Daemons, {name}\n");
+        println!("| daemon | sent | received | CPU | memory |\n| --- | --- | --- | --- | --- |");
+        let all = announcements + gossip;
+        sum("entry: zone follower, root learner", &[all, learner, follower]);
+        sum(
+            "entry: zone follower and witness, root voter",
+            &[all, voter, follower, follower],
+        );
+        sum(
+            "entry: zone leader, root learner",
+            &[all, learner, zone_leader, scheduler, reports],
+        );
+        sum(
+            "entry: zone leader and witness, root leader",
+            &[all, leader, zone_leader, scheduler, reports, follower],
+        );
+        sum(
+            "the same without workers' reports",
+            &[all, leader, zone_leader, scheduler, follower],
+        );
+        sum(
+            "the same with neither reports nor changed team entries",
+            &[
+                announcements,
+                slopes.gossip(targets, 0.0),
+                leader,
+                zone_leader,
+                scheduler,
+                follower,
+            ],
+        );
+        let remote = slopes.soft.remote[0].at(VMS)
+            + slopes.soft.remote[1].slope * targets
+            + slopes.soft.remote[2].slope * changed;
+        println!(
+            "\nSoft state between all regions together: {} B/s.",
+            short(remote)
+        );
+    }
+    println!(
+        "\nSnapshot of a zone at the target size: {} bytes by the fit over ended jobs.",
+        short(slopes.state.snapshot[0].at(ENDED_JOBS))
+    );
+}
--- /dev/null
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -0,0 +1,218 @@
+//! The scheduler of a zone: time and bytes per placement, memory by kind of entity.
+
+use std::time::{Duration, Instant};
+
+use bronzespoke_model::{id, job, resource, task, team, worker};
+use bronzespoke_schedule::message::Restore;
+use bronzespoke_schedule::{Config, Input, Output, Scheduler};
+
+use crate::{count, line};
+
+const NOW: Duration = Duration::from_secs(100);
+const ALL: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
+
+/// Slopes of the scheduler.
+#[derive(Debug)]
+pub struct Slopes {
+    /// Microseconds from the end of a run to the next start, by workers.
+    pub placement: line::Line,
+    /// Microseconds of a report, by running tasks of the worker.
+    pub report: line::Line,
+    /// Bytes by workers, teams, waiting tasks, running tasks.
+    pub memory: [line::Line; 4],
+}
+
+struct Cell {
+    scheduler: Scheduler,
+    out: Vec<Output>,
+    running: Vec<(task::Ref, id::WorkerId, id::Token)>,
+    next_job: u64,
+}
+
+impl Cell {
+    fn new(workers: u64, teams: u32) -> Self {
+        let config = Config {
+            lease: Duration::from_hours(1000),
+            ..Config::default()
+        };
+        let mut cell = Self {
+            scheduler: Scheduler::new(config, NOW),
+            out: Vec::new(),
+            running: Vec::new(),
+            next_job: 1,
+        };
+        cell.step(Input::Restore(Restore::Done { next_token: 1 }));
+        for team in 1..=teams {
+            let quota = team::Quota {
+                weight: 1 + team % 8,
+                limit: ALL,
+                requests: 0,
+            };
+            let part = ALL;
+            cell.step(Input::Team { team, quota, part });
+        }
+        for worker in 0..workers {
+            let amount = resource::Amount::new(64_000, 131_072, 0);
+            cell.step(Input::Register(worker::Registration {
+                worker,
+                incarnation: 1,
+                rack: (worker / 8) as id::RackId,
+                capacity: resource::Capacity {
+                    amount,
+                    accelerator: 0,
+                },
+            }));
+        }
+        cell
+    }
+
+    fn step(&mut self, input: Input) {
+        self.out.clear();
+        self.scheduler.step(NOW, input, &mut self.out);
+        for output in &self.out {
+            if let Output::Start {
+                task, worker, token, ..
+            } = output
+            {
+                self.running.push((*task, *worker, *token));
+            }
+        }
+    }
+
+    fn submit(&mut self, teams: u32, tasks: u32, cpu_milli: u32) {
+        let job = self.next_job;
+        self.next_job += 1;
+        let spec = job::Spec {
+            kind: job::Kind::Batch,
+            priority: job::Priority::Normal,
+            tasks,
+            size: resource::Amount::new(cpu_milli, 1024, 0),
+            accelerator: 0,
+            run_time: Duration::from_mins(1),
+            checkpoint: true,
+            command: String::from("reconcile --federation judo --tournament 2026-11 --belts all"),
+        };
+        let team = 1 + (job % u64::from(teams)) as id::TeamId;
+        self.step(Input::Submit { job, team, spec });
+    }
+
+    /// Submits until tasks of 10 cores fill the fleet and `waiting` more wait.
+    fn fill(&mut self, workers: u64, teams: u32, waiting: u32) {
+        for _ in 0..(workers as u32 * 6 + waiting).div_ceil(10) {
+            self.submit(teams, 10, 10_000);
+        }
+        while self.scheduler.next_wake() <= NOW {
+            self.step(Input::Tick);
+        }
+    }
+}
+
+/// Measures and prints.
+pub fn measure() -> Slopes {
+    line::head("Scheduler (`crates/schedule`)");
+    let placement = line::fit(
+        "time from an end to the next start, 640 teams, 100,000 waiting",
+        "workers",
+        "µs",
+        &placements(),
+    );
+    let report = line::fit(
+        "time to take a worker's report",
+        "running tasks of the worker",
+        "µs",
+        &reports(),
+    );
+    Slopes {
+        placement,
+        report,
+        memory: memory(),
+    }
+}
+
+fn placements() -> Vec<(f64, f64)> {
+    let place = |workers: u64| {
+        let mut cell = Cell::new(workers, 640);
+        cell.fill(workers, 640, 100_000);
+        let mut times = Vec::new();
+        let mut number = 0;
+        for _ in 0..4000 {
+            number = (number + 7919) % cell.running.len();
+            let (task, _, token) = cell.running.swap_remove(number);
+            let outcome = task::Outcome::Succeeded(String::new());
+            let begun = Instant::now();
+            cell.step(Input::Ended { task, token, outcome });
+            times.push(begun.elapsed().as_secs_f64() * 1e6);
+        }
+        (workers as f64, times.iter().sum::<f64>() / times.len() as f64)
+    };
+    [50, 165, 500, 2800].map(place).to_vec()
+}
+
+fn reports() -> Vec<(f64, f64)> {
+    let report = |tasks: u32| {
+        let mut cell = Cell::new(1, 640);
+        cell.submit(640, tasks, 1000);
+        while cell.scheduler.next_wake() <= NOW {
+            cell.step(Input::Tick);
+        }
+        assert_eq!(cell.running.len() as u32, tasks, "every task runs");
+        let usage = resource::Amount::new(900, 900, 0);
+        let running: Vec<_> = cell
+            .running
+            .iter()
+            .map(|(task, _, token)| worker::Running {
+                task: *task,
+                token: *token,
+                usage,
+            })
+            .collect();
+        let mut sequence = 0;
+        let micros = count::micros(|| {
+            sequence += 1;
+            cell.step(Input::Worker(worker::Report {
+                worker: 0,
+                incarnation: 1,
+                sequence,
+                running: running.clone(),
+                ended: Vec::new(),
+            }));
+        });
+        (f64::from(tasks), micros)
+    };
+    [1, 3, 6, 12, 24].map(report).to_vec()
+}
+
+fn memory() -> [line::Line; 4] {
+    let by = |name: &str, unit: &str, sizes: [u32; 4], build: &dyn Fn(u32) -> Cell| {
+        let points = sizes.map(|size| (f64::from(size), count::memory(|| build(size))));
+        line::fit(name, unit, "B", &points)
+    };
+    [
+        by("memory by workers", "workers", [165, 500, 1000, 2800], &|size| {
+            Cell::new(size.into(), 1)
+        }),
+        by("memory by teams", "teams", [80, 160, 320, 640], &|size| {
+            Cell::new(1, size)
+        }),
+        by(
+            "memory by waiting tasks, 10 to a job",
+            "tasks",
+            [6000, 12_000, 24_000, 100_000],
+            &|size| {
+                let mut cell = Cell::new(1, 640);
+                cell.fill(1, 640, size);
+                cell
+            },
+        ),
+        by(
+            "memory by running tasks, 10 to a job",
+            "tasks",
+            [240, 480, 960, 3840],
+            &|size| {
+                let mut cell = Cell::new(u64::from(size) / 6, 640);
+                cell.fill(u64::from(size) / 6, 640, 0);
+                cell
+            },
+        ),
+    ]
+}
