--- a/crates/bench/benches/capacity/links.rs
+++ b/crates/bench/benches/capacity/links.rs
@@ -36,6 +36,7 @@
 fn hello(leads: u16) -> wire::Body {
     wire::Body::Hello(wire::Hello {
         vm: state::vm(9, 1),
+        incarnation: state::NOW_MS,
         leads: (0..leads).map(|zone| (id::GroupId::Zone(zone + 9), 12)).collect(),
         replicas: vec![id::GroupId::Root, id::GroupId::Zone(9), id::GroupId::Zone(10)],
         cell_known: true,
--- a/crates/bench/benches/capacity/replication.rs
+++ b/crates/bench/benches/capacity/replication.rs
@@ -63,6 +63,8 @@
     pub micros: [line::Line; 2],
     /// Microseconds of the leader in an idle second, by voters.
     pub idle_micros: line::Line,
+    /// Bytes that the leader sends in a second with 300 starts and ends a second, by entries per second.
+    pub batched: line::Line,
     /// Bytes of memory by entries in the log.
     pub memory: line::Line,
     /// Bytes of a poll of the feed and its answer, by entries in the answer.
@@ -87,21 +89,28 @@
         + PREFIX_BYTES
 }
 
-/// Returns an entry with one start, or with the end of one run.
-pub fn command(number: u64) -> Bytes {
+/// Returns an entry with a number of starts and ends in turn.
+pub fn entry(number: u64, commands: u64) -> Bytes {
+    let commands: Vec<_> = (0..commands)
+        .map(|offset| envelope::Envelope::new(state::NOW_MS, command(number * commands + offset)))
+        .collect();
+    envelope::encode(&commands)
+}
+
+/// Returns a start, or the end of a run.
+fn command(number: u64) -> zone::Command {
     let task = task::Ref {
         job: id::job(9, 500_000 + number / 20),
         index: (number / 2 % 10) as u32,
     };
     let token = (1 << 32) + number / 2;
-    let command = if number % 2 == 0 {
+    if number.is_multiple_of(2) {
         let worker = number.wrapping_mul(0x9E37_79B9_7F4A_7C15);
         zone::Command::Start(vec![zone::Start { task, worker, token }])
     } else {
         let outcome = task::Outcome::Succeeded(String::from("reconciled 48 of 48"));
         zone::Command::End(vec![zone::End { task, token, outcome }])
-    };
-    envelope::encode(&[envelope::Envelope::new(state::NOW_MS, command)])
+    }
 }
 
 struct Group {
@@ -133,7 +142,7 @@
             leader: None,
             proposed: 0,
         };
-        group.run(Duration::from_secs(4), 0);
+        group.run(Duration::from_secs(4), 0, 1);
         group.traffic.clear();
         group.busy.clear();
         group
@@ -183,7 +192,7 @@
     }
 
     /// Runs for a time with a number of proposals in each second, spread evenly.
-    fn run(&mut self, time: Duration, rate: u64) {
+    fn run(&mut self, time: Duration, rate: u64, commands: u64) {
         let begin = self.now;
         let mut proposed = 0;
         while self.now < begin + time {
@@ -202,7 +211,7 @@
             while (proposed as f64) < wanted.floor() {
                 proposed += 1;
                 self.proposed += 1;
-                let (id, data) = (self.proposed, command(self.proposed));
+                let (id, data) = (self.proposed, entry(self.proposed, commands));
                 if let Some(leader) = self.leader {
                     self.step(leader, replica::Input::Propose { id, data });
                 }
@@ -254,9 +263,9 @@
     line::head("Replication (`crates/consensus`, frames of `crates/daemon/src/peer/wire.rs`)");
     let mut loaded: [Vec<(f64, Traffic)>; 2] = Default::default();
     let mut micros: [Vec<(f64, f64)>; 2] = Default::default();
-    for rate in [0, 15, 50, 150, 300, 600] {
+    for rate in [15, 50, 150, 300, 600] {
         let mut group = Group::new(3);
-        group.run(Duration::from_secs(SECONDS), rate);
+        group.run(Duration::from_secs(SECONDS), rate, 1);
         for (place, (traffic, busy)) in group.second().into_iter().enumerate() {
             loaded[place].push((rate as f64, traffic));
             micros[place].push((rate as f64, busy));
@@ -266,7 +275,7 @@
     let mut idle_micros = Vec::new();
     for voters in [3, 5, 9, 17] {
         let mut group = Group::new(voters);
-        group.run(Duration::from_secs(SECONDS), 0);
+        group.run(Duration::from_secs(SECONDS), 0, 1);
         for (place, (traffic, busy)) in group.second().into_iter().enumerate() {
             idle[place].push((voters as f64, traffic));
             if place == 0 {
@@ -277,12 +286,17 @@
     let memory = [1000, 2000, 4000, 8000].map(|entries: u32| {
         let bytes = count::memory(|| {
             let mut group = Group::new(3);
-            group.run(Duration::from_secs(2), u64::from(entries) / 2);
+            group.run(Duration::from_secs(2), u64::from(entries) / 2, 1);
             group.flight.clear();
             group
         });
         (f64::from(entries), bytes / 3.0)
     });
+    let batched = [10, 30, 75, 150, 300].map(|rate| {
+        let mut group = Group::new(3);
+        group.run(Duration::from_secs(SECONDS), rate, 300 / rate);
+        (rate as f64, group.second()[0].0.bytes_out)
+    });
     let by_rate = "entries/s, one start or end each";
     Slopes {
         loaded: [
@@ -313,6 +327,12 @@
             "µs/s",
             &idle_micros,
         ),
+        batched: line::fit(
+            "leader of 3, bytes sent per second for 300 starts and ends a second",
+            "entries/s",
+            "B/s",
+            &batched,
+        ),
         memory: line::fit(
             "memory of one replica without compaction",
             "entries in the log",
@@ -328,7 +348,7 @@
         let items = (0..entries)
             .map(|number| message::Item::Command {
                 term: 7,
-                data: command(number),
+                data: entry(number, 1),
             })
             .collect();
         let answer = feed::Answer {
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -12,6 +12,8 @@
 const STARTS: f64 = 2500.0 / ZONES;
 /// Jobs of one day stay for 24 hours after their end.
 const ENDED_JOBS: f64 = 13_000.0 / ZONES;
+/// Submissions in a second, spread over the day.
+const SUBMISSIONS: f64 = 13_000.0 / 86_400.0 / ZONES;
 /// The queue of section 1.8, divided among the zones.
 const WAITING: f64 = 100_000.0 / ZONES;
 const TEAMS: f64 = 640.0;
@@ -174,12 +176,25 @@
     /// Time to apply the starts and ends of a second and to encode a snapshot when the log has grown.
     fn apply(&self, starts: f64) -> f64 {
         let snapshots = 2.0 * starts / ENTRIES_PER_SNAPSHOT;
-        let ids = REQUEST_IDS + COMMAND_IDS;
-        let encode = self.state.snapshot[1].at(ENDED_JOBS + RUNNING + ids);
-        starts * self.state.start_and_end.at(RUNNING) + snapshots * encode
+        let encode = self.encode();
+        SUBMISSIONS * self.state.submit.at(RUNNING)
+            + starts * self.state.start_and_end.at(RUNNING)
+            + snapshots * encode
+    }
+
+    /// Time to encode a snapshot of a zone with full id tables.
+    fn encode(&self) -> f64 {
+        by_tables(&self.state.encode)
     }
 
     fn zone_leader(&self, starts: f64) -> Cost {
+        if starts == 0.0 {
+            return self.traffic(
+                self.replication.idle[0].at(3.0),
+                self.replication.idle_micros.at(3.0),
+                self.zone_state(),
+            );
+        }
         let micros = self.replication.micros[0].at(2.0 * starts) + self.apply(starts);
         self.traffic(
             self.replication.loaded[0].at(2.0 * starts),
@@ -189,6 +204,13 @@
     }
 
     fn zone_follower(&self, starts: f64) -> Cost {
+        if starts == 0.0 {
+            return self.traffic(
+                self.replication.idle[1].at(3.0),
+                self.replication.micros[1].at(0.0),
+                self.zone_state(),
+            );
+        }
         let micros = self.replication.micros[1].at(2.0 * starts) + self.apply(starts);
         self.traffic(
             self.replication.loaded[1].at(2.0 * starts),
@@ -207,7 +229,7 @@
                 .map(|(line, size)| line.slope * size)
                 .sum::<f64>();
         Cost {
-            micros: starts * self.scheduler.placement.at(WORKERS),
+            micros: starts * self.scheduler.placement[0].at(WORKERS),
             bytes,
             ..Cost::default()
         }
@@ -232,6 +254,16 @@
     }
 }
 
+fn by_tables(lines: &[crate::line::Line; 3]) -> f64 {
+    let sizes = [ENDED_JOBS, REQUEST_IDS, COMMAND_IDS];
+    lines[0].fixed
+        + lines
+            .iter()
+            .zip(sizes)
+            .map(|(line, size)| line.slope * size)
+            .sum::<f64>()
+}
+
 fn row(name: &str, cost: Cost) {
     println!(
         "| {name} | {} | {} | {} | {} |",
@@ -343,7 +375,17 @@
         );
     }
     println!(
-        "\nSnapshot of a zone at the target size: {} bytes by the fit over ended jobs.",
-        short(slopes.state.snapshot[0].at(ENDED_JOBS))
+        "\nSnapshot of a zone at the target size with full id tables and no answers: {} bytes, {} ms to encode, {} ms to \
+         decode and verify.",
+        short(by_tables(&slopes.state.snapshot)),
+        short(by_tables(&slopes.state.encode) / 1000.0),
+        short(by_tables(&slopes.state.decode) / 1000.0),
+    );
+    println!(
+        "\nLeader of a zone with {} starts and ends a second, bytes sent for the log: {} with an entry for each, {} with \
+         10 entries a second.",
+        short(2.0 * STARTS),
+        short(slopes.replication.batched.at(2.0 * STARTS)),
+        short(slopes.replication.batched.at(10.0)),
     );
 }
--- a/crates/bench/benches/capacity/scheduler.rs
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -14,8 +14,8 @@
 /// Slopes of the scheduler.
 #[derive(Debug)]
 pub struct Slopes {
-    /// Microseconds from the end of a run to the next start, by workers.
-    pub placement: line::Line,
+    /// Mean, median and 99th percentile of the microseconds from the end of a run to the next start, by workers.
+    pub placement: [line::Line; 3],
     /// Microseconds of a report, by running tasks of the worker.
     pub report: line::Line,
     /// Bytes by workers, teams, waiting tasks, running tasks.
@@ -110,12 +110,15 @@
 /// Measures and prints.
 pub fn measure() -> Slopes {
     line::head("Scheduler (`crates/schedule`)");
-    let placement = line::fit(
-        "time from an end to the next start, 640 teams, 100,000 waiting",
-        "workers",
-        "µs",
-        &placements(),
-    );
+    let points = placements();
+    let placement = [("mean", 0), ("median", 1), ("p99", 2)].map(|(name, column)| {
+        let points: Vec<_> = points
+            .iter()
+            .map(|(workers, times)| (*workers, times[column]))
+            .collect();
+        let name = format!("{name} time from an end to the next start, 640 teams, 100,000 waiting");
+        line::fit(&name, "workers", "µs", &points)
+    });
     let report = line::fit(
         "time to take a worker's report",
         "running tasks of the worker",
@@ -129,7 +132,7 @@
     }
 }
 
-fn placements() -> Vec<(f64, f64)> {
+fn placements() -> Vec<(f64, [f64; 3])> {
     let place = |workers: u64| {
         let mut cell = Cell::new(workers, 640);
         cell.fill(workers, 640, 100_000);
@@ -143,7 +146,12 @@
             cell.step(Input::Ended { task, token, outcome });
             times.push(begun.elapsed().as_secs_f64() * 1e6);
         }
-        (workers as f64, times.iter().sum::<f64>() / times.len() as f64)
+        times.sort_by(f64::total_cmp);
+        let mean = times.iter().sum::<f64>() / times.len() as f64;
+        (
+            workers as f64,
+            [mean, times[times.len() / 2], times[times.len() * 99 / 100]],
+        )
     };
     [50, 165, 500, 2800].map(place).to_vec()
 }
--- a/crates/bench/benches/capacity/soft.rs
+++ b/crates/bench/benches/capacity/soft.rs
@@ -177,7 +177,7 @@
         });
         (targets as f64, second)
     });
-    let changes = [0, 10, 20, 40, 80].map(|changes| {
+    let changes = [0, 10, 40, 80, 160].map(|changes| {
         let mut network = build(17);
         teams(&mut network, 0, 640, 0);
         let second = run(network, |network, round| {
--- a/crates/bench/benches/capacity/state.rs
+++ b/crates/bench/benches/capacity/state.rs
@@ -11,6 +11,7 @@
 pub const NOW_MS: u64 = 1_796_000_000_000;
 const ALL: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
 const WORKERS: u64 = 165;
+const IDS: [u32; 4] = [1000, 5000, 20_000, 49_000];
 
 /// Slopes of the zone state and the root state.
 #[derive(Debug)]
@@ -19,12 +20,14 @@
     pub start_and_end: line::Line,
     /// Microseconds of a submission, by jobs.
     pub submit: line::Line,
-    /// Microseconds of a claim, by request ids.
-    pub claim: line::Line,
     /// Zone bytes by running tasks, ended jobs, request ids, command ids, teams.
     pub memory: [line::Line; 5],
-    /// Snapshot bytes and encoding microseconds by ended jobs.
-    pub snapshot: [line::Line; 2],
+    /// Snapshot bytes by ended jobs, request ids, command ids.
+    pub snapshot: [line::Line; 3],
+    /// Microseconds to encode a snapshot, by the same.
+    pub encode: [line::Line; 3],
+    /// Microseconds to decode and verify a snapshot, by the same.
+    pub decode: [line::Line; 3],
     /// Root bytes by teams with four keys each in 17 zones, with the view.
     pub root_memory: line::Line,
     /// Microseconds of a key change and the new view, by teams.
@@ -176,7 +179,7 @@
             count::median(runs)
         },
     );
-    let claim = by(
+    by(
         "time to apply a claim",
         "request ids",
         "µs",
@@ -190,30 +193,14 @@
         },
     );
     let memory = zone_memory();
-    let snapshot = [
-        by(
-            "snapshot bytes",
-            "ended jobs",
-            "B",
-            [100, 765, 3000, 13_000],
-            &mut |jobs| {
-                let mut zone = Zone::new(640);
-                zone.end_jobs(jobs);
-                zone.0.encode().len() as f64
-            },
-        ),
-        by(
-            "time to encode a snapshot",
-            "ended jobs",
-            "µs",
-            [100, 765, 3000, 13_000],
-            &mut |jobs| {
-                let mut zone = Zone::new(640);
-                zone.end_jobs(jobs);
-                count::micros(|| drop(black_box(zone.0.encode())))
-            },
-        ),
-    ];
+    let snapshot = snapshots("snapshot bytes", "B", &|zone| zone.0.encode().len() as f64);
+    let encode = snapshots("time to encode a snapshot", "µs", &|zone| {
+        count::micros(|| drop(black_box(zone.0.encode())))
+    });
+    let decode = snapshots("time to decode and verify a snapshot", "µs", &|zone| {
+        let bytes = zone.0.encode();
+        count::micros(|| drop(black_box(zone::State::decode(&bytes))))
+    });
     line::head("Root state (`crates/control/src/root`)");
     let root_memory = by(
         "memory of the root state and its view, 17 zones, 34 VMs, 4 keys a team",
@@ -271,15 +258,49 @@
     Slopes {
         start_and_end,
         submit,
-        claim,
         memory,
         snapshot,
+        encode,
+        decode,
         root_memory,
         root_change,
         rebalance,
     }
 }
 
+fn snapshots(name: &str, y: &str, value: &dyn Fn(&Zone) -> f64) -> [line::Line; 3] {
+    let line = |unit: &str, sizes, build: &dyn Fn(u32) -> Zone| {
+        by(name, unit, y, sizes, &mut |size| value(&build(size)))
+    };
+    [
+        line("ended jobs", [100, 765, 3000, 13_000], &with_jobs),
+        line("request ids", IDS, &with_claims),
+        line("command ids", IDS, &with_commands),
+    ]
+}
+
+fn with_jobs(jobs: u32) -> Zone {
+    let mut zone = Zone::new(640);
+    zone.end_jobs(jobs);
+    zone
+}
+
+fn with_claims(ids: u32) -> Zone {
+    let mut zone = Zone::new(1);
+    (0..ids).for_each(|number| zone.claim(number));
+    zone
+}
+
+fn with_commands(ids: u32) -> Zone {
+    let mut zone = Zone::new(1);
+    for number in 0..ids {
+        let id = Some((u128::from(number) << 64) | u128::from(number) * 7919);
+        let job = id::job(9, 1 << 30);
+        zone.run_with(id, zone::Command::Cancel { job });
+    }
+    zone
+}
+
 fn zone_memory() -> [line::Line; 5] {
     let by_memory = |name: &str, unit: &str, sizes: [u32; 4], build: &dyn Fn(u32) -> Zone| {
         by(name, unit, "B", sizes, &mut |size| count::memory(|| build(size)))
@@ -299,40 +320,10 @@
             "memory by ended jobs of one task",
             "jobs",
             [100, 765, 3000, 13_000],
-            &|jobs| {
-                let mut zone = Zone::new(640);
-                zone.end_jobs(jobs);
-                zone
-            },
-        ),
-        by_memory(
-            "memory by request ids without answers",
-            "ids",
-            [1000, 5000, 20_000, 49_000],
-            &|ids| {
-                let mut zone = Zone::new(1);
-                (0..ids).for_each(|number| zone.claim(number));
-                zone
-            },
-        ),
-        by_memory(
-            "memory by command ids",
-            "ids",
-            [1000, 5000, 20_000, 65_000],
-            &|ids| {
-                let mut zone = Zone::new(1);
-                for number in 0..ids {
-                    let id = Some(u128::from(number) << 64 | u128::from(number * 7919));
-                    zone.run_with(
-                        id,
-                        zone::Command::Cancel {
-                            job: id::job(9, 1 << 30),
-                        },
-                    );
-                }
-                zone
-            },
+            &with_jobs,
         ),
+        by_memory("memory by request ids without answers", "ids", IDS, &with_claims),
+        by_memory("memory by command ids", "ids", IDS, &with_commands),
         by_memory("memory by teams", "teams", [80, 160, 320, 640], &Zone::new),
     ]
 }
