--- /dev/null
+++ b/crates/bench/benches/capacity/choices.rs
@@ -0,0 +1,122 @@
+//! Figures behind the decisions on the control thread and on frames: codecs, reads of a view, synced writes.
+
+use std::{hint::black_box, sync::Arc, time::Instant};
+
+use bronzespoke_consensus::{log, membership, message, write};
+use bronzespoke_daemon::peer::wire;
+use bronzespoke_model::{id, stamp};
+use serde::{Serialize, de::DeserializeOwned};
+use tokio::sync::watch;
+
+use crate::{count, line, links, replication, state};
+
+const SYNCS: u64 = 60;
+
+/// Measures and prints.
+pub fn measure() {
+    println!("\n### Codecs\n");
+    println!(
+        "| message | postcard, B | JSON, B | ratio | postcard, µs to encode and decode | JSON, µs |\n\
+         | --- | --- | --- | --- | --- | --- |"
+    );
+    codec("announcement", &frame(links::hello(1)));
+    codec("heartbeat", &frame(append(0, 1)));
+    codec("append with one start", &frame(append(1, 1)));
+    codec("append with 15 entries of one command", &frame(append(15, 1)));
+    codec("report of a worker with 6 tasks", &links::report(6));
+    line::head("Views and the disk");
+    line::fit(
+        "time to read a view through a watch channel",
+        "readers' copies alive",
+        "µs",
+        &[1, 8, 64, 512].map(reads),
+    );
+    line::fit(
+        "time of a synced write, mean",
+        "entries in the write",
+        "µs",
+        &[1, 15, 75, 150].map(|entries| (entries as f64, syncs(entries))),
+    );
+}
+
+fn frame(body: wire::Body) -> wire::Frame {
+    let vm = state::vm(9, 1);
+    wire::Frame {
+        from: vm.id,
+        from_peer: vm.peer,
+        stamp: stamp::Stamp {
+            micros: state::NOW_MS * 1000,
+            logical: 0,
+        },
+        body,
+    }
+}
+
+fn append(entries: u64, commands: u64) -> wire::Body {
+    let previous = log::Position { term: 7, index: 200_000 };
+    let item = |number| message::Item::Command {
+        term: 7,
+        data: replication::entry(number, commands),
+    };
+    let append = message::Append {
+        previous,
+        entries: (0..entries).map(item).collect(),
+        commit: 200_000,
+        sent: 5_000_000_000,
+        token: 123_456_789,
+        age: Some(100_000),
+    };
+    let body = message::Body::Append(append);
+    wire::Body::Consensus(id::GroupId::Zone(9), message::Message { term: 7, body })
+}
+
+fn codec<T: Serialize + DeserializeOwned>(name: &str, value: &T) {
+    let binary = postcard::to_stdvec(value).expect("the message has a binary form");
+    let text = serde_json::to_vec(value).expect("the message has a text form");
+    let binary_time = count::micros(|| {
+        let bytes = postcard::to_stdvec(black_box(value)).expect("the message has a binary form");
+        drop(black_box(postcard::from_bytes::<T>(&bytes)));
+    });
+    let text_time = count::micros(|| {
+        let bytes = serde_json::to_vec(black_box(value)).expect("the message has a text form");
+        drop(black_box(serde_json::from_slice::<T>(&bytes)));
+    });
+    println!(
+        "| {name} | {} | {} | {} | {} | {} |",
+        binary.len(),
+        text.len(),
+        line::short(text.len() as f64 / binary.len() as f64),
+        line::short(binary_time),
+        line::short(text_time)
+    );
+}
+
+fn reads(copies: usize) -> (f64, f64) {
+    let (_sender, receiver) = watch::channel(Arc::new(0_u64));
+    let held: Vec<_> = (0..copies).map(|_| Arc::clone(&receiver.borrow())).collect();
+    let micros = count::micros(|| drop(black_box(Arc::clone(&receiver.borrow()))));
+    drop(held);
+    (copies as f64, micros)
+}
+
+fn syncs(entries: u64) -> f64 {
+    let folder = tempfile::tempdir().expect("a temporary folder can be made");
+    let (mut store, _) = bronzespoke_storage::Store::open(folder.path(), id::GroupId::Zone(9)).expect("the folder is empty");
+    store
+        .bootstrap(membership::Membership::of_voters([1]))
+        .expect("the disk has room");
+    let begun = Instant::now();
+    for sequence in 1..=SYNCS {
+        let first = 2 + (sequence - 1) * entries;
+        let entry = |index| log::Entry {
+            position: log::Position { term: 1, index },
+            payload: log::Payload::Command(replication::entry(index, 1)),
+        };
+        let kind = write::Kind::Append {
+            entries: (first..first + entries).map(entry).collect(),
+            commit: first - 1,
+        };
+        store.write(&[write::Write { sequence, kind }]).expect("the disk has room");
+    }
+    begun.elapsed().as_secs_f64() * 1e6 / SYNCS as f64
+}
--- /dev/null
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -0,0 +1,232 @@
+//! Whole daemons on loopback in this process: bytes between them, processor time of their threads, and memory.
+
+use std::{
+    fs,
+    net::SocketAddr,
+    sync::{Arc, atomic::Ordering},
+    thread,
+    time::{Duration, Instant},
+};
+
+use bronzespoke_daemon::{daemon, settings};
+use bronzespoke_model::{id, resource, vm, worker};
+use bronzespoke_standin::{ledger, worker as standin};
+use tokio_util::sync::CancellationToken;
+
+use crate::{count, line};
+
+const SETTLE: Duration = Duration::from_secs(6);
+const MEASURE: Duration = Duration::from_secs(10);
+const START_LIMIT: Duration = Duration::from_mins(1);
+/// Threads that only work for daemons, by the first letters of their names.
+const DAEMON_THREADS: [&str; 3] = ["control", "traffic", "disk"];
+/// Clock ticks in a second on Linux.
+const TICKS: f64 = 100.0;
+
+struct Cell {
+    daemons: Vec<daemon::Daemon>,
+    http: Vec<SocketAddr>,
+    _folder: tempfile::TempDir,
+}
+
+/// What the daemons of a cell cost in a second.
+#[derive(Debug, Clone, Copy)]
+struct Second {
+    /// Bytes that the busiest daemon sent to others.
+    most_sent: f64,
+    /// Bytes that a daemon sent to others, on average.
+    mean_sent: f64,
+    /// Microseconds of all daemon threads.
+    micros: f64,
+    /// Live heap of the process.
+    heap: f64,
+}
+
+impl Cell {
+    fn start(zones: u16) -> Self {
+        let folder = tempfile::tempdir().expect("a temporary folder can be made");
+        let mut bound = Vec::new();
+        for number in 0..zones * 2 {
+            let mut settings = template(number, folder.path());
+            let listeners = daemon::Listeners::bind(&mut settings).expect("loopback has free ports");
+            bound.push((settings, listeners));
+        }
+        let peers: Vec<_> = bound.iter().map(|(settings, _)| settings.peer).collect();
+        let http = bound.iter().map(|(settings, _)| settings.http).collect();
+        let start = |(mut settings, listeners): (settings::Settings, daemon::Listeners)| {
+            settings.seeds = peers
+                .iter()
+                .copied()
+                .filter(|peer| *peer != settings.peer)
+                .collect();
+            daemon::Daemon::start(settings, listeners).expect("a daemon starts")
+        };
+        let daemons: Vec<_> = bound.into_iter().map(start).collect();
+        let begun = Instant::now();
+        while !daemons.iter().all(daemon::Daemon::is_ready) {
+            assert!(begun.elapsed() < START_LIMIT, "the daemons do not become ready");
+            thread::sleep(Duration::from_millis(50));
+        }
+        thread::sleep(SETTLE);
+        Self {
+            daemons,
+            http,
+            _folder: folder,
+        }
+    }
+
+    fn sent(&self) -> Vec<u64> {
+        self.daemons
+            .iter()
+            .map(|daemon| daemon.traffic().sent.load(Ordering::Relaxed))
+            .collect()
+    }
+
+    fn second(&self) -> Second {
+        let (sent, time, begun) = (self.sent(), thread_micros(), Instant::now());
+        thread::sleep(MEASURE);
+        let seconds = begun.elapsed().as_secs_f64();
+        let sent: Vec<f64> = self
+            .sent()
+            .iter()
+            .zip(&sent)
+            .map(|(now, before)| (now - before) as f64 / seconds)
+            .collect();
+        Second {
+            most_sent: sent.iter().copied().fold(0.0, f64::max),
+            mean_sent: sent.iter().sum::<f64>() / sent.len() as f64,
+            micros: (thread_micros() - time) / seconds,
+            heap: count::live(),
+        }
+    }
+
+    fn stop(self) {
+        self.daemons.into_iter().for_each(daemon::Daemon::kill);
+    }
+}
+
+fn template(number: u16, folder: &std::path::Path) -> settings::Settings {
+    let zone = number / 2 + 1;
+    let name = format!("entry-{zone}-{}", number % 2);
+    let loopback = SocketAddr::from(([127, 0, 0, 1], 0));
+    settings::Settings {
+        data: number.is_multiple_of(2).then(|| folder.join(&name)),
+        name,
+        place: vm::Place {
+            region: (zone - 1) / 3 + 1,
+            zone,
+        },
+        peer: loopback,
+        http: loopback,
+        rpc: loopback,
+        seeds: Vec::new(),
+        found: number == 0,
+        random_seed: 1 + u64::from(number),
+        traffic_threads: 1,
+        drain_notice: Duration::from_millis(500),
+        log_level: log::LevelFilter::Off,
+    }
+}
+
+/// Processor time so far of the threads that work for daemons, in microseconds.
+fn thread_micros() -> f64 {
+    let tasks = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
+    let stats = tasks.filter_map(|task| fs::read_to_string(task.path().join("stat")).ok());
+    let ticks = stats.filter_map(|stat| {
+        let (name, rest) = stat.split_once('(')?.1.rsplit_once(')')?;
+        let ours = DAEMON_THREADS.iter().any(|prefix| name.starts_with(prefix));
+        let fields: Vec<&str> = rest.split_whitespace().collect();
+        let time = |field: usize| fields.get(field)?.parse::<f64>().ok();
+        ours.then(|| Some(time(11)? + time(12)?)).flatten()
+    });
+    ticks.sum::<f64>() * 1e6 / TICKS
+}
+
+fn workers(count: u64) -> Second {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(1)
+        .thread_name("standin")
+        .enable_all()
+        .build()
+        .expect("a runtime starts");
+    let cell = Cell::start(3);
+    let cancel = CancellationToken::new();
+    let ledger = Arc::new(ledger::Ledger::default());
+    for worker in 0..count {
+        let registration = worker::Registration {
+            worker,
+            incarnation: 1,
+            rack: (worker / 8) as id::RackId,
+            capacity: resource::Capacity {
+                amount: resource::Amount::new(64_000, 131_072, 0),
+                accelerator: 0,
+            },
+        };
+        let options = standin::Options {
+            registration,
+            entries: cell.http[..2].to_vec(),
+            fails_everything: false,
+        };
+        runtime.spawn(standin::run(options, Arc::clone(&ledger), cancel.child_token()));
+    }
+    thread::sleep(SETTLE);
+    let second = cell.second();
+    cancel.cancel();
+    cell.stop();
+    runtime.shutdown_timeout(Duration::from_secs(1));
+    second
+}
+
+/// Measures and prints.
+pub fn measure() {
+    line::head("Whole daemons on loopback, idle (`crates/daemon`)");
+    let before = count::live();
+    let idle: Vec<_> = [3_u16, 6, 10, 17]
+        .into_iter()
+        .map(|zones| {
+            let cell = Cell::start(zones);
+            let second = cell.second();
+            cell.stop();
+            (f64::from(zones) * 2.0, second)
+        })
+        .collect();
+    let column =
+        |name: &str, x: &str, y: &str, points: &[(f64, Second)], value: &dyn Fn(f64, &Second) -> f64| {
+            let points: Vec<_> = points.iter().map(|(x, second)| (*x, value(*x, second))).collect();
+            line::fit(name, x, y, &points);
+        };
+    column(
+        "bytes sent to daemons, the busiest",
+        "VMs",
+        "B/s",
+        &idle,
+        &|_, second| second.most_sent,
+    );
+    column(
+        "bytes sent to daemons, mean",
+        "VMs",
+        "B/s",
+        &idle,
+        &|_, second| second.mean_sent,
+    );
+    column(
+        "time of all threads of a daemon, mean",
+        "VMs",
+        "µs/s",
+        &idle,
+        &|vms, second| second.micros / vms,
+    );
+    column("heap of a daemon, mean", "VMs", "B", &idle, &|vms, second| {
+        (second.heap - before) / vms
+    });
+    let loaded: Vec<_> = [0, 55, 110, 165]
+        .map(|count| (count as f64, workers(count)))
+        .to_vec();
+    column(
+        "time of all threads of six daemons",
+        "idle workers of one zone",
+        "µs/s",
+        &loaded,
+        &|_, second| second.micros,
+    );
+}
--- a/crates/bench/benches/capacity/links.rs
+++ b/crates/bench/benches/capacity/links.rs
@@ -33,7 +33,8 @@
     pub report_micros: [line::Line; 2],
 }
 
-fn hello(leads: u16) -> wire::Body {
+/// Returns an announcement of a daemon that leads some groups.
+pub fn hello(leads: u16) -> wire::Body {
     wire::Body::Hello(wire::Hello {
         vm: state::vm(9, 1),
         incarnation: state::NOW_MS,
@@ -59,7 +60,7 @@
 }
 
 /// Returns a report of a worker with tasks in one zone.
-fn report(tasks: u32) -> worker::Report {
+pub fn report(tasks: u32) -> worker::Report {
     let running = (0..tasks)
         .map(|number| worker::Running {
             task: task::Ref {
--- a/crates/bench/benches/capacity/main.rs
+++ b/crates/bench/benches/capacity/main.rs
@@ -3,7 +3,9 @@
 //! The output is Markdown; it replaces the generated part of the page. Nothing here fails: a bound that does not hold
 //! is printed as such.
 
+mod choices;
 mod count;
+mod daemons;
 mod line;
 mod links;
 mod replication;
@@ -23,5 +25,7 @@
         links: links::measure(),
         soft: soft::measure(),
     };
+    choices::measure();
+    daemons::measure();
     role::print(&slopes);
 }
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -32,6 +32,9 @@
 /// Rounds of duties in a second, `INTERVAL` in `crates/daemon/src/control/duties.rs`.
 const DUTIES: f64 = 2.0;
 
+/// `MAX_OPEN_BYTES`, `MAX_ENDED_BYTES` and `MAX_ANSWERS_BYTES` of `crates/control/src/zone`.
+const TABLE_BYTES: f64 = 32.0 * 1024.0 * 1024.0;
+
 const CORE_PERCENT: f64 = 1.9;
 const MEGABYTES: f64 = 64.0;
 const BYTES_PER_SECOND: f64 = 24_000.0;
@@ -347,24 +350,24 @@
             "entry: zone leader, root learner",
             &[all, learner, zone_leader, scheduler, reports],
         );
-        sum(
-            "entry: zone leader and witness, root leader",
-            &[all, leader, zone_leader, scheduler, reports, follower],
-        );
-        sum(
-            "the same without workers' reports",
-            &[all, leader, zone_leader, scheduler, follower],
-        );
+        // The witness is the nearest VM with the lowest id, so that one VM may be that of two other zones.
+        let worst = [all, leader, zone_leader, scheduler, reports, follower, follower];
+        sum("entry: zone leader, witness of two zones, root leader", &worst);
+        let remaining = [all, leader, zone_leader, scheduler, follower, follower];
+        sum("the same without workers' reports", &remaining);
+        let demand = slopes.gossip(targets, 0.0);
+        let remaining = [
+            announcements,
+            demand,
+            leader,
+            zone_leader,
+            scheduler,
+            follower,
+            follower,
+        ];
         sum(
             "the same with neither reports nor changed team entries",
-            &[
-                announcements,
-                slopes.gossip(targets, 0.0),
-                leader,
-                zone_leader,
-                scheduler,
-                follower,
-            ],
+            &remaining,
         );
         let remote = slopes.soft.remote[0].at(VMS)
             + slopes.soft.remote[1].slope * targets
@@ -381,6 +384,14 @@
         short(by_tables(&slopes.state.encode) / 1000.0),
         short(by_tables(&slopes.state.decode) / 1000.0),
     );
+    let tables = TABLE_BYTES / 1e6;
+    let worst = (slopes.root_leader().bytes + 3.0 * slopes.zone_state() + slopes.scheduler(0.0).bytes) / 1e6;
+    println!(
+        "\nWith the tables of open jobs, ended jobs and answers at their bounds, each replica of a zone takes up to {} MB \
+         more; with three replicas that makes {} MB.",
+        short(tables),
+        short(3.0f64.mul_add(tables, worst)),
+    );
     println!(
         "\nLeader of a zone with {} starts and ends a second, bytes sent for the log: {} with an entry for each, {} with \
          10 entries a second.",
