--- a/crates/bench/benches/capacity/choices.rs
+++ b/crates/bench/benches/capacity/choices.rs
@@ -53,7 +53,10 @@
 }
 
 fn append(entries: u64, commands: u64) -> wire::Body {
-    let previous = log::Position { term: 7, index: 200_000 };
+    let previous = log::Position {
+        term: 7,
+        index: 200_000,
+    };
     let item = |number| message::Item::Command {
         term: 7,
         data: replication::entry(number, commands),
@@ -101,7 +104,8 @@
 
 fn syncs(entries: u64) -> f64 {
     let folder = tempfile::tempdir().expect("a temporary folder can be made");
-    let (mut store, _) = bronzespoke_storage::Store::open(folder.path(), id::GroupId::Zone(9)).expect("the folder is empty");
+    let (mut store, _) =
+        bronzespoke_storage::Store::open(folder.path(), id::GroupId::Zone(9)).expect("the folder is empty");
     store
         .bootstrap(membership::Membership::of_voters([1]))
         .expect("the disk has room");
@@ -116,7 +120,9 @@
             entries: (first..first + entries).map(entry).collect(),
             commit: first - 1,
         };
-        store.write(&[write::Write { sequence, kind }]).expect("the disk has room");
+        store
+            .write(&[write::Write { sequence, kind }])
+            .expect("the disk has room");
     }
     begun.elapsed().as_secs_f64() * 1e6 / SYNCS as f64
 }
--- a/crates/bench/benches/capacity/daemons.rs
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -1,6 +1,7 @@
 //! Whole daemons on loopback in this process: bytes between them, processor time of their threads, and memory.
 
 use std::{
+    collections::BTreeMap,
     fs,
     net::SocketAddr,
     sync::{Arc, atomic::Ordering},
@@ -38,6 +39,8 @@
     mean_sent: f64,
     /// Microseconds of all daemon threads.
     micros: f64,
+    /// Microseconds of the busiest control thread.
+    busiest: f64,
     /// Live heap of the process.
     heap: f64,
 }
@@ -83,7 +86,7 @@
     }
 
     fn second(&self) -> Second {
-        let (sent, time, begun) = (self.sent(), thread_micros(), Instant::now());
+        let (sent, before, begun) = (self.sent(), thread_micros(), Instant::now());
         thread::sleep(MEASURE);
         let seconds = begun.elapsed().as_secs_f64();
         let sent: Vec<f64> = self
@@ -92,10 +95,19 @@
             .zip(&sent)
             .map(|(now, before)| (now - before) as f64 / seconds)
             .collect();
+        let spent: Vec<_> = thread_micros()
+            .into_iter()
+            .map(|(task, (name, micros))| {
+                let earlier = before.get(&task).map_or(0.0, |(_, earlier)| *earlier);
+                (name, (micros - earlier) / seconds)
+            })
+            .collect();
+        let control = spent.iter().filter(|(name, _)| name == DAEMON_THREADS[0]);
         Second {
             most_sent: sent.iter().copied().fold(0.0, f64::max),
             mean_sent: sent.iter().sum::<f64>() / sent.len() as f64,
-            micros: (thread_micros() - time) / seconds,
+            micros: spent.iter().map(|(_, micros)| micros).sum(),
+            busiest: control.map(|(_, micros)| *micros).fold(0.0, f64::max),
             heap: count::live(),
         }
     }
@@ -128,18 +140,20 @@
     }
 }
 
-/// Processor time so far of the threads that work for daemons, in microseconds.
-fn thread_micros() -> f64 {
+/// Name and processor time so far, in microseconds, of the threads that work for daemons.
+fn thread_micros() -> BTreeMap<String, (String, f64)> {
     let tasks = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
     let stats = tasks.filter_map(|task| fs::read_to_string(task.path().join("stat")).ok());
-    let ticks = stats.filter_map(|stat| {
-        let (name, rest) = stat.split_once('(')?.1.rsplit_once(')')?;
-        let ours = DAEMON_THREADS.iter().any(|prefix| name.starts_with(prefix));
+    let thread = |stat: String| {
+        let (task, rest) = stat.split_once(" (")?;
+        let (name, rest) = rest.rsplit_once(')')?;
         let fields: Vec<&str> = rest.split_whitespace().collect();
-        let time = |field: usize| fields.get(field)?.parse::<f64>().ok();
-        ours.then(|| Some(time(11)? + time(12)?)).flatten()
-    });
-    ticks.sum::<f64>() * 1e6 / TICKS
+        let ticks = |field: usize| fields.get(field)?.parse::<f64>().ok();
+        let micros = (ticks(11)? + ticks(12)?) * 1e6 / TICKS;
+        let ours = DAEMON_THREADS.iter().any(|prefix| name.starts_with(prefix));
+        ours.then(|| (String::from(task), (String::from(name), micros)))
+    };
+    stats.filter_map(thread).collect()
 }
 
 fn workers(count: u64) -> Second {
@@ -177,56 +191,52 @@
     second
 }
 
+/// Slopes of whole daemons.
+#[derive(Debug)]
+pub struct Slopes {
+    /// Microseconds of all threads of an idle daemon in a second, by VMs.
+    pub idle: line::Line,
+    /// Microseconds of all threads of six daemons in a second, by idle workers of one zone.
+    pub workers: line::Line,
+}
+
 /// Measures and prints.
-pub fn measure() {
+pub fn measure() -> Slopes {
     line::head("Whole daemons on loopback, idle (`crates/daemon`)");
     let before = count::live();
-    let idle: Vec<_> = [3_u16, 6, 10, 17]
-        .into_iter()
-        .map(|zones| {
-            let cell = Cell::start(zones);
-            let second = cell.second();
-            cell.stop();
-            (f64::from(zones) * 2.0, second)
-        })
-        .collect();
-    let column =
-        |name: &str, x: &str, y: &str, points: &[(f64, Second)], value: &dyn Fn(f64, &Second) -> f64| {
-            let points: Vec<_> = points.iter().map(|(x, second)| (*x, value(*x, second))).collect();
-            line::fit(name, x, y, &points);
-        };
-    column(
-        "bytes sent to daemons, the busiest",
-        "VMs",
-        "B/s",
-        &idle,
-        &|_, second| second.most_sent,
-    );
-    column(
-        "bytes sent to daemons, mean",
-        "VMs",
-        "B/s",
-        &idle,
-        &|_, second| second.mean_sent,
-    );
-    column(
+    let idle = [3_u16, 6, 10, 17].map(|zones| {
+        let cell = Cell::start(zones);
+        let second = cell.second();
+        cell.stop();
+        (f64::from(zones) * 2.0, second)
+    });
+    let column = |name: &str, y: &str, value: &dyn Fn(f64, &Second) -> f64| {
+        let points = idle.map(|(vms, second)| (vms, value(vms, &second)));
+        line::fit(name, "VMs", y, &points)
+    };
+    column("bytes sent to daemons, the busiest", "B/s", &|_, second| {
+        second.most_sent
+    });
+    column("bytes sent to daemons, mean", "B/s", &|_, second| {
+        second.mean_sent
+    });
+    column("heap of a daemon, mean", "B", &|vms, second| {
+        (second.heap - before) / vms
+    });
+    column("time of the busiest control thread", "µs/s", &|_, second| {
+        second.busiest
+    });
+    let idle = column(
         "time of all threads of a daemon, mean",
-        "VMs",
         "µs/s",
-        &idle,
         &|vms, second| second.micros / vms,
     );
-    column("heap of a daemon, mean", "VMs", "B", &idle, &|vms, second| {
-        (second.heap - before) / vms
-    });
-    let loaded: Vec<_> = [0, 55, 110, 165]
-        .map(|count| (count as f64, workers(count)))
-        .to_vec();
-    column(
+    let loaded = [0, 330, 660, 990].map(|count| (count as f64, workers(count).micros));
+    let workers = line::fit(
         "time of all threads of six daemons",
         "idle workers of one zone",
         "µs/s",
         &loaded,
-        &|_, second| second.micros,
     );
+    Slopes { idle, workers }
 }
--- a/crates/bench/benches/capacity/main.rs
+++ b/crates/bench/benches/capacity/main.rs
@@ -18,14 +18,14 @@
 static ALLOCATOR: count::Counting = count::Counting;
 
 fn main() {
+    choices::measure();
     let slopes = role::Slopes {
         scheduler: scheduler::measure(),
         state: state::measure(),
         replication: replication::measure(),
         links: links::measure(),
         soft: soft::measure(),
+        daemons: daemons::measure(),
     };
-    choices::measure();
-    daemons::measure();
     role::print(&slopes);
 }
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Add;
 
-use crate::{line::short, links, replication, scheduler, soft, state};
+use crate::{daemons, line::short, links, replication, scheduler, soft, state};
 
 const ZONES: f64 = 17.0;
 const VMS: f64 = 34.0;
@@ -52,6 +52,8 @@
     pub links: links::Slopes,
     /// Soft state.
     pub soft: soft::Slopes,
+    /// Whole daemons.
+    pub daemons: daemons::Slopes,
 }
 
 /// Cost of a role.
@@ -244,17 +246,25 @@
         let reports = WORKERS / REPORT_SECONDS + 2.0 * starts;
         let report = self.links.report[0].at(RUNNING_PER_WORKER);
         let (empty, directive) = (self.links.report[1].fixed, self.links.report[1].slope);
-        let codec = self.links.report_micros[0].at(RUNNING_PER_WORKER) + self.links.report_micros[1].fixed;
         let (sent, received) = (reports * empty + starts * directive, reports * report);
-        let socket = reports * self.links.socket.at(report);
-        let step = self.scheduler.report.at(RUNNING_PER_WORKER);
+        // The measured reports are empty; tasks add what their JSON and the scheduler take.
+        let tasks = RUNNING_PER_WORKER * (self.links.report_micros[0].slope + self.scheduler.report.slope);
+        let micros = self.daemons.workers.slope * REPORT_SECONDS + tasks;
         Cost {
             sent,
             received,
-            micros: reports * (codec + step) + starts * self.links.report_micros[1].slope + socket,
+            micros: reports * micros + starts * self.links.report_micros[1].slope,
             bytes: 0.0,
         }
     }
+
+    /// Threads, timers, sockets and periodic messages of a daemon without load, as measured.
+    fn daemon(&self) -> Cost {
+        Cost {
+            micros: self.daemons.idle.at(VMS),
+            ..Cost::default()
+        }
+    }
 }
 
 fn by_tables(lines: &[crate::line::Line; 3]) -> f64 {
@@ -322,6 +332,7 @@
         println!(
             "| role | sent, B/s | received, B/s | CPU, % of a core | memory, MB |\n| --- | --- | --- | --- | --- |"
         );
+        row("daemon without load, measured as a whole", slopes.daemon());
         row("announcements (every daemon)", announcements);
         row("gossip member, idle table", idle);
         row(
@@ -340,7 +351,7 @@
         row("zone leader, workers' reports", reports);
         println!("\n### Daemons, {name}\n");
         println!("| daemon | sent | received | CPU | memory |\n| --- | --- | --- | --- | --- |");
-        let all = announcements + gossip;
+        let all = slopes.daemon() + announcements + gossip;
         sum("entry: zone follower, root learner", &[all, learner, follower]);
         sum(
             "entry: zone follower and witness, root voter",
--- a/crates/bench/tests/proof.rs
+++ b/crates/bench/tests/proof.rs
@@ -36,7 +36,10 @@
 }
 
 fn is_name(text: &str) -> bool {
-    !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'_')
+    !text.is_empty()
+        && text
+            .bytes()
+            .all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'_')
 }
 
 /// Guards against a page that names a file that was moved or removed.
@@ -49,7 +52,10 @@
         .map(|text| text.split("::").next().unwrap_or(text))
         .collect();
     assert!(files.len() > 20, "the page names its mechanisms");
-    let missing: Vec<_> = files.into_iter().filter(|file| !root().join(file).exists()).collect();
+    let missing: Vec<_> = files
+        .into_iter()
+        .filter(|file| !root().join(file).exists())
+        .collect();
     assert!(missing.is_empty(), "files that do not exist: {missing:?}");
 }
 
@@ -81,7 +87,10 @@
 fn every_named_policy_row_exists() {
     let mut files = Vec::new();
     sources(&root().join("crates/bench/src/policy"), &mut files);
-    let code: String = files.iter().map(|file| fs::read_to_string(file).unwrap()).collect();
+    let code: String = files
+        .iter()
+        .map(|file| fs::read_to_string(file).unwrap())
+        .collect();
     let parts = ["consensus.", "control.", "gossip.", "request.", "schedule."];
     let page = read(PAGE);
     let rows: BTreeSet<&str> = quoted(&page)
