--- a/crates/bench/benches/capacity/count.rs
+++ b/crates/bench/benches/capacity/count.rs
@@ -8,17 +8,17 @@
 use std::{
     alloc::{GlobalAlloc, Layout, System},
     hint::black_box,
-    sync::atomic::{AtomicI64, Ordering},
+    sync::atomic::{AtomicUsize, Ordering},
     time::{Duration, Instant},
 };
 
 /// Bookkeeping of the allocator and rounding, per allocation; an allowance, not a measurement.
-pub const ALLOWANCE_BYTES: i64 = 16;
+pub const ALLOWANCE_BYTES: usize = 16;
 /// Timing runs; the median is reported, because the machine is shared.
 const RUNS: usize = 9;
 
-static BYTES: AtomicI64 = AtomicI64::new(0);
-static BLOCKS: AtomicI64 = AtomicI64::new(0);
+static BYTES: AtomicUsize = AtomicUsize::new(0);
+static BLOCKS: AtomicUsize = AtomicUsize::new(0);
 
 /// Counts live bytes and live blocks.
 #[derive(Debug)]
@@ -27,23 +27,24 @@
 // SAFETY: every call is passed on to the system allocator unchanged.
 unsafe impl GlobalAlloc for Counting {
     unsafe fn alloc(&self, layout: Layout) -> *mut u8 {
-        BYTES.fetch_add(layout.size() as i64, Ordering::Relaxed);
+        BYTES.fetch_add(layout.size(), Ordering::Relaxed);
         BLOCKS.fetch_add(1, Ordering::Relaxed);
         // SAFETY: the caller keeps the contract of `alloc`.
         unsafe { System.alloc(layout) }
     }
 
-    unsafe fn dealloc(&self, pointer: *mut u8, layout: Layout) {
-        BYTES.fetch_sub(layout.size() as i64, Ordering::Relaxed);
+    unsafe fn dealloc(&self, ptr: *mut u8, layout: Layout) {
+        BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
         BLOCKS.fetch_sub(1, Ordering::Relaxed);
         // SAFETY: the caller keeps the contract of `dealloc`.
-        unsafe { System.dealloc(pointer, layout) }
+        unsafe { System.dealloc(ptr, layout) }
     }
 
-    unsafe fn realloc(&self, pointer: *mut u8, layout: Layout, size: usize) -> *mut u8 {
-        BYTES.fetch_add(size as i64 - layout.size() as i64, Ordering::Relaxed);
+    unsafe fn realloc(&self, ptr: *mut u8, layout: Layout, new_size: usize) -> *mut u8 {
+        BYTES.fetch_add(new_size, Ordering::Relaxed);
+        BYTES.fetch_sub(layout.size(), Ordering::Relaxed);
         // SAFETY: the caller keeps the contract of `realloc`.
-        unsafe { System.realloc(pointer, layout, size) }
+        unsafe { System.realloc(ptr, layout, new_size) }
     }
 }
 
--- a/crates/bench/benches/capacity/daemons.rs
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -95,18 +95,18 @@
             .zip(&sent)
             .map(|(now, before)| (now - before) as f64 / seconds)
             .collect();
-        let spent: Vec<_> = thread_micros()
+        let threads: Vec<_> = thread_micros()
             .into_iter()
             .map(|(task, (name, micros))| {
                 let earlier = before.get(&task).map_or(0.0, |(_, earlier)| *earlier);
                 (name, (micros - earlier) / seconds)
             })
             .collect();
-        let control = spent.iter().filter(|(name, _)| name == DAEMON_THREADS[0]);
+        let control = threads.iter().filter(|(name, _)| name == DAEMON_THREADS[0]);
         Second {
             most_sent: sent.iter().copied().fold(0.0, f64::max),
             mean_sent: sent.iter().sum::<f64>() / sent.len() as f64,
-            micros: spent.iter().map(|(_, micros)| micros).sum(),
+            micros: threads.iter().map(|(_, micros)| micros).sum(),
             busiest: control.map(|(_, micros)| *micros).fold(0.0, f64::max),
             heap: count::live(),
         }
--- a/crates/bench/benches/capacity/main.rs
+++ b/crates/bench/benches/capacity/main.rs
@@ -21,7 +21,8 @@
     choices::measure();
     let slopes = role::Slopes {
         scheduler: scheduler::measure(),
-        state: state::measure(),
+        state: state::measure_zone(),
+        root: state::measure_root(),
         replication: replication::measure(),
         links: links::measure(),
         soft: soft::measure(),
--- a/crates/bench/benches/capacity/replication.rs
+++ b/crates/bench/benches/capacity/replication.rs
@@ -194,7 +194,7 @@
     /// Runs for a time with a number of proposals in each second, spread evenly.
     fn run(&mut self, time: Duration, rate: u64, commands: u64) {
         let begin = self.now;
-        let mut proposed = 0;
+        let mut proposed = 0_u64;
         while self.now < begin + time {
             self.now += STEP;
             let due: Vec<_> = self.flight.extract_if(.., |(at, ..)| *at <= self.now).collect();
@@ -207,7 +207,7 @@
                     self.step(id, replica::Input::Tick);
                 }
             }
-            let wanted = rate as f64 * (self.now - begin).as_secs_f64();
+            let wanted = rate as f64 * self.now.saturating_sub(begin).as_secs_f64();
             while (proposed as f64) < wanted.floor() {
                 proposed += 1;
                 self.proposed += 1;
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -44,8 +44,10 @@
 pub struct Slopes {
     /// Scheduler.
     pub scheduler: scheduler::Slopes,
-    /// Zone and root state.
-    pub state: state::Slopes,
+    /// Zone state.
+    pub state: state::ZoneSlopes,
+    /// Root state.
+    pub root: state::RootSlopes,
     /// Replication and the feed.
     pub replication: replication::Slopes,
     /// Announcements, frames, reports.
@@ -68,12 +70,12 @@
 impl Add for Cost {
     type Output = Self;
 
-    fn add(self, other: Self) -> Self {
+    fn add(self, rhs: Self) -> Self {
         Self {
-            sent: self.sent + other.sent,
-            received: self.received + other.received,
-            micros: self.micros + other.micros,
-            bytes: self.bytes + other.bytes,
+            sent: self.sent + rhs.sent,
+            received: self.received + rhs.received,
+            micros: self.micros + rhs.micros,
+            bytes: self.bytes + rhs.bytes,
         }
     }
 }
@@ -126,7 +128,7 @@
     }
 
     fn root_state(&self) -> f64 {
-        self.state.root_memory.at(TEAMS) + self.replication.memory.at(LOG_ENTRIES)
+        self.root.memory.at(TEAMS) + self.replication.memory.at(LOG_ENTRIES)
     }
 
     fn learner(&self) -> Cost {
@@ -137,14 +139,14 @@
         Cost {
             sent,
             received,
-            micros: self.frames(POLLS, sent, POLLS, received) + CHANGES * self.state.root_change.at(TEAMS),
-            bytes: self.state.root_memory.at(TEAMS),
+            micros: self.frames(POLLS, sent, POLLS, received) + CHANGES * self.root.change.at(TEAMS),
+            bytes: self.root.memory.at(TEAMS),
         }
     }
 
     fn root_voter(&self) -> Cost {
         let idle = self.replication.idle[1].at(ZONES);
-        let micros = self.replication.micros[1].at(0.0) + CHANGES * self.state.root_change.at(TEAMS);
+        let micros = self.replication.micros[1].at(0.0) + CHANGES * self.root.change.at(TEAMS);
         let served = self.learner();
         let cost = self.traffic(idle, micros, self.root_state());
         Cost {
@@ -160,9 +162,8 @@
         let entry =
             self.replication.loaded[0].at(1.0).bytes_out - self.replication.loaded[0].at(0.0).bytes_out;
         traffic.bytes_out += CHANGES * entry / 2.0 * (ZONES - 1.0);
-        let duties = DUTIES * self.state.rebalance.at(TEAMS);
-        let micros =
-            self.replication.idle_micros.at(ZONES) + CHANGES * self.state.root_change.at(TEAMS) + duties;
+        let duties = DUTIES * self.root.rebalance.at(TEAMS);
+        let micros = self.replication.idle_micros.at(ZONES) + CHANGES * self.root.change.at(TEAMS) + duties;
         self.traffic(traffic, micros, self.root_state())
     }
 
--- a/crates/bench/benches/capacity/state.rs
+++ b/crates/bench/benches/capacity/state.rs
@@ -13,9 +13,9 @@
 const WORKERS: u64 = 165;
 const IDS: [u32; 4] = [1000, 5000, 20_000, 49_000];
 
-/// Slopes of the zone state and the root state.
+/// Slopes of the zone state.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct ZoneSlopes {
     /// Microseconds of one start and its end, by running tasks.
     pub start_and_end: line::Line,
     /// Microseconds of a submission, by jobs.
@@ -28,10 +28,15 @@
     pub encode: [line::Line; 3],
     /// Microseconds to decode and verify a snapshot, by the same.
     pub decode: [line::Line; 3],
+}
+
+/// Slopes of the root state.
+#[derive(Debug)]
+pub struct RootSlopes {
     /// Root bytes by teams with four keys each in 17 zones, with the view.
-    pub root_memory: line::Line,
+    pub memory: line::Line,
     /// Microseconds of a key change and the new view, by teams.
-    pub root_change: line::Line,
+    pub change: line::Line,
     /// Microseconds of one round of moving parts, by teams.
     pub rebalance: line::Line,
 }
@@ -137,8 +142,8 @@
     line::fit(name, unit, y, &sizes.map(|size| (f64::from(size), value(size))))
 }
 
-/// Measures and prints.
-pub fn measure() -> Slopes {
+/// Measures and prints the zone state.
+pub fn measure_zone() -> ZoneSlopes {
     line::head("Zone state (`crates/control/src/zone`)");
     let start_and_end = by(
         "time to apply a start and its end",
@@ -201,8 +206,20 @@
         let bytes = zone.0.encode();
         count::micros(|| drop(black_box(zone::State::decode(&bytes))))
     });
+    ZoneSlopes {
+        start_and_end,
+        submit,
+        memory,
+        snapshot,
+        encode,
+        decode,
+    }
+}
+
+/// Measures and prints the root state.
+pub fn measure_root() -> RootSlopes {
     line::head("Root state (`crates/control/src/root`)");
-    let root_memory = by(
+    let memory = by(
         "memory of the root state and its view, 17 zones, 34 VMs, 4 keys a team",
         "teams",
         "B",
@@ -215,7 +232,7 @@
             })
         },
     );
-    let root_change = by(
+    let change = by(
         "time of a key change with a new view",
         "teams",
         "µs",
@@ -255,15 +272,9 @@
             count::micros(|| drop(black_box(root::rebalance(&state, &demand))))
         },
     );
-    Slopes {
-        start_and_end,
-        submit,
+    RootSlopes {
         memory,
-        snapshot,
-        encode,
-        decode,
-        root_memory,
-        root_change,
+        change,
         rebalance,
     }
 }
@@ -294,7 +305,7 @@
 fn with_commands(ids: u32) -> Zone {
     let mut zone = Zone::new(1);
     for number in 0..ids {
-        let id = Some((u128::from(number) << 64) | u128::from(number) * 7919);
+        let id = Some((u128::from(number) << 64) | (u128::from(number) * 7919));
         let job = id::job(9, 1 << 30);
         zone.run_with(id, zone::Command::Cancel { job });
     }
