--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -6,8 +6,6 @@
 
 use bronzespoke_model::{id, job as model, resource, task};
 
-use smallvec::SmallVec;
-
 use crate::message::Output;
 use crate::pass::limit::RETRY_BUDGET;
 use crate::scheduler::Scheduler;
@@ -218,7 +216,8 @@
             return true;
         };
         job.priority == model::Priority::Urgent
-            || (job.kind != model::Kind::Service
+            || (now < hold.ready
+                && job.kind != model::Kind::Service
                 && (job.checkpoint || now + self.run_time(index) <= hold.ready))
     }
 
