--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -369,7 +369,7 @@
         sum("the same without workers' reports", &remaining);
         let demand = slopes.gossip(targets, 0.0);
         let remaining = [
-            announcements,
+            slopes.daemon() + announcements,
             demand,
             leader,
             zone_leader,
