--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -60,6 +60,8 @@
     pub(crate) jobs: Table<table::Job, job::Record>,
     pub(crate) job_ids: HashMap<id::JobId, table::Job>,
     pub(crate) teams: Table<table::Team, team::Record>,
+    /// Keys of the teams by slot, close together because every choice compares them.
+    pub(crate) keys: Vec<u64>,
     pub(crate) team_ids: HashMap<id::TeamId, table::Team>,
     pub(crate) runs: Table<table::Run, run::Record>,
     pub(crate) tokens: HashMap<id::Token, table::Run>,
@@ -87,6 +89,8 @@
     /// Held workers on which room was freed in this step.
     pub(crate) hold_ready: Vec<table::Worker>,
     pub(crate) urgent_next: Duration,
+    /// Jobs that hold a worker because they have waited long.
+    pub(crate) aged: Vec<table::Job>,
     pub(crate) drain_next: Duration,
     pub(crate) models: HashMap<(table::Team, model_job::Kind), Box<estimate::Model>>,
     /// Number of workers of each capacity.
@@ -140,6 +144,7 @@
             jobs: Table::new(),
             job_ids: HashMap::new(),
             teams: Table::new(),
+            keys: Vec::new(),
             team_ids: HashMap::new(),
             runs: Table::new(),
             tokens: HashMap::new(),
@@ -160,6 +165,7 @@
             reservations: Vec::new(),
             hold_ready: Vec::new(),
             urgent_next: Duration::ZERO,
+            aged: Vec::new(),
             drain_next: Duration::ZERO,
             models: HashMap::new(),
             shapes: HashMap::new(),
@@ -242,6 +248,9 @@
             timer::Event::Recovery => self.release_lost(now),
             timer::Event::Shares => {
                 self.refresh_shares(now);
+                if self.restored.is_some() && self.config.rules.age {
+                    self.hold_for_aged(now);
+                }
                 self.timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
             }
             timer::Event::Drain => self.drain_due(now, out),
