--- a/crates/bench/benches/capacity/choices.rs
+++ b/crates/bench/benches/capacity/choices.rs
@@ -4,11 +4,11 @@
 
 use bronzespoke_consensus::{log, membership, message, write};
 use bronzespoke_daemon::peer::wire;
-use bronzespoke_model::{id, stamp};
+use bronzespoke_model::id;
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::watch;
 
-use crate::{count, line, links, replication, state};
+use crate::{count, line, links, replication};
 
 const SYNCS: u64 = 60;
 
@@ -19,10 +19,13 @@
         "| message | postcard, B | JSON, B | ratio | postcard, µs to encode and decode | JSON, µs |\n\
          | --- | --- | --- | --- | --- | --- |"
     );
-    codec("announcement", &frame(links::hello(1)));
-    codec("heartbeat", &frame(append(0, 1)));
-    codec("append with one start", &frame(append(1, 1)));
-    codec("append with 15 entries of one command", &frame(append(15, 1)));
+    codec("announcement", &replication::frame(links::hello(1)));
+    codec("heartbeat", &replication::frame(append(0, 1)));
+    codec("append with one start", &replication::frame(append(1, 1)));
+    codec(
+        "append with 15 entries of one command",
+        &replication::frame(append(15, 1)),
+    );
     codec("report of a worker with 6 tasks", &links::report(6));
     line::head("Views and the disk");
     line::fit(
@@ -39,19 +42,6 @@
     );
 }
 
-fn frame(body: wire::Body) -> wire::Frame {
-    let vm = state::vm(9, 1);
-    wire::Frame {
-        from: vm.id,
-        from_peer: vm.peer,
-        stamp: stamp::Stamp {
-            micros: state::NOW_MS * 1000,
-            logical: 0,
-        },
-        body,
-    }
-}
-
 fn append(entries: u64, commands: u64) -> wire::Body {
     let previous = log::Position {
         term: 7,
--- a/crates/bench/benches/capacity/links.rs
+++ b/crates/bench/benches/capacity/links.rs
@@ -7,7 +7,7 @@
 };
 
 use bronzespoke_daemon::peer::wire;
-use bronzespoke_model::{id, resource, stamp, task, worker};
+use bronzespoke_model::{id, resource, task, worker};
 use bytes::Bytes;
 
 use crate::{count, line, replication, state};
@@ -47,16 +47,8 @@
 }
 
 fn frame(payload: usize) -> wire::Frame {
-    let vm = state::vm(9, 1);
-    wire::Frame {
-        from: vm.id,
-        from_peer: vm.peer,
-        stamp: stamp::Stamp {
-            micros: state::NOW_MS * 1000,
-            logical: 0,
-        },
-        body: wire::Body::Reply(1, wire::Reply::Answer(Bytes::from(vec![7; payload]))),
-    }
+    let answer = Bytes::from(vec![7; payload]);
+    replication::frame(wire::Body::Reply(1, wire::Reply::Answer(answer)))
 }
 
 /// Returns a report of a worker with tasks in one zone.
--- a/crates/bench/benches/capacity/replication.rs
+++ b/crates/bench/benches/capacity/replication.rs
@@ -71,22 +71,27 @@
     pub feed: [line::Line; 2],
 }
 
-/// Bytes of a frame on the link.
-pub fn frame_bytes(body: wire::Body) -> usize {
+/// Returns a frame from one VM to another.
+pub fn frame(body: wire::Body) -> wire::Frame {
     let vm = state::vm(9, 1);
-    let frame = wire::Frame {
+    // Announcements go to whoever listens at an address.
+    let is_addressed = !matches!(body, wire::Body::Hello(_));
+    wire::Frame {
         from: vm.id,
         from_peer: vm.peer,
+        to: is_addressed.then(|| state::vm(10, 1).id),
         stamp: stamp::Stamp {
             micros: state::NOW_MS * 1000,
             logical: 0,
         },
         body,
-    };
-    wire::encode(&frame)
-        .expect("frames have no form that postcard refuses")
-        .len()
-        + PREFIX_BYTES
+    }
+}
+
+/// Bytes of a frame on the link.
+pub fn frame_bytes(body: wire::Body) -> usize {
+    let bytes = wire::encode(&frame(body)).expect("frames have no form that postcard refuses");
+    bytes.len() + PREFIX_BYTES
 }
 
 /// Returns an entry with a number of starts and ends in turn.
