daemon: find the job of a submission whose first attempt was lost, and answer within the callers' time

Cause: a resent submission stayed unknown for good when the VM that held its claim was gone, and operators' commands waited up to 8 s for VMs that are cut off, longer than a client waits.

--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -126,6 +126,13 @@
         self.jobs.get(&self.sequence(job)?)
     }
 
+    /// Returns the job that was submitted under a key.
+    pub fn submitted(&self, key: request_id::Key) -> Option<id::JobId> {
+        self.submissions
+            .get(&key)
+            .map(|sequence| id::job(self.zone, *sequence))
+    }
+
     /// Returns the jobs, in the order of their submission.
     pub fn jobs(&self) -> impl Iterator<Item = (id::JobId, &Job)> {
         self.jobs
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -193,6 +193,7 @@
             Message::Claimed(pending, answer) => self.claimed(pending, answer),
             Message::Abandoned(zone, number) => self.abandoned(zone, number),
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
+            Message::Found(submission, found) => self.found_submission(submission, found),
             Message::Await(force) => self.forces.push(force),
             Message::Tick => self.tick(),
             Message::HandOver(reply) => {
--- a/crates/daemon/src/control/force.rs
+++ b/crates/daemon/src/control/force.rs
@@ -15,7 +15,7 @@
 /// Relative drift between two monotonic clocks.
 const DRIFT: f64 = 0.02;
 /// Longest wait for other changes; after it the answer names the processes that lag behind.
-const LONGEST: Duration = Duration::from_secs(8);
+const LONGEST: Duration = Duration::from_millis(3_500);
 
 /// What has to be so for a command to be in force.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -58,7 +58,13 @@
     fn settle_force(&self, now: Duration, since: Duration, force: &mut Force) -> bool {
         let waited = now.saturating_sub(since);
         let ending = if self.is_in_force(now, waited, force) {
-            format!("It is in force everywhere after {} ms.", waited.as_millis())
+            log::info!(
+                "operator: Entry {} is in force after {} ms.",
+                force.index,
+                waited.as_millis()
+            );
+            // A resend gets the same text, so the time stands in the log only.
+            String::from("It is in force everywhere.")
         } else if waited >= LONGEST {
             format!("It is not in force yet in {}.", self.lagging(now, force.index))
         } else {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -61,6 +61,8 @@
     Abandoned(id::AvailabilityZoneId, u64),
     /// A zone's answer to a submission.
     Submitted(submissions::Submission, wire::Reply),
+    /// What the zones know of a submission whose first attempt was lost.
+    Found(submissions::Submission, submissions::Found),
     /// A committed command whose answer waits until it is in force.
     Await(force::Force),
     /// A timer.
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -154,6 +154,10 @@
                 let envelope = zone::Envelope::new(context::Context::wall_ms(), command);
                 group.propose_envelope(envelope, responder);
             }
+            wire::Ask::Submitted(key) => {
+                let found = group.state().submitted(key);
+                responder.answer(&self.context, wire::Reply::Submitted(found));
+            }
             wire::Ask::Query(line) => {
                 let answer = self.query_zone(zone, &line);
                 responder.answer(&self.context, wire::Reply::Answer(answer));
--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -4,7 +4,10 @@
 //! owner, as a non-repeatable request does, so that a resend at any VM meets the first submission whichever zone took
 //! the job.
 
-use std::time::Duration;
+use std::{
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
 
 use bronzespoke_control::{request_id, zone};
 use bronzespoke_gateway::control;
@@ -13,7 +16,7 @@
 use bytes::Bytes;
 
 use crate::{
-    control::{Controller, Message, asks, calls, claims},
+    control::{Controller, Inbox, Message, asks, calls, claims, context},
     peer::wire,
 };
 
@@ -34,6 +37,44 @@
     reply: control::Reply<id::JobId>,
 }
 
+/// What the zones know of a submission.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Found {
+    /// A zone has the job.
+    At(id::JobId),
+    /// Every zone answered, and none has it.
+    Nowhere,
+    /// No zone that answered has it, and not every zone answered.
+    Unreachable,
+}
+
+/// Answers of the zones as they arrive.
+#[derive(Debug)]
+struct Search {
+    submission: Option<Submission>,
+    waiting: usize,
+    found: Found,
+    inbox: Inbox,
+}
+
+impl Search {
+    fn add(search: &Mutex<Self>, answer: &wire::Reply) {
+        let mut search = search.lock().unwrap_or_else(PoisonError::into_inner);
+        search.found = match (search.found, answer) {
+            (Found::At(job), _) => Found::At(job),
+            (_, wire::Reply::Submitted(Some(job))) => Found::At(*job),
+            (found, wire::Reply::Submitted(None)) => found,
+            _ => Found::Unreachable,
+        };
+        search.waiting -= 1;
+        if search.waiting == 0
+            && let Some(submission) = search.submission.take()
+        {
+            search.inbox.send(Message::Found(submission, search.found));
+        }
+    }
+}
+
 impl Controller {
     /// Takes a submission of the gateway.
     pub(super) fn submit(
@@ -98,19 +139,62 @@
                     drop(submission.reply.send(Ok(job)));
                     return;
                 }
-                None => control::Refusal::Unknown(String::from("the first answer is not kept any more")),
+                None => return self.find_submission(submission),
             },
+            // The process that held the claim is gone; its job may be in any zone, or in none.
+            control::Claimed::Unknown => return self.find_submission(submission),
             control::Claimed::InProgress => {
                 control::Refusal::Unknown(String::from("the first submission with this id is in progress"))
             }
-            control::Claimed::Unknown => control::Refusal::Unknown(String::from(
-                "the first submission with this id may have been accepted",
-            )),
             control::Claimed::NotRun(reason) => control::Refusal::Unavailable(reason),
         };
         drop(submission.reply.send(Err(refusal)));
     }
 
+    /// Asks every zone for the job of a submission whose first attempt was lost.
+    fn find_submission(&mut self, submission: Submission) {
+        let zones: Vec<_> = self.root.state().open_zones().collect();
+        let Some(key) = submission.key else {
+            return;
+        };
+        let inbox = self.inbox.clone();
+        let search = Search {
+            submission: Some(submission),
+            waiting: zones.len(),
+            found: Found::Nowhere,
+            inbox,
+        };
+        let search = Arc::new(Mutex::new(search));
+        for zone in zones {
+            let search = Arc::clone(&search);
+            let then = Box::new(move |answer| Search::add(&search, &answer));
+            let ask = wire::Ask::Submitted(key);
+            self.dispatch(id::GroupId::Zone(zone), ask, asks::DEADLINE, then);
+        }
+    }
+
+    /// Handles what the zones know of a submission.
+    ///
+    /// When all answered and none has the job, the first attempt was lost before it reached a zone. Every resend then
+    /// goes to the zone that owns the id, where the key keeps it one job.
+    pub(super) fn found_submission(&mut self, mut submission: Submission, found: Found) {
+        match found {
+            Found::At(job) => drop(submission.reply.send(Ok(job))),
+            Found::Unreachable => {
+                let reason = String::from("the first submission with this id may have been accepted");
+                drop(submission.reply.send(Err(control::Refusal::Unknown(reason))));
+            }
+            Found::Nowhere => {
+                let zones = &self.root.view().zones;
+                let owners = submission
+                    .key
+                    .and_then(|key| request_id::owners(key, zones, context::Context::wall_ms()));
+                submission.zones = owners.into_iter().map(|owners| owners.first).collect();
+                self.try_next_zone(submission);
+            }
+        }
+    }
+
     /// Submits to the next zone, or gives up.
     fn try_next_zone(&mut self, mut submission: Submission) {
         let Some(zone) = submission.zones.pop() else {
--- a/crates/daemon/src/peer/wire.rs
+++ b/crates/daemon/src/peer/wire.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bronzespoke_consensus::{feed, membership, message};
-use bronzespoke_control::{root, zone};
+use bronzespoke_control::{request_id, root, zone};
 use bronzespoke_model::{id, job, stamp, vm};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -88,6 +88,8 @@
         /// The job.
         job: id::JobId,
     },
+    /// Look up the job that was submitted under a key.
+    Submitted(request_id::Key),
     /// Answer an operator's query about the zone that the receiver leads.
     Query(String),
     /// Change the members of the group.
@@ -103,6 +105,8 @@
     Zone(zone::Outcome),
     /// A job; `None` when there is no such job.
     Job(Option<Job>),
+    /// The job that was submitted under a key; `None` when there is none.
+    Submitted(Option<id::JobId>),
     /// An operator's answer, as JSON.
     Answer(Bytes),
     /// The job can never run in the zone.
