--- a/crates/consensus/src/replica/progress.rs
+++ b/crates/consensus/src/replica/progress.rs
@@ -28,7 +28,7 @@
 
 /// What a leader knows about one member.
 ///
-/// Invariant: `matched < next`, and `matched` goes back within a term only when the member lost the end of its log.
+/// Invariant: `matched < next`, and `matched` never goes back within a term.
 #[derive(Debug)]
 pub(crate) struct Progress {
     pub(crate) matched: u64,
@@ -43,8 +43,6 @@
     pub(crate) acked: Option<Duration>,
     /// When probing last began, in microseconds; refusals of older messages tell nothing new.
     pub(crate) probed_at: u64,
-    /// When the newest message that was accepted was sent, in microseconds.
-    pub(crate) accepted_at: u64,
     /// Token of the newest answer.
     pub(crate) token: u32,
     /// Last index of the leader when the current catch-up round began, and that time.
@@ -64,7 +62,6 @@
             sent_at: now,
             acked: None,
             probed_at: 0,
-            accepted_at: 0,
             token: 0,
             round: (next.saturating_sub(1), now),
             caught_up: None,
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -130,7 +130,6 @@
         progress.token = reply.token;
         match reply.outcome {
             Outcome::Accepted { matched } => {
-                progress.accepted_at = progress.accepted_at.max(reply.sent);
                 progress.accept(matched.min(last), last, now, election);
                 if matches!(progress.mode, Mode::Probe) {
                     progress.mode = Mode::Pipeline;
@@ -145,17 +144,7 @@
                     self.send_heartbeat(from, out);
                 }
             }
-            Outcome::Refused { hint, .. } => {
-                // The member acknowledged this entry before and refuses it in answer to a newer message: it
-                // restarted without the end of its log. Reordered messages may look the same; then the next
-                // answer puts `matched` right again, and the commit index never goes back.
-                let newer = reply.sent > progress.accepted_at && reply.sent >= progress.probed_at;
-                if newer && hint < progress.matched && !matches!(progress.mode, Mode::Snapshot(_)) {
-                    progress.matched = hint;
-                    progress.probe(hint + 1, now);
-                    self.send_heartbeat(from, out);
-                }
-            }
+            Outcome::Refused { .. } => {}
         }
         self.after_answer(from, out);
     }
