Use one renderer of hexadecimal digits and one list of led zones

The daemon had written the language package's renderer again, and the loop over the zones that a VM leads stood twice. No behaviour changes.

--- a/crates/cli/src/demo/requests.rs
+++ b/crates/cli/src/demo/requests.rs
@@ -131,7 +131,7 @@
         println!("Keys: one is granted and withdrawn.");
         let key = self.grant_key("dojos").await?;
         settle(&self.cell, &key).await?;
-        let hash = sha2::Sha256::digest(key.as_bytes()).into();
+        let hash = sha2::Sha256::digest(key.as_bytes());
         let mut prefix = bronzespoke_language::hexadecimal(&hash);
         prefix.truncate(16);
         self.cell
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -124,15 +124,15 @@
         }
     }
 
+    /// Zones whose group this VM leads.
+    fn led_zones(&self, now: Duration) -> Vec<id::AvailabilityZoneId> {
+        let led = self.zones.iter().filter(|(_, zone)| zone.leads(now));
+        led.map(|(zone, _)| *zone).collect()
+    }
+
     fn lead_zones(&mut self) {
         let now = self.context.now();
-        let led: Vec<_> = self
-            .zones
-            .iter()
-            .filter(|(_, zone)| zone.leads(now))
-            .map(|(id, _)| *id)
-            .collect();
-        for zone in led {
+        for zone in self.led_zones(now) {
             self.tend_members(zone);
             self.tend_parts(zone);
             self.tend_claims(zone);
@@ -304,13 +304,7 @@
     /// Ends the open claims of a VM in the groups that this VM leads; a restarted process cannot complete them.
     pub(super) fn end_claims_of(&mut self, holder: id::VmId) {
         let now = self.context.now();
-        let led: Vec<_> = self
-            .zones
-            .iter()
-            .filter(|(_, zone)| zone.leads(now))
-            .map(|(id, _)| *id)
-            .collect();
-        for zone in led {
+        for zone in self.led_zones(now) {
             self.end_claims(zone, holder);
         }
     }
--- a/crates/daemon/src/control/operator/local.rs
+++ b/crates/daemon/src/control/operator/local.rs
@@ -4,7 +4,7 @@
 use bronzespoke_gossip::{Key, Value};
 use bronzespoke_language::{
     answer::{self, Kind},
-    statement,
+    hexadecimal, statement,
 };
 use bronzespoke_model::id;
 
@@ -65,7 +65,7 @@
         for (hash, team) in view.keys.iter() {
             let name = view.teams.get(team).map_or("", |team| team.name.as_str());
             if filter.team.as_deref().is_none_or(|wanted| wanted == name) {
-                let mut digits = hex(hash);
+                let mut digits = hexadecimal(hash);
                 digits.truncate(HASH_DIGITS);
                 table.push(vec![digits.into(), name.into()]);
             }
@@ -252,16 +252,6 @@
     }
 }
 
-/// Returns a key hash in hexadecimal digits.
-pub(super) fn hex(hash: &[u8]) -> String {
-    use std::fmt::Write as _;
-    let mut digits = String::new();
-    for byte in hash {
-        write!(digits, "{byte:02x}").expect("writing to a string does not fail");
-    }
-    digits
-}
-
 /// Returns the drain subject of a node.
 pub(super) const fn subject(node: statement::Node) -> root::Subject {
     match node {
--- a/crates/language/src/display.rs
+++ b/crates/language/src/display.rs
@@ -2,7 +2,7 @@
 
 use std::fmt::{self, Display, Formatter, Write};
 
-use bronzespoke_model::{id, team};
+use bronzespoke_model::id;
 
 use crate::{statement, unit};
 
@@ -163,10 +163,10 @@
     }
 }
 
-/// Renders a key hash as 64 hexadecimal digits.
-pub fn hexadecimal(hash: &team::KeyHash) -> String {
-    let mut text = String::with_capacity(2 * hash.len());
-    for byte in hash {
+/// Renders bytes, such as a key hash, as two lower-case hexadecimal digits each.
+pub fn hexadecimal(bytes: &[u8]) -> String {
+    let mut text = String::with_capacity(2 * bytes.len());
+    for byte in bytes {
         write!(text, "{byte:02x}").expect("writing to a string succeeds");
     }
     text
