--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -188,7 +188,7 @@
         let withdrawn = cell.contact.grant_key().await;
         let prefix = {
             use sha2::Digest;
-            let hash = sha2::Sha256::digest(withdrawn.as_bytes()).into();
+            let hash = sha2::Sha256::digest(withdrawn.as_bytes());
             bronzespoke_language::hexadecimal(&hash)
         };
         cell.kill(number);
@@ -333,7 +333,7 @@
         let key = cell.contact.grant_key().await;
         let hash = {
             use sha2::Digest;
-            let hash = sha2::Sha256::digest(key.as_bytes()).into();
+            let hash = sha2::Sha256::digest(key.as_bytes());
             bronzespoke_language::hexadecimal(&hash)
         };
         let address = cell.contact.http[paused];
