daemon: keep the drains of workers over a change of leader

Cause: the scheduler of a new leader was given drains before the workers were restored, ignored them as unknown, and the second pass took them for known already, so a drained worker got new tasks. Teams are now given before the restored state, drains and rates after it. Found by reading; no test covers it yet.

--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -44,7 +44,8 @@
             teams: BTreeMap::new(),
             config: config::Config::default(),
         };
-        scheduling.follow_view(context, zone, view);
+        // Teams come before the jobs; drains come after the workers, because a scheduler ignores unknown ones.
+        scheduling.follow_teams(context, zone, view);
         for input in restored(zone.state()) {
             scheduling.feed(context, zone, schedule::Input::Restore(input));
         }
@@ -269,6 +270,19 @@
 
     /// Takes quotas, parts, drains and rates that changed.
     pub fn follow_view(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
+        self.follow_teams(context, zone, view);
+        self.follow_drains(context, zone, view);
+        if self.config != view.config {
+            self.config = view.config.clone();
+            let input = schedule::Input::Rates {
+                preemptions_per_second: self.config.preemptions_per_second,
+                recovery_starts_per_second: self.config.recovery_starts_per_second,
+            };
+            self.feed(context, zone, input);
+        }
+    }
+
+    fn follow_teams(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         for team in view.teams.values() {
             let part = usable_part(zone, view, team);
             let current = (team.quota, part);
@@ -281,15 +295,6 @@
                 self.feed(context, zone, input);
             }
         }
-        self.follow_drains(context, zone, view);
-        if self.config != view.config {
-            self.config = view.config.clone();
-            let input = schedule::Input::Rates {
-                preemptions_per_second: self.config.preemptions_per_second,
-                recovery_starts_per_second: self.config.recovery_starts_per_second,
-            };
-            self.feed(context, zone, input);
-        }
     }
 
     fn follow_drains(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
