consensus: send entries again to a voter that lost what it had acknowledged

Cause: a leader ignored every refusal at or below the index that the voter had acknowledged, and probing never went below that index. A voter that restarted without the end of its log (shorter last segment, older copy of its folder) got no entries until the leader changed, and its view stayed stale: it served no keyed request.

Change: a refusal of a probe at the acknowledged index lowers that index to the voter's hint. A probe is sent after the acknowledgement arrived, so only a lost log end can refuse it; an ordinary append may have overtaken entries and only starts the probing. The commit index does not go back.

Ruled out: lowering the index on any refusal newer than the newest acceptance; a heartbeat that overtakes entries looks the same.

--- a/crates/consensus/src/replica/progress.rs
+++ b/crates/consensus/src/replica/progress.rs
@@ -28,7 +28,7 @@
 
 /// What a leader knows about one member.
 ///
-/// Invariant: `matched < next`, and `matched` never goes back within a term.
+/// Invariant: `matched < next`, and `matched` goes back within a term only when the member lost the end of its log.
 #[derive(Debug)]
 pub(crate) struct Progress {
     pub(crate) matched: u64,
@@ -98,6 +98,16 @@
         }
     }
 
+    /// Notes a refusal of a message that was sent since probing last began.
+    pub(crate) fn refused(&mut self, previous: u64, hint: u64, now: Duration) {
+        // A member that still held what it acknowledged would have accepted a probe at `matched`, so it restarted
+        // without the end of its log. Outside probing, the message may have overtaken the entries before it.
+        if matches!(self.mode, Mode::Probe) && previous <= self.matched {
+            self.matched = self.matched.min(hint);
+        }
+        self.probe(previous.min(hint + 1), now);
+    }
+
     /// Goes back to probing from an index.
     pub(crate) fn probe(&mut self, next: u64, now: Duration) {
         self.mode = Mode::Probe;
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -126,7 +126,9 @@
         let Some(progress) = leader.progress.get_mut(&from) else {
             return;
         };
-        progress.answered(Duration::from_micros(reply.sent), now);
+        let sent = Duration::from_micros(reply.sent);
+        let newest = progress.acked.is_none_or(|acked| sent >= acked);
+        progress.answered(sent, now);
         progress.token = reply.token;
         match reply.outcome {
             Outcome::Accepted { matched } => {
@@ -135,16 +137,16 @@
                     progress.mode = Mode::Pipeline;
                 }
             }
-            Outcome::Refused { previous, hint } if previous > progress.matched => {
+            Outcome::Refused { previous, hint } => {
                 // One reset for each round trip: reordered messages are refused one by one, and a reset for each
                 // of them would multiply the messages.
                 let newer = reply.sent >= progress.probed_at;
-                if newer && !matches!(progress.mode, Mode::Snapshot(_)) {
-                    progress.probe(previous.min(hint + 1), now);
+                let known = previous <= progress.matched && !newest;
+                if newer && !known && !matches!(progress.mode, Mode::Snapshot(_)) {
+                    progress.refused(previous, hint, now);
                     self.send_heartbeat(from, out);
                 }
             }
-            Outcome::Refused { .. } => {}
         }
         self.after_answer(from, out);
     }
--- a/crates/consensus/tests/repair.rs
+++ b/crates/consensus/tests/repair.rs
@@ -150,6 +150,41 @@
     }
 }
 
+/// Guards against a voter that restarts without entries that it had acknowledged, and then gets no entries until the
+/// leader changes. The snapshot case needs more than the retained entries.
+#[yare::parameterized(log = { 10, false }, snapshot = { 60, true })]
+fn voter_that_lost_the_end_of_its_log_catches_up(lost: usize, compacted: bool) {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, Rules::default());
+        world.run_while(ms(5_000), |world| settled(world).is_some());
+        assert!(load(&mut world, 10), "seed {seed}");
+        let leader = settled(&world).expect("the group has a leader");
+        let voter = (1..=3).find(|id| *id != leader).expect("a follower");
+        let until = world.now + ms(500);
+        world.run_until(until);
+        let kept = world.nodes[&voter].disk.clone();
+        assert!(load(&mut world, lost), "seed {seed}");
+        let until = world.now + ms(500);
+        world.run_until(until);
+        if compacted {
+            world.compact(leader);
+        }
+        world.crash(voter);
+        let node = world.nodes.get_mut(&voter).expect("the voter exists");
+        node.disk = kept;
+        // The loss takes the applied index of this member back; that is the fault under test.
+        node.applied = 0;
+        world.start(voter);
+        let goal = world.nodes[&leader].applied;
+        assert!(
+            world.run_while(ms(3_000), |world| world.nodes[&voter].applied >= goal),
+            "seed {seed}: the voter catches up"
+        );
+        assert_eq!(settled(&world), Some(leader), "seed {seed}: the leader stays");
+        assert!(load(&mut world, 3), "seed {seed}");
+    }
+}
+
 /// Guards against a handover that leaves the group without a leader for an election timeout.
 #[test]
 fn transfer_and_full_disk_hand_over() {
