Collect commands into fewer log entries under load

Cause: commands were collected for 2 ms whatever their rate. At peak (147 starts and as many ends a second in a zone) that makes nearly an entry for each command, and each entry costs frames to both followers, their answers and a sync.

Change: the daemon collects commands before it proposes them; this layer knows which are urgent, while the log's own `batch_delay` only shares messages and would still carry an entry for each command. An isolated command goes after 2 ms. So does every command that somebody waits for (claims, completions, submissions, operators' commands) and each start, end and finish of an urgent job, together with what waits before it. Other commands of the scheduler and of duties are allowed bursts of 8 batches and then ten batches a second, so that they wait at most 100 ms. 1,024 commands are due at once. The batch, formerly written out in root.rs and zone.rs, is one module, `control::batch`; each group has its own due time. The root group has only commands that somebody waits for, so nothing changes there.

The capacity bench now takes ten entries a second for its roles; its time per entry is that of single commands. A routine start or end waits up to 98 ms longer at peak; urgent work does not.

--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -29,6 +29,8 @@
 /// `crates/consensus/src/replica/config.rs`.
 const ENTRIES_PER_SNAPSHOT: f64 = 8192.0;
 const LOG_ENTRIES: f64 = ENTRIES_PER_SNAPSHOT + 4096.0;
+/// Entries in a second into which starts and ends are collected at peak, by `COLLECT` of `crates/control/src/batch.rs`.
+const ENTRIES: f64 = 10.0;
 /// Polls of the feed in a second.
 const POLLS: f64 = 2.0;
 /// Rounds of duties in a second, `INTERVAL` in `crates/daemon/src/control/duties.rs`.
@@ -222,12 +224,10 @@
                 self.zone_state(),
             );
         }
-        let micros = self.replication.micros[0].at(2.0 * starts) + self.apply(starts);
-        self.traffic(
-            self.replication.loaded[0].at(2.0 * starts),
-            micros,
-            self.zone_state(),
-        )
+        let micros = self.replication.micros[0].at(ENTRIES) + self.apply(starts);
+        let mut traffic = self.replication.loaded[0].at(ENTRIES);
+        traffic.bytes_out = self.replication.batched.at(ENTRIES);
+        self.traffic(traffic, micros, self.zone_state())
     }
 
     fn zone_follower(&self, starts: f64) -> Cost {
@@ -238,12 +238,10 @@
                 self.zone_state(),
             );
         }
-        let micros = self.replication.micros[1].at(2.0 * starts) + self.apply(starts);
-        self.traffic(
-            self.replication.loaded[1].at(2.0 * starts),
-            micros,
-            self.zone_state(),
-        )
+        let micros = self.replication.micros[1].at(ENTRIES) + self.apply(starts);
+        let mut traffic = self.replication.loaded[1].at(ENTRIES);
+        traffic.bytes_in = self.replication.batched.at(ENTRIES) / 2.0;
+        self.traffic(traffic, micros, self.zone_state())
     }
 
     fn scheduler(&self, starts: f64) -> Cost {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -3,6 +3,7 @@
 //! The package applies committed log entries to state and answers reads of it. It has no I/O and reads no clock:
 //! wall time comes with each command, set by the leader that proposed it, so that every replica reaches the same state.
 
+pub mod batch;
 pub mod dedupe;
 pub mod demand;
 pub mod envelope;
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -19,8 +19,6 @@
 const LONGEST_TICK: Duration = Duration::from_millis(100);
 /// Shortest time between two ticks, which bounds the work of timers.
 const SHORTEST_TICK: Duration = Duration::from_millis(1);
-/// Time for which commands are collected into one log entry.
-const BATCH_DELAY: Duration = Duration::from_millis(2);
 /// Longest wait for the hand-over of leadership at shutdown.
 const HAND_OVER: Duration = Duration::from_secs(2);
 
@@ -105,7 +103,6 @@
             hello_at: now,
             enlist_at: now,
             duties_at: now,
-            flush_at: None,
             tick_at: None,
             leaving: None,
             reporter: None,
@@ -282,8 +279,9 @@
         if let Some(scheduling) = &self.scheduling {
             next = next.min(scheduling.next_wake());
         }
-        if let Some(flush) = self.flush_at {
-            next = next.min(flush);
+        let due = self.zones.values().filter_map(zone::Zone::due);
+        if let Some(due) = due.chain(self.root.due()).min() {
+            next = next.min(due);
         }
         let next = next.max(now + SHORTEST_TICK);
         if self.tick_at.is_none_or(|at| next + SHORTEST_TICK < at) {
@@ -291,10 +289,4 @@
             self.inbox.tick_after(next.saturating_sub(now));
         }
     }
-
-    /// Notes that commands wait to be proposed.
-    pub(super) fn batch(&mut self) {
-        let at = self.context.now() + BATCH_DELAY;
-        self.flush_at = Some(self.flush_at.map_or(at, |earlier| earlier.min(at)));
-    }
 }
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -86,26 +86,22 @@
         leads
     }
 
+    /// Proposes the commands that are due.
     fn flush(&mut self, now: Duration) {
-        let waits = self.root.has_batch() || self.zones.values().any(super::zone::Zone::has_batch);
-        if !waits {
-            self.flush_at = None;
-            return;
+        let is_due = |due: Option<Duration>| due.is_some_and(|due| due <= now);
+        let mut flushed = false;
+        if is_due(self.root.due()) {
+            self.root.flush(&self.context);
+            flushed = true;
         }
-        let Some(at) = self.flush_at else {
-            self.batch();
-            return;
-        };
-        if now < at {
-            return;
-        }
-        self.flush_at = None;
-        self.root.flush(&self.context);
-        for zone in self.zones.values_mut() {
+        for zone in self.zones.values_mut().filter(|zone| is_due(zone.due())) {
             zone.flush(&self.context);
+            flushed = true;
+        }
+        if flushed {
+            self.apply_root();
+            self.apply_zones();
         }
-        self.apply_root();
-        self.apply_zones();
     }
 
     fn publish_view(&mut self) {
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -247,12 +247,12 @@
         let mut granted = view.granted(zone);
         granted.retain(|(team, total)| !total.fits(&holdings.get(*team).granted));
         if !granted.is_empty() {
-            group.propose(zone::Command::Granted(granted));
+            group.propose(self.context.now(), zone::Command::Granted(granted));
             return;
         }
         let releases = group.state().releases(|team| view.target(team, zone));
         if !releases.is_empty() {
-            group.propose(zone::Command::Release(releases));
+            group.propose(self.context.now(), zone::Command::Release(releases));
         }
     }
 
@@ -269,7 +269,7 @@
         }
         if let (Some(number), Some(group)) = (overdue, self.zones.get_mut(&zone)) {
             let completion = zone::Completion::Unknown;
-            group.propose(zone::Command::Complete { number, completion });
+            group.propose(self.context.now(), zone::Command::Complete { number, completion });
         }
     }
 
@@ -296,7 +296,7 @@
     fn end_claims(&mut self, zone: id::AvailabilityZoneId, holder: id::VmId) {
         if let Some(group) = self.zones.get_mut(&zone) {
             let before = group.state().claims().next_number();
-            group.propose(zone::Command::HolderGone { holder, before });
+            group.propose(self.context.now(), zone::Command::HolderGone { holder, before });
         }
     }
 
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -7,7 +7,7 @@
 };
 
 use bronzespoke_consensus::{log as entries, membership, replica, snapshot, write};
-use bronzespoke_control::envelope;
+use bronzespoke_control::{batch, envelope};
 use bronzespoke_model::{event, id};
 use bytes::Bytes;
 use serde::Serialize;
@@ -23,6 +23,9 @@
 /// Bytes of commands after which a snapshot is made and the log is cut.
 const BYTES_PER_SNAPSHOT: usize = 8 << 20;
 
+/// Commands that wait to be proposed.
+pub type Batch<C> = batch::Batch<C, responder::Responder>;
+
 /// What the owner of the state machine has to do, in order.
 #[derive(Debug)]
 pub enum Event {
@@ -112,16 +115,19 @@
         self.step(context, replica::Input::Propose { id, data }, events);
     }
 
-    /// Proposes commands in order, in as many entries as their size needs.
+    /// Proposes the commands of a batch in order, in as many entries as their size needs.
     pub fn propose_batch<C: Serialize>(
         &mut self,
         context: &context::Context,
-        batch: &[envelope::Envelope<C>],
-        responders: Vec<responder::Responder>,
+        batch: &mut Batch<C>,
         events: &mut Vec<Event>,
     ) {
+        if batch.due().is_none() {
+            return;
+        }
+        let (commands, responders) = batch.take(context.now());
         let mut responders = responders.into_iter();
-        for (data, commands) in envelope::encode_within(batch, self.entry_bytes) {
+        for (data, commands) in envelope::encode_within(&commands, self.entry_bytes) {
             let waiting = responders.by_ref().take(commands).collect();
             self.propose(context, data, waiting, events);
         }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -120,7 +120,6 @@
     hello_at: Duration,
     enlist_at: Duration,
     duties_at: Duration,
-    flush_at: Option<Duration>,
     tick_at: Option<Duration>,
     /// Reports of the zone that this VM leads.
     reporter: Option<bronzespoke_control::demand::Reporter>,
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -3,7 +3,7 @@
 use std::{sync::Arc, time::Duration};
 
 use bronzespoke_consensus::{feed, log as entries, message, replica};
-use bronzespoke_control::{envelope, root};
+use bronzespoke_control::{batch, envelope, root};
 use bronzespoke_model::{event, id};
 
 use crate::{
@@ -36,8 +36,7 @@
     state: root::State,
     role: Role,
     source: feed::Source,
-    batch: Vec<root::Envelope>,
-    responders: Vec<responder::Responder>,
+    batch: member::Batch<root::Command>,
     events: Vec<member::Event>,
     view: Arc<root::View>,
     /// Requests that the relay left unanswered in a row.
@@ -62,8 +61,7 @@
             state,
             role,
             source: feed::Source::new(FEED_BYTES),
-            batch: Vec::new(),
-            responders: Vec::new(),
+            batch: member::Batch::default(),
             events: Vec::new(),
             view,
             misses: 0,
@@ -136,25 +134,24 @@
     }
 
     /// Takes a command for the next entry of a leader.
-    pub fn propose(&mut self, envelope: root::Envelope, responder: responder::Responder) {
-        self.batch.push(envelope);
-        self.responders.push(responder);
+    pub fn propose(&mut self, now: Duration, envelope: root::Envelope, responder: responder::Responder) {
+        self.batch.push(now, envelope, responder, batch::Urgency::Prompt);
     }
 
-    /// Tells whether commands wait to be proposed.
-    pub const fn has_batch(&self) -> bool {
-        !self.batch.is_empty()
+    /// Time at which the commands that were taken are proposed.
+    pub const fn due(&self) -> Option<Duration> {
+        self.batch.due()
     }
 
     /// Proposes what was taken.
     pub fn flush(&mut self, context: &context::Context) {
-        if self.batch.is_empty() {
-            return;
-        }
-        let batch = std::mem::take(&mut self.batch);
-        let responders = std::mem::take(&mut self.responders);
-        if let Role::Member(member) = &mut self.role {
-            member.propose_batch(context, &batch, responders, &mut self.events);
+        match &mut self.role {
+            Role::Member(member) => member.propose_batch(context, &mut self.batch, &mut self.events),
+            Role::Follower(_) => {
+                for responder in self.batch.take(context.now()).1 {
+                    responder.answer(context, wire::Reply::NotLeader);
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -84,10 +84,10 @@
                 continue;
             }
             // An end and a later start of the same task keep their order.
-            propose_starts(zone, &mut starts);
+            propose_starts(context, zone, &mut starts);
             self.carry_out_one(context, zone, output);
         }
-        propose_starts(zone, &mut starts);
+        propose_starts(context, zone, &mut starts);
     }
 
     fn carry_out_one(&mut self, context: &context::Context, zone: &mut zone::Zone, output: schedule::Output) {
@@ -130,24 +130,27 @@
             schedule::Output::Ended {
                 task, token, outcome, ..
             } => {
-                zone.propose(state::Command::End(vec![state::End { task, token, outcome }]));
+                zone.propose(
+                    context.now(),
+                    state::Command::End(vec![state::End { task, token, outcome }]),
+                );
             }
             schedule::Output::Impossible { job, reason, refused } => {
                 log::info!("schedule: Job {job:x} cannot run now: {reason:?}.");
                 if refused {
                     let state = job::State::Impossible(reason);
-                    zone.propose(state::Command::Finish { job, state });
+                    zone.propose(context.now(), state::Command::Finish { job, state });
                 }
             }
             schedule::Output::JobDone { job, outcome } => {
-                zone.propose(state::Command::Finish { job, state: outcome });
+                zone.propose(context.now(), state::Command::Finish { job, state: outcome });
             }
             schedule::Output::WorkerLost { worker } => {
                 log::warn!("schedule: Worker {worker} is lost.");
                 context.record(event::Kind::WorkerLost { worker });
                 if let Some(known) = zone.state().worker(worker) {
                     let incarnation = known.registration.incarnation;
-                    zone.propose(state::Command::WorkerGone { worker, incarnation });
+                    zone.propose(context.now(), state::Command::WorkerGone { worker, incarnation });
                 }
             }
             schedule::Output::WorkerHealth { worker, allowed } => match allowed {
@@ -380,9 +383,9 @@
     part.min(&target.into()).amount()
 }
 
-fn propose_starts(zone: &mut zone::Zone, starts: &mut Vec<state::Start>) {
+fn propose_starts(context: &context::Context, zone: &mut zone::Zone, starts: &mut Vec<state::Start>) {
     if !starts.is_empty() {
-        zone.propose(state::Command::Start(std::mem::take(starts)));
+        zone.propose(context.now(), state::Command::Start(std::mem::take(starts)));
     }
 }
 
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -118,7 +118,9 @@
             return;
         }
         match (group, ask) {
-            (id::GroupId::Root, wire::Ask::Root(envelope)) => self.root.propose(envelope, responder),
+            (id::GroupId::Root, wire::Ask::Root(envelope)) => {
+                self.root.propose(self.context.now(), envelope, responder);
+            }
             (_, wire::Ask::Change(change)) => self.change_members(group, change, responder),
             (id::GroupId::Zone(zone), ask) => self.serve_zone(zone, ask, responder),
             (id::GroupId::Root, _) => {
@@ -136,7 +138,7 @@
         match ask {
             wire::Ask::Zone(envelope) => match refusal(group.state(), &envelope) {
                 Some(reason) => responder.answer(&self.context, wire::Reply::Impossible(reason)),
-                None => group.propose_envelope(envelope, responder),
+                None => group.propose_envelope(self.context.now(), envelope, responder),
             },
             wire::Ask::Job { team, job, results } => {
                 let found = find(group.state(), team, job, results);
@@ -154,7 +156,7 @@
                 let responder = responder::Responder::Cancellation(Box::new(responder), found);
                 let command = zone::Command::Cancel { job };
                 let envelope = zone::Envelope::new(context::Context::wall_ms(), command);
-                group.propose_envelope(envelope, responder);
+                group.propose_envelope(self.context.now(), envelope, responder);
             }
             wire::Ask::Submitted(key) => {
                 let found = group.state().submitted(key);
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bronzespoke_consensus::{log as entries, membership, replica};
-use bronzespoke_control::{envelope, zone};
-use bronzespoke_model::id;
+use bronzespoke_control::{batch, envelope, zone};
+use bronzespoke_model::{id, job};
 
 use crate::{
     control::{context, member, responder},
@@ -17,8 +17,7 @@
 pub struct Zone {
     member: member::Member,
     state: zone::State,
-    batch: Vec<zone::Envelope>,
-    responders: Vec<responder::Responder>,
+    batch: member::Batch<zone::Command>,
     events: Vec<member::Event>,
     /// When a scheduler may run again after the log refused its commands.
     resume_at: Duration,
@@ -36,8 +35,7 @@
         Self {
             member,
             state: zone::State::new(zone),
-            batch: Vec::new(),
-            responders: Vec::new(),
+            batch: member::Batch::default(),
             events: Vec::new(),
             resume_at: Duration::ZERO,
         }
@@ -55,11 +53,8 @@
     /// Drops the commands that nobody waits for, and waits for those that are in the log, so that no command of a
     /// former scheduler changes the state after the next one was built from it.
     pub fn settle(&mut self) {
-        let batch = std::mem::take(&mut self.batch).into_iter();
-        let responders = std::mem::take(&mut self.responders).into_iter();
-        let awaited =
-            |(_, responder): &(_, responder::Responder)| !matches!(responder, responder::Responder::Nobody);
-        (self.batch, self.responders) = batch.zip(responders).filter(awaited).unzip();
+        self.batch
+            .retain(|responder| !matches!(responder, responder::Responder::Nobody));
         self.member.settle();
     }
 
@@ -78,32 +73,52 @@
         self.member.leads(now)
     }
 
-    /// Takes a command for the next entry of a leader.
-    pub fn propose(&mut self, command: zone::Command) {
+    /// Takes a command that nobody waits for.
+    pub fn propose(&mut self, now: Duration, command: zone::Command) {
+        let urgency = self.urgency(&command);
         let envelope = zone::Envelope::new(context::Context::wall_ms(), command);
-        self.propose_envelope(envelope, responder::Responder::Nobody);
+        self.batch
+            .push(now, envelope, responder::Responder::Nobody, urgency);
     }
 
     /// Takes a command that somebody waits for.
-    pub fn propose_envelope(&mut self, envelope: zone::Envelope, responder: responder::Responder) {
-        self.batch.push(envelope);
-        self.responders.push(responder);
+    pub fn propose_envelope(
+        &mut self,
+        now: Duration,
+        envelope: zone::Envelope,
+        responder: responder::Responder,
+    ) {
+        self.batch.push(now, envelope, responder, batch::Urgency::Prompt);
+    }
+
+    /// Commands for urgent work do not wait for others.
+    fn urgency(&self, command: &zone::Command) -> batch::Urgency {
+        let urgent = |job: id::JobId| {
+            let job = self.state.job(job);
+            job.is_some_and(|job| job.spec.priority == job::Priority::Urgent)
+        };
+        let prompt = match command {
+            zone::Command::Start(starts) => starts.iter().any(|start| urgent(start.task.job)),
+            zone::Command::End(ends) => ends.iter().any(|end| urgent(end.task.job)),
+            zone::Command::Finish { job, .. } => urgent(*job),
+            _ => false,
+        };
+        if prompt {
+            batch::Urgency::Prompt
+        } else {
+            batch::Urgency::Routine
+        }
     }
 
-    /// Tells whether commands wait to be proposed.
-    pub const fn has_batch(&self) -> bool {
-        !self.batch.is_empty()
+    /// Time at which the commands that were taken are proposed.
+    pub const fn due(&self) -> Option<Duration> {
+        self.batch.due()
     }
 
     /// Proposes what was taken.
     pub fn flush(&mut self, context: &context::Context) {
-        if self.batch.is_empty() {
-            return;
-        }
-        let batch = std::mem::take(&mut self.batch);
-        let responders = std::mem::take(&mut self.responders);
         self.member
-            .propose_batch(context, &batch, responders, &mut self.events);
+            .propose_batch(context, &mut self.batch, &mut self.events);
     }
 
     /// Feeds an input to the replica.
