Process tests: keep the targets alive, and send changes before the last is in force

Causes: - a_voter_that_lost_the_end_of_its_log_catches_up took the cell out of `Damaged` with `..`, which dropped the targets and workers at once. No VM could answer a keyed request then; the log said that all workers were lost. Each change is now sent once the one before is applied; its answer, up to 3.5 s later while a VM is down, is still checked.

--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -145,24 +145,22 @@
     kill_leader("root");
 }
 
-/// Operators that change the configuration at the same time. While a VM is down, each change is answered only after
-/// 3.5 s, when the daemon stops waiting for that VM.
-const OPERATORS: u64 = 50;
-
 /// Sets many configurations; returns the last version.
+///
+/// Each change is sent once the one before is applied, not once it is in force: while a VM is down, a change is
+/// answered only after 3.5 s, when the daemon stops waiting for that VM.
 async fn change_often(cell: &Cell, number: usize, from: u64, count: u64) -> u64 {
-    let mut operators = JoinSet::new();
-    for operator in 0..OPERATORS.min(count) {
+    let mut answers = JoinSet::new();
+    for version in from..from + count {
         let contact = cell.contact.clone();
-        let changes = (operator..count).step_by(OPERATORS as usize);
-        operators.spawn(async move {
-            for change in changes {
-                let line = format!("set config retry_percent={}", change % 100);
-                contact.insist(number, &line).await;
-            }
-        });
+        let line = format!("set config retry_percent={} expect {version}", version % 100);
+        answers.spawn(async move { contact.insist(number, &line).await });
+        until("a change is applied", async || {
+            cell.contact.version(number).await == Some(version + 1)
+        })
+        .await;
     }
-    operators.join_all().await;
+    answers.join_all().await;
     from + count
 }
 
@@ -488,9 +486,10 @@
     run(async {
         let Damaged {
             cell,
+            fleet,
             number,
+            accepted: _,
             version,
-            ..
         } = damaged(loss).await;
         until("the damaged VM has all changes", async || {
             cell.contact.version(number).await == Some(version)
@@ -500,6 +499,7 @@
         for group in ["root", "zone 3"] {
             cell.contact.whole(group).await;
         }
+        fleet.check_tasks();
     });
 }
 
