--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -488,7 +488,7 @@
             cell,
             fleet,
             number,
-            accepted: _,
+            accepted,
             version,
         } = damaged(loss).await;
         until("the damaged VM has all changes", async || {
@@ -499,7 +499,7 @@
         for group in ["root", "zone 3"] {
             cell.contact.whole(group).await;
         }
-        fleet.check_tasks();
+        finish(&cell, &fleet, number, &accepted).await;
     });
 }
 
