consensus: leave a relay whose own view ages

Cause: a follower left its relay only after three unanswered requests in a row (300, 600 and 1,200 ms), and never when the relay answered without hearing a leader itself. Its own view then became too old for keyed work, for good in the second case, although another root voter was fresh. Only one relay at a time could be avoided, so that two failed relays hid a third.

Change: the choice is a type of its own, feed::Relays. Every failed relay is avoided, not only the last one.

--- a/crates/consensus/src/feed/mod.rs
+++ b/crates/consensus/src/feed/mod.rs
@@ -4,12 +4,14 @@
 //! what the follower has, an answer continues from there, so lost and repeated messages do no harm.
 
 mod follower;
+mod relays;
 mod source;
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 pub use follower::{Config, Follower, Input, Output};
+pub use relays::{Candidate, Relays};
 pub use source::Source;
 
 use crate::{log, message, snapshot};
--- /dev/null
+++ b/crates/consensus/tests/relay.rs
@@ -0,0 +1,192 @@
+//! The choice of a relay by a follower whose relay fails in several ways.
+
+use std::time::Duration;
+
+use bronzespoke_consensus::feed::{Answer, Candidate, Config, Follower, Input, Output, Relays, Source};
+use bronzespoke_model::{id::VmId, vm::Distance};
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Age above which a view is not honoured (section 2.2 of the design).
+const KEY_FRESHNESS: Duration = ms(3_000);
+/// One-way delay between regions (section 1.6 of the design).
+const DELAY: Duration = ms(12);
+/// Time between two ticks of the control thread.
+const TICK: u64 = 100;
+/// Age of the view of a member that hears its leader: two heartbeats and their answers.
+const MEMBER_AGE: Duration = ms(400);
+/// When the first failure begins, and when the run ends.
+const FAILURE: Duration = ms(5_000);
+const END: u64 = 40_000;
+
+/// What a member does from an instant on.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum State {
+    /// It hears its leader.
+    Fresh,
+    /// It answers, but has heard no leader since.
+    Stale,
+    /// It answers, and knows no basis.
+    Unknown,
+    /// It does not answer.
+    Silent,
+}
+
+/// A member with its states over time.
+struct Member {
+    vm: VmId,
+    distance: Distance,
+    states: Vec<(Duration, State)>,
+}
+
+impl Member {
+    fn new(vm: VmId, distance: Distance, states: &[(u64, State)]) -> Self {
+        let states = states.iter().map(|(at, state)| (ms(*at), *state)).collect();
+        Self { vm, distance, states }
+    }
+
+    fn state(&self, now: Duration) -> (Duration, State) {
+        let state = self.states.iter().rfind(|(since, _)| *since <= now);
+        state.copied().unwrap_or((Duration::ZERO, State::Fresh))
+    }
+
+    fn basis(&self, now: Duration) -> Option<Duration> {
+        let (since, state) = self.state(now);
+        match state {
+            State::Fresh => now.checked_sub(MEMBER_AGE),
+            State::Stale => since.checked_sub(MEMBER_AGE),
+            State::Unknown | State::Silent => None,
+        }
+    }
+}
+
+/// What a run showed.
+struct Run {
+    /// Times from the first view on at which the view was too old.
+    too_old: Vec<Duration>,
+    /// Relay at the end.
+    relay: Option<VmId>,
+    requests: u32,
+}
+
+/// Runs a follower against the members.
+fn run(members: &[Member]) -> Run {
+    let mut follower = Follower::new(Config::new(1), ms(0));
+    let mut relays = Relays::default();
+    let source = Source::new(1_000);
+    let mut answers: Vec<(Duration, VmId, Answer)> = Vec::new();
+    let mut seen = Run {
+        too_old: Vec::new(),
+        relay: None,
+        requests: 0,
+    };
+    for now in (0..END).map(ms) {
+        let mut out = Vec::new();
+        if now.as_millis() as u64 % TICK == 0 {
+            let candidates = members.iter().map(|member| Candidate {
+                vm: member.vm,
+                distance: member.distance,
+            });
+            let to = relays.choose(now, candidates);
+            follower.step(now, Input::Relay { to }, &mut out);
+        }
+        for (_, from, answer) in answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>() {
+            relays.answered(now, from, answer.age);
+            follower.step(now, Input::Receive { from, answer }, &mut out);
+        }
+        for output in out {
+            match output {
+                Output::Send { to, request } => {
+                    seen.requests += 1;
+                    let member = members.iter().find(|member| member.vm == to).expect("a member");
+                    let there = now + DELAY;
+                    if member.state(there).1 != State::Silent {
+                        let answer = source.answer(there, member.basis(there), &request);
+                        answers.push((there + DELAY, to, answer));
+                    }
+                }
+                Output::Unanswered { relay } => relays.missed(now, relay, follower.basis()),
+                Output::Apply(_) | Output::Install(_) => {}
+            }
+        }
+        let age = follower.basis().map(|basis| now.saturating_sub(basis));
+        if age.is_some_and(|age| age > KEY_FRESHNESS) {
+            seen.too_old.push(now);
+        }
+    }
+    seen.relay = follower.relay();
+    seen
+}
+
+/// Guards against a follower that keeps a relay which answers but hears no leader, or one that does not answer, until
+/// its own view is too old for keyed work.
+#[yare::parameterized(
+    stale = { State::Stale },
+    without_a_basis = { State::Unknown },
+    silent = { State::Silent },
+)]
+fn a_failed_relay_is_left_in_time(failure: State) {
+    // Each phase of the polls meets the failure.
+    for phase in (0..600).step_by(20) {
+        let at = FAILURE.as_millis() as u64 + phase;
+        let run = run(&[
+            Member::new(1, Distance::Zone, &[(at, failure)]),
+            Member::new(2, Distance::Remote, &[]),
+        ]);
+        assert!(
+            run.too_old.is_empty(),
+            "phase {phase}: the view was too old at {:?}",
+            run.too_old.first()
+        );
+    }
+}
+
+/// Guards against a choice between two failed relays only, with a third that would answer.
+#[test]
+fn the_third_relay_is_found() {
+    let run = run(&[
+        Member::new(1, Distance::Zone, &[(5_000, State::Stale)]),
+        Member::new(2, Distance::Region, &[(5_000, State::Stale)]),
+        Member::new(3, Distance::Remote, &[]),
+    ]);
+    assert!(run.too_old.is_empty(), "{:?}", run.too_old.first());
+}
+
+/// Guards against a follower that stays at a distant relay, which costs billed bytes, after the near one is fresh again.
+#[test]
+fn the_nearest_relay_is_used_again() {
+    let run = run(&[
+        Member::new(1, Distance::Zone, &[(5_000, State::Stale), (9_000, State::Fresh)]),
+        Member::new(2, Distance::Remote, &[]),
+    ]);
+    assert!(run.too_old.is_empty(), "{:?}", run.too_old.first());
+    assert_eq!(run.relay, Some(1));
+}
+
+/// Guards against a group without a leader whose followers fill the links while they look for a fresh relay, or miss
+/// the first one that is fresh again.
+#[test]
+fn a_group_without_a_leader_costs_few_requests() {
+    let back = 30_000;
+    let run = run(&[
+        Member::new(1, Distance::Zone, &[(5_000, State::Stale)]),
+        Member::new(2, Distance::Region, &[(5_000, State::Stale)]),
+        Member::new(
+            3,
+            Distance::Remote,
+            &[(5_000, State::Stale), (back, State::Fresh)],
+        ),
+    ]);
+    let last = run.too_old.last().copied().expect("no member was fresh");
+    assert!(
+        last <= ms(back) + KEY_FRESHNESS,
+        "a fresh relay was found only at {last:?}"
+    );
+    assert!(
+        run.requests < 5 * END as u32 / 1_000,
+        "{} requests in {END} ms",
+        run.requests
+    );
+}
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -14,10 +14,6 @@
 /// Bytes of entries that are kept for followers.
 const FEED_BYTES: usize = 1 << 20;
 
-/// Unanswered requests in a row after which another relay is asked.
-const MISSES: u32 = 3;
-/// Time for which a relay that did not answer is avoided.
-const AVOIDANCE: Duration = Duration::from_secs(10);
 /// A learner that heard no leader for this long follows through a relay again. Heartbeats come every 100 ms.
 const LEARNER_SILENCE: Duration = Duration::from_secs(5);
 
@@ -40,10 +36,7 @@
     responders: Vec<responder::Responder>,
     events: Vec<member::Event>,
     view: Arc<root::View>,
-    /// Requests that the relay left unanswered in a row.
-    misses: u32,
-    /// A relay that is avoided, and until when.
-    avoided: Option<(id::VmId, Duration)>,
+    relays: feed::Relays,
     seed: u64,
     /// When a leader of the group last sent something to this member.
     contact: Duration,
@@ -66,8 +59,7 @@
             responders: Vec::new(),
             events: Vec::new(),
             view,
-            misses: 0,
-            avoided: None,
+            relays: feed::Relays::default(),
             seed,
             contact: now,
         }
@@ -216,7 +208,7 @@
 
     /// Takes a relay's answer.
     pub fn receive_feed(&mut self, context: &context::Context, from: id::VmId, answer: feed::Answer) {
-        self.misses = 0;
+        self.relays.answered(context.now(), from, answer.age);
         self.follow_step(context, feed::Input::Receive { from, answer });
     }
 
@@ -237,31 +229,24 @@
                 }
                 feed::Output::Install(snapshot) => self.events.push(member::Event::Install(snapshot)),
                 feed::Output::Unanswered { relay } => {
-                    self.misses += 1;
-                    if self.misses >= MISSES {
-                        self.misses = 0;
-                        self.avoided = Some((relay, context.now() + AVOIDANCE));
-                    }
+                    self.relays.missed(context.now(), relay, follower.basis());
                 }
             }
         }
     }
 
-    /// Chooses the nearest root voter that was heard of lately; one that is avoided comes last.
-    fn choose_relay(&self, context: &context::Context) -> Option<id::VmId> {
+    /// Chooses a relay among the members of the root group that were heard of lately.
+    fn choose_relay(&mut self, context: &context::Context) -> Option<id::VmId> {
         let place = context.me.place;
-        let now = context.now();
-        context
+        let candidates = context
             .peers
             .values()
             .filter(|peer| peer.replicas.contains(&id::GroupId::Root) && context.is_alive(peer.vm.id))
-            .min_by_key(|peer| {
-                let avoided = self
-                    .avoided
-                    .is_some_and(|(vm, until)| vm == peer.vm.id && now < until);
-                (avoided, place.distance(&peer.vm.place), peer.vm.id)
-            })
-            .map(|peer| peer.vm.id)
+            .map(|peer| feed::Candidate {
+                vm: peer.vm.id,
+                distance: place.distance(&peer.vm.place),
+            });
+        self.relays.choose(context.now(), candidates)
     }
 
     /// Applies what was committed; returns whether the view changed.
