daemon: show committed members only

The test, as an operator would, took the zone for repaired and lost the leader's VM. The promotion was lost with it: the witness still had the members {b-1, a-1} with b-2 as a learner, so the zone had no majority without b-1 and found no leader for 50 s. The search for the first job then missed the answer of that zone each time, and the resent submission stayed unknown.

Change: Status has the committed members, and `show members` lists these. A promotion is shown once a majority of the new members holds it, so that the group survives the loss of any one of them.

--- a/crates/consensus/src/replica/status.rs
+++ b/crates/consensus/src/replica/status.rs
@@ -31,6 +31,8 @@
     pub applied: u64,
     /// Newest members, committed or not.
     pub membership: membership::Membership,
+    /// Newest committed members.
+    pub committed: membership::Membership,
     /// Whether the newest members are not committed yet.
     pub change_pending: bool,
     /// Whether a write failed.
@@ -57,6 +59,11 @@
 }
 
 impl Replica {
+    /// Newest term.
+    pub const fn term(&self) -> u64 {
+        self.vote.term
+    }
+
     /// Returns the state.
     pub fn status(&self) -> Status {
         Status {
@@ -70,6 +77,7 @@
             commit: self.commit,
             applied: self.applied,
             membership: self.membership().clone(),
+            committed: self.committed_membership().clone(),
             change_pending: self
                 .memberships
                 .last()
--- a/crates/consensus/tests/repair.rs
+++ b/crates/consensus/tests/repair.rs
@@ -116,6 +116,41 @@
     }
 }
 
+/// Guards against a repair that operators take for done although the promotion is lost with the leader: the committed
+/// members name the new voter only once the group survives the loss of its leader.
+#[test]
+fn promotion_counts_once_it_is_committed() {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, Rules::default());
+        repair(&mut world, Step::CaughtUp);
+        let until = world.now + ms(500);
+        world.run_until(until);
+        let leader = settled(&world).expect("the group has a leader");
+        let status = |world: &World| {
+            let replica = world.nodes[&leader].replica.as_ref();
+            replica.expect("the leader runs").status()
+        };
+        let id = world.change(leader, Change::Promote(4));
+        assert_eq!(world.rejected.get(&id), None, "seed {seed}");
+        assert!(
+            status(&world).membership.voters.contains(&4),
+            "seed {seed}: appended"
+        );
+        assert!(
+            !status(&world).committed.voters.contains(&4),
+            "seed {seed}: nobody else has the entry"
+        );
+        let named = |world: &World| status(world).committed.voters.contains(&4);
+        assert!(world.run_while(ms(2_000), named), "seed {seed}: committed");
+        world.crash(leader);
+        let until = world.now + ms(3_000);
+        world.run_until(until);
+        assert!(settled(&world).is_some(), "seed {seed}: the others go on");
+        assert!(load(&mut world, 3), "seed {seed}");
+        assert_eq!(world.violation, None, "seed {seed}");
+    }
+}
+
 /// Guards against a removed member that returns from its disk and disturbs the leader.
 #[test]
 fn removed_member_does_not_disturb() {
--- a/crates/daemon/src/control/operator/local.rs
+++ b/crates/daemon/src/control/operator/local.rs
@@ -209,14 +209,10 @@
             );
         for (group, member) in groups {
             let status = member.replica().status();
-            let learners = status.membership.learners.iter().map(|vm| (vm, "learner"));
-            for (vm, role) in status
-                .membership
-                .voters
-                .iter()
-                .map(|vm| (vm, "voter"))
-                .chain(learners)
-            {
+            // A change that is not committed may be lost with its leader, so that it repairs nothing yet.
+            let members = status.committed;
+            let learners = members.learners.iter().map(|vm| (vm, "learner"));
+            for (vm, role) in members.voters.iter().map(|vm| (vm, "voter")).chain(learners) {
                 let role = if status.leader == Some(*vm) {
                     "leader"
                 } else {
