daemon: keep calls going when the leader of their group changes

Cause: a call that was sent to a leader which was then lost was never served when this VM itself became the next leader; it ended as unknown after 3 s. A replica that gets no entries any more (a learner whose leader is gone, or a member that missed its removal) also named its last leader for good, and calls went there. A search for a job waited for all zones although one had named the job.

Change: a due copy of a call whose group this VM leads is served here, and its answer is handled like that of another VM. Of the replica's leader and the announced one, the higher term decides. A search ends with the first job.

Guarded by tests/calls.rs (4 tests on the decision types, time moved by hand).

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -10,7 +10,8 @@
 
 use crate::{
     control::{
-        Controller, Inbox, Listing, Message, Published, asks, claims, context, member, root, targets, zone,
+        Controller, Inbox, Listing, Message, Published, asks, claims, context, member, responder, root,
+        targets, zone,
     },
     disk, settings,
 };
@@ -194,6 +195,7 @@
             Message::Abandoned(zone, number) => self.abandoned(zone, number),
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
             Message::Found(submission, found) => self.found_submission(submission, found),
+            Message::Answered(number, reply) => self.asks.answer(&self.context, number, reply),
             Message::Await(force) => self.forces.push(force),
             Message::Tick => self.tick(),
             Message::HandOver(reply) => {
@@ -258,9 +260,14 @@
 
     fn ask_tick(&mut self) {
         let mut asks = std::mem::take(&mut self.asks);
-        asks.tick(&self.context, &|group| self.leader(group));
+        let own = asks.tick(&self.context, &|group| self.leader(group));
         // Continuations only send messages, so no call was opened meanwhile.
         self.asks = asks;
+        for asks::Own { number, group, ask } in own {
+            let inbox = self.inbox.clone();
+            let then = Box::new(move |reply| inbox.send(Message::Answered(number, reply)));
+            self.serve(group, ask, responder::Responder::Local(then));
+        }
     }
 
     /// Makes sure that a tick comes when the next timer is due.
--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/asks.rs
@@ -32,6 +32,17 @@
     copies: u32,
 }
 
+/// A copy of a call for a group that this VM leads by now.
+#[derive(Debug)]
+pub struct Own {
+    /// Number of the call; its answer goes to `Asks::answer`.
+    pub number: u64,
+    /// Group.
+    pub group: id::GroupId,
+    /// Call.
+    pub ask: wire::Ask,
+}
+
 /// Open calls of this process.
 pub struct Asks {
     next: u64,
@@ -84,6 +95,8 @@
             resend_at: now,
             copies: 0,
         };
+        // A leader that does not hold its lease yet serves the call at the next resend.
+        let leader = leader.filter(|leader| *leader != context.me.id);
         send(context, self.next, &mut open, leader);
         self.open.insert(self.next, open);
     }
@@ -110,8 +123,13 @@
         }
     }
 
-    /// Sends calls again and ends those whose time is over.
-    pub fn tick(&mut self, context: &context::Context, leader: &dyn Fn(id::GroupId) -> Option<id::VmId>) {
+    /// Sends calls again and ends those whose time is over; returns the copies that this VM has to serve itself,
+    /// because it became the leader.
+    pub fn tick(
+        &mut self,
+        context: &context::Context,
+        leader: &dyn Fn(id::GroupId) -> Option<id::VmId>,
+    ) -> Vec<Own> {
         let now = context.now();
         let over: Vec<u64> = self
             .open
@@ -124,12 +142,14 @@
                 (open.then)(expired(open.copies > 0));
             }
         }
+        let mut own = Vec::new();
         for (number, open) in &mut self.open {
             if now >= open.resend_at {
                 let leader = leader(open.group);
-                send(context, *number, open, leader);
+                own.extend(send(context, *number, open, leader));
             }
         }
+        own
     }
 }
 
@@ -147,11 +167,15 @@
     }
 }
 
-fn send(context: &context::Context, number: u64, open: &mut Open, leader: Option<id::VmId>) {
+/// Sends a copy to the leader; returns it when this VM leads.
+fn send(context: &context::Context, number: u64, open: &mut Open, leader: Option<id::VmId>) -> Option<Own> {
     open.resend_at = context.now() + RESEND;
-    let Some(leader) = leader.filter(|leader| *leader != context.me.id) else {
-        return;
-    };
+    let leader = leader?;
     open.copies = open.copies.saturating_add(1);
-    context.send(leader, wire::Body::Ask(number, open.group, open.ask.clone()));
+    let (group, ask) = (open.group, open.ask.clone());
+    if leader == context.me.id {
+        return Some(Own { number, group, ask });
+    }
+    context.send(leader, wire::Body::Ask(number, group, ask));
+    None
 }
--- a/crates/daemon/src/control/context.rs
+++ b/crates/daemon/src/control/context.rs
@@ -103,8 +103,16 @@
                 .is_some_and(|peer| now.saturating_sub(peer.heard) < SILENCE)
     }
 
-    /// Returns the daemon that claims to lead a group, by the highest term among those heard of lately.
-    pub fn announced_leader(&self, group: id::GroupId) -> Option<id::VmId> {
+    /// Returns the leader of a group, as far as this VM knows; `own` is the term and the leader that its replica knows.
+    ///
+    /// The higher term decides: a learner, or a member that missed its removal, keeps the last leader that it heard.
+    pub fn leader(&self, group: id::GroupId, own: Option<(u64, id::VmId)>) -> Option<id::VmId> {
+        let newest = own.max(self.announced_leader(group));
+        newest.map(|(_, leader)| leader)
+    }
+
+    /// Returns the daemon that claims to lead a group in the highest term among those heard of lately, and that term.
+    fn announced_leader(&self, group: id::GroupId) -> Option<(u64, id::VmId)> {
         let now = self.now();
         self.peers
             .values()
@@ -114,6 +122,5 @@
                 Some((*term, peer.vm.id))
             })
             .max()
-            .map(|(_, vm)| vm)
     }
 }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,7 +5,7 @@
 
 mod actor;
 mod apply;
-mod asks;
+pub mod asks;
 mod calls;
 mod claims;
 pub mod context;
@@ -15,9 +15,10 @@
 mod inbox;
 mod member;
 mod operator;
-mod responder;
+pub mod responder;
 mod root;
 mod scheduling;
+pub mod search;
 mod serve;
 mod session;
 mod submissions;
@@ -62,7 +63,9 @@
     /// A zone's answer to a submission.
     Submitted(submissions::Submission, wire::Reply),
     /// What the zones know of a submission whose first attempt was lost.
-    Found(submissions::Submission, submissions::Found),
+    Found(submissions::Submission, search::Found),
+    /// This VM's answer to a call that it had sent to a former leader.
+    Answered(u64, wire::Reply),
     /// A committed command whose answer waits until it is in force.
     Await(force::Force),
     /// A timer.
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -78,11 +78,12 @@
     /// Returns the leader of a group, as far as this VM knows.
     pub(super) fn leader(&self, group: id::GroupId) -> Option<id::VmId> {
         let me = self.context.me.id;
-        let own = match group {
-            id::GroupId::Root => self.root.member().and_then(|member| member.leader(me)),
-            id::GroupId::Zone(zone) => self.zones.get(&zone).and_then(|zone| zone.member().leader(me)),
+        let member = match group {
+            id::GroupId::Root => self.root.member(),
+            id::GroupId::Zone(zone) => self.zones.get(&zone).map(super::zone::Zone::member),
         };
-        own.or_else(|| self.context.announced_leader(group))
+        let own = member.and_then(|member| Some((member.replica().term(), member.leader(me)?)));
+        self.context.leader(group, own)
     }
 
     fn leads(&self, group: id::GroupId) -> bool {
@@ -110,7 +111,7 @@
     }
 
     /// Serves a call as the leader of a group.
-    fn serve(&mut self, group: id::GroupId, ask: wire::Ask, responder: responder::Responder) {
+    pub(super) fn serve(&mut self, group: id::GroupId, ask: wire::Ask, responder: responder::Responder) {
         if !self.leads(group) {
             responder.answer(&self.context, wire::Reply::NotLeader);
             return;
--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 
 use crate::{
-    control::{Controller, Inbox, Message, asks, calls, claims, context},
+    control::{Controller, Message, asks, calls, claims, context, search},
     peer::wire,
 };
 
@@ -37,44 +37,6 @@
     reply: control::Reply<id::JobId>,
 }
 
-/// What the zones know of a submission.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Found {
-    /// A zone has the job.
-    At(id::JobId),
-    /// Every zone answered, and none has it.
-    Nowhere,
-    /// No zone that answered has it, and not every zone answered.
-    Unreachable,
-}
-
-/// Answers of the zones as they arrive.
-#[derive(Debug)]
-struct Search {
-    submission: Option<Submission>,
-    waiting: usize,
-    found: Found,
-    inbox: Inbox,
-}
-
-impl Search {
-    fn add(search: &Mutex<Self>, answer: &wire::Reply) {
-        let mut search = search.lock().unwrap_or_else(PoisonError::into_inner);
-        search.found = match (search.found, answer) {
-            (Found::At(job), _) => Found::At(job),
-            (_, wire::Reply::Submitted(Some(job))) => Found::At(*job),
-            (found, wire::Reply::Submitted(None)) => found,
-            _ => Found::Unreachable,
-        };
-        search.waiting -= 1;
-        if search.waiting == 0
-            && let Some(submission) = search.submission.take()
-        {
-            search.inbox.send(Message::Found(submission, search.found));
-        }
-    }
-}
-
 impl Controller {
     /// Takes a submission of the gateway.
     pub(super) fn submit(
@@ -157,17 +119,18 @@
         let Some(key) = submission.key else {
             return;
         };
-        let inbox = self.inbox.clone();
-        let search = Search {
-            submission: Some(submission),
-            waiting: zones.len(),
-            found: Found::Nowhere,
-            inbox,
-        };
-        let search = Arc::new(Mutex::new(search));
+        let search = search::Search::new(zones.len());
+        let search = Arc::new(Mutex::new((search, Some(submission))));
         for zone in zones {
-            let search = Arc::clone(&search);
-            let then = Box::new(move |answer| Search::add(&search, &answer));
+            let (search, inbox) = (Arc::clone(&search), self.inbox.clone());
+            let then = Box::new(move |answer| {
+                let mut search = search.lock().unwrap_or_else(PoisonError::into_inner);
+                if let Some(found) = search.0.add(&answer)
+                    && let Some(submission) = search.1.take()
+                {
+                    inbox.send(Message::Found(submission, found));
+                }
+            });
             let ask = wire::Ask::Submitted(key);
             self.dispatch(id::GroupId::Zone(zone), ask, asks::DEADLINE, then);
         }
@@ -177,14 +140,14 @@
     ///
     /// When all answered and none has the job, the first attempt was lost before it reached a zone. Every resend then
     /// goes to the zone that owns the id, where the key keeps it one job.
-    pub(super) fn found_submission(&mut self, mut submission: Submission, found: Found) {
+    pub(super) fn found_submission(&mut self, mut submission: Submission, found: search::Found) {
         match found {
-            Found::At(job) => drop(submission.reply.send(Ok(job))),
-            Found::Unreachable => {
+            search::Found::At(job) => drop(submission.reply.send(Ok(job))),
+            search::Found::Unreachable => {
                 let reason = String::from("the first submission with this id may have been accepted");
                 drop(submission.reply.send(Err(control::Refusal::Unknown(reason))));
             }
-            Found::Nowhere => {
+            search::Found::Nowhere => {
                 let zones = &self.root.view().zones;
                 let owners = submission
                     .key
--- /dev/null
+++ b/crates/daemon/tests/calls.rs
@@ -0,0 +1,162 @@
+//! Calls to the leaders of groups while leaders change.
+
+use std::{
+    collections::HashMap,
+    sync::mpsc,
+    time::{Duration, Instant},
+};
+
+use bronzespoke_daemon::{
+    control::{asks, context, search},
+    peer::{Network, fault, wire},
+    timeline,
+};
+use bronzespoke_model::{id, vm};
+use tokio_util::sync::CancellationToken;
+
+const ME: id::VmId = 1;
+const OTHER: id::VmId = 2;
+const GROUP: id::GroupId = id::GroupId::Zone(1);
+/// More than the time between two copies of a call, and less than its deadline.
+const LATER: Duration = Duration::from_millis(400);
+
+fn some_vm(id: id::VmId, peer: std::net::SocketAddr) -> vm::Vm {
+    vm::Vm {
+        id,
+        name: format!("vm-{id}"),
+        place: vm::Place { region: 1, zone: 1 },
+        peer,
+        http: peer,
+        rpc: peer,
+        durable: true,
+    }
+}
+
+/// A context whose links lead nowhere; its time is moved by its origin.
+fn context(runtime: &tokio::runtime::Runtime) -> context::Context {
+    let _entered = runtime.enter();
+    let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port");
+    let address = listener.local_addr().expect("an address");
+    listener.set_nonblocking(true).expect("a socket option");
+    let listener = tokio::net::TcpListener::from_std(listener).expect("a listener");
+    let cancel = CancellationToken::new();
+    let (network, _frames) = Network::start(
+        runtime.handle().clone(),
+        listener,
+        fault::Switch::default(),
+        cancel,
+    );
+    context::Context {
+        origin: Instant::now(),
+        me: some_vm(ME, address),
+        incarnation: 1,
+        ring: timeline::Ring::new("vm-1"),
+        network,
+        peers: HashMap::new(),
+    }
+}
+
+fn runtime() -> tokio::runtime::Runtime {
+    tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .expect("a runtime")
+}
+
+fn wait(context: &mut context::Context, time: Duration) {
+    context.origin -= time;
+}
+
+/// Opens a search for a job at a leader that does not answer.
+fn open(context: &context::Context, leader: Option<id::VmId>) -> (asks::Asks, mpsc::Receiver<wire::Reply>) {
+    let mut asks = asks::Asks::default();
+    let (sender, receiver) = mpsc::channel();
+    let key = bronzespoke_control::request_id::Key::new(1, "job 1");
+    let then = Box::new(move |reply| drop(sender.send(reply)));
+    asks.open(
+        context,
+        GROUP,
+        wire::Ask::Submitted(key),
+        asks::DEADLINE,
+        leader,
+        then,
+    );
+    (asks, receiver)
+}
+
+/// Guards against a call that expires as `unknown` because this VM itself became the leader that it waits for.
+#[test]
+fn a_call_is_served_here_when_this_vm_becomes_the_leader() {
+    let runtime = runtime();
+    let mut context = context(&runtime);
+    let (mut asks, answers) = open(&context, Some(OTHER));
+    wait(&mut context, LATER);
+    let own = asks.tick(&context, &|_| Some(ME));
+    let [copy] = own.as_slice() else {
+        panic!("one copy is for this VM: {own:?}");
+    };
+    assert_eq!(copy.group, GROUP);
+    // The lease is not held yet.
+    asks.answer(&context, copy.number, wire::Reply::NotLeader);
+    assert!(answers.try_recv().is_err(), "the call stays open");
+    wait(&mut context, LATER);
+    let own = asks.tick(&context, &|_| Some(ME));
+    assert_eq!(own.len(), 1, "the call is tried again");
+    asks.answer(&context, own[0].number, wire::Reply::Submitted(Some(7)));
+    assert!(matches!(answers.try_recv(), Ok(wire::Reply::Submitted(Some(7)))));
+    assert!(asks.is_empty());
+}
+
+/// Guards against a call that is lost when no leader is known at first, or that is kept after its time.
+#[test]
+fn a_call_is_sent_until_its_deadline() {
+    let runtime = runtime();
+    let mut context = context(&runtime);
+    let (mut asks, answers) = open(&context, None);
+    wait(&mut context, LATER);
+    assert!(asks.tick(&context, &|_| None).is_empty());
+    wait(&mut context, asks::DEADLINE);
+    assert!(asks.tick(&context, &|_| Some(ME)).is_empty());
+    assert!(matches!(answers.try_recv(), Ok(wire::Reply::NotDone(_))));
+}
+
+/// Guards against calls that go to a former leader for good, because a replica that gets no entries any more still
+/// names it.
+#[test]
+fn the_leader_of_the_highest_term_is_called() {
+    let runtime = runtime();
+    let mut context = context(&runtime);
+    let peer = |id, term| context::Peer {
+        vm: some_vm(id, context.me.peer),
+        incarnation: 1,
+        leads: vec![(GROUP, term)],
+        replicas: vec![GROUP],
+        cell_known: true,
+        applied: 1,
+        heard: Duration::ZERO,
+    };
+    let peers = [(OTHER, peer(OTHER, 5)), (3, peer(3, 6))];
+    assert_eq!(context.leader(GROUP, Some((4, 9))), Some(9));
+    context.peers.extend(peers);
+    assert_eq!(context.leader(GROUP, None), Some(3));
+    assert_eq!(context.leader(GROUP, Some((4, 9))), Some(3), "a former leader");
+    assert_eq!(context.leader(GROUP, Some((7, 9))), Some(9), "a newer leader");
+}
+
+/// Guards against a search that waits for a zone that cannot be reached after another one has named the job, or that
+/// takes a missing answer for `no`.
+#[test]
+fn a_search_ends_with_the_first_job() {
+    use search::Found;
+    use wire::Reply;
+    let mut search = search::Search::new(3);
+    assert_eq!(search.add(&Reply::Submitted(None)), None);
+    assert_eq!(search.add(&Reply::Submitted(Some(7))), Some(Found::At(7)));
+    assert_eq!(search.add(&Reply::Unknown), None, "the outcome comes once");
+    let mut search = search::Search::new(2);
+    assert_eq!(search.add(&Reply::Unknown), None);
+    assert_eq!(search.add(&Reply::Submitted(None)), Some(Found::Unreachable));
+    let mut search = search::Search::new(2);
+    assert_eq!(search.add(&Reply::Submitted(None)), None);
+    assert_eq!(search.add(&Reply::Submitted(None)), Some(Found::Nowhere));
+}
