--- a/crates/consensus/tests/repair.rs
+++ b/crates/consensus/tests/repair.rs
@@ -151,6 +151,32 @@
     }
 }
 
+/// Guards against a group of two voters that stops when one of them leaves, also when that one led.
+#[yare::parameterized(leader = { true }, other = { false })]
+fn one_of_two_voters_leaves(leader_leaves: bool) {
+    for seed in 0..20 {
+        let mut world = World::new(seed, 3, Rules::default());
+        repair(&mut world, Step::Removed);
+        let until = world.now + ms(500);
+        world.run_until(until);
+        let leader = settled(&world).expect("the group has a leader");
+        let other = 3 - leader;
+        let leaves = if leader_leaves { leader } else { other };
+        world.change(leader, Change::Remove(leaves));
+        let until = world.now + ms(500);
+        world.run_until(until);
+        world.crash(leaves);
+        let rest = 3 - leaves;
+        let works = |world: &World| settled(world) == Some(rest);
+        assert!(
+            world.run_while(ms(3_000), works),
+            "seed {seed}: the other voter leads"
+        );
+        assert!(load(&mut world, 3), "seed {seed}: and commits");
+        assert_eq!(world.violation, None, "seed {seed}");
+    }
+}
+
 /// Guards against a removed member that returns from its disk and disturbs the leader.
 #[test]
 fn removed_member_does_not_disturb() {
