--- a/crates/consensus/tests/relay.rs
+++ b/crates/consensus/tests/relay.rs
@@ -84,7 +84,7 @@
     };
     for now in (0..END).map(ms) {
         let mut out = Vec::new();
-        if now.as_millis() as u64 % TICK == 0 {
+        if (now.as_millis() as u64).is_multiple_of(TICK) {
             let candidates = members.iter().map(|member| Candidate {
                 vm: member.vm,
                 distance: member.distance,
