--- /dev/null
+++ b/crates/daemon/tests/vm/mod.rs
@@ -0,0 +1,309 @@
+//! One VM's control thread under test, without traffic. Other VMs are played by frames that the test sends.
+#![allow(dead_code, reason = "each test program uses a part of this module")]
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    path::{Path, PathBuf},
+    sync::Arc,
+    time::Instant,
+};
+
+use bronzespoke_daemon::{
+    control::{self, Inbox, Message, Published, context},
+    disk, identity, peer,
+    settings::Settings,
+    timeline,
+};
+use bronzespoke_gateway::control::{Call, Freshness, Refusal, Reply, Targets, View};
+use bronzespoke_language::answer::Answer;
+use bronzespoke_model::{event, id, job, resource, task, vm, worker};
+use bronzespoke_storage::Store;
+use ractor::Actor;
+use tokio::{
+    net::TcpListener,
+    runtime,
+    sync::{oneshot, watch},
+    task::JoinHandle,
+};
+use tokio_util::sync::CancellationToken;
+
+/// Zone of the VM.
+pub const ZONE: id::AvailabilityZoneId = 1;
+/// Tries of what may need a leader first; each one waits for up to 3 s.
+const TRIES: u32 = 40;
+/// Pause between two tries.
+const PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+
+/// A VM of a cell, with its data folder.
+pub struct Vm {
+    /// As the directory lists it.
+    pub me: vm::Vm,
+    /// Its timeline.
+    pub ring: timeline::Ring,
+    inbox: Inbox,
+    folder: PathBuf,
+    task: JoinHandle<()>,
+    cancel: CancellationToken,
+    view: watch::Receiver<Arc<View>>,
+}
+
+/// Binds a free port of the loopback interface.
+pub async fn listen() -> (TcpListener, SocketAddr) {
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
+    let address = listener.local_addr().expect("a bound socket");
+    (listener, address)
+}
+
+/// Returns a VM of the directory.
+pub fn listed(id: id::VmId, name: &str, place: vm::Place, peer: SocketAddr) -> vm::Vm {
+    vm::Vm {
+        id,
+        name: String::from(name),
+        place,
+        peer,
+        http: peer,
+        rpc: peer,
+        durable: true,
+    }
+}
+
+impl Vm {
+    /// Starts the process on a data folder; it founds the cell when the folder is empty.
+    pub async fn start(folder: &Path) -> Self {
+        let (listener, address) = listen().await;
+        let id = identity::load(Some(folder)).expect("a folder for the id");
+        let place = vm::Place {
+            region: 1,
+            zone: ZONE,
+        };
+        let me = listed(id, "a-1", place, address);
+        let cancel = CancellationToken::new();
+        let (network, mut frames) = peer::Network::start(
+            runtime::Handle::current(),
+            listener,
+            peer::fault::Switch::default(),
+            cancel.clone(),
+        );
+        let ring = timeline::Ring::new(&me.name);
+        let origin = Instant::now();
+        let (view, view_receiver) = watch::channel(Arc::new(View::default()));
+        let start = control::Start {
+            settings: settings(&me, folder),
+            context: context::Context {
+                origin,
+                me: me.clone(),
+                incarnation: context::Context::wall_ms(),
+                ring: ring.clone(),
+                network,
+                peers: HashMap::new(),
+            },
+            published: Published {
+                view,
+                ready: watch::channel(false).0,
+                freshness: Freshness::new(origin),
+            },
+            targets: watch::channel(Arc::new(Targets::default())).0,
+        };
+        let (actor, task) = control::Control::spawn(None, control::Control, start)
+            .await
+            .expect("the data folder is sound");
+        let inbox = Inbox::new(actor);
+        let pump = inbox.clone();
+        tokio::spawn(async move {
+            while let (Some(received), Some(permit)) = (frames.recv().await, pump.room().await) {
+                pump.send(Message::Frame(Box::new(received.frame), permit));
+            }
+        });
+        Self {
+            me,
+            ring,
+            inbox,
+            folder: folder.to_path_buf(),
+            task,
+            cancel,
+            view: view_receiver,
+        }
+    }
+
+    /// Stops at once; nothing is handed over.
+    pub async fn stop(self) {
+        self.cancel.cancel();
+        self.inbox.send(Message::Stop);
+        self.task.await.expect("no broken invariant");
+        for group in disk::groups(&self.folder) {
+            wait_for_release(&self.folder, group).await;
+        }
+    }
+
+    /// Makes a call of the gateway.
+    pub async fn call(&self, call: Call) {
+        let permit = self.inbox.room().await.expect("control runs");
+        self.inbox.send(Message::Call(call, permit));
+    }
+
+    /// Makes a call and waits for its answer.
+    pub async fn ask<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> T {
+        let (sender, receiver) = oneshot::channel();
+        self.call(call(sender)).await;
+        receiver.await.expect("every call is answered")
+    }
+
+    /// Makes a call until it is taken, because a leader has to be elected first.
+    pub async fn eventually<T>(&self, call: impl Fn(Reply<T>) -> Call) -> T {
+        let mut last = None;
+        for _ in 0..TRIES {
+            match self.ask(&call).await {
+                Ok(value) => return value,
+                Err(refusal) => last = Some(refusal),
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        panic!("the call was refused: {last:?}");
+    }
+
+    /// Gives an operator's command until it is done.
+    pub async fn operate(&self, line: &str) {
+        let mut last = None;
+        for _ in 0..TRIES {
+            let (sender, receiver) = oneshot::channel();
+            self.inbox
+                .send(Message::Operator(String::from(line), None, sender));
+            match receiver.await.expect("every command is answered") {
+                Answer::Error(error) => last = Some(error),
+                _ => return,
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        panic!("{line}: {last:?}");
+    }
+
+    /// Takes a frame of another VM.
+    pub async fn receive(&self, from: &vm::Vm, body: peer::wire::Body) {
+        let permit = self.inbox.room().await.expect("control runs");
+        let frame = peer::wire::Frame {
+            from: from.id,
+            to: Some(self.me.id),
+            from_peer: from.peer,
+            stamp: self.ring.send_stamp(),
+            body,
+        };
+        self.inbox.send(Message::Frame(Box::new(frame), permit));
+    }
+
+    /// Creates the team `kodokan`, and waits until its limit is divided.
+    pub async fn create_team(&self) -> id::TeamId {
+        self.operate("create team kodokan weight=1 cpu=64 memory=64GiB accelerators=0 requests=200")
+            .await;
+        for _ in 0..TRIES {
+            let team = self.view.borrow().teams.keys().next().copied();
+            if let Some(team) = team {
+                return team;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        panic!("the team is not known");
+    }
+
+    /// Registers a worker of 8 processors.
+    pub async fn register(&self, worker: id::WorkerId) {
+        let registration = worker::Registration {
+            worker,
+            incarnation: 1,
+            rack: 1,
+            capacity: resource::Capacity {
+                amount: resource::Amount::new(8000, 8192, 0),
+                accelerator: 0,
+            },
+        };
+        self.eventually(|reply| Call::Register(registration, reply)).await;
+    }
+
+    /// Reports for a worker, and waits for the answer.
+    pub async fn report(
+        &self,
+        worker: id::WorkerId,
+        sequence: u64,
+        work: Work,
+    ) -> Result<worker::Reply, Refusal> {
+        let report = worker::Report {
+            worker,
+            incarnation: 1,
+            sequence,
+            running: work.running,
+            ended: work.ended,
+        };
+        self.ask(|reply| Call::Report(report, reply)).await
+    }
+
+    /// Events of the timeline, in order.
+    pub fn events(&self) -> Vec<event::Kind> {
+        let page = self.ring.read(0, timeline::MAX_READ);
+        page.events.into_iter().map(|event| event.kind).collect()
+    }
+}
+
+/// What a worker reports.
+#[derive(Default)]
+pub struct Work {
+    /// Tasks that run.
+    pub running: Vec<worker::Running>,
+    /// Tasks that ended.
+    pub ended: Vec<worker::Ended>,
+}
+
+impl Work {
+    /// The failure of one run.
+    pub fn failed(task: task::Ref, token: id::Token) -> Self {
+        let outcome = task::Outcome::Failed;
+        Self {
+            running: Vec::new(),
+            ended: vec![worker::Ended { task, token, outcome }],
+        }
+    }
+}
+
+/// A batch job of tasks that each fill a worker.
+pub fn batch(tasks: u32) -> job::Spec {
+    job::Spec {
+        kind: job::Kind::Batch,
+        priority: job::Priority::default(),
+        tasks,
+        size: resource::Amount::new(8000, 8192, 0),
+        accelerator: 0,
+        run_time: std::time::Duration::from_secs(60),
+        checkpoint: false,
+        command: String::from("true"),
+    }
+}
+
+fn settings(me: &vm::Vm, folder: &Path) -> Settings {
+    Settings {
+        name: me.name.clone(),
+        place: me.place,
+        peer: me.peer,
+        http: me.http,
+        rpc: me.rpc,
+        seeds: Vec::new(),
+        data: Some(folder.to_path_buf()),
+        found: true,
+        random_seed: 1,
+        traffic_threads: 1,
+        drain_notice: std::time::Duration::ZERO,
+        log_level: log::LevelFilter::Off,
+    }
+}
+
+/// Waits until the thread of a group's disk has given the files back.
+async fn wait_for_release(folder: &Path, group: id::GroupId) {
+    for _ in 0..TRIES {
+        if !matches!(
+            Store::open(folder, group),
+            Err(bronzespoke_storage::Error::Locked { .. })
+        ) {
+            return;
+        }
+        tokio::time::sleep(PAUSE).await;
+    }
+    panic!("the files of {group:?} are still in use");
+}
