daemon, control: keep the failed runs of tasks over a change of leader

Cause: a new leader restored every task with no failed runs, so a job that fails everywhere got its whole retry budget again with every change of leader. Change: the scheduler's count of failed runs that speak against the job is committed with the end of the run (zone::Command::Attempts) and restored from the zone state. Failures on suspected workers still do not count, which a count of failed ends in the state could not tell. The table holds 16,384 tasks; further ones are refused. What follows: the budget for the job as a whole (failures on different racks) still starts anew in the scheduler.

--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -17,6 +17,8 @@
 pub const MAX_OPEN_BYTES: usize = 8 * 1024 * 1024;
 /// Most bytes of jobs in their last state; the oldest are dropped first.
 pub const MAX_ENDED_BYTES: usize = 8 * 1024 * 1024;
+/// Tasks whose failed runs are counted; those of further tasks are forgotten at a change of leader.
+pub const MAX_ATTEMPTS: usize = 16_384;
 /// Jobs that one command drops at most after their retention, which bounds the time of one application.
 const MAX_DROPPED_AT_ONCE: usize = 256;
 
@@ -91,6 +93,7 @@
                 .iter()
                 .for_each(|(team, total)| self.holdings.release(*team, total, self.rules.keep_used)),
             Command::Expire => {}
+            Command::Attempts { task, attempts } => self.count_attempts(*task, *attempts)?,
         }
         Ok(Outcome::Done)
     }
@@ -219,6 +222,24 @@
         Some(succeeded)
     }
 
+    fn count_attempts(&mut self, task: task::Ref, attempts: u32) -> Result<(), Refusal> {
+        let sequence = self.sequence(task.job).ok_or(Refusal::NoSuchJob)?;
+        let job = self.jobs.get(&sequence).ok_or(Refusal::NoSuchJob)?;
+        if job.state.is_terminal() {
+            return Err(Refusal::JobEnded);
+        }
+        if task.index >= job.spec.tasks {
+            return Err(Refusal::NoSuchTask);
+        }
+        let key = (sequence, task.index);
+        if self.attempts.len() >= MAX_ATTEMPTS && !self.attempts.contains_key(&key) {
+            return Err(Refusal::Full);
+        }
+        let recorded = self.attempts.entry(key).or_default();
+        *recorded = attempts.max(*recorded);
+        Ok(())
+    }
+
     fn finish(&mut self, job: id::JobId, state: job::State) -> Result<(), Refusal> {
         if !state.is_terminal() {
             return Err(Refusal::BadState);
@@ -239,6 +260,13 @@
         let Some(job) = self.jobs.get_mut(&sequence) else {
             return;
         };
+        let counted = self
+            .attempts
+            .range((sequence, 0)..=(sequence, id::TaskIndex::MAX))
+            .map(|(key, _)| *key);
+        for key in counted.collect::<Vec<_>>() {
+            self.attempts.remove(&key);
+        }
         self.open_bytes -= job.bytes();
         job.finish(state, self.now_ms);
         self.ended_bytes += job.bytes();
--- a/crates/control/src/zone/command.rs
+++ b/crates/control/src/zone/command.rs
@@ -92,6 +92,13 @@
     Release(Vec<(id::TeamId, escrow::Total)>),
     /// Drop what has expired by the time of the envelope.
     Expire,
+    /// Record how many failed runs of a task count against its retries, so that they outlive the leader.
+    Attempts {
+        /// Task.
+        task: task::Ref,
+        /// Failed runs so far; a smaller number than the recorded one changes nothing.
+        attempts: u32,
+    },
 }
 
 /// Why a zone command changed nothing.
--- a/crates/control/src/zone/memory.rs
+++ b/crates/control/src/zone/memory.rs
@@ -24,6 +24,7 @@
             + map::<(u64, id::TaskIndex)>(self.runs.len())
             + map::<(id::WorkerId, workers::Worker)>(self.workers.len())
             + map::<(id::TeamId, holdings::Holding)>(self.holdings.iter().count())
+            + map::<((u64, id::TaskIndex), u32)>(self.attempts.len())
             + self.claims.memory()
             + self.commands.memory()
     }
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -10,7 +10,7 @@
 mod state;
 mod workers;
 
-pub use apply::{JOB_RETENTION_MS, MAX_ENDED_BYTES, MAX_OPEN_BYTES};
+pub use apply::{JOB_RETENTION_MS, MAX_ATTEMPTS, MAX_ENDED_BYTES, MAX_OPEN_BYTES};
 pub use claims::{
     Answer, Claimed, Claims, Completion, MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES, MAX_IDS as MAX_REQUEST_IDS,
 };
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -7,7 +7,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    claims, command, holdings,
+    apply, claims, command, holdings,
     jobs::{Job, Lookup, Run},
     workers::{Worker, Workers},
 };
@@ -66,6 +66,8 @@
     pub(super) holdings: holdings::Holdings,
     pub(super) claims: claims::Claims,
     pub(super) commands: dedupe::Table<command::Outcome>,
+    /// Failed runs that count against the retries of the tasks of open jobs. The last field, see [`State::decode`].
+    pub(super) attempts: BTreeMap<(u64, id::TaskIndex), u32>,
     /// Bytes of jobs that have not ended, and of those that have.
     #[serde(skip)]
     pub(super) open_bytes: usize,
@@ -145,6 +147,12 @@
         self.runs.get(&(self.sequence(task.job)?, task.index)).copied()
     }
 
+    /// Returns how many failed runs of a task count against its retries.
+    pub fn attempts(&self, task: task::Ref) -> u32 {
+        let key = self.sequence(task.job).map(|sequence| (sequence, task.index));
+        key.and_then(|key| self.attempts.get(&key)).copied().unwrap_or(0)
+    }
+
     /// Returns all runs.
     pub fn runs(&self) -> impl Iterator<Item = (task::Ref, Run)> {
         self.runs.iter().map(|(key, run)| (self.task(*key), *run))
@@ -232,7 +240,10 @@
 
     /// Decodes a snapshot and checks it.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
-        let mut state: Self = envelope::from_bytes(bytes)?;
+        // Snapshots of builds that did not count attempts end one byte earlier, before the length of an empty table.
+        let with_attempts = || envelope::from_bytes(&[bytes, &[0]].concat());
+        let mut state: Self =
+            envelope::from_bytes(bytes).or_else(|fault| with_attempts().map_err(|_| fault))?;
         for (key, run) in &state.runs {
             let size = state
                 .jobs
@@ -303,6 +314,13 @@
                 return Err(format!("the submission of job {sequence} is not known"));
             }
         }
+        let open = |(sequence, index): &(u64, id::TaskIndex)| {
+            let job = self.jobs.get(sequence);
+            job.is_some_and(|job| !job.state.is_terminal() && *index < job.spec.tasks)
+        };
+        if self.attempts.len() > apply::MAX_ATTEMPTS || !self.attempts.keys().all(open) {
+            return Err(String::from("attempts are counted for tasks that are not open"));
+        }
         let ended = self.jobs.values().filter(|job| job.state.is_terminal()).count();
         let listed = self
             .ended
--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -294,3 +294,42 @@
     }
     assert_eq!(decoded, batch);
 }
+
+/// Guards against retries that start anew with the next leader or after a snapshot, attempts that go back, and counts
+/// that stay behind for jobs that ended.
+#[test]
+fn failed_runs_are_counted_until_the_job_ends() {
+    let mut zone = Zone::new();
+    let job = zone.submit(job::Kind::Batch, 2);
+    let task = task::Ref { job, index: 1 };
+    let count = |attempts| zone::Command::Attempts { task, attempts };
+    assert_eq!(zone.run(count(2)), zone::Outcome::Done);
+    assert_eq!(zone.run(count(1)), zone::Outcome::Done);
+    assert_eq!(zone.state.attempts(task), 2);
+    let beyond = zone::Command::Attempts {
+        task: task::Ref { job, index: 2 },
+        attempts: 1,
+    };
+    let refused = zone::Outcome::Refused(zone::Refusal::NoSuchTask);
+    assert_eq!(zone.run(beyond), refused);
+    zone.state = zone::State::decode(&zone.state.encode()).expect("a sound state");
+    assert_eq!(zone.state.attempts(task), 2);
+
+    zone.run(zone::Command::Cancel { job });
+    assert_eq!(zone.state.attempts(task), 0);
+    let ended = zone::Outcome::Refused(zone::Refusal::JobEnded);
+    assert_eq!(zone.run(count(3)), ended);
+    zone.state.verify().expect("a sound state");
+}
+
+/// Guards against a build that cannot read the data folder of an earlier one: its snapshots end before the attempts.
+#[test]
+fn a_snapshot_without_attempts_is_read() {
+    let mut zone = Zone::new();
+    let job = zone.submit(job::Kind::Batch, 2);
+    let bytes = zone.state.encode();
+    let former = &bytes[..bytes.len() - 1];
+    let state = zone::State::decode(former).expect("a sound state");
+    assert_eq!(state.encode(), bytes);
+    assert!(state.job(job).is_some());
+}
--- a/crates/control/tests/bounds.rs
+++ b/crates/control/tests/bounds.rs
@@ -205,3 +205,22 @@
     }
     assert_eq!((state.applied(), state.teams().len()), (5, 1));
 }
+
+/// Guards against a table of failed runs that grows with the tasks of all open jobs.
+#[test]
+fn failed_runs_are_counted_for_a_bounded_number_of_tasks() {
+    let mut zone = Zone::new();
+    let per_job = job::MAX_TASKS as usize;
+    let mut outcomes = Vec::new();
+    for _ in 0..=zone::MAX_ATTEMPTS / per_job {
+        let job = zone.submit(job::MAX_TASKS, "").expect("room for the job");
+        for index in 0..job::MAX_TASKS {
+            let task = task::Ref { job, index };
+            outcomes.push(zone.run(zone::Command::Attempts { task, attempts: 1 }));
+        }
+    }
+    let refused = zone::Outcome::Refused(zone::Refusal::Full);
+    let counted = outcomes.iter().filter(|outcome| **outcome != refused).count();
+    assert_eq!(counted, zone::MAX_ATTEMPTS);
+    zone.state.verify().expect("a sound state");
+}
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -128,9 +128,16 @@
                 );
             }
             schedule::Output::Ended {
-                task, token, outcome, ..
+                task,
+                token,
+                outcome,
+                attempts,
+                ..
             } => {
                 zone.propose(state::Command::End(vec![state::End { task, token, outcome }]));
+                if attempts > zone.state().attempts(task) {
+                    zone.propose(state::Command::Attempts { task, attempts });
+                }
             }
             schedule::Output::Impossible { job, reason, refused } => {
                 log::info!("schedule: Job {job:x} cannot run now: {reason:?}.");
@@ -451,13 +458,14 @@
     if record.is_done(task.index) {
         return message::Progress::Succeeded;
     }
+    let attempts = state.attempts(task);
     match state.run(task) {
         Some(run) => message::Progress::Running {
             worker: run.worker,
             token: run.token,
             granted: record.spec.size,
-            attempts: 0,
+            attempts,
         },
-        None => message::Progress::Waiting { attempts: 0 },
+        None => message::Progress::Waiting { attempts },
     }
 }
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -3,7 +3,7 @@
 mod vm;
 
 use bronzespoke_gateway::control::Call;
-use bronzespoke_model::{event, id};
+use bronzespoke_model::{event, id, job, task};
 
 /// Guards against a new leader that places tasks on drained workers, because it was told of the drains before it knew
 /// the workers.
@@ -42,6 +42,54 @@
     vm.stop().await;
 }
 
+/// Guards against a job that fails everywhere and gets its whole retry budget again with every change of leader.
+#[tokio::test]
+async fn a_new_leader_knows_the_failed_runs() {
+    const WORKER: id::WorkerId = 7;
+    /// Runs of a task that may fail before its job fails.
+    const BUDGET: usize = 4;
+    let folder = tempfile::tempdir().expect("a folder");
+    let vm = vm::Vm::start(folder.path()).await;
+    let team = vm.create_team().await;
+    vm.register(WORKER).await;
+    let submit = |reply| Call::Submit(team, None, vm::batch(1), reply);
+    let job = vm.eventually(submit).await;
+    fail_runs(&vm, WORKER, BUDGET / 2).await;
+    vm.stop().await;
+
+    let vm = vm::Vm::start(folder.path()).await;
+    vm.eventually(|reply| Call::Job(team, job, false, reply)).await;
+    fail_runs(&vm, WORKER, BUDGET - BUDGET / 2).await;
+    let status = vm.eventually(|reply| Call::Job(team, job, false, reply)).await;
+    assert_eq!(status.state, job::State::Failed, "after {BUDGET} failed runs");
+    vm.stop().await;
+}
+
+/// Lets a worker fail the runs that it is told to start, until so many have failed and are recorded.
+async fn fail_runs(vm: &vm::Vm, worker: id::WorkerId, mut count: usize) {
+    const REPORTS: u64 = 100;
+    let mut work = vm::Work::default();
+    for sequence in 1..REPORTS {
+        let ended = !work.ended.is_empty();
+        let Ok(reply) = vm.report(worker, sequence, work).await else {
+            tokio::time::sleep(vm::PAUSE).await;
+            work = vm::Work::default();
+            continue;
+        };
+        count -= usize::from(ended);
+        if count == 0 {
+            return;
+        }
+        work = vm::Work::default();
+        for directive in reply.directives {
+            if let task::Directive::Start { task, token, .. } = directive {
+                work = vm::Work::failed(task, token);
+            }
+        }
+    }
+    panic!("{count} runs were not started");
+}
+
 /// Workers on which tasks were started, in order.
 fn started(vm: &vm::Vm) -> Vec<id::WorkerId> {
     let events = vm.events().into_iter();
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -33,7 +33,7 @@
 /// Tries of what may need a leader first; each one waits for up to 3 s.
 const TRIES: u32 = 40;
 /// Pause between two tries.
-const PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+pub const PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
 
 /// A VM of a cell, with its data folder.
 pub struct Vm {
