daemon: send the end of a claim until it is recorded

Cause: when the leader of the owner refused the end of a claim, or a local leader lost the lead before it was committed, that was only logged. The claim stayed in progress for 10 minutes and a resend then saw `unknown`. A call that was opened before this VM became the leader itself was also never made again. Change: an end that is not recorded is kept and sent again every 300 ms for up to 60 s, under one command id, each time to the leader that is known then. At most 8192 ends wait; they also hold up the hand-over at shutdown, as open calls do. Whoever waits for the record waits for at most 3 s.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -97,6 +97,7 @@
             known: std::collections::BTreeSet::new(),
             asks: asks::Asks::default(),
             claims: claims::Claims::default(),
+            ends: claims::Ends::default(),
             scheduling: None,
             targets_changed: false,
             listing: Listing::Unlisted,
@@ -192,6 +193,7 @@
             Message::Persisted(done) => self.persisted(&done),
             Message::Claimed(pending, answer) => self.claimed(pending, answer),
             Message::Abandoned(zone, number) => self.abandoned(zone, number),
+            Message::Unrecorded(end) => self.unrecorded(end),
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
             Message::Found(submission, found) => self.found_submission(submission, found),
             Message::Await(force) => self.forces.push(force),
@@ -239,6 +241,7 @@
         }
         self.gossip_tick(now);
         self.ask_tick();
+        self.record_ends();
         let own = self.context.me.place.zone;
         if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get_mut(&own)) {
             scheduling.tick(&self.context, zone);
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -172,10 +172,9 @@
         // The lease ends when the next leader is asked; the request has arrived only when this VM is deposed.
         let me = self.context.me.id;
         let leads = self.replicas().any(|(_, member)| member.leader(me) == Some(me));
-        let over = self
-            .leaving
-            .as_ref()
-            .is_some_and(|(_, deadline)| !leads && self.asks.is_empty() || now >= *deadline);
+        let over = self.leaving.as_ref().is_some_and(|(_, deadline)| {
+            !leads && self.asks.is_empty() && self.ends.is_empty() || now >= *deadline
+        });
         if over && let Some((reply, _)) = self.leaving.take() {
             self.listing = Listing::Unlisted;
             // The waiting task may have given up.
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -12,11 +12,8 @@
     peer::wire,
 };
 
-/// Time for which the end of a claim is sent again; a lost one leaves the id in progress.
-const COMPLETION_DEADLINE: Duration = Duration::from_mins(1);
-
-/// Dropped when the end of a claim is recorded.
-type Done = Arc<oneshot::Sender<()>>;
+/// Time for which the outcome of a claim is asked for whose answer did not come; a lost grant leaves the id in progress.
+const ABANDON_DEADLINE: Duration = Duration::from_mins(1);
 
 impl Controller {
     /// Handles one call.
@@ -24,7 +21,8 @@
         match call {
             control::Call::Claim(claim, reply) => self.claim(&claim, reply),
             control::Call::Complete(_, number, completion, done) => {
-                self.complete(number, &completion, Some(&Arc::new(done)));
+                let done: claims::Done = Arc::new(done);
+                self.complete(number, &completion, Some(&done));
             }
             control::Call::Submit(team, submission, spec, reply) => {
                 self.submit(team, submission, spec, reply);
@@ -137,7 +135,7 @@
                 inbox.send(Message::Abandoned(zone, number));
             }
         });
-        self.dispatch(id::GroupId::Zone(zone), ask, COMPLETION_DEADLINE, then);
+        self.dispatch(id::GroupId::Zone(zone), ask, ABANDON_DEADLINE, then);
     }
 
     /// Gives back a claim that nobody waits for any more.
@@ -196,8 +194,14 @@
         self.answer_claim(pending.waiter, claimed);
     }
 
-    /// Records the end of a claim at its owners; `done` is dropped when all of them have answered.
-    pub(super) fn complete(&mut self, number: u64, completion: &control::Completion, done: Option<&Done>) {
+    /// Records the end of a claim at its owners; `done` is dropped when all of them have recorded it, or after a
+    /// bounded wait.
+    pub(super) fn complete(
+        &mut self,
+        number: u64,
+        completion: &control::Completion,
+        done: Option<&claims::Done>,
+    ) {
         for (zone, number) in self.claims.take(number) {
             self.complete_at(zone, number, completion, done.cloned());
         }
@@ -208,17 +212,41 @@
         zone: id::AvailabilityZoneId,
         number: u64,
         completion: &control::Completion,
-        done: Option<Done>,
+        done: Option<claims::Done>,
     ) {
         let completion = claims::completion(completion);
-        let command = zone::Command::Complete { number, completion };
+        let now = self.context.now();
+        self.record_end(claims::End::new(now, (zone, number), completion, done));
+    }
+
+    fn record_end(&mut self, end: claims::End) {
+        let group = id::GroupId::Zone(end.zone);
+        let command = zone::Command::Complete {
+            number: end.number,
+            completion: end.completion.clone(),
+        };
+        let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
+        envelope.id = Some(end.command);
+        let time = end.call_time(self.context.now());
+        let inbox = self.inbox.clone();
         let then = Box::new(move |answer| {
             if !matches!(answer, wire::Reply::Zone(_)) {
-                log::warn!("claims: The end of claim {number} in zone {zone} may not be recorded.");
+                inbox.send(Message::Unrecorded(end));
             }
-            drop(done);
         });
-        self.command_zone(id::GroupId::Zone(zone), command, COMPLETION_DEADLINE, then);
+        self.dispatch(group, wire::Ask::Zone(envelope), time, then);
+    }
+
+    /// Keeps the end of a claim that its owner refused or did not answer, to be sent again.
+    pub(super) fn unrecorded(&mut self, end: claims::End) {
+        self.ends.keep(self.context.now(), end);
+    }
+
+    /// Sends the ends of claims again that are due.
+    pub(super) fn record_ends(&mut self) {
+        for end in self.ends.take_due(self.context.now()) {
+            self.record_end(end);
+        }
     }
 
     fn read_job(
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -3,7 +3,7 @@
 //! A claim needs the grant of its owner, and shortly after a change of the zones also that of its former owner.
 //! The gateway holds one number per claim; this table maps it to the numbers that the owners gave.
 
-use std::collections::HashMap;
+use std::{collections::HashMap, sync::Arc, time::Duration};
 
 use bronzespoke_control::{request_id, zone};
 use bronzespoke_gateway::control;
@@ -11,7 +11,20 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
-use crate::control::submissions;
+use crate::control::{asks, submissions};
+
+/// Time for which the end of a claim is sent again; a lost one leaves the id in progress.
+const RECORD_DEADLINE: Duration = Duration::from_mins(1);
+/// Longest time for which somebody waits until the end of a claim is recorded.
+const WAIT: Duration = asks::DEADLINE;
+/// Pause before an end that was not recorded is sent again; a refused one is refused again until the leader changes.
+const PAUSE: Duration = Duration::from_millis(300);
+/// Ends that may wait to be sent again; further ones are given up, and their ids stay in progress until they are
+/// overdue.
+const MAX_ENDS: usize = asks::MAX_OPEN;
+
+/// Dropped when the end of a claim is recorded, or the wait for it is over.
+pub type Done = Arc<dyn std::fmt::Debug + Send + Sync>;
 
 /// A claim under way.
 #[derive(Debug)]
@@ -39,6 +52,87 @@
     Submission(Box<submissions::Submission>),
 }
 
+/// The end of a claim at one of its owners.
+#[derive(Debug)]
+pub struct End {
+    /// Owner.
+    pub zone: id::AvailabilityZoneId,
+    /// Number that the owner gave.
+    pub number: u64,
+    /// How the claim ended.
+    pub completion: zone::Completion,
+    /// Id of the command at the owner; every copy has the same.
+    pub command: id::CommandId,
+    done: Option<Done>,
+    done_by: Duration,
+    until: Duration,
+}
+
+impl End {
+    /// Returns an end that is to be recorded from now on.
+    pub fn new(
+        now: Duration,
+        (zone, number): (id::AvailabilityZoneId, u64),
+        completion: zone::Completion,
+        done: Option<Done>,
+    ) -> Self {
+        Self {
+            zone,
+            number,
+            completion,
+            command: rand::random(),
+            done,
+            done_by: now + WAIT,
+            until: now + RECORD_DEADLINE,
+        }
+    }
+
+    /// Returns how long one call may take. A call is made anew after that, because this VM may lead the group by then.
+    pub fn call_time(&self, now: Duration) -> Duration {
+        let end = if self.done.is_some() {
+            self.done_by
+        } else {
+            self.until
+        };
+        end.saturating_sub(now).min(asks::DEADLINE)
+    }
+}
+
+/// Ends of claims that were not recorded, with the time at which each one is sent again.
+#[derive(Debug, Default)]
+pub struct Ends {
+    waiting: Vec<(Duration, End)>,
+}
+
+impl Ends {
+    /// Keeps an end that was not recorded, or gives it up when its time is over.
+    pub fn keep(&mut self, now: Duration, mut end: End) {
+        if now >= end.until || self.waiting.len() >= MAX_ENDS {
+            log::warn!(
+                "claims: The end of claim {} in zone {} may not be recorded.",
+                end.number,
+                end.zone
+            );
+            return;
+        }
+        if now >= end.done_by {
+            end.done = None;
+        }
+        self.waiting.push((now + PAUSE, end));
+    }
+
+    /// Takes the ends that are due.
+    pub fn take_due(&mut self, now: Duration) -> Vec<End> {
+        let due = self.waiting.extract_if(.., |(at, _)| *at <= now);
+        due.map(|(_, end)| end).collect()
+    }
+
+    /// Tells whether no end waits.
+    pub const fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
+
 /// Grants that have not been completed.
 #[derive(Debug, Default)]
 pub struct Claims {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -59,6 +59,8 @@
     Claimed(claims::Pending, wire::Reply),
     /// A claim that was granted after its caller had been refused.
     Abandoned(id::AvailabilityZoneId, u64),
+    /// The end of a claim that its owner did not record.
+    Unrecorded(claims::End),
     /// A zone's answer to a submission.
     Submitted(submissions::Submission, wire::Reply),
     /// What the zones know of a submission whose first attempt was lost.
@@ -110,6 +112,8 @@
     targets_changed: bool,
     asks: asks::Asks,
     claims: claims::Claims,
+    /// Ends of claims that have to be sent again.
+    ends: claims::Ends,
     /// Peer addresses learned from other daemons before the directory is known.
     known: BTreeSet<SocketAddr>,
     listing: Listing,
--- /dev/null
+++ b/crates/daemon/tests/claims.rs
@@ -0,0 +1,62 @@
+//! Claims of ids at the group of another zone, whose leader the test plays.
+
+mod vm;
+
+use bronzespoke_control::zone;
+use bronzespoke_daemon::peer::wire;
+use bronzespoke_gateway::control::{Answer, Call, Claim, Claimed, Completion};
+use bytes::Bytes;
+use tokio::sync::oneshot::{self, error::TryRecvError};
+
+/// Number under which the played leader grants every claim.
+const GRANT: u64 = 5;
+
+/// Guards against an end of a claim that is given up because the owner's leader refused it once: the id would stay in
+/// progress, and a resend would get no answer.
+#[tokio::test]
+async fn the_end_of_a_claim_is_sent_until_it_is_recorded() {
+    const REFUSALS: usize = 3;
+    let folder = tempfile::tempdir().expect("a folder");
+    let vm = vm::Vm::start(folder.path()).await;
+    let team = vm.create_team().await;
+    let mut owner = vm::Leader::start(&vm).await;
+    let request = vm::owned(team, "");
+    let claim = Claim { team, request };
+    let (sender, receiver) = oneshot::channel();
+    vm.call(Call::Claim(claim.clone(), sender)).await;
+    let (number, _) = owner.command().await;
+    let granted = zone::Outcome::Claim(zone::Claimed::Granted(GRANT));
+    owner.done(&vm, number, granted).await;
+    let Ok(Claimed::Granted(claimed)) = receiver.await else {
+        panic!("the claim is granted");
+    };
+    let answer = Answer {
+        status: 200,
+        content_type: String::from("text/plain"),
+        body: Bytes::from("diploma"),
+    };
+    let (sender, mut receiver) = oneshot::channel();
+    let end = Call::Complete(claim, claimed, Completion::Answered(answer), sender);
+    vm.call(end).await;
+    for _ in 0..REFUSALS {
+        let number = completion(&mut owner).await;
+        let refusal = wire::Reply::NotDone(String::from("the log does not take commands now"));
+        owner.answer(&vm, number, refusal).await;
+    }
+    let number = completion(&mut owner).await;
+    assert_eq!(receiver.try_recv(), Err(TryRecvError::Empty));
+    owner.done(&vm, number, zone::Outcome::Done).await;
+    // Only the end of the wait counts: control drops the sender.
+    receiver.await.expect_err("nothing is sent");
+    vm.stop().await;
+}
+
+/// Takes the next end of the claim; a claim that is sent again is passed over.
+async fn completion(owner: &mut vm::Leader) -> u64 {
+    loop {
+        let (number, command) = owner.command().await;
+        if matches!(command, zone::Command::Complete { number: GRANT, .. }) {
+            return number;
+        }
+    }
+}
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -6,12 +6,14 @@
     net::SocketAddr,
     path::{Path, PathBuf},
     sync::Arc,
-    time::Instant,
+    time::{Duration, Instant},
 };
 
+use bronzespoke_control::{request_id, root, zone};
 use bronzespoke_daemon::{
     control::{self, Inbox, Message, Published, context},
-    disk, identity, peer,
+    disk, identity,
+    peer::{self, wire},
     settings::Settings,
     timeline,
 };
@@ -23,7 +25,7 @@
 use tokio::{
     net::TcpListener,
     runtime,
-    sync::{oneshot, watch},
+    sync::{mpsc, oneshot, watch},
     task::JoinHandle,
 };
 use tokio_util::sync::CancellationToken;
@@ -33,7 +35,7 @@
 /// Tries of what may need a leader first; each one waits for up to 3 s.
 const TRIES: u32 = 40;
 /// Pause between two tries.
-pub const PAUSE: std::time::Duration = std::time::Duration::from_millis(50);
+pub const PAUSE: Duration = Duration::from_millis(50);
 
 /// A VM of a cell, with its data folder.
 pub struct Vm {
@@ -179,9 +181,9 @@
     }
 
     /// Takes a frame of another VM.
-    pub async fn receive(&self, from: &vm::Vm, body: peer::wire::Body) {
+    pub async fn receive(&self, from: &vm::Vm, body: wire::Body) {
         let permit = self.inbox.room().await.expect("control runs");
-        let frame = peer::wire::Frame {
+        let frame = wire::Frame {
             from: from.id,
             to: Some(self.me.id),
             from_peer: from.peer,
@@ -271,7 +273,7 @@
         tasks,
         size: resource::Amount::new(8000, 8192, 0),
         accelerator: 0,
-        run_time: std::time::Duration::from_secs(60),
+        run_time: Duration::from_secs(60),
         checkpoint: false,
         command: String::from("true"),
     }
@@ -289,11 +291,137 @@
         found: true,
         random_seed: 1,
         traffic_threads: 1,
-        drain_notice: std::time::Duration::ZERO,
+        drain_notice: Duration::ZERO,
         log_level: log::LevelFilter::Off,
     }
 }
 
+/// Another VM, played by the test, which leads the group of another zone.
+pub struct Leader {
+    /// As its announcements tell.
+    pub me: vm::Vm,
+    frames: mpsc::Receiver<peer::Received>,
+    announced: u64,
+}
+
+impl Leader {
+    /// Zone whose group the VM leads.
+    pub const ZONE: id::AvailabilityZoneId = 2;
+    /// Longest wait for a call; far above every pause after which a call is made again.
+    const PATIENCE: Duration = Duration::from_secs(10);
+
+    /// Starts listening, and adds the zone to the cell of another VM.
+    pub async fn start(of: &Vm) -> Self {
+        let (listener, address) = listen().await;
+        let place = vm::Place {
+            region: 1,
+            zone: Self::ZONE,
+        };
+        let me = listed(99, "b-1", place, address);
+        let (_, frames) = peer::Network::start(
+            runtime::Handle::current(),
+            listener,
+            peer::fault::Switch::default(),
+            CancellationToken::new(),
+        );
+        let mut leader = Self {
+            me,
+            frames,
+            announced: 0,
+        };
+        leader.announce(of).await;
+        for number in 0..u64::from(TRIES) {
+            let envelope = root::Envelope::new(0, root::Command::AddZone { place });
+            let ask = wire::Ask::Root(envelope);
+            of.receive(&leader.me, wire::Body::Ask(number, id::GroupId::Root, ask))
+                .await;
+            if matches!(leader.reply().await, wire::Reply::Root(root::Outcome::Done, _)) {
+                return leader;
+            }
+            tokio::time::sleep(PAUSE).await;
+        }
+        panic!("the zone was not added");
+    }
+
+    /// Announces itself; it would seem silent after 3 s.
+    pub async fn announce(&mut self, to: &Vm) {
+        self.announced += 1;
+        let hello = wire::Hello {
+            vm: self.me.clone(),
+            incarnation: 1,
+            leads: vec![(id::GroupId::Zone(Self::ZONE), 1)],
+            replicas: Vec::new(),
+            cell_known: true,
+            applied: 0,
+            known: Vec::new(),
+        };
+        to.receive(&self.me, wire::Body::Hello(hello)).await;
+    }
+
+    async fn reply(&mut self) -> wire::Reply {
+        let pick = |body| match body {
+            wire::Body::Reply(_, reply) => Some(reply),
+            _ => None,
+        };
+        self.next(pick).await
+    }
+
+    /// Takes the next command for the zone.
+    pub async fn command(&mut self) -> (u64, zone::Command) {
+        let pick = |body| match body {
+            wire::Body::Ask(number, _, wire::Ask::Zone(envelope)) => Some((number, envelope.command)),
+            _ => None,
+        };
+        self.next(pick).await
+    }
+
+    /// Takes the next frame that is wanted.
+    async fn next<T>(&mut self, pick: impl Fn(wire::Body) -> Option<T>) -> T {
+        let wanted = async {
+            loop {
+                let received = self.frames.recv().await.expect("the listener runs");
+                if let Some(found) = pick(received.frame.body) {
+                    return found;
+                }
+            }
+        };
+        let found = tokio::time::timeout(Self::PATIENCE, wanted).await;
+        found.expect("the frame comes")
+    }
+
+    /// Answers a command.
+    pub async fn answer(&mut self, to: &Vm, number: u64, reply: wire::Reply) {
+        self.announce(to).await;
+        to.receive(&self.me, wire::Body::Reply(number, reply)).await;
+    }
+
+    /// Answers a command with its outcome.
+    pub async fn done(&mut self, to: &Vm, number: u64, outcome: zone::Outcome) {
+        self.answer(to, number, wire::Reply::Zone(outcome)).await;
+    }
+}
+
+/// Returns an id that the played zone owns under a prefix.
+pub fn owned(team: id::TeamId, prefix: &str) -> String {
+    let zones = [ZONE, Leader::ZONE].map(|zone| {
+        let record = root::Zone {
+            region: 1,
+            added_ms: 0,
+            founding: true,
+            lost_ms: None,
+        };
+        (zone, record)
+    });
+    let zones = root::Zones::from(zones);
+    let mut ids = (0..).map(|number: u32| number.to_string());
+    let owner = |id: &String| {
+        let key = request_id::Key::new(team, &format!("{prefix}{id}"));
+        request_id::owners(key, &zones, 0).map(|owners| owners.first)
+    };
+    ids.find(|id| owner(id) == Some(Leader::ZONE))
+        .expect("half of all ids")
+}
+
 /// Waits until the thread of a group's disk has given the files back.
 async fn wait_for_release(folder: &Path, group: id::GroupId) {
     for _ in 0..TRIES {
