daemon: record a submission before its caller is answered

Cause: the caller got its job while the job was still on its way to the group that owns the submission's id. A resend in between was told that the first submission is in progress.

--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -37,6 +37,19 @@
     reply: control::Reply<id::JobId>,
 }
 
+/// The answer to a submission, given when it is dropped.
+#[derive(Debug)]
+struct Answer(Option<(control::Reply<id::JobId>, Result<id::JobId, control::Refusal>)>);
+
+impl Drop for Answer {
+    fn drop(&mut self) {
+        if let Some((reply, result)) = self.0.take() {
+            // The caller may have gone away; the job is accepted all the same.
+            drop(reply.send(result));
+        }
+    }
+}
+
 /// What the zones know of a submission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Found {
@@ -228,21 +241,22 @@
         }
     }
 
+    /// Records the end of a submission under its id, then answers the caller: a resend that follows the answer must meet
+    /// the recorded end.
     fn end_submission(&mut self, submission: Submission, result: Result<id::JobId, control::Refusal>) {
+        let completion = match &result {
+            Ok(job) => control::Completion::Answered(control::Answer {
+                status: 202,
+                content_type: String::from("text/plain"),
+                body: Bytes::from(job.to_string()),
+            }),
+            Err(control::Refusal::Unknown(_)) => control::Completion::Unknown,
+            Err(_) => control::Completion::NotRun,
+        };
+        let answer: claims::Done = Arc::new(Answer(Some((submission.reply, result))));
         if let Some(number) = submission.claim {
-            let completion = match &result {
-                Ok(job) => control::Completion::Answered(control::Answer {
-                    status: 202,
-                    content_type: String::from("text/plain"),
-                    body: Bytes::from(job.to_string()),
-                }),
-                Err(control::Refusal::Unknown(_)) => control::Completion::Unknown,
-                Err(_) => control::Completion::NotRun,
-            };
-            self.complete(number, &completion, None);
+            self.complete(number, &completion, Some(&answer));
         }
-        // The caller may have gone away; the job is accepted all the same.
-        drop(submission.reply.send(result));
     }
 
     /// Returns the zones in which a job may run, the nearest with room last.
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -5,12 +5,43 @@
 use bronzespoke_control::zone;
 use bronzespoke_daemon::peer::wire;
 use bronzespoke_gateway::control::{Answer, Call, Claim, Claimed, Completion};
+use bronzespoke_model::id;
 use bytes::Bytes;
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
 /// Number under which the played leader grants every claim.
 const GRANT: u64 = 5;
 
+/// Guards against a caller that learns its job before the job is recorded under the submission's id: a resend that
+/// arrives in between would be told that the submission is still in progress.
+#[tokio::test]
+async fn a_submission_is_recorded_before_it_is_answered() {
+    const JOB: id::JobId = 1234;
+    let folder = tempfile::tempdir().expect("a folder");
+    let vm = vm::Vm::start(folder.path()).await;
+    let team = vm.create_team().await;
+    let mut owner = vm::Leader::start(&vm).await;
+    let (sender, mut receiver) = oneshot::channel();
+    let submission = Some(vm::owned(team, "job "));
+    vm.call(Call::Submit(team, submission, vm::batch(1), sender))
+        .await;
+    // The home zone is the VM's own or the played one; the claim is made at the played one in either case.
+    let number = loop {
+        let (number, command) = owner.command().await;
+        let outcome = match command {
+            zone::Command::Claim { .. } => zone::Outcome::Claim(zone::Claimed::Granted(GRANT)),
+            zone::Command::Submit { .. } => zone::Outcome::Job(JOB),
+            zone::Command::Complete { .. } => break number,
+            other => panic!("{other:?}"),
+        };
+        owner.done(&vm, number, outcome).await;
+    };
+    assert_eq!(receiver.try_recv(), Err(TryRecvError::Empty));
+    owner.done(&vm, number, zone::Outcome::Done).await;
+    receiver.await.expect("an answer").expect("the job is accepted");
+    vm.stop().await;
+}
+
 /// Guards against an end of a claim that is given up because the owner's leader refused it once: the id would stay in
 /// progress, and a resend would get no answer.
 #[tokio::test]
