daemon: end the claims of former processes of a VM at its restart

Cause: claims name their holder by its VM id, which a data folder keeps. The leader of a group ended them only when it saw another VM's process change; its own former claims, and those of a VM that restarted while the leader was changing, stayed in progress for 10 minutes. Change: a process has the open claims under its id ended in each zone before its first claim there. Claims that are made meanwhile wait for it (at most 1024 per zone and 3 s). All copies have one command id, so that a late one ends nothing. A call that was opened before this VM became the leader is now served here instead of being sent to nobody until its time is over; the first claims after a start need it.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -10,7 +10,8 @@
 
 use crate::{
     control::{
-        Controller, Inbox, Listing, Message, Published, asks, claims, context, member, root, targets, zone,
+        Controller, Inbox, Listing, Message, Published, asks, claims, context, member, responder, root,
+        targets, zone,
     },
     disk, settings,
 };
@@ -98,6 +99,7 @@
             asks: asks::Asks::default(),
             claims: claims::Claims::default(),
             ends: claims::Ends::default(),
+            former: claims::Former::default(),
             scheduling: None,
             targets_changed: false,
             listing: Listing::Unlisted,
@@ -194,6 +196,7 @@
             Message::Claimed(pending, answer) => self.claimed(pending, answer),
             Message::Abandoned(zone, number) => self.abandoned(zone, number),
             Message::Unrecorded(end) => self.unrecorded(end),
+            Message::FormerEnded(zone, ended) => self.former_ended(zone, ended),
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
             Message::Found(submission, found) => self.found_submission(submission, found),
             Message::Await(force) => self.forces.push(force),
@@ -262,8 +265,12 @@
     fn ask_tick(&mut self) {
         let mut asks = std::mem::take(&mut self.asks);
         asks.tick(&self.context, &|group| self.leader(group));
+        let led = asks.take_led(&|group| self.leads(group));
         // Continuations only send messages, so no call was opened meanwhile.
         self.asks = asks;
+        for call in led {
+            self.serve(call.group, call.ask, responder::Responder::Local(call.then));
+        }
     }
 
     /// Makes sure that a tick comes when the next timer is due.
--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/asks.rs
@@ -110,6 +110,21 @@
         }
     }
 
+    /// Takes the calls to groups that this process leads by now; they would be sent to nobody.
+    pub fn take_led(&mut self, leads: &dyn Fn(id::GroupId) -> bool) -> Vec<Led> {
+        let led = self.open.extract_if(.., |_, open| leads(open.group));
+        led.map(|(_, open)| Led {
+            group: open.group,
+            ask: open.ask,
+            then: if open.copies > 0 {
+                with_copies(open.then)
+            } else {
+                open.then
+            },
+        })
+        .collect()
+    }
+
     /// Sends calls again and ends those whose time is over.
     pub fn tick(&mut self, context: &context::Context, leader: &dyn Fn(id::GroupId) -> Option<id::VmId>) {
         let now = context.now();
@@ -133,6 +148,24 @@
     }
 }
 
+/// A call to a group that this process leads by now.
+pub struct Led {
+    /// Group.
+    pub group: id::GroupId,
+    /// The call.
+    pub ask: wire::Ask,
+    /// Who waits.
+    pub then: responder::Then,
+}
+
+/// Returns a continuation for a copy of a call; when this copy did nothing, another one may have done it.
+fn with_copies(then: responder::Then) -> responder::Then {
+    Box::new(move |reply| {
+        let undone = is_refusal(&reply) || matches!(reply, wire::Reply::NotLeader);
+        then(if undone { wire::Reply::Unknown } else { reply });
+    })
+}
+
 /// Tells whether an answer says that its copy of the call did nothing. Another copy may have done it all the same.
 const fn is_refusal(reply: &wire::Reply) -> bool {
     matches!(reply, wire::Reply::NotDone(_) | wire::Reply::Impossible(_))
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -104,7 +104,52 @@
         }
     }
 
-    fn ask_owner(&mut self, mut pending: claims::Pending) {
+    fn ask_owner(&mut self, pending: claims::Pending) {
+        let zone = pending.asked;
+        // A VM without a data folder has a new id in every life.
+        if !self.context.me.durable || self.former.has_ended(zone) {
+            self.send_claim(pending);
+            return;
+        }
+        if let Some(pending) = self.former.wait(pending) {
+            self.refuse_claim(pending, String::from("too many claims wait for the owner"));
+        }
+        self.end_former(zone);
+    }
+
+    /// Ends the claims of former processes of this VM in a zone, unless that is done or under way.
+    pub(super) fn end_former(&mut self, zone: id::AvailabilityZoneId) {
+        let Some(id) = self.former.ask(zone) else {
+            return;
+        };
+        let command = zone::Command::HolderGone {
+            holder: self.context.me.id,
+            before: u64::MAX,
+        };
+        let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
+        envelope.id = Some(id);
+        let inbox = self.inbox.clone();
+        let then = Box::new(move |answer| {
+            let ended = matches!(answer, wire::Reply::Zone(_));
+            inbox.send(Message::FormerEnded(zone, ended));
+        });
+        let ask = wire::Ask::Zone(envelope);
+        self.dispatch(id::GroupId::Zone(zone), ask, asks::DEADLINE, then);
+    }
+
+    /// Goes on with the claims that waited for the end of those of former processes.
+    pub(super) fn former_ended(&mut self, zone: id::AvailabilityZoneId, ended: bool) {
+        for pending in self.former.answered(zone, ended) {
+            if ended {
+                self.send_claim(pending);
+            } else {
+                let reason = String::from("the owner of the request id did not answer");
+                self.refuse_claim(pending, reason);
+            }
+        }
+    }
+
+    fn send_claim(&mut self, mut pending: claims::Pending) {
         pending.command = rand::random();
         let group = id::GroupId::Zone(pending.asked);
         let ask = self.claim_command(&pending);
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -133,6 +133,70 @@
     }
 }
 
+/// Claims that may wait for a zone to end those of former processes; further ones are refused with `not run`.
+const MAX_WAITING: usize = 1024;
+
+/// Where the claims of former processes of this VM are ended.
+///
+/// Claims name their holder by its VM id, which a data folder keeps over a restart. A process therefore has the open
+/// claims under its id ended in each zone before it makes its first claim there: they are all of former processes.
+#[derive(Debug, Default)]
+pub struct Former {
+    zones: HashMap<id::AvailabilityZoneId, Ending>,
+}
+
+/// The end of the claims of former processes in one zone.
+#[derive(Debug)]
+struct Ending {
+    /// Every copy has the same id, so that a late one ends no claim of this process.
+    command: id::CommandId,
+    asked: bool,
+    ended: bool,
+    waiting: Vec<Pending>,
+}
+
+impl Former {
+    fn ending(&mut self, zone: id::AvailabilityZoneId) -> &mut Ending {
+        self.zones.entry(zone).or_insert_with(|| Ending {
+            command: rand::random(),
+            asked: false,
+            ended: false,
+            waiting: Vec::new(),
+        })
+    }
+
+    /// Returns the id of the command that is to be sent to a zone now, if any.
+    pub fn ask(&mut self, zone: id::AvailabilityZoneId) -> Option<id::CommandId> {
+        let ending = self.ending(zone);
+        let due = !ending.ended && !ending.asked;
+        ending.asked |= due;
+        due.then_some(ending.command)
+    }
+
+    /// Tells whether a zone has ended the claims of former processes.
+    pub fn has_ended(&mut self, zone: id::AvailabilityZoneId) -> bool {
+        self.ending(zone).ended
+    }
+
+    /// Lets a claim wait for its zone; a claim for which there is no room is returned.
+    pub fn wait(&mut self, pending: Pending) -> Option<Pending> {
+        let waiting = &mut self.ending(pending.asked).waiting;
+        if waiting.len() >= MAX_WAITING {
+            return Some(pending);
+        }
+        waiting.push(pending);
+        None
+    }
+
+    /// Takes a zone's answer; returns the claims that waited for it.
+    pub fn answered(&mut self, zone: id::AvailabilityZoneId, ended: bool) -> Vec<Pending> {
+        let ending = self.ending(zone);
+        ending.asked = false;
+        ending.ended |= ended;
+        std::mem::take(&mut ending.waiting)
+    }
+}
+
 /// Grants that have not been completed.
 #[derive(Debug, Default)]
 pub struct Claims {
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -31,10 +31,20 @@
         self.targets.expire(&self.context, &mut self.gossip);
         self.forget_peers();
         self.publish_self();
+        self.end_all_former();
         self.lead_root();
         self.lead_zones();
     }
 
+    /// Ends the claims of former processes of this VM wherever that is not done, also when it makes no claims there.
+    fn end_all_former(&mut self) {
+        if self.context.me.durable {
+            for zone in self.root.state().open_zones().collect::<Vec<_>>() {
+                self.end_former(zone);
+            }
+        }
+    }
+
     fn publish_self(&mut self) {
         let view = self.root.view();
         let value = Value::Vm {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -61,6 +61,8 @@
     Abandoned(id::AvailabilityZoneId, u64),
     /// The end of a claim that its owner did not record.
     Unrecorded(claims::End),
+    /// Whether a zone has ended the claims of former processes of this VM.
+    FormerEnded(id::AvailabilityZoneId, bool),
     /// A zone's answer to a submission.
     Submitted(submissions::Submission, wire::Reply),
     /// What the zones know of a submission whose first attempt was lost.
@@ -114,6 +116,8 @@
     claims: claims::Claims,
     /// Ends of claims that have to be sent again.
     ends: claims::Ends,
+    /// Claims of former processes of this VM.
+    former: claims::Former,
     /// Peer addresses learned from other daemons before the directory is known.
     known: BTreeSet<SocketAddr>,
     listing: Listing,
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -85,7 +85,7 @@
         own.or_else(|| self.context.announced_leader(group))
     }
 
-    fn leads(&self, group: id::GroupId) -> bool {
+    pub(super) fn leads(&self, group: id::GroupId) -> bool {
         let now = self.context.now();
         match group {
             id::GroupId::Root => self.root.leads(now),
@@ -110,7 +110,7 @@
     }
 
     /// Serves a call as the leader of a group.
-    fn serve(&mut self, group: id::GroupId, ask: wire::Ask, responder: responder::Responder) {
+    pub(super) fn serve(&mut self, group: id::GroupId, ask: wire::Ask, responder: responder::Responder) {
         if !self.leads(group) {
             responder.answer(&self.context, wire::Reply::NotLeader);
             return;
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -27,7 +27,7 @@
         .await;
     // The home zone is the VM's own or the played one; the claim is made at the played one in either case.
     let number = loop {
-        let (number, command) = owner.command().await;
+        let (number, command) = owner.command(&vm).await;
         let outcome = match command {
             zone::Command::Claim { .. } => zone::Outcome::Claim(zone::Claimed::Granted(GRANT)),
             zone::Command::Submit { .. } => zone::Outcome::Job(JOB),
@@ -55,7 +55,7 @@
     let claim = Claim { team, request };
     let (sender, receiver) = oneshot::channel();
     vm.call(Call::Claim(claim.clone(), sender)).await;
-    let (number, _) = owner.command().await;
+    let (number, _) = owner.command(&vm).await;
     let granted = zone::Outcome::Claim(zone::Claimed::Granted(GRANT));
     owner.done(&vm, number, granted).await;
     let Ok(Claimed::Granted(claimed)) = receiver.await else {
@@ -70,11 +70,11 @@
     let end = Call::Complete(claim, claimed, Completion::Answered(answer), sender);
     vm.call(end).await;
     for _ in 0..REFUSALS {
-        let number = completion(&mut owner).await;
+        let number = completion(&mut owner, &vm).await;
         let refusal = wire::Reply::NotDone(String::from("the log does not take commands now"));
         owner.answer(&vm, number, refusal).await;
     }
-    let number = completion(&mut owner).await;
+    let number = completion(&mut owner, &vm).await;
     assert_eq!(receiver.try_recv(), Err(TryRecvError::Empty));
     owner.done(&vm, number, zone::Outcome::Done).await;
     // Only the end of the wait counts: control drops the sender.
@@ -83,9 +83,9 @@
 }
 
 /// Takes the next end of the claim; a claim that is sent again is passed over.
-async fn completion(owner: &mut vm::Leader) -> u64 {
+async fn completion(owner: &mut vm::Leader, vm: &vm::Vm) -> u64 {
     loop {
-        let (number, command) = owner.command().await;
+        let (number, command) = owner.command(vm).await;
         if matches!(command, zone::Command::Complete { number: GRANT, .. }) {
             return number;
         }
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -2,7 +2,7 @@
 
 mod vm;
 
-use bronzespoke_gateway::control::Call;
+use bronzespoke_gateway::control::{Call, Claim, Claimed};
 use bronzespoke_model::{event, id, job, task};
 
 /// Guards against a new leader that places tasks on drained workers, because it was told of the drains before it knew
@@ -65,6 +65,37 @@
     vm.stop().await;
 }
 
+/// Guards against claims that stay in progress because the process that held them was the leader's own former one, and
+/// against the end of claims that the present process holds.
+#[tokio::test]
+async fn a_restarted_leader_ends_its_former_claims() {
+    let folder = tempfile::tempdir().expect("a folder");
+    let vm = vm::Vm::start(folder.path()).await;
+    let team = vm.create_team().await;
+    let claimed = claim(&vm, team, "former").await;
+    assert!(matches!(claimed, Claimed::Granted(_)), "{claimed:?}");
+    vm.stop().await;
+
+    let vm = vm::Vm::start(folder.path()).await;
+    let claimed = claim(&vm, team, "present").await;
+    assert!(matches!(claimed, Claimed::Granted(_)), "{claimed:?}");
+    assert_eq!(claim(&vm, team, "former").await, Claimed::Unknown);
+    assert_eq!(claim(&vm, team, "present").await, Claimed::InProgress);
+    vm.stop().await;
+}
+
+/// Claims a request id, again while no leader takes the claim.
+async fn claim(vm: &vm::Vm, team: id::TeamId, request: &str) -> Claimed {
+    loop {
+        let request = String::from(request);
+        let claimed = vm.ask(|reply| Call::Claim(Claim { team, request }, reply)).await;
+        if !matches!(claimed, Claimed::NotRun(_)) {
+            return claimed;
+        }
+        tokio::time::sleep(vm::PAUSE).await;
+    }
+}
+
 /// Lets a worker fail the runs that it is told to start, until so many have failed and are recorded.
 async fn fail_runs(vm: &vm::Vm, worker: id::WorkerId, mut count: usize) {
     const REPORTS: u64 = 100;
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -301,7 +301,7 @@
     /// As its announcements tell.
     pub me: vm::Vm,
     frames: mpsc::Receiver<peer::Received>,
-    announced: u64,
+    former_ended: bool,
 }
 
 impl Leader {
@@ -327,7 +327,7 @@
         let mut leader = Self {
             me,
             frames,
-            announced: 0,
+            former_ended: false,
         };
         leader.announce(of).await;
         for number in 0..u64::from(TRIES) {
@@ -344,8 +344,7 @@
     }
 
     /// Announces itself; it would seem silent after 3 s.
-    pub async fn announce(&mut self, to: &Vm) {
-        self.announced += 1;
+    pub async fn announce(&self, to: &Vm) {
         let hello = wire::Hello {
             vm: self.me.clone(),
             incarnation: 1,
@@ -366,13 +365,26 @@
         self.next(pick).await
     }
 
-    /// Takes the next command for the zone.
-    pub async fn command(&mut self) -> (u64, zone::Command) {
+    /// Takes the next command for the zone; the end of claims of former processes is answered here, and has to come
+    /// before every claim.
+    pub async fn command(&mut self, of: &Vm) -> (u64, zone::Command) {
         let pick = |body| match body {
             wire::Body::Ask(number, _, wire::Ask::Zone(envelope)) => Some((number, envelope.command)),
             _ => None,
         };
-        self.next(pick).await
+        loop {
+            let (number, command) = self.next(pick).await;
+            match &command {
+                zone::Command::HolderGone { holder, .. } if *holder == of.me.id => {
+                    self.former_ended = true;
+                    self.done(of, number, zone::Outcome::Done).await;
+                }
+                zone::Command::Claim { .. } if !self.former_ended => {
+                    panic!("a claim came before the end of former claims");
+                }
+                _ => return (number, command),
+            }
+        }
     }
 
     /// Takes the next frame that is wanted.
@@ -390,13 +402,13 @@
     }
 
     /// Answers a command.
-    pub async fn answer(&mut self, to: &Vm, number: u64, reply: wire::Reply) {
+    pub async fn answer(&self, to: &Vm, number: u64, reply: wire::Reply) {
         self.announce(to).await;
         to.receive(&self.me, wire::Body::Reply(number, reply)).await;
     }
 
     /// Answers a command with its outcome.
-    pub async fn done(&mut self, to: &Vm, number: u64, outcome: zone::Outcome) {
+    pub async fn done(&self, to: &Vm, number: u64, outcome: zone::Outcome) {
         self.answer(to, number, wire::Reply::Zone(outcome)).await;
     }
 }
