daemon: refuse a group with corrupt files once

Cause: a group whose stored state is corrupt was opened again, with an error line, for every Append that arrived, which is every 100 ms. Change: a group that is corrupt is not tried again by the same process; any other failure to open is tried again after 5 s. Opening moves from the actor to a module of its own.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bronzespoke_consensus::{membership, replica};
+use bronzespoke_consensus::replica;
 use bronzespoke_gateway::control as gateway;
 use bronzespoke_gossip as gossip;
 use bronzespoke_model::{id, vm};
@@ -10,8 +10,7 @@
 
 use crate::{
     control::{
-        Controller, Inbox, Listing, Message, Published, asks, claims, context, member, responder, root,
-        targets, zone,
+        Controller, Inbox, Listing, Message, Published, asks, claims, context, responder, root, targets,
     },
     disk, settings,
 };
@@ -100,6 +99,7 @@
             claims: claims::Claims::default(),
             ends: claims::Ends::default(),
             former: claims::Former::default(),
+            closed: std::collections::BTreeMap::new(),
             scheduling: None,
             targets_changed: false,
             listing: Listing::Unlisted,
@@ -118,68 +118,10 @@
             inbox,
             published,
         };
-        controller.reopen()?;
+        controller.open_stored()?;
         Ok(controller)
     }
 
-    /// Opens the groups that the data folder holds. A group that cannot be opened stops the start: without the log
-    /// and the votes that it promised to keep, this VM must not take part under its old id.
-    fn reopen(&mut self) -> Result<(), bronzespoke_storage::Error> {
-        let Some(folder) = self.settings.data.clone() else {
-            return Ok(());
-        };
-        for group in disk::groups(&folder) {
-            let member = self.try_open(group, None)?;
-            match group {
-                id::GroupId::Root => self.root.promote(self.context.now(), member),
-                id::GroupId::Zone(zone) => self.add_zone(zone, member),
-            }
-        }
-        Ok(())
-    }
-
-    /// Opens a replica of a group; a failure is logged and leaves the VM without it.
-    pub(super) fn open(
-        &self,
-        group: id::GroupId,
-        found: Option<membership::Membership>,
-    ) -> Option<member::Member> {
-        let opened = self.try_open(group, found);
-        opened
-            .inspect_err(|error| log::error!("disk: {group:?} cannot be opened: {error}"))
-            .ok()
-    }
-
-    fn try_open(
-        &self,
-        group: id::GroupId,
-        found: Option<membership::Membership>,
-    ) -> Result<member::Member, bronzespoke_storage::Error> {
-        let salt = match group {
-            id::GroupId::Root => 0,
-            id::GroupId::Zone(zone) => u64::from(zone) + 1,
-        };
-        // The seed differs at every start, as the replica demands of its answer tokens.
-        let seed = self.settings.random_seed ^ (salt << 32) ^ context::Context::wall_ms();
-        let config = replica::Config::new(self.context.me.id, group, seed);
-        let inbox = self.inbox.clone();
-        let notify: disk::Notify = Box::new(move |done| inbox.send(Message::Persisted(done)));
-        member::Member::open(
-            config,
-            self.settings.data.as_deref(),
-            found,
-            notify,
-            self.context.now(),
-        )
-    }
-
-    /// Takes part in a zone group with an opened replica.
-    pub(super) fn add_zone(&mut self, zone: id::AvailabilityZoneId, member: member::Member) {
-        let mut group = zone::Zone::new(zone, member);
-        group.step(&self.context, replica::Input::Tick);
-        self.zones.insert(zone, group);
-    }
-
     fn handle(&mut self, message: Message) {
         match message {
             Message::Frame(frame, permit) => {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,6 +12,7 @@
 mod directory;
 mod duties;
 mod force;
+mod groups;
 mod inbox;
 mod member;
 mod operator;
@@ -118,6 +119,8 @@
     ends: claims::Ends,
     /// Claims of former processes of this VM.
     former: claims::Former,
+    /// Groups that are not opened now.
+    closed: BTreeMap<id::GroupId, groups::Closed>,
     /// Peer addresses learned from other daemons before the directory is known.
     known: BTreeSet<SocketAddr>,
     listing: Listing,
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -9,6 +9,7 @@
     time::{Duration, Instant},
 };
 
+use bronzespoke_consensus::{log, message};
 use bronzespoke_control::{request_id, root, zone};
 use bronzespoke_daemon::{
     control::{self, Inbox, Message, Published, context},
@@ -238,6 +239,13 @@
         self.ask(|reply| Call::Report(report, reply)).await
     }
 
+    /// Waits until everything that was sent before is handled.
+    pub async fn settle(&self) {
+        let (sender, receiver) = oneshot::channel();
+        self.inbox.send(Message::Directory(sender));
+        receiver.await.expect("control runs");
+    }
+
     /// Events of the timeline, in order.
     pub fn events(&self) -> Vec<event::Kind> {
         let page = self.ring.read(0, timeline::MAX_READ);
@@ -292,7 +300,7 @@
         random_seed: 1,
         traffic_threads: 1,
         drain_notice: Duration::ZERO,
-        log_level: log::LevelFilter::Off,
+        log_level: ::log::LevelFilter::Off,
     }
 }
 
@@ -357,6 +365,22 @@
         to.receive(&self.me, wire::Body::Hello(hello)).await;
     }
 
+    /// Sends a heartbeat of the zone's group.
+    pub async fn heartbeat(&self, to: &Vm, term: u64) {
+        let append = message::Append {
+            previous: log::Position::default(),
+            entries: Vec::new(),
+            commit: 0,
+            sent: 0,
+            token: 0,
+            age: None,
+        };
+        let body = message::Body::Append(append);
+        let message = message::Message { term, body };
+        let group = id::GroupId::Zone(Self::ZONE);
+        to.receive(&self.me, wire::Body::Consensus(group, message)).await;
+    }
+
     async fn reply(&mut self) -> wire::Reply {
         let pick = |body| match body {
             wire::Body::Reply(_, reply) => Some(reply),
