daemon: open a replica again after a failed write

Cause: after a failed write (a full disk) a replica neither voted nor proposed until its process was restarted. Change: 10 s after the failure, when its lead is handed over, the replica is closed and opened again from its files, as a restart does; every 10 s while that does not succeed. Whoever waits for a command of the closed replica is answered `unknown`, or `not leader` when it was not proposed. The root state of the process stays, so that it never goes back. Results of writes carry the number of their replica: a late one of the former replica would otherwise count writes of the new one as durable. Commands that wait while a member of the root group becomes a follower are answered now. What follows: an fsync that fails may leave entries readable that are not on the disk; opening the files takes them as durable, after a restart of the process as well as here.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -100,6 +100,8 @@
             ends: claims::Ends::default(),
             former: claims::Former::default(),
             closed: std::collections::BTreeMap::new(),
+            opened: 0,
+            reopen_at: std::collections::BTreeMap::new(),
             scheduling: None,
             targets_changed: false,
             listing: Listing::Unlisted,
@@ -134,7 +136,7 @@
             }
             Message::Operator(line, command, reply) => self.operator(&line, command, reply),
             Message::Directory(reply) => drop(reply.send(self.directory())),
-            Message::Persisted(done) => self.persisted(&done),
+            Message::Persisted(number, done) => self.persisted(number, &done),
             Message::Claimed(pending, answer) => self.claimed(pending, answer),
             Message::Abandoned(zone, number) => self.abandoned(zone, number),
             Message::Unrecorded(end) => self.unrecorded(end),
@@ -155,7 +157,13 @@
         self.root.view().vms.values().cloned().collect()
     }
 
-    fn persisted(&mut self, done: &disk::Done) {
+    fn persisted(&mut self, number: u64, done: &disk::Done) {
+        let mut replicas = self.replicas();
+        if !replicas.any(|(group, member)| group == done.group && member.number() == number) {
+            // The write of a former replica says nothing about the present one, which counts its writes anew.
+            return;
+        }
+        drop(replicas);
         match done.group {
             id::GroupId::Root => self.root.persisted(&self.context, done),
             id::GroupId::Zone(zone) => {
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -30,6 +30,7 @@
         self.duties_at = self.context.now() + INTERVAL;
         self.targets.expire(&self.context, &mut self.gossip);
         self.forget_peers();
+        self.reopen_failed();
         self.publish_self();
         self.end_all_former();
         self.lead_root();
--- a/crates/daemon/src/control/groups.rs
+++ b/crates/daemon/src/control/groups.rs
@@ -13,6 +13,9 @@
 /// Pause before a group that could not be opened is tried again. Leaders send to it every 100 ms.
 const PAUSE: Duration = Duration::from_secs(5);
 
+/// Pause before a replica whose write failed is opened again; far above the time that the hand-over of the lead takes.
+const REOPEN_PAUSE: Duration = Duration::from_secs(10);
+
 /// Why a group is not opened now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Closed {
@@ -40,10 +43,7 @@
         };
         for group in disk::groups(&folder) {
             let member = self.try_open(group, None)?;
-            match group {
-                id::GroupId::Root => self.root.promote(self.context.now(), member),
-                id::GroupId::Zone(zone) => self.add_zone(zone, member),
-            }
+            self.take_part(group, member);
         }
         Ok(())
     }
@@ -76,8 +76,63 @@
         None
     }
 
+    /// Opens replicas again whose writes failed, as a restart would, so that the VM takes part again once its disk takes
+    /// writes. While it does not, the next write fails and the replica is opened again after the next pause.
+    pub(super) fn reopen_failed(&mut self) {
+        let now = self.context.now();
+        let failed = self.replicas().filter(|(_, member)| member.has_failed());
+        let failed: Vec<_> = failed.map(|(group, _)| group).collect();
+        for group in failed {
+            self.reopen_at.entry(group).or_insert(now + REOPEN_PAUSE);
+        }
+        let due = self.reopen_at.iter().filter(|(_, at)| now >= **at);
+        let due: Vec<_> = due.map(|(group, _)| *group).collect();
+        for group in due {
+            self.reopen_at.remove(&group);
+            self.reopen(group);
+        }
+    }
+
+    fn reopen(&mut self, group: id::GroupId) {
+        let healthy =
+            |(other, member): (id::GroupId, &member::Member)| other == group && !member.has_failed();
+        if self.replicas().any(healthy) {
+            // Its leader sent to it meanwhile.
+            return;
+        }
+        // The files are locked until the former replica is closed.
+        self.close(group);
+        if let Some(member) = self.open(group, None) {
+            log::info!("disk: {group:?} is open again.");
+            self.take_part(group, member);
+        } else if self.closed.get(&group) != Some(&Closed::Corrupt) {
+            self.reopen_at.insert(group, self.context.now() + REOPEN_PAUSE);
+        }
+    }
+
+    fn close(&mut self, group: id::GroupId) {
+        match group {
+            id::GroupId::Root => self.root.close(&self.context),
+            id::GroupId::Zone(zone) => {
+                if zone == self.context.me.place.zone {
+                    self.scheduling = None;
+                }
+                if let Some(zone) = self.zones.remove(&zone) {
+                    zone.close(&self.context);
+                }
+            }
+        }
+    }
+
+    fn take_part(&mut self, group: id::GroupId, member: member::Member) {
+        match group {
+            id::GroupId::Root => self.root.promote(self.context.now(), member),
+            id::GroupId::Zone(zone) => self.add_zone(zone, member),
+        }
+    }
+
     fn try_open(
-        &self,
+        &mut self,
         group: id::GroupId,
         found: Option<membership::Membership>,
     ) -> Result<member::Member, bronzespoke_storage::Error> {
@@ -89,8 +144,11 @@
         let seed = self.settings.random_seed ^ (salt << 32) ^ context::Context::wall_ms();
         let config = replica::Config::new(self.context.me.id, group, seed);
         let inbox = self.inbox.clone();
-        let notify: disk::Notify = Box::new(move |done| inbox.send(Message::Persisted(done)));
+        self.opened += 1;
+        let number = self.opened;
+        let notify: disk::Notify = Box::new(move |done| inbox.send(Message::Persisted(number, done)));
         member::Member::open(
+            number,
             config,
             self.settings.data.as_deref(),
             found,
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -40,6 +40,7 @@
 /// A replica of one group in this process.
 #[derive(Debug)]
 pub struct Member {
+    number: u64,
     group: id::GroupId,
     replica: replica::Replica,
     disk: Option<disk::Disk>,
@@ -57,13 +58,17 @@
     snapshot_bytes: usize,
     /// Largest entry that the replica takes.
     entry_bytes: usize,
+    /// Whether a write failed; the replica takes part again only when it is opened anew.
+    failed: bool,
 }
 
 impl Member {
     /// Opens the durable state, or starts without any.
     ///
-    /// `found` gives the first members when nothing is stored and this process founds the group.
+    /// `found` gives the first members when nothing is stored and this process founds the group; `number` differs for
+    /// every replica that the process opens.
     pub fn open(
+        number: u64,
         config: replica::Config,
         folder: Option<&Path>,
         found: Option<membership::Membership>,
@@ -81,6 +86,7 @@
         };
         let replica = replica::Replica::new(config, restored, now);
         Ok(Self {
+            number,
             group,
             replica,
             disk,
@@ -95,6 +101,7 @@
             snapshot_index: 0,
             snapshot_bytes: 0,
             entry_bytes,
+            failed: false,
         })
     }
 
@@ -147,6 +154,7 @@
             Ok(through) => replica::Input::Persisted { through: *through },
             Err(error) => {
                 log::error!("disk: {:?} is not durable any more: {error}", self.group);
+                self.failed = true;
                 replica::Input::PersistFailed
             }
         };
@@ -234,14 +242,21 @@
         events.push(Event::Apply { entry, responders });
     }
 
-    fn write(&self, writes: Vec<write::Write>, inputs: &mut VecDeque<replica::Input>) {
+    fn write(&mut self, writes: Vec<write::Write>, inputs: &mut VecDeque<replica::Input>) {
         let Some(last) = writes.last().map(|write| write.sequence) else {
             return;
         };
         let input = match &self.disk {
             None => replica::Input::Persisted { through: last },
             Some(disk) if disk.write(writes) => return,
-            Some(_) => replica::Input::PersistFailed,
+            Some(_) => {
+                log::error!(
+                    "disk: {:?} is not durable any more: the disk does not keep up",
+                    self.group
+                );
+                self.failed = true;
+                replica::Input::PersistFailed
+            }
         };
         inputs.push_back(input);
     }
@@ -310,6 +325,24 @@
         matches!(self.role, replica::Role::Removed)
     }
 
+    /// Number under which it was opened.
+    pub const fn number(&self) -> u64 {
+        self.number
+    }
+
+    /// Tells whether a write failed, so that the replica has to be opened anew.
+    pub const fn has_failed(&self) -> bool {
+        self.failed
+    }
+
+    /// Ends the replica; whether the commands under way are committed is not known.
+    pub fn close(self, context: &context::Context) {
+        let waiting = self.proposed.into_values().chain(self.committed.into_values());
+        for responder in waiting.flatten() {
+            responder.reject(context, replica::Rejection::Unknown);
+        }
+    }
+
     /// Leader that this member knows.
     pub const fn leader(&self, me: id::VmId) -> Option<id::VmId> {
         match self.role {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -54,8 +54,8 @@
     Operator(String, Option<id::CommandId>, oneshot::Sender<answer::Answer>),
     /// The directory, for operators' programs.
     Directory(oneshot::Sender<Vec<vm::Vm>>),
-    /// The result of a write.
-    Persisted(disk::Done),
+    /// The result of a write of the replica that was opened under a number.
+    Persisted(u64, disk::Done),
     /// An owner's answer to a claim.
     Claimed(claims::Pending, wire::Reply),
     /// A claim that was granted after its caller had been refused.
@@ -121,6 +121,10 @@
     former: claims::Former,
     /// Groups that are not opened now.
     closed: BTreeMap<id::GroupId, groups::Closed>,
+    /// Number of the replica that was opened last.
+    opened: u64,
+    /// When groups whose writes failed are opened again.
+    reopen_at: BTreeMap<id::GroupId, Duration>,
     /// Peer addresses learned from other daemons before the directory is known.
     known: BTreeSet<SocketAddr>,
     listing: Listing,
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -81,6 +81,19 @@
         }
     }
 
+    /// Ends the replica of a member, which follows through a relay from now on. The state stays, so that it never goes
+    /// back.
+    pub fn close(&mut self, context: &context::Context) {
+        if self.member().is_none() {
+            return;
+        }
+        let role = std::mem::replace(&mut self.role, follower(self.seed, context.now()));
+        if let Role::Member(member) = role {
+            member.close(context);
+        }
+        self.source = feed::Source::new(FEED_BYTES);
+    }
+
     /// Makes a member that the group has removed, or a learner that no leader talks to, a follower again; otherwise
     /// its state would age for good.
     fn leave_group(&mut self, now: Duration, me: id::VmId) {
@@ -153,8 +166,13 @@
         }
         let batch = std::mem::take(&mut self.batch);
         let responders = std::mem::take(&mut self.responders);
-        if let Role::Member(member) = &mut self.role {
-            member.propose_batch(context, &batch, responders, &mut self.events);
+        match &mut self.role {
+            Role::Member(member) => member.propose_batch(context, &batch, responders, &mut self.events),
+            Role::Follower(_) => {
+                for responder in responders {
+                    responder.answer(context, wire::Reply::NotLeader);
+                }
+            }
         }
     }
 
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -63,6 +63,21 @@
         self.member.settle();
     }
 
+    /// Ends the replica; commands that were not proposed are not done.
+    pub fn close(self, context: &context::Context) {
+        for responder in self.responders {
+            responder.answer(context, wire::Reply::NotLeader);
+        }
+        for event in self.events {
+            if let member::Event::Apply { responders, .. } = event {
+                for responder in responders {
+                    responder.answer(context, wire::Reply::Unknown);
+                }
+            }
+        }
+        self.member.close(context);
+    }
+
     /// Returns the state.
     pub const fn state(&self) -> &zone::State {
         &self.state
--- a/crates/daemon/tests/disk.rs
+++ b/crates/daemon/tests/disk.rs
@@ -2,7 +2,34 @@
 
 mod vm;
 
-use std::fs;
+use std::{fs, sync::Mutex, time::Duration};
+
+/// Error lines of this process.
+struct Log(Mutex<Vec<String>>);
+
+static LOG: Log = Log(Mutex::new(Vec::new()));
+
+impl Log {
+    fn contains(&self, text: &str) -> bool {
+        let lines = self.0.lock().expect("no holder panics");
+        lines.iter().any(|line| line.contains(text))
+    }
+}
+
+impl log::Log for Log {
+    fn enabled(&self, metadata: &log::Metadata<'_>) -> bool {
+        metadata.level() == log::Level::Error
+    }
+
+    fn log(&self, record: &log::Record<'_>) {
+        if self.enabled(record.metadata()) {
+            let line = record.args().to_string();
+            self.0.lock().expect("no holder panics").push(line);
+        }
+    }
+
+    fn flush(&self) {}
+}
 
 /// Guards against a group with corrupt files that is opened and reported again with every message of its leader.
 #[tokio::test]
@@ -26,3 +53,37 @@
     assert!(!lock.exists(), "the group is not tried again");
     vm.stop().await;
 }
+
+/// Guards against a replica that stays out of its group until an operator restarts the process, although its disk takes
+/// writes again.
+#[tokio::test]
+async fn a_replica_returns_when_its_disk_takes_writes_again() {
+    /// Heartbeats that are sent; far more than the pause before a replica is opened again lets pass.
+    const HEARTBEATS: u32 = 300;
+    const PAUSE: Duration = Duration::from_millis(100);
+    // The first test that needs the log sets it.
+    drop(log::set_logger(&LOG));
+    log::set_max_level(log::LevelFilter::Error);
+    let folder = tempfile::tempdir().expect("a folder");
+    let vm = vm::Vm::start(folder.path()).await;
+    let mut leader = vm::Leader::start(&vm).await;
+    leader.heartbeat(&vm, 1).await;
+    leader.accepted(1).await;
+    // A new term is stored first, under this name until it is whole.
+    let obstacle = folder.path().join(format!("zone-{}/vote.tmp", vm::Leader::ZONE));
+    fs::create_dir(&obstacle).expect("a folder");
+    leader.heartbeat(&vm, 2).await;
+    while !LOG.contains("is not durable any more") {
+        tokio::time::sleep(PAUSE).await;
+    }
+    fs::remove_dir(&obstacle).expect("the folder");
+    for _ in 0..HEARTBEATS {
+        leader.heartbeat(&vm, 2).await;
+        tokio::time::sleep(PAUSE).await;
+        if leader.has_accepted(2) {
+            vm.stop().await;
+            return;
+        }
+    }
+    panic!("the replica does not answer its leader");
+}
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -381,6 +381,19 @@
         to.receive(&self.me, wire::Body::Consensus(group, message)).await;
     }
 
+    /// Waits until a heartbeat of a term is accepted, which the receiver does only when the term is stored.
+    pub async fn accepted(&mut self, term: u64) {
+        self.next(|body| is_acceptance(&body, term).then_some(())).await;
+    }
+
+    /// Tells whether a heartbeat of a term was accepted.
+    pub fn has_accepted(&mut self, term: u64) -> bool {
+        let received = std::iter::from_fn(|| self.frames.try_recv().ok());
+        received
+            .fuse()
+            .any(|received| is_acceptance(&received.frame.body, term))
+    }
+
     async fn reply(&mut self) -> wire::Reply {
         let pick = |body| match body {
             wire::Body::Reply(_, reply) => Some(reply),
@@ -437,6 +450,20 @@
     }
 }
 
+fn is_acceptance(body: &wire::Body, term: u64) -> bool {
+    let wire::Body::Consensus(_, message) = body else {
+        return false;
+    };
+    let accepted = matches!(
+        message.body,
+        message::Body::AppendReply(message::AppendReply {
+            outcome: message::Outcome::Accepted { .. },
+            ..
+        })
+    );
+    accepted && message.term == term
+}
+
 /// Returns an id that the played zone owns under a prefix.
 pub fn owned(team: id::TeamId, prefix: &str) -> String {
     let zones = [ZONE, Leader::ZONE].map(|zone| {
