--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -190,6 +190,7 @@
                 replica::Output::Install(snapshot) => {
                     self.applied = snapshot.position.index;
                     self.snapshot_index = self.applied;
+                    self.answer_skipped(context);
                     inputs.push_back(replica::Input::Applied { index: self.applied });
                     events.push(Event::Install(snapshot));
                 }
@@ -214,6 +215,15 @@
         self.write(writes, inputs);
     }
 
+    /// Answers who waits for commands that an installed snapshot contains: their outcomes are not known here.
+    fn answer_skipped(&mut self, context: &context::Context) {
+        let applied = self.applied;
+        let skipped = self.committed.extract_if(|index, _| *index <= applied);
+        for responder in skipped.flat_map(|(_, responders)| responders) {
+            responder.reject(context, replica::Rejection::Unknown);
+        }
+    }
+
     fn apply(
         &mut self,
         context: &context::Context,
