--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -243,7 +243,7 @@
         // Snapshots of builds that did not count attempts end one byte earlier, before the length of an empty table.
         let with_attempts = || envelope::from_bytes(&[bytes, &[0]].concat());
         let mut state: Self =
-            envelope::from_bytes(bytes).or_else(|fault| with_attempts().map_err(|_| fault))?;
+            envelope::from_bytes(bytes).or_else(|fault| with_attempts().map_err(|_shorter| fault))?;
         for (key, run) in &state.runs {
             let size = state
                 .jobs
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -281,7 +281,7 @@
         tasks,
         size: resource::Amount::new(8000, 8192, 0),
         accelerator: 0,
-        run_time: Duration::from_secs(60),
+        run_time: Duration::from_mins(1),
         checkpoint: false,
         command: String::from("true"),
     }
