--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -12,8 +12,9 @@
 mod directory;
 mod duties;
 mod force;
+mod groups;
 mod inbox;
-mod member;
+pub mod member;
 mod operator;
 pub mod responder;
 mod root;
@@ -54,12 +55,16 @@
     Operator(String, Option<id::CommandId>, oneshot::Sender<answer::Answer>),
     /// The directory, for operators' programs.
     Directory(oneshot::Sender<Vec<vm::Vm>>),
-    /// The result of a write.
-    Persisted(disk::Done),
+    /// The result of a write of the replica that was opened under a number.
+    Persisted(u64, disk::Done),
     /// An owner's answer to a claim.
     Claimed(claims::Pending, wire::Reply),
     /// A claim that was granted after its caller had been refused.
     Abandoned(id::AvailabilityZoneId, u64),
+    /// The end of a claim that its owner did not record.
+    Unrecorded(claims::End),
+    /// Whether a zone has ended the claims of former processes of this VM.
+    FormerEnded(id::AvailabilityZoneId, bool),
     /// A zone's answer to a submission.
     Submitted(submissions::Submission, wire::Reply),
     /// What the zones know of a submission whose first attempt was lost.
@@ -113,6 +118,16 @@
     targets_changed: bool,
     asks: asks::Asks,
     claims: claims::Claims,
+    /// Ends of claims that have to be sent again.
+    ends: claims::Ends,
+    /// Claims of former processes of this VM.
+    former: claims::Former,
+    /// Groups that are not opened now.
+    closed: BTreeMap<id::GroupId, groups::Closed>,
+    /// Number of the replica that was opened last.
+    opened: u64,
+    /// When groups whose writes failed are opened again.
+    reopen_at: BTreeMap<id::GroupId, Duration>,
     /// Peer addresses learned from other daemons before the directory is known.
     known: BTreeSet<SocketAddr>,
     listing: Listing,
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -86,7 +86,7 @@
         self.context.leader(group, own)
     }
 
-    fn leads(&self, group: id::GroupId) -> bool {
+    pub(super) fn leads(&self, group: id::GroupId) -> bool {
         let now = self.context.now();
         match group {
             id::GroupId::Root => self.root.leads(now),
