daemon: restore a zone's scheduler over several ticks, and propose ends together

Cause: a new leader built one list of the whole committed state and fed it to the scheduler in one turn of the control thread. Each end was a command of its own, so the loss of many workers made thousands of commands in a step.

Change: `restoration` reads 1,024 workers and tasks per tick, each when its turn comes, so that commands committed before are included. Registrations are given to the scheduler after the jobs, because a new life that came in between would take the runs of the former life for its own. Reports are refused with `Unavailable` until all is restored, because runs that are not restored yet would be stopped as unknown; the worker sends its next report after its retry pause, well within its lease. Ends without a result share one command; an end with a result stays alone, because results may be long.

Follows: a job is still restored as a whole, so one job of 10,000 tasks makes one longer turn; not measured.

--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -241,7 +241,8 @@
         self.ask_tick();
         let own = self.context.me.place.zone;
         if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get_mut(&own)) {
-            scheduling.tick(&self.context, zone);
+            let view = Arc::clone(self.root.view());
+            scheduling.tick(&self.context, zone, &view);
         }
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -16,6 +16,7 @@
 mod member;
 mod operator;
 mod responder;
+mod restoration;
 mod root;
 mod scheduling;
 mod serve;
--- /dev/null
+++ b/crates/daemon/src/control/restoration.rs
@@ -0,0 +1,117 @@
+//! Gives the committed state of a zone to a new scheduler.
+//!
+//! The state is taken over several ticks, so that a leader with a large zone keeps its heartbeats meanwhile. Each
+//! worker and job is read when its turn comes, so that changes committed before that are included; a change committed
+//! later reaches the scheduler as usual.
+
+use std::collections::VecDeque;
+
+use bronzespoke_control::zone as state;
+use bronzespoke_model::{id, task, worker};
+use bronzespoke_schedule::message;
+
+/// Workers and tasks that one tick restores; a job is restored as a whole.
+const RESTORED_PER_TICK: usize = 1024;
+
+/// What the scheduler has not taken yet.
+#[derive(Debug)]
+pub struct Restoration {
+    workers: VecDeque<id::WorkerId>,
+    jobs: VecDeque<id::JobId>,
+}
+
+impl Restoration {
+    /// Begins with the whole state.
+    pub fn new(state: &state::State) -> Self {
+        Self {
+            workers: state.workers().map(|(id, _)| id).collect(),
+            jobs: state.jobs().map(|(id, _)| id).collect(),
+        }
+    }
+
+    /// Adds a job that was committed meanwhile.
+    pub fn add(&mut self, job: id::JobId) {
+        self.jobs.push_back(job);
+    }
+
+    /// Returns the next parts in the order in which a scheduler takes them; the last part is
+    /// [`message::Restore::Done`].
+    pub fn take(&mut self, state: &state::State) -> Vec<message::Restore> {
+        let mut inputs = Vec::new();
+        let mut left = RESTORED_PER_TICK;
+        while left > 0
+            && let Some(id) = self.workers.pop_front()
+        {
+            left -= 1;
+            inputs.extend(restored_worker(state, id));
+        }
+        while left > 0
+            && let Some(id) = self.jobs.pop_front()
+        {
+            left -= 1;
+            if let Some(input) = restored_job(state, id) {
+                let tasks = state.job(id).map_or(0, |record| record.spec.tasks);
+                left = left.saturating_sub(tasks as usize);
+                inputs.push(input);
+            }
+        }
+        if left > 0 {
+            inputs.push(message::Restore::Done {
+                next_token: state.next_token(),
+            });
+        }
+        inputs
+    }
+}
+
+fn restored_worker(state: &state::State, id: id::WorkerId) -> Option<message::Restore> {
+    let worker = state.worker(id).filter(|worker| !worker.gone)?;
+    let incarnation = first_life(state, id, worker.registration.incarnation);
+    Some(message::Restore::Worker(worker::Registration {
+        incarnation,
+        ..worker.registration
+    }))
+}
+
+fn restored_job(state: &state::State, job: id::JobId) -> Option<message::Restore> {
+    let record = state.job(job)?;
+    // Runs of a job in its last state still hold their leases until their ends are committed.
+    if record.state.is_terminal() && record.running == 0 {
+        return None;
+    }
+    let tasks = (0..record.spec.tasks).map(|index| progress(state, record, task::Ref { job, index }));
+    Some(message::Restore::Job {
+        job,
+        team: record.team,
+        spec: record.spec.clone(),
+        cancelled: record.state.is_terminal(),
+        tasks: tasks.collect(),
+    })
+}
+
+/// Oldest life of a worker that has runs; the latest life without any.
+fn first_life(state: &state::State, worker: id::WorkerId, latest: id::Incarnation) -> id::Incarnation {
+    let lives = state.runs_of_worker(worker).map(|(_, run)| run.incarnation);
+    lives.min().unwrap_or(latest)
+}
+
+/// Returns the latest lives of all workers.
+pub fn registrations(state: &state::State) -> Vec<worker::Registration> {
+    let workers = state.workers().filter(|(_, worker)| !worker.gone);
+    workers.map(|(_, worker)| worker.registration).collect()
+}
+
+fn progress(state: &state::State, record: &state::Job, task: task::Ref) -> message::Progress {
+    if record.is_done(task.index) {
+        return message::Progress::Succeeded;
+    }
+    match state.run(task) {
+        Some(run) => message::Progress::Running {
+            worker: run.worker,
+            token: run.token,
+            granted: record.spec.size,
+            attempts: 0,
+        },
+        None => message::Progress::Waiting { attempts: 0 },
+    }
+}
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -1,7 +1,8 @@
 //! The scheduler of a zone, on the leader of its group.
 //!
 //! The scheduler proposes; its starts and ends count only when they are committed in the zone's log. When the lead
-//! is lost, scheduler and sessions are dropped, and the next leader builds them again from the committed state.
+//! is lost, scheduler and sessions are dropped, and the next leader builds them again from the committed state, over
+//! several ticks. Until then it takes no reports, because it could not tell which runs it knows.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,13 +14,15 @@
 use bronzespoke_model::{config, event, id, job, resource, task, team, worker};
 use bronzespoke_schedule::{self as schedule, message};
 
-use crate::control::{context, session, zone};
+use crate::control::{context, restoration, session, zone};
 
 /// The scheduler with the workers' sessions.
 #[derive(Debug)]
 pub struct Scheduling {
     scheduler: schedule::Scheduler,
     sessions: session::Sessions,
+    /// Committed state that the scheduler has not taken yet.
+    restoration: Option<restoration::Restoration>,
     outputs: Vec<schedule::Output>,
     touched: BTreeSet<id::WorkerId>,
     drained: BTreeSet<id::WorkerId>,
@@ -38,22 +41,40 @@
         let mut scheduling = Self {
             scheduler: schedule::Scheduler::new(config, now),
             sessions: session::Sessions::default(),
+            restoration: Some(restoration::Restoration::new(zone.state())),
             outputs: Vec::new(),
             touched: BTreeSet::new(),
             drained: BTreeSet::new(),
             teams: BTreeMap::new(),
             config: config::Config::default(),
         };
-        // Teams come before the jobs; drains come after the workers, because a scheduler ignores unknown ones.
+        // Teams come before the jobs.
         scheduling.follow_teams(context, zone, view);
-        for input in restored(zone.state()) {
-            scheduling.feed(context, zone, schedule::Input::Restore(input));
+        scheduling.restore_some(context, zone, view);
+        scheduling
+    }
+
+    /// Gives the scheduler the next part of the committed state.
+    fn restore_some(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
+        let Some(restoration) = &mut self.restoration else {
+            return;
+        };
+        let inputs = restoration.take(zone.state());
+        let done = matches!(inputs.last(), Some(message::Restore::Done { .. }));
+        for input in inputs {
+            self.feed(context, zone, schedule::Input::Restore(input));
+        }
+        if !done {
+            return;
         }
-        for registration in later_lives(zone.state()) {
-            scheduling.feed(context, zone, schedule::Input::Register(registration));
+        self.restoration = None;
+        // New workers, and new lives that began while a former one had runs, so that the scheduler waits for the
+        // lease of the former life. It ignores the others.
+        for registration in restoration::registrations(zone.state()) {
+            self.feed(context, zone, schedule::Input::Register(registration));
         }
-        scheduling.follow_view(context, zone, view);
-        scheduling
+        // Drains come after the workers, because a scheduler ignores unknown ones.
+        self.follow_view(context, zone, view);
     }
 
     /// Gives the scheduler one input and takes what it proposes.
@@ -71,28 +92,54 @@
         outputs: &mut Vec<schedule::Output>,
     ) {
         let mut starts = Vec::new();
+        let mut ends = Vec::new();
         for output in outputs.drain(..) {
-            if let schedule::Output::Start {
-                task,
-                worker,
-                token,
-                granted,
-            } = output
-            {
-                self.sessions.grant(token, granted);
-                starts.push(state::Start { task, worker, token });
-                continue;
+            match output {
+                schedule::Output::Start {
+                    task,
+                    worker,
+                    token,
+                    granted,
+                } => {
+                    propose_ends(zone, &mut ends);
+                    self.sessions.grant(token, granted);
+                    starts.push(state::Start { task, worker, token });
+                }
+                schedule::Output::Ended {
+                    task, token, outcome, ..
+                } => {
+                    propose_starts(zone, &mut starts);
+                    // A result may be long, so it does not share its command with others.
+                    let alone = matches!(outcome, task::Outcome::Succeeded(_));
+                    if alone {
+                        propose_ends(zone, &mut ends);
+                    }
+                    ends.push(state::End { task, token, outcome });
+                    if alone {
+                        propose_ends(zone, &mut ends);
+                    }
+                }
+                // Ends, later starts of the same task, and the end of its job keep their order.
+                output => {
+                    propose_starts(zone, &mut starts);
+                    propose_ends(zone, &mut ends);
+                    self.carry_out_one(context, zone, &output);
+                }
             }
-            // An end and a later start of the same task keep their order.
-            propose_starts(zone, &mut starts);
-            self.carry_out_one(context, zone, output);
         }
         propose_starts(zone, &mut starts);
+        propose_ends(zone, &mut ends);
     }
 
-    fn carry_out_one(&mut self, context: &context::Context, zone: &mut zone::Zone, output: schedule::Output) {
-        match output {
-            schedule::Output::Start { .. } => {}
+    fn carry_out_one(
+        &mut self,
+        context: &context::Context,
+        zone: &mut zone::Zone,
+        output: &schedule::Output,
+    ) {
+        match *output {
+            // Proposed together by the caller.
+            schedule::Output::Start { .. } | schedule::Output::Ended { .. } => {}
             schedule::Output::Stop {
                 task,
                 worker,
@@ -127,11 +174,6 @@
                     },
                 );
             }
-            schedule::Output::Ended {
-                task, token, outcome, ..
-            } => {
-                zone.propose(state::Command::End(vec![state::End { task, token, outcome }]));
-            }
             schedule::Output::Impossible { job, reason, refused } => {
                 log::info!("schedule: Job {job:x} cannot run now: {reason:?}.");
                 if refused {
@@ -194,7 +236,10 @@
                     context.record(event::Kind::WorkerRegistered {
                         worker: registration.worker,
                     });
-                    self.feed(context, zone, schedule::Input::Register(registration));
+                    // The end of the restoration registers all workers.
+                    if self.restoration.is_none() {
+                        self.feed(context, zone, schedule::Input::Register(registration));
+                    }
                 }
                 // The end of the last task has recorded a success.
                 (state::Command::Finish { job, state }, state::Outcome::Done)
@@ -265,12 +310,19 @@
         };
         let (team, spec) = (record.team, record.spec.clone());
         context.record(event::Kind::JobAccepted { job, team });
+        if let Some(restoration) = &mut self.restoration {
+            restoration.add(job);
+            return;
+        }
         self.feed(context, zone, schedule::Input::Submit { job, team, spec });
     }
 
     /// Takes quotas, parts, drains and rates that changed.
     pub fn follow_view(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         self.follow_teams(context, zone, view);
+        if self.restoration.is_some() {
+            return;
+        }
         self.follow_drains(context, zone, view);
         if self.config != view.config {
             self.config = view.config.clone();
@@ -331,6 +383,11 @@
             drop(reply.send(Err(control::Refusal::NotFound)));
             return;
         }
+        if self.restoration.is_some() {
+            let reason = String::from("the new leader of the zone takes over its state");
+            drop(reply.send(Err(control::Refusal::Unavailable(reason))));
+            return;
+        }
         let worker = report.worker;
         if self.sessions.report(context.now(), &report, reply) {
             self.feed(context, zone, schedule::Input::Worker(report));
@@ -339,8 +396,10 @@
     }
 
     /// Lets time pass.
-    pub fn tick(&mut self, context: &context::Context, zone: &mut zone::Zone) {
-        if self.scheduler.next_wake() <= context.now() {
+    pub fn tick(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
+        if self.restoration.is_some() {
+            self.restore_some(context, zone, view);
+        } else if self.scheduler.next_wake() <= context.now() {
             self.feed(context, zone, schedule::Input::Tick);
         }
     }
@@ -357,6 +416,9 @@
 
     /// Time of the next tick.
     pub fn next_wake(&self) -> Duration {
+        if self.restoration.is_some() {
+            return Duration::ZERO;
+        }
         self.scheduler.next_wake()
     }
 
@@ -386,6 +448,12 @@
     }
 }
 
+fn propose_ends(zone: &mut zone::Zone, ends: &mut Vec<state::End>) {
+    if !ends.is_empty() {
+        zone.propose(state::Command::End(std::mem::take(ends)));
+    }
+}
+
 fn note_preemption(
     context: &context::Context,
     reason: message::Reason,
@@ -401,63 +469,3 @@
     let team = zone.state().job(job).map_or(0, |record| record.team);
     context.record(event::Kind::JobEnded { job, team, state });
 }
-
-/// Returns the committed state in the order in which a scheduler takes it.
-fn restored(state: &state::State) -> Vec<message::Restore> {
-    let mut inputs = Vec::new();
-    for (id, worker) in state.workers().filter(|(_, worker)| !worker.gone) {
-        let incarnation = first_life(state, id, worker.registration.incarnation);
-        inputs.push(message::Restore::Worker(worker::Registration {
-            incarnation,
-            ..worker.registration
-        }));
-    }
-    // Runs of a job in its last state still hold their leases until their ends are committed.
-    let open = |record: &state::Job| !record.state.is_terminal() || record.running > 0;
-    for (job, record) in state.jobs().filter(|(_, record)| open(record)) {
-        let tasks = (0..record.spec.tasks).map(|index| progress(state, record, task::Ref { job, index }));
-        inputs.push(message::Restore::Job {
-            job,
-            team: record.team,
-            spec: record.spec.clone(),
-            cancelled: record.state.is_terminal(),
-            tasks: tasks.collect(),
-        });
-    }
-    inputs.push(message::Restore::Done {
-        next_token: state.next_token(),
-    });
-    inputs
-}
-
-/// Oldest life of a worker that has runs; the latest life without any.
-fn first_life(state: &state::State, worker: id::WorkerId, latest: id::Incarnation) -> id::Incarnation {
-    let lives = state.runs_of_worker(worker).map(|(_, run)| run.incarnation);
-    lives.min().unwrap_or(latest)
-}
-
-/// Workers that began a new life while a former one had runs. They are registered after the restore, so that the
-/// scheduler waits for the lease of the former life.
-fn later_lives(state: &state::State) -> Vec<worker::Registration> {
-    state
-        .workers()
-        .filter(|(_, worker)| !worker.gone)
-        .map(|(_, worker)| worker.registration)
-        .filter(|latest| first_life(state, latest.worker, latest.incarnation) < latest.incarnation)
-        .collect()
-}
-
-fn progress(state: &state::State, record: &state::Job, task: task::Ref) -> message::Progress {
-    if record.is_done(task.index) {
-        return message::Progress::Succeeded;
-    }
-    match state.run(task) {
-        Some(run) => message::Progress::Running {
-            worker: run.worker,
-            token: run.token,
-            granted: record.spec.size,
-            attempts: 0,
-        },
-        None => message::Progress::Waiting { attempts: 0 },
-    }
-}
