schedule: try a submitted gang at once

A pass over the gangs follows the one before after 100 ms at the earliest, and a gang that came in between waited for it although it fitted, while batch work took room at once.

Change: a submission tries its gang. Each try looks at all workers, so that 16 are made from one tick to the next; the pass takes the others. Longer waiting gangs keep their reservations, on whose workers no submitted gang is started.

A try that did not help: only trying when nothing had changed since the last pass, which keeps the order of turns exactly.

--- a/crates/schedule/src/pass/backlog.rs
+++ b/crates/schedule/src/pass/backlog.rs
@@ -15,6 +15,7 @@
 use crate::amount::times;
 use crate::job::Stop;
 use crate::message::{Output, Reason};
+use crate::pass::gang;
 use crate::scheduler::Scheduler;
 use crate::table;
 
@@ -26,6 +27,7 @@
     pub(crate) fn renew_bounds(&mut self) {
         self.work = self.config.work_per_tick;
         self.placements = self.config.placements_per_tick;
+        self.gang_tries = gang::COUNTED;
     }
 
     /// Counts a start, stop or end.
--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -15,8 +15,9 @@
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
 /// Interval at which waiting gangs are looked at when nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Gangs for which one pass counts the free room.
-const COUNTED: u32 = 16;
+/// Gangs for which one pass, or the submissions from one tick to the next, count the free room; each looks at all
+/// workers.
+pub(crate) const COUNTED: u32 = 16;
 /// Time to checkpoint for work that was let onto reserved workers.
 const BACKFILL_GRACE: Duration = Duration::from_secs(5);
 
@@ -36,6 +37,18 @@
         self.enqueue(index);
     }
 
+    /// Starts a gang that has just been submitted when it fits, without a wait for the next pass over all gangs, as
+    /// other work would take the room before that pass. Gangs that wait longer are kept from starving by reservations.
+    pub(crate) fn try_gang(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) {
+        if self.gang_tries == 0 || !self.may_fit(index) {
+            return;
+        }
+        self.gang_tries -= 1;
+        if let Some(rooms) = self.rooms(index) {
+            self.launch(now, index, rooms, out);
+        }
+    }
+
     /// Starts the gangs that fit, and reserves capacity for one that does not.
     pub(crate) fn place_gangs(&mut self, now: Duration, out: &mut Vec<Output>) {
         if !self.gangs_dirty || self.gangs.is_empty() {
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -45,6 +45,9 @@
         }
         self.jobs[index].size = self.estimated_size(index);
         self.enqueue(index);
+        if self.restored.is_some() && spec.kind == model::Kind::Gang {
+            self.try_gang(now, index, out);
+        }
     }
 
     /// Enters a job; the caller queues it.
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -86,6 +86,8 @@
     pub(crate) work: u32,
     /// Placements that are left until the next tick.
     pub(crate) placements: u32,
+    /// Submitted gangs that may be tried at once until the next tick.
+    pub(crate) gang_tries: u32,
     pub(crate) gangs: BTreeMap<u64, Gang>,
     pub(crate) gangs_dirty: bool,
     pub(crate) gangs_next: Duration,
@@ -170,6 +172,7 @@
             backlog: backlog::Backlog::default(),
             work,
             placements,
+            gang_tries: 0,
             gangs: BTreeMap::new(),
             gangs_dirty: false,
             gangs_next: Duration::ZERO,
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -93,6 +93,18 @@
     sound(&cell);
 }
 
+/// Guards against a gang that fits and waits for the next pass over all gangs.
+#[test]
+fn a_gang_that_fits_starts_at_once() {
+    let mut cell = cell(4, Rules::default());
+    cell.set_team(2, 1, resource::Amount::new(8_000, 8_000, 0));
+    let over_part = cell.submit(2, spec(job::Kind::Gang, 3, 4_000, 20));
+    let fits = cell.submit(1, spec(job::Kind::Gang, 3, 4_000, 20));
+    let started = [over_part, fits].map(|job| cell.check.places(job).len());
+    assert_eq!(started, [0, 3]);
+    sound(&cell);
+}
+
 /// Guards against a cancellation wave that leaves work behind, starts cancelled work or rescans the queue.
 #[test]
 fn a_wave_of_cancellations_ends_every_job_once() {
