schedule: try submitted gangs before the first tick as well

Change: the bound is full at the start, like those of work and placements. cargo test -p bronzespoke-schedule passes.

--- a/crates/schedule/src/pass/mod.rs
+++ b/crates/schedule/src/pass/mod.rs
@@ -6,7 +6,7 @@
 mod end;
 mod estimate;
 mod explain;
-mod gang;
+pub(crate) mod gang;
 mod health;
 mod hold;
 mod lease;
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -9,7 +9,7 @@
 use crate::config::Config;
 use crate::message::{Input, Output};
 use crate::table::Table;
-use crate::{backlog, estimate, index, job, lane, run, table, team, timer, worker};
+use crate::{backlog, estimate, index, job, lane, pass, run, table, team, timer, worker};
 
 /// Timers handled in one step; more wait for the next step, so that no step takes long.
 const TIMERS_PER_STEP: u32 = 512;
@@ -172,7 +172,7 @@
             backlog: backlog::Backlog::default(),
             work,
             placements,
-            gang_tries: 0,
+            gang_tries: pass::gang::COUNTED,
             gangs: BTreeMap::new(),
             gangs_dirty: false,
             gangs_next: Duration::ZERO,
