schedule: lift throttles, and throttle before a stop for urgent work

Cause: a throttle was told once and never lifted, and a lost one was never told again. Urgent work stopped runs where a throttle would have given back enough. In the daemon a throttle stayed among the pending directives for as long as the run lived, so that each report of its worker was answered at once instead of after up to 3 s (seen in the code, not measured).

Rule: a run that uses more processors than it declared is held to its grant. The throttle is lifted when three reports in a row show at most 90% of the grant, or show that the worker has room for all that the run declared. It is told again when three reports in a row show a use above the bound. For urgent work the order is checkpoint, throttle, stop. A throttle gives back only what a run uses above its grant, because the zone's committed state keeps the grant for it; the room counts when a report shows it. The session drops a throttle once it was sent.

Also: runs are built in one place instead of two.

Tests: crates/schedule/tests/behaviour/throttle.rs, five cases of reports and one of urgent work.

Follows: a throttle of granted processors (below the grant) needs a replicated change of the grant.

--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -140,6 +140,11 @@
         if let Some(held) = session.held.take() {
             // The worker may have given up on this report; its next one gets the same directives.
             drop(held.reply.send(Ok(answer)));
+            // A throttle that stayed would answer every report at once; the scheduler tells it again when it does
+            // not hold.
+            session
+                .pending
+                .retain(|_, directive| !matches!(directive, task::Directive::Throttle { .. }));
         }
     }
 
--- a/crates/schedule/src/pass/estimate.rs
+++ b/crates/schedule/src/pass/estimate.rs
@@ -1,7 +1,9 @@
 //! Learns real sizes and run times, and deals with runs that use more than they were granted.
 //!
 //! The rule for a run above its grant: what it uses is counted as used. Processors above the declared ones are
-//! throttled. Memory is tolerated while the worker has room for it; otherwise the run with the largest excess is
+//! throttled. The throttle is lifted when three reports in a row show that the run no longer presses against it, or
+//! that its worker has room for all that the run declared; it is told again when three reports in a row show that it
+//! does not hold. Memory is tolerated while the worker has room for it; otherwise the run with the largest excess is
 //! checkpointed when it can be, or stopped. The job's next runs are granted what was seen.
 
 use std::time::Duration;
@@ -10,7 +12,7 @@
 
 use crate::estimate::Model;
 use crate::message::{Output, Reason};
-use crate::run::Phase;
+use crate::run::{LIFTED, Phase};
 use crate::scheduler::Scheduler;
 use crate::{run, table};
 
@@ -20,6 +22,10 @@
 const GRACE: Duration = Duration::from_secs(2);
 /// Share of the granted processors that a throttled run may use, in thousandths; 1000 would lift the throttle.
 const THROTTLED: u32 = 999;
+/// Use of the granted processors up to which a run does not press against its throttle, in thousandths.
+const CALM: u64 = 900;
+/// Reports in a row that change a throttle.
+const REPORTS: u8 = 3;
 /// Part of the expected run time that an overdue run is expected to need still.
 const OVERDUE: u32 = 4;
 
@@ -72,34 +78,65 @@
             memory_mib: record.peak.memory_mib.max(usage.memory_mib),
             accelerators: record.peak.accelerators.max(usage.accelerators),
         };
-        if usage.fits(&size) || record.phase != Phase::Running {
+        if record.phase != Phase::Running {
             return;
         }
-        if usage.cpu_milli
-            > size
-                .cpu_milli
-                .max(self.jobs[self.runs[run].job].declared.cpu_milli)
-        {
-            self.throttle(run, out);
+        self.follow_throttle(run, out);
+        if !usage.fits(&size) {
+            self.raise_size(run);
         }
-        self.raise_size(run);
     }
 
-    fn throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
-        let task = self.task_of(run);
+    /// Throttles a run that uses more processors than it declared, and follows a throttle that is in force.
+    fn follow_throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
+        let record = &self.runs[run];
+        let (usage, granted) = (record.usage.cpu_milli, record.size.cpu_milli);
+        let throttled = record.throttle < LIFTED;
+        let declared = self.jobs[record.job].declared.cpu_milli;
+        let worker = &self.workers[record.worker];
+        let above = usage > granted.max(declared);
+        let more = declared.saturating_sub(granted);
+        let room = more > 0 && worker.hold.is_none() && worker.free().cpu_milli >= more;
+        let calm = !above && (u64::from(usage) * 1000 <= u64::from(granted) * CALM || room);
         let record = &mut self.runs[run];
-        if record.throttle < 1000 {
-            return;
+        record.calm = if throttled && calm { record.calm + 1 } else { 0 };
+        record.defiant = if throttled && above { record.defiant + 1 } else { 0 };
+        if record.calm == REPORTS {
+            self.tell_throttle(run, LIFTED, out);
+        } else if (above && !throttled) || record.defiant == REPORTS {
+            self.tell_throttle(run, THROTTLED, out);
         }
-        record.throttle = THROTTLED;
+    }
+
+    /// Holds a run to the processors that it was granted.
+    pub(crate) fn throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
+        self.tell_throttle(run, THROTTLED, out);
+    }
+
+    fn tell_throttle(&mut self, run: table::Run, share_milli: u32, out: &mut Vec<Output>) {
+        let task = self.task_of(run);
+        let record = &mut self.runs[run];
+        record.throttle = share_milli;
+        record.calm = 0;
+        record.defiant = 0;
         out.push(Output::Throttle {
             task,
             worker: self.workers[record.worker].id,
             token: record.token,
-            share_milli: THROTTLED,
+            share_milli,
         });
     }
 
+    /// Returns the processors that a throttle would give back: what a run uses above its grant.
+    pub(crate) fn throttled_room(&self, run: table::Run) -> resource::Amount {
+        let record = &self.runs[run];
+        if record.throttle < LIFTED || record.phase != Phase::Running {
+            return resource::Amount::ZERO;
+        }
+        let excess = record.usage.cpu_milli.saturating_sub(record.size.cpu_milli);
+        resource::Amount::new(excess, 0, 0)
+    }
+
     /// Grants a job's next runs what one of its runs was seen to use, within the team's limit.
     fn raise_size(&mut self, run: table::Run) {
         let record = &self.runs[run];
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -391,30 +391,19 @@
         let token = self.next_token;
         self.next_token += 1;
         let granted = self.jobs[job].size;
-        self.add_run(
-            now,
-            run::Record {
+        let record = run::Record::new(
+            run::Place {
                 job,
                 index: task,
                 worker,
                 rack: self.workers[worker].rack,
-                token,
-                size: granted,
-                started: now,
-                phase: run::Phase::Starting,
-                confirmed: false,
-                former: false,
-                seen: 0,
-                due: now + self.config.lease,
-                missing: 0,
-                throttle: 1000,
-                usage: resource::Amount::ZERO,
-                peak: resource::Amount::ZERO,
-                in_worker: 0,
-                in_job: 0,
-                credited: false,
             },
+            token,
+            granted,
+            now,
+            now + self.config.lease,
         );
+        self.add_run(now, record);
         self.count_work();
         self.jobs[job].launched = true;
         self.counts.starts += 1;
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -1,5 +1,9 @@
 //! Makes room for urgent work.
 //!
+//! The order of means is checkpoint, then throttle, then stop. A throttle gives back only the processors that a run
+//! uses above its grant, because the granted ones stay committed to it; whether it works shows in a later report, so
+//! it is tried only while the urgent job has waited no longer than one hold. It ends by the rule of `estimate`.
+//!
 //! Bounds: urgent runs are never stopped, so a stop cannot cause another; a team keeps its protected share; the
 //! number of stops in any second stays within the configured rate.
 
@@ -41,10 +45,19 @@
     failed: Vec<(table::Team, resource::Amount, id::AcceleratorKind)>,
 }
 
-/// Runs to stop on one worker.
+/// Means to get room, in the order in which they are used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Means {
+    Checkpoint,
+    Throttle,
+    Stop,
+}
+
+/// Runs to stop and to throttle on one worker.
 struct Victims {
     cost: f64,
     runs: Vec<table::Run>,
+    throttled: Vec<table::Run>,
 }
 
 impl Scheduler {
@@ -146,6 +159,9 @@
         if !self.take_rate(now, victims.runs.len()) {
             return false;
         }
+        for &run in &victims.throttled {
+            self.throttle(run, out);
+        }
         for &run in &victims.runs {
             self.counts.preempted += 1;
             self.counts.lost_core_seconds += self.loss(now, run);
@@ -193,6 +209,7 @@
         if !need.fits(&record.capacity.amount) {
             return None;
         }
+        let early = now.saturating_sub(job.submitted) <= HOLD;
         let mut room = record.free();
         let mut candidates = Vec::new();
         for &run in &record.runs {
@@ -200,21 +217,34 @@
             if other.is_ending() {
                 room = room.saturating_add(&other.size);
             } else if self.jobs[other.job].priority == job::Priority::Normal && !other.former {
-                candidates.push((self.loss(now, run), run));
+                let gentle = self.is_checkpointable(other.job) && other.confirmed;
+                let means = if gentle { Means::Checkpoint } else { Means::Stop };
+                candidates.push((means, self.loss(now, run), run, other.size));
+                let excess = self.throttled_room(run);
+                if !gentle && early && !excess.is_zero() {
+                    candidates.push((Means::Throttle, 0.0, run, excess));
+                }
             }
         }
-        candidates.sort_unstable_by(|left, right| left.0.total_cmp(&right.0));
+        candidates.sort_unstable_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
         let mut victims = Victims {
             cost: 0.0,
             runs: Vec::new(),
+            throttled: Vec::new(),
         };
         let mut taken: Vec<(table::Team, resource::Amount)> = Vec::new();
-        for (cost, run) in candidates {
+        for (means, cost, run, size) in candidates {
             let short = need.saturating_sub(&room);
             if short.is_zero() {
                 break;
             }
-            let size = self.runs[run].size;
+            if means == Means::Throttle {
+                if relieves(&size, &short) {
+                    room = room.saturating_add(&size);
+                    victims.throttled.push(run);
+                }
+                continue;
+            }
             let team = self.jobs[self.runs[run].job].team;
             if !relieves(&size, &short) || (team != job.team && !self.keeps_share(team, &size, &mut taken)) {
                 continue;
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -107,32 +107,21 @@
         );
         let worker = self.worker_ids[&worker];
         self.jobs[job].launched = true;
-        let due = now + self.config.lease;
-        self.timers.push(due, timer::Event::Run(token));
-        self.add_run(
-            now,
-            run::Record {
+        self.timers
+            .push(now + self.config.lease, timer::Event::Run(token));
+        let record = run::Record::new(
+            run::Place {
                 job,
                 index: task,
                 worker,
                 rack: self.workers[worker].rack,
-                token,
-                size: granted,
-                started: now,
-                phase: run::Phase::Starting,
-                confirmed: false,
-                former: false,
-                seen: 0,
-                due,
-                missing: 0,
-                throttle: 1000,
-                usage: resource::Amount::ZERO,
-                peak: resource::Amount::ZERO,
-                in_worker: 0,
-                in_job: 0,
-                credited: false,
             },
+            token,
+            granted,
+            now,
+            now + self.config.lease,
         );
+        self.add_run(now, record);
     }
 
     fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
--- a/crates/schedule/src/run.rs
+++ b/crates/schedule/src/run.rs
@@ -47,6 +47,9 @@
     }
 }
 
+/// Share of the granted processors of a run without a throttle, in thousandths.
+pub(crate) const LIFTED: u32 = 1000;
+
 /// A run.
 #[derive(Debug)]
 pub(crate) struct Record {
@@ -72,6 +75,10 @@
     pub(crate) missing: u8,
     /// Share of the processors that the run is held to, in thousandths.
     pub(crate) throttle: u32,
+    /// Reports in a row that speak for the end of the throttle.
+    pub(crate) calm: u8,
+    /// Reports in a row in which a throttled run uses too much.
+    pub(crate) defiant: u8,
     /// Measured use at the last report.
     pub(crate) usage: resource::Amount,
     /// Largest measured use.
@@ -84,7 +91,49 @@
     pub(crate) credited: bool,
 }
 
+/// Task and worker of a run.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Place {
+    pub(crate) job: table::Job,
+    pub(crate) index: id::TaskIndex,
+    pub(crate) worker: table::Worker,
+    pub(crate) rack: u32,
+}
+
 impl Record {
+    /// Returns a run whose start has been proposed; it is followed up at `due`.
+    pub(crate) const fn new(
+        place: Place,
+        token: id::Token,
+        size: resource::Amount,
+        now: Duration,
+        due: Duration,
+    ) -> Self {
+        Self {
+            job: place.job,
+            index: place.index,
+            worker: place.worker,
+            rack: place.rack,
+            token,
+            size,
+            started: now,
+            phase: Phase::Starting,
+            confirmed: false,
+            former: false,
+            seen: 0,
+            due,
+            missing: 0,
+            throttle: LIFTED,
+            calm: 0,
+            defiant: 0,
+            usage: resource::Amount::ZERO,
+            peak: resource::Amount::ZERO,
+            in_worker: 0,
+            in_job: 0,
+            credited: false,
+        }
+    }
+
     /// Tells whether the worker has been told to end the run.
     pub(crate) const fn is_ending(&self) -> bool {
         matches!(self.phase, Phase::Checkpointing(_) | Phase::Stopping(_))
--- a/crates/schedule/tests/behaviour/main.rs
+++ b/crates/schedule/tests/behaviour/main.rs
@@ -4,3 +4,4 @@
 mod history;
 mod scenario;
 mod steps;
+mod throttle;
