schedule: tell at most 512 impossible jobs in one step

Cause: the check for impossible jobs looked at 4,096 jobs in one step, and each may be told. The daemon logs and proposes for each; the step of the loss of 2,800 workers returned 4,096 outputs.

Change: 512 jobs per step, every 10 ms as before. Test: steps::impossible_jobs_are_told_over_many_steps.

Follows: 100,000 waiting jobs are told within 2 s instead of 0.25 s.

--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -9,8 +9,8 @@
 use crate::scheduler::Scheduler;
 use crate::{job, range, table, timer};
 
-/// Jobs that one step checks; 100,000 jobs at once would take tens of milliseconds.
-const CHECKED: usize = 4096;
+/// Jobs that one step checks; 100,000 jobs at once would take tens of milliseconds, and each may be told.
+const CHECKED: usize = 512;
 /// Interval between the steps of one check.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
--- a/crates/schedule/tests/behaviour/steps.rs
+++ b/crates/schedule/tests/behaviour/steps.rs
@@ -310,6 +310,38 @@
     assert!(fixture.most <= BOUND + 1, "{} in one step", fixture.most);
 }
 
+/// Guards against a lowered limit that tells thousands of jobs in one step that they cannot run.
+#[test]
+fn impossible_jobs_are_told_over_many_steps() {
+    const WAITING: usize = 2_000;
+    let mut fixture = Fixture::new();
+    for job in 1..=WAITING as id::JobId {
+        let spec = spec(job::Kind::Batch, 1, ROOM * 1_000, 1_000);
+        fixture.step(Input::Submit { job, team: 1, spec });
+    }
+    fixture.settle();
+    let waiting = WAITING - fixture.runs.len();
+    let quota = team::Quota {
+        weight: 1,
+        limit: resource::Amount::new(1, 1, 0),
+        requests: 0,
+    };
+    let (team, part) = (1, PLENTY);
+    let mut told = Vec::new();
+    let mut out = Vec::new();
+    fixture
+        .scheduler
+        .step(fixture.now, Input::Team { team, quota, part }, &mut out);
+    for _ in 0..20 {
+        told.push(out.len());
+        out.clear();
+        fixture.now += Duration::from_millis(10);
+        fixture.scheduler.step(fixture.now, Input::Tick, &mut out);
+    }
+    assert_eq!(told.iter().sum::<usize>(), waiting);
+    assert!(told.iter().all(|told| *told <= 512), "{told:?}");
+}
+
 /// Guards against a restored state with many cancelled jobs whose stops and ends take one long step.
 #[test]
 fn cancelled_jobs_are_restored_over_many_steps() {
