schedule: refresh a team's share once for a restored job

Cause: the restore of one job with 10,000 runs refreshed the share of its team for every run.

Change: once for each job. The speed bench restores such a job.

Follows: the daemon reads the 10,000 tasks from its state in the same turn; that part is not measured.

--- a/crates/bench/benches/speed/steps.rs
+++ b/crates/bench/benches/speed/steps.rs
@@ -260,4 +260,31 @@
     fixture.step(Input::Restore(Restore::Done { next_token: 1 << 40 }));
     fixture.settle();
     fixture.print("restore with half of the jobs cancelled");
+    restore_gang();
+}
+
+/// One job is restored in one step.
+fn restore_gang() {
+    let (mut full, _) = gang();
+    full.running.sort_unstable_by_key(|run| run.0.index);
+    let running = full.running.iter().map(|run| Progress::Running {
+        worker: run.1,
+        token: run.2,
+        granted: run.3,
+        attempts: 0,
+    });
+    let part = Restore::Job {
+        job: 1,
+        team: LARGE,
+        spec: spec(job::Kind::Gang, GANG, 10_000),
+        cancelled: false,
+        tasks: running.collect(),
+    };
+    let mut fixture = Fixture::new();
+    for worker in 0..WORKERS {
+        fixture.step(Input::Restore(Restore::Worker(registration(worker))));
+    }
+    fixture.begin();
+    fixture.step(Input::Restore(part));
+    fixture.print("restore of a running gang of 10,000 tasks");
 }
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -421,7 +421,14 @@
     }
 
     /// Enters a run in all accounts.
-    pub(crate) fn add_run(&mut self, now: Duration, mut record: run::Record) {
+    fn add_run(&mut self, now: Duration, record: run::Record) {
+        let team = self.jobs[record.job].team;
+        self.add_run_quietly(record);
+        self.refresh_team(now, team);
+    }
+
+    /// Enters a run in all accounts; the caller brings the share of the team up to date.
+    pub(crate) fn add_run_quietly(&mut self, mut record: run::Record) {
         let (job, worker, rack) = (record.job, record.worker, record.rack);
         let (token, size) = (record.token, record.size);
         record.in_worker = self.workers[worker].runs.len() as u32;
@@ -442,7 +449,6 @@
         record.retries_milli = (record.retries_milli + RETRY_GAIN).min(RETRY_BUDGET);
         record.used = record.used.saturating_add(&size);
         self.track_active(team, was);
-        self.refresh_team(now, team);
     }
 
     /// Counts a service's run on its rack.
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -51,6 +51,7 @@
         for (task, progress) in tasks.iter().enumerate() {
             self.restore_task(now, index, task as id::TaskIndex, progress);
         }
+        self.refresh_team(now, team);
         if self.jobs[index].is_active() {
             self.enqueue(index);
         } else {
@@ -121,7 +122,7 @@
             now,
             now + self.config.lease,
         );
-        self.add_run(now, record);
+        self.add_run_quietly(record);
     }
 
     fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
