--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -17,6 +17,7 @@
 pub mod member;
 mod operator;
 pub mod responder;
+mod restoration;
 mod root;
 mod scheduling;
 pub mod search;
--- a/crates/schedule/src/pass/mod.rs
+++ b/crates/schedule/src/pass/mod.rs
@@ -1,11 +1,12 @@
 //! Passes over the scheduler's state, one module per job.
 
 mod age;
+mod backlog;
 mod drain;
 mod end;
 mod estimate;
 mod explain;
-mod gang;
+pub(crate) mod gang;
 mod health;
 mod hold;
 mod lease;
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -51,10 +51,12 @@
         for (task, progress) in tasks.iter().enumerate() {
             self.restore_task(now, index, task as id::TaskIndex, progress);
         }
+        self.refresh_team(now, team);
         if self.jobs[index].is_active() {
             self.enqueue(index);
         } else {
             self.drop_waiting(index);
+            self.stop_runs(index, Reason::Cancelled);
         }
     }
 
@@ -106,32 +108,21 @@
         );
         let worker = self.worker_ids[&worker];
         self.jobs[job].launched = true;
-        let due = now + self.config.lease;
-        self.timers.push(due, timer::Event::Run(token));
-        self.add_run(
-            now,
-            run::Record {
+        self.timers
+            .push(now + self.config.lease, timer::Event::Run(token));
+        let record = run::Record::new(
+            run::Place {
                 job,
                 index: task,
                 worker,
                 rack: self.workers[worker].rack,
-                token,
-                size: granted,
-                started: now,
-                phase: run::Phase::Starting,
-                confirmed: false,
-                former: false,
-                seen: 0,
-                due,
-                missing: 0,
-                throttle: 1000,
-                usage: resource::Amount::ZERO,
-                peak: resource::Amount::ZERO,
-                in_worker: 0,
-                in_job: 0,
-                credited: false,
             },
+            token,
+            granted,
+            now,
+            now + self.config.lease,
         );
+        self.add_run_quietly(record);
     }
 
     fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
@@ -144,12 +135,20 @@
         for index in ids {
             let job = &self.jobs[index];
             if job.phase == Phase::Cancelled {
-                self.abandon(now, index, Reason::Cancelled, out);
-            } else if job.succeeded == job.tasks {
+                continue;
+            }
+            if job.succeeded == job.tasks {
                 self.finish(index, model::State::Succeeded, out);
             } else if job.kind == model::Kind::Gang && !job.waiting.is_empty() && !job.runs.is_empty() {
                 // A task was lost before the change of leader.
-                self.end_gang(now, index, out);
+                self.end_gang(index);
+            }
+        }
+        // A part may have been lowered just before the change of leader.
+        if self.config.rules.team_limit {
+            let teams: Vec<_> = self.teams.iter().map(|(team, _)| team).collect();
+            for team in teams {
+                self.shrink_team(team);
             }
         }
         self.check_recovered(now, out);
