gateway: serve HTTP/2 with prior knowledge to workers

Cause: the heads of a worker's report and of its answer take about 240 bytes over HTTP/1.1, a fourth of the report. Change: a connection that begins with the preface of HTTP/2 is served by hyper's HTTP/2 (h2 was in the lock file already); registration and reports are allowed there, every other path is answered with 505. The stand-ins' client can speak it and tells who answered.

--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -11,7 +11,7 @@
 
 use bronzespoke_model::id;
 use bytes::Bytes;
-use http::{HeaderValue, Method, Request, Response, StatusCode, header};
+use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
 
 use crate::{answer, fault, filter, server::context};
@@ -59,9 +59,11 @@
     let in_flight = context.enter();
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
+    let version = head.version;
     let mut name = "none";
     let checked = filter::size::check(&head.uri, &head.headers, context.settings.header_bytes);
-    let result = match checked.and_then(|()| parse(&head.method, &path)) {
+    let parsed = checked.and_then(|()| parse(&head.method, &path));
+    let result = match parsed.and_then(|route| check_version(version, route)) {
         Ok(route) => {
             name = route.name();
             dispatch(&context, route, &head, body).await
@@ -72,7 +74,8 @@
     if path.starts_with("/v1/") {
         filter::version_one::mark(&mut response);
     }
-    if context.is_draining() {
+    // HTTP/2 has no such field; its connections are told with a frame when the server closes.
+    if context.is_draining() && version != Version::HTTP_2 {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
     }
@@ -161,6 +164,16 @@
     }
 }
 
+/// HTTP/2 is offered to workers only; the answers of targets are relayed under the rules of HTTP/1.1.
+fn check_version(version: Version, route: Route<'_>) -> Result<Route<'_>, fault::Fault> {
+    if version != Version::HTTP_2 || matches!(route, Route::Register(_) | Route::Report(_)) {
+        return Ok(route);
+    }
+    let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
+    let message = "HTTP/2 is for workers; HTTP/1.1 is allowed here";
+    Err(fault::Fault::not_run(status, "http_version", message))
+}
+
 fn number(field: &'static str, text: &str) -> Result<u64, fault::Fault> {
     text.parse().map_err(|_error| {
         let message = format!("`{text}` is not a {field} id; whole numbers from 0 are allowed");
@@ -192,14 +205,22 @@
     response
 }
 
-/// Receives and parses a JSON body.
+/// Receives and parses a JSON body, whatever type it names.
 async fn receive_json<T: serde::de::DeserializeOwned>(
     context: &context::Context,
     head: &http::request::Parts,
     body: Incoming,
 ) -> Result<T, fault::Fault> {
-    let limit = context.handle.view.borrow().config.request_body_bytes as usize;
-    let received =
-        filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
+    let received = receive(context, head, body).await?;
     filter::json::parse(&received.bytes)
 }
+
+/// Receives a body of at most the configured size.
+async fn receive(
+    context: &context::Context,
+    head: &http::request::Parts,
+    body: Incoming,
+) -> Result<filter::body::Received, fault::Fault> {
+    let limit = context.handle.view.borrow().config.request_body_bytes as usize;
+    filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await
+}
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -34,6 +34,8 @@
     pub headers: http::HeaderMap,
     /// Body.
     pub body: Bytes,
+    /// Who answered, after redirects; none when it was named by a host name.
+    pub address: Option<SocketAddr>,
 }
 
 /// An HTTP client with a connection pool.
@@ -51,11 +53,22 @@
 impl Client {
     /// Returns a client without open connections.
     pub fn new() -> Self {
+        Self::with_version(false)
+    }
+
+    /// Returns a client without open connections that speaks HTTP/2 with prior knowledge.
+    pub fn new_two() -> Self {
+        Self::with_version(true)
+    }
+
+    fn with_version(two: bool) -> Self {
         let mut connector = legacy::connect::HttpConnector::new();
         connector.set_connect_timeout(Some(CONNECT_TIMEOUT));
         connector.set_nodelay(true);
         Self {
-            inner: legacy::Client::builder(TokioExecutor::new()).build(connector),
+            inner: legacy::Client::builder(TokioExecutor::new())
+                .http2_only(two)
+                .build(connector),
         }
     }
 
@@ -92,7 +105,11 @@
             let request = request
                 .body(Full::new(body.clone()))
                 .map_err(|error| Error::Transport(error.to_string()))?;
-            let response = self.once(request).await?;
+            let address = request
+                .uri()
+                .authority()
+                .and_then(|authority| authority.as_str().parse().ok());
+            let response = self.once(request, address).await?;
             if response.status != StatusCode::TEMPORARY_REDIRECT {
                 return Ok(response);
             }
@@ -105,7 +122,11 @@
         Err(Error::Redirect)
     }
 
-    async fn once(&self, request: Request<Full<Bytes>>) -> Result<Response, Error> {
+    async fn once(
+        &self,
+        request: Request<Full<Bytes>>,
+        address: Option<SocketAddr>,
+    ) -> Result<Response, Error> {
         let transport = |error: String| Error::Transport(error);
         let response = self
             .inner
@@ -121,6 +142,7 @@
             status: parts.status,
             headers: parts.headers,
             body: collected.to_bytes(),
+            address,
         })
     }
 }
