Reports of workers that name only what changed, in a binary form, with shared answers

Change: a report may name an answered report as its base and then holds only what changed; the session keeps the runs at the base and at the newest report and refuses any other base, so that the worker sends a full report. The scheduler still sees full reports. Content-Type and Accept choose a postcard form; JSON stays the default. Starts that are not urgent and acknowledgements wait for up to 500 ms since the last answer, the stand-in's ends as long since its last report. Urgent starts, stops and checkpoints are answered at once. The stand-in remembers the leader instead of following a redirect with each report, and takes a new connection after a failure. Also: a stop that a worker is slow to carry out, or a throttle, was answered at once on every report, so that the worker reported without a pause; it is repeated each 500 ms now. Follows: the capacity page has to be measured again.

--- a/crates/bench/benches/capacity/links.rs
+++ b/crates/bench/benches/capacity/links.rs
@@ -67,6 +67,7 @@
         worker: 12_345_678_901_234_567,
         incarnation: state::NOW_MS,
         sequence: 100_000,
+        base: None,
         running,
         ended: Vec::new(),
     }
--- a/crates/bench/benches/capacity/scheduler.rs
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -181,6 +181,7 @@
                 worker: 0,
                 incarnation: 1,
                 sequence,
+                base: None,
                 running: running.clone(),
                 ended: Vec::new(),
             }));
--- a/crates/bench/src/policy/schedule/simulation.rs
+++ b/crates/bench/src/policy/schedule/simulation.rs
@@ -297,6 +297,7 @@
             worker,
             incarnation: 1,
             sequence: *sequence,
+            base: None,
             running,
             ended: Vec::new(),
         };
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -19,7 +19,7 @@
 mod root;
 mod scheduling;
 mod serve;
-mod session;
+pub mod session;
 mod submissions;
 mod targets;
 mod zone;
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -332,7 +332,7 @@
             return;
         }
         let worker = report.worker;
-        if self.sessions.report(context.now(), &report, reply) {
+        if let Some(report) = self.sessions.report(context.now(), report, reply) {
             self.feed(context, zone, schedule::Input::Worker(report));
         }
         self.touched.insert(worker);
--- a/crates/gateway/src/routes/announce.rs
+++ b/crates/gateway/src/routes/announce.rs
@@ -1,11 +1,15 @@
 //! Announcements of targets, and registration and reports of workers.
 
 use bronzespoke_model::{id, target, worker};
-use http::{Response, StatusCode, request::Parts};
+use http::{Response, StatusCode, header, request::Parts};
 use hyper::body::Incoming;
 use serde_json::json;
 
-use crate::{answer, calls, control, fault, routes, server::context};
+use crate::{
+    answer, calls, control, fault,
+    routes::{self, compact},
+    server::context,
+};
 
 /// Takes a target's announcement; answers with the time after which to renew it.
 pub(crate) async fn target(
@@ -73,7 +77,11 @@
     body: Incoming,
     worker: id::WorkerId,
 ) -> Result<Response<answer::Body>, fault::Fault> {
-    let report: worker::Report = routes::receive_json(context, head, body).await?;
+    let report = if compact::is_named(&head.headers, &header::CONTENT_TYPE) {
+        compact::receive(context, head, body, worker).await?
+    } else {
+        routes::receive_json(context, head, body).await?
+    };
     same("worker", worker, report.worker)?;
     let running = report.running.len();
     if running > worker::MAX_TASKS_IN_REPORT {
@@ -82,6 +90,9 @@
         return Err(fault::Fault::field("running", message));
     }
     let reply = ask(context, head, |reply| control::Call::Report(report, reply)).await?;
+    if compact::is_named(&head.headers, &header::ACCEPT) {
+        return Ok(compact::answer(reply));
+    }
     Ok(routes::json(StatusCode::OK, &reply))
 }
 
--- /dev/null
+++ b/crates/gateway/src/routes/compact.rs
@@ -0,0 +1,45 @@
+//! The binary form of workers' reports, chosen by `Content-Type` and `Accept`. JSON stays the default.
+
+use bronzespoke_model::{compact, id, worker};
+use bytes::Bytes;
+use http::{HeaderMap, HeaderName, HeaderValue, Response, header, request::Parts};
+use hyper::body::Incoming;
+
+use crate::{answer, fault, routes, server::context};
+
+/// Tells whether a header field names the binary form.
+pub(crate) fn is_named(headers: &HeaderMap, field: &HeaderName) -> bool {
+    headers
+        .get_all(field)
+        .iter()
+        .filter_map(|value| value.to_str().ok())
+        .flat_map(|value| value.split(','))
+        .filter_map(|range| range.split(';').next())
+        .any(|range| range.trim().eq_ignore_ascii_case(compact::MEDIA_TYPE))
+}
+
+/// Receives and parses a report.
+pub(crate) async fn receive(
+    context: &context::Context,
+    head: &Parts,
+    body: Incoming,
+    worker: id::WorkerId,
+) -> Result<worker::Report, fault::Fault> {
+    let received = routes::receive(context, head, body).await?;
+    let (report, rest) = postcard::take_from_bytes::<compact::Report>(&received.bytes)
+        .map_err(|error| fault::Fault::field("body", format!("not a report: {error}")))?;
+    if !rest.is_empty() {
+        let message = format!("{} bytes follow the report; none are allowed", rest.len());
+        return Err(fault::Fault::field("body", message));
+    }
+    Ok(report.of(worker))
+}
+
+/// Returns a binary answer.
+pub(crate) fn answer(reply: worker::Reply) -> Response<answer::Body> {
+    let bytes = postcard::to_stdvec(&compact::Reply::from(reply)).expect("answers are plain data");
+    let mut response = Response::new(answer::Body::full(Bytes::from(bytes)));
+    let content_type = HeaderValue::from_static(compact::MEDIA_TYPE);
+    response.headers_mut().insert(header::CONTENT_TYPE, content_type);
+    response
+}
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -2,6 +2,7 @@
 
 mod announce;
 mod claimed;
+mod compact;
 mod jobs;
 mod operation;
 mod request;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -119,6 +119,11 @@
     start_silent(targets, settings, view(), Some(Duration::from_hours(1))).await
 }
 
+/// A cell whose calls are left to the test, which may take seconds to answer.
+pub async fn patient() -> (Cell, mpsc::Receiver<control::Call>) {
+    start_silent(&[], settings::Settings::default(), view(), None).await
+}
+
 async fn start_silent(
     targets: &[&standin::Target],
     settings: settings::Settings,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -3,6 +3,7 @@
 //! The package holds data only. Decisions live in the packages above it, so that a change of policy never
 //! changes what is stored or sent.
 
+pub mod compact;
 pub mod config;
 pub mod event;
 pub mod id;
--- a/crates/model/src/worker.rs
+++ b/crates/model/src/worker.rs
@@ -43,7 +43,10 @@
     pub outcome: task::Outcome,
 }
 
-/// A worker's periodic report, which also renews the leases of its tasks.
+/// A worker's periodic report, which also renews the leases of all its tasks.
+///
+/// A report with a `base` names only what changed since that report: `running` holds the runs that began or whose use
+/// changed, and runs end only by an entry in `ended`. A run that is lost without an end needs a full report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Report {
@@ -53,7 +56,10 @@
     pub incarnation: id::Incarnation,
     /// Number of the report in this life; earlier numbers are ignored.
     pub sequence: u64,
-    /// Tasks that run now, at most [`MAX_TASKS_IN_REPORT`].
+    /// Answered report that this one is a change of; none in a full report.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub base: Option<u64>,
+    /// Tasks that run now, at most [`MAX_TASKS_IN_REPORT`]; with a base only those that changed.
     pub running: Vec<Running>,
     /// Tasks that ended; repeated until a reply acknowledges them.
     pub ended: Vec<Ended>,
--- a/crates/schedule/tests/basic.rs
+++ b/crates/schedule/tests/basic.rs
@@ -182,6 +182,7 @@
             worker: 1,
             incarnation: 1,
             sequence: 9,
+            base: None,
             running: Vec::new(),
             ended: Vec::new(),
         }),
--- a/crates/schedule/tests/behaviour/cell/machine.rs
+++ b/crates/schedule/tests/behaviour/cell/machine.rs
@@ -112,6 +112,7 @@
             worker: self.registration.worker,
             incarnation: self.registration.incarnation,
             sequence: self.sequence,
+            base: None,
             running: self
                 .running
                 .iter()
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -2,6 +2,9 @@
 //!
 //! It registers, reports, and runs tasks as timers. The command of a task says how it behaves: `sleep MS` ends with
 //! success after that time, `fail MS` ends with failure, `serve` runs until it is stopped.
+//!
+//! It reports in the binary form over HTTP/2. A report names what changed since the last answered one, and everything
+//! after a report that got no answer.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -10,7 +13,7 @@
     time::Duration,
 };
 
-use bronzespoke_model::{id, resource, task, worker};
+use bronzespoke_model::{compact, id, resource, task, worker};
 use bytes::Bytes;
 use http::{Method, StatusCode};
 use tokio::{sync::mpsc, time::Instant};
@@ -22,6 +25,9 @@
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
+/// Shortest time between two reports that only ends of runs call for. Together with the pause of the leader before an
+/// answer it must stay well below the 1.6 s in which urgent work starts.
+const COLLECT: Duration = Duration::from_millis(500);
 /// Tokens of ended runs that are remembered, so that a late directive does not start them again.
 const REMEMBERED_TOKENS: usize = 4096;
 
@@ -43,12 +49,24 @@
     ends: CancellationToken,
 }
 
+/// A report as it was sent, which a later one can be a change of.
+struct Sent {
+    sequence: u64,
+    usage: HashMap<id::Token, resource::Amount>,
+}
+
 struct Worker {
     options: Options,
     ledger: Arc<ledger::Ledger>,
     client: client::Client,
     entry: usize,
+    /// Who answered last, asked before the entries.
+    leader: Option<SocketAddr>,
     sequence: u64,
+    /// The report that was sent last.
+    sent: Option<Sent>,
+    /// The report that was answered last, when no later one failed.
+    base: Option<Sent>,
     running: HashMap<task::Ref, Run>,
     ended: Vec<(u64, worker::Ended)>,
     forgotten: VecDeque<id::Token>,
@@ -64,9 +82,13 @@
 /// Why a report was not answered with directives.
 enum Failure {
     Unregistered,
+    /// The request was wrong, such as a change of a report that a new leader does not know.
+    Refused,
     Unreachable,
 }
 
+type Answer = Result<(worker::Reply, Option<SocketAddr>), Failure>;
+
 /// Runs a stand-in worker until `cancel`; its tasks end with it.
 pub async fn run(options: Options, ledger: Arc<ledger::Ledger>, cancel: CancellationToken) {
     let (finished, mut endings) = mpsc::unbounded_channel();
@@ -74,9 +96,12 @@
     let mut worker = Worker {
         options,
         ledger,
-        client: client::Client::new(),
+        client: client::Client::new_two(),
         entry,
+        leader: None,
         sequence: 0,
+        sent: None,
+        base: None,
         running: HashMap::new(),
         ended: Vec::new(),
         forgotten: VecDeque::new(),
@@ -97,36 +122,68 @@
             let sent = Instant::now();
             self.sequence += 1;
             let report = self.report();
+            // A report with ends is answered soon, so it is not replaced. Otherwise a worker whose runs keep ending
+            // would get no answer at all, and its lease would run out.
+            let replaceable = report.ended.is_empty();
+            let mut replace_at = None;
             let call = send_report(self.client.clone(), self.address(), report);
-            tokio::select! {
-                answer = call => match answer {
-                    Ok(reply) => {
-                        lease_end = sent + Duration::from_millis(reply.lease_ms);
-                        // A late answer may come from a leader that has been replaced since.
-                        if Instant::now() < lease_end {
-                            self.accept(reply);
-                        }
+            tokio::pin!(call);
+            loop {
+                tokio::select! {
+                    answer = &mut call => {
+                        self.answered(answer, sent, &mut lease_end).await;
+                        break;
+                    }
+                    Some(finish) = finishes.recv() => {
+                        self.finish(finish);
+                        replace_at = replaceable.then_some(sent + COLLECT);
+                    }
+                    () = tokio::time::sleep_until(replace_at.unwrap_or(sent)), if replace_at.is_some() => break,
+                    () = tokio::time::sleep_until(lease_end), if !self.running.is_empty() => {
+                        self.stop_all();
+                        break;
                     }
-                    Err(failure) => self.recover(&failure).await,
-                },
-                Some(finish) = finishes.recv() => self.finish(finish),
-                () = tokio::time::sleep_until(lease_end), if !self.running.is_empty() => self.stop_all(),
+                }
             }
         }
     }
 
+    async fn answered(&mut self, answer: Answer, sent: Instant, lease_end: &mut Instant) {
+        let (reply, address) = match answer {
+            Ok(answer) => answer,
+            Err(failure) => return self.recover(&failure).await,
+        };
+        self.leader = address;
+        self.base = self.sent.take();
+        *lease_end = sent + Duration::from_millis(reply.lease_ms);
+        // A late answer may come from a leader that has been replaced since.
+        if Instant::now() < *lease_end {
+            self.accept(reply);
+        }
+    }
+
     fn address(&self) -> SocketAddr {
-        self.options.entries[self.entry % self.options.entries.len()]
+        let entries = &self.options.entries;
+        self.leader.unwrap_or(entries[self.entry % entries.len()])
     }
 
+    /// Makes the next report a full one, because the last one may or may not have been taken.
     async fn recover(&mut self, failure: &Failure) {
+        let change = self.base.take().is_some();
         match failure {
             Failure::Unregistered => self.register().await,
-            Failure::Unreachable => {
-                self.entry += 1;
-                tokio::time::sleep(RETRY_PAUSE).await;
-            }
+            Failure::Refused if change => {}
+            Failure::Refused | Failure::Unreachable => self.move_on().await,
+        }
+    }
+
+    /// Turns to another entry VM, over a new connection: the old one may be dead without a sign of it.
+    async fn move_on(&mut self) {
+        self.client = client::Client::new_two();
+        if self.leader.take().is_none() {
+            self.entry += 1;
         }
+        tokio::time::sleep(RETRY_PAUSE).await;
     }
 
     async fn register(&mut self) {
@@ -145,24 +202,47 @@
             if call.await.is_ok_and(|response| response.status.is_success()) {
                 return;
             }
-            self.entry += 1;
-            tokio::time::sleep(RETRY_PAUSE).await;
+            self.move_on().await;
         }
     }
 
-    fn report(&self) -> worker::Report {
-        let running = self.running.iter().map(|(task, run)| worker::Running {
-            task: *task,
-            token: run.token,
-            usage: run.granted,
-        });
-        worker::Report {
+    fn report(&mut self) -> worker::Report {
+        let usage: HashMap<_, _> = self
+            .running
+            .values()
+            .map(|run| (run.token, run.granted))
+            .collect();
+        let base = self.base.as_ref().filter(|base| self.explains(base, &usage));
+        let running = self
+            .running
+            .iter()
+            .filter(|(_, run)| base.is_none_or(|base| base.usage.get(&run.token) != Some(&run.granted)))
+            .map(|(task, run)| worker::Running {
+                task: *task,
+                token: run.token,
+                usage: run.granted,
+            });
+        let report = worker::Report {
             worker: self.options.registration.worker,
             incarnation: self.options.registration.incarnation,
             sequence: self.sequence,
+            base: base.map(|base| base.sequence),
             running: running.collect(),
             ended: self.ended.iter().map(|(_, ended)| ended.clone()).collect(),
-        }
+        };
+        self.sent = Some(Sent {
+            sequence: self.sequence,
+            usage,
+        });
+        report
+    }
+
+    /// Tells whether an end is reported for every run of the base that runs no more.
+    fn explains(&self, base: &Sent, usage: &HashMap<id::Token, resource::Amount>) -> bool {
+        let ended = |token| self.ended.iter().any(|(_, ended)| ended.token == token);
+        base.usage
+            .keys()
+            .all(|token| usage.contains_key(token) || ended(*token))
     }
 
     fn accept(&mut self, reply: worker::Reply) {
@@ -291,23 +371,31 @@
     }
 }
 
-async fn send_report(
-    client: client::Client,
-    address: SocketAddr,
-    report: worker::Report,
-) -> Result<worker::Reply, Failure> {
+async fn send_report(client: client::Client, address: SocketAddr, report: worker::Report) -> Answer {
     let path = format!("/v2/workers/{}/report", report.worker);
-    let body = Bytes::from(serde_json::to_vec(&report).expect("a report is plain data"));
-    let headers = [("content-type", "application/json")];
+    let body = postcard::to_stdvec(&compact::Report::from(report)).expect("a report is plain data");
+    let headers = [
+        ("content-type", compact::MEDIA_TYPE),
+        ("accept", compact::MEDIA_TYPE),
+    ];
     let response = client
-        .call(Method::POST, address, &path, &headers, body, REPORT_TIMEOUT)
+        .call(
+            Method::POST,
+            address,
+            &path,
+            &headers,
+            Bytes::from(body),
+            REPORT_TIMEOUT,
+        )
         .await
         .map_err(|_error| Failure::Unreachable)?;
-    if response.status == StatusCode::NOT_FOUND {
-        return Err(Failure::Unregistered);
-    }
-    if !response.status.is_success() {
-        return Err(Failure::Unreachable);
+    match response.status {
+        StatusCode::NOT_FOUND => return Err(Failure::Unregistered),
+        StatusCode::BAD_REQUEST => return Err(Failure::Refused),
+        status if !status.is_success() => return Err(Failure::Unreachable),
+        _ => {}
     }
-    serde_json::from_slice(&response.body).map_err(|_error| Failure::Unreachable)
+    let reply: compact::Reply =
+        postcard::from_bytes(&response.body).map_err(|_error| Failure::Unreachable)?;
+    Ok((reply.into(), response.address))
 }
