capacity: measure reports through a gateway, and a zone with starts

Cause: the page took typical sizes of HTTP heads and one report for each start and end; no daemon was measured with starts. The page takes one replaced report for each answer at peak, and assumes that half of the runs changed their use in each report without starts.

--- a/crates/bench/benches/capacity/choices.rs
+++ b/crates/bench/benches/capacity/choices.rs
@@ -8,7 +8,7 @@
 use serde::{Serialize, de::DeserializeOwned};
 use tokio::sync::watch;
 
-use crate::{count, line, links, replication};
+use crate::{count, line, links, replication, reports};
 
 const SYNCS: u64 = 60;
 
@@ -26,7 +26,10 @@
         "append with 15 entries of one command",
         &replication::frame(append(15, 1)),
     );
-    codec("report of a worker with 6 tasks", &links::report(6));
+    codec(
+        "full report of a worker with 6 tasks",
+        &reports::report(6, 0, None),
+    );
     line::head("Views and the disk");
     line::fit(
         "time to read a view through a watch channel",
--- a/crates/bench/benches/capacity/daemons.rs
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -11,7 +11,8 @@
 
 use bronzespoke_daemon::{daemon, settings};
 use bronzespoke_model::{id, resource, vm, worker};
-use bronzespoke_standin::{ledger, worker as standin};
+use bronzespoke_standin::{client, ledger, worker as standin};
+use http::Method;
 use tokio_util::sync::CancellationToken;
 
 use crate::{count, line};
@@ -21,12 +22,15 @@
 const START_LIMIT: Duration = Duration::from_mins(1);
 /// Threads that only work for daemons, by the first letters of their names.
 const DAEMON_THREADS: [&str; 3] = ["control", "traffic", "disk"];
+/// Jobs of 50 tasks, enough for the whole measurement at the target rate of starts.
+const JOBS: u64 = 105;
 /// Clock ticks in a second on Linux.
 const TICKS: f64 = 100.0;
 
 struct Cell {
     daemons: Vec<daemon::Daemon>,
     http: Vec<SocketAddr>,
+    rpc: SocketAddr,
     _folder: tempfile::TempDir,
 }
 
@@ -55,6 +59,7 @@
             bound.push((settings, listeners));
         }
         let peers: Vec<_> = bound.iter().map(|(settings, _)| settings.peer).collect();
+        let rpc = bound[0].0.rpc;
         let http = bound.iter().map(|(settings, _)| settings.http).collect();
         let start = |(mut settings, listeners): (settings::Settings, daemon::Listeners)| {
             settings.seeds = peers
@@ -74,6 +79,7 @@
         Self {
             daemons,
             http,
+            rpc,
             _folder: folder,
         }
     }
@@ -156,41 +162,154 @@
     stats.filter_map(thread).collect()
 }
 
-fn workers(count: u64) -> Second {
-    let runtime = tokio::runtime::Builder::new_multi_thread()
-        .worker_threads(1)
-        .thread_name("standin")
-        .enable_all()
-        .build()
-        .expect("a runtime starts");
-    let cell = Cell::start(3);
-    let cancel = CancellationToken::new();
-    let ledger = Arc::new(ledger::Ledger::default());
-    for worker in 0..count {
-        let registration = worker::Registration {
-            worker,
-            incarnation: 1,
-            rack: (worker / 8) as id::RackId,
-            capacity: resource::Capacity {
-                amount: resource::Amount::new(64_000, 131_072, 0),
-                accelerator: 0,
-            },
-        };
-        let options = standin::Options {
-            registration,
-            entries: cell.http[..2].to_vec(),
-            fails_everything: false,
+/// Stand-in workers of one zone, outside the threads that count.
+struct Fleet {
+    runtime: tokio::runtime::Runtime,
+    ledger: Arc<ledger::Ledger>,
+    cancel: CancellationToken,
+}
+
+impl Fleet {
+    fn start(cell: &Cell, count: u64, cpu_milli: u32) -> Self {
+        let runtime = tokio::runtime::Builder::new_multi_thread()
+            .worker_threads(1)
+            .thread_name("standin")
+            .enable_all()
+            .build()
+            .expect("a runtime starts");
+        let cancel = CancellationToken::new();
+        let ledger = Arc::new(ledger::Ledger::default());
+        for worker in 0..count {
+            let registration = worker::Registration {
+                worker,
+                incarnation: 1,
+                rack: (worker / 8) as id::RackId,
+                capacity: resource::Capacity {
+                    amount: resource::Amount::new(cpu_milli, 131_072, 0),
+                    accelerator: 0,
+                },
+            };
+            let options = standin::Options {
+                registration,
+                entries: cell.http[..2].to_vec(),
+                fails_everything: false,
+            };
+            runtime.spawn(standin::run(options, Arc::clone(&ledger), cancel.child_token()));
+        }
+        Self {
+            runtime,
+            ledger,
+            cancel,
+        }
+    }
+
+    fn stop(self) {
+        self.cancel.cancel();
+        self.runtime.shutdown_timeout(Duration::from_secs(1));
+    }
+
+    /// Sends a request to a daemon and returns the answer.
+    fn call(&self, method: Method, address: SocketAddr, path: &str, key: &str, body: String) -> String {
+        let client = client::Client::new();
+        let headers = [
+            ("content-type", "application/json"),
+            ("authorization", &format!("Bearer {key}")),
+        ];
+        let call = client.call(method, address, path, &headers, body.into(), START_LIMIT);
+        let answer = self.runtime.block_on(call).expect("the daemon answers");
+        String::from_utf8_lossy(&answer.body).into_owned()
+    }
+
+    fn operator(&self, cell: &Cell, line: &str) -> String {
+        let request = serde_json::json!({"jsonrpc": "2.0", "id": 1, "method": "operator_execute", "params": [line, null]});
+        self.call(Method::POST, cell.rpc, "/", "", request.to_string())
+    }
+
+    /// Reports that the daemons answered so far.
+    fn answers(&self, cell: &Cell) -> f64 {
+        let metrics = self.call(Method::GET, cell.http[0], "/metrics", "", String::new());
+        let answered = |line: &str| {
+            let wanted = line.starts_with("bronzespoke_requests_total") && line.contains("worker");
+            let counted = wanted && line.contains("200");
+            counted.then(|| line.rsplit(' ').next()?.parse::<f64>().ok())?
         };
-        runtime.spawn(standin::run(options, Arc::clone(&ledger), cancel.child_token()));
+        metrics.lines().filter_map(answered).sum()
     }
+}
+
+fn workers(count: u64) -> Second {
+    let cell = Cell::start(3);
+    let fleet = Fleet::start(&cell, count, 64_000);
     thread::sleep(SETTLE);
     let second = cell.second();
-    cancel.cancel();
+    fleet.stop();
     cell.stop();
-    runtime.shutdown_timeout(Duration::from_secs(1));
     second
 }
 
+/// What a zone with the workers, running tasks and starts of the target size costs.
+#[derive(Debug, Clone, Copy)]
+pub struct Loaded {
+    /// Starts in a second.
+    pub starts: f64,
+    /// Answers to reports in a second.
+    pub answers: f64,
+    /// Microseconds of all threads of six daemons in a second.
+    pub micros: f64,
+}
+
+/// Runs jobs with tasks of 6.8 s on average in one zone of three, with room for six tasks on each worker.
+fn loaded() -> Loaded {
+    let cell = Cell::start(3);
+    let fleet = Fleet::start(&cell, 165, 60_000);
+    fleet.operator(
+        &cell,
+        "create team judo weight=1 cpu=100000 memory=400TiB accelerators=0 requests=10",
+    );
+    let granted = fleet.operator(&cell, "grant key to team judo");
+    let key = granted
+        .split(|byte: char| !byte.is_ascii_alphanumeric() && byte != '-' && byte != '_')
+        .find(|word| word.len() > 40)
+        .unwrap_or_else(|| panic!("no key in {granted}"));
+    // The parts of the team's limit go to the zones that ask for them.
+    thread::sleep(SETTLE);
+    for number in 0..JOBS {
+        // Run times of 3.4 s to 10.2 s, so that the ends do not come in waves.
+        let sleep = 3400 + number * 7 % 21 * 340;
+        let job = serde_json::json!({
+            "kind": "batch",
+            "tasks": 50,
+            "size": {"cpu_milli": 10_000, "memory_mib": 1024},
+            "command": format!("sleep {sleep}"),
+        });
+        let accepted = fleet.call(Method::POST, cell.http[0], "/v2/jobs", key, job.to_string());
+        assert!(accepted.contains("job"), "{accepted}");
+    }
+    thread::sleep(MEASURE + SETTLE);
+    let (starts, answers) = (fleet.ledger.totals().starts, fleet.answers(&cell));
+    let second = cell.second();
+    let seconds = MEASURE.as_secs_f64();
+    let totals = fleet.ledger.totals();
+    let loaded = Loaded {
+        starts: (totals.starts - starts) as f64 / seconds,
+        answers: (fleet.answers(&cell) - answers) / seconds,
+        micros: second.micros,
+    };
+    println!(
+        "\n165 workers of one zone with up to {} running tasks, {} starts and as many ends a second: {} answers to reports a \
+         second, {} % of a core for all threads of six daemons. Tasks in two places: {}, workers over their size: {}.",
+        totals.most_running,
+        line::short(loaded.starts),
+        line::short(loaded.answers),
+        line::short(loaded.micros / 1e4),
+        totals.doubled,
+        totals.overfilled,
+    );
+    fleet.stop();
+    cell.stop();
+    loaded
+}
+
 /// Slopes of whole daemons.
 #[derive(Debug)]
 pub struct Slopes {
@@ -198,6 +317,8 @@
     pub idle: line::Line,
     /// Microseconds of all threads of six daemons in a second, by idle workers of one zone.
     pub workers: line::Line,
+    /// A zone with starts and ends.
+    pub loaded: Loaded,
 }
 
 /// Measures and prints.
@@ -231,12 +352,17 @@
         "µs/s",
         &|vms, second| second.micros / vms,
     );
-    let loaded = [0, 330, 660, 990].map(|count| (count as f64, workers(count).micros));
+    let idle_workers = [0, 330, 660, 990].map(|count| (count as f64, workers(count).micros));
     let workers = line::fit(
         "time of all threads of six daemons",
         "idle workers of one zone",
         "µs/s",
-        &loaded,
+        &idle_workers,
     );
-    Slopes { idle, workers }
+    let loaded = loaded();
+    Slopes {
+        idle,
+        workers,
+        loaded,
+    }
 }
--- a/crates/bench/benches/capacity/links.rs
+++ b/crates/bench/benches/capacity/links.rs
@@ -1,4 +1,4 @@
-//! Announcements between daemons, workers' reports, and the cost of a frame on a loopback connection.
+//! Announcements between daemons, and the cost of a frame on a loopback connection.
 
 use std::{
     hint::black_box,
@@ -7,17 +7,11 @@
 };
 
 use bronzespoke_daemon::peer::wire;
-use bronzespoke_model::{id, resource, task, worker};
+use bronzespoke_model::id;
 use bytes::Bytes;
 
 use crate::{count, line, replication, state};
 
-/// Head of a worker's report as the stand-in sends it, and of its answer; sizes of typical header fields.
-const REQUEST_HEAD: &str = "POST /v2/workers/12345678901234567/report HTTP/1.1\r\ncontent-type: application/json\r\n\
-                            host: 10.0.0.1:20091\r\ncontent-length: 1000\r\n\r\n";
-const REPLY_HEAD: &str = "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\ncontent-length: 100\r\n\
-                          date: Fri, 04 Dec 2026 10:00:00 GMT\r\n\r\n";
-
 /// Slopes of links.
 #[derive(Debug)]
 pub struct Slopes {
@@ -27,10 +21,6 @@
     pub codec: [line::Line; 2],
     /// Microseconds to write and read a frame on loopback by its bytes.
     pub socket: line::Line,
-    /// Bytes of a report with its head by running tasks, and of a reply with its head by starts.
-    pub report: [line::Line; 2],
-    /// Microseconds to decode a report by running tasks, and to encode a reply by starts.
-    pub report_micros: [line::Line; 2],
 }
 
 /// Returns an announcement of a daemon that leads some groups.
@@ -51,47 +41,6 @@
     replication::frame(wire::Body::Reply(1, wire::Reply::Answer(answer)))
 }
 
-/// Returns a report of a worker with tasks in one zone.
-pub fn report(tasks: u32) -> worker::Report {
-    let running = (0..tasks)
-        .map(|number| worker::Running {
-            task: task::Ref {
-                job: id::job(9, 500_000 + u64::from(number)),
-                index: number,
-            },
-            token: (1 << 32) + u64::from(number),
-            usage: resource::Amount::new(3817, 7421, 0),
-        })
-        .collect();
-    worker::Report {
-        worker: 12_345_678_901_234_567,
-        incarnation: state::NOW_MS,
-        sequence: 100_000,
-        base: None,
-        running,
-        ended: Vec::new(),
-    }
-}
-
-fn reply(starts: u32) -> worker::Reply {
-    let directives = (0..starts)
-        .map(|number| task::Directive::Start {
-            task: task::Ref {
-                job: id::job(9, 500_000 + u64::from(number)),
-                index: number,
-            },
-            token: (1 << 32) + u64::from(number),
-            granted: resource::Amount::new(4000, 8192, 0),
-            command: String::from("reconcile --federation judo --tournament 2026-11 --belts all"),
-        })
-        .collect();
-    worker::Reply {
-        acknowledged: 100_000,
-        lease_ms: 10_000,
-        directives,
-    }
-}
-
 /// Measures and prints.
 pub fn measure() -> Slopes {
     line::head("Announcements and frames (`crates/daemon/src/peer`)");
@@ -126,59 +75,7 @@
         "µs",
         &sockets(&sizes),
     );
-    line::head("Workers' reports (`crates/daemon/src/control/session.rs`, JSON over HTTP)");
-    let tasks = [1, 3, 6, 12, 24];
-    let starts = [0, 1, 2, 4];
-    let bytes = |value: &Vec<u8>, head: &str| (value.len() + head.len()) as f64;
-    let json = |tasks| serde_json::to_vec(&report(tasks)).expect("a report is plain data");
-    let answer = |starts| serde_json::to_vec(&reply(starts)).expect("a reply is plain data");
-    let report_bytes = [
-        line::fit(
-            "report with its head",
-            "running tasks",
-            "B",
-            &tasks.map(|tasks| (f64::from(tasks), bytes(&json(tasks), REQUEST_HEAD))),
-        ),
-        line::fit(
-            "reply with its head",
-            "starts",
-            "B",
-            &starts.map(|starts| (f64::from(starts), bytes(&answer(starts), REPLY_HEAD))),
-        ),
-    ];
-    let report_micros = [
-        line::fit(
-            "time to decode a report",
-            "running tasks",
-            "µs",
-            &tasks.map(|tasks| {
-                let json = json(tasks);
-                (
-                    f64::from(tasks),
-                    count::micros(|| drop(black_box(serde_json::from_slice::<worker::Report>(&json)))),
-                )
-            }),
-        ),
-        line::fit(
-            "time to encode a reply",
-            "starts",
-            "µs",
-            &starts.map(|starts| {
-                let reply = reply(starts);
-                (
-                    f64::from(starts),
-                    count::micros(|| drop(black_box(serde_json::to_vec(&reply)))),
-                )
-            }),
-        ),
-    ];
-    Slopes {
-        hello,
-        codec,
-        socket,
-        report: report_bytes,
-        report_micros,
-    }
+    Slopes { hello, codec, socket }
 }
 
 fn sockets(sizes: &[usize]) -> Vec<(f64, f64)> {
--- a/crates/bench/benches/capacity/main.rs
+++ b/crates/bench/benches/capacity/main.rs
@@ -9,6 +9,7 @@
 mod line;
 mod links;
 mod replication;
+mod reports;
 mod role;
 mod scheduler;
 mod soft;
@@ -25,6 +26,7 @@
         root: state::measure_root(),
         replication: replication::measure(),
         links: links::measure(),
+        reports: reports::measure(),
         soft: soft::measure(),
         daemons: daemons::measure(),
     };
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -2,7 +2,7 @@
 
 use std::ops::Add;
 
-use crate::{daemons, line::short, links, replication, scheduler, soft, state};
+use crate::{daemons, line::short, links, replication, reports, scheduler, soft, state};
 
 const ZONES: f64 = 17.0;
 const VMS: f64 = 34.0;
@@ -20,6 +20,10 @@
 const CHANGES: f64 = 3600.0 / 86_400.0;
 const TARGETS: f64 = 1000.0;
 const REPORT_SECONDS: f64 = 3.0;
+/// A frame of HTTP/2 that ends a request whose answer is not wanted any more.
+const RESET_BYTES: f64 = 13.0;
+/// Part of the runs whose use changed by enough to be named again in a report without starts. An assumption.
+const CHANGED_USE: f64 = 0.5;
 /// Full tables of `crates/control/src/zone/claims.rs` and `crates/control/src/dedupe.rs`.
 const REQUEST_IDS: f64 = 49_152.0;
 const COMMAND_IDS: f64 = 65_536.0;
@@ -50,8 +54,10 @@
     pub root: state::RootSlopes,
     /// Replication and the feed.
     pub replication: replication::Slopes,
-    /// Announcements, frames, reports.
+    /// Announcements, frames.
     pub links: links::Slopes,
+    /// Workers' reports.
+    pub reports: reports::Slopes,
     /// Soft state.
     pub soft: soft::Slopes,
     /// Whole daemons.
@@ -241,20 +247,28 @@
         }
     }
 
-    /// Reports of all workers of the zone. A start answers the held report at once, and an end is reported at once, so
-    /// each of them brings one more report and reply at most.
+    /// Reports of all workers of the zone. With starts, the rate of answers is the one of the loaded zone. Each answer is
+    /// followed by a report, and at most one more replaces it, to name an end.
     fn reports(&self, starts: f64) -> Cost {
-        let reports = WORKERS / REPORT_SECONDS + 2.0 * starts;
-        let report = self.links.report[0].at(RUNNING_PER_WORKER);
-        let (empty, directive) = (self.links.report[1].fixed, self.links.report[1].slope);
-        let (sent, received) = (reports * empty + starts * directive, reports * report);
-        // The measured reports are empty; tasks add what their JSON and the scheduler take.
-        let tasks = RUNNING_PER_WORKER * (self.links.report_micros[0].slope + self.scheduler.report.slope);
-        let micros = self.daemons.workers.slope * REPORT_SECONDS + tasks;
+        let idle = WORKERS / REPORT_SECONDS;
+        let loaded = &self.daemons.loaded;
+        let answers = idle.max(starts * loaded.answers / loaded.starts);
+        let replaced = if starts > 0.0 { answers } else { 0.0 };
+        let reports = answers + replaced;
+        let changed = WORKERS / REPORT_SECONDS * RUNNING_PER_WORKER * CHANGED_USE + starts;
+        let [runs, ends] = &self.reports.report;
+        let received =
+            reports * runs.fixed + changed * runs.slope + starts * ends.slope + replaced * RESET_BYTES;
+        let sent = answers * self.reports.answer.fixed + starts * self.reports.answer.slope;
+        // The measured reports are empty; what they name and the tasks of the scheduler's full view come on top.
+        let micros = reports * self.daemons.workers.slope * REPORT_SECONDS
+            + (changed + starts) * self.reports.micros[0].slope
+            + starts * self.reports.micros[1].slope
+            + reports * RUNNING_PER_WORKER * self.scheduler.report.slope;
         Cost {
             sent,
             received,
-            micros: reports * micros + starts * self.links.report_micros[1].slope,
+            micros,
             bytes: 0.0,
         }
     }
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -130,12 +130,12 @@
     }
 }
 
-fn reply(acknowledged: u64, directives: Vec<task::Directive>) -> Result<worker::Reply, control::Refusal> {
-    Ok(worker::Reply {
+fn reply(acknowledged: u64, directives: Vec<task::Directive>) -> worker::Reply {
+    worker::Reply {
         acknowledged,
         lease_ms: 10_000,
         directives,
-    })
+    }
 }
 
 async fn next_report(
@@ -153,7 +153,7 @@
     }
 }
 
-async fn worker_of(cell: &common::Cell) -> CancellationToken {
+fn worker_of(cell: &common::Cell) -> CancellationToken {
     let options = standin::Options {
         registration: worker::Registration {
             worker: 3,
@@ -178,11 +178,11 @@
 #[tokio::test]
 async fn a_report_with_ends_waits_for_its_answer() {
     let (cell, mut calls) = common::patient().await;
-    let cancel = worker_of(&cell).await;
+    let cancel = worker_of(&cell);
     let (first, answer) = next_report(&mut calls).await;
     let starts = (1..=20).map(|number| start(number, &format!("sleep {}", number * 100)));
     answer
-        .send(reply(first.sequence, starts.collect()))
+        .send(Ok(reply(first.sequence, starts.collect())))
         .expect("the worker waits");
     let (mut answered, mut ends) = (0, 0);
     while ends < 20 {
@@ -193,7 +193,7 @@
         // Longer than the pause before an end is reported, and several runs end meanwhile.
         tokio::time::sleep(Duration::from_millis(700)).await;
         ends += report.ended.len();
-        let sent = answer.send(reply(report.sequence, Vec::new()));
+        let sent = answer.send(Ok(reply(report.sequence, Vec::new())));
         assert!(sent.is_ok(), "report {} was replaced", report.sequence);
         answered += 1;
     }
@@ -206,16 +206,19 @@
 #[tokio::test]
 async fn a_refused_change_is_followed_by_a_full_report() {
     let (cell, mut calls) = common::patient().await;
-    let cancel = worker_of(&cell).await;
+    let cancel = worker_of(&cell);
     let (first, answer) = next_report(&mut calls).await;
     assert_eq!(first.base, None);
     answer
-        .send(reply(first.sequence, vec![start(1, "serve"), start(2, "serve")]))
+        .send(Ok(reply(
+            first.sequence,
+            vec![start(1, "serve"), start(2, "serve")],
+        )))
         .expect("the worker waits");
     let (second, answer) = next_report(&mut calls).await;
     assert_eq!((second.base, second.running.len()), (Some(first.sequence), 2));
     answer
-        .send(reply(second.sequence, Vec::new()))
+        .send(Ok(reply(second.sequence, Vec::new())))
         .expect("the worker waits");
     let (third, answer) = next_report(&mut calls).await;
     assert_eq!((third.base, third.running.len()), (Some(second.sequence), 0));
