--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -19,7 +19,7 @@
 /// Lease that an answered report renews, counted from when the worker sent it.
 pub const LEASE: Duration = Duration::from_secs(10);
 /// Shortest time between two answers to a worker when neither is urgent, so that starts and acknowledgements share one.
-/// With the same pause of the worker before an end, it leaves 0.6 s of the 1.6 s in which urgent work starts.
+/// Workers keep ends back for as long; an urgent start does not wait, so that it has 1 s left of its 1.6 s after an end.
 pub const COLLECT: Duration = Duration::from_millis(500);
 /// Longest time that a report waits for directives. A third of the lease, so that two lost reports do no harm.
 pub const HOLD: Duration = Duration::from_secs(3);
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -25,8 +25,8 @@
 const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 /// Pause after a failed call.
 const RETRY_PAUSE: Duration = Duration::from_millis(100);
-/// Shortest time between two reports that only ends of runs call for. Together with the pause of the leader before an
-/// answer it must stay well below the 1.6 s in which urgent work starts.
+/// Shortest time between two reports that only ends of runs call for. It must stay well below the 1.6 s in which urgent
+/// work starts, because that may need the room of a run that ended.
 const COLLECT: Duration = Duration::from_millis(500);
 /// Tokens of ended runs that are remembered, so that a late directive does not start them again.
 const REMEMBERED_TOKENS: usize = 4096;
