--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -22,7 +22,7 @@
 mod scheduling;
 pub mod search;
 mod serve;
-mod session;
+pub mod session;
 mod submissions;
 mod targets;
 mod zone;
