--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -2,7 +2,7 @@
 
 use std::{sync::Arc, time::Duration};
 
-use bronzespoke_consensus::{membership, replica};
+use bronzespoke_consensus::replica;
 use bronzespoke_gateway::control as gateway;
 use bronzespoke_gossip as gossip;
 use bronzespoke_model::{id, vm};
@@ -10,7 +10,7 @@
 
 use crate::{
     control::{
-        Controller, Inbox, Listing, Message, Published, asks, claims, context, member, root, targets, zone,
+        Controller, Inbox, Listing, Message, Published, asks, claims, context, responder, root, targets,
     },
     disk, settings,
 };
@@ -95,6 +95,11 @@
             known: std::collections::BTreeSet::new(),
             asks: asks::Asks::default(),
             claims: claims::Claims::default(),
+            ends: claims::Ends::default(),
+            former: claims::Former::default(),
+            closed: std::collections::BTreeMap::new(),
+            opened: 0,
+            reopen_at: std::collections::BTreeMap::new(),
             scheduling: None,
             targets_changed: false,
             listing: Listing::Unlisted,
@@ -114,68 +119,10 @@
             inbox,
             published,
         };
-        controller.reopen()?;
+        controller.open_stored()?;
         Ok(controller)
     }
 
-    /// Opens the groups that the data folder holds. A group that cannot be opened stops the start: without the log
-    /// and the votes that it promised to keep, this VM must not take part under its old id.
-    fn reopen(&mut self) -> Result<(), bronzespoke_storage::Error> {
-        let Some(folder) = self.settings.data.clone() else {
-            return Ok(());
-        };
-        for group in disk::groups(&folder) {
-            let member = self.try_open(group, None)?;
-            match group {
-                id::GroupId::Root => self.root.promote(self.context.now(), member),
-                id::GroupId::Zone(zone) => self.add_zone(zone, member),
-            }
-        }
-        Ok(())
-    }
-
-    /// Opens a replica of a group; a failure is logged and leaves the VM without it.
-    pub(super) fn open(
-        &self,
-        group: id::GroupId,
-        found: Option<membership::Membership>,
-    ) -> Option<member::Member> {
-        let opened = self.try_open(group, found);
-        opened
-            .inspect_err(|error| log::error!("disk: {group:?} cannot be opened: {error}"))
-            .ok()
-    }
-
-    fn try_open(
-        &self,
-        group: id::GroupId,
-        found: Option<membership::Membership>,
-    ) -> Result<member::Member, bronzespoke_storage::Error> {
-        let salt = match group {
-            id::GroupId::Root => 0,
-            id::GroupId::Zone(zone) => u64::from(zone) + 1,
-        };
-        // The seed differs at every start, as the replica demands of its answer tokens.
-        let seed = self.settings.random_seed ^ (salt << 32) ^ context::Context::wall_ms();
-        let config = replica::Config::new(self.context.me.id, group, seed);
-        let inbox = self.inbox.clone();
-        let notify: disk::Notify = Box::new(move |done| inbox.send(Message::Persisted(done)));
-        member::Member::open(
-            config,
-            self.settings.data.as_deref(),
-            found,
-            notify,
-            self.context.now(),
-        )
-    }
-
-    /// Takes part in a zone group with an opened replica.
-    pub(super) fn add_zone(&mut self, zone: id::AvailabilityZoneId, member: member::Member) {
-        let mut group = zone::Zone::new(zone, member, self.inbox.clone());
-        group.step(&self.context, replica::Input::Tick);
-        self.zones.insert(zone, group);
-    }
-
     fn handle(&mut self, message: Message) {
         match message {
             Message::Frame(frame, permit) => {
@@ -188,15 +135,20 @@
             }
             Message::Operator(line, command, reply) => self.operator(&line, command, reply),
             Message::Directory(reply) => drop(reply.send(self.directory())),
-            Message::Persisted(done) => self.persisted(&done),
+            Message::Persisted(number, done) => self.persisted(number, &done),
             Message::Claimed(pending, answer) => self.claimed(pending, answer),
             Message::Abandoned(zone, number) => self.abandoned(zone, number),
+            Message::Unrecorded(end) => self.unrecorded(end),
+            Message::FormerEnded(zone, ended) => self.former_ended(zone, ended),
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
             Message::Found(submission, found) => self.found_submission(submission, found),
+            Message::Answered(number, reply) => self.asks.answer(&self.context, number, reply),
             Message::Await(force) => self.forces.push(force),
             Message::RootSnapshot(done) => self.root.snapshot_done(&self.context, done),
-            Message::ZoneSnapshot(zone, done) => {
-                if let Some(zone) = self.zones.get_mut(&zone) {
+            Message::ZoneSnapshot(zone, number, done) => {
+                // A replica that was opened again has a state of its own.
+                let zone = self.zones.get_mut(&zone);
+                if let Some(zone) = zone.filter(|zone| zone.member().number() == number) {
                     zone.snapshot_done(&self.context, done);
                 }
             }
@@ -213,7 +165,13 @@
         self.root.view().vms.values().cloned().collect()
     }
 
-    fn persisted(&mut self, done: &disk::Done) {
+    fn persisted(&mut self, number: u64, done: &disk::Done) {
+        let mut replicas = self.replicas();
+        if !replicas.any(|(group, member)| group == done.group && member.number() == number) {
+            // The write of a former replica says nothing about the present one, which counts its writes anew.
+            return;
+        }
+        drop(replicas);
         match done.group {
             id::GroupId::Root => self.root.persisted(&self.context, done),
             id::GroupId::Zone(zone) => {
@@ -244,9 +202,11 @@
         }
         self.gossip_tick(now);
         self.ask_tick();
+        self.record_ends();
         let own = self.context.me.place.zone;
         if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get_mut(&own)) {
-            scheduling.tick(&self.context, zone);
+            let view = Arc::clone(self.root.view());
+            scheduling.tick(&self.context, zone, &view);
         }
     }
 
@@ -263,9 +223,14 @@
 
     fn ask_tick(&mut self) {
         let mut asks = std::mem::take(&mut self.asks);
-        asks.tick(&self.context, &|group| self.leader(group));
+        let own = asks.tick(&self.context, &|group| self.leader(group));
         // Continuations only send messages, so no call was opened meanwhile.
         self.asks = asks;
+        for asks::Own { number, group, ask } in own {
+            let inbox = self.inbox.clone();
+            let then = Box::new(move |reply| inbox.send(Message::Answered(number, reply)));
+            self.serve(group, ask, responder::Responder::Local(then));
+        }
     }
 
     /// Makes sure that a tick comes when the next timer is due.
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,7 +5,7 @@
 
 mod actor;
 mod apply;
-mod asks;
+pub mod asks;
 mod calls;
 mod claims;
 pub mod context;
@@ -13,14 +13,17 @@
 mod directory;
 mod duties;
 mod force;
+mod groups;
 mod inbox;
-mod member;
+pub mod member;
 mod operator;
-mod responder;
+pub mod responder;
+mod restoration;
 mod root;
 mod scheduling;
+pub mod search;
 mod serve;
-mod session;
+pub mod session;
 mod snapshots;
 mod submissions;
 mod targets;
@@ -56,22 +59,28 @@
     Operator(String, Option<id::CommandId>, oneshot::Sender<answer::Answer>),
     /// The directory, for operators' programs.
     Directory(oneshot::Sender<Vec<vm::Vm>>),
-    /// The result of a write.
-    Persisted(disk::Done),
+    /// The result of a write of the replica that was opened under a number.
+    Persisted(u64, disk::Done),
     /// An owner's answer to a claim.
     Claimed(claims::Pending, wire::Reply),
     /// A claim that was granted after its caller had been refused.
     Abandoned(id::AvailabilityZoneId, u64),
+    /// The end of a claim that its owner did not record.
+    Unrecorded(claims::End),
+    /// Whether a zone has ended the claims of former processes of this VM.
+    FormerEnded(id::AvailabilityZoneId, bool),
     /// A zone's answer to a submission.
     Submitted(submissions::Submission, wire::Reply),
     /// What the zones know of a submission whose first attempt was lost.
-    Found(submissions::Submission, submissions::Found),
+    Found(submissions::Submission, search::Found),
+    /// This VM's answer to a call that it had sent to a former leader.
+    Answered(u64, wire::Reply),
     /// A committed command whose answer waits until it is in force.
     Await(force::Force),
     /// Work on a snapshot of the root state is done.
     RootSnapshot(snapshots::Done<root_state::State>),
-    /// Work on a snapshot of a zone state is done.
-    ZoneSnapshot(id::AvailabilityZoneId, snapshots::Done<zone_state::State>),
+    /// Work on a snapshot of a zone state is done, for the replica with this number.
+    ZoneSnapshot(id::AvailabilityZoneId, u64, snapshots::Done<zone_state::State>),
     /// A timer.
     Tick,
     /// Hand over what this VM leads; the answer comes when nothing is led any more, or after a short time.
@@ -117,6 +126,16 @@
     targets_changed: bool,
     asks: asks::Asks,
     claims: claims::Claims,
+    /// Ends of claims that have to be sent again.
+    ends: claims::Ends,
+    /// Claims of former processes of this VM.
+    former: claims::Former,
+    /// Groups that are not opened now.
+    closed: BTreeMap<id::GroupId, groups::Closed>,
+    /// Number of the replica that was opened last.
+    opened: u64,
+    /// When groups whose writes failed are opened again.
+    reopen_at: BTreeMap<id::GroupId, Duration>,
     /// Peer addresses learned from other daemons before the directory is known.
     known: BTreeSet<SocketAddr>,
     listing: Listing,
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -66,6 +66,22 @@
         self.member.settle();
     }
 
+    /// Ends the replica; commands that were not proposed are not done.
+    pub fn close(self, context: &context::Context) {
+        let mut batch = self.batch;
+        for responder in batch.take(context.now()).1 {
+            responder.answer(context, wire::Reply::NotLeader);
+        }
+        for event in self.events {
+            if let member::Event::Apply { responders, .. } = event {
+                for responder in responders {
+                    responder.answer(context, wire::Reply::Unknown);
+                }
+            }
+        }
+        self.member.close(context);
+    }
+
     /// Returns the state.
     pub const fn state(&self) -> &zone::State {
         &self.state
@@ -164,10 +180,10 @@
                 member::Event::Install(snapshot) => {
                     self.installing = true;
                     self.events = events.collect();
-                    let id = self.state.zone();
+                    let (id, number) = (self.state.zone(), self.member.number());
                     snapshots::offload(&self.inbox, move || {
                         let decoded = zone::State::decode(&snapshot.data).map(Box::new);
-                        Message::ZoneSnapshot(id, snapshots::Done::Decoded(decoded))
+                        Message::ZoneSnapshot(id, number, snapshots::Done::Decoded(decoded))
                     });
                     return applied;
                 }
@@ -175,11 +191,12 @@
         }
         if self.member.wants_snapshot() && !self.encoding {
             self.encoding = true;
-            let index = self.member.begin_snapshot();
+            let (index, number) = (self.member.begin_snapshot(), self.member.number());
             let state = self.state.clone();
             snapshots::offload(&self.inbox, move || {
                 let data = state.encode();
-                Message::ZoneSnapshot(state.zone(), snapshots::Done::Encoded { index, data })
+                let done = snapshots::Done::Encoded { index, data };
+                Message::ZoneSnapshot(state.zone(), number, done)
             });
         }
         applied
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -37,11 +37,12 @@
     pub(crate) fn place(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.fill_holds(now, out);
         self.place_gangs(now, out);
-        let mut left = self.config.placements_per_step;
+        let mut left = self.placements;
         self.fill_dirty(now, &mut left, out);
         if !self.fresh.is_empty() {
             self.take_turns(now, &mut left, out);
         }
+        self.placements = left;
         self.preempt(now, out);
         self.fill_holds(now, out);
         self.more |= !self.dirty.is_empty() || !self.fresh.is_empty();
@@ -93,7 +94,7 @@
         };
         let task = self.take_waiting(job);
         self.start(now, job, task, chosen, out);
-        *left > 0
+        true
     }
 
     /// Returns the job that is next in turn among those with room on a worker.
@@ -390,30 +391,20 @@
         let token = self.next_token;
         self.next_token += 1;
         let granted = self.jobs[job].size;
-        self.add_run(
-            now,
-            run::Record {
+        let record = run::Record::new(
+            run::Place {
                 job,
                 index: task,
                 worker,
                 rack: self.workers[worker].rack,
-                token,
-                size: granted,
-                started: now,
-                phase: run::Phase::Starting,
-                confirmed: false,
-                former: false,
-                seen: 0,
-                due: now + self.config.lease,
-                missing: 0,
-                throttle: 1000,
-                usage: resource::Amount::ZERO,
-                peak: resource::Amount::ZERO,
-                in_worker: 0,
-                in_job: 0,
-                credited: false,
             },
+            token,
+            granted,
+            now,
+            now + self.config.lease,
         );
+        self.add_run(now, record);
+        self.count_work();
         self.jobs[job].launched = true;
         self.counts.starts += 1;
         self.timers
@@ -430,7 +421,14 @@
     }
 
     /// Enters a run in all accounts.
-    pub(crate) fn add_run(&mut self, now: Duration, mut record: run::Record) {
+    fn add_run(&mut self, now: Duration, record: run::Record) {
+        let team = self.jobs[record.job].team;
+        self.add_run_quietly(record);
+        self.refresh_team(now, team);
+    }
+
+    /// Enters a run in all accounts; the caller brings the share of the team up to date.
+    pub(crate) fn add_run_quietly(&mut self, mut record: run::Record) {
         let (job, worker, rack) = (record.job, record.worker, record.rack);
         let (token, size) = (record.token, record.size);
         record.in_worker = self.workers[worker].runs.len() as u32;
@@ -451,7 +449,6 @@
         record.retries_milli = (record.retries_milli + RETRY_GAIN).min(RETRY_BUDGET);
         record.used = record.used.saturating_add(&size);
         self.track_active(team, was);
-        self.refresh_team(now, team);
     }
 
     /// Counts a service's run on its rack.
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -1,15 +1,19 @@
 //! Makes room for urgent work.
 //!
+//! The order of means is checkpoint, then throttle, then stop. A throttle gives back only the processors that a run
+//! uses above its grant, because the granted ones stay committed to it; whether it works shows in a later report, so
+//! it is tried only while the urgent job has waited no longer than one hold. It ends by the rule of `estimate`.
+//!
 //! Bounds: urgent runs are never stopped, so a stop cannot cause another; a team keeps its protected share; the
 //! number of stops in any second stays within the configured rate.
 
 use std::time::Duration;
 
-use bronzespoke_model::{job, resource};
+use bronzespoke_model::{id, job, resource};
 use rand::Rng;
 
+use crate::amount::{relieves, times};
 use crate::message::{Output, Reason};
-use crate::pass::submit::times;
 use crate::scheduler::Scheduler;
 use crate::{table, timer, worker};
 
@@ -26,16 +30,34 @@
 const TASKS_PER_PASS: u32 = 64;
 /// Workers compared for one urgent task.
 const COMPARED: usize = 48;
+/// Workers for which one pass weighs the runs, over all urgent tasks; the pass ends after the task that reaches it.
+const COMPARED_PER_PASS: usize = 2048;
 /// Core-seconds that a checkpoint counts as lost.
 const CHECKPOINT_COST: f64 = 1.0;
 /// Factor on the loss of runs that are not batch; a stopped gang task stops its whole gang.
 const OTHER_COST: f64 = 100.0;
 const WINDOW: Duration = Duration::from_secs(1);
 
-/// Runs to stop on one worker.
+/// Bounds of one pass, and the needs for which it found no room.
+struct Search {
+    tasks: u32,
+    workers: usize,
+    failed: Vec<(table::Team, resource::Amount, id::AcceleratorKind)>,
+}
+
+/// Means to get room, in the order in which they are used.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+enum Means {
+    Checkpoint,
+    Throttle,
+    Stop,
+}
+
+/// Runs to stop and to throttle on one worker.
 struct Victims {
     cost: f64,
     runs: Vec<table::Run>,
+    throttled: Vec<table::Run>,
 }
 
 impl Scheduler {
@@ -46,28 +68,38 @@
         }
         self.urgent_next = now + PASS_INTERVAL;
         self.timers.push(self.urgent_next, timer::Event::Urgent);
-        let mut left = TASKS_PER_PASS;
-        let waiting: Vec<_> = self
-            .urgent
-            .values()
-            .copied()
+        let mut search = Search {
+            tasks: TASKS_PER_PASS,
+            workers: COMPARED_PER_PASS,
+            failed: Vec::new(),
+        };
+        // A pass that reached its bound left off there, so that work without victims keeps no other from its turn.
+        let rest = self.urgent.range(self.urgent_from..);
+        let jobs = rest.chain(self.urgent.range(..self.urgent_from));
+        let waiting: Vec<_> = jobs
+            .map(|(&sequence, &index)| (sequence, index))
             .take(TASKS_PER_PASS as usize)
             .collect();
-        for index in waiting {
-            left = self.make_room(now, index, left, out);
-            if left == 0 {
+        self.urgent_from = 0;
+        for (sequence, index) in waiting {
+            if search.tasks == 0 || search.workers == 0 {
+                self.urgent_from = sequence;
                 return;
             }
+            self.make_room(now, index, &mut search, out);
         }
     }
 
-    /// Returns the bound that is left.
-    fn make_room(&mut self, now: Duration, index: table::Job, mut left: u32, out: &mut Vec<Output>) -> u32 {
+    fn make_room(&mut self, now: Duration, index: table::Job, search: &mut Search, out: &mut Vec<Output>) {
         let job = &self.jobs[index];
         let gang = job.kind == job::Kind::Gang;
         let blocked = job.lane.is_some_and(|lane| !self.entry(lane).fresh);
         if !blocked && !gang {
-            return left;
+            return;
+        }
+        let needs = (job.team, job.size, job.accelerator);
+        if job.holds.is_empty() && search.failed.contains(&needs) {
+            return;
         }
         let held: u32 = job
             .holds
@@ -79,19 +111,25 @@
         let (team, size) = (job.team, job.size);
         for wanted in held..job.waiting.len() {
             let sum = times(&size, whole.max(wanted + 1));
-            if left == 0 || !sum.is_some_and(|sum| self.teams[team].admits(&sum)) {
-                return left;
+            let admitted = sum.is_some_and(|sum| self.teams[team].admits(&sum));
+            if search.tasks == 0 || search.workers == 0 || !admitted {
+                return;
             }
-            left -= 1;
-            if !self.make_room_once(now, index, out) {
-                return left;
+            search.tasks -= 1;
+            if !self.make_room_once(now, index, search, out) {
+                return;
             }
         }
-        left
     }
 
     /// Makes room for one task on the worker where least work is lost.
-    fn make_room_once(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) -> bool {
+    fn make_room_once(
+        &mut self,
+        now: Duration,
+        index: table::Job,
+        search: &mut Search,
+        out: &mut Vec<Output>,
+    ) -> bool {
         let slots = self.workers.slots();
         let first = self.random.random_range(0..slots.max(1));
         let mut best: Option<(f64, table::Worker, Victims)> = None;
@@ -111,12 +149,19 @@
                 break;
             }
         }
+        self.counts.looks += compared as u64;
+        search.workers = search.workers.saturating_sub(compared);
         let Some((_, worker, victims)) = best else {
+            let job = &self.jobs[index];
+            search.failed.push((job.team, job.size, job.accelerator));
             return false;
         };
         if !self.take_rate(now, victims.runs.len()) {
             return false;
         }
+        for &run in &victims.throttled {
+            self.throttle(run, out);
+        }
         for &run in &victims.runs {
             self.counts.preempted += 1;
             self.counts.lost_core_seconds += self.loss(now, run);
@@ -164,6 +209,7 @@
         if !need.fits(&record.capacity.amount) {
             return None;
         }
+        let early = now.saturating_sub(job.submitted) <= HOLD;
         let mut room = record.free();
         let mut candidates = Vec::new();
         for &run in &record.runs {
@@ -171,26 +217,36 @@
             if other.is_ending() {
                 room = room.saturating_add(&other.size);
             } else if self.jobs[other.job].priority == job::Priority::Normal && !other.former {
-                candidates.push((self.loss(now, run), run));
+                let gentle = self.is_checkpointable(other.job) && other.confirmed;
+                let means = if gentle { Means::Checkpoint } else { Means::Stop };
+                candidates.push((means, self.loss(now, run), run, other.size));
+                let excess = self.throttled_room(run);
+                if !gentle && early && !excess.is_zero() {
+                    candidates.push((Means::Throttle, 0.0, run, excess));
+                }
             }
         }
-        candidates.sort_unstable_by(|left, right| left.0.total_cmp(&right.0));
+        candidates.sort_unstable_by(|left, right| left.0.cmp(&right.0).then(left.1.total_cmp(&right.1)));
         let mut victims = Victims {
             cost: 0.0,
             runs: Vec::new(),
+            throttled: Vec::new(),
         };
         let mut taken: Vec<(table::Team, resource::Amount)> = Vec::new();
-        for (cost, run) in candidates {
+        for (means, cost, run, size) in candidates {
             let short = need.saturating_sub(&room);
             if short.is_zero() {
                 break;
             }
-            let size = self.runs[run].size;
-            let helps = (short.cpu_milli > 0 && size.cpu_milli > 0)
-                || (short.memory_mib > 0 && size.memory_mib > 0)
-                || (short.accelerators > 0 && size.accelerators > 0);
+            if means == Means::Throttle {
+                if relieves(&size, &short) {
+                    room = room.saturating_add(&size);
+                    victims.throttled.push(run);
+                }
+                continue;
+            }
             let team = self.jobs[self.runs[run].job].team;
-            if !helps || (team != job.team && !self.keeps_share(team, &size, &mut taken)) {
+            if !relieves(&size, &short) || (team != job.team && !self.keeps_share(team, &size, &mut taken)) {
                 continue;
             }
             room = room.saturating_add(&size);
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -2,14 +2,15 @@
 
 use std::time::Duration;
 
-use bronzespoke_model::{id, job as model, resource};
+use bronzespoke_model::{id, job as model};
 
+use crate::amount::{slots, times};
 use crate::message::Output;
 use crate::scheduler::Scheduler;
 use crate::{job, range, table, timer};
 
-/// Jobs that one step checks; 100,000 jobs at once would take tens of milliseconds.
-const CHECKED: usize = 4096;
+/// Jobs that one step checks; 100,000 jobs at once would take tens of milliseconds, and each may be told.
+const CHECKED: usize = 512;
 /// Interval between the steps of one check.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -44,6 +45,9 @@
         }
         self.jobs[index].size = self.estimated_size(index);
         self.enqueue(index);
+        if self.restored.is_some() && spec.kind == model::Kind::Gang {
+            self.try_gang(now, index, out);
+        }
     }
 
     /// Enters a job; the caller queues it.
@@ -79,6 +83,8 @@
             sequence,
             waiting,
             runs: Vec::new(),
+            stop: None,
+            launch: Vec::new(),
             spread: Vec::new(),
             lane: None,
             holds: Vec::new(),
@@ -157,21 +163,3 @@
         job.impossible = reason;
     }
 }
-
-/// Returns how many tasks of a size fit into an amount.
-pub(crate) fn slots(amount: &resource::Amount, size: &resource::Amount) -> u32 {
-    let times = |all: u32, one: u32| all.checked_div(one).unwrap_or(model::MAX_TASKS);
-    times(amount.cpu_milli, size.cpu_milli)
-        .min(times(amount.memory_mib, size.memory_mib))
-        .min(times(amount.accelerators, size.accelerators))
-        .min(model::MAX_TASKS)
-}
-
-/// Returns a multiple of an amount; `None` on overflow.
-pub(crate) fn times(size: &resource::Amount, count: u32) -> Option<resource::Amount> {
-    Some(resource::Amount::new(
-        size.cpu_milli.checked_mul(count)?,
-        size.memory_mib.checked_mul(count)?,
-        size.accelerators.checked_mul(count)?,
-    ))
-}
--- a/crates/schedule/tests/behaviour/main.rs
+++ b/crates/schedule/tests/behaviour/main.rs
@@ -3,3 +3,5 @@
 mod cell;
 mod history;
 mod scenario;
+mod steps;
+mod throttle;
