--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -230,6 +230,7 @@
         work: Work,
     ) -> Result<worker::Reply, Refusal> {
         let report = worker::Report {
+            base: None,
             worker,
             incarnation: 1,
             sequence,
--- a/crates/schedule/tests/behaviour/steps.rs
+++ b/crates/schedule/tests/behaviour/steps.rs
@@ -230,6 +230,7 @@
         fixture.now += Duration::from_millis(100);
         for worker in 0..WORKERS {
             let report = worker::Report {
+                base: None,
                 worker,
                 incarnation: if fixture.ended > 0 && worker == 3 { 2 } else { 1 },
                 sequence: fixture.now.as_millis() as u64,
--- a/crates/schedule/tests/behaviour/throttle.rs
+++ b/crates/schedule/tests/behaviour/throttle.rs
@@ -80,6 +80,7 @@
             usage: resource::Amount::new(cpu, 1_000, 0),
         });
         let report = worker::Report {
+            base: None,
             worker: 1,
             incarnation: 1,
             sequence: self.sequence,
