--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -10,7 +10,7 @@
 
 use crate::{
     control::{
-        Controller, Inbox, Listing, Message, Published, asks, claims, context, responder, root, targets,
+        Controller, Inbox, Listing, Message, Published, asks, claims, context, responder, root, targets, zone,
     },
     disk, settings,
 };
--- a/crates/daemon/tests/member.rs
+++ b/crates/daemon/tests/member.rs
@@ -11,11 +11,11 @@
     replica::{Config, Input},
     snapshot,
 };
-use bronzespoke_control::root;
+use bronzespoke_control::{batch, root};
 use bronzespoke_daemon::{
     control::{
         context::Context,
-        member::{Event, Member},
+        member::{Batch, Event, Member},
         responder::Responder,
     },
     disk::Done,
@@ -105,9 +105,11 @@
         *answered.lock().expect("no holder panics") = Some(reply);
     }));
     let envelope = root::Envelope::new(0, root::Command::AddZone { place: PLACE });
+    let mut batch = Batch::default();
+    batch.push(driven.context.now(), envelope, responder, batch::Urgency::Prompt);
     driven
         .member
-        .propose_batch(&driven.context, &[envelope], vec![responder], &mut driven.events);
+        .propose_batch(&driven.context, &mut batch, &mut driven.events);
     // The proposal waits for others to share its message.
     tokio::time::sleep(Duration::from_millis(50)).await;
     driven.step(Input::Tick);
