--- a/crates/bench/src/policy/control.rs
+++ b/crates/bench/src/policy/control/mod.rs
@@ -1,8 +1,11 @@
 //! Policy measurements of `control`: bytes in the log and in snapshots, and how well parts follow demand.
 
-use std::{collections::BTreeMap, time::Duration};
+mod collection;
+mod escrow;
 
-use bronzespoke_control::{batch, demand, envelope, request_id, root, zone};
+use std::time::Duration;
+
+use bronzespoke_control::{envelope, request_id, root, zone};
 use bronzespoke_model::{id, job, resource::Amount, task, team, vm, worker};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -26,13 +29,13 @@
 pub fn rows(seed: u64, length: Length) -> Vec<Row> {
     let mut rows = Vec::new();
     log_bytes(seed, &mut rows);
-    collection(seed, &mut rows);
+    collection::collection(seed, &mut rows);
     let zone = zone_state(seed, CELL_JOBS, &mut rows);
     let witnessed = zone_state(seed, CELL_JOBS / ZONES as u32, &mut Vec::new());
     let root = root_state(seed, &mut rows);
     memory_row("root_and_zone", root + zone, &mut rows);
     memory_row("root_zone_and_witnessed_zone", root + zone + witnessed, &mut rows);
-    escrow(seed, length, &mut rows);
+    escrow::escrow(seed, length, &mut rows);
     rows
 }
 
@@ -134,72 +137,6 @@
     ));
 }
 
-/// Collects the starts and ends of a peak minute into entries, with one command for urgent work in a second. Returns the
-/// entries in a second, and the longest waits of routine and urgent commands in milliseconds.
-fn collect(seed: u64, routine: batch::Urgency) -> (f64, [f64; 2]) {
-    const SECONDS: u64 = 60;
-    let mut random = SmallRng::seed_from_u64(seed);
-    let mut batch = batch::Batch::default();
-    let (mut entries, mut waits) = (0, [0.0, 0.0]);
-    let end = Duration::from_secs(SECONDS);
-    let mut now = Duration::ZERO;
-    while now < end {
-        let gap = -random.random::<f64>().max(f64::MIN_POSITIVE).ln() / (2.0 * STARTS_PER_SECOND as f64);
-        now += Duration::from_secs_f64(gap);
-        while let Some(due) = batch.due().filter(|due| *due <= now) {
-            entries += 1;
-            for (kind, since) in batch.take(due).1 {
-                let wait = due.saturating_sub(since);
-                waits[kind] = f64::max(waits[kind], wait.as_secs_f64() * 1000.0);
-            }
-        }
-        let urgent = random.random::<f64>() < 0.5 / STARTS_PER_SECOND as f64;
-        let urgency = if urgent { batch::Urgency::Prompt } else { routine };
-        let command = envelope::Envelope::new(NOW_MS, ());
-        batch.push(now, command, (usize::from(urgent), now), urgency);
-    }
-    (f64::from(entries) / SECONDS as f64, waits)
-}
-
-fn collection(seed: u64, rows: &mut Vec<Row>) {
-    let (each, _) = collect(seed, batch::Urgency::Prompt);
-    let (collected, [routine, urgent]) = collect(seed, batch::Urgency::Routine);
-    let prompt = batch::PROMPT.as_secs_f64() * 1000.0;
-    let longest = batch::COLLECT.as_secs_f64() * 1000.0;
-    let source = "ten batches a second and one urgent command";
-    let entries = "control.log_entries_per_second_at_peak";
-    let waits = "control.command_wait_ms_at_peak";
-    rows.push(Row::new(
-        format!("{entries}.all_prompt"),
-        each,
-        "1/s",
-        Bound::None,
-        source,
-    ));
-    rows.push(Row::new(
-        format!("{entries}.collected"),
-        collected,
-        "1/s",
-        Bound::AtMost(12.0),
-        source,
-    ));
-    let source = "2 ms for urgent work, 100 ms for the rest";
-    rows.push(Row::new(
-        format!("{waits}.longest_routine"),
-        routine,
-        "ms",
-        Bound::AtMost(longest),
-        source,
-    ));
-    rows.push(Row::new(
-        format!("{waits}.longest_urgent"),
-        urgent,
-        "ms",
-        Bound::AtMost(prompt),
-        source,
-    ));
-}
-
 fn answer(bytes: usize) -> zone::Answer {
     zone::Answer {
         status: 200,
@@ -449,253 +386,3 @@
     memory_row("root_at_target_size", state.memory(), rows);
     state.memory()
 }
-
-/// Teams, limit per team in tasks, and steps of one second of the escrow runs.
-const ESCROW_TEAMS: u32 = 20;
-const ESCROW_LIMIT: u32 = 170;
-/// Seconds that a task runs.
-const TASK_SECONDS: u64 = 30;
-
-/// Zones whose tasks follow a demand, under parts from the root state or under fixed ones.
-struct Run {
-    root: root::State,
-    zones: Vec<Zone>,
-    jobs: BTreeMap<(id::TeamId, id::AvailabilityZoneId), (id::JobId, u32)>,
-    /// Runs by the second at which they end.
-    ends: BTreeMap<u64, Vec<(usize, task::Ref)>>,
-    reporters: Vec<demand::Reporter>,
-    table: demand::Table,
-    report_bytes: usize,
-    log_bytes: usize,
-    second: u64,
-}
-
-impl Run {
-    fn new(seed: u64, moving: bool) -> Self {
-        let limit = Amount::new(ESCROW_LIMIT * 1000, ESCROW_LIMIT, 0);
-        let part = if moving {
-            Amount::ZERO
-        } else {
-            Amount::new(limit.cpu_milli / ZONES as u32, limit.memory_mib / ZONES as u32, 0)
-        };
-        let mut run = Self {
-            root: root_at(seed, ESCROW_TEAMS, ZONES as u16, limit),
-            zones: (1..=ZONES as u16)
-                .map(|zone| Zone::new(zone, 8, ESCROW_TEAMS, part))
-                .collect(),
-            jobs: BTreeMap::new(),
-            ends: BTreeMap::new(),
-            reporters: (1..=ZONES as u16)
-                .map(|zone| demand::Reporter::new(zone, 1, Duration::ZERO))
-                .collect(),
-            table: demand::Table::new(Duration::ZERO),
-            report_bytes: 0,
-            log_bytes: 0,
-            second: 0,
-        };
-        for team in 1..=ESCROW_TEAMS {
-            for (number, zone) in run.zones.iter_mut().enumerate() {
-                let job = zone.submit(team, job::Kind::Service, job::MAX_TASKS);
-                run.jobs.insert((team, number as u16 + 1), (job, 0));
-            }
-        }
-        run
-    }
-
-    fn running(&self, team: id::TeamId, zone: usize) -> u32 {
-        let used = self.zones[zone].state.holdings().get(team).used;
-        (used.cpu_milli / 1000) as u32
-    }
-
-    /// One second: tasks end, zones start what they may, and each zone and the root exchange one message.
-    fn step(&mut self, demand: &BTreeMap<(id::TeamId, id::AvailabilityZoneId), u32>, moving: bool) {
-        self.second += 1;
-        for (zone, task) in self.ends.remove(&self.second).unwrap_or_default() {
-            self.zones[zone].end(task, task::Outcome::Stopped);
-        }
-        for (key, wanted) in demand {
-            let zone = usize::from(key.1) - 1;
-            let missing = wanted.saturating_sub(self.running(key.0, zone));
-            let free = self.zones[zone].state.holdings().get(key.0).free();
-            let count = missing
-                .min((free.cpu_milli / 1000) as u32)
-                .min(free.memory_mib as u32);
-            self.start(*key, count);
-        }
-        if moving {
-            self.exchange(demand);
-        }
-    }
-
-    fn start(&mut self, key: (id::TeamId, id::AvailabilityZoneId), count: u32) {
-        let Some((job, next)) = self.jobs.get_mut(&key) else {
-            return;
-        };
-        let zone = usize::from(key.1) - 1;
-        let first = *next % (job::MAX_TASKS - count);
-        *next = first + count;
-        self.zones[zone].start(*job, first..first + count, 8);
-        let tasks = (first..first + count).map(|index| (zone, task::Ref { job: *job, index }));
-        self.ends
-            .entry(self.second + TASK_SECONDS)
-            .or_default()
-            .extend(tasks);
-    }
-
-    fn exchange(&mut self, demand: &BTreeMap<(id::TeamId, id::AvailabilityZoneId), u32>) {
-        let view = self.root.view();
-        let now = Duration::from_secs(self.second);
-        for (number, zone) in self.zones.iter_mut().enumerate() {
-            let id = number as u16 + 1;
-            zone.run(zone::Command::Granted(view.granted(id)));
-            let released = zone.state.releases(|team| view.target(team, id));
-            if !released.is_empty() {
-                zone.run(zone::Command::Release(released));
-            }
-            let reporter = &mut self.reporters[number];
-            for ((team, _), tasks) in demand.iter().filter(|((_, zone), _)| *zone == id) {
-                let released = zone.state.holdings().get(*team).released;
-                reporter.set(*team, Amount::new(tasks * 1000, *tasks, 0), released);
-            }
-            if let Some(report) = reporter.report(now, 1)
-                && let Some(receipt) = self.table.receive(now, &report)
-            {
-                self.report_bytes += postcard::to_stdvec(&report).map_or(0, |bytes| bytes.len());
-                reporter.acknowledge(1, &receipt);
-            }
-        }
-        for (zone, released) in self.table.released(&self.root) {
-            self.log(root::Command::Released { zone, released });
-        }
-        let grants = root::rebalance(&self.root, &self.table.demand(now, &self.root));
-        if !grants.is_empty() {
-            self.log(root::Command::Grant(grants));
-        }
-    }
-
-    fn log(&mut self, command: root::Command) {
-        self.log_bytes += envelope::encode(&[envelope::Envelope::new(NOW_MS, command.clone())]).len();
-        apply(&mut self.root, None, command);
-    }
-}
-
-/// Demand that wanders: every ten seconds, some teams move their main zone.
-fn wander(
-    random: &mut SmallRng,
-    second: u64,
-    demand: &mut BTreeMap<(id::TeamId, id::AvailabilityZoneId), u32>,
-) {
-    for team in 1..=ESCROW_TEAMS {
-        let moves = second == 0 || (second.is_multiple_of(10) && random.random::<f64>() < 0.1);
-        let main = random.random_range(1..=ZONES as u16);
-        for zone in 1..=ZONES as u16 {
-            let tasks = demand.entry((team, zone)).or_default();
-            if moves {
-                let most = if zone == main { ESCROW_LIMIT * 3 / 4 } else { 6 };
-                *tasks = random.random_range(0..=most);
-            } else if random.random::<f64>() < 0.2 {
-                *tasks = tasks.saturating_add_signed(random.random_range(-1..=1));
-            }
-        }
-    }
-}
-
-/// Returns the part of the demand within the limits that ran in its zone, and in each second the bytes of the root log
-/// and of the reports to the root leader.
-fn demand_met(seed: u64, seconds: u64, moving: bool) -> (f64, f64, f64) {
-    let mut random = SmallRng::seed_from_u64(seed);
-    let mut run = Run::new(seed, moving);
-    let mut demand = BTreeMap::new();
-    let (mut met, mut possible) = (0, 0);
-    for second in 0..seconds {
-        wander(&mut random, second, &mut demand);
-        run.step(&demand, moving);
-        for team in 1..=ESCROW_TEAMS {
-            let wanted: u32 = (1..=ZONES as u16).map(|zone| demand[&(team, zone)]).sum();
-            possible += u64::from(wanted.min(ESCROW_LIMIT));
-            for zone in 0..ZONES {
-                let wanted = demand[&(team, zone as u16 + 1)];
-                met += u64::from(run.running(team, zone).min(wanted));
-            }
-        }
-    }
-    (
-        met as f64 / possible as f64,
-        run.log_bytes as f64 / seconds as f64,
-        run.report_bytes as f64 / seconds as f64,
-    )
-}
-
-/// Returns the seconds until a zone to which all demand of a team moved runs 95% of it. The tasks of the other zone
-/// ended, so that the time is that of the messages, one round of which takes a second.
-fn time_to_move(seed: u64, moving: bool) -> u64 {
-    let mut run = Run::new(seed, moving);
-    let mut demand = BTreeMap::from([((1, 1), ESCROW_LIMIT), ((1, 2), 0)]);
-    for _ in 0..60 {
-        run.step(&demand, moving);
-    }
-    let running: Vec<task::Ref> = run.zones[0].state.runs().map(|(task, _)| task).collect();
-    for task in running {
-        run.zones[0].end(task, task::Outcome::Stopped);
-    }
-    run.ends.clear();
-    demand = BTreeMap::from([((1, 1), 0), ((1, 2), ESCROW_LIMIT)]);
-    (1..=600)
-        .find(|_| {
-            run.step(&demand, moving);
-            run.running(1, 1) * 100 >= ESCROW_LIMIT * 95
-        })
-        .unwrap_or(600)
-}
-
-fn escrow(seed: u64, length: Length, rows: &mut Vec<Row>) {
-    let seconds = match length {
-        Length::Short => 120,
-        Length::Long => 1200,
-    };
-    let (fixed, _, _) = demand_met(seed, seconds, false);
-    let (met, bytes, reports) = demand_met(seed, seconds, true);
-    let source = "static equal split, same seed";
-    rows.push(Row::new(
-        "control.escrow_demand_met_locally.static_equal_split",
-        fixed,
-        "share",
-        Bound::None,
-        source,
-    ));
-    rows.push(Row::new(
-        "control.escrow_demand_met_locally.moving_parts",
-        met,
-        "share",
-        Bound::AtLeast(fixed),
-        source,
-    ));
-    rows.push(Row::new(
-        "control.escrow_root_log_bytes_per_second.20_teams",
-        bytes,
-        "B/s",
-        Bound::AtMost(24_000.0 * f64::from(ESCROW_TEAMS) / f64::from(TEAMS)),
-        "design 1.7, 24 KB/s for 640 teams",
-    ));
-    rows.push(Row::new(
-        "control.demand_report_bytes_per_second.to_root_leader_20_teams",
-        reports,
-        "B/s",
-        Bound::AtMost(24_000.0 * f64::from(ESCROW_TEAMS) / f64::from(TEAMS)),
-        "design 1.7, 24 KB/s for 640 teams; reports of 17 zones without frames",
-    ));
-    rows.push(Row::new(
-        "control.escrow_seconds_to_move.static_equal_split_capped_at_600",
-        time_to_move(seed, false) as f64,
-        "s",
-        Bound::None,
-        source,
-    ));
-    rows.push(Row::new(
-        "control.escrow_seconds_to_move.moving_parts",
-        time_to_move(seed, true) as f64,
-        "s",
-        Bound::AtMost(time_to_move(seed, false) as f64),
-        source,
-    ));
-}
