Stand-in worker: ask another entry VM after a silent leader

Cause: after a report without an answer the worker forgot its leader and asked its entry VM, which may be the same VM.

Change: the worker moves to the next entry when the VM that failed would be asked again.

Before: the new gateway test fails (no report at the other VM within its limit). After: it passes; 15 of 15 in its file.

--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -154,6 +154,10 @@
 }
 
 fn worker_of(cell: &common::Cell) -> CancellationToken {
+    worker_at(vec![cell.server.address()])
+}
+
+fn worker_at(entries: Vec<std::net::SocketAddr>) -> CancellationToken {
     let options = standin::Options {
         registration: worker::Registration {
             worker: 3,
@@ -164,7 +168,7 @@
                 accelerator: 0,
             },
         },
-        entries: vec![cell.server.address()],
+        entries,
         fails_everything: false,
     };
     let cancel = CancellationToken::new();
@@ -235,3 +239,24 @@
     assert_eq!((fifth.base, fifth.running.len()), (None, 2));
     cancel.cancel();
 }
+
+/// Guards against a worker that asks a silent leader twice in a row, because that VM is also its entry: the lease would
+/// run out, and its runs would start again elsewhere.
+#[tokio::test]
+async fn a_silent_leader_is_asked_once() {
+    let (silent, mut silent_calls) = common::patient().await;
+    let (other, mut other_calls) = common::patient().await;
+    let cancel = worker_at(vec![other.server.address(), silent.server.address()]);
+    let (first, answer) = next_report(&mut silent_calls).await;
+    answer
+        .send(Ok(reply(first.sequence, vec![start(1, "serve")])))
+        .expect("the worker waits");
+    let (_, _answer) = next_report(&mut silent_calls).await;
+    let (next, _answer) = next_report(&mut other_calls).await;
+    assert_eq!((next.base, next.running.len()), (None, 1));
+    assert!(
+        silent_calls.try_recv().is_err(),
+        "the silent leader was asked again"
+    );
+    cancel.cancel();
+}
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -178,9 +178,14 @@
     }
 
     /// Turns to another entry VM, over a new connection: the old one may be dead without a sign of it.
+    ///
+    /// A leader that was reached as the entry is not asked again at once: two reports without an answer would use up
+    /// the lease.
     async fn move_on(&mut self) {
         self.client = client::Client::new_two();
-        if self.leader.take().is_none() {
+        let failed = self.address();
+        self.leader = None;
+        if self.address() == failed {
             self.entry += 1;
         }
         tokio::time::sleep(RETRY_PAUSE).await;
