--- /dev/null
+++ b/crates/control/src/root/parts.rs
@@ -0,0 +1,153 @@
+//! Division of upper limits into parts per availability zone.
+
+use std::collections::BTreeMap;
+
+use bronzespoke_model::{id, resource};
+use serde::{Deserialize, Serialize};
+
+use super::state;
+use crate::escrow;
+
+/// Part of one team in one zone.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Part {
+    /// Cumulative counter of what was granted.
+    pub granted: escrow::Total,
+    /// Cumulative counter of what the zone reported as released.
+    pub released: escrow::Total,
+    /// Size that the part should have; the zone releases what it has above it.
+    pub target: resource::Amount,
+}
+
+impl Part {
+    /// Returns what the zone may still use, as far as the root group knows.
+    pub fn outstanding(&self) -> escrow::Total {
+        self.granted.minus(&self.released)
+    }
+}
+
+/// A new value of a granted counter and a target part.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Grant {
+    /// Team.
+    pub team: id::TeamId,
+    /// Zone.
+    pub zone: id::AvailabilityZoneId,
+    /// Cumulative counter after the grant; a smaller value than the present one changes nothing.
+    pub granted: escrow::Total,
+    /// Size that the part should have.
+    pub target: resource::Amount,
+}
+
+/// Wish for a part: what the zone's tasks of the team use and what waits to start.
+pub type Demand = BTreeMap<(id::TeamId, id::AvailabilityZoneId), resource::Amount>;
+
+/// Returns the grants that move parts towards the demand.
+///
+/// Zones that hold more than their new target release the surplus first; a zone gets its addition once the release is
+/// reported. Only teams whose targets or parts change are in the result. Demand of lost zones is ignored.
+pub fn rebalance(state: &state::State, demand: &Demand) -> Vec<Grant> {
+    let zones: Vec<id::AvailabilityZoneId> = state.open_zones().collect();
+    let mut grants = Vec::new();
+    for team in state.teams().values() {
+        let limit = escrow::Total::from(team.quota.limit);
+        let wishes: Vec<escrow::Total> = zones
+            .iter()
+            .map(|zone| demand.get(&(team.id, *zone)).copied().unwrap_or_default().into())
+            .collect();
+        let targets = divide(&limit, &wishes);
+        grant_team(state, team.id, &zones, &targets, &mut grants);
+    }
+    grants
+}
+
+fn grant_team(
+    state: &state::State,
+    team: id::TeamId,
+    zones: &[id::AvailabilityZoneId],
+    targets: &[escrow::Total],
+    grants: &mut Vec<Grant>,
+) {
+    let mut room = state.room(team);
+    for (zone, target) in zones.iter().zip(targets) {
+        let part = state.part(team, *zone).unwrap_or_default();
+        let added = target.minus(&part.outstanding()).min(&room);
+        room = room.minus(&added);
+        let target = target.amount();
+        if added == escrow::Total::ZERO && target == part.target {
+            continue;
+        }
+        grants.push(Grant {
+            team,
+            zone: *zone,
+            granted: part.granted.plus(&added),
+            target,
+        });
+    }
+}
+
+/// Divides a limit among zones: wishes in full when they fit, else in proportion; what is left over is shared equally,
+/// so that a zone without demand can start work before the next round.
+fn divide(limit: &escrow::Total, wishes: &[escrow::Total]) -> Vec<escrow::Total> {
+    let mut parts = vec![[0; 3]; wishes.len()];
+    for (dimension, total) in limit.dimensions().into_iter().enumerate() {
+        let column: Vec<u64> = wishes.iter().map(|wish| wish.dimensions()[dimension]).collect();
+        for (part, share) in parts.iter_mut().zip(divide_one(total, &column)) {
+            part[dimension] = share;
+        }
+    }
+    parts.into_iter().map(escrow::Total::from_dimensions).collect()
+}
+
+fn divide_one(limit: u64, wishes: &[u64]) -> Vec<u64> {
+    let wanted: u64 = wishes.iter().sum();
+    if wishes.is_empty() {
+        return Vec::new();
+    }
+    let mut shares: Vec<u64> = if wanted <= limit {
+        let spare = (limit - wanted) / wishes.len() as u64;
+        wishes.iter().map(|wish| wish + spare).collect()
+    } else {
+        wishes
+            .iter()
+            .map(|wish| (u128::from(limit) * u128::from(*wish) / u128::from(wanted)) as u64)
+            .collect()
+    };
+    let mut rest = limit - shares.iter().sum::<u64>();
+    let order: Vec<usize> = (0..wishes.len()).filter(|index| wishes[*index] > 0).collect();
+    let order = if order.is_empty() {
+        (0..wishes.len()).collect()
+    } else {
+        order
+    };
+    for index in order.into_iter().cycle() {
+        if rest == 0 {
+            break;
+        }
+        shares[index] += 1;
+        rest -= 1;
+    }
+    shares
+}
+
+/// Scales targets down so that they fit a lower limit.
+pub(super) fn shrink(limit: &escrow::Total, parts: &mut BTreeMap<id::AvailabilityZoneId, Part>) {
+    let targets: Vec<escrow::Total> = parts.values().map(|part| part.target.into()).collect();
+    if escrow::sum(&targets).fits(limit) {
+        return;
+    }
+    let sum = escrow::sum(&targets);
+    for part in parts.values_mut() {
+        let target = escrow::Total::from(part.target).dimensions();
+        let mut scaled = [0; 3];
+        for (dimension, value) in target.into_iter().enumerate() {
+            let (most, all) = (limit.dimensions()[dimension], sum.dimensions()[dimension]);
+            scaled[dimension] = if all <= most {
+                value
+            } else {
+                (u128::from(value) * u128::from(most) / u128::from(all)) as u64
+            };
+        }
+        part.target = escrow::Total::from_dimensions(scaled).amount();
+    }
+}
--- /dev/null
+++ b/crates/control/src/root/view.rs
@@ -0,0 +1,61 @@
+//! Immutable view of the root state for readers on other threads.
+
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    sync::Arc,
+};
+
+use bronzespoke_model::{config, id, service, team, vm};
+
+use super::{command, parts, state};
+
+/// The root state at one index. A clone of the state's shared tables: building it copies no table.
+#[derive(Debug, Clone)]
+pub struct View {
+    /// Last index applied.
+    pub applied: u64,
+    /// Version of the configuration.
+    pub version: id::ConfigVersion,
+    /// Configuration.
+    pub config: config::Config,
+    /// Teams by the hash of each key that is granted and not withdrawn.
+    pub keys: Arc<BTreeMap<team::KeyHash, id::TeamId>>,
+    /// Teams.
+    pub teams: Arc<BTreeMap<id::TeamId, Arc<team::Team>>>,
+    /// Team ids by name.
+    pub team_names: Arc<BTreeMap<String, id::TeamId>>,
+    /// Services by name.
+    pub services: Arc<BTreeMap<String, service::Service>>,
+    /// Open queues by name.
+    pub queues: Arc<BTreeMap<String, service::Queue>>,
+    /// Directory of VMs.
+    pub vms: Arc<BTreeMap<id::VmId, vm::Vm>>,
+    /// Availability zones.
+    pub zones: Arc<state::Zones>,
+    /// Drain marks.
+    pub drains: Arc<BTreeSet<command::Subject>>,
+    /// Parts by team and zone.
+    pub parts: Arc<state::Parts>,
+}
+
+impl View {
+    /// Returns the team that a key speaks for.
+    pub fn team_of_key(&self, hash: &team::KeyHash) -> Option<id::TeamId> {
+        self.keys.get(hash).copied()
+    }
+
+    /// Returns a team by name.
+    pub fn team(&self, name: &str) -> Option<&Arc<team::Team>> {
+        self.teams.get(self.team_names.get(name)?)
+    }
+
+    /// Returns the part of a team in a zone.
+    pub fn part(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> Option<parts::Part> {
+        self.parts.get(&team)?.get(&zone).copied()
+    }
+
+    /// Tells whether a drain mark is set.
+    pub fn is_draining(&self, subject: command::Subject) -> bool {
+        self.drains.contains(&subject)
+    }
+}
--- /dev/null
+++ b/crates/control/src/zone/apply.rs
@@ -0,0 +1,275 @@
+//! Application of zone commands.
+
+use bronzespoke_model::{id, job, task};
+
+use super::{
+    Envelope, claims,
+    command::{Command, End, Outcome, Refusal, Start},
+    jobs::{Job, Run},
+    state::State,
+    workers,
+};
+use crate::request_id;
+
+/// Time for which jobs in their last state are kept, in milliseconds.
+pub const JOB_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
+/// Most bytes of jobs that have not ended; a submission beyond them is refused.
+pub const MAX_OPEN_BYTES: usize = 16 * 1024 * 1024;
+/// Most bytes of jobs in their last state; the oldest are dropped first.
+pub const MAX_ENDED_BYTES: usize = 16 * 1024 * 1024;
+/// Jobs that one command drops at most after their retention, which bounds the time of one application.
+const MAX_DROPPED_AT_ONCE: usize = 256;
+
+impl State {
+    /// Applies the commands of one log entry; an index that was applied earlier is ignored.
+    pub fn apply_all(&mut self, index: u64, envelopes: &[Envelope]) -> Vec<Outcome> {
+        if index <= self.applied {
+            return vec![Outcome::Ignored; envelopes.len()];
+        }
+        self.applied = index;
+        envelopes
+            .iter()
+            .map(|envelope| self.apply_one(envelope))
+            .collect()
+    }
+
+    /// Applies a log entry with one command; an index that was applied earlier is ignored.
+    pub fn apply(&mut self, index: u64, envelope: &Envelope) -> Outcome {
+        if index <= self.applied {
+            return Outcome::Ignored;
+        }
+        self.applied = index;
+        self.apply_one(envelope)
+    }
+
+    fn apply_one(&mut self, envelope: &Envelope) -> Outcome {
+        self.now_ms = self.now_ms.max(envelope.at_ms);
+        self.claims.expire(self.now_ms);
+        self.drop_ended();
+        let known = envelope.id.and_then(|id| self.commands.get(id));
+        if let Some(outcome) = known
+            && self.rules.dedupe
+        {
+            return outcome.clone();
+        }
+        let outcome = self.execute(&envelope.command).unwrap_or_else(Outcome::Refused);
+        if let Some(id) = envelope.id
+            && is_remembered(&outcome)
+        {
+            self.commands.insert(id, outcome.clone());
+        }
+        outcome
+    }
+
+    fn execute(&mut self, command: &Command) -> Result<Outcome, Refusal> {
+        match command {
+            Command::Start(starts) => return Ok(self.start_all(starts)),
+            Command::End(ends) => return Ok(self.end_all(ends)),
+            Command::Register(registration) => workers::register(&mut self.workers, registration)?,
+            Command::WorkerGone { worker, incarnation } => {
+                workers::gone(&mut self.workers, *worker, *incarnation)?;
+            }
+            Command::Submit {
+                team,
+                submission,
+                spec,
+            } => return self.submit(*team, *submission, spec),
+            Command::Cancel { job } => self.finish(*job, job::State::Cancelled)?,
+            Command::Finish { job, state } => self.finish(*job, *state)?,
+            Command::Claim { key, holder } => {
+                let claimed = self
+                    .claims
+                    .claim(*key, *holder, self.now_ms, self.rules.claim_once);
+                return Ok(Outcome::Claim(claimed));
+            }
+            Command::Complete { number, completion } => self.claims.complete(*number, completion),
+            Command::HolderGone { holder, before } => self.claims.holder_gone(*holder, *before),
+            Command::Granted(totals) => totals
+                .iter()
+                .for_each(|(team, granted)| self.holdings.granted(*team, granted)),
+            Command::Release(totals) => totals
+                .iter()
+                .for_each(|(team, total)| self.holdings.release(*team, total, self.rules.keep_used)),
+            Command::Expire => {}
+        }
+        Ok(Outcome::Done)
+    }
+
+    fn submit(
+        &mut self,
+        team: id::TeamId,
+        submission: Option<request_id::Key>,
+        spec: &job::Spec,
+    ) -> Result<Outcome, Refusal> {
+        if let Some(sequence) = submission.and_then(|key| self.submissions.get(&key)) {
+            return Ok(Outcome::Job(id::job(self.zone, *sequence)));
+        }
+        if spec.tasks == 0 || spec.tasks > job::MAX_TASKS || spec.command.len() > job::MAX_COMMAND_BYTES {
+            return Err(Refusal::BadSpec);
+        }
+        let job = Job::new(team, submission, spec, self.now_ms);
+        if self.open_bytes + job.bytes() > MAX_OPEN_BYTES {
+            return Err(Refusal::Full);
+        }
+        let sequence = self.next_sequence;
+        self.next_sequence += 1;
+        self.open_bytes += job.bytes();
+        self.jobs.insert(sequence, job);
+        if let Some(key) = submission {
+            self.submissions.insert(key, sequence);
+        }
+        Ok(Outcome::Job(id::job(self.zone, sequence)))
+    }
+
+    fn start_all(&mut self, starts: &[Start]) -> Outcome {
+        let refused = starts
+            .iter()
+            .enumerate()
+            .filter_map(|(number, start)| Some((number as u32, self.start(start).err()?)))
+            .collect();
+        Outcome::Started(refused)
+    }
+
+    fn start(&mut self, start: &Start) -> Result<(), Refusal> {
+        let sequence = self.sequence(start.task.job).ok_or(Refusal::NoSuchJob)?;
+        let key = (sequence, start.task.index);
+        let job = self.jobs.get_mut(&sequence).ok_or(Refusal::NoSuchJob)?;
+        if job.state.is_terminal() {
+            return Err(Refusal::JobEnded);
+        }
+        if start.task.index >= job.spec.tasks {
+            return Err(Refusal::NoSuchTask);
+        }
+        if job.is_done(start.task.index) {
+            return Err(Refusal::Succeeded);
+        }
+        if job.ending {
+            return Err(Refusal::GangEnding);
+        }
+        if self.rules.single_run && self.runs.contains_key(&key) {
+            return Err(Refusal::Running);
+        }
+        if self.rules.token && start.token < self.next_token {
+            return Err(Refusal::StaleToken);
+        }
+        let worker = self
+            .workers
+            .get_mut(&start.worker)
+            .filter(|worker| !worker.gone)
+            .ok_or(Refusal::NoSuchWorker)?;
+        if !self.holdings.start(job.team, job.spec.size, self.rules.part) {
+            return Err(Refusal::OverPart);
+        }
+        worker.runs.insert(key);
+        job.running += 1;
+        job.state = job::State::Running;
+        self.next_token = self.next_token.max(start.token.saturating_add(1));
+        self.runs.insert(
+            key,
+            Run {
+                worker: start.worker,
+                token: start.token,
+            },
+        );
+        Ok(())
+    }
+
+    fn end_all(&mut self, ends: &[End]) -> Outcome {
+        let mut stale = Vec::new();
+        let mut succeeded = Vec::new();
+        for (number, end) in ends.iter().enumerate() {
+            match self.end(end) {
+                Some(true) => succeeded.push(end.task.job),
+                Some(false) => {}
+                None => stale.push(number as u32),
+            }
+        }
+        Outcome::Ended { stale, succeeded }
+    }
+
+    /// Ends a run. Returns whether its job thereby succeeded; `None` when the run is not present.
+    fn end(&mut self, end: &End) -> Option<bool> {
+        let sequence = self.sequence(end.task.job)?;
+        let key = (sequence, end.task.index);
+        let run = *self.runs.get(&key).filter(|run| run.token == end.token)?;
+        self.runs.remove(&key);
+        if let Some(worker) = self.workers.get_mut(&run.worker) {
+            worker.runs.remove(&key);
+        }
+        let job = self.jobs.get_mut(&sequence)?;
+        self.holdings.end(job.team, job.spec.size);
+        let before = job.bytes();
+        let succeeded = job.end(end.task.index, &end.outcome);
+        let bytes = if job.state.is_terminal() {
+            &mut self.ended_bytes
+        } else {
+            &mut self.open_bytes
+        };
+        *bytes = *bytes + job.bytes() - before;
+        if succeeded {
+            self.enter_last_state(sequence, job::State::Succeeded);
+        }
+        Some(succeeded)
+    }
+
+    fn finish(&mut self, job: id::JobId, state: job::State) -> Result<(), Refusal> {
+        if !state.is_terminal() {
+            return Err(Refusal::BadState);
+        }
+        let sequence = self.sequence(job).ok_or(Refusal::NoSuchJob)?;
+        let record = self.jobs.get(&sequence).ok_or(Refusal::NoSuchJob)?;
+        if record.state == state {
+            return Ok(());
+        }
+        if record.state.is_terminal() {
+            return Err(Refusal::JobEnded);
+        }
+        self.enter_last_state(sequence, state);
+        Ok(())
+    }
+
+    fn enter_last_state(&mut self, sequence: u64, state: job::State) {
+        let Some(job) = self.jobs.get_mut(&sequence) else {
+            return;
+        };
+        self.open_bytes -= job.bytes();
+        job.finish(state, self.now_ms);
+        self.ended_bytes += job.bytes();
+        self.ended.push_back(sequence);
+    }
+
+    /// Drops jobs whose retention is over, or the oldest while ended jobs take too many bytes.
+    ///
+    /// A job with runs is kept: its runs still count for its team.
+    fn drop_ended(&mut self) {
+        for _ in 0..MAX_DROPPED_AT_ONCE {
+            let Some(job) = self.ended.front().and_then(|sequence| self.jobs.get(sequence)) else {
+                break;
+            };
+            let due = self.now_ms >= job.ended_ms.saturating_add(JOB_RETENTION_MS);
+            if job.running > 0 || !(due || self.ended_bytes > MAX_ENDED_BYTES) {
+                break;
+            }
+            self.ended_bytes -= job.bytes();
+            if let Some(key) = job.submission {
+                self.submissions.remove(&key);
+            }
+            if let Some(sequence) = self.ended.pop_front() {
+                self.jobs.remove(&sequence);
+            }
+        }
+    }
+}
+
+/// Tells whether an outcome is kept for resent commands.
+///
+/// Starts and ends are fenced by their tokens and claims by their ids, so that applying them again is harmless; their
+/// outcomes may be large.
+const fn is_remembered(outcome: &Outcome) -> bool {
+    !matches!(
+        outcome,
+        Outcome::Started(_) | Outcome::Ended { .. } | Outcome::Claim(claims::Claimed::Answered(_))
+    )
+}
+
+const _: () = assert!(task::MAX_RESULT_BYTES <= super::jobs::MAX_RESULTS_BYTES);
--- /dev/null
+++ b/crates/control/src/zone/jobs.rs
@@ -0,0 +1,245 @@
+//! Jobs and the states of their tasks.
+
+use std::collections::BTreeMap;
+
+use bronzespoke_model::{id, job, task};
+use serde::{Deserialize, Serialize};
+
+use crate::request_id;
+
+/// Most bytes of results that one job keeps; later results are counted but not kept.
+pub const MAX_RESULTS_BYTES: usize = 4 * 1024 * 1024;
+
+const WORD_BITS: usize = 64;
+// Fixed values: the bounds decide what a replica drops, so replicas of different builds must count alike.
+const JOB_OVERHEAD_BYTES: usize = 256;
+const RESULT_OVERHEAD_BYTES: usize = 32;
+
+/// A run of a task.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Run {
+    /// Worker that runs the task.
+    pub worker: id::WorkerId,
+    /// Token of the lease.
+    pub token: id::Token,
+}
+
+/// A job. Task states take one bit per task, allocated with the first success.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub struct Job {
+    /// Team.
+    pub team: id::TeamId,
+    /// The job as submitted; the command line is dropped with the last state.
+    pub spec: job::Spec,
+    /// State.
+    pub state: job::State,
+    /// Wall time of the submission, in milliseconds.
+    pub submitted_ms: u64,
+    /// Wall time of the last state, in milliseconds; 0 before.
+    pub ended_ms: u64,
+    /// Runs under lease.
+    pub running: u32,
+    /// Tasks that succeeded.
+    pub succeeded: u32,
+    /// Runs that failed.
+    pub failures: u32,
+    /// Results that were not kept because those of the job take [`MAX_RESULTS_BYTES`].
+    pub results_dropped: u32,
+    /// Whether runs of a gang have to end because one was lost.
+    pub(super) ending: bool,
+    pub(super) submission: Option<request_id::Key>,
+    done: Vec<u64>,
+    results: BTreeMap<id::TaskIndex, String>,
+    results_bytes: usize,
+}
+
+/// What callers may know of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Status {
+    /// Job.
+    pub job: id::JobId,
+    /// Team.
+    pub team: id::TeamId,
+    /// State.
+    pub state: job::State,
+    /// Tasks that wait.
+    pub waiting: u32,
+    /// Tasks that run.
+    pub running: u32,
+    /// Tasks that succeeded.
+    pub succeeded: u32,
+    /// Results that were not kept.
+    pub results_dropped: u32,
+    /// Results of the tasks that succeeded, by index; filled only when asked for.
+    pub results: Vec<(id::TaskIndex, String)>,
+}
+
+/// Answer to a look-up of a job.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Lookup {
+    /// The job is known.
+    Found(Status),
+    /// The job ended, and its record was dropped after its retention.
+    Expired,
+    /// No such job was accepted here.
+    Unknown,
+}
+
+impl Job {
+    pub(super) fn new(
+        team: id::TeamId,
+        submission: Option<request_id::Key>,
+        spec: &job::Spec,
+        now_ms: u64,
+    ) -> Self {
+        Self {
+            team,
+            spec: spec.clone(),
+            state: job::State::Waiting,
+            submitted_ms: now_ms,
+            ended_ms: 0,
+            running: 0,
+            succeeded: 0,
+            failures: 0,
+            results_dropped: 0,
+            ending: false,
+            submission,
+            done: Vec::new(),
+            results: BTreeMap::new(),
+            results_bytes: 0,
+        }
+    }
+
+    /// Tells whether a task succeeded. After the last state only the count is kept.
+    pub fn is_done(&self, index: id::TaskIndex) -> bool {
+        let (word, bit) = position(index);
+        self.done.get(word).is_some_and(|bits| bits >> bit & 1 == 1)
+    }
+
+    /// Returns the results that are kept.
+    pub const fn results(&self) -> &BTreeMap<id::TaskIndex, String> {
+        &self.results
+    }
+
+    /// Returns the bytes that the job counts against the bounds of the zone.
+    pub const fn bytes(&self) -> usize {
+        JOB_OVERHEAD_BYTES + self.spec.command.len() + self.done.len() * size_of::<u64>() + self.results_bytes
+    }
+
+    /// Returns what callers may know.
+    pub fn status(&self, job: id::JobId, results: bool) -> Status {
+        let waiting = if self.state.is_terminal() {
+            0
+        } else {
+            self.spec
+                .tasks
+                .saturating_sub(self.running)
+                .saturating_sub(self.succeeded)
+        };
+        Status {
+            job,
+            team: self.team,
+            state: self.state,
+            waiting,
+            running: self.running,
+            succeeded: self.succeeded,
+            results_dropped: self.results_dropped,
+            results: if results {
+                self.results
+                    .iter()
+                    .map(|(index, text)| (*index, text.clone()))
+                    .collect()
+            } else {
+                Vec::new()
+            },
+        }
+    }
+
+    /// Records the end of a run that is no longer counted as running. Returns whether the job thereby succeeded.
+    pub(super) fn end(&mut self, index: id::TaskIndex, outcome: &task::Outcome) -> bool {
+        self.running -= 1;
+        match outcome {
+            task::Outcome::Succeeded(result) => self.succeed(index, result),
+            task::Outcome::Failed => self.failures = self.failures.saturating_add(1),
+            task::Outcome::Stopped | task::Outcome::Checkpointed | task::Outcome::LeaseExpired => {}
+        }
+        if self.spec.kind == job::Kind::Gang && !matches!(outcome, task::Outcome::Succeeded(_)) {
+            self.restart_gang();
+        }
+        if self.running == 0 {
+            self.ending = false;
+        }
+        !self.state.is_terminal() && self.succeeded == self.spec.tasks
+    }
+
+    fn succeed(&mut self, index: id::TaskIndex, result: &str) {
+        if self.spec.kind == job::Kind::Service || self.ending || self.state.is_terminal() {
+            return;
+        }
+        let (word, bit) = position(index);
+        if self.done.is_empty() {
+            self.done = vec![0; (self.spec.tasks as usize).div_ceil(WORD_BITS)];
+        }
+        self.done[word] |= 1 << bit;
+        self.succeeded += 1;
+        let bytes = result.len() + RESULT_OVERHEAD_BYTES;
+        if result.len() > task::MAX_RESULT_BYTES || self.results_bytes + bytes > MAX_RESULTS_BYTES {
+            self.results_dropped += 1;
+            return;
+        }
+        self.results_bytes += bytes;
+        self.results.insert(index, result.to_owned());
+    }
+
+    /// Takes back what the members of a gang achieved; all of them start again together.
+    fn restart_gang(&mut self) {
+        self.ending = true;
+        self.done = Vec::new();
+        self.succeeded = 0;
+        self.results_dropped = 0;
+        self.drop_results();
+    }
+
+    /// Enters the last state; task states and the command line are no longer needed.
+    pub(super) fn finish(&mut self, state: job::State, now_ms: u64) {
+        self.state = state;
+        self.ended_ms = now_ms;
+        self.done = Vec::new();
+        self.spec.command = String::new();
+    }
+
+    /// Drops the results; the zone needs their bytes for later ones.
+    pub(super) fn drop_results(&mut self) {
+        self.results = BTreeMap::new();
+        self.results_bytes = 0;
+    }
+
+    pub(super) fn verify(&self, runs: u32) -> Result<(), String> {
+        let done: u32 = self.done.iter().map(|bits| bits.count_ones()).sum();
+        if self.running != runs {
+            return Err(format!("{} runs counted, {runs} present", self.running));
+        }
+        if !self.state.is_terminal() && done != self.succeeded {
+            return Err(format!("{} successes counted, {done} present", self.succeeded));
+        }
+        if !self.state.is_terminal() && self.running + self.succeeded > self.spec.tasks {
+            return Err(String::from("more tasks run or succeeded than there are"));
+        }
+        let bytes: usize = self
+            .results
+            .values()
+            .map(|result| result.len() + RESULT_OVERHEAD_BYTES)
+            .sum();
+        if bytes != self.results_bytes || bytes > MAX_RESULTS_BYTES {
+            return Err(format!(
+                "results take {bytes} bytes, counted {}",
+                self.results_bytes
+            ));
+        }
+        Ok(())
+    }
+}
+
+const fn position(index: id::TaskIndex) -> (usize, usize) {
+    (index as usize / WORD_BITS, index as usize % WORD_BITS)
+}
--- /dev/null
+++ b/crates/control/src/zone/state.rs
@@ -0,0 +1,329 @@
+//! Tables of the zone state, reads, snapshots and the verifier.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use bronzespoke_model::{id, resource, task};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use super::{
+    claims, command, holdings,
+    jobs::{Job, Lookup, Run},
+    workers::{Worker, Workers},
+};
+use crate::{dedupe, envelope, error, escrow, request_id};
+
+/// Safety rules that tests switch off to show that the checks catch their absence.
+#[doc(hidden)]
+#[derive(Debug, Clone, Copy)]
+pub struct Rules {
+    /// A start must fit the part of its team.
+    pub part: bool,
+    /// A task that runs is not started again.
+    pub single_run: bool,
+    /// Tokens grow.
+    pub token: bool,
+    /// A known request id is not granted.
+    pub claim_once: bool,
+    /// What is in use is not released.
+    pub keep_used: bool,
+    /// A resent command gets its first outcome.
+    pub dedupe: bool,
+}
+
+impl Default for Rules {
+    fn default() -> Self {
+        Self {
+            part: true,
+            single_run: true,
+            token: true,
+            claim_once: true,
+            keep_used: true,
+            dedupe: true,
+        }
+    }
+}
+
+/// State of the group of one availability zone.
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
+pub struct State {
+    pub(super) zone: id::AvailabilityZoneId,
+    pub(super) applied: u64,
+    pub(super) now_ms: u64,
+    pub(super) next_sequence: u64,
+    pub(super) next_token: id::Token,
+    /// Jobs by sequence number.
+    pub(super) jobs: BTreeMap<u64, Job>,
+    /// Jobs in their last state, by the time at which they reached it.
+    pub(super) ended: VecDeque<u64>,
+    pub(super) submissions: BTreeMap<request_id::Key, u64>,
+    pub(super) runs: BTreeMap<(u64, id::TaskIndex), Run>,
+    pub(super) workers: Workers,
+    pub(super) holdings: holdings::Holdings,
+    pub(super) claims: claims::Claims,
+    pub(super) commands: dedupe::Table<command::Outcome>,
+    /// Bytes of jobs that have not ended, and of those that have.
+    #[serde(skip)]
+    pub(super) open_bytes: usize,
+    #[serde(skip)]
+    pub(super) ended_bytes: usize,
+    #[serde(skip)]
+    pub(super) rules: Rules,
+}
+
+impl State {
+    /// Returns the state before the first entry.
+    pub fn new(zone: id::AvailabilityZoneId) -> Self {
+        Self {
+            zone,
+            next_sequence: 1,
+            next_token: 1,
+            ..Self::default()
+        }
+    }
+
+    /// Returns the state before the first entry, with some safety rules switched off.
+    #[doc(hidden)]
+    pub fn with_rules(zone: id::AvailabilityZoneId, rules: Rules) -> Self {
+        Self {
+            rules,
+            ..Self::new(zone)
+        }
+    }
+
+    /// Returns the zone.
+    pub const fn zone(&self) -> id::AvailabilityZoneId {
+        self.zone
+    }
+
+    /// Returns the last index applied.
+    pub const fn applied(&self) -> u64 {
+        self.applied
+    }
+
+    /// Returns the smallest token that a new lease may have.
+    pub const fn next_token(&self) -> id::Token {
+        self.next_token
+    }
+
+    /// Looks a job up; the flag asks for its results.
+    pub fn lookup(&self, job: id::JobId, results: bool) -> Lookup {
+        match self.sequence(job) {
+            Some(sequence) if sequence < self.next_sequence => self
+                .jobs
+                .get(&sequence)
+                .map_or(Lookup::Expired, |found| Lookup::Found(found.status(job, results))),
+            _ => Lookup::Unknown,
+        }
+    }
+
+    /// Returns a job.
+    pub fn job(&self, job: id::JobId) -> Option<&Job> {
+        self.jobs.get(&self.sequence(job)?)
+    }
+
+    /// Returns the jobs, in the order of their submission.
+    pub fn jobs(&self) -> impl Iterator<Item = (id::JobId, &Job)> {
+        self.jobs
+            .iter()
+            .map(|(sequence, job)| (id::job(self.zone, *sequence), job))
+    }
+
+    /// Returns the run of a task.
+    pub fn run(&self, task: task::Ref) -> Option<Run> {
+        self.runs.get(&(self.sequence(task.job)?, task.index)).copied()
+    }
+
+    /// Returns all runs.
+    pub fn runs(&self) -> impl Iterator<Item = (task::Ref, Run)> {
+        self.runs.iter().map(|(key, run)| (self.task(*key), *run))
+    }
+
+    /// Returns the runs of a job.
+    pub fn runs_of_job(&self, job: id::JobId) -> impl Iterator<Item = (task::Ref, Run)> {
+        let sequence = self.sequence(job).unwrap_or(0);
+        self.runs
+            .range((sequence, 0)..=(sequence, id::TaskIndex::MAX))
+            .map(|(key, run)| (self.task(*key), *run))
+    }
+
+    /// Returns the runs of a worker.
+    pub fn runs_of_worker(&self, worker: id::WorkerId) -> impl Iterator<Item = (task::Ref, Run)> {
+        self.workers
+            .get(&worker)
+            .into_iter()
+            .flat_map(|worker| &worker.runs)
+            .filter_map(|key| Some((self.task(*key), *self.runs.get(key)?)))
+    }
+
+    /// Returns the runs of a team.
+    pub fn runs_of_team(&self, team: id::TeamId) -> impl Iterator<Item = (task::Ref, Run)> {
+        self.jobs
+            .iter()
+            .filter(move |(_, job)| job.team == team && job.running > 0)
+            .flat_map(|(sequence, _)| self.runs_of_job(id::job(self.zone, *sequence)))
+    }
+
+    /// Returns the workers, those that are gone included.
+    pub fn workers(&self) -> impl Iterator<Item = (id::WorkerId, &Worker)> {
+        self.workers.iter().map(|(id, worker)| (*id, worker))
+    }
+
+    /// Returns a worker.
+    pub fn worker(&self, worker: id::WorkerId) -> Option<&Worker> {
+        self.workers.get(&worker)
+    }
+
+    /// Returns what teams have in the zone.
+    pub const fn holdings(&self) -> &holdings::Holdings {
+        &self.holdings
+    }
+
+    /// Returns the request ids.
+    pub const fn claims(&self) -> &claims::Claims {
+        &self.claims
+    }
+
+    /// Returns the first outcome of a command id that is still remembered.
+    pub fn outcome(&self, id: id::CommandId) -> Option<&command::Outcome> {
+        self.commands.get(id)
+    }
+
+    /// Returns the released counters that bring parts down to their targets; nothing in use is released.
+    pub fn releases(
+        &self,
+        target: impl Fn(id::TeamId) -> resource::Amount,
+    ) -> Vec<(id::TeamId, escrow::Total)> {
+        self.holdings
+            .iter()
+            .map(|(team, holding)| (team, holding, holding.release_to(target(team))))
+            .filter(|(_, holding, released)| *released != holding.released)
+            .map(|(team, _, released)| (team, released))
+            .collect()
+    }
+
+    pub(super) fn sequence(&self, job: id::JobId) -> Option<u64> {
+        let sequence = job ^ id::job(self.zone, 0);
+        (id::job_zone(job) == self.zone).then_some(sequence)
+    }
+
+    const fn task(&self, (sequence, index): (u64, id::TaskIndex)) -> task::Ref {
+        task::Ref {
+            job: id::job(self.zone, sequence),
+            index,
+        }
+    }
+
+    /// Encodes the whole state as a snapshot.
+    pub fn encode(&self) -> Bytes {
+        envelope::to_bytes(self)
+    }
+
+    /// Decodes a snapshot and checks it.
+    pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
+        let mut state: Self = envelope::from_bytes(bytes)?;
+        for (key, run) in &state.runs {
+            if let Some(worker) = state.workers.get_mut(&run.worker) {
+                worker.runs.insert(*key);
+            }
+        }
+        (state.open_bytes, state.ended_bytes) = state.count_bytes();
+        state.verify().map_err(error::Error::Invariant)?;
+        Ok(state)
+    }
+
+    /// Replaces the state by a snapshot; a snapshot older than the state is refused and changes nothing.
+    pub fn install(&mut self, bytes: &[u8]) -> Result<(), error::Error> {
+        let mut state = Self::decode(bytes)?;
+        if state.applied < self.applied {
+            return Err(error::Error::Older {
+                snapshot: state.applied,
+                applied: self.applied,
+            });
+        }
+        state.rules = self.rules;
+        *self = state;
+        Ok(())
+    }
+
+    fn count_bytes(&self) -> (usize, usize) {
+        let mut bytes = (0, 0);
+        for job in self.jobs.values() {
+            if job.state.is_terminal() {
+                bytes.1 += job.bytes();
+            } else {
+                bytes.0 += job.bytes();
+            }
+        }
+        bytes
+    }
+
+    /// Checks every invariant of the tables.
+    pub fn verify(&self) -> Result<(), String> {
+        self.commands.verify()?;
+        self.claims.verify()?;
+        self.verify_jobs()?;
+        self.verify_runs()?;
+        if (self.open_bytes, self.ended_bytes) != self.count_bytes() {
+            return Err(String::from("bytes of jobs are counted wrongly"));
+        }
+        Ok(())
+    }
+
+    fn verify_jobs(&self) -> Result<(), String> {
+        for (sequence, job) in &self.jobs {
+            let runs = self
+                .runs
+                .range((*sequence, 0)..=(*sequence, id::TaskIndex::MAX))
+                .count();
+            job.verify(runs as u32)
+                .map_err(|fault| format!("job {sequence}: {fault}"))?;
+            if *sequence >= self.next_sequence {
+                return Err(format!("job {sequence} has a number that was not given out"));
+            }
+            let known = |key| self.submissions.get(&key) == Some(sequence);
+            if job.submission.is_some_and(|key| !known(key)) {
+                return Err(format!("the submission of job {sequence} is not known"));
+            }
+        }
+        let ended = self.jobs.values().filter(|job| job.state.is_terminal()).count();
+        let listed = self
+            .ended
+            .iter()
+            .all(|sequence| self.jobs.get(sequence).is_some_and(|job| job.state.is_terminal()));
+        if ended != self.ended.len() || !listed {
+            return Err(String::from("the list of ended jobs does not match the jobs"));
+        }
+        Ok(())
+    }
+
+    fn verify_runs(&self) -> Result<(), String> {
+        let mut used: BTreeMap<id::TeamId, escrow::Total> = BTreeMap::new();
+        let mut tokens = Vec::with_capacity(self.runs.len());
+        for (key, run) in &self.runs {
+            let Some(job) = self.jobs.get(&key.0) else {
+                return Err(format!("a task of job {} runs, but the job is not known", key.0));
+            };
+            let total = used.entry(job.team).or_default();
+            *total = total.plus(&job.spec.size.into());
+            tokens.push(run.token);
+            let indexed = self
+                .workers
+                .get(&run.worker)
+                .is_some_and(|worker| worker.runs.contains(key));
+            if !indexed || run.token >= self.next_token {
+                return Err(format!("the run of job {} task {} is not indexed", key.0, key.1));
+            }
+        }
+        tokens.sort_unstable();
+        tokens.dedup();
+        if tokens.len() != self.runs.len() {
+            return Err(String::from("two runs share a token"));
+        }
+        let indexed: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
+        if indexed != self.runs.len() {
+            return Err(String::from("the runs of workers are not those of tasks"));
+        }
+        self.holdings.verify(&used)
+    }
+}
