--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -83,6 +83,7 @@
             } => self.create_queue(name, *service, *requests),
             Command::SetConfig { expected, config } => Ok(self.set_config(*expected, config, envelope.id)),
             Command::AddZone { place } => self.add_zone(*place),
+            Command::FoundZone { zone, founder } => self.found_zone(*zone, *founder),
             Command::LoseZone { zone, proof } => self.lose_zone(*zone, *proof),
             Command::AddVm(vm) => self.add_vm(vm),
             Command::RemoveVm(id) => self.remove_vm(*id),
@@ -245,6 +246,14 @@
         Ok(Outcome::Done)
     }
 
+    fn found_zone(&mut self, zone: id::AvailabilityZoneId, founder: id::VmId) -> Result<Outcome, Refusal> {
+        if !self.zones.contains_key(&zone) {
+            return Err(Refusal::NoSuchZone);
+        }
+        let first = *self.founders.entry(zone).or_insert(founder);
+        if first == founder { Ok(Outcome::Done) } else { Err(Refusal::ZoneTaken) }
+    }
+
     fn lose_zone(&mut self, id: id::AvailabilityZoneId, proof: Lost) -> Result<Outcome, Refusal> {
         if proof.stopped_ms < Lost::LEAST_STOPPED_MS {
             return Err(Refusal::LeasesMayRun);
--- a/crates/control/src/root/command.rs
+++ b/crates/control/src/root/command.rs
@@ -115,6 +115,13 @@
         /// Cumulative released counter of each team.
         released: Vec<(id::TeamId, escrow::Total)>,
     },
+    /// Let one VM found the group of a zone; the first VM that asks wins, for good.
+    FoundZone {
+        /// Zone.
+        zone: id::AvailabilityZoneId,
+        /// VM that would found the group.
+        founder: id::VmId,
+    },
 }
 
 /// Why a root command changed nothing.
@@ -140,7 +147,7 @@
     KeyWithdrawn,
     /// The key already speaks for another team.
     KeyTaken,
-    /// The zone exists in another region, or was declared lost.
+    /// The zone exists in another region, was declared lost, or was founded by another VM.
     ZoneTaken,
     /// The table is full.
     Full,
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -81,6 +81,8 @@
     pub(super) queues: Arc<BTreeMap<String, service::Queue>>,
     pub(super) vms: Arc<BTreeMap<id::VmId, vm::Vm>>,
     pub(super) zones: Arc<Zones>,
+    /// VM that founded the group of each zone.
+    pub(super) founders: BTreeMap<id::AvailabilityZoneId, id::VmId>,
     pub(super) drains: Arc<BTreeSet<command::Subject>>,
     pub(super) parts: Arc<Parts>,
     /// Most that the parts of a team may add up to: the limit, or what was out when the limit was lowered.
@@ -127,6 +129,11 @@
         &self.zones
     }
 
+    /// Returns the VM that founded the group of a zone.
+    pub fn founder(&self, zone: id::AvailabilityZoneId) -> Option<id::VmId> {
+        self.founders.get(&zone).copied()
+    }
+
     /// Returns the zones that were not declared lost.
     pub fn open_zones(&self) -> impl Iterator<Item = id::AvailabilityZoneId> {
         self.zones
--- /dev/null
+++ b/crates/daemon/src/control/context.rs
@@ -0,0 +1,100 @@
+//! What every controller needs: time, the timeline, the network and the other daemons.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+};
+
+use bronzespoke_model::{event, id, vm};
+
+use crate::{
+    peer::{self, wire},
+    timeline,
+};
+
+/// A daemon that was not heard of for this long counts as silent.
+pub const SILENCE: Duration = Duration::from_secs(3);
+
+/// Another daemon, as its announcements tell.
+#[derive(Debug, Clone)]
+pub struct Peer {
+    /// Its VM.
+    pub vm: vm::Vm,
+    /// Groups that it leads, with the term.
+    pub leads: Vec<(id::GroupId, u64)>,
+    /// Groups in which it holds a replica.
+    pub replicas: Vec<id::GroupId>,
+    /// Whether it knows a cell.
+    pub cell_known: bool,
+    /// Root index that it applied.
+    pub applied: u64,
+    /// When it was last heard.
+    pub heard: Duration,
+}
+
+/// Shared by all controllers of one daemon.
+#[derive(Debug)]
+pub struct Context {
+    /// Start of the process.
+    pub origin: Instant,
+    /// This VM.
+    pub me: vm::Vm,
+    /// Timeline.
+    pub ring: timeline::Ring,
+    /// Outgoing links.
+    pub network: peer::Network,
+    /// Other daemons by id.
+    pub peers: HashMap<id::VmId, Peer>,
+}
+
+impl Context {
+    /// Time since the start of the process, on the monotonic clock.
+    pub fn now(&self) -> Duration {
+        self.origin.elapsed()
+    }
+
+    /// Wall time in milliseconds since the Unix epoch; for records only.
+    pub fn wall_ms() -> u64 {
+        SystemTime::now().duration_since(UNIX_EPOCH).map_or(0, |time| time.as_millis() as u64)
+    }
+
+    /// Sends a frame to another daemon; a daemon that was never heard of is not reached.
+    pub fn send(&self, to: id::VmId, body: wire::Body) {
+        if let Some(peer) = self.peers.get(&to) {
+            self.send_to(peer.vm.peer, body);
+        }
+    }
+
+    /// Sends a frame to a peer address.
+    pub fn send_to(&self, to: SocketAddr, body: wire::Body) {
+        let stamp = self.ring.send_stamp();
+        let frame = wire::Frame { from: self.me.id, from_peer: self.me.peer, stamp, body };
+        self.network.send(to, &frame);
+    }
+
+    /// Records an event.
+    pub fn record(&self, kind: event::Kind) {
+        self.ring.record(kind);
+    }
+
+    /// Tells whether another daemon, or this one, was heard of lately.
+    pub fn is_alive(&self, vm: id::VmId) -> bool {
+        let now = self.now();
+        vm == self.me.id || self.peers.get(&vm).is_some_and(|peer| now.saturating_sub(peer.heard) < SILENCE)
+    }
+
+    /// Returns the daemon that claims to lead a group, by the highest term among those heard of lately.
+    pub fn announced_leader(&self, group: id::GroupId) -> Option<id::VmId> {
+        let now = self.now();
+        self.peers
+            .values()
+            .filter(|peer| now.saturating_sub(peer.heard) < SILENCE)
+            .filter_map(|peer| {
+                let (_, term) = peer.leads.iter().find(|(led, _)| *led == group)?;
+                Some((*term, peer.vm.id))
+            })
+            .max()
+            .map(|(_, vm)| vm)
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/member.rs
@@ -0,0 +1,275 @@
+//! One replica with its disk: carries out what the replica asks for.
+
+use std::{
+    collections::{HashMap, VecDeque},
+    path::Path,
+    time::Duration,
+};
+
+use bronzespoke_consensus::{log, membership, replica, snapshot, write};
+use bronzespoke_model::{event, id};
+use bytes::Bytes;
+
+use crate::{
+    control::{context, responder},
+    disk,
+    peer::wire,
+};
+
+/// Entries after which a snapshot is made and the log is cut.
+const ENTRIES_PER_SNAPSHOT: u64 = 8_192;
+/// Bytes of commands after which a snapshot is made and the log is cut.
+const BYTES_PER_SNAPSHOT: usize = 8 << 20;
+
+/// What the owner of the state machine has to do, in order.
+#[derive(Debug)]
+pub enum Event {
+    /// Apply an entry; entries without a command only move the index.
+    Apply {
+        /// The entry.
+        entry: log::Entry,
+        /// Who waits for each command; empty on other members.
+        responders: Vec<responder::Responder>,
+    },
+    /// Replace the state.
+    Install(snapshot::Snapshot),
+}
+
+/// A replica of one group in this process.
+#[derive(Debug)]
+pub struct Member {
+    group: id::GroupId,
+    replica: replica::Replica,
+    disk: Option<disk::Disk>,
+    outputs: Vec<replica::Output>,
+    next_proposal: u64,
+    proposed: HashMap<u64, Vec<responder::Responder>>,
+    committed: HashMap<u64, Vec<responder::Responder>>,
+    role: replica::Role,
+    /// Index that has to be applied before this member serves as leader.
+    lead_from: u64,
+    applied: u64,
+    snapshot_index: u64,
+    snapshot_bytes: usize,
+}
+
+impl Member {
+    /// Opens the durable state, or starts without any.
+    ///
+    /// `found` gives the first members when nothing is stored and this process founds the group.
+    pub fn open(
+        config: replica::Config,
+        folder: Option<&Path>,
+        found: Option<membership::Membership>,
+        notify: disk::Notify,
+        now: Duration,
+    ) -> Result<Self, bronzespoke_storage::Error> {
+        let group = config.group;
+        let (disk, restored) = match folder {
+            Some(folder) => {
+                let (disk, restored) = disk::Disk::open(folder, group, found, notify)?;
+                (Some(disk), restored)
+            }
+            None => (None, replica::Restored::default()),
+        };
+        let replica = replica::Replica::new(config, restored, now);
+        Ok(Self {
+            group,
+            replica,
+            disk,
+            outputs: Vec::new(),
+            next_proposal: 0,
+            proposed: HashMap::new(),
+            committed: HashMap::new(),
+            role: replica::Role::Follower { leader: None },
+            lead_from: 0,
+            applied: 0,
+            snapshot_index: 0,
+            snapshot_bytes: 0,
+        })
+    }
+
+    /// Proposes encoded commands; each responder waits for one of them.
+    pub fn propose(
+        &mut self,
+        context: &context::Context,
+        data: Bytes,
+        responders: Vec<responder::Responder>,
+        events: &mut Vec<Event>,
+    ) {
+        self.next_proposal += 1;
+        let id = self.next_proposal;
+        self.proposed.insert(id, responders);
+        self.step(context, replica::Input::Propose { id, data }, events);
+    }
+
+    /// Proposes a change of the members.
+    pub fn change(
+        &mut self,
+        context: &context::Context,
+        change: membership::Change,
+        responder: responder::Responder,
+        events: &mut Vec<Event>,
+    ) {
+        self.next_proposal += 1;
+        let id = self.next_proposal;
+        self.proposed.insert(id, vec![responder]);
+        self.step(context, replica::Input::Change { id, change }, events);
+    }
+
+    /// Handles the result of a write.
+    pub fn persisted(&mut self, context: &context::Context, done: &disk::Done, events: &mut Vec<Event>) {
+        let input = match &done.result {
+            Ok(through) => replica::Input::Persisted { through: *through },
+            Err(error) => {
+                log::error!("disk: {:?} is not durable any more: {error}", self.group);
+                replica::Input::PersistFailed
+            }
+        };
+        self.step(context, input, events);
+    }
+
+    /// Feeds one input and carries out what follows from it.
+    pub fn step(&mut self, context: &context::Context, input: replica::Input, events: &mut Vec<Event>) {
+        let mut inputs = VecDeque::from([input]);
+        while let Some(input) = inputs.pop_front() {
+            let mut outputs = std::mem::take(&mut self.outputs);
+            self.replica.step(context.now(), input, &mut outputs);
+            self.carry_out(context, &mut outputs, &mut inputs, events);
+            self.outputs = outputs;
+        }
+    }
+
+    fn carry_out(
+        &mut self,
+        context: &context::Context,
+        outputs: &mut Vec<replica::Output>,
+        inputs: &mut VecDeque<replica::Input>,
+        events: &mut Vec<Event>,
+    ) {
+        let mut writes = Vec::new();
+        for output in outputs.drain(..) {
+            match output {
+                replica::Output::Persist(write) => writes.push(write),
+                replica::Output::Send { to, message } => {
+                    context.send(to, wire::Body::Consensus(self.group, message));
+                }
+                replica::Output::Apply(entry) => self.apply(context, entry, inputs, events),
+                replica::Output::Install(snapshot) => {
+                    self.applied = snapshot.position.index;
+                    self.snapshot_index = self.applied;
+                    inputs.push_back(replica::Input::Applied { index: self.applied });
+                    events.push(Event::Install(snapshot));
+                }
+                replica::Output::Committed { id, index } => {
+                    if let Some(responders) = self.proposed.remove(&id) {
+                        self.committed.insert(index, responders);
+                    }
+                }
+                replica::Output::Rejected { id, reason } => {
+                    for responder in self.proposed.remove(&id).unwrap_or_default() {
+                        responder.reject(context, reason);
+                    }
+                }
+                replica::Output::Role(role) => self.set_role(context, role),
+            }
+        }
+        self.write(writes, inputs);
+    }
+
+    fn apply(
+        &mut self,
+        context: &context::Context,
+        entry: log::Entry,
+        inputs: &mut VecDeque<replica::Input>,
+        events: &mut Vec<Event>,
+    ) {
+        let index = entry.position.index;
+        self.applied = index;
+        inputs.push_back(replica::Input::Applied { index });
+        let mut responders = self.committed.remove(&index).unwrap_or_default();
+        match &entry.payload {
+            log::Payload::Command(data) => self.snapshot_bytes += data.len(),
+            log::Payload::Membership(members) => {
+                let voters = members.voters.iter().copied().collect();
+                context.record(event::Kind::MembershipChanged { group: self.group, voters });
+                for responder in responders.drain(..) {
+                    responder.answer(context, wire::Reply::Done);
+                }
+            }
+            log::Payload::Noop => {}
+        }
+        events.push(Event::Apply { entry, responders });
+    }
+
+    fn write(&self, writes: Vec<write::Write>, inputs: &mut VecDeque<replica::Input>) {
+        let Some(last) = writes.last().map(|write| write.sequence) else {
+            return;
+        };
+        let input = match &self.disk {
+            None => replica::Input::Persisted { through: last },
+            Some(disk) if disk.write(writes) => return,
+            Some(_) => replica::Input::PersistFailed,
+        };
+        inputs.push_back(input);
+    }
+
+    fn set_role(&mut self, context: &context::Context, role: replica::Role) {
+        let leads = matches!(role, replica::Role::Leader);
+        let led = matches!(self.role, replica::Role::Leader);
+        if leads && !led {
+            let status = self.replica.status();
+            self.lead_from = status.last.index;
+            context.record(event::Kind::LeaderElected { group: self.group, term: status.term });
+            log::info!("group: This VM leads {:?} in term {}.", self.group, status.term);
+        }
+        if led && !leads {
+            context.record(event::Kind::LeaderLost { group: self.group });
+            log::info!("group: This VM no longer leads {:?}.", self.group);
+        }
+        self.role = role;
+    }
+
+    /// Makes a snapshot of the applied state when the log has grown enough.
+    pub fn compact(
+        &mut self,
+        context: &context::Context,
+        encode: &dyn Fn() -> Bytes,
+        events: &mut Vec<Event>,
+    ) -> Option<snapshot::Snapshot> {
+        let entries = self.applied - self.snapshot_index;
+        if entries < ENTRIES_PER_SNAPSHOT && self.snapshot_bytes < BYTES_PER_SNAPSHOT {
+            return None;
+        }
+        let snapshot = self.replica.snapshot(self.applied, encode())?;
+        self.snapshot_index = self.applied;
+        self.snapshot_bytes = 0;
+        self.step(context, replica::Input::Compact { snapshot: snapshot.clone() }, events);
+        Some(snapshot)
+    }
+
+    /// Tells whether this member leads, has applied all entries of earlier leaders and holds the lease.
+    pub fn leads(&self, now: Duration) -> bool {
+        let elected = matches!(self.role, replica::Role::Leader);
+        elected && self.applied >= self.lead_from && self.replica.holds_lease(now)
+    }
+
+    /// Leader that this member knows.
+    pub const fn leader(&self, me: id::VmId) -> Option<id::VmId> {
+        match self.role {
+            replica::Role::Leader => Some(me),
+            replica::Role::Follower { leader } => leader,
+            replica::Role::Candidate | replica::Role::Removed => None,
+        }
+    }
+
+    /// Tells whether this member was removed for good.
+    pub const fn is_removed(&self) -> bool {
+        matches!(self.role, replica::Role::Removed)
+    }
+
+    /// The replica, for reads.
+    pub const fn replica(&self) -> &replica::Replica {
+        &self.replica
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/control/responder.rs
@@ -0,0 +1,55 @@
+//! Who waits for the outcome of a command.
+
+use bronzespoke_consensus::replica;
+use bronzespoke_model::id;
+
+use crate::{control::context, peer::wire};
+
+/// Continuation of a local call.
+pub type Then = Box<dyn FnOnce(wire::Reply) + Send>;
+
+/// Who gets the answer to a call.
+pub enum Responder {
+    /// Nobody; the outcome is handled when the command is applied.
+    Nobody,
+    /// A call of this process.
+    Local(Then),
+    /// A call of another daemon, under its number.
+    Remote {
+        /// The other daemon.
+        to: id::VmId,
+        /// Its number for the call.
+        number: u64,
+    },
+}
+
+impl std::fmt::Debug for Responder {
+    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Self::Nobody => formatter.write_str("Nobody"),
+            Self::Local(_) => formatter.write_str("Local"),
+            Self::Remote { to, number } => write!(formatter, "Remote({to}, {number})"),
+        }
+    }
+}
+
+impl Responder {
+    /// Gives the answer.
+    pub fn answer(self, context: &context::Context, reply: wire::Reply) {
+        match self {
+            Self::Nobody => {}
+            Self::Local(then) => then(reply),
+            Self::Remote { to, number } => context.send(to, wire::Body::Reply(number, reply)),
+        }
+    }
+
+    /// Gives the answer to a command that was not committed, or may not have been.
+    pub fn reject(self, context: &context::Context, reason: replica::Rejection) {
+        let reply = match reason {
+            replica::Rejection::Unknown => wire::Reply::Unknown,
+            replica::Rejection::NotLeader { .. } | replica::Rejection::Transferring => wire::Reply::NotLeader,
+            other => wire::Reply::NotDone(format!("the log does not take commands now: {other:?}")),
+        };
+        self.answer(context, reply);
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/peer/mod.rs
@@ -0,0 +1,121 @@
+//! Frames between daemons.
+//!
+//! Each daemon keeps one outgoing TCP connection to every other daemon and sends on it only; it receives on the
+//! connections that others opened. Frames may be lost, late or repeated; every protocol above copes with that.
+
+pub mod fault;
+mod inbound;
+mod outbound;
+pub mod wire;
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{
+        Arc, Mutex, PoisonError,
+        atomic::{AtomicU64, Ordering},
+    },
+};
+
+use bytes::Bytes;
+use tokio::{net::TcpListener, runtime, sync::mpsc};
+use tokio_util::sync::CancellationToken;
+
+/// Largest frame, in bytes.
+pub const MAX_FRAME_BYTES: usize = 1 << 20;
+/// Frames that may wait for one peer; further frames are dropped, as on a lossy link.
+pub const OUTBOUND_QUEUE: usize = 1024;
+/// Received frames that may wait for control; further frames stay in the sockets.
+pub const INBOUND_QUEUE: usize = 4096;
+
+/// Bytes sent and received by all links, for the control cost.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    /// Bytes of frames sent.
+    pub sent: AtomicU64,
+    /// Bytes of frames received.
+    pub received: AtomicU64,
+    /// Frames dropped because a queue was full.
+    pub dropped: AtomicU64,
+}
+
+/// A frame received from another daemon.
+#[derive(Debug)]
+pub struct Received {
+    /// The frame.
+    pub frame: wire::Frame,
+}
+
+/// Outgoing side of all links.
+#[derive(Debug, Clone)]
+pub struct Network {
+    runtime: runtime::Handle,
+    links: Arc<Mutex<HashMap<SocketAddr, mpsc::Sender<Bytes>>>>,
+    traffic: Arc<Traffic>,
+    fault: fault::Switch,
+    cancel: CancellationToken,
+}
+
+impl Network {
+    /// Starts receiving on `listener` and returns the outgoing side and the received frames.
+    pub fn start(
+        runtime: runtime::Handle,
+        listener: TcpListener,
+        fault: fault::Switch,
+        cancel: CancellationToken,
+    ) -> (Self, mpsc::Receiver<Received>) {
+        let (sender, receiver) = mpsc::channel(INBOUND_QUEUE);
+        let traffic = Arc::new(Traffic::default());
+        runtime.spawn(inbound::accept(
+            listener,
+            sender,
+            Arc::clone(&traffic),
+            fault.clone(),
+            cancel.clone(),
+        ));
+        let links = Arc::new(Mutex::new(HashMap::new()));
+        (Self { runtime, links, traffic, fault, cancel }, receiver)
+    }
+
+    /// Sends a frame to a peer address; the frame is dropped when the link is full or cut.
+    pub fn send(&self, to: SocketAddr, frame: &wire::Frame) {
+        if self.fault.is_cut(to) {
+            return;
+        }
+        let bytes = match wire::encode(frame) {
+            Ok(bytes) => bytes,
+            Err(error) => {
+                log::error!("peer: a frame for {to} was not encoded: {error}");
+                return;
+            }
+        };
+        let length = bytes.len() as u64;
+        let sent = self.link(to).try_send(bytes).is_ok();
+        if sent {
+            self.traffic.sent.fetch_add(length, Ordering::Relaxed);
+        } else {
+            self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+
+    /// Returns the byte counts.
+    pub fn traffic(&self) -> &Traffic {
+        &self.traffic
+    }
+
+    /// Closes the links to peers that are not in `keep`.
+    pub fn retain(&self, keep: &dyn Fn(SocketAddr) -> bool) {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        links.retain(|address, _| keep(*address));
+    }
+
+    fn link(&self, to: SocketAddr) -> mpsc::Sender<Bytes> {
+        let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
+        let link = links.entry(to).or_insert_with(|| {
+            let (sender, receiver) = mpsc::channel(OUTBOUND_QUEUE);
+            self.runtime.spawn(outbound::run(to, receiver, self.cancel.clone()));
+            sender
+        });
+        link.clone()
+    }
+}
