--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -17,12 +17,12 @@
 }
 
 impl std::fmt::Display for Error {
-    fn fmt(&self, formatter: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Format(detail) => write!(formatter, "malformed control data: {detail}"),
-            Self::Invariant(detail) => write!(formatter, "control data breaks an invariant: {detail}"),
+            Self::Format(detail) => write!(f, "malformed control data: {detail}"),
+            Self::Invariant(detail) => write!(f, "control data breaks an invariant: {detail}"),
             Self::Older { snapshot, applied } => write!(
-                formatter,
+                f,
                 "snapshot ends at index {snapshot}, but index {applied} is already applied"
             ),
         }
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -34,6 +34,7 @@
 /// Safety rules that tests switch off to show that the checks catch their absence.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy)]
+#[expect(clippy::struct_excessive_bools, reason = "each rule is switched on its own")]
 pub struct Rules {
     /// Grants are refused above the limit.
     pub limit: bool,
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -16,6 +16,7 @@
 /// Safety rules that tests switch off to show that the checks catch their absence.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy)]
+#[expect(clippy::struct_excessive_bools, reason = "each rule is switched on its own")]
 pub struct Rules {
     /// A start must fit the part of its team.
     pub part: bool,
--- /dev/null
+++ b/crates/gossip/src/exchange.rs
@@ -0,0 +1,304 @@
+//! Composition and reception of messages.
+
+use std::time::Duration;
+
+use bronzespoke_model::id;
+
+use crate::{
+    gossip::{Gossip, Peer},
+    key::{Key, Value},
+    links::Link,
+    message::{self, Delta, Echo, Line, Message, Want},
+    origin::Origin,
+};
+
+/// Shortest time between requests for the entries of one origin.
+const ASK_INTERVAL: Duration = Duration::from_millis(100);
+/// Clocks of two VMs differ in rate by at most this part.
+const DRIFT: f64 = 0.02;
+/// Ages at or above this are sent as this; such entries are unusable anyway.
+const MAX_AGE_MS: u32 = 3_600_000;
+
+impl Gossip {
+    /// Takes a message from another VM.
+    pub fn receive(
+        &mut self,
+        now: Duration,
+        from: id::VmId,
+        message: Message,
+        out: &mut Vec<(id::VmId, Message)>,
+    ) {
+        let is_peer = from != self.config.id && self.links.is_member(from);
+        if !is_peer || !self.note_peer(now, from, &message) {
+            return;
+        }
+        self.links.note(now, from, message.initiated);
+        for delta in message.deltas.into_iter().take(message::MAX_LINES) {
+            self.merge(now, delta);
+        }
+        let sent = message.echo.and_then(|echo| self.sent_at(now, &echo));
+        let mut wants = Vec::new();
+        for line in message.lines.iter().take(message::MAX_LINES) {
+            self.read_line(now, from, line, sent, &mut wants);
+        }
+        let deltas = self.answer(from, &message.wants);
+        if !wants.is_empty() || !deltas.is_empty() {
+            let lines = deltas
+                .iter()
+                .filter_map(|delta| self.line(now, delta.origin))
+                .collect();
+            let reply = self.message(now, from, false, lines, deltas, wants);
+            out.push((from, reply));
+        }
+        if self.urgent {
+            self.send_urgent(now, out);
+        }
+    }
+
+    /// Records the sender's life and stamp; `false` when the message is of an earlier life.
+    fn note_peer(&mut self, now: Duration, from: id::VmId, message: &Message) -> bool {
+        let peer = self.peers.entry(from).or_default();
+        if message.incarnation < peer.incarnation {
+            return false;
+        }
+        if message.incarnation > peer.incarnation || message.stamp_ms > peer.stamp_ms {
+            *peer = Peer {
+                incarnation: message.incarnation,
+                stamp_ms: message.stamp_ms,
+                received: now,
+            };
+        }
+        true
+    }
+
+    /// Returns the earliest local time at which a message with this echo can have been sent.
+    fn sent_at(&self, now: Duration, echo: &Echo) -> Option<Duration> {
+        if !self.rules.echo {
+            return Some(now);
+        }
+        let stamp = Duration::from_millis(echo.stamp_ms);
+        if echo.incarnation != self.config.incarnation || stamp > now {
+            return None;
+        }
+        let held = Duration::from_millis(u64::from(echo.held_ms)).mul_f64(1.0 - DRIFT);
+        Some((stamp + held).min(now))
+    }
+
+    fn merge(&mut self, now: Duration, delta: Delta) {
+        if delta.origin == self.config.id || !self.links.is_member(delta.origin) {
+            return;
+        }
+        let Some(origin) = self.origin_of(delta.origin, delta.incarnation) else {
+            return;
+        };
+        let changed = origin.merge(now, delta);
+        let marks: Vec<(id::TargetId, id::Incarnation)> = changed
+            .iter()
+            .filter_map(|key| match (key, origin.get(*key)) {
+                (Key::Target(target), Some(Value::Departing { incarnation })) => {
+                    Some((*target, *incarnation))
+                }
+                _ => None,
+            })
+            .collect();
+        self.urgent |= changed.iter().any(|key| matches!(key, Key::Target(_)));
+        for (target, incarnation) in marks {
+            self.mark(now, target, incarnation);
+        }
+    }
+
+    /// Returns the entries of a life of an origin; `None` when a later life is known.
+    fn origin_of(&mut self, vm: id::VmId, incarnation: id::Incarnation) -> Option<&mut Origin> {
+        let origin = self.origins.entry(vm).or_insert_with(|| Origin::new(incarnation));
+        if incarnation > origin.incarnation {
+            *origin = Origin::new(incarnation);
+        }
+        (incarnation == origin.incarnation).then_some(origin)
+    }
+
+    fn read_line(
+        &mut self,
+        now: Duration,
+        from: id::VmId,
+        line: &Line,
+        sent: Option<Duration>,
+        wants: &mut Vec<Want>,
+    ) {
+        if line.origin == self.config.id || !self.links.is_member(line.origin) {
+            return;
+        }
+        let Some(origin) = self.origin_of(line.origin, line.incarnation) else {
+            return;
+        };
+        if origin.known < line.version {
+            let want = Want {
+                origin: line.origin,
+                incarnation: line.incarnation,
+                known: origin.known,
+                floor: origin.floor,
+            };
+            let due = self
+                .asked
+                .get(&line.origin)
+                .is_none_or(|asked| now >= *asked + ASK_INTERVAL);
+            if due {
+                self.asked.insert(line.origin, now);
+                wants.push(want);
+            }
+            return;
+        }
+        let age = Duration::from_millis(u64::from(line.age_ms)).mul_f64(1.0 + DRIFT);
+        let basis = sent.and_then(|sent| sent.checked_sub(age));
+        if basis > origin.basis {
+            origin.basis = basis;
+            origin.via = Some(from);
+        }
+    }
+
+    fn answer(&mut self, from: id::VmId, wants: &[Want]) -> Vec<Delta> {
+        let mut budget = message::MAX_ENTRIES_BYTES;
+        let mut deltas = Vec::new();
+        for want in wants.iter().take(message::MAX_LINES) {
+            let Some(origin) = self.held(want.origin) else {
+                continue;
+            };
+            if origin.incarnation != want.incarnation {
+                continue;
+            }
+            let missed_removals = want.known < origin.floor && want.floor < origin.floor;
+            let after = if missed_removals && self.rules.floor {
+                0
+            } else {
+                want.known
+            };
+            if let Some(delta) = origin.delta(want.origin, after, &mut budget) {
+                self.sent
+                    .insert((from, want.origin), (delta.incarnation, delta.through));
+                deltas.push(delta);
+            }
+        }
+        deltas
+    }
+
+    fn held(&self, vm: id::VmId) -> Option<&Origin> {
+        if vm == self.config.id {
+            Some(&self.mine)
+        } else {
+            self.origins.get(&vm)
+        }
+    }
+
+    fn line(&self, now: Duration, vm: id::VmId) -> Option<Line> {
+        let origin = self.held(vm)?;
+        let age = if vm == self.config.id {
+            Duration::ZERO
+        } else {
+            now.saturating_sub(origin.basis?)
+        };
+        Some(Line {
+            origin: vm,
+            incarnation: origin.incarnation,
+            version: origin.known,
+            age_ms: (age.as_micros().div_ceil(1000) as u64).min(u64::from(MAX_AGE_MS)) as u32,
+        })
+    }
+
+    /// Returns the origins that this VM reports on a link: itself, and what it learned directly from the other side.
+    ///
+    /// A VM passes on what it learned directly, once: entries of its own zone to other zones, and entries of other
+    /// zones to its own zone. No entry can travel in a circle.
+    fn scope(&self, link: Link) -> Vec<id::VmId> {
+        let direct = |vm: id::VmId, origin: &Origin| match origin.via {
+            Some(via) if link.local => !self.links.is_local(via) && !self.links.is_local(vm),
+            Some(_) => self.links.is_local(vm),
+            None => false,
+        };
+        std::iter::once(self.config.id)
+            .chain(
+                self.origins
+                    .iter()
+                    .filter(|(vm, origin)| **vm != link.peer && direct(**vm, origin))
+                    .map(|(vm, _)| *vm),
+            )
+            .collect()
+    }
+
+    /// Sends the digest of a link, and what changed since the last message on it.
+    pub(crate) fn send_regular(&mut self, now: Duration, link: Link, out: &mut Vec<(id::VmId, Message)>) {
+        let scope = self.scope(link);
+        let lines = scope.iter().filter_map(|vm| self.line(now, *vm)).collect();
+        let deltas = self.changes(link.peer, &scope);
+        let message = self.message(now, link.peer, link.initiated, lines, deltas, Vec::new());
+        out.push((link.peer, message));
+    }
+
+    /// Sends what changed on every link that has changes.
+    pub(crate) fn send_urgent(&mut self, now: Duration, out: &mut Vec<(id::VmId, Message)>) {
+        self.urgent = false;
+        for link in self.links.list(now, true) {
+            let scope = self.scope(link);
+            let deltas = self.changes(link.peer, &scope);
+            if deltas.is_empty() {
+                continue;
+            }
+            let lines = deltas
+                .iter()
+                .filter_map(|delta| self.line(now, delta.origin))
+                .collect();
+            let message = self.message(now, link.peer, link.initiated, lines, deltas, Vec::new());
+            out.push((link.peer, message));
+        }
+    }
+
+    /// Returns what changed since the last message to a peer. On first contact there is none: the peer asks for what
+    /// it lacks.
+    fn changes(&mut self, peer: id::VmId, scope: &[id::VmId]) -> Vec<Delta> {
+        let mut budget = message::MAX_ENTRIES_BYTES;
+        let mut deltas = Vec::new();
+        for vm in scope {
+            let Some(origin) = self.held(*vm) else {
+                continue;
+            };
+            let (incarnation, known) = (origin.incarnation, origin.known);
+            let through = match self.sent.get(&(peer, *vm)) {
+                Some((sent, through)) if *sent == incarnation => {
+                    let delta = origin.delta(*vm, *through, &mut budget);
+                    let through = delta.as_ref().map_or(*through, |delta| delta.through);
+                    deltas.extend(delta);
+                    through
+                }
+                _ => known,
+            };
+            self.sent.insert((peer, *vm), (incarnation, through));
+        }
+        deltas
+    }
+
+    fn message(
+        &self,
+        now: Duration,
+        to: id::VmId,
+        initiated: bool,
+        lines: Vec<Line>,
+        deltas: Vec<Delta>,
+        wants: Vec<Want>,
+    ) -> Message {
+        let echo = self.peers.get(&to).map(|peer| Echo {
+            incarnation: peer.incarnation,
+            stamp_ms: peer.stamp_ms,
+            held_ms: now
+                .saturating_sub(peer.received)
+                .as_millis()
+                .min(u128::from(MAX_AGE_MS)) as u32,
+        });
+        Message {
+            incarnation: self.config.incarnation,
+            stamp_ms: now.as_millis() as u64,
+            echo,
+            initiated,
+            lines,
+            deltas,
+            wants,
+        }
+    }
+}
