--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -336,7 +336,11 @@
         let mut added = escrow::Total::ZERO;
         for grant in grants {
             let part = parts.entry(grant.zone).or_default();
-            let granted = grant.granted.max(&part.granted);
+            let granted = if self.rules.monotonic {
+                grant.granted.max(&part.granted)
+            } else {
+                grant.granted
+            };
             added = added.plus(&granted.minus(&part.granted));
             part.granted = granted;
             part.target = grant.target;
@@ -366,12 +370,7 @@
             else {
                 continue;
             };
-            let floor = if self.rules.monotonic {
-                part.released
-            } else {
-                escrow::Total::ZERO
-            };
-            part.released = floor.max(total).min(&part.granted);
+            part.released = part.released.max(total).min(&part.granted);
             self.set_ceiling(*team);
         }
         Ok(Outcome::Done)
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -46,7 +46,7 @@
     pub dedupe: bool,
     /// An older snapshot is refused.
     pub snapshot: bool,
-    /// Counters only grow.
+    /// Granted counters only grow.
     pub monotonic: bool,
 }
 
--- /dev/null
+++ b/crates/control/tests/escrow.rs
@@ -0,0 +1,392 @@
+//! Parts of upper limits over a faulty network: a root state beside the states of three zones.
+//!
+//! Guards against parts that add up to more than the limit, at any moment and in any order of messages.
+
+use bronzespoke_control::{envelope, escrow::Total, root, zone};
+use bronzespoke_model::{id, job, resource::Amount, task, team, vm, worker};
+use proptest::{prelude::*, test_runner::RngSeed};
+use rand::{Rng, SeedableRng, rngs::SmallRng, seq::IndexedRandom};
+
+const ZONES: [id::AvailabilityZoneId; 3] = [1, 2, 3];
+const TEAMS: [id::TeamId; 2] = [1, 2];
+const STEPS: usize = 400;
+
+enum Message {
+    /// What a zone learns of the root state.
+    Parts(usize, Vec<(id::TeamId, root::Part)>),
+    /// Released counters that a zone has committed.
+    Released(usize, Vec<(id::TeamId, Total)>),
+}
+
+struct Cell {
+    root: root::State,
+    zones: Vec<zone::State>,
+    targets: Vec<[Amount; 2]>,
+    cut: [bool; 3],
+    messages: Vec<Message>,
+    running: Vec<Vec<zone::Start>>,
+    grants: Vec<Vec<root::Grant>>,
+    /// Upper bound of what may be out, per team, from the step before.
+    before: [Total; 2],
+    random: SmallRng,
+}
+
+fn quota(limit: Amount) -> team::Quota {
+    team::Quota {
+        weight: 1,
+        limit,
+        requests: 1,
+    }
+}
+
+fn spec(size: Amount) -> job::Spec {
+    job::Spec {
+        kind: job::Kind::Service,
+        priority: job::Priority::Normal,
+        tasks: 1000,
+        size,
+        accelerator: 0,
+        run_time: std::time::Duration::ZERO,
+        checkpoint: false,
+        command: String::new(),
+    }
+}
+
+impl Cell {
+    fn new(seed: u64, root_rules: root::Rules, zone_rules: zone::Rules) -> Self {
+        let mut cell = Self {
+            root: root::State::with_rules(root_rules),
+            zones: ZONES
+                .iter()
+                .map(|zone| zone::State::with_rules(*zone, zone_rules))
+                .collect(),
+            targets: vec![[Amount::ZERO; 2]; 3],
+            cut: [false; 3],
+            messages: Vec::new(),
+            running: vec![Vec::new(); 3],
+            grants: Vec::new(),
+            before: [Total::ZERO; 2],
+            random: SmallRng::seed_from_u64(seed),
+        };
+        for zone in ZONES {
+            cell.on_root(root::Command::AddZone {
+                place: vm::Place { region: 1, zone },
+            });
+        }
+        for team in TEAMS {
+            cell.on_root(root::Command::CreateTeam {
+                name: format!("team {team}"),
+                quota: quota(Amount::new(100, 100, 4)),
+            });
+        }
+        for zone in 0..3 {
+            cell.on_zone(
+                zone,
+                zone::Command::Register(worker::Registration {
+                    worker: 1,
+                    incarnation: 1,
+                    rack: 1,
+                    capacity: bronzespoke_model::resource::Capacity::default(),
+                }),
+            );
+            for team in TEAMS {
+                cell.on_zone(
+                    zone,
+                    zone::Command::Submit {
+                        team,
+                        submission: None,
+                        spec: spec(Amount::new(3, 2, 0)),
+                    },
+                );
+            }
+        }
+        cell
+    }
+
+    fn on_root(&mut self, command: root::Command) -> root::Outcome {
+        let index = self.root.applied() + 1;
+        self.root.apply(index, &envelope::Envelope::new(1, command))
+    }
+
+    fn on_zone(&mut self, zone: usize, command: zone::Command) -> zone::Outcome {
+        let index = self.zones[zone].applied() + 1;
+        self.zones[zone].apply(index, &envelope::Envelope::new(1, command))
+    }
+
+    fn amount(&mut self) -> Amount {
+        Amount::new(
+            self.random.random_range(0..150),
+            self.random.random_range(0..150),
+            self.random.random_range(0..6),
+        )
+    }
+
+    fn rebalance(&mut self) {
+        let mut demand = root::Demand::new();
+        for team in TEAMS {
+            for zone in ZONES {
+                let wish = self.amount();
+                demand.insert((team, zone), wish);
+            }
+        }
+        let grants = root::rebalance(&self.root, &demand);
+        self.on_root(root::Command::Grant(grants.clone()));
+        self.grants.push(grants);
+    }
+
+    fn send(&mut self) {
+        let zone = self.random.random_range(0..3);
+        if self.cut[zone] {
+            return;
+        }
+        let message = if self.random.random() {
+            let parts = TEAMS
+                .iter()
+                .filter_map(|team| Some((*team, self.root.part(*team, ZONES[zone])?)));
+            Message::Parts(zone, parts.collect())
+        } else {
+            let holdings = self.zones[zone].holdings().iter();
+            Message::Released(
+                zone,
+                holdings.map(|(team, holding)| (team, holding.released)).collect(),
+            )
+        };
+        self.messages.push(message);
+    }
+
+    /// Delivers a random message; half of them stay in flight, so that they arrive again later.
+    fn deliver(&mut self) {
+        if self.messages.is_empty() {
+            return;
+        }
+        let number = self.random.random_range(0..self.messages.len());
+        let (zone, command) = match &self.messages[number] {
+            Message::Parts(zone, parts) => (*zone, Ok(parts.clone())),
+            Message::Released(zone, released) => (*zone, Err(released.clone())),
+        };
+        if self.cut[zone] {
+            return;
+        }
+        match command {
+            Ok(parts) => {
+                for (team, part) in &parts {
+                    self.targets[zone][*team as usize - 1] = part.target;
+                }
+                let granted = parts.iter().map(|(team, part)| (*team, part.granted)).collect();
+                self.on_zone(zone, zone::Command::Granted(granted));
+            }
+            Err(released) => {
+                let zone = ZONES[zone];
+                self.on_root(root::Command::Released { zone, released });
+            }
+        }
+        if self.random.random() || self.messages.len() > 50 {
+            self.messages.swap_remove(number);
+        }
+    }
+
+    fn run_tasks(&mut self) {
+        let zone = self.random.random_range(0..3);
+        if self.random.random::<f64>() < 0.4 && !self.running[zone].is_empty() {
+            let number = self.random.random_range(0..self.running[zone].len());
+            let start = self.running[zone].swap_remove(number);
+            let end = zone::End {
+                task: start.task,
+                token: start.token,
+                outcome: task::Outcome::Stopped,
+            };
+            self.on_zone(zone, zone::Command::End(vec![end]));
+            return;
+        }
+        let start = zone::Start {
+            task: task::Ref {
+                job: id::job(ZONES[zone], self.random.random_range(1..3)),
+                index: self.random.random_range(0..1000),
+            },
+            worker: 1,
+            token: self.zones[zone].next_token(),
+        };
+        let outcome = self.on_zone(zone, zone::Command::Start(vec![start]));
+        if outcome == zone::Outcome::Started(Vec::new()) {
+            self.running[zone].push(start);
+        }
+    }
+
+    fn release(&mut self) {
+        let zone = self.random.random_range(0..3);
+        let targets = self.targets[zone];
+        let mut released = self.zones[zone].releases(|team| targets[team as usize - 1]);
+        if self.random.random::<f64>() < 0.3 {
+            // A proposal from before some starts asks for more than the zone can spare.
+            released = vec![(*TEAMS.choose(&mut self.random).unwrap(), self.amount().into())];
+        }
+        self.on_zone(zone, zone::Command::Release(released));
+    }
+
+    fn step(&mut self) {
+        match self.random.random_range(0..20) {
+            0 => {
+                let (team, limit) = (*TEAMS.choose(&mut self.random).unwrap(), self.amount());
+                self.on_root(root::Command::SetQuota {
+                    team,
+                    quota: quota(limit),
+                });
+            }
+            1 | 2 => self.rebalance(),
+            3 if self.random.random() && !self.grants.is_empty() => {
+                // A leader proposes again what was committed long ago.
+                let number = self.random.random_range(0..self.grants.len());
+                let grants = self.grants[number].clone();
+                self.on_root(root::Command::Grant(grants));
+            }
+            3 => {
+                // A leader that works from an old state proposes anything.
+                let grant = root::Grant {
+                    team: *TEAMS.choose(&mut self.random).unwrap(),
+                    zone: *ZONES.choose(&mut self.random).unwrap(),
+                    granted: self.amount().into(),
+                    target: self.amount(),
+                };
+                self.on_root(root::Command::Grant(vec![grant]));
+            }
+            4 => {
+                let zone = self.random.random_range(0..3);
+                self.cut[zone] = self.random.random();
+            }
+            5 => {
+                let zone = self.random.random_range(0..3);
+                let copy = self.zones[zone].encode();
+                self.zones[zone].install(&copy).unwrap();
+                let copy = self.root.encode();
+                self.root.install(&copy).unwrap();
+            }
+            6..=8 => self.send(),
+            9..=12 => self.deliver(),
+            13 | 14 => self.release(),
+            _ => self.run_tasks(),
+        }
+    }
+
+    /// Returns what is out or may yet arrive at the zones.
+    fn out(&self, team: id::TeamId) -> Total {
+        let mut out = Total::ZERO;
+        for (zone, state) in ZONES.iter().zip(&self.zones) {
+            let holding = state.holdings().get(team);
+            let granted = self.root.part(team, *zone).unwrap_or_default().granted;
+            out = out.plus(&granted.max(&holding.granted).minus(&holding.released));
+        }
+        out
+    }
+
+    fn check(&mut self) -> Result<(), String> {
+        self.root.verify()?;
+        for zone in &self.zones {
+            zone.verify()?;
+        }
+        for team in TEAMS {
+            let limit = Total::from(self.root.teams()[&team].quota.limit);
+            let out = self.out(team);
+            let before = &mut self.before[team as usize - 1];
+            // Lowering a limit does not take parts back at once, but nothing may grow above the limit.
+            if !out.fits(&limit.max(before)) {
+                return Err(format!(
+                    "team {team}: {out:?} out, {before:?} before, limit {limit:?}"
+                ));
+            }
+            *before = out;
+        }
+        Ok(())
+    }
+
+    fn run(&mut self) -> Result<(), String> {
+        for _ in 0..STEPS {
+            self.step();
+            self.check()?;
+        }
+        Ok(())
+    }
+
+    /// Ends all tasks, heals the network and lets limits come into force.
+    fn settle(&mut self) -> bool {
+        self.cut = [false; 3];
+        for _ in 0..4 {
+            self.rebalance();
+            for (zone, id) in ZONES.into_iter().enumerate() {
+                for start in std::mem::take(&mut self.running[zone]) {
+                    let end = zone::End {
+                        task: start.task,
+                        token: start.token,
+                        outcome: task::Outcome::Stopped,
+                    };
+                    self.on_zone(zone, zone::Command::End(vec![end]));
+                }
+                let parts: Vec<(id::TeamId, root::Part)> = TEAMS
+                    .iter()
+                    .filter_map(|team| Some((*team, self.root.part(*team, id)?)))
+                    .collect();
+                let granted = parts.iter().map(|(team, part)| (*team, part.granted)).collect();
+                self.on_zone(zone, zone::Command::Granted(granted));
+                let released = self.zones[zone].releases(|team| {
+                    let part = parts.iter().find(|(other, _)| *other == team);
+                    part.map_or(Amount::ZERO, |(_, part)| part.target)
+                });
+                self.on_zone(zone, zone::Command::Release(released));
+                let holdings = self.zones[zone].holdings().iter();
+                let released = holdings.map(|(team, holding)| (team, holding.released)).collect();
+                self.on_root(root::Command::Released { zone: id, released });
+            }
+        }
+        TEAMS.iter().all(|team| self.root.limit_in_force(*team))
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
+
+    #[test]
+    fn parts_stay_within_limits(seed in any::<u64>()) {
+        let mut cell = Cell::new(seed, root::Rules::default(), zone::Rules::default());
+        prop_assert_eq!(cell.run(), Ok(()));
+        prop_assert!(cell.settle(), "limits do not come into force");
+        prop_assert_eq!(cell.check(), Ok(()));
+    }
+}
+
+#[yare::parameterized(
+    grants_above_the_limit = { |root, _| root.limit = false },
+    granted_counters_that_go_back = { |root, _| root.monotonic = false },
+    starts_above_the_part = { |_, zone| zone.part = false },
+    releases_of_what_is_in_use = { |_, zone| zone.keep_used = false },
+)]
+fn a_missing_rule_is_caught(switch_off: fn(&mut root::Rules, &mut zone::Rules)) {
+    let (mut root_rules, mut zone_rules) = (root::Rules::default(), zone::Rules::default());
+    switch_off(&mut root_rules, &mut zone_rules);
+    let caught = (0..20).any(|seed| Cell::new(seed, root_rules, zone_rules).run().is_err());
+    assert!(caught);
+}
+
+#[test]
+fn a_lost_zone_returns_its_part_only_after_its_leases() {
+    let mut cell = Cell::new(1, root::Rules::default(), zone::Rules::default());
+    cell.rebalance();
+    assert_ne!(cell.root.outstanding(1), Total::ZERO);
+    let lose = |stopped_ms| root::Command::LoseZone {
+        zone: 1,
+        proof: root::Lost { stopped_ms },
+    };
+    let early = root::Lost::LEAST_STOPPED_MS - 1;
+    assert_eq!(
+        cell.on_root(lose(early)),
+        root::Outcome::Refused(root::Refusal::LeasesMayRun)
+    );
+    let before = cell.root.part(1, 1).unwrap().outstanding();
+    assert_ne!(before, Total::ZERO);
+    assert_eq!(cell.on_root(lose(early + 1)), root::Outcome::Done);
+    assert_eq!(cell.root.part(1, 1).unwrap().outstanding(), Total::ZERO);
+    let place = vm::Place { region: 1, zone: 1 };
+    assert_eq!(
+        cell.on_root(root::Command::AddZone { place }),
+        root::Outcome::Refused(root::Refusal::ZoneTaken)
+    );
+    cell.root.verify().unwrap();
+}
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -7,7 +7,7 @@
 use bronzespoke_gossip::{Gossip, Key, Rules, Value, gossip};
 use bronzespoke_model::{id, target, vm};
 use network::{Faults, Network};
-use proptest::prelude::*;
+use proptest::{prelude::*, test_runner::RngSeed};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 const REGIONS: [id::RegionId; 3] = [0, 0, 1];
@@ -127,7 +127,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     /// Guards against entries that stay different, or younger than in truth, after any mix of faults.
     #[test]
