--- a/crates/control/src/dedupe.rs
+++ b/crates/control/src/dedupe.rs
@@ -5,6 +5,8 @@
 use bronzespoke_model::id;
 use serde::{Deserialize, Serialize};
 
+use crate::memory;
+
 /// Command ids that are remembered; the oldest is forgotten first.
 pub const MAX_IDS: usize = 65_536;
 
@@ -76,6 +78,12 @@
         self.order.is_empty()
     }
 
+    /// Returns the estimated bytes of memory, without what the outcomes point to.
+    pub(crate) fn memory(&self) -> usize {
+        memory::map::<id::CommandId>(self.order.len())
+            + memory::map::<(id::CommandId, O)>(self.outcomes.len())
+    }
+
     /// Checks that the order and the outcomes name the same ids.
     pub fn verify(&self) -> Result<(), String> {
         let same = self.order.len() == self.outcomes.len()
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod envelope;
 pub mod error;
 pub mod escrow;
+mod memory;
 pub mod request_id;
 pub mod root;
 
--- /dev/null
+++ b/crates/control/src/root/memory.rs
@@ -0,0 +1,35 @@
+//! Estimate of the memory of the root state.
+
+use std::sync::Arc;
+
+use bronzespoke_model::{id, service, team, vm};
+
+use super::{command, parts, state};
+use crate::memory::{ALLOCATION_BYTES, map};
+
+impl state::State {
+    /// Returns the estimated bytes of memory. Exact for counts, approximate for what the allocator and maps add.
+    pub fn memory(&self) -> usize {
+        let names: usize = self
+            .team_names
+            .keys()
+            .map(|name| 2 * (name.len() + ALLOCATION_BYTES))
+            .sum();
+        let parts: usize = self
+            .parts
+            .values()
+            .map(|parts| map::<(id::AvailabilityZoneId, parts::Part)>(parts.len()) + ALLOCATION_BYTES)
+            .sum();
+        map::<(team::KeyHash, id::TeamId)>(self.keys.len())
+            + map::<team::KeyHash>(self.withdrawn.len()) * 2
+            + map::<(id::TeamId, Arc<team::Team>)>(self.teams.len())
+            + self.teams.len() * (size_of::<team::Team>() + ALLOCATION_BYTES)
+            + map::<(String, id::TeamId)>(self.team_names.len())
+            + names
+            + map::<(String, service::Queue)>(self.services.len() + self.queues.len())
+            + map::<(id::VmId, vm::Vm)>(self.vms.len())
+            + map::<command::Subject>(self.drains.len())
+            + parts
+            + self.commands.memory()
+    }
+}
--- a/crates/control/src/root/mod.rs
+++ b/crates/control/src/root/mod.rs
@@ -2,6 +2,7 @@
 
 mod apply;
 mod command;
+mod memory;
 mod parts;
 mod state;
 mod view;
--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -6,7 +6,10 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use crate::request_id::{self, Key};
+use crate::{
+    memory,
+    request_id::{self, Key},
+};
 
 /// Most request ids that a zone group remembers; a claim beyond them is refused.
 pub const MAX_IDS: usize = 131_072;
@@ -221,6 +224,15 @@
         self.held.iter().map(|(number, holder)| (*number, *holder))
     }
 
+    /// Returns the estimated bytes of memory.
+    pub(super) fn memory(&self) -> usize {
+        memory::map::<(Key, Entry)>(self.entries.len())
+            + memory::map::<(u64, (Key, u32))>(self.order.len())
+            + memory::map::<(u64, id::VmId)>(self.held.len())
+            + memory::map::<(u64, Answer)>(self.answers.len())
+            + self.answers_bytes
+    }
+
     /// Checks that the indices agree and the bounds hold.
     pub fn verify(&self) -> Result<(), String> {
         if self.entries.len() > MAX_IDS || self.entries.len() != self.order.len() {
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -6,10 +6,14 @@
 mod compact;
 mod holdings;
 mod jobs;
+mod memory;
 mod state;
 mod workers;
 
-pub use claims::{Answer, Claimed, Claims, Completion};
+pub use apply::{JOB_RETENTION_MS, MAX_ENDED_BYTES, MAX_OPEN_BYTES};
+pub use claims::{
+    Answer, Claimed, Claims, Completion, MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES, MAX_IDS as MAX_REQUEST_IDS,
+};
 pub use command::{Command, End, Outcome, Refusal, Start};
 pub use holdings::{Holding, Holdings};
 pub use jobs::{Job, Lookup, Run, Status};
