--- a/crates/bench/src/policy/control.rs
+++ b/crates/bench/src/policy/control.rs
@@ -517,13 +517,19 @@
     )
 }
 
-/// Returns the seconds until a zone to which all demand of a team moved runs 95% of it.
+/// Returns the seconds until a zone to which all demand of a team moved runs 95% of it. The tasks of the other zone
+/// ended, so that the time is that of the messages, one round of which takes a second.
 fn time_to_move(seed: u64, moving: bool) -> u64 {
     let mut run = Run::new(seed, moving);
     let mut demand = BTreeMap::from([((1, 1), ESCROW_LIMIT), ((1, 2), 0)]);
     for _ in 0..60 {
         run.step(&demand, moving);
     }
+    let running: Vec<task::Ref> = run.zones[0].state.runs().map(|(task, _)| task).collect();
+    for task in running {
+        run.zones[0].end(task, task::Outcome::Stopped);
+    }
+    run.ends.clear();
     demand = BTreeMap::from([((1, 1), 0), ((1, 2), ESCROW_LIMIT)]);
     (1..=600)
         .find(|_| {
--- a/crates/control/src/root/parts.rs
+++ b/crates/control/src/root/parts.rs
@@ -8,6 +8,10 @@
 use super::state;
 use crate::escrow;
 
+/// While wishes exceed a limit, a zone lacks something only when its target is below its proportion by more than one
+/// part in this number; otherwise every change of a wish would change all targets.
+const TOLERANCE: u64 = 8;
+
 /// Part of one team in one zone.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Part {
@@ -44,8 +48,9 @@
 
 /// Returns the grants that move parts towards the demand.
 ///
-/// Zones that hold more than their new target release the surplus first; a zone gets its addition once the release is
-/// reported. Only teams whose targets or parts change are in the result. Demand of lost zones is ignored.
+/// Targets change only where a zone lacks something, and then as few as will do, because each change is an entry in the
+/// log that every VM follows. Zones that hold more than their new target release the surplus first; a zone gets its
+/// addition once the release is reported. Demand of lost zones is ignored.
 pub fn rebalance(state: &state::State, demand: &Demand) -> Vec<Grant> {
     let zones: Vec<id::AvailabilityZoneId> = state.open_zones().collect();
     let mut grants = Vec::new();
@@ -55,7 +60,11 @@
             .iter()
             .map(|zone| demand.get(&(team.id, *zone)).copied().unwrap_or_default().into())
             .collect();
-        let targets = divide(&limit, &wishes);
+        let present: Vec<escrow::Total> = zones
+            .iter()
+            .map(|zone| state.part(team.id, *zone).unwrap_or_default().target.into())
+            .collect();
+        let targets = divide(&limit, &wishes, &present);
         grant_team(state, team.id, &zones, &targets, &mut grants);
     }
     grants
@@ -86,48 +95,64 @@
     }
 }
 
-/// Divides a limit among zones: wishes in full when they fit, else in proportion; what is left over is shared equally,
-/// so that a zone without demand can start work before the next round.
-fn divide(limit: &escrow::Total, wishes: &[escrow::Total]) -> Vec<escrow::Total> {
+/// Divides a limit among zones, each dimension on its own.
+fn divide(limit: &escrow::Total, wishes: &[escrow::Total], present: &[escrow::Total]) -> Vec<escrow::Total> {
     let mut parts = vec![[0; 3]; wishes.len()];
     for (dimension, total) in limit.dimensions().into_iter().enumerate() {
-        let column: Vec<u64> = wishes.iter().map(|wish| wish.dimensions()[dimension]).collect();
-        for (part, share) in parts.iter_mut().zip(divide_one(total, &column)) {
+        let column = |totals: &[escrow::Total]| -> Vec<u64> {
+            totals.iter().map(|total| total.dimensions()[dimension]).collect()
+        };
+        let shares = divide_one(total, &column(wishes), &column(present));
+        for (part, share) in parts.iter_mut().zip(shares) {
             part[dimension] = share;
         }
     }
     parts.into_iter().map(escrow::Total::from_dimensions).collect()
 }
 
-fn divide_one(limit: u64, wishes: &[u64]) -> Vec<u64> {
-    let wanted: u64 = wishes.iter().sum();
-    if wishes.is_empty() {
-        return Vec::new();
+/// Changes the present targets of one dimension as far as the wishes need it.
+fn divide_one(limit: u64, wishes: &[u64], present: &[u64]) -> Vec<u64> {
+    let aims = aims(limit, wishes);
+    if present.iter().all(|target| *target == 0) {
+        return aims;
     }
-    let mut shares: Vec<u64> = if wanted <= limit {
-        let spare = (limit - wanted) / wishes.len() as u64;
-        wishes.iter().map(|wish| wish + spare).collect()
-    } else {
-        wishes
-            .iter()
-            .map(|wish| (u128::from(limit) * u128::from(*wish) / u128::from(wanted)) as u64)
-            .collect()
-    };
-    let mut rest = limit - shares.iter().sum::<u64>();
-    let order: Vec<usize> = (0..wishes.len()).filter(|index| wishes[*index] > 0).collect();
-    let order = if order.is_empty() {
-        (0..wishes.len()).collect()
-    } else {
-        order
+    let scarce = wishes.iter().sum::<u64>() > limit;
+    let lacks = |zone: usize| {
+        let enough = if scarce {
+            aims[zone] - aims[zone] / TOLERANCE
+        } else {
+            wishes[zone]
+        };
+        present[zone] < enough
     };
-    for index in order.into_iter().cycle() {
-        if rest == 0 {
-            break;
-        }
-        shares[index] += 1;
-        rest -= 1;
+    let mut targets: Vec<u64> = (0..wishes.len())
+        .map(|zone| if lacks(zone) { aims[zone] } else { present[zone] })
+        .collect();
+    let mut excess = targets.iter().sum::<u64>().saturating_sub(limit);
+    let mut donors: Vec<usize> = (0..wishes.len())
+        .filter(|zone| targets[*zone] > aims[*zone])
+        .collect();
+    donors.sort_by_key(|zone| std::cmp::Reverse(targets[*zone] - aims[*zone]));
+    for zone in donors {
+        let taken = excess.min(targets[zone] - aims[zone]);
+        targets[zone] -= taken;
+        excess -= taken;
+    }
+    targets
+}
+
+/// Returns what each zone is meant to have: its wish and an equal share of half of what is left over, so that it can
+/// start more work before the next round; or, when the wishes exceed the limit, its proportion of the limit.
+fn aims(limit: u64, wishes: &[u64]) -> Vec<u64> {
+    let wanted: u64 = wishes.iter().sum();
+    if wanted <= limit {
+        let spare = (limit - wanted) / 2 / (wishes.len().max(1) as u64);
+        return wishes.iter().map(|wish| wish + spare).collect();
     }
-    shares
+    wishes
+        .iter()
+        .map(|wish| (u128::from(limit) * u128::from(*wish) / u128::from(wanted)) as u64)
+        .collect()
 }
 
 /// Scales targets down so that they fit a lower limit.
