--- a/crates/control/src/dedupe.rs
+++ b/crates/control/src/dedupe.rs
@@ -1,22 +1,56 @@
 //! Table of the newest command ids with their first outcomes.
 
-use std::collections::{HashMap, VecDeque};
+use std::{
+    collections::{HashMap, VecDeque},
+    marker::PhantomData,
+};
 
 use bronzespoke_model::id;
-use serde::{Deserialize, Serialize};
+use bytes::Bytes;
+use serde::{Deserialize, Serialize, de::DeserializeOwned};
 
-use crate::memory;
+use crate::{envelope, memory};
 
 /// Command ids that are remembered; the oldest is forgotten first.
 pub const MAX_IDS: usize = 65_536;
 
+const INLINE_BYTES: usize = 22;
+
+/// The bytes of a command id; a `u128` would align the entries to 16 bytes.
+type Name = [u8; 16];
+
+/// An encoded outcome. Nearly all outcomes fit the inline form, which saves an allocation per id.
+#[derive(Debug, Clone)]
+enum Stored {
+    Inline(u8, [u8; INLINE_BYTES]),
+    Boxed(Box<[u8]>),
+}
+
+impl Stored {
+    fn new(bytes: &[u8]) -> Self {
+        if bytes.len() > INLINE_BYTES {
+            return Self::Boxed(bytes.into());
+        }
+        let mut inline = [0; INLINE_BYTES];
+        inline[..bytes.len()].copy_from_slice(bytes);
+        Self::Inline(bytes.len() as u8, inline)
+    }
+
+    fn bytes(&self) -> &[u8] {
+        match self {
+            Self::Inline(len, bytes) => &bytes[..usize::from(*len)],
+            Self::Boxed(bytes) => bytes,
+        }
+    }
+}
+
 /// The newest command ids and their first outcomes, oldest first.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-#[serde(from = "Vec<(id::CommandId, O)>", into = "Vec<(id::CommandId, O)>")]
-#[serde(bound(serialize = "O: Clone + Serialize", deserialize = "O: Deserialize<'de>"))]
+#[serde(from = "Vec<(Name, Bytes)>", into = "Vec<(Name, Bytes)>", bound = "O: Clone")]
 pub struct Table<O> {
-    order: VecDeque<id::CommandId>,
-    outcomes: HashMap<id::CommandId, O>,
+    order: VecDeque<Name>,
+    outcomes: HashMap<Name, Stored>,
+    kind: PhantomData<O>,
 }
 
 impl<O> Default for Table<O> {
@@ -24,39 +58,34 @@
         Self {
             order: VecDeque::new(),
             outcomes: HashMap::new(),
+            kind: PhantomData,
         }
     }
 }
 
-impl<O> From<Vec<(id::CommandId, O)>> for Table<O> {
-    fn from(entries: Vec<(id::CommandId, O)>) -> Self {
+impl<O> From<Vec<(Name, Bytes)>> for Table<O> {
+    fn from(entries: Vec<(Name, Bytes)>) -> Self {
         let mut table = Self::default();
-        for (id, outcome) in entries {
-            table.insert(id, outcome);
+        for (name, bytes) in entries {
+            table.put(name, Stored::new(&bytes));
         }
         table
     }
 }
 
-impl<O> From<Table<O>> for Vec<(id::CommandId, O)> {
-    fn from(mut table: Table<O>) -> Self {
-        let order = std::mem::take(&mut table.order);
-        order
-            .into_iter()
-            .filter_map(|id| Some((id, table.outcomes.remove(&id)?)))
+impl<O> From<Table<O>> for Vec<(Name, Bytes)> {
+    fn from(table: Table<O>) -> Self {
+        table
+            .order
+            .iter()
+            .filter_map(|name| Some((*name, Bytes::copy_from_slice(table.outcomes.get(name)?.bytes()))))
             .collect()
     }
 }
 
 impl<O> Table<O> {
-    /// Returns the first outcome of a command id.
-    pub fn get(&self, id: id::CommandId) -> Option<&O> {
-        self.outcomes.get(&id)
-    }
-
-    /// Records the first outcome of a command id; a later outcome of the same id changes nothing.
-    pub fn insert(&mut self, id: id::CommandId, outcome: O) {
-        if self.outcomes.contains_key(&id) {
+    fn put(&mut self, name: Name, outcome: Stored) {
+        if self.outcomes.contains_key(&name) {
             return;
         }
         if self.order.len() == MAX_IDS
@@ -64,8 +93,8 @@
         {
             self.outcomes.remove(&oldest);
         }
-        self.order.push_back(id);
-        self.outcomes.insert(id, outcome);
+        self.order.push_back(name);
+        self.outcomes.insert(name, outcome);
     }
 
     /// Returns the number of ids.
@@ -78,16 +107,38 @@
         self.order.is_empty()
     }
 
-    /// Returns the estimated bytes of memory, without what the outcomes point to.
+    /// Returns the estimated bytes of memory.
     pub(crate) fn memory(&self) -> usize {
-        memory::map::<id::CommandId>(self.order.len())
-            + memory::map::<(id::CommandId, O)>(self.outcomes.len())
+        let boxed: usize = self
+            .outcomes
+            .values()
+            .map(|outcome| match outcome {
+                Stored::Inline(..) => 0,
+                Stored::Boxed(bytes) => bytes.len() + memory::ALLOCATION_BYTES,
+            })
+            .sum();
+        self.order.capacity() * size_of::<Name>()
+            + memory::hash_map::<(Name, Stored)>(self.outcomes.capacity())
+            + boxed
+    }
+}
+
+impl<O: Serialize + DeserializeOwned> Table<O> {
+    /// Returns the first outcome of a command id.
+    pub fn get(&self, id: id::CommandId) -> Option<O> {
+        let stored = self.outcomes.get(&id.to_le_bytes())?;
+        envelope::from_bytes(stored.bytes()).ok()
+    }
+
+    /// Records the first outcome of a command id; a later outcome of the same id changes nothing.
+    pub fn insert(&mut self, id: id::CommandId, outcome: &O) {
+        self.put(id.to_le_bytes(), Stored::new(&envelope::to_bytes(outcome)));
     }
 
-    /// Checks that the order and the outcomes name the same ids.
+    /// Checks that the order and the outcomes name the same ids, and that the outcomes decode.
     pub fn verify(&self) -> Result<(), String> {
-        let same = self.order.len() == self.outcomes.len()
-            && self.order.iter().all(|id| self.outcomes.contains_key(id));
+        let known = |name: &Name| self.get(id::CommandId::from_le_bytes(*name)).is_some();
+        let same = self.order.len() == self.outcomes.len() && self.order.iter().all(known);
         if !same || self.order.len() > MAX_IDS {
             return Err(format!(
                 "command ids: {} in order, {} with outcomes, at most {MAX_IDS}",
--- a/crates/control/src/memory.rs
+++ b/crates/control/src/memory.rs
@@ -1,13 +1,17 @@
 //! Estimates of the memory of tables, for metrics and the capacity page.
 
-/// B-tree nodes are about two thirds full, and a hash map has a load factor of at most seven eighths of a power of two;
-/// both take about one and a half times the bytes of their entries.
-const FILL_NUMERATOR: usize = 3;
-const FILL_DENOMINATOR: usize = 2;
+/// Nodes of a B-tree hold up to 11 entries and, when keys grow, 6 of them on average.
+const NODE_ENTRIES: usize = 11;
+const USED_ENTRIES: usize = 6;
 /// Bytes that an allocator adds to a block, rounding included.
 pub(crate) const ALLOCATION_BYTES: usize = 16;
 
-/// Returns the estimated bytes of a map with `len` entries of type `E`, without what the entries point to.
+/// Returns the estimated bytes of a B-tree map with `len` entries of type `E`, without what the entries point to.
 pub(crate) const fn map<E>(len: usize) -> usize {
-    len * size_of::<E>() * FILL_NUMERATOR / FILL_DENOMINATOR
+    len * size_of::<E>() * NODE_ENTRIES / USED_ENTRIES
+}
+
+/// Returns the estimated bytes of a hash map with room for `capacity` entries of type `E`: seven eighths of its buckets.
+pub(crate) const fn hash_map<E>(capacity: usize) -> usize {
+    capacity * 8 / 7 * (size_of::<E>() + 1)
 }
--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -19,7 +19,7 @@
 /// Most keys that are granted at the same time.
 pub const MAX_KEYS: usize = 16_384;
 /// Withdrawn keys that are remembered; the oldest is forgotten first.
-pub const MAX_WITHDRAWN: usize = 65_536;
+pub const MAX_WITHDRAWN: usize = 32_768;
 /// Most services, and most open queues.
 pub const MAX_SERVICES: usize = 1024;
 /// Most VMs in the directory.
@@ -57,14 +57,14 @@
         if let Some(outcome) = known
             && self.rules.dedupe
         {
-            return outcome.clone();
+            return outcome;
         }
         let outcome = match self.execute(envelope) {
             Ok(outcome) => outcome,
             Err(refusal) => Outcome::Refused(refusal),
         };
         if let Some(id) = envelope.id {
-            self.commands.insert(id, outcome.clone());
+            self.commands.insert(id, &outcome);
         }
         outcome
     }
@@ -137,7 +137,7 @@
         if !self.teams.contains_key(&team) {
             return Err(Refusal::NoSuchTeam);
         }
-        if self.rules.withdrawn && self.withdrawn_set.contains(&hash) {
+        if self.rules.withdrawn && self.withdrawn.contains_key(&hash) {
             return Err(Refusal::KeyWithdrawn);
         }
         match self.keys.get(&hash) {
@@ -150,20 +150,19 @@
     }
 
     fn withdraw_key(&mut self, hash: &team::KeyHash) -> Result<Outcome, Refusal> {
-        if self.withdrawn_set.contains(hash) && !self.keys.contains_key(hash) {
+        if self.withdrawn.contains_key(hash) && !self.keys.contains_key(hash) {
             return Ok(Outcome::Done);
         }
         Arc::make_mut(&mut self.keys)
             .remove(hash)
             .ok_or(Refusal::NoSuchKey)?;
-        if self.withdrawn.len() == MAX_WITHDRAWN
-            && let Some(oldest) = self.withdrawn.pop_front()
-        {
-            self.withdrawn_set.remove(&oldest);
-        }
-        if self.withdrawn_set.insert(*hash) {
-            self.withdrawn.push_back(*hash);
+        if self.withdrawn.len() >= MAX_WITHDRAWN {
+            let oldest = self.withdrawn.iter().min_by_key(|(_, order)| **order);
+            let oldest = oldest.map(|(hash, _)| *hash);
+            oldest.and_then(|oldest| self.withdrawn.remove(&oldest));
         }
+        self.withdrawals += 1;
+        self.withdrawn.insert(*hash, self.withdrawals);
         Ok(Outcome::Done)
     }
 
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -1,7 +1,7 @@
 //! Tables of the root state, reads, snapshots and the verifier.
 
 use std::{
-    collections::{BTreeMap, BTreeSet, VecDeque},
+    collections::{BTreeMap, BTreeSet},
     sync::Arc,
 };
 
@@ -75,7 +75,9 @@
     pub(super) next_service: id::ServiceId,
     pub(super) next_queue: id::QueueId,
     pub(super) keys: Arc<BTreeMap<team::KeyHash, id::TeamId>>,
-    pub(super) withdrawn: VecDeque<team::KeyHash>,
+    /// Withdrawn keys with the order of their withdrawal.
+    pub(super) withdrawn: BTreeMap<team::KeyHash, u64>,
+    pub(super) withdrawals: u64,
     pub(super) teams: Arc<BTreeMap<id::TeamId, Arc<team::Team>>>,
     pub(super) team_names: Arc<BTreeMap<String, id::TeamId>>,
     pub(super) services: Arc<BTreeMap<String, service::Service>>,
@@ -88,8 +90,6 @@
     pub(super) ceilings: BTreeMap<id::TeamId, escrow::Total>,
     pub(super) commands: dedupe::Table<command::Outcome>,
     #[serde(skip)]
-    pub(super) withdrawn_set: BTreeSet<team::KeyHash>,
-    #[serde(skip)]
     pub(super) rules: Rules,
 }
 
@@ -165,7 +165,7 @@
     }
 
     /// Returns the first outcome of a command id that is still remembered.
-    pub fn outcome(&self, id: id::CommandId) -> Option<&command::Outcome> {
+    pub fn outcome(&self, id: id::CommandId) -> Option<command::Outcome> {
         self.commands.get(id)
     }
 
@@ -194,8 +194,7 @@
 
     /// Decodes a snapshot and checks it.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
-        let mut state: Self = envelope::from_bytes(bytes)?;
-        state.withdrawn_set = state.withdrawn.iter().copied().collect();
+        let state: Self = envelope::from_bytes(bytes)?;
         state.verify().map_err(error::Error::Invariant)?;
         Ok(state)
     }
@@ -244,15 +243,15 @@
 
     fn verify_keys(&self) -> Result<(), String> {
         for (hash, team) in self.keys.iter() {
-            if self.withdrawn_set.contains(hash) {
+            if self.withdrawn.contains_key(hash) {
                 return Err(String::from("a key is both granted and withdrawn"));
             }
             if !self.teams.contains_key(team) {
                 return Err(format!("a key speaks for team {team}, which does not exist"));
             }
         }
-        if self.withdrawn.len() != self.withdrawn_set.len() {
-            return Err(String::from("a key is withdrawn twice"));
+        if self.withdrawn.values().any(|order| *order > self.withdrawals) {
+            return Err(String::from("a withdrawal is newer than the last one"));
         }
         Ok(())
     }
--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -14,9 +14,9 @@
 /// Time for which jobs in their last state are kept, in milliseconds.
 pub const JOB_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
 /// Most bytes of jobs that have not ended; a submission beyond them is refused.
-pub const MAX_OPEN_BYTES: usize = 16 * 1024 * 1024;
+pub const MAX_OPEN_BYTES: usize = 8 * 1024 * 1024;
 /// Most bytes of jobs in their last state; the oldest are dropped first.
-pub const MAX_ENDED_BYTES: usize = 16 * 1024 * 1024;
+pub const MAX_ENDED_BYTES: usize = 8 * 1024 * 1024;
 /// Jobs that one command drops at most after their retention, which bounds the time of one application.
 const MAX_DROPPED_AT_ONCE: usize = 256;
 
@@ -50,13 +50,13 @@
         if let Some(outcome) = known
             && self.rules.dedupe
         {
-            return outcome.clone();
+            return outcome;
         }
         let outcome = self.execute(&envelope.command).unwrap_or_else(Outcome::Refused);
         if let Some(id) = envelope.id
             && is_remembered(&outcome)
         {
-            self.commands.insert(id, outcome.clone());
+            self.commands.insert(id, &outcome);
         }
         outcome
     }
--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -7,20 +7,22 @@
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    memory,
+    envelope, memory,
     request_id::{self, Key},
 };
 
 /// Most request ids that a zone group remembers; a claim beyond them is refused.
-pub const MAX_IDS: usize = 131_072;
+///
+/// With the root state and the state of a witnessed zone, the table has to fit the 64 MB of a daemon.
+pub const MAX_IDS: usize = 49_152;
 /// Largest stored answer, in bytes of the body.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
 /// Most bytes of stored answers; the oldest answers are dropped first.
 pub const MAX_ANSWERS_BYTES: usize = 16 * 1024 * 1024;
 /// Expired ids that one command drops at most, which bounds the time of one application.
 const MAX_EXPIRED_AT_ONCE: usize = 256;
-/// Bytes counted for an answer beside its texts.
-const ANSWER_OVERHEAD_BYTES: usize = 64;
+/// Bytes counted for an answer beside its encoded form: its place in the map and its allocation.
+const ANSWER_OVERHEAD_BYTES: usize = 60;
 
 /// A stored answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -33,12 +35,6 @@
     pub body: Bytes,
 }
 
-impl Answer {
-    const fn bytes(&self) -> usize {
-        self.body.len() + self.content_type.len() + ANSWER_OVERHEAD_BYTES
-    }
-}
-
 /// How a claimed request ended.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Completion {
@@ -78,6 +74,10 @@
     state: State,
 }
 
+const fn counted(encoded: &[u8]) -> usize {
+    encoded.len() + ANSWER_OVERHEAD_BYTES
+}
+
 /// Table of request ids.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Claims {
@@ -86,7 +86,8 @@
     order: BTreeMap<u64, (Key, u32)>,
     /// Holders of claims that have not ended.
     held: BTreeMap<u64, id::VmId>,
-    answers: BTreeMap<u64, Answer>,
+    /// Encoded answers, by number; a third of the bytes of the decoded form beside the texts.
+    answers: BTreeMap<u64, Box<[u8]>>,
     answers_bytes: usize,
     next_number: u64,
 }
@@ -103,7 +104,8 @@
                 State::Answered => self
                     .answers
                     .get(&entry.number)
-                    .map_or(Claimed::Unknown, |answer| Claimed::Answered(answer.clone())),
+                    .and_then(|bytes| envelope::from_bytes(bytes).ok())
+                    .map_or(Claimed::Unknown, Claimed::Answered),
             };
         }
         if self.entries.len() >= MAX_IDS {
@@ -144,8 +146,9 @@
             }
             Completion::Answered(answer) if answer.body.len() <= MAX_ANSWER_BYTES => {
                 entry.state = State::Answered;
-                self.answers_bytes += answer.bytes();
-                self.answers.insert(number, answer.clone());
+                let encoded: Box<[u8]> = envelope::to_bytes(answer).as_ref().into();
+                self.answers_bytes += counted(&encoded);
+                self.answers.insert(number, encoded);
                 self.drop_old_answers();
             }
             Completion::Answered(_) | Completion::Unknown => entry.state = State::Unknown,
@@ -157,7 +160,7 @@
             let Some((number, answer)) = self.answers.pop_first() else {
                 break;
             };
-            self.answers_bytes -= answer.bytes();
+            self.answers_bytes -= counted(&answer);
             let entry = self
                 .order
                 .get(&number)
@@ -194,7 +197,7 @@
             self.entries.remove(&key);
             self.held.remove(&number);
             if let Some(answer) = self.answers.remove(&number) {
-                self.answers_bytes -= answer.bytes();
+                self.answers_bytes -= counted(&answer);
             }
         }
     }
@@ -229,7 +232,6 @@
         memory::map::<(Key, Entry)>(self.entries.len())
             + memory::map::<(u64, (Key, u32))>(self.order.len())
             + memory::map::<(u64, id::VmId)>(self.held.len())
-            + memory::map::<(u64, Answer)>(self.answers.len())
             + self.answers_bytes
     }
 
@@ -242,7 +244,7 @@
                 self.order.len()
             ));
         }
-        let bytes: usize = self.answers.values().map(Answer::bytes).sum();
+        let bytes: usize = self.answers.values().map(|answer| counted(answer)).sum();
         if bytes != self.answers_bytes || bytes > MAX_ANSWERS_BYTES {
             return Err(format!(
                 "answers take {bytes} bytes, counted {}",
--- a/crates/control/src/zone/jobs.rs
+++ b/crates/control/src/zone/jobs.rs
@@ -11,9 +11,10 @@
 pub const MAX_RESULTS_BYTES: usize = 4 * 1024 * 1024;
 
 const WORD_BITS: usize = 64;
-// Fixed values: the bounds decide what a replica drops, so replicas of different builds must count alike.
-const JOB_OVERHEAD_BYTES: usize = 256;
-const RESULT_OVERHEAD_BYTES: usize = 32;
+// Fixed values close to what the maps take: the bounds decide what a replica drops, so replicas of different builds must
+// count alike.
+const JOB_OVERHEAD_BYTES: usize = 384;
+const RESULT_OVERHEAD_BYTES: usize = 64;
 
 /// A run of a task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
--- a/crates/control/src/zone/memory.rs
+++ b/crates/control/src/zone/memory.rs
@@ -36,7 +36,11 @@
             .values()
             .map(|result| result.len() + ALLOCATION_BYTES)
             .sum();
-        let words = (self.spec.tasks as usize).div_ceil(8);
-        map::<(id::TaskIndex, String)>(self.results().len()) + results + words + self.spec.command.len()
+        let words = (self.spec.tasks as usize).div_ceil(8) + ALLOCATION_BYTES;
+        map::<(id::TaskIndex, String)>(self.results().len())
+            + results
+            + words
+            + self.spec.command.len()
+            + ALLOCATION_BYTES
     }
 }
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -186,7 +186,7 @@
     }
 
     /// Returns the first outcome of a command id that is still remembered.
-    pub fn outcome(&self, id: id::CommandId) -> Option<&command::Outcome> {
+    pub fn outcome(&self, id: id::CommandId) -> Option<command::Outcome> {
         self.commands.get(id)
     }
 
