--- a/crates/bench/benches/speed/control.rs
+++ b/crates/bench/benches/speed/control.rs
@@ -15,6 +15,7 @@
     starts(criterion);
     snapshots(criterion);
     views(criterion);
+    rebalance(criterion);
 }
 
 fn run(state: &mut zone::State, command: zone::Command) -> zone::Outcome {
@@ -158,3 +159,46 @@
         });
     }
 }
+
+/// A round of the root leader over all teams, with wishes that change every target.
+fn rebalance(criterion: &mut Criterion) {
+    for (teams, zones) in [(6, 3), (640, 17)] {
+        let mut state = root::State::new();
+        let apply = |state: &mut root::State, command| {
+            let index = state.applied() + 1;
+            state.apply(index, &envelope::Envelope::new(1, command))
+        };
+        for zone in 1..=zones {
+            let place = vm::Place { region: 1, zone };
+            apply(&mut state, root::Command::AddZone { place });
+        }
+        for team in 1..=teams {
+            let quota = team::Quota {
+                weight: 1,
+                limit: resource::Amount::new(100_000, 100_000, 100),
+                requests: 1,
+            };
+            let name = format!("team {team}");
+            apply(&mut state, root::Command::CreateTeam { name, quota });
+        }
+        let demand = |shift: u16| -> root::Demand {
+            let pairs = (1..=teams).flat_map(|team| (1..=zones).map(move |zone| (team, zone)));
+            pairs
+                .map(|(team, zone)| {
+                    let wish = u32::from((zone + shift) % zones) * 1000;
+                    ((team, zone), resource::Amount::new(wish, wish, 0))
+                })
+                .collect()
+        };
+        let grants = root::rebalance(&state, &demand(0));
+        apply(&mut state, root::Command::Grant(grants));
+        for (name, wishes) in [("steady", demand(0)), ("all_change", demand(1))] {
+            criterion.bench_function(
+                &format!("control/rebalance_{name}/{teams}_teams_{zones}_zones"),
+                |bencher| {
+                    bencher.iter(|| root::rebalance(black_box(&state), &wishes));
+                },
+            );
+        }
+    }
+}
--- a/crates/control/src/root/view.rs
+++ b/crates/control/src/root/view.rs
@@ -5,9 +5,10 @@
     sync::Arc,
 };
 
-use bronzespoke_model::{config, id, service, team, vm};
+use bronzespoke_model::{config, id, resource, service, team, vm};
 
 use super::{command, parts, state};
+use crate::escrow;
 
 /// The root state at one index. A clone of the state's shared tables: building it copies no table.
 #[derive(Debug, Clone)]
@@ -54,6 +55,19 @@
         self.parts.get(&team)?.get(&zone).copied()
     }
 
+    /// Returns the granted counters of a zone, for [`crate::zone::Command::Granted`].
+    pub fn granted(&self, zone: id::AvailabilityZoneId) -> Vec<(id::TeamId, escrow::Total)> {
+        self.parts
+            .iter()
+            .filter_map(|(team, parts)| Some((*team, parts.get(&zone)?.granted)))
+            .collect()
+    }
+
+    /// Returns the size that the part of a team in a zone should have, for [`crate::zone::State::releases`].
+    pub fn target(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> resource::Amount {
+        self.part(team, zone).unwrap_or_default().target
+    }
+
     /// Tells whether a drain mark is set.
     pub fn is_draining(&self, subject: command::Subject) -> bool {
         self.drains.contains(&subject)
