--- a/crates/control/src/root/parts.rs
+++ b/crates/control/src/root/parts.rs
@@ -54,55 +54,66 @@
 pub fn rebalance(state: &state::State, demand: &Demand) -> Vec<Grant> {
     let zones: Vec<id::AvailabilityZoneId> = state.open_zones().collect();
     let mut grants = Vec::new();
+    let mut wishes = vec![escrow::Total::ZERO; zones.len()];
+    let mut present = vec![Part::default(); zones.len()];
     for team in state.teams().values() {
+        wishes.fill(escrow::Total::ZERO);
+        for ((_, zone), wish) in demand.range((team.id, 0)..=(team.id, id::AvailabilityZoneId::MAX)) {
+            if let Ok(number) = zones.binary_search(zone) {
+                wishes[number] = (*wish).into();
+            }
+        }
+        present.fill(Part::default());
+        for (zone, part) in state
+            .parts
+            .get(&team.id)
+            .into_iter()
+            .flat_map(|parts| parts.iter())
+        {
+            if let Ok(number) = zones.binary_search(zone) {
+                present[number] = *part;
+            }
+        }
         let limit = escrow::Total::from(team.quota.limit);
-        let wishes: Vec<escrow::Total> = zones
-            .iter()
-            .map(|zone| demand.get(&(team.id, *zone)).copied().unwrap_or_default().into())
-            .collect();
-        let present: Vec<escrow::Total> = zones
-            .iter()
-            .map(|zone| state.part(team.id, *zone).unwrap_or_default().target.into())
-            .collect();
         let targets = divide(&limit, &wishes, &present);
-        grant_team(state, team.id, &zones, &targets, &mut grants);
+        let mut room = state.room(team.id);
+        for ((zone, part), target) in zones.iter().zip(&present).zip(targets) {
+            grants.extend(grant(team.id, *zone, part, &target, &mut room));
+        }
     }
     grants
 }
 
-fn grant_team(
-    state: &state::State,
+/// Returns the grant that brings a part to its target as far as there is room; `None` when nothing changes.
+fn grant(
     team: id::TeamId,
-    zones: &[id::AvailabilityZoneId],
-    targets: &[escrow::Total],
-    grants: &mut Vec<Grant>,
-) {
-    let mut room = state.room(team);
-    for (zone, target) in zones.iter().zip(targets) {
-        let part = state.part(team, *zone).unwrap_or_default();
-        let added = target.minus(&part.outstanding()).min(&room);
-        room = room.minus(&added);
-        let target = target.amount();
-        if added == escrow::Total::ZERO && target == part.target {
-            continue;
-        }
-        grants.push(Grant {
-            team,
-            zone: *zone,
-            granted: part.granted.plus(&added),
-            target,
-        });
-    }
+    zone: id::AvailabilityZoneId,
+    part: &Part,
+    target: &escrow::Total,
+    room: &mut escrow::Total,
+) -> Option<Grant> {
+    let added = target.minus(&part.outstanding()).min(room);
+    *room = room.minus(&added);
+    let target = target.amount();
+    let changes = added != escrow::Total::ZERO || target != part.target;
+    changes.then(|| Grant {
+        team,
+        zone,
+        granted: part.granted.plus(&added),
+        target,
+    })
 }
 
 /// Divides a limit among zones, each dimension on its own.
-fn divide(limit: &escrow::Total, wishes: &[escrow::Total], present: &[escrow::Total]) -> Vec<escrow::Total> {
+fn divide(limit: &escrow::Total, wishes: &[escrow::Total], present: &[Part]) -> Vec<escrow::Total> {
     let mut parts = vec![[0; 3]; wishes.len()];
     for (dimension, total) in limit.dimensions().into_iter().enumerate() {
-        let column = |totals: &[escrow::Total]| -> Vec<u64> {
-            totals.iter().map(|total| total.dimensions()[dimension]).collect()
-        };
-        let shares = divide_one(total, &column(wishes), &column(present));
+        let wishes: Vec<u64> = wishes.iter().map(|wish| wish.dimensions()[dimension]).collect();
+        let present: Vec<u64> = present
+            .iter()
+            .map(|part| escrow::Total::from(part.target).dimensions()[dimension])
+            .collect();
+        let shares = divide_one(total, &wishes, &present);
         for (part, share) in parts.iter_mut().zip(shares) {
             part[dimension] = share;
         }
