--- a/crates/bench/benches/speed/control.rs
+++ b/crates/bench/benches/speed/control.rs
@@ -120,6 +120,28 @@
         criterion.bench_function(&format!("control/snapshot_decode/{name}"), |bencher| {
             bencher.iter(|| zone::State::decode(black_box(&bytes)));
         });
+        criterion.bench_function(&format!("control/snapshot_copy/{name}"), |bencher| {
+            bencher.iter_batched(|| (), |()| black_box(&state).clone(), BatchSize::PerIteration);
+        });
+        // The entry that changes most after a copy was made of all tables.
+        let first = starts_from(&state, tasks, STARTS);
+        criterion.bench_function(
+            &format!("control/apply_150_starts_after_copy/{name}"),
+            |bencher| {
+                bencher.iter_batched_ref(
+                    || (state.clone(), state.clone()),
+                    |(state, _copy)| run(state, black_box(first.clone())),
+                    BatchSize::PerIteration,
+                );
+            },
+        );
+        criterion.bench_function(&format!("control/snapshot_replace/{name}"), |bencher| {
+            bencher.iter_batched_ref(
+                || (zone::State::new(1), zone::State::decode(&bytes).ok()),
+                |(state, decoded)| decoded.take().map(|decoded| state.replace(decoded)),
+                BatchSize::PerIteration,
+            );
+        });
     }
 }
 
--- a/crates/control/src/dedupe.rs
+++ b/crates/control/src/dedupe.rs
@@ -1,15 +1,12 @@
 //! Table of the newest command ids with their first outcomes.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    marker::PhantomData,
-};
+use std::marker::PhantomData;
 
 use bronzespoke_model::id;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize, Serializer, de::DeserializeOwned, ser::SerializeSeq};
 
-use crate::{envelope, memory, name};
+use crate::{envelope, memory, name, shared};
 
 /// Command ids that are remembered; the oldest is forgotten first.
 pub const MAX_IDS: usize = 65_536;
@@ -52,16 +49,19 @@
 #[derive(Debug, Clone, Deserialize)]
 #[serde(from = "Vec<Entry>", bound = "")]
 pub struct Table<O> {
-    order: VecDeque<Name>,
-    outcomes: HashMap<Name, Stored>,
+    /// Ids by the order in which they came.
+    order: shared::Map<u64, Name>,
+    outcomes: shared::Map<Name, Stored>,
+    next: u64,
     kind: PhantomData<O>,
 }
 
 impl<O> Default for Table<O> {
     fn default() -> Self {
         Self {
-            order: VecDeque::new(),
-            outcomes: HashMap::new(),
+            order: shared::Map::default(),
+            outcomes: shared::Map::default(),
+            next: 0,
             kind: PhantomData,
         }
     }
@@ -80,7 +80,7 @@
 impl<O> Serialize for Table<O> {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let mut entries = serializer.serialize_seq(Some(self.order.len()))?;
-        for name in &self.order {
+        for name in self.order.values() {
             let bytes = self.outcomes.get(name).map_or(&[][..], Stored::bytes);
             entries.serialize_element(&(Encoded(name), Encoded(bytes)))?;
         }
@@ -103,11 +103,12 @@
             return;
         }
         if self.order.len() == MAX_IDS
-            && let Some(oldest) = self.order.pop_front()
+            && let Some((_, oldest)) = self.order.pop_first()
         {
             self.outcomes.remove(&oldest);
         }
-        self.order.push_back(name);
+        self.order.insert(self.next, name);
+        self.next += 1;
         self.outcomes.insert(name, outcome);
     }
 
@@ -131,9 +132,7 @@
                 Stored::Boxed(bytes) => bytes.len() + memory::ALLOCATION_BYTES,
             })
             .sum();
-        self.order.capacity() * size_of::<Name>()
-            + memory::hash_map::<(Name, Stored)>(self.outcomes.capacity())
-            + boxed
+        self.order.memory() + self.outcomes.memory() + boxed
     }
 }
 
@@ -152,7 +151,9 @@
     /// Checks that the order and the outcomes name the same ids, and that the outcomes decode.
     pub fn verify(&self) -> Result<(), String> {
         let known = |name: &Name| self.get(id::CommandId::from_le_bytes(*name)).is_some();
-        let same = self.order.len() == self.outcomes.len() && self.order.iter().all(known);
+        self.order.verify()?;
+        self.outcomes.verify()?;
+        let same = self.order.len() == self.outcomes.len() && self.order.values().all(known);
         if !same || self.order.len() > MAX_IDS {
             return Err(format!(
                 "command ids: {} in order, {} with outcomes, at most {MAX_IDS}",
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -13,5 +13,6 @@
 mod name;
 pub mod request_id;
 pub mod root;
+pub mod shared;
 
 pub mod zone;
--- a/crates/control/src/memory.rs
+++ b/crates/control/src/memory.rs
@@ -10,8 +10,3 @@
 pub(crate) const fn map<E>(len: usize) -> usize {
     len * size_of::<E>() * NODE_ENTRIES / USED_ENTRIES
 }
-
-/// Returns the estimated bytes of a hash map with room for `capacity` entries of type `E`: seven eighths of its buckets.
-pub(crate) const fn hash_map<E>(capacity: usize) -> usize {
-    capacity * 8 / 7 * (size_of::<E>() + 1)
-}
--- a/crates/control/src/root/memory.rs
+++ b/crates/control/src/root/memory.rs
@@ -21,7 +21,7 @@
             .map(|parts| map::<(id::AvailabilityZoneId, parts::Part)>(parts.len()) + ALLOCATION_BYTES)
             .sum();
         map::<(team::KeyHash, id::TeamId)>(self.keys.len())
-            + map::<(team::KeyHash, u64)>(self.withdrawn.len())
+            + self.withdrawn.memory()
             + map::<(id::TeamId, Arc<team::Team>)>(self.teams.len())
             + self.teams.len() * (size_of::<team::Team>() + ALLOCATION_BYTES)
             + map::<(String, id::TeamId)>(self.team_names.len())
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -10,7 +10,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{command, parts, view};
-use crate::{dedupe, envelope, error, escrow};
+use crate::{dedupe, envelope, error, escrow, shared};
 
 /// An availability zone.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -76,7 +76,7 @@
     pub(super) next_queue: id::QueueId,
     pub(super) keys: Arc<BTreeMap<team::KeyHash, id::TeamId>>,
     /// Withdrawn keys with the order of their withdrawal.
-    pub(super) withdrawn: BTreeMap<team::KeyHash, u64>,
+    pub(super) withdrawn: shared::Map<team::KeyHash, u64>,
     pub(super) withdrawals: u64,
     pub(super) teams: Arc<BTreeMap<id::TeamId, Arc<team::Team>>>,
     pub(super) team_names: Arc<BTreeMap<String, id::TeamId>>,
@@ -208,7 +208,12 @@
 
     /// Replaces the state by a snapshot; a snapshot older than the state is refused and changes nothing.
     pub fn install(&mut self, bytes: &[u8]) -> Result<(), error::Error> {
-        let mut state = Self::decode(bytes)?;
+        self.replace(Self::decode(bytes)?).map(drop)
+    }
+
+    /// Replaces the state by a decoded snapshot and returns the former one, which takes milliseconds to drop. A snapshot
+    /// older than the state is refused and changes nothing.
+    pub fn replace(&mut self, mut state: Self) -> Result<Self, error::Error> {
         if self.rules.snapshot && state.applied < self.applied {
             return Err(error::Error::Older {
                 snapshot: state.applied,
@@ -216,12 +221,12 @@
             });
         }
         state.rules = self.rules;
-        *self = state;
-        Ok(())
+        Ok(std::mem::replace(self, state))
     }
 
     /// Checks every invariant of the tables.
     pub fn verify(&self) -> Result<(), String> {
+        self.withdrawn.verify()?;
         self.commands.verify()?;
         self.verify_names()?;
         self.verify_keys()?;
--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -1,5 +1,7 @@
 //! Application of zone commands.
 
+use std::sync::Arc;
+
 use bronzespoke_model::{id, job, task};
 
 use super::{
@@ -114,7 +116,7 @@
         let sequence = self.next_sequence;
         self.next_sequence += 1;
         self.open_bytes += job.bytes();
-        self.jobs.insert(sequence, job);
+        self.jobs.insert(sequence, Arc::new(job));
         if let Some(key) = submission {
             self.submissions.insert(key, sequence);
         }
@@ -133,7 +135,11 @@
     fn start(&mut self, start: &Start) -> Result<(), Refusal> {
         let sequence = self.sequence(start.task.job).ok_or(Refusal::NoSuchJob)?;
         let key = (sequence, start.task.index);
-        let job = self.jobs.get_mut(&sequence).ok_or(Refusal::NoSuchJob)?;
+        let job = self
+            .jobs
+            .get_mut(&sequence)
+            .map(Arc::make_mut)
+            .ok_or(Refusal::NoSuchJob)?;
         if job.state.is_terminal() {
             return Err(Refusal::JobEnded);
         }
@@ -199,7 +205,7 @@
         let key = (sequence, end.task.index);
         let run = *self.runs.get(&key).filter(|run| run.token == end.token)?;
         self.runs.remove(&key);
-        let job = self.jobs.get_mut(&sequence)?;
+        let job = self.jobs.get_mut(&sequence).map(Arc::make_mut)?;
         if let Some(worker) = self.workers.get_mut(&run.worker) {
             worker.runs.remove(&key);
             worker.held = worker.held.saturating_sub(&job.spec.size);
@@ -236,7 +242,7 @@
     }
 
     fn enter_last_state(&mut self, sequence: u64, state: job::State) {
-        let Some(job) = self.jobs.get_mut(&sequence) else {
+        let Some(job) = self.jobs.get_mut(&sequence).map(Arc::make_mut) else {
             return;
         };
         self.open_bytes -= job.bytes();
--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -1,14 +1,15 @@
 //! Request ids that must not run twice.
 
-use std::collections::BTreeMap;
+use std::sync::Arc;
 
 use bronzespoke_model::id;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{
-    envelope, memory,
+    envelope,
     request_id::{self, Key},
+    shared,
 };
 
 /// Most request ids that a zone group remembers; a claim beyond them is refused.
@@ -81,13 +82,13 @@
 /// Table of request ids.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Claims {
-    entries: BTreeMap<Key, Entry>,
+    entries: shared::Map<Key, Entry>,
     /// Keys and claim times in seconds, by number; numbers and times grow together.
-    order: BTreeMap<u64, (Key, u32)>,
+    order: shared::Map<u64, (Key, u32)>,
     /// Holders of claims that have not ended.
-    held: BTreeMap<u64, id::VmId>,
+    held: shared::Map<u64, id::VmId>,
     /// Encoded answers, by number; a third of the bytes of the decoded form beside the texts.
-    answers: BTreeMap<u64, Box<[u8]>>,
+    answers: shared::Map<u64, Arc<[u8]>>,
     answers_bytes: usize,
     next_number: u64,
 }
@@ -146,7 +147,7 @@
             }
             Completion::Answered(answer) if answer.body.len() <= MAX_ANSWER_BYTES => {
                 entry.state = State::Answered;
-                let encoded: Box<[u8]> = envelope::to_bytes(answer).as_ref().into();
+                let encoded: Arc<[u8]> = envelope::to_bytes(answer).as_ref().into();
                 self.answers_bytes += counted(&encoded);
                 self.answers.insert(number, encoded);
                 self.drop_old_answers();
@@ -236,10 +237,7 @@
 
     /// Returns the estimated bytes of memory.
     pub(super) fn memory(&self) -> usize {
-        memory::map::<(Key, Entry)>(self.entries.len())
-            + memory::map::<(u64, (Key, u32))>(self.order.len())
-            + memory::map::<(u64, id::VmId)>(self.held.len())
-            + self.answers_bytes
+        self.entries.memory() + self.order.memory() + self.held.memory() + self.answers_bytes
     }
 
     /// Checks that the indices agree and the bounds hold. Numbers are unique because each one leads back to its key.
@@ -251,6 +249,10 @@
                 self.order.len()
             ));
         }
+        self.entries.verify()?;
+        self.order.verify()?;
+        self.held.verify()?;
+        self.answers.verify()?;
         let bytes: usize = self.answers.values().map(|answer| counted(answer)).sum();
         if bytes != self.answers_bytes || bytes > MAX_ANSWERS_BYTES {
             return Err(format!(
@@ -259,7 +261,7 @@
             ));
         }
         let mut states = [0_usize; 2];
-        for (key, entry) in &self.entries {
+        for (key, entry) in self.entries.iter() {
             let known = match entry.state {
                 State::Held => self.held.contains_key(&entry.number),
                 State::Answered => self.answers.contains_key(&entry.number),
--- a/crates/control/src/zone/jobs.rs
+++ b/crates/control/src/zone/jobs.rs
@@ -1,11 +1,9 @@
 //! Jobs and the states of their tasks.
 
-use std::collections::BTreeMap;
-
 use bronzespoke_model::{id, job, task};
 use serde::{Deserialize, Serialize};
 
-use crate::request_id;
+use crate::{request_id, shared};
 
 /// Most bytes of results that one job keeps; later results are counted but not kept.
 pub const MAX_RESULTS_BYTES: usize = 4 * 1024 * 1024;
@@ -52,7 +50,7 @@
     pub(super) ending: bool,
     pub(super) submission: Option<request_id::Key>,
     done: Vec<u64>,
-    results: BTreeMap<id::TaskIndex, String>,
+    results: shared::Map<id::TaskIndex, String>,
     results_bytes: usize,
 }
 
@@ -108,7 +106,7 @@
             ending: false,
             submission,
             done: Vec::new(),
-            results: BTreeMap::new(),
+            results: shared::Map::default(),
             results_bytes: 0,
         }
     }
@@ -120,7 +118,7 @@
     }
 
     /// Returns the results that are kept.
-    pub const fn results(&self) -> &BTreeMap<id::TaskIndex, String> {
+    pub const fn results(&self) -> &shared::Map<id::TaskIndex, String> {
         &self.results
     }
 
@@ -213,7 +211,7 @@
 
     /// Drops the results; the zone needs their bytes for later ones.
     pub(super) fn drop_results(&mut self) {
-        self.results = BTreeMap::new();
+        self.results = shared::Map::default();
         self.results_bytes = 0;
     }
 
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -1,6 +1,9 @@
 //! Tables of the zone state, reads, snapshots and the verifier.
 
-use std::collections::{BTreeMap, VecDeque};
+use std::{
+    collections::{BTreeMap, VecDeque},
+    sync::Arc,
+};
 
 use bronzespoke_model::{id, resource, task};
 use bytes::Bytes;
@@ -11,7 +14,7 @@
     jobs::{Job, Lookup, Run},
     workers::{Worker, Workers},
 };
-use crate::{dedupe, envelope, error, escrow, request_id};
+use crate::{dedupe, envelope, error, escrow, request_id, shared};
 
 /// Safety rules that tests switch off to show that the checks catch their absence.
 #[doc(hidden)]
@@ -57,11 +60,11 @@
     pub(super) next_sequence: u64,
     pub(super) next_token: id::Token,
     /// Jobs by sequence number.
-    pub(super) jobs: BTreeMap<u64, Job>,
+    pub(super) jobs: shared::Map<u64, Arc<Job>>,
     /// Jobs in their last state, by the time at which they reached it.
     pub(super) ended: VecDeque<u64>,
-    pub(super) submissions: BTreeMap<request_id::Key, u64>,
-    pub(super) runs: BTreeMap<(u64, id::TaskIndex), Run>,
+    pub(super) submissions: shared::Map<request_id::Key, u64>,
+    pub(super) runs: shared::Map<(u64, id::TaskIndex), Run>,
     pub(super) workers: Workers,
     pub(super) holdings: holdings::Holdings,
     pub(super) claims: claims::Claims,
@@ -123,7 +126,7 @@
 
     /// Returns a job.
     pub fn job(&self, job: id::JobId) -> Option<&Job> {
-        self.jobs.get(&self.sequence(job)?)
+        self.jobs.get(&self.sequence(job)?).map(Arc::as_ref)
     }
 
     /// Returns the job that was submitted under a key.
@@ -137,7 +140,7 @@
     pub fn jobs(&self) -> impl Iterator<Item = (id::JobId, &Job)> {
         self.jobs
             .iter()
-            .map(|(sequence, job)| (id::job(self.zone, *sequence), job))
+            .map(|(sequence, job)| (id::job(self.zone, *sequence), job.as_ref()))
     }
 
     /// Returns the run of a task.
@@ -233,7 +236,7 @@
     /// Decodes a snapshot and checks it.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
         let mut state: Self = envelope::from_bytes(bytes)?;
-        for (key, run) in &state.runs {
+        for (key, run) in state.runs.iter() {
             let size = state
                 .jobs
                 .get(&key.0)
@@ -251,7 +254,12 @@
 
     /// Replaces the state by a snapshot; a snapshot older than the state is refused and changes nothing.
     pub fn install(&mut self, bytes: &[u8]) -> Result<(), error::Error> {
-        let mut state = Self::decode(bytes)?;
+        self.replace(Self::decode(bytes)?).map(drop)
+    }
+
+    /// Replaces the state by a decoded snapshot and returns the former one, which takes milliseconds to drop. A snapshot
+    /// older than the state is refused and changes nothing.
+    pub fn replace(&mut self, mut state: Self) -> Result<Self, error::Error> {
         if state.applied < self.applied {
             return Err(error::Error::Older {
                 snapshot: state.applied,
@@ -259,8 +267,7 @@
             });
         }
         state.rules = self.rules;
-        *self = state;
-        Ok(())
+        Ok(std::mem::replace(self, state))
     }
 
     fn count_bytes(&self) -> (usize, usize) {
@@ -277,6 +284,9 @@
 
     /// Checks every invariant of the tables.
     pub fn verify(&self) -> Result<(), String> {
+        self.jobs.verify()?;
+        self.submissions.verify()?;
+        self.runs.verify()?;
         self.commands.verify()?;
         self.claims.verify()?;
         self.verify_jobs()?;
@@ -288,7 +298,7 @@
     }
 
     fn verify_jobs(&self) -> Result<(), String> {
-        for (sequence, job) in &self.jobs {
+        for (sequence, job) in self.jobs.iter() {
             let runs = self
                 .runs
                 .range((*sequence, 0)..=(*sequence, id::TaskIndex::MAX))
@@ -317,7 +327,7 @@
     fn verify_runs(&self) -> Result<(), String> {
         let mut used: BTreeMap<id::TeamId, escrow::Total> = BTreeMap::new();
         let mut tokens = Vec::with_capacity(self.runs.len());
-        for (key, run) in &self.runs {
+        for (key, run) in self.runs.iter() {
             let Some(job) = self.jobs.get(&key.0) else {
                 return Err(format!("a task of job {} runs, but the job is not known", key.0));
             };
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -88,7 +88,7 @@
             seed,
         };
         let mut controller = Self {
-            root: root::Root::follow(seed, now),
+            root: root::Root::follow(seed, now, inbox.clone()),
             gossip: gossip::Gossip::new(config, now),
             targets: targets::Targets::new(targets),
             zones: std::collections::BTreeMap::new(),
@@ -171,7 +171,7 @@
 
     /// Takes part in a zone group with an opened replica.
     pub(super) fn add_zone(&mut self, zone: id::AvailabilityZoneId, member: member::Member) {
-        let mut group = zone::Zone::new(zone, member);
+        let mut group = zone::Zone::new(zone, member, self.inbox.clone());
         group.step(&self.context, replica::Input::Tick);
         self.zones.insert(zone, group);
     }
@@ -194,6 +194,12 @@
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
             Message::Found(submission, found) => self.found_submission(submission, found),
             Message::Await(force) => self.forces.push(force),
+            Message::RootSnapshot(done) => self.root.snapshot_done(&self.context, done),
+            Message::ZoneSnapshot(zone, done) => {
+                if let Some(zone) = self.zones.get_mut(&zone) {
+                    zone.snapshot_done(&self.context, done);
+                }
+            }
             Message::Tick => self.tick(),
             Message::HandOver(reply) => {
                 self.leaving = Some((reply, self.context.now() + HAND_OVER));
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -271,20 +271,28 @@
         self.role = role;
     }
 
-    /// Makes a snapshot of the applied state when the log has grown enough.
+    /// Tells whether the log has grown enough for a snapshot of the applied state.
+    pub const fn wants_snapshot(&self) -> bool {
+        let entries = self.applied - self.snapshot_index;
+        entries >= ENTRIES_PER_SNAPSHOT || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
+    }
+
+    /// Notes that a snapshot of the applied state is being made; returns its index.
+    pub const fn begin_snapshot(&mut self) -> u64 {
+        self.snapshot_index = self.applied;
+        self.snapshot_bytes = 0;
+        self.applied
+    }
+
+    /// Takes the snapshot of an index and cuts the log; a snapshot from before a received one changes nothing.
     pub fn compact(
         &mut self,
         context: &context::Context,
-        encode: &dyn Fn() -> Bytes,
+        index: u64,
+        data: Bytes,
         events: &mut Vec<Event>,
     ) -> Option<snapshot::Snapshot> {
-        let entries = self.applied - self.snapshot_index;
-        if entries < ENTRIES_PER_SNAPSHOT && self.snapshot_bytes < BYTES_PER_SNAPSHOT {
-            return None;
-        }
-        let snapshot = self.replica.snapshot(self.applied, encode())?;
-        self.snapshot_index = self.applied;
-        self.snapshot_bytes = 0;
+        let snapshot = self.replica.snapshot(index, data)?;
         self.step(
             context,
             replica::Input::Compact {
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -21,6 +21,7 @@
 mod scheduling;
 mod serve;
 mod session;
+mod snapshots;
 mod submissions;
 mod targets;
 mod zone;
@@ -32,6 +33,7 @@
     time::Duration,
 };
 
+use bronzespoke_control::{root as root_state, zone as zone_state};
 use bronzespoke_gateway::control as gateway;
 use bronzespoke_gossip::Gossip;
 use bronzespoke_language::answer;
@@ -66,6 +68,10 @@
     Found(submissions::Submission, submissions::Found),
     /// A committed command whose answer waits until it is in force.
     Await(force::Force),
+    /// Work on a snapshot of the root state is done.
+    RootSnapshot(snapshots::Done<root_state::State>),
+    /// Work on a snapshot of a zone state is done.
+    ZoneSnapshot(id::AvailabilityZoneId, snapshots::Done<zone_state::State>),
     /// A timer.
     Tick,
     /// Hand over what this VM leads; the answer comes when nothing is led any more, or after a short time.
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -7,7 +7,7 @@
 use bronzespoke_model::{event, id};
 
 use crate::{
-    control::{context, member, responder},
+    control::{Inbox, Message, context, member, responder, snapshots},
     peer::wire,
 };
 
@@ -46,20 +46,23 @@
     seed: u64,
     /// When a leader of the group last sent something to this member.
     contact: Duration,
+    inbox: Inbox,
+    /// Whether a snapshot of the state is being encoded.
+    encoding: bool,
+    /// Whether a received snapshot is being decoded; the events after it wait.
+    installing: bool,
+    /// Whether a received snapshot was installed since the view was made.
+    installed: bool,
 }
 
 impl Root {
     /// Returns the state of a process that follows.
-    pub fn follow(seed: u64, now: Duration) -> Self {
-        Self::new(follower(seed, now), seed, now)
-    }
-
-    fn new(role: Role, seed: u64, now: Duration) -> Self {
+    pub fn follow(seed: u64, now: Duration, inbox: Inbox) -> Self {
         let state = root::State::new();
         let view = state.view();
         Self {
             state,
-            role,
+            role: follower(seed, now),
             source: feed::Source::new(FEED_BYTES),
             batch: member::Batch::default(),
             events: Vec::new(),
@@ -68,6 +71,10 @@
             avoided: None,
             seed,
             contact: now,
+            inbox,
+            encoding: false,
+            installing: false,
+            installed: false,
         }
     }
 
@@ -107,7 +114,7 @@
 
     /// Tells whether this process leads the root group.
     pub fn leads(&self, now: Duration) -> bool {
-        self.member().is_some_and(|member| member.leads(now))
+        !self.installing && self.member().is_some_and(|member| member.leads(now))
     }
 
     /// Returns the state.
@@ -125,8 +132,11 @@
         self.view.applied > 0 || self.member().is_some()
     }
 
-    /// Instant before which nothing is missing from the state.
+    /// Instant before which nothing is missing from the state; `None` while a received snapshot is not installed.
     pub fn basis(&self, now: Duration) -> Option<Duration> {
+        if self.installing {
+            return None;
+        }
         match &self.role {
             Role::Member(member) => member.replica().basis(now),
             Role::Follower(follower) => follower.basis(),
@@ -261,26 +271,32 @@
             .map(|peer| peer.vm.id)
     }
 
-    /// Applies what was committed; returns whether the view changed.
+    /// Applies what was committed; returns whether the view changed. What follows a received snapshot waits until that is
+    /// decoded.
     pub fn apply(&mut self, context: &context::Context) -> bool {
-        let events = std::mem::take(&mut self.events);
-        if events.is_empty() {
+        if self.installing || self.events.is_empty() && !std::mem::take(&mut self.installed) {
             return false;
         }
-        for event in events {
+        let mut events = std::mem::take(&mut self.events).into_iter();
+        for event in events.by_ref() {
             match event {
                 member::Event::Apply { entry, responders } => self.apply_entry(context, &entry, responders),
                 member::Event::Install(snapshot) => {
-                    if let Err(error) = self.state.install(&snapshot.data) {
-                        log::warn!("root: A snapshot was not installed: {error}");
-                    }
+                    self.installing = true;
+                    let data = snapshot.data.clone();
                     if matches!(self.role, Role::Member(_)) {
                         self.source.install(snapshot);
                     }
+                    snapshots::offload(&self.inbox, move || {
+                        let decoded = root::State::decode(&data).map(Box::new);
+                        Message::RootSnapshot(snapshots::Done::Decoded(decoded))
+                    });
+                    break;
                 }
             }
         }
-        self.compact(context);
+        self.events.extend(events);
+        self.begin_compaction();
         let before = self.view.version;
         self.view = self.state.view();
         if self.view.version != before {
@@ -320,12 +336,48 @@
         }
     }
 
-    fn compact(&mut self, context: &context::Context) {
-        let state = &self.state;
-        if let Role::Member(member) = &mut self.role
-            && let Some(snapshot) = member.compact(context, &|| state.encode(), &mut self.events)
-        {
-            self.source.install(snapshot);
+    fn begin_compaction(&mut self) {
+        let Role::Member(member) = &mut self.role else {
+            return;
+        };
+        if self.installing || self.encoding || !member.wants_snapshot() {
+            return;
+        }
+        self.encoding = true;
+        let index = member.begin_snapshot();
+        let state = self.state.clone();
+        snapshots::offload(&self.inbox, move || {
+            let data = state.encode();
+            Message::RootSnapshot(snapshots::Done::Encoded { index, data })
+        });
+    }
+
+    /// Takes a snapshot that was encoded or decoded on another thread.
+    pub fn snapshot_done(&mut self, context: &context::Context, done: snapshots::Done<root::State>) {
+        match done {
+            snapshots::Done::Encoded { index, data } => {
+                self.encoding = false;
+                log::debug!("root: A snapshot is encoded up to entry {index}.");
+                if let Role::Member(member) = &mut self.role
+                    && let Some(snapshot) = member.compact(context, index, data, &mut self.events)
+                {
+                    self.source.install(snapshot);
+                }
+            }
+            snapshots::Done::Decoded(decoded) => {
+                self.installing = false;
+                self.installed = true;
+                match decoded.and_then(|state| self.state.replace(*state)) {
+                    Ok(former) => {
+                        log::info!(
+                            "root: A snapshot is installed up to entry {}.",
+                            self.state.applied()
+                        );
+                        snapshots::discard(former);
+                    }
+                    Err(error) => log::warn!("root: A snapshot was not installed: {error}"),
+                }
+            }
         }
     }
 }
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -7,7 +7,7 @@
 use bronzespoke_model::{id, job};
 
 use crate::{
-    control::{context, member, responder},
+    control::{Inbox, Message, context, member, responder, snapshots},
     disk,
     peer::wire,
 };
@@ -19,6 +19,11 @@
     state: zone::State,
     batch: member::Batch<zone::Command>,
     events: Vec<member::Event>,
+    inbox: Inbox,
+    /// Whether a snapshot of the state is being encoded.
+    encoding: bool,
+    /// Whether a received snapshot is being decoded; the events after it wait.
+    installing: bool,
     /// When a scheduler may run again after the log refused its commands.
     resume_at: Duration,
 }
@@ -31,12 +36,15 @@
 
 impl Zone {
     /// Returns the group of an availability zone with an opened replica.
-    pub fn new(zone: id::AvailabilityZoneId, member: member::Member) -> Self {
+    pub fn new(zone: id::AvailabilityZoneId, member: member::Member, inbox: Inbox) -> Self {
         Self {
             member,
             state: zone::State::new(zone),
             batch: member::Batch::default(),
             events: Vec::new(),
+            inbox,
+            encoding: false,
+            installing: false,
             resume_at: Duration::ZERO,
         }
     }
@@ -70,7 +78,7 @@
 
     /// Tells whether this process leads the group.
     pub fn leads(&self, now: Duration) -> bool {
-        self.member.leads(now)
+        !self.installing && self.member.leads(now)
     }
 
     /// Takes a command that nobody waits for.
@@ -141,26 +149,66 @@
         self.member.change(context, change, responder, &mut self.events);
     }
 
-    /// Applies what was committed and returns it.
+    /// Applies what was committed and returns it. What follows a received snapshot waits until that is decoded.
     pub fn apply(&mut self, context: &context::Context) -> Vec<Applied> {
         let mut applied = Vec::new();
-        for event in std::mem::take(&mut self.events) {
+        if self.installing {
+            return applied;
+        }
+        let mut events = std::mem::take(&mut self.events).into_iter();
+        while let Some(event) = events.next() {
             match event {
                 member::Event::Apply { entry, responders } => {
                     self.apply_entry(context, &entry, responders, &mut applied);
                 }
                 member::Event::Install(snapshot) => {
-                    if let Err(error) = self.state.install(&snapshot.data) {
-                        log::warn!("zone: A snapshot was not installed: {error}");
-                    }
+                    self.installing = true;
+                    self.events = events.collect();
+                    let id = self.state.zone();
+                    snapshots::offload(&self.inbox, move || {
+                        let decoded = zone::State::decode(&snapshot.data).map(Box::new);
+                        Message::ZoneSnapshot(id, snapshots::Done::Decoded(decoded))
+                    });
+                    return applied;
                 }
             }
         }
-        let state = &self.state;
-        self.member.compact(context, &|| state.encode(), &mut self.events);
+        if self.member.wants_snapshot() && !self.encoding {
+            self.encoding = true;
+            let index = self.member.begin_snapshot();
+            let state = self.state.clone();
+            snapshots::offload(&self.inbox, move || {
+                let data = state.encode();
+                Message::ZoneSnapshot(state.zone(), snapshots::Done::Encoded { index, data })
+            });
+        }
         applied
     }
 
+    /// Takes a snapshot that was encoded or decoded on another thread.
+    pub fn snapshot_done(&mut self, context: &context::Context, done: snapshots::Done<zone::State>) {
+        match done {
+            snapshots::Done::Encoded { index, data } => {
+                self.encoding = false;
+                log::debug!("zone: A snapshot is encoded up to entry {index}.");
+                self.member.compact(context, index, data, &mut self.events);
+            }
+            snapshots::Done::Decoded(decoded) => {
+                self.installing = false;
+                match decoded.and_then(|state| self.state.replace(*state)) {
+                    Ok(former) => {
+                        log::info!(
+                            "zone: A snapshot is installed up to entry {}.",
+                            self.state.applied()
+                        );
+                        snapshots::discard(former);
+                    }
+                    Err(error) => log::warn!("zone: A snapshot was not installed: {error}"),
+                }
+            }
+        }
+    }
+
     fn apply_entry(
         &mut self,
         context: &context::Context,
