--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -44,11 +44,8 @@
 
     /// Applies a log entry with one command; an index that was applied earlier is ignored.
     pub fn apply(&mut self, index: u64, envelope: &Envelope) -> Outcome {
-        if index <= self.applied {
-            return Outcome::Ignored;
-        }
-        self.applied = index;
-        self.apply_one(envelope)
+        let outcome = self.apply_all(index, std::slice::from_ref(envelope)).pop();
+        outcome.expect("each command has an outcome")
     }
 
     fn apply_one(&mut self, envelope: &Envelope) -> Outcome {
@@ -59,10 +56,7 @@
         {
             return outcome;
         }
-        let outcome = match self.execute(envelope) {
-            Ok(outcome) => outcome,
-            Err(refusal) => Outcome::Refused(refusal),
-        };
+        let outcome = self.execute(envelope).unwrap_or_else(Outcome::Refused);
         if let Some(id) = envelope.id {
             self.commands.insert(id, &outcome);
         }
--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -39,11 +39,8 @@
 
     /// Applies a log entry with one command; an index that was applied earlier is ignored.
     pub fn apply(&mut self, index: u64, envelope: &Envelope) -> Outcome {
-        if index <= self.applied {
-            return Outcome::Ignored;
-        }
-        self.applied = index;
-        self.apply_one(envelope)
+        let outcome = self.apply_all(index, std::slice::from_ref(envelope)).pop();
+        outcome.expect("each command has an outcome")
     }
 
     fn apply_one(&mut self, envelope: &Envelope) -> Outcome {
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -391,24 +391,10 @@
         let token = self.next_token;
         self.next_token += 1;
         let granted = self.jobs[job].size;
-        let record = run::Record::new(
-            run::Place {
-                job,
-                index: task,
-                worker,
-                rack: self.workers[worker].rack,
-            },
-            token,
-            granted,
-            now,
-            now + self.config.lease,
-        );
-        self.add_run(now, record);
+        self.add_run(now, job, task, worker, token, granted);
+        self.refresh_team(now, self.jobs[job].team);
         self.count_work();
-        self.jobs[job].launched = true;
         self.counts.starts += 1;
-        self.timers
-            .push(now + self.config.lease, timer::Event::Run(token));
         out.push(Output::Start {
             task: task::Ref {
                 job: self.jobs[job].id,
@@ -420,17 +406,27 @@
         });
     }
 
-    /// Enters a run in all accounts.
-    fn add_run(&mut self, now: Duration, record: run::Record) {
-        let team = self.jobs[record.job].team;
-        self.add_run_quietly(record);
-        self.refresh_team(now, team);
-    }
-
-    /// Enters a run in all accounts; the caller brings the share of the team up to date.
-    pub(crate) fn add_run_quietly(&mut self, mut record: run::Record) {
-        let (job, worker, rack) = (record.job, record.worker, record.rack);
-        let (token, size) = (record.token, record.size);
+    /// Enters a run with a new lease in all accounts; the caller brings the share of the team up to date.
+    pub(crate) fn add_run(
+        &mut self,
+        now: Duration,
+        job: table::Job,
+        index: id::TaskIndex,
+        worker: table::Worker,
+        token: id::Token,
+        size: resource::Amount,
+    ) {
+        let rack = self.workers[worker].rack;
+        let place = run::Place {
+            job,
+            index,
+            worker,
+            rack,
+        };
+        let due = now + self.config.lease;
+        let mut record = run::Record::new(place, token, size, now, due);
+        self.jobs[job].launched = true;
+        self.timers.push(due, timer::Event::Run(token));
         record.in_worker = self.workers[worker].runs.len() as u32;
         record.in_job = self.jobs[job].runs.len() as u32;
         let run = self.runs.insert(record);
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -7,7 +7,7 @@
 use crate::job::Phase;
 use crate::message::{Output, Progress, Reason, Restore};
 use crate::scheduler::Scheduler;
-use crate::{range, run, table, timer};
+use crate::{range, table};
 
 impl Scheduler {
     /// Takes one part of the replicated state.
@@ -107,22 +107,7 @@
             &mut Vec::new(),
         );
         let worker = self.worker_ids[&worker];
-        self.jobs[job].launched = true;
-        self.timers
-            .push(now + self.config.lease, timer::Event::Run(token));
-        let record = run::Record::new(
-            run::Place {
-                job,
-                index: task,
-                worker,
-                rack: self.workers[worker].rack,
-            },
-            token,
-            granted,
-            now,
-            now + self.config.lease,
-        );
-        self.add_run_quietly(record);
+        self.add_run(now, job, task, worker, token, granted);
     }
 
     fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
