--- /dev/null
+++ b/crates/control/src/cell/apply.rs
@@ -0,0 +1,304 @@
+//! Application of commands. A command never fails: what does not fit the state changes nothing.
+
+use std::sync::Arc;
+
+use bronzespoke_workload::{catalog, job, order, worker};
+use bytes::Bytes;
+
+use super::{
+    command::{Command, End, Outcome, Start},
+    state::{Job, Registered, State},
+};
+
+impl State {
+    /// Applies a command that was proposed at a wall time.
+    pub fn apply(&mut self, at_ms: u64, command: Command) -> Outcome {
+        match command {
+            Command::Configure { catalog, document } => self.configure(*catalog, document),
+            Command::Submit {
+                key,
+                queue,
+                team,
+                submission,
+            } => self.submit(Job::new(key, Arc::new(*queue), team, Arc::new(*submission), at_ms)),
+            Command::Cancel { key } => self.cancel(key, at_ms),
+            Command::Register {
+                life,
+                worker,
+                draining,
+            } => self.register(life, *worker, draining),
+            Command::Retire { worker } => {
+                self.workers.remove(&worker);
+                Outcome::Done
+            }
+            Command::Start(starts) => {
+                Outcome::Started(starts.into_iter().map(|start| self.start(start)).collect())
+            }
+            Command::End(ends) => self.end_all(ends, at_ms),
+            Command::Forget(keys) => self.forget(&keys),
+            Command::Locate { vm, peer } => {
+                self.peers.retain(|_, known| *known != peer);
+                self.peers.insert(vm, peer);
+                Outcome::Done
+            }
+        }
+    }
+
+    fn configure(&mut self, catalog: catalog::Catalog, document: Bytes) -> Outcome {
+        let held = self.catalog.as_ref().map(|held| held.version);
+        if held.is_none_or(|held| catalog.version > held) {
+            self.catalog = Some(Arc::new(catalog));
+            self.document = document;
+        }
+        Outcome::Done
+    }
+
+    fn submit(&mut self, job: Job) -> Outcome {
+        if self.jobs.contains_key(&job.key) {
+            return Outcome::Done;
+        }
+        *self.pending.entry(job.queue.name.clone()).or_default() += 1;
+        self.active.insert(job.key);
+        self.jobs.insert(job.key, job);
+        Outcome::Done
+    }
+
+    fn cancel(&mut self, key: job::Key, at_ms: u64) -> Outcome {
+        let Some(job) = self.jobs.get(&key) else {
+            return Outcome::NoJob;
+        };
+        if !job.is_final() {
+            self.finish(key, job::Phase::Cancelled, at_ms);
+        }
+        Outcome::Done
+    }
+
+    fn register(&mut self, life: worker::Life, worker: worker::Worker, draining: bool) -> Outcome {
+        let mut known = self.workers.values_mut();
+        if let Some(registered) = known.find(|registered| registered.life == life) {
+            registered.worker = Arc::new(worker);
+            // A worker that leaves does not change its mind; a late announcement may say otherwise.
+            registered.draining |= draining;
+            return Outcome::Done;
+        }
+        let index = self.next_worker;
+        self.next_worker += 1;
+        let worker = Arc::new(worker);
+        self.workers.insert(
+            index,
+            Registered {
+                life,
+                worker,
+                draining,
+            },
+        );
+        Outcome::Done
+    }
+
+    fn start(&mut self, start: Start) -> bool {
+        let Start { task, run, worker } = start;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return false;
+        };
+        if job.is_final() {
+            return false;
+        }
+        let first = job.phase == job::Phase::Queued;
+        let Some(step) = step_mut(job, task) else {
+            return false;
+        };
+        let Some(entry) = step.tasks.get_mut(task.index as usize) else {
+            return false;
+        };
+        if entry.done || entry.placed.is_some() || run <= entry.run {
+            return false;
+        }
+        entry.run = run;
+        entry.placed = Some(worker);
+        step.run = step.run.max(run);
+        step.placed += 1;
+        job.placed += 1;
+        if first {
+            job.phase = job::Phase::Running;
+            let queue = job.queue.name.clone();
+            self.leave_pending(&queue);
+        }
+        true
+    }
+
+    fn end_all(&mut self, ends: Vec<End>, at_ms: u64) -> Outcome {
+        let mut finished = Vec::new();
+        for end in ends {
+            let key = end.task.job;
+            self.end(end, at_ms);
+            let is_final = self.jobs.get(&key).is_some_and(Job::is_final);
+            if is_final && finished.last() != Some(&key) {
+                finished.push(key);
+            }
+        }
+        Outcome::Finished(finished)
+    }
+
+    fn end(&mut self, end: End, at_ms: u64) {
+        let End {
+            task,
+            run,
+            worker,
+            outcome,
+            checkpoint,
+        } = end;
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let submission = Arc::clone(&job.submission);
+        let Some(spec) = submission.steps.get(usize::from(task.step)) else {
+            return;
+        };
+        let Some(step) = step_mut(job, task) else {
+            return;
+        };
+        let Some(entry) = step.tasks.get_mut(task.index as usize) else {
+            return;
+        };
+        let current = entry.placed == Some(worker) && entry.run == run;
+        // A run that was given up may turn out to be done, as long as no later one was placed.
+        let late = entry.placed.is_none() && outcome == order::Outcome::Done && !spec.gang;
+        if !current && !late {
+            return;
+        }
+        if current {
+            entry.placed = None;
+        }
+        if checkpoint.is_some() {
+            entry.checkpoint.clone_from(&checkpoint);
+        }
+        if spec.gang && checkpoint.is_some() {
+            step.checkpoint = checkpoint;
+        }
+        if current {
+            step.placed -= 1;
+        }
+        let failed = match outcome {
+            order::Outcome::Done if spec.lasting => false,
+            order::Outcome::Done => {
+                note_done(step, task.index, spec.gang);
+                false
+            }
+            order::Outcome::Failed if spec.lasting => false,
+            order::Outcome::Failed => note_failure(step, task.index, run, spec.gang),
+            _ => false,
+        };
+        if current {
+            job.placed -= 1;
+        }
+        self.settle(task.job, failed, at_ms);
+    }
+
+    /// Finishes a job whose work is done or has failed too often.
+    fn settle(&mut self, key: job::Key, failed: bool, at_ms: u64) {
+        let Some(job) = self.jobs.get(&key) else {
+            return;
+        };
+        if !job.is_final() {
+            let attempts = self.queue_of(job).attempts.max(1);
+            if failed && has_failed(job, attempts) {
+                self.finish(key, job::Phase::Failed, at_ms);
+            } else if is_done(job) {
+                self.finish(key, job::Phase::Completed, at_ms);
+            }
+        }
+        let job = &self.jobs[&key];
+        if job.is_final() && job.placed == 0 {
+            self.active.remove(&key);
+        }
+    }
+
+    fn finish(&mut self, key: job::Key, phase: job::Phase, at_ms: u64) {
+        let Some(job) = self.jobs.get_mut(&key) else {
+            return;
+        };
+        let before = std::mem::replace(&mut job.phase, phase);
+        job.finished_ms = at_ms.max(1);
+        let idle = job.placed == 0;
+        let queue = job.queue.name.clone();
+        if before == job::Phase::Queued {
+            self.leave_pending(&queue);
+        }
+        if idle {
+            self.active.remove(&key);
+        }
+    }
+
+    fn leave_pending(&mut self, queue: &str) {
+        if let Some(count) = self.pending.get_mut(queue) {
+            *count -= 1;
+            if *count == 0 {
+                self.pending.remove(queue);
+            }
+        }
+    }
+
+    fn forget(&mut self, keys: &[job::Key]) -> Outcome {
+        for key in keys {
+            let unused = |job: &Job| job.is_final() && job.placed == 0;
+            if self.jobs.get(key).is_some_and(unused) {
+                self.jobs.remove(key);
+                self.active.remove(key);
+            }
+        }
+        Outcome::Done
+    }
+}
+
+fn step_mut(job: &mut Job, task: order::Task) -> Option<&mut super::state::Step> {
+    let occurrence = job.occurrences.get_mut(task.occurrence as usize)?;
+    occurrence.steps.get_mut(usize::from(task.step))
+}
+
+/// The end of one member stands for the whole gang.
+fn note_done(step: &mut super::state::Step, index: u32, gang: bool) {
+    let members = if gang {
+        0..step.tasks.len()
+    } else {
+        index as usize..index as usize + 1
+    };
+    for entry in &mut step.tasks[members] {
+        if !entry.done {
+            entry.done = true;
+            entry.checkpoint = None;
+            step.left -= 1;
+        }
+    }
+}
+
+/// Counts a failed run; a gang counts each run once.
+fn note_failure(step: &mut super::state::Step, index: u32, run: order::Run, gang: bool) -> bool {
+    let entry = &mut step.tasks[index as usize];
+    if entry.done {
+        return false;
+    }
+    if !gang {
+        entry.failures += 1;
+        return true;
+    }
+    if step.failed_run >= run {
+        return false;
+    }
+    step.failed_run = run;
+    step.failures += 1;
+    true
+}
+
+fn has_failed(job: &Job, attempts: u32) -> bool {
+    let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+    let mut counts = steps.flat_map(|step| {
+        let tasks = step.tasks.iter().map(|task| task.failures);
+        tasks.chain([step.failures])
+    });
+    counts.any(|failures| failures >= attempts)
+}
+
+fn is_done(job: &Job) -> bool {
+    let mut steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+    steps.all(|step| step.left == 0)
+}
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -4,6 +4,7 @@
 //! wall time comes with each command, set by the leader that proposed it, so that every replica reaches the same state.
 
 pub mod batch;
+pub mod cell;
 pub mod dedupe;
 pub mod demand;
 pub mod envelope;
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -30,6 +30,8 @@
             wire::Body::Reply(number, reply) => self.asks.answer(&self.context, number, reply),
             wire::Body::Demand(report) => self.receive_demand(from, &report),
             wire::Body::DemandReceipt(receipt) => self.demand_received(from, &receipt),
+            // A daemon of another kind of cell; a wrong seed can lead here.
+            wire::Body::Fleet(_) => log::debug!("peer: A frame of another kind of cell was dropped."),
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/fleet/client.rs
@@ -0,0 +1,130 @@
+//! Calls to workers and to the eligibility service over kept connections.
+
+use std::{
+    collections::HashMap,
+    net::SocketAddr,
+    sync::{Arc, Mutex, PoisonError},
+    time::Duration,
+};
+
+use bytes::Bytes;
+use http::{Request, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::client::conn::http1;
+use hyper_util::rt::TokioIo;
+use tokio::{net::TcpStream, time};
+
+/// Longest wait for a connection: two ways between regions and a lost packet.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
+/// Idle connections kept for each address; the platform prices new ones, and a worker takes 64.
+const MAX_IDLE: usize = 16;
+/// Largest answer: 500 ends and the runs of one worker.
+const MAX_ANSWER_BYTES: usize = 4 << 20;
+
+type Sender = http1::SendRequest<Full<Bytes>>;
+
+/// Client with kept connections.
+#[derive(Debug, Clone, Default)]
+pub struct Client {
+    idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
+}
+
+/// Why there is no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Error {
+    /// No connection was made; the request was not sent.
+    NotSent,
+    /// The request may have been carried out.
+    NoAnswer,
+}
+
+impl Client {
+    /// Sends a request and waits for its whole answer.
+    pub async fn call(
+        &self,
+        address: SocketAddr,
+        mut request: Request<Bytes>,
+        timeout: Duration,
+    ) -> Result<(StatusCode, Bytes), Error> {
+        let host = header::HeaderValue::from_str(&address.to_string());
+        if let Ok(host) = host {
+            request.headers_mut().insert(header::HOST, host);
+        }
+        let request = request.map(Full::new);
+        let Ok(sender) = time::timeout(CONNECT_TIMEOUT.min(timeout), self.sender(address)).await else {
+            return Err(Error::NotSent);
+        };
+        let mut sender = sender.ok_or(Error::NotSent)?;
+        match time::timeout(timeout, exchange(&mut sender, request)).await {
+            Ok(Some(answer)) => {
+                self.keep(address, sender);
+                Ok(answer)
+            }
+            Ok(None) => Err(Error::NoAnswer),
+            Err(_elapsed) => {
+                // Connections of the same age may be silent as well.
+                self.close(address);
+                Err(Error::NoAnswer)
+            }
+        }
+    }
+
+    /// Closes the kept connections to an address.
+    pub fn close(&self, address: SocketAddr) {
+        self.lock().remove(&address);
+    }
+
+    fn lock(&self) -> std::sync::MutexGuard<'_, HashMap<SocketAddr, Vec<Sender>>> {
+        self.idle.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    async fn sender(&self, address: SocketAddr) -> Option<Sender> {
+        while let Some(mut sender) = self.pop(address) {
+            if sender.ready().await.is_ok() {
+                return Some(sender);
+            }
+        }
+        let stream = match TcpStream::connect(address).await {
+            Ok(stream) => stream,
+            Err(error) => {
+                log::debug!("decision=connect peer={address} outcome=\"{error}\"");
+                return None;
+            }
+        };
+        stream.set_nodelay(true).ok()?;
+        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        // A fault of the connection also reaches the call that uses it.
+        tokio::spawn(async move { drop(connection.await) });
+        Some(sender)
+    }
+
+    fn pop(&self, address: SocketAddr) -> Option<Sender> {
+        let mut idle = self.lock();
+        let senders = idle.get_mut(&address)?;
+        while let Some(sender) = senders.pop() {
+            if !sender.is_closed() {
+                return Some(sender);
+            }
+        }
+        None
+    }
+
+    fn keep(&self, address: SocketAddr, sender: Sender) {
+        if sender.is_closed() {
+            return;
+        }
+        let mut idle = self.lock();
+        let senders = idle.entry(address).or_default();
+        if senders.len() < MAX_IDLE {
+            senders.push(sender);
+        }
+    }
+}
+
+async fn exchange(sender: &mut Sender, request: Request<Full<Bytes>>) -> Option<(StatusCode, Bytes)> {
+    let response = sender.send_request(request).await.ok()?;
+    let status = response.status();
+    let body = Limited::new(response.into_body(), MAX_ANSWER_BYTES);
+    let body = body.collect().await.ok()?.to_bytes();
+    Some((status, body))
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/http.rs
@@ -0,0 +1,201 @@
+//! Servers for callers, the balancer, operators, workers and metrics.
+
+use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+
+use bronzespoke_workload::{adapter, call};
+use bytes::Bytes;
+use http::{Request, Response, StatusCode, header};
+use http_body_util::{BodyExt, Full, Limited};
+use hyper::{body::Incoming, server::conn::http1, service};
+use hyper_util::rt::{TokioIo, TokioTimer};
+use ractor::ActorRef;
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::{Semaphore, oneshot, watch},
+    time,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::fleet::Message;
+
+/// Largest body; a configuration with many routes is the largest that is sent.
+const MAX_BODY_BYTES: usize = 4 << 20;
+/// Time for the headers of a request to arrive.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
+/// Time for the body of a request to arrive.
+const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// How long a caller waits that does not say so.
+const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
+/// A reply has to reach the caller before its deadline; one way to a client takes up to 3 ms and both ends are busy.
+const REPLY_MARGIN: Duration = Duration::from_millis(100);
+/// How long operators and workers wait before they turn to another daemon.
+const CONTROL_PATIENCE: Duration = Duration::from_millis(900);
+/// Open connections of one listener; further ones wait in the backlog.
+const MAX_CONNECTIONS: usize = 3_000;
+/// Pause after a failed accept, such as one without free file descriptors.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+
+/// What a listener serves.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// Callers.
+    Entry,
+    /// The balancer's probes.
+    Readiness,
+    /// Operators and workers.
+    Control,
+    /// Metrics.
+    Metrics,
+}
+
+/// Shared by all listeners.
+#[derive(Clone)]
+pub struct Context {
+    /// Control thread.
+    pub control: ActorRef<Message>,
+    /// Platform.
+    pub adapter: Arc<dyn adapter::Adapter>,
+    /// Whether callers may come.
+    pub ready: watch::Receiver<bool>,
+    /// Cancelled when connections are to be closed after their current request.
+    pub closing: CancellationToken,
+    /// Connections that are open.
+    pub tracker: TaskTracker,
+    /// Renders metrics.
+    pub metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
+}
+
+/// Accepts connections until the listener is dropped or `stop` is cancelled.
+pub async fn serve(context: Context, kind: Kind, listener: TcpListener, stop: CancellationToken) {
+    let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    loop {
+        let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
+            return;
+        };
+        let accepted = tokio::select! {
+            () = stop.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, address)) => {
+                let context = context.clone();
+                context.tracker.clone().spawn(async move {
+                    connection(context, kind, stream, address).await;
+                    drop(permit);
+                });
+            }
+            Err(error) => {
+                log::warn!("belief=accept_failed reason=\"{error}\"");
+                time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn connection(context: Context, kind: Kind, stream: TcpStream, address: SocketAddr) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!("decision=drop_connection peer={address} reason=\"{error}\"");
+        return;
+    }
+    let closing = context.closing.clone();
+    let handler = service::service_fn(move |request| {
+        let context = context.clone();
+        async move { Ok::<_, Infallible>(handle(&context, kind, request).await) }
+    });
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .serve_connection(TokioIo::new(stream), handler);
+    tokio::pin!(connection);
+    let ended = tokio::select! {
+        biased;
+        ended = connection.as_mut() => ended,
+        () = closing.cancelled() => {
+            connection.as_mut().graceful_shutdown();
+            connection.as_mut().await
+        }
+    };
+    if let Err(error) = ended {
+        log::debug!("decision=close_connection peer={address} reason=\"{error}\"");
+    }
+}
+
+async fn handle(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let response = match kind {
+        Kind::Metrics => metrics(context),
+        Kind::Readiness => readiness(context, &request),
+        Kind::Entry | Kind::Control => called(context, kind, request).await,
+    };
+    let (mut head, body) = response.into_parts();
+    if context.closing.is_cancelled() {
+        head.headers
+            .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
+    }
+    Response::from_parts(head, Full::new(body))
+}
+
+fn metrics(context: &Context) -> Response<Bytes> {
+    let text = context.metrics.as_ref().map(|handle| handle.render());
+    Response::new(Bytes::from(text.unwrap_or_default()))
+}
+
+fn readiness(context: &Context, request: &Request<Incoming>) -> Response<Bytes> {
+    let mut response = Response::new(Bytes::new());
+    let (head, ()) = Request::builder()
+        .method(request.method())
+        .uri(request.uri())
+        .body(())
+        .unwrap_or_default()
+        .into_parts();
+    *response.status_mut() = match (context.adapter.is_probe(&head), *context.ready.borrow()) {
+        (false, _) => StatusCode::NOT_FOUND,
+        (true, true) => StatusCode::OK,
+        (true, false) => StatusCode::SERVICE_UNAVAILABLE,
+    };
+    response
+}
+
+async fn called(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Bytes> {
+    let (head, body) = request.into_parts();
+    let body = Limited::new(body, MAX_BODY_BYTES).collect();
+    let body = match time::timeout(BODY_TIMEOUT, body).await {
+        Ok(Ok(body)) => body.to_bytes(),
+        Ok(Err(_)) | Err(_) => {
+            let reason = format!("the body did not arrive whole, or is over {MAX_BODY_BYTES} bytes");
+            return context.adapter.fault(&adapter::Fault::Content(reason));
+        }
+    };
+    let decoded = match kind {
+        Kind::Entry => context.adapter.caller(&head, &body).map(call::Call::Job),
+        _ => context.adapter.control(&head, &body),
+    };
+    let call = match decoded {
+        Ok(call) => call,
+        Err(fault) => {
+            log::info!("decision=refuse path={} reason=\"{fault:?}\"", head.uri.path());
+            return context.adapter.fault(&fault);
+        }
+    };
+    let patience = match kind {
+        Kind::Entry => {
+            let patience = context.adapter.patience(&head).unwrap_or(DEFAULT_PATIENCE);
+            patience.saturating_sub(REPLY_MARGIN)
+        }
+        _ => CONTROL_PATIENCE,
+    };
+    let (responder, reply) = oneshot::channel();
+    let message = Message::Call {
+        call,
+        patience,
+        responder,
+    };
+    if context.control.send_message(message).is_err() {
+        return context.adapter.reply(&crate::fleet::calls::no_leader());
+    }
+    let reply = match time::timeout(patience + REPLY_MARGIN / 2, reply).await {
+        Ok(Ok(reply)) => reply,
+        // The call may have been taken.
+        Ok(Err(_)) | Err(_) => call::Reply::Unknown,
+    };
+    context.adapter.reply(&reply)
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/leading.rs
@@ -0,0 +1,313 @@
+//! What the leader does: serves calls, carries out decisions.
+
+use std::time::Duration;
+
+use bronzespoke_control::cell;
+use bronzespoke_dispatch::{
+    admission,
+    dispatch::{self, Dispatch, Output, Registration},
+};
+use bronzespoke_workload::{advice, call, catalog, job, order, worker};
+
+use crate::{
+    fleet::{
+        controller::{Controller, Responder},
+        wire,
+    },
+    peer,
+};
+
+/// When a caller whose job does not fit any worker may come back: workers come and go over minutes.
+const NO_ROOM_RETRY: Duration = Duration::from_secs(30);
+
+impl Controller {
+    /// Begins or ends a term.
+    pub(super) fn follow_leadership(&mut self) {
+        let term = self.member.as_ref().and_then(super::member::Member::leading_term);
+        let token = self.dispatch.as_ref().map(Dispatch::token);
+        if term == token {
+            return;
+        }
+        if token.is_some() {
+            log::info!("belief=term_over token={token:?}");
+            self.dispatch = None;
+            for waiting in std::mem::take(&mut self.batch) {
+                self.respond(waiting.responder, call::Reply::NotLeader);
+            }
+            self.batch_since = None;
+        }
+        if let Some(term) = term {
+            let config = dispatch::Config {
+                token: term,
+                bounds: self.settings.bounds,
+            };
+            let now = self.times();
+            log::info!(
+                "belief=term_begun token={term} jobs={} workers={} config={:?}",
+                self.state.active().count(),
+                self.state.workers().len(),
+                self.state.catalog().map(|catalog| catalog.version)
+            );
+            self.dispatch = Some(Dispatch::new(config, &self.state, now));
+        }
+    }
+
+    /// Lets the leader's timers run and carries out what it decided.
+    pub(super) fn lead(&mut self) {
+        let now = self.times();
+        if self.dispatch.is_none() || !self.holds_lease(now.steady) {
+            return;
+        }
+        let helpers = self.helpers(now.steady);
+        let Some(dispatch) = &mut self.dispatch else { return };
+        dispatch.set_helpers(&helpers);
+        dispatch.tick(&self.state, now);
+        let outputs = dispatch.take_outputs();
+        for output in outputs {
+            self.carry_out(now.steady, output);
+        }
+    }
+
+    /// VMs that may ask the eligibility service: all that are reached, and this one.
+    fn helpers(&self, now: Duration) -> Vec<bronzespoke_model::id::VmId> {
+        if self.settings.advice.is_none() {
+            return Vec::new();
+        }
+        let reached = self.contact.reached(now).map(|(place, _)| place.vm);
+        reached.chain([self.me.vm]).collect()
+    }
+
+    fn carry_out(&mut self, now: Duration, output: Output) {
+        match output {
+            Output::Propose(command) => self.enqueue(command, Responder::Nobody),
+            Output::Order { worker, order } => self.send_order(now, worker, order),
+            Output::Ask(ask) => {
+                if ask.helper == self.me.vm {
+                    self.orders.ask(self.me, ask.number, ask.question);
+                } else if let Some(peer) = self.contact.address(ask.helper) {
+                    let message = wire::Message::Question {
+                        number: ask.number,
+                        question: ask.question,
+                    };
+                    let place = wire::Place {
+                        vm: ask.helper,
+                        peer,
+                    };
+                    self.send(place, peer::wire::Body::Fleet(message));
+                }
+            }
+            Output::Event(event) => log::info!("{event}"),
+        }
+    }
+
+    fn send_order(&mut self, now: Duration, worker: cell::WorkerIndex, order: order::Order) {
+        let Some(dispatch) = &self.dispatch else { return };
+        let Some(machine) = dispatch.machines().get(&worker) else {
+            return;
+        };
+        self.orders.order(super::orders::Order {
+            token: dispatch.token(),
+            worker,
+            name: machine.life.name.clone(),
+            address: machine.worker.address,
+            order,
+            sent: now,
+        });
+    }
+
+    /// Takes a worker's answer; one to an order of a former term changes nothing.
+    pub(super) fn ordered(
+        &mut self,
+        token: order::Token,
+        worker: cell::WorkerIndex,
+        order: &order::Order,
+        sent: Duration,
+        answer: Option<&order::Answer>,
+    ) {
+        let now = self.times();
+        if let Some(dispatch) = self.dispatch.as_mut().filter(|dispatch| dispatch.token() == token) {
+            dispatch.answered(&self.state, now, worker, order, sent, answer);
+        }
+    }
+
+    /// Returns the answer of the eligibility service to whoever wanted to know.
+    pub(super) fn advised(&mut self, asker: wire::Place, number: u64, answer: advice::Answer) {
+        if asker.vm == self.me.vm {
+            let now = self.now();
+            if let Some(dispatch) = &mut self.dispatch {
+                dispatch.advised(now, number, &answer);
+            }
+            return;
+        }
+        let message = wire::Message::Eligibility { number, answer };
+        self.send(asker, peer::wire::Body::Fleet(message));
+    }
+
+    /// Serves a call as the leader.
+    pub(super) fn serve(&mut self, call: call::Call, responder: Responder) {
+        let now = self.now();
+        if self.dispatch.is_none() || !self.holds_lease(now) || self.leaving {
+            self.respond(responder, call::Reply::NotLeader);
+            return;
+        }
+        match call {
+            call::Call::Job(job) => self.serve_job(job, responder),
+            call::Call::Configure { catalog, document } => {
+                log::info!("decision=configure version={}", catalog.version);
+                self.enqueue(cell::Command::Configure { catalog, document }, responder);
+            }
+            call::Call::ShowConfiguration => {
+                let reply = match self.state.catalog() {
+                    Some(_) => call::Reply::Document(self.state.document().clone()),
+                    None => refused(call::Refusal::NoConfiguration, Duration::from_secs(1)),
+                };
+                self.respond(responder, reply);
+            }
+            call::Call::Announce(announcement) => self.announce(now, &announcement, responder),
+            call::Call::Leave { name } => {
+                if let Some(dispatch) = &mut self.dispatch {
+                    log::info!("belief=worker_left worker={name}");
+                    dispatch.leave(&self.state, &name);
+                }
+                self.respond(responder, call::Reply::Done);
+            }
+        }
+    }
+
+    fn announce(&mut self, now: Duration, announcement: &worker::Announcement, responder: Responder) {
+        let Some(dispatch) = &mut self.dispatch else {
+            self.respond(responder, call::Reply::NotLeader);
+            return;
+        };
+        match dispatch.announce(&self.state, now, announcement) {
+            Registration::Known | Registration::Outdated => self.respond(responder, call::Reply::Done),
+            Registration::Propose(command) => {
+                log::info!(
+                    "decision=register worker={} born={} state={:?} address={}",
+                    announcement.life.name,
+                    announcement.life.born,
+                    announcement.state,
+                    announcement.worker.address
+                );
+                self.enqueue(command, responder);
+            }
+        }
+    }
+
+    fn serve_job(&mut self, call: call::Job, responder: Responder) {
+        match self.route(&call) {
+            Err(reply) => {
+                log::info!(
+                    "decision=refuse host={} path={} action={} reply={reply:?}",
+                    call.host,
+                    call.path,
+                    action_name(&call.action)
+                );
+                self.respond(responder, reply);
+            }
+            Ok((queue, team)) => self.serve_routed(&queue, team, call.action, responder),
+        }
+    }
+
+    /// Finds the queue and the team of a call.
+    fn route(&self, call: &call::Job) -> Result<(catalog::Queue, Option<String>), call::Reply> {
+        let Some(catalog) = self.state.catalog() else {
+            return Err(refused(call::Refusal::NoConfiguration, Duration::from_secs(1)));
+        };
+        let Some(queue) = catalog.route(&call.host, &call.path) else {
+            return Err(call::Reply::NoQueue);
+        };
+        let team = call.key.as_deref().and_then(|key| catalog.team_of_key(key));
+        if !queue.open && team.is_none() {
+            return Err(call::Reply::BadKey);
+        }
+        let counts = matches!(call.action, call::Action::CountPending);
+        if counts && queue.prefix.trim_end_matches('/') != call.path.trim_end_matches('/') {
+            return Err(call::Reply::NoQueue);
+        }
+        Ok((queue.clone(), team.map(|team| team.name.clone())))
+    }
+
+    fn serve_routed(
+        &mut self,
+        queue: &catalog::Queue,
+        team: Option<String>,
+        action: call::Action,
+        responder: Responder,
+    ) {
+        match action {
+            call::Action::Submit(key, submission) => self.submit(queue, team, key, submission, responder),
+            call::Action::Show(key) => {
+                let reply = match self.visible(key, team.as_deref()) {
+                    Some(job) => call::Reply::Phase(job.phase),
+                    None => call::Reply::NoJob,
+                };
+                self.respond(responder, reply);
+            }
+            call::Action::Cancel(key) => {
+                if self.visible(key, team.as_deref()).is_none() {
+                    self.respond(responder, call::Reply::NoJob);
+                    return;
+                }
+                log::info!("decision=cancel job={key:016x}");
+                self.enqueue(cell::Command::Cancel { key }, responder);
+            }
+            call::Action::CountPending => {
+                let pending = self.state.pending(&queue.name);
+                self.respond(responder, call::Reply::Pending(pending));
+            }
+        }
+    }
+
+    /// Returns a job that a team may see.
+    fn visible(&self, key: job::Key, team: Option<&str>) -> Option<&cell::Job> {
+        let job = self.state.job(key)?;
+        (job.team.is_none() || job.team.as_deref() == team).then_some(job)
+    }
+
+    fn submit(
+        &mut self,
+        queue: &catalog::Queue,
+        team: Option<String>,
+        key: job::Key,
+        submission: Box<job::Submission>,
+        responder: Responder,
+    ) {
+        if self.state.job(key).is_some() {
+            self.respond(responder, call::Reply::Done);
+            return;
+        }
+        if let Err(reason) = admission::admit(&self.state, queue, &submission) {
+            log::info!("decision=refuse job={key:016x} queue={} reason={}", queue.name, reason.name());
+            self.respond(responder, refused(reason, NO_ROOM_RETRY));
+            return;
+        }
+        log::info!(
+            "decision=accept job={key:016x} queue={} team={} steps={} waiting_steps={}",
+            queue.name,
+            team.as_deref().unwrap_or("-"),
+            submission.steps.len(),
+            self.dispatch.as_ref().map_or(0, Dispatch::waiting_steps)
+        );
+        let command = cell::Command::Submit {
+            key,
+            queue: Box::new(queue.clone()),
+            team,
+            submission,
+        };
+        self.enqueue(command, responder);
+    }
+}
+
+const fn refused(reason: call::Refusal, retry_after: Duration) -> call::Reply {
+    call::Reply::Refused { reason, retry_after }
+}
+
+const fn action_name(action: &call::Action) -> &'static str {
+    match action {
+        call::Action::Submit(..) => "submit",
+        call::Action::Show(_) => "show",
+        call::Action::Cancel(_) => "cancel",
+        call::Action::CountPending => "count",
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/mod.rs
@@ -0,0 +1,75 @@
+//! A daemon of a fleet whose workers take orders.
+//!
+//! VMs with a disk replicate the state of the cell in one group; its leader decides and talks to the workers. Entry VMs
+//! keep no state: they take callers' requests and pass them to the leader. Two threads: control owns all state, traffic
+//! carries the connections.
+
+pub mod calls;
+pub mod client;
+pub mod contact;
+mod controller;
+mod http;
+mod leading;
+mod member;
+mod membership;
+mod orders;
+mod start;
+pub mod wire;
+
+use std::time::Duration;
+
+use bronzespoke_control::cell;
+use bronzespoke_workload::{advice, call, order, settings};
+use tokio::sync::oneshot;
+
+pub use start::{Error, read, run};
+
+use crate::{disk, peer};
+
+/// What reaches the control thread.
+#[derive(Debug)]
+pub enum Message {
+    /// Time passed.
+    Tick,
+    /// A frame from another daemon.
+    Frame(peer::wire::Frame),
+    /// A call from outside.
+    Call {
+        /// Call.
+        call: call::Call,
+        /// How long the caller waits.
+        patience: Duration,
+        /// Takes the reply.
+        responder: oneshot::Sender<call::Reply>,
+    },
+    /// A worker answered an order, or did not.
+    Ordered {
+        /// Term in which the order was sent.
+        token: order::Token,
+        /// Worker.
+        worker: cell::WorkerIndex,
+        /// Order.
+        order: order::Order,
+        /// When it was sent.
+        sent: Duration,
+        /// Answer.
+        answer: Option<order::Answer>,
+    },
+    /// The eligibility service answered a question that this daemon was asked to pass on.
+    Advised {
+        /// Who wanted to know.
+        asker: wire::Place,
+        /// Number of the question.
+        number: u64,
+        /// Answer.
+        answer: advice::Answer,
+    },
+    /// Writes are durable, or failed.
+    Disk(disk::Done),
+    /// The settings file changed.
+    Settings(Box<settings::Settings>),
+    /// The daemon is to stop: leadership is handed over.
+    Leave,
+    /// Ends the control thread.
+    Stop,
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/orders.rs
@@ -0,0 +1,124 @@
+//! Sends orders and questions from the traffic thread and brings the answers back to control.
+
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::Duration,
+};
+
+use bronzespoke_control::cell;
+use bronzespoke_workload::{adapter, advice, order};
+use ractor::ActorRef;
+use tokio::{runtime, sync::OnceCell};
+
+use crate::fleet::{Message, client, wire};
+
+/// An order that is not answered in this time is taken as unanswered: two ways between regions and a busy worker.
+const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
+/// A question is given up by the leader; this only bounds how long the connection is kept.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(4);
+
+/// An order on its way.
+#[derive(Debug, Clone)]
+pub struct Order {
+    /// Term of the leader.
+    pub token: order::Token,
+    /// Worker.
+    pub worker: cell::WorkerIndex,
+    /// Its name.
+    pub name: String,
+    /// Its address.
+    pub address: SocketAddr,
+    /// Order.
+    pub order: order::Order,
+    /// When it was decided.
+    pub sent: Duration,
+}
+
+/// Handle of the control thread on the calls of the traffic thread.
+#[derive(Debug, Clone)]
+pub struct Sender {
+    runtime: runtime::Handle,
+    client: client::Client,
+    adapter: Arc<dyn adapter::Adapter>,
+    advice: Option<SocketAddr>,
+    control: Arc<OnceCell<ActorRef<Message>>>,
+}
+
+impl Sender {
+    /// Returns a handle; `control` is set when the control thread runs.
+    pub fn new(
+        runtime: runtime::Handle,
+        adapter: Arc<dyn adapter::Adapter>,
+        advice: Option<SocketAddr>,
+        control: Arc<OnceCell<ActorRef<Message>>>,
+    ) -> Self {
+        Self {
+            runtime,
+            client: client::Client::default(),
+            adapter,
+            advice,
+            control,
+        }
+    }
+
+    /// Sends an order.
+    pub fn order(&self, order: Order) {
+        let sender = self.clone();
+        self.runtime.spawn(async move { sender.carry(order).await });
+    }
+
+    async fn carry(self, order: Order) {
+        let request = self.adapter.order(&order.name, order.token, &order.order);
+        let timeout = match &order.order {
+            order::Order::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
+            _ => ORDER_TIMEOUT,
+        };
+        let answer = match self.client.call(order.address, request, timeout).await {
+            Ok((status, body)) => Some(self.adapter.answer(&order.order, status, &body)),
+            Err(error) => {
+                log::debug!("decision=order worker={} outcome={error:?}", order.name);
+                None
+            }
+        };
+        self.report(Message::Ordered {
+            token: order.token,
+            worker: order.worker,
+            order: order.order,
+            sent: order.sent,
+            answer,
+        });
+    }
+
+    /// Asks the eligibility service for another daemon.
+    pub fn ask(&self, asker: wire::Place, number: u64, question: advice::Question) {
+        let sender = self.clone();
+        self.runtime
+            .spawn(async move { sender.question(asker, number, question).await });
+    }
+
+    async fn question(self, asker: wire::Place, number: u64, question: advice::Question) {
+        let answer = match self.advice {
+            None => advice::Answer::Failed,
+            Some(address) => {
+                let request = self.adapter.question(&question);
+                match self.client.call(address, request, QUESTION_TIMEOUT).await {
+                    Ok((status, body)) => self.adapter.eligibility(status, &body),
+                    Err(_error) => advice::Answer::Failed,
+                }
+            }
+        };
+        self.report(Message::Advised {
+            asker,
+            number,
+            answer,
+        });
+    }
+
+    fn report(&self, message: Message) {
+        let delivered = self.control.get().is_some_and(|control| control.send_message(message).is_ok());
+        if !delivered {
+            log::debug!("decision=drop_answer reason=control_stopped");
+        }
+    }
+}
--- /dev/null
+++ b/crates/daemon/src/fleet/start.rs
@@ -0,0 +1,264 @@
+//! Start, reload and shutdown of the process.
+
+use std::{
+    fmt, fs, io,
+    path::Path,
+    sync::Arc,
+    thread,
+    time::{Duration, Instant, SystemTime},
+};
+
+use bronzespoke_workload::{adapter, settings};
+use ractor::Actor;
+use tokio::{
+    net::TcpListener,
+    runtime,
+    signal::unix::{SignalKind, signal},
+    sync::{OnceCell, watch},
+    time,
+};
+use tokio_util::{sync::CancellationToken, task::TaskTracker};
+
+use crate::{
+    fleet::{
+        Message,
+        controller::{Control, Start},
+        http, orders,
+    },
+    peer,
+};
+
+/// Time between two looks at the settings file.
+const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
+/// Time for which callers still come after readiness turned off: the balancer misses two probes, a second apart.
+const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
+/// Part of the grace period that is left for the end of the process.
+const END_RESERVE: Duration = Duration::from_millis(700);
+/// Pause between the hand-over of leadership and the end of a daemon without callers.
+const HAND_OVER: Duration = Duration::from_millis(700);
+/// Connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+
+/// Why a daemon did not start.
+#[derive(Debug)]
+pub enum Error {
+    /// The settings file cannot be read.
+    File(String, io::Error),
+    /// The settings are wrong; one sentence for each fault.
+    Settings(Vec<String>),
+    /// An address cannot be used.
+    Address(std::net::SocketAddr, io::Error),
+    /// Threads, signals or the data folder cannot be used.
+    System(String),
+}
+
+impl fmt::Display for Error {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::File(path, error) => write!(f, "{path} cannot be read: {error}"),
+            Self::Settings(faults) => f.write_str(&faults.join("\n")),
+            Self::Address(address, error) => write!(f, "{address} cannot be used: {error}"),
+            Self::System(reason) => f.write_str(reason),
+        }
+    }
+}
+
+/// Reads and checks a settings file.
+pub fn read(path: &Path, adapter: &dyn adapter::Adapter) -> Result<settings::Settings, Error> {
+    let text = fs::read_to_string(path).map_err(|error| Error::File(path.display().to_string(), error))?;
+    adapter.settings(&text).map_err(Error::Settings)
+}
+
+/// Runs a daemon until SIGTERM or SIGINT.
+pub fn run(path: &Path, adapter: Arc<dyn adapter::Adapter>) -> Result<(), Error> {
+    let settings = read(path, adapter.as_ref())?;
+    crate::logging::start_structured(&settings.name);
+    log::info!(
+        "event=start zone={} peer={} entry={:?} control={:?} seeds={:?} durable={} found={}",
+        settings.zone,
+        settings.peer,
+        settings.entry,
+        settings.control,
+        settings.seeds,
+        settings.data.is_some(),
+        settings.found
+    );
+    let traffic = runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .map_err(|error| Error::System(format!("threads cannot be started: {error}")))?;
+    traffic.block_on(serve(path, adapter, settings))
+}
+
+async fn serve(
+    path: &Path,
+    adapter: Arc<dyn adapter::Adapter>,
+    settings: settings::Settings,
+) -> Result<(), Error> {
+    let cancel = CancellationToken::new();
+    let handle = runtime::Handle::current();
+    let listener = bind(settings.peer)?;
+    let switch = peer::fault::Switch::default();
+    let (network, mut frames) = peer::Network::start(handle.clone(), listener, switch, cancel.clone());
+    let control = Arc::new(OnceCell::new());
+    let (ready_sender, ready) = watch::channel(false);
+    let start = Start {
+        settings: settings.clone(),
+        network,
+        orders: orders::Sender::new(
+            handle,
+            Arc::clone(&adapter),
+            settings.advice,
+            Arc::clone(&control),
+        ),
+        ready: ready_sender,
+        origin: Instant::now(),
+    };
+    let (started, begun) = tokio::sync::oneshot::channel();
+    let thread = thread::Builder::new()
+        .name(String::from("control"))
+        .spawn(move || control_thread(start, started))
+        .map_err(|error| Error::System(format!("the control thread cannot be started: {error}")))?;
+    let actor = begun
+        .await
+        .map_err(|_closed| Error::System(String::from("the control thread ended at the start")))?
+        .map_err(Error::System)?;
+    if control.set(actor.clone()).is_err() {
+        return Err(Error::System(String::from("the control thread was started twice")));
+    }
+    let receiver = actor.clone();
+    tokio::spawn(async move {
+        while let Some(received) = frames.recv().await {
+            if receiver.send_message(Message::Frame(received.frame)).is_err() {
+                return;
+            }
+        }
+    });
+    let context = http::Context {
+        control: actor.clone(),
+        adapter: Arc::clone(&adapter),
+        ready,
+        closing: CancellationToken::new(),
+        tracker: TaskTracker::new(),
+        metrics: metrics_exporter_prometheus::PrometheusBuilder::new()
+            .install_recorder()
+            .ok(),
+    };
+    let listeners = [
+        (http::Kind::Entry, settings.entry),
+        (http::Kind::Readiness, settings.readiness),
+        (http::Kind::Control, settings.control),
+        (http::Kind::Metrics, Some(settings.metrics)),
+    ];
+    for (kind, address) in listeners {
+        if let Some(address) = address {
+            let listener = bind(address)?;
+            tokio::spawn(http::serve(context.clone(), kind, listener, cancel.clone()));
+        }
+    }
+    watch_signals(path, adapter.as_ref(), &actor).await?;
+    shut_down(&settings, &context, &actor, &cancel).await;
+    actor.stop(None);
+    if thread.join().is_err() {
+        return Err(Error::System(String::from("the control thread ended with a fault")));
+    }
+    log::info!("event=stop");
+    crate::logging::flush();
+    Ok(())
+}
+
+type Begun = tokio::sync::oneshot::Sender<Result<ractor::ActorRef<Message>, String>>;
+
+fn control_thread(start: Start, started: Begun) {
+    let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
+        Ok(runtime) => runtime,
+        Err(error) => {
+            drop(started.send(Err(format!("the control thread cannot run: {error}"))));
+            return;
+        }
+    };
+    runtime.block_on(async move {
+        match Control::spawn(None, Control, start).await {
+            Ok((actor, ended)) => {
+                drop(started.send(Ok(actor)));
+                drop(ended.await);
+            }
+            Err(error) => drop(started.send(Err(error.to_string()))),
+        }
+    });
+}
+
+fn bind(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
+    let failed = |error| Error::Address(address, error);
+    let socket = tokio::net::TcpSocket::new_v4().map_err(failed)?;
+    // A restarted daemon takes its address back while old connections are still closing.
+    socket.set_reuseaddr(true).map_err(failed)?;
+    socket.bind(address).map_err(failed)?;
+    socket.listen(BACKLOG).map_err(failed)
+}
+
+/// Returns at SIGTERM or SIGINT; reloads the settings at SIGHUP and whenever their file changes.
+async fn watch_signals(
+    path: &Path,
+    adapter: &dyn adapter::Adapter,
+    actor: &ractor::ActorRef<Message>,
+) -> Result<(), Error> {
+    let failed = |error: io::Error| Error::System(format!("signals cannot be received: {error}"));
+    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
+    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
+    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
+    let mut changed = modified(path);
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return Ok(()),
+            _ = interrupt.recv() => return Ok(()),
+            _ = hangup.recv() => {}
+            () = time::sleep(SETTINGS_INTERVAL) => {
+                let newest = modified(path);
+                if newest == changed {
+                    continue;
+                }
+                changed = newest;
+            }
+        }
+        match read(path, adapter) {
+            Ok(settings) => {
+                if actor.send_message(Message::Settings(Box::new(settings))).is_err() {
+                    return Err(Error::System(String::from("the control thread has ended")));
+                }
+            }
+            Err(error) => log::error!("event=reload_refused reason=\"{error}\""),
+        }
+    }
+}
+
+fn modified(path: &Path) -> Option<SystemTime> {
+    fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
+}
+
+/// Turns readiness off, lets callers finish and hands leadership over.
+async fn shut_down(
+    settings: &settings::Settings,
+    context: &http::Context,
+    actor: &ractor::ActorRef<Message>,
+    cancel: &CancellationToken,
+) {
+    log::info!("event=draining connections={}", context.tracker.len());
+    if actor.send_message(Message::Leave).is_err() {
+        return;
+    }
+    let begun = Instant::now();
+    let grace = settings.bounds.grace.saturating_sub(END_RESERVE);
+    if settings.entry.is_some() {
+        time::sleep(DRAIN_NOTICE.min(grace)).await;
+    } else {
+        time::sleep(HAND_OVER).await;
+    }
+    context.closing.cancel();
+    context.tracker.close();
+    let left = grace.saturating_sub(begun.elapsed());
+    if time::timeout(left, context.tracker.wait()).await.is_err() {
+        log::warn!("event=drain_incomplete connections={}", context.tracker.len());
+    }
+    cancel.cancel();
+}
--- a/crates/daemon/src/identity.rs
+++ b/crates/daemon/src/identity.rs
@@ -20,14 +20,35 @@
         return Ok(draw());
     };
     fs::create_dir_all(folder)?;
+    match read(folder)? {
+        Some(vm) => Ok(vm),
+        None => store(folder, draw()),
+    }
+}
+
+/// Returns the id that the folder holds, or stores `first` there. Without `first` a new id is drawn.
+pub fn load_or(folder: &Path, first: Option<id::VmId>) -> io::Result<id::VmId> {
+    fs::create_dir_all(folder)?;
+    match read(folder)? {
+        Some(vm) => Ok(vm),
+        None => store(folder, first.unwrap_or_else(draw)),
+    }
+}
+
+/// Stores a new id in place of the one that the folder holds.
+pub fn renew(folder: &Path) -> io::Result<id::VmId> {
+    store(folder, draw())
+}
+
+fn read(folder: &Path) -> io::Result<Option<id::VmId>> {
     match fs::read_to_string(folder.join(FILE)) {
-        Ok(text) => text.trim().parse().map_err(|_error| {
+        Ok(text) => text.trim().parse().map(Some).map_err(|_error| {
             io::Error::new(
                 io::ErrorKind::InvalidData,
                 format!("{FILE} does not hold a VM id"),
             )
         }),
-        Err(error) if error.kind() == io::ErrorKind::NotFound => store(folder, draw()),
+        Err(error) if error.kind() == io::ErrorKind::NotFound => Ok(None),
         Err(error) => Err(error),
     }
 }
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -5,6 +5,7 @@
 pub mod control;
 pub mod daemon;
 pub mod disk;
+pub mod fleet;
 pub mod identity;
 pub mod logging;
 pub mod metric;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,8 +1,21 @@
 //! Log set-up.
 //!
 //! Lines go to standard error with a wall-clock time, the level, the VM's name and the prefix of the part.
+//!
+//! A daemon of a fleet writes structured lines to standard output instead: `time level vm key=value …`. A line is handed
+//! to a thread of its own and dropped when too many wait, so that a reader that does not keep up never blocks a
+//! decision; the next line that is written tells how many were dropped.
 
-use std::time::SystemTime;
+use std::{
+    io::Write,
+    sync::{
+        OnceLock,
+        atomic::{AtomicU64, Ordering},
+        mpsc,
+    },
+    thread,
+    time::{Duration, SystemTime},
+};
 
 /// Starts logging; a second call in one process keeps the first set-up.
 pub fn start(name: &str, level: log::LevelFilter) {
@@ -22,3 +35,93 @@
         log::debug!("log: already started");
     }
 }
+
+/// Lines that may wait to be written; at the peak of 2,500 starts a second this is half a second of lines.
+const WAITING_LINES: usize = 4_096;
+/// Longest wait for the last lines at the end of the process.
+const FLUSH_WAIT: Duration = Duration::from_millis(200);
+
+enum Line {
+    Text(String),
+    Flush(mpsc::SyncSender<()>),
+}
+
+static WRITER: OnceLock<mpsc::SyncSender<Line>> = OnceLock::new();
+static DROPPED: AtomicU64 = AtomicU64::new(0);
+
+/// Starts structured logging to standard output; a second call in one process keeps the first set-up.
+pub fn start_structured(name: &str) {
+    let (sender, receiver) = mpsc::sync_channel(WAITING_LINES);
+    if WRITER.set(sender).is_err() {
+        return;
+    }
+    let spawned = thread::Builder::new()
+        .name(String::from("log"))
+        .spawn(move || write_lines(&receiver));
+    if let Err(error) = spawned {
+        eprintln!("bronzespoked: the log cannot be written: {error}");
+        return;
+    }
+    let name = String::from(name);
+    let dispatch = fern::Dispatch::new()
+        .level(log::LevelFilter::Warn)
+        .level_for("bronzespoke_daemon", log::LevelFilter::Info)
+        .chain(fern::Output::call(move |record| {
+            let time = humantime::format_rfc3339_millis(SystemTime::now());
+            enqueue(format!("{time} {} {name} {}\n", record.level(), record.args()));
+        }));
+    if dispatch.apply().is_err() {
+        log::debug!("event=log_started_already");
+    }
+}
+
+/// Lines that were dropped because too many waited.
+pub fn dropped_lines() -> u64 {
+    DROPPED.load(Ordering::Relaxed)
+}
+
+/// Waits until the lines so far are written.
+pub fn flush() {
+    let Some(writer) = WRITER.get() else { return };
+    let (done, written) = mpsc::sync_channel(1);
+    if writer.try_send(Line::Flush(done)).is_ok() {
+        if written.recv_timeout(FLUSH_WAIT).is_err() {
+            eprintln!("bronzespoked: the last log lines are not written");
+        }
+    }
+}
+
+fn enqueue(line: String) {
+    let Some(writer) = WRITER.get() else { return };
+    if writer.try_send(Line::Text(line)).is_err() {
+        DROPPED.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
+fn write_lines(lines: &mpsc::Receiver<Line>) {
+    let mut told = 0;
+    let mut buffer = Vec::new();
+    while let Ok(first) = lines.recv() {
+        let mut flushed = Vec::new();
+        let mut next = Some(first);
+        while let Some(line) = next {
+            match line {
+                Line::Text(text) => buffer.extend_from_slice(text.as_bytes()),
+                Line::Flush(done) => flushed.push(done),
+            }
+            next = lines.try_recv().ok();
+        }
+        let dropped = dropped_lines();
+        if dropped > told {
+            buffer.extend_from_slice(format!("event=log_dropped lines={}\n", dropped - told).as_bytes());
+            told = dropped;
+        }
+        let mut output = std::io::stdout().lock();
+        // Nothing can be told about a standard output that takes nothing.
+        drop(output.write_all(&buffer).and_then(|()| output.flush()));
+        buffer.clear();
+        for done in flushed {
+            done.try_send(()).unwrap_or_default();
+        }
+    }
+}
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,14 +1,25 @@
 //! `bronzespoked`: the daemon on each entry VM.
 
-use std::process::ExitCode;
+use std::{ffi::OsString, path::PathBuf, process::ExitCode, sync::Arc};
 
-use bronzespoke_daemon::{daemon, logging, settings};
+use bronzespoke_daemon::{daemon, fleet, logging, settings};
+use bronzespoke_platform as platform;
 
 /// Exit status for wrong settings.
 const USAGE: u8 = 2;
 
+/// First argument of a daemon whose workers take orders.
+const FLEET: &str = "fleet";
+/// Flag that names the platform's settings file.
+const SETTINGS_FLAG: &str = "--settings";
+/// Environment variable that names the platform's settings file.
+const SETTINGS_VARIABLE: &str = "BRONZESPOKE_SETTINGS";
+
 fn main() -> ExitCode {
-    let arguments = std::env::args_os().skip(1).collect();
+    let mut arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
+    if arguments.first().is_some_and(|first| first == FLEET) {
+        return run_fleet(arguments.split_off(1));
+    }
     let environment = |name: &str| std::env::var(name).ok();
     match settings::read(arguments, &environment) {
         Ok(settings::Request::Help) => print(&settings::help()),
@@ -24,6 +35,45 @@
     }
 }
 
+/// Runs a daemon with the settings file of the platform, named by `--settings` or the environment.
+fn run_fleet(arguments: Vec<OsString>) -> ExitCode {
+    let mut arguments = pico_args::Arguments::from_vec(arguments);
+    let check = arguments.contains("--check");
+    let named: Result<Option<PathBuf>, _> =
+        arguments.opt_value_from_os_str(SETTINGS_FLAG, |value| Ok::<_, String>(PathBuf::from(value)));
+    let path = match named {
+        Ok(path) => path.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)),
+        Err(error) => return usage(&error.to_string()),
+    };
+    if let Some(unknown) = arguments.finish().first() {
+        return usage(&format!("{} is not known; {SETTINGS_FLAG} FILE is", unknown.display()));
+    }
+    let Some(path) = path else {
+        return usage(&format!("{SETTINGS_FLAG} or {SETTINGS_VARIABLE} has to name a settings file"));
+    };
+    let adapter = Arc::new(platform::Platform);
+    let ended = if check {
+        fleet::read(&path, adapter.as_ref()).map(|_settings| print!("The settings are valid.\n"))
+    } else {
+        fleet::run(&path, adapter)
+    };
+    match ended {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error @ fleet::Error::Settings(_)) => usage(&error.to_string()),
+        Err(error) => {
+            eprintln!("bronzespoked: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn usage(faults: &str) -> ExitCode {
+    for fault in faults.lines() {
+        eprintln!("bronzespoked: {fault}");
+    }
+    ExitCode::from(USAGE)
+}
+
 fn print(text: &str) -> ExitCode {
     print!("{text}");
     ExitCode::SUCCESS
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -121,6 +121,14 @@
         &self.traffic
     }
 
+    /// Closes the link to a peer; the next frame opens a new one.
+    pub fn reset(&self, to: SocketAddr) {
+        self.links
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+            .remove(&to);
+    }
+
     /// Closes the links to peers that are not in `keep`.
     pub fn retain(&self, keep: &dyn Fn(SocketAddr) -> bool) {
         let mut links = self.links.lock().unwrap_or_else(PoisonError::into_inner);
--- a/crates/daemon/src/peer/wire.rs
+++ b/crates/daemon/src/peer/wire.rs
@@ -48,6 +48,8 @@
     Demand(demand::Report),
     /// The root leader's answer.
     DemandReceipt(demand::Receipt),
+    /// A message between the daemons of a fleet whose workers take orders.
+    Fleet(crate::fleet::wire::Message),
 }
 
 /// Periodic announcement of a daemon.
--- /dev/null
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -0,0 +1,318 @@
+//! Workers that come, drain, fall silent and go.
+
+use std::time::Duration;
+
+use bronzespoke_control::cell;
+use bronzespoke_workload::{advice, order, worker};
+
+use super::{Dispatch, Event, Now, Output};
+use crate::machine;
+
+/// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the order.
+const INHERITED_MARGIN: Duration = Duration::from_millis(500);
+/// A worker without runs that was silent for this long is removed.
+const RETIRE_AFTER: Duration = Duration::from_secs(60);
+
+/// What an announcement asks for.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Registration {
+    /// It is known already.
+    Known,
+    /// It comes from a former life.
+    Outdated,
+    /// The command has to be committed before it is acknowledged.
+    Propose(cell::Command),
+}
+
+impl Dispatch {
+    /// Builds machines and runs from the replicated state.
+    pub(super) fn inherit(&mut self, state: &cell::State, now: Now) {
+        let lease = self.config.lease().max(super::LEASE);
+        let until = now.steady + lease.div_f64(1.0 - machine::CLOCK_DRIFT) + INHERITED_MARGIN;
+        for (index, registered) in state.workers() {
+            let machine = machine::Machine::new(
+                registered.life.clone(),
+                std::sync::Arc::clone(&registered.worker),
+                registered.draining,
+                now.steady,
+                until,
+            );
+            self.machines.insert(*index, machine);
+        }
+        for job in state.active() {
+            self.inherit_runs(job, now.steady);
+        }
+        for (index, machine) in &self.machines {
+            self.out.push(Output::Event(Event::WorkerKnown {
+                index: *index,
+                worker: machine.life.name.clone(),
+                inherited: machine.runs.len(),
+            }));
+        }
+        self.refresh_all(state);
+        for job in state.active().filter(|job| job.is_final()) {
+            self.stop_runs_of(job.key, now.steady);
+        }
+    }
+
+    fn inherit_runs(&mut self, job: &cell::Job, now: Duration) {
+        for (occurrence, progress) in job.occurrences.iter().enumerate() {
+            for (step, entry) in progress.steps.iter().enumerate() {
+                let spec = &job.submission.steps[step];
+                for (index, task) in entry.tasks.iter().enumerate() {
+                    let Some(worker) = task.placed else { continue };
+                    let name = order::Task {
+                        job: job.key,
+                        occurrence: occurrence as u32,
+                        step: step as u16,
+                        index: index as u32,
+                    };
+                    let run = machine::Run {
+                        run: task.run,
+                        size: counted_size(spec),
+                        team: job.team.clone(),
+                        phase: machine::Phase::Inherited,
+                        since: now,
+                        decided: now,
+                        lease_end: Duration::ZERO,
+                        stop: machine::Stop::No,
+                        checkpoint: None,
+                    };
+                    self.usage.add(job.team.as_deref(), run.size);
+                    if let Some(machine) = self.machines.get_mut(&worker) {
+                        machine.add(name, run);
+                    } else {
+                        // The worker was removed, so its runs are over; only the record is missing.
+                        self.usage.remove(job.team.as_deref(), run.size);
+                        self.propose_lost(worker, vec![(name, task.run, None)]);
+                    }
+                }
+            }
+        }
+    }
+
+    /// Decides what an announcement changes.
+    pub fn announce(
+        &mut self,
+        state: &cell::State,
+        now: Duration,
+        announcement: &worker::Announcement,
+    ) -> Registration {
+        let life = &announcement.life;
+        let draining = matches!(announcement.state, worker::State::Draining { .. });
+        let known = state.workers().iter();
+        let mut former = Vec::new();
+        for (index, registered) in known {
+            if registered.life == *life {
+                let changed = (draining && !registered.draining)
+                    || registered.worker.address != announcement.worker.address
+                    || registered.worker.room != announcement.worker.room
+                    || registered.worker.labels != announcement.worker.labels;
+                if let Some(machine) = self.machines.get_mut(index) {
+                    machine.draining |= draining;
+                    if machine.asked.is_none() && machine.reported.is_none() {
+                        machine.ask_at = now;
+                    }
+                }
+                return if changed {
+                    Registration::Propose(register(announcement, draining))
+                } else {
+                    Registration::Known
+                };
+            }
+            let same_place = registered.worker.address == announcement.worker.address;
+            if registered.life.name == life.name || same_place {
+                if registered.life.born > life.born {
+                    return Registration::Outdated;
+                }
+                former.push(*index);
+            }
+        }
+        for index in former {
+            self.end_life(index, "replaced");
+        }
+        Registration::Propose(register(announcement, draining))
+    }
+
+    /// Takes the word of a worker that it ends now.
+    pub fn leave(&mut self, state: &cell::State, name: &str) {
+        if let Some((index, _)) = state.worker_named(name) {
+            self.end_life(index, "left");
+        }
+    }
+
+    /// Ends all runs of a life that is over, and removes it.
+    pub(super) fn end_life(&mut self, index: cell::WorkerIndex, reason: &'static str) {
+        self.lose_runs(index, reason);
+        if self.machines.remove(&index).is_some() {
+            let command = cell::Command::Retire { worker: index };
+            self.out.push(Output::Propose(command));
+        }
+        self.dirty = true;
+    }
+
+    /// Records that no run of a worker is at work any more.
+    pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, reason: &'static str) {
+        let Some(machine) = self.machines.get_mut(&index) else {
+            return;
+        };
+        let runs = std::mem::take(&mut machine.runs);
+        machine.used = bronzespoke_model::resource::Amount::ZERO;
+        let event = Event::WorkerUnusable {
+            worker: machine.life.name.clone(),
+            reason,
+            runs: runs.len(),
+            silent: None,
+        };
+        self.out.push(Output::Event(event));
+        let mut ends = Vec::new();
+        for (task, run) in runs {
+            self.usage.remove(run.team.as_deref(), run.size);
+            self.proposed.remove(&task);
+            ends.push((task, run.run, run.checkpoint));
+        }
+        self.propose_lost(index, ends);
+        self.dirty = true;
+    }
+
+    fn propose_lost(
+        &mut self,
+        worker: cell::WorkerIndex,
+        runs: Vec<(order::Task, order::Run, Option<bytes::Bytes>)>,
+    ) {
+        if runs.is_empty() {
+            return;
+        }
+        let ends = runs
+            .into_iter()
+            .map(|(task, run, checkpoint)| cell::End {
+                task,
+                run,
+                worker,
+                outcome: order::Outcome::Lost,
+                checkpoint,
+            })
+            .collect();
+        self.propose_ends(worker, ends);
+    }
+
+    /// Takes over lives that were registered or removed.
+    pub(super) fn sync_machines(&mut self, state: &cell::State, now: Duration) {
+        for (index, registered) in state.workers() {
+            match self.machines.get_mut(index) {
+                Some(machine) => {
+                    machine.worker = std::sync::Arc::clone(&registered.worker);
+                    machine.draining |= registered.draining;
+                }
+                None => {
+                    let life = registered.life.clone();
+                    self.out.push(Output::Event(Event::WorkerKnown {
+                        index: *index,
+                        worker: life.name.clone(),
+                        inherited: 0,
+                    }));
+                    let worker = std::sync::Arc::clone(&registered.worker);
+                    let machine = machine::Machine::new(life, worker, registered.draining, now, now);
+                    self.machines.insert(*index, machine);
+                }
+            }
+        }
+    }
+
+    /// Gives up the runs of workers whose lease has run out.
+    pub(super) fn expire_leases(&mut self, now: Duration) {
+        let lapsed: Vec<cell::WorkerIndex> = self
+            .machines
+            .iter()
+            .filter(|(_, machine)| !machine.runs.is_empty() && machine.has_lapsed(now))
+            .filter(|(_, machine)| {
+                machine
+                    .runs
+                    .values()
+                    .any(|run| run.phase != machine::Phase::Proposed)
+            })
+            .map(|(index, _)| *index)
+            .collect();
+        for index in lapsed {
+            self.lose_runs(index, "lease");
+        }
+        let gone: Vec<cell::WorkerIndex> = self
+            .machines
+            .iter()
+            .filter(|(_, machine)| machine.runs.is_empty() && machine.proposed_ends.is_empty())
+            .filter(|(_, machine)| now > machine.reported.unwrap_or(machine.inherited_until) + RETIRE_AFTER)
+            .map(|(index, _)| *index)
+            .collect();
+        for index in gone {
+            self.end_life(index, "silent");
+        }
+    }
+
+    /// Marks the runs of a step as to be stopped.
+    pub(super) fn stop_step(&mut self, step: advice::Step, run: order::Run, now: Duration) {
+        let first = order::Task {
+            job: step.job,
+            occurrence: step.occurrence,
+            step: step.step,
+            index: 0,
+        };
+        let last = order::Task {
+            index: u32::MAX,
+            ..first
+        };
+        for machine in self.machines.values_mut() {
+            for (_, entry) in machine.runs.range_mut(first..=last) {
+                if entry.run <= run && entry.stop == machine::Stop::No {
+                    entry.stop = machine::Stop::Asked(None);
+                }
+            }
+        }
+        self.resend_stops(now);
+    }
+
+    /// Marks the runs of a job as to be stopped and drops what waits of it.
+    pub(super) fn stop_job(&mut self, key: bronzespoke_workload::job::Key, now: Duration, state: &cell::State) {
+        self.refresh_job(state, key);
+        self.stop_runs_of(key, now);
+    }
+
+    fn stop_runs_of(&mut self, key: bronzespoke_workload::job::Key, now: Duration) {
+        let first = order::Task {
+            job: key,
+            occurrence: 0,
+            step: 0,
+            index: 0,
+        };
+        let last = order::Task {
+            job: key,
+            occurrence: u32::MAX,
+            step: u16::MAX,
+            index: u32::MAX,
+        };
+        for machine in self.machines.values_mut() {
+            for (_, entry) in machine.runs.range_mut(first..=last) {
+                if entry.stop == machine::Stop::No {
+                    entry.stop = machine::Stop::Asked(None);
+                }
+            }
+        }
+        self.resend_stops(now);
+    }
+}
+
+/// What a task takes from the room of its worker.
+pub(super) const fn counted_size(step: &bronzespoke_workload::job::Step) -> bronzespoke_model::resource::Amount {
+    let mut size = step.size;
+    if step.fills {
+        size.cpu_milli = 0;
+    }
+    size
+}
+
+fn register(announcement: &worker::Announcement, draining: bool) -> cell::Command {
+    cell::Command::Register {
+        life: announcement.life.clone(),
+        worker: Box::new(announcement.worker.clone()),
+        draining,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -0,0 +1,253 @@
+//! The leader's decisions over one term.
+//!
+//! A start is proposed, committed, ordered and confirmed, in this sequence; its room counts as used from the first of
+//! these on. A task is placed again only when the end of its former run is certain: the worker has listed it, the
+//! worker's life or lease is over, or the worker has shown that the run can no longer start.
+
+mod event;
+mod fleet;
+mod orders;
+mod report;
+mod schedule;
+mod waiting;
+
+use std::{
+    collections::{BTreeMap, HashMap, HashSet},
+    sync::Arc,
+    time::Duration,
+};
+
+use bronzespoke_control::cell;
+use bronzespoke_model::id;
+use bronzespoke_workload::{advice, catalog, job, order, settings};
+
+pub use event::Event;
+pub use fleet::Registration;
+
+use crate::{desk, machine, usage};
+
+/// How long a worker may run without word from the leader. It has to outlast the loss of a leader (an election of at
+/// most 1.6 s and the first round of reports), and every second more delays the work of a lost worker by that much.
+const LEASE: Duration = Duration::from_secs(6);
+/// Lease that a start order names. Bounds how long an unanswered start may still take effect.
+const START_LEASE: Duration = Duration::from_secs(3);
+/// Shortest time between two scheduling passes, so that a burst of events shares one pass.
+const PASS_INTERVAL: Duration = Duration::from_millis(4);
+/// Time between two looks at jobs whose retention is over.
+const FORGET_INTERVAL: Duration = Duration::from_secs(5);
+/// Finished jobs that one command removes.
+const FORGET_AT_ONCE: usize = 256;
+/// Margin on the retention of finished jobs, for callers whose clock or call is late.
+const RETENTION_MARGIN: Duration = Duration::from_secs(30);
+
+/// What the shell has to do.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Output {
+    /// Replicate a command; its outcome comes back through [`Dispatch::committed`].
+    Propose(cell::Command),
+    /// Send an order; the answer comes back through [`Dispatch::answered`].
+    Order {
+        /// Receiver.
+        worker: cell::WorkerIndex,
+        /// Order.
+        order: order::Order,
+    },
+    /// Ask the eligibility service.
+    Ask(desk::Ask),
+    /// Write a log line.
+    Event(Event),
+}
+
+/// Settings of a term.
+#[derive(Debug, Clone, Copy)]
+pub struct Config {
+    /// Fencing token: the term.
+    pub token: order::Token,
+    /// Bounds of the platform.
+    pub bounds: settings::Bounds,
+}
+
+impl Config {
+    /// Lease that reports renew.
+    fn lease(&self) -> Duration {
+        LEASE.min(self.bounds.longest_lease)
+    }
+}
+
+/// Time of one step: the process's steady clock and the wall clock, which is used for due times only.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Now {
+    /// Since the start of the process, monotonic.
+    pub steady: Duration,
+    /// Milliseconds since the Unix epoch.
+    pub wall_ms: u64,
+}
+
+/// The leader's decisions.
+#[derive(Debug)]
+pub struct Dispatch {
+    config: Config,
+    machines: BTreeMap<cell::WorkerIndex, machine::Machine>,
+    usage: usage::Usage,
+    /// Configuration that holds the teams' limits.
+    limits: Option<Arc<catalog::Catalog>>,
+    desk: desk::Desk,
+    /// Steps with tasks to place.
+    waiting: HashMap<advice::Step, waiting::Waiting>,
+    /// Tasks whose start is proposed and not committed.
+    proposed: HashSet<order::Task>,
+    /// Workers on which a task has failed.
+    failed_on: HashMap<order::Task, Vec<cell::WorkerIndex>>,
+    dirty: bool,
+    pass_at: Duration,
+    forget_at: Duration,
+    out: Vec<Output>,
+}
+
+impl Dispatch {
+    /// Takes over from the replicated state.
+    pub fn new(config: Config, state: &cell::State, now: Now) -> Self {
+        let mut dispatch = Self {
+            config,
+            machines: BTreeMap::new(),
+            usage: usage::Usage::default(),
+            limits: state.catalog().cloned(),
+            desk: desk::Desk::default(),
+            waiting: HashMap::new(),
+            proposed: HashSet::new(),
+            failed_on: HashMap::new(),
+            dirty: true,
+            pass_at: now.steady,
+            forget_at: now.steady + FORGET_INTERVAL,
+            out: Vec::new(),
+        };
+        dispatch.inherit(state, now);
+        dispatch
+    }
+
+    /// Replaces the VMs that may ask the eligibility service.
+    pub fn set_helpers(&mut self, helpers: &[id::VmId]) {
+        self.desk.set_helpers(helpers);
+    }
+
+    /// Fencing token of the term.
+    pub const fn token(&self) -> order::Token {
+        self.config.token
+    }
+
+    /// Lives of workers, for metrics and tests.
+    pub const fn machines(&self) -> &BTreeMap<cell::WorkerIndex, machine::Machine> {
+        &self.machines
+    }
+
+    /// Steps that wait for room, for metrics.
+    pub fn waiting_steps(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Time of the next scheduling pass, if one is due.
+    pub fn next_wake(&self) -> Option<Duration> {
+        self.dirty.then_some(self.pass_at)
+    }
+
+    /// Takes the outputs that have gathered.
+    pub fn take_outputs(&mut self) -> Vec<Output> {
+        std::mem::take(&mut self.out)
+    }
+
+    /// Lets timers run and decides on placements.
+    pub fn tick(&mut self, state: &cell::State, now: Now) {
+        self.expire_leases(now.steady);
+        self.renew_leases(now.steady);
+        self.resend_stops(now.steady);
+        self.resend_starts(state, now.steady);
+        if self.dirty && now.steady >= self.pass_at {
+            self.schedule(state, now);
+            self.pass_at = now.steady + PASS_INTERVAL;
+        }
+        if now.steady >= self.forget_at {
+            self.forget_at = now.steady + FORGET_INTERVAL;
+            self.forget_finished(state, now.wall_ms);
+        }
+    }
+
+    /// Takes a command that was committed in this term, after the state has applied it.
+    pub fn committed(
+        &mut self,
+        state: &cell::State,
+        now: Now,
+        command: &cell::Command,
+        outcome: &cell::Outcome,
+    ) {
+        self.dirty = true;
+        match command {
+            cell::Command::Submit { key, .. } => self.refresh_job(state, *key),
+            cell::Command::Cancel { key } => self.stop_job(*key, now.steady, state),
+            cell::Command::Start(starts) => {
+                if let cell::Outcome::Started(taken) = outcome {
+                    self.send_starts(state, now, starts, taken);
+                }
+            }
+            cell::Command::End(ends) => self.note_recorded(state, now, ends),
+            cell::Command::Register { .. } | cell::Command::Retire { .. } => {
+                self.sync_machines(state, now.steady);
+            }
+            cell::Command::Configure { .. } => {
+                self.limits = state.catalog().cloned();
+                self.refresh_all(state);
+            }
+            cell::Command::Forget(_) | cell::Command::Locate { .. } => {}
+        }
+    }
+
+    /// Takes back a command that will never be committed.
+    pub fn refused(&mut self, state: &cell::State, command: &cell::Command) {
+        self.dirty = true;
+        match command {
+            cell::Command::Start(starts) => {
+                for start in starts {
+                    self.proposed.remove(&start.task);
+                    self.drop_run(start.worker, start.task, start.run);
+                    self.refresh_job(state, start.task.job);
+                }
+            }
+            // Ends that are not recorded are listed again; without the acknowledgement the worker repeats them.
+            cell::Command::End(ends) => self.unlist(ends),
+            _ => {}
+        }
+    }
+
+    /// Takes the answer of the eligibility service that came through a helper.
+    pub fn advised(&mut self, now: Duration, number: u64, answer: &advice::Answer) {
+        if self.desk.answered(now, number, answer).is_some() {
+            self.dirty = true;
+        }
+    }
+
+    fn forget_finished(&mut self, state: &cell::State, wall_ms: u64) {
+        let keep_ms = (self.config.bounds.retention + RETENTION_MARGIN).as_millis() as u64;
+        let old = |job: &&cell::Job| job.is_final() && job.placed == 0 && job.finished_ms + keep_ms < wall_ms;
+        let keys: Vec<job::Key> = state
+            .jobs()
+            .filter(old)
+            .take(FORGET_AT_ONCE)
+            .map(|job| job.key)
+            .collect();
+        if !keys.is_empty() {
+            self.out.push(Output::Propose(cell::Command::Forget(keys)));
+        }
+    }
+
+    /// Stops counting a run whose end is certain.
+    fn drop_run(
+        &mut self,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+        run: order::Run,
+    ) -> Option<machine::Run> {
+        let removed = self.machines.get_mut(&worker)?.remove(task, run)?;
+        self.usage.remove(removed.team.as_deref(), removed.size);
+        self.dirty = true;
+        Some(removed)
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -0,0 +1,408 @@
+//! Orders to workers: starts, stops and renewals, and their answers.
+
+use std::time::Duration;
+
+use bronzespoke_control::cell;
+use bronzespoke_workload::{advice, order};
+use bytes::Bytes;
+
+use super::{Dispatch, Event, Now, Output, START_LEASE};
+use crate::machine::{self, Phase, Stop};
+
+/// How long a report may wait for an end. Renews leases often enough and costs one call a second and worker.
+const REPORT_WAIT: Duration = Duration::from_secs(1);
+/// Pause after a report that failed.
+const REPORT_RETRY: Duration = Duration::from_millis(500);
+/// An outstanding report is given up after its wait and this.
+const REPORT_SLACK: Duration = Duration::from_millis(1_500);
+/// Pause before an unanswered stop is sent again.
+const STOP_RETRY: Duration = Duration::from_millis(500);
+/// Pause before an unanswered start is sent again.
+const START_RETRY: Duration = Duration::from_millis(300);
+/// Pause of a worker that refused work as unhealthy.
+const UNHEALTHY_PAUSE: Duration = Duration::from_secs(1);
+
+impl Dispatch {
+    /// Sends the orders of starts that are recorded.
+    pub(super) fn send_starts(
+        &mut self,
+        state: &cell::State,
+        now: Now,
+        starts: &[cell::Start],
+        taken: &[bool],
+    ) {
+        for (start, taken) in starts.iter().zip(taken) {
+            self.proposed.remove(&start.task);
+            if !taken {
+                self.drop_run(start.worker, start.task, start.run);
+                self.refresh_job(state, start.task.job);
+                continue;
+            }
+            self.refresh_job(state, start.task.job);
+            self.send_start(state, now.steady, start);
+        }
+    }
+
+    fn send_start(&mut self, state: &cell::State, now: Duration, start: &cell::Start) {
+        let Some(machine) = self.machines.get_mut(&start.worker) else {
+            // Its life ended meanwhile.
+            self.propose_end(start.worker, start.task, start.run, order::Outcome::NeverStarted, None);
+            return;
+        };
+        let clock = machine.clock(now);
+        let unusable = machine.draining || clock.is_none();
+        let Some(run) = machine.runs.get_mut(&start.task) else {
+            self.propose_end(start.worker, start.task, start.run, order::Outcome::NeverStarted, None);
+            return;
+        };
+        let stopped = run.stop != Stop::No;
+        if unusable || stopped {
+            self.drop_run(start.worker, start.task, start.run);
+            self.propose_end(start.worker, start.task, start.run, order::Outcome::NeverStarted, None);
+            return;
+        }
+        run.lease_end = clock.unwrap_or_default() + START_LEASE.min(self.config.lease());
+        run.phase = Phase::Sent;
+        run.since = now;
+        machine.lease_end = machine.lease_end.max(run.lease_end);
+        self.push_start(state, now, start.worker, start.task);
+    }
+
+    fn push_start(
+        &mut self,
+        state: &cell::State,
+        now: Duration,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+    ) {
+        let (Some(machine), Some(job)) = (self.machines.get(&worker), state.job(task.job)) else {
+            return;
+        };
+        let Some(run) = machine.runs.get(&task) else { return };
+        let step = advice::Step {
+            job: task.job,
+            occurrence: task.occurrence,
+            step: task.step,
+        };
+        let known = self.desk.eligibility(step);
+        let ticket = known.and_then(|known| known.ticket(worker, now).cloned());
+        let order = order::Order::Start {
+            task,
+            run: run.run,
+            spec: job.submission.spec.clone(),
+            lease_end: run.lease_end,
+            checkpoint: checkpoint(state, job, task),
+            ticket,
+        };
+        self.out.push(Output::Order { worker, order });
+    }
+
+    /// Sends unanswered starts again while their lease is in force; the worker takes a repeated start as one.
+    pub(super) fn resend_starts(&mut self, state: &cell::State, now: Duration) {
+        let mut due = Vec::new();
+        for (index, machine) in &mut self.machines {
+            let Some(clock) = machine.clock(now) else { continue };
+            for (task, run) in &mut machine.runs {
+                let waits = run.phase == Phase::Unsure && run.stop == Stop::No;
+                if waits && now >= run.since + START_RETRY && clock + START_RETRY < run.lease_end {
+                    run.phase = Phase::Sent;
+                    run.since = now;
+                    due.push((*index, *task));
+                }
+            }
+        }
+        for (index, task) in due {
+            self.push_start(state, now, index, task);
+        }
+    }
+
+    /// Sends stops that are due.
+    pub(super) fn resend_stops(&mut self, now: Duration) {
+        for (index, machine) in &mut self.machines {
+            for (task, run) in &mut machine.runs {
+                let due = match run.stop {
+                    Stop::Asked(sent) => sent.is_none_or(|sent| now >= sent + STOP_RETRY),
+                    Stop::No | Stop::Answered(_) => false,
+                };
+                if due && run.phase != Phase::Proposed {
+                    run.stop = Stop::Asked(Some(now));
+                    let order = order::Order::Stop {
+                        task: *task,
+                        run: run.run,
+                    };
+                    self.out.push(Output::Order {
+                        worker: *index,
+                        order,
+                    });
+                }
+            }
+        }
+    }
+
+    /// Asks for reports that are due; each renews the lease.
+    pub(super) fn renew_leases(&mut self, now: Duration) {
+        let lease = self.config.lease();
+        for (index, machine) in &mut self.machines {
+            if let Some(asked) = machine.asked
+                && now < asked + REPORT_WAIT + REPORT_SLACK
+            {
+                continue;
+            }
+            if machine.asked.is_none() && now < machine.ask_at {
+                continue;
+            }
+            machine.asked = Some(now);
+            let lease_end = machine.clock(now).map(|clock| clock + lease);
+            if let Some(end) = lease_end {
+                machine.lease_end = machine.lease_end.max(end);
+            }
+            // Without a sample the first report has to come at once.
+            let wait = if lease_end.is_some() { REPORT_WAIT } else { Duration::ZERO };
+            let order = order::Order::Renew {
+                lease_end,
+                acknowledged: machine.recorded,
+                wait,
+            };
+            self.out.push(Output::Order {
+                worker: *index,
+                order,
+            });
+        }
+    }
+
+    /// Takes a worker's answer to an order, or its absence. `sent` is when the order was sent.
+    pub fn answered(
+        &mut self,
+        state: &cell::State,
+        now: Now,
+        worker: cell::WorkerIndex,
+        order: &order::Order,
+        sent: Duration,
+        answer: Option<&order::Answer>,
+    ) {
+        self.sample(worker, now.steady, answer);
+        if let Some(order::Answer::Refused {
+            reason: order::Refusal::OtherLife,
+            ..
+        }) = answer
+        {
+            self.end_life(worker, "other_life");
+            return;
+        }
+        if let Some(order::Answer::Refused {
+            reason: order::Refusal::Fenced,
+            ..
+        }) = answer
+        {
+            let name = self.machines.get(&worker).map(|machine| machine.life.name.clone());
+            self.out.push(Output::Event(Event::Fenced {
+                worker: name.unwrap_or_default(),
+            }));
+        }
+        match order {
+            order::Order::Start { task, run, .. } => {
+                self.start_answered(now.steady, worker, *task, *run, answer);
+            }
+            order::Order::Stop { task, run } => self.stop_answered(now.steady, worker, *task, *run, answer),
+            order::Order::Renew { .. } => self.report_answered(state, now, worker, sent, answer),
+            order::Order::Throttle { .. } => {}
+        }
+    }
+
+    fn sample(&mut self, worker: cell::WorkerIndex, now: Duration, answer: Option<&order::Answer>) {
+        let clock = match answer {
+            Some(order::Answer::Done { clock }) => Some(*clock),
+            Some(order::Answer::Report(report)) => Some(report.clock),
+            Some(order::Answer::Refused { clock, .. }) => *clock,
+            _ => None,
+        };
+        let (Some(clock), Some(machine)) = (clock, self.machines.get_mut(&worker)) else {
+            return;
+        };
+        // Answers may overtake each other; the clock itself never goes back.
+        if machine.sample.is_none_or(|known| clock >= known.clock) {
+            machine.sample = Some(machine::Sample { clock, at: now });
+        }
+    }
+
+    fn start_answered(
+        &mut self,
+        now: Duration,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+        run: order::Run,
+        answer: Option<&order::Answer>,
+    ) {
+        let Some(machine) = self.machines.get_mut(&worker) else {
+            return;
+        };
+        let name = machine.life.name.clone();
+        let Some(entry) = machine.runs.get_mut(&task).filter(|entry| entry.run == run) else {
+            return;
+        };
+        let after = now.saturating_sub(entry.decided);
+        let refusal = match answer {
+            Some(order::Answer::Done { .. }) => {
+                if entry.phase == Phase::Sent || entry.phase == Phase::Unsure {
+                    entry.phase = Phase::Running(now);
+                    entry.since = now;
+                }
+                self.note_start(task, run, name, "started", after);
+                return;
+            }
+            Some(order::Answer::Refused { reason, .. }) => *reason,
+            _ => {
+                if entry.phase == Phase::Sent {
+                    entry.phase = Phase::Unsure;
+                    entry.since = now;
+                }
+                self.note_start(task, run, name, "none", after);
+                return;
+            }
+        };
+        let word = match refusal {
+            // Another leader decides from now on; this one will learn of it from its own group.
+            order::Refusal::Fenced | order::Refusal::OtherLife => return,
+            order::Refusal::Outdated => "outdated",
+            order::Refusal::Late => "late",
+            order::Refusal::Room => "room",
+            order::Refusal::Ticket => "ticket",
+            order::Refusal::Unhealthy => "unhealthy",
+            order::Refusal::Malformed => "malformed",
+        };
+        if refusal == order::Refusal::Unhealthy {
+            machine.suspect_until = machine.suspect_until.max(now + UNHEALTHY_PAUSE);
+        }
+        if refusal == order::Refusal::Outdated && matches!(entry.phase, Phase::Running(_)) {
+            return;
+        }
+        self.note_start(task, run, name, word, after);
+        if refusal == order::Refusal::Ticket {
+            let step = advice::Step {
+                job: task.job,
+                occurrence: task.occurrence,
+                step: task.step,
+            };
+            self.desk.void(step, worker);
+        }
+        if refusal == order::Refusal::Outdated {
+            // It was there and has ended, or was stopped before it came; the report lists which.
+            if let Some(entry) = self.machines.get_mut(&worker).and_then(|m| m.runs.get_mut(&task)) {
+                entry.phase = Phase::Running(now);
+            }
+            return;
+        }
+        self.drop_run(worker, task, run);
+        self.propose_end(worker, task, run, order::Outcome::NeverStarted, None);
+    }
+
+    fn note_start(
+        &mut self,
+        task: order::Task,
+        run: order::Run,
+        worker: String,
+        answer: &'static str,
+        after: Duration,
+    ) {
+        self.out.push(Output::Event(Event::StartAnswered {
+            task,
+            run,
+            worker,
+            answer,
+            after,
+        }));
+    }
+
+    fn stop_answered(
+        &mut self,
+        now: Duration,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+        run: order::Run,
+        answer: Option<&order::Answer>,
+    ) {
+        let machine = self.machines.get_mut(&worker);
+        let entry = machine.and_then(|machine| machine.runs.get_mut(&task));
+        let Some(entry) = entry.filter(|entry| entry.run == run) else {
+            return;
+        };
+        match answer {
+            Some(
+                order::Answer::Done { .. }
+                | order::Answer::Refused {
+                    reason: order::Refusal::Outdated,
+                    ..
+                },
+            ) => entry.stop = Stop::Answered(now),
+            _ => {}
+        }
+    }
+
+    /// Proposes the end of one run and logs it.
+    pub(super) fn propose_end(
+        &mut self,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+        run: order::Run,
+        outcome: order::Outcome,
+        checkpoint: Option<Bytes>,
+    ) {
+        self.note_end(worker, task, run, outcome);
+        let end = cell::End {
+            task,
+            run,
+            worker,
+            outcome,
+            checkpoint,
+        };
+        self.propose_ends(worker, vec![end]);
+    }
+
+    pub(super) fn note_end(
+        &mut self,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+        run: order::Run,
+        outcome: order::Outcome,
+    ) {
+        let name = self.machines.get(&worker).map(|machine| machine.life.name.clone());
+        self.out.push(Output::Event(Event::Ended {
+            task,
+            run,
+            worker: name.unwrap_or_default(),
+            outcome,
+        }));
+    }
+
+    fn report_answered(
+        &mut self,
+        state: &cell::State,
+        now: Now,
+        worker: cell::WorkerIndex,
+        sent: Duration,
+        answer: Option<&order::Answer>,
+    ) {
+        let Some(machine) = self.machines.get_mut(&worker) else {
+            return;
+        };
+        if machine.asked == Some(sent) {
+            machine.asked = None;
+            machine.ask_at = now.steady + REPORT_RETRY;
+        }
+        if let Some(order::Answer::Report(report)) = answer {
+            self.take_report(state, now, worker, sent, report);
+        }
+    }
+}
+
+/// Progress that a start resumes from.
+fn checkpoint(state: &cell::State, job: &cell::Job, task: order::Task) -> Option<Bytes> {
+    let spec = job.submission.steps.get(usize::from(task.step))?;
+    if !spec.checkpoints {
+        return None;
+    }
+    if spec.gang {
+        return state.step(task.job, task.occurrence, task.step)?.checkpoint.clone();
+    }
+    state.task(task)?.checkpoint.clone()
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -0,0 +1,268 @@
+//! Reports of workers: what runs there and what has ended.
+
+use std::{collections::HashMap, time::Duration};
+
+use bronzespoke_control::cell;
+use bronzespoke_workload::{advice, order};
+
+use super::{Dispatch, Event, Now, Output};
+use crate::machine::{Phase, Stop};
+
+/// Pause of a worker that fails what it starts; doubled with each further suspicion.
+const SUSPECT_PAUSE: Duration = Duration::from_secs(2);
+/// Longest pause of a suspected worker.
+const LONGEST_PAUSE: Duration = Duration::from_secs(16);
+/// A report that waits for the record of ends is asked for after this at the latest, so that leases are renewed.
+const RECORD_WAIT: Duration = Duration::from_millis(300);
+
+impl Dispatch {
+    pub(super) fn take_report(
+        &mut self,
+        state: &cell::State,
+        now: Now,
+        worker: cell::WorkerIndex,
+        sent: Duration,
+        report: &order::Report,
+    ) {
+        let Some(machine) = self.machines.get_mut(&worker) else {
+            return;
+        };
+        let other_life = report
+            .born
+            .is_some_and(|born| machine.life.born != 0 && born != machine.life.born);
+        if other_life {
+            self.end_life(worker, "restarted");
+            return;
+        }
+        let first = machine.reported.is_none();
+        machine.reported = Some(machine.reported.unwrap_or_default().max(now.steady));
+        if first {
+            self.dirty = true;
+        }
+        self.take_ends(state, now.steady, worker, report);
+        self.compare_runs(state, now.steady, worker, sent, report);
+        if let Some(machine) = self.machines.get_mut(&worker) {
+            machine.ask_at = if machine.proposed_ends.is_empty() {
+                now.steady
+            } else {
+                now.steady + RECORD_WAIT
+            };
+        }
+        self.renew_leases(now.steady);
+    }
+
+    /// Proposes the record of ends that were not listed before.
+    fn take_ends(
+        &mut self,
+        state: &cell::State,
+        now: Duration,
+        worker: cell::WorkerIndex,
+        report: &order::Report,
+    ) {
+        let mut ends = Vec::new();
+        let Some(machine) = self.machines.get_mut(&worker) else {
+            return;
+        };
+        let listed = machine.listed;
+        for ended in report.ended.iter().filter(|ended| ended.number > listed) {
+            ends.push(cell::End {
+                task: ended.task,
+                run: ended.run,
+                worker,
+                outcome: ended.outcome,
+                checkpoint: ended.checkpoint.clone(),
+            });
+        }
+        let Some(last) = report.ended.iter().map(|ended| ended.number).max() else {
+            return;
+        };
+        if ends.is_empty() {
+            return;
+        }
+        machine.listed = machine.listed.max(last);
+        for end in &ends {
+            self.take_end(state, now, end);
+        }
+        self.propose_ends(worker, ends);
+    }
+
+    fn take_end(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
+        self.note_end(end.worker, end.task, end.run, end.outcome);
+        let removed = self.drop_run(end.worker, end.task, end.run);
+        let asked_to_stop = removed.is_some_and(|run| run.stop != Stop::No);
+        let Some(machine) = self.machines.get_mut(&end.worker) else {
+            return;
+        };
+        match end.outcome {
+            order::Outcome::Done => machine.note_success(),
+            order::Outcome::Failed if !asked_to_stop => {
+                self.failed_on.entry(end.task).or_default().push(end.worker);
+                let pause = SUSPECT_PAUSE * 2_u32.saturating_pow(machine.suspicions);
+                let pause = pause.min(LONGEST_PAUSE);
+                if machine.note_failure(now, end.task.job, pause) {
+                    let event = Event::WorkerUnusable {
+                        worker: machine.life.name.clone(),
+                        reason: "failures",
+                        runs: machine.runs.len(),
+                        silent: None,
+                    };
+                    self.out.push(Output::Event(event));
+                }
+            }
+            _ => {}
+        }
+        let gang = state
+            .job(end.task.job)
+            .and_then(|job| job.submission.steps.get(usize::from(end.task.step)))
+            .is_some_and(|step| step.gang);
+        if gang && end.outcome != order::Outcome::Done {
+            self.stop_step(step_of(end.task), end.run, now);
+        }
+    }
+
+    /// Proposes the record of ends of one worker.
+    ///
+    /// Records are committed in the order of their proposals, so the record of any of them shows that every end listed
+    /// before it is recorded.
+    pub(super) fn propose_ends(&mut self, worker: cell::WorkerIndex, ends: Vec<cell::End>) {
+        if let Some(machine) = self.machines.get_mut(&worker) {
+            machine.proposed_ends.push_back(machine.listed);
+        }
+        self.out.push(Output::Propose(cell::Command::End(ends)));
+    }
+
+    /// Compares what runs there with what should.
+    fn compare_runs(
+        &mut self,
+        state: &cell::State,
+        now: Duration,
+        worker: cell::WorkerIndex,
+        sent: Duration,
+        report: &order::Report,
+    ) {
+        let Some(machine) = self.machines.get_mut(&worker) else {
+            return;
+        };
+        let running: HashMap<order::Task, &order::Running> =
+            report.running.iter().map(|running| (running.task, running)).collect();
+        let mut gone = Vec::new();
+        for (task, run) in &mut machine.runs {
+            if let Some(found) = running.get(task).filter(|found| found.run == run.run) {
+                if !matches!(run.phase, Phase::Running(_)) {
+                    run.phase = Phase::Running(now);
+                    run.since = now;
+                }
+                if found.checkpoint.is_some() {
+                    run.checkpoint.clone_from(&found.checkpoint);
+                }
+                continue;
+            }
+            let over = match (run.phase, run.stop) {
+                (Phase::Proposed, _) => false,
+                // The worker obeys no order of an earlier leader after it has taken one of this leader.
+                (Phase::Inherited, _) => true,
+                (_, Stop::Answered(at)) if sent > at => true,
+                (Phase::Running(since), _) => sent > since,
+                (Phase::Unsure | Phase::Sent, _) => report.clock > run.lease_end,
+            };
+            if over {
+                let outcome = match run.phase {
+                    Phase::Running(_) if run.stop == Stop::No => order::Outcome::Lost,
+                    Phase::Running(_) => order::Outcome::Stopped,
+                    _ => order::Outcome::NeverStarted,
+                };
+                gone.push((*task, run.run, outcome, run.checkpoint.clone()));
+            }
+        }
+        let unknown: Vec<_> = report
+            .running
+            .iter()
+            .filter(|running| {
+                let known = machine.runs.get(&running.task);
+                known.is_none_or(|known| known.run != running.run)
+            })
+            .map(|running| (running.task, running.run))
+            .collect();
+        for (task, run, outcome, checkpoint) in gone {
+            self.drop_run(worker, task, run);
+            self.propose_end(worker, task, run, outcome, checkpoint);
+        }
+        for (task, run) in unknown {
+            self.stop_unknown(state, worker, task, run, report);
+        }
+    }
+
+    /// Stops a run that should not be there, unless it has ended in the same report.
+    fn stop_unknown(
+        &mut self,
+        _state: &cell::State,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+        run: order::Run,
+        report: &order::Report,
+    ) {
+        let ended = report
+            .ended
+            .iter()
+            .any(|ended| ended.task == task && ended.run == run);
+        if !ended {
+            let order = order::Order::Stop { task, run };
+            self.out.push(Output::Order { worker, order });
+        }
+    }
+
+    /// Takes ends that are recorded: acknowledges them and lets what depends on them wait for room.
+    pub(super) fn note_recorded(&mut self, state: &cell::State, now: Now, ends: &[cell::End]) {
+        // All ends of one command are of one worker.
+        let worker = ends.first().map(|end| end.worker);
+        if let Some(machine) = worker.and_then(|worker| self.machines.get_mut(&worker))
+            && let Some(number) = machine.proposed_ends.pop_front()
+        {
+            machine.recorded = machine.recorded.max(number);
+            machine.ask_at = machine.ask_at.min(now.steady);
+        }
+        let mut last = None;
+        for end in ends {
+            if end.outcome != order::Outcome::Done {
+                self.abandon_gang(state, now.steady, end);
+            }
+            if last != Some(end.task.job) {
+                self.refresh_job(state, end.task.job);
+                last = Some(end.task.job);
+            }
+            let finished = state.job(end.task.job).is_none_or(cell::Job::is_final);
+            if finished {
+                self.failed_on.remove(&end.task);
+                self.stop_job(end.task.job, now.steady, state);
+            }
+        }
+        self.renew_leases(now.steady);
+    }
+
+    /// Stops the other members of a gang that lost one.
+    fn abandon_gang(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
+        let step = state
+            .job(end.task.job)
+            .and_then(|job| job.submission.steps.get(usize::from(end.task.step)));
+        if step.is_some_and(|step| step.gang) {
+            self.stop_step(step_of(end.task), end.run, now);
+        }
+    }
+
+    /// Lets ends be listed again whose record was refused.
+    pub(super) fn unlist(&mut self, ends: &[cell::End]) {
+        let Some(first) = ends.first() else { return };
+        if let Some(machine) = self.machines.get_mut(&first.worker) {
+            machine.proposed_ends.clear();
+            machine.listed = machine.recorded;
+        }
+    }
+}
+
+pub(super) const fn step_of(task: order::Task) -> advice::Step {
+    advice::Step {
+        job: task.job,
+        occurrence: task.occurrence,
+        step: task.step,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -0,0 +1,378 @@
+//! One scheduling pass: the waiting steps in their order, each with what fits.
+
+use std::{
+    collections::{HashMap, HashSet},
+    time::Duration,
+};
+
+use bronzespoke_control::cell;
+use bronzespoke_model::resource;
+use bronzespoke_workload::{advice, catalog, job, order};
+
+use super::{Dispatch, Event, Now, Output, fleet, waiting};
+use crate::{
+    machine::{self, Phase, Stop},
+    order as ranking,
+    place::{self, Candidate},
+};
+
+/// A worker whose last report is older gets no new work; two reports fail to come in this time.
+const USABLE_AGE: Duration = Duration::from_millis(2_500);
+/// Starts that one command records.
+const STARTS_AT_ONCE: usize = 256;
+/// Workers that the first question about a step names.
+const ASKED_WORKERS: usize = 60;
+/// One worker in this many may be kept for gangs that wait.
+const RESERVED_SHARE: usize = 2;
+
+/// Workers that are kept for gangs in this pass.
+#[derive(Debug, Default)]
+struct Reserved {
+    workers: HashSet<cell::WorkerIndex>,
+    most: usize,
+}
+
+/// What a pass needs to know about a step.
+struct Subject<'a> {
+    id: advice::Step,
+    job: &'a cell::Job,
+    queue: &'a catalog::Queue,
+    spec: &'a job::Step,
+    progress: &'a cell::Step,
+    size: resource::Amount,
+    tasks: Vec<u32>,
+    tier: u8,
+}
+
+impl Dispatch {
+    pub(super) fn schedule(&mut self, state: &cell::State, now: Now) {
+        self.dirty = false;
+        let ranked = self.ranked(state, now);
+        let mut reserved = Reserved {
+            workers: HashSet::new(),
+            most: self.machines.len() / RESERVED_SHARE,
+        };
+        let mut starts = Vec::new();
+        let mut order = Vec::with_capacity(ranked.len());
+        for (rank, id) in ranked {
+            order.push(id);
+            if let Some(subject) = self.subject(state, id, rank.tier) {
+                self.place(now.steady, &subject, &mut reserved, &mut starts);
+            }
+            if starts.len() >= STARTS_AT_ONCE {
+                self.dirty = true;
+                break;
+            }
+        }
+        if !starts.is_empty() {
+            self.out.push(Output::Propose(cell::Command::Start(starts)));
+        }
+        let mut asks = Vec::new();
+        self.desk.dispatch(now.steady, &order, &mut asks);
+        for ask in asks {
+            self.out.push(Output::Event(Event::Asked {
+                step: ask.question.step,
+                workers: ask.question.workers.len(),
+            }));
+            self.out.push(Output::Ask(ask));
+        }
+    }
+
+    /// Waiting steps that are due, in their order.
+    fn ranked(&self, state: &cell::State, now: Now) -> Vec<(ranking::Rank, advice::Step)> {
+        let mut ranked = Vec::with_capacity(self.waiting.len());
+        for (id, entry) in &self.waiting {
+            let waiting::Waiting {
+                begun_ms,
+                chain,
+                remaining,
+            } = entry;
+            if *begun_ms > now.wall_ms {
+                continue;
+            }
+            if let Some(job) = state.job(id.job) {
+                let rank = ranking::rank(job, *begun_ms, *chain, *remaining, now.wall_ms);
+                ranked.push((rank, *id));
+            }
+        }
+        ranked.sort_unstable();
+        ranked
+    }
+
+    fn subject<'a>(&self, state: &'a cell::State, id: advice::Step, tier: u8) -> Option<Subject<'a>> {
+        let job = state.job(id.job)?;
+        let spec = job.submission.steps.get(usize::from(id.step))?;
+        let progress = state.step(id.job, id.occurrence, id.step)?;
+        let open = |(index, task): (usize, &cell::Task)| {
+            let index = index as u32;
+            let name = name(id, index);
+            let open = !task.done && task.placed.is_none() && !self.proposed.contains(&name);
+            open.then_some(index)
+        };
+        let tasks: Vec<u32> = progress.tasks.iter().enumerate().filter_map(open).collect();
+        let apart = spec.gang && tasks.len() < progress.left as usize;
+        if tasks.is_empty() || apart {
+            return None;
+        }
+        Some(Subject {
+            id,
+            job,
+            queue: state.queue_of(job),
+            spec,
+            progress,
+            size: fleet::counted_size(spec),
+            tasks,
+            tier,
+        })
+    }
+
+    fn place(
+        &mut self,
+        now: Duration,
+        subject: &Subject<'_>,
+        reserved: &mut Reserved,
+        starts: &mut Vec<cell::Start>,
+    ) {
+        let team = subject.job.team.as_deref();
+        let allowed = self.allowed(subject, team);
+        let wanted = if subject.spec.gang {
+            subject.tasks.len() as u32
+        } else {
+            allowed.min(subject.tasks.len() as u32)
+        };
+        if wanted == 0 || wanted > allowed {
+            return;
+        }
+        let mut candidates = self.candidates(now, subject, reserved);
+        if subject.spec.one_rack && subject.spec.gang {
+            self.keep_one_rack(&mut candidates, subject, wanted);
+        }
+        if let Some(cost) = &subject.queue.advice {
+            let fits = place::fitting(&candidates, &subject.size);
+            let enough = if subject.spec.gang { fits >= wanted } else { fits > 0 };
+            if !self.retain_permitted(now, subject, cost, enough, &mut candidates) {
+                if subject.spec.gang {
+                    self.reserve(now, subject, wanted, reserved);
+                }
+                return;
+            }
+        }
+        if subject.spec.gang && place::fitting(&candidates, &subject.size) < wanted {
+            self.reserve(now, subject, wanted, reserved);
+            return;
+        }
+        let tasks = &subject.tasks[..wanted as usize];
+        let avoid = self.avoided(subject);
+        let placed = place::best_fit(&mut candidates, &subject.size, tasks, &avoid);
+        if subject.spec.gang && placed.len() < tasks.len() {
+            return;
+        }
+        let run = subject.progress.run;
+        for (index, worker) in placed {
+            let former = subject.progress.tasks[index as usize].run;
+            // Members of a gang share the number of their run.
+            let run = if subject.spec.gang { run + 1 } else { former + 1 };
+            self.start(now, subject, index, worker, run, starts);
+        }
+    }
+
+    /// Tasks that the team's limit leaves.
+    fn allowed(&self, subject: &Subject<'_>, team: Option<&str>) -> u32 {
+        self.limits.as_ref().map_or(u32::MAX, |catalog| {
+            self.usage.tasks_allowed(catalog, team, subject.size)
+        })
+    }
+
+    /// Workers that may run the step, whether there is room now or not.
+    fn candidates(&self, now: Duration, subject: &Subject<'_>, reserved: &Reserved) -> Vec<Candidate> {
+        let known = self.desk.eligibility(subject.id);
+        let mut candidates = Vec::new();
+        for (index, machine) in &self.machines {
+            if !is_usable(machine, now) || machine.worker.pool != subject.queue.pool {
+                continue;
+            }
+            let label = subject.spec.label.as_ref();
+            if label.is_some_and(|label| !machine.worker.labels.contains(label)) {
+                continue;
+            }
+            if subject.tier > 0 && reserved.workers.contains(index) {
+                continue;
+            }
+            let refused = known.is_some_and(|known| {
+                known.asked.contains(index) && !known.tickets.contains_key(index)
+            });
+            if refused {
+                continue;
+            }
+            let near = subject.spec.near_rack.as_ref();
+            candidates.push(Candidate {
+                worker: *index,
+                free: machine.free(),
+                room: machine.worker.room,
+                slots: slots(machine, subject),
+                remote: near.is_some_and(|rack| !machine.worker.labels.contains(rack)),
+            });
+        }
+        candidates
+    }
+
+    /// Keeps the workers with a valid ticket; asks for tickets where they are missing and room is there.
+    ///
+    /// Returns whether any worker is left.
+    fn retain_permitted(
+        &mut self,
+        now: Duration,
+        subject: &Subject<'_>,
+        cost: &catalog::Advice,
+        enough: bool,
+        candidates: &mut Vec<Candidate>,
+    ) -> bool {
+        let known = self.desk.eligibility(subject.id);
+        let asked_before = known.is_some_and(|known| !known.asked.is_empty());
+        let permitted = |candidate: &Candidate| {
+            known.is_some_and(|known| known.ticket(candidate.worker, now).is_some())
+        };
+        let usable = place::fitting(
+            &candidates
+                .iter()
+                .filter(|candidate| permitted(candidate))
+                .cloned()
+                .collect::<Vec<_>>(),
+            &subject.size,
+        );
+        let wanted = if subject.spec.gang { subject.tasks.len() as u32 } else { 1 };
+        if usable < wanted && (enough || !asked_before) {
+            let mut workers: Vec<&Candidate> = candidates
+                .iter()
+                .filter(|candidate| !permitted(candidate))
+                .collect();
+            workers.sort_by_key(|candidate| std::cmp::Reverse(candidate.fitting(&subject.size)));
+            let workers = workers
+                .into_iter()
+                .take(ASKED_WORKERS)
+                .filter_map(|candidate| {
+                    let machine = self.machines.get(&candidate.worker)?;
+                    Some((candidate.worker, machine.life.name.clone()))
+                })
+                .collect();
+            self.desk.want(now, subject.id, cost, workers);
+        }
+        let known = self.desk.eligibility(subject.id);
+        candidates.retain(|candidate| {
+            known.is_some_and(|known| known.ticket(candidate.worker, now).is_some())
+        });
+        !candidates.is_empty()
+    }
+
+    /// Keeps the workers of one rack, if one has room for all tasks.
+    fn keep_one_rack(&self, candidates: &mut Vec<Candidate>, subject: &Subject<'_>, wanted: u32) {
+        let mut racks: HashMap<&str, u32> = HashMap::new();
+        let rack_of = |worker: cell::WorkerIndex| {
+            let machine = self.machines.get(&worker);
+            machine.map_or("", |machine| machine.worker.rack.as_str())
+        };
+        for candidate in candidates.iter() {
+            let sum = racks.entry(rack_of(candidate.worker)).or_default();
+            *sum = sum.saturating_add(candidate.fitting(&subject.size));
+        }
+        let fitting = racks.into_iter().filter(|(_, fitting)| *fitting >= wanted);
+        // The rack that is left with the least room.
+        if let Some((rack, _)) = fitting.min_by_key(|(rack, fitting)| (*fitting, *rack)) {
+            let rack = String::from(rack);
+            candidates.retain(|candidate| rack_of(candidate.worker) == rack);
+        }
+    }
+
+    /// Keeps workers for a gang that does not fit yet, those with the most room first.
+    fn reserve(&self, now: Duration, subject: &Subject<'_>, wanted: u32, reserved: &mut Reserved) {
+        let mut candidates = self.candidates(now, subject, reserved);
+        let known = self.desk.eligibility(subject.id);
+        candidates.retain(|candidate| {
+            known.is_none_or(|known| known.asked.is_empty() || known.tickets.contains_key(&candidate.worker))
+        });
+        candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.fitting(&subject.size)));
+        let mut missing = wanted;
+        for candidate in candidates {
+            if missing == 0 || reserved.workers.len() >= reserved.most {
+                return;
+            }
+            missing = missing.saturating_sub(candidate.capacity(&subject.size));
+            reserved.workers.insert(candidate.worker);
+        }
+    }
+
+    /// Workers on which tasks of the step have failed.
+    fn avoided(&self, subject: &Subject<'_>) -> HashMap<u32, Vec<cell::WorkerIndex>> {
+        let failed = |index: &u32| {
+            let workers = self.failed_on.get(&name(subject.id, *index))?;
+            Some((*index, workers.clone()))
+        };
+        subject.tasks.iter().filter_map(failed).collect()
+    }
+
+    fn start(
+        &mut self,
+        now: Duration,
+        subject: &Subject<'_>,
+        index: u32,
+        worker: cell::WorkerIndex,
+        run: order::Run,
+        starts: &mut Vec<cell::Start>,
+    ) {
+        let task = name(subject.id, index);
+        let Some(machine) = self.machines.get_mut(&worker) else {
+            return;
+        };
+        self.out.push(Output::Event(Event::Placed {
+            task,
+            run,
+            worker: machine.life.name.clone(),
+            free_cpu: machine.free().cpu_milli,
+        }));
+        self.usage.add(subject.job.team.as_deref(), subject.size);
+        machine.add(
+            task,
+            machine::Run {
+                run,
+                size: subject.size,
+                team: subject.job.team.clone(),
+                phase: Phase::Proposed,
+                since: now,
+                decided: now,
+                lease_end: Duration::ZERO,
+                stop: Stop::No,
+                checkpoint: None,
+            },
+        );
+        self.proposed.insert(task);
+        starts.push(cell::Start { task, run, worker });
+    }
+}
+
+const fn name(step: advice::Step, index: u32) -> order::Task {
+    order::Task {
+        job: step.job,
+        occurrence: step.occurrence,
+        step: step.step,
+        index,
+    }
+}
+
+/// Tells whether a worker may get new work.
+fn is_usable(machine: &machine::Machine, now: Duration) -> bool {
+    let fresh = machine
+        .reported
+        .is_some_and(|reported| now < reported + USABLE_AGE);
+    fresh && !machine.draining && now >= machine.suspect_until && machine.sample.is_some()
+}
+
+/// Tasks of the step that a worker may still take.
+fn slots(machine: &machine::Machine, subject: &Subject<'_>) -> u32 {
+    if subject.spec.per_worker == 0 {
+        return u32::MAX;
+    }
+    let first = name(subject.id, 0);
+    let last = name(subject.id, u32::MAX);
+    let here = machine.runs.range(first..=last).count() as u32;
+    subject.spec.per_worker.saturating_sub(here)
+}
--- /dev/null
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -0,0 +1,82 @@
+//! Steps with tasks to place.
+
+use std::time::Duration;
+
+use bronzespoke_control::cell;
+use bronzespoke_workload::{advice, job};
+
+use super::Dispatch;
+
+/// A step that waits.
+#[derive(Debug, Clone)]
+pub(super) struct Waiting {
+    /// Wall time at which its clock began to run: submission or due time, in milliseconds since the Unix epoch.
+    pub begun_ms: u64,
+    /// Expected chain of work of the whole job.
+    pub chain: Duration,
+    /// Expected chain of work from this step on.
+    pub remaining: Duration,
+}
+
+impl Dispatch {
+    /// Brings the waiting steps of all jobs up to date.
+    pub(super) fn refresh_all(&mut self, state: &cell::State) {
+        let keys: Vec<job::Key> = state.active().map(|job| job.key).collect();
+        for key in keys {
+            self.refresh_job(state, key);
+        }
+    }
+
+    /// Brings the waiting steps of a job up to date.
+    pub(super) fn refresh_job(&mut self, state: &cell::State, key: job::Key) {
+        let Some(job) = state.job(key) else { return };
+        for (occurrence, progress) in job.occurrences.iter().enumerate() {
+            let occurrence = occurrence as u32;
+            for (step, entry) in progress.steps.iter().enumerate() {
+                let step = step as u16;
+                let id = advice::Step {
+                    job: key,
+                    occurrence,
+                    step,
+                };
+                let open = entry.left > entry.placed && !job.is_final();
+                if open && job.is_ready(occurrence, step) {
+                    self.waiting
+                        .entry(id)
+                        .or_insert_with(|| Waiting::new(job, occurrence, step));
+                } else if self.waiting.remove(&id).is_some() && (entry.left == 0 || job.is_final()) {
+                    self.desk.forget(id);
+                } else if entry.left == 0 {
+                    self.desk.forget(id);
+                }
+            }
+        }
+    }
+}
+
+impl Waiting {
+    fn new(job: &cell::Job, occurrence: u32, step: u16) -> Self {
+        let begun_ms = job.submission.schedule.map_or(job.submitted_ms, |schedule| {
+            (schedule.first + schedule.interval * occurrence).as_millis() as u64
+        });
+        Self {
+            begun_ms,
+            chain: job.submission.chain(),
+            remaining: remaining(&job.submission, step),
+        }
+    }
+}
+
+/// Longest chain of estimated run times from a step to the end of its job.
+fn remaining(submission: &job::Submission, from: u16) -> Duration {
+    let mut ends: Vec<Option<Duration>> = vec![None; submission.steps.len()];
+    for (index, step) in submission.steps.iter().enumerate() {
+        let before = step.after.iter().filter_map(|other| ends[usize::from(*other)]).max();
+        ends[index] = match before {
+            Some(before) => Some(before + step.run_time),
+            None if index == usize::from(from) => Some(step.run_time),
+            None => None,
+        };
+    }
+    ends.into_iter().flatten().max().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/dispatch/src/order.rs
@@ -0,0 +1,61 @@
+//! The order in which steps that wait get room.
+//!
+//! Answers the load of a burst: more work is ready than fits, and jobs of small work and short objectives arrive among
+//! wide ones. Queues of the first priority come first; the rest goes by slack, the time that is left before a job
+//! would miss its objective. A job that has missed its objective already is worth little more by haste, so it follows
+//! the jobs that can still meet theirs.
+
+use std::{cmp::Ordering, time::Duration};
+
+use bronzespoke_control::cell;
+
+/// Up to this multiple of its objective a late job is still of use to its caller.
+const USEFUL_MULTIPLE: u64 = 3;
+
+/// Position of a step among those that wait; smaller comes first.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rank {
+    /// 0 while the objective can be met, 1 while a late end is of use, 2 after that.
+    pub lateness: u8,
+    /// 0 for the first priority, 1 for others.
+    pub tier: u8,
+    /// Latest start that meets the objective, in milliseconds since the Unix epoch.
+    pub latest_start: i64,
+}
+
+impl Eq for Rank {}
+
+impl PartialOrd for Rank {
+    fn partial_cmp(&self, other: &Self) -> Option<Ordering> {
+        Some(self.cmp(other))
+    }
+}
+
+impl Ord for Rank {
+    fn cmp(&self, other: &Self) -> Ordering {
+        let key = |rank: &Self| (rank.lateness, rank.tier, rank.latest_start);
+        key(self).cmp(&key(other))
+    }
+}
+
+/// Returns the rank of a job whose remaining chain of work is expected to take `remaining`.
+///
+/// `begun_ms` is the time of submission or the due time of the occurrence; `chain` the whole chain of work.
+pub fn rank(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
+    let queue = &job.queue;
+    let objective = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
+    let objective_ms = objective.as_millis() as u64;
+    let end_ms = wall_ms + remaining.as_millis() as u64;
+    let lateness = if end_ms <= begun_ms + objective_ms {
+        0
+    } else if end_ms <= begun_ms + USEFUL_MULTIPLE * objective_ms {
+        1
+    } else {
+        2
+    };
+    Rank {
+        lateness,
+        tier: u8::from(queue.priority > 0),
+        latest_start: (begun_ms + objective_ms) as i64 - remaining.as_millis() as i64,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/src/usage.rs
@@ -0,0 +1,60 @@
+//! What each team has running, and its upper limit.
+
+use std::collections::HashMap;
+
+use bronzespoke_model::resource;
+use bronzespoke_workload::catalog;
+
+use crate::machine;
+
+/// Amounts in use by team. A run counts from the proposal of its start until its end is known.
+#[derive(Debug, Default)]
+pub struct Usage {
+    teams: HashMap<String, resource::Amount>,
+}
+
+impl Usage {
+    /// Counts a run.
+    pub fn add(&mut self, team: Option<&str>, size: resource::Amount) {
+        let Some(team) = team else { return };
+        match self.teams.get_mut(team) {
+            Some(used) => *used = machine::add(*used, size),
+            None => {
+                self.teams.insert(String::from(team), size);
+            }
+        }
+    }
+
+    /// Stops counting a run.
+    pub fn remove(&mut self, team: Option<&str>, size: resource::Amount) {
+        if let Some(used) = team.and_then(|team| self.teams.get_mut(team)) {
+            *used = used.saturating_sub(&size);
+        }
+    }
+
+    /// What a team has in use.
+    pub fn of(&self, team: &str) -> resource::Amount {
+        self.teams.get(team).copied().unwrap_or_default()
+    }
+
+    /// Number of tasks of a size that a team may start now.
+    pub fn tasks_allowed(
+        &self,
+        catalog: &catalog::Catalog,
+        team: Option<&str>,
+        size: resource::Amount,
+    ) -> u32 {
+        let Some(team) = team else { return u32::MAX };
+        let limit = catalog.team(team).map(|team| team.limit);
+        // A team that the configuration dropped has no limit of its own; its accepted jobs are finished.
+        let Some(limit) = limit else { return u32::MAX };
+        let used = self.of(team);
+        let dimension = |limit: u32, used: u32, size: u32| match (limit, size) {
+            (0, _) | (_, 0) => u32::MAX,
+            _ => limit.saturating_sub(used) / size,
+        };
+        dimension(limit.cpu_milli, used.cpu_milli, size.cpu_milli)
+            .min(dimension(limit.memory_mib, used.memory_mib, size.memory_mib))
+            .min(dimension(limit.accelerators, used.accelerators, size.accelerators))
+    }
+}
