--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -64,7 +64,7 @@
         dispatch.tick(&self.state, now);
         let outputs = dispatch.take_outputs();
         for output in outputs {
-            self.carry_out(now.steady, output);
+            self.carry_out(output);
         }
     }
 
@@ -77,10 +77,14 @@
         reached.chain([self.me.vm]).collect()
     }
 
-    fn carry_out(&mut self, now: Duration, output: Output) {
+    fn carry_out(&mut self, output: Output) {
         match output {
             Output::Propose(command) => self.enqueue(command, Responder::Nobody),
-            Output::Order { worker, order } => self.send_order(now, worker, order),
+            Output::Order {
+                worker,
+                order,
+                decided,
+            } => self.send_order(decided, worker, order),
             Output::Ask(ask) => {
                 if ask.helper == self.me.vm {
                     self.orders.ask(self.me, ask.number, ask.question);
@@ -100,7 +104,7 @@
         }
     }
 
-    fn send_order(&mut self, now: Duration, worker: cell::WorkerIndex, order: order::Order) {
+    fn send_order(&mut self, decided: Duration, worker: cell::WorkerIndex, order: order::Order) {
         let Some(dispatch) = &self.dispatch else { return };
         let Some(machine) = dispatch.machines().get(&worker) else {
             return;
@@ -111,7 +115,7 @@
             name: machine.life.name.clone(),
             address: machine.worker.address,
             order,
-            sent: now,
+            sent: decided,
         });
     }
 
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -51,6 +51,8 @@
         worker: cell::WorkerIndex,
         /// Order.
         order: order::Order,
+        /// When it was decided; comes back with the answer.
+        decided: Duration,
     },
     /// Ask the eligibility service.
     Ask(desk::Ask),
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -94,7 +94,11 @@
             checkpoint: checkpoint(state, job, task),
             ticket,
         };
-        self.out.push(Output::Order { worker, order });
+        self.out.push(Output::Order {
+            worker,
+            order,
+            decided: now,
+        });
     }
 
     /// Sends unanswered starts again while their lease is in force; the worker takes a repeated start as one.
@@ -133,6 +137,7 @@
                     self.out.push(Output::Order {
                         worker: *index,
                         order,
+                        decided: now,
                     });
                 }
             }
@@ -166,11 +171,12 @@
             self.out.push(Output::Order {
                 worker: *index,
                 order,
+                decided: now,
             });
         }
     }
 
-    /// Takes a worker's answer to an order, or its absence. `sent` is when the order was sent.
+    /// Takes a worker's answer to an order, or its absence. `sent` is when the order was decided.
     pub fn answered(
         &mut self,
         state: &cell::State,
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -40,7 +40,7 @@
             self.dirty = true;
         }
         self.take_ends(state, now.steady, worker, report);
-        self.compare_runs(state, now.steady, worker, sent, report);
+        self.compare_runs(now.steady, worker, sent, report);
         if let Some(machine) = self.machines.get_mut(&worker) {
             machine.ask_at = if machine.proposed_ends.is_empty() {
                 now.steady
@@ -134,7 +134,6 @@
     /// Compares what runs there with what should.
     fn compare_runs(
         &mut self,
-        state: &cell::State,
         now: Duration,
         worker: cell::WorkerIndex,
         sent: Duration,
@@ -188,14 +187,14 @@
             self.propose_end(worker, task, run, outcome, checkpoint);
         }
         for (task, run) in unknown {
-            self.stop_unknown(state, worker, task, run, report);
+            self.stop_unknown(now, worker, task, run, report);
         }
     }
 
     /// Stops a run that should not be there, unless it has ended in the same report.
     fn stop_unknown(
         &mut self,
-        _state: &cell::State,
+        now: Duration,
         worker: cell::WorkerIndex,
         task: order::Task,
         run: order::Run,
@@ -207,7 +206,11 @@
             .any(|ended| ended.task == task && ended.run == run);
         if !ended {
             let order = order::Order::Stop { task, run };
-            self.out.push(Output::Order { worker, order });
+            self.out.push(Output::Order {
+                worker,
+                order,
+                decided: now,
+            });
         }
     }
 
