--- a/crates/consensus/src/replica/status.rs
+++ b/crates/consensus/src/replica/status.rs
@@ -64,6 +64,16 @@
         self.vote.term
     }
 
+    /// Newest role that was reported.
+    pub const fn role(&self) -> Role {
+        self.role
+    }
+
+    /// Leader of the term, if known.
+    pub const fn leader(&self) -> Option<id::VmId> {
+        self.leader
+    }
+
     /// Returns the state.
     pub fn status(&self) -> Status {
         Status {
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -122,6 +122,11 @@
             myself.stop(None);
             return Ok(());
         }
+        if let Message::Tick(planned) = message
+            && state.tick_at != Some(planned)
+        {
+            return Ok(());
+        }
         state.handle(message);
         state.advance();
         state.schedule_tick();
@@ -204,7 +209,7 @@
 
     fn handle(&mut self, message: Message) {
         match message {
-            Message::Tick => self.tick_at = None,
+            Message::Tick(_) => self.tick_at = None,
             Message::Frame(frame) => self.receive(frame),
             Message::Call {
                 call,
@@ -311,14 +316,15 @@
 
     /// Leader that this member's replica knows, and its term.
     pub(super) fn own_leader(&self, now: Duration) -> Option<(u64, wire::Place)> {
-        let status = self.member.as_ref()?.replica().status();
-        let leader = status.leader?;
+        let replica = self.member.as_ref()?.replica();
+        let leader = replica.leader()?;
+        let term = replica.term();
         if leader == self.me.vm {
             let leads = self.dispatch.is_some() && self.holds_lease(now);
-            return leads.then_some((status.term, self.me));
+            return leads.then_some((term, self.me));
         }
         let peer = self.contact.address(leader)?;
-        Some((status.term, wire::Place { vm: leader, peer }))
+        Some((term, wire::Place { vm: leader, peer }))
     }
 
     fn note_leader(&mut self, now: Duration, term: u64, place: wire::Place) {
@@ -631,7 +637,7 @@
         if self.tick_at.is_none_or(|planned| wake + SHORTEST_TICK < planned) {
             self.tick_at = Some(wake);
             // The handle of the timer task is not needed; the timer ends by itself.
-            drop(self.actor.send_after(wake - now, || Message::Tick));
+            drop(self.actor.send_after(wake - now, move || Message::Tick(wake)));
         }
     }
 }
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -217,7 +217,7 @@
 
     /// Term in which this member leads with all earlier entries applied, whether its lease is in force or not.
     pub fn leading_term(&self) -> Option<u64> {
-        let leads = self.replica.status().role == replica::Role::Leader && self.applied >= self.lead_from;
+        let leads = self.replica.role() == replica::Role::Leader && self.applied >= self.lead_from;
         leads.then(|| self.replica.term())
     }
 
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -29,8 +29,8 @@
 /// What reaches the control thread.
 #[derive(Debug)]
 pub enum Message {
-    /// Time passed.
-    Tick,
+    /// The time of a planned tick has come; one that was planned earlier meanwhile makes it void.
+    Tick(Duration),
     /// A frame from another daemon.
     Frame(peer::wire::Frame),
     /// A call from outside.
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -25,13 +25,24 @@
 /// Pause after the service was busy or gave no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
+/// Whether a worker may run a step. Eligibility does not change; tickets run out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Permit {
+    /// It was not asked about.
+    Unknown,
+    /// It may not.
+    Denied,
+    /// It may, with this ticket until a time.
+    Ticket(Bytes, Duration),
+    /// It may, but a ticket has to be asked for.
+    Expired,
+}
+
 /// What is known about who may run a step.
 #[derive(Debug, Default)]
 pub struct Eligibility {
-    /// Ticket of each eligible worker and the time until which it may be used.
-    pub tickets: HashMap<cell::WorkerIndex, (Bytes, Duration)>,
-    /// Workers that were asked about, eligible or not.
-    pub asked: Vec<cell::WorkerIndex>,
+    /// What was answered about each worker.
+    known: HashMap<cell::WorkerIndex, Permit>,
     /// Whether a question waits or is under way.
     pub outstanding: bool,
     /// No question before this time.
@@ -41,15 +52,25 @@
 impl Eligibility {
     /// Returns the ticket of a worker, if it may still be used.
     pub fn ticket(&self, worker: cell::WorkerIndex, now: Duration) -> Option<&Bytes> {
-        let (ticket, until) = self.tickets.get(&worker)?;
-        (now + TICKET_RESERVE < *until).then_some(ticket)
+        match self.known.get(&worker) {
+            Some(Permit::Ticket(ticket, until)) if now + TICKET_RESERVE < *until => Some(ticket),
+            _ => None,
+        }
     }
 
-    /// Tells whether any ticket may still be used.
-    pub fn has_tickets(&self, now: Duration) -> bool {
-        self.tickets
-            .values()
-            .any(|(_, until)| now + TICKET_RESERVE < *until)
+    /// Whether a worker may run the step and has a ticket that may still be used.
+    pub fn is_permitted(&self, worker: cell::WorkerIndex, now: Duration) -> bool {
+        self.ticket(worker, now).is_some()
+    }
+
+    /// Whether a worker was asked about and may not run the step.
+    pub fn is_denied(&self, worker: cell::WorkerIndex) -> bool {
+        matches!(self.known.get(&worker), Some(Permit::Denied))
+    }
+
+    /// Whether any worker was asked about.
+    pub fn is_known(&self) -> bool {
+        !self.known.is_empty()
     }
 }
 
@@ -113,12 +134,8 @@
 
     /// Forgets the ticket of a worker, which has refused it.
     pub fn void(&mut self, step: advice::Step, worker: cell::WorkerIndex) {
-        if let Some((_, until)) = self
-            .steps
-            .get_mut(&step)
-            .and_then(|known| known.tickets.get_mut(&worker))
-        {
-            *until = Duration::ZERO;
+        if let Some(known) = self.steps.get_mut(&step) {
+            known.known.insert(worker, Permit::Expired);
         }
     }
 
@@ -220,12 +237,12 @@
                 let issued = sent.at.max(now.saturating_sub(ANSWER_SLACK / 4));
                 let until = issued + valid.unwrap_or(sent.valid);
                 for (index, name) in &sent.workers {
-                    if !known.asked.contains(index) {
-                        known.asked.push(*index);
-                    }
-                    if let Some((_, ticket)) = workers.iter().find(|(other, _)| other == name) {
-                        known.tickets.insert(*index, (ticket.clone(), until));
-                    }
+                    let ticket = workers.iter().find(|(other, _)| other == name);
+                    let permit = match ticket {
+                        Some((_, ticket)) => Permit::Ticket(ticket.clone(), until),
+                        None => Permit::Denied,
+                    };
+                    known.known.insert(*index, permit);
                 }
             }
             advice::Answer::Busy | advice::Answer::Failed => known.retry_at = now + RETRY_PAUSE,
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -2,12 +2,13 @@
 
 use std::{
     collections::{HashMap, HashSet},
+    sync::Arc,
     time::Duration,
 };
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{advice, catalog, job, order};
+use bronzespoke_workload::{advice, catalog, job, order, worker};
 
 use super::{Dispatch, Event, Now, Output, fleet, waiting};
 use crate::{
@@ -32,6 +33,14 @@
     most: usize,
 }
 
+/// A usable worker in one pass.
+#[derive(Debug)]
+struct Slot<'a> {
+    index: cell::WorkerIndex,
+    worker: &'a worker::Worker,
+    free: resource::Amount,
+}
+
 /// What a pass needs to know about a step.
 struct Subject<'a> {
     id: advice::Step,
@@ -48,20 +57,29 @@
     pub(super) fn schedule(&mut self, state: &cell::State, now: Now) {
         self.dirty = false;
         let ranked = self.ranked(state, now);
+        let workers: Vec<_> = self.usable(now.steady);
+        let mut slots: Vec<Slot<'_>> = workers
+            .iter()
+            .map(|(index, worker, free)| Slot {
+                index: *index,
+                worker,
+                free: *free,
+            })
+            .collect();
         let mut reserved = Reserved {
             workers: HashSet::new(),
-            most: self.machines.len() / RESERVED_SHARE,
+            most: slots.len() / RESERVED_SHARE,
         };
         let mut starts = Vec::new();
         let mut order = Vec::with_capacity(ranked.len());
         for (rank, id) in ranked {
             order.push(id);
-            if let Some(subject) = self.subject(state, id, rank.tier) {
-                self.place(now.steady, &subject, &mut reserved, &mut starts);
-            }
             if starts.len() >= STARTS_AT_ONCE {
                 self.dirty = true;
-                break;
+                continue;
+            }
+            if let Some(subject) = self.subject(state, id, rank.tier) {
+                self.place(now.steady, &subject, &mut slots, &mut reserved, &mut starts);
             }
         }
         if !starts.is_empty() {
@@ -78,6 +96,14 @@
         }
     }
 
+    /// Workers that may get new work.
+    fn usable(&self, now: Duration) -> Vec<(cell::WorkerIndex, Arc<worker::Worker>, resource::Amount)> {
+        let usable = self.machines.iter().filter(|(_, machine)| is_usable(machine, now));
+        usable
+            .map(|(index, machine)| (*index, Arc::clone(&machine.worker), machine.free()))
+            .collect()
+    }
+
     /// Waiting steps that are due, in their order.
     fn ranked(&self, state: &cell::State, now: Now) -> Vec<(ranking::Rank, advice::Step)> {
         let mut ranked = Vec::with_capacity(self.waiting.len());
@@ -130,6 +156,7 @@
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
+        slots: &mut [Slot<'_>],
         reserved: &mut Reserved,
         starts: &mut Vec<cell::Start>,
     ) {
@@ -143,22 +170,22 @@
         if wanted == 0 || wanted > allowed {
             return;
         }
-        let mut candidates = self.candidates(now, subject, reserved);
+        let needed = if subject.spec.gang { wanted } else { 1 };
+        let mut candidates = self.candidates(subject, slots, reserved, true);
         if subject.spec.one_rack && subject.spec.gang {
             self.keep_one_rack(&mut candidates, subject, wanted);
         }
         if let Some(cost) = &subject.queue.advice {
-            let fits = place::fitting(&candidates, &subject.size);
-            let enough = if subject.spec.gang { fits >= wanted } else { fits > 0 };
-            if !self.retain_permitted(now, subject, cost, enough, &mut candidates) {
-                if subject.spec.gang {
-                    self.reserve(now, subject, wanted, reserved);
-                }
-                return;
-            }
+            self.ask(now, subject, cost, needed, &candidates, slots, reserved);
+            let known = self.desk.eligibility(subject.id);
+            candidates.retain(|candidate| {
+                known.is_some_and(|known| known.is_permitted(candidate.worker, now))
+            });
         }
-        if subject.spec.gang && place::fitting(&candidates, &subject.size) < wanted {
-            self.reserve(now, subject, wanted, reserved);
+        if place::fitting(&candidates, &subject.size) < needed {
+            if subject.spec.gang {
+                self.reserve(subject, wanted, slots, reserved);
+            }
             return;
         }
         let tasks = &subject.tasks[..wanted as usize];
@@ -173,6 +200,9 @@
             // Members of a gang share the number of their run.
             let run = if subject.spec.gang { run + 1 } else { former + 1 };
             self.start(now, subject, index, worker, run, starts);
+            if let Some(slot) = slots.iter_mut().find(|slot| slot.index == worker) {
+                slot.free = slot.free.saturating_sub(&subject.size);
+            }
         }
     }
 
@@ -183,85 +213,102 @@
         })
     }
 
-    /// Workers that may run the step, whether there is room now or not.
-    fn candidates(&self, now: Duration, subject: &Subject<'_>, reserved: &Reserved) -> Vec<Candidate> {
+    /// Workers that may run the step as far as is known; with `fitting`, only those with room for a task now.
+    fn candidates(
+        &self,
+        subject: &Subject<'_>,
+        slots: &[Slot<'_>],
+        reserved: &Reserved,
+        fitting: bool,
+    ) -> Vec<Candidate> {
         let known = self.desk.eligibility(subject.id);
         let mut candidates = Vec::new();
-        for (index, machine) in &self.machines {
-            if !is_usable(machine, now) || machine.worker.pool != subject.queue.pool {
+        for slot in slots {
+            if fitting && !subject.size.fits(&slot.free) {
+                continue;
+            }
+            if slot.worker.pool != subject.queue.pool {
                 continue;
             }
             let label = subject.spec.label.as_ref();
-            if label.is_some_and(|label| !machine.worker.labels.contains(label)) {
+            if label.is_some_and(|label| !slot.worker.labels.contains(label)) {
                 continue;
             }
-            if subject.tier > 0 && reserved.workers.contains(index) {
+            if subject.tier > 0 && reserved.workers.contains(&slot.index) {
                 continue;
             }
-            let refused = known.is_some_and(|known| {
-                known.asked.contains(index) && !known.tickets.contains_key(index)
-            });
-            if refused {
+            if known.is_some_and(|known| known.is_denied(slot.index)) {
                 continue;
             }
             let near = subject.spec.near_rack.as_ref();
             candidates.push(Candidate {
-                worker: *index,
-                free: machine.free(),
-                room: machine.worker.room,
-                slots: slots(machine, subject),
-                remote: near.is_some_and(|rack| !machine.worker.labels.contains(rack)),
+                worker: slot.index,
+                free: slot.free,
+                room: slot.worker.room,
+                slots: self.slots(slot.index, subject),
+                remote: near.is_some_and(|rack| !slot.worker.labels.contains(rack)),
             });
         }
         candidates
     }
 
-    /// Keeps the workers with a valid ticket; asks for tickets where they are missing and room is there.
-    ///
-    /// Returns whether any worker is left.
-    fn retain_permitted(
+    /// Asks for tickets where they are missing: for a step that is new, and for one that would fit if it had them.
+    #[expect(clippy::too_many_arguments, reason = "all parts of one decision about one step")]
+    fn ask(
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
         cost: &catalog::Advice,
-        enough: bool,
-        candidates: &mut Vec<Candidate>,
-    ) -> bool {
+        needed: u32,
+        candidates: &[Candidate],
+        slots: &[Slot<'_>],
+        reserved: &Reserved,
+    ) {
         let known = self.desk.eligibility(subject.id);
-        let asked_before = known.is_some_and(|known| !known.asked.is_empty());
-        let permitted = |candidate: &Candidate| {
-            known.is_some_and(|known| known.ticket(candidate.worker, now).is_some())
+        if known.is_some_and(|known| known.outstanding) {
+            return;
+        }
+        let missing: Vec<Candidate> = match known.filter(|known| known.is_known()) {
+            None => self.candidates(subject, slots, reserved, false),
+            Some(known) => {
+                let permitted = |candidate: &&Candidate| known.is_permitted(candidate.worker, now);
+                let usable: u32 = candidates
+                    .iter()
+                    .filter(permitted)
+                    .map(|candidate| candidate.fitting(&subject.size))
+                    .fold(0, u32::saturating_add);
+                if usable >= needed || place::fitting(candidates, &subject.size) < needed {
+                    return;
+                }
+                let missing = candidates.iter().filter(|candidate| !permitted(candidate));
+                missing.cloned().collect()
+            }
         };
-        let usable = place::fitting(
-            &candidates
-                .iter()
-                .filter(|candidate| permitted(candidate))
-                .cloned()
-                .collect::<Vec<_>>(),
-            &subject.size,
-        );
-        let wanted = if subject.spec.gang { subject.tasks.len() as u32 } else { 1 };
-        if usable < wanted && (enough || !asked_before) {
-            let mut workers: Vec<&Candidate> = candidates
-                .iter()
-                .filter(|candidate| !permitted(candidate))
-                .collect();
-            workers.sort_by_key(|candidate| std::cmp::Reverse(candidate.fitting(&subject.size)));
-            let workers = workers
-                .into_iter()
-                .take(ASKED_WORKERS)
-                .filter_map(|candidate| {
-                    let machine = self.machines.get(&candidate.worker)?;
-                    Some((candidate.worker, machine.life.name.clone()))
-                })
-                .collect();
-            self.desk.want(now, subject.id, cost, workers);
+        let mut workers: Vec<&Candidate> = missing.iter().collect();
+        workers.sort_by_key(|candidate| std::cmp::Reverse(candidate.fitting(&subject.size)));
+        let workers = workers
+            .into_iter()
+            .take(ASKED_WORKERS)
+            .filter_map(|candidate| {
+                let machine = self.machines.get(&candidate.worker)?;
+                Some((candidate.worker, machine.life.name.clone()))
+            })
+            .collect();
+        self.desk.want(now, subject.id, cost, workers);
+    }
+
+    /// Tasks of the step that a worker may still take.
+    fn slots(&self, worker: cell::WorkerIndex, subject: &Subject<'_>) -> u32 {
+        if subject.spec.per_worker == 0 {
+            return u32::MAX;
         }
-        let known = self.desk.eligibility(subject.id);
-        candidates.retain(|candidate| {
-            known.is_some_and(|known| known.ticket(candidate.worker, now).is_some())
-        });
-        !candidates.is_empty()
+        let Some(machine) = self.machines.get(&worker) else {
+            return 0;
+        };
+        let first = name(subject.id, 0);
+        let last = name(subject.id, u32::MAX);
+        let here = machine.runs.range(first..=last).count() as u32;
+        subject.spec.per_worker.saturating_sub(here)
     }
 
     /// Keeps the workers of one rack, if one has room for all tasks.
@@ -284,12 +331,11 @@
     }
 
     /// Keeps workers for a gang that does not fit yet, those with the most room first.
-    fn reserve(&self, now: Duration, subject: &Subject<'_>, wanted: u32, reserved: &mut Reserved) {
-        let mut candidates = self.candidates(now, subject, reserved);
-        let known = self.desk.eligibility(subject.id);
-        candidates.retain(|candidate| {
-            known.is_none_or(|known| known.asked.is_empty() || known.tickets.contains_key(&candidate.worker))
-        });
+    fn reserve(&self, subject: &Subject<'_>, wanted: u32, slots: &[Slot<'_>], reserved: &mut Reserved) {
+        if reserved.workers.len() >= reserved.most {
+            return;
+        }
+        let mut candidates = self.candidates(subject, slots, reserved, false);
         candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.fitting(&subject.size)));
         let mut missing = wanted;
         for candidate in candidates {
@@ -365,14 +411,3 @@
         .is_some_and(|reported| now < reported + USABLE_AGE);
     fresh && !machine.draining && now >= machine.suspect_until && machine.sample.is_some()
 }
-
-/// Tasks of the step that a worker may still take.
-fn slots(machine: &machine::Machine, subject: &Subject<'_>) -> u32 {
-    if subject.spec.per_worker == 0 {
-        return u32::MAX;
-    }
-    let first = name(subject.id, 0);
-    let last = name(subject.id, u32::MAX);
-    let here = machine.runs.range(first..=last).count() as u32;
-    subject.spec.per_worker.saturating_sub(here)
-}
