--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -20,7 +20,13 @@
                 queue,
                 team,
                 submission,
-            } => self.submit(Job::new(key, Arc::new(*queue), team, Arc::new(*submission), at_ms)),
+            } => self.submit(Job::new(
+                key,
+                Arc::new(*queue),
+                team,
+                Arc::new(*submission),
+                at_ms,
+            )),
             Command::Cancel { key } => self.cancel(key, at_ms),
             Command::Register {
                 life,
@@ -179,12 +185,12 @@
             step.placed -= 1;
         }
         let failed = match outcome {
-            order::Outcome::Done if spec.lasting => false,
+            // A lasting task starts again however it ends.
+            _ if spec.lasting => false,
             order::Outcome::Done => {
                 note_done(step, task.index, spec.gang);
                 false
             }
-            order::Outcome::Failed if spec.lasting => false,
             order::Outcome::Failed => note_failure(step, task.index, run, spec.gang),
             _ => false,
         };
--- a/crates/control/src/cell/verify.rs
+++ b/crates/control/src/cell/verify.rs
@@ -10,7 +10,10 @@
             let active = self.active.contains(&job.key);
             let wanted = !job.is_final() || job.placed > 0;
             if active != wanted {
-                return Err(format!("job {:016x}: active is {active}, expected {wanted}", job.key));
+                return Err(format!(
+                    "job {:016x}: active is {active}, expected {wanted}",
+                    job.key
+                ));
             }
         }
         for (queue, count) in &self.pending {
@@ -19,7 +22,9 @@
             };
             let expected = self.jobs.values().filter(queued).count() as u64;
             if *count != expected {
-                return Err(format!("queue {queue}: {count} jobs are pending, expected {expected}"));
+                return Err(format!(
+                    "queue {queue}: {count} jobs are pending, expected {expected}"
+                ));
             }
         }
         Ok(())
--- a/crates/daemon/src/fleet/contact.rs
+++ b/crates/daemon/src/fleet/contact.rs
@@ -19,7 +19,7 @@
 /// A leader that has not said so for this long is not believed to lead any more.
 const LEADER_AGE: Duration = Duration::from_millis(1_500);
 /// Addresses without a sign of life for this long are forgotten, unless they are seeds.
-const FORGET_AFTER: Duration = Duration::from_secs(60);
+const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 #[derive(Debug, Clone, Default)]
 struct Peer {
@@ -93,9 +93,9 @@
 
     /// Notes who leads. An older term never replaces a newer one while that one is fresh.
     pub fn note_leader(&mut self, now: Duration, term: u64, leader: Place) {
-        let newer = self.leader.is_none_or(|(known, _, at)| {
-            term >= known || now.saturating_sub(at) > LEADER_AGE
-        });
+        let newer = self
+            .leader
+            .is_none_or(|(known, _, at)| term >= known || now.saturating_sub(at) > LEADER_AGE);
         if newer {
             self.leader = Some((term, leader, now));
         }
@@ -155,7 +155,9 @@
     pub fn due(&mut self, now: Duration) -> Duty {
         let seeds = &self.seeds;
         self.peers.retain(|address, peer| {
-            let fresh = peer.heard.is_none_or(|heard| now.saturating_sub(heard) < FORGET_AFTER);
+            let fresh = peer
+                .heard
+                .is_none_or(|heard| now.saturating_sub(heard) < FORGET_AFTER);
             fresh || seeds.contains(address)
         });
         let mut duty = Duty::default();
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -196,7 +196,12 @@
         self.send_frame(to.peer, Some(to.vm), body);
     }
 
-    pub(super) fn send_frame(&self, address: std::net::SocketAddr, to: Option<id::VmId>, body: peer::wire::Body) {
+    pub(super) fn send_frame(
+        &self,
+        address: std::net::SocketAddr,
+        to: Option<id::VmId>,
+        body: peer::wire::Body,
+    ) {
         let frame = peer::wire::Frame {
             from: self.me.vm,
             to,
@@ -278,10 +283,7 @@
             }
             wire::Message::Ask { number, call } => {
                 self.contact.heard(now, from, None);
-                let responder = Responder::Remote {
-                    place: from,
-                    number,
-                };
+                let responder = Responder::Remote { place: from, number };
                 self.serve(*call, responder);
             }
             wire::Message::Reply { number, reply } => {
@@ -398,7 +400,8 @@
             .map(|waiting| envelope::Envelope::new(at_ms, waiting.command.clone()))
             .collect();
         for (proposal, count) in member.propose(now, &commands, &mut self.events) {
-            self.proposed.insert(proposal, waiting.by_ref().take(count).collect());
+            self.proposed
+                .insert(proposal, waiting.by_ref().take(count).collect());
         }
     }
 
@@ -418,7 +421,10 @@
                 member::Event::Committed { proposal, index } => {
                     let waiting = self.proposed.remove(&proposal).unwrap_or_default();
                     let outcomes = applied.take().map(|(_, outcomes)| outcomes).unwrap_or_default();
-                    log::debug!("decision=commit proposal={proposal} index={index} commands={}", waiting.len());
+                    log::debug!(
+                        "decision=commit proposal={proposal} index={index} commands={}",
+                        waiting.len()
+                    );
                     self.committed(waiting, outcomes);
                 }
                 member::Event::Rejected { proposal, never } => {
@@ -460,7 +466,10 @@
             Ok(commands) => commands,
             Err(error) => {
                 // Every replica decodes the same bytes, so all of them skip the same entry.
-                log::error!("belief=entry_unreadable index={} reason=\"{error}\"", entry.position.index);
+                log::error!(
+                    "belief=entry_unreadable index={} reason=\"{error}\"",
+                    entry.position.index
+                );
                 return None;
             }
         };
@@ -489,7 +498,11 @@
         if never && let Some(dispatch) = &mut self.dispatch {
             dispatch.refused(&self.state, &waiting.command);
         }
-        let reply = if never { call::Reply::NotLeader } else { call::Reply::Unknown };
+        let reply = if never {
+            call::Reply::NotLeader
+        } else {
+            call::Reply::Unknown
+        };
         self.respond(waiting.responder, reply);
     }
 
@@ -612,7 +625,12 @@
             self.state = cell::State::default();
             self.events.clear();
             self.reopen_at = now + REOPEN_PAUSE;
-            for waiting in self.proposed.drain().flat_map(|(_, waiting)| waiting).collect::<Vec<_>>() {
+            for waiting in self
+                .proposed
+                .drain()
+                .flat_map(|(_, waiting)| waiting)
+                .collect::<Vec<_>>()
+            {
                 self.respond(waiting.responder, call::Reply::Unknown);
             }
         }
@@ -637,7 +655,10 @@
         if self.tick_at.is_none_or(|planned| wake + SHORTEST_TICK < planned) {
             self.tick_at = Some(wake);
             // The handle of the timer task is not needed; the timer ends by itself.
-            drop(self.actor.send_after(wake - now, move || Message::Tick(wake)));
+            drop(
+                self.actor
+                    .send_after(wake.saturating_sub(now), move || Message::Tick(wake)),
+            );
         }
     }
 }
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -135,7 +135,10 @@
 }
 
 fn metrics(context: &Context) -> Response<Bytes> {
-    let text = context.metrics.as_ref().map(|handle| handle.render());
+    let text = context
+        .metrics
+        .as_ref()
+        .map(metrics_exporter_prometheus::PrometheusHandle::render);
     Response::new(Bytes::from(text.unwrap_or_default()))
 }
 
@@ -158,13 +161,11 @@
 async fn called(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Bytes> {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let body = match time::timeout(BODY_TIMEOUT, body).await {
-        Ok(Ok(body)) => body.to_bytes(),
-        Ok(Err(_)) | Err(_) => {
-            let reason = format!("the body did not arrive whole, or is over {MAX_BODY_BYTES} bytes");
-            return context.adapter.fault(&adapter::Fault::Content(reason));
-        }
+    let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
+        let reason = format!("the body did not arrive whole, or is over {MAX_BODY_BYTES} bytes");
+        return context.adapter.fault(&adapter::Fault::Content(reason));
     };
+    let body = body.to_bytes();
     let decoded = match kind {
         Kind::Entry => context.adapter.caller(&head, &body).map(call::Call::Job),
         _ => context.adapter.control(&head, &body),
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -59,7 +59,9 @@
             return;
         }
         let helpers = self.helpers(now.steady);
-        let Some(dispatch) = &mut self.dispatch else { return };
+        let Some(dispatch) = &mut self.dispatch else {
+            return;
+        };
         dispatch.set_helpers(&helpers);
         dispatch.tick(&self.state, now);
         let outputs = dispatch.take_outputs();
@@ -93,10 +95,7 @@
                         number: ask.number,
                         question: ask.question,
                     };
-                    let place = wire::Place {
-                        vm: ask.helper,
-                        peer,
-                    };
+                    let place = wire::Place { vm: ask.helper, peer };
                     self.send(place, peer::wire::Body::Fleet(message));
                 }
             }
@@ -129,7 +128,11 @@
         answer: Option<&order::Answer>,
     ) {
         let now = self.times();
-        if let Some(dispatch) = self.dispatch.as_mut().filter(|dispatch| dispatch.token() == token) {
+        if let Some(dispatch) = self
+            .dispatch
+            .as_mut()
+            .filter(|dispatch| dispatch.token() == token)
+        {
             dispatch.answered(&self.state, now, worker, order, sent, answer);
         }
     }
@@ -282,7 +285,11 @@
             return;
         }
         if let Err(reason) = admission::admit(&self.state, queue, &submission) {
-            log::info!("decision=refuse job={key:016x} queue={} reason={}", queue.name, reason.name());
+            log::info!(
+                "decision=refuse job={key:016x} queue={} reason={}",
+                queue.name,
+                reason.name()
+            );
             self.respond(responder, refused(reason, NO_ROOM_RETRY));
             return;
         }
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -228,7 +228,8 @@
 
     /// Tells whether the log has grown enough for a snapshot.
     pub const fn wants_snapshot(&self) -> bool {
-        self.applied - self.snapshot_index >= ENTRIES_PER_SNAPSHOT || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
+        self.applied - self.snapshot_index >= ENTRIES_PER_SNAPSHOT
+            || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
     }
 
     /// Stores a snapshot of the applied state and cuts the log.
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -95,6 +95,10 @@
 
     /// Address under which a member was last known.
     fn address_of(&self, vm: bronzespoke_model::id::VmId) -> Option<std::net::SocketAddr> {
-        self.state.peers().get(&vm).copied().or_else(|| self.contact.address(vm))
+        self.state
+            .peers()
+            .get(&vm)
+            .copied()
+            .or_else(|| self.contact.address(vm))
     }
 }
--- a/crates/daemon/src/fleet/orders.rs
+++ b/crates/daemon/src/fleet/orders.rs
@@ -1,10 +1,6 @@
 //! Sends orders and questions from the traffic thread and brings the answers back to control.
 
-use std::{
-    net::SocketAddr,
-    sync::Arc,
-    time::Duration,
-};
+use std::{net::SocketAddr, sync::Arc, time::Duration};
 
 use bronzespoke_control::cell;
 use bronzespoke_workload::{adapter, advice, order};
@@ -20,6 +16,7 @@
 
 /// An order on its way.
 #[derive(Debug, Clone)]
+#[expect(clippy::struct_field_names, reason = "the field is what the struct carries")]
 pub struct Order {
     /// Term of the leader.
     pub token: order::Token,
@@ -116,7 +113,10 @@
     }
 
     fn report(&self, message: Message) {
-        let delivered = self.control.get().is_some_and(|control| control.send_message(message).is_ok());
+        let delivered = self
+            .control
+            .get()
+            .is_some_and(|control| control.send_message(message).is_ok());
         if !delivered {
             log::debug!("decision=drop_answer reason=control_stopped");
         }
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -124,7 +124,9 @@
         .map_err(|_closed| Error::System(String::from("the control thread ended at the start")))?
         .map_err(Error::System)?;
     if control.set(actor.clone()).is_err() {
-        return Err(Error::System(String::from("the control thread was started twice")));
+        return Err(Error::System(String::from(
+            "the control thread was started twice",
+        )));
     }
     let receiver = actor.clone();
     tokio::spawn(async move {
@@ -160,7 +162,9 @@
     shut_down(&settings, &context, &actor, &cancel).await;
     actor.stop(None);
     if thread.join().is_err() {
-        return Err(Error::System(String::from("the control thread ended with a fault")));
+        return Err(Error::System(String::from(
+            "the control thread ended with a fault",
+        )));
     }
     log::info!("event=stop");
     crate::logging::flush();
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -84,10 +84,8 @@
 pub fn flush() {
     let Some(writer) = WRITER.get() else { return };
     let (done, written) = mpsc::sync_channel(1);
-    if writer.try_send(Line::Flush(done)).is_ok() {
-        if written.recv_timeout(FLUSH_WAIT).is_err() {
-            eprintln!("bronzespoked: the last log lines are not written");
-        }
+    if writer.try_send(Line::Flush(done)).is_ok() && written.recv_timeout(FLUSH_WAIT).is_err() {
+        eprintln!("bronzespoked: the last log lines are not written");
     }
 }
 
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -46,14 +46,19 @@
         Err(error) => return usage(&error.to_string()),
     };
     if let Some(unknown) = arguments.finish().first() {
-        return usage(&format!("{} is not known; {SETTINGS_FLAG} FILE is", unknown.display()));
+        return usage(&format!(
+            "{} is not known; {SETTINGS_FLAG} FILE is",
+            unknown.display()
+        ));
     }
     let Some(path) = path else {
-        return usage(&format!("{SETTINGS_FLAG} or {SETTINGS_VARIABLE} has to name a settings file"));
+        return usage(&format!(
+            "{SETTINGS_FLAG} or {SETTINGS_VARIABLE} has to name a settings file"
+        ));
     };
     let adapter = Arc::new(platform::Platform);
     let ended = if check {
-        fleet::read(&path, adapter.as_ref()).map(|_settings| print!("The settings are valid.\n"))
+        fleet::read(&path, adapter.as_ref()).map(|_settings| println!("The settings are valid."))
     } else {
         fleet::run(&path, adapter)
     };
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -85,7 +85,10 @@
                 run,
                 worker,
                 free_cpu,
-            } => write!(f, "decision=place task={task} run={run} worker={worker} free_cpu={free_cpu}"),
+            } => write!(
+                f,
+                "decision=place task={task} run={run} worker={worker} free_cpu={free_cpu}"
+            ),
             Self::StartAnswered {
                 task,
                 run,
@@ -102,12 +105,18 @@
                 run,
                 worker,
                 outcome,
-            } => write!(f, "decision=end task={task} run={run} worker={worker} outcome={outcome:?}"),
+            } => write!(
+                f,
+                "decision=end task={task} run={run} worker={worker} outcome={outcome:?}"
+            ),
             Self::WorkerKnown {
                 index,
                 worker,
                 inherited,
-            } => write!(f, "belief=worker_known worker={worker} index={index} inherited_runs={inherited}"),
+            } => write!(
+                f,
+                "belief=worker_known worker={worker} index={index} inherited_runs={inherited}"
+            ),
             Self::WorkerUnusable {
                 worker,
                 reason,
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -11,7 +11,7 @@
 /// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the order.
 const INHERITED_MARGIN: Duration = Duration::from_millis(500);
 /// A worker without runs that was silent for this long is removed.
-const RETIRE_AFTER: Duration = Duration::from_secs(60);
+const RETIRE_AFTER: Duration = Duration::from_mins(1);
 
 /// What an announcement asks for.
 #[derive(Debug, Clone, PartialEq)]
@@ -199,23 +199,20 @@
     /// Takes over lives that were registered or removed.
     pub(super) fn sync_machines(&mut self, state: &cell::State, now: Duration) {
         for (index, registered) in state.workers() {
-            match self.machines.get_mut(index) {
-                Some(machine) => {
-                    machine.worker = std::sync::Arc::clone(&registered.worker);
-                    machine.draining |= registered.draining;
-                }
-                None => {
-                    let life = registered.life.clone();
-                    self.out.push(Output::Event(Event::WorkerKnown {
-                        index: *index,
-                        worker: life.name.clone(),
-                        inherited: 0,
-                    }));
-                    let worker = std::sync::Arc::clone(&registered.worker);
-                    let machine = machine::Machine::new(life, worker, registered.draining, now, now);
-                    self.machines.insert(*index, machine);
-                }
+            let worker = std::sync::Arc::clone(&registered.worker);
+            if let Some(machine) = self.machines.get_mut(index) {
+                machine.worker = worker;
+                machine.draining |= registered.draining;
+                continue;
             }
+            let life = registered.life.clone();
+            self.out.push(Output::Event(Event::WorkerKnown {
+                index: *index,
+                worker: life.name.clone(),
+                inherited: 0,
+            }));
+            let machine = machine::Machine::new(life, worker, registered.draining, now, now);
+            self.machines.insert(*index, machine);
         }
     }
 
@@ -271,7 +268,12 @@
     }
 
     /// Marks the runs of a job as to be stopped and drops what waits of it.
-    pub(super) fn stop_job(&mut self, key: bronzespoke_workload::job::Key, now: Duration, state: &cell::State) {
+    pub(super) fn stop_job(
+        &mut self,
+        key: bronzespoke_workload::job::Key,
+        now: Duration,
+        state: &cell::State,
+    ) {
         self.refresh_job(state, key);
         self.stop_runs_of(key, now);
     }
@@ -301,7 +303,9 @@
 }
 
 /// What a task takes from the room of its worker.
-pub(super) const fn counted_size(step: &bronzespoke_workload::job::Step) -> bronzespoke_model::resource::Amount {
+pub(super) const fn counted_size(
+    step: &bronzespoke_workload::job::Step,
+) -> bronzespoke_model::resource::Amount {
     let mut size = step.size;
     if step.fills {
         size.cpu_milli = 0;
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -46,19 +46,37 @@
     fn send_start(&mut self, state: &cell::State, now: Duration, start: &cell::Start) {
         let Some(machine) = self.machines.get_mut(&start.worker) else {
             // Its life ended meanwhile.
-            self.propose_end(start.worker, start.task, start.run, order::Outcome::NeverStarted, None);
+            self.propose_end(
+                start.worker,
+                start.task,
+                start.run,
+                order::Outcome::NeverStarted,
+                None,
+            );
             return;
         };
         let clock = machine.clock(now);
         let unusable = machine.draining || clock.is_none();
         let Some(run) = machine.runs.get_mut(&start.task) else {
-            self.propose_end(start.worker, start.task, start.run, order::Outcome::NeverStarted, None);
+            self.propose_end(
+                start.worker,
+                start.task,
+                start.run,
+                order::Outcome::NeverStarted,
+                None,
+            );
             return;
         };
         let stopped = run.stop != Stop::No;
         if unusable || stopped {
             self.drop_run(start.worker, start.task, start.run);
-            self.propose_end(start.worker, start.task, start.run, order::Outcome::NeverStarted, None);
+            self.propose_end(
+                start.worker,
+                start.task,
+                start.run,
+                order::Outcome::NeverStarted,
+                None,
+            );
             return;
         }
         run.lease_end = clock.unwrap_or_default() + START_LEASE.min(self.config.lease());
@@ -78,7 +96,9 @@
         let (Some(machine), Some(job)) = (self.machines.get(&worker), state.job(task.job)) else {
             return;
         };
-        let Some(run) = machine.runs.get(&task) else { return };
+        let Some(run) = machine.runs.get(&task) else {
+            return;
+        };
         let step = advice::Step {
             job: task.job,
             occurrence: task.occurrence,
@@ -162,7 +182,11 @@
                 machine.lease_end = machine.lease_end.max(end);
             }
             // Without a sample the first report has to come at once.
-            let wait = if lease_end.is_some() { REPORT_WAIT } else { Duration::ZERO };
+            let wait = if lease_end.is_some() {
+                REPORT_WAIT
+            } else {
+                Duration::ZERO
+            };
             let order = order::Order::Renew {
                 lease_end,
                 acknowledged: machine.recorded,
@@ -200,7 +224,10 @@
             ..
         }) = answer
         {
-            let name = self.machines.get(&worker).map(|machine| machine.life.name.clone());
+            let name = self
+                .machines
+                .get(&worker)
+                .map(|machine| machine.life.name.clone());
             self.out.push(Output::Event(Event::Fenced {
                 worker: name.unwrap_or_default(),
             }));
@@ -332,15 +359,19 @@
         let Some(entry) = entry.filter(|entry| entry.run == run) else {
             return;
         };
-        match answer {
+        // A run that has ended needs no stop; its end is listed.
+        let settled = matches!(
+            answer,
             Some(
                 order::Answer::Done { .. }
-                | order::Answer::Refused {
-                    reason: order::Refusal::Outdated,
-                    ..
-                },
-            ) => entry.stop = Stop::Answered(now),
-            _ => {}
+                    | order::Answer::Refused {
+                        reason: order::Refusal::Outdated,
+                        ..
+                    }
+            )
+        );
+        if settled {
+            entry.stop = Stop::Answered(now);
         }
     }
 
@@ -371,7 +402,10 @@
         run: order::Run,
         outcome: order::Outcome,
     ) {
-        let name = self.machines.get(&worker).map(|machine| machine.life.name.clone());
+        let name = self
+            .machines
+            .get(&worker)
+            .map(|machine| machine.life.name.clone());
         self.out.push(Output::Event(Event::Ended {
             task,
             run,
@@ -408,7 +442,10 @@
         return None;
     }
     if spec.gang {
-        return state.step(task.job, task.occurrence, task.step)?.checkpoint.clone();
+        return state
+            .step(task.job, task.occurrence, task.step)?
+            .checkpoint
+            .clone();
     }
     state.task(task)?.checkpoint.clone()
 }
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -142,8 +142,11 @@
         let Some(machine) = self.machines.get_mut(&worker) else {
             return;
         };
-        let running: HashMap<order::Task, &order::Running> =
-            report.running.iter().map(|running| (running.task, running)).collect();
+        let running: HashMap<order::Task, &order::Running> = report
+            .running
+            .iter()
+            .map(|running| (running.task, running))
+            .collect();
         let mut gone = Vec::new();
         for (task, run) in &mut machine.runs {
             if let Some(found) = running.get(task).filter(|found| found.run == run.run) {
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -1,7 +1,7 @@
 //! One scheduling pass: the waiting steps in their order, each with what fits.
 
 use std::{
-    collections::{HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet},
     sync::Arc,
     time::Duration,
 };
@@ -98,7 +98,10 @@
 
     /// Workers that may get new work.
     fn usable(&self, now: Duration) -> Vec<(cell::WorkerIndex, Arc<worker::Worker>, resource::Amount)> {
-        let usable = self.machines.iter().filter(|(_, machine)| is_usable(machine, now));
+        let usable = self
+            .machines
+            .iter()
+            .filter(|(_, machine)| is_usable(machine, now));
         usable
             .map(|(index, machine)| (*index, Arc::clone(&machine.worker), machine.free()))
             .collect()
@@ -178,9 +181,8 @@
         if let Some(cost) = &subject.queue.advice {
             self.ask(now, subject, cost, needed, &candidates, slots, reserved);
             let known = self.desk.eligibility(subject.id);
-            candidates.retain(|candidate| {
-                known.is_some_and(|known| known.is_permitted(candidate.worker, now))
-            });
+            candidates
+                .retain(|candidate| known.is_some_and(|known| known.is_permitted(candidate.worker, now)));
         }
         if place::fitting(&candidates, &subject.size) < needed {
             if subject.spec.gang {
@@ -253,7 +255,10 @@
     }
 
     /// Asks for tickets where they are missing: for a step that is new, and for one that would fit if it had them.
-    #[expect(clippy::too_many_arguments, reason = "all parts of one decision about one step")]
+    #[expect(
+        clippy::too_many_arguments,
+        reason = "all parts of one decision about one step"
+    )]
     fn ask(
         &mut self,
         now: Duration,
@@ -348,7 +353,7 @@
     }
 
     /// Workers on which tasks of the step have failed.
-    fn avoided(&self, subject: &Subject<'_>) -> HashMap<u32, Vec<cell::WorkerIndex>> {
+    fn avoided(&self, subject: &Subject<'_>) -> BTreeMap<u32, Vec<cell::WorkerIndex>> {
         let failed = |index: &u32| {
             let workers = self.failed_on.get(&name(subject.id, *index))?;
             Some((*index, workers.clone()))
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -44,9 +44,10 @@
                     self.waiting
                         .entry(id)
                         .or_insert_with(|| Waiting::new(job, occurrence, step));
-                } else if self.waiting.remove(&id).is_some() && (entry.left == 0 || job.is_final()) {
-                    self.desk.forget(id);
-                } else if entry.left == 0 {
+                    continue;
+                }
+                let was_waiting = self.waiting.remove(&id).is_some();
+                if entry.left == 0 || (was_waiting && job.is_final()) {
                     self.desk.forget(id);
                 }
             }
@@ -71,7 +72,11 @@
 fn remaining(submission: &job::Submission, from: u16) -> Duration {
     let mut ends: Vec<Option<Duration>> = vec![None; submission.steps.len()];
     for (index, step) in submission.steps.iter().enumerate() {
-        let before = step.after.iter().filter_map(|other| ends[usize::from(*other)]).max();
+        let before = step
+            .after
+            .iter()
+            .filter_map(|other| ends[usize::from(*other)])
+            .max();
         ends[index] = match before {
             Some(before) => Some(before + step.run_time),
             None if index == usize::from(from) => Some(step.run_time),
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -20,7 +20,7 @@
     /// 0 for the first priority, 1 for others.
     pub tier: u8,
     /// Latest start that meets the objective, in milliseconds since the Unix epoch.
-    pub latest_start: i64,
+    pub latest_start: u64,
 }
 
 impl Eq for Rank {}
@@ -56,6 +56,6 @@
     Rank {
         lateness,
         tier: u8::from(queue.priority > 0),
-        latest_start: (begun_ms + objective_ms) as i64 - remaining.as_millis() as i64,
+        latest_start: (begun_ms + objective_ms).saturating_sub(remaining.as_millis() as u64),
     }
 }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -3,7 +3,7 @@
 //! Answers a fleet that is nearly full of tasks of different sizes: each task goes to the worker on which it leaves the
 //! least room, so that small tasks fill workers that are nearly full and whole workers stay free for wide gangs.
 
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
@@ -61,7 +61,7 @@
 }
 
 fn count(free: &resource::Amount, size: &resource::Amount) -> u32 {
-    let dimension = |free: u32, size: u32| if size == 0 { u32::MAX } else { free / size };
+    let dimension = |free: u32, size: u32| free.checked_div(size).unwrap_or(u32::MAX);
     dimension(free.cpu_milli, size.cpu_milli)
         .min(dimension(free.memory_mib, size.memory_mib))
         .min(dimension(free.accelerators, size.accelerators))
@@ -80,7 +80,7 @@
     candidates: &mut [Candidate],
     size: &resource::Amount,
     tasks: &[u32],
-    avoid: &HashMap<u32, Vec<cell::WorkerIndex>>,
+    avoid: &BTreeMap<u32, Vec<cell::WorkerIndex>>,
 ) -> Vec<(u32, cell::WorkerIndex)> {
     let mut placed = Vec::with_capacity(tasks.len());
     for task in tasks {
--- a/crates/dispatch/src/usage.rs
+++ b/crates/dispatch/src/usage.rs
@@ -55,6 +55,10 @@
         };
         dimension(limit.cpu_milli, used.cpu_milli, size.cpu_milli)
             .min(dimension(limit.memory_mib, used.memory_mib, size.memory_mib))
-            .min(dimension(limit.accelerators, used.accelerators, size.accelerators))
+            .min(dimension(
+                limit.accelerators,
+                used.accelerators,
+                size.accelerators,
+            ))
     }
 }
--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -139,7 +139,7 @@
 
     fn verify_teams(&self) -> Result<(), Fault> {
         for (index, team) in self.teams.iter().enumerate() {
-            if !(team.weight > 0.0) {
+            if team.weight.is_nan() || team.weight <= 0.0 {
                 return Err(Fault::NoWeight(team.name.clone()));
             }
             let shares = |other: &&Team| other.keys.iter().any(|key| team.keys.contains(key));
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -40,7 +40,10 @@
 
 /// Tasks of one kind in a job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-#[expect(clippy::struct_excessive_bools, reason = "each property of a step is independent")]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each property of a step is independent"
+)]
 pub struct Step {
     /// Number of tasks.
     pub tasks: u32,
@@ -112,10 +115,16 @@
             Self::Spec(bytes) => write!(f, "spec has {bytes} bytes; at most {MAX_SPEC_BYTES} are allowed"),
             Self::Steps(count) => write!(f, "the job has {count} steps; 1 to {MAX_STEPS} are allowed"),
             Self::Tasks(step) => {
-                write!(f, "step {step}: 1 to {MAX_TASKS} tasks are allowed in all steps together")
+                write!(
+                    f,
+                    "step {step}: 1 to {MAX_TASKS} tasks are allowed in all steps together"
+                )
             }
             Self::After(step, other) => {
-                write!(f, "step {step} comes after step {other}; only earlier steps are allowed")
+                write!(
+                    f,
+                    "step {step} comes after step {other}; only earlier steps are allowed"
+                )
             }
             Self::Times => f.write_str("the schedule has no occurrence; at least 1 is needed"),
         }
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -65,7 +65,7 @@
             stop: Duration::from_millis(900),
             gang_wait: Duration::from_secs(3),
             grace: Duration::from_secs(6),
-            retention: Duration::from_secs(120),
+            retention: Duration::from_mins(2),
             remote_factor_milli: 2_000,
             announcements: Duration::from_millis(1_500),
         }
