dispatch: timers of all workers and runs every 20 ms instead of after every message

A call that was sent back waits 100 ms, and one that an earlier sending may have delivered is never said to be not taken.

--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -10,6 +10,8 @@
 
 /// A call that got no reply in this time is sent again; covers two ways between regions, a commit and a busy leader.
 const RESEND_AFTER: Duration = Duration::from_millis(700);
+/// Pause before a call that a former leader sent back is sent to it once more.
+const DENIED_PAUSE: Duration = Duration::from_millis(100);
 /// How long a call that no leader has seen waits for one.
 const LEADER_WAIT: Duration = Duration::from_millis(1_200);
 /// When a caller that found no leader may come back: an election takes up to 1.6 s.
@@ -26,6 +28,10 @@
     begun: Duration,
     deadline: Duration,
     sent: Option<(id::VmId, Duration)>,
+    /// No sending before this time.
+    pause_until: Duration,
+    /// Whether every daemon that got it sent it back untouched.
+    untouched: bool,
 }
 
 /// Calls under way. `R` is what takes the reply.
@@ -71,17 +77,20 @@
             begun: now,
             deadline,
             sent: None,
+            pause_until: now,
+            untouched: true,
         };
         self.pending.insert(self.next, pending);
         Ok(self.next)
     }
 
     /// Takes a reply; returns who waits for it.
-    pub fn reply(&mut self, number: u64, reply: call::Reply) -> Option<(R, call::Reply)> {
+    pub fn reply(&mut self, now: Duration, number: u64, reply: call::Reply) -> Option<(R, call::Reply)> {
         if reply == call::Reply::NotLeader {
             if let Some(pending) = self.pending.get_mut(&number) {
                 // It was not taken there; the next leader gets it.
                 pending.sent = None;
+                pending.pause_until = now + DENIED_PAUSE;
             }
             return None;
         }
@@ -94,10 +103,12 @@
         let mut due = Vec::new();
         for (number, pending) in &mut self.pending {
             let wanted = match pending.sent {
-                None => true,
+                None => now >= pending.pause_until,
                 Some((to, at)) => to != leader || now >= at + RESEND_AFTER,
             };
             if wanted {
+                // An earlier sending got no answer, so that its fate is not known.
+                pending.untouched &= pending.sent.is_none();
                 pending.sent = Some((leader, now));
                 due.push((*number, pending.call.clone()));
             }
@@ -123,9 +134,10 @@
                 continue;
             };
             // A call that was sent may have been taken, whatever happened to its reply.
-            let reply = match pending.sent {
-                Some(_) => call::Reply::Unknown,
-                None => no_leader(),
+            let reply = if pending.sent.is_none() && pending.untouched {
+                no_leader()
+            } else {
+                call::Reply::Unknown
             };
             expired.push((pending.responder, reply));
         }
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -25,6 +25,8 @@
 const SHORTEST_TICK: Duration = Duration::from_millis(2);
 /// How long a command waits for others to share its log entry.
 const COMMAND_DELAY: Duration = Duration::from_millis(2);
+/// Time between two looks at which announcements are due.
+const HELLO_CHECK: Duration = Duration::from_millis(50);
 /// Pause before a replica whose disk failed is opened again.
 const REOPEN_PAUSE: Duration = Duration::from_secs(2);
 
@@ -89,8 +91,10 @@
     pub(super) proposed: HashMap<u64, Vec<Waiting>>,
     pub(super) events: VecDeque<member::Event>,
     pub(super) duties_at: Duration,
+    pub(super) helpers_at: Duration,
     pub(super) leaving: bool,
     ready: watch::Sender<bool>,
+    hello_at: Duration,
     reopen_at: Duration,
     origin: Instant,
     tick_at: Option<Duration>,
@@ -167,6 +171,8 @@
             proposed: HashMap::new(),
             events: VecDeque::new(),
             duties_at: Duration::ZERO,
+            helpers_at: Duration::ZERO,
+            hello_at: Duration::ZERO,
             leaving: false,
             ready,
             reopen_at: Duration::ZERO,
@@ -291,7 +297,7 @@
                 if reply == call::Reply::NotLeader {
                     self.contact.deny_leader(from.vm);
                 }
-                if let Some((responder, reply)) = self.calls.reply(number, reply) {
+                if let Some((responder, reply)) = self.calls.reply(now, number, reply) {
                     answer(responder, reply);
                 }
             }
@@ -359,6 +365,10 @@
     }
 
     fn say_hello(&mut self, now: Duration) {
+        if now < self.hello_at {
+            return;
+        }
+        self.hello_at = now + HELLO_CHECK;
         let duty = self.contact.due(now);
         for address in duty.reset {
             self.network.reset(address);
@@ -648,8 +658,8 @@
         if let Some(since) = self.batch_since {
             wake = wake.min(since + COMMAND_DELAY);
         }
-        if let Some(due) = self.dispatch.as_ref().and_then(Dispatch::next_wake) {
-            wake = wake.min(due);
+        if let Some(dispatch) = &self.dispatch {
+            wake = wake.min(dispatch.next_wake());
         }
         let wake = wake.max(now + SHORTEST_TICK);
         if self.tick_at.is_none_or(|planned| wake + SHORTEST_TICK < planned) {
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -20,6 +20,9 @@
 /// When a caller whose job does not fit any worker may come back: workers come and go over minutes.
 const NO_ROOM_RETRY: Duration = Duration::from_secs(30);
 
+/// Time between two looks at which VMs may ask the eligibility service.
+const HELPERS_INTERVAL: Duration = Duration::from_millis(100);
+
 impl Controller {
     /// Begins or ends a term.
     pub(super) fn follow_leadership(&mut self) {
@@ -49,6 +52,7 @@
                 self.state.catalog().map(|catalog| catalog.version)
             );
             self.dispatch = Some(Dispatch::new(config, &self.state, now));
+            self.helpers_at = now.steady;
         }
     }
 
@@ -58,11 +62,16 @@
         if self.dispatch.is_none() || !self.holds_lease(now.steady) {
             return;
         }
-        let helpers = self.helpers(now.steady);
+        if now.steady >= self.helpers_at {
+            self.helpers_at = now.steady + HELPERS_INTERVAL;
+            let helpers = self.helpers(now.steady);
+            if let Some(dispatch) = &mut self.dispatch {
+                dispatch.set_helpers(&helpers);
+            }
+        }
         let Some(dispatch) = &mut self.dispatch else {
             return;
         };
-        dispatch.set_helpers(&helpers);
         dispatch.tick(&self.state, now);
         let outputs = dispatch.take_outputs();
         for output in outputs {
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -257,14 +257,31 @@
             index: u32::MAX,
             ..first
         };
-        for machine in self.machines.values_mut() {
-            for (_, entry) in machine.runs.range_mut(first..=last) {
-                if entry.run <= run && entry.stop == machine::Stop::No {
-                    entry.stop = machine::Stop::Asked(None);
+        self.stop_range(first, last, run, now);
+    }
+
+    /// Marks runs up to a number in a range of tasks as to be stopped, and sends the orders.
+    fn stop_range(&mut self, first: order::Task, last: order::Task, run: order::Run, now: Duration) {
+        for (index, machine) in &mut self.machines {
+            for (task, entry) in machine.runs.range_mut(first..=last) {
+                if entry.run > run || entry.stop != machine::Stop::No {
+                    continue;
+                }
+                entry.stop = machine::Stop::Asked(None);
+                if entry.phase != machine::Phase::Proposed {
+                    entry.stop = machine::Stop::Asked(Some(now));
+                    let order = order::Order::Stop {
+                        task: *task,
+                        run: entry.run,
+                    };
+                    self.out.push(Output::Order {
+                        worker: *index,
+                        order,
+                        decided: now,
+                    });
                 }
             }
         }
-        self.resend_stops(now);
     }
 
     /// Marks the runs of a job as to be stopped and drops what waits of it.
@@ -291,14 +308,7 @@
             step: u16::MAX,
             index: u32::MAX,
         };
-        for machine in self.machines.values_mut() {
-            for (_, entry) in machine.runs.range_mut(first..=last) {
-                if entry.stop == machine::Stop::No {
-                    entry.stop = machine::Stop::Asked(None);
-                }
-            }
-        }
-        self.resend_stops(now);
+        self.stop_range(first, last, order::Run::MAX, now);
     }
 }
 
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -33,6 +33,12 @@
 const START_LEASE: Duration = Duration::from_secs(3);
 /// Shortest time between two scheduling passes, so that a burst of events shares one pass.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
+/// Further pause for each step that waits, since a pass looks at all of them.
+const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(50);
+/// Longest time between two scheduling passes.
+const LONGEST_PASS_INTERVAL: Duration = Duration::from_millis(25);
+/// Time between two looks at the timers of all workers and runs.
+const TIMER_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two looks at jobs whose retention is over.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 /// Finished jobs that one command removes.
@@ -102,6 +108,7 @@
     failed_on: HashMap<order::Task, Vec<cell::WorkerIndex>>,
     dirty: bool,
     pass_at: Duration,
+    timers_at: Duration,
     forget_at: Duration,
     out: Vec<Output>,
 }
@@ -120,6 +127,7 @@
             failed_on: HashMap::new(),
             dirty: true,
             pass_at: now.steady,
+            timers_at: now.steady,
             forget_at: now.steady + FORGET_INTERVAL,
             out: Vec::new(),
         };
@@ -147,9 +155,13 @@
         self.waiting.len()
     }
 
-    /// Time of the next scheduling pass, if one is due.
-    pub fn next_wake(&self) -> Option<Duration> {
-        self.dirty.then_some(self.pass_at)
+    /// Time at which [`Dispatch::tick`] has something to do.
+    pub fn next_wake(&self) -> Duration {
+        if self.dirty {
+            self.pass_at.min(self.timers_at)
+        } else {
+            self.timers_at
+        }
     }
 
     /// Takes the outputs that have gathered.
@@ -159,13 +171,18 @@
 
     /// Lets timers run and decides on placements.
     pub fn tick(&mut self, state: &cell::State, now: Now) {
-        self.expire_leases(now.steady);
-        self.renew_leases(now.steady);
-        self.resend_stops(now.steady);
-        self.resend_starts(state, now.steady);
+        if now.steady >= self.timers_at {
+            self.timers_at = now.steady + TIMER_INTERVAL;
+            self.expire_leases(now.steady);
+            self.renew_leases(now.steady);
+            self.resend_stops(now.steady);
+            self.resend_starts(state, now.steady);
+        }
         if self.dirty && now.steady >= self.pass_at {
             self.schedule(state, now);
-            self.pass_at = now.steady + PASS_INTERVAL;
+            let waiting = self.waiting.len() as u32;
+            let interval = PASS_INTERVAL + PASS_INTERVAL_PER_STEP * waiting;
+            self.pass_at = now.steady + interval.min(LONGEST_PASS_INTERVAL);
         }
         if now.steady >= self.forget_at {
             self.forget_at = now.steady + FORGET_INTERVAL;
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -168,35 +168,15 @@
     pub(super) fn renew_leases(&mut self, now: Duration) {
         let lease = self.config.lease();
         for (index, machine) in &mut self.machines {
-            if let Some(asked) = machine.asked
-                && now < asked + REPORT_WAIT + REPORT_SLACK
-            {
-                continue;
-            }
-            if machine.asked.is_none() && now < machine.ask_at {
-                continue;
-            }
-            machine.asked = Some(now);
-            let lease_end = machine.clock(now).map(|clock| clock + lease);
-            if let Some(end) = lease_end {
-                machine.lease_end = machine.lease_end.max(end);
-            }
-            // Without a sample the first report has to come at once.
-            let wait = if lease_end.is_some() {
-                REPORT_WAIT
-            } else {
-                Duration::ZERO
-            };
-            let order = order::Order::Renew {
-                lease_end,
-                acknowledged: machine.recorded,
-                wait,
-            };
-            self.out.push(Output::Order {
-                worker: *index,
-                order,
-                decided: now,
-            });
+            self.out.extend(renewal(*index, machine, lease, now));
+        }
+    }
+
+    /// Asks for the report of one worker if it is due.
+    pub(super) fn renew_lease(&mut self, worker: cell::WorkerIndex, now: Duration) {
+        let lease = self.config.lease();
+        if let Some(machine) = self.machines.get_mut(&worker) {
+            self.out.extend(renewal(worker, machine, lease, now));
         }
     }
 
@@ -435,6 +415,42 @@
     }
 }
 
+fn renewal(
+    worker: cell::WorkerIndex,
+    machine: &mut machine::Machine,
+    lease: Duration,
+    now: Duration,
+) -> Option<Output> {
+    let waits = match machine.asked {
+        Some(asked) => now < asked + REPORT_WAIT + REPORT_SLACK,
+        None => now < machine.ask_at,
+    };
+    if waits {
+        return None;
+    }
+    machine.asked = Some(now);
+    let lease_end = machine.clock(now).map(|clock| clock + lease);
+    if let Some(end) = lease_end {
+        machine.lease_end = machine.lease_end.max(end);
+    }
+    // Without a sample of its clock the first report has to come at once.
+    let wait = if lease_end.is_some() {
+        REPORT_WAIT
+    } else {
+        Duration::ZERO
+    };
+    let order = order::Order::Renew {
+        lease_end,
+        acknowledged: machine.recorded,
+        wait,
+    };
+    Some(Output::Order {
+        worker,
+        order,
+        decided: now,
+    })
+}
+
 /// Progress that a start resumes from.
 fn checkpoint(state: &cell::State, job: &cell::Job, task: order::Task) -> Option<Bytes> {
     let spec = job.submission.steps.get(usize::from(task.step))?;
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -48,7 +48,7 @@
                 now.steady + RECORD_WAIT
             };
         }
-        self.renew_leases(now.steady);
+        self.renew_lease(worker, now.steady);
     }
 
     /// Proposes the record of ends that were not listed before.
@@ -236,13 +236,17 @@
                 self.refresh_job(state, end.task.job);
                 last = Some(end.task.job);
             }
-            let finished = state.job(end.task.job).is_none_or(cell::Job::is_final);
-            if finished {
+            let job = state.job(end.task.job);
+            if job.is_none_or(cell::Job::is_final) {
                 self.failed_on.remove(&end.task);
+            }
+            if job.is_some_and(|job| job.is_final() && job.placed > 0) {
                 self.stop_job(end.task.job, now.steady, state);
             }
         }
-        self.renew_leases(now.steady);
+        if let Some(worker) = worker {
+            self.renew_lease(worker, now.steady);
+        }
     }
 
     /// Stops the other members of a gang that lost one.
