--- /dev/null
+++ b/crates/dispatch/tests/common/mod.rs
@@ -0,0 +1,85 @@
+//! Loads that the tests replay.
+
+use std::time::Duration;
+
+use bronzespoke_model::resource;
+use bronzespoke_standin::fleet::{load, simulation};
+use bronzespoke_workload::catalog;
+
+/// Kinds of requests like those of the first deployments: gangs of large tasks, wide steps, and short urgent checks.
+pub fn kinds(scale: f64) -> Vec<load::Kind> {
+    let reconciliation = load::Kind {
+        queue: catalog::Queue {
+            advice: advice(310.0, 4.4),
+            ..load::queue("reconciliation", 1, Duration::from_millis(1_200), 2.2, 3)
+        },
+        rate: 1.81 * scale,
+        tasks: 8.0,
+        most_tasks: 48,
+        size: resource::Amount::new(18_000, 26_000, 0),
+        run_time: Duration::from_secs(4),
+        gang: true,
+        two_steps: 0.2,
+        eligible: 0.35,
+        worth: 8.77,
+        faults: 0.03,
+    };
+    let audit = load::Kind {
+        queue: catalog::Queue {
+            advice: advice(62.0, 0.88),
+            ..load::queue("audit", 2, Duration::from_secs(3), 4.0, 4)
+        },
+        rate: 4.35 * scale,
+        tasks: 10.0,
+        most_tasks: 60,
+        size: resource::Amount::new(3_900, 4_000, 0),
+        run_time: Duration::from_millis(3_400),
+        gang: false,
+        two_steps: 0.5,
+        eligible: 0.45,
+        worth: 2.27,
+        faults: 0.01,
+    };
+    let check = load::Kind {
+        queue: catalog::Queue {
+            advice: advice(8.7, 0.12),
+            ..load::queue("check", 0, Duration::from_millis(400), 1.5, 2)
+        },
+        rate: 30.8 * scale,
+        tasks: 2.0,
+        most_tasks: 12,
+        size: resource::Amount::new(5_600, 10_000, 0),
+        run_time: Duration::from_secs(1),
+        gang: false,
+        two_steps: 0.0,
+        eligible: 0.7,
+        worth: 0.45,
+        faults: 0.01,
+    };
+    vec![reconciliation, audit, check]
+}
+
+fn advice(decision: f64, per_worker: f64) -> Option<catalog::Advice> {
+    Some(catalog::Advice {
+        decision: Duration::from_secs_f64(decision / 1_000.0),
+        per_worker: Duration::from_secs_f64(per_worker / 1_000.0),
+        valid: Duration::from_millis(2_500),
+    })
+}
+
+/// The first deployment on a calm day.
+pub fn calm(seed: u64) -> simulation::Plan {
+    let limit = resource::Amount::new(1_700_000, 0, 0);
+    simulation::Plan {
+        seed,
+        workers: 48,
+        room: resource::Amount::new(64_000, 131_072, 0),
+        helpers: 9,
+        kinds: kinds(1.0),
+        teams: (0..6).map(|team| (format!("team-{team}"), limit)).collect(),
+        length: Duration::from_secs(20),
+        bursts: Vec::new(),
+        faults: simulation::Faults::default(),
+        trace: None,
+    }
+}
--- /dev/null
+++ b/crates/dispatch/tests/fleet.rs
@@ -0,0 +1,96 @@
+//! The leader's decisions over whole days in simulated time. Every start on a worker is checked against the promises: no
+//! task twice, no worker over its room, no team over its limit, steps in their order, no start after the last attempt.
+
+mod common;
+
+use std::time::Duration;
+
+use bronzespoke_model::resource;
+use bronzespoke_standin::fleet::simulation::{Faults, Plan, Report, Simulation};
+use yare::parameterized;
+
+/// Time for the work that is left after the last submission.
+const DRAIN: Duration = Duration::from_secs(60);
+
+/// Seeds of the test in which faults meet; `FLEET_SEEDS` sets another number for a long run.
+fn seeds() -> u64 {
+    let given = std::env::var("FLEET_SEEDS").ok();
+    given.and_then(|text| text.parse().ok()).unwrap_or(24)
+}
+
+fn run(plan: Plan) -> Report {
+    let seed = plan.seed;
+    let report = Simulation::new(plan).run(DRAIN);
+    assert!(
+        report.broken.is_empty(),
+        "seed {seed}: {:#?}",
+        &report.broken[..report.broken.len().min(5)]
+    );
+    assert!(
+        report.unfinished.is_empty(),
+        "seed {seed}: accepted jobs are left: {:x?}",
+        report.unfinished
+    );
+    report
+}
+
+/// Guards against work that is lost, doubled or forgotten when nothing goes wrong.
+#[test]
+fn a_calm_day_is_served_whole() {
+    let report = run(common::calm(1));
+    for tally in &report.kinds {
+        assert_eq!(tally.failed, 0, "{tally:?}");
+    }
+}
+
+/// Guards against broken promises under each kind of fault alone.
+#[parameterized(
+    crashes = { Faults { crashes: 0.5, ..Faults::default() } },
+    cuts = { Faults { cuts: 0.5, ..Faults::default() } },
+    lost_answers = { Faults { lost_answers: 0.05, ..Faults::default() } },
+    late_orders = { Faults { late_orders: 0.05, ..Faults::default() } },
+    elections = { Faults { elections: 0.2, ..Faults::default() } },
+    cancels = { Faults { cancels: 0.2, ..Faults::default() } },
+    failing = { Faults { failing: 0.3, ..Faults::default() } },
+)]
+fn promises_hold_under(faults: Faults) {
+    for seed in 0..4 {
+        run(Plan {
+            faults,
+            ..common::calm(100 + seed)
+        });
+    }
+}
+
+/// Guards against promises that break when faults meet: a new leader among crashed, cut and late workers.
+#[test]
+fn promises_hold_when_faults_meet() {
+    for seed in 0..seeds() {
+        run(Plan {
+            faults: Faults {
+                crashes: 0.2,
+                cuts: 0.2,
+                lost_answers: 0.02,
+                late_orders: 0.02,
+                elections: 0.15,
+                cancels: 0.1,
+                failing: 0.1,
+            },
+            ..common::calm(200 + seed)
+        });
+    }
+}
+
+/// Guards against a team that runs more than its upper limit, also when its work piles up.
+#[test]
+fn a_small_limit_is_kept() {
+    let small = resource::Amount::new(200_000, 0, 0);
+    let mut plan = common::calm(3);
+    plan.kinds = common::kinds(0.3);
+    for (_, limit) in &mut plan.teams {
+        *limit = small;
+    }
+    // Gangs that are wider than the limit of their team can never start.
+    plan.kinds[0].most_tasks = 6;
+    run(plan);
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -5,6 +5,7 @@
 
 pub mod caller;
 pub mod client;
+pub mod fleet;
 pub mod ledger;
 pub mod target;
 pub mod worker;
