--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -6,7 +6,7 @@
 use bronzespoke_workload::{advice, order};
 
 use super::{Dispatch, Event, Now, Output};
-use crate::machine::{Phase, Stop};
+use crate::machine::{self, Phase, Stop};
 
 /// Pause of a worker that fails what it starts; doubled with each further suspicion.
 const SUSPECT_PAUSE: Duration = Duration::from_secs(2);
@@ -89,6 +89,9 @@
     fn take_end(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
         self.note_end(end.worker, end.task, end.run, end.outcome);
         let removed = self.drop_run(end.worker, end.task, end.run);
+        if end.outcome == order::Outcome::Done {
+            self.note_run_time(state, now, end, removed.as_ref());
+        }
         let asked_to_stop = removed.is_some_and(|run| run.stop != Stop::No);
         let Some(machine) = self.machines.get_mut(&end.worker) else {
             return;
@@ -120,6 +123,29 @@
         }
     }
 
+    /// Learns from a run that is done how long its queue's tasks take.
+    fn note_run_time(
+        &mut self,
+        state: &cell::State,
+        now: Duration,
+        end: &cell::End,
+        run: Option<&machine::Run>,
+    ) {
+        let (Some(run), Some(job)) = (run, state.job(end.task.job)) else {
+            return;
+        };
+        let (Phase::Running(since), Some(step)) =
+            (run.phase, job.submission.steps.get(usize::from(end.task.step)))
+        else {
+            return;
+        };
+        // A run that resumes has done a part of its work before.
+        if run.run == 1 {
+            let actual = now.saturating_sub(since);
+            self.estimates.note(&job.queue.name, step.run_time, actual);
+        }
+    }
+
     /// Proposes the record of ends of one worker.
     ///
     /// Records are committed in the order of their proposals, so the record of any of them shows that every end listed
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -111,18 +111,16 @@
     fn ranked(&self, state: &cell::State, now: Now) -> Vec<(ranking::Rank, advice::Step)> {
         let mut ranked = Vec::with_capacity(self.waiting.len());
         for (id, entry) in &self.waiting {
-            let waiting::Waiting {
-                begun_ms,
-                chain,
-                remaining,
-            } = entry;
-            if *begun_ms > now.wall_ms {
+            if entry.begun_ms > now.wall_ms {
                 continue;
             }
-            if let Some(job) = state.job(id.job) {
-                let rank = ranking::rank(job, *begun_ms, *chain, *remaining, now.wall_ms);
-                ranked.push((rank, *id));
-            }
+            let Some(job) = state.job(id.job) else { continue };
+            let queue = &job.queue.name;
+            let expected = |stated| self.estimates.expected(queue, stated);
+            let chain = job.submission.chain(expected);
+            let remaining = waiting::remaining(&self.estimates, queue, &job.submission, id.step);
+            let rank = ranking::rank(job, entry.begun_ms, chain, remaining, now.wall_ms);
+            ranked.push((rank, *id));
         }
         ranked.sort_unstable();
         ranked
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -6,16 +6,13 @@
 use bronzespoke_workload::{advice, job};
 
 use super::Dispatch;
+use crate::estimate;
 
 /// A step that waits.
 #[derive(Debug, Clone)]
 pub(super) struct Waiting {
     /// Wall time at which its clock began to run: submission or due time, in milliseconds since the Unix epoch.
     pub begun_ms: u64,
-    /// Expected chain of work of the whole job.
-    pub chain: Duration,
-    /// Expected chain of work from this step on.
-    pub remaining: Duration,
 }
 
 impl Dispatch {
@@ -43,7 +40,7 @@
                 if open && job.is_ready(occurrence, step) {
                     self.waiting
                         .entry(id)
-                        .or_insert_with(|| Waiting::new(job, occurrence, step));
+                        .or_insert_with(|| Waiting::new(job, occurrence));
                     continue;
                 }
                 let was_waiting = self.waiting.remove(&id).is_some();
@@ -56,20 +53,21 @@
 }
 
 impl Waiting {
-    fn new(job: &cell::Job, occurrence: u32, step: u16) -> Self {
+    fn new(job: &cell::Job, occurrence: u32) -> Self {
         let begun_ms = job.submission.schedule.map_or(job.submitted_ms, |schedule| {
             (schedule.first + schedule.interval * occurrence).as_millis() as u64
         });
-        Self {
-            begun_ms,
-            chain: job.submission.chain(),
-            remaining: remaining(&job.submission, step),
-        }
+        Self { begun_ms }
     }
 }
 
-/// Longest chain of estimated run times from a step to the end of its job.
-fn remaining(submission: &job::Submission, from: u16) -> Duration {
+/// Longest chain of expected run times from a step to the end of its job.
+pub(super) fn remaining(
+    estimates: &estimate::Estimates,
+    queue: &str,
+    submission: &job::Submission,
+    from: u16,
+) -> Duration {
     let mut ends: Vec<Option<Duration>> = vec![None; submission.steps.len()];
     for (index, step) in submission.steps.iter().enumerate() {
         let before = step
@@ -77,9 +75,10 @@
             .iter()
             .filter_map(|other| ends[usize::from(*other)])
             .max();
+        let expected = estimates.expected(queue, step.run_time);
         ends[index] = match before {
-            Some(before) => Some(before + step.run_time),
-            None if index == usize::from(from) => Some(step.run_time),
+            Some(before) => Some(before + expected),
+            None if index == usize::from(from) => Some(expected),
             None => None,
         };
     }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod desk;
 pub mod dispatch;
+pub mod estimate;
 pub mod machine;
 pub mod order;
 pub mod place;
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/order.rs
@@ -2,8 +2,9 @@
 //!
 //! Answers the load of a burst: more work is ready than fits, and jobs of small work and short objectives arrive among
 //! wide ones. Queues of the first priority come first; the rest goes by slack, the time that is left before a job
-//! would miss its objective. A job that has missed its objective already is worth little more by haste, so it follows
-//! the jobs that can still meet theirs.
+//! would miss its next goal. The first goal is the objective; a job that misses it is still of use until three times the
+//! objective, so that becomes its goal, and it is not passed over for good by jobs that came later. A job beyond that
+//! takes what is left.
 
 use std::{cmp::Ordering, time::Duration};
 
@@ -15,11 +16,11 @@
 /// Position of a step among those that wait; smaller comes first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Rank {
-    /// 0 while the objective can be met, 1 while a late end is of use, 2 after that.
-    pub lateness: u8,
+    /// Whether no goal can be met any more.
+    pub useless: bool,
     /// 0 for the first priority, 1 for others.
     pub tier: u8,
-    /// Latest start that meets the objective, in milliseconds since the Unix epoch.
+    /// Latest start that meets the next goal, in milliseconds since the Unix epoch.
     pub latest_start: u64,
 }
 
@@ -33,7 +34,7 @@
 
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
-        let key = |rank: &Self| (rank.lateness, rank.tier, rank.latest_start);
+        let key = |rank: &Self| (rank.useless, rank.tier, rank.latest_start);
         key(self).cmp(&key(other))
     }
 }
@@ -45,17 +46,17 @@
     let queue = &job.queue;
     let objective = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
     let objective_ms = objective.as_millis() as u64;
-    let end_ms = wall_ms + remaining.as_millis() as u64;
-    let lateness = if end_ms <= begun_ms + objective_ms {
-        0
-    } else if end_ms <= begun_ms + USEFUL_MULTIPLE * objective_ms {
-        1
+    let remaining_ms = remaining.as_millis() as u64;
+    let end_ms = wall_ms + remaining_ms;
+    let useful_ms = begun_ms + USEFUL_MULTIPLE * objective_ms;
+    let goal_ms = if end_ms <= begun_ms + objective_ms {
+        begun_ms + objective_ms
     } else {
-        2
+        useful_ms
     };
     Rank {
-        lateness,
+        useless: end_ms > useful_ms,
         tier: u8::from(queue.priority > 0),
-        latest_start: (begun_ms + objective_ms).saturating_sub(remaining.as_millis() as u64),
+        latest_start: goal_ms.saturating_sub(remaining_ms),
     }
 }
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -10,7 +10,7 @@
 pub fn kinds(scale: f64) -> Vec<load::Kind> {
     let reconciliation = load::Kind {
         queue: catalog::Queue {
-            advice: advice(310.0, 4.4),
+            advice: Some(advice(310.0, 4.4)),
             ..load::queue("reconciliation", 1, Duration::from_millis(1_200), 2.2, 3)
         },
         rate: 1.81 * scale,
@@ -26,7 +26,7 @@
     };
     let audit = load::Kind {
         queue: catalog::Queue {
-            advice: advice(62.0, 0.88),
+            advice: Some(advice(62.0, 0.88)),
             ..load::queue("audit", 2, Duration::from_secs(3), 4.0, 4)
         },
         rate: 4.35 * scale,
@@ -42,7 +42,7 @@
     };
     let check = load::Kind {
         queue: catalog::Queue {
-            advice: advice(8.7, 0.12),
+            advice: Some(advice(8.7, 0.12)),
             ..load::queue("check", 0, Duration::from_millis(400), 1.5, 2)
         },
         rate: 30.8 * scale,
@@ -59,12 +59,12 @@
     vec![reconciliation, audit, check]
 }
 
-fn advice(decision: f64, per_worker: f64) -> Option<catalog::Advice> {
-    Some(catalog::Advice {
+fn advice(decision: f64, per_worker: f64) -> catalog::Advice {
+    catalog::Advice {
         decision: Duration::from_secs_f64(decision / 1_000.0),
         per_worker: Duration::from_secs_f64(per_worker / 1_000.0),
         valid: Duration::from_millis(2_500),
-    })
+    }
 }
 
 /// The first deployment on a calm day.
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -10,7 +10,7 @@
 use yare::parameterized;
 
 /// Time for the work that is left after the last submission.
-const DRAIN: Duration = Duration::from_secs(60);
+const DRAIN: Duration = Duration::from_mins(1);
 
 /// Seeds of the test in which faults meet; `FLEET_SEEDS` sets another number for a long run.
 fn seeds() -> u64 {
--- a/crates/standin/src/fleet/simulation.rs
+++ b/crates/standin/src/fleet/simulation.rs
@@ -364,7 +364,7 @@
             Event::Commit(proposal) => self.commit(proposal),
             Event::Deliver(number) => self.deliver(number, true),
             Event::Late(number) => self.deliver(number, false),
-            Event::Answer(number, answer) => self.answer(number, answer),
+            Event::Answer(number, answer) => self.answer(number, answer.as_ref()),
             Event::Advised(number, answer) => {
                 if let Some(dispatch) = &mut self.dispatch {
                     dispatch.advised(self.now, number, &answer);
@@ -679,7 +679,7 @@
         }
     }
 
-    fn answer(&mut self, number: u64, answer: Option<order::Answer>) {
+    fn answer(&mut self, number: u64, answer: Option<&order::Answer>) {
         let Some(sent) = self.sent.get(&number) else {
             return;
         };
@@ -703,7 +703,7 @@
                 wall_ms: EPOCH_MS + self.now.as_millis() as u64,
             };
             let (worker, order, decided) = (sent.worker, sent.order.clone(), sent.decided);
-            dispatch.answered(&self.state, now, worker, &order, decided, answer.as_ref());
+            dispatch.answered(&self.state, now, worker, &order, decided, answer);
         }
         if answer.is_some() {
             self.sent.remove(&number);
@@ -782,7 +782,7 @@
         }
     }
 
-    fn break_promise(&mut self, what: String) {
+    fn break_promise(&mut self, what: &str) {
         self.report.broken.push(format!("{:?}: {what}", self.now));
     }
 
@@ -813,7 +813,7 @@
         let (room, used) = (worker.room, worker.used());
         let name = worker.name.clone();
         if !used.fits(&room) {
-            self.break_promise(format!("{name} runs {used:?} in {room:?}"));
+            self.break_promise(&format!("{name} runs {used:?} in {room:?}"));
         }
         if gang {
             self.complete_gang(task, run);
@@ -833,13 +833,13 @@
             }
         }
         for name in elsewhere {
-            self.break_promise(format!("{task} run {run} starts while it runs on {name}"));
+            self.break_promise(&format!("{task} run {run} starts while it runs on {name}"));
         }
         if self.noted.contains(&task) {
-            self.break_promise(format!("{task} run {run} starts after its end was noted"));
+            self.break_promise(&format!("{task} run {run} starts after its end was noted"));
         }
         let Some(job) = self.jobs.get(&task.job) else {
-            self.break_promise(format!("{task} was never submitted"));
+            self.break_promise(&format!("{task} was never submitted"));
             return;
         };
         let spec = &job.submission.steps[usize::from(task.step)];
@@ -854,7 +854,7 @@
                 !self.done.contains(&other)
             });
             if let Some(open) = open {
-                self.break_promise(format!(
+                self.break_promise(&format!(
                     "{task} starts before task {open} of step {before} is done"
                 ));
                 return;
@@ -866,7 +866,7 @@
         let limit_ms = Duration::from_secs(3);
         let cancelled = self.cancelled.get(&task.job).copied();
         if cancelled.is_some_and(|at| self.now > at + limit_ms) && self.plan.faults.late_orders == 0.0 {
-            self.break_promise(format!("{task} starts after its job was cancelled"));
+            self.break_promise(&format!("{task} starts after its job was cancelled"));
         }
         self.check_limit(task);
     }
@@ -884,7 +884,7 @@
             .iter()
             .any(|begun| failures.values().filter(|ended| *ended < begun).count() >= attempts);
         if late {
-            self.break_promise(format!("{key} starts after {attempts} failures"));
+            self.break_promise(&format!("{key} starts after {attempts} failures"));
         }
     }
 
@@ -917,7 +917,7 @@
             }
         }
         if limit.cpu_milli > 0 && used > u64::from(limit.cpu_milli) * 11 / 10 {
-            self.break_promise(format!("{team} runs {used} thousandths of a core"));
+            self.break_promise(&format!("{team} runs {used} thousandths of a core"));
         }
     }
 
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -161,12 +161,12 @@
         self.schedule.map_or(1, |schedule| schedule.times)
     }
 
-    /// Longest chain of estimated run times over dependent steps.
-    pub fn chain(&self) -> Duration {
+    /// Longest chain of run times over dependent steps, as `expected` corrects the stated ones.
+    pub fn chain(&self, expected: impl Fn(Duration) -> Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
             let ready = step.after.iter().map(|other| ends[usize::from(*other)]).max();
-            ends.push(ready.unwrap_or_default() + step.run_time);
+            ends.push(ready.unwrap_or_default() + expected(step.run_time));
         }
         ends.into_iter().max().unwrap_or_default()
     }
