--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -10,6 +10,8 @@
 
 /// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the order.
 const INHERITED_MARGIN: Duration = Duration::from_millis(500);
+/// Time that a run of an earlier leader is expected to take on, of which only the placement is known.
+const INHERITED_RUN_TIME: Duration = Duration::from_secs(2);
 /// A worker without runs that was silent for this long is removed.
 const RETIRE_AFTER: Duration = Duration::from_mins(1);
 
@@ -75,6 +77,7 @@
                         since: now,
                         decided: now,
                         lease_end: Duration::ZERO,
+                        expected_end: now + INHERITED_RUN_TIME,
                         stop: machine::Stop::No,
                         checkpoint: None,
                     };
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -24,7 +24,7 @@
 pub use event::Event;
 pub use fleet::Registration;
 
-use crate::{desk, estimate, machine, usage};
+use crate::{desk, estimate, machine, reserve, usage};
 
 /// How long a worker may run without word from the leader. It has to outlast the loss of a leader (an election of at
 /// most 1.6 s and the first round of reports), and every second more delays the work of a lost worker by that much.
@@ -101,6 +101,7 @@
     /// Configuration that holds the teams' limits.
     limits: Option<Arc<catalog::Catalog>>,
     desk: desk::Desk,
+    reservations: reserve::Reservations,
     /// Steps with tasks to place.
     waiting: HashMap<advice::Step, waiting::Waiting>,
     /// Tasks whose start is proposed and not committed.
@@ -124,6 +125,7 @@
             estimates: estimate::Estimates::default(),
             limits: state.catalog().cloned(),
             desk: desk::Desk::default(),
+            reservations: reserve::Reservations::default(),
             waiting: HashMap::new(),
             proposed: HashSet::new(),
             failed_on: HashMap::new(),
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -1,7 +1,7 @@
 //! One scheduling pass: the waiting steps in their order, each with what fits.
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap},
     sync::Arc,
     time::Duration,
 };
@@ -15,6 +15,7 @@
     machine::{self, Phase, Stop},
     order as ranking,
     place::{self, Candidate},
+    reserve,
 };
 
 /// A worker whose last report is older gets no new work; two reports fail to come in this time.
@@ -26,10 +27,10 @@
 /// One worker in this many may be kept for gangs that wait.
 const RESERVED_SHARE: usize = 2;
 
-/// Workers that are kept for gangs in this pass.
+/// Workers that are kept for gangs in this pass, with the time at which each gang is expected to start.
 #[derive(Debug, Default)]
 struct Reserved {
-    workers: HashSet<cell::WorkerIndex>,
+    workers: HashMap<cell::WorkerIndex, Duration>,
     most: usize,
 }
 
@@ -51,6 +52,7 @@
     size: resource::Amount,
     tasks: Vec<u32>,
     tier: u8,
+    run_time: Duration,
 }
 
 impl Dispatch {
@@ -67,7 +69,7 @@
             })
             .collect();
         let mut reserved = Reserved {
-            workers: HashSet::new(),
+            workers: HashMap::new(),
             most: slots.len() / RESERVED_SHARE,
         };
         let mut starts = Vec::new();
@@ -150,6 +152,7 @@
             size: fleet::counted_size(spec),
             tasks,
             tier,
+            run_time: self.estimates.expected(&job.queue.name, spec.run_time),
         })
     }
 
@@ -172,7 +175,7 @@
             return;
         }
         let needed = if subject.spec.gang { wanted } else { 1 };
-        let mut candidates = self.candidates(subject, slots, reserved, true);
+        let mut candidates = self.candidates(now, subject, slots, reserved, true);
         if subject.spec.one_rack && subject.spec.gang {
             self.keep_one_rack(&mut candidates, subject, wanted);
         }
@@ -184,7 +187,7 @@
         }
         if place::fitting(&candidates, &subject.size) < needed {
             if subject.spec.gang {
-                self.reserve(subject, wanted, slots, reserved);
+                self.reserve(now, subject, wanted, slots, reserved);
             }
             return;
         }
@@ -216,6 +219,7 @@
     /// Workers that may run the step as far as is known; with `fitting`, only those with room for a task now.
     fn candidates(
         &self,
+        now: Duration,
         subject: &Subject<'_>,
         slots: &[Slot<'_>],
         reserved: &Reserved,
@@ -234,7 +238,9 @@
             if label.is_some_and(|label| !slot.worker.labels.contains(label)) {
                 continue;
             }
-            if subject.tier > 0 && reserved.workers.contains(&slot.index) {
+            let kept = reserved.workers.get(&slot.index);
+            let in_the_way = kept.is_some_and(|due| now + subject.run_time > *due);
+            if subject.tier > 0 && in_the_way {
                 continue;
             }
             if known.is_some_and(|known| known.is_denied(slot.index)) {
@@ -247,6 +253,7 @@
                 room: slot.worker.room,
                 slots: self.slots(slot.index, subject),
                 remote: near.is_some_and(|rack| !slot.worker.labels.contains(rack)),
+                kept: in_the_way,
             });
         }
         candidates
@@ -272,7 +279,7 @@
             return;
         }
         let missing: Vec<Candidate> = match known.filter(|known| known.is_known()) {
-            None => self.candidates(subject, slots, reserved, false),
+            None => self.candidates(now, subject, slots, reserved, false),
             Some(known) => {
                 let permitted = |candidate: &&Candidate| known.is_permitted(candidate.worker, now);
                 let usable: u32 = candidates
@@ -333,20 +340,39 @@
         }
     }
 
-    /// Keeps workers for a gang that does not fit yet, those with the most room first.
-    fn reserve(&self, subject: &Subject<'_>, wanted: u32, slots: &[Slot<'_>], reserved: &mut Reserved) {
-        if reserved.workers.len() >= reserved.most {
+    /// Keeps workers for a gang that does not fit yet: those on which room is expected first.
+    fn reserve(
+        &mut self,
+        now: Duration,
+        subject: &Subject<'_>,
+        wanted: u32,
+        slots: &[Slot<'_>],
+        reserved: &mut Reserved,
+    ) {
+        let known = self.desk.eligibility(subject.id);
+        if reserved.workers.len() >= reserved.most || known.is_none_or(|known| !known.is_known()) {
             return;
         }
-        let mut candidates = self.candidates(subject, slots, reserved, false);
-        candidates.sort_by_key(|candidate| std::cmp::Reverse(candidate.fitting(&subject.size)));
-        let mut missing = wanted;
-        for candidate in candidates {
-            if missing == 0 || reserved.workers.len() >= reserved.most {
-                return;
+        if self.reservations.recent(subject.id, now).is_none() {
+            let candidates = self.candidates(now, subject, slots, reserved, false);
+            let free = candidates.iter().filter(|candidate| !candidate.kept);
+            let openings = free
+                .filter_map(|candidate| {
+                    let machine = self.machines.get(&candidate.worker)?;
+                    let most = candidate.slots;
+                    let times = reserve::openings(machine, candidate.free, &subject.size, most, now);
+                    Some((candidate.worker, times))
+                })
+                .collect();
+            match reserve::choose(openings, wanted, now) {
+                Some(choice) => self.reservations.keep(subject.id, choice),
+                None => self.reservations.drop_gang(subject.id),
+            }
+        }
+        if let Some(choice) = self.reservations.recent(subject.id, now) {
+            for worker in &choice.workers {
+                reserved.workers.entry(*worker).or_insert(choice.due);
             }
-            missing = missing.saturating_sub(candidate.capacity(&subject.size));
-            reserved.workers.insert(candidate.worker);
         }
     }
 
@@ -389,6 +415,7 @@
                 since: now,
                 decided: now,
                 lease_end: Duration::ZERO,
+                expected_end: now + subject.run_time,
                 stop: Stop::No,
                 checkpoint: None,
             },
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -44,6 +44,7 @@
                     continue;
                 }
                 let was_waiting = self.waiting.remove(&id).is_some();
+                self.reservations.drop_gang(id);
                 if entry.left == 0 || (was_waiting && job.is_final()) {
                     self.desk.forget(id);
                 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,4 +12,5 @@
 pub mod machine;
 pub mod order;
 pub mod place;
+pub mod reserve;
 pub mod usage;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -50,6 +50,8 @@
     pub decided: Duration,
     /// End of the lease that the start order named, on the worker's clock.
     pub lease_end: Duration,
+    /// When it is expected to end, in local time.
+    pub expected_end: Duration,
     /// Whether the run is to be stopped.
     pub stop: Stop,
     /// Newest stored progress that was seen.
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -21,11 +21,16 @@
     pub slots: u32,
     /// Whether the step runs longer there.
     pub remote: bool,
+    /// Whether the worker is kept for a gang.
+    pub kept: bool,
 }
 
 /// Share of a worker that a remote place has to save to be preferred; tasks away from their data take twice as long.
 const REMOTE_PENALTY: f64 = 4.0;
 
+/// Urgent tasks use a worker that is kept for a gang only when no other has room.
+const KEPT_PENALTY: f64 = 8.0;
+
 impl Candidate {
     /// Tasks of a size that fit now.
     pub fn fitting(&self, size: &resource::Amount) -> u32 {
@@ -56,11 +61,13 @@
         let memory = share(self.free.memory_mib, size.memory_mib, self.room.memory_mib);
         let devices = share(self.free.accelerators, size.accelerators, self.room.accelerators);
         let remote = if self.remote { REMOTE_PENALTY } else { 0.0 };
-        cpu + memory + devices + remote
+        let kept = if self.kept { KEPT_PENALTY } else { 0.0 };
+        cpu + memory + devices + remote + kept
     }
 }
 
-fn count(free: &resource::Amount, size: &resource::Amount) -> u32 {
+/// Tasks of a size that fit into an amount.
+pub fn count(free: &resource::Amount, size: &resource::Amount) -> u32 {
     let dimension = |free: u32, size: u32| free.checked_div(size).unwrap_or(u32::MAX);
     dimension(free.cpu_milli, size.cpu_milli)
         .min(dimension(free.memory_mib, size.memory_mib))
--- /dev/null
+++ b/crates/dispatch/src/reserve.rs
@@ -0,0 +1,108 @@
+//! Workers that are kept for gangs.
+//!
+//! Answers wide gangs on a fleet that is nearly full of small tasks: every hole that opens is filled at once by something
+//! small, so that the room for a gang never comes together. A gang that does not fit keeps the workers on which enough room
+//! is expected first; until then they take only work that is expected to end before.
+
+use std::{collections::HashMap, time::Duration};
+
+use bronzespoke_control::cell;
+use bronzespoke_model::resource;
+use bronzespoke_workload::advice;
+
+use crate::machine;
+
+/// Age at which a choice of workers is made anew; ends come at other times than expected.
+const CHOICE_AGE: Duration = Duration::from_millis(300);
+
+/// Workers kept for one gang.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Choice {
+    /// Workers.
+    pub workers: Vec<cell::WorkerIndex>,
+    /// When enough room is expected.
+    pub due: Duration,
+    /// When the choice was made.
+    chosen: Duration,
+}
+
+/// Reservations of gangs, kept over passes so that a gang's room does not move.
+#[derive(Debug, Default)]
+pub struct Reservations {
+    gangs: HashMap<advice::Step, Choice>,
+}
+
+impl Reservations {
+    /// Returns the choice of a gang if it is recent.
+    pub fn recent(&self, step: advice::Step, now: Duration) -> Option<&Choice> {
+        self.gangs
+            .get(&step)
+            .filter(|choice| now < choice.chosen + CHOICE_AGE)
+    }
+
+    /// Keeps a choice.
+    pub fn keep(&mut self, step: advice::Step, choice: Choice) {
+        self.gangs.insert(step, choice);
+    }
+
+    /// Drops the choice of a gang.
+    pub fn drop_gang(&mut self, step: advice::Step) {
+        self.gangs.remove(&step);
+    }
+}
+
+/// Times at which a worker has room for one, two and more tasks of a size, at most `most` of them.
+pub fn openings(
+    machine: &machine::Machine,
+    free: resource::Amount,
+    size: &resource::Amount,
+    most: u32,
+    now: Duration,
+) -> Vec<Duration> {
+    let mut ends: Vec<(Duration, resource::Amount)> = machine
+        .runs
+        .values()
+        .map(|run| (run.expected_end.max(now), run.size))
+        .collect();
+    ends.sort_unstable_by_key(|(end, _)| *end);
+    let mut free = free;
+    let mut openings = Vec::new();
+    let mut grow = |free: &resource::Amount, at: Duration| {
+        let count = crate::place::count(free, size).min(most) as usize;
+        while openings.len() < count {
+            openings.push(at);
+        }
+    };
+    grow(&free, now);
+    for (end, freed) in ends {
+        free = machine::add(free, freed);
+        grow(&free, end);
+    }
+    openings
+}
+
+/// Chooses the workers on which `wanted` tasks have room first. `None` if they never have.
+pub fn choose(
+    openings: Vec<(cell::WorkerIndex, Vec<Duration>)>,
+    wanted: u32,
+    now: Duration,
+) -> Option<Choice> {
+    let mut all: Vec<(Duration, cell::WorkerIndex)> = openings
+        .into_iter()
+        .flat_map(|(worker, times)| times.into_iter().map(move |time| (time, worker)))
+        .collect();
+    all.sort_unstable();
+    let wanted = wanted as usize;
+    if all.len() < wanted || wanted == 0 {
+        return None;
+    }
+    let due = all[wanted - 1].0;
+    let mut workers: Vec<_> = all[..wanted].iter().map(|(_, worker)| *worker).collect();
+    workers.sort_unstable();
+    workers.dedup();
+    Some(Choice {
+        workers,
+        due,
+        chosen: now,
+    })
+}
