dispatch: runs that stand still are stopped and go on elsewhere; reports project the ends of runs

The reports' percent is the share of a task's work that is done. Tasks on workers that stood still waited until the worker recovered (srv_grey hang, 5 to 7 s). Calls that a lost leader got are answered as of unknown fate after 1.2 s without a leader.

--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -12,7 +12,8 @@
 const RESEND_AFTER: Duration = Duration::from_millis(700);
 /// Pause before a call that a former leader sent back is sent to it once more.
 const DENIED_PAUSE: Duration = Duration::from_millis(100);
-/// How long a call that no leader has seen waits for one.
+/// How long a call waits for a leader while none is known. A call that a lost leader got is then answered as of
+/// unknown fate, so that its caller repeats it.
 const LEADER_WAIT: Duration = Duration::from_millis(1_200);
 /// When a caller that found no leader may come back: an election takes up to 1.6 s.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -119,8 +120,8 @@
     /// Takes out the calls whose time is over, each with its reply.
     pub fn expired(&mut self, now: Duration, has_leader: bool) -> Vec<(R, call::Reply)> {
         let over = |pending: &Pending<R>| {
-            let unsent = pending.sent.is_none() && !has_leader && now >= pending.begun + LEADER_WAIT;
-            unsent || now >= pending.deadline
+            let stranded = !has_leader && now >= pending.begun + LEADER_WAIT;
+            stranded || now >= pending.deadline
         };
         let numbers: Vec<u64> = self
             .pending
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -78,6 +78,8 @@
                         decided: now,
                         lease_end: Duration::ZERO,
                         expected_end: now + INHERITED_RUN_TIME,
+                        run_time: spec.run_time,
+                        progress: None,
                         stop: machine::Stop::No,
                         checkpoint: None,
                     };
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -140,6 +140,27 @@
         }
     }
 
+    /// Stops one run.
+    pub(super) fn stop_run(
+        &mut self,
+        worker: cell::WorkerIndex,
+        task: order::Task,
+        run: order::Run,
+        now: Duration,
+    ) {
+        let machine = self.machines.get_mut(&worker);
+        let entry = machine.and_then(|machine| machine.runs.get_mut(&task));
+        let Some(entry) = entry.filter(|entry| entry.run == run && entry.stop == Stop::No) else {
+            return;
+        };
+        entry.stop = Stop::Asked(Some(now));
+        self.out.push(Output::Order {
+            worker,
+            order: order::Order::Stop { task, run },
+            decided: now,
+        });
+    }
+
     /// Sends stops that are due.
     pub(super) fn resend_stops(&mut self, now: Duration) {
         for (index, machine) in &mut self.machines {
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -6,12 +6,17 @@
 use bronzespoke_workload::{advice, order};
 
 use super::{Dispatch, Event, Now, Output};
-use crate::machine::{self, Phase, Stop};
+use crate::{
+    machine::{self, Phase, Stop},
+    progress,
+};
 
 /// Pause of a worker that fails what it starts; doubled with each further suspicion.
 const SUSPECT_PAUSE: Duration = Duration::from_secs(2);
 /// Longest pause of a suspected worker.
 const LONGEST_PAUSE: Duration = Duration::from_secs(16);
+/// Pause of a worker on which runs stand still; doubled with each further time.
+const STALL_PAUSE: Duration = Duration::from_secs(2);
 /// A report that waits for the record of ends is asked for after this at the latest, so that leases are renewed.
 const RECORD_WAIT: Duration = Duration::from_millis(300);
 
@@ -41,6 +46,7 @@
         }
         self.take_ends(state, now.steady, worker, report);
         self.compare_runs(now.steady, worker, sent, report);
+        self.stop_stalled(state, now.steady, worker);
         if let Some(machine) = self.machines.get_mut(&worker) {
             machine.ask_at = if machine.proposed_ends.is_empty() {
                 now.steady
@@ -183,6 +189,7 @@
                 if found.checkpoint.is_some() {
                     run.checkpoint.clone_from(&found.checkpoint);
                 }
+                observe(run, now, found.percent);
                 continue;
             }
             let over = match (run.phase, run.stop) {
@@ -220,6 +227,36 @@
         }
     }
 
+    /// Stops runs that stand still, so that they go on elsewhere.
+    fn stop_stalled(&mut self, state: &cell::State, now: Duration, worker: cell::WorkerIndex) {
+        let Some(machine) = self.machines.get_mut(&worker) else {
+            return;
+        };
+        let stalled: Vec<(order::Task, order::Run)> = machine
+            .runs
+            .iter()
+            .filter(|(_, run)| run.stop == Stop::No && is_stalled(run, now))
+            .filter(|(task, _)| may_stall(state, **task))
+            .map(|(task, run)| (*task, run.run))
+            .collect();
+        if stalled.is_empty() {
+            return;
+        }
+        let pause = STALL_PAUSE * 2_u32.saturating_pow(machine.suspicions.min(3));
+        machine.note_stall(now, pause.min(LONGEST_PAUSE));
+        let event = Event::WorkerUnusable {
+            worker: machine.life.name.clone(),
+            reason: "stalled",
+            runs: machine.runs.len(),
+            silent: None,
+        };
+        self.out.push(Output::Event(event));
+        for (task, run) in stalled {
+            self.failed_on.entry(task).or_default().push(worker);
+            self.stop_run(worker, task, run, now);
+        }
+    }
+
     /// Stops a run that should not be there, unless it has ended in the same report.
     fn stop_unknown(
         &mut self,
@@ -295,6 +332,29 @@
     }
 }
 
+fn observe(run: &mut machine::Run, now: Duration, percent: u8) {
+    match &mut run.progress {
+        Some(progress) => progress.observe(now, percent),
+        None => run.progress = Some(progress::Progress::new(now, percent)),
+    }
+    if let Some(end) = run.progress.and_then(|progress| progress.end()) {
+        run.expected_end = end;
+    }
+}
+
+fn is_stalled(run: &machine::Run, now: Duration) -> bool {
+    run.progress
+        .is_some_and(|progress| progress.is_stalled(now, run.run_time))
+}
+
+/// Whether the progress of a task says anything: that of a lasting task does not, and a gang may wait for a member.
+fn may_stall(state: &cell::State, task: order::Task) -> bool {
+    let step = state
+        .job(task.job)
+        .and_then(|job| job.submission.steps.get(usize::from(task.step)));
+    step.is_some_and(|step| !step.lasting && !step.gang)
+}
+
 pub(super) const fn step_of(task: order::Task) -> advice::Step {
     advice::Step {
         job: task.job,
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -416,6 +416,8 @@
                 decided: now,
                 lease_end: Duration::ZERO,
                 expected_end: now + subject.run_time,
+                run_time: subject.run_time,
+                progress: None,
                 stop: Stop::No,
                 checkpoint: None,
             },
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod machine;
 pub mod order;
 pub mod place;
+pub mod progress;
 pub mod reserve;
 pub mod usage;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -12,6 +12,8 @@
 use bronzespoke_model::resource;
 use bronzespoke_workload::{order, worker};
 
+use crate::progress;
+
 /// Largest difference between the rates of two steady clocks, as the platform states it.
 pub const CLOCK_DRIFT: f64 = 0.02;
 /// Failed starts and runs in a row after which a worker gets no work for a while. Two can be chance where 3% of the
@@ -52,6 +54,10 @@
     pub lease_end: Duration,
     /// When it is expected to end, in local time.
     pub expected_end: Duration,
+    /// Run time that was expected at its start.
+    pub run_time: Duration,
+    /// Progress that reports have shown.
+    pub progress: Option<progress::Progress>,
     /// Whether the run is to be stopped.
     pub stop: Stop,
     /// Newest stored progress that was seen.
@@ -205,6 +211,12 @@
         true
     }
 
+    /// Notes that a run stands still: the worker gets no work for a while.
+    pub fn note_stall(&mut self, now: Duration, pause: Duration) {
+        self.suspicions += 1;
+        self.suspect_until = self.suspect_until.max(now + pause);
+    }
+
     /// Notes a run that is done.
     pub fn note_success(&mut self) {
         self.failures = 0;
