--- a/crates/daemon/src/fleet/contact.rs
+++ b/crates/daemon/src/fleet/contact.rs
@@ -12,6 +12,8 @@
 
 /// Time between two announcements to a daemon that is reached.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
+/// The same while no leader is known.
+const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
 /// A daemon that was not heard for this long is not reached: two announcements in a row were lost.
 const SILENCE: Duration = Duration::from_millis(1_300);
 /// A connection without word for this long is made anew; it may be silent for good.
@@ -160,10 +162,14 @@
                 .is_none_or(|heard| now.saturating_sub(heard) < FORGET_AFTER);
             fresh || seeds.contains(address)
         });
+        let interval = match self.leader(now) {
+            Some(_) => HELLO_INTERVAL,
+            None => SEARCH_INTERVAL,
+        };
         let mut duty = Duty::default();
         for (address, peer) in &mut self.peers {
             let wanted = peer.durable || seeds.contains(address);
-            let due = peer.said_hello.is_none_or(|said| now >= said + HELLO_INTERVAL);
+            let due = peer.said_hello.is_none_or(|said| now >= said + interval);
             if !wanted || !due {
                 continue;
             }
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -314,7 +314,7 @@
         }
     }
 
-    fn welcome(&self, now: Duration, to: wire::Place) {
+    pub(super) fn welcome(&self, now: Duration, to: wire::Place) {
         let leader = self.own_leader(now);
         let mut known = self.contact.durable();
         known.push(self.me);
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -53,6 +53,10 @@
             );
             self.dispatch = Some(Dispatch::new(config, &self.state, now));
             self.helpers_at = now.steady;
+            let reached: Vec<_> = self.contact.reached(now.steady).map(|(place, _)| place).collect();
+            for place in reached {
+                self.welcome(now.steady, place);
+            }
         }
     }
 
