--- a/crates/daemon/src/fleet/client.rs
+++ b/crates/daemon/src/fleet/client.rs
@@ -16,11 +16,15 @@
 
 /// Longest wait for a connection: two ways between regions and a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Idle connections kept for each address; the platform prices new ones, and a worker takes 64.
-const MAX_IDLE: usize = 16;
+/// Idle connections kept for each address. One carries the report; a burst of starts needs more only for a moment, and each
+/// costs memory.
+const MAX_IDLE: usize = 8;
 /// Largest answer: 500 ends and the runs of one worker.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
+/// Bytes that a connection may buffer; longer answers are read in pieces.
+const BUFFER_BYTES: usize = 16 * 1024;
+
 type Sender = http1::SendRequest<Full<Bytes>>;
 
 /// Client with kept connections.
@@ -92,7 +96,11 @@
             }
         };
         stream.set_nodelay(true).ok()?;
-        let (sender, connection) = http1::handshake(TokioIo::new(stream)).await.ok()?;
+        let (sender, connection) = http1::Builder::new()
+            .max_buf_size(BUFFER_BYTES)
+            .handshake(TokioIo::new(stream))
+            .await
+            .ok()?;
         // A fault of the connection also reaches the call that uses it.
         tokio::spawn(async move { drop(connection.await) });
         Some(sender)
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -2,6 +2,7 @@
 
 use std::{
     collections::{HashMap, VecDeque},
+    sync::{Arc, Mutex, PoisonError},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
@@ -68,8 +69,14 @@
     pub ready: watch::Sender<bool>,
     /// Start of the process.
     pub origin: Instant,
+    /// Messages between members of the group, which go before all others.
+    pub urgent: Urgent,
 }
 
+/// Frames that go before all other messages: a heartbeat that waits behind calls costs the leader its lease, just when
+/// calls are many.
+pub type Urgent = Arc<Mutex<VecDeque<peer::wire::Frame>>>;
+
 /// The actor type; its state is the controller.
 #[derive(Debug)]
 pub struct Control;
@@ -97,6 +104,7 @@
     hello_at: Duration,
     reopen_at: Duration,
     origin: Instant,
+    urgent: Urgent,
     tick_at: Option<Duration>,
     actor: ActorRef<Message>,
 }
@@ -131,6 +139,7 @@
         {
             return Ok(());
         }
+        state.handle_urgent();
         state.handle(message);
         state.advance();
         state.schedule_tick();
@@ -146,6 +155,7 @@
             orders,
             ready,
             origin,
+            urgent,
         } = start;
         let contact = contact::Contact::new(settings.peer, &settings.seeds);
         let vm = match &settings.data {
@@ -177,6 +187,7 @@
             ready,
             reopen_at: Duration::ZERO,
             origin,
+            urgent,
             tick_at: None,
             actor,
         };
@@ -242,7 +253,15 @@
             Message::Disk(done) => self.persisted(&done),
             Message::Settings(settings) => self.reload(*settings),
             Message::Leave => self.leave(),
-            Message::Stop => {}
+            // Urgent frames were taken before, and a stop ends the actor.
+            Message::Urgent | Message::Stop => {}
+        }
+    }
+
+    fn handle_urgent(&mut self) {
+        let frames = std::mem::take(&mut *self.urgent.lock().unwrap_or_else(PoisonError::into_inner));
+        for frame in frames {
+            self.receive(frame);
         }
     }
 
@@ -644,11 +663,37 @@
                 self.respond(waiting.responder, call::Reply::Unknown);
             }
         }
+        let removed = |member: &member::Member| member.replica().role() == replica::Role::Removed;
+        if self.member.as_ref().is_some_and(removed) && now >= self.reopen_at {
+            self.reopen_at = now + REOPEN_PAUSE;
+            self.join_anew();
+        }
         if self.member.is_none() && self.settings.data.is_some() && now >= self.reopen_at {
             self.open_member();
         }
     }
 
+    /// Returns to the group under a new id after the group has removed this member.
+    fn join_anew(&mut self) {
+        let Some(folder) = self.settings.data.clone() else {
+            return;
+        };
+        self.member = None;
+        self.dispatch = None;
+        self.state = cell::State::default();
+        self.events.clear();
+        // The disk thread ends with the member; its lock goes with it.
+        let renewed = member::Member::discard(&folder).and_then(|()| identity::renew(&folder));
+        match renewed {
+            Ok(vm) => {
+                log::info!("event=join_anew former={} vm={vm}", self.me.vm);
+                self.me.vm = vm;
+                self.settings.found = false;
+            }
+            Err(error) => log::error!("belief=disk_failed reason=\"{error}\""),
+        }
+    }
+
     fn schedule_tick(&mut self) {
         let now = self.now();
         let mut wake = now + LONGEST_TICK;
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -94,6 +94,14 @@
         })
     }
 
+    /// Removes the durable state of a member that its group has removed for good.
+    pub fn discard(folder: &Path) -> std::io::Result<()> {
+        match std::fs::remove_dir_all(bronzespoke_storage::Store::folder(folder, GROUP)) {
+            Err(error) if error.kind() != std::io::ErrorKind::NotFound => Err(error),
+            _ => Ok(()),
+        }
+    }
+
     /// Proposes commands in as many entries as their size needs; returns the number of each entry's proposal and the
     /// count of its commands.
     pub fn propose(
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -31,6 +31,8 @@
 pub enum Message {
     /// The time of a planned tick has come; one that was planned earlier meanwhile makes it void.
     Tick(Duration),
+    /// Frames wait that go before all other messages.
+    Urgent,
     /// A frame from another daemon.
     Frame(peer::wire::Frame),
     /// A call from outside.
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -3,7 +3,7 @@
 use std::{
     fmt, fs, io,
     path::Path,
-    sync::Arc,
+    sync::{Arc, PoisonError},
     thread,
     time::{Duration, Instant, SystemTime},
 };
@@ -22,7 +22,7 @@
 use crate::{
     fleet::{
         Message,
-        controller::{Control, Start},
+        controller::{self, Control, Start},
         http, orders,
     },
     peer,
@@ -113,7 +113,9 @@
         ),
         ready: ready_sender,
         origin: Instant::now(),
+        urgent: controller::Urgent::default(),
     };
+    let urgent = Arc::clone(&start.urgent);
     let (started, begun) = tokio::sync::oneshot::channel();
     let thread = thread::Builder::new()
         .name(String::from("control"))
@@ -131,7 +133,15 @@
     let receiver = actor.clone();
     tokio::spawn(async move {
         while let Some(received) = frames.recv().await {
-            if receiver.send_message(Message::Frame(received.frame)).is_err() {
+            let message = match received.frame.body {
+                peer::wire::Body::Consensus(..) => {
+                    let mut waiting = urgent.lock().unwrap_or_else(PoisonError::into_inner);
+                    waiting.push_back(received.frame);
+                    Message::Urgent
+                }
+                _ => Message::Frame(received.frame),
+            };
+            if receiver.send_message(message).is_err() {
                 return;
             }
         }
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -30,7 +30,7 @@
 impl Store {
     /// Opens or creates the files of a group below a data folder and returns what they hold.
     pub fn open(folder: &Path, group: id::GroupId) -> Result<(Self, replica::Restored), Error> {
-        let folder = folder.join(group_name(group));
+        let folder = Self::folder(folder, group);
         fs::create_dir_all(&folder).map_err(|source| Error::of(&folder, source))?;
         let lock = lock(&folder)?;
         remove_temporary(&folder)?;
@@ -70,6 +70,11 @@
         Ok((store, restored))
     }
 
+    /// Folder of a group below a data folder.
+    pub fn folder(data: &Path, group: id::GroupId) -> PathBuf {
+        data.join(group_name(group))
+    }
+
     /// Stores the first members of a new group and returns the state that each first voter starts from.
     pub fn bootstrap(&mut self, members: membership::Membership) -> Result<replica::Restored, Error> {
         let restored = replica::Restored::bootstrap(members);
