--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -293,6 +293,7 @@
         submission: Box<job::Submission>,
         responder: Responder,
     ) {
+        let now = self.now();
         if self.state.job(key).is_some() {
             self.respond(responder, call::Reply::Done);
             return;
@@ -313,6 +314,9 @@
             submission.steps.len(),
             self.dispatch.as_ref().map_or(0, Dispatch::waiting_steps)
         );
+        if let Some(dispatch) = &mut self.dispatch {
+            dispatch.foresee(now, key, queue, &submission);
+        }
         let command = cell::Command::Submit {
             key,
             queue: Box::new(queue.clone()),
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -46,6 +46,14 @@
 /// Margin on the retention of finished jobs, for callers whose clock or call is late.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
+const fn first_occurrence(job: job::Key, step: u16) -> advice::Step {
+    advice::Step {
+        job,
+        occurrence: 0,
+        step,
+    }
+}
+
 /// What the shell has to do.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
@@ -104,6 +112,8 @@
     reservations: reserve::Reservations,
     /// Steps with tasks to place.
     waiting: HashMap<advice::Step, waiting::Waiting>,
+    /// Steps of submissions whose commit is under way, which are asked about already.
+    early: Vec<advice::Step>,
     /// Tasks whose start is proposed and not committed.
     proposed: HashSet<order::Task>,
     /// Workers on which a task has failed.
@@ -127,6 +137,7 @@
             desk: desk::Desk::default(),
             reservations: reserve::Reservations::default(),
             waiting: HashMap::new(),
+            early: Vec::new(),
             proposed: HashSet::new(),
             failed_on: HashMap::new(),
             dirty: true,
@@ -234,6 +245,11 @@
                     self.refresh_job(state, start.task.job);
                 }
             }
+            cell::Command::Submit { key, submission, .. } => {
+                for step in 0..submission.steps.len() {
+                    self.desk.forget(first_occurrence(*key, step as u16));
+                }
+            }
             // Ends that are not recorded are listed again; without the acknowledgement the worker repeats them.
             cell::Command::End(ends) => self.unlist(ends),
             _ => {}
@@ -247,6 +263,30 @@
         }
     }
 
+    /// Asks about the first steps of a submission while it is being committed.
+    pub fn foresee(
+        &mut self,
+        now: Duration,
+        key: job::Key,
+        queue: &catalog::Queue,
+        submission: &job::Submission,
+    ) {
+        let Some(cost) = queue.advice.filter(|_| submission.schedule.is_none()) else {
+            return;
+        };
+        for (index, spec) in submission.steps.iter().enumerate() {
+            if !spec.after.is_empty() {
+                continue;
+            }
+            let step = first_occurrence(key, index as u16);
+            let workers = self.askable(now, queue, spec);
+            if self.desk.want(now, step, &cost, workers) {
+                self.early.push(step);
+                self.dirty = true;
+            }
+        }
+    }
+
     fn forget_finished(&mut self, state: &cell::State, wall_ms: u64) {
         let keep_ms = (self.config.bounds.retention + RETENTION_MARGIN).as_millis() as u64;
         let old = |job: &&cell::Job| job.is_final() && job.placed == 0 && job.finished_ms + keep_ms < wall_ms;
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -73,7 +73,7 @@
             most: slots.len() / RESERVED_SHARE,
         };
         let mut starts = Vec::new();
-        let mut order = Vec::with_capacity(ranked.len());
+        let mut order = std::mem::take(&mut self.early);
         for (rank, id) in ranked {
             order.push(id);
             if starts.len() >= STARTS_AT_ONCE {
@@ -98,6 +98,33 @@
         }
     }
 
+    /// Workers that the first question about a step names, those with the most room first.
+    pub(super) fn askable(
+        &self,
+        now: Duration,
+        queue: &catalog::Queue,
+        spec: &job::Step,
+    ) -> Vec<(cell::WorkerIndex, String)> {
+        let size = fleet::counted_size(spec);
+        let fits = |machine: &machine::Machine| {
+            let label = spec.label.as_ref();
+            machine.worker.pool == queue.pool
+                && size.fits(&machine.worker.room)
+                && label.is_none_or(|label| machine.worker.labels.contains(label))
+        };
+        let mut workers: Vec<_> = self
+            .machines
+            .iter()
+            .filter(|(_, machine)| is_usable(machine, now) && fits(machine))
+            .map(|(index, machine)| (place::count(&machine.free(), &size), index, machine))
+            .collect();
+        workers.sort_by_key(|(count, _, _)| std::cmp::Reverse(*count));
+        let named = workers.into_iter().take(ASKED_WORKERS);
+        named
+            .map(|(_, index, machine)| (*index, machine.life.name.clone()))
+            .collect()
+    }
+
     /// Workers that may get new work.
     fn usable(&self, now: Duration) -> Vec<(cell::WorkerIndex, Arc<worker::Worker>, resource::Amount)> {
         let usable = self
