--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -202,7 +202,7 @@
     state.apply(1, configure(7, b"seven"));
     state.apply(2, configure(5, b"five"));
     state.apply(3, configure(7, b"other"));
-    assert_eq!(&state.document()[..], b"seven");
+    assert_eq!(state.document(), &Bytes::from_static(b"seven"));
     assert_eq!(state.catalog().map(|catalog| catalog.version), Some(7));
 }
 
