--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -78,6 +78,7 @@
                         decided: now,
                         lease_end: Duration::ZERO,
                         expected_end: now + INHERITED_RUN_TIME,
+                        gang: spec.gang,
                         run_time: spec.run_time,
                         progress: None,
                         stop: machine::Stop::No,
@@ -149,6 +150,7 @@
     /// Ends all runs of a life that is over, and removes it.
     pub(super) fn end_life(&mut self, index: cell::WorkerIndex, reason: &'static str) {
         self.lose_runs(index, reason);
+        self.slowness.forget_worker(index);
         if self.machines.remove(&index).is_some() {
             let command = cell::Command::Retire { worker: index };
             self.out.push(Output::Propose(command));
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -1,6 +1,9 @@
 //! Reports of workers: what runs there and what has ended.
 
-use std::{collections::HashMap, time::Duration};
+use std::{
+    collections::{BTreeMap, HashMap},
+    time::Duration,
+};
 
 use bronzespoke_control::cell;
 use bronzespoke_workload::{advice, order};
@@ -17,6 +20,10 @@
 const LONGEST_PAUSE: Duration = Duration::from_secs(16);
 /// Pause of a worker on which runs stand still; doubled with each further time.
 const STALL_PAUSE: Duration = Duration::from_secs(2);
+/// Factor by which a run has to end sooner elsewhere to be moved; projections are rough.
+const MOVE_GAIN: f64 = 1.3;
+/// Time that a move costs: the stop, a new question of eligibility and the start.
+const MOVE_COST: Duration = Duration::from_millis(800);
 /// A report that waits for the record of ends is asked for after this at the latest, so that leases are renewed.
 const RECORD_WAIT: Duration = Duration::from_millis(300);
 
@@ -47,6 +54,7 @@
         self.take_ends(state, now.steady, worker, report);
         self.compare_runs(now.steady, worker, sent, report);
         self.stop_stalled(state, now.steady, worker);
+        self.move_from_slow(state, now.steady, worker);
         if let Some(machine) = self.machines.get_mut(&worker) {
             machine.ask_at = if machine.proposed_ends.is_empty() {
                 now.steady
@@ -257,6 +265,51 @@
         }
     }
 
+    /// Judges a worker by the progress of its runs, and stops runs on a slow one that end sooner when they start again
+    /// elsewhere.
+    fn move_from_slow(&mut self, state: &cell::State, now: Duration, worker: cell::WorkerIndex) {
+        let Some(machine) = self.machines.get(&worker) else {
+            return;
+        };
+        let mut totals = BTreeMap::new();
+        for (task, run) in machine.runs.iter().filter(|(_, run)| !run.gang) {
+            if let Some(total) = run.progress.and_then(|progress| progress.total()) {
+                totals.insert(step_of(*task), total);
+            }
+        }
+        self.slowness.observe(now, worker, &totals);
+        let Some(factor) = self.slowness.factor(worker, now) else {
+            return;
+        };
+        let mut moved = Vec::new();
+        for (task, run) in machine.runs.iter().filter(|(_, run)| !run.gang) {
+            let step = state
+                .job(task.job)
+                .and_then(|job| job.submission.steps.get(usize::from(task.step)));
+            let (Some(step), Some(progress)) = (step, run.progress) else {
+                continue;
+            };
+            let stays = run.stop != Stop::No || step.lasting;
+            if !stays && is_sooner_elsewhere(&progress, factor, step.checkpoints, now) {
+                moved.push((*task, run.run));
+            }
+        }
+        if moved.is_empty() {
+            return;
+        }
+        let event = Event::WorkerUnusable {
+            worker: machine.life.name.clone(),
+            reason: "slow",
+            runs: machine.runs.len(),
+            silent: None,
+        };
+        self.out.push(Output::Event(event));
+        for (task, run) in moved {
+            self.failed_on.entry(task).or_default().push(worker);
+            self.stop_run(worker, task, run, now);
+        }
+    }
+
     /// Stops a run that should not be there, unless it has ended in the same report.
     fn stop_unknown(
         &mut self,
@@ -342,6 +395,21 @@
     }
 }
 
+/// Whether a run on a worker that is slow by a factor would end sooner if it were stopped and started again.
+fn is_sooner_elsewhere(progress: &progress::Progress, factor: f64, saves: bool, now: Duration) -> bool {
+    let (Some(end), Some(total)) = (progress.end(), progress.total()) else {
+        return false;
+    };
+    let here = end.saturating_sub(now);
+    let done = if saves {
+        f64::from(progress.percent()) / 100.0
+    } else {
+        0.0
+    };
+    let elsewhere = total.mul_f64((1.0 - done) / factor);
+    here > elsewhere.mul_f64(MOVE_GAIN) + MOVE_COST
+}
+
 fn is_stalled(run: &machine::Run, now: Duration) -> bool {
     run.progress
         .is_some_and(|progress| progress.is_stalled(now, run.run_time))
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -115,7 +115,10 @@
         let mut workers: Vec<_> = self
             .machines
             .iter()
-            .filter(|(_, machine)| is_usable(machine, now) && fits(machine))
+            .filter(|(index, machine)| {
+                let slow = self.slowness.factor(**index, now).is_some();
+                !slow && is_usable(machine, now) && fits(machine)
+            })
             .map(|(index, machine)| (place::count(&machine.free(), &size), index, machine))
             .collect();
         workers.sort_by_key(|(count, _, _)| std::cmp::Reverse(*count));
@@ -443,6 +446,7 @@
                 decided: now,
                 lease_end: Duration::ZERO,
                 expected_end: now + subject.run_time,
+                gang: subject.spec.gang,
                 run_time: subject.run_time,
                 progress: None,
                 stop: Stop::No,
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -45,6 +45,9 @@
                 }
                 let was_waiting = self.waiting.remove(&id).is_some();
                 self.reservations.drop_gang(id);
+                if entry.left == 0 || job.is_final() {
+                    self.slowness.forget(id);
+                }
                 if entry.left == 0 || (was_waiting && job.is_final()) {
                     self.desk.forget(id);
                 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,4 +14,5 @@
 pub mod place;
 pub mod progress;
 pub mod reserve;
+pub mod slowness;
 pub mod usage;
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -54,6 +54,8 @@
     pub lease_end: Duration,
     /// When it is expected to end, in local time.
     pub expected_end: Duration,
+    /// Whether it is a member of a gang, whose slowest member decides.
+    pub gang: bool,
     /// Run time that was expected at its start.
     pub run_time: Duration,
     /// Progress that reports have shown.
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -10,6 +10,7 @@
     order, place,
     progress::Progress,
     reserve,
+    slowness::Slowness,
 };
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
@@ -228,6 +229,7 @@
             decided: at(0),
             lease_end: at(0),
             expected_end: at(*end),
+            gang: false,
             run_time: at(*end),
             progress: None,
             stop: machine::Stop::No,
@@ -266,6 +268,25 @@
     assert!(!machine.note_failure(at(3_000), 4, at(2_000)));
 }
 
+/// A slow worker is told by tasks of several jobs that lag behind their siblings, and one odd task proves nothing.
+#[test]
+fn slow_workers_are_told_by_siblings() {
+    let mut slowness = Slowness::default();
+    let totals = |millis: &[u64]| {
+        let steps = millis.iter().enumerate();
+        steps
+            .map(|(job, millis)| (step(job as u64), at(*millis)))
+            .collect::<BTreeMap<_, _>>()
+    };
+    slowness.observe(at(0), 1, &totals(&[1_000, 3_000]));
+    slowness.observe(at(0), 2, &totals(&[5_000, 2_900]));
+    assert_eq!(slowness.factor(2, at(100)), None, "one job of two");
+    slowness.observe(at(500), 2, &totals(&[5_000, 16_000]));
+    assert!(slowness.factor(2, at(600)).is_some_and(|factor| factor > 4.0));
+    assert_eq!(slowness.factor(1, at(600)), None);
+    assert_eq!(slowness.factor(2, at(3_000)), None, "the verdict is old");
+}
+
 /// A lease counts as over only when the slowest clock that is allowed has passed its end.
 #[test]
 fn leases_end_on_the_slowest_clock() {
