--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -41,7 +41,7 @@
         image: None,
         response_target: None,
         fills: false,
-        may_miss: None,
+        allowed_absences: None,
     }
 }
 
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -2,12 +2,12 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    sync::{Arc, Mutex, PoisonError},
+    sync::{Arc, Mutex},
     time::{Duration, Instant, SystemTime, UNIX_EPOCH},
 };
 
-use bronzespoke_consensus::{log as entries, membership, replica};
-use bronzespoke_control::{cell, envelope};
+use bronzespoke_consensus::replica;
+use bronzespoke_control::cell;
 use bronzespoke_dispatch::dispatch::{self, Dispatch};
 use bronzespoke_model::{id, stamp};
 use bronzespoke_workload::{call, settings};
@@ -15,8 +15,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
-    disk,
-    fleet::{Message, calls, contact, member, orders, wire},
+    fleet::{Message, calls, contact, member, orders, replication, wire},
     identity, peer,
 };
 
@@ -25,11 +24,7 @@
 /// Shortest time between two ticks, which bounds the work of timers.
 const SHORTEST_TICK: Duration = Duration::from_millis(2);
 /// How long a command waits for others to share its log entry.
-const COMMAND_DELAY: Duration = Duration::from_millis(2);
-/// Time between two looks at which announcements are due.
-const HELLO_CHECK: Duration = Duration::from_millis(50);
-/// Pause before a replica whose disk failed is opened again.
-const REOPEN_PAUSE: Duration = Duration::from_secs(2);
+pub(super) const COMMAND_DELAY: Duration = Duration::from_millis(2);
 
 /// Who waits for the outcome of a command.
 #[derive(Debug)]
@@ -100,13 +95,13 @@
     pub(super) duties_at: Duration,
     pub(super) helpers_at: Duration,
     pub(super) leaving: bool,
-    ready: watch::Sender<bool>,
-    hello_at: Duration,
-    reopen_at: Duration,
-    origin: Instant,
-    urgent: Urgent,
-    tick_at: Option<Duration>,
-    actor: ActorRef<Message>,
+    pub(super) ready: watch::Sender<bool>,
+    pub(super) hello_at: Duration,
+    pub(super) reopen_at: Duration,
+    pub(super) origin: Instant,
+    pub(super) urgent: Urgent,
+    pub(super) tick_at: Option<Duration>,
+    pub(super) actor: ActorRef<Message>,
 }
 
 impl Actor for Control {
@@ -159,7 +154,7 @@
         } = start;
         let contact = contact::Contact::new(settings.peer, &settings.seeds);
         let vm = match &settings.data {
-            Some(folder) => identity::load_or(folder, founder(&settings))?,
+            Some(folder) => identity::load_or(folder, replication::founder(&settings))?,
             None => identity::load(None)?,
         };
         let me = wire::Place {
@@ -258,110 +253,6 @@
         }
     }
 
-    fn handle_urgent(&mut self) {
-        let frames = std::mem::take(&mut *self.urgent.lock().unwrap_or_else(PoisonError::into_inner));
-        for frame in frames {
-            self.receive(frame);
-        }
-    }
-
-    fn receive(&mut self, frame: peer::wire::Frame) {
-        if frame.to.is_some_and(|to| to != self.me.vm) {
-            return;
-        }
-        let now = self.now();
-        let from = wire::Place {
-            vm: frame.from,
-            peer: frame.from_peer,
-        };
-        match frame.body {
-            peer::wire::Body::Consensus(_, message) => {
-                self.contact.heard(now, from, None);
-                if let Some(member) = &mut self.member {
-                    let input = replica::Input::Receive {
-                        from: from.vm,
-                        message,
-                    };
-                    member.step(now, input, &mut self.events);
-                }
-            }
-            peer::wire::Body::Fleet(message) => self.receive_fleet(now, from, message),
-            // Frames of another kind of cell; a wrong seed can lead here.
-            _ => log::debug!("decision=drop_frame peer={} reason=kind", from.peer),
-        }
-    }
-
-    fn receive_fleet(&mut self, now: Duration, from: wire::Place, message: wire::Message) {
-        match message {
-            wire::Message::Hello { durable } => {
-                self.contact.heard(now, from, Some(durable));
-                if self.settings.data.is_some() {
-                    self.welcome(now, from);
-                }
-            }
-            wire::Message::Welcome { leader, known } => {
-                self.contact.heard(now, from, Some(true));
-                self.contact.learn(&known);
-                if let Some((term, place)) = leader {
-                    self.note_leader(now, term, place);
-                }
-            }
-            wire::Message::Ask { number, call } => {
-                self.contact.heard(now, from, None);
-                let responder = Responder::Remote { place: from, number };
-                self.serve(*call, responder);
-            }
-            wire::Message::Reply { number, reply } => {
-                self.contact.heard(now, from, None);
-                if reply == call::Reply::NotLeader {
-                    self.contact.deny_leader(from.vm);
-                }
-                if let Some((responder, reply)) = self.calls.reply(now, number, reply) {
-                    answer(responder, reply);
-                }
-            }
-            wire::Message::Question { number, question } => {
-                self.contact.heard(now, from, None);
-                self.orders.ask(from, number, question);
-            }
-            wire::Message::Eligibility { number, answer } => {
-                self.contact.heard(now, from, None);
-                if let Some(dispatch) = &mut self.dispatch {
-                    dispatch.advised(now, number, &answer);
-                }
-            }
-        }
-    }
-
-    pub(super) fn welcome(&self, now: Duration, to: wire::Place) {
-        let leader = self.own_leader(now);
-        let mut known = self.contact.durable();
-        known.push(self.me);
-        let message = wire::Message::Welcome { leader, known };
-        self.send(to, peer::wire::Body::Fleet(message));
-    }
-
-    /// Leader that this member's replica knows, and its term.
-    pub(super) fn own_leader(&self, now: Duration) -> Option<(u64, wire::Place)> {
-        let replica = self.member.as_ref()?.replica();
-        let leader = replica.leader()?;
-        let term = replica.term();
-        if leader == self.me.vm {
-            let leads = self.dispatch.is_some() && self.holds_lease(now);
-            return leads.then_some((term, self.me));
-        }
-        let peer = self.contact.address(leader)?;
-        Some((term, wire::Place { vm: leader, peer }))
-    }
-
-    fn note_leader(&mut self, now: Duration, term: u64, place: wire::Place) {
-        let before = self.contact.leader(now).map(|leader| leader.vm);
-        self.contact.note_leader(now, term, place);
-        if before != Some(place.vm) {
-            log::info!("belief=leader vm={} peer={} term={term}", place.vm, place.peer);
-        }
-    }
-
     pub(super) fn holds_lease(&self, now: Duration) -> bool {
         self.member.as_ref().is_some_and(|member| member.holds_lease(now))
     }
@@ -383,158 +274,6 @@
         self.publish_ready(now);
     }
 
-    fn say_hello(&mut self, now: Duration) {
-        if now < self.hello_at {
-            return;
-        }
-        self.hello_at = now + HELLO_CHECK;
-        let duty = self.contact.due(now);
-        for address in duty.reset {
-            self.network.reset(address);
-        }
-        let durable = self.settings.data.is_some();
-        for address in duty.hello {
-            let message = wire::Message::Hello { durable };
-            self.send_frame(address, None, peer::wire::Body::Fleet(message));
-        }
-    }
-
-    fn step_replica(&mut self, now: Duration) {
-        if let Some(member) = &mut self.member
-            && now >= member.replica().next_wake()
-        {
-            member.step(now, replica::Input::Tick, &mut self.events);
-        }
-    }
-
-    /// Adds a command to the next log entry.
-    pub(super) fn enqueue(&mut self, command: cell::Command, responder: Responder) {
-        let now = self.now();
-        self.batch_since.get_or_insert(now);
-        self.batch.push(Waiting { command, responder });
-    }
-
-    fn propose_batch(&mut self, now: Duration) {
-        let due = self.batch_since.is_some_and(|since| now >= since + COMMAND_DELAY);
-        let Some(member) = &mut self.member else { return };
-        if !due {
-            return;
-        }
-        self.batch_since = None;
-        let at_ms = wall_ms();
-        let mut waiting = std::mem::take(&mut self.batch).into_iter();
-        let commands: Vec<_> = waiting
-            .as_slice()
-            .iter()
-            .map(|waiting| envelope::Envelope::new(at_ms, waiting.command.clone()))
-            .collect();
-        for (proposal, count) in member.propose(now, &commands, &mut self.events) {
-            self.proposed
-                .insert(proposal, waiting.by_ref().take(count).collect());
-        }
-    }
-
-    fn persisted(&mut self, done: &disk::Done) {
-        let now = self.now();
-        if let Some(member) = &mut self.member {
-            member.persisted(now, done, &mut self.events);
-        }
-    }
-
-    fn take_events(&mut self) {
-        let mut applied: Option<(Vec<envelope::Envelope<cell::Command>>, Vec<cell::Outcome>)> = None;
-        while let Some(event) = self.events.pop_front() {
-            match event {
-                member::Event::Send(to, message) => self.send_consensus(to, message),
-                member::Event::Apply(entry) => applied = self.apply(entry),
-                member::Event::Committed { proposal, index } => {
-                    let waiting = self.proposed.remove(&proposal).unwrap_or_default();
-                    let outcomes = applied.take().map(|(_, outcomes)| outcomes).unwrap_or_default();
-                    log::debug!(
-                        "decision=commit proposal={proposal} index={index} commands={}",
-                        waiting.len()
-                    );
-                    self.committed(waiting, outcomes);
-                }
-                member::Event::Rejected { proposal, never } => {
-                    for waiting in self.proposed.remove(&proposal).unwrap_or_default() {
-                        self.rejected(waiting, never);
-                    }
-                }
-                member::Event::Install(snapshot) => match cell::State::decode(&snapshot.data) {
-                    Ok(state) => self.state = state,
-                    Err(error) => log::error!("belief=snapshot_unreadable reason=\"{error}\""),
-                },
-            }
-        }
-        let now = self.now();
-        if let Some(member) = &mut self.member
-            && member.wants_snapshot()
-        {
-            member.compact(now, &self.state, &mut self.events);
-        }
-    }
-
-    fn send_consensus(&self, to: id::VmId, message: bronzespoke_consensus::message::Message) {
-        let known = self.contact.address(to);
-        let Some(peer) = known.or_else(|| self.state.peers().get(&to).copied()) else {
-            return;
-        };
-        let body = peer::wire::Body::Consensus(member::GROUP, message);
-        self.send(wire::Place { vm: to, peer }, body);
-    }
-
-    fn apply(
-        &mut self,
-        entry: entries::Entry,
-    ) -> Option<(Vec<envelope::Envelope<cell::Command>>, Vec<cell::Outcome>)> {
-        let entries::Payload::Command(data) = entry.payload else {
-            return None;
-        };
-        let commands = match envelope::decode::<cell::Command>(&data) {
-            Ok(commands) => commands,
-            Err(error) => {
-                // Every replica decodes the same bytes, so all of them skip the same entry.
-                log::error!(
-                    "belief=entry_unreadable index={} reason=\"{error}\"",
-                    entry.position.index
-                );
-                return None;
-            }
-        };
-        let mut outcomes = Vec::with_capacity(commands.len());
-        for envelope in &commands {
-            outcomes.push(self.state.apply(envelope.at_ms, envelope.command.clone()));
-        }
-        Some((commands, outcomes))
-    }
-
-    fn committed(&mut self, waiting: Vec<Waiting>, outcomes: Vec<cell::Outcome>) {
-        let now = self.times();
-        for (waiting, outcome) in waiting.into_iter().zip(outcomes) {
-            if let Some(dispatch) = &mut self.dispatch {
-                dispatch.committed(&self.state, now, &waiting.command, &outcome);
-            }
-            let reply = match outcome {
-                cell::Outcome::NoJob => call::Reply::NoJob,
-                _ => call::Reply::Done,
-            };
-            self.respond(waiting.responder, reply);
-        }
-    }
-
-    fn rejected(&mut self, waiting: Waiting, never: bool) {
-        if never && let Some(dispatch) = &mut self.dispatch {
-            dispatch.refused(&self.state, &waiting.command);
-        }
-        let reply = if never {
-            call::Reply::NotLeader
-        } else {
-            call::Reply::Unknown
-        };
-        self.respond(waiting.responder, reply);
-    }
-
     /// Answers whoever waits.
     pub(super) fn respond(&mut self, responder: Responder, reply: call::Reply) {
         match responder {
@@ -605,95 +344,6 @@
         }
     }
 
-    fn open_member(&mut self) {
-        let Some(folder) = self.settings.data.clone() else {
-            return;
-        };
-        let founders = founders(&self.settings);
-        let found = (self.settings.found && founders.contains(&self.me.vm))
-            .then(|| membership::Membership::of_voters(founders));
-        let actor = self.actor.clone();
-        let notify: disk::Notify = Box::new(move |done| {
-            if actor.send_message(Message::Disk(done)).is_err() {
-                log::debug!("event=late_write");
-            }
-        });
-        let now = self.now();
-        match member::Member::open(self.me.vm, &folder, found, notify, now) {
-            Ok(member) => {
-                self.member = Some(member);
-                if self.settings.found {
-                    self.locate_founders();
-                }
-            }
-            Err(error) => {
-                log::error!("belief=disk_failed reason=\"{error}\"");
-                self.reopen_at = now + REOPEN_PAUSE;
-            }
-        }
-    }
-
-    /// Founders know each other's ids from their addresses.
-    fn locate_founders(&mut self) {
-        let places: Vec<_> = self
-            .settings
-            .seeds
-            .iter()
-            .map(|seed| wire::Place {
-                vm: founder_id(*seed),
-                peer: *seed,
-            })
-            .collect();
-        self.contact.learn(&places);
-    }
-
-    fn reopen(&mut self, now: Duration) {
-        if self.member.as_ref().is_some_and(member::Member::has_failed) {
-            self.member = None;
-            self.dispatch = None;
-            self.state = cell::State::default();
-            self.events.clear();
-            self.reopen_at = now + REOPEN_PAUSE;
-            for waiting in self
-                .proposed
-                .drain()
-                .flat_map(|(_, waiting)| waiting)
-                .collect::<Vec<_>>()
-            {
-                self.respond(waiting.responder, call::Reply::Unknown);
-            }
-        }
-        let removed = |member: &member::Member| member.replica().role() == replica::Role::Removed;
-        if self.member.as_ref().is_some_and(removed) && now >= self.reopen_at {
-            self.reopen_at = now + REOPEN_PAUSE;
-            self.join_anew();
-        }
-        if self.member.is_none() && self.settings.data.is_some() && now >= self.reopen_at {
-            self.open_member();
-        }
-    }
-
-    /// Returns to the group under a new id after the group has removed this member.
-    fn join_anew(&mut self) {
-        let Some(folder) = self.settings.data.clone() else {
-            return;
-        };
-        self.member = None;
-        self.dispatch = None;
-        self.state = cell::State::default();
-        self.events.clear();
-        // The disk thread ends with the member; its lock goes with it.
-        let renewed = member::Member::discard(&folder).and_then(|()| identity::renew(&folder));
-        match renewed {
-            Ok(vm) => {
-                log::info!("event=join_anew former={} vm={vm}", self.me.vm);
-                self.me.vm = vm;
-                self.settings.found = false;
-            }
-            Err(error) => log::error!("belief=disk_failed reason=\"{error}\""),
-        }
-    }
-
     fn schedule_tick(&mut self) {
         let now = self.now();
         let mut wake = now + LONGEST_TICK;
@@ -731,22 +381,3 @@
         .duration_since(UNIX_EPOCH)
         .map_or(0, |time| time.as_millis() as u64)
 }
-
-/// Ids of the founders, known to all of them before they have met. Drawn ids have 32 bits, so these are none of them.
-fn founders(settings: &settings::Settings) -> Vec<id::VmId> {
-    settings.seeds.iter().map(|seed| founder_id(*seed)).collect()
-}
-
-fn founder(settings: &settings::Settings) -> Option<id::VmId> {
-    let me = founder_id(settings.peer);
-    (settings.found && founders(settings).contains(&me)).then_some(me)
-}
-
-fn founder_id(address: std::net::SocketAddr) -> id::VmId {
-    const FOUNDER: id::VmId = 1 << 48;
-    let address = match address.ip() {
-        std::net::IpAddr::V4(ip) => u64::from(u32::from(ip)),
-        std::net::IpAddr::V6(ip) => u128::from(ip) as u64 & 0xffff_ffff,
-    };
-    FOUNDER | address
-}
--- /dev/null
+++ b/crates/daemon/src/fleet/frames.rs
@@ -0,0 +1,139 @@
+//! Frames from and to other daemons: announcements, the leader that they name, calls and answers.
+
+use std::{sync::PoisonError, time::Duration};
+
+use bronzespoke_consensus::replica;
+use bronzespoke_workload::call;
+
+use crate::{
+    fleet::{
+        controller::{Controller, Responder, answer},
+        wire,
+    },
+    peer,
+};
+
+/// Time between two looks at which announcements are due.
+const HELLO_CHECK: Duration = Duration::from_millis(50);
+
+impl Controller {
+    pub(super) fn handle_urgent(&mut self) {
+        let frames = std::mem::take(&mut *self.urgent.lock().unwrap_or_else(PoisonError::into_inner));
+        for frame in frames {
+            self.receive(frame);
+        }
+    }
+
+    pub(super) fn receive(&mut self, frame: peer::wire::Frame) {
+        if frame.to.is_some_and(|to| to != self.me.vm) {
+            return;
+        }
+        let now = self.now();
+        let from = wire::Place {
+            vm: frame.from,
+            peer: frame.from_peer,
+        };
+        match frame.body {
+            peer::wire::Body::Consensus(_, message) => {
+                self.contact.heard(now, from, None);
+                if let Some(member) = &mut self.member {
+                    let input = replica::Input::Receive {
+                        from: from.vm,
+                        message,
+                    };
+                    member.step(now, input, &mut self.events);
+                }
+            }
+            peer::wire::Body::Fleet(message) => self.receive_fleet(now, from, message),
+            // Frames of another kind of cell; a wrong seed can lead here.
+            _ => log::debug!("decision=drop_frame peer={} reason=kind", from.peer),
+        }
+    }
+
+    pub(super) fn receive_fleet(&mut self, now: Duration, from: wire::Place, message: wire::Message) {
+        match message {
+            wire::Message::Hello { durable } => {
+                self.contact.heard(now, from, Some(durable));
+                if self.settings.data.is_some() {
+                    self.welcome(now, from);
+                }
+            }
+            wire::Message::Welcome { leader, known } => {
+                self.contact.heard(now, from, Some(true));
+                self.contact.learn(&known);
+                if let Some((term, place)) = leader {
+                    self.note_leader(now, term, place);
+                }
+            }
+            wire::Message::Ask { number, call } => {
+                self.contact.heard(now, from, None);
+                let responder = Responder::Remote { place: from, number };
+                self.serve(*call, responder);
+            }
+            wire::Message::Reply { number, reply } => {
+                self.contact.heard(now, from, None);
+                if reply == call::Reply::NotLeader {
+                    self.contact.deny_leader(from.vm);
+                }
+                if let Some((responder, reply)) = self.calls.reply(now, number, reply) {
+                    answer(responder, reply);
+                }
+            }
+            wire::Message::Question { number, question } => {
+                self.contact.heard(now, from, None);
+                self.orders.ask(from, number, question);
+            }
+            wire::Message::Eligibility { number, answer } => {
+                self.contact.heard(now, from, None);
+                if let Some(dispatch) = &mut self.dispatch {
+                    dispatch.advised(now, number, &answer);
+                }
+            }
+        }
+    }
+
+    pub(super) fn welcome(&self, now: Duration, to: wire::Place) {
+        let leader = self.own_leader(now);
+        let mut known = self.contact.durable();
+        known.push(self.me);
+        let message = wire::Message::Welcome { leader, known };
+        self.send(to, peer::wire::Body::Fleet(message));
+    }
+
+    /// Leader that this member's replica knows, and its term.
+    pub(super) fn own_leader(&self, now: Duration) -> Option<(u64, wire::Place)> {
+        let replica = self.member.as_ref()?.replica();
+        let leader = replica.leader()?;
+        let term = replica.term();
+        if leader == self.me.vm {
+            let leads = self.dispatch.is_some() && self.holds_lease(now);
+            return leads.then_some((term, self.me));
+        }
+        let peer = self.contact.address(leader)?;
+        Some((term, wire::Place { vm: leader, peer }))
+    }
+
+    pub(super) fn note_leader(&mut self, now: Duration, term: u64, place: wire::Place) {
+        let before = self.contact.leader(now).map(|leader| leader.vm);
+        self.contact.note_leader(now, term, place);
+        if before != Some(place.vm) {
+            log::info!("belief=leader vm={} peer={} term={term}", place.vm, place.peer);
+        }
+    }
+
+    pub(super) fn say_hello(&mut self, now: Duration) {
+        if now < self.hello_at {
+            return;
+        }
+        self.hello_at = now + HELLO_CHECK;
+        let duty = self.contact.due(now);
+        for address in duty.reset {
+            self.network.reset(address);
+        }
+        let durable = self.settings.data.is_some();
+        for address in duty.hello {
+            let message = wire::Message::Hello { durable };
+            self.send_frame(address, None, peer::wire::Body::Fleet(message));
+        }
+    }
+}
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -8,11 +8,13 @@
 pub mod client;
 pub mod contact;
 mod controller;
+mod frames;
 mod http;
 mod leading;
 mod member;
 mod membership;
 mod orders;
+mod replication;
 mod start;
 pub mod wire;
 
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -44,46 +44,32 @@
     }
 
     fn send_start(&mut self, state: &cell::State, now: Duration, start: &cell::Start) {
+        if self.prepare_start(now, start) {
+            self.push_start(state, now, start.worker, start.task);
+            return;
+        }
+        self.drop_run(start.worker, start.task, start.run);
+        let outcome = order::Outcome::NeverStarted;
+        self.propose_end(start.worker, start.task, start.run, outcome, None);
+    }
+
+    /// Gives a recorded start its lease; `false` if it must not be sent any more.
+    fn prepare_start(&mut self, now: Duration, start: &cell::Start) -> bool {
+        let lease = START_LEASE.min(self.config.lease());
         let Some(machine) = self.machines.get_mut(&start.worker) else {
             // Its life ended meanwhile.
-            self.propose_end(
-                start.worker,
-                start.task,
-                start.run,
-                order::Outcome::NeverStarted,
-                None,
-            );
-            return;
+            return false;
         };
-        let clock = machine.clock(now);
-        let unusable = machine.draining || clock.is_none();
-        let Some(run) = machine.runs.get_mut(&start.task) else {
-            self.propose_end(
-                start.worker,
-                start.task,
-                start.run,
-                order::Outcome::NeverStarted,
-                None,
-            );
-            return;
+        let clock = machine.clock(now).filter(|_| !machine.draining);
+        let run = machine.runs.get_mut(&start.task);
+        let (Some(clock), Some(run)) = (clock, run.filter(|run| run.stop == Stop::No)) else {
+            return false;
         };
-        let stopped = run.stop != Stop::No;
-        if unusable || stopped {
-            self.drop_run(start.worker, start.task, start.run);
-            self.propose_end(
-                start.worker,
-                start.task,
-                start.run,
-                order::Outcome::NeverStarted,
-                None,
-            );
-            return;
-        }
-        run.lease_end = clock.unwrap_or_default() + START_LEASE.min(self.config.lease());
+        run.lease_end = clock + lease;
         run.phase = Phase::Sent;
         run.since = now;
         machine.lease_end = machine.lease_end.max(run.lease_end);
-        self.push_start(state, now, start.worker, start.task);
+        true
     }
 
     fn push_start(
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -111,7 +111,7 @@
         image: None,
         response_target: None,
         fills: false,
-        may_miss: None,
+        allowed_absences: None,
     }
 }
 
--- /dev/null
+++ b/crates/standin/src/fleet/simulation/check.rs
@@ -0,0 +1,148 @@
+//! Promises, checked from what the workers see.
+
+use std::time::Duration;
+
+use bronzespoke_dispatch::dispatch;
+use bronzespoke_workload::{job, order};
+
+use super::{Simulation, failure_key};
+
+impl Simulation {
+    pub(super) fn trace(&mut self, event: &dispatch::Event) {
+        let Some(key) = self.plan.trace else { return };
+        let text = event.to_string();
+        if text.contains(&format!("{key:016x}")) || text.starts_with("belief") {
+            self.report.trace.push(format!("{:?} {text}", self.now));
+        }
+    }
+
+    pub(super) fn break_promise(&mut self, what: &str) {
+        self.report.broken.push(format!("{:?}: {what}", self.now));
+    }
+
+    pub(super) fn check_start(&mut self, index: usize, task: order::Task, run: order::Run) {
+        let mut elsewhere = Vec::new();
+        for (other, place) in self.places.iter().enumerate() {
+            let Some(worker) = &place.worker else { continue };
+            let twice = worker
+                .runs
+                .get(&task)
+                .is_some_and(|active| active.run != run || other != index);
+            if twice {
+                elsewhere.push(worker.name.clone());
+            }
+        }
+        for name in elsewhere {
+            self.break_promise(&format!("{task} run {run} starts while it runs on {name}"));
+        }
+        if self.noted.contains(&task) {
+            self.break_promise(&format!("{task} run {run} starts after its end was noted"));
+        }
+        let Some(job) = self.jobs.get(&task.job) else {
+            self.break_promise(&format!("{task} was never submitted"));
+            return;
+        };
+        let spec = &job.submission.steps[usize::from(task.step)];
+        for before in spec.after.clone() {
+            let tasks = job.submission.steps[usize::from(before)].tasks;
+            let open = (0..tasks).find(|index| {
+                let other = order::Task {
+                    step: before,
+                    index: *index,
+                    ..task
+                };
+                !self.done.contains(&other)
+            });
+            if let Some(open) = open {
+                self.break_promise(&format!(
+                    "{task} starts before task {open} of step {before} is done"
+                ));
+                return;
+            }
+        }
+        let key = failure_key(task, spec.gang);
+        self.begun.entry(key).or_default().push(self.now);
+        self.check_attempts(key);
+        let limit_ms = Duration::from_secs(3);
+        let cancelled = self.cancelled.get(&task.job).copied();
+        if cancelled.is_some_and(|at| self.now > at + limit_ms) && self.plan.faults.late_orders == 0.0 {
+            self.break_promise(&format!("{task} starts after its job was cancelled"));
+        }
+        self.check_limit(task);
+    }
+
+    /// Checks that no run of a task began after its last attempt had failed.
+    pub(super) fn check_attempts(&mut self, key: order::Task) {
+        let Some(job) = self.jobs.get(&key.job) else {
+            return;
+        };
+        let attempts = self.plan.kinds[job.kind].queue.attempts as usize;
+        let (Some(failures), Some(begun)) = (self.failures.get(&key), self.begun.get(&key)) else {
+            return;
+        };
+        let late = begun
+            .iter()
+            .any(|begun| failures.values().filter(|ended| *ended < begun).count() >= attempts);
+        if late {
+            self.break_promise(&format!("{key} starts after {attempts} failures"));
+        }
+    }
+
+    pub(super) fn note_ends(&mut self, noted: Vec<(order::Ended, Duration)>) {
+        for (ended, at) in noted {
+            match ended.outcome {
+                order::Outcome::Done => {
+                    self.noted.insert(ended.task);
+                }
+                order::Outcome::Failed => {
+                    let key = failure_key(ended.task, self.is_gang(ended.task));
+                    self.failures.entry(key).or_default().insert(ended.run, at);
+                    self.check_attempts(key);
+                }
+                _ => {}
+            }
+        }
+    }
+
+    pub(super) fn check_limit(&mut self, task: order::Task) {
+        let team = self.jobs[&task.job].team.clone();
+        let limit = self.plan.teams.iter().find(|(name, _)| *name == team);
+        let Some((_, limit)) = limit.cloned() else { return };
+        let mut used = 0_u64;
+        for worker in self.places.iter().filter_map(|place| place.worker.as_ref()) {
+            for (other, active) in &worker.runs {
+                if self.jobs.get(&other.job).is_some_and(|job| job.team == team) {
+                    used += u64::from(active.size.cpu_milli);
+                }
+            }
+        }
+        if limit.cpu_milli > 0 && used > u64::from(limit.cpu_milli) * 11 / 10 {
+            self.break_promise(&format!("{team} runs {used} thousandths of a core"));
+        }
+    }
+
+    /// Notes the final state of a job the first time.
+    pub(super) fn note_job(&mut self, key: job::Key) {
+        let Some(job) = self.state.job(key) else { return };
+        if !job.is_final() || !self.finished.insert(key) {
+            return;
+        }
+        let phase = job.phase;
+        if self.cancelled.contains_key(&key) {
+            return;
+        }
+        let load = &self.jobs[&key];
+        let tally = &mut self.report.kinds[load.kind];
+        let queue = &self.plan.kinds[load.kind].queue;
+        let took = self.now.saturating_sub(self.submitted[&key]);
+        let objective = load.chain.mul_f64(queue.stretch) + queue.objective;
+        tally.times.push(took.as_millis() as u64);
+        if phase == job::Phase::Failed && !load.hopeless {
+            tally.failed += 1;
+        } else if took <= objective {
+            tally.in_time += 1;
+        } else if took <= objective * 3 {
+            tally.late += 1;
+        }
+    }
+}
--- /dev/null
+++ b/crates/standin/src/fleet/simulation/work.rs
@@ -0,0 +1,170 @@
+//! Work on the workers: runs that begin, gangs that come together, and ends.
+
+use std::time::Duration;
+
+use bronzespoke_workload::order;
+
+use super::{Event, Simulation, same_step};
+use crate::fleet::{load, worker};
+
+impl Simulation {
+    /// Checks a start and lets it run.
+    pub(super) fn begin(&mut self, index: usize, task: order::Task, run: order::Run) {
+        self.report.starts += 1;
+        self.check_start(index, task, run);
+        let job = &self.jobs[&task.job];
+        let spec = &job.submission.steps[usize::from(task.step)];
+        let (size, gang, hopeless) = (spec.size, spec.gang, job.hopeless);
+        let run_time = load::run_time(job, task);
+        let now = self.now;
+        let Some(worker) = &mut self.places[index].worker else {
+            return;
+        };
+        let took = run_time.mul_f64(worker.slowness);
+        let fails = worker.failing || hopeless;
+        let active = worker::Active {
+            run,
+            size,
+            started: now,
+            done_at: (!gang).then_some(now + if fails { took / 4 } else { took }),
+            stopped_at: None,
+            alone: gang,
+            fails,
+        };
+        worker.runs.insert(task, active);
+        let (room, used) = (worker.room, worker.used());
+        let name = worker.name.clone();
+        if !used.fits(&room) {
+            self.break_promise(&format!("{name} runs {used:?} in {room:?}"));
+        }
+        if gang {
+            self.complete_gang(task, run);
+        }
+    }
+
+    pub(super) fn is_gang(&self, task: order::Task) -> bool {
+        let job = self.jobs.get(&task.job);
+        job.is_some_and(|job| job.submission.steps[usize::from(task.step)].gang)
+    }
+
+    pub(super) fn waste(&mut self, active: &worker::Active) {
+        let took = self.now.saturating_sub(active.started);
+        self.report.wasted += took.as_millis() as u64 * u64::from(active.size.cpu_milli) / 1_000;
+    }
+
+    /// Lets a gang work when all of its members are there.
+    pub(super) fn complete_gang(&mut self, task: order::Task, run: order::Run) {
+        let job = &self.jobs[&task.job];
+        let tasks = job.submission.steps[usize::from(task.step)].tasks;
+        let longest = (0..tasks)
+            .map(|index| load::run_time(job, order::Task { index, ..task }))
+            .max()
+            .unwrap_or_default();
+        let mut present = 0;
+        let mut slowest = 1.0_f64;
+        for worker in self.places.iter().filter_map(|place| place.worker.as_ref()) {
+            let members = worker.runs.iter().filter(|(other, active)| {
+                same_step(**other, task) && active.run == run && active.stopped_at.is_none()
+            });
+            let count = members.count() as u32;
+            present += count;
+            if count > 0 {
+                slowest = slowest.max(worker.slowness);
+            }
+        }
+        if present < tasks {
+            return;
+        }
+        let done_at = self.now + longest.mul_f64(slowest);
+        for worker in self.places.iter_mut().filter_map(|place| place.worker.as_mut()) {
+            for (other, active) in &mut worker.runs {
+                if same_step(*other, task) && active.run == run {
+                    active.alone = false;
+                    active.done_at = Some(done_at);
+                }
+            }
+        }
+    }
+
+    /// Ends what is due on a worker.
+    pub(super) fn work_ends(&mut self, index: usize) {
+        let now = self.now;
+        let due = match &mut self.places[index].worker {
+            Some(worker) => worker.due(now),
+            None => return,
+        };
+        for (task, run, outcome) in due {
+            self.end(index, task, run, outcome);
+        }
+        self.release_reports(index);
+    }
+
+    /// Answers the reports that wait for an end at a worker.
+    pub(super) fn release_reports(&mut self, index: usize) {
+        let now = self.now;
+        let place = &mut self.places[index];
+        let Some(worker) = &place.worker else { return };
+        let has_ends = worker.has_ends();
+        let report = order::Answer::Report(worker.report(worker.clock(now)));
+        let sent = &self.sent;
+        let due = |number: &u64| {
+            let wait = Duration::from_secs(1);
+            has_ends || sent.get(number).is_none_or(|sent| now >= sent.decided + wait)
+        };
+        let (due, waiting): (Vec<u64>, Vec<u64>) = place.waiting.drain(..).partition(due);
+        place.waiting = waiting;
+        if place.cut {
+            return;
+        }
+        for number in due {
+            let latency = self.latency();
+            self.at(latency, Event::Answer(number, Some(report.clone())));
+        }
+    }
+
+    pub(super) fn end(&mut self, index: usize, task: order::Task, run: order::Run, outcome: order::Outcome) {
+        let now = self.now;
+        let Some(worker) = &mut self.places[index].worker else {
+            return;
+        };
+        let Some(active) = worker.runs.get(&task).cloned() else {
+            return;
+        };
+        worker.end(now, task, outcome);
+        let gang = self.jobs[&task.job].submission.steps[usize::from(task.step)].gang;
+        match outcome {
+            // The end of one member stands for the whole gang.
+            order::Outcome::Done if gang => {
+                let tasks = self.jobs[&task.job].submission.steps[usize::from(task.step)].tasks;
+                let members = (0..tasks).map(|index| order::Task { index, ..task });
+                self.done.extend(members);
+            }
+            order::Outcome::Done => {
+                self.done.insert(task);
+            }
+            _ => self.waste(&active),
+        }
+        if gang && outcome != order::Outcome::Done {
+            self.break_gang(task, run);
+        }
+    }
+
+    pub(super) fn break_gang(&mut self, task: order::Task, run: order::Run) {
+        let now = self.now;
+        let mut broken = Vec::new();
+        for (index, place) in self.places.iter().enumerate() {
+            let Some(worker) = &place.worker else { continue };
+            for (other, active) in &worker.runs {
+                if same_step(*other, task) && active.run == run && !active.alone {
+                    broken.push((index, *other, active.clone()));
+                }
+            }
+        }
+        for (index, other, active) in broken {
+            if let Some(worker) = &mut self.places[index].worker {
+                worker.end(now, other, order::Outcome::Broken);
+            }
+            self.waste(&active);
+        }
+    }
+}
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -76,7 +76,7 @@
     /// Whether the tasks use only processors that others leave idle.
     pub fills: bool,
     /// Tasks of a lasting step that the scheduler may keep away at the same time.
-    pub may_miss: Option<u32>,
+    pub allowed_absences: Option<u32>,
 }
 
 /// State that a caller is shown.
