dispatch: one look-up of a task's step; a method that nothing calls is removed

State::spec serves the six places that spelled it out. Candidate::capacity lost its last caller when reservations began to count openings.

--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -173,6 +173,12 @@
         step.tasks.get(task.index as usize)
     }
 
+    /// Returns what a task's step was submitted as.
+    pub fn spec(&self, task: order::Task) -> Option<&job::Step> {
+        let steps = &self.jobs.get(&task.job)?.submission.steps;
+        steps.get(usize::from(task.step))
+    }
+
     /// Returns the progress of a step.
     pub fn step(&self, job: job::Key, occurrence: u32, step: u16) -> Option<&Step> {
         let occurrence = self.jobs.get(&job)?.occurrences.get(occurrence as usize)?;
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -129,10 +129,7 @@
             }
             _ => {}
         }
-        let gang = state
-            .job(end.task.job)
-            .and_then(|job| job.submission.steps.get(usize::from(end.task.step)))
-            .is_some_and(|step| step.gang);
+        let gang = state.spec(end.task).is_some_and(|step| step.gang);
         if gang && end.outcome != order::Outcome::Done {
             self.stop_step(step_of(end.task), end.run, now);
         }
@@ -286,9 +283,7 @@
         };
         let mut moved = Vec::new();
         for (task, run) in machine.runs.iter().filter(|(_, run)| !run.gang) {
-            let step = state
-                .job(task.job)
-                .and_then(|job| job.submission.steps.get(usize::from(task.step)));
+            let step = state.spec(*task);
             let (Some(step), Some(progress)) = (step, run.progress) else {
                 continue;
             };
@@ -355,9 +350,7 @@
         let Some((worker, run)) = placed.filter(|(_, run)| *run > end.run) else {
             return;
         };
-        let step = state
-            .job(end.task.job)
-            .and_then(|job| job.submission.steps.get(usize::from(end.task.step)));
+        let step = state.spec(end.task);
         if step.is_some_and(|step| step.gang) {
             self.stop_step(step_of(end.task), run, now);
         } else {
@@ -367,9 +360,7 @@
 
     /// Stops the other members of a gang that lost one.
     fn abandon_gang(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
-        let step = state
-            .job(end.task.job)
-            .and_then(|job| job.submission.steps.get(usize::from(end.task.step)));
+        let step = state.spec(end.task);
         if step.is_some_and(|step| step.gang) {
             self.stop_step(step_of(end.task), end.run, now);
         }
@@ -387,9 +378,7 @@
 
 /// What a task takes from its worker; nothing is known of a task whose job was forgotten.
 fn size_of(state: &cell::State, task: order::Task) -> Option<resource::Amount> {
-    let job = state.job(task.job)?;
-    let step = job.submission.steps.get(usize::from(task.step))?;
-    Some(super::fleet::counted_size(step))
+    state.spec(task).map(super::fleet::counted_size)
 }
 
 fn observe(run: &mut machine::Run, now: Duration, percent: u8) {
@@ -424,9 +413,7 @@
 
 /// Whether the progress of a task says anything: that of a lasting task does not, and a gang may wait for a member.
 fn may_stall(state: &cell::State, task: order::Task) -> bool {
-    let step = state
-        .job(task.job)
-        .and_then(|job| job.submission.steps.get(usize::from(task.step)));
+    let step = state.spec(task);
     step.is_some_and(|step| !step.lasting && !step.gang)
 }
 
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -37,11 +37,6 @@
         count(&self.free, size).min(self.slots)
     }
 
-    /// Tasks of a size that fit when the worker is empty.
-    pub fn capacity(&self, size: &resource::Amount) -> u32 {
-        count(&self.room, size).min(self.slots)
-    }
-
     fn take(&mut self, size: &resource::Amount) {
         self.free = self.free.saturating_sub(size);
         if self.slots != u32::MAX {
