Fleet: the daemon in a worker's zone carries the leader's calls

Change: on fleets of more than 96 workers orders go in shared frames to the daemon with a disk in the worker's availability zone, which calls the worker and returns the answers in shared frames. Decisions, tokens and records stay with the leader; orders of a carrier that is silent for 0.7 s are given up at once and the leader calls by itself. Tests without the bench: fleet_decisions.rs.

--- a/crates/daemon/src/fleet/contact.rs
+++ b/crates/daemon/src/fleet/contact.rs
@@ -16,6 +16,9 @@
 const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
 /// A daemon that was not heard for this long is not reached: two announcements in a row were lost.
 const SILENCE: Duration = Duration::from_millis(1_300);
+/// A daemon with a disk that was not heard for this long carries no orders; members of the group are heard several times in
+/// this time, and each order that goes to a lost daemon delays its task.
+const CARRIER_SILENCE: Duration = Duration::from_millis(700);
 /// A connection without word for this long is made anew; it may be silent for good.
 const RECONNECT_AFTER: Duration = Duration::from_millis(1_600);
 /// A leader that has not said so for this long is not believed to lead any more.
@@ -27,6 +30,7 @@
 struct Peer {
     vm: Option<id::VmId>,
     durable: bool,
+    zone: Option<String>,
     heard: Option<Duration>,
     said_hello: Option<Duration>,
     reset: Duration,
@@ -84,6 +88,31 @@
         }
     }
 
+    /// Notes the availability zone that a daemon announced.
+    pub fn note_zone(&mut self, place: Place, zone: String) {
+        if let Some(peer) = self.peers.get_mut(&place.peer) {
+            peer.zone = Some(zone);
+        }
+    }
+
+    /// Daemons with a disk that were heard just now, and the availability zone of each.
+    pub fn carriers(&self, now: Duration) -> Vec<(Place, String)> {
+        let fresh = |peer: &&Peer| {
+            let heard = peer.heard;
+            peer.durable && heard.is_some_and(|heard| now.saturating_sub(heard) <= CARRIER_SILENCE)
+        };
+        let peers = self.peers.iter().filter(|(_, peer)| fresh(peer));
+        peers
+            .filter_map(|(address, peer)| {
+                let place = Place {
+                    vm: peer.vm?,
+                    peer: *address,
+                };
+                Some((place, peer.zone.clone()?))
+            })
+            .collect()
+    }
+
     /// Learns addresses of daemons with a disk.
     pub fn learn(&mut self, places: &[Place]) {
         for place in places.iter().filter(|place| place.peer != self.me) {
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
-    fleet::{Message, calls, contact, member, orders, replication, wire},
+    fleet::{Message, calls, contact, member, orders, relay, replication, wire},
     identity, peer,
 };
 
@@ -88,6 +88,8 @@
     pub(super) member: Option<member::Member>,
     pub(super) state: cell::State,
     pub(super) dispatch: Option<Dispatch>,
+    pub(super) relays: relay::Relays,
+    pub(super) carried: relay::Carried,
     pub(super) batch: Vec<Waiting>,
     pub(super) batch_since: Option<Duration>,
     pub(super) proposed: HashMap<u64, Vec<Waiting>>,
@@ -171,6 +173,8 @@
             member: None,
             state: cell::State::default(),
             dispatch: None,
+            relays: relay::Relays::default(),
+            carried: relay::Carried::default(),
             batch: Vec::new(),
             batch_since: None,
             proposed: HashMap::new(),
@@ -234,12 +238,10 @@
                 responder,
             } => self.call(call, patience, responder),
             Message::Ordered {
-                token,
-                worker,
+                origin,
                 order,
-                sent,
                 answer,
-            } => self.ordered(token, worker, &order, sent, answer.as_ref()),
+            } => self.ordered(origin, &order, answer),
             Message::Advised {
                 asker,
                 number,
@@ -268,6 +270,7 @@
         self.lead();
         self.propose_batch(now);
         self.take_events();
+        self.return_answers(now);
         self.pass_calls(now);
         self.look_after_members(now);
         self.reopen(now);
@@ -356,6 +359,9 @@
         if let Some(dispatch) = &self.dispatch {
             wake = wake.min(dispatch.next_wake());
         }
+        if let Some(due) = self.carried.due() {
+            wake = wake.min(due);
+        }
         let wake = wake.max(now + SHORTEST_TICK);
         if self.tick_at.is_none_or(|planned| wake + SHORTEST_TICK < planned) {
             self.tick_at = Some(wake);
--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -52,8 +52,9 @@
 
     pub(super) fn receive_fleet(&mut self, now: Duration, from: wire::Place, message: wire::Message) {
         match message {
-            wire::Message::Hello { durable } => {
+            wire::Message::Hello { durable, zone } => {
                 self.contact.heard(now, from, Some(durable));
+                self.contact.note_zone(from, zone);
                 if self.settings.data.is_some() {
                     self.welcome(now, from);
                 }
@@ -89,6 +90,14 @@
                     dispatch.advised(now, number, &answer);
                 }
             }
+            wire::Message::Orders { token, orders } => {
+                self.contact.heard(now, from, None);
+                self.carry_orders(from, token, orders);
+            }
+            wire::Message::Answers { token, answers } => {
+                self.contact.heard(now, from, None);
+                self.take_answers(token, answers);
+            }
         }
     }
 
@@ -132,7 +141,8 @@
         }
         let durable = self.settings.data.is_some();
         for address in duty.hello {
-            let message = wire::Message::Hello { durable };
+            let zone = self.settings.zone.clone();
+            let message = wire::Message::Hello { durable, zone };
             self.send_frame(address, None, peer::wire::Body::Fleet(message));
         }
     }
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -6,14 +6,13 @@
 use bronzespoke_dispatch::{
     admission,
     dispatch::{self, Dispatch, Output, Registration},
-    machine,
 };
-use bronzespoke_workload::{advice, call, catalog, job, order, worker};
+use bronzespoke_workload::{advice, call, catalog, job, worker};
 
 use crate::{
     fleet::{
         controller::{Controller, Responder},
-        wire,
+        relay, wire,
     },
     peer,
 };
@@ -35,6 +34,7 @@
         if token.is_some() {
             log::info!("belief=term_over token={token:?}");
             self.dispatch = None;
+            self.relays = relay::Relays::default();
             for waiting in std::mem::take(&mut self.batch) {
                 self.respond(waiting.responder, call::Reply::NotLeader);
             }
@@ -73,6 +73,7 @@
             if let Some(dispatch) = &mut self.dispatch {
                 dispatch.set_helpers(&helpers);
             }
+            self.look_after_relays(now.steady);
         }
         let Some(dispatch) = &mut self.dispatch else {
             return;
@@ -82,6 +83,7 @@
         for output in outputs {
             self.carry_out(output);
         }
+        self.flush_relays();
     }
 
     /// VMs that may ask the eligibility service: all that are reached, and this one.
@@ -117,41 +119,6 @@
         }
     }
 
-    fn send_order(&mut self, decided: Duration, worker: cell::WorkerIndex, order: order::Order) {
-        let Some(dispatch) = &self.dispatch else { return };
-        let Some(receiver) = dispatch.machines().get(&worker) else {
-            return;
-        };
-        self.orders.order(super::orders::Order {
-            token: dispatch.token(),
-            fence: machine::fence(dispatch.token(), worker),
-            worker,
-            name: receiver.life.name.clone(),
-            address: receiver.worker.address,
-            order,
-            sent: decided,
-        });
-    }
-
-    /// Takes a worker's answer; one to an order of a former term changes nothing.
-    pub(super) fn ordered(
-        &mut self,
-        token: order::Token,
-        worker: cell::WorkerIndex,
-        order: &order::Order,
-        sent: Duration,
-        answer: Option<&order::Answer>,
-    ) {
-        let now = self.times();
-        if let Some(dispatch) = self
-            .dispatch
-            .as_mut()
-            .filter(|dispatch| dispatch.token() == token)
-        {
-            dispatch.answered(&self.state, now, worker, order, sent, answer);
-        }
-    }
-
     /// Returns the answer of the eligibility service to whoever wanted to know.
     pub(super) fn advised(&mut self, asker: wire::Place, number: u64, answer: advice::Answer) {
         if asker.vm == self.me.vm {
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -14,13 +14,14 @@
 mod member;
 mod membership;
 mod orders;
+pub mod relay;
+mod relaying;
 mod replication;
 mod start;
 pub mod wire;
 
 use std::time::Duration;
 
-use bronzespoke_control::cell;
 use bronzespoke_workload::{advice, call, order, settings};
 use tokio::sync::oneshot;
 
@@ -48,14 +49,10 @@
     },
     /// A worker answered an order, or did not.
     Ordered {
-        /// Term in which the order was sent.
-        token: order::Token,
-        /// Worker.
-        worker: cell::WorkerIndex,
+        /// Who gave the order.
+        origin: relay::Origin,
         /// Order.
         order: order::Order,
-        /// When it was sent.
-        sent: Duration,
         /// Answer.
         answer: Option<order::Answer>,
     },
--- a/crates/daemon/src/fleet/orders.rs
+++ b/crates/daemon/src/fleet/orders.rs
@@ -2,36 +2,35 @@
 
 use std::{net::SocketAddr, sync::Arc, time::Duration};
 
-use bronzespoke_control::cell;
 use bronzespoke_workload::{adapter, advice, order};
 use ractor::ActorRef;
 use tokio::{runtime, sync::OnceCell};
 
-use crate::fleet::{Message, client, wire};
+use crate::fleet::{Message, client, relay, wire};
 
 /// An order that is not answered in this time is taken as unanswered: two ways between regions and a busy worker.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
 /// A question is given up by the leader; this only bounds how long the connection is kept.
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// How long an order waits for its answer.
+pub fn timeout(order: &order::Order) -> Duration {
+    match order {
+        order::Order::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
+        _ => ORDER_TIMEOUT,
+    }
+}
+
 /// An order on its way.
 #[derive(Debug, Clone)]
 #[expect(clippy::struct_field_names, reason = "the field is what the struct carries")]
 pub struct Order {
-    /// Term of the leader.
-    pub token: order::Token,
-    /// Fencing token of the worker's life.
-    pub fence: order::Token,
+    /// Who gave it.
+    pub origin: relay::Origin,
     /// Worker.
-    pub worker: cell::WorkerIndex,
-    /// Its name.
-    pub name: String,
-    /// Its address.
-    pub address: SocketAddr,
+    pub recipient: wire::Recipient,
     /// Order.
     pub order: order::Order,
-    /// When it was decided.
-    pub sent: Duration,
 }
 
 /// Handle of the control thread on the calls of the traffic thread.
@@ -68,23 +67,19 @@
     }
 
     async fn carry(self, order: Order) {
-        let request = self.adapter.order(&order.name, order.fence, &order.order);
-        let timeout = match &order.order {
-            order::Order::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
-            _ => ORDER_TIMEOUT,
-        };
-        let answer = match self.client.call(order.address, request, timeout).await {
+        let recipient = &order.recipient;
+        let request = self.adapter.order(&recipient.name, recipient.fence, &order.order);
+        let timeout = timeout(&order.order);
+        let answer = match self.client.call(recipient.address, request, timeout).await {
             Ok((status, body)) => Some(self.adapter.answer(&order.order, status, &body)),
             Err(error) => {
-                log::debug!("decision=order worker={} outcome={error:?}", order.name);
+                log::debug!("decision=order worker={} outcome={error:?}", recipient.name);
                 None
             }
         };
         self.report(Message::Ordered {
-            token: order.token,
-            worker: order.worker,
+            origin: order.origin,
             order: order.order,
-            sent: order.sent,
             answer,
         });
     }
--- a/crates/daemon/src/fleet/wire.rs
+++ b/crates/daemon/src/fleet/wire.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use bronzespoke_model::id;
-use bronzespoke_workload::{advice, call};
+use bronzespoke_workload::{advice, call, order};
 use serde::{Deserialize, Serialize};
 
 /// A message.
@@ -16,6 +16,8 @@
     Hello {
         /// Whether the sender has a disk and serves control.
         durable: bool,
+        /// Availability zone of the sender.
+        zone: String,
     },
     /// What a daemon with a disk knows about the cell.
     Welcome {
@@ -52,6 +54,42 @@
         /// Answer.
         answer: advice::Answer,
     },
+    /// The leader has the receiver carry orders to workers.
+    Orders {
+        /// Term of the leader.
+        token: order::Token,
+        /// Orders.
+        orders: Vec<Order>,
+    },
+    /// What workers answered.
+    Answers {
+        /// Term of the leader that gave the orders.
+        token: order::Token,
+        /// Number of each order and the worker's answer, if there was one.
+        answers: Vec<(u64, Option<order::Answer>)>,
+    },
+}
+
+/// An order that another daemon carries to a worker.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Order {
+    /// Number that the answer carries.
+    pub number: u64,
+    /// Worker.
+    pub recipient: Recipient,
+    /// Order.
+    pub order: order::Order,
+}
+
+/// How a life of a worker is called.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Recipient {
+    /// Fencing token of the life.
+    pub fence: order::Token,
+    /// Name.
+    pub name: String,
+    /// Address.
+    pub address: SocketAddr,
 }
 
 /// A daemon and where it listens for frames.
--- a/crates/daemon/tests/fleet_decisions.rs
+++ b/crates/daemon/tests/fleet_decisions.rs
@@ -5,9 +5,13 @@
 use bronzespoke_daemon::fleet::{
     calls::{self, Calls},
     contact::Contact,
-    wire::Place,
+    relay,
+    wire::{self, Place},
+};
+use bronzespoke_workload::{
+    call::{self, Call, Reply},
+    order,
 };
-use bronzespoke_workload::call::{self, Call, Reply};
 
 const fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -121,3 +125,113 @@
         "{hello:?}"
     );
 }
+
+fn decision(worker: u32) -> relay::Decision {
+    relay::Decision {
+        token: 3,
+        worker,
+        at: at(0),
+    }
+}
+
+fn recipient() -> wire::Recipient {
+    wire::Recipient {
+        fence: 9,
+        name: String::from("w"),
+        address: SocketAddr::from(([10, 0, 1, 1], 8_080)),
+    }
+}
+
+const fn stop(index: u32) -> order::Order {
+    let task = order::Task {
+        job: 1,
+        occurrence: 0,
+        step: 0,
+        index,
+    };
+    order::Order::Stop { task, run: 1 }
+}
+
+fn carriers() -> Vec<(Place, String)> {
+    vec![(place(1), String::from("a")), (place(2), String::from("b"))]
+}
+
+/// Guards against calls through a second daemon on a fleet that the leader can serve by itself: they would only add a
+/// way to fail.
+#[test]
+fn a_small_fleet_is_called_by_its_leader() {
+    let mut relays = relay::Relays::default();
+    relays.set_carriers(48, carriers());
+    assert_eq!(relays.carrier("a"), None);
+    relays.set_carriers(350, carriers());
+    assert_eq!(relays.carrier("a"), Some(place(1)));
+    assert_eq!(relays.carrier("c"), None, "nobody is there to carry");
+}
+
+/// Guards against starts that wait for their whole time when the daemon that carries them is lost.
+#[test]
+fn orders_of_a_lost_carrier_are_given_up_at_once() {
+    let mut relays = relay::Relays::default();
+    relays.set_carriers(350, carriers());
+    relays.queue(at(0), place(1), decision(1), recipient(), stop(1));
+    relays.queue(at(0), place(2), decision(2), recipient(), stop(2));
+    assert_eq!(relays.take_frames().len(), 2);
+    assert!(relays.give_up(at(100)).is_empty());
+    relays.set_carriers(350, vec![(place(2), String::from("b"))]);
+    assert_eq!(relays.give_up(at(100)), [(decision(1), stop(1))]);
+    assert_eq!(relays.answered(1), None, "a late answer changes nothing");
+    assert_eq!(relays.answered(2), Some((decision(2), stop(2))));
+}
+
+/// Guards against an order that stays under way for good when a carrier swallows it.
+#[test]
+fn a_carried_order_without_an_answer_is_given_up() {
+    let mut relays = relay::Relays::default();
+    relays.set_carriers(350, carriers());
+    relays.queue(at(0), place(1), decision(1), recipient(), stop(1));
+    assert!(relays.give_up(at(1_100)).is_empty());
+    assert_eq!(relays.give_up(at(1_200)).len(), 1);
+}
+
+/// Guards against a frame over the largest size when a pass starts many tasks at once.
+#[test]
+fn many_orders_are_split_into_frames() {
+    let mut relays = relay::Relays::default();
+    relays.set_carriers(350, carriers());
+    for index in 0..300 {
+        relays.queue(at(0), place(1), decision(1), recipient(), stop(index));
+    }
+    let frames = relays.take_frames();
+    let sizes: Vec<usize> = frames.iter().map(|(_, orders)| orders.len()).collect();
+    assert_eq!(sizes, [128, 128, 44]);
+}
+
+/// Guards against one frame for each answer, and against answers that mix the terms of two leaders.
+#[test]
+fn answers_share_frames_by_leader_and_term() {
+    let mut carried = relay::Carried::default();
+    carried.add(at(0), place(1), 3, 1, None);
+    carried.add(at(1), place(1), 3, 2, None);
+    carried.add(at(1), place(2), 4, 1, None);
+    assert!(carried.take_frames(at(1)).is_empty());
+    let frames = carried.take_frames(at(2));
+    assert_eq!(frames.len(), 2);
+    assert!(
+        matches!(&frames[0], (to, wire::Message::Answers { token: 3, answers }) if *to == place(1) && answers.len() == 2)
+    );
+    assert_eq!(carried.due(), None);
+}
+
+/// Guards against orders through a daemon that was lost a moment ago, and against an availability zone that is guessed.
+#[test]
+fn only_daemons_that_were_heard_just_now_carry() {
+    let mut contact = Contact::new(place(9).peer, &[]);
+    contact.heard(at(0), place(1), Some(true));
+    assert!(
+        contact.carriers(at(0)).is_empty(),
+        "its availability zone is not known"
+    );
+    contact.note_zone(place(1), String::from("a"));
+    assert_eq!(contact.carriers(at(700)), [(place(1), String::from("a"))]);
+    assert!(contact.carriers(at(701)).is_empty());
+}
--- a/crates/workload/src/order.rs
+++ b/crates/workload/src/order.rs
@@ -38,7 +38,7 @@
 }
 
 /// What a worker is told to do.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Order {
     /// Start a task.
     Start {
@@ -83,7 +83,7 @@
 }
 
 /// What a worker answers. A call without an answer may have been carried out, also much later.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
     /// Carried out.
     Done {
@@ -104,7 +104,7 @@
 }
 
 /// Why a worker refused an order.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
     /// A higher fencing token was seen.
     Fenced,
@@ -125,7 +125,7 @@
 }
 
 /// What runs on a worker and what has ended there.
-#[derive(Debug, Clone, PartialEq, Eq, Default)]
+#[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Report {
     /// The worker's clock.
     pub clock: Duration,
@@ -138,7 +138,7 @@
 }
 
 /// A run on a worker.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
     /// Task.
     pub task: Task,
@@ -153,7 +153,7 @@
 }
 
 /// The end of a run.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
     /// Number of the end in the worker's life, from 1.
     pub number: u64,
