--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -2,7 +2,8 @@
 //!
 //! Answers the load that the service itself limits: it takes one question at a time from each VM, and a question about
 //! a wide job takes half a second. The questions are spread over all VMs, each VM carries one at a time, and some VMs
-//! are kept free of long questions, so that short ones do not wait behind them.
+//! are kept free of long questions, so that short ones do not wait behind them. A question about many workers is split, and
+//! its parts are asked through several VMs at the same time.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -16,8 +17,10 @@
 
 /// A question that takes longer counts as long.
 const LONG_QUESTION: Duration = Duration::from_millis(100);
-/// One VM in this many takes no long questions.
-const SHORT_ONLY_SHARE: usize = 3;
+/// One VM in this many, and one at least, takes no long questions.
+const SHORT_ONLY_SHARE: usize = 4;
+/// Workers that one question names at most; a larger one takes longer than the splitting costs.
+const WORKERS_PER_QUESTION: usize = 60;
 /// An answer that is later than expected by this much is given up; covers the way to another region and a busy VM.
 const ANSWER_SLACK: Duration = Duration::from_millis(800);
 /// Time that a start order may take to its worker while its ticket must stay valid: a commit over regions and the call.
@@ -43,8 +46,8 @@
 pub struct Eligibility {
     /// What was answered about each worker.
     known: HashMap<cell::WorkerIndex, Permit>,
-    /// Whether a question waits or is under way.
-    pub outstanding: bool,
+    /// Questions that wait or are under way.
+    outstanding: usize,
     /// No question before this time.
     pub retry_at: Duration,
 }
@@ -68,6 +71,24 @@
         matches!(self.known.get(&worker), Some(Permit::Denied))
     }
 
+    /// Whether a worker was asked about and may run the step, with or without a ticket that may still be used.
+    pub fn is_eligible(&self, worker: cell::WorkerIndex) -> bool {
+        matches!(
+            self.known.get(&worker),
+            Some(Permit::Ticket(..) | Permit::Expired)
+        )
+    }
+
+    /// Whether a worker was asked about.
+    pub fn was_asked(&self, worker: cell::WorkerIndex) -> bool {
+        self.known.contains_key(&worker)
+    }
+
+    /// Whether a question waits or is under way.
+    pub const fn is_outstanding(&self) -> bool {
+        self.outstanding > 0
+    }
+
     /// Whether any worker was asked about.
     pub fn is_known(&self) -> bool {
         !self.known.is_empty()
@@ -106,7 +127,8 @@
 #[derive(Debug, Default)]
 pub struct Desk {
     helpers: BTreeMap<id::VmId, Option<u64>>,
-    waiting: HashMap<advice::Step, Waiting>,
+    /// Parts of questions that wait.
+    waiting: HashMap<advice::Step, Vec<Waiting>>,
     sent: BTreeMap<u64, Sent>,
     next_number: u64,
     steps: HashMap<advice::Step, Eligibility>,
@@ -148,17 +170,23 @@
         workers: Vec<(cell::WorkerIndex, String)>,
     ) -> bool {
         let known = self.steps.entry(step).or_default();
-        if known.outstanding || now < known.retry_at || workers.is_empty() {
+        if known.is_outstanding() || now < known.retry_at || workers.is_empty() {
             return false;
         }
-        known.outstanding = true;
-        let cost_of_workers = cost.per_worker * workers.len() as u32;
-        let waiting = Waiting {
-            workers,
-            cost: cost.decision + cost_of_workers,
-            valid: cost.valid,
-        };
-        self.waiting.insert(step, waiting);
+        let mut parts = Vec::new();
+        let mut rest = workers;
+        while !rest.is_empty() {
+            let later = rest.split_off(rest.len().min(WORKERS_PER_QUESTION));
+            parts.push(Waiting {
+                cost: cost.decision + cost.per_worker * rest.len() as u32,
+                workers: std::mem::replace(&mut rest, later),
+                valid: cost.valid,
+            });
+        }
+        // Parts are taken from the end, and the first one names the workers with the most room.
+        parts.reverse();
+        known.outstanding = parts.len();
+        self.waiting.insert(step, parts);
         true
     }
 
@@ -168,46 +196,60 @@
         if self.waiting.is_empty() {
             return;
         }
-        let most_long = self.helpers.len() - self.helpers.len() / SHORT_ONLY_SHARE;
+        let short_only = (self.helpers.len() / SHORT_ONLY_SHARE).max(1);
+        let most_long = self.helpers.len().saturating_sub(short_only);
         let mut long = self
             .sent
             .values()
             .filter(|sent| sent.give_up_at.saturating_sub(sent.at + ANSWER_SLACK) > LONG_QUESTION)
             .count();
         for step in ranked {
-            let Some(waiting) = self.waiting.get(step) else {
-                continue;
-            };
-            let is_long = waiting.cost > LONG_QUESTION;
-            if is_long && long >= most_long.max(1) {
-                continue;
+            while let Some(waiting) = self.waiting.get(step).and_then(|parts| parts.last()) {
+                let is_long = waiting.cost > LONG_QUESTION;
+                if is_long && long >= most_long.max(1) {
+                    break;
+                }
+                let free = self.helpers.iter().find(|(_, busy)| busy.is_none());
+                let Some(helper) = free.map(|(helper, _)| *helper) else {
+                    return;
+                };
+                let Some(part) = self.next_part(*step) else { break };
+                long += usize::from(is_long);
+                out.push(self.send(now, helper, *step, part));
             }
-            let free = self.helpers.iter_mut().find(|(_, busy)| busy.is_none());
-            let Some((helper, busy)) = free else { return };
-            let Some(waiting) = self.waiting.remove(step) else {
-                continue;
-            };
-            long += usize::from(is_long);
-            self.next_number += 1;
-            *busy = Some(self.next_number);
-            let workers = waiting.workers.iter().map(|(_, name)| name.clone()).collect();
-            out.push(Ask {
-                helper: *helper,
-                number: self.next_number,
-                question: advice::Question { step: *step, workers },
-            });
-            let sent = Sent {
-                helper: *helper,
-                step: *step,
-                workers: waiting.workers,
-                at: now,
-                give_up_at: now + waiting.cost + ANSWER_SLACK,
-                valid: waiting.valid,
-            };
-            self.sent.insert(self.next_number, sent);
         }
     }
 
+    fn send(&mut self, now: Duration, helper: id::VmId, step: advice::Step, part: Waiting) -> Ask {
+        self.next_number += 1;
+        let number = self.next_number;
+        self.helpers.insert(helper, Some(number));
+        let workers = part.workers.iter().map(|(_, name)| name.clone()).collect();
+        let sent = Sent {
+            helper,
+            step,
+            workers: part.workers,
+            at: now,
+            give_up_at: now + part.cost + ANSWER_SLACK,
+            valid: part.valid,
+        };
+        self.sent.insert(number, sent);
+        Ask {
+            helper,
+            number,
+            question: advice::Question { step, workers },
+        }
+    }
+
+    fn next_part(&mut self, step: advice::Step) -> Option<Waiting> {
+        let parts = self.waiting.get_mut(&step)?;
+        let part = parts.pop();
+        if parts.is_empty() {
+            self.waiting.remove(&step);
+        }
+        part
+    }
+
     fn give_up_late(&mut self, now: Duration) {
         let late: Vec<u64> = self
             .sent
@@ -229,7 +271,7 @@
             *busy = None;
         }
         let known = self.steps.get_mut(&sent.step)?;
-        known.outstanding = false;
+        known.outstanding = known.outstanding.saturating_sub(1);
         match answer {
             advice::Answer::Eligible { workers, valid } => {
                 // A ticket may have been issued at any time since the question was sent off; the decision itself
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -12,6 +12,7 @@
 
 use super::{Dispatch, Event, Now, Output, fleet, waiting};
 use crate::{
+    desk,
     machine::{self, Phase, Stop},
     order as ranking,
     place::{self, Candidate},
@@ -22,8 +23,16 @@
 const USABLE_AGE: Duration = Duration::from_millis(2_500);
 /// Starts that one command records.
 const STARTS_AT_ONCE: usize = 256;
-/// Workers that the first question about a step names.
+/// Fewest workers that a question about a step names, if there are as many.
 const ASKED_WORKERS: usize = 60;
+/// Workers that are asked about for each member of a gang. On a fleet that is four fifths full, a third of the workers may
+/// run a gang and a third of these have room for a member.
+const ASKED_PER_MEMBER: usize = 8;
+/// A gang whose room is expected later than this asks about further workers.
+const LATE_GANG: Duration = Duration::from_secs(1);
+/// Tickets of the workers that are kept for a gang are renewed this long before its room is expected; a question takes
+/// about as long.
+const TICKETS_AHEAD: Duration = Duration::from_millis(900);
 /// One worker in this many may be kept for gangs that wait.
 const RESERVED_SHARE: usize = 2;
 
@@ -119,10 +128,13 @@
                 let slow = self.slowness.factor(**index, now).is_some();
                 !slow && is_usable(machine, now) && fits(machine)
             })
-            .map(|(index, machine)| (place::count(&machine.free(), &size), index, machine))
+            .map(|(index, machine)| {
+                let free = machine.free();
+                ((place::count(&free, &size), free.cpu_milli), index, machine)
+            })
             .collect();
-        workers.sort_by_key(|(count, _, _)| std::cmp::Reverse(*count));
-        let named = workers.into_iter().take(ASKED_WORKERS);
+        workers.sort_by_key(|(room, _, _)| std::cmp::Reverse(*room));
+        let named = workers.into_iter().take(asked_workers(spec));
         named
             .map(|(_, index, machine)| (*index, machine.life.name.clone()))
             .collect()
@@ -305,7 +317,7 @@
         reserved: &Reserved,
     ) {
         let known = self.desk.eligibility(subject.id);
-        if known.is_some_and(|known| known.outstanding) {
+        if known.is_some_and(desk::Eligibility::is_outstanding) {
             return;
         }
         let missing: Vec<Candidate> = match known.filter(|known| known.is_known()) {
@@ -324,11 +336,23 @@
                 missing.cloned().collect()
             }
         };
-        let mut workers: Vec<&Candidate> = missing.iter().collect();
-        workers.sort_by_key(|candidate| std::cmp::Reverse(candidate.fitting(&subject.size)));
-        let workers = workers
-            .into_iter()
-            .take(ASKED_WORKERS)
+        self.ask_about(now, subject, cost, missing);
+    }
+
+    /// Asks about workers, those with the most room first.
+    fn ask_about(
+        &mut self,
+        now: Duration,
+        subject: &Subject<'_>,
+        cost: &catalog::Advice,
+        mut workers: Vec<Candidate>,
+    ) {
+        workers.sort_by_key(|candidate| {
+            let room = (candidate.fitting(&subject.size), candidate.free.cpu_milli);
+            std::cmp::Reverse(room)
+        });
+        let named = workers.into_iter().take(asked_workers(subject.spec));
+        let workers = named
             .filter_map(|candidate| {
                 let machine = self.machines.get(&candidate.worker)?;
                 Some((candidate.worker, machine.life.name.clone()))
@@ -380,13 +404,18 @@
         reserved: &mut Reserved,
     ) {
         let known = self.desk.eligibility(subject.id);
-        if reserved.workers.len() >= reserved.most || known.is_none_or(|known| !known.is_known()) {
+        let is_open = subject.queue.advice.is_some() && known.is_none_or(|known| !known.is_known());
+        if reserved.workers.len() >= reserved.most || is_open {
             return;
         }
         if self.reservations.recent(subject.id, now).is_none() {
             let candidates = self.candidates(now, subject, slots, reserved, false);
-            let free = candidates.iter().filter(|candidate| !candidate.kept);
-            let openings = free
+            let (eligible, unknown): (Vec<_>, Vec<_>) = candidates
+                .into_iter()
+                .filter(|candidate| !candidate.kept)
+                .partition(|candidate| self.may_run(subject, candidate.worker));
+            let openings = eligible
+                .iter()
                 .filter_map(|candidate| {
                     let machine = self.machines.get(&candidate.worker)?;
                     let most = candidate.slots;
@@ -394,16 +423,50 @@
                     Some((candidate.worker, times))
                 })
                 .collect();
-            match reserve::choose(openings, wanted, now) {
+            let choice = reserve::choose(openings, wanted, now);
+            let is_late = choice.as_ref().is_none_or(|choice| choice.due > now + LATE_GANG);
+            match choice {
                 Some(choice) => self.reservations.keep(subject.id, choice),
                 None => self.reservations.drop_gang(subject.id),
             }
+            if let Some(cost) = subject.queue.advice.filter(|_| is_late) {
+                self.ask_about(now, subject, &cost, unknown);
+            }
         }
         if let Some(choice) = self.reservations.recent(subject.id, now) {
             for worker in &choice.workers {
                 reserved.workers.entry(*worker).or_insert(choice.due);
             }
         }
+        self.renew_tickets(now, subject);
+    }
+
+    /// Whether a worker is known to be eligible for the step, or needs not be.
+    fn may_run(&self, subject: &Subject<'_>, worker: cell::WorkerIndex) -> bool {
+        let known = self.desk.eligibility(subject.id);
+        subject.queue.advice.is_none() || known.is_some_and(|known| known.is_eligible(worker))
+    }
+
+    /// Renews the tickets of the workers that are kept for a gang shortly before it starts.
+    fn renew_tickets(&mut self, now: Duration, subject: &Subject<'_>) {
+        let Some(cost) = subject.queue.advice else { return };
+        let (Some(choice), Some(known)) = (
+            self.reservations.recent(subject.id, now),
+            self.desk.eligibility(subject.id),
+        ) else {
+            return;
+        };
+        if now + TICKETS_AHEAD < choice.due || known.is_outstanding() {
+            return;
+        }
+        let until = choice.due.max(now) + TICKETS_AHEAD;
+        let lacks = |worker: &&cell::WorkerIndex| !known.is_permitted(**worker, until);
+        let workers = choice.workers.iter().filter(lacks).filter_map(|worker| {
+            let machine = self.machines.get(worker)?;
+            Some((*worker, machine.life.name.clone()))
+        });
+        let workers = workers.collect();
+        self.desk.want(now, subject.id, &cost, workers);
     }
 
     /// Workers on which tasks of the step have failed.
@@ -458,6 +521,15 @@
     }
 }
 
+/// Workers that a question about a step names.
+fn asked_workers(spec: &job::Step) -> usize {
+    if spec.gang {
+        ASKED_WORKERS.max(spec.tasks as usize * ASKED_PER_MEMBER)
+    } else {
+        ASKED_WORKERS
+    }
+}
+
 const fn name(step: advice::Step, index: u32) -> order::Task {
     order::Task {
         job: step.job,
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -76,6 +76,38 @@
     assert!(known.is_denied(1) && !known.is_denied(0));
 }
 
+/// A wide gang on a large fleet needs to know most workers that may run it. One question after the other took seconds, in
+/// which the tickets of the first answers ran out and small gangs waited as long as wide ones; the parts of one question
+/// are asked at the same time.
+#[test]
+fn a_question_about_many_workers_is_asked_in_parts() {
+    let mut desk = Desk::default();
+    desk.set_helpers(&[1, 2, 3, 4, 5, 6]);
+    assert!(desk.want(at(0), step(1), &cost(500), named(150)));
+    let mut asks = Vec::new();
+    desk.dispatch(at(0), &[step(1)], &mut asks);
+    let sizes: Vec<usize> = asks.iter().map(|ask| ask.question.workers.len()).collect();
+    assert_eq!(sizes, [60, 60, 30]);
+    assert!(
+        !desk.want(at(0), step(1), &cost(500), named(4)),
+        "parts are under way"
+    );
+    for ask in &asks {
+        let workers = ask.question.workers.iter().take(2);
+        let answer = advice::Answer::Eligible {
+            workers: workers
+                .map(|name| (name.clone(), Bytes::from_static(b"t")))
+                .collect(),
+            valid: None,
+        };
+        desk.answered(at(600), ask.number, &answer);
+    }
+    let known = desk.eligibility(step(1)).expect("the step was asked about");
+    assert!(!known.is_outstanding());
+    let eligible = (0..150).filter(|worker| known.is_eligible(*worker)).count();
+    assert_eq!(eligible, 6);
+}
+
 /// A helper that never answers is given up, and the step is asked about again.
 #[test]
 fn unanswered_questions_are_asked_again() {
