--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -35,9 +35,10 @@
 /// Shortest time between two scheduling passes, so that a burst of events shares one pass.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
 /// Further pause for each step that waits, since a pass looks at all of them.
-const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(50);
-/// Longest time between two scheduling passes.
-const LONGEST_PASS_INTERVAL: Duration = Duration::from_millis(25);
+const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(100);
+/// Longest time between two scheduling passes. With several hundred steps that wait, a pass takes a few milliseconds of a
+/// processor of which the leader has less than a half.
+const LONGEST_PASS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time between two looks at the timers of all workers and runs.
 const TIMER_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two looks at jobs whose retention is over.
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -49,6 +49,8 @@
     index: cell::WorkerIndex,
     worker: &'a worker::Worker,
     free: resource::Amount,
+    /// Free processors at the start of the pass, in thousandths of a core; the slots are sorted by it.
+    free_cpu: u32,
 }
 
 /// What a pass needs to know about a step.
@@ -68,13 +70,16 @@
     pub(super) fn schedule(&mut self, state: &cell::State, now: Now) {
         self.dirty = false;
         let ranked = self.ranked(state, now);
-        let workers: Vec<_> = self.usable(now.steady);
+        let mut workers: Vec<_> = self.usable(now.steady);
+        // A step looks at the workers with enough room first and stops at the first one without.
+        workers.sort_unstable_by_key(|(index, _, free)| (std::cmp::Reverse(free.cpu_milli), *index));
         let mut slots: Vec<Slot<'_>> = workers
             .iter()
             .map(|(index, worker, free)| Slot {
                 index: *index,
                 worker,
                 free: *free,
+                free_cpu: free.cpu_milli,
             })
             .collect();
         let mut reserved = Reserved {
@@ -270,6 +275,9 @@
         let known = self.desk.eligibility(subject.id);
         let mut candidates = Vec::new();
         for slot in slots {
+            if fitting && slot.free_cpu < subject.size.cpu_milli {
+                break;
+            }
             if fitting && !subject.size.fits(&slot.free) {
                 continue;
             }
