--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -2,6 +2,7 @@
 
 use std::{
     fmt, fs, io,
+    net::SocketAddr,
     path::Path,
     sync::{Arc, PoisonError},
     thread,
@@ -70,7 +71,9 @@
 }
 
 /// Runs a daemon until SIGTERM or SIGINT.
-pub fn run(path: &Path, adapter: Arc<dyn adapter::Adapter>) -> Result<(), Error> {
+///
+/// `listen` is the address for frames where a forwarder stands before the one that other daemons use.
+pub fn run(path: &Path, adapter: Arc<dyn adapter::Adapter>, listen: Option<SocketAddr>) -> Result<(), Error> {
     let settings = read(path, adapter.as_ref())?;
     crate::logging::start_structured(&settings.name);
     log::info!(
@@ -87,17 +90,18 @@
         .enable_all()
         .build()
         .map_err(|error| Error::System(format!("threads cannot be started: {error}")))?;
-    traffic.block_on(serve(path, adapter, settings))
+    traffic.block_on(serve(path, adapter, settings, listen))
 }
 
 async fn serve(
     path: &Path,
     adapter: Arc<dyn adapter::Adapter>,
     settings: settings::Settings,
+    listen: Option<SocketAddr>,
 ) -> Result<(), Error> {
     let cancel = CancellationToken::new();
     let handle = runtime::Handle::current();
-    let listener = bind(settings.peer)?;
+    let listener = bind(listen.unwrap_or(settings.peer))?;
     let switch = peer::fault::Switch::default();
     let (network, mut frames) = peer::Network::start(handle.clone(), listener, switch, cancel.clone());
     let control = Arc::new(OnceCell::new());
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,6 @@
 //! `bronzespoked`: the daemon on each entry VM.
 
-use std::{ffi::OsString, path::PathBuf, process::ExitCode, sync::Arc};
+use std::{ffi::OsString, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc};
 
 use bronzespoke_daemon::{daemon, fleet, logging, settings};
 use bronzespoke_platform as platform;
@@ -14,6 +14,8 @@
 const SETTINGS_FLAG: &str = "--settings";
 /// Environment variable that names the platform's settings file.
 const SETTINGS_VARIABLE: &str = "BRONZESPOKE_SETTINGS";
+/// Flag that names the address for frames where a forwarder stands before the one that other daemons use.
+const LISTEN_FLAG: &str = "--listen-frames";
 
 fn main() -> ExitCode {
     let mut arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
@@ -45,9 +47,18 @@
         Ok(path) => path.or_else(|| std::env::var_os(SETTINGS_VARIABLE).map(PathBuf::from)),
         Err(error) => return usage(&error.to_string()),
     };
+    let listen: Result<Option<SocketAddr>, _> = arguments.opt_value_from_str(LISTEN_FLAG);
+    let listen = match listen {
+        Ok(listen) => listen,
+        Err(error) => {
+            return usage(&format!(
+                "{LISTEN_FLAG}: {error}; an IP address and port is needed"
+            ));
+        }
+    };
     if let Some(unknown) = arguments.finish().first() {
         return usage(&format!(
-            "{} is not known; {SETTINGS_FLAG} FILE is",
+            "{} is not known; {SETTINGS_FLAG} FILE, {LISTEN_FLAG} ADDRESS and --check are",
             unknown.display()
         ));
     }
@@ -60,7 +71,7 @@
     let ended = if check {
         fleet::read(&path, adapter.as_ref()).map(|_settings| println!("The settings are valid."))
     } else {
-        fleet::run(&path, adapter)
+        fleet::run(&path, adapter, listen)
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
