cell: an end counts whichever life of a worker tells it; logs are written in pieces of 4 KiB

Run numbers are never used twice, so the worker need not match; the failure of a run that was given up counts once.

Logs: lines that gathered for 20 ms came out cut where one write was large; a write has 4 KiB at most now.

--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -149,7 +149,7 @@
         let End {
             task,
             run,
-            worker,
+            worker: _,
             outcome,
             checkpoint,
         } = end;
@@ -166,9 +166,12 @@
         let Some(entry) = step.tasks.get_mut(task.index as usize) else {
             return;
         };
-        let current = entry.placed == Some(worker) && entry.run == run;
-        // A run that was given up may turn out to be done. Its work counts, and a later run is stopped.
-        let late = outcome == order::Outcome::Done && !spec.lasting;
+        // Numbers of runs are never used twice, so that the end may also be told by a later life of the worker that took a
+        // repeated order.
+        let current = entry.placed.is_some() && entry.run == run;
+        // A run that was given up may turn out to be done: its work counts, and a later run is stopped. Or it may have
+        // failed, which counts as an attempt.
+        let late = matches!(outcome, order::Outcome::Done | order::Outcome::Failed) && !spec.lasting;
         if !current && !late {
             return;
         }
@@ -284,8 +287,11 @@
         return false;
     }
     if !gang {
-        entry.failures += 1;
-        return true;
+        // The end of one run may be told again, to a new leader.
+        let counts = run > entry.failed_run;
+        entry.failed_run = entry.failed_run.max(run);
+        entry.failures += u32::from(counts);
+        return counts;
     }
     if step.failed_run >= run {
         return false;
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -104,6 +104,8 @@
     pub run: order::Run,
     /// Failed runs.
     pub failures: u32,
+    /// Newest failed run.
+    pub failed_run: order::Run,
     /// Whether it is done.
     pub done: bool,
     /// Worker on which the newest run is placed, until that run has ended.
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -41,6 +41,8 @@
 /// Pause in which lines gather for one write. Without it each line of a busy daemon woke the thread and was a write of its
 /// own; a daemon that is killed loses the lines of this time.
 const GATHER: Duration = Duration::from_millis(20);
+/// Bytes of one write; a pipe takes this many at once, so that readers get whole lines.
+const WRITE_BYTES: usize = 4_096;
 /// Longest wait for the last lines at the end of the process.
 const FLUSH_WAIT: Duration = Duration::from_millis(200);
 
@@ -101,7 +103,7 @@
 
 fn write_lines(lines: &mpsc::Receiver<Line>) {
     let mut told = 0;
-    let mut buffer = Vec::new();
+    let mut buffer = Vec::with_capacity(WRITE_BYTES);
     while let Ok(first) = lines.recv() {
         if matches!(first, Line::Text(_)) {
             thread::sleep(GATHER);
@@ -110,7 +112,12 @@
         let mut next = Some(first);
         while let Some(line) = next {
             match line {
-                Line::Text(text) => buffer.extend_from_slice(text.as_bytes()),
+                Line::Text(text) => {
+                    if buffer.len() + text.len() > WRITE_BYTES {
+                        write_out(&mut buffer);
+                    }
+                    buffer.extend_from_slice(text.as_bytes());
+                }
                 Line::Flush(done) => flushed.push(done),
             }
             next = lines.try_recv().ok();
@@ -120,12 +127,16 @@
             buffer.extend_from_slice(format!("event=log_dropped lines={}\n", dropped - told).as_bytes());
             told = dropped;
         }
-        let mut output = std::io::stdout().lock();
-        // Nothing can be told about a standard output that takes nothing.
-        drop(output.write_all(&buffer).and_then(|()| output.flush()));
-        buffer.clear();
+        write_out(&mut buffer);
         for done in flushed {
             done.try_send(()).unwrap_or_default();
         }
     }
 }
+
+fn write_out(buffer: &mut Vec<u8>) {
+    let mut output = std::io::stdout().lock();
+    // Nothing can be told about a standard output that takes nothing.
+    drop(output.write_all(buffer).and_then(|()| output.flush()));
+    buffer.clear();
+}
