--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -149,9 +149,9 @@
         let End {
             task,
             run,
-            worker: _,
             outcome,
             checkpoint,
+            ..
         } = end;
         let Some(job) = self.jobs.get_mut(&task.job) else {
             return;
