Fleet: counters, gauges and latency histograms on the metrics address

The address served an empty page: nothing was recorded. Calls by listener and answer, orders by kind and answer with their times, starts, ends, unusable workers, questions, waiting steps and calls, dropped log lines. Histograms have fixed buckets and are sorted every 5 s, so that unread ones take no memory.

--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -15,10 +15,12 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
-    fleet::{Message, calls, contact, member, orders, relay, replication, wire},
+    fleet::{Message, calls, contact, member, metric, orders, relay, replication, wire},
     identity, peer,
 };
 
+/// Time between two updates of the daemon's gauges.
+const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time between two ticks.
 const LONGEST_TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two ticks, which bounds the work of timers.
@@ -99,6 +101,7 @@
     pub(super) leaving: bool,
     pub(super) ready: watch::Sender<bool>,
     pub(super) hello_at: Duration,
+    metrics_at: Duration,
     pub(super) reopen_at: Duration,
     pub(super) origin: Instant,
     pub(super) urgent: Urgent,
@@ -182,6 +185,7 @@
             duties_at: Duration::ZERO,
             helpers_at: Duration::ZERO,
             hello_at: Duration::ZERO,
+            metrics_at: Duration::ZERO,
             leaving: false,
             ready,
             reopen_at: Duration::ZERO,
@@ -275,6 +279,7 @@
         self.look_after_members(now);
         self.reopen(now);
         self.publish_ready(now);
+        self.publish_state(now);
     }
 
     /// Answers whoever waits.
@@ -347,6 +352,13 @@
         }
     }
 
+    fn publish_state(&mut self, now: Duration) {
+        if now >= self.metrics_at {
+            self.metrics_at = now + METRICS_INTERVAL;
+            metric::state(self.dispatch.is_some(), self.calls.len());
+        }
+    }
+
     fn schedule_tick(&mut self) {
         let now = self.now();
         let mut wake = now + LONGEST_TICK;
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -1,6 +1,11 @@
 //! Servers for callers, the balancer, operators, workers and metrics.
 
-use std::{convert::Infallible, net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    convert::Infallible,
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bronzespoke_workload::{adapter, call};
 use bytes::Bytes;
@@ -16,7 +21,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::fleet::Message;
+use crate::fleet::{Message, metric};
 
 /// Largest body; a configuration with many routes is the largest that is sent.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -62,7 +67,7 @@
     /// Connections that are open.
     pub tracker: TaskTracker,
     /// Renders metrics.
-    pub metrics: Option<metrics_exporter_prometheus::PrometheusHandle>,
+    pub metrics: bronzespoke_gateway::server::Render,
 }
 
 /// Accepts connections until the listener is dropped or `stop` is cancelled.
@@ -121,10 +126,16 @@
 }
 
 async fn handle(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Full<Bytes>> {
+    let begun = Instant::now();
     let response = match kind {
         Kind::Metrics => metrics(context),
         Kind::Readiness => readiness(context, &request),
-        Kind::Entry | Kind::Control => called(context, kind, request).await,
+        Kind::Entry | Kind::Control => {
+            let response = called(context, kind, request).await;
+            let listener = if kind == Kind::Entry { "entry" } else { "control" };
+            metric::call(listener, response.status(), begun.elapsed());
+            response
+        }
     };
     let (mut head, body) = response.into_parts();
     if context.closing.is_cancelled() {
@@ -135,11 +146,7 @@
 }
 
 fn metrics(context: &Context) -> Response<Bytes> {
-    let text = context
-        .metrics
-        .as_ref()
-        .map(metrics_exporter_prometheus::PrometheusHandle::render);
-    Response::new(Bytes::from(text.unwrap_or_default()))
+    Response::new(Bytes::from((context.metrics)()))
 }
 
 fn readiness(context: &Context, request: &Request<Incoming>) -> Response<Bytes> {
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -12,7 +12,7 @@
 use crate::{
     fleet::{
         controller::{Controller, Responder},
-        relay, wire,
+        metric, relay, wire,
     },
     peer,
 };
@@ -74,6 +74,9 @@
                 dispatch.set_helpers(&helpers);
             }
             self.look_after_relays(now.steady);
+            if let Some(dispatch) = &self.dispatch {
+                metric::load(dispatch, self.state.active().count());
+            }
         }
         let Some(dispatch) = &mut self.dispatch else {
             return;
@@ -115,7 +118,10 @@
                     self.send(place, peer::wire::Body::Fleet(message));
                 }
             }
-            Output::Event(event) => log::info!("{event}"),
+            Output::Event(event) => {
+                metric::decision(&event);
+                log::info!("{event}");
+            }
         }
     }
 
--- /dev/null
+++ b/crates/daemon/src/fleet/metric.rs
@@ -0,0 +1,86 @@
+//! Counters, gauges and latency histograms of a daemon of a fleet.
+
+use std::time::Duration;
+
+use bronzespoke_dispatch::dispatch::{self, Dispatch};
+use bronzespoke_workload::order;
+
+/// Notes an answered call from outside. `kind` is the listener.
+pub fn call(kind: &'static str, status: http::StatusCode, took: Duration) {
+    let class = match status.as_u16() {
+        200..=299 => "done",
+        429 | 503 => "refused",
+        500..=599 => "unclear",
+        _ => "rejected",
+    };
+    metrics::counter!("bronzespoke_fleet_calls_total", "listener" => kind, "answer" => class).increment(1);
+    metrics::histogram!("bronzespoke_fleet_call_seconds", "listener" => kind).record(took.as_secs_f64());
+}
+
+/// Notes an order that this daemon sent to a worker.
+pub fn order(order: &order::Order, answer: Option<&order::Answer>, took: Duration) {
+    let order = match order {
+        order::Order::Start { .. } => "start",
+        order::Order::Stop { .. } => "stop",
+        order::Order::Renew { .. } => "report",
+        order::Order::Throttle { .. } => "throttle",
+    };
+    let answer = match answer {
+        Some(order::Answer::Done { .. } | order::Answer::Report(_)) => "done",
+        Some(order::Answer::Refused { .. }) => "refused",
+        Some(order::Answer::NotSent) => "not_sent",
+        Some(order::Answer::Unreadable) => "unreadable",
+        None => "none",
+    };
+    metrics::counter!("bronzespoke_fleet_orders_total", "order" => order, "answer" => answer).increment(1);
+    metrics::histogram!("bronzespoke_fleet_order_seconds", "order" => order).record(took.as_secs_f64());
+}
+
+/// Notes a decision of the leader.
+pub fn decision(event: &dispatch::Event) {
+    match event {
+        dispatch::Event::Placed { .. } => metrics::counter!("bronzespoke_fleet_placed_total").increment(1),
+        dispatch::Event::StartAnswered { answer, after, .. } => {
+            metrics::counter!("bronzespoke_fleet_starts_total", "answer" => *answer).increment(1);
+            metrics::histogram!("bronzespoke_fleet_start_seconds").record(after.as_secs_f64());
+        }
+        dispatch::Event::Ended { outcome, .. } => {
+            let outcome = outcome_name(*outcome);
+            metrics::counter!("bronzespoke_fleet_ends_total", "outcome" => outcome).increment(1);
+        }
+        dispatch::Event::WorkerUnusable { reason, .. } => {
+            metrics::counter!("bronzespoke_fleet_workers_unusable_total", "reason" => *reason).increment(1);
+        }
+        dispatch::Event::Asked { .. } => {
+            metrics::counter!("bronzespoke_fleet_questions_total").increment(1);
+        }
+        dispatch::Event::WorkerKnown { .. } | dispatch::Event::Fenced { .. } => {}
+    }
+}
+
+/// Notes how much the leader looks after.
+pub fn load(dispatch: &Dispatch, active_jobs: usize) {
+    metrics::gauge!("bronzespoke_fleet_waiting_steps").set(dispatch.waiting_steps() as f64);
+    metrics::gauge!("bronzespoke_fleet_workers").set(dispatch.machines().len() as f64);
+    metrics::gauge!("bronzespoke_fleet_active_jobs").set(active_jobs as f64);
+}
+
+/// Notes whether this daemon leads, the calls that wait for a leader and the log lines that were dropped.
+pub fn state(leads: bool, waiting_calls: usize) {
+    metrics::gauge!("bronzespoke_fleet_leads").set(f64::from(u8::from(leads)));
+    metrics::gauge!("bronzespoke_fleet_waiting_calls").set(waiting_calls as f64);
+    metrics::counter!("bronzespoke_fleet_log_lines_dropped_total").absolute(crate::logging::dropped_lines());
+}
+
+const fn outcome_name(outcome: order::Outcome) -> &'static str {
+    match outcome {
+        order::Outcome::Done => "done",
+        order::Outcome::Failed => "failed",
+        order::Outcome::Stopped => "stopped",
+        order::Outcome::Lapsed => "lapsed",
+        order::Outcome::Broken => "broken",
+        order::Outcome::Alone => "alone",
+        order::Outcome::NeverStarted => "never_started",
+        order::Outcome::Lost => "lost",
+    }
+}
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod leading;
 mod member;
 mod membership;
+mod metric;
 mod orders;
 pub mod relay;
 mod relaying;
--- a/crates/daemon/src/fleet/orders.rs
+++ b/crates/daemon/src/fleet/orders.rs
@@ -1,12 +1,16 @@
 //! Sends orders and questions from the traffic thread and brings the answers back to control.
 
-use std::{net::SocketAddr, sync::Arc, time::Duration};
+use std::{
+    net::SocketAddr,
+    sync::Arc,
+    time::{Duration, Instant},
+};
 
 use bronzespoke_workload::{adapter, advice, order};
 use ractor::ActorRef;
 use tokio::{runtime, sync::OnceCell};
 
-use crate::fleet::{Message, client, relay, wire};
+use crate::fleet::{Message, client, metric, relay, wire};
 
 /// An order that is not answered in this time is taken as unanswered: two ways between regions and a busy worker.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
@@ -70,6 +74,7 @@
         let recipient = &order.recipient;
         let request = self.adapter.order(&recipient.name, recipient.fence, &order.order);
         let timeout = timeout(&order.order);
+        let begun = Instant::now();
         let answer = match self.client.call(recipient.address, request, timeout).await {
             Ok((status, body)) => Some(self.adapter.answer(&order.order, status, &body)),
             Err(error) => {
@@ -77,6 +82,7 @@
                 (error == client::Error::NotSent).then_some(order::Answer::NotSent)
             }
         };
+        metric::order(&order.order, answer.as_ref(), begun.elapsed());
         self.report(Message::Ordered {
             origin: order.origin,
             order: order.order,
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -26,9 +26,11 @@
         controller::{self, Control, Start},
         http, orders,
     },
-    peer,
+    metric, peer,
 };
 
+/// Time between two times at which the samples of histograms are sorted.
+const METRICS_INTERVAL: Duration = Duration::from_secs(5);
 /// Time between two looks at the settings file.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
 /// Time for which callers still come after readiness turned off: the balancer misses two probes, a second apart.
@@ -104,6 +106,7 @@
     let listener = bind(listen.unwrap_or(settings.peer))?;
     let switch = peer::fault::Switch::default();
     let (network, mut frames) = peer::Network::start(handle.clone(), listener, switch, cancel.clone());
+    let traffic = network.clone();
     let control = Arc::new(OnceCell::new());
     let (ready_sender, ready) = watch::channel(false);
     let start = Start {
@@ -156,10 +159,14 @@
         ready,
         closing: CancellationToken::new(),
         tracker: TaskTracker::new(),
-        metrics: metrics_exporter_prometheus::PrometheusBuilder::new()
-            .install_recorder()
-            .ok(),
+        metrics: metric::render(traffic),
     };
+    tokio::spawn(async {
+        loop {
+            time::sleep(METRICS_INTERVAL).await;
+            metric::tidy();
+        }
+    });
     let listeners = [
         (http::Kind::Entry, settings.entry),
         (http::Kind::Readiness, settings.readiness),
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -6,16 +6,31 @@
 };
 
 use bronzespoke_gateway::server;
-use metrics_exporter_prometheus::{PrometheusBuilder, PrometheusHandle};
+use metrics_exporter_prometheus::{Matcher, PrometheusBuilder, PrometheusHandle};
 
 use crate::peer;
 
+/// Begin of the names of a fleet's metrics.
+const FLEET_PREFIX: &str = "bronzespoke_fleet_";
+/// Upper bounds of the buckets of a fleet's histograms, in seconds: from an order within a zone to a caller's deadline.
+const FLEET_BUCKETS: [f64; 11] = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0];
+
 /// The recorder of this process; several daemons of one process share it.
 fn recorder() -> Option<&'static PrometheusHandle> {
     static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
-    RECORDER
-        .get_or_init(|| PrometheusBuilder::new().install_recorder().ok())
-        .as_ref()
+    let install = || {
+        let fleet = Matcher::Prefix(String::from(FLEET_PREFIX));
+        let builder = PrometheusBuilder::new().set_buckets_for_metric(fleet, &FLEET_BUCKETS);
+        builder.ok()?.install_recorder().ok()
+    };
+    RECORDER.get_or_init(install).as_ref()
+}
+
+/// Sorts the samples that have gathered; without it they take memory until somebody reads the metrics.
+pub fn tidy() {
+    if let Some(recorder) = recorder() {
+        recorder.run_upkeep();
+    }
 }
 
 /// Returns what renders `/metrics`.
