dispatch: jobs are refused while the leader falls behind; calls are repeated less and less often

What it accepted waited behind all else, and entry VMs repeated each call every 0.7 s, which added to the load.

Change: a submission whose message waited over 0.4 s for the leader is refused with a time to come back, unless an earlier sending of it is being committed; an entry VM passes such a refusal on as certain only if it sent the call once, and doubles the pause between sendings.

Tests: jobs_are_refused_while_the_leader_falls_behind, calls_are_repeated_less_and_less_often, a_refusal_of_a_call_that_was_sent_twice_is_not_certain.

--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -31,6 +31,8 @@
     sent: Option<(id::VmId, Duration)>,
     /// No sending before this time.
     pause_until: Duration,
+    /// Multiple of the usual time after which it is sent again.
+    resend_factor: u32,
     /// Whether every daemon that got it sent it back untouched.
     untouched: bool,
 }
@@ -79,6 +81,7 @@
             deadline,
             sent: None,
             pause_until: now,
+            resend_factor: 1,
             untouched: true,
         };
         self.pending.insert(self.next, pending);
@@ -96,6 +99,13 @@
             return None;
         }
         let pending = self.pending.remove(&number)?;
+        let is_refused = matches!(reply, call::Reply::Refused { .. });
+        // The leader may take another sending of the call after it has refused this one.
+        let reply = if is_refused && !pending.untouched {
+            call::Reply::Unknown
+        } else {
+            reply
+        };
         Some((pending.responder, reply))
     }
 
@@ -105,11 +115,15 @@
         for (number, pending) in &mut self.pending {
             let wanted = match pending.sent {
                 None => now >= pending.pause_until,
-                Some((to, at)) => to != leader || now >= at + RESEND_AFTER,
+                Some((to, at)) => to != leader || now >= at + RESEND_AFTER * pending.resend_factor,
             };
             if wanted {
                 // An earlier sending got no answer, so that its fate is not known.
                 pending.untouched &= pending.sent.is_none();
+                // A leader that does not keep up must not get more and more copies.
+                if pending.sent.is_some_and(|(to, _)| to == leader) {
+                    pending.resend_factor *= 2;
+                }
                 pending.sent = Some((leader, now));
                 due.push((*number, pending.call.clone()));
             }
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -102,6 +102,8 @@
     pub(super) ready: watch::Sender<bool>,
     pub(super) hello_at: Duration,
     metrics_at: Duration,
+    /// How long the newest frame or call waited for this thread.
+    pub(super) lag: Duration,
     pub(super) reopen_at: Duration,
     pub(super) origin: Instant,
     pub(super) urgent: Urgent,
@@ -186,6 +188,7 @@
             helpers_at: Duration::ZERO,
             hello_at: Duration::ZERO,
             metrics_at: Duration::ZERO,
+            lag: Duration::ZERO,
             leaving: false,
             ready,
             reopen_at: Duration::ZERO,
@@ -235,12 +238,19 @@
     fn handle(&mut self, message: Message) {
         match message {
             Message::Tick(_) => self.tick_at = None,
-            Message::Frame(frame) => self.receive(frame),
+            Message::Frame { frame, received } => {
+                self.lag = received.elapsed();
+                self.receive(frame);
+            }
             Message::Call {
                 call,
                 patience,
+                received,
                 responder,
-            } => self.call(call, patience, responder),
+            } => {
+                self.lag = received.elapsed();
+                self.call(call, patience, responder);
+            }
             Message::Ordered {
                 origin,
                 order,
@@ -355,7 +365,7 @@
     fn publish_state(&mut self, now: Duration) {
         if now >= self.metrics_at {
             self.metrics_at = now + METRICS_INTERVAL;
-            metric::state(self.dispatch.is_some(), self.calls.len());
+            metric::state(self.dispatch.is_some(), self.calls.len(), self.lag);
         }
     }
 
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -195,6 +195,7 @@
     let message = Message::Call {
         call,
         patience,
+        received: Instant::now(),
         responder,
     };
     if context.control.send_message(message).is_err() {
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -20,6 +20,10 @@
 /// When a caller whose job does not fit any worker may come back: workers come and go over minutes.
 const NO_ROOM_RETRY: Duration = Duration::from_secs(30);
 
+/// When a caller may come back whose job was refused because the leader does not keep up: the messages that wait are done
+/// in about this time once no jobs are added.
+const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
+
 /// Time between two looks at which VMs may ask the eligibility service.
 const HELPERS_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -273,13 +277,24 @@
             self.respond(responder, call::Reply::Done);
             return;
         }
-        if let Err(reason) = admission::admit(&self.state, queue, &submission) {
+        // A submission whose first sending is being committed must not be refused.
+        let lag = if self.is_submitting(key) {
+            Duration::ZERO
+        } else {
+            self.lag
+        };
+        if let Err(reason) = admission::admit(&self.state, queue, &submission, lag) {
             log::info!(
-                "decision=refuse job={key:016x} queue={} reason={}",
+                "decision=refuse job={key:016x} queue={} reason={} lag_ms={}",
                 queue.name,
-                reason.name()
+                reason.name(),
+                lag.as_millis()
             );
-            self.respond(responder, refused(reason, NO_ROOM_RETRY));
+            let retry_after = match reason {
+                call::Refusal::Overload => OVERLOAD_RETRY,
+                _ => NO_ROOM_RETRY,
+            };
+            self.respond(responder, refused(reason, retry_after));
             return;
         }
         log::info!(
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -65,8 +65,10 @@
     metrics::gauge!("bronzespoke_fleet_active_jobs").set(active_jobs as f64);
 }
 
-/// Notes whether this daemon leads, the calls that wait for a leader and the log lines that were dropped.
-pub fn state(leads: bool, waiting_calls: usize) {
+/// Notes whether this daemon leads, the calls that wait for a leader, how long the newest message waited for the control
+/// thread, and the log lines that were dropped.
+pub fn state(leads: bool, waiting_calls: usize, lag: Duration) {
+    metrics::gauge!("bronzespoke_fleet_control_lag_seconds").set(lag.as_secs_f64());
     metrics::gauge!("bronzespoke_fleet_leads").set(f64::from(u8::from(leads)));
     metrics::gauge!("bronzespoke_fleet_waiting_calls").set(waiting_calls as f64);
     metrics::counter!("bronzespoke_fleet_log_lines_dropped_total").absolute(crate::logging::dropped_lines());
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -21,7 +21,7 @@
 mod start;
 pub mod wire;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bronzespoke_workload::{advice, call, order, settings};
 use tokio::sync::oneshot;
@@ -38,13 +38,20 @@
     /// Frames wait that go before all other messages.
     Urgent,
     /// A frame from another daemon.
-    Frame(peer::wire::Frame),
+    Frame {
+        /// Frame.
+        frame: peer::wire::Frame,
+        /// When it came.
+        received: Instant,
+    },
     /// A call from outside.
     Call {
         /// Call.
         call: call::Call,
         /// How long the caller waits.
         patience: Duration,
+        /// When it came.
+        received: Instant,
         /// Takes the reply.
         responder: oneshot::Sender<call::Reply>,
     },
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -29,6 +29,16 @@
         }
     }
 
+    /// Whether a submission of a job is on its way to the log.
+    pub(super) fn is_submitting(&self, key: bronzespoke_workload::job::Key) -> bool {
+        let under_way = self.proposed.values().flatten().chain(&self.batch);
+        let mut submissions = under_way.filter_map(|waiting| match &waiting.command {
+            cell::Command::Submit { key, .. } => Some(*key),
+            _ => None,
+        });
+        submissions.any(|other| other == key)
+    }
+
     /// Adds a command to the next log entry.
     pub(super) fn enqueue(&mut self, command: cell::Command, responder: Responder) {
         let now = self.now();
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -146,7 +146,10 @@
                     waiting.push_back(received.frame);
                     Message::Urgent
                 }
-                _ => Message::Frame(received.frame),
+                _ => Message::Frame {
+                    frame: received.frame,
+                    received: Instant::now(),
+                },
             };
             if receiver.send_message(message).is_err() {
                 return;
--- a/crates/daemon/tests/fleet_decisions.rs
+++ b/crates/daemon/tests/fleet_decisions.rs
@@ -235,3 +235,33 @@
     assert_eq!(contact.carriers(at(700)), [(place(1), String::from("a"))]);
     assert!(contact.carriers(at(701)).is_empty());
 }
+
+/// Guards against "not accepted" as the answer to a call whose other sending the leader takes afterwards.
+#[test]
+fn a_refusal_of_a_call_that_was_sent_twice_is_not_certain() {
+    let refused = Reply::Refused {
+        reason: call::Refusal::Overload,
+        retry_after: at(1_000),
+    };
+    let mut calls = Calls::default();
+    let once = calls.add(at(0), at(3_000), call(), 1).expect("there is room");
+    let twice = calls.add(at(0), at(3_000), call(), 2).expect("there is room");
+    calls.due(at(0), 7);
+    assert_eq!(
+        calls.reply(at(10), once, refused.clone()),
+        Some((1, refused.clone()))
+    );
+    assert_eq!(calls.due(at(700), 7).len(), 1);
+    assert_eq!(calls.reply(at(800), twice, refused), Some((2, Reply::Unknown)));
+}
+
+/// Guards against a leader that gets the more copies of each call the further it falls behind.
+#[test]
+fn calls_are_repeated_less_and_less_often() {
+    let mut calls = Calls::default();
+    calls.add(at(0), at(60_000), call(), 1).expect("there is room");
+    let sent: Vec<u64> = (0..10_000)
+        .filter(|millis| !calls.due(at(*millis), 7).is_empty())
+        .collect();
+    assert_eq!(sent, [0, 700, 2_100, 4_900]);
+}
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -1,17 +1,29 @@
 //! Which submissions are accepted.
 //!
 //! Answers jobs that can never run: a task larger than every worker, or one that wants a label that no worker has, is
-//! refused at once instead of waiting for good.
+//! refused at once instead of waiting for good. Answers also a leader that does not keep up: what it accepts then waits
+//! behind everything else, its callers give up and come again, and the load grows until nothing is served. New jobs are
+//! refused before that, so that those that were accepted are finished.
+
+use std::time::Duration;
 
 use bronzespoke_control::cell;
 use bronzespoke_workload::{call, catalog, job};
 
-/// Decides on a submission.
+/// Longest time for which messages may wait for the leader while it accepts jobs. Callers repeat a call after 0.7 s, and
+/// members of the group elect another leader after 0.6 s.
+const LONGEST_LAG: Duration = Duration::from_millis(400);
+
+/// Decides on a submission. `lag` is how long its message waited for the leader.
 pub fn admit(
     state: &cell::State,
     queue: &catalog::Queue,
     submission: &job::Submission,
+    lag: Duration,
 ) -> Result<(), call::Refusal> {
+    if lag > LONGEST_LAG {
+        return Err(call::Refusal::Overload);
+    }
     let mut workers = state
         .workers()
         .values()
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -4,6 +4,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::{
+    admission,
     desk::Desk,
     estimate::Estimates,
     machine::{self, Machine},
@@ -14,7 +15,7 @@
 };
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{advice, catalog, job, order as orders, worker};
+use bronzespoke_workload::{advice, call, catalog, job, order as orders, worker};
 use bytes::Bytes;
 
 const fn at(millis: u64) -> Duration {
@@ -332,3 +333,14 @@
     assert!(!machine.has_lapsed(at(6_100)));
     assert!(machine.has_lapsed(at(6_130)));
 }
+
+/// A burst that the leader cannot keep up with: without a refusal, what it accepts waits behind all the rest, callers repeat
+/// their calls, and it never recovers (sweep of tprpa-sched at 300 VMs, 62% of the requests failed).
+#[test]
+fn jobs_are_refused_while_the_leader_falls_behind() {
+    let state = cell::State::default();
+    let job = job(1.5);
+    let admit = |lag| admission::admit(&state, &job.queue, &job.submission, at(lag));
+    assert_eq!(admit(399), Ok(()));
+    assert_eq!(admit(401), Err(call::Refusal::Overload));
+}
