--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -14,7 +14,7 @@
 use tokio::{
     net::TcpListener,
     runtime,
-    signal::unix::{SignalKind, signal},
+    signal::unix::{Signal, SignalKind, signal},
     sync::{OnceCell, watch},
     time,
 };
@@ -76,23 +76,26 @@
 ///
 /// `listen` is the address for frames where a forwarder stands before the one that other daemons use.
 pub fn run(path: &Path, adapter: Arc<dyn adapter::Adapter>, listen: Option<SocketAddr>) -> Result<(), Error> {
-    let settings = read(path, adapter.as_ref())?;
-    crate::logging::start_structured(&settings.name);
-    log::info!(
-        "event=start zone={} peer={} entry={:?} control={:?} seeds={:?} durable={} found={}",
-        settings.zone,
-        settings.peer,
-        settings.entry,
-        settings.control,
-        settings.seeds,
-        settings.data.is_some(),
-        settings.found
-    );
     let traffic = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
         .map_err(|error| Error::System(format!("threads cannot be started: {error}")))?;
-    traffic.block_on(serve(path, adapter, settings, listen))
+    traffic.block_on(async {
+        let signals = Signals::take_over()?;
+        let settings = read(path, adapter.as_ref())?;
+        crate::logging::start_structured(&settings.name);
+        log::info!(
+            "event=start zone={} peer={} entry={:?} control={:?} seeds={:?} durable={} found={}",
+            settings.zone,
+            settings.peer,
+            settings.entry,
+            settings.control,
+            settings.seeds,
+            settings.data.is_some(),
+            settings.found
+        );
+        serve(path, adapter, settings, listen, signals).await
+    })
 }
 
 async fn serve(
@@ -100,6 +103,7 @@
     adapter: Arc<dyn adapter::Adapter>,
     settings: settings::Settings,
     listen: Option<SocketAddr>,
+    signals: Signals,
 ) -> Result<(), Error> {
     let cancel = CancellationToken::new();
     let handle = runtime::Handle::current();
@@ -182,7 +186,7 @@
             tokio::spawn(http::serve(context.clone(), kind, listener, cancel.clone()));
         }
     }
-    watch_signals(path, adapter.as_ref(), &actor).await?;
+    signals.wait(path, adapter.as_ref(), &actor).await?;
     shut_down(&settings, &context, &actor, &cancel).await;
     actor.stop(None);
     if thread.join().is_err() {
@@ -225,37 +229,53 @@
     socket.listen(BACKLOG).map_err(failed)
 }
 
-/// Returns at SIGTERM or SIGINT; reloads the settings at SIGHUP and whenever their file changes.
-async fn watch_signals(
-    path: &Path,
-    adapter: &dyn adapter::Adapter,
-    actor: &ractor::ActorRef<Message>,
-) -> Result<(), Error> {
-    let failed = |error: io::Error| Error::System(format!("signals cannot be received: {error}"));
-    let mut terminate = signal(SignalKind::terminate()).map_err(failed)?;
-    let mut interrupt = signal(SignalKind::interrupt()).map_err(failed)?;
-    let mut hangup = signal(SignalKind::hangup()).map_err(failed)?;
-    let mut changed = modified(path);
-    loop {
-        tokio::select! {
-            _ = terminate.recv() => return Ok(()),
-            _ = interrupt.recv() => return Ok(()),
-            _ = hangup.recv() => {}
-            () = time::sleep(SETTINGS_INTERVAL) => {
-                let newest = modified(path);
-                if newest == changed {
-                    continue;
+/// Signals that the daemon handles.
+struct Signals {
+    terminate: Signal,
+    interrupt: Signal,
+    hangup: Signal,
+}
+
+impl Signals {
+    /// Takes over the signals. Until then a hang-up ends the process, as one that came half a second after a start did.
+    fn take_over() -> Result<Self, Error> {
+        let failed = |error: io::Error| Error::System(format!("signals cannot be received: {error}"));
+        Ok(Self {
+            terminate: signal(SignalKind::terminate()).map_err(failed)?,
+            interrupt: signal(SignalKind::interrupt()).map_err(failed)?,
+            hangup: signal(SignalKind::hangup()).map_err(failed)?,
+        })
+    }
+
+    /// Returns at SIGTERM or SIGINT; reloads the settings at SIGHUP and whenever their file changes.
+    async fn wait(
+        mut self,
+        path: &Path,
+        adapter: &dyn adapter::Adapter,
+        actor: &ractor::ActorRef<Message>,
+    ) -> Result<(), Error> {
+        let mut changed = modified(path);
+        loop {
+            tokio::select! {
+                _ = self.terminate.recv() => return Ok(()),
+                _ = self.interrupt.recv() => return Ok(()),
+                _ = self.hangup.recv() => {}
+                () = time::sleep(SETTINGS_INTERVAL) => {
+                    let newest = modified(path);
+                    if newest == changed {
+                        continue;
+                    }
+                    changed = newest;
                 }
-                changed = newest;
             }
-        }
-        match read(path, adapter) {
-            Ok(settings) => {
-                if actor.send_message(Message::Settings(Box::new(settings))).is_err() {
-                    return Err(Error::System(String::from("the control thread has ended")));
+            match read(path, adapter) {
+                Ok(settings) => {
+                    if actor.send_message(Message::Settings(Box::new(settings))).is_err() {
+                        return Err(Error::System(String::from("the control thread has ended")));
+                    }
                 }
+                Err(error) => log::error!("event=reload_refused reason=\"{error}\""),
             }
-            Err(error) => log::error!("event=reload_refused reason=\"{error}\""),
         }
     }
 }
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -5,7 +5,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_workload::{advice, order, worker};
 
-use super::{Dispatch, Event, Now, Output};
+use super::{Dispatch, Event, Now, Output, orders};
 use crate::machine;
 
 /// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the order.
@@ -205,15 +205,7 @@
                 entry.stop = machine::Stop::Asked(None);
                 if entry.phase != machine::Phase::Proposed {
                     entry.stop = machine::Stop::Asked(Some(now));
-                    let order = order::Order::Stop {
-                        task: *task,
-                        run: entry.run,
-                    };
-                    self.out.push(Output::Order {
-                        worker: *index,
-                        order,
-                        decided: now,
-                    });
+                    self.out.push(orders::stop(*index, *task, entry.run, now));
                 }
             }
         }
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -146,11 +146,7 @@
             return;
         };
         entry.stop = Stop::Asked(Some(now));
-        self.out.push(Output::Order {
-            worker,
-            order: order::Order::Stop { task, run },
-            decided: now,
-        });
+        self.out.push(stop(worker, task, run, now));
     }
 
     /// Sends stops that are due.
@@ -163,23 +159,11 @@
                 };
                 if due && run.phase != Phase::Proposed {
                     run.stop = Stop::Asked(Some(now));
-                    let order = order::Order::Stop {
-                        task: *task,
-                        run: run.run,
-                    };
-                    self.out.push(Output::Order {
-                        worker: *index,
-                        order,
-                        decided: now,
-                    });
+                    self.out.push(stop(*index, *task, run.run, now));
                 }
             }
             for (task, run) in machine.strays.due(now) {
-                self.out.push(Output::Order {
-                    worker: *index,
-                    order: order::Order::Stop { task, run },
-                    decided: now,
-                });
+                self.out.push(stop(*index, task, run, now));
             }
         }
     }
@@ -475,6 +459,20 @@
     }
 }
 
+/// Order to stop a run.
+pub(super) const fn stop(
+    worker: cell::WorkerIndex,
+    task: order::Task,
+    run: order::Run,
+    now: Duration,
+) -> Output {
+    Output::Order {
+        worker,
+        order: order::Order::Stop { task, run },
+        decided: now,
+    }
+}
+
 fn renewal(
     worker: cell::WorkerIndex,
     machine: &mut machine::Machine,
