dispatch: a refused repetition leaves the first start open

Tickets run out after 2.5 s and leases of starts after 3 s, so a repeated start without a valid ticket was refused in between, and the refusal was taken for the whole run: the task was placed elsewhere at 8.00 s, and the first start had taken effect at 7.95 s.

Change: after an unanswered start, a refusal other than one that the lease is over changes nothing. Test, failing before: a_refused_repetition_leaves_the_first_start_open (ticket, room, unhealthy).

--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -79,11 +79,6 @@
         )
     }
 
-    /// Whether a worker was asked about.
-    pub fn was_asked(&self, worker: cell::WorkerIndex) -> bool {
-        self.known.contains_key(&worker)
-    }
-
     /// Whether a question waits or is under way.
     pub const fn is_outstanding(&self) -> bool {
         self.outstanding > 0
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -14,9 +14,6 @@
 /// A worker without runs that was silent for this long is removed.
 const RETIRE_AFTER: Duration = Duration::from_mins(1);
 
-/// How long a run counts as at work that a report has listed; the next report comes sooner.
-const REPORT_AGE: Duration = Duration::from_secs(3);
-
 /// A run of a lost worker whose start order had no answer. The order may be carried out late, by the next life of the
 /// same name before that one has seen its own fencing token; until then the task must not run elsewhere.
 #[derive(Debug)]
@@ -73,7 +70,7 @@
             }
             let mut running = report.running.iter();
             let is_there = running.any(|running| running.task == run.task && running.run == run.run);
-            run.until = if is_there { now + REPORT_AGE } else { now };
+            run.until = if is_there { now + stray::REPORT_AGE } else { now };
         }
     }
 
@@ -119,8 +116,9 @@
                 };
                 self.unanswered.note(&name, start);
             }
-            // An order without an answer may come to the next life although a repeated one was carried out by this one. A
-            // worker that is silent until its lease ends does not return within the time of a late order.
+            // An order without an answer may come to the next life although a repeated one was carried out by this one. It
+            // is not waited for when a worker is silent until its lease ends: that would hold up each of these tasks for the
+            // 13 s of a late order, and the worker is hardly ever back with its next life by then.
             let newest = self.unanswered.newest(&name, task, run.run);
             if let Some(start) = newest.filter(|_| reason != SILENT) {
                 self.uncertain.push(Uncertain {
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -326,6 +326,11 @@
         if refusal == order::Refusal::Outdated && matches!(entry.phase, Phase::Running(_)) {
             return;
         }
+        // An earlier start without an answer may still be carried out, unless its lease is over as well.
+        let is_open = entry.maybe_sent && !matches!(refusal, order::Refusal::Late | order::Refusal::Outdated);
+        if is_open && entry.phase == Phase::Sent {
+            entry.phase = Phase::Unsure;
+        }
         self.note_start(task, run, name, word, after);
         if refusal == order::Refusal::Ticket {
             let step = advice::Step {
@@ -342,6 +347,9 @@
             }
             return;
         }
+        if is_open {
+            return;
+        }
         self.drop_run(worker, task, run);
         self.propose_end(worker, task, run, order::Outcome::NeverStarted, None);
     }
--- a/crates/dispatch/src/stray.rs
+++ b/crates/dispatch/src/stray.rs
@@ -152,5 +152,5 @@
 /// Pause before a worker is told again.
 const RETRY: Duration = Duration::from_millis(500);
 
-/// How long a run counts that a report has shown; the next report comes sooner.
-const REPORT_AGE: Duration = Duration::from_secs(3);
+/// How long a run counts as at work that a report has listed; the next report comes sooner.
+pub(crate) const REPORT_AGE: Duration = Duration::from_secs(3);
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -8,6 +8,7 @@
 use bronzespoke_standin::fleet::load;
 use bronzespoke_workload::{catalog, job, order, settings, worker};
 use bytes::Bytes;
+use yare::parameterized;
 
 const KEY: job::Key = 7;
 
@@ -216,3 +217,24 @@
     let later = leader.run(100);
     assert!(later.iter().all(|start| start.0 == first[0].0), "{later:?}");
 }
+
+/// Guards against a second run of a task whose first start is carried out late: the refusal of the repeated start says
+/// nothing about the first one, whose ticket was still valid (`trouble-3` on rngm-cinturones-grown, TWICE).
+#[parameterized(
+    ticket = { order::Refusal::Ticket },
+    room = { order::Refusal::Room },
+    unhealthy = { order::Refusal::Unhealthy },
+)]
+fn a_refused_repetition_leaves_the_first_start_open(reason: order::Refusal) {
+    let mut leader = Leader::new();
+    leader.run(100);
+    leader.submit();
+    let first = leader.run(20);
+    leader.answer(&first[0], None);
+    let repeated = leader.run(400);
+    assert_eq!(repeated.len(), 1, "{repeated:?}");
+    let clock = Some(leader.now.steady);
+    leader.answer(&repeated[0], Some(&order::Answer::Refused { reason, clock }));
+    let later = leader.run(1_000);
+    assert!(later.iter().all(|start| start.0 == first[0].0), "{later:?}");
+}
