dispatch: steps that wait are looked at again by time; clocks are compared with their rounding

Its question to the eligibility service had got lost, and late questions are given up in scheduling passes, which only events cause; on a fleet that is idle otherwise there are none. The log shows the question at 16:43:55.318 and no decision after the last end at .474. Steps that wait are looked at again every 0.2 s now.

Found on the way: the comparison that tells the next life of a worker from this one took clocks, which are told in whole milliseconds, as exact, so that an answer within a millisecond of the last report counted as none.

Tests, failing before: a_lost_question_is_asked_again_on_an_idle_fleet, a_rounded_clock_is_of_the_same_life.

--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -39,6 +39,8 @@
 /// Longest time between two scheduling passes. With several hundred steps that wait, a pass takes a few milliseconds of a
 /// processor of which the leader has less than a half.
 const LONGEST_PASS_INTERVAL: Duration = Duration::from_millis(100);
+/// Steps that wait are looked at again after this without any event: questions, tickets and pauses run out by time alone.
+const WAITING_INTERVAL: Duration = Duration::from_millis(200);
 /// Time between two looks at the timers of all workers and runs.
 const TIMER_INTERVAL: Duration = Duration::from_millis(20);
 /// Time between two looks at jobs whose retention is over.
@@ -202,6 +204,8 @@
             self.timers_at = now.steady + TIMER_INTERVAL;
             self.expire_leases(now.steady);
             self.settle_uncertain(now.steady);
+            let is_late = now.steady >= self.pass_at + WAITING_INTERVAL;
+            self.dirty |= is_late && !self.waiting.is_empty();
             self.renew_leases(now.steady);
             self.resend_stops(now.steady);
             self.resend_starts(state, now.steady);
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -146,6 +146,9 @@
     pub suspicions: u32,
 }
 
+/// Clocks are told in whole milliseconds, and a later life begins at least half a second after the one before.
+const CLOCK_STEP: Duration = Duration::from_millis(20);
+
 impl Machine {
     /// Returns a machine that has not reported yet.
     pub fn new(
@@ -199,7 +202,7 @@
         let Some(sample) = self.sample else { return false };
         let earlier = sample.at.saturating_sub(sent);
         let then = self.clock(sent).unwrap_or_default().saturating_sub(earlier);
-        clock < then
+        clock + CLOCK_STEP < then
     }
 
     /// Tells whether every lease that anyone granted has run out.
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -24,6 +24,7 @@
     state: cell::State,
     dispatch: Dispatch,
     now: Now,
+    asks: usize,
 }
 
 impl Leader {
@@ -51,7 +52,9 @@
             state,
             dispatch,
             now: at(0),
+            asks: 0,
         };
+        leader.dispatch.set_helpers(&[1]);
         for number in 0..2 {
             leader.announce(number);
         }
@@ -117,7 +120,8 @@
                         self.dispatch
                             .answered(&self.state, self.now, worker, &order, decided, Some(&answer));
                     }
-                    Output::Ask(_) | Output::Event(_) => {}
+                    Output::Ask(_) => self.asks += 1,
+                    Output::Event(_) => {}
                 }
             }
         }
@@ -144,6 +148,10 @@
     }
 
     fn submit(&mut self) {
+        self.submit_with(None);
+    }
+
+    fn submit_with(&mut self, advice: Option<catalog::Advice>) {
         let step = job::Step {
             tasks: 1,
             size: resource::Amount::new(1_000, 100, 0),
@@ -162,7 +170,20 @@
             fills: false,
             allowed_absences: None,
         };
-        let queue = load::queue("check", 0, Duration::from_millis(400), 1.5, 2);
+        let queue = catalog::Queue {
+            advice,
+            ..load::queue("check", 0, Duration::from_millis(400), 1.5, 2)
+        };
+        let catalog = catalog::Catalog {
+            version: 2,
+            queues: vec![queue.clone()],
+            pools: Vec::new(),
+            teams: Vec::new(),
+        };
+        self.commit(&cell::Command::Configure {
+            catalog: Box::new(catalog),
+            document: Bytes::new(),
+        });
         self.commit(&cell::Command::Submit {
             key: KEY,
             queue: Box::new(queue),
@@ -238,3 +259,20 @@
     let later = leader.run(1_000);
     assert!(later.iter().all(|start| start.0 == first[0].0), "{later:?}");
 }
+
+/// Guards against a step that waits for good on an idle fleet: its question was lost, and nothing else happened that would
+/// have led to another pass. Found by a CI run beside load, in the test of the whole path.
+#[test]
+fn a_lost_question_is_asked_again_on_an_idle_fleet() {
+    let mut leader = Leader::new();
+    leader.run(100);
+    leader.submit_with(Some(catalog::Advice {
+        decision: Duration::from_millis(10),
+        per_worker: Duration::ZERO,
+        valid: Duration::from_secs(2),
+    }));
+    leader.run(50);
+    assert_eq!(leader.asks, 1);
+    leader.run(2_000);
+    assert_eq!(leader.asks, 2);
+}
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -344,3 +344,17 @@
     assert_eq!(admit(399), Ok(()));
     assert_eq!(admit(401), Err(call::Refusal::Overload));
 }
+
+/// Clocks are told in whole milliseconds: an order that is answered within one must not be taken for one that the next life
+/// of its worker answered.
+#[test]
+fn a_rounded_clock_is_of_the_same_life() {
+    let mut machine = machine_with(&[]);
+    machine.sample = Some(machine::Sample {
+        clock: at(100),
+        at: at(1_000),
+    });
+    let sent = Duration::from_micros(1_000_900);
+    assert!(!machine.is_of_later_life(sent, at(100)));
+    assert!(machine.is_of_later_life(at(2_000), at(300)));
+}
