Fleet: one copy of what stood twice, and less state

Behaviour is unchanged; the tests keep their assertions.

- dispatch: steps and tasks are converted by step_of and name instead of by hand; workers of questions are named in one place; whether a start may have been sent follows from the unanswered starts and is no field of a run any more; why runs are lost is an enum instead of a compared log word; a variant of Permit that was never built is gone.
- daemon: the log is searched for a submission under way only when the leader is behind, not for each submission; the fleet uses the wall clock of control; readiness reads the head of the request instead of building another one; one type for carried answers.

--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -32,16 +32,7 @@
         after: after.to_vec(),
         checkpoints: true,
         gang,
-        one_rack: false,
-        label: None,
-        near_rack: None,
-        per_worker: 0,
-        copies: false,
-        lasting: false,
-        image: None,
-        response_target: None,
-        fills: false,
-        allowed_absences: None,
+        ..job::Step::default()
     }
 }
 
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -3,7 +3,7 @@
 use std::{
     collections::{HashMap, VecDeque},
     sync::{Arc, Mutex},
-    time::{Duration, Instant, SystemTime, UNIX_EPOCH},
+    time::{Duration, Instant},
 };
 
 use bronzespoke_consensus::replica;
@@ -15,6 +15,7 @@
 use tokio::sync::{oneshot, watch};
 
 use crate::{
+    control::context,
     fleet::{Message, calls, contact, member, metric, orders, relay, replication, wire},
     identity, peer,
 };
@@ -210,7 +211,7 @@
     pub(super) fn times(&self) -> dispatch::Now {
         dispatch::Now {
             steady: self.now(),
-            wall_ms: wall_ms(),
+            wall_ms: context::Context::wall_ms(),
         }
     }
 
@@ -402,10 +403,3 @@
         log::debug!("decision=drop_reply reason=caller_gone reply={reply:?}");
     }
 }
-
-/// Wall time in milliseconds since the Unix epoch.
-pub(super) fn wall_ms() -> u64 {
-    SystemTime::now()
-        .duration_since(UNIX_EPOCH)
-        .map_or(0, |time| time.as_millis() as u64)
-}
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -9,7 +9,7 @@
 
 use bronzespoke_workload::{adapter, call};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header};
+use http::{Request, Response, StatusCode, header, request};
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -129,7 +129,7 @@
     let begun = Instant::now();
     let response = match kind {
         Kind::Metrics => metrics(context),
-        Kind::Readiness => readiness(context, &request),
+        Kind::Readiness => readiness(context, &request.into_parts().0),
         Kind::Entry | Kind::Control => {
             let response = called(context, kind, request).await;
             let listener = if kind == Kind::Entry { "entry" } else { "control" };
@@ -149,15 +149,9 @@
     Response::new(Bytes::from((context.metrics)()))
 }
 
-fn readiness(context: &Context, request: &Request<Incoming>) -> Response<Bytes> {
+fn readiness(context: &Context, head: &request::Parts) -> Response<Bytes> {
     let mut response = Response::new(Bytes::new());
-    let (head, ()) = Request::builder()
-        .method(request.method())
-        .uri(request.uri())
-        .body(())
-        .unwrap_or_default()
-        .into_parts();
-    *response.status_mut() = match (context.adapter.is_probe(&head), *context.ready.borrow()) {
+    *response.status_mut() = match (context.adapter.is_probe(head), *context.ready.borrow()) {
         (false, _) => StatusCode::NOT_FOUND,
         (true, true) => StatusCode::OK,
         (true, false) => StatusCode::SERVICE_UNAVAILABLE,
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -278,11 +278,8 @@
             return;
         }
         // A submission whose first sending is being committed must not be refused.
-        let lag = if self.is_submitting(key) {
-            Duration::ZERO
-        } else {
-            self.lag
-        };
+        let is_known = admission::is_behind(self.lag) && self.is_submitting(key);
+        let lag = if is_known { Duration::ZERO } else { self.lag };
         if let Err(reason) = admission::admit(&self.state, queue, &submission, lag) {
             log::info!(
                 "decision=refuse job={key:016x} queue={} reason={} lag_ms={}",
--- a/crates/daemon/src/fleet/relay.rs
+++ b/crates/daemon/src/fleet/relay.rs
@@ -149,14 +149,11 @@
     }
 }
 
-/// Number of an order and the worker's answer, if there was one.
-pub type Answered = (u64, Option<order::Answer>);
-
 /// The carrier's side: answers that wait for a frame to their leader.
 #[derive(Debug, Default)]
 pub struct Carried {
     since: Option<Duration>,
-    answers: BTreeMap<(wire::Place, order::Token), Vec<Answered>>,
+    answers: BTreeMap<(wire::Place, order::Token), Vec<wire::Answered>>,
 }
 
 impl Carried {
--- a/crates/daemon/src/fleet/relaying.rs
+++ b/crates/daemon/src/fleet/relaying.rs
@@ -78,7 +78,7 @@
     }
 
     /// Takes answers that another daemon got; those to orders of a former term change nothing.
-    pub(super) fn take_answers(&mut self, token: order::Token, answers: Vec<(u64, Option<order::Answer>)>) {
+    pub(super) fn take_answers(&mut self, token: order::Token, answers: Vec<wire::Answered>) {
         if self.dispatch.as_ref().map(Dispatch::token) != Some(token) {
             return;
         }
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -8,10 +8,11 @@
 use bronzespoke_workload::{call, settings};
 
 use crate::{
+    control::context,
     disk,
     fleet::{
         Message,
-        controller::{COMMAND_DELAY, Controller, Responder, Waiting, wall_ms},
+        controller::{COMMAND_DELAY, Controller, Responder, Waiting},
         member, wire,
     },
     identity, peer,
@@ -53,7 +54,7 @@
             return;
         }
         self.batch_since = None;
-        let at_ms = wall_ms();
+        let at_ms = context::Context::wall_ms();
         let mut waiting = std::mem::take(&mut self.batch).into_iter();
         let commands: Vec<_> = waiting
             .as_slice()
--- a/crates/daemon/src/fleet/wire.rs
+++ b/crates/daemon/src/fleet/wire.rs
@@ -65,11 +65,14 @@
     Answers {
         /// Term of the leader that gave the orders.
         token: order::Token,
-        /// Number of each order and the worker's answer, if there was one.
-        answers: Vec<(u64, Option<order::Answer>)>,
+        /// Answers.
+        answers: Vec<Answered>,
     },
 }
 
+/// Number of an order and the worker's answer, if there was one.
+pub type Answered = (u64, Option<order::Answer>);
+
 /// An order that another daemon carries to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -14,6 +14,11 @@
 /// members of the group elect another leader after 0.6 s.
 const LONGEST_LAG: Duration = Duration::from_millis(400);
 
+/// Tells whether a leader for which messages wait this long takes no new jobs.
+pub fn is_behind(lag: Duration) -> bool {
+    lag > LONGEST_LAG
+}
+
 /// Decides on a submission. `lag` is how long its message waited for the leader.
 pub fn admit(
     state: &cell::State,
@@ -21,7 +26,7 @@
     submission: &job::Submission,
     lag: Duration,
 ) -> Result<(), call::Refusal> {
-    if lag > LONGEST_LAG {
+    if is_behind(lag) {
         return Err(call::Refusal::Overload);
     }
     let mut workers = state
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -31,8 +31,6 @@
 /// Whether a worker may run a step. Eligibility does not change; tickets run out.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Permit {
-    /// It was not asked about.
-    Unknown,
     /// It may not.
     Denied,
     /// It may, with this ticket until a time.
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -5,13 +5,14 @@
 use bronzespoke_control::cell;
 use bronzespoke_workload::{advice, order, worker};
 
-use super::{Dispatch, Event, Now, Output, orders};
+use super::{Dispatch, Event, Now, Output, lost::Loss, orders, schedule};
 use crate::machine;
 
 /// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the order.
 const INHERITED_MARGIN: Duration = Duration::from_millis(500);
 /// Time that a run of an earlier leader is expected to take on, of which only the placement is known.
 const INHERITED_RUN_TIME: Duration = Duration::from_secs(2);
+
 /// What an announcement asks for.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Registration {
@@ -78,7 +79,6 @@
                         gang: spec.gang,
                         run_time: spec.run_time,
                         progress: None,
-                        maybe_sent: false,
                         stop: machine::Stop::No,
                         checkpoint: None,
                     };
@@ -140,7 +140,7 @@
             }
         }
         for index in former {
-            self.end_life(index, "replaced");
+            self.end_life(index, Loss::Replaced);
         }
         Registration::Propose(register(announcement, draining))
     }
@@ -148,7 +148,7 @@
     /// Takes the word of a worker that it ends now.
     pub fn leave(&mut self, state: &cell::State, name: &str) {
         if let Some((index, _)) = state.worker_named(name) {
-            self.end_life(index, "left");
+            self.end_life(index, Loss::Left);
         }
     }
 
@@ -182,16 +182,7 @@
 
     /// Marks the runs of a step as to be stopped.
     pub(super) fn stop_step(&mut self, step: advice::Step, run: order::Run, now: Duration) {
-        let first = order::Task {
-            job: step.job,
-            occurrence: step.occurrence,
-            step: step.step,
-            index: 0,
-        };
-        let last = order::Task {
-            index: u32::MAX,
-            ..first
-        };
+        let (first, last) = (schedule::name(step, 0), schedule::name(step, u32::MAX));
         self.stop_range(first, last, run, now);
     }
 
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -9,11 +9,40 @@
 use super::{Dispatch, Event, Output};
 use crate::{machine, stray};
 
-/// Reason of the loss of runs whose lease is over.
-const SILENT: &str = "lease";
 /// A worker without runs that was silent for this long is removed.
 const RETIRE_AFTER: Duration = Duration::from_mins(1);
 
+/// Why the runs of a worker are lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(super) enum Loss {
+    /// The worker was silent until its lease was over.
+    Lease,
+    /// It said that it ends.
+    Left,
+    /// Another life answered an order.
+    OtherLife,
+    /// A later life announced itself.
+    Replaced,
+    /// A later life reported.
+    Restarted,
+    /// It was silent for long and has no runs.
+    Silent,
+}
+
+impl Loss {
+    /// Reason in the log.
+    const fn name(self) -> &'static str {
+        match self {
+            Self::Lease => "lease",
+            Self::Left => "left",
+            Self::OtherLife => "other_life",
+            Self::Replaced => "replaced",
+            Self::Restarted => "restarted",
+            Self::Silent => "silent",
+        }
+    }
+}
+
 /// A run of a lost worker whose start order had no answer. The order may be carried out late, by the next life of the
 /// same name before that one has seen its own fencing token; until then the task must not run elsewhere.
 #[derive(Debug)]
@@ -31,8 +60,8 @@
 
 impl Dispatch {
     /// Ends all runs of a life that is over, and removes it.
-    pub(super) fn end_life(&mut self, index: cell::WorkerIndex, reason: &'static str) {
-        self.lose_runs(index, reason);
+    pub(super) fn end_life(&mut self, index: cell::WorkerIndex, loss: Loss) {
+        self.lose_runs(index, loss);
         self.slowness.forget_worker(index);
         if self.machines.remove(&index).is_some() {
             self.over.insert(index);
@@ -90,7 +119,7 @@
     }
 
     /// Records that no run of a worker is at work any more.
-    pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, reason: &'static str) {
+    pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, loss: Loss) {
         let Some(machine) = self.machines.get_mut(&index) else {
             return;
         };
@@ -99,7 +128,7 @@
         let name = machine.life.name.clone();
         let event = Event::WorkerUnusable {
             worker: name.clone(),
-            reason,
+            reason: loss.name(),
             runs: runs.len(),
             silent: None,
         };
@@ -120,7 +149,7 @@
             // is not waited for when a worker is silent until its lease ends: that would hold up each of these tasks for the
             // 13 s of a late order, and the worker is hardly ever back with its next life by then.
             let newest = self.unanswered.newest(&name, task, run.run);
-            if let Some(start) = newest.filter(|_| reason != SILENT) {
+            if let Some(start) = newest.filter(|_| loss != Loss::Lease) {
                 self.uncertain.push(Uncertain {
                     worker: index,
                     name: name.clone(),
@@ -176,7 +205,7 @@
             .map(|(index, _)| *index)
             .collect();
         for index in lapsed {
-            self.lose_runs(index, SILENT);
+            self.lose_runs(index, Loss::Lease);
         }
         let gone: Vec<cell::WorkerIndex> = self
             .machines
@@ -186,7 +215,7 @@
             .map(|(index, _)| *index)
             .collect();
         for index in gone {
-            self.end_life(index, "silent");
+            self.end_life(index, Loss::Silent);
         }
     }
 }
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{advice, order};
+use bronzespoke_workload::order;
 use bytes::Bytes;
 
-use super::{Dispatch, Event, Now, Output, START_LEASE};
+use super::{Dispatch, Event, Now, Output, START_LEASE, lost::Loss, report};
 use crate::{
     machine::{self, Phase, Stop},
     stray,
@@ -91,12 +91,7 @@
         let Some(run) = machine.runs.get(&task) else {
             return;
         };
-        let step = advice::Step {
-            job: task.job,
-            occurrence: task.occurrence,
-            step: task.step,
-        };
-        let known = self.desk.eligibility(step);
+        let known = self.desk.eligibility(report::step_of(task));
         let ticket = known.and_then(|known| known.ticket(worker, now).cloned());
         let order = order::Order::Start {
             task,
@@ -201,7 +196,7 @@
             ..
         }) = answer
         {
-            self.end_life(worker, "other_life");
+            self.end_life(worker, Loss::OtherLife);
             return;
         }
         if let Some(order::Answer::Refused {
@@ -269,6 +264,8 @@
             return;
         };
         let after = now.saturating_sub(entry.decided);
+        // An earlier order of this start had no answer and may have reached the worker.
+        let maybe_sent = self.unanswered.newest(&name, task, run).is_some();
         let refusal = match answer {
             Some(order::Answer::Done { .. }) => {
                 if entry.phase == Phase::Sent || entry.phase == Phase::Unsure {
@@ -280,7 +277,7 @@
             }
             Some(order::Answer::Refused { reason, .. }) => *reason,
             Some(order::Answer::NotSent) => {
-                let is_certain = entry.phase == Phase::Sent && !entry.maybe_sent;
+                let is_certain = entry.phase == Phase::Sent && !maybe_sent;
                 if entry.phase == Phase::Sent {
                     entry.phase = Phase::Unsure;
                 }
@@ -293,7 +290,6 @@
                 return;
             }
             _ => {
-                entry.maybe_sent = true;
                 let start = stray::Start {
                     task,
                     run,
@@ -327,18 +323,13 @@
             return;
         }
         // An earlier start without an answer may still be carried out, unless its lease is over as well.
-        let is_open = entry.maybe_sent && !matches!(refusal, order::Refusal::Late | order::Refusal::Outdated);
+        let is_open = maybe_sent && !matches!(refusal, order::Refusal::Late | order::Refusal::Outdated);
         if is_open && entry.phase == Phase::Sent {
             entry.phase = Phase::Unsure;
         }
         self.note_start(task, run, name, word, after);
         if refusal == order::Refusal::Ticket {
-            let step = advice::Step {
-                job: task.job,
-                occurrence: task.occurrence,
-                step: task.step,
-            };
-            self.desk.void(step, worker);
+            self.desk.void(report::step_of(task), worker);
         }
         if refusal == order::Refusal::Outdated {
             // It was there and has ended, or was stopped before it came; the report lists which.
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -9,7 +9,7 @@
 use bronzespoke_model::resource;
 use bronzespoke_workload::{advice, order};
 
-use super::{Dispatch, Event, Now, Output};
+use super::{Dispatch, Event, Now, Output, lost::Loss};
 use crate::{
     machine::{self, Phase, Stop},
     progress,
@@ -44,7 +44,7 @@
             .born
             .is_some_and(|born| machine.life.born != 0 && born != machine.life.born);
         if other_life {
-            self.end_life(worker, "restarted");
+            self.end_life(worker, Loss::Restarted);
             return;
         }
         machine.unanswered = false;
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -360,16 +360,19 @@
             let room = (candidate.fitting(&subject.size), candidate.free.cpu_milli);
             std::cmp::Reverse(room)
         });
-        let named = workers.into_iter().take(asked_workers(subject.spec));
-        let workers = named
-            .filter_map(|candidate| {
-                let machine = self.machines.get(&candidate.worker)?;
-                Some((candidate.worker, machine.life.name.clone()))
-            })
+        let asked = workers.into_iter().take(asked_workers(subject.spec));
+        let workers = asked
+            .filter_map(|candidate| self.named(candidate.worker))
             .collect();
         self.desk.want(now, subject.id, cost, workers);
     }
 
+    /// A worker with its name, as questions need it.
+    fn named(&self, worker: cell::WorkerIndex) -> Option<(cell::WorkerIndex, String)> {
+        let machine = self.machines.get(&worker)?;
+        Some((worker, machine.life.name.clone()))
+    }
+
     /// Tasks of the step that a worker may still take.
     fn slots(&self, worker: cell::WorkerIndex, subject: &Subject<'_>) -> u32 {
         if subject.spec.per_worker == 0 {
@@ -470,11 +473,8 @@
         }
         let until = choice.due.max(now) + TICKETS_AHEAD;
         let lacks = |worker: &&cell::WorkerIndex| !known.is_permitted(**worker, until);
-        let workers = choice.workers.iter().filter(lacks).filter_map(|worker| {
-            let machine = self.machines.get(worker)?;
-            Some((*worker, machine.life.name.clone()))
-        });
-        let workers = workers.collect();
+        let lacking = choice.workers.iter().filter(lacks);
+        let workers = lacking.filter_map(|worker| self.named(*worker)).collect();
         self.desk.want(now, subject.id, &cost, workers);
     }
 
@@ -521,7 +521,6 @@
                 gang: subject.spec.gang,
                 run_time: subject.run_time,
                 progress: None,
-                maybe_sent: false,
                 stop: Stop::No,
                 checkpoint: None,
             },
@@ -540,7 +539,8 @@
     }
 }
 
-const fn name(step: advice::Step, index: u32) -> order::Task {
+/// Name of a task of a step.
+pub(super) const fn name(step: advice::Step, index: u32) -> order::Task {
     order::Task {
         job: step.job,
         occurrence: step.occurrence,
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -71,8 +71,6 @@
     pub run_time: Duration,
     /// Progress that reports have shown.
     pub progress: Option<progress::Progress>,
-    /// Whether a start order without an answer may have reached the worker.
-    pub maybe_sent: bool,
     /// Whether the run is to be stopped.
     pub stop: Stop,
     /// Newest stored progress that was seen.
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -19,6 +19,9 @@
     }
 }
 
+/// Worker of a start, the start and when it was decided.
+type Sent = (cell::WorkerIndex, order::Order, Duration);
+
 /// A leader with two workers that have reported.
 struct Leader {
     state: cell::State,
@@ -93,7 +96,7 @@
     }
 
     /// Lets time pass; reports are answered, starts are returned.
-    fn run(&mut self, millis: u64) -> Vec<(cell::WorkerIndex, order::Order, Duration)> {
+    fn run(&mut self, millis: u64) -> Vec<Sent> {
         let mut starts = Vec::new();
         for step in 0..millis {
             self.now = at(self.now.steady.as_millis() as u64 + u64::from(step > 0));
@@ -147,28 +150,22 @@
         }
     }
 
-    fn submit(&mut self) {
-        self.submit_with(None);
+    /// A leader that has given the start of its only task, which was not answered yet.
+    fn with_start() -> (Self, Sent) {
+        let mut leader = Self::new();
+        leader.run(100);
+        leader.submit(None);
+        let mut starts = leader.run(20);
+        assert_eq!(starts.len(), 1, "{starts:?}");
+        (leader, starts.remove(0))
     }
 
-    fn submit_with(&mut self, advice: Option<catalog::Advice>) {
+    fn submit(&mut self, advice: Option<catalog::Advice>) {
         let step = job::Step {
             tasks: 1,
             size: resource::Amount::new(1_000, 100, 0),
             run_time: Duration::from_secs(1),
-            after: Vec::new(),
-            checkpoints: false,
-            gang: false,
-            one_rack: false,
-            label: None,
-            near_rack: None,
-            per_worker: 0,
-            copies: false,
-            lasting: false,
-            image: None,
-            response_target: None,
-            fills: false,
-            allowed_absences: None,
+            ..job::Step::default()
         };
         let queue = catalog::Queue {
             advice,
@@ -196,11 +193,7 @@
         });
     }
 
-    fn answer(
-        &mut self,
-        start: &(cell::WorkerIndex, order::Order, Duration),
-        answer: Option<&order::Answer>,
-    ) {
+    fn answer(&mut self, start: &Sent, answer: Option<&order::Answer>) {
         let (worker, order, decided) = start;
         self.dispatch
             .answered(&self.state, self.now, *worker, order, *decided, answer);
@@ -211,32 +204,25 @@
 /// workers held up dozens of short jobs for 6 to 16 s (`scale-2` on rngm-cinturones-grown).
 #[test]
 fn a_start_that_never_left_goes_to_another_worker_at_once() {
-    let mut leader = Leader::new();
-    leader.run(100);
-    leader.submit();
-    let first = leader.run(20);
-    assert_eq!(first.len(), 1);
-    leader.answer(&first[0], Some(&order::Answer::NotSent));
+    let (mut leader, first) = Leader::with_start();
+    leader.answer(&first, Some(&order::Answer::NotSent));
     let second = leader.run(100);
     assert_eq!(second.len(), 1, "{second:?}");
-    assert_ne!(first[0].0, second[0].0);
+    assert_ne!(first.0, second[0].0);
 }
 
 /// Guards against a second run of a task whose first start may have arrived: only the refused connection of the repeated
 /// start is certain.
 #[test]
 fn a_start_that_may_have_left_stays_where_it_is() {
-    let mut leader = Leader::new();
-    leader.run(100);
-    leader.submit();
-    let first = leader.run(20);
-    leader.answer(&first[0], None);
+    let (mut leader, first) = Leader::with_start();
+    leader.answer(&first, None);
     let repeated = leader.run(400);
     assert_eq!(repeated.len(), 1, "{repeated:?}");
-    assert_eq!((repeated[0].0, &repeated[0].1), (first[0].0, &first[0].1));
+    assert_eq!((repeated[0].0, &repeated[0].1), (first.0, &first.1));
     leader.answer(&repeated[0], Some(&order::Answer::NotSent));
     let later = leader.run(100);
-    assert!(later.iter().all(|start| start.0 == first[0].0), "{later:?}");
+    assert!(later.iter().all(|start| start.0 == first.0), "{later:?}");
 }
 
 /// Guards against a second run of a task whose first start is carried out late: the refusal of the repeated start says
@@ -247,17 +233,14 @@
     unhealthy = { order::Refusal::Unhealthy },
 )]
 fn a_refused_repetition_leaves_the_first_start_open(reason: order::Refusal) {
-    let mut leader = Leader::new();
-    leader.run(100);
-    leader.submit();
-    let first = leader.run(20);
-    leader.answer(&first[0], None);
+    let (mut leader, first) = Leader::with_start();
+    leader.answer(&first, None);
     let repeated = leader.run(400);
     assert_eq!(repeated.len(), 1, "{repeated:?}");
     let clock = Some(leader.now.steady);
     leader.answer(&repeated[0], Some(&order::Answer::Refused { reason, clock }));
     let later = leader.run(1_000);
-    assert!(later.iter().all(|start| start.0 == first[0].0), "{later:?}");
+    assert!(later.iter().all(|start| start.0 == first.0), "{later:?}");
 }
 
 /// Guards against a step that waits for good on an idle fleet: its question was lost, and nothing else happened that would
@@ -266,7 +249,7 @@
 fn a_lost_question_is_asked_again_on_an_idle_fleet() {
     let mut leader = Leader::new();
     leader.run(100);
-    leader.submit_with(Some(catalog::Advice {
+    leader.submit(Some(catalog::Advice {
         decision: Duration::from_millis(10),
         per_worker: Duration::ZERO,
         valid: Duration::from_secs(2),
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -265,7 +265,6 @@
             gang: false,
             run_time: at(*end),
             progress: None,
-            maybe_sent: false,
             stop: machine::Stop::No,
             checkpoint: None,
         };
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -100,18 +100,8 @@
         size: resource::Amount::new(scaled(form.size.cpu_milli), scaled(form.size.memory_mib), 0),
         run_time: base.mul_f64(rng.random_range(1.0 / ESTIMATE_ERROR..ESTIMATE_ERROR)),
         after: (0..step).collect(),
-        checkpoints: false,
         gang: form.gang,
-        one_rack: false,
-        label: None,
-        near_rack: None,
-        per_worker: 0,
-        copies: false,
-        lasting: false,
-        image: None,
-        response_target: None,
-        fills: false,
-        allowed_absences: None,
+        ..job::Step::default()
     }
 }
 
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -39,7 +39,7 @@
 }
 
 /// Tasks of one kind in a job.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[expect(
     clippy::struct_excessive_bools,
     reason = "each property of a step is independent"
