--- a/crates/bench/benches/capacity/choices.rs
+++ b/crates/bench/benches/capacity/choices.rs
@@ -100,7 +100,7 @@
     let (mut store, _) =
         bronzespoke_storage::Store::open(folder.path(), id::GroupId::Zone(9)).expect("the folder is empty");
     store
-        .bootstrap(membership::Membership::of_voters([1]))
+        .bootstrap(membership::Membership::from_voters([1]))
         .expect("the disk has room");
     let begun = Instant::now();
     for sequence in 1..=SYNCS {
--- a/crates/bench/benches/capacity/replication.rs
+++ b/crates/bench/benches/capacity/replication.rs
@@ -130,7 +130,7 @@
 
 impl Group {
     fn new(voters: u64) -> Self {
-        let members = membership::Membership::of_voters(1..=voters);
+        let members = membership::Membership::from_voters(1..=voters);
         let replicas = (1..=voters)
             .map(|id| {
                 let config = replica::Config::new(id, id::GroupId::Zone(9), id * 7919);
@@ -356,7 +356,7 @@
                 data: entry(number, 1),
             })
             .collect();
-        let answer = feed::Answer {
+        let answer = feed::Response {
             token: u32::MAX / 3,
             through: 200_000,
             age: Some(120_000),
--- a/crates/bench/benches/speed/consensus.rs
+++ b/crates/bench/benches/speed/consensus.rs
@@ -31,7 +31,7 @@
 }
 
 fn members(voters: u64) -> Restored {
-    Restored::bootstrap(membership::Membership::of_voters(1..=voters))
+    Restored::bootstrap(membership::Membership::from_voters(1..=voters))
 }
 
 /// Carries out the outputs of members until nothing is left to do; writes succeed at once.
@@ -173,7 +173,7 @@
         let folder = tempfile::tempdir().expect("a temporary folder");
         let (mut store, _) = Store::open(folder.path(), GROUP).expect("the store opens");
         let position = log::Position { term: 1, index: 1 };
-        let membership = membership::Membership::of_voters([1]);
+        let membership = membership::Membership::from_voters([1]);
         let snapshot = snapshot::Snapshot {
             position,
             membership,
--- a/crates/bench/src/policy/consensus/feed.rs
+++ b/crates/bench/src/policy/consensus/feed.rs
@@ -40,11 +40,14 @@
                 continue;
             };
             let arrived = self.now + ms(12);
-            let answer = source.answer(arrived, Some(arrived), &request);
+            let answer = source.respond(arrived, Some(arrived), &request);
             self.count(&request);
             self.count(&answer);
             self.now = arrived + ms(12);
-            input = feed::Input::Receive { from: 1, answer };
+            input = feed::Input::Receive {
+                from: 1,
+                response: answer,
+            };
         }
     }
 
@@ -76,7 +79,7 @@
 /// A message of the feed on its way: arrival, hop, content.
 enum Travel {
     Request(Duration, usize, feed::Request),
-    Answer(Duration, usize, feed::Answer),
+    Answer(Duration, usize, feed::Response),
 }
 
 /// One-way delay of each hop.
@@ -114,11 +117,11 @@
             match travel {
                 Travel::Request(at, hop, request) if at <= now => {
                     let basis = if hop == 0 {
-                        world.replicas[&voter].basis(now)
+                        world.replicas[&voter].freshness(now)
                     } else {
-                        hops[0].basis()
+                        hops[0].freshness()
                     };
-                    let answer = source.answer(now, basis, &request);
+                    let answer = source.respond(now, basis, &request);
                     answered += u64::from(hop == 0);
                     let drop = hop == 0 && answered % 20 == 0 && answered / 20 <= lost;
                     if !drop {
@@ -126,7 +129,14 @@
                     }
                 }
                 Travel::Answer(at, hop, answer) if at <= now => {
-                    hops[hop].step(now, feed::Input::Receive { from: 1, answer }, &mut out);
+                    hops[hop].step(
+                        now,
+                        feed::Input::Receive {
+                            from: 1,
+                            response: answer,
+                        },
+                        &mut out,
+                    );
                     send(now, hop, &mut out, &mut travels);
                 }
                 waiting => travels.push(waiting),
@@ -138,9 +148,9 @@
         }
         if now > begin + ms(5_000) {
             let bases = [
-                world.replicas[&voter].basis(now),
-                hops[0].basis(),
-                hops[1].basis(),
+                world.replicas[&voter].freshness(now),
+                hops[0].freshness(),
+                hops[1].freshness(),
             ];
             for (worst, basis) in worst.iter_mut().zip(bases) {
                 let age = basis.map_or(f64::INFINITY, |basis| now.saturating_sub(basis).as_secs_f64());
--- a/crates/bench/src/policy/consensus/world.rs
+++ b/crates/bench/src/policy/consensus/world.rs
@@ -67,7 +67,7 @@
         delay: fn(id::VmId, id::VmId) -> Duration,
     ) -> Self {
         let mut rng = SmallRng::seed_from_u64(seed);
-        let members = membership::Membership::of_voters(1..=voters);
+        let members = membership::Membership::from_voters(1..=voters);
         let mut world = Self {
             now: Duration::ZERO,
             replicas: BTreeMap::new(),
--- a/crates/consensus/src/feed/follower.rs
+++ b/crates/consensus/src/feed/follower.rs
@@ -6,17 +6,17 @@
 use bronzespoke_model::id;
 use rand::{Rng, SeedableRng, rngs};
 
-use super::{Answer, Content, Request};
+use super::{Content, Request, Response};
 use crate::snapshot;
 
-const INTERVAL: Duration = Duration::from_millis(500);
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
 /// Late answers still count, so this may be shorter than the slowest answer; a second made one loss cost a second.
-const TIMEOUT: Duration = Duration::from_millis(300);
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Doublings of the time-out at most.
 const LONGEST_BACKOFF: u32 = 2;
 /// Requests that may still be answered; the oldest is forgotten first.
 const OUTSTANDING: usize = 16;
-const DRIFT: f64 = 0.02;
+const CLOCK_DRIFT: f64 = 0.02;
 
 /// Settings of a follower.
 #[derive(Debug, Clone)]
@@ -24,11 +24,11 @@
     /// Seed of the request tokens; must differ at every start of a process.
     pub seed: u64,
     /// Time between two requests when there is nothing new.
-    pub interval: Duration,
+    pub poll_interval: Duration,
     /// When another request is sent although the last one is unanswered.
-    pub timeout: Duration,
+    pub request_timeout: Duration,
     /// Largest difference between the rates of two monotonic clocks, as a fraction.
-    pub drift: f64,
+    pub clock_drift: f64,
 }
 
 impl Config {
@@ -36,9 +36,9 @@
     pub const fn new(seed: u64) -> Self {
         Self {
             seed,
-            interval: INTERVAL,
-            timeout: TIMEOUT,
-            drift: DRIFT,
+            poll_interval: POLL_INTERVAL,
+            request_timeout: REQUEST_TIMEOUT,
+            clock_drift: CLOCK_DRIFT,
         }
     }
 }
@@ -52,8 +52,8 @@
     Receive {
         /// Sender.
         from: id::VmId,
-        /// Answer.
-        answer: Answer,
+        /// Response.
+        response: Response,
     },
     /// Another VM answers from now on, or none.
     Relay {
@@ -77,7 +77,7 @@
     /// Replace the state by a snapshot.
     Install(snapshot::Snapshot),
     /// A request got no answer in time; the caller may choose another relay.
-    Unanswered {
+    TimedOut {
         /// Relay that was asked.
         relay: id::VmId,
     },
@@ -98,7 +98,7 @@
     config: Config,
     rng: rngs::SmallRng,
     relay: Option<id::VmId>,
-    /// Unanswered requests, oldest first.
+    /// TimedOut requests, oldest first.
     pending: VecDeque<Pending>,
     /// Requests since the last answer that got none in time.
     unanswered: u32,
@@ -132,7 +132,7 @@
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Tick => {}
-            Input::Receive { from, answer } => self.receive(now, from, answer, out),
+            Input::Receive { from, response } => self.receive(now, from, response, out),
             Input::Relay { to } => {
                 if to != self.relay {
                     self.relay = to;
@@ -165,13 +165,13 @@
     }
 
     /// Instant on the local clock before which nothing is missing from the state.
-    pub const fn basis(&self) -> Option<Duration> {
+    pub const fn freshness(&self) -> Option<Duration> {
         self.basis
     }
 
     /// Doubles with each unanswered request, so that a slow link is not filled with repeated answers.
     fn timeout(&self) -> Duration {
-        self.config.timeout * (1 << self.unanswered)
+        self.config.request_timeout * (1 << self.unanswered)
     }
 
     fn expire(&mut self, now: Duration, out: &mut Vec<Output>) {
@@ -183,13 +183,13 @@
         self.unanswered = (self.unanswered + 1).min(LONGEST_BACKOFF);
         self.request_at = now;
         if let Some(relay) = self.relay {
-            out.push(Output::Unanswered { relay });
+            out.push(Output::TimedOut { relay });
         }
     }
 
     fn request(&mut self, now: Duration, out: &mut Vec<Output>) {
         let Some(to) = self.relay else {
-            self.request_at = now + self.config.interval;
+            self.request_at = now + self.config.poll_interval;
             return;
         };
         if self.waiting || now < self.request_at {
@@ -219,11 +219,11 @@
         });
     }
 
-    fn receive(&mut self, now: Duration, from: id::VmId, answer: Answer, out: &mut Vec<Output>) {
+    fn receive(&mut self, now: Duration, from: id::VmId, response: Response, out: &mut Vec<Output>) {
         let place = self
             .pending
             .iter()
-            .position(|pending| pending.token == answer.token);
+            .position(|pending| pending.token == response.token);
         let Some(place) = place.filter(|_| self.relay == Some(from)) else {
             return;
         };
@@ -232,27 +232,27 @@
         self.pending.drain(..=place);
         self.unanswered = 0;
         if newest {
-            let more = !answer.content.is_empty();
+            let more = !response.content.is_empty();
             self.waiting = false;
             self.request_at = if more {
                 now
             } else {
-                pending.sent + self.config.interval
+                pending.sent + self.config.poll_interval
             };
         }
-        match answer.content {
+        match response.content {
             Content::Entries(items) => {
                 for (index, item) in (pending.after + 1..).zip(items) {
                     // An answer to an older request may repeat entries that a newer one brought.
                     if index == self.applied + 1 {
                         self.applied = index;
-                        out.push(Output::Apply(item.at(index)));
+                        out.push(Output::Apply(item.into_entry(index)));
                     }
                 }
             }
             Content::Chunk(chunk) => self.take_chunk(&chunk, out),
         }
-        self.note_basis(pending.sent, answer.age, answer.through);
+        self.note_basis(pending.sent, response.age, response.through);
     }
 
     fn take_chunk(&mut self, chunk: &snapshot::Chunk, out: &mut Vec<Output>) {
@@ -281,7 +281,7 @@
     /// Counts the age back from the instant of the own request, so that delays only make the state look older.
     fn note_basis(&mut self, sent: Duration, age: Option<u64>, through: u64) {
         let Some(age) = age else { return };
-        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.drift);
+        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
         if self.applied >= through {
             self.basis = self.basis.max(sent.checked_sub(age));
         }
--- a/crates/consensus/src/feed/mod.rs
+++ b/crates/consensus/src/feed/mod.rs
@@ -29,7 +29,7 @@
 
 /// Answers a request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
+pub struct Response {
     /// Token of the request.
     pub token: u32,
     /// Last entry that the source had applied.
--- a/crates/consensus/src/feed/relays.rs
+++ b/crates/consensus/src/feed/relays.rs
@@ -37,7 +37,7 @@
 
 impl Relays {
     /// Notes that a relay did not answer in time; `basis` is the freshness of the follower's state.
-    pub fn missed(&mut self, now: Duration, relay: id::VmId, basis: Option<Duration>) {
+    pub fn record_timeout(&mut self, now: Duration, relay: id::VmId, basis: Option<Duration>) {
         self.misses += 1;
         let age = basis.map(|basis| now.saturating_sub(basis));
         let ageing = age.is_some_and(|age| (STALE..LOST).contains(&age));
@@ -48,7 +48,7 @@
     }
 
     /// Notes an answer, with the age of the relay's own view in microseconds.
-    pub fn answered(&mut self, now: Duration, relay: id::VmId, age: Option<u64>) {
+    pub fn record_response(&mut self, now: Duration, relay: id::VmId, age: Option<u64>) {
         self.misses = 0;
         if age.is_none_or(|age| Duration::from_micros(age) >= STALE) {
             self.avoided.insert(relay, now + STALE_AVOIDANCE);
@@ -58,7 +58,7 @@
     }
 
     /// Chooses the nearest candidate; those that are avoided come last.
-    pub fn choose(&mut self, now: Duration, candidates: impl Iterator<Item = Candidate>) -> Option<id::VmId> {
+    pub fn select(&mut self, now: Duration, candidates: impl Iterator<Item = Candidate>) -> Option<id::VmId> {
         self.avoided.retain(|_, until| now < *until);
         let rank = |candidate: &Candidate| {
             let avoided = self.avoided.contains_key(&candidate.vm);
--- a/crates/consensus/src/feed/source.rs
+++ b/crates/consensus/src/feed/source.rs
@@ -3,11 +3,11 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use super::{Answer, Content, Request};
+use super::{Content, Request, Response};
 use crate::{log, message, snapshot};
 
 /// Bytes of entries or of a snapshot in one answer.
-const ANSWER_BYTES: usize = 64 * 1024;
+const RESPONSE_BYTES: usize = 64 * 1024;
 
 /// Recently applied entries and the newest snapshot.
 ///
@@ -71,15 +71,15 @@
     }
 
     /// Tells whether a new snapshot is needed to stay within the capacity.
-    pub const fn wants_snapshot(&self) -> bool {
+    pub const fn needs_snapshot(&self) -> bool {
         self.bytes > self.capacity
     }
 
     /// Answers a request. `basis` is the freshness of the applied state on the local clock.
-    pub fn answer(&self, now: Duration, basis: Option<Duration>, request: &Request) -> Answer {
+    pub fn respond(&self, now: Duration, basis: Option<Duration>, request: &Request) -> Response {
         let age = basis.map(|basis| now.saturating_sub(basis).as_micros() as u64 + 1);
         let content = self.content(request);
-        Answer {
+        Response {
             token: request.token,
             through: self.through,
             age,
@@ -102,7 +102,7 @@
             Some((held, received)) if held == *label => received,
             _ => 0,
         };
-        Content::Chunk(snapshot.chunk(*label, offset, ANSWER_BYTES))
+        Content::Chunk(snapshot.chunk(*label, offset, RESPONSE_BYTES))
     }
 
     fn items(&self, skip: usize) -> Vec<message::Item> {
@@ -110,10 +110,10 @@
         let mut bytes = 0;
         for entry in self.entries.iter().skip(skip) {
             bytes += entry.payload.size();
-            if bytes > ANSWER_BYTES && !items.is_empty() {
+            if bytes > RESPONSE_BYTES && !items.is_empty() {
                 break;
             }
-            items.push(message::Item::of(entry.clone()));
+            items.push(message::Item::from_entry(entry.clone()));
         }
         items
     }
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -36,7 +36,7 @@
 
 /// Why a change does not fit the current members.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-pub enum Fault {
+pub enum Error {
     /// The VM is a member already.
     Member,
     /// The VM is not a member, or not a learner.
@@ -51,7 +51,7 @@
 
 impl Membership {
     /// Returns a membership with voters only.
-    pub fn of_voters(voters: impl IntoIterator<Item = id::VmId>) -> Self {
+    pub fn from_voters(voters: impl IntoIterator<Item = id::VmId>) -> Self {
         Self {
             voters: voters.into_iter().collect(),
             ..Self::default()
@@ -74,7 +74,7 @@
     }
 
     /// Returns the members after a change.
-    pub fn changed(&self, change: Change) -> Result<Self, Fault> {
+    pub fn with_change(&self, change: Change) -> Result<Self, Error> {
         let mut next = self.clone();
         match change {
             Change::AddLearner(vm) => next.add(vm)?,
@@ -84,37 +84,37 @@
         Ok(next)
     }
 
-    fn add(&mut self, vm: id::VmId) -> Result<(), Fault> {
+    fn add(&mut self, vm: id::VmId) -> Result<(), Error> {
         if self.contains(vm) {
-            return Err(Fault::Member);
+            return Err(Error::Member);
         }
         if self.removed.contains(&vm) {
-            return Err(Fault::Removed);
+            return Err(Error::Removed);
         }
         if self.learners.len() >= MAX_LEARNERS {
-            return Err(Fault::Full);
+            return Err(Error::Full);
         }
         self.learners.insert(vm);
         Ok(())
     }
 
-    fn promote(&mut self, vm: id::VmId) -> Result<(), Fault> {
+    fn promote(&mut self, vm: id::VmId) -> Result<(), Error> {
         if self.voters.len() >= MAX_VOTERS {
-            return Err(Fault::Full);
+            return Err(Error::Full);
         }
         if !self.learners.remove(&vm) {
-            return Err(Fault::NotMember);
+            return Err(Error::NotMember);
         }
         self.voters.insert(vm);
         Ok(())
     }
 
-    fn remove(&mut self, vm: id::VmId) -> Result<(), Fault> {
+    fn remove(&mut self, vm: id::VmId) -> Result<(), Error> {
         if self.voters.len() == 1 && self.voters.contains(&vm) {
-            return Err(Fault::LastVoter);
+            return Err(Error::LastVoter);
         }
         if !self.voters.remove(&vm) && !self.learners.remove(&vm) {
-            return Err(Fault::NotMember);
+            return Err(Error::NotMember);
         }
         if self.removed.len() >= MAX_REMOVED {
             self.removed.pop_front();
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -133,7 +133,7 @@
 
 impl Item {
     /// Returns the item of an entry.
-    pub fn of(entry: log::Entry) -> Self {
+    pub fn from_entry(entry: log::Entry) -> Self {
         let term = entry.position.term;
         match entry.payload {
             log::Payload::Command(data) => Self::Command { term, data },
@@ -142,7 +142,7 @@
     }
 
     /// Returns the entry at an index.
-    pub fn at(self, index: u64) -> log::Entry {
+    pub fn into_entry(self, index: u64) -> log::Entry {
         let (term, payload) = match self {
             Self::Command { term, data } => (term, log::Payload::Command(data)),
             Self::Other { term, payload } => (term, payload),
--- a/crates/consensus/src/replica/config.rs
+++ b/crates/consensus/src/replica/config.rs
@@ -6,21 +6,21 @@
 
 use crate::{log, membership, rules, snapshot, write};
 
-const HEARTBEAT: Duration = Duration::from_millis(100);
+const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
 /// Six heartbeats, so that the loss of a few messages between regions (12 ms one way) starts no election.
-const ELECTION: Duration = Duration::from_millis(600);
+const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
 /// Drift margin of the design (section 2.5).
-const DRIFT: f64 = 0.02;
-const BATCH_BYTES: usize = 128 * 1024;
+const CLOCK_DRIFT: f64 = 0.02;
+const MAX_BATCH_BYTES: usize = 128 * 1024;
 /// Proposals of one scheduling round share a message: 59 instead of 165 bytes on the wire for each start.
 const BATCH_DELAY: Duration = Duration::from_millis(1);
-const IN_FLIGHT_MESSAGES: usize = 64;
-const IN_FLIGHT_BYTES: usize = 1024 * 1024;
-const UNCOMMITTED_ENTRIES: usize = 8_192;
-const UNCOMMITTED_BYTES: usize = 8 * 1024 * 1024;
+const MAX_IN_FLIGHT_MESSAGES: usize = 64;
+const MAX_IN_FLIGHT_BYTES: usize = 1024 * 1024;
+const MAX_UNCOMMITTED_ENTRIES: usize = 8_192;
+const MAX_UNCOMMITTED_BYTES: usize = 8 * 1024 * 1024;
 /// Above the largest stored answer (64 KiB) and below the largest frame (1 MiB).
-const ENTRY_BYTES: usize = 256 * 1024;
-const CHUNK_BYTES: usize = 64 * 1024;
+const MAX_ENTRY_BYTES: usize = 256 * 1024;
+const SNAPSHOT_CHUNK_BYTES: usize = 64 * 1024;
 /// A member that missed 1,000 changes still catches up from the log.
 const RETAINED_ENTRIES: u64 = 4_096;
 
@@ -34,27 +34,27 @@
     /// Seed of the election timeouts and answer tokens; must differ at every start of a process.
     pub seed: u64,
     /// Longest time between two messages of a leader to a member.
-    pub heartbeat: Duration,
+    pub heartbeat_interval: Duration,
     /// Shortest election timeout; each timeout is drawn between one and two times this value.
-    pub election: Duration,
+    pub election_timeout: Duration,
     /// Largest difference between the rates of two monotonic clocks, as a fraction.
-    pub drift: f64,
+    pub clock_drift: f64,
     /// Bytes of entries in one message.
-    pub batch_bytes: usize,
+    pub max_batch_bytes: usize,
     /// How long a proposal waits for others to share its message.
     pub batch_delay: Duration,
     /// Unanswered messages with entries for each member.
-    pub in_flight_messages: usize,
+    pub max_in_flight_messages: usize,
     /// Unanswered bytes of entries for each member.
-    pub in_flight_bytes: usize,
+    pub max_in_flight_bytes: usize,
     /// Uncommitted entries of a leader; further proposals are rejected.
-    pub uncommitted_entries: usize,
+    pub max_uncommitted_entries: usize,
     /// Uncommitted bytes of a leader; further proposals are rejected.
-    pub uncommitted_bytes: usize,
+    pub max_uncommitted_bytes: usize,
     /// Largest command in bytes.
-    pub entry_bytes: usize,
+    pub max_entry_bytes: usize,
     /// Bytes of a snapshot in one message.
-    pub chunk_bytes: usize,
+    pub snapshot_chunk_bytes: usize,
     /// Entries before a snapshot that stay in the log for members that are a little behind.
     pub retained_entries: u64,
     /// Whether entries are applied only after the commit index is stored, so that the applied index does not go
@@ -72,17 +72,17 @@
             id,
             group,
             seed,
-            heartbeat: HEARTBEAT,
-            election: ELECTION,
-            drift: DRIFT,
-            batch_bytes: BATCH_BYTES,
+            heartbeat_interval: HEARTBEAT_INTERVAL,
+            election_timeout: ELECTION_TIMEOUT,
+            clock_drift: CLOCK_DRIFT,
+            max_batch_bytes: MAX_BATCH_BYTES,
             batch_delay: BATCH_DELAY,
-            in_flight_messages: IN_FLIGHT_MESSAGES,
-            in_flight_bytes: IN_FLIGHT_BYTES,
-            uncommitted_entries: UNCOMMITTED_ENTRIES,
-            uncommitted_bytes: UNCOMMITTED_BYTES,
-            entry_bytes: ENTRY_BYTES,
-            chunk_bytes: CHUNK_BYTES,
+            max_in_flight_messages: MAX_IN_FLIGHT_MESSAGES,
+            max_in_flight_bytes: MAX_IN_FLIGHT_BYTES,
+            max_uncommitted_entries: MAX_UNCOMMITTED_ENTRIES,
+            max_uncommitted_bytes: MAX_UNCOMMITTED_BYTES,
+            max_entry_bytes: MAX_ENTRY_BYTES,
+            snapshot_chunk_bytes: SNAPSHOT_CHUNK_BYTES,
             retained_entries: RETAINED_ENTRIES,
             store_commit: group == id::GroupId::Root,
             rules: rules::Rules::default(),
@@ -91,7 +91,7 @@
 
     /// How long an acknowledged heartbeat round proves that no other leader was elected.
     pub fn lease(&self) -> Duration {
-        self.election.mul_f64(1.0 - self.drift)
+        self.election_timeout.mul_f64(1.0 - self.clock_drift)
     }
 }
 
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -17,14 +17,14 @@
 impl Replica {
     pub(super) fn reset_election(&mut self) {
         let factor = self.rng.random_range(1.0..2.0);
-        self.election_at = self.now + self.config.election.mul_f64(factor);
+        self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
 
     /// Sets when a candidate asks again. The voters' silence protects the lease, so this may be sooner than a first
     /// attempt: most attempts fail because the other voters heard the leader a little later.
     fn reset_retry(&mut self, shortest: f64, longest: f64) {
         let factor = self.rng.random_range(shortest..longest);
-        self.election_at = self.now + self.config.election.mul_f64(factor);
+        self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
 
     /// A voter of the newest or of the committed members may stand for election.
@@ -131,18 +131,18 @@
 
     /// Tells whether a leader may still rely on this member's silence.
     fn owes_silence(&self) -> bool {
-        if !self.config.rules.refuse_vote_under_lease {
+        if !self.config.rules.reject_vote_under_lease {
             return false;
         }
         let contact = match &self.state {
             State::Leader(leader) => self.quorum_basis(self.now).max(Some(leader.elected_at)),
             _ => self.contact,
         };
-        contact.is_some_and(|contact| self.now < contact + self.config.election)
+        contact.is_some_and(|contact| self.now < contact + self.config.election_timeout)
     }
 
     fn is_newer_or_same(&self, last: log::Position) -> bool {
-        last >= self.log.last() || !self.config.rules.compare_logs
+        last >= self.log.last() || !self.config.rules.require_up_to_date_log
     }
 
     pub(super) fn on_pre_vote(
@@ -208,7 +208,7 @@
         }
         if self.vote.candidate.is_none() {
             self.vote.candidate = Some(from);
-            if self.config.rules.remember_vote {
+            if self.config.rules.persist_vote {
                 self.persist_vote(out);
             }
         }
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -89,7 +89,7 @@
     fn store_entries(&mut self, append: Append, out: &mut Vec<Output>) {
         let mut fresh = Vec::new();
         for (index, item) in (append.previous.index + 1..).zip(append.entries) {
-            let entry = item.at(index);
+            let entry = item.into_entry(index);
             if fresh.is_empty() {
                 if index <= self.log.base().index || self.log.term_at(index) == Some(entry.position.term) {
                     continue;
@@ -110,7 +110,7 @@
         let (Some(age), Some(instant)) = (age, self.freshness.instant(token)) else {
             return;
         };
-        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.drift);
+        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
         if let Some(basis) = instant.checked_sub(age) {
             self.freshness.note(self.applied, commit, basis);
         }
@@ -136,9 +136,9 @@
         if label.total > snapshot::MAX_SNAPSHOT_BYTES || self.store_failed {
             return;
         }
-        let older = label.position.index <= self.commit && self.config.rules.refuse_older_snapshot;
+        let older = label.position.index <= self.commit && self.config.rules.reject_older_snapshot;
         let held = self.log.term_at(label.position.index) == Some(label.position.term);
-        if older || (held && self.config.rules.refuse_older_snapshot) {
+        if older || (held && self.config.rules.reject_older_snapshot) {
             self.partial = None;
             self.set_commit(label.position.index, out);
             // The leader may count the prefix as held, so it has to be durable.
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -37,7 +37,7 @@
         let heartbeat = self
             .progress
             .values()
-            .map(|progress| progress.sent_at + config.heartbeat)
+            .map(|progress| progress.sent_at + config.heartbeat_interval)
             .min();
         let transfer = self.transfer.as_ref().map(|transfer| transfer.deadline);
         let times = [heartbeat, self.flush_at, transfer];
@@ -100,13 +100,13 @@
         if leader.transfer.is_some() || leader.lease_void {
             return Some(Rejection::Transferring);
         }
-        if size > self.config.entry_bytes {
+        if size > self.config.max_entry_bytes {
             return Some(Rejection::TooLarge);
         }
         // A store that hangs without a fault leaves writes pending even while the other voters commit.
-        let full = leader.uncommitted.len() >= self.config.uncommitted_entries
-            || leader.uncommitted_bytes + size > self.config.uncommitted_bytes
-            || self.pending.len() >= self.config.uncommitted_entries;
+        let full = leader.uncommitted.len() >= self.config.max_uncommitted_entries
+            || leader.uncommitted_bytes + size > self.config.max_uncommitted_bytes
+            || self.pending.len() >= self.config.max_uncommitted_entries;
         full.then_some(Rejection::QueueFull)
     }
 
@@ -121,7 +121,7 @@
         let fault = self.proposal_fault(0).or_else(|| self.change_fault(change));
         let next = match fault {
             Some(reason) => Err(reason),
-            None => self.membership().changed(change).map_err(Rejection::Change),
+            None => self.membership().with_change(change).map_err(Rejection::Change),
         };
         match next {
             Ok(members) => self.append_change(id, change, members, out),
@@ -143,7 +143,7 @@
         let membership::Change::Promote(vm) = change else {
             return None;
         };
-        let limit = self.config.election;
+        let limit = self.config.election_timeout;
         let ready = leader
             .progress
             .get(&vm)
@@ -200,7 +200,7 @@
         matched.sort_unstable_by(|left, right| right.cmp(left));
         let index = matched[members.quorum() - 1];
         let own_term = self.log.term_at(index) == Some(self.vote.term);
-        if index > self.commit && (own_term || !self.config.rules.commit_own_term) {
+        if index > self.commit && (own_term || !self.config.rules.commit_current_term_only) {
             self.set_commit(index, out);
             self.note_leader_basis();
         }
@@ -240,7 +240,7 @@
             return;
         };
         let heard = self.quorum_basis(self.now).max(Some(leader.elected_at));
-        if heard.is_none_or(|heard| self.now > heard + self.config.election) {
+        if heard.is_none_or(|heard| self.now > heard + self.config.election_timeout) {
             // Check-quorum: without a majority this member cannot commit, and another may lead.
             self.become_follower(None, out);
             return;
@@ -291,7 +291,7 @@
     }
 
     /// Instant on the local clock before which nothing is missing from the applied state.
-    pub fn basis(&self, now: Duration) -> Option<Duration> {
+    pub fn freshness(&self, now: Duration) -> Option<Duration> {
         let confirmed = self.freshness.confirmed();
         if self.applied < self.commit {
             return confirmed;
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -71,14 +71,14 @@
         snapshot: snapshot::Snapshot,
     },
     /// The members are to be changed.
-    Change {
+    ChangeMembership {
         /// Chosen by the caller; returned in `Committed` or `Rejected`.
         id: u64,
         /// Change.
         change: membership::Change,
     },
     /// The leadership is to be handed over.
-    Transfer {
+    TransferLeadership {
         /// Next leader, or the voter that holds most of the log.
         to: Option<id::VmId>,
     },
@@ -139,7 +139,7 @@
     /// The learner does not hold the committed log yet.
     NotCaughtUp,
     /// The change does not fit the members.
-    Change(membership::Fault),
+    Change(membership::Error),
     /// The leadership was lost; the entry may or may not commit.
     Unknown,
 }
@@ -289,8 +289,8 @@
             Input::PersistFailed => self.on_persist_failed(out),
             Input::Applied { index } => self.on_applied(index),
             Input::Compact { snapshot } => self.compact(snapshot, out),
-            Input::Change { id, change } => self.change(id, change, out),
-            Input::Transfer { to } => self.start_transfer(to, out),
+            Input::ChangeMembership { id, change } => self.change(id, change, out),
+            Input::TransferLeadership { to } => self.start_transfer(to, out),
         }
         self.flush(out);
         self.store_commit(out);
@@ -303,7 +303,7 @@
         match &self.state {
             State::Leader(leader) => leader.next_wake(&self.config),
             _ if self.may_campaign() => self.election_at,
-            _ => self.now + self.config.election,
+            _ => self.now + self.config.election_timeout,
         }
     }
 
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -14,7 +14,7 @@
     pub(super) fn flush(&mut self, out: &mut Vec<Output>) {
         let last = self.log.last().index;
         let now = self.now;
-        let batch = self.config.batch_bytes;
+        let batch = self.config.max_batch_bytes;
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -40,7 +40,10 @@
             let Some(progress) = leader.progress.get(&to) else {
                 return;
             };
-            let room = progress.has_room(self.config.in_flight_messages, self.config.in_flight_bytes);
+            let room = progress.has_room(
+                self.config.max_in_flight_messages,
+                self.config.max_in_flight_bytes,
+            );
             if !matches!(progress.mode, Mode::Pipeline) || !room || progress.next > leader.flushed {
                 return;
             }
@@ -48,7 +51,7 @@
                 self.start_snapshot(to, out);
                 return;
             }
-            let entries = self.log.slice(progress.next, self.config.batch_bytes);
+            let entries = self.log.slice(progress.next, self.config.max_batch_bytes);
             self.send_append(to, entries, out);
         }
     }
@@ -74,7 +77,7 @@
         progress.sent_at = now;
         let append = Append {
             previous: log::Position { term, index },
-            entries: entries.into_iter().map(Item::of).collect(),
+            entries: entries.into_iter().map(Item::from_entry).collect(),
             commit,
             sent: now.as_micros() as u64,
             token: progress.token,
@@ -91,7 +94,7 @@
         let due = leader
             .progress
             .iter()
-            .filter(|(_, progress)| self.now >= progress.sent_at + self.config.heartbeat);
+            .filter(|(_, progress)| self.now >= progress.sent_at + self.config.heartbeat_interval);
         let members: Vec<_> = due.map(|(member, _)| *member).collect();
         for member in members {
             self.send_heartbeat(member, out);
@@ -99,7 +102,7 @@
     }
 
     fn send_heartbeat(&mut self, to: id::VmId, out: &mut Vec<Output>) {
-        let (now, election) = (self.now, self.config.election);
+        let (now, election) = (self.now, self.config.election_timeout);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -119,7 +122,7 @@
     }
 
     pub(super) fn on_append_reply(&mut self, from: id::VmId, reply: &AppendReply, out: &mut Vec<Output>) {
-        let (now, election, last) = (self.now, self.config.election, self.log.last().index);
+        let (now, election, last) = (self.now, self.config.election_timeout, self.log.last().index);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -180,7 +183,7 @@
 
     /// Sends the next chunk; a probe carries no bytes and asks how many arrived.
     fn send_chunk(&mut self, to: id::VmId, probe: bool, out: &mut Vec<Output>) {
-        let (now, size) = (self.now, self.config.chunk_bytes);
+        let (now, size) = (self.now, self.config.snapshot_chunk_bytes);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -211,7 +214,7 @@
         sent: u64,
         out: &mut Vec<Output>,
     ) {
-        let (now, election, last) = (self.now, self.config.election, self.log.last().index);
+        let (now, election, last) = (self.now, self.config.election_timeout, self.log.last().index);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
--- a/crates/consensus/src/replica/status.rs
+++ b/crates/consensus/src/replica/status.rs
@@ -113,7 +113,7 @@
                 voter: members.voters.contains(id),
                 matched: progress.matched,
                 acked: progress.acked,
-                caught_up: progress.is_caught_up(self.now, self.config.election),
+                caught_up: progress.is_caught_up(self.now, self.config.election_timeout),
                 snapshot,
             });
         }
--- a/crates/consensus/src/replica/transfer.rs
+++ b/crates/consensus/src/replica/transfer.rs
@@ -36,7 +36,7 @@
             }
             return;
         };
-        let deadline = self.now + self.config.election;
+        let deadline = self.now + self.config.election_timeout;
         if let State::Leader(leader) = &mut self.state {
             leader.transfer = Some(Transfer {
                 to,
--- a/crates/consensus/src/rules.rs
+++ b/crates/consensus/src/rules.rs
@@ -13,15 +13,15 @@
     /// Entries are acknowledged after they are durable.
     pub acknowledge_after_sync: bool,
     /// A vote is made durable before it is given.
-    pub remember_vote: bool,
+    pub persist_vote: bool,
     /// A leader commits entries of older terms only together with one of its own.
-    pub commit_own_term: bool,
+    pub commit_current_term_only: bool,
     /// No vote is given while the leader may hold its lease.
-    pub refuse_vote_under_lease: bool,
+    pub reject_vote_under_lease: bool,
     /// A snapshot older than the applied state is not installed.
-    pub refuse_older_snapshot: bool,
+    pub reject_older_snapshot: bool,
     /// A vote is given only to a candidate whose log is at least as new.
-    pub compare_logs: bool,
+    pub require_up_to_date_log: bool,
     /// The lease of a leader expires.
     pub expire_lease: bool,
     /// A membership change waits for the one before it.
@@ -37,11 +37,11 @@
         Self {
             count_voters_only: true,
             acknowledge_after_sync: true,
-            remember_vote: true,
-            commit_own_term: true,
-            refuse_vote_under_lease: true,
-            refuse_older_snapshot: true,
-            compare_logs: true,
+            persist_vote: true,
+            commit_current_term_only: true,
+            reject_vote_under_lease: true,
+            reject_older_snapshot: true,
+            require_up_to_date_log: true,
             expire_lease: true,
             one_change_at_a_time: true,
             promote_caught_up: true,
--- a/crates/consensus/tests/driver/check.rs
+++ b/crates/consensus/tests/driver/check.rs
@@ -181,7 +181,7 @@
     }
 
     fn check_basis(&self, now: Duration, node: &Node, replica: &Replica) -> Result<(), Violation> {
-        let Some(basis) = replica.basis(node.local(now)) else {
+        let Some(basis) = replica.freshness(node.local(now)) else {
             return Ok(());
         };
         let basis = node.global(basis);
--- a/crates/consensus/tests/driver/mod.rs
+++ b/crates/consensus/tests/driver/mod.rs
@@ -115,7 +115,7 @@
             sequence: 0,
             steps: 0,
         };
-        let members = membership::Membership::of_voters(1..=voters);
+        let members = membership::Membership::from_voters(1..=voters);
         for id in 1..=voters {
             world.add(id, Restored::bootstrap(members.clone()), true);
         }
@@ -135,9 +135,9 @@
         config.rules = self.rules;
         config.store_commit = self.store_commit;
         config.retained_entries = 20;
-        config.chunk_bytes = 64;
-        config.in_flight_messages = 8;
-        config.batch_bytes = if self.rng.random_bool(0.5) { 1 } else { 4_096 };
+        config.snapshot_chunk_bytes = 64;
+        config.max_in_flight_messages = 8;
+        config.max_batch_bytes = if self.rng.random_bool(0.5) { 1 } else { 4_096 };
         let now = self.now;
         let Some(node) = self.nodes.get_mut(&id) else {
             return;
@@ -194,7 +194,7 @@
     pub fn change(&mut self, to: VmId, change: membership::Change) -> u64 {
         let id = self.next_id;
         self.next_id += 1;
-        self.input(to, Input::Change { id, change });
+        self.input(to, Input::ChangeMembership { id, change });
         id
     }
 
--- a/crates/consensus/tests/driver/plan.rs
+++ b/crates/consensus/tests/driver/plan.rs
@@ -130,7 +130,7 @@
         94..96 => {
             let to = any(world);
             let to = Some(to).filter(|_| world.rng.random_bool(0.5));
-            world.input(target, Input::Transfer { to });
+            world.input(target, Input::TransferLeadership { to });
         }
         _ => operate(world),
     }
--- a/crates/consensus/tests/feed.rs
+++ b/crates/consensus/tests/feed.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bronzespoke_consensus::feed::{Answer, Config, Content, Follower, Input, Output, Request, Source};
+use bronzespoke_consensus::feed::{Config, Content, Follower, Input, Output, Request, Response, Source};
 use bronzespoke_consensus::{log, membership, message, snapshot};
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
@@ -72,10 +72,10 @@
                     self.source.install(snapshot);
                 }
                 Output::Send { request, .. } => sent = Some(request),
-                Output::Unanswered { .. } => {}
+                Output::TimedOut { .. } => {}
             }
         }
-        if self.source.wants_snapshot() {
+        if self.source.needs_snapshot() {
             self.source.install(snapshot_at(self.applied, 150_000));
         }
         sent
@@ -92,22 +92,22 @@
         let mut hops = [Hop::new(seed, ms(7_000)), Hop::new(seed + 1, ms(90_000))];
         let mut committed: Vec<Duration> = Vec::new();
         let mut requests: Vec<(Duration, usize, Request)> = Vec::new();
-        let mut answers: Vec<(Duration, usize, Answer)> = Vec::new();
+        let mut answers: Vec<(Duration, usize, Response)> = Vec::new();
         let mut before = [None, None];
         for tick in 0..4_000 {
             let now = ms(tick * 5);
             if rng.random_bool(0.1) {
                 committed.push(now);
                 root.push(&entry(committed.len() as u64));
-                if root.wants_snapshot() {
+                if root.needs_snapshot() {
                     root.install(snapshot_at(committed.len() as u64, 150_000));
                 }
             }
-            for (_, hop, answer) in answers
-                .extract_if(.., |answer| answer.0 <= now)
+            for (_, hop, response) in answers
+                .extract_if(.., |response| response.0 <= now)
                 .collect::<Vec<_>>()
             {
-                let next = hops[hop].step(now, Input::Receive { from: 1, answer });
+                let next = hops[hop].step(now, Input::Receive { from: 1, response });
                 requests.extend(next.map(|request| (now + ms(rng.random_range(1..60)), hop, request)));
             }
             for (hop, state) in hops.iter_mut().enumerate() {
@@ -119,21 +119,21 @@
                 .collect::<Vec<_>>()
             {
                 // The first hop asks the root; its basis is the present. The second hop asks the first.
-                let answer = match hop {
-                    0 => root.answer(now, Some(now), &request),
+                let response = match hop {
+                    0 => root.respond(now, Some(now), &request),
                     _ => hops[0]
                         .source
-                        .answer(now + hops[0].offset, hops[0].follower.basis(), &request),
+                        .respond(now + hops[0].offset, hops[0].follower.freshness(), &request),
                 };
                 if rng.random_bool(0.9) {
-                    answers.push((now + ms(rng.random_range(1..60)), hop, answer.clone()));
+                    answers.push((now + ms(rng.random_range(1..60)), hop, response.clone()));
                 }
                 if rng.random_bool(0.1) {
-                    answers.push((now + ms(rng.random_range(1..3_000)), hop, answer));
+                    answers.push((now + ms(rng.random_range(1..3_000)), hop, response));
                 }
             }
             for (hop, newest) in hops.iter().zip(&mut before) {
-                let basis = hop.follower.basis();
+                let basis = hop.follower.freshness();
                 assert!(basis >= *newest, "seed {seed}: the basis never goes back");
                 *newest = basis;
                 let Some(basis) = basis.and_then(|basis| basis.checked_sub(hop.offset)) else {
@@ -177,16 +177,16 @@
             partial: None,
             ..request
         };
-        let answer = source.answer(ms(millis), Some(ms(millis)), &empty);
+        let response = source.respond(ms(millis), Some(ms(millis)), &empty);
         follower.step(
             ms(millis),
             Input::Receive {
                 from: 1,
-                answer: answer.clone(),
+                response: response.clone(),
             },
             &mut out,
         );
-        follower.step(ms(millis), Input::Receive { from: 1, answer }, &mut out);
+        follower.step(ms(millis), Input::Receive { from: 1, response }, &mut out);
         follower.step(ms(millis + 550), Input::Tick, &mut out);
         assert_eq!(follower.applied(), 50);
     }
@@ -214,7 +214,7 @@
                 requests += 1;
                 answers.push((
                     now + ms(900),
-                    source.answer(now + ms(450), Some(now + ms(450)), &request),
+                    source.respond(now + ms(450), Some(now + ms(450)), &request),
                 ));
             }
         }
@@ -222,14 +222,18 @@
         input = if due {
             Input::Receive {
                 from: 1,
-                answer: answers.remove(0).1,
+                response: answers.remove(0).1,
             }
         } else {
             Input::Tick
         };
     }
     assert_eq!(follower.applied(), 10_000);
-    assert!(follower.basis() >= Some(ms(9_000)), "{:?}", follower.basis());
+    assert!(
+        follower.freshness() >= Some(ms(9_000)),
+        "{:?}",
+        follower.freshness()
+    );
     assert!(
         requests < 40,
         "a slow link is not filled with requests: {requests}"
@@ -239,20 +243,22 @@
 /// Guards against messages that do not survive the wire, and against entries that cost more than they must.
 #[test]
 fn messages_travel_in_postcard() {
-    let items: Vec<_> = (1..=10).map(|index| message::Item::of(entry(index))).collect();
-    let answer = Answer {
+    let items: Vec<_> = (1..=10)
+        .map(|index| message::Item::from_entry(entry(index)))
+        .collect();
+    let response = Response {
         token: 1,
         through: 10,
         age: Some(5),
         content: Content::Entries(items),
     };
-    let bytes = postcard::to_stdvec(&answer).expect("plain data is encoded");
-    assert_eq!(postcard::from_bytes::<Answer>(&bytes), Ok(answer));
+    let bytes = postcard::to_stdvec(&response).expect("plain data is encoded");
+    assert_eq!(postcard::from_bytes::<Response>(&bytes), Ok(response));
     assert!(
         bytes.len() <= 10 * 15 + 8,
         "12 bytes, a tag, a term and a length each: {}",
         bytes.len()
     );
     let entry = entry(300);
-    assert_eq!(message::Item::of(entry.clone()).at(300), entry);
+    assert_eq!(message::Item::from_entry(entry.clone()).into_entry(300), entry);
 }
--- a/crates/consensus/tests/relay.rs
+++ b/crates/consensus/tests/relay.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bronzespoke_consensus::feed::{Answer, Candidate, Config, Follower, Input, Output, Relays, Source};
+use bronzespoke_consensus::feed::{Candidate, Config, Follower, Input, Output, Relays, Response, Source};
 use bronzespoke_model::{id::VmId, vm::Distance};
 
 const fn ms(millis: u64) -> Duration {
@@ -76,7 +76,7 @@
     let mut follower = Follower::new(Config::new(1), ms(0));
     let mut relays = Relays::default();
     let source = Source::new(1_000);
-    let mut answers: Vec<(Duration, VmId, Answer)> = Vec::new();
+    let mut answers: Vec<(Duration, VmId, Response)> = Vec::new();
     let mut seen = Run {
         too_old: Vec::new(),
         relay: None,
@@ -89,12 +89,12 @@
                 vm: member.vm,
                 distance: member.distance,
             });
-            let to = relays.choose(now, candidates);
+            let to = relays.select(now, candidates);
             follower.step(now, Input::Relay { to }, &mut out);
         }
-        for (_, from, answer) in answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>() {
-            relays.answered(now, from, answer.age);
-            follower.step(now, Input::Receive { from, answer }, &mut out);
+        for (_, from, response) in answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>() {
+            relays.record_response(now, from, response.age);
+            follower.step(now, Input::Receive { from, response }, &mut out);
         }
         for output in out {
             match output {
@@ -103,15 +103,15 @@
                     let member = members.iter().find(|member| member.vm == to).expect("a member");
                     let there = now + DELAY;
                     if member.state(there).1 != State::Silent {
-                        let answer = source.answer(there, member.basis(there), &request);
-                        answers.push((there + DELAY, to, answer));
+                        let response = source.respond(there, member.basis(there), &request);
+                        answers.push((there + DELAY, to, response));
                     }
                 }
-                Output::Unanswered { relay } => relays.missed(now, relay, follower.basis()),
+                Output::TimedOut { relay } => relays.record_timeout(now, relay, follower.freshness()),
                 Output::Apply(_) | Output::Install(_) => {}
             }
         }
-        let age = follower.basis().map(|basis| now.saturating_sub(basis));
+        let age = follower.freshness().map(|basis| now.saturating_sub(basis));
         if age.is_some_and(|age| age > KEY_FRESHNESS) {
             seen.too_old.push(now);
         }
--- a/crates/consensus/tests/repair.rs
+++ b/crates/consensus/tests/repair.rs
@@ -249,9 +249,12 @@
 /// Guards against a handover that leaves the group without a leader for an election timeout.
 #[test]
 fn transfer_and_full_disk_hand_over() {
-    for (seed, input) in
-        (0..10).flat_map(|seed| [(seed, Input::Transfer { to: None }), (seed, Input::PersistFailed)])
-    {
+    for (seed, input) in (0..10).flat_map(|seed| {
+        [
+            (seed, Input::TransferLeadership { to: None }),
+            (seed, Input::PersistFailed),
+        ]
+    }) {
         let mut world = World::new(seed, 3, Rules::default());
         world.run_while(ms(5_000), |world| settled(world).is_some());
         load(&mut world, 10);
@@ -296,7 +299,7 @@
 /// Guards against a sole voter that leads before its own vote is durable, and so may lead one term twice.
 #[test]
 fn sole_voter_waits_for_its_vote() {
-    let members = bronzespoke_consensus::membership::Membership::of_voters([1]);
+    let members = bronzespoke_consensus::membership::Membership::from_voters([1]);
     let config = bronzespoke_consensus::replica::Config::new(1, bronzespoke_model::id::GroupId::Root, 1);
     let mut replica = Replica::new(config, Restored::bootstrap(members), ms(0));
     let mut out = Vec::new();
@@ -318,9 +321,9 @@
 /// Guards against a store that hangs without a fault: the writes that wait for it are bounded as well.
 #[test]
 fn proposals_wait_for_a_hanging_store() {
-    let members = bronzespoke_consensus::membership::Membership::of_voters([1]);
+    let members = bronzespoke_consensus::membership::Membership::from_voters([1]);
     let mut config = bronzespoke_consensus::replica::Config::new(1, bronzespoke_model::id::GroupId::Root, 1);
-    config.uncommitted_entries = 10;
+    config.max_uncommitted_entries = 10;
     let mut replica = Replica::new(config, Restored::bootstrap(members), ms(0));
     let mut out = Vec::new();
     replica.step(ms(0), Input::Tick, &mut out);
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -26,10 +26,10 @@
 #[yare::parameterized(
     count_voters_only = { random, without(|rules| rules.count_voters_only = false) },
     acknowledge_after_sync = { random, without(|rules| rules.acknowledge_after_sync = false) },
-    commit_own_term = { focus::short_terms, without(|rules| rules.commit_own_term = false) },
-    refuse_vote_under_lease = { focus::cut_pair, without(|rules| rules.refuse_vote_under_lease = false) },
-    refuse_older_snapshot = { random, without(|rules| rules.refuse_older_snapshot = false) },
-    compare_logs = { random, without(|rules| rules.compare_logs = false) },
+    commit_current_term_only = { focus::short_terms, without(|rules| rules.commit_current_term_only = false) },
+    reject_vote_under_lease = { focus::cut_pair, without(|rules| rules.reject_vote_under_lease = false) },
+    reject_older_snapshot = { random, without(|rules| rules.reject_older_snapshot = false) },
+    require_up_to_date_log = { random, without(|rules| rules.require_up_to_date_log = false) },
     expire_lease = { random, without(|rules| rules.expire_lease = false) },
     one_change_at_a_time = { focus::two_changes, without(|rules| rules.one_change_at_a_time = false) },
     store_commit = { random, without(|rules| rules.store_commit = false) },
@@ -64,9 +64,9 @@
 /// this fault; it is off here, and the same seeds show that a remembered vote suffices for one leader in a term.
 #[test]
 fn forgotten_vote_is_found() {
-    let silence_off = without(|rules| rules.refuse_vote_under_lease = false);
+    let silence_off = without(|rules| rules.reject_vote_under_lease = false);
     let both_off = Rules {
-        remember_vote: false,
+        persist_vote: false,
         ..silence_off
     };
     let forgotten =
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -193,7 +193,7 @@
             log::info!("directory: Waiting for all seeds before the cell is founded.");
             return;
         }
-        let members = membership::Membership::of_voters([self.context.me.id]);
+        let members = membership::Membership::from_voters([self.context.me.id]);
         if let Some(member) = self.open(id::GroupId::Root, Some(members)) {
             log::info!("directory: This VM founds the cell.");
             self.root.promote(self.context.now(), member);
@@ -211,7 +211,7 @@
         match self.root.state().founder(zone) {
             None => self.command_root(root::Command::FoundZone { zone, founder: me }),
             Some(founder) if founder == me => {
-                let members = membership::Membership::of_voters([me]);
+                let members = membership::Membership::from_voters([me]);
                 if let Some(member) = self.open(id::GroupId::Zone(zone), Some(members)) {
                     self.add_zone(zone, member);
                 }
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -158,7 +158,10 @@
         let next = next.map(|peer| peer.id);
         if let (Some(next), Some(group)) = (next, self.zones.get_mut(&zone)) {
             log::info!("group: The witness hands zone {zone} to VM {next}.");
-            group.step(&self.context, replica::Input::Transfer { to: Some(next) });
+            group.step(
+                &self.context,
+                replica::Input::TransferLeadership { to: Some(next) },
+            );
         }
     }
 
@@ -337,9 +340,9 @@
             zone.flush(&self.context);
         }
         self.root
-            .step(&self.context, replica::Input::Transfer { to: None });
+            .step(&self.context, replica::Input::TransferLeadership { to: None });
         for zone in self.zones.values_mut() {
-            zone.step(&self.context, replica::Input::Transfer { to: None });
+            zone.step(&self.context, replica::Input::TransferLeadership { to: None });
         }
     }
 
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -79,7 +79,7 @@
         now: Duration,
     ) -> Result<Self, bronzespoke_storage::Error> {
         let group = config.group;
-        let entry_bytes = config.entry_bytes;
+        let entry_bytes = config.max_entry_bytes;
         let (disk, restored) = match folder {
             Some(folder) => {
                 let (disk, restored) = disk::Disk::open(folder, group, found, notify)?;
@@ -151,7 +151,7 @@
         self.next_proposal += 1;
         let id = self.next_proposal;
         self.proposed.insert(id, vec![responder]);
-        self.step(context, replica::Input::Change { id, change }, events);
+        self.step(context, replica::Input::ChangeMembership { id, change }, events);
     }
 
     /// Handles the result of a write.
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -143,8 +143,8 @@
             return None;
         }
         match &self.role {
-            Role::Member(member) => member.replica().basis(now),
-            Role::Follower(follower) => follower.basis(),
+            Role::Member(member) => member.replica().freshness(now),
+            Role::Follower(follower) => follower.freshness(),
         }
     }
 
@@ -222,14 +222,20 @@
             return;
         }
         let now = context.now();
-        let answer = self.source.answer(now, self.basis(now), request);
+        let answer = self.source.respond(now, self.basis(now), request);
         context.send(from, wire::Body::FeedAnswer(answer));
     }
 
     /// Takes a relay's answer.
-    pub fn receive_feed(&mut self, context: &context::Context, from: id::VmId, answer: feed::Answer) {
-        self.relays.answered(context.now(), from, answer.age);
-        self.follow_step(context, feed::Input::Receive { from, answer });
+    pub fn receive_feed(&mut self, context: &context::Context, from: id::VmId, answer: feed::Response) {
+        self.relays.record_response(context.now(), from, answer.age);
+        self.follow_step(
+            context,
+            feed::Input::Receive {
+                from,
+                response: answer,
+            },
+        );
     }
 
     fn follow_step(&mut self, context: &context::Context, input: feed::Input) {
@@ -248,8 +254,9 @@
                     });
                 }
                 feed::Output::Install(snapshot) => self.events.push(member::Event::Install(snapshot)),
-                feed::Output::Unanswered { relay } => {
-                    self.relays.missed(context.now(), relay, follower.basis());
+                feed::Output::TimedOut { relay } => {
+                    self.relays
+                        .record_timeout(context.now(), relay, follower.freshness());
                 }
             }
         }
@@ -266,7 +273,7 @@
                 vm: peer.vm.id,
                 distance: place.distance(&peer.vm.place),
             });
-        self.relays.choose(context.now(), candidates)
+        self.relays.select(context.now(), candidates)
     }
 
     /// Applies what was committed; returns whether the view changed. What follows a received snapshot waits until that is
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -347,7 +347,11 @@
         self.leaving = true;
         let now = self.now();
         if let Some(member) = &mut self.member {
-            member.step(now, replica::Input::Transfer { to: None }, &mut self.events);
+            member.step(
+                now,
+                replica::Input::TransferLeadership { to: None },
+                &mut self.events,
+            );
         }
     }
 
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -77,7 +77,7 @@
         // survive a restart; storing it would cost one more sync for each commit.
         config.store_commit = false;
         config.retained_entries = RETAINED_ENTRIES;
-        let entry_bytes = config.entry_bytes;
+        let entry_bytes = config.max_entry_bytes;
         let (disk, restored) = disk::Disk::open(folder, GROUP, found, notify)?;
         Ok(Self {
             replica: replica::Replica::new(config, restored, now),
@@ -124,7 +124,7 @@
     pub fn change(&mut self, now: Duration, change: membership::Change, events: &mut VecDeque<Event>) {
         self.next_proposal += 1;
         let id = self.next_proposal;
-        self.step(now, replica::Input::Change { id, change }, events);
+        self.step(now, replica::Input::ChangeMembership { id, change }, events);
     }
 
     /// Takes the result of a write.
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -174,7 +174,7 @@
         };
         let founders = founders(&self.settings);
         let found = (self.settings.found && founders.contains(&self.me.vm))
-            .then(|| membership::Membership::of_voters(founders));
+            .then(|| membership::Membership::from_voters(founders));
         let actor = self.actor.clone();
         let notify: disk::Notify = Box::new(move |done| {
             if actor.send_message(Message::Disk(done)).is_err() {
--- a/crates/daemon/src/peer/wire.rs
+++ b/crates/daemon/src/peer/wire.rs
@@ -37,7 +37,7 @@
     /// A follower asks its relay for committed root entries.
     FeedRequest(feed::Request),
     /// The relay's answer.
-    FeedAnswer(feed::Answer),
+    FeedAnswer(feed::Response),
     /// Soft state.
     Gossip(bronzespoke_gossip::Message),
     /// A call to the leader of a group, answered with the same number.
--- a/crates/daemon/tests/member.rs
+++ b/crates/daemon/tests/member.rs
@@ -63,7 +63,7 @@
             peers: HashMap::new(),
         };
         let (sender, done) = mpsc::channel();
-        let found = membership::Membership::of_voters([ME]);
+        let found = membership::Membership::from_voters([ME]);
         let config = Config::new(ME, GroupId::Root, 1);
         let notify = Box::new(move |done| sender.send(done).expect("the test waits"));
         let member = Member::open(1, config, Some(folder), Some(found), notify, context.now());
@@ -123,7 +123,7 @@
     };
     let snapshot = snapshot::Snapshot {
         position,
-        membership: membership::Membership::of_voters([ME, OTHER]),
+        membership: membership::Membership::from_voters([ME, OTHER]),
         data: root::State::new().encode(),
     };
     let chunk = snapshot::Chunk {
--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -39,7 +39,7 @@
 }
 
 fn snapshot_at(index: u64, term: u64) -> snapshot::Snapshot {
-    let membership = membership::Membership::of_voters([1, 2, 3]);
+    let membership = membership::Membership::from_voters([1, 2, 3]);
     snapshot::Snapshot {
         position: log::Position { term, index },
         membership,
@@ -102,7 +102,10 @@
     let (_, restored) = open(folder.path());
     assert_eq!(restored.snapshot, Some(snapshot_at(40, 3)));
     assert_eq!(restored.entries, entries(41..=42, 3));
-    assert_eq!(restored.membership, membership::Membership::of_voters([1, 2, 3]));
+    assert_eq!(
+        restored.membership,
+        membership::Membership::from_voters([1, 2, 3])
+    );
 }
 
 /// Guards against a crash between a received snapshot and its log record: the entries before it must not return.
--- a/crates/storage/tests/model.rs
+++ b/crates/storage/tests/model.rs
@@ -36,7 +36,7 @@
     }
 
     fn snapshot_at(index: u64, term: u64) -> snapshot::Snapshot {
-        let membership = membership::Membership::of_voters([1, 2]);
+        let membership = membership::Membership::from_voters([1, 2]);
         snapshot::Snapshot {
             position: log::Position { term, index },
             membership,
--- a/crates/storage/tests/restart.rs
+++ b/crates/storage/tests/restart.rs
@@ -45,7 +45,7 @@
     let (mut store, restored) = Store::open(folder.path(), group).expect("a new store");
     assert!(restored.is_empty(), "nothing is stored yet");
     let restored = store
-        .bootstrap(membership::Membership::of_voters([1]))
+        .bootstrap(membership::Membership::from_voters([1]))
         .expect("the disk has space");
     let mut replica = Replica::new(Config::new(1, group, 7), restored, Duration::ZERO);
     run(&mut replica, &mut store, Duration::ZERO, Input::Tick);
