gossip: rename public items to the terms of the gossip literature

A message's Line and Want are DigestEntry and Request (its fields keep their outer names by attribute), Refusal is Error, marks of departed targets are departures, depart is set_departing, applied_everywhere is min_applied_index.

--- a/crates/bench/benches/capacity/soft.rs
+++ b/crates/bench/benches/capacity/soft.rs
@@ -63,9 +63,9 @@
 
 fn build(zones: usize) -> Network {
     let mut network = Network::new(1, &REGIONS[..zones]);
-    network.meter = meter;
+    network.message_size = meter;
     for id in network.ids() {
-        network.on(id, |gossip, now| {
+        network.with_node(id, |gossip, now| {
             let value = Value::Vm {
                 applied: 1,
                 version: 1,
@@ -92,7 +92,7 @@
         };
         let value = Value::Target { announcement, place };
         network
-            .on(id, |gossip, now| gossip.set(now, Key::Target(number), value))
+            .with_node(id, |gossip, now| gossip.set(now, Key::Target(number), value))
             .expect("the table has room");
     }
 }
@@ -103,7 +103,7 @@
         let value = Value::Load(((number + round) % 8) as u32);
         let id = ids[number as usize % ids.len()];
         network
-            .on(id, |gossip, now| gossip.set(now, Key::Load(number), value))
+            .with_node(id, |gossip, now| gossip.set(now, Key::Load(number), value))
             .expect("the table has room");
     }
 }
--- a/crates/bench/src/policy/gossip.rs
+++ b/crates/bench/src/policy/gossip.rs
@@ -51,7 +51,7 @@
 
 fn build(seed: u64, regions: &[id::RegionId]) -> Network {
     let mut network = Network::new(seed, regions);
-    network.meter = meter;
+    network.message_size = meter;
     for id in network.ids() {
         publish_vm(&mut network, id, 1);
     }
@@ -61,7 +61,7 @@
 }
 
 fn publish_vm(network: &mut Network, id: id::VmId, applied: u64) {
-    network.on(id, |gossip, now| {
+    network.with_node(id, |gossip, now| {
         let value = Value::Vm {
             applied,
             version: applied,
@@ -132,7 +132,7 @@
         connections: 64,
     };
     let value = Value::Target { announcement, place };
-    network.on(id, |gossip, now| {
+    network.with_node(id, |gossip, now| {
         let _published = gossip.set(now, Key::Target(target), value);
     });
 }
@@ -153,7 +153,7 @@
         for _ in 0..seconds {
             for (number, target) in names.iter().enumerate() {
                 let load = Value::Load(random.random_range(0..8));
-                network.on(ids[number % ids.len()], |gossip, now| {
+                network.with_node(ids[number % ids.len()], |gossip, now| {
                     let _published = gossip.set(now, Key::Load(*target), load);
                 });
             }
@@ -193,7 +193,7 @@
 }
 
 fn is_out_of_use(network: &mut Network, id: id::VmId, target: id::TargetId) -> bool {
-    network.on(id, |gossip, now| {
+    network.with_node(id, |gossip, now| {
         let found = gossip.targets(now);
         found.iter().all(|status| status.announcement.target != target)
     })
@@ -220,8 +220,8 @@
                 _ => {}
             }
             let via = if case == 2 { holder } else { other };
-            network.on(via, |gossip, now| {
-                let _published = gossip.depart(now, target, 1);
+            network.with_node(via, |gossip, now| {
+                let _published = gossip.set_departing(now, target, 1);
             });
             let time = run_until(&mut network, |network, id| is_out_of_use(network, id, target));
             *longest = time.max(*longest);
@@ -258,7 +258,7 @@
             publish_vm(&mut network, *id, 2);
         }
         let time = run_until(&mut network, |network, id| {
-            let applied = network.on(id, |gossip, now| gossip.applied_everywhere(&ids, now));
+            let applied = network.with_node(id, |gossip, now| gossip.min_applied_index(&ids, now));
             applied.is_some_and(|applied| applied >= 2)
         });
         longest = longest.max(time);
@@ -283,7 +283,7 @@
         network.run(Duration::from_millis(100));
         for id in &ids {
             let young = |vm: &id::VmId, network: &mut Network| {
-                let age = network.on(*id, |gossip, now| gossip.vm_age(*vm, now));
+                let age = network.with_node(*id, |gossip, now| gossip.vm_age(*vm, now));
                 age.is_some_and(|age| age < gossip::USABLE_AGE)
             };
             usable += ids.iter().filter(|vm| young(vm, &mut network)).count() as u32;
@@ -315,7 +315,7 @@
     network.restart(ids[0]);
     let first = ids[0];
     let time = run_until(&mut network, |network, id| {
-        let held = network.on(id, |gossip, now| gossip.targets(now).len());
+        let held = network.with_node(id, |gossip, now| gossip.targets(now).len());
         id != first || held == targets
     });
     rows.push(Row::new(
--- a/crates/daemon/src/control/force.rs
+++ b/crates/daemon/src/control/force.rs
@@ -81,7 +81,7 @@
         let members: Vec<_> = self.root.view().vms.keys().copied().collect();
         let applied = self
             .gossip
-            .applied_everywhere(&members, now)
+            .min_applied_index(&members, now)
             .is_some_and(|applied| applied >= force.index);
         match force.condition {
             Condition::Withdrawal => {
@@ -99,7 +99,7 @@
         let view = self.root.view();
         let behind = view.vms.values().filter(|vm| {
             self.gossip
-                .applied_everywhere(&[vm.id], now)
+                .min_applied_index(&[vm.id], now)
                 .is_none_or(|applied| applied < index)
         });
         let names: Vec<_> = behind.map(|vm| vm.name.as_str()).collect();
--- a/crates/daemon/src/control/targets.rs
+++ b/crates/daemon/src/control/targets.rs
@@ -128,7 +128,7 @@
         incarnation: id::Incarnation,
     ) {
         self.announced.remove(&target);
-        if gossip.depart(context.now(), target, incarnation).is_ok() {
+        if gossip.set_departing(context.now(), target, incarnation).is_ok() {
             context.record(event::Kind::TargetDeparting { target });
         }
     }
--- a/crates/gossip/src/exchange.rs
+++ b/crates/gossip/src/exchange.rs
@@ -8,7 +8,7 @@
     gossip::{Gossip, Peer},
     key::{Key, Value},
     links::Link,
-    message::{self, Delta, Echo, Line, Message, Want},
+    message::{self, Delta, DigestEntry, Echo, Message, Request},
     origin::Origin,
 };
 
@@ -33,21 +33,21 @@
             return;
         }
         self.links.note(now, from, message.initiated);
-        for delta in message.deltas.into_iter().take(message::MAX_LINES) {
+        for delta in message.deltas.into_iter().take(message::MAX_DIGEST_ENTRIES) {
             self.merge(now, delta);
         }
         let sent = message.echo.and_then(|echo| self.sent_at(now, &echo));
-        let mut wants = Vec::new();
-        for line in message.lines.iter().take(message::MAX_LINES) {
-            self.read_line(now, from, line, sent, &mut wants);
+        let mut requests = Vec::new();
+        for entry in message.digest.iter().take(message::MAX_DIGEST_ENTRIES) {
+            self.merge_digest_entry(now, from, entry, sent, &mut requests);
         }
-        let deltas = self.answer(from, &message.wants);
-        if !wants.is_empty() || !deltas.is_empty() {
-            let lines = deltas
+        let deltas = self.answer(from, &message.requests);
+        if !requests.is_empty() || !deltas.is_empty() {
+            let digest = deltas
                 .iter()
-                .filter_map(|delta| self.line(now, delta.origin))
+                .filter_map(|delta| self.digest_entry(now, delta.origin))
                 .collect();
-            let reply = self.message(now, from, false, lines, deltas, wants);
+            let reply = self.message(now, from, false, digest, deltas, requests);
             out.push((from, reply));
         }
         if self.urgent {
@@ -116,38 +116,38 @@
         (incarnation == origin.incarnation).then_some(origin)
     }
 
-    fn read_line(
+    fn merge_digest_entry(
         &mut self,
         now: Duration,
         from: id::VmId,
-        line: &Line,
+        entry: &DigestEntry,
         sent: Option<Duration>,
-        wants: &mut Vec<Want>,
+        requests: &mut Vec<Request>,
     ) {
-        if line.origin == self.config.id || !self.links.is_member(line.origin) {
+        if entry.origin == self.config.id || !self.links.is_member(entry.origin) {
             return;
         }
-        let Some(origin) = self.origin_of(line.origin, line.incarnation) else {
+        let Some(origin) = self.origin_of(entry.origin, entry.incarnation) else {
             return;
         };
-        if origin.known < line.version {
-            let want = Want {
-                origin: line.origin,
-                incarnation: line.incarnation,
+        if origin.known < entry.version {
+            let request = Request {
+                origin: entry.origin,
+                incarnation: entry.incarnation,
                 known: origin.known,
                 floor: origin.floor,
             };
             let due = self
                 .asked
-                .get(&line.origin)
+                .get(&entry.origin)
                 .is_none_or(|asked| now >= *asked + ASK_INTERVAL);
             if due {
-                self.asked.insert(line.origin, now);
-                wants.push(want);
+                self.asked.insert(entry.origin, now);
+                requests.push(request);
             }
             return;
         }
-        let age = Duration::from_millis(u64::from(line.age_ms)).mul_f64(1.0 + DRIFT);
+        let age = Duration::from_millis(u64::from(entry.age_ms)).mul_f64(1.0 + DRIFT);
         let basis = sent.and_then(|sent| sent.checked_sub(age));
         if basis > origin.basis {
             origin.basis = basis;
@@ -155,25 +155,25 @@
         }
     }
 
-    fn answer(&mut self, from: id::VmId, wants: &[Want]) -> Vec<Delta> {
+    fn answer(&mut self, from: id::VmId, requests: &[Request]) -> Vec<Delta> {
         let mut budget = message::MAX_ENTRIES_BYTES;
         let mut deltas = Vec::new();
-        for want in wants.iter().take(message::MAX_LINES) {
-            let Some(origin) = self.held(want.origin) else {
+        for request in requests.iter().take(message::MAX_DIGEST_ENTRIES) {
+            let Some(origin) = self.held(request.origin) else {
                 continue;
             };
-            if origin.incarnation != want.incarnation {
+            if origin.incarnation != request.incarnation {
                 continue;
             }
-            let missed_removals = want.known < origin.floor && want.floor < origin.floor;
+            let missed_removals = request.known < origin.floor && request.floor < origin.floor;
             let after = if missed_removals && self.rules.floor {
                 0
             } else {
-                want.known
+                request.known
             };
-            if let Some(delta) = origin.delta(want.origin, after, &mut budget) {
+            if let Some(delta) = origin.delta(request.origin, after, &mut budget) {
                 self.sent
-                    .insert((from, want.origin), (delta.incarnation, delta.through));
+                    .insert((from, request.origin), (delta.incarnation, delta.through));
                 deltas.push(delta);
             }
         }
@@ -188,14 +188,14 @@
         }
     }
 
-    fn line(&self, now: Duration, vm: id::VmId) -> Option<Line> {
+    fn digest_entry(&self, now: Duration, vm: id::VmId) -> Option<DigestEntry> {
         let origin = self.held(vm)?;
         let age = if vm == self.config.id {
             Duration::ZERO
         } else {
             now.saturating_sub(origin.basis?)
         };
-        Some(Line {
+        Some(DigestEntry {
             origin: vm,
             incarnation: origin.incarnation,
             version: origin.known,
@@ -226,9 +226,12 @@
     /// Sends the digest of a link, and what changed since the last message on it.
     pub(crate) fn send_regular(&mut self, now: Duration, link: Link, out: &mut Vec<(id::VmId, Message)>) {
         let scope = self.scope(link);
-        let lines = scope.iter().filter_map(|vm| self.line(now, *vm)).collect();
+        let digest = scope
+            .iter()
+            .filter_map(|vm| self.digest_entry(now, *vm))
+            .collect();
         let deltas = self.changes(link.peer, &scope);
-        let message = self.message(now, link.peer, link.initiated, lines, deltas, Vec::new());
+        let message = self.message(now, link.peer, link.initiated, digest, deltas, Vec::new());
         out.push((link.peer, message));
     }
 
@@ -241,11 +244,11 @@
             if deltas.is_empty() {
                 continue;
             }
-            let lines = deltas
+            let digest = deltas
                 .iter()
-                .filter_map(|delta| self.line(now, delta.origin))
+                .filter_map(|delta| self.digest_entry(now, delta.origin))
                 .collect();
-            let message = self.message(now, link.peer, link.initiated, lines, deltas, Vec::new());
+            let message = self.message(now, link.peer, link.initiated, digest, deltas, Vec::new());
             out.push((link.peer, message));
         }
     }
@@ -279,9 +282,9 @@
         now: Duration,
         to: id::VmId,
         initiated: bool,
-        lines: Vec<Line>,
+        digest: Vec<DigestEntry>,
         deltas: Vec<Delta>,
-        wants: Vec<Want>,
+        requests: Vec<Request>,
     ) -> Message {
         let echo = self.peers.get(&to).map(|peer| Echo {
             incarnation: peer.incarnation,
@@ -296,9 +299,9 @@
             stamp_ms: now.as_millis() as u64,
             echo,
             initiated,
-            lines,
+            digest,
             deltas,
-            wants,
+            requests,
         }
     }
 }
--- a/crates/gossip/src/gossip.rs
+++ b/crates/gossip/src/gossip.rs
@@ -24,9 +24,9 @@
 /// takes a departing target out of use within 3 s.
 pub const USABLE_AGE: Duration = Duration::from_millis(2500);
 /// Time for which departing marks are remembered.
-pub const MARK_RETENTION: Duration = Duration::from_mins(10);
+pub const DEPARTURE_RETENTION: Duration = Duration::from_mins(10);
 /// Most departing marks; the oldest is forgotten first.
-pub const MAX_MARKS: usize = 16_384;
+pub const MAX_DEPARTURES: usize = 16_384;
 
 const FIRST_KEY: Key = Key::Target(0);
 const LAST_KEY: Key = Key::Capacity(id::AvailabilityZoneId::MAX);
@@ -49,7 +49,7 @@
 
 /// Why nothing was published.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Refusal {
+pub enum Error {
     /// This life of the target has departed, or a later one was seen.
     Departed,
     /// The VM publishes too many entries.
@@ -61,7 +61,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Rules {
     /// Departing marks beat announcements.
-    pub marks: bool,
+    pub departures: bool,
     /// Ages count from the echoed message; otherwise from the arrival.
     pub echo: bool,
     /// Entries whose removal may have been missed are dropped.
@@ -71,7 +71,7 @@
 impl Default for Rules {
     fn default() -> Self {
         Self {
-            marks: true,
+            departures: true,
             echo: true,
             floor: true,
         }
@@ -162,17 +162,17 @@
     }
 
     /// Publishes an entry of this VM. An equal value is not published again.
-    pub fn set(&mut self, now: Duration, key: Key, value: Value) -> Result<(), Refusal> {
+    pub fn set(&mut self, now: Duration, key: Key, value: Value) -> Result<(), Error> {
         if self.mine.get(key) == Some(&value) {
             return Ok(());
         }
         if let (Key::Target(target), Value::Target { announcement, .. }) = (key, &value)
             && self.is_departed(target, announcement.incarnation)
         {
-            return Err(Refusal::Departed);
+            return Err(Error::Departed);
         }
         if self.mine.is_full(key) {
-            return Err(Refusal::Full);
+            return Err(Error::Full);
         }
         if let (Key::Target(target), Value::Departing { incarnation }) = (key, &value) {
             self.mark(now, target, *incarnation);
@@ -186,18 +186,18 @@
     }
 
     /// Publishes that a life of a target takes no new work. The target need not have announced itself here.
-    pub fn depart(
+    pub fn set_departing(
         &mut self,
         now: Duration,
         target: id::TargetId,
         incarnation: id::Incarnation,
-    ) -> Result<(), Refusal> {
+    ) -> Result<(), Error> {
         if self
             .mine
             .get(Key::Target(target))
             .is_some_and(|value| value.rank().0 > incarnation)
         {
-            return Err(Refusal::Departed);
+            return Err(Error::Departed);
         }
         self.set(now, Key::Target(target), Value::Departing { incarnation })
     }
@@ -244,7 +244,8 @@
         for origin in self.origins.values_mut() {
             origin.purge(now);
         }
-        self.marks.retain(|_, mark| now < mark.since + MARK_RETENTION);
+        self.marks
+            .retain(|_, mark| now < mark.since + DEPARTURE_RETENTION);
         let marks = &self.marks;
         let forgotten: Vec<Key> = self
             .mine
@@ -262,7 +263,7 @@
 
     /// Remembers that a life of a target departed, and withdraws its announcement by this VM.
     pub(crate) fn mark(&mut self, now: Duration, target: id::TargetId, incarnation: id::Incarnation) {
-        if !self.marks.contains_key(&target) && self.marks.len() >= MAX_MARKS {
+        if !self.marks.contains_key(&target) && self.marks.len() >= MAX_DEPARTURES {
             let oldest = self
                 .marks
                 .iter()
@@ -284,7 +285,7 @@
             self.mine.get(Key::Target(target)),
             Some(Value::Target { announcement, .. }) if announcement.incarnation <= incarnation
         );
-        if announced && self.rules.marks {
+        if announced && self.rules.departures {
             self.mine
                 .publish(now, Key::Target(target), Some(Value::Departing { incarnation }));
             self.urgent = true;
@@ -293,7 +294,7 @@
 
     /// Tells whether a life of a target is known to take no new work.
     pub fn is_departed(&self, target: id::TargetId, incarnation: id::Incarnation) -> bool {
-        self.rules.marks
+        self.rules.departures
             && self
                 .marks
                 .get(&target)
@@ -357,7 +358,7 @@
         for (origin, entries) in self.all() {
             let age = self.age_of(origin, now).filter(|age| *age < USABLE_AGE);
             for (key, value) in entries.range(first, last) {
-                if !self.rules.marks && matches!(value, Value::Departing { .. }) {
+                if !self.rules.departures && matches!(value, Value::Departing { .. }) {
                     continue;
                 }
                 if let Key::Target(target) = key {
@@ -415,7 +416,7 @@
     }
 
     /// Returns the smallest applied root index over the members; `None` while one of them is too old or unknown.
-    pub fn applied_everywhere(&self, members: &[id::VmId], now: Duration) -> Option<u64> {
+    pub fn min_applied_index(&self, members: &[id::VmId], now: Duration) -> Option<u64> {
         members
             .iter()
             .map(|vm| {
@@ -452,7 +453,7 @@
             let key = Key::Target(*target);
             if let Some(Value::Target { announcement, .. }) = self.mine.get(key)
                 && announcement.incarnation <= mark.incarnation
-                && self.rules.marks
+                && self.rules.departures
             {
                 return Err(format!("target {target} is announced after its departure"));
             }
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -10,6 +10,6 @@
 pub mod message;
 mod origin;
 
-pub use gossip::{Config, Entry, Gossip, Member, Refusal, Rules};
+pub use gossip::{Config, Entry, Error, Gossip, Member, Rules};
 pub use key::{Key, Value};
 pub use message::Message;
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -8,7 +8,7 @@
 /// Bytes of entries in one message. Larger states travel in several messages.
 pub const MAX_ENTRIES_BYTES: usize = 32 * 1024;
 /// Most lines or requests in one message.
-pub const MAX_LINES: usize = 1024;
+pub const MAX_DIGEST_ENTRIES: usize = 1024;
 
 /// The reception of the receiver's own latest message, from which it bounds the age of what it receives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -23,7 +23,7 @@
 
 /// What the sender knows of one origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Line {
+pub struct DigestEntry {
     /// Origin.
     pub origin: id::VmId,
     /// Life of the origin.
@@ -53,7 +53,7 @@
 
 /// A request for entries of one origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Want {
+pub struct Request {
     /// Origin.
     pub origin: id::VmId,
     /// Life of the origin.
@@ -76,9 +76,11 @@
     /// Whether the sender chose the link itself; the receiver then sends back on it.
     pub initiated: bool,
     /// Digest.
-    pub lines: Vec<Line>,
+    #[serde(rename = "lines")]
+    pub digest: Vec<DigestEntry>,
     /// Entries.
     pub deltas: Vec<Delta>,
     /// Requests.
-    pub wants: Vec<Want>,
+    #[serde(rename = "wants")]
+    pub requests: Vec<Request>,
 }
--- a/crates/gossip/tests/network/mod.rs
+++ b/crates/gossip/tests/network/mod.rs
@@ -39,7 +39,7 @@
     pub cuts: BTreeSet<(id::VmId, id::VmId)>,
     /// Messages and bytes by sender and receiver.
     pub sent: BTreeMap<(id::VmId, id::VmId), (u64, u64)>,
-    pub meter: fn(&Message) -> usize,
+    pub message_size: fn(&Message) -> usize,
     /// Bytes of the largest message.
     pub largest: u64,
     queue: BTreeMap<(Duration, u64), (id::VmId, id::VmId, Message)>,
@@ -75,7 +75,7 @@
             faults: Faults::default(),
             cuts: BTreeSet::new(),
             sent: BTreeMap::new(),
-            meter: |_| 0,
+            message_size: |_| 0,
             largest: 0,
             queue: BTreeMap::new(),
             number: 0,
@@ -97,7 +97,7 @@
     /// Replaces the state of a VM by that of a new life, which knows nothing.
     pub fn restart(&mut self, id: id::VmId) {
         let place = self.nodes[&id].place;
-        self.on(id, |gossip, now| {
+        self.with_node(id, |gossip, now| {
             *gossip = Gossip::new(Self::config(id, place, 2), now);
         });
         self.set_members();
@@ -115,7 +115,7 @@
     }
 
     /// Runs a step of one VM at its own time.
-    pub fn on<T>(&mut self, id: id::VmId, step: impl FnOnce(&mut Gossip, Duration) -> T) -> T {
+    pub fn with_node<T>(&mut self, id: id::VmId, step: impl FnOnce(&mut Gossip, Duration) -> T) -> T {
         let node = self.nodes.get_mut(&id).unwrap();
         step(&mut node.gossip, self.now + node.offset)
     }
@@ -165,7 +165,7 @@
         };
         let mut out = Vec::new();
         if self.nodes[&to].up && !self.cuts.contains(&(from, to)) {
-            self.on(to, |gossip, now| gossip.receive(now, from, message, &mut out));
+            self.with_node(to, |gossip, now| gossip.receive(now, from, message, &mut out));
         }
         self.send(to, out);
     }
@@ -174,7 +174,7 @@
         for id in self.ids() {
             let mut out = Vec::new();
             if self.nodes[&id].up {
-                self.on(id, |gossip, now| {
+                self.with_node(id, |gossip, now| {
                     if gossip.next_wake() <= now {
                         gossip.tick(now, &mut out);
                     }
@@ -186,7 +186,7 @@
 
     fn send(&mut self, from: id::VmId, out: Vec<(id::VmId, Message)>) {
         for (to, message) in out {
-            let bytes = (self.meter)(&message) as u64;
+            let bytes = (self.message_size)(&message) as u64;
             self.largest = self.largest.max(bytes);
             let count = self.sent.entry((from, to)).or_default();
             *count = (count.0 + 1, count.1 + bytes);
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -41,7 +41,7 @@
 fn usable_at(network: &mut Network) -> Vec<id::VmId> {
     let ids = network.ids();
     ids.into_iter()
-        .filter(|id| network.on(*id, |gossip, now| is_usable(gossip, now)))
+        .filter(|id| network.with_node(*id, |gossip, now| is_usable(gossip, now)))
         .collect()
 }
 
@@ -55,7 +55,7 @@
     let mut history = History::new();
     let ids = network.ids();
     for id in &ids {
-        network.on(*id, |gossip, _| gossip.set_rules(rules));
+        network.with_node(*id, |gossip, _| gossip.set_rules(rules));
     }
     network.faults = Faults {
         loss: 0.2,
@@ -74,7 +74,7 @@
         let id = ids[publisher];
         let key = Key::Load(publisher as u64 * 10 + random.random_range(0..4));
         let value = (random.random::<f64>() < 0.8).then_some(Value::Load(round));
-        network.on(id, |gossip, now| match &value {
+        network.with_node(id, |gossip, now| match &value {
             Some(value) => gossip.set(now, key, value.clone()).unwrap(),
             None => gossip.remove(now, key),
         });
@@ -95,7 +95,7 @@
     let ids = network.ids();
     let mut first: Option<BTreeMap<Key, Value>> = None;
     for id in ids {
-        let view: BTreeMap<Key, Value> = network.on(id, |gossip, now| {
+        let view: BTreeMap<Key, Value> = network.with_node(id, |gossip, now| {
             gossip.verify()?;
             let entries = gossip.usable(now).map(|entry| (entry.key, entry.value.clone()));
             Ok::<_, String>(entries.collect())
@@ -112,7 +112,7 @@
 fn too_young(network: &mut Network, history: &History) -> bool {
     let now_global = network.now;
     network.ids().into_iter().any(|id| {
-        network.on(id, |gossip, now| {
+        network.with_node(id, |gossip, now| {
             gossip.usable(now).any(|entry| {
                 let past = &history[&(entry.origin, entry.key)];
                 let replaced = past
@@ -162,17 +162,19 @@
     let mut network = Network::new(3, &REGIONS);
     let ids = network.ids();
     for id in &ids {
-        network.on(*id, |gossip, _| gossip.set_rules(rules));
+        network.with_node(*id, |gossip, _| gossip.set_rules(rules));
     }
     network.run(seconds(3));
-    network.on(ids[0], |gossip, now| {
+    network.with_node(ids[0], |gossip, now| {
         gossip.set(now, Key::Target(TARGET), announced(4)).unwrap();
     });
     network.run(seconds(1));
     let before = usable_at(&mut network);
-    network.on(ids[5], |gossip, now| gossip.depart(now, TARGET, 4).unwrap());
+    network.with_node(ids[5], |gossip, now| {
+        gossip.set_departing(now, TARGET, 4).unwrap()
+    });
     network.run(seconds(1));
-    let _refused = network.on(ids[2], |gossip, now| {
+    let _refused = network.with_node(ids[2], |gossip, now| {
         gossip.set(now, Key::Target(TARGET), announced(4))
     });
     network.run(seconds(3));
@@ -185,7 +187,7 @@
     assert_eq!(before.len(), 6);
     assert!(after.is_empty());
     let without = Rules {
-        marks: false,
+        departures: false,
         ..Rules::default()
     };
     assert!(
@@ -199,13 +201,15 @@
     let mut network = Network::new(4, &REGIONS);
     let ids = network.ids();
     network.run(seconds(3));
-    network.on(ids[0], |gossip, now| gossip.depart(now, TARGET, 4).unwrap());
+    network.with_node(ids[0], |gossip, now| {
+        gossip.set_departing(now, TARGET, 4).unwrap()
+    });
     network.run(seconds(1));
-    let old = network.on(ids[3], |gossip, now| {
+    let old = network.with_node(ids[3], |gossip, now| {
         gossip.set(now, Key::Target(TARGET), announced(3))
     });
-    assert_eq!(old, Err(gossip::Refusal::Departed));
-    network.on(ids[3], |gossip, now| {
+    assert_eq!(old, Err(gossip::Error::Departed));
+    network.with_node(ids[3], |gossip, now| {
         gossip.set(now, Key::Target(TARGET), announced(5)).unwrap();
     });
     network.run(seconds(1));
@@ -217,7 +221,7 @@
     let mut network = Network::new(5, &REGIONS);
     let ids = network.ids();
     network.run(seconds(3));
-    network.on(ids[0], |gossip, now| {
+    network.with_node(ids[0], |gossip, now| {
         gossip.set(now, Key::Target(TARGET), announced(1)).unwrap();
     });
     network.run(seconds(2));
@@ -236,14 +240,14 @@
         network.run(seconds(8));
         for id in ids.iter().filter(|id| **id != ids[stopped]) {
             let publisher = *id;
-            network.on(publisher, |gossip, now| {
+            network.with_node(publisher, |gossip, now| {
                 gossip.set(now, Key::Load(1), Value::Load(9)).unwrap();
             });
         }
         network.run(seconds(3));
         for id in ids.iter().filter(|id| **id != ids[stopped]) {
             for other in ids.iter().filter(|id| **id != ids[stopped]) {
-                let age = network.on(*id, |gossip, now| gossip.vm_age(*other, now));
+                let age = network.with_node(*id, |gossip, now| gossip.vm_age(*other, now));
                 assert!(
                     age.is_some_and(|age| age < gossip::USABLE_AGE),
                     "{stopped}: {age:?}"
@@ -269,7 +273,7 @@
             network.run(seconds(8));
             for id in &ids {
                 for other in &ids {
-                    let age = network.on(*id, |gossip, now| gossip.vm_age(*other, now));
+                    let age = network.with_node(*id, |gossip, now| gossip.vm_age(*other, now));
                     assert!(
                         age.is_some_and(|age| age < gossip::USABLE_AGE),
                         "{pair:?}: {age:?}"
@@ -285,21 +289,21 @@
     let mut network = Network::new(7, &REGIONS);
     let ids = network.ids();
     for id in &ids {
-        network.on(*id, |gossip, _| gossip.set_rules(rules));
+        network.with_node(*id, |gossip, _| gossip.set_rules(rules));
     }
-    network.on(ids[0], |gossip, now| {
+    network.with_node(ids[0], |gossip, now| {
         gossip.set(now, Key::Load(1), Value::Load(1)).unwrap();
     });
     network.run(seconds(3));
     network.set_cut(&ids[1..2], true);
-    network.on(ids[0], |gossip, now| gossip.remove(now, Key::Load(1)));
-    network.on(ids[0], |gossip, now| {
+    network.with_node(ids[0], |gossip, now| gossip.remove(now, Key::Load(1)));
+    network.with_node(ids[0], |gossip, now| {
         gossip.set(now, Key::Load(2), Value::Load(2)).unwrap();
     });
     network.run(seconds(90));
     network.set_cut(&ids[1..2], false);
     network.run(seconds(5));
-    network.on(ids[1], |gossip, now| {
+    network.with_node(ids[1], |gossip, now| {
         gossip.get(Key::Load(1), now).is_none() && gossip.get(Key::Load(2), now).is_some()
     })
 }
@@ -318,17 +322,17 @@
 fn a_restarted_vm_publishes_anew_and_its_old_entries_vanish() {
     let mut network = Network::new(8, &REGIONS);
     let ids = network.ids();
-    network.on(ids[0], |gossip, now| {
+    network.with_node(ids[0], |gossip, now| {
         gossip.set(now, Key::Load(1), Value::Load(1)).unwrap();
     });
     network.run(seconds(3));
     network.restart(ids[0]);
-    network.on(ids[0], |gossip, now| {
+    network.with_node(ids[0], |gossip, now| {
         gossip.set(now, Key::Load(2), Value::Load(2)).unwrap();
     });
     network.run(seconds(3));
     for id in ids {
-        let keys: Vec<Key> = network.on(id, |gossip, now| {
+        let keys: Vec<Key> = network.with_node(id, |gossip, now| {
             gossip.usable(now).map(|entry| entry.key).collect()
         });
         assert_eq!(keys, [Key::Load(2)]);
