--- a/crates/consensus/src/feed/follower.rs
+++ b/crates/consensus/src/feed/follower.rs
@@ -13,9 +13,9 @@
 /// Late answers still count, so this may be shorter than the slowest answer; a second made one loss cost a second.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
 /// Doublings of the time-out at most.
-const LONGEST_BACKOFF: u32 = 2;
+const MAX_BACKOFF_DOUBLINGS: u32 = 2;
 /// Requests that may still be answered; the oldest is forgotten first.
-const OUTSTANDING: usize = 16;
+const MAX_PENDING: usize = 16;
 const CLOCK_DRIFT: f64 = 0.02;
 
 /// Settings of a follower.
@@ -92,7 +92,7 @@
 
 /// Follows the committed entries of a group through a relay.
 ///
-/// Invariant: neither `applied` nor `basis` ever goes back.
+/// Invariant: neither `applied` nor `freshness` ever goes back.
 #[derive(Debug)]
 pub struct Follower {
     config: Config,
@@ -101,13 +101,13 @@
     /// TimedOut requests, oldest first.
     pending: VecDeque<Pending>,
     /// Requests since the last answer that got none in time.
-    unanswered: u32,
+    timeouts: u32,
     /// Whether the newest request may still be answered in time.
     waiting: bool,
     request_at: Duration,
     partial: Option<snapshot::Partial>,
     applied: u64,
-    basis: Option<Duration>,
+    freshness: Option<Duration>,
 }
 
 impl Follower {
@@ -119,12 +119,12 @@
             rng,
             relay: None,
             pending: VecDeque::new(),
-            unanswered: 0,
+            timeouts: 0,
             waiting: false,
             request_at: now,
             partial: None,
             applied: 0,
-            basis: None,
+            freshness: None,
         }
     }
 
@@ -166,12 +166,12 @@
 
     /// Instant on the local clock before which nothing is missing from the state.
     pub const fn freshness(&self) -> Option<Duration> {
-        self.basis
+        self.freshness
     }
 
     /// Doubles with each unanswered request, so that a slow link is not filled with repeated answers.
     fn timeout(&self) -> Duration {
-        self.config.request_timeout * (1 << self.unanswered)
+        self.config.request_timeout * (1 << self.timeouts)
     }
 
     fn expire(&mut self, now: Duration, out: &mut Vec<Output>) {
@@ -180,7 +180,7 @@
             return;
         }
         self.waiting = false;
-        self.unanswered = (self.unanswered + 1).min(LONGEST_BACKOFF);
+        self.timeouts = (self.timeouts + 1).min(MAX_BACKOFF_DOUBLINGS);
         self.request_at = now;
         if let Some(relay) = self.relay {
             out.push(Output::TimedOut { relay });
@@ -196,7 +196,7 @@
             return;
         }
         let token = self.rng.random();
-        if self.pending.len() >= OUTSTANDING {
+        if self.pending.len() >= MAX_PENDING {
             self.pending.pop_front();
         }
         self.pending.push_back(Pending {
@@ -230,7 +230,7 @@
         let pending = self.pending[place];
         let newest = place + 1 == self.pending.len();
         self.pending.drain(..=place);
-        self.unanswered = 0;
+        self.timeouts = 0;
         if newest {
             let more = !response.content.is_empty();
             self.waiting = false;
@@ -250,12 +250,12 @@
                     }
                 }
             }
-            Content::Chunk(chunk) => self.take_chunk(&chunk, out),
+            Content::Chunk(chunk) => self.receive_chunk(&chunk, out),
         }
-        self.note_basis(pending.sent, response.age, response.through);
+        self.update_freshness(pending.sent, response.age, response.through);
     }
 
-    fn take_chunk(&mut self, chunk: &snapshot::Chunk, out: &mut Vec<Output>) {
+    fn receive_chunk(&mut self, chunk: &snapshot::Chunk, out: &mut Vec<Output>) {
         // A relay that is behind must not take this state back.
         let older = chunk.label.position.index <= self.applied;
         if older || chunk.label.total > snapshot::MAX_SNAPSHOT_BYTES {
@@ -279,11 +279,11 @@
     }
 
     /// Counts the age back from the instant of the own request, so that delays only make the state look older.
-    fn note_basis(&mut self, sent: Duration, age: Option<u64>, through: u64) {
+    fn update_freshness(&mut self, sent: Duration, age: Option<u64>, through: u64) {
         let Some(age) = age else { return };
         let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
         if self.applied >= through {
-            self.basis = self.basis.max(sent.checked_sub(age));
+            self.freshness = self.freshness.max(sent.checked_sub(age));
         }
     }
 }
--- a/crates/consensus/src/feed/mod.rs
+++ b/crates/consensus/src/feed/mod.rs
@@ -34,7 +34,7 @@
     pub token: u32,
     /// Last entry that the source had applied.
     pub through: u64,
-    /// Age of the source's basis in microseconds, rounded up; none if the source has no basis.
+    /// Age of the source's freshness in microseconds, rounded up; none if the source has no freshness.
     pub age: Option<u64>,
     /// What follows.
     pub content: Content,
--- a/crates/consensus/src/feed/relays.rs
+++ b/crates/consensus/src/feed/relays.rs
@@ -6,14 +6,14 @@
 use bronzespoke_model::{id, vm};
 
 /// Unanswered requests in a row after which another relay is asked.
-const MISSES: u32 = 3;
+const MAX_TIMEOUTS: u32 = 3;
 /// Time for which a relay that did not answer is avoided.
-const SILENT_AVOIDANCE: Duration = Duration::from_secs(10);
+const TIMEOUT_AVOIDANCE: Duration = Duration::from_secs(10);
 /// Age of a view from which on its relay is left. The view is honoured for 3 s, so that a poll interval and the way
 /// to another region remain.
-const STALE: Duration = Duration::from_millis(1_500);
+const STALE_AGE: Duration = Duration::from_millis(1_500);
 /// A view above this age is not honoured any more, so that nothing is gained by leaving a slow relay early.
-const LOST: Duration = Duration::from_secs(3);
+const MAX_USABLE_AGE: Duration = Duration::from_secs(3);
 /// Time for which a relay with a stale view is avoided. It is short, because the view may be fresh after an election.
 const STALE_AVOIDANCE: Duration = Duration::from_secs(2);
 
@@ -30,27 +30,27 @@
 #[derive(Debug, Default)]
 pub struct Relays {
     /// Requests that the relay left unanswered in a row.
-    misses: u32,
+    timeouts: u32,
     /// Relays that are avoided, and until when.
     avoided: BTreeMap<id::VmId, Duration>,
 }
 
 impl Relays {
-    /// Notes that a relay did not answer in time; `basis` is the freshness of the follower's state.
-    pub fn record_timeout(&mut self, now: Duration, relay: id::VmId, basis: Option<Duration>) {
-        self.misses += 1;
-        let age = basis.map(|basis| now.saturating_sub(basis));
-        let ageing = age.is_some_and(|age| (STALE..LOST).contains(&age));
-        if ageing || self.misses >= MISSES {
-            self.misses = 0;
-            self.avoided.insert(relay, now + SILENT_AVOIDANCE);
+    /// Notes that a relay did not answer in time; `freshness` is the freshness of the follower's state.
+    pub fn record_timeout(&mut self, now: Duration, relay: id::VmId, freshness: Option<Duration>) {
+        self.timeouts += 1;
+        let age = freshness.map(|freshness| now.saturating_sub(freshness));
+        let ageing = age.is_some_and(|age| (STALE_AGE..MAX_USABLE_AGE).contains(&age));
+        if ageing || self.timeouts >= MAX_TIMEOUTS {
+            self.timeouts = 0;
+            self.avoided.insert(relay, now + TIMEOUT_AVOIDANCE);
         }
     }
 
     /// Notes an answer, with the age of the relay's own view in microseconds.
     pub fn record_response(&mut self, now: Duration, relay: id::VmId, age: Option<u64>) {
-        self.misses = 0;
-        if age.is_none_or(|age| Duration::from_micros(age) >= STALE) {
+        self.timeouts = 0;
+        if age.is_none_or(|age| Duration::from_micros(age) >= STALE_AGE) {
             self.avoided.insert(relay, now + STALE_AVOIDANCE);
         } else {
             self.avoided.remove(&relay);
--- a/crates/consensus/src/feed/source.rs
+++ b/crates/consensus/src/feed/source.rs
@@ -75,9 +75,9 @@
         self.bytes > self.capacity
     }
 
-    /// Answers a request. `basis` is the freshness of the applied state on the local clock.
-    pub fn respond(&self, now: Duration, basis: Option<Duration>, request: &Request) -> Response {
-        let age = basis.map(|basis| now.saturating_sub(basis).as_micros() as u64 + 1);
+    /// Answers a request. `freshness` is the freshness of the applied state on the local clock.
+    pub fn respond(&self, now: Duration, freshness: Option<Duration>, request: &Request) -> Response {
+        let age = freshness.map(|freshness| now.saturating_sub(freshness).as_micros() as u64 + 1);
         let content = self.content(request);
         Response {
             token: request.token,
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -80,7 +80,7 @@
     pub sent: u64,
     /// Token of the newest answer that the leader has from the receiver.
     pub token: u32,
-    /// Age of the leader's basis in microseconds, rounded up.
+    /// Age of the leader's freshness in microseconds, rounded up.
     pub age: Option<u64>,
 }
 
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -15,14 +15,14 @@
 const VOTE_RETRY: (f64, f64) = (0.4, 1.0);
 
 impl Replica {
-    pub(super) fn reset_election(&mut self) {
+    pub(super) fn reset_election_timer(&mut self) {
         let factor = self.rng.random_range(1.0..2.0);
         self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
 
     /// Sets when a candidate asks again. The voters' silence protects the lease, so this may be sooner than a first
     /// attempt: most attempts fail because the other voters heard the leader a little later.
-    fn reset_retry(&mut self, shortest: f64, longest: f64) {
+    fn reset_retry_timer(&mut self, shortest: f64, longest: f64) {
         let factor = self.rng.random_range(shortest..longest);
         self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
@@ -41,7 +41,7 @@
         }
         self.state = State::Follower;
         self.leader = leader;
-        self.reset_election();
+        self.reset_election_timer();
     }
 
     pub(super) fn adopt_term(&mut self, term: u64, out: &mut Vec<Output>) {
@@ -55,7 +55,7 @@
 
     pub(super) fn start_pre_vote(&mut self, out: &mut Vec<Output>) {
         self.leader = None;
-        self.reset_retry(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
+        self.reset_retry_timer(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
         self.state = State::PreCandidate(BTreeSet::new());
         if self.count_vote(self.config.id) {
             self.start_election(false, out);
@@ -82,17 +82,17 @@
         };
         self.persist_vote(out);
         self.leader = None;
-        self.reset_retry(VOTE_RETRY.0, VOTE_RETRY.1);
+        self.reset_retry_timer(VOTE_RETRY.0, VOTE_RETRY.1);
         self.state = State::Candidate(BTreeSet::new());
         if !self.config.rules.acknowledge_after_sync {
-            self.count_own_vote(out);
+            self.count_self_vote(out);
         }
         let body = Body::Vote {
             last: self.log.last(),
             transfer,
         };
         for to in self.other_voters() {
-            self.send_after(self.sequence, to, body.clone(), out);
+            self.send_once_durable(self.sequence, to, body.clone(), out);
         }
     }
 
@@ -112,7 +112,7 @@
 
     /// Counts the own vote once it is durable. A sole voter that led before that could lead the same term again
     /// after a crash and write different entries to its learners.
-    pub(super) fn count_own_vote(&mut self, out: &mut Vec<Output>) {
+    pub(super) fn count_self_vote(&mut self, out: &mut Vec<Output>) {
         let candidate = matches!(self.state, State::Candidate(_));
         if candidate && self.count_vote(self.config.id) {
             self.become_leader(out);
@@ -130,18 +130,18 @@
     }
 
     /// Tells whether a leader may still rely on this member's silence.
-    fn owes_silence(&self) -> bool {
+    fn is_under_leader_lease(&self) -> bool {
         if !self.config.rules.reject_vote_under_lease {
             return false;
         }
         let contact = match &self.state {
-            State::Leader(leader) => self.quorum_basis(self.now).max(Some(leader.elected_at)),
-            _ => self.contact,
+            State::Leader(leader) => self.quorum_acked(self.now).max(Some(leader.elected_at)),
+            _ => self.leader_contact,
         };
         contact.is_some_and(|contact| self.now < contact + self.config.election_timeout)
     }
 
-    fn is_newer_or_same(&self, last: log::Position) -> bool {
+    fn is_up_to_date(&self, last: log::Position) -> bool {
         last >= self.log.last() || !self.config.rules.require_up_to_date_log
     }
 
@@ -153,8 +153,8 @@
         out: &mut Vec<Output>,
     ) {
         let granted = term > self.vote.term
-            && self.is_newer_or_same(last)
-            && !self.owes_silence()
+            && self.is_up_to_date(last)
+            && !self.is_under_leader_lease()
             && !self.store_failed
             && !self.removed;
         let term = if granted { term } else { self.vote.term };
@@ -192,8 +192,8 @@
         transfer: bool,
         out: &mut Vec<Output>,
     ) {
-        let silent = self.owes_silence() && !transfer;
-        if silent || self.store_failed || self.removed {
+        let under_lease = self.is_under_leader_lease() && !transfer;
+        if under_lease || self.store_failed || self.removed {
             self.send(from, Body::VoteReply { granted: false }, out);
             return;
         }
@@ -201,7 +201,7 @@
             self.adopt_term(term, out);
         }
         let free = self.vote.candidate.is_none_or(|candidate| candidate == from);
-        let granted = term == self.vote.term && free && self.is_newer_or_same(last) && self.leader.is_none();
+        let granted = term == self.vote.term && free && self.is_up_to_date(last) && self.leader.is_none();
         if !granted {
             self.send(from, Body::VoteReply { granted }, out);
             return;
@@ -212,8 +212,8 @@
                 self.persist_vote(out);
             }
         }
-        self.reset_election();
-        self.send_after(self.sequence, from, Body::VoteReply { granted }, out);
+        self.reset_election_timer();
+        self.send_once_durable(self.sequence, from, Body::VoteReply { granted }, out);
     }
 
     pub(super) fn on_vote_reply(&mut self, from: id::VmId, granted: bool, out: &mut Vec<Output>) {
@@ -223,7 +223,7 @@
         } else if candidate && !granted {
             // A split vote: two candidates that wait for each other would both wait the whole election.
             let planned = self.election_at;
-            self.reset_retry(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
+            self.reset_retry_timer(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
             self.election_at = self.election_at.min(planned);
         }
     }
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -10,13 +10,13 @@
 
 impl Replica {
     /// Notes a sign of the leader of the current term.
-    fn hear_leader(&mut self, from: id::VmId, out: &mut Vec<Output>) {
+    fn record_leader_contact(&mut self, from: id::VmId, out: &mut Vec<Output>) {
         assert!(!matches!(self.state, State::Leader(_)), "a term has one leader");
         self.become_follower(Some(from), out);
-        self.contact = Some(self.now);
+        self.leader_contact = Some(self.now);
     }
 
-    pub(super) fn refuse_append(&mut self, from: id::VmId, append: &Append, out: &mut Vec<Output>) {
+    pub(super) fn reject_stale_append(&mut self, from: id::VmId, append: &Append, out: &mut Vec<Output>) {
         let outcome = Outcome::Refused {
             previous: append.previous.index,
             hint: 0,
@@ -33,7 +33,7 @@
         out: &mut Vec<Output>,
     ) {
         let token = self.freshness.token(self.now);
-        self.send_after(
+        self.send_once_durable(
             sequence,
             to,
             Body::AppendReply(AppendReply { outcome, sent, token }),
@@ -49,13 +49,13 @@
             // The entries cannot be stored; the rest of the message is a heartbeat.
             append.entries.clear();
         }
-        self.hear_leader(from, out);
+        self.record_leader_contact(from, out);
         let previous = append.previous;
         let covered = previous.index < self.log.base().index;
         if !covered && self.log.term_at(previous.index) != Some(previous.term) {
             let outcome = Outcome::Refused {
                 previous: previous.index,
-                hint: self.hint(previous.index),
+                hint: self.conflict_hint(previous.index),
             };
             self.reply_append(from, outcome, append.sent, self.vote_sequence, out);
             return;
@@ -65,7 +65,7 @@
         let heartbeat = append.entries.is_empty();
         self.store_entries(append, out);
         self.set_commit(commit.min(matched), out);
-        self.note_basis(age, token, commit);
+        self.update_freshness(age, token, commit);
         // An entry that was covered by a snapshot is committed, hence durable.
         let durable = matched.min(self.durable.max(self.log.base().index));
         let (matched, sequence) = match () {
@@ -78,7 +78,7 @@
     }
 
     /// Last index that may agree with the leader's log, when the entry at `previous` does not.
-    fn hint(&self, previous: u64) -> u64 {
+    fn conflict_hint(&self, previous: u64) -> u64 {
         let last = self.log.last().index;
         if previous > last {
             return last;
@@ -106,13 +106,13 @@
     }
 
     /// Counts the age back from the answer that the leader names, widened by the clock drift.
-    fn note_basis(&mut self, age: Option<u64>, token: u32, commit: u64) {
+    fn update_freshness(&mut self, age: Option<u64>, token: u32, commit: u64) {
         let (Some(age), Some(instant)) = (age, self.freshness.instant(token)) else {
             return;
         };
         let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
-        if let Some(basis) = instant.checked_sub(age) {
-            self.freshness.note(self.applied, commit, basis);
+        if let Some(freshness) = instant.checked_sub(age) {
+            self.freshness.record(self.applied, commit, freshness);
         }
     }
 
@@ -126,7 +126,7 @@
         if self.removed {
             return;
         }
-        self.hear_leader(from, out);
+        self.record_leader_contact(from, out);
         let label = chunk.label;
         let reply = |received| Body::SnapshotReply {
             label,
@@ -142,7 +142,7 @@
             self.partial = None;
             self.set_commit(label.position.index, out);
             // The leader may count the prefix as held, so it has to be durable.
-            self.send_after(self.sequence, from, reply(label.total), out);
+            self.send_once_durable(self.sequence, from, reply(label.total), out);
             return;
         }
         let mut partial = self.partial.take().filter(|partial| partial.label() == label);
@@ -152,12 +152,12 @@
         match progress {
             snapshot::Progress::More(received) => {
                 self.partial = partial;
-                self.send_after(self.vote_sequence, from, reply(received), out);
+                self.send_once_durable(self.vote_sequence, from, reply(received), out);
             }
-            snapshot::Progress::Corrupt => self.send_after(self.vote_sequence, from, reply(0), out),
+            snapshot::Progress::Corrupt => self.send_once_durable(self.vote_sequence, from, reply(0), out),
             snapshot::Progress::Complete(snapshot) => {
                 self.install_snapshot(snapshot, out);
-                self.send_after(self.sequence, from, reply(label.total), out);
+                self.send_once_durable(self.sequence, from, reply(label.total), out);
             }
         }
     }
@@ -174,11 +174,11 @@
         self.emitted = index;
         self.snapshot = Some(snapshot.clone());
         self.persist(write::Kind::Install(snapshot.clone()), out);
-        if self.applies_stored_only() {
+        if self.waits_for_stored_commit() {
             // The snapshot stores its index; until then a crash would take the applied index back.
-            self.asked_commit = self.asked_commit.max(index);
+            self.requested_commit = self.requested_commit.max(index);
             self.pending_commits.push_back((self.sequence, index));
-            self.received = Some((self.sequence, snapshot));
+            self.pending_install = Some((self.sequence, snapshot));
         } else {
             out.push(Output::Install(snapshot));
         }
--- a/crates/consensus/src/replica/basis.rs
+++ b/crates/consensus/src/replica/freshness.rs
@@ -1,29 +1,29 @@
 //! Freshness of the applied state: an instant before which nothing is missing from it.
 //!
-//! A follower learns its basis from heartbeats. A heartbeat names the newest answer that the leader has; the age
+//! A follower learns its freshness from heartbeats. A heartbeat names the newest answer that the leader has; the age
 //! that it carries is counted back from the instant of that answer, so delays only make the state look older.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 /// Answers whose instants are remembered; more are never outstanding at one heartbeat interval.
-const TOKENS: usize = 64;
+const MAX_TOKENS: usize = 64;
 /// Instants that wait for their entries to be applied; further ones are skipped.
-const WAITING: usize = 16;
+const MAX_WAITING: usize = 16;
 
 /// Freshness of the applied state.
 ///
 /// Invariant: `confirmed` never goes back.
 #[derive(Debug)]
-pub(crate) struct Freshness {
+pub(crate) struct Tracker {
     confirmed: Option<Duration>,
     waiting: VecDeque<(u64, Duration)>,
     tokens: VecDeque<(u32, Duration)>,
     next_token: u32,
 }
 
-impl Freshness {
-    /// Returns an unknown basis. The first token is random, so that answers of an earlier process are not known.
+impl Tracker {
+    /// Returns an unknown freshness. The first token is random, so that answers of an earlier process are not known.
     pub(crate) fn new(first_token: u32) -> Self {
         Self {
             confirmed: None,
@@ -33,7 +33,7 @@
         }
     }
 
-    /// Newest confirmed basis.
+    /// Newest confirmed freshness.
     pub(crate) const fn confirmed(&self) -> Option<Duration> {
         self.confirmed
     }
@@ -41,7 +41,7 @@
     /// Names an answer that is sent now.
     pub(crate) fn token(&mut self, now: Duration) -> u32 {
         self.next_token = self.next_token.wrapping_add(1);
-        if self.tokens.len() >= TOKENS {
+        if self.tokens.len() >= MAX_TOKENS {
             self.tokens.pop_front();
         }
         self.tokens.push_back((self.next_token, now));
@@ -55,18 +55,18 @@
     }
 
     /// Notes that the state up to an index holds everything committed before an instant.
-    pub(crate) fn note(&mut self, applied: u64, index: u64, basis: Duration) {
+    pub(crate) fn record(&mut self, applied: u64, index: u64, freshness: Duration) {
         if index <= applied {
-            self.confirmed = self.confirmed.max(Some(basis));
-        } else if self.waiting.len() < WAITING {
-            self.waiting.push_back((index, basis));
+            self.confirmed = self.confirmed.max(Some(freshness));
+        } else if self.waiting.len() < MAX_WAITING {
+            self.waiting.push_back((index, freshness));
         }
     }
 
     /// Confirms the instants whose entries are applied.
     pub(crate) fn applied(&mut self, applied: u64) {
-        while let Some((_, basis)) = self.waiting.pop_front_if(|waiting| waiting.0 <= applied) {
-            self.confirmed = self.confirmed.max(Some(basis));
+        while let Some((_, freshness)) = self.waiting.pop_front_if(|waiting| waiting.0 <= applied) {
+            self.confirmed = self.confirmed.max(Some(freshness));
         }
     }
 }
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -70,10 +70,10 @@
         }));
         self.leader = Some(self.config.id);
         self.partial = None;
-        self.append_own(log::Payload::Noop, None, out);
+        self.append_as_leader(log::Payload::Noop, None, out);
     }
 
-    fn append_own(&mut self, payload: log::Payload, id: Option<u64>, out: &mut Vec<Output>) {
+    fn append_as_leader(&mut self, payload: log::Payload, id: Option<u64>, out: &mut Vec<Output>) {
         let size = payload.size();
         let position = log::Position {
             term: self.vote.term,
@@ -90,7 +90,7 @@
     }
 
     /// Reason why nothing may be proposed now.
-    fn proposal_fault(&self, size: usize) -> Option<Rejection> {
+    fn proposal_rejection(&self, size: usize) -> Option<Rejection> {
         let State::Leader(leader) = &self.state else {
             return Some(Rejection::NotLeader { leader: self.leader });
         };
@@ -111,14 +111,16 @@
     }
 
     pub(super) fn propose(&mut self, id: u64, data: Bytes, out: &mut Vec<Output>) {
-        match self.proposal_fault(data.len()) {
+        match self.proposal_rejection(data.len()) {
             Some(reason) => out.push(Output::Rejected { id, reason }),
-            None => self.append_own(log::Payload::Command(data), Some(id), out),
+            None => self.append_as_leader(log::Payload::Command(data), Some(id), out),
         }
     }
 
-    pub(super) fn change(&mut self, id: u64, change: membership::Change, out: &mut Vec<Output>) {
-        let fault = self.proposal_fault(0).or_else(|| self.change_fault(change));
+    pub(super) fn propose_change(&mut self, id: u64, change: membership::Change, out: &mut Vec<Output>) {
+        let fault = self
+            .proposal_rejection(0)
+            .or_else(|| self.change_rejection(change));
         let next = match fault {
             Some(reason) => Err(reason),
             None => self.membership().with_change(change).map_err(Rejection::Change),
@@ -129,7 +131,7 @@
         }
     }
 
-    fn change_fault(&self, change: membership::Change) -> Option<Rejection> {
+    fn change_rejection(&self, change: membership::Change) -> Option<Rejection> {
         let State::Leader(leader) = &self.state else {
             return None;
         };
@@ -160,7 +162,7 @@
     ) {
         let next = self.log.last().index + 1;
         let now = self.now;
-        self.append_own(log::Payload::Membership(members), Some(id), out);
+        self.append_as_leader(log::Payload::Membership(members), Some(id), out);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -202,7 +204,7 @@
         let own_term = self.log.term_at(index) == Some(self.vote.term);
         if index > self.commit && (own_term || !self.config.rules.commit_current_term_only) {
             self.set_commit(index, out);
-            self.note_leader_basis();
+            self.record_leader_freshness();
         }
     }
 
@@ -239,7 +241,7 @@
         let State::Leader(leader) = &self.state else {
             return;
         };
-        let heard = self.quorum_basis(self.now).max(Some(leader.elected_at));
+        let heard = self.quorum_acked(self.now).max(Some(leader.elected_at));
         if heard.is_none_or(|heard| self.now > heard + self.config.election_timeout) {
             // Check-quorum: without a majority this member cannot commit, and another may lead.
             self.become_follower(None, out);
@@ -250,7 +252,7 @@
     }
 
     /// Newest instant whose messages a majority of the voters has answered.
-    pub(super) fn quorum_basis(&self, now: Duration) -> Option<Duration> {
+    pub(super) fn quorum_acked(&self, now: Duration) -> Option<Duration> {
         let State::Leader(leader) = &self.state else {
             return None;
         };
@@ -267,26 +269,26 @@
         acked[members.quorum() - 1]
     }
 
-    /// Quorum basis once this leader knows everything that was committed before it.
-    fn leader_basis(&self, now: Duration) -> Option<Duration> {
+    /// Quorum freshness once this leader knows everything that was committed before it.
+    fn leader_freshness(&self, now: Duration) -> Option<Duration> {
         let State::Leader(leader) = &self.state else {
             return None;
         };
         if self.commit < leader.first_index {
             return None;
         }
-        self.quorum_basis(now)
+        self.quorum_acked(now)
     }
 
-    pub(super) fn note_leader_basis(&mut self) {
-        if let Some(basis) = self.leader_basis(self.now) {
-            self.freshness.note(self.applied, self.commit, basis);
+    pub(super) fn record_leader_freshness(&mut self) {
+        if let Some(freshness) = self.leader_freshness(self.now) {
+            self.freshness.record(self.applied, self.commit, freshness);
         }
     }
 
-    /// Age of the leader's basis in microseconds, rounded up.
+    /// Age of the leader's freshness in microseconds, rounded up.
     pub(super) fn leader_age(&self) -> Option<u64> {
-        let age = self.now.saturating_sub(self.leader_basis(self.now)?);
+        let age = self.now.saturating_sub(self.leader_freshness(self.now)?);
         Some(age.as_micros() as u64 + 1)
     }
 
@@ -296,7 +298,7 @@
         if self.applied < self.commit {
             return confirmed;
         }
-        confirmed.max(self.leader_basis(now))
+        confirmed.max(self.leader_freshness(now))
     }
 
     /// Tells whether no other member can lead now, and the applied state holds everything committed.
@@ -307,9 +309,9 @@
         if leader.lease_void || self.store_failed {
             return false;
         }
-        let Some(basis) = self.leader_basis(now) else {
+        let Some(freshness) = self.leader_freshness(now) else {
             return false;
         };
-        now < basis + self.config.lease() || !self.config.rules.expire_lease
+        now < freshness + self.config.lease() || !self.config.rules.expire_lease
     }
 }
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -4,10 +4,10 @@
 //! their order and `Persisted` is given after they are durable; messages that depend on a write are held back here.
 //! The caller steps the replica at `next_wake` at the latest.
 
-mod basis;
 mod config;
 mod election;
 mod follower;
+mod freshness;
 mod leader;
 mod persist;
 mod progress;
@@ -32,7 +32,7 @@
 /// Entries that may be handed out and not yet applied; later ones wait.
 const APPLY_WINDOW: u64 = 4_096;
 /// Messages that may wait for a write; older ones are dropped, as the network might.
-const HELD_MESSAGES: usize = 1_024;
+const MAX_DEFERRED_MESSAGES: usize = 1_024;
 
 /// What happened.
 #[derive(Debug, Clone)]
@@ -181,7 +181,7 @@
     leader: Option<id::VmId>,
     role: Role,
     /// Last sign of a leader of the current term; the start of the process counts as one.
-    contact: Option<Duration>,
+    leader_contact: Option<Duration>,
     election_at: Duration,
     log: log::Log,
     memberships: Vec<(u64, membership::Membership)>,
@@ -195,19 +195,19 @@
     vote_sequence: u64,
     /// Commit index that is stored, and that whose storage was asked for.
     stored_commit: u64,
-    asked_commit: u64,
+    requested_commit: u64,
     /// Writes that are not durable, with the last index that each makes durable.
     pending: VecDeque<(u64, Option<u64>)>,
     /// Commit index that each of those writes stores.
     pending_commits: VecDeque<(u64, u64)>,
-    held: VecDeque<(u64, id::VmId, Message)>,
+    deferred: VecDeque<(u64, id::VmId, Message)>,
     partial: Option<snapshot::Partial>,
-    freshness: basis::Freshness,
+    freshness: freshness::Tracker,
     store_failed: bool,
     removed: bool,
-    install: Option<snapshot::Snapshot>,
+    restored_snapshot: Option<snapshot::Snapshot>,
     /// Received snapshot that is handed out once its write is durable.
-    received: Option<(u64, snapshot::Snapshot)>,
+    pending_install: Option<(u64, snapshot::Snapshot)>,
 }
 
 impl Replica {
@@ -239,7 +239,7 @@
             state: State::Follower,
             leader: None,
             role: Role::Follower { leader: None },
-            contact,
+            leader_contact: contact,
             election_at: now,
             memberships,
             commit: restored.commit.clamp(position.index, log.last().index),
@@ -250,23 +250,23 @@
             persisted: 0,
             vote_sequence: 0,
             stored_commit: 0,
-            asked_commit: 0,
+            requested_commit: 0,
             pending: VecDeque::new(),
             pending_commits: VecDeque::new(),
-            held: VecDeque::new(),
+            deferred: VecDeque::new(),
             partial: None,
-            freshness: basis::Freshness::new(token),
+            freshness: freshness::Tracker::new(token),
             store_failed: false,
             removed: false,
-            install: restored.snapshot.clone(),
-            received: None,
+            restored_snapshot: restored.snapshot.clone(),
+            pending_install: None,
             snapshot: restored.snapshot,
             log,
             config,
         };
         replica.stored_commit = replica.commit;
-        replica.asked_commit = replica.commit;
-        replica.reset_election();
+        replica.requested_commit = replica.commit;
+        replica.reset_election_timer();
         if replica.vote.term == 0 && replica.is_only_voter() {
             replica.election_at = now;
         }
@@ -276,7 +276,7 @@
     /// Handles one input and appends what has to be done. Time that goes back counts as no time.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
-        if let Some(snapshot) = self.install.take() {
+        if let Some(snapshot) = self.restored_snapshot.take() {
             out.push(Output::Install(snapshot));
         }
         // Timers come first: a leader that was paused steps down before it handles anything.
@@ -289,7 +289,7 @@
             Input::PersistFailed => self.on_persist_failed(out),
             Input::Applied { index } => self.on_applied(index),
             Input::Compact { snapshot } => self.compact(snapshot, out),
-            Input::ChangeMembership { id, change } => self.change(id, change, out),
+            Input::ChangeMembership { id, change } => self.propose_change(id, change, out),
             Input::TransferLeadership { to } => self.start_transfer(to, out),
         }
         self.flush(out);
@@ -355,7 +355,7 @@
                 }
                 self.receive_current(from, body, out);
             }
-            Body::Append(append) => self.refuse_append(from, &append, out),
+            Body::Append(append) => self.reject_stale_append(from, &append, out),
             Body::Snapshot { .. } => self.send(from, Body::VoteReply { granted: false }, out),
             _ => {}
         }
@@ -390,15 +390,15 @@
     }
 
     /// Sends once the writes up to a sequence are durable.
-    fn send_after(&mut self, sequence: u64, to: id::VmId, body: Body, out: &mut Vec<Output>) {
+    fn send_once_durable(&mut self, sequence: u64, to: id::VmId, body: Body, out: &mut Vec<Output>) {
         if sequence <= self.persisted {
             self.send(to, body, out);
             return;
         }
-        if self.held.len() >= HELD_MESSAGES {
-            self.held.pop_front();
+        if self.deferred.len() >= MAX_DEFERRED_MESSAGES {
+            self.deferred.pop_front();
         }
-        self.held.push_back((
+        self.deferred.push_back((
             sequence,
             to,
             Message {
@@ -447,12 +447,12 @@
         self.become_follower(None, out);
     }
 
-    fn applies_stored_only(&self) -> bool {
+    fn waits_for_stored_commit(&self) -> bool {
         self.config.store_commit && self.config.rules.store_commit
     }
 
     fn emit_apply(&mut self, out: &mut Vec<Output>) {
-        let limit = if self.applies_stored_only() {
+        let limit = if self.waits_for_stored_commit() {
             self.stored_commit
         } else {
             self.commit
--- a/crates/consensus/src/replica/persist.rs
+++ b/crates/consensus/src/replica/persist.rs
@@ -42,14 +42,14 @@
         while let Some((_, commit)) = self.pending_commits.pop_front_if(|write| write.0 <= through) {
             self.stored_commit = self.stored_commit.max(commit);
         }
-        if let Some((_, snapshot)) = self.received.take_if(|received| received.0 <= through) {
+        if let Some((_, snapshot)) = self.pending_install.take_if(|received| received.0 <= through) {
             out.push(Output::Install(snapshot));
         }
-        while let Some((_, to, message)) = self.held.pop_front_if(|held| held.0 <= through) {
+        while let Some((_, to, message)) = self.deferred.pop_front_if(|held| held.0 <= through) {
             out.push(Output::Send { to, message });
         }
         if self.persisted >= self.vote_sequence {
-            self.count_own_vote(out);
+            self.count_self_vote(out);
         }
         self.advance_commit(out);
     }
@@ -59,7 +59,7 @@
             return;
         }
         self.store_failed = true;
-        self.held.clear();
+        self.deferred.clear();
         match self.state {
             State::Leader(_) => self.start_transfer(None, out),
             _ => self.state = State::Follower,
@@ -121,10 +121,10 @@
 
     /// Asks for the storage of a commit index that no other write carried.
     pub(super) fn store_commit(&mut self, out: &mut Vec<Output>) {
-        if !self.config.store_commit || self.store_failed || self.asked_commit >= self.commit {
+        if !self.config.store_commit || self.store_failed || self.requested_commit >= self.commit {
             return;
         }
-        self.asked_commit = self.commit;
+        self.requested_commit = self.commit;
         self.persist(write::Kind::Commit(self.commit), out);
         self.pending_commits.push_back((self.sequence, self.commit));
     }
--- a/crates/consensus/src/replica/progress.rs
+++ b/crates/consensus/src/replica/progress.rs
@@ -68,23 +68,23 @@
         }
     }
 
-    pub(crate) fn has_room(&self, messages: usize, bytes: usize) -> bool {
+    pub(crate) fn has_capacity(&self, messages: usize, bytes: usize) -> bool {
         self.in_flight.len() < messages && self.in_flight_bytes < bytes
     }
 
-    pub(crate) fn sent(&mut self, last: u64, bytes: usize) {
+    pub(crate) fn record_sent(&mut self, last: u64, bytes: usize) {
         self.in_flight.push_back((last, bytes));
         self.in_flight_bytes += bytes;
         self.next = last + 1;
     }
 
     /// Notes an answer to a message that was sent at a time.
-    pub(crate) fn answered(&mut self, sent: Duration, now: Duration) {
+    pub(crate) fn record_ack(&mut self, sent: Duration, now: Duration) {
         self.acked = self.acked.max(Some(sent.min(now)));
     }
 
     /// Notes that the logs agree up to an index.
-    pub(crate) fn accept(&mut self, matched: u64, last: u64, now: Duration, round_limit: Duration) {
+    pub(crate) fn record_match(&mut self, matched: u64, last: u64, now: Duration, round_limit: Duration) {
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched + 1);
         while let Some((_, bytes)) = self.in_flight.pop_front_if(|sent| sent.0 <= matched) {
@@ -99,17 +99,17 @@
     }
 
     /// Notes a refusal of a message that was sent since probing last began.
-    pub(crate) fn refused(&mut self, previous: u64, hint: u64, now: Duration) {
+    pub(crate) fn record_rejection(&mut self, previous: u64, hint: u64, now: Duration) {
         // A member that still held what it acknowledged would have accepted a probe at `matched`, so it restarted
         // without the end of its log. Outside probing, the message may have overtaken the entries before it.
         if matches!(self.mode, Mode::Probe) && previous <= self.matched {
             self.matched = self.matched.min(hint);
         }
-        self.probe(previous.min(hint + 1), now);
+        self.start_probe(previous.min(hint + 1), now);
     }
 
     /// Goes back to probing from an index.
-    pub(crate) fn probe(&mut self, next: u64, now: Duration) {
+    pub(crate) fn start_probe(&mut self, next: u64, now: Duration) {
         self.mode = Mode::Probe;
         self.probed_at = now.as_micros() as u64;
         self.next = next.max(self.matched + 1);
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -27,12 +27,12 @@
         leader.unflushed_bytes = 0;
         let members: Vec<_> = leader.progress.keys().copied().collect();
         for member in members {
-            self.pump(member, out);
+            self.replicate_to(member, out);
         }
     }
 
     /// Sends entries to a member as far as its window allows.
-    fn pump(&mut self, to: id::VmId, out: &mut Vec<Output>) {
+    fn replicate_to(&mut self, to: id::VmId, out: &mut Vec<Output>) {
         loop {
             let State::Leader(leader) = &self.state else {
                 return;
@@ -40,7 +40,7 @@
             let Some(progress) = leader.progress.get(&to) else {
                 return;
             };
-            let room = progress.has_room(
+            let room = progress.has_capacity(
                 self.config.max_in_flight_messages,
                 self.config.max_in_flight_bytes,
             );
@@ -72,7 +72,7 @@
         };
         let bytes = entries.iter().map(|entry| entry.payload.size()).sum();
         if let Some(last) = entries.last() {
-            progress.sent(last.position.index, bytes);
+            progress.record_sent(last.position.index, bytes);
         }
         progress.sent_at = now;
         let append = Append {
@@ -109,10 +109,10 @@
         let Some(progress) = leader.progress.get_mut(&to) else {
             return;
         };
-        let silent = progress.acked.unwrap_or(leader.elected_at) + election < now;
-        if silent && matches!(progress.mode, Mode::Pipeline) {
+        let unresponsive = progress.acked.unwrap_or(leader.elected_at) + election < now;
+        if unresponsive && matches!(progress.mode, Mode::Pipeline) {
             // A member that does not answer gets heartbeats only, so that a lost VM costs few bytes.
-            progress.probe(progress.matched + 1, now);
+            progress.start_probe(progress.matched + 1, now);
         }
         match progress.mode {
             Mode::Snapshot(_) => self.send_chunk(to, true, out),
@@ -131,11 +131,11 @@
         };
         let sent = Duration::from_micros(reply.sent);
         let newest = progress.acked.is_none_or(|acked| sent >= acked);
-        progress.answered(sent, now);
+        progress.record_ack(sent, now);
         progress.token = reply.token;
         match reply.outcome {
             Outcome::Accepted { matched } => {
-                progress.accept(matched.min(last), last, now, election);
+                progress.record_match(matched.min(last), last, now, election);
                 if matches!(progress.mode, Mode::Probe) {
                     progress.mode = Mode::Pipeline;
                 }
@@ -146,19 +146,19 @@
                 let newer = reply.sent >= progress.probed_at;
                 let known = previous <= progress.matched && !newest;
                 if newer && !known && !matches!(progress.mode, Mode::Snapshot(_)) {
-                    progress.refused(previous, hint, now);
+                    progress.record_rejection(previous, hint, now);
                     self.send_heartbeat(from, out);
                 }
             }
         }
-        self.after_answer(from, out);
+        self.after_reply(from, out);
     }
 
-    fn after_answer(&mut self, from: id::VmId, out: &mut Vec<Output>) {
+    fn after_reply(&mut self, from: id::VmId, out: &mut Vec<Output>) {
         self.advance_commit(out);
-        self.note_leader_basis();
+        self.record_leader_freshness();
         self.continue_transfer(out);
-        self.pump(from, out);
+        self.replicate_to(from, out);
     }
 
     fn start_snapshot(&mut self, to: id::VmId, out: &mut Vec<Output>) {
@@ -221,7 +221,7 @@
         let Some(progress) = leader.progress.get_mut(&from) else {
             return;
         };
-        progress.answered(Duration::from_micros(sent), now);
+        progress.record_ack(Duration::from_micros(sent), now);
         let Mode::Snapshot(transfer) = &mut progress.mode else {
             return;
         };
@@ -239,9 +239,9 @@
             }
             return;
         }
-        progress.probe(label.position.index + 1, now);
-        progress.accept(label.position.index, last, now, election);
+        progress.start_probe(label.position.index + 1, now);
+        progress.record_match(label.position.index, last, now, election);
         progress.mode = Mode::Pipeline;
-        self.after_answer(from, out);
+        self.after_reply(from, out);
     }
 }
--- a/crates/consensus/src/replica/transfer.rs
+++ b/crates/consensus/src/replica/transfer.rs
@@ -12,7 +12,7 @@
 pub(crate) struct Transfer {
     to: id::VmId,
     pub(crate) deadline: Duration,
-    asked: bool,
+    requested: bool,
 }
 
 impl Replica {
@@ -41,7 +41,7 @@
             leader.transfer = Some(Transfer {
                 to,
                 deadline,
-                asked: false,
+                requested: false,
             });
         }
         self.continue_transfer(out);
@@ -60,10 +60,10 @@
             .progress
             .get(&transfer.to)
             .is_some_and(|progress| progress.matched >= last);
-        if !ready || transfer.asked {
+        if !ready || transfer.requested {
             return;
         }
-        transfer.asked = true;
+        transfer.requested = true;
         leader.lease_void = true;
         let to = transfer.to;
         self.send(to, Body::TimeoutNow, out);
@@ -77,9 +77,9 @@
         if self.now < transfer.deadline {
             return;
         }
-        let asked = transfer.asked;
+        let requested = transfer.requested;
         leader.transfer = None;
-        if asked || self.store_failed {
+        if requested || self.store_failed {
             // The lease is void for the rest of the term, so only a new election gives a useful leader.
             self.become_follower(None, out);
         }
--- a/crates/consensus/tests/driver/check.rs
+++ b/crates/consensus/tests/driver/check.rs
@@ -27,8 +27,8 @@
     TwoLeases,
     /// A member with a lease does not hold an acknowledged entry.
     StaleLease,
-    /// A member claims a basis after which it lacks an acknowledged entry.
-    StaleBasis,
+    /// A member claims a freshness after which it lacks an acknowledged entry.
+    OverstatedFreshness,
     /// A voter was added that lacks the log committed two election timeouts ago.
     PromotedTooEarly,
     /// Messages or timers multiply.
@@ -85,7 +85,7 @@
         self.check_state(node)?;
         self.check_commit(now, node, replica, nodes)?;
         self.check_leader(node, replica)?;
-        self.check_basis(now, node, replica)?;
+        self.check_freshness(now, node, replica)?;
         self.check_leases(now, nodes)
     }
 
@@ -180,14 +180,14 @@
         }
     }
 
-    fn check_basis(&self, now: Duration, node: &Node, replica: &Replica) -> Result<(), Violation> {
-        let Some(basis) = replica.freshness(node.local(now)) else {
+    fn check_freshness(&self, now: Duration, node: &Node, replica: &Replica) -> Result<(), Violation> {
+        let Some(freshness) = replica.freshness(node.local(now)) else {
             return Ok(());
         };
-        let basis = node.global(basis);
-        let before = self.acknowledged.iter().rev().find(|(at, _)| *at < basis);
+        let freshness = node.global(freshness);
+        let before = self.acknowledged.iter().rev().find(|(at, _)| *at < freshness);
         match before {
-            Some((_, index)) if *index > node.applied => Err(Violation::StaleBasis),
+            Some((_, index)) if *index > node.applied => Err(Violation::OverstatedFreshness),
             _ => Ok(()),
         }
     }
--- a/crates/consensus/tests/feed.rs
+++ b/crates/consensus/tests/feed.rs
@@ -85,7 +85,7 @@
 /// Guards against a follower that claims to be fresher than it is, or whose state goes back, with lost, late and
 /// repeated messages over two hops and clocks that began at different times.
 #[test]
-fn basis_is_never_too_young() {
+fn freshness_is_never_overstated() {
     for seed in 0..40 {
         let mut rng = SmallRng::seed_from_u64(seed);
         let mut root = Source::new(2_000);
@@ -118,7 +118,7 @@
                 .extract_if(.., |request| request.0 <= now)
                 .collect::<Vec<_>>()
             {
-                // The first hop asks the root; its basis is the present. The second hop asks the first.
+                // The first hop asks the root; its freshness is the present. The second hop asks the first.
                 let response = match hop {
                     0 => root.respond(now, Some(now), &request),
                     _ => hops[0]
@@ -133,16 +133,17 @@
                 }
             }
             for (hop, newest) in hops.iter().zip(&mut before) {
-                let basis = hop.follower.freshness();
-                assert!(basis >= *newest, "seed {seed}: the basis never goes back");
-                *newest = basis;
-                let Some(basis) = basis.and_then(|basis| basis.checked_sub(hop.offset)) else {
+                let freshness = hop.follower.freshness();
+                assert!(freshness >= *newest, "seed {seed}: the freshness never goes back");
+                *newest = freshness;
+                let Some(freshness) = freshness.and_then(|freshness| freshness.checked_sub(hop.offset))
+                else {
                     continue;
                 };
-                let needed = committed.partition_point(|at| *at < basis) as u64;
+                let needed = committed.partition_point(|at| *at < freshness) as u64;
                 assert!(
                     hop.applied >= needed,
-                    "seed {seed}: {} of {needed} at {basis:?}",
+                    "seed {seed}: {} of {needed} at {freshness:?}",
                     hop.applied
                 );
             }
@@ -197,7 +198,7 @@
     assert_eq!(installs, 1);
 }
 
-/// Guards against a link whose answers all come after the time-out: they still bring entries and a basis.
+/// Guards against a link whose answers all come after the time-out: they still bring entries and a freshness.
 #[test]
 fn late_answers_count() {
     let mut source = Source::new(1_000_000);
--- a/crates/consensus/tests/relay.rs
+++ b/crates/consensus/tests/relay.rs
@@ -28,7 +28,7 @@
     Fresh,
     /// It answers, but has heard no leader since.
     Stale,
-    /// It answers, and knows no basis.
+    /// It answers, and knows no freshness.
     Unknown,
     /// It does not answer.
     Silent,
@@ -52,7 +52,7 @@
         state.copied().unwrap_or((Duration::ZERO, State::Fresh))
     }
 
-    fn basis(&self, now: Duration) -> Option<Duration> {
+    fn freshness(&self, now: Duration) -> Option<Duration> {
         let (since, state) = self.state(now);
         match state {
             State::Fresh => now.checked_sub(MEMBER_AGE),
@@ -103,7 +103,7 @@
                     let member = members.iter().find(|member| member.vm == to).expect("a member");
                     let there = now + DELAY;
                     if member.state(there).1 != State::Silent {
-                        let response = source.respond(there, member.basis(there), &request);
+                        let response = source.respond(there, member.freshness(there), &request);
                         answers.push((there + DELAY, to, response));
                     }
                 }
@@ -111,7 +111,9 @@
                 Output::Apply(_) | Output::Install(_) => {}
             }
         }
-        let age = follower.freshness().map(|basis| now.saturating_sub(basis));
+        let age = follower
+            .freshness()
+            .map(|freshness| now.saturating_sub(freshness));
         if age.is_some_and(|age| age > KEY_FRESHNESS) {
             seen.too_old.push(now);
         }
@@ -124,7 +126,7 @@
 /// its own view is too old for keyed work.
 #[yare::parameterized(
     stale = { State::Stale },
-    without_a_basis = { State::Unknown },
+    unknown_freshness = { State::Unknown },
     silent = { State::Silent },
 )]
 fn a_failed_relay_is_left_in_time(failure: State) {
--- a/crates/gossip/src/exchange.rs
+++ b/crates/gossip/src/exchange.rs
@@ -148,9 +148,9 @@
             return;
         }
         let age = Duration::from_millis(u64::from(entry.age_ms)).mul_f64(1.0 + DRIFT);
-        let basis = sent.and_then(|sent| sent.checked_sub(age));
-        if basis > origin.basis {
-            origin.basis = basis;
+        let freshness = sent.and_then(|sent| sent.checked_sub(age));
+        if freshness > origin.freshness {
+            origin.freshness = freshness;
             origin.via = Some(from);
         }
     }
@@ -193,7 +193,7 @@
         let age = if vm == self.config.id {
             Duration::ZERO
         } else {
-            now.saturating_sub(origin.basis?)
+            now.saturating_sub(origin.freshness?)
         };
         Some(DigestEntry {
             origin: vm,
--- a/crates/gossip/src/gossip.rs
+++ b/crates/gossip/src/gossip.rs
@@ -305,8 +305,8 @@
         if origin == self.config.id {
             return Some(Duration::ZERO);
         }
-        let basis = self.origins.get(&origin)?.basis?;
-        Some(now.saturating_sub(basis))
+        let freshness = self.origins.get(&origin)?.freshness?;
+        Some(now.saturating_sub(freshness))
     }
 
     /// Returns the entry of a key with the highest rank, the youngest among equals, whatever its age.
--- a/crates/gossip/src/origin.rs
+++ b/crates/gossip/src/origin.rs
@@ -30,8 +30,8 @@
     /// Removals through this version are forgotten here or accounted for.
     pub(crate) floor: u64,
     /// Local time at which the origin had published nothing beyond `known`; never later than in truth.
-    pub(crate) basis: Option<Duration>,
-    /// VM from which the basis came.
+    pub(crate) freshness: Option<Duration>,
+    /// VM from which the freshness came.
     pub(crate) via: Option<id::VmId>,
     slots: BTreeMap<Key, Slot>,
     versions: BTreeMap<u64, Key>,
@@ -43,7 +43,7 @@
             incarnation,
             known: 0,
             floor: 0,
-            basis: None,
+            freshness: None,
             via: None,
             slots: BTreeMap::new(),
             versions: BTreeMap::new(),
