--- a/crates/consensus/src/feed/follower.rs
+++ b/crates/consensus/src/feed/follower.rs
@@ -1,4 +1,4 @@
-//! The polling side of the feed.
+//! Polling side of the feed.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -10,29 +10,30 @@
 use crate::snapshot;
 
 const POLL_INTERVAL: Duration = Duration::from_millis(500);
-/// Late answers still count, so this may be shorter than the slowest answer; a second made one loss cost a second.
+/// Late responses are still accepted, so this may be shorter than the slowest response. It bounds the delay that a lost
+/// message causes; with 1 s, one loss delayed the follower by a second.
 const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
-/// Doublings of the time-out at most.
+/// Maximum number of times that the time-out is doubled.
 const MAX_BACKOFF_DOUBLINGS: u32 = 2;
-/// Requests that may still be answered; the oldest is forgotten first.
+/// Maximum number of requests whose responses are accepted; the oldest is dropped first.
 const MAX_PENDING: usize = 16;
 const CLOCK_DRIFT: f64 = 0.02;
 
-/// Settings of a follower.
+/// Configuration of a follower.
 #[derive(Debug, Clone)]
 pub struct Config {
-    /// Seed of the request tokens; must differ at every start of a process.
+    /// Seed of the request tokens; must differ at each start of the process.
     pub seed: u64,
-    /// Time between two requests when there is nothing new.
+    /// Time between two requests while the follower is up to date.
     pub poll_interval: Duration,
-    /// When another request is sent although the last one is unanswered.
+    /// Time without a response after which another request is sent.
     pub request_timeout: Duration,
-    /// Largest difference between the rates of two monotonic clocks, as a fraction.
+    /// Maximum difference between the rates of two monotonic clocks, as a fraction.
     pub clock_drift: f64,
 }
 
 impl Config {
-    /// Returns the default settings.
+    /// Returns the default configuration.
     pub const fn new(seed: u64) -> Self {
         Self {
             seed,
@@ -43,42 +44,42 @@
     }
 }
 
-/// What happened.
+/// Event for a follower to process.
 #[derive(Debug, Clone)]
 pub enum Input {
-    /// Time passed.
+    /// No event; runs due timers.
     Tick,
-    /// An answer arrived.
+    /// A response arrived.
     Receive {
-        /// Sender.
+        /// Relay that sent it.
         from: id::VmId,
-        /// Response.
+        /// Received response.
         response: Response,
     },
-    /// Another VM answers from now on, or none.
+    /// The relay to poll was selected.
     Relay {
-        /// That VM.
+        /// Selected relay, or `None` if there is none.
         to: Option<id::VmId>,
     },
 }
 
-/// What the caller has to do, before the next step.
+/// Action for the caller to perform before the next step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
     /// Send a request; it may be lost.
     Send {
-        /// Receiver.
+        /// Relay to send it to.
         to: id::VmId,
-        /// Request.
+        /// Request to send.
         request: Request,
     },
-    /// Apply an entry. Indices are consecutive.
+    /// Apply a committed entry. Indices are consecutive.
     Apply(crate::log::Entry),
-    /// Replace the state by a snapshot.
+    /// Replace the applied state by a snapshot.
     Install(snapshot::Snapshot),
-    /// A request got no answer in time; the caller may choose another relay.
+    /// A request timed out; the caller may select another relay.
     TimedOut {
-        /// Relay that was asked.
+        /// Relay that did not respond in time.
         relay: id::VmId,
     },
 }
@@ -92,17 +93,17 @@
 
 /// Follows the committed entries of a group through a relay.
 ///
-/// Invariant: neither `applied` nor `freshness` ever goes back.
+/// Invariant: neither `applied` nor `freshness` ever decreases.
 #[derive(Debug)]
 pub struct Follower {
     config: Config,
     rng: rngs::SmallRng,
     relay: Option<id::VmId>,
-    /// TimedOut requests, oldest first.
+    /// Requests whose response is still accepted, oldest first.
     pending: VecDeque<Pending>,
-    /// Requests since the last answer that got none in time.
+    /// Time-outs since the last response, capped at [`MAX_BACKOFF_DOUBLINGS`].
     timeouts: u32,
-    /// Whether the newest request may still be answered in time.
+    /// Whether the newest request has neither been answered nor timed out.
     waiting: bool,
     request_at: Duration,
     partial: Option<snapshot::Partial>,
@@ -111,7 +112,7 @@
 }
 
 impl Follower {
-    /// Returns a follower that has nothing yet.
+    /// Returns a follower with an empty state and no relay.
     pub fn new(config: Config, now: Duration) -> Self {
         let rng = rngs::SmallRng::seed_from_u64(config.seed);
         Self {
@@ -128,7 +129,7 @@
         }
     }
 
-    /// Handles one input and appends what has to be done.
+    /// Processes an input and appends the resulting actions to `out`.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Tick => {}
@@ -146,7 +147,7 @@
         self.request(now, out);
     }
 
-    /// Time at which the follower must be stepped again.
+    /// Returns the time by which the follower must be stepped again.
     pub fn next_wake(&self) -> Duration {
         match self.pending.back() {
             Some(newest) if self.waiting => newest.sent + self.timeout(),
@@ -154,22 +155,22 @@
         }
     }
 
-    /// Last entry or snapshot that was handed out.
+    /// Returns the index of the last entry or snapshot that was output.
     pub const fn applied(&self) -> u64 {
         self.applied
     }
 
-    /// Relay that is asked.
+    /// Returns the relay that is polled.
     pub const fn relay(&self) -> Option<id::VmId> {
         self.relay
     }
 
-    /// Instant on the local clock before which nothing is missing from the state.
+    /// Returns the time on the local clock up to which the state is complete.
     pub const fn freshness(&self) -> Option<Duration> {
         self.freshness
     }
 
-    /// Doubles with each unanswered request, so that a slow link is not filled with repeated answers.
+    /// Doubles with each time-out, so that a slow link is not filled with repeated responses.
     fn timeout(&self) -> Duration {
         self.config.request_timeout * (1 << self.timeouts)
     }
@@ -243,7 +244,7 @@
         match response.content {
             Content::Entries(items) => {
                 for (index, item) in (pending.after + 1..).zip(items) {
-                    // An answer to an older request may repeat entries that a newer one brought.
+                    // A response to an older request may repeat entries that a newer one delivered.
                     if index == self.applied + 1 {
                         self.applied = index;
                         out.push(Output::Apply(item.into_entry(index)));
@@ -256,7 +257,7 @@
     }
 
     fn receive_chunk(&mut self, chunk: &snapshot::Chunk, out: &mut Vec<Output>) {
-        // A relay that is behind must not take this state back.
+        // A relay that lags behind must not revert the state of this follower.
         let older = chunk.label.position.index <= self.applied;
         if older || chunk.label.total > snapshot::MAX_SNAPSHOT_BYTES {
             return;
@@ -278,7 +279,7 @@
         }
     }
 
-    /// Counts the age back from the instant of the own request, so that delays only make the state look older.
+    /// Subtracts the reported age from the send time of the request, so that delays only make the state look older.
     fn update_freshness(&mut self, sent: Duration, age: Option<u64>, through: u64) {
         let Some(age) = age else { return };
         let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
--- a/crates/consensus/src/feed/mod.rs
+++ b/crates/consensus/src/feed/mod.rs
@@ -1,7 +1,7 @@
-//! Committed entries for VMs that are not members of a group.
+//! Distribution of committed entries to VMs that are not members of a group.
 //!
-//! A [`Source`] on a root voter, or on a relay that follows one, answers polls; a [`Follower`] polls. A request names
-//! what the follower has, an answer continues from there, so lost and repeated messages do no harm.
+//! A [`Follower`] polls a [`Source`], which runs on a root voter or on a relay that follows one. Each request states
+//! what the follower already has and the response continues from there, so lost and duplicated messages are harmless.
 
 mod follower;
 mod relays;
@@ -16,47 +16,47 @@
 
 use crate::{log, message, snapshot};
 
-/// Asks for what was committed after an index.
+/// Request for the entries committed after an index.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
-    /// Names this request; returned in the answer.
+    /// Identifies this request; echoed in the response.
     pub token: u32,
-    /// Last entry that the follower has.
+    /// Index of the last entry that the follower has.
     pub after: u64,
-    /// Snapshot whose transfer has begun, and the bytes of it that the follower has.
+    /// Label of a partially received snapshot and the number of its bytes that the follower has.
     pub partial: Option<(snapshot::Label, u64)>,
 }
 
-/// Answers a request.
+/// Response to a [`Request`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Response {
     /// Token of the request.
     pub token: u32,
-    /// Last entry that the source had applied.
+    /// Index of the last entry that the source had applied.
     pub through: u64,
-    /// Age of the source's freshness in microseconds, rounded up; none if the source has no freshness.
+    /// Age of the source's state in microseconds, rounded up; `None` if its freshness is unknown.
     pub age: Option<u64>,
-    /// What follows.
+    /// Entries or snapshot data that continue the follower's state.
     pub content: Content,
 }
 
-/// What follows the entries that the follower has.
+/// Entries or snapshot data that continue the follower's state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Content {
-    /// Entries from index `after + 1` on; empty if there is nothing new.
+    /// Entries from index `after + 1` on; empty if the follower is up to date.
     Entries(Vec<message::Item>),
-    /// The entries are gone; a part of a snapshot.
+    /// Chunk of a snapshot, because the requested entries were compacted.
     Chunk(snapshot::Chunk),
 }
 
 impl Content {
-    /// Tells whether a further request would bring more at once.
+    /// Returns whether there is no content, so that the next poll can wait for the regular interval.
     fn is_empty(&self) -> bool {
         matches!(self, Self::Entries(items) if items.is_empty())
     }
 }
 
-/// Splits a command off an entry.
+/// Returns the command of an entry, if it is a command entry.
 pub fn command(entry: &log::Entry) -> Option<&Bytes> {
     match &entry.payload {
         log::Payload::Command(data) => Some(data),
--- a/crates/consensus/src/feed/relays.rs
+++ b/crates/consensus/src/feed/relays.rs
@@ -1,42 +1,42 @@
-//! Which member a follower asks.
+//! Selection of the relay that a follower polls.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bronzespoke_model::{id, vm};
 
-/// Unanswered requests in a row after which another relay is asked.
+/// Consecutive request time-outs after which another relay is selected.
 const MAX_TIMEOUTS: u32 = 3;
-/// Time for which a relay that did not answer is avoided.
+/// Time for which a relay that did not respond is avoided.
 const TIMEOUT_AVOIDANCE: Duration = Duration::from_secs(10);
-/// Age of a view from which on its relay is left. The view is honoured for 3 s, so that a poll interval and the way
-/// to another region remain.
+/// Age of a view from which its relay is avoided. A view may be used for up to 3 s, so this leaves time for a poll
+/// interval and a round trip to another region.
 const STALE_AGE: Duration = Duration::from_millis(1_500);
-/// A view above this age is not honoured any more, so that nothing is gained by leaving a slow relay early.
+/// Age from which a view is not used any more, so that avoiding a slow relay early has no benefit.
 const MAX_USABLE_AGE: Duration = Duration::from_secs(3);
-/// Time for which a relay with a stale view is avoided. It is short, because the view may be fresh after an election.
+/// Time for which a relay with a stale view is avoided. It is short because an election may make the view fresh again.
 const STALE_AVOIDANCE: Duration = Duration::from_secs(2);
 
-/// A member that may answer.
+/// A member that may serve as a relay.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Candidate {
-    /// The member.
+    /// VM of the member.
     pub vm: id::VmId,
-    /// How far away it is.
+    /// Network distance from the follower.
     pub distance: vm::Distance,
 }
 
-/// The choice of a relay.
+/// State of the relay selection.
 #[derive(Debug, Default)]
 pub struct Relays {
-    /// Requests that the relay left unanswered in a row.
+    /// Consecutive requests that timed out.
     timeouts: u32,
-    /// Relays that are avoided, and until when.
+    /// Relays to avoid, with the end of the avoidance.
     avoided: BTreeMap<id::VmId, Duration>,
 }
 
 impl Relays {
-    /// Notes that a relay did not answer in time; `freshness` is the freshness of the follower's state.
+    /// Records that a request to a relay timed out. `freshness` is that of the follower's state.
     pub fn record_timeout(&mut self, now: Duration, relay: id::VmId, freshness: Option<Duration>) {
         self.timeouts += 1;
         let age = freshness.map(|freshness| now.saturating_sub(freshness));
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Notes an answer, with the age of the relay's own view in microseconds.
+    /// Records a response, with the age of the relay's own view in microseconds.
     pub fn record_response(&mut self, now: Duration, relay: id::VmId, age: Option<u64>) {
         self.timeouts = 0;
         if age.is_none_or(|age| Duration::from_micros(age) >= STALE_AGE) {
@@ -57,7 +57,7 @@
         }
     }
 
-    /// Chooses the nearest candidate; those that are avoided come last.
+    /// Selects the nearest candidate; relays to avoid rank last.
     pub fn select(&mut self, now: Duration, candidates: impl Iterator<Item = Candidate>) -> Option<id::VmId> {
         self.avoided.retain(|_, until| now < *until);
         let rank = |candidate: &Candidate| {
--- a/crates/consensus/src/feed/source.rs
+++ b/crates/consensus/src/feed/source.rs
@@ -1,4 +1,4 @@
-//! The answering side of the feed.
+//! Serving side of the feed.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -6,13 +6,13 @@
 use super::{Content, Request, Response};
 use crate::{log, message, snapshot};
 
-/// Bytes of entries or of a snapshot in one answer.
+/// Maximum bytes of entries or of snapshot data in one response.
 const RESPONSE_BYTES: usize = 64 * 1024;
 
-/// Recently applied entries and the newest snapshot.
+/// Recently applied entries and the latest snapshot.
 ///
-/// Invariants: the entries are consecutive and end at `through`; the snapshot, if any, reaches at least to the
-/// entry before the first one, so that every follower can be served.
+/// Invariants: the entries are consecutive and end at `through`; the snapshot, if any, covers at least everything
+/// before the first entry, so that every follower can be served.
 #[derive(Debug)]
 pub struct Source {
     entries: VecDeque<log::Entry>,
@@ -23,7 +23,7 @@
 }
 
 impl Source {
-    /// Returns an empty source that keeps entries of about `capacity` bytes.
+    /// Returns an empty source that retains about `capacity` bytes of entries.
     pub const fn new(capacity: usize) -> Self {
         Self {
             entries: VecDeque::new(),
@@ -34,12 +34,12 @@
         }
     }
 
-    /// Last entry.
+    /// Returns the index of the last entry or snapshot.
     pub const fn through(&self) -> u64 {
         self.through
     }
 
-    /// Adds an applied entry. Entries that are not the next one change nothing.
+    /// Adds an applied entry. Ignores an entry that does not follow the last one.
     pub fn push(&mut self, entry: &log::Entry) {
         if entry.position.index != self.through + 1 {
             return;
@@ -50,7 +50,7 @@
         self.trim();
     }
 
-    /// Takes a snapshot of the applied state, made here or received. An older one than the newest changes nothing.
+    /// Replaces the snapshot by one of the applied state, taken locally or received. Ignores it if it is not newer.
     pub fn install(&mut self, snapshot: snapshot::Snapshot) {
         let index = snapshot.position.index;
         if self
@@ -70,12 +70,12 @@
         self.trim();
     }
 
-    /// Tells whether a new snapshot is needed to stay within the capacity.
+    /// Returns whether a new snapshot is needed to trim the entries to the capacity.
     pub const fn needs_snapshot(&self) -> bool {
         self.bytes > self.capacity
     }
 
-    /// Answers a request. `freshness` is the freshness of the applied state on the local clock.
+    /// Responds to a request. `freshness` is that of the applied state, on the local clock.
     pub fn respond(&self, now: Duration, freshness: Option<Duration>, request: &Request) -> Response {
         let age = freshness.map(|freshness| now.saturating_sub(freshness).as_micros() as u64 + 1);
         let content = self.content(request);
@@ -118,7 +118,7 @@
         items
     }
 
-    /// Drops old entries that the snapshot covers.
+    /// Drops old entries that the snapshot covers until the rest fits the capacity.
     fn trim(&mut self) {
         let covered = self
             .snapshot
--- a/crates/consensus/src/lib.rs
+++ b/crates/consensus/src/lib.rs
@@ -1,8 +1,8 @@
-//! Replicated log: elections, replication, membership and snapshots, without I/O.
+//! Raft consensus without I/O: leader election, log replication, membership changes and snapshots.
 //!
-//! [`replica::Replica`] is one member of one group. [`feed`] carries committed entries to VMs that are not members.
-//! Both are functions of `(now, input)`: they read no clock, start no thread and own no socket or file, so that a
-//! test can drive every order of events from a seed.
+//! [`replica::Replica`] is one member of one group. [`feed`] distributes committed entries to VMs that are not members.
+//! Both are deterministic state machines driven by `(now, input)`: they read no clock, start no thread and own no
+//! socket or file, so a test can reproduce any order of events from a seed.
 
 pub mod feed;
 pub mod log;
--- a/crates/consensus/src/log.rs
+++ b/crates/consensus/src/log.rs
@@ -1,4 +1,4 @@
-//! Entries and the part of the log that is held in memory.
+//! Log entries and the part of the log that is kept in memory.
 
 use std::collections::VecDeque;
 
@@ -7,26 +7,26 @@
 
 use crate::membership;
 
-/// Bytes that an entry costs besides its command, for the bounds on batches and queues.
+/// Encoding overhead of an entry in addition to its command, used for the limits on batches and queues.
 const ENTRY_OVERHEAD_BYTES: usize = 8;
 
-/// Place of an entry. The order (term first) is the order in which logs are compared in an election.
+/// Position of an entry in the log. Positions order by term, then by index, as elections compare logs.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Position {
-    /// Term of the leader that wrote the entry.
+    /// Term of the leader that appended the entry.
     pub term: u64,
-    /// Index from 1; 0 is the place before the first entry.
+    /// Index, starting at 1; 0 is the position before the first entry.
     pub index: u64,
 }
 
-/// What an entry says.
+/// Content of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Payload {
-    /// First entry of a leader's term.
+    /// Empty entry that a leader appends at the start of its term.
     Noop,
-    /// A command of the state machine.
+    /// Command for the state machine.
     Command(Bytes),
-    /// The members from this entry on.
+    /// Membership that takes effect when this entry is appended.
     Membership(membership::Membership),
 }
 
@@ -45,9 +45,9 @@
 /// An entry of the replicated log.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Entry {
-    /// Place in the log.
+    /// Term and index of the entry.
     pub position: Position,
-    /// What it says.
+    /// Content of the entry.
     pub payload: Payload,
 }
 
@@ -61,7 +61,8 @@
 }
 
 impl Log {
-    /// Returns the log of a restart. Entries may begin at or before the snapshot; a gap after it drops them.
+    /// Restores the log after a restart. Entries may begin at or before the snapshot; if there is a gap between the
+    /// snapshot and the first entry, the entries are dropped.
     pub(crate) fn restore(snapshot: Position, entries: Vec<Entry>) -> Self {
         let Some(first) = entries.first().map(|entry| entry.position) else {
             return Self {
@@ -92,17 +93,17 @@
         log
     }
 
-    /// Position before the first held entry.
+    /// Returns the position before the first retained entry.
     pub(crate) const fn base(&self) -> Position {
         self.base
     }
 
-    /// Position of the last entry.
+    /// Returns the position of the last entry.
     pub(crate) fn last(&self) -> Position {
         self.entries.back().map_or(self.base, |entry| entry.position)
     }
 
-    /// Term at an index, if the index is the base or held.
+    /// Returns the term at an index if it is the base index or the entry is retained.
     pub(crate) fn term_at(&self, index: u64) -> Option<u64> {
         if index == self.base.index {
             return Some(self.base.term);
@@ -110,13 +111,13 @@
         self.get(index).map(|entry| entry.position.term)
     }
 
-    /// Entry at an index.
+    /// Returns the entry at an index if it is retained.
     pub(crate) fn get(&self, index: u64) -> Option<&Entry> {
         let offset = index.checked_sub(self.base.index + 1)?;
         self.entries.get(usize::try_from(offset).ok()?)
     }
 
-    /// Entries from an index on, at least one if there is one, then up to a number of bytes.
+    /// Returns entries from an index on, limited to `bytes` in total but with at least one entry if there is any.
     pub(crate) fn slice(&self, from: u64, bytes: usize) -> Vec<Entry> {
         let mut taken = Vec::new();
         let mut size = 0;
@@ -132,7 +133,7 @@
         taken
     }
 
-    /// First index of the term that the given index has.
+    /// Returns the first retained index with the same term as the entry at `index`.
     pub(crate) fn term_start(&self, index: u64) -> u64 {
         let term = self.term_at(index);
         let mut first = index;
@@ -142,7 +143,9 @@
         first
     }
 
-    /// Appends an entry that follows the last one.
+    /// Appends an entry.
+    ///
+    /// Panics if its index does not follow the last one.
     pub(crate) fn push(&mut self, entry: Entry) {
         assert_eq!(
             entry.position.index,
@@ -152,13 +155,13 @@
         self.entries.push_back(entry);
     }
 
-    /// Removes the entries from an index on.
+    /// Removes all entries from an index on.
     pub(crate) fn truncate(&mut self, from: u64) {
         let keep = from.saturating_sub(self.base.index + 1);
         self.entries.truncate(keep as usize);
     }
 
-    /// Drops the entries before an index; that index becomes the first held one.
+    /// Drops the entries before an index, which becomes the first retained one.
     pub(crate) fn compact(&mut self, first: u64) {
         while self.base.index + 1 < first {
             let Some(entry) = self.entries.pop_front() else {
@@ -168,13 +171,13 @@
         }
     }
 
-    /// Empties the log after a snapshot was installed.
+    /// Discards all entries after a snapshot was installed.
     pub(crate) fn reset(&mut self, base: Position) {
         self.base = base;
         self.entries.clear();
     }
 
-    /// Iterates over the held entries.
+    /// Iterates over the retained entries.
     pub(crate) fn iter(&self) -> impl Iterator<Item = &Entry> {
         self.entries.iter()
     }
--- a/crates/consensus/src/membership.rs
+++ b/crates/consensus/src/membership.rs
@@ -1,56 +1,56 @@
-//! Members of a group, changed one at a time so that any two consecutive majorities share a voter.
+//! Group membership. Members change one at a time, so any two consecutive majorities share a voter.
 
 use std::collections::{BTreeSet, VecDeque};
 
 use bronzespoke_model::id;
 use serde::{Deserialize, Serialize};
 
-/// Voters that a group may have; the target topology has one root voter in each of 17 availability zones.
+/// Maximum number of voters of a group. The target topology has one root voter in each of 17 availability zones.
 pub const MAX_VOTERS: usize = 31;
-/// Learners that a group may have at once.
+/// Maximum number of learners of a group.
 pub const MAX_LEARNERS: usize = 31;
-/// Removed ids that are remembered, so that a late return is refused. Ids are never used twice.
+/// Maximum number of removed ids that are retained to refuse a returning member. Ids are never reused.
 pub const MAX_REMOVED: usize = 512;
 
 /// Members of a group.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Membership {
-    /// Members whose acknowledgements and votes count.
+    /// Members whose acknowledgements and votes count towards a quorum.
     pub voters: BTreeSet<id::VmId>,
-    /// Members that receive the log and are never counted.
+    /// Members that receive the log but do not count towards a quorum.
     pub learners: BTreeSet<id::VmId>,
-    /// Former members, newest last.
+    /// Ids of removed members, most recently removed last.
     pub removed: VecDeque<id::VmId>,
 }
 
-/// One change of the members.
+/// A single-member change of the membership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Change {
-    /// Adds a learner, which receives the log without being counted.
+    /// Adds a learner, which receives the log but does not count towards a quorum.
     AddLearner(id::VmId),
-    /// Makes a learner that has caught up a voter.
+    /// Promotes a learner that has caught up to a voter.
     Promote(id::VmId),
-    /// Removes a voter or learner for good.
+    /// Permanently removes a voter or learner.
     Remove(id::VmId),
 }
 
-/// Why a change does not fit the current members.
+/// Reason for which a change is not valid for the current membership.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Error {
-    /// The VM is a member already.
+    /// The VM is already a member.
     Member,
-    /// The VM is not a member, or not a learner.
+    /// The VM to remove is not a member, or the VM to promote is not a learner.
     NotMember,
-    /// The VM was removed; it may only return under a new id.
+    /// The VM was removed; it may rejoin only under a new id.
     Removed,
     /// The last voter cannot be removed.
     LastVoter,
-    /// The group has as many voters or learners as it may have.
+    /// The group already has the maximum number of voters or learners.
     Full,
 }
 
 impl Membership {
-    /// Returns a membership with voters only.
+    /// Returns a membership with the given voters and no learners.
     pub fn from_voters(voters: impl IntoIterator<Item = id::VmId>) -> Self {
         Self {
             voters: voters.into_iter().collect(),
@@ -58,22 +58,22 @@
         }
     }
 
-    /// Votes or acknowledgements that make a majority.
+    /// Returns the number of voters that form a majority.
     pub fn quorum(&self) -> usize {
         self.voters.len() / 2 + 1
     }
 
-    /// Tells whether a VM is a voter or learner.
+    /// Returns whether a VM is a voter or learner.
     pub fn contains(&self, vm: id::VmId) -> bool {
         self.voters.contains(&vm) || self.learners.contains(&vm)
     }
 
-    /// Approximate encoded size in bytes.
+    /// Returns the approximate encoded size in bytes.
     pub fn size(&self) -> usize {
         (self.voters.len() + self.learners.len() + self.removed.len()) * size_of::<id::VmId>()
     }
 
-    /// Returns the members after a change.
+    /// Returns the membership after a change, or why the change is not valid.
     pub fn with_change(&self, change: Change) -> Result<Self, Error> {
         let mut next = self.clone();
         match change {
--- a/crates/consensus/src/message.rs
+++ b/crates/consensus/src/message.rs
@@ -1,138 +1,139 @@
 //! Messages between members of a group.
 //!
-//! Entries travel without their index, which follows from the message; that saves three to four bytes each.
+//! Entries are sent without their index, which follows from the position before the first entry. This saves three to
+//! four bytes per entry.
 
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
 use crate::{log, snapshot};
 
-/// A message. The frame around it names the group and the sender.
+/// A message between members. The enclosing frame identifies the group and the sender.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
-    /// Term of the sender; for a pre-vote, the term that the sender would start.
+    /// Term of the sender; for a pre-vote, the term in which the sender would campaign.
     pub term: u64,
-    /// What it says.
+    /// Type and content of the message.
     pub body: Body,
 }
 
-/// What a message says.
+/// Type and content of a message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Body {
-    /// Asks whether an election could be won, without changing any term.
+    /// Asks whether the receiver would grant a vote, without changing any term.
     PreVote {
-        /// Last entry of the sender.
+        /// Position of the sender's last entry.
         last: log::Position,
     },
-    /// Answers a pre-vote. A refusal carries the voter's own term.
+    /// Reply to `PreVote`. A rejection carries the voter's own term.
     PreVoteReply {
-        /// Whether the vote would be given.
+        /// Whether the vote would be granted.
         granted: bool,
     },
-    /// Asks for a vote.
+    /// Requests a vote.
     Vote {
-        /// Last entry of the sender.
+        /// Position of the sender's last entry.
         last: log::Position,
-        /// Whether the leader asked for this election, so that its lease is void.
+        /// Whether the leader requested this election to transfer its leadership, which voids its lease.
         transfer: bool,
     },
-    /// Answers a request for a vote.
+    /// Reply to `Vote`.
     VoteReply {
-        /// Whether the vote is given.
+        /// Whether the vote is granted.
         granted: bool,
     },
     /// Replicates entries; without entries it is a heartbeat.
     Append(Append),
-    /// Answers `Append`.
+    /// Reply to `Append`.
     AppendReply(AppendReply),
-    /// Transfers a part of a snapshot.
+    /// Transfers a chunk of a snapshot.
     Snapshot {
-        /// Part.
+        /// Chunk; without data, it only queries how much has arrived.
         chunk: snapshot::Chunk,
-        /// Leader's clock in microseconds, returned in the answer.
+        /// Send time on the leader's clock in microseconds, echoed in the reply.
         sent: u64,
     },
-    /// Answers `Snapshot`.
+    /// Reply to `Snapshot`.
     SnapshotReply {
-        /// Snapshot that the answer is about.
+        /// Identity of the snapshot being transferred.
         label: snapshot::Label,
-        /// Bytes received so far.
+        /// Length of the received prefix in bytes.
         received: u64,
-        /// Clock value of the request.
+        /// Send time of the message that this replies to.
         sent: u64,
     },
-    /// Asks the receiver to start an election at once.
+    /// Asks the receiver to start an election immediately, without a pre-vote.
     TimeoutNow,
-    /// Tells a former member that its removal is committed.
+    /// Informs a former member that its removal is committed.
     Removed,
 }
 
-/// Entries, or a heartbeat.
+/// Entries to append, or a heartbeat if there are none.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Append {
-    /// Position before the first entry.
+    /// Position that immediately precedes the first entry.
     pub previous: log::Position,
-    /// Entries that follow.
+    /// Consecutive entries after `previous`.
     pub entries: Vec<Item>,
     /// Commit index of the leader.
     pub commit: u64,
-    /// Leader's clock in microseconds, returned in the answer.
+    /// Send time on the leader's clock in microseconds, echoed in the reply.
     pub sent: u64,
-    /// Token of the newest answer that the leader has from the receiver.
+    /// Token of the newest reply that the leader has received from the receiver.
     pub token: u32,
-    /// Age of the leader's freshness in microseconds, rounded up.
+    /// Age of the leader's state in microseconds, rounded up; `None` if its freshness is not known yet.
     pub age: Option<u64>,
 }
 
 /// An entry without its index.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Item {
-    /// A command; the common case.
+    /// A command; a separate variant because it is the common case.
     Command {
-        /// Term.
+        /// Term of the entry.
         term: u64,
-        /// Command.
+        /// Encoded command.
         data: Bytes,
     },
     /// Any other entry.
     Other {
-        /// Term.
+        /// Term of the entry.
         term: u64,
-        /// What it says.
+        /// Content of the entry.
         payload: log::Payload,
     },
 }
 
-/// Answer to `Append`.
+/// Reply to [`Append`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct AppendReply {
-    /// Outcome.
+    /// Whether the entries were accepted.
     pub outcome: Outcome,
-    /// Clock value of the request.
+    /// Send time of the message that this replies to.
     pub sent: u64,
-    /// Names the instant of this answer on the sender's clock.
+    /// Identifies the send time of this reply on the follower's clock.
     pub token: u32,
 }
 
-/// Outcome of `Append`.
+/// Result of an [`Append`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// The log agrees with the leader's and is durable up to an index.
+    /// The log matches the leader's.
     Accepted {
-        /// That index.
+        /// Last index that matches and is durable.
         matched: u64,
     },
-    /// The log does not hold the previous position.
+    /// The log has no entry at the previous position, or one of another term.
     Refused {
-        /// Index of that position.
+        /// Index of the previous position.
         previous: u64,
-        /// Index up to which the logs may agree.
+        /// Highest index at which the logs may match.
         hint: u64,
     },
 }
 
 impl Item {
-    /// Returns the item of an entry.
+    /// Returns the entry without its index.
     pub fn from_entry(entry: log::Entry) -> Self {
         let term = entry.position.term;
         match entry.payload {
@@ -141,7 +142,7 @@
         }
     }
 
-    /// Returns the entry at an index.
+    /// Returns the entry with the given index.
     pub fn into_entry(self, index: u64) -> log::Entry {
         let (term, payload) = match self {
             Self::Command { term, data } => (term, log::Payload::Command(data)),
--- a/crates/consensus/src/replica/config.rs
+++ b/crates/consensus/src/replica/config.rs
@@ -1,4 +1,4 @@
-//! Settings of a replica and the state that it restarts from.
+//! Configuration of a replica, and the durable state from which it starts.
 
 use std::time::Duration;
 
@@ -7,66 +7,68 @@
 use crate::{log, membership, rules, snapshot, write};
 
 const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(100);
-/// Six heartbeats, so that the loss of a few messages between regions (12 ms one way) starts no election.
+/// Six heartbeat intervals, so that the loss of a few messages between regions (12 ms one way) starts no election.
 const ELECTION_TIMEOUT: Duration = Duration::from_millis(600);
-/// Drift margin of the design (section 2.5).
+/// Clock drift margin of the design (section 2.5).
 const CLOCK_DRIFT: f64 = 0.02;
 const MAX_BATCH_BYTES: usize = 128 * 1024;
-/// Proposals of one scheduling round share a message: 59 instead of 165 bytes on the wire for each start.
+/// Lets the proposals of one scheduling round share a message, which takes 59 instead of 165 bytes on the wire per task
+/// start.
 const BATCH_DELAY: Duration = Duration::from_millis(1);
 const MAX_IN_FLIGHT_MESSAGES: usize = 64;
 const MAX_IN_FLIGHT_BYTES: usize = 1024 * 1024;
 const MAX_UNCOMMITTED_ENTRIES: usize = 8_192;
 const MAX_UNCOMMITTED_BYTES: usize = 8 * 1024 * 1024;
-/// Above the largest stored answer (64 KiB) and below the largest frame (1 MiB).
+/// Larger than the largest stored response (64 KiB) and smaller than the largest frame (1 MiB).
 const MAX_ENTRY_BYTES: usize = 256 * 1024;
 const SNAPSHOT_CHUNK_BYTES: usize = 64 * 1024;
-/// A member that missed 1,000 changes still catches up from the log.
+/// Large enough that a member that missed 1,000 entries still catches up from the log.
 const RETAINED_ENTRIES: u64 = 4_096;
 
-/// Settings of a replica.
+/// Configuration of a replica.
 #[derive(Debug, Clone)]
 pub struct Config {
-    /// This member.
+    /// Id of this member.
     pub id: id::VmId,
-    /// Group that the log belongs to.
+    /// Group to which the log belongs.
     pub group: id::GroupId,
-    /// Seed of the election timeouts and answer tokens; must differ at every start of a process.
+    /// Seed of the election timeouts and reply tokens; must differ at each start of the process.
     pub seed: u64,
-    /// Longest time between two messages of a leader to a member.
+    /// Maximum time between two messages from a leader to a member.
     pub heartbeat_interval: Duration,
-    /// Shortest election timeout; each timeout is drawn between one and two times this value.
+    /// Minimum election timeout; each timeout is chosen at random between one and two times this value.
     pub election_timeout: Duration,
-    /// Largest difference between the rates of two monotonic clocks, as a fraction.
+    /// Maximum difference between the rates of two monotonic clocks, as a fraction.
     pub clock_drift: f64,
-    /// Bytes of entries in one message.
+    /// Maximum bytes of entries in one message.
     pub max_batch_bytes: usize,
-    /// How long a proposal waits for others to share its message.
+    /// Time for which a proposal waits for others to share its message.
     pub batch_delay: Duration,
-    /// Unanswered messages with entries for each member.
+    /// Maximum number of unacknowledged messages with entries per member.
     pub max_in_flight_messages: usize,
-    /// Unanswered bytes of entries for each member.
+    /// Maximum bytes of unacknowledged entries per member.
     pub max_in_flight_bytes: usize,
-    /// Uncommitted entries of a leader; further proposals are rejected.
+    /// Maximum number of uncommitted entries of a leader; further proposals are rejected.
     pub max_uncommitted_entries: usize,
-    /// Uncommitted bytes of a leader; further proposals are rejected.
+    /// Maximum bytes of uncommitted entries of a leader; further proposals are rejected.
     pub max_uncommitted_bytes: usize,
-    /// Largest command in bytes.
+    /// Maximum size of a command in bytes.
     pub max_entry_bytes: usize,
-    /// Bytes of a snapshot in one message.
+    /// Maximum bytes of snapshot data in one message.
     pub snapshot_chunk_bytes: usize,
-    /// Entries before a snapshot that stay in the log for members that are a little behind.
+    /// Number of entries before a snapshot that are retained in the log for members that lag slightly.
     pub retained_entries: u64,
-    /// Whether entries are applied only after the commit index is stored, so that the applied index does not go
-    /// back across a restart. It costs one more sync before a leader applies; on by default in the root group.
+    /// Whether entries are applied only after their commit index is durable, so that the applied index does not go
+    /// back across a restart. This costs one more sync before a leader applies entries; enabled by default in the root
+    /// group.
     pub store_commit: bool,
-    /// Safety rules; all on outside tests.
+    /// Safety rules; all are enabled outside tests.
     #[doc(hidden)]
     pub rules: rules::Rules,
 }
 
 impl Config {
-    /// Returns the default settings.
+    /// Returns the default configuration.
     pub fn new(id: id::VmId, group: id::GroupId, seed: u64) -> Self {
         Self {
             id,
@@ -89,29 +91,30 @@
         }
     }
 
-    /// How long an acknowledged heartbeat round proves that no other leader was elected.
+    /// Returns the duration of the lease that an acknowledged heartbeat round grants, during which no other leader can
+    /// be elected.
     pub fn lease(&self) -> Duration {
         self.election_timeout.mul_f64(1.0 - self.clock_drift)
     }
 }
 
-/// Durable state that a replica restarts from.
+/// Durable state from which a replica starts.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Restored {
-    /// Newest term and vote.
+    /// Latest term and vote.
     pub vote: write::Vote,
-    /// Members at the snapshot; empty without one.
+    /// Membership at the snapshot; empty if there is no snapshot.
     pub membership: membership::Membership,
-    /// Newest snapshot.
+    /// Latest snapshot.
     pub snapshot: Option<snapshot::Snapshot>,
-    /// Stored entries; they may begin before the snapshot.
+    /// Stored entries; they may begin before the end of the snapshot.
     pub entries: Vec<log::Entry>,
-    /// Newest commit index that is known to be stored.
+    /// Highest stored commit index.
     pub commit: u64,
 }
 
 impl Restored {
-    /// Returns the state of a first voter. All first voters of a group start from the same members.
+    /// Returns the initial state of a founding voter. All founding voters of a group must use the same membership.
     pub fn bootstrap(membership: membership::Membership) -> Self {
         let position = log::Position { term: 0, index: 1 };
         let payload = log::Payload::Membership(membership);
@@ -121,7 +124,7 @@
         }
     }
 
-    /// Tells whether nothing was ever stored. Such a member waits until a leader adds it.
+    /// Returns whether nothing was ever stored. Such a member waits until a leader adds it to a group.
     pub fn is_empty(&self) -> bool {
         *self == Self::default()
     }
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -1,4 +1,4 @@
-//! Elections: pre-vote, votes and the silence that protects a leader's lease.
+//! Leader election: pre-votes, votes, and the denial of votes while a leader may hold its lease.
 
 use std::collections::BTreeSet;
 
@@ -9,9 +9,10 @@
 use crate::message::{Body, Message};
 use crate::{log, write};
 
-/// Shortest and longest time until a pre-vote is asked again, in election timeouts; 75 to 300 ms by default.
+/// Minimum and maximum time until a pre-vote is retried, in election timeouts; 75 to 300 ms by default.
 const PRE_VOTE_RETRY: (f64, f64) = (0.125, 0.5);
-/// Shortest and longest time of an election; the votes of a slow disk need more time than pre-votes.
+/// Minimum and maximum time until an election is retried, in election timeouts. Votes need more time than pre-votes
+/// because they are written to disk.
 const VOTE_RETRY: (f64, f64) = (0.4, 1.0);
 
 impl Replica {
@@ -20,14 +21,15 @@
         self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
 
-    /// Sets when a candidate asks again. The voters' silence protects the lease, so this may be sooner than a first
-    /// attempt: most attempts fail because the other voters heard the leader a little later.
+    /// Sets the time of the next attempt of a candidate. It may be shorter than an election timeout, because voters
+    /// deny votes while the lease may be valid. Most attempts fail because the other voters had contact from the leader
+    /// slightly later.
     fn reset_retry_timer(&mut self, shortest: f64, longest: f64) {
         let factor = self.rng.random_range(shortest..longest);
         self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
 
-    /// A voter of the newest or of the committed members may stand for election.
+    /// Returns whether this member may campaign: it must be a voter in the latest or in the committed membership.
     pub(super) fn may_campaign(&self) -> bool {
         let id = self.config.id;
         let voter =
@@ -96,7 +98,7 @@
         }
     }
 
-    /// Counts a vote and tells whether the votes make a majority.
+    /// Counts a vote and returns whether the votes form a majority.
     fn count_vote(&mut self, from: id::VmId) -> bool {
         let members = self.membership();
         let counts = members.voters.contains(&from) || !self.config.rules.count_voters_only;
@@ -110,8 +112,8 @@
         granted.len() >= quorum
     }
 
-    /// Counts the own vote once it is durable. A sole voter that led before that could lead the same term again
-    /// after a crash and write different entries to its learners.
+    /// Counts the candidate's own vote once it is durable. If a sole voter became leader earlier, it could lead the
+    /// same term again after a crash and send different entries to its learners.
     pub(super) fn count_self_vote(&mut self, out: &mut Vec<Output>) {
         let candidate = matches!(self.state, State::Candidate(_));
         if candidate && self.count_vote(self.config.id) {
@@ -129,7 +131,7 @@
         others.into_iter().collect()
     }
 
-    /// Tells whether a leader may still rely on this member's silence.
+    /// Returns whether a leader's lease may still depend on this member not voting for another candidate.
     fn is_under_leader_lease(&self) -> bool {
         if !self.config.rules.reject_vote_under_lease {
             return false;
@@ -200,8 +202,9 @@
         if term > self.vote.term {
             self.adopt_term(term, out);
         }
-        let free = self.vote.candidate.is_none_or(|candidate| candidate == from);
-        let granted = term == self.vote.term && free && self.is_up_to_date(last) && self.leader.is_none();
+        let available = self.vote.candidate.is_none_or(|candidate| candidate == from);
+        let granted =
+            term == self.vote.term && available && self.is_up_to_date(last) && self.leader.is_none();
         if !granted {
             self.send(from, Body::VoteReply { granted }, out);
             return;
@@ -221,7 +224,7 @@
         if candidate && granted && self.count_vote(from) {
             self.become_leader(out);
         } else if candidate && !granted {
-            // A split vote: two candidates that wait for each other would both wait the whole election.
+            // After a split vote, retry early; otherwise both candidates would wait for the full election time-out.
             let planned = self.election_at;
             self.reset_retry_timer(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
             self.election_at = self.election_at.min(planned);
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -1,4 +1,4 @@
-//! What a member does with the messages of its leader.
+//! Processing of messages from the leader.
 
 use std::time::Duration;
 
@@ -9,13 +9,14 @@
 use crate::{log, snapshot, write};
 
 impl Replica {
-    /// Notes a sign of the leader of the current term.
+    /// Records contact from the leader of the current term.
     fn record_leader_contact(&mut self, from: id::VmId, out: &mut Vec<Output>) {
         assert!(!matches!(self.state, State::Leader(_)), "a term has one leader");
         self.become_follower(Some(from), out);
         self.leader_contact = Some(self.now);
     }
 
+    /// Refuses an append of an earlier term; the reply carries the current term.
     pub(super) fn reject_stale_append(&mut self, from: id::VmId, append: &Append, out: &mut Vec<Output>) {
         let outcome = Outcome::Refused {
             previous: append.previous.index,
@@ -46,7 +47,7 @@
             return;
         }
         if self.store_failed {
-            // The entries cannot be stored; the rest of the message is a heartbeat.
+            // The entries cannot be stored, so the message is processed as a heartbeat.
             append.entries.clear();
         }
         self.record_leader_contact(from, out);
@@ -66,18 +67,18 @@
         self.store_entries(append, out);
         self.set_commit(commit.min(matched), out);
         self.update_freshness(age, token, commit);
-        // An entry that was covered by a snapshot is committed, hence durable.
+        // Entries covered by a snapshot are committed and therefore durable.
         let durable = matched.min(self.durable.max(self.log.base().index));
         let (matched, sequence) = match () {
             () if !self.config.rules.acknowledge_after_sync => (matched, 0),
-            // A heartbeat is answered at once, so that a slow disk does not expire the lease.
+            // Heartbeats are acknowledged immediately, so that a slow disk does not let the lease expire.
             () if heartbeat || durable == matched => (durable, self.vote_sequence),
             () => (matched, self.sequence),
         };
         self.reply_append(from, Outcome::Accepted { matched }, sent, sequence, out);
     }
 
-    /// Last index that may agree with the leader's log, when the entry at `previous` does not.
+    /// Returns the highest index at which the log may match the leader's, given that it does not match at `previous`.
     fn conflict_hint(&self, previous: u64) -> u64 {
         let last = self.log.last().index;
         if previous > last {
@@ -105,7 +106,8 @@
         }
     }
 
-    /// Counts the age back from the answer that the leader names, widened by the clock drift.
+    /// Subtracts the age of the leader's state, extended by the clock drift, from the send time of the reply that the
+    /// leader received last.
     fn update_freshness(&mut self, age: Option<u64>, token: u32, commit: u64) {
         let (Some(age), Some(instant)) = (age, self.freshness.instant(token)) else {
             return;
@@ -141,7 +143,7 @@
         if older || (held && self.config.rules.reject_older_snapshot) {
             self.partial = None;
             self.set_commit(label.position.index, out);
-            // The leader may count the prefix as held, so it has to be durable.
+            // The leader may count these entries as replicated, so the reply waits until they are durable.
             self.send_once_durable(self.sequence, from, reply(label.total), out);
             return;
         }
@@ -175,7 +177,7 @@
         self.snapshot = Some(snapshot.clone());
         self.persist(write::Kind::Install(snapshot.clone()), out);
         if self.waits_for_stored_commit() {
-            // The snapshot stores its index; until then a crash would take the applied index back.
+            // The write of the snapshot also stores its index. Before that, a crash would revert the applied index.
             self.requested_commit = self.requested_commit.max(index);
             self.pending_commits.push_back((self.sequence, index));
             self.pending_install = Some((self.sequence, snapshot));
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -1,4 +1,4 @@
-//! What a leader decides: proposals, changes of the members, commits and its lease.
+//! Leader state: proposals, membership changes, the commit index and the lease.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -10,29 +10,29 @@
 use super::{Config, Output, Rejection, Replica, State, transfer};
 use crate::{log, membership};
 
-/// State of a leadership.
+/// State of a leader during its term.
 #[derive(Debug)]
 pub(crate) struct Leader {
     pub(crate) progress: BTreeMap<id::VmId, Progress>,
     pub(crate) elected_at: Duration,
     /// Index of the first entry of the term.
     pub(crate) first_index: u64,
-    /// Uncommitted entries: index, proposal, size in bytes.
+    /// Uncommitted entries: index, id of the proposal, size in bytes.
     uncommitted: VecDeque<(u64, Option<u64>, usize)>,
     uncommitted_bytes: usize,
-    /// Entries up to this index were offered to the members.
+    /// Last index that was released for replication.
     pub(crate) flushed: u64,
-    /// When the entries after `flushed` are due.
+    /// When the entries after `flushed` are released.
     pub(crate) flush_at: Option<Duration>,
     /// Bytes of the entries after `flushed`.
     pub(crate) unflushed_bytes: usize,
     pub(crate) transfer: Option<transfer::Transfer>,
-    /// Set for good once another member was asked to stand for election: its votes ignore the lease.
+    /// Set for the rest of the term once another member was asked to campaign, because its election ignores the lease.
     pub(crate) lease_void: bool,
 }
 
 impl Leader {
-    /// Time at which a timer is due.
+    /// Returns the time of the next timer.
     pub(crate) fn next_wake(&self, config: &Config) -> Duration {
         let heartbeat = self
             .progress
@@ -89,7 +89,7 @@
         self.append(vec![log::Entry { position, payload }], out);
     }
 
-    /// Reason why nothing may be proposed now.
+    /// Returns the reason for which a proposal of this size cannot be accepted now.
     fn proposal_rejection(&self, size: usize) -> Option<Rejection> {
         let State::Leader(leader) = &self.state else {
             return Some(Rejection::NotLeader { leader: self.leader });
@@ -103,7 +103,7 @@
         if size > self.config.max_entry_bytes {
             return Some(Rejection::TooLarge);
         }
-        // A store that hangs without a fault leaves writes pending even while the other voters commit.
+        // If the store stalls without an error, writes stay pending even while the other voters commit.
         let full = leader.uncommitted.len() >= self.config.max_uncommitted_entries
             || leader.uncommitted_bytes + size > self.config.max_uncommitted_bytes
             || self.pending.len() >= self.config.max_uncommitted_entries;
@@ -180,7 +180,7 @@
         self.advance_commit(out);
     }
 
-    /// Commits what a majority of the voters holds durably.
+    /// Advances the commit index to the last entry that is durable on a majority of the voters.
     pub(super) fn advance_commit(&mut self, out: &mut Vec<Output>) {
         let State::Leader(leader) = &self.state else {
             return;
@@ -208,7 +208,7 @@
         }
     }
 
-    /// Reports the proposals up to the commit index.
+    /// Reports proposals up to the commit index as committed.
     pub(super) fn report_committed(&mut self, out: &mut Vec<Output>) {
         let commit = self.commit;
         let State::Leader(leader) = &mut self.state else {
@@ -222,7 +222,7 @@
         }
     }
 
-    /// Reports the proposals whose fate the next leader decides.
+    /// Rejects uncommitted proposals with an unknown outcome: the next leader may still commit them.
     pub(super) fn reject_uncommitted(&mut self, out: &mut Vec<Output>) {
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -241,9 +241,9 @@
         let State::Leader(leader) = &self.state else {
             return;
         };
-        let heard = self.quorum_acked(self.now).max(Some(leader.elected_at));
-        if heard.is_none_or(|heard| self.now > heard + self.config.election_timeout) {
-            // Check-quorum: without a majority this member cannot commit, and another may lead.
+        let contact = self.quorum_acked(self.now).max(Some(leader.elected_at));
+        if contact.is_none_or(|contact| self.now > contact + self.config.election_timeout) {
+            // Check quorum: without contact to a majority this leader cannot commit, and another may have been elected.
             self.become_follower(None, out);
             return;
         }
@@ -251,7 +251,7 @@
         self.send_heartbeats(out);
     }
 
-    /// Newest instant whose messages a majority of the voters has answered.
+    /// Returns the latest time such that a majority of the voters has acknowledged a message sent then or later.
     pub(super) fn quorum_acked(&self, now: Duration) -> Option<Duration> {
         let State::Leader(leader) = &self.state else {
             return None;
@@ -269,7 +269,8 @@
         acked[members.quorum() - 1]
     }
 
-    /// Quorum freshness once this leader knows everything that was committed before it.
+    /// Returns the quorum acknowledgement time, once an entry of this term is committed and this leader therefore knows
+    /// all entries committed in earlier terms.
     fn leader_freshness(&self, now: Duration) -> Option<Duration> {
         let State::Leader(leader) = &self.state else {
             return None;
@@ -286,13 +287,13 @@
         }
     }
 
-    /// Age of the leader's freshness in microseconds, rounded up.
+    /// Returns the age of the leader's state in microseconds, rounded up.
     pub(super) fn leader_age(&self) -> Option<u64> {
         let age = self.now.saturating_sub(self.leader_freshness(self.now)?);
         Some(age.as_micros() as u64 + 1)
     }
 
-    /// Instant on the local clock before which nothing is missing from the applied state.
+    /// Returns the time on the local clock up to which the applied state is complete.
     pub fn freshness(&self, now: Duration) -> Option<Duration> {
         let confirmed = self.freshness.confirmed();
         if self.applied < self.commit {
@@ -301,7 +302,7 @@
         confirmed.max(self.leader_freshness(now))
     }
 
-    /// Tells whether no other member can lead now, and the applied state holds everything committed.
+    /// Returns whether this member is the leader and holds a valid lease, so that no other member can lead now.
     pub fn holds_lease(&self, now: Duration) -> bool {
         let State::Leader(leader) = &self.state else {
             return false;
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -1,8 +1,8 @@
-//! One member of one group: a pure function of time and inputs.
+//! One member of one group, as a deterministic state machine driven by time and inputs.
 //!
-//! The caller carries out the outputs in order. Writes may be carried out later and together, as long as they keep
-//! their order and `Persisted` is given after they are durable; messages that depend on a write are held back here.
-//! The caller steps the replica at `next_wake` at the latest.
+//! The caller performs the outputs in order. Writes may be delayed and batched, as long as they keep their order and
+//! `Persisted` is reported only after they are durable; the replica defers messages that depend on a write until then.
+//! The caller must step the replica no later than `next_wake`.
 
 mod config;
 mod election;
@@ -29,134 +29,135 @@
 use crate::message::{Body, Message};
 use crate::{log, membership, snapshot, write};
 
-/// Entries that may be handed out and not yet applied; later ones wait.
+/// Maximum number of entries that are output but not yet applied; further ones wait.
 const APPLY_WINDOW: u64 = 4_096;
-/// Messages that may wait for a write; older ones are dropped, as the network might.
+/// Maximum number of messages that wait for a write. The oldest is dropped first, which is safe because messages may
+/// also be lost in the network.
 const MAX_DEFERRED_MESSAGES: usize = 1_024;
 
-/// What happened.
+/// Event for a replica to process.
 #[derive(Debug, Clone)]
 pub enum Input {
-    /// Time passed.
+    /// No event; runs due timers.
     Tick,
     /// A message arrived.
     Receive {
-        /// Sender.
+        /// Sender of the message.
         from: id::VmId,
-        /// Message.
+        /// Received message.
         message: Message,
     },
-    /// A command is to be replicated.
+    /// Replicate a command.
     Propose {
-        /// Chosen by the caller; returned in `Committed` or `Rejected`.
+        /// Identifier chosen by the caller; returned in `Committed` or `Rejected`.
         id: u64,
-        /// Command.
+        /// Encoded command.
         data: Bytes,
     },
-    /// All writes up to a sequence are durable.
+    /// All writes up to a sequence number are durable.
     Persisted {
-        /// Sequence of the last durable write.
+        /// Sequence number of the last durable write.
         through: u64,
     },
-    /// A write failed. The replica neither votes nor acknowledges until it is made again from its store.
+    /// A write failed. The replica neither votes nor acknowledges entries until it is recreated from its store.
     PersistFailed,
-    /// The state machine has applied the entries up to an index.
+    /// The state machine has applied all entries up to an index.
     Applied {
-        /// That index.
+        /// Index of the last applied entry.
         index: u64,
     },
-    /// A snapshot of the applied state; see `Replica::snapshot`.
+    /// Compact the log up to a snapshot of the applied state.
     Compact {
-        /// Snapshot.
+        /// Snapshot made by `Replica::snapshot`.
         snapshot: snapshot::Snapshot,
     },
-    /// The members are to be changed.
+    /// Change the membership of the group.
     ChangeMembership {
-        /// Chosen by the caller; returned in `Committed` or `Rejected`.
+        /// Identifier chosen by the caller; returned in `Committed` or `Rejected`.
         id: u64,
-        /// Change.
+        /// Change to make.
         change: membership::Change,
     },
-    /// The leadership is to be handed over.
+    /// Transfer the leadership to another voter.
     TransferLeadership {
-        /// Next leader, or the voter that holds most of the log.
+        /// Next leader; by default the voter that acknowledged the most recent message.
         to: Option<id::VmId>,
     },
 }
 
-/// What the caller has to do.
+/// Action for the caller to perform.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
-    /// Make durable, then give `Persisted` or `PersistFailed`.
+    /// Make a write durable, then report `Persisted` or `PersistFailed`.
     Persist(write::Write),
     /// Send a message; it may be lost.
     Send {
-        /// Receiver.
+        /// Receiver of the message.
         to: id::VmId,
-        /// Message.
+        /// Message to send.
         message: Message,
     },
-    /// Apply a committed entry, then give `Applied`. Indices are consecutive.
+    /// Apply a committed entry, then report `Applied`. Indices are consecutive.
     Apply(log::Entry),
-    /// Replace the state by a snapshot, then give `Applied`.
+    /// Replace the applied state by a snapshot, then report `Applied`.
     Install(snapshot::Snapshot),
-    /// A proposal or change is committed at an index.
+    /// A proposed command or membership change is committed.
     Committed {
-        /// Id of the proposal or change.
+        /// Identifier of the proposal.
         id: u64,
         /// Index of its entry.
         index: u64,
     },
-    /// A proposal or change did not commit, or may not have.
+    /// A proposed command or membership change was not committed, or its outcome is unknown.
     Rejected {
-        /// Id of the proposal or change.
+        /// Identifier of the proposal.
         id: u64,
-        /// Reason.
+        /// Reason of the rejection.
         reason: Rejection,
     },
-    /// The role or the known leader changed.
+    /// The role of this member or the leader known to it changed.
     Role(Role),
 }
 
-/// Why a proposal or change was not committed. All but `Unknown` mean that it never will be.
+/// Reason for which a proposal was not committed. All but `Unknown` mean that it never will be.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Rejection {
-    /// Another member leads, if known.
+    /// This member is not the leader.
     NotLeader {
-        /// That member.
+        /// Current leader, if known.
         leader: Option<id::VmId>,
     },
-    /// Too much is uncommitted.
+    /// The limit on uncommitted entries or bytes is reached.
     QueueFull,
-    /// The command is too large.
+    /// The command exceeds `Config::max_entry_bytes`.
     TooLarge,
-    /// The leadership is being handed over.
+    /// The leadership is being transferred.
     Transferring,
-    /// The store failed.
+    /// A write to the store failed.
     StoreFailed,
-    /// The leader has not committed an entry of its term yet, or another change is uncommitted.
+    /// The leader has not yet committed an entry of its term, or another membership change is uncommitted.
     ChangePending,
-    /// The learner does not hold the committed log yet.
+    /// The learner to promote has not caught up with the log.
     NotCaughtUp,
-    /// The change does not fit the members.
+    /// The change is not valid for the current membership.
     Change(membership::Error),
-    /// The leadership was lost; the entry may or may not commit.
+    /// The leadership was lost; the entry may still be committed.
     Unknown,
 }
 
 /// Role of a member.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Role {
-    /// Follows a leader, if one is known.
+    /// Replicates the log of a leader.
     Follower {
-        /// That leader.
+        /// Current leader, if known.
         leader: Option<id::VmId>,
     },
-    /// Stands for election.
+    /// Campaigns in a pre-vote or an election.
     Candidate,
-    /// Leads.
+    /// Leads the group in the current term.
     Leader,
-    /// Was removed from the group for good.
+    /// Permanently removed from the group.
     Removed,
 }
 
@@ -170,7 +171,7 @@
 
 /// One member of one group.
 ///
-/// Invariants: `applied <= emitted <= commit <= last index`, and none of the first three ever goes back.
+/// Invariants: `applied <= emitted <= commit <= last index`, and none of the first three ever decreases.
 #[derive(Debug)]
 pub struct Replica {
     config: Config,
@@ -180,7 +181,7 @@
     state: State,
     leader: Option<id::VmId>,
     role: Role,
-    /// Last sign of a leader of the current term; the start of the process counts as one.
+    /// Last contact from a leader of the current term; the start of the process counts as contact.
     leader_contact: Option<Duration>,
     election_at: Duration,
     log: log::Log,
@@ -193,25 +194,28 @@
     sequence: u64,
     persisted: u64,
     vote_sequence: u64,
-    /// Commit index that is stored, and that whose storage was asked for.
+    /// Newest commit index that is durable.
     stored_commit: u64,
+    /// Newest commit index for which a write was requested.
     requested_commit: u64,
-    /// Writes that are not durable, with the last index that each makes durable.
+    /// Writes that are not durable yet: sequence number, and last log index that the write makes durable.
     pending: VecDeque<(u64, Option<u64>)>,
-    /// Commit index that each of those writes stores.
+    /// Writes that store a commit index and are not durable yet: sequence number, and commit index.
     pending_commits: VecDeque<(u64, u64)>,
+    /// Messages to send once the write with a sequence number is durable.
     deferred: VecDeque<(u64, id::VmId, Message)>,
     partial: Option<snapshot::Partial>,
     freshness: freshness::Tracker,
     store_failed: bool,
     removed: bool,
+    /// Snapshot restored from the store, to be output by the first step.
     restored_snapshot: Option<snapshot::Snapshot>,
-    /// Received snapshot that is handed out once its write is durable.
+    /// Received snapshot to be output once the write with this sequence number is durable.
     pending_install: Option<(u64, snapshot::Snapshot)>,
 }
 
 impl Replica {
-    /// Returns a member that restarts from its durable state.
+    /// Returns a member that starts from its durable state.
     pub fn new(config: Config, restored: Restored, now: Duration) -> Self {
         let mut rng = rngs::SmallRng::seed_from_u64(config.seed);
         let position = restored
@@ -229,7 +233,7 @@
                 memberships.push((entry.position.index, members.clone()));
             }
         }
-        // A member that never stored a term never acknowledged a leader, so it owes no leader its silence.
+        // A member that never stored a term never acknowledged a leader, so no lease can depend on its vote.
         let contact = (restored.vote.term > 0).then_some(now);
         let token = rng.random();
         let mut replica = Self {
@@ -273,13 +277,13 @@
         replica
     }
 
-    /// Handles one input and appends what has to be done. Time that goes back counts as no time.
+    /// Processes an input and appends the resulting actions to `out`. If `now` goes back, the latest time is used.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         self.now = self.now.max(now);
         if let Some(snapshot) = self.restored_snapshot.take() {
             out.push(Output::Install(snapshot));
         }
-        // Timers come first: a leader that was paused steps down before it handles anything.
+        // Timers run first, so that a leader that was paused steps down before it processes the input.
         self.run_timers(out);
         match input {
             Input::Tick => {}
@@ -298,7 +302,7 @@
         self.emit_role(out);
     }
 
-    /// Time at which the replica must be stepped again.
+    /// Returns the time by which the replica must be stepped again.
     pub fn next_wake(&self) -> Duration {
         match &self.state {
             State::Leader(leader) => leader.next_wake(&self.config),
@@ -307,13 +311,14 @@
         }
     }
 
-    /// Term of the entry at an index, if it is held; for checks.
+    /// Returns the term at an index if the entry is retained; for tests.
     #[doc(hidden)]
     pub fn term_at(&self, index: u64) -> Option<u64> {
         self.log.term_at(index)
     }
 
-    /// Returns a snapshot record of the applied state for `Input::Compact`.
+    /// Returns a snapshot of the state after `index`, encoded as `data`, for `Input::Compact`. Returns `None` if the
+    /// entry is not applied or not retained.
     pub fn snapshot(&self, index: u64, data: Bytes) -> Option<snapshot::Snapshot> {
         if index > self.applied {
             return None;
@@ -347,7 +352,7 @@
             Body::PreVote { last } => self.on_pre_vote(from, term, last, out),
             Body::PreVoteReply { granted } => self.on_pre_vote_reply(from, term, granted, out),
             Body::Vote { last, transfer } => self.on_vote(from, term, last, transfer, out),
-            // The removal is final, whatever term the former member has reached on its own.
+            // A removal is final, even if this member has reached a later term on its own.
             Body::Removed => self.on_removed(out),
             body if term >= self.vote.term => {
                 if term > self.vote.term {
@@ -389,7 +394,7 @@
         });
     }
 
-    /// Sends once the writes up to a sequence are durable.
+    /// Sends a message once the writes up to a sequence number are durable.
     fn send_once_durable(&mut self, sequence: u64, to: id::VmId, body: Body, out: &mut Vec<Output>) {
         if sequence <= self.persisted {
             self.send(to, body, out);
@@ -483,7 +488,7 @@
         &self
             .memberships
             .last()
-            .expect("the membership at the base is always held")
+            .expect("the membership at the base is always retained")
             .1
     }
 
--- a/crates/consensus/src/replica/persist.rs
+++ b/crates/consensus/src/replica/persist.rs
@@ -1,4 +1,4 @@
-//! Writes of a replica, and what waits for them.
+//! Requests of durable writes, and their completion.
 
 use super::{Output, Replica, State};
 use crate::{log, snapshot, write};
@@ -88,7 +88,7 @@
         self.persist(write::Kind::Compact { snapshot, first }, out);
     }
 
-    /// Appends entries to the log and asks for their storage.
+    /// Appends entries to the log and requests their write.
     pub(super) fn append(&mut self, entries: Vec<log::Entry>, out: &mut Vec<Output>) {
         for entry in &entries {
             if let log::Payload::Membership(members) = &entry.payload {
@@ -110,7 +110,7 @@
 
     /// Removes uncommitted entries from an index on.
     pub(super) fn truncate(&mut self, from: u64) {
-        assert!(from > self.commit, "committed entries stay");
+        assert!(from > self.commit, "committed entries are never truncated");
         self.log.truncate(from);
         self.memberships.retain(|(index, _)| *index < from);
         self.durable = self.durable.min(from - 1);
@@ -119,7 +119,7 @@
         }
     }
 
-    /// Asks for the storage of a commit index that no other write carried.
+    /// Requests a write of the commit index if it is not stored and no write of it is pending.
     pub(super) fn store_commit(&mut self, out: &mut Vec<Output>) {
         if !self.config.store_commit || self.store_failed || self.requested_commit >= self.commit {
             return;
--- a/crates/consensus/src/replica/progress.rs
+++ b/crates/consensus/src/replica/progress.rs
@@ -1,53 +1,55 @@
-//! What a leader knows about one member.
+//! Replication progress of one member, as tracked by the leader.
 
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use crate::snapshot;
 
-/// How entries are sent to a member.
+/// Replication mode of a member.
 #[derive(Debug)]
 pub(crate) enum Mode {
-    /// Heartbeats look for the place where the logs agree; no entries are sent.
+    /// Only heartbeats are sent, to find the position up to which the logs match.
     Probe,
-    /// Entries are sent ahead of the answers.
+    /// Entries are sent optimistically, without waiting for replies.
     Pipeline,
     /// A snapshot is sent, one chunk at a time.
     Snapshot(Transfer),
 }
 
-/// A snapshot transfer. It ends with the snapshot that it began with, even if a newer one exists.
+/// A snapshot transfer. It completes with the snapshot with which it began, even if a newer one exists.
 #[derive(Debug)]
 pub(crate) struct Transfer {
     pub(crate) snapshot: snapshot::Snapshot,
     pub(crate) label: snapshot::Label,
     pub(crate) offset: u64,
-    /// When bytes at this offset were sent, in microseconds.
+    /// When data at this offset was sent, in microseconds; `None` if it was not sent yet.
     pub(crate) data_sent: Option<u64>,
 }
 
-/// What a leader knows about one member.
+/// Replication progress of one member.
 ///
-/// Invariant: `matched < next`, and `matched` goes back within a term only when the member lost the end of its log.
+/// Invariants: `matched < next`, and `matched` decreases within a term only if the member lost the tail of its log.
 #[derive(Debug)]
 pub(crate) struct Progress {
+    /// Highest index known to match and to be durable on the member.
     pub(crate) matched: u64,
+    /// Index of the next entry to send.
     pub(crate) next: u64,
     pub(crate) mode: Mode,
-    /// Last index and bytes of each unanswered message with entries.
+    /// Last index and bytes of each unacknowledged message with entries.
     in_flight: VecDeque<(u64, usize)>,
     in_flight_bytes: usize,
     /// When the last message was sent.
     pub(crate) sent_at: Duration,
-    /// When the newest answered message was sent.
+    /// When the newest acknowledged message was sent.
     pub(crate) acked: Option<Duration>,
-    /// When probing last began, in microseconds; refusals of older messages tell nothing new.
+    /// When probing last began, in microseconds. Refusals of messages sent before are ignored.
     pub(crate) probed_at: u64,
-    /// Token of the newest answer.
+    /// Token of the newest reply.
     pub(crate) token: u32,
-    /// Last index of the leader when the current catch-up round began, and that time.
+    /// Start of the current catch-up round: last index of the leader, and time.
     round: (u64, Duration),
-    /// When the last short catch-up round ended.
+    /// When the last catch-up round that did not exceed the limit ended.
     caught_up: Option<Duration>,
 }
 
@@ -78,12 +80,12 @@
         self.next = last + 1;
     }
 
-    /// Notes an answer to a message that was sent at a time.
+    /// Records a reply to a message that was sent at `sent`.
     pub(crate) fn record_ack(&mut self, sent: Duration, now: Duration) {
         self.acked = self.acked.max(Some(sent.min(now)));
     }
 
-    /// Notes that the logs agree up to an index.
+    /// Records that the logs match up to an index.
     pub(crate) fn record_match(&mut self, matched: u64, last: u64, now: Duration, round_limit: Duration) {
         self.matched = self.matched.max(matched);
         self.next = self.next.max(self.matched + 1);
@@ -98,17 +100,18 @@
         }
     }
 
-    /// Notes a refusal of a message that was sent since probing last began.
+    /// Records a refusal of a message that was sent since probing last began.
     pub(crate) fn record_rejection(&mut self, previous: u64, hint: u64, now: Duration) {
-        // A member that still held what it acknowledged would have accepted a probe at `matched`, so it restarted
-        // without the end of its log. Outside probing, the message may have overtaken the entries before it.
+        // A member that still has the entries that it acknowledged would accept a probe at `matched`. A refusal means
+        // that it restarted without the tail of its log. In other modes, the message may have been reordered before
+        // the preceding entries.
         if matches!(self.mode, Mode::Probe) && previous <= self.matched {
             self.matched = self.matched.min(hint);
         }
         self.start_probe(previous.min(hint + 1), now);
     }
 
-    /// Goes back to probing from an index.
+    /// Switches to probing from an index.
     pub(crate) fn start_probe(&mut self, next: u64, now: Duration) {
         self.mode = Mode::Probe;
         self.probed_at = now.as_micros() as u64;
@@ -117,7 +120,7 @@
         self.in_flight_bytes = 0;
     }
 
-    /// Tells whether the member held the log of at most one election timeout ago, that recently.
+    /// Returns whether a catch-up round within the limit ended at most `limit` ago.
     pub(crate) fn is_caught_up(&self, now: Duration, limit: Duration) -> bool {
         self.caught_up.is_some_and(|at| now <= at + limit)
     }
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -1,4 +1,4 @@
-//! Sending the log and snapshots to the members.
+//! Replication of the log and of snapshots to the other members.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use crate::{log, snapshot};
 
 impl Replica {
-    /// Offers new entries to the members when they are due.
+    /// Sends new entries to the members once the batch delay has passed or the batch is full.
     pub(super) fn flush(&mut self, out: &mut Vec<Output>) {
         let last = self.log.last().index;
         let now = self.now;
@@ -31,7 +31,7 @@
         }
     }
 
-    /// Sends entries to a member as far as its window allows.
+    /// Sends entries to a member as far as its in-flight window allows.
     fn replicate_to(&mut self, to: id::VmId, out: &mut Vec<Output>) {
         loop {
             let State::Leader(leader) = &self.state else {
@@ -86,7 +86,7 @@
         self.send(to, Body::Append(append), out);
     }
 
-    /// Sends a heartbeat to each member that got nothing for one interval.
+    /// Sends a heartbeat to each member to which nothing was sent for one heartbeat interval.
     pub(super) fn send_heartbeats(&mut self, out: &mut Vec<Output>) {
         let State::Leader(leader) = &self.state else {
             return;
@@ -111,7 +111,7 @@
         };
         let unresponsive = progress.acked.unwrap_or(leader.elected_at) + election < now;
         if unresponsive && matches!(progress.mode, Mode::Pipeline) {
-            // A member that does not answer gets heartbeats only, so that a lost VM costs few bytes.
+            // An unresponsive member receives only heartbeats, so that a failed VM costs little bandwidth.
             progress.start_probe(progress.matched + 1, now);
         }
         match progress.mode {
@@ -141,8 +141,8 @@
                 }
             }
             Outcome::Refused { previous, hint } => {
-                // One reset for each round trip: reordered messages are refused one by one, and a reset for each
-                // of them would multiply the messages.
+                // Restart probing at most once per round trip: a restart for each refusal of reordered messages
+                // would multiply the messages.
                 let newer = reply.sent >= progress.probed_at;
                 let known = previous <= progress.matched && !newest;
                 if newer && !known && !matches!(progress.mode, Mode::Snapshot(_)) {
@@ -181,7 +181,7 @@
         self.send_chunk(to, true, out);
     }
 
-    /// Sends the next chunk; a probe carries no bytes and asks how many arrived.
+    /// Sends the next chunk. A probe carries no data and only queries how much has arrived.
     fn send_chunk(&mut self, to: id::VmId, probe: bool, out: &mut Vec<Output>) {
         let (now, size) = (self.now, self.config.snapshot_chunk_bytes);
         let State::Leader(leader) = &mut self.state else {
@@ -233,7 +233,7 @@
                 transfer.offset = received;
                 transfer.data_sent = None;
             }
-            // An answer to a message from before the bytes were sent does not show that they were lost.
+            // A reply to a message sent before the current chunk does not mean that the chunk was lost.
             if transfer.data_sent.is_none_or(|at| sent >= at) {
                 self.send_chunk(from, false, out);
             }
--- a/crates/consensus/src/replica/status.rs
+++ b/crates/consensus/src/replica/status.rs
@@ -1,4 +1,4 @@
-//! What a replica tells about itself.
+//! Observable state of a replica.
 
 use std::time::Duration;
 
@@ -8,73 +8,73 @@
 use super::{Replica, Role, State};
 use crate::{log, membership};
 
-/// State of a replica, for operators, metrics and readiness.
+/// State of a replica, for operators, metrics and readiness checks.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Status {
-    /// This member.
+    /// Id of this member.
     pub id: id::VmId,
-    /// Its group.
+    /// Group of this member.
     pub group: id::GroupId,
-    /// Newest term.
+    /// Latest term that this member has seen.
     pub term: u64,
-    /// Role.
+    /// Last reported role.
     pub role: Role,
-    /// Leader of the term, if known.
+    /// Leader of the current term, if known.
     pub leader: Option<id::VmId>,
-    /// Position before the oldest entry that is held.
+    /// Position before the oldest retained entry.
     pub base: log::Position,
-    /// Last entry.
+    /// Position of the last entry.
     pub last: log::Position,
-    /// Commit index.
+    /// Highest index known to be committed.
     pub commit: u64,
-    /// Applied index.
+    /// Highest applied index.
     pub applied: u64,
-    /// Newest members, committed or not.
+    /// Latest membership, committed or not.
     pub membership: membership::Membership,
-    /// Newest committed members.
+    /// Latest committed membership.
     pub committed: membership::Membership,
-    /// Whether the newest members are not committed yet.
+    /// Whether the latest membership is not committed yet.
     pub change_pending: bool,
-    /// Whether a write failed.
+    /// Whether a write to the store failed.
     pub store_failed: bool,
-    /// What a leader knows about the others; empty on other members.
+    /// Progress of the other members; empty unless this member is the leader.
     pub peers: Vec<Peer>,
 }
 
-/// What a leader knows about one member.
+/// Replication progress of a member, as known to the leader.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Peer {
-    /// Member.
+    /// Id of the member.
     pub id: id::VmId,
-    /// Whether it votes.
+    /// Whether the member is a voter.
     pub voter: bool,
-    /// Index up to which its log agrees durably.
+    /// Index up to which its log is durable and matches the leader's.
     pub matched: u64,
-    /// When the newest message that it answered was sent.
+    /// When the newest message that it acknowledged was sent.
     pub acked: Option<Duration>,
-    /// Whether a learner may be promoted.
+    /// Whether the member has caught up, so that a learner may be promoted.
     pub caught_up: bool,
-    /// Bytes of a running snapshot transfer that arrived, and all bytes of it.
+    /// Received and total bytes of a snapshot transfer in progress.
     pub snapshot: Option<(u64, u64)>,
 }
 
 impl Replica {
-    /// Newest term.
+    /// Returns the latest term that this member has seen.
     pub const fn term(&self) -> u64 {
         self.vote.term
     }
 
-    /// Newest role that was reported.
+    /// Returns the last reported role.
     pub const fn role(&self) -> Role {
         self.role
     }
 
-    /// Leader of the term, if known.
+    /// Returns the leader of the current term, if known.
     pub const fn leader(&self) -> Option<id::VmId> {
         self.leader
     }
 
-    /// Returns the state.
+    /// Returns the observable state of the replica.
     pub fn status(&self) -> Status {
         Status {
             id: self.config.id,
--- a/crates/consensus/src/replica/transfer.rs
+++ b/crates/consensus/src/replica/transfer.rs
@@ -1,4 +1,4 @@
-//! Handing the leadership over.
+//! Leadership transfer.
 
 use std::time::Duration;
 
@@ -7,11 +7,12 @@
 use super::{Output, Replica, State};
 use crate::message::Body;
 
-/// A handover that waits until the next leader holds the whole log.
+/// A leadership transfer that waits until the next leader has the complete log.
 #[derive(Debug)]
 pub(crate) struct Transfer {
     to: id::VmId,
     pub(crate) deadline: Duration,
+    /// Whether the next leader was asked to campaign.
     requested: bool,
 }
 
@@ -47,7 +48,7 @@
         self.continue_transfer(out);
     }
 
-    /// Asks the next leader to stand for election once it holds the whole log.
+    /// Asks the next leader to campaign once it has the complete log.
     pub(super) fn continue_transfer(&mut self, out: &mut Vec<Output>) {
         let last = self.log.last().index;
         let State::Leader(leader) = &mut self.state else {
@@ -80,7 +81,7 @@
         let requested = transfer.requested;
         leader.transfer = None;
         if requested || self.store_failed {
-            // The lease is void for the rest of the term, so only a new election gives a useful leader.
+            // The lease is void for the rest of the term, so a new election is needed to restore a leader with a lease.
             self.become_follower(None, out);
         }
     }
--- a/crates/consensus/src/rules.rs
+++ b/crates/consensus/src/rules.rs
@@ -1,34 +1,34 @@
-//! Switches for single safety rules, so that tests can show that their checks find a broken rule.
+//! Switches for individual safety rules. Tests turn one off to verify that their checks detect the violation.
 
-/// Safety rules. All are on outside tests.
+/// Safety rules of a replica. All are enabled outside tests.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[expect(
     clippy::struct_excessive_bools,
-    reason = "each rule is switched off on its own"
+    reason = "each rule can be disabled independently"
 )]
 pub struct Rules {
-    /// Only acknowledgements and votes of voters count.
+    /// Quorums count only the acknowledgements and votes of voters, not those of learners.
     pub count_voters_only: bool,
-    /// Entries are acknowledged after they are durable.
+    /// Entries are acknowledged only after they are durable.
     pub acknowledge_after_sync: bool,
-    /// A vote is made durable before it is given.
+    /// A vote is made durable before it is sent.
     pub persist_vote: bool,
-    /// A leader commits entries of older terms only together with one of its own.
+    /// A leader commits entries of earlier terms only together with an entry of its current term.
     pub commit_current_term_only: bool,
-    /// No vote is given while the leader may hold its lease.
+    /// Votes are denied while the leader may still hold its lease.
     pub reject_vote_under_lease: bool,
     /// A snapshot older than the applied state is not installed.
     pub reject_older_snapshot: bool,
-    /// A vote is given only to a candidate whose log is at least as new.
+    /// A vote is granted only to a candidate whose log is at least as up to date.
     pub require_up_to_date_log: bool,
     /// The lease of a leader expires.
     pub expire_lease: bool,
-    /// A membership change waits for the one before it.
+    /// A membership change is rejected until the previous one is committed.
     pub one_change_at_a_time: bool,
-    /// A learner is promoted only when it has caught up.
+    /// A learner is promoted only after it has caught up.
     pub promote_caught_up: bool,
-    /// An entry is applied only after the commit index is stored, if the settings ask for it.
+    /// With `Config::store_commit`, an entry is applied only after its commit index is durable.
     pub store_commit: bool,
 }
 
--- a/crates/consensus/src/snapshot.rs
+++ b/crates/consensus/src/snapshot.rs
@@ -1,50 +1,50 @@
-//! Snapshots, and their transfer in chunks that resume where the last one arrived.
+//! Snapshots and their transfer in chunks. A transfer resumes after the last chunk that arrived.
 
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
 
 use crate::{log, membership};
 
-/// Largest snapshot that is received. State of the target size is a few MiB; see `docs/CAPACITY.md`.
+/// Size limit of received snapshots in bytes. State at the target size is a few MiB; see `docs/CAPACITY.md`.
 pub const MAX_SNAPSHOT_BYTES: u64 = 64 * 1024 * 1024;
 
-/// State of the state machine after an index.
+/// State of the state machine at a log position.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Snapshot {
-    /// Last entry that is part of the state.
+    /// Position of the last entry that is included in the state.
     pub position: log::Position,
-    /// Members at that entry.
+    /// Membership at that position.
     pub membership: membership::Membership,
-    /// Encoded state.
+    /// Encoded state of the state machine.
     pub data: Bytes,
 }
 
-/// Identity of a snapshot's bytes; chunks of different identities are never joined.
+/// Identity of an encoded snapshot. Chunks with different labels are never combined.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Label {
-    /// Last entry that is part of the state.
+    /// Position of the last entry that is included in the state.
     pub position: log::Position,
     /// Length of the encoded state in bytes.
     pub total: u64,
-    /// Digest of the encoded state.
+    /// Non-cryptographic hash of the encoded state.
     pub digest: u64,
 }
 
-/// A part of a snapshot.
+/// A contiguous part of a snapshot.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Chunk {
-    /// The snapshot that it is part of.
+    /// Identity of the snapshot.
     pub label: Label,
-    /// Members at the snapshot.
+    /// Membership at the position of the snapshot.
     pub membership: membership::Membership,
-    /// Place of the first byte.
+    /// Offset of the first byte within the encoded state.
     pub offset: u64,
-    /// Bytes.
+    /// Part of the encoded state; may be empty.
     pub data: Bytes,
 }
 
 impl Snapshot {
-    /// Returns the identity.
+    /// Returns the identity of the snapshot.
     pub fn label(&self) -> Label {
         Label {
             position: self.position,
@@ -53,7 +53,7 @@
         }
     }
 
-    /// Returns the chunk at an offset.
+    /// Returns the chunk of up to `bytes` bytes at an offset.
     pub(crate) fn chunk(&self, label: Label, offset: u64, bytes: usize) -> Chunk {
         let start = usize::try_from(offset).map_or(self.data.len(), |start| start.min(self.data.len()));
         let end = (start + bytes).min(self.data.len());
@@ -66,28 +66,28 @@
     }
 }
 
-/// A snapshot that is being received.
+/// A partially received snapshot.
 ///
-/// Invariant: `data` is the prefix of the snapshot named by `label`.
+/// Invariant: `data` is a prefix of the snapshot identified by `label`.
 #[derive(Debug, Clone)]
 pub(crate) struct Partial {
     label: Label,
     data: BytesMut,
 }
 
-/// Result of a received chunk.
+/// Result of adding a chunk.
 #[derive(Debug, Clone)]
 pub(crate) enum Progress {
-    /// Bytes received so far.
+    /// The snapshot is incomplete; holds the number of bytes received so far.
     More(u64),
-    /// The whole snapshot.
+    /// The complete snapshot.
     Complete(Snapshot),
-    /// The bytes do not match the label; the transfer starts again.
+    /// The received bytes do not match the digest; the transfer restarts.
     Corrupt,
 }
 
 impl Partial {
-    /// Returns an empty transfer.
+    /// Starts a transfer with no bytes received.
     pub(crate) fn new(label: Label) -> Self {
         Self {
             label,
@@ -95,17 +95,17 @@
         }
     }
 
-    /// Identity of the snapshot.
+    /// Returns the identity of the snapshot.
     pub(crate) const fn label(&self) -> Label {
         self.label
     }
 
-    /// Bytes received.
+    /// Returns the number of bytes received.
     pub(crate) fn received(&self) -> u64 {
         self.data.len() as u64
     }
 
-    /// Adds a chunk of the same label. A chunk that does not continue the prefix changes nothing.
+    /// Adds a chunk with the same label. Ignores the data of a chunk that does not continue the received prefix.
     pub(crate) fn add(&mut self, chunk: &Chunk) -> Progress {
         let fits =
             chunk.offset == self.received() && chunk.data.len() as u64 <= self.label.total - chunk.offset;
@@ -127,7 +127,7 @@
     }
 }
 
-/// FNV-1a over eight bytes at a time. It tells two encodings apart; storage has its own checksums.
+/// Variant of FNV-1a over eight bytes at a time. It distinguishes two encodings; the store has its own checksums.
 fn digest(data: &[u8]) -> u64 {
     const OFFSET: u64 = 0xcbf2_9ce4_8422_2325;
     const PRIME: u64 = 0x0000_0100_0000_01b3;
--- a/crates/consensus/src/write.rs
+++ b/crates/consensus/src/write.rs
@@ -1,49 +1,49 @@
-//! What a replica asks its store to make durable.
+//! Writes that a replica asks its store to make durable.
 
 use bronzespoke_model::id;
 use serde::{Deserialize, Serialize};
 
 use crate::{log, snapshot};
 
-/// Newest term that a replica has seen and its vote in that term.
+/// Latest term that a replica has seen, and its vote in that term.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vote {
-    /// Term.
+    /// Latest term.
     pub term: u64,
-    /// Candidate that got the vote.
+    /// Candidate that received the vote, if any.
     pub candidate: Option<id::VmId>,
 }
 
-/// One change of the durable state. Writes are carried out in the order of their sequence.
+/// A change of the durable state. Writes are performed in order of their sequence numbers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Write {
-    /// Number that `replica::Input::Persisted` returns; grows by one from 1.
+    /// Sequence number that `replica::Input::Persisted` refers to; starts at 1 and increases by one.
     pub sequence: u64,
-    /// What changes.
+    /// Change to make.
     pub kind: Kind,
 }
 
-/// What a write changes.
+/// Type and content of a write.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
-    /// Replaces the vote.
+    /// Replaces the term and vote.
     Vote(Vote),
-    /// Removes all entries from the first one's index on, then appends. Never empty.
+    /// Removes all entries from the index of the first new one on, then appends.
     Append {
-        /// Consecutive entries.
+        /// Consecutive entries; never empty.
         entries: Vec<log::Entry>,
-        /// Commit index known at that time; a restart applies the log up to it at once.
+        /// Commit index at the time of the write; after a restart the log is applied up to it immediately.
         commit: u64,
     },
-    /// Notes the commit index, so that a restart applies at least as much as before.
+    /// Stores the commit index, so that at least as many entries are applied after a restart as before it.
     Commit(u64),
-    /// Stores a snapshot of own state and drops the entries before `first`, which may lie before the snapshot.
+    /// Stores a snapshot of the local state and drops the entries before `first`, which may precede the snapshot.
     Compact {
-        /// Snapshot.
+        /// Snapshot of the local state.
         snapshot: snapshot::Snapshot,
-        /// Oldest index that stays.
+        /// Index of the oldest retained entry.
         first: u64,
     },
-    /// Stores a received snapshot and drops all entries.
+    /// Stores a snapshot received from the leader and drops all entries.
     Install(snapshot::Snapshot),
 }
