consensus: usual terms in the tests

The driver spoke of worlds, weather, storms and lives, and test heads told riddles. The simulation is now a Cluster with fault Conditions, directed plans are scenarios, and the heads state the failure that each test guards against. Assertions, bounds and seeds are unchanged.

--- a/crates/consensus/tests/driver/check.rs
+++ b/crates/consensus/tests/driver/check.rs
@@ -1,4 +1,4 @@
-//! Invariants that hold after every step.
+//! Invariants that are checked after every step.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,15 +11,15 @@
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Violation {
-    /// Two members led in one term.
+    /// Two members were leader in the same term.
     TwoLeaders,
-    /// Two members applied different entries at one index.
+    /// Two members applied different entries at the same index.
     LogsDiffer,
-    /// Two members have different states at one index.
+    /// Two members have different states at the same index.
     StatesDiffer,
     /// A new leader lacks a committed entry.
     CommittedLost,
-    /// An entry was committed without a durable majority of the voters.
+    /// An entry was committed without being durable on a majority of the voters.
     CommittedWithoutMajority,
     AppliedWentBack,
     AppliedOutOfOrder,
@@ -27,11 +27,11 @@
     TwoLeases,
     /// A member with a lease does not hold an acknowledged entry.
     StaleLease,
-    /// A member claims a freshness after which it lacks an acknowledged entry.
+    /// A member reports a freshness although it has not applied an entry acknowledged before that time.
     OverstatedFreshness,
-    /// A voter was added that lacks the log committed two election timeouts ago.
+    /// A learner was promoted that lacks entries committed two election timeouts ago.
     PromotedTooEarly,
-    /// Messages or timers multiply.
+    /// The run exceeded its step limit, so messages or timers multiply.
     TooManySteps,
 }
 
@@ -40,11 +40,11 @@
     leaders: BTreeMap<u64, VmId>,
     entries: BTreeMap<u64, log::Entry>,
     states: BTreeMap<u64, u64>,
-    /// Last committed position that a leader reported or a member applied.
+    /// Last position that a leader reported as committed or a member applied.
     committed: log::Position,
     /// When each index was first acknowledged to a client.
     acknowledged: Vec<(Duration, u64)>,
-    /// Last seen commit index of each member of each life.
+    /// Last seen commit index of each incarnation of each member.
     commits: BTreeMap<(VmId, u32), u64>,
     /// Commit index over time.
     history: Vec<(Duration, u64)>,
@@ -108,7 +108,7 @@
         let status = replica.status();
         let before = self
             .commits
-            .insert((node.id, node.life), status.commit)
+            .insert((node.id, node.incarnation), status.commit)
             .unwrap_or(0);
         if status.role != Role::Leader || status.commit <= before {
             return Ok(());
@@ -158,7 +158,7 @@
         }
     }
 
-    /// Checks that a promoted member holds what was committed two election timeouts ago.
+    /// Checks that a promoted member has all entries committed two election timeouts ago.
     pub fn promoted(&self, now: Duration, member: &Node) -> Result<(), Violation> {
         let limit = now.saturating_sub(Duration::from_millis(1_250));
         let old = self
@@ -212,13 +212,13 @@
         }
     }
 
-    /// Entries applied so far.
+    /// Returns the entries applied so far by any member.
     pub fn entries(&self) -> &BTreeMap<u64, log::Entry> {
         &self.entries
     }
 }
 
-/// Hash chain over all known entries up to an index.
+/// Returns the hash chain over all known entries up to an index.
 pub fn expected_state(entries: &BTreeMap<u64, log::Entry>, index: u64) -> u64 {
     entries
         .range(..=index)
--- a/crates/consensus/tests/driver/mod.rs
+++ b/crates/consensus/tests/driver/mod.rs
@@ -1,11 +1,11 @@
-//! Deterministic driver: replicas, their disks and a network in simulated time, with checks after every step.
+//! Deterministic simulation of replicas, their disks and a network, with invariant checks after every step.
 
-#![allow(dead_code, reason = "each test file uses a part of the driver")]
+#![allow(dead_code, reason = "each test file uses only part of the driver")]
 
 pub mod check;
-pub mod focus;
 pub mod node;
 pub mod plan;
+pub mod scenarios;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BTreeSet, BinaryHeap};
@@ -30,7 +30,7 @@
 pub enum Event {
     Deliver { from: VmId, to: VmId, message: Message },
     Wake { node: VmId },
-    Sync { node: VmId, life: u32 },
+    Sync { node: VmId, incarnation: u32 },
 }
 
 #[derive(Debug)]
@@ -53,12 +53,12 @@
     }
 }
 
-/// A run needs a few thousand steps; more show that messages or timers multiply.
+/// Step limit of a run. A run needs a few thousand steps; many more indicate that messages or timers multiply.
 const STEPS: u64 = 100_000;
 
-/// Network and disk behaviour.
+/// Probabilities of network and disk faults.
 #[derive(Debug, Clone, Copy)]
-pub struct Weather {
+pub struct Conditions {
     pub loss: f64,
     pub duplicate: f64,
     pub late: f64,
@@ -66,7 +66,7 @@
     pub failed_sync: f64,
 }
 
-pub const CALM: Weather = Weather {
+pub const NO_FAULTS: Conditions = Conditions {
     loss: 0.0,
     duplicate: 0.0,
     late: 0.0,
@@ -74,19 +74,19 @@
     failed_sync: 0.0,
 };
 
-pub struct World {
+pub struct Cluster {
     pub now: Duration,
     pub rng: SmallRng,
     pub nodes: BTreeMap<VmId, Node>,
-    pub weather: Weather,
+    pub conditions: Conditions,
     pub rules: Rules,
     /// Whether the commit index is stored before entries are applied, as in the root group.
     pub store_commit: bool,
-    /// Directed links that drop everything.
+    /// Directed links that drop all messages.
     pub cuts: BTreeSet<(VmId, VmId)>,
     pub check: check::Check,
     pub violation: Option<Violation>,
-    /// Proposals by id: index if committed.
+    /// Indices of committed proposals by proposal id.
     pub committed: BTreeMap<u64, u64>,
     pub rejected: BTreeMap<u64, Rejection>,
     pub next_id: u64,
@@ -95,14 +95,14 @@
     pub steps: u64,
 }
 
-impl World {
-    /// Returns a group of first voters with disks, numbered from 1.
+impl Cluster {
+    /// Starts a group of founding voters with disks, numbered from 1.
     pub fn new(seed: u64, voters: u64, rules: Rules) -> Self {
-        let mut world = Self {
+        let mut cluster = Self {
             now: Duration::ZERO,
             rng: SmallRng::seed_from_u64(seed),
             nodes: BTreeMap::new(),
-            weather: CALM,
+            conditions: NO_FAULTS,
             rules,
             store_commit: seed % 4 != 1,
             cuts: BTreeSet::new(),
@@ -117,12 +117,12 @@
         };
         let members = membership::Membership::from_voters(1..=voters);
         for id in 1..=voters {
-            world.add(id, Restored::bootstrap(members.clone()), true);
+            cluster.add(id, Restored::bootstrap(members.clone()), true);
         }
-        world
+        cluster
     }
 
-    /// Starts a VM. A VM without a disk never starts again under its id.
+    /// Adds and starts a VM. A VM without a disk never restarts under its id.
     pub fn add(&mut self, id: VmId, disk: Restored, durable: bool) {
         self.nodes.insert(id, Node::new(id, disk, durable));
         self.start(id);
@@ -142,14 +142,14 @@
         let Some(node) = self.nodes.get_mut(&id) else {
             return;
         };
-        if node.replica.is_some() || node.gone {
+        if node.replica.is_some() || node.lost {
             return;
         }
         node.start(config, now, rate);
         self.schedule(now, Event::Wake { node: id });
     }
 
-    /// Stops a process; writes that were not synced are lost, or a prefix of them survives.
+    /// Crashes a process. Of the writes that were not synced, a random prefix survives.
     pub fn crash(&mut self, id: VmId) {
         let keep = self.rng.random_range(0..4);
         if let Some(node) = self.nodes.get_mut(&id) {
@@ -206,7 +206,7 @@
         self.input(id, Input::Compact { snapshot });
     }
 
-    /// Runs until a time or the first violation.
+    /// Runs until a time or until the first violation.
     pub fn run_until(&mut self, end: Duration) {
         while self.violation.is_none() {
             match self.queue.peek() {
@@ -222,16 +222,16 @@
         self.now = self.now.max(end);
     }
 
-    /// Runs until a condition holds; tells whether it did within the limit.
-    pub fn run_while(&mut self, limit: Duration, mut wanted: impl FnMut(&Self) -> bool) -> bool {
+    /// Runs until a condition holds, and returns whether it did within the limit.
+    pub fn run_until_condition(&mut self, limit: Duration, mut condition: impl FnMut(&Self) -> bool) -> bool {
         let end = self.now + limit;
         while self.now < end && self.violation.is_none() {
-            if wanted(self) {
+            if condition(self) {
                 return true;
             }
             self.run_until(self.now + ms(5));
         }
-        wanted(self)
+        condition(self)
     }
 
     fn schedule(&mut self, at: Duration, event: Event) {
@@ -260,11 +260,14 @@
                     self.input(id, Input::Tick);
                 }
             }
-            Event::Sync { node: id, life } => {
-                if node.life != life || node.unsynced.is_empty() {
+            Event::Sync {
+                node: id,
+                incarnation,
+            } => {
+                if node.incarnation != incarnation || node.unsynced.is_empty() {
                     return;
                 }
-                let failed = self.rng.random_bool(self.weather.failed_sync);
+                let failed = self.rng.random_bool(self.conditions.failed_sync);
                 let input = if failed {
                     node.fail_sync(self.rng.random_range(0..4))
                 } else {
@@ -275,7 +278,7 @@
         }
     }
 
-    /// Gives one input, carries out the outputs and checks the invariants.
+    /// Steps a replica with an input, performs the outputs and checks the invariants.
     pub fn input(&mut self, id: VmId, input: Input) {
         let now = self.now;
         let mut inputs = vec![input];
@@ -294,7 +297,7 @@
                 self.violation.get_or_insert(Violation::TooManySteps);
                 return;
             }
-            let outcome = self.carry_out(id, out, &mut inputs);
+            let outcome = self.perform(id, out, &mut inputs);
             let outcome = outcome.and_then(|()| self.check.after_step(now, id, &self.nodes));
             if let Err(violation) = outcome {
                 self.violation.get_or_insert(violation);
@@ -306,7 +309,7 @@
             .get(&id)
             .map(|node| (node.applied, node.applied_before));
         if self.store_commit && applied.is_some_and(|(now, before)| now < before) {
-            // The first step of a life applies what the disk says is committed.
+            // The first step of an incarnation applies everything that is committed according to the disk.
             self.violation.get_or_insert(Violation::AppliedWentBack);
         }
         self.rearm(id);
@@ -324,7 +327,7 @@
         }
     }
 
-    fn carry_out(&mut self, id: VmId, out: Vec<Output>, inputs: &mut Vec<Input>) -> Result<(), Violation> {
+    fn perform(&mut self, id: VmId, out: Vec<Output>, inputs: &mut Vec<Input>) -> Result<(), Violation> {
         for output in out {
             match output {
                 Output::Persist(write) => self.store(id, write),
@@ -358,7 +361,7 @@
     }
 
     fn store(&mut self, id: VmId, write: write::Write) {
-        let slow = self.rng.random_bool(self.weather.slow_sync);
+        let slow = self.rng.random_bool(self.conditions.slow_sync);
         let micros = if slow {
             self.rng.random_range(0..300_000)
         } else {
@@ -369,21 +372,27 @@
             return;
         };
         node.unsynced.push(write);
-        let life = node.life;
-        self.schedule(at, Event::Sync { node: id, life });
+        let incarnation = node.incarnation;
+        self.schedule(
+            at,
+            Event::Sync {
+                node: id,
+                incarnation,
+            },
+        );
     }
 
     fn send(&mut self, from: VmId, to: VmId, message: &Message) {
-        if self.cuts.contains(&(from, to)) || self.rng.random_bool(self.weather.loss) {
+        if self.cuts.contains(&(from, to)) || self.rng.random_bool(self.conditions.loss) {
             return;
         }
-        let copies = if self.rng.random_bool(self.weather.duplicate) {
+        let copies = if self.rng.random_bool(self.conditions.duplicate) {
             2
         } else {
             1
         };
         for _ in 0..copies {
-            let late = self.rng.random_bool(self.weather.late);
+            let late = self.rng.random_bool(self.conditions.late);
             let micros = if late {
                 self.rng.random_range(0..1_500_000)
             } else {
--- a/crates/consensus/tests/driver/node.rs
+++ b/crates/consensus/tests/driver/node.rs
@@ -1,4 +1,4 @@
-//! One VM: a replica, its disk, its clock and a state machine that counts.
+//! One VM: a replica, its disk, its clock and a state machine that hashes the applied entries.
 
 use std::time::Duration;
 
@@ -13,18 +13,19 @@
     pub replica: Option<Replica>,
     pub disk: Restored,
     pub durable: bool,
-    /// Lost for good: a VM without a disk that crashed.
-    pub gone: bool,
+    /// Whether the VM is permanently lost: it had no disk and crashed.
+    pub lost: bool,
     pub unsynced: Vec<write::Write>,
-    pub life: u32,
+    pub incarnation: u32,
     pub paused_until: Duration,
     pub wake_at: Option<Duration>,
     started: Duration,
     rate: f64,
-    /// State machine: last index and a hash chain over the entries.
+    /// Last applied index.
     pub applied: u64,
+    /// Hash chain over the applied entries.
     pub state: u64,
-    /// Applied index of the life before.
+    /// Applied index of the previous incarnation.
     pub applied_before: u64,
 }
 
@@ -35,9 +36,9 @@
             replica: None,
             disk,
             durable,
-            gone: false,
+            lost: false,
             unsynced: Vec::new(),
-            life: 0,
+            incarnation: 0,
             paused_until: Duration::ZERO,
             wake_at: None,
             started: Duration::ZERO,
@@ -49,7 +50,7 @@
     }
 
     pub fn start(&mut self, config: Config, now: Duration, rate: f64) {
-        self.life += 1;
+        self.incarnation += 1;
         self.started = now;
         self.rate = rate;
         self.applied_before = self.applied;
@@ -63,9 +64,9 @@
         if self.replica.take().is_none() {
             return;
         }
-        self.life += 1;
+        self.incarnation += 1;
         self.keep_prefix(keep);
-        self.gone = !self.durable;
+        self.lost = !self.durable;
     }
 
     fn keep_prefix(&mut self, keep: usize) {
@@ -75,7 +76,7 @@
         }
     }
 
-    /// Makes all writes durable.
+    /// Makes all pending writes durable.
     pub fn sync(&mut self) -> Input {
         let through = self.unsynced.last().map_or(0, |write| write.sequence);
         for write in std::mem::take(&mut self.unsynced) {
@@ -84,7 +85,7 @@
         Input::Persisted { through }
     }
 
-    /// Loses the writes, but for a prefix that reached the disk.
+    /// Fails the pending writes, except for a prefix that reached the disk.
     pub fn fail_sync(&mut self, keep: usize) -> Input {
         self.keep_prefix(keep);
         Input::PersistFailed
@@ -129,14 +130,14 @@
         Ok(())
     }
 
-    /// Snapshot of the applied state, padded so that it takes several chunks.
+    /// Returns a snapshot of the applied state, padded so that its transfer takes several chunks.
     pub fn make_snapshot(&self) -> Option<snapshot::Snapshot> {
         let mut data = self.state.to_le_bytes().to_vec();
         data.resize(300, 7);
         self.replica.as_ref()?.snapshot(self.applied, data.into())
     }
 
-    /// Tells whether the disk holds a position, in its log or below its snapshot.
+    /// Returns whether a position is on the disk, in the log or covered by the snapshot.
     pub fn holds(&self, position: log::Position) -> bool {
         let below = self
             .disk
@@ -148,7 +149,7 @@
     }
 }
 
-/// Hash chain over the entries.
+/// Extends the hash chain by an entry.
 pub fn chain(state: u64, entry: &log::Entry) -> u64 {
     let mut hash = state ^ entry.position.term;
     if let log::Payload::Command(data) = &entry.payload {
@@ -159,7 +160,7 @@
     hash.rotate_left(7).wrapping_add(entry.position.index)
 }
 
-/// What a store does with a write.
+/// Applies a write to the durable state, as a store does.
 pub fn store(disk: &mut Restored, write: &write::Write) {
     match &write.kind {
         write::Kind::Vote(vote) => disk.vote = *vote,
--- a/crates/consensus/tests/driver/scenarios.rs
+++ b/crates/consensus/tests/driver/scenarios.rs
@@ -1,94 +1,94 @@
-//! Plans that make one rare order of events likely.
+//! Scenarios that make a specific rare order of events likely.
 
 use bronzespoke_consensus::membership::Change;
 use bronzespoke_consensus::rules::Rules;
 use bronzespoke_model::id::VmId;
 use rand::Rng;
 
-use super::{Violation, World, ms};
+use super::{Cluster, Violation, ms};
 
-fn wait_for_leader(world: &mut World) -> VmId {
-    world.run_while(ms(5_000), |world| world.leader().is_some());
-    let settled = world.now + ms(200);
-    world.run_until(settled);
-    world.leader().unwrap_or(1)
+fn wait_for_leader(cluster: &mut Cluster) -> VmId {
+    cluster.run_until_condition(ms(5_000), |cluster| cluster.leader().is_some());
+    let settled = cluster.now + ms(200);
+    cluster.run_until(settled);
+    cluster.leader().unwrap_or(1)
 }
 
-fn others(world: &World, leader: VmId) -> Vec<VmId> {
-    world.nodes.keys().copied().filter(|id| *id != leader).collect()
+fn others(cluster: &Cluster, leader: VmId) -> Vec<VmId> {
+    cluster.nodes.keys().copied().filter(|id| *id != leader).collect()
 }
 
-/// Two candidates that reach only a third voter, which restarts again and again while requests are late.
+/// Two candidates that reach only a third voter, which restarts repeatedly while vote requests are delayed.
 pub fn two_candidates(seed: u64, rules: Rules) -> Option<Violation> {
-    let mut world = World::new(seed, 3, rules);
-    world.weather.late = 0.5;
-    world.cut(1, 2);
+    let mut cluster = Cluster::new(seed, 3, rules);
+    cluster.conditions.late = 0.5;
+    cluster.cut(1, 2);
     let end = ms(6_000);
-    while world.now < end && world.violation.is_none() {
-        let until = world.now + ms(world.rng.random_range(100..900));
-        world.run_until(until);
-        world.crash(3);
-        world.start(3);
+    while cluster.now < end && cluster.violation.is_none() {
+        let until = cluster.now + ms(cluster.rng.random_range(100..900));
+        cluster.run_until(until);
+        cluster.crash(3);
+        cluster.start(3);
     }
-    world.violation
+    cluster.violation
 }
 
-/// Leaders that crash while the first entries of their terms are on few members (figure 8 of the Raft paper).
+/// Leaders that crash while the first entries of their terms are on a minority (figure 8 of the Raft paper).
 pub fn short_terms(seed: u64, rules: Rules) -> Option<Violation> {
-    let mut world = World::new(seed, 3, rules);
-    world.weather.loss = 0.2;
+    let mut cluster = Cluster::new(seed, 3, rules);
+    cluster.conditions.loss = 0.2;
     let end = ms(12_000);
-    while world.now < end && world.violation.is_none() {
-        let until = world.now + ms(world.rng.random_range(1..12));
-        world.run_until(until);
-        if let Some(leader) = world.leader().filter(|_| world.rng.random_bool(0.25)) {
-            world.propose(leader);
-            world.crash(leader);
+    while cluster.now < end && cluster.violation.is_none() {
+        let until = cluster.now + ms(cluster.rng.random_range(1..12));
+        cluster.run_until(until);
+        if let Some(leader) = cluster.leader().filter(|_| cluster.rng.random_bool(0.25)) {
+            cluster.propose(leader);
+            cluster.crash(leader);
         }
-        let down = world
+        let down = cluster
             .nodes
             .values()
             .find(|node| node.replica.is_none())
             .map(|node| node.id);
-        if let Some(id) = down.filter(|_| world.rng.random_bool(0.04)) {
-            world.start(id);
+        if let Some(id) = down.filter(|_| cluster.rng.random_bool(0.04)) {
+            cluster.start(id);
         }
     }
-    world.violation
+    cluster.violation
 }
 
-/// A leader that reaches one of four others and removes two of the unreachable ones.
+/// A leader that reaches one of four other voters and removes two of the unreachable ones.
 pub fn two_changes(seed: u64, rules: Rules) -> Option<Violation> {
-    let mut world = World::new(seed, 5, rules);
-    let leader = wait_for_leader(&mut world);
-    let others = others(&world, leader);
+    let mut cluster = Cluster::new(seed, 5, rules);
+    let leader = wait_for_leader(&mut cluster);
+    let others = others(&cluster, leader);
     for far in &others[1..] {
-        world.cut(leader, *far);
-        world.cut(others[0], *far);
+        cluster.cut(leader, *far);
+        cluster.cut(others[0], *far);
     }
-    world.change(leader, Change::Remove(others[1]));
-    world.change(leader, Change::Remove(others[2]));
+    cluster.change(leader, Change::Remove(others[1]));
+    cluster.change(leader, Change::Remove(others[2]));
     for _ in 0..60 {
-        world.propose(leader);
-        let newest = world.leader().unwrap_or(leader);
-        world.propose(newest);
-        let until = world.now + ms(50);
-        world.run_until(until);
+        cluster.propose(leader);
+        let newest = cluster.leader().unwrap_or(leader);
+        cluster.propose(newest);
+        let until = cluster.now + ms(50);
+        cluster.run_until(until);
     }
-    world.cuts.clear();
-    let until = world.now + ms(2_000);
-    world.run_until(until);
-    world.violation
+    cluster.cuts.clear();
+    let until = cluster.now + ms(2_000);
+    cluster.run_until(until);
+    cluster.violation
 }
 
-/// A leader that loses contact with one of two voters, which then stands for election.
+/// A leader that loses contact with one of the two other voters, which then campaigns.
 pub fn cut_pair(seed: u64, rules: Rules) -> Option<Violation> {
-    let mut world = World::new(seed, 3, rules);
-    let leader = wait_for_leader(&mut world);
-    let other = others(&world, leader)[0];
-    world.cut(leader, other);
-    // No proposals: they would make the other's log too old to be elected.
-    let until = world.now + ms(2_000);
-    world.run_until(until);
-    world.violation
+    let mut cluster = Cluster::new(seed, 3, rules);
+    let leader = wait_for_leader(&mut cluster);
+    let other = others(&cluster, leader)[0];
+    cluster.cut(leader, other);
+    // No proposals: they would make the other voter's log too old to win an election.
+    let until = cluster.now + ms(2_000);
+    cluster.run_until(until);
+    cluster.violation
 }
--- a/crates/consensus/tests/faults.rs
+++ b/crates/consensus/tests/faults.rs
@@ -1,7 +1,7 @@
 //! Random faults over many seeds.
 //!
-//! `BRONZESPOKE_SEEDS=10000 cargo test --release -p bronzespoke-consensus --test faults` is the long form;
-//! `BRONZESPOKE_FIRST_SEED` chooses where it begins.
+//! For a longer run, use `BRONZESPOKE_SEEDS=10000 cargo test --release -p bronzespoke-consensus --test faults`;
+//! `BRONZESPOKE_FIRST_SEED` sets the first seed.
 
 mod driver;
 
@@ -21,8 +21,8 @@
         .unwrap_or(default)
 }
 
-/// Guards against any order of losses, delays, crashes, pauses, disk faults and membership changes that breaks an
-/// invariant, and against groups that do not recover once the faults end.
+/// Guards against any order of message losses, delays, crashes, pauses, disk faults and membership changes that
+/// violates an invariant, and against groups that do not recover after the faults end.
 #[test]
 fn random_faults_break_no_invariant() {
     let first = number("BRONZESPOKE_FIRST_SEED", 0);
@@ -38,14 +38,14 @@
                     if seed >= first + seeds {
                         return;
                     }
-                    let ending = plan::run(seed, Rules::default());
+                    let outcome = plan::run(seed, Rules::default());
                     let mut totals = totals.lock().expect("no thread panics");
-                    totals.0 += ending.committed;
-                    totals.1 += ending.steps;
-                    totals.2 += ending.terms;
+                    totals.0 += outcome.committed;
+                    totals.1 += outcome.steps;
+                    totals.2 += outcome.terms;
                     drop(totals);
-                    if ending.violation.is_some() || ending.stuck {
-                        faults.lock().expect("no thread panics").push((seed, ending));
+                    if outcome.violation.is_some() || outcome.stalled {
+                        faults.lock().expect("no thread panics").push((seed, outcome));
                     }
                 }
             });
--- a/crates/consensus/tests/feed.rs
+++ b/crates/consensus/tests/feed.rs
@@ -1,4 +1,4 @@
-//! A chain of followers behind a root voter.
+//! Distribution of committed entries over a chain of followers behind a root voter.
 
 use std::time::Duration;
 
@@ -28,7 +28,7 @@
     }
 }
 
-/// A follower with a clock that began at another time, and its source for the next hop.
+/// A follower with its own clock offset, and the source that serves the next hop.
 struct Hop {
     follower: Follower,
     source: Source,
@@ -82,8 +82,8 @@
     }
 }
 
-/// Guards against a follower that claims to be fresher than it is, or whose state goes back, with lost, late and
-/// repeated messages over two hops and clocks that began at different times.
+/// Guards against a follower that overstates its freshness or whose state goes back. Messages over two hops are lost,
+/// delayed and duplicated, and the clocks have different offsets.
 #[test]
 fn freshness_is_never_overstated() {
     for seed in 0..40 {
@@ -118,7 +118,7 @@
                 .extract_if(.., |request| request.0 <= now)
                 .collect::<Vec<_>>()
             {
-                // The first hop asks the root; its freshness is the present. The second hop asks the first.
+                // The first hop polls the root, whose freshness is the current time. The second hop polls the first.
                 let response = match hop {
                     0 => root.respond(now, Some(now), &request),
                     _ => hops[0]
@@ -158,7 +158,7 @@
     }
 }
 
-/// Guards against a relay that is behind and takes a follower back, and against answers that nobody asked for.
+/// Guards against a lagging relay that reverts the state of a follower, and against unsolicited responses.
 #[test]
 fn older_snapshot_is_refused() {
     let mut follower = Follower::new(Config::new(1), ms(0));
@@ -172,7 +172,7 @@
         let Some(Output::Send { request, .. }) = out.pop() else {
             panic!("a request is sent: {out:?}")
         };
-        // An answer to the first request of an empty follower, as a confused relay would send it.
+        // The response to the first request of an empty follower, as a faulty relay would send it.
         let empty = Request {
             after: 0,
             partial: None,
@@ -198,9 +198,9 @@
     assert_eq!(installs, 1);
 }
 
-/// Guards against a link whose answers all come after the time-out: they still bring entries and a freshness.
+/// Guards against a follower that makes no progress on a link where all responses arrive after the time-out.
 #[test]
-fn late_answers_count() {
+fn late_responses_are_accepted() {
     let mut source = Source::new(1_000_000);
     (1..=10_000).for_each(|index| source.push(&entry(index)));
     let mut follower = Follower::new(Config::new(1), ms(0));
@@ -241,9 +241,9 @@
     );
 }
 
-/// Guards against messages that do not survive the wire, and against entries that cost more than they must.
+/// Guards against messages that do not survive a round trip through the encoding, and against needlessly large entries.
 #[test]
-fn messages_travel_in_postcard() {
+fn messages_round_trip_in_postcard() {
     let items: Vec<_> = (1..=10)
         .map(|index| message::Item::from_entry(entry(index)))
         .collect();
--- a/crates/consensus/tests/relay.rs
+++ b/crates/consensus/tests/relay.rs
@@ -1,4 +1,4 @@
-//! The choice of a relay by a follower whose relay fails in several ways.
+//! Relay selection of a follower whose relay fails in various ways.
 
 use std::time::Duration;
 
@@ -9,32 +9,33 @@
     Duration::from_millis(millis)
 }
 
-/// Age above which a view is not honoured (section 2.2 of the design).
+/// Age above which a view is not used (section 2.2 of the design).
 const KEY_FRESHNESS: Duration = ms(3_000);
 /// One-way delay between regions (section 1.6 of the design).
 const DELAY: Duration = ms(12);
-/// Time between two ticks of the control thread.
+/// Interval between two ticks of the control thread, in milliseconds.
 const TICK: u64 = 100;
-/// Age of the view of a member that hears its leader: two heartbeats and their answers.
+/// Age of the view of a member that has contact with its leader: two heartbeats and their replies.
 const MEMBER_AGE: Duration = ms(400);
-/// When the first failure begins, and when the run ends.
+/// Start of the first failure.
 const FAILURE: Duration = ms(5_000);
+/// End of the run in milliseconds.
 const END: u64 = 40_000;
 
-/// What a member does from an instant on.
+/// Behaviour of a member from a point in time on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum State {
-    /// It hears its leader.
+    /// It responds, and has contact with its leader.
     Fresh,
-    /// It answers, but has heard no leader since.
+    /// It responds, but has had no contact with a leader since.
     Stale,
-    /// It answers, and knows no freshness.
+    /// It responds, but its freshness is unknown.
     Unknown,
-    /// It does not answer.
+    /// It does not respond.
     Silent,
 }
 
-/// A member with its states over time.
+/// A member and its states over time.
 struct Member {
     vm: VmId,
     distance: Distance,
@@ -62,16 +63,16 @@
     }
 }
 
-/// What a run showed.
+/// Observations of a run.
 struct Run {
-    /// Times from the first view on at which the view was too old.
+    /// Times, from the first view on, at which the view was too old.
     too_old: Vec<Duration>,
-    /// Relay at the end.
+    /// Relay at the end of the run.
     relay: Option<VmId>,
     requests: u32,
 }
 
-/// Runs a follower against the members.
+/// Runs a follower with the given members as relays.
 fn run(members: &[Member]) -> Run {
     let mut follower = Follower::new(Config::new(1), ms(0));
     let mut relays = Relays::default();
@@ -122,15 +123,15 @@
     seen
 }
 
-/// Guards against a follower that keeps a relay which answers but hears no leader, or one that does not answer, until
-/// its own view is too old for keyed work.
+/// Guards against a follower that keeps a relay that has no contact with its leader, or that does not respond, until
+/// the view of the follower is too old for requests with keys.
 #[yare::parameterized(
     stale = { State::Stale },
     unknown_freshness = { State::Unknown },
     silent = { State::Silent },
 )]
-fn a_failed_relay_is_left_in_time(failure: State) {
-    // Each phase of the polls meets the failure.
+fn a_failed_relay_is_replaced_in_time(failure: State) {
+    // The failure begins at different phases of the poll interval.
     for phase in (0..600).step_by(20) {
         let at = FAILURE.as_millis() as u64 + phase;
         let run = run(&[
@@ -145,7 +146,7 @@
     }
 }
 
-/// Guards against a choice between two failed relays only, with a third that would answer.
+/// Guards against alternating between two failed relays while a third one is available.
 #[test]
 fn the_third_relay_is_found() {
     let run = run(&[
@@ -156,7 +157,8 @@
     assert!(run.too_old.is_empty(), "{:?}", run.too_old.first());
 }
 
-/// Guards against a follower that stays at a distant relay, which costs billed bytes, after the near one is fresh again.
+/// Guards against a follower that stays with a remote relay, whose traffic is billed, after the nearest one is fresh
+/// again.
 #[test]
 fn the_nearest_relay_is_used_again() {
     let run = run(&[
@@ -167,8 +169,8 @@
     assert_eq!(run.relay, Some(1));
 }
 
-/// Guards against a group without a leader whose followers fill the links while they look for a fresh relay, or miss
-/// the first one that is fresh again.
+/// Guards against followers that overload the links while their group has no leader and they look for a fresh relay, or
+/// that miss the first relay that is fresh again.
 #[test]
 fn a_group_without_a_leader_costs_few_requests() {
     let back = 30_000;
--- a/crates/consensus/tests/rules.rs
+++ b/crates/consensus/tests/rules.rs
@@ -1,15 +1,15 @@
-//! The driver finds each broken safety rule.
+//! Verifies that the driver detects the absence of each safety rule.
 
 mod driver;
 
 use bronzespoke_consensus::rules::Rules;
-use driver::{Violation, focus, plan};
+use driver::{Violation, plan, scenarios};
 
 type Plan = fn(u64, Rules) -> Option<Violation>;
 
-/// Seeds that are tried at most.
+/// Maximum number of seeds to try.
 const SEEDS: u64 = 3_000;
-/// Seeds of a focused plan that must pass with all rules on.
+/// Seeds of a scenario that must pass with all rules enabled.
 const SOUND_SEEDS: u64 = 40;
 
 fn without(change: impl FnOnce(&mut Rules)) -> Rules {
@@ -22,58 +22,59 @@
     plan::run(seed, rules).violation
 }
 
-/// Guards against checks that pass whatever the replica does: with one rule off, some seed breaks an invariant.
+/// Guards against checks that never fail: with one rule disabled, some seed must violate an invariant.
 #[yare::parameterized(
     count_voters_only = { random, without(|rules| rules.count_voters_only = false) },
     acknowledge_after_sync = { random, without(|rules| rules.acknowledge_after_sync = false) },
-    commit_current_term_only = { focus::short_terms, without(|rules| rules.commit_current_term_only = false) },
-    reject_vote_under_lease = { focus::cut_pair, without(|rules| rules.reject_vote_under_lease = false) },
+    commit_current_term_only = { scenarios::short_terms, without(|rules| rules.commit_current_term_only = false) },
+    reject_vote_under_lease = { scenarios::cut_pair, without(|rules| rules.reject_vote_under_lease = false) },
     reject_older_snapshot = { random, without(|rules| rules.reject_older_snapshot = false) },
     require_up_to_date_log = { random, without(|rules| rules.require_up_to_date_log = false) },
     expire_lease = { random, without(|rules| rules.expire_lease = false) },
-    one_change_at_a_time = { focus::two_changes, without(|rules| rules.one_change_at_a_time = false) },
+    one_change_at_a_time = { scenarios::two_changes, without(|rules| rules.one_change_at_a_time = false) },
     store_commit = { random, without(|rules| rules.store_commit = false) },
     promote_caught_up = { random, without(|rules| rules.promote_caught_up = false) },
 )]
-fn broken_rule_is_found(plan: Plan, rules: Rules) {
+fn missing_rule_is_detected(plan: Plan, rules: Rules) {
     for seed in 0..SEEDS {
-        // An assertion inside the replica finds a broken rule as well as the driver's checks do.
+        // An assertion inside the replica detects a missing rule as well as the checks of the driver.
         let outcome = std::panic::catch_unwind(|| plan(seed, rules));
         if !matches!(outcome, Ok(None)) {
             println!("{outcome:?} at seed {seed}");
             return;
         }
     }
-    panic!("no seed breaks an invariant");
+    panic!("no seed violates an invariant");
 }
 
-/// Guards against focused plans that report a violation of a sound replica.
+/// Guards against scenarios that report a violation although all rules are enabled.
 #[yare::parameterized(
-    two_candidates = { focus::two_candidates },
-    short_terms = { focus::short_terms },
-    two_changes = { focus::two_changes },
-    cut_pair = { focus::cut_pair },
+    two_candidates = { scenarios::two_candidates },
+    short_terms = { scenarios::short_terms },
+    two_changes = { scenarios::two_changes },
+    cut_pair = { scenarios::cut_pair },
 )]
-fn sound_rules_pass_focused_plans(plan: Plan) {
+fn scenarios_pass_with_all_rules(plan: Plan) {
     for seed in 0..SOUND_SEEDS {
         assert_eq!(plan(seed, Rules::default()), None, "seed {seed}");
     }
 }
 
-/// Guards against a vote that a restart forgets. The silence after a restart is longer than an election, so it hides
-/// this fault; it is off here, and the same seeds show that a remembered vote suffices for one leader in a term.
+/// Guards against a vote that is lost in a restart. The denial of votes after a restart lasts longer than an election
+/// and would hide the fault, so it is disabled here. The same seeds show that persisting the vote is sufficient for a
+/// single leader per term.
 #[test]
-fn forgotten_vote_is_found() {
-    let silence_off = without(|rules| rules.reject_vote_under_lease = false);
+fn lost_vote_is_detected() {
+    let lease_denial_off = without(|rules| rules.reject_vote_under_lease = false);
     let both_off = Rules {
         persist_vote: false,
-        ..silence_off
+        ..lease_denial_off
     };
     let forgotten =
-        (0..SEEDS).find(|seed| focus::two_candidates(*seed, both_off) == Some(Violation::TwoLeaders));
+        (0..SEEDS).find(|seed| scenarios::two_candidates(*seed, both_off) == Some(Violation::TwoLeaders));
     let seed = forgotten.expect("no seed has two leaders in a term");
     for seed in 0..=seed.max(SOUND_SEEDS) {
-        let found = focus::two_candidates(seed, silence_off);
+        let found = scenarios::two_candidates(seed, lease_denial_off);
         assert_ne!(found, Some(Violation::TwoLeaders), "seed {seed}");
     }
 }
