--- a/crates/gossip/src/exchange.rs
+++ b/crates/gossip/src/exchange.rs
@@ -1,4 +1,4 @@
-//! Composition and reception of messages.
+//! Message exchange: composition and processing of messages.
 
 use std::time::Duration;
 
@@ -7,20 +7,20 @@
 use crate::{
     gossip::{Gossip, Peer},
     key::{Key, Value},
-    links::Link,
     message::{self, Delta, DigestEntry, Echo, Message, Request},
     origin::Origin,
+    topology::Link,
 };
 
-/// Shortest time between requests for the entries of one origin.
-const ASK_INTERVAL: Duration = Duration::from_millis(100);
-/// Clocks of two VMs differ in rate by at most this part.
+/// Minimum time between requests for the entries of one origin.
+const REQUEST_INTERVAL: Duration = Duration::from_millis(100);
+/// Maximum difference between the clock rates of two VMs, as a fraction.
 const DRIFT: f64 = 0.02;
-/// Ages at or above this are sent as this; such entries are unusable anyway.
+/// Cap of ages in messages. Entries of this age are far too old to be used.
 const MAX_AGE_MS: u32 = 3_600_000;
 
 impl Gossip {
-    /// Takes a message from another VM.
+    /// Processes a message from another VM and appends messages to send to `out`.
     pub fn receive(
         &mut self,
         now: Duration,
@@ -28,11 +28,11 @@
         message: Message,
         out: &mut Vec<(id::VmId, Message)>,
     ) {
-        let is_peer = from != self.config.id && self.links.is_member(from);
-        if !is_peer || !self.note_peer(now, from, &message) {
+        let is_peer = from != self.config.id && self.topology.is_member(from);
+        if !is_peer || !self.record_peer(now, from, &message) {
             return;
         }
-        self.links.note(now, from, message.initiated);
+        self.topology.record_contact(now, from, message.initiated);
         for delta in message.deltas.into_iter().take(message::MAX_DIGEST_ENTRIES) {
             self.merge(now, delta);
         }
@@ -41,7 +41,7 @@
         for entry in message.digest.iter().take(message::MAX_DIGEST_ENTRIES) {
             self.merge_digest_entry(now, from, entry, sent, &mut requests);
         }
-        let deltas = self.answer(from, &message.requests);
+        let deltas = self.respond(from, &message.requests);
         if !requests.is_empty() || !deltas.is_empty() {
             let digest = deltas
                 .iter()
@@ -55,8 +55,9 @@
         }
     }
 
-    /// Records the sender's life and stamp; `false` when the message is of an earlier life.
-    fn note_peer(&mut self, now: Duration, from: id::VmId, message: &Message) -> bool {
+    /// Records the incarnation and send time of the sender. Returns `false` if the message is from an earlier
+    /// incarnation.
+    fn record_peer(&mut self, now: Duration, from: id::VmId, message: &Message) -> bool {
         let peer = self.peers.entry(from).or_default();
         if message.incarnation < peer.incarnation {
             return false;
@@ -71,7 +72,8 @@
         true
     }
 
-    /// Returns the earliest local time at which a message with this echo can have been sent.
+    /// Returns the earliest local time at which a message with this echo can have been sent, or `None` if the echo is
+    /// not valid.
     fn sent_at(&self, now: Duration, echo: &Echo) -> Option<Duration> {
         if !self.rules.echo {
             return Some(now);
@@ -85,14 +87,14 @@
     }
 
     fn merge(&mut self, now: Duration, delta: Delta) {
-        if delta.origin == self.config.id || !self.links.is_member(delta.origin) {
+        if delta.origin == self.config.id || !self.topology.is_member(delta.origin) {
             return;
         }
-        let Some(origin) = self.origin_of(delta.origin, delta.incarnation) else {
+        let Some(origin) = self.origin_mut(delta.origin, delta.incarnation) else {
             return;
         };
         let changed = origin.merge(now, delta);
-        let marks: Vec<(id::TargetId, id::Incarnation)> = changed
+        let departures: Vec<(id::TargetId, id::Incarnation)> = changed
             .iter()
             .filter_map(|key| match (key, origin.get(*key)) {
                 (Key::Target(target), Some(Value::Departing { incarnation })) => {
@@ -102,13 +104,13 @@
             })
             .collect();
         self.urgent |= changed.iter().any(|key| matches!(key, Key::Target(_)));
-        for (target, incarnation) in marks {
-            self.mark(now, target, incarnation);
+        for (target, incarnation) in departures {
+            self.record_departure(now, target, incarnation);
         }
     }
 
-    /// Returns the entries of a life of an origin; `None` when a later life is known.
-    fn origin_of(&mut self, vm: id::VmId, incarnation: id::Incarnation) -> Option<&mut Origin> {
+    /// Returns the state of an incarnation of an origin, or `None` if a later incarnation is known.
+    fn origin_mut(&mut self, vm: id::VmId, incarnation: id::Incarnation) -> Option<&mut Origin> {
         let origin = self.origins.entry(vm).or_insert_with(|| Origin::new(incarnation));
         if incarnation > origin.incarnation {
             *origin = Origin::new(incarnation);
@@ -124,10 +126,10 @@
         sent: Option<Duration>,
         requests: &mut Vec<Request>,
     ) {
-        if entry.origin == self.config.id || !self.links.is_member(entry.origin) {
+        if entry.origin == self.config.id || !self.topology.is_member(entry.origin) {
             return;
         }
-        let Some(origin) = self.origin_of(entry.origin, entry.incarnation) else {
+        let Some(origin) = self.origin_mut(entry.origin, entry.incarnation) else {
             return;
         };
         if origin.known < entry.version {
@@ -138,11 +140,11 @@
                 floor: origin.floor,
             };
             let due = self
-                .asked
+                .requested_at
                 .get(&entry.origin)
-                .is_none_or(|asked| now >= *asked + ASK_INTERVAL);
+                .is_none_or(|requested_at| now >= *requested_at + REQUEST_INTERVAL);
             if due {
-                self.asked.insert(entry.origin, now);
+                self.requested_at.insert(entry.origin, now);
                 requests.push(request);
             }
             return;
@@ -155,18 +157,18 @@
         }
     }
 
-    fn answer(&mut self, from: id::VmId, requests: &[Request]) -> Vec<Delta> {
+    fn respond(&mut self, from: id::VmId, requests: &[Request]) -> Vec<Delta> {
         let mut budget = message::MAX_ENTRIES_BYTES;
         let mut deltas = Vec::new();
         for request in requests.iter().take(message::MAX_DIGEST_ENTRIES) {
-            let Some(origin) = self.held(request.origin) else {
+            let Some(origin) = self.origin(request.origin) else {
                 continue;
             };
             if origin.incarnation != request.incarnation {
                 continue;
             }
-            let missed_removals = request.known < origin.floor && request.floor < origin.floor;
-            let after = if missed_removals && self.rules.floor {
+            let missed_tombstones = request.known < origin.floor && request.floor < origin.floor;
+            let after = if missed_tombstones && self.rules.floor {
                 0
             } else {
                 request.known
@@ -180,16 +182,16 @@
         deltas
     }
 
-    fn held(&self, vm: id::VmId) -> Option<&Origin> {
+    fn origin(&self, vm: id::VmId) -> Option<&Origin> {
         if vm == self.config.id {
-            Some(&self.mine)
+            Some(&self.local)
         } else {
             self.origins.get(&vm)
         }
     }
 
     fn digest_entry(&self, now: Duration, vm: id::VmId) -> Option<DigestEntry> {
-        let origin = self.held(vm)?;
+        let origin = self.origin(vm)?;
         let age = if vm == self.config.id {
             Duration::ZERO
         } else {
@@ -203,14 +205,14 @@
         })
     }
 
-    /// Returns the origins that this VM reports on a link: itself, and what it learned directly from the other side.
+    /// Returns the origins to report on a link: this VM, and the origins that it relays to the peer.
     ///
-    /// A VM passes on what it learned directly, once: entries of its own zone to other zones, and entries of other
-    /// zones to its own zone. No entry can travel in a circle.
+    /// A VM relays entries of its own zone to other zones, and entries received from other zones to its own zone. Each
+    /// entry is relayed at most once in each direction, so none can circulate.
     fn scope(&self, link: Link) -> Vec<id::VmId> {
         let direct = |vm: id::VmId, origin: &Origin| match origin.via {
-            Some(via) if link.local => !self.links.is_local(via) && !self.links.is_local(vm),
-            Some(_) => self.links.is_local(vm),
+            Some(via) if link.local => !self.topology.is_local(via) && !self.topology.is_local(vm),
+            Some(_) => self.topology.is_local(vm),
             None => false,
         };
         std::iter::once(self.config.id)
@@ -223,8 +225,8 @@
             .collect()
     }
 
-    /// Sends the digest of a link, and what changed since the last message on it.
-    pub(crate) fn send_regular(&mut self, now: Duration, link: Link, out: &mut Vec<(id::VmId, Message)>) {
+    /// Sends the digest for a link and the changes since the last message to the peer.
+    pub(crate) fn send_periodic(&mut self, now: Duration, link: Link, out: &mut Vec<(id::VmId, Message)>) {
         let scope = self.scope(link);
         let digest = scope
             .iter()
@@ -235,10 +237,10 @@
         out.push((link.peer, message));
     }
 
-    /// Sends what changed on every link that has changes.
+    /// Sends changes immediately, on each link that has any.
     pub(crate) fn send_urgent(&mut self, now: Duration, out: &mut Vec<(id::VmId, Message)>) {
         self.urgent = false;
-        for link in self.links.list(now, true) {
+        for link in self.topology.links(now, true) {
             let scope = self.scope(link);
             let deltas = self.changes(link.peer, &scope);
             if deltas.is_empty() {
@@ -253,13 +255,13 @@
         }
     }
 
-    /// Returns what changed since the last message to a peer. On first contact there is none: the peer asks for what
-    /// it lacks.
+    /// Returns the changes since the last message to a peer. There are none on first contact: the peer requests what it
+    /// lacks.
     fn changes(&mut self, peer: id::VmId, scope: &[id::VmId]) -> Vec<Delta> {
         let mut budget = message::MAX_ENTRIES_BYTES;
         let mut deltas = Vec::new();
         for vm in scope {
-            let Some(origin) = self.held(*vm) else {
+            let Some(origin) = self.origin(*vm) else {
                 continue;
             };
             let (incarnation, known) = (origin.incarnation, origin.known);
--- a/crates/gossip/src/gossip.rs
+++ b/crates/gossip/src/gossip.rs
@@ -1,4 +1,4 @@
-//! One VM's soft state: publication, reads and the regular messages.
+//! Soft state of one VM: publishing and reading entries, and sending periodic messages.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,61 +10,61 @@
 
 use crate::{
     key::{Key, Value},
-    links::Links,
     message::Message,
     origin::Origin,
+    topology::Topology,
 };
 
-/// Time between messages to the other VMs of the zone.
+/// Interval of messages to the other VMs of the zone.
 pub const LOCAL_INTERVAL: Duration = Duration::from_millis(250);
-/// Time between messages to another zone. With two local intervals it leaves room for one lost message below
-/// [`USABLE_AGE`].
+/// Interval of messages to other zones. Together with two local intervals it stays below [`USABLE_AGE`] even if one
+/// message is lost.
 pub const REMOTE_INTERVAL: Duration = Duration::from_millis(800);
-/// Age from which an entry of another VM is not usable for routing; with 0.5 s for the readers of the views, silence
-/// takes a departing target out of use within 3 s.
+/// Age from which an entry of another VM is not usable for routing. Readers may use a view that is 0.5 s old, so a
+/// departing target whose VM is unreachable receives no new requests after 3 s.
 pub const USABLE_AGE: Duration = Duration::from_millis(2500);
-/// Time for which departing marks are remembered.
+/// Time for which departures of targets are retained.
 pub const DEPARTURE_RETENTION: Duration = Duration::from_mins(10);
-/// Most departing marks; the oldest is forgotten first.
+/// Maximum number of retained departures; the oldest is dropped first.
 pub const MAX_DEPARTURES: usize = 16_384;
 
 const FIRST_KEY: Key = Key::Target(0);
 const LAST_KEY: Key = Key::Capacity(id::AvailabilityZoneId::MAX);
 
-/// Settings.
+/// Configuration of the gossip state of a VM.
 #[derive(Debug, Clone, Copy)]
 pub struct Config {
-    /// This VM.
+    /// Id of this VM.
     pub id: id::VmId,
-    /// Where it stands.
+    /// Region and zone of this VM.
     pub place: vm::Place,
-    /// Life of the process; larger than every earlier one of the VM.
+    /// Incarnation of the process; must be larger than each earlier one of this VM.
     pub incarnation: id::Incarnation,
-    /// Seed of the phase of regular messages.
+    /// Seed of the phases of periodic messages.
     pub seed: u64,
 }
 
-/// A VM of the directory.
+/// A member of the gossip network: id, and region and zone.
 pub type Member = (id::VmId, vm::Place);
 
-/// Why nothing was published.
+/// Reason for which an entry was not published.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Error {
-    /// This life of the target has departed, or a later one was seen.
+    /// This incarnation of the target has departed, or a later one is known.
     Departed,
-    /// The VM publishes too many entries.
+    /// The VM already publishes the maximum number of entries.
     Full,
 }
 
-/// Safety rules that tests switch off to show that the checks catch their absence.
+/// Safety rules, all enabled by default. Tests disable one to verify that their checks detect its absence.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy)]
 pub struct Rules {
-    /// Departing marks beat announcements.
+    /// A departure takes precedence over announcements of the same or an earlier incarnation.
     pub departures: bool,
-    /// Ages count from the echoed message; otherwise from the arrival.
+    /// Ages are bounded by the echoed message; otherwise they count from the arrival.
     pub echo: bool,
-    /// Entries whose removal may have been missed are dropped.
+    /// Entries whose tombstones may have been missed are dropped.
     pub floor: bool,
 }
 
@@ -78,21 +78,21 @@
     }
 }
 
-/// An entry as readers see it.
+/// A published entry, as returned to readers.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Entry<'a> {
-    /// Name.
+    /// Key of the entry.
     pub key: Key,
-    /// Content.
+    /// Published value.
     pub value: &'a Value,
-    /// VM that published it.
+    /// VM that published the entry.
     pub origin: id::VmId,
-    /// Time since the origin last vouched for it.
+    /// Upper bound on the time since the origin last confirmed the entry.
     pub age: Duration,
 }
 
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Mark {
+pub(crate) struct Departure {
     pub(crate) incarnation: id::Incarnation,
     since: Duration,
 }
@@ -109,61 +109,61 @@
 pub struct Gossip {
     pub(crate) config: Config,
     pub(crate) rules: Rules,
-    pub(crate) links: Links,
-    pub(crate) mine: Origin,
+    pub(crate) topology: Topology,
+    pub(crate) local: Origin,
     pub(crate) origins: BTreeMap<id::VmId, Origin>,
-    pub(crate) marks: BTreeMap<id::TargetId, Mark>,
+    pub(crate) departures: BTreeMap<id::TargetId, Departure>,
     pub(crate) peers: BTreeMap<id::VmId, Peer>,
-    /// Versions sent to each peer for each origin.
+    /// Incarnation and version last sent, by peer and origin.
     pub(crate) sent: BTreeMap<(id::VmId, id::VmId), (id::Incarnation, u64)>,
-    /// Time of the last request for each origin.
-    pub(crate) asked: BTreeMap<id::VmId, Duration>,
+    /// Time of the last request for the entries of each origin.
+    pub(crate) requested_at: BTreeMap<id::VmId, Duration>,
     pub(crate) urgent: bool,
     next_local: Duration,
     next_remote: Duration,
 }
 
 impl Gossip {
-    /// Returns a VM's soft state, with nothing published and no members.
+    /// Returns an empty state without members.
     pub fn new(config: Config, now: Duration) -> Self {
         let mut random = SmallRng::seed_from_u64(config.seed ^ config.id);
         let mut phase = |interval: Duration| now + interval.mul_f64(random.random::<f64>());
         Self {
             config,
             rules: Rules::default(),
-            links: Links::new(config.id, config.place, now),
-            mine: Origin::new(config.incarnation),
+            topology: Topology::new(config.id, config.place, now),
+            local: Origin::new(config.incarnation),
             origins: BTreeMap::new(),
-            marks: BTreeMap::new(),
+            departures: BTreeMap::new(),
             peers: BTreeMap::new(),
             sent: BTreeMap::new(),
-            asked: BTreeMap::new(),
+            requested_at: BTreeMap::new(),
             urgent: false,
             next_local: phase(LOCAL_INTERVAL),
             next_remote: phase(REMOTE_INTERVAL),
         }
     }
 
-    /// Switches safety rules off.
+    /// Replaces the safety rules; for tests.
     #[doc(hidden)]
     pub fn set_rules(&mut self, rules: Rules) {
         self.rules = rules;
     }
 
-    /// Takes over the directory. Entries of VMs that are no longer in it are dropped.
+    /// Replaces the members. Entries of VMs that are no longer members are dropped.
     pub fn set_members(&mut self, now: Duration, members: &[Member]) {
-        self.links.set_members(now, members);
-        let links = &self.links;
-        self.origins.retain(|vm, _| links.is_member(*vm));
-        self.peers.retain(|vm, _| links.is_member(*vm));
-        self.asked.retain(|vm, _| links.is_member(*vm));
+        self.topology.set_members(now, members);
+        let topology = &self.topology;
+        self.origins.retain(|vm, _| topology.is_member(*vm));
+        self.peers.retain(|vm, _| topology.is_member(*vm));
+        self.requested_at.retain(|vm, _| topology.is_member(*vm));
         self.sent
-            .retain(|(peer, origin), _| links.is_member(*peer) && links.is_member(*origin));
+            .retain(|(peer, origin), _| topology.is_member(*peer) && topology.is_member(*origin));
     }
 
-    /// Publishes an entry of this VM. An equal value is not published again.
+    /// Publishes an entry of this VM, unless its value is unchanged.
     pub fn set(&mut self, now: Duration, key: Key, value: Value) -> Result<(), Error> {
-        if self.mine.get(key) == Some(&value) {
+        if self.local.get(key) == Some(&value) {
             return Ok(());
         }
         if let (Key::Target(target), Value::Target { announcement, .. }) = (key, &value)
@@ -171,21 +171,22 @@
         {
             return Err(Error::Departed);
         }
-        if self.mine.is_full(key) {
+        if self.local.is_full(key) {
             return Err(Error::Full);
         }
         if let (Key::Target(target), Value::Departing { incarnation }) = (key, &value) {
-            self.mark(now, target, *incarnation);
-            if self.mine.get(key) == Some(&value) {
+            self.record_departure(now, target, *incarnation);
+            if self.local.get(key) == Some(&value) {
                 return Ok(());
             }
         }
         self.urgent |= value.is_urgent();
-        self.mine.publish(now, key, Some(value));
+        self.local.publish(now, key, Some(value));
         Ok(())
     }
 
-    /// Publishes that a life of a target takes no new work. The target need not have announced itself here.
+    /// Publishes that an incarnation of a target accepts no new requests. The target may have been announced on another
+    /// VM.
     pub fn set_departing(
         &mut self,
         now: Duration,
@@ -193,7 +194,7 @@
         incarnation: id::Incarnation,
     ) -> Result<(), Error> {
         if self
-            .mine
+            .local
             .get(Key::Target(target))
             .is_some_and(|value| value.rank().0 > incarnation)
         {
@@ -204,13 +205,13 @@
 
     /// Removes an entry of this VM.
     pub fn remove(&mut self, now: Duration, key: Key) {
-        if let Some(value) = self.mine.get(key) {
+        if let Some(value) = self.local.get(key) {
             self.urgent |= value.is_urgent();
-            self.mine.publish(now, key, None);
+            self.local.publish(now, key, None);
         }
     }
 
-    /// Returns when [`Gossip::tick`] has something to do next.
+    /// Returns the time by which [`Gossip::tick`] must be called.
     pub fn next_wake(&self) -> Duration {
         if self.urgent {
             Duration::ZERO
@@ -219,19 +220,24 @@
         }
     }
 
-    /// Sends regular messages that are due, and urgent changes.
+    /// Appends periodic messages that are due and urgent changes to `out`.
     pub fn tick(&mut self, now: Duration, out: &mut Vec<(id::VmId, Message)>) {
         if now >= self.next_local {
             self.next_local = now + LOCAL_INTERVAL;
             self.purge(now);
-            for link in self.links.list(now, false) {
-                self.send_regular(now, link, out);
+            for link in self.topology.links(now, false) {
+                self.send_periodic(now, link, out);
             }
         }
         if now >= self.next_remote {
             self.next_remote = now + REMOTE_INTERVAL;
-            for link in self.links.list(now, true).into_iter().filter(|link| !link.local) {
-                self.send_regular(now, link, out);
+            for link in self
+                .topology
+                .links(now, true)
+                .into_iter()
+                .filter(|link| !link.local)
+            {
+                self.send_periodic(now, link, out);
             }
         }
         if self.urgent {
@@ -240,65 +246,70 @@
     }
 
     fn purge(&mut self, now: Duration) {
-        self.mine.purge(now);
+        self.local.purge(now);
         for origin in self.origins.values_mut() {
             origin.purge(now);
         }
-        self.marks
-            .retain(|_, mark| now < mark.since + DEPARTURE_RETENTION);
-        let marks = &self.marks;
+        self.departures
+            .retain(|_, departure| now < departure.since + DEPARTURE_RETENTION);
+        let departures = &self.departures;
         let forgotten: Vec<Key> = self
-            .mine
+            .local
             .range(FIRST_KEY, Key::Target(id::TargetId::MAX))
             .filter(|(key, value)| {
-                let marked = matches!(key, Key::Target(target) if marks.contains_key(target));
-                matches!(value, Value::Departing { .. }) && !marked
+                let recorded = matches!(key, Key::Target(target) if departures.contains_key(target));
+                matches!(value, Value::Departing { .. }) && !recorded
             })
             .map(|(key, _)| key)
             .collect();
         for key in forgotten {
-            self.mine.publish(now, key, None);
+            self.local.publish(now, key, None);
         }
     }
 
-    /// Remembers that a life of a target departed, and withdraws its announcement by this VM.
-    pub(crate) fn mark(&mut self, now: Duration, target: id::TargetId, incarnation: id::Incarnation) {
-        if !self.marks.contains_key(&target) && self.marks.len() >= MAX_DEPARTURES {
+    /// Records that an incarnation of a target departed, and replaces its announcement if this VM published it.
+    pub(crate) fn record_departure(
+        &mut self,
+        now: Duration,
+        target: id::TargetId,
+        incarnation: id::Incarnation,
+    ) {
+        if !self.departures.contains_key(&target) && self.departures.len() >= MAX_DEPARTURES {
             let oldest = self
-                .marks
+                .departures
                 .iter()
-                .min_by_key(|(_, mark)| mark.since)
+                .min_by_key(|(_, departure)| departure.since)
                 .map(|(id, _)| *id);
-            oldest.and_then(|oldest| self.marks.remove(&oldest));
+            oldest.and_then(|oldest| self.departures.remove(&oldest));
         }
-        let mark = self.marks.entry(target).or_insert(Mark {
+        let departure = self.departures.entry(target).or_insert(Departure {
             incarnation,
             since: now,
         });
-        if incarnation > mark.incarnation {
-            *mark = Mark {
+        if incarnation > departure.incarnation {
+            *departure = Departure {
                 incarnation,
                 since: now,
             };
         }
         let announced = matches!(
-            self.mine.get(Key::Target(target)),
+            self.local.get(Key::Target(target)),
             Some(Value::Target { announcement, .. }) if announcement.incarnation <= incarnation
         );
         if announced && self.rules.departures {
-            self.mine
+            self.local
                 .publish(now, Key::Target(target), Some(Value::Departing { incarnation }));
             self.urgent = true;
         }
     }
 
-    /// Tells whether a life of a target is known to take no new work.
+    /// Returns whether an incarnation of a target is known to have departed.
     pub fn is_departed(&self, target: id::TargetId, incarnation: id::Incarnation) -> bool {
         self.rules.departures
             && self
-                .marks
+                .departures
                 .get(&target)
-                .is_some_and(|mark| incarnation <= mark.incarnation)
+                .is_some_and(|departure| incarnation <= departure.incarnation)
     }
 
     fn age_of(&self, origin: id::VmId, now: Duration) -> Option<Duration> {
@@ -309,10 +320,11 @@
         Some(now.saturating_sub(freshness))
     }
 
-    /// Returns the entry of a key with the highest rank, the youngest among equals, whatever its age.
+    /// Returns the entry of a key with the highest rank, regardless of age; the freshest one if several VMs published
+    /// it.
     pub fn get(&self, key: Key, now: Duration) -> Option<Entry<'_>> {
         let mut best: Option<Entry<'_>> = None;
-        for (origin, entries) in self.all() {
+        for (origin, entries) in self.all_origins() {
             let Some(value) = entries.get(key) else {
                 continue;
             };
@@ -322,48 +334,48 @@
                 origin,
                 age: self.age_of(origin, now).unwrap_or(Duration::MAX),
             };
-            if best.is_none_or(|best| is_better(&entry, &best)) {
+            if best.is_none_or(|best| supersedes(&entry, &best)) {
                 best = Some(entry);
             }
         }
         best
     }
 
-    /// Returns the age of the entry that [`Gossip::get`] returns; `None` when there is none or its age is not known.
+    /// Returns the age of the entry that [`Gossip::get`] returns, or `None` if there is none or its age is unknown.
     pub fn age(&self, key: Key, now: Duration) -> Option<Duration> {
         self.get(key, now)
             .map(|entry| entry.age)
             .filter(|age| *age != Duration::MAX)
     }
 
-    /// Returns the time since a VM last vouched for its entries; `None` when it is not known.
+    /// Returns the time since a VM last confirmed its entries, or `None` if it is unknown.
     pub fn vm_age(&self, vm: id::VmId, now: Duration) -> Option<Duration> {
         self.age_of(vm, now)
     }
 
-    fn all(&self) -> impl Iterator<Item = (id::VmId, &Origin)> {
-        std::iter::once((self.config.id, &self.mine))
+    fn all_origins(&self) -> impl Iterator<Item = (id::VmId, &Origin)> {
+        std::iter::once((self.config.id, &self.local))
             .chain(self.origins.iter().map(|(vm, origin)| (*vm, origin)))
     }
 
-    /// Returns one entry per key among those that are young enough for routing. Targets of which a later life or a
-    /// departure is known, from an entry of any age, are left out.
+    /// Returns one entry per key among those that are fresh enough for routing. Targets of which a later incarnation
+    /// or a departure is known, from an entry of any age, are omitted.
     pub fn usable(&self, now: Duration) -> impl Iterator<Item = Entry<'_>> {
         self.usable_between(now, FIRST_KEY, LAST_KEY)
     }
 
     fn usable_between(&self, now: Duration, first: Key, last: Key) -> impl Iterator<Item = Entry<'_>> {
         let mut best: BTreeMap<Key, Entry<'_>> = BTreeMap::new();
-        let mut lives: BTreeMap<id::TargetId, id::Incarnation> = BTreeMap::new();
-        for (origin, entries) in self.all() {
+        let mut latest_incarnations: BTreeMap<id::TargetId, id::Incarnation> = BTreeMap::new();
+        for (origin, entries) in self.all_origins() {
             let age = self.age_of(origin, now).filter(|age| *age < USABLE_AGE);
             for (key, value) in entries.range(first, last) {
                 if !self.rules.departures && matches!(value, Value::Departing { .. }) {
                     continue;
                 }
                 if let Key::Target(target) = key {
-                    let life = lives.entry(target).or_default();
-                    *life = value.rank().0.max(*life);
+                    let latest = latest_incarnations.entry(target).or_default();
+                    *latest = value.rank().0.max(*latest);
                 }
                 let Some(age) = age else {
                     continue;
@@ -375,7 +387,7 @@
                     age,
                 };
                 let held = best.entry(key).or_insert(entry);
-                if is_better(&entry, held) {
+                if supersedes(&entry, held) {
                     *held = entry;
                 }
             }
@@ -383,7 +395,7 @@
         best.into_values()
             .filter(move |entry| match (entry.key, entry.value) {
                 (Key::Target(target), Value::Target { announcement, .. }) => {
-                    let latest = lives.get(&target) == Some(&announcement.incarnation);
+                    let latest = latest_incarnations.get(&target) == Some(&announcement.incarnation);
                     latest && !self.is_departed(target, announcement.incarnation)
                 }
                 (_, Value::Departing { .. }) => false,
@@ -391,7 +403,7 @@
             })
     }
 
-    /// Returns the targets that may get work.
+    /// Returns the targets that may receive requests.
     pub fn targets(&self, now: Duration) -> Vec<target::Status> {
         let mut loads: BTreeMap<id::TargetId, u32> = BTreeMap::new();
         let mut targets = Vec::new();
@@ -415,7 +427,7 @@
         targets
     }
 
-    /// Returns the smallest applied root index over the members; `None` while one of them is too old or unknown.
+    /// Returns the smallest applied root index of the members, or `None` if that of any member is unknown or too old.
     pub fn min_applied_index(&self, members: &[id::VmId], now: Duration) -> Option<u64> {
         members
             .iter()
@@ -430,39 +442,39 @@
             .flatten()
     }
 
-    /// Returns the number of entries held, own ones included.
+    /// Returns the number of stored entries, including those of this VM.
     pub fn len(&self) -> usize {
-        self.all().map(|(_, origin)| origin.iter().count()).sum()
+        self.all_origins().map(|(_, origin)| origin.iter().count()).sum()
     }
 
-    /// Tells whether no entries are held.
+    /// Returns whether no entries are stored.
     pub fn is_empty(&self) -> bool {
         self.len() == 0
     }
 
-    /// Checks every invariant of the tables.
+    /// Verifies the internal invariants; for tests.
     pub fn verify(&self) -> Result<(), String> {
-        for (vm, origin) in self.all() {
-            origin.verify().map_err(|fault| format!("origin {vm}: {fault}"))?;
+        for (vm, origin) in self.all_origins() {
+            origin.verify().map_err(|error| format!("origin {vm}: {error}"))?;
         }
         let members: BTreeSet<id::VmId> = self.origins.keys().copied().collect();
-        if members.iter().any(|vm| !self.links.is_member(*vm)) || members.contains(&self.config.id) {
-            return Err(String::from("entries of a VM that is not a member"));
+        if members.iter().any(|vm| !self.topology.is_member(*vm)) || members.contains(&self.config.id) {
+            return Err(String::from("found entries of a VM that is not a member"));
         }
-        for (target, mark) in &self.marks {
+        for (target, departure) in &self.departures {
             let key = Key::Target(*target);
-            if let Some(Value::Target { announcement, .. }) = self.mine.get(key)
-                && announcement.incarnation <= mark.incarnation
+            if let Some(Value::Target { announcement, .. }) = self.local.get(key)
+                && announcement.incarnation <= departure.incarnation
                 && self.rules.departures
             {
-                return Err(format!("target {target} is announced after its departure"));
+                return Err(format!("target {target} is still announced after its departure"));
             }
         }
         Ok(())
     }
 }
 
-fn is_better(entry: &Entry<'_>, old: &Entry<'_>) -> bool {
+fn supersedes(entry: &Entry<'_>, old: &Entry<'_>) -> bool {
     let rank = |entry: &Entry<'_>| (entry.value.rank(), std::cmp::Reverse(entry.age));
     rank(entry) > rank(old)
 }
--- a/crates/gossip/src/key.rs
+++ b/crates/gossip/src/key.rs
@@ -1,65 +1,65 @@
-//! What is published: keys and values.
+//! Keys and values of published entries.
 
 use bronzespoke_model::{id, resource, target, vm};
 use serde::{Deserialize, Serialize};
 
-/// Name of an entry.
+/// Key of an entry.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Key {
     /// A target: [`Value::Target`] or [`Value::Departing`].
     Target(id::TargetId),
     /// Load of a target: [`Value::Load`].
     Load(id::TargetId),
-    /// The publishing VM itself: [`Value::Vm`].
+    /// State of the publishing VM: [`Value::Vm`].
     Vm(id::VmId),
-    /// A zone as its leader sees it: [`Value::Capacity`].
+    /// Capacity of a zone, published by its leader: [`Value::Capacity`].
     Capacity(id::AvailabilityZoneId),
 }
 
-/// Content of an entry.
+/// Value of an entry.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Value {
-    /// A target that takes work.
+    /// A target that accepts requests.
     Target {
-        /// The announcement.
+        /// Announcement of the target.
         announcement: target::Announcement,
-        /// Where the target stands.
+        /// Region and zone of the target.
         place: vm::Place,
     },
-    /// A life of a target that takes no new work, now and later.
+    /// An incarnation of a target that permanently accepts no new requests.
     Departing {
-        /// The life.
+        /// Departing incarnation.
         incarnation: id::Incarnation,
     },
-    /// Requests in flight to a target.
+    /// Number of requests in flight to a target.
     Load(u32),
     /// State of a VM.
     Vm {
-        /// Last index of the root group applied.
+        /// Last applied log index of the root group.
         applied: u64,
         /// Version of the configuration in force.
         version: id::ConfigVersion,
-        /// Whether the VM takes work.
+        /// Whether the VM accepts work.
         ready: bool,
     },
     /// Capacity of a zone.
     Capacity {
-        /// Term of the leader that publishes.
+        /// Term of the publishing leader.
         term: u64,
-        /// Free amount over all workers.
+        /// Total free amount of all workers.
         free: resource::Amount,
-        /// Workers in use.
+        /// Number of workers in use.
         workers: u32,
     },
 }
 
 impl Value {
-    /// Tells whether the entry is sent at once instead of with the next regular message.
+    /// Returns whether a change of the entry is sent immediately instead of with the next periodic message.
     pub const fn is_urgent(&self) -> bool {
         matches!(self, Self::Target { .. } | Self::Departing { .. })
     }
 
-    /// Returns the order among values of one key from several VMs: a higher rank replaces a lower one.
+    /// Returns the rank of the value among the values of the same key from several VMs. The highest rank wins.
     pub(crate) const fn rank(&self) -> (u64, bool) {
         match self {
             Self::Target { announcement, .. } => (announcement.incarnation, false),
@@ -70,8 +70,8 @@
         }
     }
 
-    /// Returns an upper bound on the encoded bytes of an entry with this value.
-    pub(crate) const fn most_bytes(&self) -> usize {
+    /// Returns an upper bound on the encoded size in bytes of an entry with this value.
+    pub(crate) const fn max_encoded_bytes(&self) -> usize {
         const KEY_BYTES: usize = 24;
         KEY_BYTES
             + match self {
--- a/crates/gossip/src/lib.rs
+++ b/crates/gossip/src/lib.rs
@@ -1,14 +1,14 @@
-//! Soft state dissemination: targets, load and liveness of processes.
+//! Gossip protocol for soft state: targets, their load, and the liveness of VMs.
 //!
-//! Every VM publishes entries of its own and relays those of others. Nothing here is durable: a VM that restarts
-//! publishes again. The package has no I/O and reads no clock.
+//! Each VM publishes its own entries and relays those of other VMs. Nothing is durable: a VM publishes its entries
+//! again after a restart. The package performs no I/O and reads no clock.
 
 mod exchange;
 pub mod gossip;
 pub mod key;
-mod links;
 pub mod message;
 mod origin;
+mod topology;
 
 pub use gossip::{Config, Entry, Error, Gossip, Member, Rules};
 pub use key::{Key, Value};
--- a/crates/gossip/src/message.rs
+++ b/crates/gossip/src/message.rs
@@ -1,86 +1,86 @@
-//! Messages between VMs.
+//! Gossip messages.
 
 use bronzespoke_model::id;
 use serde::{Deserialize, Serialize};
 
 use crate::key;
 
-/// Bytes of entries in one message. Larger states travel in several messages.
+/// Maximum bytes of entries in one message. Larger states are sent in several messages.
 pub const MAX_ENTRIES_BYTES: usize = 32 * 1024;
-/// Most lines or requests in one message.
+/// Maximum number of digest entries, of deltas and of requests in one message.
 pub const MAX_DIGEST_ENTRIES: usize = 1024;
 
-/// The reception of the receiver's own latest message, from which it bounds the age of what it receives.
+/// Identifies the latest message received from the peer. The peer uses it to bound the age of what it receives.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Echo {
-    /// Life of the receiver that sent the message.
+    /// Incarnation of the peer that sent that message.
     pub incarnation: id::Incarnation,
-    /// Stamp of that message, on the receiver's clock, in milliseconds.
+    /// Send time of that message on the peer's clock, in milliseconds.
     pub stamp_ms: u64,
-    /// Time between that message's arrival and this message's departure, in milliseconds, rounded down.
+    /// Time from the arrival of that message until this message was sent, in milliseconds, rounded down.
     pub held_ms: u32,
 }
 
-/// What the sender knows of one origin.
+/// Digest of the sender's state of one origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct DigestEntry {
-    /// Origin.
+    /// VM that published the entries.
     pub origin: id::VmId,
-    /// Life of the origin.
+    /// Incarnation of the origin.
     pub incarnation: id::Incarnation,
-    /// Version through which the sender holds the origin's entries.
+    /// Version up to which the sender has the origin's entries.
     pub version: u64,
-    /// Time since the origin vouched for that version, in milliseconds, rounded up.
+    /// Time since the origin confirmed that version as its latest, in milliseconds, rounded up.
     pub age_ms: u32,
 }
 
-/// Entries of one origin.
+/// Changes of the entries of one origin.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Delta {
-    /// Origin.
+    /// VM that published the entries.
     pub origin: id::VmId,
-    /// Life of the origin.
+    /// Incarnation of the origin.
     pub incarnation: id::Incarnation,
-    /// The delta builds on this version.
+    /// Version on which the delta is based.
     pub after: u64,
-    /// With the delta, the receiver holds the entries through this version.
+    /// Version that the receiver reaches by applying the delta.
     pub through: u64,
-    /// Removals through this version are forgotten; a receiver that may have missed them starts from nothing.
+    /// Version up to which tombstones were purged. A receiver that may have missed them needs the complete state.
     pub floor: u64,
-    /// Version counted from `after`, key, and value or removal, in the order of versions.
+    /// Entries in order of version: version relative to `after`, key, and value (`None` if removed).
     pub entries: Vec<(u64, key::Key, Option<key::Value>)>,
 }
 
-/// A request for entries of one origin.
+/// Request for the entries of one origin.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Request {
-    /// Origin.
+    /// VM that published the entries.
     pub origin: id::VmId,
-    /// Life of the origin.
+    /// Incarnation of the origin.
     pub incarnation: id::Incarnation,
-    /// Version through which the sender holds the origin's entries.
+    /// Version up to which the sender has the origin's entries.
     pub known: u64,
-    /// Removals through this version are accounted for in what the sender holds.
+    /// Version up to which the sender's state accounts for purged tombstones.
     pub floor: u64,
 }
 
-/// A message.
+/// A gossip message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Message {
-    /// Life of the sender.
+    /// Incarnation of the sender.
     pub incarnation: id::Incarnation,
-    /// Time of departure on the sender's clock, in milliseconds.
+    /// Send time on the sender's clock, in milliseconds.
     pub stamp_ms: u64,
-    /// Reception of the receiver's latest message.
+    /// Latest message that the sender received from the receiver, if any.
     pub echo: Option<Echo>,
-    /// Whether the sender chose the link itself; the receiver then sends back on it.
+    /// Whether the sender selected the link; the receiver then also sends on it.
     pub initiated: bool,
-    /// Digest.
+    /// Versions that the sender has, by origin.
     #[serde(rename = "lines")]
     pub digest: Vec<DigestEntry>,
-    /// Entries.
+    /// Entries that the receiver lacks, as far as the sender knows.
     pub deltas: Vec<Delta>,
-    /// Requests.
+    /// Origins whose entries the sender lacks.
     #[serde(rename = "wants")]
     pub requests: Vec<Request>,
 }
--- a/crates/gossip/src/origin.rs
+++ b/crates/gossip/src/origin.rs
@@ -1,4 +1,4 @@
-//! Entries of one origin as one VM holds them.
+//! Local copy of the entries of one origin.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -9,29 +9,32 @@
     message::{self, Delta},
 };
 
-/// Time for which removals are kept; a VM that was out of reach for longer takes the whole state of the origin again.
-pub(crate) const REMOVAL_RETENTION: Duration = Duration::from_mins(1);
-/// Most entries of one origin, removals included.
+/// Time for which tombstones of removed entries are retained. A VM that was unreachable for longer receives the
+/// complete state of the origin again.
+pub(crate) const TOMBSTONE_RETENTION: Duration = Duration::from_mins(1);
+/// Maximum number of entries of one origin, including tombstones.
 pub(crate) const MAX_ENTRIES: usize = 16_384;
 
 #[derive(Debug, Clone)]
 pub(crate) struct Slot {
     pub(crate) version: u64,
+    /// `None` is the tombstone of a removed entry.
     pub(crate) value: Option<Value>,
+    /// Local time at which this version was stored.
     since: Duration,
 }
 
-/// Entries of one life of an origin.
+/// Entries of one incarnation of an origin.
 #[derive(Debug, Clone)]
 pub(crate) struct Origin {
     pub(crate) incarnation: id::Incarnation,
-    /// Version through which all entries are held.
+    /// Version up to which the entries are complete.
     pub(crate) known: u64,
-    /// Removals through this version are forgotten here or accounted for.
+    /// Version up to which tombstones were purged here, or are accounted for by a transfer of the complete state.
     pub(crate) floor: u64,
-    /// Local time at which the origin had published nothing beyond `known`; never later than in truth.
+    /// Local time, never overstated, at which `known` was still the origin's latest version.
     pub(crate) freshness: Option<Duration>,
-    /// VM from which the freshness came.
+    /// VM from which the freshness was received.
     pub(crate) via: Option<id::VmId>,
     slots: BTreeMap<Key, Slot>,
     versions: BTreeMap<u64, Key>,
@@ -88,7 +91,7 @@
         self.versions.insert(version, key);
     }
 
-    /// Returns the entries after a version, as far as they fit `budget` bytes; `None` when there are none.
+    /// Returns the entries after a version that fit into `budget` bytes, or `None` if there are none.
     pub(crate) fn delta(&self, origin: id::VmId, after: u64, budget: &mut usize) -> Option<Delta> {
         if after >= self.known {
             return None;
@@ -97,7 +100,7 @@
         let mut through = self.known;
         for (version, key) in self.versions.range(after + 1..) {
             let value = self.slots.get(key).and_then(|slot| slot.value.clone());
-            let bytes = value.as_ref().map_or(32, Value::most_bytes);
+            let bytes = value.as_ref().map_or(32, Value::max_encoded_bytes);
             if bytes > *budget {
                 through = entries
                     .last()
@@ -117,12 +120,12 @@
         })
     }
 
-    /// Merges a delta of the same life. Returns the changed keys.
+    /// Merges a delta of the same incarnation and returns the changed keys.
     pub(crate) fn merge(&mut self, now: Duration, delta: Delta) -> Vec<Key> {
-        let missed_removals = self.known < delta.floor && self.floor < delta.floor;
-        if delta.after == 0 && (missed_removals || self.known == 0) {
-            self.restart(delta.floor);
-        } else if missed_removals {
+        let missed_tombstones = self.known < delta.floor && self.floor < delta.floor;
+        if delta.after == 0 && (missed_tombstones || self.known == 0) {
+            self.reset(delta.floor);
+        } else if missed_tombstones {
             return Vec::new();
         }
         if delta.after > self.known || delta.through <= self.known {
@@ -142,19 +145,19 @@
         changed
     }
 
-    fn restart(&mut self, floor: u64) {
+    fn reset(&mut self, floor: u64) {
         self.known = 0;
         self.floor = floor;
         self.slots.clear();
         self.versions.clear();
     }
 
-    /// Forgets removals after their retention.
+    /// Purges tombstones after their retention period.
     pub(crate) fn purge(&mut self, now: Duration) {
         let due: Vec<(Key, u64)> = self
             .slots
             .iter()
-            .filter(|(_, slot)| slot.value.is_none() && now >= slot.since + REMOVAL_RETENTION)
+            .filter(|(_, slot)| slot.value.is_none() && now >= slot.since + TOMBSTONE_RETENTION)
             .map(|(key, slot)| (*key, slot.version))
             .collect();
         for (key, version) in due {
@@ -167,7 +170,7 @@
     pub(crate) fn verify(&self) -> Result<(), String> {
         if self.slots.len() != self.versions.len() || self.slots.len() > MAX_ENTRIES {
             return Err(format!(
-                "{} entries, {} versions",
+                "{} entries but {} versions",
                 self.slots.len(),
                 self.versions.len()
             ));
--- a/crates/gossip/src/links.rs
+++ b/crates/gossip/src/topology.rs
@@ -1,29 +1,32 @@
-//! Which VMs exchange messages.
+//! Gossip topology: selection of the VMs that exchange messages.
 //!
-//! Within a zone everyone talks to everyone. Between two zones one VM of each side talks, so that billed bytes grow
-//! with the pairs of zones and not with the pairs of VMs.
+//! Within a zone, all VMs exchange messages with each other. Between two zones, one relay of each zone does, so that
+//! billed traffic grows with the number of pairs of zones instead of pairs of VMs.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use bronzespoke_model::{id, vm};
 
-/// A VM of the same zone that was silent for this long does not count as a relay.
-const LOCAL_SILENCE: Duration = Duration::from_secs(1);
-/// After this long without a message from another zone, the next VM of that zone is tried.
-const REMOTE_SILENCE: Duration = Duration::from_millis(1500);
+/// Time without contact after which a VM of the same zone is not considered as a relay.
+const LOCAL_TIMEOUT: Duration = Duration::from_secs(1);
+/// Time without contact from another zone after which the next VM of that zone is tried.
+const REMOTE_TIMEOUT: Duration = Duration::from_millis(1500);
 
-/// A link of this VM.
+/// A link from this VM to a peer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Link {
     pub(crate) peer: id::VmId,
+    /// Whether the peer is in the same zone.
     pub(crate) local: bool,
-    /// Whether this VM chose the link; otherwise it answers on it.
+    /// Whether this VM selected the link; otherwise the peer did.
     pub(crate) initiated: bool,
 }
 
 #[derive(Debug, Clone, Copy, Default)]
-struct Heard {
+struct Contact {
+    /// Last message of any kind.
     any: Option<Duration>,
+    /// Last message on a link that the peer selected.
     initiated: Option<Duration>,
 }
 
@@ -33,19 +36,19 @@
     since: Duration,
 }
 
-/// Members and what was heard of them.
+/// Members of the gossip network and the last contact from each.
 #[derive(Debug, Clone)]
-pub(crate) struct Links {
+pub(crate) struct Topology {
     me: id::VmId,
     place: vm::Place,
     start: Duration,
     zones: BTreeMap<id::AvailabilityZoneId, Vec<id::VmId>>,
     members: BTreeMap<id::VmId, vm::Place>,
-    heard: BTreeMap<id::VmId, Heard>,
+    contacts: BTreeMap<id::VmId, Contact>,
     attempts: BTreeMap<id::AvailabilityZoneId, Attempt>,
 }
 
-impl Links {
+impl Topology {
     pub(crate) const fn new(me: id::VmId, place: vm::Place, start: Duration) -> Self {
         Self {
             me,
@@ -53,7 +56,7 @@
             start,
             zones: BTreeMap::new(),
             members: BTreeMap::new(),
-            heard: BTreeMap::new(),
+            contacts: BTreeMap::new(),
             attempts: BTreeMap::new(),
         }
     }
@@ -66,10 +69,11 @@
             self.zones.entry(place.zone).or_default().push(*vm);
         }
         let members = &self.members;
-        self.heard.retain(|vm, _| members.contains_key(vm));
+        self.contacts.retain(|vm, _| members.contains_key(vm));
         for vm in self.members.keys() {
-            // A new member counts as heard, so that it gets the time to speak before another VM stands in for it.
-            self.heard.entry(*vm).or_insert(Heard {
+            // Joining counts as contact, so that a new member has time to send a message before it is replaced as a
+            // relay.
+            self.contacts.entry(*vm).or_insert(Contact {
                 any: Some(now),
                 initiated: None,
             });
@@ -86,16 +90,16 @@
             .is_some_and(|place| place.zone == self.place.zone)
     }
 
-    pub(crate) fn note(&mut self, now: Duration, from: id::VmId, initiated: bool) {
-        let heard = self.heard.entry(from).or_default();
-        heard.any = Some(now);
+    pub(crate) fn record_contact(&mut self, now: Duration, from: id::VmId, initiated: bool) {
+        let contact = self.contacts.entry(from).or_default();
+        contact.any = Some(now);
         if initiated {
-            heard.initiated = Some(now);
+            contact.initiated = Some(now);
         }
     }
 
-    /// Returns the links of this VM, nearest first.
-    pub(crate) fn list(&mut self, now: Duration, all: bool) -> Vec<Link> {
+    /// Returns the links of this VM, local ones first; remote ones only if `all` is set.
+    pub(crate) fn links(&mut self, now: Duration, all: bool) -> Vec<Link> {
         let mut links: Vec<Link> = self
             .zones
             .get(&self.place.zone)
@@ -115,9 +119,13 @@
     }
 
     fn add_remote(&mut self, now: Duration, links: &mut Vec<Link>) {
-        let mine = self.place.zone;
-        let others: Vec<id::AvailabilityZoneId> =
-            self.zones.keys().copied().filter(|zone| *zone != mine).collect();
+        let local_zone = self.place.zone;
+        let others: Vec<id::AvailabilityZoneId> = self
+            .zones
+            .keys()
+            .copied()
+            .filter(|zone| *zone != local_zone)
+            .collect();
         for zone in others {
             let chosen = if self.is_relay(now, zone) {
                 self.choose(now, zone)
@@ -131,10 +139,10 @@
                     initiated: true,
                 });
             }
-            let answers = self.zones[&zone].iter().filter(|vm| Some(**vm) != chosen);
-            for peer in answers {
-                let heard = self.heard.get(peer).and_then(|heard| heard.initiated);
-                if within(now, heard, REMOTE_SILENCE) {
+            let initiators = self.zones[&zone].iter().filter(|vm| Some(**vm) != chosen);
+            for peer in initiators {
+                let last_contact = self.contacts.get(peer).and_then(|contact| contact.initiated);
+                if is_recent(now, last_contact, REMOTE_TIMEOUT) {
                     links.push(Link {
                         peer: *peer,
                         local: false,
@@ -145,26 +153,32 @@
         }
     }
 
-    /// Tells whether this VM is the first one of its zone, in the order of the pair, that is not silent.
+    /// Returns whether this VM is the relay to another zone: the first reachable VM of its zone in the relay order of
+    /// the pair of zones.
     fn is_relay(&self, now: Duration, zone: id::AvailabilityZoneId) -> bool {
-        let order = self.order(zone, self.place.zone);
+        let order = self.relay_order(zone, self.place.zone);
         let first = order.into_iter().find(|vm| {
-            *vm == self.me || within(now, self.heard.get(vm).and_then(|heard| heard.any), LOCAL_SILENCE)
+            *vm == self.me
+                || is_recent(
+                    now,
+                    self.contacts.get(vm).and_then(|contact| contact.any),
+                    LOCAL_TIMEOUT,
+                )
         });
         first == Some(self.me)
     }
 
-    /// Returns the first VM of another zone that was heard, or the next one to try.
+    /// Selects the first reachable VM of another zone, or the next one to try if none is reachable.
     fn choose(&mut self, now: Duration, zone: id::AvailabilityZoneId) -> Option<id::VmId> {
-        let order = self.order(zone, zone);
-        let heard = order.iter().find(|vm| {
-            within(
+        let order = self.relay_order(zone, zone);
+        let reachable = order.iter().find(|vm| {
+            is_recent(
                 now,
-                self.heard.get(vm).and_then(|heard| heard.any),
-                REMOTE_SILENCE,
+                self.contacts.get(vm).and_then(|contact| contact.any),
+                REMOTE_TIMEOUT,
             )
         });
-        if let Some(vm) = heard {
+        if let Some(vm) = reachable {
             self.attempts.remove(&zone);
             return Some(*vm);
         }
@@ -172,28 +186,28 @@
             number: 0,
             since: now.max(self.start),
         });
-        if now >= attempt.since + REMOTE_SILENCE {
+        if now >= attempt.since + REMOTE_TIMEOUT {
             attempt.number += 1;
             attempt.since = now;
         }
         order.get(attempt.number % order.len().max(1)).copied()
     }
 
-    /// Returns the VMs of one side of a pair of zones in an order that both sides compute alike.
-    fn order(&self, other: id::AvailabilityZoneId, side: id::AvailabilityZoneId) -> Vec<id::VmId> {
-        let mine = self.place.zone;
-        let pair = (u64::from(mine.min(other)) << 16) | u64::from(mine.max(other));
+    /// Returns the VMs of one side of a pair of zones in relay order, which both sides compute identically.
+    fn relay_order(&self, other: id::AvailabilityZoneId, side: id::AvailabilityZoneId) -> Vec<id::VmId> {
+        let local_zone = self.place.zone;
+        let pair = (u64::from(local_zone.min(other)) << 16) | u64::from(local_zone.max(other));
         let mut vms = self.zones.get(&side).cloned().unwrap_or_default();
         vms.sort_by_key(|vm| (mix(pair.wrapping_mul(0x9e37_79b9_7f4a_7c15) ^ *vm), *vm));
         vms
     }
 }
 
-fn within(now: Duration, heard: Option<Duration>, silence: Duration) -> bool {
-    heard.is_some_and(|heard| now.saturating_sub(heard) < silence)
+fn is_recent(now: Duration, last_contact: Option<Duration>, timeout: Duration) -> bool {
+    last_contact.is_some_and(|at| now.saturating_sub(at) < timeout)
 }
 
-/// The finalizer of splitmix64.
+/// Finalizer of splitmix64.
 const fn mix(mut value: u64) -> u64 {
     value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
     value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
--- a/crates/gossip/tests/network/mod.rs
+++ b/crates/gossip/tests/network/mod.rs
@@ -1,6 +1,6 @@
-//! A network of gossip states in simulated time, with loss, duplication, reordering, cuts and stopped VMs.
+//! Simulated network of gossip states, with loss, duplication, reordering, cut links and stopped VMs.
 //!
-//! The policy measurements include this file as well.
+//! The policy benchmarks include this file as well.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -11,18 +11,18 @@
 use bronzespoke_model::{id, vm};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-/// Faults of every link.
+/// Fault rates of all links.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
-    /// Part of the messages that is lost.
+    /// Fraction of messages that is lost.
     pub loss: f64,
-    /// Part of the messages that arrives twice.
+    /// Fraction of messages that is delivered twice.
     pub duplicate: f64,
-    /// Most extra delay; messages overtake each other.
+    /// Maximum additional delay, which reorders messages.
     pub jitter: Duration,
 }
 
-/// A VM with a clock of its own.
+/// A VM with its own clock offset.
 #[derive(Debug)]
 pub struct Node {
     pub gossip: Gossip,
@@ -37,10 +37,10 @@
     pub nodes: BTreeMap<id::VmId, Node>,
     pub faults: Faults,
     pub cuts: BTreeSet<(id::VmId, id::VmId)>,
-    /// Messages and bytes by sender and receiver.
+    /// Number of messages and bytes, by sender and receiver.
     pub sent: BTreeMap<(id::VmId, id::VmId), (u64, u64)>,
     pub message_size: fn(&Message) -> usize,
-    /// Bytes of the largest message.
+    /// Size of the largest message in bytes.
     pub largest: u64,
     queue: BTreeMap<(Duration, u64), (id::VmId, id::VmId, Message)>,
     number: u64,
@@ -48,7 +48,8 @@
 }
 
 impl Network {
-    /// Builds zones of two VMs each from the regions of the zones; ids are spread over 64 bits, as random ids are.
+    /// Builds a network with two VMs per zone. `regions` lists the region of each zone. VM ids are random 64-bit
+    /// numbers.
     pub fn new(seed: u64, regions: &[id::RegionId]) -> Self {
         let mut random = SmallRng::seed_from_u64(seed);
         let mut nodes = BTreeMap::new();
@@ -94,7 +95,7 @@
         }
     }
 
-    /// Replaces the state of a VM by that of a new life, which knows nothing.
+    /// Restarts a VM as a new incarnation with an empty state.
     pub fn restart(&mut self, id: id::VmId) {
         let place = self.nodes[&id].place;
         self.with_node(id, |gossip, now| {
@@ -114,13 +115,13 @@
         self.nodes.keys().copied().collect()
     }
 
-    /// Runs a step of one VM at its own time.
+    /// Calls a function with the state of a VM and its local time.
     pub fn with_node<T>(&mut self, id: id::VmId, step: impl FnOnce(&mut Gossip, Duration) -> T) -> T {
         let node = self.nodes.get_mut(&id).unwrap();
         step(&mut node.gossip, self.now + node.offset)
     }
 
-    /// Cuts or heals every link between the VMs of `side` and the others.
+    /// Cuts or restores all links between the VMs of `side` and the others.
     pub fn set_cut(&mut self, side: &[id::VmId], cut: bool) {
         for left in side {
             for right in self.ids().into_iter().filter(|id| !side.contains(id)) {
--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -1,4 +1,4 @@
-//! Spread of entries over a simulated network.
+//! Dissemination of entries over a simulated network.
 
 mod network;
 
@@ -45,11 +45,11 @@
         .collect()
 }
 
-/// Random publications under faults; returns the network and, per origin and key, the values with the time at which
-/// each was replaced.
+/// Published values by origin and key, each with the time at which it was replaced.
 type History = BTreeMap<(id::VmId, Key), Vec<(Option<Value>, Duration)>>;
 
-fn disturb(seed: u64, rules: Rules, mut check: impl FnMut(&mut Network, &History)) -> Network {
+/// Publishes random entries under faults, calls `check` after each, and returns the network without faults.
+fn publish_under_faults(seed: u64, rules: Rules, mut check: impl FnMut(&mut Network, &History)) -> Network {
     let mut network = Network::new(seed, &REGIONS);
     let mut random = SmallRng::seed_from_u64(seed);
     let mut history = History::new();
@@ -91,7 +91,7 @@
     network
 }
 
-fn assert_equal(network: &mut Network) -> Result<(), String> {
+fn check_converged(network: &mut Network) -> Result<(), String> {
     let ids = network.ids();
     let mut first: Option<BTreeMap<Key, Value>> = None;
     for id in ids {
@@ -108,8 +108,8 @@
     Ok(())
 }
 
-/// Tells whether some VM takes an entry to be younger than it is: its origin had replaced it before.
-fn too_young(network: &mut Network, history: &History) -> bool {
+/// Returns whether any VM understates the age of an entry, which its origin had already replaced at that time.
+fn any_age_understated(network: &mut Network, history: &History) -> bool {
     let now_global = network.now;
     network.ids().into_iter().any(|id| {
         network.with_node(id, |gossip, now| {
@@ -129,35 +129,36 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 24, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
-    /// Guards against entries that stay different, or younger than in truth, after any mix of faults.
+    /// Guards against states that do not converge and against understated ages, after any combination of faults.
     #[test]
     fn converges_and_never_understates_ages(seed in any::<u64>()) {
-        let mut young = false;
-        let mut network = disturb(seed, Rules::default(), |network, history| {
-            young |= too_young(network, history);
+        let mut understated = false;
+        let mut network = publish_under_faults(seed, Rules::default(), |network, history| {
+            understated |= any_age_understated(network, history);
         });
-        prop_assert!(!young);
+        prop_assert!(!understated);
         network.run(seconds(5));
-        prop_assert_eq!(assert_equal(&mut network), Ok(()));
+        prop_assert_eq!(check_converged(&mut network), Ok(()));
     }
 }
 
 #[test]
-fn ages_from_the_arrival_alone_are_caught() {
+fn ages_counted_from_arrival_are_detected() {
     let rules = Rules {
         echo: false,
         ..Rules::default()
     };
-    let mut young = false;
+    let mut understated = false;
     for seed in 0..8 {
-        disturb(seed, rules, |network, history| {
-            young |= too_young(network, history);
+        publish_under_faults(seed, rules, |network, history| {
+            understated |= any_age_understated(network, history);
         });
     }
-    assert!(young);
+    assert!(understated);
 }
 
-/// A target announces to one VM and departs through another one, while an old announcement is published again.
+/// Announces a target on one VM, marks it as departing on another, and publishes the old announcement again. Returns
+/// the VMs on which the target is usable before and after.
 fn depart_elsewhere(rules: Rules) -> (Vec<id::VmId>, Vec<id::VmId>) {
     let mut network = Network::new(3, &REGIONS);
     let ids = network.ids();
@@ -182,7 +183,7 @@
 }
 
 #[test]
-fn a_departing_mark_beats_announcements_of_the_same_life() {
+fn a_departure_overrides_announcements_of_the_same_incarnation() {
     let (before, after) = depart_elsewhere(Rules::default());
     assert_eq!(before.len(), 6);
     assert!(after.is_empty());
@@ -192,12 +193,12 @@
     };
     assert!(
         !depart_elsewhere(without).1.is_empty(),
-        "the check does not see a missing rule"
+        "the check does not detect a missing rule"
     );
 }
 
 #[test]
-fn a_later_life_of_a_departed_target_is_usable_and_an_earlier_one_is_not() {
+fn a_later_incarnation_of_a_departed_target_is_usable_and_an_earlier_one_is_not() {
     let mut network = Network::new(4, &REGIONS);
     let ids = network.ids();
     network.run(seconds(3));
@@ -217,7 +218,7 @@
 }
 
 #[test]
-fn entries_of_a_silent_vm_become_unusable() {
+fn entries_of_an_unreachable_vm_become_unusable() {
     let mut network = Network::new(5, &REGIONS);
     let ids = network.ids();
     network.run(seconds(3));
@@ -257,7 +258,7 @@
     }
 }
 
-/// Guards against a pair of zones that loses each other because the two chosen VMs cannot reach each other.
+/// Guards against two zones that lose contact because their selected relays cannot reach each other.
 #[test]
 fn a_cut_link_between_two_relays_is_bypassed() {
     for left in 0..6 {
@@ -284,8 +285,8 @@
     }
 }
 
-/// Returns whether a removal that a cut VM missed, and that the others forgot since, reaches it in the end.
-fn missed_removal(rules: Rules) -> bool {
+/// Returns whether a removal eventually reaches a VM that was cut off until the other VMs purged the tombstone.
+fn missed_removal_is_applied(rules: Rules) -> bool {
     let mut network = Network::new(7, &REGIONS);
     let ids = network.ids();
     for id in &ids {
@@ -309,17 +310,20 @@
 }
 
 #[test]
-fn a_forgotten_removal_still_reaches_a_vm_that_missed_it() {
-    assert!(missed_removal(Rules::default()));
+fn a_purged_removal_still_reaches_a_vm_that_missed_it() {
+    assert!(missed_removal_is_applied(Rules::default()));
     let without = Rules {
         floor: false,
         ..Rules::default()
     };
-    assert!(!missed_removal(without), "the check does not see a missing rule");
+    assert!(
+        !missed_removal_is_applied(without),
+        "the check does not detect a missing rule"
+    );
 }
 
 #[test]
-fn a_restarted_vm_publishes_anew_and_its_old_entries_vanish() {
+fn a_restart_replaces_the_entries_of_the_previous_incarnation() {
     let mut network = Network::new(8, &REGIONS);
     let ids = network.ids();
     network.with_node(ids[0], |gossip, now| {
