--- a/crates/consensus/tests/feed.rs
+++ b/crates/consensus/tests/feed.rs
@@ -92,7 +92,7 @@
         let mut hops = [Hop::new(seed, ms(7_000)), Hop::new(seed + 1, ms(90_000))];
         let mut committed: Vec<Duration> = Vec::new();
         let mut requests: Vec<(Duration, usize, Request)> = Vec::new();
-        let mut answers: Vec<(Duration, usize, Response)> = Vec::new();
+        let mut responses: Vec<(Duration, usize, Response)> = Vec::new();
         let mut before = [None, None];
         for tick in 0..4_000 {
             let now = ms(tick * 5);
@@ -103,7 +103,7 @@
                     root.install(snapshot_at(committed.len() as u64, 150_000));
                 }
             }
-            for (_, hop, response) in answers
+            for (_, hop, response) in responses
                 .extract_if(.., |response| response.0 <= now)
                 .collect::<Vec<_>>()
             {
@@ -126,10 +126,10 @@
                         .respond(now + hops[0].offset, hops[0].follower.freshness(), &request),
                 };
                 if rng.random_bool(0.9) {
-                    answers.push((now + ms(rng.random_range(1..60)), hop, response.clone()));
+                    responses.push((now + ms(rng.random_range(1..60)), hop, response.clone()));
                 }
                 if rng.random_bool(0.1) {
-                    answers.push((now + ms(rng.random_range(1..3_000)), hop, response));
+                    responses.push((now + ms(rng.random_range(1..3_000)), hop, response));
                 }
             }
             for (hop, newest) in hops.iter().zip(&mut before) {
@@ -204,7 +204,7 @@
     let mut source = Source::new(1_000_000);
     (1..=10_000).for_each(|index| source.push(&entry(index)));
     let mut follower = Follower::new(Config::new(1), ms(0));
-    let mut answers = Vec::new();
+    let mut responses = Vec::new();
     let mut input = Input::Relay { to: Some(1) };
     let mut requests = 0;
     for now in (0..12_000).map(ms) {
@@ -213,17 +213,17 @@
         for output in out {
             if let Output::Send { request, .. } = output {
                 requests += 1;
-                answers.push((
+                responses.push((
                     now + ms(900),
                     source.respond(now + ms(450), Some(now + ms(450)), &request),
                 ));
             }
         }
-        let due = answers.first().is_some_and(|(at, _)| *at <= now);
+        let due = responses.first().is_some_and(|(at, _)| *at <= now);
         input = if due {
             Input::Receive {
                 from: 1,
-                response: answers.remove(0).1,
+                response: responses.remove(0).1,
             }
         } else {
             Input::Tick
--- a/crates/consensus/tests/relay.rs
+++ b/crates/consensus/tests/relay.rs
@@ -32,7 +32,7 @@
     /// It responds, but its freshness is unknown.
     Unknown,
     /// It does not respond.
-    Silent,
+    Unresponsive,
 }
 
 /// A member and its states over time.
@@ -58,7 +58,7 @@
         match state {
             State::Fresh => now.checked_sub(MEMBER_AGE),
             State::Stale => since.checked_sub(MEMBER_AGE),
-            State::Unknown | State::Silent => None,
+            State::Unknown | State::Unresponsive => None,
         }
     }
 }
@@ -77,7 +77,7 @@
     let mut follower = Follower::new(Config::new(1), ms(0));
     let mut relays = Relays::default();
     let source = Source::new(1_000);
-    let mut answers: Vec<(Duration, VmId, Response)> = Vec::new();
+    let mut responses: Vec<(Duration, VmId, Response)> = Vec::new();
     let mut seen = Run {
         too_old: Vec::new(),
         relay: None,
@@ -93,7 +93,10 @@
             let to = relays.select(now, candidates);
             follower.step(now, Input::Relay { to }, &mut out);
         }
-        for (_, from, response) in answers.extract_if(.., |(at, ..)| *at <= now).collect::<Vec<_>>() {
+        for (_, from, response) in responses
+            .extract_if(.., |(at, ..)| *at <= now)
+            .collect::<Vec<_>>()
+        {
             relays.record_response(now, from, response.age);
             follower.step(now, Input::Receive { from, response }, &mut out);
         }
@@ -103,9 +106,9 @@
                     seen.requests += 1;
                     let member = members.iter().find(|member| member.vm == to).expect("a member");
                     let there = now + DELAY;
-                    if member.state(there).1 != State::Silent {
+                    if member.state(there).1 != State::Unresponsive {
                         let response = source.respond(there, member.freshness(there), &request);
-                        answers.push((there + DELAY, to, response));
+                        responses.push((there + DELAY, to, response));
                     }
                 }
                 Output::TimedOut { relay } => relays.record_timeout(now, relay, follower.freshness()),
@@ -128,7 +131,7 @@
 #[yare::parameterized(
     stale = { State::Stale },
     unknown_freshness = { State::Unknown },
-    silent = { State::Silent },
+    unresponsive = { State::Unresponsive },
 )]
 fn a_failed_relay_is_replaced_in_time(failure: State) {
     // The failure begins at different phases of the poll interval.
