--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -2,7 +2,7 @@
 
 use std::sync::Arc;
 
-use bronzespoke_workload::{catalog, job, order, worker};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 
 use super::{
@@ -79,7 +79,7 @@
         Outcome::Done
     }
 
-    fn register(&mut self, life: worker::Life, worker: worker::Worker, draining: bool) -> Outcome {
+    fn register(&mut self, life: worker::Incarnation, worker: worker::Worker, draining: bool) -> Outcome {
         let mut known = self.workers.values_mut();
         if let Some(registered) = known.find(|registered| registered.life == life) {
             registered.worker = Arc::new(worker);
@@ -171,7 +171,7 @@
         let current = entry.placed.is_some() && entry.run == run;
         // A run that was given up may turn out to be done: its work counts, and a later run is stopped. Or it may have
         // failed, which counts as an attempt.
-        let late = matches!(outcome, order::Outcome::Done | order::Outcome::Failed) && !spec.lasting;
+        let late = matches!(outcome, directive::Outcome::Done | directive::Outcome::Failed) && !spec.lasting;
         if !current && !late {
             return;
         }
@@ -190,11 +190,11 @@
         let failed = match outcome {
             // A lasting task starts again however it ends.
             _ if spec.lasting => false,
-            order::Outcome::Done => {
+            directive::Outcome::Done => {
                 note_done(step, task.index, spec.gang);
                 false
             }
-            order::Outcome::Failed => note_failure(step, task.index, run, spec.gang),
+            directive::Outcome::Failed => note_failure(step, task.index, run, spec.gang),
             _ => false,
         };
         if current {
@@ -259,7 +259,7 @@
     }
 }
 
-fn step_mut(job: &mut Job, task: order::Task) -> Option<&mut super::state::Step> {
+fn step_mut(job: &mut Job, task: directive::Task) -> Option<&mut super::state::Step> {
     let occurrence = job.occurrences.get_mut(task.occurrence as usize)?;
     occurrence.steps.get_mut(usize::from(task.step))
 }
@@ -281,7 +281,7 @@
 }
 
 /// Counts a failed run; a gang counts each run once.
-fn note_failure(step: &mut super::state::Step, index: u32, run: order::Run, gang: bool) -> bool {
+fn note_failure(step: &mut super::state::Step, index: u32, run: directive::Run, gang: bool) -> bool {
     let entry = &mut step.tasks[index as usize];
     if entry.done {
         return false;
--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bronzespoke_model::id;
-use bronzespoke_workload::{catalog, job, order, worker};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -38,7 +38,7 @@
     /// Adds a life of a worker, or changes whether it drains.
     Register {
         /// Life.
-        life: worker::Life,
+        life: worker::Incarnation,
         /// What it is.
         worker: Box<worker::Worker>,
         /// Whether it leaves.
@@ -68,9 +68,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// Task.
-    pub task: order::Task,
+    pub task: directive::Task,
     /// Number of the start.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Worker.
     pub worker: state::WorkerIndex,
 }
@@ -79,13 +79,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
     /// Task.
-    pub task: order::Task,
+    pub task: directive::Task,
     /// Number of the start.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Worker.
     pub worker: state::WorkerIndex,
     /// How it ended.
-    pub outcome: order::Outcome,
+    pub outcome: directive::Outcome,
     /// Progress to resume from.
     pub checkpoint: Option<Bytes>,
 }
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -7,7 +7,7 @@
 };
 
 use bronzespoke_model::id;
-use bronzespoke_workload::{catalog, job, order, worker};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registered {
     /// Life.
-    pub life: worker::Life,
+    pub life: worker::Incarnation,
     /// What it is.
     pub worker: Arc<worker::Worker>,
     /// Whether it leaves.
@@ -88,9 +88,9 @@
     /// Failed runs of a gang as a whole.
     pub failures: u32,
     /// Newest failed run of a gang, so that several members count once.
-    pub failed_run: order::Run,
+    pub failed_run: directive::Run,
     /// Highest run of any task; all members of a gang share one.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Newest progress of a gang, valid for every member.
     pub checkpoint: Option<Bytes>,
     /// Tasks.
@@ -101,11 +101,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct Task {
     /// Number of the newest start; 0 before the first.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Failed runs.
     pub failures: u32,
     /// Newest failed run.
-    pub failed_run: order::Run,
+    pub failed_run: directive::Run,
     /// Whether it is done.
     pub done: bool,
     /// Worker on which the newest run is placed, until that run has ended.
@@ -170,13 +170,13 @@
     }
 
     /// Returns the progress of a task.
-    pub fn task(&self, task: order::Task) -> Option<&Task> {
+    pub fn task(&self, task: directive::Task) -> Option<&Task> {
         let step = self.step(task.job, task.occurrence, task.step)?;
         step.tasks.get(task.index as usize)
     }
 
     /// Returns what a task's step was submitted as.
-    pub fn spec(&self, task: order::Task) -> Option<&job::Step> {
+    pub fn spec(&self, task: directive::Task) -> Option<&job::Step> {
         let steps = &self.jobs.get(&task.job)?.submission.steps;
         steps.get(usize::from(task.step))
     }
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -2,7 +2,7 @@
 
 use bronzespoke_control::cell::{Command, End, Outcome, Start, State};
 use bronzespoke_model::resource;
-use bronzespoke_workload::{catalog, job, order, worker};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs};
 
@@ -49,8 +49,8 @@
     }
 }
 
-const fn task(step: u16, index: u32) -> order::Task {
-    order::Task {
+const fn task(step: u16, index: u32) -> directive::Task {
+    directive::Task {
         job: KEY,
         occurrence: 0,
         step,
@@ -58,11 +58,11 @@
     }
 }
 
-fn start(task: order::Task, run: order::Run, worker: u32) -> Command {
+fn start(task: directive::Task, run: directive::Run, worker: u32) -> Command {
     Command::Start(vec![Start { task, run, worker }])
 }
 
-fn end(task: order::Task, run: order::Run, worker: u32, outcome: order::Outcome) -> Command {
+fn end(task: directive::Task, run: directive::Run, worker: u32, outcome: directive::Outcome) -> Command {
     Command::End(vec![End {
         task,
         run,
@@ -100,7 +100,7 @@
         state.apply(2, start(task(0, 0), 2, 8)),
         Outcome::Started(vec![false])
     );
-    state.apply(3, end(task(0, 0), 1, 9, order::Outcome::Lost));
+    state.apply(3, end(task(0, 0), 1, 9, directive::Outcome::Lost));
     assert_eq!(
         state.apply(4, start(task(0, 0), 1, 8)),
         Outcome::Started(vec![false])
@@ -111,15 +111,15 @@
     );
     // A failure of a run that was given up counts as one attempt, however often it is told; its success counts, and no start
     // follows.
-    state.apply(5, end(task(0, 0), 1, 9, order::Outcome::Failed));
-    state.apply(5, end(task(0, 0), 1, 9, order::Outcome::Failed));
+    state.apply(5, end(task(0, 0), 1, 9, directive::Outcome::Failed));
+    state.apply(5, end(task(0, 0), 1, 9, directive::Outcome::Failed));
     assert_eq!(phase(&state), job::Phase::Running);
     assert_eq!(state.task(task(0, 0)).map(|task| task.failures), Some(1));
     let placed = state.task(task(0, 0)).and_then(|task| task.placed);
     assert_eq!(placed, Some(8), "the later run goes on");
-    state.apply(6, end(task(0, 0), 1, 9, order::Outcome::Done));
+    state.apply(6, end(task(0, 0), 1, 9, directive::Outcome::Done));
     assert_eq!(phase(&state), job::Phase::Completed);
-    state.apply(7, end(task(0, 0), 2, 8, order::Outcome::Stopped));
+    state.apply(7, end(task(0, 0), 2, 8, directive::Outcome::Stopped));
     assert_eq!(phase(&state), job::Phase::Completed);
     assert_eq!(
         state.apply(8, start(task(0, 0), 3, 8)),
@@ -136,7 +136,7 @@
     let ready = |state: &State| state.job(KEY).expect("the job is known").is_ready(0, 1);
     assert!(!ready(&state));
     state.apply(2, start(task(0, 0), 1, 9));
-    state.apply(3, end(task(0, 0), 1, 9, order::Outcome::Done));
+    state.apply(3, end(task(0, 0), 1, 9, directive::Outcome::Done));
     assert!(ready(&state) && phase(&state) == job::Phase::Running);
 }
 
@@ -149,8 +149,8 @@
         for index in 0..2 {
             state.apply(2, start(task(0, index), run, 9));
         }
-        state.apply(3, end(task(0, 0), run, 9, order::Outcome::Failed));
-        state.apply(3, end(task(0, 1), run, 9, order::Outcome::Failed));
+        state.apply(3, end(task(0, 0), run, 9, directive::Outcome::Failed));
+        state.apply(3, end(task(0, 1), run, 9, directive::Outcome::Failed));
         let wanted = if run == 1 {
             job::Phase::Running
         } else {
@@ -168,7 +168,7 @@
     for index in 0..3 {
         state.apply(2, start(task(0, index), 1, 9));
     }
-    state.apply(3, end(task(0, 1), 1, 9, order::Outcome::Done));
+    state.apply(3, end(task(0, 1), 1, 9, directive::Outcome::Done));
     assert_eq!(phase(&state), job::Phase::Completed);
     state.verify().expect("the counters fit");
 }
@@ -184,7 +184,7 @@
         state.apply(4, start(task(0, 1), 1, 9)),
         Outcome::Started(vec![false])
     );
-    state.apply(5, end(task(0, 0), 1, 9, order::Outcome::Failed));
+    state.apply(5, end(task(0, 0), 1, 9, directive::Outcome::Failed));
     assert_eq!(phase(&state), job::Phase::Cancelled);
     assert_eq!(state.apply(6, Command::Cancel { key: 77 }), Outcome::NoJob);
 }
@@ -213,7 +213,7 @@
 #[test]
 fn a_draining_worker_stays_draining() {
     let register = |draining: bool| Command::Register {
-        life: worker::Life {
+        life: worker::Incarnation {
             name: String::from("w"),
             born: 1,
         },
@@ -249,10 +249,10 @@
             let run = rng.random_range(1..4);
             let worker = rng.random_range(0..2);
             let outcomes = [
-                order::Outcome::Done,
-                order::Outcome::Failed,
-                order::Outcome::Stopped,
-                order::Outcome::Lost,
+                directive::Outcome::Done,
+                directive::Outcome::Failed,
+                directive::Outcome::Stopped,
+                directive::Outcome::Lost,
             ];
             let command = match rng.random_range(0..12) {
                 0..5 => start(which, run, worker),
@@ -277,9 +277,9 @@
     let mut state = State::default();
     state.apply(1, submit(KEY, vec![step(1, false, &[])]));
     state.apply(2, start(task(0, 0), 1, 9));
-    state.apply(3, end(task(0, 0), 1, 12, order::Outcome::Failed));
+    state.apply(3, end(task(0, 0), 1, 12, directive::Outcome::Failed));
     let entry = state.task(task(0, 0)).expect("the task is known");
     assert_eq!((entry.placed, entry.failures), (None, 1));
-    state.apply(4, end(task(0, 0), 1, 9, order::Outcome::Lost));
+    state.apply(4, end(task(0, 0), 1, 9, directive::Outcome::Lost));
     state.verify().expect("the counters fit");
 }
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -164,7 +164,7 @@
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
         let reason = format!("the body did not arrive whole, or is over {MAX_BODY_BYTES} bytes");
-        return context.adapter.fault(&adapter::Fault::Content(reason));
+        return context.adapter.error(&adapter::Error::Content(reason));
     };
     let body = body.to_bytes();
     let decoded = match kind {
@@ -175,12 +175,12 @@
         Ok(call) => call,
         Err(fault) => {
             log::info!("decision=refuse path={} reason=\"{fault:?}\"", head.uri.path());
-            return context.adapter.fault(&fault);
+            return context.adapter.error(&fault);
         }
     };
     let patience = match kind {
         Kind::Entry => {
-            let patience = context.adapter.patience(&head).unwrap_or(DEFAULT_PATIENCE);
+            let patience = context.adapter.timeout(&head).unwrap_or(DEFAULT_PATIENCE);
             patience.saturating_sub(REPLY_MARGIN)
         }
         _ => CONTROL_PATIENCE,
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -183,8 +183,8 @@
             Registration::Propose(command) => {
                 log::info!(
                     "decision=register worker={} born={} state={:?} address={}",
-                    announcement.life.name,
-                    announcement.life.born,
+                    announcement.incarnation.name,
+                    announcement.incarnation.born,
                     announcement.state,
                     announcement.worker.address
                 );
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_dispatch::dispatch::{self, Dispatch};
-use bronzespoke_workload::order;
+use bronzespoke_workload::directive;
 
 /// Notes an answered call from outside. `kind` is the listener.
 pub fn call(kind: &'static str, status: http::StatusCode, took: Duration) {
@@ -18,18 +18,18 @@
 }
 
 /// Notes an order that this daemon sent to a worker.
-pub fn order(order: &order::Order, answer: Option<&order::Answer>, took: Duration) {
+pub fn order(order: &directive::Directive, answer: Option<&directive::Answer>, took: Duration) {
     let order = match order {
-        order::Order::Start { .. } => "start",
-        order::Order::Stop { .. } => "stop",
-        order::Order::Renew { .. } => "report",
-        order::Order::Throttle { .. } => "throttle",
+        directive::Directive::Start { .. } => "start",
+        directive::Directive::Stop { .. } => "stop",
+        directive::Directive::Renew { .. } => "report",
+        directive::Directive::Throttle { .. } => "throttle",
     };
     let answer = match answer {
-        Some(order::Answer::Done { .. } | order::Answer::Report(_)) => "done",
-        Some(order::Answer::Refused { .. }) => "refused",
-        Some(order::Answer::NotSent) => "not_sent",
-        Some(order::Answer::Unreadable) => "unreadable",
+        Some(directive::Answer::Done { .. } | directive::Answer::Report(_)) => "done",
+        Some(directive::Answer::Refused { .. }) => "refused",
+        Some(directive::Answer::NotSent) => "not_sent",
+        Some(directive::Answer::Unreadable) => "unreadable",
         None => "none",
     };
     metrics::counter!("bronzespoke_fleet_orders_total", "order" => order, "answer" => answer).increment(1);
@@ -74,15 +74,15 @@
     metrics::counter!("bronzespoke_fleet_log_lines_dropped_total").absolute(crate::logging::dropped_lines());
 }
 
-const fn outcome_name(outcome: order::Outcome) -> &'static str {
+const fn outcome_name(outcome: directive::Outcome) -> &'static str {
     match outcome {
-        order::Outcome::Done => "done",
-        order::Outcome::Failed => "failed",
-        order::Outcome::Stopped => "stopped",
-        order::Outcome::Lapsed => "lapsed",
-        order::Outcome::Broken => "broken",
-        order::Outcome::Alone => "alone",
-        order::Outcome::NeverStarted => "never_started",
-        order::Outcome::Lost => "lost",
+        directive::Outcome::Done => "done",
+        directive::Outcome::Failed => "failed",
+        directive::Outcome::Stopped => "stopped",
+        directive::Outcome::Lapsed => "lapsed",
+        directive::Outcome::Broken => "broken",
+        directive::Outcome::Alone => "alone",
+        directive::Outcome::NeverStarted => "never_started",
+        directive::Outcome::Lost => "lost",
     }
 }
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 
 use std::time::{Duration, Instant};
 
-use bronzespoke_workload::{advice, call, order, settings};
+use bronzespoke_workload::{advice, call, directive, settings};
 use tokio::sync::oneshot;
 
 pub use start::{Error, read, run};
@@ -60,9 +60,9 @@
         /// Who gave the order.
         origin: relay::Origin,
         /// Order.
-        order: order::Order,
+        order: directive::Directive,
         /// Answer.
-        answer: Option<order::Answer>,
+        answer: Option<directive::Answer>,
     },
     /// The eligibility service answered a question that this daemon was asked to pass on.
     Advised {
--- a/crates/daemon/src/fleet/orders.rs
+++ b/crates/daemon/src/fleet/orders.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bronzespoke_workload::{adapter, advice, order};
+use bronzespoke_workload::{adapter, advice, directive};
 use ractor::ActorRef;
 use tokio::{runtime, sync::OnceCell};
 
@@ -18,9 +18,9 @@
 const QUESTION_TIMEOUT: Duration = Duration::from_secs(4);
 
 /// How long an order waits for its answer.
-pub fn timeout(order: &order::Order) -> Duration {
+pub fn timeout(order: &directive::Directive) -> Duration {
     match order {
-        order::Order::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
+        directive::Directive::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
         _ => ORDER_TIMEOUT,
     }
 }
@@ -34,7 +34,7 @@
     /// Worker.
     pub recipient: wire::Recipient,
     /// Order.
-    pub order: order::Order,
+    pub order: directive::Directive,
 }
 
 /// Handle of the control thread on the calls of the traffic thread.
@@ -72,14 +72,16 @@
 
     async fn carry(self, order: Order) {
         let recipient = &order.recipient;
-        let request = self.adapter.order(&recipient.name, recipient.fence, &order.order);
+        let request = self
+            .adapter
+            .directive(&recipient.name, recipient.fence, &order.order);
         let timeout = timeout(&order.order);
         let begun = Instant::now();
         let answer = match self.client.call(recipient.address, request, timeout).await {
             Ok((status, body)) => Some(self.adapter.answer(&order.order, status, &body)),
             Err(error) => {
                 log::debug!("decision=order worker={} outcome={error:?}", recipient.name);
-                (error == client::Error::NotSent).then_some(order::Answer::NotSent)
+                (error == client::Error::NotSent).then_some(directive::Answer::NotSent)
             }
         };
         metric::order(&order.order, answer.as_ref(), begun.elapsed());
@@ -91,17 +93,17 @@
     }
 
     /// Asks the eligibility service for another daemon.
-    pub fn ask(&self, asker: wire::Place, number: u64, question: advice::Question) {
+    pub fn ask(&self, asker: wire::Place, number: u64, question: advice::Query) {
         let sender = self.clone();
         self.runtime
             .spawn(async move { sender.question(asker, number, question).await });
     }
 
-    async fn question(self, asker: wire::Place, number: u64, question: advice::Question) {
+    async fn question(self, asker: wire::Place, number: u64, question: advice::Query) {
         let answer = match self.advice {
             None => advice::Answer::Failed,
             Some(address) => {
-                let request = self.adapter.question(&question);
+                let request = self.adapter.query(&question);
                 match self.client.call(address, request, QUESTION_TIMEOUT).await {
                     Ok((status, body)) => self.adapter.eligibility(status, &body),
                     Err(_error) => advice::Answer::Failed,
--- a/crates/daemon/src/fleet/relay.rs
+++ b/crates/daemon/src/fleet/relay.rs
@@ -13,7 +13,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::id;
-use bronzespoke_workload::order;
+use bronzespoke_workload::directive;
 
 use crate::fleet::{orders, wire};
 
@@ -38,7 +38,7 @@
         /// That daemon.
         place: wire::Place,
         /// Its term.
-        token: order::Token,
+        token: directive::Token,
         /// Its number of the order.
         number: u64,
     },
@@ -48,7 +48,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Decision {
     /// Term.
-    pub token: order::Token,
+    pub token: directive::Token,
     /// Worker.
     pub worker: cell::WorkerIndex,
     /// When it was decided.
@@ -59,7 +59,7 @@
 struct Sent {
     carrier: id::VmId,
     decision: Decision,
-    order: order::Order,
+    order: directive::Directive,
     give_up_at: Duration,
 }
 
@@ -98,7 +98,7 @@
         carrier: wire::Place,
         decision: Decision,
         recipient: wire::Recipient,
-        order: order::Order,
+        order: directive::Directive,
     ) {
         self.next += 1;
         let sent = Sent {
@@ -129,13 +129,13 @@
     }
 
     /// Takes the answer to an order; `None` if it was given up.
-    pub fn answered(&mut self, number: u64) -> Option<(Decision, order::Order)> {
+    pub fn answered(&mut self, number: u64) -> Option<(Decision, directive::Directive)> {
         let sent = self.sent.remove(&number)?;
         Some((sent.decision, sent.order))
     }
 
     /// Gives up orders that take too long or whose carrier is not reached any more. They may have been carried out.
-    pub fn give_up(&mut self, now: Duration) -> Vec<(Decision, order::Order)> {
+    pub fn give_up(&mut self, now: Duration) -> Vec<(Decision, directive::Directive)> {
         let reached: Vec<id::VmId> = self.carriers.values().map(|place| place.vm).collect();
         let lost = |sent: &Sent| now >= sent.give_up_at || !reached.contains(&sent.carrier);
         let numbers: Vec<u64> = self
@@ -153,7 +153,7 @@
 #[derive(Debug, Default)]
 pub struct Carried {
     since: Option<Duration>,
-    answers: BTreeMap<(wire::Place, order::Token), Vec<wire::Answered>>,
+    answers: BTreeMap<(wire::Place, directive::Token), Vec<wire::Answered>>,
 }
 
 impl Carried {
@@ -162,9 +162,9 @@
         &mut self,
         now: Duration,
         leader: wire::Place,
-        token: order::Token,
+        token: directive::Token,
         number: u64,
-        answer: Option<order::Answer>,
+        answer: Option<directive::Answer>,
     ) {
         self.since.get_or_insert(now);
         let answers = self.answers.entry((leader, token)).or_default();
@@ -188,7 +188,7 @@
             let mut frame = Vec::new();
             for (number, answer) in answers {
                 let listed = match &answer {
-                    Some(order::Answer::Report(report)) => report.running.len() + report.ended.len(),
+                    Some(directive::Answer::Report(report)) => report.running.len() + report.ended.len(),
                     _ => 0,
                 };
                 if entries + listed > ENTRIES_PER_FRAME && !frame.is_empty() {
--- a/crates/daemon/src/fleet/relaying.rs
+++ b/crates/daemon/src/fleet/relaying.rs
@@ -4,7 +4,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::{dispatch::Dispatch, machine};
-use bronzespoke_workload::order;
+use bronzespoke_workload::directive;
 
 use crate::{
     fleet::{controller::Controller, orders, relay, wire},
@@ -13,7 +13,12 @@
 
 impl Controller {
     /// Sends an order of this leader.
-    pub(super) fn send_order(&mut self, decided: Duration, worker: cell::WorkerIndex, order: order::Order) {
+    pub(super) fn send_order(
+        &mut self,
+        decided: Duration,
+        worker: cell::WorkerIndex,
+        order: directive::Directive,
+    ) {
         let now = self.now();
         let Some(dispatch) = &self.dispatch else { return };
         let Some(receiver) = dispatch.machines().get(&worker) else {
@@ -63,7 +68,12 @@
     }
 
     /// Carries orders of another leader.
-    pub(super) fn carry_orders(&self, leader: wire::Place, token: order::Token, orders: Vec<wire::Order>) {
+    pub(super) fn carry_orders(
+        &self,
+        leader: wire::Place,
+        token: directive::Token,
+        orders: Vec<wire::Order>,
+    ) {
         for order in orders {
             self.orders.order(orders::Order {
                 origin: relay::Origin::Leader {
@@ -78,7 +88,7 @@
     }
 
     /// Takes answers that another daemon got; those to orders of a former term change nothing.
-    pub(super) fn take_answers(&mut self, token: order::Token, answers: Vec<wire::Answered>) {
+    pub(super) fn take_answers(&mut self, token: directive::Token, answers: Vec<wire::Answered>) {
         if self.dispatch.as_ref().map(Dispatch::token) != Some(token) {
             return;
         }
@@ -93,8 +103,8 @@
     pub(super) fn ordered(
         &mut self,
         origin: relay::Origin,
-        order: &order::Order,
-        answer: Option<order::Answer>,
+        order: &directive::Directive,
+        answer: Option<directive::Answer>,
     ) {
         match origin {
             relay::Origin::Own(decision) => self.answered(decision, order, answer.as_ref()),
@@ -113,7 +123,12 @@
     }
 
     /// An answer to an order of a former term changes nothing.
-    fn answered(&mut self, decision: relay::Decision, order: &order::Order, answer: Option<&order::Answer>) {
+    fn answered(
+        &mut self,
+        decision: relay::Decision,
+        order: &directive::Directive,
+        answer: Option<&directive::Answer>,
+    ) {
         let now = self.times();
         let relay::Decision { token, worker, at } = decision;
         if let Some(dispatch) = self
--- a/crates/daemon/src/fleet/wire.rs
+++ b/crates/daemon/src/fleet/wire.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use bronzespoke_model::id;
-use bronzespoke_workload::{advice, call, order};
+use bronzespoke_workload::{advice, call, directive};
 use serde::{Deserialize, Serialize};
 
 /// A message.
@@ -45,7 +45,7 @@
         /// Number that the answer carries.
         number: u64,
         /// Question.
-        question: advice::Question,
+        question: advice::Query,
     },
     /// Answer of the eligibility service.
     Eligibility {
@@ -57,21 +57,21 @@
     /// The leader has the receiver carry orders to workers.
     Orders {
         /// Term of the leader.
-        token: order::Token,
+        token: directive::Token,
         /// Orders.
         orders: Vec<Order>,
     },
     /// What workers answered.
     Answers {
         /// Term of the leader that gave the orders.
-        token: order::Token,
+        token: directive::Token,
         /// Answers.
         answers: Vec<Answered>,
     },
 }
 
 /// Number of an order and the worker's answer, if there was one.
-pub type Answered = (u64, Option<order::Answer>);
+pub type Answered = (u64, Option<directive::Answer>);
 
 /// An order that another daemon carries to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -81,14 +81,14 @@
     /// Worker.
     pub recipient: Recipient,
     /// Order.
-    pub order: order::Order,
+    pub order: directive::Directive,
 }
 
 /// How a life of a worker is called.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Recipient {
     /// Fencing token of the life.
-    pub fence: order::Token,
+    pub fence: directive::Token,
     /// Name.
     pub name: String,
     /// Address.
--- a/crates/daemon/tests/fleet_decisions.rs
+++ b/crates/daemon/tests/fleet_decisions.rs
@@ -10,7 +10,7 @@
 };
 use bronzespoke_workload::{
     call::{self, Call, Reply},
-    order,
+    directive,
 };
 
 const fn at(millis: u64) -> Duration {
@@ -142,14 +142,14 @@
     }
 }
 
-const fn stop(index: u32) -> order::Order {
-    let task = order::Task {
+const fn stop(index: u32) -> directive::Directive {
+    let task = directive::Task {
         job: 1,
         occurrence: 0,
         step: 0,
         index,
     };
-    order::Order::Stop { task, run: 1 }
+    directive::Directive::Stop { task, run: 1 }
 }
 
 fn carriers() -> Vec<(Place, String)> {
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/desk.rs
@@ -113,7 +113,7 @@
     /// Number that its answer carries.
     pub number: u64,
     /// Question.
-    pub question: advice::Question,
+    pub question: advice::Query,
 }
 
 /// Questions that wait or are under way, and what was answered.
@@ -230,7 +230,7 @@
         Ask {
             helper,
             number,
-            question: advice::Question { step, workers },
+            question: advice::Query { step, workers },
         }
     }
 
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{advice, order};
+use bronzespoke_workload::{advice, directive};
 
 /// One decision or change of belief, with what it rests on.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -11,9 +11,9 @@
     /// A start was decided.
     Placed {
         /// Task.
-        task: order::Task,
+        task: directive::Task,
         /// Number of the start.
-        run: order::Run,
+        run: directive::Run,
         /// Worker.
         worker: String,
         /// Free processors of the worker before, in thousandths of a core.
@@ -22,9 +22,9 @@
     /// A worker answered a start, or did not in time.
     StartAnswered {
         /// Task.
-        task: order::Task,
+        task: directive::Task,
         /// Number of the start.
-        run: order::Run,
+        run: directive::Run,
         /// Worker.
         worker: String,
         /// Answer in words.
@@ -35,13 +35,13 @@
     /// The end of a run is certain.
     Ended {
         /// Task.
-        task: order::Task,
+        task: directive::Task,
         /// Number of the start.
-        run: order::Run,
+        run: directive::Run,
         /// Worker.
         worker: String,
         /// How it ended.
-        outcome: order::Outcome,
+        outcome: directive::Outcome,
     },
     /// A worker is known from now on.
     WorkerKnown {
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{advice, order, worker};
+use bronzespoke_workload::{advice, directive, worker};
 
 use super::{Dispatch, Event, Now, Output, lost::Loss, orders, schedule};
 use crate::machine;
@@ -61,7 +61,7 @@
                 let spec = &job.submission.steps[step];
                 for (index, task) in entry.tasks.iter().enumerate() {
                     let Some(worker) = task.placed else { continue };
-                    let name = order::Task {
+                    let name = directive::Task {
                         job: job.key,
                         occurrence: occurrence as u32,
                         step: step as u16,
@@ -102,7 +102,7 @@
         now: Duration,
         announcement: &worker::Announcement,
     ) -> Registration {
-        let life = &announcement.life;
+        let life = &announcement.incarnation;
         let draining = matches!(announcement.state, worker::State::Draining { .. });
         let leaves_at = match announcement.state {
             worker::State::Draining { remaining } => remaining.map(|remaining| now + remaining),
@@ -181,13 +181,19 @@
     }
 
     /// Marks the runs of a step as to be stopped.
-    pub(super) fn stop_step(&mut self, step: advice::Step, run: order::Run, now: Duration) {
+    pub(super) fn stop_step(&mut self, step: advice::Step, run: directive::Run, now: Duration) {
         let (first, last) = (schedule::name(step, 0), schedule::name(step, u32::MAX));
         self.stop_range(first, last, run, now);
     }
 
     /// Marks runs up to a number in a range of tasks as to be stopped, and sends the orders.
-    fn stop_range(&mut self, first: order::Task, last: order::Task, run: order::Run, now: Duration) {
+    fn stop_range(
+        &mut self,
+        first: directive::Task,
+        last: directive::Task,
+        run: directive::Run,
+        now: Duration,
+    ) {
         for (index, machine) in &mut self.machines {
             for (task, entry) in machine.runs.range_mut(first..=last) {
                 if entry.run > run || entry.stop != machine::Stop::No {
@@ -214,19 +220,19 @@
     }
 
     fn stop_runs_of(&mut self, key: bronzespoke_workload::job::Key, now: Duration) {
-        let first = order::Task {
+        let first = directive::Task {
             job: key,
             occurrence: 0,
             step: 0,
             index: 0,
         };
-        let last = order::Task {
+        let last = directive::Task {
             job: key,
             occurrence: u32::MAX,
             step: u16::MAX,
             index: u32::MAX,
         };
-        self.stop_range(first, last, order::Run::MAX, now);
+        self.stop_range(first, last, directive::Run::MAX, now);
     }
 }
 
@@ -243,7 +249,7 @@
 
 fn register(announcement: &worker::Announcement, draining: bool) -> cell::Command {
     cell::Command::Register {
-        life: announcement.life.clone(),
+        life: announcement.incarnation.clone(),
         worker: Box::new(announcement.worker.clone()),
         draining,
     }
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -3,7 +3,7 @@
 use std::{collections::BTreeSet, time::Duration};
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::order;
+use bronzespoke_workload::directive;
 use bytes::Bytes;
 
 use super::{Dispatch, Event, Output};
@@ -20,7 +20,7 @@
     /// It said that it ends.
     Left,
     /// Another life answered an order.
-    OtherLife,
+    OtherIncarnation,
     /// A later life announced itself.
     Replaced,
     /// A later life reported.
@@ -35,7 +35,7 @@
         match self {
             Self::Lease => "lease",
             Self::Left => "left",
-            Self::OtherLife => "other_life",
+            Self::OtherIncarnation => "other_life",
             Self::Replaced => "replaced",
             Self::Restarted => "restarted",
             Self::Silent => "silent",
@@ -49,8 +49,8 @@
 pub(super) struct Uncertain {
     worker: cell::WorkerIndex,
     name: String,
-    task: order::Task,
-    run: order::Run,
+    task: directive::Task,
+    run: directive::Run,
     checkpoint: Option<Bytes>,
     /// End of its lease on the clock of the worker.
     lease_end: Duration,
@@ -87,7 +87,7 @@
         &mut self,
         now: Duration,
         worker: cell::WorkerIndex,
-        report: &order::Report,
+        report: &directive::Report,
     ) {
         let Some(machine) = self.machines.get(&worker) else {
             return;
@@ -172,7 +172,7 @@
     pub(super) fn propose_lost(
         &mut self,
         worker: cell::WorkerIndex,
-        runs: Vec<(order::Task, order::Run, Option<Bytes>)>,
+        runs: Vec<(directive::Task, directive::Run, Option<Bytes>)>,
     ) {
         if runs.is_empty() {
             return;
@@ -183,7 +183,7 @@
                 task,
                 run,
                 worker,
-                outcome: order::Outcome::Lost,
+                outcome: directive::Outcome::Lost,
                 checkpoint,
             })
             .collect();
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -20,7 +20,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::id;
-use bronzespoke_workload::{advice, catalog, job, order, settings};
+use bronzespoke_workload::{advice, catalog, directive, job, settings};
 
 pub use event::Event;
 pub use fleet::Registration;
@@ -68,7 +68,7 @@
         /// Receiver.
         worker: cell::WorkerIndex,
         /// Order.
-        order: order::Order,
+        order: directive::Directive,
         /// When it was decided; comes back with the answer.
         decided: Duration,
     },
@@ -82,7 +82,7 @@
 #[derive(Debug, Clone, Copy)]
 pub struct Config {
     /// Fencing token: the term.
-    pub token: order::Token,
+    pub token: directive::Token,
     /// Bounds of the platform.
     pub bounds: settings::Bounds,
 }
@@ -125,9 +125,9 @@
     /// Steps of submissions whose commit is under way, which are asked about already.
     early: Vec<advice::Step>,
     /// Tasks whose start is proposed and not committed.
-    proposed: HashSet<order::Task>,
+    proposed: HashSet<directive::Task>,
     /// Workers on which a task has failed.
-    failed_on: HashMap<order::Task, Vec<cell::WorkerIndex>>,
+    failed_on: HashMap<directive::Task, Vec<cell::WorkerIndex>>,
     dirty: bool,
     pass_at: Duration,
     timers_at: Duration,
@@ -170,7 +170,7 @@
     }
 
     /// Fencing token of the term.
-    pub const fn token(&self) -> order::Token {
+    pub const fn token(&self) -> directive::Token {
         self.config.token
     }
 
@@ -322,8 +322,8 @@
     fn drop_run(
         &mut self,
         worker: cell::WorkerIndex,
-        task: order::Task,
-        run: order::Run,
+        task: directive::Task,
+        run: directive::Run,
     ) -> Option<machine::Run> {
         let removed = self.machines.get_mut(&worker)?.remove(task, run)?;
         self.usage.remove(removed.team.as_deref(), removed.size);
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/orders.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::order;
+use bronzespoke_workload::directive;
 use bytes::Bytes;
 
 use super::{Dispatch, Event, Now, Output, START_LEASE, lost::Loss, report};
@@ -55,7 +55,7 @@
             return;
         }
         self.drop_run(start.worker, start.task, start.run);
-        let outcome = order::Outcome::NeverStarted;
+        let outcome = directive::Outcome::NeverStarted;
         self.propose_end(start.worker, start.task, start.run, outcome, None);
     }
 
@@ -83,7 +83,7 @@
         state: &cell::State,
         now: Duration,
         worker: cell::WorkerIndex,
-        task: order::Task,
+        task: directive::Task,
     ) {
         let (Some(machine), Some(job)) = (self.machines.get(&worker), state.job(task.job)) else {
             return;
@@ -93,7 +93,7 @@
         };
         let known = self.desk.eligibility(report::step_of(task));
         let ticket = known.and_then(|known| known.ticket(worker, now).cloned());
-        let order = order::Order::Start {
+        let order = directive::Directive::Start {
             task,
             run: run.run,
             spec: job.submission.spec.clone(),
@@ -131,8 +131,8 @@
     pub(super) fn stop_run(
         &mut self,
         worker: cell::WorkerIndex,
-        task: order::Task,
-        run: order::Run,
+        task: directive::Task,
+        run: directive::Run,
         now: Duration,
     ) {
         let machine = self.machines.get_mut(&worker);
@@ -185,22 +185,22 @@
         state: &cell::State,
         now: Now,
         worker: cell::WorkerIndex,
-        order: &order::Order,
+        order: &directive::Directive,
         sent: Duration,
-        answer: Option<&order::Answer>,
+        answer: Option<&directive::Answer>,
     ) {
         let answer = answer.filter(|answer| !self.is_of_later_life(worker, sent, answer));
         self.sample(worker, now.steady, answer);
-        if let Some(order::Answer::Refused {
-            reason: order::Refusal::OtherLife,
+        if let Some(directive::Answer::Refused {
+            reason: directive::Refusal::OtherIncarnation,
             ..
         }) = answer
         {
-            self.end_life(worker, Loss::OtherLife);
+            self.end_life(worker, Loss::OtherIncarnation);
             return;
         }
-        if let Some(order::Answer::Refused {
-            reason: order::Refusal::Fenced,
+        if let Some(directive::Answer::Refused {
+            reason: directive::Refusal::Fenced,
             ..
         }) = answer
         {
@@ -213,30 +213,37 @@
             }));
         }
         match order {
-            order::Order::Start { task, run, .. } => {
+            directive::Directive::Start { task, run, .. } => {
                 self.start_answered(now.steady, worker, *task, *run, answer);
             }
-            order::Order::Stop { task, run } => self.stop_answered(now.steady, worker, *task, *run, answer),
-            order::Order::Renew { .. } => self.report_answered(state, now, worker, sent, answer),
-            order::Order::Throttle { .. } => {}
+            directive::Directive::Stop { task, run } => {
+                self.stop_answered(now.steady, worker, *task, *run, answer)
+            }
+            directive::Directive::Renew { .. } => self.report_answered(state, now, worker, sent, answer),
+            directive::Directive::Throttle { .. } => {}
         }
     }
 
     /// Whether a start or stop was answered by a later life of the same name. The order is then without effect on the life
     /// that it was meant for, and the later one makes itself known by its announcement or report.
-    fn is_of_later_life(&self, worker: cell::WorkerIndex, sent: Duration, answer: &order::Answer) -> bool {
-        let order::Answer::Done { clock } = answer else {
+    fn is_of_later_life(
+        &self,
+        worker: cell::WorkerIndex,
+        sent: Duration,
+        answer: &directive::Answer,
+    ) -> bool {
+        let directive::Answer::Done { clock } = answer else {
             return false;
         };
         let machine = self.machines.get(&worker);
         machine.is_some_and(|machine| machine.is_of_later_life(sent, *clock))
     }
 
-    fn sample(&mut self, worker: cell::WorkerIndex, now: Duration, answer: Option<&order::Answer>) {
+    fn sample(&mut self, worker: cell::WorkerIndex, now: Duration, answer: Option<&directive::Answer>) {
         let clock = match answer {
-            Some(order::Answer::Done { clock }) => Some(*clock),
-            Some(order::Answer::Report(report)) => Some(report.clock),
-            Some(order::Answer::Refused { clock, .. }) => *clock,
+            Some(directive::Answer::Done { clock }) => Some(*clock),
+            Some(directive::Answer::Report(report)) => Some(report.clock),
+            Some(directive::Answer::Refused { clock, .. }) => *clock,
             _ => None,
         };
         let (Some(clock), Some(machine)) = (clock, self.machines.get_mut(&worker)) else {
@@ -252,9 +259,9 @@
         &mut self,
         now: Duration,
         worker: cell::WorkerIndex,
-        task: order::Task,
-        run: order::Run,
-        answer: Option<&order::Answer>,
+        task: directive::Task,
+        run: directive::Run,
+        answer: Option<&directive::Answer>,
     ) {
         let Some(machine) = self.machines.get_mut(&worker) else {
             return;
@@ -267,7 +274,7 @@
         // An earlier order of this start had no answer and may have reached the worker.
         let maybe_sent = self.unanswered.newest(&name, task, run).is_some();
         let refusal = match answer {
-            Some(order::Answer::Done { .. }) => {
+            Some(directive::Answer::Done { .. }) => {
                 if entry.phase == Phase::Sent || entry.phase == Phase::Unsure {
                     entry.phase = Phase::Running(now);
                     entry.since = now;
@@ -275,8 +282,8 @@
                 self.note_start(task, run, name, "started", after);
                 return;
             }
-            Some(order::Answer::Refused { reason, .. }) => *reason,
-            Some(order::Answer::NotSent) => {
+            Some(directive::Answer::Refused { reason, .. }) => *reason,
+            Some(directive::Answer::NotSent) => {
                 let is_certain = entry.phase == Phase::Sent && !maybe_sent;
                 if entry.phase == Phase::Sent {
                     entry.phase = Phase::Unsure;
@@ -285,7 +292,7 @@
                 self.note_start(task, run, name, "not_sent", after);
                 if is_certain {
                     self.drop_run(worker, task, run);
-                    self.propose_end(worker, task, run, order::Outcome::NeverStarted, None);
+                    self.propose_end(worker, task, run, directive::Outcome::NeverStarted, None);
                 }
                 return;
             }
@@ -308,30 +315,31 @@
         };
         let word = match refusal {
             // Another leader decides from now on; this one will learn of it from its own group.
-            order::Refusal::Fenced | order::Refusal::OtherLife => return,
-            order::Refusal::Outdated => "outdated",
-            order::Refusal::Late => "late",
-            order::Refusal::Room => "room",
-            order::Refusal::Ticket => "ticket",
-            order::Refusal::Unhealthy => "unhealthy",
-            order::Refusal::Malformed => "malformed",
+            directive::Refusal::Fenced | directive::Refusal::OtherIncarnation => return,
+            directive::Refusal::Outdated => "outdated",
+            directive::Refusal::Late => "late",
+            directive::Refusal::Room => "room",
+            directive::Refusal::Ticket => "ticket",
+            directive::Refusal::Unhealthy => "unhealthy",
+            directive::Refusal::Malformed => "malformed",
         };
-        if refusal == order::Refusal::Unhealthy {
+        if refusal == directive::Refusal::Unhealthy {
             machine.suspect_until = machine.suspect_until.max(now + UNHEALTHY_PAUSE);
         }
-        if refusal == order::Refusal::Outdated && matches!(entry.phase, Phase::Running(_)) {
+        if refusal == directive::Refusal::Outdated && matches!(entry.phase, Phase::Running(_)) {
             return;
         }
         // An earlier start without an answer may still be carried out, unless its lease is over as well.
-        let is_open = maybe_sent && !matches!(refusal, order::Refusal::Late | order::Refusal::Outdated);
+        let is_open =
+            maybe_sent && !matches!(refusal, directive::Refusal::Late | directive::Refusal::Outdated);
         if is_open && entry.phase == Phase::Sent {
             entry.phase = Phase::Unsure;
         }
         self.note_start(task, run, name, word, after);
-        if refusal == order::Refusal::Ticket {
+        if refusal == directive::Refusal::Ticket {
             self.desk.void(report::step_of(task), worker);
         }
-        if refusal == order::Refusal::Outdated {
+        if refusal == directive::Refusal::Outdated {
             // It was there and has ended, or was stopped before it came; the report lists which.
             if let Some(entry) = self.machines.get_mut(&worker).and_then(|m| m.runs.get_mut(&task)) {
                 entry.phase = Phase::Running(now);
@@ -342,13 +350,13 @@
             return;
         }
         self.drop_run(worker, task, run);
-        self.propose_end(worker, task, run, order::Outcome::NeverStarted, None);
+        self.propose_end(worker, task, run, directive::Outcome::NeverStarted, None);
     }
 
     fn note_start(
         &mut self,
-        task: order::Task,
-        run: order::Run,
+        task: directive::Task,
+        run: directive::Run,
         worker: String,
         answer: &'static str,
         after: Duration,
@@ -366,16 +374,16 @@
         &mut self,
         now: Duration,
         worker: cell::WorkerIndex,
-        task: order::Task,
-        run: order::Run,
-        answer: Option<&order::Answer>,
+        task: directive::Task,
+        run: directive::Run,
+        answer: Option<&directive::Answer>,
     ) {
         let Some(machine) = self.machines.get_mut(&worker) else {
             return;
         };
         let known = machine.runs.get_mut(&task).filter(|entry| entry.run == run);
         let Some(entry) = known else {
-            if matches!(answer, Some(order::Answer::Done { .. })) {
+            if matches!(answer, Some(directive::Answer::Done { .. })) {
                 machine.strays.settle(now, task, run);
                 self.dirty = true;
             }
@@ -385,9 +393,9 @@
         let settled = matches!(
             answer,
             Some(
-                order::Answer::Done { .. }
-                    | order::Answer::Refused {
-                        reason: order::Refusal::Outdated,
+                directive::Answer::Done { .. }
+                    | directive::Answer::Refused {
+                        reason: directive::Refusal::Outdated,
                         ..
                     }
             )
@@ -401,9 +409,9 @@
     pub(super) fn propose_end(
         &mut self,
         worker: cell::WorkerIndex,
-        task: order::Task,
-        run: order::Run,
-        outcome: order::Outcome,
+        task: directive::Task,
+        run: directive::Run,
+        outcome: directive::Outcome,
         checkpoint: Option<Bytes>,
     ) {
         self.note_end(worker, task, run, outcome);
@@ -420,9 +428,9 @@
     pub(super) fn note_end(
         &mut self,
         worker: cell::WorkerIndex,
-        task: order::Task,
-        run: order::Run,
-        outcome: order::Outcome,
+        task: directive::Task,
+        run: directive::Run,
+        outcome: directive::Outcome,
     ) {
         let name = self
             .machines
@@ -442,7 +450,7 @@
         now: Now,
         worker: cell::WorkerIndex,
         sent: Duration,
-        answer: Option<&order::Answer>,
+        answer: Option<&directive::Answer>,
     ) {
         let Some(machine) = self.machines.get_mut(&worker) else {
             return;
@@ -450,9 +458,9 @@
         if machine.asked == Some(sent) {
             machine.asked = None;
             machine.ask_at = now.steady + REPORT_RETRY;
-            machine.unanswered |= !matches!(answer, Some(order::Answer::Report(_)));
+            machine.unanswered |= !matches!(answer, Some(directive::Answer::Report(_)));
         }
-        if let Some(order::Answer::Report(report)) = answer {
+        if let Some(directive::Answer::Report(report)) = answer {
             self.take_report(state, now, worker, sent, report);
         }
     }
@@ -461,13 +469,13 @@
 /// Order to stop a run.
 pub(super) const fn stop(
     worker: cell::WorkerIndex,
-    task: order::Task,
-    run: order::Run,
+    task: directive::Task,
+    run: directive::Run,
     now: Duration,
 ) -> Output {
     Output::Order {
         worker,
-        order: order::Order::Stop { task, run },
+        order: directive::Directive::Stop { task, run },
         decided: now,
     }
 }
@@ -500,7 +508,7 @@
     } else {
         Duration::ZERO
     };
-    let order = order::Order::Renew {
+    let order = directive::Directive::Renew {
         lease_end,
         acknowledged: machine.recorded,
         wait,
@@ -513,7 +521,7 @@
 }
 
 /// Progress that a start resumes from.
-fn checkpoint(state: &cell::State, job: &cell::Job, task: order::Task) -> Option<Bytes> {
+fn checkpoint(state: &cell::State, job: &cell::Job, task: directive::Task) -> Option<Bytes> {
     let spec = job.submission.steps.get(usize::from(task.step))?;
     if !spec.checkpoints {
         return None;
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -7,7 +7,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{advice, order};
+use bronzespoke_workload::{advice, directive};
 
 use super::{Dispatch, Event, Now, Output, lost::Loss};
 use crate::{
@@ -35,7 +35,7 @@
         now: Now,
         worker: cell::WorkerIndex,
         sent: Duration,
-        report: &order::Report,
+        report: &directive::Report,
     ) {
         let Some(machine) = self.machines.get_mut(&worker) else {
             return;
@@ -75,7 +75,7 @@
         state: &cell::State,
         now: Duration,
         worker: cell::WorkerIndex,
-        report: &order::Report,
+        report: &directive::Report,
     ) {
         let mut ends = Vec::new();
         let Some(machine) = self.machines.get_mut(&worker) else {
@@ -107,7 +107,7 @@
     fn take_end(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
         self.note_end(end.worker, end.task, end.run, end.outcome);
         let removed = self.drop_run(end.worker, end.task, end.run);
-        if end.outcome == order::Outcome::Done {
+        if end.outcome == directive::Outcome::Done {
             self.note_run_time(state, now, end, removed.as_ref());
         }
         let asked_to_stop = removed.is_some_and(|run| run.stop != Stop::No);
@@ -115,8 +115,8 @@
             return;
         };
         match end.outcome {
-            order::Outcome::Done => machine.note_success(),
-            order::Outcome::Failed if !asked_to_stop => {
+            directive::Outcome::Done => machine.note_success(),
+            directive::Outcome::Failed if !asked_to_stop => {
                 self.failed_on.entry(end.task).or_default().push(end.worker);
                 let pause = SUSPECT_PAUSE * 2_u32.saturating_pow(machine.suspicions);
                 let pause = pause.min(LONGEST_PAUSE);
@@ -133,7 +133,7 @@
             _ => {}
         }
         let gang = state.spec(end.task).is_some_and(|step| step.gang);
-        if gang && end.outcome != order::Outcome::Done {
+        if gang && end.outcome != directive::Outcome::Done {
             self.stop_step(step_of(end.task), end.run, now);
         }
     }
@@ -179,12 +179,12 @@
         now: Duration,
         worker: cell::WorkerIndex,
         sent: Duration,
-        report: &order::Report,
+        report: &directive::Report,
     ) {
         let Some(machine) = self.machines.get_mut(&worker) else {
             return;
         };
-        let running: HashMap<order::Task, &order::Running> = report
+        let running: HashMap<directive::Task, &directive::Running> = report
             .running
             .iter()
             .map(|running| (running.task, running))
@@ -212,9 +212,9 @@
             };
             if over {
                 let outcome = match run.phase {
-                    Phase::Running(_) if run.stop == Stop::No => order::Outcome::Lost,
-                    Phase::Running(_) => order::Outcome::Stopped,
-                    _ => order::Outcome::NeverStarted,
+                    Phase::Running(_) if run.stop == Stop::No => directive::Outcome::Lost,
+                    Phase::Running(_) => directive::Outcome::Stopped,
+                    _ => directive::Outcome::NeverStarted,
                 };
                 gone.push((*task, run.run, outcome, run.checkpoint.clone()));
             }
@@ -243,7 +243,7 @@
         let Some(machine) = self.machines.get_mut(&worker) else {
             return;
         };
-        let stalled: Vec<(order::Task, order::Run)> = machine
+        let stalled: Vec<(directive::Task, directive::Run)> = machine
             .runs
             .iter()
             .filter(|(_, run)| run.stop == Stop::No && is_stalled(run, now))
@@ -364,7 +364,7 @@
         }
         let mut last = None;
         for end in ends {
-            if end.outcome == order::Outcome::Done {
+            if end.outcome == directive::Outcome::Done {
                 self.stop_later_runs(state, now.steady, end);
             } else {
                 self.abandon_gang(state, now.steady, end);
@@ -421,7 +421,7 @@
 }
 
 /// What a task takes from its worker; nothing is known of a task whose job was forgotten.
-fn size_of(state: &cell::State, task: order::Task) -> Option<resource::Amount> {
+fn size_of(state: &cell::State, task: directive::Task) -> Option<resource::Amount> {
     state.spec(task).map(super::fleet::counted_size)
 }
 
@@ -456,12 +456,12 @@
 }
 
 /// Whether the progress of a task says anything: that of a lasting task does not, and a gang may wait for a member.
-fn may_stall(state: &cell::State, task: order::Task) -> bool {
+fn may_stall(state: &cell::State, task: directive::Task) -> bool {
     let step = state.spec(task);
     step.is_some_and(|step| !step.lasting && !step.gang)
 }
 
-pub(super) const fn step_of(task: order::Task) -> advice::Step {
+pub(super) const fn step_of(task: directive::Task) -> advice::Step {
     advice::Step {
         job: task.job,
         occurrence: task.occurrence,
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -8,7 +8,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{advice, catalog, job, order, worker};
+use bronzespoke_workload::{advice, catalog, directive, job, worker};
 
 use super::{Dispatch, Event, Now, Output, fleet, waiting};
 use crate::{
@@ -493,7 +493,7 @@
         subject: &Subject<'_>,
         index: u32,
         worker: cell::WorkerIndex,
-        run: order::Run,
+        run: directive::Run,
         starts: &mut Vec<cell::Start>,
     ) {
         let task = name(subject.id, index);
@@ -540,8 +540,8 @@
 }
 
 /// Name of a task of a step.
-pub(super) const fn name(step: advice::Step, index: u32) -> order::Task {
-    order::Task {
+pub(super) const fn name(step: advice::Step, index: u32) -> directive::Task {
+    directive::Task {
         job: step.job,
         occurrence: step.occurrence,
         step: step.step,
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/machine.rs
@@ -10,7 +10,7 @@
 };
 
 use bronzespoke_model::resource;
-use bronzespoke_workload::{order, worker};
+use bronzespoke_workload::{directive, worker};
 
 use crate::{progress, stray};
 
@@ -27,7 +27,7 @@
 ///
 /// It grows with the term, and with each life: a worker that returns under its name refuses what was meant for its
 /// former life as soon as it has taken one order of its own.
-pub const fn fence(term: order::Token, worker: u32) -> order::Token {
+pub const fn fence(term: directive::Token, worker: u32) -> directive::Token {
     (term << LIFE_BITS) | worker as u64
 }
 
@@ -50,7 +50,7 @@
 #[derive(Debug, Clone)]
 pub struct Run {
     /// Number of the start.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// What it uses.
     pub size: resource::Amount,
     /// Team whose limit it counts against.
@@ -101,13 +101,13 @@
 #[derive(Debug)]
 pub struct Machine {
     /// Life.
-    pub life: worker::Life,
+    pub life: worker::Incarnation,
     /// What it is.
     pub worker: Arc<worker::Worker>,
     /// Whether it leaves.
     pub draining: bool,
     /// Runs on it.
-    pub runs: BTreeMap<order::Task, Run>,
+    pub runs: BTreeMap<directive::Task, Run>,
     /// Sum of their sizes.
     pub used: resource::Amount,
     /// Runs that it has or may get without being meant to.
@@ -150,7 +150,7 @@
 impl Machine {
     /// Returns a machine that has not reported yet.
     pub fn new(
-        life: worker::Life,
+        life: worker::Incarnation,
         worker: Arc<worker::Worker>,
         draining: bool,
         now: Duration,
@@ -209,7 +209,7 @@
     }
 
     /// Adds a run.
-    pub fn add(&mut self, task: order::Task, run: Run) {
+    pub fn add(&mut self, task: directive::Task, run: Run) {
         let size = run.size;
         if let Some(former) = self.runs.insert(task, run) {
             self.used = self.used.saturating_sub(&former.size);
@@ -218,7 +218,7 @@
     }
 
     /// Removes a run of a number.
-    pub fn remove(&mut self, task: order::Task, run: order::Run) -> Option<Run> {
+    pub fn remove(&mut self, task: directive::Task, run: directive::Run) -> Option<Run> {
         if self.runs.get(&task)?.run != run {
             return None;
         }
--- a/crates/dispatch/src/stray.rs
+++ b/crates/dispatch/src/stray.rs
@@ -10,7 +10,7 @@
 };
 
 use bronzespoke_model::resource;
-use bronzespoke_workload::order;
+use bronzespoke_workload::directive;
 
 /// How long an unanswered order may still be carried out; the platform states 12 s.
 const LATEST: Duration = Duration::from_secs(13);
@@ -19,9 +19,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Start {
     /// Task.
-    pub task: order::Task,
+    pub task: directive::Task,
     /// Number of the start.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// What it uses.
     pub size: resource::Amount,
     /// When its order may have been sent last.
@@ -56,7 +56,7 @@
     }
 
     /// Returns the newest start of a run that got no answer.
-    pub fn newest(&self, worker: &str, task: order::Task, run: order::Run) -> Option<Start> {
+    pub fn newest(&self, worker: &str, task: directive::Task, run: directive::Run) -> Option<Start> {
         let starts = self.workers.get(worker)?;
         let mut newest = starts.iter().rev();
         newest
@@ -85,7 +85,7 @@
 /// Runs that a worker has or may get without being meant to.
 #[derive(Debug, Default)]
 pub struct Strays {
-    runs: BTreeMap<(order::Task, order::Run), Stray>,
+    runs: BTreeMap<(directive::Task, directive::Run), Stray>,
     told: Duration,
 }
 
@@ -105,9 +105,10 @@
         &mut self,
         now: Duration,
         sent: Duration,
-        running: &[((order::Task, order::Run), resource::Amount)],
+        running: &[((directive::Task, directive::Run), resource::Amount)],
     ) {
-        let is_there = |key: &(order::Task, order::Run)| running.iter().any(|(other, _)| other == key);
+        let is_there =
+            |key: &(directive::Task, directive::Run)| running.iter().any(|(other, _)| other == key);
         self.runs.retain(|key, stray| {
             let gone = stray.stopped.is_some_and(|at| sent > at) && !is_there(key);
             now < stray.until && !gone
@@ -125,7 +126,7 @@
     }
 
     /// Returns the runs that the worker has to be told to stop now, and again until it answers.
-    pub fn due(&mut self, now: Duration) -> Vec<(order::Task, order::Run)> {
+    pub fn due(&mut self, now: Duration) -> Vec<(directive::Task, directive::Run)> {
         let open = self.runs.iter().filter(|(_, stray)| stray.stopped.is_none());
         let open: Vec<_> = open.map(|(key, _)| *key).collect();
         if open.is_empty() || now < self.told + RETRY {
@@ -136,7 +137,7 @@
     }
 
     /// Notes that the worker has taken the order to stop a run: it refuses the run from now on, or is stopping it.
-    pub fn settle(&mut self, now: Duration, task: order::Task, run: order::Run) {
+    pub fn settle(&mut self, now: Duration, task: directive::Task, run: directive::Run) {
         if let Some(stray) = self.runs.get_mut(&(task, run)) {
             stray.stopped.get_or_insert(now);
         }
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -6,7 +6,7 @@
 use bronzespoke_dispatch::dispatch::{Config, Dispatch, Now, Output, Registration};
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{catalog, job, order, settings, worker};
+use bronzespoke_workload::{catalog, directive, job, settings, worker};
 use bytes::Bytes;
 use yare::parameterized;
 
@@ -20,7 +20,7 @@
 }
 
 /// Worker of a start, the start and when it was decided.
-type Sent = (cell::WorkerIndex, order::Order, Duration);
+type Sent = (cell::WorkerIndex, directive::Directive, Duration);
 
 /// A leader with two workers that have reported.
 struct Leader {
@@ -66,7 +66,7 @@
 
     fn announce(&mut self, number: u16) {
         let announcement = worker::Announcement {
-            life: worker::Life {
+            incarnation: worker::Incarnation {
                 name: format!("w-{number}"),
                 born: 5,
             },
@@ -106,7 +106,7 @@
                     Output::Propose(command) => self.commit(&command),
                     Output::Order {
                         worker,
-                        order: order::Order::Start { .. },
+                        order: directive::Directive::Start { .. },
                         decided,
                     } if starts.len() < 64 => starts.push((worker, self.start(), decided)),
                     Output::Order {
@@ -114,12 +114,12 @@
                         order,
                         decided,
                     } => {
-                        let report = order::Report {
+                        let report = directive::Report {
                             clock: self.now.steady,
                             born: Some(5),
-                            ..order::Report::default()
+                            ..directive::Report::default()
                         };
-                        let answer = order::Answer::Report(report);
+                        let answer = directive::Answer::Report(report);
                         self.dispatch
                             .answered(&self.state, self.now, worker, &order, decided, Some(&answer));
                     }
@@ -132,15 +132,15 @@
     }
 
     /// The start of the only task, under its newest number.
-    fn start(&self) -> order::Order {
-        let task = order::Task {
+    fn start(&self) -> directive::Directive {
+        let task = directive::Task {
             job: KEY,
             occurrence: 0,
             step: 0,
             index: 0,
         };
         let run = self.state.task(task).map_or(0, |task| task.run);
-        order::Order::Start {
+        directive::Directive::Start {
             task,
             run,
             spec: Bytes::new(),
@@ -193,7 +193,7 @@
         });
     }
 
-    fn answer(&mut self, start: &Sent, answer: Option<&order::Answer>) {
+    fn answer(&mut self, start: &Sent, answer: Option<&directive::Answer>) {
         let (worker, order, decided) = start;
         self.dispatch
             .answered(&self.state, self.now, *worker, order, *decided, answer);
@@ -205,7 +205,7 @@
 #[test]
 fn a_start_that_never_left_goes_to_another_worker_at_once() {
     let (mut leader, first) = Leader::with_start();
-    leader.answer(&first, Some(&order::Answer::NotSent));
+    leader.answer(&first, Some(&directive::Answer::NotSent));
     let second = leader.run(100);
     assert_eq!(second.len(), 1, "{second:?}");
     assert_ne!(first.0, second[0].0);
@@ -220,7 +220,7 @@
     let repeated = leader.run(400);
     assert_eq!(repeated.len(), 1, "{repeated:?}");
     assert_eq!((repeated[0].0, &repeated[0].1), (first.0, &first.1));
-    leader.answer(&repeated[0], Some(&order::Answer::NotSent));
+    leader.answer(&repeated[0], Some(&directive::Answer::NotSent));
     let later = leader.run(100);
     assert!(later.iter().all(|start| start.0 == first.0), "{later:?}");
 }
@@ -228,17 +228,17 @@
 /// Guards against a second run of a task whose first start is carried out late: the refusal of the repeated start says
 /// nothing about the first one, whose ticket was still valid (`trouble-3` on rngm-cinturones-grown, TWICE).
 #[parameterized(
-    ticket = { order::Refusal::Ticket },
-    room = { order::Refusal::Room },
-    unhealthy = { order::Refusal::Unhealthy },
+    ticket = { directive::Refusal::Ticket },
+    room = { directive::Refusal::Room },
+    unhealthy = { directive::Refusal::Unhealthy },
 )]
-fn a_refused_repetition_leaves_the_first_start_open(reason: order::Refusal) {
+fn a_refused_repetition_leaves_the_first_start_open(reason: directive::Refusal) {
     let (mut leader, first) = Leader::with_start();
     leader.answer(&first, None);
     let repeated = leader.run(400);
     assert_eq!(repeated.len(), 1, "{repeated:?}");
     let clock = Some(leader.now.steady);
-    leader.answer(&repeated[0], Some(&order::Answer::Refused { reason, clock }));
+    leader.answer(&repeated[0], Some(&directive::Answer::Refused { reason, clock }));
     let later = leader.run(1_000);
     assert!(later.iter().all(|start| start.0 == first.0), "{later:?}");
 }
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -15,7 +15,7 @@
 };
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{advice, call, catalog, job, order as orders, worker};
+use bronzespoke_workload::{advice, call, catalog, directive, job, worker};
 use bytes::Bytes;
 
 const fn at(millis: u64) -> Duration {
@@ -241,13 +241,13 @@
         room: resource::Amount::new(64_000, 1_000, 0),
         machine: None,
     };
-    let life = worker::Life {
+    let life = worker::Incarnation {
         name: String::from("w"),
         born: 1,
     };
     let mut machine = Machine::new(life, Arc::new(worker), false, at(0), at(0));
     for (index, (cpu, end)) in runs.iter().enumerate() {
-        let task = orders::Task {
+        let task = directive::Task {
             job: 1,
             occurrence: 0,
             step: 0,
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -3,7 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use bronzespoke_model::resource;
-use bronzespoke_workload::{catalog, job, order};
+use bronzespoke_workload::{catalog, directive, job};
 use bytes::Bytes;
 use rand::Rng;
 
@@ -123,7 +123,7 @@
 }
 
 /// Returns the true run time of a task.
-pub fn run_time(job: &Job, task: order::Task) -> Duration {
+pub fn run_time(job: &Job, task: directive::Task) -> Duration {
     job.run_times
         .get(&(task.step, task.index))
         .copied()
--- a/crates/standin/src/fleet/simulation/check.rs
+++ b/crates/standin/src/fleet/simulation/check.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_dispatch::dispatch;
-use bronzespoke_workload::{job, order};
+use bronzespoke_workload::{directive, job};
 
 use super::{Simulation, failure_key};
 
@@ -20,7 +20,7 @@
         self.report.broken.push(format!("{:?}: {what}", self.now));
     }
 
-    pub(super) fn check_start(&mut self, index: usize, task: order::Task, run: order::Run) {
+    pub(super) fn check_start(&mut self, index: usize, task: directive::Task, run: directive::Run) {
         let mut elsewhere = Vec::new();
         for (other, place) in self.places.iter().enumerate() {
             let Some(worker) = &place.worker else { continue };
@@ -46,7 +46,7 @@
         for before in spec.after.clone() {
             let tasks = job.submission.steps[usize::from(before)].tasks;
             let open = (0..tasks).find(|index| {
-                let other = order::Task {
+                let other = directive::Task {
                     step: before,
                     index: *index,
                     ..task
@@ -72,7 +72,7 @@
     }
 
     /// Checks that no run of a task began after its last attempt had failed.
-    pub(super) fn check_attempts(&mut self, key: order::Task) {
+    pub(super) fn check_attempts(&mut self, key: directive::Task) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
@@ -88,13 +88,13 @@
         }
     }
 
-    pub(super) fn note_ends(&mut self, noted: Vec<(order::Ended, Duration)>) {
+    pub(super) fn note_ends(&mut self, noted: Vec<(directive::Ended, Duration)>) {
         for (ended, at) in noted {
             match ended.outcome {
-                order::Outcome::Done => {
+                directive::Outcome::Done => {
                     self.noted.insert(ended.task);
                 }
-                order::Outcome::Failed => {
+                directive::Outcome::Failed => {
                     let key = failure_key(ended.task, self.is_gang(ended.task));
                     self.failures.entry(key).or_default().insert(ended.run, at);
                     self.check_attempts(key);
@@ -104,7 +104,7 @@
         }
     }
 
-    pub(super) fn check_limit(&mut self, task: order::Task) {
+    pub(super) fn check_limit(&mut self, task: directive::Task) {
         let team = self.jobs[&task.job].team.clone();
         let limit = self.plan.teams.iter().find(|(name, _)| *name == team);
         let Some((_, limit)) = limit.cloned() else { return };
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -15,7 +15,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::dispatch::{self, Dispatch, Output};
 use bronzespoke_model::{id, resource};
-use bronzespoke_workload::{advice, catalog, job, order, settings};
+use bronzespoke_workload::{advice, catalog, directive, job, settings};
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -126,7 +126,7 @@
     Commit(u64),
     Deliver(u64),
     Late(u64),
-    Answer(u64, Option<order::Answer>),
+    Answer(u64, Option<directive::Answer>),
     Advised(u64, advice::Answer),
     Announce(usize),
     Cancel(job::Key),
@@ -148,7 +148,7 @@
 struct Sent {
     term: u64,
     worker: cell::WorkerIndex,
-    order: order::Order,
+    order: directive::Directive,
     decided: Duration,
     target: usize,
     name: String,
@@ -186,12 +186,12 @@
     submitted: HashMap<job::Key, Duration>,
     finished: HashSet<job::Key>,
     cancelled: HashMap<job::Key, Duration>,
-    done: HashSet<order::Task>,
-    noted: HashSet<order::Task>,
+    done: HashSet<directive::Task>,
+    noted: HashSet<directive::Task>,
     /// Failed runs that were taken note of, with the time at which each ended.
-    failures: HashMap<order::Task, BTreeMap<order::Run, Duration>>,
+    failures: HashMap<directive::Task, BTreeMap<directive::Run, Duration>>,
     /// Times at which the runs of a task began.
-    begun: HashMap<order::Task, Vec<Duration>>,
+    begun: HashMap<directive::Task, Vec<Duration>>,
     report: Report,
 }
 
@@ -506,14 +506,14 @@
     rng.random_bool(kind.eligible)
 }
 
-const fn same_step(left: order::Task, right: order::Task) -> bool {
+const fn same_step(left: directive::Task, right: directive::Task) -> bool {
     left.job == right.job && left.occurrence == right.occurrence && left.step == right.step
 }
 
 /// A gang counts its failures together.
-const fn failure_key(task: order::Task, gang: bool) -> order::Task {
+const fn failure_key(task: directive::Task, gang: bool) -> directive::Task {
     if gang {
-        order::Task { index: 0, ..task }
+        directive::Task { index: 0, ..task }
     } else {
         task
     }
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -8,7 +8,7 @@
     dispatch::{self, Registration},
     machine,
 };
-use bronzespoke_workload::{advice, order, worker as announced};
+use bronzespoke_workload::{advice, directive, worker as announced};
 use bytes::Bytes;
 use rand::Rng;
 
@@ -52,7 +52,7 @@
             return;
         }
         let announcement = announced::Announcement {
-            life: announced::Life {
+            incarnation: announced::Incarnation {
                 name: worker.name.clone(),
                 born: worker.born,
             },
@@ -80,7 +80,7 @@
         }
     }
 
-    pub(super) fn send(&mut self, worker: cell::WorkerIndex, order: order::Order, decided: Duration) {
+    pub(super) fn send(&mut self, worker: cell::WorkerIndex, order: directive::Directive, decided: Duration) {
         let Some(registered) = self.state.workers().get(&worker) else {
             return;
         };
@@ -96,7 +96,7 @@
         let number = self.next_order;
         self.next_order += 1;
         let timeout = match &sent.order {
-            order::Order::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
+            directive::Directive::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
             _ => ORDER_TIMEOUT,
         };
         self.sent.insert(number, sent);
@@ -124,10 +124,10 @@
         let Some(worker) = &mut place.worker else {
             // Nothing listens there: the connection is refused.
             let latency = self.latency();
-            self.at(latency, Event::Answer(number, Some(order::Answer::NotSent)));
+            self.at(latency, Event::Answer(number, Some(directive::Answer::NotSent)));
             return;
         };
-        if let order::Order::Renew { acknowledged, .. } = &order {
+        if let directive::Directive::Renew { acknowledged, .. } = &order {
             let noted = worker.noted_up_to(*acknowledged);
             self.note_ends(noted);
         }
@@ -146,7 +146,7 @@
             return;
         };
         let (answer, started) = worker.take(self.now, fence, &name, &order);
-        let waits = matches!(&order, order::Order::Renew { wait, .. } if !wait.is_zero());
+        let waits = matches!(&order, directive::Directive::Renew { wait, .. } if !wait.is_zero());
         let has_ends = worker.has_ends();
         if let Some((task, run)) = started {
             self.begin(target, task, run);
@@ -154,7 +154,7 @@
         if !answered || self.rng.random_bool(self.plan.faults.lost_answers) {
             return;
         }
-        if waits && !has_ends && matches!(answer, order::Answer::Report(_)) {
+        if waits && !has_ends && matches!(answer, directive::Answer::Report(_)) {
             self.places[target].waiting.push(number);
             return;
         }
@@ -162,14 +162,14 @@
         self.at(latency, Event::Answer(number, Some(answer)));
     }
 
-    pub(super) fn answer(&mut self, number: u64, answer: Option<&order::Answer>) {
+    pub(super) fn answer(&mut self, number: u64, answer: Option<&directive::Answer>) {
         let Some(sent) = self.sent.get(&number) else {
             return;
         };
         if answer.is_none()
             && matches!(
                 &sent.order,
-                order::Order::Start { .. } | order::Order::Stop { .. }
+                directive::Directive::Start { .. } | directive::Directive::Stop { .. }
             )
         {
             // Kept for an order that is carried out late.
--- a/crates/standin/src/fleet/simulation/work.rs
+++ b/crates/standin/src/fleet/simulation/work.rs
@@ -2,14 +2,14 @@
 
 use std::time::Duration;
 
-use bronzespoke_workload::order;
+use bronzespoke_workload::directive;
 
 use super::{Event, Simulation, same_step};
 use crate::fleet::{load, worker};
 
 impl Simulation {
     /// Checks a start and lets it run.
-    pub(super) fn begin(&mut self, index: usize, task: order::Task, run: order::Run) {
+    pub(super) fn begin(&mut self, index: usize, task: directive::Task, run: directive::Run) {
         self.report.starts += 1;
         self.check_start(index, task, run);
         let job = &self.jobs[&task.job];
@@ -42,7 +42,7 @@
         }
     }
 
-    pub(super) fn is_gang(&self, task: order::Task) -> bool {
+    pub(super) fn is_gang(&self, task: directive::Task) -> bool {
         let job = self.jobs.get(&task.job);
         job.is_some_and(|job| job.submission.steps[usize::from(task.step)].gang)
     }
@@ -53,11 +53,11 @@
     }
 
     /// Lets a gang work when all of its members are there.
-    pub(super) fn complete_gang(&mut self, task: order::Task, run: order::Run) {
+    pub(super) fn complete_gang(&mut self, task: directive::Task, run: directive::Run) {
         let job = &self.jobs[&task.job];
         let tasks = job.submission.steps[usize::from(task.step)].tasks;
         let longest = (0..tasks)
-            .map(|index| load::run_time(job, order::Task { index, ..task }))
+            .map(|index| load::run_time(job, directive::Task { index, ..task }))
             .max()
             .unwrap_or_default();
         let mut present = 0;
@@ -105,7 +105,7 @@
         let place = &mut self.places[index];
         let Some(worker) = &place.worker else { return };
         let has_ends = worker.has_ends();
-        let report = order::Answer::Report(worker.report(worker.clock(now)));
+        let report = directive::Answer::Report(worker.report(worker.clock(now)));
         let sent = &self.sent;
         let due = |number: &u64| {
             let wait = Duration::from_secs(1);
@@ -122,7 +122,13 @@
         }
     }
 
-    pub(super) fn end(&mut self, index: usize, task: order::Task, run: order::Run, outcome: order::Outcome) {
+    pub(super) fn end(
+        &mut self,
+        index: usize,
+        task: directive::Task,
+        run: directive::Run,
+        outcome: directive::Outcome,
+    ) {
         let now = self.now;
         let Some(worker) = &mut self.places[index].worker else {
             return;
@@ -134,22 +140,22 @@
         let gang = self.jobs[&task.job].submission.steps[usize::from(task.step)].gang;
         match outcome {
             // The end of one member stands for the whole gang.
-            order::Outcome::Done if gang => {
+            directive::Outcome::Done if gang => {
                 let tasks = self.jobs[&task.job].submission.steps[usize::from(task.step)].tasks;
-                let members = (0..tasks).map(|index| order::Task { index, ..task });
+                let members = (0..tasks).map(|index| directive::Task { index, ..task });
                 self.done.extend(members);
             }
-            order::Outcome::Done => {
+            directive::Outcome::Done => {
                 self.done.insert(task);
             }
             _ => self.waste(&active),
         }
-        if gang && outcome != order::Outcome::Done {
+        if gang && outcome != directive::Outcome::Done {
             self.break_gang(task, run);
         }
     }
 
-    pub(super) fn break_gang(&mut self, task: order::Task, run: order::Run) {
+    pub(super) fn break_gang(&mut self, task: directive::Task, run: directive::Run) {
         let now = self.now;
         let mut broken = Vec::new();
         for (index, place) in self.places.iter().enumerate() {
@@ -162,7 +168,7 @@
         }
         for (index, other, active) in broken {
             if let Some(worker) = &mut self.places[index].worker {
-                worker.end(now, other, order::Outcome::Broken);
+                worker.end(now, other, directive::Outcome::Broken);
             }
             self.waste(&active);
         }
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -6,7 +6,7 @@
 };
 
 use bronzespoke_model::resource;
-use bronzespoke_workload::order::{self, Answer, Outcome, Refusal, Run, Task, Token};
+use bronzespoke_workload::directive::{self, Answer, Outcome, Refusal, Run, Task, Token};
 use bytes::Bytes;
 
 /// Ends that one report lists.
@@ -59,7 +59,7 @@
     /// Highest fencing token that it has seen.
     pub token: Token,
     lease_end: Duration,
-    ended: Vec<order::Ended>,
+    ended: Vec<directive::Ended>,
     next_end: u64,
     highest: HashMap<Task, Run>,
     ended_at: HashMap<u64, Duration>,
@@ -110,12 +110,12 @@
         now: Duration,
         token: Token,
         name: &str,
-        order: &order::Order,
+        order: &directive::Directive,
     ) -> (Answer, Option<(Task, Run)>) {
         let clock = self.clock(now);
         if name != self.name {
             let refused = Answer::Refused {
-                reason: Refusal::OtherLife,
+                reason: Refusal::OtherIncarnation,
                 clock: None,
             };
             return (refused, None);
@@ -125,10 +125,10 @@
         }
         self.token = token;
         match order {
-            order::Order::Start {
+            directive::Directive::Start {
                 task, run, lease_end, ..
             } => self.start(clock, *task, *run, *lease_end),
-            order::Order::Stop { task, run } => {
+            directive::Directive::Stop { task, run } => {
                 let highest = self.highest.entry(*task).or_default();
                 *highest = (*highest).max(*run);
                 if let Some(active) = self.runs.get_mut(task).filter(|active| active.run <= *run) {
@@ -136,7 +136,7 @@
                 }
                 (Answer::Done { clock }, None)
             }
-            order::Order::Renew {
+            directive::Directive::Renew {
                 lease_end,
                 acknowledged,
                 ..
@@ -147,7 +147,7 @@
                 self.ended.retain(|ended| ended.number > *acknowledged);
                 (Answer::Report(self.report(clock)), None)
             }
-            order::Order::Throttle { .. } => (Answer::Done { clock }, None),
+            directive::Directive::Throttle { .. } => (Answer::Done { clock }, None),
         }
     }
 
@@ -177,14 +177,14 @@
     }
 
     /// Reports without renewing anything.
-    pub fn report(&self, clock: Duration) -> order::Report {
-        order::Report {
+    pub fn report(&self, clock: Duration) -> directive::Report {
+        directive::Report {
             clock,
             born: Some(self.born),
             running: self
                 .runs
                 .iter()
-                .map(|(task, active)| order::Running {
+                .map(|(task, active)| directive::Running {
                     task: *task,
                     run: active.run,
                     checkpoint: None,
@@ -203,7 +203,7 @@
 
     /// Ends up to a number with their times, as far as the lease has not run out since: whoever acknowledges those has
     /// taken note of them.
-    pub fn noted_up_to(&self, acknowledged: u64) -> Vec<(order::Ended, Duration)> {
+    pub fn noted_up_to(&self, acknowledged: u64) -> Vec<(directive::Ended, Duration)> {
         let mut noted = Vec::new();
         for ended in self.ended.iter().filter(|ended| ended.number <= acknowledged) {
             let at = self.ended_at.get(&ended.number).copied().unwrap_or_default();
@@ -221,7 +221,7 @@
         };
         let highest = self.highest.entry(task).or_default();
         *highest = (*highest).max(active.run);
-        self.ended.push(order::Ended {
+        self.ended.push(directive::Ended {
             number: self.next_end,
             task,
             run: active.run,
--- a/crates/workload/src/adapter.rs
+++ b/crates/workload/src/adapter.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Request, Response, request};
 
-use crate::{advice, call, order, settings};
+use crate::{advice, call, directive, settings};
 
 /// Translates between one platform's interface and the types of this package. It does no I/O and keeps no state.
 pub trait Adapter: fmt::Debug + Send + Sync {
@@ -13,13 +13,13 @@
     fn settings(&self, text: &str) -> Result<settings::Settings, Vec<String>>;
 
     /// Decodes a request of a caller.
-    fn caller(&self, head: &request::Parts, body: &Bytes) -> Result<call::Job, Fault>;
+    fn caller(&self, head: &request::Parts, body: &Bytes) -> Result<call::Job, Error>;
 
     /// How long a caller waits for its reply, if it says so.
-    fn patience(&self, head: &request::Parts) -> Option<std::time::Duration>;
+    fn timeout(&self, head: &request::Parts) -> Option<std::time::Duration>;
 
     /// Decodes a request of an operator or worker.
-    fn control(&self, head: &request::Parts, body: &Bytes) -> Result<call::Call, Fault>;
+    fn control(&self, head: &request::Parts, body: &Bytes) -> Result<call::Call, Error>;
 
     /// Whether a request asks for readiness.
     fn is_probe(&self, head: &request::Parts) -> bool;
@@ -28,16 +28,26 @@
     fn reply(&self, reply: &call::Reply) -> Response<Bytes>;
 
     /// Encodes the refusal of a request that was not decoded.
-    fn fault(&self, fault: &Fault) -> Response<Bytes>;
+    fn error(&self, error: &Error) -> Response<Bytes>;
 
     /// Encodes an order to a worker.
-    fn order(&self, worker: &str, token: order::Token, order: &order::Order) -> Request<Bytes>;
+    fn directive(
+        &self,
+        worker: &str,
+        token: directive::Token,
+        directive: &directive::Directive,
+    ) -> Request<Bytes>;
 
     /// Decodes a worker's answer to an order.
-    fn answer(&self, order: &order::Order, status: http::StatusCode, body: &Bytes) -> order::Answer;
+    fn answer(
+        &self,
+        directive: &directive::Directive,
+        status: http::StatusCode,
+        body: &Bytes,
+    ) -> directive::Answer;
 
     /// Encodes a question to the eligibility service.
-    fn question(&self, question: &advice::Question) -> Request<Bytes>;
+    fn query(&self, query: &advice::Query) -> Request<Bytes>;
 
     /// Decodes the answer of the eligibility service.
     fn eligibility(&self, status: http::StatusCode, body: &Bytes) -> advice::Answer;
@@ -45,7 +55,7 @@
 
 /// Why a request was not decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Fault {
+pub enum Error {
     /// No such path.
     NotFound,
     /// The method is not allowed there.
--- a/crates/workload/src/advice.rs
+++ b/crates/workload/src/advice.rs
@@ -23,7 +23,7 @@
 
 /// Asks which of some workers may run a step.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Question {
+pub struct Query {
     /// Step.
     pub step: Step,
     /// Names of workers, at most [`MAX_WORKERS`].
--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -86,7 +86,7 @@
 
 /// Why a configuration is invalid.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Fault {
+pub enum Error {
     /// A queue names a pool that the configuration does not have.
     UnknownPool(String, String),
     /// Two queues have the same host and prefix.
@@ -99,7 +99,7 @@
     NoWeight(String),
 }
 
-impl fmt::Display for Fault {
+impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::UnknownPool(queue, pool) => write!(f, "queue {queue} names the unknown pool {pool}"),
@@ -115,36 +115,36 @@
 
 impl Catalog {
     /// Checks what a single field cannot show.
-    pub fn verify(&self) -> Result<(), Fault> {
+    pub fn verify(&self) -> Result<(), Error> {
         self.verify_queues()?;
         self.verify_teams()
     }
 
-    fn verify_queues(&self) -> Result<(), Fault> {
+    fn verify_queues(&self) -> Result<(), Error> {
         let pools: HashSet<_> = self.pools.iter().map(|pool| pool.name.as_str()).collect();
         for (index, queue) in self.queues.iter().enumerate() {
             if !pools.contains(queue.pool.as_str()) {
-                return Err(Fault::UnknownPool(queue.name.clone(), queue.pool.clone()));
+                return Err(Error::UnknownPool(queue.name.clone(), queue.pool.clone()));
             }
             if queue.timeout.is_zero() {
-                return Err(Fault::NoTimeout(queue.name.clone()));
+                return Err(Error::NoTimeout(queue.name.clone()));
             }
             let same = |other: &&Queue| other.host == queue.host && other.prefix == queue.prefix;
             if let Some(other) = self.queues[..index].iter().find(same) {
-                return Err(Fault::SamePlace(other.name.clone(), queue.name.clone()));
+                return Err(Error::SamePlace(other.name.clone(), queue.name.clone()));
             }
         }
         Ok(())
     }
 
-    fn verify_teams(&self) -> Result<(), Fault> {
+    fn verify_teams(&self) -> Result<(), Error> {
         for (index, team) in self.teams.iter().enumerate() {
             if team.weight.is_nan() || team.weight <= 0.0 {
-                return Err(Fault::NoWeight(team.name.clone()));
+                return Err(Error::NoWeight(team.name.clone()));
             }
             let shares = |other: &&Team| other.keys.iter().any(|key| team.keys.contains(key));
             if let Some(other) = self.teams[..index].iter().find(shares) {
-                return Err(Fault::SharedKey(other.name.clone(), team.name.clone()));
+                return Err(Error::SharedKey(other.name.clone(), team.name.clone()));
             }
         }
         Ok(())
--- a/crates/workload/src/order.rs
+++ b/crates/workload/src/directive.rs
@@ -39,7 +39,7 @@
 
 /// What a worker is told to do.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum Order {
+pub enum Directive {
     /// Start a task.
     Start {
         /// Task.
@@ -90,7 +90,7 @@
         /// The worker's clock.
         clock: Duration,
     },
-    /// Report after `Order::Renew`.
+    /// Report after `Directive::Renew`.
     Report(Report),
     /// Refused; nothing was done.
     Refused {
@@ -119,7 +119,8 @@
     /// The ticket is not valid.
     Ticket,
     /// Another life answers at the address.
-    OtherLife,
+    #[serde(rename = "OtherLife")]
+    OtherIncarnation,
     /// The worker is not healthy or too busy.
     Unhealthy,
     /// The order is malformed.
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -96,7 +96,7 @@
 
 /// Why a submission can never be taken.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Fault {
+pub enum Error {
     /// The description is too long; its length in bytes.
     Spec(usize),
     /// There is no step, or too many; their number.
@@ -109,7 +109,7 @@
     Times,
 }
 
-impl fmt::Display for Fault {
+impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Spec(bytes) => write!(f, "spec has {bytes} bytes; at most {MAX_SPEC_BYTES} are allowed"),
@@ -133,25 +133,25 @@
 
 impl Submission {
     /// Checks bounds and dependencies.
-    pub fn verify(&self) -> Result<(), Fault> {
+    pub fn verify(&self) -> Result<(), Error> {
         if self.spec.len() > MAX_SPEC_BYTES {
-            return Err(Fault::Spec(self.spec.len()));
+            return Err(Error::Spec(self.spec.len()));
         }
         if self.steps.is_empty() || self.steps.len() > MAX_STEPS {
-            return Err(Fault::Steps(self.steps.len()));
+            return Err(Error::Steps(self.steps.len()));
         }
         let mut tasks = 0_u32;
         for (index, step) in self.steps.iter().enumerate() {
             tasks = tasks.saturating_add(step.tasks);
             if step.tasks == 0 || tasks > MAX_TASKS {
-                return Err(Fault::Tasks(index));
+                return Err(Error::Tasks(index));
             }
             if let Some(other) = step.after.iter().find(|other| usize::from(**other) >= index) {
-                return Err(Fault::After(index, *other));
+                return Err(Error::After(index, *other));
             }
         }
         match self.schedule {
-            Some(schedule) if schedule.times == 0 => Err(Fault::Times),
+            Some(schedule) if schedule.times == 0 => Err(Error::Times),
             _ => Ok(()),
         }
     }
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -8,7 +8,7 @@
 pub mod advice;
 pub mod call;
 pub mod catalog;
+pub mod directive;
 pub mod job;
-pub mod order;
 pub mod settings;
 pub mod worker;
--- a/crates/workload/src/worker.rs
+++ b/crates/workload/src/worker.rs
@@ -7,7 +7,7 @@
 
 /// One life of a worker's process.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Life {
+pub struct Incarnation {
     /// Name that the worker uses; a restarted worker may keep it.
     pub name: String,
     /// Start of the process in milliseconds since the Unix epoch.
@@ -18,7 +18,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
     /// Its life.
-    pub life: Life,
+    #[serde(rename = "life")]
+    pub incarnation: Incarnation,
     /// Grows with each announcement of a life.
     pub sequence: u64,
     /// What it is.
