--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -87,7 +87,7 @@
             wire::Message::Eligibility { number, answer } => {
                 self.contact.heard(now, from, None);
                 if let Some(dispatch) = &mut self.dispatch {
-                    dispatch.advised(now, number, &answer);
+                    dispatch.query_answered(now, number, &answer);
                 }
             }
             wire::Message::Orders { token, orders } => {
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -75,7 +75,7 @@
             self.helpers_at = now.steady + HELPERS_INTERVAL;
             let helpers = self.helpers(now.steady);
             if let Some(dispatch) = &mut self.dispatch {
-                dispatch.set_helpers(&helpers);
+                dispatch.set_proxies(&helpers);
             }
             self.look_after_relays(now.steady);
             if let Some(dispatch) = &self.dispatch {
@@ -105,20 +105,20 @@
     fn carry_out(&mut self, output: Output) {
         match output {
             Output::Propose(command) => self.enqueue(command, Responder::Nobody),
-            Output::Order {
+            Output::Directive {
                 worker,
-                order,
+                directive,
                 decided,
-            } => self.send_order(decided, worker, order),
-            Output::Ask(ask) => {
-                if ask.helper == self.me.vm {
-                    self.orders.ask(self.me, ask.number, ask.question);
-                } else if let Some(peer) = self.contact.address(ask.helper) {
+            } => self.send_order(decided, worker, directive),
+            Output::Query(ask) => {
+                if ask.proxy == self.me.vm {
+                    self.orders.ask(self.me, ask.number, ask.query);
+                } else if let Some(peer) = self.contact.address(ask.proxy) {
                     let message = wire::Message::Question {
                         number: ask.number,
-                        question: ask.question,
+                        question: ask.query,
                     };
-                    let place = wire::Place { vm: ask.helper, peer };
+                    let place = wire::Place { vm: ask.proxy, peer };
                     self.send(place, peer::wire::Body::Fleet(message));
                 }
             }
@@ -134,7 +134,7 @@
         if asker.vm == self.me.vm {
             let now = self.now();
             if let Some(dispatch) = &mut self.dispatch {
-                dispatch.advised(now, number, &answer);
+                dispatch.query_answered(now, number, &answer);
             }
             return;
         }
@@ -302,7 +302,7 @@
             self.dispatch.as_ref().map_or(0, Dispatch::waiting_steps)
         );
         if let Some(dispatch) = &mut self.dispatch {
-            dispatch.foresee(now, key, queue, &submission);
+            dispatch.prefetch_eligibility(now, key, queue, &submission);
         }
         let command = cell::Command::Submit {
             key,
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -51,7 +51,7 @@
         dispatch::Event::WorkerUnusable { reason, .. } => {
             metrics::counter!("bronzespoke_fleet_workers_unusable_total", "reason" => *reason).increment(1);
         }
-        dispatch::Event::Asked { .. } => {
+        dispatch::Event::QuerySent { .. } => {
             metrics::counter!("bronzespoke_fleet_questions_total").increment(1);
         }
         dispatch::Event::WorkerKnown { .. } | dispatch::Event::Fenced { .. } => {}
@@ -61,7 +61,7 @@
 /// Notes how much the leader looks after.
 pub fn load(dispatch: &Dispatch, active_jobs: usize) {
     metrics::gauge!("bronzespoke_fleet_waiting_steps").set(dispatch.waiting_steps() as f64);
-    metrics::gauge!("bronzespoke_fleet_workers").set(dispatch.machines().len() as f64);
+    metrics::gauge!("bronzespoke_fleet_workers").set(dispatch.workers().len() as f64);
     metrics::gauge!("bronzespoke_fleet_active_jobs").set(active_jobs as f64);
 }
 
--- a/crates/daemon/src/fleet/relaying.rs
+++ b/crates/daemon/src/fleet/relaying.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_dispatch::{dispatch::Dispatch, machine};
+use bronzespoke_dispatch::{dispatch::Dispatch, worker};
 use bronzespoke_workload::directive;
 
 use crate::{
@@ -21,7 +21,7 @@
     ) {
         let now = self.now();
         let Some(dispatch) = &self.dispatch else { return };
-        let Some(receiver) = dispatch.machines().get(&worker) else {
+        let Some(receiver) = dispatch.workers().get(&worker) else {
             return;
         };
         let decision = relay::Decision {
@@ -30,11 +30,11 @@
             at: decided,
         };
         let recipient = wire::Recipient {
-            fence: machine::fence(dispatch.token(), worker),
-            name: receiver.life.name.clone(),
-            address: receiver.worker.address,
+            fence: worker::fencing_token(dispatch.token(), worker),
+            name: receiver.incarnation.name.clone(),
+            address: receiver.announced.address,
         };
-        match self.relays.carrier(&receiver.worker.zone) {
+        match self.relays.carrier(&receiver.announced.zone) {
             Some(carrier) => self.relays.queue(now, carrier, decision, recipient, order),
             None => self.orders.order(orders::Order {
                 origin: relay::Origin::Own(decision),
@@ -60,7 +60,7 @@
         let workers = self
             .dispatch
             .as_ref()
-            .map_or(0, |dispatch| dispatch.machines().len());
+            .map_or(0, |dispatch| dispatch.workers().len());
         self.relays.set_carriers(workers, self.contact.carriers(now));
         for (decision, order) in self.relays.give_up(now) {
             self.answered(decision, &order, None);
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -158,7 +158,7 @@
 
     pub(super) fn rejected(&mut self, waiting: Waiting, never: bool) {
         if never && let Some(dispatch) = &mut self.dispatch {
-            dispatch.refused(&self.state, &waiting.command);
+            dispatch.rejected(&self.state, &waiting.command);
         }
         let reply = if never {
             call::Reply::NotLeader
--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -8,7 +8,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{call, catalog, job};
+use bronzespoke_workload::{call, catalog, job, worker};
 
 /// Longest time for which messages may wait for the leader while it accepts jobs. Callers repeat a call after 0.7 s, and
 /// members of the group elect another leader after 0.6 s.
@@ -40,7 +40,7 @@
     }
     let rooms: Vec<_> = workers.map(|registered| &registered.worker).collect();
     for step in &submission.steps {
-        let fits = |worker: &&std::sync::Arc<bronzespoke_workload::worker::Worker>| {
+        let fits = |worker: &&std::sync::Arc<worker::Worker>| {
             let label = step.label.as_ref();
             let labelled = label.is_none_or(|label| worker.labels.contains(label));
             labelled && (step.fills || step.size.fits(&worker.room))
--- a/crates/dispatch/src/dispatch/orders.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -8,8 +8,8 @@
 
 use super::{Dispatch, Event, Now, Output, START_LEASE, lost::Loss, report};
 use crate::{
-    machine::{self, Phase, Stop},
-    stray,
+    orphan,
+    worker::{self, Phase, Stop},
 };
 
 /// How long a report may wait for an end. Renews leases often enough and costs one call a second and worker.
@@ -62,19 +62,19 @@
     /// Gives a recorded start its lease; `false` if it must not be sent any more.
     fn prepare_start(&mut self, now: Duration, start: &cell::Start) -> bool {
         let lease = START_LEASE.min(self.config.lease());
-        let Some(machine) = self.machines.get_mut(&start.worker) else {
+        let Some(record) = self.workers.get_mut(&start.worker) else {
             // Its life ended meanwhile.
             return false;
         };
-        let clock = machine.clock(now).filter(|_| !machine.draining);
-        let run = machine.runs.get_mut(&start.task);
-        let (Some(clock), Some(run)) = (clock, run.filter(|run| run.stop == Stop::No)) else {
+        let clock = record.clock(now).filter(|_| !record.draining);
+        let run = record.runs.get_mut(&start.task);
+        let (Some(clock), Some(run)) = (clock, run.filter(|run| run.stop == Stop::NotRequested)) else {
             return false;
         };
         run.lease_end = clock + lease;
         run.phase = Phase::Sent;
         run.since = now;
-        machine.lease_end = machine.lease_end.max(run.lease_end);
+        record.lease_end = record.lease_end.max(run.lease_end);
         true
     }
 
@@ -85,15 +85,15 @@
         worker: cell::WorkerIndex,
         task: directive::Task,
     ) {
-        let (Some(machine), Some(job)) = (self.machines.get(&worker), state.job(task.job)) else {
+        let (Some(record), Some(job)) = (self.workers.get(&worker), state.job(task.job)) else {
             return;
         };
-        let Some(run) = machine.runs.get(&task) else {
+        let Some(run) = record.runs.get(&task) else {
             return;
         };
-        let known = self.desk.eligibility(report::step_of(task));
+        let known = self.queries.eligibility(report::step_of(task));
         let ticket = known.and_then(|known| known.ticket(worker, now).cloned());
-        let order = directive::Directive::Start {
+        let directive = directive::Directive::Start {
             task,
             run: run.run,
             spec: job.submission.spec.clone(),
@@ -101,9 +101,9 @@
             checkpoint: checkpoint(state, job, task),
             ticket,
         };
-        self.out.push(Output::Order {
+        self.outputs.push(Output::Directive {
             worker,
-            order,
+            directive,
             decided: now,
         });
     }
@@ -111,10 +111,10 @@
     /// Sends unanswered starts again while their lease is in force; the worker takes a repeated start as one.
     pub(super) fn resend_starts(&mut self, state: &cell::State, now: Duration) {
         let mut due = Vec::new();
-        for (index, machine) in &mut self.machines {
-            let Some(clock) = machine.clock(now) else { continue };
-            for (task, run) in &mut machine.runs {
-                let waits = run.phase == Phase::Unsure && run.stop == Stop::No;
+        for (index, record) in &mut self.workers {
+            let Some(clock) = record.clock(now) else { continue };
+            for (task, run) in &mut record.runs {
+                let waits = run.phase == Phase::Unacknowledged && run.stop == Stop::NotRequested;
                 if waits && now >= run.since + START_RETRY && clock + START_RETRY < run.lease_end {
                     run.phase = Phase::Sent;
                     run.since = now;
@@ -135,30 +135,30 @@
         run: directive::Run,
         now: Duration,
     ) {
-        let machine = self.machines.get_mut(&worker);
-        let entry = machine.and_then(|machine| machine.runs.get_mut(&task));
-        let Some(entry) = entry.filter(|entry| entry.run == run && entry.stop == Stop::No) else {
+        let record = self.workers.get_mut(&worker);
+        let entry = record.and_then(|record| record.runs.get_mut(&task));
+        let Some(entry) = entry.filter(|entry| entry.run == run && entry.stop == Stop::NotRequested) else {
             return;
         };
-        entry.stop = Stop::Asked(Some(now));
-        self.out.push(stop(worker, task, run, now));
+        entry.stop = Stop::Requested(Some(now));
+        self.outputs.push(stop(worker, task, run, now));
     }
 
     /// Sends stops that are due.
     pub(super) fn resend_stops(&mut self, now: Duration) {
-        for (index, machine) in &mut self.machines {
-            for (task, run) in &mut machine.runs {
+        for (index, record) in &mut self.workers {
+            for (task, run) in &mut record.runs {
                 let due = match run.stop {
-                    Stop::Asked(sent) => sent.is_none_or(|sent| now >= sent + STOP_RETRY),
-                    Stop::No | Stop::Answered(_) => false,
+                    Stop::Requested(sent) => sent.is_none_or(|sent| now >= sent + STOP_RETRY),
+                    Stop::NotRequested | Stop::Acknowledged(_) => false,
                 };
                 if due && run.phase != Phase::Proposed {
-                    run.stop = Stop::Asked(Some(now));
-                    self.out.push(stop(*index, *task, run.run, now));
+                    run.stop = Stop::Requested(Some(now));
+                    self.outputs.push(stop(*index, *task, run.run, now));
                 }
             }
-            for (task, run) in machine.strays.due(now) {
-                self.out.push(stop(*index, task, run, now));
+            for (task, run) in record.orphans.due(now) {
+                self.outputs.push(stop(*index, task, run, now));
             }
         }
     }
@@ -166,16 +166,16 @@
     /// Asks for reports that are due; each renews the lease.
     pub(super) fn renew_leases(&mut self, now: Duration) {
         let lease = self.config.lease();
-        for (index, machine) in &mut self.machines {
-            self.out.extend(renewal(*index, machine, lease, now));
+        for (index, record) in &mut self.workers {
+            self.outputs.extend(renewal(*index, record, lease, now));
         }
     }
 
     /// Asks for the report of one worker if it is due.
     pub(super) fn renew_lease(&mut self, worker: cell::WorkerIndex, now: Duration) {
         let lease = self.config.lease();
-        if let Some(machine) = self.machines.get_mut(&worker) {
-            self.out.extend(renewal(worker, machine, lease, now));
+        if let Some(record) = self.workers.get_mut(&worker) {
+            self.outputs.extend(renewal(worker, record, lease, now));
         }
     }
 
@@ -185,18 +185,18 @@
         state: &cell::State,
         now: Now,
         worker: cell::WorkerIndex,
-        order: &directive::Directive,
+        directive: &directive::Directive,
         sent: Duration,
         answer: Option<&directive::Answer>,
     ) {
-        let answer = answer.filter(|answer| !self.is_of_later_life(worker, sent, answer));
+        let answer = answer.filter(|answer| !self.is_of_later_incarnation(worker, sent, answer));
         self.sample(worker, now.steady, answer);
         if let Some(directive::Answer::Refused {
             reason: directive::Refusal::OtherIncarnation,
             ..
         }) = answer
         {
-            self.end_life(worker, Loss::OtherIncarnation);
+            self.end_incarnation(worker, Loss::OtherIncarnation);
             return;
         }
         if let Some(directive::Answer::Refused {
@@ -205,14 +205,14 @@
         }) = answer
         {
             let name = self
-                .machines
+                .workers
                 .get(&worker)
-                .map(|machine| machine.life.name.clone());
-            self.out.push(Output::Event(Event::Fenced {
+                .map(|record| record.incarnation.name.clone());
+            self.outputs.push(Output::Event(Event::Fenced {
                 worker: name.unwrap_or_default(),
             }));
         }
-        match order {
+        match directive {
             directive::Directive::Start { task, run, .. } => {
                 self.start_answered(now.steady, worker, *task, *run, answer);
             }
@@ -226,7 +226,7 @@
 
     /// Whether a start or stop was answered by a later life of the same name. The order is then without effect on the life
     /// that it was meant for, and the later one makes itself known by its announcement or report.
-    fn is_of_later_life(
+    fn is_of_later_incarnation(
         &self,
         worker: cell::WorkerIndex,
         sent: Duration,
@@ -235,8 +235,8 @@
         let directive::Answer::Done { clock } = answer else {
             return false;
         };
-        let machine = self.machines.get(&worker);
-        machine.is_some_and(|machine| machine.is_of_later_life(sent, *clock))
+        let record = self.workers.get(&worker);
+        record.is_some_and(|record| record.is_of_later_incarnation(sent, *clock))
     }
 
     fn sample(&mut self, worker: cell::WorkerIndex, now: Duration, answer: Option<&directive::Answer>) {
@@ -246,12 +246,12 @@
             Some(directive::Answer::Refused { clock, .. }) => *clock,
             _ => None,
         };
-        let (Some(clock), Some(machine)) = (clock, self.machines.get_mut(&worker)) else {
+        let (Some(clock), Some(record)) = (clock, self.workers.get_mut(&worker)) else {
             return;
         };
         // Answers may overtake each other; the clock itself never goes back.
-        if machine.sample.is_none_or(|known| clock >= known.clock) {
-            machine.sample = Some(machine::Sample { clock, at: now });
+        if record.sample.is_none_or(|known| clock >= known.clock) {
+            record.sample = Some(worker::Sample { clock, at: now });
         }
     }
 
@@ -263,33 +263,33 @@
         run: directive::Run,
         answer: Option<&directive::Answer>,
     ) {
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let name = machine.life.name.clone();
-        let Some(entry) = machine.runs.get_mut(&task).filter(|entry| entry.run == run) else {
+        let name = record.incarnation.name.clone();
+        let Some(entry) = record.runs.get_mut(&task).filter(|entry| entry.run == run) else {
             return;
         };
         let after = now.saturating_sub(entry.decided);
         // An earlier order of this start had no answer and may have reached the worker.
-        let maybe_sent = self.unanswered.newest(&name, task, run).is_some();
+        let maybe_sent = self.unacknowledged.newest(&name, task, run).is_some();
         let refusal = match answer {
             Some(directive::Answer::Done { .. }) => {
-                if entry.phase == Phase::Sent || entry.phase == Phase::Unsure {
+                if entry.phase == Phase::Sent || entry.phase == Phase::Unacknowledged {
                     entry.phase = Phase::Running(now);
                     entry.since = now;
                 }
-                self.note_start(task, run, name, "started", after);
+                self.log_start(task, run, name, "started", after);
                 return;
             }
             Some(directive::Answer::Refused { reason, .. }) => *reason,
             Some(directive::Answer::NotSent) => {
                 let is_certain = entry.phase == Phase::Sent && !maybe_sent;
                 if entry.phase == Phase::Sent {
-                    entry.phase = Phase::Unsure;
+                    entry.phase = Phase::Unacknowledged;
                 }
-                machine.suspect_until = machine.suspect_until.max(now + UNREACHED_PAUSE);
-                self.note_start(task, run, name, "not_sent", after);
+                record.suspect_until = record.suspect_until.max(now + UNREACHED_PAUSE);
+                self.log_start(task, run, name, "not_sent", after);
                 if is_certain {
                     self.drop_run(worker, task, run);
                     self.propose_end(worker, task, run, directive::Outcome::NeverStarted, None);
@@ -297,19 +297,19 @@
                 return;
             }
             _ => {
-                let start = stray::Start {
+                let start = orphan::Start {
                     task,
                     run,
                     size: entry.size,
                     sent: now,
                 };
-                self.unanswered.note(&name, start);
+                self.unacknowledged.record(&name, start);
                 if entry.phase == Phase::Sent {
-                    entry.phase = Phase::Unsure;
+                    entry.phase = Phase::Unacknowledged;
                     entry.since = now;
                 }
-                machine.suspect_until = machine.suspect_until.max(now + UNREACHED_PAUSE);
-                self.note_start(task, run, name, "none", after);
+                record.suspect_until = record.suspect_until.max(now + UNREACHED_PAUSE);
+                self.log_start(task, run, name, "none", after);
                 return;
             }
         };
@@ -324,7 +324,7 @@
             directive::Refusal::Malformed => "malformed",
         };
         if refusal == directive::Refusal::Unhealthy {
-            machine.suspect_until = machine.suspect_until.max(now + UNHEALTHY_PAUSE);
+            record.suspect_until = record.suspect_until.max(now + UNHEALTHY_PAUSE);
         }
         if refusal == directive::Refusal::Outdated && matches!(entry.phase, Phase::Running(_)) {
             return;
@@ -333,15 +333,19 @@
         let is_open =
             maybe_sent && !matches!(refusal, directive::Refusal::Late | directive::Refusal::Outdated);
         if is_open && entry.phase == Phase::Sent {
-            entry.phase = Phase::Unsure;
+            entry.phase = Phase::Unacknowledged;
         }
-        self.note_start(task, run, name, word, after);
+        self.log_start(task, run, name, word, after);
         if refusal == directive::Refusal::Ticket {
-            self.desk.void(report::step_of(task), worker);
+            self.queries.invalidate_ticket(report::step_of(task), worker);
         }
         if refusal == directive::Refusal::Outdated {
             // It was there and has ended, or was stopped before it came; the report lists which.
-            if let Some(entry) = self.machines.get_mut(&worker).and_then(|m| m.runs.get_mut(&task)) {
+            if let Some(entry) = self
+                .workers
+                .get_mut(&worker)
+                .and_then(|record| record.runs.get_mut(&task))
+            {
                 entry.phase = Phase::Running(now);
             }
             return;
@@ -353,7 +357,7 @@
         self.propose_end(worker, task, run, directive::Outcome::NeverStarted, None);
     }
 
-    fn note_start(
+    fn log_start(
         &mut self,
         task: directive::Task,
         run: directive::Run,
@@ -361,7 +365,7 @@
         answer: &'static str,
         after: Duration,
     ) {
-        self.out.push(Output::Event(Event::StartAnswered {
+        self.outputs.push(Output::Event(Event::StartAnswered {
             task,
             run,
             worker,
@@ -378,13 +382,13 @@
         run: directive::Run,
         answer: Option<&directive::Answer>,
     ) {
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let known = machine.runs.get_mut(&task).filter(|entry| entry.run == run);
+        let known = record.runs.get_mut(&task).filter(|entry| entry.run == run);
         let Some(entry) = known else {
             if matches!(answer, Some(directive::Answer::Done { .. })) {
-                machine.strays.settle(now, task, run);
+                record.orphans.settle(now, task, run);
                 self.dirty = true;
             }
             return;
@@ -401,7 +405,7 @@
             )
         );
         if settled {
-            entry.stop = Stop::Answered(now);
+            entry.stop = Stop::Acknowledged(now);
         }
     }
 
@@ -414,7 +418,7 @@
         outcome: directive::Outcome,
         checkpoint: Option<Bytes>,
     ) {
-        self.note_end(worker, task, run, outcome);
+        self.log_end(worker, task, run, outcome);
         let end = cell::End {
             task,
             run,
@@ -425,7 +429,7 @@
         self.propose_ends(worker, vec![end]);
     }
 
-    pub(super) fn note_end(
+    pub(super) fn log_end(
         &mut self,
         worker: cell::WorkerIndex,
         task: directive::Task,
@@ -433,10 +437,10 @@
         outcome: directive::Outcome,
     ) {
         let name = self
-            .machines
+            .workers
             .get(&worker)
-            .map(|machine| machine.life.name.clone());
-        self.out.push(Output::Event(Event::Ended {
+            .map(|record| record.incarnation.name.clone());
+        self.outputs.push(Output::Event(Event::Ended {
             task,
             run,
             worker: name.unwrap_or_default(),
@@ -452,16 +456,16 @@
         sent: Duration,
         answer: Option<&directive::Answer>,
     ) {
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        if machine.asked == Some(sent) {
-            machine.asked = None;
-            machine.ask_at = now.steady + REPORT_RETRY;
-            machine.unanswered |= !matches!(answer, Some(directive::Answer::Report(_)));
+        if record.report_requested_at == Some(sent) {
+            record.report_requested_at = None;
+            record.next_report_at = now.steady + REPORT_RETRY;
+            record.report_missed |= !matches!(answer, Some(directive::Answer::Report(_)));
         }
         if let Some(directive::Answer::Report(report)) = answer {
-            self.take_report(state, now, worker, sent, report);
+            self.handle_report(state, now, worker, sent, report);
         }
     }
 }
@@ -473,34 +477,34 @@
     run: directive::Run,
     now: Duration,
 ) -> Output {
-    Output::Order {
+    Output::Directive {
         worker,
-        order: directive::Directive::Stop { task, run },
+        directive: directive::Directive::Stop { task, run },
         decided: now,
     }
 }
 
 fn renewal(
     worker: cell::WorkerIndex,
-    machine: &mut machine::Machine,
+    record: &mut worker::Worker,
     lease: Duration,
     now: Duration,
 ) -> Option<Output> {
-    let waits = match machine.asked {
+    let waits = match record.report_requested_at {
         Some(asked) => now < asked + REPORT_WAIT + REPORT_SLACK,
-        None => now < machine.ask_at,
+        None => now < record.next_report_at,
     };
     if waits {
         return None;
     }
-    machine.unanswered |= machine.asked.is_some();
-    machine.asked = Some(now);
+    record.report_missed |= record.report_requested_at.is_some();
+    record.report_requested_at = Some(now);
     // A worker that has not answered keeps the lease that it has: its runs are over for certain only when the latest
     // lease that it may have got is over, and with each further one that would never be.
-    let clock = machine.clock(now).filter(|_| !machine.unanswered);
+    let clock = record.clock(now).filter(|_| !record.report_missed);
     let lease_end = clock.map(|clock| clock + lease);
     if let Some(end) = lease_end {
-        machine.lease_end = machine.lease_end.max(end);
+        record.lease_end = record.lease_end.max(end);
     }
     // A report that renews no lease has to come at once, so that the next one does.
     let wait = if lease_end.is_some() {
@@ -508,14 +512,14 @@
     } else {
         Duration::ZERO
     };
-    let order = directive::Directive::Renew {
+    let directive = directive::Directive::Renew {
         lease_end,
-        acknowledged: machine.recorded,
+        acknowledged: record.recorded_end,
         wait,
     };
-    Some(Output::Order {
+    Some(Output::Directive {
         worker,
-        order,
+        directive,
         decided: now,
     })
 }
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -64,7 +64,7 @@
         silent: Option<Duration>,
     },
     /// The eligibility service was asked.
-    Asked {
+    QuerySent {
         /// Step.
         step: advice::Step,
         /// Workers that the question names.
@@ -129,7 +129,7 @@
                     "belief=worker_unusable worker={worker} reason={reason} runs={runs} report_age_ms={silent}"
                 )
             }
-            Self::Asked { step, workers } => write!(
+            Self::QuerySent { step, workers } => write!(
                 f,
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
                 step.job, step.occurrence, step.step
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -3,10 +3,10 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{advice, directive, worker};
+use bronzespoke_workload::{advice, directive, worker as announced};
 
-use super::{Dispatch, Event, Now, Output, lost::Loss, orders, schedule};
-use crate::machine;
+use super::{Dispatch, Event, Now, Output, directives, lost::Loss, schedule};
+use crate::worker;
 
 /// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the order.
 const INHERITED_MARGIN: Duration = Duration::from_millis(500);
@@ -28,25 +28,25 @@
     /// Builds machines and runs from the replicated state.
     pub(super) fn inherit(&mut self, state: &cell::State, now: Now) {
         let lease = self.config.lease().max(super::LEASE);
-        let until = now.steady + lease.div_f64(1.0 - machine::CLOCK_DRIFT) + INHERITED_MARGIN;
+        let until = now.steady + lease.div_f64(1.0 - worker::CLOCK_DRIFT) + INHERITED_MARGIN;
         for (index, registered) in state.workers() {
-            let machine = machine::Machine::new(
+            let record = worker::Worker::new(
                 registered.life.clone(),
                 std::sync::Arc::clone(&registered.worker),
                 registered.draining,
                 now.steady,
                 until,
             );
-            self.machines.insert(*index, machine);
+            self.workers.insert(*index, record);
         }
         for job in state.active() {
             self.inherit_runs(job, now.steady);
         }
-        for (index, machine) in &self.machines {
-            self.out.push(Output::Event(Event::WorkerKnown {
+        for (index, record) in &self.workers {
+            self.outputs.push(Output::Event(Event::WorkerKnown {
                 index: *index,
-                worker: machine.life.name.clone(),
-                inherited: machine.runs.len(),
+                worker: record.incarnation.name.clone(),
+                inherited: record.runs.len(),
             }));
         }
         self.refresh_all(state);
@@ -67,11 +67,11 @@
                         step: step as u16,
                         index: index as u32,
                     };
-                    let run = machine::Run {
+                    let run = worker::Run {
                         run: task.run,
                         size: counted_size(spec),
                         team: job.team.clone(),
-                        phase: machine::Phase::Inherited,
+                        phase: worker::Phase::Inherited,
                         since: now,
                         decided: now,
                         lease_end: Duration::ZERO,
@@ -79,12 +79,12 @@
                         gang: spec.gang,
                         run_time: spec.run_time,
                         progress: None,
-                        stop: machine::Stop::No,
+                        stop: worker::Stop::NotRequested,
                         checkpoint: None,
                     };
                     self.usage.add(job.team.as_deref(), run.size);
-                    if let Some(machine) = self.machines.get_mut(&worker) {
-                        machine.add(name, run);
+                    if let Some(record) = self.workers.get_mut(&worker) {
+                        record.add(name, run);
                     } else {
                         // The worker was removed, so its runs are over; only the record is missing.
                         self.usage.remove(job.team.as_deref(), run.size);
@@ -100,13 +100,13 @@
         &mut self,
         state: &cell::State,
         now: Duration,
-        announcement: &worker::Announcement,
+        announcement: &announced::Announcement,
     ) -> Registration {
         let life = &announcement.incarnation;
-        let draining = matches!(announcement.state, worker::State::Draining { .. });
-        let leaves_at = match announcement.state {
-            worker::State::Draining { remaining } => remaining.map(|remaining| now + remaining),
-            worker::State::Ready => None,
+        let draining = matches!(announcement.state, announced::State::Draining { .. });
+        let departs_at = match announcement.state {
+            announced::State::Draining { remaining } => remaining.map(|remaining| now + remaining),
+            announced::State::Ready => None,
         };
         let known = state.workers().iter();
         let mut former = Vec::new();
@@ -116,15 +116,15 @@
                     || registered.worker.address != announcement.worker.address
                     || registered.worker.room != announcement.worker.room
                     || registered.worker.labels != announcement.worker.labels;
-                if let Some(machine) = self.machines.get_mut(index) {
-                    machine.draining |= draining;
-                    machine.leaves_at = leaves_at.or(machine.leaves_at);
-                    if machine.asked.is_none() && machine.reported.is_none() {
-                        machine.ask_at = now;
+                if let Some(record) = self.workers.get_mut(index) {
+                    record.draining |= draining;
+                    record.departs_at = departs_at.or(record.departs_at);
+                    if record.report_requested_at.is_none() && record.last_report_at.is_none() {
+                        record.next_report_at = now;
                     }
                 }
                 let index = *index;
-                self.move_from_leaving(state, now, index);
+                self.move_from_draining(state, now, index);
                 return if changed {
                     Registration::Propose(register(announcement, draining))
                 } else {
@@ -140,7 +140,7 @@
             }
         }
         for index in former {
-            self.end_life(index, Loss::Replaced);
+            self.end_incarnation(index, Loss::Replaced);
         }
         Registration::Propose(register(announcement, draining))
     }
@@ -148,41 +148,41 @@
     /// Takes the word of a worker that it ends now.
     pub fn leave(&mut self, state: &cell::State, name: &str) {
         if let Some((index, _)) = state.worker_named(name) {
-            self.end_life(index, Loss::Left);
+            self.end_incarnation(index, Loss::Departed);
         }
     }
 
     /// Takes over lives that were registered or removed.
-    pub(super) fn sync_machines(&mut self, state: &cell::State, now: Duration) {
-        self.over.retain(|index| state.workers().contains_key(index));
+    pub(super) fn sync_workers(&mut self, state: &cell::State, now: Duration) {
+        self.ended.retain(|index| state.workers().contains_key(index));
         for (index, registered) in state.workers() {
-            if self.over.contains(index) {
+            if self.ended.contains(index) {
                 continue;
             }
             let worker = std::sync::Arc::clone(&registered.worker);
-            if let Some(machine) = self.machines.get_mut(index) {
-                machine.worker = worker;
-                machine.draining |= registered.draining;
+            if let Some(record) = self.workers.get_mut(index) {
+                record.announced = worker;
+                record.draining |= registered.draining;
                 continue;
             }
             let life = registered.life.clone();
-            self.out.push(Output::Event(Event::WorkerKnown {
+            self.outputs.push(Output::Event(Event::WorkerKnown {
                 index: *index,
                 worker: life.name.clone(),
                 inherited: 0,
             }));
-            let starts = self.unanswered.of(&life.name, now);
-            let mut machine = machine::Machine::new(life, worker, registered.draining, now, now);
+            let starts = self.unacknowledged.of(&life.name, now);
+            let mut record = worker::Worker::new(life, worker, registered.draining, now, now);
             for start in starts {
-                machine.strays.expect(&start);
+                record.orphans.expect(&start);
             }
-            self.machines.insert(*index, machine);
+            self.workers.insert(*index, record);
         }
     }
 
     /// Marks the runs of a step as to be stopped.
     pub(super) fn stop_step(&mut self, step: advice::Step, run: directive::Run, now: Duration) {
-        let (first, last) = (schedule::name(step, 0), schedule::name(step, u32::MAX));
+        let (first, last) = (schedule::task_id(step, 0), schedule::task_id(step, u32::MAX));
         self.stop_range(first, last, run, now);
     }
 
@@ -194,15 +194,15 @@
         run: directive::Run,
         now: Duration,
     ) {
-        for (index, machine) in &mut self.machines {
-            for (task, entry) in machine.runs.range_mut(first..=last) {
-                if entry.run > run || entry.stop != machine::Stop::No {
+        for (index, record) in &mut self.workers {
+            for (task, entry) in record.runs.range_mut(first..=last) {
+                if entry.run > run || entry.stop != worker::Stop::NotRequested {
                     continue;
                 }
-                entry.stop = machine::Stop::Asked(None);
-                if entry.phase != machine::Phase::Proposed {
-                    entry.stop = machine::Stop::Asked(Some(now));
-                    self.out.push(orders::stop(*index, *task, entry.run, now));
+                entry.stop = worker::Stop::Requested(None);
+                if entry.phase != worker::Phase::Proposed {
+                    entry.stop = worker::Stop::Requested(Some(now));
+                    self.outputs.push(directives::stop(*index, *task, entry.run, now));
                 }
             }
         }
@@ -247,7 +247,7 @@
     size
 }
 
-fn register(announcement: &worker::Announcement, draining: bool) -> cell::Command {
+fn register(announcement: &announced::Announcement, draining: bool) -> cell::Command {
     cell::Command::Register {
         life: announcement.incarnation.clone(),
         worker: Box::new(announcement.worker.clone()),
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 
 use super::{Dispatch, Event, Output};
-use crate::{machine, stray};
+use crate::{orphan, worker};
 
 /// A worker without runs that was silent for this long is removed.
 const RETIRE_AFTER: Duration = Duration::from_mins(1);
@@ -18,7 +18,7 @@
     /// The worker was silent until its lease was over.
     Lease,
     /// It said that it ends.
-    Left,
+    Departed,
     /// Another life answered an order.
     OtherIncarnation,
     /// A later life announced itself.
@@ -34,7 +34,7 @@
     const fn name(self) -> &'static str {
         match self {
             Self::Lease => "lease",
-            Self::Left => "left",
+            Self::Departed => "left",
             Self::OtherIncarnation => "other_life",
             Self::Replaced => "replaced",
             Self::Restarted => "restarted",
@@ -60,11 +60,11 @@
 
 impl Dispatch {
     /// Ends all runs of a life that is over, and removes it.
-    pub(super) fn end_life(&mut self, index: cell::WorkerIndex, loss: Loss) {
+    pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, loss: Loss) {
         self.lose_runs(index, loss);
         self.slowness.forget_worker(index);
-        if self.machines.remove(&index).is_some() {
-            self.over.insert(index);
+        if self.workers.remove(&index).is_some() {
+            self.ended.insert(index);
             self.retire(index);
         }
         self.dirty = true;
@@ -73,9 +73,9 @@
     /// Removes a life that is over, unless the fate of one of its runs is open.
     fn retire(&mut self, index: cell::WorkerIndex) {
         let is_open = self.uncertain.iter().any(|run| run.worker == index);
-        if self.over.contains(&index) && !is_open {
+        if self.ended.contains(&index) && !is_open {
             let command = cell::Command::Retire { worker: index };
-            self.out.push(Output::Propose(command));
+            self.outputs.push(Output::Propose(command));
         }
     }
 
@@ -89,17 +89,17 @@
         worker: cell::WorkerIndex,
         report: &directive::Report,
     ) {
-        let Some(machine) = self.machines.get(&worker) else {
+        let Some(record) = self.workers.get(&worker) else {
             return;
         };
         for run in &mut self.uncertain {
             let is_later = worker > run.worker || (worker == run.worker && report.clock > run.lease_end);
-            if !is_later || machine.life.name != run.name {
+            if !is_later || record.incarnation.name != run.name {
                 continue;
             }
             let mut running = report.running.iter();
             let is_there = running.any(|running| running.task == run.task && running.run == run.run);
-            run.until = if is_there { now + stray::REPORT_AGE } else { now };
+            run.until = if is_there { now + orphan::REPORT_AGE } else { now };
         }
     }
 
@@ -120,35 +120,35 @@
 
     /// Records that no run of a worker is at work any more.
     pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, loss: Loss) {
-        let Some(machine) = self.machines.get_mut(&index) else {
+        let Some(record) = self.workers.get_mut(&index) else {
             return;
         };
-        let runs = std::mem::take(&mut machine.runs);
-        machine.used = bronzespoke_model::resource::Amount::ZERO;
-        let name = machine.life.name.clone();
+        let runs = std::mem::take(&mut record.runs);
+        record.used = bronzespoke_model::resource::Amount::ZERO;
+        let name = record.incarnation.name.clone();
         let event = Event::WorkerUnusable {
             worker: name.clone(),
             reason: loss.name(),
             runs: runs.len(),
             silent: None,
         };
-        self.out.push(Output::Event(event));
+        self.outputs.push(Output::Event(event));
         let mut ends = Vec::new();
         for (task, run) in runs {
-            let is_open = matches!(run.phase, machine::Phase::Sent | machine::Phase::Unsure);
+            let is_open = matches!(run.phase, worker::Phase::Sent | worker::Phase::Unacknowledged);
             if is_open {
-                let start = stray::Start {
+                let start = orphan::Start {
                     task,
                     run: run.run,
                     size: run.size,
                     sent: run.since,
                 };
-                self.unanswered.note(&name, start);
+                self.unacknowledged.record(&name, start);
             }
             // An order without an answer may come to the next life although a repeated one was carried out by this one. It
             // is not waited for when a worker is silent until its lease ends: that would hold up each of these tasks for the
             // 13 s of a late order, and the worker is hardly ever back with its next life by then.
-            let newest = self.unanswered.newest(&name, task, run.run);
+            let newest = self.unacknowledged.newest(&name, task, run.run);
             if let Some(start) = newest.filter(|_| loss != Loss::Lease) {
                 self.uncertain.push(Uncertain {
                     worker: index,
@@ -157,7 +157,7 @@
                     run: run.run,
                     checkpoint: run.checkpoint,
                     lease_end: run.lease_end,
-                    until: start.over_at(),
+                    until: start.expires_at(),
                 });
             } else {
                 ends.push((task, run.run, run.checkpoint));
@@ -193,14 +193,14 @@
     /// Gives up the runs of workers whose lease has run out.
     pub(super) fn expire_leases(&mut self, now: Duration) {
         let lapsed: Vec<cell::WorkerIndex> = self
-            .machines
+            .workers
             .iter()
-            .filter(|(_, machine)| !machine.runs.is_empty() && machine.has_lapsed(now))
-            .filter(|(_, machine)| {
-                machine
+            .filter(|(_, record)| !record.runs.is_empty() && record.leases_expired(now))
+            .filter(|(_, record)| {
+                record
                     .runs
                     .values()
-                    .any(|run| run.phase != machine::Phase::Proposed)
+                    .any(|run| run.phase != worker::Phase::Proposed)
             })
             .map(|(index, _)| *index)
             .collect();
@@ -208,14 +208,16 @@
             self.lose_runs(index, Loss::Lease);
         }
         let gone: Vec<cell::WorkerIndex> = self
-            .machines
+            .workers
             .iter()
-            .filter(|(_, machine)| machine.runs.is_empty() && machine.proposed_ends.is_empty())
-            .filter(|(_, machine)| now > machine.reported.unwrap_or(machine.inherited_until) + RETIRE_AFTER)
+            .filter(|(_, record)| record.runs.is_empty() && record.proposed_ends.is_empty())
+            .filter(|(_, record)| {
+                now > record.last_report_at.unwrap_or(record.inherited_until) + RETIRE_AFTER
+            })
             .map(|(index, _)| *index)
             .collect();
         for index in gone {
-            self.end_life(index, Loss::Silent);
+            self.end_incarnation(index, Loss::Silent);
         }
     }
 }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -4,10 +4,10 @@
 //! these on. A task is placed again only when the end of its former run is certain: the worker has listed it, the
 //! worker's life or lease is over, or the worker has shown that the run can no longer start.
 
+mod directives;
 mod event;
 mod fleet;
 mod lost;
-mod orders;
 mod report;
 mod schedule;
 mod waiting;
@@ -25,7 +25,7 @@
 pub use event::Event;
 pub use fleet::Registration;
 
-use crate::{desk, estimate, machine, reserve, slowness, stray, usage};
+use crate::{estimate, orphan, query_queue, reserve, slowness, usage, worker};
 
 /// How long a worker may run without word from the leader. It has to outlast the loss of a leader (an election of at
 /// most 1.6 s and the first round of reports), and every second more delays the work of a lost worker by that much.
@@ -46,7 +46,7 @@
 /// Time between two looks at jobs whose retention is over.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 /// Finished jobs that one command removes.
-const FORGET_AT_ONCE: usize = 256;
+const MAX_FORGOTTEN_PER_COMMAND: usize = 256;
 /// Margin on the retention of finished jobs, for callers whose clock or call is late.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
@@ -64,16 +64,16 @@
     /// Replicate a command; its outcome comes back through [`Dispatch::committed`].
     Propose(cell::Command),
     /// Send an order; the answer comes back through [`Dispatch::answered`].
-    Order {
+    Directive {
         /// Receiver.
         worker: cell::WorkerIndex,
         /// Order.
-        order: directive::Directive,
+        directive: directive::Directive,
         /// When it was decided; comes back with the answer.
         decided: Duration,
     },
     /// Ask the eligibility service.
-    Ask(desk::Ask),
+    Query(query_queue::Assignment),
     /// Write a log line.
     Event(Event),
 }
@@ -107,23 +107,23 @@
 #[derive(Debug)]
 pub struct Dispatch {
     config: Config,
-    machines: BTreeMap<cell::WorkerIndex, machine::Machine>,
+    workers: BTreeMap<cell::WorkerIndex, worker::Worker>,
     usage: usage::Usage,
     estimates: estimate::Estimates,
     slowness: slowness::Slowness,
-    unanswered: stray::Unanswered,
+    unacknowledged: orphan::Unacknowledged,
     /// Runs of lost workers whose start order may still be carried out by the next life.
     uncertain: Vec<lost::Uncertain>,
     /// Lives that are over and whose removal is not committed.
-    over: HashSet<cell::WorkerIndex>,
+    ended: HashSet<cell::WorkerIndex>,
     /// Configuration that holds the teams' limits.
     limits: Option<Arc<catalog::Catalog>>,
-    desk: desk::Desk,
+    queries: query_queue::Queue,
     reservations: reserve::Reservations,
     /// Steps with tasks to place.
     waiting: HashMap<advice::Step, waiting::Waiting>,
     /// Steps of submissions whose commit is under way, which are asked about already.
-    early: Vec<advice::Step>,
+    prefetched: Vec<advice::Step>,
     /// Tasks whose start is proposed and not committed.
     proposed: HashSet<directive::Task>,
     /// Workers on which a task has failed.
@@ -132,7 +132,7 @@
     pass_at: Duration,
     timers_at: Duration,
     forget_at: Duration,
-    out: Vec<Output>,
+    outputs: Vec<Output>,
 }
 
 impl Dispatch {
@@ -140,33 +140,33 @@
     pub fn new(config: Config, state: &cell::State, now: Now) -> Self {
         let mut dispatch = Self {
             config,
-            machines: BTreeMap::new(),
+            workers: BTreeMap::new(),
             usage: usage::Usage::default(),
             estimates: estimate::Estimates::default(),
             slowness: slowness::Slowness::default(),
-            unanswered: stray::Unanswered::default(),
+            unacknowledged: orphan::Unacknowledged::default(),
             uncertain: Vec::new(),
-            over: HashSet::new(),
+            ended: HashSet::new(),
             limits: state.catalog().cloned(),
-            desk: desk::Desk::default(),
+            queries: query_queue::Queue::default(),
             reservations: reserve::Reservations::default(),
             waiting: HashMap::new(),
-            early: Vec::new(),
+            prefetched: Vec::new(),
             proposed: HashSet::new(),
             failed_on: HashMap::new(),
             dirty: true,
             pass_at: now.steady,
             timers_at: now.steady,
             forget_at: now.steady + FORGET_INTERVAL,
-            out: Vec::new(),
+            outputs: Vec::new(),
         };
         dispatch.inherit(state, now);
         dispatch
     }
 
     /// Replaces the VMs that may ask the eligibility service.
-    pub fn set_helpers(&mut self, helpers: &[id::VmId]) {
-        self.desk.set_helpers(helpers);
+    pub fn set_proxies(&mut self, proxies: &[id::VmId]) {
+        self.queries.set_proxies(proxies);
     }
 
     /// Fencing token of the term.
@@ -175,8 +175,8 @@
     }
 
     /// Lives of workers, for metrics and tests.
-    pub const fn machines(&self) -> &BTreeMap<cell::WorkerIndex, machine::Machine> {
-        &self.machines
+    pub const fn workers(&self) -> &BTreeMap<cell::WorkerIndex, worker::Worker> {
+        &self.workers
     }
 
     /// Steps that wait for room, for metrics.
@@ -195,7 +195,7 @@
 
     /// Takes the outputs that have gathered.
     pub fn take_outputs(&mut self) -> Vec<Output> {
-        std::mem::take(&mut self.out)
+        std::mem::take(&mut self.outputs)
     }
 
     /// Lets timers run and decides on placements.
@@ -239,9 +239,9 @@
                     self.send_starts(state, now, starts, taken);
                 }
             }
-            cell::Command::End(ends) => self.note_recorded(state, now, ends),
+            cell::Command::End(ends) => self.ends_recorded(state, now, ends),
             cell::Command::Register { .. } | cell::Command::Retire { .. } => {
-                self.sync_machines(state, now.steady);
+                self.sync_workers(state, now.steady);
             }
             cell::Command::Configure { .. } => {
                 self.limits = state.catalog().cloned();
@@ -252,7 +252,7 @@
     }
 
     /// Takes back a command that will never be committed.
-    pub fn refused(&mut self, state: &cell::State, command: &cell::Command) {
+    pub fn rejected(&mut self, state: &cell::State, command: &cell::Command) {
         self.dirty = true;
         match command {
             cell::Command::Start(starts) => {
@@ -264,24 +264,24 @@
             }
             cell::Command::Submit { key, submission, .. } => {
                 for step in 0..submission.steps.len() {
-                    self.desk.forget(first_occurrence(*key, step as u16));
+                    self.queries.remove(first_occurrence(*key, step as u16));
                 }
             }
             // Ends that are not recorded are listed again; without the acknowledgement the worker repeats them.
-            cell::Command::End(ends) => self.unlist(ends),
+            cell::Command::End(ends) => self.reset_listed_ends(ends),
             _ => {}
         }
     }
 
     /// Takes the answer of the eligibility service that came through a helper.
-    pub fn advised(&mut self, now: Duration, number: u64, answer: &advice::Answer) {
-        if self.desk.answered(now, number, answer).is_some() {
+    pub fn query_answered(&mut self, now: Duration, number: u64, answer: &advice::Answer) {
+        if self.queries.record_answer(now, number, answer).is_some() {
             self.dirty = true;
         }
     }
 
     /// Asks about the first steps of a submission while it is being committed.
-    pub fn foresee(
+    pub fn prefetch_eligibility(
         &mut self,
         now: Duration,
         key: job::Key,
@@ -296,9 +296,9 @@
                 continue;
             }
             let step = first_occurrence(key, index as u16);
-            let workers = self.askable(now, queue, spec);
-            if self.desk.want(now, step, &cost, workers) {
-                self.early.push(step);
+            let workers = self.query_candidates(now, queue, spec);
+            if self.queries.enqueue(now, step, &cost, workers) {
+                self.prefetched.push(step);
                 self.dirty = true;
             }
         }
@@ -310,11 +310,11 @@
         let keys: Vec<job::Key> = state
             .jobs()
             .filter(old)
-            .take(FORGET_AT_ONCE)
+            .take(MAX_FORGOTTEN_PER_COMMAND)
             .map(|job| job.key)
             .collect();
         if !keys.is_empty() {
-            self.out.push(Output::Propose(cell::Command::Forget(keys)));
+            self.outputs.push(Output::Propose(cell::Command::Forget(keys)));
         }
     }
 
@@ -324,8 +324,8 @@
         worker: cell::WorkerIndex,
         task: directive::Task,
         run: directive::Run,
-    ) -> Option<machine::Run> {
-        let removed = self.machines.get_mut(&worker)?.remove(task, run)?;
+    ) -> Option<worker::Run> {
+        let removed = self.workers.get_mut(&worker)?.remove(task, run)?;
         self.usage.remove(removed.team.as_deref(), removed.size);
         self.dirty = true;
         Some(removed)
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -11,8 +11,8 @@
 
 use super::{Dispatch, Event, Now, Output, lost::Loss};
 use crate::{
-    machine::{self, Phase, Stop},
     progress,
+    worker::{self, Phase, Stop},
 };
 
 /// Pause of a worker that fails what it starts; doubled with each further suspicion.
@@ -29,7 +29,7 @@
 const RECORD_WAIT: Duration = Duration::from_millis(300);
 
 impl Dispatch {
-    pub(super) fn take_report(
+    pub(super) fn handle_report(
         &mut self,
         state: &cell::State,
         now: Now,
@@ -37,30 +37,30 @@
         sent: Duration,
         report: &directive::Report,
     ) {
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let other_life = report
+        let is_other_incarnation = report
             .born
-            .is_some_and(|born| machine.life.born != 0 && born != machine.life.born);
-        if other_life {
-            self.end_life(worker, Loss::Restarted);
+            .is_some_and(|born| record.incarnation.born != 0 && born != record.incarnation.born);
+        if is_other_incarnation {
+            self.end_incarnation(worker, Loss::Restarted);
             return;
         }
-        machine.unanswered = false;
-        let first = machine.reported.is_none();
-        machine.reported = Some(machine.reported.unwrap_or_default().max(now.steady));
+        record.report_missed = false;
+        let first = record.last_report_at.is_none();
+        record.last_report_at = Some(record.last_report_at.unwrap_or_default().max(now.steady));
         if first {
             self.dirty = true;
         }
         self.review_uncertain(now.steady, worker, report);
-        self.take_ends(state, now.steady, worker, report);
+        self.handle_ends(state, now.steady, worker, report);
         self.compare_runs(state, now.steady, worker, sent, report);
         self.stop_stalled(state, now.steady, worker);
         self.move_from_slow(state, now.steady, worker);
-        self.move_from_leaving(state, now.steady, worker);
-        if let Some(machine) = self.machines.get_mut(&worker) {
-            machine.ask_at = if machine.proposed_ends.is_empty() {
+        self.move_from_draining(state, now.steady, worker);
+        if let Some(record) = self.workers.get_mut(&worker) {
+            record.next_report_at = if record.proposed_ends.is_empty() {
                 now.steady
             } else {
                 now.steady + RECORD_WAIT
@@ -70,7 +70,7 @@
     }
 
     /// Proposes the record of ends that were not listed before.
-    fn take_ends(
+    fn handle_ends(
         &mut self,
         state: &cell::State,
         now: Duration,
@@ -78,10 +78,10 @@
         report: &directive::Report,
     ) {
         let mut ends = Vec::new();
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let listed = machine.listed;
+        let listed = record.listed_end;
         for ended in report.ended.iter().filter(|ended| ended.number > listed) {
             ends.push(cell::End {
                 task: ended.task,
@@ -97,37 +97,37 @@
         if ends.is_empty() {
             return;
         }
-        machine.listed = machine.listed.max(last);
+        record.listed_end = record.listed_end.max(last);
         for end in &ends {
-            self.take_end(state, now, end);
+            self.handle_end(state, now, end);
         }
         self.propose_ends(worker, ends);
     }
 
-    fn take_end(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
-        self.note_end(end.worker, end.task, end.run, end.outcome);
+    fn handle_end(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
+        self.log_end(end.worker, end.task, end.run, end.outcome);
         let removed = self.drop_run(end.worker, end.task, end.run);
         if end.outcome == directive::Outcome::Done {
-            self.note_run_time(state, now, end, removed.as_ref());
+            self.record_run_time(state, now, end, removed.as_ref());
         }
-        let asked_to_stop = removed.is_some_and(|run| run.stop != Stop::No);
-        let Some(machine) = self.machines.get_mut(&end.worker) else {
+        let asked_to_stop = removed.is_some_and(|run| run.stop != Stop::NotRequested);
+        let Some(record) = self.workers.get_mut(&end.worker) else {
             return;
         };
         match end.outcome {
-            directive::Outcome::Done => machine.note_success(),
+            directive::Outcome::Done => record.record_success(),
             directive::Outcome::Failed if !asked_to_stop => {
                 self.failed_on.entry(end.task).or_default().push(end.worker);
-                let pause = SUSPECT_PAUSE * 2_u32.saturating_pow(machine.suspicions);
+                let pause = SUSPECT_PAUSE * 2_u32.saturating_pow(record.suspicions);
                 let pause = pause.min(LONGEST_PAUSE);
-                if machine.note_failure(now, end.task.job, pause) {
+                if record.record_failure(now, end.task.job, pause) {
                     let event = Event::WorkerUnusable {
-                        worker: machine.life.name.clone(),
+                        worker: record.incarnation.name.clone(),
                         reason: "failures",
-                        runs: machine.runs.len(),
+                        runs: record.runs.len(),
                         silent: None,
                     };
-                    self.out.push(Output::Event(event));
+                    self.outputs.push(Output::Event(event));
                 }
             }
             _ => {}
@@ -139,12 +139,12 @@
     }
 
     /// Learns from a run that is done how long its queue's tasks take.
-    fn note_run_time(
+    fn record_run_time(
         &mut self,
         state: &cell::State,
         now: Duration,
         end: &cell::End,
-        run: Option<&machine::Run>,
+        run: Option<&worker::Run>,
     ) {
         let (Some(run), Some(job)) = (run, state.job(end.task.job)) else {
             return;
@@ -157,7 +157,7 @@
         // A run that resumes has done a part of its work before.
         if run.run == 1 {
             let actual = now.saturating_sub(since);
-            self.estimates.note(&job.queue.name, step.run_time, actual);
+            self.estimates.record(&job.queue.name, step.run_time, actual);
         }
     }
 
@@ -166,10 +166,10 @@
     /// Records are committed in the order of their proposals, so the record of any of them shows that every end listed
     /// before it is recorded.
     pub(super) fn propose_ends(&mut self, worker: cell::WorkerIndex, ends: Vec<cell::End>) {
-        if let Some(machine) = self.machines.get_mut(&worker) {
-            machine.proposed_ends.push_back(machine.listed);
+        if let Some(record) = self.workers.get_mut(&worker) {
+            record.proposed_ends.push_back(record.listed_end);
         }
-        self.out.push(Output::Propose(cell::Command::End(ends)));
+        self.outputs.push(Output::Propose(cell::Command::End(ends)));
     }
 
     /// Compares what runs there with what should.
@@ -181,7 +181,7 @@
         sent: Duration,
         report: &directive::Report,
     ) {
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
         let running: HashMap<directive::Task, &directive::Running> = report
@@ -190,7 +190,7 @@
             .map(|running| (running.task, running))
             .collect();
         let mut gone = Vec::new();
-        for (task, run) in &mut machine.runs {
+        for (task, run) in &mut record.runs {
             if let Some(found) = running.get(task).filter(|found| found.run == run.run) {
                 if !matches!(run.phase, Phase::Running(_)) {
                     run.phase = Phase::Running(now);
@@ -206,32 +206,32 @@
                 (Phase::Proposed, _) => false,
                 // The worker obeys no order of an earlier leader after it has taken one of this leader.
                 (Phase::Inherited, _) => true,
-                (_, Stop::Answered(at)) if sent > at => true,
+                (_, Stop::Acknowledged(at)) if sent > at => true,
                 (Phase::Running(since), _) => sent > since,
-                (Phase::Unsure | Phase::Sent, _) => report.clock > run.lease_end,
+                (Phase::Unacknowledged | Phase::Sent, _) => report.clock > run.lease_end,
             };
             if over {
                 let outcome = match run.phase {
-                    Phase::Running(_) if run.stop == Stop::No => directive::Outcome::Lost,
+                    Phase::Running(_) if run.stop == Stop::NotRequested => directive::Outcome::Lost,
                     Phase::Running(_) => directive::Outcome::Stopped,
                     _ => directive::Outcome::NeverStarted,
                 };
                 gone.push((*task, run.run, outcome, run.checkpoint.clone()));
             }
         }
-        let strays: Vec<_> = report
+        let orphans: Vec<_> = report
             .running
             .iter()
             .filter(|running| {
-                let known = machine.runs.get(&running.task);
+                let known = record.runs.get(&running.task);
                 known.is_none_or(|known| known.run != running.run)
             })
             .map(|running| {
-                let size = size_of(state, running.task).unwrap_or(machine.worker.room);
+                let size = size_of(state, running.task).unwrap_or(record.announced.room);
                 ((running.task, running.run), size)
             })
             .collect();
-        machine.strays.observe(now, sent, &strays);
+        record.orphans.observe(now, sent, &orphans);
         for (task, run, outcome, checkpoint) in gone {
             self.drop_run(worker, task, run);
             self.propose_end(worker, task, run, outcome, checkpoint);
@@ -240,28 +240,28 @@
 
     /// Stops runs that stand still, so that they go on elsewhere.
     fn stop_stalled(&mut self, state: &cell::State, now: Duration, worker: cell::WorkerIndex) {
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let stalled: Vec<(directive::Task, directive::Run)> = machine
+        let stalled: Vec<(directive::Task, directive::Run)> = record
             .runs
             .iter()
-            .filter(|(_, run)| run.stop == Stop::No && is_stalled(run, now))
+            .filter(|(_, run)| run.stop == Stop::NotRequested && is_stalled(run, now))
             .filter(|(task, _)| may_stall(state, **task))
             .map(|(task, run)| (*task, run.run))
             .collect();
         if stalled.is_empty() {
             return;
         }
-        let pause = STALL_PAUSE * 2_u32.saturating_pow(machine.suspicions.min(3));
-        machine.note_stall(now, pause.min(LONGEST_PAUSE));
+        let pause = STALL_PAUSE * 2_u32.saturating_pow(record.suspicions.min(3));
+        record.record_stall(now, pause.min(LONGEST_PAUSE));
         let event = Event::WorkerUnusable {
-            worker: machine.life.name.clone(),
+            worker: record.incarnation.name.clone(),
             reason: "stalled",
-            runs: machine.runs.len(),
+            runs: record.runs.len(),
             silent: None,
         };
-        self.out.push(Output::Event(event));
+        self.outputs.push(Output::Event(event));
         for (task, run) in stalled {
             self.failed_on.entry(task).or_default().push(worker);
             self.stop_run(worker, task, run, now);
@@ -271,11 +271,11 @@
     /// Judges a worker by the progress of its runs, and stops runs on a slow one that end sooner when they start again
     /// elsewhere.
     fn move_from_slow(&mut self, state: &cell::State, now: Duration, worker: cell::WorkerIndex) {
-        let Some(machine) = self.machines.get(&worker) else {
+        let Some(record) = self.workers.get(&worker) else {
             return;
         };
         let mut totals = BTreeMap::new();
-        for (task, run) in machine.runs.iter().filter(|(_, run)| !run.gang) {
+        for (task, run) in record.runs.iter().filter(|(_, run)| !run.gang) {
             if let Some(total) = run.progress.and_then(|progress| progress.total()) {
                 totals.insert(step_of(*task), total);
             }
@@ -285,12 +285,12 @@
             return;
         };
         let mut moved = Vec::new();
-        for (task, run) in machine.runs.iter().filter(|(_, run)| !run.gang) {
+        for (task, run) in record.runs.iter().filter(|(_, run)| !run.gang) {
             let step = state.spec(*task);
             let (Some(step), Some(progress)) = (step, run.progress) else {
                 continue;
             };
-            let stays = run.stop != Stop::No || step.lasting;
+            let stays = run.stop != Stop::NotRequested || step.lasting;
             if !stays && is_sooner_elsewhere(&progress, factor, step.checkpoints, now) {
                 moved.push((*task, run.run));
             }
@@ -299,12 +299,12 @@
             return;
         }
         let event = Event::WorkerUnusable {
-            worker: machine.life.name.clone(),
+            worker: record.incarnation.name.clone(),
             reason: "slow",
-            runs: machine.runs.len(),
+            runs: record.runs.len(),
             silent: None,
         };
-        self.out.push(Output::Event(event));
+        self.outputs.push(Output::Event(event));
         for (task, run) in moved {
             self.failed_on.entry(task).or_default().push(worker);
             self.stop_run(worker, task, run, now);
@@ -313,34 +313,34 @@
 
     /// Stops runs that are not expected to end before their worker leaves, so that they go on elsewhere at once and with
     /// their newest progress.
-    pub(super) fn move_from_leaving(
+    pub(super) fn move_from_draining(
         &mut self,
         state: &cell::State,
         now: Duration,
         worker: cell::WorkerIndex,
     ) {
-        let Some(machine) = self.machines.get(&worker) else {
+        let Some(record) = self.workers.get(&worker) else {
             return;
         };
-        let Some(leaves_at) = machine.leaves_at else {
+        let Some(departs_at) = record.departs_at else {
             return;
         };
         let mut moved = Vec::new();
-        for (task, run) in &machine.runs {
+        for (task, run) in &record.runs {
             let is_lasting = state.spec(*task).is_some_and(|step| step.lasting);
-            let ends_in_time = !is_lasting && run.expected_end <= leaves_at;
+            let ends_in_time = !is_lasting && run.expected_end <= departs_at;
             let is_there = matches!(run.phase, Phase::Running(_));
-            if is_there && run.stop == Stop::No && !ends_in_time {
+            if is_there && run.stop == Stop::NotRequested && !ends_in_time {
                 moved.push((*task, run.run, run.gang));
             }
         }
         if moved.is_empty() {
             return;
         }
-        self.out.push(Output::Event(Event::WorkerUnusable {
-            worker: machine.life.name.clone(),
+        self.outputs.push(Output::Event(Event::WorkerUnusable {
+            worker: record.incarnation.name.clone(),
             reason: "leaves",
-            runs: machine.runs.len(),
+            runs: record.runs.len(),
             silent: None,
         }));
         for (task, run, gang) in moved {
@@ -353,14 +353,14 @@
     }
 
     /// Takes ends that are recorded: acknowledges them and lets what depends on them wait for room.
-    pub(super) fn note_recorded(&mut self, state: &cell::State, now: Now, ends: &[cell::End]) {
+    pub(super) fn ends_recorded(&mut self, state: &cell::State, now: Now, ends: &[cell::End]) {
         // All ends of one command are of one worker.
         let worker = ends.first().map(|end| end.worker);
-        if let Some(machine) = worker.and_then(|worker| self.machines.get_mut(&worker))
-            && let Some(number) = machine.proposed_ends.pop_front()
+        if let Some(record) = worker.and_then(|worker| self.workers.get_mut(&worker))
+            && let Some(number) = record.proposed_ends.pop_front()
         {
-            machine.recorded = machine.recorded.max(number);
-            machine.ask_at = machine.ask_at.min(now.steady);
+            record.recorded_end = record.recorded_end.max(number);
+            record.next_report_at = record.next_report_at.min(now.steady);
         }
         let mut last = None;
         for end in ends {
@@ -411,11 +411,11 @@
     }
 
     /// Lets ends be listed again whose record was refused.
-    pub(super) fn unlist(&mut self, ends: &[cell::End]) {
+    pub(super) fn reset_listed_ends(&mut self, ends: &[cell::End]) {
         let Some(first) = ends.first() else { return };
-        if let Some(machine) = self.machines.get_mut(&first.worker) {
-            machine.proposed_ends.clear();
-            machine.listed = machine.recorded;
+        if let Some(record) = self.workers.get_mut(&first.worker) {
+            record.proposed_ends.clear();
+            record.listed_end = record.recorded_end;
         }
     }
 }
@@ -425,7 +425,7 @@
     state.spec(task).map(super::fleet::counted_size)
 }
 
-fn observe(run: &mut machine::Run, now: Duration, percent: u8) {
+fn observe(run: &mut worker::Run, now: Duration, percent: u8) {
     match &mut run.progress {
         Some(progress) => progress.observe(now, percent),
         None => run.progress = Some(progress::Progress::new(now, percent)),
@@ -450,7 +450,7 @@
     here > elsewhere.mul_f64(MOVE_GAIN) + MOVE_COST
 }
 
-fn is_stalled(run: &machine::Run, now: Duration) -> bool {
+fn is_stalled(run: &worker::Run, now: Duration) -> bool {
     run.progress
         .is_some_and(|progress| progress.is_stalled(now, run.run_time))
 }
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -8,32 +8,30 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{advice, catalog, directive, job, worker};
+use bronzespoke_workload::{advice, catalog, directive, job, worker as announced};
 
 use super::{Dispatch, Event, Now, Output, fleet, waiting};
 use crate::{
-    desk,
-    machine::{self, Phase, Stop},
-    order as ranking,
     place::{self, Candidate},
-    reserve,
+    query_queue, rank, reserve,
+    worker::{self, Phase, Stop},
 };
 
 /// A worker whose last report is older gets no new work. Reports come a second apart; what is placed on a worker that is
 /// gone waits for the end of its lease.
 const USABLE_AGE: Duration = Duration::from_millis(1_600);
 /// Starts that one command records.
-const STARTS_AT_ONCE: usize = 256;
+const MAX_STARTS_PER_COMMAND: usize = 256;
 /// Fewest workers that a question about a step names, if there are as many.
-const ASKED_WORKERS: usize = 60;
+const MIN_QUERIED_WORKERS: usize = 60;
 /// Workers that are asked about for each member of a gang. On a fleet that is four fifths full, a third of the workers may
 /// run a gang and a third of these have room for a member.
-const ASKED_PER_MEMBER: usize = 8;
+const QUERIED_PER_MEMBER: usize = 8;
 /// A gang whose room is expected later than this asks about further workers.
 const LATE_GANG: Duration = Duration::from_secs(1);
 /// Tickets of the workers that are kept for a gang are renewed this long before its room is expected; a question takes
 /// about as long.
-const TICKETS_AHEAD: Duration = Duration::from_millis(900);
+const TICKET_RENEWAL_LEAD: Duration = Duration::from_millis(900);
 /// One worker in this many may be kept for gangs that wait.
 const RESERVED_SHARE: usize = 2;
 
@@ -48,7 +46,7 @@
 #[derive(Debug)]
 struct Slot<'a> {
     index: cell::WorkerIndex,
-    worker: &'a worker::Worker,
+    worker: &'a announced::Worker,
     free: resource::Amount,
     /// Free processors at the start of the pass, in thousandths of a core; the slots are sorted by it.
     free_cpu: u32,
@@ -88,10 +86,10 @@
             most: slots.len() / RESERVED_SHARE,
         };
         let mut starts = Vec::new();
-        let mut order = std::mem::take(&mut self.early);
+        let mut order = std::mem::take(&mut self.prefetched);
         for (rank, id) in ranked {
             order.push(id);
-            if starts.len() >= STARTS_AT_ONCE {
+            if starts.len() >= MAX_STARTS_PER_COMMAND {
                 self.dirty = true;
                 continue;
             }
@@ -100,65 +98,62 @@
             }
         }
         if !starts.is_empty() {
-            self.out.push(Output::Propose(cell::Command::Start(starts)));
+            self.outputs.push(Output::Propose(cell::Command::Start(starts)));
         }
-        let mut asks = Vec::new();
-        self.desk.dispatch(now.steady, &order, &mut asks);
-        for ask in asks {
-            self.out.push(Output::Event(Event::Asked {
-                step: ask.question.step,
-                workers: ask.question.workers.len(),
+        let mut assignments = Vec::new();
+        self.queries.assign(now.steady, &order, &mut assignments);
+        for assignment in assignments {
+            self.outputs.push(Output::Event(Event::QuerySent {
+                step: assignment.query.step,
+                workers: assignment.query.workers.len(),
             }));
-            self.out.push(Output::Ask(ask));
+            self.outputs.push(Output::Query(assignment));
         }
     }
 
     /// Workers that the first question about a step names, those with the most room first.
-    pub(super) fn askable(
+    pub(super) fn query_candidates(
         &self,
         now: Duration,
         queue: &catalog::Queue,
         spec: &job::Step,
     ) -> Vec<(cell::WorkerIndex, String)> {
         let size = fleet::counted_size(spec);
-        let fits = |machine: &machine::Machine| {
+        let fits = |record: &worker::Worker| {
             let label = spec.label.as_ref();
-            machine.worker.pool == queue.pool
-                && size.fits(&machine.worker.room)
-                && label.is_none_or(|label| machine.worker.labels.contains(label))
+            record.announced.pool == queue.pool
+                && size.fits(&record.announced.room)
+                && label.is_none_or(|label| record.announced.labels.contains(label))
         };
         let mut workers: Vec<_> = self
-            .machines
+            .workers
             .iter()
-            .filter(|(index, machine)| {
+            .filter(|(index, record)| {
                 let slow = self.slowness.factor(**index, now).is_some();
-                !slow && is_usable(machine, now) && fits(machine)
+                !slow && is_usable(record, now) && fits(record)
             })
-            .map(|(index, machine)| {
-                let free = machine.free();
-                ((place::count(&free, &size), free.cpu_milli), index, machine)
+            .map(|(index, record)| {
+                let free = record.free();
+                ((place::count(&free, &size), free.cpu_milli), index, record)
             })
             .collect();
         workers.sort_by_key(|(room, _, _)| std::cmp::Reverse(*room));
-        let named = workers.into_iter().take(asked_workers(spec));
+        let named = workers.into_iter().take(queried_workers(spec));
         named
-            .map(|(_, index, machine)| (*index, machine.life.name.clone()))
+            .map(|(_, index, record)| (*index, record.incarnation.name.clone()))
             .collect()
     }
 
     /// Workers that may get new work.
-    fn usable(&self, now: Duration) -> Vec<(cell::WorkerIndex, Arc<worker::Worker>, resource::Amount)> {
-        let usable = self
-            .machines
-            .iter()
-            .filter(|(_, machine)| is_usable(machine, now));
+    fn usable(&self, now: Duration) -> Vec<(cell::WorkerIndex, Arc<announced::Worker>, resource::Amount)> {
+        let usable = self.workers.iter().filter(|(_, record)| is_usable(record, now));
         usable
-            .map(|(index, machine)| (*index, Arc::clone(&machine.worker), machine.free()))
+            .map(|(index, record)| (*index, Arc::clone(&record.announced), record.free()))
             .collect()
     }
 
     /// Waiting steps that are due, in their order.
-    fn ranked(&self, state: &cell::State, now: Now) -> Vec<(ranking::Rank, advice::Step)> {
+    fn ranked(&self, state: &cell::State, now: Now) -> Vec<(rank::Rank, advice::Step)> {
         let mut ranked = Vec::with_capacity(self.waiting.len());
         for (id, entry) in &self.waiting {
             if entry.begun_ms > now.wall_ms {
@@ -169,7 +164,7 @@
             let expected = |stated| self.estimates.expected(queue, stated);
             let chain = job.submission.chain(expected);
             let remaining = waiting::remaining(&self.estimates, queue, &job.submission, id.step);
-            let rank = ranking::rank(job, entry.begun_ms, chain, remaining, now.wall_ms);
+            let rank = rank::compute(job, entry.begun_ms, chain, remaining, now.wall_ms);
             ranked.push((rank, *id));
         }
         ranked.sort_unstable();
@@ -182,8 +177,8 @@
         let progress = state.step(id.job, id.occurrence, id.step)?;
         let open = |(index, task): (usize, &cell::Task)| {
             let index = index as u32;
-            let name = name(id, index);
-            let open = !task.done && task.placed.is_none() && !self.proposed.contains(&name);
+            let task_id = task_id(id, index);
+            let open = !task.done && task.placed.is_none() && !self.proposed.contains(&task_id);
             open.then_some(index)
         };
         let tasks: Vec<u32> = progress.tasks.iter().enumerate().filter_map(open).collect();
@@ -228,8 +223,8 @@
             self.keep_one_rack(&mut candidates, subject, wanted);
         }
         if let Some(cost) = &subject.queue.advice {
-            self.ask(now, subject, cost, needed, &candidates, slots, reserved);
-            let known = self.desk.eligibility(subject.id);
+            self.query_tickets(now, subject, cost, needed, &candidates, slots, reserved);
+            let known = self.queries.eligibility(subject.id);
             candidates
                 .retain(|candidate| known.is_some_and(|known| known.is_permitted(candidate.worker, now)));
         }
@@ -273,7 +268,7 @@
         reserved: &Reserved,
         fitting: bool,
     ) -> Vec<Candidate> {
-        let known = self.desk.eligibility(subject.id);
+        let known = self.queries.eligibility(subject.id);
         let mut candidates = Vec::new();
         for slot in slots {
             if fitting && slot.free_cpu < subject.size.cpu_milli {
@@ -315,7 +310,7 @@
         clippy::too_many_arguments,
         reason = "all parts of one decision about one step"
     )]
-    fn ask(
+    fn query_tickets(
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
@@ -325,8 +320,8 @@
         slots: &[Slot<'_>],
         reserved: &Reserved,
     ) {
-        let known = self.desk.eligibility(subject.id);
-        if known.is_some_and(desk::Eligibility::is_outstanding) {
+        let known = self.queries.eligibility(subject.id);
+        if known.is_some_and(query_queue::Eligibility::is_outstanding) {
             return;
         }
         let missing: Vec<Candidate> = match known.filter(|known| known.is_known()) {
@@ -345,11 +340,11 @@
                 missing.cloned().collect()
             }
         };
-        self.ask_about(now, subject, cost, missing);
+        self.enqueue_query(now, subject, cost, missing);
     }
 
     /// Asks about workers, those with the most room first.
-    fn ask_about(
+    fn enqueue_query(
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
@@ -360,17 +355,17 @@
             let room = (candidate.fitting(&subject.size), candidate.free.cpu_milli);
             std::cmp::Reverse(room)
         });
-        let asked = workers.into_iter().take(asked_workers(subject.spec));
+        let asked = workers.into_iter().take(queried_workers(subject.spec));
         let workers = asked
             .filter_map(|candidate| self.named(candidate.worker))
             .collect();
-        self.desk.want(now, subject.id, cost, workers);
+        self.queries.enqueue(now, subject.id, cost, workers);
     }
 
     /// A worker with its name, as questions need it.
     fn named(&self, worker: cell::WorkerIndex) -> Option<(cell::WorkerIndex, String)> {
-        let machine = self.machines.get(&worker)?;
-        Some((worker, machine.life.name.clone()))
+        let record = self.workers.get(&worker)?;
+        Some((worker, record.incarnation.name.clone()))
     }
 
     /// Tasks of the step that a worker may still take.
@@ -378,12 +373,12 @@
         if subject.spec.per_worker == 0 {
             return u32::MAX;
         }
-        let Some(machine) = self.machines.get(&worker) else {
+        let Some(record) = self.workers.get(&worker) else {
             return 0;
         };
-        let first = name(subject.id, 0);
-        let last = name(subject.id, u32::MAX);
-        let here = machine.runs.range(first..=last).count() as u32;
+        let first = task_id(subject.id, 0);
+        let last = task_id(subject.id, u32::MAX);
+        let here = record.runs.range(first..=last).count() as u32;
         subject.spec.per_worker.saturating_sub(here)
     }
 
@@ -391,8 +386,8 @@
     fn keep_one_rack(&self, candidates: &mut Vec<Candidate>, subject: &Subject<'_>, wanted: u32) {
         let mut racks: HashMap<&str, u32> = HashMap::new();
         let rack_of = |worker: cell::WorkerIndex| {
-            let machine = self.machines.get(&worker);
-            machine.map_or("", |machine| machine.worker.rack.as_str())
+            let record = self.workers.get(&worker);
+            record.map_or("", |record| record.announced.rack.as_str())
         };
         for candidate in candidates.iter() {
             let sum = racks.entry(rack_of(candidate.worker)).or_default();
@@ -415,7 +410,7 @@
         slots: &[Slot<'_>],
         reserved: &mut Reserved,
     ) {
-        let known = self.desk.eligibility(subject.id);
+        let known = self.queries.eligibility(subject.id);
         let is_open = subject.queue.advice.is_some() && known.is_none_or(|known| !known.is_known());
         if reserved.workers.len() >= reserved.most || is_open {
             return;
@@ -429,9 +424,9 @@
             let openings = eligible
                 .iter()
                 .filter_map(|candidate| {
-                    let machine = self.machines.get(&candidate.worker)?;
+                    let record = self.workers.get(&candidate.worker)?;
                     let most = candidate.slots;
-                    let times = reserve::openings(machine, candidate.free, &subject.size, most, now);
+                    let times = reserve::openings(record, candidate.free, &subject.size, most, now);
                     Some((candidate.worker, times))
                 })
                 .collect();
@@ -442,7 +437,7 @@
                 None => self.reservations.drop_gang(subject.id),
             }
             if let Some(cost) = subject.queue.advice.filter(|_| is_late) {
-                self.ask_about(now, subject, &cost, unknown);
+                self.enqueue_query(now, subject, &cost, unknown);
             }
         }
         if let Some(choice) = self.reservations.recent(subject.id, now) {
@@ -455,7 +450,7 @@
 
     /// Whether a worker is known to be eligible for the step, or needs not be.
     fn may_run(&self, subject: &Subject<'_>, worker: cell::WorkerIndex) -> bool {
-        let known = self.desk.eligibility(subject.id);
+        let known = self.queries.eligibility(subject.id);
         subject.queue.advice.is_none() || known.is_some_and(|known| known.is_eligible(worker))
     }
 
@@ -464,24 +459,24 @@
         let Some(cost) = subject.queue.advice else { return };
         let (Some(choice), Some(known)) = (
             self.reservations.recent(subject.id, now),
-            self.desk.eligibility(subject.id),
+            self.queries.eligibility(subject.id),
         ) else {
             return;
         };
-        if now + TICKETS_AHEAD < choice.due || known.is_outstanding() {
+        if now + TICKET_RENEWAL_LEAD < choice.due || known.is_outstanding() {
             return;
         }
-        let until = choice.due.max(now) + TICKETS_AHEAD;
+        let until = choice.due.max(now) + TICKET_RENEWAL_LEAD;
         let lacks = |worker: &&cell::WorkerIndex| !known.is_permitted(**worker, until);
         let lacking = choice.workers.iter().filter(lacks);
         let workers = lacking.filter_map(|worker| self.named(*worker)).collect();
-        self.desk.want(now, subject.id, &cost, workers);
+        self.queries.enqueue(now, subject.id, &cost, workers);
     }
 
     /// Workers on which tasks of the step have failed.
     fn avoided(&self, subject: &Subject<'_>) -> BTreeMap<u32, Vec<cell::WorkerIndex>> {
         let failed = |index: &u32| {
-            let workers = self.failed_on.get(&name(subject.id, *index))?;
+            let workers = self.failed_on.get(&task_id(subject.id, *index))?;
             Some((*index, workers.clone()))
         };
         subject.tasks.iter().filter_map(failed).collect()
@@ -496,20 +491,20 @@
         run: directive::Run,
         starts: &mut Vec<cell::Start>,
     ) {
-        let task = name(subject.id, index);
-        let Some(machine) = self.machines.get_mut(&worker) else {
+        let task = task_id(subject.id, index);
+        let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        self.out.push(Output::Event(Event::Placed {
+        self.outputs.push(Output::Event(Event::Placed {
             task,
             run,
-            worker: machine.life.name.clone(),
-            free_cpu: machine.free().cpu_milli,
+            worker: record.incarnation.name.clone(),
+            free_cpu: record.free().cpu_milli,
         }));
         self.usage.add(subject.job.team.as_deref(), subject.size);
-        machine.add(
+        record.add(
             task,
-            machine::Run {
+            worker::Run {
                 run,
                 size: subject.size,
                 team: subject.job.team.clone(),
@@ -521,7 +516,7 @@
                 gang: subject.spec.gang,
                 run_time: subject.run_time,
                 progress: None,
-                stop: Stop::No,
+                stop: Stop::NotRequested,
                 checkpoint: None,
             },
         );
@@ -531,16 +526,16 @@
 }
 
 /// Workers that a question about a step names.
-fn asked_workers(spec: &job::Step) -> usize {
+fn queried_workers(spec: &job::Step) -> usize {
     if spec.gang {
-        ASKED_WORKERS.max(spec.tasks as usize * ASKED_PER_MEMBER)
+        MIN_QUERIED_WORKERS.max(spec.tasks as usize * QUERIED_PER_MEMBER)
     } else {
-        ASKED_WORKERS
+        MIN_QUERIED_WORKERS
     }
 }
 
 /// Name of a task of a step.
-pub(super) const fn name(step: advice::Step, index: u32) -> directive::Task {
+pub(super) const fn task_id(step: advice::Step, index: u32) -> directive::Task {
     directive::Task {
         job: step.job,
         occurrence: step.occurrence,
@@ -550,9 +545,9 @@
 }
 
 /// Tells whether a worker may get new work.
-fn is_usable(machine: &machine::Machine, now: Duration) -> bool {
-    let fresh = machine
-        .reported
+fn is_usable(record: &worker::Worker, now: Duration) -> bool {
+    let fresh = record
+        .last_report_at
         .is_some_and(|reported| now < reported + USABLE_AGE);
-    fresh && !machine.draining && now >= machine.suspect_until && machine.sample.is_some()
+    fresh && !record.draining && now >= record.suspect_until && record.sample.is_some()
 }
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -49,7 +49,7 @@
                     self.slowness.forget(id);
                 }
                 if entry.left == 0 || (was_waiting && job.is_final()) {
-                    self.desk.forget(id);
+                    self.queries.remove(id);
                 }
             }
         }
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -34,7 +34,7 @@
 
 impl Estimates {
     /// Notes the true run time of a task whose stated one is given.
-    pub fn note(&mut self, queue: &str, stated: Duration, actual: Duration) {
+    pub fn record(&mut self, queue: &str, stated: Duration, actual: Duration) {
         let (x, y) = (logarithm(stated), logarithm(actual));
         let fit = match self.queues.get_mut(queue) {
             Some(fit) => fit,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,14 +6,14 @@
 //! begins and drops it when the term ends.
 
 pub mod admission;
-pub mod desk;
 pub mod dispatch;
 pub mod estimate;
-pub mod machine;
-pub mod order;
+pub mod orphan;
 pub mod place;
 pub mod progress;
+pub mod query_queue;
+pub mod rank;
 pub mod reserve;
 pub mod slowness;
-pub mod stray;
 pub mod usage;
+pub mod worker;
--- a/crates/dispatch/src/stray.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -30,20 +30,20 @@
 
 impl Start {
     /// Time after which the order is not carried out any more.
-    pub const fn over_at(&self) -> Duration {
+    pub const fn expires_at(&self) -> Duration {
         self.sent.saturating_add(LATEST)
     }
 }
 
 /// Unanswered starts by name of the worker.
 #[derive(Debug, Default)]
-pub struct Unanswered {
+pub struct Unacknowledged {
     workers: HashMap<String, Vec<Start>>,
 }
 
-impl Unanswered {
+impl Unacknowledged {
     /// Notes a start that got no answer.
-    pub fn note(&mut self, worker: &str, start: Start) {
+    pub fn record(&mut self, worker: &str, start: Start) {
         match self.workers.get_mut(worker) {
             Some(starts) => {
                 starts.retain(|known| start.sent < known.sent + LATEST);
@@ -67,14 +67,14 @@
     /// Returns the starts that the next life of a worker may still carry out.
     pub fn of(&self, worker: &str, now: Duration) -> Vec<Start> {
         let starts = self.workers.get(worker).map(Vec::as_slice).unwrap_or_default();
-        let open = starts.iter().filter(|start| now < start.over_at());
+        let open = starts.iter().filter(|start| now < start.expires_at());
         open.copied().collect()
     }
 }
 
 /// A run that is not meant to be there.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-struct Stray {
+struct Orphan {
     size: resource::Amount,
     /// It counts until this time at the latest.
     until: Duration,
@@ -84,20 +84,20 @@
 
 /// Runs that a worker has or may get without being meant to.
 #[derive(Debug, Default)]
-pub struct Strays {
-    runs: BTreeMap<(directive::Task, directive::Run), Stray>,
+pub struct Orphans {
+    runs: BTreeMap<(directive::Task, directive::Run), Orphan>,
     told: Duration,
 }
 
-impl Strays {
+impl Orphans {
     /// Adds a start that may still take effect.
     pub fn expect(&mut self, start: &Start) {
-        let stray = Stray {
+        let orphan = Orphan {
             size: start.size,
-            until: start.over_at(),
+            until: start.expires_at(),
             stopped: None,
         };
-        self.runs.insert((start.task, start.run), stray);
+        self.runs.insert((start.task, start.run), orphan);
     }
 
     /// Takes from a report, which was asked for at `sent`, which unmeant runs are there, with their sizes.
@@ -109,25 +109,25 @@
     ) {
         let is_there =
             |key: &(directive::Task, directive::Run)| running.iter().any(|(other, _)| other == key);
-        self.runs.retain(|key, stray| {
-            let gone = stray.stopped.is_some_and(|at| sent > at) && !is_there(key);
-            now < stray.until && !gone
+        self.runs.retain(|key, orphan| {
+            let gone = orphan.stopped.is_some_and(|at| sent > at) && !is_there(key);
+            now < orphan.until && !gone
         });
         for (key, size) in running {
             let until = now + REPORT_AGE;
-            let stray = self.runs.entry(*key).or_insert(Stray {
+            let orphan = self.runs.entry(*key).or_insert(Orphan {
                 size: *size,
                 until,
                 stopped: None,
             });
-            stray.size = *size;
-            stray.until = stray.until.max(until);
+            orphan.size = *size;
+            orphan.until = orphan.until.max(until);
         }
     }
 
     /// Returns the runs that the worker has to be told to stop now, and again until it answers.
     pub fn due(&mut self, now: Duration) -> Vec<(directive::Task, directive::Run)> {
-        let open = self.runs.iter().filter(|(_, stray)| stray.stopped.is_none());
+        let open = self.runs.iter().filter(|(_, orphan)| orphan.stopped.is_none());
         let open: Vec<_> = open.map(|(key, _)| *key).collect();
         if open.is_empty() || now < self.told + RETRY {
             return Vec::new();
@@ -138,15 +138,15 @@
 
     /// Notes that the worker has taken the order to stop a run: it refuses the run from now on, or is stopping it.
     pub fn settle(&mut self, now: Duration, task: directive::Task, run: directive::Run) {
-        if let Some(stray) = self.runs.get_mut(&(task, run)) {
-            stray.stopped.get_or_insert(now);
+        if let Some(orphan) = self.runs.get_mut(&(task, run)) {
+            orphan.stopped.get_or_insert(now);
         }
     }
 
     /// Room that they take.
     pub fn used(&self) -> resource::Amount {
-        let sizes = self.runs.values().map(|stray| stray.size);
-        sizes.fold(resource::Amount::ZERO, crate::machine::add)
+        let sizes = self.runs.values().map(|orphan| orphan.size);
+        sizes.fold(resource::Amount::ZERO, crate::worker::add)
     }
 }
 
--- a/crates/dispatch/src/desk.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -97,7 +97,7 @@
 
 #[derive(Debug)]
 struct Sent {
-    helper: id::VmId,
+    proxy: id::VmId,
     step: advice::Step,
     workers: Vec<(cell::WorkerIndex, String)>,
     at: Duration,
@@ -107,19 +107,19 @@
 
 /// A question to send through a VM.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Ask {
+pub struct Assignment {
     /// VM that asks.
-    pub helper: id::VmId,
+    pub proxy: id::VmId,
     /// Number that its answer carries.
     pub number: u64,
     /// Question.
-    pub question: advice::Query,
+    pub query: advice::Query,
 }
 
 /// Questions that wait or are under way, and what was answered.
 #[derive(Debug, Default)]
-pub struct Desk {
-    helpers: BTreeMap<id::VmId, Option<u64>>,
+pub struct Queue {
+    proxies: BTreeMap<id::VmId, Option<u64>>,
     /// Parts of questions that wait.
     waiting: HashMap<advice::Step, Vec<Waiting>>,
     sent: BTreeMap<u64, Sent>,
@@ -127,12 +127,12 @@
     steps: HashMap<advice::Step, Eligibility>,
 }
 
-impl Desk {
+impl Queue {
     /// Replaces the VMs that may ask.
-    pub fn set_helpers(&mut self, helpers: &[id::VmId]) {
-        self.helpers.retain(|helper, _| helpers.contains(helper));
-        for helper in helpers {
-            self.helpers.entry(*helper).or_default();
+    pub fn set_proxies(&mut self, proxies: &[id::VmId]) {
+        self.proxies.retain(|proxy, _| proxies.contains(proxy));
+        for proxy in proxies {
+            self.proxies.entry(*proxy).or_default();
         }
     }
 
@@ -142,20 +142,20 @@
     }
 
     /// Forgets a step.
-    pub fn forget(&mut self, step: advice::Step) {
+    pub fn remove(&mut self, step: advice::Step) {
         self.steps.remove(&step);
         self.waiting.remove(&step);
     }
 
     /// Forgets the ticket of a worker, which has refused it.
-    pub fn void(&mut self, step: advice::Step, worker: cell::WorkerIndex) {
+    pub fn invalidate_ticket(&mut self, step: advice::Step, worker: cell::WorkerIndex) {
         if let Some(known) = self.steps.get_mut(&step) {
             known.known.insert(worker, Permit::Expired);
         }
     }
 
     /// Wants a question about a step unless one waits or is under way. Returns whether it was added.
-    pub fn want(
+    pub fn enqueue(
         &mut self,
         now: Duration,
         step: advice::Step,
@@ -184,13 +184,13 @@
     }
 
     /// Gives up late answers and hands waiting questions to free VMs, in the order of `ranked`.
-    pub fn dispatch(&mut self, now: Duration, ranked: &[advice::Step], out: &mut Vec<Ask>) {
-        self.give_up_late(now);
+    pub fn assign(&mut self, now: Duration, ranked: &[advice::Step], out: &mut Vec<Assignment>) {
+        self.expire_overdue(now);
         if self.waiting.is_empty() {
             return;
         }
-        let short_only = (self.helpers.len() / SHORT_ONLY_SHARE).max(1);
-        let most_long = self.helpers.len().saturating_sub(short_only);
+        let short_only = (self.proxies.len() / SHORT_ONLY_SHARE).max(1);
+        let most_long = self.proxies.len().saturating_sub(short_only);
         let mut long = self
             .sent
             .values()
@@ -202,24 +202,24 @@
                 if is_long && long >= most_long.max(1) {
                     break;
                 }
-                let free = self.helpers.iter().find(|(_, busy)| busy.is_none());
-                let Some(helper) = free.map(|(helper, _)| *helper) else {
+                let free = self.proxies.iter().find(|(_, busy)| busy.is_none());
+                let Some(proxy) = free.map(|(proxy, _)| *proxy) else {
                     return;
                 };
                 let Some(part) = self.next_part(*step) else { break };
                 long += usize::from(is_long);
-                out.push(self.send(now, helper, *step, part));
+                out.push(self.send(now, proxy, *step, part));
             }
         }
     }
 
-    fn send(&mut self, now: Duration, helper: id::VmId, step: advice::Step, part: Waiting) -> Ask {
+    fn send(&mut self, now: Duration, proxy: id::VmId, step: advice::Step, part: Waiting) -> Assignment {
         self.next_number += 1;
         let number = self.next_number;
-        self.helpers.insert(helper, Some(number));
+        self.proxies.insert(proxy, Some(number));
         let workers = part.workers.iter().map(|(_, name)| name.clone()).collect();
         let sent = Sent {
-            helper,
+            proxy,
             step,
             workers: part.workers,
             at: now,
@@ -227,10 +227,10 @@
             valid: part.valid,
         };
         self.sent.insert(number, sent);
-        Ask {
-            helper,
+        Assignment {
+            proxy,
             number,
-            question: advice::Query { step, workers },
+            query: advice::Query { step, workers },
         }
     }
 
@@ -243,22 +243,27 @@
         part
     }
 
-    fn give_up_late(&mut self, now: Duration) {
+    fn expire_overdue(&mut self, now: Duration) {
         let late: Vec<u64> = self
             .sent
             .iter()
-            .filter(|(_, sent)| now >= sent.give_up_at || !self.helpers.contains_key(&sent.helper))
+            .filter(|(_, sent)| now >= sent.give_up_at || !self.proxies.contains_key(&sent.proxy))
             .map(|(number, _)| *number)
             .collect();
         for number in late {
-            self.answered(now, number, &advice::Answer::Failed);
+            self.record_answer(now, number, &advice::Answer::Failed);
         }
     }
 
     /// Takes an answer; returns the step that it is about.
-    pub fn answered(&mut self, now: Duration, number: u64, answer: &advice::Answer) -> Option<advice::Step> {
+    pub fn record_answer(
+        &mut self,
+        now: Duration,
+        number: u64,
+        answer: &advice::Answer,
+    ) -> Option<advice::Step> {
         let sent = self.sent.remove(&number)?;
-        if let Some(busy) = self.helpers.get_mut(&sent.helper)
+        if let Some(busy) = self.proxies.get_mut(&sent.proxy)
             && *busy == Some(number)
         {
             *busy = None;
@@ -286,7 +291,7 @@
     }
 
     /// Questions under way.
-    pub fn under_way(&self) -> usize {
+    pub fn in_flight(&self) -> usize {
         self.sent.len()
     }
 }
--- a/crates/dispatch/src/order.rs
+++ b/crates/dispatch/src/rank.rs
@@ -42,7 +42,7 @@
 /// Returns the rank of a job whose remaining chain of work is expected to take `remaining`.
 ///
 /// `begun_ms` is the time of submission or the due time of the occurrence; `chain` the whole chain of work.
-pub fn rank(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
+pub fn compute(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
     let queue = &job.queue;
     let objective = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
     let objective_ms = objective.as_millis() as u64;
--- a/crates/dispatch/src/reserve.rs
+++ b/crates/dispatch/src/reserve.rs
@@ -10,7 +10,7 @@
 use bronzespoke_model::resource;
 use bronzespoke_workload::advice;
 
-use crate::machine;
+use crate::worker;
 
 /// Age at which a choice of workers is made anew; ends come at other times than expected.
 const CHOICE_AGE: Duration = Duration::from_millis(300);
@@ -53,13 +53,13 @@
 
 /// Times at which a worker has room for one, two and more tasks of a size, at most `most` of them.
 pub fn openings(
-    machine: &machine::Machine,
+    record: &worker::Worker,
     free: resource::Amount,
     size: &resource::Amount,
     most: u32,
     now: Duration,
 ) -> Vec<Duration> {
-    let mut ends: Vec<(Duration, resource::Amount)> = machine
+    let mut ends: Vec<(Duration, resource::Amount)> = record
         .runs
         .values()
         .map(|run| (run.expected_end.max(now), run.size))
@@ -75,7 +75,7 @@
     };
     grow(&free, now);
     for (end, freed) in ends {
-        free = machine::add(free, freed);
+        free = worker::add(free, freed);
         grow(&free, end);
     }
     openings
--- a/crates/dispatch/src/usage.rs
+++ b/crates/dispatch/src/usage.rs
@@ -5,7 +5,7 @@
 use bronzespoke_model::resource;
 use bronzespoke_workload::catalog;
 
-use crate::machine;
+use crate::worker;
 
 /// Amounts in use by team. A run counts from the proposal of its start until its end is known.
 #[derive(Debug, Default)]
@@ -18,7 +18,7 @@
     pub fn add(&mut self, team: Option<&str>, size: resource::Amount) {
         let Some(team) = team else { return };
         match self.teams.get_mut(team) {
-            Some(used) => *used = machine::add(*used, size),
+            Some(used) => *used = worker::add(*used, size),
             None => {
                 self.teams.insert(String::from(team), size);
             }
--- a/crates/dispatch/src/machine.rs
+++ b/crates/dispatch/src/worker.rs
@@ -10,9 +10,9 @@
 };
 
 use bronzespoke_model::resource;
-use bronzespoke_workload::{directive, worker};
+use bronzespoke_workload::{directive, worker as announced};
 
-use crate::{progress, stray};
+use crate::{orphan, progress};
 
 /// Largest difference between the rates of two steady clocks, as the platform states it.
 pub const CLOCK_DRIFT: f64 = 0.02;
@@ -21,14 +21,14 @@
 pub const SUSPECT_AFTER: u32 = 3;
 
 /// Bits of a fencing token below the term; a cell sees fewer lives of workers.
-const LIFE_BITS: u32 = 24;
+const INCARNATION_BITS: u32 = 24;
 
 /// Fencing token of the orders to one life of a worker.
 ///
 /// It grows with the term, and with each life: a worker that returns under its name refuses what was meant for its
 /// former life as soon as it has taken one order of its own.
-pub const fn fence(term: directive::Token, worker: u32) -> directive::Token {
-    (term << LIFE_BITS) | worker as u64
+pub const fn fencing_token(term: directive::Token, worker: u32) -> directive::Token {
+    (term << INCARNATION_BITS) | worker as u64
 }
 
 /// What is known of a run.
@@ -39,7 +39,7 @@
     /// The order is under way.
     Sent,
     /// The order got no answer: the run may have started, or may still start before its lease ends.
-    Unsure,
+    Unacknowledged,
     /// Placed by an earlier leader; the first report decides.
     Inherited,
     /// The worker has confirmed it, at this time.
@@ -81,11 +81,11 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stop {
     /// It may go on.
-    No,
+    NotRequested,
     /// It is to be stopped; the order was last sent at this time.
-    Asked(Option<Duration>),
+    Requested(Option<Duration>),
     /// The worker has answered the order to stop at this time.
-    Answered(Duration),
+    Acknowledged(Duration),
 }
 
 /// Sample of a worker's clock.
@@ -99,11 +99,11 @@
 
 /// One life of a worker.
 #[derive(Debug)]
-pub struct Machine {
+pub struct Worker {
     /// Life.
-    pub life: worker::Incarnation,
+    pub incarnation: announced::Incarnation,
     /// What it is.
-    pub worker: Arc<worker::Worker>,
+    pub announced: Arc<announced::Worker>,
     /// Whether it leaves.
     pub draining: bool,
     /// Runs on it.
@@ -111,7 +111,7 @@
     /// Sum of their sizes.
     pub used: resource::Amount,
     /// Runs that it has or may get without being meant to.
-    pub strays: stray::Strays,
+    pub orphans: orphan::Orphans,
     /// Newest sample of its clock.
     pub sample: Option<Sample>,
     /// Latest end of a lease that any order has named, on its clock.
@@ -119,21 +119,21 @@
     /// Local time after which no lease of an earlier leader can be in force.
     pub inherited_until: Duration,
     /// Highest number of an end that was listed.
-    pub listed: u64,
+    pub listed_end: u64,
     /// Highest number of an end that is recorded.
-    pub recorded: u64,
+    pub recorded_end: u64,
     /// Listed ends whose record is not committed yet: highest number of each proposal.
     pub proposed_ends: VecDeque<u64>,
     /// When the outstanding report was asked for.
-    pub asked: Option<Duration>,
+    pub report_requested_at: Option<Duration>,
     /// When the next report is to be asked for.
-    pub ask_at: Duration,
+    pub next_report_at: Duration,
     /// Whether the last question for a report had no answer.
-    pub unanswered: bool,
+    pub report_missed: bool,
     /// Earliest local time at which it goes, if it leaves and has said when.
-    pub leaves_at: Option<Duration>,
+    pub departs_at: Option<Duration>,
     /// When the last report came.
-    pub reported: Option<Duration>,
+    pub last_report_at: Option<Duration>,
     /// Failures in a row, of distinct jobs.
     pub failures: u32,
     /// Job of the newest failure.
@@ -147,33 +147,33 @@
 /// Clocks are told in whole milliseconds, and a later life begins at least half a second after the one before.
 const CLOCK_STEP: Duration = Duration::from_millis(20);
 
-impl Machine {
+impl Worker {
     /// Returns a machine that has not reported yet.
     pub fn new(
-        life: worker::Incarnation,
-        worker: Arc<worker::Worker>,
+        incarnation: announced::Incarnation,
+        announced: Arc<announced::Worker>,
         draining: bool,
         now: Duration,
         inherited_until: Duration,
     ) -> Self {
         Self {
-            life,
-            worker,
+            incarnation,
+            announced,
             draining,
             runs: BTreeMap::new(),
             used: resource::Amount::ZERO,
-            strays: stray::Strays::default(),
+            orphans: orphan::Orphans::default(),
             sample: None,
             lease_end: Duration::ZERO,
             inherited_until,
-            listed: 0,
-            recorded: 0,
+            listed_end: 0,
+            recorded_end: 0,
             proposed_ends: VecDeque::new(),
-            asked: None,
-            ask_at: now,
-            unanswered: false,
-            leaves_at: None,
-            reported: None,
+            report_requested_at: None,
+            next_report_at: now,
+            report_missed: false,
+            departs_at: None,
+            last_report_at: None,
             failures: 0,
             failed_job: None,
             suspect_until: Duration::ZERO,
@@ -183,8 +183,8 @@
 
     /// Room that is left.
     pub fn free(&self) -> resource::Amount {
-        let used = add(self.used, self.strays.used());
-        self.worker.room.saturating_sub(&used)
+        let used = add(self.used, self.orphans.used());
+        self.announced.room.saturating_sub(&used)
     }
 
     /// Lower bound of the worker's clock at a local time.
@@ -196,7 +196,7 @@
 
     /// Tells whether a clock that an answer shows cannot be this life's: a life that began later shows less. `sent` is when
     /// the order was sent.
-    pub fn is_of_later_life(&self, sent: Duration, clock: Duration) -> bool {
+    pub fn is_of_later_incarnation(&self, sent: Duration, clock: Duration) -> bool {
         let Some(sample) = self.sample else { return false };
         let earlier = sample.at.saturating_sub(sent);
         let then = self.clock(sent).unwrap_or_default().saturating_sub(earlier);
@@ -204,7 +204,7 @@
     }
 
     /// Tells whether every lease that anyone granted has run out.
-    pub fn has_lapsed(&self, now: Duration) -> bool {
+    pub fn leases_expired(&self, now: Duration) -> bool {
         now >= self.inherited_until && self.clock(now).is_none_or(|clock| clock > self.lease_end)
     }
 
@@ -230,7 +230,7 @@
     /// Notes a run that failed; several failures of one job count once.
     ///
     /// Returns whether the worker is suspected from now on.
-    pub fn note_failure(&mut self, now: Duration, job: u64, pause: Duration) -> bool {
+    pub fn record_failure(&mut self, now: Duration, job: u64, pause: Duration) -> bool {
         if self.failed_job == Some(job) && self.failures > 0 {
             return false;
         }
@@ -247,13 +247,13 @@
     }
 
     /// Notes that a run stands still: the worker gets no work for a while.
-    pub fn note_stall(&mut self, now: Duration, pause: Duration) {
+    pub fn record_stall(&mut self, now: Duration, pause: Duration) {
         self.suspicions += 1;
         self.suspect_until = self.suspect_until.max(now + pause);
     }
 
     /// Notes a run that is done.
-    pub fn note_success(&mut self) {
+    pub fn record_success(&mut self) {
         self.failures = 0;
         self.failed_job = None;
         self.suspicions = 0;
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -27,7 +27,7 @@
     state: cell::State,
     dispatch: Dispatch,
     now: Now,
-    asks: usize,
+    queries: usize,
 }
 
 impl Leader {
@@ -55,9 +55,9 @@
             state,
             dispatch,
             now: at(0),
-            asks: 0,
+            queries: 0,
         };
-        leader.dispatch.set_helpers(&[1]);
+        leader.dispatch.set_proxies(&[1]);
         for number in 0..2 {
             leader.announce(number);
         }
@@ -104,14 +104,14 @@
             for output in self.dispatch.take_outputs() {
                 match output {
                     Output::Propose(command) => self.commit(&command),
-                    Output::Order {
+                    Output::Directive {
                         worker,
-                        order: directive::Directive::Start { .. },
+                        directive: directive::Directive::Start { .. },
                         decided,
                     } if starts.len() < 64 => starts.push((worker, self.start(), decided)),
-                    Output::Order {
+                    Output::Directive {
                         worker,
-                        order,
+                        directive,
                         decided,
                     } => {
                         let report = directive::Report {
@@ -120,10 +120,16 @@
                             ..directive::Report::default()
                         };
                         let answer = directive::Answer::Report(report);
-                        self.dispatch
-                            .answered(&self.state, self.now, worker, &order, decided, Some(&answer));
+                        self.dispatch.answered(
+                            &self.state,
+                            self.now,
+                            worker,
+                            &directive,
+                            decided,
+                            Some(&answer),
+                        );
                     }
-                    Output::Ask(_) => self.asks += 1,
+                    Output::Query(_) => self.queries += 1,
                     Output::Event(_) => {}
                 }
             }
@@ -194,9 +200,9 @@
     }
 
     fn answer(&mut self, start: &Sent, answer: Option<&directive::Answer>) {
-        let (worker, order, decided) = start;
+        let (worker, directive, decided) = start;
         self.dispatch
-            .answered(&self.state, self.now, *worker, order, *decided, answer);
+            .answered(&self.state, self.now, *worker, directive, *decided, answer);
     }
 }
 
@@ -255,7 +261,7 @@
         valid: Duration::from_secs(2),
     }));
     leader.run(50);
-    assert_eq!(leader.asks, 1);
+    assert_eq!(leader.queries, 1);
     leader.run(2_000);
-    assert_eq!(leader.asks, 2);
+    assert_eq!(leader.queries, 2);
 }
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -5,17 +5,17 @@
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::{
     admission,
-    desk::Desk,
     estimate::Estimates,
-    machine::{self, Machine},
-    order, place,
+    place,
     progress::Progress,
-    reserve,
+    query_queue::Queue,
+    rank, reserve,
     slowness::Slowness,
+    worker::{self, Worker},
 };
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{advice, call, catalog, directive, job, worker};
+use bronzespoke_workload::{advice, call, catalog, directive, job, worker as announced};
 use bytes::Bytes;
 
 const fn at(millis: u64) -> Duration {
@@ -45,34 +45,37 @@
 /// A burst of long questions must not hold up a short one: a third of the helpers stays free of them.
 #[test]
 fn short_questions_do_not_wait_behind_long_ones() {
-    let mut desk = Desk::default();
-    desk.set_helpers(&[1, 2, 3]);
+    let mut queries = Queue::default();
+    queries.set_proxies(&[1, 2, 3]);
     for job in 0..10 {
-        assert!(desk.want(at(0), step(job), &cost(500), named(4)));
+        assert!(queries.enqueue(at(0), step(job), &cost(500), named(4)));
     }
-    let mut asks = Vec::new();
+    let mut assignments = Vec::new();
     let ranked: Vec<_> = (0..11).map(step).collect();
-    desk.dispatch(at(0), &ranked, &mut asks);
-    assert_eq!(asks.len(), 2);
-    assert!(desk.want(at(1), step(10), &cost(10), named(4)));
-    desk.dispatch(at(1), &ranked, &mut asks);
-    assert_eq!(asks.last().map(|ask| ask.question.step), Some(step(10)));
+    queries.assign(at(0), &ranked, &mut assignments);
+    assert_eq!(assignments.len(), 2);
+    assert!(queries.enqueue(at(1), step(10), &cost(10), named(4)));
+    queries.assign(at(1), &ranked, &mut assignments);
+    assert_eq!(
+        assignments.last().map(|assignment| assignment.query.step),
+        Some(step(10))
+    );
 }
 
 /// A ticket that would run out on its way is not used, and who is not eligible is never asked about again.
 #[test]
 fn tickets_run_out_and_eligibility_stays() {
-    let mut desk = Desk::default();
-    desk.set_helpers(&[1]);
-    desk.want(at(0), step(1), &cost(10), named(2));
-    let mut asks = Vec::new();
-    desk.dispatch(at(0), &[step(1)], &mut asks);
+    let mut queries = Queue::default();
+    queries.set_proxies(&[1]);
+    queries.enqueue(at(0), step(1), &cost(10), named(2));
+    let mut assignments = Vec::new();
+    queries.assign(at(0), &[step(1)], &mut assignments);
     let answer = advice::Answer::Eligible {
         workers: vec![(String::from("w-0"), Bytes::from_static(b"t"))],
         valid: Some(at(1_000)),
     };
-    desk.answered(at(20), asks[0].number, &answer);
-    let known = desk.eligibility(step(1)).expect("it was asked");
+    queries.record_answer(at(20), assignments[0].number, &answer);
+    let known = queries.eligibility(step(1)).expect("it was asked");
     assert!(known.is_permitted(0, at(700)) && !known.is_permitted(0, at(800)));
     assert!(known.is_denied(1) && !known.is_denied(0));
 }
@@ -82,28 +85,31 @@
 /// are asked at the same time.
 #[test]
 fn a_question_about_many_workers_is_asked_in_parts() {
-    let mut desk = Desk::default();
-    desk.set_helpers(&[1, 2, 3, 4, 5, 6]);
-    assert!(desk.want(at(0), step(1), &cost(500), named(150)));
-    let mut asks = Vec::new();
-    desk.dispatch(at(0), &[step(1)], &mut asks);
-    let sizes: Vec<usize> = asks.iter().map(|ask| ask.question.workers.len()).collect();
+    let mut queries = Queue::default();
+    queries.set_proxies(&[1, 2, 3, 4, 5, 6]);
+    assert!(queries.enqueue(at(0), step(1), &cost(500), named(150)));
+    let mut assignments = Vec::new();
+    queries.assign(at(0), &[step(1)], &mut assignments);
+    let sizes: Vec<usize> = assignments
+        .iter()
+        .map(|assignment| assignment.query.workers.len())
+        .collect();
     assert_eq!(sizes, [60, 60, 30]);
     assert!(
-        !desk.want(at(0), step(1), &cost(500), named(4)),
+        !queries.enqueue(at(0), step(1), &cost(500), named(4)),
         "parts are under way"
     );
-    for ask in &asks {
-        let workers = ask.question.workers.iter().take(2);
+    for assignment in &assignments {
+        let workers = assignment.query.workers.iter().take(2);
         let answer = advice::Answer::Eligible {
             workers: workers
                 .map(|name| (name.clone(), Bytes::from_static(b"t")))
                 .collect(),
             valid: None,
         };
-        desk.answered(at(600), ask.number, &answer);
+        queries.record_answer(at(600), assignment.number, &answer);
     }
-    let known = desk.eligibility(step(1)).expect("the step was asked about");
+    let known = queries.eligibility(step(1)).expect("the step was asked about");
     assert!(!known.is_outstanding());
     let eligible = (0..150).filter(|worker| known.is_eligible(*worker)).count();
     assert_eq!(eligible, 6);
@@ -112,14 +118,14 @@
 /// A helper that never answers is given up, and the step is asked about again.
 #[test]
 fn unanswered_questions_are_asked_again() {
-    let mut desk = Desk::default();
-    desk.set_helpers(&[1]);
-    desk.want(at(0), step(1), &cost(10), named(2));
-    let mut asks = Vec::new();
-    desk.dispatch(at(0), &[step(1)], &mut asks);
-    desk.dispatch(at(2_000), &[step(1)], &mut asks);
-    assert_eq!(desk.under_way(), 0);
-    assert!(desk.want(at(2_300), step(1), &cost(10), named(2)));
+    let mut queries = Queue::default();
+    queries.set_proxies(&[1]);
+    queries.enqueue(at(0), step(1), &cost(10), named(2));
+    let mut assignments = Vec::new();
+    queries.assign(at(0), &[step(1)], &mut assignments);
+    queries.assign(at(2_000), &[step(1)], &mut assignments);
+    assert_eq!(queries.in_flight(), 0);
+    assert!(queries.enqueue(at(2_300), step(1), &cost(10), named(2)));
 }
 
 fn candidate(worker: u32, free_cpu: u32) -> place::Candidate {
@@ -180,7 +186,7 @@
 #[test]
 fn late_jobs_get_their_turn() {
     let job = job(2.0);
-    let rank = |begun: u64, now: u64| order::rank(&job, begun, at(2_000), at(2_000), now);
+    let rank = |begun: u64, now: u64| rank::compute(&job, begun, at(2_000), at(2_000), now);
     // The objective is 5 s, so that the start has to come within 3 s, and within 13 s to be of use.
     assert!(rank(0, 1_000) < rank(500, 1_000));
     assert!(
@@ -199,8 +205,8 @@
 fn estimates_are_corrected_by_what_was_seen() {
     let mut estimates = Estimates::default();
     for number in 0..60_u64 {
-        estimates.note("noise", at(500 + 137 * (number % 23)), at(2_000));
-        estimates.note(
+        estimates.record("noise", at(500 + 137 * (number % 23)), at(2_000));
+        estimates.record(
             "exact",
             at(500 + 100 * (number % 23)),
             at(1_000 + 200 * (number % 23)),
@@ -230,8 +236,8 @@
     assert_eq!(slow.total(), Some(at(10_000)));
 }
 
-fn machine_with(runs: &[(u32, u64)]) -> Machine {
-    let worker = worker::Worker {
+fn worker_with(runs: &[(u32, u64)]) -> Worker {
+    let worker = announced::Worker {
         address: SocketAddr::from(([127, 0, 0, 1], 1)),
         pool: String::new(),
         zone: String::new(),
@@ -241,11 +247,11 @@
         room: resource::Amount::new(64_000, 1_000, 0),
         machine: None,
     };
-    let life = worker::Incarnation {
+    let incarnation = announced::Incarnation {
         name: String::from("w"),
         born: 1,
     };
-    let mut machine = Machine::new(life, Arc::new(worker), false, at(0), at(0));
+    let mut record = Worker::new(incarnation, Arc::new(worker), false, at(0), at(0));
     for (index, (cpu, end)) in runs.iter().enumerate() {
         let task = directive::Task {
             job: 1,
@@ -253,11 +259,11 @@
             step: 0,
             index: index as u32,
         };
-        let run = machine::Run {
+        let run = worker::Run {
             run: 1,
             size: resource::Amount::new(*cpu, 0, 0),
             team: None,
-            phase: machine::Phase::Running(at(0)),
+            phase: worker::Phase::Running(at(0)),
             since: at(0),
             decided: at(0),
             lease_end: at(0),
@@ -265,21 +271,21 @@
             gang: false,
             run_time: at(*end),
             progress: None,
-            stop: machine::Stop::No,
+            stop: worker::Stop::NotRequested,
             checkpoint: None,
         };
-        machine.add(task, run);
+        record.add(task, run);
     }
-    machine
+    record
 }
 
 /// A gang on a full fleet gets the workers whose room comes first, not those that are emptiest now.
 #[test]
 fn gangs_keep_the_workers_that_become_free_first() {
-    let late = machine_with(&[(40_000, 9_000)]);
-    let soon = machine_with(&[(30_000, 500), (30_000, 700)]);
+    let late = worker_with(&[(40_000, 9_000)]);
+    let soon = worker_with(&[(30_000, 500), (30_000, 700)]);
     let size = resource::Amount::new(30_000, 0, 0);
-    let openings = |machine: &Machine| reserve::openings(machine, machine.free(), &size, u32::MAX, at(0));
+    let openings = |record: &Worker| reserve::openings(record, record.free(), &size, u32::MAX, at(0));
     assert_eq!(openings(&soon), [at(500), at(700)]);
     let choice = reserve::choose(vec![(0, openings(&late)), (1, openings(&soon))], 2, at(0));
     let choice = choice.expect("there is room for two");
@@ -290,15 +296,15 @@
 /// A worker that fails what it starts is left alone after failures of three jobs, and one job alone proves nothing.
 #[test]
 fn failures_of_several_jobs_make_a_worker_suspect() {
-    let mut machine = machine_with(&[]);
+    let mut record = worker_with(&[]);
     for _ in 0..5 {
-        assert!(!machine.note_failure(at(0), 1, at(2_000)));
+        assert!(!record.record_failure(at(0), 1, at(2_000)));
     }
-    assert!(!machine.note_failure(at(0), 2, at(2_000)));
-    assert!(machine.note_failure(at(0), 3, at(2_000)));
-    assert_eq!(machine.suspect_until, at(2_000));
-    machine.note_success();
-    assert!(!machine.note_failure(at(3_000), 4, at(2_000)));
+    assert!(!record.record_failure(at(0), 2, at(2_000)));
+    assert!(record.record_failure(at(0), 3, at(2_000)));
+    assert_eq!(record.suspect_until, at(2_000));
+    record.record_success();
+    assert!(!record.record_failure(at(3_000), 4, at(2_000)));
 }
 
 /// A slow worker is told by tasks of several jobs that lag behind their siblings, and one odd task proves nothing.
@@ -323,14 +329,14 @@
 /// A lease counts as over only when the slowest clock that is allowed has passed its end.
 #[test]
 fn leases_end_on_the_slowest_clock() {
-    let mut machine = machine_with(&[]);
-    machine.sample = Some(machine::Sample {
+    let mut record = worker_with(&[]);
+    record.sample = Some(worker::Sample {
         clock: at(100_000),
         at: at(0),
     });
-    machine.lease_end = at(106_000);
-    assert!(!machine.has_lapsed(at(6_100)));
-    assert!(machine.has_lapsed(at(6_130)));
+    record.lease_end = at(106_000);
+    assert!(!record.leases_expired(at(6_100)));
+    assert!(record.leases_expired(at(6_130)));
 }
 
 /// A burst that the leader cannot keep up with: without a refusal, what it accepts waits behind all the rest, callers repeat
@@ -348,12 +354,12 @@
 /// of its worker answered.
 #[test]
 fn a_rounded_clock_is_of_the_same_life() {
-    let mut machine = machine_with(&[]);
-    machine.sample = Some(machine::Sample {
+    let mut record = worker_with(&[]);
+    record.sample = Some(worker::Sample {
         clock: at(100),
         at: at(1_000),
     });
     let sent = Duration::from_micros(1_000_900);
-    assert!(!machine.is_of_later_life(sent, at(100)));
-    assert!(machine.is_of_later_life(at(2_000), at(300)));
+    assert!(!record.is_of_later_incarnation(sent, at(100)));
+    assert!(record.is_of_later_incarnation(at(2_000), at(300)));
 }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -378,7 +378,7 @@
             Event::Answer(number, answer) => self.answer(number, answer.as_ref()),
             Event::Advised(number, answer) => {
                 if let Some(dispatch) = &mut self.dispatch {
-                    dispatch.advised(self.now, number, &answer);
+                    dispatch.query_answered(self.now, number, &answer);
                 }
             }
             Event::Announce(index) => self.announce(index),
@@ -416,7 +416,7 @@
             bounds: settings::Bounds::default(),
         };
         let mut dispatch = Dispatch::new(config, &self.state, self.times());
-        dispatch.set_helpers(&self.helpers);
+        dispatch.set_proxies(&self.helpers);
         self.dispatch = Some(dispatch);
         for index in 0..self.places.len() {
             self.at(Duration::from_millis(3), Event::Announce(index));
@@ -432,12 +432,12 @@
         for output in dispatch.take_outputs() {
             match output {
                 Output::Propose(command) => self.propose(command),
-                Output::Order {
+                Output::Directive {
                     worker,
-                    order,
+                    directive,
                     decided,
-                } => self.send(worker, order, decided),
-                Output::Ask(ask) => self.ask(&ask),
+                } => self.send(worker, directive, decided),
+                Output::Query(ask) => self.ask(&ask),
                 Output::Event(event) => self.trace(&event),
             }
         }
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -4,9 +4,8 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::{
-    desk,
     dispatch::{self, Registration},
-    machine,
+    query_queue, worker,
 };
 use bronzespoke_workload::{advice, directive, worker as announced};
 use bytes::Bytes;
@@ -140,7 +139,7 @@
             return;
         };
         let (target, order) = (sent.target, sent.order.clone());
-        let fence = machine::fence(sent.term, sent.worker);
+        let fence = worker::fencing_token(sent.term, sent.worker);
         let name = sent.name.clone();
         let Some(worker) = &mut self.places[target].worker else {
             return;
@@ -193,13 +192,13 @@
         }
     }
 
-    pub(super) fn ask(&mut self, ask: &desk::Ask) {
-        let key = ask.question.step.job;
+    pub(super) fn ask(&mut self, ask: &query_queue::Assignment) {
+        let key = ask.query.step.job;
         let Some(job) = self.jobs.get(&key) else { return };
         let kind = &self.plan.kinds[job.kind];
         let Some(cost) = kind.queue.advice else { return };
-        let step = ask.question.step.step;
-        let workers = ask.question.workers.iter().filter(|name| {
+        let step = ask.query.step.step;
+        let workers = ask.query.workers.iter().filter(|name| {
             let index = name.split('-').nth(1).and_then(|index| index.parse().ok());
             index.is_some_and(|index| is_eligible(key, step, index, kind))
         });
@@ -209,8 +208,8 @@
                 .collect(),
             valid: None,
         };
-        let took = cost.decision + cost.per_worker * ask.question.workers.len() as u32;
-        let free = self.helper_free.entry(ask.helper).or_default();
+        let took = cost.decision + cost.per_worker * ask.query.workers.len() as u32;
+        let free = self.helper_free.entry(ask.proxy).or_default();
         *free = (*free).max(self.now) + took;
         let delay = free.saturating_sub(self.now) + LATENCY * 2;
         self.at(delay, Event::Advised(ask.number, answer));
