schedule: rename part (of a team's upper limit) to allotment

All packages call a zone's portion of a team's upper limit its allotment; the input of the scheduler named it a part. cargo check of the workspace with all targets passes.

--- a/crates/bench/benches/capacity/scheduler.rs
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -48,8 +48,12 @@
                 limit: ALL,
                 requests: 0,
             };
-            let part = ALL;
-            cell.step(Input::Team { team, quota, part });
+            let allotment = ALL;
+            cell.step(Input::Team {
+                team,
+                quota,
+                allotment,
+            });
         }
         for worker in 0..workers {
             let amount = resource::Amount::new(64_000, 131_072, 0);
--- a/crates/bench/benches/speed/schedule.rs
+++ b/crates/bench/benches/speed/schedule.rs
@@ -103,7 +103,7 @@
             self.step(Input::Team {
                 team,
                 quota,
-                part: all,
+                allotment: all,
             });
         }
         for worker in 0..workers {
--- a/crates/bench/benches/speed/steps.rs
+++ b/crates/bench/benches/speed/steps.rs
@@ -113,7 +113,11 @@
             limit: PLENTY,
             requests: 0,
         };
-        self.step(Input::Team { team, quota, part });
+        self.step(Input::Team {
+            team,
+            quota,
+            allotment: part,
+        });
     }
 
     fn submit(&mut self, team: id::TeamId, spec: &job::Spec) -> id::JobId {
--- a/crates/bench/src/policy/schedule/simulation.rs
+++ b/crates/bench/src/policy/schedule/simulation.rs
@@ -169,7 +169,7 @@
             self.step(Input::Team {
                 team,
                 quota,
-                part: all,
+                allotment: all,
             });
         }
         for worker in 0..self.fleet.workers {
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -350,7 +350,7 @@
                 let input = schedule::Input::Team {
                     team: team.id,
                     quota: team.quota,
-                    part,
+                    allotment: part,
                 };
                 self.feed(context, zone, input);
             }
--- a/crates/schedule/src/message.rs
+++ b/crates/schedule/src/message.rs
@@ -48,7 +48,7 @@
         /// Weight and fleet-wide limit.
         quota: team::Quota,
         /// What this zone may use for the team.
-        part: resource::Amount,
+        allotment: resource::Amount,
     },
     /// An operator drains a worker, or returns it to use.
     Drain {
--- a/crates/schedule/src/pass/limit.rs
+++ b/crates/schedule/src/pass/limit.rs
@@ -22,7 +22,7 @@
             self.teams.insert(team::Record {
                 weight: 1,
                 limit: resource::Amount::ZERO,
-                part: resource::Amount::ZERO,
+                allotment: resource::Amount::ZERO,
                 used: resource::Amount::ZERO,
                 promised: resource::Amount::ZERO,
                 ending: resource::Amount::ZERO,
@@ -45,7 +45,7 @@
         now: Duration,
         id: id::TeamId,
         quota: &model::Quota,
-        part: resource::Amount,
+        allotment: resource::Amount,
     ) {
         let team = self.team(now, id);
         let record = &mut self.teams[team];
@@ -53,7 +53,7 @@
         let lowered = !record.limit.fits(&quota.limit);
         record.weight = quota.weight.max(1);
         record.limit = quota.limit;
-        record.part = part;
+        record.allotment = allotment;
         if record.is_active() {
             self.active_weight = self.active_weight - old + u64::from(record.weight);
         }
@@ -70,28 +70,28 @@
 
     /// Queues a team that uses more than its part.
     pub(crate) fn shrink_team(&mut self, team: table::Team) {
-        if !self.over_part(team).is_zero() && !self.backlog.shrinking.contains(&team) {
+        if !self.over_allotment(team).is_zero() && !self.backlog.shrinking.contains(&team) {
             self.backlog.shrinking.push_back(team);
         }
     }
 
     /// Returns what a team uses above its part, without the runs that have been told to end.
-    fn over_part(&self, team: table::Team) -> resource::Amount {
+    fn over_allotment(&self, team: table::Team) -> resource::Amount {
         let record = &self.teams[team];
         record
             .used
             .saturating_sub(&record.ending)
-            .saturating_sub(&record.part)
+            .saturating_sub(&record.allotment)
     }
 
     /// Stops the newest runs of the lowest value until the rest fits into the part, up to the bound of a tick.
     /// Returns whether it fits. Each call looks at all runs, which takes about 0.1 ms at 17,000.
     pub(crate) fn shrink_some(&mut self, now: Duration, team: table::Team, out: &mut Vec<Output>) -> bool {
-        if self.over_part(team).is_zero() {
+        if self.over_allotment(team).is_zero() {
             return true;
         }
         self.break_launches_of(team);
-        let over = self.over_part(team);
+        let over = self.over_allotment(team);
         let mut runs: Vec<_> = self
             .runs
             .iter()
@@ -107,7 +107,7 @@
         runs.sort_unstable();
         let found = !runs.is_empty();
         for (_, _, run) in runs {
-            let over = self.over_part(team);
+            let over = self.over_allotment(team);
             if over.is_zero() {
                 return true;
             }
@@ -115,7 +115,7 @@
                 self.stop(now, run, Reason::Limit, Some(LIMIT_GRACE), out);
             }
         }
-        !found || self.over_part(team).is_zero()
+        !found || self.over_allotment(team).is_zero()
     }
 
     /// Returns the value of a job's runs; lower is stopped first.
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -219,7 +219,11 @@
             Input::Submit { job, team, spec } => self.submit(now, job, team, &spec, out),
             Input::Cancel { job } => self.cancel(job, out),
             Input::Ended { task, token, outcome } => self.ended(now, task, token, outcome, out),
-            Input::Team { team, quota, part } => self.set_team(now, team, &quota, part),
+            Input::Team {
+                team,
+                quota,
+                allotment,
+            } => self.set_team(now, team, &quota, allotment),
             Input::Drain { worker, on } => self.drain(now, worker, on, out),
             Input::Rates {
                 preemptions_per_second,
--- a/crates/schedule/src/team.rs
+++ b/crates/schedule/src/team.rs
@@ -13,7 +13,7 @@
     /// Upper limit over all availability zones.
     pub(crate) limit: resource::Amount,
     /// What this zone may use for the team.
-    pub(crate) part: resource::Amount,
+    pub(crate) allotment: resource::Amount,
     /// Sum of the amounts of the team's runs, and what is promised.
     pub(crate) used: resource::Amount,
     /// Room of tasks of gangs that are being started.
@@ -51,7 +51,7 @@
     pub(crate) fn admits(&self, size: &resource::Amount) -> bool {
         self.used
             .checked_add(size)
-            .is_some_and(|sum| sum.fits(&self.part))
+            .is_some_and(|sum| sum.fits(&self.allotment))
     }
 
     /// Brings the decayed average and the key up to date.
--- a/crates/schedule/tests/basic.rs
+++ b/crates/schedule/tests/basic.rs
@@ -52,7 +52,7 @@
                 limit: resource::Amount::new(100_000, 100_000, 10),
                 requests: 0,
             },
-            part: resource::Amount::new(100_000, 100_000, 10),
+            allotment: resource::Amount::new(100_000, 100_000, 10),
         },
     );
     step(
@@ -159,7 +159,7 @@
                 limit: resource::Amount::new(100_000, 100_000, 10),
                 requests: 0,
             },
-            part: resource::Amount::new(100_000, 100_000, 10),
+            allotment: resource::Amount::new(100_000, 100_000, 10),
         },
     );
     step(
--- a/crates/schedule/tests/behaviour/cell/check.rs
+++ b/crates/schedule/tests/behaviour/cell/check.rs
@@ -259,8 +259,8 @@
     }
 
     /// Tells whether a team holds more than an amount.
-    pub fn is_over(&self, team: id::TeamId, part: &resource::Amount) -> bool {
-        !self.team_use(team, false).fits(part)
+    pub fn is_over(&self, team: id::TeamId, allotment: &resource::Amount) -> bool {
+        !self.team_use(team, false).fits(allotment)
     }
 
     /// Returns how many leases of a job are on each worker.
--- a/crates/schedule/tests/behaviour/cell/mod.rs
+++ b/crates/schedule/tests/behaviour/cell/mod.rs
@@ -31,7 +31,7 @@
         nth: usize,
         on: bool,
     },
-    Part {
+    Allotment {
         team: id::TeamId,
         percent: u32,
     },
@@ -152,15 +152,19 @@
         self.step(Input::Register(registration));
     }
 
-    pub fn set_team(&mut self, team: id::TeamId, weight: u32, part: resource::Amount) {
+    pub fn set_team(&mut self, team: id::TeamId, weight: u32, allotment: resource::Amount) {
         let limit = resource::Amount::new(1_000_000, 1_000_000, 1000);
         let quota = team::Quota {
             weight,
             limit,
             requests: 0,
         };
-        self.teams.insert(team, (quota, part));
-        self.step(Input::Team { team, quota, part });
+        self.teams.insert(team, (quota, allotment));
+        self.step(Input::Team {
+            team,
+            quota,
+            allotment,
+        });
     }
 
     pub fn submit(&mut self, team: id::TeamId, spec: job::Spec) -> id::JobId {
@@ -202,7 +206,7 @@
                 let worker = self.machines[nth % self.machines.len()].registration.worker;
                 self.step(Input::Drain { worker, on: *on });
             }
-            Action::Part { team, percent } => {
+            Action::Allotment { team, percent } => {
                 let all = self.machines.len() as u32 * 80 * percent;
                 self.set_team(*team, *team, resource::Amount::new(all, all, 40));
             }
@@ -233,8 +237,12 @@
         self.heard.clear();
         self.check.forget_ending();
         self.restoring = true;
-        for (&team, &(quota, part)) in &self.teams.clone() {
-            self.step(Input::Team { team, quota, part });
+        for (&team, &(quota, allotment)) in &self.teams.clone() {
+            self.step(Input::Team {
+                team,
+                quota,
+                allotment,
+            });
         }
         for position in 0..self.machines.len() {
             let registration = self.machines[position].registration;
--- a/crates/schedule/tests/behaviour/history.rs
+++ b/crates/schedule/tests/behaviour/history.rs
@@ -28,7 +28,7 @@
             nth,
             on: random.random_bool(0.4),
         },
-        30..33 => Action::Part {
+        30..33 => Action::Allotment {
             team: random.random_range(1..=3),
             percent: random.random_range(5..=60),
         },
@@ -82,9 +82,9 @@
     };
     let mut cell = Cell::new(seed, config, WORKERS, loss);
     cell.check.rate = Some(RATE as usize);
-    let part = resource::Amount::new(30_000, 30_000, 8);
+    let allotment = resource::Amount::new(30_000, 30_000, 8);
     for team in 1..=3 {
-        cell.set_team(team, team, part);
+        cell.set_team(team, team, allotment);
     }
     cell
 }
@@ -103,11 +103,12 @@
     let over: Vec<_> = cell
         .teams
         .iter()
-        .filter(|(team, (_, part))| cell.check.is_over(**team, part))
+        .filter(|(team, (_, allotment))| cell.check.is_over(**team, allotment))
         .map(|(team, _)| *team)
         .collect();
     if !over.is_empty() {
-        cell.check.fail(format!("teams {over:?} stay over their part"));
+        cell.check
+            .fail(format!("teams {over:?} stay over their allotment"));
     }
     cell.check.broken.take()
 }
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -9,7 +9,7 @@
 
 use crate::cell::{Cell, spec};
 
-const PART: resource::Amount = resource::Amount::new(900_000, 900_000, 900);
+const ALLOTMENT: resource::Amount = resource::Amount::new(900_000, 900_000, 900);
 
 fn cell(workers: u64, rules: Rules) -> Cell {
     let config = Config {
@@ -18,7 +18,7 @@
     };
     let mut cell = Cell::new(7, config, workers, 0);
     for team in 1..=2 {
-        cell.set_team(team, 1, PART);
+        cell.set_team(team, 1, ALLOTMENT);
     }
     cell
 }
@@ -98,9 +98,9 @@
 fn a_gang_that_fits_starts_at_once() {
     let mut cell = cell(4, Rules::default());
     cell.set_team(2, 1, resource::Amount::new(8_000, 8_000, 0));
-    let over_part = cell.submit(2, spec(job::Kind::Gang, 3, 4_000, 20));
+    let over_allotment = cell.submit(2, spec(job::Kind::Gang, 3, 4_000, 20));
     let fits = cell.submit(1, spec(job::Kind::Gang, 3, 4_000, 20));
-    let started = [over_part, fits].map(|job| cell.check.places(job).len());
+    let started = [over_allotment, fits].map(|job| cell.check.places(job).len());
     assert_eq!(started, [0, 3]);
     sound(&cell);
 }
@@ -249,7 +249,7 @@
 #[test]
 fn weighted_shares_are_reached_when_the_fleet_is_full() {
     let mut cell = cell(6, Rules::default());
-    cell.set_team(2, 3, PART);
+    cell.set_team(2, 3, ALLOTMENT);
     for _ in 0..100 {
         cell.submit(1, spec(job::Kind::Batch, 8, 1_000, 10));
     }
@@ -312,7 +312,7 @@
         ..Config::default()
     };
     let mut cell = Cell::new(3, config, 0, 0);
-    cell.set_team(1, 1, PART);
+    cell.set_team(1, 1, ALLOTMENT);
     for id in 0..40 {
         let capacity = resource::Capacity {
             amount: resource::Amount::new(8_000, 8_000, 0),
@@ -369,9 +369,9 @@
     }
     let job = cell.submit(1, spec(job::Kind::Batch, 12, 1_000, 900));
     cell.run(Duration::from_secs(5));
-    let part = resource::Amount::new(8_000, 8_000, 0);
+    let allotment = resource::Amount::new(8_000, 8_000, 0);
     let (quota, _) = cell.teams[&1];
-    cell.teams.insert(1, (quota, part));
+    cell.teams.insert(1, (quota, allotment));
     cell.failover();
     cell.run(Duration::from_secs(20));
     assert_eq!(cell.check.places(job).len(), 8);
--- a/crates/schedule/tests/behaviour/steps.rs
+++ b/crates/schedule/tests/behaviour/steps.rs
@@ -72,18 +72,22 @@
             fixture.step(Input::Register(registration(worker, 1)));
         }
         for team in 1..=2 {
-            fixture.set_part(team, PLENTY);
+            fixture.set_allotment(team, PLENTY);
         }
         fixture
     }
 
-    fn set_part(&mut self, team: id::TeamId, part: resource::Amount) {
+    fn set_allotment(&mut self, team: id::TeamId, allotment: resource::Amount) {
         let quota = team::Quota {
             weight: 1,
             limit: PLENTY,
             requests: 0,
         };
-        self.step(Input::Team { team, quota, part });
+        self.step(Input::Team {
+            team,
+            quota,
+            allotment,
+        });
     }
 
     fn step(&mut self, input: Input) {
@@ -212,7 +216,7 @@
 #[yare::parameterized(
     lost = { |fixture: &mut Fixture| fixture.step(Input::WorkerGone { worker: 3, at: fixture.now }) },
     restarted = { |fixture: &mut Fixture| fixture.step(Input::Register(registration(3, 2))) },
-    lowered = { |fixture: &mut Fixture| fixture.set_part(1, resource::Amount::ZERO) },
+    lowered = { |fixture: &mut Fixture| fixture.set_allotment(1, resource::Amount::ZERO) },
 )]
 fn a_start_that_is_broken_off_gives_its_room_back(cause: fn(&mut Fixture)) {
     let mut fixture = Fixture::new();
@@ -225,7 +229,7 @@
     assert_eq!(fixture.runs.len() + fixture.ended as usize, started);
     assert_eq!(fixture.stopped.len() + fixture.ended as usize, started);
     fixture.end_stopped();
-    fixture.set_part(1, PLENTY);
+    fixture.set_allotment(1, PLENTY);
     for _ in 0..300 {
         fixture.now += Duration::from_millis(100);
         for worker in 0..WORKERS {
@@ -255,7 +259,7 @@
     let mut fixture = Fixture::new();
     fixture.fill();
     fixture.measure();
-    fixture.set_part(1, resource::Amount::new(100_000, 100_000, 0));
+    fixture.set_allotment(1, resource::Amount::new(100_000, 100_000, 0));
     assert!(fixture.stopped.len() as u32 <= BOUND);
     assert!(fixture.urgent_starts());
     fixture.settle();
@@ -268,9 +272,9 @@
 fn a_part_that_is_raised_again_ends_the_stops() {
     let mut fixture = Fixture::new();
     fixture.fill();
-    fixture.set_part(1, resource::Amount::ZERO);
+    fixture.set_allotment(1, resource::Amount::ZERO);
     let stopped = fixture.stopped.len();
-    fixture.set_part(1, PLENTY);
+    fixture.set_allotment(1, PLENTY);
     fixture.settle();
     assert_eq!(fixture.stopped.len(), stopped);
 }
@@ -327,12 +331,18 @@
         limit: resource::Amount::new(1, 1, 0),
         requests: 0,
     };
-    let (team, part) = (1, PLENTY);
+    let (team, allotment) = (1, PLENTY);
     let mut told = Vec::new();
     let mut out = Vec::new();
-    fixture
-        .scheduler
-        .step(fixture.now, Input::Team { team, quota, part }, &mut out);
+    fixture.scheduler.step(
+        fixture.now,
+        Input::Team {
+            team,
+            quota,
+            allotment,
+        },
+        &mut out,
+    );
     for _ in 0..20 {
         told.push(out.len());
         out.clear();
@@ -347,7 +357,7 @@
 #[test]
 fn cancelled_jobs_are_restored_over_many_steps() {
     let mut fixture = Fixture::bare();
-    fixture.set_part(1, PLENTY);
+    fixture.set_allotment(1, PLENTY);
     for worker in 0..WORKERS {
         fixture.step(Input::Restore(Restore::Worker(registration(worker, 1))));
     }
--- a/crates/schedule/tests/behaviour/throttle.rs
+++ b/crates/schedule/tests/behaviour/throttle.rs
@@ -37,7 +37,7 @@
                     limit: PLENTY,
                     requests: 0,
                 },
-                part: PLENTY,
+                allotment: PLENTY,
             });
         }
         fixture.step(Input::Register(worker::Registration {
