schedule: rename Measures to Metrics, and inputs, outputs, settings and rules to plain terms

They are now Metrics, workers_evaluated, placement_attempts, JobEnded, Input::Report, max_tasks, duration, aging, gang_atomic and rolling_drain; await_expiry is await_lease_expiry, share_distance is max_share_deficit, and the settings are max_attempts, max_reservation, use_estimates and clock_drift.

--- a/crates/bench/benches/capacity/scheduler.rs
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -184,7 +184,7 @@
         let mut sequence = 0;
         let micros = count::micros(|| {
             sequence += 1;
-            cell.step(Input::Worker(worker::Report {
+            cell.step(Input::Report(worker::Report {
                 worker: 0,
                 incarnation: 1,
                 sequence,
--- a/crates/bench/benches/speed/schedule.rs
+++ b/crates/bench/benches/speed/schedule.rs
@@ -235,7 +235,7 @@
     let before = fixture.starts;
     for _ in 0..SAMPLES {
         times.push(fixture.turn_over());
-        if fixture.scheduler.measures(fixture.now).waiting < u64::from(QUEUED_TASKS) {
+        if fixture.scheduler.metrics(fixture.now).waiting < u64::from(QUEUED_TASKS) {
             fixture.submit();
         }
     }
@@ -247,7 +247,7 @@
         "schedule/step at {TARGET} workers, {} running, queue {}: median {:.2} us, p99 {:.2} us, largest {:.1} us, \
          {:.2} us per start, {starts} starts; {} MiB resident, with the fixture",
         fixture.running.len(),
-        fixture.scheduler.measures(fixture.now).waiting,
+        fixture.scheduler.metrics(fixture.now).waiting,
         at(0.5),
         at(0.99),
         at(1.0),
--- a/crates/bench/src/policy/schedule/simulation.rs
+++ b/crates/bench/src/policy/schedule/simulation.rs
@@ -301,7 +301,7 @@
             running,
             ended: Vec::new(),
         };
-        self.step(Input::Worker(report));
+        self.step(Input::Report(report));
     }
 
     fn cancel_wave(&mut self) {
@@ -464,7 +464,7 @@
         self.outcome.distance = self.samples.1 / samples;
         self.outcome.unstarted = self.waiting.values().sum::<i64>().max(0) as u64;
         let tries = match &self.decider {
-            Decider::Scheduler(scheduler) => scheduler.measures(self.now).tries,
+            Decider::Scheduler(scheduler) => scheduler.metrics(self.now).placement_attempts,
             Decider::Baseline(baseline) => baseline.tries,
         };
         self.outcome.decisions = tries as f64 / self.starts.max(1) as f64;
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -316,7 +316,7 @@
         let (Some(group), Some(scheduling)) = (self.zones.get(&zone), &self.scheduling) else {
             return;
         };
-        let measures = scheduling.scheduler().measures(now);
+        let measures = scheduling.scheduler().metrics(now);
         let free = |dimension: usize| {
             let free = measures.capacity[dimension].saturating_sub(measures.used[dimension]);
             u32::try_from(free).unwrap_or(u32::MAX)
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -189,7 +189,7 @@
                     zone.propose(context.now(), state::Command::Finish { job, state });
                 }
             }
-            schedule::Output::JobDone { job, outcome } => {
+            schedule::Output::JobEnded { job, outcome } => {
                 zone.propose(context.now(), state::Command::Finish { job, state: outcome });
             }
             schedule::Output::WorkerLost { worker } => {
@@ -200,14 +200,14 @@
                     zone.propose(context.now(), state::Command::WorkerGone { worker, incarnation });
                 }
             }
-            schedule::Output::WorkerHealth { worker, allowed } => match allowed {
+            schedule::Output::WorkerHealth { worker, max_tasks } => match max_tasks {
                 Some(tasks) => log::warn!("schedule: Worker {worker} is limited to {tasks} tasks."),
                 None => log::info!("schedule: Worker {worker} is in full use again."),
             },
-            schedule::Output::Recovered { took } => {
+            schedule::Output::Recovered { duration } => {
                 log::info!(
                     "schedule: All workers are confirmed after {} ms.",
-                    took.as_millis()
+                    duration.as_millis()
                 );
             }
         }
@@ -398,7 +398,7 @@
         }
         let worker = report.worker;
         if let Some(report) = self.sessions.report(context.now(), report, reply) {
-            self.feed(context, zone, schedule::Input::Worker(report));
+            self.feed(context, zone, schedule::Input::Report(report));
         }
         self.touched.insert(worker);
     }
--- a/crates/schedule/src/config.rs
+++ b/crates/schedule/src/config.rs
@@ -10,7 +10,7 @@
     /// Length of a worker lease.
     pub lease: Duration,
     /// Largest relative difference between two monotonic clocks.
-    pub drift: f64,
+    pub clock_drift: f64,
     /// Most tasks that may be stopped per second to make room for urgent work.
     pub preemptions_per_second: u32,
     /// Starts per second of batch and gang tasks that a lost worker left behind.
@@ -22,11 +22,11 @@
     /// Time constant of the decay of a team's past usage.
     pub usage_decay: Duration,
     /// Runs of one task that may fail before its job fails.
-    pub attempts: u32,
+    pub max_attempts: u32,
     /// Longest time that capacity is reserved for one gang.
-    pub reservation: Duration,
+    pub max_reservation: Duration,
     /// Whether batch tasks are granted what earlier runs used instead of what they declare.
-    pub estimates: bool,
+    pub use_estimates: bool,
     /// Rules that tests may switch off.
     #[doc(hidden)]
     pub rules: Rules,
@@ -37,15 +37,15 @@
         Self {
             seed: 1,
             lease: Duration::from_secs(10),
-            drift: 0.02,
+            clock_drift: 0.02,
             preemptions_per_second: 200,
             recovery_starts_per_second: 50,
             placements_per_tick: 256,
             work_per_tick: 512,
             usage_decay: Duration::from_mins(10),
-            attempts: 4,
-            reservation: Duration::from_mins(5),
-            estimates: true,
+            max_attempts: 4,
+            max_reservation: Duration::from_mins(5),
+            use_estimates: true,
             rules: Rules::default(),
         }
     }
@@ -54,7 +54,7 @@
 impl Config {
     /// Returns how long after the receipt of a report the worker's tasks may still run.
     pub(crate) fn expiry(&self) -> Duration {
-        self.lease.mul_f64(1.0 + self.drift)
+        self.lease.mul_f64(1.0 + self.clock_drift)
     }
 }
 
@@ -69,7 +69,7 @@
     /// Resources of a task count as used until its stop is confirmed.
     pub count_stopping: bool,
     /// A lost task is placed again only after its lease has run out everywhere.
-    pub await_expiry: bool,
+    pub await_lease_expiry: bool,
     /// A team stays within its part.
     pub team_limit: bool,
     /// Reports of a former incarnation are ignored.
@@ -77,15 +77,15 @@
     /// Reports with an old sequence are ignored.
     pub fence_sequence: bool,
     /// A gang starts whole or not at all.
-    pub gang_whole: bool,
+    pub gang_atomic: bool,
     /// A rolling drain stops at most one task of a service at once.
-    pub drain_one: bool,
+    pub rolling_drain: bool,
     /// Restored workers are confirmed before anything is placed on them.
     pub confirm_restored: bool,
     /// Preemption leaves each team its protected share.
     pub protect_share: bool,
     /// Tasks that have waited long get a hold.
-    pub age: bool,
+    pub aging: bool,
     /// Preemption stays within its rate.
     pub preemption_rate: bool,
 }
@@ -94,15 +94,15 @@
     fn default() -> Self {
         Self {
             count_stopping: true,
-            await_expiry: true,
+            await_lease_expiry: true,
             team_limit: true,
             fence_incarnation: true,
             fence_sequence: true,
-            gang_whole: true,
-            drain_one: true,
+            gang_atomic: true,
+            rolling_drain: true,
             confirm_restored: true,
             protect_share: true,
-            age: true,
+            aging: true,
             preemption_rate: true,
         }
     }
--- a/crates/schedule/src/message.rs
+++ b/crates/schedule/src/message.rs
@@ -10,7 +10,7 @@
     /// A worker registered, in its first or a later life.
     Register(worker::Registration),
     /// A worker reported; renews its lease.
-    Worker(worker::Report),
+    Report(worker::Report),
     /// Nothing runs on the worker after `at`.
     WorkerGone {
         /// The worker.
@@ -215,7 +215,7 @@
         refused: bool,
     },
     /// The job reached its last state and is forgotten.
-    JobDone {
+    JobEnded {
         /// The job.
         job: id::JobId,
         /// Its last state.
@@ -231,12 +231,12 @@
         /// The worker.
         worker: id::WorkerId,
         /// Tasks that it may run at the same time; `None` for no limit.
-        allowed: Option<u32>,
+        max_tasks: Option<u32>,
     },
     /// Every restored worker has reported, or its lease has run out.
     Recovered {
         /// Time since the restored state was complete.
-        took: Duration,
+        duration: Duration,
     },
 }
 
@@ -282,7 +282,7 @@
 
 /// Counts and sums for the operators' measures.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
-pub struct Measures {
+pub struct Metrics {
     /// Workers whose lease holds.
     pub workers: u32,
     /// Workers on probation.
@@ -300,15 +300,15 @@
     /// Starts so far.
     pub starts: u64,
     /// Placements tried so far.
-    pub tries: u64,
+    pub placement_attempts: u64,
     /// Workers whose runs were weighed to make room for urgent work so far.
-    pub looks: u64,
+    pub workers_evaluated: u64,
     /// Tasks stopped or checkpointed for urgent work so far.
     pub preempted: u64,
     /// Core-seconds lost to those stops so far.
     pub lost_core_seconds: f64,
     /// Largest distance of a team with waiting work below its weighted share of the fleet, 0.0 to 1.0.
-    pub share_distance: f64,
+    pub max_share_deficit: f64,
     /// Time from the restored state to the last confirmed worker; `None` while it lasts.
     pub recovery: Option<Duration>,
 }
--- a/crates/schedule/src/pass/age.rs
+++ b/crates/schedule/src/pass/age.rs
@@ -58,7 +58,7 @@
         let mut rooms = Vec::new();
         for (worker, record) in self.workers.iter() {
             let suits = kind == 0 || record.capacity.accelerator == kind;
-            if suits && record.usable() && record.hold.is_none() && record.health.allowed.is_none() {
+            if suits && record.usable() && record.hold.is_none() && record.health.max_tasks.is_none() {
                 self.rooms_later(now, worker, index, &mut rooms);
             }
         }
--- a/crates/schedule/src/pass/drain.rs
+++ b/crates/schedule/src/pass/drain.rs
@@ -67,7 +67,7 @@
         }
         match self.jobs[record.job].kind {
             job::Kind::Service => {
-                if !self.config.rules.drain_one || self.is_complete(record.job) {
+                if !self.config.rules.rolling_drain || self.is_complete(record.job) {
                     self.stop(now, run, Reason::Drained, None, out);
                 }
             }
--- a/crates/schedule/src/pass/end.rs
+++ b/crates/schedule/src/pass/end.rs
@@ -126,7 +126,7 @@
 
     fn count_failure(&mut self, record: &run::Record, end: run::End) -> u32 {
         let rack = self.workers[record.worker].rack;
-        let probation = self.workers[record.worker].health.allowed.is_some() || self.is_rack_cause(rack);
+        let probation = self.workers[record.worker].health.max_tasks.is_some() || self.is_rack_cause(rack);
         let job = &mut self.jobs[record.job];
         if end != run::End::Failed {
             return job.attempts(record.index);
@@ -198,8 +198,8 @@
             return;
         }
         let failures = job.trouble.as_ref().map_or(0, |trouble| trouble.failures);
-        let allowed = self.config.attempts + job.tasks / TASKS_PER_FAILURE;
-        if !service && (attempts >= self.config.attempts || failures > allowed) {
+        let allowed = self.config.max_attempts + job.tasks / TASKS_PER_FAILURE;
+        if !service && (attempts >= self.config.max_attempts || failures > allowed) {
             self.fail(index, out);
             return;
         }
@@ -310,7 +310,7 @@
         self.release_holds(index);
         let job = self.jobs.remove(index);
         self.job_ids.remove(&job.id);
-        out.push(Output::JobDone { job: job.id, outcome });
+        out.push(Output::JobEnded { job: job.id, outcome });
     }
 
     /// Tells a worker to end a run. With a grace, a task that can be checkpointed gets that long for it.
--- a/crates/schedule/src/pass/estimate.rs
+++ b/crates/schedule/src/pass/estimate.rs
@@ -48,7 +48,7 @@
     /// Returns the size to grant to a job's tasks.
     pub(crate) fn estimated_size(&self, index: table::Job) -> resource::Amount {
         let job = &self.jobs[index];
-        if job.kind != job::Kind::Batch || !self.config.estimates {
+        if job.kind != job::Kind::Batch || !self.config.use_estimates {
             return job.size;
         }
         self.models
--- a/crates/schedule/src/pass/explain.rs
+++ b/crates/schedule/src/pass/explain.rs
@@ -5,7 +5,7 @@
 use bronzespoke_model::id;
 
 use crate::job::Phase;
-use crate::message::{Cause, Explanation, Measures};
+use crate::message::{Cause, Explanation, Metrics};
 use crate::scheduler::Scheduler;
 use crate::table;
 
@@ -74,7 +74,7 @@
     }
 
     /// Returns counts and sums.
-    pub fn measures(&self, _now: Duration) -> Measures {
+    pub fn metrics(&self, _now: Duration) -> Metrics {
         let wide = |amount: bronzespoke_model::resource::Amount| {
             [
                 u64::from(amount.cpu_milli),
@@ -91,7 +91,7 @@
                 distance = distance.max(fair - team.share);
             }
         }
-        Measures {
+        Metrics {
             workers: self.workers.len() as u32,
             probation: self.racks.iter().map(|rack| rack.probation).sum(),
             capacity: wide(self.total),
@@ -100,11 +100,11 @@
             waiting,
             running: self.runs.len() as u32,
             starts: self.counts.starts,
-            tries: self.counts.tries,
-            looks: self.counts.looks,
+            placement_attempts: self.counts.placement_attempts,
+            workers_evaluated: self.counts.workers_evaluated,
             preempted: self.counts.preempted,
             lost_core_seconds: self.counts.lost_core_seconds,
-            share_distance: distance,
+            max_share_deficit: distance,
             recovery: self.recovery,
         }
     }
--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -103,7 +103,7 @@
     /// Tells whether the team's part and the sum of the free amounts admit the whole gang.
     fn may_fit(&self, index: table::Job) -> bool {
         let job = &self.jobs[index];
-        if !self.config.rules.gang_whole {
+        if !self.config.rules.gang_atomic {
             return true;
         }
         let Some(sum) = times(&job.size, job.waiting.len()) else {
@@ -125,7 +125,7 @@
             if !record.usable() || count == 0 {
                 continue;
             }
-            if let Some(allowed) = record.health.allowed {
+            if let Some(allowed) = record.health.max_tasks {
                 count = count.min(allowed.saturating_sub(record.runs.len() as u32));
             }
             rooms.push((worker, count));
@@ -134,7 +134,7 @@
                 return Some(rooms);
             }
         }
-        (!self.config.rules.gang_whole && !rooms.is_empty()).then_some(rooms)
+        (!self.config.rules.gang_atomic && !rooms.is_empty()).then_some(rooms)
     }
 
     /// Reserves workers for the first gang that has none; one reservation at a time for each accelerator kind.
@@ -168,7 +168,7 @@
         let mut candidates = Vec::new();
         for (worker, record) in self.workers.iter() {
             let suits = job.accelerator == 0 || record.capacity.accelerator == job.accelerator;
-            if !suits || !record.usable() || record.hold.is_some() || record.health.allowed.is_some() {
+            if !suits || !record.usable() || record.hold.is_some() || record.health.max_tasks.is_some() {
                 continue;
             }
             self.rooms_later(now, worker, index, &mut candidates);
@@ -185,10 +185,10 @@
                 break;
             }
         }
-        if left > 0 || ready > now + self.config.reservation * 2 {
+        if left > 0 || ready > now + self.config.max_reservation * 2 {
             return;
         }
-        let until = ready + self.config.reservation;
+        let until = ready + self.config.max_reservation;
         self.reservations.push(index);
         for (worker, slots) in chosen {
             let hold = worker::Hold {
--- a/crates/schedule/src/pass/health.rs
+++ b/crates/schedule/src/pass/health.rs
@@ -48,7 +48,7 @@
     fn observe_success(&mut self, worker: table::Worker, out: &mut Vec<Output>) {
         let health = &mut self.workers[worker].health;
         health.failing.clear();
-        let Some(allowed) = health.allowed.filter(|allowed| *allowed > 0) else {
+        let Some(allowed) = health.max_tasks.filter(|allowed| *allowed > 0) else {
             return;
         };
         health.successes += 1;
@@ -77,7 +77,7 @@
         if !health.failing.contains(&id) {
             health.failing.push(id);
         }
-        let on_trial = health.allowed.is_some_and(|allowed| allowed > 0);
+        let on_trial = health.max_tasks.is_some_and(|allowed| allowed > 0);
         if health.failing.len() >= EVIDENCE || on_trial || common {
             self.suspect(now, worker, out);
         }
@@ -87,7 +87,7 @@
         let suspected: u32 = self.racks.iter().map(|rack| rack.probation).sum();
         let record = &mut self.workers[worker];
         let bound = self.worker_ids.len().div_ceil(WORKERS_PER_PROBATION) as u32;
-        if record.health.allowed == Some(0) || (record.health.allowed.is_none() && suspected >= bound) {
+        if record.health.max_tasks == Some(0) || (record.health.max_tasks.is_none() && suspected >= bound) {
             return;
         }
         record.health.failing.clear();
@@ -105,7 +105,7 @@
         let Some(record) = self.workers.get(worker) else {
             return;
         };
-        if record.id != id || record.health.allowed != Some(0) {
+        if record.id != id || record.health.max_tasks != Some(0) {
             return;
         }
         self.set_health_limit(worker, Some(1));
@@ -113,18 +113,18 @@
     }
 
     /// Sets how many tasks a worker may run.
-    pub(crate) fn set_health_limit(&mut self, worker: table::Worker, allowed: Option<u32>) {
+    pub(crate) fn set_health_limit(&mut self, worker: table::Worker, max_tasks: Option<u32>) {
         let record = &mut self.workers[worker];
         let rack = record.rack as usize;
-        let was = record.health.allowed.is_some();
-        record.health.allowed = allowed;
+        let was = record.health.max_tasks.is_some();
+        record.health.max_tasks = max_tasks;
         record.health.successes = 0;
-        match (was, allowed.is_some()) {
+        match (was, max_tasks.is_some()) {
             (false, true) => self.racks[rack].probation += 1,
             (true, false) => self.racks[rack].probation -= 1,
             _ => {}
         }
-        if allowed.is_some() {
+        if max_tasks.is_some() {
             self.break_hold(worker);
         }
         self.freed(worker);
@@ -134,7 +134,7 @@
         let record = &self.workers[worker];
         out.push(Output::WorkerHealth {
             worker: record.id,
-            allowed: record.health.allowed,
+            max_tasks: record.health.max_tasks,
         });
     }
 
--- a/crates/schedule/src/pass/hold.rs
+++ b/crates/schedule/src/pass/hold.rs
@@ -88,7 +88,7 @@
         if job.kind == job::Kind::Gang {
             let sequence = job.sequence;
             if let Some(gang) = self.gangs.get_mut(&sequence) {
-                gang.cool_until = now + self.config.reservation;
+                gang.cool_until = now + self.config.max_reservation;
             }
             self.release_holds(hold.job);
         } else {
--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -98,7 +98,7 @@
         self.count_shape(old, false);
         self.count_shape(registration.capacity, true);
         if old_rack != rack {
-            let suspected = u32::from(self.workers[worker].health.allowed.is_some());
+            let suspected = u32::from(self.workers[worker].health.max_tasks.is_some());
             self.racks[old_rack as usize].probation -= suspected;
             self.racks[rack as usize].probation += suspected;
             self.racks[old_rack as usize]
@@ -251,9 +251,9 @@
             return;
         };
         if self.unconfirmed == 0 && self.recovery.is_none() {
-            let took = now.saturating_sub(restored);
-            self.recovery = Some(took);
-            out.push(Output::Recovered { took });
+            let duration = now.saturating_sub(restored);
+            self.recovery = Some(duration);
+            out.push(Output::Recovered { duration });
             self.check_possible(now);
         }
     }
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -83,7 +83,7 @@
             return false;
         };
         *left = left.saturating_sub(1);
-        self.counts.tries += 1;
+        self.counts.placement_attempts += 1;
         // A service may find a better spread elsewhere.
         let record = &self.jobs[job];
         let stays = record.kind != model::Kind::Service || self.is_spread(record, worker);
@@ -258,7 +258,7 @@
     }
 
     fn take_turn(&mut self, now: Duration, lane: table::Lane, out: &mut Vec<Output>) {
-        self.counts.tries += 1;
+        self.counts.placement_attempts += 1;
         match self.try_lane(now, lane, out) {
             Turn::Started => {
                 if self.lanes.get(lane).is_some() {
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -149,7 +149,7 @@
                 break;
             }
         }
-        self.counts.looks += compared as u64;
+        self.counts.workers_evaluated += compared as u64;
         search.workers = search.workers.saturating_sub(compared);
         let Some((_, worker, victims)) = best else {
             let job = &self.jobs[index];
@@ -192,7 +192,7 @@
             && record
                 .reported
                 .is_some_and(|at| now.saturating_sub(at) <= REPORT_OVERDUE)
-            && record.health.allowed.is_none()
+            && record.health.max_tasks.is_none()
             && record
                 .hold
                 .is_none_or(|hold| hold.job == index || self.jobs[hold.job].priority == job::Priority::Normal)
--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -19,7 +19,7 @@
             return;
         };
         let rules = self.config.rules;
-        let expiry = if rules.await_expiry {
+        let expiry = if rules.await_lease_expiry {
             self.config.expiry()
         } else {
             self.config.lease / 2
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -39,8 +39,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Counts {
     pub(crate) starts: u64,
-    pub(crate) tries: u64,
-    pub(crate) looks: u64,
+    pub(crate) placement_attempts: u64,
+    pub(crate) workers_evaluated: u64,
     pub(crate) preempted: u64,
     pub(crate) lost_core_seconds: f64,
 }
@@ -214,7 +214,7 @@
         self.fire_timers(now, out);
         match input {
             Input::Register(registration) => self.register(now, &registration, true, out),
-            Input::Worker(report) => self.report(now, report, out),
+            Input::Report(report) => self.report(now, report, out),
             Input::WorkerGone { worker, at } => self.worker_gone(now, worker, at, out),
             Input::Submit { job, team, spec } => self.submit(now, job, team, &spec, out),
             Input::Cancel { job } => self.cancel(job, out),
@@ -284,7 +284,7 @@
             timer::Event::Recovery => self.release_lost(now),
             timer::Event::Shares => {
                 self.refresh_shares(now);
-                if self.restored.is_some() && self.config.rules.age {
+                if self.restored.is_some() && self.config.rules.aging {
                     self.hold_for_aged(now);
                 }
                 self.timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
--- a/crates/schedule/src/worker.rs
+++ b/crates/schedule/src/worker.rs
@@ -29,8 +29,8 @@
     /// Distinct jobs that failed here since the last success, at most the number that is needed.
     pub(crate) failing: SmallVec<[id::JobId; 4]>,
     /// Tasks that may run at the same time; `None` for no limit.
-    pub(crate) allowed: Option<u32>,
-    /// Successes since the last change of `allowed`.
+    pub(crate) max_tasks: Option<u32>,
+    /// Successes since the last change of `max_tasks`.
     pub(crate) successes: u32,
     /// Probations in a row.
     pub(crate) probations: u32,
@@ -84,7 +84,7 @@
             && !self.draining
             && self
                 .health
-                .allowed
+                .max_tasks
                 .is_none_or(|allowed| (self.runs.len() as u32) < allowed)
     }
 
--- a/crates/schedule/tests/basic.rs
+++ b/crates/schedule/tests/basic.rs
@@ -93,7 +93,7 @@
         done = step(&mut scheduler, NOW, Input::Ended { task, token, outcome });
         running.extend(starts(&done));
     }
-    let last = Output::JobDone {
+    let last = Output::JobEnded {
         job: 1,
         outcome: job::State::Succeeded,
     };
@@ -117,7 +117,7 @@
         all.extend(step(&mut scheduler, NOW, Input::Ended { task, token, outcome }));
     }
     assert_eq!(starts(&all).len(), 4);
-    assert!(all.contains(&Output::JobDone {
+    assert!(all.contains(&Output::JobEnded {
         job: 1,
         outcome: job::State::Cancelled,
     }));
@@ -178,7 +178,7 @@
     let out = step(
         &mut scheduler,
         later,
-        Input::Worker(worker::Report {
+        Input::Report(worker::Report {
             worker: 1,
             incarnation: 1,
             sequence: 9,
@@ -189,7 +189,7 @@
     );
     assert_eq!(starts(&out).len(), 1);
     assert!(out.contains(&Output::Recovered {
-        took: Duration::from_secs(2),
+        duration: Duration::from_secs(2),
     }));
 }
 
--- a/crates/schedule/tests/behaviour/cell/check.rs
+++ b/crates/schedule/tests/behaviour/cell/check.rs
@@ -96,7 +96,7 @@
                 Output::Ended { token, .. } if self.leases.remove(token).is_none() => {
                     self.fail(format!("{now:?}: token {token} ended twice"));
                 }
-                Output::JobDone {
+                Output::JobEnded {
                     job,
                     outcome: job::State::Succeeded,
                 } => self.succeeded(*job, jobs, out),
--- a/crates/schedule/tests/behaviour/cell/mod.rs
+++ b/crates/schedule/tests/behaviour/cell/mod.rs
@@ -326,7 +326,7 @@
                 self.heard.insert(report.worker);
                 let cut = self.now < self.machines[position].cut_until;
                 let (incarnation, sequence) = (report.incarnation, report.sequence);
-                self.step(Input::Worker(report));
+                self.step(Input::Report(report));
                 let machine = &mut self.machines[position];
                 if !cut && machine.registration.incarnation == incarnation {
                     machine.acknowledge(sent, sequence);
@@ -438,7 +438,7 @@
                     };
                 }
             }
-            Output::JobDone { job, outcome } => {
+            Output::JobEnded { job, outcome } => {
                 self.jobs.remove(job);
                 self.done.insert(*job, *outcome);
             }
--- a/crates/schedule/tests/behaviour/history.rs
+++ b/crates/schedule/tests/behaviour/history.rs
@@ -143,12 +143,12 @@
 
 #[yare::parameterized(
     stopping = { Rules { count_stopping: false, ..Rules::default() }, "worker" },
-    expiry = { Rules { await_expiry: false, ..Rules::default() }, "runs on" },
+    expiry = { Rules { await_lease_expiry: false, ..Rules::default() }, "runs on" },
     limit = { Rules { team_limit: false, ..Rules::default() }, "team" },
     incarnation = { Rules { fence_incarnation: false, ..Rules::default() }, "runs on" },
     sequence = { Rules { fence_sequence: false, ..Rules::default() }, "runs on" },
-    gang = { Rules { gang_whole: false, ..Rules::default() }, "gang" },
-    drain = { Rules { drain_one: false, ..Rules::default() }, "drain" },
+    gang = { Rules { gang_atomic: false, ..Rules::default() }, "gang" },
+    drain = { Rules { rolling_drain: false, ..Rules::default() }, "drain" },
     restored = { Rules { confirm_restored: false, ..Rules::default() }, "not confirmed" },
     rate = { Rules { preemption_rate: false, ..Rules::default() }, "preemptions in a second" },
 )]
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -116,7 +116,7 @@
             .step(cell.now, Input::Submit { job, team: 1, spec }, &mut out);
     }
     let started = out.len();
-    let tries = cell.scheduler.measures(cell.now).tries;
+    let tries = cell.scheduler.metrics(cell.now).placement_attempts;
     out.clear();
     for job in 1..=10_000 {
         cell.scheduler.step(cell.now, Input::Cancel { job }, &mut out);
@@ -124,7 +124,7 @@
     }
     let done = |out: &[Output]| {
         out.iter()
-            .filter(|output| matches!(output, Output::JobDone { .. }))
+            .filter(|output| matches!(output, Output::JobEnded { .. }))
             .count()
     };
     let stops: Vec<_> = out
@@ -135,7 +135,7 @@
         })
         .collect();
     assert_eq!(
-        (stops.len(), cell.scheduler.measures(cell.now).tries),
+        (stops.len(), cell.scheduler.metrics(cell.now).placement_attempts),
         (started, tries)
     );
     for (task, token) in stops {
@@ -189,7 +189,7 @@
         cell.submit(1, spec(job::Kind::Batch, 4, 2_000, 10));
         cell.run(Duration::from_secs(2));
     }
-    assert_eq!(cell.scheduler.measures(cell.now).probation, 1);
+    assert_eq!(cell.scheduler.metrics(cell.now).probation, 1);
     cell.run(Duration::from_mins(5));
     assert!(cell.done.values().all(|state| *state == job::State::Succeeded));
     assert_eq!(cell.done.len(), 40);
@@ -217,7 +217,7 @@
         }
     }
     assert_eq!(cell.done.get(&job), Some(&job::State::Failed));
-    assert_eq!(cell.scheduler.measures(cell.now).probation, 0);
+    assert_eq!(cell.scheduler.metrics(cell.now).probation, 0);
     sound(&cell);
 }
 
@@ -287,7 +287,7 @@
     report.running[1].usage = resource::Amount::new(2_000, 2_500, 0);
     let heavy = report.running[1].token;
     let mut out = Vec::new();
-    cell.scheduler.step(cell.now, Input::Worker(report), &mut out);
+    cell.scheduler.step(cell.now, Input::Report(report), &mut out);
     let throttled = out
         .iter()
         .filter(|output| matches!(output, Output::Throttle { .. }))
@@ -390,7 +390,7 @@
     cell.step(Input::Register(registration));
     let mut out = Vec::new();
     let at = cell.now + Duration::from_secs(10);
-    cell.scheduler.step(at, Input::Worker(late), &mut out);
+    cell.scheduler.step(at, Input::Report(late), &mut out);
     cell.scheduler
         .step(at + Duration::from_millis(300), Input::Tick, &mut out);
     assert!(out.contains(&Output::WorkerLost { worker: 0 }));
@@ -417,7 +417,7 @@
 fn a_large_task_starts_among_small_ones() {
     assert_eq!(large_among_small(Rules::default()), Some(job::State::Succeeded));
     let broken = Rules {
-        age: false,
+        aging: false,
         ..Rules::default()
     };
     assert_eq!(large_among_small(broken), None);
--- a/crates/schedule/tests/behaviour/steps.rs
+++ b/crates/schedule/tests/behaviour/steps.rs
@@ -111,7 +111,7 @@
                     self.ended += 1;
                     self.runs.retain(|run| run.2 != token);
                 }
-                Output::JobDone { job, .. } => self.done.push(job),
+                Output::JobEnded { job, .. } => self.done.push(job),
                 _ => self.work -= 1,
             }
         }
@@ -209,7 +209,7 @@
     assert!(fixture.most <= BOUND, "{} in one step", fixture.most);
     fixture.end_stopped();
     assert_eq!(fixture.done, [job]);
-    assert_eq!(fixture.scheduler.measures(fixture.now).used, [0, 0, 0]);
+    assert_eq!(fixture.scheduler.metrics(fixture.now).used, [0, 0, 0]);
 }
 
 /// Guards against a gang that keeps its debited room, or runs in part, when its start is broken off.
@@ -242,7 +242,7 @@
                 ended: Vec::new(),
             };
             if fixture.runs.is_empty() {
-                fixture.step(Input::Worker(report));
+                fixture.step(Input::Report(report));
             }
         }
         fixture.tick();
@@ -293,7 +293,7 @@
     fixture.measure();
     fixture.now += Duration::from_secs(11);
     fixture.settle();
-    assert_eq!(fixture.scheduler.measures(fixture.now).workers, 0);
+    assert_eq!(fixture.scheduler.metrics(fixture.now).workers, 0);
     assert_eq!(fixture.ended, TASKS);
     // A worker is lost as a whole, so a step may exceed the bound by the runs of one.
     assert!(fixture.most <= BOUND + ROOM, "{} in one step", fixture.most);
@@ -410,9 +410,9 @@
         fixture.step(Input::Submit { job, team: 2, spec });
     }
     fixture.settle();
-    let before = fixture.scheduler.measures(fixture.now).looks;
+    let before = fixture.scheduler.metrics(fixture.now).workers_evaluated;
     fixture.now += Duration::from_millis(50);
     fixture.step(Input::Tick);
-    let looks = fixture.scheduler.measures(fixture.now).looks - before;
+    let looks = fixture.scheduler.metrics(fixture.now).workers_evaluated - before;
     assert!((1..=WORKERS).contains(&looks), "{looks} workers weighed");
 }
--- a/crates/schedule/tests/behaviour/throttle.rs
+++ b/crates/schedule/tests/behaviour/throttle.rs
@@ -87,7 +87,7 @@
             running: running.collect(),
             ended: Vec::new(),
         };
-        self.step(Input::Worker(report));
+        self.step(Input::Report(report));
     }
 
     fn throttles(&self) -> Vec<u32> {
