--- a/crates/bench/benches/capacity/scheduler.rs
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -48,8 +48,12 @@
                 limit: ALL,
                 requests: 0,
             };
-            let part = ALL;
-            cell.step(Input::Team { team, quota, part });
+            let allotment = ALL;
+            cell.step(Input::Team {
+                team,
+                quota,
+                allotment,
+            });
         }
         for worker in 0..workers {
             let amount = resource::Amount::new(64_000, 131_072, 0);
@@ -180,7 +184,7 @@
         let mut sequence = 0;
         let micros = count::micros(|| {
             sequence += 1;
-            cell.step(Input::Worker(worker::Report {
+            cell.step(Input::Report(worker::Report {
                 worker: 0,
                 incarnation: 1,
                 sequence,
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -9,7 +9,7 @@
 
 use crate::cell::{Cell, spec};
 
-const PART: resource::Amount = resource::Amount::new(900_000, 900_000, 900);
+const ALLOTMENT: resource::Amount = resource::Amount::new(900_000, 900_000, 900);
 
 fn cell(workers: u64, rules: Rules) -> Cell {
     let config = Config {
@@ -18,7 +18,7 @@
     };
     let mut cell = Cell::new(7, config, workers, 0);
     for team in 1..=2 {
-        cell.set_team(team, 1, PART);
+        cell.set_team(team, 1, ALLOTMENT);
     }
     cell
 }
@@ -98,9 +98,9 @@
 fn a_gang_that_fits_starts_at_once() {
     let mut cell = cell(4, Rules::default());
     cell.set_team(2, 1, resource::Amount::new(8_000, 8_000, 0));
-    let over_part = cell.submit(2, spec(job::Kind::Gang, 3, 4_000, 20));
+    let over_allotment = cell.submit(2, spec(job::Kind::Gang, 3, 4_000, 20));
     let fits = cell.submit(1, spec(job::Kind::Gang, 3, 4_000, 20));
-    let started = [over_part, fits].map(|job| cell.check.places(job).len());
+    let started = [over_allotment, fits].map(|job| cell.check.places(job).len());
     assert_eq!(started, [0, 3]);
     sound(&cell);
 }
@@ -116,7 +116,7 @@
             .step(cell.now, Input::Submit { job, team: 1, spec }, &mut out);
     }
     let started = out.len();
-    let tries = cell.scheduler.measures(cell.now).tries;
+    let tries = cell.scheduler.metrics(cell.now).placement_attempts;
     out.clear();
     for job in 1..=10_000 {
         cell.scheduler.step(cell.now, Input::Cancel { job }, &mut out);
@@ -124,7 +124,7 @@
     }
     let done = |out: &[Output]| {
         out.iter()
-            .filter(|output| matches!(output, Output::JobDone { .. }))
+            .filter(|output| matches!(output, Output::JobEnded { .. }))
             .count()
     };
     let stops: Vec<_> = out
@@ -135,7 +135,7 @@
         })
         .collect();
     assert_eq!(
-        (stops.len(), cell.scheduler.measures(cell.now).tries),
+        (stops.len(), cell.scheduler.metrics(cell.now).placement_attempts),
         (started, tries)
     );
     for (task, token) in stops {
@@ -189,7 +189,7 @@
         cell.submit(1, spec(job::Kind::Batch, 4, 2_000, 10));
         cell.run(Duration::from_secs(2));
     }
-    assert_eq!(cell.scheduler.measures(cell.now).probation, 1);
+    assert_eq!(cell.scheduler.metrics(cell.now).probation, 1);
     cell.run(Duration::from_mins(5));
     assert!(cell.done.values().all(|state| *state == job::State::Succeeded));
     assert_eq!(cell.done.len(), 40);
@@ -217,7 +217,7 @@
         }
     }
     assert_eq!(cell.done.get(&job), Some(&job::State::Failed));
-    assert_eq!(cell.scheduler.measures(cell.now).probation, 0);
+    assert_eq!(cell.scheduler.metrics(cell.now).probation, 0);
     sound(&cell);
 }
 
@@ -249,7 +249,7 @@
 #[test]
 fn weighted_shares_are_reached_when_the_fleet_is_full() {
     let mut cell = cell(6, Rules::default());
-    cell.set_team(2, 3, PART);
+    cell.set_team(2, 3, ALLOTMENT);
     for _ in 0..100 {
         cell.submit(1, spec(job::Kind::Batch, 8, 1_000, 10));
     }
@@ -287,7 +287,7 @@
     report.running[1].usage = resource::Amount::new(2_000, 2_500, 0);
     let heavy = report.running[1].token;
     let mut out = Vec::new();
-    cell.scheduler.step(cell.now, Input::Worker(report), &mut out);
+    cell.scheduler.step(cell.now, Input::Report(report), &mut out);
     let throttled = out
         .iter()
         .filter(|output| matches!(output, Output::Throttle { .. }))
@@ -312,7 +312,7 @@
         ..Config::default()
     };
     let mut cell = Cell::new(3, config, 0, 0);
-    cell.set_team(1, 1, PART);
+    cell.set_team(1, 1, ALLOTMENT);
     for id in 0..40 {
         let capacity = resource::Capacity {
             amount: resource::Amount::new(8_000, 8_000, 0),
@@ -369,9 +369,9 @@
     }
     let job = cell.submit(1, spec(job::Kind::Batch, 12, 1_000, 900));
     cell.run(Duration::from_secs(5));
-    let part = resource::Amount::new(8_000, 8_000, 0);
+    let allotment = resource::Amount::new(8_000, 8_000, 0);
     let (quota, _) = cell.teams[&1];
-    cell.teams.insert(1, (quota, part));
+    cell.teams.insert(1, (quota, allotment));
     cell.failover();
     cell.run(Duration::from_secs(20));
     assert_eq!(cell.check.places(job).len(), 8);
@@ -390,7 +390,7 @@
     cell.step(Input::Register(registration));
     let mut out = Vec::new();
     let at = cell.now + Duration::from_secs(10);
-    cell.scheduler.step(at, Input::Worker(late), &mut out);
+    cell.scheduler.step(at, Input::Report(late), &mut out);
     cell.scheduler
         .step(at + Duration::from_millis(300), Input::Tick, &mut out);
     assert!(out.contains(&Output::WorkerLost { worker: 0 }));
@@ -417,7 +417,7 @@
 fn a_large_task_starts_among_small_ones() {
     assert_eq!(large_among_small(Rules::default()), Some(job::State::Succeeded));
     let broken = Rules {
-        age: false,
+        aging: false,
         ..Rules::default()
     };
     assert_eq!(large_among_small(broken), None);
