--- a/crates/bench/benches/speed/request.rs
+++ b/crates/bench/benches/speed/request.rs
@@ -10,7 +10,7 @@
 
 use bronzespoke_gateway::{control, server, settings};
 use bronzespoke_model::{service, target, vm};
-use bronzespoke_request::{admission, attempt, part, router, rules};
+use bronzespoke_request::{admission, allotment, attempt, router, rules};
 use bronzespoke_standin::{caller, target as standin};
 use http::Method;
 use tokio::sync::{mpsc, watch};
@@ -43,29 +43,29 @@
             bencher.iter(|| {
                 id += 1;
                 let now = Duration::from_micros(id);
-                let ticket = admission::Ticket {
+                let ticket = admission::Request {
                     id,
                     flow,
                     weight: 1,
                     limit: 1000,
                     deadline: now + Duration::from_secs(1),
                 };
-                let free = router.free(now, 1);
-                black_box(admission.offer(now, ticket, free));
-                let query = router::Query {
+                let free = router.free_slots(now, 1);
+                black_box(admission.admit(now, ticket, free));
+                let query = router::Request {
                     service: 1,
-                    avoid: &[],
+                    exclude: &[],
                     bytes: 1000,
                 };
                 if let router::Choice::Target(target) = black_box(router.pick(now, &query)) {
                     let latency = Duration::from_millis(5);
-                    let end = attempt::End::Answered {
+                    let end = attempt::Outcome::Success {
                         latency,
                         load: Some(3),
                     };
                     router.finish(now, target, end);
                 }
-                admission.done(now, flow, admission::Done::Other);
+                admission.finish(now, flow, admission::Outcome::Ignored);
             });
         });
     }
@@ -79,7 +79,7 @@
         group.bench_function(count.to_string(), |bencher| {
             let mut router = loaded_router(count);
             let entries: Vec<_> = (1..=34_u16)
-                .map(|vm| part::Entry {
+                .map(|vm| allotment::Entry {
                     vm: u64::from(vm),
                     place: vm::Place {
                         region: vm % 6,
@@ -89,8 +89,8 @@
                 .collect();
             let targets = targets(count);
             bencher.iter(|| {
-                router.observe(Duration::ZERO, router::Update::Entries(entries.clone()));
-                router.observe(Duration::ZERO, router::Update::Replace(black_box(&targets)));
+                router.apply(Duration::ZERO, router::Update::Entries(entries.clone()));
+                router.apply(Duration::ZERO, router::Update::Targets(black_box(&targets)));
             });
         });
     }
@@ -100,19 +100,19 @@
 /// Returns a router with `count` targets, half of whose room is in use.
 fn loaded_router(count: u64) -> router::Router {
     let mut router = router::Router::new(router::Config {
-        own: part::Entry { vm: 1, place: PLACE },
+        own: allotment::Entry { vm: 1, place: PLACE },
         remote_bytes_per_second: 256 * 1024,
         seed: 1,
-        sharing: router::Sharing::default(),
+        load_source: router::LoadSource::default(),
         rules: rules::Rules::default(),
     });
-    router.observe(Duration::ZERO, router::Update::Replace(&targets(count)));
-    let query = router::Query {
+    router.apply(Duration::ZERO, router::Update::Targets(&targets(count)));
+    let query = router::Request {
         service: 1,
-        avoid: &[],
+        exclude: &[],
         bytes: 1000,
     };
-    for _ in 0..router.free(Duration::ZERO, 1) / 2 {
+    for _ in 0..router.free_slots(Duration::ZERO, 1) / 2 {
         black_box(router.pick(Duration::ZERO, &query));
     }
     router
--- a/crates/bench/src/policy/request/mod.rs
+++ b/crates/bench/src/policy/request/mod.rs
@@ -57,7 +57,7 @@
     let mut rows = Vec::new();
     std::thread::scope(|scope| {
         let plain = scope.spawn(|| simulation::run(scenario, Policy::RoundRobin));
-        let ours = simulation::run(scenario, Policy::Decided(router::Sharing::default()));
+        let ours = simulation::run(scenario, Policy::Decided(router::LoadSource::default()));
         bounded_rows(&mut rows, &label, &ours);
         plain_rows(
             &mut rows,
@@ -153,9 +153,9 @@
 fn sharing_rows(seed: u64, window: f64) -> Vec<Row> {
     let mut rows = Vec::new();
     let ways = [
-        ("lent", router::Sharing::Lent),
-        ("reported", router::Sharing::Reported),
-        ("probed", router::Sharing::Probed),
+        ("lent", router::LoadSource::Reserved),
+        ("reported", router::LoadSource::Gossip),
+        ("probed", router::LoadSource::Response),
     ];
     let cases = [
         (1.0, 0.0, EVEN),
--- a/crates/bench/src/policy/request/simulation.rs
+++ b/crates/bench/src/policy/request/simulation.rs
@@ -32,7 +32,7 @@
 /// How requests are routed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Policy {
-    Decided(router::Sharing),
+    Decided(router::LoadSource),
     RoundRobin,
 }
 
@@ -83,7 +83,7 @@
     arrived: Duration,
     attempts: u32,
     tried: Vec<id::TargetId>,
-    history: attempt::Knowledge,
+    history: attempt::Execution,
     current: Option<usize>,
     admitted: bool,
     ended: bool,
@@ -185,10 +185,14 @@
             Event::Reply(attempt) => self.reply(attempt),
             Event::Refusal(attempt) => {
                 let load = Some(self.targets[self.attempts[attempt].target].load());
-                self.failed(attempt, attempt::State::NotSent, attempt::End::Busy { load });
+                self.failed(
+                    attempt,
+                    attempt::Progress::NotSent,
+                    attempt::Outcome::Busy { load },
+                );
             }
             Event::ConnectFailed(attempt) => {
-                self.failed(attempt, attempt::State::NotSent, attempt::End::Failed);
+                self.failed(attempt, attempt::Progress::NotSent, attempt::Outcome::Failed);
             }
             Event::Deadline(request) => self.deadline(request),
         }
@@ -225,7 +229,7 @@
                 .collect();
             let now = self.now;
             if let Mind::Decided(mind) = &mut self.vms[index].mind {
-                mind.router.observe(now, router::Update::Replace(&heard));
+                mind.router.apply(now, router::Update::Targets(&heard));
             }
             self.wake(index);
         }
@@ -248,7 +252,7 @@
             arrived: self.now,
             attempts: 0,
             tried: Vec::new(),
-            history: attempt::Knowledge::NotRun,
+            history: attempt::Execution::NotRun,
             current: None,
             admitted: false,
             ended: false,
@@ -269,7 +273,7 @@
     fn admit(&mut self, request: usize) {
         let flow = self.flow(request);
         let state = &self.requests[request];
-        let ticket = admission::Ticket {
+        let ticket = admission::Request {
             id: request as u64,
             flow,
             weight: WEIGHTS[state.team],
@@ -278,22 +282,22 @@
         };
         let now = self.now;
         let verdict = match &mut self.vms[state.vm].mind {
-            Mind::RoundRobin { .. } => admission::Verdict::Run,
+            Mind::RoundRobin { .. } => admission::Decision::Admitted,
             Mind::Decided(mind) => {
                 if state.attempts == 0 {
-                    mind.retry.started(flow);
+                    mind.retry.record_request(flow);
                 }
-                let free = mind.router.free(now, SERVICE);
-                mind.admission.offer(now, ticket, free)
+                let free = mind.router.free_slots(now, SERVICE);
+                mind.admission.admit(now, ticket, free)
             }
         };
         match verdict {
-            admission::Verdict::Run => {
+            admission::Decision::Admitted => {
                 self.requests[request].admitted = true;
                 self.send(request);
             }
-            admission::Verdict::Queued => {}
-            admission::Verdict::Refused { .. } => self.stop(request, self.requests[request].history),
+            admission::Decision::Queued => {}
+            admission::Decision::Rejected { .. } => self.stop(request, self.requests[request].history),
         }
     }
 
@@ -307,21 +311,21 @@
                 Some((*next % world::TARGETS) as u64 + 1)
             }
             Mind::Decided(mind) => {
-                let query = router::Query {
+                let query = router::Request {
                     service: SERVICE,
-                    avoid: &self.requests[request].tried,
+                    exclude: &self.requests[request].tried,
                     bytes: REQUEST_BYTES + ANSWER_BYTES as u32,
                 };
                 match mind.router.pick(now, &query) {
                     router::Choice::Target(target) => Some(target),
-                    router::Choice::Full | router::Choice::Missing => None,
+                    router::Choice::Full | router::Choice::NoTarget => None,
                 }
             }
         };
         let Some(target) = target else {
             // A new admission may use a target that was tried before, as in the gateway.
             self.requests[request].tried.clear();
-            self.release(request, admission::Done::Other);
+            self.release(request, admission::Outcome::Ignored);
             self.admit(request);
             return;
         };
@@ -397,7 +401,7 @@
             return;
         }
         if self.random.random_bool(world::RESETS) {
-            self.failed(attempt, attempt::State::MaybeRun, attempt::End::Failed);
+            self.failed(attempt, attempt::Progress::Sent, attempt::Outcome::Failed);
             return;
         }
         let now = self.now;
@@ -417,11 +421,11 @@
             let wait = now.saturating_sub(state.arrived).saturating_sub(run_time);
             self.waits.push(wait.as_secs_f64() * 1000.0);
         }
-        self.end_attempt(attempt, attempt::End::Answered { latency, load });
-        self.release(request, admission::Done::Answered { latency });
+        self.end_attempt(attempt, attempt::Outcome::Success { latency, load });
+        self.release(request, admission::Outcome::Success { latency });
     }
 
-    fn failed(&mut self, attempt: usize, state: attempt::State, end: attempt::End) {
+    fn failed(&mut self, attempt: usize, state: attempt::Progress, end: attempt::Outcome) {
         let request = self.attempts[attempt].request;
         if self.requests[request].ended || self.requests[request].current != Some(attempt) {
             return;
@@ -435,26 +439,26 @@
             state,
             history: known.history,
             attempts: known.attempts,
-            answer_begun: false,
+            response_started: false,
             deadline: known.arrived + DEADLINE,
         };
         let now = self.now;
         let decision = match &mut self.vms[known.vm].mind {
             Mind::Decided(mind) => mind.retry.decide(now, &question),
             Mind::RoundRobin { .. } if known.attempts < vm::PLAIN_ATTEMPTS => {
-                retry::Decision::Again(known.history.max(state.knowledge()))
+                retry::Decision::Retry(known.history.max(state.execution()))
             }
-            Mind::RoundRobin { .. } => retry::Decision::Stop(known.history.max(state.knowledge())),
+            Mind::RoundRobin { .. } => retry::Decision::GiveUp(known.history.max(state.execution())),
         };
         match decision {
-            retry::Decision::Again(history) => {
+            retry::Decision::Retry(history) => {
                 self.requests[request].history = history;
                 self.send(request);
             }
-            retry::Decision::Stop(history) => {
+            retry::Decision::GiveUp(history) => {
                 let done = match end {
-                    attempt::End::Busy { .. } => admission::Done::Overloaded,
-                    _ => admission::Done::Other,
+                    attempt::Outcome::Busy { .. } => admission::Outcome::Overloaded,
+                    _ => admission::Outcome::Ignored,
                 };
                 self.stop(request, history);
                 self.release(request, done);
@@ -471,28 +475,28 @@
         if let Mind::Decided(mind) = &mut self.vms[index].mind
             && !self.requests[request].admitted
         {
-            mind.admission.withdraw(flow, request as u64);
+            mind.admission.cancel(flow, request as u64);
         }
         let mut history = self.requests[request].history;
         if let Some(attempt) = self.requests[request].current.take() {
             // Bytes may have been read unless the connection was still being made.
             if !self.attempts[attempt].connecting {
-                history = history.max(attempt::Knowledge::Unknown);
+                history = history.max(attempt::Execution::Unknown);
             }
-            self.end_attempt(attempt, attempt::End::TimedOut);
+            self.end_attempt(attempt, attempt::Outcome::TimedOut);
         }
         self.stop(request, history);
-        self.release(request, admission::Done::Overloaded);
+        self.release(request, admission::Outcome::Overloaded);
     }
 
     /// Tells the caller that there is no answer.
-    fn stop(&mut self, request: usize, known: attempt::Knowledge) {
+    fn stop(&mut self, request: usize, known: attempt::Execution) {
         let state = &mut self.requests[request];
         state.ended = true;
-        state.told_not_run = known == attempt::Knowledge::NotRun;
+        state.told_not_run = known == attempt::Execution::NotRun;
     }
 
-    fn end_attempt(&mut self, attempt: usize, end: attempt::End) {
+    fn end_attempt(&mut self, attempt: usize, end: attempt::Outcome) {
         let now = self.now;
         let target = self.attempts[attempt].target as u64 + 1;
         let index = self.requests[self.attempts[attempt].request].vm;
@@ -501,7 +505,7 @@
         }
     }
 
-    fn release(&mut self, request: usize, done: admission::Done) {
+    fn release(&mut self, request: usize, done: admission::Outcome) {
         if !std::mem::take(&mut self.requests[request].admitted) {
             return;
         }
@@ -509,7 +513,7 @@
         let flow = self.flow(request);
         let index = self.requests[request].vm;
         if let Mind::Decided(mind) = &mut self.vms[index].mind {
-            mind.admission.done(now, flow, done);
+            mind.admission.finish(now, flow, done);
         }
         self.wake(index);
     }
@@ -520,9 +524,9 @@
             let Mind::Decided(mind) = &mut self.vms[index].mind else {
                 return;
             };
-            let free = mind.router.free(now, SERVICE);
-            let next = mind.admission.next(now, SERVICE, free);
-            if let Some(expired) = mind.admission.expired() {
+            let free = mind.router.free_slots(now, SERVICE);
+            let next = mind.admission.dequeue(now, SERVICE, free);
+            if let Some(expired) = mind.admission.pop_expired() {
                 let request = expired.id as usize;
                 self.stop(request, self.requests[request].history);
                 if let Some(ticket) = next {
--- a/crates/bench/src/policy/request/vm.rs
+++ b/crates/bench/src/policy/request/vm.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_model::id;
-use bronzespoke_request::{admission, part, retry, router, rules};
+use bronzespoke_request::{admission, allotment, retry, router, rules};
 
 use super::world;
 
@@ -36,8 +36,8 @@
 }
 
 /// Returns the entry VMs.
-pub(super) fn vms(seed: u64, sharing: Option<router::Sharing>) -> Vec<Vm> {
-    let entry = |index: usize| part::Entry {
+pub(super) fn vms(seed: u64, sharing: Option<router::LoadSource>) -> Vec<Vm> {
+    let entry = |index: usize| allotment::Entry {
         vm: index as u64 + 1,
         place: world::place((index % world::ZONES) as u16),
     };
@@ -52,11 +52,11 @@
                         own: entry(index),
                         remote_bytes_per_second: REMOTE_BYTES,
                         seed,
-                        sharing,
+                        load_source: sharing,
                         rules,
                     });
                     let entries = (0..world::VMS).map(entry).collect();
-                    router.observe(Duration::ZERO, router::Update::Entries(entries));
+                    router.apply(Duration::ZERO, router::Update::Entries(entries));
                     Mind::Decided(Box::new(Decided {
                         admission: admission::Admission::new(seed, rules),
                         router,
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/answer.rs
@@ -155,10 +155,10 @@
         let latency = pick.elapsed();
         pool.put(lease);
         if server_error {
-            pick.end(attempt::End::Failed, bytes);
+            pick.end(attempt::Outcome::Failed, bytes);
         } else {
-            permit.set(admission::Done::Answered { latency });
-            pick.end(attempt::End::Answered { latency, load }, bytes);
+            permit.set(admission::Outcome::Success { latency });
+            pick.end(attempt::Outcome::Success { latency, load }, bytes);
         }
         drop(permit);
     }
@@ -173,12 +173,12 @@
         } = self;
         drop(lease);
         match cut {
-            Cut::Target => pick.end(attempt::End::Failed, bytes),
+            Cut::Target => pick.end(attempt::Outcome::Failed, bytes),
             Cut::Deadline => {
                 if pick.is_late() {
-                    permit.set(admission::Done::Overloaded);
+                    permit.set(admission::Outcome::Overloaded);
                 }
-                pick.end(attempt::End::TimedOut, bytes);
+                pick.end(attempt::Outcome::TimedOut, bytes);
             }
         }
         drop(permit);
--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -49,20 +49,20 @@
 /// An attempt without an answer.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Failure {
-    pub state: attempt::State,
-    pub end: attempt::End,
+    pub state: attempt::Progress,
+    pub end: attempt::Outcome,
     pub message: &'static str,
     /// Whether it is a sign that the service has too much to do.
     pub overload: bool,
 }
 
 impl Failure {
-    pub(crate) const fn new(state: attempt::State, end: attempt::End, message: &'static str) -> Self {
+    pub(crate) const fn new(state: attempt::Progress, end: attempt::Outcome, message: &'static str) -> Self {
         Self {
             state,
             end,
             message,
-            overload: matches!(end, attempt::End::TimedOut | attempt::End::Busy { .. }),
+            overload: matches!(end, attempt::Outcome::TimedOut | attempt::Outcome::Busy { .. }),
         }
     }
 }
@@ -81,11 +81,11 @@
         Ok(result) => result,
         Err(_) => Err(Failure::new(
             if sent.load(Ordering::Relaxed) {
-                attempt::State::MaybeRun
+                attempt::Progress::Sent
             } else {
-                attempt::State::NotSent
+                attempt::Progress::NotSent
             },
-            attempt::End::TimedOut,
+            attempt::Outcome::TimedOut,
             "the deadline passed before the target answered",
         )),
     }
@@ -117,8 +117,8 @@
             }
             Err(_) => {
                 return Err(Failure::new(
-                    attempt::State::MaybeRun,
-                    attempt::End::Failed,
+                    attempt::Progress::Sent,
+                    attempt::Outcome::Failed,
                     "the target closed the connection without an answer",
                 ));
             }
@@ -128,7 +128,7 @@
 }
 
 fn check(response: Response<Incoming>, lease: pool::Lease, number: u64) -> Result<Got, Failure> {
-    let broken = |message| Failure::new(attempt::State::MaybeRun, attempt::End::Failed, message);
+    let broken = |message| Failure::new(attempt::Progress::Sent, attempt::Outcome::Failed, message);
     let headers = response.headers();
     if let Some(echo) = headers.get(&ATTEMPT)
         && echo.to_str().ok().and_then(|text| text.parse().ok()) != Some(number)
@@ -144,15 +144,15 @@
         .is_some_and(|value| value.as_bytes() == b"not run")
     {
         return Err(Failure::new(
-            attempt::State::NotSent,
-            attempt::End::Busy { load },
+            attempt::Progress::NotSent,
+            attempt::Outcome::Busy { load },
             "the target did not run the request",
         ));
     }
     if !has_end_mark(&response) {
         return Err(Failure::new(
-            attempt::State::Run,
-            attempt::End::Failed,
+            attempt::Progress::ResponseStarted,
+            attempt::Outcome::Failed,
             "the target's answer has neither a length nor chunks, so a cut could not be noticed",
         ));
     }
@@ -188,14 +188,14 @@
 }
 
 const fn not_sent(message: &'static str) -> Failure {
-    Failure::new(attempt::State::NotSent, attempt::End::Failed, message)
+    Failure::new(attempt::Progress::NotSent, attempt::Outcome::Failed, message)
 }
 
 fn no_connection(error: pool::Error) -> Failure {
     match error {
         pool::Error::Exhausted => Failure::new(
-            attempt::State::NotSent,
-            attempt::End::Abandoned,
+            attempt::Progress::NotSent,
+            attempt::Outcome::Abandoned,
             "this VM's part of the target's connections is in use",
         ),
         pool::Error::Refused => not_sent("the target did not accept a connection"),
--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/fault.rs
@@ -98,11 +98,11 @@
     }
 
     /// Sets what is known about a run.
-    pub const fn with_run(mut self, known: attempt::Knowledge) -> Self {
+    pub const fn with_run(mut self, known: attempt::Execution) -> Self {
         self.run = match known {
-            attempt::Knowledge::NotRun => Run::NotRun,
+            attempt::Execution::NotRun => Run::NotRun,
             // An answer that began but was cut short does not prove that the work was finished.
-            attempt::Knowledge::Unknown | attempt::Knowledge::Run => Run::Unknown,
+            attempt::Execution::Unknown | attempt::Execution::Run => Run::Unknown,
         };
         self
     }
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -10,7 +10,7 @@
 };
 
 use bronzespoke_model::{id, target, vm};
-use bronzespoke_request::{admission, attempt, part, retry, router, rules};
+use bronzespoke_request::{admission, allotment, attempt, retry, router, rules};
 use http::StatusCode;
 use tokio::sync::oneshot;
 
@@ -35,7 +35,7 @@
 pub(crate) struct Permit {
     gate: Arc<Gate>,
     flow: admission::Flow,
-    done: admission::Done,
+    done: admission::Outcome,
     armed: bool,
 }
 
@@ -70,13 +70,13 @@
         let rules = rules::Rules::default();
         let config = &handle.view.borrow().config;
         let router = router::Router::new(router::Config {
-            own: part::Entry {
+            own: allotment::Entry {
                 vm: settings.vm,
                 place: handle.place,
             },
             remote_bytes_per_second: config.remote_bytes_per_second,
             seed: settings.seed,
-            sharing: router::Sharing::default(),
+            load_source: router::LoadSource::default(),
             rules,
         });
         Self {
@@ -121,12 +121,12 @@
         let mut decider = self.lock();
         decider.retry.set_percent(view.config.retry_percent);
         let router = &mut decider.router;
-        router.observe(
+        router.apply(
             now,
-            router::Update::RemoteBytes(view.config.remote_bytes_per_second),
+            router::Update::RemoteBudget(view.config.remote_bytes_per_second),
         );
-        router.observe(now, router::Update::Entries(entries));
-        router.observe(now, router::Update::Replace(&known));
+        router.apply(now, router::Update::Entries(entries));
+        router.apply(now, router::Update::Targets(&known));
         let mut services: Vec<id::ServiceId> = view.services.values().map(|service| service.id).collect();
         services.sort_unstable();
         decider.services = services;
@@ -155,7 +155,7 @@
             let now = self.now();
             let mut decider = self.lock();
             decider.last_ticket += 1;
-            let ticket = admission::Ticket {
+            let ticket = admission::Request {
                 id: decider.last_ticket,
                 flow: ask.flow,
                 weight: ask.weight,
@@ -163,22 +163,24 @@
                 deadline: ask.deadline,
             };
             let service = ask.flow.service;
-            if decider.router.health(service).0 == 0 {
+            if decider.router.target_counts(service).0 == 0 {
                 return Err(missing());
             }
-            let free = decider.router.free(now, service);
-            match decider.admission.offer(now, ticket, free) {
-                admission::Verdict::Run => {
+            let free = decider.router.free_slots(now, service);
+            match decider.admission.admit(now, ticket, free) {
+                admission::Decision::Admitted => {
                     if let Some(pick) = self.pick_locked(&mut decider, now, &ask, &[]) {
                         return Ok((self.permit(ask.flow), pick));
                     }
-                    decider.admission.done(now, ask.flow, admission::Done::Other);
+                    decider
+                        .admission
+                        .finish(now, ask.flow, admission::Outcome::Ignored);
                     return Err(full(Duration::from_secs(1)));
                 }
-                admission::Verdict::Refused { reason, retry_after } => {
+                admission::Decision::Rejected { reason, retry_after } => {
                     return Err(refused(reason, retry_after));
                 }
-                admission::Verdict::Queued => {
+                admission::Decision::Queued => {
                     let (sender, receiver) = oneshot::channel();
                     decider.waiting.insert(ticket.id, sender);
                     (ticket, receiver)
@@ -196,15 +198,15 @@
     }
 
     /// Picks a target for a further attempt.
-    pub(crate) fn pick(self: &Arc<Self>, ask: &Ask, avoid: &[id::TargetId]) -> Option<Pick> {
+    pub(crate) fn pick(self: &Arc<Self>, ask: &Ask, exclude: &[id::TargetId]) -> Option<Pick> {
         let now = self.now();
         let mut decider = self.lock();
-        self.pick_locked(&mut decider, now, ask, avoid)
+        self.pick_locked(&mut decider, now, ask, exclude)
     }
 
     /// Notes a new request for the retry budget.
     pub(crate) fn started(&self, flow: admission::Flow) {
-        self.lock().retry.started(flow);
+        self.lock().retry.record_request(flow);
     }
 
     /// Decides what follows a failed attempt.
@@ -214,19 +216,19 @@
     }
 
     /// Returns how long to wait before a second copy.
-    pub(crate) fn hedge_after(&self, service: id::ServiceId) -> Option<Duration> {
-        self.lock().retry.hedge_after(service)
+    pub(crate) fn hedge_delay(&self, service: id::ServiceId) -> Option<Duration> {
+        self.lock().retry.hedge_delay(service)
     }
 
     /// Picks a target for a second copy when the budget allows one.
-    pub(crate) fn pick_hedge(self: &Arc<Self>, ask: &Ask, avoid: &[id::TargetId]) -> Option<Pick> {
+    pub(crate) fn pick_hedge(self: &Arc<Self>, ask: &Ask, exclude: &[id::TargetId]) -> Option<Pick> {
         let now = self.now();
         let mut decider = self.lock();
         // A full service gets no second copies: they would take the place of first ones.
-        if decider.router.free(now, ask.flow.service) == 0 || !decider.retry.take(ask.flow) {
+        if decider.router.free_slots(now, ask.flow.service) == 0 || !decider.retry.try_spend(ask.flow) {
             return None;
         }
-        self.pick_locked(&mut decider, now, ask, avoid)
+        self.pick_locked(&mut decider, now, ask, exclude)
     }
 
     /// Returns the admitted and the waiting requests.
@@ -243,7 +245,7 @@
         Permit {
             gate: Arc::clone(self),
             flow,
-            done: admission::Done::Other,
+            done: admission::Outcome::Ignored,
             armed: true,
         }
     }
@@ -253,17 +255,17 @@
         decider: &mut Decider,
         now: Duration,
         ask: &Ask,
-        avoid: &[id::TargetId],
+        exclude: &[id::TargetId],
     ) -> Option<Pick> {
-        let query = router::Query {
+        let query = router::Request {
             service: ask.flow.service,
-            avoid,
+            exclude,
             bytes: ask.bytes,
         };
         let router::Choice::Target(target) = decider.router.pick(now, &query) else {
             return None;
         };
-        let (address, connections, distance) = decider.router.address(target)?;
+        let (address, connections, distance) = decider.router.endpoint(target)?;
         Some(Pick {
             gate: Arc::clone(self),
             target,
@@ -279,9 +281,9 @@
 
     fn wake(self: &Arc<Self>, decider: &mut Decider, now: Duration, service: id::ServiceId) {
         loop {
-            let free = decider.router.free(now, service);
-            let next = decider.admission.next(now, service, free);
-            while let Some(expired) = decider.admission.expired() {
+            let free = decider.router.free_slots(now, service);
+            let next = decider.admission.dequeue(now, service, free);
+            while let Some(expired) = decider.admission.pop_expired() {
                 // Its waiter sees the closed channel and answers `not run`.
                 decider.waiting.remove(&expired.id);
             }
@@ -302,15 +304,21 @@
                 None
             };
             let (Some(sender), Some(pick)) = (sender, pick) else {
-                decider.admission.done(now, ticket.flow, admission::Done::Other);
+                decider
+                    .admission
+                    .finish(now, ticket.flow, admission::Outcome::Ignored);
                 continue;
             };
             if let Err((mut permit, mut pick)) = sender.send((self.permit(ticket.flow), pick)) {
                 // Their guards would take the lock that is held here.
                 permit.armed = false;
                 pick.armed = false;
-                decider.router.finish(now, pick.target, attempt::End::Abandoned);
-                decider.admission.done(now, ticket.flow, admission::Done::Other);
+                decider
+                    .router
+                    .finish(now, pick.target, attempt::Outcome::Abandoned);
+                decider
+                    .admission
+                    .finish(now, ticket.flow, admission::Outcome::Ignored);
             }
         }
     }
@@ -318,7 +326,7 @@
 
 impl Permit {
     /// Sets how the request ended; reported when the permit is dropped.
-    pub(crate) const fn set(&mut self, done: admission::Done) {
+    pub(crate) const fn set(&mut self, done: admission::Outcome) {
         self.done = done;
     }
 }
@@ -330,9 +338,9 @@
         }
         let now = self.gate.now();
         let mut decider = self.gate.lock();
-        decider.admission.done(now, self.flow, self.done);
-        if let admission::Done::Answered { latency } = self.done {
-            decider.retry.answered(self.flow.service, latency);
+        decider.admission.finish(now, self.flow, self.done);
+        if let admission::Outcome::Success { latency } = self.done {
+            decider.retry.record_latency(self.flow.service, latency);
         }
         self.gate.wake(&mut decider, now, self.flow.service);
     }
@@ -356,17 +364,17 @@
     }
 
     /// Reports the end of the attempt.
-    pub(crate) fn end(mut self, end: attempt::End, answer_bytes: u64) {
+    pub(crate) fn end(mut self, end: attempt::Outcome, answer_bytes: u64) {
         self.report(end, answer_bytes);
     }
 
-    fn report(&mut self, end: attempt::End, answer_bytes: u64) {
+    fn report(&mut self, end: attempt::Outcome, answer_bytes: u64) {
         self.armed = false;
         let now = self.gate.now();
         let mut decider = self.gate.lock();
         let late = decider.retry.is_late(self.service, self.started.elapsed());
         let end = match end {
-            attempt::End::TimedOut if !late => attempt::End::Abandoned,
+            attempt::Outcome::TimedOut if !late => attempt::Outcome::Abandoned,
             end => end,
         };
         if self.remote {
@@ -382,9 +390,9 @@
         if self.armed {
             let overtaken = self.overtaken.load(Ordering::Acquire);
             let end = if overtaken {
-                attempt::End::Overtaken
+                attempt::Outcome::LostHedge
             } else {
-                attempt::End::Abandoned
+                attempt::Outcome::Abandoned
             };
             self.report(end, 0);
         }
@@ -393,23 +401,23 @@
 
 struct Waiting {
     gate: Arc<Gate>,
-    ticket: admission::Ticket,
+    ticket: admission::Request,
 }
 
 impl Drop for Waiting {
     fn drop(&mut self) {
         let mut decider = self.gate.lock();
         if decider.waiting.remove(&self.ticket.id).is_some() {
-            decider.admission.withdraw(self.ticket.flow, self.ticket.id);
+            decider.admission.cancel(self.ticket.flow, self.ticket.id);
         }
     }
 }
 
 /// Returns the entry VMs of a view in the form that parts are computed from.
-pub(crate) fn entries(view: &control::View) -> Vec<part::Entry> {
+pub(crate) fn entries(view: &control::View) -> Vec<allotment::Entry> {
     view.entries
         .iter()
-        .map(|entry| part::Entry {
+        .map(|entry| allotment::Entry {
             vm: entry.id,
             place: entry.place,
         })
@@ -434,7 +442,7 @@
     let (code, message) = match reason {
         admission::Reason::QueueFull => ("queue_full", "the queue is full"),
         admission::Reason::Deadline => ("deadline", "the request would not be answered by its deadline"),
-        admission::Reason::NoPart => ("limit", "the limit of requests in flight leaves this VM no part"),
+        admission::Reason::NoAllotment => ("limit", "the limit of requests in flight leaves this VM no part"),
     };
     fault::Fault::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message).with_retry_after(after)
 }
--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -6,7 +6,7 @@
 };
 
 use bronzespoke_model::{id, team};
-use bronzespoke_request::{admission, attempt as state, part, retry};
+use bronzespoke_request::{admission, allotment, attempt as state, retry};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header, request::Parts, response};
 use hyper::body::{Body as _, Incoming};
@@ -187,7 +187,7 @@
                 owner: order.owner,
             },
             weight: order.weight,
-            limit: part::limit(order.limit, context.settings.vm, &entries),
+            limit: allotment::limit(order.limit, context.settings.vm, &entries),
             deadline,
             bytes: order.body.bytes.len() as u32 + 512,
         },
@@ -210,7 +210,7 @@
     context.gate.started(work.ask.flow);
     let mut admitted = Some(context.gate.admit(work.ask).await?);
     let mut tried = Vec::new();
-    let mut history = state::Knowledge::NotRun;
+    let mut history = state::Execution::NotRun;
     let mut attempts = 0;
     loop {
         let (permit, pick) = match admitted.take() {
@@ -239,11 +239,11 @@
             state: failure.state,
             history,
             attempts,
-            answer_begun: false,
+            response_started: false,
             deadline: work.ask.deadline,
         });
         match decision {
-            retry::Decision::Again(known) => {
+            retry::Decision::Retry(known) => {
                 history = known;
                 let next = permit.and_then(|permit| {
                     let pick = context.gate.pick(&work.ask, &tried)?;
@@ -252,11 +252,11 @@
                 admitted = next;
                 metrics::counter!("bronzespoke_retries_total").increment(1);
             }
-            retry::Decision::Stop(known) => {
+            retry::Decision::GiveUp(known) => {
                 if let Some(mut permit) = permit
                     && failure.overload
                 {
-                    permit.set(admission::Done::Overloaded);
+                    permit.set(admission::Outcome::Overloaded);
                 }
                 return Err(stopped(&failure, known));
             }
@@ -282,7 +282,7 @@
     let first_target = pick.target;
     let overtaken = pick.overtaken();
     let mut first = Box::pin(one(Arc::clone(context), work.message.clone(), pick));
-    let late = context.gate.hedge_after(work.ask.flow.service).filter(|_| hedge);
+    let late = context.gate.hedge_delay(work.ask.flow.service).filter(|_| hedge);
     let Some(late) = late.filter(|late| *late < attempt::left(work.message.deadline)) else {
         return settle(first.await);
     };
@@ -320,7 +320,7 @@
     match result {
         Ok(got) => Ok((pick, got)),
         Err(mut failure) => {
-            if failure.end == state::End::TimedOut && !pick.is_late() {
+            if failure.end == state::Outcome::TimedOut && !pick.is_late() {
                 failure.overload = false;
             }
             pick.end(failure.end, 0);
@@ -370,10 +370,10 @@
 
 const fn cut(cut: answer::Cut) -> attempt::Failure {
     let (end, message) = match cut {
-        answer::Cut::Target => (state::End::Failed, "the target broke off its answer"),
-        answer::Cut::Deadline => (state::End::TimedOut, "the deadline passed during the answer"),
+        answer::Cut::Target => (state::Outcome::Failed, "the target broke off its answer"),
+        answer::Cut::Deadline => (state::Outcome::TimedOut, "the deadline passed during the answer"),
     };
-    attempt::Failure::new(state::State::Run, end, message)
+    attempt::Failure::new(state::Progress::ResponseStarted, end, message)
 }
 
 /// Returns the answer for the caller.
@@ -385,15 +385,15 @@
     Response::from_parts(ready.head, body)
 }
 
-fn stopped(failure: &attempt::Failure, known: state::Knowledge) -> fault::Fault {
-    let timed_out = failure.end == state::End::TimedOut;
+fn stopped(failure: &attempt::Failure, known: state::Execution) -> fault::Fault {
+    let timed_out = failure.end == state::Outcome::TimedOut;
     let (status, code) = match (known, timed_out) {
-        (state::Knowledge::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
+        (state::Execution::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
         (_, true) => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
         (_, false) => (StatusCode::BAD_GATEWAY, "target_failed"),
     };
     let fault = fault::Fault::not_run(status, code, failure.message).with_run(known);
-    if known == state::Knowledge::NotRun {
+    if known == state::Execution::NotRun {
         return fault.with_retry_after(Duration::from_secs(1));
     }
     fault
--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -60,7 +60,7 @@
 
 /// A request that asks to be sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Ticket {
+pub struct Request {
     /// Number given by the gateway, unique on the VM.
     pub id: u64,
     /// Owner and service.
@@ -81,18 +81,18 @@
     /// It would not be answered by its deadline.
     Deadline,
     /// The owner's limit gives this VM no part.
-    NoPart,
+    NoAllotment,
 }
 
 /// Answer to an offer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
+pub enum Decision {
     /// Send it now.
-    Run,
-    /// It waits; [`Admission::next`] returns it when it may run.
+    Admitted,
+    /// It waits; [`Admission::dequeue`] returns it when it may run.
     Queued,
     /// Refused without having been sent.
-    Refused {
+    Rejected {
         /// Why.
         reason: Reason,
         /// When to try again, with jitter.
@@ -102,21 +102,21 @@
 
 /// How an admitted request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Done {
+pub enum Outcome {
     /// Answered in time.
-    Answered {
+    Success {
         /// Time from the start to the answer.
         latency: Duration,
     },
     /// A target had no room, or the deadline passed while it ran.
     Overloaded,
     /// Any other end; says nothing about capacity.
-    Other,
+    Ignored,
 }
 
 #[derive(Debug, Default)]
 struct Queue {
-    waiting: VecDeque<Ticket>,
+    waiting: VecDeque<Request>,
     virtual_time: f64,
     listed: bool,
 }
@@ -150,7 +150,7 @@
     services: HashMap<id::ServiceId, Service>,
     owners: HashMap<Owner, u32>,
     waiting: usize,
-    expired: Vec<Ticket>,
+    expired: Vec<Request>,
 }
 
 impl Admission {
@@ -168,42 +168,42 @@
     }
 
     /// Decides about a new request; `free` is the room that routing sees for the service.
-    pub fn offer(&mut self, now: Duration, ticket: Ticket, free: u32) -> Verdict {
-        let flow = ticket.flow;
-        if ticket.limit == 0 && self.rules.team_limit {
-            return self.refuse(Reason::NoPart, RETRY_AFTER.1);
+    pub fn admit(&mut self, now: Duration, request: Request, free: u32) -> Decision {
+        let flow = request.flow;
+        if request.limit == 0 && self.rules.team_limit {
+            return self.refuse(Reason::NoAllotment, RETRY_AFTER.1);
         }
-        let below = self.owner_in_flight(flow.owner) < ticket.limit || !self.rules.team_limit;
+        let below = self.owner_in_flight(flow.owner) < request.limit || !self.rules.team_limit;
         let service = self.services.entry(flow.service).or_insert_with(Service::new);
         if service.waiting == 0 && free > 0 && below && service.has_room() {
-            self.start(now, &ticket);
-            return Verdict::Run;
+            self.start(now, &request);
+            return Decision::Admitted;
         }
         let known = self.queues.get(&flow);
         let length = known.map_or(0, |queue| queue.waiting.len());
         let full = length >= QUEUE_PER_FLOW
             || self.waiting >= QUEUE_TOTAL
             || (known.is_none() && self.queues.len() >= MAX_FLOWS);
-        let wait = service.expected_wait(length, ticket.weight);
+        let wait = service.expected_wait(length, request.weight);
         if full && self.rules.queue_bound {
             return self.refuse(Reason::QueueFull, wait);
         }
-        let left = ticket
+        let left = request
             .deadline
             .saturating_sub(now)
             .saturating_sub(service.expected_run());
         if wait > left.mul_f64(WAIT_PART) || left.is_zero() {
             return self.refuse(Reason::Deadline, wait);
         }
-        self.enqueue(ticket, below);
-        Verdict::Queued
+        self.enqueue(request, below);
+        Decision::Queued
     }
 
     /// Returns the next waiting request of a service that may run, given `free` room at its targets.
     ///
-    /// Requests that could not be answered by their deadline any more are passed over; [`Admission::expired`]
+    /// Requests that could not be answered by their deadline any more are passed over; [`Admission::pop_expired`]
     /// returns them.
-    pub fn next(&mut self, now: Duration, service: id::ServiceId, free: u32) -> Option<Ticket> {
+    pub fn dequeue(&mut self, now: Duration, service: id::ServiceId, free: u32) -> Option<Request> {
         let state = self.services.get_mut(&service)?;
         if free == 0 || !state.has_room() {
             return None;
@@ -214,31 +214,31 @@
                 continue;
             };
             queue.listed = false;
-            let Some(ticket) = queue.waiting.front().copied() else {
+            let Some(request) = queue.waiting.front().copied() else {
                 self.list(flow);
                 continue;
             };
-            if self.rules.team_limit && self.owner_in_flight(flow.owner) >= ticket.limit {
+            if self.rules.team_limit && self.owner_in_flight(flow.owner) >= request.limit {
                 continue;
             }
             self.dequeue_front(flow, true);
-            self.start(now, &ticket);
+            self.start(now, &request);
             self.list(flow);
-            return Some(ticket);
+            return Some(request);
         }
         None
     }
 
     /// Returns a request that was passed over because it could not be answered in time; it was not sent.
-    pub fn expired(&mut self) -> Option<Ticket> {
+    pub fn pop_expired(&mut self) -> Option<Request> {
         self.expired.pop()
     }
 
     /// Records the end of a request that was started.
-    pub fn done(&mut self, now: Duration, flow: Flow, done: Done) {
+    pub fn finish(&mut self, now: Duration, flow: Flow, outcome: Outcome) {
         if let Some(service) = self.services.get_mut(&flow.service) {
             service.in_flight = service.in_flight.saturating_sub(1);
-            service.learn(now, done);
+            service.record_outcome(now, outcome);
         }
         if let Some(count) = self.owners.get_mut(&flow.owner) {
             *count = count.saturating_sub(1);
@@ -254,11 +254,11 @@
     }
 
     /// Removes a waiting request whose caller is gone or whose deadline passed; false when it is not waiting.
-    pub fn withdraw(&mut self, flow: Flow, ticket: u64) -> bool {
+    pub fn cancel(&mut self, flow: Flow, id: u64) -> bool {
         let Some(queue) = self.queues.get_mut(&flow) else {
             return false;
         };
-        let Some(position) = queue.waiting.iter().position(|waiting| waiting.id == ticket) else {
+        let Some(position) = queue.waiting.iter().position(|waiting| waiting.id == id) else {
             return false;
         };
         if position == 0 {
@@ -328,39 +328,39 @@
             .collect()
     }
 
-    fn refuse(&mut self, reason: Reason, wait: Duration) -> Verdict {
+    fn refuse(&mut self, reason: Reason, wait: Duration) -> Decision {
         let base = wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1 / 2);
         // Jitter spreads the callers that were refused together, so that they do not return together.
         let retry_after = base.mul_f64(self.random.random_range(1.0..2.0));
-        Verdict::Refused { reason, retry_after }
+        Decision::Rejected { reason, retry_after }
     }
 
-    fn start(&mut self, now: Duration, ticket: &Ticket) {
-        *self.owners.entry(ticket.flow.owner).or_insert(0) += 1;
+    fn start(&mut self, now: Duration, request: &Request) {
+        *self.owners.entry(request.flow.owner).or_insert(0) += 1;
         let service = self
             .services
-            .get_mut(&ticket.flow.service)
+            .get_mut(&request.flow.service)
             .expect("the service was entered at the offer");
         service.in_flight += 1;
         service.peak = service.peak.max(service.in_flight);
         service.started(now);
     }
 
-    fn enqueue(&mut self, ticket: Ticket, below: bool) {
+    fn enqueue(&mut self, request: Request, below: bool) {
         let service = self
             .services
-            .entry(ticket.flow.service)
+            .entry(request.flow.service)
             .or_insert_with(Service::new);
-        let queue = self.queues.entry(ticket.flow).or_default();
+        let queue = self.queues.entry(request.flow).or_default();
         if queue.waiting.is_empty() {
             queue.virtual_time = queue.virtual_time.max(service.virtual_time);
-            service.waiting_weight += u64::from(ticket.weight.max(1));
+            service.waiting_weight += u64::from(request.weight.max(1));
         }
-        queue.waiting.push_back(ticket);
+        queue.waiting.push_back(request);
         service.waiting += 1;
         self.waiting += 1;
         if below {
-            self.list(ticket.flow);
+            self.list(request.flow);
         }
     }
 
@@ -375,22 +375,22 @@
                 .queues
                 .get(&flow)
                 .and_then(|queue| queue.waiting.front().copied());
-            let Some(ticket) = front.filter(|ticket| now + run_time >= ticket.deadline) else {
+            let Some(request) = front.filter(|request| now + run_time >= request.deadline) else {
                 return;
             };
             self.dequeue_front(flow, false);
-            self.expired.push(ticket);
+            self.expired.push(request);
         }
     }
 
     fn dequeue_front(&mut self, flow: Flow, started: bool) {
         let queue = self.queues.get_mut(&flow).expect("the flow has a queue");
-        let ticket = queue.waiting.pop_front().expect("the queue is not empty");
+        let request = queue.waiting.pop_front().expect("the queue is not empty");
         let service = self
             .services
             .get_mut(&flow.service)
             .expect("the service is known");
-        let weight = u64::from(ticket.weight.max(1));
+        let weight = u64::from(request.weight.max(1));
         service.virtual_time = service.virtual_time.max(queue.virtual_time);
         if self.rules.fair_queues && started {
             queue.virtual_time += 1.0 / weight as f64;
@@ -478,22 +478,22 @@
         Duration::from_secs_f64(seconds.min(3600.0))
     }
 
-    fn learn(&mut self, now: Duration, done: Done) {
-        match done {
-            Done::Answered { latency } => {
+    fn record_outcome(&mut self, now: Duration, outcome: Outcome) {
+        match outcome {
+            Outcome::Success { latency } => {
                 self.round.0 += 1;
-                self.learn_run_time(latency.as_secs_f64());
+                self.record_run_time(latency.as_secs_f64());
             }
-            Done::Overloaded => {
+            Outcome::Overloaded => {
                 self.round.0 += 1;
                 self.round.1 += 1;
             }
-            Done::Other => {}
+            Outcome::Ignored => {}
         }
         self.end_round(now);
     }
 
-    fn learn_run_time(&mut self, sample: f64) {
+    fn record_run_time(&mut self, sample: f64) {
         if self.run_time == 0.0 {
             self.run_time = sample;
             return;
--- a/crates/request/src/attempt.rs
+++ b/crates/request/src/attempt.rs
@@ -4,20 +4,20 @@
 
 /// How far an attempt got, in order; it never goes back.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum State {
+pub enum Progress {
     /// No byte of the request can have been read by a target, or the target said that it did not run it.
     NotSent,
     /// Bytes may have been read; no answer has begun.
-    MaybeRun,
+    Sent,
     /// An answer has begun, so the target ran the request; the answer is not whole.
-    Run,
+    ResponseStarted,
     /// The whole answer was received.
-    Answered,
+    ResponseComplete,
 }
 
 /// What a caller may be told about a request that has no answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
-pub enum Knowledge {
+pub enum Execution {
     /// It certainly did not run.
     NotRun,
     /// It may have run.
@@ -26,22 +26,22 @@
     Run,
 }
 
-impl State {
+impl Progress {
     /// Returns what this state tells about a run.
-    pub const fn knowledge(self) -> Knowledge {
+    pub const fn execution(self) -> Execution {
         match self {
-            Self::NotSent => Knowledge::NotRun,
-            Self::MaybeRun => Knowledge::Unknown,
-            Self::Run | Self::Answered => Knowledge::Run,
+            Self::NotSent => Execution::NotRun,
+            Self::Sent => Execution::Unknown,
+            Self::ResponseStarted | Self::ResponseComplete => Execution::Run,
         }
     }
 }
 
 /// How an attempt ended, as seen by routing.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum End {
+pub enum Outcome {
     /// A whole answer that is not a server error.
-    Answered {
+    Success {
         /// Time from the pick to the whole answer.
         latency: Duration,
         /// Requests in flight as the target reported with its answer, this one excluded.
@@ -57,7 +57,7 @@
     /// Nothing came before the deadline, which was long enough for the service.
     TimedOut,
     /// A copy that was sent later to another target was answered first.
-    Overtaken,
+    LostHedge,
     /// The caller or the gateway gave up; says nothing about the target.
     Abandoned,
 }
--- a/crates/request/src/ejection.rs
+++ b/crates/request/src/ejection.rs
@@ -41,7 +41,7 @@
 
 impl Health {
     /// Records an answer.
-    pub const fn answered(&mut self) {
+    pub const fn record_success(&mut self) {
         self.failures = 0;
         self.answers += 1;
         if self.answers >= STEP {
@@ -55,7 +55,7 @@
     }
 
     /// Records a failure; true when the target should be ejected.
-    pub const fn failed(&mut self) -> bool {
+    pub const fn record_failure(&mut self) -> bool {
         self.answers = 0;
         self.failures += 1;
         // A target on readmission has to show that it works, so its first failure sends it back.
@@ -89,7 +89,7 @@
     }
 
     /// Returns how many of `whole` requests the target may have now; at least one unless it is ejected.
-    pub fn part(&self, whole: u32) -> u32 {
+    pub fn allowed(&self, whole: u32) -> u32 {
         if self.is_ejected() {
             return 0;
         }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -4,9 +4,9 @@
 //! that the same code is driven by sockets in a daemon and by virtual time in the policy measurements.
 
 pub mod admission;
+pub mod allotment;
 pub mod attempt;
 pub mod ejection;
-pub mod part;
 pub mod retry;
 pub mod router;
 pub mod rules;
--- a/crates/request/src/retry.rs
+++ b/crates/request/src/retry.rs
@@ -34,13 +34,13 @@
     /// Whether the request may run more than once.
     pub repeatable: bool,
     /// How far this attempt got.
-    pub state: attempt::State,
+    pub state: attempt::Progress,
     /// Worst knowledge over the earlier attempts.
-    pub history: attempt::Knowledge,
+    pub history: attempt::Execution,
     /// Attempts so far, this one included.
     pub attempts: u32,
     /// Whether an answer has been passed on to the caller in part.
-    pub answer_begun: bool,
+    pub response_started: bool,
     /// Instant by which the caller needs the answer.
     pub deadline: Duration,
 }
@@ -49,15 +49,15 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
     /// Send it to another target.
-    Again(attempt::Knowledge),
+    Retry(attempt::Execution),
     /// Tell the caller what is known about a run.
-    Stop(attempt::Knowledge),
+    GiveUp(attempt::Execution),
 }
 
 #[derive(Debug)]
 struct Latency {
     histogram: Histogram<u32>,
-    hedge_after: Option<Duration>,
+    hedge_delay: Option<Duration>,
 }
 
 /// Retry and hedge budgets of one entry VM.
@@ -88,7 +88,7 @@
     }
 
     /// Notes a new request, which earns its flow a part of a retry.
-    pub fn started(&mut self, flow: admission::Flow) {
+    pub fn record_request(&mut self, flow: admission::Flow) {
         if self.budgets.len() >= MAX_FLOWS && !self.budgets.contains_key(&flow) {
             return;
         }
@@ -101,25 +101,27 @@
     /// Decides what follows an attempt that brought no answer.
     pub fn decide(&mut self, now: Duration, attempt: &Attempt) -> Decision {
         let known = if self.rules.keep_run_history {
-            attempt.history.max(attempt.state.knowledge())
+            attempt.history.max(attempt.state.execution())
         } else {
-            attempt.state.knowledge()
+            attempt.state.execution()
         };
         let may_repeat =
-            attempt.repeatable || !self.rules.repeat_only_when_not_run || known == attempt::Knowledge::NotRun;
-        let possible =
-            may_repeat && !attempt.answer_begun && attempt.attempts < MAX_ATTEMPTS && now < attempt.deadline;
+            attempt.repeatable || !self.rules.repeat_only_when_not_run || known == attempt::Execution::NotRun;
+        let possible = may_repeat
+            && !attempt.response_started
+            && attempt.attempts < MAX_ATTEMPTS
+            && now < attempt.deadline;
         // A first attempt that was never sent cost no target anything, so it takes nothing from the budget.
-        let free = attempt.state == attempt::State::NotSent && attempt.attempts == 1;
-        if possible && (free || self.take(attempt.flow)) {
-            Decision::Again(known)
+        let free = attempt.state == attempt::Progress::NotSent && attempt.attempts == 1;
+        if possible && (free || self.try_spend(attempt.flow)) {
+            Decision::Retry(known)
         } else {
-            Decision::Stop(known)
+            Decision::GiveUp(known)
         }
     }
 
     /// Takes one retry or hedge from the budget of a flow.
-    pub fn take(&mut self, flow: admission::Flow) -> bool {
+    pub fn try_spend(&mut self, flow: admission::Flow) -> bool {
         if !self.rules.retry_budget {
             self.extra += 1;
             return true;
@@ -141,11 +143,11 @@
     }
 
     /// Notes the latency of an answer.
-    pub fn answered(&mut self, service: id::ServiceId, latency: Duration) {
+    pub fn record_latency(&mut self, service: id::ServiceId, latency: Duration) {
         let entry = self.latencies.entry(service).or_insert_with(|| Latency {
             histogram: Histogram::new_with_bounds(1, MAX_LATENCY_MICROS, 2)
                 .expect("the bounds are constants"),
-            hedge_after: None,
+            hedge_delay: None,
         });
         entry
             .histogram
@@ -153,7 +155,7 @@
         let count = entry.histogram.len();
         if count.is_multiple_of(HEDGE_MIN_SAMPLES) {
             let micros = entry.histogram.value_at_quantile(HEDGE_QUANTILE);
-            entry.hedge_after = Some(Duration::from_micros(micros));
+            entry.hedge_delay = Some(Duration::from_micros(micros));
         }
         if count >= HEDGE_WINDOW {
             entry.histogram.reset();
@@ -161,17 +163,17 @@
     }
 
     /// Returns how long to wait for an answer before a second copy of a repeatable request is worth sending.
-    pub fn hedge_after(&self, service: id::ServiceId) -> Option<Duration> {
+    pub fn hedge_delay(&self, service: id::ServiceId) -> Option<Duration> {
         self.latencies
             .get(&service)
-            .and_then(|latency| latency.hedge_after)
+            .and_then(|latency| latency.hedge_delay)
     }
 
     /// Tells whether an attempt without an answer took so long that it speaks against its target. A caller that
     /// asks for too short a deadline says nothing about targets.
     pub fn is_late(&self, service: id::ServiceId, elapsed: Duration) -> bool {
         let late = self
-            .hedge_after(service)
+            .hedge_delay(service)
             .map_or(LATE_DEFAULT, |after| after * LATE_FACTOR);
         elapsed >= late
     }
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -14,7 +14,7 @@
 use bronzespoke_model::{id, target, vm};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use crate::{attempt, ejection, part, rules};
+use crate::{allotment, attempt, ejection, rules};
 
 /// Most targets that one VM keeps; further ones are not used.
 pub const MAX_TARGETS: usize = 16_384;
@@ -29,27 +29,27 @@
 
 /// How the load of a target is estimated; the policy measurements compare them.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
-pub enum Sharing {
+pub enum LoadSource {
     /// Lent slots only.
-    Lent,
+    Reserved,
     /// Lent slots, and more while the gossiped load shows room.
-    Reported,
-    /// As [`Sharing::Reported`], with the load that targets put on their answers.
+    Gossip,
+    /// As [`LoadSource::Gossip`], with the load that targets put on their answers.
     #[default]
-    Probed,
+    Response,
 }
 
 /// Settings of a router.
 #[derive(Debug, Clone)]
 pub struct Config {
     /// This VM.
-    pub own: part::Entry,
+    pub own: allotment::Entry,
     /// Bytes per second that may go to other regions.
     pub remote_bytes_per_second: u32,
     /// Seed of the random choices.
     pub seed: u64,
     /// Load estimate.
-    pub sharing: Sharing,
+    pub load_source: LoadSource,
     /// Rules.
     pub rules: rules::Rules,
 }
@@ -58,20 +58,20 @@
 #[derive(Debug, Clone)]
 pub enum Update<'a> {
     /// All targets that may be used now, with the service that each answers for; others are forgotten.
-    Replace(&'a [(id::ServiceId, target::Status)]),
+    Targets(&'a [(id::ServiceId, target::Status)]),
     /// The entry VMs changed.
-    Entries(Vec<part::Entry>),
+    Entries(Vec<allotment::Entry>),
     /// The budget for other regions changed.
-    RemoteBytes(u32),
+    RemoteBudget(u32),
 }
 
 /// A request to route.
 #[derive(Debug, Clone, Copy)]
-pub struct Query<'a> {
+pub struct Request<'a> {
     /// Service.
     pub service: id::ServiceId,
     /// Targets that were tried already.
-    pub avoid: &'a [id::TargetId],
+    pub exclude: &'a [id::TargetId],
     /// Bytes that the request is expected to cost on a billed link.
     pub bytes: u32,
 }
@@ -84,7 +84,7 @@
     /// Every target is full now.
     Full,
     /// The service has no usable target.
-    Missing,
+    NoTarget,
 }
 
 #[derive(Debug)]
@@ -116,7 +116,7 @@
 #[derive(Debug)]
 pub struct Router {
     config: Config,
-    entries: Vec<part::Entry>,
+    entries: Vec<allotment::Entry>,
     random: SmallRng,
     targets: Vec<Target>,
     vacant: Vec<Index>,
@@ -147,10 +147,10 @@
     }
 
     /// Takes in news.
-    pub fn observe(&mut self, now: Duration, update: Update<'_>) {
+    pub fn apply(&mut self, now: Duration, update: Update<'_>) {
         self.readmit(now);
         match update {
-            Update::Replace(targets) => self.replace(targets),
+            Update::Targets(targets) => self.replace(targets),
             Update::Entries(entries) if entries == self.entries => {}
             Update::Entries(entries) => {
                 self.entries = entries;
@@ -159,27 +159,27 @@
                     self.refresh(index);
                 }
             }
-            Update::RemoteBytes(bytes) => self.config.remote_bytes_per_second = bytes,
+            Update::RemoteBudget(bytes) => self.config.remote_bytes_per_second = bytes,
         }
     }
 
     /// Picks a target: the nearest class with room, and the less loaded of two random ones in it.
-    pub fn pick(&mut self, now: Duration, query: &Query<'_>) -> Choice {
+    pub fn pick(&mut self, now: Duration, request: &Request<'_>) -> Choice {
         self.readmit(now);
-        let Some(service) = self.services.get(&query.service) else {
-            return Choice::Missing;
+        let Some(service) = self.services.get(&request.service) else {
+            return Choice::NoTarget;
         };
         if service.targets == 0 {
-            return Choice::Missing;
+            return Choice::NoTarget;
         }
         for class in 0..CLASSES {
             if class == vm::Distance::Remote as usize && !self.may_go_remote(now) {
                 continue;
             }
-            if let Some(index) = self.pick_in(class, query) {
+            if let Some(index) = self.pick_in(class, request) {
                 if class == vm::Distance::Remote as usize {
-                    self.remote_tokens -= f64::from(query.bytes);
-                    self.remote_bytes += u64::from(query.bytes);
+                    self.remote_tokens -= f64::from(request.bytes);
+                    self.remote_bytes += u64::from(request.bytes);
                 }
                 self.targets[index as usize].own += 1;
                 self.refresh(index);
@@ -190,7 +190,7 @@
     }
 
     /// Records the end of an attempt.
-    pub fn finish(&mut self, now: Duration, target: id::TargetId, end: attempt::End) {
+    pub fn finish(&mut self, now: Duration, target: id::TargetId, end: attempt::Outcome) {
         self.readmit(now);
         let Some(index) = self.by_id.get(&target).copied() else {
             return;
@@ -198,28 +198,28 @@
         let entry = &mut self.targets[index as usize];
         entry.own = entry.own.saturating_sub(1);
         match end {
-            attempt::End::Answered { load, .. } => {
-                entry.health.answered();
+            attempt::Outcome::Success { load, .. } => {
+                entry.health.record_success();
                 self.note_load(index, load);
             }
-            attempt::End::Busy { load } => {
+            attempt::Outcome::Busy { load } => {
                 // Without a figure, a refusal still says that every slot is taken.
                 let full = entry.status.announcement.slots;
                 self.note_load(index, Some(load.unwrap_or(full)));
             }
-            attempt::End::Failed | attempt::End::TimedOut | attempt::End::Overtaken => {
-                if entry.health.failed() {
+            attempt::Outcome::Failed | attempt::Outcome::TimedOut | attempt::Outcome::LostHedge => {
+                if entry.health.record_failure() {
                     self.eject(now, index);
                 }
             }
-            attempt::End::Abandoned => {}
+            attempt::Outcome::Abandoned => {}
         }
         self.refresh(index);
         self.remove_if_gone(index);
     }
 
     /// Returns the requests that may be sent now to targets of a service.
-    pub fn free(&mut self, now: Duration, service: id::ServiceId) -> u32 {
+    pub fn free_slots(&mut self, now: Duration, service: id::ServiceId) -> u32 {
         self.readmit(now);
         let remote = self.may_go_remote(now);
         self.services.get(&service).map_or(0, |state| {
@@ -236,7 +236,7 @@
     }
 
     /// Returns a target's address and this VM's part of its connections.
-    pub fn address(&self, target: id::TargetId) -> Option<(std::net::SocketAddr, u32, vm::Distance)> {
+    pub fn endpoint(&self, target: id::TargetId) -> Option<(std::net::SocketAddr, u32, vm::Distance)> {
         let entry = &self.targets[*self.by_id.get(&target)? as usize];
         let distance = match entry.distance {
             0 => vm::Distance::Zone,
@@ -258,7 +258,7 @@
     }
 
     /// Returns how many targets of a service are known and how many of them are ejected.
-    pub fn health(&self, service: id::ServiceId) -> (u32, u32) {
+    pub fn target_counts(&self, service: id::ServiceId) -> (u32, u32) {
         self.services
             .get(&service)
             .map_or((0, 0), |state| (state.targets, state.ejected))
@@ -288,7 +288,7 @@
         }
         for entry in &self.targets {
             let target = entry.status.announcement.target;
-            if self.config.rules.connection_part && entry.own >= entry.connections && entry.room > 0 {
+            if self.config.rules.connection_allotment && entry.own >= entry.connections && entry.room > 0 {
                 return Err(format!(
                     "target {target}: {} connections of {}",
                     entry.own, entry.connections
@@ -374,8 +374,8 @@
         let place = entry.status.place;
         let announcement = &entry.status.announcement;
         entry.connections =
-            part::connections(announcement.connections, place, self.config.own, &self.entries);
-        entry.lent = part::slots(announcement.slots, place, self.config.own, &self.entries);
+            allotment::connections(announcement.connections, place, self.config.own, &self.entries);
+        entry.lent = allotment::slots(announcement.slots, place, self.config.own, &self.entries);
     }
 
     fn room_of(&self, entry: &Target) -> u32 {
@@ -385,13 +385,13 @@
         let slots = entry.status.announcement.slots;
         // Only VMs of the target's zone keep it busy beyond its slots; others would do so over longer links.
         let headroom = if entry.lent > 0 { HEADROOM } else { 0 };
-        let borrowed = match self.config.sharing {
-            Sharing::Lent => entry.lent + headroom,
-            Sharing::Reported | Sharing::Probed => (slots + headroom).saturating_sub(entry.others),
+        let borrowed = match self.config.load_source {
+            LoadSource::Reserved => entry.lent + headroom,
+            LoadSource::Gossip | LoadSource::Response => (slots + headroom).saturating_sub(entry.others),
         };
         let lent = entry.lent;
-        let mut most = entry.health.part(lent.max(borrowed));
-        if self.config.rules.connection_part {
+        let mut most = entry.health.allowed(lent.max(borrowed));
+        if self.config.rules.connection_allotment {
             most = most.min(entry.connections);
         }
         most.saturating_sub(entry.own)
@@ -423,16 +423,16 @@
         }
     }
 
-    fn pick_in(&mut self, class: usize, query: &Query<'_>) -> Option<Index> {
-        let open = &self.services.get(&query.service)?.open[class];
+    fn pick_in(&mut self, class: usize, request: &Request<'_>) -> Option<Index> {
+        let open = &self.services.get(&request.service)?.open[class];
         if open.is_empty() {
             return None;
         }
         let first = open[self.random.random_range(0..open.len())];
         let second = open[self.random.random_range(0..open.len())];
         let usable = |index: Index| {
-            !query
-                .avoid
+            !request
+                .exclude
                 .contains(&self.targets[index as usize].status.announcement.target)
         };
         match (usable(first), usable(second)) {
@@ -456,7 +456,7 @@
     }
 
     fn note_load(&mut self, index: Index, load: Option<u32>) {
-        if self.config.sharing != Sharing::Probed {
+        if self.config.load_source != LoadSource::Response {
             return;
         }
         if let Some(load) = load {
@@ -466,7 +466,7 @@
     }
 
     /// Tells whether the budget for other regions has anything left. The last request may overdraw it, and the
-    /// debt is paid back before the next one, so that the room that [`Router::free`] reports can always be used.
+    /// debt is paid back before the next one, so that the room that [`Router::free_slots`] reports can always be used.
     fn may_go_remote(&mut self, now: Duration) -> bool {
         if !self.config.rules.remote_budget {
             return true;
@@ -535,7 +535,7 @@
     fn lift_excess(&mut self, removed: Index) {
         let service = self.targets[removed as usize].service;
         while self.config.rules.ejection_bound {
-            let (targets, ejected) = self.health(service);
+            let (targets, ejected) = self.target_counts(service);
             if ejected <= targets / 2 {
                 return;
             }
--- a/crates/request/src/rules.rs
+++ b/crates/request/src/rules.rs
@@ -14,7 +14,7 @@
     /// A departing target is not picked.
     pub skip_departing: bool,
     /// A VM keeps to its part of a target's connections.
-    pub connection_part: bool,
+    pub connection_allotment: bool,
     /// Queues are bounded.
     pub queue_bound: bool,
     /// The next request comes from the team that is furthest below its share.
@@ -34,7 +34,7 @@
             retry_budget: true,
             ejection_bound: true,
             skip_departing: true,
-            connection_part: true,
+            connection_allotment: true,
             queue_bound: true,
             fair_queues: true,
             team_limit: true,
--- a/crates/request/tests/decisions.rs
+++ b/crates/request/tests/decisions.rs
@@ -4,9 +4,8 @@
 
 use bronzespoke_model::{target, vm};
 use bronzespoke_request::{
-    admission::{Admission, Done, Flow, Owner, Reason, Ticket, Verdict},
-    attempt::End,
-    part,
+    admission::{self, Admission, Decision, Flow, Owner, Reason, Request},
+    allotment, attempt,
     retry::Retry,
     router::{self, Choice, Router},
     rules::Rules,
@@ -22,8 +21,8 @@
     Duration::from_millis(millis)
 }
 
-const fn ticket(id: u64, deadline: Duration) -> Ticket {
-    Ticket {
+const fn ticket(id: u64, deadline: Duration) -> Request {
+    Request {
         id,
         flow: FLOW,
         weight: 1,
@@ -33,19 +32,19 @@
 }
 
 /// Starts `count` requests and ends each after 100 ms, every second one as `other`.
-fn round(admission: &mut Admission, now: &mut Duration, count: u32, other: Done) -> u32 {
+fn round(admission: &mut Admission, now: &mut Duration, count: u32, other: admission::Outcome) -> u32 {
     let mut started = 0;
     for id in 0..count {
-        let verdict = admission.offer(*now, ticket(u64::from(id), *now + ms(60_000)), 10_000);
-        started += u32::from(verdict == Verdict::Run);
+        let verdict = admission.admit(*now, ticket(u64::from(id), *now + ms(60_000)), 10_000);
+        started += u32::from(verdict == Decision::Admitted);
     }
     *now += ms(100);
     for number in 0..started {
-        let answered = Done::Answered { latency: ms(100) };
-        admission.done(*now, FLOW, if number % 2 == 0 { answered } else { other });
+        let answered = admission::Outcome::Success { latency: ms(100) };
+        admission.finish(*now, FLOW, if number % 2 == 0 { answered } else { other });
     }
-    while admission.next(*now, 1, 10_000).is_some() {
-        admission.done(*now, FLOW, Done::Other);
+    while admission.dequeue(*now, 1, 10_000).is_some() {
+        admission.finish(*now, FLOW, admission::Outcome::Ignored);
     }
     started
 }
@@ -56,11 +55,11 @@
     let mut admission = Admission::new(1, Rules::default());
     let mut now = ms(0);
     for _ in 0..30 {
-        round(&mut admission, &mut now, 100, Done::Overloaded);
+        round(&mut admission, &mut now, 100, admission::Outcome::Overloaded);
     }
     let low = admission.limit(1).expect("the service is known");
     assert!(low < 50, "the limit is {low} after 30 rounds of overload");
-    let good = Done::Answered { latency: ms(100) };
+    let good = admission::Outcome::Success { latency: ms(100) };
     for _ in 0..60 {
         round(&mut admission, &mut now, 100, good);
     }
@@ -73,22 +72,22 @@
 #[test]
 fn a_request_without_time_is_not_sent() {
     let mut admission = Admission::new(1, Rules::default());
-    assert_eq!(admission.offer(ms(0), ticket(1, ms(1000)), 1), Verdict::Run);
-    admission.done(ms(100), FLOW, Done::Answered { latency: ms(100) });
-    let refused = admission.offer(ms(100), ticket(2, ms(150)), 0);
+    assert_eq!(admission.admit(ms(0), ticket(1, ms(1000)), 1), Decision::Admitted);
+    admission.finish(ms(100), FLOW, admission::Outcome::Success { latency: ms(100) });
+    let refused = admission.admit(ms(100), ticket(2, ms(150)), 0);
     assert!(
         matches!(
             refused,
-            Verdict::Refused {
+            Decision::Rejected {
                 reason: Reason::Deadline,
                 ..
             }
         ),
         "{refused:?}"
     );
-    assert_eq!(admission.offer(ms(100), ticket(3, ms(1000)), 0), Verdict::Queued);
-    assert_eq!(admission.next(ms(950), 1, 1), None);
-    assert_eq!(admission.expired().map(|ticket| ticket.id), Some(3));
+    assert_eq!(admission.admit(ms(100), ticket(3, ms(1000)), 0), Decision::Queued);
+    assert_eq!(admission.dequeue(ms(950), 1, 1), None);
+    assert_eq!(admission.pop_expired().map(|ticket| ticket.id), Some(3));
     admission.verify().expect("the counters agree");
 }
 
@@ -97,9 +96,9 @@
 fn advice_to_return_is_spread() {
     let mut admission = Admission::new(1, Rules::default());
     let mut advice: Vec<Duration> = (0..50)
-        .filter_map(|id| match admission.offer(ms(0), ticket(id, ms(0)), 0) {
-            Verdict::Refused { retry_after, .. } => Some(retry_after),
-            Verdict::Run | Verdict::Queued => None,
+        .filter_map(|id| match admission.admit(ms(0), ticket(id, ms(0)), 0) {
+            Decision::Rejected { retry_after, .. } => Some(retry_after),
+            Decision::Admitted | Decision::Queued => None,
         })
         .collect();
     advice.sort_unstable();
@@ -113,10 +112,10 @@
 
 fn router(targets: u64) -> Router {
     let mut router = Router::new(router::Config {
-        own: part::Entry { vm: 1, place: PLACE },
+        own: allotment::Entry { vm: 1, place: PLACE },
         remote_bytes_per_second: 0,
         seed: 1,
-        sharing: router::Sharing::Probed,
+        load_source: router::LoadSource::Response,
         rules: Rules::default(),
     });
     let targets: Vec<_> = (1..=targets)
@@ -138,15 +137,15 @@
             (1, status)
         })
         .collect();
-    router.observe(ms(0), router::Update::Replace(&targets));
+    router.apply(ms(0), router::Update::Targets(&targets));
     router
 }
 
 /// Sends as much as there is room for; returns how much target 1 got.
 fn fill(router: &mut Router, now: Duration) -> usize {
-    let query = router::Query {
+    let query = router::Request {
         service: 1,
-        avoid: &[],
+        exclude: &[],
         bytes: 1,
     };
     let mut picked = Vec::new();
@@ -154,7 +153,7 @@
         picked.push(target);
     }
     for target in &picked {
-        router.finish(now, *target, End::Abandoned);
+        router.finish(now, *target, attempt::Outcome::Abandoned);
     }
     picked.iter().filter(|target| **target == 1).count()
 }
@@ -165,20 +164,20 @@
     let mut router = router(2);
     assert_eq!(fill(&mut router, ms(0)), 9);
     for _ in 0..5 {
-        router.finish(ms(0), 1, End::Failed);
+        router.finish(ms(0), 1, attempt::Outcome::Failed);
     }
     assert_eq!(fill(&mut router, ms(1999)), 0);
     let mut parts = vec![fill(&mut router, ms(2000))];
     for _ in 0..3 {
         for _ in 0..4 {
             let latency = ms(1);
-            router.finish(ms(2000), 1, End::Answered { latency, load: None });
+            router.finish(ms(2000), 1, attempt::Outcome::Success { latency, load: None });
         }
         parts.push(fill(&mut router, ms(2000)));
     }
     assert_eq!(parts, [1, 2, 4, 9]);
     for _ in 0..5 {
-        router.finish(ms(3000), 1, End::Failed);
+        router.finish(ms(3000), 1, attempt::Outcome::Failed);
     }
     assert_eq!(
         fill(&mut router, ms(5000)),
@@ -195,7 +194,7 @@
     let mut retry = Retry::new(10, Rules::default());
     assert!(!retry.is_late(1, ms(999)) && retry.is_late(1, ms(1000)));
     for _ in 0..200 {
-        retry.answered(1, ms(10));
+        retry.record_latency(1, ms(10));
     }
     assert!(!retry.is_late(1, ms(39)) && retry.is_late(1, ms(42)));
 }
--- a/crates/request/tests/properties.rs
+++ b/crates/request/tests/properties.rs
@@ -5,8 +5,8 @@
 
 use bronzespoke_model::{id, target, vm};
 use bronzespoke_request::{
-    admission::{self, Admission, Flow, Owner, Ticket, Verdict},
-    attempt, part,
+    admission::{self, Admission, Decision, Flow, Owner, Request},
+    allotment, attempt,
     retry::{self, Retry},
     router::{self, Router},
     rules::Rules,
@@ -69,35 +69,35 @@
     let mut retry = Retry::new(10, rules);
     let mut paid = 0;
     for (repeatable, states) in requests {
-        retry.started(FLOW);
-        let mut history = attempt::Knowledge::NotRun;
-        let mut worst = attempt::Knowledge::NotRun;
+        retry.record_request(FLOW);
+        let mut history = attempt::Execution::NotRun;
+        let mut worst = attempt::Execution::NotRun;
         for (number, state) in (1..).zip(states) {
             let state = [
-                attempt::State::NotSent,
-                attempt::State::MaybeRun,
-                attempt::State::Run,
+                attempt::Progress::NotSent,
+                attempt::Progress::Sent,
+                attempt::Progress::ResponseStarted,
             ][usize::from(*state)];
-            worst = worst.max(state.knowledge());
+            worst = worst.max(state.execution());
             let question = retry::Attempt {
                 flow: FLOW,
                 repeatable: *repeatable,
                 state,
                 history,
                 attempts: number,
-                answer_begun: false,
+                response_started: false,
                 deadline: ms(1000),
             };
             match retry.decide(ms(0), &question) {
-                retry::Decision::Again(known) => {
-                    if !repeatable && worst != attempt::Knowledge::NotRun {
+                retry::Decision::Retry(known) => {
+                    if !repeatable && worst != attempt::Execution::NotRun {
                         return Err(format!("a non-repeatable request is sent again after {state:?}"));
                     }
-                    paid += u64::from(!(state == attempt::State::NotSent && number == 1));
+                    paid += u64::from(!(state == attempt::Progress::NotSent && number == 1));
                     history = known;
                 }
-                retry::Decision::Stop(known) => {
-                    if known == attempt::Knowledge::NotRun && worst != attempt::Knowledge::NotRun {
+                retry::Decision::GiveUp(known) => {
+                    if known == attempt::Execution::NotRun && worst != attempt::Execution::NotRun {
                         return Err("a request that may have run is called not run".to_owned());
                     }
                     break;
@@ -152,7 +152,7 @@
 const RATE: u32 = 40_000;
 
 fn check_routing(rules: Rules, steps: &Vec<Step>) -> Result<(), String> {
-    let own = part::Entry {
+    let own = allotment::Entry {
         vm: 1,
         place: vm::Place { region: 0, zone: 0 },
     };
@@ -160,22 +160,22 @@
         own,
         remote_bytes_per_second: RATE,
         seed: 5,
-        sharing: router::Sharing::Probed,
+        load_source: router::LoadSource::Response,
         rules,
     });
     let mut targets: Vec<(id::ServiceId, target::Status)> = (1..8).map(|id| (1, status(id))).collect();
     let mut now = ms(0);
     let mut sent: Vec<id::TargetId> = Vec::new();
-    router.observe(now, router::Update::Replace(&targets));
+    router.apply(now, router::Update::Targets(&targets));
     for step in steps {
         match step {
             Step::Pick => {
-                let query = router::Query {
+                let query = router::Request {
                     service: 1,
-                    avoid: &[],
+                    exclude: &[],
                     bytes: BYTES,
                 };
-                let free = router.free(now, 1);
+                let free = router.free_slots(now, 1);
                 let choice = router.pick(now, &query);
                 if (free > 0) != matches!(choice, router::Choice::Target(_)) {
                     return Err(format!("room for {free}, but the choice is {choice:?}"));
@@ -188,12 +188,12 @@
             Step::End(end, which) if !sent.is_empty() => {
                 let id = sent.swap_remove(which % sent.len());
                 let end = match end {
-                    0 => attempt::End::Answered {
+                    0 => attempt::Outcome::Success {
                         latency: ms(5),
                         load: Some(3),
                     },
-                    1 => attempt::End::TimedOut,
-                    _ => attempt::End::Failed,
+                    1 => attempt::Outcome::TimedOut,
+                    _ => attempt::Outcome::Failed,
                 };
                 router.finish(now, id, end);
             }
@@ -209,9 +209,9 @@
             },
             Step::Wait(millis) => now += ms(*millis),
         }
-        router.observe(now, router::Update::Replace(&targets));
+        router.apply(now, router::Update::Targets(&targets));
         router.verify()?;
-        let (known, ejected) = router.health(1);
+        let (known, ejected) = router.target_counts(1);
         if ejected > known / 2 {
             return Err(format!("{ejected} of {known} targets are ejected"));
         }
@@ -241,7 +241,7 @@
     if status.departing {
         return Err(format!("target {id} departs but is picked"));
     }
-    let part = router.address(id).map_or(0, |(_, part, _)| part);
+    let part = router.endpoint(id).map_or(0, |(_, part, _)| part);
     let now = sent.iter().filter(|other| **other == id).count() as u32 + 1;
     if now > part {
         return Err(format!("{now} requests at target {id}, this VM's part is {part}"));
@@ -292,7 +292,7 @@
         check_routing,
         &[
             |rules| rules.skip_departing = false,
-            |rules| rules.connection_part = false,
+            |rules| rules.connection_allotment = false,
             |rules| rules.ejection_bound = false,
             |rules| rules.remote_budget = false,
         ],
@@ -318,7 +318,7 @@
             service: 1,
             owner: Owner::Team(*team),
         };
-        let ticket = Ticket {
+        let ticket = Request {
             id,
             flow,
             weight: team + 1,
@@ -326,18 +326,18 @@
             deadline: ms(3_600_000),
         };
         let free = ROOM.saturating_sub(running.len() as u32);
-        match admission.offer(ms(id), ticket, free) {
-            Verdict::Run => running.push(flow),
-            Verdict::Queued => *waiting.entry(*team).or_insert(0) += 1,
-            Verdict::Refused { .. } => {}
+        match admission.admit(ms(id), ticket, free) {
+            Decision::Admitted => running.push(flow),
+            Decision::Queued => *waiting.entry(*team).or_insert(0) += 1,
+            Decision::Rejected { .. } => {}
         }
         for _ in 0..*ends {
             if !running.is_empty() {
                 let flow = running.swap_remove(id as usize % running.len());
-                admission.done(ms(id), flow, admission::Done::Other);
+                admission.finish(ms(id), flow, admission::Outcome::Ignored);
             }
             let free = ROOM.saturating_sub(running.len() as u32);
-            if let Some(next) = admission.next(ms(id), 1, free) {
+            if let Some(next) = admission.dequeue(ms(id), 1, free) {
                 let Owner::Team(team) = next.flow.owner else {
                     return Err("a queue owner appeared".to_owned());
                 };
@@ -413,19 +413,20 @@
                 region,
                 zone: region * 3 + zone,
             };
-            let entries: Vec<part::Entry> = (1..)
+            let entries: Vec<allotment::Entry> = (1..)
                 .zip(&places)
-                .map(|(vm, (region, zone))| part::Entry {
+                .map(|(vm, (region, zone))| allotment::Entry {
                     vm,
                     place: place(*region, *zone),
                 })
                 .collect();
             let target = place(region, zone);
-            let sum =
-                |part: &dyn Fn(part::Entry) -> u32| entries.iter().map(|entry| part(*entry)).sum::<u32>();
-            prop_assert!(sum(&|own| part::connections(total, target, own, &entries)) <= total);
-            prop_assert_eq!(sum(&|own| part::slots(total, target, own, &entries)), total);
-            prop_assert_eq!(sum(&|own| part::limit(total, own.vm, &entries)), total);
+            let sum = |part: &dyn Fn(allotment::Entry) -> u32| {
+                entries.iter().map(|entry| part(*entry)).sum::<u32>()
+            };
+            prop_assert!(sum(&|own| allotment::connections(total, target, own, &entries)) <= total);
+            prop_assert_eq!(sum(&|own| allotment::slots(total, target, own, &entries)), total);
+            prop_assert_eq!(sum(&|own| allotment::limit(total, own.vm, &entries)), total);
             Ok(())
         },
     );
