--- a/crates/bench/benches/capacity/reports.rs
+++ b/crates/bench/benches/capacity/reports.rs
@@ -188,7 +188,7 @@
 }
 
 async fn gateway(starts: u32, cancel: CancellationToken) -> SocketAddr {
-    let (calls, mut receiver) = mpsc::channel(control::CALL_QUEUE);
+    let (calls, mut receiver) = mpsc::channel(control::CALL_QUEUE_CAPACITY);
     let handle = control::Handle {
         calls,
         view: watch::channel(Arc::new(control::View::default())).1,
@@ -206,7 +206,7 @@
     let listener = tokio::net::TcpListener::bind(("127.0.0.1", 0))
         .await
         .expect("loopback has a free port");
-    let render: server::Render = Arc::new(String::new);
+    let render: server::MetricsRenderer = Arc::new(String::new);
     let settings = settings::Settings::default();
     let server = server::Server::start(listener, settings, handle, render, cancel.clone())
         .expect("the gateway starts");
--- a/crates/bench/benches/speed/request.rs
+++ b/crates/bench/benches/speed/request.rs
@@ -242,7 +242,7 @@
     };
     view.queues.insert(queue.name.clone(), queue);
     let usable = vec![status(1, target.address(), PLACE)];
-    let (calls, call_receiver) = mpsc::channel(control::CALL_QUEUE);
+    let (calls, call_receiver) = mpsc::channel(control::CALL_QUEUE_CAPACITY);
     let (view, view_receiver) = watch::channel(Arc::new(view));
     let (targets, targets_receiver) = watch::channel(Arc::new(control::Targets { usable }));
     let handle = control::Handle {
@@ -255,7 +255,7 @@
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
         .await
         .expect("loopback binds");
-    let render: server::Render = Arc::new(String::new);
+    let render: server::MetricsRenderer = Arc::new(String::new);
     let settings = settings::Settings::default();
     let server = server::Server::start(listener, settings, handle, render, cancel.clone());
     (
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -219,8 +219,8 @@
 }
 
 /// Returns a stored answer as the gateway knows it.
-pub fn answer(answer: zone::Answer) -> control::Answer {
-    control::Answer {
+pub fn answer(answer: zone::Answer) -> control::StoredResponse {
+    control::StoredResponse {
         status: answer.status,
         content_type: answer.content_type,
         body: answer.body,
--- a/crates/daemon/src/control/force.rs
+++ b/crates/daemon/src/control/force.rs
@@ -85,7 +85,7 @@
             .is_some_and(|applied| applied >= force.index);
         match force.condition {
             Condition::Withdrawal => {
-                applied || waited >= control::Freshness::KEY_FRESHNESS.mul_f64(1.0 + DRIFT)
+                applied || waited >= control::Freshness::MAX_KEY_VIEW_AGE.mul_f64(1.0 + DRIFT)
             }
             Condition::Everywhere => applied,
             Condition::Limit(team) => {
--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -208,7 +208,7 @@
     /// the recorded end.
     fn end_submission(&mut self, submission: Submission, result: Result<id::JobId, control::Refusal>) {
         let completion = match &result {
-            Ok(job) => control::Completion::Answered(control::Answer {
+            Ok(job) => control::Completion::Answered(control::StoredResponse {
                 status: 202,
                 content_type: String::from("text/plain"),
                 body: Bytes::from(job.to_string()),
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -179,7 +179,7 @@
             targets,
         };
         let (inbox, control) = spawn_control(start)?;
-        let (calls, call_receiver) = mpsc::channel(edge::CALL_QUEUE);
+        let (calls, call_receiver) = mpsc::channel(edge::CALL_QUEUE_CAPACITY);
         let handle = edge::Handle {
             calls: calls.clone(),
             view: view_receiver,
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -67,7 +67,7 @@
     /// Connections that are open.
     pub tracker: TaskTracker,
     /// Renders metrics.
-    pub metrics: bronzespoke_gateway::server::Render,
+    pub metrics: bronzespoke_gateway::server::MetricsRenderer,
 }
 
 /// Accepts connections until the listener is dropped or `stop` is cancelled.
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -34,7 +34,7 @@
 }
 
 /// Returns what renders `/metrics`.
-pub fn render(network: peer::Network) -> server::Render {
+pub fn render(network: peer::Network) -> server::MetricsRenderer {
     let handle = recorder();
     Arc::new(move || {
         let mut text = handle.map(PrometheusHandle::render).unwrap_or_default();
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -4,7 +4,7 @@
 
 use bronzespoke_control::zone;
 use bronzespoke_daemon::peer::wire;
-use bronzespoke_gateway::control::{Answer, Call, Claim, Claimed, Completion};
+use bronzespoke_gateway::control::{Call, Claim, Claimed, Completion, StoredResponse};
 use bronzespoke_model::id;
 use bytes::Bytes;
 use tokio::sync::oneshot::{self, error::TryRecvError};
@@ -61,7 +61,7 @@
     let Ok(Claimed::Granted(claimed)) = receiver.await else {
         panic!("the claim is granted");
     };
-    let answer = Answer {
+    let answer = StoredResponse {
         status: 200,
         content_type: String::from("text/plain"),
         body: Bytes::from("diploma"),
--- a/crates/gateway/src/answer.rs
+++ b/crates/gateway/src/body.rs
@@ -17,14 +17,14 @@
 
 /// An answer that cannot be completed; the caller's connection is closed without an end mark.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Cut {
+pub enum Error {
     /// The target broke off.
     Target,
     /// The deadline passed.
     Deadline,
 }
 
-impl fmt::Display for Cut {
+impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
             Self::Target => "the target broke off its answer",
@@ -33,7 +33,7 @@
     }
 }
 
-impl std::error::Error for Cut {}
+impl std::error::Error for Error {}
 
 /// Counts a request until its answer has been handed to the connection.
 pub(crate) struct InFlight(Arc<AtomicUsize>);
@@ -54,7 +54,7 @@
 enum Kind {
     Full(Option<Bytes>),
     Stream(Box<Stream>),
-    Channel(mpsc::Receiver<Result<Bytes, Cut>>),
+    Channel(mpsc::Receiver<Result<Bytes, Error>>),
 }
 
 /// Body of an answer.
@@ -85,7 +85,7 @@
         }
     }
 
-    pub(crate) fn channel(receiver: mpsc::Receiver<Result<Bytes, Cut>>) -> Self {
+    pub(crate) fn channel(receiver: mpsc::Receiver<Result<Bytes, Error>>) -> Self {
         Self {
             kind: Kind::Channel(receiver),
             in_flight: None,
@@ -99,9 +99,12 @@
 
 impl hyper::body::Body for Body {
     type Data = Bytes;
-    type Error = Cut;
+    type Error = Error;
 
-    fn poll_frame(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Result<Frame<Bytes>, Cut>>> {
+    fn poll_frame(
+        mut self: Pin<&mut Self>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         match &mut self.kind {
             Kind::Full(bytes) => {
                 let bytes = bytes.take().filter(|bytes| !bytes.is_empty());
@@ -164,7 +167,7 @@
     }
 
     /// Reports an answer that was cut short; the connection is closed.
-    pub(crate) fn fail(self, cut: Cut, bytes: u64) {
+    pub(crate) fn fail(self, cut: Error, bytes: u64) {
         let Self {
             mut permit,
             pick,
@@ -173,8 +176,8 @@
         } = self;
         drop(lease);
         match cut {
-            Cut::Target => pick.end(attempt::Outcome::Failed, bytes),
-            Cut::Deadline => {
+            Error::Target => pick.end(attempt::Outcome::Failed, bytes),
+            Error::Deadline => {
                 if pick.is_late() {
                     permit.set(admission::Outcome::Overloaded);
                 }
@@ -206,16 +209,16 @@
     }
 
     /// Returns the next piece; `None` only after the whole answer.
-    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Cut>> {
+    pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Error>> {
         std::future::poll_fn(|context| self.poll(context)).await
     }
 
-    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Cut>>> {
+    fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
         if self.running.is_none() {
             return Poll::Ready(None);
         }
         if self.deadline.as_mut().poll(context).is_ready() {
-            return Poll::Ready(Some(Err(self.end(Cut::Deadline))));
+            return Poll::Ready(Some(Err(self.end(Error::Deadline))));
         }
         loop {
             let frame = match Pin::new(&mut self.incoming).poll_frame(context) {
@@ -234,7 +237,7 @@
                     }
                     return Poll::Ready(Some(Ok(data)));
                 }
-                Some(Err(_)) => return Poll::Ready(Some(Err(self.end(Cut::Target)))),
+                Some(Err(_)) => return Poll::Ready(Some(Err(self.end(Error::Target)))),
                 None => {
                     self.complete();
                     return Poll::Ready(None);
@@ -249,7 +252,7 @@
         }
     }
 
-    fn end(&mut self, cut: Cut) -> Cut {
+    fn end(&mut self, cut: Error) -> Error {
         self.cut = true;
         if let Some(running) = self.running.take() {
             running.fail(cut, self.bytes);
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -5,7 +5,7 @@
 use http::StatusCode;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{control, fault};
+use crate::{control, error};
 
 /// Longest wait until the end of a claimed request is recorded; after it, the caller gets its answer all the same.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
@@ -16,12 +16,12 @@
     timeout: Duration,
     path: &str,
     call: impl FnOnce(control::Reply<T>) -> control::Call,
-) -> Result<T, fault::Fault> {
+) -> Result<T, error::Error> {
     let (sender, receiver) = oneshot::channel();
     send(handle, call(sender))?;
     match tokio::time::timeout(timeout, receiver).await {
         Ok(Ok(Ok(value))) => Ok(value),
-        Ok(Ok(Err(refusal))) => Err(fault::Fault::refused(refusal, path)),
+        Ok(Ok(Err(refusal))) => Err(error::Error::refused(refusal, path)),
         Ok(Err(_)) => Err(no_answer("control ended the call without an answer")),
         Err(_) => Err(no_answer("control did not answer in time")),
     }
@@ -32,7 +32,7 @@
     handle: &control::Handle,
     deadline: tokio::time::Instant,
     claim: &control::Claim,
-) -> Result<control::Claimed, fault::Fault> {
+) -> Result<control::Claimed, error::Error> {
     let (sender, mut receiver) = oneshot::channel();
     send(handle, control::Call::Claim(claim.clone(), sender))?;
     match tokio::time::timeout_at(deadline, &mut receiver).await {
@@ -68,18 +68,18 @@
     drop(tokio::time::timeout(RECORD_TIMEOUT, receiver).await);
 }
 
-fn send(handle: &control::Handle, call: control::Call) -> Result<(), fault::Fault> {
+fn send(handle: &control::Handle, call: control::Call) -> Result<(), error::Error> {
     handle.calls.try_send(call).map_err(|error| match error {
         mpsc::error::TrySendError::Full(_) => unavailable("too many calls wait for control"),
         mpsc::error::TrySendError::Closed(_) => unavailable("control has stopped"),
     })
 }
 
-fn unavailable(message: &str) -> fault::Fault {
-    fault::Fault::not_run(StatusCode::SERVICE_UNAVAILABLE, "unavailable", message)
+fn unavailable(message: &str) -> error::Error {
+    error::Error::not_run(StatusCode::SERVICE_UNAVAILABLE, "unavailable", message)
         .with_retry_after(Duration::from_secs(1))
 }
 
-fn no_answer(message: &str) -> fault::Fault {
-    fault::Fault::unknown(StatusCode::GATEWAY_TIMEOUT, "unknown", message)
+fn no_answer(message: &str) -> error::Error {
+    error::Error::unknown(StatusCode::GATEWAY_TIMEOUT, "unknown", message)
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -15,7 +15,7 @@
 use tokio::sync::{mpsc, oneshot, watch};
 
 /// Calls that may wait for control; a full channel is answered with 503 and `not run`.
-pub const CALL_QUEUE: usize = 4096;
+pub const CALL_QUEUE_CAPACITY: usize = 4096;
 
 /// The part of the root state that requests need.
 #[derive(Debug, Clone, Default)]
@@ -60,7 +60,7 @@
     /// Another attempt holds the id.
     InProgress,
     /// The first answer.
-    Answered(Answer),
+    Answered(StoredResponse),
     /// The first attempt may or may not have run and its answer is not known.
     Unknown,
     /// The claim was not recorded; the request was not run.
@@ -69,7 +69,7 @@
 
 /// A stored answer.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Answer {
+pub struct StoredResponse {
     /// HTTP status.
     pub status: u16,
     /// Content type.
@@ -82,7 +82,7 @@
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Completion {
     /// The answer to store.
-    Answered(Answer),
+    Answered(StoredResponse),
     /// The request certainly did not run; the id is free again.
     NotRun,
     /// The request may have run; its answer is not known.
@@ -187,7 +187,7 @@
 
 impl Freshness {
     /// Longest age of a view that keyed work is honoured under.
-    pub const KEY_FRESHNESS: Duration = Duration::from_secs(3);
+    pub const MAX_KEY_VIEW_AGE: Duration = Duration::from_secs(3);
 
     /// Returns a record without any known basis; `origin` is the start of the process.
     pub fn new(origin: Instant) -> Self {
@@ -212,6 +212,6 @@
     pub fn is_fresh(&self) -> bool {
         let basis = self.basis_micros.load(Ordering::Relaxed);
         let age = self.origin.elapsed().saturating_sub(Duration::from_micros(basis));
-        basis > 0 && age <= Self::KEY_FRESHNESS
+        basis > 0 && age <= Self::MAX_KEY_VIEW_AGE
     }
 }
--- a/crates/gateway/src/fault.rs
+++ b/crates/gateway/src/error.rs
@@ -7,11 +7,11 @@
 use http::{HeaderValue, StatusCode, header};
 use serde::Serialize;
 
-use crate::{answer, control};
+use crate::{body, control};
 
 /// What a caller is told about a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
-pub enum Run {
+pub enum Execution {
     /// It certainly did not run.
     #[serde(rename = "not run")]
     NotRun,
@@ -25,7 +25,7 @@
 
 /// A refusal or failure.
 #[derive(Debug, Clone)]
-pub struct Fault {
+pub struct Error {
     /// HTTP status.
     pub status: StatusCode,
     /// Stable code for programs.
@@ -35,7 +35,7 @@
     /// Field, header or path segment at fault.
     pub field: Option<Box<str>>,
     /// What is known about a run.
-    pub run: Run,
+    pub run: Execution,
     /// When to try again.
     pub retry_after: Option<Duration>,
     /// Where to go instead.
@@ -54,10 +54,10 @@
     code: &'a str,
     message: &'a str,
     field: Option<&'a str>,
-    run: Run,
+    run: Execution,
 }
 
-impl Fault {
+impl Error {
     /// Returns a fault that refuses before anything was sent.
     pub fn not_run(status: StatusCode, code: &'static str, message: impl Into<Box<str>>) -> Self {
         Self {
@@ -65,7 +65,7 @@
             code,
             message: message.into(),
             field: None,
-            run: Run::NotRun,
+            run: Execution::NotRun,
             retry_after: None,
             location: None,
             allow: None,
@@ -75,7 +75,7 @@
     /// Returns a fault after which a run is possible.
     pub fn unknown(status: StatusCode, code: &'static str, message: impl Into<Box<str>>) -> Self {
         Self {
-            run: Run::Unknown,
+            run: Execution::Unknown,
             ..Self::not_run(status, code, message)
         }
     }
@@ -100,9 +100,9 @@
     /// Sets what is known about a run.
     pub const fn with_run(mut self, known: attempt::Execution) -> Self {
         self.run = match known {
-            attempt::Execution::NotRun => Run::NotRun,
+            attempt::Execution::NotRun => Execution::NotRun,
             // An answer that began but was cut short does not prove that the work was finished.
-            attempt::Execution::Unknown | attempt::Execution::Run => Run::Unknown,
+            attempt::Execution::Unknown | attempt::Execution::Run => Execution::Unknown,
         };
         self
     }
@@ -138,7 +138,7 @@
     }
 
     /// Returns the HTTP answer.
-    pub fn into_response(self) -> http::Response<answer::Body> {
+    pub fn into_response(self) -> http::Response<body::Body> {
         let page = Page {
             error: Detail {
                 code: self.code,
@@ -148,7 +148,7 @@
             },
         };
         let body = serde_json::to_vec(&page).expect("the page is plain data");
-        let mut response = http::Response::new(answer::Body::full(Bytes::from(body)));
+        let mut response = http::Response::new(body::Body::full(Bytes::from(body)));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
         headers.insert(header::CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/crates/gateway/src/filter/body.rs
+++ b/crates/gateway/src/filter/body.rs
@@ -8,7 +8,7 @@
 use hyper::body::Incoming;
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
-use crate::{fault, settings};
+use crate::{error, settings};
 
 /// A received body; its memory counts until this is dropped.
 #[derive(Debug)]
@@ -24,14 +24,14 @@
     limit: usize,
     memory: &Arc<Semaphore>,
     settings: &settings::Settings,
-) -> Result<Received, fault::Fault> {
+) -> Result<Received, error::Error> {
     let announced = announced(headers)?;
     if let Some(length) = announced.filter(|length| *length > limit as u64) {
         return Err(too_large(&format!("{length} bytes"), limit));
     }
     let reserved = announced.map_or(limit, |length| length as usize);
     let Ok(permit) = Arc::clone(memory).try_acquire_many_owned(reserved as u32) else {
-        return Err(fault::Fault::not_run(
+        return Err(error::Error::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "memory",
             "the memory for request bodies is in use",
@@ -48,7 +48,7 @@
     })
 }
 
-async fn read(mut body: Incoming, limit: usize, stall: Duration) -> Result<Bytes, fault::Fault> {
+async fn read(mut body: Incoming, limit: usize, stall: Duration) -> Result<Bytes, error::Error> {
     let mut received = BytesMut::new();
     loop {
         let frame = tokio::time::timeout(stall, body.frame())
@@ -58,7 +58,7 @@
             return Ok(received.freeze());
         };
         let frame =
-            frame.map_err(|error| fault::Fault::field("body", format!("the body is broken: {error}")))?;
+            frame.map_err(|error| error::Error::field("body", format!("the body is broken: {error}")))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -69,25 +69,25 @@
     }
 }
 
-fn announced(headers: &HeaderMap) -> Result<Option<u64>, fault::Fault> {
+fn announced(headers: &HeaderMap) -> Result<Option<u64>, error::Error> {
     let Some(value) = headers.get(header::CONTENT_LENGTH) else {
         return Ok(None);
     };
     let shown = String::from_utf8_lossy(value.as_bytes());
     shown.parse().map(Some).map_err(|_error| {
-        fault::Fault::field(
+        error::Error::field(
             "content-length",
             format!("`{shown}` is not a length; whole bytes are allowed"),
         )
     })
 }
 
-fn too_large(length: &str, limit: usize) -> fault::Fault {
+fn too_large(length: &str, limit: usize) -> error::Error {
     let message = format!("the body has {length}, at most {limit} are allowed");
-    fault::Fault::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message).with_field("body")
+    error::Error::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message).with_field("body")
 }
 
-fn slow(message: &str, allowed: Duration) -> fault::Fault {
+fn slow(message: &str, allowed: Duration) -> error::Error {
     let message = format!("{message}; {} ms are allowed", allowed.as_millis());
-    fault::Fault::not_run(StatusCode::REQUEST_TIMEOUT, "slow_body", message).with_field("body")
+    error::Error::not_run(StatusCode::REQUEST_TIMEOUT, "slow_body", message).with_field("body")
 }
--- a/crates/gateway/src/filter/identity.rs
+++ b/crates/gateway/src/filter/identity.rs
@@ -2,7 +2,7 @@
 
 use http::{HeaderMap, HeaderName};
 
-use crate::fault;
+use crate::error;
 
 /// Header that makes a request non-repeatable; a request without it is repeatable.
 pub(crate) const HEADER: HeaderName = HeaderName::from_static("idempotency-key");
@@ -10,13 +10,13 @@
 const ID_BYTES: usize = 128;
 
 /// Returns the request id, if there is one.
-pub(crate) fn parse(headers: &HeaderMap) -> Result<Option<String>, fault::Fault> {
+pub(crate) fn parse(headers: &HeaderMap) -> Result<Option<String>, error::Error> {
     let mut values = headers.get_all(&HEADER).iter();
     let Some(value) = values.next() else {
         return Ok(None);
     };
     if values.next().is_some() {
-        return Err(fault::Fault::field(
+        return Err(error::Error::field(
             HEADER.as_str(),
             "the header comes more than once; one is allowed",
         ));
@@ -25,11 +25,11 @@
 }
 
 /// Checks a request id that came in `field`.
-pub(crate) fn check(id: &str, field: &str) -> Result<String, fault::Fault> {
+pub(crate) fn check(id: &str, field: &str) -> Result<String, error::Error> {
     let printable = id.bytes().all(|byte| byte.is_ascii_graphic());
     if id.is_empty() || id.len() > ID_BYTES || !printable {
         let shown: String = id.chars().take(ID_BYTES).collect();
-        return Err(fault::Fault::field(
+        return Err(error::Error::field(
             field,
             format!("`{shown}` is not a request id; 1 to {ID_BYTES} printable ASCII characters are allowed"),
         ));
--- a/crates/gateway/src/filter/json.rs
+++ b/crates/gateway/src/filter/json.rs
@@ -2,14 +2,14 @@
 
 use serde::de::DeserializeOwned;
 
-use crate::fault;
+use crate::error;
 
 /// Parses a JSON body.
-pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, fault::Fault> {
+pub(crate) fn parse<T: DeserializeOwned>(body: &[u8]) -> Result<T, error::Error> {
     serde_json::from_slice(body).map_err(|error| {
         let message = error.to_string();
         let field = named(&message).or_else(|| field_before(body, error.line(), error.column()));
-        fault::Fault::field(field.unwrap_or("body"), message.as_str())
+        error::Error::field(field.unwrap_or("body"), message.as_str())
     })
 }
 
--- a/crates/gateway/src/filter/key.rs
+++ b/crates/gateway/src/filter/key.rs
@@ -10,7 +10,7 @@
 use sha2::{Digest, Sha256};
 use subtle::ConstantTimeEq;
 
-use crate::{control, fault};
+use crate::{control, error};
 
 /// Bytes of a key.
 const KEY_BYTES: usize = 512;
@@ -25,13 +25,13 @@
 }
 
 /// Returns the team of the key in the `Authorization` header.
-pub(crate) fn team(handle: &control::Handle, headers: &HeaderMap) -> Result<Granted, fault::Fault> {
+pub(crate) fn team(handle: &control::Handle, headers: &HeaderMap) -> Result<Granted, error::Error> {
     let key = bearer(headers)?;
     team_of(handle, key.as_bytes())
 }
 
 /// Returns the team of a key.
-pub(crate) fn team_of(handle: &control::Handle, key: &[u8]) -> Result<Granted, fault::Fault> {
+pub(crate) fn team_of(handle: &control::Handle, key: &[u8]) -> Result<Granted, error::Error> {
     if key.is_empty() || key.len() > KEY_BYTES {
         return Err(unauthorized(&format!("a key has 1 to {KEY_BYTES} bytes")));
     }
@@ -41,9 +41,9 @@
 }
 
 /// Returns the team whose key has this hash, if the key is granted now.
-pub(crate) fn check(handle: &control::Handle, hash: &team::KeyHash) -> Result<Arc<team::Team>, fault::Fault> {
+pub(crate) fn check(handle: &control::Handle, hash: &team::KeyHash) -> Result<Arc<team::Team>, error::Error> {
     if !handle.freshness.is_fresh() {
-        return Err(fault::Fault::not_run(
+        return Err(error::Error::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "stale",
             "keys cannot be checked now, because the view of granted keys is too old",
@@ -61,7 +61,7 @@
         .ok_or_else(|| unauthorized("the key is not granted to any team"))
 }
 
-fn bearer(headers: &HeaderMap) -> Result<&str, fault::Fault> {
+fn bearer(headers: &HeaderMap) -> Result<&str, error::Error> {
     let mut values = headers.get_all(header::AUTHORIZATION).iter();
     let Some(value) = values.next() else {
         return Err(unauthorized("the header is missing; `Bearer KEY` is allowed"));
@@ -79,6 +79,6 @@
         .ok_or_else(|| unauthorized("the header is not of the form `Bearer KEY`"))
 }
 
-fn unauthorized(message: &str) -> fault::Fault {
-    fault::Fault::not_run(StatusCode::UNAUTHORIZED, "unauthorized", message).with_field("authorization")
+fn unauthorized(message: &str) -> error::Error {
+    error::Error::not_run(StatusCode::UNAUTHORIZED, "unauthorized", message).with_field("authorization")
 }
--- a/crates/gateway/src/filter/version_one.rs
+++ b/crates/gateway/src/filter/version_one.rs
@@ -15,7 +15,7 @@
 use http::{HeaderValue, Response, StatusCode, header};
 use serde::{Deserialize, Serialize};
 
-use crate::{answer, fault};
+use crate::{body, error};
 
 /// Date since which the interface is retired, as an RFC 9745 value: 1 January 2025.
 const DEPRECATED_SINCE: &str = "@1735689600";
@@ -80,14 +80,14 @@
 
 impl Request {
     /// Returns the longest wait, at most the configured one.
-    pub(crate) fn wait(&self, longest_ms: u32) -> Result<Duration, fault::Fault> {
+    pub(crate) fn wait(&self, longest_ms: u32) -> Result<Duration, error::Error> {
         let longest = Duration::from_millis(u64::from(longest_ms));
         match self.timeout {
             None => Ok(longest),
             Some(seconds) if seconds > 0.0 && seconds.is_finite() => {
                 Ok(Duration::from_secs_f64(seconds.min(longest.as_secs_f64())))
             }
-            Some(seconds) => Err(fault::Fault::field(
+            Some(seconds) => Err(error::Error::field(
                 "timeout",
                 format!("`{seconds}` is not a wait; seconds above 0 are allowed"),
             )),
@@ -97,11 +97,11 @@
 
 impl Job {
     /// Returns the job as version 2 knows it.
-    pub(crate) fn spec(&self) -> Result<job::Spec, fault::Fault> {
+    pub(crate) fn spec(&self) -> Result<job::Spec, error::Error> {
         let cores = self.cpu.unwrap_or(1.0);
         if !(cores > 0.0 && cores <= MAX_CORES) {
             let message = format!("`{cores}` is not a number of cores; above 0 to {MAX_CORES} are allowed");
-            return Err(fault::Fault::field("cpu", message));
+            return Err(error::Error::field("cpu", message));
         }
         Ok(job::Spec {
             kind: self.kind.unwrap_or(job::Kind::Batch),
@@ -129,11 +129,11 @@
 }
 
 /// Checks that the interface is switched on.
-pub(crate) fn check_enabled(enabled: bool) -> Result<(), fault::Fault> {
+pub(crate) fn check_enabled(enabled: bool) -> Result<(), error::Error> {
     if enabled {
         return Ok(());
     }
-    Err(fault::Fault::not_run(
+    Err(error::Error::not_run(
         StatusCode::GONE,
         "version_one_off",
         "the version-1 interface is switched off; use /v2",
@@ -147,7 +147,7 @@
 }
 
 /// Marks an answer as one of a retired interface.
-pub(crate) fn mark(response: &mut Response<answer::Body>) {
+pub(crate) fn mark(response: &mut Response<body::Body>) {
     let headers = response.headers_mut();
     headers.insert("deprecation", HeaderValue::from_static(DEPRECATED_SINCE));
     headers.insert("sunset", HeaderValue::from_static(SUNSET));
--- a/crates/gateway/src/gate.rs
+++ b/crates/gateway/src/gate.rs
@@ -14,7 +14,7 @@
 use http::StatusCode;
 use tokio::sync::oneshot;
 
-use crate::{control, fault, settings};
+use crate::{control, error, settings};
 
 struct Decider {
     admission: admission::Admission,
@@ -150,7 +150,7 @@
     }
 
     /// Waits until the request may be sent; the first target is picked in the same step.
-    pub(crate) async fn admit(self: &Arc<Self>, ask: Ask) -> Result<(Permit, Pick), fault::Fault> {
+    pub(crate) async fn admit(self: &Arc<Self>, ask: Ask) -> Result<(Permit, Pick), error::Error> {
         let (ticket, receiver) = {
             let now = self.now();
             let mut decider = self.lock();
@@ -424,8 +424,8 @@
         .collect()
 }
 
-fn missing() -> fault::Fault {
-    fault::Fault::not_run(
+fn missing() -> error::Error {
+    error::Error::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "no_target",
         "no target of the service is usable now",
@@ -433,16 +433,16 @@
     .with_retry_after(Duration::from_secs(1))
 }
 
-fn full(after: Duration) -> fault::Fault {
-    fault::Fault::not_run(StatusCode::SERVICE_UNAVAILABLE, "full", "every target is full")
+fn full(after: Duration) -> error::Error {
+    error::Error::not_run(StatusCode::SERVICE_UNAVAILABLE, "full", "every target is full")
         .with_retry_after(after)
 }
 
-fn refused(reason: admission::Reason, after: Duration) -> fault::Fault {
+fn refused(reason: admission::Reason, after: Duration) -> error::Error {
     let (code, message) = match reason {
         admission::Reason::QueueFull => ("queue_full", "the queue is full"),
         admission::Reason::Deadline => ("deadline", "the request would not be answered by its deadline"),
         admission::Reason::NoAllotment => ("limit", "the limit of requests in flight leaves this VM no part"),
     };
-    fault::Fault::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message).with_retry_after(after)
+    error::Error::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message).with_retry_after(after)
 }
--- a/crates/gateway/src/lib.rs
+++ b/crates/gateway/src/lib.rs
@@ -3,11 +3,11 @@
 //! The gateway runs on the traffic runtime. It reads control state through immutable views and asks control to
 //! change state through a bounded channel of typed calls, so that no request waits on a lock that control holds.
 
-pub mod answer;
 mod attempt;
+pub mod body;
 mod calls;
 pub mod control;
-pub mod fault;
+pub mod error;
 mod filter;
 mod gate;
 mod pool;
--- a/crates/gateway/src/routes/announce.rs
+++ b/crates/gateway/src/routes/announce.rs
@@ -6,7 +6,7 @@
 use serde_json::json;
 
 use crate::{
-    answer, calls, control, fault,
+    body, calls, control, error,
     routes::{self, compact},
     server::context,
 };
@@ -17,14 +17,14 @@
     head: &Parts,
     body: Incoming,
     target: id::TargetId,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let announcement: target::Announcement = routes::receive_json(context, head, body).await?;
     same("target", target, announcement.target)?;
     positive("slots", announcement.slots)?;
     positive("connections", announcement.connections)?;
     if announcement.address.port() == 0 {
         let message = format!("`{}` has port 0; 1 to 65535 are allowed", announcement.address);
-        return Err(fault::Fault::field("address", message));
+        return Err(error::Error::field("address", message));
     }
     let renew = ask(context, head, |reply| {
         control::Call::Announce(announcement, reply)
@@ -39,12 +39,12 @@
     context: &context::Context,
     head: &Parts,
     target: id::TargetId,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let query = head.uri.query().unwrap_or("");
     let incarnation = query.strip_prefix("incarnation=").unwrap_or("");
     let incarnation = incarnation.parse().map_err(|_error| {
         let message = format!("`{query}` does not name an incarnation; `incarnation=NUMBER` is allowed");
-        fault::Fault::field("incarnation", message)
+        error::Error::field("incarnation", message)
     })?;
     ask(context, head, |reply| {
         control::Call::Depart(target, incarnation, reply)
@@ -59,7 +59,7 @@
     head: &Parts,
     body: Incoming,
     worker: id::WorkerId,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let registration: worker::Registration = routes::receive_json(context, head, body).await?;
     same("worker", worker, registration.worker)?;
     positive("capacity", registration.capacity.amount.cpu_milli)?;
@@ -76,7 +76,7 @@
     head: &Parts,
     body: Incoming,
     worker: id::WorkerId,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let report = if compact::is_named(&head.headers, &header::CONTENT_TYPE) {
         compact::receive(context, head, body, worker).await?
     } else {
@@ -87,7 +87,7 @@
     if running > worker::MAX_TASKS_IN_REPORT {
         let most = worker::MAX_TASKS_IN_REPORT;
         let message = format!("{running} tasks are named, at most {most} are allowed");
-        return Err(fault::Fault::field("running", message));
+        return Err(error::Error::field("running", message));
     }
     let reply = ask(context, head, |reply| control::Call::Report(report, reply)).await?;
     if compact::is_named(&head.headers, &header::ACCEPT) {
@@ -100,7 +100,7 @@
     context: &context::Context,
     head: &Parts,
     call: impl FnOnce(control::Reply<T>) -> control::Call,
-) -> Result<T, fault::Fault> {
+) -> Result<T, error::Error> {
     calls::ask(
         &context.handle,
         context.settings.call_timeout,
@@ -110,19 +110,19 @@
     .await
 }
 
-fn same(field: &'static str, path: u64, body: u64) -> Result<(), fault::Fault> {
+fn same(field: &'static str, path: u64, body: u64) -> Result<(), error::Error> {
     if path == body {
         return Ok(());
     }
     let message = format!("`{body}` differs from `{path}` in the path; the same id is allowed");
-    Err(fault::Fault::field(field, message))
+    Err(error::Error::field(field, message))
 }
 
-fn positive(field: &'static str, value: u32) -> Result<(), fault::Fault> {
+fn positive(field: &'static str, value: u32) -> Result<(), error::Error> {
     if value > 0 {
         return Ok(());
     }
-    Err(fault::Fault::field(
+    Err(error::Error::field(
         field,
         format!("`{value}` is too small; 1 and more are allowed"),
     ))
--- a/crates/gateway/src/routes/claimed.rs
+++ b/crates/gateway/src/routes/claimed.rs
@@ -8,12 +8,12 @@
 use http::{HeaderValue, Response, StatusCode, header, response};
 use tokio::sync::{mpsc, oneshot};
 
-use crate::{answer, calls, control, fault, routes::request, server::context};
+use crate::{body, calls, control, error, routes::request, server::context};
 
 /// Pieces of an answer that may wait for a slow caller.
 const PIECES: usize = 4;
 
-type Answer = Result<Response<answer::Body>, fault::Fault>;
+type Answer = Result<Response<body::Body>, error::Error>;
 
 /// Serves a claimed request in its own task.
 pub(crate) async fn serve(
@@ -27,7 +27,7 @@
     let task = run(Arc::clone(context), claim, work, sender);
     context.tracker.spawn(task);
     receiver.await.unwrap_or_else(|_closed| {
-        Err(fault::Fault::unknown(
+        Err(error::Error::unknown(
             StatusCode::INTERNAL_SERVER_ERROR,
             "internal",
             "the request was lost",
@@ -51,8 +51,8 @@
     match request::run(&context, work, false).await {
         Err(fault) => {
             let completion = match fault.run {
-                fault::Run::NotRun => control::Completion::NotRun,
-                fault::Run::Unknown | fault::Run::Run => control::Completion::Unknown,
+                error::Execution::NotRun => control::Completion::NotRun,
+                error::Execution::Unknown | error::Execution::Run => control::Completion::Unknown,
             };
             complete(completion).await;
             reply(sender, Err(fault));
@@ -63,13 +63,13 @@
                 Passed::Whole(head, bytes, sender) => {
                     // Stored before the caller sees it, so that a resend never finds less than the caller has.
                     complete(control::Completion::Answered(stored(&head, &bytes))).await;
-                    reply(sender, Ok(Response::from_parts(head, answer::Body::full(bytes))));
+                    reply(sender, Ok(Response::from_parts(head, body::Body::full(bytes))));
                 }
                 Passed::Unstored => complete(control::Completion::Unknown).await,
                 Passed::Cut(sender) => {
                     complete(control::Completion::Unknown).await;
                     let message = "the target broke off its answer";
-                    let fault = fault::Fault::unknown(StatusCode::BAD_GATEWAY, "target_failed", message);
+                    let fault = error::Error::unknown(StatusCode::BAD_GATEWAY, "target_failed", message);
                     reply(sender, Err(fault));
                 }
             }
@@ -100,7 +100,7 @@
         }
     }
     let (pieces, receiver) = mpsc::channel(PIECES);
-    let body = answer::Body::channel(receiver);
+    let body = body::Body::channel(receiver);
     reply(sender, Ok(Response::from_parts(head, body)));
     let mut next = Some(Ok(start.freeze()));
     while let Some(piece) = next {
@@ -111,10 +111,10 @@
     Passed::Unstored
 }
 
-fn stored(head: &response::Parts, body: &Bytes) -> control::Answer {
+fn stored(head: &response::Parts, body: &Bytes) -> control::StoredResponse {
     let content_type = head.headers.get(header::CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
-    control::Answer {
+    control::StoredResponse {
         status: head.status.as_u16(),
         content_type: content_type.to_owned(),
         body: body.clone(),
@@ -125,7 +125,7 @@
 fn first_answer(claimed: control::Claimed) -> Answer {
     match claimed {
         control::Claimed::Answered(first) => {
-            let mut response = Response::new(answer::Body::full(first.body));
+            let mut response = Response::new(body::Body::full(first.body));
             *response.status_mut() = StatusCode::from_u16(first.status).unwrap_or(StatusCode::OK);
             if let Ok(value) = HeaderValue::try_from(first.content_type)
                 && !value.is_empty()
@@ -136,7 +136,7 @@
         }
         control::Claimed::InProgress => {
             let message = "a request with this id is in progress";
-            Err(fault::Fault::unknown(
+            Err(error::Error::unknown(
                 StatusCode::CONFLICT,
                 "in progress",
                 message,
@@ -144,13 +144,13 @@
         }
         control::Claimed::NotRun(message) => {
             Err(
-                fault::Fault::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_run", message)
+                error::Error::not_run(StatusCode::SERVICE_UNAVAILABLE, "not_run", message)
                     .with_retry_after(std::time::Duration::from_secs(1)),
             )
         }
         control::Claimed::Granted(_) | control::Claimed::Unknown => {
             let message = "a request with this id may have run and its answer is not known";
-            Err(fault::Fault::unknown(StatusCode::CONFLICT, "unknown", message))
+            Err(error::Error::unknown(StatusCode::CONFLICT, "unknown", message))
         }
     }
 }
--- a/crates/gateway/src/routes/compact.rs
+++ b/crates/gateway/src/routes/compact.rs
@@ -5,7 +5,7 @@
 use http::{HeaderMap, HeaderName, HeaderValue, Response, header, request::Parts};
 use hyper::body::Incoming;
 
-use crate::{answer, fault, routes, server::context};
+use crate::{body, error, routes, server::context};
 
 /// Tells whether a header field names the binary form.
 pub(crate) fn is_named(headers: &HeaderMap, field: &HeaderName) -> bool {
@@ -24,21 +24,21 @@
     head: &Parts,
     body: Incoming,
     worker: id::WorkerId,
-) -> Result<worker::Report, fault::Fault> {
+) -> Result<worker::Report, error::Error> {
     let received = routes::receive(context, head, body).await?;
     let (report, rest) = postcard::take_from_bytes::<compact::Report>(&received.bytes)
-        .map_err(|error| fault::Fault::field("body", format!("not a report: {error}")))?;
+        .map_err(|error| error::Error::field("body", format!("not a report: {error}")))?;
     if !rest.is_empty() {
         let message = format!("{} bytes follow the report; none are allowed", rest.len());
-        return Err(fault::Fault::field("body", message));
+        return Err(error::Error::field("body", message));
     }
     Ok(report.of(worker))
 }
 
 /// Returns a binary answer.
-pub(crate) fn answer(reply: worker::Reply) -> Response<answer::Body> {
+pub(crate) fn answer(reply: worker::Reply) -> Response<body::Body> {
     let bytes = postcard::to_stdvec(&compact::Reply::from(reply)).expect("answers are plain data");
-    let mut response = Response::new(answer::Body::full(Bytes::from(bytes)));
+    let mut response = Response::new(body::Body::full(Bytes::from(bytes)));
     let content_type = HeaderValue::from_static(compact::MEDIA_TYPE);
     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
     response
--- a/crates/gateway/src/routes/jobs.rs
+++ b/crates/gateway/src/routes/jobs.rs
@@ -5,14 +5,14 @@
 use hyper::body::Incoming;
 use serde_json::json;
 
-use crate::{answer, calls, control, fault, filter, routes, server::context};
+use crate::{body, calls, control, error, filter, routes, server::context};
 
 /// Accepts a job.
 pub(crate) async fn submit(
     context: &context::Context,
     head: &Parts,
     body: Incoming,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     filter::key::team(&context.handle, &head.headers)?;
     let id = filter::identity::parse(&head.headers)?;
     let spec: job::Spec = routes::receive_json(context, head, body).await?;
@@ -29,7 +29,7 @@
     team: id::TeamId,
     id: Option<String>,
     spec: job::Spec,
-) -> Result<id::JobId, fault::Fault> {
+) -> Result<id::JobId, error::Error> {
     check(&spec)?;
     let path = head.uri.path();
     let timeout = context.settings.call_timeout;
@@ -45,7 +45,7 @@
     head: &Parts,
     job: id::JobId,
     results: bool,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let team = filter::key::team(&context.handle, &head.headers)?.team;
     let status = status(context, head, team.id, job, results).await?;
     Ok(routes::json(StatusCode::OK, &status))
@@ -58,7 +58,7 @@
     team: id::TeamId,
     job: id::JobId,
     results: bool,
-) -> Result<control::JobStatus, fault::Fault> {
+) -> Result<control::JobStatus, error::Error> {
     let path = head.uri.path();
     let timeout = context.settings.call_timeout;
     calls::ask(&context.handle, timeout, path, |reply| {
@@ -72,7 +72,7 @@
     context: &context::Context,
     head: &Parts,
     job: id::JobId,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let team = filter::key::team(&context.handle, &head.headers)?.team;
     let path = head.uri.path();
     let timeout = context.settings.call_timeout;
@@ -81,24 +81,24 @@
     Ok(routes::json(StatusCode::OK, &status))
 }
 
-fn check(spec: &job::Spec) -> Result<(), fault::Fault> {
+fn check(spec: &job::Spec) -> Result<(), error::Error> {
     if spec.tasks == 0 || spec.tasks > job::MAX_TASKS {
         let message = format!(
             "`{}` is out of range; 1 to {} are allowed",
             spec.tasks,
             job::MAX_TASKS
         );
-        return Err(fault::Fault::field("tasks", message));
+        return Err(error::Error::field("tasks", message));
     }
     if spec.size.is_zero() {
         let message = "every dimension is 0; at least one above 0 is needed";
-        return Err(fault::Fault::field("size", message));
+        return Err(error::Error::field("size", message));
     }
     if spec.command.len() > job::MAX_COMMAND_BYTES {
         let length = spec.command.len();
         let most = job::MAX_COMMAND_BYTES;
         let message = format!("the command has {length} bytes, at most {most} are allowed");
-        return Err(fault::Fault::field("command", message));
+        return Err(error::Error::field("command", message));
     }
     Ok(())
 }
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -15,7 +15,7 @@
 use http::{HeaderValue, Method, Request, Response, StatusCode, Version, header};
 use hyper::body::Incoming;
 
-use crate::{answer, fault, filter, server::context};
+use crate::{body, error, filter, server::context};
 
 /// A handler with its arguments from the path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -56,13 +56,13 @@
 pub(crate) async fn handle(
     context: Arc<context::Context>,
     request: Request<Incoming>,
-) -> Response<answer::Body> {
+) -> Response<body::Body> {
     let in_flight = context.enter();
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
     let version = head.version;
     let mut name = "none";
-    let checked = filter::size::check(&head.uri, &head.headers, context.settings.header_bytes);
+    let checked = filter::size::check(&head.uri, &head.headers, context.settings.max_header_bytes);
     let parsed = checked.and_then(|()| parse(&head.method, &path));
     let result = match parsed.and_then(|route| check_version(version, route)) {
         Ok(route) => {
@@ -71,7 +71,7 @@
         }
         Err(fault) => Err(fault),
     };
-    let mut response = result.unwrap_or_else(fault::Fault::into_response);
+    let mut response = result.unwrap_or_else(error::Error::into_response);
     if path.starts_with("/v1/") {
         filter::version_one::mark(&mut response);
     }
@@ -91,7 +91,7 @@
     route: Route<'_>,
     head: &http::request::Parts,
     body: Incoming,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     match route {
         Route::Service(name) => request::service(context, name, head, body).await,
         Route::Queue(name) => request::queue(context, name, head, body).await,
@@ -112,13 +112,13 @@
     }
 }
 
-fn parse<'a>(method: &Method, path: &'a str) -> Result<Route<'a>, fault::Fault> {
+fn parse<'a>(method: &Method, path: &'a str) -> Result<Route<'a>, error::Error> {
     let mut segments = path.strip_prefix('/').unwrap_or(path).split('/');
     let parts: [&str; 5] = std::array::from_fn(|_| segments.next().unwrap_or(""));
     if segments.next().is_some() {
         return Err(no_path(path));
     }
-    let allowed = |allow: &'static str, route: Result<Route<'a>, fault::Fault>| {
+    let allowed = |allow: &'static str, route: Result<Route<'a>, error::Error>| {
         let ok = allow.split(", ").any(|name| name == method.as_str());
         if ok {
             route
@@ -166,40 +166,40 @@
 }
 
 /// HTTP/2 is offered to workers only; the answers of targets are relayed under the rules of HTTP/1.1.
-fn check_version(version: Version, route: Route<'_>) -> Result<Route<'_>, fault::Fault> {
+fn check_version(version: Version, route: Route<'_>) -> Result<Route<'_>, error::Error> {
     if version != Version::HTTP_2 || matches!(route, Route::Register(_) | Route::Report(_)) {
         return Ok(route);
     }
     let status = StatusCode::HTTP_VERSION_NOT_SUPPORTED;
     let message = "HTTP/2 is for workers; HTTP/1.1 is allowed here";
-    Err(fault::Fault::not_run(status, "http_version", message))
+    Err(error::Error::not_run(status, "http_version", message))
 }
 
-fn number(field: &'static str, text: &str) -> Result<u64, fault::Fault> {
+fn number(field: &'static str, text: &str) -> Result<u64, error::Error> {
     text.parse().map_err(|_error| {
         let message = format!("`{text}` is not a {field} id; whole numbers from 0 are allowed");
-        fault::Fault::field(field, message)
+        error::Error::field(field, message)
     })
 }
 
-fn no_path(path: &str) -> fault::Fault {
+fn no_path(path: &str) -> error::Error {
     let message = format!("`{path}` is not a path of this interface");
-    fault::Fault::not_run(StatusCode::NOT_FOUND, "no_path", message).with_field("path")
+    error::Error::not_run(StatusCode::NOT_FOUND, "no_path", message).with_field("path")
 }
 
-fn wrong_method(method: &Method, allow: &'static str) -> fault::Fault {
+fn wrong_method(method: &Method, allow: &'static str) -> error::Error {
     let message = format!("{method} is not allowed here, {allow} is");
-    let fault = fault::Fault::not_run(StatusCode::METHOD_NOT_ALLOWED, "method", message);
-    fault::Fault {
+    let fault = error::Error::not_run(StatusCode::METHOD_NOT_ALLOWED, "method", message);
+    error::Error {
         allow: Some(allow),
         ..fault.with_field("method")
     }
 }
 
 /// Returns a JSON answer.
-fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<answer::Body> {
+fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<body::Body> {
     let bytes = serde_json::to_vec(value).expect("answers are plain data");
-    let mut response = Response::new(answer::Body::full(Bytes::from(bytes)));
+    let mut response = Response::new(body::Body::full(Bytes::from(bytes)));
     *response.status_mut() = status;
     let content_type = HeaderValue::from_static("application/json");
     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
@@ -211,7 +211,7 @@
     context: &context::Context,
     head: &http::request::Parts,
     body: Incoming,
-) -> Result<T, fault::Fault> {
+) -> Result<T, error::Error> {
     let received = receive(context, head, body).await?;
     filter::json::parse(&received.bytes)
 }
@@ -221,7 +221,7 @@
     context: &context::Context,
     head: &http::request::Parts,
     body: Incoming,
-) -> Result<filter::body::Received, fault::Fault> {
+) -> Result<filter::body::Received, error::Error> {
     let limit = context.handle.view.borrow().config.request_body_bytes as usize;
     filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await
 }
--- a/crates/gateway/src/routes/operation.rs
+++ b/crates/gateway/src/routes/operation.rs
@@ -3,19 +3,19 @@
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 
-use crate::{answer, fault, server::context};
+use crate::{body, error, server::context};
 
 /// Answers 200 while the process serves.
-pub(crate) fn health() -> Response<answer::Body> {
+pub(crate) fn health() -> Response<body::Body> {
     text("ok\n".into())
 }
 
 /// Answers 200 while new requests are welcome.
-pub(crate) fn ready(context: &context::Context) -> Result<Response<answer::Body>, fault::Fault> {
+pub(crate) fn ready(context: &context::Context) -> Result<Response<body::Body>, error::Error> {
     if context.is_ready() {
         return Ok(text("ready\n".into()));
     }
-    Err(fault::Fault::not_run(
+    Err(error::Error::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "not_ready",
         "this VM takes no new callers now",
@@ -23,12 +23,12 @@
 }
 
 /// Renders the metrics.
-pub(crate) fn metrics(context: &context::Context) -> Response<answer::Body> {
+pub(crate) fn metrics(context: &context::Context) -> Response<body::Body> {
     text((context.render)())
 }
 
-fn text(text: String) -> Response<answer::Body> {
-    let mut response = Response::new(answer::Body::full(Bytes::from(text)));
+fn text(text: String) -> Response<body::Body> {
+    let mut response = Response::new(body::Body::full(Bytes::from(text)));
     let content_type = HeaderValue::from_static("text/plain; version=0.0.4; charset=utf-8");
     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
     response
--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -12,7 +12,7 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::OwnedSemaphorePermit;
 
-use crate::{answer, attempt, fault, filter, gate, routes::claimed, server::context};
+use crate::{attempt, body, error, filter, gate, routes::claimed, server::context};
 
 /// Answers up to this length are received whole before the caller sees them, so that a cut can be answered.
 pub(crate) const WHOLE_BYTES: u64 = 64 * 1024;
@@ -58,7 +58,7 @@
 /// Body of an answer.
 pub(crate) enum ReadyBody {
     Whole(Bytes),
-    Stream(Box<answer::Stream>),
+    Stream(Box<body::Stream>),
 }
 
 /// A request as any version of the interface states it.
@@ -81,7 +81,7 @@
     name: &str,
     head: &Parts,
     body: Incoming,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     filter::key::team(&context.handle, &head.headers)?;
     let view = Arc::clone(&context.handle.view.borrow());
     let service = view
@@ -115,12 +115,12 @@
     name: &str,
     head: &Parts,
     body: Incoming,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let view = Arc::clone(&context.handle.view.borrow());
     let queue = view.queues.get(name).ok_or_else(|| unknown_name("queue", name))?;
     if head.headers.contains_key(&filter::identity::HEADER) {
         let message = "request ids belong to teams; an open queue takes requests without one";
-        return Err(fault::Fault::field(filter::identity::HEADER.as_str(), message));
+        return Err(error::Error::field(filter::identity::HEADER.as_str(), message));
     }
     let service = view.services.values().find(|service| service.id == queue.service);
     let service = service.ok_or_else(|| unknown_name("queue", name))?;
@@ -146,7 +146,7 @@
     context: &Arc<context::Context>,
     head: &Parts,
     order: Order<'_>,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let id = order.id.clone();
     let team = order.granted.map(|granted| granted.team.id);
     let work = prepare(context, head, order)?;
@@ -156,7 +156,7 @@
     }
 }
 
-fn prepare(context: &context::Context, head: &Parts, order: Order<'_>) -> Result<Work, fault::Fault> {
+fn prepare(context: &context::Context, head: &Parts, order: Order<'_>) -> Result<Work, error::Error> {
     let path = format!("/v2/services/{}/requests", order.service_name);
     let path = path
         .parse()
@@ -206,7 +206,7 @@
     context: &Arc<context::Context>,
     work: Work,
     repeatable: bool,
-) -> Result<Ready, fault::Fault> {
+) -> Result<Ready, error::Error> {
     context.gate.started(work.ask.flow);
     let mut admitted = Some(context.gate.admit(work.ask).await?);
     let mut tried = Vec::new();
@@ -341,7 +341,7 @@
     for name in NOT_PASSED_BACK {
         head.headers.remove(name);
     }
-    let running = answer::Running {
+    let running = body::Running {
         permit,
         pick,
         lease: got.lease,
@@ -350,7 +350,7 @@
         server_error: head.status.is_server_error(),
     };
     let length = incoming.size_hint().exact();
-    let mut stream = answer::Stream::new(incoming, work.message.deadline, running);
+    let mut stream = body::Stream::new(incoming, work.message.deadline, running);
     let Some(length) = length.filter(|length| *length <= WHOLE_BYTES) else {
         let body = ReadyBody::Stream(Box::new(stream));
         return Ok(Ready { head, body });
@@ -368,31 +368,31 @@
     Ok(Ready { head, body })
 }
 
-const fn cut(cut: answer::Cut) -> attempt::Failure {
+const fn cut(cut: body::Error) -> attempt::Failure {
     let (end, message) = match cut {
-        answer::Cut::Target => (state::Outcome::Failed, "the target broke off its answer"),
-        answer::Cut::Deadline => (state::Outcome::TimedOut, "the deadline passed during the answer"),
+        body::Error::Target => (state::Outcome::Failed, "the target broke off its answer"),
+        body::Error::Deadline => (state::Outcome::TimedOut, "the deadline passed during the answer"),
     };
     attempt::Failure::new(state::Progress::ResponseStarted, end, message)
 }
 
 /// Returns the answer for the caller.
-pub(crate) fn respond(ready: Ready) -> Response<answer::Body> {
+pub(crate) fn respond(ready: Ready) -> Response<body::Body> {
     let body = match ready.body {
-        ReadyBody::Whole(bytes) => answer::Body::full(bytes),
-        ReadyBody::Stream(stream) => answer::Body::stream(stream),
+        ReadyBody::Whole(bytes) => body::Body::full(bytes),
+        ReadyBody::Stream(stream) => body::Body::stream(stream),
     };
     Response::from_parts(ready.head, body)
 }
 
-fn stopped(failure: &attempt::Failure, known: state::Execution) -> fault::Fault {
+fn stopped(failure: &attempt::Failure, known: state::Execution) -> error::Error {
     let timed_out = failure.end == state::Outcome::TimedOut;
     let (status, code) = match (known, timed_out) {
         (state::Execution::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
         (_, true) => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
         (_, false) => (StatusCode::BAD_GATEWAY, "target_failed"),
     };
-    let fault = fault::Fault::not_run(status, code, failure.message).with_run(known);
+    let fault = error::Error::not_run(status, code, failure.message).with_run(known);
     if known == state::Execution::NotRun {
         return fault.with_retry_after(Duration::from_secs(1));
     }
@@ -400,8 +400,8 @@
 }
 
 /// Returns the fault for a service or queue that is not in the view.
-pub(crate) fn unknown_name(field: &'static str, name: &str) -> fault::Fault {
+pub(crate) fn unknown_name(field: &'static str, name: &str) -> error::Error {
     let shown: String = name.chars().take(64).collect();
     let message = format!("`{shown}` is not a {field}; names that operators configured are allowed");
-    fault::Fault::not_run(StatusCode::NOT_FOUND, "unknown_name", message).with_field(field)
+    error::Error::not_run(StatusCode::NOT_FOUND, "unknown_name", message).with_field(field)
 }
--- a/crates/gateway/src/routes/version_one.rs
+++ b/crates/gateway/src/routes/version_one.rs
@@ -10,7 +10,7 @@
 use hyper::body::Incoming;
 
 use crate::{
-    answer, fault,
+    body, error,
     filter::{self, version_one},
     routes::{self, jobs, request},
     server::context,
@@ -24,7 +24,7 @@
     context: &Arc<context::Context>,
     head: &Parts,
     body: Incoming,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     let view = Arc::clone(&context.handle.view.borrow());
     version_one::check_enabled(view.config.version_one)?;
     let limit = view.config.request_body_bytes as usize;
@@ -64,7 +64,7 @@
     context: &context::Context,
     head: &Parts,
     body: Incoming,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     version_one::check_enabled(context.handle.view.borrow().config.version_one)?;
     let asked: version_one::Job = routes::receive_json(context, head, body).await?;
     let team = filter::key::team_of(&context.handle, asked.key.as_bytes())?.team;
@@ -78,7 +78,7 @@
     context: &context::Context,
     head: &Parts,
     job: id::JobId,
-) -> Result<Response<answer::Body>, fault::Fault> {
+) -> Result<Response<body::Body>, error::Error> {
     version_one::check_enabled(context.handle.view.borrow().config.version_one)?;
     let key = head.headers.get(version_one::KEY_HEADER);
     let key = key.map_or(&b""[..], |value| value.as_bytes());
@@ -89,9 +89,9 @@
     Ok(routes::json(StatusCode::OK, &version_one::State { job, state }))
 }
 
-async fn translate(response: Response<answer::Body>) -> Result<Response<answer::Body>, fault::Fault> {
+async fn translate(response: Response<body::Body>) -> Result<Response<body::Body>, error::Error> {
     let failed =
-        |message: &str| fault::Fault::unknown(StatusCode::BAD_GATEWAY, "target_failed", message.to_owned());
+        |message: &str| error::Error::unknown(StatusCode::BAD_GATEWAY, "target_failed", message.to_owned());
     let code = response.status().as_u16();
     let mut body = response.into_body();
     let mut received = BytesMut::new();
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -77,7 +77,7 @@
             .keep_alive_interval(context.settings.header_timeout)
             .keep_alive_timeout(context.settings.stall_timeout)
             .max_concurrent_streams(STREAMS)
-            .max_header_list_size(context.settings.header_bytes as u32)
+            .max_header_list_size(context.settings.max_header_bytes as u32)
             .max_send_buf_size(BUFFER_BYTES)
             .serve_connection(io, handler);
         tokio::pin!(connection);
--- a/crates/gateway/src/server/context.rs
+++ b/crates/gateway/src/server/context.rs
@@ -8,13 +8,13 @@
 use tokio::sync::Semaphore;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{answer, control, gate, pool, server, settings};
+use crate::{body, control, gate, pool, server, settings};
 
 /// Shared state of a server.
 pub(crate) struct Context {
     pub settings: settings::Settings,
     pub handle: control::Handle,
-    pub render: server::Render,
+    pub render: server::MetricsRenderer,
     pub gate: Arc<gate::Gate>,
     pub pool: Arc<pool::Pool>,
     /// Bytes that request bodies may take.
@@ -38,7 +38,7 @@
     pub(crate) fn new(
         settings: settings::Settings,
         handle: control::Handle,
-        render: server::Render,
+        render: server::MetricsRenderer,
         cancel: CancellationToken,
     ) -> Self {
         let gate = Arc::new(gate::Gate::new(&settings, &handle));
@@ -49,7 +49,7 @@
             memory: Arc::new(Semaphore::new(
                 settings.body_memory_bytes.min(Semaphore::MAX_PERMITS),
             )),
-            slots: Arc::new(Semaphore::new(settings.connections)),
+            slots: Arc::new(Semaphore::new(settings.max_connections)),
             tracker: TaskTracker::new(),
             closing: cancel.child_token(),
             cancel,
@@ -89,13 +89,13 @@
     }
 
     /// Counts a request until the returned guard is dropped.
-    pub(crate) fn enter(&self) -> answer::InFlight {
-        answer::InFlight::new(&self.in_flight)
+    pub(crate) fn enter(&self) -> body::InFlight {
+        body::InFlight::new(&self.in_flight)
     }
 
     /// Counts a connection until the returned guard is dropped.
-    pub(crate) fn connect(&self) -> answer::InFlight {
-        answer::InFlight::new(&self.connections)
+    pub(crate) fn connect(&self) -> body::InFlight {
+        body::InFlight::new(&self.connections)
     }
 
     /// Returns the number of a new attempt.
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -13,7 +13,7 @@
 use crate::{control, settings};
 
 /// Renders the text of `/metrics`.
-pub type Render = Arc<dyn Fn() -> String + Send + Sync>;
+pub type MetricsRenderer = Arc<dyn Fn() -> String + Send + Sync>;
 
 /// Pause after a failed accept, such as one without free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -44,7 +44,7 @@
         listener: TcpListener,
         settings: settings::Settings,
         handle: control::Handle,
-        render: Render,
+        render: MetricsRenderer,
         cancel: CancellationToken,
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -12,9 +12,9 @@
     /// Seed of random choices and of jitter.
     pub seed: u64,
     /// Connections from callers at one time; further ones wait in the listen queue.
-    pub connections: usize,
+    pub max_connections: usize,
     /// Bytes of all request headers together.
-    pub header_bytes: usize,
+    pub max_header_bytes: usize,
     /// Longest time for a caller to send the headers of its next request.
     pub header_timeout: Duration,
     /// Longest pause between two pieces of a request body, and of a caller that does not take its answer.
@@ -38,8 +38,8 @@
         Self {
             vm: 0,
             seed: 0,
-            connections: 10_000,
-            header_bytes: 16 * 1024,
+            max_connections: 10_000,
+            max_header_bytes: 16 * 1024,
             header_timeout: Duration::from_secs(15),
             stall_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -130,7 +130,7 @@
     view: control::View,
     basis: Option<Duration>,
 ) -> (Cell, mpsc::Receiver<control::Call>) {
-    let (calls, receiver) = mpsc::channel(control::CALL_QUEUE);
+    let (calls, receiver) = mpsc::channel(control::CALL_QUEUE_CAPACITY);
     let usable = targets
         .iter()
         .zip(1..)
@@ -157,7 +157,7 @@
         .await
         .expect("loopback binds");
     let cancel = CancellationToken::new();
-    let render: server::Render = Arc::new(|| "bronzespoke_up 1\n".to_owned());
+    let render: server::MetricsRenderer = Arc::new(|| "bronzespoke_up 1\n".to_owned());
     let server =
         server::Server::start(listener, settings, handle, render, cancel.clone()).expect("the server starts");
     server.set_ready(true);
