--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -1,4 +1,4 @@
-//! What a member does with the messages of its leader.
+//! Processing of messages from the leader.
 
 use std::time::Duration;
 
@@ -9,14 +9,15 @@
 use crate::{log, snapshot, write};
 
 impl Replica {
-    /// Notes a sign of the leader of the current term.
-    fn hear_leader(&mut self, from: id::VmId, out: &mut Vec<Output>) {
+    /// Records contact from the leader of the current term.
+    fn record_leader_contact(&mut self, from: id::VmId, out: &mut Vec<Output>) {
         assert!(!matches!(self.state, State::Leader(_)), "a term has one leader");
         self.become_follower(Some(from), out);
-        self.contact = Some(self.now);
+        self.leader_contact = Some(self.now);
     }
 
-    pub(super) fn refuse_append(&mut self, from: id::VmId, append: &Append, out: &mut Vec<Output>) {
+    /// Refuses an append of an earlier term; the reply carries the current term.
+    pub(super) fn reject_stale_append(&mut self, from: id::VmId, append: &Append, out: &mut Vec<Output>) {
         let outcome = Outcome::Refused {
             previous: append.previous.index,
             hint: 0,
@@ -33,7 +34,7 @@
         out: &mut Vec<Output>,
     ) {
         let token = self.freshness.token(self.now);
-        self.send_after(
+        self.send_once_durable(
             sequence,
             to,
             Body::AppendReply(AppendReply { outcome, sent, token }),
@@ -46,16 +47,16 @@
             return;
         }
         if self.store_failed {
-            // The entries cannot be stored; the rest of the message is a heartbeat.
+            // The entries cannot be stored, so the message is processed as a heartbeat.
             append.entries.clear();
         }
-        self.hear_leader(from, out);
+        self.record_leader_contact(from, out);
         let previous = append.previous;
         let covered = previous.index < self.log.base().index;
         if !covered && self.log.term_at(previous.index) != Some(previous.term) {
             let outcome = Outcome::Refused {
                 previous: previous.index,
-                hint: self.hint(previous.index),
+                hint: self.conflict_hint(previous.index),
             };
             self.reply_append(from, outcome, append.sent, self.vote_sequence, out);
             return;
@@ -65,20 +66,20 @@
         let heartbeat = append.entries.is_empty();
         self.store_entries(append, out);
         self.set_commit(commit.min(matched), out);
-        self.note_basis(age, token, commit);
-        // An entry that was covered by a snapshot is committed, hence durable.
+        self.update_freshness(age, token, commit);
+        // Entries covered by a snapshot are committed and therefore durable.
         let durable = matched.min(self.durable.max(self.log.base().index));
         let (matched, sequence) = match () {
             () if !self.config.rules.acknowledge_after_sync => (matched, 0),
-            // A heartbeat is answered at once, so that a slow disk does not expire the lease.
+            // Heartbeats are acknowledged immediately, so that a slow disk does not let the lease expire.
             () if heartbeat || durable == matched => (durable, self.vote_sequence),
             () => (matched, self.sequence),
         };
         self.reply_append(from, Outcome::Accepted { matched }, sent, sequence, out);
     }
 
-    /// Last index that may agree with the leader's log, when the entry at `previous` does not.
-    fn hint(&self, previous: u64) -> u64 {
+    /// Returns the highest index at which the log may match the leader's, given that it does not match at `previous`.
+    fn conflict_hint(&self, previous: u64) -> u64 {
         let last = self.log.last().index;
         if previous > last {
             return last;
@@ -89,7 +90,7 @@
     fn store_entries(&mut self, append: Append, out: &mut Vec<Output>) {
         let mut fresh = Vec::new();
         for (index, item) in (append.previous.index + 1..).zip(append.entries) {
-            let entry = item.at(index);
+            let entry = item.into_entry(index);
             if fresh.is_empty() {
                 if index <= self.log.base().index || self.log.term_at(index) == Some(entry.position.term) {
                     continue;
@@ -105,14 +106,15 @@
         }
     }
 
-    /// Counts the age back from the answer that the leader names, widened by the clock drift.
-    fn note_basis(&mut self, age: Option<u64>, token: u32, commit: u64) {
+    /// Subtracts the age of the leader's state, extended by the clock drift, from the send time of the reply that the
+    /// leader received last.
+    fn update_freshness(&mut self, age: Option<u64>, token: u32, commit: u64) {
         let (Some(age), Some(instant)) = (age, self.freshness.instant(token)) else {
             return;
         };
-        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.drift);
-        if let Some(basis) = instant.checked_sub(age) {
-            self.freshness.note(self.applied, commit, basis);
+        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
+        if let Some(freshness) = instant.checked_sub(age) {
+            self.freshness.record(self.applied, commit, freshness);
         }
     }
 
@@ -126,7 +128,7 @@
         if self.removed {
             return;
         }
-        self.hear_leader(from, out);
+        self.record_leader_contact(from, out);
         let label = chunk.label;
         let reply = |received| Body::SnapshotReply {
             label,
@@ -136,13 +138,13 @@
         if label.total > snapshot::MAX_SNAPSHOT_BYTES || self.store_failed {
             return;
         }
-        let older = label.position.index <= self.commit && self.config.rules.refuse_older_snapshot;
+        let older = label.position.index <= self.commit && self.config.rules.reject_older_snapshot;
         let held = self.log.term_at(label.position.index) == Some(label.position.term);
-        if older || (held && self.config.rules.refuse_older_snapshot) {
+        if older || (held && self.config.rules.reject_older_snapshot) {
             self.partial = None;
             self.set_commit(label.position.index, out);
-            // The leader may count the prefix as held, so it has to be durable.
-            self.send_after(self.sequence, from, reply(label.total), out);
+            // The leader may count these entries as replicated, so the reply waits until they are durable.
+            self.send_once_durable(self.sequence, from, reply(label.total), out);
             return;
         }
         let mut partial = self.partial.take().filter(|partial| partial.label() == label);
@@ -152,12 +154,12 @@
         match progress {
             snapshot::Progress::More(received) => {
                 self.partial = partial;
-                self.send_after(self.vote_sequence, from, reply(received), out);
+                self.send_once_durable(self.vote_sequence, from, reply(received), out);
             }
-            snapshot::Progress::Corrupt => self.send_after(self.vote_sequence, from, reply(0), out),
+            snapshot::Progress::Corrupt => self.send_once_durable(self.vote_sequence, from, reply(0), out),
             snapshot::Progress::Complete(snapshot) => {
                 self.install_snapshot(snapshot, out);
-                self.send_after(self.sequence, from, reply(label.total), out);
+                self.send_once_durable(self.sequence, from, reply(label.total), out);
             }
         }
     }
@@ -174,11 +176,11 @@
         self.emitted = index;
         self.snapshot = Some(snapshot.clone());
         self.persist(write::Kind::Install(snapshot.clone()), out);
-        if self.applies_stored_only() {
-            // The snapshot stores its index; until then a crash would take the applied index back.
-            self.asked_commit = self.asked_commit.max(index);
+        if self.waits_for_stored_commit() {
+            // The write of the snapshot also stores its index. Before that, a crash would revert the applied index.
+            self.requested_commit = self.requested_commit.max(index);
             self.pending_commits.push_back((self.sequence, index));
-            self.received = Some((self.sequence, snapshot));
+            self.pending_install = Some((self.sequence, snapshot));
         } else {
             out.push(Output::Install(snapshot));
         }
