control: usual terms for the state of the cell

Comments spoke of lives, orders and told ends, and several doc comments only restated a name. They now say what a field holds or why a rule is needed, in the terms of the shared vocabulary. The private functions are `record_done`, `record_failure`, `update_phase` and `decrement_pending`.

--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -1,4 +1,4 @@
-//! Application of commands. A command never fails: what does not fit the state changes nothing.
+//! Application of commands. A command that does not match the state has no effect; none returns an error.
 
 use std::sync::Arc;
 
@@ -11,7 +11,7 @@
 };
 
 impl State {
-    /// Applies a command that was proposed at a wall time.
+    /// Applies a command that was proposed at wall time `at_ms`, in milliseconds since the Unix epoch.
     pub fn apply(&mut self, at_ms: u64, command: Command) -> Outcome {
         match command {
             Command::Configure { catalog, document } => self.configure(*catalog, document),
@@ -51,8 +51,8 @@
     }
 
     fn configure(&mut self, catalog: catalog::Catalog, document: Bytes) -> Outcome {
-        let held = self.catalog.as_ref().map(|held| held.version);
-        if held.is_none_or(|held| catalog.version > held) {
+        let current = self.catalog.as_ref().map(|current| current.version);
+        if current.is_none_or(|current| catalog.version > current) {
             self.catalog = Some(Arc::new(catalog));
             self.document = document;
         }
@@ -83,7 +83,7 @@
         let mut known = self.workers.values_mut();
         if let Some(registered) = known.find(|registered| registered.life == life) {
             registered.worker = Arc::new(worker);
-            // A worker that leaves does not change its mind; a late announcement may say otherwise.
+            // Draining is permanent; a delayed announcement may still report the worker as ready.
             registered.draining |= draining;
             return Outcome::Done;
         }
@@ -127,7 +127,7 @@
         if first {
             job.phase = job::Phase::Running;
             let queue = job.queue.name.clone();
-            self.leave_pending(&queue);
+            self.decrement_pending(&queue);
         }
         true
     }
@@ -166,11 +166,11 @@
         let Some(entry) = step.tasks.get_mut(task.index as usize) else {
             return;
         };
-        // Numbers of runs are never used twice, so that the end may also be told by a later life of the worker that took a
-        // repeated order.
+        // Run numbers are never reused. The worker is not compared: a later incarnation of it may have received the
+        // resent start and report the end.
         let current = entry.placed.is_some() && entry.run == run;
-        // A run that was given up may turn out to be done: its work counts, and a later run is stopped. Or it may have
-        // failed, which counts as an attempt.
+        // A run that was recorded as ended may still report its real outcome. A success counts, and the later run is
+        // stopped; a failure counts as an attempt.
         let late = matches!(outcome, order::Outcome::Done | order::Outcome::Failed) && !spec.lasting;
         if !current && !late {
             return;
@@ -188,23 +188,24 @@
             step.placed -= 1;
         }
         let failed = match outcome {
-            // A lasting task starts again however it ends.
+            // A lasting task is restarted whatever its outcome.
             _ if spec.lasting => false,
             order::Outcome::Done => {
-                note_done(step, task.index, spec.gang);
+                record_done(step, task.index, spec.gang);
                 false
             }
-            order::Outcome::Failed => note_failure(step, task.index, run, spec.gang),
+            order::Outcome::Failed => record_failure(step, task.index, run, spec.gang),
             _ => false,
         };
         if current {
             job.placed -= 1;
         }
-        self.settle(task.job, failed, at_ms);
+        self.update_phase(task.job, failed, at_ms);
     }
 
-    /// Finishes a job whose work is done or has failed too often.
-    fn settle(&mut self, key: job::Key, failed: bool, at_ms: u64) {
+    /// Moves a job to its final phase when all steps are done or a task has no attempts left, and removes it from the active
+    /// jobs once it has no runs.
+    fn update_phase(&mut self, key: job::Key, failed: bool, at_ms: u64) {
         let Some(job) = self.jobs.get(&key) else {
             return;
         };
@@ -231,14 +232,14 @@
         let idle = job.placed == 0;
         let queue = job.queue.name.clone();
         if before == job::Phase::Queued {
-            self.leave_pending(&queue);
+            self.decrement_pending(&queue);
         }
         if idle {
             self.active.remove(&key);
         }
     }
 
-    fn leave_pending(&mut self, queue: &str) {
+    fn decrement_pending(&mut self, queue: &str) {
         if let Some(count) = self.pending.get_mut(queue) {
             *count -= 1;
             if *count == 0 {
@@ -249,8 +250,8 @@
 
     fn forget(&mut self, keys: &[job::Key]) -> Outcome {
         for key in keys {
-            let unused = |job: &Job| job.is_final() && job.placed == 0;
-            if self.jobs.get(key).is_some_and(unused) {
+            let removable = |job: &Job| job.is_final() && job.placed == 0;
+            if self.jobs.get(key).is_some_and(removable) {
                 self.jobs.remove(key);
                 self.active.remove(key);
             }
@@ -264,8 +265,8 @@
     occurrence.steps.get_mut(usize::from(task.step))
 }
 
-/// The end of one member stands for the whole gang.
-fn note_done(step: &mut super::state::Step, index: u32, gang: bool) {
+/// Marks a task as done. The success of one member completes the whole gang.
+fn record_done(step: &mut super::state::Step, index: u32, gang: bool) {
     let members = if gang {
         0..step.tasks.len()
     } else {
@@ -280,14 +281,14 @@
     }
 }
 
-/// Counts a failed run; a gang counts each run once.
-fn note_failure(step: &mut super::state::Step, index: u32, run: order::Run, gang: bool) -> bool {
+/// Counts a failed run and returns whether it had not been counted before. A gang counts each run once.
+fn record_failure(step: &mut super::state::Step, index: u32, run: order::Run, gang: bool) -> bool {
     let entry = &mut step.tasks[index as usize];
     if entry.done {
         return false;
     }
     if !gang {
-        // The end of one run may be told again, to a new leader.
+        // The end of a run may be reported again to a new leader.
         let counts = run > entry.failed_run;
         entry.failed_run = entry.failed_run.max(run);
         entry.failures += u32::from(counts);
--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -1,4 +1,4 @@
-//! Commands and their outcomes.
+//! Commands of the cell and their outcomes.
 
 use std::net::SocketAddr;
 
@@ -9,57 +9,57 @@
 
 use super::state;
 
-/// A change of the state.
+/// A change of the replicated state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Command {
-    /// Replaces the configuration if its version is higher.
+    /// Replaces the configuration if the new version is higher.
     Configure {
-        /// Decoded form.
+        /// Catalog decoded from the document.
         catalog: Box<catalog::Catalog>,
-        /// The operator's document.
+        /// Document as sent by the operator.
         document: Bytes,
     },
-    /// Accepts a job; the same id is accepted once.
+    /// Accepts a job. A second submission under the same id has no effect.
     Submit {
         /// Id chosen by the caller.
         key: job::Key,
-        /// Queue.
+        /// Queue that the job was submitted to.
         queue: Box<catalog::Queue>,
-        /// Team whose key came with it; `None` on an open queue.
+        /// Team whose key authenticated the submission; `None` on an open queue.
         team: Option<String>,
-        /// What to run.
+        /// Steps and schedule of the job.
         submission: Box<job::Submission>,
     },
-    /// Cancels a job.
+    /// Cancels a job that has not reached a final phase.
     Cancel {
-        /// Job.
+        /// Id of the job.
         key: job::Key,
     },
-    /// Adds a life of a worker, or changes whether it drains.
+    /// Adds an incarnation of a worker, or updates its attributes and whether it drains.
     Register {
-        /// Life.
+        /// Name and start time of the process.
         life: worker::Life,
-        /// What it is.
+        /// Address, pool, place and capacity.
         worker: Box<worker::Worker>,
-        /// Whether it leaves.
+        /// Whether the worker accepts no new tasks because it is leaving.
         draining: bool,
     },
-    /// Removes a life of a worker. Its runs stay placed until their ends are recorded.
+    /// Removes an incarnation of a worker. Its runs stay placed until their ends are recorded.
     Retire {
-        /// Worker.
+        /// Index of the incarnation.
         worker: state::WorkerIndex,
     },
-    /// Places tasks; their orders are sent after this is committed.
+    /// Places tasks. Their directives are sent only after this command is committed.
     Start(Vec<Start>),
-    /// Records ends of runs.
+    /// Records the ends of runs.
     End(Vec<End>),
-    /// Removes finished jobs that need not be shown any more.
+    /// Removes finished jobs whose status is no longer retained.
     Forget(Vec<job::Key>),
-    /// Names the peer address of a VM.
+    /// Records the peer address of a VM.
     Locate {
-        /// VM.
+        /// VM that the address belongs to.
         vm: id::VmId,
-        /// Address.
+        /// Address for connections between daemons; belongs to at most one VM.
         peer: SocketAddr,
     },
 }
@@ -67,38 +67,38 @@
 /// Placement of one task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
-    /// Task.
+    /// Task to start.
     pub task: order::Task,
-    /// Number of the start.
+    /// Run number; higher than that of every earlier run of the task.
     pub run: order::Run,
-    /// Worker.
+    /// Worker that the task is placed on.
     pub worker: state::WorkerIndex,
 }
 
 /// End of one run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
-    /// Task.
+    /// Task whose run ended.
     pub task: order::Task,
-    /// Number of the start.
+    /// Run number.
     pub run: order::Run,
-    /// Worker.
+    /// Worker whose run ended; not compared with the placement.
     pub worker: state::WorkerIndex,
-    /// How it ended.
+    /// Outcome of the run.
     pub outcome: order::Outcome,
-    /// Progress to resume from.
+    /// Checkpoint to resume from, if the run left one.
     pub checkpoint: Option<Bytes>,
 }
 
-/// What a command did.
+/// Effect of a command.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Outcome {
-    /// The state holds what was asked for, also when it did before.
+    /// The command took effect, or had taken effect earlier.
     Done,
-    /// There is no such job.
+    /// The job does not exist.
     NoJob,
-    /// Which starts of the command were recorded, in order.
+    /// Whether each start of the command was recorded, in the order of the command.
     Started(Vec<bool>),
-    /// Jobs that reached a final state.
+    /// Jobs that are in a final phase after the command.
     Finished(Vec<job::Key>),
 }
--- a/crates/control/src/cell/mod.rs
+++ b/crates/control/src/cell/mod.rs
@@ -1,7 +1,7 @@
-//! State machine of a fleet whose workers take orders: configuration, workers, jobs and where each task runs.
+//! Replicated state machine of the cell: configuration, workers, jobs and the placement of each task.
 //!
-//! One group of VMs with disks replicates it. A start is recorded before its order is sent and an end before it is
-//! acknowledged, so that a new leader knows every place where a task may still run.
+//! One consensus group of VMs with disks replicates it. A start is committed before its directive is sent, and an end
+//! before it is acknowledged, so a new leader knows every worker on which a task may still run.
 
 mod apply;
 mod command;
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -1,4 +1,4 @@
-//! What the state holds.
+//! Tables of the cell state, reads and snapshots.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -13,59 +13,59 @@
 
 use crate::{envelope, error};
 
-/// Dense number of a life of a worker; never used twice.
+/// Index of an incarnation of a worker. Assigned consecutively and never reused.
 pub type WorkerIndex = u32;
 
-/// The state of the cell after an entry of its log.
+/// State of the cell after a prefix of its log.
 #[derive(Debug, Clone, Default, PartialEq, Serialize, Deserialize)]
 pub struct State {
     /// Newest configuration.
     pub(super) catalog: Option<Arc<catalog::Catalog>>,
-    /// The operator's document of that configuration.
+    /// Document from which the catalog was decoded.
     pub(super) document: Bytes,
-    /// Known lives of workers.
+    /// Registered incarnations of workers.
     pub(super) workers: BTreeMap<WorkerIndex, Registered>,
-    /// Number of the next life.
+    /// Index of the next incarnation to register.
     pub(super) next_worker: WorkerIndex,
-    /// Jobs that are not forgotten.
+    /// All jobs that are retained.
     pub(super) jobs: BTreeMap<job::Key, Job>,
-    /// Jobs that have not reached a final state, or have runs that have not ended.
+    /// Jobs that are not in a final phase or have runs that have not ended.
     pub(super) active: BTreeSet<job::Key>,
-    /// Jobs of each queue of which no task has started.
+    /// Number of jobs of each queue of which no task has started.
     pub(super) pending: BTreeMap<String, u64>,
-    /// Peer addresses of VMs.
+    /// Addresses for connections between daemons, by VM.
     pub(super) peers: BTreeMap<id::VmId, SocketAddr>,
 }
 
-/// A life of a worker.
+/// A registered incarnation of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registered {
-    /// Life.
+    /// Name and start time of the process.
     pub life: worker::Life,
-    /// What it is.
+    /// Address, pool, place and capacity.
     pub worker: Arc<worker::Worker>,
-    /// Whether it leaves.
+    /// Whether the worker accepts no new tasks because it is leaving.
     pub draining: bool,
 }
 
 /// An accepted job.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Job {
-    /// Id.
+    /// Id chosen by the caller.
     pub key: job::Key,
-    /// Queue as it was at the submission.
+    /// Queue as configured at the submission.
     pub queue: Arc<catalog::Queue>,
-    /// Team.
+    /// Team that submitted the job; `None` on an open queue.
     pub team: Option<String>,
-    /// What to run.
+    /// Steps and schedule of the job.
     pub submission: Arc<job::Submission>,
     /// Wall time of the submission in milliseconds since the Unix epoch.
     pub submitted_ms: u64,
-    /// Wall time of the final state in milliseconds since the Unix epoch; 0 before it.
+    /// Wall time at which the job finished in milliseconds since the Unix epoch; 0 until then.
     pub finished_ms: u64,
-    /// State.
+    /// Phase that is reported to callers.
     pub phase: job::Phase,
-    /// Occurrences.
+    /// Progress of each occurrence of the schedule.
     pub occurrences: Vec<Occurrence>,
     /// Runs that are placed and have not ended.
     pub placed: u32,
@@ -74,96 +74,96 @@
 /// One occurrence of a job.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Occurrence {
-    /// Steps in the order of the submission.
+    /// Progress of each step, in the order of the submission.
     pub steps: Vec<Step>,
 }
 
 /// Progress of a step.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
-    /// Tasks that are not done.
+    /// Number of tasks that are not done.
     #[serde(rename = "left")]
     pub remaining: u32,
-    /// Tasks that are placed.
+    /// Number of tasks that are placed on a worker.
     pub placed: u32,
-    /// Failed runs of a gang as a whole.
+    /// Number of failed runs of a gang.
     pub failures: u32,
-    /// Newest failed run of a gang, so that several members count once.
+    /// Newest failed run of a gang, so that the failures of several members in one run count once.
     pub failed_run: order::Run,
-    /// Highest run of any task; all members of a gang share one.
+    /// Highest run number of any task. All members of a gang share a run number.
     pub run: order::Run,
-    /// Newest progress of a gang, valid for every member.
+    /// Newest checkpoint of a gang, valid for every member.
     pub checkpoint: Option<Bytes>,
-    /// Tasks.
+    /// Progress of each task, by index.
     pub tasks: Vec<Task>,
 }
 
 /// Progress of a task.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct Task {
-    /// Number of the newest start; 0 before the first.
+    /// Number of the newest run; 0 before the first.
     pub run: order::Run,
-    /// Failed runs.
+    /// Number of failed runs.
     pub failures: u32,
-    /// Newest failed run.
+    /// Highest number of a failed run, so that a repeated report is not counted again.
     pub failed_run: order::Run,
-    /// Whether it is done.
+    /// Whether a run of the task succeeded.
     pub done: bool,
     /// Worker on which the newest run is placed, until that run has ended.
     pub placed: Option<WorkerIndex>,
-    /// Progress to resume from.
+    /// Checkpoint to resume from.
     pub checkpoint: Option<Bytes>,
 }
 
 impl State {
-    /// Newest configuration.
+    /// Returns the newest configuration.
     pub fn catalog(&self) -> Option<&Arc<catalog::Catalog>> {
         self.catalog.as_ref()
     }
 
-    /// The operator's document of the newest configuration.
+    /// Returns the document of the newest configuration.
     pub fn document(&self) -> &Bytes {
         &self.document
     }
 
-    /// Known lives of workers.
+    /// Returns the registered incarnations of workers.
     pub fn workers(&self) -> &BTreeMap<WorkerIndex, Registered> {
         &self.workers
     }
 
-    /// Returns the newest life of a name.
+    /// Returns the newest incarnation of the worker with a name.
     pub fn worker_named(&self, name: &str) -> Option<(WorkerIndex, &Registered)> {
         let mut newest = self.workers.iter().rev();
         let found = newest.find(|(_, registered)| registered.life.name == name);
         found.map(|(index, registered)| (*index, registered))
     }
 
-    /// Returns a job.
+    /// Returns the job with an id.
     pub fn job(&self, key: job::Key) -> Option<&Job> {
         self.jobs.get(&key)
     }
 
-    /// All jobs that are not forgotten.
+    /// Returns all jobs that are retained.
     pub fn jobs(&self) -> impl Iterator<Item = &Job> {
         self.jobs.values()
     }
 
-    /// Jobs with work remaining or runs that have not ended.
+    /// Returns the jobs that are not in a final phase or have runs that have not ended.
     pub fn active(&self) -> impl Iterator<Item = &Job> {
         self.active.iter().filter_map(|key| self.jobs.get(key))
     }
 
-    /// Number of jobs of a queue of which no task has started.
+    /// Returns the number of jobs of a queue of which no task has started.
     pub fn pending(&self, queue: &str) -> u64 {
         self.pending.get(queue).copied().unwrap_or_default()
     }
 
-    /// Peer addresses of VMs.
+    /// Returns the peer addresses of VMs.
     pub fn peers(&self) -> &BTreeMap<id::VmId, SocketAddr> {
         &self.peers
     }
 
-    /// Returns the queue of a job as it is configured now, or as it was at the submission.
+    /// Returns the queue of a job as configured now or, if it was removed, as configured at the submission.
     pub fn queue_of<'a>(&'a self, job: &'a Job) -> &'a catalog::Queue {
         let current = self.catalog.as_ref();
         let found = current.and_then(|catalog| catalog.queue(&job.queue.name));
@@ -176,7 +176,7 @@
         step.tasks.get(task.index as usize)
     }
 
-    /// Returns what a task's step was submitted as.
+    /// Returns the submitted specification of a task's step.
     pub fn spec(&self, task: order::Task) -> Option<&job::Step> {
         let steps = &self.jobs.get(&task.job)?.submission.steps;
         steps.get(usize::from(task.step))
@@ -193,14 +193,14 @@
         envelope::to_bytes(self)
     }
 
-    /// Decodes a snapshot.
+    /// Decodes the state from a snapshot.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
         envelope::from_bytes(bytes)
     }
 }
 
 impl Job {
-    /// Tells whether no task may be started any more.
+    /// Returns whether the job is in a final phase, in which no task is started.
     pub const fn is_final(&self) -> bool {
         matches!(
             self.phase,
@@ -208,7 +208,7 @@
         )
     }
 
-    /// Tells whether all steps that a step comes after are done.
+    /// Returns whether all steps that a step depends on are done.
     pub fn is_ready(&self, occurrence: u32, step: u16) -> bool {
         let steps = &self.occurrences[occurrence as usize].steps;
         let after = &self.submission.steps[usize::from(step)].after;
@@ -217,7 +217,7 @@
             .all(|other| steps[usize::from(*other)].remaining == 0)
     }
 
-    /// Creates an accepted job.
+    /// Returns a job that was accepted at `at_ms` and of which no task has started.
     pub(super) fn new(
         key: job::Key,
         queue: Arc<catalog::Queue>,
--- a/crates/control/src/cell/verify.rs
+++ b/crates/control/src/cell/verify.rs
@@ -1,17 +1,17 @@
-//! Invariants of the state, for tests and for the decoding of snapshots.
+//! Invariants of the cell state, checked by tests and simulations.
 
 use super::state::{Job, State};
 
 impl State {
-    /// Checks the counters against what they count.
+    /// Checks the counters and indices against the tasks and jobs that they summarize.
     pub fn verify(&self) -> Result<(), String> {
         for job in self.jobs.values() {
             verify_job(job)?;
             let active = self.active.contains(&job.key);
-            let wanted = !job.is_final() || job.placed > 0;
-            if active != wanted {
+            let expected = !job.is_final() || job.placed > 0;
+            if active != expected {
                 return Err(format!(
-                    "job {:016x}: active is {active}, expected {wanted}",
+                    "job {:016x}: active is {active}, expected {expected}",
                     job.key
                 ));
             }
@@ -35,14 +35,14 @@
     let mut placed = 0;
     for step in job.occurrences.iter().flat_map(|occurrence| &occurrence.steps) {
         let remaining = step.tasks.iter().filter(|task| !task.done).count() as u32;
-        let here = step.tasks.iter().filter(|task| task.placed.is_some()).count() as u32;
-        if (remaining, here) != (step.remaining, step.placed) {
+        let step_placed = step.tasks.iter().filter(|task| task.placed.is_some()).count() as u32;
+        if (remaining, step_placed) != (step.remaining, step.placed) {
             return Err(format!(
-                "job {:016x}: a step counts {} remaining and {} placed, expected {remaining} and {here}",
+                "job {:016x}: a step counts {} remaining and {} placed, expected {remaining} and {step_placed}",
                 job.key, step.remaining, step.placed
             ));
         }
-        placed += here;
+        placed += step_placed;
     }
     if placed != job.placed {
         return Err(format!(
