--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use bronzespoke_model::id;
-use bronzespoke_workload::{catalog, job, order, worker};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -38,7 +38,7 @@
     /// Adds an incarnation of a worker, or updates its attributes and whether it drains.
     Register {
         /// Name and start time of the process.
-        life: worker::Life,
+        life: worker::Incarnation,
         /// Address, pool, place and capacity.
         worker: Box<worker::Worker>,
         /// Whether the worker accepts no new tasks because it is leaving.
@@ -68,9 +68,9 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Start {
     /// Task to start.
-    pub task: order::Task,
+    pub task: directive::Task,
     /// Run number; higher than that of every earlier run of the task.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Worker that the task is placed on.
     pub worker: state::WorkerIndex,
 }
@@ -79,13 +79,13 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct End {
     /// Task whose run ended.
-    pub task: order::Task,
+    pub task: directive::Task,
     /// Run number.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Worker whose run ended; not compared with the placement.
     pub worker: state::WorkerIndex,
     /// Outcome of the run.
-    pub outcome: order::Outcome,
+    pub outcome: directive::Outcome,
     /// Checkpoint to resume from, if the run left one.
     pub checkpoint: Option<Bytes>,
 }
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -7,7 +7,7 @@
 };
 
 use bronzespoke_model::id;
-use bronzespoke_workload::{catalog, job, order, worker};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
@@ -41,7 +41,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registered {
     /// Name and start time of the process.
-    pub life: worker::Life,
+    pub life: worker::Incarnation,
     /// Address, pool, place and capacity.
     pub worker: Arc<worker::Worker>,
     /// Whether the worker accepts no new tasks because it is leaving.
@@ -89,9 +89,9 @@
     /// Number of failed runs of a gang.
     pub failures: u32,
     /// Newest failed run of a gang, so that the failures of several members in one run count once.
-    pub failed_run: order::Run,
+    pub failed_run: directive::Run,
     /// Highest run number of any task. All members of a gang share a run number.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Newest checkpoint of a gang, valid for every member.
     pub checkpoint: Option<Bytes>,
     /// Progress of each task, by index.
@@ -102,11 +102,11 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize, Default)]
 pub struct Task {
     /// Number of the newest run; 0 before the first.
-    pub run: order::Run,
+    pub run: directive::Run,
     /// Number of failed runs.
     pub failures: u32,
     /// Highest number of a failed run, so that a repeated report is not counted again.
-    pub failed_run: order::Run,
+    pub failed_run: directive::Run,
     /// Whether a run of the task succeeded.
     pub done: bool,
     /// Worker on which the newest run is placed, until that run has ended.
@@ -171,13 +171,13 @@
     }
 
     /// Returns the progress of a task.
-    pub fn task(&self, task: order::Task) -> Option<&Task> {
+    pub fn task(&self, task: directive::Task) -> Option<&Task> {
         let step = self.step(task.job, task.occurrence, task.step)?;
         step.tasks.get(task.index as usize)
     }
 
     /// Returns the submitted specification of a task's step.
-    pub fn spec(&self, task: order::Task) -> Option<&job::Step> {
+    pub fn spec(&self, task: directive::Task) -> Option<&job::Step> {
         let steps = &self.jobs.get(&task.job)?.submission.steps;
         steps.get(usize::from(task.step))
     }
