--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -29,10 +29,10 @@
             )),
             Command::Cancel { key } => self.cancel(key, at_ms),
             Command::Register {
-                life,
+                incarnation,
                 worker,
                 draining,
-            } => self.register(life, *worker, draining),
+            } => self.register(incarnation, *worker, draining),
             Command::Retire { worker } => {
                 self.workers.remove(&worker);
                 Outcome::Done
@@ -79,9 +79,14 @@
         Outcome::Done
     }
 
-    fn register(&mut self, life: worker::Incarnation, worker: worker::Worker, draining: bool) -> Outcome {
+    fn register(
+        &mut self,
+        incarnation: worker::Incarnation,
+        worker: worker::Worker,
+        draining: bool,
+    ) -> Outcome {
         let mut known = self.workers.values_mut();
-        if let Some(registered) = known.find(|registered| registered.life == life) {
+        if let Some(registered) = known.find(|registered| registered.incarnation == incarnation) {
             registered.worker = Arc::new(worker);
             // Draining is permanent; a delayed announcement may still report the worker as ready.
             registered.draining |= draining;
@@ -93,7 +98,7 @@
         self.workers.insert(
             index,
             Registered {
-                life,
+                incarnation,
                 worker,
                 draining,
             },
--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -38,7 +38,8 @@
     /// Adds an incarnation of a worker, or updates its attributes and whether it drains.
     Register {
         /// Name and start time of the process.
-        life: worker::Incarnation,
+        #[serde(rename = "life")]
+        incarnation: worker::Incarnation,
         /// Address, pool, place and capacity.
         worker: Box<worker::Worker>,
         /// Whether the worker accepts no new tasks because it is leaving.
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -41,7 +41,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registered {
     /// Name and start time of the process.
-    pub life: worker::Incarnation,
+    #[serde(rename = "life")]
+    pub incarnation: worker::Incarnation,
     /// Address, pool, place and capacity.
     pub worker: Arc<worker::Worker>,
     /// Whether the worker accepts no new tasks because it is leaving.
@@ -134,7 +135,7 @@
     /// Returns the newest incarnation of the worker with a name.
     pub fn worker_named(&self, name: &str) -> Option<(WorkerIndex, &Registered)> {
         let mut newest = self.workers.iter().rev();
-        let found = newest.find(|(_, registered)| registered.life.name == name);
+        let found = newest.find(|(_, registered)| registered.incarnation.name == name);
         found.map(|(index, registered)| (*index, registered))
     }
 
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -213,7 +213,7 @@
 #[test]
 fn a_draining_worker_stays_draining() {
     let register = |draining: bool| Command::Register {
-        life: worker::Incarnation {
+        incarnation: worker::Incarnation {
             name: String::from("w"),
             born: 1,
         },
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -31,7 +31,7 @@
         let until = now.steady + lease.div_f64(1.0 - machine::CLOCK_DRIFT) + INHERITED_MARGIN;
         for (index, registered) in state.workers() {
             let machine = machine::Machine::new(
-                registered.life.clone(),
+                registered.incarnation.clone(),
                 std::sync::Arc::clone(&registered.worker),
                 registered.draining,
                 now.steady,
@@ -111,7 +111,7 @@
         let known = state.workers().iter();
         let mut former = Vec::new();
         for (index, registered) in known {
-            if registered.life == *life {
+            if registered.incarnation == *life {
                 let changed = (draining && !registered.draining)
                     || registered.worker.address != announcement.worker.address
                     || registered.worker.room != announcement.worker.room
@@ -132,8 +132,8 @@
                 };
             }
             let same_place = registered.worker.address == announcement.worker.address;
-            if registered.life.name == life.name || same_place {
-                if registered.life.born > life.born {
+            if registered.incarnation.name == life.name || same_place {
+                if registered.incarnation.born > life.born {
                     return Registration::Outdated;
                 }
                 former.push(*index);
@@ -165,7 +165,7 @@
                 machine.draining |= registered.draining;
                 continue;
             }
-            let life = registered.life.clone();
+            let life = registered.incarnation.clone();
             self.out.push(Output::Event(Event::WorkerKnown {
                 index: *index,
                 worker: life.name.clone(),
@@ -249,7 +249,7 @@
 
 fn register(announcement: &worker::Announcement, draining: bool) -> cell::Command {
     cell::Command::Register {
-        life: announcement.incarnation.clone(),
+        incarnation: announcement.incarnation.clone(),
         worker: Box::new(announcement.worker.clone()),
         draining,
     }
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -91,7 +91,7 @@
             order,
             decided,
             target,
-            name: registered.life.name.clone(),
+            name: registered.incarnation.name.clone(),
         };
         let number = self.next_order;
         self.next_order += 1;
