--- a/crates/bench/src/policy/request/simulation.rs
+++ b/crates/bench/src/policy/request/simulation.rs
@@ -436,7 +436,7 @@
         let question = retry::Attempt {
             flow: self.flow(request),
             repeatable: known.repeatable,
-            state,
+            progress: state,
             history: known.history,
             attempts: known.attempts,
             response_started: false,
--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -236,7 +236,7 @@
         let decision = context.gate.decide(&retry::Attempt {
             flow: work.ask.flow,
             repeatable,
-            state: failure.state,
+            progress: failure.state,
             history,
             attempts,
             response_started: false,
--- a/crates/request/src/retry.rs
+++ b/crates/request/src/retry.rs
@@ -34,7 +34,7 @@
     /// Whether the request may run more than once.
     pub repeatable: bool,
     /// How far this attempt got.
-    pub state: attempt::Progress,
+    pub progress: attempt::Progress,
     /// Worst knowledge over the earlier attempts.
     pub history: attempt::Execution,
     /// Attempts so far, this one included.
@@ -67,7 +67,7 @@
     rules: rules::Rules,
     budgets: HashMap<admission::Flow, f64>,
     latencies: HashMap<id::ServiceId, Latency>,
-    extra: u64,
+    spent: u64,
 }
 
 impl Retry {
@@ -78,7 +78,7 @@
             rules,
             budgets: HashMap::new(),
             latencies: HashMap::new(),
-            extra: 0,
+            spent: 0,
         }
     }
 
@@ -101,9 +101,9 @@
     /// Decides what follows an attempt that brought no answer.
     pub fn decide(&mut self, now: Duration, attempt: &Attempt) -> Decision {
         let known = if self.rules.keep_run_history {
-            attempt.history.max(attempt.state.execution())
+            attempt.history.max(attempt.progress.execution())
         } else {
-            attempt.state.execution()
+            attempt.progress.execution()
         };
         let may_repeat =
             attempt.repeatable || !self.rules.repeat_only_when_not_run || known == attempt::Execution::NotRun;
@@ -112,7 +112,7 @@
             && attempt.attempts < MAX_ATTEMPTS
             && now < attempt.deadline;
         // A first attempt that was never sent cost no target anything, so it takes nothing from the budget.
-        let free = attempt.state == attempt::Progress::NotSent && attempt.attempts == 1;
+        let free = attempt.progress == attempt::Progress::NotSent && attempt.attempts == 1;
         if possible && (free || self.try_spend(attempt.flow)) {
             Decision::Retry(known)
         } else {
@@ -123,7 +123,7 @@
     /// Takes one retry or hedge from the budget of a flow.
     pub fn try_spend(&mut self, flow: admission::Flow) -> bool {
         if !self.rules.retry_budget {
-            self.extra += 1;
+            self.spent += 1;
             return true;
         }
         let Some(budget) = self.budgets.get_mut(&flow) else {
@@ -133,13 +133,13 @@
             return false;
         }
         *budget -= 1.0;
-        self.extra += 1;
+        self.spent += 1;
         true
     }
 
     /// Returns how many attempts were paid from budgets.
-    pub const fn extra(&self) -> u64 {
-        self.extra
+    pub const fn spent(&self) -> u64 {
+        self.spent
     }
 
     /// Notes the latency of an answer.
--- a/crates/request/tests/properties.rs
+++ b/crates/request/tests/properties.rs
@@ -82,7 +82,7 @@
             let question = retry::Attempt {
                 flow: FLOW,
                 repeatable: *repeatable,
-                state,
+                progress: state,
                 history,
                 attempts: number,
                 response_started: false,
