--- a/crates/request/src/admission.rs
+++ b/crates/request/src/admission.rs
@@ -1,8 +1,11 @@
-//! Which requests may run now, which wait, and which are refused before anything was sent.
+//! Admission control: decides which requests are sent now, which are queued, and which are rejected.
 //!
-//! Each team and service has a bounded queue. Between the queues of a service the start-time fair rule applies:
-//! every start moves a queue's virtual time on by one over its weight, and the queue that is furthest behind is
-//! next. A request that cannot be answered by its deadline is refused when it arrives, not after it has waited.
+//! Every pair of owner and service has a bounded queue. The queues of a service share its capacity by start-time
+//! fair queueing: each start advances the virtual time of its queue by 1 / weight, and the queue with the lowest
+//! virtual time is served next. A request that is not expected to complete by its deadline is rejected on arrival
+//! instead of after waiting.
+//!
+//! A concurrency limit per service adapts to overload by additive increase and multiplicative decrease.
 
 use std::{
     collections::{BTreeSet, HashMap, VecDeque},
@@ -14,88 +17,89 @@
 
 use crate::rules;
 
-/// Requests that one flow may have waiting.
+/// Maximum number of queued requests per flow.
 pub const QUEUE_PER_FLOW: usize = 256;
-/// Requests that may wait on one VM over all flows.
+/// Maximum number of queued requests on one VM, over all flows.
 pub const QUEUE_TOTAL: usize = 16_384;
-/// Flows that one VM keeps; beyond it, a new flow is refused.
+/// Maximum number of flows with a queue on one VM; a request of a further flow is rejected if it cannot start
+/// immediately.
 pub const MAX_FLOWS: usize = 8192;
-/// Shortest and longest advice to a refused caller.
+/// Minimum and maximum time after which a rejected caller is asked to retry.
 pub const RETRY_AFTER: (Duration, Duration) = (Duration::from_millis(500), Duration::from_secs(10));
-/// Smallest adaptive limit, so that a service never stops entirely.
+/// Minimum concurrency limit, so that a service never stops entirely.
 const LIMIT_MIN: f64 = 4.0;
-/// Factor by which a sign of overload lowers the limit.
+/// Factor by which a round with overload lowers the concurrency limit.
 const LIMIT_DECREASE: f64 = 0.9;
-/// Requests that a round without overload adds to a limit that was reached, at least.
-const LIMIT_INCREASE: f64 = 2.0;
-/// Part of the limit that such a round adds, if that is more.
-const LIMIT_GROWTH: f64 = 0.05;
-/// Weight of a new sample in the running means.
+/// Minimum increase after a round without overload in which the limit was reached.
+const LIMIT_INCREASE_MIN: f64 = 2.0;
+/// Increase after such a round as a fraction of the limit; the larger of both applies.
+const LIMIT_INCREASE_FRACTION: f64 = 0.05;
+/// Weight of a new sample in the exponentially weighted moving averages.
 const SMOOTHING: f64 = 0.05;
-/// Deviations above the mean that the expected run time covers.
-const RUN_TIME_DEVIATIONS: f64 = 3.0;
-/// Part of the time left before the deadline that a request may be expected to wait; the rest covers errors of the
+/// Number of deviations above the mean in the expected latency, so that most requests keep within it.
+const LATENCY_DEVIATIONS: f64 = 3.0;
+/// Fraction of the time remaining until the deadline that the expected wait may take. The rest covers errors of the
 /// estimate.
-const WAIT_PART: f64 = 0.125;
-/// Part of answers in a round that may be signs of overload before the limit is lowered.
-const OVERLOAD_PART: f64 = 0.1;
+const MAX_WAIT_FRACTION: f64 = 0.125;
+/// Fraction of overloaded requests in a round above which the limit is lowered.
+const OVERLOAD_THRESHOLD: f64 = 0.1;
 
-/// Whom a request is charged to.
+/// Team or open queue whose quota a request counts against.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Owner {
-    /// A team.
+    /// The team of the caller's key.
     Team(id::TeamId),
-    /// An open queue.
+    /// An open queue, which needs no key.
     Queue(id::QueueId),
 }
 
 /// Requests of one owner to one service.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub struct Flow {
-    /// The service.
+    /// Service that the requests are sent to.
     pub service: id::ServiceId,
-    /// The owner.
+    /// Team or open queue that the requests count against.
     pub owner: Owner,
 }
 
-/// A request that asks to be sent.
+/// A request for admission.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Request {
-    /// Number given by the gateway, unique on the VM.
+    /// Id assigned by the gateway, unique on the VM.
     pub id: u64,
-    /// Owner and service.
+    /// Owner and service of the request; selects its queue.
     pub flow: Flow,
-    /// Weight of the owner's share; 0 counts as 1.
+    /// Weight of the owner in fair queueing; 0 counts as 1.
     pub weight: u32,
-    /// Requests that the owner may have in flight on this VM, over all services.
+    /// Maximum number of requests that the owner may have in flight on this VM, over all services.
     pub limit: u32,
-    /// Instant by which the answer is needed.
+    /// Time by which the caller needs the response.
     pub deadline: Duration,
 }
 
-/// Why a request is refused; nothing of it was sent.
+/// Why a request is rejected; nothing of it was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
-    /// The owner's queue or the VM's queue space is full.
+    /// The queue of the flow is full, or the VM holds too many queued requests or flows.
     QueueFull,
-    /// It would not be answered by its deadline.
+    /// The request is not expected to complete by its deadline.
     Deadline,
-    /// The owner's limit gives this VM no part.
+    /// This VM's allotment of the owner's limit is zero.
     NoAllotment,
 }
 
-/// Answer to an offer.
+/// Result of [`Admission::admit`].
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
-    /// Send it now.
+    /// The request is sent now.
     Admitted,
-    /// It waits; [`Admission::dequeue`] returns it when it may run.
+    /// The request waits; [`Admission::dequeue`] returns it when it may be sent.
     Queued,
-    /// Refused without having been sent.
+    /// The request is rejected without having been sent.
     Rejected {
-        /// Why.
+        /// Which bound the request would exceed.
         reason: Reason,
-        /// When to try again, with jitter.
+        /// Time after which the caller may retry, with jitter.
         retry_after: Duration,
     },
 }
@@ -103,14 +107,14 @@
 /// How an admitted request ended.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
-    /// Answered in time.
+    /// A response came in time.
     Success {
-        /// Time from the start to the answer.
+        /// Time from the start to the end of the response.
         latency: Duration,
     },
-    /// A target had no room, or the deadline passed while it ran.
+    /// A target had no free slot, or the deadline passed while the request ran.
     Overloaded,
-    /// Any other end; says nothing about capacity.
+    /// Any other end, which does not reflect on the capacity of the service.
     Ignored,
 }
 
@@ -118,34 +122,34 @@
 struct Queue {
     waiting: VecDeque<Request>,
     virtual_time: f64,
-    listed: bool,
+    in_ready: bool,
 }
 
 #[derive(Debug)]
 struct Service {
     in_flight: u32,
     limit: f64,
-    round_at: Duration,
+    round_start: Duration,
     virtual_time: f64,
-    run_time: f64,
+    mean_latency: f64,
     deviation: f64,
-    /// Ends and signs of overload in this round.
+    /// Requests ended and, of these, overloaded in the current round.
     round: (u32, u32),
-    /// Most requests in flight in this round.
+    /// Maximum number of requests in flight in the current round.
     peak: u32,
-    interval: f64,
+    start_interval: f64,
     last_start: Duration,
     waiting: usize,
     waiting_weight: u64,
-    /// Queues with waiting requests whose owner is below its limit, by virtual time in bits and flow.
+    /// Flows with queued requests whose owner is below its limit, ordered by the bits of the virtual time.
     ready: BTreeSet<(u64, Flow)>,
 }
 
-/// Admission of one entry VM.
+/// Admission control of one entry VM.
 #[derive(Debug)]
 pub struct Admission {
     rules: rules::Rules,
-    random: SmallRng,
+    rng: SmallRng,
     queues: HashMap<Flow, Queue>,
     services: HashMap<id::ServiceId, Service>,
     owners: HashMap<Owner, u32>,
@@ -154,11 +158,11 @@
 }
 
 impl Admission {
-    /// Returns an admission without requests; `seed` is for the jitter only.
+    /// Creates an admission control without requests; `seed` is only used for jitter.
     pub fn new(seed: u64, rules: rules::Rules) -> Self {
         Self {
             rules,
-            random: SmallRng::seed_from_u64(seed),
+            rng: SmallRng::seed_from_u64(seed),
             queues: HashMap::new(),
             services: HashMap::new(),
             owners: HashMap::new(),
@@ -167,15 +171,15 @@
         }
     }
 
-    /// Decides about a new request; `free` is the room that routing sees for the service.
+    /// Decides whether to admit a new request, given `free` slots at the targets of its service.
     pub fn admit(&mut self, now: Duration, request: Request, free: u32) -> Decision {
         let flow = request.flow;
         if request.limit == 0 && self.rules.team_limit {
-            return self.refuse(Reason::NoAllotment, RETRY_AFTER.1);
+            return self.reject(Reason::NoAllotment, RETRY_AFTER.1);
         }
-        let below = self.owner_in_flight(flow.owner) < request.limit || !self.rules.team_limit;
+        let below_limit = self.owner_in_flight(flow.owner) < request.limit || !self.rules.team_limit;
         let service = self.services.entry(flow.service).or_insert_with(Service::new);
-        if service.waiting == 0 && free > 0 && below && service.has_room() {
+        if service.waiting == 0 && free > 0 && below_limit && service.has_room() {
             self.start(now, &request);
             return Decision::Admitted;
         }
@@ -186,36 +190,36 @@
             || (known.is_none() && self.queues.len() >= MAX_FLOWS);
         let wait = service.expected_wait(length, request.weight);
         if full && self.rules.queue_bound {
-            return self.refuse(Reason::QueueFull, wait);
+            return self.reject(Reason::QueueFull, wait);
         }
-        let left = request
+        let remaining = request
             .deadline
             .saturating_sub(now)
-            .saturating_sub(service.expected_run());
-        if wait > left.mul_f64(WAIT_PART) || left.is_zero() {
-            return self.refuse(Reason::Deadline, wait);
+            .saturating_sub(service.expected_latency());
+        if wait > remaining.mul_f64(MAX_WAIT_FRACTION) || remaining.is_zero() {
+            return self.reject(Reason::Deadline, wait);
         }
-        self.enqueue(request, below);
+        self.enqueue(request, below_limit);
         Decision::Queued
     }
 
-    /// Returns the next waiting request of a service that may run, given `free` room at its targets.
+    /// Returns the next queued request of a service that may be sent, given `free` slots at its targets.
     ///
-    /// Requests that could not be answered by their deadline any more are passed over; [`Admission::pop_expired`]
-    /// returns them.
+    /// Requests that can no longer complete by their deadline are removed from their queue;
+    /// [`Admission::pop_expired`] returns them.
     pub fn dequeue(&mut self, now: Duration, service: id::ServiceId, free: u32) -> Option<Request> {
         let state = self.services.get_mut(&service)?;
         if free == 0 || !state.has_room() {
             return None;
         }
         while let Some((_, flow)) = self.services.get_mut(&service)?.ready.pop_first() {
-            self.expire(now, flow);
+            self.expire_front(now, flow);
             let Some(queue) = self.queues.get_mut(&flow) else {
                 continue;
             };
-            queue.listed = false;
+            queue.in_ready = false;
             let Some(request) = queue.waiting.front().copied() else {
-                self.list(flow);
+                self.mark_ready(flow);
                 continue;
             };
             if self.rules.team_limit && self.owner_in_flight(flow.owner) >= request.limit {
@@ -223,13 +227,13 @@
             }
             self.dequeue_front(flow, true);
             self.start(now, &request);
-            self.list(flow);
+            self.mark_ready(flow);
             return Some(request);
         }
         None
     }
 
-    /// Returns a request that was passed over because it could not be answered in time; it was not sent.
+    /// Returns a queued request that was dropped because it could not complete in time; it was not sent.
     pub fn pop_expired(&mut self) -> Option<Request> {
         self.expired.pop()
     }
@@ -246,14 +250,14 @@
                 self.owners.remove(&flow.owner);
             }
         }
-        self.list(flow);
+        self.mark_ready(flow);
         let others: Vec<Flow> = self.blocked_flows(flow);
         for other in others {
-            self.list(other);
+            self.mark_ready(other);
         }
     }
 
-    /// Removes a waiting request whose caller is gone or whose deadline passed; false when it is not waiting.
+    /// Removes a queued request whose caller disconnected or whose deadline passed; returns whether it was queued.
     pub fn cancel(&mut self, flow: Flow, id: u64) -> bool {
         let Some(queue) = self.queues.get_mut(&flow) else {
             return false;
@@ -273,37 +277,43 @@
         true
     }
 
-    /// Returns requests in flight and waiting.
+    /// Returns the number of requests in flight and the number of queued requests.
     pub fn counts(&self) -> (u32, usize) {
         let in_flight = self.services.values().map(|service| service.in_flight).sum();
         (in_flight, self.waiting)
     }
 
-    /// Returns the adaptive limit of a service.
+    /// Returns the current concurrency limit of a service.
     pub fn limit(&self, service: id::ServiceId) -> Option<u32> {
         self.services.get(&service).map(|state| state.limit as u32)
     }
 
-    /// Checks the counters against the queues.
+    /// Checks that the counters agree with the queues.
     pub fn verify(&self) -> Result<(), String> {
         let waiting: usize = self.queues.values().map(|queue| queue.waiting.len()).sum();
         if waiting != self.waiting {
             return Err(format!(
-                "{waiting} requests wait but {} are counted",
+                "{waiting} requests are queued, but the total is {}",
                 self.waiting
             ));
         }
         let by_service: usize = self.services.values().map(|service| service.waiting).sum();
         if by_service != waiting {
-            return Err(format!("{waiting} requests wait but services count {by_service}"));
+            return Err(format!(
+                "{waiting} requests are queued, but the services count {by_service}"
+            ));
         }
         let owners: u32 = self.owners.values().sum();
         let in_flight = self.counts().0;
         if owners != in_flight {
-            return Err(format!("{in_flight} requests run but owners count {owners}"));
+            return Err(format!(
+                "{in_flight} requests are in flight, but the owners count {owners}"
+            ));
         }
         if self.rules.queue_bound && waiting > QUEUE_TOTAL {
-            return Err(format!("{waiting} requests wait, {QUEUE_TOTAL} are allowed"));
+            return Err(format!(
+                "{waiting} requests are queued, but at most {QUEUE_TOTAL} are allowed"
+            ));
         }
         Ok(())
     }
@@ -312,7 +322,7 @@
         self.owners.get(&owner).copied().unwrap_or(0)
     }
 
-    /// Flows of the same owner to other services, which may have waited for the owner's limit.
+    /// Returns flows of the same owner to other services, which may have been held back by the owner's limit.
     fn blocked_flows(&self, flow: Flow) -> Vec<Flow> {
         if self.waiting == 0 || self.services.len() < 2 {
             return Vec::new();
@@ -328,10 +338,10 @@
             .collect()
     }
 
-    fn refuse(&mut self, reason: Reason, wait: Duration) -> Decision {
+    fn reject(&mut self, reason: Reason, wait: Duration) -> Decision {
         let base = wait.clamp(RETRY_AFTER.0, RETRY_AFTER.1 / 2);
-        // Jitter spreads the callers that were refused together, so that they do not return together.
-        let retry_after = base.mul_f64(self.random.random_range(1.0..2.0));
+        // Jitter spreads callers that were rejected together, so that they do not all retry together.
+        let retry_after = base.mul_f64(self.rng.random_range(1.0..2.0));
         Decision::Rejected { reason, retry_after }
     }
 
@@ -340,13 +350,13 @@
         let service = self
             .services
             .get_mut(&request.flow.service)
-            .expect("the service was entered at the offer");
+            .expect("admit inserts the service");
         service.in_flight += 1;
         service.peak = service.peak.max(service.in_flight);
-        service.started(now);
+        service.record_start(now);
     }
 
-    fn enqueue(&mut self, request: Request, below: bool) {
+    fn enqueue(&mut self, request: Request, below_limit: bool) {
         let service = self
             .services
             .entry(request.flow.service)
@@ -359,23 +369,23 @@
         queue.waiting.push_back(request);
         service.waiting += 1;
         self.waiting += 1;
-        if below {
-            self.list(request.flow);
+        if below_limit {
+            self.mark_ready(request.flow);
         }
     }
 
-    /// Passes over requests at the front of a queue that have too little time left to be answered.
-    fn expire(&mut self, now: Duration, flow: Flow) {
-        let run_time = self
+    /// Drops requests at the front of a queue that can no longer complete by their deadline.
+    fn expire_front(&mut self, now: Duration, flow: Flow) {
+        let expected_latency = self
             .services
             .get(&flow.service)
-            .map_or(Duration::ZERO, Service::expected_run);
+            .map_or(Duration::ZERO, Service::expected_latency);
         loop {
             let front = self
                 .queues
                 .get(&flow)
                 .and_then(|queue| queue.waiting.front().copied());
-            let Some(request) = front.filter(|request| now + run_time >= request.deadline) else {
+            let Some(request) = front.filter(|request| now + expected_latency >= request.deadline) else {
                 return;
             };
             self.dequeue_front(flow, false);
@@ -399,18 +409,18 @@
         self.waiting -= 1;
         if queue.waiting.is_empty() {
             service.waiting_weight = service.waiting_weight.saturating_sub(weight);
-            // An empty queue whose virtual time is not ahead of the service carries no information.
-            if !queue.listed && queue.virtual_time <= service.virtual_time {
+            // An empty queue whose virtual time is not ahead of the service's holds no state worth keeping.
+            if !queue.in_ready && queue.virtual_time <= service.virtual_time {
                 self.queues.remove(&flow);
             }
         }
     }
 
-    fn list(&mut self, flow: Flow) {
+    fn mark_ready(&mut self, flow: Flow) {
         let Some(queue) = self.queues.get_mut(&flow) else {
             return;
         };
-        if queue.listed {
+        if queue.in_ready {
             return;
         }
         if queue.waiting.is_empty() {
@@ -423,12 +433,12 @@
             }
             return;
         }
-        queue.listed = true;
+        queue.in_ready = true;
         let service = self
             .services
             .get_mut(&flow.service)
             .expect("the service is known");
-        // Virtual times are not negative, so their bits sort as they do.
+        // Virtual times are not negative, so their bit patterns sort in the same order.
         service.ready.insert((queue.virtual_time.to_bits(), flow));
     }
 }
@@ -438,13 +448,13 @@
         Self {
             in_flight: 0,
             limit: f64::from(u16::MAX),
-            round_at: Duration::ZERO,
+            round_start: Duration::ZERO,
             virtual_time: 0.0,
-            run_time: 0.0,
+            mean_latency: 0.0,
             deviation: 0.0,
             round: (0, 0),
             peak: 0,
-            interval: 0.0,
+            start_interval: 0.0,
             last_start: Duration::ZERO,
             waiting: 0,
             waiting_weight: 0,
@@ -456,25 +466,25 @@
         f64::from(self.in_flight) < self.limit
     }
 
-    fn started(&mut self, now: Duration) {
+    fn record_start(&mut self, now: Duration) {
         let gap = now.saturating_sub(self.last_start).as_secs_f64();
         self.last_start = now;
-        // Idle gaps say nothing about how fast a backlog is worked off.
+        // Gaps without a backlog say nothing about how fast a backlog drains.
         if self.waiting > 0 {
-            self.interval += (gap - self.interval) * SMOOTHING;
+            self.start_interval += (gap - self.start_interval) * SMOOTHING;
         }
     }
 
-    /// Run time that most requests keep within.
-    fn expected_run(&self) -> Duration {
-        Duration::from_secs_f64(self.run_time + RUN_TIME_DEVIATIONS * self.deviation)
+    /// Latency that most requests keep within.
+    fn expected_latency(&self) -> Duration {
+        Duration::from_secs_f64(self.mean_latency + LATENCY_DEVIATIONS * self.deviation)
     }
 
-    /// Time until a request behind `ahead` others of its flow starts.
+    /// Expected time until a request behind `ahead` others of its flow starts.
     fn expected_wait(&self, ahead: usize, weight: u32) -> Duration {
         let weight = f64::from(weight.max(1));
         let total = (self.waiting_weight as f64).max(weight);
-        let seconds = (ahead + 1) as f64 * self.interval * total / weight;
+        let seconds = (ahead + 1) as f64 * self.start_interval * total / weight;
         Duration::from_secs_f64(seconds.min(3600.0))
     }
 
@@ -482,7 +492,7 @@
         match outcome {
             Outcome::Success { latency } => {
                 self.round.0 += 1;
-                self.record_run_time(latency.as_secs_f64());
+                self.record_latency(latency.as_secs_f64());
             }
             Outcome::Overloaded => {
                 self.round.0 += 1;
@@ -493,30 +503,33 @@
         self.end_round(now);
     }
 
-    fn record_run_time(&mut self, sample: f64) {
-        if self.run_time == 0.0 {
-            self.run_time = sample;
+    fn record_latency(&mut self, sample: f64) {
+        if self.mean_latency == 0.0 {
+            self.mean_latency = sample;
             return;
         }
-        self.deviation += ((sample - self.run_time).abs() - self.deviation) * SMOOTHING;
-        self.run_time += (sample - self.run_time) * SMOOTHING;
+        self.deviation += ((sample - self.mean_latency).abs() - self.deviation) * SMOOTHING;
+        self.mean_latency += (sample - self.mean_latency) * SMOOTHING;
     }
 
-    /// Lowers the limit when a round of answers shows overload; single signs are left to routing.
+    /// Ends a round, which lasts one mean latency, and adapts the concurrency limit to it.
+    ///
+    /// A single overloaded request does not lower the limit; the router handles it by using other targets.
     fn end_round(&mut self, now: Duration) {
-        let round = Duration::from_secs_f64(self.run_time.max(0.001));
-        if now.saturating_sub(self.round_at) < round {
+        let round = Duration::from_secs_f64(self.mean_latency.max(0.001));
+        if now.saturating_sub(self.round_start) < round {
             return;
         }
         let (ended, overloaded) = std::mem::take(&mut self.round);
-        self.round_at = now;
+        self.round_start = now;
         let peak = std::mem::replace(&mut self.peak, self.in_flight);
         let used = f64::from(peak).min(self.limit);
-        if f64::from(overloaded) > f64::from(ended) * OVERLOAD_PART {
+        if f64::from(overloaded) > f64::from(ended) * OVERLOAD_THRESHOLD {
             self.limit = (used * LIMIT_DECREASE).max(LIMIT_MIN);
         } else if used + 1.0 > self.limit {
-            // Only a limit that was reached is raised, else it would tell nothing when it is needed.
-            let step = LIMIT_INCREASE.max(self.limit * LIMIT_GROWTH);
+            // A limit that was not reached is not raised. Otherwise it would grow while idle and not bound anything under
+            // load.
+            let step = LIMIT_INCREASE_MIN.max(self.limit * LIMIT_INCREASE_FRACTION);
             self.limit = (self.limit + step).min(f64::from(u16::MAX));
         }
     }
--- a/crates/request/src/attempt.rs
+++ b/crates/request/src/attempt.rs
@@ -1,33 +1,33 @@
-//! What is known about one attempt to have a target run a request.
+//! Progress and outcome of one attempt, that is, of sending a request to one target.
 
 use std::time::Duration;
 
-/// How far an attempt got, in order; it never goes back.
+/// Progress of an attempt. Variants are ordered; an attempt only moves forward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Progress {
-    /// No byte of the request can have been read by a target, or the target said that it did not run it.
+    /// The target cannot have read any byte of the request, or it reported that it did not run the request.
     NotSent,
-    /// Bytes may have been read; no answer has begun.
+    /// The target may have read bytes of the request; no response has started.
     Sent,
-    /// An answer has begun, so the target ran the request; the answer is not whole.
+    /// Part of a response was received, so the target ran the request.
     ResponseStarted,
-    /// The whole answer was received.
+    /// The complete response was received.
     ResponseComplete,
 }
 
-/// What a caller may be told about a request that has no answer.
+/// Whether a request without a response was run, as far as the gateway knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
 pub enum Execution {
-    /// It certainly did not run.
+    /// The request did not run.
     NotRun,
-    /// It may have run.
+    /// The request may have run.
     Unknown,
-    /// It ran.
+    /// A target ran the request.
     Run,
 }
 
 impl Progress {
-    /// Returns what this state tells about a run.
+    /// Returns whether a request whose attempt got this far was run.
     pub const fn execution(self) -> Execution {
         match self {
             Self::NotSent => Execution::NotRun,
@@ -37,27 +37,27 @@
     }
 }
 
-/// How an attempt ended, as seen by routing.
+/// How an attempt ended, as the router sees it.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Outcome {
-    /// A whole answer that is not a server error.
+    /// A complete response that is not a server error.
     Success {
-        /// Time from the pick to the whole answer.
+        /// Time from the choice of the target to the end of the response.
         latency: Duration,
-        /// Requests in flight as the target reported with its answer, this one excluded.
+        /// Requests in flight that the target reported with its response, without this one.
         load: Option<u32>,
     },
-    /// The target has no room and did not run it.
+    /// The target had no free slot and did not run the request.
     Busy {
-        /// Requests in flight as the target reported with its refusal.
+        /// Requests in flight that the target reported with its rejection.
         load: Option<u32>,
     },
-    /// The connection failed, the answer was broken, or the target answered with a server error.
+    /// The connection failed, the response was malformed or truncated, or it was a server error.
     Failed,
-    /// Nothing came before the deadline, which was long enough for the service.
+    /// The deadline passed, although it was long enough for the service.
     TimedOut,
-    /// A copy that was sent later to another target was answered first.
+    /// A hedge that was sent later to another target completed first.
     LostHedge,
-    /// The caller or the gateway gave up; says nothing about the target.
+    /// The caller or the gateway cancelled the attempt, which does not reflect on the target.
     Abandoned,
 }
--- a/crates/request/src/ejection.rs
+++ b/crates/request/src/ejection.rs
@@ -1,27 +1,28 @@
-//! Outlier ejection of one target, from the outcomes of attempts.
+//! Outlier ejection of one target, based on the outcomes of attempts, with slow start after readmission.
 //!
-//! Only failures eject. A slow target that answers in time still adds capacity, and routing already gives it less.
+//! Only failures lead to ejection. A slow target that responds in time still adds capacity, and the router already
+//! sends fewer requests to it.
 
 use std::time::Duration;
 
-/// Failures in a row that eject a target.
-const FAILURES: u32 = 5;
-/// Length of the first ejection; each further one in a row doubles it.
-const BASE: Duration = Duration::from_secs(2);
-/// Longest ejection.
-const LONGEST: Duration = Duration::from_mins(1);
-/// Answers in a row that double a readmitted target's part.
-const STEP: u32 = 4;
-/// Parts of a whole that a target may use when it is readmitted.
-const FIRST_EIGHTHS: u32 = 1;
-/// All parts.
+/// Consecutive failures that eject a target.
+const MAX_FAILURES: u32 = 5;
+/// Duration of the first ejection; it doubles with each consecutive ejection.
+const BASE_EJECTION: Duration = Duration::from_secs(2);
+/// Maximum duration of an ejection.
+const MAX_EJECTION: Duration = Duration::from_mins(1);
+/// Consecutive successes that double the fraction of its capacity that a readmitted target may use.
+const SUCCESSES_PER_STEP: u32 = 4;
+/// Eighths of its capacity that a target may use when it is readmitted.
+const INITIAL_EIGHTHS: u32 = 1;
+/// Eighths that make up the full capacity.
 const ALL_EIGHTHS: u32 = 8;
 
-/// Health of one target.
+/// Ejection and slow-start state of one target.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Health {
     failures: u32,
-    answers: u32,
+    successes: u32,
     ejections: u32,
     eighths: u32,
     until: Option<Duration>,
@@ -31,7 +32,7 @@
     fn default() -> Self {
         Self {
             failures: 0,
-            answers: 0,
+            successes: 0,
             ejections: 0,
             eighths: ALL_EIGHTHS,
             until: None,
@@ -40,12 +41,12 @@
 }
 
 impl Health {
-    /// Records an answer.
+    /// Records a successful attempt.
     pub const fn record_success(&mut self) {
         self.failures = 0;
-        self.answers += 1;
-        if self.answers >= STEP {
-            self.answers = 0;
+        self.successes += 1;
+        if self.successes >= SUCCESSES_PER_STEP {
+            self.successes = 0;
             if self.eighths < ALL_EIGHTHS {
                 self.eighths *= 2;
             } else {
@@ -54,31 +55,33 @@
         }
     }
 
-    /// Records a failure; true when the target should be ejected.
+    /// Records a failed attempt; returns whether the target should be ejected.
     pub const fn record_failure(&mut self) -> bool {
-        self.answers = 0;
+        self.successes = 0;
         self.failures += 1;
-        // A target on readmission has to show that it works, so its first failure sends it back.
-        self.until.is_none() && (self.failures >= FAILURES || self.eighths < ALL_EIGHTHS)
+        // During slow start a single failure ejects the target again.
+        self.until.is_none() && (self.failures >= MAX_FAILURES || self.eighths < ALL_EIGHTHS)
     }
 
-    /// Ejects the target; returns when it may be tried again.
+    /// Ejects the target; returns the time at which it is readmitted.
     pub fn eject(&mut self, now: Duration) -> Duration {
-        let length = BASE.saturating_mul(1 << self.ejections.min(5)).min(LONGEST);
+        let duration = BASE_EJECTION
+            .saturating_mul(1 << self.ejections.min(5))
+            .min(MAX_EJECTION);
         self.ejections += 1;
         self.failures = 0;
-        self.until = Some(now + length);
-        now + length
+        self.until = Some(now + duration);
+        now + duration
     }
 
-    /// Readmits the target with its first part.
+    /// Readmits the target and begins its slow start.
     pub const fn readmit(&mut self) {
         self.until = None;
-        self.eighths = FIRST_EIGHTHS;
-        self.answers = 0;
+        self.eighths = INITIAL_EIGHTHS;
+        self.successes = 0;
     }
 
-    /// Tells whether the target is ejected.
+    /// Returns whether the target is ejected.
     pub const fn is_ejected(&self) -> bool {
         self.until.is_some()
     }
@@ -88,11 +91,11 @@
         self.until
     }
 
-    /// Returns how many of `whole` requests the target may have now; at least one unless it is ejected.
-    pub fn allowed(&self, whole: u32) -> u32 {
+    /// Returns how many of `capacity` requests the target may have in flight now; at least one unless it is ejected.
+    pub fn allowed(&self, capacity: u32) -> u32 {
         if self.is_ejected() {
             return 0;
         }
-        (whole * self.eighths / ALL_EIGHTHS).max(1).min(whole)
+        (capacity * self.eighths / ALL_EIGHTHS).max(1).min(capacity)
     }
 }
--- a/crates/request/src/lib.rs
+++ b/crates/request/src/lib.rs
@@ -1,7 +1,7 @@
-//! Request decisions: admission, queues, routing, retries, and at-most-once requests.
+//! Request decisions: admission control, queueing, target selection, outlier ejection and retries.
 //!
-//! Nothing here reads a clock or a socket: the gateway feeds in what happened and does what the decisions say, so
-//! that the same code is driven by sockets in a daemon and by virtual time in the policy measurements.
+//! Nothing here reads a clock or a socket: the gateway passes in events with their time and carries out the
+//! decisions. The same code therefore runs on sockets in a daemon and in virtual time in the policy measurements.
 
 pub mod admission;
 pub mod allotment;
--- a/crates/request/src/retry.rs
+++ b/crates/request/src/retry.rs
@@ -1,4 +1,4 @@
-//! Whether a request is sent again, and when a second copy is worth its cost.
+//! Retry decisions, retry budgets, and the delay after which a request is hedged.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -7,50 +7,50 @@
 
 use crate::{admission, attempt, rules};
 
-/// Most attempts for one request, the first included.
+/// Maximum number of attempts for one request, including the first.
 pub const MAX_ATTEMPTS: u32 = 4;
-/// Most retries that a flow may save up.
+/// Maximum number of retries in the budget of a flow.
 pub const BUDGET_CAP: f64 = 10.0;
-/// Most flows with a budget; beyond it, new flows get no retries.
+/// Maximum number of flows with a budget; further flows get no retries that need a budget.
 pub const MAX_FLOWS: usize = 8192;
-/// Answers that have to be known before requests are hedged.
+/// Latency samples needed before requests are hedged.
 const HEDGE_MIN_SAMPLES: u64 = 200;
-/// Answers after which the latency distribution starts anew, so that it follows the service.
+/// Samples after which the latency histogram is reset, so that it follows changes of the service.
 const HEDGE_WINDOW: u64 = 20_000;
-/// Quantile of the latency at which a second copy is sent.
+/// Latency quantile at which a hedge is sent.
 const HEDGE_QUANTILE: f64 = 0.98;
-/// Multiple of the hedge latency after which silence speaks against a target.
+/// Multiple of the hedge delay after which a missing response counts against the target.
 const LATE_FACTOR: u32 = 4;
-/// Silence that speaks against a target while the distribution is not known.
+/// Time after which a missing response counts against the target while there are too few samples.
 const LATE_DEFAULT: Duration = Duration::from_secs(1);
-/// Longest latency that the distribution holds, in microseconds.
+/// Maximum latency in the histogram, in microseconds.
 const MAX_LATENCY_MICROS: u64 = 600_000_000;
 
-/// What is known when an attempt has ended without an answer for the caller.
+/// An attempt that ended without a response for the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Attempt {
-    /// Flow of the request.
+    /// Flow of the request, whose budget pays for a retry.
     pub flow: admission::Flow,
-    /// Whether the request may run more than once.
+    /// Whether the request may run more than once; false for a request with an idempotency key.
     pub repeatable: bool,
-    /// How far this attempt got.
+    /// Progress of this attempt.
     pub progress: attempt::Progress,
-    /// Worst knowledge over the earlier attempts.
+    /// Whether the earlier attempts ran the request; the worst case of all.
     pub history: attempt::Execution,
-    /// Attempts so far, this one included.
+    /// Number of attempts so far, including this one.
     pub attempts: u32,
-    /// Whether an answer has been passed on to the caller in part.
+    /// Whether part of a response was forwarded to the caller, which rules out a retry.
     pub response_started: bool,
-    /// Instant by which the caller needs the answer.
+    /// Time by which the caller needs the response.
     pub deadline: Duration,
 }
 
 /// What to do after an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Decision {
-    /// Send it to another target.
+    /// Retry on another target. Carries whether an attempt so far ran the request.
     Retry(attempt::Execution),
-    /// Tell the caller what is known about a run.
+    /// Return an error to the caller. Carries whether an attempt ran the request.
     GiveUp(attempt::Execution),
 }
 
@@ -60,7 +60,7 @@
     hedge_delay: Option<Duration>,
 }
 
-/// Retry and hedge budgets of one entry VM.
+/// Retry and hedge budgets and latency histograms of one entry VM.
 #[derive(Debug)]
 pub struct Retry {
     percent: u32,
@@ -71,7 +71,7 @@
 }
 
 impl Retry {
-    /// Returns budgets that allow `percent` retries per hundred requests.
+    /// Creates budgets that allow `percent` retries per hundred requests.
     pub fn new(percent: u32, rules: rules::Rules) -> Self {
         Self {
             percent,
@@ -82,23 +82,23 @@
         }
     }
 
-    /// Changes the retries per hundred requests.
+    /// Sets the number of retries per hundred requests.
     pub const fn set_percent(&mut self, percent: u32) {
         self.percent = percent;
     }
 
-    /// Notes a new request, which earns its flow a part of a retry.
+    /// Records a new request, which adds a fraction of a retry to the budget of its flow.
     pub fn record_request(&mut self, flow: admission::Flow) {
         if self.budgets.len() >= MAX_FLOWS && !self.budgets.contains_key(&flow) {
             return;
         }
         let earned = f64::from(self.percent.min(100)) / 100.0;
-        // A new flow starts with a full budget, else a quiet flow could never retry.
+        // A new flow starts with a full budget; otherwise a flow with few requests could never retry.
         let budget = self.budgets.entry(flow).or_insert(BUDGET_CAP);
         *budget = (*budget + earned).min(BUDGET_CAP);
     }
 
-    /// Decides what follows an attempt that brought no answer.
+    /// Decides whether to retry after an attempt without a response.
     pub fn decide(&mut self, now: Duration, attempt: &Attempt) -> Decision {
         let known = if self.rules.keep_run_history {
             attempt.history.max(attempt.progress.execution())
@@ -111,7 +111,7 @@
             && !attempt.response_started
             && attempt.attempts < MAX_ATTEMPTS
             && now < attempt.deadline;
-        // A first attempt that was never sent cost no target anything, so it takes nothing from the budget.
+        // A first attempt that was not sent put no load on a target, so its retry is not charged to the budget.
         let free = attempt.progress == attempt::Progress::NotSent && attempt.attempts == 1;
         if possible && (free || self.try_spend(attempt.flow)) {
             Decision::Retry(known)
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Takes one retry or hedge from the budget of a flow.
+    /// Charges one retry or hedge to the budget of a flow; returns whether the budget allowed it.
     pub fn try_spend(&mut self, flow: admission::Flow) -> bool {
         if !self.rules.retry_budget {
             self.spent += 1;
@@ -137,12 +137,12 @@
         true
     }
 
-    /// Returns how many attempts were paid from budgets.
+    /// Returns the number of retries and hedges charged to budgets.
     pub const fn spent(&self) -> u64 {
         self.spent
     }
 
-    /// Notes the latency of an answer.
+    /// Records the latency of a response.
     pub fn record_latency(&mut self, service: id::ServiceId, latency: Duration) {
         let entry = self.latencies.entry(service).or_insert_with(|| Latency {
             histogram: Histogram::new_with_bounds(1, MAX_LATENCY_MICROS, 2)
@@ -162,19 +162,19 @@
         }
     }
 
-    /// Returns how long to wait for an answer before a second copy of a repeatable request is worth sending.
+    /// Returns how long to wait for a response before hedging a repeatable request, if there are enough samples.
     pub fn hedge_delay(&self, service: id::ServiceId) -> Option<Duration> {
         self.latencies
             .get(&service)
             .and_then(|latency| latency.hedge_delay)
     }
 
-    /// Tells whether an attempt without an answer took so long that it speaks against its target. A caller that
-    /// asks for too short a deadline says nothing about targets.
+    /// Returns whether an attempt without a response lasted so long that it counts against its target. A timeout
+    /// that is only due to a short deadline of the caller does not.
     pub fn is_late(&self, service: id::ServiceId, elapsed: Duration) -> bool {
         let late = self
             .hedge_delay(service)
-            .map_or(LATE_DEFAULT, |after| after * LATE_FACTOR);
+            .map_or(LATE_DEFAULT, |delay| delay * LATE_FACTOR);
         elapsed >= late
     }
 }
--- a/crates/request/src/rules.rs
+++ b/crates/request/src/rules.rs
@@ -1,29 +1,29 @@
-//! Switches for single rules, so that a test can show that it notices when one is broken.
+//! Switches for single rules, with which tests check that they detect a violation of each rule.
 
-/// Rules of the decisions; all are on in a daemon.
+/// Rules that the decisions follow; a daemon always enforces all of them.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[expect(clippy::struct_excessive_bools, reason = "each rule is switched on its own")]
 pub struct Rules {
-    /// A non-repeatable request is sent again only when it certainly did not run.
+    /// A non-repeatable request is retried only if no attempt can have run it.
     pub repeat_only_when_not_run: bool,
-    /// Retries take from the budget.
+    /// Retries and hedges are charged to the budget of their flow.
     pub retry_budget: bool,
-    /// At most half of the targets of a service are ejected.
+    /// At most half of the targets of a service are ejected at the same time.
     pub ejection_bound: bool,
     /// A departing target is not picked.
     pub skip_departing: bool,
-    /// A VM keeps to its part of a target's connections.
+    /// A VM stays within its allotment of a target's connections.
     pub connection_allotment: bool,
-    /// Queues are bounded.
+    /// The queues have a maximum length.
     pub queue_bound: bool,
-    /// The next request comes from the team that is furthest below its share.
+    /// The next request comes from the queue with the lowest virtual time.
     pub fair_queues: bool,
-    /// A team keeps to its limit of requests in flight.
+    /// An owner stays within its limit of requests in flight.
     pub team_limit: bool,
-    /// Bytes to other regions stay within the budget.
+    /// Traffic to other regions stays within its budget.
     pub remote_budget: bool,
-    /// What is known about a run is kept over all attempts of a request.
+    /// The retry decision takes all attempts of a request into account, not only the last.
     pub keep_run_history: bool,
 }
 
--- a/crates/request/tests/decisions.rs
+++ b/crates/request/tests/decisions.rs
@@ -1,4 +1,4 @@
-//! Single decisions with their numbers: guards against limits that do not adapt and steps that are skipped.
+//! Single decisions with exact numbers: adaptive limit, deadlines, retry jitter, slow start and late attempts.
 
 use std::time::Duration;
 
@@ -21,7 +21,7 @@
     Duration::from_millis(millis)
 }
 
-const fn ticket(id: u64, deadline: Duration) -> Request {
+const fn request(id: u64, deadline: Duration) -> Request {
     Request {
         id,
         flow: FLOW,
@@ -31,12 +31,12 @@
     }
 }
 
-/// Starts `count` requests and ends each after 100 ms, every second one as `other`.
+/// Starts `count` requests and finishes each after 100 ms, every second one with `other`; returns how many started.
 fn round(admission: &mut Admission, now: &mut Duration, count: u32, other: admission::Outcome) -> u32 {
     let mut started = 0;
     for id in 0..count {
-        let verdict = admission.admit(*now, ticket(u64::from(id), *now + ms(60_000)), 10_000);
-        started += u32::from(verdict == Decision::Admitted);
+        let decision = admission.admit(*now, request(u64::from(id), *now + ms(60_000)), 10_000);
+        started += u32::from(decision == Decision::Admitted);
     }
     *now += ms(100);
     for number in 0..started {
@@ -49,16 +49,17 @@
     started
 }
 
-/// Guards against a limit that stays high when targets have less room than they announce, or that never recovers.
+/// Guards against a concurrency limit that stays high while targets have fewer free slots than they announce, or that
+/// does not recover after the overload.
 #[test]
-fn the_limit_follows_signs_of_overload() {
+fn concurrency_limit_adapts_to_overload() {
     let mut admission = Admission::new(1, Rules::default());
     let mut now = ms(0);
     for _ in 0..30 {
         round(&mut admission, &mut now, 100, admission::Outcome::Overloaded);
     }
     let low = admission.limit(1).expect("the service is known");
-    assert!(low < 50, "the limit is {low} after 30 rounds of overload");
+    assert!(low < 50, "the limit is still {low} after 30 rounds of overload");
     let good = admission::Outcome::Success { latency: ms(100) };
     for _ in 0..60 {
         round(&mut admission, &mut now, 100, good);
@@ -68,45 +69,51 @@
     admission.verify().expect("the counters agree");
 }
 
-/// Guards against requests that wait although their run would not end in time.
+/// Guards against requests that are queued or sent although they cannot complete by their deadline.
 #[test]
-fn a_request_without_time_is_not_sent() {
+fn request_that_would_miss_its_deadline_is_not_sent() {
     let mut admission = Admission::new(1, Rules::default());
-    assert_eq!(admission.admit(ms(0), ticket(1, ms(1000)), 1), Decision::Admitted);
+    assert_eq!(
+        admission.admit(ms(0), request(1, ms(1000)), 1),
+        Decision::Admitted
+    );
     admission.finish(ms(100), FLOW, admission::Outcome::Success { latency: ms(100) });
-    let refused = admission.admit(ms(100), ticket(2, ms(150)), 0);
+    let rejected = admission.admit(ms(100), request(2, ms(150)), 0);
     assert!(
         matches!(
-            refused,
+            rejected,
             Decision::Rejected {
                 reason: Reason::Deadline,
                 ..
             }
         ),
-        "{refused:?}"
+        "{rejected:?}"
+    );
+    assert_eq!(
+        admission.admit(ms(100), request(3, ms(1000)), 0),
+        Decision::Queued
     );
-    assert_eq!(admission.admit(ms(100), ticket(3, ms(1000)), 0), Decision::Queued);
     assert_eq!(admission.dequeue(ms(950), 1, 1), None);
-    assert_eq!(admission.pop_expired().map(|ticket| ticket.id), Some(3));
+    assert_eq!(admission.pop_expired().map(|request| request.id), Some(3));
     admission.verify().expect("the counters agree");
 }
 
-/// Guards against refused callers that all return at the same time.
+/// Guards against rejected callers that all retry at the same time.
 #[test]
-fn advice_to_return_is_spread() {
+fn retry_after_has_jitter() {
     let mut admission = Admission::new(1, Rules::default());
-    let mut advice: Vec<Duration> = (0..50)
-        .filter_map(|id| match admission.admit(ms(0), ticket(id, ms(0)), 0) {
+    let mut delays: Vec<Duration> = (0..50)
+        .filter_map(|id| match admission.admit(ms(0), request(id, ms(0)), 0) {
             Decision::Rejected { retry_after, .. } => Some(retry_after),
             Decision::Admitted | Decision::Queued => None,
         })
         .collect();
-    advice.sort_unstable();
-    advice.dedup();
+    delays.sort_unstable();
+    delays.dedup();
     assert!(
-        advice.len() > 40,
-        "{} different times for 50 callers",
-        advice.len()
+        delays.len() > 40,
+        "only {} distinct delays for 50 callers",
+        delays.len()
     );
 }
 
@@ -141,15 +148,15 @@
     router
 }
 
-/// Sends as much as there is room for; returns how much target 1 got.
+/// Sends requests until no slot is free; returns how many target 1 got.
 fn fill(router: &mut Router, now: Duration) -> usize {
-    let query = router::Request {
+    let request = router::Request {
         service: 1,
         exclude: &[],
         bytes: 1,
     };
     let mut picked = Vec::new();
-    while let Choice::Target(target) = router.pick(now, &query) {
+    while let Choice::Target(target) = router.pick(now, &request) {
         picked.push(target);
     }
     for target in &picked {
@@ -158,39 +165,39 @@
     picked.iter().filter(|target| **target == 1).count()
 }
 
-/// Guards against an ejected target that gets its whole part back at once, or stays out for ever.
+/// Guards against a readmitted target that gets its full load immediately, and against a target that stays ejected.
 #[test]
-fn readmission_goes_in_steps() {
+fn readmitted_target_starts_slowly() {
     let mut router = router(2);
     assert_eq!(fill(&mut router, ms(0)), 9);
     for _ in 0..5 {
         router.finish(ms(0), 1, attempt::Outcome::Failed);
     }
     assert_eq!(fill(&mut router, ms(1999)), 0);
-    let mut parts = vec![fill(&mut router, ms(2000))];
+    let mut allowed = vec![fill(&mut router, ms(2000))];
     for _ in 0..3 {
         for _ in 0..4 {
             let latency = ms(1);
             router.finish(ms(2000), 1, attempt::Outcome::Success { latency, load: None });
         }
-        parts.push(fill(&mut router, ms(2000)));
+        allowed.push(fill(&mut router, ms(2000)));
     }
-    assert_eq!(parts, [1, 2, 4, 9]);
+    assert_eq!(allowed, [1, 2, 4, 9]);
     for _ in 0..5 {
         router.finish(ms(3000), 1, attempt::Outcome::Failed);
     }
     assert_eq!(
         fill(&mut router, ms(5000)),
         0,
-        "the second ejection in a row is longer"
+        "a consecutive ejection lasts longer"
     );
     assert_eq!(fill(&mut router, ms(7000)), 1);
     router.verify().expect("the lists agree");
 }
 
-/// Guards against ejection for silence that was short for the service.
+/// Guards against a timeout that is short for the service and still counts against the target.
 #[test]
-fn silence_is_judged_by_the_service() {
+fn lateness_depends_on_the_latency_of_the_service() {
     let mut retry = Retry::new(10, Rules::default());
     assert!(!retry.is_late(1, ms(999)) && retry.is_late(1, ms(1000)));
     for _ in 0..200 {
--- a/crates/request/tests/properties.rs
+++ b/crates/request/tests/properties.rs
@@ -1,5 +1,7 @@
-//! Properties of the decisions under random input. Each property also runs with its rule switched off, and has to
-//! notice that: a property that holds without its rule checks nothing.
+//! Properties of the decisions under random input.
+//!
+//! Each property also runs with its rules switched off, one at a time, and must then fail. A property that holds
+//! without its rule checks nothing.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -17,13 +19,13 @@
 };
 
 type Check<T> = fn(Rules, &T) -> Result<(), String>;
-type Break = fn(&mut Rules);
+type DisableRule = fn(&mut Rules);
 
-/// Runs a property with every rule, then with the broken one, on the same fixed seed.
-fn holds_only_with<T: std::fmt::Debug>(
+/// Runs a property with all rules, then with each of `disabled` applied, on the same fixed seed.
+fn holds_only_with_rules<T: std::fmt::Debug>(
     strategy: impl Strategy<Value = T>,
     check: Check<T>,
-    broken: &[Break],
+    disabled: &[DisableRule],
 ) {
     let runner = || {
         TestRunner::new_with_rng(
@@ -44,10 +46,13 @@
     if let Err(error) = run(Rules::default()) {
         panic!("{error}");
     }
-    for (number, break_rule) in broken.iter().enumerate() {
+    for (number, disable) in disabled.iter().enumerate() {
         let mut rules = Rules::default();
-        break_rule(&mut rules);
-        assert!(run(rules).is_err(), "broken rule {number} is not noticed");
+        disable(&mut rules);
+        assert!(
+            run(rules).is_err(),
+            "the property still holds with rule {number} disabled"
+        );
     }
 }
 
@@ -60,7 +65,7 @@
     Duration::from_millis(millis)
 }
 
-/// Attempts of one request: for each, how far it got; and whether the request is repeatable.
+/// Requests: whether each is repeatable, and the progress of each of its attempts.
 fn attempts() -> impl Strategy<Value = Vec<(bool, Vec<u8>)>> {
     prop::collection::vec((any::<bool>(), prop::collection::vec(0..3_u8, 1..6)), 1..60)
 }
@@ -68,37 +73,37 @@
 fn check_retries(rules: Rules, requests: &Vec<(bool, Vec<u8>)>) -> Result<(), String> {
     let mut retry = Retry::new(10, rules);
     let mut paid = 0;
-    for (repeatable, states) in requests {
+    for (repeatable, attempts) in requests {
         retry.record_request(FLOW);
         let mut history = attempt::Execution::NotRun;
         let mut worst = attempt::Execution::NotRun;
-        for (number, state) in (1..).zip(states) {
-            let state = [
+        for (number, progress) in (1..).zip(attempts) {
+            let progress = [
                 attempt::Progress::NotSent,
                 attempt::Progress::Sent,
                 attempt::Progress::ResponseStarted,
-            ][usize::from(*state)];
-            worst = worst.max(state.execution());
-            let question = retry::Attempt {
+            ][usize::from(*progress)];
+            worst = worst.max(progress.execution());
+            let attempt = retry::Attempt {
                 flow: FLOW,
                 repeatable: *repeatable,
-                progress: state,
+                progress,
                 history,
                 attempts: number,
                 response_started: false,
                 deadline: ms(1000),
             };
-            match retry.decide(ms(0), &question) {
+            match retry.decide(ms(0), &attempt) {
                 retry::Decision::Retry(known) => {
                     if !repeatable && worst != attempt::Execution::NotRun {
-                        return Err(format!("a non-repeatable request is sent again after {state:?}"));
+                        return Err(format!("a non-repeatable request is retried after {progress:?}"));
                     }
-                    paid += u64::from(!(state == attempt::Progress::NotSent && number == 1));
+                    paid += u64::from(!(progress == attempt::Progress::NotSent && number == 1));
                     history = known;
                 }
                 retry::Decision::GiveUp(known) => {
                     if known == attempt::Execution::NotRun && worst != attempt::Execution::NotRun {
-                        return Err("a request that may have run is called not run".to_owned());
+                        return Err("a request that may have run is reported as not run".to_owned());
                     }
                     break;
                 }
@@ -107,15 +112,15 @@
     }
     let budget = retry::BUDGET_CAP + requests.len() as f64 * 0.1;
     if paid as f64 > budget {
-        return Err(format!("{paid} retries with a budget of {budget}"));
+        return Err(format!("{paid} retries were charged to a budget of {budget}"));
     }
     Ok(())
 }
 
-/// Guards against repeated non-repeatable requests, untrue `not run` and retry storms.
+/// Guards against retries of non-repeatable requests that may have run, a false `not run`, and retry storms.
 #[test]
-fn retries_keep_their_rules() {
-    holds_only_with(
+fn retries_follow_the_rules() {
+    holds_only_with_rules(
         attempts(),
         check_retries,
         &[
@@ -132,17 +137,17 @@
     End(u8, usize),
     Depart(u64),
     Load(u64, u32),
-    Lose(u64),
+    Remove(u64),
     Wait(u64),
 }
 
 fn steps() -> impl Strategy<Value = Vec<Step>> {
     let step = prop_oneof![
         6 => Just(Step::Pick),
-        4 => (0..4_u8, 0..64_usize).prop_map(|(end, which)| Step::End(end, which)),
+        4 => (0..4_u8, 0..64_usize).prop_map(|(outcome, index)| Step::End(outcome, index)),
         1 => (1..8_u64).prop_map(Step::Depart),
         1 => (1..8_u64, 0..12_u32).prop_map(|(target, load)| Step::Load(target, load)),
-        1 => (1..8_u64).prop_map(Step::Lose),
+        1 => (1..8_u64).prop_map(Step::Remove),
         1 => (1..900_u64).prop_map(Step::Wait),
     ];
     prop::collection::vec(step, 1..300)
@@ -170,24 +175,24 @@
     for step in steps {
         match step {
             Step::Pick => {
-                let query = router::Request {
+                let request = router::Request {
                     service: 1,
                     exclude: &[],
                     bytes: BYTES,
                 };
                 let free = router.free_slots(now, 1);
-                let choice = router.pick(now, &query);
+                let choice = router.pick(now, &request);
                 if (free > 0) != matches!(choice, router::Choice::Target(_)) {
-                    return Err(format!("room for {free}, but the choice is {choice:?}"));
+                    return Err(format!("{free} slots are free, but the choice is {choice:?}"));
                 }
                 if let router::Choice::Target(id) = choice {
                     check_pick(&router, &targets, &sent, id)?;
                     sent.push(id);
                 }
             }
-            Step::End(end, which) if !sent.is_empty() => {
-                let id = sent.swap_remove(which % sent.len());
-                let end = match end {
+            Step::End(outcome, index) if !sent.is_empty() => {
+                let id = sent.swap_remove(index % sent.len());
+                let outcome = match outcome {
                     0 => attempt::Outcome::Success {
                         latency: ms(5),
                         load: Some(3),
@@ -195,12 +200,12 @@
                     1 => attempt::Outcome::TimedOut,
                     _ => attempt::Outcome::Failed,
                 };
-                router.finish(now, id, end);
+                router.finish(now, id, outcome);
             }
             Step::End(..) => {}
             Step::Depart(id) => change(&mut targets, *id, |status| status.departing = !status.departing),
             Step::Load(id, load) => change(&mut targets, *id, |status| status.in_flight = *load),
-            Step::Lose(id) => match targets
+            Step::Remove(id) => match targets
                 .iter()
                 .position(|(_, status)| status.announcement.target == *id)
             {
@@ -215,10 +220,10 @@
         if ejected > known / 2 {
             return Err(format!("{ejected} of {known} targets are ejected"));
         }
-        let most = f64::from(RATE) * (now.as_secs_f64() + 1.0) + f64::from(BYTES);
-        if router.remote_bytes() as f64 > most {
+        let max = f64::from(RATE) * (now.as_secs_f64() + 1.0) + f64::from(BYTES);
+        if router.remote_bytes() as f64 > max {
             return Err(format!(
-                "{} bytes to other regions, {most} are allowed",
+                "{} bytes were sent to other regions, but at most {max} are allowed",
                 router.remote_bytes()
             ));
         }
@@ -236,15 +241,17 @@
         .iter()
         .find(|(_, status)| status.announcement.target == id);
     let Some((_, status)) = status else {
-        return Err(format!("target {id} is gone but picked"));
+        return Err(format!("target {id} was removed but is picked"));
     };
     if status.departing {
-        return Err(format!("target {id} departs but is picked"));
+        return Err(format!("target {id} is departing but is picked"));
     }
-    let part = router.endpoint(id).map_or(0, |(_, part, _)| part);
-    let now = sent.iter().filter(|other| **other == id).count() as u32 + 1;
-    if now > part {
-        return Err(format!("{now} requests at target {id}, this VM's part is {part}"));
+    let allotment = router.endpoint(id).map_or(0, |(_, connections, _)| connections);
+    let in_flight = sent.iter().filter(|other| **other == id).count() as u32 + 1;
+    if in_flight > allotment {
+        return Err(format!(
+            "{in_flight} requests at target {id}, but this VM's allotment is {allotment}"
+        ));
     }
     Ok(())
 }
@@ -262,7 +269,7 @@
     }
 }
 
-/// Four targets in the zone, one in the region and two in another region; few connections, so that they run out.
+/// Four targets in the zone, one in the region and two in another region, with so few connections that they run out.
 fn status(id: id::TargetId) -> target::Status {
     let place = match id {
         1..=4 => vm::Place { region: 0, zone: 0 },
@@ -284,10 +291,11 @@
     }
 }
 
-/// Guards against picks of departing targets, too many connections, too many ejections and costly traffic.
+/// Guards against picks of departing targets, too many connections or ejections, and traffic to other regions beyond
+/// its budget.
 #[test]
-fn routing_keeps_its_rules() {
-    holds_only_with(
+fn routing_follows_the_rules() {
+    holds_only_with_rules(
         steps(),
         check_routing,
         &[
@@ -299,34 +307,34 @@
     );
 }
 
-/// Offers: team, and how many starts follow.
-fn offers() -> impl Strategy<Value = Vec<(u32, u32)>> {
+/// Arriving requests: the team, and how many requests end after the arrival.
+fn arrivals() -> impl Strategy<Value = Vec<(u32, u32)>> {
     prop::collection::vec((0..3_u32, 0..2_u32), 300..1200)
 }
 
 const LIMIT: u32 = 6;
-const ROOM: u32 = 8;
+const SLOTS: u32 = 8;
 
-fn check_admission(rules: Rules, offers: &Vec<(u32, u32)>) -> Result<(), String> {
+fn check_admission(rules: Rules, arrivals: &Vec<(u32, u32)>) -> Result<(), String> {
     let mut admission = Admission::new(1, rules);
     let mut running: Vec<Flow> = Vec::new();
     let mut waiting: HashMap<u32, usize> = HashMap::new();
     let mut started = [0_u32; 3];
-    let mut all_waited = true;
-    for (id, (team, ends)) in (0..).zip(offers) {
+    let mut all_queued = true;
+    for (id, (team, ends)) in (0..).zip(arrivals) {
         let flow = Flow {
             service: 1,
             owner: Owner::Team(*team),
         };
-        let ticket = Request {
+        let request = Request {
             id,
             flow,
             weight: team + 1,
             limit: LIMIT,
             deadline: ms(3_600_000),
         };
-        let free = ROOM.saturating_sub(running.len() as u32);
-        match admission.admit(ms(id), ticket, free) {
+        let free = SLOTS.saturating_sub(running.len() as u32);
+        match admission.admit(ms(id), request, free) {
             Decision::Admitted => running.push(flow),
             Decision::Queued => *waiting.entry(*team).or_insert(0) += 1,
             Decision::Rejected { .. } => {}
@@ -336,10 +344,10 @@
                 let flow = running.swap_remove(id as usize % running.len());
                 admission.finish(ms(id), flow, admission::Outcome::Ignored);
             }
-            let free = ROOM.saturating_sub(running.len() as u32);
+            let free = SLOTS.saturating_sub(running.len() as u32);
             if let Some(next) = admission.dequeue(ms(id), 1, free) {
                 let Owner::Team(team) = next.flow.owner else {
-                    return Err("a queue owner appeared".to_owned());
+                    return Err("the owner of the request is not a team".to_owned());
                 };
                 *waiting.entry(team).or_insert(0) -= 1;
                 running.push(next.flow);
@@ -349,18 +357,20 @@
             }
         }
         if id > 200 {
-            all_waited &= (0..3).all(|team| waiting.get(&team).is_some_and(|count| *count > 0));
+            all_queued &= (0..3).all(|team| waiting.get(&team).is_some_and(|count| *count > 0));
         }
         admission.verify()?;
         check_counts(&running, &waiting)?;
     }
     let total: u32 = started.iter().sum();
-    if all_waited && total > 120 {
-        // With every team waiting, starts follow the weights 1 to 2 to 3, apart from the rounding of each queue.
+    if all_queued && total > 120 {
+        // While every team has queued requests, starts follow the weights 1 : 2 : 3, apart from rounding per queue.
         for (team, count) in (1..).zip(started) {
             let fair = f64::from(total) * f64::from(team) / 6.0;
             if (f64::from(count) - fair).abs() > fair * 0.2 + 8.0 {
-                return Err(format!("team {team} started {count}, its share is {fair}"));
+                return Err(format!(
+                    "team {team} started {count} requests, but its fair share is {fair}"
+                ));
             }
         }
     }
@@ -374,23 +384,25 @@
             .filter(|flow| flow.owner == Owner::Team(team))
             .count();
         if count as u32 > LIMIT {
-            return Err(format!("team {team} runs {count}, its limit is {LIMIT}"));
+            return Err(format!(
+                "team {team} has {count} requests in flight, but its limit is {LIMIT}"
+            ));
         }
     }
     match waiting
         .iter()
         .find(|(_, count)| **count > admission::QUEUE_PER_FLOW)
     {
-        Some((team, count)) => Err(format!("{count} requests of team {team} wait")),
+        Some((team, count)) => Err(format!("{count} requests of team {team} are queued")),
         None => Ok(()),
     }
 }
 
-/// Guards against queues without bound, unfair starts and teams above their limit.
+/// Guards against unbounded queues, starts that do not follow the weights, and teams above their limit.
 #[test]
-fn admission_keeps_its_rules() {
-    holds_only_with(
-        offers(),
+fn admission_follows_the_rules() {
+    holds_only_with_rules(
+        arrivals(),
         check_admission,
         &[
             |rules| rules.team_limit = false,
@@ -398,12 +410,12 @@
         ],
     );
     let one_team = prop::collection::vec((Just(0_u32), Just(0_u32)), 400..500);
-    holds_only_with(one_team, check_admission, &[|rules| rules.queue_bound = false]);
+    holds_only_with_rules(one_team, check_admission, &[|rules| rules.queue_bound = false]);
 }
 
-/// Guards against parts whose sum is more than a target accepts or a team may have in flight.
+/// Guards against allotments whose sum exceeds what a target accepts or a team may have in flight.
 #[test]
-fn parts_stay_within_the_whole() {
+fn allotments_add_up_to_at_most_the_total() {
     let places = prop::collection::vec((0..3_u16, 0..3_u16), 1..40);
     let runner = &mut TestRunner::deterministic();
     let result = runner.run(
@@ -421,8 +433,8 @@
                 })
                 .collect();
             let target = place(region, zone);
-            let sum = |part: &dyn Fn(allotment::Entry) -> u32| {
-                entries.iter().map(|entry| part(*entry)).sum::<u32>()
+            let sum = |allotment: &dyn Fn(allotment::Entry) -> u32| {
+                entries.iter().map(|entry| allotment(*entry)).sum::<u32>()
             };
             prop_assert!(sum(&|own| allotment::connections(total, target, own, &entries)) <= total);
             prop_assert_eq!(sum(&|own| allotment::slots(total, target, own, &entries)), total);
@@ -430,5 +442,5 @@
             Ok(())
         },
     );
-    result.expect("the parts fit");
+    result.expect("the allotments add up");
 }
