--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -88,10 +88,10 @@
     }
 
     fn store_entries(&mut self, append: Append, out: &mut Vec<Output>) {
-        let mut fresh = Vec::new();
+        let mut new_entries = Vec::new();
         for (index, item) in (append.previous.index + 1..).zip(append.entries) {
             let entry = item.into_entry(index);
-            if fresh.is_empty() {
+            if new_entries.is_empty() {
                 if index <= self.log.base().index || self.log.term_at(index) == Some(entry.position.term) {
                     continue;
                 }
@@ -99,10 +99,10 @@
                     self.truncate(index);
                 }
             }
-            fresh.push(entry);
+            new_entries.push(entry);
         }
-        if !fresh.is_empty() {
-            self.append(fresh, out);
+        if !new_entries.is_empty() {
+            self.append(new_entries, out);
         }
     }
 
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -118,10 +118,10 @@
     }
 
     pub(super) fn propose_change(&mut self, id: u64, change: membership::Change, out: &mut Vec<Output>) {
-        let fault = self
+        let rejection = self
             .proposal_rejection(0)
             .or_else(|| self.change_rejection(change));
-        let next = match fault {
+        let next = match rejection {
             Some(reason) => Err(reason),
             None => self.membership().with_change(change).map_err(Rejection::Change),
         };
--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -40,11 +40,11 @@
             let Some(progress) = leader.progress.get(&to) else {
                 return;
             };
-            let room = progress.has_capacity(
+            let has_capacity = progress.has_capacity(
                 self.config.max_in_flight_messages,
                 self.config.max_in_flight_bytes,
             );
-            if !matches!(progress.mode, Mode::Pipeline) || !room || progress.next > leader.flushed {
+            if !matches!(progress.mode, Mode::Pipeline) || !has_capacity || progress.next > leader.flushed {
                 return;
             }
             if progress.next <= self.log.base().index {
--- a/crates/gossip/src/exchange.rs
+++ b/crates/gossip/src/exchange.rs
@@ -207,8 +207,8 @@
 
     /// Returns the origins to report on a link: this VM, and the origins that it relays to the peer.
     ///
-    /// A VM relays entries of its own zone to other zones, and entries received from other zones to its own zone. Each
-    /// entry is relayed at most once in each direction, so none can circulate.
+    /// A VM relays entries of its own zone to other zones, and entries that it received from other zones to its own zone.
+    /// Entries of other zones are never relayed to a third zone, so no entry can circulate.
     fn scope(&self, link: Link) -> Vec<id::VmId> {
         let direct = |vm: id::VmId, origin: &Origin| match origin.via {
             Some(via) if link.local => !self.topology.is_local(via) && !self.topology.is_local(vm),
--- a/crates/gossip/src/gossip.rs
+++ b/crates/gossip/src/gossip.rs
@@ -320,8 +320,7 @@
         Some(now.saturating_sub(freshness))
     }
 
-    /// Returns the entry of a key with the highest rank, regardless of age; the freshest one if several VMs published
-    /// it.
+    /// Returns the entry of a key with the highest rank, regardless of its age; among equal ranks, the freshest one.
     pub fn get(&self, key: Key, now: Duration) -> Option<Entry<'_>> {
         let mut best: Option<Entry<'_>> = None;
         for (origin, entries) in self.all_origins() {
--- a/crates/gossip/src/topology.rs
+++ b/crates/gossip/src/topology.rs
@@ -32,6 +32,7 @@
 
 #[derive(Debug, Clone, Copy)]
 struct Attempt {
+    /// Number of VMs tried before, which selects the next one in relay order.
     number: usize,
     since: Duration,
 }
@@ -127,19 +128,19 @@
             .filter(|zone| *zone != local_zone)
             .collect();
         for zone in others {
-            let chosen = if self.is_relay(now, zone) {
-                self.choose(now, zone)
+            let selected = if self.is_relay(now, zone) {
+                self.select_peer(now, zone)
             } else {
                 None
             };
-            if let Some(peer) = chosen {
+            if let Some(peer) = selected {
                 links.push(Link {
                     peer,
                     local: false,
                     initiated: true,
                 });
             }
-            let initiators = self.zones[&zone].iter().filter(|vm| Some(**vm) != chosen);
+            let initiators = self.zones[&zone].iter().filter(|vm| Some(**vm) != selected);
             for peer in initiators {
                 let last_contact = self.contacts.get(peer).and_then(|contact| contact.initiated);
                 if is_recent(now, last_contact, REMOTE_TIMEOUT) {
@@ -169,7 +170,7 @@
     }
 
     /// Selects the first reachable VM of another zone, or the next one to try if none is reachable.
-    fn choose(&mut self, now: Duration, zone: id::AvailabilityZoneId) -> Option<id::VmId> {
+    fn select_peer(&mut self, now: Duration, zone: id::AvailabilityZoneId) -> Option<id::VmId> {
         let order = self.relay_order(zone, zone);
         let reachable = order.iter().find(|vm| {
             is_recent(
