--- a/crates/gossip/tests/spread.rs
+++ b/crates/gossip/tests/spread.rs
@@ -172,7 +172,7 @@
     network.run(seconds(1));
     let before = usable_at(&mut network);
     network.with_node(ids[5], |gossip, now| {
-        gossip.set_departing(now, TARGET, 4).unwrap()
+        gossip.set_departing(now, TARGET, 4).unwrap();
     });
     network.run(seconds(1));
     let _refused = network.with_node(ids[2], |gossip, now| {
@@ -203,7 +203,7 @@
     let ids = network.ids();
     network.run(seconds(3));
     network.with_node(ids[0], |gossip, now| {
-        gossip.set_departing(now, TARGET, 4).unwrap()
+        gossip.set_departing(now, TARGET, 4).unwrap();
     });
     network.run(seconds(1));
     let old = network.with_node(ids[3], |gossip, now| {
