--- a/crates/consensus/src/feed/mod.rs
+++ b/crates/consensus/src/feed/mod.rs
@@ -30,7 +30,7 @@
 /// Response to a [`Request`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Response {
-    /// Token of the request.
+    /// Token of the request that this responds to.
     pub token: u32,
     /// Index of the last entry that the source had applied.
     pub through: u64,
--- a/crates/consensus/src/replica/follower.rs
+++ b/crates/consensus/src/replica/follower.rs
@@ -109,11 +109,11 @@
     /// Subtracts the age of the leader's state, extended by the clock drift, from the send time of the reply that the
     /// leader received last.
     fn update_freshness(&mut self, age: Option<u64>, token: u32, commit: u64) {
-        let (Some(age), Some(instant)) = (age, self.freshness.instant(token)) else {
+        let (Some(age), Some(sent_at)) = (age, self.freshness.sent_at(token)) else {
             return;
         };
         let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
-        if let Some(freshness) = instant.checked_sub(age) {
+        if let Some(freshness) = sent_at.checked_sub(age) {
             self.freshness.record(self.applied, commit, freshness);
         }
     }
--- a/crates/consensus/src/replica/freshness.rs
+++ b/crates/consensus/src/replica/freshness.rs
@@ -53,9 +53,9 @@
     }
 
     /// Returns the send time of a reply if it is still recorded.
-    pub(crate) fn instant(&self, token: u32) -> Option<Duration> {
+    pub(crate) fn sent_at(&self, token: u32) -> Option<Duration> {
         let found = self.tokens.iter().rev().find(|(known, _)| *known == token);
-        found.map(|(_, instant)| *instant)
+        found.map(|(_, sent_at)| *sent_at)
     }
 
     /// Records that the state up to `index` includes everything committed before `freshness`.
--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -302,7 +302,8 @@
         confirmed.max(self.leader_freshness(now))
     }
 
-    /// Returns whether this member is the leader and holds a valid lease, so that no other member can lead now.
+    /// Returns whether this member is the leader and holds a valid lease: no other member can lead now, and this one
+    /// knows all committed entries.
     pub fn holds_lease(&self, now: Duration) -> bool {
         let State::Leader(leader) = &self.state else {
             return false;
--- a/crates/consensus/src/replica/mod.rs
+++ b/crates/consensus/src/replica/mod.rs
@@ -105,7 +105,7 @@
     Committed {
         /// Identifier of the proposal.
         id: u64,
-        /// Index of its entry.
+        /// Index of the committed entry.
         index: u64,
     },
     /// A proposed command or membership change was not committed, or its outcome is unknown.
@@ -145,7 +145,7 @@
     Unknown,
 }
 
-/// Role of a member.
+/// Role of a member in its group.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Role {
     /// Replicates the log of a leader.
@@ -169,7 +169,7 @@
     Leader(Box<leader::Leader>),
 }
 
-/// One member of one group.
+/// A member of a consensus group.
 ///
 /// Invariants: `applied <= emitted <= commit <= last index`, and none of the first three ever decreases.
 #[derive(Debug)]
--- a/crates/consensus/src/rules.rs
+++ b/crates/consensus/src/rules.rs
@@ -22,7 +22,7 @@
     pub reject_older_snapshot: bool,
     /// A vote is granted only to a candidate whose log is at least as up to date.
     pub require_up_to_date_log: bool,
-    /// The lease of a leader expires.
+    /// A leader's lease expires when no majority renews it.
     pub expire_lease: bool,
     /// A membership change is rejected until the previous one is committed.
     pub one_change_at_a_time: bool,
