--- a/crates/schedule/src/backlog.rs
+++ b/crates/schedule/src/backlog.rs
@@ -1,4 +1,4 @@
-//! Queues of work that is too long for one step.
+//! Work that is too long for one step and continues in later ones.
 
 use std::collections::VecDeque;
 
@@ -6,19 +6,19 @@
 
 use crate::table;
 
-/// Work that goes on in the next steps.
+/// Work that continues in the next steps.
 #[derive(Debug, Default)]
 pub(crate) struct Backlog {
-    /// Jobs whose runs are all to be stopped.
+    /// Jobs all of whose runs are being stopped. The id tells whether the slot still holds the same job.
     pub(crate) stopping: VecDeque<(table::Job, id::JobId)>,
-    /// Teams that use more than their part.
+    /// Teams that use more than their allotment.
     pub(crate) shrinking: VecDeque<table::Team>,
-    /// Gangs whose room is debited and whose tasks are being started.
+    /// Gangs whose resources are debited and whose tasks are being started.
     pub(crate) launching: VecDeque<table::Job>,
 }
 
 impl Backlog {
-    /// Tells whether nothing is left.
+    /// Returns whether no work is pending.
     pub(crate) fn is_empty(&self) -> bool {
         self.stopping.is_empty() && self.shrinking.is_empty() && self.launching.is_empty()
     }
--- a/crates/schedule/src/config.rs
+++ b/crates/schedule/src/config.rs
@@ -1,33 +1,34 @@
-//! Settings of a scheduler.
+//! Configuration of a scheduler.
 
 use std::time::Duration;
 
-/// Settings of one availability zone's scheduler.
+/// Configuration of the scheduler of one availability zone.
 #[derive(Debug, Clone)]
 pub struct Config {
-    /// Seed of the jitter in retry delays.
+    /// Seed of the random number generator, which jitters retry delays and varies the search order of preemption.
     pub seed: u64,
-    /// Length of a worker lease.
+    /// Duration of a worker lease; every report renews it.
     pub lease: Duration,
-    /// Largest relative difference between two monotonic clocks.
+    /// Largest relative rate difference between the monotonic clocks of two VMs.
     pub clock_drift: f64,
-    /// Most tasks that may be stopped per second to make room for urgent work.
+    /// Maximum number of tasks stopped per second to make room for urgent work.
     pub preemptions_per_second: u32,
-    /// Starts per second of batch and gang tasks that a lost worker left behind.
+    /// Rate at which batch and gang tasks of lost workers are started again, in tasks per second.
     pub recovery_starts_per_second: u32,
-    /// Most placements tried from one tick to the next; the rest continues after the next tick.
+    /// Maximum number of placements attempted between two ticks; the rest continues after the next tick.
     pub placements_per_tick: u32,
-    /// Starts, stops and ends of tasks from one tick to the next; longer work continues after the next tick.
+    /// Maximum number of starts, stops and ends of tasks between two ticks; the rest continues after the next
+    /// tick.
     pub work_per_tick: u32,
-    /// Time constant of the decay of a team's past usage.
+    /// Time constant of the exponential decay of a team's past usage.
     pub usage_decay: Duration,
-    /// Runs of one task that may fail before its job fails.
+    /// Number of failed runs of one task after which its job fails.
     pub max_attempts: u32,
-    /// Longest time that capacity is reserved for one gang.
+    /// Maximum time for which capacity is reserved for one gang.
     pub max_reservation: Duration,
-    /// Whether batch tasks are granted what earlier runs used instead of what they declare.
+    /// Whether batch tasks are granted an estimate from the usage of earlier runs instead of the declared size.
     pub use_estimates: bool,
-    /// Rules that tests may switch off.
+    /// Rules that tests can disable.
     #[doc(hidden)]
     pub rules: Rules,
 }
@@ -52,41 +53,43 @@
 }
 
 impl Config {
-    /// Returns how long after the receipt of a report the worker's tasks may still run.
-    pub(crate) fn expiry(&self) -> Duration {
+    /// Returns how long after the receipt of a report the worker's tasks may still run: the lease, extended by the
+    /// clock drift.
+    pub(crate) fn lease_expiry(&self) -> Duration {
         self.lease.mul_f64(1.0 + self.clock_drift)
     }
 }
 
-/// Rules of the scheduler. All hold in production; a test switches one off to show that its checks notice.
+/// Rules of the scheduler. All are enabled in production; a test disables one to show that its checks detect the
+/// violation.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 #[allow(
     clippy::struct_excessive_bools,
-    reason = "each rule is switched off on its own"
+    reason = "each rule is disabled independently"
 )]
 pub struct Rules {
-    /// Resources of a task count as used until its stop is confirmed.
+    /// The resources of a task count as used until its stop is confirmed.
     pub count_stopping: bool,
-    /// A lost task is placed again only after its lease has run out everywhere.
+    /// A lost task is placed again only after its lease has expired on every clock.
     pub await_lease_expiry: bool,
-    /// A team stays within its part.
+    /// A team stays within its allotment.
     pub team_limit: bool,
-    /// Reports of a former incarnation are ignored.
+    /// Reports from a former incarnation of a worker are ignored.
     pub fence_incarnation: bool,
-    /// Reports with an old sequence are ignored.
+    /// Reports that are not newer than the last one, by sequence number, are ignored.
     pub fence_sequence: bool,
-    /// A gang starts whole or not at all.
+    /// All tasks of a gang start together or none does.
     pub gang_atomic: bool,
-    /// A rolling drain stops at most one task of a service at once.
+    /// A drain stops at most one task of a service at a time.
     pub rolling_drain: bool,
-    /// Restored workers are confirmed before anything is placed on them.
+    /// A restored worker receives tasks only after it has reported.
     pub confirm_restored: bool,
     /// Preemption leaves each team its protected share.
     pub protect_share: bool,
-    /// Tasks that have waited long get a hold.
+    /// A task that has waited long gets a hold on a worker.
     pub aging: bool,
-    /// Preemption stays within its rate.
+    /// Preemption stays within its configured rate.
     pub preemption_rate: bool,
 }
 
--- a/crates/schedule/src/index.rs
+++ b/crates/schedule/src/index.rs
@@ -1,8 +1,9 @@
-//! Indices of amounts: the workers' free capacity, and the needs of waiting tasks.
+//! Indices over resource amounts: the free capacity of workers, and the sizes of waiting tasks.
 //!
-//! Entries are kept in cells by the levels of their processors, memory and accelerators, one set of cells per
-//! accelerator kind. A change moves one entry between two cells. A best-fit search visits the non-empty cells from
-//! the tightest upwards and looks at a bounded number of workers; a freed worker visits the needs below its room.
+//! An index is a grid with one pool of cells per accelerator kind. The quantized levels of processors, memory and
+//! accelerators of an entry select its cell, so an update moves one entry between two cells. A best-fit search
+//! visits the non-empty cells from the tightest upwards and compares a bounded number of workers. In the other
+//! direction, a worker with freed capacity visits the task sizes that fit into it.
 
 use std::collections::BTreeMap;
 use std::fmt;
@@ -11,20 +12,21 @@
 
 use crate::table;
 
-/// Levels of processors and of memory.
+/// Number of levels of processors and of memory.
 const LEVELS: usize = 32;
-/// Levels of accelerators; the last one also holds larger amounts.
+/// Number of levels of accelerators; the last one also holds larger amounts.
 const ACCELERATOR_LEVELS: usize = 16;
-/// Width of the first level of processors, in thousandths of a core.
+/// Width of the first level of processors, in milli cores.
 const CPU_UNIT: u32 = 125;
 /// Width of the first level of memory, in MiB.
 const MEMORY_UNIT: u32 = 128;
-/// Workers with room that one search compares.
-const COMPARED: usize = 12;
-/// Workers without room that one search skips before it turns to cells in which all have room.
-const SKIPPED: usize = 24;
+/// Number of workers with room that one search compares.
+const WORKERS_COMPARED: usize = 12;
+/// Number of workers without room that one search skips before it considers only cells in which every worker has
+/// room.
+const WORKERS_SKIPPED: usize = 24;
 
-/// Where a worker stands in the index.
+/// Location of an entry in the index.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Slot {
     kind: id::AcceleratorKind,
@@ -32,21 +34,21 @@
     position: u32,
 }
 
-/// What a search asks for.
+/// Requirements of a search.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Query {
     /// Size of one task.
     pub(crate) size: resource::Amount,
-    /// Accelerator kind; 0 for none.
+    /// Required accelerator kind; 0 for none.
     pub(crate) kind: id::AcceleratorKind,
 }
 
 struct Pool<T> {
-    /// Accelerators, then processors, then memory.
+    /// Entries of each cell, indexed by accelerator level, then processor level, then memory level.
     cells: Vec<Vec<(T, resource::Amount)>>,
-    /// Non-empty memory levels of each (accelerators, processors) row.
+    /// Bit mask of the non-empty memory levels of each row, which is a pair of accelerator and processor levels.
     rows: Vec<u32>,
-    /// Non-empty rows of each accelerator level.
+    /// Bit mask of the non-empty rows of each plane, which is an accelerator level.
     planes: [u32; ACCELERATOR_LEVELS],
 }
 
@@ -61,14 +63,14 @@
     }
 }
 
-/// Entries with their amounts.
+/// Index of entries by amount.
 pub(crate) struct Grid<T> {
     pools: BTreeMap<id::AcceleratorKind, Pool<T>>,
 }
 
-/// Free capacity of the workers that take new tasks.
-pub(crate) type Free = Grid<table::Worker>;
-/// Needs of waiting tasks.
+/// Free capacity of the workers that accept new tasks.
+pub(crate) type FreeCapacity = Grid<table::Worker>;
+/// Sizes of waiting tasks.
 pub(crate) type Demand = Grid<table::Class>;
 
 impl<T> Default for Grid<T> {
@@ -110,7 +112,7 @@
 }
 
 impl<T: Copy + PartialEq> Grid<T> {
-    /// Adds an entry.
+    /// Inserts an entry and returns its location.
     pub(crate) fn insert(&mut self, entry: T, kind: id::AcceleratorKind, amount: &resource::Amount) -> Slot {
         let cell = cell_of(kind, amount);
         let pool = self.pools.entry(kind).or_insert_with(|| Pool::new(kind));
@@ -123,7 +125,7 @@
         Slot { kind, cell, position }
     }
 
-    /// Removes an entry; returns the entry that took its position, if any.
+    /// Removes the entry at a slot. Returns the entry that moved into the slot, if any.
     pub(crate) fn remove(&mut self, slot: Slot) -> Option<(T, Slot)> {
         let pool = self.pools.get_mut(&slot.kind).expect("the pool exists");
         let members = &mut pool.cells[slot.cell as usize];
@@ -141,7 +143,7 @@
         None
     }
 
-    /// Changes an amount in place; returns whether the entry's cell is still the right one.
+    /// Updates an amount in place. Returns false, without a change, if the entry belongs in another cell now.
     pub(crate) fn update(
         &mut self,
         slot: Slot,
@@ -156,7 +158,7 @@
         true
     }
 
-    /// Visits all entries of a kind, or of every kind for 0.
+    /// Iterates over the entries of an accelerator kind, or over all entries for kind 0.
     pub(crate) fn members(&self, kind: id::AcceleratorKind) -> impl Iterator<Item = T> {
         self.pools
             .iter()
@@ -164,8 +166,8 @@
             .flat_map(|(_, pool)| pool.cells.iter().flatten().map(|(entry, _)| *entry))
     }
 
-    /// Tells whether the entry is at the slot.
-    pub(crate) fn holds(&self, slot: Slot, entry: T) -> bool {
+    /// Returns whether the slot contains the entry.
+    pub(crate) fn contains_at(&self, slot: Slot, entry: T) -> bool {
         self.pools.get(&slot.kind).is_some_and(|pool| {
             let found = pool.cells[slot.cell as usize].get(slot.position as usize);
             found.is_some_and(|(other, _)| *other == entry)
@@ -174,8 +176,8 @@
 }
 
 impl Demand {
-    /// Visits the needs that fit into a free amount of a worker.
-    pub(crate) fn below(
+    /// Visits the classes whose task size fits into the free amount of a worker.
+    pub(crate) fn visit_fitting(
         &self,
         kind: id::AcceleratorKind,
         free: &resource::Amount,
@@ -183,15 +185,15 @@
     ) {
         for pool in [Some(0), (kind != 0).then_some(kind)].into_iter().flatten() {
             if let Some(pool) = self.pools.get(&pool) {
-                pool.below(free, visit);
+                pool.visit_fitting(free, visit);
             }
         }
     }
 }
 
-impl Free {
-    /// Returns the worker with the lowest score among those compared. `score` returns `None` for a worker
-    /// without room. When any indexed worker has room, one is found.
+impl FreeCapacity {
+    /// Returns the worker with the lowest score among those compared. `score` returns `None` for a worker without
+    /// room. If any indexed worker has room, the search finds one.
     pub(crate) fn search(
         &self,
         query: &Query,
@@ -200,15 +202,16 @@
         if query.kind != 0 {
             return self.pools.get(&query.kind)?.search(query, score);
         }
-        // Workers with accelerators take other work only when no plain worker has room.
+        // Workers with accelerators receive other work only if no worker without accelerators has room. Pools are
+        // ordered by accelerator kind, and kind 0 comes first.
         self.pools.values().find_map(|pool| pool.search(query, score))
     }
 }
 
 impl Pool<table::Class> {
-    fn below(&self, free: &resource::Amount, visit: &mut impl FnMut(table::Class)) {
-        let rows_below = up_to(level(free.cpu_milli, CPU_UNIT));
-        let cells_below = up_to(level(free.memory_mib, MEMORY_UNIT));
+    fn visit_fitting(&self, free: &resource::Amount, visit: &mut impl FnMut(table::Class)) {
+        let rows_below = levels_up_to(level(free.cpu_milli, CPU_UNIT));
+        let cells_below = levels_up_to(level(free.memory_mib, MEMORY_UNIT));
         let last = (free.accelerators as usize).min(self.rows.len() / LEVELS - 1);
         for plane in 0..=last {
             let mut rows = self.planes[plane] & rows_below;
@@ -230,8 +233,8 @@
     }
 }
 
-/// Returns the mask of the levels up to one.
-const fn up_to(level: usize) -> u32 {
+/// Returns the bit mask of the levels up to and including `level`.
+const fn levels_up_to(level: usize) -> u32 {
     u32::MAX >> (LEVELS - 1 - level)
 }
 
@@ -241,19 +244,19 @@
         query: &Query,
         score: &mut impl FnMut(table::Worker) -> Option<f32>,
     ) -> Option<table::Worker> {
-        let (best, skipped) = self.scan(query, score, SKIPPED);
-        if best.is_some() || !skipped {
+        let (best, incomplete) = self.scan(query, score, WORKERS_SKIPPED);
+        if best.is_some() || !incomplete {
             return best;
         }
         self.scan(query, score, usize::MAX).0
     }
 
-    /// Returns the best worker found and whether any worker was left out.
+    /// Returns the best worker found, and whether the scan ended before it had considered every worker.
     fn scan(
         &self,
         query: &Query,
         score: &mut impl FnMut(table::Worker) -> Option<f32>,
-        skip: usize,
+        max_skipped: usize,
     ) -> (Option<table::Worker>, bool) {
         let need = &query.size;
         let cpu = level(need.cpu_milli, CPU_UNIT);
@@ -262,7 +265,7 @@
         let mut best: Option<(f32, table::Worker)> = None;
         let mut compared = 0;
         let mut skipped = 0;
-        let mut left_out = false;
+        let mut incomplete = false;
         for plane in first..(self.rows.len() / LEVELS) {
             let mut rows = self.planes[plane] & (u32::MAX << cpu);
             while rows != 0 {
@@ -275,9 +278,9 @@
                     let edge = row == cpu || column == memory || plane == ACCELERATOR_LEVELS - 1;
                     for &(worker, free) in &self.cells[(plane * LEVELS + row) * LEVELS + column] {
                         if !edge || need.fits(&free) {
-                            // The worker has room.
-                        } else if skipped >= skip {
-                            left_out = true;
+                            // The worker has room: score it below.
+                        } else if skipped >= max_skipped {
+                            incomplete = true;
                             break;
                         } else {
                             skipped += 1;
@@ -289,7 +292,7 @@
                                 if best.is_none_or(|(lowest, _)| value < lowest) {
                                     best = Some((value, worker));
                                 }
-                                if compared >= COMPARED {
+                                if compared >= WORKERS_COMPARED {
                                     return (best.map(|(_, worker)| worker), true);
                                 }
                             }
@@ -299,6 +302,6 @@
                 }
             }
         }
-        (best.map(|(_, worker)| worker), left_out)
+        (best.map(|(_, worker)| worker), incomplete)
     }
 }
--- a/crates/schedule/src/lib.rs
+++ b/crates/schedule/src/lib.rs
@@ -1,9 +1,9 @@
 //! Scheduling decisions: placement, fair share, limits, gangs, preemption, leases and worker health.
 //!
-//! One [`Scheduler`] decides for one availability zone, on the leader of the zone group. It reads no clock and
-//! does no I/O: every step takes the time and an input, and appends outputs. The outputs are proposals. A
-//! [`message::Output::Start`] takes effect when the zone group has committed it; when a commit fails, the caller
-//! drops the scheduler and the next leader restores a new one from the replicated state.
+//! One [`Scheduler`] serves one availability zone and runs on the leader of the zone group. It reads no clock and
+//! does no I/O: every step takes the current time and an input, and appends outputs. The outputs are proposals. A
+//! [`message::Output::Start`] takes effect when the zone group has committed it. If a commit fails, the caller
+//! drops the scheduler, and the next leader restores a new one from the replicated state.
 
 mod amount;
 mod backlog;
--- a/crates/schedule/src/message.rs
+++ b/crates/schedule/src/message.rs
@@ -4,93 +4,93 @@
 
 use bronzespoke_model::{id, job, resource, task, team, worker};
 
-/// What happened.
+/// An event that the scheduler reacts to.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Input {
-    /// A worker registered, in its first or a later life.
+    /// A worker registered, in its first or a later incarnation.
     Register(worker::Registration),
-    /// A worker reported; renews its lease.
+    /// A worker reported, which renews its lease.
     Report(worker::Report),
-    /// Nothing runs on the worker after `at`.
+    /// No task runs on the worker after `at`.
     WorkerGone {
-        /// The worker.
+        /// Worker that has gone.
         worker: id::WorkerId,
-        /// Monotonic instant.
+        /// Instant on the monotonic clock of the scheduler; it may lie in the future.
         at: Duration,
     },
-    /// A job was accepted durably. A job that is already known is ignored.
+    /// A job was durably accepted. A job that is already known is ignored.
     Submit {
         /// Id of the job.
         job: id::JobId,
-        /// Team whose key came with it.
+        /// Team whose key authorized the submission.
         team: id::TeamId,
-        /// The job.
+        /// Specification from the submitter.
         spec: job::Spec,
     },
-    /// A job is cancelled. Whatever happens later, its last state is `Cancelled`, unless it had ended before.
+    /// A job is cancelled. Unless it has already ended, its final state is `Cancelled`, whatever happens later.
     Cancel {
         /// Job to cancel.
         job: id::JobId,
     },
-    /// A task run ended; the same as an entry in [`worker::Report::ended`]. Repeats are ignored.
+    /// A run ended; equivalent to an entry in [`worker::Report::ended`]. Duplicates are ignored.
     Ended {
-        /// The task.
+        /// Task that the run belongs to.
         task: task::Ref,
-        /// Token of its lease.
+        /// Fencing token of its lease.
         token: id::Token,
-        /// How it ended.
+        /// How the run ended.
         outcome: task::Outcome,
     },
-    /// A team's quota, or the zone's part of its upper limit, is new or changed.
+    /// A team's quota, or its allotment in this zone, is new or changed.
     Team {
-        /// The team.
+        /// Team that the quota belongs to.
         team: id::TeamId,
-        /// Weight and fleet-wide limit.
+        /// Weight and upper limit across all zones.
         quota: team::Quota,
-        /// What this zone may use for the team.
+        /// Portion of the team's upper limit that this zone may use.
         allotment: resource::Amount,
     },
-    /// An operator drains a worker, or returns it to use.
+    /// An operator drains a worker or returns it to use.
     Drain {
-        /// The worker.
+        /// Worker to drain or to return to use.
         worker: id::WorkerId,
-        /// Whether it is drained.
+        /// Whether the worker is drained.
         on: bool,
     },
-    /// Rates from the cell's configuration.
+    /// Rates from the cell's configuration, which replace those of [`Config`](crate::Config).
     Rates {
-        /// Most tasks that may be stopped per second to make room for urgent work.
+        /// Maximum number of tasks stopped per second to make room for urgent work.
         preemptions_per_second: u32,
-        /// Starts per second of work that lost workers left behind.
+        /// Rate at which batch and gang tasks of lost workers are started again, in tasks per second.
         recovery_starts_per_second: u32,
     },
-    /// Replicated state, after a change of leader.
+    /// An item of the replicated state, after a change of leader.
     Restore(Restore),
-    /// Time has passed.
+    /// Time has passed. A tick also renews the budgets of work and placements.
     Tick,
 }
 
-/// Part of the replicated state. Teams are restored with [`Input::Team`], before the jobs.
+/// An item of the replicated state. Teams are restored with [`Input::Team`], before the jobs.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Restore {
-    /// A registered worker; its lease counts as renewed just now. Workers come before jobs.
+    /// A registered worker, whose lease counts as renewed now. Workers are restored before jobs.
     Worker(worker::Registration),
-    /// A job that has not reached its last state.
+    /// A job that has not reached its final state.
     Job {
         /// Id of the job.
         job: id::JobId,
-        /// Team whose key came with it.
+        /// Team whose key authorized the submission.
         team: id::TeamId,
-        /// The job.
+        /// Specification from the submitter.
         spec: job::Spec,
-        /// Whether it was cancelled.
+        /// Whether the job was cancelled.
         cancelled: bool,
-        /// State of each task, in order of index.
+        /// State of each task, ordered by index.
         tasks: Vec<Progress>,
     },
-    /// Everything has been restored; placement may begin.
+    /// All items have been restored; placement may begin.
     Done {
-        /// Token of the next start.
+        /// Fencing token of the next start.
         next_token: id::Token,
     },
 }
@@ -98,217 +98,218 @@
 /// Replicated state of one task.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Progress {
-    /// Not running.
+    /// The task does not run.
     Waiting {
-        /// Runs that failed.
+        /// Number of failed runs.
         attempts: u32,
     },
-    /// A start was committed and no end.
+    /// A start has been committed, but no end.
     Running {
         /// Worker that holds the lease.
         worker: id::WorkerId,
-        /// Token of the lease.
+        /// Fencing token of the lease.
         token: id::Token,
-        /// What the worker was told to grant.
+        /// Amount that the start granted.
         granted: resource::Amount,
-        /// Runs that failed before this one.
+        /// Number of failed runs before this one.
         attempts: u32,
     },
-    /// Ran to its end.
+    /// The task has completed.
     Succeeded,
 }
 
-/// Why a run is stopped.
+/// Reason for stopping a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub enum Reason {
     /// The job was cancelled.
     Cancelled,
-    /// The token is unknown or outdated; the run must not exist.
+    /// The token is unknown or stale, so the run must not exist.
     Unknown,
-    /// The team's part was lowered.
+    /// The team's allotment was lowered.
     Limit,
-    /// Urgent work needs the room.
+    /// Urgent work needs the capacity.
     Preempted,
-    /// Capacity reserved for a gang is due, and the run was let onto it meanwhile.
+    /// The run was backfilled onto capacity that is reserved for a gang, and the gang is due to start.
     Reserved,
-    /// The worker is drained.
+    /// The worker is being drained.
     Drained,
-    /// Another task of the gang was lost.
+    /// Another task of the gang has ended without success.
     Gang,
-    /// The run used more than it was granted.
+    /// The run used more memory than it was granted.
     Overuse,
     /// The job has failed.
     Failed,
-    /// The worker did not confirm the start within a lease.
+    /// The worker did not confirm the start within the lease.
     NotStarted,
 }
 
-/// What is to be done. Outputs are in order.
+/// An action for the caller. Actions are carried out in the order of the outputs.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
-    /// Commit the start, then tell the worker. The amount is already debited.
+    /// Commit the start, then instruct the worker. The granted amount is already debited.
     Start {
         /// Task to start.
         task: task::Ref,
-        /// Worker that runs it.
+        /// Worker that runs the task.
         worker: id::WorkerId,
-        /// Token of the new lease.
+        /// Fencing token of the new lease.
         token: id::Token,
-        /// Most that the task may use.
+        /// Amount that the task may use.
         granted: resource::Amount,
     },
-    /// Tell the worker to stop the run; repeated until the end is reported. A worker that does not know the token
-    /// reports it as `Stopped` and refuses a later start with it.
+    /// Instruct the worker to stop the run; repeated until the end is reported. A worker that does not know the
+    /// token reports the run as `Stopped` and refuses a later start with this token.
     Stop {
         /// Task to stop.
         task: task::Ref,
-        /// Worker that runs it.
+        /// Worker that runs the task.
         worker: id::WorkerId,
-        /// Token of its lease.
+        /// Fencing token of its lease.
         token: id::Token,
-        /// Why.
+        /// Why the run is stopped.
         reason: Reason,
     },
-    /// Tell the worker to checkpoint the run and stop it.
+    /// Instruct the worker to checkpoint the run and then stop it.
     Checkpoint {
         /// Task to checkpoint.
         task: task::Ref,
-        /// Worker that runs it.
+        /// Worker that runs the task.
         worker: id::WorkerId,
-        /// Token of its lease.
+        /// Fencing token of its lease.
         token: id::Token,
-        /// Why.
+        /// Why the run is stopped.
         reason: Reason,
     },
-    /// Tell the worker to hold the run to a share of its processors.
+    /// Instruct the worker to limit the run to a share of its granted processors.
     Throttle {
         /// Task to throttle.
         task: task::Ref,
-        /// Worker that runs it.
+        /// Worker that runs the task.
         worker: id::WorkerId,
-        /// Token of its lease.
+        /// Fencing token of its lease.
         token: id::Token,
-        /// Thousandths of the granted processors; 1000 lifts the throttle.
+        /// Share of the granted processors in thousandths; 1000 lifts the throttle.
         share_milli: u32,
     },
-    /// Commit the end of a run. Emitted once per token, before any later start of the task.
+    /// Commit the end of a run. Emitted exactly once per token, before any later start of the task.
     Ended {
-        /// The task.
+        /// Task that the run belongs to.
         task: task::Ref,
         /// Worker that held the lease.
         worker: id::WorkerId,
-        /// Token of the lease.
+        /// Fencing token of the lease.
         token: id::Token,
         /// How the run ended.
         outcome: task::Outcome,
-        /// Failed runs of the task so far, to be restored as `attempts`.
+        /// Number of failed runs of the task so far, which is restored as `attempts`.
         attempts: u32,
     },
-    /// The job cannot run as the fleet and limits are now.
+    /// The job cannot run with the present fleet and limits.
     Impossible {
-        /// The job.
+        /// Job that cannot run.
         job: id::JobId,
-        /// Why.
+        /// Why it cannot run.
         reason: job::Impossible,
-        /// Whether the job is refused (at submission). Otherwise it keeps waiting, and the output is repeated
-        /// only when the reason changes.
+        /// Whether the job is rejected, which happens only at submission. Otherwise it keeps waiting, and the output is
+        /// repeated only when the reason changes.
         refused: bool,
     },
-    /// The job reached its last state and is forgotten.
+    /// The job has reached its final state and the scheduler has dropped it.
     JobEnded {
-        /// The job.
+        /// Job that ended.
         job: id::JobId,
-        /// Its last state.
+        /// Its final state.
         outcome: job::State,
     },
-    /// The worker's lease has run out and nothing it held can still run; it must register again.
+    /// The worker's lease has expired and none of its runs can still be alive; it must register again.
     WorkerLost {
-        /// The worker.
+        /// Worker that was lost.
         worker: id::WorkerId,
     },
-    /// The worker fails what it starts, so its use is limited; or it is in full use again.
+    /// The number of tasks of a worker is limited because runs fail on it, or the limit has changed or is lifted.
     WorkerHealth {
-        /// The worker.
+        /// Worker whose limit has changed.
         worker: id::WorkerId,
-        /// Tasks that it may run at the same time; `None` for no limit.
+        /// Maximum number of concurrent tasks; `None` for no limit.
         max_tasks: Option<u32>,
     },
-    /// Every restored worker has reported, or its lease has run out.
+    /// Every restored worker has reported or been lost.
     Recovered {
-        /// Time since the restored state was complete.
+        /// Time since the replicated state was fully restored.
         duration: Duration,
     },
 }
 
-/// What keeps a job waiting, for operators.
+/// Explains to operators why a job waits.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Explanation {
-    /// Why its waiting tasks do not start.
+    /// Why the waiting tasks do not start.
     pub cause: Cause,
-    /// Tasks that wait, including those that wait for a retry.
+    /// Number of waiting tasks, including those that wait for a retry.
     pub waiting: u32,
-    /// Tasks under a lease.
+    /// Number of tasks under a lease.
     pub running: u32,
-    /// Tasks that ran to their end.
+    /// Number of tasks that have completed.
     pub succeeded: u32,
-    /// Jobs of the same team that come first in its queue for this size.
+    /// Number of jobs of the same team ahead in its queue for tasks of this size.
     pub ahead: u32,
 }
 
 /// Why waiting tasks do not start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Cause {
-    /// The job is not known here, or has ended.
+    /// The job is unknown to this scheduler or has ended.
     Unknown,
-    /// No task waits.
+    /// No task is waiting.
     None,
-    /// The restored state is not complete yet.
+    /// The replicated state is still being restored.
     Recovering,
-    /// The team is at its limit.
+    /// The team is at its allotment.
     TeamLimit,
     /// No worker has room for a task of this size.
     NoRoom,
-    /// Other teams are further below their share.
+    /// Teams further below their fair share are served first.
     Turn,
-    /// Failed tasks wait for their next attempt.
+    /// The tasks wait for a retry or for rate-limited recovery.
     Backoff,
-    /// The job cannot run as it is.
+    /// The job cannot run with the present fleet and limits.
     Impossible(job::Impossible),
-    /// Capacity is reserved and fills up.
+    /// Workers are held for the job until enough capacity is free.
     Reserved,
-    /// The job is being cancelled.
+    /// The job has been cancelled or has failed, and its runs are being stopped.
     Cancelling,
 }
 
-/// Counts and sums for the operators' measures.
+/// Gauges and counters of a scheduler.
 #[derive(Debug, Default, Clone, Copy, PartialEq)]
 pub struct Metrics {
-    /// Workers whose lease holds.
+    /// Number of workers with a valid lease.
     pub workers: u32,
-    /// Workers on probation.
+    /// Number of workers on probation.
     pub probation: u32,
-    /// Sum of the workers' capacity: milli cores, MiB, accelerators.
+    /// Total capacity of the workers: milli cores, MiB, accelerators.
     pub capacity: [u64; 3],
-    /// Sum of the granted amounts, in the same units.
+    /// Total of the granted amounts, in the same units.
     pub used: [u64; 3],
-    /// Jobs that have not ended.
+    /// Number of jobs that have not ended.
     pub jobs: u32,
-    /// Tasks that wait, without those that wait for a retry.
+    /// Number of waiting tasks, excluding those that wait for a retry.
     pub waiting: u64,
-    /// Tasks under a lease.
+    /// Number of tasks under a lease.
     pub running: u32,
-    /// Starts so far.
+    /// Total number of starts.
     pub starts: u64,
-    /// Placements tried so far.
+    /// Total number of attempted placements.
     pub placement_attempts: u64,
-    /// Workers whose runs were weighed to make room for urgent work so far.
+    /// Total number of workers whose runs were evaluated to make room for urgent work.
     pub workers_evaluated: u64,
-    /// Tasks stopped or checkpointed for urgent work so far.
+    /// Total number of tasks stopped or checkpointed for urgent work.
     pub preempted: u64,
-    /// Core-seconds lost to those stops so far.
+    /// Total of the core-seconds lost to preemption.
     pub lost_core_seconds: f64,
-    /// Largest distance of a team with waiting work below its weighted share of the fleet, 0.0 to 1.0.
+    /// Largest difference between a team's weighted share of the fleet and its present share, 0.0 to 1.0, over the
+    /// teams with waiting work that are not at their allotment.
     pub max_share_deficit: f64,
-    /// Time from the restored state to the last confirmed worker; `None` while it lasts.
+    /// Time from the end of the restoration until every restored worker was confirmed or lost; `None` until then.
     pub recovery: Option<Duration>,
 }
--- a/crates/schedule/src/pass/age.rs
+++ b/crates/schedule/src/pass/aging.rs
@@ -10,24 +10,24 @@
 use crate::{lane, table, worker};
 
 /// Time after which a waiting task may get a hold.
-const PATIENCE: Duration = Duration::from_secs(30);
+const AGING_THRESHOLD: Duration = Duration::from_secs(30);
 /// Time that a hold outlasts the expected end of the runs before it.
-const MARGIN: Duration = Duration::from_mins(2);
+const HOLD_MARGIN: Duration = Duration::from_mins(2);
 /// One worker in this many may be held for aged tasks.
 const WORKERS_PER_HOLD: usize = 32;
 /// Holds that one pass makes; each looks at all runs, which takes about a millisecond at 2,800 workers.
 const HOLDS_PER_PASS: usize = 1;
 /// Lanes that one pass looks at.
-const LANES_LOOKED_AT: usize = 1024;
+const LANES_PER_PASS: usize = 1024;
 
 impl Scheduler {
     /// Holds workers for tasks that have waited long, in the order of turns.
     pub(crate) fn hold_for_aged(&mut self, now: Duration) {
-        let most = self.workers.len().div_ceil(WORKERS_PER_HOLD);
+        let limit = self.workers.len().div_ceil(WORKERS_PER_HOLD);
         self.aged
             .retain(|job| self.jobs.get(*job).is_some_and(|job| !job.holds.is_empty()));
-        let room = most.saturating_sub(self.aged.len()).min(HOLDS_PER_PASS);
-        for index in self.aged_jobs(now, room) {
+        let count = limit.saturating_sub(self.aged.len()).min(HOLDS_PER_PASS);
+        for index in self.aged_jobs(now, count) {
             self.hold_for(now, index);
         }
     }
@@ -36,17 +36,17 @@
         // Urgent work makes room for itself.
         let tiers = [lane::Tier::Replacement, lane::Tier::Normal].map(|tier| tier as usize);
         let lanes = tiers.into_iter().flat_map(|tier| {
-            let teams = self.order[tier].keys();
+            let teams = self.team_order[tier].keys();
             teams.flat_map(move |(_, team)| &self.teams[*team].lanes[tier])
         });
         lanes
-            .take(LANES_LOOKED_AT)
-            .filter(|entry| !entry.fresh && self.lanes[entry.lane].listed.is_some())
+            .take(LANES_PER_PASS)
+            .filter(|entry| !entry.runnable && self.lanes[entry.lane].listed.is_some())
             .filter_map(|entry| self.lanes[entry.lane].jobs.values().next().copied())
             .filter(|index| {
                 let job = &self.jobs[*index];
                 job.holds.is_empty()
-                    && now.saturating_sub(job.submitted) >= PATIENCE
+                    && now.saturating_sub(job.submitted) >= AGING_THRESHOLD
                     && job.impossible.is_none()
             })
             .take(count)
@@ -55,14 +55,14 @@
 
     fn hold_for(&mut self, now: Duration, index: table::Job) {
         let kind = self.jobs[index].accelerator;
-        let mut rooms = Vec::new();
+        let mut candidates = Vec::new();
         for (worker, record) in self.workers.iter() {
-            let suits = kind == 0 || record.capacity.accelerator == kind;
-            if suits && record.usable() && record.hold.is_none() && record.health.max_tasks.is_none() {
-                self.rooms_later(now, worker, index, &mut rooms);
+            let compatible = kind == 0 || record.capacity.accelerator == kind;
+            if compatible && record.usable() && record.hold.is_none() && record.health.max_tasks.is_none() {
+                self.future_slots(now, worker, index, &mut candidates);
             }
         }
-        let Some(&(ready, worker, _)) = rooms.iter().min() else {
+        let Some(&(ready, worker, _)) = candidates.iter().min() else {
             return;
         };
         let ready = ready.max(Duration::from_nanos(1));
@@ -70,11 +70,11 @@
             job: index,
             slots: 1,
             since: now,
-            until: ready + MARGIN,
+            until: ready + HOLD_MARGIN,
             ready,
         };
         self.hold(worker, hold);
         self.aged.push(index);
-        self.hold_ready.push(worker);
+        self.holds_ready.push(worker);
     }
 }
--- a/crates/schedule/src/pass/backlog.rs
+++ b/crates/schedule/src/pass/backlog.rs
@@ -12,7 +12,7 @@
 
 use bronzespoke_model::resource;
 
-use crate::amount::times;
+use crate::amount::multiply;
 use crate::job::Stop;
 use crate::message::{Output, Reason};
 use crate::pass::gang;
@@ -20,19 +20,19 @@
 use crate::table;
 
 /// Rooms that together hold a gang.
-pub(crate) type Rooms = Vec<(table::Worker, u32)>;
+pub(crate) type Assignment = Vec<(table::Worker, u32)>;
 
 impl Scheduler {
     /// Renews the bounds on the work until the next tick.
-    pub(crate) fn renew_bounds(&mut self) {
-        self.work = self.config.work_per_tick;
-        self.placements = self.config.placements_per_tick;
-        self.gang_tries = gang::COUNTED;
+    pub(crate) fn reset_budgets(&mut self) {
+        self.work_budget = self.config.work_per_tick;
+        self.placement_budget = self.config.placements_per_tick;
+        self.gang_attempts = gang::GANGS_PER_PASS;
     }
 
     /// Counts a start, stop or end.
-    pub(crate) fn count_work(&mut self) {
-        self.work = self.work.saturating_sub(1);
+    pub(crate) fn charge_work(&mut self) {
+        self.work_budget = self.work_budget.saturating_sub(1);
     }
 
     /// Goes on with what earlier steps left over.
@@ -53,7 +53,7 @@
         let queued = job.stop.is_some_and(|stop| stop.queued);
         job.stop = Some(Stop {
             reason,
-            left: job.runs.len(),
+            remaining: job.runs.len(),
             queued: true,
         });
         if !queued {
@@ -63,11 +63,11 @@
     }
 
     fn continue_stops(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while self.work > 0
+        while self.work_budget > 0
             && let Some(&(index, id)) = self.backlog.stopping.front()
         {
-            let live = self.jobs.get(index).is_some_and(|job| job.id == id);
-            if !live || !self.stop_next(now, index, out) {
+            let alive = self.jobs.get(index).is_some_and(|job| job.id == id);
+            if !alive || !self.stop_next(now, index, out) {
                 self.backlog.stopping.pop_front();
             }
         }
@@ -80,49 +80,55 @@
         let Some(stop) = &mut job.stop else {
             return false;
         };
-        stop.left = stop.left.min(job.runs.len());
-        let Some(left) = stop.left.checked_sub(1) else {
+        stop.remaining = stop.remaining.min(job.runs.len());
+        let Some(remaining) = stop.remaining.checked_sub(1) else {
             stop.queued = false;
-            self.count_work();
+            self.charge_work();
             self.finish_if_idle(index, out);
             return false;
         };
-        stop.left = left;
+        stop.remaining = remaining;
         let reason = stop.reason;
-        let run = job.runs[left];
+        let run = job.runs[remaining];
         self.stop(now, run, reason, None, out);
         true
     }
 
     fn continue_shrinking(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while self.work > 0
+        while self.work_budget > 0
             && let Some(&team) = self.backlog.shrinking.front()
         {
-            if self.shrink_some(now, team, out) {
+            if self.shrink_step(now, team, out) {
                 self.backlog.shrinking.pop_front();
             }
         }
     }
 
     /// Debits the room of a whole gang; its tasks start in this step and the next ones.
-    pub(crate) fn launch(&mut self, now: Duration, index: table::Job, rooms: Rooms, out: &mut Vec<Output>) {
-        for &(worker, count) in &rooms {
-            self.promise(index, worker, count, true);
-            self.relist(worker);
+    pub(crate) fn launch(
+        &mut self,
+        now: Duration,
+        index: table::Job,
+        assignment: Assignment,
+        out: &mut Vec<Output>,
+    ) {
+        for &(worker, count) in &assignment {
+            self.account_launch(index, worker, count, true);
+            self.reindex(worker);
         }
         let team = self.jobs[index].team;
         self.refresh_team(now, team);
         self.dequeue(index);
         let job = &mut self.jobs[index];
         job.stop = None;
-        job.launch = rooms;
+        job.launch = assignment;
         self.release_holds(index);
         self.backlog.launching.push_back(index);
         self.continue_launches(now, out);
     }
 
     fn continue_launches(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while self.work > 0
+        while self.work_budget > 0
             && let Some(&index) = self.backlog.launching.front()
         {
             let Some(room) = self.jobs[index].launch.last_mut() else {
@@ -130,61 +136,61 @@
                 continue;
             };
             room.1 -= 1;
-            let (worker, left) = *room;
-            if left == 0 {
+            let (worker, remaining) = *room;
+            if remaining == 0 {
                 self.jobs[index].launch.pop();
             }
-            self.promise(index, worker, 1, false);
+            self.account_launch(index, worker, 1, false);
             let task = self.take_waiting(index);
             self.start(now, index, task, worker, out);
         }
     }
 
     /// Gives back the room of the tasks of a gang that have not started.
-    pub(crate) fn break_launch(&mut self, index: table::Job) {
-        let rooms = std::mem::take(&mut self.jobs[index].launch);
-        if rooms.is_empty() {
+    pub(crate) fn cancel_launch(&mut self, index: table::Job) {
+        let assignment = std::mem::take(&mut self.jobs[index].launch);
+        if assignment.is_empty() {
             return;
         }
         self.backlog.launching.retain(|job| *job != index);
-        for (worker, count) in rooms {
-            self.promise(index, worker, count, false);
-            self.freed(worker);
+        for (worker, count) in assignment {
+            self.account_launch(index, worker, count, false);
+            self.capacity_freed(worker);
         }
         let team = self.jobs[index].team;
         if self.teams[team].limited {
-            self.release_lanes(team);
+            self.unblock_lanes(team);
         }
     }
 
     /// Breaks off the starts of gangs that count on a worker which falls out of use.
-    pub(crate) fn break_launches_on(&mut self, worker: table::Worker) {
-        if self.workers[worker].promised.is_zero() {
+    pub(crate) fn cancel_launches_on(&mut self, worker: table::Worker) {
+        if self.workers[worker].launching_amount.is_zero() {
             return;
         }
         let on_worker = |index: &table::Job| {
-            let rooms = &self.jobs[*index].launch;
-            rooms.iter().any(|room| room.0 == worker)
+            let assignment = &self.jobs[*index].launch;
+            assignment.iter().any(|room| room.0 == worker)
         };
         let broken: Vec<_> = self.backlog.launching.iter().copied().filter(on_worker).collect();
         for index in broken {
-            self.end_gang(index);
+            self.stop_gang(index);
         }
     }
 
     /// Breaks off the starts of a team's gangs.
-    pub(crate) fn break_launches_of(&mut self, team: table::Team) {
+    pub(crate) fn cancel_launches_of(&mut self, team: table::Team) {
         let of_team = |index: &table::Job| self.jobs[*index].team == team;
         let broken: Vec<_> = self.backlog.launching.iter().copied().filter(of_team).collect();
         for index in broken {
-            self.end_gang(index);
+            self.stop_gang(index);
         }
     }
 
     /// Debits or credits room for tasks of a gang that have not started.
-    fn promise(&mut self, index: table::Job, worker: table::Worker, count: u32, debit: bool) {
+    fn account_launch(&mut self, index: table::Job, worker: table::Worker, count: u32, debit: bool) {
         let job = &self.jobs[index];
-        let sum = times(&job.size, count).expect("the room of a gang fits on its worker");
+        let sum = multiply(&job.size, count).expect("the room of a gang fits on its worker");
         let change = |account: &mut resource::Amount| {
             *account = if debit {
                 account.saturating_add(&sum)
@@ -195,9 +201,9 @@
         let team = &mut self.teams[job.team];
         let worker = &mut self.workers[worker];
         change(&mut worker.used);
-        change(&mut worker.promised);
+        change(&mut worker.launching_amount);
         change(&mut team.used);
-        change(&mut team.promised);
+        change(&mut team.launching_amount);
         change(&mut self.used);
     }
 }
--- a/crates/schedule/src/pass/drain.rs
+++ b/crates/schedule/src/pass/drain.rs
@@ -13,9 +13,9 @@
 use crate::{table, timer};
 
 /// Interval at which drained workers are looked at.
-const INTERVAL: Duration = Duration::from_secs(1);
+const DRAIN_INTERVAL: Duration = Duration::from_secs(1);
 /// Time to checkpoint for a task on a drained worker.
-const GRACE: Duration = Duration::from_secs(30);
+const CHECKPOINT_GRACE: Duration = Duration::from_secs(30);
 
 impl Scheduler {
     /// Starts or ends the drain of a worker.
@@ -28,34 +28,34 @@
         }
         self.workers[worker].draining = on;
         if on {
-            self.break_hold(worker);
+            self.cancel_hold(worker);
             self.draining.push(worker);
-            self.relist(worker);
+            self.reindex(worker);
             self.drain_due(now, out);
         } else {
             self.draining.retain(|member| *member != worker);
-            self.freed(worker);
+            self.capacity_freed(worker);
         }
     }
 
     /// Takes the next step of all drains.
     pub(crate) fn drain_due(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let mut left = false;
+        let mut runs_remain = false;
         for position in 0..self.draining.len() {
-            if self.work == 0 {
+            if self.work_budget == 0 {
                 self.timers.push(now, timer::Event::Drain);
-                self.more = true;
+                self.has_more = true;
                 return;
             }
             let worker = self.draining[position];
             let runs = self.workers[worker].runs.clone();
-            left |= !runs.is_empty();
+            runs_remain |= !runs.is_empty();
             for run in runs {
                 self.drain_run(now, run, out);
             }
         }
-        if left && self.drain_next <= now {
-            self.drain_next = now + INTERVAL;
+        if runs_remain && self.drain_next <= now {
+            self.drain_next = now + DRAIN_INTERVAL;
             self.timers.push(self.drain_next, timer::Event::Drain);
         }
     }
@@ -67,13 +67,13 @@
         }
         match self.jobs[record.job].kind {
             job::Kind::Service => {
-                if !self.config.rules.rolling_drain || self.is_complete(record.job) {
+                if !self.config.rules.rolling_drain || self.is_fully_running(record.job) {
                     self.stop(now, run, Reason::Drained, None, out);
                 }
             }
             job::Kind::Batch => {
                 if self.is_checkpointable(record.job) {
-                    self.stop(now, run, Reason::Drained, Some(GRACE), out);
+                    self.stop(now, run, Reason::Drained, Some(CHECKPOINT_GRACE), out);
                 }
             }
             job::Kind::Gang => {}
@@ -81,7 +81,7 @@
     }
 
     /// Tells whether all tasks of a service have been seen running and none is to end.
-    fn is_complete(&self, index: table::Job) -> bool {
+    fn is_fully_running(&self, index: table::Job) -> bool {
         let job = &self.jobs[index];
         job.runs.len() as u32 == job.tasks
             && job.runs.iter().all(|run| self.runs[*run].phase == Phase::Running)
--- a/crates/schedule/src/pass/end.rs
+++ b/crates/schedule/src/pass/end.rs
@@ -13,11 +13,11 @@
 /// Interval at which an unconfirmed stop is sent again; workers report every 3 s.
 const STOP_INTERVAL: Duration = Duration::from_secs(3);
 /// First delay before a failed task starts again; doubles with every failure.
-const RETRY_FIRST: Duration = Duration::from_secs(1);
+const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
 /// Longest delay before a failed task starts again.
-const RETRY_LONGEST: Duration = Duration::from_mins(1);
+const MAX_RETRY_DELAY: Duration = Duration::from_mins(1);
 /// A service task that ran this long is replaced at once when it ends.
-const STEADY: Duration = Duration::from_mins(1);
+const STABLE_RUN_TIME: Duration = Duration::from_mins(1);
 /// One failed run in this many tasks is allowed on top of the attempts of a single task.
 const TASKS_PER_FAILURE: u32 = 4;
 /// Racks that a job remembers to avoid.
@@ -62,7 +62,7 @@
         outcome: task::Outcome,
         out: &mut Vec<Output>,
     ) {
-        self.count_work();
+        self.charge_work();
         let task = self.task_of(run);
         let record = self.remove_run(now, run);
         let worker = self.workers[record.worker].id;
@@ -76,8 +76,8 @@
             outcome,
             attempts,
         });
-        self.freed(record.worker);
-        self.settle(now, &record, end, attempts, out);
+        self.capacity_freed(record.worker);
+        self.resolve_task(now, &record, end, attempts, out);
     }
 
     /// Takes a run out of all accounts.
@@ -94,12 +94,12 @@
         if let Some(&moved) = list.get(record.in_job as usize) {
             self.runs[moved].in_job = record.in_job;
         }
-        self.change_spread(record.job, record.rack, false);
+        self.update_spread(record.job, record.rack, false);
         let team = self.jobs[record.job].team;
         let account = &mut self.teams[team];
-        let was = account.is_active();
+        let was_active = account.is_active();
         account.runs -= 1;
-        self.track_active(team, was);
+        self.track_active(team, was_active);
         self.set_excess(record.worker);
         if !record.credited {
             self.credit(now, &record);
@@ -120,32 +120,33 @@
         }
         self.refresh_team(now, team);
         if self.teams[team].limited {
-            self.release_lanes(team);
+            self.unblock_lanes(team);
         }
     }
 
     fn count_failure(&mut self, record: &run::Record, end: run::End) -> u32 {
         let rack = self.workers[record.worker].rack;
-        let probation = self.workers[record.worker].health.max_tasks.is_some() || self.is_rack_cause(rack);
+        let probation =
+            self.workers[record.worker].health.max_tasks.is_some() || self.is_rack_suspected(rack);
         let job = &mut self.jobs[record.job];
         if end != run::End::Failed {
             return job.attempts(record.index);
         }
         // A worker that fails what it starts says nothing about the job.
         let attempts = job.add_attempts(record.index, u32::from(!probation));
-        let trouble = job.trouble.get_or_insert_default();
+        let history = job.failure_history.get_or_insert_default();
         // Failures that share a rack may share a cause that is not the job's.
-        trouble.failures += u32::from(!probation && trouble.racks.last() != Some(&rack));
-        trouble.racks.retain(|known| *known != rack);
-        if trouble.racks.len() == AVOIDED_RACKS {
-            trouble.racks.remove(0);
+        history.failures += u32::from(!probation && history.racks.last() != Some(&rack));
+        history.racks.retain(|known| *known != rack);
+        if history.racks.len() == AVOIDED_RACKS {
+            history.racks.remove(0);
         }
-        trouble.racks.push(rack);
+        history.racks.push(rack);
         attempts
     }
 
     /// Decides what becomes of the task and its job.
-    fn settle(
+    fn resolve_task(
         &mut self,
         now: Duration,
         record: &run::Record,
@@ -160,22 +161,22 @@
             return;
         }
         let service = job.kind == model::Kind::Service;
-        let first = service || job.priority == model::Priority::Urgent;
+        let immediate = service || job.priority == model::Priority::Urgent;
         match end {
             run::End::Succeeded if !service => self.succeed(index, out),
             run::End::Succeeded | run::End::Failed => {
                 self.retry(now, record, attempts, out);
             }
-            run::End::LeaseExpired if !first => self.lose_task(now, record),
+            run::End::LeaseExpired if !immediate => self.queue_lost_task(now, record),
             run::End::Stopped if !record.is_ending() => {
-                self.delay(now, index, record.index, RETRY_FIRST);
+                self.delay(now, index, record.index, MIN_RETRY_DELAY);
             }
             run::End::LeaseExpired | run::End::Stopped | run::End::Checkpointed => {
                 self.add_waiting(index, record.index);
             }
         }
         if end != run::End::Succeeded {
-            self.end_gang(index);
+            self.stop_gang(index);
         }
     }
 
@@ -193,11 +194,11 @@
         let index = record.job;
         let job = &self.jobs[index];
         let service = job.kind == model::Kind::Service;
-        if service && now.saturating_sub(record.started) >= STEADY {
+        if service && now.saturating_sub(record.started) >= STABLE_RUN_TIME {
             self.add_waiting(index, record.index);
             return;
         }
-        let failures = job.trouble.as_ref().map_or(0, |trouble| trouble.failures);
+        let failures = job.failure_history.as_ref().map_or(0, |history| history.failures);
         let allowed = self.config.max_attempts + job.tasks / TASKS_PER_FAILURE;
         if !service && (attempts >= self.config.max_attempts || failures > allowed) {
             self.fail(index, out);
@@ -206,12 +207,17 @@
         let team = &mut self.teams[job.team];
         let delay = if team.retries_milli >= RETRY_COST {
             team.retries_milli -= RETRY_COST;
-            RETRY_FIRST * (1 << attempts.saturating_sub(1).min(6))
+            MIN_RETRY_DELAY * (1 << attempts.saturating_sub(1).min(6))
         } else {
-            RETRY_LONGEST
+            MAX_RETRY_DELAY
         };
         let jitter = self.random.random_range(0.5..1.0);
-        self.delay(now, index, record.index, delay.min(RETRY_LONGEST).mul_f64(jitter));
+        self.delay(
+            now,
+            index,
+            record.index,
+            delay.min(MAX_RETRY_DELAY).mul_f64(jitter),
+        );
     }
 
     fn delay(&mut self, now: Duration, index: table::Job, task: id::TaskIndex, delay: Duration) {
@@ -234,14 +240,14 @@
     }
 
     /// Queues a task of a lost worker for paced release.
-    fn lose_task(&mut self, now: Duration, record: &run::Record) {
+    fn queue_lost_task(&mut self, now: Duration, record: &run::Record) {
         let job = &mut self.jobs[record.job];
         job.delayed += 1;
-        if self.lost.is_empty() {
+        if self.lost_tasks.is_empty() {
             self.timers
                 .push(now.max(self.recovery_next), timer::Event::Recovery);
         }
-        self.lost.push_back((record.job, job.id, record.index));
+        self.lost_tasks.push_back((record.job, job.id, record.index));
     }
 
     /// Releases lost tasks at the configured rate.
@@ -250,12 +256,12 @@
         let count = (per_second * RECOVERY_INTERVAL.as_secs_f64()).max(1.0) as usize;
         self.recovery_next = now + RECOVERY_INTERVAL;
         for _ in 0..count {
-            let Some((job, id, task)) = self.lost.pop_front() else {
+            let Some((job, id, task)) = self.lost_tasks.pop_front() else {
                 return;
             };
             self.release_task(job, id, task);
         }
-        if !self.lost.is_empty() {
+        if !self.lost_tasks.is_empty() {
             self.timers.push(now + RECOVERY_INTERVAL, timer::Event::Recovery);
         }
     }
@@ -269,17 +275,17 @@
             return;
         }
         self.jobs[index].phase = Phase::Cancelled;
-        self.abandon(index, Reason::Cancelled, out);
+        self.abort(index, Reason::Cancelled, out);
     }
 
     fn fail(&mut self, index: table::Job, out: &mut Vec<Output>) {
         self.jobs[index].phase = Phase::Failed;
-        self.abandon(index, Reason::Failed, out);
+        self.abort(index, Reason::Failed, out);
     }
 
     /// Drops what waits and stops what runs.
-    pub(crate) fn abandon(&mut self, index: table::Job, reason: Reason, out: &mut Vec<Output>) {
-        self.break_launch(index);
+    pub(crate) fn abort(&mut self, index: table::Job, reason: Reason, out: &mut Vec<Output>) {
+        self.cancel_launch(index);
         self.drop_waiting(index);
         self.jobs[index].delayed = 0;
         self.release_holds(index);
@@ -322,7 +328,7 @@
         grace: Option<Duration>,
         out: &mut Vec<Output>,
     ) {
-        let gentle = self.is_checkpointable(self.runs[run].job);
+        let checkpointable = self.is_checkpointable(self.runs[run].job);
         let record = &mut self.runs[run];
         if matches!(record.phase, run::Phase::Stopping(_)) {
             return;
@@ -330,20 +336,20 @@
         let first = !record.is_ending();
         let (phase, wait) = match grace {
             Some(_) if !first => return,
-            Some(grace) if gentle && record.confirmed => (run::Phase::Checkpointing(reason), grace),
+            Some(grace) if checkpointable && record.confirmed => (run::Phase::Checkpointing(reason), grace),
             _ => (run::Phase::Stopping(reason), STOP_INTERVAL),
         };
         record.phase = phase;
         record.due = now + wait;
         let (token, size, job) = (record.token, record.size, record.job);
         self.timers.push(now + wait, timer::Event::Run(token));
-        self.count_work();
+        self.charge_work();
         if first {
             let team = self.jobs[job].team;
             let account = &mut self.teams[team];
             account.ending = account.ending.saturating_add(&size);
         }
-        self.tell_end(run, out);
+        self.emit_stop(run, out);
         if !self.config.rules.count_stopping && !self.runs[run].credited {
             self.credit_early(now, run);
         }
@@ -354,10 +360,10 @@
         self.runs[run].credited = true;
         let record = run::Record { ..self.runs[run] };
         self.credit(now, &record);
-        self.freed(record.worker);
+        self.capacity_freed(record.worker);
     }
 
-    fn tell_end(&self, run: table::Run, out: &mut Vec<Output>) {
+    fn emit_stop(&self, run: table::Run, out: &mut Vec<Output>) {
         let task = self.task_of(run);
         let record = &self.runs[run];
         let (worker, token) = (self.workers[record.worker].id, record.token);
@@ -394,7 +400,7 @@
             run::Phase::Stopping(_) => {
                 record.due = now + STOP_INTERVAL;
                 self.timers.push(now + STOP_INTERVAL, timer::Event::Run(token));
-                self.tell_end(run, out);
+                self.emit_stop(run, out);
             }
         }
     }
--- a/crates/schedule/src/pass/estimate.rs
+++ b/crates/schedule/src/pass/estimate.rs
@@ -12,22 +12,22 @@
 
 use crate::estimate::Model;
 use crate::message::{Output, Reason};
-use crate::run::{LIFTED, Phase};
+use crate::run::{Phase, UNTHROTTLED};
 use crate::scheduler::Scheduler;
 use crate::{run, table};
 
 /// Margin on a size that was seen to be too small, in eighths.
-const SEEN_EIGHTHS: u64 = 9;
+const RAISE_EIGHTHS: u64 = 9;
 /// Time to checkpoint for a run that uses too much.
-const GRACE: Duration = Duration::from_secs(2);
+const CHECKPOINT_GRACE: Duration = Duration::from_secs(2);
 /// Share of the granted processors that a throttled run may use, in thousandths; 1000 would lift the throttle.
-const THROTTLED: u32 = 999;
+const THROTTLE_SHARE: u32 = 999;
 /// Use of the granted processors up to which a run does not press against its throttle, in thousandths.
-const CALM: u64 = 900;
+const LIFT_BELOW_MILLI: u64 = 900;
 /// Reports in a row that change a throttle.
-const REPORTS: u8 = 3;
+const REPORTS_TO_CHANGE: u8 = 3;
 /// Part of the expected run time that an overdue run is expected to need still.
-const OVERDUE: u32 = 4;
+const OVERDUE_DIVISOR: u32 = 4;
 
 impl Scheduler {
     /// Returns the run time to plan with for a job's tasks.
@@ -42,7 +42,11 @@
     pub(crate) fn expected_end(&self, now: Duration, run: &run::Record) -> Duration {
         let time = self.run_time(run.job);
         let end = run.started + time;
-        if end > now { end } else { now + time / OVERDUE }
+        if end > now {
+            end
+        } else {
+            now + time / OVERDUE_DIVISOR
+        }
     }
 
     /// Returns the size to grant to a job's tasks.
@@ -57,7 +61,7 @@
     }
 
     /// Learns from a run that ended.
-    pub(crate) fn learn(&mut self, now: Duration, record: &run::Record, end: run::End) {
+    pub(crate) fn update_model(&mut self, now: Duration, record: &run::Record, end: run::End) {
         let job = &self.jobs[record.job];
         let key = (job.team, job.kind);
         let (declared, run_time) = (job.declared, job.run_time);
@@ -81,44 +85,52 @@
         if record.phase != Phase::Running {
             return;
         }
-        self.follow_throttle(run, out);
+        self.update_throttle(run, out);
         if !usage.fits(&size) {
             self.raise_size(run);
         }
     }
 
     /// Throttles a run that uses more processors than it declared, and follows a throttle that is in force.
-    fn follow_throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
+    fn update_throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
         let record = &self.runs[run];
         let (usage, granted) = (record.usage.cpu_milli, record.size.cpu_milli);
-        let throttled = record.throttle < LIFTED;
+        let throttled = record.throttle < UNTHROTTLED;
         let declared = self.jobs[record.job].declared.cpu_milli;
         let worker = &self.workers[record.worker];
         let above = usage > granted.max(declared);
-        let more = declared.saturating_sub(granted);
-        let room = more > 0 && worker.hold.is_none() && worker.free().cpu_milli >= more;
-        let calm = !above && (u64::from(usage) * 1000 <= u64::from(granted) * CALM || room);
+        let ungranted = declared.saturating_sub(granted);
+        let room = ungranted > 0 && worker.hold.is_none() && worker.free().cpu_milli >= ungranted;
+        let may_lift = !above && (u64::from(usage) * 1000 <= u64::from(granted) * LIFT_BELOW_MILLI || room);
         let record = &mut self.runs[run];
-        record.calm = if throttled && calm { record.calm + 1 } else { 0 };
-        record.defiant = if throttled && above { record.defiant + 1 } else { 0 };
-        if record.calm == REPORTS {
-            self.tell_throttle(run, LIFTED, out);
-        } else if (above && !throttled) || record.defiant == REPORTS {
-            self.tell_throttle(run, THROTTLED, out);
+        record.lift_reports = if throttled && may_lift {
+            record.lift_reports + 1
+        } else {
+            0
+        };
+        record.excess_reports = if throttled && above {
+            record.excess_reports + 1
+        } else {
+            0
+        };
+        if record.lift_reports == REPORTS_TO_CHANGE {
+            self.emit_throttle(run, UNTHROTTLED, out);
+        } else if (above && !throttled) || record.excess_reports == REPORTS_TO_CHANGE {
+            self.emit_throttle(run, THROTTLE_SHARE, out);
         }
     }
 
     /// Holds a run to the processors that it was granted.
     pub(crate) fn throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
-        self.tell_throttle(run, THROTTLED, out);
+        self.emit_throttle(run, THROTTLE_SHARE, out);
     }
 
-    fn tell_throttle(&mut self, run: table::Run, share_milli: u32, out: &mut Vec<Output>) {
+    fn emit_throttle(&mut self, run: table::Run, share_milli: u32, out: &mut Vec<Output>) {
         let task = self.task_of(run);
         let record = &mut self.runs[run];
         record.throttle = share_milli;
-        record.calm = 0;
-        record.defiant = 0;
+        record.lift_reports = 0;
+        record.excess_reports = 0;
         out.push(Output::Throttle {
             task,
             worker: self.workers[record.worker].id,
@@ -128,9 +140,9 @@
     }
 
     /// Returns the processors that a throttle would give back: what a run uses above its grant.
-    pub(crate) fn throttled_room(&self, run: table::Run) -> resource::Amount {
+    pub(crate) fn throttle_gain(&self, run: table::Run) -> resource::Amount {
         let record = &self.runs[run];
-        if record.throttle < LIFTED || record.phase != Phase::Running {
+        if record.throttle < UNTHROTTLED || record.phase != Phase::Running {
             return resource::Amount::ZERO;
         }
         let excess = record.usage.cpu_milli.saturating_sub(record.size.cpu_milli);
@@ -142,7 +154,7 @@
         let record = &self.runs[run];
         let (index, usage) = (record.job, record.usage);
         let job = &self.jobs[index];
-        let memory = (u64::from(usage.memory_mib) * SEEN_EIGHTHS / 8) as u32;
+        let memory = (u64::from(usage.memory_mib) * RAISE_EIGHTHS / 8) as u32;
         // The room of a gang that is being started is debited at its present size.
         if job.kind == job::Kind::Service || memory <= job.size.memory_mib || !job.launch.is_empty() {
             return;
@@ -152,7 +164,7 @@
             ..job.size
         };
         let known = self
-            .shapes
+            .capacities
             .keys()
             .any(|(kind, amount)| raised.fits(amount) && (job.accelerator == 0 || job.accelerator == *kind));
         if !known || !raised.fits(&self.teams[job.team].limit) {
@@ -188,7 +200,7 @@
             if sum.memory_mib <= record.capacity.amount.memory_mib {
                 return;
             }
-            self.stop(now, run, Reason::Overuse, Some(GRACE), out);
+            self.stop(now, run, Reason::Overuse, Some(CHECKPOINT_GRACE), out);
         }
     }
 }
--- a/crates/schedule/src/pass/explain.rs
+++ b/crates/schedule/src/pass/explain.rs
@@ -64,7 +64,7 @@
         };
         if self.lanes[lane].listed.is_none() {
             Cause::TeamLimit
-        } else if self.entry(lane).fresh {
+        } else if self.entry(lane).runnable {
             Cause::Turn
         } else if self.teams[job.team].admits(&job.size) {
             Cause::NoRoom
@@ -99,11 +99,11 @@
             jobs: self.jobs.len() as u32,
             waiting,
             running: self.runs.len() as u32,
-            starts: self.counts.starts,
-            placement_attempts: self.counts.placement_attempts,
-            workers_evaluated: self.counts.workers_evaluated,
-            preempted: self.counts.preempted,
-            lost_core_seconds: self.counts.lost_core_seconds,
+            starts: self.counters.starts,
+            placement_attempts: self.counters.placement_attempts,
+            workers_evaluated: self.counters.workers_evaluated,
+            preempted: self.counters.preempted,
+            lost_core_seconds: self.counters.lost_core_seconds,
             max_share_deficit: distance,
             recovery: self.recovery,
         }
--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -5,9 +5,9 @@
 
 use bronzespoke_model::job;
 
-use crate::amount::{slots, times};
+use crate::amount::{multiply, slots};
 use crate::message::{Output, Reason};
-use crate::pass::backlog::Rooms;
+use crate::pass::backlog::Assignment;
 use crate::scheduler::Scheduler;
 use crate::{run, table, timer, worker};
 
@@ -17,20 +17,20 @@
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
 /// Gangs for which one pass, or the submissions from one tick to the next, count the free room; each looks at all
 /// workers.
-pub(crate) const COUNTED: u32 = 16;
+pub(crate) const GANGS_PER_PASS: u32 = 16;
 /// Time to checkpoint for work that was let onto reserved workers.
 const BACKFILL_GRACE: Duration = Duration::from_secs(5);
 
 impl Scheduler {
     /// Stops the rest of a gang that has lost a task.
-    pub(crate) fn end_gang(&mut self, index: table::Job) {
+    pub(crate) fn stop_gang(&mut self, index: table::Job) {
         let Some(job) = self.jobs.get(index) else {
             return;
         };
         if job.kind != job::Kind::Gang || !job.is_active() {
             return;
         }
-        self.break_launch(index);
+        self.cancel_launch(index);
         if !self.jobs[index].runs.is_empty() {
             self.stop_runs(index, Reason::Gang);
         }
@@ -40,12 +40,12 @@
     /// Starts a gang that has just been submitted when it fits, without a wait for the next pass over all gangs, as
     /// other work would take the room before that pass. Gangs that wait longer are kept from starving by reservations.
     pub(crate) fn try_gang(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) {
-        if self.gang_tries == 0 || !self.may_fit(index) {
+        if self.gang_attempts == 0 || !self.may_fit(index) {
             return;
         }
-        self.gang_tries -= 1;
-        if let Some(rooms) = self.rooms(index) {
-            self.launch(now, index, rooms, out);
+        self.gang_attempts -= 1;
+        if let Some(assignment) = self.find_assignment(index) {
+            self.launch(now, index, assignment, out);
         }
     }
 
@@ -63,7 +63,7 @@
         let order = self.gang_order();
         let mut counted = 0;
         for &index in &order {
-            if counted == COUNTED {
+            if counted == GANGS_PER_PASS {
                 self.gangs_dirty = true;
                 break;
             }
@@ -71,12 +71,12 @@
                 continue;
             }
             counted += 1;
-            if let Some(rooms) = self.rooms(index) {
-                self.launch(now, index, rooms, out);
+            if let Some(assignment) = self.find_assignment(index) {
+                self.launch(now, index, assignment, out);
             }
         }
         self.reserve_for_first(now, &order);
-        self.claim_reserved(now, out);
+        self.reclaim_reserved(now, out);
     }
 
     /// Returns the waiting gangs: urgent ones, then those with a reservation, then in the order of turns.
@@ -106,7 +106,7 @@
         if !self.config.rules.gang_atomic {
             return true;
         }
-        let Some(sum) = times(&job.size, job.waiting.len()) else {
+        let Some(sum) = multiply(&job.size, job.waiting.len()) else {
             return false;
         };
         let admitted = !self.config.rules.team_limit || self.teams[job.team].admits(&sum);
@@ -114,27 +114,27 @@
     }
 
     /// Finds room for all waiting tasks of a gang, on the workers held for it first, then tightly packed.
-    fn rooms(&self, index: table::Job) -> Option<Rooms> {
+    fn find_assignment(&self, index: table::Job) -> Option<Assignment> {
         let job = &self.jobs[index];
-        let mut left = job.waiting.len();
-        let mut rooms = Rooms::new();
+        let mut remaining = job.waiting.len();
+        let mut assignment = Assignment::new();
         let held = job.holds.iter().copied();
         for worker in held.chain(self.free.members(job.accelerator)) {
             let record = &self.workers[worker];
-            let mut count = slots(&record.free(), &job.size).min(left);
+            let mut count = slots(&record.free(), &job.size).min(remaining);
             if !record.usable() || count == 0 {
                 continue;
             }
             if let Some(allowed) = record.health.max_tasks {
                 count = count.min(allowed.saturating_sub(record.runs.len() as u32));
             }
-            rooms.push((worker, count));
-            left -= count;
-            if left == 0 {
-                return Some(rooms);
+            assignment.push((worker, count));
+            remaining -= count;
+            if remaining == 0 {
+                return Some(assignment);
             }
         }
-        (!self.config.rules.gang_atomic && !rooms.is_empty()).then_some(rooms)
+        (!self.config.rules.gang_atomic && !assignment.is_empty()).then_some(assignment)
     }
 
     /// Reserves workers for the first gang that has none; one reservation at a time for each accelerator kind.
@@ -143,21 +143,25 @@
             let Some(job) = self.jobs.get(index) else {
                 return false;
             };
-            let waits = self
+            let cooled_down = self
                 .gangs
                 .get(&job.sequence)
-                .is_some_and(|gang| gang.cool_until <= now);
-            let taken = |other: &table::Job| self.jobs[*other].accelerator == job.accelerator;
+                .is_some_and(|gang| gang.cooldown_until <= now);
+            let conflicts = |other: &table::Job| self.jobs[*other].accelerator == job.accelerator;
             let admitted =
-                times(&job.size, job.waiting.len()).is_some_and(|sum| self.teams[job.team].admits(&sum));
+                multiply(&job.size, job.waiting.len()).is_some_and(|sum| self.teams[job.team].admits(&sum));
             let normal = job.priority == job::Priority::Normal;
-            normal && waits && job.holds.is_empty() && admitted && !self.reservations.iter().any(taken)
+            normal
+                && cooled_down
+                && job.holds.is_empty()
+                && admitted
+                && !self.reservations.iter().any(conflicts)
         });
         if let Some(index) = next {
             self.reserve(now, index);
         }
-        if !self.gangs.is_empty() && self.gangs_look <= now {
-            self.gangs_look = now + IDLE_INTERVAL;
+        if !self.gangs.is_empty() && self.gangs_idle_check <= now {
+            self.gangs_idle_check = now + IDLE_INTERVAL;
             self.timers.push(now + IDLE_INTERVAL, timer::Event::Gangs(true));
         }
     }
@@ -167,25 +171,25 @@
         let job = &self.jobs[index];
         let mut candidates = Vec::new();
         for (worker, record) in self.workers.iter() {
-            let suits = job.accelerator == 0 || record.capacity.accelerator == job.accelerator;
-            if !suits || !record.usable() || record.hold.is_some() || record.health.max_tasks.is_some() {
+            let compatible = job.accelerator == 0 || record.capacity.accelerator == job.accelerator;
+            if !compatible || !record.usable() || record.hold.is_some() || record.health.max_tasks.is_some() {
                 continue;
             }
-            self.rooms_later(now, worker, index, &mut candidates);
+            self.future_slots(now, worker, index, &mut candidates);
         }
         candidates.sort_unstable();
-        let mut left = job.waiting.len();
+        let mut remaining = job.waiting.len();
         let mut chosen: BTreeMap<table::Worker, u32> = BTreeMap::new();
         let mut ready = now;
         for (at, worker, count) in candidates {
-            *chosen.entry(worker).or_default() += count.min(left);
-            left -= count.min(left);
+            *chosen.entry(worker).or_default() += count.min(remaining);
+            remaining -= count.min(remaining);
             ready = ready.max(at);
-            if left == 0 {
+            if remaining == 0 {
                 break;
             }
         }
-        if left > 0 || ready > now + self.config.max_reservation * 2 {
+        if remaining > 0 || ready > now + self.config.max_reservation * 2 {
             return;
         }
         let until = ready + self.config.max_reservation;
@@ -203,19 +207,19 @@
     }
 
     /// Adds the times at which a worker is expected to have room for more tasks of a job, as its runs end.
-    pub(crate) fn rooms_later(
+    pub(crate) fn future_slots(
         &self,
         now: Duration,
         worker: table::Worker,
         index: table::Job,
-        rooms: &mut Vec<(Duration, table::Worker, u32)>,
+        slots_by_time: &mut Vec<(Duration, table::Worker, u32)>,
     ) {
         let record = &self.workers[worker];
         let size = &self.jobs[index].size;
         let mut free = record.free();
-        let mut known = slots(&free, size);
-        if known > 0 {
-            rooms.push((now, worker, known));
+        let mut counted = slots(&free, size);
+        if counted > 0 {
+            slots_by_time.push((now, worker, counted));
         }
         let batch = |run: &&run::Record| self.jobs[run.job].kind != job::Kind::Service;
         let runs = record.runs.iter().map(|run| &self.runs[*run]);
@@ -227,15 +231,15 @@
         for (at, _, freed) in ends {
             free = free.saturating_add(&freed);
             let count = slots(&free, size);
-            if count > known {
-                rooms.push((at, worker, count - known));
-                known = count;
+            if count > counted {
+                slots_by_time.push((at, worker, count - counted));
+                counted = count;
             }
         }
     }
 
     /// Ends backfilled work that outstays a reservation.
-    fn claim_reserved(&mut self, now: Duration, out: &mut Vec<Output>) {
+    fn reclaim_reserved(&mut self, now: Duration, out: &mut Vec<Output>) {
         for position in 0..self.held.len() {
             let worker = self.held[position];
             let record = &self.workers[worker];
--- a/crates/schedule/src/pass/health.rs
+++ b/crates/schedule/src/pass/health.rs
@@ -14,19 +14,19 @@
 use crate::{run, table, timer};
 
 /// Distinct jobs that must fail on a worker without a success in between.
-const EVIDENCE: usize = 3;
+const FAILING_JOBS: usize = 3;
 /// Racks on which a job must have failed to be no evidence against workers.
 const JOB_RACKS: usize = 2;
 /// First length of a probation; doubles each time.
-const FIRST: Duration = Duration::from_secs(30);
+const MIN_PROBATION: Duration = Duration::from_secs(30);
 /// Longest doubling of a probation, as a power of two.
-const DOUBLINGS: u32 = 7;
+const MAX_DOUBLINGS: u32 = 7;
 /// Allowance from which a worker is in full use again.
-const FULL: u32 = 16;
+const FULL_USE: u32 = 16;
 /// At most one in this many workers is on probation, so that a common fault of the jobs cannot empty the fleet.
 const WORKERS_PER_PROBATION: usize = 4;
 /// Suspected workers of one rack that count as one cause.
-const RACK_CAUSE: u32 = 2;
+const RACK_SUSPECTS: u32 = 2;
 
 impl Scheduler {
     /// Takes the end of a run as evidence.
@@ -37,7 +37,7 @@
         end: run::End,
         out: &mut Vec<Output>,
     ) {
-        self.learn(now, record, end);
+        self.update_model(now, record, end);
         match end {
             run::End::Succeeded => self.observe_success(record.worker, out),
             run::End::Failed => self.observe_failure(now, record, out),
@@ -55,49 +55,50 @@
         if health.successes < allowed {
             return;
         }
-        let next = Some(allowed * 2).filter(|next| *next < FULL);
+        let next = Some(allowed * 2).filter(|next| *next < FULL_USE);
         if next.is_none() {
             health.probations = 0;
         }
         self.set_health_limit(worker, next);
-        self.tell_health(worker, out);
+        self.emit_health(worker, out);
     }
 
     fn observe_failure(&mut self, now: Duration, record: &run::Record, out: &mut Vec<Output>) {
         let worker = record.worker;
         let job = &self.jobs[record.job];
         let rack = self.workers[worker].rack;
-        let elsewhere = job.avoid().iter().filter(|other| **other != rack).count();
+        let elsewhere = job.avoided_racks().iter().filter(|other| **other != rack).count();
         if elsewhere >= JOB_RACKS {
             return;
         }
         let id = job.id;
-        let common = self.is_rack_cause(rack);
+        let rack_suspected = self.is_rack_suspected(rack);
         let health = &mut self.workers[worker].health;
         if !health.failing.contains(&id) {
             health.failing.push(id);
         }
         let on_trial = health.max_tasks.is_some_and(|allowed| allowed > 0);
-        if health.failing.len() >= EVIDENCE || on_trial || common {
-            self.suspect(now, worker, out);
+        if health.failing.len() >= FAILING_JOBS || on_trial || rack_suspected {
+            self.start_probation(now, worker, out);
         }
     }
 
-    fn suspect(&mut self, now: Duration, worker: table::Worker, out: &mut Vec<Output>) {
-        let suspected: u32 = self.racks.iter().map(|rack| rack.probation).sum();
+    fn start_probation(&mut self, now: Duration, worker: table::Worker, out: &mut Vec<Output>) {
+        let on_probation: u32 = self.racks.iter().map(|rack| rack.probation).sum();
         let record = &mut self.workers[worker];
         let bound = self.worker_ids.len().div_ceil(WORKERS_PER_PROBATION) as u32;
-        if record.health.max_tasks == Some(0) || (record.health.max_tasks.is_none() && suspected >= bound) {
+        if record.health.max_tasks == Some(0) || (record.health.max_tasks.is_none() && on_probation >= bound)
+        {
             return;
         }
         record.health.failing.clear();
         record.health.probations += 1;
-        let doubled = FIRST * (1 << (record.health.probations - 1).min(DOUBLINGS));
+        let doubled = MIN_PROBATION * (1 << (record.health.probations - 1).min(MAX_DOUBLINGS));
         let id = record.id;
         self.set_health_limit(worker, Some(0));
         self.timers
             .push(now + doubled, timer::Event::Probation(worker, id));
-        self.tell_health(worker, out);
+        self.emit_health(worker, out);
     }
 
     /// Lets a worker try one task after its probation.
@@ -109,28 +110,28 @@
             return;
         }
         self.set_health_limit(worker, Some(1));
-        self.tell_health(worker, out);
+        self.emit_health(worker, out);
     }
 
     /// Sets how many tasks a worker may run.
     pub(crate) fn set_health_limit(&mut self, worker: table::Worker, max_tasks: Option<u32>) {
         let record = &mut self.workers[worker];
         let rack = record.rack as usize;
-        let was = record.health.max_tasks.is_some();
+        let was_limited = record.health.max_tasks.is_some();
         record.health.max_tasks = max_tasks;
         record.health.successes = 0;
-        match (was, max_tasks.is_some()) {
+        match (was_limited, max_tasks.is_some()) {
             (false, true) => self.racks[rack].probation += 1,
             (true, false) => self.racks[rack].probation -= 1,
             _ => {}
         }
         if max_tasks.is_some() {
-            self.break_hold(worker);
+            self.cancel_hold(worker);
         }
-        self.freed(worker);
+        self.capacity_freed(worker);
     }
 
-    fn tell_health(&self, worker: table::Worker, out: &mut Vec<Output>) {
+    fn emit_health(&self, worker: table::Worker, out: &mut Vec<Output>) {
         let record = &self.workers[worker];
         out.push(Output::WorkerHealth {
             worker: record.id,
@@ -139,8 +140,8 @@
     }
 
     /// Tells whether workers of a rack fail together.
-    pub(crate) fn is_rack_cause(&self, rack: u32) -> bool {
+    pub(crate) fn is_rack_suspected(&self, rack: u32) -> bool {
         let rack = &self.racks[rack as usize];
-        rack.probation >= RACK_CAUSE && rack.probation as usize * 2 >= rack.members.len()
+        rack.probation >= RACK_SUSPECTS && rack.probation as usize * 2 >= rack.members.len()
     }
 }
--- a/crates/schedule/src/pass/hold.rs
+++ b/crates/schedule/src/pass/hold.rs
@@ -13,7 +13,7 @@
 use crate::{table, timer, worker};
 
 /// Held workers that one backfill looks at.
-const BACKFILL_LOOKS: usize = 64;
+const BACKFILL_WORKERS: usize = 64;
 
 impl Scheduler {
     /// Keeps a worker for a job, for one more task when it is held already.
@@ -30,7 +30,7 @@
             self.jobs[hold.job].holds.push(worker);
         }
         self.timers.push(hold.until, timer::Event::Hold(worker, id));
-        self.relist(worker);
+        self.reindex(worker);
     }
 
     /// Ends the hold on a worker.
@@ -43,12 +43,12 @@
         if self.jobs[hold.job].holds.is_empty() {
             self.reservations.retain(|job| *job != hold.job);
         }
-        self.freed(worker);
+        self.capacity_freed(worker);
     }
 
     /// Ends the hold on a worker that falls out of use. A gang's reservation is given up as a whole, so that it never
     /// keeps less than it needs.
-    pub(crate) fn break_hold(&mut self, worker: table::Worker) {
+    pub(crate) fn cancel_hold(&mut self, worker: table::Worker) {
         let Some(hold) = self.workers[worker].hold else {
             return;
         };
@@ -72,7 +72,7 @@
         self.held.retain(|worker| workers[*worker].hold.is_some());
         self.reservations.retain(|other| *other != job);
         for worker in holds {
-            self.freed(worker);
+            self.capacity_freed(worker);
         }
     }
 
@@ -88,19 +88,19 @@
         if job.kind == job::Kind::Gang {
             let sequence = job.sequence;
             if let Some(gang) = self.gangs.get_mut(&sequence) {
-                gang.cool_until = now + self.config.max_reservation;
+                gang.cooldown_until = now + self.config.max_reservation;
             }
             self.release_holds(hold.job);
         } else {
             // Urgent work then tries another worker.
-            self.workers[worker].reported = None;
+            self.workers[worker].last_report = None;
             self.release_hold(worker);
         }
     }
 
     /// Starts tasks on held workers on which room has been freed.
     pub(crate) fn fill_holds(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while let Some(worker) = self.hold_ready.pop() {
+        while let Some(worker) = self.holds_ready.pop() {
             self.fill_hold(now, worker, out);
         }
     }
@@ -116,8 +116,8 @@
                 self.release_hold(worker);
                 return;
             }
-            let room = record.has_room(&job.size, job.accelerator) && self.teams[job.team].admits(&job.size);
-            if !room {
+            let fits = record.has_room(&job.size, job.accelerator) && self.teams[job.team].admits(&job.size);
+            if !fits {
                 return;
             }
             let task = self.take_waiting(hold.job);
@@ -140,13 +140,13 @@
             return None;
         }
         let end = now + self.run_time(index);
-        let brief = job.priority == job::Priority::Urgent || job.checkpoint;
-        self.held.iter().take(BACKFILL_LOOKS).copied().find(|worker| {
+        let yields = job.priority == job::Priority::Urgent || job.checkpoint;
+        self.held.iter().take(BACKFILL_WORKERS).copied().find(|worker| {
             let record = &self.workers[*worker];
-            let reserved = record
+            let suitable = record
                 .hold
-                .is_some_and(|hold| hold.job != index && now < hold.ready && (brief || end <= hold.ready));
-            reserved && record.usable() && record.has_room(&job.size, job.accelerator)
+                .is_some_and(|hold| hold.job != index && now < hold.ready && (yields || end <= hold.ready));
+            suitable && record.usable() && record.has_room(&job.size, job.accelerator)
         })
     }
 }
--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -9,7 +9,7 @@
 use crate::{table, timer, worker};
 
 /// Delay before jobs are checked against a smaller fleet; a lost rack makes one check.
-const POSSIBLE_DELAY: Duration = Duration::from_secs(1);
+const FEASIBILITY_DELAY: Duration = Duration::from_secs(1);
 
 impl Scheduler {
     /// Registers a worker or a later life of it. A restored worker is not confirmed yet.
@@ -25,24 +25,24 @@
             return;
         };
         if registration.incarnation > self.workers[worker].incarnation {
-            self.begin_life(now, worker, registration, out);
+            self.begin_incarnation(now, worker, registration, out);
         }
     }
 
     fn add_worker(&mut self, now: Duration, registration: &model::Registration, confirmed: bool) {
         let rack = self.rack(registration.rack);
-        let until = now + self.config.expiry();
+        let until = now + self.config.lease_expiry();
         let worker = self.workers.insert(worker::Record {
             id: registration.worker,
             incarnation: registration.incarnation,
             rack,
             capacity: registration.capacity,
             used: resource::Amount::ZERO,
-            promised: resource::Amount::ZERO,
+            launching_amount: resource::Amount::ZERO,
             excess: resource::Amount::ZERO,
             runs: Vec::new(),
             sequence: 0,
-            reported: Some(now),
+            last_report: Some(now),
             lease_until: until,
             former_until: None,
             confirmed,
@@ -55,25 +55,25 @@
         self.worker_ids.insert(registration.worker, worker);
         self.racks[rack as usize].members.push(worker);
         self.total = self.total.saturating_add(&registration.capacity.amount);
-        self.count_shape(registration.capacity, true);
+        self.count_capacity(registration.capacity, true);
         self.unconfirmed += u32::from(!confirmed);
         self.timers
             .push(until, timer::Event::Lease(worker, registration.worker));
-        self.freed(worker);
-        self.check_possible_soon(now);
+        self.capacity_freed(worker);
+        self.schedule_feasibility_check(now);
     }
 
     /// Replaces a worker's life. What the former life ran may go on until its lease runs out.
-    fn begin_life(
+    fn begin_incarnation(
         &mut self,
         now: Duration,
         worker: table::Worker,
         registration: &model::Registration,
         out: &mut Vec<Output>,
     ) {
-        self.break_launches_on(worker);
+        self.cancel_launches_on(worker);
         let rack = self.rack(registration.rack);
-        let until = now + self.config.expiry();
+        let until = now + self.config.lease_expiry();
         let record = &mut self.workers[worker];
         let former = record.lease_until;
         self.total = self.total.saturating_sub(&record.capacity.amount);
@@ -82,7 +82,7 @@
         let old = std::mem::replace(&mut record.capacity, registration.capacity);
         record.sequence = 0;
         record.lease_until = until;
-        record.reported = Some(now);
+        record.last_report = Some(now);
         let was_confirmed = record.confirmed;
         record.confirmed = true;
         let old_rack = std::mem::replace(&mut record.rack, rack);
@@ -95,8 +95,8 @@
             let run = self.workers[worker].runs[position];
             self.runs[run].former = true;
         }
-        self.count_shape(old, false);
-        self.count_shape(registration.capacity, true);
+        self.count_capacity(old, false);
+        self.count_capacity(registration.capacity, true);
         if old_rack != rack {
             let suspected = u32::from(self.workers[worker].health.max_tasks.is_some());
             self.racks[old_rack as usize].probation -= suspected;
@@ -107,22 +107,22 @@
             self.racks[rack as usize].members.push(worker);
         }
         if !was_confirmed {
-            self.confirm_one(now, out);
+            self.confirm_worker(now, out);
         }
-        self.freed(worker);
-        self.check_possible_soon(now);
+        self.capacity_freed(worker);
+        self.schedule_feasibility_check(now);
     }
 
-    fn count_shape(&mut self, capacity: resource::Capacity, added: bool) {
+    fn count_capacity(&mut self, capacity: resource::Capacity, added: bool) {
         let key = (capacity.accelerator, capacity.amount);
-        let count = self.shapes.entry(key).or_insert(0);
+        let count = self.capacities.entry(key).or_insert(0);
         if added {
             *count += 1;
         } else {
             *count -= 1;
         }
         if *count == 0 {
-            self.shapes.remove(&key);
+            self.capacities.remove(&key);
         }
     }
 
@@ -133,11 +133,12 @@
         })
     }
 
-    fn check_possible_soon(&mut self, now: Duration) {
-        if !self.possible_pending {
-            self.possible_pending = true;
-            self.possible_next = 0;
-            self.timers.push(now + POSSIBLE_DELAY, timer::Event::Possible);
+    fn schedule_feasibility_check(&mut self, now: Duration) {
+        if !self.feasibility_pending {
+            self.feasibility_pending = true;
+            self.feasibility_next = 0;
+            self.timers
+                .push(now + FEASIBILITY_DELAY, timer::Event::Feasibility);
         }
     }
 
@@ -201,18 +202,18 @@
             self.lose_worker(now, worker, out);
             return;
         }
-        self.break_launches_on(worker);
+        self.cancel_launches_on(worker);
         let record = &mut self.workers[worker];
         record.lease_until = record.lease_until.min(at);
         if std::mem::replace(&mut record.confirmed, false) {
             self.unconfirmed += 1;
         }
-        self.relist(worker);
+        self.reindex(worker);
         self.timers.push(at, timer::Event::Lease(worker, id));
     }
 
     fn lose_worker(&mut self, now: Duration, worker: table::Worker, out: &mut Vec<Output>) {
-        self.break_launches_on(worker);
+        self.cancel_launches_on(worker);
         let record = &mut self.workers[worker];
         let id = record.id;
         let was_confirmed = std::mem::replace(&mut record.confirmed, false);
@@ -221,26 +222,26 @@
         for run in record.runs.clone() {
             self.end_run(now, run, task::Outcome::LeaseExpired, out);
         }
-        self.break_hold(worker);
+        self.cancel_hold(worker);
         self.set_health_limit(worker, None);
-        self.relist(worker);
+        self.reindex(worker);
         self.racks[rack as usize]
             .members
             .retain(|member| *member != worker);
         self.draining.retain(|member| *member != worker);
-        let capacity_of = self.workers.remove(worker).capacity;
-        self.count_shape(capacity_of, false);
+        let removed = self.workers.remove(worker).capacity;
+        self.count_capacity(removed, false);
         self.worker_ids.remove(&id);
         self.total = self.total.saturating_sub(&capacity);
         out.push(Output::WorkerLost { worker: id });
         if !was_confirmed {
-            self.confirm_one(now, out);
+            self.confirm_worker(now, out);
         }
-        self.check_possible_soon(now);
+        self.schedule_feasibility_check(now);
     }
 
     /// Counts a restored worker as confirmed or lost.
-    pub(crate) fn confirm_one(&mut self, now: Duration, out: &mut Vec<Output>) {
+    pub(crate) fn confirm_worker(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.unconfirmed -= 1;
         self.check_recovered(now, out);
     }
@@ -254,7 +255,7 @@
             let duration = now.saturating_sub(restored);
             self.recovery = Some(duration);
             out.push(Output::Recovered { duration });
-            self.check_possible(now);
+            self.check_feasibility(now);
         }
     }
 }
--- a/crates/schedule/src/pass/limit.rs
+++ b/crates/schedule/src/pass/limit.rs
@@ -12,19 +12,19 @@
 /// Retries that a team may start at once, in thousandths.
 pub(crate) const RETRY_BUDGET: u32 = 100_000;
 /// Time to checkpoint when a team's part is lowered; the release of the part waits for it.
-const LIMIT_GRACE: Duration = Duration::from_secs(5);
+const CHECKPOINT_GRACE: Duration = Duration::from_secs(5);
 
 impl Scheduler {
     /// Returns the record of a team; a team without a quota may run nothing.
     pub(crate) fn team(&mut self, now: Duration, id: id::TeamId) -> table::Team {
         *self.team_ids.entry(id).or_insert_with(|| {
-            self.keys.push(0);
+            self.team_keys.push(0);
             self.teams.insert(team::Record {
                 weight: 1,
                 limit: resource::Amount::ZERO,
                 allotment: resource::Amount::ZERO,
                 used: resource::Amount::ZERO,
-                promised: resource::Amount::ZERO,
+                launching_amount: resource::Amount::ZERO,
                 ending: resource::Amount::ZERO,
                 runs: 0,
                 past: 0.0,
@@ -58,13 +58,13 @@
             self.active_weight = self.active_weight - old + u64::from(record.weight);
         }
         self.refresh_team(now, team);
-        self.release_lanes(team);
+        self.unblock_lanes(team);
         self.gangs_dirty |= !self.gangs.is_empty();
         if self.config.rules.team_limit {
             self.shrink_team(team);
         }
         if lowered && self.restored.is_some() {
-            self.check_possible(now);
+            self.check_feasibility(now);
         }
     }
 
@@ -86,40 +86,40 @@
 
     /// Stops the newest runs of the lowest value until the rest fits into the part, up to the bound of a tick.
     /// Returns whether it fits. Each call looks at all runs, which takes about 0.1 ms at 17,000.
-    pub(crate) fn shrink_some(&mut self, now: Duration, team: table::Team, out: &mut Vec<Output>) -> bool {
+    pub(crate) fn shrink_step(&mut self, now: Duration, team: table::Team, out: &mut Vec<Output>) -> bool {
         if self.over_allotment(team).is_zero() {
             return true;
         }
-        self.break_launches_of(team);
-        let over = self.over_allotment(team);
+        self.cancel_launches_of(team);
+        let excess = self.over_allotment(team);
         let mut runs: Vec<_> = self
             .runs
             .iter()
-            .filter(|(_, run)| !run.is_ending() && relieves(&run.size, &over))
+            .filter(|(_, run)| !run.is_ending() && relieves(&run.size, &excess))
             .filter(|(_, run)| self.jobs[run.job].team == team)
-            .map(|(index, run)| (self.value(run.job), std::cmp::Reverse(run.token), index))
+            .map(|(index, run)| (self.stop_rank(run.job), std::cmp::Reverse(run.token), index))
             .collect();
-        let bound = self.work as usize;
+        let bound = self.work_budget as usize;
         if runs.len() > bound {
             runs.select_nth_unstable(bound);
             runs.truncate(bound);
         }
         runs.sort_unstable();
-        let found = !runs.is_empty();
+        let has_candidates = !runs.is_empty();
         for (_, _, run) in runs {
-            let over = self.over_allotment(team);
-            if over.is_zero() {
+            let excess = self.over_allotment(team);
+            if excess.is_zero() {
                 return true;
             }
-            if relieves(&self.runs[run].size, &over) {
-                self.stop(now, run, Reason::Limit, Some(LIMIT_GRACE), out);
+            if relieves(&self.runs[run].size, &excess) {
+                self.stop(now, run, Reason::Limit, Some(CHECKPOINT_GRACE), out);
             }
         }
-        !found || self.over_allotment(team).is_zero()
+        !has_candidates || self.over_allotment(team).is_zero()
     }
 
     /// Returns the value of a job's runs; lower is stopped first.
-    fn value(&self, index: table::Job) -> u8 {
+    fn stop_rank(&self, index: table::Job) -> u8 {
         let job = &self.jobs[index];
         let urgent = if job.priority == job::Priority::Urgent {
             4
@@ -140,7 +140,7 @@
         let share = record.used.dominant_share(&self.total);
         let old = record.key;
         record.refresh(now, self.config.usage_decay, share);
-        self.reorder(team, old);
+        self.update_team_order(team, old);
     }
 
     /// Brings the shares of all teams up to date, so that past usage decays.
--- a/crates/schedule/src/pass/mod.rs
+++ b/crates/schedule/src/pass/mod.rs
@@ -1,6 +1,6 @@
 //! Passes over the scheduler's state, one module per job.
 
-mod age;
+mod aging;
 mod backlog;
 mod drain;
 mod end;
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -12,7 +12,7 @@
 use crate::{index, job, lane, run, table, timer};
 
 /// Added to the score of a worker in a rack where the job failed before.
-const AVOID_SCORE: f32 = 10.0;
+const AVOID_PENALTY: f32 = 10.0;
 /// Racks that one placement of a service tries before it takes any worker with room.
 const RACKS_TRIED: usize = 8;
 /// Workers of a rack that are compared; racks hold about eight.
@@ -26,7 +26,7 @@
 const RETRY_GAIN: u32 = 100;
 
 /// What became of a lane's turn.
-enum Turn {
+enum Attempt {
     Started,
     OverLimit,
     NoRoom,
@@ -37,26 +37,26 @@
     pub(crate) fn place(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.fill_holds(now, out);
         self.place_gangs(now, out);
-        let mut left = self.placements;
-        self.fill_dirty(now, &mut left, out);
-        if !self.fresh.is_empty() {
-            self.take_turns(now, &mut left, out);
+        let mut budget = self.placement_budget;
+        self.fill_dirty_workers(now, &mut budget, out);
+        if !self.runnable.is_empty() {
+            self.place_lanes(now, &mut budget, out);
         }
-        self.placements = left;
+        self.placement_budget = budget;
         self.preempt(now, out);
         self.fill_holds(now, out);
-        self.more |= !self.dirty.is_empty() || !self.fresh.is_empty();
+        self.has_more |= !self.dirty.is_empty() || !self.runnable.is_empty();
     }
 
     /// Fills the workers on which room was freed.
-    fn fill_dirty(&mut self, now: Duration, left: &mut u32, out: &mut Vec<Output>) {
+    fn fill_dirty_workers(&mut self, now: Duration, budget: &mut u32, out: &mut Vec<Output>) {
         while let Some(&worker) = self.dirty.last() {
-            if *left == 0 {
-                self.more = true;
+            if *budget == 0 {
+                self.has_more = true;
                 return;
             }
             let known = self.workers.get(worker).is_some_and(|record| record.dirty);
-            if known && self.fill_worker(now, worker, left, out) {
+            if known && self.fill_worker(now, worker, budget, out) {
                 continue;
             }
             self.dirty.pop();
@@ -71,7 +71,7 @@
         &mut self,
         now: Duration,
         worker: table::Worker,
-        left: &mut u32,
+        budget: &mut u32,
         out: &mut Vec<Output>,
     ) -> bool {
         let record = &self.workers[worker];
@@ -79,18 +79,18 @@
         if !record.usable() || (record.hold.is_some() && !reserved) {
             return false;
         }
-        let Some(job) = self.next_fitting(now, worker) else {
+        let Some(job) = self.next_fitting_job(now, worker) else {
             return false;
         };
-        *left = left.saturating_sub(1);
-        self.counts.placement_attempts += 1;
+        *budget = budget.saturating_sub(1);
+        self.counters.placement_attempts += 1;
         // A service may find a better spread elsewhere.
         let record = &self.jobs[job];
-        let stays = record.kind != model::Kind::Service || self.is_spread(record, worker);
+        let stays = record.kind != model::Kind::Service || self.is_on_min_spread_rack(record, worker);
         let chosen = if stays {
             worker
         } else {
-            self.choose(job).unwrap_or(worker)
+            self.choose_worker(job).unwrap_or(worker)
         };
         let task = self.take_waiting(job);
         self.start(now, job, task, chosen, out);
@@ -98,12 +98,13 @@
     }
 
     /// Returns the job that is next in turn among those with room on a worker.
-    fn next_fitting(&mut self, now: Duration, worker: table::Worker) -> Option<table::Job> {
+    fn next_fitting_job(&mut self, now: Duration, worker: table::Worker) -> Option<table::Job> {
         let free = self.workers[worker].free();
         let kind = self.workers[worker].capacity.accelerator;
         let mut fitting = std::mem::take(&mut self.fitting);
         fitting.clear();
-        self.demand.below(kind, &free, &mut |class| fitting.push(class));
+        self.demand
+            .visit_fitting(kind, &free, &mut |class| fitting.push(class));
         let mut lanes = 0;
         for &class in &fitting {
             let class = &mut self.classes[class];
@@ -111,16 +112,16 @@
             lanes += class.lanes.len();
         }
         let found = if lanes <= LANES_COMPARED {
-            self.first_of_lanes(now, worker, &fitting)
+            self.best_of_lanes(now, worker, &fitting)
         } else {
-            self.first_of_teams(now, worker, &free, kind)
+            self.best_of_teams(now, worker, &free, kind)
         };
         self.fitting = fitting;
         found
     }
 
     /// Compares the turns of all lanes of some classes.
-    fn first_of_lanes(
+    fn best_of_lanes(
         &mut self,
         now: Duration,
         worker: table::Worker,
@@ -131,20 +132,20 @@
             let mut position = 0;
             while let Some(&listed) = self.classes[class].lanes.get(position) {
                 position += 1;
-                let turn = (listed.tier, self.keys[table::Index::slot(listed.team)]);
-                if best.is_some_and(|((first, _), _)| first < turn) {
+                let rank = (listed.tier, self.team_keys[table::Index::slot(listed.team)]);
+                if best.is_some_and(|((first, _), _)| first < rank) {
                     continue;
                 }
-                let turn = (turn, self.entry(listed.lane).first);
-                if best.is_some_and(|(first, _)| first <= turn) {
+                let rank = (rank, self.entry(listed.lane).first);
+                if best.is_some_and(|(first, _)| first <= rank) {
                     continue;
                 }
                 if self.config.rules.team_limit && !self.teams[listed.team].admits(&self.classes[class].size)
                 {
-                    self.hold_lane(listed.lane);
+                    self.block_lane(listed.lane);
                     position -= 1;
-                } else if let Some(job) = self.first_of_jobs(now, worker, listed.lane) {
-                    best = Some((turn, job));
+                } else if let Some(job) = self.first_accepted(now, worker, listed.lane) {
+                    best = Some((rank, job));
                 }
             }
         }
@@ -152,7 +153,7 @@
     }
 
     /// Goes through the teams in order of turn, for when many lanes fit.
-    fn first_of_teams(
+    fn best_of_teams(
         &mut self,
         now: Duration,
         worker: table::Worker,
@@ -163,12 +164,12 @@
             let mut from = None;
             loop {
                 let start = from.map_or(Bound::Unbounded, Bound::Excluded);
-                let mut rest = self.order[tier].range((start, Bound::Unbounded));
-                let next = rest.find(|(_, least)| least.fits(free)).map(|(key, _)| *key);
+                let mut rest = self.team_order[tier].range((start, Bound::Unbounded));
+                let next = rest.find(|(_, min)| min.fits(free)).map(|(key, _)| *key);
                 let Some(key) = next else {
                     break;
                 };
-                if let Some(job) = self.first_of_team(now, key.1, tier, worker, free, kind) {
+                if let Some(job) = self.best_of_team(now, key.1, tier, worker, free, kind) {
                     return Some(job);
                 }
                 from = Some(key);
@@ -177,7 +178,7 @@
         None
     }
 
-    fn first_of_team(
+    fn best_of_team(
         &mut self,
         now: Duration,
         team: table::Team,
@@ -194,15 +195,15 @@
                 continue;
             }
             if self.config.rules.team_limit && !self.teams[team].admits(&entry.size) {
-                self.hold_lane(entry.lane);
-            } else if let Some(job) = self.first_of_jobs(now, worker, entry.lane) {
+                self.block_lane(entry.lane);
+            } else if let Some(job) = self.first_accepted(now, worker, entry.lane) {
                 best = Some((entry.first, job));
             }
         }
         best.map(|(_, job)| job)
     }
 
-    fn first_of_jobs(&self, now: Duration, worker: table::Worker, lane: table::Lane) -> Option<table::Job> {
+    fn first_accepted(&self, now: Duration, worker: table::Worker, lane: table::Lane) -> Option<table::Job> {
         let jobs = self.lanes[lane].jobs.values().take(JOBS_COMPARED);
         jobs.copied().find(|job| self.accepts(now, worker, *job))
     }
@@ -211,7 +212,7 @@
     fn accepts(&self, now: Duration, worker: table::Worker, index: table::Job) -> bool {
         let record = &self.workers[worker];
         let job = &self.jobs[index];
-        if job.avoid().contains(&record.rack) && self.racks.len() > job.avoid().len() {
+        if job.avoided_racks().contains(&record.rack) && self.racks.len() > job.avoided_racks().len() {
             return false;
         }
         let Some(hold) = record.hold else {
@@ -224,85 +225,85 @@
     }
 
     /// Looks up the fresh lanes in the index, in order of turn.
-    fn take_turns(&mut self, now: Duration, left: &mut u32, out: &mut Vec<Output>) {
-        self.turns.clear();
-        for lane in std::mem::take(&mut self.fresh) {
-            if self.lanes.get(lane).is_some() && self.entry(lane).fresh {
-                self.push_turn(lane);
+    fn place_lanes(&mut self, now: Duration, budget: &mut u32, out: &mut Vec<Output>) {
+        self.ranked.clear();
+        for lane in std::mem::take(&mut self.runnable) {
+            if self.lanes.get(lane).is_some() && self.entry(lane).runnable {
+                self.push_lane(lane);
             }
         }
-        while let Some(Reverse(turn)) = self.turns.pop() {
-            let lane = turn.3;
+        while let Some(Reverse(rank)) = self.ranked.pop() {
+            let lane = rank.3;
             if self.lanes.get(lane).is_none() {
                 continue;
             }
-            if *left == 0 {
-                self.more = true;
-                self.fresh.push(lane);
+            if *budget == 0 {
+                self.has_more = true;
+                self.runnable.push(lane);
                 continue;
             }
-            if self.teams[self.lanes[lane].team].key == turn.1 {
-                *left -= 1;
-                self.take_turn(now, lane, out);
+            if self.teams[self.lanes[lane].team].key == rank.1 {
+                *budget -= 1;
+                self.place_lane(now, lane, out);
             } else {
-                self.push_turn(lane);
+                self.push_lane(lane);
             }
         }
     }
 
-    fn push_turn(&mut self, lane: table::Lane) {
+    fn push_lane(&mut self, lane: table::Lane) {
         let record = &self.lanes[lane];
         let key = self.teams[record.team].key;
         let first = self.entry(lane).first;
-        self.turns.push(Reverse((record.tier, key, first, lane)));
+        self.ranked.push(Reverse((record.tier, key, first, lane)));
     }
 
-    fn take_turn(&mut self, now: Duration, lane: table::Lane, out: &mut Vec<Output>) {
-        self.counts.placement_attempts += 1;
+    fn place_lane(&mut self, now: Duration, lane: table::Lane, out: &mut Vec<Output>) {
+        self.counters.placement_attempts += 1;
         match self.try_lane(now, lane, out) {
-            Turn::Started => {
+            Attempt::Started => {
                 if self.lanes.get(lane).is_some() {
-                    self.push_turn(lane);
+                    self.push_lane(lane);
                 }
             }
-            Turn::OverLimit => self.hold_lane(lane),
-            Turn::NoRoom => {
+            Attempt::OverLimit => self.block_lane(lane),
+            Attempt::NoRoom => {
                 let class = self.lanes[lane].class;
                 self.classes[class].full = true;
-                self.entry_mut(lane).fresh = false;
+                self.entry_mut(lane).runnable = false;
             }
         }
     }
 
-    fn try_lane(&mut self, now: Duration, lane: table::Lane, out: &mut Vec<Output>) -> Turn {
+    fn try_lane(&mut self, now: Duration, lane: table::Lane, out: &mut Vec<Output>) -> Attempt {
         let record = &self.lanes[lane];
         let (_, &job) = record.jobs.first_key_value().expect("a lane is never empty");
         if self.config.rules.team_limit && !self.teams[record.team].admits(&self.jobs[job].size) {
-            return Turn::OverLimit;
+            return Attempt::OverLimit;
         }
         if self.classes[record.class].full {
-            return Turn::NoRoom;
+            return Attempt::NoRoom;
         }
-        let Some(worker) = self.choose(job).or_else(|| self.backfill(now, job)) else {
-            return Turn::NoRoom;
+        let Some(worker) = self.choose_worker(job).or_else(|| self.backfill(now, job)) else {
+            return Attempt::NoRoom;
         };
         let task = self.take_waiting(job);
         self.start(now, job, task, worker, out);
-        Turn::Started
+        Attempt::Started
     }
 
-    fn choose(&self, index: table::Job) -> Option<table::Worker> {
+    fn choose_worker(&self, index: table::Job) -> Option<table::Worker> {
         let job = &self.jobs[index];
         let query = index::Query {
             size: job.size,
             kind: job.accelerator,
         };
         if job.kind == model::Kind::Service
-            && let Some(worker) = self.choose_spread(job, &query)
+            && let Some(worker) = self.choose_spread_worker(job, &query)
         {
             return Some(worker);
         }
-        let avoid = job.avoid();
+        let avoid = job.avoided_racks();
         self.free.search(&query, &mut |worker| {
             let mut score = self.fit_score(worker, &query)?;
             score += f32::from(
@@ -312,28 +313,28 @@
                     .unwrap_or(0),
             );
             if avoid.contains(&self.workers[worker].rack) {
-                score += AVOID_SCORE;
+                score += AVOID_PENALTY;
             }
             Some(score)
         })
     }
 
     /// Returns a worker in one of the racks that have the fewest tasks of a service.
-    fn choose_spread(&self, job: &job::Record, query: &index::Query) -> Option<table::Worker> {
+    fn choose_spread_worker(&self, job: &job::Record, query: &index::Query) -> Option<table::Worker> {
         let count = self.racks.len();
-        let least = self.least_spread(job);
+        let min = self.min_spread(job);
         let first = (job.sequence as usize).wrapping_add(job.runs.len());
-        let avoid = job.avoid();
+        let avoid = job.avoided_racks();
         (0..count)
             .map(|offset| (first + offset) % count)
-            .filter(|rack| job.spread.get(*rack).copied().unwrap_or(0) == least)
+            .filter(|rack| job.spread.get(*rack).copied().unwrap_or(0) == min)
             .filter(|rack| !avoid.contains(&(*rack as u32)))
             .take(RACKS_TRIED)
             .find_map(|rack| self.choose_in_rack(rack, query))
     }
 
     /// Returns the fewest tasks of a service on any rack.
-    fn least_spread(&self, job: &job::Record) -> u16 {
+    fn min_spread(&self, job: &job::Record) -> u16 {
         if job.spread.len() < self.racks.len() {
             return 0;
         }
@@ -341,24 +342,24 @@
     }
 
     /// Tells whether a worker's rack has the fewest tasks of a service.
-    fn is_spread(&self, job: &job::Record, worker: table::Worker) -> bool {
+    fn is_on_min_spread_rack(&self, job: &job::Record, worker: table::Worker) -> bool {
         let rack = self.workers[worker].rack as usize;
-        job.spread.get(rack).copied().unwrap_or(0) == self.least_spread(job)
+        job.spread.get(rack).copied().unwrap_or(0) == self.min_spread(job)
     }
 
     fn choose_in_rack(&self, rack: usize, query: &index::Query) -> Option<table::Worker> {
         let mut best: Option<(f32, table::Worker)> = None;
         for &worker in self.racks[rack].members.iter().take(RACK_MEMBERS_COMPARED) {
             let record = &self.workers[worker];
-            let suits = query.kind == 0 || query.kind == record.capacity.accelerator;
-            if record.slot.is_none() || !suits {
+            let compatible = query.kind == 0 || query.kind == record.capacity.accelerator;
+            if record.slot.is_none() || !compatible {
                 continue;
             }
             let Some(mut score) = self.fit_score(worker, query) else {
                 continue;
             };
             if query.kind == 0 && record.capacity.accelerator != 0 {
-                score += AVOID_SCORE;
+                score += AVOID_PENALTY;
             }
             if best.is_none_or(|(lowest, _)| score < lowest) {
                 best = Some((score, worker));
@@ -370,12 +371,12 @@
     /// Returns how much room a worker would have left, with a penalty for lopsided rooms; lower is tighter.
     fn fit_score(&self, worker: table::Worker, query: &index::Query) -> Option<f32> {
         let record = &self.workers[worker];
-        let left = record.free().checked_sub(&query.size)?;
+        let remaining = record.free().checked_sub(&query.size)?;
         let capacity = &record.capacity.amount;
-        let share = |left: u32, all: u32| left as f32 / all.max(1) as f32;
-        let cpu = share(left.cpu_milli, capacity.cpu_milli);
-        let memory = share(left.memory_mib, capacity.memory_mib);
-        let accelerators = share(left.accelerators, capacity.accelerators);
+        let share = |amount: u32, total: u32| amount as f32 / total.max(1) as f32;
+        let cpu = share(remaining.cpu_milli, capacity.cpu_milli);
+        let memory = share(remaining.memory_mib, capacity.memory_mib);
+        let accelerators = share(remaining.accelerators, capacity.accelerators);
         Some(cpu + memory + accelerators + 0.5 * (cpu - memory).abs())
     }
 
@@ -393,8 +394,8 @@
         let granted = self.jobs[job].size;
         self.add_run(now, job, task, worker, token, granted);
         self.refresh_team(now, self.jobs[job].team);
-        self.count_work();
-        self.counts.starts += 1;
+        self.charge_work();
+        self.counters.starts += 1;
         out.push(Output::Start {
             task: task::Ref {
                 job: self.jobs[job].id,
@@ -432,23 +433,23 @@
         let run = self.runs.insert(record);
         self.tokens.insert(token, run);
         self.jobs[job].runs.push(run);
-        self.change_spread(job, rack, true);
+        self.update_spread(job, rack, true);
         let account = &mut self.workers[worker];
         account.runs.push(run);
         account.used = account.used.saturating_add(&size);
         self.used = self.used.saturating_add(&size);
-        self.relist(worker);
+        self.reindex(worker);
         let team = self.jobs[job].team;
         let record = &mut self.teams[team];
-        let was = record.is_active();
+        let was_active = record.is_active();
         record.runs += 1;
         record.retries_milli = (record.retries_milli + RETRY_GAIN).min(RETRY_BUDGET);
         record.used = record.used.saturating_add(&size);
-        self.track_active(team, was);
+        self.track_active(team, was_active);
     }
 
     /// Counts a service's run on its rack.
-    pub(crate) fn change_spread(&mut self, job: table::Job, rack: u32, added: bool) {
+    pub(crate) fn update_spread(&mut self, job: table::Job, rack: u32, added: bool) {
         let rack = rack as usize;
         let job = &mut self.jobs[job];
         if job.kind != model::Kind::Service {
@@ -465,7 +466,7 @@
     }
 
     /// Brings a worker's place in the index up to date.
-    pub(crate) fn relist(&mut self, worker: table::Worker) {
+    pub(crate) fn reindex(&mut self, worker: table::Worker) {
         let record = &self.workers[worker];
         let (free, kind) = (record.free(), record.capacity.accelerator);
         let listed = record.usable() && record.hold.is_none();
@@ -484,16 +485,16 @@
     }
 
     /// Makes a worker's freed room available.
-    pub(crate) fn freed(&mut self, worker: table::Worker) {
-        self.relist(worker);
+    pub(crate) fn capacity_freed(&mut self, worker: table::Worker) {
+        self.reindex(worker);
         let record = &self.workers[worker];
         if record.hold.is_some() || record.slot.is_some() {
             self.gangs_dirty |= !self.gangs.is_empty();
         }
         if record.hold.is_some() {
-            self.hold_ready.push(worker);
+            self.holds_ready.push(worker);
         }
-        let queued = self.order.iter().any(|order| !order.is_empty());
+        let queued = self.team_order.iter().any(|order| !order.is_empty());
         if queued && !record.dirty && record.usable() {
             self.workers[worker].dirty = true;
             self.dirty.push(worker);
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -12,7 +12,7 @@
 use bronzespoke_model::{id, job, resource};
 use rand::Rng;
 
-use crate::amount::{relieves, times};
+use crate::amount::{multiply, relieves};
 use crate::message::{Output, Reason};
 use crate::scheduler::Scheduler;
 use crate::{table, timer, worker};
@@ -20,23 +20,23 @@
 /// Interval between two searches for victims.
 const PASS_INTERVAL: Duration = Duration::from_millis(50);
 /// Time that a victim gets for its checkpoint; urgent work starts within 1.6 s.
-const GRACE: Duration = Duration::from_millis(350);
+const CHECKPOINT_GRACE: Duration = Duration::from_millis(350);
 /// Time that a worker is kept for an urgent task after the stops; then another worker is tried. Three tries fit into
 /// 1.6 s: a worker of a lost rack looks alive until its report is overdue.
-const HOLD: Duration = Duration::from_millis(500);
+const HOLD_DURATION: Duration = Duration::from_millis(500);
 /// Age of the last report from which a worker is not relied on; workers report every 3 s.
 const REPORT_OVERDUE: Duration = Duration::from_secs(4);
 /// Urgent tasks for which one pass looks for room.
 const TASKS_PER_PASS: u32 = 64;
 /// Workers compared for one urgent task.
-const COMPARED: usize = 48;
+const WORKERS_COMPARED: usize = 48;
 /// Workers for which one pass weighs the runs, over all urgent tasks; the pass ends after the task that reaches it.
-const COMPARED_PER_PASS: usize = 2048;
+const WORKERS_PER_PASS: usize = 2048;
 /// Core-seconds that a checkpoint counts as lost.
 const CHECKPOINT_COST: f64 = 1.0;
 /// Factor on the loss of runs that are not batch; a stopped gang task stops its whole gang.
 const OTHER_COST: f64 = 100.0;
-const WINDOW: Duration = Duration::from_secs(1);
+const RATE_WINDOW: Duration = Duration::from_secs(1);
 
 /// Bounds of one pass, and the needs for which it found no room.
 struct Search {
@@ -47,7 +47,7 @@
 
 /// Means to get room, in the order in which they are used.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-enum Means {
+enum Method {
     Checkpoint,
     Throttle,
     Stop,
@@ -70,20 +70,20 @@
         self.timers.push(self.urgent_next, timer::Event::Urgent);
         let mut search = Search {
             tasks: TASKS_PER_PASS,
-            workers: COMPARED_PER_PASS,
+            workers: WORKERS_PER_PASS,
             failed: Vec::new(),
         };
         // A pass that reached its bound left off there, so that work without victims keeps no other from its turn.
-        let rest = self.urgent.range(self.urgent_from..);
-        let jobs = rest.chain(self.urgent.range(..self.urgent_from));
+        let rest = self.urgent.range(self.urgent_cursor..);
+        let jobs = rest.chain(self.urgent.range(..self.urgent_cursor));
         let waiting: Vec<_> = jobs
             .map(|(&sequence, &index)| (sequence, index))
             .take(TASKS_PER_PASS as usize)
             .collect();
-        self.urgent_from = 0;
+        self.urgent_cursor = 0;
         for (sequence, index) in waiting {
             if search.tasks == 0 || search.workers == 0 {
-                self.urgent_from = sequence;
+                self.urgent_cursor = sequence;
                 return;
             }
             self.make_room(now, index, &mut search, out);
@@ -93,12 +93,12 @@
     fn make_room(&mut self, now: Duration, index: table::Job, search: &mut Search, out: &mut Vec<Output>) {
         let job = &self.jobs[index];
         let gang = job.kind == job::Kind::Gang;
-        let blocked = job.lane.is_some_and(|lane| !self.entry(lane).fresh);
+        let blocked = job.lane.is_some_and(|lane| !self.entry(lane).runnable);
         if !blocked && !gang {
             return;
         }
-        let needs = (job.team, job.size, job.accelerator);
-        if job.holds.is_empty() && search.failed.contains(&needs) {
+        let request = (job.team, job.size, job.accelerator);
+        if job.holds.is_empty() && search.failed.contains(&request) {
             return;
         }
         let held: u32 = job
@@ -107,23 +107,23 @@
             .filter_map(|worker| self.workers[*worker].hold)
             .map(|hold| hold.slots)
             .sum();
-        let whole = if gang { job.waiting.len() } else { held + 1 };
+        let min_tasks = if gang { job.waiting.len() } else { held + 1 };
         let (team, size) = (job.team, job.size);
         for wanted in held..job.waiting.len() {
-            let sum = times(&size, whole.max(wanted + 1));
+            let sum = multiply(&size, min_tasks.max(wanted + 1));
             let admitted = sum.is_some_and(|sum| self.teams[team].admits(&sum));
             if search.tasks == 0 || search.workers == 0 || !admitted {
                 return;
             }
             search.tasks -= 1;
-            if !self.make_room_once(now, index, search, out) {
+            if !self.make_room_for_task(now, index, search, out) {
                 return;
             }
         }
     }
 
     /// Makes room for one task on the worker where least work is lost.
-    fn make_room_once(
+    fn make_room_for_task(
         &mut self,
         now: Duration,
         index: table::Job,
@@ -145,41 +145,41 @@
             {
                 best = Some((victims.cost, worker, victims));
             }
-            if compared >= COMPARED && best.is_some() {
+            if compared >= WORKERS_COMPARED && best.is_some() {
                 break;
             }
         }
-        self.counts.workers_evaluated += compared as u64;
+        self.counters.workers_evaluated += compared as u64;
         search.workers = search.workers.saturating_sub(compared);
         let Some((_, worker, victims)) = best else {
             let job = &self.jobs[index];
             search.failed.push((job.team, job.size, job.accelerator));
             return false;
         };
-        if !self.take_rate(now, victims.runs.len()) {
+        if !self.consume_rate(now, victims.runs.len()) {
             return false;
         }
         for &run in &victims.throttled {
             self.throttle(run, out);
         }
         for &run in &victims.runs {
-            self.counts.preempted += 1;
-            self.counts.lost_core_seconds += self.loss(now, run);
-            self.stop(now, run, Reason::Preempted, Some(GRACE), out);
+            self.counters.preempted += 1;
+            self.counters.lost_core_seconds += self.loss(now, run);
+            self.stop(now, run, Reason::Preempted, Some(CHECKPOINT_GRACE), out);
         }
         if self.workers[worker].hold.is_some_and(|hold| hold.job != index) {
             // A reservation for other work is made anew elsewhere.
-            self.break_hold(worker);
+            self.cancel_hold(worker);
         }
         let hold = worker::Hold {
             job: index,
             slots: 1,
             since: now,
-            until: now + HOLD,
+            until: now + HOLD_DURATION,
             ready: Duration::ZERO,
         };
         self.hold(worker, hold);
-        self.hold_ready.push(worker);
+        self.holds_ready.push(worker);
         true
     }
 
@@ -190,7 +190,7 @@
         let kind = self.jobs[index].accelerator;
         record.usable()
             && record
-                .reported
+                .last_report
                 .is_some_and(|at| now.saturating_sub(at) <= REPORT_OVERDUE)
             && record.health.max_tasks.is_none()
             && record
@@ -205,11 +205,11 @@
         let job = &self.jobs[index];
         let own = record.hold.filter(|hold| hold.job == index);
         let count = own.map_or(0, |hold| hold.slots) + 1;
-        let need = times(&job.size, count)?;
+        let need = multiply(&job.size, count)?;
         if !need.fits(&record.capacity.amount) {
             return None;
         }
-        let early = now.saturating_sub(job.submitted) <= HOLD;
+        let early = now.saturating_sub(job.submitted) <= HOLD_DURATION;
         let mut room = record.free();
         let mut candidates = Vec::new();
         for &run in &record.runs {
@@ -217,12 +217,16 @@
             if other.is_ending() {
                 room = room.saturating_add(&other.size);
             } else if self.jobs[other.job].priority == job::Priority::Normal && !other.former {
-                let gentle = self.is_checkpointable(other.job) && other.confirmed;
-                let means = if gentle { Means::Checkpoint } else { Means::Stop };
-                candidates.push((means, self.loss(now, run), run, other.size));
-                let excess = self.throttled_room(run);
-                if !gentle && early && !excess.is_zero() {
-                    candidates.push((Means::Throttle, 0.0, run, excess));
+                let checkpointable = self.is_checkpointable(other.job) && other.confirmed;
+                let method = if checkpointable {
+                    Method::Checkpoint
+                } else {
+                    Method::Stop
+                };
+                candidates.push((method, self.loss(now, run), run, other.size));
+                let excess = self.throttle_gain(run);
+                if !checkpointable && early && !excess.is_zero() {
+                    candidates.push((Method::Throttle, 0.0, run, excess));
                 }
             }
         }
@@ -232,21 +236,23 @@
             runs: Vec::new(),
             throttled: Vec::new(),
         };
-        let mut taken: Vec<(table::Team, resource::Amount)> = Vec::new();
-        for (means, cost, run, size) in candidates {
-            let short = need.saturating_sub(&room);
-            if short.is_zero() {
+        let mut stopped: Vec<(table::Team, resource::Amount)> = Vec::new();
+        for (method, cost, run, size) in candidates {
+            let shortfall = need.saturating_sub(&room);
+            if shortfall.is_zero() {
                 break;
             }
-            if means == Means::Throttle {
-                if relieves(&size, &short) {
+            if method == Method::Throttle {
+                if relieves(&size, &shortfall) {
                     room = room.saturating_add(&size);
                     victims.throttled.push(run);
                 }
                 continue;
             }
             let team = self.jobs[self.runs[run].job].team;
-            if !relieves(&size, &short) || (team != job.team && !self.keeps_share(team, &size, &mut taken)) {
+            if !relieves(&size, &shortfall)
+                || (team != job.team && !self.keeps_share(team, &size, &mut stopped))
+            {
                 continue;
             }
             room = room.saturating_add(&size);
@@ -261,22 +267,25 @@
         &self,
         team: table::Team,
         size: &resource::Amount,
-        taken: &mut Vec<(table::Team, resource::Amount)>,
+        stopped: &mut Vec<(table::Team, resource::Amount)>,
     ) -> bool {
         if !self.config.rules.protect_share {
             return true;
         }
         let record = &self.teams[team];
-        let position = taken.iter().position(|entry| entry.0 == team).unwrap_or_else(|| {
-            taken.push((team, resource::Amount::ZERO));
-            taken.len() - 1
-        });
-        let sum = taken[position].1.saturating_add(size);
-        let left = record.used.saturating_sub(&record.ending).saturating_sub(&sum);
-        if left.dominant_share(&self.total) < self.protected_share(team) {
+        let position = stopped
+            .iter()
+            .position(|entry| entry.0 == team)
+            .unwrap_or_else(|| {
+                stopped.push((team, resource::Amount::ZERO));
+                stopped.len() - 1
+            });
+        let sum = stopped[position].1.saturating_add(size);
+        let remaining = record.used.saturating_sub(&record.ending).saturating_sub(&sum);
+        if remaining.dominant_share(&self.total) < self.protected_share(team) {
             return false;
         }
-        taken[position].1 = sum;
+        stopped[position].1 = sum;
         true
     }
 
@@ -300,11 +309,15 @@
     }
 
     /// Takes stops from the rate of the last second.
-    fn take_rate(&mut self, now: Duration, count: usize) -> bool {
+    fn consume_rate(&mut self, now: Duration, count: usize) -> bool {
         if !self.config.rules.preemption_rate {
             return true;
         }
-        while self.preemptions.front().is_some_and(|at| *at + WINDOW <= now) {
+        while self
+            .preemptions
+            .front()
+            .is_some_and(|at| *at + RATE_WINDOW <= now)
+        {
             self.preemptions.pop_front();
         }
         if self.preemptions.len() + count > self.config.preemptions_per_second as usize {
--- a/crates/schedule/src/pass/queue.rs
+++ b/crates/schedule/src/pass/queue.rs
@@ -43,7 +43,7 @@
         }
         self.gangs.entry(record.sequence).or_insert(Gang {
             job: index,
-            cool_until: Duration::ZERO,
+            cooldown_until: Duration::ZERO,
         });
         self.gangs_dirty = true;
     }
@@ -68,12 +68,12 @@
 
     /// Makes a task of a job wait.
     pub(crate) fn add_waiting(&mut self, index: table::Job, task: id::TaskIndex) {
-        self.add_waiting_quietly(index, task);
+        self.add_waiting_unqueued(index, task);
         self.enqueue(index);
     }
 
     /// Makes a task of a job wait without queueing the job.
-    pub(crate) fn add_waiting_quietly(&mut self, index: table::Job, task: id::TaskIndex) {
+    pub(crate) fn add_waiting_unqueued(&mut self, index: table::Job, task: id::TaskIndex) {
         let record = &mut self.jobs[index];
         record.waiting.insert(task);
         let team = record.team;
@@ -104,16 +104,16 @@
 
     fn change_waiting(&mut self, team: table::Team, change: i64) {
         let record = &mut self.teams[team];
-        let was = record.is_active();
+        let was_active = record.is_active();
         record.waiting = (i64::from(record.waiting) + change) as u32;
-        self.track_active(team, was);
+        self.track_active(team, was_active);
     }
 
     /// Keeps the sum of the weights of active teams.
-    pub(crate) fn track_active(&mut self, team: table::Team, was: bool) {
+    pub(crate) fn track_active(&mut self, team: table::Team, was_active: bool) {
         let record = &self.teams[team];
         let weight = u64::from(record.weight);
-        match (was, record.is_active()) {
+        match (was_active, record.is_active()) {
             (false, true) => self.active_weight += weight,
             (true, false) => self.active_weight -= weight,
             _ => {}
@@ -145,17 +145,17 @@
         list.push(Entry {
             size,
             accelerator,
-            fresh: false,
+            runnable: false,
             lane,
             first: sequence,
         });
         let single = list.len() == 1;
         let key = (record.key, team);
-        let order = &mut self.order[tier as usize];
+        let order = &mut self.team_order[tier as usize];
         if single {
             order.insert(key, size);
         } else if let Some(least) = order.get_mut(&key) {
-            *least = smaller(least, &size);
+            *least = min_amount(least, &size);
         }
         self.list_lane(lane);
         lane
@@ -191,8 +191,8 @@
             class.slot = Some(self.demand.insert(index, class.accelerator, &class.size));
         }
         if !class.full {
-            self.entry_mut(lane).fresh = true;
-            self.fresh.push(lane);
+            self.entry_mut(lane).runnable = true;
+            self.runnable.push(lane);
         }
     }
 
@@ -217,10 +217,10 @@
     }
 
     /// Holds a lane until its team is further below its part.
-    pub(crate) fn hold_lane(&mut self, lane: table::Lane) {
+    pub(crate) fn block_lane(&mut self, lane: table::Lane) {
         let team = self.lanes[lane].team;
         self.teams[team].limited = true;
-        self.entry_mut(lane).fresh = false;
+        self.entry_mut(lane).runnable = false;
         self.unlist_lane(lane);
     }
 
@@ -243,12 +243,12 @@
             .remove(&(record.team, record.tier, entry.size, entry.accelerator));
         let key = (team.key, record.team);
         if team.lanes[tier].is_empty() {
-            self.order[tier].remove(&key);
-        } else if let Some(least) = self.order[tier].get_mut(&key) {
+            self.team_order[tier].remove(&key);
+        } else if let Some(least) = self.team_order[tier].get_mut(&key) {
             let sizes = team.lanes[tier].iter().map(|entry| entry.size);
-            if touches(least, &entry.size) {
+            if attains_bound(least, &entry.size) {
                 *least = sizes
-                    .reduce(|left, right| smaller(&left, &right))
+                    .reduce(|left, right| min_amount(&left, &right))
                     .unwrap_or_default();
             }
         }
@@ -267,7 +267,7 @@
     }
 
     /// Lists those held lanes of a team that fit below its part again.
-    pub(crate) fn release_lanes(&mut self, team: table::Team) {
+    pub(crate) fn unblock_lanes(&mut self, team: table::Team) {
         self.teams[team].limited = false;
         for tier in 0..lane::TIERS {
             for position in 0..self.teams[team].lanes[tier].len() {
@@ -285,13 +285,13 @@
     }
 
     /// Moves a team in the orders of its turns after its key has changed.
-    pub(crate) fn reorder(&mut self, team: table::Team, old: u64) {
+    pub(crate) fn update_team_order(&mut self, team: table::Team, old: u64) {
         let record = &self.teams[team];
-        self.keys[table::Index::slot(team)] = record.key;
+        self.team_keys[table::Index::slot(team)] = record.key;
         if record.key == old {
             return;
         }
-        for (order, lanes) in self.order.iter_mut().zip(&record.lanes) {
+        for (order, lanes) in self.team_order.iter_mut().zip(&record.lanes) {
             if lanes.is_empty() {
                 continue;
             }
@@ -303,7 +303,7 @@
 }
 
 /// Returns the smaller amount of each dimension.
-pub(crate) fn smaller(left: &resource::Amount, right: &resource::Amount) -> resource::Amount {
+pub(crate) fn min_amount(left: &resource::Amount, right: &resource::Amount) -> resource::Amount {
     resource::Amount {
         cpu_milli: left.cpu_milli.min(right.cpu_milli),
         memory_mib: left.memory_mib.min(right.memory_mib),
@@ -312,7 +312,7 @@
 }
 
 /// Tells whether a size sets the lower bound in some dimension.
-fn touches(least: &resource::Amount, size: &resource::Amount) -> bool {
+fn attains_bound(least: &resource::Amount, size: &resource::Amount) -> bool {
     least.cpu_milli == size.cpu_milli
         || least.memory_mib == size.memory_mib
         || (least.accelerators == size.accelerators && size.accelerators > 0)
--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -20,7 +20,7 @@
         };
         let rules = self.config.rules;
         let expiry = if rules.await_lease_expiry {
-            self.config.expiry()
+            self.config.lease_expiry()
         } else {
             self.config.lease / 2
         };
@@ -33,27 +33,27 @@
         }
         record.sequence = report.sequence;
         record.lease_until = now + expiry;
-        record.reported = Some(now);
+        record.last_report = Some(now);
         if !record.confirmed {
             record.confirmed = true;
-            self.confirm_one(now, out);
-            self.freed(worker);
+            self.confirm_worker(now, out);
+            self.capacity_freed(worker);
         }
         for ended in report.ended {
             self.ended(now, ended.task, ended.token, ended.outcome, out);
         }
         for running in &report.running {
-            self.named(worker, report.sequence, running, out);
+            self.record_running(worker, report.sequence, running, out);
         }
-        self.find_missing(now, worker, report.sequence, out);
+        self.end_missing(now, worker, report.sequence, out);
         self.set_excess(worker);
         if !self.workers[worker].excess.is_zero() {
             self.shed_excess(now, worker, out);
         }
-        self.freed(worker);
+        self.capacity_freed(worker);
     }
 
-    fn named(
+    fn record_running(
         &mut self,
         worker: table::Worker,
         sequence: u64,
@@ -75,8 +75,8 @@
         };
         let record = &mut self.runs[run];
         record.confirmed = true;
-        record.missing = 0;
-        record.seen = sequence;
+        record.missed_reports = 0;
+        record.last_sequence = sequence;
         record.usage = running.usage;
         if record.phase == Phase::Starting {
             record.phase = Phase::Running;
@@ -84,16 +84,16 @@
         self.observe_usage(run, out);
     }
 
-    fn find_missing(&mut self, now: Duration, worker: table::Worker, sequence: u64, out: &mut Vec<Output>) {
+    fn end_missing(&mut self, now: Duration, worker: table::Worker, sequence: u64, out: &mut Vec<Output>) {
         let mut position = 0;
         while let Some(&run) = self.workers[worker].runs.get(position) {
             position += 1;
             let record = &mut self.runs[run];
-            if record.former || !record.confirmed || record.seen == sequence {
+            if record.former || !record.confirmed || record.last_sequence == sequence {
                 continue;
             }
-            record.missing += 1;
-            if record.missing >= MISSING_REPORTS {
+            record.missed_reports += 1;
+            if record.missed_reports >= MISSING_REPORTS {
                 self.end_run(now, run, task::Outcome::LeaseExpired, out);
                 position -= 1;
             }
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -11,11 +11,11 @@
 
 impl Scheduler {
     /// Takes one part of the replicated state.
-    pub(crate) fn restore(&mut self, now: Duration, part: Restore, out: &mut Vec<Output>) {
+    pub(crate) fn restore(&mut self, now: Duration, item: Restore, out: &mut Vec<Output>) {
         if self.restored.is_some() {
             return;
         }
-        match part {
+        match item {
             Restore::Worker(registration) => {
                 let confirmed = !self.config.rules.confirm_restored;
                 self.register(now, &registration, confirmed, out);
@@ -63,7 +63,7 @@
     fn restore_task(&mut self, now: Duration, index: table::Job, task: id::TaskIndex, progress: &Progress) {
         let attempts = match *progress {
             Progress::Waiting { attempts } => {
-                self.add_waiting_quietly(index, task);
+                self.add_waiting_unqueued(index, task);
                 attempts
             }
             Progress::Running {
@@ -126,7 +126,7 @@
                 self.finish(index, model::State::Succeeded, out);
             } else if job.kind == model::Kind::Gang && !job.waiting.is_empty() && !job.runs.is_empty() {
                 // A task was lost before the change of leader.
-                self.end_gang(index);
+                self.stop_gang(index);
             }
         }
         // A part may have been lowered just before the change of leader.
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -4,13 +4,13 @@
 
 use bronzespoke_model::{id, job as model};
 
-use crate::amount::{slots, times};
+use crate::amount::{multiply, slots};
 use crate::message::Output;
 use crate::scheduler::Scheduler;
 use crate::{job, range, table, timer};
 
 /// Jobs that one step checks; 100,000 jobs at once would take tens of milliseconds, and each may be told.
-const CHECKED: usize = 512;
+const JOBS_PER_CHECK: usize = 512;
 /// Interval between the steps of one check.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
@@ -28,7 +28,7 @@
             return;
         }
         let team = self.team(now, team);
-        let index = self.add_job(now, id, team, spec, range::Set::upto(spec.tasks));
+        let index = self.add_job(now, id, team, spec, range::Set::up_to(spec.tasks));
         if self.restored.is_some()
             && self.unconfirmed == 0
             && let Some(reason) = self.impossible(index)
@@ -61,9 +61,9 @@
     ) -> table::Job {
         let sequence = self.next_sequence;
         self.next_sequence += 1;
-        let was = self.teams[team].is_active();
+        let was_active = self.teams[team].is_active();
         self.teams[team].waiting += waiting.len();
-        self.track_active(team, was);
+        self.track_active(team, was_active);
         let index = self.jobs.insert(job::Record {
             id,
             team,
@@ -88,7 +88,7 @@
             spread: Vec::new(),
             lane: None,
             holds: Vec::new(),
-            trouble: None,
+            failure_history: None,
             impossible: None,
         });
         self.job_ids.insert(id, index);
@@ -98,22 +98,22 @@
     /// Returns why a job can never run with the fleet and limits as they are.
     pub(crate) fn impossible(&self, index: table::Job) -> Option<model::Impossible> {
         let job = &self.jobs[index];
-        let at_once = match job.kind {
+        let concurrent = match job.kind {
             model::Kind::Batch => 1,
             model::Kind::Service | model::Kind::Gang => job.tasks,
         };
-        if !times(&job.size, at_once).is_some_and(|sum| sum.fits(&self.teams[job.team].limit)) {
+        if !multiply(&job.size, concurrent).is_some_and(|sum| sum.fits(&self.teams[job.team].limit)) {
             return Some(model::Impossible::OverTeamLimit);
         }
         let mut kind_known = job.accelerator == 0;
         let mut room = 0_u64;
-        for (&(kind, amount), &count) in &self.shapes {
+        for (&(kind, amount), &count) in &self.capacities {
             if job.accelerator != 0 && kind != job.accelerator {
                 continue;
             }
             kind_known = true;
             room += u64::from(slots(&amount, &job.size)) * u64::from(count);
-            if room >= u64::from(at_once) {
+            if room >= u64::from(concurrent) {
                 return None;
             }
         }
@@ -125,32 +125,32 @@
     }
 
     /// Begins a check of the waiting jobs after the fleet or a limit changed.
-    pub(crate) fn check_possible(&mut self, now: Duration) {
-        self.possible_next = 0;
-        self.timers.push(now, timer::Event::Possible);
+    pub(crate) fn check_feasibility(&mut self, now: Duration) {
+        self.feasibility_next = 0;
+        self.timers.push(now, timer::Event::Feasibility);
     }
 
     /// Checks some of the waiting jobs, tells news, and continues in the next step.
-    pub(crate) fn possible_due(&mut self, now: Duration, out: &mut Vec<Output>) {
-        self.possible_pending = false;
+    pub(crate) fn feasibility_due(&mut self, now: Duration, out: &mut Vec<Output>) {
+        self.feasibility_pending = false;
         if self.restored.is_none() || self.unconfirmed > 0 {
             return;
         }
-        let end = self.jobs.slots().min(self.possible_next + CHECKED);
-        for slot in self.possible_next..end {
+        let end = self.jobs.slots().min(self.feasibility_next + JOBS_PER_CHECK);
+        for slot in self.feasibility_next..end {
             let index: table::Job = table::Index::new(slot);
-            let waits = self.jobs.get(index).is_some_and(|job| !job.waiting.is_empty());
-            if waits {
-                self.tell_possible(index, out);
+            let waiting = self.jobs.get(index).is_some_and(|job| !job.waiting.is_empty());
+            if waiting {
+                self.update_feasibility(index, out);
             }
         }
-        self.possible_next = end;
+        self.feasibility_next = end;
         if end < self.jobs.slots() {
-            self.timers.push(now + CHECK_INTERVAL, timer::Event::Possible);
+            self.timers.push(now + CHECK_INTERVAL, timer::Event::Feasibility);
         }
     }
 
-    fn tell_possible(&mut self, index: table::Job, out: &mut Vec<Output>) {
+    fn update_feasibility(&mut self, index: table::Job, out: &mut Vec<Output>) {
         let reason = self.impossible(index);
         let job = &mut self.jobs[index];
         if let Some(reason) = reason.filter(|_| reason != job.impossible) {
--- a/crates/schedule/src/pass/verify.rs
+++ b/crates/schedule/src/pass/verify.rs
@@ -2,7 +2,7 @@
 
 use bronzespoke_model::{job, resource};
 
-use crate::amount::times;
+use crate::amount::multiply;
 use crate::scheduler::Scheduler;
 use crate::{run, table};
 
@@ -38,12 +38,12 @@
                     used = used.saturating_add(&run.size);
                 }
             }
-            used = used.saturating_add(&worker.promised);
+            used = used.saturating_add(&worker.launching_amount);
             check(used == worker.used, || {
                 format!("worker {id}: account {:?}, runs {used:?}", worker.used)
             })?;
             check(
-                worker.slot.is_none_or(|slot| self.free.holds(slot, index)),
+                worker.slot.is_none_or(|slot| self.free.contains_at(slot, index)),
                 || format!("worker {id} is not at its slot"),
             )?;
             let listed = worker.usable() && worker.hold.is_none();
@@ -81,7 +81,7 @@
     fn verify_teams(&self) -> Result<(), String> {
         let mut weight = 0;
         for (index, team) in self.teams.iter() {
-            let mut sums = [team.promised, resource::Amount::ZERO];
+            let mut sums = [team.launching_amount, resource::Amount::ZERO];
             let mut runs = 0;
             for (_, run) in self.runs.iter() {
                 if self.jobs[run.job].team != index {
@@ -155,8 +155,8 @@
 
     fn verify_order(&self) -> Result<(), String> {
         for (index, team) in self.teams.iter() {
-            for (order, lanes) in self.order.iter().zip(&team.lanes) {
-                check(self.keys[table::Index::slot(index)] == team.key, || {
+            for (order, lanes) in self.team_order.iter().zip(&team.lanes) {
+                check(self.team_keys[table::Index::slot(index)] == team.key, || {
                     format!("team {index:?}: wrong key")
                 })?;
                 let least = order.get(&(team.key, index));
@@ -169,7 +169,7 @@
                 check(bound, || format!("team {index:?}: needs less than its bound"))?;
             }
         }
-        let teams: usize = self.order.iter().map(std::collections::BTreeMap::len).sum();
+        let teams: usize = self.team_order.iter().map(std::collections::BTreeMap::len).sum();
         let listed = self.teams.iter().flat_map(|(_, team)| &team.lanes);
         check(teams == listed.filter(|lanes| !lanes.is_empty()).count(), || {
             String::from("an order has unknown teams")
@@ -178,7 +178,7 @@
 
     /// After a step that did not stop at its bound, a lane waits only when no worker has room or its team has none.
     fn verify_waiting(&self) -> Result<(), String> {
-        if self.more || self.restored.is_none() {
+        if self.has_more || self.restored.is_none() {
             return Ok(());
         }
         for (index, _) in self.lanes.iter() {
@@ -188,7 +188,7 @@
                 .first_key_value()
                 .expect("a lane is never empty");
             let job = &self.jobs[job];
-            if !self.teams[job.team].admits(&entry.size) || !job.avoid().is_empty() {
+            if !self.teams[job.team].admits(&entry.size) || !job.avoided_racks().is_empty() {
                 continue;
             }
             let free = self
@@ -207,39 +207,42 @@
 
     /// What the backlog promises is debited, and what it leaves is known to it.
     fn verify_backlog(&self) -> Result<(), String> {
-        let mut promised = resource::Amount::ZERO;
+        let mut launching = resource::Amount::ZERO;
         for (index, job) in self.jobs.iter() {
             let tasks: u32 = job.launch.iter().map(|room| room.1).sum();
-            let sum = times(&job.size, tasks).ok_or_else(|| format!("job {}: rooms overflow", job.id))?;
-            promised = promised.saturating_add(&sum);
+            let sum = multiply(&job.size, tasks).ok_or_else(|| format!("job {}: rooms overflow", job.id))?;
+            launching = launching.saturating_add(&sum);
             check(
                 job.launch.is_empty() || (job.is_active() && self.backlog.launching.contains(&index)),
                 || format!("job {}: rooms without a start", job.id),
             )?;
-            let told = |run: &table::Run| matches!(self.runs[*run].phase, run::Phase::Stopping(_));
-            let left = job.stop.filter(|stop| stop.queued).map_or(0, |stop| stop.left);
-            let rest = job.runs.get(left..).unwrap_or_default();
-            check(job.is_active() || rest.iter().all(told), || {
+            let stopped = |run: &table::Run| matches!(self.runs[*run].phase, run::Phase::Stopping(_));
+            let remaining = job
+                .stop
+                .filter(|stop| stop.queued)
+                .map_or(0, |stop| stop.remaining);
+            let rest = job.runs.get(remaining..).unwrap_or_default();
+            check(job.is_active() || rest.iter().all(stopped), || {
                 format!("job {}: an ended job has runs that go on", job.id)
             })?;
         }
         let workers = self.workers.iter();
         let on_workers = workers.fold(resource::Amount::ZERO, |sum, (_, worker)| {
-            sum.saturating_add(&worker.promised)
+            sum.saturating_add(&worker.launching_amount)
         });
         let teams = self.teams.iter();
         let of_teams = teams.fold(resource::Amount::ZERO, |sum, (_, team)| {
-            sum.saturating_add(&team.promised)
+            sum.saturating_add(&team.launching_amount)
         });
-        check(promised == on_workers && promised == of_teams, || {
-            format!("promised {promised:?}, {on_workers:?} on workers, {of_teams:?} to teams")
+        check(launching == on_workers && launching == of_teams, || {
+            format!("launching {launching:?}, {on_workers:?} on workers, {of_teams:?} to teams")
         })
     }
 
     fn verify_classes(&self) -> Result<(), String> {
         for (index, class) in self.classes.iter() {
             let placed = match class.slot {
-                Some(slot) => self.demand.holds(slot, index) && !class.lanes.is_empty(),
+                Some(slot) => self.demand.contains_at(slot, index) && !class.lanes.is_empty(),
                 None => class.lanes.is_empty(),
             };
             check(placed && class.references > 0, || {
--- a/crates/schedule/src/range.rs
+++ b/crates/schedule/src/range.rs
@@ -1,10 +1,10 @@
 //! Sets of task indices, stored as ranges.
 //!
-//! A job of 10,000 waiting tasks takes one range instead of 10,000 records.
+//! A job with 10,000 waiting tasks needs one range instead of 10,000 records.
 
 use smallvec::SmallVec;
 
-/// A set of task indices. Ranges are half-open, sorted, and neither touch nor overlap.
+/// A set of task indices. Ranges are half-open and sorted, and neither touch nor overlap.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub(crate) struct Set {
     ranges: SmallVec<[(u32, u32); 1]>,
@@ -12,8 +12,8 @@
 }
 
 impl Set {
-    /// Returns the set of 0 to `end`, without `end`.
-    pub(crate) fn upto(end: u32) -> Self {
+    /// Returns the set `0..end`.
+    pub(crate) fn up_to(end: u32) -> Self {
         let mut set = Self::default();
         if end > 0 {
             set.ranges.push((0, end));
@@ -27,7 +27,7 @@
         self.len
     }
 
-    /// Tells whether the set is empty.
+    /// Returns whether the set is empty.
     pub(crate) const fn is_empty(&self) -> bool {
         self.len == 0
     }
@@ -44,13 +44,13 @@
         Some(index)
     }
 
-    /// Tells whether the set has an index.
+    /// Returns whether the set contains an index.
     pub(crate) fn contains(&self, index: u32) -> bool {
         let at = self.ranges.partition_point(|range| range.1 <= index);
         self.ranges.get(at).is_some_and(|range| range.0 <= index)
     }
 
-    /// Adds an index; returns whether it is new.
+    /// Inserts an index and returns whether it was new.
     pub(crate) fn insert(&mut self, index: u32) -> bool {
         let at = self.ranges.partition_point(|range| range.1 < index);
         self.len += 1;
@@ -80,7 +80,7 @@
         }
     }
 
-    /// Checks the invariant of the ranges.
+    /// Checks the invariants of the ranges.
     pub(crate) fn verify(&self) -> Result<(), String> {
         let sorted = self.ranges.windows(2).all(|pair| pair[0].1 < pair[1].0);
         let filled = self.ranges.iter().all(|range| range.0 < range.1);
--- a/crates/schedule/src/run.rs
+++ b/crates/schedule/src/run.rs
@@ -6,36 +6,36 @@
 
 use crate::{message, table};
 
-/// State of a run.
+/// Lifecycle phase of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Phase {
-    /// The start has been proposed; no report names the run yet.
+    /// The start has been proposed; no report has listed the run yet.
     Starting,
-    /// A report has named the run.
+    /// A report has listed the run.
     Running,
-    /// The worker has been told to checkpoint and stop.
+    /// The worker has been instructed to checkpoint and stop the run.
     Checkpointing(message::Reason),
-    /// The worker has been told to stop.
+    /// The worker has been instructed to stop the run.
     Stopping(message::Reason),
 }
 
-/// How a run ended, without its result.
+/// Kind of a [`task::Outcome`], without the result.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum End {
-    /// Ran to its end.
+    /// Completed successfully.
     Succeeded,
     /// Ended with an error.
     Failed,
     /// Stopped on request.
     Stopped,
-    /// Saved its progress and stopped on request.
+    /// Checkpointed and stopped on request.
     Checkpointed,
-    /// The lease ran out without a report.
+    /// The lease expired.
     LeaseExpired,
 }
 
 impl End {
-    /// Returns the end that an outcome tells.
+    /// Returns the kind of an outcome.
     pub(crate) const fn of(outcome: &task::Outcome) -> Self {
         match outcome {
             task::Outcome::Succeeded(_) => Self::Succeeded,
@@ -47,47 +47,48 @@
     }
 }
 
-/// Share of the granted processors of a run without a throttle, in thousandths.
-pub(crate) const LIFTED: u32 = 1000;
+/// Throttle of a run that is not throttled, in thousandths of the granted processors.
+pub(crate) const UNTHROTTLED: u32 = 1000;
 
-/// A run.
+/// Scheduler state of one run.
 #[derive(Debug)]
 pub(crate) struct Record {
     pub(crate) job: table::Job,
     pub(crate) index: id::TaskIndex,
     pub(crate) worker: table::Worker,
-    /// Position of the worker's rack in the list of racks at the start.
+    /// Position in the list of racks of the rack that the worker was in when the run started.
     pub(crate) rack: u32,
     pub(crate) token: id::Token,
-    /// What the accounts are debited.
+    /// Amount debited from the accounts.
     pub(crate) size: resource::Amount,
     pub(crate) started: Duration,
     pub(crate) phase: Phase,
-    /// Whether a report of this worker life has named the run.
+    /// Whether a report of the present incarnation of the worker has listed the run.
     pub(crate) confirmed: bool,
-    /// Whether the run belongs to a former life of its worker.
+    /// Whether the run belongs to a former incarnation of its worker.
     pub(crate) former: bool,
-    /// Number of the last report that named the run.
-    pub(crate) seen: u64,
-    /// When an unconfirmed start or stop is followed up.
+    /// Sequence number of the last report that listed the run.
+    pub(crate) last_sequence: u64,
+    /// When an unconfirmed start or stop is checked again.
     pub(crate) due: Duration,
-    /// Reports in a row that did not name the run after one did.
-    pub(crate) missing: u8,
-    /// Share of the processors that the run is held to, in thousandths.
+    /// Number of consecutive reports that did not list the run after it had been confirmed.
+    pub(crate) missed_reports: u8,
+    /// Share of the granted processors that the run is limited to, in thousandths.
     pub(crate) throttle: u32,
-    /// Reports in a row that speak for the end of the throttle.
-    pub(crate) calm: u8,
-    /// Reports in a row in which a throttled run uses too much.
-    pub(crate) defiant: u8,
-    /// Measured use at the last report.
+    /// Number of consecutive reports that permit lifting the throttle.
+    pub(crate) lift_reports: u8,
+    /// Number of consecutive reports in which a throttled run exceeded its limit.
+    pub(crate) excess_reports: u8,
+    /// Measured usage at the last report.
     pub(crate) usage: resource::Amount,
-    /// Largest measured use.
+    /// Peak of the measured usage.
     pub(crate) peak: resource::Amount,
     /// Position in the worker's list.
     pub(crate) in_worker: u32,
     /// Position in the job's list.
     pub(crate) in_job: u32,
-    /// Whether the accounts were credited before the stop was confirmed; only with a rule switched off.
+    /// Whether the accounts were credited before the stop was confirmed, which happens only if the rule
+    /// `count_stopping` is disabled.
     pub(crate) credited: bool,
 }
 
@@ -101,7 +102,7 @@
 }
 
 impl Record {
-    /// Returns a run whose start has been proposed; it is followed up at `due`.
+    /// Returns a run whose start has been proposed and is checked at `due`.
     pub(crate) const fn new(
         place: Place,
         token: id::Token,
@@ -120,12 +121,12 @@
             phase: Phase::Starting,
             confirmed: false,
             former: false,
-            seen: 0,
+            last_sequence: 0,
             due,
-            missing: 0,
-            throttle: LIFTED,
-            calm: 0,
-            defiant: 0,
+            missed_reports: 0,
+            throttle: UNTHROTTLED,
+            lift_reports: 0,
+            excess_reports: 0,
             usage: resource::Amount::ZERO,
             peak: resource::Amount::ZERO,
             in_worker: 0,
@@ -134,7 +135,7 @@
         }
     }
 
-    /// Tells whether the worker has been told to end the run.
+    /// Returns whether the worker has been instructed to end the run.
     pub(crate) const fn is_ending(&self) -> bool {
         matches!(self.phase, Phase::Checkpointing(_) | Phase::Stopping(_))
     }
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -1,4 +1,4 @@
-//! The scheduler of one availability zone: its state, and the dispatch of a step.
+//! The scheduler of one availability zone: its state and the dispatch of inputs and timers.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, VecDeque};
@@ -11,33 +11,33 @@
 use crate::table::Table;
 use crate::{backlog, estimate, index, job, lane, pass, run, table, team, timer, worker};
 
-/// Timers handled in one step; more wait for the next step, so that no step takes long.
+/// Maximum number of timers handled in one step, which bounds its duration; more wait for the next step.
 const TIMERS_PER_STEP: u32 = 512;
-/// Interval at which fair-share keys are refreshed.
+/// Interval at which the fair-share keys of all teams are updated.
 const SHARES_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Workers of one rack.
 #[derive(Debug, Default)]
 pub(crate) struct Rack {
     pub(crate) members: Vec<table::Worker>,
-    /// Members on probation.
+    /// Number of members on probation.
     pub(crate) probation: u32,
 }
 
-/// A lane's turn: tier, key of its team, order of its first job.
-pub(crate) type Turn = (lane::Tier, u64, u64, table::Lane);
+/// Scheduling order of a lane: tier, key of its team, sequence number of its first job.
+pub(crate) type Rank = (lane::Tier, u64, u64, table::Lane);
 
 /// A gang that waits to start.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Gang {
     pub(crate) job: table::Job,
-    /// No capacity is reserved for it before this.
-    pub(crate) cool_until: Duration,
+    /// No capacity is reserved for the gang before this time.
+    pub(crate) cooldown_until: Duration,
 }
 
-/// Sums that only grow.
+/// Monotonic counters.
 #[derive(Debug, Default)]
-pub(crate) struct Counts {
+pub(crate) struct Counters {
     pub(crate) starts: u64,
     pub(crate) placement_attempts: u64,
     pub(crate) workers_evaluated: u64,
@@ -54,92 +54,97 @@
     pub(crate) worker_ids: HashMap<id::WorkerId, table::Worker>,
     pub(crate) racks: Vec<Rack>,
     pub(crate) rack_ids: HashMap<id::RackId, u32>,
-    pub(crate) free: index::Free,
+    pub(crate) free: index::FreeCapacity,
     /// Workers with a hold.
     pub(crate) held: Vec<table::Worker>,
     pub(crate) draining: Vec<table::Worker>,
     pub(crate) jobs: Table<table::Job, job::Record>,
     pub(crate) job_ids: HashMap<id::JobId, table::Job>,
     pub(crate) teams: Table<table::Team, team::Record>,
-    /// Keys of the teams by slot, close together because every choice compares them.
-    pub(crate) keys: Vec<u64>,
+    /// Fair-share keys of the teams by slot, kept contiguous because every placement compares them.
+    pub(crate) team_keys: Vec<u64>,
     pub(crate) team_ids: HashMap<id::TeamId, table::Team>,
     pub(crate) runs: Table<table::Run, run::Record>,
     pub(crate) tokens: HashMap<id::Token, table::Run>,
     pub(crate) lanes: Table<table::Lane, lane::Lane>,
     pub(crate) classes: Table<table::Class, lane::Class>,
     pub(crate) class_ids: HashMap<(resource::Amount, id::AcceleratorKind), table::Class>,
-    /// Classes with listed lanes, by need.
+    /// Classes with listed lanes, by task size.
     pub(crate) demand: index::Demand,
-    /// Classes that fit on the worker that is filled.
+    /// Scratch buffer: classes that fit on the worker being filled.
     pub(crate) fitting: Vec<table::Class>,
     pub(crate) lane_ids: HashMap<lane::Key, table::Lane>,
-    /// Teams with lanes, by turn, for each tier.
-    pub(crate) order: [lane::Order; lane::TIERS],
+    /// Teams with lanes in fair-share order, for each tier.
+    pub(crate) team_order: [lane::Order; lane::TIERS],
     /// Lanes for which a worker with room may exist.
-    pub(crate) fresh: Vec<table::Lane>,
-    pub(crate) turns: BinaryHeap<Reverse<Turn>>,
-    /// Workers on which room was freed.
+    pub(crate) runnable: Vec<table::Lane>,
+    pub(crate) ranked: BinaryHeap<Reverse<Rank>>,
+    /// Workers on which capacity was freed.
     pub(crate) dirty: Vec<table::Worker>,
     pub(crate) backlog: backlog::Backlog,
-    /// Starts, stops and ends that are left until the next tick.
-    pub(crate) work: u32,
-    /// Placements that are left until the next tick.
-    pub(crate) placements: u32,
-    /// Submitted gangs that may be tried at once until the next tick.
-    pub(crate) gang_tries: u32,
+    /// Remaining number of starts, stops and ends until the next tick.
+    pub(crate) work_budget: u32,
+    /// Remaining number of placements until the next tick.
+    pub(crate) placement_budget: u32,
+    /// Remaining number of gangs that may be tried at submission until the next tick.
+    pub(crate) gang_attempts: u32,
     pub(crate) gangs: BTreeMap<u64, Gang>,
+    /// Whether a pass over the gangs may find something to start or reserve.
     pub(crate) gangs_dirty: bool,
+    /// Earliest time of the next pass over the gangs.
     pub(crate) gangs_next: Duration,
-    pub(crate) gangs_look: Duration,
+    /// Time of the next pass that does not depend on a change.
+    pub(crate) gangs_idle_check: Duration,
     /// Gangs for which capacity is reserved.
     pub(crate) reservations: Vec<table::Job>,
-    /// Held workers on which room was freed in this step.
-    pub(crate) hold_ready: Vec<table::Worker>,
+    /// Held workers on which capacity may be available for their hold.
+    pub(crate) holds_ready: Vec<table::Worker>,
     pub(crate) urgent_next: Duration,
-    /// Order of the urgent job at which the next pass over them begins.
-    pub(crate) urgent_from: u64,
-    /// Jobs that hold a worker because they have waited long.
+    /// Sequence number of the urgent job at which the next preemption pass begins.
+    pub(crate) urgent_cursor: u64,
+    /// Jobs that got a hold because they have waited long.
     pub(crate) aged: Vec<table::Job>,
     pub(crate) drain_next: Duration,
     pub(crate) models: HashMap<(table::Team, model_job::Kind), Box<estimate::Model>>,
     /// Number of workers of each capacity.
-    pub(crate) shapes: HashMap<(id::AcceleratorKind, resource::Amount), u32>,
+    pub(crate) capacities: HashMap<(id::AcceleratorKind, resource::Amount), u32>,
     pub(crate) urgent: BTreeMap<u64, table::Job>,
-    /// Times of the preemptions in the last second.
+    /// Times of the preemptions within the last second.
     pub(crate) preemptions: VecDeque<Duration>,
-    /// Tasks that lost workers left behind, in order of release.
-    pub(crate) lost: VecDeque<(table::Job, id::JobId, id::TaskIndex)>,
-    /// When lost work may be released again.
+    /// Tasks of lost workers that wait for rate-limited release, in order of release.
+    pub(crate) lost_tasks: VecDeque<(table::Job, id::JobId, id::TaskIndex)>,
+    /// Earliest time of the next release of lost tasks.
     pub(crate) recovery_next: Duration,
     pub(crate) timers: timer::Queue,
-    /// Whether a check for impossible jobs is due.
-    pub(crate) possible_pending: bool,
-    /// Job slot at which the check goes on.
-    pub(crate) possible_next: usize,
-    /// Capacity of the workers whose lease holds.
+    /// Whether a delayed feasibility check of the waiting jobs is scheduled.
+    pub(crate) feasibility_pending: bool,
+    /// Job slot at which the feasibility check continues.
+    pub(crate) feasibility_next: usize,
+    /// Total capacity of the workers with a valid lease.
     pub(crate) total: resource::Amount,
+    /// Total of the debited amounts.
     pub(crate) used: resource::Amount,
-    /// Sum of the weights of teams that have waiting or running work.
+    /// Sum of the weights of teams with waiting or running tasks.
     pub(crate) active_weight: u64,
     pub(crate) next_token: id::Token,
     pub(crate) next_sequence: u64,
-    /// When the restored state was complete.
+    /// When the replicated state was fully restored; none until then.
     pub(crate) restored: Option<Duration>,
-    /// Restored workers that have neither reported nor lost their lease.
+    /// Number of workers that have neither reported nor been lost since they were restored or reported as gone.
     pub(crate) unconfirmed: u32,
+    /// Time from the restoration until every restored worker was confirmed or lost.
     pub(crate) recovery: Option<Duration>,
-    /// Whether a step stopped at its bound.
-    pub(crate) more: bool,
-    pub(crate) counts: Counts,
+    /// Whether the last step ran out of budget and left work for the next one.
+    pub(crate) has_more: bool,
+    pub(crate) counters: Counters,
 }
 
 impl Scheduler {
-    /// Returns a scheduler without workers, teams and jobs. It places nothing before `Restore::Done`, which is
-    /// also sent when there is nothing to restore.
+    /// Returns a scheduler without workers, teams and jobs. It places no task before `Restore::Done`, which must also
+    /// be sent if there is nothing to restore.
     pub fn new(config: Config, now: Duration) -> Self {
         let random = rand::SeedableRng::seed_from_u64(config.seed);
-        let (work, placements) = (config.work_per_tick, config.placements_per_tick);
+        let (work_budget, placement_budget) = (config.work_per_tick, config.placements_per_tick);
         let mut timers = timer::Queue::default();
         timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
         Self {
@@ -149,13 +154,13 @@
             worker_ids: HashMap::new(),
             racks: Vec::new(),
             rack_ids: HashMap::new(),
-            free: index::Free::default(),
+            free: index::FreeCapacity::default(),
             held: Vec::new(),
             draining: Vec::new(),
             jobs: Table::new(),
             job_ids: HashMap::new(),
             teams: Table::new(),
-            keys: Vec::new(),
+            team_keys: Vec::new(),
             team_ids: HashMap::new(),
             runs: Table::new(),
             tokens: HashMap::new(),
@@ -165,33 +170,33 @@
             demand: index::Demand::default(),
             fitting: Vec::new(),
             lane_ids: HashMap::new(),
-            order: Default::default(),
-            fresh: Vec::new(),
-            turns: BinaryHeap::new(),
+            team_order: Default::default(),
+            runnable: Vec::new(),
+            ranked: BinaryHeap::new(),
             dirty: Vec::new(),
             backlog: backlog::Backlog::default(),
-            work,
-            placements,
-            gang_tries: pass::gang::COUNTED,
+            work_budget,
+            placement_budget,
+            gang_attempts: pass::gang::GANGS_PER_PASS,
             gangs: BTreeMap::new(),
             gangs_dirty: false,
             gangs_next: Duration::ZERO,
-            gangs_look: Duration::ZERO,
+            gangs_idle_check: Duration::ZERO,
             reservations: Vec::new(),
-            hold_ready: Vec::new(),
+            holds_ready: Vec::new(),
             urgent_next: Duration::ZERO,
-            urgent_from: 0,
+            urgent_cursor: 0,
             aged: Vec::new(),
             drain_next: Duration::ZERO,
             models: HashMap::new(),
-            shapes: HashMap::new(),
+            capacities: HashMap::new(),
             urgent: BTreeMap::new(),
             preemptions: VecDeque::new(),
-            lost: VecDeque::new(),
+            lost_tasks: VecDeque::new(),
             recovery_next: Duration::ZERO,
             timers,
-            possible_pending: false,
-            possible_next: 0,
+            feasibility_pending: false,
+            feasibility_next: 0,
             total: resource::Amount::ZERO,
             used: resource::Amount::ZERO,
             active_weight: 0,
@@ -200,16 +205,16 @@
             restored: None,
             unconfirmed: 0,
             recovery: None,
-            more: false,
-            counts: Counts::default(),
+            has_more: false,
+            counters: Counters::default(),
         }
     }
 
-    /// Takes one input at `now` and appends what is to be done. `now` never decreases.
+    /// Processes one input at time `now` and appends the resulting outputs. `now` must not decrease between calls.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
-        self.more = false;
+        self.has_more = false;
         if input == Input::Tick {
-            self.renew_bounds();
+            self.reset_budgets();
         }
         self.fire_timers(now, out);
         match input {
@@ -232,17 +237,18 @@
                 self.config.preemptions_per_second = preemptions_per_second;
                 self.config.recovery_starts_per_second = recovery_starts_per_second;
             }
-            Input::Restore(part) => self.restore(now, part, out),
+            Input::Restore(item) => self.restore(now, item, out),
             Input::Tick => {}
         }
         self.continue_backlog(now, out);
         if self.restored.is_some() {
             self.place(now, out);
         }
-        self.more |= !self.backlog.is_empty();
+        self.has_more |= !self.backlog.is_empty();
     }
 
-    /// Tells whether a worker may begin a run: the run has not ended, and belongs to the worker's present life.
+    /// Returns whether a worker may begin a run: the run has not ended and belongs to the present incarnation of the
+    /// worker.
     pub fn may_start(&self, worker: id::WorkerId, token: id::Token) -> bool {
         self.tokens.get(&token).is_some_and(|run| {
             let run = &self.runs[*run];
@@ -250,9 +256,9 @@
         })
     }
 
-    /// Returns the latest time of the next step; earlier steps do no harm.
+    /// Returns the time by which the next step must happen; steps may happen earlier.
     pub fn next_wake(&self) -> Duration {
-        if self.more {
+        if self.has_more {
             return Duration::ZERO;
         }
         self.timers.next().unwrap_or(Duration::MAX)
@@ -260,7 +266,7 @@
 
     fn fire_timers(&mut self, now: Duration, out: &mut Vec<Output>) {
         for _ in 0..TIMERS_PER_STEP {
-            if self.work == 0 {
+            if self.work_budget == 0 {
                 break;
             }
             let Some(event) = self.timers.pop(now) else {
@@ -268,7 +274,7 @@
             };
             self.fire(now, event, out);
         }
-        self.more |= self.timers.next().is_some_and(|at| at <= now);
+        self.has_more |= self.timers.next().is_some_and(|at| at <= now);
     }
 
     fn fire(&mut self, now: Duration, event: timer::Event, out: &mut Vec<Output>) {
@@ -279,7 +285,7 @@
             timer::Event::Retry(job, id, index) => self.release_task(job, id, index),
             timer::Event::Hold(worker, id) => self.hold_due(now, worker, id),
             timer::Event::Probation(worker, id) => self.probation_due(worker, id, out),
-            timer::Event::Gangs(look) => self.gangs_dirty |= look,
+            timer::Event::Gangs(force) => self.gangs_dirty |= force,
             timer::Event::Urgent => {}
             timer::Event::Recovery => self.release_lost(now),
             timer::Event::Shares => {
@@ -290,7 +296,7 @@
                 self.timers.push(now + SHARES_INTERVAL, timer::Event::Shares);
             }
             timer::Event::Drain => self.drain_due(now, out),
-            timer::Event::Possible => self.possible_due(now, out),
+            timer::Event::Feasibility => self.feasibility_due(now, out),
         }
     }
 }
--- a/crates/schedule/src/table.rs
+++ b/crates/schedule/src/table.rs
@@ -1,6 +1,6 @@
 //! Dense tables with typed indices.
 //!
-//! Entities refer to each other by small indices; a table reuses the slots of removed entities.
+//! Entities refer to each other by small indices. A table reuses the slots of removed entities.
 
 use std::marker::PhantomData;
 use std::ops;
@@ -30,21 +30,21 @@
 }
 
 index! {
-    /// A worker.
+    /// Index of a worker.
     Worker,
-    /// A job.
+    /// Index of a job.
     Job,
-    /// A team.
+    /// Index of a team.
     Team,
-    /// A run of a task under a lease.
+    /// Index of a run, which is a start of a task under a lease.
     Run,
-    /// Jobs of one team that wait with the same needs.
+    /// Index of a lane: waiting jobs of one team with equal requirements.
     Lane,
-    /// Needs that the lanes of several teams have in common.
+    /// Index of a class: lanes of all teams with equal requirements.
     Class,
 }
 
-/// A table of entities.
+/// A table of entities with stable indices.
 #[derive(Debug)]
 pub(crate) struct Table<I, T> {
     slots: Vec<Option<T>>,
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Adds an entity and returns its index.
+    /// Inserts an entity and returns its index.
     pub(crate) fn insert(&mut self, entity: T) -> I {
         if let Some(slot) = self.free.pop() {
             self.slots[slot as usize] = Some(entity);
@@ -72,19 +72,19 @@
         I::new(self.slots.len() - 1)
     }
 
-    /// Removes an entity.
+    /// Removes and returns an entity.
     pub(crate) fn remove(&mut self, index: I) -> T {
         let entity = self.slots[index.slot()].take().expect("the index is live");
         self.free.push(index.slot() as u32);
         entity
     }
 
-    /// Returns an entity, if the slot is in use.
+    /// Returns an entity if the slot is in use.
     pub(crate) fn get(&self, index: I) -> Option<&T> {
         self.slots.get(index.slot()).and_then(Option::as_ref)
     }
 
-    /// Returns an entity for change, if the slot is in use.
+    /// Returns a mutable reference to an entity if the slot is in use.
     pub(crate) fn get_mut(&mut self, index: I) -> Option<&mut T> {
         self.slots.get_mut(index.slot()).and_then(Option::as_mut)
     }
@@ -94,12 +94,12 @@
         self.slots.len() - self.free.len()
     }
 
-    /// Returns one more than the highest slot ever used.
+    /// Returns the number of slots, including unused ones.
     pub(crate) fn slots(&self) -> usize {
         self.slots.len()
     }
 
-    /// Visits all entities in slot order.
+    /// Iterates over all entities in slot order.
     pub(crate) fn iter(&self) -> impl Iterator<Item = (I, &T)> {
         self.slots
             .iter()
--- a/crates/schedule/src/team.rs
+++ b/crates/schedule/src/team.rs
@@ -1,4 +1,4 @@
-//! Teams: limits and shares.
+//! Limits, accounts and fair shares of teams.
 
 use std::time::Duration;
 
@@ -6,55 +6,56 @@
 
 use crate::lane;
 
-/// A team.
+/// Scheduler state of one team.
 #[derive(Debug)]
 pub(crate) struct Record {
     pub(crate) weight: u32,
-    /// Upper limit over all availability zones.
+    /// Upper limit across all availability zones.
     pub(crate) limit: resource::Amount,
-    /// What this zone may use for the team.
+    /// Portion of the upper limit that this zone may use.
     pub(crate) allotment: resource::Amount,
-    /// Sum of the amounts of the team's runs, and what is promised.
+    /// Sum of the amounts of the team's runs and of `launching_amount`.
     pub(crate) used: resource::Amount,
-    /// Room of tasks of gangs that are being started.
-    pub(crate) promised: resource::Amount,
-    /// Part of `used` whose runs have been told to end.
+    /// Amount debited for gang tasks whose start has not been proposed yet.
+    pub(crate) launching_amount: resource::Amount,
+    /// Portion of `used` whose runs have been instructed to end.
     pub(crate) ending: resource::Amount,
     pub(crate) runs: u32,
-    /// Decayed average of the dominant share at `past_at`.
+    /// Exponentially decayed average of the dominant share at `past_at`.
     pub(crate) past: f64,
     pub(crate) past_at: Duration,
     /// Dominant share since `past_at`.
     pub(crate) share: f64,
-    /// Order of turns; the lowest is next.
+    /// Fair-share key; the team with the lowest one is next. It is the bit pattern of a non-negative float, which sorts
+    /// like the float.
     pub(crate) key: u64,
-    /// Waiting queues of each tier.
+    /// Lanes of each tier.
     pub(crate) lanes: [Vec<lane::Entry>; lane::TIERS],
-    /// Whether a queue was passed over because of the part.
+    /// Whether any lane is blocked by the allotment.
     pub(crate) limited: bool,
-    /// Tasks that wait in the team's queues.
+    /// Number of waiting tasks of the team.
     pub(crate) waiting: u32,
-    /// Retries that the team may still start, in thousandths.
+    /// Remaining retry budget, in thousandths of a retry.
     pub(crate) retries_milli: u32,
 }
 
-/// Share of a team's past usage in its key; the rest is its present share.
+/// Weight of a team's past usage in its key, relative to its present share.
 const PAST_WEIGHT: f64 = 0.5;
 
 impl Record {
-    /// Tells whether the team has waiting or running work.
+    /// Returns whether the team has waiting or running tasks.
     pub(crate) const fn is_active(&self) -> bool {
         self.waiting > 0 || self.runs > 0
     }
 
-    /// Tells whether one more amount stays within the part.
+    /// Returns whether the allotment has room for another amount.
     pub(crate) fn admits(&self, size: &resource::Amount) -> bool {
         self.used
             .checked_add(size)
             .is_some_and(|sum| sum.fits(&self.allotment))
     }
 
-    /// Brings the decayed average and the key up to date.
+    /// Updates the decayed average and the key.
     pub(crate) fn refresh(&mut self, now: Duration, decay: Duration, share: f64) {
         let elapsed = now.saturating_sub(self.past_at).as_secs_f64();
         let kept = (-elapsed / decay.as_secs_f64().max(1.0)).exp();
--- a/crates/schedule/src/timer.rs
+++ b/crates/schedule/src/timer.rs
@@ -1,4 +1,4 @@
-//! Timers, in order of time.
+//! Timers of the scheduler.
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -8,36 +8,36 @@
 
 use crate::table;
 
-/// What is due.
+/// Event of a timer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub(crate) enum Event {
-    /// A worker's lease may have run out.
+    /// A worker's lease may have expired.
     Lease(table::Worker, id::WorkerId),
-    /// The lease of a worker's former life may have run out.
+    /// The lease of a former incarnation of a worker may have expired.
     Former(table::Worker, id::WorkerId),
-    /// A stop has not been confirmed, or a start has not been.
+    /// A start or stop of a run may still be unconfirmed.
     Run(id::Token),
-    /// A failed task may start again.
+    /// The retry delay of a task has elapsed.
     Retry(table::Job, id::JobId, id::TaskIndex),
-    /// A hold on a worker runs out.
+    /// A hold on a worker expires.
     Hold(table::Worker, id::WorkerId),
-    /// A worker on probation may be tried again.
+    /// A worker on probation may run a task again.
     Probation(table::Worker, id::WorkerId),
-    /// A pass over the gangs may follow; whether it looks at them even when nothing changed.
+    /// A pass over the gangs is permitted; if true, it evaluates them even if nothing has changed.
     Gangs(bool),
-    /// Urgent work may look for victims again.
+    /// The next preemption pass is permitted.
     Urgent,
-    /// Lost work may be released.
+    /// The next tasks of lost workers may be released.
     Recovery,
-    /// Fair-share keys are refreshed.
+    /// Fair-share keys are due for an update.
     Shares,
-    /// Drained workers may lose their next task.
+    /// The next tasks of drained workers may be stopped.
     Drain,
-    /// Queued impossibility checks.
-    Possible,
+    /// The feasibility check of waiting jobs continues.
+    Feasibility,
 }
 
-/// A queue of timers. A timer that no longer applies is ignored when it fires.
+/// A queue of timers ordered by time. A timer that no longer applies is ignored when it fires.
 #[derive(Debug, Default)]
 pub(crate) struct Queue {
     heap: BinaryHeap<Reverse<(Duration, Event)>>,
@@ -49,7 +49,7 @@
         self.heap.push(Reverse((at, event)));
     }
 
-    /// Removes and returns a timer that is due.
+    /// Removes the earliest timer if it is due and returns its event.
     pub(crate) fn pop(&mut self, now: Duration) -> Option<Event> {
         if self.next()? > now {
             return None;
@@ -57,7 +57,7 @@
         self.heap.pop().map(|Reverse((_, event))| event)
     }
 
-    /// Returns the time of the next timer.
+    /// Returns the time of the earliest timer.
     pub(crate) fn next(&self) -> Option<Duration> {
         self.heap.peek().map(|Reverse((at, _))| *at)
     }
--- a/crates/schedule/src/worker.rs
+++ b/crates/schedule/src/worker.rs
@@ -1,4 +1,4 @@
-//! Workers and their accounts.
+//! Workers, their accounts and their health.
 
 use std::time::Duration;
 
@@ -7,36 +7,36 @@
 
 use crate::{index, table};
 
-/// Why a worker is kept for one job.
+/// Exclusive use of a worker's free capacity by one job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct Hold {
-    /// The job.
+    /// Job that the worker is held for.
     pub(crate) job: table::Job,
-    /// Tasks for which room is kept.
+    /// Number of tasks for which capacity is held.
     pub(crate) slots: u32,
-    /// When it began.
+    /// When the hold began.
     pub(crate) since: Duration,
-    /// When the hold ends.
+    /// When the hold expires.
     pub(crate) until: Duration,
-    /// When the room is expected to be complete; smaller work may run until then. Zero for an
-    /// urgent job, which keeps all of it.
+    /// When the held capacity is expected to be free; shorter work may be backfilled until then. Zero for an urgent
+    /// job, whose hold permits no backfill.
     pub(crate) ready: Duration,
 }
 
-/// What is known about failures on a worker.
+/// Failure history and probation state of a worker.
 #[derive(Debug, Default, Clone)]
 pub(crate) struct Health {
-    /// Distinct jobs that failed here since the last success, at most the number that is needed.
+    /// Distinct jobs that failed here since the last success, at most as many as start a probation.
     pub(crate) failing: SmallVec<[id::JobId; 4]>,
-    /// Tasks that may run at the same time; `None` for no limit.
+    /// Maximum number of concurrent tasks; `None` for no limit, 0 while the worker may run none.
     pub(crate) max_tasks: Option<u32>,
-    /// Successes since the last change of `max_tasks`.
+    /// Number of successes since the last change of `max_tasks`.
     pub(crate) successes: u32,
-    /// Probations in a row.
+    /// Number of probations since the worker was last in full use.
     pub(crate) probations: u32,
 }
 
-/// A worker.
+/// Scheduler state of one worker.
 #[derive(Debug)]
 pub(crate) struct Record {
     pub(crate) id: id::WorkerId,
@@ -44,33 +44,34 @@
     /// Position in the list of racks.
     pub(crate) rack: u32,
     pub(crate) capacity: resource::Capacity,
-    /// Sum of the amounts of `runs`, and what is promised.
+    /// Sum of the amounts of `runs` and of `launching_amount`.
     pub(crate) used: resource::Amount,
-    /// Room of tasks of gangs that are being started.
-    pub(crate) promised: resource::Amount,
-    /// Measured use above the granted amounts.
+    /// Amount debited for gang tasks whose start has not been proposed yet.
+    pub(crate) launching_amount: resource::Amount,
+    /// Measured usage above the granted amounts.
     pub(crate) excess: resource::Amount,
-    /// Runs under a lease on this worker, of this life or a former one.
+    /// Runs under a lease on this worker, of the present incarnation or a former one.
     pub(crate) runs: Vec<table::Run>,
     pub(crate) sequence: u64,
-    /// When it last registered or reported; none when room that was asked for has not come since.
-    pub(crate) reported: Option<Duration>,
-    /// Nothing of this life runs after this, unless a report comes first.
+    /// When the worker last registered or reported. Cleared when a hold for urgent work expires unfilled, so that
+    /// preemption avoids the worker until its next report.
+    pub(crate) last_report: Option<Duration>,
+    /// When the lease of the present incarnation expires, unless a report renews it.
     pub(crate) lease_until: Duration,
-    /// Nothing of former lives runs after this.
+    /// When the leases of former incarnations expire.
     pub(crate) former_until: Option<Duration>,
-    /// Whether it has registered or reported to this scheduler.
+    /// Whether the worker has registered with or reported to this scheduler.
     pub(crate) confirmed: bool,
     pub(crate) draining: bool,
     pub(crate) hold: Option<Hold>,
     pub(crate) health: Health,
     pub(crate) slot: Option<index::Slot>,
-    /// Whether it stands in the list of workers with freed room.
+    /// Whether the worker is in the list of workers with freed capacity.
     pub(crate) dirty: bool,
 }
 
 impl Record {
-    /// Returns what may still be granted.
+    /// Returns the amount that may still be granted.
     pub(crate) fn free(&self) -> resource::Amount {
         self.capacity
             .amount
@@ -78,7 +79,7 @@
             .saturating_sub(&self.excess)
     }
 
-    /// Tells whether the worker takes new tasks, apart from its free amount and holds.
+    /// Returns whether the worker accepts new tasks, regardless of its free amount and holds.
     pub(crate) fn usable(&self) -> bool {
         self.confirmed
             && !self.draining
@@ -88,7 +89,7 @@
                 .is_none_or(|allowed| (self.runs.len() as u32) < allowed)
     }
 
-    /// Tells whether a task fits now.
+    /// Returns whether a task fits into the free amount.
     pub(crate) fn has_room(&self, size: &resource::Amount, kind: id::AcceleratorKind) -> bool {
         size.fits(&self.free()) && (kind == 0 || kind == self.capacity.accelerator)
     }
