--- a/crates/schedule/src/pass/aging.rs
+++ b/crates/schedule/src/pass/aging.rs
@@ -1,27 +1,27 @@
 //! Keeps large tasks from starving.
 //!
-//! Where small tasks take every room that is freed, a large task would never find one. A task that has waited long gets
-//! a hold on the worker that is expected to have room for it first. The number of such holds is bounded, and each runs
-//! out.
+//! If small tasks take all capacity as soon as it is freed, a large task never finds room. Therefore, a task that has
+//! waited long gets a hold on the worker that is expected to have room for it first. The number of such holds is
+//! bounded, and each of them expires.
 
 use std::time::Duration;
 
 use crate::scheduler::Scheduler;
 use crate::{lane, table, worker};
 
-/// Time after which a waiting task may get a hold.
+/// Waiting time after which a task may get a hold.
 const AGING_THRESHOLD: Duration = Duration::from_secs(30);
-/// Time that a hold outlasts the expected end of the runs before it.
+/// Time by which a hold outlasts the expected end of the runs that it waits for.
 const HOLD_MARGIN: Duration = Duration::from_mins(2);
-/// One worker in this many may be held for aged tasks.
+/// At most one worker in this many is held for aged tasks.
 const WORKERS_PER_HOLD: usize = 32;
-/// Holds that one pass makes; each looks at all runs, which takes about a millisecond at 2,800 workers.
+/// Number of holds that one pass creates; each scans all runs, which takes about a millisecond with 2,800 workers.
 const HOLDS_PER_PASS: usize = 1;
-/// Lanes that one pass looks at.
+/// Number of lanes that one pass scans.
 const LANES_PER_PASS: usize = 1024;
 
 impl Scheduler {
-    /// Holds workers for tasks that have waited long, in the order of turns.
+    /// Holds workers for tasks that have waited long, in scheduling order.
     pub(crate) fn hold_for_aged(&mut self, now: Duration) {
         let limit = self.workers.len().div_ceil(WORKERS_PER_HOLD);
         self.aged
@@ -33,7 +33,7 @@
     }
 
     fn aged_jobs(&self, now: Duration, count: usize) -> Vec<table::Job> {
-        // Urgent work makes room for itself.
+        // Urgent work makes room by preemption instead.
         let tiers = [lane::Tier::Replacement, lane::Tier::Normal].map(|tier| tier as usize);
         let lanes = tiers.into_iter().flat_map(|tier| {
             let teams = self.team_order[tier].keys();
--- a/crates/schedule/src/pass/backlog.rs
+++ b/crates/schedule/src/pass/backlog.rs
@@ -1,12 +1,12 @@
-//! Spreads long work over steps, so that no step blocks the control thread.
+//! Spreads long work over several steps, so that no step blocks the control thread.
 //!
-//! Starts, stops and ends of runs are counted against a bound that each tick renews. What exceeds it waits in a
-//! backlog, and the scheduler asks for the next tick at once. Placement has a bound of its own, so that urgent work
-//! and the other teams go on meanwhile.
+//! Starts, stops and ends of runs are charged to a budget that each tick renews. Work beyond the budget waits in a
+//! backlog, and the scheduler requests the next tick immediately. Placement has a separate budget, so that urgent work
+//! and other teams make progress meanwhile.
 //!
-//! Invariants: a job that ends has runs that were not told to stop only while it stands in the backlog; the room of
-//! a gang is debited as a whole before its first task starts, and is given back as a whole when the start is broken
-//! off.
+//! Invariants: a job that is ending has runs without a stop only while it is in the backlog; the resources of a gang
+//! are debited for all of its tasks before the first one starts, and those of all tasks that have not started are
+//! credited when the launch is cancelled.
 
 use std::time::Duration;
 
@@ -19,23 +19,23 @@
 use crate::scheduler::Scheduler;
 use crate::table;
 
-/// Rooms that together hold a gang.
+/// Workers with the number of tasks that each receives, together enough for a gang.
 pub(crate) type Assignment = Vec<(table::Worker, u32)>;
 
 impl Scheduler {
-    /// Renews the bounds on the work until the next tick.
+    /// Resets the budgets that apply until the next tick.
     pub(crate) fn reset_budgets(&mut self) {
         self.work_budget = self.config.work_per_tick;
         self.placement_budget = self.config.placements_per_tick;
         self.gang_attempts = gang::GANGS_PER_PASS;
     }
 
-    /// Counts a start, stop or end.
+    /// Charges a start, stop or end to the budget.
     pub(crate) fn charge_work(&mut self) {
         self.work_budget = self.work_budget.saturating_sub(1);
     }
 
-    /// Goes on with what earlier steps left over.
+    /// Continues the work that earlier steps left in the backlog.
     pub(crate) fn continue_backlog(&mut self, now: Duration, out: &mut Vec<Output>) {
         if self.restored.is_some() {
             self.continue_stops(now, out);
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Stops all runs of a job, over as many steps as it takes. Repeats cost nothing.
+    /// Queues stops of all runs of a job; they may take several steps. Repeated calls with the same reason do nothing.
     pub(crate) fn stop_runs(&mut self, index: table::Job, reason: Reason) {
         let job = &mut self.jobs[index];
         if job.stop.is_some_and(|stop| stop.reason == reason) {
@@ -73,8 +73,8 @@
         }
     }
 
-    /// Stops the last of a job's runs that is left; returns whether there was one. An ended run is replaced in the
-    /// list by the last one, so the runs that are left always stand first.
+    /// Stops the last of a job's remaining runs and returns whether there was one. An ended run is replaced in the list
+    /// by the last run, so the remaining runs always come first in the list.
     fn stop_next(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) -> bool {
         let job = &mut self.jobs[index];
         let Some(stop) = &mut job.stop else {
@@ -104,7 +104,7 @@
         }
     }
 
-    /// Debits the room of a whole gang; its tasks start in this step and the next ones.
+    /// Debits the resources of all tasks of a gang; the tasks start in this step and the next ones.
     pub(crate) fn launch(
         &mut self,
         now: Duration,
@@ -131,12 +131,12 @@
         while self.work_budget > 0
             && let Some(&index) = self.backlog.launching.front()
         {
-            let Some(room) = self.jobs[index].launch.last_mut() else {
+            let Some(share) = self.jobs[index].launch.last_mut() else {
                 self.backlog.launching.pop_front();
                 continue;
             };
-            room.1 -= 1;
-            let (worker, remaining) = *room;
+            share.1 -= 1;
+            let (worker, remaining) = *share;
             if remaining == 0 {
                 self.jobs[index].launch.pop();
             }
@@ -146,7 +146,7 @@
         }
     }
 
-    /// Gives back the room of the tasks of a gang that have not started.
+    /// Credits the resources of the tasks of a gang that have not started.
     pub(crate) fn cancel_launch(&mut self, index: table::Job) {
         let assignment = std::mem::take(&mut self.jobs[index].launch);
         if assignment.is_empty() {
@@ -163,34 +163,34 @@
         }
     }
 
-    /// Breaks off the starts of gangs that count on a worker which falls out of use.
+    /// Cancels the launches of gangs that include a worker, which is about to become unusable.
     pub(crate) fn cancel_launches_on(&mut self, worker: table::Worker) {
         if self.workers[worker].launching_amount.is_zero() {
             return;
         }
         let on_worker = |index: &table::Job| {
             let assignment = &self.jobs[*index].launch;
-            assignment.iter().any(|room| room.0 == worker)
+            assignment.iter().any(|(other, _)| *other == worker)
         };
-        let broken: Vec<_> = self.backlog.launching.iter().copied().filter(on_worker).collect();
-        for index in broken {
+        let cancelled: Vec<_> = self.backlog.launching.iter().copied().filter(on_worker).collect();
+        for index in cancelled {
             self.stop_gang(index);
         }
     }
 
-    /// Breaks off the starts of a team's gangs.
+    /// Cancels the launches of a team's gangs.
     pub(crate) fn cancel_launches_of(&mut self, team: table::Team) {
         let of_team = |index: &table::Job| self.jobs[*index].team == team;
-        let broken: Vec<_> = self.backlog.launching.iter().copied().filter(of_team).collect();
-        for index in broken {
+        let cancelled: Vec<_> = self.backlog.launching.iter().copied().filter(of_team).collect();
+        for index in cancelled {
             self.stop_gang(index);
         }
     }
 
-    /// Debits or credits room for tasks of a gang that have not started.
+    /// Debits or credits the resources of tasks of a gang that have not started.
     fn account_launch(&mut self, index: table::Job, worker: table::Worker, count: u32, debit: bool) {
         let job = &self.jobs[index];
-        let sum = multiply(&job.size, count).expect("the room of a gang fits on its worker");
+        let sum = multiply(&job.size, count).expect("the tasks of a gang fit on their worker");
         let change = |account: &mut resource::Amount| {
             *account = if debit {
                 account.saturating_add(&sum)
--- a/crates/schedule/src/pass/drain.rs
+++ b/crates/schedule/src/pass/drain.rs
@@ -1,7 +1,8 @@
 //! Drains workers.
 //!
-//! Services move one task at a time: the next is stopped when the replacement of the last has been seen running.
-//! Batch tasks that can be checkpointed are moved; other batch and gang tasks run to their end.
+//! Services move one task at a time: the next task is stopped once the replacement of the previous one has been
+//! reported as running. Batch tasks that support checkpoints are moved; other batch tasks and gang tasks run to
+//! completion.
 
 use std::time::Duration;
 
@@ -12,9 +13,9 @@
 use crate::scheduler::Scheduler;
 use crate::{table, timer};
 
-/// Interval at which drained workers are looked at.
+/// Interval at which drained workers are checked.
 const DRAIN_INTERVAL: Duration = Duration::from_secs(1);
-/// Time to checkpoint for a task on a drained worker.
+/// Time that a task on a drained worker has for its checkpoint.
 const CHECKPOINT_GRACE: Duration = Duration::from_secs(30);
 
 impl Scheduler {
@@ -38,7 +39,7 @@
         }
     }
 
-    /// Takes the next step of all drains.
+    /// Advances all drains, and schedules the next check while drained workers have runs.
     pub(crate) fn drain_due(&mut self, now: Duration, out: &mut Vec<Output>) {
         let mut runs_remain = false;
         for position in 0..self.draining.len() {
@@ -80,7 +81,7 @@
         }
     }
 
-    /// Tells whether all tasks of a service have been seen running and none is to end.
+    /// Returns whether all tasks of a service have been reported as running and none of them is ending.
     fn is_fully_running(&self, index: table::Job) -> bool {
         let job = &self.jobs[index];
         job.runs.len() as u32 == job.tasks
--- a/crates/schedule/src/pass/end.rs
+++ b/crates/schedule/src/pass/end.rs
@@ -1,4 +1,4 @@
-//! Ends runs and jobs.
+//! Ends of runs and jobs, retries, and recovery of lost tasks.
 
 use std::time::Duration;
 
@@ -10,25 +10,25 @@
 use crate::scheduler::Scheduler;
 use crate::{run, table, timer};
 
-/// Interval at which an unconfirmed stop is sent again; workers report every 3 s.
+/// Interval at which an unconfirmed stop is repeated; workers report every 3 s.
 const STOP_INTERVAL: Duration = Duration::from_secs(3);
-/// First delay before a failed task starts again; doubles with every failure.
+/// Initial delay before a failed task is retried; doubles with every failure.
 const MIN_RETRY_DELAY: Duration = Duration::from_secs(1);
-/// Longest delay before a failed task starts again.
+/// Maximum delay before a failed task is retried.
 const MAX_RETRY_DELAY: Duration = Duration::from_mins(1);
-/// A service task that ran this long is replaced at once when it ends.
+/// A service task that ran at least this long is replaced without a delay when it ends.
 const STABLE_RUN_TIME: Duration = Duration::from_mins(1);
-/// One failed run in this many tasks is allowed on top of the attempts of a single task.
+/// A job may have one failed run per this many tasks in addition to the attempts of a single task.
 const TASKS_PER_FAILURE: u32 = 4;
-/// Racks that a job remembers to avoid.
+/// Maximum number of racks that a job avoids.
 const AVOIDED_RACKS: usize = 3;
-/// Cost of a retry in thousandths of the team's budget.
+/// Cost of a retry in the unit of the team's retry budget, which is a thousandth of a retry.
 const RETRY_COST: u32 = 1000;
-/// Interval at which lost work is released.
+/// Interval at which lost tasks are released.
 const RECOVERY_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Scheduler {
-    /// Handles the end of a run as a worker reports it; repeats and outdated tokens are ignored.
+    /// Handles the reported end of a run. Duplicates and stale tokens are ignored.
     pub(crate) fn ended(
         &mut self,
         now: Duration,
@@ -54,7 +54,7 @@
         }
     }
 
-    /// Ends a run that is known to use nothing any more.
+    /// Ends a run that is known to use no resources any more.
     pub(crate) fn end_run(
         &mut self,
         now: Duration,
@@ -80,7 +80,7 @@
         self.resolve_task(now, &record, end, attempts, out);
     }
 
-    /// Takes a run out of all accounts.
+    /// Removes a run from all lists and accounts.
     fn remove_run(&mut self, now: Duration, run: table::Run) -> run::Record {
         let record = self.runs.remove(run);
         self.tokens.remove(&record.token);
@@ -132,10 +132,10 @@
         if end != run::End::Failed {
             return job.attempts(record.index);
         }
-        // A worker that fails what it starts says nothing about the job.
+        // Failures on a worker on probation or in a suspected rack are not evidence against the job.
         let attempts = job.add_attempts(record.index, u32::from(!probation));
         let history = job.failure_history.get_or_insert_default();
-        // Failures that share a rack may share a cause that is not the job's.
+        // Consecutive failures on one rack may share a cause that is not the job, so they count as one.
         history.failures += u32::from(!probation && history.racks.last() != Some(&rack));
         history.racks.retain(|known| *known != rack);
         if history.racks.len() == AVOIDED_RACKS {
@@ -145,7 +145,7 @@
         attempts
     }
 
-    /// Decides what becomes of the task and its job.
+    /// Decides whether the task is complete, retried or queued again, and whether its job ends.
     fn resolve_task(
         &mut self,
         now: Duration,
@@ -227,7 +227,7 @@
         self.timers.push(now + delay, event);
     }
 
-    /// Lets a delayed task start.
+    /// Makes a delayed task eligible to start.
     pub(crate) fn release_task(&mut self, index: table::Job, id: id::JobId, task: id::TaskIndex) {
         let Some(job) = self.jobs.get(index) else {
             return;
@@ -239,7 +239,7 @@
         self.add_waiting(index, task);
     }
 
-    /// Queues a task of a lost worker for paced release.
+    /// Queues a task of a lost worker for rate-limited release.
     fn queue_lost_task(&mut self, now: Duration, record: &run::Record) {
         let job = &mut self.jobs[record.job];
         job.delayed += 1;
@@ -266,7 +266,7 @@
         }
     }
 
-    /// Cancels a job. Its end is told when its last run has ended.
+    /// Cancels a job. The end of the job is emitted once its last run has ended.
     pub(crate) fn cancel(&mut self, id: id::JobId, out: &mut Vec<Output>) {
         let Some(&index) = self.job_ids.get(&id) else {
             return;
@@ -283,7 +283,7 @@
         self.abort(index, Reason::Failed, out);
     }
 
-    /// Drops what waits and stops what runs.
+    /// Drops the waiting tasks of a job and stops its runs.
     pub(crate) fn abort(&mut self, index: table::Job, reason: Reason, out: &mut Vec<Output>) {
         self.cancel_launch(index);
         self.drop_waiting(index);
@@ -296,7 +296,7 @@
         }
     }
 
-    /// Finishes an abandoned job whose last run has ended.
+    /// Finishes an aborted job if its last run has ended.
     pub(crate) fn finish_if_idle(&mut self, index: table::Job, out: &mut Vec<Output>) {
         let job = &self.jobs[index];
         if !job.runs.is_empty() {
@@ -310,7 +310,7 @@
         self.finish(index, outcome, out);
     }
 
-    /// Forgets a job.
+    /// Removes a job and emits its final state.
     pub(crate) fn finish(&mut self, index: table::Job, outcome: model::State, out: &mut Vec<Output>) {
         self.dequeue(index);
         self.release_holds(index);
@@ -319,7 +319,8 @@
         out.push(Output::JobEnded { job: job.id, outcome });
     }
 
-    /// Tells a worker to end a run. With a grace, a task that can be checkpointed gets that long for it.
+    /// Instructs a worker to end a run. With a grace period, a task that supports checkpoints has that long to take
+    /// one.
     pub(crate) fn stop(
         &mut self,
         now: Duration,
@@ -355,7 +356,8 @@
         }
     }
 
-    /// Breaks the accounts on purpose, for the tests of the checks.
+    /// Credits a run before its stop is confirmed. Tests use this violation of the rule `count_stopping` to show that
+    /// their checks detect it.
     fn credit_early(&mut self, now: Duration, run: table::Run) {
         self.runs[run].credited = true;
         let record = run::Record { ..self.runs[run] };
@@ -384,7 +386,7 @@
         }
     }
 
-    /// Follows up a start or stop that no report has confirmed.
+    /// Handles a start or stop that no report has confirmed in time.
     pub(crate) fn run_due(&mut self, now: Duration, token: id::Token, out: &mut Vec<Output>) {
         let Some(&run) = self.tokens.get(&token) else {
             return;
--- a/crates/schedule/src/pass/estimate.rs
+++ b/crates/schedule/src/pass/estimate.rs
@@ -1,10 +1,11 @@
-//! Learns real sizes and run times, and deals with runs that use more than they were granted.
+//! Estimates of actual sizes and run times, and handling of runs that use more than they were granted.
 //!
-//! The rule for a run above its grant: what it uses is counted as used. Processors above the declared ones are
-//! throttled. The throttle is lifted when three reports in a row show that the run no longer presses against it, or
-//! that its worker has room for all that the run declared; it is told again when three reports in a row show that it
-//! does not hold. Memory is tolerated while the worker has room for it; otherwise the run with the largest excess is
-//! checkpointed when it can be, or stopped. The job's next runs are granted what was seen.
+//! The measured usage of a run above its grant counts as used. A run that uses more processors than it declared is
+//! throttled. The throttle is lifted when three consecutive reports show that the run stays below its limit, or that
+//! its worker has room for everything that the run declared. It is sent again when three consecutive reports show that
+//! it has no effect. Excess memory is tolerated while the worker has room for it; otherwise, the run with the largest
+//! excess is checkpointed if it supports that, or else stopped. Later runs of the job are granted the observed
+//! usage.
 
 use std::time::Duration;
 
@@ -16,21 +17,21 @@
 use crate::scheduler::Scheduler;
 use crate::{run, table};
 
-/// Margin on a size that was seen to be too small, in eighths.
+/// Factor on an observed usage above the grant when the grant is raised, in eighths.
 const RAISE_EIGHTHS: u64 = 9;
-/// Time to checkpoint for a run that uses too much.
+/// Time that a run with excess memory has for its checkpoint.
 const CHECKPOINT_GRACE: Duration = Duration::from_secs(2);
 /// Share of the granted processors that a throttled run may use, in thousandths; 1000 would lift the throttle.
 const THROTTLE_SHARE: u32 = 999;
-/// Use of the granted processors up to which a run does not press against its throttle, in thousandths.
+/// Usage up to which a throttled run is considered to stay below its limit, in thousandths of the granted processors.
 const LIFT_BELOW_MILLI: u64 = 900;
-/// Reports in a row that change a throttle.
+/// Number of consecutive reports after which a throttle is lifted or sent again.
 const REPORTS_TO_CHANGE: u8 = 3;
-/// Part of the expected run time that an overdue run is expected to need still.
+/// An overdue run is expected to need its estimated run time divided by this number.
 const OVERDUE_DIVISOR: u32 = 4;
 
 impl Scheduler {
-    /// Returns the run time to plan with for a job's tasks.
+    /// Returns the estimated run time of a job's tasks.
     pub(crate) fn run_time(&self, index: table::Job) -> Duration {
         let job = &self.jobs[index];
         self.models
@@ -60,7 +61,7 @@
             .map_or(job.size, |model| model.size(&job.size))
     }
 
-    /// Learns from a run that ended.
+    /// Updates the estimates from a run that succeeded.
     pub(crate) fn update_model(&mut self, now: Duration, record: &run::Record, end: run::End) {
         let job = &self.jobs[record.job];
         let key = (job.team, job.kind);
@@ -73,7 +74,7 @@
         model.record_size(&declared, &record.peak);
     }
 
-    /// Follows the measured use of a run.
+    /// Handles the measured usage of a run.
     pub(crate) fn observe_usage(&mut self, run: table::Run, out: &mut Vec<Output>) {
         let record = &mut self.runs[run];
         let (usage, size) = (record.usage, record.size);
@@ -91,7 +92,7 @@
         }
     }
 
-    /// Throttles a run that uses more processors than it declared, and follows a throttle that is in force.
+    /// Throttles a run that uses more processors than it declared, and lifts or repeats a throttle that is in effect.
     fn update_throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
         let record = &self.runs[run];
         let (usage, granted) = (record.usage.cpu_milli, record.size.cpu_milli);
@@ -120,7 +121,7 @@
         }
     }
 
-    /// Holds a run to the processors that it was granted.
+    /// Limits a run to the processors that it was granted.
     pub(crate) fn throttle(&mut self, run: table::Run, out: &mut Vec<Output>) {
         self.emit_throttle(run, THROTTLE_SHARE, out);
     }
@@ -139,7 +140,7 @@
         });
     }
 
-    /// Returns the processors that a throttle would give back: what a run uses above its grant.
+    /// Returns the amount that a throttle would free: the processors that a run uses above its grant.
     pub(crate) fn throttle_gain(&self, run: table::Run) -> resource::Amount {
         let record = &self.runs[run];
         if record.throttle < UNTHROTTLED || record.phase != Phase::Running {
@@ -149,13 +150,13 @@
         resource::Amount::new(excess, 0, 0)
     }
 
-    /// Grants a job's next runs what one of its runs was seen to use, within the team's limit.
+    /// Raises the size granted to later runs of a job to the observed usage, within the team's limit.
     fn raise_size(&mut self, run: table::Run) {
         let record = &self.runs[run];
         let (index, usage) = (record.job, record.usage);
         let job = &self.jobs[index];
         let memory = (u64::from(usage.memory_mib) * RAISE_EIGHTHS / 8) as u32;
-        // The room of a gang that is being started is debited at its present size.
+        // The resources of a gang that is being launched are debited at the present size.
         if job.kind == job::Kind::Service || memory <= job.size.memory_mib || !job.launch.is_empty() {
             return;
         }
@@ -175,7 +176,7 @@
         self.enqueue(index);
     }
 
-    /// Ends the runs with the largest excess until the rest of a worker's runs fits.
+    /// Ends the runs with the largest excess memory until the remaining runs of a worker fit.
     pub(crate) fn shed_excess(&mut self, now: Duration, worker: table::Worker, out: &mut Vec<Output>) {
         loop {
             let record = &self.workers[worker];
--- a/crates/schedule/src/pass/explain.rs
+++ b/crates/schedule/src/pass/explain.rs
@@ -1,4 +1,4 @@
-//! Explanations and measures for operators.
+//! Explanations and metrics for operators.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use crate::table;
 
 impl Scheduler {
-    /// Tells why a job's waiting tasks do not start.
+    /// Returns why a job's waiting tasks do not start.
     pub fn explain(&self, job: id::JobId) -> Explanation {
         let Some(&index) = self.job_ids.get(&job) else {
             return Explanation {
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Returns counts and sums.
+    /// Returns the present gauges and counters.
     pub fn metrics(&self, _now: Duration) -> Metrics {
         let wide = |amount: bronzespoke_model::resource::Amount| {
             [
--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -1,4 +1,4 @@
-//! Gangs: all tasks start together.
+//! Placement of gangs, whose tasks all start together.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,18 +11,18 @@
 use crate::scheduler::Scheduler;
 use crate::{run, table, timer, worker};
 
-/// Shortest interval between two passes over the gangs.
+/// Minimum interval between two passes over the gangs.
 const PASS_INTERVAL: Duration = Duration::from_millis(100);
-/// Interval at which waiting gangs are looked at when nothing changes.
+/// Interval at which waiting gangs are evaluated even if nothing changes.
 const IDLE_INTERVAL: Duration = Duration::from_secs(1);
-/// Gangs for which one pass, or the submissions from one tick to the next, count the free room; each looks at all
+/// Number of gangs for which one pass, or the submissions between two ticks, search for workers; each search scans all
 /// workers.
 pub(crate) const GANGS_PER_PASS: u32 = 16;
-/// Time to checkpoint for work that was let onto reserved workers.
+/// Time that backfilled work on reserved workers has for its checkpoint.
 const BACKFILL_GRACE: Duration = Duration::from_secs(5);
 
 impl Scheduler {
-    /// Stops the rest of a gang that has lost a task.
+    /// Stops the remaining tasks of a gang, one of which has ended or can no longer start, and queues the gang again.
     pub(crate) fn stop_gang(&mut self, index: table::Job) {
         let Some(job) = self.jobs.get(index) else {
             return;
@@ -37,8 +37,8 @@
         self.enqueue(index);
     }
 
-    /// Starts a gang that has just been submitted when it fits, without a wait for the next pass over all gangs, as
-    /// other work would take the room before that pass. Gangs that wait longer are kept from starving by reservations.
+    /// Starts a newly submitted gang if it fits. Other work would take the capacity if the gang waited for the next pass
+    /// over all gangs. Reservations keep gangs that wait longer from starving.
     pub(crate) fn try_gang(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) {
         if self.gang_attempts == 0 || !self.may_fit(index) {
             return;
@@ -49,7 +49,7 @@
         }
     }
 
-    /// Starts the gangs that fit, and reserves capacity for one that does not.
+    /// Starts the gangs that fit, and reserves capacity for the first one that does not.
     pub(crate) fn place_gangs(&mut self, now: Duration, out: &mut Vec<Output>) {
         if !self.gangs_dirty || self.gangs.is_empty() {
             return;
@@ -79,7 +79,8 @@
         self.reclaim_reserved(now, out);
     }
 
-    /// Returns the waiting gangs: urgent ones, then those with a reservation, then in the order of turns.
+    /// Returns the waiting gangs: urgent ones first, then those with a reservation, then the others, each group in
+    /// fair-share order.
     fn gang_order(&self) -> Vec<table::Job> {
         let mut order: Vec<_> = self
             .gangs
@@ -100,7 +101,8 @@
         order.into_iter().map(|entry| entry.4).collect()
     }
 
-    /// Tells whether the team's part and the sum of the free amounts admit the whole gang.
+    /// Returns whether the team's allotment and the total free capacity admit the complete gang. It does not consider
+    /// fragmentation.
     fn may_fit(&self, index: table::Job) -> bool {
         let job = &self.jobs[index];
         if !self.config.rules.gang_atomic {
@@ -113,7 +115,8 @@
         admitted && sum.fits(&self.total.saturating_sub(&self.used))
     }
 
-    /// Finds room for all waiting tasks of a gang, on the workers held for it first, then tightly packed.
+    /// Finds workers for all waiting tasks of a gang: those held for it first, then others, each filled as far as
+    /// possible.
     fn find_assignment(&self, index: table::Job) -> Option<Assignment> {
         let job = &self.jobs[index];
         let mut remaining = job.waiting.len();
@@ -137,7 +140,7 @@
         (!self.config.rules.gang_atomic && !assignment.is_empty()).then_some(assignment)
     }
 
-    /// Reserves workers for the first gang that has none; one reservation at a time for each accelerator kind.
+    /// Reserves workers for the first gang without a reservation, one reservation at a time for each accelerator kind.
     fn reserve_for_first(&mut self, now: Duration, order: &[table::Job]) {
         let next = order.iter().copied().find(|&index| {
             let Some(job) = self.jobs.get(index) else {
@@ -166,7 +169,7 @@
         }
     }
 
-    /// Reserves the workers that are expected to have room for the whole gang first.
+    /// Reserves the workers that are expected to have room for the complete gang earliest.
     fn reserve(&mut self, now: Duration, index: table::Job) {
         let job = &self.jobs[index];
         let mut candidates = Vec::new();
@@ -206,7 +209,8 @@
         }
     }
 
-    /// Adds the times at which a worker is expected to have room for more tasks of a job, as its runs end.
+    /// Appends the times at which a worker is expected to have room for further tasks of a job as its runs end, each
+    /// with the number of further tasks.
     pub(crate) fn future_slots(
         &self,
         now: Duration,
@@ -238,7 +242,7 @@
         }
     }
 
-    /// Ends backfilled work that outstays a reservation.
+    /// Ends backfilled work that still runs when its worker's reservation is due.
     fn reclaim_reserved(&mut self, now: Duration, out: &mut Vec<Output>) {
         for position in 0..self.held.len() {
             let worker = self.held[position];
--- a/crates/schedule/src/pass/health.rs
+++ b/crates/schedule/src/pass/health.rs
@@ -1,9 +1,10 @@
-//! Tells workers that fail everything from jobs that fail everywhere.
+//! Distinguishes workers on which every job fails from jobs that fail on every worker.
 //!
-//! Failures of several distinct jobs in a row speak against a worker; a job that has failed on two racks is no
-//! evidence any more. A suspected worker takes nothing for a while, then one task, and twice as many after each
-//! row of successes. Workers of one rack that are suspected together count as one cause: a single failure is
-//! then enough against the others, and their failures do not count against jobs.
+//! A worker is put on probation when several distinct jobs fail on it without a success in between. Failures of a job
+//! that has also failed on two other racks do not count against workers. A worker on probation runs no tasks for a
+//! while, then one, and twice as many after each series of successes. If at least two
+//! workers and half of a rack are on probation, a common cause is assumed: a single failure is then enough to put
+//! another worker of the rack on probation, and failures on the rack do not count against jobs.
 
 use std::time::Duration;
 
@@ -13,23 +14,24 @@
 use crate::scheduler::Scheduler;
 use crate::{run, table, timer};
 
-/// Distinct jobs that must fail on a worker without a success in between.
+/// Number of distinct jobs whose failures without a success in between put a worker on probation.
 const FAILING_JOBS: usize = 3;
-/// Racks on which a job must have failed to be no evidence against workers.
+/// Number of other racks on which a job must have failed for its failures not to count against workers.
 const JOB_RACKS: usize = 2;
-/// First length of a probation; doubles each time.
+/// Duration of the first probation; doubles with each further one.
 const MIN_PROBATION: Duration = Duration::from_secs(30);
-/// Longest doubling of a probation, as a power of two.
+/// Maximum number of times that the duration of a probation is doubled.
 const MAX_DOUBLINGS: u32 = 7;
-/// Allowance from which a worker is in full use again.
+/// Number of tasks at which the limit of a worker is lifted.
 const FULL_USE: u32 = 16;
-/// At most one in this many workers is on probation, so that a common fault of the jobs cannot empty the fleet.
+/// At most one in this many workers is on probation, so that a failure shared by many jobs cannot take the whole fleet
+/// out of use.
 const WORKERS_PER_PROBATION: usize = 4;
-/// Suspected workers of one rack that count as one cause.
+/// Minimum number of workers on probation in one rack for a common cause to be assumed.
 const RACK_SUSPECTS: u32 = 2;
 
 impl Scheduler {
-    /// Takes the end of a run as evidence.
+    /// Updates the estimates and the health of the worker from the end of a run.
     pub(crate) fn observe_end(
         &mut self,
         now: Duration,
@@ -93,15 +95,15 @@
         }
         record.health.failing.clear();
         record.health.probations += 1;
-        let doubled = MIN_PROBATION * (1 << (record.health.probations - 1).min(MAX_DOUBLINGS));
+        let duration = MIN_PROBATION * (1 << (record.health.probations - 1).min(MAX_DOUBLINGS));
         let id = record.id;
         self.set_health_limit(worker, Some(0));
         self.timers
-            .push(now + doubled, timer::Event::Probation(worker, id));
+            .push(now + duration, timer::Event::Probation(worker, id));
         self.emit_health(worker, out);
     }
 
-    /// Lets a worker try one task after its probation.
+    /// Permits a worker one task after its time without tasks.
     pub(crate) fn probation_due(&mut self, worker: table::Worker, id: id::WorkerId, out: &mut Vec<Output>) {
         let Some(record) = self.workers.get(worker) else {
             return;
@@ -113,7 +115,7 @@
         self.emit_health(worker, out);
     }
 
-    /// Sets how many tasks a worker may run.
+    /// Sets the maximum number of concurrent tasks of a worker.
     pub(crate) fn set_health_limit(&mut self, worker: table::Worker, max_tasks: Option<u32>) {
         let record = &mut self.workers[worker];
         let rack = record.rack as usize;
@@ -139,7 +141,7 @@
         });
     }
 
-    /// Tells whether workers of a rack fail together.
+    /// Returns whether the workers of a rack are assumed to fail from a common cause.
     pub(crate) fn is_rack_suspected(&self, rack: u32) -> bool {
         let rack = &self.racks[rack as usize];
         rack.probation >= RACK_SUSPECTS && rack.probation as usize * 2 >= rack.members.len()
--- a/crates/schedule/src/pass/hold.rs
+++ b/crates/schedule/src/pass/hold.rs
@@ -1,8 +1,8 @@
-//! Holds: workers kept for one job while room is made on them.
+//! Holds: workers kept for one job while capacity is being freed on them.
 //!
-//! A hold for an urgent job lasts about a second, until the stopped runs have ended. A hold for a gang is part of
-//! a reservation: it is made only on enough workers for the whole gang, so that two gangs never wait for each
-//! other, and it runs out.
+//! A hold for an urgent job lasts about a second, until the stopped runs have ended. A hold for a gang belongs to a
+//! reservation, which is made only if it covers enough workers for the complete gang, so that two gangs never wait for
+//! each other. All holds expire.
 
 use std::time::Duration;
 
@@ -12,11 +12,11 @@
 use crate::scheduler::Scheduler;
 use crate::{table, timer, worker};
 
-/// Held workers that one backfill looks at.
+/// Number of held workers that one search for a backfill considers.
 const BACKFILL_WORKERS: usize = 64;
 
 impl Scheduler {
-    /// Keeps a worker for a job, for one more task when it is held already.
+    /// Holds a worker for a job. If the job holds the worker already, the tasks are added to that hold.
     pub(crate) fn hold(&mut self, worker: table::Worker, hold: worker::Hold) {
         let record = &mut self.workers[worker];
         let id = record.id;
@@ -46,8 +46,8 @@
         self.capacity_freed(worker);
     }
 
-    /// Ends the hold on a worker that falls out of use. A gang's reservation is given up as a whole, so that it never
-    /// keeps less than it needs.
+    /// Ends the hold on a worker that becomes unavailable. A gang loses its complete reservation, so that a reservation
+    /// never covers less than its gang needs.
     pub(crate) fn cancel_hold(&mut self, worker: table::Worker) {
         let Some(hold) = self.workers[worker].hold else {
             return;
@@ -76,7 +76,8 @@
         }
     }
 
-    /// Ends a hold that has run out. A gang whose reservation ran out lets other gangs go first for a while.
+    /// Ends a hold that has expired. A gang whose reservation expired gets no new one during a cooldown, so that other
+    /// gangs go first.
     pub(crate) fn hold_due(&mut self, now: Duration, worker: table::Worker, id: id::WorkerId) {
         let Some(record) = self.workers.get(worker) else {
             return;
@@ -92,13 +93,13 @@
             }
             self.release_holds(hold.job);
         } else {
-            // Urgent work then tries another worker.
+            // Makes urgent work try another worker.
             self.workers[worker].last_report = None;
             self.release_hold(worker);
         }
     }
 
-    /// Starts tasks on held workers on which room has been freed.
+    /// Starts tasks on held workers on which capacity has been freed.
     pub(crate) fn fill_holds(&mut self, now: Duration, out: &mut Vec<Output>) {
         while let Some(worker) = self.holds_ready.pop() {
             self.fill_hold(now, worker, out);
@@ -132,8 +133,8 @@
         }
     }
 
-    /// Returns a worker reserved for a gang on which a task of the job may run meanwhile: urgent work, work that
-    /// ends before the reservation is needed, and work that can be checkpointed.
+    /// Returns a held worker on which a task of another job may run until the held capacity is complete. Eligible are
+    /// urgent work, batch work that is expected to end before that, and work that supports checkpoints.
     pub(crate) fn backfill(&self, now: Duration, index: table::Job) -> Option<table::Worker> {
         let job = &self.jobs[index];
         if job.kind == job::Kind::Service && job.priority != job::Priority::Urgent {
--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -1,4 +1,4 @@
-//! Workers: registration, leases, loss.
+//! Registration, leases and loss of workers.
 
 use std::time::Duration;
 
@@ -8,11 +8,11 @@
 use crate::scheduler::{Rack, Scheduler};
 use crate::{table, timer, worker};
 
-/// Delay before jobs are checked against a smaller fleet; a lost rack makes one check.
+/// Delay before waiting jobs are checked against a changed fleet, so that the loss of a rack causes a single check.
 const FEASIBILITY_DELAY: Duration = Duration::from_secs(1);
 
 impl Scheduler {
-    /// Registers a worker or a later life of it. A restored worker is not confirmed yet.
+    /// Registers a worker or a new incarnation of it. A restored worker is unconfirmed until it reports.
     pub(crate) fn register(
         &mut self,
         now: Duration,
@@ -63,7 +63,7 @@
         self.schedule_feasibility_check(now);
     }
 
-    /// Replaces a worker's life. What the former life ran may go on until its lease runs out.
+    /// Replaces the incarnation of a worker. Runs of the former incarnation may continue until its lease expires.
     fn begin_incarnation(
         &mut self,
         now: Duration,
@@ -142,7 +142,7 @@
         }
     }
 
-    /// Ends a worker whose lease has run out.
+    /// Removes a worker if its lease has expired.
     pub(crate) fn lease_due(
         &mut self,
         now: Duration,
@@ -164,7 +164,7 @@
         self.lose_worker(now, worker, out);
     }
 
-    /// Ends what a worker's former lives ran.
+    /// Ends the runs of a worker's former incarnations if their lease has expired.
     pub(crate) fn former_due(
         &mut self,
         now: Duration,
@@ -187,7 +187,7 @@
         }
     }
 
-    /// Handles the statement that nothing runs on a worker after `at`.
+    /// Handles a notification that no task runs on a worker after `at`.
     pub(crate) fn worker_gone(
         &mut self,
         now: Duration,
@@ -240,13 +240,13 @@
         self.schedule_feasibility_check(now);
     }
 
-    /// Counts a restored worker as confirmed or lost.
+    /// Counts an unconfirmed worker as confirmed or lost.
     pub(crate) fn confirm_worker(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.unconfirmed -= 1;
         self.check_recovered(now, out);
     }
 
-    /// Reports the length of the recovery once, when no restored worker is unconfirmed.
+    /// Emits the duration of the recovery, once, when no worker is unconfirmed any more.
     pub(crate) fn check_recovered(&mut self, now: Duration, out: &mut Vec<Output>) {
         let Some(restored) = self.restored else {
             return;
--- a/crates/schedule/src/pass/limit.rs
+++ b/crates/schedule/src/pass/limit.rs
@@ -1,4 +1,4 @@
-//! Team quotas, parts and shares.
+//! Quotas, allotments and fair shares of teams.
 
 use std::time::Duration;
 
@@ -9,13 +9,14 @@
 use crate::scheduler::Scheduler;
 use crate::{table, team};
 
-/// Retries that a team may start at once, in thousandths.
+/// Maximum retry budget of a team, in thousandths of a retry.
 pub(crate) const RETRY_BUDGET: u32 = 100_000;
-/// Time to checkpoint when a team's part is lowered; the release of the part waits for it.
+/// Time that runs have for a checkpoint when their team's allotment is lowered; the release of the difference waits for
+/// them.
 const CHECKPOINT_GRACE: Duration = Duration::from_secs(5);
 
 impl Scheduler {
-    /// Returns the record of a team; a team without a quota may run nothing.
+    /// Returns the index of a team, which is added if necessary. A team without a quota may not run anything.
     pub(crate) fn team(&mut self, now: Duration, id: id::TeamId) -> table::Team {
         *self.team_ids.entry(id).or_insert_with(|| {
             self.team_keys.push(0);
@@ -39,7 +40,7 @@
         })
     }
 
-    /// Sets a team's quota and part; a lowered part stops runs.
+    /// Sets a team's quota and allotment. A lowered allotment stops runs.
     pub(crate) fn set_team(
         &mut self,
         now: Duration,
@@ -68,14 +69,14 @@
         }
     }
 
-    /// Queues a team that uses more than its part.
+    /// Queues a team for stops if it uses more than its allotment.
     pub(crate) fn shrink_team(&mut self, team: table::Team) {
         if !self.over_allotment(team).is_zero() && !self.backlog.shrinking.contains(&team) {
             self.backlog.shrinking.push_back(team);
         }
     }
 
-    /// Returns what a team uses above its part, without the runs that have been told to end.
+    /// Returns the amount that a team uses above its allotment, excluding runs that have been instructed to end.
     fn over_allotment(&self, team: table::Team) -> resource::Amount {
         let record = &self.teams[team];
         record
@@ -84,8 +85,9 @@
             .saturating_sub(&record.allotment)
     }
 
-    /// Stops the newest runs of the lowest value until the rest fits into the part, up to the bound of a tick.
-    /// Returns whether it fits. Each call looks at all runs, which takes about 0.1 ms at 17,000.
+    /// Stops runs of a team until the rest fits into its allotment, within the work budget: those of the lowest rank
+    /// first, and among them the newest first. Returns whether the team is done, because it fits or has no more runs to
+    /// stop. Each call scans all runs, which takes about 0.1 ms for 17,000 runs.
     pub(crate) fn shrink_step(&mut self, now: Duration, team: table::Team, out: &mut Vec<Output>) -> bool {
         if self.over_allotment(team).is_zero() {
             return true;
@@ -118,7 +120,7 @@
         !has_candidates || self.over_allotment(team).is_zero()
     }
 
-    /// Returns the value of a job's runs; lower is stopped first.
+    /// Returns the rank of a job's runs when a team exceeds its allotment; lower ranks are stopped first.
     fn stop_rank(&self, index: table::Job) -> u8 {
         let job = &self.jobs[index];
         let urgent = if job.priority == job::Priority::Urgent {
@@ -134,7 +136,7 @@
         urgent + kind
     }
 
-    /// Brings a team's share and key up to date.
+    /// Updates a team's share and fair-share key.
     pub(crate) fn refresh_team(&mut self, now: Duration, team: table::Team) {
         let record = &mut self.teams[team];
         let share = record.used.dominant_share(&self.total);
@@ -143,7 +145,7 @@
         self.update_team_order(team, old);
     }
 
-    /// Brings the shares of all teams up to date, so that past usage decays.
+    /// Updates the shares of all teams, so that past usage decays.
     pub(crate) fn refresh_shares(&mut self, now: Duration) {
         for slot in 0..self.teams.slots() {
             let team = table::Index::new(slot);
--- a/crates/schedule/src/pass/mod.rs
+++ b/crates/schedule/src/pass/mod.rs
@@ -1,4 +1,4 @@
-//! Passes over the scheduler's state, one module per job.
+//! Passes over the scheduler's state, one module per concern.
 
 mod aging;
 mod backlog;
--- a/crates/schedule/src/pass/place.rs
+++ b/crates/schedule/src/pass/place.rs
@@ -1,4 +1,4 @@
-//! Starts waiting tasks in the order of turns.
+//! Placement of waiting tasks in scheduling order: by tier, then by the fair-share key of the team, then by submission.
 
 use std::cmp::Reverse;
 use std::ops::Bound;
@@ -11,21 +11,23 @@
 use crate::scheduler::Scheduler;
 use crate::{index, job, lane, run, table, timer};
 
-/// Added to the score of a worker in a rack where the job failed before.
+/// Added to the score of a worker that should be chosen only if no other one has room, for example in a rack where the
+/// job has failed.
 const AVOID_PENALTY: f32 = 10.0;
-/// Racks that one placement of a service tries before it takes any worker with room.
+/// Number of racks that the placement of a service task tries before it accepts any worker with room.
 const RACKS_TRIED: usize = 8;
-/// Workers of a rack that are compared; racks hold about eight.
+/// Number of workers that are compared in a rack; racks hold about eight workers.
 const RACK_MEMBERS_COMPARED: usize = 32;
-/// Jobs of one lane that are compared with a freed worker.
+/// Number of jobs of one lane that are checked against a worker with freed capacity.
 const JOBS_COMPARED: usize = 4;
-/// Lanes whose turns are compared one by one; with more, one is soon found in the order of teams.
+/// Maximum number of lanes whose scheduling order is compared one by one. With more lanes, a search in the order of teams
+/// finds one quickly.
 const LANES_COMPARED: usize = 4096;
 
-/// Retry budget that a start earns, in thousandths: one retry for ten starts.
+/// Retry budget that a start earns, in thousandths of a retry: one retry per ten starts.
 const RETRY_GAIN: u32 = 100;
 
-/// What became of a lane's turn.
+/// Outcome of an attempt to place a task of a lane.
 enum Attempt {
     Started,
     OverLimit,
@@ -33,7 +35,7 @@
 }
 
 impl Scheduler {
-    /// Starts what has room, up to the bound of a step.
+    /// Starts waiting tasks that have room, within the placement budget.
     pub(crate) fn place(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.fill_holds(now, out);
         self.place_gangs(now, out);
@@ -48,7 +50,7 @@
         self.has_more |= !self.dirty.is_empty() || !self.runnable.is_empty();
     }
 
-    /// Fills the workers on which room was freed.
+    /// Places tasks on the workers on which capacity was freed.
     fn fill_dirty_workers(&mut self, now: Duration, budget: &mut u32, out: &mut Vec<Output>) {
         while let Some(&worker) = self.dirty.last() {
             if *budget == 0 {
@@ -66,7 +68,7 @@
         }
     }
 
-    /// Starts on a worker what is next in turn and fits. Returns whether more may fit.
+    /// Places the first task in scheduling order that fits on a worker. Returns whether another one may fit.
     fn fill_worker(
         &mut self,
         now: Duration,
@@ -84,7 +86,7 @@
         };
         *budget = budget.saturating_sub(1);
         self.counters.placement_attempts += 1;
-        // A service may find a better spread elsewhere.
+        // Another rack may have fewer tasks of the service.
         let record = &self.jobs[job];
         let stays = record.kind != model::Kind::Service || self.is_on_min_spread_rack(record, worker);
         let chosen = if stays {
@@ -97,7 +99,7 @@
         true
     }
 
-    /// Returns the job that is next in turn among those with room on a worker.
+    /// Returns the first job in scheduling order whose tasks fit on a worker.
     fn next_fitting_job(&mut self, now: Duration, worker: table::Worker) -> Option<table::Job> {
         let free = self.workers[worker].free();
         let kind = self.workers[worker].capacity.accelerator;
@@ -120,7 +122,7 @@
         found
     }
 
-    /// Compares the turns of all lanes of some classes.
+    /// Compares all listed lanes of the given classes and returns the first job in scheduling order.
     fn best_of_lanes(
         &mut self,
         now: Duration,
@@ -152,7 +154,7 @@
         best.map(|(_, job)| job)
     }
 
-    /// Goes through the teams in order of turn, for when many lanes fit.
+    /// Searches the teams in fair-share order and returns the first job that fits, for use when many lanes fit.
     fn best_of_teams(
         &mut self,
         now: Duration,
@@ -208,7 +210,7 @@
         jobs.copied().find(|job| self.accepts(now, worker, *job))
     }
 
-    /// Tells whether a job's tasks may go to a worker on which they have room.
+    /// Returns whether a job's tasks may be placed on a worker that has room for them.
     fn accepts(&self, now: Duration, worker: table::Worker, index: table::Job) -> bool {
         let record = &self.workers[worker];
         let job = &self.jobs[index];
@@ -224,7 +226,7 @@
                 && (job.checkpoint || now + self.run_time(index) <= hold.ready))
     }
 
-    /// Looks up the fresh lanes in the index, in order of turn.
+    /// Places tasks of the runnable lanes in scheduling order, on workers from the index of free capacity.
     fn place_lanes(&mut self, now: Duration, budget: &mut u32, out: &mut Vec<Output>) {
         self.ranked.clear();
         for lane in std::mem::take(&mut self.runnable) {
@@ -319,7 +321,7 @@
         })
     }
 
-    /// Returns a worker in one of the racks that have the fewest tasks of a service.
+    /// Returns a worker in one of the racks with the fewest tasks of a service.
     fn choose_spread_worker(&self, job: &job::Record, query: &index::Query) -> Option<table::Worker> {
         let count = self.racks.len();
         let min = self.min_spread(job);
@@ -341,7 +343,7 @@
         job.spread.iter().copied().min().unwrap_or(0)
     }
 
-    /// Tells whether a worker's rack has the fewest tasks of a service.
+    /// Returns whether no other rack has fewer tasks of a service than the rack of a worker.
     fn is_on_min_spread_rack(&self, job: &job::Record, worker: table::Worker) -> bool {
         let rack = self.workers[worker].rack as usize;
         job.spread.get(rack).copied().unwrap_or(0) == self.min_spread(job)
@@ -368,7 +370,8 @@
         best.map(|(_, worker)| worker)
     }
 
-    /// Returns how much room a worker would have left, with a penalty for lopsided rooms; lower is tighter.
+    /// Returns the share of its capacity that a worker would have free after a placement, with a penalty for an imbalance
+    /// between processors and memory. Lower is tighter. Returns `None` if the task does not fit.
     fn fit_score(&self, worker: table::Worker, query: &index::Query) -> Option<f32> {
         let record = &self.workers[worker];
         let remaining = record.free().checked_sub(&query.size)?;
@@ -407,7 +410,7 @@
         });
     }
 
-    /// Enters a run with a new lease in all accounts; the caller brings the share of the team up to date.
+    /// Adds a run with a new lease to all lists and accounts. The caller updates the share of the team.
     pub(crate) fn add_run(
         &mut self,
         now: Duration,
@@ -448,7 +451,7 @@
         self.track_active(team, was_active);
     }
 
-    /// Counts a service's run on its rack.
+    /// Updates the number of a service's runs on a rack.
     pub(crate) fn update_spread(&mut self, job: table::Job, rack: u32, added: bool) {
         let rack = rack as usize;
         let job = &mut self.jobs[job];
@@ -465,7 +468,7 @@
         }
     }
 
-    /// Brings a worker's place in the index up to date.
+    /// Updates a worker's entry in the index of free capacity.
     pub(crate) fn reindex(&mut self, worker: table::Worker) {
         let record = &self.workers[worker];
         let (free, kind) = (record.free(), record.capacity.accelerator);
@@ -484,7 +487,7 @@
         }
     }
 
-    /// Makes a worker's freed room available.
+    /// Makes freed capacity of a worker available for holds, gangs and queued work.
     pub(crate) fn capacity_freed(&mut self, worker: table::Worker) {
         self.reindex(worker);
         let record = &self.workers[worker];
@@ -501,7 +504,7 @@
         }
     }
 
-    /// Tells whether a job's tasks may be stopped at little cost.
+    /// Returns whether a job's tasks can be stopped with a checkpoint.
     pub(crate) fn is_checkpointable(&self, job: table::Job) -> bool {
         self.jobs[job].checkpoint && self.jobs[job].kind != model::Kind::Service
     }
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -1,11 +1,12 @@
-//! Makes room for urgent work.
+//! Preemption: makes room for urgent work.
 //!
-//! The order of means is checkpoint, then throttle, then stop. A throttle gives back only the processors that a run
-//! uses above its grant, because the granted ones stay committed to it; whether it works shows in a later report, so
-//! it is tried only while the urgent job has waited no longer than one hold. It ends by the rule of `estimate`.
+//! Checkpoints are preferred to throttles, and throttles to stops. A throttle frees only the processors that a run uses
+//! above its grant, because the granted ones stay committed to the run. Only a later report shows whether it had an
+//! effect, so throttles are used only while the urgent job has waited no longer than the duration of one hold. The
+//! `estimate` pass lifts the throttle.
 //!
-//! Bounds: urgent runs are never stopped, so a stop cannot cause another; a team keeps its protected share; the
-//! number of stops in any second stays within the configured rate.
+//! Bounds: urgent runs are never stopped, so a stop cannot cause another one; other teams keep their protected share;
+//! the number of stops in any second stays within the configured rate.
 
 use std::time::Duration;
 
@@ -17,35 +18,37 @@
 use crate::scheduler::Scheduler;
 use crate::{table, timer, worker};
 
-/// Interval between two searches for victims.
+/// Minimum interval between two searches for victims.
 const PASS_INTERVAL: Duration = Duration::from_millis(50);
-/// Time that a victim gets for its checkpoint; urgent work starts within 1.6 s.
+/// Time that a victim has for its checkpoint. It is short because urgent work must start within 1.6 s.
 const CHECKPOINT_GRACE: Duration = Duration::from_millis(350);
-/// Time that a worker is kept for an urgent task after the stops; then another worker is tried. Three tries fit into
-/// 1.6 s: a worker of a lost rack looks alive until its report is overdue.
+/// Time that a worker is held for an urgent task after the stops, after which another worker is tried. Three attempts
+/// fit into 1.6 s; they are needed because a worker of a failed rack looks alive until its report is overdue.
 const HOLD_DURATION: Duration = Duration::from_millis(500);
-/// Age of the last report from which a worker is not relied on; workers report every 3 s.
+/// Maximum age of the last report of a worker that preemption considers; workers report every 3 s.
 const REPORT_OVERDUE: Duration = Duration::from_secs(4);
-/// Urgent tasks for which one pass looks for room.
+/// Maximum number of urgent tasks for which one pass searches for room.
 const TASKS_PER_PASS: u32 = 64;
-/// Workers compared for one urgent task.
+/// Number of workers compared for one urgent task.
 const WORKERS_COMPARED: usize = 48;
-/// Workers for which one pass weighs the runs, over all urgent tasks; the pass ends after the task that reaches it.
+/// Number of workers whose runs one pass evaluates, over all urgent tasks. The pass ends after the task that reaches
+/// it.
 const WORKERS_PER_PASS: usize = 2048;
-/// Core-seconds that a checkpoint counts as lost.
+/// Cost of a checkpoint, in core-seconds.
 const CHECKPOINT_COST: f64 = 1.0;
-/// Factor on the loss of runs that are not batch; a stopped gang task stops its whole gang.
+/// Factor on the cost of stopping service and gang tasks; stopping one gang task stops the complete gang.
 const OTHER_COST: f64 = 100.0;
+/// Window over which the preemption rate is enforced.
 const RATE_WINDOW: Duration = Duration::from_secs(1);
 
-/// Bounds of one pass, and the needs for which it found no room.
+/// Remaining budgets of one pass, and the requirements for which it found no room.
 struct Search {
     tasks: u32,
     workers: usize,
     failed: Vec<(table::Team, resource::Amount, id::AcceleratorKind)>,
 }
 
-/// Means to get room, in the order in which they are used.
+/// Method of making room, in order of preference.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Method {
     Checkpoint,
@@ -53,7 +56,7 @@
     Stop,
 }
 
-/// Runs to stop and to throttle on one worker.
+/// Runs to stop and to throttle on one worker, with the cost of the stops.
 struct Victims {
     cost: f64,
     runs: Vec<table::Run>,
@@ -61,7 +64,7 @@
 }
 
 impl Scheduler {
-    /// Looks for room for the urgent jobs that wait.
+    /// Makes room for the waiting urgent jobs.
     pub(crate) fn preempt(&mut self, now: Duration, out: &mut Vec<Output>) {
         if self.urgent.is_empty() || now < self.urgent_next {
             return;
@@ -73,7 +76,8 @@
             workers: WORKERS_PER_PASS,
             failed: Vec::new(),
         };
-        // A pass that reached its bound left off there, so that work without victims keeps no other from its turn.
+        // Continues where the previous pass ran out of budget, so that jobs for which there are no victims do not starve
+        // other jobs.
         let rest = self.urgent.range(self.urgent_cursor..);
         let jobs = rest.chain(self.urgent.range(..self.urgent_cursor));
         let waiting: Vec<_> = jobs
@@ -122,7 +126,7 @@
         }
     }
 
-    /// Makes room for one task on the worker where least work is lost.
+    /// Makes room for one task on the worker with the lowest cost among those compared. Returns whether it did.
     fn make_room_for_task(
         &mut self,
         now: Duration,
@@ -168,7 +172,7 @@
             self.stop(now, run, Reason::Preempted, Some(CHECKPOINT_GRACE), out);
         }
         if self.workers[worker].hold.is_some_and(|hold| hold.job != index) {
-            // A reservation for other work is made anew elsewhere.
+            // The other job gets a new hold elsewhere.
             self.cancel_hold(worker);
         }
         let hold = worker::Hold {
@@ -199,7 +203,8 @@
             && (kind == 0 || kind == record.capacity.accelerator)
     }
 
-    /// Chooses runs on a worker that make room for one more urgent task, cheapest first.
+    /// Chooses runs on a worker whose end or throttle makes room for one more task of an urgent job, by method and then
+    /// by cost. Returns `None` if there is not enough room.
     fn victims(&self, now: Duration, worker: table::Worker, index: table::Job) -> Option<Victims> {
         let record = &self.workers[worker];
         let job = &self.jobs[index];
@@ -262,7 +267,7 @@
         need.fits(&room).then_some(victims)
     }
 
-    /// Tells whether a team keeps its protected share after one more stop, and counts the stop.
+    /// Returns whether a team keeps its protected share after one more stop; if so, adds the stop to `stopped`.
     fn keeps_share(
         &self,
         team: table::Team,
@@ -289,12 +294,12 @@
         true
     }
 
-    /// Returns the share of the fleet that urgent work of other teams leaves to a team.
+    /// Returns the share of the fleet that urgent work of other teams must leave to a team.
     pub(crate) fn protected_share(&self, team: table::Team) -> f64 {
         f64::from(self.teams[team].weight) / self.active_weight.max(1) as f64
     }
 
-    /// Returns the core-seconds that a stop loses.
+    /// Returns the cost of stopping a run, in core-seconds.
     fn loss(&self, now: Duration, run: table::Run) -> f64 {
         let record = &self.runs[run];
         if self.is_checkpointable(record.job) && record.confirmed {
@@ -308,7 +313,7 @@
         }
     }
 
-    /// Takes stops from the rate of the last second.
+    /// Records preemptions if they stay within the rate. Returns whether they do.
     fn consume_rate(&mut self, now: Duration, count: usize) -> bool {
         if !self.config.rules.preemption_rate {
             return true;
--- a/crates/schedule/src/pass/queue.rs
+++ b/crates/schedule/src/pass/queue.rs
@@ -1,7 +1,7 @@
-//! Moves jobs and lanes between the queues.
+//! Queueing of jobs in lanes, and of lanes in classes and teams.
 //!
-//! Invariants: a job with tasks that may start stands in exactly one lane, or among the gangs; a team stands in the
-//! order of a tier exactly while it has lanes in it, under its present key.
+//! Invariants: a job with tasks that may start is in exactly one lane or in the list of gangs; a team is in the order
+//! of a tier, under its present key, if and only if it has lanes in the tier.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use crate::{lane, range, table};
 
 impl Scheduler {
-    /// Puts a job that has tasks to start into its queue.
+    /// Queues a job if it has waiting tasks and is not queued.
     pub(crate) fn enqueue(&mut self, index: table::Job) {
         let record = &self.jobs[index];
         let queued = record.lane.is_some() || !record.launch.is_empty();
@@ -48,7 +48,7 @@
         self.gangs_dirty = true;
     }
 
-    /// Takes a job out of its queue.
+    /// Removes a job from its queue.
     pub(crate) fn dequeue(&mut self, index: table::Job) {
         let record = &mut self.jobs[index];
         let sequence = record.sequence;
@@ -66,13 +66,13 @@
         }
     }
 
-    /// Makes a task of a job wait.
+    /// Adds a waiting task to a job and queues the job.
     pub(crate) fn add_waiting(&mut self, index: table::Job, task: id::TaskIndex) {
         self.add_waiting_unqueued(index, task);
         self.enqueue(index);
     }
 
-    /// Makes a task of a job wait without queueing the job.
+    /// Adds a waiting task to a job without queueing the job.
     pub(crate) fn add_waiting_unqueued(&mut self, index: table::Job, task: id::TaskIndex) {
         let record = &mut self.jobs[index];
         record.waiting.insert(task);
@@ -80,7 +80,7 @@
         self.change_waiting(team, 1);
     }
 
-    /// Takes the next waiting task of a job.
+    /// Removes and returns the next waiting task of a job.
     pub(crate) fn take_waiting(&mut self, index: table::Job) -> id::TaskIndex {
         let record = &mut self.jobs[index];
         let task = record.waiting.pop().expect("a queued job has waiting tasks");
@@ -92,7 +92,7 @@
         task
     }
 
-    /// Forgets the waiting tasks of a job that will start no more.
+    /// Removes all waiting tasks of a job that will not start any more.
     pub(crate) fn drop_waiting(&mut self, index: table::Job) {
         self.dequeue(index);
         let record = &mut self.jobs[index];
@@ -109,7 +109,7 @@
         self.track_active(team, was_active);
     }
 
-    /// Keeps the sum of the weights of active teams.
+    /// Updates the sum of the weights of active teams after a change of a team.
     pub(crate) fn track_active(&mut self, team: table::Team, was_active: bool) {
         let record = &self.teams[team];
         let weight = u64::from(record.weight);
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Puts a job into the lane of its needs; a new lane is fresh.
+    /// Adds a job to the lane of its requirements, which is created if necessary.
     fn lane(&mut self, index: table::Job, tier: Tier) -> table::Lane {
         let job = &self.jobs[index];
         let (team, sequence, size, accelerator) = (job.team, job.sequence, job.size, job.accelerator);
@@ -176,7 +176,7 @@
         class
     }
 
-    /// Lists a lane in its class. It is fresh unless the class is known to have no room.
+    /// Lists a lane in its class. The lane is runnable unless the class is known to have no room.
     fn list_lane(&mut self, lane: table::Lane) {
         let (index, team, tier) = (
             self.lanes[lane].class,
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Takes a lane out of the list of its class, when it ends or its team is at its limit.
+    /// Removes a lane from the list of its class, because it is removed or blocked.
     pub(crate) fn unlist_lane(&mut self, lane: table::Lane) {
         let Some(position) = self.lanes[lane].listed.take() else {
             return;
@@ -216,7 +216,7 @@
         }
     }
 
-    /// Holds a lane until its team is further below its part.
+    /// Blocks a lane until its team has room for it within its allotment.
     pub(crate) fn block_lane(&mut self, lane: table::Lane) {
         let team = self.lanes[lane].team;
         self.teams[team].limited = true;
@@ -260,13 +260,13 @@
         &self.teams[record.team].lanes[record.tier as usize][record.position]
     }
 
-    /// Returns a lane's entry for change.
+    /// Returns a mutable reference to a lane's entry in the list of its team.
     pub(crate) fn entry_mut(&mut self, lane: table::Lane) -> &mut Entry {
         let record = &self.lanes[lane];
         &mut self.teams[record.team].lanes[record.tier as usize][record.position]
     }
 
-    /// Lists those held lanes of a team that fit below its part again.
+    /// Unblocks the lanes of a team that fit into its allotment again.
     pub(crate) fn unblock_lanes(&mut self, team: table::Team) {
         self.teams[team].limited = false;
         for tier in 0..lane::TIERS {
@@ -284,7 +284,7 @@
         }
     }
 
-    /// Moves a team in the orders of its turns after its key has changed.
+    /// Updates the position of a team in the order of each tier after a change of its key.
     pub(crate) fn update_team_order(&mut self, team: table::Team, old: u64) {
         let record = &self.teams[team];
         self.team_keys[table::Index::slot(team)] = record.key;
@@ -302,7 +302,7 @@
     }
 }
 
-/// Returns the smaller amount of each dimension.
+/// Returns the minimum of two amounts in each dimension.
 pub(crate) fn min_amount(left: &resource::Amount, right: &resource::Amount) -> resource::Amount {
     resource::Amount {
         cpu_milli: left.cpu_milli.min(right.cpu_milli),
@@ -311,7 +311,7 @@
     }
 }
 
-/// Tells whether a size sets the lower bound in some dimension.
+/// Returns whether a size equals the lower bound in at least one dimension.
 fn attains_bound(least: &resource::Amount, size: &resource::Amount) -> bool {
     least.cpu_milli == size.cpu_milli
         || least.memory_mib == size.memory_mib
--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -1,4 +1,4 @@
-//! Reports of workers.
+//! Handling of worker reports.
 
 use std::time::Duration;
 
@@ -9,11 +9,11 @@
 use crate::scheduler::Scheduler;
 use crate::table;
 
-/// Reports in a row that must leave out a run that they named before, until it counts as ended.
+/// Number of consecutive reports without a confirmed run after which the run counts as ended.
 const MISSING_REPORTS: u8 = 2;
 
 impl Scheduler {
-    /// Takes a report: renews the lease, ends runs, follows usage.
+    /// Handles a report: renews the lease, ends runs and updates usage.
     pub(crate) fn report(&mut self, now: Duration, report: model::Report, out: &mut Vec<Output>) {
         let Some(&worker) = self.worker_ids.get(&report.worker) else {
             return;
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Sums up what the runs of a worker use above their grants, so that nothing is placed on it.
+    /// Updates the usage above their grants of a worker's runs, which is not available to other tasks.
     pub(crate) fn set_excess(&mut self, worker: table::Worker) {
         let mut excess = resource::Amount::ZERO;
         for &run in &self.workers[worker].runs {
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -1,4 +1,4 @@
-//! Restores replicated state after a change of leader.
+//! Restoration from replicated state after a change of leader.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use crate::{range, table};
 
 impl Scheduler {
-    /// Takes one part of the replicated state.
+    /// Handles one item of the replicated state.
     pub(crate) fn restore(&mut self, now: Duration, item: Restore, out: &mut Vec<Output>) {
         if self.restored.is_some() {
             return;
@@ -94,7 +94,8 @@
         token: id::Token,
         granted: resource::Amount,
     ) {
-        // A worker that the replicated state no longer has may still run the task until its lease runs out.
+        // A worker that is no longer in the replicated state may run the task until its lease expires, so it is added
+        // without capacity.
         self.register(
             now,
             &worker::Registration {
@@ -113,7 +114,7 @@
     fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
         self.restored = Some(now);
         self.next_token = self.next_token.max(next_token);
-        // The former leader may have used the whole rate just now.
+        // The former leader may just have used up the preemption rate of this second.
         let rate = self.config.preemptions_per_second as usize;
         self.preemptions.extend(std::iter::repeat_n(now, rate));
         let ids: Vec<_> = self.jobs.iter().map(|(index, _)| index).collect();
@@ -125,11 +126,11 @@
             if job.succeeded == job.tasks {
                 self.finish(index, model::State::Succeeded, out);
             } else if job.kind == model::Kind::Gang && !job.waiting.is_empty() && !job.runs.is_empty() {
-                // A task was lost before the change of leader.
+                // A task of the gang was lost before the change of leader.
                 self.stop_gang(index);
             }
         }
-        // A part may have been lowered just before the change of leader.
+        // An allotment may have been lowered just before the change of leader.
         if self.config.rules.team_limit {
             let teams: Vec<_> = self.teams.iter().map(|(team, _)| team).collect();
             for team in teams {
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -1,4 +1,4 @@
-//! Takes jobs, and tells which can never run.
+//! Submission of jobs, and detection of jobs that can never run.
 
 use std::time::Duration;
 
@@ -9,13 +9,14 @@
 use crate::scheduler::Scheduler;
 use crate::{job, range, table, timer};
 
-/// Jobs that one step checks; 100,000 jobs at once would take tens of milliseconds, and each may be told.
+/// Number of jobs checked in one step. Checking 100,000 jobs in one step would take tens of milliseconds, and might emit
+/// an output for each.
 const JOBS_PER_CHECK: usize = 512;
 /// Interval between the steps of one check.
 const CHECK_INTERVAL: Duration = Duration::from_millis(10);
 
 impl Scheduler {
-    /// Takes a job, or refuses it when it can never run.
+    /// Accepts a job, or rejects it if it can never run.
     pub(crate) fn submit(
         &mut self,
         now: Duration,
@@ -50,7 +51,7 @@
         }
     }
 
-    /// Enters a job; the caller queues it.
+    /// Adds a job. The caller queues it.
     pub(crate) fn add_job(
         &mut self,
         now: Duration,
@@ -95,7 +96,7 @@
         index
     }
 
-    /// Returns why a job can never run with the fleet and limits as they are.
+    /// Returns the reason if a job can never run with the present fleet and limits.
     pub(crate) fn impossible(&self, index: table::Job) -> Option<model::Impossible> {
         let job = &self.jobs[index];
         let concurrent = match job.kind {
@@ -124,13 +125,13 @@
         })
     }
 
-    /// Begins a check of the waiting jobs after the fleet or a limit changed.
+    /// Starts a check of the waiting jobs after a change of the fleet or a limit.
     pub(crate) fn check_feasibility(&mut self, now: Duration) {
         self.feasibility_next = 0;
         self.timers.push(now, timer::Event::Feasibility);
     }
 
-    /// Checks some of the waiting jobs, tells news, and continues in the next step.
+    /// Checks some of the jobs, emits changed results, and schedules the rest of the check.
     pub(crate) fn feasibility_due(&mut self, now: Duration, out: &mut Vec<Output>) {
         self.feasibility_pending = false;
         if self.restored.is_none() || self.unconfirmed > 0 {
--- a/crates/schedule/src/pass/verify.rs
+++ b/crates/schedule/src/pass/verify.rs
@@ -1,4 +1,4 @@
-//! Checks the invariants of every structure.
+//! Checks of the invariants of every data structure.
 
 use bronzespoke_model::{job, resource};
 
@@ -11,7 +11,8 @@
 }
 
 impl Scheduler {
-    /// Checks the invariants; returns the first that is broken. Costs time in proportion to the whole state.
+    /// Checks all invariants and returns a description of the first violation. The cost grows with the complete state, and
+    /// with the product of teams and runs.
     pub fn verify(&self) -> Result<(), String> {
         self.verify_workers()?;
         self.verify_jobs()?;
@@ -32,7 +33,7 @@
             for (position, &run) in worker.runs.iter().enumerate() {
                 let run = &self.runs[run];
                 check(run.worker == index && run.in_worker as usize == position, || {
-                    format!("worker {id}: run {} is listed wrongly", run.token)
+                    format!("worker {id}: run {} has a wrong position in the list", run.token)
                 })?;
                 if !run.credited {
                     used = used.saturating_add(&run.size);
@@ -40,20 +41,23 @@
             }
             used = used.saturating_add(&worker.launching_amount);
             check(used == worker.used, || {
-                format!("worker {id}: account {:?}, runs {used:?}", worker.used)
+                format!(
+                    "worker {id}: debited {:?}, but its runs sum to {used:?}",
+                    worker.used
+                )
             })?;
             check(
                 worker.slot.is_none_or(|slot| self.free.contains_at(slot, index)),
-                || format!("worker {id} is not at its slot"),
+                || format!("worker {id} is not at its slot in the index"),
             )?;
             let listed = worker.usable() && worker.hold.is_none();
             check(listed == worker.slot.is_some(), || {
-                format!("worker {id} is listed wrongly")
+                format!("worker {id} is in the index although unusable or held, or missing from it")
             })?;
             total = total.saturating_add(&used);
         }
         check(total == self.used, || {
-            format!("used {:?}, runs {total:?}", self.used)
+            format!("debited {:?} in total, but the sum is {total:?}", self.used)
         })
     }
 
@@ -64,10 +68,10 @@
             for (position, &run) in job.runs.iter().enumerate() {
                 let run = &self.runs[run];
                 check(run.job == index && run.in_job as usize == position, || {
-                    format!("job {id}: run {} is listed wrongly", run.token)
+                    format!("job {id}: run {} has a wrong position in the list", run.token)
                 })?;
                 check(!job.waiting.contains(run.index), || {
-                    format!("job {id}: task {} runs and waits", run.index)
+                    format!("job {id}: task {} is both running and waiting", run.index)
                 })?;
             }
             let known = job.waiting.len() + job.delayed + job.succeeded + job.runs.len() as u32;
@@ -102,10 +106,10 @@
                 .map(|(_, job)| job.waiting.len())
                 .sum();
             check(sums == [team.used, team.ending], || {
-                format!("team {index:?}: accounts differ from runs")
+                format!("team {index:?}: accounts differ from the sums of its runs")
             })?;
             check((runs, waiting) == (team.runs, team.waiting), || {
-                format!("team {index:?}: counts differ")
+                format!("team {index:?}: numbers of runs or waiting tasks differ")
             })?;
             weight += if team.is_active() {
                 u64::from(team.weight)
@@ -114,7 +118,10 @@
             };
         }
         check(weight == self.active_weight, || {
-            format!("active weight {}, teams {weight}", self.active_weight)
+            format!(
+                "active weight is {}, but the weights of active teams sum to {weight}",
+                self.active_weight
+            )
         })
     }
 
@@ -123,19 +130,19 @@
             let id = job.id;
             let queued = job.kind != job::Kind::Gang && job.is_active() && !job.waiting.is_empty();
             check(job.lane.is_some() == queued, || {
-                format!("job {id}: queued wrongly")
+                format!("job {id}: in a lane without need, or missing from its lane")
             })?;
             if let Some(lane) = job.lane {
                 let listed = self.lanes[lane].jobs.get(&job.sequence) == Some(&index);
                 check(listed, || format!("job {id}: not in its lane"))?;
                 check(self.entry(lane).size == job.size, || {
-                    format!("job {id}: wrong lane")
+                    format!("job {id}: its lane has another task size")
                 })?;
             }
             let starts = !job.launch.is_empty() || job.waiting.is_empty();
             let urgent = job.priority == job::Priority::Urgent && job.is_active() && !starts;
             check(!urgent || self.urgent.contains_key(&job.sequence), || {
-                format!("job {id}: not urgent")
+                format!("job {id}: missing from the list of urgent jobs")
             })?;
         }
         for (index, lane) in self.lanes.iter() {
@@ -145,9 +152,11 @@
             let at = lane
                 .listed
                 .map(|at| self.classes[lane.class].lanes.get(at).map(|listed| listed.lane) == Some(index));
-            check(at != Some(false), || format!("lane {index:?}: not in its class"))?;
+            check(at != Some(false), || {
+                format!("lane {index:?}: wrong position in the list of its class")
+            })?;
             check(listed && !lane.jobs.is_empty(), || {
-                format!("lane {index:?}: listed wrongly")
+                format!("lane {index:?}: empty, or its entry in the list is wrong")
             })?;
         }
         Ok(())
@@ -157,26 +166,29 @@
         for (index, team) in self.teams.iter() {
             for (order, lanes) in self.team_order.iter().zip(&team.lanes) {
                 check(self.team_keys[table::Index::slot(index)] == team.key, || {
-                    format!("team {index:?}: wrong key")
+                    format!("team {index:?}: cached key differs")
                 })?;
                 let least = order.get(&(team.key, index));
                 check(least.is_some() != lanes.is_empty(), || {
-                    format!("team {index:?}: ordered wrongly")
+                    format!("team {index:?}: in the order without lanes, or missing from it")
                 })?;
                 let bound = lanes
                     .iter()
                     .all(|entry| least.is_some_and(|least| least.fits(&entry.size)));
-                check(bound, || format!("team {index:?}: needs less than its bound"))?;
+                check(bound, || {
+                    format!("team {index:?}: a lane is smaller than the lower bound")
+                })?;
             }
         }
         let teams: usize = self.team_order.iter().map(std::collections::BTreeMap::len).sum();
         let listed = self.teams.iter().flat_map(|(_, team)| &team.lanes);
         check(teams == listed.filter(|lanes| !lanes.is_empty()).count(), || {
-            String::from("an order has unknown teams")
+            String::from("an order contains unknown teams")
         })
     }
 
-    /// After a step that did not stop at its bound, a lane waits only when no worker has room or its team has none.
+    /// Checks that, after a step that stayed within its budgets, a lane waits only if no worker has room for it or its
+    /// team is at its allotment.
     fn verify_waiting(&self) -> Result<(), String> {
         if self.has_more || self.restored.is_none() {
             return Ok(());
@@ -197,7 +209,7 @@
                 .find(|(_, worker)| worker.slot.is_some() && worker.has_room(&entry.size, entry.accelerator));
             if let Some((worker, _)) = free {
                 return Err(format!(
-                    "job {} waits although {} has room",
+                    "job {} waits although {} has room for it",
                     job.id, self.workers[worker].id
                 ));
             }
@@ -205,16 +217,23 @@
         Ok(())
     }
 
-    /// What the backlog promises is debited, and what it leaves is known to it.
+    /// Checks that the amounts of gangs being launched are debited, and that only jobs in the backlog have runs still to be
+    /// stopped.
     fn verify_backlog(&self) -> Result<(), String> {
         let mut launching = resource::Amount::ZERO;
         for (index, job) in self.jobs.iter() {
-            let tasks: u32 = job.launch.iter().map(|room| room.1).sum();
-            let sum = multiply(&job.size, tasks).ok_or_else(|| format!("job {}: rooms overflow", job.id))?;
+            let tasks: u32 = job.launch.iter().map(|share| share.1).sum();
+            let sum =
+                multiply(&job.size, tasks).ok_or_else(|| format!("job {}: launch overflows", job.id))?;
             launching = launching.saturating_add(&sum);
             check(
                 job.launch.is_empty() || (job.is_active() && self.backlog.launching.contains(&index)),
-                || format!("job {}: rooms without a start", job.id),
+                || {
+                    format!(
+                        "job {}: has a launch without being active and in the backlog",
+                        job.id
+                    )
+                },
             )?;
             let stopped = |run: &table::Run| matches!(self.runs[*run].phase, run::Phase::Stopping(_));
             let remaining = job
@@ -223,7 +242,10 @@
                 .map_or(0, |stop| stop.remaining);
             let rest = job.runs.get(remaining..).unwrap_or_default();
             check(job.is_active() || rest.iter().all(stopped), || {
-                format!("job {}: an ended job has runs that go on", job.id)
+                format!(
+                    "job {}: it is ending, but has runs that are neither stopped nor in the backlog",
+                    job.id
+                )
             })?;
         }
         let workers = self.workers.iter();
@@ -246,7 +268,7 @@
                 None => class.lanes.is_empty(),
             };
             check(placed && class.references > 0, || {
-                format!("class {index:?}: listed wrongly")
+                format!("class {index:?}: unreferenced, or wrong in the index of demand")
             })?;
         }
         Ok(())
@@ -260,7 +282,9 @@
                     .get(hold.job)
                     .is_some_and(|job| job.holds.contains(&worker))
             });
-            check(listed, || format!("worker {}: held wrongly", record.id))?;
+            check(listed, || {
+                format!("worker {}: held, but not for a job that lists it", record.id)
+            })?;
         }
         let held = self
             .workers
@@ -268,7 +292,7 @@
             .filter(|(_, worker)| worker.hold.is_some())
             .count();
         check(held == self.held.len(), || {
-            format!("{held} holds, {} listed", self.held.len())
+            format!("{held} holds, but {} are listed", self.held.len())
         })
     }
 }
