--- a/crates/schedule/tests/basic.rs
+++ b/crates/schedule/tests/basic.rs
@@ -1,4 +1,4 @@
-//! The basic path: guards against jobs that never start, never end, or cannot be cancelled.
+//! Basic operation: guards against jobs that never start, never end or cannot be cancelled.
 
 use std::time::Duration;
 
@@ -82,7 +82,7 @@
 }
 
 #[test]
-fn a_batch_job_starts_as_room_allows_and_is_done_when_all_tasks_have_succeeded() {
+fn a_batch_job_starts_as_capacity_allows_and_ends_when_all_tasks_have_succeeded() {
     let mut scheduler = scheduler();
     let mut running = starts(&step(&mut scheduler, NOW, submit(1, 6)));
     assert_eq!(running.len(), 4);
@@ -101,7 +101,7 @@
 }
 
 #[test]
-fn a_cancelled_job_frees_its_room_and_ends_when_its_last_run_has_ended() {
+fn a_cancelled_job_frees_its_capacity_and_ends_when_its_last_run_has_ended() {
     let mut scheduler = scheduler();
     let running = starts(&step(&mut scheduler, NOW, submit(1, 6)));
     assert!(starts(&step(&mut scheduler, NOW, submit(2, 4))).is_empty());
@@ -124,7 +124,7 @@
 }
 
 #[test]
-fn a_lost_worker_gives_its_tasks_back_after_its_lease_and_the_drift() {
+fn tasks_of_a_lost_worker_restart_after_its_lease_and_the_clock_drift() {
     let mut scheduler = scheduler();
     step(&mut scheduler, NOW, submit(1, 1));
     let early = step(&mut scheduler, NOW + Duration::from_millis(10_199), Input::Tick);
@@ -193,10 +193,10 @@
     }));
 }
 
-/// Guards against a start that is sent to a later life of the worker, or for a run that has ended, while the task may
-/// run elsewhere.
+/// Guards against a start that is sent to a later incarnation of the worker, or for a run that has ended, while the task
+/// may run elsewhere.
 #[test]
-fn a_run_may_begin_only_on_the_life_that_it_was_placed_on_and_until_it_ends() {
+fn a_run_may_start_only_on_the_incarnation_it_was_placed_on_and_before_it_ends() {
     let mut scheduler = scheduler();
     let running = starts(&step(&mut scheduler, NOW, submit(1, 2)));
     let [(first, ended), (_, former)] = running[..] else {
--- a/crates/schedule/tests/behaviour/cell/check.rs
+++ b/crates/schedule/tests/behaviour/cell/check.rs
@@ -1,4 +1,4 @@
-//! The checker.
+//! Checker of the scheduler's outputs and of the simulated workers.
 
 use std::collections::{BTreeMap, BTreeSet, VecDeque};
 use std::time::Duration;
@@ -9,7 +9,7 @@
 
 use super::{Job, machine};
 
-/// A lease that the outputs have allocated.
+/// A lease allocated by a start that has not ended.
 #[derive(Debug, Clone)]
 struct Lease {
     task: task::Ref,
@@ -20,28 +20,28 @@
 }
 
 #[derive(Debug, Default)]
-pub struct Check {
-    /// First broken rule.
-    pub broken: Option<String>,
+pub struct Checker {
+    /// Description of the first violation of a rule.
+    pub violation: Option<String>,
     leases: BTreeMap<id::Token, Lease>,
     preemptions: VecDeque<Duration>,
-    pub rate: Option<usize>,
+    pub max_preemption_rate: Option<usize>,
     pub starts: BTreeMap<id::JobId, u32>,
     /// Teams whose protected share is checked, with that share.
-    pub protected: BTreeMap<id::TeamId, f64>,
+    pub protected_shares: BTreeMap<id::TeamId, f64>,
 }
 
 fn sum<'a>(amounts: impl Iterator<Item = &'a resource::Amount>) -> resource::Amount {
     amounts.fold(resource::Amount::ZERO, |sum, amount| sum.saturating_add(amount))
 }
 
-impl Check {
+impl Checker {
     pub fn fail(&mut self, text: String) {
-        self.broken.get_or_insert(text);
+        self.violation.get_or_insert(text);
     }
 
-    /// No worker runs more than it has, and no task runs twice.
-    pub fn machines(&mut self, now: Duration, machines: &[machine::Machine]) {
+    /// Checks that no worker runs more than its capacity and that no task runs twice.
+    pub fn check_machines(&mut self, now: Duration, machines: &[machine::Machine]) {
         let mut places: BTreeMap<task::Ref, id::WorkerId> = BTreeMap::new();
         for machine in machines {
             let worker = machine.registration.worker;
@@ -68,7 +68,7 @@
         jobs: &BTreeMap<id::JobId, Job>,
         teams: &BTreeMap<id::TeamId, (team::Quota, resource::Amount)>,
         machines: &[machine::Machine],
-        heard: &BTreeSet<id::WorkerId>,
+        confirmed: &BTreeSet<id::WorkerId>,
     ) {
         for output in out {
             match output {
@@ -85,7 +85,7 @@
                     if job.cancelled {
                         self.fail(format!("{now:?}: start of a cancelled job, {task:?}"));
                     }
-                    if !heard.contains(worker) {
+                    if !confirmed.contains(worker) {
                         self.fail(format!("{now:?}: start on {worker}, which is not confirmed"));
                     }
                     self.start(now, *task, job, *worker, *token, granted, teams, machines);
@@ -103,18 +103,18 @@
                 _ => {}
             }
         }
-        self.machines(now, machines);
+        self.check_machines(now, machines);
     }
 
-    /// No task of a gang waits while another runs on, once the scheduler has nothing left to do.
-    pub fn gangs(&mut self, now: Duration, jobs: &BTreeMap<id::JobId, Job>) {
+    /// Checks that no task of a gang waits while another one runs. Holds whenever the scheduler has no pending work.
+    pub fn check_gangs(&mut self, now: Duration, jobs: &BTreeMap<id::JobId, Job>) {
         let mut running: BTreeMap<id::JobId, (usize, bool)> = BTreeMap::new();
         for lease in self.leases.values() {
             let entry = running.entry(lease.task.job).or_default();
             entry.0 += 1;
             entry.1 |= !lease.ending;
         }
-        // A task that is told to end alone, for urgent work, ends the others when it has ended.
+        // If a single task is stopped for urgent work, the others are stopped once it has ended.
         for (id, (count, _)) in running.into_iter().filter(|(_, (_, runs))| *runs) {
             let Some(job) = jobs.get(&id).filter(|job| job.spec.kind == job::Kind::Gang) else {
                 continue;
@@ -127,8 +127,8 @@
         }
     }
 
-    /// A new leader does not know what the former one told to end.
-    pub fn forget_ending(&mut self) {
+    /// Marks all leases as running, since a new leader does not know which runs the former one has stopped.
+    pub fn reset_ending(&mut self) {
         for lease in self.leases.values_mut() {
             lease.ending = false;
         }
@@ -170,13 +170,13 @@
         if job.spec.accelerator != 0 && job.spec.accelerator != capacity.accelerator {
             self.fail(format!("{now:?}: {task:?} has the wrong accelerator kind"));
         }
-        let used = self.team_use(job.team, false);
+        let used = self.team_usage(job.team, false);
         if !used.fits(&teams[&job.team].1) {
             self.fail(format!("{now:?}: team {} is allocated {used:?}", job.team));
         }
     }
 
-    fn team_use(&self, team: id::TeamId, without_ending: bool) -> resource::Amount {
+    fn team_usage(&self, team: id::TeamId, without_ending: bool) -> resource::Amount {
         let leases = self.leases.values().filter(|lease| lease.team == team);
         sum(leases
             .filter(|lease| !(without_ending && lease.ending))
@@ -218,18 +218,23 @@
         {
             self.preemptions.pop_front();
         }
-        if self.rate.is_some_and(|rate| self.preemptions.len() > rate) {
+        if self
+            .max_preemption_rate
+            .is_some_and(|rate| self.preemptions.len() > rate)
+        {
             self.fail(format!(
                 "{now:?}: {} preemptions in a second",
                 self.preemptions.len()
             ));
         }
-        if let Some(&share) = self.protected.get(&team) {
+        if let Some(&share) = self.protected_shares.get(&team) {
             let alive = machines.iter().filter(|machine| machine.alive);
             let total = sum(alive.map(|machine| &machine.registration.capacity.amount));
-            let left = self.team_use(team, true).dominant_share(&total);
-            if left < share - 1e-9 {
-                self.fail(format!("{now:?}: team {team} is pushed to {left}, below {share}"));
+            let remaining = self.team_usage(team, true).dominant_share(&total);
+            if remaining < share - 1e-9 {
+                self.fail(format!(
+                    "{now:?}: team {team} is reduced to {remaining}, below {share}"
+                ));
             }
         }
     }
@@ -237,33 +242,33 @@
     /// Returns the tasks of a job that have not succeeded after a step.
     fn unfinished(id: id::JobId, jobs: &BTreeMap<id::JobId, Job>, out: &[Output]) -> BTreeSet<usize> {
         let job = &jobs[&id];
-        let mut left: BTreeSet<usize> = (0..job.tasks.len()).collect();
-        left.retain(|index| job.tasks[*index] != Progress::Succeeded);
+        let mut remaining: BTreeSet<usize> = (0..job.tasks.len()).collect();
+        remaining.retain(|index| job.tasks[*index] != Progress::Succeeded);
         for output in out {
             if let Output::Ended { task, outcome, .. } = output
                 && task.job == id
                 && matches!(outcome, task::Outcome::Succeeded(_))
             {
-                left.remove(&(task.index as usize));
+                remaining.remove(&(task.index as usize));
             }
         }
-        left
+        remaining
     }
 
-    /// A job succeeds only when every task has succeeded.
+    /// Checks that a job succeeds only if every task has succeeded.
     fn succeeded(&mut self, id: id::JobId, jobs: &BTreeMap<id::JobId, Job>, out: &[Output]) {
-        let left = Self::unfinished(id, jobs, out);
-        if !left.is_empty() || jobs[&id].cancelled {
-            self.fail(format!("job {id} is reported as succeeded without {left:?}"));
+        let remaining = Self::unfinished(id, jobs, out);
+        if !remaining.is_empty() || jobs[&id].cancelled {
+            self.fail(format!("job {id} is reported as succeeded without {remaining:?}"));
         }
     }
 
-    /// Tells whether a team holds more than an amount.
-    pub fn is_over(&self, team: id::TeamId, allotment: &resource::Amount) -> bool {
-        !self.team_use(team, false).fits(allotment)
+    /// Returns whether the leases of a team exceed an amount.
+    pub fn exceeds_allotment(&self, team: id::TeamId, allotment: &resource::Amount) -> bool {
+        !self.team_usage(team, false).fits(allotment)
     }
 
-    /// Returns how many leases of a job are on each worker.
+    /// Returns the worker of each lease of a job.
     pub fn places(&self, job: id::JobId) -> Vec<id::WorkerId> {
         let leases = self.leases.values().filter(|lease| lease.task.job == job);
         leases.map(|lease| lease.worker).collect()
--- a/crates/schedule/tests/behaviour/cell/machine.rs
+++ b/crates/schedule/tests/behaviour/cell/machine.rs
@@ -1,4 +1,4 @@
-//! A modelled worker.
+//! A simulated worker.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
@@ -10,14 +10,14 @@
 
 use super::LEASE;
 
-/// A task that really runs.
+/// A running task, from the point of view of the worker.
 #[derive(Debug, Clone)]
 pub struct Process {
     pub task: task::Ref,
     pub granted: resource::Amount,
-    pub ends: Duration,
-    pub stops: Option<(Duration, task::Outcome)>,
-    /// Set for what a former life left running.
+    pub ends_at: Duration,
+    pub stop_at: Option<(Duration, task::Outcome)>,
+    /// End of the lease of a former incarnation, set for the runs that it left behind.
     pub orphan_until: Option<Duration>,
 }
 
@@ -25,20 +25,20 @@
 pub struct Machine {
     pub registration: worker::Registration,
     pub alive: bool,
-    pub cut_until: Duration,
+    pub partitioned_until: Duration,
     pub running: BTreeMap<id::Token, Process>,
-    /// Ended tasks with the number of the first report that named them.
+    /// Ended tasks with the sequence number of the first report that includes them.
     pub ended: Vec<(u64, worker::Ended)>,
     refused: BTreeSet<id::Token>,
     pub sequence: u64,
     pub next_report: Duration,
     pub lease_until: Duration,
-    /// Whether the lease has run out, so that the worker must register again.
-    pub lapsed: bool,
-    /// Whether every task fails here.
+    /// Whether the lease has expired, so that the worker must register again.
+    pub lease_expired: bool,
+    /// Whether every task fails on this worker.
     pub faulty: bool,
-    /// Longest run time of a task, in milliseconds.
-    pub longest: u64,
+    /// Maximum run time of a task, in milliseconds.
+    pub max_run_time_ms: u64,
 }
 
 impl Machine {
@@ -46,16 +46,16 @@
         Self {
             registration,
             alive: true,
-            cut_until: Duration::ZERO,
+            partitioned_until: Duration::ZERO,
             running: BTreeMap::new(),
             ended: Vec::new(),
             refused: BTreeSet::new(),
             sequence: 0,
             next_report: now + Duration::from_millis(500),
             lease_until: now + LEASE,
-            lapsed: false,
+            lease_expired: false,
             faulty: false,
-            longest: 20_000,
+            max_run_time_ms: 20_000,
         }
     }
 
@@ -70,14 +70,14 @@
         self.sequence = 0;
         self.next_report = now;
         self.lease_until = now + LEASE;
-        self.lapsed = false;
+        self.lease_expired = false;
         self.registration
     }
 
     pub fn advance(&mut self, now: Duration) {
         if now >= self.lease_until {
             self.running.retain(|_, process| process.orphan_until.is_some());
-            self.lapsed = true;
+            self.lease_expired = true;
         }
         let sequence = self.sequence + 1;
         let faulty = self.faulty;
@@ -86,10 +86,10 @@
             if let Some(until) = process.orphan_until {
                 return now < until;
             }
-            let stop = process.stops.clone().filter(|(at, _)| *at <= now);
+            let stop = process.stop_at.clone().filter(|(at, _)| *at <= now);
             let outcome = match stop {
                 Some((_, outcome)) => outcome,
-                None if process.ends > now => return true,
+                None if process.ends_at > now => return true,
                 None if faulty => task::Outcome::Failed,
                 None => task::Outcome::Succeeded(String::new()),
             };
@@ -132,33 +132,35 @@
         self.ended.retain(|(first, _)| *first > sequence);
     }
 
-    pub fn obey(
+    pub fn apply_directive(
         &mut self,
         now: Duration,
         incarnation: id::Incarnation,
-        order: &Output,
+        directive: &Output,
         random: &mut SmallRng,
     ) {
         if !self.alive || incarnation != self.registration.incarnation {
             return;
         }
-        match order {
+        match directive {
             Output::Start {
                 task, token, granted, ..
             } => {
-                let known = self.running.contains_key(token) || !self.refused.insert(*token);
-                if known || now >= self.lease_until {
+                let duplicate = self.running.contains_key(token) || !self.refused.insert(*token);
+                if duplicate || now >= self.lease_until {
                     return;
                 }
-                let least = if self.faulty { 100 } else { 500 };
-                let time = random.random_range(least..=self.longest.max(least));
+                let min_run_time_ms = if self.faulty { 100 } else { 500 };
+                let run_time_ms =
+                    random.random_range(min_run_time_ms..=self.max_run_time_ms.max(min_run_time_ms));
                 self.running.insert(
                     *token,
                     Process {
                         task: *task,
                         granted: *granted,
-                        ends: now + Duration::from_millis(if self.faulty { least } else { time }),
-                        stops: None,
+                        ends_at: now
+                            + Duration::from_millis(if self.faulty { min_run_time_ms } else { run_time_ms }),
+                        stop_at: None,
                         orphan_until: None,
                     },
                 );
@@ -169,7 +171,7 @@
             }
             _ => {}
         }
-        // A directive is answered at the next report, which comes at once.
+        // The next report confirms the directive, so it is sent early.
         self.next_report = self.next_report.min(now + Duration::from_millis(100));
     }
 
@@ -183,8 +185,8 @@
     ) {
         self.refused.insert(token);
         if let Some(process) = self.running.get_mut(&token) {
-            let takes = Duration::from_millis(random.random_range(0..400));
-            process.stops.get_or_insert((now + takes, outcome));
+            let delay = Duration::from_millis(random.random_range(0..400));
+            process.stop_at.get_or_insert((now + delay, outcome));
         } else if !self.ended.iter().any(|(_, ended)| ended.token == token) {
             let ended = worker::Ended {
                 task,
--- a/crates/schedule/tests/behaviour/cell/mod.rs
+++ b/crates/schedule/tests/behaviour/cell/mod.rs
@@ -1,7 +1,7 @@
-//! A small model of a cell: workers that really run tasks, lossy messages, and a checker.
+//! A small model of a cell: workers that run simulated tasks, a lossy network, and a checker.
 //!
-//! The checker trusts nothing that the scheduler keeps. It counts what the modelled workers run and what the outputs
-//! have allocated.
+//! The checker does not rely on the state of the scheduler. It counts what the simulated workers run and what the
+//! outputs have allocated.
 
 pub mod check;
 pub mod machine;
@@ -17,7 +17,7 @@
 
 pub const LEASE: Duration = Duration::from_secs(10);
 
-/// What a test does to the cell.
+/// An action of a test on the cell.
 #[derive(Debug, Clone)]
 pub enum Action {
     Submit {
@@ -36,11 +36,11 @@
         percent: u32,
     },
     /// Messages from and to the worker are lost for a time.
-    Cut {
+    Partition {
         nth: usize,
         seconds: u64,
     },
-    /// The worker begins a new life; what it ran goes on until the old lease runs out.
+    /// The worker starts a new incarnation. Runs of the old one continue until its lease expires.
     Restart {
         nth: usize,
     },
@@ -62,7 +62,7 @@
     Directive {
         worker: id::WorkerId,
         incarnation: id::Incarnation,
-        order: Output,
+        directive: Output,
     },
 }
 
@@ -86,12 +86,12 @@
     pub teams: BTreeMap<id::TeamId, (team::Quota, resource::Amount)>,
     pub next_job: id::JobId,
     pub next_token: id::Token,
-    /// Workers that have reported since the last change of leader.
-    pub heard: BTreeSet<id::WorkerId>,
-    pub check: check::Check,
-    /// Whether a new leader still takes the committed state.
+    /// Workers that have registered or reported since the last change of leader.
+    pub confirmed: BTreeSet<id::WorkerId>,
+    pub checker: check::Checker,
+    /// Whether a new leader is still restoring the committed state.
     pub restoring: bool,
-    /// Share of messages that are lost, late or sent twice, in percent.
+    /// Percentage of messages that are lost, and also of those delivered late and of those sent twice.
     pub loss: u32,
 }
 
@@ -124,8 +124,8 @@
             teams: BTreeMap::new(),
             next_job: 1,
             next_token: 1,
-            heard: BTreeSet::new(),
-            check: check::Check::default(),
+            confirmed: BTreeSet::new(),
+            checker: check::Checker::default(),
             restoring: false,
             loss,
         };
@@ -210,9 +210,9 @@
                 let all = self.machines.len() as u32 * 80 * percent;
                 self.set_team(*team, *team, resource::Amount::new(all, all, 40));
             }
-            Action::Cut { nth, seconds } => {
+            Action::Partition { nth, seconds } => {
                 let nth = nth % self.machines.len();
-                self.machines[nth].cut_until = self.now + Duration::from_secs(*seconds);
+                self.machines[nth].partitioned_until = self.now + Duration::from_secs(*seconds);
             }
             Action::Restart { nth } => {
                 let nth = nth % self.machines.len();
@@ -231,11 +231,11 @@
         }
     }
 
-    /// Replaces the scheduler by one restored from what was committed.
+    /// Replaces the scheduler with one that is restored from the committed state.
     pub fn failover(&mut self) {
         self.scheduler = Scheduler::new(self.config.clone(), self.now);
-        self.heard.clear();
-        self.check.forget_ending();
+        self.confirmed.clear();
+        self.checker.reset_ending();
         self.restoring = true;
         for (&team, &(quota, allotment)) in &self.teams.clone() {
             self.step(Input::Team {
@@ -267,7 +267,7 @@
         self.step(Input::Restore(Restore::Done { next_token }));
     }
 
-    /// Lets time pass.
+    /// Advances time in steps of 100 ms.
     pub fn run(&mut self, time: Duration) {
         let end = self.now + time;
         while self.now < end {
@@ -289,29 +289,29 @@
         let now = self.now;
         let machine = &mut self.machines[position];
         machine.advance(now);
-        if machine.alive && machine.lapsed {
+        if machine.alive && machine.lease_expired {
             let registration = machine.restart(now);
             self.step(Input::Register(registration));
         }
         let machine = &mut self.machines[position];
         if machine.alive && now >= machine.next_report {
             let report = machine.report(now);
-            let cut = now < machine.cut_until;
-            self.send(&Message::Report { report, sent: now }, cut);
+            let partitioned = now < machine.partitioned_until;
+            self.send(&Message::Report { report, sent: now }, partitioned);
         }
     }
 
-    fn send(&mut self, message: &Message, cut: bool) {
+    fn send(&mut self, message: &Message, partitioned: bool) {
         let copies = match self.random.random_range(0..100) {
-            _ if cut => 0,
+            _ if partitioned => 0,
             roll if roll < self.loss => 0,
             roll if roll < 2 * self.loss => 2,
             _ => 1,
         };
         for _ in 0..copies {
             let late = self.random.random_range(0..100) < self.loss;
-            let longest = if late { 9_000 } else { 50 };
-            let at = self.now + Duration::from_millis(self.random.random_range(1..=longest));
+            let max_delay_ms = if late { 9_000 } else { 50 };
+            let at = self.now + Duration::from_millis(self.random.random_range(1..=max_delay_ms));
             self.messages.insert((at, self.next_message), message.clone());
             self.next_message += 1;
         }
@@ -323,26 +323,31 @@
                 let Some(position) = self.position(report.worker) else {
                     return;
                 };
-                self.heard.insert(report.worker);
-                let cut = self.now < self.machines[position].cut_until;
+                self.confirmed.insert(report.worker);
+                let partitioned = self.now < self.machines[position].partitioned_until;
                 let (incarnation, sequence) = (report.incarnation, report.sequence);
                 self.step(Input::Report(report));
                 let machine = &mut self.machines[position];
-                if !cut && machine.registration.incarnation == incarnation {
+                if !partitioned && machine.registration.incarnation == incarnation {
                     machine.acknowledge(sent, sequence);
                 }
             }
             Message::Directive {
                 worker,
                 incarnation,
-                order,
+                directive,
             } => {
                 if let Some(position) = self.position(worker) {
-                    self.machines[position].obey(self.now, incarnation, &order, &mut self.random);
+                    self.machines[position].apply_directive(
+                        self.now,
+                        incarnation,
+                        &directive,
+                        &mut self.random,
+                    );
                 }
             }
         }
-        self.check.machines(self.now, &self.machines);
+        self.checker.check_machines(self.now, &self.machines);
     }
 
     fn position(&self, worker: id::WorkerId) -> Option<usize> {
@@ -351,29 +356,29 @@
             .position(|machine| machine.registration.worker == worker)
     }
 
-    /// Feeds one input, commits the outputs, sends the directives and checks everything.
+    /// Processes one input, commits the outputs, sends the directives, and runs all checks.
     pub fn step(&mut self, input: Input) {
         if let Input::Register(registration) = &input {
-            self.heard.insert(registration.worker);
+            self.confirmed.insert(registration.worker);
         }
         let mut out = Vec::new();
         self.scheduler.step(self.now, input, &mut out);
-        self.check.step(
+        self.checker.step(
             self.now,
             &out,
             &self.jobs,
             &self.teams,
             &self.machines,
-            &self.heard,
+            &self.confirmed,
         );
         if let Err(text) = self.scheduler.verify() {
-            self.check.fail(format!("verify: {text}"));
+            self.checker.fail(format!("verify: {text}"));
         }
         for output in &out {
             self.commit(output);
         }
         if !self.restoring && self.scheduler.next_wake() > self.now {
-            self.check.gangs(self.now, &self.jobs);
+            self.checker.check_gangs(self.now, &self.jobs);
         }
         for output in out {
             let worker = match &output {
@@ -388,14 +393,14 @@
             };
             let machine = &self.machines[position];
             let incarnation = machine.registration.incarnation;
-            let cut = self.now < machine.cut_until || !machine.alive;
+            let partitioned = self.now < machine.partitioned_until || !machine.alive;
             self.send(
                 &Message::Directive {
                     worker,
                     incarnation,
-                    order: output,
+                    directive: output,
                 },
-                cut,
+                partitioned,
             );
         }
     }
--- a/crates/schedule/tests/behaviour/history.rs
+++ b/crates/schedule/tests/behaviour/history.rs
@@ -1,6 +1,7 @@
-//! Random histories: guards against overfilled workers, tasks in two places, teams over their part, broken gangs and
-//! corrupt structures under late, lost, repeated and former-life messages, restarts and changes of leader. Every
-//! rule is also switched off once, to show that the checker notices.
+//! Random histories: guards against overcommitted workers, tasks that run twice, teams above their allotment,
+//! incomplete gangs and corrupt data structures, under late, lost and duplicate messages, messages from former
+//! incarnations, restarts and changes of leader. Single rules are also disabled, to show that the checker detects the
+//! violation.
 
 use std::time::Duration;
 
@@ -32,7 +33,7 @@
             team: random.random_range(1..=3),
             percent: random.random_range(5..=60),
         },
-        33..37 => Action::Cut {
+        33..37 => Action::Partition {
             nth,
             seconds: random.random_range(2..20),
         },
@@ -72,7 +73,7 @@
     let config = Config {
         rules,
         preemptions_per_second: RATE,
-        // Some histories spread nearly everything over many steps.
+        // Odd seeds use a small work budget, which spreads most work over many steps.
         work_per_tick: if seed.is_multiple_of(2) {
             512
         } else {
@@ -81,7 +82,7 @@
         ..Config::default()
     };
     let mut cell = Cell::new(seed, config, WORKERS, loss);
-    cell.check.rate = Some(RATE as usize);
+    cell.checker.max_preemption_rate = Some(RATE as usize);
     let allotment = resource::Amount::new(30_000, 30_000, 8);
     for team in 1..=3 {
         cell.set_team(team, team, allotment);
@@ -89,12 +90,12 @@
     cell
 }
 
-/// Runs a history; returns the first broken rule.
+/// Runs a history and returns the first violation of a rule.
 fn history(seed: u64, rules: Rules, loss: u32, actions: &[Action]) -> Option<String> {
     let mut cell = cell(seed, rules, loss);
     for action in actions {
         cell.apply(action);
-        if let Some(text) = cell.check.broken.take() {
+        if let Some(text) = cell.checker.violation.take() {
             return Some(text);
         }
     }
@@ -103,14 +104,14 @@
     let over: Vec<_> = cell
         .teams
         .iter()
-        .filter(|(team, (_, allotment))| cell.check.is_over(**team, allotment))
+        .filter(|(team, (_, allotment))| cell.checker.exceeds_allotment(**team, allotment))
         .map(|(team, _)| *team)
         .collect();
     if !over.is_empty() {
-        cell.check
-            .fail(format!("teams {over:?} stay over their allotment"));
+        cell.checker
+            .fail(format!("teams {over:?} still exceed their allotment"));
     }
-    cell.check.broken.take()
+    cell.checker.violation.take()
 }
 
 fn actions(seed: u64, count: usize) -> Vec<Action> {
@@ -135,10 +136,11 @@
     }
 }
 
-/// Tells which rule a history breaks first with a rule switched off, over a number of seeds.
-fn noticed(rules: Rules, text: &str) -> bool {
-    (0..60)
-        .any(|seed| history(seed, rules, 20, &actions(seed, 200)).is_some_and(|broken| broken.contains(text)))
+/// Returns whether, for any of 60 seeds, the first violation in a history under these rules contains the text.
+fn is_detected(rules: Rules, text: &str) -> bool {
+    (0..60).any(|seed| {
+        history(seed, rules, 20, &actions(seed, 200)).is_some_and(|violation| violation.contains(text))
+    })
 }
 
 #[yare::parameterized(
@@ -152,15 +154,15 @@
     restored = { Rules { confirm_restored: false, ..Rules::default() }, "not confirmed" },
     rate = { Rules { preemption_rate: false, ..Rules::default() }, "preemptions in a second" },
 )]
-fn the_checker_notices_a_missing_rule(rules: Rules, text: &str) {
-    assert!(noticed(rules, text), "no history shows `{text}`");
+fn the_checker_detects_a_disabled_rule(rules: Rules, text: &str) {
+    assert!(is_detected(rules, text), "no history shows `{text}`");
 }
 
-/// The same over fixed seeds, so that a failure names a seed.
+/// Runs histories with fixed seeds, so that a failure names its seed.
 #[test]
-fn seeded_histories_hold() {
+fn seeded_histories_have_no_violation() {
     for seed in 0..100 {
-        let broken = history(seed, Rules::default(), (seed % 25) as u32, &actions(seed, 200));
-        assert_eq!(broken, None, "seed {seed}");
+        let violation = history(seed, Rules::default(), (seed % 25) as u32, &actions(seed, 200));
+        assert_eq!(violation, None, "seed {seed}");
     }
 }
--- a/crates/schedule/tests/behaviour/main.rs
+++ b/crates/schedule/tests/behaviour/main.rs
@@ -1,4 +1,4 @@
-//! Behaviour of the scheduler in a modelled cell.
+//! Behaviour of the scheduler in a simulated cell.
 
 mod cell;
 mod history;
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -1,4 +1,4 @@
-//! Single situations: each test states which failure it guards against.
+//! Scenarios: each test states the failure that it guards against.
 
 use std::time::Duration;
 
@@ -30,17 +30,18 @@
     }
 }
 
-fn sound(cell: &Cell) {
-    assert_eq!(cell.check.broken, None);
+fn assert_no_violation(cell: &Cell) {
+    assert_eq!(cell.checker.violation, None);
 }
 
-/// Fills a cell with long work of team 1 and submits urgent work of team 2.
+/// Fills a cell with long work of team 1, submits urgent work of team 2, and runs for the 1.6 s within which it must
+/// start.
 fn preempted(rules: Rules, urgent_tasks: u32) -> Cell {
     let mut cell = cell(4, rules);
     for machine in &mut cell.machines {
-        machine.longest = 1_000_000;
+        machine.max_run_time_ms = 1_000_000;
     }
-    cell.check.protected.insert(1, 0.5);
+    cell.checker.protected_shares.insert(1, 0.5);
     cell.submit(1, spec(job::Kind::Batch, 16, 2_000, 1_000));
     cell.run(Duration::from_secs(10));
     cell.submit(2, urgent(urgent_tasks, 2_000));
@@ -52,28 +53,34 @@
 #[test]
 fn urgent_work_starts_within_its_bound() {
     let cell = preempted(Rules::default(), 8);
-    assert_eq!(cell.check.places(2).len(), 8);
-    sound(&cell);
+    assert_eq!(cell.checker.places(2).len(), 8);
+    assert_no_violation(&cell);
 }
 
-/// Guards against urgent work that takes a team's protected share; the second half shows that the check notices.
+/// Guards against preemption that takes a team below its protected share. The second half disables the rule, to show
+/// that the checker detects the violation.
 #[test]
 fn urgent_work_leaves_each_team_its_protected_share() {
     let cell = preempted(Rules::default(), 16);
-    assert_eq!(cell.check.places(2).len(), 8);
-    sound(&cell);
-    let broken = preempted(
+    assert_eq!(cell.checker.places(2).len(), 8);
+    assert_no_violation(&cell);
+    let unprotected = preempted(
         Rules {
             protect_share: false,
             ..Rules::default()
         },
         16,
     );
-    assert!(broken.check.broken.is_some_and(|text| text.contains("is pushed")));
+    assert!(
+        unprotected
+            .checker
+            .violation
+            .is_some_and(|text| text.contains("is reduced to"))
+    );
 }
 
-/// Guards against two gangs that hold half of the fleet each and never start, and against a reservation that small
-/// work of other jobs overruns.
+/// Guards against a deadlock of two gangs that hold half of the fleet each, and against small tasks that keep taking
+/// reserved capacity.
 #[test]
 fn two_large_gangs_start_one_after_the_other() {
     let mut cell = cell(4, Rules::default());
@@ -90,24 +97,25 @@
     for gang in gangs {
         assert_eq!(cell.done.get(&gang), Some(&job::State::Succeeded));
     }
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a gang that fits and waits for the next pass over all gangs.
+/// Guards against a gang that fits but waits for the next pass over all gangs, while a gang that was submitted earlier
+/// exceeds its team's allotment.
 #[test]
-fn a_gang_that_fits_starts_at_once() {
+fn a_gang_that_fits_starts_immediately() {
     let mut cell = cell(4, Rules::default());
     cell.set_team(2, 1, resource::Amount::new(8_000, 8_000, 0));
     let over_allotment = cell.submit(2, spec(job::Kind::Gang, 3, 4_000, 20));
     let fits = cell.submit(1, spec(job::Kind::Gang, 3, 4_000, 20));
-    let started = [over_allotment, fits].map(|job| cell.check.places(job).len());
+    let started = [over_allotment, fits].map(|job| cell.checker.places(job).len());
     assert_eq!(started, [0, 3]);
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a cancellation wave that leaves work behind, starts cancelled work or rescans the queue.
+/// Guards against mass cancellation that leaves runs behind, starts cancelled tasks or rescans the queue.
 #[test]
-fn a_wave_of_cancellations_ends_every_job_once() {
+fn mass_cancellation_ends_every_job_once() {
     let mut cell = cell(4, Rules::default());
     let mut out = Vec::new();
     for job in 1..=10_000 {
@@ -148,7 +156,7 @@
     cell.scheduler.verify().expect("the invariants hold");
 }
 
-/// Guards against impossible jobs that wait silently or block others.
+/// Guards against impossible jobs that wait without a report or block other jobs.
 #[yare::parameterized(
     size = { spec(job::Kind::Batch, 1, 9_000, 5), job::Impossible::LargerThanAnyWorker },
     gang = { spec(job::Kind::Gang, 100, 8_000, 5), job::Impossible::LargerThanFleet },
@@ -159,12 +167,12 @@
     let mut cell = cell(3, Rules::default());
     let job = cell.submit(1, spec);
     assert_eq!(cell.done.get(&job), Some(&job::State::Impossible(reason)));
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a job that becomes impossible when the fleet shrinks and is not told.
+/// Guards against a job that becomes impossible when the fleet shrinks and is not reported, or that blocks others.
 #[test]
-fn a_job_is_told_when_the_fleet_becomes_too_small() {
+fn a_job_is_reported_as_impossible_when_the_fleet_shrinks() {
     let mut cell = cell(3, Rules::default());
     cell.submit(1, spec(job::Kind::Batch, 12, 2_000, 60));
     let job = cell.submit(1, spec(job::Kind::Gang, 3, 8_000, 60));
@@ -177,12 +185,13 @@
     let other = cell.submit(1, spec(job::Kind::Batch, 1, 1_000, 5));
     cell.run(Duration::from_mins(2));
     assert_eq!(cell.done.get(&other), Some(&job::State::Succeeded));
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a worker that fails everything and keeps taking work, and against jobs that fail because of it.
+/// Guards against a worker on which every task fails but which keeps receiving tasks, and against jobs that fail because
+/// of it.
 #[test]
-fn a_worker_that_fails_everything_is_put_on_probation() {
+fn a_worker_on_which_every_task_fails_is_put_on_probation() {
     let mut cell = cell(8, Rules::default());
     cell.machines[3].faulty = true;
     for _ in 0..40 {
@@ -193,12 +202,12 @@
     cell.run(Duration::from_mins(5));
     assert!(cell.done.values().all(|state| *state == job::State::Succeeded));
     assert_eq!(cell.done.len(), 40);
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a job that fails everywhere and takes the workers out of use, or is retried for ever.
+/// Guards against a job that fails on every worker and puts workers on probation, or is retried for ever.
 #[test]
-fn a_job_that_fails_everywhere_fails_and_no_worker_is_blamed() {
+fn a_job_that_fails_everywhere_fails_without_probation_of_workers() {
     let mut cell = cell(6, Rules::default());
     let job = cell.submit(1, spec(job::Kind::Batch, 1, 1_000, 10));
     for _ in 0..200 {
@@ -218,19 +227,19 @@
     }
     assert_eq!(cell.done.get(&job), Some(&job::State::Failed));
     assert_eq!(cell.scheduler.metrics(cell.now).probation, 0);
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a service whose tasks share a rack, and against a drain that takes two of them down at once.
+/// Guards against a service whose tasks share a rack, and against a drain that stops two of them at the same time.
 #[test]
 fn a_service_is_spread_over_racks_and_drained_one_by_one() {
     let mut cell = cell(8, Rules::default());
     for machine in &mut cell.machines {
-        machine.longest = 1_000_000;
+        machine.max_run_time_ms = 1_000_000;
     }
     let job = cell.submit(1, spec(job::Kind::Service, 4, 1_000, 0));
     let racks = |cell: &Cell| {
-        let mut racks: Vec<_> = cell.check.places(job).iter().map(|worker| worker / 2).collect();
+        let mut racks: Vec<_> = cell.checker.places(job).iter().map(|worker| worker / 2).collect();
         racks.sort_unstable();
         racks
     };
@@ -240,12 +249,12 @@
         cell.step(Input::Drain { worker, on: true });
     }
     cell.run(Duration::from_secs(30));
-    assert!(cell.check.places(job).iter().all(|worker| *worker >= 4));
-    assert_eq!(cell.check.places(job).len(), 4);
-    sound(&cell);
+    assert!(cell.checker.places(job).iter().all(|worker| *worker >= 4));
+    assert_eq!(cell.checker.places(job).len(), 4);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a team that a busier one keeps from its share.
+/// Guards against a busy team that keeps another one from its weighted share.
 #[test]
 fn weighted_shares_are_reached_when_the_fleet_is_full() {
     let mut cell = cell(6, Rules::default());
@@ -266,16 +275,16 @@
             .map(|(id, _)| *id)
             .collect();
         jobs.iter()
-            .map(|job| cell.check.places(*job).len())
+            .map(|job| cell.checker.places(*job).len())
             .sum::<usize>()
     };
     let (first, second) = (held(1), held(2));
     assert_eq!(first + second, 48);
     assert!((34..=40).contains(&second), "team 2 holds {second} of 48");
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against runs above their declaration that overfill a worker.
+/// Guards against runs that exceed their declared size and overcommit a worker.
 #[test]
 fn a_run_above_its_declaration_is_throttled_or_ended() {
     let mut cell = cell(1, Rules::default());
@@ -304,9 +313,10 @@
     assert_eq!(cell.scheduler.explain(job).running, 4);
 }
 
-/// Guards against a rack's work that returns all at once; services come back first.
+/// Guards against starting all tasks of many lost workers at the same time. Service tasks are exempt from the rate limit
+/// and start first.
 #[test]
-fn lost_work_returns_at_a_pace_with_services_first() {
+fn lost_work_restarts_at_a_limited_rate_with_services_first() {
     let config = Config {
         recovery_starts_per_second: 10,
         ..Config::default()
@@ -324,7 +334,7 @@
     let service = cell.submit(1, spec(job::Kind::Service, 5, 1_000, 0));
     let batch = cell.submit(1, spec(job::Kind::Batch, 100, 1_000, 1_000));
     cell.run(Duration::from_secs(1));
-    let before = cell.check.starts[&batch];
+    let before = cell.checker.starts[&batch];
     for worker in 0..40 {
         if worker % 8 < 4 {
             tokens.extend(cell.machines[worker].running.keys().copied());
@@ -334,20 +344,20 @@
             cell.step(Input::WorkerGone { worker, at: cell.now });
         }
     }
-    assert_eq!(cell.check.places(service).len(), 5);
+    assert_eq!(cell.checker.places(service).len(), 5);
     cell.run(Duration::from_secs(2));
-    let returned = cell.check.starts[&batch] - before;
+    let returned = cell.checker.starts[&batch] - before;
     assert!(returned <= 10 * 2 + 2, "{returned} starts in two seconds");
     assert!(tokens.len() as u32 > returned + 5);
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a team over a lowered part, and against stopping services before batch work.
+/// Guards against a team that stays above a lowered allotment, and against stopping services before batch work.
 #[test]
-fn a_lowered_part_stops_the_newest_work_of_the_lowest_value() {
+fn a_lowered_allotment_stops_the_newest_work_of_the_lowest_rank() {
     let mut cell = cell(4, Rules::default());
     for machine in &mut cell.machines {
-        machine.longest = 1_000_000;
+        machine.max_run_time_ms = 1_000_000;
     }
     let service = cell.submit(1, spec(job::Kind::Service, 4, 1_000, 0));
     let old = cell.submit(1, spec(job::Kind::Batch, 4, 1_000, 900));
@@ -355,17 +365,17 @@
     cell.run(Duration::from_secs(2));
     cell.set_team(1, 1, resource::Amount::new(8_000, 8_000, 0));
     cell.run(Duration::from_secs(10));
-    let held = [service, old, new].map(|job| cell.check.places(job).len());
+    let held = [service, old, new].map(|job| cell.checker.places(job).len());
     assert_eq!(held, [4, 4, 0]);
-    sound(&cell);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a lowered part that a change of leader makes forgotten.
+/// Guards against a lowered allotment that is not enforced because the leader changed at the same time.
 #[test]
-fn a_lowered_part_is_kept_over_a_change_of_leader() {
+fn a_lowered_allotment_is_enforced_after_a_change_of_leader() {
     let mut cell = cell(4, Rules::default());
     for machine in &mut cell.machines {
-        machine.longest = 1_000_000;
+        machine.max_run_time_ms = 1_000_000;
     }
     let job = cell.submit(1, spec(job::Kind::Batch, 12, 1_000, 900));
     cell.run(Duration::from_secs(5));
@@ -374,13 +384,13 @@
     cell.teams.insert(1, (quota, allotment));
     cell.failover();
     cell.run(Duration::from_secs(20));
-    assert_eq!(cell.check.places(job).len(), 8);
-    sound(&cell);
+    assert_eq!(cell.checker.places(job).len(), 8);
+    assert_no_violation(&cell);
 }
 
-/// Guards against a report of a former life that renews the lease of the present one.
+/// Guards against a report of a former incarnation that renews the lease of the present one.
 #[test]
-fn a_report_of_a_former_life_is_ignored() {
+fn a_report_of_a_former_incarnation_is_ignored() {
     let mut cell = cell(1, Rules::default());
     let late = worker::Report {
         sequence: 1_000,
@@ -408,19 +418,20 @@
         cell.submit(1, spec(job::Kind::Batch, 2, 1_000, 10));
         cell.run(Duration::from_secs(2));
     }
-    sound(&cell);
+    assert_no_violation(&cell);
     cell.done.get(&large).copied()
 }
 
-/// Guards against a large task that starves behind a stream of small ones; the second half shows that it would.
+/// Guards against a large task that starves among a stream of small ones. The second half disables aging, to show that
+/// the task starves without it.
 #[test]
 fn a_large_task_starts_among_small_ones() {
     assert_eq!(large_among_small(Rules::default()), Some(job::State::Succeeded));
-    let broken = Rules {
+    let without_aging = Rules {
         aging: false,
         ..Rules::default()
     };
-    assert_eq!(large_among_small(broken), None);
+    assert_eq!(large_among_small(without_aging), None);
 }
 
 /// Guards against urgent work that waits because all workers are reserved for a gang.
@@ -428,7 +439,7 @@
 fn urgent_work_takes_reserved_workers() {
     let mut cell = cell(3, Rules::default());
     for machine in &mut cell.machines {
-        machine.longest = 1_000_000;
+        machine.max_run_time_ms = 1_000_000;
     }
     cell.submit(1, spec(job::Kind::Batch, 12, 2_000, 100));
     cell.run(Duration::from_secs(5));
@@ -436,6 +447,6 @@
     cell.run(Duration::from_secs(5));
     let urgent = cell.submit(2, urgent(1, 2_000));
     cell.run(Duration::from_millis(1_600));
-    assert_eq!(cell.check.places(urgent).len(), 1);
-    sound(&cell);
+    assert_eq!(cell.checker.places(urgent).len(), 1);
+    assert_no_violation(&cell);
 }
--- a/crates/schedule/tests/behaviour/steps.rs
+++ b/crates/schedule/tests/behaviour/steps.rs
@@ -1,5 +1,5 @@
-//! Long work: guards against steps that hold the control thread, and against work that is left half done when it is
-//! spread over several steps. Verdicts come from the number of starts, stops and ends in one step.
+//! Long work: guards against steps that block the control thread, and against work that stays incomplete when it is
+//! spread over several steps. The tests count the starts, stops and ends in each tick instead of measuring time.
 
 use std::time::Duration;
 
@@ -11,12 +11,12 @@
 
 const BOUND: u32 = 64;
 const WORKERS: u64 = 200;
-/// Tasks of one core that a worker has room for.
+/// Number of single-core tasks that fit on a worker.
 const ROOM: u32 = 8;
 const TASKS: u32 = 1_000;
 const TICK: Duration = Duration::from_millis(1);
-const PLENTY: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
-/// Urgent work starts within this number of ticks while long work goes on: the bound is 1.6 s.
+const UNLIMITED: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
+/// Number of ticks within which urgent work must start while long work continues; well below the bound of 1.6 s.
 const URGENT_TICKS: u32 = 20;
 
 fn registration(worker: id::WorkerId, incarnation: id::Incarnation) -> worker::Registration {
@@ -38,14 +38,14 @@
     stopped: Vec<id::Token>,
     ended: u32,
     done: Vec<id::JobId>,
-    /// Starts, stops and ends since the last tick, and the most of one tick.
+    /// Number of starts, stops and ends since the last tick; `max_work` is the maximum per tick.
     work: u32,
-    most: u32,
+    max_work: u32,
     ticks: u32,
 }
 
 impl Fixture {
-    fn bare() -> Self {
+    fn unrestored() -> Self {
         let now = Duration::from_secs(100);
         let config = Config {
             work_per_tick: BOUND,
@@ -60,19 +60,19 @@
             ended: 0,
             done: Vec::new(),
             work: 0,
-            most: 0,
+            max_work: 0,
             ticks: 0,
         }
     }
 
     fn new() -> Self {
-        let mut fixture = Self::bare();
+        let mut fixture = Self::unrestored();
         fixture.step(Input::Restore(Restore::Done { next_token: 1 }));
         for worker in 0..WORKERS {
             fixture.step(Input::Register(registration(worker, 1)));
         }
         for team in 1..=2 {
-            fixture.set_allotment(team, PLENTY);
+            fixture.set_allotment(team, UNLIMITED);
         }
         fixture
     }
@@ -80,7 +80,7 @@
     fn set_allotment(&mut self, team: id::TeamId, allotment: resource::Amount) {
         let quota = team::Quota {
             weight: 1,
-            limit: PLENTY,
+            limit: UNLIMITED,
             requests: 0,
         };
         self.step(Input::Team {
@@ -115,7 +115,7 @@
                 _ => self.work -= 1,
             }
         }
-        self.most = self.most.max(self.work);
+        self.max_work = self.max_work.max(self.work);
     }
 
     fn tick(&mut self) {
@@ -129,7 +129,7 @@
         }
     }
 
-    /// Fills workers with jobs of ten tasks.
+    /// Submits jobs of ten tasks until [`TASKS`] tasks run.
     fn fill(&mut self) {
         for job in 1..=u64::from(TASKS / 10) {
             let spec = spec(job::Kind::Batch, 10, 1_000, 1_000);
@@ -139,18 +139,18 @@
         assert_eq!(self.runs.len() as u32, TASKS);
     }
 
-    fn gang(&mut self) -> id::JobId {
+    fn submit_gang(&mut self) -> id::JobId {
         let (job, spec) = (1, spec(job::Kind::Gang, TASKS, 1_000, 1_000));
         self.step(Input::Submit { job, team: 1, spec });
         job
     }
 
-    fn measure(&mut self) {
+    fn reset_counters(&mut self) {
         self.step(Input::Tick);
-        (self.most, self.work, self.ticks) = (0, 0, 0);
+        (self.max_work, self.work, self.ticks) = (0, 0, 0);
     }
 
-    /// Submits urgent work and tells whether it starts in time.
+    /// Submits urgent work and returns whether it starts in time.
     fn urgent_starts(&mut self) -> bool {
         let job = 1_000_000;
         let spec = job::Spec {
@@ -178,49 +178,49 @@
     }
 }
 
-/// Guards against the start of a large gang that takes one long step, keeps urgent work waiting or stays incomplete.
+/// Guards against a large gang whose start takes one long step, delays urgent work or stays incomplete.
 #[test]
 fn a_large_gang_starts_over_many_steps() {
     let mut fixture = Fixture::new();
-    fixture.measure();
-    let gang = fixture.gang();
+    fixture.reset_counters();
+    let gang = fixture.submit_gang();
     assert!(fixture.runs.len() as u32 <= BOUND);
     assert!(fixture.urgent_starts());
     fixture.settle();
     let started = fixture.runs.iter().filter(|run| run.0.job == gang).count();
     assert_eq!(started as u32, TASKS);
-    assert!(fixture.most <= BOUND + 1, "{} in one step", fixture.most);
+    assert!(fixture.max_work <= BOUND + 1, "{} in one step", fixture.max_work);
 }
 
 /// Guards against the cancellation of a large gang that takes one long step or leaves runs behind, also while the
-/// gang is being started.
+/// gang is being launched.
 #[yare::parameterized(running = { true }, starting = { false })]
 fn a_large_gang_is_cancelled_over_many_steps(running: bool) {
     let mut fixture = Fixture::new();
-    let job = fixture.gang();
+    let job = fixture.submit_gang();
     if running {
         fixture.settle();
     }
-    fixture.measure();
+    fixture.reset_counters();
     let started = fixture.runs.len();
     fixture.step(Input::Cancel { job });
     fixture.settle();
     assert_eq!(fixture.stopped.len(), started);
-    assert!(fixture.most <= BOUND, "{} in one step", fixture.most);
+    assert!(fixture.max_work <= BOUND, "{} in one step", fixture.max_work);
     fixture.end_stopped();
     assert_eq!(fixture.done, [job]);
     assert_eq!(fixture.scheduler.metrics(fixture.now).used, [0, 0, 0]);
 }
 
-/// Guards against a gang that keeps its debited room, or runs in part, when its start is broken off.
+/// Guards against a gang that keeps its debited resources, or runs incompletely, when its launch is cancelled.
 #[yare::parameterized(
     lost = { |fixture: &mut Fixture| fixture.step(Input::WorkerGone { worker: 3, at: fixture.now }) },
     restarted = { |fixture: &mut Fixture| fixture.step(Input::Register(registration(3, 2))) },
     lowered = { |fixture: &mut Fixture| fixture.set_allotment(1, resource::Amount::ZERO) },
 )]
-fn a_start_that_is_broken_off_gives_its_room_back(cause: fn(&mut Fixture)) {
+fn a_cancelled_launch_credits_its_resources(cause: fn(&mut Fixture)) {
     let mut fixture = Fixture::new();
-    fixture.gang();
+    fixture.submit_gang();
     fixture.tick();
     let started = fixture.runs.len();
     assert!(started as u32 <= 2 * BOUND);
@@ -229,7 +229,7 @@
     assert_eq!(fixture.runs.len() + fixture.ended as usize, started);
     assert_eq!(fixture.stopped.len() + fixture.ended as usize, started);
     fixture.end_stopped();
-    fixture.set_allotment(1, PLENTY);
+    fixture.set_allotment(1, UNLIMITED);
     for _ in 0..300 {
         fixture.now += Duration::from_millis(100);
         for worker in 0..WORKERS {
@@ -250,74 +250,81 @@
             return;
         }
     }
-    panic!("the gang does not start again: {} tasks run", fixture.runs.len());
+    panic!(
+        "the gang does not start again: {} tasks are running",
+        fixture.runs.len()
+    );
 }
 
-/// Guards against a lowered part whose stops take one long step, and against urgent work that waits for them.
+/// Guards against a lowered allotment whose stops take one long step, and against urgent work that waits for them.
 #[test]
-fn a_lowered_part_stops_runs_over_many_steps() {
+fn a_lowered_allotment_stops_runs_over_many_steps() {
     let mut fixture = Fixture::new();
     fixture.fill();
-    fixture.measure();
+    fixture.reset_counters();
     fixture.set_allotment(1, resource::Amount::new(100_000, 100_000, 0));
     assert!(fixture.stopped.len() as u32 <= BOUND);
     assert!(fixture.urgent_starts());
     fixture.settle();
     assert_eq!(fixture.stopped.len() as u32, TASKS - 100);
-    assert!(fixture.most <= BOUND + 1, "{} in one step", fixture.most);
+    assert!(fixture.max_work <= BOUND + 1, "{} in one step", fixture.max_work);
 }
 
-/// Guards against a part that is raised again while runs are stopped for it, and goes on to stop them.
+/// Guards against stops that continue after a lowered allotment has been raised again.
 #[test]
-fn a_part_that_is_raised_again_ends_the_stops() {
+fn an_allotment_that_is_raised_again_ends_the_stops() {
     let mut fixture = Fixture::new();
     fixture.fill();
     fixture.set_allotment(1, resource::Amount::ZERO);
     let stopped = fixture.stopped.len();
-    fixture.set_allotment(1, PLENTY);
+    fixture.set_allotment(1, UNLIMITED);
     fixture.settle();
     assert_eq!(fixture.stopped.len(), stopped);
 }
 
-/// Guards against the loss of many workers that takes one long step, and against a gang whose every lost task looks
-/// at all others.
+/// Guards against the loss of many workers that takes one long step, and against a gang that scans all of its tasks for
+/// every lost one.
 #[yare::parameterized(batch = { false }, gang = { true })]
 fn many_lost_workers_are_handled_over_many_steps(gang: bool) {
     let mut fixture = Fixture::new();
     if gang {
-        fixture.gang();
+        fixture.submit_gang();
         fixture.settle();
     } else {
         fixture.fill();
     }
-    fixture.measure();
+    fixture.reset_counters();
     fixture.now += Duration::from_secs(11);
     fixture.settle();
     assert_eq!(fixture.scheduler.metrics(fixture.now).workers, 0);
     assert_eq!(fixture.ended, TASKS);
-    // A worker is lost as a whole, so a step may exceed the bound by the runs of one.
-    assert!(fixture.most <= BOUND + ROOM, "{} in one step", fixture.most);
+    // All runs of a lost worker end in the same step, so a step may exceed the bound by the runs of one worker.
+    assert!(
+        fixture.max_work <= BOUND + ROOM,
+        "{} in one step",
+        fixture.max_work
+    );
     assert!(fixture.stopped.len() as u32 <= TASKS);
 }
 
-/// Guards against a wave of cancellations of running jobs that floods one tick.
+/// Guards against mass cancellation of running jobs whose stops are all emitted in one tick.
 #[test]
-fn a_wave_of_cancellations_is_handled_over_many_steps() {
+fn mass_cancellation_is_handled_over_many_steps() {
     let mut fixture = Fixture::new();
     fixture.fill();
-    fixture.measure();
+    fixture.reset_counters();
     for job in 1..=u64::from(TASKS / 10) {
         fixture.step(Input::Cancel { job });
     }
     assert!(fixture.urgent_starts());
     fixture.settle();
     assert_eq!(fixture.stopped.len() as u32, TASKS);
-    assert!(fixture.most <= BOUND + 1, "{} in one step", fixture.most);
+    assert!(fixture.max_work <= BOUND + 1, "{} in one step", fixture.max_work);
 }
 
-/// Guards against a lowered limit that tells thousands of jobs in one step that they cannot run.
+/// Guards against a lowered limit that reports thousands of jobs as impossible in one step.
 #[test]
-fn impossible_jobs_are_told_over_many_steps() {
+fn impossible_jobs_are_reported_over_many_steps() {
     const WAITING: usize = 2_000;
     let mut fixture = Fixture::new();
     for job in 1..=WAITING as id::JobId {
@@ -331,8 +338,8 @@
         limit: resource::Amount::new(1, 1, 0),
         requests: 0,
     };
-    let (team, allotment) = (1, PLENTY);
-    let mut told = Vec::new();
+    let (team, allotment) = (1, UNLIMITED);
+    let mut reported = Vec::new();
     let mut out = Vec::new();
     fixture.scheduler.step(
         fixture.now,
@@ -344,20 +351,20 @@
         &mut out,
     );
     for _ in 0..20 {
-        told.push(out.len());
+        reported.push(out.len());
         out.clear();
         fixture.now += Duration::from_millis(10);
         fixture.scheduler.step(fixture.now, Input::Tick, &mut out);
     }
-    assert_eq!(told.iter().sum::<usize>(), waiting);
-    assert!(told.iter().all(|told| *told <= 512), "{told:?}");
+    assert_eq!(reported.iter().sum::<usize>(), waiting);
+    assert!(reported.iter().all(|reported| *reported <= 512), "{reported:?}");
 }
 
-/// Guards against a restored state with many cancelled jobs whose stops and ends take one long step.
+/// Guards against a restored state with many cancelled jobs, whose stops and ends take one long step.
 #[test]
 fn cancelled_jobs_are_restored_over_many_steps() {
-    let mut fixture = Fixture::bare();
-    fixture.set_allotment(1, PLENTY);
+    let mut fixture = Fixture::unrestored();
+    fixture.set_allotment(1, UNLIMITED);
     for worker in 0..WORKERS {
         fixture.step(Input::Restore(Restore::Worker(registration(worker, 1))));
     }
@@ -386,12 +393,12 @@
         (fixture.stopped.len() as u32, fixture.done.len() as u32),
         (TASKS / 2, TASKS / 2)
     );
-    assert!(fixture.most <= BOUND, "{} in one step", fixture.most);
+    assert!(fixture.max_work <= BOUND, "{} in one step", fixture.max_work);
 }
 
-/// Guards against urgent work without victims that makes each pass weigh the runs of all workers again.
+/// Guards against urgent jobs without victims, each of which makes the same pass evaluate the runs of all workers again.
 #[test]
-fn urgent_work_without_victims_is_weighed_once_a_pass() {
+fn urgent_work_without_victims_is_evaluated_once_per_pass() {
     let mut fixture = Fixture::new();
     for job in 1..=WORKERS {
         let spec = job::Spec {
@@ -413,6 +420,9 @@
     let before = fixture.scheduler.metrics(fixture.now).workers_evaluated;
     fixture.now += Duration::from_millis(50);
     fixture.step(Input::Tick);
-    let looks = fixture.scheduler.metrics(fixture.now).workers_evaluated - before;
-    assert!((1..=WORKERS).contains(&looks), "{looks} workers weighed");
+    let evaluated = fixture.scheduler.metrics(fixture.now).workers_evaluated - before;
+    assert!(
+        (1..=WORKERS).contains(&evaluated),
+        "{evaluated} workers evaluated"
+    );
 }
--- a/crates/schedule/tests/behaviour/throttle.rs
+++ b/crates/schedule/tests/behaviour/throttle.rs
@@ -1,5 +1,5 @@
-//! Throttles: guards against a throttle that is never lifted, one that is lost, and stops of runs where a throttle
-//! makes the room that urgent work needs.
+//! Throttles: guards against a throttle that is never lifted, against one that is lost, and against stopping runs if a
+//! throttle frees the capacity that urgent work needs.
 
 use bronzespoke_model::{id, job, resource, task, worker};
 use bronzespoke_schedule::message::{Reason, Restore};
@@ -8,9 +8,9 @@
 use crate::cell::spec;
 
 const NOW: std::time::Duration = std::time::Duration::from_secs(100);
-const PLENTY: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
+const UNLIMITED: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
 
-/// A worker of 8 cores whose reports the tests write.
+/// A scheduler with one worker of 8 cores, whose reports the tests create.
 struct Fixture {
     scheduler: Scheduler,
     sequence: u64,
@@ -34,10 +34,10 @@
                 team,
                 quota: bronzespoke_model::team::Quota {
                     weight: 1,
-                    limit: PLENTY,
+                    limit: UNLIMITED,
                     requests: 0,
                 },
-                allotment: PLENTY,
+                allotment: UNLIMITED,
             });
         }
         fixture.step(Input::Register(worker::Registration {
@@ -71,7 +71,7 @@
         self.step(Input::Submit { job, team, spec });
     }
 
-    /// Reports that every run uses this many processors.
+    /// Reports that every run uses this many milli cores.
     fn report(&mut self, cpu: u32) {
         self.sequence += 1;
         let running = self.runs.iter().map(|(task, token)| worker::Running {
@@ -112,8 +112,8 @@
     }
 }
 
-/// Guards against a throttle that stays after its cause has gone, ends while the run presses against it, or is never
-/// told again when the worker did not hear it. Each report is a use in milli cores and the directives that follow.
+/// Guards against a throttle that is kept after its cause has gone, is lifted while the run uses all it may, or is not
+/// sent again after the worker missed it. Each report is a usage in milli cores and the throttles that must follow.
 #[yare::parameterized(
     lifted = { &[(3_000, &[999]), (1_500, &[]), (1_500, &[]), (1_500, &[1_000]), (1_500, &[])] },
     pressed = { &[(3_000, &[999]), (1_990, &[]), (1_990, &[]), (1_990, &[]), (1_990, &[])] },
@@ -124,13 +124,13 @@
 fn a_throttle_follows_its_cause(reports: &[(u32, &[u32])]) {
     let mut fixture = Fixture::new();
     fixture.submit(1, spec(job::Kind::Batch, 1, 2_000, 60));
-    for (number, (cpu, told)) in reports.iter().enumerate() {
+    for (number, (cpu, expected)) in reports.iter().enumerate() {
         fixture.report(*cpu);
-        assert_eq!(fixture.throttles(), *told, "report {number}");
+        assert_eq!(fixture.throttles(), *expected, "report {number}");
     }
 }
 
-/// A worker full of runs that were granted less than they declared and use more than that.
+/// Returns a worker full of runs that were granted less than they declared and use more than their grant.
 fn above_their_grant() -> Fixture {
     let mut fixture = Fixture::new();
     let declared = spec(job::Kind::Batch, 1, 4_000, 60);
@@ -150,7 +150,7 @@
 }
 
 /// Guards against urgent work that stops runs although a throttle makes room, and against a throttle for urgent work
-/// that lasts.
+/// that is not lifted.
 #[test]
 fn a_throttle_makes_room_for_urgent_work() {
     let mut fixture = above_their_grant();
