schedule: clearer local names, and the reservation setting says what it bounds

The setting for reservations was documented as the longest time that capacity is reserved, but the code counts it from the time at which the capacity is expected to be free; it is now reservation_timeout with that meaning written out.

--- a/crates/schedule/src/config.rs
+++ b/crates/schedule/src/config.rs
@@ -24,8 +24,10 @@
     pub usage_decay: Duration,
     /// Number of failed runs of one task after which its job fails.
     pub max_attempts: u32,
-    /// Maximum time for which capacity is reserved for one gang.
-    pub max_reservation: Duration,
+    /// Time after which the reservation of a gang expires, counted from when the capacity is expected to be free.
+    /// Capacity that is expected to be free later than twice this time is not reserved. Also the cooldown after an
+    /// expired reservation.
+    pub reservation_timeout: Duration,
     /// Whether batch tasks are granted an estimate from the usage of earlier runs instead of the declared size.
     pub use_estimates: bool,
     /// Rules that tests can disable.
@@ -45,7 +47,7 @@
             work_per_tick: 512,
             usage_decay: Duration::from_mins(10),
             max_attempts: 4,
-            max_reservation: Duration::from_mins(5),
+            reservation_timeout: Duration::from_mins(5),
             use_estimates: true,
             rules: Rules::default(),
         }
--- a/crates/schedule/src/pass/backlog.rs
+++ b/crates/schedule/src/pass/backlog.rs
@@ -66,8 +66,8 @@
         while self.work_budget > 0
             && let Some(&(index, id)) = self.backlog.stopping.front()
         {
-            let alive = self.jobs.get(index).is_some_and(|job| job.id == id);
-            if !alive || !self.stop_next(now, index, out) {
+            let same_job = self.jobs.get(index).is_some_and(|job| job.id == id);
+            if !same_job || !self.stop_next(now, index, out) {
                 self.backlog.stopping.pop_front();
             }
         }
@@ -131,12 +131,12 @@
         while self.work_budget > 0
             && let Some(&index) = self.backlog.launching.front()
         {
-            let Some(share) = self.jobs[index].launch.last_mut() else {
+            let Some(entry) = self.jobs[index].launch.last_mut() else {
                 self.backlog.launching.pop_front();
                 continue;
             };
-            share.1 -= 1;
-            let (worker, remaining) = *share;
+            entry.1 -= 1;
+            let (worker, remaining) = *entry;
             if remaining == 0 {
                 self.jobs[index].launch.pop();
             }
--- a/crates/schedule/src/pass/estimate.rs
+++ b/crates/schedule/src/pass/estimate.rs
@@ -101,8 +101,9 @@
         let worker = &self.workers[record.worker];
         let above = usage > granted.max(declared);
         let ungranted = declared.saturating_sub(granted);
-        let room = ungranted > 0 && worker.hold.is_none() && worker.free().cpu_milli >= ungranted;
-        let may_lift = !above && (u64::from(usage) * 1000 <= u64::from(granted) * LIFT_BELOW_MILLI || room);
+        let has_room = ungranted > 0 && worker.hold.is_none() && worker.free().cpu_milli >= ungranted;
+        let may_lift =
+            !above && (u64::from(usage) * 1000 <= u64::from(granted) * LIFT_BELOW_MILLI || has_room);
         let record = &mut self.runs[run];
         record.lift_reports = if throttled && may_lift {
             record.lift_reports + 1
--- a/crates/schedule/src/pass/gang.rs
+++ b/crates/schedule/src/pass/gang.rs
@@ -61,16 +61,16 @@
         self.gangs_next = now + PASS_INTERVAL;
         self.timers.push(now + PASS_INTERVAL, timer::Event::Gangs(false));
         let order = self.gang_order();
-        let mut counted = 0;
+        let mut tried = 0;
         for &index in &order {
-            if counted == GANGS_PER_PASS {
+            if tried == GANGS_PER_PASS {
                 self.gangs_dirty = true;
                 break;
             }
             if !self.may_fit(index) {
                 continue;
             }
-            counted += 1;
+            tried += 1;
             if let Some(assignment) = self.find_assignment(index) {
                 self.launch(now, index, assignment, out);
             }
@@ -192,10 +192,10 @@
                 break;
             }
         }
-        if remaining > 0 || ready > now + self.config.max_reservation * 2 {
+        if remaining > 0 || ready > now + self.config.reservation_timeout * 2 {
             return;
         }
-        let until = ready + self.config.max_reservation;
+        let until = ready + self.config.reservation_timeout;
         self.reservations.push(index);
         for (worker, slots) in chosen {
             let hold = worker::Hold {
@@ -242,7 +242,8 @@
         }
     }
 
-    /// Ends backfilled work that still runs when its worker's reservation is due.
+    /// Checkpoints and ends backfilled work that still runs when the hold on its worker is due. Work without checkpoint
+    /// support is left to run to its end.
     fn reclaim_reserved(&mut self, now: Duration, out: &mut Vec<Output>) {
         for position in 0..self.held.len() {
             let worker = self.held[position];
--- a/crates/schedule/src/pass/hold.rs
+++ b/crates/schedule/src/pass/hold.rs
@@ -89,7 +89,7 @@
         if job.kind == job::Kind::Gang {
             let sequence = job.sequence;
             if let Some(gang) = self.gangs.get_mut(&sequence) {
-                gang.cooldown_until = now + self.config.max_reservation;
+                gang.cooldown_until = now + self.config.reservation_timeout;
             }
             self.release_holds(hold.job);
         } else {
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -97,8 +97,8 @@
     fn make_room(&mut self, now: Duration, index: table::Job, search: &mut Search, out: &mut Vec<Output>) {
         let job = &self.jobs[index];
         let gang = job.kind == job::Kind::Gang;
-        let blocked = job.lane.is_some_and(|lane| !self.entry(lane).runnable);
-        if !blocked && !gang {
+        let no_room = job.lane.is_some_and(|lane| !self.entry(lane).runnable);
+        if !no_room && !gang {
             return;
         }
         let request = (job.team, job.size, job.accelerator);
--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -10,7 +10,7 @@
 use crate::table;
 
 /// Number of consecutive reports without a confirmed run after which the run counts as ended.
-const MISSING_REPORTS: u8 = 2;
+const MAX_MISSED_REPORTS: u8 = 2;
 
 impl Scheduler {
     /// Handles a report: renews the lease, ends runs and updates usage.
@@ -93,7 +93,7 @@
                 continue;
             }
             record.missed_reports += 1;
-            if record.missed_reports >= MISSING_REPORTS {
+            if record.missed_reports >= MAX_MISSED_REPORTS {
                 self.end_run(now, run, task::Outcome::LeaseExpired, out);
                 position -= 1;
             }
--- a/crates/schedule/src/pass/submit.rs
+++ b/crates/schedule/src/pass/submit.rs
@@ -107,18 +107,18 @@
             return Some(model::Impossible::OverTeamLimit);
         }
         let mut kind_known = job.accelerator == 0;
-        let mut room = 0_u64;
+        let mut total_slots = 0_u64;
         for (&(kind, amount), &count) in &self.capacities {
             if job.accelerator != 0 && kind != job.accelerator {
                 continue;
             }
             kind_known = true;
-            room += u64::from(slots(&amount, &job.size)) * u64::from(count);
-            if room >= u64::from(concurrent) {
+            total_slots += u64::from(slots(&amount, &job.size)) * u64::from(count);
+            if total_slots >= u64::from(concurrent) {
                 return None;
             }
         }
-        Some(match (kind_known, room) {
+        Some(match (kind_known, total_slots) {
             (false, _) => model::Impossible::NoSuchAccelerator,
             (true, 0) => model::Impossible::LargerThanAnyWorker,
             (true, _) => model::Impossible::LargerThanFleet,
--- a/crates/schedule/src/pass/verify.rs
+++ b/crates/schedule/src/pass/verify.rs
@@ -222,7 +222,7 @@
     fn verify_backlog(&self) -> Result<(), String> {
         let mut launching = resource::Amount::ZERO;
         for (index, job) in self.jobs.iter() {
-            let tasks: u32 = job.launch.iter().map(|share| share.1).sum();
+            let tasks: u32 = job.launch.iter().map(|entry| entry.1).sum();
             let sum =
                 multiply(&job.size, tasks).ok_or_else(|| format!("job {}: launch overflows", job.id))?;
             launching = launching.saturating_add(&sum);
--- a/crates/schedule/src/table.rs
+++ b/crates/schedule/src/table.rs
@@ -74,7 +74,7 @@
 
     /// Removes and returns an entity.
     pub(crate) fn remove(&mut self, index: I) -> T {
-        let entity = self.slots[index.slot()].take().expect("the index is live");
+        let entity = self.slots[index.slot()].take().expect("the slot is in use");
         self.free.push(index.slot() as u32);
         entity
     }
@@ -112,12 +112,12 @@
     type Output = T;
 
     fn index(&self, index: I) -> &T {
-        self.slots[index.slot()].as_ref().expect("the index is live")
+        self.slots[index.slot()].as_ref().expect("the slot is in use")
     }
 }
 
 impl<I: Index, T> ops::IndexMut<I> for Table<I, T> {
     fn index_mut(&mut self, index: I) -> &mut T {
-        self.slots[index.slot()].as_mut().expect("the index is live")
+        self.slots[index.slot()].as_mut().expect("the slot is in use")
     }
 }
--- a/crates/schedule/tests/behaviour/steps.rs
+++ b/crates/schedule/tests/behaviour/steps.rs
@@ -12,7 +12,7 @@
 const BOUND: u32 = 64;
 const WORKERS: u64 = 200;
 /// Number of single-core tasks that fit on a worker.
-const ROOM: u32 = 8;
+const TASKS_PER_WORKER: u32 = 8;
 const TASKS: u32 = 1_000;
 const TICK: Duration = Duration::from_millis(1);
 const UNLIMITED: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
@@ -25,7 +25,7 @@
         incarnation,
         rack: (worker / 8) as id::RackId,
         capacity: resource::Capacity {
-            amount: resource::Amount::new(ROOM * 1_000, ROOM * 1_000, 0),
+            amount: resource::Amount::new(TASKS_PER_WORKER * 1_000, TASKS_PER_WORKER * 1_000, 0),
             accelerator: 0,
         },
     }
@@ -300,7 +300,7 @@
     assert_eq!(fixture.ended, TASKS);
     // All runs of a lost worker end in the same step, so a step may exceed the bound by the runs of one worker.
     assert!(
-        fixture.max_work <= BOUND + ROOM,
+        fixture.max_work <= BOUND + TASKS_PER_WORKER,
         "{} in one step",
         fixture.max_work
     );
@@ -328,7 +328,7 @@
     const WAITING: usize = 2_000;
     let mut fixture = Fixture::new();
     for job in 1..=WAITING as id::JobId {
-        let spec = spec(job::Kind::Batch, 1, ROOM * 1_000, 1_000);
+        let spec = spec(job::Kind::Batch, 1, TASKS_PER_WORKER * 1_000, 1_000);
         fixture.step(Input::Submit { job, team: 1, spec });
     }
     fixture.settle();
@@ -403,7 +403,7 @@
     for job in 1..=WORKERS {
         let spec = job::Spec {
             priority: job::Priority::Urgent,
-            ..spec(job::Kind::Batch, ROOM, 1_000, 1_000)
+            ..spec(job::Kind::Batch, TASKS_PER_WORKER, 1_000, 1_000)
         };
         fixture.step(Input::Submit { job, team: 1, spec });
     }
