schedule: WorkerLost also follows a report that the worker is gone

Its comment named only the expired lease, but Input::WorkerGone leads to the same output. Tests of the package: 57 passed; clippy and rustdoc of the package pass with warnings denied.

--- a/crates/schedule/src/message.rs
+++ b/crates/schedule/src/message.rs
@@ -13,7 +13,7 @@
     Report(worker::Report),
     /// No task runs on the worker after `at`.
     WorkerGone {
-        /// Worker that has gone.
+        /// Worker that is gone, or will be at `at`.
         worker: id::WorkerId,
         /// Instant on the monotonic clock of the scheduler; it may lie in the future.
         at: Duration,
@@ -221,7 +221,8 @@
         /// Its final state.
         outcome: job::State,
     },
-    /// The worker's lease has expired and none of its runs can still be alive; it must register again.
+    /// The worker's lease has expired or it was reported as gone. None of its runs can still be alive, and it must
+    /// register again.
     WorkerLost {
         /// Worker that was lost.
         worker: id::WorkerId,
