--- a/crates/schedule/src/pass/queue.rs
+++ b/crates/schedule/src/pass/queue.rs
@@ -1,7 +1,7 @@
-//! Moves jobs and lanes between the queues.
+//! Queueing of jobs in lanes, and of lanes in classes and teams.
 //!
-//! Invariants: a job with tasks that may start stands in exactly one lane, or among the gangs; a team stands in the
-//! order of a tier exactly while it has lanes in it, under its present key.
+//! Invariants: a job with tasks that may start is in exactly one lane or in the list of gangs; a team is in the order
+//! of a tier, under its present key, if and only if it has lanes in the tier.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -13,7 +13,7 @@
 use crate::{lane, range, table};
 
 impl Scheduler {
-    /// Puts a job that has tasks to start into its queue.
+    /// Queues a job if it has waiting tasks and is not queued.
     pub(crate) fn enqueue(&mut self, index: table::Job) {
         let record = &self.jobs[index];
         let queued = record.lane.is_some() || !record.launch.is_empty();
@@ -43,12 +43,12 @@
         }
         self.gangs.entry(record.sequence).or_insert(Gang {
             job: index,
-            cool_until: Duration::ZERO,
+            cooldown_until: Duration::ZERO,
         });
         self.gangs_dirty = true;
     }
 
-    /// Takes a job out of its queue.
+    /// Removes a job from its queue.
     pub(crate) fn dequeue(&mut self, index: table::Job) {
         let record = &mut self.jobs[index];
         let sequence = record.sequence;
@@ -66,21 +66,21 @@
         }
     }
 
-    /// Makes a task of a job wait.
+    /// Adds a waiting task to a job and queues the job.
     pub(crate) fn add_waiting(&mut self, index: table::Job, task: id::TaskIndex) {
-        self.add_waiting_quietly(index, task);
+        self.add_waiting_unqueued(index, task);
         self.enqueue(index);
     }
 
-    /// Makes a task of a job wait without queueing the job.
-    pub(crate) fn add_waiting_quietly(&mut self, index: table::Job, task: id::TaskIndex) {
+    /// Adds a waiting task to a job without queueing the job.
+    pub(crate) fn add_waiting_unqueued(&mut self, index: table::Job, task: id::TaskIndex) {
         let record = &mut self.jobs[index];
         record.waiting.insert(task);
         let team = record.team;
         self.change_waiting(team, 1);
     }
 
-    /// Takes the next waiting task of a job.
+    /// Removes and returns the next waiting task of a job.
     pub(crate) fn take_waiting(&mut self, index: table::Job) -> id::TaskIndex {
         let record = &mut self.jobs[index];
         let task = record.waiting.pop().expect("a queued job has waiting tasks");
@@ -92,7 +92,7 @@
         task
     }
 
-    /// Forgets the waiting tasks of a job that will start no more.
+    /// Removes all waiting tasks of a job that will not start any more.
     pub(crate) fn drop_waiting(&mut self, index: table::Job) {
         self.dequeue(index);
         let record = &mut self.jobs[index];
@@ -104,23 +104,23 @@
 
     fn change_waiting(&mut self, team: table::Team, change: i64) {
         let record = &mut self.teams[team];
-        let was = record.is_active();
+        let was_active = record.is_active();
         record.waiting = (i64::from(record.waiting) + change) as u32;
-        self.track_active(team, was);
+        self.track_active(team, was_active);
     }
 
-    /// Keeps the sum of the weights of active teams.
-    pub(crate) fn track_active(&mut self, team: table::Team, was: bool) {
+    /// Updates the sum of the weights of active teams after a change of a team.
+    pub(crate) fn track_active(&mut self, team: table::Team, was_active: bool) {
         let record = &self.teams[team];
         let weight = u64::from(record.weight);
-        match (was, record.is_active()) {
+        match (was_active, record.is_active()) {
             (false, true) => self.active_weight += weight,
             (true, false) => self.active_weight -= weight,
             _ => {}
         }
     }
 
-    /// Puts a job into the lane of its needs; a new lane is fresh.
+    /// Adds a job to the lane of its requirements, which is created if necessary.
     fn lane(&mut self, index: table::Job, tier: Tier) -> table::Lane {
         let job = &self.jobs[index];
         let (team, sequence, size, accelerator) = (job.team, job.sequence, job.size, job.accelerator);
@@ -145,17 +145,17 @@
         list.push(Entry {
             size,
             accelerator,
-            fresh: false,
+            runnable: false,
             lane,
             first: sequence,
         });
         let single = list.len() == 1;
         let key = (record.key, team);
-        let order = &mut self.order[tier as usize];
+        let order = &mut self.team_order[tier as usize];
         if single {
             order.insert(key, size);
         } else if let Some(least) = order.get_mut(&key) {
-            *least = smaller(least, &size);
+            *least = min_amount(least, &size);
         }
         self.list_lane(lane);
         lane
@@ -176,7 +176,7 @@
         class
     }
 
-    /// Lists a lane in its class. It is fresh unless the class is known to have no room.
+    /// Lists a lane in its class. The lane is runnable unless the class is known to have no room.
     fn list_lane(&mut self, lane: table::Lane) {
         let (index, team, tier) = (
             self.lanes[lane].class,
@@ -191,12 +191,12 @@
             class.slot = Some(self.demand.insert(index, class.accelerator, &class.size));
         }
         if !class.full {
-            self.entry_mut(lane).fresh = true;
-            self.fresh.push(lane);
+            self.entry_mut(lane).runnable = true;
+            self.runnable.push(lane);
         }
     }
 
-    /// Takes a lane out of the list of its class, when it ends or its team is at its limit.
+    /// Removes a lane from the list of its class, because it is removed or blocked.
     pub(crate) fn unlist_lane(&mut self, lane: table::Lane) {
         let Some(position) = self.lanes[lane].listed.take() else {
             return;
@@ -216,11 +216,11 @@
         }
     }
 
-    /// Holds a lane until its team is further below its part.
-    pub(crate) fn hold_lane(&mut self, lane: table::Lane) {
+    /// Blocks a lane until its team has room for it within its allotment.
+    pub(crate) fn block_lane(&mut self, lane: table::Lane) {
         let team = self.lanes[lane].team;
         self.teams[team].limited = true;
-        self.entry_mut(lane).fresh = false;
+        self.entry_mut(lane).runnable = false;
         self.unlist_lane(lane);
     }
 
@@ -243,12 +243,12 @@
             .remove(&(record.team, record.tier, entry.size, entry.accelerator));
         let key = (team.key, record.team);
         if team.lanes[tier].is_empty() {
-            self.order[tier].remove(&key);
-        } else if let Some(least) = self.order[tier].get_mut(&key) {
+            self.team_order[tier].remove(&key);
+        } else if let Some(least) = self.team_order[tier].get_mut(&key) {
             let sizes = team.lanes[tier].iter().map(|entry| entry.size);
-            if touches(least, &entry.size) {
+            if attains_bound(least, &entry.size) {
                 *least = sizes
-                    .reduce(|left, right| smaller(&left, &right))
+                    .reduce(|left, right| min_amount(&left, &right))
                     .unwrap_or_default();
             }
         }
@@ -260,14 +260,14 @@
         &self.teams[record.team].lanes[record.tier as usize][record.position]
     }
 
-    /// Returns a lane's entry for change.
+    /// Returns a mutable reference to a lane's entry in the list of its team.
     pub(crate) fn entry_mut(&mut self, lane: table::Lane) -> &mut Entry {
         let record = &self.lanes[lane];
         &mut self.teams[record.team].lanes[record.tier as usize][record.position]
     }
 
-    /// Lists those held lanes of a team that fit below its part again.
-    pub(crate) fn release_lanes(&mut self, team: table::Team) {
+    /// Unblocks the lanes of a team that fit into its allotment again.
+    pub(crate) fn unblock_lanes(&mut self, team: table::Team) {
         self.teams[team].limited = false;
         for tier in 0..lane::TIERS {
             for position in 0..self.teams[team].lanes[tier].len() {
@@ -284,14 +284,14 @@
         }
     }
 
-    /// Moves a team in the orders of its turns after its key has changed.
-    pub(crate) fn reorder(&mut self, team: table::Team, old: u64) {
+    /// Updates the position of a team in the order of each tier after a change of its key.
+    pub(crate) fn update_team_order(&mut self, team: table::Team, old: u64) {
         let record = &self.teams[team];
-        self.keys[table::Index::slot(team)] = record.key;
+        self.team_keys[table::Index::slot(team)] = record.key;
         if record.key == old {
             return;
         }
-        for (order, lanes) in self.order.iter_mut().zip(&record.lanes) {
+        for (order, lanes) in self.team_order.iter_mut().zip(&record.lanes) {
             if lanes.is_empty() {
                 continue;
             }
@@ -302,8 +302,8 @@
     }
 }
 
-/// Returns the smaller amount of each dimension.
-pub(crate) fn smaller(left: &resource::Amount, right: &resource::Amount) -> resource::Amount {
+/// Returns the minimum of two amounts in each dimension.
+pub(crate) fn min_amount(left: &resource::Amount, right: &resource::Amount) -> resource::Amount {
     resource::Amount {
         cpu_milli: left.cpu_milli.min(right.cpu_milli),
         memory_mib: left.memory_mib.min(right.memory_mib),
@@ -311,8 +311,8 @@
     }
 }
 
-/// Tells whether a size sets the lower bound in some dimension.
-fn touches(least: &resource::Amount, size: &resource::Amount) -> bool {
+/// Returns whether a size equals the lower bound in at least one dimension.
+fn attains_bound(least: &resource::Amount, size: &resource::Amount) -> bool {
     least.cpu_milli == size.cpu_milli
         || least.memory_mib == size.memory_mib
         || (least.accelerators == size.accelerators && size.accelerators > 0)
