control: usual terms for the zone group

Comments spoke of last states, lives of workers, parts and claims that are over, and documented commands in the imperative. They now use terminal states, incarnations, allotments and completed claims, and state units, limits and which position an index counts. Private functions: `enter_terminal_state`, `record_attempts`, `mark_gone`, `set_granted`, `evict_answers`.

--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -13,19 +13,19 @@
 };
 use crate::request_id;
 
-/// Time for which jobs in their last state are kept, in milliseconds.
+/// Time for which jobs in a terminal state are retained, in milliseconds.
 pub const JOB_RETENTION_MS: u64 = 24 * 60 * 60 * 1000;
-/// Most bytes of jobs that have not ended; a submission beyond them is refused.
+/// Maximum size of the jobs that have not ended, in bytes; a submission beyond it is refused.
 pub const MAX_OPEN_BYTES: usize = 8 * 1024 * 1024;
-/// Most bytes of jobs in their last state; the oldest are dropped first.
+/// Maximum size of the jobs in a terminal state, in bytes; the oldest are dropped first.
 pub const MAX_ENDED_BYTES: usize = 8 * 1024 * 1024;
-/// Tasks whose failed runs are counted; those of further tasks are forgotten at a change of leader.
+/// Maximum number of tasks whose failed runs are recorded; for further tasks the count is lost at a change of leader.
 pub const MAX_ATTEMPTS: usize = 16_384;
-/// Jobs that one command drops at most after their retention, which bounds the time of one application.
+/// Maximum number of ended jobs that one command drops, which bounds the time to apply it.
 const MAX_DROPPED_AT_ONCE: usize = 256;
 
 impl State {
-    /// Applies the commands of one log entry; an index that was applied earlier is ignored.
+    /// Applies the commands of the log entry at `index`. An entry that was applied earlier is ignored.
     pub fn apply_all(&mut self, index: u64, envelopes: &[Envelope]) -> Vec<Outcome> {
         if index <= self.applied {
             return vec![Outcome::Ignored; envelopes.len()];
@@ -33,17 +33,17 @@
         self.applied = index;
         envelopes
             .iter()
-            .map(|envelope| self.apply_one(envelope))
+            .map(|envelope| self.apply_envelope(envelope))
             .collect()
     }
 
-    /// Applies a log entry with one command; an index that was applied earlier is ignored.
+    /// Applies a log entry with a single command. An entry that was applied earlier is ignored.
     pub fn apply(&mut self, index: u64, envelope: &Envelope) -> Outcome {
         let outcome = self.apply_all(index, std::slice::from_ref(envelope)).pop();
         outcome.expect("each command has an outcome")
     }
 
-    fn apply_one(&mut self, envelope: &Envelope) -> Outcome {
+    fn apply_envelope(&mut self, envelope: &Envelope) -> Outcome {
         self.now_ms = self.now_ms.max(envelope.at_ms);
         self.claims.expire(self.now_ms);
         self.drop_ended();
@@ -55,7 +55,7 @@
         }
         let outcome = self.execute(&envelope.command).unwrap_or_else(Outcome::Refused);
         if let Some(id) = envelope.id
-            && is_remembered(&outcome)
+            && is_retained(&outcome)
         {
             self.commands.insert(id, &outcome);
         }
@@ -68,7 +68,7 @@
             Command::End(ends) => return Ok(self.end_all(ends)),
             Command::Register(registration) => workers::register(&mut self.workers, registration)?,
             Command::WorkerGone { worker, incarnation } => {
-                workers::gone(&mut self.workers, *worker, *incarnation)?;
+                workers::mark_gone(&mut self.workers, *worker, *incarnation)?;
             }
             Command::Submit {
                 team,
@@ -87,12 +87,12 @@
             Command::HolderGone { holder, before } => self.claims.holder_gone(*holder, *before),
             Command::Granted(totals) => totals
                 .iter()
-                .for_each(|(team, granted)| self.holdings.granted(*team, granted)),
+                .for_each(|(team, granted)| self.holdings.set_granted(*team, granted)),
             Command::Release(totals) => totals
                 .iter()
                 .for_each(|(team, total)| self.holdings.release(*team, total, self.rules.keep_used)),
             Command::Expire => {}
-            Command::Attempts { task, attempts } => self.count_attempts(*task, *attempts)?,
+            Command::Attempts { task, attempts } => self.record_attempts(*task, *attempts)?,
         }
         Ok(Outcome::Done)
     }
@@ -199,7 +199,7 @@
         Outcome::Ended { stale, succeeded }
     }
 
-    /// Ends a run. Returns whether its job thereby succeeded; `None` when the run is not present.
+    /// Ends a run. Returns whether its job succeeded as a result; `None` when there is no run with the token.
     fn end(&mut self, end: &End) -> Option<bool> {
         let sequence = self.sequence(end.task.job)?;
         let key = (sequence, end.task.index);
@@ -220,12 +220,12 @@
         };
         *bytes = *bytes + job.bytes() - before;
         if succeeded {
-            self.enter_last_state(sequence, job::State::Succeeded);
+            self.enter_terminal_state(sequence, job::State::Succeeded);
         }
         Some(succeeded)
     }
 
-    fn count_attempts(&mut self, task: task::Ref, attempts: u32) -> Result<(), Refusal> {
+    fn record_attempts(&mut self, task: task::Ref, attempts: u32) -> Result<(), Refusal> {
         let sequence = self.sequence(task.job).ok_or(Refusal::NoSuchJob)?;
         let job = self.jobs.get(&sequence).ok_or(Refusal::NoSuchJob)?;
         if job.state.is_terminal() {
@@ -255,19 +255,19 @@
         if record.state.is_terminal() {
             return Err(Refusal::JobEnded);
         }
-        self.enter_last_state(sequence, state);
+        self.enter_terminal_state(sequence, state);
         Ok(())
     }
 
-    fn enter_last_state(&mut self, sequence: u64, state: job::State) {
+    fn enter_terminal_state(&mut self, sequence: u64, state: job::State) {
         let Some(job) = self.jobs.get_mut(&sequence).map(Arc::make_mut) else {
             return;
         };
-        let counted = self
+        let recorded = self
             .attempts
             .range((sequence, 0)..=(sequence, id::TaskIndex::MAX))
             .map(|(key, _)| *key);
-        for key in counted.collect::<Vec<_>>() {
+        for key in recorded.collect::<Vec<_>>() {
             self.attempts.remove(&key);
         }
         self.open_bytes -= job.bytes();
@@ -276,16 +276,16 @@
         self.ended.push_back(sequence);
     }
 
-    /// Drops jobs whose retention is over, or the oldest while ended jobs take too many bytes.
+    /// Drops jobs whose retention has expired, and the oldest ones while ended jobs exceed [`MAX_ENDED_BYTES`].
     ///
-    /// A job with runs is kept: its runs still count for its team.
+    /// A job with runs is retained, since its runs still count against the allotment of its team.
     fn drop_ended(&mut self) {
         for _ in 0..MAX_DROPPED_AT_ONCE {
             let Some(job) = self.ended.front().and_then(|sequence| self.jobs.get(sequence)) else {
                 break;
             };
-            let due = self.now_ms >= job.ended_ms.saturating_add(JOB_RETENTION_MS);
-            if job.running > 0 || !(due || self.ended_bytes > MAX_ENDED_BYTES) {
+            let expired = self.now_ms >= job.ended_ms.saturating_add(JOB_RETENTION_MS);
+            if job.running > 0 || !(expired || self.ended_bytes > MAX_ENDED_BYTES) {
                 break;
             }
             self.ended_bytes -= job.bytes();
@@ -299,11 +299,11 @@
     }
 }
 
-/// Tells whether an outcome is kept for resent commands.
+/// Returns whether an outcome is retained for resent commands.
 ///
-/// Starts and ends are fenced by their tokens and claims by their ids, so that applying them again is harmless; their
-/// outcomes may be large.
-const fn is_remembered(outcome: &Outcome) -> bool {
+/// The outcomes of starts, ends and answered claims may be large. Applying these commands again is harmless, since
+/// tokens fence starts and ends, and request ids fence claims.
+const fn is_retained(outcome: &Outcome) -> bool {
     !matches!(
         outcome,
         Outcome::Started(_) | Outcome::Ended { .. } | Outcome::Claim(claims::Claimed::Answered(_))
--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -1,4 +1,4 @@
-//! Request ids that must not run twice.
+//! Request ids: guarantees that a request with an id is sent at most once, and stores its answer for retries.
 
 use std::sync::Arc;
 
@@ -12,53 +12,55 @@
     shared,
 };
 
-/// Most request ids that a zone group remembers; a claim beyond them is refused.
+/// Maximum number of request ids that a zone group retains; further claims are refused.
 ///
-/// With the root state and the state of a witnessed zone, the table has to fit the 64 MB of a daemon.
+/// The table has to fit the 64 MB of a daemon together with the root state and the state of a zone that it is a witness
+/// of.
 pub const MAX_IDS: usize = 49_152;
-/// Largest stored answer, in bytes of the body.
+/// Maximum body size of a stored answer, in bytes.
 pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
-/// Most bytes of stored answers; the oldest answers are dropped first.
+/// Maximum size of all stored answers, in bytes; the oldest are evicted first.
 pub const MAX_ANSWERS_BYTES: usize = 16 * 1024 * 1024;
-/// Expired ids that one command drops at most, which bounds the time of one application.
+/// Maximum number of expired ids that one command drops, which bounds the time to apply it.
 const MAX_EXPIRED_AT_ONCE: usize = 256;
-/// Bytes counted for an answer beside its encoded form: its place in the map and its allocation.
+/// Bytes counted for an answer in addition to its encoded form: the map entry and the allocation.
 const ANSWER_OVERHEAD_BYTES: usize = 60;
 
 /// A stored answer.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Answer {
-    /// HTTP status.
+    /// HTTP status code.
     pub status: u16,
-    /// Content type.
+    /// Value of the `content-type` header.
     pub content_type: String,
-    /// Body.
+    /// Response body.
     pub body: Bytes,
 }
 
-/// How a claimed request ended.
+/// Result of a claimed request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Completion {
-    /// The answer to store; an answer above [`MAX_ANSWER_BYTES`] is not stored, and the id becomes unknown.
+    /// The target answered. An answer above [`MAX_ANSWER_BYTES`] is not stored, and the result of the id becomes
+    /// unknown.
     Answered(Answer),
-    /// The request certainly did not run; the id is free again.
+    /// The request is known not to have run; the id may be claimed again.
     NotRun,
     /// The request may have run; its answer is not known.
     Unknown,
 }
 
-/// Answer to a claim.
+/// Result of a claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
-    /// Recorded; the request may be sent once. Carries the number to complete it with.
+    /// The claim was recorded and the request may be sent once. Holds the number for [`Claims::complete`].
     Granted(u64),
-    /// Another attempt holds the id.
+    /// The id is claimed by an attempt that has not completed.
     InProgress,
-    /// The first answer.
+    /// The stored answer of the first attempt.
     Answered(Answer),
     /// The request may have run; its answer is not known.
     Unknown,
-    /// The table is full; the request was not recorded and is not run.
+    /// The table is full; the claim was not recorded and the request must not be sent.
     Full,
 }
 
@@ -75,7 +77,7 @@
     state: State,
 }
 
-const fn counted(encoded: &[u8]) -> usize {
+const fn accounted_bytes(encoded: &[u8]) -> usize {
     encoded.len() + ANSWER_OVERHEAD_BYTES
 }
 
@@ -83,18 +85,18 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Claims {
     entries: shared::Map<Key, Entry>,
-    /// Keys and claim times in seconds, by number; numbers and times grow together.
+    /// Keys and claim times in seconds, by number. Both numbers and times are non-decreasing.
     order: shared::Map<u64, (Key, u32)>,
-    /// Holders of claims that have not ended.
+    /// Holders of the claims that have not completed.
     held: shared::Map<u64, id::VmId>,
-    /// Encoded answers, by number; a third of the bytes of the decoded form beside the texts.
+    /// Encoded answers, by number. Apart from the texts, they take a third of the memory of the decoded form.
     answers: shared::Map<u64, Arc<[u8]>>,
     answers_bytes: usize,
     next_number: u64,
 }
 
 impl Claims {
-    /// Claims a key for a holder.
+    /// Claims a key for a holder. With `once`, a known key is not granted again.
     pub(super) fn claim(&mut self, key: Key, holder: id::VmId, now_ms: u64, once: bool) -> Claimed {
         if let Some(entry) = self.entries.get(&key)
             && once
@@ -126,9 +128,9 @@
         Claimed::Granted(number)
     }
 
-    /// Records the end of a claim. The number of a claim that is over already, or was never granted, changes nothing.
+    /// Completes a claim. A number that was never granted, or whose claim is already answered or free, has no effect.
     ///
-    /// A claim that became unknown because its holder seemed gone takes a late answer: it is the first one.
+    /// A claim that became unknown because its holder was presumed gone accepts a late answer, which is the first one.
     pub(super) fn complete(&mut self, number: u64, completion: &Completion) {
         let Some(key) = self.order.get(&number).map(|(key, _)| *key) else {
             return;
@@ -148,20 +150,20 @@
             Completion::Answered(answer) if answer.body.len() <= MAX_ANSWER_BYTES => {
                 entry.state = State::Answered;
                 let encoded: Arc<[u8]> = envelope::to_bytes(answer).as_ref().into();
-                self.answers_bytes += counted(&encoded);
+                self.answers_bytes += accounted_bytes(&encoded);
                 self.answers.insert(number, encoded);
-                self.drop_old_answers();
+                self.evict_answers();
             }
             Completion::Answered(_) | Completion::Unknown => entry.state = State::Unknown,
         }
     }
 
-    fn drop_old_answers(&mut self) {
+    fn evict_answers(&mut self) {
         while self.answers_bytes > MAX_ANSWERS_BYTES {
             let Some((number, answer)) = self.answers.pop_first() else {
                 break;
             };
-            self.answers_bytes -= counted(&answer);
+            self.answers_bytes -= accounted_bytes(&answer);
             let entry = self
                 .order
                 .get(&number)
@@ -172,7 +174,7 @@
         }
     }
 
-    /// Turns the open claims of a holder with numbers below `before` into unknown ones.
+    /// Marks the open claims of a holder with numbers below `before` as unknown.
     pub(super) fn holder_gone(&mut self, holder: id::VmId, before: u64) {
         let numbers: Vec<u64> = self
             .held
@@ -185,7 +187,7 @@
         }
     }
 
-    /// Drops ids whose retention is over.
+    /// Drops ids whose retention has expired.
     pub(super) fn expire(&mut self, now_ms: u64) {
         for _ in 0..MAX_EXPIRED_AT_ONCE {
             let Some((number, (key, at_s))) = self.order.first_key_value().map(|(n, o)| (*n, *o)) else {
@@ -198,49 +200,49 @@
             self.entries.remove(&key);
             self.held.remove(&number);
             if let Some(answer) = self.answers.remove(&number) {
-                self.answers_bytes -= counted(&answer);
+                self.answers_bytes -= accounted_bytes(&answer);
             }
         }
     }
 
-    /// Returns the number of ids.
+    /// Returns the number of retained ids.
     pub fn len(&self) -> usize {
         self.entries.len()
     }
 
-    /// Tells whether there are no ids.
+    /// Returns whether no ids are retained.
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
 
-    /// Returns the bytes of stored answers.
+    /// Returns the size of all stored answers, in bytes.
     pub const fn answers_bytes(&self) -> usize {
         self.answers_bytes
     }
 
-    /// Returns a number above that of every claim so far.
+    /// Returns the number of the next claim, which is above that of every earlier claim.
     pub const fn next_number(&self) -> u64 {
         self.next_number + 1
     }
 
-    /// Returns the oldest claim that has not ended, when it was made `age_ms` before `now_ms` or earlier.
+    /// Returns the oldest claim that has not completed, if it is at least `age_ms` old at `now_ms`.
     pub fn overdue(&self, now_ms: u64, age_ms: u64) -> Option<u64> {
         let number = *self.held.first_key_value()?.0;
         let (_, at_s) = self.order.get(&number)?;
         (u64::from(*at_s) * 1000 + age_ms <= now_ms).then_some(number)
     }
 
-    /// Returns the claims that have not ended, with their holders.
+    /// Returns the claims that have not completed, with their holders.
     pub fn held(&self) -> impl Iterator<Item = (u64, id::VmId)> {
         self.held.iter().map(|(number, holder)| (*number, *holder))
     }
 
-    /// Returns the estimated bytes of memory.
+    /// Returns the estimated memory in bytes.
     pub(super) fn memory(&self) -> usize {
         self.entries.memory() + self.order.memory() + self.held.memory() + self.answers_bytes
     }
 
-    /// Checks that the indices agree and the bounds hold. Numbers are unique because each one leads back to its key.
+    /// Checks that the indices agree and the limits hold. Numbers are unique because each one maps back to its key.
     pub fn verify(&self) -> Result<(), String> {
         if self.entries.len() > MAX_IDS || self.entries.len() != self.order.len() {
             return Err(format!(
@@ -253,22 +255,22 @@
         self.order.verify()?;
         self.held.verify()?;
         self.answers.verify()?;
-        let bytes: usize = self.answers.values().map(|answer| counted(answer)).sum();
+        let bytes: usize = self.answers.values().map(|answer| accounted_bytes(answer)).sum();
         if bytes != self.answers_bytes || bytes > MAX_ANSWERS_BYTES {
             return Err(format!(
                 "answers take {bytes} bytes, counted {}",
                 self.answers_bytes
             ));
         }
-        let mut states = [0_usize; 2];
+        let mut counts = [0_usize; 2];
         for (key, entry) in self.entries.iter() {
             let known = match entry.state {
                 State::Held => self.held.contains_key(&entry.number),
                 State::Answered => self.answers.contains_key(&entry.number),
                 State::Unknown => true,
             };
-            states[0] += usize::from(entry.state == State::Held);
-            states[1] += usize::from(entry.state == State::Answered);
+            counts[0] += usize::from(entry.state == State::Held);
+            counts[1] += usize::from(entry.state == State::Answered);
             let ordered = self
                 .order
                 .get(&entry.number)
@@ -277,8 +279,10 @@
                 return Err(format!("claim {} does not match the indices", entry.number));
             }
         }
-        if states != [self.held.len(), self.answers.len()] {
-            return Err(String::from("holders or answers belong to no claim"));
+        if counts != [self.held.len(), self.answers.len()] {
+            return Err(String::from(
+                "the table of holders or answers has entries without a claim",
+            ));
         }
         Ok(())
     }
--- a/crates/control/src/zone/command.rs
+++ b/crates/control/src/zone/command.rs
@@ -9,151 +9,152 @@
 /// A task start.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Start {
-    /// Task.
+    /// Task to start.
     pub task: task::Ref,
-    /// Worker that runs it.
+    /// Worker that runs the task.
     pub worker: id::WorkerId,
-    /// Token of the lease; larger than every earlier token of the group.
+    /// Fencing token of the lease; larger than every earlier token of the group.
     pub token: id::Token,
 }
 
 /// The end of a task run.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct End {
-    /// Task.
+    /// Task whose run ended.
     pub task: task::Ref,
-    /// Token of the lease that ends.
+    /// Fencing token of the lease that ends.
     pub token: id::Token,
-    /// How the run ended.
+    /// Outcome of the run.
     pub outcome: task::Outcome,
 }
 
 /// A change of the zone state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
-    /// Start tasks, in the order of their tokens.
+    /// Starts tasks, in the order of their tokens.
     Start(#[serde(with = "compact::starts")] Vec<Start>),
-    /// End task runs.
+    /// Ends task runs.
     End(#[serde(with = "compact::ends")] Vec<End>),
-    /// Register a worker, or renew its registration.
+    /// Registers a worker, or replaces its registration.
     Register(worker::Registration),
-    /// Take a worker out of use; its runs end with commands of their own.
+    /// Marks a worker as gone. Its runs are ended by separate commands.
     WorkerGone {
-        /// Worker.
+        /// Worker to mark.
         worker: id::WorkerId,
-        /// Life that is gone; a later life stays.
+        /// Incarnation that is gone; a later incarnation is not affected.
         incarnation: id::Incarnation,
     },
-    /// Accept a job.
+    /// Accepts a job.
     Submit {
-        /// Team.
+        /// Team that the job runs for.
         team: id::TeamId,
-        /// Key of the caller's id for the submission; a submission that is sent again gets the same job.
+        /// Key of the caller's id for the submission. A resent submission returns the job of the first one.
         submission: Option<request_id::Key>,
-        /// The job.
+        /// Specification of the job.
         spec: job::Spec,
     },
-    /// Cancel a job; its runs end with commands of their own.
+    /// Cancels a job. Its runs are ended by separate commands.
     Cancel {
-        /// Job.
+        /// Job to cancel.
         job: id::JobId,
     },
-    /// Record the last state of a job that the scheduler decided.
+    /// Records a terminal state that the scheduler determined.
     Finish {
-        /// Job.
+        /// Job that ends.
         job: id::JobId,
-        /// Last state.
+        /// Terminal state.
         state: job::State,
     },
-    /// Record a request id before its request is sent.
+    /// Claims a request id before the request is sent.
     Claim {
-        /// Key of the id.
+        /// Key of the request id.
         key: request_id::Key,
         /// VM that sends the request.
         holder: id::VmId,
     },
-    /// Record how a claimed request ended.
+    /// Records the completion of a claimed request.
     Complete {
-        /// Number that the claim was granted under.
+        /// Number under which the claim was granted.
         number: u64,
-        /// How it ended.
+        /// Result of the request.
         completion: claims::Completion,
     },
-    /// Turn the open claims of a VM that is gone into unknown ones.
+    /// Marks the open claims of a departed VM as unknown.
     HolderGone {
-        /// VM.
+        /// VM that held the claims.
         holder: id::VmId,
-        /// Only claims with smaller numbers; the VM may have restarted under its id since.
+        /// Limits the change to claims with smaller numbers: the VM may have restarted under the same id and made new
+        /// ones.
         before: u64,
     },
-    /// Take over granted counters from the root group.
+    /// Applies granted counters of the root group.
     Granted(Vec<(id::TeamId, escrow::Total)>),
-    /// Grow released counters; each is cut so that the allotment still covers what runs.
+    /// Raises released counters. Each is capped so that the allotment still covers the running tasks.
     Release(Vec<(id::TeamId, escrow::Total)>),
-    /// Drop what has expired by the time of the envelope.
+    /// Drops request ids and jobs whose retention has expired at the time of the envelope.
     Expire,
-    /// Record how many failed runs of a task count against its retries, so that they outlive the leader.
+    /// Records how many failed runs of a task count against its retries, so that the count survives a change of leader.
     Attempts {
-        /// Task.
+        /// Task that failed.
         task: task::Ref,
-        /// Failed runs so far; a smaller number than the recorded one changes nothing.
+        /// Number of failed runs so far. A number below the recorded one has no effect.
         attempts: u32,
     },
 }
 
-/// Why a zone command changed nothing.
+/// Reason why a zone command was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
-    /// The registration or message belongs to an earlier life of the worker.
+    /// The registration or message belongs to an earlier incarnation of the worker.
     StaleIncarnation,
-    /// There is no such worker, or it is gone.
+    /// The worker is not registered or is gone.
     NoSuchWorker,
-    /// There is no such job, or it was dropped after its retention.
+    /// The job does not exist or was dropped after its retention.
     NoSuchJob,
     /// The job has no task with this index.
     NoSuchTask,
-    /// The job is in its last state.
+    /// The job is in a terminal state.
     JobEnded,
-    /// The task runs under another token.
+    /// The task is running under another token.
     Running,
-    /// The task has succeeded.
+    /// The task has already succeeded.
     Succeeded,
-    /// Runs of a gang whose member was lost have not all ended.
+    /// The gang is restarting after the loss of a member, and not all of its runs have ended.
     GangEnding,
-    /// The token is not larger than every earlier one.
+    /// The token is not larger than every earlier token.
     StaleToken,
-    /// The start would take the worker over its capacity.
+    /// The start would exceed the capacity of the worker.
     OverCapacity,
-    /// The start would take the team over its allotment.
+    /// The start would exceed the allotment of the team.
     OverPart,
     /// The number of tasks or the length of the command line is out of bounds.
     BadSpec,
-    /// The state is not a last state.
+    /// The state is not terminal.
     BadState,
-    /// The table is full.
+    /// The table or its byte limit is full.
     Full,
 }
 
-/// What a zone command did.
+/// Effect of a zone command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// Done, or already so.
+    /// The command took effect, or had taken effect earlier.
     Done,
-    /// The index was applied earlier; nothing was done.
+    /// The log entry was applied earlier; the command had no effect.
     Ignored,
-    /// The job is accepted, now or when it was submitted first.
+    /// The job was accepted, now or by an earlier submission under the same key.
     Job(id::JobId),
-    /// Starts that were refused, by number in the command from 0; the others are done.
+    /// Starts that were refused, by zero-based position in the command. The others took effect.
     Started(Vec<(u32, Refusal)>),
-    /// Ends were recorded.
+    /// The ends were recorded.
     Ended {
-        /// Ends whose token is not that of a present run, by number in the command from 0.
+        /// Zero-based positions of the ends whose token does not belong to a current run.
         stale: Vec<u32>,
-        /// Jobs that thereby succeeded.
+        /// Jobs that succeeded as a result.
         succeeded: Vec<id::JobId>,
     },
-    /// Answer to a claim.
+    /// Result of a claim.
     Claim(claims::Claimed),
-    /// Nothing was changed.
+    /// The command was refused and had no effect.
     Refused(Refusal),
 }
--- a/crates/control/src/zone/compact.rs
+++ b/crates/control/src/zone/compact.rs
@@ -1,20 +1,21 @@
-//! Compact log form of starts and ends.
+//! Compact encoding of starts and ends in the log.
 //!
-//! Starts are the most frequent entries. Jobs and tokens become differences to the row before, which takes the zone out
-//! of all jobs but the first, so that a start takes about as many bytes as its worker id and its sequence number need.
+//! Starts are the most frequent entries. Jobs and tokens are delta-encoded against the previous row, which eliminates
+//! the zone from the job ids, so that a start takes little more than the bytes of its worker id and its sequence
+//! number.
 
 use bronzespoke_model::{id, task};
 use serde::{Deserialize, Serialize};
 
-/// Returns the job from which the first difference is taken: it takes the zone out of the first job as well.
+/// Returns the base of the first delta, which eliminates the zone from the first job id as well.
 fn base(zone: id::AvailabilityZoneId) -> id::JobId {
     id::job(zone, 0)
 }
 
-/// Worker ids from here on take 8 to 10 bytes as variable-length numbers; 8 fixed bytes are shorter on average.
+/// Smallest worker id that takes 8 to 10 bytes as a variable-length integer; 8 fixed bytes are shorter on average.
 const WIDE_WORKER: id::WorkerId = 1 << 49;
 
-/// Form of a list of starts.
+/// Encoding of a list of starts.
 pub mod starts {
     use serde::{Deserializer, Serializer};
 
@@ -29,7 +30,7 @@
         Wide(Vec<Row<[u8; 8]>>),
     }
 
-    fn rows<W>(
+    fn encode<W>(
         zone: id::AvailabilityZoneId,
         starts: &[Start],
         worker: impl Fn(id::WorkerId) -> W,
@@ -48,49 +49,49 @@
         rows
     }
 
-    fn starts<W>(
+    fn decode<W>(
         zone: id::AvailabilityZoneId,
         rows: Vec<Row<W>>,
         worker: impl Fn(W) -> id::WorkerId,
     ) -> Vec<Start> {
         let (mut job, mut token) = (base(zone), 0_u64);
         let mut starts = Vec::with_capacity(rows.len());
-        for (difference, index, worker_form, step) in rows {
-            job ^= difference;
-            token = token.wrapping_add(step);
+        for (job_delta, index, encoded_worker, token_delta) in rows {
+            job ^= job_delta;
+            token = token.wrapping_add(token_delta);
             starts.push(Start {
                 task: task::Ref { job, index },
-                worker: worker(worker_form),
+                worker: worker(encoded_worker),
                 token,
             });
         }
         starts
     }
 
-    /// Encodes starts.
+    /// Serializes starts.
     pub fn serialize<S: Serializer>(starts: &[Start], serializer: S) -> Result<S::Ok, S::Error> {
         let wide = starts.iter().filter(|start| start.worker >= WIDE_WORKER).count();
         let zone = starts.first().map_or(0, |start| id::job_zone(start.task.job));
-        let form = if wide * 2 > starts.len() {
-            Rows::Wide(rows(zone, starts, id::WorkerId::to_le_bytes))
+        let rows = if wide * 2 > starts.len() {
+            Rows::Wide(encode(zone, starts, id::WorkerId::to_le_bytes))
         } else {
-            Rows::Narrow(rows(zone, starts, |worker| worker))
+            Rows::Narrow(encode(zone, starts, |worker| worker))
         };
-        (zone, form).serialize(serializer)
+        (zone, rows).serialize(serializer)
     }
 
-    /// Decodes starts.
+    /// Deserializes starts.
     pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<Start>, D::Error> {
-        let (zone, form) = <(id::AvailabilityZoneId, Rows)>::deserialize(deserializer)?;
-        let form = match form {
-            Rows::Narrow(rows) => starts(zone, rows, |worker| worker),
-            Rows::Wide(rows) => starts(zone, rows, id::WorkerId::from_le_bytes),
+        let (zone, rows) = <(id::AvailabilityZoneId, Rows)>::deserialize(deserializer)?;
+        let starts = match rows {
+            Rows::Narrow(rows) => decode(zone, rows, |worker| worker),
+            Rows::Wide(rows) => decode(zone, rows, id::WorkerId::from_le_bytes),
         };
-        Ok(form)
+        Ok(starts)
     }
 }
 
-/// Form of a list of ends.
+/// Encoding of a list of ends.
 pub mod ends {
     use serde::{Deserializer, Serializer};
 
@@ -99,7 +100,7 @@
 
     type Row = (u64, id::TaskIndex, i64, task::Outcome);
 
-    /// Encodes ends.
+    /// Serializes ends.
     pub fn serialize<S: Serializer>(ends: &[End], serializer: S) -> Result<S::Ok, S::Error> {
         let zone = ends.first().map_or(0, |end| id::job_zone(end.task.job));
         let (mut job, mut token) = (base(zone), 0);
@@ -116,15 +117,15 @@
         (zone, rows).serialize(serializer)
     }
 
-    /// Decodes ends.
+    /// Deserializes ends.
     pub fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<Vec<End>, D::Error> {
         let (zone, rows) = <(id::AvailabilityZoneId, Vec<Row>)>::deserialize(deserializer)?;
         let (mut job, mut token) = (base(zone), 0_u64);
         let ends = rows
             .into_iter()
-            .map(|(difference, index, step, outcome)| {
-                job ^= difference;
-                token = token.wrapping_add(step.cast_unsigned());
+            .map(|(job_delta, index, token_delta, outcome)| {
+                job ^= job_delta;
+                token = token.wrapping_add(token_delta.cast_unsigned());
                 End {
                     task: task::Ref { job, index },
                     token,
--- a/crates/control/src/zone/jobs.rs
+++ b/crates/control/src/zone/jobs.rs
@@ -1,16 +1,16 @@
-//! Jobs and the states of their tasks.
+//! Jobs and the progress of their tasks.
 
 use bronzespoke_model::{id, job, task};
 use serde::{Deserialize, Serialize};
 
 use crate::{request_id, shared};
 
-/// Most bytes of results that one job keeps; later results are counted but not kept.
+/// Maximum size of the results that one job retains, in bytes; results beyond it are only counted.
 pub const MAX_RESULTS_BYTES: usize = 4 * 1024 * 1024;
 
 const WORD_BITS: usize = 64;
-// Fixed values close to what the maps take: the bounds decide what a replica drops, so replicas of different builds
-// must count alike.
+// Fixed estimates of the map overhead instead of actual sizes: the limits decide what a replica drops, so replicas that
+// run different builds must compute the same totals.
 const JOB_OVERHEAD_BYTES: usize = 384;
 const RESULT_OVERHEAD_BYTES: usize = 64;
 
@@ -19,34 +19,34 @@
 pub struct Run {
     /// Worker that runs the task.
     pub worker: id::WorkerId,
-    /// Token of the lease.
+    /// Fencing token of the lease.
     pub token: id::Token,
-    /// Life of the worker at the start; a later life must not start the task again.
+    /// Incarnation of the worker at the start. A later incarnation must not execute this start.
     pub incarnation: id::Incarnation,
 }
 
-/// A job. Task states take one bit per task, allocated with the first success.
+/// A job. Completed tasks are tracked in a bitmap that is allocated with the first success.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Job {
-    /// Team.
+    /// Team that the job runs for.
     pub team: id::TeamId,
-    /// The job as submitted; the command line is dropped with the last state.
+    /// Submitted specification. The command line is dropped when the job ends.
     pub spec: job::Spec,
-    /// State.
+    /// State that is reported to callers.
     pub state: job::State,
-    /// Wall time of the submission, in milliseconds.
+    /// Wall time of the submission, in milliseconds since the Unix epoch.
     pub submitted_ms: u64,
-    /// Wall time of the last state, in milliseconds; 0 before.
+    /// Wall time at which the job ended, in milliseconds since the Unix epoch; 0 until then.
     pub ended_ms: u64,
-    /// Runs under lease.
+    /// Number of runs under lease.
     pub running: u32,
-    /// Tasks that succeeded.
+    /// Number of tasks that succeeded.
     pub succeeded: u32,
-    /// Runs that failed.
+    /// Number of runs that failed.
     pub failures: u32,
-    /// Results that were not kept because those of the job take [`MAX_RESULTS_BYTES`].
+    /// Number of results that were not retained because of the limit [`MAX_RESULTS_BYTES`].
     pub results_dropped: u32,
-    /// Whether runs of a gang have to end because one was lost.
+    /// Whether the remaining runs of a gang must end before it restarts, because one run did not succeed.
     pub(super) ending: bool,
     pub(super) submission: Option<request_id::Key>,
     done: Vec<u64>,
@@ -54,35 +54,35 @@
     results_bytes: usize,
 }
 
-/// What callers may know of a job.
+/// Status of a job as reported to callers.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Status {
-    /// Job.
+    /// Id of the job.
     pub job: id::JobId,
-    /// Team.
+    /// Team that the job runs for.
     pub team: id::TeamId,
-    /// State.
+    /// State of the job.
     pub state: job::State,
-    /// Tasks that wait.
+    /// Number of tasks that wait to start; 0 after the job ended.
     pub waiting: u32,
-    /// Tasks that run.
+    /// Number of tasks that are running.
     pub running: u32,
-    /// Tasks that succeeded.
+    /// Number of tasks that succeeded.
     pub succeeded: u32,
-    /// Results that were not kept.
+    /// Number of results that were not retained.
     pub results_dropped: u32,
-    /// Results of the tasks that succeeded, by index; filled only when asked for.
+    /// Results of the tasks that succeeded, by task index; empty unless requested.
     pub results: Vec<(id::TaskIndex, String)>,
 }
 
-/// Answer to a look-up of a job.
+/// Result of a job lookup.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Lookup {
-    /// The job is known.
+    /// Status of a retained job.
     Found(Status),
     /// The job ended, and its record was dropped after its retention.
     Expired,
-    /// No such job was accepted here.
+    /// The group never accepted such a job.
     Unknown,
 }
 
@@ -111,23 +111,23 @@
         }
     }
 
-    /// Tells whether a task succeeded. After the last state only the count is kept.
+    /// Returns whether a task succeeded; `false` for every task after the job ended, when only the count is retained.
     pub fn is_done(&self, index: id::TaskIndex) -> bool {
         let (word, bit) = position(index);
         self.done.get(word).is_some_and(|bits| bits >> bit & 1 == 1)
     }
 
-    /// Returns the results that are kept.
+    /// Returns the retained results, by task index.
     pub const fn results(&self) -> &shared::Map<id::TaskIndex, String> {
         &self.results
     }
 
-    /// Returns the bytes that the job counts against the bounds of the zone.
+    /// Returns the size in bytes that the job counts against the limits of the zone.
     pub const fn bytes(&self) -> usize {
         JOB_OVERHEAD_BYTES + self.spec.command.len() + self.done.len() * size_of::<u64>() + self.results_bytes
     }
 
-    /// Returns what callers may know.
+    /// Returns the status of the job, with its results if `results` is set.
     pub fn status(&self, job: id::JobId, results: bool) -> Status {
         let waiting = if self.state.is_terminal() {
             0
@@ -156,7 +156,7 @@
         }
     }
 
-    /// Records the end of a run that is no longer counted as running. Returns whether the job thereby succeeded.
+    /// Records the end of a run. Returns whether the job succeeded as a result.
     pub(super) fn end(&mut self, index: id::TaskIndex, outcome: &task::Outcome) -> bool {
         self.running -= 1;
         match outcome {
@@ -192,7 +192,7 @@
         self.results.insert(index, result.to_owned());
     }
 
-    /// Takes back what the members of a gang achieved; all of them start again together.
+    /// Discards the progress of a gang; all members restart together.
     fn restart_gang(&mut self) {
         self.ending = true;
         self.done = Vec::new();
@@ -201,7 +201,7 @@
         self.drop_results();
     }
 
-    /// Enters the last state; task states and the command line are no longer needed.
+    /// Enters a terminal state and drops the task bitmap and the command line.
     pub(super) fn finish(&mut self, state: job::State, now_ms: u64) {
         self.state = state;
         self.ended_ms = now_ms;
@@ -209,7 +209,7 @@
         self.spec.command = String::new();
     }
 
-    /// Drops the results; the zone needs their bytes for later ones.
+    /// Drops the retained results.
     pub(super) fn drop_results(&mut self) {
         self.results = shared::Map::default();
         self.results_bytes = 0;
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -1,4 +1,4 @@
-//! State of a zone group: jobs, task leases, workers, request ids and the zone's allotments of upper limits.
+//! Replicated state of a zone group: jobs, task leases, workers, request ids and the zone's allotments of upper limits.
 
 mod apply;
 mod claims;
@@ -20,5 +20,5 @@
 pub use state::{Rules, State};
 pub use workers::Worker;
 
-/// A zone command with its envelope.
+/// Log entry payload of a zone group: a zone command with its id and time.
 pub type Envelope = crate::envelope::Envelope<Command>;
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -1,4 +1,4 @@
-//! Tables of the zone state, reads, snapshots and the verifier.
+//! Tables of the zone state, reads, snapshots and invariant checks.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -16,24 +16,27 @@
 };
 use crate::{dedupe, envelope, error, escrow, request_id, shared};
 
-/// Safety rules that tests switch off to show that the checks catch their absence.
+/// Safety rules that tests disable to show that the checks detect their absence.
 #[doc(hidden)]
 #[derive(Debug, Clone, Copy)]
-#[expect(clippy::struct_excessive_bools, reason = "each rule is switched on its own")]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each rule is switched independently"
+)]
 pub struct Rules {
-    /// A start must fit beside what its worker holds.
+    /// Refuses a start that exceeds the capacity of its worker.
     pub capacity: bool,
-    /// A start must fit the allotment of its team.
+    /// Refuses a start that exceeds the allotment of its team.
     pub allotment: bool,
-    /// A task that runs is not started again.
+    /// Refuses to start a running task.
     pub single_run: bool,
-    /// Tokens grow.
+    /// Refuses a token that is not larger than every earlier one.
     pub token: bool,
-    /// A known request id is not granted.
+    /// Refuses to grant a known request id.
     pub claim_once: bool,
-    /// What is in use is not released.
+    /// Caps releases at the unused rest of the allotment.
     pub keep_used: bool,
-    /// A resent command gets its first outcome.
+    /// Answers a resent command with its first outcome.
     pub dedupe: bool,
 }
 
@@ -51,7 +54,7 @@
     }
 }
 
-/// State of the group of one availability zone.
+/// State of the consensus group of one availability zone.
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct State {
     pub(super) zone: id::AvailabilityZoneId,
@@ -61,7 +64,7 @@
     pub(super) next_token: id::Token,
     /// Jobs by sequence number.
     pub(super) jobs: shared::Map<u64, Arc<Job>>,
-    /// Jobs in their last state, by the time at which they reached it.
+    /// Jobs in a terminal state, in the order in which they reached it.
     pub(super) ended: VecDeque<u64>,
     pub(super) submissions: shared::Map<request_id::Key, u64>,
     pub(super) runs: shared::Map<(u64, id::TaskIndex), Run>,
@@ -69,11 +72,13 @@
     pub(super) holdings: holdings::Holdings,
     pub(super) claims: claims::Claims,
     pub(super) commands: dedupe::Table<command::Outcome>,
-    /// Failed runs that count against the retries of the tasks of open jobs. The last field, see [`State::decode`].
+    /// Number of failed runs that count against the retries of a task, for jobs that have not ended. Must stay the last
+    /// serialized field, see [`State::decode`].
     pub(super) attempts: BTreeMap<(u64, id::TaskIndex), u32>,
-    /// Bytes of jobs that have not ended, and of those that have.
+    /// Size of the jobs that have not ended, in bytes.
     #[serde(skip)]
     pub(super) open_bytes: usize,
+    /// Size of the jobs that have ended, in bytes.
     #[serde(skip)]
     pub(super) ended_bytes: usize,
     #[serde(skip)]
@@ -91,7 +96,7 @@
         }
     }
 
-    /// Returns the state before the first entry, with some safety rules switched off.
+    /// Returns the state before the first entry, with some safety rules disabled.
     #[doc(hidden)]
     pub fn with_rules(zone: id::AvailabilityZoneId, rules: Rules) -> Self {
         Self {
@@ -100,12 +105,12 @@
         }
     }
 
-    /// Returns the zone.
+    /// Returns the zone of the group.
     pub const fn zone(&self) -> id::AvailabilityZoneId {
         self.zone
     }
 
-    /// Returns the last index applied.
+    /// Returns the last log index applied.
     pub const fn applied(&self) -> u64 {
         self.applied
     }
@@ -115,7 +120,7 @@
         self.next_token
     }
 
-    /// Looks a job up; the flag asks for its results.
+    /// Looks up a job, with its results if `results` is set.
     pub fn lookup(&self, job: id::JobId, results: bool) -> Lookup {
         match self.sequence(job) {
             Some(sequence) if sequence < self.next_sequence => self
@@ -126,7 +131,7 @@
         }
     }
 
-    /// Returns a job.
+    /// Returns the record of a retained job.
     pub fn job(&self, job: id::JobId) -> Option<&Job> {
         self.jobs.get(&self.sequence(job)?).map(Arc::as_ref)
     }
@@ -138,30 +143,30 @@
             .map(|sequence| id::job(self.zone, *sequence))
     }
 
-    /// Returns the jobs, in the order of their submission.
+    /// Returns the retained jobs, in the order of their submission.
     pub fn jobs(&self) -> impl Iterator<Item = (id::JobId, &Job)> {
         self.jobs
             .iter()
             .map(|(sequence, job)| (id::job(self.zone, *sequence), job.as_ref()))
     }
 
-    /// Returns the run of a task.
+    /// Returns the current run of a task.
     pub fn run(&self, task: task::Ref) -> Option<Run> {
         self.runs.get(&(self.sequence(task.job)?, task.index)).copied()
     }
 
-    /// Returns how many failed runs of a task count against its retries.
+    /// Returns the number of failed runs of a task that count against its retries.
     pub fn attempts(&self, task: task::Ref) -> u32 {
         let key = self.sequence(task.job).map(|sequence| (sequence, task.index));
         key.and_then(|key| self.attempts.get(&key)).copied().unwrap_or(0)
     }
 
-    /// Returns all runs.
+    /// Returns the current runs of all tasks.
     pub fn runs(&self) -> impl Iterator<Item = (task::Ref, Run)> {
         self.runs.iter().map(|(key, run)| (self.task(*key), *run))
     }
 
-    /// Returns the runs of a job.
+    /// Returns the current runs of a job.
     pub fn runs_of_job(&self, job: id::JobId) -> impl Iterator<Item = (task::Ref, Run)> {
         let sequence = self.sequence(job).unwrap_or(0);
         self.runs
@@ -169,7 +174,7 @@
             .map(|(key, run)| (self.task(*key), *run))
     }
 
-    /// Returns the runs of a worker.
+    /// Returns the current runs of a worker.
     pub fn runs_of_worker(&self, worker: id::WorkerId) -> impl Iterator<Item = (task::Ref, Run)> {
         self.workers
             .get(&worker)
@@ -178,7 +183,7 @@
             .filter_map(|key| Some((self.task(*key), *self.runs.get(key)?)))
     }
 
-    /// Returns the runs of a team.
+    /// Returns the current runs of a team.
     pub fn runs_of_team(&self, team: id::TeamId) -> impl Iterator<Item = (task::Ref, Run)> {
         self.jobs
             .iter()
@@ -186,22 +191,22 @@
             .flat_map(|(sequence, _)| self.runs_of_job(id::job(self.zone, *sequence)))
     }
 
-    /// Returns the workers, those that are gone included.
+    /// Returns the workers, including those that are gone.
     pub fn workers(&self) -> impl Iterator<Item = (id::WorkerId, &Worker)> {
         self.workers.iter().map(|(id, worker)| (*id, worker))
     }
 
-    /// Returns a worker.
+    /// Returns a worker, which may be gone.
     pub fn worker(&self, worker: id::WorkerId) -> Option<&Worker> {
         self.workers.get(&worker)
     }
 
-    /// Returns what teams have in the zone.
+    /// Returns the allotments of the teams and their use.
     pub const fn holdings(&self) -> &holdings::Holdings {
         &self.holdings
     }
 
-    /// Returns the request ids.
+    /// Returns the table of request ids.
     pub const fn claims(&self) -> &claims::Claims {
         &self.claims
     }
@@ -211,7 +216,7 @@
         self.commands.get(id)
     }
 
-    /// Returns the released counters that bring allotments down to their targets; nothing in use is released.
+    /// Returns the released counters that lower allotments to their targets, without releasing anything in use.
     pub fn releases(
         &self,
         target: impl Fn(id::TeamId) -> resource::Amount,
@@ -243,10 +248,10 @@
 
     /// Decodes a snapshot and checks it.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
-        // Snapshots of builds that did not count attempts end one byte earlier, before the length of an empty table.
+        // Snapshots of builds that did not record attempts lack the last byte, the length of an empty table.
         let with_attempts = || envelope::from_bytes(&[bytes, &[0]].concat());
         let mut state: Self =
-            envelope::from_bytes(bytes).or_else(|fault| with_attempts().map_err(|_shorter| fault))?;
+            envelope::from_bytes(bytes).or_else(|error| with_attempts().map_err(|_shorter| error))?;
         for (key, run) in state.runs.iter() {
             let size = state
                 .jobs
@@ -263,13 +268,13 @@
         Ok(state)
     }
 
-    /// Replaces the state by a snapshot; a snapshot older than the state is refused and changes nothing.
+    /// Replaces the state with an encoded snapshot. A snapshot older than the state is refused and has no effect.
     pub fn install(&mut self, bytes: &[u8]) -> Result<(), error::Error> {
         self.replace(Self::decode(bytes)?).map(drop)
     }
 
-    /// Replaces the state by a decoded snapshot and returns the former one, which takes milliseconds to drop. A
-    /// snapshot older than the state is refused and changes nothing.
+    /// Replaces the state with a decoded snapshot and returns the previous state, so that the caller decides where to
+    /// drop it; this takes milliseconds. A snapshot older than the state is refused and has no effect.
     pub fn replace(&mut self, mut state: Self) -> Result<Self, error::Error> {
         if state.applied < self.applied {
             return Err(error::Error::Older {
@@ -303,7 +308,9 @@
         self.verify_jobs()?;
         self.verify_runs()?;
         if (self.open_bytes, self.ended_bytes) != self.count_bytes() {
-            return Err(String::from("bytes of jobs are counted wrongly"));
+            return Err(String::from(
+                "the byte counts of open and ended jobs do not match the jobs",
+            ));
         }
         Ok(())
     }
@@ -315,9 +322,11 @@
                 .range((*sequence, 0)..=(*sequence, id::TaskIndex::MAX))
                 .count();
             job.verify(runs as u32)
-                .map_err(|fault| format!("job {sequence}: {fault}"))?;
+                .map_err(|error| format!("job {sequence}: {error}"))?;
             if *sequence >= self.next_sequence {
-                return Err(format!("job {sequence} has a number that was not given out"));
+                return Err(format!(
+                    "job {sequence} has a sequence number that was not assigned"
+                ));
             }
             let known = |key| self.submissions.get(&key) == Some(sequence);
             if job.submission.is_some_and(|key| !known(key)) {
@@ -329,7 +338,9 @@
             job.is_some_and(|job| !job.state.is_terminal() && *index < job.spec.tasks)
         };
         if self.attempts.len() > apply::MAX_ATTEMPTS || !self.attempts.keys().all(open) {
-            return Err(String::from("attempts are counted for tasks that are not open"));
+            return Err(String::from(
+                "attempts are recorded for tasks of jobs that are not open, or for too many tasks",
+            ));
         }
         let ended = self.jobs.values().filter(|job| job.state.is_terminal()).count();
         let listed = self
@@ -347,7 +358,10 @@
         let mut tokens = Vec::with_capacity(self.runs.len());
         for (key, run) in self.runs.iter() {
             let Some(job) = self.jobs.get(&key.0) else {
-                return Err(format!("a task of job {} runs, but the job is not known", key.0));
+                return Err(format!(
+                    "a task of job {} is running, but the job does not exist",
+                    key.0
+                ));
             };
             let total = used.entry(job.team).or_default();
             *total = total.saturating_add(&job.spec.size.into());
@@ -372,12 +386,16 @@
                 .filter_map(|key| Some(self.jobs.get(&key.0)?.spec.size));
             let held = sizes.fold(resource::Amount::ZERO, |held, size| held.saturating_add(&size));
             if held != worker.held {
-                return Err(format!("worker {id} does not hold the sum of its tasks"));
+                return Err(format!(
+                    "the amount held by worker {id} is not the sum of its tasks"
+                ));
             }
         }
         let indexed: usize = self.workers.values().map(|worker| worker.runs.len()).sum();
         if indexed != self.runs.len() {
-            return Err(String::from("the runs of workers are not those of tasks"));
+            return Err(String::from(
+                "the runs indexed by worker do not match the table of runs",
+            ));
         }
         self.holdings.verify(&used)
     }
--- a/crates/control/src/zone/workers.rs
+++ b/crates/control/src/zone/workers.rs
@@ -1,4 +1,4 @@
-//! Registered workers.
+//! Table of registered workers.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -7,35 +7,35 @@
 
 use super::command::Refusal;
 
-/// Most workers that a zone group remembers, those that are gone included.
+/// Maximum number of workers that a zone group retains, including those that are gone.
 pub const MAX_WORKERS: usize = 8192;
 
-/// A worker.
+/// A registered worker and the tasks that it runs.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Worker {
-    /// Registration of the latest life.
+    /// Registration of the newest incarnation.
     pub registration: worker::Registration,
-    /// Whether the worker is out of use. Its life number is kept, so that an earlier life cannot register again.
+    /// Whether the worker is gone. Its incarnation is retained, so that an earlier one cannot register again.
     pub gone: bool,
-    /// Tasks that it runs, as sequence number of the job and index.
+    /// Running tasks, by sequence number of the job and task index.
     #[serde(skip)]
     pub(super) runs: BTreeSet<(u64, id::TaskIndex)>,
-    /// Sum of the declared sizes of these tasks.
+    /// Sum of the declared sizes of the running tasks.
     #[serde(skip)]
     pub(super) held: resource::Amount,
 }
 
 impl Worker {
-    /// Tells whether one more task of a job fits beside what the worker holds.
+    /// Returns whether the worker has the accelerator kind and the free capacity for one more task of a job.
     pub(super) fn has_room(&self, spec: &job::Spec) -> bool {
         let capacity = &self.registration.capacity;
-        let right_kind = spec.size.accelerators == 0 || spec.accelerator == capacity.accelerator;
+        let kind_matches = spec.size.accelerators == 0 || spec.accelerator == capacity.accelerator;
         let held = self.held.checked_add(&spec.size);
-        right_kind && held.is_some_and(|held| held.fits(&capacity.amount))
+        kind_matches && held.is_some_and(|held| held.fits(&capacity.amount))
     }
 }
 
-/// Table of workers.
+/// Registered workers by id.
 pub(super) type Workers = BTreeMap<id::WorkerId, Worker>;
 
 pub(super) fn register(workers: &mut Workers, registration: &worker::Registration) -> Result<(), Refusal> {
@@ -65,7 +65,7 @@
     Ok(())
 }
 
-pub(super) fn gone(
+pub(super) fn mark_gone(
     workers: &mut Workers,
     id: id::WorkerId,
     incarnation: id::Incarnation,
