--- a/crates/consensus/src/replica/replicate.rs
+++ b/crates/consensus/src/replica/replicate.rs
@@ -1,4 +1,4 @@
-//! Sending the log and snapshots to the members.
+//! Replication of the log and of snapshots to the other members.
 
 use std::time::Duration;
 
@@ -10,11 +10,11 @@
 use crate::{log, snapshot};
 
 impl Replica {
-    /// Offers new entries to the members when they are due.
+    /// Sends new entries to the members once the batch delay has passed or the batch is full.
     pub(super) fn flush(&mut self, out: &mut Vec<Output>) {
         let last = self.log.last().index;
         let now = self.now;
-        let batch = self.config.batch_bytes;
+        let batch = self.config.max_batch_bytes;
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -27,12 +27,12 @@
         leader.unflushed_bytes = 0;
         let members: Vec<_> = leader.progress.keys().copied().collect();
         for member in members {
-            self.pump(member, out);
+            self.replicate_to(member, out);
         }
     }
 
-    /// Sends entries to a member as far as its window allows.
-    fn pump(&mut self, to: id::VmId, out: &mut Vec<Output>) {
+    /// Sends entries to a member as far as its in-flight window allows.
+    fn replicate_to(&mut self, to: id::VmId, out: &mut Vec<Output>) {
         loop {
             let State::Leader(leader) = &self.state else {
                 return;
@@ -40,7 +40,10 @@
             let Some(progress) = leader.progress.get(&to) else {
                 return;
             };
-            let room = progress.has_room(self.config.in_flight_messages, self.config.in_flight_bytes);
+            let room = progress.has_capacity(
+                self.config.max_in_flight_messages,
+                self.config.max_in_flight_bytes,
+            );
             if !matches!(progress.mode, Mode::Pipeline) || !room || progress.next > leader.flushed {
                 return;
             }
@@ -48,7 +51,7 @@
                 self.start_snapshot(to, out);
                 return;
             }
-            let entries = self.log.slice(progress.next, self.config.batch_bytes);
+            let entries = self.log.slice(progress.next, self.config.max_batch_bytes);
             self.send_append(to, entries, out);
         }
     }
@@ -69,12 +72,12 @@
         };
         let bytes = entries.iter().map(|entry| entry.payload.size()).sum();
         if let Some(last) = entries.last() {
-            progress.sent(last.position.index, bytes);
+            progress.record_sent(last.position.index, bytes);
         }
         progress.sent_at = now;
         let append = Append {
             previous: log::Position { term, index },
-            entries: entries.into_iter().map(Item::of).collect(),
+            entries: entries.into_iter().map(Item::from_entry).collect(),
             commit,
             sent: now.as_micros() as u64,
             token: progress.token,
@@ -83,7 +86,7 @@
         self.send(to, Body::Append(append), out);
     }
 
-    /// Sends a heartbeat to each member that got nothing for one interval.
+    /// Sends a heartbeat to each member to which nothing was sent for one heartbeat interval.
     pub(super) fn send_heartbeats(&mut self, out: &mut Vec<Output>) {
         let State::Leader(leader) = &self.state else {
             return;
@@ -91,7 +94,7 @@
         let due = leader
             .progress
             .iter()
-            .filter(|(_, progress)| self.now >= progress.sent_at + self.config.heartbeat);
+            .filter(|(_, progress)| self.now >= progress.sent_at + self.config.heartbeat_interval);
         let members: Vec<_> = due.map(|(member, _)| *member).collect();
         for member in members {
             self.send_heartbeat(member, out);
@@ -99,17 +102,17 @@
     }
 
     fn send_heartbeat(&mut self, to: id::VmId, out: &mut Vec<Output>) {
-        let (now, election) = (self.now, self.config.election);
+        let (now, election) = (self.now, self.config.election_timeout);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
         let Some(progress) = leader.progress.get_mut(&to) else {
             return;
         };
-        let silent = progress.acked.unwrap_or(leader.elected_at) + election < now;
-        if silent && matches!(progress.mode, Mode::Pipeline) {
-            // A member that does not answer gets heartbeats only, so that a lost VM costs few bytes.
-            progress.probe(progress.matched + 1, now);
+        let unresponsive = progress.acked.unwrap_or(leader.elected_at) + election < now;
+        if unresponsive && matches!(progress.mode, Mode::Pipeline) {
+            // An unresponsive member receives only heartbeats, so that a failed VM costs little bandwidth.
+            progress.start_probe(progress.matched + 1, now);
         }
         match progress.mode {
             Mode::Snapshot(_) => self.send_chunk(to, true, out),
@@ -119,7 +122,7 @@
     }
 
     pub(super) fn on_append_reply(&mut self, from: id::VmId, reply: &AppendReply, out: &mut Vec<Output>) {
-        let (now, election, last) = (self.now, self.config.election, self.log.last().index);
+        let (now, election, last) = (self.now, self.config.election_timeout, self.log.last().index);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -128,34 +131,34 @@
         };
         let sent = Duration::from_micros(reply.sent);
         let newest = progress.acked.is_none_or(|acked| sent >= acked);
-        progress.answered(sent, now);
+        progress.record_ack(sent, now);
         progress.token = reply.token;
         match reply.outcome {
             Outcome::Accepted { matched } => {
-                progress.accept(matched.min(last), last, now, election);
+                progress.record_match(matched.min(last), last, now, election);
                 if matches!(progress.mode, Mode::Probe) {
                     progress.mode = Mode::Pipeline;
                 }
             }
             Outcome::Refused { previous, hint } => {
-                // One reset for each round trip: reordered messages are refused one by one, and a reset for each
-                // of them would multiply the messages.
+                // Restart probing at most once per round trip: a restart for each refusal of reordered messages
+                // would multiply the messages.
                 let newer = reply.sent >= progress.probed_at;
                 let known = previous <= progress.matched && !newest;
                 if newer && !known && !matches!(progress.mode, Mode::Snapshot(_)) {
-                    progress.refused(previous, hint, now);
+                    progress.record_rejection(previous, hint, now);
                     self.send_heartbeat(from, out);
                 }
             }
         }
-        self.after_answer(from, out);
+        self.after_reply(from, out);
     }
 
-    fn after_answer(&mut self, from: id::VmId, out: &mut Vec<Output>) {
+    fn after_reply(&mut self, from: id::VmId, out: &mut Vec<Output>) {
         self.advance_commit(out);
-        self.note_leader_basis();
+        self.record_leader_freshness();
         self.continue_transfer(out);
-        self.pump(from, out);
+        self.replicate_to(from, out);
     }
 
     fn start_snapshot(&mut self, to: id::VmId, out: &mut Vec<Output>) {
@@ -178,9 +181,9 @@
         self.send_chunk(to, true, out);
     }
 
-    /// Sends the next chunk; a probe carries no bytes and asks how many arrived.
+    /// Sends the next chunk. A probe carries no data and only queries how much has arrived.
     fn send_chunk(&mut self, to: id::VmId, probe: bool, out: &mut Vec<Output>) {
-        let (now, size) = (self.now, self.config.chunk_bytes);
+        let (now, size) = (self.now, self.config.snapshot_chunk_bytes);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -211,14 +214,14 @@
         sent: u64,
         out: &mut Vec<Output>,
     ) {
-        let (now, election, last) = (self.now, self.config.election, self.log.last().index);
+        let (now, election, last) = (self.now, self.config.election_timeout, self.log.last().index);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
         let Some(progress) = leader.progress.get_mut(&from) else {
             return;
         };
-        progress.answered(Duration::from_micros(sent), now);
+        progress.record_ack(Duration::from_micros(sent), now);
         let Mode::Snapshot(transfer) = &mut progress.mode else {
             return;
         };
@@ -230,15 +233,15 @@
                 transfer.offset = received;
                 transfer.data_sent = None;
             }
-            // An answer to a message from before the bytes were sent does not show that they were lost.
+            // A reply to a message sent before the current chunk does not mean that the chunk was lost.
             if transfer.data_sent.is_none_or(|at| sent >= at) {
                 self.send_chunk(from, false, out);
             }
             return;
         }
-        progress.probe(label.position.index + 1, now);
-        progress.accept(label.position.index, last, now, election);
+        progress.start_probe(label.position.index + 1, now);
+        progress.record_match(label.position.index, last, now, election);
         progress.mode = Mode::Pipeline;
-        self.after_answer(from, out);
+        self.after_reply(from, out);
     }
 }
