control: usual terms in the tests of the package

Heads of tests told of books that are wrong, changes that have their turn and lives that tell an end. They now state which failure each test guards against in the terms that the package uses; some test functions have plainer names.

--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -1,4 +1,4 @@
-//! First use of each command; guards against outcomes that callers cannot act on.
+//! Basic use of each command; guards against outcomes that callers cannot interpret.
 
 use bronzespoke_control::{envelope, escrow, request_id, root, zone};
 use bronzespoke_model::{config, id, job, resource, task, team, vm, worker};
@@ -103,7 +103,7 @@
     }
 }
 
-/// Guards I1 against a scheduler whose books are wrong: the zone state refuses what does not fit the worker.
+/// Guards the capacity of workers against a scheduler with wrong accounting: the zone state refuses the excess start.
 #[test]
 fn a_start_over_the_capacity_of_a_worker_is_refused() {
     let mut zone = Zone::new();
@@ -149,7 +149,7 @@
 }
 
 #[test]
-fn a_gang_restarts_as_a_whole_after_a_loss() {
+fn all_members_of_a_gang_restart_after_a_loss() {
     let mut zone = Zone::new();
     let job = zone.submit(job::Kind::Gang, 3);
     for index in 0..3 {
@@ -164,7 +164,7 @@
 }
 
 #[test]
-fn starts_stay_within_the_part_and_releases_spare_what_runs() {
+fn starts_stay_within_the_allotment_and_releases_keep_what_is_in_use() {
     let mut zone = Zone::new();
     let job = zone.submit(job::Kind::Service, 10);
     for index in 0..4 {
@@ -264,16 +264,16 @@
     assert_eq!(view.team_of_key(&key), Some(1));
     assert_eq!(view.team("judo").unwrap().id, 1);
     assert_eq!(view.queues["public"].service, view.services["checks"].id);
-    // The wish of 60 and half of what is left of 100.
+    // The demand of 60 plus half of the remaining 40.
     assert_eq!(view.allotment(1, 1).unwrap().outstanding().cpu_milli, 80);
     let copy = root::State::decode(&state.encode()).unwrap();
     assert_eq!(copy.encode(), state.encode());
     state.verify().unwrap();
 }
 
-/// Guards against a batch that the log refuses as a whole because its answers are large together.
+/// Guards against a batch that the log refuses because its answers together exceed the size limit of an entry.
 #[test]
-fn a_large_batch_is_encoded_in_entries_within_the_limit_and_in_order() {
+fn a_large_batch_is_split_into_entries_within_the_limit_and_in_order() {
     let complete = |number| {
         let answer = zone::Answer {
             status: 200,
@@ -288,15 +288,15 @@
     let mut decoded = Vec::new();
     for (data, commands) in envelope::encode_within(&batch, limit) {
         assert!(data.len() <= limit);
-        let entry = envelope::decode::<zone::Command>(&data).expect("an encoded entry is decoded");
+        let entry = envelope::decode::<zone::Command>(&data).expect("the entry is valid");
         assert_eq!(entry.len(), commands);
         decoded.extend(entry);
     }
     assert_eq!(decoded, batch);
 }
 
-/// Guards against retries that start anew with the next leader or after a snapshot, attempts that go back, and counts
-/// that stay behind for jobs that ended.
+/// Guards against retries that are reset by a change of leader or a snapshot, counts of attempts that decrease, and
+/// counts that are retained after the job ended.
 #[test]
 fn failed_runs_are_counted_until_the_job_ends() {
     let mut zone = Zone::new();
@@ -312,24 +312,24 @@
     };
     let refused = zone::Outcome::Refused(zone::Refusal::NoSuchTask);
     assert_eq!(zone.run(beyond), refused);
-    zone.state = zone::State::decode(&zone.state.encode()).expect("a sound state");
+    zone.state = zone::State::decode(&zone.state.encode()).expect("the state is valid");
     assert_eq!(zone.state.attempts(task), 2);
 
     zone.run(zone::Command::Cancel { job });
     assert_eq!(zone.state.attempts(task), 0);
     let ended = zone::Outcome::Refused(zone::Refusal::JobEnded);
     assert_eq!(zone.run(count(3)), ended);
-    zone.state.verify().expect("a sound state");
+    zone.state.verify().expect("the state is valid");
 }
 
-/// Guards against a build that cannot read the data folder of an earlier one: its snapshots end before the attempts.
+/// Guards against a build that cannot read the snapshots of an earlier build, which lack the table of attempts.
 #[test]
 fn a_snapshot_without_attempts_is_read() {
     let mut zone = Zone::new();
     let job = zone.submit(job::Kind::Batch, 2);
     let bytes = zone.state.encode();
-    let former = &bytes[..bytes.len() - 1];
-    let state = zone::State::decode(former).expect("a sound state");
+    let earlier = &bytes[..bytes.len() - 1];
+    let state = zone::State::decode(earlier).expect("the state is valid");
     assert_eq!(state.encode(), bytes);
     assert!(state.job(job).is_some());
 }
--- a/crates/control/tests/batch.rs
+++ b/crates/control/tests/batch.rs
@@ -1,4 +1,4 @@
-//! Collection of commands into log entries.
+//! Batching of commands into log entries.
 
 use std::time::Duration;
 
@@ -13,7 +13,7 @@
     envelope::Envelope::new(0, number)
 }
 
-/// Proposes what is due up to `until`; returns the batches with their times.
+/// Takes the batch that is due at or before `until`; returns its due time and its commands.
 fn propose(batch: &mut Batch<u64, u64>, until: Duration) -> Option<(Duration, Vec<u64>)> {
     let due = batch.due().filter(|due| *due <= until)?;
     let (commands, waiters) = batch.take(due);
@@ -25,7 +25,7 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 64, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
-    /// Guards against commands that wait longer than stated, change their order or get lost, at any mix of rates.
+    /// Guards against commands that exceed their maximum delay, are reordered or are lost, at any mix of rates.
     #[test]
     fn no_command_waits_longer_than_its_urgency_allows(seed in any::<u64>()) {
         let mut random = SmallRng::seed_from_u64(seed);
@@ -40,11 +40,11 @@
                 for number in numbers {
                     prop_assert_eq!(number, proposed);
                     let (since, urgency) = pushed[number as usize];
-                    let most = match urgency {
+                    let max = match urgency {
                         Urgency::Prompt => PROMPT_DELAY,
                         Urgency::Routine => ROUTINE_DELAY,
                     };
-                    prop_assert!(at.saturating_sub(since) <= most, "{:?} waits from {:?} to {:?}", urgency, since, at);
+                    prop_assert!(at.saturating_sub(since) <= max, "{:?} waits from {:?} to {:?}", urgency, since, at);
                     proposed += 1;
                 }
             }
@@ -57,9 +57,9 @@
     }
 }
 
-/// Guards against an isolated command that waits as if there were load, also after a time of load.
+/// Guards against an isolated command that is delayed as under load, including after a period of load.
 #[test]
-fn an_isolated_command_is_proposed_at_once() {
+fn an_isolated_command_is_not_collected() {
     let mut batch = Batch::default();
     for millis in 0..2_000 {
         let now = Duration::from_millis(millis);
@@ -76,9 +76,9 @@
     }
 }
 
-/// Guards against an entry for each start and end at peak: 294 a second in a zone at the target size.
+/// Guards against one entry per start and end at peak load, which is 294 per second in a zone of the target size.
 #[test]
-fn routine_commands_at_peak_share_ten_entries_a_second() {
+fn routine_commands_at_peak_take_ten_entries_per_second() {
     let mut batch = Batch::default();
     let (mut now, mut batches) = (Duration::ZERO, 0);
     for number in 0..294 * 60 {
@@ -88,11 +88,11 @@
         }
         batch.push(now, envelope(number), number, Urgency::Routine);
     }
-    // The commands of the first moments are proposed at once.
+    // The first batches are proposed without collection.
     assert!(batches <= 10 * 60 + 10, "{batches} entries in 60 s");
 }
 
-/// Guards against a batch that grows without a bound while routine commands wait.
+/// Guards against a batch that grows without bound while routine commands wait.
 #[test]
 fn a_full_batch_is_due() {
     let mut batch = Batch::default();
@@ -107,9 +107,9 @@
     assert_eq!(batch.due(), Some(Duration::ZERO));
 }
 
-/// Guards against commands of a former scheduler that are proposed by the next one, and against a lost caller.
+/// Guards against commands that are proposed although their scheduler was replaced or their caller is gone.
 #[test]
-fn commands_that_nobody_waits_for_can_be_dropped() {
+fn commands_without_a_waiter_can_be_dropped() {
     let mut batch = Batch::default();
     for number in 0..6 {
         batch.push(Duration::ZERO, envelope(number), number, Urgency::Prompt);
--- a/crates/control/tests/bounds.rs
+++ b/crates/control/tests/bounds.rs
@@ -1,4 +1,5 @@
-//! Tables at their bounds; guards against state that grows without end and against answers that are not stated.
+//! Tables at their limits; guards against state that grows without bound and against unspecified outcomes at the
+//! limits.
 
 use bronzespoke_control::{dedupe, envelope, request_id, root, zone};
 use bronzespoke_model::{id, job, resource, task, team, worker};
@@ -89,7 +90,7 @@
 }
 
 #[test]
-fn a_full_id_table_refuses_until_ids_expire() {
+fn a_full_table_refuses_request_ids_until_some_expire() {
     let mut zone = Zone::new();
     for number in 0..zone::MAX_REQUEST_IDS {
         assert!(matches!(zone.claim(number), zone::Claimed::Granted(_)));
@@ -102,7 +103,7 @@
 }
 
 #[test]
-fn the_oldest_answers_are_dropped_and_their_ids_stay() {
+fn the_oldest_answers_are_evicted_and_their_ids_retained() {
     let mut zone = Zone::new();
     let count = zone::MAX_ANSWERS_BYTES / zone::MAX_ANSWER_BYTES + 2;
     for number in 0..count {
@@ -119,7 +120,7 @@
 }
 
 #[test]
-fn results_beyond_the_bound_of_a_job_are_counted() {
+fn results_beyond_the_limit_of_a_job_are_counted() {
     let mut zone = Zone::new();
     let job = zone.submit(70, "").unwrap();
     let result = "r".repeat(task::MAX_RESULT_BYTES);
@@ -128,7 +129,7 @@
     }
     zone.state.verify().unwrap();
     let zone::Lookup::Found(status) = zone.state.lookup(job, true) else {
-        panic!("the job is gone");
+        panic!("the job was dropped");
     };
     assert_eq!(status.state, job::State::Succeeded);
     assert_eq!(status.results.len() as u32 + status.results_dropped, 70);
@@ -136,7 +137,7 @@
 }
 
 #[test]
-fn open_jobs_are_refused_and_ended_jobs_dropped_at_their_bounds() {
+fn at_their_limits_open_jobs_are_refused_and_ended_jobs_dropped() {
     let mut zone = Zone::new();
     let command = "c".repeat(job::MAX_COMMAND_BYTES);
     let refused = (0..10_000).find_map(|_| zone.submit(1, &command).err());
@@ -165,7 +166,7 @@
 }
 
 #[test]
-fn the_newest_command_ids_are_remembered() {
+fn the_newest_command_ids_are_retained() {
     let mut state = root::State::new();
     let ids = dedupe::MAX_IDS as u128;
     for id in 0..=ids {
@@ -206,14 +207,16 @@
     assert_eq!((state.applied(), state.teams().len()), (5, 1));
 }
 
-/// Guards against a table of failed runs that grows with the tasks of all open jobs.
+/// Guards against a table of failed runs that grows with the number of tasks of all open jobs.
 #[test]
-fn failed_runs_are_counted_for_a_bounded_number_of_tasks() {
+fn failed_runs_are_recorded_for_a_limited_number_of_tasks() {
     let mut zone = Zone::new();
     let per_job = job::MAX_TASKS as usize;
     let mut outcomes = Vec::new();
     for _ in 0..=zone::MAX_ATTEMPTS / per_job {
-        let job = zone.submit(job::MAX_TASKS, "").expect("room for the job");
+        let job = zone
+            .submit(job::MAX_TASKS, "")
+            .expect("there is space for the job");
         for index in 0..job::MAX_TASKS {
             let task = task::Ref { job, index };
             outcomes.push(zone.run(zone::Command::Attempts { task, attempts: 1 }));
@@ -222,5 +225,5 @@
     let refused = zone::Outcome::Refused(zone::Refusal::Full);
     let counted = outcomes.iter().filter(|outcome| **outcome != refused).count();
     assert_eq!(counted, zone::MAX_ATTEMPTS);
-    zone.state.verify().expect("a sound state");
+    zone.state.verify().expect("the state is valid");
 }
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -1,4 +1,4 @@
-//! The replicated state of a cell: commands that are repeated, late or unfit change nothing.
+//! State machine of the cell: commands that are repeated, late or do not match the state have no effect.
 
 use bronzespoke_control::cell::{Command, End, Outcome, Start, State};
 use bronzespoke_model::resource;
@@ -73,21 +73,21 @@
 }
 
 fn phase(state: &State) -> job::Phase {
-    state.job(KEY).expect("the job is known").phase
+    state.job(KEY).expect("the job exists").phase
 }
 
-/// Guards against a submission that arrives again after the job has moved on.
+/// Guards against a resent submission that resets a job which has already started.
 #[test]
-fn a_repeated_submission_is_one_job() {
+fn a_repeated_submission_creates_one_job() {
     let mut state = State::default();
     state.apply(1, submit(KEY, vec![step(1, false, &[])]));
     state.apply(2, start(task(0, 0), 1, 9));
     state.apply(3, submit(KEY, vec![step(1, false, &[])]));
     assert_eq!((phase(&state), state.pending("audit")), (job::Phase::Running, 0));
-    state.verify().expect("the counters fit");
+    state.verify().expect("the counters are consistent");
 }
 
-/// Guards against a task that is placed twice, or with a number that does not rise.
+/// Guards against a task that is placed twice, or with a run number that does not increase.
 #[test]
 fn a_placed_task_is_not_placed_again() {
     let mut state = State::default();
@@ -109,14 +109,14 @@
         state.apply(4, start(task(0, 0), 2, 8)),
         Outcome::Started(vec![true])
     );
-    // A failure of a run that was given up counts as one attempt, however often it is told; its success counts, and no start
-    // follows.
+    // A failure of a run that was recorded as lost counts as one attempt, however often it is reported. A success of
+    // such a run completes the task, and no start follows.
     state.apply(5, end(task(0, 0), 1, 9, directive::Outcome::Failed));
     state.apply(5, end(task(0, 0), 1, 9, directive::Outcome::Failed));
     assert_eq!(phase(&state), job::Phase::Running);
     assert_eq!(state.task(task(0, 0)).map(|task| task.failures), Some(1));
     let placed = state.task(task(0, 0)).and_then(|task| task.placed);
-    assert_eq!(placed, Some(8), "the later run goes on");
+    assert_eq!(placed, Some(8), "the later run continues");
     state.apply(6, end(task(0, 0), 1, 9, directive::Outcome::Done));
     assert_eq!(phase(&state), job::Phase::Completed);
     state.apply(7, end(task(0, 0), 2, 8, directive::Outcome::Stopped));
@@ -125,22 +125,23 @@
         state.apply(8, start(task(0, 0), 3, 8)),
         Outcome::Started(vec![false])
     );
-    state.verify().expect("the counters fit");
+    state.verify().expect("the counters are consistent");
 }
 
-/// Guards against a job that is shown as completed before its last step.
+/// Guards against a step that is ready before the steps it depends on, and a job that completes before its last step.
 #[test]
-fn steps_follow_each_other() {
+fn a_step_waits_for_its_dependencies() {
     let mut state = State::default();
     state.apply(1, submit(KEY, vec![step(1, false, &[]), step(1, false, &[0])]));
-    let ready = |state: &State| state.job(KEY).expect("the job is known").is_ready(0, 1);
+    let ready = |state: &State| state.job(KEY).expect("the job exists").is_ready(0, 1);
     assert!(!ready(&state));
     state.apply(2, start(task(0, 0), 1, 9));
     state.apply(3, end(task(0, 0), 1, 9, directive::Outcome::Done));
     assert!(ready(&state) && phase(&state) == job::Phase::Running);
 }
 
-/// Guards against failures that are counted for each member of a gang, and ends that are counted as failures.
+/// Guards against failures of a gang that count once per member instead of once per run, and against other ends that
+/// count as failures.
 #[test]
 fn a_gang_counts_each_run_once() {
     let mut state = State::default();
@@ -151,18 +152,18 @@
         }
         state.apply(3, end(task(0, 0), run, 9, directive::Outcome::Failed));
         state.apply(3, end(task(0, 1), run, 9, directive::Outcome::Failed));
-        let wanted = if run == 1 {
+        let expected = if run == 1 {
             job::Phase::Running
         } else {
             job::Phase::Failed
         };
-        assert_eq!(phase(&state), wanted, "run {run}");
+        assert_eq!(phase(&state), expected, "run {run}");
     }
 }
 
-/// Guards against a gang that waits for members whose end is never listed.
+/// Guards against a gang that waits indefinitely for members whose end is never reported.
 #[test]
-fn one_end_stands_for_the_gang() {
+fn the_success_of_one_member_completes_the_gang() {
     let mut state = State::default();
     state.apply(1, submit(KEY, vec![step(3, true, &[])]));
     for index in 0..3 {
@@ -170,10 +171,10 @@
     }
     state.apply(3, end(task(0, 1), 1, 9, directive::Outcome::Done));
     assert_eq!(phase(&state), job::Phase::Completed);
-    state.verify().expect("the counters fit");
+    state.verify().expect("the counters are consistent");
 }
 
-/// Guards against a start after a cancel, and against a cancelled job that becomes something else.
+/// Guards against a start after a cancellation, and against a cancelled job that changes to another phase.
 #[test]
 fn a_cancelled_job_stays_cancelled() {
     let mut state = State::default();
@@ -189,9 +190,9 @@
     assert_eq!(state.apply(6, Command::Cancel { key: 77 }), Outcome::NoJob);
 }
 
-/// Guards against a configuration that goes back to an older version or changes under its number.
+/// Guards against a configuration that reverts to an older version or changes under the same version.
 #[test]
-fn the_highest_version_stays() {
+fn the_highest_configuration_version_is_retained() {
     let configure = |version: u64, document: &'static [u8]| Command::Configure {
         catalog: Box::new(catalog::Catalog {
             version,
@@ -209,7 +210,7 @@
     assert_eq!(state.catalog().map(|catalog| catalog.version), Some(7));
 }
 
-/// Guards against a late announcement that makes a leaving worker ready again.
+/// Guards against a delayed announcement that makes a draining worker ready again.
 #[test]
 fn a_draining_worker_stays_draining() {
     let register = |draining: bool| Command::Register {
@@ -237,15 +238,15 @@
     assert!(state.workers()[&0].draining);
 }
 
-/// Guards against counters that drift, and snapshots that differ, over any order of commands.
+/// Guards against counters that drift and snapshots that differ from the state, under random sequences of commands.
 #[test]
-fn counters_fit_after_any_commands() {
+fn counters_are_consistent_after_random_commands() {
     for seed in 0..200 {
         let mut rng = rngs::SmallRng::seed_from_u64(seed);
         let mut state = State::default();
         state.apply(1, submit(KEY, vec![step(3, false, &[]), step(2, true, &[0])]));
         for _ in 0..60 {
-            let which = task(rng.random_range(0..2), rng.random_range(0..3));
+            let target = task(rng.random_range(0..2), rng.random_range(0..3));
             let run = rng.random_range(1..4);
             let worker = rng.random_range(0..2);
             let outcomes = [
@@ -255,31 +256,31 @@
                 directive::Outcome::Lost,
             ];
             let command = match rng.random_range(0..12) {
-                0..5 => start(which, run, worker),
-                5..10 => end(which, run, worker, outcomes[rng.random_range(0..4)]),
+                0..5 => start(target, run, worker),
+                5..10 => end(target, run, worker, outcomes[rng.random_range(0..4)]),
                 10 => submit(rng.random_range(4..7), vec![step(1, false, &[])]),
                 _ => Command::Forget(vec![KEY, 4]),
             };
             state.apply(2, command);
             state
                 .verify()
-                .unwrap_or_else(|fault| panic!("seed {seed}: {fault}"));
+                .unwrap_or_else(|error| panic!("seed {seed}: {error}"));
         }
-        let decoded = State::decode(&state.encode()).expect("a snapshot can be read");
+        let decoded = State::decode(&state.encode()).expect("the snapshot is valid");
         assert_eq!(decoded, state, "seed {seed}");
     }
 }
 
-/// Guards against a task that is started after its last attempt: the failure was told by the next life of its worker, which
-/// had taken a repeated start. Seed 651 of `a_start_that_the_next_life_took_is_not_repeated_elsewhere`.
+/// Guards against a task that is started again after its last attempt. A later incarnation of the worker receives a
+/// resent start and reports the failure, which must count although the worker index differs from the placement.
 #[test]
-fn an_end_counts_whichever_life_tells_it() {
+fn an_end_reported_by_a_later_incarnation_counts() {
     let mut state = State::default();
     state.apply(1, submit(KEY, vec![step(1, false, &[])]));
     state.apply(2, start(task(0, 0), 1, 9));
     state.apply(3, end(task(0, 0), 1, 12, directive::Outcome::Failed));
-    let entry = state.task(task(0, 0)).expect("the task is known");
+    let entry = state.task(task(0, 0)).expect("the task exists");
     assert_eq!((entry.placed, entry.failures), (None, 1));
     state.apply(4, end(task(0, 0), 1, 9, directive::Outcome::Lost));
-    state.verify().expect("the counters fit");
+    state.verify().expect("the counters are consistent");
 }
--- a/crates/control/tests/demand.rs
+++ b/crates/control/tests/demand.rs
@@ -1,4 +1,4 @@
-//! Reports of demand over a faulty network: zone leaders and root leaders that change.
+//! Demand reports over an unreliable network, with changes of zone leaders and root leaders.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -45,7 +45,7 @@
     state.apply(index, &envelope::Envelope::new(1, command));
 }
 
-/// Leader of a zone with its committed counters.
+/// A zone leader with its demand and its committed counters.
 struct Zone {
     id: id::AvailabilityZoneId,
     term: u64,
@@ -55,8 +55,8 @@
 
 impl Zone {
     fn report(&mut self, now: Duration, receiver: id::VmId) -> Option<Report> {
-        for (team, (wanted, released)) in &self.teams {
-            self.reporter.set(*team, *wanted, total(*released));
+        for (team, (demand, released)) in &self.teams {
+            self.reporter.set(*team, *demand, total(*released));
         }
         self.reporter.report(now, receiver)
     }
@@ -65,7 +65,7 @@
 struct Cell {
     state: root::State,
     zones: Vec<Zone>,
-    /// Leader of the root group and its table.
+    /// VM that leads the root group; `table` is the state of its leadership.
     leader: id::VmId,
     table: Table,
     reports: Vec<(id::VmId, Report)>,
@@ -99,16 +99,16 @@
         for _ in 0..count {
             let zone = self.random.random_range(0..ZONES.len());
             let team = self.random.random_range(1..=TEAMS);
-            let (wanted, released) = self.zones[zone].teams.entry(team).or_default();
+            let (demand, released) = self.zones[zone].teams.entry(team).or_default();
             let tasks = self.random.random_range(0..200);
-            *wanted = Amount::new(tasks, tasks * 3, 0);
+            *demand = Amount::new(tasks, tasks * 3, 0);
             *released += self.random.random_range(0..2);
         }
     }
 
     fn replace_leaders(&mut self) {
         if self.random.random::<f64>() < 0.05 {
-            // The same VM may lead again, with an empty table.
+            // The same VM may become leader again, with an empty table.
             self.leader = self.random.random_range(1..=2);
             self.table = Table::new(self.now);
         }
@@ -120,7 +120,7 @@
         }
     }
 
-    /// Delivers messages in any order; some stay in flight and arrive again, and some are lost.
+    /// Delivers messages in random order. With faults, some stay in flight and are delivered again, and some are lost.
     fn deliver(&mut self, faults: bool) {
         while !self.reports.is_empty() {
             let number = self.random.random_range(0..self.reports.len());
@@ -151,10 +151,10 @@
         }
     }
 
-    fn second(&mut self, faults: bool) {
+    fn advance(&mut self, faults: bool) {
         self.now += demand::REPORT_INTERVAL;
         for zone in &mut self.zones {
-            // A zone may know an earlier leader of the root group.
+            // A zone may still report to an earlier leader of the root group.
             let stale = faults && self.random.random::<f64>() < 0.1;
             let to = if stale { 3 - self.leader } else { self.leader };
             let report = zone.report(self.now, to);
@@ -163,7 +163,8 @@
         self.deliver(faults);
     }
 
-    /// A released counter above the committed one would let allotments add up to more than the limit.
+    /// Checks that no released counter exceeds the committed one, since the sum of the allotments could then exceed the
+    /// limit.
     fn check_released(&mut self) -> Result<(), String> {
         for (zone, released) in self.table.released(&self.state) {
             for (team, known) in released {
@@ -180,10 +181,10 @@
         let demand = self.table.demand(self.now, &self.state);
         let released = self.table.released(&self.state);
         for zone in &self.zones {
-            for (team, (wanted, counter)) in &zone.teams {
+            for (team, (actual, counter)) in &zone.teams {
                 let known = demand.get(&(*team, zone.id)).copied().unwrap_or_default();
-                if !wanted.fits(&known) || known.cpu_milli > wanted.cpu_milli + wanted.cpu_milli / 7 {
-                    return Err(format!("zone {}, team {team}: {known:?} of {wanted:?}", zone.id));
+                if !actual.fits(&known) || known.cpu_milli > actual.cpu_milli + actual.cpu_milli / 7 {
+                    return Err(format!("zone {}, team {team}: {known:?} of {actual:?}", zone.id));
                 }
                 let ahead = released.get(&zone.id).into_iter().flatten();
                 let known = ahead.filter(|(other, _)| other == team).map(|(_, total)| *total);
@@ -203,38 +204,38 @@
 
 impl<I: Iterator<Item = escrow::Total>> Sum for I {
     fn sum_or_zero(self) -> escrow::Total {
-        self.fold(escrow::Total::ZERO, |all, one| all.saturating_add(&one))
+        self.fold(escrow::Total::ZERO, |sum, total| sum.saturating_add(&total))
     }
 }
 
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
-    /// Guards against a change that a lost, repeated or late message hides for good, and against released counters that
-    /// run ahead of the committed ones.
+    /// Guards against a change that a lost, repeated or late message hides permanently, and against released counters
+    /// that exceed the committed ones.
     #[test]
     fn demand_arrives_after_any_faults(seed in any::<u64>()) {
         let mut cell = Cell::new(seed);
         for _ in 0..60 {
             cell.change();
             cell.replace_leaders();
-            cell.second(true);
+            cell.advance(true);
             prop_assert_eq!(cell.check_released(), Ok(()));
         }
-        // Messages of before may still arrive in the first second. Then one report finds out what the root leader has, and
-        // the rest carries both values of all teams.
+        // Old messages may still arrive in the first interval. Then one report determines the version that the root
+        // leader has, and the remaining ones carry both values of all teams.
         let needed = 2 + (2 * TEAMS as usize).div_ceil(demand::MAX_ENTRIES);
         for _ in 0..needed {
-            cell.second(false);
+            cell.advance(false);
         }
         prop_assert_eq!(cell.check_settled(), Ok(()));
     }
 }
 
-/// Guards against teams whose change never has its turn because other teams, or the team itself, change all the time,
-/// and against reports that together exceed the budget of the root leader.
+/// Guards against teams that are starved of reports because other teams, or the team itself, change constantly, and
+/// against reports that together exceed the bandwidth budget of the root leader.
 #[test]
-fn every_team_has_its_turn_within_the_stated_time() {
+fn no_team_is_starved_of_reports() {
     const MANY: u32 = 640;
     let mut reporter = Reporter::new(1, 1, Duration::ZERO);
     let mut table = Table::new(Duration::ZERO);
@@ -245,7 +246,7 @@
         for team in 1..=MANY {
             let size = 1000 * (1 + (second * 7 + team) % 90);
             let released =
-                escrow::Total::from_dimensions([u64::MAX >> 24; 3].map(|most| most + u64::from(second)));
+                escrow::Total::from_dimensions([u64::MAX >> 24; 3].map(|base| base + u64::from(second)));
             reporter.set(team, Amount::new(size, size, size % 97), released);
         }
         let report = reporter.report(now, 1).unwrap();
@@ -257,20 +258,20 @@
         let receipt = table.receive(now, &report).unwrap();
         reporter.acknowledge(1, &receipt);
         if second >= intervals {
-            for (team, wanted) in (1..=MANY).flat_map(|team| [(team, true), (team, false)]) {
-                let waited = second - last.get(&(team, wanted)).copied().unwrap_or_default();
+            for (team, is_demand) in (1..=MANY).flat_map(|team| [(team, true), (team, false)]) {
+                let waited = second - last.get(&(team, is_demand)).copied().unwrap_or_default();
                 assert!(waited <= intervals, "team {team} waits for {waited} intervals");
             }
         }
     }
 }
 
-/// Guards against allotments that a new root leader takes from zones that have not reported yet.
+/// Guards against allotments that a new root leader moves away from zones that have not reported yet.
 #[test]
 fn a_new_root_leader_moves_nothing_before_all_zones_reported() {
     let mut state = root_state();
-    let wishes = |zone: id::AvailabilityZoneId| Amount::new(250 + u32::from(zone), 250, 0);
-    let all = (1..=TEAMS).flat_map(|team| ZONES.map(|zone| ((team, zone), wishes(zone))));
+    let demand_of = |zone: id::AvailabilityZoneId| Amount::new(250 + u32::from(zone), 250, 0);
+    let all = (1..=TEAMS).flat_map(|team| ZONES.map(|zone| ((team, zone), demand_of(zone))));
     let grants = root::rebalance(&state, &all.collect());
     grant(&mut state, grants);
     let mut table = Table::new(Duration::ZERO);
@@ -279,19 +280,19 @@
         let now = demand::REPORT_INTERVAL * second;
         assert_eq!(root::rebalance(&state, &table.demand(now, &state)), Vec::new());
         for team in 1..=TEAMS {
-            reporter.set(team, wishes(1), escrow::Total::ZERO);
+            reporter.set(team, demand_of(1), escrow::Total::ZERO);
         }
         let report = reporter.report(now, 1).unwrap();
         let receipt = table.receive(now, &report).unwrap();
         reporter.acknowledge(1, &receipt);
     }
-    // Zones that stay silent want nothing.
+    // Zones that do not report have no demand.
     let demand = table.demand(demand::REPORT_TIMEOUT, &state);
     assert!(demand.keys().all(|(_, zone)| *zone == 1));
     assert_eq!(demand.len(), TEAMS as usize);
 }
 
-/// Guards against a deposed leader of a zone that overwrites what the present one reported.
+/// Guards against a deposed zone leader that overwrites the reports of the current one.
 #[test]
 fn reports_of_an_earlier_term_are_ignored() {
     let state = root_state();
--- a/crates/control/tests/escrow.rs
+++ b/crates/control/tests/escrow.rs
@@ -1,6 +1,6 @@
-//! Allotments of upper limits over a faulty network: a root state beside the states of three zones.
+//! Allotments of upper limits over an unreliable network: one root state and the states of three zones.
 //!
-//! Guards against allotments that add up to more than the limit, at any moment and in any order of messages.
+//! Guards against allotments whose sum exceeds the limit, at any time and with any order of messages.
 
 use bronzespoke_control::{envelope, escrow::Total, root, zone};
 use bronzespoke_model::{id, job, resource::Amount, task, team, vm, worker};
@@ -12,9 +12,9 @@
 const STEPS: usize = 400;
 
 enum Message {
-    /// What a zone learns of the root state.
+    /// Allotments of a zone as recorded in the root state.
     Allotments(usize, Vec<(id::TeamId, root::Allotment)>),
-    /// Released counters that a zone has committed.
+    /// Released counters that a zone group has committed.
     Released(usize, Vec<(id::TeamId, Total)>),
 }
 
@@ -26,8 +26,8 @@
     messages: Vec<Message>,
     running: Vec<Vec<zone::Start>>,
     grants: Vec<Vec<root::Grant>>,
-    /// Upper bound of what may be out, per team, from the step before.
-    before: [Total; 2],
+    /// Outstanding amount per team after the previous step.
+    previous: [Total; 2],
     random: SmallRng,
 }
 
@@ -65,7 +65,7 @@
             messages: Vec::new(),
             running: vec![Vec::new(); 3],
             grants: Vec::new(),
-            before: [Total::ZERO; 2],
+            previous: [Total::ZERO; 2],
             random: SmallRng::seed_from_u64(seed),
         };
         for zone in ZONES {
@@ -128,8 +128,8 @@
         let mut demand = root::Demand::new();
         for team in TEAMS {
             for zone in ZONES {
-                let wish = self.amount();
-                demand.insert((team, zone), wish);
+                let amount = self.amount();
+                demand.insert((team, zone), amount);
             }
         }
         let grants = root::rebalance(&self.root, &demand);
@@ -157,7 +157,7 @@
         self.messages.push(message);
     }
 
-    /// Delivers a random message; half of them stay in flight, so that they arrive again later.
+    /// Delivers a random message. Half of the delivered messages stay in flight and are delivered again later.
     fn deliver(&mut self) {
         if self.messages.is_empty() {
             return;
@@ -223,7 +223,7 @@
         let targets = self.targets[zone];
         let mut released = self.zones[zone].releases(|team| targets[team as usize - 1]);
         if self.random.random::<f64>() < 0.3 {
-            // A proposal from before some starts asks for more than the zone can spare.
+            // A stale proposal, made before some starts, requests a larger release than the zone can afford.
             released = vec![(*TEAMS.choose(&mut self.random).unwrap(), self.amount().into())];
         }
         self.on_zone(zone, zone::Command::Release(released));
@@ -240,13 +240,13 @@
             }
             1 | 2 => self.rebalance(),
             3 if self.random.random() && !self.grants.is_empty() => {
-                // A leader proposes again what was committed long ago.
+                // A leader proposes a grant again that was committed long ago.
                 let number = self.random.random_range(0..self.grants.len());
                 let grants = self.grants[number].clone();
                 self.on_root(root::Command::Grant(grants));
             }
             3 => {
-                // A leader that works from an old state proposes anything.
+                // A leader with a stale state proposes an arbitrary grant.
                 let grant = root::Grant {
                     team: *TEAMS.choose(&mut self.random).unwrap(),
                     zone: *ZONES.choose(&mut self.random).unwrap(),
@@ -273,15 +273,16 @@
         }
     }
 
-    /// Returns what is out or may yet arrive at the zones.
-    fn out(&self, team: id::TeamId) -> Total {
-        let mut out = Total::ZERO;
+    /// Returns the outstanding amount of a team, including grants that have not reached the zones.
+    fn outstanding(&self, team: id::TeamId) -> Total {
+        let mut outstanding = Total::ZERO;
         for (zone, state) in ZONES.iter().zip(&self.zones) {
             let holding = state.holdings().get(team);
             let granted = self.root.allotment(team, *zone).unwrap_or_default().granted;
-            out = out.saturating_add(&granted.max(&holding.granted).saturating_sub(&holding.released));
+            outstanding =
+                outstanding.saturating_add(&granted.max(&holding.granted).saturating_sub(&holding.released));
         }
-        out
+        outstanding
     }
 
     fn check(&mut self) -> Result<(), String> {
@@ -291,15 +292,15 @@
         }
         for team in TEAMS {
             let limit = Total::from(self.root.teams()[&team].quota.limit);
-            let out = self.out(team);
-            let before = &mut self.before[team as usize - 1];
-            // Lowering a limit does not take allotments back at once, but nothing may grow above the limit.
-            if !out.fits(&limit.max(before)) {
+            let outstanding = self.outstanding(team);
+            let previous = &mut self.previous[team as usize - 1];
+            // Lowering a limit does not take allotments back at once, but nothing may grow beyond the limit.
+            if !outstanding.fits(&limit.max(previous)) {
                 return Err(format!(
-                    "team {team}: {out:?} out, {before:?} before, limit {limit:?}"
+                    "team {team}: {outstanding:?} outstanding, {previous:?} in the previous step, limit {limit:?}"
                 ));
             }
-            *before = out;
+            *previous = outstanding;
         }
         Ok(())
     }
@@ -312,7 +313,7 @@
         Ok(())
     }
 
-    /// Ends all tasks, heals the network and lets limits come into force.
+    /// Heals the network and ends all tasks, then returns whether all limits are in force.
     fn settle(&mut self) -> bool {
         self.cut = [false; 3];
         for _ in 0..4 {
@@ -353,7 +354,7 @@
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
     #[test]
-    fn parts_stay_within_limits(seed in any::<u64>()) {
+    fn allotments_stay_within_limits(seed in any::<u64>()) {
         let mut cell = Cell::new(seed, root::Rules::default(), zone::Rules::default());
         prop_assert_eq!(cell.run(), Ok(()));
         prop_assert!(cell.settle(), "limits do not come into force");
@@ -364,18 +365,18 @@
 #[yare::parameterized(
     grants_above_the_limit = { |root, _| root.limit = false },
     granted_counters_that_go_back = { |root, _| root.monotonic = false },
-    starts_above_the_part = { |_, zone| zone.allotment = false },
+    starts_above_the_allotment = { |_, zone| zone.allotment = false },
     releases_of_what_is_in_use = { |_, zone| zone.keep_used = false },
 )]
-fn a_missing_rule_is_caught(switch_off: fn(&mut root::Rules, &mut zone::Rules)) {
+fn a_disabled_rule_is_detected(disable: fn(&mut root::Rules, &mut zone::Rules)) {
     let (mut root_rules, mut zone_rules) = (root::Rules::default(), zone::Rules::default());
-    switch_off(&mut root_rules, &mut zone_rules);
-    let caught = (0..20).any(|seed| Cell::new(seed, root_rules, zone_rules).run().is_err());
-    assert!(caught);
+    disable(&mut root_rules, &mut zone_rules);
+    let detected = (0..20).any(|seed| Cell::new(seed, root_rules, zone_rules).run().is_err());
+    assert!(detected);
 }
 
 #[test]
-fn a_lost_zone_returns_its_part_only_after_its_leases() {
+fn a_lost_zone_releases_its_allotment_only_after_its_leases() {
     let mut cell = Cell::new(1, root::Rules::default(), zone::Rules::default());
     cell.rebalance();
     assert_ne!(cell.root.outstanding(1), Total::ZERO);
--- a/crates/control/tests/root.rs
+++ b/crates/control/tests/root.rs
@@ -1,4 +1,4 @@
-//! Random histories of the root group: keys, configuration versions, resent commands and snapshots.
+//! Randomized command histories of the root group: keys, configuration versions, resent commands and snapshots.
 
 use std::collections::{BTreeMap, BTreeSet};
 
@@ -71,16 +71,16 @@
             9 => self.snapshots.push(self.state.encode()),
             10 => self.restore()?,
             _ => {
-                let copy = root::State::decode(&self.state.encode()).map_err(|fault| fault.to_string())?;
+                let copy = root::State::decode(&self.state.encode()).map_err(|error| error.to_string())?;
                 if copy.encode() != self.state.encode() {
-                    return Err("a copy differs from its source".into());
+                    return Err("a decoded snapshot differs from the state".into());
                 }
             }
         }
         self.check()
     }
 
-    /// Two operators change the configuration from the version that both saw.
+    /// Two operators change the configuration based on the same version.
     fn set_config(&mut self) -> Result<(), String> {
         let expected = self.state.version();
         for _ in 0..2 {
@@ -100,12 +100,12 @@
             match outcome {
                 root::Outcome::Config(version) => {
                     if self.versions.insert(version, id).is_some() {
-                        return Err(format!("two operators won version {version}"));
+                        return Err(format!("two commands set version {version}"));
                     }
                 }
                 root::Outcome::Conflict { version, winner } => {
                     if winner != self.versions.get(&version).copied() {
-                        return Err(format!("the winner of version {version} is named wrongly"));
+                        return Err(format!("the reported winner of version {version} is wrong"));
                     }
                 }
                 other => return Err(format!("{other:?}")),
@@ -138,7 +138,7 @@
             Err(other) => return Err(other.to_string()),
         }
         if self.state.applied() < applied {
-            return Err("the applied index went back".into());
+            return Err("the applied index decreased".into());
         }
         Ok(())
     }
@@ -147,7 +147,7 @@
         self.state.verify()?;
         let view = self.state.view();
         if self.withdrawn.iter().any(|hash| view.keys.contains_key(hash)) {
-            return Err("a withdrawn key is back".into());
+            return Err("a withdrawn key is granted".into());
         }
         if view.version < self.newest {
             return Err(format!("version {} after {}", view.version, self.newest));
@@ -164,10 +164,10 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
-    /// Guards against withdrawn keys that work again, versions that go back or have two winners, and resent commands
-    /// that are carried out again, also after snapshots and restores.
+    /// Guards against withdrawn keys that become valid again, versions that decrease or have two winners, and resent
+    /// commands that are executed again, including after snapshots are installed.
     #[test]
-    fn keys_and_versions_never_go_back(seed in any::<u64>()) {
+    fn keys_stay_withdrawn_and_versions_never_decrease(seed in any::<u64>()) {
         prop_assert_eq!(History::new(seed, root::Rules::default()).run(), Ok(()));
     }
 }
@@ -178,20 +178,23 @@
     resent_commands = { |rules| rules.dedupe = false },
     older_snapshots = { |rules| rules.snapshot = false },
 )]
-fn a_missing_rule_is_caught(switch_off: fn(&mut root::Rules)) {
+fn a_disabled_rule_is_detected(disable: fn(&mut root::Rules)) {
     let mut rules = root::Rules::default();
-    switch_off(&mut rules);
+    disable(&mut rules);
     assert!((0..20).any(|seed| History::new(seed, rules).run().is_err()));
 }
 
 #[test]
 fn malformed_snapshots_are_refused() {
-    let whole = root::State::new().encode();
-    for length in 0..whole.len() {
-        assert!(root::State::decode(&whole[..length]).is_err());
+    let complete = root::State::new().encode();
+    for length in 0..complete.len() {
+        assert!(root::State::decode(&complete[..length]).is_err());
     }
     let newer = History::new(1, root::Rules::default()).state;
     let mut state = newer.clone();
-    assert!(matches!(state.install(&whole), Err(error::Error::Older { .. })));
+    assert!(matches!(
+        state.install(&complete),
+        Err(error::Error::Older { .. })
+    ));
     assert_eq!(state.encode(), newer.encode());
 }
--- a/crates/control/tests/shared.rs
+++ b/crates/control/tests/shared.rs
@@ -1,4 +1,4 @@
-//! The map whose copies share their entries.
+//! The ordered map with copy-on-write clones, compared with `BTreeMap`.
 
 use std::{collections::BTreeMap, ops::Bound};
 
@@ -11,7 +11,7 @@
     Remove(u16),
     Change(u16, u32),
     PopFirst,
-    Copy,
+    Clone,
     Range(u16, u16),
     Encode,
 }
@@ -22,7 +22,7 @@
         3 => (0..keys).prop_map(Step::Remove),
         2 => (0..keys, any::<u32>()).prop_map(|(key, value)| Step::Change(key, value)),
         1 => Just(Step::PopFirst),
-        1 => Just(Step::Copy),
+        1 => Just(Step::Clone),
         1 => (0..keys, 0..keys).prop_map(|(low, high)| Step::Range(low.min(high), low.max(high))),
         1 => Just(Step::Encode),
     ]
@@ -39,31 +39,31 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
-    /// Guards against entries that are lost or misplaced when leaves are split, joined or shared, and against a change
-    /// that shows in a copy made before it.
+    /// Guards against entries that are lost or misplaced when leaves are split, merged or shared, and against a change
+    /// that is visible in an earlier clone.
     #[test]
-    fn it_behaves_as_an_ordered_map_and_its_copies_do_not_change(
+    fn the_map_behaves_like_a_btree_map_and_its_clones_do_not_change(
         steps in prop_oneof![
             proptest::collection::vec(step(200), 1..400),
             proptest::collection::vec(step(5_000), 1_000..3_000),
         ],
     ) {
         let (mut map, mut model) = (Map::default(), BTreeMap::new());
-        let mut copies: Vec<(Map<u16, u32>, BTreeMap<u16, u32>)> = Vec::new();
+        let mut clones: Vec<(Map<u16, u32>, BTreeMap<u16, u32>)> = Vec::new();
         for step in steps {
             match step {
                 Step::Insert(key, value) => prop_assert_eq!(map.insert(key, value), model.insert(key, value)),
                 Step::Remove(key) => prop_assert_eq!(map.remove(&key), model.remove(&key)),
                 Step::Change(key, value) => {
                     prop_assert_eq!(map.contains_key(&key), model.contains_key(&key));
-                    if let (Some(one), Some(other)) = (map.get_mut(&key), model.get_mut(&key)) {
-                        (*one, *other) = (value, value);
+                    if let (Some(value_mut), Some(model_mut)) = (map.get_mut(&key), model.get_mut(&key)) {
+                        (*value_mut, *model_mut) = (value, value);
                     }
                     prop_assert_eq!(map.get(&key), model.get(&key));
                 }
                 Step::PopFirst => prop_assert_eq!(map.pop_first(), model.pop_first()),
-                Step::Copy if copies.len() < 4 => copies.push((map.clone(), model.clone())),
-                Step::Copy => {}
+                Step::Clone if clones.len() < 4 => clones.push((map.clone(), model.clone())),
+                Step::Clone => {}
                 Step::Range(low, high) => {
                     prop_assert!(map.range(low..high).eq(model.range(low..high)));
                     prop_assert!(map.range(low..=high).eq(model.range(low..=high)));
@@ -80,13 +80,13 @@
             }
         }
         same(&map, &model)?;
-        for (copy, model) in &copies {
-            same(copy, model)?;
+        for (clone, model) in &clones {
+            same(clone, model)?;
         }
     }
 }
 
-/// Guards against leaves that stay small after many removals, which would make a copy as slow as the entries are many.
+/// Guards against leaves that stay small after many removals, which would make a clone as expensive as before them.
 #[test]
 fn removals_leave_no_small_leaves() {
     let mut map = Map::default();
--- a/crates/control/tests/zone.rs
+++ b/crates/control/tests/zone.rs
@@ -1,4 +1,4 @@
-//! Random histories of a zone group: runs, request ids, resent commands and snapshots.
+//! Randomized command histories of a zone group: runs, request ids, resent commands and snapshots.
 
 use std::collections::BTreeMap;
 
@@ -14,7 +14,7 @@
     random: SmallRng,
     running: BTreeMap<task::Ref, id::Token>,
     last_token: id::Token,
-    /// Grant numbers of request ids that may have run.
+    /// Claim numbers of granted request ids whose request may have run.
     granted: BTreeMap<request_id::Key, u64>,
     sent: Vec<(zone::Envelope, zone::Outcome)>,
 }
@@ -158,7 +158,7 @@
     fn resend(&mut self) -> Result<(), String> {
         let number = self.random.random_range(0..self.sent.len());
         let (envelope, first) = self.sent[number].clone();
-        // Starts and ends are fenced by tokens; their outcomes are not kept.
+        // Starts and ends are fenced by tokens; their outcomes are not retained.
         if matches!(envelope.command, zone::Command::Start(_) | zone::Command::End(_)) {
             return Ok(());
         }
@@ -207,9 +207,9 @@
             }
             _ => {
                 let copy = self.state.encode();
-                self.state.install(&copy).map_err(|fault| fault.to_string())?;
+                self.state.install(&copy).map_err(|error| error.to_string())?;
                 if self.state.encode() != copy {
-                    return Err("a copy differs from its source".into());
+                    return Err("an installed snapshot differs from the state".into());
                 }
             }
         }
@@ -217,7 +217,7 @@
         let runs: BTreeMap<task::Ref, id::Token> =
             self.state.runs().map(|(task, run)| (task, run.token)).collect();
         if runs != self.running {
-            return Err("the runs are not those that were started and not ended".into());
+            return Err("the current runs differ from the starts without an end".into());
         }
         Ok(())
     }
@@ -230,15 +230,16 @@
 proptest! {
     #![proptest_config(ProptestConfig { cases: 48, failure_persistence: None, rng_seed: RngSeed::Fixed(1), ..ProptestConfig::default() })]
 
-    /// Guards against a task under two tokens, a request id granted twice, and resent commands carried out again.
+    /// Guards against a task that runs under two tokens, a request id granted twice, and resent commands that are
+    /// executed again.
     #[test]
-    fn runs_and_claims_happen_once(seed in any::<u64>()) {
+    fn tasks_run_once_and_ids_are_granted_once(seed in any::<u64>()) {
         prop_assert_eq!(History::new(seed, zone::Rules::default()).run(), Ok(()));
     }
 
-    /// Guards against starts and ends that change in the compact log form.
+    /// Guards against starts and ends that the compact log encoding does not preserve.
     #[test]
-    fn the_log_form_keeps_starts_and_ends(rows in prop::collection::vec(any::<(u64, u32, u64, u64)>(), 0..20)) {
+    fn the_log_encoding_preserves_starts_and_ends(rows in prop::collection::vec(any::<(u64, u32, u64, u64)>(), 0..20)) {
         let starts: Vec<zone::Start> = rows
             .iter()
             .map(|(job, index, worker, token)| zone::Start {
@@ -266,13 +267,13 @@
     second_claims = { |rules| rules.claim_once = false },
     resent_commands = { |rules| rules.dedupe = false },
 )]
-fn a_missing_rule_is_caught(switch_off: fn(&mut zone::Rules)) {
+fn a_disabled_rule_is_detected(disable: fn(&mut zone::Rules)) {
     let mut rules = zone::Rules::default();
-    switch_off(&mut rules);
+    disable(&mut rules);
     assert!((0..20).any(|seed| History::new(seed, rules).run().is_err()));
 }
 
-/// Guards against an id that two zones grant because the owner changed with the zones.
+/// Guards against a request id that two zones grant because a change of the set of zones changed its owner.
 #[test]
 fn owners_overlap_while_zones_change() {
     let mut root = root::State::new();
@@ -298,7 +299,7 @@
         },
     );
     let after = apply(1000, add(3));
-    let settled = 1000 + request_id::OVERLAP_MS;
+    let settled_ms = 1000 + request_id::OVERLAP_MS;
     let mut moved = 0;
     for number in 0..200 {
         let key = request_id::Key::new(1, &number.to_string());
@@ -307,7 +308,7 @@
         assert_eq!(old.second, None);
         assert!(new.first == old.first || new.second == Some(old.first));
         moved += usize::from(new.first != old.first);
-        let last = request_id::owners(key, &after, settled).unwrap();
+        let last = request_id::owners(key, &after, settled_ms).unwrap();
         assert_eq!((last.first, last.second), (new.first, None));
     }
     assert!(
