--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -1,5 +1,4 @@
-//! One attempt to have a target run a request: the request goes out on one connection and the head of the answer
-//! is checked.
+//! One attempt: sends a request to a target on one connection and checks the head of the response.
 
 use std::{
     sync::{
@@ -15,22 +14,22 @@
 use http_body_util::Full;
 use hyper::body::Incoming;
 
-use crate::{gate, pool};
+use crate::{balancer, pool};
 
-/// Number of an attempt; a target that echoes it lets the gateway notice an answer to another request.
+/// Number of the attempt. A target may echo it, so that the gateway detects a response to another request.
 pub(crate) const ATTEMPT: HeaderName = HeaderName::from_static("bronzespoke-attempt");
-/// Set by a target to `not run` when it did not run the request.
+/// Set to `not run` by a target that did not run the request.
 pub(crate) const RUN: HeaderName = HeaderName::from_static("bronzespoke-run");
-/// Set by a target to its requests in flight, the answered one excluded.
+/// Number of the target's requests in flight, without the one it responds to.
 pub(crate) const LOAD: HeaderName = HeaderName::from_static("bronzespoke-load");
-/// Time that is left for the request, in milliseconds.
+/// Time remaining until the deadline of the request, in milliseconds.
 pub(crate) const DEADLINE: HeaderName = HeaderName::from_static("bronzespoke-deadline-ms");
 /// Name of the team that sent the request.
 pub(crate) const TEAM: HeaderName = HeaderName::from_static("bronzespoke-team");
-/// Dead pooled connections that one attempt may meet.
-const MAX_DEAD: u32 = 8;
+/// Maximum number of pooled connections that one attempt tries and finds closed by the target.
+const MAX_STALE_CONNECTIONS: u32 = 8;
 
-/// A request as it goes to targets.
+/// A request in the form that is sent to targets.
 #[derive(Debug, Clone)]
 pub(crate) struct Message {
     pub path: http::uri::PathAndQuery,
@@ -39,45 +38,52 @@
     pub deadline: tokio::time::Instant,
 }
 
-/// The head of an answer, and the connection that carries its body.
-pub(crate) struct Got {
+/// A response whose head was received, and the connection that carries its body.
+pub(crate) struct Started {
     pub response: Response<Incoming>,
-    pub lease: pool::Lease,
+    pub connection: pool::Connection,
     pub load: Option<u32>,
 }
 
-/// An attempt without an answer.
+/// An attempt that failed before a usable response started.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Failure {
-    pub state: attempt::Progress,
-    pub end: attempt::Outcome,
+    pub progress: attempt::Progress,
+    pub outcome: attempt::Outcome,
     pub message: &'static str,
-    /// Whether it is a sign that the service has too much to do.
+    /// Whether the failure indicates that the service is overloaded.
     pub overload: bool,
 }
 
 impl Failure {
-    pub(crate) const fn new(state: attempt::Progress, end: attempt::Outcome, message: &'static str) -> Self {
+    pub(crate) const fn new(
+        progress: attempt::Progress,
+        outcome: attempt::Outcome,
+        message: &'static str,
+    ) -> Self {
         Self {
-            state,
-            end,
+            progress,
+            outcome,
             message,
-            overload: matches!(end, attempt::Outcome::TimedOut | attempt::Outcome::Busy { .. }),
+            overload: matches!(
+                outcome,
+                attempt::Outcome::TimedOut | attempt::Outcome::Busy { .. }
+            ),
         }
     }
 }
 
-/// Sends `message` to the picked target and waits for the head of the answer.
+/// Sends `message` to the picked target and waits for the head of the response.
 pub(crate) async fn run(
     pool: &Arc<pool::Pool>,
-    pick: &gate::Pick,
+    pick: &balancer::Pick,
     message: &Message,
     number: u64,
-) -> Result<Got, Failure> {
-    // Shared with the work below, so that a passed deadline still tells whether bytes may have been read.
+) -> Result<Started, Failure> {
+    // Shared with `exchange`, so that it is known after a timeout whether the target may have read bytes.
     let sent = AtomicBool::new(false);
-    let work = exchange(pool, pick, message, number, &sent);
-    match tokio::time::timeout_at(message.deadline, work).await {
+    let exchange = exchange(pool, pick, message, number, &sent);
+    match tokio::time::timeout_at(message.deadline, exchange).await {
         Ok(result) => result,
         Err(_) => Err(Failure::new(
             if sent.load(Ordering::Relaxed) {
@@ -86,30 +92,34 @@
                 attempt::Progress::NotSent
             },
             attempt::Outcome::TimedOut,
-            "the deadline passed before the target answered",
+            "the deadline passed before the target responded",
         )),
     }
 }
 
 async fn exchange(
     pool: &Arc<pool::Pool>,
-    pick: &gate::Pick,
+    pick: &balancer::Pick,
     message: &Message,
     number: u64,
     sent: &AtomicBool,
-) -> Result<Got, Failure> {
-    for _ in 0..MAX_DEAD {
+) -> Result<Started, Failure> {
+    for _ in 0..MAX_STALE_CONNECTIONS {
         sent.store(false, Ordering::Relaxed);
-        let mut lease = pool
-            .lease(pick.target, pick.address, pick.connections)
+        let mut connection = pool
+            .acquire(pick.target, pick.address, pick.connections)
             .await
-            .map_err(no_connection)?;
+            .map_err(connect_failure)?;
         sent.store(true, Ordering::Relaxed);
-        match lease.sender.try_send_request(request(message, number)).await {
-            Ok(response) => return check(response, lease, number),
-            // The request came back whole, so no byte of it was written and the target cannot have read any.
+        match connection
+            .sender
+            .try_send_request(build_request(message, number))
+            .await
+        {
+            Ok(response) => return check_response(response, connection, number),
+            // hyper returned the complete request, so no byte of it was written and the target cannot have read any.
             Err(error) if error.message().is_some() => {
-                if !lease.reused {
+                if !connection.reused {
                     return Err(not_sent(
                         "the target closed the connection before the request was sent",
                     ));
@@ -119,7 +129,7 @@
                 return Err(Failure::new(
                     attempt::Progress::Sent,
                     attempt::Outcome::Failed,
-                    "the target closed the connection without an answer",
+                    "the target closed the connection without a response",
                 ));
             }
         }
@@ -127,13 +137,17 @@
     Err(not_sent("every pooled connection to the target was closed"))
 }
 
-fn check(response: Response<Incoming>, lease: pool::Lease, number: u64) -> Result<Got, Failure> {
-    let broken = |message| Failure::new(attempt::Progress::Sent, attempt::Outcome::Failed, message);
+fn check_response(
+    response: Response<Incoming>,
+    connection: pool::Connection,
+    number: u64,
+) -> Result<Started, Failure> {
+    let invalid = |message| Failure::new(attempt::Progress::Sent, attempt::Outcome::Failed, message);
     let headers = response.headers();
     if let Some(echo) = headers.get(&ATTEMPT)
         && echo.to_str().ok().and_then(|text| text.parse().ok()) != Some(number)
     {
-        return Err(broken("the target answered another request"));
+        return Err(invalid("the response of the target belongs to another request"));
     }
     let load = headers
         .get(&LOAD)
@@ -149,22 +163,22 @@
             "the target did not run the request",
         ));
     }
-    if !has_end_mark(&response) {
+    if !has_framing(&response) {
         return Err(Failure::new(
             attempt::Progress::ResponseStarted,
             attempt::Outcome::Failed,
-            "the target's answer has neither a length nor chunks, so a cut could not be noticed",
+            "the target's response has neither a length nor chunked encoding, so a truncation would go unnoticed",
         ));
     }
-    Ok(Got {
+    Ok(Started {
         response,
-        lease,
+        connection,
         load,
     })
 }
 
-/// Tells whether the end of the answer can be told from a closed connection.
-fn has_end_mark(response: &Response<Incoming>) -> bool {
+/// Returns whether a complete response can be distinguished from one truncated by a closed connection.
+fn has_framing(response: &Response<Incoming>) -> bool {
     let status = response.status();
     let headers = response.headers();
     status == StatusCode::NO_CONTENT
@@ -173,17 +187,17 @@
         || headers.contains_key(header::TRANSFER_ENCODING)
 }
 
-fn request(message: &Message, number: u64) -> Request<Full<Bytes>> {
+fn build_request(message: &Message, number: u64) -> Request<Full<Bytes>> {
     let mut request = Request::new(Full::new(message.body.clone()));
     *request.method_mut() = Method::POST;
     *request.uri_mut() = http::Uri::from(message.path.clone());
-    let left = message
+    let remaining = message
         .deadline
         .saturating_duration_since(tokio::time::Instant::now());
     let headers = request.headers_mut();
     headers.clone_from(&message.headers);
     headers.insert(ATTEMPT, HeaderValue::from(number));
-    headers.insert(DEADLINE, HeaderValue::from(left.as_millis() as u64));
+    headers.insert(DEADLINE, HeaderValue::from(remaining.as_millis() as u64));
     request
 }
 
@@ -191,18 +205,18 @@
     Failure::new(attempt::Progress::NotSent, attempt::Outcome::Failed, message)
 }
 
-fn no_connection(error: pool::Error) -> Failure {
+fn connect_failure(error: pool::Error) -> Failure {
     match error {
         pool::Error::Exhausted => Failure::new(
             attempt::Progress::NotSent,
             attempt::Outcome::Abandoned,
-            "this VM's part of the target's connections is in use",
+            "this VM's allotment of connections to the target is in use",
         ),
-        pool::Error::Refused => not_sent("the target did not accept a connection"),
+        pool::Error::ConnectFailed => not_sent("the target did not accept a connection"),
     }
 }
 
-/// Returns the time from now until `deadline`, for messages.
-pub(crate) fn left(deadline: tokio::time::Instant) -> Duration {
+/// Returns the time remaining until `deadline`.
+pub(crate) fn remaining(deadline: tokio::time::Instant) -> Duration {
     deadline.saturating_duration_since(tokio::time::Instant::now())
 }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -1,4 +1,4 @@
-//! Bodies of answers to callers.
+//! Bodies of responses to callers.
 
 use std::{
     fmt,
@@ -13,29 +13,30 @@
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::{gate, pool};
+use crate::{balancer, pool};
 
-/// An answer that cannot be completed; the caller's connection is closed without an end mark.
+/// Why a response was truncated. The connection to the caller is closed before the end of the body, so that the
+/// caller detects the truncation.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Error {
-    /// The target broke off.
+    /// The target closed the connection or violated the protocol.
     Target,
-    /// The deadline passed.
+    /// The deadline of the request passed.
     Deadline,
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Target => "the target broke off its answer",
-            Self::Deadline => "the deadline passed during the answer",
+            Self::Target => "the response of the target was truncated",
+            Self::Deadline => "the deadline passed during the response",
         })
     }
 }
 
 impl std::error::Error for Error {}
 
-/// Counts a request until its answer has been handed to the connection.
+/// Increments a counter until it is dropped.
 pub(crate) struct InFlight(Arc<AtomicUsize>);
 
 impl InFlight {
@@ -57,7 +58,7 @@
     Channel(mpsc::Receiver<Result<Bytes, Error>>),
 }
 
-/// Body of an answer.
+/// Body of a response.
 pub struct Body {
     kind: Kind,
     in_flight: Option<InFlight>,
@@ -70,7 +71,7 @@
 }
 
 impl Body {
-    /// Returns a body that is known whole.
+    /// Creates a body with known content.
     pub fn full(bytes: Bytes) -> Self {
         Self {
             kind: Kind::Full(Some(bytes)),
@@ -92,6 +93,7 @@
         }
     }
 
+    /// Keeps the request counted as in flight until the body has been sent.
     pub(crate) fn hold(&mut self, in_flight: InFlight) {
         self.in_flight = Some(in_flight);
     }
@@ -120,7 +122,7 @@
     fn is_end_stream(&self) -> bool {
         match &self.kind {
             Kind::Full(bytes) => bytes.as_ref().is_none_or(Bytes::is_empty),
-            Kind::Stream(stream) => stream.running.is_none() && !stream.cut,
+            Kind::Stream(stream) => stream.exchange.is_none() && !stream.failed,
             Kind::Channel(_) => false,
         }
     }
@@ -134,91 +136,91 @@
     }
 }
 
-/// Everything that ends with the answer.
-pub(crate) struct Running {
-    pub permit: gate::Permit,
-    pub pick: gate::Pick,
-    pub lease: pool::Lease,
+/// Resources of a forwarded request, which are released at the end of the response.
+pub(crate) struct Exchange {
+    pub permit: balancer::Permit,
+    pub pick: balancer::Pick,
+    pub connection: pool::Connection,
     pub pool: Arc<pool::Pool>,
     pub load: Option<u32>,
     pub server_error: bool,
 }
 
-impl Running {
-    /// Reports a whole answer of `bytes` and returns the connection to the pool.
+impl Exchange {
+    /// Reports a complete response of `bytes` and returns the connection to the pool.
     pub(crate) fn complete(self, bytes: u64) {
         let Self {
             mut permit,
             pick,
-            lease,
+            connection,
             pool,
             load,
             server_error,
         } = self;
         let latency = pick.elapsed();
-        pool.put(lease);
+        pool.release(connection);
         if server_error {
-            pick.end(attempt::Outcome::Failed, bytes);
+            pick.finish(attempt::Outcome::Failed, bytes);
         } else {
-            permit.set(admission::Outcome::Success { latency });
-            pick.end(attempt::Outcome::Success { latency, load }, bytes);
+            permit.set_outcome(admission::Outcome::Success { latency });
+            pick.finish(attempt::Outcome::Success { latency, load }, bytes);
         }
         drop(permit);
     }
 
-    /// Reports an answer that was cut short; the connection is closed.
-    pub(crate) fn fail(self, cut: Error, bytes: u64) {
+    /// Reports a truncated response and closes the connection.
+    pub(crate) fn fail(self, error: Error, bytes: u64) {
         let Self {
             mut permit,
             pick,
-            lease,
+            connection,
             ..
         } = self;
-        drop(lease);
-        match cut {
-            Error::Target => pick.end(attempt::Outcome::Failed, bytes),
+        drop(connection);
+        match error {
+            Error::Target => pick.finish(attempt::Outcome::Failed, bytes),
             Error::Deadline => {
                 if pick.is_late() {
-                    permit.set(admission::Outcome::Overloaded);
+                    permit.set_outcome(admission::Outcome::Overloaded);
                 }
-                pick.end(attempt::Outcome::TimedOut, bytes);
+                pick.finish(attempt::Outcome::TimedOut, bytes);
             }
         }
         drop(permit);
     }
 }
 
-/// An answer on its way from a target to a caller; it is read only as fast as the caller takes it.
+/// A response that is streamed from a target to a caller; it is read only as fast as the caller accepts it.
 pub(crate) struct Stream {
     incoming: Incoming,
     deadline: Pin<Box<tokio::time::Sleep>>,
-    running: Option<Running>,
+    exchange: Option<Exchange>,
     bytes: u64,
-    cut: bool,
+    failed: bool,
 }
 
 impl Stream {
-    pub(crate) fn new(incoming: Incoming, deadline: tokio::time::Instant, running: Running) -> Self {
+    pub(crate) fn new(incoming: Incoming, deadline: tokio::time::Instant, exchange: Exchange) -> Self {
         Self {
             incoming,
             deadline: Box::pin(tokio::time::sleep_until(deadline)),
-            running: Some(running),
+            exchange: Some(exchange),
             bytes: 0,
-            cut: false,
+            failed: false,
         }
     }
 
-    /// Returns the next piece; `None` only after the whole answer.
+    /// Returns the next chunk; `None` only after the complete response.
     pub(crate) async fn next(&mut self) -> Option<Result<Bytes, Error>> {
         std::future::poll_fn(|context| self.poll(context)).await
     }
 
     fn poll(&mut self, context: &mut Context<'_>) -> Poll<Option<Result<Bytes, Error>>> {
-        if self.running.is_none() {
+        if self.exchange.is_none() {
             return Poll::Ready(None);
         }
         if self.deadline.as_mut().poll(context).is_ready() {
-            return Poll::Ready(Some(Err(self.end(Error::Deadline))));
+            return Poll::Ready(Some(Err(self.fail(Error::Deadline))));
         }
         loop {
             let frame = match Pin::new(&mut self.incoming).poll_frame(context) {
@@ -231,13 +233,13 @@
                         continue;
                     };
                     self.bytes += data.len() as u64;
-                    // The server may not poll again after the last announced byte.
+                    // The server may not poll again after the last byte of the announced length.
                     if self.incoming.is_end_stream() {
                         self.complete();
                     }
                     return Poll::Ready(Some(Ok(data)));
                 }
-                Some(Err(_)) => return Poll::Ready(Some(Err(self.end(Error::Target)))),
+                Some(Err(_)) => return Poll::Ready(Some(Err(self.fail(Error::Target)))),
                 None => {
                     self.complete();
                     return Poll::Ready(None);
@@ -247,16 +249,16 @@
     }
 
     fn complete(&mut self) {
-        if let Some(running) = self.running.take() {
-            running.complete(self.bytes);
+        if let Some(exchange) = self.exchange.take() {
+            exchange.complete(self.bytes);
         }
     }
 
-    fn end(&mut self, cut: Error) -> Error {
-        self.cut = true;
-        if let Some(running) = self.running.take() {
-            running.fail(cut, self.bytes);
+    fn fail(&mut self, error: Error) -> Error {
+        self.failed = true;
+        if let Some(exchange) = self.exchange.take() {
+            exchange.fail(error, self.bytes);
         }
-        cut
+        error
     }
 }
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -1,4 +1,4 @@
-//! Calls to control with a bound on waiting.
+//! Calls to control, with timeouts.
 
 use std::time::Duration;
 
@@ -7,27 +7,28 @@
 
 use crate::{control, error};
 
-/// Longest wait until the end of a claimed request is recorded; after it, the caller gets its answer all the same.
+/// Maximum time to wait until the completion of a claimed request is recorded. After it, the caller gets its response
+/// anyway.
 const RECORD_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Sends a call and waits for its answer.
-pub(crate) async fn ask<T>(
+/// Sends a call and waits for its reply.
+pub(crate) async fn call<T>(
     handle: &control::Handle,
     timeout: Duration,
     path: &str,
-    call: impl FnOnce(control::Reply<T>) -> control::Call,
+    make_call: impl FnOnce(control::Reply<T>) -> control::Call,
 ) -> Result<T, error::Error> {
     let (sender, receiver) = oneshot::channel();
-    send(handle, call(sender))?;
+    send(handle, make_call(sender))?;
     match tokio::time::timeout(timeout, receiver).await {
         Ok(Ok(Ok(value))) => Ok(value),
         Ok(Ok(Err(refusal))) => Err(error::Error::refused(refusal, path)),
-        Ok(Err(_)) => Err(no_answer("control ended the call without an answer")),
-        Err(_) => Err(no_answer("control did not answer in time")),
+        Ok(Err(_)) => Err(no_reply("control dropped the call without a reply")),
+        Err(_) => Err(no_reply("control did not reply in time")),
     }
 }
 
-/// Records a request id; a grant that comes too late is given back.
+/// Claims a request id. A grant that arrives after the deadline is released again.
 pub(crate) async fn claim(
     handle: &control::Handle,
     deadline: tokio::time::Instant,
@@ -37,7 +38,7 @@
     send(handle, control::Call::Claim(claim.clone(), sender))?;
     match tokio::time::timeout_at(deadline, &mut receiver).await {
         Ok(Ok(claimed)) => Ok(claimed),
-        Ok(Err(_)) => Err(unavailable("the owner of the request id did not answer")),
+        Ok(Err(_)) => Err(unavailable("the owner of the request id did not reply")),
         Err(_) => {
             let handle = handle.clone();
             let claim = claim.clone();
@@ -46,12 +47,14 @@
                     complete(&handle, claim, number, control::Completion::NotRun).await;
                 }
             });
-            Err(unavailable("the owner of the request id did not answer in time"))
+            Err(unavailable("the owner of the request id did not reply in time"))
         }
     }
 }
 
-/// Records how a claimed request ended, and waits until it is recorded; waits for room as well, because a lost completion leaves the id in progress.
+/// Records the completion of a claimed request and waits until it is recorded.
+///
+/// Waits for space in the channel too, because a lost completion would leave the id in progress.
 pub(crate) async fn complete(
     handle: &control::Handle,
     claim: control::Claim,
@@ -61,16 +64,16 @@
     let (sender, receiver) = oneshot::channel();
     let call = control::Call::Complete(claim, number, completion, sender);
     if handle.calls.send(call).await.is_err() {
-        log::warn!("gateway: control is gone, the end of a claimed request was not recorded");
+        log::warn!("gateway: control has stopped; the completion of a claimed request was not recorded");
         return;
     }
-    // Only the end of the wait counts: control drops the sender.
+    // The result does not matter: control signals the end by dropping the sender.
     drop(tokio::time::timeout(RECORD_TIMEOUT, receiver).await);
 }
 
 fn send(handle: &control::Handle, call: control::Call) -> Result<(), error::Error> {
     handle.calls.try_send(call).map_err(|error| match error {
-        mpsc::error::TrySendError::Full(_) => unavailable("too many calls wait for control"),
+        mpsc::error::TrySendError::Full(_) => unavailable("too many calls to control are pending"),
         mpsc::error::TrySendError::Closed(_) => unavailable("control has stopped"),
     })
 }
@@ -80,6 +83,6 @@
         .with_retry_after(Duration::from_secs(1))
 }
 
-fn no_answer(message: &str) -> error::Error {
+fn no_reply(message: &str) -> error::Error {
     error::Error::unknown(StatusCode::GATEWAY_TIMEOUT, "unknown", message)
 }
--- a/crates/gateway/src/control.rs
+++ b/crates/gateway/src/control.rs
@@ -1,4 +1,4 @@
-//! What the gateway reads from control, and what it asks of it.
+//! Interface between the gateway and control: views that the gateway reads, and calls that it makes.
 
 use std::{
     collections::HashMap,
@@ -14,19 +14,19 @@
 use bytes::Bytes;
 use tokio::sync::{mpsc, oneshot, watch};
 
-/// Calls that may wait for control; a full channel is answered with 503 and `not run`.
+/// Capacity of the channel of calls. If it is full, a request gets status 503 and `not run`.
 pub const CALL_QUEUE_CAPACITY: usize = 4096;
 
-/// The part of the root state that requests need.
+/// Subset of the root state that is needed to serve requests.
 #[derive(Debug, Clone, Default)]
 pub struct View {
     /// Configuration version of this view.
     pub version: id::ConfigVersion,
-    /// Configuration.
+    /// Cell-wide configuration.
     pub config: config::Config,
     /// Teams by the hash of each key that is granted and not withdrawn.
     pub keys: HashMap<team::KeyHash, id::TeamId>,
-    /// Teams.
+    /// Teams by id.
     pub teams: HashMap<id::TeamId, Arc<team::Team>>,
     /// Services by name.
     pub services: HashMap<String, service::Service>,
@@ -39,11 +39,11 @@
 /// Targets as this VM knows them.
 #[derive(Debug, Clone, Default)]
 pub struct Targets {
-    /// Every target that may be used now.
+    /// Every target that may get requests now.
     pub usable: Vec<target::Status>,
 }
 
-/// A request id claim.
+/// A claim of a request id.
 #[derive(Debug, Clone, PartialEq, Eq, Hash)]
 pub struct Claim {
     /// Team that sent the request.
@@ -52,27 +52,27 @@
     pub request: String,
 }
 
-/// Answer to a claim.
+/// Reply to a claim.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Claimed {
-    /// Recorded durably; the caller may be sent to a target once. Carries the number to complete or release with.
+    /// The claim is recorded durably, and the request may be sent. Carries the number to complete or release it with.
     Granted(u64),
-    /// Another attempt holds the id.
+    /// Another request with this id is in progress.
     InProgress,
-    /// The first answer.
+    /// The request was completed. Carries its response.
     Answered(StoredResponse),
-    /// The first attempt may or may not have run and its answer is not known.
+    /// An earlier request with this id may have run, and its response is not known.
     Unknown,
     /// The claim was not recorded; the request was not run.
     NotRun(String),
 }
 
-/// A stored answer.
+/// The response of a claimed request, stored to be returned for a resend.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct StoredResponse {
-    /// HTTP status.
+    /// HTTP status code.
     pub status: u16,
-    /// Content type.
+    /// Value of `Content-Type`; empty if the response has none.
     pub content_type: String,
     /// Body, at most 64 KiB.
     pub body: Bytes,
@@ -81,137 +81,140 @@
 /// How a claimed request ended.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Completion {
-    /// The answer to store.
+    /// The request was completed with this response.
     Answered(StoredResponse),
-    /// The request certainly did not run; the id is free again.
+    /// The request did not run; the id can be claimed again.
     NotRun,
-    /// The request may have run; its answer is not known.
+    /// The request may have run; its response is not known.
     Unknown,
 }
 
 /// A job as callers see it.
 #[derive(Debug, Clone, PartialEq, Eq, serde::Serialize)]
 pub struct JobStatus {
-    /// The job.
+    /// Id of the job.
     pub job: id::JobId,
-    /// Its team.
+    /// Team that submitted the job.
     pub team: id::TeamId,
-    /// State.
+    /// State of the job as a whole.
     pub state: job::State,
-    /// Tasks that wait, run and ended.
+    /// Number of tasks that wait to start.
     pub waiting: u32,
-    /// Tasks that run now.
+    /// Number of running tasks.
     pub running: u32,
-    /// Tasks that succeeded.
+    /// Number of tasks that succeeded.
     pub succeeded: u32,
-    /// Results of the tasks that succeeded, by index; filled only when the result was asked for.
+    /// Results of the tasks that succeeded, by task index; empty unless requested.
     #[serde(skip_serializing_if = "Vec::is_empty")]
     pub results: Vec<(id::TaskIndex, String)>,
 }
 
-/// Why control did not do what was asked.
+/// Why control did not carry out a call.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Refusal {
-    /// Another VM has to be asked; carries its HTTP address.
+    /// Another VM is responsible; carries its HTTP address.
     Redirect(SocketAddr),
-    /// Nothing was done; try again later.
+    /// The call had no effect and may be retried later.
     Unavailable(String),
-    /// Whether it was done is not known.
+    /// It is not known whether the call had an effect.
     Unknown(String),
-    /// The call itself is wrong.
+    /// The call has an invalid argument.
     Invalid {
-        /// Field at fault.
+        /// Name of the invalid field.
         field: String,
-        /// What is allowed.
+        /// Which values are allowed.
         message: String,
     },
-    /// There is no such thing.
+    /// The resource does not exist.
     NotFound,
-    /// The job can never run.
+    /// The job can never run; carries the reason.
     Impossible(job::Impossible),
 }
 
-/// Answer channel of a call.
+/// Channel for the reply to a call.
 pub type Reply<T> = oneshot::Sender<Result<T, Refusal>>;
 
-/// A request to control.
+/// A call to control.
 #[derive(Debug)]
 pub enum Call {
-    /// Record a request id before its request is sent.
+    /// Claims a request id before the request is sent.
     Claim(Claim, oneshot::Sender<Claimed>),
-    /// Record how a claimed request ended.
+    /// Records the completion of the claim with this number.
     ///
-    /// The sender is dropped when the end is recorded, or cannot be.
+    /// Control drops the sender when the completion is recorded or cannot be.
     Complete(Claim, u64, Completion, oneshot::Sender<()>),
-    /// Accept a job durably.
+    /// Submits a job, with an optional request id; the reply follows when the job is stored durably.
     Submit(id::TeamId, Option<String>, job::Spec, Reply<id::JobId>),
-    /// Read a job; the flag asks for its results.
+    /// Reads the status of a job; the flag requests its results too.
     Job(id::TeamId, id::JobId, bool, Reply<JobStatus>),
-    /// Cancel a job.
+    /// Cancels a job and returns its status.
     Cancel(id::TeamId, id::JobId, Reply<JobStatus>),
-    /// A target announces itself or renews.
+    /// Announces a target or renews its announcement; the reply is the time after which to renew it.
     Announce(target::Announcement, Reply<Duration>),
-    /// A target departs.
+    /// Records that an incarnation of a target is departing.
     Depart(id::TargetId, id::Incarnation, Reply<()>),
-    /// A worker registers.
+    /// Registers a worker.
     Register(worker::Registration, Reply<()>),
-    /// A worker reports; the reply may wait up to a second for directives.
+    /// Passes on the report of a worker; the reply may wait up to a second for directives.
     Report(worker::Report, Reply<worker::Reply>),
-    /// Requests in flight to a target, for its load report.
+    /// Publishes the number of this VM's requests in flight to a target.
     Load(id::TargetId, u32),
-    /// An event for the time line.
+    /// Adds an event to the timeline.
     Event(event::Kind),
 }
 
-/// The gateway's access to control.
+/// The gateway's handle to control.
 #[derive(Debug, Clone)]
 pub struct Handle {
-    /// Calls to control.
+    /// Channel of calls to control.
     pub calls: mpsc::Sender<Call>,
     /// Latest view of the root state.
     pub view: watch::Receiver<Arc<View>>,
-    /// Latest targets.
+    /// Latest set of targets.
     pub targets: watch::Receiver<Arc<Targets>>,
-    /// Freshness of the view.
+    /// Freshness of `view`.
     pub freshness: Freshness,
-    /// Where this VM stands.
+    /// Region and availability zone of this VM.
     pub place: vm::Place,
 }
 
-/// Instant up to which the view is known to be complete, shared by control and traffic.
+/// Time up to which the view is known to be complete. Control advances it; the gateway checks it.
 #[derive(Debug, Clone)]
 pub struct Freshness {
     origin: Instant,
-    basis_micros: Arc<AtomicU64>,
+    complete_until_micros: Arc<AtomicU64>,
 }
 
 impl Freshness {
-    /// Longest age of a view that keyed work is honoured under.
+    /// Maximum age of a view against which keys are checked.
     pub const MAX_KEY_VIEW_AGE: Duration = Duration::from_secs(3);
 
-    /// Returns a record without any known basis; `origin` is the start of the process.
+    /// Creates a freshness that was never advanced; `origin` is the start of the process.
     pub fn new(origin: Instant) -> Self {
         Self {
             origin,
-            basis_micros: Arc::new(AtomicU64::new(0)),
+            complete_until_micros: Arc::new(AtomicU64::new(0)),
         }
     }
 
-    /// Returns the start of the process.
+    /// Returns the start of the process, from which times are counted.
     pub const fn origin(&self) -> Instant {
         self.origin
     }
 
-    /// Records that the view holds everything committed before `basis`, counted from the start of the process.
-    pub fn advance(&self, basis: Duration) {
-        self.basis_micros
-            .fetch_max(basis.as_micros() as u64, Ordering::Relaxed);
+    /// Records that the view contains everything committed before `complete_until`, counted from the start of the process.
+    pub fn advance(&self, complete_until: Duration) {
+        self.complete_until_micros
+            .fetch_max(complete_until.as_micros() as u64, Ordering::Relaxed);
     }
 
-    /// Tells whether keyed work may be taken now.
+    /// Returns whether the view is fresh enough to check keys against it.
     pub fn is_fresh(&self) -> bool {
-        let basis = self.basis_micros.load(Ordering::Relaxed);
-        let age = self.origin.elapsed().saturating_sub(Duration::from_micros(basis));
-        basis > 0 && age <= Self::MAX_KEY_VIEW_AGE
+        let complete_until = self.complete_until_micros.load(Ordering::Relaxed);
+        let age = self
+            .origin
+            .elapsed()
+            .saturating_sub(Duration::from_micros(complete_until));
+        complete_until > 0 && age <= Self::MAX_KEY_VIEW_AGE
     }
 }
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -1,4 +1,4 @@
-//! Refusals and failures as callers see them.
+//! Error responses to callers.
 
 use std::time::Duration;
 
@@ -9,38 +9,38 @@
 
 use crate::{body, control};
 
-/// What a caller is told about a run.
+/// Whether the request was run, as reported to the caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize)]
 pub enum Execution {
-    /// It certainly did not run.
+    /// The request did not run.
     #[serde(rename = "not run")]
     NotRun,
-    /// It may have run.
+    /// The request may have run.
     #[serde(rename = "unknown")]
     Unknown,
-    /// It ran.
+    /// The request ran.
     #[serde(rename = "run")]
     Run,
 }
 
-/// A refusal or failure.
+/// Error response to a request.
 #[derive(Debug, Clone)]
 pub struct Error {
-    /// HTTP status.
+    /// HTTP status code.
     pub status: StatusCode,
-    /// Stable code for programs.
+    /// Stable code for programs to match.
     pub code: &'static str,
-    /// One sentence for people; names the value at fault and what is allowed.
+    /// One sentence for people, which names the invalid value and what is allowed.
     pub message: Box<str>,
-    /// Field, header or path segment at fault.
+    /// Invalid field, header or path segment.
     pub field: Option<Box<str>>,
-    /// What is known about a run.
+    /// Whether the request was run.
     pub run: Execution,
-    /// When to try again.
+    /// Time after which the caller may retry (`Retry-After`).
     pub retry_after: Option<Duration>,
-    /// Where to go instead.
+    /// URL to send the request to instead (`Location`).
     pub location: Option<Box<str>>,
-    /// Methods that the path allows.
+    /// Methods that the path allows (`Allow`).
     pub allow: Option<&'static str>,
 }
 
@@ -58,7 +58,7 @@
 }
 
 impl Error {
-    /// Returns a fault that refuses before anything was sent.
+    /// Creates an error for a request that was not run.
     pub fn not_run(status: StatusCode, code: &'static str, message: impl Into<Box<str>>) -> Self {
         Self {
             status,
@@ -72,7 +72,7 @@
         }
     }
 
-    /// Returns a fault after which a run is possible.
+    /// Creates an error for a request that may have run.
     pub fn unknown(status: StatusCode, code: &'static str, message: impl Into<Box<str>>) -> Self {
         Self {
             run: Execution::Unknown,
@@ -80,34 +80,34 @@
         }
     }
 
-    /// Returns a 400 fault for a field.
+    /// Creates an error with status 400 for an invalid field.
     pub fn field(field: impl Into<Box<str>>, message: impl Into<Box<str>>) -> Self {
         Self::not_run(StatusCode::BAD_REQUEST, "invalid", message).with_field(field)
     }
 
-    /// Names the field at fault.
+    /// Sets the name of the invalid field.
     pub fn with_field(mut self, field: impl Into<Box<str>>) -> Self {
         self.field = Some(field.into());
         self
     }
 
-    /// Says when to try again.
+    /// Sets the time after which the caller may retry.
     pub fn with_retry_after(mut self, after: Duration) -> Self {
         self.retry_after = Some(after);
         self
     }
 
-    /// Sets what is known about a run.
-    pub const fn with_run(mut self, known: attempt::Execution) -> Self {
+    /// Sets whether the request was run.
+    pub const fn with_execution(mut self, known: attempt::Execution) -> Self {
         self.run = match known {
             attempt::Execution::NotRun => Execution::NotRun,
-            // An answer that began but was cut short does not prove that the work was finished.
+            // A truncated response does not prove that the request ran to its end.
             attempt::Execution::Unknown | attempt::Execution::Run => Execution::Unknown,
         };
         self
     }
 
-    /// Returns the fault for a refusal by control.
+    /// Converts a refusal by control; `path` is the path of the request, for redirects.
     pub fn refused(refusal: control::Refusal, path: &str) -> Self {
         match refusal {
             control::Refusal::Redirect(address) => Self {
@@ -115,7 +115,7 @@
                 ..Self::not_run(
                     StatusCode::TEMPORARY_REDIRECT,
                     "redirect",
-                    "another VM has to be asked",
+                    "another VM is responsible for this request",
                 )
             },
             control::Refusal::Unavailable(message) => {
@@ -127,7 +127,7 @@
             }
             control::Refusal::Invalid { field, message } => Self::field(field, message),
             control::Refusal::NotFound => {
-                Self::not_run(StatusCode::NOT_FOUND, "not_found", "there is no such thing")
+                Self::not_run(StatusCode::NOT_FOUND, "not_found", "the resource does not exist")
             }
             control::Refusal::Impossible(reason) => Self::not_run(
                 StatusCode::UNPROCESSABLE_ENTITY,
@@ -137,7 +137,7 @@
         }
     }
 
-    /// Returns the HTTP answer.
+    /// Returns the HTTP response with a JSON body.
     pub fn into_response(self) -> http::Response<body::Body> {
         let page = Page {
             error: Detail {
@@ -147,7 +147,7 @@
                 run: self.run,
             },
         };
-        let body = serde_json::to_vec(&page).expect("the page is plain data");
+        let body = serde_json::to_vec(&page).expect("the page serializes to JSON");
         let mut response = http::Response::new(body::Body::full(Bytes::from(body)));
         *response.status_mut() = self.status;
         let headers = response.headers_mut();
--- a/crates/gateway/src/filter/body.rs
+++ b/crates/gateway/src/filter/body.rs
@@ -1,4 +1,4 @@
-//! Receives a request body within its limits of size, time and memory.
+//! Request bodies, received within limits of size, time and memory.
 
 use std::{sync::Arc, time::Duration};
 
@@ -10,7 +10,7 @@
 
 use crate::{error, settings};
 
-/// A received body; its memory counts until this is dropped.
+/// A received body, which holds its memory permit until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Received {
     pub bytes: Bytes,
@@ -25,23 +25,28 @@
     memory: &Arc<Semaphore>,
     settings: &settings::Settings,
 ) -> Result<Received, error::Error> {
-    let announced = announced(headers)?;
-    if let Some(length) = announced.filter(|length| *length > limit as u64) {
+    let length = content_length(headers)?;
+    if let Some(length) = length.filter(|length| *length > limit as u64) {
         return Err(too_large(&format!("{length} bytes"), limit));
     }
-    let reserved = announced.map_or(limit, |length| length as usize);
+    let reserved = length.map_or(limit, |length| length as usize);
     let Ok(permit) = Arc::clone(memory).try_acquire_many_owned(reserved as u32) else {
         return Err(error::Error::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "memory",
-            "the memory for request bodies is in use",
+            "the memory for request bodies is exhausted",
         )
         .with_retry_after(Duration::from_secs(1)));
     };
     let read = read(body, limit, settings.stall_timeout);
     let bytes = tokio::time::timeout(settings.body_timeout, read)
         .await
-        .unwrap_or_else(|_elapsed| Err(slow("the body did not arrive in time", settings.body_timeout)))?;
+        .unwrap_or_else(|_elapsed| {
+            Err(slow_body(
+                "the body was not received in time",
+                settings.body_timeout,
+            ))
+        })?;
     Ok(Received {
         bytes,
         memory: permit,
@@ -53,12 +58,12 @@
     loop {
         let frame = tokio::time::timeout(stall, body.frame())
             .await
-            .map_err(|_elapsed| slow("the body paused for too long", stall))?;
+            .map_err(|_elapsed| slow_body("the body paused for too long", stall))?;
         let Some(frame) = frame else {
             return Ok(received.freeze());
         };
-        let frame =
-            frame.map_err(|error| error::Error::field("body", format!("the body is broken: {error}")))?;
+        let frame = frame
+            .map_err(|error| error::Error::field("body", format!("the body cannot be read: {error}")))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
@@ -69,7 +74,7 @@
     }
 }
 
-fn announced(headers: &HeaderMap) -> Result<Option<u64>, error::Error> {
+fn content_length(headers: &HeaderMap) -> Result<Option<u64>, error::Error> {
     let Some(value) = headers.get(header::CONTENT_LENGTH) else {
         return Ok(None);
     };
@@ -87,7 +92,7 @@
     error::Error::not_run(StatusCode::PAYLOAD_TOO_LARGE, "body_too_large", message).with_field("body")
 }
 
-fn slow(message: &str, allowed: Duration) -> error::Error {
+fn slow_body(message: &str, allowed: Duration) -> error::Error {
     let message = format!("{message}; {} ms are allowed", allowed.as_millis());
     error::Error::not_run(StatusCode::REQUEST_TIMEOUT, "slow_body", message).with_field("body")
 }
--- a/crates/gateway/src/filter/key.rs
+++ b/crates/gateway/src/filter/key.rs
@@ -1,7 +1,8 @@
-//! From a key to its team.
+//! Authentication: looks up the team of a key.
 //!
-//! Keys are compared as SHA-256 hashes. The table is keyed by hash, so a lookup's time depends on the hash only,
-//! which a caller cannot steer towards a stored one without the key. The key itself is never logged or kept.
+//! Keys are compared as SHA-256 hashes. The table is keyed by hash, so that the time of a lookup depends only on the
+//! hash, which a caller cannot steer towards a stored one without knowing the key. The key itself is never logged or
+//! stored.
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,41 +13,41 @@
 
 use crate::{control, error};
 
-/// Bytes of a key.
-const KEY_BYTES: usize = 512;
+/// Maximum length of a key, in bytes.
+const MAX_KEY_BYTES: usize = 512;
 const SCHEME: &str = "Bearer ";
 
-/// A key that was granted when it was checked.
+/// Result of a successful check of a key.
 #[derive(Debug, Clone)]
 pub(crate) struct Granted {
     pub team: Arc<team::Team>,
-    /// Allows another check, for work that waited.
+    /// Hash of the key, to check it again after the request has waited.
     pub hash: team::KeyHash,
 }
 
-/// Returns the team of the key in the `Authorization` header.
+/// Authenticates a request by the key in its `Authorization` header.
 pub(crate) fn team(handle: &control::Handle, headers: &HeaderMap) -> Result<Granted, error::Error> {
     let key = bearer(headers)?;
     team_of(handle, key.as_bytes())
 }
 
-/// Returns the team of a key.
+/// Authenticates a request by a key.
 pub(crate) fn team_of(handle: &control::Handle, key: &[u8]) -> Result<Granted, error::Error> {
-    if key.is_empty() || key.len() > KEY_BYTES {
-        return Err(unauthorized(&format!("a key has 1 to {KEY_BYTES} bytes")));
+    if key.is_empty() || key.len() > MAX_KEY_BYTES {
+        return Err(unauthorized(&format!("a key has 1 to {MAX_KEY_BYTES} bytes")));
     }
     let hash: team::KeyHash = Sha256::digest(key).into();
     let team = check(handle, &hash)?;
     Ok(Granted { team, hash })
 }
 
-/// Returns the team whose key has this hash, if the key is granted now.
+/// Returns the team of the key with this hash, if the key is granted now.
 pub(crate) fn check(handle: &control::Handle, hash: &team::KeyHash) -> Result<Arc<team::Team>, error::Error> {
     if !handle.freshness.is_fresh() {
         return Err(error::Error::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "stale",
-            "keys cannot be checked now, because the view of granted keys is too old",
+            "keys cannot be checked now, because the view of granted keys is stale",
         )
         .with_retry_after(Duration::from_secs(1)));
     }
@@ -68,7 +69,7 @@
     };
     if values.next().is_some() {
         return Err(unauthorized(
-            "the header comes more than once; one `Bearer KEY` is allowed",
+            "the header occurs more than once; one `Bearer KEY` is allowed",
         ));
     }
     value
--- a/crates/gateway/src/filter/identity.rs
+++ b/crates/gateway/src/filter/request_id.rs
@@ -1,4 +1,4 @@
-//! The caller's id for a request that must not be repeated.
+//! Request id: the caller's id for a request that must not run twice (`Idempotency-Key`).
 
 use http::{HeaderMap, HeaderName};
 
@@ -6,8 +6,8 @@
 
 /// Header that makes a request non-repeatable; a request without it is repeatable.
 pub(crate) const HEADER: HeaderName = HeaderName::from_static("idempotency-key");
-/// Bytes of a request id.
-const ID_BYTES: usize = 128;
+/// Maximum length of a request id, in bytes.
+const MAX_ID_BYTES: usize = 128;
 
 /// Returns the request id, if there is one.
 pub(crate) fn parse(headers: &HeaderMap) -> Result<Option<String>, error::Error> {
@@ -18,20 +18,22 @@
     if values.next().is_some() {
         return Err(error::Error::field(
             HEADER.as_str(),
-            "the header comes more than once; one is allowed",
+            "the header occurs more than once; one is allowed",
         ));
     }
     check(&String::from_utf8_lossy(value.as_bytes()), HEADER.as_str()).map(Some)
 }
 
-/// Checks a request id that came in `field`.
+/// Validates a request id that was received in `field`.
 pub(crate) fn check(id: &str, field: &str) -> Result<String, error::Error> {
     let printable = id.bytes().all(|byte| byte.is_ascii_graphic());
-    if id.is_empty() || id.len() > ID_BYTES || !printable {
-        let shown: String = id.chars().take(ID_BYTES).collect();
+    if id.is_empty() || id.len() > MAX_ID_BYTES || !printable {
+        let shown: String = id.chars().take(MAX_ID_BYTES).collect();
         return Err(error::Error::field(
             field,
-            format!("`{shown}` is not a request id; 1 to {ID_BYTES} printable ASCII characters are allowed"),
+            format!(
+                "`{shown}` is not a request id; 1 to {MAX_ID_BYTES} printable ASCII characters are allowed"
+            ),
         ));
     }
     Ok(id.to_owned())
--- a/crates/gateway/src/filter/version_one.rs
+++ b/crates/gateway/src/filter/version_one.rs
@@ -1,13 +1,13 @@
-//! Translates the retired version-1 interface.
+//! Requests and responses of the deprecated version-1 API.
 //!
 //! `POST /v1/request` takes `{"key", "service", "id"?, "timeout"?, "body"}`: the key, the service name, the request
-//! id of a request that must not be repeated, the longest wait in seconds, and the body as text. It answers
-//! `{"status": "done", "code", "body"}` with the target's status and body.
+//! id of a request that must not run twice, the time limit in seconds, and the body as text. The response is
+//! `{"status": "done", "code", "body"}` with the target's status code and body.
 //!
 //! `POST /v1/job` takes `{"key", "kind"?, "tasks"?, "cpu"?, "memory"?, "seconds"?, "command"}`: `kind` is `batch`
-//! (default), `gang` or `service`, `cpu` is in cores and `memory` in MiB per task. It answers `{"job"}`.
+//! (default), `gang` or `service`, `cpu` is in cores and `memory` in MiB per task. The response is `{"job"}`.
 //!
-//! `GET /v1/job/{job}` takes the key in `X-Key` and answers `{"job", "state"}`.
+//! `GET /v1/job/{job}` takes the key in `X-Key`. The response is `{"job", "state"}`.
 
 use std::time::Duration;
 
@@ -17,13 +17,13 @@
 
 use crate::{body, error};
 
-/// Date since which the interface is retired, as an RFC 9745 value: 1 January 2025.
+/// Date of the deprecation, 1 January 2025, as the value of `Deprecation` (RFC 9745).
 const DEPRECATED_SINCE: &str = "@1735689600";
-/// Date on which it may be switched off, as RFC 8594 asks.
+/// Date from which the API may be switched off, as the value of `Sunset` (RFC 8594).
 const SUNSET: &str = "Thu, 31 Dec 2026 23:59:59 GMT";
-/// Most cores that one task may ask for; above it the number does not fit the model.
+/// Maximum number of cores per task; a larger number in thousandths of a core does not fit the model's `u32`.
 const MAX_CORES: f64 = 4_000_000.0;
-/// Header with the key of `GET /v1/job/{job}`.
+/// Header that carries the key in `GET /v1/job/{job}`.
 pub(crate) const KEY_HEADER: &str = "x-key";
 
 /// Body of `POST /v1/request`.
@@ -39,7 +39,7 @@
     pub body: String,
 }
 
-/// Answer to `POST /v1/request`.
+/// Response to `POST /v1/request`.
 #[derive(Debug, Serialize)]
 pub(crate) struct Done<'a> {
     pub status: &'static str,
@@ -65,13 +65,13 @@
     pub command: String,
 }
 
-/// Answer to `POST /v1/job`.
+/// Response to `POST /v1/job`.
 #[derive(Debug, Serialize)]
 pub(crate) struct Accepted {
     pub job: id::JobId,
 }
 
-/// Answer to `GET /v1/job/{job}`.
+/// Response to `GET /v1/job/{job}`.
 #[derive(Debug, Serialize)]
 pub(crate) struct State {
     pub job: id::JobId,
@@ -79,24 +79,24 @@
 }
 
 impl Request {
-    /// Returns the longest wait, at most the configured one.
-    pub(crate) fn wait(&self, longest_ms: u32) -> Result<Duration, error::Error> {
-        let longest = Duration::from_millis(u64::from(longest_ms));
+    /// Returns the time limit, which is capped at `max_ms`, also the default.
+    pub(crate) fn time_limit(&self, max_ms: u32) -> Result<Duration, error::Error> {
+        let max = Duration::from_millis(u64::from(max_ms));
         match self.timeout {
-            None => Ok(longest),
+            None => Ok(max),
             Some(seconds) if seconds > 0.0 && seconds.is_finite() => {
-                Ok(Duration::from_secs_f64(seconds.min(longest.as_secs_f64())))
+                Ok(Duration::from_secs_f64(seconds.min(max.as_secs_f64())))
             }
             Some(seconds) => Err(error::Error::field(
                 "timeout",
-                format!("`{seconds}` is not a wait; seconds above 0 are allowed"),
+                format!("`{seconds}` is not a time limit; seconds above 0 are allowed"),
             )),
         }
     }
 }
 
 impl Job {
-    /// Returns the job as version 2 knows it.
+    /// Converts the job to the form of version 2.
     pub(crate) fn spec(&self) -> Result<job::Spec, error::Error> {
         let cores = self.cpu.unwrap_or(1.0);
         if !(cores > 0.0 && cores <= MAX_CORES) {
@@ -116,8 +116,8 @@
     }
 }
 
-/// Returns the version-1 word for a job state.
-pub(crate) const fn word(state: job::State) -> &'static str {
+/// Returns the version-1 name of a job state.
+pub(crate) const fn state_name(state: job::State) -> &'static str {
     match state {
         job::State::Waiting => "waiting",
         job::State::Running => "running",
@@ -128,7 +128,7 @@
     }
 }
 
-/// Checks that the interface is switched on.
+/// Returns an error if the API is switched off.
 pub(crate) fn check_enabled(enabled: bool) -> Result<(), error::Error> {
     if enabled {
         return Ok(());
@@ -136,18 +136,18 @@
     Err(error::Error::not_run(
         StatusCode::GONE,
         "version_one_off",
-        "the version-1 interface is switched off; use /v2",
+        "the version-1 API is switched off; use /v2",
     ))
 }
 
-/// Counts a call, so that operators see who still uses the interface.
+/// Counts a call per team, so that operators see who still uses the API.
 pub(crate) fn count(team: &str, route: &'static str) {
     metrics::counter!("bronzespoke_version_one_total", "team" => team.to_owned(), "route" => route)
         .increment(1);
 }
 
-/// Marks an answer as one of a retired interface.
-pub(crate) fn mark(response: &mut Response<body::Body>) {
+/// Adds the headers that mark the API as deprecated.
+pub(crate) fn add_deprecation_headers(response: &mut Response<body::Body>) {
     let headers = response.headers_mut();
     headers.insert("deprecation", HeaderValue::from_static(DEPRECATED_SINCE));
     headers.insert("sunset", HeaderValue::from_static(SUNSET));
--- a/crates/gateway/src/pool.rs
+++ b/crates/gateway/src/pool.rs
@@ -1,4 +1,4 @@
-//! Connections to targets, at most this VM's part of what each target accepts.
+//! Connection pool. The connections to a target are bounded by this VM's allotment of what the target accepts.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -17,35 +17,35 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::TcpStream;
 
-/// Idle connections kept per target; further ones are closed.
+/// Maximum number of idle connections kept per target; further ones are closed.
 const MAX_IDLE: usize = 64;
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 type Key = (id::TargetId, SocketAddr);
 
 #[derive(Default)]
-struct Slot {
+struct Target {
     idle: Vec<(Sender, Task, Instant)>,
     open: Arc<AtomicU32>,
 }
 
-/// Pool of connections.
+/// Connections to all targets.
 pub(crate) struct Pool {
     connect_timeout: Duration,
     idle_timeout: Duration,
-    slots: Mutex<HashMap<Key, Slot>>,
+    targets: Mutex<HashMap<Key, Target>>,
 }
 
-/// One connection in use; dropping it closes the connection.
-pub(crate) struct Lease {
+/// A connection in use; dropping it closes the connection.
+pub(crate) struct Connection {
     pub sender: Sender,
-    /// Whether the connection was used before, so that the target may have closed it meanwhile.
+    /// Whether the connection was idle in the pool, so that the target may have closed it meanwhile.
     pub reused: bool,
     key: Key,
     task: Task,
 }
 
-/// Drives one connection; dropping it closes the connection.
+/// Handle of the task that drives one connection; dropping it closes the connection.
 struct Task(tokio::task::AbortHandle);
 
 impl Drop for Task {
@@ -54,21 +54,22 @@
     }
 }
 
-struct Open(Arc<AtomicU32>);
+/// Counts an open connection until it is dropped.
+struct OpenGuard(Arc<AtomicU32>);
 
-impl Drop for Open {
+impl Drop for OpenGuard {
     fn drop(&mut self) {
         self.0.fetch_sub(1, Ordering::AcqRel);
     }
 }
 
-/// Why there is no connection.
+/// Why no connection could be acquired.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Error {
-    /// Every connection of this VM's part is in use.
+    /// Every connection of this VM's allotment is in use.
     Exhausted,
-    /// The target did not accept the connection.
-    Refused,
+    /// The connection could not be established.
+    ConnectFailed,
 }
 
 impl Pool {
@@ -76,25 +77,25 @@
         Self {
             connect_timeout,
             idle_timeout,
-            slots: Mutex::new(HashMap::new()),
+            targets: Mutex::new(HashMap::new()),
         }
     }
 
-    fn lock(&self) -> MutexGuard<'_, HashMap<Key, Slot>> {
-        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    fn lock(&self) -> MutexGuard<'_, HashMap<Key, Target>> {
+        self.targets.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns an idle connection or a new one, at most `part` open at a time.
-    pub(crate) async fn lease(
+    /// Returns an idle connection or opens one, with at most `allotment` connections open at the same time.
+    pub(crate) async fn acquire(
         &self,
         target: id::TargetId,
         address: SocketAddr,
-        part: u32,
-    ) -> Result<Lease, Error> {
+        allotment: u32,
+    ) -> Result<Connection, Error> {
         let key = (target, address);
         while let Some((mut sender, task)) = self.pop_idle(key) {
             if sender.ready().await.is_ok() {
-                return Ok(Lease {
+                return Ok(Connection {
                     sender,
                     reused: true,
                     key,
@@ -102,39 +103,42 @@
                 });
             }
         }
-        let open = self.reserve(key, part)?;
+        let open = self.reserve(key, allotment)?;
         self.connect(key, open).await
     }
 
-    /// Takes back a connection whose answer was read to its end.
-    pub(crate) fn put(&self, lease: Lease) {
-        if lease.sender.is_closed() {
+    /// Returns a connection to the pool after the complete response was read from it.
+    pub(crate) fn release(&self, connection: Connection) {
+        if connection.sender.is_closed() {
             return;
         }
-        let mut slots = self.lock();
-        // A target that is gone has no slot any more, and its connections are closed.
-        let Some(slot) = slots.get_mut(&lease.key) else {
+        let mut targets = self.lock();
+        // A removed target has no entry, and its connections are closed.
+        let Some(target) = targets.get_mut(&connection.key) else {
             return;
         };
-        if slot.idle.len() < MAX_IDLE {
-            slot.idle.push((lease.sender, lease.task, Instant::now()));
+        if target.idle.len() < MAX_IDLE {
+            target
+                .idle
+                .push((connection.sender, connection.task, Instant::now()));
         }
     }
 
-    /// Closes the idle connections to targets that are not usable any more, and those idle for too long.
+    /// Closes idle connections to targets that are no longer usable, and those that were idle for too long.
     pub(crate) fn retain(&self, usable: &HashSet<Key>) {
-        let mut slots = self.lock();
-        slots.retain(|key, _| usable.contains(key));
-        for slot in slots.values_mut() {
-            slot.idle
+        let mut targets = self.lock();
+        targets.retain(|key, _| usable.contains(key));
+        for target in targets.values_mut() {
+            target
+                .idle
                 .retain(|(_, _, since)| since.elapsed() < self.idle_timeout);
         }
     }
 
     fn pop_idle(&self, key: Key) -> Option<(Sender, Task)> {
-        let mut slots = self.lock();
-        let slot = slots.get_mut(&key)?;
-        while let Some((sender, task, since)) = slot.idle.pop() {
+        let mut targets = self.lock();
+        let target = targets.get_mut(&key)?;
+        while let Some((sender, task, since)) = target.idle.pop() {
             if !sender.is_closed() && since.elapsed() < self.idle_timeout {
                 return Some((sender, task));
             }
@@ -142,31 +146,31 @@
         None
     }
 
-    fn reserve(&self, key: Key, part: u32) -> Result<Open, Error> {
-        let mut slots = self.lock();
-        let open = &slots.entry(key).or_default().open;
-        if open.load(Ordering::Acquire) >= part {
+    fn reserve(&self, key: Key, allotment: u32) -> Result<OpenGuard, Error> {
+        let mut targets = self.lock();
+        let open = &targets.entry(key).or_default().open;
+        if open.load(Ordering::Acquire) >= allotment {
             return Err(Error::Exhausted);
         }
         open.fetch_add(1, Ordering::AcqRel);
-        Ok(Open(Arc::clone(open)))
+        Ok(OpenGuard(Arc::clone(open)))
     }
 
-    async fn connect(&self, key: Key, open: Open) -> Result<Lease, Error> {
+    async fn connect(&self, key: Key, open: OpenGuard) -> Result<Connection, Error> {
         let stream = tokio::time::timeout(self.connect_timeout, TcpStream::connect(key.1))
             .await
-            .map_err(|_elapsed| Error::Refused)?
-            .map_err(|_io| Error::Refused)?;
-        stream.set_nodelay(true).map_err(|_io| Error::Refused)?;
+            .map_err(|_elapsed| Error::ConnectFailed)?
+            .map_err(|_io| Error::ConnectFailed)?;
+        stream.set_nodelay(true).map_err(|_io| Error::ConnectFailed)?;
         let (sender, connection) = http1::handshake(TokioIo::new(stream))
             .await
-            .map_err(|_hyper| Error::Refused)?;
+            .map_err(|_hyper| Error::ConnectFailed)?;
         let task = tokio::spawn(async move {
             let _open = open;
-            // An error here also reaches the attempt that uses the connection, which reports it.
+            // The attempt that uses the connection gets the error too and reports it.
             drop(connection.await);
         });
-        Ok(Lease {
+        Ok(Connection {
             sender,
             reused: false,
             key,
--- a/crates/gateway/src/routes/announce.rs
+++ b/crates/gateway/src/routes/announce.rs
@@ -11,7 +11,7 @@
     server::context,
 };
 
-/// Takes a target's announcement; answers with the time after which to renew it.
+/// Handles a target's announcement; the response is the time after which to renew it.
 pub(crate) async fn target(
     context: &context::Context,
     head: &Parts,
@@ -19,14 +19,14 @@
     target: id::TargetId,
 ) -> Result<Response<body::Body>, error::Error> {
     let announcement: target::Announcement = routes::receive_json(context, head, body).await?;
-    same("target", target, announcement.target)?;
-    positive("slots", announcement.slots)?;
-    positive("connections", announcement.connections)?;
+    check_id("target", target, announcement.target)?;
+    check_positive("slots", announcement.slots)?;
+    check_positive("connections", announcement.connections)?;
     if announcement.address.port() == 0 {
         let message = format!("`{}` has port 0; 1 to 65535 are allowed", announcement.address);
         return Err(error::Error::field("address", message));
     }
-    let renew = ask(context, head, |reply| {
+    let renew = call(context, head, |reply| {
         control::Call::Announce(announcement, reply)
     })
     .await?;
@@ -34,7 +34,7 @@
     Ok(routes::json(StatusCode::OK, &json!({ "renew_ms": renew_ms })))
 }
 
-/// Takes a target's departure; the query names its incarnation.
+/// Handles a target's departure; the query names its incarnation.
 pub(crate) async fn depart(
     context: &context::Context,
     head: &Parts,
@@ -46,14 +46,14 @@
         let message = format!("`{query}` does not name an incarnation; `incarnation=NUMBER` is allowed");
         error::Error::field("incarnation", message)
     })?;
-    ask(context, head, |reply| {
+    call(context, head, |reply| {
         control::Call::Depart(target, incarnation, reply)
     })
     .await?;
     Ok(routes::json(StatusCode::OK, &json!({})))
 }
 
-/// Registers a worker.
+/// Handles the registration of a worker.
 pub(crate) async fn worker(
     context: &context::Context,
     head: &Parts,
@@ -61,16 +61,16 @@
     worker: id::WorkerId,
 ) -> Result<Response<body::Body>, error::Error> {
     let registration: worker::Registration = routes::receive_json(context, head, body).await?;
-    same("worker", worker, registration.worker)?;
-    positive("capacity", registration.capacity.amount.cpu_milli)?;
-    ask(context, head, |reply| {
+    check_id("worker", worker, registration.worker)?;
+    check_positive("capacity", registration.capacity.amount.cpu_milli)?;
+    call(context, head, |reply| {
         control::Call::Register(registration, reply)
     })
     .await?;
     Ok(routes::json(StatusCode::OK, &json!({})))
 }
 
-/// Takes a worker's report; the answer may wait for directives.
+/// Handles a worker's report; the response may be delayed until there are directives.
 pub(crate) async fn report(
     context: &context::Context,
     head: &Parts,
@@ -82,43 +82,43 @@
     } else {
         routes::receive_json(context, head, body).await?
     };
-    same("worker", worker, report.worker)?;
+    check_id("worker", worker, report.worker)?;
     let running = report.running.len();
     if running > worker::MAX_TASKS_IN_REPORT {
-        let most = worker::MAX_TASKS_IN_REPORT;
-        let message = format!("{running} tasks are named, at most {most} are allowed");
+        let max = worker::MAX_TASKS_IN_REPORT;
+        let message = format!("{running} tasks are named, at most {max} are allowed");
         return Err(error::Error::field("running", message));
     }
-    let reply = ask(context, head, |reply| control::Call::Report(report, reply)).await?;
+    let reply = call(context, head, |reply| control::Call::Report(report, reply)).await?;
     if compact::is_named(&head.headers, &header::ACCEPT) {
-        return Ok(compact::answer(reply));
+        return Ok(compact::respond(reply));
     }
     Ok(routes::json(StatusCode::OK, &reply))
 }
 
-async fn ask<T>(
+async fn call<T>(
     context: &context::Context,
     head: &Parts,
-    call: impl FnOnce(control::Reply<T>) -> control::Call,
+    make_call: impl FnOnce(control::Reply<T>) -> control::Call,
 ) -> Result<T, error::Error> {
-    calls::ask(
+    calls::call(
         &context.handle,
         context.settings.call_timeout,
         head.uri.path(),
-        call,
+        make_call,
     )
     .await
 }
 
-fn same(field: &'static str, path: u64, body: u64) -> Result<(), error::Error> {
+fn check_id(field: &'static str, path: u64, body: u64) -> Result<(), error::Error> {
     if path == body {
         return Ok(());
     }
-    let message = format!("`{body}` differs from `{path}` in the path; the same id is allowed");
+    let message = format!("`{body}` differs from `{path}` in the path; both must be the same");
     Err(error::Error::field(field, message))
 }
 
-fn positive(field: &'static str, value: u32) -> Result<(), error::Error> {
+fn check_positive(field: &'static str, value: u32) -> Result<(), error::Error> {
     if value > 0 {
         return Ok(());
     }
--- a/crates/gateway/src/routes/claimed.rs
+++ b/crates/gateway/src/routes/claimed.rs
@@ -1,5 +1,7 @@
-//! Requests that must not be repeated: the id is claimed before the first byte goes to a target, and the work goes
-//! on when the caller goes away, so that a resend finds its answer.
+//! Requests with an idempotency key, which must not run twice.
+//!
+//! The request id is claimed before the first byte is sent to a target. The request continues when its caller
+//! disconnects, so that a resend gets its response.
 
 use std::sync::Arc;
 
@@ -10,27 +12,27 @@
 
 use crate::{body, calls, control, error, routes::request, server::context};
 
-/// Pieces of an answer that may wait for a slow caller.
-const PIECES: usize = 4;
+/// Maximum number of response chunks buffered for a slow caller.
+const BUFFERED_CHUNKS: usize = 4;
 
-type Answer = Result<Response<body::Body>, error::Error>;
+type HandlerResult = Result<Response<body::Body>, error::Error>;
 
-/// Serves a claimed request in its own task.
+/// Serves a request with an id in its own task.
 pub(crate) async fn serve(
     context: &Arc<context::Context>,
     team: id::TeamId,
     request: String,
-    work: request::Work,
-) -> Answer {
+    prepared: request::Prepared,
+) -> HandlerResult {
     let (sender, receiver) = oneshot::channel();
     let claim = control::Claim { team, request };
-    let task = run(Arc::clone(context), claim, work, sender);
+    let task = run(Arc::clone(context), claim, prepared, sender);
     context.tracker.spawn(task);
     receiver.await.unwrap_or_else(|_closed| {
         Err(error::Error::unknown(
             StatusCode::INTERNAL_SERVER_ERROR,
             "internal",
-            "the request was lost",
+            "the task of the request ended without a response",
         ))
     })
 }
@@ -38,80 +40,84 @@
 async fn run(
     context: Arc<context::Context>,
     claim: control::Claim,
-    work: request::Work,
-    sender: oneshot::Sender<Answer>,
+    prepared: request::Prepared,
+    sender: oneshot::Sender<HandlerResult>,
 ) {
-    let deadline = work.message.deadline;
+    let deadline = prepared.message.deadline;
     let number = match calls::claim(&context.handle, deadline, &claim).await {
         Ok(control::Claimed::Granted(number)) => number,
-        Ok(other) => return reply(sender, first_answer(other)),
-        Err(fault) => return reply(sender, Err(fault)),
+        Ok(other) => return reply(sender, replay(other)),
+        Err(error) => return reply(sender, Err(error)),
     };
     let complete = |completion| calls::complete(&context.handle, claim, number, completion);
-    match request::run(&context, work, false).await {
-        Err(fault) => {
-            let completion = match fault.run {
+    match request::run(&context, prepared, false).await {
+        Err(error) => {
+            let completion = match error.run {
                 error::Execution::NotRun => control::Completion::NotRun,
                 error::Execution::Unknown | error::Execution::Run => control::Completion::Unknown,
             };
             complete(completion).await;
-            reply(sender, Err(fault));
+            reply(sender, Err(error));
         }
-        Ok(ready) => {
-            let completion = pass_on(ready.head, ready.body, sender).await;
-            match completion {
-                Passed::Whole(head, bytes, sender) => {
-                    // Stored before the caller sees it, so that a resend never finds less than the caller has.
-                    complete(control::Completion::Answered(stored(&head, &bytes))).await;
+        Ok(response) => {
+            let relayed = relay(response.head, response.body, sender).await;
+            match relayed {
+                Relayed::Buffered(head, bytes, sender) => {
+                    // Stored before it is sent, so that a resend after the caller got the response always finds it.
+                    complete(control::Completion::Answered(to_stored(&head, &bytes))).await;
                     reply(sender, Ok(Response::from_parts(head, body::Body::full(bytes))));
                 }
-                Passed::Unstored => complete(control::Completion::Unknown).await,
-                Passed::Cut(sender) => {
+                Relayed::Streamed => complete(control::Completion::Unknown).await,
+                Relayed::Truncated(sender) => {
                     complete(control::Completion::Unknown).await;
-                    let message = "the target broke off its answer";
-                    let fault = error::Error::unknown(StatusCode::BAD_GATEWAY, "target_failed", message);
-                    reply(sender, Err(fault));
+                    let message = "the response of the target was truncated";
+                    let error = error::Error::unknown(StatusCode::BAD_GATEWAY, "target_failed", message);
+                    reply(sender, Err(error));
                 }
             }
         }
     }
 }
 
-enum Passed {
-    /// Short enough to be stored; not yet sent.
-    Whole(response::Parts, Bytes, oneshot::Sender<Answer>),
-    /// Too long to be stored; sent as far as it came.
-    Unstored,
-    /// Broken off before anything was sent.
-    Cut(oneshot::Sender<Answer>),
+enum Relayed {
+    /// The response is complete and short enough to be stored; it is not sent yet.
+    Buffered(response::Parts, Bytes, oneshot::Sender<HandlerResult>),
+    /// The response is too long to be stored; what was received of it was sent.
+    Streamed,
+    /// The response was truncated before anything was sent.
+    Truncated(oneshot::Sender<HandlerResult>),
 }
 
-async fn pass_on(head: response::Parts, body: request::ReadyBody, sender: oneshot::Sender<Answer>) -> Passed {
+async fn relay(
+    head: response::Parts,
+    body: request::ResponseBody,
+    sender: oneshot::Sender<HandlerResult>,
+) -> Relayed {
     let mut stream = match body {
-        request::ReadyBody::Whole(bytes) => return Passed::Whole(head, bytes, sender),
-        request::ReadyBody::Stream(stream) => stream,
+        request::ResponseBody::Buffered(bytes) => return Relayed::Buffered(head, bytes, sender),
+        request::ResponseBody::Stream(stream) => stream,
     };
     let mut start = BytesMut::new();
-    while start.len() as u64 <= request::WHOLE_BYTES {
+    while start.len() as u64 <= request::MAX_BUFFERED_BYTES {
         match stream.next().await {
-            None => return Passed::Whole(head, start.freeze(), sender),
-            Some(Ok(piece)) => start.extend_from_slice(&piece),
-            Some(Err(_)) => return Passed::Cut(sender),
+            None => return Relayed::Buffered(head, start.freeze(), sender),
+            Some(Ok(chunk)) => start.extend_from_slice(&chunk),
+            Some(Err(_)) => return Relayed::Truncated(sender),
         }
     }
-    let (pieces, receiver) = mpsc::channel(PIECES);
+    let (chunks, receiver) = mpsc::channel(BUFFERED_CHUNKS);
     let body = body::Body::channel(receiver);
     reply(sender, Ok(Response::from_parts(head, body)));
     let mut next = Some(Ok(start.freeze()));
-    while let Some(piece) = next {
-        // A caller that is gone does not end the work: the rest is read and dropped.
-        drop(pieces.send(piece).await);
+    while let Some(chunk) = next {
+        // If the caller has disconnected, the rest is still read and dropped, so that the request runs to its end.
+        drop(chunks.send(chunk).await);
         next = stream.next().await;
     }
-    Passed::Unstored
+    Relayed::Streamed
 }
 
-fn stored(head: &response::Parts, body: &Bytes) -> control::StoredResponse {
+fn to_stored(head: &response::Parts, body: &Bytes) -> control::StoredResponse {
     let content_type = head.headers.get(header::CONTENT_TYPE);
     let content_type = content_type.and_then(|value| value.to_str().ok()).unwrap_or("");
     control::StoredResponse {
@@ -121,13 +127,13 @@
     }
 }
 
-/// Answers a request whose id was claimed before.
-fn first_answer(claimed: control::Claimed) -> Answer {
+/// Returns the response to a request whose id was claimed earlier.
+fn replay(claimed: control::Claimed) -> HandlerResult {
     match claimed {
-        control::Claimed::Answered(first) => {
-            let mut response = Response::new(body::Body::full(first.body));
-            *response.status_mut() = StatusCode::from_u16(first.status).unwrap_or(StatusCode::OK);
-            if let Ok(value) = HeaderValue::try_from(first.content_type)
+        control::Claimed::Answered(stored) => {
+            let mut response = Response::new(body::Body::full(stored.body));
+            *response.status_mut() = StatusCode::from_u16(stored.status).unwrap_or(StatusCode::OK);
+            if let Ok(value) = HeaderValue::try_from(stored.content_type)
                 && !value.is_empty()
             {
                 response.headers_mut().insert(header::CONTENT_TYPE, value);
@@ -149,13 +155,13 @@
             )
         }
         control::Claimed::Granted(_) | control::Claimed::Unknown => {
-            let message = "a request with this id may have run and its answer is not known";
+            let message = "a request with this id may have run, and its response is not known";
             Err(error::Error::unknown(StatusCode::CONFLICT, "unknown", message))
         }
     }
 }
 
-fn reply(sender: oneshot::Sender<Answer>, answer: Answer) {
-    // The caller may be gone; the answer is stored for a resend.
-    drop(sender.send(answer));
+fn reply(sender: oneshot::Sender<HandlerResult>, result: HandlerResult) {
+    // If the caller has disconnected, a resend gets the stored response.
+    drop(sender.send(result));
 }
--- a/crates/gateway/src/routes/compact.rs
+++ b/crates/gateway/src/routes/compact.rs
@@ -1,4 +1,4 @@
-//! The binary form of workers' reports, chosen by `Content-Type` and `Accept`. JSON stays the default.
+//! Binary encoding of worker reports, selected by `Content-Type` and `Accept`. JSON is the default.
 
 use bronzespoke_model::{compact, id, worker};
 use bytes::Bytes;
@@ -7,7 +7,7 @@
 
 use crate::{body, error, routes, server::context};
 
-/// Tells whether a header field names the binary form.
+/// Returns whether a header field names the media type of the binary encoding.
 pub(crate) fn is_named(headers: &HeaderMap, field: &HeaderName) -> bool {
     headers
         .get_all(field)
@@ -18,7 +18,7 @@
         .any(|range| range.trim().eq_ignore_ascii_case(compact::MEDIA_TYPE))
 }
 
-/// Receives and parses a report.
+/// Receives and parses a binary report.
 pub(crate) async fn receive(
     context: &context::Context,
     head: &Parts,
@@ -27,7 +27,7 @@
 ) -> Result<worker::Report, error::Error> {
     let received = routes::receive(context, head, body).await?;
     let (report, rest) = postcard::take_from_bytes::<compact::Report>(&received.bytes)
-        .map_err(|error| error::Error::field("body", format!("not a report: {error}")))?;
+        .map_err(|error| error::Error::field("body", format!("the body is not a report: {error}")))?;
     if !rest.is_empty() {
         let message = format!("{} bytes follow the report; none are allowed", rest.len());
         return Err(error::Error::field("body", message));
@@ -35,9 +35,9 @@
     Ok(report.of(worker))
 }
 
-/// Returns a binary answer.
-pub(crate) fn answer(reply: worker::Reply) -> Response<body::Body> {
-    let bytes = postcard::to_stdvec(&compact::Reply::from(reply)).expect("answers are plain data");
+/// Returns a response with a binary reply.
+pub(crate) fn respond(reply: worker::Reply) -> Response<body::Body> {
+    let bytes = postcard::to_stdvec(&compact::Reply::from(reply)).expect("a reply serializes to postcard");
     let mut response = Response::new(body::Body::full(Bytes::from(bytes)));
     let content_type = HeaderValue::from_static(compact::MEDIA_TYPE);
     response.headers_mut().insert(header::CONTENT_TYPE, content_type);
--- a/crates/gateway/src/routes/jobs.rs
+++ b/crates/gateway/src/routes/jobs.rs
@@ -7,22 +7,22 @@
 
 use crate::{body, calls, control, error, filter, routes, server::context};
 
-/// Accepts a job.
+/// Handles the submission of a job.
 pub(crate) async fn submit(
     context: &context::Context,
     head: &Parts,
     body: Incoming,
 ) -> Result<Response<body::Body>, error::Error> {
     filter::key::team(&context.handle, &head.headers)?;
-    let id = filter::identity::parse(&head.headers)?;
+    let id = filter::request_id::parse(&head.headers)?;
     let spec: job::Spec = routes::receive_json(context, head, body).await?;
-    // The key is checked again, because the body may have taken longer than a withdrawal needs.
+    // The key is checked again, because it may have been withdrawn while the body was received.
     let team = filter::key::team(&context.handle, &head.headers)?.team;
     let job = accept(context, head, team.id, id, spec).await?;
     Ok(routes::json(StatusCode::ACCEPTED, &json!({ "job": job })))
 }
 
-/// Checks a job and hands it to control.
+/// Validates a job and submits it to control.
 pub(crate) async fn accept(
     context: &context::Context,
     head: &Parts,
@@ -33,13 +33,13 @@
     check(&spec)?;
     let path = head.uri.path();
     let timeout = context.settings.call_timeout;
-    calls::ask(&context.handle, timeout, path, |reply| {
+    calls::call(&context.handle, timeout, path, |reply| {
         control::Call::Submit(team, id, spec, reply)
     })
     .await
 }
 
-/// Reads a job.
+/// Handles a request for the status of a job, with its results if `results` is set.
 pub(crate) async fn read(
     context: &context::Context,
     head: &Parts,
@@ -51,7 +51,7 @@
     Ok(routes::json(StatusCode::OK, &status))
 }
 
-/// Asks control for a job.
+/// Reads the status of a job from control.
 pub(crate) async fn status(
     context: &context::Context,
     head: &Parts,
@@ -61,13 +61,13 @@
 ) -> Result<control::JobStatus, error::Error> {
     let path = head.uri.path();
     let timeout = context.settings.call_timeout;
-    calls::ask(&context.handle, timeout, path, |reply| {
+    calls::call(&context.handle, timeout, path, |reply| {
         control::Call::Job(team, job, results, reply)
     })
     .await
 }
 
-/// Cancels a job.
+/// Handles the cancellation of a job.
 pub(crate) async fn cancel(
     context: &context::Context,
     head: &Parts,
@@ -77,7 +77,7 @@
     let path = head.uri.path();
     let timeout = context.settings.call_timeout;
     let call = |reply| control::Call::Cancel(team.id, job, reply);
-    let status = calls::ask(&context.handle, timeout, path, call).await?;
+    let status = calls::call(&context.handle, timeout, path, call).await?;
     Ok(routes::json(StatusCode::OK, &status))
 }
 
@@ -96,8 +96,8 @@
     }
     if spec.command.len() > job::MAX_COMMAND_BYTES {
         let length = spec.command.len();
-        let most = job::MAX_COMMAND_BYTES;
-        let message = format!("the command has {length} bytes, at most {most} are allowed");
+        let max = job::MAX_COMMAND_BYTES;
+        let message = format!("the command has {length} bytes, at most {max} are allowed");
         return Err(error::Error::field("command", message));
     }
     Ok(())
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -1,4 +1,4 @@
-//! From a path and method to the handler.
+//! Routes: selects the handler of a request by path and method.
 
 mod announce;
 mod claimed;
@@ -17,7 +17,7 @@
 
 use crate::{body, error, filter, server::context};
 
-/// A handler with its arguments from the path.
+/// A handler and its arguments from the path.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Route<'a> {
     Service(&'a str),
@@ -33,12 +33,13 @@
     Health,
     Ready,
     Metrics,
-    OldRequest,
-    OldJob,
-    OldReadJob(id::JobId),
+    VersionOneRequest,
+    VersionOneSubmit,
+    VersionOneRead(id::JobId),
 }
 
 impl Route<'_> {
+    /// Returns the value of the label `route` in metrics.
     const fn name(&self) -> &'static str {
         match self {
             Self::Service(_) => "service",
@@ -47,35 +48,35 @@
             Self::Announce(_) | Self::Depart(_) => "target",
             Self::Register(_) | Self::Report(_) => "worker",
             Self::Health | Self::Ready | Self::Metrics => "operation",
-            Self::OldRequest | Self::OldJob | Self::OldReadJob(_) => "version_one",
+            Self::VersionOneRequest | Self::VersionOneSubmit | Self::VersionOneRead(_) => "version_one",
         }
     }
 }
 
-/// Answers one request.
+/// Handles one request; errors become error responses.
 pub(crate) async fn handle(
     context: Arc<context::Context>,
     request: Request<Incoming>,
 ) -> Response<body::Body> {
-    let in_flight = context.enter();
+    let in_flight = context.track_request();
     let (head, body) = request.into_parts();
     let path = head.uri.path().to_owned();
     let version = head.version;
     let mut name = "none";
-    let checked = filter::size::check(&head.uri, &head.headers, context.settings.max_header_bytes);
+    let checked = filter::head::check(&head.uri, &head.headers, context.settings.max_header_bytes);
     let parsed = checked.and_then(|()| parse(&head.method, &path));
     let result = match parsed.and_then(|route| check_version(version, route)) {
         Ok(route) => {
             name = route.name();
             dispatch(&context, route, &head, body).await
         }
-        Err(fault) => Err(fault),
+        Err(error) => Err(error),
     };
     let mut response = result.unwrap_or_else(error::Error::into_response);
     if path.starts_with("/v1/") {
-        filter::version_one::mark(&mut response);
+        filter::version_one::add_deprecation_headers(&mut response);
     }
-    // HTTP/2 has no such field; its connections are told with a frame when the server closes.
+    // HTTP/2 has no such header; the server sends a GOAWAY frame when it closes the connection.
     if context.is_draining() && version != Version::HTTP_2 {
         let close = HeaderValue::from_static("close");
         response.headers_mut().insert(header::CONNECTION, close);
@@ -106,16 +107,16 @@
         Route::Health => Ok(operation::health()),
         Route::Ready => operation::ready(context),
         Route::Metrics => Ok(operation::metrics(context)),
-        Route::OldRequest => version_one::request(context, head, body).await,
-        Route::OldJob => version_one::submit(context, head, body).await,
-        Route::OldReadJob(job) => version_one::read(context, head, job).await,
+        Route::VersionOneRequest => version_one::request(context, head, body).await,
+        Route::VersionOneSubmit => version_one::submit(context, head, body).await,
+        Route::VersionOneRead(job) => version_one::read(context, head, job).await,
     }
 }
 
 fn parse<'a>(method: &Method, path: &'a str) -> Result<Route<'a>, error::Error> {
-    let mut segments = path.strip_prefix('/').unwrap_or(path).split('/');
-    let parts: [&str; 5] = std::array::from_fn(|_| segments.next().unwrap_or(""));
-    if segments.next().is_some() {
+    let mut rest = path.strip_prefix('/').unwrap_or(path).split('/');
+    let segments: [&str; 5] = std::array::from_fn(|_| rest.next().unwrap_or(""));
+    if rest.next().is_some() {
         return Err(no_path(path));
     }
     let allowed = |allow: &'static str, route: Result<Route<'a>, error::Error>| {
@@ -126,7 +127,7 @@
             Err(wrong_method(method, allow))
         }
     };
-    match parts {
+    match segments {
         ["v2", "services", name, "requests", ""] => allowed("POST", Ok(Route::Service(name))),
         ["v2", "queues", name, "requests", ""] => allowed("POST", Ok(Route::Queue(name))),
         ["v2", "jobs", "", "", ""] => allowed("POST", Ok(Route::SubmitJob)),
@@ -158,14 +159,14 @@
         ["healthz", "", "", "", ""] => allowed("GET, HEAD", Ok(Route::Health)),
         ["readyz", "", "", "", ""] => allowed("GET, HEAD", Ok(Route::Ready)),
         ["metrics", "", "", "", ""] => allowed("GET", Ok(Route::Metrics)),
-        ["v1", "request", "", "", ""] => allowed("POST", Ok(Route::OldRequest)),
-        ["v1", "job", "", "", ""] => allowed("POST", Ok(Route::OldJob)),
-        ["v1", "job", job, "", ""] => allowed("GET", number("job", job).map(Route::OldReadJob)),
+        ["v1", "request", "", "", ""] => allowed("POST", Ok(Route::VersionOneRequest)),
+        ["v1", "job", "", "", ""] => allowed("POST", Ok(Route::VersionOneSubmit)),
+        ["v1", "job", job, "", ""] => allowed("GET", number("job", job).map(Route::VersionOneRead)),
         _ => Err(no_path(path)),
     }
 }
 
-/// HTTP/2 is offered to workers only; the answers of targets are relayed under the rules of HTTP/1.1.
+/// Rejects HTTP/2 except from workers: responses of targets are forwarded by the rules of HTTP/1.1.
 fn check_version(version: Version, route: Route<'_>) -> Result<Route<'_>, error::Error> {
     if version != Version::HTTP_2 || matches!(route, Route::Register(_) | Route::Report(_)) {
         return Ok(route);
@@ -183,22 +184,22 @@
 }
 
 fn no_path(path: &str) -> error::Error {
-    let message = format!("`{path}` is not a path of this interface");
+    let message = format!("`{path}` is not a path of this API");
     error::Error::not_run(StatusCode::NOT_FOUND, "no_path", message).with_field("path")
 }
 
 fn wrong_method(method: &Method, allow: &'static str) -> error::Error {
     let message = format!("{method} is not allowed here, {allow} is");
-    let fault = error::Error::not_run(StatusCode::METHOD_NOT_ALLOWED, "method", message);
+    let error = error::Error::not_run(StatusCode::METHOD_NOT_ALLOWED, "method", message);
     error::Error {
         allow: Some(allow),
-        ..fault.with_field("method")
+        ..error.with_field("method")
     }
 }
 
-/// Returns a JSON answer.
+/// Returns a JSON response.
 fn json<T: serde::Serialize>(status: StatusCode, value: &T) -> Response<body::Body> {
-    let bytes = serde_json::to_vec(value).expect("answers are plain data");
+    let bytes = serde_json::to_vec(value).expect("responses serialize to JSON");
     let mut response = Response::new(body::Body::full(Bytes::from(bytes)));
     *response.status_mut() = status;
     let content_type = HeaderValue::from_static("application/json");
@@ -206,7 +207,7 @@
     response
 }
 
-/// Receives and parses a JSON body, whatever type it names.
+/// Receives and parses a JSON body, regardless of its `Content-Type`.
 async fn receive_json<T: serde::de::DeserializeOwned>(
     context: &context::Context,
     head: &http::request::Parts,
@@ -216,12 +217,19 @@
     filter::json::parse(&received.bytes)
 }
 
-/// Receives a body of at most the configured size.
+/// Receives a body of at most the size in the cell-wide configuration.
 async fn receive(
     context: &context::Context,
     head: &http::request::Parts,
     body: Incoming,
 ) -> Result<filter::body::Received, error::Error> {
     let limit = context.handle.view.borrow().config.request_body_bytes as usize;
-    filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await
+    filter::body::receive(
+        &head.headers,
+        body,
+        limit,
+        &context.body_memory,
+        &context.settings,
+    )
+    .await
 }
--- a/crates/gateway/src/routes/operation.rs
+++ b/crates/gateway/src/routes/operation.rs
@@ -1,16 +1,16 @@
-//! Health, readiness and metrics.
+//! Endpoints for operations: health, readiness and metrics.
 
 use bytes::Bytes;
 use http::{HeaderValue, Response, StatusCode, header};
 
 use crate::{body, error, server::context};
 
-/// Answers 200 while the process serves.
+/// Responds with 200 while the process serves requests.
 pub(crate) fn health() -> Response<body::Body> {
     text("ok\n".into())
 }
 
-/// Answers 200 while new requests are welcome.
+/// Responds with 200 while the VM accepts new callers, otherwise with 503.
 pub(crate) fn ready(context: &context::Context) -> Result<Response<body::Body>, error::Error> {
     if context.is_ready() {
         return Ok(text("ready\n".into()));
@@ -18,11 +18,11 @@
     Err(error::Error::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "not_ready",
-        "this VM takes no new callers now",
+        "this VM does not accept new callers now",
     ))
 }
 
-/// Renders the metrics.
+/// Responds with the metrics in the text format of Prometheus.
 pub(crate) fn metrics(context: &context::Context) -> Response<body::Body> {
     text((context.render)())
 }
--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -1,4 +1,4 @@
-//! Requests to services and open queues: from a received body to the answer of a target.
+//! Requests to services and open queues, which are forwarded to targets.
 
 use std::{
     sync::{Arc, atomic::Ordering},
@@ -12,12 +12,13 @@
 use hyper::body::{Body as _, Incoming};
 use tokio::sync::OwnedSemaphorePermit;
 
-use crate::{attempt, body, error, filter, gate, routes::claimed, server::context};
+use crate::{attempt, balancer, body, error, filter, routes::claimed, server::context};
 
-/// Answers up to this length are received whole before the caller sees them, so that a cut can be answered.
-pub(crate) const WHOLE_BYTES: u64 = 64 * 1024;
-/// Request headers that are passed on to targets.
-const PASSED_ON: [HeaderName; 6] = [
+/// Responses of up to this length are buffered before they are sent to the caller, so that a truncated one can be
+/// retried or replaced by an error.
+pub(crate) const MAX_BUFFERED_BYTES: u64 = 64 * 1024;
+/// Request headers that are forwarded to targets.
+const FORWARDED_HEADERS: [HeaderName; 6] = [
     header::CONTENT_TYPE,
     header::CONTENT_ENCODING,
     header::ACCEPT,
@@ -25,8 +26,9 @@
     HeaderName::from_static("traceparent"),
     HeaderName::from_static("tracestate"),
 ];
-/// Headers of an answer that belong to the connection to the target.
-const NOT_PASSED_BACK: [HeaderName; 9] = [
+/// Response headers that are not forwarded to callers, because they concern the connection to the target or the
+/// gateway's protocol with it.
+const STRIPPED_HEADERS: [HeaderName; 9] = [
     header::CONNECTION,
     header::TRANSFER_ENCODING,
     header::TRAILER,
@@ -38,39 +40,39 @@
     attempt::TEAM,
 ];
 
-/// A request that passed the filters.
-pub(crate) struct Work {
-    /// Checked again when the request has waited; open queues have none.
+/// A request that passed the filters and is ready to be sent.
+pub(crate) struct Prepared {
+    /// Hash of the key, which is checked again before each attempt; requests to open queues have none.
     pub key: Option<team::KeyHash>,
-    pub ask: gate::Ask,
+    pub request: balancer::Request,
     pub message: attempt::Message,
-    /// Counts the body's memory until the work is dropped.
+    /// Permit for the memory of the body.
     #[expect(dead_code, reason = "held for its drop")]
     pub memory: OwnedSemaphorePermit,
 }
 
-/// The head of an answer and its body.
-pub(crate) struct Ready {
+/// Response of a target, buffered or ready to be streamed.
+pub(crate) struct TargetResponse {
     pub head: response::Parts,
-    pub body: ReadyBody,
+    pub body: ResponseBody,
 }
 
-/// Body of an answer.
-pub(crate) enum ReadyBody {
-    Whole(Bytes),
+/// Body of a target's response.
+pub(crate) enum ResponseBody {
+    Buffered(Bytes),
     Stream(Box<body::Stream>),
 }
 
-/// A request as any version of the interface states it.
-pub(crate) struct Order<'a> {
+/// Parameters of a request, common to all versions of the API.
+pub(crate) struct Params<'a> {
     pub granted: Option<&'a filter::key::Granted>,
     pub owner: admission::Owner,
     pub service: id::ServiceId,
     pub service_name: &'a str,
     pub weight: u32,
-    /// Requests that the owner may have in flight fleet-wide.
+    /// Maximum number of requests that the owner may have in flight, over all entry VMs.
     pub limit: u32,
-    pub time: Duration,
+    pub time_limit: Duration,
     pub id: Option<String>,
     pub body: filter::body::Received,
 }
@@ -88,25 +90,32 @@
         .services
         .get(name)
         .ok_or_else(|| unknown_name("service", name))?;
-    let time = filter::deadline::parse(&head.headers, view.config.request_deadline_ms)?;
-    let id = filter::identity::parse(&head.headers)?;
+    let time_limit = filter::deadline::parse(&head.headers, view.config.request_deadline_ms)?;
+    let id = filter::request_id::parse(&head.headers)?;
     let limit = view.config.request_body_bytes as usize;
-    let body = filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
-    // The key is checked again, because the body may have taken longer than a withdrawal needs.
+    let body = filter::body::receive(
+        &head.headers,
+        body,
+        limit,
+        &context.body_memory,
+        &context.settings,
+    )
+    .await?;
+    // The key is checked again, because it may have been withdrawn while the body was received.
     let granted = filter::key::team(&context.handle, &head.headers)?;
     let team = &granted.team;
-    let order = Order {
+    let params = Params {
         granted: Some(&granted),
         owner: admission::Owner::Team(team.id),
         service: service.id,
         service_name: name,
         weight: team.quota.weight,
         limit: team.quota.requests,
-        time,
+        time_limit,
         id,
         body,
     };
-    serve(context, head, order).await
+    serve(context, head, params).await
 }
 
 /// Serves `POST /v2/queues/{queue}/requests`, which needs no key and no fresh view.
@@ -118,97 +127,104 @@
 ) -> Result<Response<body::Body>, error::Error> {
     let view = Arc::clone(&context.handle.view.borrow());
     let queue = view.queues.get(name).ok_or_else(|| unknown_name("queue", name))?;
-    if head.headers.contains_key(&filter::identity::HEADER) {
+    if head.headers.contains_key(&filter::request_id::HEADER) {
         let message = "request ids belong to teams; an open queue takes requests without one";
-        return Err(error::Error::field(filter::identity::HEADER.as_str(), message));
+        return Err(error::Error::field(filter::request_id::HEADER.as_str(), message));
     }
     let service = view.services.values().find(|service| service.id == queue.service);
     let service = service.ok_or_else(|| unknown_name("queue", name))?;
-    let time = filter::deadline::parse(&head.headers, view.config.request_deadline_ms)?;
+    let time_limit = filter::deadline::parse(&head.headers, view.config.request_deadline_ms)?;
     let limit = view.config.request_body_bytes as usize;
-    let body = filter::body::receive(&head.headers, body, limit, &context.memory, &context.settings).await?;
-    let order = Order {
+    let body = filter::body::receive(
+        &head.headers,
+        body,
+        limit,
+        &context.body_memory,
+        &context.settings,
+    )
+    .await?;
+    let params = Params {
         granted: None,
         owner: admission::Owner::Queue(queue.id),
         service: service.id,
         service_name: &service.name,
         weight: 1,
         limit: queue.requests,
-        time,
+        time_limit,
         id: None,
         body,
     };
-    serve(context, head, order).await
+    serve(context, head, params).await
 }
 
-/// Runs an order and answers it.
+/// Sends a request to targets and returns the response.
 pub(crate) async fn serve(
     context: &Arc<context::Context>,
     head: &Parts,
-    order: Order<'_>,
+    params: Params<'_>,
 ) -> Result<Response<body::Body>, error::Error> {
-    let id = order.id.clone();
-    let team = order.granted.map(|granted| granted.team.id);
-    let work = prepare(context, head, order)?;
+    let id = params.id.clone();
+    let team = params.granted.map(|granted| granted.team.id);
+    let prepared = prepare(context, head, params)?;
     match (team, id) {
-        (Some(team), Some(id)) => claimed::serve(context, team, id, work).await,
-        _ => Ok(respond(run(context, work, true).await?)),
+        (Some(team), Some(id)) => claimed::serve(context, team, id, prepared).await,
+        _ => Ok(respond(run(context, prepared, true).await?)),
     }
 }
 
-fn prepare(context: &context::Context, head: &Parts, order: Order<'_>) -> Result<Work, error::Error> {
-    let path = format!("/v2/services/{}/requests", order.service_name);
+fn prepare(context: &context::Context, head: &Parts, params: Params<'_>) -> Result<Prepared, error::Error> {
+    let path = format!("/v2/services/{}/requests", params.service_name);
     let path = path
         .parse()
-        .map_err(|_error| unknown_name("service", order.service_name))?;
-    let mut headers = HeaderMap::with_capacity(PASSED_ON.len() + 4);
-    for name in PASSED_ON {
+        .map_err(|_error| unknown_name("service", params.service_name))?;
+    let mut headers = HeaderMap::with_capacity(FORWARDED_HEADERS.len() + 4);
+    for name in FORWARDED_HEADERS {
         if let Some(value) = head.headers.get(&name) {
             headers.insert(name, value.clone());
         }
     }
     headers.insert(header::HOST, HeaderValue::from_static("target"));
-    if let Some(name) = order
+    if let Some(name) = params
         .granted
         .and_then(|granted| HeaderValue::from_str(&granted.team.name).ok())
     {
         headers.insert(attempt::TEAM, name);
     }
-    if let Some(id) = order.id.as_deref().and_then(|id| HeaderValue::from_str(id).ok()) {
-        headers.insert(filter::identity::HEADER, id);
+    if let Some(id) = params.id.as_deref().and_then(|id| HeaderValue::from_str(id).ok()) {
+        headers.insert(filter::request_id::HEADER, id);
     }
-    let deadline = context.gate.now() + order.time;
-    let entries = gate::entries(&context.handle.view.borrow());
-    Ok(Work {
-        key: order.granted.map(|granted| granted.hash),
-        ask: gate::Ask {
+    let deadline = context.balancer.now() + params.time_limit;
+    let entries = balancer::entries(&context.handle.view.borrow());
+    Ok(Prepared {
+        key: params.granted.map(|granted| granted.hash),
+        request: balancer::Request {
             flow: admission::Flow {
-                service: order.service,
-                owner: order.owner,
+                service: params.service,
+                owner: params.owner,
             },
-            weight: order.weight,
-            limit: allotment::limit(order.limit, context.settings.vm, &entries),
+            weight: params.weight,
+            limit: allotment::limit(params.limit, context.settings.vm, &entries),
             deadline,
-            bytes: order.body.bytes.len() as u32 + 512,
+            bytes: params.body.bytes.len() as u32 + 512,
         },
         message: attempt::Message {
             path,
             headers,
-            body: order.body.bytes,
-            deadline: context.gate.instant(deadline),
+            body: params.body.bytes,
+            deadline: context.balancer.instant(deadline),
         },
-        memory: order.body.memory,
+        memory: params.body.memory,
     })
 }
 
-/// Has targets run the work until one answers or nothing more may be tried.
+/// Sends a request to targets until one responds or no further attempt is allowed.
 pub(crate) async fn run(
     context: &Arc<context::Context>,
-    work: Work,
+    prepared: Prepared,
     repeatable: bool,
-) -> Result<Ready, error::Error> {
-    context.gate.started(work.ask.flow);
-    let mut admitted = Some(context.gate.admit(work.ask).await?);
+) -> Result<TargetResponse, error::Error> {
+    context.balancer.record_request(prepared.request.flow);
+    let mut admitted = Some(context.balancer.admit(prepared.request).await?);
     let mut tried = Vec::new();
     let mut history = state::Execution::NotRun;
     let mut attempts = 0;
@@ -216,37 +232,40 @@
         let (permit, pick) = match admitted.take() {
             Some(admitted) => admitted,
             None => context
-                .gate
-                .admit(work.ask)
+                .balancer
+                .admit(prepared.request)
                 .await
-                .map_err(|fault| fault.with_run(history))?,
+                .map_err(|error| error.with_execution(history))?,
         };
-        if let Some(hash) = &work.key {
-            filter::key::check(&context.handle, hash).map_err(|fault| fault.with_run(history))?;
+        if let Some(hash) = &prepared.key {
+            filter::key::check(&context.handle, hash).map_err(|error| error.with_execution(history))?;
         }
         attempts += 1;
         tried.push(pick.target);
-        let (failure, permit) = match tries(context, &work, pick, repeatable && attempts == 1).await {
-            Ok((pick, got)) => match finish(context, &work, permit, pick, got).await {
-                Ok(ready) => return Ok(ready),
-                Err(failure) => (failure, None),
-            },
-            Err(failure) => (failure, Some(permit)),
-        };
-        let decision = context.gate.decide(&retry::Attempt {
-            flow: work.ask.flow,
+        let (failure, permit) =
+            match attempt_with_hedge(context, &prepared, pick, repeatable && attempts == 1).await {
+                Ok((pick, started)) => {
+                    match receive_response(context, &prepared, permit, pick, started).await {
+                        Ok(response) => return Ok(response),
+                        Err(failure) => (failure, None),
+                    }
+                }
+                Err(failure) => (failure, Some(permit)),
+            };
+        let decision = context.balancer.decide(&retry::Attempt {
+            flow: prepared.request.flow,
             repeatable,
-            progress: failure.state,
+            progress: failure.progress,
             history,
             attempts,
             response_started: false,
-            deadline: work.ask.deadline,
+            deadline: prepared.request.deadline,
         });
         match decision {
             retry::Decision::Retry(known) => {
                 history = known;
                 let next = permit.and_then(|permit| {
-                    let pick = context.gate.pick(&work.ask, &tried)?;
+                    let pick = context.balancer.pick(&prepared.request, &tried)?;
                     Some((permit, pick))
                 });
                 admitted = next;
@@ -256,152 +275,165 @@
                 if let Some(mut permit) = permit
                     && failure.overload
                 {
-                    permit.set(admission::Outcome::Overloaded);
+                    permit.set_outcome(admission::Outcome::Overloaded);
                 }
-                return Err(stopped(&failure, known));
+                return Err(final_error(&failure, known));
             }
         }
     }
 }
 
-type Tried = (gate::Pick, Result<attempt::Got, attempt::Failure>);
+type AttemptResult = (balancer::Pick, Result<attempt::Started, attempt::Failure>);
 
-async fn one(context: Arc<context::Context>, message: attempt::Message, pick: gate::Pick) -> Tried {
+async fn run_attempt(
+    context: Arc<context::Context>,
+    message: attempt::Message,
+    pick: balancer::Pick,
+) -> AttemptResult {
     let number = context.next_attempt();
     let result = attempt::run(&context.pool, &pick, &message, number).await;
     (pick, result)
 }
 
-/// Makes one attempt, and a second copy when the first is late and `hedge` allows it.
-async fn tries(
+/// Makes one attempt, and hedges it if `hedge` is set and the response is late.
+async fn attempt_with_hedge(
     context: &Arc<context::Context>,
-    work: &Work,
-    pick: gate::Pick,
+    prepared: &Prepared,
+    pick: balancer::Pick,
     hedge: bool,
-) -> Result<(gate::Pick, attempt::Got), attempt::Failure> {
+) -> Result<(balancer::Pick, attempt::Started), attempt::Failure> {
     let first_target = pick.target;
-    let overtaken = pick.overtaken();
-    let mut first = Box::pin(one(Arc::clone(context), work.message.clone(), pick));
-    let late = context.gate.hedge_delay(work.ask.flow.service).filter(|_| hedge);
-    let Some(late) = late.filter(|late| *late < attempt::left(work.message.deadline)) else {
-        return settle(first.await);
+    let lost_hedge = pick.lost_hedge();
+    let mut first = Box::pin(run_attempt(Arc::clone(context), prepared.message.clone(), pick));
+    let delay = context
+        .balancer
+        .hedge_delay(prepared.request.flow.service)
+        .filter(|_| hedge);
+    let Some(delay) = delay.filter(|delay| *delay < attempt::remaining(prepared.message.deadline)) else {
+        return report_failure(first.await);
     };
     tokio::select! {
         biased;
-        tried = &mut first => return settle(tried),
-        () = tokio::time::sleep(late) => {}
+        result = &mut first => return report_failure(result),
+        () = tokio::time::sleep(delay) => {}
     }
-    let Some(pick) = context.gate.pick_hedge(&work.ask, &[first_target]) else {
-        return settle(first.await);
+    let Some(pick) = context.balancer.pick_hedge(&prepared.request, &[first_target]) else {
+        return report_failure(first.await);
     };
     metrics::counter!("bronzespoke_hedges_total").increment(1);
-    let mut second = Box::pin(one(Arc::clone(context), work.message.clone(), pick));
-    // The copy that is dropped closes its connection, and its guard reports it as abandoned.
-    let (tried, other, second_won) = tokio::select! {
+    let mut second = Box::pin(run_attempt(Arc::clone(context), prepared.message.clone(), pick));
+    // Dropping the attempt that did not complete first closes its connection, and its guard reports its outcome.
+    let (result, other, hedge_won) = tokio::select! {
         biased;
-        tried = &mut first => (tried, second, false),
-        tried = &mut second => (tried, first, true),
+        result = &mut first => (result, second, false),
+        result = &mut second => (result, first, true),
     };
-    let failure = match settle(tried) {
+    let failure = match report_failure(result) {
         Ok(won) => {
-            overtaken.store(second_won, Ordering::Release);
+            lost_hedge.store(hedge_won, Ordering::Release);
             return Ok(won);
         }
         Err(failure) => failure,
     };
-    settle(other.await).map_err(|last| attempt::Failure {
-        state: last.state.max(failure.state),
+    report_failure(other.await).map_err(|last| attempt::Failure {
+        progress: last.progress.max(failure.progress),
         ..last
     })
 }
 
-/// Reports a failed attempt to routing.
-fn settle((pick, result): Tried) -> Result<(gate::Pick, attempt::Got), attempt::Failure> {
+/// Reports a failed attempt to the balancer.
+fn report_failure(
+    (pick, result): AttemptResult,
+) -> Result<(balancer::Pick, attempt::Started), attempt::Failure> {
     match result {
-        Ok(got) => Ok((pick, got)),
+        Ok(started) => Ok((pick, started)),
         Err(mut failure) => {
-            if failure.end == state::Outcome::TimedOut && !pick.is_late() {
+            if failure.outcome == state::Outcome::TimedOut && !pick.is_late() {
                 failure.overload = false;
             }
-            pick.end(failure.end, 0);
+            pick.finish(failure.outcome, 0);
             Err(failure)
         }
     }
 }
 
-/// Receives a short answer whole; a long one is passed on as it comes.
-async fn finish(
+/// Buffers a short response; a long one is left to be streamed.
+async fn receive_response(
     context: &Arc<context::Context>,
-    work: &Work,
-    permit: gate::Permit,
-    pick: gate::Pick,
-    got: attempt::Got,
-) -> Result<Ready, attempt::Failure> {
-    let (mut head, incoming) = got.response.into_parts();
-    for name in NOT_PASSED_BACK {
+    prepared: &Prepared,
+    permit: balancer::Permit,
+    pick: balancer::Pick,
+    started: attempt::Started,
+) -> Result<TargetResponse, attempt::Failure> {
+    let (mut head, incoming) = started.response.into_parts();
+    for name in STRIPPED_HEADERS {
         head.headers.remove(name);
     }
-    let running = body::Running {
+    let exchange = body::Exchange {
         permit,
         pick,
-        lease: got.lease,
+        connection: started.connection,
         pool: Arc::clone(&context.pool),
-        load: got.load,
+        load: started.load,
         server_error: head.status.is_server_error(),
     };
     let length = incoming.size_hint().exact();
-    let mut stream = body::Stream::new(incoming, work.message.deadline, running);
-    let Some(length) = length.filter(|length| *length <= WHOLE_BYTES) else {
-        let body = ReadyBody::Stream(Box::new(stream));
-        return Ok(Ready { head, body });
+    let mut stream = body::Stream::new(incoming, prepared.message.deadline, exchange);
+    let Some(length) = length.filter(|length| *length <= MAX_BUFFERED_BYTES) else {
+        let body = ResponseBody::Stream(Box::new(stream));
+        return Ok(TargetResponse { head, body });
     };
-    let mut whole = BytesMut::with_capacity(length as usize);
-    while let Some(piece) = stream.next().await {
-        let piece = piece.map_err(cut)?;
-        if whole.is_empty() && piece.len() as u64 == length {
-            let body = ReadyBody::Whole(piece);
-            return Ok(Ready { head, body });
+    let mut buffer = BytesMut::with_capacity(length as usize);
+    while let Some(chunk) = stream.next().await {
+        let chunk = chunk.map_err(truncated)?;
+        if buffer.is_empty() && chunk.len() as u64 == length {
+            let body = ResponseBody::Buffered(chunk);
+            return Ok(TargetResponse { head, body });
         }
-        whole.extend_from_slice(&piece);
+        buffer.extend_from_slice(&chunk);
     }
-    let body = ReadyBody::Whole(whole.freeze());
-    Ok(Ready { head, body })
+    let body = ResponseBody::Buffered(buffer.freeze());
+    Ok(TargetResponse { head, body })
 }
 
-const fn cut(cut: body::Error) -> attempt::Failure {
-    let (end, message) = match cut {
-        body::Error::Target => (state::Outcome::Failed, "the target broke off its answer"),
-        body::Error::Deadline => (state::Outcome::TimedOut, "the deadline passed during the answer"),
+const fn truncated(error: body::Error) -> attempt::Failure {
+    let (outcome, message) = match error {
+        body::Error::Target => (state::Outcome::Failed, "the response of the target was truncated"),
+        body::Error::Deadline => (
+            state::Outcome::TimedOut,
+            "the deadline passed during the response",
+        ),
     };
-    attempt::Failure::new(state::Progress::ResponseStarted, end, message)
+    attempt::Failure::new(state::Progress::ResponseStarted, outcome, message)
 }
 
-/// Returns the answer for the caller.
-pub(crate) fn respond(ready: Ready) -> Response<body::Body> {
-    let body = match ready.body {
-        ReadyBody::Whole(bytes) => body::Body::full(bytes),
-        ReadyBody::Stream(stream) => body::Body::stream(stream),
+/// Converts the response of a target to the response to the caller.
+pub(crate) fn respond(response: TargetResponse) -> Response<body::Body> {
+    let body = match response.body {
+        ResponseBody::Buffered(bytes) => body::Body::full(bytes),
+        ResponseBody::Stream(stream) => body::Body::stream(stream),
     };
-    Response::from_parts(ready.head, body)
+    Response::from_parts(response.head, body)
 }
 
-fn stopped(failure: &attempt::Failure, known: state::Execution) -> error::Error {
-    let timed_out = failure.end == state::Outcome::TimedOut;
+/// Returns the error for a request whose last attempt failed.
+fn final_error(failure: &attempt::Failure, known: state::Execution) -> error::Error {
+    let timed_out = failure.outcome == state::Outcome::TimedOut;
     let (status, code) = match (known, timed_out) {
         (state::Execution::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
         (_, true) => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
         (_, false) => (StatusCode::BAD_GATEWAY, "target_failed"),
     };
-    let fault = error::Error::not_run(status, code, failure.message).with_run(known);
+    let error = error::Error::not_run(status, code, failure.message).with_execution(known);
     if known == state::Execution::NotRun {
-        return fault.with_retry_after(Duration::from_secs(1));
+        return error.with_retry_after(Duration::from_secs(1));
     }
-    fault
+    error
 }
 
-/// Returns the fault for a service or queue that is not in the view.
+/// Returns the error for a service or queue that is not in the view.
 pub(crate) fn unknown_name(field: &'static str, name: &str) -> error::Error {
     let shown: String = name.chars().take(64).collect();
-    let message = format!("`{shown}` is not a {field}; names that operators configured are allowed");
+    let message = format!("`{shown}` is not a {field}; only names configured by operators are allowed");
     error::Error::not_run(StatusCode::NOT_FOUND, "unknown_name", message).with_field(field)
 }
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -11,30 +11,31 @@
 
 use crate::{
     routes,
-    server::{context, stall},
+    server::{context, write_timeout},
 };
 
-/// Bytes that hyper may buffer per connection; headers above it are refused by hyper itself with 431.
+/// Buffer size of hyper per connection, in bytes. hyper itself rejects larger headers with status 431.
 const BUFFER_BYTES: usize = 64 * 1024;
 
-/// Time for a request that is on its way when the server closes.
+/// Time for a request that is in transit when the server closes its connections.
 const CLOSE_GRACE: Duration = Duration::from_secs(1);
 
-/// First bytes of HTTP/2; no method of HTTP/1.1 begins with them.
-const PREFACE: &[u8; 3] = b"PRI";
+/// First bytes of the HTTP/2 connection preface; no method of HTTP/1.1 begins with them.
+const HTTP2_PREFACE: &[u8; 3] = b"PRI";
 
-/// Requests at one time on an HTTP/2 connection; a worker has one report on its way and one that it gave up.
-const STREAMS: u32 = 8;
+/// Maximum number of concurrent streams of an HTTP/2 connection. A worker needs one for its current report and one for
+/// a report that it gave up.
+const MAX_STREAMS: u32 = 8;
 
-/// Drives a pinned connection to its end; the two versions share no type.
-macro_rules! run {
+/// Drives a pinned connection to its end. A macro, because hyper's connections of both versions share no trait.
+macro_rules! drive {
     ($context:expr, $connection:expr) => {
-        // The connection comes first, so that a request that has arrived is read before the connection is closed.
+        // The connection is polled first, so that a request that has arrived is read before the connection is closed.
         tokio::select! {
             biased;
             ended = $connection.as_mut() => ended,
             () = $context.cancel.cancelled() => return,
-            () = close_later(&$context) => {
+            () = idle_close(&$context) => {
                 $connection.as_mut().graceful_shutdown();
                 tokio::select! {
                     ended = $connection.as_mut() => ended,
@@ -57,66 +58,68 @@
 
 async fn serve(context: Arc<context::Context>, stream: TcpStream, permit: Option<OwnedSemaphorePermit>) {
     let _permit = permit;
-    let _counted = context.connect();
+    let _connection_count = context.track_connection();
     if let Err(error) = stream.set_nodelay(true) {
-        log::debug!("gateway: a caller's connection is gone: {error}");
+        log::debug!("gateway: setting TCP_NODELAY on an accepted connection failed: {error}");
         return;
     }
-    let Some(two) = is_two(&context, &stream).await else {
+    let Some(is_http2) = detect_http2(&context, &stream).await else {
         return;
     };
-    let io = stall::Io::new(TokioIo::new(stream), context.settings.stall_timeout);
+    let io = write_timeout::Io::new(TokioIo::new(stream), context.settings.stall_timeout);
     let shared = Arc::clone(&context);
     let handler = service::service_fn(move |request| {
         let context = Arc::clone(&shared);
         async move { Ok::<_, Infallible>(routes::handle(context, request).await) }
     });
-    let ended = if two {
+    let ended = if is_http2 {
         let connection = http2::Builder::new(TokioExecutor::new())
             .timer(TokioTimer::new())
             .keep_alive_interval(context.settings.header_timeout)
             .keep_alive_timeout(context.settings.stall_timeout)
-            .max_concurrent_streams(STREAMS)
+            .max_concurrent_streams(MAX_STREAMS)
             .max_header_list_size(context.settings.max_header_bytes as u32)
             .max_send_buf_size(BUFFER_BYTES)
             .serve_connection(io, handler);
         tokio::pin!(connection);
-        run!(context, connection)
+        drive!(context, connection)
     } else {
-        // `pipeline_flush` stays off: with it hyper buffers an answer without bound when the caller is slow.
+        // `pipeline_flush` stays off: with it, hyper buffers responses without bound when the caller reads slowly.
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(context.settings.header_timeout)
             .max_buf_size(BUFFER_BYTES)
             .serve_connection(io, handler);
         tokio::pin!(connection);
-        run!(context, connection)
+        drive!(context, connection)
     };
     if let Err(error) = ended {
-        log::debug!("gateway: a caller's connection ended: {error}");
+        log::debug!("gateway: an accepted connection failed: {error}");
     }
 }
 
-/// Tells whether a connection begins as HTTP/2 with prior knowledge; `None` when nothing came in time.
+/// Returns whether a connection starts with the HTTP/2 preface (prior knowledge), or `None` if nothing was received in
+/// time.
 ///
-/// A preface whose first three bytes come in pieces is taken for HTTP/1.1 and refused as such.
-async fn is_two(context: &context::Context, stream: &TcpStream) -> Option<bool> {
-    let mut start = [0; PREFACE.len()];
+/// A preface whose first three bytes arrive in several segments is treated as HTTP/1.1 and rejected as such.
+async fn detect_http2(context: &context::Context, stream: &TcpStream) -> Option<bool> {
+    let mut start = [0; HTTP2_PREFACE.len()];
     let peeked = tokio::select! {
         biased;
         peeked = stream.peek(&mut start) => peeked.ok()?,
         () = context.cancel.cancelled() => return None,
-        () = close_later(context) => return None,
+        () = idle_close(context) => return None,
         () = tokio::time::sleep(context.settings.header_timeout) => return None,
     };
-    Some(start[..peeked] == *PREFACE)
+    Some(start[..peeked] == *HTTP2_PREFACE)
 }
 
 /// Resolves when a connection without a request may be closed.
 ///
-/// hyper closes such a connection at once, also when a request is on its way. Answers ask for the close while the
-/// server drains, so a connection that still waits after the grace is one whose caller sends nothing.
-async fn close_later(context: &context::Context) {
+/// A graceful shutdown by hyper closes an idle connection immediately, even if a request is in transit. While the
+/// server drains, responses carry `Connection: close`; a connection that is still open after the grace period is
+/// therefore one whose caller sends nothing.
+async fn idle_close(context: &context::Context) {
     context.closing.cancelled().await;
     tokio::time::sleep(CLOSE_GRACE).await;
 }
--- a/crates/gateway/src/server/context.rs
+++ b/crates/gateway/src/server/context.rs
@@ -1,4 +1,4 @@
-//! What every request of one server shares.
+//! State shared by all requests of one server.
 
 use std::sync::{
     Arc,
@@ -8,24 +8,24 @@
 use tokio::sync::Semaphore;
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::{body, control, gate, pool, server, settings};
+use crate::{balancer, body, control, pool, server, settings};
 
 /// Shared state of a server.
 pub(crate) struct Context {
     pub settings: settings::Settings,
     pub handle: control::Handle,
     pub render: server::MetricsRenderer,
-    pub gate: Arc<gate::Gate>,
+    pub balancer: Arc<balancer::Balancer>,
     pub pool: Arc<pool::Pool>,
-    /// Bytes that request bodies may take.
-    pub memory: Arc<Semaphore>,
-    /// Connections that may be open.
-    pub slots: Arc<Semaphore>,
-    /// Connections, and requests that outlive their caller.
+    /// Permits for the bytes held by request bodies.
+    pub body_memory: Arc<Semaphore>,
+    /// Permits for open connections.
+    pub connection_slots: Arc<Semaphore>,
+    /// Tasks of connections, and of requests that outlive their caller's connection.
     pub tracker: TaskTracker,
-    /// Ends everything at once.
+    /// Stops all tasks immediately.
     pub cancel: CancellationToken,
-    /// Ends accepting, and connections after their current request.
+    /// Stops accepting, and closes each connection after its current request.
     pub closing: CancellationToken,
     ready: AtomicBool,
     draining: AtomicBool,
@@ -41,15 +41,15 @@
         render: server::MetricsRenderer,
         cancel: CancellationToken,
     ) -> Self {
-        let gate = Arc::new(gate::Gate::new(&settings, &handle));
+        let balancer = Arc::new(balancer::Balancer::new(&settings, &handle));
         let pool = Arc::new(pool::Pool::new(settings.connect_timeout, settings.idle_timeout));
         Self {
-            gate,
+            balancer,
             pool,
-            memory: Arc::new(Semaphore::new(
+            body_memory: Arc::new(Semaphore::new(
                 settings.body_memory_bytes.min(Semaphore::MAX_PERMITS),
             )),
-            slots: Arc::new(Semaphore::new(settings.max_connections)),
+            connection_slots: Arc::new(Semaphore::new(settings.max_connections)),
             tracker: TaskTracker::new(),
             closing: cancel.child_token(),
             cancel,
@@ -88,17 +88,17 @@
         self.connections.load(Ordering::Acquire)
     }
 
-    /// Counts a request until the returned guard is dropped.
-    pub(crate) fn enter(&self) -> body::InFlight {
+    /// Counts a request as in flight until the returned guard is dropped.
+    pub(crate) fn track_request(&self) -> body::InFlight {
         body::InFlight::new(&self.in_flight)
     }
 
-    /// Counts a connection until the returned guard is dropped.
-    pub(crate) fn connect(&self) -> body::InFlight {
+    /// Counts a connection as open until the returned guard is dropped.
+    pub(crate) fn track_connection(&self) -> body::InFlight {
         body::InFlight::new(&self.connections)
     }
 
-    /// Returns the number of a new attempt.
+    /// Returns the number for a new attempt, unique within the process.
     pub(crate) fn next_attempt(&self) -> u64 {
         self.attempts.fetch_add(1, Ordering::Relaxed) + 1
     }
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -2,8 +2,8 @@
 
 mod connection;
 pub(crate) mod context;
-mod stall;
-mod upkeep;
+mod maintenance;
+mod write_timeout;
 
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -15,10 +15,10 @@
 /// Renders the text of `/metrics`.
 pub type MetricsRenderer = Arc<dyn Fn() -> String + Send + Sync>;
 
-/// Pause after a failed accept, such as one without free file descriptors.
+/// Pause after a failed accept, which would otherwise spin while file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// A running server.
+/// Handle of a running server.
 #[derive(Clone)]
 pub struct Server {
     context: Arc<context::Context>,
@@ -36,10 +36,11 @@
 }
 
 impl Server {
-    /// Starts serving on `listener`; has to be called in a runtime.
+    /// Starts serving on `listener`. Must be called within a tokio runtime.
     ///
-    /// The server is not ready until [`Server::set_ready`] says so, which only concerns `/readyz`. Cancelling
-    /// `cancel` ends everything at once and may cut requests; [`Server::drain`] ends without cutting any.
+    /// The server reports itself as not ready on `/readyz` until [`Server::set_ready`] is called; it serves requests
+    /// regardless. Cancelling `cancel` stops the server immediately and may truncate requests, while
+    /// [`Server::drain`] stops it gracefully.
     pub fn start(
         listener: TcpListener,
         settings: settings::Settings,
@@ -49,41 +50,42 @@
     ) -> io::Result<Self> {
         let address = listener.local_addr()?;
         let context = Arc::new(context::Context::new(settings, handle, render, cancel));
-        // The first view counts before the first request is accepted.
-        upkeep::refresh(&context);
-        tokio::spawn(upkeep::run(Arc::clone(&context)));
-        // Tracked, so that a drain waits for the connections that are accepted last.
+        // Apply the first view before a request is accepted.
+        maintenance::refresh(&context);
+        tokio::spawn(maintenance::run(Arc::clone(&context)));
+        // Tracked, so that a drain waits for the connections accepted last.
         context.tracker.spawn(accept(listener, Arc::clone(&context)));
         Ok(Self { context, address })
     }
 
-    /// Returns the address that is served.
+    /// Returns the address that the server listens on.
     pub const fn address(&self) -> SocketAddr {
         self.address
     }
 
-    /// Sets what `/readyz` answers; a draining server stays not ready.
+    /// Sets the readiness reported by `/readyz`; a draining server stays not ready.
     pub fn set_ready(&self, ready: bool) {
         self.context.set_ready(ready);
     }
 
-    /// Tells whether `/readyz` answers 200.
+    /// Returns whether `/readyz` responds with 200.
     pub fn is_ready(&self) -> bool {
         self.context.is_ready()
     }
 
-    /// Returns the requests that were received and not yet answered.
+    /// Returns the number of requests whose response was not sent yet.
     pub fn in_flight(&self) -> usize {
         self.context.in_flight()
     }
 
-    /// Returns the open connections from callers, targets and workers.
+    /// Returns the number of open connections from callers, targets and workers.
     pub fn connections(&self) -> usize {
         self.context.connections()
     }
 
-    /// Ends gracefully: clears readiness, keeps accepting for [`settings::Settings::drain_notice`], then finishes
-    /// every request that was received. Resolves when the last connection is closed.
+    /// Shuts the server down gracefully: reports not ready, accepts connections for another
+    /// [`settings::Settings::drain_notice`], then completes every request that was received. Resolves when the last
+    /// connection is closed.
     pub async fn drain(&self) {
         self.context.start_draining();
         tokio::time::sleep(self.context.settings.drain_notice).await;
@@ -100,7 +102,7 @@
             biased;
             () = context.cancel.cancelled() => return,
             () = context.closing.cancelled() => break,
-            permit = Arc::clone(&context.slots).acquire_owned() => permit,
+            permit = Arc::clone(&context.connection_slots).acquire_owned() => permit,
         };
         let Ok(permit) = permit else {
             return;
@@ -120,13 +122,14 @@
         }
     }
     if let Err(error) = accept_backlog(listener, &context) {
-        log::warn!("gateway: the last connections could not be accepted: {error}");
+        log::warn!("gateway: accepting the backlog of connections failed: {error}");
     }
 }
 
-/// Takes the connections that the kernel has accepted already; closing the listener would reset them.
+/// Accepts the connections in the kernel's backlog, which closing the listener would reset.
 ///
-/// The system is asked directly, because the runtime's listener may not have been told of the newest ones.
+/// Calls the non-blocking `accept` of the standard library, because the runtime may not have received the readiness
+/// event for the newest connections yet.
 fn accept_backlog(listener: TcpListener, context: &Arc<context::Context>) -> io::Result<()> {
     let listener = listener.into_std()?;
     loop {
--- a/crates/gateway/src/server/stall.rs
+++ b/crates/gateway/src/server/write_timeout.rs
@@ -1,4 +1,4 @@
-//! Ends a connection whose caller does not take its answer.
+//! Write timeout: fails a connection whose caller does not read its response.
 
 use std::{
     io,
@@ -11,33 +11,37 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::Sleep};
 
-/// A connection with a bound on how long one write may wait.
+/// A connection on which a write fails if it cannot make progress within a timeout.
 pub(crate) struct Io {
     inner: TokioIo<TcpStream>,
-    allowed: Duration,
-    waiting: Option<Pin<Box<Sleep>>>,
+    timeout: Duration,
+    timer: Option<Pin<Box<Sleep>>>,
 }
 
 impl Io {
-    pub(crate) const fn new(inner: TokioIo<TcpStream>, allowed: Duration) -> Self {
+    pub(crate) const fn new(inner: TokioIo<TcpStream>, timeout: Duration) -> Self {
         Self {
             inner,
-            allowed,
-            waiting: None,
+            timeout,
+            timer: None,
         }
     }
 
-    fn bound<T>(&mut self, context: &mut Context<'_>, result: Poll<io::Result<T>>) -> Poll<io::Result<T>> {
+    fn with_timeout<T>(
+        &mut self,
+        context: &mut Context<'_>,
+        result: Poll<io::Result<T>>,
+    ) -> Poll<io::Result<T>> {
         if result.is_ready() {
-            self.waiting = None;
+            self.timer = None;
             return result;
         }
-        let allowed = self.allowed;
-        let waiting = self
-            .waiting
-            .get_or_insert_with(|| Box::pin(tokio::time::sleep(allowed)));
-        if waiting.as_mut().poll(context).is_ready() {
-            let message = "the caller did not take its answer";
+        let timeout = self.timeout;
+        let timer = self
+            .timer
+            .get_or_insert_with(|| Box::pin(tokio::time::sleep(timeout)));
+        if timer.as_mut().poll(context).is_ready() {
+            let message = "the caller did not read its response in time";
             return Poll::Ready(Err(io::Error::new(io::ErrorKind::TimedOut, message)));
         }
         Poll::Pending
@@ -57,7 +61,7 @@
 impl Write for Io {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.inner).poll_write(cx, buf);
-        self.bound(cx, result)
+        self.with_timeout(cx, result)
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<io::Result<()>> {
@@ -78,6 +82,6 @@
         bufs: &[io::IoSlice<'_>],
     ) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.inner).poll_write_vectored(cx, bufs);
-        self.bound(cx, result)
+        self.with_timeout(cx, result)
     }
 }
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -1,35 +1,35 @@
-//! Limits of the entry path that are not part of the cell-wide configuration.
+//! Limits and timeouts of the gateway that are not part of the cell-wide configuration.
 
 use std::time::Duration;
 
 use bronzespoke_model::id;
 
-/// Settings of one entry VM's gateway.
+/// Settings of the gateway of one entry VM.
 #[derive(Debug, Clone)]
 pub struct Settings {
-    /// This VM, which ranks it among the entry VMs when parts of limits are computed.
+    /// Id of this VM, which determines its rank among the entry VMs when limits are divided.
     pub vm: id::VmId,
-    /// Seed of random choices and of jitter.
+    /// Seed of random choices and of jitter, so that a run can be repeated.
     pub seed: u64,
-    /// Connections from callers at one time; further ones wait in the listen queue.
+    /// Maximum number of open connections from callers; further ones wait in the listen queue.
     pub max_connections: usize,
-    /// Bytes of all request headers together.
+    /// Maximum size of all headers of a request together, in bytes.
     pub max_header_bytes: usize,
-    /// Longest time for a caller to send the headers of its next request.
+    /// Maximum time for a caller to send the headers of its next request.
     pub header_timeout: Duration,
-    /// Longest pause between two pieces of a request body, and of a caller that does not take its answer.
+    /// Maximum pause between two chunks of a request body, and while a caller does not read its response.
     pub stall_timeout: Duration,
-    /// Longest time to receive a whole request body.
+    /// Maximum time to receive a complete request body.
     pub body_timeout: Duration,
-    /// Bytes of request bodies held at one time.
+    /// Maximum size of all request bodies held at the same time, in bytes.
     pub body_memory_bytes: usize,
-    /// Longest time to connect to a target.
+    /// Maximum time to connect to a target.
     pub connect_timeout: Duration,
-    /// Longest time that an idle connection to a target is kept.
+    /// Time after which an idle connection to a target is closed.
     pub idle_timeout: Duration,
-    /// Longest time to wait for control to answer a call.
+    /// Maximum time to wait for the reply of control to a call.
     pub call_timeout: Duration,
-    /// Time in which the balancer may not have noticed that the VM is not ready.
+    /// Time for the external load balancer to notice that the VM is not ready; the VM accepts connections meanwhile.
     pub drain_notice: Duration,
 }
 
--- a/crates/request/src/router.rs
+++ b/crates/request/src/router.rs
@@ -215,7 +215,7 @@
             attempt::Outcome::Abandoned => {}
         }
         self.update_free_slots(index);
-        self.remove_if_gone(index);
+        self.remove_if_unused(index);
     }
 
     /// Returns how many requests may be sent now to the targets of a service.
@@ -313,7 +313,7 @@
         }
         for index in 0..self.targets.len() as Index {
             self.update_free_slots(index);
-            self.remove_if_gone(index);
+            self.remove_if_unused(index);
         }
     }
 
@@ -516,7 +516,7 @@
         }
     }
 
-    fn remove_if_gone(&mut self, index: Index) {
+    fn remove_if_unused(&mut self, index: Index) {
         let entry = &self.targets[index as usize];
         let target = entry.status.announcement.target;
         if !entry.present && entry.own_in_flight == 0 && self.by_id.get(&target) == Some(&index) {
