workload: doc comments say what each item means

Many comments only repeated the name of the item (Task., Job., Reason.) or described it in private terms (told, life, what is asked for). They now state what a field refers to, its unit and when it is set.

--- a/crates/workload/src/adapter.rs
+++ b/crates/workload/src/adapter.rs
@@ -1,4 +1,4 @@
-//! The edge to one platform.
+//! Interface to one platform.
 
 use std::fmt;
 
@@ -9,28 +9,28 @@
 
 /// Translates between one platform's interface and the types of this package. It does no I/O and keeps no state.
 pub trait Adapter: fmt::Debug + Send + Sync {
-    /// Decodes the text of a settings file; all faults are returned at once.
+    /// Decodes the text of a settings file. On failure, returns every error that was found.
     fn settings(&self, text: &str) -> Result<settings::Settings, Vec<String>>;
 
     /// Decodes a request of a caller.
     fn caller(&self, head: &request::Parts, body: &Bytes) -> Result<call::Job, Error>;
 
-    /// How long a caller waits for its reply, if it says so.
+    /// Returns how long a caller waits for its reply, if the request states it.
     fn timeout(&self, head: &request::Parts) -> Option<std::time::Duration>;
 
-    /// Decodes a request of an operator or worker.
+    /// Decodes a request of an operator or a worker.
     fn control(&self, head: &request::Parts, body: &Bytes) -> Result<call::Call, Error>;
 
-    /// Whether a request asks for readiness.
+    /// Returns whether a request is a readiness probe.
     fn is_probe(&self, head: &request::Parts) -> bool;
 
-    /// Encodes the reply to a call of either kind.
+    /// Encodes the reply to a call of a caller, an operator or a worker.
     fn reply(&self, reply: &call::Reply) -> Response<Bytes>;
 
-    /// Encodes the refusal of a request that was not decoded.
+    /// Encodes the response to a request that could not be decoded.
     fn error(&self, error: &Error) -> Response<Bytes>;
 
-    /// Encodes an order to a worker.
+    /// Encodes a directive to a worker.
     fn directive(
         &self,
         worker: &str,
@@ -38,7 +38,7 @@
         directive: &directive::Directive,
     ) -> Request<Bytes>;
 
-    /// Decodes a worker's answer to an order.
+    /// Decodes a worker's answer to a directive.
     fn answer(
         &self,
         directive: &directive::Directive,
@@ -46,20 +46,20 @@
         body: &Bytes,
     ) -> directive::Answer;
 
-    /// Encodes a question to the eligibility service.
+    /// Encodes a query to the eligibility service.
     fn query(&self, query: &advice::Query) -> Request<Bytes>;
 
     /// Decodes the answer of the eligibility service.
     fn eligibility(&self, status: http::StatusCode, body: &Bytes) -> advice::Answer;
 }
 
-/// Why a request was not decoded.
+/// Why a request could not be decoded.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
-    /// No such path.
+    /// The path does not exist.
     NotFound,
-    /// The method is not allowed there.
+    /// The path does not allow the method.
     Method,
-    /// The content is wrong; the sentence names the field.
+    /// The content is invalid; the message names the field.
     Content(String),
 }
--- a/crates/workload/src/advice.rs
+++ b/crates/workload/src/advice.rs
@@ -1,4 +1,4 @@
-//! Questions to the eligibility service.
+//! Queries to the eligibility service.
 
 use std::time::Duration;
 
@@ -7,41 +7,41 @@
 
 use crate::job;
 
-/// Workers that one question may name.
+/// Maximum number of workers that one query may name.
 pub const MAX_WORKERS: usize = 100;
 
 /// One step of one occurrence of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Step {
-    /// Job.
+    /// Job that the step belongs to.
     pub job: job::Key,
-    /// Occurrence, from 0.
+    /// Index of the occurrence, from 0.
     pub occurrence: u32,
-    /// Step, from 0.
+    /// Index of the step in the job, from 0.
     pub step: u16,
 }
 
-/// Asks which of some workers may run a step.
+/// Query for which of some workers may run a step.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Query {
-    /// Step.
+    /// Step to run.
     pub step: Step,
-    /// Names of workers, at most [`MAX_WORKERS`].
+    /// Names of the candidate workers, at most [`MAX_WORKERS`].
     pub workers: Vec<String>,
 }
 
-/// Answer to a question.
+/// Answer to a query.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
-    /// The workers that may run the step.
+    /// Workers that may run the step.
     Eligible {
-        /// Name and ticket of each.
+        /// Name and ticket of each eligible worker.
         workers: Vec<(String, Bytes)>,
-        /// How long the tickets may be used, if told.
+        /// How long the tickets are valid, if the service states it.
         valid: Option<Duration>,
     },
-    /// Too many questions wait at the service.
+    /// Too many queries are waiting at the service.
     Busy,
-    /// No usable answer came.
+    /// No valid answer arrived.
     Failed,
 }
--- a/crates/workload/src/call.rs
+++ b/crates/workload/src/call.rs
@@ -1,4 +1,4 @@
-//! Calls from outside that reach the leader, and their replies.
+//! Calls of callers, operators and workers to the leader, and their replies.
 
 use std::time::Duration;
 
@@ -7,102 +7,102 @@
 
 use crate::{catalog, job, worker};
 
-/// A call.
+/// A call to the leader.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum Call {
     /// A caller's call about a job or a queue.
     Job(Job),
     /// Replaces the configuration.
     Configure {
-        /// Decoded form.
+        /// Decoded configuration.
         catalog: Box<catalog::Catalog>,
-        /// The operator's document, given back unchanged.
+        /// The operator's document, returned unchanged by [`Call::ShowConfiguration`].
         document: Bytes,
     },
-    /// Reads the operator's document.
+    /// Returns the operator's document.
     ShowConfiguration,
-    /// A worker announces itself.
+    /// Announces a worker.
     Announce(Box<worker::Announcement>),
-    /// A worker has left.
+    /// Reports that a worker has left the fleet.
     Leave {
-        /// Name.
+        /// Name of the worker.
         name: String,
     },
 }
 
-/// A caller's call.
+/// A caller's call about a job or a queue.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
-    /// Host that the caller named, in lower case.
+    /// Host that the caller addressed, in lower case.
     pub host: String,
     /// Path up to the job's id.
     pub path: String,
-    /// Key, if one was presented.
+    /// Key that the caller presented, if any.
     pub key: Option<String>,
-    /// What is asked for.
+    /// Requested action.
     pub action: Action,
 }
 
-/// What a caller asks for.
+/// Action that a caller requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Action {
-    /// Run a job.
+    /// Submits a job.
     Submit(job::Key, Box<job::Submission>),
-    /// Show the state of a job.
+    /// Returns the state of a job.
     Show(job::Key),
-    /// Cancel a job.
+    /// Cancels a job.
     Cancel(job::Key),
-    /// Count the jobs of the queue of which no task has started.
+    /// Counts the jobs of the queue of which no task has started.
     CountPending,
 }
 
 /// Reply to a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// Accepted and durable, or in force.
+    /// The call was accepted and its effect is durable.
     Done,
-    /// State of a job.
+    /// Current state of a job.
     Phase(job::Phase),
-    /// Jobs of a queue of which no task has started.
+    /// Number of jobs of a queue of which no task has started.
     Pending(u64),
     /// The operator's document.
     Document(Bytes),
-    /// No such job.
+    /// The job does not exist.
     NoJob,
-    /// No such queue.
+    /// No queue matches the host and path.
     NoQueue,
-    /// The key is not known.
+    /// The key is unknown.
     BadKey,
-    /// The call is malformed or invalid; the sentence says why.
+    /// The call is malformed or invalid; the message says why.
     Invalid(String),
-    /// Not accepted and never run.
+    /// The call was not accepted and has no effect.
     Refused {
-        /// Why, for the log and the caller.
+        /// Reason, for the log and the caller.
         reason: Refusal,
-        /// When the caller may try again.
+        /// Delay after which the caller may retry.
         retry_after: Duration,
     },
-    /// Whether it was accepted is not known.
+    /// It is unknown whether the call was accepted.
     Unknown,
-    /// The receiver does not lead.
+    /// The receiver is not the leader.
     NotLeader,
 }
 
 /// Why a call was not accepted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
-    /// No leader can be reached, or it is not sure of its state.
+    /// No leader can be reached, or the leader cannot confirm its state.
     NoLeader,
-    /// There is no configuration yet.
+    /// No configuration has been set yet.
     NoConfiguration,
-    /// The work cannot end in a useful time.
+    /// The work cannot be completed in a useful time.
     Overload,
-    /// No worker could ever run it.
+    /// No worker could ever run it: none is large enough and has the required label.
     NoRoom,
 }
 
 impl Refusal {
-    /// Short text for logs.
+    /// Returns the reason as it appears in logs.
     pub const fn name(self) -> &'static str {
         match self {
             Self::NoLeader => "no leader",
--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -1,18 +1,18 @@
-//! The configuration of a fleet: queues, pools of workers and teams.
+//! Configuration of a fleet: queues, pools of workers and teams.
 
 use std::{collections::HashSet, fmt, time::Duration};
 
 use bronzespoke_model::resource;
 use serde::{Deserialize, Serialize};
 
-/// One version of the configuration, complete.
+/// One complete version of the configuration.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Catalog {
-    /// Version chosen by the operator; the highest one counts.
+    /// Version number chosen by the operator; the highest one takes effect.
     pub version: u64,
     /// Queues in the order of the operator's document.
     pub queues: Vec<Queue>,
-    /// Pools of workers.
+    /// Pools that the queues refer to.
     pub pools: Vec<Pool>,
     /// Teams and their keys.
     pub teams: Vec<Team>,
@@ -21,49 +21,49 @@
 /// A queue of jobs, selected by host and path.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Queue {
-    /// Name.
+    /// Name of the queue.
     pub name: String,
-    /// Host that callers name, in lower case.
+    /// Host that callers address, in lower case.
     pub host: String,
-    /// Path prefix; the longest one that fits a path selects the queue.
+    /// Path prefix; of several matching queues, the one with the longest prefix is selected.
     pub prefix: String,
-    /// Pool whose workers run the jobs.
+    /// Name of the pool whose workers run the jobs.
     pub pool: String,
-    /// Longest time that a call may take.
+    /// Maximum duration of a call.
     pub timeout: Duration,
-    /// Part of a job's objective that does not depend on its work.
+    /// Constant part of a job's objective, independent of the amount of work.
     pub objective: Duration,
-    /// 0 comes first.
+    /// Priority; 0 is the highest.
     pub priority: u32,
-    /// Failed runs after which a task has failed for good.
+    /// Number of failed runs after which a task fails permanently.
     pub attempts: u32,
-    /// Factor between the longest chain of work of a job and its objective.
+    /// Factor by which a job's critical path is multiplied for its objective.
     pub stretch: f64,
-    /// Eligibility service that has to be asked before a start.
+    /// Cost of eligibility queries; `None` if tasks start without a query.
     pub advice: Option<Advice>,
-    /// Whether calls need no key.
+    /// Whether the queue accepts calls without a key.
     pub open: bool,
 }
 
-/// Cost of asking which workers may run a step.
+/// Cost of the query for which workers may run a step.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct Advice {
-    /// Time of one question.
+    /// Duration of a query, without the part for each worker.
     pub decision: Duration,
-    /// Further time for each worker that the question names.
+    /// Additional duration for each worker that the query names.
     pub per_worker: Duration,
-    /// How long a ticket may be used.
+    /// How long a ticket is valid.
     pub valid: Duration,
 }
 
 /// A pool of workers.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Pool {
-    /// Name.
+    /// Name of the pool.
     pub name: String,
-    /// Path that answers whether a worker is healthy.
+    /// Path of a worker's health check.
     pub health_path: String,
-    /// Connections that a worker accepts.
+    /// Maximum number of connections that a worker accepts.
     pub connections: u32,
     /// Whether workers refuse a start that does not fit.
     pub guarded: bool,
@@ -74,28 +74,28 @@
 /// A team of callers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Team {
-    /// Name.
+    /// Name of the team.
     pub name: String,
-    /// Keys that act for the team.
+    /// Keys that authenticate the team.
     pub keys: Vec<String>,
-    /// Share when the fleet is full.
+    /// Weight of the team's share when the fleet is full.
     pub weight: f64,
-    /// Upper limit on what the team runs; 0 in a dimension means no limit.
+    /// Upper limit on the amount that the team's runs use; 0 in a dimension means no limit.
     pub limit: resource::Amount,
 }
 
 /// Why a configuration is invalid.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
-    /// A queue names a pool that the configuration does not have.
+    /// A queue names a pool that the configuration does not define.
     UnknownPool(String, String),
-    /// Two queues have the same host and prefix.
-    SamePlace(String, String),
+    /// Two queues have the same host and path prefix.
+    DuplicateRoute(String, String),
     /// A queue has a timeout of zero.
     NoTimeout(String),
     /// Two teams share a key.
     SharedKey(String, String),
-    /// A team has no weight.
+    /// The weight of a team is not above 0.
     NoWeight(String),
 }
 
@@ -103,7 +103,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::UnknownPool(queue, pool) => write!(f, "queue {queue} names the unknown pool {pool}"),
-            Self::SamePlace(first, second) => {
+            Self::DuplicateRoute(first, second) => {
                 write!(f, "queues {first} and {second} have the same host and prefix")
             }
             Self::NoTimeout(queue) => write!(f, "queue {queue} has a timeout of 0; at least 1 ms is needed"),
@@ -114,7 +114,7 @@
 }
 
 impl Catalog {
-    /// Checks what a single field cannot show.
+    /// Checks the constraints that involve several fields.
     pub fn verify(&self) -> Result<(), Error> {
         self.verify_queues()?;
         self.verify_teams()
@@ -129,9 +129,9 @@
             if queue.timeout.is_zero() {
                 return Err(Error::NoTimeout(queue.name.clone()));
             }
-            let same = |other: &&Queue| other.host == queue.host && other.prefix == queue.prefix;
-            if let Some(other) = self.queues[..index].iter().find(same) {
-                return Err(Error::SamePlace(other.name.clone(), queue.name.clone()));
+            let is_same_route = |other: &&Queue| other.host == queue.host && other.prefix == queue.prefix;
+            if let Some(other) = self.queues[..index].iter().find(is_same_route) {
+                return Err(Error::DuplicateRoute(other.name.clone(), queue.name.clone()));
             }
         }
         Ok(())
@@ -142,24 +142,24 @@
             if team.weight.is_nan() || team.weight <= 0.0 {
                 return Err(Error::NoWeight(team.name.clone()));
             }
-            let shares = |other: &&Team| other.keys.iter().any(|key| team.keys.contains(key));
-            if let Some(other) = self.teams[..index].iter().find(shares) {
+            let shares_key = |other: &&Team| other.keys.iter().any(|key| team.keys.contains(key));
+            if let Some(other) = self.teams[..index].iter().find(shares_key) {
                 return Err(Error::SharedKey(other.name.clone(), team.name.clone()));
             }
         }
         Ok(())
     }
 
-    /// Returns the queue with the longest prefix of a path.
+    /// Returns the queue with the longest prefix that matches a path on a host.
     pub fn route(&self, host: &str, path: &str) -> Option<&Queue> {
-        let fits = |queue: &&Queue| queue.host == host && path.starts_with(queue.prefix.as_str());
+        let matches = |queue: &&Queue| queue.host == host && path.starts_with(queue.prefix.as_str());
         self.queues
             .iter()
-            .filter(fits)
+            .filter(matches)
             .max_by_key(|queue| queue.prefix.len())
     }
 
-    /// Returns the queue of a name.
+    /// Returns the queue with a name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
     }
@@ -171,7 +171,7 @@
             .find(|team| team.keys.iter().any(|known| known == key))
     }
 
-    /// Returns the team of a name.
+    /// Returns the team with a name.
     pub fn team(&self, name: &str) -> Option<&Team> {
         self.teams.iter().find(|team| team.name == name)
     }
--- a/crates/workload/src/directive.rs
+++ b/crates/workload/src/directive.rs
@@ -1,4 +1,4 @@
-//! Orders to workers and their answers.
+//! Directives to workers and their answers.
 
 use std::{fmt, time::Duration};
 
@@ -7,21 +7,21 @@
 
 use crate::job;
 
-/// Number of a start of a task; grows with every start.
+/// Number of a run, which is one start of a task; grows with each start of the task.
 pub type Run = u32;
-/// Fencing token; a worker obeys no token below the highest that it has seen.
+/// Fencing token; a worker refuses directives with a token below the highest that it has received.
 pub type Token = u64;
 
 /// One task of one occurrence of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Task {
-    /// Job.
+    /// Job that the task belongs to.
     pub job: job::Key,
-    /// Occurrence, from 0.
+    /// Index of the occurrence, from 0.
     pub occurrence: u32,
-    /// Step, from 0.
+    /// Index of the step in the job, from 0.
     pub step: u16,
-    /// Index in the step, from 0.
+    /// Index of the task in the step, from 0.
     pub index: u32,
 }
 
@@ -37,156 +37,157 @@
     }
 }
 
-/// What a worker is told to do.
+/// Directive from the leader to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Directive {
-    /// Start a task.
+    /// Starts a task.
     Start {
-        /// Task.
+        /// Task of the run.
         task: Task,
-        /// Number of the start.
+        /// Number of the run.
         run: Run,
-        /// The job's description.
+        /// Description of the job.
         spec: Bytes,
         /// New end of the lease on the worker's clock.
         lease_end: Duration,
-        /// Progress to resume from.
+        /// Checkpoint to resume from.
         checkpoint: Option<Bytes>,
-        /// Permission of the eligibility service.
+        /// Ticket that the eligibility service issued.
         ticket: Option<Bytes>,
     },
-    /// Stop a run.
+    /// Stops a run.
     Stop {
-        /// Task.
+        /// Task of the run.
         task: Task,
-        /// Number of the start.
+        /// Number of the run.
         run: Run,
     },
-    /// Renew the lease and report.
+    /// Renews the lease and requests a report.
     Renew {
-        /// New end of the lease on the worker's clock; `None` before the clock is known.
+        /// New end of the lease on the worker's clock; `None` while that clock is unknown.
         lease_end: Option<Duration>,
         /// Ends up to this number are recorded and need not be reported again.
         acknowledged: u64,
-        /// How long the answer may wait for an end.
+        /// How long the worker may hold the answer back while no run ends.
         wait: Duration,
     },
-    /// Let a run work at a share of its speed.
+    /// Limits a run to a share of its speed.
     Throttle {
-        /// Task.
+        /// Task of the run.
         task: Task,
-        /// Number of the start.
+        /// Number of the run.
         run: Run,
-        /// Share in percent.
+        /// Share of the full speed, in percent.
         percent: u8,
     },
 }
 
-/// What a worker answers. A call without an answer may have been carried out, also much later.
+/// A worker's answer to a directive. A directive without an answer may have been carried out, or may still be, much
+/// later.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Answer {
-    /// Carried out.
+    /// The directive was carried out.
     Done {
-        /// The worker's clock.
+        /// Time on the worker's clock.
         clock: Duration,
     },
-    /// Report after `Directive::Renew`.
+    /// Report in answer to [`Directive::Renew`].
     Report(Report),
-    /// Refused; nothing was done.
+    /// The directive was refused and has no effect.
     Refused {
-        /// Reason.
+        /// Why the worker refused.
         reason: Refusal,
-        /// The worker's clock, if told.
+        /// Time on the worker's clock, if the answer states it.
         clock: Option<Duration>,
     },
-    /// The answer cannot be read; the order may have been carried out.
+    /// The answer cannot be decoded; the directive may have been carried out.
     Unreadable,
-    /// No connection to the worker was made, so that it has not got the order.
+    /// No connection to the worker could be made, so the directive did not reach it.
     NotSent,
 }
 
-/// Why a worker refused an order.
+/// Why a worker refused a directive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Refusal {
-    /// A higher fencing token was seen.
+    /// The worker has received a higher fencing token.
     Fenced,
-    /// A run of this number or a higher one was started, stopped or has ended.
+    /// A run of the task with this number or a higher one was started, was stopped or has ended.
     Outdated,
-    /// The lease had run out on the worker's clock.
+    /// The lease had already expired on the worker's clock.
     Late,
-    /// The task does not fit.
+    /// The task does not fit into the worker's free resources.
     Room,
     /// The ticket is not valid.
     Ticket,
-    /// Another life answers at the address.
+    /// Another incarnation answers at the address.
     #[serde(rename = "OtherLife")]
     OtherIncarnation,
-    /// The worker is not healthy or too busy.
+    /// The worker is unhealthy or overloaded.
     Unhealthy,
-    /// The order is malformed.
+    /// The directive is malformed.
     Malformed,
 }
 
-/// What runs on a worker and what has ended there.
+/// Report of the runs on a worker and of those that have ended.
 #[derive(Debug, Clone, PartialEq, Eq, Default, Serialize, Deserialize)]
 pub struct Report {
-    /// The worker's clock.
+    /// Time on the worker's clock.
     pub clock: Duration,
-    /// Start of the worker's process in milliseconds since the Unix epoch, if told.
+    /// Start time of the worker's process in milliseconds since the Unix epoch, if the report states it.
     pub born: Option<u64>,
-    /// Runs at work or being stopped.
+    /// Runs that are active or being stopped.
     pub running: Vec<Running>,
-    /// Ends that were not acknowledged, oldest first.
+    /// Ends that have not been acknowledged, oldest first.
     pub ended: Vec<Ended>,
 }
 
-/// A run on a worker.
+/// An active run on a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
-    /// Task.
+    /// Task of the run.
     pub task: Task,
-    /// Number of the start.
+    /// Number of the run.
     pub run: Run,
-    /// Stored progress.
+    /// Newest checkpoint.
     pub checkpoint: Option<Bytes>,
-    /// Share of its work that is done, in percent; for a lasting task 100 when it is at work.
+    /// Completed share of the work, in percent; 100 for a lasting task that is up.
     pub percent: u8,
-    /// For a serving task the tail of its response times in ms; for others the processors in use.
+    /// Tail of the response times in ms for a serving task; processors in use for others.
     pub load: Option<u64>,
 }
 
-/// The end of a run.
+/// End of a run.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
-    /// Number of the end in the worker's life, from 1.
+    /// Sequence number of the end within the worker's incarnation, from 1.
     pub number: u64,
-    /// Task.
+    /// Task of the run.
     pub task: Task,
-    /// Number of the start.
+    /// Number of the run.
     pub run: Run,
-    /// How it ended.
+    /// Outcome of the run.
     pub outcome: Outcome,
-    /// Stored progress.
+    /// Newest checkpoint.
     pub checkpoint: Option<Bytes>,
 }
 
-/// How a run ended.
+/// Outcome of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Outcome {
-    /// The work is done.
+    /// The work is complete.
     Done,
-    /// It failed by its own fault or the worker's.
+    /// The task or the worker failed.
     Failed,
-    /// It was told to stop.
+    /// The run was stopped by a directive.
     Stopped,
-    /// The lease ran out.
+    /// The lease expired.
     Lapsed,
     /// Another member of the gang ended.
     Broken,
-    /// The other members of the gang did not come in time.
+    /// The other members of the gang did not start in time.
     Alone,
-    /// It never started, as far as anyone can tell for certain.
+    /// It is certain that the run never started.
     NeverStarted,
-    /// The worker or its lease is gone.
+    /// The worker failed or left, or its lease expired.
     Lost,
 }
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -9,25 +9,25 @@
 /// Id of a job, chosen by its caller.
 pub type Key = u64;
 
-/// Steps that a job may have.
+/// Maximum number of steps of a job.
 pub const MAX_STEPS: usize = 1_000;
-/// Tasks that all steps of a job may have together.
+/// Maximum number of tasks of a job, over all its steps.
 pub const MAX_TASKS: u32 = 100_000;
-/// Bytes that the description of a job may have.
+/// Maximum length of a job's description in bytes.
 pub const MAX_SPEC_BYTES: usize = 4_000;
 
-/// What a caller submits.
+/// Job as a caller submits it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Submission {
-    /// Opaque description that the workers understand.
+    /// Opaque description that is passed on to the workers.
     pub spec: Bytes,
     /// Steps; a step may depend on earlier ones.
     pub steps: Vec<Step>,
-    /// Repetition in time; `None` runs the steps once, at once.
+    /// Times at which the steps are repeated; `None` runs them once, immediately.
     pub schedule: Option<Schedule>,
 }
 
-/// Repetition of a job in time.
+/// Periodic repetition of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Schedule {
     /// Due time of the first occurrence, since the Unix epoch.
@@ -38,7 +38,7 @@
     pub times: u32,
 }
 
-/// Tasks of one kind in a job.
+/// Group of identical tasks in a job.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 #[expect(
     clippy::struct_excessive_bools,
@@ -47,63 +47,63 @@
 pub struct Step {
     /// Number of tasks.
     pub tasks: u32,
-    /// What one task uses.
+    /// Resources that one task uses.
     pub size: resource::Amount,
-    /// Rough estimate of one task's run time by the caller.
+    /// The caller's rough estimate of the run time of one task.
     pub run_time: Duration,
-    /// Earlier steps of which all tasks have to be done first.
+    /// Indexes of earlier steps that have to be completed first.
     pub after: Vec<u16>,
-    /// Whether tasks store their progress.
+    /// Whether tasks store checkpoints of their progress.
     pub checkpoints: bool,
-    /// Whether all tasks work only together.
+    /// Whether the tasks form a gang: all of them have to run at the same time.
     pub gang: bool,
-    /// Whether tasks on more than one rack run longer.
+    /// Whether the tasks run longer when they are spread over several racks.
     pub one_rack: bool,
     /// Label that a worker must have.
     pub label: Option<String>,
-    /// Rack near the data; tasks on other racks run longer.
+    /// Rack that holds the data; tasks on other racks run longer.
     pub near_rack: Option<String>,
-    /// Tasks of the step that may run on one worker; 0 means no bound.
+    /// Maximum number of tasks of the step on one worker; 0 means no limit.
     pub per_worker: u32,
-    /// Whether copies of a task may run at the same time.
+    /// Whether several copies of a task may run at the same time.
     pub copies: bool,
     /// Whether the tasks run until the job is cancelled.
     pub lasting: bool,
-    /// What the tasks run; tasks of one image behave alike.
+    /// Image that the tasks run; tasks with the same image behave alike.
     pub image: Option<String>,
-    /// Tail of the response times that a lasting task must stay below.
+    /// Target for the tail of the response times of a lasting task.
     pub response_target: Option<Duration>,
-    /// Whether the tasks use only processors that others leave idle.
+    /// Whether the tasks use only processors that are otherwise idle.
     pub fills: bool,
-    /// Tasks of a lasting step that the scheduler may keep away at the same time.
+    /// Number of tasks of a lasting step that the scheduler may leave unplaced at the same time.
     pub allowed_absences: Option<u32>,
 }
 
-/// State that a caller is shown.
+/// State of a job as shown to its caller.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum Phase {
     /// No task has started.
     Queued,
-    /// A task has started.
+    /// At least one task has started, and the job has not ended.
     Running,
     /// All tasks are done.
     Completed,
-    /// A task failed too often.
+    /// A task has failed in all its attempts.
     Failed,
     /// The caller cancelled the job.
     Cancelled,
 }
 
-/// Why a submission can never be taken.
+/// Why a submission is invalid.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
-    /// The description is too long; its length in bytes.
+    /// The description is too long; contains its length in bytes.
     Spec(usize),
-    /// There is no step, or too many; their number.
+    /// There is no step, or there are too many; contains their number.
     Steps(usize),
-    /// A step has no tasks, or the job has too many; the step.
+    /// A step has no tasks, or the job has too many; contains the index of the step.
     Tasks(usize),
-    /// A step depends on itself, a later step or none; the step and what it names.
+    /// A step depends on itself, a later step or a missing one; contains the index of the step and of its dependency.
     After(usize, u16),
     /// The schedule has no occurrence.
     Times,
@@ -132,7 +132,7 @@
 }
 
 impl Submission {
-    /// Checks bounds and dependencies.
+    /// Checks the limits and dependencies.
     pub fn verify(&self) -> Result<(), Error> {
         if self.spec.len() > MAX_SPEC_BYTES {
             return Err(Error::Spec(self.spec.len()));
@@ -156,12 +156,13 @@
         }
     }
 
-    /// Number of occurrences.
+    /// Returns the number of occurrences.
     pub fn occurrences(&self) -> u32 {
         self.schedule.map_or(1, |schedule| schedule.times)
     }
 
-    /// Longest chain of run times over dependent steps, as `expected` corrects the stated ones.
+    /// Returns the length of the critical path: the longest chain of run times over dependent steps, where `expected`
+    /// maps a stated run time to the expected one.
     pub fn chain(&self, expected: impl Fn(Duration) -> Duration) -> Duration {
         let mut ends: Vec<Duration> = Vec::with_capacity(self.steps.len());
         for step in &self.steps {
@@ -171,7 +172,7 @@
         ends.into_iter().max().unwrap_or_default()
     }
 
-    /// Whether any step runs until the job is cancelled.
+    /// Returns whether any step runs until the job is cancelled.
     pub fn lasts(&self) -> bool {
         self.steps.iter().any(|step| step.lasting)
     }
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -1,8 +1,8 @@
-//! Types of a fleet whose workers are told what to run.
+//! Types of a fleet whose workers run what a leader directs them to run.
 //!
-//! A platform sends jobs of dependent steps, a configuration of queues and teams, and workers that take orders. The
-//! types here say what each of them means to the product. [`adapter::Adapter`] is the edge to one platform: it
-//! translates bytes into these types and back, and holds no state.
+//! A platform provides jobs of dependent steps, a configuration of queues and teams, and workers that accept
+//! directives. The types of this package define these independently of any platform. [`adapter::Adapter`] is the
+//! interface to one platform: it converts between bytes and these types, and holds no state.
 
 pub mod adapter;
 pub mod advice;
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -1,64 +1,64 @@
-//! What a daemon of a fleet learns at its start.
+//! Settings that a daemon of a fleet reads at its start.
 
 use std::{net::SocketAddr, path::PathBuf, time::Duration};
 
 use serde::{Deserialize, Serialize};
 
-/// Settings of one process.
+/// Settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
-    /// Name of the VM.
+    /// Name of the VM that the daemon runs on.
     pub name: String,
-    /// Availability zone.
+    /// Availability zone of the VM.
     pub zone: String,
-    /// Region.
+    /// Region of the VM.
     pub region: String,
-    /// Address for frames between daemons.
+    /// Listen address for frames from other daemons.
     pub peer: SocketAddr,
-    /// Address for metrics.
+    /// Listen address for metrics.
     pub metrics: SocketAddr,
-    /// Address for callers; `None` where none are served.
+    /// Listen address for callers; `None` if the daemon serves none.
     pub entry: Option<SocketAddr>,
-    /// Address for the balancer's readiness probes.
+    /// Listen address for the load balancer's readiness probes.
     pub readiness: Option<SocketAddr>,
-    /// Address for operators and workers; `None` where none are served.
+    /// Listen address for operators and workers; `None` if the daemon serves none.
     pub control: Option<SocketAddr>,
-    /// Peer addresses of daemons that serve control.
+    /// Peer addresses of daemons that serve operators and workers.
     pub seeds: Vec<SocketAddr>,
-    /// Folder for durable state.
+    /// Directory for durable state; `None` if the daemon has no disk.
     pub data: Option<PathBuf>,
     /// Whether the whole system starts for the first time.
     pub found: bool,
-    /// VMs with a disk that may be lost at the same time.
+    /// Number of VMs with a disk that may be lost at the same time.
     pub tolerated_losses: usize,
-    /// Address of the eligibility service.
+    /// Address of the eligibility service; `None` if there is none.
     pub advice: Option<SocketAddr>,
-    /// Bounds that the platform states.
+    /// Time bounds of the platform.
     pub bounds: Bounds,
 }
 
-/// Bounds of a platform that decisions depend on.
+/// Properties of a platform that scheduling decisions depend on.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Bounds {
     /// Longest lease that a worker accepts.
     pub longest_lease: Duration,
-    /// Longest time that a stop takes.
+    /// Maximum duration of the stop of a run.
     pub stop: Duration,
-    /// How long a member of a gang waits for the others.
+    /// How long a member of a gang waits for the others to start.
     pub gang_wait: Duration,
-    /// Time between the request to stop and the kill of a daemon.
+    /// Time between the request to stop a daemon and its kill.
     pub grace: Duration,
-    /// How long the state of a finished job is shown.
+    /// How long the state of a finished job remains available.
     pub retention: Duration,
-    /// Factor on the run time away from the data or over several racks, in thousandths.
+    /// Factor on the run time of tasks that run away from their data or over several racks, in thousandths.
     pub remote_factor_milli: u32,
-    /// Time between two announcements of a worker.
+    /// Interval between two announcements of a worker.
     pub announcements: Duration,
 }
 
 impl Default for Bounds {
-    /// Values of the platform's example deployment.
+    /// Returns the values of the platform's example deployment.
     fn default() -> Self {
         Self {
             longest_lease: Duration::from_secs(10),
--- a/crates/workload/src/worker.rs
+++ b/crates/workload/src/worker.rs
@@ -1,64 +1,64 @@
-//! Workers that announce themselves and take orders.
+//! Workers that announce themselves and accept directives.
 
 use std::{net::SocketAddr, time::Duration};
 
 use bronzespoke_model::resource;
 use serde::{Deserialize, Serialize};
 
-/// One life of a worker's process.
+/// Identity of one incarnation of a worker, that is, of one process.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Incarnation {
-    /// Name that the worker uses; a restarted worker may keep it.
+    /// Name of the worker; a restarted worker may keep it.
     pub name: String,
-    /// Start of the process in milliseconds since the Unix epoch.
+    /// Start time of the process in milliseconds since the Unix epoch.
     pub born: u64,
 }
 
-/// What a worker says of itself.
+/// Announcement that a worker sends at regular intervals.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Announcement {
-    /// Its life.
+    /// Incarnation of the worker.
     #[serde(rename = "life")]
     pub incarnation: Incarnation,
-    /// Grows with each announcement of a life.
+    /// Sequence number; grows with each announcement of an incarnation.
     pub sequence: u64,
-    /// What it is.
+    /// Description of the worker.
     pub worker: Worker,
-    /// Whether it leaves.
+    /// Whether the worker is ready or draining.
     pub state: State,
-    /// How much longer it is slow after its start.
+    /// Remaining time during which the worker is slow after its start.
     pub cold: Duration,
 }
 
-/// What does not change during a life.
+/// Description of a worker; constant during an incarnation.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Worker {
-    /// Address for orders.
+    /// Address that accepts directives.
     pub address: SocketAddr,
-    /// Pool that it belongs to.
+    /// Name of the pool that it belongs to.
     pub pool: String,
-    /// Availability zone.
+    /// Availability zone of the worker.
     pub zone: String,
-    /// Kind of VM.
+    /// Kind of the VM that it runs on.
     pub kind: String,
-    /// Rack.
+    /// Rack that it stands in.
     pub rack: String,
-    /// All labels, kind and rack among them.
+    /// All labels, including kind and rack.
     pub labels: Vec<String>,
-    /// What it offers.
+    /// Resources that it offers.
     pub room: resource::Amount,
-    /// Machine that it lives on.
+    /// Machine that hosts it, if known.
     pub machine: Option<String>,
 }
 
-/// Whether a worker takes work.
+/// Whether a worker accepts new work.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum State {
-    /// Takes work.
+    /// The worker accepts new work.
     Ready,
-    /// Leaves; takes no new work.
+    /// The worker is about to leave and accepts no new work.
     Draining {
-        /// Time that is left at least, if known.
+        /// Minimum remaining time, if known.
         remaining: Option<Duration>,
     },
 }
