dispatch: usual terms in admission, estimates, placement, progress, ranks, reservations, slowness, orphans and usage

The comments described loads as something that the code answers, and workers as told, kept or judged. They now say what the code does and which load or failure it guards against; every limit keeps its reason.

--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -157,7 +157,7 @@
                     self.outputs.push(stop(*index, *task, run.run, now));
                 }
             }
-            for (task, run) in record.orphans.due(now) {
+            for (task, run) in record.orphans.due_stops(now) {
                 self.outputs.push(stop(*index, task, run, now));
             }
         }
@@ -388,7 +388,7 @@
         let known = record.runs.get_mut(&task).filter(|entry| entry.run == run);
         let Some(entry) = known else {
             if matches!(answer, Some(directive::Answer::Done { .. })) {
-                record.orphans.settle(now, task, run);
+                record.orphans.stop_acknowledged(now, task, run);
                 self.dirty = true;
             }
             return;
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -171,7 +171,7 @@
                 worker: life.name.clone(),
                 inherited: 0,
             }));
-            let starts = self.unacknowledged.of(&life.name, now);
+            let starts = self.unacknowledged.outstanding(&life.name, now);
             let mut record = worker::Worker::new(life, worker, registered.draining, now, now);
             for start in starts {
                 record.orphans.expect(&start);
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -62,7 +62,7 @@
     /// Ends all runs of a life that is over, and removes it.
     pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, loss: Loss) {
         self.lose_runs(index, loss);
-        self.slowness.forget_worker(index);
+        self.slowness.remove_worker(index);
         if self.workers.remove(&index).is_some() {
             self.ended.insert(index);
             self.retire(index);
@@ -99,7 +99,11 @@
             }
             let mut running = report.running.iter();
             let is_there = running.any(|running| running.task == run.task && running.run == run.run);
-            run.until = if is_there { now + orphan::REPORT_AGE } else { now };
+            run.until = if is_there {
+                now + orphan::MAX_REPORT_AGE
+            } else {
+                now
+            };
         }
     }
 
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -285,8 +285,8 @@
                 continue;
             }
             let kept = reserved.workers.get(&slot.index);
-            let in_the_way = kept.is_some_and(|due| now + subject.run_time > *due);
-            if subject.tier > 0 && in_the_way {
+            let delays_gang = kept.is_some_and(|due| now + subject.run_time > *due);
+            if subject.tier > 0 && delays_gang {
                 continue;
             }
             if known.is_some_and(|known| known.is_denied(slot.index)) {
@@ -299,7 +299,7 @@
                 room: slot.worker.room,
                 slots: self.slots(slot.index, subject),
                 remote: near.is_some_and(|rack| !slot.worker.labels.contains(rack)),
-                kept: in_the_way,
+                reserved: delays_gang,
             });
         }
         candidates
@@ -419,7 +419,7 @@
             let candidates = self.candidates(now, subject, slots, reserved, false);
             let (eligible, unknown): (Vec<_>, Vec<_>) = candidates
                 .into_iter()
-                .filter(|candidate| !candidate.kept)
+                .filter(|candidate| !candidate.reserved)
                 .partition(|candidate| self.may_run(subject, candidate.worker));
             let openings = eligible
                 .iter()
@@ -433,8 +433,8 @@
             let choice = reserve::choose(openings, wanted, now);
             let is_late = choice.as_ref().is_none_or(|choice| choice.due > now + LATE_GANG);
             match choice {
-                Some(choice) => self.reservations.keep(subject.id, choice),
-                None => self.reservations.drop_gang(subject.id),
+                Some(choice) => self.reservations.insert(subject.id, choice),
+                None => self.reservations.remove(subject.id),
             }
             if let Some(cost) = subject.queue.advice.filter(|_| is_late) {
                 self.enqueue_query(now, subject, &cost, unknown);
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -44,9 +44,9 @@
                     continue;
                 }
                 let was_waiting = self.waiting.remove(&id).is_some();
-                self.reservations.drop_gang(id);
+                self.reservations.remove(id);
                 if entry.remaining == 0 || job.is_final() {
-                    self.slowness.forget(id);
+                    self.slowness.remove_step(id);
                 }
                 if entry.remaining == 0 || (was_waiting && job.is_final()) {
                     self.queries.remove(id);
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -1,9 +1,9 @@
-//! What the leader of a fleet decides, without I/O: where and when tasks start, what workers are told, how long they may
-//! run without word, and which questions the eligibility service is asked.
+//! Scheduling decisions of the leader of a fleet, without I/O: where and when tasks start, which directives workers
+//! receive, how long their leases last, and which queries are sent to the eligibility service.
 //!
-//! The shell feeds time, committed commands, answers of workers and of the eligibility service into
-//! [`dispatch::Dispatch`] and carries out its outputs. A leader makes a new one from the replicated state when its term
-//! begins and drops it when the term ends.
+//! The caller feeds the time, committed commands, and the answers of workers and of the eligibility service into
+//! [`dispatch::Dispatch`] and carries out its outputs. A leader creates a new `Dispatch` from the replicated state
+//! when its term begins and drops it when the term ends.
 
 pub mod admission;
 pub mod dispatch;
--- a/crates/dispatch/src/orphan.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -1,8 +1,9 @@
-//! Starts that may take effect though nobody counts on them.
+//! Runs that may exist on a worker although the leader does not count on them.
 //!
-//! Answers orders that are carried out seconds late: a start without an answer may reach the next life of its worker, which has
-//! the same name and knows nothing of it. The new life is told to stop such runs before it has them, which makes it refuse them, and
-//! until that is answered their room counts as used.
+//! Guards against directives that are carried out seconds late: a start without an answer may reach the next
+//! incarnation of its worker, which has the same name and does not know the run. The new incarnation is therefore
+//! directed to stop such runs before they exist, which makes it refuse them. Until it acknowledges this, their
+//! resources count as used.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -12,41 +13,41 @@
 use bronzespoke_model::resource;
 use bronzespoke_workload::directive;
 
-/// How long an unanswered order may still be carried out; the platform states 12 s.
-const LATEST: Duration = Duration::from_secs(13);
+/// Maximum delay after which an unacknowledged directive may still be carried out; the platform states 12 s.
+const MAX_DELAY: Duration = Duration::from_secs(13);
 
-/// A start that got no answer.
+/// A start that the worker has not acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Start {
-    /// Task.
+    /// Task of the run.
     pub task: directive::Task,
-    /// Number of the start.
+    /// Number of the run.
     pub run: directive::Run,
-    /// What it uses.
+    /// Resources that the run uses.
     pub size: resource::Amount,
-    /// When its order may have been sent last.
+    /// Latest time at which its directive may have been sent.
     pub sent: Duration,
 }
 
 impl Start {
-    /// Time after which the order is not carried out any more.
+    /// Returns the time after which the directive is not carried out any more.
     pub const fn expires_at(&self) -> Duration {
-        self.sent.saturating_add(LATEST)
+        self.sent.saturating_add(MAX_DELAY)
     }
 }
 
-/// Unanswered starts by name of the worker.
+/// Unacknowledged starts by name of the worker.
 #[derive(Debug, Default)]
 pub struct Unacknowledged {
     workers: HashMap<String, Vec<Start>>,
 }
 
 impl Unacknowledged {
-    /// Notes a start that got no answer.
+    /// Records a start that was not acknowledged.
     pub fn record(&mut self, worker: &str, start: Start) {
         match self.workers.get_mut(worker) {
             Some(starts) => {
-                starts.retain(|known| start.sent < known.sent + LATEST);
+                starts.retain(|known| start.sent < known.sent + MAX_DELAY);
                 starts.push(start);
             }
             None => {
@@ -55,7 +56,7 @@
         }
     }
 
-    /// Returns the newest start of a run that got no answer.
+    /// Returns the newest unacknowledged start of a run.
     pub fn newest(&self, worker: &str, task: directive::Task, run: directive::Run) -> Option<Start> {
         let starts = self.workers.get(worker)?;
         let mut newest = starts.iter().rev();
@@ -64,29 +65,30 @@
             .copied()
     }
 
-    /// Returns the starts that the next life of a worker may still carry out.
-    pub fn of(&self, worker: &str, now: Duration) -> Vec<Start> {
+    /// Returns the starts that the next incarnation of a worker may still carry out.
+    pub fn outstanding(&self, worker: &str, now: Duration) -> Vec<Start> {
         let starts = self.workers.get(worker).map(Vec::as_slice).unwrap_or_default();
         let open = starts.iter().filter(|start| now < start.expires_at());
         open.copied().collect()
     }
 }
 
-/// A run that is not meant to be there.
+/// A run that should not be on its worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 struct Orphan {
     size: resource::Amount,
-    /// It counts until this time at the latest.
+    /// Time until which it counts at the latest.
     until: Duration,
-    /// When the worker answered the order to stop it. The stop itself takes time, and the room is taken until then.
+    /// Time at which the worker acknowledged the stop. The stop itself takes time, during which the resources remain
+    /// in use.
     stopped: Option<Duration>,
 }
 
-/// Runs that a worker has or may get without being meant to.
+/// Runs that a worker has or may get although they should not be there.
 #[derive(Debug, Default)]
 pub struct Orphans {
     runs: BTreeMap<(directive::Task, directive::Run), Orphan>,
-    told: Duration,
+    stops_sent_at: Duration,
 }
 
 impl Orphans {
@@ -100,7 +102,7 @@
         self.runs.insert((start.task, start.run), orphan);
     }
 
-    /// Takes from a report, which was asked for at `sent`, which unmeant runs are there, with their sizes.
+    /// Updates the orphans from a report that was requested at `sent` and lists the given orphans with their sizes.
     pub fn observe(
         &mut self,
         now: Duration,
@@ -110,11 +112,11 @@
         let is_there =
             |key: &(directive::Task, directive::Run)| running.iter().any(|(other, _)| other == key);
         self.runs.retain(|key, orphan| {
-            let gone = orphan.stopped.is_some_and(|at| sent > at) && !is_there(key);
-            now < orphan.until && !gone
+            let is_gone = orphan.stopped.is_some_and(|at| sent > at) && !is_there(key);
+            now < orphan.until && !is_gone
         });
         for (key, size) in running {
-            let until = now + REPORT_AGE;
+            let until = now + MAX_REPORT_AGE;
             let orphan = self.runs.entry(*key).or_insert(Orphan {
                 size: *size,
                 until,
@@ -125,33 +127,33 @@
         }
     }
 
-    /// Returns the runs that the worker has to be told to stop now, and again until it answers.
-    pub fn due(&mut self, now: Duration) -> Vec<(directive::Task, directive::Run)> {
+    /// Returns the runs for which a stop has to be sent now; it is repeated until the worker acknowledges it.
+    pub fn due_stops(&mut self, now: Duration) -> Vec<(directive::Task, directive::Run)> {
         let open = self.runs.iter().filter(|(_, orphan)| orphan.stopped.is_none());
         let open: Vec<_> = open.map(|(key, _)| *key).collect();
-        if open.is_empty() || now < self.told + RETRY {
+        if open.is_empty() || now < self.stops_sent_at + STOP_RETRY {
             return Vec::new();
         }
-        self.told = now;
+        self.stops_sent_at = now;
         open
     }
 
-    /// Notes that the worker has taken the order to stop a run: it refuses the run from now on, or is stopping it.
-    pub fn settle(&mut self, now: Duration, task: directive::Task, run: directive::Run) {
+    /// Records that the worker has acknowledged the stop of a run: it is stopping the run, or refuses it from now on.
+    pub fn stop_acknowledged(&mut self, now: Duration, task: directive::Task, run: directive::Run) {
         if let Some(orphan) = self.runs.get_mut(&(task, run)) {
             orphan.stopped.get_or_insert(now);
         }
     }
 
-    /// Room that they take.
+    /// Returns the resources that the orphans use.
     pub fn used(&self) -> resource::Amount {
         let sizes = self.runs.values().map(|orphan| orphan.size);
         sizes.fold(resource::Amount::ZERO, crate::worker::add)
     }
 }
 
-/// Pause before a worker is told again.
-const RETRY: Duration = Duration::from_millis(500);
+/// Pause before stops are sent again.
+const STOP_RETRY: Duration = Duration::from_millis(500);
 
-/// How long a run counts as at work that a report has listed; the next report comes sooner.
-pub(crate) const REPORT_AGE: Duration = Duration::from_secs(3);
+/// How long a reported run counts as active; the next report arrives sooner.
+pub(crate) const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -1,7 +1,8 @@
-//! Choice of workers for the tasks of one step.
+//! Placement of the tasks of one step.
 //!
-//! Answers a fleet that is nearly full of tasks of different sizes: each task goes to the worker on which it leaves the
-//! least room, so that small tasks fill workers that are nearly full and whole workers stay free for wide gangs.
+//! On a fleet that is nearly full of tasks of different sizes, each task is placed on the worker on which it leaves
+//! the least free resources. Small tasks thereby fill workers that are nearly full, and empty workers stay free for
+//! wide gangs.
 
 use std::collections::BTreeMap;
 
@@ -11,28 +12,28 @@
 /// A worker that may run the step.
 #[derive(Debug, Clone)]
 pub struct Candidate {
-    /// Worker.
+    /// Index of the worker.
     pub worker: cell::WorkerIndex,
-    /// Room that is left.
+    /// Free resources.
     pub free: resource::Amount,
-    /// All of its room.
+    /// Total resources.
     pub room: resource::Amount,
-    /// Tasks of the step that it may still take; `u32::MAX` means no bound.
+    /// Number of further tasks of the step that it may run; `u32::MAX` means no limit.
     pub slots: u32,
-    /// Whether the step runs longer there.
+    /// Whether tasks of the step run longer there because they are away from their data.
     pub remote: bool,
-    /// Whether the worker is kept for a gang.
-    pub kept: bool,
+    /// Whether the worker is reserved for a gang that would be delayed.
+    pub reserved: bool,
 }
 
-/// Share of a worker that a remote place has to save to be preferred; tasks away from their data take twice as long.
+/// Penalty of a remote worker, in shares of a worker's resources; tasks away from their data run twice as long.
 const REMOTE_PENALTY: f64 = 4.0;
 
-/// Urgent tasks use a worker that is kept for a gang only when no other has room.
-const KEPT_PENALTY: f64 = 8.0;
+/// Penalty of a worker that is reserved for a gang; urgent tasks use it only if no other worker has room.
+const RESERVED_PENALTY: f64 = 8.0;
 
 impl Candidate {
-    /// Tasks of a size that fit now.
+    /// Returns the number of tasks of a size that fit now.
     pub fn fitting(&self, size: &resource::Amount) -> u32 {
         count(&self.free, size).min(self.slots)
     }
@@ -44,7 +45,8 @@
         }
     }
 
-    /// Room that a task would leave, as the sum of shares; smaller is better.
+    /// Returns the resources that a task would leave free, as the sum of the shares of each dimension, plus penalties;
+    /// smaller is better.
     fn leftover(&self, size: &resource::Amount) -> f64 {
         let share = |free: u32, size: u32, room: u32| {
             if room == 0 {
@@ -56,12 +58,12 @@
         let memory = share(self.free.memory_mib, size.memory_mib, self.room.memory_mib);
         let devices = share(self.free.accelerators, size.accelerators, self.room.accelerators);
         let remote = if self.remote { REMOTE_PENALTY } else { 0.0 };
-        let kept = if self.kept { KEPT_PENALTY } else { 0.0 };
-        cpu + memory + devices + remote + kept
+        let reserved = if self.reserved { RESERVED_PENALTY } else { 0.0 };
+        cpu + memory + devices + remote + reserved
     }
 }
 
-/// Tasks of a size that fit into an amount.
+/// Returns the number of tasks of a size that fit into an amount.
 pub fn count(free: &resource::Amount, size: &resource::Amount) -> u32 {
     let dimension = |free: u32, size: u32| free.checked_div(size).unwrap_or(u32::MAX);
     dimension(free.cpu_milli, size.cpu_milli)
@@ -69,15 +71,16 @@
         .min(dimension(free.accelerators, size.accelerators))
 }
 
-/// Tasks of a size that fit on all candidates together.
+/// Returns the number of tasks of a size that fit on all candidates together.
 pub fn fitting(candidates: &[Candidate], size: &resource::Amount) -> u32 {
     let sum = |sum: u32, candidate: &Candidate| sum.saturating_add(candidate.fitting(size));
     candidates.iter().fold(0, sum)
 }
 
-/// Places tasks one by one on the worker that each fills best. Returns the worker of each placed task.
+/// Places tasks one by one, each on the worker on which it leaves the least free resources. Returns the worker of each
+/// placed task.
 ///
-/// `avoid` names workers that a task should not run on as long as another one has room.
+/// `avoid` names the workers on which a task should not run as long as another one has room.
 pub fn best_fit(
     candidates: &mut [Candidate],
     size: &resource::Amount,
--- a/crates/dispatch/src/progress.rs
+++ b/crates/dispatch/src/progress.rs
@@ -1,22 +1,23 @@
-//! Progress of a run, as the reports of its worker show it.
+//! Progress of a run, as reported by its worker.
 //!
-//! Answers workers on which tasks stand still or crawl while their reports look healthy: the share of the work that is done
-//! tells within a second or two what the end of the run would tell much later.
+//! Guards against workers on which tasks stall or crawl while their reports look healthy: the completed share of the
+//! work shows this within a second or two, long before the run is due to end.
 
 use std::time::Duration;
 
-/// Share of the work that has to be seen to project the rest, in percent; reports round to whole percents.
-const ENOUGH: u8 = 4;
-/// A run whose rate is known stands still when this many percents' time passes without one.
+/// Minimum observed progress for a projection, in percentage points; reports round to whole percents.
+const MIN_OBSERVED_PERCENT: u8 = 4;
+/// A run with a measured rate is stalled if it makes no progress in the time that it needs for this many percentage
+/// points.
 const STALLED_PERCENTS: u32 = 10;
-/// The same for a run whose rate is only expected, since expectations are off several times.
-const UNPROVEN_PERCENTS: u32 = 40;
-/// Shortest standstill that counts; reports come up to a second apart.
-const SHORTEST_STALL: Duration = Duration::from_millis(900);
-/// The same for a run whose rate is only expected.
-const UNPROVEN_STALL: Duration = Duration::from_millis(1_300);
+/// The same limit for a run whose rate is only estimated, since estimates may be wrong by several times.
+const ESTIMATED_STALLED_PERCENTS: u32 = 40;
+/// Minimum duration of a stall; reports arrive up to a second apart.
+const MIN_STALL: Duration = Duration::from_millis(900);
+/// Minimum duration of a stall of a run whose rate is only estimated.
+const ESTIMATED_MIN_STALL: Duration = Duration::from_millis(1_300);
 
-/// Progress of a run.
+/// Progress of a run: its first observation and the latest change.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Progress {
     first: (Duration, u8),
@@ -24,7 +25,7 @@
 }
 
 impl Progress {
-    /// Begins with what the first report shows.
+    /// Creates the progress from the first report.
     pub const fn new(now: Duration, percent: u8) -> Self {
         Self {
             first: (now, percent),
@@ -32,42 +33,43 @@
         }
     }
 
-    /// Takes what a further report shows.
+    /// Records the progress in a further report.
     pub const fn observe(&mut self, now: Duration, percent: u8) {
         if percent != self.last.1 {
             self.last = (now, percent);
         }
     }
 
-    /// Share of the work that is done, in percent.
+    /// Returns the completed share of the work, in percent.
     pub const fn percent(&self) -> u8 {
         self.last.1
     }
 
-    /// Time that one percent takes, once enough was seen.
-    fn each(&self) -> Option<Duration> {
-        let seen = self.last.1.saturating_sub(self.first.1);
-        (seen >= ENOUGH).then(|| self.last.0.saturating_sub(self.first.0) / u32::from(seen))
+    /// Returns the time per percentage point, once enough progress was observed.
+    fn time_per_percent(&self) -> Option<Duration> {
+        let observed = self.last.1.saturating_sub(self.first.1);
+        (observed >= MIN_OBSERVED_PERCENT)
+            .then(|| self.last.0.saturating_sub(self.first.0) / u32::from(observed))
     }
 
-    /// Whole run time as far as it can be projected.
+    /// Returns the projected total run time.
     pub fn total(&self) -> Option<Duration> {
-        Some(self.each()? * 100)
+        Some(self.time_per_percent()? * 100)
     }
 
-    /// Projected end.
+    /// Returns the projected end.
     pub fn end(&self) -> Option<Duration> {
-        let left = 100_u8.saturating_sub(self.last.1);
-        Some(self.last.0 + self.each()? * u32::from(left))
+        let remaining = 100_u8.saturating_sub(self.last.1);
+        Some(self.last.0 + self.time_per_percent()? * u32::from(remaining))
     }
 
-    /// Tells whether the run stands still. `expected` is the run time that was expected for the whole of it.
+    /// Returns whether the run is stalled. `expected` is the estimate of its total run time.
     pub fn is_stalled(&self, now: Duration, expected: Duration) -> bool {
-        let still = now.saturating_sub(self.last.0);
-        let limit = match self.each() {
-            Some(each) => SHORTEST_STALL.max(each * STALLED_PERCENTS),
-            None => UNPROVEN_STALL.max(expected / 100 * UNPROVEN_PERCENTS),
+        let unchanged = now.saturating_sub(self.last.0);
+        let limit = match self.time_per_percent() {
+            Some(time) => MIN_STALL.max(time * STALLED_PERCENTS),
+            None => ESTIMATED_MIN_STALL.max(expected / 100 * ESTIMATED_STALLED_PERCENTS),
         };
-        self.last.1 < 100 && still > limit
+        self.last.1 < 100 && unchanged > limit
     }
 }
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -1,24 +1,24 @@
-//! The order in which steps that wait get room.
+//! Order in which waiting steps are placed.
 //!
-//! Answers the load of a burst: more work is ready than fits, and jobs of small work and short objectives arrive among
-//! wide ones. Queues of the first priority come first; the rest goes by slack, the time that is left before a job
-//! would miss its next goal. The first goal is the objective; a job that misses it is still of use until three times the
-//! objective, so that becomes its goal, and it is not passed over for good by jobs that came later. A job beyond that
-//! takes what is left.
+//! In a burst, more work is ready than fits, and jobs of little work and short objectives arrive among wide ones.
+//! Steps of queues of the highest priority come first. The others are ordered by slack, the time that remains before a
+//! job would miss its next goal. The first goal is the objective. A job that misses it is still useful until three
+//! times the objective, so that becomes its goal; it is therefore not starved by jobs that arrived later. A job that
+//! cannot meet this goal either is placed last.
 
 use std::{cmp::Ordering, time::Duration};
 
 use bronzespoke_control::cell;
 
-/// Up to this multiple of its objective a late job is still of use to its caller.
+/// Multiple of its objective up to which a late job is still useful to its caller.
 const USEFUL_MULTIPLE: u64 = 3;
 
-/// Position of a step among those that wait; smaller comes first.
+/// Position of a step among the waiting ones; smaller comes first.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Rank {
     /// Whether no goal can be met any more.
     pub useless: bool,
-    /// 0 for the first priority, 1 for others.
+    /// 0 for the highest priority, 1 for others.
     pub tier: u8,
     /// Latest start that meets the next goal, in milliseconds since the Unix epoch.
     pub latest_start: u64,
@@ -39,9 +39,10 @@
     }
 }
 
-/// Returns the rank of a job whose remaining chain of work is expected to take `remaining`.
+/// Returns the rank of a step whose job is expected to need `remaining` from its start to the end of the job.
 ///
-/// `begun_ms` is the time of submission or the due time of the occurrence; `chain` the whole chain of work.
+/// `begun_ms` is the time of submission or the due time of the occurrence, and `chain` is the length of the critical
+/// path of the whole job.
 pub fn compute(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
     let queue = &job.queue;
     let objective = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
--- a/crates/dispatch/src/reserve.rs
+++ b/crates/dispatch/src/reserve.rs
@@ -1,8 +1,8 @@
-//! Workers that are kept for gangs.
+//! Reservation of workers for gangs.
 //!
-//! Answers wide gangs on a fleet that is nearly full of small tasks: every hole that opens is filled at once by something
-//! small, so that the room for a gang never comes together. A gang that does not fit keeps the workers on which enough room
-//! is expected first; until then they take only work that is expected to end before.
+//! On a fleet that is nearly full of small tasks, every gap is immediately filled by another small task, so the room
+//! for a wide gang never comes together. A gang that does not fit therefore reserves the workers on which enough room
+//! is expected first. Until then they accept only work that is expected to end before.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -12,21 +12,21 @@
 
 use crate::worker;
 
-/// Age at which a choice of workers is made anew; ends come at other times than expected.
-const CHOICE_AGE: Duration = Duration::from_millis(300);
+/// Age after which a choice of workers is made again, since runs may end at other times than expected.
+const MAX_CHOICE_AGE: Duration = Duration::from_millis(300);
 
-/// Workers kept for one gang.
+/// Workers reserved for one gang.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Choice {
-    /// Workers.
+    /// Reserved workers.
     pub workers: Vec<cell::WorkerIndex>,
-    /// When enough room is expected.
+    /// Time at which enough room is expected.
     pub due: Duration,
-    /// When the choice was made.
+    /// Time at which the choice was made.
     chosen: Duration,
 }
 
-/// Reservations of gangs, kept over passes so that a gang's room does not move.
+/// Reservations of gangs, kept between scheduling passes so that the choice of workers is stable.
 #[derive(Debug, Default)]
 pub struct Reservations {
     gangs: HashMap<advice::Step, Choice>,
@@ -37,21 +37,21 @@
     pub fn recent(&self, step: advice::Step, now: Duration) -> Option<&Choice> {
         self.gangs
             .get(&step)
-            .filter(|choice| now < choice.chosen + CHOICE_AGE)
+            .filter(|choice| now < choice.chosen + MAX_CHOICE_AGE)
     }
 
-    /// Keeps a choice.
-    pub fn keep(&mut self, step: advice::Step, choice: Choice) {
+    /// Records the choice of a gang.
+    pub fn insert(&mut self, step: advice::Step, choice: Choice) {
         self.gangs.insert(step, choice);
     }
 
-    /// Drops the choice of a gang.
-    pub fn drop_gang(&mut self, step: advice::Step) {
+    /// Removes the choice of a gang.
+    pub fn remove(&mut self, step: advice::Step) {
         self.gangs.remove(&step);
     }
 }
 
-/// Times at which a worker has room for one, two and more tasks of a size, at most `most` of them.
+/// Returns the times at which a worker has room for one, two and more tasks of a size, at most `most` of them.
 pub fn openings(
     record: &worker::Worker,
     free: resource::Amount,
@@ -81,7 +81,7 @@
     openings
 }
 
-/// Chooses the workers on which `wanted` tasks have room first. `None` if they never have.
+/// Chooses the workers on which `wanted` tasks have room first. Returns `None` if they never have.
 pub fn choose(
     openings: Vec<(cell::WorkerIndex, Vec<Duration>)>,
     wanted: u32,
--- a/crates/dispatch/src/slowness.rs
+++ b/crates/dispatch/src/slowness.rs
@@ -1,8 +1,8 @@
-//! Which workers are slow.
+//! Detection of slow workers.
 //!
-//! Answers workers that take several times as long as others while their reports look healthy. Stated run times are too rough to
-//! tell, but tasks of one step are alike: a worker on which tasks of several jobs take much longer than their siblings on
-//! other workers is slow.
+//! Guards against workers that take several times as long as others while their reports look healthy. Stated run times
+//! are too rough for a comparison, but tasks of one step are alike: a worker is slow if tasks of several jobs take
+//! much longer on it than their siblings on other workers.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -12,22 +12,23 @@
 use bronzespoke_control::cell;
 use bronzespoke_workload::advice;
 
-/// Jobs whose tasks have to agree.
-const AGREEING_JOBS: usize = 2;
-/// Factor from which a worker counts as slow. Tasks of one step differ by a third, kinds of machines by less.
+/// Minimum number of jobs that a rating is based on.
+const MIN_JOBS: usize = 2;
+/// Factor from which a worker counts as slow. Run times of tasks of one step differ by a third, and those on different
+/// kinds of machines by less.
 const SLOW_FACTOR: f64 = 2.2;
-/// A verdict that is older says nothing; reports come at least once a second.
-const VERDICT_AGE: Duration = Duration::from_secs(2);
+/// Age after which a rating is ignored; reports arrive at least once a second.
+const MAX_RATING_AGE: Duration = Duration::from_secs(2);
 
-/// Projected run times of tasks by step and worker, and the verdicts that follow.
+/// Projected run times of tasks by step and worker, and the resulting ratings of workers.
 #[derive(Debug, Default)]
 pub struct Slowness {
     steps: HashMap<advice::Step, BTreeMap<cell::WorkerIndex, Duration>>,
-    verdicts: HashMap<cell::WorkerIndex, (f64, Duration)>,
+    ratings: HashMap<cell::WorkerIndex, (f64, Duration)>,
 }
 
 impl Slowness {
-    /// Takes the projected run times of the tasks on one worker, one for each step, and judges the worker.
+    /// Records the projected run times of the tasks on one worker, one for each step, and rates the worker.
     pub fn observe(
         &mut self,
         now: Duration,
@@ -44,7 +45,7 @@
                 .map(|(_, total)| *total)
                 .collect();
             others.sort_unstable();
-            // The lower middle: with one slow worker among two siblings the other one is the measure.
+            // The lower median: with two siblings of which one is on a slow worker, the other one is the reference.
             if let Some(reference) = others.get(others.len().saturating_sub(1) / 2)
                 && !reference.is_zero()
             {
@@ -52,25 +53,25 @@
                 ratios.insert(step.job, ratio.max(0.01).ln());
             }
         }
-        if ratios.len() >= AGREEING_JOBS {
+        if ratios.len() >= MIN_JOBS {
             let mean = ratios.values().sum::<f64>() / ratios.len() as f64;
-            self.verdicts.insert(worker, (mean.exp(), now));
+            self.ratings.insert(worker, (mean.exp(), now));
         }
     }
 
-    /// Factor of a slow worker, while the verdict is recent.
+    /// Returns the factor by which a worker is slow, if its rating is recent and above the threshold.
     pub fn factor(&self, worker: cell::WorkerIndex, now: Duration) -> Option<f64> {
-        let (factor, at) = self.verdicts.get(&worker)?;
-        (*factor >= SLOW_FACTOR && now < *at + VERDICT_AGE).then_some(*factor)
+        let (factor, at) = self.ratings.get(&worker)?;
+        (*factor >= SLOW_FACTOR && now < *at + MAX_RATING_AGE).then_some(*factor)
     }
 
-    /// Forgets a step.
-    pub fn forget(&mut self, step: advice::Step) {
+    /// Removes the run times of a step.
+    pub fn remove_step(&mut self, step: advice::Step) {
         self.steps.remove(&step);
     }
 
-    /// Forgets a worker.
-    pub fn forget_worker(&mut self, worker: cell::WorkerIndex) {
-        self.verdicts.remove(&worker);
+    /// Removes the rating of a worker.
+    pub fn remove_worker(&mut self, worker: cell::WorkerIndex) {
+        self.ratings.remove(&worker);
     }
 }
--- a/crates/dispatch/src/usage.rs
+++ b/crates/dispatch/src/usage.rs
@@ -1,4 +1,4 @@
-//! What each team has running, and its upper limit.
+//! Resource usage of each team, and its upper limit.
 
 use std::collections::HashMap;
 
@@ -7,14 +7,14 @@
 
 use crate::worker;
 
-/// Amounts in use by team. A run counts from the proposal of its start until its end is known.
+/// Amounts in use by team. A run counts from the proposal of its start until its end is certain.
 #[derive(Debug, Default)]
 pub struct Usage {
     teams: HashMap<String, resource::Amount>,
 }
 
 impl Usage {
-    /// Counts a run.
+    /// Adds the amount of a run.
     pub fn add(&mut self, team: Option<&str>, size: resource::Amount) {
         let Some(team) = team else { return };
         match self.teams.get_mut(team) {
@@ -25,19 +25,19 @@
         }
     }
 
-    /// Stops counting a run.
+    /// Removes the amount of a run.
     pub fn remove(&mut self, team: Option<&str>, size: resource::Amount) {
         if let Some(used) = team.and_then(|team| self.teams.get_mut(team)) {
             *used = used.saturating_sub(&size);
         }
     }
 
-    /// What a team has in use.
-    pub fn of(&self, team: &str) -> resource::Amount {
+    /// Returns the amount that a team uses.
+    pub fn used_by(&self, team: &str) -> resource::Amount {
         self.teams.get(team).copied().unwrap_or_default()
     }
 
-    /// Number of tasks of a size that a team may start now.
+    /// Returns the number of tasks of a size that a team may start now.
     pub fn tasks_allowed(
         &self,
         catalog: &catalog::Catalog,
@@ -46,9 +46,9 @@
     ) -> u32 {
         let Some(team) = team else { return u32::MAX };
         let limit = catalog.team(team).map(|team| team.limit);
-        // A team that the configuration dropped has no limit of its own; its accepted jobs are finished.
+        // A team that was removed from the configuration has no limit; its accepted jobs are completed.
         let Some(limit) = limit else { return u32::MAX };
-        let used = self.of(team);
+        let used = self.used_by(team);
         let dimension = |limit: u32, used: u32, size: u32| match (limit, size) {
             (0, _) | (_, 0) => u32::MAX,
             _ => limit.saturating_sub(used) / size,
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -135,7 +135,7 @@
         room: resource::Amount::new(64_000, 100_000, 0),
         slots: u32::MAX,
         remote: false,
-        kept: false,
+        reserved: false,
     }
 }
 
