--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -1,4 +1,4 @@
-//! Orders to workers: starts, stops and renewals, and their answers.
+//! Directives to workers (starts, stops and lease renewals) and their answers.
 
 use std::time::Duration;
 
@@ -12,34 +12,35 @@
     worker::{self, Phase, Stop},
 };
 
-/// How long a report may wait for an end. Renews leases often enough and costs one call a second and worker.
+/// Maximum time for which a worker may hold a report back while no run ends. It renews leases often enough and costs
+/// one call per second and worker.
 const REPORT_WAIT: Duration = Duration::from_secs(1);
-/// Pause after a report that failed.
+/// Pause after a failed report.
 const REPORT_RETRY: Duration = Duration::from_millis(500);
-/// An outstanding report is given up after its wait and this.
-const REPORT_SLACK: Duration = Duration::from_millis(1_500);
-/// Pause before an unanswered stop is sent again.
+/// Time beyond its wait after which an outstanding report is given up.
+const REPORT_TIMEOUT_MARGIN: Duration = Duration::from_millis(1_500);
+/// Pause before an unacknowledged stop is sent again.
 const STOP_RETRY: Duration = Duration::from_millis(500);
-/// Pause before an unanswered start is sent again.
+/// Pause before an unacknowledged start is sent again.
 const START_RETRY: Duration = Duration::from_millis(300);
-/// Pause of a worker that a start did not reach, or that did not answer one; its reports tell within about this time
-/// whether it is there.
-const UNREACHED_PAUSE: Duration = Duration::from_millis(500);
+/// Pause of a worker that a start did not reach, or that did not answer one. Its reports show within about this time
+/// whether it is reachable.
+const UNREACHABLE_PAUSE: Duration = Duration::from_millis(500);
 /// Pause of a worker that refused work as unhealthy.
 const UNHEALTHY_PAUSE: Duration = Duration::from_secs(1);
 
 impl Dispatch {
-    /// Sends the orders of starts that are recorded.
+    /// Sends the directives of starts that are recorded.
     pub(super) fn send_starts(
         &mut self,
         state: &cell::State,
         now: Now,
         starts: &[cell::Start],
-        taken: &[bool],
+        accepted: &[bool],
     ) {
-        for (start, taken) in starts.iter().zip(taken) {
+        for (start, accepted) in starts.iter().zip(accepted) {
             self.proposed.remove(&start.task);
-            if !taken {
+            if !accepted {
                 self.drop_run(start.worker, start.task, start.run);
                 self.refresh_job(state, start.task.job);
                 continue;
@@ -59,11 +60,11 @@
         self.propose_end(start.worker, start.task, start.run, outcome, None);
     }
 
-    /// Gives a recorded start its lease; `false` if it must not be sent any more.
+    /// Assigns a lease to a recorded start; returns `false` if it must not be sent any more.
     fn prepare_start(&mut self, now: Duration, start: &cell::Start) -> bool {
         let lease = START_LEASE.min(self.config.lease());
         let Some(record) = self.workers.get_mut(&start.worker) else {
-            // Its life ended meanwhile.
+            // Its incarnation has ended in the meantime.
             return false;
         };
         let clock = record.clock(now).filter(|_| !record.draining);
@@ -108,7 +109,8 @@
         });
     }
 
-    /// Sends unanswered starts again while their lease is in force; the worker takes a repeated start as one.
+    /// Sends unacknowledged starts again while their lease is in force; a worker treats a repeated start as the same
+    /// one.
     pub(super) fn resend_starts(&mut self, state: &cell::State, now: Duration) {
         let mut due = Vec::new();
         for (index, record) in &mut self.workers {
@@ -144,7 +146,7 @@
         self.outputs.push(stop(worker, task, run, now));
     }
 
-    /// Sends stops that are due.
+    /// Sends the stops that are due.
     pub(super) fn resend_stops(&mut self, now: Duration) {
         for (index, record) in &mut self.workers {
             for (task, run) in &mut record.runs {
@@ -163,7 +165,7 @@
         }
     }
 
-    /// Asks for reports that are due; each renews the lease.
+    /// Requests the reports that are due; each request renews the lease.
     pub(super) fn renew_leases(&mut self, now: Duration) {
         let lease = self.config.lease();
         for (index, record) in &mut self.workers {
@@ -171,7 +173,7 @@
         }
     }
 
-    /// Asks for the report of one worker if it is due.
+    /// Requests the report of one worker if it is due.
     pub(super) fn renew_lease(&mut self, worker: cell::WorkerIndex, now: Duration) {
         let lease = self.config.lease();
         if let Some(record) = self.workers.get_mut(&worker) {
@@ -179,7 +181,8 @@
         }
     }
 
-    /// Takes a worker's answer to an order, or its absence. `sent` is when the order was decided.
+    /// Handles a worker's answer to a directive, or its absence. `sent` is the time at which the directive was
+    /// decided.
     pub fn answered(
         &mut self,
         state: &cell::State,
@@ -190,7 +193,7 @@
         answer: Option<&directive::Answer>,
     ) {
         let answer = answer.filter(|answer| !self.is_of_later_incarnation(worker, sent, answer));
-        self.sample(worker, now.steady, answer);
+        self.record_clock(worker, now.steady, answer);
         if let Some(directive::Answer::Refused {
             reason: directive::Refusal::OtherIncarnation,
             ..
@@ -224,8 +227,9 @@
         }
     }
 
-    /// Whether a start or stop was answered by a later life of the same name. The order is then without effect on the life
-    /// that it was meant for, and the later one makes itself known by its announcement or report.
+    /// Returns whether a start or stop was answered by a later incarnation with the same name. The directive then has
+    /// no effect on the incarnation for which it was meant, and the later one is detected by its announcement or
+    /// report.
     fn is_of_later_incarnation(
         &self,
         worker: cell::WorkerIndex,
@@ -239,7 +243,7 @@
         record.is_some_and(|record| record.is_of_later_incarnation(sent, *clock))
     }
 
-    fn sample(&mut self, worker: cell::WorkerIndex, now: Duration, answer: Option<&directive::Answer>) {
+    fn record_clock(&mut self, worker: cell::WorkerIndex, now: Duration, answer: Option<&directive::Answer>) {
         let clock = match answer {
             Some(directive::Answer::Done { clock }) => Some(*clock),
             Some(directive::Answer::Report(report)) => Some(report.clock),
@@ -249,7 +253,7 @@
         let (Some(clock), Some(record)) = (clock, self.workers.get_mut(&worker)) else {
             return;
         };
-        // Answers may overtake each other; the clock itself never goes back.
+        // Answers may arrive out of order; the clock itself never goes back.
         if record.sample.is_none_or(|known| clock >= known.clock) {
             record.sample = Some(worker::Sample { clock, at: now });
         }
@@ -271,7 +275,7 @@
             return;
         };
         let after = now.saturating_sub(entry.decided);
-        // An earlier order of this start had no answer and may have reached the worker.
+        // An earlier directive of this start was not acknowledged and may have reached the worker.
         let maybe_sent = self.unacknowledged.newest(&name, task, run).is_some();
         let refusal = match answer {
             Some(directive::Answer::Done { .. }) => {
@@ -288,7 +292,7 @@
                 if entry.phase == Phase::Sent {
                     entry.phase = Phase::Unacknowledged;
                 }
-                record.suspect_until = record.suspect_until.max(now + UNREACHED_PAUSE);
+                record.suspect_until = record.suspect_until.max(now + UNREACHABLE_PAUSE);
                 self.log_start(task, run, name, "not_sent", after);
                 if is_certain {
                     self.drop_run(worker, task, run);
@@ -308,13 +312,13 @@
                     entry.phase = Phase::Unacknowledged;
                     entry.since = now;
                 }
-                record.suspect_until = record.suspect_until.max(now + UNREACHED_PAUSE);
+                record.suspect_until = record.suspect_until.max(now + UNREACHABLE_PAUSE);
                 self.log_start(task, run, name, "none", after);
                 return;
             }
         };
-        let word = match refusal {
-            // Another leader decides from now on; this one will learn of it from its own group.
+        let answer = match refusal {
+            // Another leader decides from now on; this one will learn of it from its replication group.
             directive::Refusal::Fenced | directive::Refusal::OtherIncarnation => return,
             directive::Refusal::Outdated => "outdated",
             directive::Refusal::Late => "late",
@@ -329,18 +333,18 @@
         if refusal == directive::Refusal::Outdated && matches!(entry.phase, Phase::Running(_)) {
             return;
         }
-        // An earlier start without an answer may still be carried out, unless its lease is over as well.
+        // An earlier start without an answer may still be carried out, unless its lease has expired as well.
         let is_open =
             maybe_sent && !matches!(refusal, directive::Refusal::Late | directive::Refusal::Outdated);
         if is_open && entry.phase == Phase::Sent {
             entry.phase = Phase::Unacknowledged;
         }
-        self.log_start(task, run, name, word, after);
+        self.log_start(task, run, name, answer, after);
         if refusal == directive::Refusal::Ticket {
             self.queries.invalidate_ticket(report::step_of(task), worker);
         }
         if refusal == directive::Refusal::Outdated {
-            // It was there and has ended, or was stopped before it came; the report lists which.
+            // The run existed and has ended, or was stopped before it started; the report shows which.
             if let Some(entry) = self
                 .workers
                 .get_mut(&worker)
@@ -393,7 +397,7 @@
             }
             return;
         };
-        // A run that has ended needs no stop; its end is listed.
+        // A run that has ended needs no stop; its end is reported.
         let settled = matches!(
             answer,
             Some(
@@ -470,7 +474,7 @@
     }
 }
 
-/// Order to stop a run.
+/// Returns the output that stops a run.
 pub(super) const fn stop(
     worker: cell::WorkerIndex,
     task: directive::Task,
@@ -491,7 +495,7 @@
     now: Duration,
 ) -> Option<Output> {
     let waits = match record.report_requested_at {
-        Some(asked) => now < asked + REPORT_WAIT + REPORT_SLACK,
+        Some(requested_at) => now < requested_at + REPORT_WAIT + REPORT_TIMEOUT_MARGIN,
         None => now < record.next_report_at,
     };
     if waits {
@@ -499,14 +503,14 @@
     }
     record.report_missed |= record.report_requested_at.is_some();
     record.report_requested_at = Some(now);
-    // A worker that has not answered keeps the lease that it has: its runs are over for certain only when the latest
-    // lease that it may have got is over, and with each further one that would never be.
+    // A worker that has not answered keeps its current lease. Its runs have certainly ended only when the latest lease
+    // that it may have received has expired, and if each request extended that lease, this would never happen.
     let clock = record.clock(now).filter(|_| !record.report_missed);
     let lease_end = clock.map(|clock| clock + lease);
     if let Some(end) = lease_end {
         record.lease_end = record.lease_end.max(end);
     }
-    // A report that renews no lease has to come at once, so that the next one does.
+    // A report that renews no lease has to arrive immediately, so that the next one does.
     let wait = if lease_end.is_some() {
         REPORT_WAIT
     } else {
@@ -524,7 +528,7 @@
     })
 }
 
-/// Progress that a start resumes from.
+/// Returns the checkpoint that a start resumes from.
 fn checkpoint(state: &cell::State, job: &cell::Job, task: directive::Task) -> Option<Bytes> {
     let spec = job.submission.steps.get(usize::from(task.step))?;
     if !spec.checkpoints {
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -1,78 +1,79 @@
-//! Decisions that the log shows.
+//! Events that the log shows.
 
 use std::{fmt, time::Duration};
 
 use bronzespoke_control::cell;
 use bronzespoke_workload::{advice, directive};
 
-/// One decision or change of belief, with what it rests on.
+/// A decision or a change in the known state of a worker, with its reason.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Event {
     /// A start was decided.
     Placed {
-        /// Task.
+        /// Task of the run.
         task: directive::Task,
-        /// Number of the start.
+        /// Number of the run.
         run: directive::Run,
-        /// Worker.
+        /// Name of the worker.
         worker: String,
-        /// Free processors of the worker before, in thousandths of a core.
+        /// Free processors of the worker before the placement, in thousandths of a core.
         free_cpu: u32,
     },
-    /// A worker answered a start, or did not in time.
+    /// A worker answered a start, or did not answer it in time.
     StartAnswered {
-        /// Task.
+        /// Task of the run.
         task: directive::Task,
-        /// Number of the start.
+        /// Number of the run.
         run: directive::Run,
-        /// Worker.
+        /// Name of the worker.
         worker: String,
-        /// Answer in words.
+        /// Answer as it appears in logs.
         answer: &'static str,
-        /// Time since the decision.
+        /// Time since the start was decided.
         after: Duration,
     },
     /// The end of a run is certain.
     Ended {
-        /// Task.
+        /// Task of the run.
         task: directive::Task,
-        /// Number of the start.
+        /// Number of the run.
         run: directive::Run,
-        /// Worker.
+        /// Name of the worker.
         worker: String,
-        /// How it ended.
+        /// Outcome of the run.
         outcome: directive::Outcome,
     },
-    /// A worker is known from now on.
+    /// A worker was added to the record of workers.
     WorkerKnown {
-        /// Number of the life.
+        /// Index of the incarnation.
         index: cell::WorkerIndex,
-        /// Name.
+        /// Name of the worker.
         worker: String,
-        /// Runs that an earlier leader placed there.
+        /// Number of runs that an earlier leader placed there.
         inherited: usize,
     },
-    /// A worker gets no new work, for a reason.
+    /// A worker gets no new work.
     WorkerUnusable {
-        /// Name.
+        /// Name of the worker.
         worker: String,
-        /// Reason.
+        /// Reason as it appears in logs.
         reason: &'static str,
-        /// Runs on it.
+        /// Number of runs on the worker.
         runs: usize,
-        /// Age of its last report.
+        /// Age of its last report, if known.
         silent: Option<Duration>,
     },
-    /// The eligibility service was asked.
+    /// A query was sent to the eligibility service.
     QuerySent {
-        /// Step.
+        /// Step that the query is about.
         step: advice::Step,
-        /// Workers that the question names.
+        /// Number of workers that the query names.
         workers: usize,
     },
-    /// A worker follows another leader.
+    /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
+    /// leader.
     Fenced {
-        /// Name.
+        /// Name of the worker.
         worker: String,
     },
 }
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -1,4 +1,4 @@
-//! Workers that come, drain, fall silent and go.
+//! Registration, draining and removal of workers.
 
 use std::time::Duration;
 
@@ -8,24 +8,24 @@
 use super::{Dispatch, Event, Now, Output, directives, lost::Loss, schedule};
 use crate::worker;
 
-/// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the order.
+/// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the directive.
 const INHERITED_MARGIN: Duration = Duration::from_millis(500);
-/// Time that a run of an earlier leader is expected to take on, of which only the placement is known.
+/// Expected remaining time of a run that an earlier leader placed, of which only the placement is known.
 const INHERITED_RUN_TIME: Duration = Duration::from_secs(2);
 
-/// What an announcement asks for.
+/// Consequence of an announcement.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Registration {
-    /// It is known already.
+    /// The incarnation is registered and unchanged.
     Known,
-    /// It comes from a former life.
+    /// The announcement comes from an earlier incarnation.
     Outdated,
-    /// The command has to be committed before it is acknowledged.
+    /// The command has to be committed before the announcement is acknowledged.
     Propose(cell::Command),
 }
 
 impl Dispatch {
-    /// Builds machines and runs from the replicated state.
+    /// Creates the records of workers and runs from the replicated state.
     pub(super) fn inherit(&mut self, state: &cell::State, now: Now) {
         let lease = self.config.lease().max(super::LEASE);
         let until = now.steady + lease.div_f64(1.0 - worker::CLOCK_DRIFT) + INHERITED_MARGIN;
@@ -86,7 +86,7 @@
                     if let Some(record) = self.workers.get_mut(&worker) {
                         record.add(name, run);
                     } else {
-                        // The worker was removed, so its runs are over; only the record is missing.
+                        // The worker was removed, so its runs have ended; only their record is missing.
                         self.usage.remove(job.team.as_deref(), run.size);
                         self.propose_lost(worker, vec![(name, task.run, None)]);
                     }
@@ -95,14 +95,14 @@
         }
     }
 
-    /// Decides what an announcement changes.
+    /// Handles an announcement and returns its consequence.
     pub fn announce(
         &mut self,
         state: &cell::State,
         now: Duration,
         announcement: &announced::Announcement,
     ) -> Registration {
-        let life = &announcement.incarnation;
+        let incarnation = &announcement.incarnation;
         let draining = matches!(announcement.state, announced::State::Draining { .. });
         let departs_at = match announcement.state {
             announced::State::Draining { remaining } => remaining.map(|remaining| now + remaining),
@@ -111,7 +111,7 @@
         let known = state.workers().iter();
         let mut former = Vec::new();
         for (index, registered) in known {
-            if registered.life == *life {
+            if registered.life == *incarnation {
                 let changed = (draining && !registered.draining)
                     || registered.worker.address != announcement.worker.address
                     || registered.worker.room != announcement.worker.room
@@ -132,8 +132,8 @@
                 };
             }
             let same_place = registered.worker.address == announcement.worker.address;
-            if registered.life.name == life.name || same_place {
-                if registered.life.born > life.born {
+            if registered.life.name == incarnation.name || same_place {
+                if registered.life.born > incarnation.born {
                     return Registration::Outdated;
                 }
                 former.push(*index);
@@ -145,14 +145,14 @@
         Registration::Propose(register(announcement, draining))
     }
 
-    /// Takes the word of a worker that it ends now.
+    /// Handles the notice of a worker that it leaves now.
     pub fn leave(&mut self, state: &cell::State, name: &str) {
         if let Some((index, _)) = state.worker_named(name) {
             self.end_incarnation(index, Loss::Departed);
         }
     }
 
-    /// Takes over lives that were registered or removed.
+    /// Adds newly registered workers and updates the known ones.
     pub(super) fn sync_workers(&mut self, state: &cell::State, now: Duration) {
         self.ended.retain(|index| state.workers().contains_key(index));
         for (index, registered) in state.workers() {
@@ -165,14 +165,14 @@
                 record.draining |= registered.draining;
                 continue;
             }
-            let life = registered.life.clone();
+            let incarnation = registered.life.clone();
             self.outputs.push(Output::Event(Event::WorkerKnown {
                 index: *index,
-                worker: life.name.clone(),
+                worker: incarnation.name.clone(),
                 inherited: 0,
             }));
-            let starts = self.unacknowledged.outstanding(&life.name, now);
-            let mut record = worker::Worker::new(life, worker, registered.draining, now, now);
+            let starts = self.unacknowledged.outstanding(&incarnation.name, now);
+            let mut record = worker::Worker::new(incarnation, worker, registered.draining, now, now);
             for start in starts {
                 record.orphans.expect(&start);
             }
@@ -180,14 +180,14 @@
         }
     }
 
-    /// Marks the runs of a step as to be stopped.
+    /// Stops the runs of a step up to a number.
     pub(super) fn stop_step(&mut self, step: advice::Step, run: directive::Run, now: Duration) {
         let (first, last) = (schedule::task_id(step, 0), schedule::task_id(step, u32::MAX));
-        self.stop_range(first, last, run, now);
+        self.stop_runs_in(first, last, run, now);
     }
 
-    /// Marks runs up to a number in a range of tasks as to be stopped, and sends the orders.
-    fn stop_range(
+    /// Stops the runs up to a number in a range of tasks.
+    fn stop_runs_in(
         &mut self,
         first: directive::Task,
         last: directive::Task,
@@ -208,7 +208,7 @@
         }
     }
 
-    /// Marks the runs of a job as to be stopped and drops what waits of it.
+    /// Stops the runs of a job and removes its waiting steps.
     pub(super) fn stop_job(
         &mut self,
         key: bronzespoke_workload::job::Key,
@@ -232,11 +232,12 @@
             step: u16::MAX,
             index: u32::MAX,
         };
-        self.stop_range(first, last, directive::Run::MAX, now);
+        self.stop_runs_in(first, last, directive::Run::MAX, now);
     }
 }
 
-/// What a task takes from the room of its worker.
+/// Returns the resources that a task of a step counts with; the processors of one that uses only idle processors do
+/// not count.
 pub(super) const fn counted_size(
     step: &bronzespoke_workload::job::Step,
 ) -> bronzespoke_model::resource::Amount {
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -1,4 +1,4 @@
-//! Lives of workers that are over, and what becomes of their runs.
+//! Incarnations of workers that have ended, and the outcome of their runs.
 
 use std::{collections::BTreeSet, time::Duration};
 
@@ -9,28 +9,28 @@
 use super::{Dispatch, Event, Output};
 use crate::{orphan, worker};
 
-/// A worker without runs that was silent for this long is removed.
+/// Time without a report after which a worker without runs is removed.
 const RETIRE_AFTER: Duration = Duration::from_mins(1);
 
-/// Why the runs of a worker are lost.
+/// Reason for which the runs of a worker are lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Loss {
-    /// The worker was silent until its lease was over.
+    /// The worker did not report until its lease had expired.
     Lease,
-    /// It said that it ends.
+    /// The worker gave notice that it leaves.
     Departed,
-    /// Another life answered an order.
+    /// Another incarnation answered a directive.
     OtherIncarnation,
-    /// A later life announced itself.
+    /// A later incarnation announced itself.
     Replaced,
-    /// A later life reported.
+    /// A later incarnation reported.
     Restarted,
-    /// It was silent for long and has no runs.
+    /// The worker has no runs and has not reported for a long time.
     Silent,
 }
 
 impl Loss {
-    /// Reason in the log.
+    /// Returns the reason as it appears in logs.
     const fn name(self) -> &'static str {
         match self {
             Self::Lease => "lease",
@@ -43,8 +43,9 @@
     }
 }
 
-/// A run of a lost worker whose start order had no answer. The order may be carried out late, by the next life of the
-/// same name before that one has seen its own fencing token; until then the task must not run elsewhere.
+/// A run of a lost worker whose start directive was not acknowledged. The directive may be carried out late, by the
+/// next incarnation with the same name before that one has received its own fencing token; until then the task must
+/// not run elsewhere.
 #[derive(Debug)]
 pub(super) struct Uncertain {
     worker: cell::WorkerIndex,
@@ -52,14 +53,14 @@
     task: directive::Task,
     run: directive::Run,
     checkpoint: Option<Bytes>,
-    /// End of its lease on the clock of the worker.
+    /// End of its lease on the worker's clock.
     lease_end: Duration,
-    /// Local time from which it is certain that it does not run.
+    /// Local time from which it is certain that the run does not exist.
     until: Duration,
 }
 
 impl Dispatch {
-    /// Ends all runs of a life that is over, and removes it.
+    /// Handles the end of an incarnation: its runs are lost, and it is removed.
     pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, loss: Loss) {
         self.lose_runs(index, loss);
         self.slowness.remove_worker(index);
@@ -70,7 +71,7 @@
         self.dirty = true;
     }
 
-    /// Removes a life that is over, unless the fate of one of its runs is open.
+    /// Proposes the removal of an ended incarnation, unless the outcome of one of its runs is unknown.
     fn retire(&mut self, index: cell::WorkerIndex) {
         let is_open = self.uncertain.iter().any(|run| run.worker == index);
         if self.ended.contains(&index) && !is_open {
@@ -79,10 +80,10 @@
         }
     }
 
-    /// Learns from a report which runs of lost workers did not start.
+    /// Determines from a report which runs of lost workers did not start.
     ///
-    /// A life that reports has seen its own fencing token, and refuses the orders of the former one from then on. The same
-    /// life refuses them once their lease is over.
+    /// A later incarnation that reports has received its own fencing token, and refuses directives to the previous one
+    /// from then on. The same incarnation refuses a start once its lease has expired.
     pub(super) fn review_uncertain(
         &mut self,
         now: Duration,
@@ -107,7 +108,7 @@
         }
     }
 
-    /// Records the loss of runs that no life can start any more.
+    /// Proposes the loss of runs that no incarnation can start any more.
     pub(super) fn settle_uncertain(&mut self, now: Duration) {
         let runs = std::mem::take(&mut self.uncertain);
         let (settled, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(|run| now >= run.until);
@@ -122,7 +123,7 @@
         }
     }
 
-    /// Records that no run of a worker is at work any more.
+    /// Handles the loss of all runs of a worker.
     pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, loss: Loss) {
         let Some(record) = self.workers.get_mut(&index) else {
             return;
@@ -149,9 +150,9 @@
                 };
                 self.unacknowledged.record(&name, start);
             }
-            // An order without an answer may come to the next life although a repeated one was carried out by this one. It
-            // is not waited for when a worker is silent until its lease ends: that would hold up each of these tasks for the
-            // 13 s of a late order, and the worker is hardly ever back with its next life by then.
+            // An unacknowledged start may reach the next incarnation although this one carried out a repeated start.
+            // This is not waited for if a worker is lost because its lease expired: it would delay each of these tasks
+            // by the 13 s of a late directive, and the worker is hardly ever back with its next incarnation by then.
             let newest = self.unacknowledged.newest(&name, task, run.run);
             if let Some(start) = newest.filter(|_| loss != Loss::Lease) {
                 self.uncertain.push(Uncertain {
@@ -194,9 +195,10 @@
         self.propose_ends(worker, ends);
     }
 
-    /// Gives up the runs of workers whose lease has run out.
+    /// Gives up the runs of workers whose lease has expired, and removes workers that have not reported for a long
+    /// time.
     pub(super) fn expire_leases(&mut self, now: Duration) {
-        let lapsed: Vec<cell::WorkerIndex> = self
+        let expired: Vec<cell::WorkerIndex> = self
             .workers
             .iter()
             .filter(|(_, record)| !record.runs.is_empty() && record.leases_expired(now))
@@ -208,10 +210,10 @@
             })
             .map(|(index, _)| *index)
             .collect();
-        for index in lapsed {
+        for index in expired {
             self.lose_runs(index, Loss::Lease);
         }
-        let gone: Vec<cell::WorkerIndex> = self
+        let silent: Vec<cell::WorkerIndex> = self
             .workers
             .iter()
             .filter(|(_, record)| record.runs.is_empty() && record.proposed_ends.is_empty())
@@ -220,7 +222,7 @@
             })
             .map(|(index, _)| *index)
             .collect();
-        for index in gone {
+        for index in silent {
             self.end_incarnation(index, Loss::Silent);
         }
     }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -1,8 +1,8 @@
-//! The leader's decisions over one term.
+//! Decisions of the leader during one term.
 //!
-//! A start is proposed, committed, ordered and confirmed, in this sequence; its room counts as used from the first of
-//! these on. A task is placed again only when the end of its former run is certain: the worker has listed it, the
-//! worker's life or lease is over, or the worker has shown that the run can no longer start.
+//! A start is proposed, committed, sent and confirmed, in this sequence; its resources count as used from the proposal
+//! on. A task is placed again only when the end of its previous run is certain: the worker has reported it, the
+//! worker's incarnation or lease has ended, or the worker has shown that the run can no longer start.
 
 mod directives;
 mod event;
@@ -27,26 +27,27 @@
 
 use crate::{estimate, orphan, query_queue, reserve, slowness, usage, worker};
 
-/// How long a worker may run without word from the leader. It has to outlast the loss of a leader (an election of at
-/// most 1.6 s and the first round of reports), and every second more delays the work of a lost worker by that much.
+/// Lease of a worker without contact to the leader. It has to outlast the loss of a leader (an election of at most 1.6
+/// s and the first round of reports), and each additional second delays the work of a lost worker by as much.
 const LEASE: Duration = Duration::from_secs(6);
-/// Lease that a start order names. Bounds how long an unanswered start may still take effect.
+/// Lease in a start directive. It bounds how long an unacknowledged start may still take effect.
 const START_LEASE: Duration = Duration::from_secs(3);
-/// Shortest time between two scheduling passes, so that a burst of events shares one pass.
+/// Minimum interval between two scheduling passes, so that a burst of events shares one pass.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
-/// Further pause for each step that waits, since a pass looks at all of them.
+/// Additional interval for each waiting step, since a pass evaluates all of them.
 const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(100);
-/// Longest time between two scheduling passes. With several hundred steps that wait, a pass takes a few milliseconds of a
-/// processor of which the leader has less than a half.
-const LONGEST_PASS_INTERVAL: Duration = Duration::from_millis(100);
-/// Steps that wait are looked at again after this without any event: questions, tickets and pauses run out by time alone.
+/// Maximum interval between two scheduling passes. With several hundred waiting steps, a pass takes a few milliseconds
+/// of a processor of which the leader has less than half.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
+/// Time without any event after which waiting steps are evaluated again, since queries, tickets and pauses expire by
+/// time alone.
 const WAITING_INTERVAL: Duration = Duration::from_millis(200);
-/// Time between two looks at the timers of all workers and runs.
+/// Interval between two checks of the timers of all workers and runs.
 const TIMER_INTERVAL: Duration = Duration::from_millis(20);
-/// Time between two looks at jobs whose retention is over.
+/// Interval between two checks for jobs whose retention has expired.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
-/// Finished jobs that one command removes.
-const MAX_FORGOTTEN_PER_COMMAND: usize = 256;
+/// Maximum number of finished jobs that one command removes.
+const MAX_FORGOTTEN_JOBS: usize = 256;
 /// Margin on the retention of finished jobs, for callers whose clock or call is late.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
@@ -58,52 +59,52 @@
     }
 }
 
-/// What the shell has to do.
+/// Action for the caller of [`Dispatch`] to carry out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
-    /// Replicate a command; its outcome comes back through [`Dispatch::committed`].
+    /// Replicate a command; its outcome is passed to [`Dispatch::committed`].
     Propose(cell::Command),
-    /// Send an order; the answer comes back through [`Dispatch::answered`].
+    /// Send a directive; the answer is passed to [`Dispatch::answered`].
     Directive {
-        /// Receiver.
+        /// Worker that receives the directive.
         worker: cell::WorkerIndex,
-        /// Order.
+        /// Directive to send.
         directive: directive::Directive,
-        /// When it was decided; comes back with the answer.
+        /// Time of the decision, passed back with the answer.
         decided: Duration,
     },
-    /// Ask the eligibility service.
+    /// Send a query to the eligibility service; the answer is passed to [`Dispatch::query_answered`].
     Query(query_queue::Assignment),
     /// Write a log line.
     Event(Event),
 }
 
-/// Settings of a term.
+/// Settings of one term.
 #[derive(Debug, Clone, Copy)]
 pub struct Config {
-    /// Fencing token: the term.
+    /// Fencing token, which is the term.
     pub token: directive::Token,
-    /// Bounds of the platform.
+    /// Time bounds of the platform.
     pub bounds: settings::Bounds,
 }
 
 impl Config {
-    /// Lease that reports renew.
+    /// Returns the duration to which requests for reports renew a worker's lease.
     fn lease(&self) -> Duration {
         LEASE.min(self.bounds.longest_lease)
     }
 }
 
-/// Time of one step: the process's steady clock and the wall clock, which is used for due times only.
+/// Current time: the process's monotonic clock, and the wall clock, which is used for due times only.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Now {
-    /// Since the start of the process, monotonic.
+    /// Time since the start of the process, monotonic.
     pub steady: Duration,
-    /// Milliseconds since the Unix epoch.
+    /// Wall-clock time in milliseconds since the Unix epoch.
     pub wall_ms: u64,
 }
 
-/// The leader's decisions.
+/// Scheduling state and decisions of a leader.
 #[derive(Debug)]
 pub struct Dispatch {
     config: Config,
@@ -112,17 +113,17 @@
     estimates: estimate::Estimates,
     slowness: slowness::Slowness,
     unacknowledged: orphan::Unacknowledged,
-    /// Runs of lost workers whose start order may still be carried out by the next life.
+    /// Runs of lost workers whose start directive may still be carried out by the next incarnation.
     uncertain: Vec<lost::Uncertain>,
-    /// Lives that are over and whose removal is not committed.
+    /// Incarnations that have ended and whose removal is not committed.
     ended: HashSet<cell::WorkerIndex>,
-    /// Configuration that holds the teams' limits.
+    /// Configuration with the upper limits of the teams.
     limits: Option<Arc<catalog::Catalog>>,
     queries: query_queue::Queue,
     reservations: reserve::Reservations,
     /// Steps with tasks to place.
     waiting: HashMap<advice::Step, waiting::Waiting>,
-    /// Steps of submissions whose commit is under way, which are asked about already.
+    /// Steps of submissions that are being committed, for which queries are already enqueued.
     prefetched: Vec<advice::Step>,
     /// Tasks whose start is proposed and not committed.
     proposed: HashSet<directive::Task>,
@@ -136,7 +137,7 @@
 }
 
 impl Dispatch {
-    /// Takes over from the replicated state.
+    /// Creates the state of a new term from the replicated state.
     pub fn new(config: Config, state: &cell::State, now: Now) -> Self {
         let mut dispatch = Self {
             config,
@@ -164,27 +165,27 @@
         dispatch
     }
 
-    /// Replaces the VMs that may ask the eligibility service.
+    /// Replaces the VMs that act as proxies for eligibility queries.
     pub fn set_proxies(&mut self, proxies: &[id::VmId]) {
         self.queries.set_proxies(proxies);
     }
 
-    /// Fencing token of the term.
+    /// Returns the fencing token of the term.
     pub const fn token(&self) -> directive::Token {
         self.config.token
     }
 
-    /// Lives of workers, for metrics and tests.
+    /// Returns the workers, for sending directives, metrics and tests.
     pub const fn workers(&self) -> &BTreeMap<cell::WorkerIndex, worker::Worker> {
         &self.workers
     }
 
-    /// Steps that wait for room, for metrics.
+    /// Returns the number of waiting steps, for metrics and logs.
     pub fn waiting_steps(&self) -> usize {
         self.waiting.len()
     }
 
-    /// Time at which [`Dispatch::tick`] has something to do.
+    /// Returns the time at which [`Dispatch::tick`] has to be called next.
     pub fn next_wake(&self) -> Duration {
         if self.dirty {
             self.pass_at.min(self.timers_at)
@@ -193,12 +194,12 @@
         }
     }
 
-    /// Takes the outputs that have gathered.
+    /// Returns the outputs that were collected since the last call.
     pub fn take_outputs(&mut self) -> Vec<Output> {
         std::mem::take(&mut self.outputs)
     }
 
-    /// Lets timers run and decides on placements.
+    /// Runs due timers and decides on placements.
     pub fn tick(&mut self, state: &cell::State, now: Now) {
         if now.steady >= self.timers_at {
             self.timers_at = now.steady + TIMER_INTERVAL;
@@ -214,7 +215,7 @@
             self.schedule(state, now);
             let waiting = self.waiting.len() as u32;
             let interval = PASS_INTERVAL + PASS_INTERVAL_PER_STEP * waiting;
-            self.pass_at = now.steady + interval.min(LONGEST_PASS_INTERVAL);
+            self.pass_at = now.steady + interval.min(MAX_PASS_INTERVAL);
         }
         if now.steady >= self.forget_at {
             self.forget_at = now.steady + FORGET_INTERVAL;
@@ -222,7 +223,7 @@
         }
     }
 
-    /// Takes a command that was committed in this term, after the state has applied it.
+    /// Handles a command that was committed in this term, after it was applied to the state.
     pub fn committed(
         &mut self,
         state: &cell::State,
@@ -235,8 +236,8 @@
             cell::Command::Submit { key, .. } => self.refresh_job(state, *key),
             cell::Command::Cancel { key } => self.stop_job(*key, now.steady, state),
             cell::Command::Start(starts) => {
-                if let cell::Outcome::Started(taken) = outcome {
-                    self.send_starts(state, now, starts, taken);
+                if let cell::Outcome::Started(accepted) = outcome {
+                    self.send_starts(state, now, starts, accepted);
                 }
             }
             cell::Command::End(ends) => self.ends_recorded(state, now, ends),
@@ -251,7 +252,7 @@
         }
     }
 
-    /// Takes back a command that will never be committed.
+    /// Handles a command that will never be committed.
     pub fn rejected(&mut self, state: &cell::State, command: &cell::Command) {
         self.dirty = true;
         match command {
@@ -267,20 +268,21 @@
                     self.queries.remove(first_occurrence(*key, step as u16));
                 }
             }
-            // Ends that are not recorded are listed again; without the acknowledgement the worker repeats them.
-            cell::Command::End(ends) => self.reset_listed_ends(ends),
+            // Ends that were not recorded are handled again when they are reported again; without the acknowledgement,
+            // the worker repeats them.
+            cell::Command::End(ends) => self.reset_reported_ends(ends),
             _ => {}
         }
     }
 
-    /// Takes the answer of the eligibility service that came through a helper.
+    /// Handles an answer of the eligibility service.
     pub fn query_answered(&mut self, now: Duration, number: u64, answer: &advice::Answer) {
         if self.queries.record_answer(now, number, answer).is_some() {
             self.dirty = true;
         }
     }
 
-    /// Asks about the first steps of a submission while it is being committed.
+    /// Enqueues queries about the first steps of a submission while it is being committed.
     pub fn prefetch_eligibility(
         &mut self,
         now: Duration,
@@ -306,11 +308,12 @@
 
     fn forget_finished(&mut self, state: &cell::State, wall_ms: u64) {
         let keep_ms = (self.config.bounds.retention + RETENTION_MARGIN).as_millis() as u64;
-        let old = |job: &&cell::Job| job.is_final() && job.placed == 0 && job.finished_ms + keep_ms < wall_ms;
+        let is_expired =
+            |job: &&cell::Job| job.is_final() && job.placed == 0 && job.finished_ms + keep_ms < wall_ms;
         let keys: Vec<job::Key> = state
             .jobs()
-            .filter(old)
-            .take(MAX_FORGOTTEN_PER_COMMAND)
+            .filter(is_expired)
+            .take(MAX_FORGOTTEN_JOBS)
             .map(|job| job.key)
             .collect();
         if !keys.is_empty() {
@@ -318,7 +321,7 @@
         }
     }
 
-    /// Stops counting a run whose end is certain.
+    /// Removes a run whose end is certain.
     fn drop_run(
         &mut self,
         worker: cell::WorkerIndex,
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -1,4 +1,4 @@
-//! Reports of workers: what runs there and what has ended.
+//! Handling of workers' reports: active runs and ends.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -17,15 +17,15 @@
 
 /// Pause of a worker that fails what it starts; doubled with each further suspicion.
 const SUSPECT_PAUSE: Duration = Duration::from_secs(2);
-/// Longest pause of a suspected worker.
-const LONGEST_PAUSE: Duration = Duration::from_secs(16);
-/// Pause of a worker on which runs stand still; doubled with each further time.
+/// Maximum pause of a suspected worker.
+const MAX_PAUSE: Duration = Duration::from_secs(16);
+/// Pause of a worker on which runs stall; doubled with each further time.
 const STALL_PAUSE: Duration = Duration::from_secs(2);
 /// Factor by which a run has to end sooner elsewhere to be moved; projections are rough.
-const MOVE_GAIN: f64 = 1.3;
-/// Time that a move costs: the stop, a new question of eligibility and the start.
+const MIN_MOVE_GAIN: f64 = 1.3;
+/// Duration of a move: the stop, a new eligibility query and the start.
 const MOVE_COST: Duration = Duration::from_millis(800);
-/// A report that waits for the record of ends is asked for after this at the latest, so that leases are renewed.
+/// Maximum delay of a request for a report that waits for the record of ends, so that leases are renewed.
 const RECORD_WAIT: Duration = Duration::from_millis(300);
 
 impl Dispatch {
@@ -55,7 +55,7 @@
         }
         self.review_uncertain(now.steady, worker, report);
         self.handle_ends(state, now.steady, worker, report);
-        self.compare_runs(state, now.steady, worker, sent, report);
+        self.reconcile_runs(state, now.steady, worker, sent, report);
         self.stop_stalled(state, now.steady, worker);
         self.move_from_slow(state, now.steady, worker);
         self.move_from_draining(state, now.steady, worker);
@@ -69,7 +69,7 @@
         self.renew_lease(worker, now.steady);
     }
 
-    /// Proposes the record of ends that were not listed before.
+    /// Handles the ends that were not reported before and proposes their record.
     fn handle_ends(
         &mut self,
         state: &cell::State,
@@ -81,8 +81,8 @@
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let listed = record.listed_end;
-        for ended in report.ended.iter().filter(|ended| ended.number > listed) {
+        let last_reported = record.reported_end;
+        for ended in report.ended.iter().filter(|ended| ended.number > last_reported) {
             ends.push(cell::End {
                 task: ended.task,
                 run: ended.run,
@@ -97,7 +97,7 @@
         if ends.is_empty() {
             return;
         }
-        record.listed_end = record.listed_end.max(last);
+        record.reported_end = record.reported_end.max(last);
         for end in &ends {
             self.handle_end(state, now, end);
         }
@@ -110,16 +110,16 @@
         if end.outcome == directive::Outcome::Done {
             self.record_run_time(state, now, end, removed.as_ref());
         }
-        let asked_to_stop = removed.is_some_and(|run| run.stop != Stop::NotRequested);
+        let stop_requested = removed.is_some_and(|run| run.stop != Stop::NotRequested);
         let Some(record) = self.workers.get_mut(&end.worker) else {
             return;
         };
         match end.outcome {
             directive::Outcome::Done => record.record_success(),
-            directive::Outcome::Failed if !asked_to_stop => {
+            directive::Outcome::Failed if !stop_requested => {
                 self.failed_on.entry(end.task).or_default().push(end.worker);
                 let pause = SUSPECT_PAUSE * 2_u32.saturating_pow(record.suspicions);
-                let pause = pause.min(LONGEST_PAUSE);
+                let pause = pause.min(MAX_PAUSE);
                 if record.record_failure(now, end.task.job, pause) {
                     let event = Event::WorkerUnusable {
                         worker: record.incarnation.name.clone(),
@@ -138,7 +138,7 @@
         }
     }
 
-    /// Learns from a run that is done how long its queue's tasks take.
+    /// Records the run time of a completed run in the estimates of its queue.
     fn record_run_time(
         &mut self,
         state: &cell::State,
@@ -154,7 +154,7 @@
         else {
             return;
         };
-        // A run that resumes has done a part of its work before.
+        // A resumed run has completed a part of its work before.
         if run.run == 1 {
             let actual = now.saturating_sub(since);
             self.estimates.record(&job.queue.name, step.run_time, actual);
@@ -163,17 +163,18 @@
 
     /// Proposes the record of ends of one worker.
     ///
-    /// Records are committed in the order of their proposals, so the record of any of them shows that every end listed
-    /// before it is recorded.
+    /// Records are committed in the order of their proposals, so the commit of any of them shows that every end that
+    /// was reported before is recorded.
     pub(super) fn propose_ends(&mut self, worker: cell::WorkerIndex, ends: Vec<cell::End>) {
         if let Some(record) = self.workers.get_mut(&worker) {
-            record.proposed_ends.push_back(record.listed_end);
+            record.proposed_ends.push_back(record.reported_end);
         }
         self.outputs.push(Output::Propose(cell::Command::End(ends)));
     }
 
-    /// Compares what runs there with what should.
-    fn compare_runs(
+    /// Compares the reported runs with the expected ones: confirms runs, proposes the end of missing ones and finds
+    /// orphans.
+    fn reconcile_runs(
         &mut self,
         state: &cell::State,
         now: Duration,
@@ -202,15 +203,15 @@
                 observe(run, now, found.percent);
                 continue;
             }
-            let over = match (run.phase, run.stop) {
+            let has_ended = match (run.phase, run.stop) {
                 (Phase::Proposed, _) => false,
-                // The worker obeys no order of an earlier leader after it has taken one of this leader.
+                // The worker refuses directives of an earlier leader once it has received one of this leader.
                 (Phase::Inherited, _) => true,
                 (_, Stop::Acknowledged(at)) if sent > at => true,
                 (Phase::Running(since), _) => sent > since,
                 (Phase::Unacknowledged | Phase::Sent, _) => report.clock > run.lease_end,
             };
-            if over {
+            if has_ended {
                 let outcome = match run.phase {
                     Phase::Running(_) if run.stop == Stop::NotRequested => directive::Outcome::Lost,
                     Phase::Running(_) => directive::Outcome::Stopped,
@@ -238,7 +239,7 @@
         }
     }
 
-    /// Stops runs that stand still, so that they go on elsewhere.
+    /// Stops stalled runs, so that they continue elsewhere.
     fn stop_stalled(&mut self, state: &cell::State, now: Duration, worker: cell::WorkerIndex) {
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
@@ -254,7 +255,7 @@
             return;
         }
         let pause = STALL_PAUSE * 2_u32.saturating_pow(record.suspicions.min(3));
-        record.record_stall(now, pause.min(LONGEST_PAUSE));
+        record.record_stall(now, pause.min(MAX_PAUSE));
         let event = Event::WorkerUnusable {
             worker: record.incarnation.name.clone(),
             reason: "stalled",
@@ -268,8 +269,8 @@
         }
     }
 
-    /// Judges a worker by the progress of its runs, and stops runs on a slow one that end sooner when they start again
-    /// elsewhere.
+    /// Rates a worker by the progress of its runs. If it is slow, stops the runs that would end sooner if they were
+    /// started again elsewhere.
     fn move_from_slow(&mut self, state: &cell::State, now: Duration, worker: cell::WorkerIndex) {
         let Some(record) = self.workers.get(&worker) else {
             return;
@@ -311,8 +312,8 @@
         }
     }
 
-    /// Stops runs that are not expected to end before their worker leaves, so that they go on elsewhere at once and with
-    /// their newest progress.
+    /// Stops runs that are not expected to end before their worker leaves, so that they continue elsewhere immediately
+    /// and with their newest progress.
     pub(super) fn move_from_draining(
         &mut self,
         state: &cell::State,
@@ -352,9 +353,9 @@
         }
     }
 
-    /// Takes ends that are recorded: acknowledges them and lets what depends on them wait for room.
+    /// Handles ends that are recorded: acknowledges them and updates the steps that depend on them.
     pub(super) fn ends_recorded(&mut self, state: &cell::State, now: Now, ends: &[cell::End]) {
-        // All ends of one command are of one worker.
+        // All ends in one command are of the same worker.
         let worker = ends.first().map(|end| end.worker);
         if let Some(record) = worker.and_then(|worker| self.workers.get_mut(&worker))
             && let Some(number) = record.proposed_ends.pop_front()
@@ -386,7 +387,7 @@
         }
     }
 
-    /// Stops runs of a task that were started after one that turned out to be done.
+    /// Stops runs of a task that were started after a run that turned out to be complete.
     fn stop_later_runs(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
         let placed = state
             .task(end.task)
@@ -402,7 +403,7 @@
         }
     }
 
-    /// Stops the other members of a gang that lost one.
+    /// Stops the other members of a gang that has lost one.
     fn abandon_gang(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
         let step = state.spec(end.task);
         if step.is_some_and(|step| step.gang) {
@@ -410,17 +411,18 @@
         }
     }
 
-    /// Lets ends be listed again whose record was refused.
-    pub(super) fn reset_listed_ends(&mut self, ends: &[cell::End]) {
+    /// Resets the reported ends of a worker after the proposal of their record was rejected, so that they are handled
+    /// again.
+    pub(super) fn reset_reported_ends(&mut self, ends: &[cell::End]) {
         let Some(first) = ends.first() else { return };
         if let Some(record) = self.workers.get_mut(&first.worker) {
             record.proposed_ends.clear();
-            record.listed_end = record.recorded_end;
+            record.reported_end = record.recorded_end;
         }
     }
 }
 
-/// What a task takes from its worker; nothing is known of a task whose job was forgotten.
+/// Returns the resources that a task counts with; `None` if its job was removed.
 fn size_of(state: &cell::State, task: directive::Task) -> Option<resource::Amount> {
     state.spec(task).map(super::fleet::counted_size)
 }
@@ -435,19 +437,20 @@
     }
 }
 
-/// Whether a run on a worker that is slow by a factor would end sooner if it were stopped and started again.
-fn is_sooner_elsewhere(progress: &progress::Progress, factor: f64, saves: bool, now: Duration) -> bool {
+/// Returns whether a run on a worker that is slow by `factor` would end sooner if it were stopped and started again
+/// elsewhere.
+fn is_sooner_elsewhere(progress: &progress::Progress, factor: f64, checkpoints: bool, now: Duration) -> bool {
     let (Some(end), Some(total)) = (progress.end(), progress.total()) else {
         return false;
     };
     let here = end.saturating_sub(now);
-    let done = if saves {
+    let completed = if checkpoints {
         f64::from(progress.percent()) / 100.0
     } else {
         0.0
     };
-    let elsewhere = total.mul_f64((1.0 - done) / factor);
-    here > elsewhere.mul_f64(MOVE_GAIN) + MOVE_COST
+    let elsewhere = total.mul_f64((1.0 - completed) / factor);
+    here > elsewhere.mul_f64(MIN_MOVE_GAIN) + MOVE_COST
 }
 
 fn is_stalled(run: &worker::Run, now: Duration) -> bool {
@@ -455,7 +458,8 @@
         .is_some_and(|progress| progress.is_stalled(now, run.run_time))
 }
 
-/// Whether the progress of a task says anything: that of a lasting task does not, and a gang may wait for a member.
+/// Returns whether the progress of a task is meaningful: that of a lasting task is not, and a gang may wait for a
+/// member.
 fn may_stall(state: &cell::State, task: directive::Task) -> bool {
     let step = state.spec(task);
     step.is_some_and(|step| !step.lasting && !step.gang)
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -1,4 +1,4 @@
-//! One scheduling pass: the waiting steps in their order, each with what fits.
+//! Scheduling pass: places the tasks of the waiting steps in the order of their ranks.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -17,29 +17,29 @@
     worker::{self, Phase, Stop},
 };
 
-/// A worker whose last report is older gets no new work. Reports come a second apart; what is placed on a worker that is
-/// gone waits for the end of its lease.
-const USABLE_AGE: Duration = Duration::from_millis(1_600);
-/// Starts that one command records.
+/// Maximum age of the last report of a worker that gets new work. Reports arrive a second apart, and what is placed on
+/// a lost worker waits for the end of its lease.
+const MAX_REPORT_AGE: Duration = Duration::from_millis(1_600);
+/// Maximum number of starts in one command.
 const MAX_STARTS_PER_COMMAND: usize = 256;
-/// Fewest workers that a question about a step names, if there are as many.
+/// Minimum number of workers in a query about a step, if there are as many.
 const MIN_QUERIED_WORKERS: usize = 60;
-/// Workers that are asked about for each member of a gang. On a fleet that is four fifths full, a third of the workers may
-/// run a gang and a third of these have room for a member.
+/// Number of workers in a query for each member of a gang. On a fleet at 80% utilization, a third of the workers may
+/// run a gang, and a third of these have room for a member.
 const QUERIED_PER_MEMBER: usize = 8;
-/// A gang whose room is expected later than this asks about further workers.
-const LATE_GANG: Duration = Duration::from_secs(1);
-/// Tickets of the workers that are kept for a gang are renewed this long before its room is expected; a question takes
-/// about as long.
+/// A gang whose room is expected later than this queries further workers.
+const LATE_GANG_DELAY: Duration = Duration::from_secs(1);
+/// The tickets of the workers that are reserved for a gang are renewed this long before its room is expected; a query
+/// takes about as long.
 const TICKET_RENEWAL_LEAD: Duration = Duration::from_millis(900);
-/// One worker in this many may be kept for gangs that wait.
-const RESERVED_SHARE: usize = 2;
+/// One worker in this many may be reserved for waiting gangs.
+const RESERVED_RATIO: usize = 2;
 
-/// Workers that are kept for gangs in this pass, with the time at which each gang is expected to start.
+/// Workers that are reserved for gangs in this pass, with the time at which each gang is expected to start.
 #[derive(Debug, Default)]
 struct Reserved {
     workers: HashMap<cell::WorkerIndex, Duration>,
-    most: usize,
+    max: usize,
 }
 
 /// A usable worker in one pass.
@@ -52,7 +52,7 @@
     free_cpu: u32,
 }
 
-/// What a pass needs to know about a step.
+/// Properties of a step that a pass needs.
 struct Subject<'a> {
     id: advice::Step,
     job: &'a cell::Job,
@@ -70,7 +70,7 @@
         self.dirty = false;
         let ranked = self.ranked(state, now);
         let mut workers: Vec<_> = self.usable(now.steady);
-        // A step looks at the workers with enough room first and stops at the first one without.
+        // A step scans the workers with the most free processors first and stops at the first one without enough.
         workers.sort_unstable_by_key(|(index, _, free)| (std::cmp::Reverse(free.cpu_milli), *index));
         let mut slots: Vec<Slot<'_>> = workers
             .iter()
@@ -83,7 +83,7 @@
             .collect();
         let mut reserved = Reserved {
             workers: HashMap::new(),
-            most: slots.len() / RESERVED_SHARE,
+            max: slots.len() / RESERVED_RATIO,
         };
         let mut starts = Vec::new();
         let mut order = std::mem::take(&mut self.prefetched);
@@ -111,7 +111,7 @@
         }
     }
 
-    /// Workers that the first question about a step names, those with the most room first.
+    /// Returns the workers that the first query about a step names, those with the most room first.
     pub(super) fn query_candidates(
         &self,
         now: Duration,
@@ -138,13 +138,13 @@
             })
             .collect();
         workers.sort_by_key(|(room, _, _)| std::cmp::Reverse(*room));
-        let named = workers.into_iter().take(queried_workers(spec));
+        let named = workers.into_iter().take(query_size(spec));
         named
             .map(|(_, index, record)| (*index, record.incarnation.name.clone()))
             .collect()
     }
 
-    /// Workers that may get new work.
+    /// Returns the workers that may get new work.
     fn usable(&self, now: Duration) -> Vec<(cell::WorkerIndex, Arc<announced::Worker>, resource::Amount)> {
         let usable = self.workers.iter().filter(|(_, record)| is_usable(record, now));
         usable
@@ -152,7 +152,7 @@
             .collect()
     }
 
-    /// Waiting steps that are due, in their order.
+    /// Returns the waiting steps that are due, in the order of their ranks.
     fn ranked(&self, state: &cell::State, now: Now) -> Vec<(rank::Rank, advice::Step)> {
         let mut ranked = Vec::with_capacity(self.waiting.len());
         for (id, entry) in &self.waiting {
@@ -182,8 +182,8 @@
             open.then_some(index)
         };
         let tasks: Vec<u32> = progress.tasks.iter().enumerate().filter_map(open).collect();
-        let apart = spec.gang && tasks.len() < progress.remaining as usize;
-        if tasks.is_empty() || apart {
+        let is_incomplete_gang = spec.gang && tasks.len() < progress.remaining as usize;
+        if tasks.is_empty() || is_incomplete_gang {
             return None;
         }
         Some(Subject {
@@ -220,7 +220,7 @@
         let needed = if subject.spec.gang { wanted } else { 1 };
         let mut candidates = self.candidates(now, subject, slots, reserved, true);
         if subject.spec.one_rack && subject.spec.gang {
-            self.keep_one_rack(&mut candidates, subject, wanted);
+            self.restrict_to_rack(&mut candidates, subject, wanted);
         }
         if let Some(cost) = &subject.queue.advice {
             self.query_tickets(now, subject, cost, needed, &candidates, slots, reserved);
@@ -252,14 +252,15 @@
         }
     }
 
-    /// Tasks that the team's limit leaves.
+    /// Returns the number of tasks that the team's upper limit allows.
     fn allowed(&self, subject: &Subject<'_>, team: Option<&str>) -> u32 {
         self.limits.as_ref().map_or(u32::MAX, |catalog| {
             self.usage.tasks_allowed(catalog, team, subject.size)
         })
     }
 
-    /// Workers that may run the step as far as is known; with `fitting`, only those with room for a task now.
+    /// Returns the workers that may run the step as far as is known; with `fitting`, only those that have room for a
+    /// task now.
     fn candidates(
         &self,
         now: Duration,
@@ -284,8 +285,8 @@
             if label.is_some_and(|label| !slot.worker.labels.contains(label)) {
                 continue;
             }
-            let kept = reserved.workers.get(&slot.index);
-            let delays_gang = kept.is_some_and(|due| now + subject.run_time > *due);
+            let reserved_until = reserved.workers.get(&slot.index);
+            let delays_gang = reserved_until.is_some_and(|due| now + subject.run_time > *due);
             if subject.tier > 0 && delays_gang {
                 continue;
             }
@@ -305,7 +306,7 @@
         candidates
     }
 
-    /// Asks for tickets where they are missing: for a step that is new, and for one that would fit if it had them.
+    /// Queries missing tickets: for a new step, and for one that would fit if it had them.
     #[expect(
         clippy::too_many_arguments,
         reason = "all parts of one decision about one step"
@@ -343,7 +344,7 @@
         self.enqueue_query(now, subject, cost, missing);
     }
 
-    /// Asks about workers, those with the most room first.
+    /// Enqueues a query about workers, those with the most room first.
     fn enqueue_query(
         &mut self,
         now: Duration,
@@ -355,20 +356,20 @@
             let room = (candidate.fitting(&subject.size), candidate.free.cpu_milli);
             std::cmp::Reverse(room)
         });
-        let asked = workers.into_iter().take(queried_workers(subject.spec));
-        let workers = asked
-            .filter_map(|candidate| self.named(candidate.worker))
+        let queried = workers.into_iter().take(query_size(subject.spec));
+        let workers = queried
+            .filter_map(|candidate| self.named_worker(candidate.worker))
             .collect();
         self.queries.enqueue(now, subject.id, cost, workers);
     }
 
-    /// A worker with its name, as questions need it.
-    fn named(&self, worker: cell::WorkerIndex) -> Option<(cell::WorkerIndex, String)> {
+    /// Returns the index and name of a worker, as queries need them.
+    fn named_worker(&self, worker: cell::WorkerIndex) -> Option<(cell::WorkerIndex, String)> {
         let record = self.workers.get(&worker)?;
         Some((worker, record.incarnation.name.clone()))
     }
 
-    /// Tasks of the step that a worker may still take.
+    /// Returns the number of further tasks of the step that a worker may run.
     fn slots(&self, worker: cell::WorkerIndex, subject: &Subject<'_>) -> u32 {
         if subject.spec.per_worker == 0 {
             return u32::MAX;
@@ -382,8 +383,8 @@
         subject.spec.per_worker.saturating_sub(here)
     }
 
-    /// Keeps the workers of one rack, if one has room for all tasks.
-    fn keep_one_rack(&self, candidates: &mut Vec<Candidate>, subject: &Subject<'_>, wanted: u32) {
+    /// Restricts the candidates to one rack, if one has room for all tasks.
+    fn restrict_to_rack(&self, candidates: &mut Vec<Candidate>, subject: &Subject<'_>, wanted: u32) {
         let mut racks: HashMap<&str, u32> = HashMap::new();
         let rack_of = |worker: cell::WorkerIndex| {
             let record = self.workers.get(&worker);
@@ -394,14 +395,14 @@
             *sum = sum.saturating_add(candidate.fitting(&subject.size));
         }
         let fitting = racks.into_iter().filter(|(_, fitting)| *fitting >= wanted);
-        // The rack that is left with the least room.
+        // The rack with the least remaining room is chosen.
         if let Some((rack, _)) = fitting.min_by_key(|(rack, fitting)| (*fitting, *rack)) {
             let rack = String::from(rack);
             candidates.retain(|candidate| rack_of(candidate.worker) == rack);
         }
     }
 
-    /// Keeps workers for a gang that does not fit yet: those on which room is expected first.
+    /// Reserves workers for a gang that does not fit yet: those on which room is expected first.
     fn reserve(
         &mut self,
         now: Duration,
@@ -412,7 +413,7 @@
     ) {
         let known = self.queries.eligibility(subject.id);
         let is_open = subject.queue.advice.is_some() && known.is_none_or(|known| !known.is_known());
-        if reserved.workers.len() >= reserved.most || is_open {
+        if reserved.workers.len() >= reserved.max || is_open {
             return;
         }
         if self.reservations.recent(subject.id, now).is_none() {
@@ -431,7 +432,9 @@
                 })
                 .collect();
             let choice = reserve::choose(openings, wanted, now);
-            let is_late = choice.as_ref().is_none_or(|choice| choice.due > now + LATE_GANG);
+            let is_late = choice
+                .as_ref()
+                .is_none_or(|choice| choice.due > now + LATE_GANG_DELAY);
             match choice {
                 Some(choice) => self.reservations.insert(subject.id, choice),
                 None => self.reservations.remove(subject.id),
@@ -448,13 +451,13 @@
         self.renew_tickets(now, subject);
     }
 
-    /// Whether a worker is known to be eligible for the step, or needs not be.
+    /// Returns whether a worker is known to be eligible for the step, or no query is needed.
     fn may_run(&self, subject: &Subject<'_>, worker: cell::WorkerIndex) -> bool {
         let known = self.queries.eligibility(subject.id);
         subject.queue.advice.is_none() || known.is_some_and(|known| known.is_eligible(worker))
     }
 
-    /// Renews the tickets of the workers that are kept for a gang shortly before it starts.
+    /// Renews the tickets of the workers that are reserved for a gang shortly before it starts.
     fn renew_tickets(&mut self, now: Duration, subject: &Subject<'_>) {
         let Some(cost) = subject.queue.advice else { return };
         let (Some(choice), Some(known)) = (
@@ -469,11 +472,11 @@
         let until = choice.due.max(now) + TICKET_RENEWAL_LEAD;
         let lacks = |worker: &&cell::WorkerIndex| !known.is_permitted(**worker, until);
         let lacking = choice.workers.iter().filter(lacks);
-        let workers = lacking.filter_map(|worker| self.named(*worker)).collect();
+        let workers = lacking.filter_map(|worker| self.named_worker(*worker)).collect();
         self.queries.enqueue(now, subject.id, &cost, workers);
     }
 
-    /// Workers on which tasks of the step have failed.
+    /// Returns the workers on which tasks of the step have failed.
     fn avoided(&self, subject: &Subject<'_>) -> BTreeMap<u32, Vec<cell::WorkerIndex>> {
         let failed = |index: &u32| {
             let workers = self.failed_on.get(&task_id(subject.id, *index))?;
@@ -525,8 +528,8 @@
     }
 }
 
-/// Workers that a question about a step names.
-fn queried_workers(spec: &job::Step) -> usize {
+/// Returns the maximum number of workers in a query about a step.
+fn query_size(spec: &job::Step) -> usize {
     if spec.gang {
         MIN_QUERIED_WORKERS.max(spec.tasks as usize * QUERIED_PER_MEMBER)
     } else {
@@ -534,7 +537,7 @@
     }
 }
 
-/// Name of a task of a step.
+/// Returns the id of a task of a step.
 pub(super) const fn task_id(step: advice::Step, index: u32) -> directive::Task {
     directive::Task {
         job: step.job,
@@ -544,10 +547,10 @@
     }
 }
 
-/// Tells whether a worker may get new work.
+/// Returns whether a worker may get new work.
 fn is_usable(record: &worker::Worker, now: Duration) -> bool {
-    let fresh = record
+    let is_fresh = record
         .last_report_at
-        .is_some_and(|reported| now < reported + USABLE_AGE);
-    fresh && !record.draining && now >= record.suspect_until && record.sample.is_some()
+        .is_some_and(|reported| now < reported + MAX_REPORT_AGE);
+    is_fresh && !record.draining && now >= record.suspect_until && record.sample.is_some()
 }
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -8,15 +8,16 @@
 use super::Dispatch;
 use crate::estimate;
 
-/// A step that waits.
+/// A waiting step.
 #[derive(Debug, Clone)]
 pub(super) struct Waiting {
-    /// Wall time at which its clock began to run: submission or due time, in milliseconds since the Unix epoch.
+    /// Wall-clock time from which its objective counts: its submission or due time, in milliseconds since the Unix
+    /// epoch.
     pub begun_ms: u64,
 }
 
 impl Dispatch {
-    /// Brings the waiting steps of all jobs up to date.
+    /// Updates the waiting steps of all jobs.
     pub(super) fn refresh_all(&mut self, state: &cell::State) {
         let keys: Vec<job::Key> = state.active().map(|job| job.key).collect();
         for key in keys {
@@ -24,7 +25,7 @@
         }
     }
 
-    /// Brings the waiting steps of a job up to date.
+    /// Updates the waiting steps of a job.
     pub(super) fn refresh_job(&mut self, state: &cell::State, key: job::Key) {
         let Some(job) = state.job(key) else { return };
         for (occurrence, progress) in job.occurrences.iter().enumerate() {
@@ -65,7 +66,7 @@
     }
 }
 
-/// Longest chain of expected run times from a step to the end of its job.
+/// Returns the longest chain of expected run times from the start of a step to the end of its job.
 pub(super) fn remaining(
     estimates: &estimate::Estimates,
     queue: &str,
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -1,9 +1,9 @@
-//! Questions to the eligibility service.
+//! Queue of queries to the eligibility service.
 //!
-//! Answers the load that the service itself limits: it takes one question at a time from each VM, and a question about
-//! a wide job takes half a second. The questions are spread over all VMs, each VM carries one at a time, and some VMs
-//! are kept free of long questions, so that short ones do not wait behind them. A question about many workers is split, and
-//! its parts are asked through several VMs at the same time.
+//! The service handles one query at a time from each VM, and a query about a wide job takes half a second. Queries are
+//! therefore spread over all VMs, which act as proxies with one query each at a time, and some VMs are reserved for
+//! short queries, so that these do not wait behind long ones. A query about many workers is split into parts that are
+//! sent through several VMs at the same time.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -15,43 +15,45 @@
 use bronzespoke_workload::{advice, catalog};
 use bytes::Bytes;
 
-/// A question that takes longer counts as long.
-const LONG_QUESTION: Duration = Duration::from_millis(100);
-/// One VM in this many, and one at least, takes no long questions.
-const SHORT_ONLY_SHARE: usize = 4;
-/// Workers that one question names at most; a larger one takes longer than the splitting costs.
-const WORKERS_PER_QUESTION: usize = 60;
-/// An answer that is later than expected by this much is given up; covers the way to another region and a busy VM.
+/// Cost above which a query counts as long.
+const LONG_QUERY: Duration = Duration::from_millis(100);
+/// One VM in this many, and at least one, is not used for long queries.
+const SHORT_ONLY_RATIO: usize = 4;
+/// Maximum number of workers in one query; the additional time of a larger one exceeds the cost of splitting it.
+const MAX_WORKERS_PER_QUERY: usize = 60;
+/// Delay beyond the expected duration after which an answer is given up; covers the round trip to another region and a
+/// busy VM.
 const ANSWER_SLACK: Duration = Duration::from_millis(800);
-/// Time that a start order may take to its worker while its ticket must stay valid: a commit over regions and the call.
+/// Maximum time until a start directive reaches its worker, during which its ticket must stay valid: a commit across
+/// regions and the call.
 const TICKET_RESERVE: Duration = Duration::from_millis(250);
 /// Pause after the service was busy or gave no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
-/// Whether a worker may run a step. Eligibility does not change; tickets run out.
+/// Whether a worker may run a step. Eligibility does not change, but tickets expire.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Permit {
-    /// It may not.
+    /// The worker may not run the step.
     Denied,
-    /// It may, with this ticket until a time.
+    /// The worker may run the step with this ticket, which is valid until the given time.
     Ticket(Bytes, Duration),
-    /// It may, but a ticket has to be asked for.
+    /// The worker may run the step, but a new ticket is needed.
     Expired,
 }
 
-/// What is known about who may run a step.
+/// Known eligibility of workers for a step.
 #[derive(Debug, Default)]
 pub struct Eligibility {
-    /// What was answered about each worker.
+    /// Answer about each worker.
     known: HashMap<cell::WorkerIndex, Permit>,
-    /// Questions that wait or are under way.
+    /// Number of queries that are waiting or in flight.
     outstanding: usize,
-    /// No question before this time.
+    /// Time before which no query is sent.
     pub retry_at: Duration,
 }
 
 impl Eligibility {
-    /// Returns the ticket of a worker, if it may still be used.
+    /// Returns the ticket of a worker if it is still valid for long enough.
     pub fn ticket(&self, worker: cell::WorkerIndex, now: Duration) -> Option<&Bytes> {
         match self.known.get(&worker) {
             Some(Permit::Ticket(ticket, until)) if now + TICKET_RESERVE < *until => Some(ticket),
@@ -59,17 +61,17 @@
         }
     }
 
-    /// Whether a worker may run the step and has a ticket that may still be used.
+    /// Returns whether a worker may run the step and has a ticket that is still valid for long enough.
     pub fn is_permitted(&self, worker: cell::WorkerIndex, now: Duration) -> bool {
         self.ticket(worker, now).is_some()
     }
 
-    /// Whether a worker was asked about and may not run the step.
+    /// Returns whether a worker is known to be ineligible.
     pub fn is_denied(&self, worker: cell::WorkerIndex) -> bool {
         matches!(self.known.get(&worker), Some(Permit::Denied))
     }
 
-    /// Whether a worker was asked about and may run the step, with or without a ticket that may still be used.
+    /// Returns whether a worker is known to be eligible, with or without a valid ticket.
     pub fn is_eligible(&self, worker: cell::WorkerIndex) -> bool {
         matches!(
             self.known.get(&worker),
@@ -77,12 +79,12 @@
         )
     }
 
-    /// Whether a question waits or is under way.
+    /// Returns whether a query is waiting or in flight.
     pub const fn is_outstanding(&self) -> bool {
         self.outstanding > 0
     }
 
-    /// Whether any worker was asked about.
+    /// Returns whether the eligibility of any worker is known.
     pub fn is_known(&self) -> bool {
         !self.known.is_empty()
     }
@@ -105,22 +107,22 @@
     valid: Duration,
 }
 
-/// A question to send through a VM.
+/// A query that is assigned to a proxy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
-    /// VM that asks.
+    /// VM through which the query is sent.
     pub proxy: id::VmId,
-    /// Number that its answer carries.
+    /// Number of the query, repeated in its answer.
     pub number: u64,
-    /// Question.
+    /// Query to send.
     pub query: advice::Query,
 }
 
-/// Questions that wait or are under way, and what was answered.
+/// Queries that are waiting or in flight, and the answers so far.
 #[derive(Debug, Default)]
 pub struct Queue {
     proxies: BTreeMap<id::VmId, Option<u64>>,
-    /// Parts of questions that wait.
+    /// Parts of queries that are waiting.
     waiting: HashMap<advice::Step, Vec<Waiting>>,
     sent: BTreeMap<u64, Sent>,
     next_number: u64,
@@ -128,7 +130,7 @@
 }
 
 impl Queue {
-    /// Replaces the VMs that may ask.
+    /// Replaces the VMs that act as proxies.
     pub fn set_proxies(&mut self, proxies: &[id::VmId]) {
         self.proxies.retain(|proxy, _| proxies.contains(proxy));
         for proxy in proxies {
@@ -136,25 +138,25 @@
         }
     }
 
-    /// What is known about a step.
+    /// Returns the known eligibility for a step.
     pub fn eligibility(&self, step: advice::Step) -> Option<&Eligibility> {
         self.steps.get(&step)
     }
 
-    /// Forgets a step.
+    /// Removes a step and its waiting queries.
     pub fn remove(&mut self, step: advice::Step) {
         self.steps.remove(&step);
         self.waiting.remove(&step);
     }
 
-    /// Forgets the ticket of a worker, which has refused it.
+    /// Invalidates the ticket of a worker that has refused it.
     pub fn invalidate_ticket(&mut self, step: advice::Step, worker: cell::WorkerIndex) {
         if let Some(known) = self.steps.get_mut(&step) {
             known.known.insert(worker, Permit::Expired);
         }
     }
 
-    /// Wants a question about a step unless one waits or is under way. Returns whether it was added.
+    /// Adds a query about a step unless one is waiting or in flight. Returns whether it was added.
     pub fn enqueue(
         &mut self,
         now: Duration,
@@ -167,39 +169,39 @@
             return false;
         }
         let mut parts = Vec::new();
-        let mut rest = workers;
-        while !rest.is_empty() {
-            let later = rest.split_off(rest.len().min(WORKERS_PER_QUESTION));
+        let mut remaining = workers;
+        while !remaining.is_empty() {
+            let later = remaining.split_off(remaining.len().min(MAX_WORKERS_PER_QUERY));
             parts.push(Waiting {
-                cost: cost.decision + cost.per_worker * rest.len() as u32,
-                workers: std::mem::replace(&mut rest, later),
+                cost: cost.decision + cost.per_worker * remaining.len() as u32,
+                workers: std::mem::replace(&mut remaining, later),
                 valid: cost.valid,
             });
         }
-        // Parts are taken from the end, and the first one names the workers with the most room.
+        // Parts are taken from the end, and the first part names the workers with the most room.
         parts.reverse();
         known.outstanding = parts.len();
         self.waiting.insert(step, parts);
         true
     }
 
-    /// Gives up late answers and hands waiting questions to free VMs, in the order of `ranked`.
+    /// Gives up overdue answers and assigns waiting queries to free VMs, in the order of `ranked`.
     pub fn assign(&mut self, now: Duration, ranked: &[advice::Step], out: &mut Vec<Assignment>) {
         self.expire_overdue(now);
         if self.waiting.is_empty() {
             return;
         }
-        let short_only = (self.proxies.len() / SHORT_ONLY_SHARE).max(1);
-        let most_long = self.proxies.len().saturating_sub(short_only);
+        let short_only = (self.proxies.len() / SHORT_ONLY_RATIO).max(1);
+        let max_long = self.proxies.len().saturating_sub(short_only);
         let mut long = self
             .sent
             .values()
-            .filter(|sent| sent.give_up_at.saturating_sub(sent.at + ANSWER_SLACK) > LONG_QUESTION)
+            .filter(|sent| sent.give_up_at.saturating_sub(sent.at + ANSWER_SLACK) > LONG_QUERY)
             .count();
         for step in ranked {
             while let Some(waiting) = self.waiting.get(step).and_then(|parts| parts.last()) {
-                let is_long = waiting.cost > LONG_QUESTION;
-                if is_long && long >= most_long.max(1) {
+                let is_long = waiting.cost > LONG_QUERY;
+                if is_long && long >= max_long.max(1) {
                     break;
                 }
                 let free = self.proxies.iter().find(|(_, busy)| busy.is_none());
@@ -244,18 +246,18 @@
     }
 
     fn expire_overdue(&mut self, now: Duration) {
-        let late: Vec<u64> = self
+        let overdue: Vec<u64> = self
             .sent
             .iter()
             .filter(|(_, sent)| now >= sent.give_up_at || !self.proxies.contains_key(&sent.proxy))
             .map(|(number, _)| *number)
             .collect();
-        for number in late {
+        for number in overdue {
             self.record_answer(now, number, &advice::Answer::Failed);
         }
     }
 
-    /// Takes an answer; returns the step that it is about.
+    /// Records an answer; returns the step that it is about.
     pub fn record_answer(
         &mut self,
         now: Duration,
@@ -272,8 +274,8 @@
         known.outstanding = known.outstanding.saturating_sub(1);
         match answer {
             advice::Answer::Eligible { workers, valid } => {
-                // A ticket may have been issued at any time since the question was sent off; the decision itself
-                // comes before it.
+                // A ticket may have been issued at any time after the query was sent, but only after the service made
+                // its decision.
                 let issued = sent.at.max(now.saturating_sub(ANSWER_SLACK / 4));
                 let until = issued + valid.unwrap_or(sent.valid);
                 for (index, name) in &sent.workers {
@@ -290,7 +292,7 @@
         Some(sent.step)
     }
 
-    /// Questions under way.
+    /// Returns the number of queries in flight.
     pub fn in_flight(&self) -> usize {
         self.sent.len()
     }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -1,7 +1,7 @@
-//! What the leader knows about one life of a worker.
+//! The leader's record of one incarnation of a worker.
 //!
-//! Invariant: `used` is the sum of the sizes of `runs`; a run is in `runs` from the moment at which its start is
-//! proposed until its end is known for certain.
+//! Invariant: `used` is the sum of the sizes of `runs`. A run is in `runs` from the proposal of its start until its
+//! end is certain.
 
 use std::{
     collections::{BTreeMap, VecDeque},
@@ -14,141 +14,142 @@
 
 use crate::{orphan, progress};
 
-/// Largest difference between the rates of two steady clocks, as the platform states it.
+/// Maximum relative difference between the rates of two monotonic clocks, as the platform states it.
 pub const CLOCK_DRIFT: f64 = 0.02;
-/// Failed starts and runs in a row after which a worker gets no work for a while. Two can be chance where 3% of the
-/// jobs fail by themselves; three in a row are one in 37,000.
+/// Number of consecutive failed starts and runs after which a worker gets no work for a while. Where 3% of the jobs
+/// fail by themselves, two failures can be chance, while three in a row have a probability of one in 37,000.
 pub const SUSPECT_AFTER: u32 = 3;
 
-/// Bits of a fencing token below the term; a cell sees fewer lives of workers.
+/// Bits of a fencing token below the term; a cell registers fewer incarnations of workers.
 const INCARNATION_BITS: u32 = 24;
 
-/// Fencing token of the orders to one life of a worker.
+/// Returns the fencing token of the directives to one incarnation of a worker.
 ///
-/// It grows with the term, and with each life: a worker that returns under its name refuses what was meant for its
-/// former life as soon as it has taken one order of its own.
+/// It grows with the term and with each incarnation: a worker that returns under its name refuses directives to its
+/// previous incarnation as soon as it has received one of its own.
 pub const fn fencing_token(term: directive::Token, worker: u32) -> directive::Token {
     (term << INCARNATION_BITS) | worker as u64
 }
 
-/// What is known of a run.
+/// Phase of a run as far as the leader knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
     /// The start is proposed and not committed.
     Proposed,
-    /// The order is under way.
+    /// The start directive has been sent and not answered.
     Sent,
-    /// The order got no answer: the run may have started, or may still start before its lease ends.
+    /// The start directive was not acknowledged: the run may have started, or may still start before its lease ends.
     Unacknowledged,
-    /// Placed by an earlier leader; the first report decides.
+    /// The run was placed by an earlier leader; the first report decides whether it exists.
     Inherited,
-    /// The worker has confirmed it, at this time.
+    /// The worker confirmed the run at this time.
     Running(Duration),
 }
 
-/// A run on the worker, or on its way there.
+/// A run on the worker, or one whose start is under way.
 #[derive(Debug, Clone)]
 pub struct Run {
-    /// Number of the start.
+    /// Number of the run.
     pub run: directive::Run,
-    /// What it uses.
+    /// Resources that it uses.
     pub size: resource::Amount,
-    /// Team whose limit it counts against.
+    /// Team whose upper limit it counts against.
     pub team: Option<String>,
-    /// What is known of it.
+    /// Current phase.
     pub phase: Phase,
-    /// When the phase began.
+    /// Time at which the phase began.
     pub since: Duration,
-    /// When the start was decided.
+    /// Time at which the start was decided.
     pub decided: Duration,
-    /// End of the lease that the start order named, on the worker's clock.
+    /// End of the lease in the start directive, on the worker's clock.
     pub lease_end: Duration,
-    /// When it is expected to end, in local time.
+    /// Expected end, in local time.
     pub expected_end: Duration,
-    /// Whether it is a member of a gang, whose slowest member decides.
+    /// Whether it is a member of a gang, which proceeds at the speed of its slowest member.
     pub gang: bool,
-    /// Run time that was expected at its start.
+    /// Run time that was expected at the start.
     pub run_time: Duration,
-    /// Progress that reports have shown.
+    /// Progress according to the reports.
     pub progress: Option<progress::Progress>,
     /// Whether the run is to be stopped.
     pub stop: Stop,
-    /// Newest stored progress that was seen.
+    /// Newest checkpoint that was reported.
     pub checkpoint: Option<bytes::Bytes>,
 }
 
-/// State of the wish to stop a run.
+/// State of the stop of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stop {
-    /// It may go on.
+    /// The run is not to be stopped.
     NotRequested,
-    /// It is to be stopped; the order was last sent at this time.
+    /// The run is to be stopped; contains the time at which the stop was last sent.
     Requested(Option<Duration>),
-    /// The worker has answered the order to stop at this time.
+    /// The worker acknowledged the stop at this time.
     Acknowledged(Duration),
 }
 
 /// Sample of a worker's clock.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Sample {
-    /// What the worker's clock showed.
+    /// Time on the worker's clock.
     pub clock: Duration,
-    /// Local time at which its answer had arrived.
+    /// Local time at which the answer arrived.
     pub at: Duration,
 }
 
-/// One life of a worker.
+/// Record of one incarnation of a worker.
 #[derive(Debug)]
 pub struct Worker {
-    /// Life.
+    /// Name and start time of the incarnation.
     pub incarnation: announced::Incarnation,
-    /// What it is.
+    /// Description that the worker announced.
     pub announced: Arc<announced::Worker>,
-    /// Whether it leaves.
+    /// Whether it is draining.
     pub draining: bool,
-    /// Runs on it.
+    /// Runs that are placed on it.
     pub runs: BTreeMap<directive::Task, Run>,
-    /// Sum of their sizes.
+    /// Sum of the sizes of `runs`.
     pub used: resource::Amount,
-    /// Runs that it has or may get without being meant to.
+    /// Runs that it has or may get although they should not be there.
     pub orphans: orphan::Orphans,
     /// Newest sample of its clock.
     pub sample: Option<Sample>,
-    /// Latest end of a lease that any order has named, on its clock.
+    /// Latest end of a lease in any directive, on its clock.
     pub lease_end: Duration,
     /// Local time after which no lease of an earlier leader can be in force.
     pub inherited_until: Duration,
-    /// Highest number of an end that was listed.
-    pub listed_end: u64,
-    /// Highest number of an end that is recorded.
+    /// Highest number of an end that it has reported.
+    pub reported_end: u64,
+    /// Highest number of an end that is recorded in the replicated state.
     pub recorded_end: u64,
-    /// Listed ends whose record is not committed yet: highest number of each proposal.
+    /// Reported ends whose record is not committed yet: the highest number in each proposal.
     pub proposed_ends: VecDeque<u64>,
-    /// When the outstanding report was asked for.
+    /// Time at which the outstanding report was requested.
     pub report_requested_at: Option<Duration>,
-    /// When the next report is to be asked for.
+    /// Time at which the next report is to be requested.
     pub next_report_at: Duration,
-    /// Whether the last question for a report had no answer.
+    /// Whether the last request for a report was not answered.
     pub report_missed: bool,
-    /// Earliest local time at which it goes, if it leaves and has said when.
+    /// Earliest local time at which it leaves, if it is draining and has announced a time.
     pub departs_at: Option<Duration>,
-    /// When the last report came.
+    /// Time at which the last report arrived.
     pub last_report_at: Option<Duration>,
-    /// Failures in a row, of distinct jobs.
+    /// Number of consecutive failures, counting each job once.
     pub failures: u32,
     /// Job of the newest failure.
     pub failed_job: Option<u64>,
-    /// No work before this time.
+    /// Time before which it gets no work.
     pub suspect_until: Duration,
-    /// How often it was suspected in a row.
+    /// Number of consecutive suspicions.
     pub suspicions: u32,
 }
 
-/// Clocks are told in whole milliseconds, and a later life begins at least half a second after the one before.
-const CLOCK_STEP: Duration = Duration::from_millis(20);
+/// Tolerance in the comparison of clocks: they are reported in whole milliseconds. A later incarnation starts at least
+/// half a second after the previous one.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
 
 impl Worker {
-    /// Returns a machine that has not reported yet.
+    /// Creates the record of a worker that has not reported yet.
     pub fn new(
         incarnation: announced::Incarnation,
         announced: Arc<announced::Worker>,
@@ -166,7 +167,7 @@
             sample: None,
             lease_end: Duration::ZERO,
             inherited_until,
-            listed_end: 0,
+            reported_end: 0,
             recorded_end: 0,
             proposed_ends: VecDeque::new(),
             report_requested_at: None,
@@ -181,34 +182,34 @@
         }
     }
 
-    /// Room that is left.
+    /// Returns the free resources.
     pub fn free(&self) -> resource::Amount {
         let used = add(self.used, self.orphans.used());
         self.announced.room.saturating_sub(&used)
     }
 
-    /// Lower bound of the worker's clock at a local time.
+    /// Returns a lower bound of the worker's clock at a local time.
     pub fn clock(&self, now: Duration) -> Option<Duration> {
         let sample = self.sample?;
         let passed = now.saturating_sub(sample.at);
         Some(sample.clock + passed.mul_f64(1.0 - CLOCK_DRIFT))
     }
 
-    /// Tells whether a clock that an answer shows cannot be this life's: a life that began later shows less. `sent` is when
-    /// the order was sent.
+    /// Returns whether the clock in an answer belongs to a later incarnation, whose clock shows less. `sent` is the
+    /// time at which the directive was sent.
     pub fn is_of_later_incarnation(&self, sent: Duration, clock: Duration) -> bool {
         let Some(sample) = self.sample else { return false };
         let earlier = sample.at.saturating_sub(sent);
         let then = self.clock(sent).unwrap_or_default().saturating_sub(earlier);
-        clock + CLOCK_STEP < then
+        clock + CLOCK_TOLERANCE < then
     }
 
-    /// Tells whether every lease that anyone granted has run out.
+    /// Returns whether every lease that any leader granted has expired.
     pub fn leases_expired(&self, now: Duration) -> bool {
         now >= self.inherited_until && self.clock(now).is_none_or(|clock| clock > self.lease_end)
     }
 
-    /// Adds a run.
+    /// Adds a run, replacing an earlier run of the same task.
     pub fn add(&mut self, task: directive::Task, run: Run) {
         let size = run.size;
         if let Some(former) = self.runs.insert(task, run) {
@@ -217,7 +218,7 @@
         self.used = add(self.used, size);
     }
 
-    /// Removes a run of a number.
+    /// Removes a run of a task if it has the given number.
     pub fn remove(&mut self, task: directive::Task, run: directive::Run) -> Option<Run> {
         if self.runs.get(&task)?.run != run {
             return None;
@@ -227,7 +228,7 @@
         Some(removed)
     }
 
-    /// Notes a run that failed; several failures of one job count once.
+    /// Records a failed run; several failures of one job count once.
     ///
     /// Returns whether the worker is suspected from now on.
     pub fn record_failure(&mut self, now: Duration, job: u64, pause: Duration) -> bool {
@@ -241,18 +242,18 @@
         }
         self.suspicions += 1;
         self.suspect_until = now + pause;
-        // One more failure after the pause is enough.
+        // One more failure after the pause makes the worker suspected again.
         self.failures = SUSPECT_AFTER - 1;
         true
     }
 
-    /// Notes that a run stands still: the worker gets no work for a while.
+    /// Records a stalled run: the worker gets no work for a while.
     pub fn record_stall(&mut self, now: Duration, pause: Duration) {
         self.suspicions += 1;
         self.suspect_until = self.suspect_until.max(now + pause);
     }
 
-    /// Notes a run that is done.
+    /// Records a completed run.
     pub fn record_success(&mut self) {
         self.failures = 0;
         self.failed_job = None;
@@ -260,7 +261,7 @@
     }
 }
 
-/// Adds two amounts; sums that do not fit stay at the largest value.
+/// Returns the sum of two amounts; each dimension saturates.
 pub const fn add(left: resource::Amount, right: resource::Amount) -> resource::Amount {
     resource::Amount::new(
         left.cpu_milli.saturating_add(right.cpu_milli),
