dispatch: plain names and heads of the tests

Test heads told how a failure was found; they now say which failure the test guards against and how it comes about. Functions get plainer names, and the texts of assertions use the shared vocabulary.

--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! Loads that the tests replay.
+//! Load patterns that the tests simulate.
 
 use std::time::Duration;
 
@@ -67,7 +67,7 @@
     }
 }
 
-/// The first deployment on a calm day.
+/// The first deployment without faults or bursts.
 pub fn calm(seed: u64) -> simulation::Plan {
     let limit = resource::Amount::new(1_700_000, 0, 0);
     simulation::Plan {
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -1,5 +1,6 @@
-//! The leader's decisions over whole days in simulated time. Every start on a worker is checked against the promises: no
-//! task twice, no worker over its room, no team over its limit, steps in their order, no start after the last attempt.
+//! Decisions of the leader over long runs in simulated time. Every start on a worker is checked against the
+//! invariants: no task runs twice, no worker exceeds its resources, no team exceeds its upper limit, steps run in
+//! order, and no task starts after its last attempt.
 
 mod common;
 
@@ -9,10 +10,10 @@
 use bronzespoke_standin::fleet::simulation::{Faults, Plan, Report, Simulation};
 use yare::parameterized;
 
-/// Time for the work that is left after the last submission.
+/// Time to complete the remaining work after the last submission.
 const DRAIN: Duration = Duration::from_mins(1);
 
-/// Seeds of the test in which faults meet; `FLEET_SEEDS` sets another number for a long run.
+/// Number of seeds of the tests with combined faults; `FLEET_SEEDS` sets another number for a long run.
 fn seeds() -> u64 {
     let given = std::env::var("FLEET_SEEDS").ok();
     given.and_then(|text| text.parse().ok()).unwrap_or(24)
@@ -28,22 +29,22 @@
     );
     assert!(
         report.unfinished.is_empty(),
-        "seed {seed}: accepted jobs are left: {:x?}",
+        "seed {seed}: accepted jobs are unfinished: {:x?}",
         report.unfinished
     );
     report
 }
 
-/// Guards against work that is lost, doubled or forgotten when nothing goes wrong.
+/// Guards against work that is lost, duplicated or forgotten without any fault.
 #[test]
-fn a_calm_day_is_served_whole() {
+fn all_work_completes_without_faults() {
     let report = run(common::calm(1));
-    for tally in &report.kinds {
-        assert_eq!(tally.failed, 0, "{tally:?}");
+    for counters in &report.kinds {
+        assert_eq!(counters.failed, 0, "{counters:?}");
     }
 }
 
-/// Guards against broken promises under each kind of fault alone.
+/// Guards against broken invariants under each kind of fault alone.
 #[parameterized(
     crashes = { Faults { crashes: 0.5, ..Faults::default() } },
     cuts = { Faults { cuts: 0.5, ..Faults::default() } },
@@ -53,7 +54,7 @@
     cancels = { Faults { cancels: 0.2, ..Faults::default() } },
     failing = { Faults { failing: 0.3, ..Faults::default() } },
 )]
-fn promises_hold_under(faults: Faults) {
+fn invariants_hold_under(faults: Faults) {
     for seed in 0..4 {
         run(Plan {
             faults,
@@ -62,9 +63,10 @@
     }
 }
 
-/// Guards against promises that break when faults meet: a new leader among crashed, cut and late workers.
+/// Guards against invariants that break when faults coincide: a new leader with crashed, disconnected and late
+/// workers.
 #[test]
-fn promises_hold_when_faults_meet() {
+fn invariants_hold_when_faults_coincide() {
     for seed in 0..seeds() {
         run(Plan {
             faults: Faults {
@@ -84,10 +86,10 @@
     }
 }
 
-/// Guards against orders to a former life that its successor of the same name carries out: the room that they take is not
-/// given away, and their tasks do not run twice. Found by `late-orders` on rngm-cinturones, seed 1067067304939.
+/// Guards against directives to an earlier incarnation that are carried out by its successor with the same name: their
+/// resources must not be given away, and their tasks must not run twice.
 #[test]
-fn late_orders_to_a_former_life_do_no_harm() {
+fn late_directives_to_an_earlier_incarnation_are_harmless() {
     for seed in 0..12 {
         run(Plan {
             faults: Faults {
@@ -101,21 +103,21 @@
     }
 }
 
-/// Guards against a team that runs more than its upper limit, also when its work piles up.
+/// Guards against a team that exceeds its upper limit, also when its work queues up.
 #[test]
-fn a_small_limit_is_kept() {
+fn a_small_upper_limit_is_not_exceeded() {
     let small = resource::Amount::new(200_000, 0, 0);
     let mut plan = common::calm(3);
     plan.kinds = common::kinds(0.3);
     for (_, limit) in &mut plan.teams {
         *limit = small;
     }
-    // Gangs that are wider than the limit of their team can never start.
+    // Gangs that are wider than the upper limit of their team can never start.
     plan.kinds[0].most_tasks = 6;
     run(plan);
 }
 
-/// Days on which workers go for good; gangs are narrow, so that what is left of the fleet has room for each.
+/// A plan in which workers leave permanently. Gangs are narrow, so that each fits on the remaining workers.
 fn shrinking(seed: u64, faults: Faults) -> Plan {
     let mut plan = common::calm(seed);
     plan.kinds = common::kinds(0.6);
@@ -124,10 +126,10 @@
     plan
 }
 
-/// Guards against runs that stay placed for good on a worker that is lost without a word: each question to it extended
-/// the lease that had to run out. Found by `scale-1` on rngm-cinturones-grown, seed 979209104886.
+/// Guards against runs that stay placed permanently on a worker that fails without notice: each request for its report
+/// extended the lease that had to expire.
 #[test]
-fn work_of_a_worker_that_never_returns_goes_on_elsewhere() {
+fn work_of_a_permanently_lost_worker_continues_elsewhere() {
     for seed in 0..4 {
         let faults = Faults {
             losses: 0.5,
@@ -137,9 +139,9 @@
     }
 }
 
-/// Guards against work that stays on a worker that has said when it leaves, and is lost with it.
+/// Guards against work that stays on a worker that has announced when it leaves, and is lost with it.
 #[test]
-fn work_leaves_a_worker_before_it_goes() {
+fn work_moves_off_a_worker_before_it_leaves() {
     let in_time = |faults: Faults| -> usize {
         let reports = (0..4).map(|seed| run(shrinking(500 + seed, faults)));
         reports
@@ -157,10 +159,10 @@
     assert!(noticed > silent, "{noticed} with notice, {silent} without");
 }
 
-/// Guards against a task that runs twice because the next life of its worker, not heard of yet, carried out a repeated start
-/// and the answer was taken for the former life's. Found by the soak, seed 308.
+/// Guards against a task that runs twice: the next incarnation of its worker, not yet known to the leader, carried out
+/// a repeated start, and the answer was attributed to the earlier incarnation.
 #[test]
-fn a_start_that_the_next_life_took_is_not_repeated_elsewhere() {
+fn a_start_taken_by_the_next_incarnation_is_not_repeated_elsewhere() {
     for seed in 0..seeds() {
         run(Plan {
             faults: Faults {
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -1,4 +1,4 @@
-//! What becomes of single orders, step by step.
+//! Outcome of single directives, step by step.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -19,7 +19,7 @@
     }
 }
 
-/// Worker of a start, the start and when it was decided.
+/// Worker of a start, the start, and the time of its decision.
 type Sent = (cell::WorkerIndex, directive::Directive, Duration);
 
 /// A leader with two workers that have reported.
@@ -95,7 +95,7 @@
         self.dispatch.committed(&self.state, self.now, command, &outcome);
     }
 
-    /// Lets time pass; reports are answered, starts are returned.
+    /// Advances the time; answers requests for reports and returns the starts.
     fn run(&mut self, millis: u64) -> Vec<Sent> {
         let mut starts = Vec::new();
         for step in 0..millis {
@@ -137,7 +137,7 @@
         starts
     }
 
-    /// The start of the only task, under its newest number.
+    /// Returns the start of the only task, with its newest run number.
     fn start(&self) -> directive::Directive {
         let task = directive::Task {
             job: KEY,
@@ -156,7 +156,7 @@
         }
     }
 
-    /// A leader that has given the start of its only task, which was not answered yet.
+    /// Returns a leader that has sent the start of its only task, and the start, which is not answered yet.
     fn with_start() -> (Self, Sent) {
         let mut leader = Self::new();
         leader.run(100);
@@ -206,10 +206,10 @@
     }
 }
 
-/// Guards against tasks that wait for the lease of a worker that has crashed, though their starts never left: a crash of 18
-/// workers held up dozens of short jobs for 6 to 16 s (`scale-2` on rngm-cinturones-grown).
+/// Guards against tasks that wait for the lease of a crashed worker although their starts were never sent: a crash of
+/// 18 workers delayed dozens of short jobs by 6 to 16 s.
 #[test]
-fn a_start_that_never_left_goes_to_another_worker_at_once() {
+fn a_start_that_was_not_sent_moves_to_another_worker_immediately() {
     let (mut leader, first) = Leader::with_start();
     leader.answer(&first, Some(&directive::Answer::NotSent));
     let second = leader.run(100);
@@ -217,10 +217,10 @@
     assert_ne!(first.0, second[0].0);
 }
 
-/// Guards against a second run of a task whose first start may have arrived: only the refused connection of the repeated
-/// start is certain.
+/// Guards against a second run of a task whose first start may have arrived: a refused connection for the repeated
+/// start proves nothing about the first one.
 #[test]
-fn a_start_that_may_have_left_stays_where_it_is() {
+fn a_start_that_may_have_arrived_stays_on_its_worker() {
     let (mut leader, first) = Leader::with_start();
     leader.answer(&first, None);
     let repeated = leader.run(400);
@@ -231,14 +231,14 @@
     assert!(later.iter().all(|start| start.0 == first.0), "{later:?}");
 }
 
-/// Guards against a second run of a task whose first start is carried out late: the refusal of the repeated start says
-/// nothing about the first one, whose ticket was still valid (`trouble-3` on rngm-cinturones-grown, TWICE).
+/// Guards against a second run of a task whose first start is carried out late: the refusal of the repeated start
+/// proves nothing about the first one, whose ticket was still valid.
 #[parameterized(
     ticket = { directive::Refusal::Ticket },
     room = { directive::Refusal::Room },
     unhealthy = { directive::Refusal::Unhealthy },
 )]
-fn a_refused_repetition_leaves_the_first_start_open(reason: directive::Refusal) {
+fn a_refused_repeated_start_leaves_the_first_one_open(reason: directive::Refusal) {
     let (mut leader, first) = Leader::with_start();
     leader.answer(&first, None);
     let repeated = leader.run(400);
@@ -249,10 +249,10 @@
     assert!(later.iter().all(|start| start.0 == first.0), "{later:?}");
 }
 
-/// Guards against a step that waits for good on an idle fleet: its question was lost, and nothing else happened that would
-/// have led to another pass. Found by a CI run beside load, in the test of the whole path.
+/// Guards against a step that waits forever on an idle fleet: its query was lost, and no other event triggered another
+/// pass.
 #[test]
-fn a_lost_question_is_asked_again_on_an_idle_fleet() {
+fn a_lost_query_is_repeated_on_an_idle_fleet() {
     let mut leader = Leader::new();
     leader.run(100);
     leader.submit(Some(catalog::Advice {
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -1,4 +1,4 @@
-//! Single decisions, each against the load that it answers.
+//! Tests of single components, each under the load pattern or failure that it handles.
 
 use std::{collections::BTreeMap, net::SocketAddr, sync::Arc, time::Duration};
 
@@ -42,9 +42,9 @@
     (0..count).map(|index| (index, format!("w-{index}"))).collect()
 }
 
-/// A burst of long questions must not hold up a short one: a third of the helpers stays free of them.
+/// A burst of long queries must not delay a short one: a third of the proxies is not used for long ones.
 #[test]
-fn short_questions_do_not_wait_behind_long_ones() {
+fn short_queries_do_not_wait_behind_long_ones() {
     let mut queries = Queue::default();
     queries.set_proxies(&[1, 2, 3]);
     for job in 0..10 {
@@ -62,9 +62,9 @@
     );
 }
 
-/// A ticket that would run out on its way is not used, and who is not eligible is never asked about again.
+/// A ticket that would expire before it is used is not used, and an ineligible worker is never queried again.
 #[test]
-fn tickets_run_out_and_eligibility_stays() {
+fn tickets_expire_and_eligibility_stays() {
     let mut queries = Queue::default();
     queries.set_proxies(&[1]);
     queries.enqueue(at(0), step(1), &cost(10), named(2));
@@ -75,16 +75,16 @@
         valid: Some(at(1_000)),
     };
     queries.record_answer(at(20), assignments[0].number, &answer);
-    let known = queries.eligibility(step(1)).expect("it was asked");
+    let known = queries.eligibility(step(1)).expect("the step was queried");
     assert!(known.is_permitted(0, at(700)) && !known.is_permitted(0, at(800)));
     assert!(known.is_denied(1) && !known.is_denied(0));
 }
 
-/// A wide gang on a large fleet needs to know most workers that may run it. One question after the other took seconds, in
-/// which the tickets of the first answers ran out and small gangs waited as long as wide ones; the parts of one question
-/// are asked at the same time.
+/// A wide gang on a large fleet needs to know most of the eligible workers. When queries were sent one after the
+/// other, this took seconds, in which the tickets of the first answers expired and small gangs waited as long as wide
+/// ones. The parts of one query are therefore sent at the same time.
 #[test]
-fn a_question_about_many_workers_is_asked_in_parts() {
+fn a_query_about_many_workers_is_split() {
     let mut queries = Queue::default();
     queries.set_proxies(&[1, 2, 3, 4, 5, 6]);
     assert!(queries.enqueue(at(0), step(1), &cost(500), named(150)));
@@ -97,7 +97,7 @@
     assert_eq!(sizes, [60, 60, 30]);
     assert!(
         !queries.enqueue(at(0), step(1), &cost(500), named(4)),
-        "parts are under way"
+        "parts are in flight"
     );
     for assignment in &assignments {
         let workers = assignment.query.workers.iter().take(2);
@@ -109,15 +109,15 @@
         };
         queries.record_answer(at(600), assignment.number, &answer);
     }
-    let known = queries.eligibility(step(1)).expect("the step was asked about");
+    let known = queries.eligibility(step(1)).expect("the step was queried");
     assert!(!known.is_outstanding());
     let eligible = (0..150).filter(|worker| known.is_eligible(*worker)).count();
     assert_eq!(eligible, 6);
 }
 
-/// A helper that never answers is given up, and the step is asked about again.
+/// A proxy that does not answer is given up, and the query is sent again.
 #[test]
-fn unanswered_questions_are_asked_again() {
+fn unanswered_queries_are_repeated() {
     let mut queries = Queue::default();
     queries.set_proxies(&[1]);
     queries.enqueue(at(0), step(1), &cost(10), named(2));
@@ -139,9 +139,10 @@
     }
 }
 
-/// Small tasks on a fleet with one empty worker: first fit takes it and leaves no room for a wide task, best fit keeps it.
+/// Small tasks on a fleet with one empty worker: first fit uses it and leaves no room for a wide task, while best fit
+/// keeps it free.
 #[test]
-fn small_tasks_leave_whole_workers_free() {
+fn small_tasks_leave_empty_workers_free() {
     let mut candidates = [candidate(0, 64_000), candidate(1, 9_000), candidate(2, 8_000)];
     let small = resource::Amount::new(4_000, 0, 0);
     let placed = place::best_fit(&mut candidates, &small, &[0, 1, 2, 3], &BTreeMap::new());
@@ -152,9 +153,9 @@
     assert!(first_fit_leaves < 60_000);
 }
 
-/// A task does not return to the worker on which it failed while another has room.
+/// A task does not return to a worker on which it failed while another one has room.
 #[test]
-fn failed_tasks_go_elsewhere() {
+fn failed_tasks_move_to_another_worker() {
     let mut candidates = [candidate(0, 5_000), candidate(1, 60_000)];
     let avoid = BTreeMap::from([(0, vec![0])]);
     let size = resource::Amount::new(4_000, 0, 0);
@@ -181,13 +182,13 @@
     }
 }
 
-/// A job that has missed its objective is not passed over for good by jobs that keep coming: before its last useful moment it
-/// goes first.
+/// A job that has missed its objective is not starved by jobs that keep arriving: it is placed first before the end of
+/// its useful time.
 #[test]
-fn late_jobs_get_their_turn() {
+fn late_jobs_are_not_starved() {
     let job = job(2.0);
     let rank = |begun: u64, now: u64| rank::compute(&job, begun, at(2_000), at(2_000), now);
-    // The objective is 5 s, so that the start has to come within 3 s, and within 13 s to be of use.
+    // The objective is 5 s, so the start has to come within 3 s to meet it, and within 13 s to be useful.
     assert!(rank(0, 1_000) < rank(500, 1_000));
     assert!(
         rank(0, 4_000) > rank(3_900, 4_000),
@@ -195,14 +196,14 @@
     );
     assert!(
         rank(0, 12_500) < rank(12_400, 12_500),
-        "its last useful moment comes before the objective of the other"
+        "the end of its useful time comes before the objective of the other"
     );
     assert!(rank(0, 14_000).useless);
 }
 
-/// Estimates that tell nothing are replaced by the mean; good ones are followed.
+/// Stated run times that predict nothing are replaced by the mean; good ones are followed.
 #[test]
-fn estimates_are_corrected_by_what_was_seen() {
+fn estimates_follow_actual_run_times() {
     let mut estimates = Estimates::default();
     for number in 0..60_u64 {
         estimates.record("noise", at(500 + 137 * (number % 23)), at(2_000));
@@ -219,15 +220,15 @@
     assert_eq!(estimates.expected("new", at(700)), at(700));
 }
 
-/// A run that stands still is found within two seconds; one that is only slower than expected is not taken for one.
+/// A stalled run is detected within two seconds; one that is only slower than expected does not count as stalled.
 #[test]
-fn standstill_is_told_from_slowness() {
-    let mut still = Progress::new(at(0), 0);
+fn stalls_are_distinguished_from_slowness() {
+    let mut stalled = Progress::new(at(0), 0);
     for millis in (0..500).step_by(100) {
-        still.observe(at(millis), (millis / 10) as u8);
+        stalled.observe(at(millis), (millis / 10) as u8);
     }
-    assert!(!still.is_stalled(at(900), at(1_000)));
-    assert!(still.is_stalled(at(1_500), at(1_000)));
+    assert!(!stalled.is_stalled(at(900), at(1_000)));
+    assert!(stalled.is_stalled(at(1_500), at(1_000)));
     let mut slow = Progress::new(at(0), 0);
     for millis in (0..8_000).step_by(200) {
         slow.observe(at(millis), (millis / 100) as u8);
@@ -279,9 +280,9 @@
     record
 }
 
-/// A gang on a full fleet gets the workers whose room comes first, not those that are emptiest now.
+/// A gang on a full fleet gets the workers that will have room first, not those with the most free resources now.
 #[test]
-fn gangs_keep_the_workers_that_become_free_first() {
+fn gangs_reserve_the_workers_that_become_free_first() {
     let late = worker_with(&[(40_000, 9_000)]);
     let soon = worker_with(&[(30_000, 500), (30_000, 700)]);
     let size = resource::Amount::new(30_000, 0, 0);
@@ -293,9 +294,10 @@
     assert!(reserve::choose(vec![(0, openings(&late))], 9, at(0)).is_none());
 }
 
-/// A worker that fails what it starts is left alone after failures of three jobs, and one job alone proves nothing.
+/// A worker that fails what it starts is suspected after failures of three jobs; failures of a single job are not
+/// enough.
 #[test]
-fn failures_of_several_jobs_make_a_worker_suspect() {
+fn a_worker_is_suspected_after_failures_of_several_jobs() {
     let mut record = worker_with(&[]);
     for _ in 0..5 {
         assert!(!record.record_failure(at(0), 1, at(2_000)));
@@ -307,9 +309,10 @@
     assert!(!record.record_failure(at(3_000), 4, at(2_000)));
 }
 
-/// A slow worker is told by tasks of several jobs that lag behind their siblings, and one odd task proves nothing.
+/// A slow worker is detected by tasks of several jobs that lag behind their siblings; a single slow task is not
+/// enough.
 #[test]
-fn slow_workers_are_told_by_siblings() {
+fn slow_workers_are_detected_by_sibling_tasks() {
     let mut slowness = Slowness::default();
     let totals = |millis: &[u64]| {
         let steps = millis.iter().enumerate();
@@ -319,16 +322,16 @@
     };
     slowness.observe(at(0), 1, &totals(&[1_000, 3_000]));
     slowness.observe(at(0), 2, &totals(&[5_000, 2_900]));
-    assert_eq!(slowness.factor(2, at(100)), None, "one job of two");
+    assert_eq!(slowness.factor(2, at(100)), None, "only one of two jobs is slow");
     slowness.observe(at(500), 2, &totals(&[5_000, 16_000]));
     assert!(slowness.factor(2, at(600)).is_some_and(|factor| factor > 4.0));
     assert_eq!(slowness.factor(1, at(600)), None);
-    assert_eq!(slowness.factor(2, at(3_000)), None, "the verdict is old");
+    assert_eq!(slowness.factor(2, at(3_000)), None, "the rating has expired");
 }
 
-/// A lease counts as over only when the slowest clock that is allowed has passed its end.
+/// A lease counts as expired only when the slowest permitted clock has passed its end.
 #[test]
-fn leases_end_on_the_slowest_clock() {
+fn leases_expire_by_the_slowest_clock() {
     let mut record = worker_with(&[]);
     record.sample = Some(worker::Sample {
         clock: at(100_000),
@@ -339,10 +342,10 @@
     assert!(record.leases_expired(at(6_130)));
 }
 
-/// A burst that the leader cannot keep up with: without a refusal, what it accepts waits behind all the rest, callers repeat
-/// their calls, and it never recovers (sweep of tprpa-sched at 300 VMs, 62% of the requests failed).
+/// The leader cannot keep up with a burst: without refusals, accepted jobs wait behind everything else, callers repeat
+/// their calls, and the leader never recovers. At 300 VMs, 62% of the requests failed.
 #[test]
-fn jobs_are_refused_while_the_leader_falls_behind() {
+fn jobs_are_refused_while_the_leader_lags() {
     let state = cell::State::default();
     let job = job(1.5);
     let admit = |lag| admission::admit(&state, &job.queue, &job.submission, at(lag));
@@ -350,10 +353,10 @@
     assert_eq!(admit(401), Err(call::Refusal::Overload));
 }
 
-/// Clocks are told in whole milliseconds: an order that is answered within one must not be taken for one that the next life
-/// of its worker answered.
+/// Clocks are reported in whole milliseconds: an answer within the same millisecond must not be attributed to the next
+/// incarnation of the worker.
 #[test]
-fn a_rounded_clock_is_of_the_same_life() {
+fn a_rounded_clock_belongs_to_the_same_incarnation() {
     let mut record = worker_with(&[]);
     record.sample = Some(worker::Sample {
         clock: at(100),
