--- a/crates/consensus/src/replica/leader.rs
+++ b/crates/consensus/src/replica/leader.rs
@@ -1,4 +1,4 @@
-//! What a leader decides: proposals, changes of the members, commits and its lease.
+//! Leader state: proposals, membership changes, the commit index and the lease.
 
 use std::collections::{BTreeMap, VecDeque};
 use std::time::Duration;
@@ -10,34 +10,34 @@
 use super::{Config, Output, Rejection, Replica, State, transfer};
 use crate::{log, membership};
 
-/// State of a leadership.
+/// State of a leader during its term.
 #[derive(Debug)]
 pub(crate) struct Leader {
     pub(crate) progress: BTreeMap<id::VmId, Progress>,
     pub(crate) elected_at: Duration,
     /// Index of the first entry of the term.
     pub(crate) first_index: u64,
-    /// Uncommitted entries: index, proposal, size in bytes.
+    /// Uncommitted entries: index, id of the proposal, size in bytes.
     uncommitted: VecDeque<(u64, Option<u64>, usize)>,
     uncommitted_bytes: usize,
-    /// Entries up to this index were offered to the members.
+    /// Last index that was released for replication.
     pub(crate) flushed: u64,
-    /// When the entries after `flushed` are due.
+    /// When the entries after `flushed` are released.
     pub(crate) flush_at: Option<Duration>,
     /// Bytes of the entries after `flushed`.
     pub(crate) unflushed_bytes: usize,
     pub(crate) transfer: Option<transfer::Transfer>,
-    /// Set for good once another member was asked to stand for election: its votes ignore the lease.
+    /// Set for the rest of the term once another member was asked to campaign, because its election ignores the lease.
     pub(crate) lease_void: bool,
 }
 
 impl Leader {
-    /// Time at which a timer is due.
+    /// Returns the time of the next timer.
     pub(crate) fn next_wake(&self, config: &Config) -> Duration {
         let heartbeat = self
             .progress
             .values()
-            .map(|progress| progress.sent_at + config.heartbeat)
+            .map(|progress| progress.sent_at + config.heartbeat_interval)
             .min();
         let transfer = self.transfer.as_ref().map(|transfer| transfer.deadline);
         let times = [heartbeat, self.flush_at, transfer];
@@ -70,10 +70,10 @@
         }));
         self.leader = Some(self.config.id);
         self.partial = None;
-        self.append_own(log::Payload::Noop, None, out);
+        self.append_as_leader(log::Payload::Noop, None, out);
     }
 
-    fn append_own(&mut self, payload: log::Payload, id: Option<u64>, out: &mut Vec<Output>) {
+    fn append_as_leader(&mut self, payload: log::Payload, id: Option<u64>, out: &mut Vec<Output>) {
         let size = payload.size();
         let position = log::Position {
             term: self.vote.term,
@@ -89,8 +89,8 @@
         self.append(vec![log::Entry { position, payload }], out);
     }
 
-    /// Reason why nothing may be proposed now.
-    fn proposal_fault(&self, size: usize) -> Option<Rejection> {
+    /// Returns the reason for which a proposal of this size cannot be accepted now.
+    fn proposal_rejection(&self, size: usize) -> Option<Rejection> {
         let State::Leader(leader) = &self.state else {
             return Some(Rejection::NotLeader { leader: self.leader });
         };
@@ -100,28 +100,30 @@
         if leader.transfer.is_some() || leader.lease_void {
             return Some(Rejection::Transferring);
         }
-        if size > self.config.entry_bytes {
+        if size > self.config.max_entry_bytes {
             return Some(Rejection::TooLarge);
         }
-        // A store that hangs without a fault leaves writes pending even while the other voters commit.
-        let full = leader.uncommitted.len() >= self.config.uncommitted_entries
-            || leader.uncommitted_bytes + size > self.config.uncommitted_bytes
-            || self.pending.len() >= self.config.uncommitted_entries;
+        // If the store stalls without an error, writes stay pending even while the other voters commit.
+        let full = leader.uncommitted.len() >= self.config.max_uncommitted_entries
+            || leader.uncommitted_bytes + size > self.config.max_uncommitted_bytes
+            || self.pending.len() >= self.config.max_uncommitted_entries;
         full.then_some(Rejection::QueueFull)
     }
 
     pub(super) fn propose(&mut self, id: u64, data: Bytes, out: &mut Vec<Output>) {
-        match self.proposal_fault(data.len()) {
+        match self.proposal_rejection(data.len()) {
             Some(reason) => out.push(Output::Rejected { id, reason }),
-            None => self.append_own(log::Payload::Command(data), Some(id), out),
+            None => self.append_as_leader(log::Payload::Command(data), Some(id), out),
         }
     }
 
-    pub(super) fn change(&mut self, id: u64, change: membership::Change, out: &mut Vec<Output>) {
-        let fault = self.proposal_fault(0).or_else(|| self.change_fault(change));
+    pub(super) fn propose_change(&mut self, id: u64, change: membership::Change, out: &mut Vec<Output>) {
+        let fault = self
+            .proposal_rejection(0)
+            .or_else(|| self.change_rejection(change));
         let next = match fault {
             Some(reason) => Err(reason),
-            None => self.membership().changed(change).map_err(Rejection::Change),
+            None => self.membership().with_change(change).map_err(Rejection::Change),
         };
         match next {
             Ok(members) => self.append_change(id, change, members, out),
@@ -129,7 +131,7 @@
         }
     }
 
-    fn change_fault(&self, change: membership::Change) -> Option<Rejection> {
+    fn change_rejection(&self, change: membership::Change) -> Option<Rejection> {
         let State::Leader(leader) = &self.state else {
             return None;
         };
@@ -143,7 +145,7 @@
         let membership::Change::Promote(vm) = change else {
             return None;
         };
-        let limit = self.config.election;
+        let limit = self.config.election_timeout;
         let ready = leader
             .progress
             .get(&vm)
@@ -160,7 +162,7 @@
     ) {
         let next = self.log.last().index + 1;
         let now = self.now;
-        self.append_own(log::Payload::Membership(members), Some(id), out);
+        self.append_as_leader(log::Payload::Membership(members), Some(id), out);
         let State::Leader(leader) = &mut self.state else {
             return;
         };
@@ -178,7 +180,7 @@
         self.advance_commit(out);
     }
 
-    /// Commits what a majority of the voters holds durably.
+    /// Advances the commit index to the last entry that is durable on a majority of the voters.
     pub(super) fn advance_commit(&mut self, out: &mut Vec<Output>) {
         let State::Leader(leader) = &self.state else {
             return;
@@ -200,13 +202,13 @@
         matched.sort_unstable_by(|left, right| right.cmp(left));
         let index = matched[members.quorum() - 1];
         let own_term = self.log.term_at(index) == Some(self.vote.term);
-        if index > self.commit && (own_term || !self.config.rules.commit_own_term) {
+        if index > self.commit && (own_term || !self.config.rules.commit_current_term_only) {
             self.set_commit(index, out);
-            self.note_leader_basis();
+            self.record_leader_freshness();
         }
     }
 
-    /// Reports the proposals up to the commit index.
+    /// Reports proposals up to the commit index as committed.
     pub(super) fn report_committed(&mut self, out: &mut Vec<Output>) {
         let commit = self.commit;
         let State::Leader(leader) = &mut self.state else {
@@ -220,7 +222,7 @@
         }
     }
 
-    /// Reports the proposals whose fate the next leader decides.
+    /// Rejects uncommitted proposals with an unknown outcome: the next leader may still commit them.
     pub(super) fn reject_uncommitted(&mut self, out: &mut Vec<Output>) {
         let State::Leader(leader) = &mut self.state else {
             return;
@@ -239,9 +241,9 @@
         let State::Leader(leader) = &self.state else {
             return;
         };
-        let heard = self.quorum_basis(self.now).max(Some(leader.elected_at));
-        if heard.is_none_or(|heard| self.now > heard + self.config.election) {
-            // Check-quorum: without a majority this member cannot commit, and another may lead.
+        let contact = self.quorum_acked(self.now).max(Some(leader.elected_at));
+        if contact.is_none_or(|contact| self.now > contact + self.config.election_timeout) {
+            // Check quorum: without contact to a majority this leader cannot commit, and another may have been elected.
             self.become_follower(None, out);
             return;
         }
@@ -249,8 +251,8 @@
         self.send_heartbeats(out);
     }
 
-    /// Newest instant whose messages a majority of the voters has answered.
-    pub(super) fn quorum_basis(&self, now: Duration) -> Option<Duration> {
+    /// Returns the latest time such that a majority of the voters has acknowledged a message sent then or later.
+    pub(super) fn quorum_acked(&self, now: Duration) -> Option<Duration> {
         let State::Leader(leader) = &self.state else {
             return None;
         };
@@ -267,39 +269,40 @@
         acked[members.quorum() - 1]
     }
 
-    /// Quorum basis once this leader knows everything that was committed before it.
-    fn leader_basis(&self, now: Duration) -> Option<Duration> {
+    /// Returns the quorum acknowledgement time, once an entry of this term is committed and this leader therefore knows
+    /// all entries committed in earlier terms.
+    fn leader_freshness(&self, now: Duration) -> Option<Duration> {
         let State::Leader(leader) = &self.state else {
             return None;
         };
         if self.commit < leader.first_index {
             return None;
         }
-        self.quorum_basis(now)
+        self.quorum_acked(now)
     }
 
-    pub(super) fn note_leader_basis(&mut self) {
-        if let Some(basis) = self.leader_basis(self.now) {
-            self.freshness.note(self.applied, self.commit, basis);
+    pub(super) fn record_leader_freshness(&mut self) {
+        if let Some(freshness) = self.leader_freshness(self.now) {
+            self.freshness.record(self.applied, self.commit, freshness);
         }
     }
 
-    /// Age of the leader's basis in microseconds, rounded up.
+    /// Returns the age of the leader's state in microseconds, rounded up.
     pub(super) fn leader_age(&self) -> Option<u64> {
-        let age = self.now.saturating_sub(self.leader_basis(self.now)?);
+        let age = self.now.saturating_sub(self.leader_freshness(self.now)?);
         Some(age.as_micros() as u64 + 1)
     }
 
-    /// Instant on the local clock before which nothing is missing from the applied state.
-    pub fn basis(&self, now: Duration) -> Option<Duration> {
+    /// Returns the time on the local clock up to which the applied state is complete.
+    pub fn freshness(&self, now: Duration) -> Option<Duration> {
         let confirmed = self.freshness.confirmed();
         if self.applied < self.commit {
             return confirmed;
         }
-        confirmed.max(self.leader_basis(now))
+        confirmed.max(self.leader_freshness(now))
     }
 
-    /// Tells whether no other member can lead now, and the applied state holds everything committed.
+    /// Returns whether this member is the leader and holds a valid lease, so that no other member can lead now.
     pub fn holds_lease(&self, now: Duration) -> bool {
         let State::Leader(leader) = &self.state else {
             return false;
@@ -307,9 +310,9 @@
         if leader.lease_void || self.store_failed {
             return false;
         }
-        let Some(basis) = self.leader_basis(now) else {
+        let Some(freshness) = self.leader_freshness(now) else {
             return false;
         };
-        now < basis + self.config.lease() || !self.config.rules.expire_lease
+        now < freshness + self.config.lease() || !self.config.rules.expire_lease
     }
 }
--- a/crates/consensus/src/replica/persist.rs
+++ b/crates/consensus/src/replica/persist.rs
@@ -1,4 +1,4 @@
-//! Writes of a replica, and what waits for them.
+//! Requests of durable writes, and their completion.
 
 use super::{Output, Replica, State};
 use crate::{log, snapshot, write};
@@ -42,14 +42,14 @@
         while let Some((_, commit)) = self.pending_commits.pop_front_if(|write| write.0 <= through) {
             self.stored_commit = self.stored_commit.max(commit);
         }
-        if let Some((_, snapshot)) = self.received.take_if(|received| received.0 <= through) {
+        if let Some((_, snapshot)) = self.pending_install.take_if(|received| received.0 <= through) {
             out.push(Output::Install(snapshot));
         }
-        while let Some((_, to, message)) = self.held.pop_front_if(|held| held.0 <= through) {
+        while let Some((_, to, message)) = self.deferred.pop_front_if(|held| held.0 <= through) {
             out.push(Output::Send { to, message });
         }
         if self.persisted >= self.vote_sequence {
-            self.count_own_vote(out);
+            self.count_self_vote(out);
         }
         self.advance_commit(out);
     }
@@ -59,7 +59,7 @@
             return;
         }
         self.store_failed = true;
-        self.held.clear();
+        self.deferred.clear();
         match self.state {
             State::Leader(_) => self.start_transfer(None, out),
             _ => self.state = State::Follower,
@@ -88,7 +88,7 @@
         self.persist(write::Kind::Compact { snapshot, first }, out);
     }
 
-    /// Appends entries to the log and asks for their storage.
+    /// Appends entries to the log and requests their write.
     pub(super) fn append(&mut self, entries: Vec<log::Entry>, out: &mut Vec<Output>) {
         for entry in &entries {
             if let log::Payload::Membership(members) = &entry.payload {
@@ -110,7 +110,7 @@
 
     /// Removes uncommitted entries from an index on.
     pub(super) fn truncate(&mut self, from: u64) {
-        assert!(from > self.commit, "committed entries stay");
+        assert!(from > self.commit, "committed entries are never truncated");
         self.log.truncate(from);
         self.memberships.retain(|(index, _)| *index < from);
         self.durable = self.durable.min(from - 1);
@@ -119,12 +119,12 @@
         }
     }
 
-    /// Asks for the storage of a commit index that no other write carried.
+    /// Requests a write of the commit index if it is not stored and no write of it is pending.
     pub(super) fn store_commit(&mut self, out: &mut Vec<Output>) {
-        if !self.config.store_commit || self.store_failed || self.asked_commit >= self.commit {
+        if !self.config.store_commit || self.store_failed || self.requested_commit >= self.commit {
             return;
         }
-        self.asked_commit = self.commit;
+        self.requested_commit = self.commit;
         self.persist(write::Kind::Commit(self.commit), out);
         self.pending_commits.push_back((self.sequence, self.commit));
     }
