--- a/crates/schedule/src/pass/backlog.rs
+++ b/crates/schedule/src/pass/backlog.rs
@@ -1,41 +1,41 @@
-//! Spreads long work over steps, so that no step blocks the control thread.
+//! Spreads long work over several steps, so that no step blocks the control thread.
 //!
-//! Starts, stops and ends of runs are counted against a bound that each tick renews. What exceeds it waits in a
-//! backlog, and the scheduler asks for the next tick at once. Placement has a bound of its own, so that urgent work
-//! and the other teams go on meanwhile.
+//! Starts, stops and ends of runs are charged to a budget that each tick renews. Work beyond the budget waits in a
+//! backlog, and the scheduler requests the next tick immediately. Placement has a separate budget, so that urgent work
+//! and other teams make progress meanwhile.
 //!
-//! Invariants: a job that ends has runs that were not told to stop only while it stands in the backlog; the room of
-//! a gang is debited as a whole before its first task starts, and is given back as a whole when the start is broken
-//! off.
+//! Invariants: a job that is ending has runs without a stop only while it is in the backlog; the resources of a gang
+//! are debited for all of its tasks before the first one starts, and those of all tasks that have not started are
+//! credited when the launch is cancelled.
 
 use std::time::Duration;
 
 use bronzespoke_model::resource;
 
-use crate::amount::times;
+use crate::amount::multiply;
 use crate::job::Stop;
 use crate::message::{Output, Reason};
 use crate::pass::gang;
 use crate::scheduler::Scheduler;
 use crate::table;
 
-/// Rooms that together hold a gang.
-pub(crate) type Rooms = Vec<(table::Worker, u32)>;
+/// Workers with the number of tasks that each receives, together enough for a gang.
+pub(crate) type Assignment = Vec<(table::Worker, u32)>;
 
 impl Scheduler {
-    /// Renews the bounds on the work until the next tick.
-    pub(crate) fn renew_bounds(&mut self) {
-        self.work = self.config.work_per_tick;
-        self.placements = self.config.placements_per_tick;
-        self.gang_tries = gang::COUNTED;
+    /// Resets the budgets that apply until the next tick.
+    pub(crate) fn reset_budgets(&mut self) {
+        self.work_budget = self.config.work_per_tick;
+        self.placement_budget = self.config.placements_per_tick;
+        self.gang_attempts = gang::GANGS_PER_PASS;
     }
 
-    /// Counts a start, stop or end.
-    pub(crate) fn count_work(&mut self) {
-        self.work = self.work.saturating_sub(1);
+    /// Charges a start, stop or end to the budget.
+    pub(crate) fn charge_work(&mut self) {
+        self.work_budget = self.work_budget.saturating_sub(1);
     }
 
-    /// Goes on with what earlier steps left over.
+    /// Continues the work that earlier steps left in the backlog.
     pub(crate) fn continue_backlog(&mut self, now: Duration, out: &mut Vec<Output>) {
         if self.restored.is_some() {
             self.continue_stops(now, out);
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Stops all runs of a job, over as many steps as it takes. Repeats cost nothing.
+    /// Queues stops of all runs of a job; they may take several steps. Repeated calls with the same reason do nothing.
     pub(crate) fn stop_runs(&mut self, index: table::Job, reason: Reason) {
         let job = &mut self.jobs[index];
         if job.stop.is_some_and(|stop| stop.reason == reason) {
@@ -53,7 +53,7 @@
         let queued = job.stop.is_some_and(|stop| stop.queued);
         job.stop = Some(Stop {
             reason,
-            left: job.runs.len(),
+            remaining: job.runs.len(),
             queued: true,
         });
         if !queued {
@@ -63,128 +63,134 @@
     }
 
     fn continue_stops(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while self.work > 0
+        while self.work_budget > 0
             && let Some(&(index, id)) = self.backlog.stopping.front()
         {
-            let live = self.jobs.get(index).is_some_and(|job| job.id == id);
-            if !live || !self.stop_next(now, index, out) {
+            let same_job = self.jobs.get(index).is_some_and(|job| job.id == id);
+            if !same_job || !self.stop_next(now, index, out) {
                 self.backlog.stopping.pop_front();
             }
         }
     }
 
-    /// Stops the last of a job's runs that is left; returns whether there was one. An ended run is replaced in the
-    /// list by the last one, so the runs that are left always stand first.
+    /// Stops the last of a job's remaining runs and returns whether there was one. An ended run is replaced in the list
+    /// by the last run, so the remaining runs always come first in the list.
     fn stop_next(&mut self, now: Duration, index: table::Job, out: &mut Vec<Output>) -> bool {
         let job = &mut self.jobs[index];
         let Some(stop) = &mut job.stop else {
             return false;
         };
-        stop.left = stop.left.min(job.runs.len());
-        let Some(left) = stop.left.checked_sub(1) else {
+        stop.remaining = stop.remaining.min(job.runs.len());
+        let Some(remaining) = stop.remaining.checked_sub(1) else {
             stop.queued = false;
-            self.count_work();
+            self.charge_work();
             self.finish_if_idle(index, out);
             return false;
         };
-        stop.left = left;
+        stop.remaining = remaining;
         let reason = stop.reason;
-        let run = job.runs[left];
+        let run = job.runs[remaining];
         self.stop(now, run, reason, None, out);
         true
     }
 
     fn continue_shrinking(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while self.work > 0
+        while self.work_budget > 0
             && let Some(&team) = self.backlog.shrinking.front()
         {
-            if self.shrink_some(now, team, out) {
+            if self.shrink_step(now, team, out) {
                 self.backlog.shrinking.pop_front();
             }
         }
     }
 
-    /// Debits the room of a whole gang; its tasks start in this step and the next ones.
-    pub(crate) fn launch(&mut self, now: Duration, index: table::Job, rooms: Rooms, out: &mut Vec<Output>) {
-        for &(worker, count) in &rooms {
-            self.promise(index, worker, count, true);
-            self.relist(worker);
+    /// Debits the resources of all tasks of a gang; the tasks start in this step and the next ones.
+    pub(crate) fn launch(
+        &mut self,
+        now: Duration,
+        index: table::Job,
+        assignment: Assignment,
+        out: &mut Vec<Output>,
+    ) {
+        for &(worker, count) in &assignment {
+            self.account_launch(index, worker, count, true);
+            self.reindex(worker);
         }
         let team = self.jobs[index].team;
         self.refresh_team(now, team);
         self.dequeue(index);
         let job = &mut self.jobs[index];
         job.stop = None;
-        job.launch = rooms;
+        job.launch = assignment;
         self.release_holds(index);
         self.backlog.launching.push_back(index);
         self.continue_launches(now, out);
     }
 
     fn continue_launches(&mut self, now: Duration, out: &mut Vec<Output>) {
-        while self.work > 0
+        while self.work_budget > 0
             && let Some(&index) = self.backlog.launching.front()
         {
-            let Some(room) = self.jobs[index].launch.last_mut() else {
+            let Some(entry) = self.jobs[index].launch.last_mut() else {
                 self.backlog.launching.pop_front();
                 continue;
             };
-            room.1 -= 1;
-            let (worker, left) = *room;
-            if left == 0 {
+            entry.1 -= 1;
+            let (worker, remaining) = *entry;
+            if remaining == 0 {
                 self.jobs[index].launch.pop();
             }
-            self.promise(index, worker, 1, false);
+            self.account_launch(index, worker, 1, false);
             let task = self.take_waiting(index);
             self.start(now, index, task, worker, out);
         }
     }
 
-    /// Gives back the room of the tasks of a gang that have not started.
-    pub(crate) fn break_launch(&mut self, index: table::Job) {
-        let rooms = std::mem::take(&mut self.jobs[index].launch);
-        if rooms.is_empty() {
+    /// Credits the resources of the tasks of a gang that have not started.
+    pub(crate) fn cancel_launch(&mut self, index: table::Job) {
+        let assignment = std::mem::take(&mut self.jobs[index].launch);
+        if assignment.is_empty() {
             return;
         }
         self.backlog.launching.retain(|job| *job != index);
-        for (worker, count) in rooms {
-            self.promise(index, worker, count, false);
-            self.freed(worker);
+        for (worker, count) in assignment {
+            self.account_launch(index, worker, count, false);
+            self.capacity_freed(worker);
         }
         let team = self.jobs[index].team;
         if self.teams[team].limited {
-            self.release_lanes(team);
+            self.unblock_lanes(team);
         }
     }
 
-    /// Breaks off the starts of gangs that count on a worker which falls out of use.
-    pub(crate) fn break_launches_on(&mut self, worker: table::Worker) {
-        if self.workers[worker].promised.is_zero() {
+    /// Cancels the launches of gangs that include a worker, which is about to become unusable.
+    pub(crate) fn cancel_launches_on(&mut self, worker: table::Worker) {
+        if self.workers[worker].launching_amount.is_zero() {
             return;
         }
         let on_worker = |index: &table::Job| {
-            let rooms = &self.jobs[*index].launch;
-            rooms.iter().any(|room| room.0 == worker)
+            let assignment = &self.jobs[*index].launch;
+            assignment.iter().any(|(other, _)| *other == worker)
         };
-        let broken: Vec<_> = self.backlog.launching.iter().copied().filter(on_worker).collect();
-        for index in broken {
-            self.end_gang(index);
+        let cancelled: Vec<_> = self.backlog.launching.iter().copied().filter(on_worker).collect();
+        for index in cancelled {
+            self.stop_gang(index);
         }
     }
 
-    /// Breaks off the starts of a team's gangs.
-    pub(crate) fn break_launches_of(&mut self, team: table::Team) {
+    /// Cancels the launches of a team's gangs.
+    pub(crate) fn cancel_launches_of(&mut self, team: table::Team) {
         let of_team = |index: &table::Job| self.jobs[*index].team == team;
-        let broken: Vec<_> = self.backlog.launching.iter().copied().filter(of_team).collect();
-        for index in broken {
-            self.end_gang(index);
+        let cancelled: Vec<_> = self.backlog.launching.iter().copied().filter(of_team).collect();
+        for index in cancelled {
+            self.stop_gang(index);
         }
     }
 
-    /// Debits or credits room for tasks of a gang that have not started.
-    fn promise(&mut self, index: table::Job, worker: table::Worker, count: u32, debit: bool) {
+    /// Debits or credits the resources of tasks of a gang that have not started.
+    fn account_launch(&mut self, index: table::Job, worker: table::Worker, count: u32, debit: bool) {
         let job = &self.jobs[index];
-        let sum = times(&job.size, count).expect("the room of a gang fits on its worker");
+        let sum = multiply(&job.size, count).expect("the tasks of a gang fit on their worker");
         let change = |account: &mut resource::Amount| {
             *account = if debit {
                 account.saturating_add(&sum)
@@ -195,9 +201,9 @@
         let team = &mut self.teams[job.team];
         let worker = &mut self.workers[worker];
         change(&mut worker.used);
-        change(&mut worker.promised);
+        change(&mut worker.launching_amount);
         change(&mut team.used);
-        change(&mut team.promised);
+        change(&mut team.launching_amount);
         change(&mut self.used);
     }
 }
--- a/crates/schedule/src/pass/explain.rs
+++ b/crates/schedule/src/pass/explain.rs
@@ -1,4 +1,4 @@
-//! Explanations and measures for operators.
+//! Explanations and metrics for operators.
 
 use std::time::Duration;
 
@@ -10,7 +10,7 @@
 use crate::table;
 
 impl Scheduler {
-    /// Tells why a job's waiting tasks do not start.
+    /// Returns why a job's waiting tasks do not start.
     pub fn explain(&self, job: id::JobId) -> Explanation {
         let Some(&index) = self.job_ids.get(&job) else {
             return Explanation {
@@ -64,7 +64,7 @@
         };
         if self.lanes[lane].listed.is_none() {
             Cause::TeamLimit
-        } else if self.entry(lane).fresh {
+        } else if self.entry(lane).runnable {
             Cause::Turn
         } else if self.teams[job.team].admits(&job.size) {
             Cause::NoRoom
@@ -73,7 +73,7 @@
         }
     }
 
-    /// Returns counts and sums.
+    /// Returns the present gauges and counters.
     pub fn metrics(&self, _now: Duration) -> Metrics {
         let wide = |amount: bronzespoke_model::resource::Amount| {
             [
@@ -99,11 +99,11 @@
             jobs: self.jobs.len() as u32,
             waiting,
             running: self.runs.len() as u32,
-            starts: self.counts.starts,
-            placement_attempts: self.counts.placement_attempts,
-            workers_evaluated: self.counts.workers_evaluated,
-            preempted: self.counts.preempted,
-            lost_core_seconds: self.counts.lost_core_seconds,
+            starts: self.counters.starts,
+            placement_attempts: self.counters.placement_attempts,
+            workers_evaluated: self.counters.workers_evaluated,
+            preempted: self.counters.preempted,
+            lost_core_seconds: self.counters.lost_core_seconds,
             max_share_deficit: distance,
             recovery: self.recovery,
         }
