--- a/crates/consensus/tests/repair.rs
+++ b/crates/consensus/tests/repair.rs
@@ -111,7 +111,7 @@
             cluster.start(second);
             assert!(
                 cluster.run_until_condition(ms(6_000), |cluster| leader_with_lease(cluster).is_some()),
-                "seed {seed}: it returns"
+                "seed {seed}: the group has a leader again"
             );
             assert!(
                 commit_proposals(&mut cluster, 3),
@@ -140,7 +140,7 @@
         assert_eq!(cluster.rejected.get(&id), None, "seed {seed}");
         assert!(
             status(&cluster).membership.voters.contains(&4),
-            "seed {seed}: appended"
+            "seed {seed}: the promotion is appended"
         );
         assert!(
             !status(&cluster).committed.voters.contains(&4),
@@ -149,7 +149,7 @@
         let named = |cluster: &Cluster| status(cluster).committed.voters.contains(&4);
         assert!(
             cluster.run_until_condition(ms(2_000), named),
-            "seed {seed}: committed"
+            "seed {seed}: the promotion is committed"
         );
         cluster.crash(leader);
         let until = cluster.now + ms(3_000);
@@ -184,7 +184,10 @@
             cluster.run_until_condition(ms(3_000), works),
             "seed {seed}: the other voter leads"
         );
-        assert!(commit_proposals(&mut cluster, 3), "seed {seed}: and commits");
+        assert!(
+            commit_proposals(&mut cluster, 3),
+            "seed {seed}: the remaining voter commits"
+        );
         assert_eq!(cluster.violation, None, "seed {seed}");
     }
 }
@@ -355,5 +358,8 @@
         .iter()
         .filter(|output| matches!(output, Output::Rejected { .. }))
         .count();
-    assert_eq!(full, 11, "the first entry of the term and nine proposals wait");
+    assert_eq!(
+        full, 11,
+        "the first entry of the term and nine proposals are pending"
+    );
 }
