--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -19,7 +19,7 @@
 
 /// An ordered map whose clones share the leaves that none of them has changed.
 ///
-/// Invariant: no leaf is empty or has more than [`LEAF_ENTRIES`] entries, and keys are strictly ascending within and
+/// Invariant: no leaf is empty or has more than `LEAF_ENTRIES` entries, and keys are strictly ascending within and
 /// across leaves.
 #[derive(Clone)]
 pub struct Map<K, V> {
--- a/crates/control/src/zone/jobs.rs
+++ b/crates/control/src/zone/jobs.rs
@@ -44,7 +44,7 @@
     pub succeeded: u32,
     /// Number of runs that failed.
     pub failures: u32,
-    /// Number of results that were not retained because of the limit [`MAX_RESULTS_BYTES`].
+    /// Number of results that were not retained because of the limit `MAX_RESULTS_BYTES`.
     pub results_dropped: u32,
     /// Whether the remaining runs of a gang must end before it restarts, because one run did not succeed.
     pub(super) ending: bool,
