--- a/crates/control/src/batch.rs
+++ b/crates/control/src/batch.rs
@@ -2,7 +2,7 @@
 //!
 //! Each entry costs frames to every member, their replies and a disk write, so commands are collected into batches. The
 //! proposer does this rather than the log, because only the proposer knows which commands are urgent, and because the
-//! log would still have one entry per command. Isolated commands are proposed without collection. Under sustained load,
+//! log would still have one entry per command. Isolated commands are not collected and wait at most [`PROMPT_DELAY`]. Under sustained load,
 //! commands that nobody waits for are collected for about [`ROUTINE_DELAY`].
 
 use std::time::Duration;
--- a/crates/control/src/zone/jobs.rs
+++ b/crates/control/src/zone/jobs.rs
@@ -209,7 +209,7 @@
         self.spec.command = String::new();
     }
 
-    /// Drops the retained results.
+    /// Drops the retained results, which frees their bytes for later ones.
     pub(super) fn drop_results(&mut self) {
         self.results = shared::Map::default();
         self.results_bytes = 0;
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -330,7 +330,7 @@
             }
             let known = |key| self.submissions.get(&key) == Some(sequence);
             if job.submission.is_some_and(|key| !known(key)) {
-                return Err(format!("the submission of job {sequence} is not known"));
+                return Err(format!("the submission key of job {sequence} is not indexed"));
             }
         }
         let open = |(sequence, index): &(u64, id::TaskIndex)| {
--- a/crates/control/tests/escrow.rs
+++ b/crates/control/tests/escrow.rs
@@ -294,7 +294,7 @@
             let limit = Total::from(self.root.teams()[&team].quota.limit);
             let outstanding = self.outstanding(team);
             let previous = &mut self.previous[team as usize - 1];
-            // Lowering a limit does not take allotments back at once, but nothing may grow beyond the limit.
+            // Lowering a limit does not reclaim allotments immediately, but nothing may grow beyond the limit.
             if !outstanding.fits(&limit.max(previous)) {
                 return Err(format!(
                     "team {team}: {outstanding:?} outstanding, {previous:?} in the previous step, limit {limit:?}"
