--- a/crates/schedule/src/pass/drain.rs
+++ b/crates/schedule/src/pass/drain.rs
@@ -1,7 +1,8 @@
 //! Drains workers.
 //!
-//! Services move one task at a time: the next is stopped when the replacement of the last has been seen running.
-//! Batch tasks that can be checkpointed are moved; other batch and gang tasks run to their end.
+//! Services move one task at a time: the next task is stopped once the replacement of the previous one has been
+//! reported as running. Batch tasks that support checkpoints are moved; other batch tasks and gang tasks run to
+//! completion.
 
 use std::time::Duration;
 
@@ -12,10 +13,10 @@
 use crate::scheduler::Scheduler;
 use crate::{table, timer};
 
-/// Interval at which drained workers are looked at.
-const INTERVAL: Duration = Duration::from_secs(1);
-/// Time to checkpoint for a task on a drained worker.
-const GRACE: Duration = Duration::from_secs(30);
+/// Interval at which drained workers are checked.
+const DRAIN_INTERVAL: Duration = Duration::from_secs(1);
+/// Time that a task on a drained worker has for its checkpoint.
+const CHECKPOINT_GRACE: Duration = Duration::from_secs(30);
 
 impl Scheduler {
     /// Starts or ends the drain of a worker.
@@ -28,34 +29,34 @@
         }
         self.workers[worker].draining = on;
         if on {
-            self.break_hold(worker);
+            self.cancel_hold(worker);
             self.draining.push(worker);
-            self.relist(worker);
+            self.reindex(worker);
             self.drain_due(now, out);
         } else {
             self.draining.retain(|member| *member != worker);
-            self.freed(worker);
+            self.capacity_freed(worker);
         }
     }
 
-    /// Takes the next step of all drains.
+    /// Advances all drains, and schedules the next check while drained workers have runs.
     pub(crate) fn drain_due(&mut self, now: Duration, out: &mut Vec<Output>) {
-        let mut left = false;
+        let mut runs_remain = false;
         for position in 0..self.draining.len() {
-            if self.work == 0 {
+            if self.work_budget == 0 {
                 self.timers.push(now, timer::Event::Drain);
-                self.more = true;
+                self.has_more = true;
                 return;
             }
             let worker = self.draining[position];
             let runs = self.workers[worker].runs.clone();
-            left |= !runs.is_empty();
+            runs_remain |= !runs.is_empty();
             for run in runs {
                 self.drain_run(now, run, out);
             }
         }
-        if left && self.drain_next <= now {
-            self.drain_next = now + INTERVAL;
+        if runs_remain && self.drain_next <= now {
+            self.drain_next = now + DRAIN_INTERVAL;
             self.timers.push(self.drain_next, timer::Event::Drain);
         }
     }
@@ -67,21 +68,21 @@
         }
         match self.jobs[record.job].kind {
             job::Kind::Service => {
-                if !self.config.rules.rolling_drain || self.is_complete(record.job) {
+                if !self.config.rules.rolling_drain || self.is_fully_running(record.job) {
                     self.stop(now, run, Reason::Drained, None, out);
                 }
             }
             job::Kind::Batch => {
                 if self.is_checkpointable(record.job) {
-                    self.stop(now, run, Reason::Drained, Some(GRACE), out);
+                    self.stop(now, run, Reason::Drained, Some(CHECKPOINT_GRACE), out);
                 }
             }
             job::Kind::Gang => {}
         }
     }
 
-    /// Tells whether all tasks of a service have been seen running and none is to end.
-    fn is_complete(&self, index: table::Job) -> bool {
+    /// Returns whether all tasks of a service have been reported as running and none of them is ending.
+    fn is_fully_running(&self, index: table::Job) -> bool {
         let job = &self.jobs[index];
         job.runs.len() as u32 == job.tasks
             && job.runs.iter().all(|run| self.runs[*run].phase == Phase::Running)
