--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -1,4 +1,4 @@
-//! Callers that are slow, many, absent or wrong: guards against held memory and slots, and unclear refusals.
+//! Callers that are slow, numerous, disconnected or invalid.
 
 mod common;
 
@@ -23,7 +23,7 @@
     Target::start(8, behaviour).await.expect("the target starts")
 }
 
-fn quick() -> settings::Settings {
+fn short_timeouts() -> settings::Settings {
     settings::Settings {
         header_timeout: Duration::from_millis(200),
         stall_timeout: Duration::from_millis(200),
@@ -39,26 +39,26 @@
 
 async fn read_all(mut stream: TcpStream) -> String {
     let mut text = Vec::new();
-    // A reset ends the reading as a close does.
+    // A reset ends the stream like a close.
     drop(stream.read_to_end(&mut text).await);
     String::from_utf8_lossy(&text).into_owned()
 }
 
-/// Guards against a slow header that holds a connection for ever.
+/// Guards against a slow header that holds a connection indefinitely.
 #[tokio::test]
-async fn a_slow_header_is_cut_off() {
+async fn slow_header_closes_the_connection() {
     let target = target(ECHO).await;
-    let cell = common::cell_with(&[&target], quick(), common::view()).await;
+    let cell = common::cell_with(&[&target], short_timeouts(), common::view()).await;
     let stream = raw(&cell, b"POST /v2/services/lineage/requests HTTP/1.1\r\nhos").await;
     read_all(stream).await;
     common::eventually("the connection is closed", || cell.server.connections() == 0).await;
 }
 
-/// Guards against a slow body that holds memory or a target's slot.
+/// Guards against a slow body that holds memory or a slot of a target.
 #[tokio::test]
-async fn a_slow_body_is_refused() {
+async fn slow_body_is_rejected() {
     let target = target(ECHO).await;
-    let cell = common::cell_with(&[&target], quick(), common::view()).await;
+    let cell = common::cell_with(&[&target], short_timeouts(), common::view()).await;
     let head = b"POST /v2/services/lineage/requests HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\ncontent-length: 10\r\n\r\nabc";
     let text = read_all(raw(&cell, head).await).await;
     assert!(
@@ -68,20 +68,20 @@
     assert_eq!(target.runs(), 0);
 }
 
-/// Guards against a body that is held although it is over the limit.
+/// Guards against a body beyond the limit that is buffered, with a length and with chunked encoding.
 #[yare::parameterized(
-    announced = { "content-length: 9999999\r\n\r\n".to_owned() },
+    content_length = { "content-length: 9999999\r\n\r\n".to_owned() },
     chunked = { format!("transfer-encoding: chunked\r\n\r\n200000\r\n{}\r\n0\r\n\r\n", "x".repeat(0x20_0000)) },
 )]
 #[test_macro(tokio::test)]
-async fn a_body_over_the_limit_is_refused(rest: String) {
+async fn body_over_the_limit_is_rejected(rest: String) {
     let target = target(ECHO).await;
     let cell = common::cell(&[&target]).await;
     let head = format!("POST {PATH} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\n{rest}");
     let mut stream = TcpStream::connect(cell.server.address()).await.expect("connects");
     let (mut reader, mut writer) = stream.split();
     let mut answer = vec![0; 4096];
-    // The server may close before it has taken the whole body, so a failed write is allowed.
+    // The server may close the connection before it has read the complete body, so the write may fail.
     let (length, _) = tokio::join!(reader.read(&mut answer), writer.write_all(head.as_bytes()));
     let text = String::from_utf8_lossy(&answer[..length.unwrap_or(0)]).into_owned();
     assert!(
@@ -91,7 +91,7 @@
     assert_eq!(target.runs(), 0);
 }
 
-/// Guards against pipelined requests that are lost or answered out of order.
+/// Guards against pipelined requests that are lost or whose responses are out of order.
 #[tokio::test]
 async fn pipelined_requests_are_answered_in_order() {
     let target = target(ECHO).await;
@@ -103,18 +103,21 @@
             bytes,
             "POST {PATH} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\n{close}content-length: 6\r\n\r\nbelt-{number}"
         )
-        .expect("a string takes every text");
+        .expect("writing to a string succeeds");
     }
     let text = read_all(raw(&cell, bytes.as_bytes()).await).await;
-    let places: Vec<_> = (0..5)
+    let positions: Vec<_> = (0..5)
         .map(|number| text.find(&format!("belt-{number}")))
         .collect();
-    assert!(places.iter().all(Option::is_some) && places.is_sorted(), "{text}");
+    assert!(
+        positions.iter().all(Option::is_some) && positions.is_sorted(),
+        "{text}"
+    );
 }
 
-/// Guards against idle connections that keep others from being served.
+/// Guards against idle connections that block other callers.
 #[tokio::test]
-async fn many_idle_connections_do_no_harm() {
+async fn idle_connections_do_not_block_requests() {
     let target = target(ECHO).await;
     let cell = common::cell(&[&target]).await;
     let mut idle = Vec::new();
@@ -126,9 +129,10 @@
     assert_eq!(answer.expect("answers").status, StatusCode::OK);
 }
 
-/// Guards against repeatable work that goes on for nobody, and against a lost non-repeatable answer.
+/// Guards against a repeatable request that continues after its caller disconnected, and against the loss of the
+/// response to a non-repeatable one.
 #[tokio::test]
-async fn a_caller_that_leaves_cancels_repeatable_work_only() {
+async fn disconnect_cancels_only_repeatable_requests() {
     let target = target(Behaviour::Echo(Duration::from_millis(300))).await;
     let cell = common::cell(&[&target]).await;
     let head = "host: e\r\nauthorization: Bearer dojo-key\r\ncontent-length: 1\r\n";
@@ -140,7 +144,7 @@
     .await;
     common::eventually("both run", || target.runs() == 2).await;
     drop((repeatable, claimed));
-    common::eventually("the answer is stored", || {
+    common::eventually("the response is stored", || {
         let claims = cell.control.claims.lock().expect("no test panics with the lock");
         claims.values().any(Option::is_some)
     })
@@ -148,19 +152,19 @@
     let again = caller::request(cell.server.address(), "lineage", common::KEY, Some("id"), "c").await;
     assert_eq!(again.expect("answers").text(), "c");
     assert_eq!(target.runs_of(b"c"), 1);
-    common::eventually("one connection is left", || target.connections().0 == 1).await;
+    common::eventually("one connection remains", || target.connections().0 == 1).await;
 }
 
-/// Guards against a caller that takes no answer and so holds a target's slot for ever.
+/// Guards against a caller that does not read its response and so holds a slot of a target indefinitely.
 #[tokio::test]
-async fn a_caller_that_takes_nothing_is_cut_off() {
+async fn caller_that_does_not_read_is_disconnected() {
     let target = target(Behaviour::Long(64 << 20)).await;
-    let cell = common::cell_with(&[&target], quick(), common::view()).await;
+    let cell = common::cell_with(&[&target], short_timeouts(), common::view()).await;
     let head = format!(
         "POST {PATH} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\ncontent-length: 0\r\n\r\n"
     );
     let _stream = raw(&cell, head.as_bytes()).await;
-    common::eventually("it runs", || target.runs() == 1).await;
+    common::eventually("the request runs", || target.runs() == 1).await;
     common::eventually("the caller's connection is closed", || {
         cell.server.connections() == 0
     })
@@ -172,7 +176,8 @@
     assert_eq!(cell.server.in_flight(), 0);
 }
 
-/// Guards against keyed work under an old view or a withdrawn key, and against open queues that stop with it.
+/// Guards against requests that are accepted with a withdrawn key or a stale view, and against open queues that need a
+/// fresh view.
 #[tokio::test]
 async fn keys_need_a_fresh_view() {
     let target = target(ECHO).await;
@@ -185,7 +190,10 @@
         .await
         .expect("answers");
     assert_eq!(withdrawn.status, StatusCode::UNAUTHORIZED);
-    assert!(!withdrawn.text().contains(common::KEY), "a key is never repeated");
+    assert!(
+        !withdrawn.text().contains(common::KEY),
+        "a response never contains a key"
+    );
     let stale = common::stale(&[&target]).await;
     let address = stale.server.address();
     let refused = caller::request(address, "lineage", common::KEY, None, "x")
@@ -197,9 +205,9 @@
     assert_eq!(open.expect("answers").status, StatusCode::OK);
 }
 
-/// Guards against a withdrawn key whose requests still start after they waited.
+/// Guards against requests that start with a key that was withdrawn while they were queued.
 #[tokio::test]
-async fn a_withdrawn_key_stops_waiting_requests() {
+async fn withdrawn_key_stops_queued_requests() {
     let target = target(Behaviour::Echo(Duration::from_millis(500))).await;
     let cell = common::cell(&[&target]).await;
     let address = cell.server.address();
@@ -208,9 +216,9 @@
     for _ in 0..9 {
         running.spawn(send("early"));
     }
-    common::eventually("every slot is taken", || target.in_flight() == 9).await;
+    common::eventually("every slot is in use", || target.in_flight() == 9).await;
     let late = tokio::spawn(send("late"));
-    common::eventually("the late request waits", || cell.server.in_flight() == 10).await;
+    common::eventually("the late request is queued", || cell.server.in_flight() == 10).await;
     let mut view = common::view();
     view.keys.clear();
     cell.view.send_replace(Arc::new(view));
@@ -223,7 +231,7 @@
     assert_eq!(target.runs_of(b"late"), 0);
 }
 
-/// Guards against a refusal that does not name the field, the value and what is allowed.
+/// Guards against error responses that do not name the field, the value and what is allowed.
 #[yare::parameterized(
     path = { Method::GET, "/v3/x", &[], "", 404, "path", "/v3/x" },
     method = { Method::GET, PATH, &[], "", 405, "method", "POST" },
@@ -247,7 +255,7 @@
     old_wait = { Method::POST, "/v1/request", &[], r#"{"key":"dojo-key","service":"lineage","timeout":0,"body":""}"#, 400, "timeout", "above 0" },
 )]
 #[test_macro(tokio::test)]
-async fn refusal(
+async fn invalid_request(
     method: Method,
     path: &str,
     headers: &[(&str, &str)],
@@ -277,9 +285,9 @@
     assert_eq!(target.runs(), 0);
 }
 
-/// Guards against headers that are held or passed on although they are over the limit.
+/// Guards against headers beyond the limit that are accepted or forwarded.
 #[tokio::test]
-async fn large_headers_are_refused() {
+async fn large_headers_are_rejected() {
     let target = target(ECHO).await;
     let cell = common::cell(&[&target]).await;
     let long = "x".repeat(20_000);
@@ -297,7 +305,8 @@
     );
 }
 
-/// Guards against bodies that together take more memory than is set, and against a version 1 that cannot be ended.
+/// Guards against bodies that together exceed the memory limit, and against a version-1 API that cannot be switched
+/// off.
 #[tokio::test]
 async fn settings_bound_memory_and_version_one() {
     let target = target(ECHO).await;
--- a/crates/gateway/tests/common/mod.rs
+++ b/crates/gateway/tests/common/mod.rs
@@ -1,6 +1,6 @@
-//! A gateway with a fake control task, for the tests of this package.
+//! A gateway with a fake control task, shared by the tests of this package.
 
-#![allow(dead_code, reason = "each test binary uses a part of this module")]
+#![allow(dead_code, reason = "each test binary uses only some items of this module")]
 
 use std::{
     collections::HashMap,
@@ -21,7 +21,7 @@
 pub const KEY: &str = "dojo-key";
 pub const PLACE: vm::Place = vm::Place { region: 0, zone: 0 };
 
-/// What the fake control task recorded.
+/// Calls recorded by the fake control task.
 #[derive(Default)]
 pub struct Control {
     pub claims: Mutex<HashMap<(u32, String), Option<control::Completion>>>,
@@ -90,11 +90,11 @@
     settings: settings::Settings,
     view: control::View,
 ) -> Cell {
-    // Far ahead, so that a slow machine does not let the view go stale.
+    // Far in the future, so that the view does not become stale on a slow machine.
     start(targets, settings, view, Some(Duration::from_hours(1))).await
 }
 
-/// A cell whose view was never confirmed.
+/// A cell whose view is never fresh.
 pub async fn stale(targets: &[&standin::Target]) -> Cell {
     start(targets, settings::Settings::default(), view(), None).await
 }
@@ -103,32 +103,32 @@
     targets: &[&standin::Target],
     settings: settings::Settings,
     view: control::View,
-    basis: Option<Duration>,
+    complete_until: Option<Duration>,
 ) -> Cell {
-    let (cell, receiver) = start_silent(targets, settings, view, basis).await;
+    let (cell, receiver) = start_manual(targets, settings, view, complete_until).await;
     tokio::spawn(answer_calls(receiver, Arc::clone(&cell.control)));
     cell
 }
 
-/// A cell whose calls are left to the test.
-pub async fn silent(targets: &[&standin::Target]) -> (Cell, mpsc::Receiver<control::Call>) {
+/// A cell whose calls the test answers itself, with a short call timeout.
+pub async fn manual(targets: &[&standin::Target]) -> (Cell, mpsc::Receiver<control::Call>) {
     let settings = settings::Settings {
         call_timeout: Duration::from_millis(200),
         ..settings::Settings::default()
     };
-    start_silent(targets, settings, view(), Some(Duration::from_hours(1))).await
+    start_manual(targets, settings, view(), Some(Duration::from_hours(1))).await
 }
 
-/// A cell whose calls are left to the test, which may take seconds to answer.
-pub async fn patient() -> (Cell, mpsc::Receiver<control::Call>) {
-    start_silent(&[], settings::Settings::default(), view(), None).await
+/// A cell without targets whose calls the test answers itself, with the default call timeout of several seconds.
+pub async fn manual_workers() -> (Cell, mpsc::Receiver<control::Call>) {
+    start_manual(&[], settings::Settings::default(), view(), None).await
 }
 
-async fn start_silent(
+async fn start_manual(
     targets: &[&standin::Target],
     settings: settings::Settings,
     view: control::View,
-    basis: Option<Duration>,
+    complete_until: Option<Duration>,
 ) -> (Cell, mpsc::Receiver<control::Call>) {
     let (calls, receiver) = mpsc::channel(control::CALL_QUEUE_CAPACITY);
     let usable = targets
@@ -149,8 +149,8 @@
         freshness: freshness.clone(),
         place: PLACE,
     };
-    if let Some(basis) = basis {
-        freshness.advance(basis);
+    if let Some(complete_until) = complete_until {
+        freshness.advance(complete_until);
     }
     let control = Arc::new(Control::default());
     let listener = tokio::net::TcpListener::bind("127.0.0.1:0")
@@ -191,7 +191,10 @@
     };
     match call {
         control::Call::Claim(claim, reply) => {
-            let mut claims = control.claims.lock().expect("no test panics with the lock");
+            let mut claims = control
+                .claims
+                .lock()
+                .expect("no test panics while it holds the lock");
             let key = (claim.team, claim.request);
             let claimed = match claims.get(&key) {
                 None | Some(Some(control::Completion::NotRun)) => {
@@ -207,7 +210,10 @@
             drop(reply.send(claimed));
         }
         control::Call::Complete(claim, _, completion, _) => {
-            let mut claims = control.claims.lock().expect("no test panics with the lock");
+            let mut claims = control
+                .claims
+                .lock()
+                .expect("no test panics while it holds the lock");
             claims.insert((claim.team, claim.request), Some(completion));
         }
         control::Call::Submit(_, _, spec, reply) => {
@@ -227,7 +233,10 @@
             drop(reply.send(answer));
         }
         control::Call::Announce(announcement, reply) => {
-            let mut announced = control.announced.lock().expect("no test panics with the lock");
+            let mut announced = control
+                .announced
+                .lock()
+                .expect("no test panics while it holds the lock");
             announced.push(announcement);
             drop(reply.send(Ok(Duration::from_secs(1))));
         }
@@ -248,7 +257,7 @@
     }
 }
 
-/// Waits until `condition` holds; the limit is only a safety stop.
+/// Waits until `condition` holds. The limit of 30 s only keeps a failing test from hanging.
 pub async fn eventually(what: &str, mut condition: impl FnMut() -> bool) {
     for _ in 0..3000 {
         if condition() {
@@ -256,5 +265,5 @@
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
     }
-    panic!("did not happen in 30 s: {what}");
+    panic!("not the case within 30 s: {what}");
 }
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -1,5 +1,4 @@
-//! Control that is slow, full or gone: guards against requests that hang, run without their claim, or are refused
-//! untruly.
+//! Behaviour while control is slow or has stopped.
 
 mod common;
 
@@ -28,11 +27,11 @@
         .to_owned()
 }
 
-/// Guards against a request that is sent without its claim, and against a late grant that blocks the id for ever.
+/// Guards against a request that is sent without its claim, and against a late grant that blocks the id permanently.
 #[tokio::test]
-async fn a_late_grant_is_given_back() {
+async fn late_grant_is_released() {
     let target = target().await;
-    let (cell, mut calls) = common::silent(&[&target]).await;
+    let (cell, mut calls) = common::manual(&[&target]).await;
     let headers = [
         AUTH,
         ("idempotency-key", "id"),
@@ -46,13 +45,13 @@
         (StatusCode::SERVICE_UNAVAILABLE, "not run")
     );
     let Some(control::Call::Claim(_, reply)) = calls.recv().await else {
-        panic!("the claim comes first");
+        panic!("the first call is not a claim");
     };
     reply
         .send(control::Claimed::Granted(9))
         .expect("the gateway still waits for the grant");
     let completion = loop {
-        match calls.recv().await.expect("control is there") {
+        match calls.recv().await.expect("the gateway holds the channel") {
             control::Call::Complete(_, number, completion, _) => break (number, completion),
             control::Call::Load(..) | control::Call::Event(_) => {}
             other => panic!("{other:?}"),
@@ -62,11 +61,11 @@
     assert_eq!(target.runs(), 0);
 }
 
-/// Guards against a job submission without an answer that is called not run.
+/// Guards against a job submission that control does not reply to and that is reported as not run.
 #[tokio::test]
-async fn a_submission_without_an_answer_is_unknown() {
+async fn submission_without_reply_is_unknown() {
     let target = target().await;
-    let (cell, _calls) = common::silent(&[&target]).await;
+    let (cell, _calls) = common::manual(&[&target]).await;
     let answer = caller::send(cell.server.address(), Method::POST, "/v2/jobs", &[AUTH], JOB).await;
     let answer = answer.expect("answers");
     assert_eq!(
@@ -75,11 +74,11 @@
     );
 }
 
-/// Guards against calls that wait for a control task that has ended, and against repeatable requests that need it.
+/// Guards against calls that wait for a stopped control task, and against repeatable requests that depend on it.
 #[tokio::test]
-async fn without_control_repeatable_requests_go_on() {
+async fn repeatable_requests_continue_without_control() {
     let target = target().await;
-    let (cell, calls) = common::silent(&[&target]).await;
+    let (cell, calls) = common::manual(&[&target]).await;
     drop(calls);
     let address = cell.server.address();
     let job = caller::send(address, Method::POST, "/v2/jobs", &[AUTH], JOB)
@@ -103,9 +102,9 @@
     assert_eq!(target.runs(), 1);
 }
 
-/// Guards against two runs of one id that is sent twice at the same time.
+/// Guards against two runs of a request whose id is sent twice at the same time.
 #[tokio::test]
-async fn an_id_in_progress_is_refused() {
+async fn request_id_in_progress_is_rejected() {
     let target = Target::start(8, Behaviour::Echo(Duration::from_millis(300)))
         .await
         .expect("the target starts");
--- a/crates/gateway/tests/drain.rs
+++ b/crates/gateway/tests/drain.rs
@@ -1,4 +1,4 @@
-//! Shutdown under load: guards against requests that a graceful shutdown cuts or loses.
+//! Graceful shutdown under load.
 
 mod common;
 
@@ -19,8 +19,8 @@
 
 const PATH: &str = "/v2/services/lineage/requests";
 
-/// Sends requests as a caller behind a balancer does: a connection that is to be closed is replaced, and a refused
-/// connection means that the VM is gone.
+/// Sends requests like a caller behind a load balancer: replaces a connection after `Connection: close`, and ends when
+/// a connection is refused, that is, when the server has stopped. Returns the number of responses.
 async fn load(address: std::net::SocketAddr, sent: Arc<AtomicU32>) -> Result<u32, caller::Error> {
     let headers = [("authorization", "Bearer dojo-key")];
     let mut answered = 0;
@@ -38,9 +38,9 @@
     Ok(answered)
 }
 
-/// Guards against requests that are cut between the readiness change and the last answer.
+/// Guards against requests that are truncated or lost between the change of readiness and the last response.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn a_drain_cuts_no_request() {
+async fn drain_completes_every_request() {
     let target = Target::start(64, Behaviour::Echo(Duration::from_millis(5)))
         .await
         .expect("the target starts");
@@ -55,14 +55,14 @@
     for _ in 0..20 {
         callers.spawn(load(address, Arc::clone(&sent)));
     }
-    common::eventually("load is on", || target.runs() > 200).await;
+    common::eventually("the callers send load", || target.runs() > 200).await;
     assert!(cell.server.is_ready());
     cell.server.drain().await;
     assert!(!cell.server.is_ready());
     assert_eq!((cell.server.in_flight(), cell.server.connections()), (0, 0));
     let mut answered = 0;
     while let Some(result) = callers.join_next().await {
-        answered += result.expect("no panic").expect("no request is cut");
+        answered += result.expect("no panic").expect("every request gets a response");
     }
     assert_eq!(answered, sent.load(Ordering::Relaxed));
 }
--- a/crates/gateway/tests/routes.rs
+++ b/crates/gateway/tests/routes.rs
@@ -1,4 +1,4 @@
-//! Every route end to end: guards against a route that is not wired, or that answers in another form than documented.
+//! Every route end to end.
 
 mod common;
 
@@ -16,7 +16,7 @@
         .expect("the target starts")
 }
 
-/// Guards against a broken path from a caller through the gateway to a target and back.
+/// Guards against failures on the path from a caller through the gateway to a target and back.
 #[tokio::test]
 async fn requests_reach_a_target() {
     let target = echo().await;
@@ -36,9 +36,9 @@
     assert_eq!(target.connections().1, 1, "the connection is reused");
 }
 
-/// Guards against a resend that runs again or gets another answer.
+/// Guards against a resend that runs again or gets a different response.
 #[tokio::test]
-async fn a_resend_gets_the_first_answer() {
+async fn resend_gets_the_stored_response() {
     let target = echo().await;
     let cell = common::cell(&[&target]).await;
     for _ in 0..3 {
@@ -55,7 +55,7 @@
     assert_eq!(target.runs(), 1);
 }
 
-/// Guards against job, target, worker and operation routes that are not wired.
+/// Guards against routes that are not connected to their handler or respond with another status or body.
 #[yare::parameterized(
     submit = { Method::POST, "/v2/jobs", r#"{"kind":"batch","tasks":1,"size":{"cpu_milli":100}}"#, 202, r#"{"job":42}"# },
     impossible = { Method::POST, "/v2/jobs", r#"{"kind":"batch","tasks":1,"size":{"cpu_milli":999000}}"#, 422, "impossible" },
--- a/crates/gateway/tests/targets.rs
+++ b/crates/gateway/tests/targets.rs
@@ -1,4 +1,4 @@
-//! Targets that fail in every stage: guards against repeated runs, untrue refusals and answers that are not whole.
+//! Targets that fail at every stage of a request.
 
 mod common;
 
@@ -43,9 +43,9 @@
         .to_owned()
 }
 
-/// Guards against a refusing target that fails requests, or makes a non-repeatable one `unknown`.
+/// Guards against a target that refuses connections and so fails requests, or makes a non-repeatable one `unknown`.
 #[tokio::test]
-async fn a_refusing_target_is_passed_over() {
+async fn target_that_refuses_connections_is_skipped() {
     let gone = target(ECHO).await;
     gone.vanish();
     let good = target(ECHO).await;
@@ -62,9 +62,9 @@
     assert_eq!(good.runs(), 20);
 }
 
-/// Guards against a true `not run` that keeps the id, so that the request could never run.
+/// Guards against an id that stays claimed after `not run`, so that the request could never run.
 #[tokio::test]
-async fn an_id_is_free_after_not_run() {
+async fn request_id_is_released_after_not_run() {
     let target = target(Behaviour::NotRun).await;
     let cell = common::cell(&[&target]).await;
     let refused = send(&cell, Some("id"), "5000", "x").await;
@@ -83,7 +83,7 @@
     assert_eq!(target.runs(), 1);
 }
 
-/// Guards against a second run, or a `not run`, after bytes may have been read.
+/// Guards against a second run, or a reported `not run`, after a target may have read bytes of the request.
 #[yare::parameterized(
     before = { Behaviour::StallBeforeReading, 504 },
     after = { Behaviour::StallAfterReading, 504 },
@@ -95,7 +95,7 @@
     chunk = { Behaviour::Raw(Bytes::from_static(b"HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nab")), 502 },
 )]
 #[test_macro(tokio::test)]
-async fn a_claimed_request_is_never_repeated(behaviour: Behaviour, status: u16) {
+async fn claimed_request_is_never_retried(behaviour: Behaviour, status: u16) {
     let bad = target(behaviour).await;
     let cell = common::cell(&[&bad]).await;
     let first = send(&cell, Some("id"), "400", "x").await;
@@ -117,9 +117,10 @@
     assert!(bad.runs() <= 1);
 }
 
-/// Guards against a cut answer that is passed on as whole, and against a repeatable request that is not retried.
+/// Guards against a truncated response that is forwarded as complete, and against a repeatable request that is not
+/// retried.
 #[tokio::test]
-async fn a_cut_answer_is_retried_when_repeatable() {
+async fn truncated_response_is_retried_if_repeatable() {
     let cut = Bytes::from_static(b"HTTP/1.1 200 OK\r\ncontent-length: 100\r\n\r\nabc");
     let bad = target(Behaviour::Raw(cut)).await;
     let good = target(ECHO).await;
@@ -130,13 +131,13 @@
     }
 }
 
-/// Guards against a long answer that is cut and looks whole to the caller.
+/// Guards against a long, truncated response that looks complete to the caller.
 #[yare::parameterized(
     length = { "content-length: 200000", "" },
     chunks = { "transfer-encoding: chunked", "186a0\r\n" },
 )]
 #[test_macro(tokio::test)]
-async fn a_long_cut_answer_aborts_the_connection(header: &str, prefix: &str) {
+async fn long_truncated_response_aborts_the_connection(header: &str, prefix: &str) {
     let mut bytes = format!("HTTP/1.1 200 OK\r\n{header}\r\n\r\n{prefix}").into_bytes();
     bytes.extend(vec![b'x'; 100_000]);
     let bad = target(Behaviour::Raw(bytes.into())).await;
@@ -145,9 +146,9 @@
     assert!(matches!(answer, Err(caller::Error::Cut(_))), "{answer:?}");
 }
 
-/// Guards against bytes after the announced length that become part of the next answer.
+/// Guards against bytes beyond the content length that become part of the next response.
 #[tokio::test]
-async fn excess_bytes_reach_nobody() {
+async fn excess_bytes_are_discarded() {
     let bytes =
         b"HTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabcHTTP/1.1 200 OK\r\ncontent-length: 4\r\n\r\nevil";
     let bad = target(Behaviour::Raw(Bytes::from_static(bytes))).await;
@@ -157,9 +158,9 @@
     }
 }
 
-/// Guards against a `not run` of a target that ends a non-repeatable request although another has room.
+/// Guards against a non-repeatable request that fails after `not run` although another target has a free slot.
 #[tokio::test]
-async fn a_target_that_did_not_run_is_passed_over() {
+async fn target_that_reports_not_run_is_skipped() {
     let busy = target(Behaviour::NotRun).await;
     let good = target(ECHO).await;
     let cell = common::cell(&[&busy, &good]).await;
@@ -170,9 +171,9 @@
     }
 }
 
-/// Guards against dead pooled connections that count as attempts when a target comes back at its address.
+/// Guards against closed pooled connections that count as attempts when a target restarts at the same address.
 #[tokio::test]
-async fn a_target_comes_back_at_its_address() {
+async fn target_restarts_at_the_same_address() {
     let first = target(ECHO).await;
     let cell = common::cell(&[&first]).await;
     assert_eq!(send(&cell, Some("a"), "5000", "a").await.status, StatusCode::OK);
@@ -194,16 +195,16 @@
     assert_eq!(second.runs(), 5);
 }
 
-/// Guards against new work for a departing target.
+/// Guards against new requests to a departing target.
 #[tokio::test]
-async fn a_departing_target_gets_nothing_new() {
+async fn departing_target_gets_no_new_requests() {
     let leaving = target(ECHO).await;
     let staying = target(ECHO).await;
     let cell = common::cell(&[&leaving, &staying]).await;
     let mut usable = vec![common::status(&leaving, 1), common::status(&staying, 2)];
     usable[0].departing = true;
     cell.targets.send_replace(Arc::new(control::Targets { usable }));
-    // The view is taken in by another task; it is in force when 30 requests in a row go elsewhere.
+    // Another task applies the new targets; this has happened when 30 consecutive requests went to the other target.
     let mut elsewhere = 0;
     for _ in 0..3000 {
         let before = leaving.runs();
@@ -225,9 +226,9 @@
     assert_eq!(leaving.runs(), before);
 }
 
-/// Guards against more connections to a target than this VM's part, and against lost requests at that bound.
+/// Guards against more connections to a target than this VM's allotment, and against requests lost at that bound.
 #[tokio::test(flavor = "multi_thread", worker_threads = 4)]
-async fn connections_stay_within_the_part() {
+async fn connections_stay_within_the_allotment() {
     let target = Arc::new(target(Behaviour::Echo(Duration::from_millis(5))).await);
     let mut view = common::view();
     for id in 1..=6 {
@@ -256,16 +257,16 @@
     }
     assert!(
         target.connections().1 <= 11,
-        "{} connections, 64 / 6 are allowed",
+        "{} connections, but 64 / 6 are allowed",
         target.connections().1
     );
     assert_eq!(target.runs(), 100);
 }
 
-/// Guards against an answer that depends on the speed of the caller: a long one is streamed whole.
+/// Guards against a long, streamed response that is truncated, and against one that is stored beyond the size limit.
 #[yare::parameterized(repeatable = { None }, claimed = { Some("id") })]
 #[test_macro(tokio::test)]
-async fn a_long_answer_is_whole(id: Option<&'static str>) {
+async fn long_response_is_complete(id: Option<&'static str>) {
     let target = target(Behaviour::Long(8 << 20)).await;
     let cell = common::cell(&[&target]).await;
     let answer = send(&cell, id, "30000", "x").await;
@@ -275,19 +276,19 @@
         assert_eq!(
             run_field(&again),
             "unknown",
-            "an answer above the bound is not stored"
+            "a response above the size limit is not stored"
         );
         assert_eq!(target.runs(), 1);
     }
 }
 
-/// Guards against a late target that makes a repeatable request late, and against copies of non-repeatable ones.
+/// Guards against a stalled target that delays repeatable requests, and against hedges of non-repeatable ones.
 #[tokio::test]
-async fn a_late_target_is_hedged_for_repeatable_requests_only() {
+async fn only_repeatable_requests_are_hedged() {
     let slow = target(ECHO).await;
     let good = target(ECHO).await;
     let cell = common::cell(&[&slow, &good]).await;
-    // Enough answers that the distribution of latencies is known.
+    // Enough responses for the latency distribution that hedging needs.
     for _ in 0..220 {
         send(&cell, None, "30000", "learn").await;
     }
@@ -300,7 +301,7 @@
     let stalled = slow.runs() - before;
     assert!(
         stalled <= 10,
-        "a target that is always overtaken got {stalled} of 40 requests"
+        "a target that always loses to its hedge got {stalled} of 40 requests"
     );
     for number in 0..8 {
         let id = format!("claimed-{number}");
@@ -309,7 +310,7 @@
     }
 }
 
-/// Guards against callers that ask for deadlines too short for the service and so have good targets ejected.
+/// Guards against callers whose deadlines are too short for the service and so get healthy targets ejected.
 #[tokio::test]
 async fn short_deadlines_eject_no_target() {
     let time = Duration::from_millis(50);
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -1,4 +1,4 @@
-//! Workers' reports: form of the body, version of HTTP, and the stand-in worker against a slow leader.
+//! Worker reports: encoding of the body, HTTP version, and the stand-in worker with a slow leader.
 
 mod common;
 
@@ -32,20 +32,20 @@
     }
 }
 
-/// Guards against a body that is read or answered in another form than the headers name, over either version of HTTP.
+/// Guards against a report or reply in another encoding than the headers name, over both HTTP versions.
 #[parameterized(
     json = { JSON, "*/*", false, JSON },
     compact = { compact::MEDIA_TYPE, compact::MEDIA_TYPE, false, compact::MEDIA_TYPE },
-    compact_over_two = { compact::MEDIA_TYPE, compact::MEDIA_TYPE, true, compact::MEDIA_TYPE },
-    json_over_two = { JSON, JSON, true, JSON },
+    compact_over_http2 = { compact::MEDIA_TYPE, compact::MEDIA_TYPE, true, compact::MEDIA_TYPE },
+    json_over_http2 = { JSON, JSON, true, JSON },
     compact_answered_as_json = { compact::MEDIA_TYPE, JSON, true, JSON },
     several_accepted = { JSON, "text/html, application/vnd.bronzespoke.report.v1+postcard;q=0.5", false, compact::MEDIA_TYPE },
     unknown_version = { JSON, "application/vnd.bronzespoke.report.v2+postcard", false, JSON },
 )]
 #[test_macro(tokio::test)]
-async fn forms(content_type: &str, accept: &str, two: bool, expected: &str) {
+async fn encodings(content_type: &str, accept: &str, http2: bool, expected: &str) {
     let cell = common::cell(&[]).await;
-    let client = if two {
+    let client = if http2 {
         client::Client::new_two()
     } else {
         client::Client::new()
@@ -74,15 +74,16 @@
     assert_eq!(reply.acknowledged, 5);
 }
 
-/// Guards against a broken binary body that is taken in part, or that ends the connection instead of being refused.
+/// Guards against a malformed binary body that is accepted in part, or that closes the connection instead of being
+/// rejected.
 #[parameterized(
-    cut = { |body: &mut Vec<u8>| { body.pop(); } },
+    truncated = { |body: &mut Vec<u8>| { body.pop(); } },
     longer = { |body: &mut Vec<u8>| body.push(0) },
     empty = { Vec::clear },
     endless_list = { |body: &mut Vec<u8>| { body.truncate(3); body.extend([255, 255, 255, 255, 15]); } },
 )]
 #[test_macro(tokio::test)]
-async fn broken_bodies_are_refused(damage: fn(&mut Vec<u8>)) {
+async fn malformed_bodies_are_rejected(damage: fn(&mut Vec<u8>)) {
     let cell = common::cell(&[]).await;
     let mut body = body(compact::MEDIA_TYPE);
     damage(&mut body);
@@ -102,9 +103,9 @@
     assert!(String::from_utf8_lossy(&answer.body).contains(r#""field":"body""#));
 }
 
-/// Guards against requests of callers over HTTP/2, whose rules for relayed answers the entry path does not keep.
+/// Guards against HTTP/2 requests from callers; the gateway does not implement its rules for forwarded responses.
 #[tokio::test]
-async fn only_workers_may_use_http_two() {
+async fn only_workers_may_use_http2() {
     let cell = common::cell(&[]).await;
     let path = "/v2/queues/diplomas/requests";
     let answer = client::Client::new_two()
@@ -145,7 +146,7 @@
         let call = tokio::time::timeout(LIMIT, calls.recv())
             .await
             .expect("the worker reports");
-        match call.expect("the gateway is there") {
+        match call.expect("the gateway holds the channel") {
             control::Call::Register(_, reply) => drop(reply.send(Ok(()))),
             control::Call::Report(report, reply) => return (report, reply),
             _ => {}
@@ -177,11 +178,11 @@
     cancel
 }
 
-/// Guards against a worker whose runs keep ending and that replaces every report before its answer comes: its lease
-/// would run out, and it would stop everything.
+/// Guards against a worker that replaces its report whenever a run ends and so never gets a reply: while runs keep
+/// ending, its lease would expire, and it would stop all runs.
 #[tokio::test]
-async fn a_report_with_ends_waits_for_its_answer() {
-    let (cell, mut calls) = common::patient().await;
+async fn report_with_ended_runs_waits_for_its_reply() {
+    let (cell, mut calls) = common::manual_workers().await;
     let cancel = worker_of(&cell);
     let (first, answer) = next_report(&mut calls).await;
     let starts = (1..=20).map(|number| start(number, &format!("sleep {}", number * 100)));
@@ -194,22 +195,22 @@
         if report.ended.is_empty() {
             continue;
         }
-        // Longer than the pause before an end is reported, and several runs end meanwhile.
+        // Longer than the delay before an ended run is reported, so that several runs end meanwhile.
         tokio::time::sleep(Duration::from_millis(700)).await;
         ends += report.ended.len();
         let sent = answer.send(Ok(reply(report.sequence, Vec::new())));
         assert!(sent.is_ok(), "report {} was replaced", report.sequence);
         answered += 1;
     }
-    assert!(answered <= 6, "20 ends in 2 s took {answered} answered reports");
+    assert!(answered <= 6, "20 runs ended in 2 s took {answered} reports");
     cancel.cancel();
 }
 
-/// Guards against a lost answer or a new leader after which the worker goes on to name a base that nobody knows, and
-/// against a change that names runs again without a reason.
+/// Guards against a worker that, after a lost reply or a change of leader, keeps sending incremental reports on a base
+/// that the leader does not know, and against incremental reports that repeat unchanged runs.
 #[tokio::test]
-async fn a_refused_change_is_followed_by_a_full_report() {
-    let (cell, mut calls) = common::patient().await;
+async fn rejected_incremental_report_is_followed_by_a_full_report() {
+    let (cell, mut calls) = common::manual_workers().await;
     let cancel = worker_of(&cell);
     let (first, answer) = next_report(&mut calls).await;
     assert_eq!(first.base, None);
@@ -233,30 +234,30 @@
     answer.send(Err(refusal)).expect("the worker waits");
     let (fourth, answer) = next_report(&mut calls).await;
     assert_eq!((fourth.base, fourth.running.len()), (None, 2));
-    // The answer is lost: the gateway ends the call without one.
+    // The reply is lost: control drops the call without one.
     drop(answer);
     let (fifth, _answer) = next_report(&mut calls).await;
     assert_eq!((fifth.base, fifth.running.len()), (None, 2));
     cancel.cancel();
 }
 
-/// Guards against a worker that asks a silent leader twice in a row, because that VM is also its entry: the lease would
-/// run out, and its runs would start again elsewhere.
+/// Guards against a worker that sends its report to an unresponsive leader twice in a row because that VM is also its
+/// entry VM. Its lease would expire, and its runs would be started elsewhere.
 #[tokio::test]
-async fn a_silent_leader_is_asked_once() {
-    let (silent, mut silent_calls) = common::patient().await;
-    let (other, mut other_calls) = common::patient().await;
-    let cancel = worker_at(vec![other.server.address(), silent.server.address()]);
-    let (first, answer) = next_report(&mut silent_calls).await;
+async fn unresponsive_leader_is_tried_once() {
+    let (stalled, mut stalled_calls) = common::manual_workers().await;
+    let (other, mut other_calls) = common::manual_workers().await;
+    let cancel = worker_at(vec![other.server.address(), stalled.server.address()]);
+    let (first, answer) = next_report(&mut stalled_calls).await;
     answer
         .send(Ok(reply(first.sequence, vec![start(1, "serve")])))
         .expect("the worker waits");
-    let (_, _answer) = next_report(&mut silent_calls).await;
+    let (_, _answer) = next_report(&mut stalled_calls).await;
     let (next, _answer) = next_report(&mut other_calls).await;
     assert_eq!((next.base, next.running.len()), (None, 1));
     assert!(
-        silent_calls.try_recv().is_err(),
-        "the silent leader was asked again"
+        stalled_calls.try_recv().is_err(),
+        "the unresponsive leader got another report"
     );
     cancel.cancel();
 }
