--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -1,4 +1,4 @@
-//! Reports of workers.
+//! Handling of worker reports.
 
 use std::time::Duration;
 
@@ -9,18 +9,18 @@
 use crate::scheduler::Scheduler;
 use crate::table;
 
-/// Reports in a row that must leave out a run that they named before, until it counts as ended.
-const MISSING_REPORTS: u8 = 2;
+/// Number of consecutive reports without a confirmed run after which the run counts as ended.
+const MAX_MISSED_REPORTS: u8 = 2;
 
 impl Scheduler {
-    /// Takes a report: renews the lease, ends runs, follows usage.
+    /// Handles a report: renews the lease, ends runs and updates usage.
     pub(crate) fn report(&mut self, now: Duration, report: model::Report, out: &mut Vec<Output>) {
         let Some(&worker) = self.worker_ids.get(&report.worker) else {
             return;
         };
         let rules = self.config.rules;
         let expiry = if rules.await_lease_expiry {
-            self.config.expiry()
+            self.config.lease_expiry()
         } else {
             self.config.lease / 2
         };
@@ -33,27 +33,27 @@
         }
         record.sequence = report.sequence;
         record.lease_until = now + expiry;
-        record.reported = Some(now);
+        record.last_report = Some(now);
         if !record.confirmed {
             record.confirmed = true;
-            self.confirm_one(now, out);
-            self.freed(worker);
+            self.confirm_worker(now, out);
+            self.capacity_freed(worker);
         }
         for ended in report.ended {
             self.ended(now, ended.task, ended.token, ended.outcome, out);
         }
         for running in &report.running {
-            self.named(worker, report.sequence, running, out);
+            self.record_running(worker, report.sequence, running, out);
         }
-        self.find_missing(now, worker, report.sequence, out);
+        self.end_missing(now, worker, report.sequence, out);
         self.set_excess(worker);
         if !self.workers[worker].excess.is_zero() {
             self.shed_excess(now, worker, out);
         }
-        self.freed(worker);
+        self.capacity_freed(worker);
     }
 
-    fn named(
+    fn record_running(
         &mut self,
         worker: table::Worker,
         sequence: u64,
@@ -75,8 +75,8 @@
         };
         let record = &mut self.runs[run];
         record.confirmed = true;
-        record.missing = 0;
-        record.seen = sequence;
+        record.missed_reports = 0;
+        record.last_sequence = sequence;
         record.usage = running.usage;
         if record.phase == Phase::Starting {
             record.phase = Phase::Running;
@@ -84,23 +84,23 @@
         self.observe_usage(run, out);
     }
 
-    fn find_missing(&mut self, now: Duration, worker: table::Worker, sequence: u64, out: &mut Vec<Output>) {
+    fn end_missing(&mut self, now: Duration, worker: table::Worker, sequence: u64, out: &mut Vec<Output>) {
         let mut position = 0;
         while let Some(&run) = self.workers[worker].runs.get(position) {
             position += 1;
             let record = &mut self.runs[run];
-            if record.former || !record.confirmed || record.seen == sequence {
+            if record.former || !record.confirmed || record.last_sequence == sequence {
                 continue;
             }
-            record.missing += 1;
-            if record.missing >= MISSING_REPORTS {
+            record.missed_reports += 1;
+            if record.missed_reports >= MAX_MISSED_REPORTS {
                 self.end_run(now, run, task::Outcome::LeaseExpired, out);
                 position -= 1;
             }
         }
     }
 
-    /// Sums up what the runs of a worker use above their grants, so that nothing is placed on it.
+    /// Updates the usage above their grants of a worker's runs, which is not available to other tasks.
     pub(crate) fn set_excess(&mut self, worker: table::Worker) {
         let mut excess = resource::Amount::ZERO;
         for &run in &self.workers[worker].runs {
