--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -215,7 +215,7 @@
     let register = |draining: bool| Command::Register {
         incarnation: worker::Incarnation {
             name: String::from("w"),
-            born: 1,
+            started_ms: 1,
         },
         worker: Box::new(worker::Worker {
             address: std::net::SocketAddr::from(([127, 0, 0, 1], 1)),
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leading.rs
@@ -7,7 +7,7 @@
     admission,
     dispatch::{self, Dispatch, Output, Registration},
 };
-use bronzespoke_workload::{advice, call, catalog, job, worker};
+use bronzespoke_workload::{call, catalog, eligibility, job, worker};
 
 use crate::{
     fleet::{
@@ -130,7 +130,7 @@
     }
 
     /// Returns the answer of the eligibility service to whoever wanted to know.
-    pub(super) fn advised(&mut self, asker: wire::Place, number: u64, answer: advice::Answer) {
+    pub(super) fn advised(&mut self, asker: wire::Place, number: u64, answer: eligibility::Answer) {
         if asker.vm == self.me.vm {
             let now = self.now();
             if let Some(dispatch) = &mut self.dispatch {
@@ -184,7 +184,7 @@
                 log::info!(
                     "decision=register worker={} born={} state={:?} address={}",
                     announcement.incarnation.name,
-                    announcement.incarnation.born,
+                    announcement.incarnation.started_ms,
                     announcement.state,
                     announcement.worker.address
                 );
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -23,7 +23,7 @@
 
 use std::time::{Duration, Instant};
 
-use bronzespoke_workload::{advice, call, directive, settings};
+use bronzespoke_workload::{call, directive, eligibility, settings};
 use tokio::sync::oneshot;
 
 pub use start::{Error, read, run};
@@ -71,7 +71,7 @@
         /// Number of the question.
         number: u64,
         /// Answer.
-        answer: advice::Answer,
+        answer: eligibility::Answer,
     },
     /// Writes are durable, or failed.
     Disk(disk::Done),
--- a/crates/daemon/src/fleet/orders.rs
+++ b/crates/daemon/src/fleet/orders.rs
@@ -6,7 +6,7 @@
     time::{Duration, Instant},
 };
 
-use bronzespoke_workload::{adapter, advice, directive};
+use bronzespoke_workload::{adapter, directive, eligibility};
 use ractor::ActorRef;
 use tokio::{runtime, sync::OnceCell};
 
@@ -93,20 +93,20 @@
     }
 
     /// Asks the eligibility service for another daemon.
-    pub fn ask(&self, asker: wire::Place, number: u64, question: advice::Query) {
+    pub fn ask(&self, asker: wire::Place, number: u64, question: eligibility::Query) {
         let sender = self.clone();
         self.runtime
             .spawn(async move { sender.question(asker, number, question).await });
     }
 
-    async fn question(self, asker: wire::Place, number: u64, question: advice::Query) {
+    async fn question(self, asker: wire::Place, number: u64, question: eligibility::Query) {
         let answer = match self.advice {
-            None => advice::Answer::Failed,
+            None => eligibility::Answer::Failed,
             Some(address) => {
                 let request = self.adapter.query(&question);
                 match self.client.call(address, request, QUESTION_TIMEOUT).await {
                     Ok((status, body)) => self.adapter.eligibility(status, &body),
-                    Err(_error) => advice::Answer::Failed,
+                    Err(_error) => eligibility::Answer::Failed,
                 }
             }
         };
--- a/crates/daemon/src/fleet/wire.rs
+++ b/crates/daemon/src/fleet/wire.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use bronzespoke_model::id;
-use bronzespoke_workload::{advice, call, directive};
+use bronzespoke_workload::{call, directive, eligibility};
 use serde::{Deserialize, Serialize};
 
 /// A message.
@@ -45,14 +45,14 @@
         /// Number that the answer carries.
         number: u64,
         /// Question.
-        question: advice::Query,
+        question: eligibility::Query,
     },
     /// Answer of the eligibility service.
     Eligibility {
         /// Number of the question.
         number: u64,
         /// Answer.
-        answer: advice::Answer,
+        answer: eligibility::Answer,
     },
     /// The leader has the receiver carry orders to workers.
     Orders {
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -3,7 +3,7 @@
 use std::{fmt, time::Duration};
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{advice, directive};
+use bronzespoke_workload::{directive, eligibility};
 
 /// A decision or a change in the known state of a worker, with its reason.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -66,7 +66,7 @@
     /// A query was sent to the eligibility service.
     QuerySent {
         /// Step that the query is about.
-        step: advice::Step,
+        step: eligibility::Step,
         /// Number of workers that the query names.
         workers: usize,
     },
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{advice, directive, worker as announced};
+use bronzespoke_workload::{directive, eligibility, worker as announced};
 
 use super::{Dispatch, Event, Now, Output, directives, lost::Loss, schedule};
 use crate::worker;
@@ -133,7 +133,7 @@
             }
             let same_place = registered.worker.address == announcement.worker.address;
             if registered.incarnation.name == incarnation.name || same_place {
-                if registered.incarnation.born > incarnation.born {
+                if registered.incarnation.started_ms > incarnation.started_ms {
                     return Registration::Outdated;
                 }
                 former.push(*index);
@@ -181,7 +181,7 @@
     }
 
     /// Stops the runs of a step up to a number.
-    pub(super) fn stop_step(&mut self, step: advice::Step, run: directive::Run, now: Duration) {
+    pub(super) fn stop_step(&mut self, step: eligibility::Step, run: directive::Run, now: Duration) {
         let (first, last) = (schedule::task_id(step, 0), schedule::task_id(step, u32::MAX));
         self.stop_runs_in(first, last, run, now);
     }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -20,7 +20,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::id;
-use bronzespoke_workload::{advice, catalog, directive, job, settings};
+use bronzespoke_workload::{catalog, directive, eligibility, job, settings};
 
 pub use event::Event;
 pub use fleet::Registration;
@@ -51,8 +51,8 @@
 /// Margin on the retention of finished jobs, for callers whose clock or call is late.
 const RETENTION_MARGIN: Duration = Duration::from_secs(30);
 
-const fn first_occurrence(job: job::Key, step: u16) -> advice::Step {
-    advice::Step {
+const fn first_occurrence(job: job::Key, step: u16) -> eligibility::Step {
+    eligibility::Step {
         job,
         occurrence: 0,
         step,
@@ -122,9 +122,9 @@
     queries: query_queue::Queue,
     reservations: reserve::Reservations,
     /// Steps with tasks to place.
-    waiting: HashMap<advice::Step, waiting::Waiting>,
+    waiting: HashMap<eligibility::Step, waiting::Waiting>,
     /// Steps of submissions that are being committed, for which queries are already enqueued.
-    prefetched: Vec<advice::Step>,
+    prefetched: Vec<eligibility::Step>,
     /// Tasks whose start is proposed and not committed.
     proposed: HashSet<directive::Task>,
     /// Workers on which a task has failed.
@@ -276,7 +276,7 @@
     }
 
     /// Handles an answer of the eligibility service.
-    pub fn query_answered(&mut self, now: Duration, number: u64, answer: &advice::Answer) {
+    pub fn query_answered(&mut self, now: Duration, number: u64, answer: &eligibility::Answer) {
         if self.queries.record_answer(now, number, answer).is_some() {
             self.dirty = true;
         }
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -7,7 +7,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{advice, directive};
+use bronzespoke_workload::{directive, eligibility};
 
 use super::{Dispatch, Event, Now, Output, lost::Loss};
 use crate::{
@@ -40,9 +40,9 @@
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let is_other_incarnation = report
-            .born
-            .is_some_and(|born| record.incarnation.born != 0 && born != record.incarnation.born);
+        let is_other_incarnation = report.started_ms.is_some_and(|started_ms| {
+            record.incarnation.started_ms != 0 && started_ms != record.incarnation.started_ms
+        });
         if is_other_incarnation {
             self.end_incarnation(worker, Loss::Restarted);
             return;
@@ -465,8 +465,8 @@
     step.is_some_and(|step| !step.lasting && !step.gang)
 }
 
-pub(super) const fn step_of(task: directive::Task) -> advice::Step {
-    advice::Step {
+pub(super) const fn step_of(task: directive::Task) -> eligibility::Step {
+    eligibility::Step {
         job: task.job,
         occurrence: task.occurrence,
         step: task.step,
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -8,7 +8,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{advice, catalog, directive, job, worker as announced};
+use bronzespoke_workload::{catalog, directive, eligibility, job, worker as announced};
 
 use super::{Dispatch, Event, Now, Output, fleet, waiting};
 use crate::{
@@ -54,7 +54,7 @@
 
 /// Properties of a step that a pass needs.
 struct Subject<'a> {
-    id: advice::Step,
+    id: eligibility::Step,
     job: &'a cell::Job,
     queue: &'a catalog::Queue,
     spec: &'a job::Step,
@@ -153,7 +153,7 @@
     }
 
     /// Returns the waiting steps that are due, in the order of their ranks.
-    fn ranked(&self, state: &cell::State, now: Now) -> Vec<(rank::Rank, advice::Step)> {
+    fn ranked(&self, state: &cell::State, now: Now) -> Vec<(rank::Rank, eligibility::Step)> {
         let mut ranked = Vec::with_capacity(self.waiting.len());
         for (id, entry) in &self.waiting {
             if entry.begun_ms > now.wall_ms {
@@ -171,7 +171,7 @@
         ranked
     }
 
-    fn subject<'a>(&self, state: &'a cell::State, id: advice::Step, tier: u8) -> Option<Subject<'a>> {
+    fn subject<'a>(&self, state: &'a cell::State, id: eligibility::Step, tier: u8) -> Option<Subject<'a>> {
         let job = state.job(id.job)?;
         let spec = job.submission.steps.get(usize::from(id.step))?;
         let progress = state.step(id.job, id.occurrence, id.step)?;
@@ -315,7 +315,7 @@
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
-        cost: &catalog::Advice,
+        cost: &catalog::QueryCost,
         needed: u32,
         candidates: &[Candidate],
         slots: &[Slot<'_>],
@@ -349,7 +349,7 @@
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
-        cost: &catalog::Advice,
+        cost: &catalog::QueryCost,
         mut workers: Vec<Candidate>,
     ) {
         workers.sort_by_key(|candidate| {
@@ -538,7 +538,7 @@
 }
 
 /// Returns the id of a task of a step.
-pub(super) const fn task_id(step: advice::Step, index: u32) -> directive::Task {
+pub(super) const fn task_id(step: eligibility::Step, index: u32) -> directive::Task {
     directive::Task {
         job: step.job,
         occurrence: step.occurrence,
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{advice, job};
+use bronzespoke_workload::{eligibility, job};
 
 use super::Dispatch;
 use crate::estimate;
@@ -32,7 +32,7 @@
             let occurrence = occurrence as u32;
             for (step, entry) in progress.steps.iter().enumerate() {
                 let step = step as u16;
-                let id = advice::Step {
+                let id = eligibility::Step {
                     job: key,
                     occurrence,
                     step,
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -12,7 +12,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::id;
-use bronzespoke_workload::{advice, catalog};
+use bronzespoke_workload::{catalog, eligibility};
 use bytes::Bytes;
 
 /// Cost above which a query counts as long.
@@ -100,7 +100,7 @@
 #[derive(Debug)]
 struct Sent {
     proxy: id::VmId,
-    step: advice::Step,
+    step: eligibility::Step,
     workers: Vec<(cell::WorkerIndex, String)>,
     at: Duration,
     give_up_at: Duration,
@@ -115,7 +115,7 @@
     /// Number of the query, repeated in its answer.
     pub number: u64,
     /// Query to send.
-    pub query: advice::Query,
+    pub query: eligibility::Query,
 }
 
 /// Queries that are waiting or in flight, and the answers so far.
@@ -123,10 +123,10 @@
 pub struct Queue {
     proxies: BTreeMap<id::VmId, Option<u64>>,
     /// Parts of queries that are waiting.
-    waiting: HashMap<advice::Step, Vec<Waiting>>,
+    waiting: HashMap<eligibility::Step, Vec<Waiting>>,
     sent: BTreeMap<u64, Sent>,
     next_number: u64,
-    steps: HashMap<advice::Step, Eligibility>,
+    steps: HashMap<eligibility::Step, Eligibility>,
 }
 
 impl Queue {
@@ -139,18 +139,18 @@
     }
 
     /// Returns the known eligibility for a step.
-    pub fn eligibility(&self, step: advice::Step) -> Option<&Eligibility> {
+    pub fn eligibility(&self, step: eligibility::Step) -> Option<&Eligibility> {
         self.steps.get(&step)
     }
 
     /// Removes a step and its waiting queries.
-    pub fn remove(&mut self, step: advice::Step) {
+    pub fn remove(&mut self, step: eligibility::Step) {
         self.steps.remove(&step);
         self.waiting.remove(&step);
     }
 
     /// Invalidates the ticket of a worker that has refused it.
-    pub fn invalidate_ticket(&mut self, step: advice::Step, worker: cell::WorkerIndex) {
+    pub fn invalidate_ticket(&mut self, step: eligibility::Step, worker: cell::WorkerIndex) {
         if let Some(known) = self.steps.get_mut(&step) {
             known.known.insert(worker, Permit::Expired);
         }
@@ -160,8 +160,8 @@
     pub fn enqueue(
         &mut self,
         now: Duration,
-        step: advice::Step,
-        cost: &catalog::Advice,
+        step: eligibility::Step,
+        cost: &catalog::QueryCost,
         workers: Vec<(cell::WorkerIndex, String)>,
     ) -> bool {
         let known = self.steps.entry(step).or_default();
@@ -186,7 +186,7 @@
     }
 
     /// Gives up overdue answers and assigns waiting queries to free VMs, in the order of `ranked`.
-    pub fn assign(&mut self, now: Duration, ranked: &[advice::Step], out: &mut Vec<Assignment>) {
+    pub fn assign(&mut self, now: Duration, ranked: &[eligibility::Step], out: &mut Vec<Assignment>) {
         self.expire_overdue(now);
         if self.waiting.is_empty() {
             return;
@@ -215,7 +215,7 @@
         }
     }
 
-    fn send(&mut self, now: Duration, proxy: id::VmId, step: advice::Step, part: Waiting) -> Assignment {
+    fn send(&mut self, now: Duration, proxy: id::VmId, step: eligibility::Step, part: Waiting) -> Assignment {
         self.next_number += 1;
         let number = self.next_number;
         self.proxies.insert(proxy, Some(number));
@@ -232,11 +232,11 @@
         Assignment {
             proxy,
             number,
-            query: advice::Query { step, workers },
+            query: eligibility::Query { step, workers },
         }
     }
 
-    fn next_part(&mut self, step: advice::Step) -> Option<Waiting> {
+    fn next_part(&mut self, step: eligibility::Step) -> Option<Waiting> {
         let parts = self.waiting.get_mut(&step)?;
         let part = parts.pop();
         if parts.is_empty() {
@@ -253,7 +253,7 @@
             .map(|(number, _)| *number)
             .collect();
         for number in overdue {
-            self.record_answer(now, number, &advice::Answer::Failed);
+            self.record_answer(now, number, &eligibility::Answer::Failed);
         }
     }
 
@@ -262,8 +262,8 @@
         &mut self,
         now: Duration,
         number: u64,
-        answer: &advice::Answer,
-    ) -> Option<advice::Step> {
+        answer: &eligibility::Answer,
+    ) -> Option<eligibility::Step> {
         let sent = self.sent.remove(&number)?;
         if let Some(busy) = self.proxies.get_mut(&sent.proxy)
             && *busy == Some(number)
@@ -273,7 +273,7 @@
         let known = self.steps.get_mut(&sent.step)?;
         known.outstanding = known.outstanding.saturating_sub(1);
         match answer {
-            advice::Answer::Eligible { workers, valid } => {
+            eligibility::Answer::Eligible { workers, valid } => {
                 // A ticket may have been issued at any time after the query was sent, but only after the service made
                 // its decision.
                 let issued = sent.at.max(now.saturating_sub(ANSWER_SLACK / 4));
@@ -287,7 +287,7 @@
                     known.known.insert(*index, permit);
                 }
             }
-            advice::Answer::Busy | advice::Answer::Failed => known.retry_at = now + RETRY_PAUSE,
+            eligibility::Answer::Busy | eligibility::Answer::Failed => known.retry_at = now + RETRY_PAUSE,
         }
         Some(sent.step)
     }
--- a/crates/dispatch/src/reserve.rs
+++ b/crates/dispatch/src/reserve.rs
@@ -8,7 +8,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::advice;
+use bronzespoke_workload::eligibility;
 
 use crate::worker;
 
@@ -29,24 +29,24 @@
 /// Reservations of gangs, kept between scheduling passes so that the choice of workers is stable.
 #[derive(Debug, Default)]
 pub struct Reservations {
-    gangs: HashMap<advice::Step, Choice>,
+    gangs: HashMap<eligibility::Step, Choice>,
 }
 
 impl Reservations {
     /// Returns the choice of a gang if it is recent.
-    pub fn recent(&self, step: advice::Step, now: Duration) -> Option<&Choice> {
+    pub fn recent(&self, step: eligibility::Step, now: Duration) -> Option<&Choice> {
         self.gangs
             .get(&step)
             .filter(|choice| now < choice.chosen + MAX_CHOICE_AGE)
     }
 
     /// Records the choice of a gang.
-    pub fn insert(&mut self, step: advice::Step, choice: Choice) {
+    pub fn insert(&mut self, step: eligibility::Step, choice: Choice) {
         self.gangs.insert(step, choice);
     }
 
     /// Removes the choice of a gang.
-    pub fn remove(&mut self, step: advice::Step) {
+    pub fn remove(&mut self, step: eligibility::Step) {
         self.gangs.remove(&step);
     }
 }
--- a/crates/dispatch/src/slowness.rs
+++ b/crates/dispatch/src/slowness.rs
@@ -10,7 +10,7 @@
 };
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::advice;
+use bronzespoke_workload::eligibility;
 
 /// Minimum number of jobs that a rating is based on.
 const MIN_JOBS: usize = 2;
@@ -23,7 +23,7 @@
 /// Projected run times of tasks by step and worker, and the resulting ratings of workers.
 #[derive(Debug, Default)]
 pub struct Slowness {
-    steps: HashMap<advice::Step, BTreeMap<cell::WorkerIndex, Duration>>,
+    steps: HashMap<eligibility::Step, BTreeMap<cell::WorkerIndex, Duration>>,
     ratings: HashMap<cell::WorkerIndex, (f64, Duration)>,
 }
 
@@ -33,7 +33,7 @@
         &mut self,
         now: Duration,
         worker: cell::WorkerIndex,
-        totals: &BTreeMap<advice::Step, Duration>,
+        totals: &BTreeMap<eligibility::Step, Duration>,
     ) {
         let mut ratios: BTreeMap<u64, f64> = BTreeMap::new();
         for (step, total) in totals {
@@ -66,7 +66,7 @@
     }
 
     /// Removes the run times of a step.
-    pub fn remove_step(&mut self, step: advice::Step) {
+    pub fn remove_step(&mut self, step: eligibility::Step) {
         self.steps.remove(&step);
     }
 
--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -59,8 +59,8 @@
     vec![reconciliation, audit, check]
 }
 
-fn advice(decision: f64, per_worker: f64) -> catalog::Advice {
-    catalog::Advice {
+fn advice(decision: f64, per_worker: f64) -> catalog::QueryCost {
+    catalog::QueryCost {
         decision: Duration::from_secs_f64(decision / 1_000.0),
         per_worker: Duration::from_secs_f64(per_worker / 1_000.0),
         valid: Duration::from_millis(2_500),
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -68,7 +68,7 @@
         let announcement = worker::Announcement {
             incarnation: worker::Incarnation {
                 name: format!("w-{number}"),
-                born: 5,
+                started_ms: 5,
             },
             sequence: 1,
             worker: worker::Worker {
@@ -116,7 +116,7 @@
                     } => {
                         let report = directive::Report {
                             clock: self.now.steady,
-                            born: Some(5),
+                            started_ms: Some(5),
                             ..directive::Report::default()
                         };
                         let answer = directive::Answer::Report(report);
@@ -166,7 +166,7 @@
         (leader, starts.remove(0))
     }
 
-    fn submit(&mut self, advice: Option<catalog::Advice>) {
+    fn submit(&mut self, advice: Option<catalog::QueryCost>) {
         let step = job::Step {
             tasks: 1,
             size: resource::Amount::new(1_000, 100, 0),
@@ -255,7 +255,7 @@
 fn a_lost_query_is_repeated_on_an_idle_fleet() {
     let mut leader = Leader::new();
     leader.run(100);
-    leader.submit(Some(catalog::Advice {
+    leader.submit(Some(catalog::QueryCost {
         decision: Duration::from_millis(10),
         per_worker: Duration::ZERO,
         valid: Duration::from_secs(2),
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -15,23 +15,23 @@
 };
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{advice, call, catalog, directive, job, worker as announced};
+use bronzespoke_workload::{call, catalog, directive, eligibility, job, worker as announced};
 use bytes::Bytes;
 
 const fn at(millis: u64) -> Duration {
     Duration::from_millis(millis)
 }
 
-const fn step(job: u64) -> advice::Step {
-    advice::Step {
+const fn step(job: u64) -> eligibility::Step {
+    eligibility::Step {
         job,
         occurrence: 0,
         step: 0,
     }
 }
 
-fn cost(decision: u64) -> catalog::Advice {
-    catalog::Advice {
+fn cost(decision: u64) -> catalog::QueryCost {
+    catalog::QueryCost {
         decision: at(decision),
         per_worker: Duration::ZERO,
         valid: at(2_500),
@@ -70,7 +70,7 @@
     queries.enqueue(at(0), step(1), &cost(10), named(2));
     let mut assignments = Vec::new();
     queries.assign(at(0), &[step(1)], &mut assignments);
-    let answer = advice::Answer::Eligible {
+    let answer = eligibility::Answer::Eligible {
         workers: vec![(String::from("w-0"), Bytes::from_static(b"t"))],
         valid: Some(at(1_000)),
     };
@@ -101,7 +101,7 @@
     );
     for assignment in &assignments {
         let workers = assignment.query.workers.iter().take(2);
-        let answer = advice::Answer::Eligible {
+        let answer = eligibility::Answer::Eligible {
             workers: workers
                 .map(|name| (name.clone(), Bytes::from_static(b"t")))
                 .collect(),
@@ -250,7 +250,7 @@
     };
     let incarnation = announced::Incarnation {
         name: String::from("w"),
-        born: 1,
+        started_ms: 1,
     };
     let mut record = Worker::new(incarnation, Arc::new(worker), false, at(0), at(0));
     for (index, (cpu, end)) in runs.iter().enumerate() {
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -15,7 +15,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::dispatch::{self, Dispatch, Output};
 use bronzespoke_model::{id, resource};
-use bronzespoke_workload::{advice, catalog, directive, job, settings};
+use bronzespoke_workload::{catalog, directive, eligibility, job, settings};
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
@@ -127,7 +127,7 @@
     Deliver(u64),
     Late(u64),
     Answer(u64, Option<directive::Answer>),
-    Advised(u64, advice::Answer),
+    Advised(u64, eligibility::Answer),
     Announce(usize),
     Cancel(job::Key),
     Crash,
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -7,7 +7,7 @@
     dispatch::{self, Registration},
     query_queue, worker,
 };
-use bronzespoke_workload::{advice, directive, worker as announced};
+use bronzespoke_workload::{directive, eligibility, worker as announced};
 use bytes::Bytes;
 use rand::Rng;
 
@@ -53,7 +53,7 @@
         let announcement = announced::Announcement {
             incarnation: announced::Incarnation {
                 name: worker.name.clone(),
-                born: worker.born,
+                started_ms: worker.born,
             },
             sequence: 1,
             worker: announced::Worker {
@@ -202,7 +202,7 @@
             let index = name.split('-').nth(1).and_then(|index| index.parse().ok());
             index.is_some_and(|index| is_eligible(key, step, index, kind))
         });
-        let answer = advice::Answer::Eligible {
+        let answer = eligibility::Answer::Eligible {
             workers: workers
                 .map(|name| (name.clone(), Bytes::from_static(b"ticket")))
                 .collect(),
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -180,7 +180,7 @@
     pub fn report(&self, clock: Duration) -> directive::Report {
         directive::Report {
             clock,
-            born: Some(self.born),
+            started_ms: Some(self.born),
             running: self
                 .runs
                 .iter()
--- a/crates/workload/src/adapter.rs
+++ b/crates/workload/src/adapter.rs
@@ -5,7 +5,7 @@
 use bytes::Bytes;
 use http::{Request, Response, request};
 
-use crate::{advice, call, directive, settings};
+use crate::{call, directive, eligibility, settings};
 
 /// Translates between one platform's interface and the types of this package. It does no I/O and keeps no state.
 pub trait Adapter: fmt::Debug + Send + Sync {
@@ -47,10 +47,10 @@
     ) -> directive::Answer;
 
     /// Encodes a query to the eligibility service.
-    fn query(&self, query: &advice::Query) -> Request<Bytes>;
+    fn query(&self, query: &eligibility::Query) -> Request<Bytes>;
 
     /// Decodes the answer of the eligibility service.
-    fn eligibility(&self, status: http::StatusCode, body: &Bytes) -> advice::Answer;
+    fn eligibility(&self, status: http::StatusCode, body: &Bytes) -> eligibility::Answer;
 }
 
 /// Why a request could not be decoded.
--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -40,14 +40,14 @@
     /// Factor by which a job's critical path is multiplied for its objective.
     pub stretch: f64,
     /// Cost of eligibility queries; `None` if tasks start without a query.
-    pub advice: Option<Advice>,
+    pub advice: Option<QueryCost>,
     /// Whether the queue accepts calls without a key.
     pub open: bool,
 }
 
 /// Cost of the query for which workers may run a step.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
-pub struct Advice {
+pub struct QueryCost {
     /// Duration of a query, without the part for each worker.
     pub decision: Duration,
     /// Additional duration for each worker that the query names.
--- a/crates/workload/src/directive.rs
+++ b/crates/workload/src/directive.rs
@@ -134,7 +134,8 @@
     /// Time on the worker's clock.
     pub clock: Duration,
     /// Start time of the worker's process in milliseconds since the Unix epoch, if the report states it.
-    pub born: Option<u64>,
+    #[serde(rename = "born")]
+    pub started_ms: Option<u64>,
     /// Runs that are active or being stopped.
     pub running: Vec<Running>,
     /// Ends that have not been acknowledged, oldest first.
--- a/crates/workload/src/lib.rs
+++ b/crates/workload/src/lib.rs
@@ -5,10 +5,10 @@
 //! interface to one platform: it converts between bytes and these types, and holds no state.
 
 pub mod adapter;
-pub mod advice;
 pub mod call;
 pub mod catalog;
 pub mod directive;
+pub mod eligibility;
 pub mod job;
 pub mod settings;
 pub mod worker;
--- a/crates/workload/src/worker.rs
+++ b/crates/workload/src/worker.rs
@@ -11,7 +11,8 @@
     /// Name of the worker; a restarted worker may keep it.
     pub name: String,
     /// Start time of the process in milliseconds since the Unix epoch.
-    pub born: u64,
+    #[serde(rename = "born")]
+    pub started_ms: u64,
 }
 
 /// Announcement that a worker sends at regular intervals.
