dispatch: constants at the head of their files, stop_acknowledged_at for orphans

Constants stood at the end of orphan.rs and in the middle of worker.rs; the field stopped of an orphan holds the time at which its stop was acknowledged.

--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -190,7 +190,7 @@
             .iter()
             .map(|running| (running.task, running))
             .collect();
-        let mut gone = Vec::new();
+        let mut ended = Vec::new();
         for (task, run) in &mut record.runs {
             if let Some(found) = running.get(task).filter(|found| found.run == run.run) {
                 if !matches!(run.phase, Phase::Running(_)) {
@@ -217,7 +217,7 @@
                     Phase::Running(_) => directive::Outcome::Stopped,
                     _ => directive::Outcome::NeverStarted,
                 };
-                gone.push((*task, run.run, outcome, run.checkpoint.clone()));
+                ended.push((*task, run.run, outcome, run.checkpoint.clone()));
             }
         }
         let orphans: Vec<_> = report
@@ -233,7 +233,7 @@
             })
             .collect();
         record.orphans.observe(now, sent, &orphans);
-        for (task, run, outcome, checkpoint) in gone {
+        for (task, run, outcome, checkpoint) in ended {
             self.drop_run(worker, task, run);
             self.propose_end(worker, task, run, outcome, checkpoint);
         }
--- a/crates/dispatch/src/orphan.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -15,6 +15,10 @@
 
 /// Maximum delay after which an unacknowledged directive may still be carried out; the platform states 12 s.
 const MAX_DELAY: Duration = Duration::from_secs(13);
+/// Pause before stops are sent again.
+const STOP_RETRY: Duration = Duration::from_millis(500);
+/// How long a reported run counts as active; the next report arrives sooner.
+pub(crate) const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
 /// A start that the worker has not acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -81,7 +85,7 @@
     until: Duration,
     /// Time at which the worker acknowledged the stop. The stop itself takes time, during which the resources remain
     /// in use.
-    stopped: Option<Duration>,
+    stop_acknowledged_at: Option<Duration>,
 }
 
 /// Runs that a worker has or may get although they should not be there.
@@ -97,7 +101,7 @@
         let orphan = Orphan {
             size: start.size,
             until: start.expires_at(),
-            stopped: None,
+            stop_acknowledged_at: None,
         };
         self.runs.insert((start.task, start.run), orphan);
     }
@@ -112,7 +116,7 @@
         let is_there =
             |key: &(directive::Task, directive::Run)| running.iter().any(|(other, _)| other == key);
         self.runs.retain(|key, orphan| {
-            let is_gone = orphan.stopped.is_some_and(|at| sent > at) && !is_there(key);
+            let is_gone = orphan.stop_acknowledged_at.is_some_and(|at| sent > at) && !is_there(key);
             now < orphan.until && !is_gone
         });
         for (key, size) in running {
@@ -120,7 +124,7 @@
             let orphan = self.runs.entry(*key).or_insert(Orphan {
                 size: *size,
                 until,
-                stopped: None,
+                stop_acknowledged_at: None,
             });
             orphan.size = *size;
             orphan.until = orphan.until.max(until);
@@ -129,7 +133,10 @@
 
     /// Returns the runs for which a stop has to be sent now; it is repeated until the worker acknowledges it.
     pub fn due_stops(&mut self, now: Duration) -> Vec<(directive::Task, directive::Run)> {
-        let open = self.runs.iter().filter(|(_, orphan)| orphan.stopped.is_none());
+        let open = self
+            .runs
+            .iter()
+            .filter(|(_, orphan)| orphan.stop_acknowledged_at.is_none());
         let open: Vec<_> = open.map(|(key, _)| *key).collect();
         if open.is_empty() || now < self.stops_sent_at + STOP_RETRY {
             return Vec::new();
@@ -141,7 +148,7 @@
     /// Records that the worker has acknowledged the stop of a run: it is stopping the run, or refuses it from now on.
     pub fn stop_acknowledged(&mut self, now: Duration, task: directive::Task, run: directive::Run) {
         if let Some(orphan) = self.runs.get_mut(&(task, run)) {
-            orphan.stopped.get_or_insert(now);
+            orphan.stop_acknowledged_at.get_or_insert(now);
         }
     }
 
@@ -151,9 +158,3 @@
         sizes.fold(resource::Amount::ZERO, crate::worker::add)
     }
 }
-
-/// Pause before stops are sent again.
-const STOP_RETRY: Duration = Duration::from_millis(500);
-
-/// How long a reported run counts as active; the next report arrives sooner.
-pub(crate) const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -20,6 +20,10 @@
 /// fail by themselves, two failures can be chance, while three in a row have a probability of one in 37,000.
 pub const SUSPECT_AFTER: u32 = 3;
 
+/// Tolerance in the comparison of clocks: they are reported in whole milliseconds. A later incarnation starts at least
+/// half a second after the previous one.
+const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
+
 /// Bits of a fencing token below the term; a cell registers fewer incarnations of workers.
 const INCARNATION_BITS: u32 = 24;
 
@@ -144,10 +148,6 @@
     pub suspicions: u32,
 }
 
-/// Tolerance in the comparison of clocks: they are reported in whole milliseconds. A later incarnation starts at least
-/// half a second after the previous one.
-const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
-
 impl Worker {
     /// Creates the record of a worker that has not reported yet.
     pub fn new(
