--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -220,7 +220,7 @@
                 self.start_answered(now.steady, worker, *task, *run, answer);
             }
             directive::Directive::Stop { task, run } => {
-                self.stop_answered(now.steady, worker, *task, *run, answer)
+                self.stop_answered(now.steady, worker, *task, *run, answer);
             }
             directive::Directive::Renew { .. } => self.report_answered(state, now, worker, sent, answer),
             directive::Directive::Throttle { .. } => {}
