--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -6,7 +6,7 @@
 };
 
 use bronzespoke_model::{id, team};
-use bronzespoke_request::{admission, allotment, attempt as state, retry};
+use bronzespoke_request::{admission, allotment, attempt as request_attempt, retry};
 use bytes::{Bytes, BytesMut};
 use http::{HeaderMap, HeaderName, HeaderValue, Response, StatusCode, header, request::Parts, response};
 use hyper::body::{Body as _, Incoming};
@@ -226,7 +226,7 @@
     context.balancer.record_request(prepared.request.flow);
     let mut admitted = Some(context.balancer.admit(prepared.request).await?);
     let mut tried = Vec::new();
-    let mut history = state::Execution::NotRun;
+    let mut history = request_attempt::Execution::NotRun;
     let mut attempts = 0;
     loop {
         let (permit, pick) = match admitted.take() {
@@ -348,7 +348,7 @@
     match result {
         Ok(started) => Ok((pick, started)),
         Err(mut failure) => {
-            if failure.outcome == state::Outcome::TimedOut && !pick.is_late() {
+            if failure.outcome == request_attempt::Outcome::TimedOut && !pick.is_late() {
                 failure.overload = false;
             }
             pick.finish(failure.outcome, 0);
@@ -398,13 +398,16 @@
 
 const fn truncated(error: body::Error) -> attempt::Failure {
     let (outcome, message) = match error {
-        body::Error::Target => (state::Outcome::Failed, "the response of the target was truncated"),
+        body::Error::Target => (
+            request_attempt::Outcome::Failed,
+            "the response of the target was truncated",
+        ),
         body::Error::Deadline => (
-            state::Outcome::TimedOut,
+            request_attempt::Outcome::TimedOut,
             "the deadline passed during the response",
         ),
     };
-    attempt::Failure::new(state::Progress::ResponseStarted, outcome, message)
+    attempt::Failure::new(request_attempt::Progress::ResponseStarted, outcome, message)
 }
 
 /// Converts the response of a target to the response to the caller.
@@ -417,15 +420,15 @@
 }
 
 /// Returns the error for a request whose last attempt failed.
-fn final_error(failure: &attempt::Failure, known: state::Execution) -> error::Error {
-    let timed_out = failure.outcome == state::Outcome::TimedOut;
+fn final_error(failure: &attempt::Failure, known: request_attempt::Execution) -> error::Error {
+    let timed_out = failure.outcome == request_attempt::Outcome::TimedOut;
     let (status, code) = match (known, timed_out) {
-        (state::Execution::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
+        (request_attempt::Execution::NotRun, _) => (StatusCode::SERVICE_UNAVAILABLE, "not_run"),
         (_, true) => (StatusCode::GATEWAY_TIMEOUT, "deadline"),
         (_, false) => (StatusCode::BAD_GATEWAY, "target_failed"),
     };
     let error = error::Error::not_run(status, code, failure.message).with_execution(known);
-    if known == state::Execution::NotRun {
+    if known == request_attempt::Execution::NotRun {
         return error.with_retry_after(Duration::from_secs(1));
     }
     error
--- a/crates/request/src/retry.rs
+++ b/crates/request/src/retry.rs
@@ -106,7 +106,7 @@
             attempt.progress.execution()
         };
         let may_repeat =
-            attempt.repeatable || !self.rules.repeat_only_when_not_run || known == attempt::Execution::NotRun;
+            attempt.repeatable || !self.rules.retry_only_when_not_run || known == attempt::Execution::NotRun;
         let possible = may_repeat
             && !attempt.response_started
             && attempt.attempts < MAX_ATTEMPTS
--- a/crates/request/src/rules.rs
+++ b/crates/request/src/rules.rs
@@ -6,7 +6,7 @@
 #[expect(clippy::struct_excessive_bools, reason = "each rule is switched on its own")]
 pub struct Rules {
     /// A non-repeatable request is retried only if no attempt can have run it.
-    pub repeat_only_when_not_run: bool,
+    pub retry_only_when_not_run: bool,
     /// Retries and hedges are charged to the budget of their flow.
     pub retry_budget: bool,
     /// At most half of the targets of a service are ejected at the same time.
@@ -30,7 +30,7 @@
 impl Default for Rules {
     fn default() -> Self {
         Self {
-            repeat_only_when_not_run: true,
+            retry_only_when_not_run: true,
             retry_budget: true,
             ejection_bound: true,
             skip_departing: true,
--- a/crates/request/tests/properties.rs
+++ b/crates/request/tests/properties.rs
@@ -124,7 +124,7 @@
         attempts(),
         check_retries,
         &[
-            |rules| rules.repeat_only_when_not_run = false,
+            |rules| rules.retry_only_when_not_run = false,
             |rules| rules.keep_run_history = false,
             |rules| rules.retry_budget = false,
         ],
