--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -262,7 +262,7 @@
     body: &'static str,
     status: u16,
     field: &str,
-    part: &str,
+    expected: &str,
 ) {
     let target = target(ECHO).await;
     let cell = common::cell(&[&target]).await;
@@ -278,7 +278,7 @@
     assert!(
         error["message"]
             .as_str()
-            .is_some_and(|message| message.contains(part)),
+            .is_some_and(|message| message.contains(expected)),
         "{error}"
     );
     assert_eq!(error["run"], "not run");
--- a/crates/gateway/tests/routes.rs
+++ b/crates/gateway/tests/routes.rs
@@ -76,7 +76,7 @@
     old_read = { Method::GET, "/v1/job/42", "", 200, r#"{"job":42,"state":"running"}"# },
 )]
 #[test_macro(tokio::test)]
-async fn route(method: Method, path: &str, body: &'static str, status: u16, part: &str) {
+async fn route(method: Method, path: &str, body: &'static str, status: u16, expected: &str) {
     let target = echo().await;
     let cell = common::cell(&[&target]).await;
     let headers = [AUTH, ("x-key", "dojo-key")];
@@ -84,7 +84,7 @@
         .await
         .expect("answers");
     assert_eq!(answer.status.as_u16(), status, "{}", answer.text());
-    assert!(answer.text().contains(part), "{}", answer.text());
+    assert!(answer.text().contains(expected), "{}", answer.text());
     assert_eq!(answer.header("sunset").is_some(), path.starts_with("/v1/"));
     assert_eq!(answer.header("deprecation").is_some(), path.starts_with("/v1/"));
 }
--- a/crates/request/tests/properties.rs
+++ b/crates/request/tests/properties.rs
@@ -66,7 +66,7 @@
 }
 
 /// Requests: whether each is repeatable, and the progress of each of its attempts.
-fn attempts() -> impl Strategy<Value = Vec<(bool, Vec<u8>)>> {
+fn requests() -> impl Strategy<Value = Vec<(bool, Vec<u8>)>> {
     prop::collection::vec((any::<bool>(), prop::collection::vec(0..3_u8, 1..6)), 1..60)
 }
 
@@ -121,7 +121,7 @@
 #[test]
 fn retries_follow_the_rules() {
     holds_only_with_rules(
-        attempts(),
+        requests(),
         check_retries,
         &[
             |rules| rules.retry_only_when_not_run = false,
