--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -7,7 +7,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{advice, directive};
+use bronzespoke_workload::{directive, eligibility};
 
 use super::{Dispatch, Event, Now, Output, lost::Loss};
 use crate::{
@@ -40,9 +40,9 @@
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let is_other_incarnation = report
-            .born
-            .is_some_and(|born| record.incarnation.born != 0 && born != record.incarnation.born);
+        let is_other_incarnation = report.started_ms.is_some_and(|started_ms| {
+            record.incarnation.started_ms != 0 && started_ms != record.incarnation.started_ms
+        });
         if is_other_incarnation {
             self.end_incarnation(worker, Loss::Restarted);
             return;
@@ -190,7 +190,7 @@
             .iter()
             .map(|running| (running.task, running))
             .collect();
-        let mut gone = Vec::new();
+        let mut ended = Vec::new();
         for (task, run) in &mut record.runs {
             if let Some(found) = running.get(task).filter(|found| found.run == run.run) {
                 if !matches!(run.phase, Phase::Running(_)) {
@@ -217,7 +217,7 @@
                     Phase::Running(_) => directive::Outcome::Stopped,
                     _ => directive::Outcome::NeverStarted,
                 };
-                gone.push((*task, run.run, outcome, run.checkpoint.clone()));
+                ended.push((*task, run.run, outcome, run.checkpoint.clone()));
             }
         }
         let orphans: Vec<_> = report
@@ -233,7 +233,7 @@
             })
             .collect();
         record.orphans.observe(now, sent, &orphans);
-        for (task, run, outcome, checkpoint) in gone {
+        for (task, run, outcome, checkpoint) in ended {
             self.drop_run(worker, task, run);
             self.propose_end(worker, task, run, outcome, checkpoint);
         }
@@ -465,8 +465,8 @@
     step.is_some_and(|step| !step.lasting && !step.gang)
 }
 
-pub(super) const fn step_of(task: directive::Task) -> advice::Step {
-    advice::Step {
+pub(super) const fn step_of(task: directive::Task) -> eligibility::Step {
+    eligibility::Step {
         job: task.job,
         occurrence: task.occurrence,
         step: task.step,
