--- a/crates/gateway/src/attempt.rs
+++ b/crates/gateway/src/attempt.rs
@@ -92,7 +92,7 @@
                 attempt::Progress::NotSent
             },
             attempt::Outcome::TimedOut,
-            "the deadline passed before the target responded",
+            "the deadline passed before the target answered",
         )),
     }
 }
@@ -129,7 +129,7 @@
                 return Err(Failure::new(
                     attempt::Progress::Sent,
                     attempt::Outcome::Failed,
-                    "the target closed the connection without a response",
+                    "the target closed the connection without an answer",
                 ));
             }
         }
@@ -147,7 +147,7 @@
     if let Some(echo) = headers.get(&ATTEMPT)
         && echo.to_str().ok().and_then(|text| text.parse().ok()) != Some(number)
     {
-        return Err(invalid("the response of the target belongs to another request"));
+        return Err(invalid("the target answered another request"));
     }
     let load = headers
         .get(&LOAD)
@@ -167,7 +167,7 @@
         return Err(Failure::new(
             attempt::Progress::ResponseStarted,
             attempt::Outcome::Failed,
-            "the target's response has neither a length nor chunked encoding, so a truncation would go unnoticed",
+            "the target's answer has neither a length nor chunks, so a cut could not be noticed",
         ));
     }
     Ok(Started {
@@ -210,7 +210,7 @@
         pool::Error::Exhausted => Failure::new(
             attempt::Progress::NotSent,
             attempt::Outcome::Abandoned,
-            "this VM's allotment of connections to the target is in use",
+            "this VM's part of the target's connections is in use",
         ),
         pool::Error::ConnectFailed => not_sent("the target did not accept a connection"),
     }
--- a/crates/gateway/src/balancer.rs
+++ b/crates/gateway/src/balancer.rs
@@ -429,31 +429,21 @@
     error::Error::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "no_target",
-        "the service has no usable target now",
+        "no target of the service is usable now",
     )
     .with_retry_after(Duration::from_secs(1))
 }
 
 fn full(after: Duration) -> error::Error {
-    error::Error::not_run(
-        StatusCode::SERVICE_UNAVAILABLE,
-        "full",
-        "no target of the service has a free slot",
-    )
-    .with_retry_after(after)
+    error::Error::not_run(StatusCode::SERVICE_UNAVAILABLE, "full", "every target is full")
+        .with_retry_after(after)
 }
 
 fn rejected(reason: admission::Reason, after: Duration) -> error::Error {
     let (code, message) = match reason {
         admission::Reason::QueueFull => ("queue_full", "the queue is full"),
-        admission::Reason::Deadline => (
-            "deadline",
-            "the request is not expected to complete by its deadline",
-        ),
-        admission::Reason::NoAllotment => (
-            "limit",
-            "this VM's allotment of the limit on requests in flight is zero",
-        ),
+        admission::Reason::Deadline => ("deadline", "the request would not be answered by its deadline"),
+        admission::Reason::NoAllotment => ("limit", "the limit of requests in flight leaves this VM no part"),
     };
     error::Error::not_run(StatusCode::SERVICE_UNAVAILABLE, code, message).with_retry_after(after)
 }
--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -28,8 +28,8 @@
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            Self::Target => "the response of the target was truncated",
-            Self::Deadline => "the deadline passed during the response",
+            Self::Target => "the target broke off its answer",
+            Self::Deadline => "the deadline passed during the answer",
         })
     }
 }
--- a/crates/gateway/src/calls.rs
+++ b/crates/gateway/src/calls.rs
@@ -23,8 +23,8 @@
     match tokio::time::timeout(timeout, receiver).await {
         Ok(Ok(Ok(value))) => Ok(value),
         Ok(Ok(Err(refusal))) => Err(error::Error::refused(refusal, path)),
-        Ok(Err(_)) => Err(no_reply("control dropped the call without a reply")),
-        Err(_) => Err(no_reply("control did not reply in time")),
+        Ok(Err(_)) => Err(no_reply("control ended the call without an answer")),
+        Err(_) => Err(no_reply("control did not answer in time")),
     }
 }
 
@@ -38,7 +38,7 @@
     send(handle, control::Call::Claim(claim.clone(), sender))?;
     match tokio::time::timeout_at(deadline, &mut receiver).await {
         Ok(Ok(claimed)) => Ok(claimed),
-        Ok(Err(_)) => Err(unavailable("the owner of the request id did not reply")),
+        Ok(Err(_)) => Err(unavailable("the owner of the request id did not answer")),
         Err(_) => {
             let handle = handle.clone();
             let claim = claim.clone();
@@ -47,7 +47,7 @@
                     complete(&handle, claim, number, control::Completion::NotRun).await;
                 }
             });
-            Err(unavailable("the owner of the request id did not reply in time"))
+            Err(unavailable("the owner of the request id did not answer in time"))
         }
     }
 }
@@ -73,7 +73,7 @@
 
 fn send(handle: &control::Handle, call: control::Call) -> Result<(), error::Error> {
     handle.calls.try_send(call).map_err(|error| match error {
-        mpsc::error::TrySendError::Full(_) => unavailable("too many calls to control are pending"),
+        mpsc::error::TrySendError::Full(_) => unavailable("too many calls wait for control"),
         mpsc::error::TrySendError::Closed(_) => unavailable("control has stopped"),
     })
 }
--- a/crates/gateway/src/error.rs
+++ b/crates/gateway/src/error.rs
@@ -115,7 +115,7 @@
                 ..Self::not_run(
                     StatusCode::TEMPORARY_REDIRECT,
                     "redirect",
-                    "another VM is responsible for this request",
+                    "another VM has to be asked",
                 )
             },
             control::Refusal::Unavailable(message) => {
@@ -127,7 +127,7 @@
             }
             control::Refusal::Invalid { field, message } => Self::field(field, message),
             control::Refusal::NotFound => {
-                Self::not_run(StatusCode::NOT_FOUND, "not_found", "the resource does not exist")
+                Self::not_run(StatusCode::NOT_FOUND, "not_found", "there is no such thing")
             }
             control::Refusal::Impossible(reason) => Self::not_run(
                 StatusCode::UNPROCESSABLE_ENTITY,
--- a/crates/gateway/src/filter/body.rs
+++ b/crates/gateway/src/filter/body.rs
@@ -34,7 +34,7 @@
         return Err(error::Error::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "memory",
-            "the memory for request bodies is exhausted",
+            "the memory for request bodies is in use",
         )
         .with_retry_after(Duration::from_secs(1)));
     };
@@ -43,7 +43,7 @@
         .await
         .unwrap_or_else(|_elapsed| {
             Err(slow_body(
-                "the body was not received in time",
+                "the body did not arrive in time",
                 settings.body_timeout,
             ))
         })?;
@@ -62,8 +62,8 @@
         let Some(frame) = frame else {
             return Ok(received.freeze());
         };
-        let frame = frame
-            .map_err(|error| error::Error::field("body", format!("the body cannot be read: {error}")))?;
+        let frame =
+            frame.map_err(|error| error::Error::field("body", format!("the body is broken: {error}")))?;
         let Ok(data) = frame.into_data() else {
             continue;
         };
--- a/crates/gateway/src/filter/key.rs
+++ b/crates/gateway/src/filter/key.rs
@@ -47,7 +47,7 @@
         return Err(error::Error::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "stale",
-            "keys cannot be checked now, because the view of granted keys is stale",
+            "keys cannot be checked now, because the view of granted keys is too old",
         )
         .with_retry_after(Duration::from_secs(1)));
     }
@@ -69,7 +69,7 @@
     };
     if values.next().is_some() {
         return Err(unauthorized(
-            "the header occurs more than once; one `Bearer KEY` is allowed",
+            "the header comes more than once; one `Bearer KEY` is allowed",
         ));
     }
     value
--- a/crates/gateway/src/filter/request_id.rs
+++ b/crates/gateway/src/filter/request_id.rs
@@ -18,7 +18,7 @@
     if values.next().is_some() {
         return Err(error::Error::field(
             HEADER.as_str(),
-            "the header occurs more than once; one is allowed",
+            "the header comes more than once; one is allowed",
         ));
     }
     check(&String::from_utf8_lossy(value.as_bytes()), HEADER.as_str()).map(Some)
--- a/crates/gateway/src/filter/version_one.rs
+++ b/crates/gateway/src/filter/version_one.rs
@@ -89,7 +89,7 @@
             }
             Some(seconds) => Err(error::Error::field(
                 "timeout",
-                format!("`{seconds}` is not a time limit; seconds above 0 are allowed"),
+                format!("`{seconds}` is not a wait; seconds above 0 are allowed"),
             )),
         }
     }
@@ -136,7 +136,7 @@
     Err(error::Error::not_run(
         StatusCode::GONE,
         "version_one_off",
-        "the version-1 API is switched off; use /v2",
+        "the version-1 interface is switched off; use /v2",
     ))
 }
 
--- a/crates/gateway/src/routes/announce.rs
+++ b/crates/gateway/src/routes/announce.rs
@@ -114,7 +114,7 @@
     if path == body {
         return Ok(());
     }
-    let message = format!("`{body}` differs from `{path}` in the path; both must be the same");
+    let message = format!("`{body}` differs from `{path}` in the path; the same id is allowed");
     Err(error::Error::field(field, message))
 }
 
--- a/crates/gateway/src/routes/claimed.rs
+++ b/crates/gateway/src/routes/claimed.rs
@@ -32,7 +32,7 @@
         Err(error::Error::unknown(
             StatusCode::INTERNAL_SERVER_ERROR,
             "internal",
-            "the task of the request ended without a response",
+            "the request was lost",
         ))
     })
 }
@@ -70,7 +70,7 @@
                 Relayed::Streamed => complete(control::Completion::Unknown).await,
                 Relayed::Truncated(sender) => {
                     complete(control::Completion::Unknown).await;
-                    let message = "the response of the target was truncated";
+                    let message = "the target broke off its answer";
                     let error = error::Error::unknown(StatusCode::BAD_GATEWAY, "target_failed", message);
                     reply(sender, Err(error));
                 }
@@ -155,7 +155,7 @@
             )
         }
         control::Claimed::Granted(_) | control::Claimed::Unknown => {
-            let message = "a request with this id may have run, and its response is not known";
+            let message = "a request with this id may have run and its answer is not known";
             Err(error::Error::unknown(StatusCode::CONFLICT, "unknown", message))
         }
     }
--- a/crates/gateway/src/routes/compact.rs
+++ b/crates/gateway/src/routes/compact.rs
@@ -27,7 +27,7 @@
 ) -> Result<worker::Report, error::Error> {
     let received = routes::receive(context, head, body).await?;
     let (report, rest) = postcard::take_from_bytes::<compact::Report>(&received.bytes)
-        .map_err(|error| error::Error::field("body", format!("the body is not a report: {error}")))?;
+        .map_err(|error| error::Error::field("body", format!("not a report: {error}")))?;
     if !rest.is_empty() {
         let message = format!("{} bytes follow the report; none are allowed", rest.len());
         return Err(error::Error::field("body", message));
--- a/crates/gateway/src/routes/mod.rs
+++ b/crates/gateway/src/routes/mod.rs
@@ -184,7 +184,7 @@
 }
 
 fn no_path(path: &str) -> error::Error {
-    let message = format!("`{path}` is not a path of this API");
+    let message = format!("`{path}` is not a path of this interface");
     error::Error::not_run(StatusCode::NOT_FOUND, "no_path", message).with_field("path")
 }
 
--- a/crates/gateway/src/routes/operation.rs
+++ b/crates/gateway/src/routes/operation.rs
@@ -18,7 +18,7 @@
     Err(error::Error::not_run(
         StatusCode::SERVICE_UNAVAILABLE,
         "not_ready",
-        "this VM does not accept new callers now",
+        "this VM takes no new callers now",
     ))
 }
 
--- a/crates/gateway/src/routes/request.rs
+++ b/crates/gateway/src/routes/request.rs
@@ -400,11 +400,11 @@
     let (outcome, message) = match error {
         body::Error::Target => (
             request_attempt::Outcome::Failed,
-            "the response of the target was truncated",
+            "the target broke off its answer",
         ),
         body::Error::Deadline => (
             request_attempt::Outcome::TimedOut,
-            "the deadline passed during the response",
+            "the deadline passed during the answer",
         ),
     };
     attempt::Failure::new(request_attempt::Progress::ResponseStarted, outcome, message)
@@ -437,6 +437,6 @@
 /// Returns the error for a service or queue that is not in the view.
 pub(crate) fn unknown_name(field: &'static str, name: &str) -> error::Error {
     let shown: String = name.chars().take(64).collect();
-    let message = format!("`{shown}` is not a {field}; only names configured by operators are allowed");
+    let message = format!("`{shown}` is not a {field}; names that operators configured are allowed");
     error::Error::not_run(StatusCode::NOT_FOUND, "unknown_name", message).with_field(field)
 }
--- a/crates/gateway/src/routes/version_one.rs
+++ b/crates/gateway/src/routes/version_one.rs
@@ -105,12 +105,12 @@
         let frame = frame.map_err(|error| failed(&error.to_string()))?;
         let data = frame.into_data().unwrap_or_default();
         if received.len() + data.len() > MAX_RESPONSE_BYTES {
-            return Err(failed("the response is too long for version 1; use /v2"));
+            return Err(failed("the answer is too long for version 1; use /v2"));
         }
         received.extend_from_slice(&data);
     }
     let text = std::str::from_utf8(&received)
-        .map_err(|_error| failed("the response is not UTF-8 text, which version 1 requires; use /v2"))?;
+        .map_err(|_error| failed("the answer is not text, as version 1 needs; use /v2"))?;
     let done = version_one::Done {
         status: "done",
         code,
