dispatch, workload: last private names, and a reply that may already be in force

Eligibility held its answers in a field known next to a variable known; the field is called permits.

--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -73,8 +73,8 @@
 
     /// Proposes the removal of an ended incarnation, unless the outcome of one of its runs is unknown.
     fn retire(&mut self, index: cell::WorkerIndex) {
-        let is_open = self.uncertain.iter().any(|run| run.worker == index);
-        if self.ended.contains(&index) && !is_open {
+        let has_uncertain_run = self.uncertain.iter().any(|run| run.worker == index);
+        if self.ended.contains(&index) && !has_uncertain_run {
             let command = cell::Command::Retire { worker: index };
             self.outputs.push(Output::Propose(command));
         }
@@ -94,8 +94,8 @@
             return;
         };
         for run in &mut self.uncertain {
-            let is_later = worker > run.worker || (worker == run.worker && report.clock > run.lease_end);
-            if !is_later || record.incarnation.name != run.name {
+            let is_refused = worker > run.worker || (worker == run.worker && report.clock > run.lease_end);
+            if !is_refused || record.incarnation.name != run.name {
                 continue;
             }
             let mut running = report.running.iter();
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -23,10 +23,10 @@
 const MAX_WORKERS_PER_QUERY: usize = 60;
 /// Delay beyond the expected duration after which an answer is given up; covers the round trip to another region and a
 /// busy VM.
-const ANSWER_SLACK: Duration = Duration::from_millis(800);
-/// Maximum time until a start directive reaches its worker, during which its ticket must stay valid: a commit across
-/// regions and the call.
-const TICKET_RESERVE: Duration = Duration::from_millis(250);
+const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(800);
+/// Minimum remaining validity of a usable ticket: the maximum time until a start directive reaches its worker, which
+/// is a commit across regions and the call.
+const MIN_TICKET_VALIDITY: Duration = Duration::from_millis(250);
 /// Pause after the service was busy or gave no answer.
 const RETRY_PAUSE: Duration = Duration::from_millis(200);
 
@@ -45,7 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Eligibility {
     /// Answer about each worker.
-    known: HashMap<cell::WorkerIndex, Permit>,
+    permits: HashMap<cell::WorkerIndex, Permit>,
     /// Number of queries that are waiting or in flight.
     outstanding: usize,
     /// Time before which no query is sent.
@@ -55,8 +55,8 @@
 impl Eligibility {
     /// Returns the ticket of a worker if it is still valid for long enough.
     pub fn ticket(&self, worker: cell::WorkerIndex, now: Duration) -> Option<&Bytes> {
-        match self.known.get(&worker) {
-            Some(Permit::Ticket(ticket, until)) if now + TICKET_RESERVE < *until => Some(ticket),
+        match self.permits.get(&worker) {
+            Some(Permit::Ticket(ticket, until)) if now + MIN_TICKET_VALIDITY < *until => Some(ticket),
             _ => None,
         }
     }
@@ -68,13 +68,13 @@
 
     /// Returns whether a worker is known to be ineligible.
     pub fn is_denied(&self, worker: cell::WorkerIndex) -> bool {
-        matches!(self.known.get(&worker), Some(Permit::Denied))
+        matches!(self.permits.get(&worker), Some(Permit::Denied))
     }
 
     /// Returns whether a worker is known to be eligible, with or without a valid ticket.
     pub fn is_eligible(&self, worker: cell::WorkerIndex) -> bool {
         matches!(
-            self.known.get(&worker),
+            self.permits.get(&worker),
             Some(Permit::Ticket(..) | Permit::Expired)
         )
     }
@@ -86,7 +86,7 @@
 
     /// Returns whether the eligibility of any worker is known.
     pub fn is_known(&self) -> bool {
-        !self.known.is_empty()
+        !self.permits.is_empty()
     }
 }
 
@@ -152,7 +152,7 @@
     /// Invalidates the ticket of a worker that has refused it.
     pub fn invalidate_ticket(&mut self, step: eligibility::Step, worker: cell::WorkerIndex) {
         if let Some(known) = self.steps.get_mut(&step) {
-            known.known.insert(worker, Permit::Expired);
+            known.permits.insert(worker, Permit::Expired);
         }
     }
 
@@ -196,7 +196,7 @@
         let mut long = self
             .sent
             .values()
-            .filter(|sent| sent.give_up_at.saturating_sub(sent.at + ANSWER_SLACK) > LONG_QUERY)
+            .filter(|sent| sent.give_up_at.saturating_sub(sent.at + ANSWER_TIMEOUT_MARGIN) > LONG_QUERY)
             .count();
         for step in ranked {
             while let Some(waiting) = self.waiting.get(step).and_then(|parts| parts.last()) {
@@ -225,7 +225,7 @@
             step,
             workers: part.workers,
             at: now,
-            give_up_at: now + part.cost + ANSWER_SLACK,
+            give_up_at: now + part.cost + ANSWER_TIMEOUT_MARGIN,
             valid: part.valid,
         };
         self.sent.insert(number, sent);
@@ -276,7 +276,7 @@
             eligibility::Answer::Eligible { workers, valid } => {
                 // A ticket may have been issued at any time after the query was sent, but only after the service made
                 // its decision.
-                let issued = sent.at.max(now.saturating_sub(ANSWER_SLACK / 4));
+                let issued = sent.at.max(now.saturating_sub(ANSWER_TIMEOUT_MARGIN / 4));
                 let until = issued + valid.unwrap_or(sent.valid);
                 for (index, name) in &sent.workers {
                     let ticket = workers.iter().find(|(other, _)| other == name);
@@ -284,7 +284,7 @@
                         Some((_, ticket)) => Permit::Ticket(ticket.clone(), until),
                         None => Permit::Denied,
                     };
-                    known.known.insert(*index, permit);
+                    known.permits.insert(*index, permit);
                 }
             }
             eligibility::Answer::Busy | eligibility::Answer::Failed => known.retry_at = now + RETRY_PAUSE,
--- a/crates/workload/src/call.rs
+++ b/crates/workload/src/call.rs
@@ -59,7 +59,7 @@
 /// Reply to a call.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Reply {
-    /// The call was accepted and its effect is durable.
+    /// The call was accepted: its effect is durable, or was already in force.
     Done,
     /// Current state of a job.
     Phase(job::Phase),
