--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -11,14 +11,14 @@
 /// A call that got no reply in this time is sent again; covers two ways between regions, a commit and a busy leader.
 const RESEND_AFTER: Duration = Duration::from_millis(700);
 /// Pause before a call that a former leader sent back is sent to it once more.
-const DENIED_PAUSE: Duration = Duration::from_millis(100);
+const REJECTED_PAUSE: Duration = Duration::from_millis(100);
 /// How long a call waits for a leader while none is known. A call that a lost leader got is then answered as of
 /// unknown fate, so that its caller repeats it.
 const LEADER_WAIT: Duration = Duration::from_millis(1_200);
 /// When a caller that found no leader may come back: an election takes up to 1.6 s.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
 /// Calls that may wait; further ones are refused.
-const MOST: usize = 4_096;
+const MAX_PENDING: usize = 4_096;
 
 /// A call under way.
 #[derive(Debug)]
@@ -33,8 +33,8 @@
     pause_until: Duration,
     /// Multiple of the usual time after which it is sent again.
     resend_factor: u32,
-    /// Whether every daemon that got it sent it back untouched.
-    untouched: bool,
+    /// Whether every daemon that got it sent it back unexecuted.
+    unexecuted: bool,
 }
 
 /// Calls under way. `R` is what takes the reply.
@@ -70,7 +70,7 @@
         call: call::Call,
         responder: R,
     ) -> Result<u64, (R, call::Reply)> {
-        if self.pending.len() >= MOST {
+        if self.pending.len() >= MAX_PENDING {
             return Err((responder, no_leader()));
         }
         self.next += 1;
@@ -82,7 +82,7 @@
             sent: None,
             pause_until: now,
             resend_factor: 1,
-            untouched: true,
+            unexecuted: true,
         };
         self.pending.insert(self.next, pending);
         Ok(self.next)
@@ -94,14 +94,14 @@
             if let Some(pending) = self.pending.get_mut(&number) {
                 // It was not taken there; the next leader gets it.
                 pending.sent = None;
-                pending.pause_until = now + DENIED_PAUSE;
+                pending.pause_until = now + REJECTED_PAUSE;
             }
             return None;
         }
         let pending = self.pending.remove(&number)?;
         let is_refused = matches!(reply, call::Reply::Refused { .. });
         // The leader may take another sending of the call after it has refused this one.
-        let reply = if is_refused && !pending.untouched {
+        let reply = if is_refused && !pending.unexecuted {
             call::Reply::Unknown
         } else {
             reply
@@ -119,7 +119,7 @@
             };
             if wanted {
                 // An earlier sending got no answer, so that its fate is not known.
-                pending.untouched &= pending.sent.is_none();
+                pending.unexecuted &= pending.sent.is_none();
                 // A leader that does not keep up must not get more and more copies.
                 if pending.sent.is_some_and(|(to, _)| to == leader) {
                     pending.resend_factor *= 2;
@@ -149,7 +149,7 @@
                 continue;
             };
             // A call that was sent may have been taken, whatever happened to its reply.
-            let reply = if pending.sent.is_none() && pending.untouched {
+            let reply = if pending.sent.is_none() && pending.unexecuted {
                 no_leader()
             } else {
                 call::Reply::Unknown
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -16,7 +16,7 @@
 
 use crate::{
     control::context,
-    fleet::{Message, calls, contact, member, metric, orders, relay, replication, wire},
+    fleet::{Message, calls, discovery, member, metric, relay, replication, sender, wire},
     identity, peer,
 };
 
@@ -39,7 +39,7 @@
     /// A call that another daemon passed on.
     Remote {
         /// That daemon.
-        place: wire::Place,
+        endpoint: wire::Endpoint,
         /// Its number of the call.
         number: u64,
     },
@@ -47,7 +47,7 @@
 
 /// A command that waits for its proposal or its commit.
 #[derive(Debug)]
-pub struct Waiting {
+pub struct Pending {
     /// Command.
     pub command: cell::Command,
     /// Who waits.
@@ -62,7 +62,7 @@
     /// Links to other daemons.
     pub network: peer::Network,
     /// Orders and questions.
-    pub orders: orders::Sender,
+    pub sender: sender::Sender,
     /// Whether the balancer may send callers here.
     pub ready: watch::Sender<bool>,
     /// Start of the process.
@@ -83,22 +83,22 @@
 #[derive(Debug)]
 pub struct Controller {
     pub(super) settings: settings::Settings,
-    pub(super) me: wire::Place,
+    pub(super) me: wire::Endpoint,
     pub(super) network: peer::Network,
-    pub(super) orders: orders::Sender,
-    pub(super) contact: contact::Contact,
+    pub(super) sender: sender::Sender,
+    pub(super) discovery: discovery::Discovery,
     pub(super) calls: calls::Calls<oneshot::Sender<call::Reply>>,
     pub(super) member: Option<member::Member>,
     pub(super) state: cell::State,
     pub(super) dispatch: Option<Dispatch>,
     pub(super) relays: relay::Relays,
-    pub(super) carried: relay::Carried,
-    pub(super) batch: Vec<Waiting>,
+    pub(super) relay_answers: relay::Answers,
+    pub(super) batch: Vec<Pending>,
     pub(super) batch_since: Option<Duration>,
-    pub(super) proposed: HashMap<u64, Vec<Waiting>>,
+    pub(super) proposed: HashMap<u64, Vec<Pending>>,
     pub(super) events: VecDeque<member::Event>,
-    pub(super) duties_at: Duration,
-    pub(super) helpers_at: Duration,
+    pub(super) membership_at: Duration,
+    pub(super) proxies_at: Duration,
     pub(super) leaving: bool,
     pub(super) ready: watch::Sender<bool>,
     pub(super) hello_at: Duration,
@@ -155,17 +155,17 @@
         let Start {
             settings,
             network,
-            orders,
+            sender,
             ready,
             origin,
             urgent,
         } = start;
-        let contact = contact::Contact::new(settings.peer, &settings.seeds);
+        let discovery = discovery::Discovery::new(settings.peer, &settings.seeds);
         let vm = match &settings.data {
             Some(folder) => identity::load_or(folder, replication::founder(&settings))?,
             None => identity::load(None)?,
         };
-        let me = wire::Place {
+        let me = wire::Endpoint {
             vm,
             peer: settings.peer,
         };
@@ -173,20 +173,20 @@
             settings,
             me,
             network,
-            orders,
-            contact,
+            sender,
+            discovery,
             calls: calls::Calls::default(),
             member: None,
             state: cell::State::default(),
             dispatch: None,
             relays: relay::Relays::default(),
-            carried: relay::Carried::default(),
+            relay_answers: relay::Answers::default(),
             batch: Vec::new(),
             batch_since: None,
             proposed: HashMap::new(),
             events: VecDeque::new(),
-            duties_at: Duration::ZERO,
-            helpers_at: Duration::ZERO,
+            membership_at: Duration::ZERO,
+            proxies_at: Duration::ZERO,
             hello_at: Duration::ZERO,
             metrics_at: Duration::ZERO,
             lag: Duration::ZERO,
@@ -216,7 +216,7 @@
     }
 
     /// Sends a frame to a daemon.
-    pub(super) fn send(&self, to: wire::Place, body: peer::wire::Body) {
+    pub(super) fn send(&self, to: wire::Endpoint, body: peer::wire::Body) {
         self.send_frame(to.peer, Some(to.vm), body);
     }
 
@@ -245,26 +245,26 @@
             }
             Message::Call {
                 call,
-                patience,
+                timeout,
                 received,
                 responder,
             } => {
                 self.lag = received.elapsed();
-                self.call(call, patience, responder);
+                self.call(call, timeout, responder);
             }
-            Message::Ordered {
+            Message::DirectiveAnswered {
                 origin,
-                order,
+                directive,
                 answer,
-            } => self.ordered(origin, &order, answer),
-            Message::Advised {
-                asker,
+            } => self.directive_answered(origin, &directive, answer),
+            Message::QueryAnswered {
+                requester,
                 number,
                 answer,
-            } => self.advised(asker, number, answer),
+            } => self.query_answered(requester, number, answer),
             Message::Disk(done) => self.persisted(&done),
             Message::Settings(settings) => self.reload(*settings),
-            Message::Leave => self.leave(),
+            Message::TransferLeadership => self.transfer_leadership(),
             // Urgent frames were taken before, and a stop ends the actor.
             Message::Urgent | Message::Stop => {}
         }
@@ -277,17 +277,17 @@
     /// Does everything that time or the last message made due.
     fn advance(&mut self) {
         let now = self.now();
-        self.say_hello(now);
+        self.send_hello(now);
         self.step_replica(now);
         self.propose_batch(now);
         self.take_events();
-        self.follow_leadership();
-        self.lead();
+        self.update_leadership();
+        self.run_dispatch();
         self.propose_batch(now);
         self.take_events();
-        self.return_answers(now);
+        self.send_answers(now);
         self.pass_calls(now);
-        self.look_after_members(now);
+        self.reconcile_membership(now);
         self.reopen(now);
         self.publish_ready(now);
         self.publish_state(now);
@@ -298,37 +298,37 @@
         match responder {
             Responder::Nobody => {}
             Responder::Local(sender) => answer(sender, reply),
-            Responder::Remote { place, number } => {
-                // The asker sends a call of unknown fate again by itself.
+            Responder::Remote { endpoint, number } => {
+                // The requester sends a call of unknown fate again by itself.
                 if reply != call::Reply::Unknown {
                     let message = wire::Message::Reply { number, reply };
-                    self.send(place, peer::wire::Body::Fleet(message));
+                    self.send(endpoint, peer::wire::Body::Fleet(message));
                 }
             }
         }
     }
 
-    fn call(&mut self, call: call::Call, patience: Duration, responder: oneshot::Sender<call::Reply>) {
+    fn call(&mut self, call: call::Call, timeout: Duration, responder: oneshot::Sender<call::Reply>) {
         let now = self.now();
         if self.dispatch.is_some() {
             self.serve(call, Responder::Local(responder));
             return;
         }
-        if let Err((responder, reply)) = self.calls.add(now, now + patience, call, responder) {
+        if let Err((responder, reply)) = self.calls.add(now, now + timeout, call, responder) {
             answer(responder, reply);
         }
     }
 
     /// Passes calls to the leader and gives up those whose time is over.
     fn pass_calls(&mut self, now: Duration) {
-        if let Some((term, place)) = self.own_leader(now) {
-            self.note_leader(now, term, place);
+        if let Some((term, endpoint)) = self.own_leader(now) {
+            self.record_leader(now, term, endpoint);
         }
-        let leader = self.contact.leader(now);
+        let leader = self.discovery.leader(now);
         if let Some(leader) = leader.filter(|leader| leader.vm != self.me.vm) {
             for (number, call) in self.calls.due(now, leader.vm) {
                 let call = Box::new(call);
-                let message = wire::Message::Ask { number, call };
+                let message = wire::Message::Request { number, call };
                 self.send(leader, peer::wire::Body::Fleet(message));
             }
         }
@@ -339,11 +339,11 @@
 
     fn reload(&mut self, settings: settings::Settings) {
         log::info!("event=reload seeds={:?}", settings.seeds);
-        self.contact.set_seeds(&settings.seeds);
+        self.discovery.set_seeds(&settings.seeds);
         self.settings.seeds = settings.seeds;
     }
 
-    fn leave(&mut self) {
+    fn transfer_leadership(&mut self) {
         self.leaving = true;
         let now = self.now();
         if let Some(member) = &mut self.member {
@@ -356,7 +356,7 @@
     }
 
     fn publish_ready(&mut self, now: Duration) {
-        let ready = !self.leaving && self.contact.leader(now).is_some();
+        let ready = !self.leaving && self.discovery.leader(now).is_some();
         let changed = self.ready.send_if_modified(|published| {
             let changed = *published != ready;
             *published = ready;
@@ -386,7 +386,7 @@
         if let Some(dispatch) = &self.dispatch {
             wake = wake.min(dispatch.next_wake());
         }
-        if let Some(due) = self.carried.due() {
+        if let Some(due) = self.relay_answers.due() {
             wake = wake.min(due);
         }
         let wake = wake.max(now + SHORTEST_TICK);
--- /dev/null
+++ b/crates/daemon/src/fleet/directives.rs
@@ -0,0 +1,146 @@
+//! Orders on their way: by this daemon's own calls, or through the daemon that carries them.
+
+use std::time::Duration;
+
+use bronzespoke_control::cell;
+use bronzespoke_dispatch::{dispatch::Dispatch, worker};
+use bronzespoke_workload::directive;
+
+use crate::{
+    fleet::{controller::Controller, relay, sender, wire},
+    peer,
+};
+
+impl Controller {
+    /// Sends an directive of this leader.
+    pub(super) fn send_directive(
+        &mut self,
+        decided: Duration,
+        worker: cell::WorkerIndex,
+        directive: directive::Directive,
+    ) {
+        let now = self.now();
+        let Some(dispatch) = &self.dispatch else { return };
+        let Some(receiver) = dispatch.workers().get(&worker) else {
+            return;
+        };
+        let decision = relay::Decision {
+            token: dispatch.token(),
+            worker,
+            at: decided,
+        };
+        let recipient = wire::Recipient {
+            token: worker::fencing_token(dispatch.token(), worker),
+            name: receiver.incarnation.name.clone(),
+            address: receiver.announced.address,
+        };
+        match self.relays.relay(&receiver.announced.zone) {
+            Some(relay) => self.relays.queue(now, relay, decision, recipient, directive),
+            None => self.sender.send_directive(sender::Directive {
+                origin: relay::Origin::Local(decision),
+                recipient,
+                directive,
+            }),
+        }
+    }
+
+    /// Sends the directives that wait for their frames.
+    pub(super) fn flush_relays(&mut self) {
+        let Some(token) = self.dispatch.as_ref().map(Dispatch::token) else {
+            return;
+        };
+        for (endpoint, directives) in self.relays.take_frames() {
+            let message = wire::Message::Directives { token, directives };
+            self.send(endpoint, peer::wire::Body::Fleet(message));
+        }
+    }
+
+    /// Chooses the relays anew and gives up directives whose answers will not come.
+    pub(super) fn update_relays(&mut self, now: Duration) {
+        let workers = self
+            .dispatch
+            .as_ref()
+            .map_or(0, |dispatch| dispatch.workers().len());
+        self.relays.set_relays(workers, self.discovery.relays(now));
+        for (decision, directive) in self.relays.expire(now) {
+            self.apply_answer(decision, &directive, None);
+        }
+    }
+
+    /// Carries directives of another leader.
+    pub(super) fn relay_directives(
+        &self,
+        leader: wire::Endpoint,
+        token: directive::Token,
+        directives: Vec<wire::Directive>,
+    ) {
+        for directive in directives {
+            self.sender.send_directive(sender::Directive {
+                origin: relay::Origin::Leader {
+                    endpoint: leader,
+                    token,
+                    number: directive.number,
+                },
+                recipient: directive.recipient,
+                directive: directive.directive,
+            });
+        }
+    }
+
+    /// Takes answers that another daemon got; those to directives of a former term change nothing.
+    pub(super) fn receive_answers(&mut self, token: directive::Token, answers: Vec<wire::Answered>) {
+        if self.dispatch.as_ref().map(Dispatch::token) != Some(token) {
+            return;
+        }
+        for (number, answer) in answers {
+            if let Some((decision, directive)) = self.relays.answered(number) {
+                self.apply_answer(decision, &directive, answer.as_ref());
+            }
+        }
+    }
+
+    /// Takes a worker's answer to an directive that this daemon sent.
+    pub(super) fn directive_answered(
+        &mut self,
+        origin: relay::Origin,
+        directive: &directive::Directive,
+        answer: Option<directive::Answer>,
+    ) {
+        match origin {
+            relay::Origin::Local(decision) => self.apply_answer(decision, directive, answer.as_ref()),
+            relay::Origin::Leader {
+                endpoint,
+                token,
+                number,
+            } => {
+                let now = self.now();
+                self.relay_answers.add(now, endpoint, token, number, answer);
+            }
+        }
+    }
+
+    /// Returns the answers that are due to the leaders that gave the directives.
+    pub(super) fn send_answers(&mut self, now: Duration) {
+        for (leader, message) in self.relay_answers.take_frames(now) {
+            self.send(leader, peer::wire::Body::Fleet(message));
+        }
+    }
+
+    /// An answer to an directive of a former term changes nothing.
+    fn apply_answer(
+        &mut self,
+        decision: relay::Decision,
+        directive: &directive::Directive,
+        answer: Option<&directive::Answer>,
+    ) {
+        let now = self.times();
+        let relay::Decision { token, worker, at } = decision;
+        if let Some(dispatch) = self
+            .dispatch
+            .as_mut()
+            .filter(|dispatch| dispatch.token() == token)
+        {
+            dispatch.answered(&self.state, now, worker, directive, at, answer);
+        }
+    }
+}
--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -29,13 +29,13 @@
             return;
         }
         let now = self.now();
-        let from = wire::Place {
+        let from = wire::Endpoint {
             vm: frame.from,
             peer: frame.from_peer,
         };
         match frame.body {
             peer::wire::Body::Consensus(_, message) => {
-                self.contact.heard(now, from, None);
+                self.discovery.record_contact(now, from, None);
                 if let Some(member) = &mut self.member {
                     let input = replica::Input::Receive {
                         from: from.vm,
@@ -50,67 +50,70 @@
         }
     }
 
-    pub(super) fn receive_fleet(&mut self, now: Duration, from: wire::Place, message: wire::Message) {
+    pub(super) fn receive_fleet(&mut self, now: Duration, from: wire::Endpoint, message: wire::Message) {
         match message {
             wire::Message::Hello { durable, zone } => {
-                self.contact.heard(now, from, Some(durable));
-                self.contact.note_zone(from, zone);
+                self.discovery.record_contact(now, from, Some(durable));
+                self.discovery.record_zone(from, zone);
                 if self.settings.data.is_some() {
                     self.welcome(now, from);
                 }
             }
             wire::Message::Welcome { leader, known } => {
-                self.contact.heard(now, from, Some(true));
-                self.contact.learn(&known);
-                if let Some((term, place)) = leader {
-                    self.note_leader(now, term, place);
+                self.discovery.record_contact(now, from, Some(true));
+                self.discovery.learn(&known);
+                if let Some((term, endpoint)) = leader {
+                    self.record_leader(now, term, endpoint);
                 }
             }
-            wire::Message::Ask { number, call } => {
-                self.contact.heard(now, from, None);
-                let responder = Responder::Remote { place: from, number };
+            wire::Message::Request { number, call } => {
+                self.discovery.record_contact(now, from, None);
+                let responder = Responder::Remote {
+                    endpoint: from,
+                    number,
+                };
                 self.serve(*call, responder);
             }
             wire::Message::Reply { number, reply } => {
-                self.contact.heard(now, from, None);
+                self.discovery.record_contact(now, from, None);
                 if reply == call::Reply::NotLeader {
-                    self.contact.deny_leader(from.vm);
+                    self.discovery.clear_leader(from.vm);
                 }
                 if let Some((responder, reply)) = self.calls.reply(now, number, reply) {
                     answer(responder, reply);
                 }
             }
-            wire::Message::Question { number, question } => {
-                self.contact.heard(now, from, None);
-                self.orders.ask(from, number, question);
+            wire::Message::Query { number, query } => {
+                self.discovery.record_contact(now, from, None);
+                self.sender.send_query(from, number, query);
             }
             wire::Message::Eligibility { number, answer } => {
-                self.contact.heard(now, from, None);
+                self.discovery.record_contact(now, from, None);
                 if let Some(dispatch) = &mut self.dispatch {
                     dispatch.query_answered(now, number, &answer);
                 }
             }
-            wire::Message::Orders { token, orders } => {
-                self.contact.heard(now, from, None);
-                self.carry_orders(from, token, orders);
+            wire::Message::Directives { token, directives } => {
+                self.discovery.record_contact(now, from, None);
+                self.relay_directives(from, token, directives);
             }
             wire::Message::Answers { token, answers } => {
-                self.contact.heard(now, from, None);
-                self.take_answers(token, answers);
+                self.discovery.record_contact(now, from, None);
+                self.receive_answers(token, answers);
             }
         }
     }
 
-    pub(super) fn welcome(&self, now: Duration, to: wire::Place) {
+    pub(super) fn welcome(&self, now: Duration, to: wire::Endpoint) {
         let leader = self.own_leader(now);
-        let mut known = self.contact.durable();
+        let mut known = self.discovery.durable();
         known.push(self.me);
         let message = wire::Message::Welcome { leader, known };
         self.send(to, peer::wire::Body::Fleet(message));
     }
 
     /// Leader that this member's replica knows, and its term.
-    pub(super) fn own_leader(&self, now: Duration) -> Option<(u64, wire::Place)> {
+    pub(super) fn own_leader(&self, now: Duration) -> Option<(u64, wire::Endpoint)> {
         let replica = self.member.as_ref()?.replica();
         let leader = replica.leader()?;
         let term = replica.term();
@@ -118,29 +121,33 @@
             let leads = self.dispatch.is_some() && self.holds_lease(now);
             return leads.then_some((term, self.me));
         }
-        let peer = self.contact.address(leader)?;
-        Some((term, wire::Place { vm: leader, peer }))
+        let peer = self.discovery.address(leader)?;
+        Some((term, wire::Endpoint { vm: leader, peer }))
     }
 
-    pub(super) fn note_leader(&mut self, now: Duration, term: u64, place: wire::Place) {
-        let before = self.contact.leader(now).map(|leader| leader.vm);
-        self.contact.note_leader(now, term, place);
-        if before != Some(place.vm) {
-            log::info!("belief=leader vm={} peer={} term={term}", place.vm, place.peer);
+    pub(super) fn record_leader(&mut self, now: Duration, term: u64, endpoint: wire::Endpoint) {
+        let before = self.discovery.leader(now).map(|leader| leader.vm);
+        self.discovery.record_leader(now, term, endpoint);
+        if before != Some(endpoint.vm) {
+            log::info!(
+                "belief=leader vm={} peer={} term={term}",
+                endpoint.vm,
+                endpoint.peer
+            );
         }
     }
 
-    pub(super) fn say_hello(&mut self, now: Duration) {
+    pub(super) fn send_hello(&mut self, now: Duration) {
         if now < self.hello_at {
             return;
         }
         self.hello_at = now + HELLO_CHECK;
-        let duty = self.contact.due(now);
-        for address in duty.reset {
+        let actions = self.discovery.due(now);
+        for address in actions.reset {
             self.network.reset(address);
         }
         let durable = self.settings.data.is_some();
-        for address in duty.hello {
+        for address in actions.hello {
             let zone = self.settings.zone.clone();
             let message = wire::Message::Hello { durable, zone };
             self.send_frame(address, None, peer::wire::Body::Fleet(message));
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -30,11 +30,11 @@
 /// Time for the body of a request to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
 /// How long a caller waits that does not say so.
-const DEFAULT_PATIENCE: Duration = Duration::from_secs(3);
+const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A reply has to reach the caller before its deadline; one way to a client takes up to 3 ms and both ends are busy.
 const REPLY_MARGIN: Duration = Duration::from_millis(100);
 /// How long operators and workers wait before they turn to another daemon.
-const CONTROL_PATIENCE: Duration = Duration::from_millis(900);
+const CONTROL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Open connections of one listener; further ones wait in the backlog.
 const MAX_CONNECTIONS: usize = 3_000;
 /// Pause after a failed accept, such as one without free file descriptors.
@@ -131,7 +131,7 @@
         Kind::Metrics => metrics(context),
         Kind::Readiness => readiness(context, &request.into_parts().0),
         Kind::Entry | Kind::Control => {
-            let response = called(context, kind, request).await;
+            let response = handle_call(context, kind, request).await;
             let listener = if kind == Kind::Entry { "entry" } else { "control" };
             metric::call(listener, response.status(), begun.elapsed());
             response
@@ -159,7 +159,7 @@
     response
 }
 
-async fn called(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Bytes> {
+async fn handle_call(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Bytes> {
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
@@ -178,24 +178,24 @@
             return context.adapter.error(&fault);
         }
     };
-    let patience = match kind {
+    let timeout = match kind {
         Kind::Entry => {
-            let patience = context.adapter.timeout(&head).unwrap_or(DEFAULT_PATIENCE);
-            patience.saturating_sub(REPLY_MARGIN)
+            let timeout = context.adapter.timeout(&head).unwrap_or(DEFAULT_TIMEOUT);
+            timeout.saturating_sub(REPLY_MARGIN)
         }
-        _ => CONTROL_PATIENCE,
+        _ => CONTROL_TIMEOUT,
     };
     let (responder, reply) = oneshot::channel();
     let message = Message::Call {
         call,
-        patience,
+        timeout,
         received: Instant::now(),
         responder,
     };
     if context.control.send_message(message).is_err() {
         return context.adapter.reply(&crate::fleet::calls::no_leader());
     }
-    let reply = match time::timeout(patience + REPLY_MARGIN / 2, reply).await {
+    let reply = match time::timeout(timeout + REPLY_MARGIN / 2, reply).await {
         Ok(Ok(reply)) => reply,
         // The call may have been taken.
         Ok(Err(_)) | Err(_) => call::Reply::Unknown,
--- a/crates/daemon/src/fleet/leading.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -25,11 +25,11 @@
 const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 
 /// Time between two looks at which VMs may ask the eligibility service.
-const HELPERS_INTERVAL: Duration = Duration::from_millis(100);
+const PROXIES_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Controller {
     /// Begins or ends a term.
-    pub(super) fn follow_leadership(&mut self) {
+    pub(super) fn update_leadership(&mut self) {
         let term = self.member.as_ref().and_then(super::member::Member::leading_term);
         let token = self.dispatch.as_ref().map(Dispatch::token);
         if term == token {
@@ -39,8 +39,8 @@
             log::info!("belief=term_over token={token:?}");
             self.dispatch = None;
             self.relays = relay::Relays::default();
-            for waiting in std::mem::take(&mut self.batch) {
-                self.respond(waiting.responder, call::Reply::NotLeader);
+            for pending in std::mem::take(&mut self.batch) {
+                self.respond(pending.responder, call::Reply::NotLeader);
             }
             self.batch_since = None;
         }
@@ -57,27 +57,31 @@
                 self.state.catalog().map(|catalog| catalog.version)
             );
             self.dispatch = Some(Dispatch::new(config, &self.state, now));
-            self.helpers_at = now.steady;
-            let reached: Vec<_> = self.contact.reached(now.steady).map(|(place, _)| place).collect();
-            for place in reached {
-                self.welcome(now.steady, place);
+            self.proxies_at = now.steady;
+            let reachable: Vec<_> = self
+                .discovery
+                .reachable(now.steady)
+                .map(|(endpoint, _)| endpoint)
+                .collect();
+            for endpoint in reachable {
+                self.welcome(now.steady, endpoint);
             }
         }
     }
 
     /// Lets the leader's timers run and carries out what it decided.
-    pub(super) fn lead(&mut self) {
+    pub(super) fn run_dispatch(&mut self) {
         let now = self.times();
         if self.dispatch.is_none() || !self.holds_lease(now.steady) {
             return;
         }
-        if now.steady >= self.helpers_at {
-            self.helpers_at = now.steady + HELPERS_INTERVAL;
-            let helpers = self.helpers(now.steady);
+        if now.steady >= self.proxies_at {
+            self.proxies_at = now.steady + PROXIES_INTERVAL;
+            let proxies = self.proxies(now.steady);
             if let Some(dispatch) = &mut self.dispatch {
-                dispatch.set_proxies(&helpers);
+                dispatch.set_proxies(&proxies);
             }
-            self.look_after_relays(now.steady);
+            self.update_relays(now.steady);
             if let Some(dispatch) = &self.dispatch {
                 metric::load(dispatch, self.state.active().count());
             }
@@ -88,38 +92,41 @@
         dispatch.tick(&self.state, now);
         let outputs = dispatch.take_outputs();
         for output in outputs {
-            self.carry_out(output);
+            self.execute(output);
         }
         self.flush_relays();
     }
 
-    /// VMs that may ask the eligibility service: all that are reached, and this one.
-    fn helpers(&self, now: Duration) -> Vec<bronzespoke_model::id::VmId> {
+    /// VMs that may ask the eligibility service: all that are reachable, and this one.
+    fn proxies(&self, now: Duration) -> Vec<bronzespoke_model::id::VmId> {
         if self.settings.advice.is_none() {
             return Vec::new();
         }
-        let reached = self.contact.reached(now).map(|(place, _)| place.vm);
-        reached.chain([self.me.vm]).collect()
+        let reachable = self.discovery.reachable(now).map(|(endpoint, _)| endpoint.vm);
+        reachable.chain([self.me.vm]).collect()
     }
 
-    fn carry_out(&mut self, output: Output) {
+    fn execute(&mut self, output: Output) {
         match output {
             Output::Propose(command) => self.enqueue(command, Responder::Nobody),
             Output::Directive {
                 worker,
                 directive,
                 decided,
-            } => self.send_order(decided, worker, directive),
-            Output::Query(ask) => {
-                if ask.proxy == self.me.vm {
-                    self.orders.ask(self.me, ask.number, ask.query);
-                } else if let Some(peer) = self.contact.address(ask.proxy) {
-                    let message = wire::Message::Question {
-                        number: ask.number,
-                        question: ask.query,
+            } => self.send_directive(decided, worker, directive),
+            Output::Query(request) => {
+                if request.proxy == self.me.vm {
+                    self.sender.send_query(self.me, request.number, request.query);
+                } else if let Some(peer) = self.discovery.address(request.proxy) {
+                    let message = wire::Message::Query {
+                        number: request.number,
+                        query: request.query,
                     };
-                    let place = wire::Place { vm: ask.proxy, peer };
-                    self.send(place, peer::wire::Body::Fleet(message));
+                    let endpoint = wire::Endpoint {
+                        vm: request.proxy,
+                        peer,
+                    };
+                    self.send(endpoint, peer::wire::Body::Fleet(message));
                 }
             }
             Output::Event(event) => {
@@ -130,8 +137,13 @@
     }
 
     /// Returns the answer of the eligibility service to whoever wanted to know.
-    pub(super) fn advised(&mut self, asker: wire::Place, number: u64, answer: eligibility::Answer) {
-        if asker.vm == self.me.vm {
+    pub(super) fn query_answered(
+        &mut self,
+        requester: wire::Endpoint,
+        number: u64,
+        answer: eligibility::Answer,
+    ) {
+        if requester.vm == self.me.vm {
             let now = self.now();
             if let Some(dispatch) = &mut self.dispatch {
                 dispatch.query_answered(now, number, &answer);
@@ -139,7 +151,7 @@
             return;
         }
         let message = wire::Message::Eligibility { number, answer };
-        self.send(asker, peer::wire::Body::Fleet(message));
+        self.send(requester, peer::wire::Body::Fleet(message));
     }
 
     /// Serves a call as the leader.
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -17,18 +17,18 @@
 const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
 
 impl Controller {
-    pub(super) fn look_after_members(&mut self, now: Duration) {
-        if now < self.duties_at {
+    pub(super) fn reconcile_membership(&mut self, now: Duration) {
+        if now < self.membership_at {
             return;
         }
-        self.duties_at = now + INTERVAL;
+        self.membership_at = now + INTERVAL;
         if self.dispatch.is_none() || !self.holds_lease(now) || self.leaving {
             return;
         }
-        if let Some(place) = self.unlocated(now) {
+        if let Some(endpoint) = self.unlocated(now) {
             let command = cell::Command::Locate {
-                vm: place.vm,
-                peer: place.peer,
+                vm: endpoint.vm,
+                peer: endpoint.peer,
             };
             self.enqueue(command, Responder::Nobody);
             return;
@@ -42,10 +42,10 @@
     }
 
     /// A daemon with a disk whose address is not recorded.
-    fn unlocated(&self, now: Duration) -> Option<wire::Place> {
-        let reached = self.contact.reached(now).filter(|(_, durable)| *durable);
-        let mut places = reached.map(|(place, _)| place).chain([self.me]);
-        places.find(|place| self.state.peers().get(&place.vm) != Some(&place.peer))
+    fn unlocated(&self, now: Duration) -> Option<wire::Endpoint> {
+        let reachable = self.discovery.reachable(now).filter(|(_, durable)| *durable);
+        let mut endpoints = reachable.map(|(endpoint, _)| endpoint).chain([self.me]);
+        endpoints.find(|endpoint| self.state.peers().get(&endpoint.vm) != Some(&endpoint.peer))
     }
 
     fn wanted_change(&self, now: Duration) -> Option<Change> {
@@ -54,37 +54,36 @@
             return None;
         }
         let members = &status.membership;
-        let reached: Vec<wire::Place> = self
-            .contact
-            .reached(now)
+        let reachable: Vec<wire::Endpoint> = self
+            .discovery
+            .reachable(now)
             .filter(|(_, durable)| *durable)
-            .map(|(place, _)| place)
+            .map(|(endpoint, _)| endpoint)
             .collect();
         // A member whose address another life has taken has lost its disk.
-        for place in &reached {
+        for endpoint in &reachable {
             let all = members.voters.iter().chain(&members.learners);
-            let mut former = all.filter(|vm| **vm != place.vm);
-            let replaced = former.find(|vm| self.address_of(**vm) == Some(place.peer));
+            let mut former = all.filter(|vm| **vm != endpoint.vm);
+            let replaced = former.find(|vm| self.address_of(**vm) == Some(endpoint.peer));
             if let Some(former) = replaced {
                 return Some(Change::Remove(*former));
             }
         }
-        if let Some(place) = reached
+        if let Some(endpoint) = reachable
             .iter()
-            .find(|place| !members.contains(place.vm) && !members.removed.contains(&place.vm))
+            .find(|endpoint| !members.contains(endpoint.vm) && !members.removed.contains(&endpoint.vm))
         {
-            return Some(Change::AddLearner(place.vm));
+            return Some(Change::AddLearner(endpoint.vm));
         }
-        let ready = status
-            .peers
-            .iter()
-            .find(|peer| !peer.voter && peer.caught_up && reached.iter().any(|place| place.vm == peer.id));
+        let ready = status.peers.iter().find(|peer| {
+            !peer.voter && peer.caught_up && reachable.iter().any(|endpoint| endpoint.vm == peer.id)
+        });
         let wanted = (2 * self.settings.tolerated_losses + 1).max(1);
         if members.voters.len() < wanted {
             return ready.map(|learner| Change::Promote(learner.id));
         }
         let silent = members.voters.iter().find(|vm| {
-            let heard = self.contact.last_heard(**vm).unwrap_or_default();
+            let heard = self.discovery.last_contact(**vm).unwrap_or_default();
             **vm != self.me.vm && now.saturating_sub(heard) > REPLACE_AFTER
         });
         match (ready, silent) {
@@ -99,6 +98,6 @@
             .peers()
             .get(&vm)
             .copied()
-            .or_else(|| self.contact.address(vm))
+            .or_else(|| self.discovery.address(vm))
     }
 }
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -1,11 +1,11 @@
-//! Counters, gauges and latency histograms of a daemon of a fleet.
+//! Counters, gauges and latency histograms of a fleet's daemon.
 
 use std::time::Duration;
 
 use bronzespoke_dispatch::dispatch::{self, Dispatch};
 use bronzespoke_workload::directive;
 
-/// Notes an answered call from outside. `kind` is the listener.
+/// Records an answered call from outside. `kind` is the listener.
 pub fn call(kind: &'static str, status: http::StatusCode, took: Duration) {
     let class = match status.as_u16() {
         200..=299 => "done",
@@ -17,9 +17,9 @@
     metrics::histogram!("bronzespoke_fleet_call_seconds", "listener" => kind).record(took.as_secs_f64());
 }
 
-/// Notes an order that this daemon sent to a worker.
-pub fn order(order: &directive::Directive, answer: Option<&directive::Answer>, took: Duration) {
-    let order = match order {
+/// Records a directive that this daemon sent to a worker.
+pub fn directive(directive: &directive::Directive, answer: Option<&directive::Answer>, took: Duration) {
+    let kind = match directive {
         directive::Directive::Start { .. } => "start",
         directive::Directive::Stop { .. } => "stop",
         directive::Directive::Renew { .. } => "report",
@@ -32,11 +32,11 @@
         Some(directive::Answer::Unreadable) => "unreadable",
         None => "none",
     };
-    metrics::counter!("bronzespoke_fleet_orders_total", "order" => order, "answer" => answer).increment(1);
-    metrics::histogram!("bronzespoke_fleet_order_seconds", "order" => order).record(took.as_secs_f64());
+    metrics::counter!("bronzespoke_fleet_orders_total", "order" => kind, "answer" => answer).increment(1);
+    metrics::histogram!("bronzespoke_fleet_order_seconds", "order" => kind).record(took.as_secs_f64());
 }
 
-/// Notes a decision of the leader.
+/// Records a decision of the leader.
 pub fn decision(event: &dispatch::Event) {
     match event {
         dispatch::Event::Placed { .. } => metrics::counter!("bronzespoke_fleet_placed_total").increment(1),
@@ -58,15 +58,15 @@
     }
 }
 
-/// Notes how much the leader looks after.
+/// Records how many steps, workers and jobs the leader manages.
 pub fn load(dispatch: &Dispatch, active_jobs: usize) {
     metrics::gauge!("bronzespoke_fleet_waiting_steps").set(dispatch.waiting_steps() as f64);
     metrics::gauge!("bronzespoke_fleet_workers").set(dispatch.workers().len() as f64);
     metrics::gauge!("bronzespoke_fleet_active_jobs").set(active_jobs as f64);
 }
 
-/// Notes whether this daemon leads, the calls that wait for a leader, how long the newest message waited for the control
-/// thread, and the log lines that were dropped.
+/// Records whether this daemon leads, how many calls wait for a leader, how long the newest message waited for the
+/// control thread, and how many log lines were dropped.
 pub fn state(leads: bool, waiting_calls: usize, lag: Duration) {
     metrics::gauge!("bronzespoke_fleet_control_lag_seconds").set(lag.as_secs_f64());
     metrics::gauge!("bronzespoke_fleet_leads").set(f64::from(u8::from(leads)));
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -1,23 +1,23 @@
-//! A daemon of a fleet whose workers take orders.
+//! A daemon of a fleet whose workers receive directives.
 //!
-//! VMs with a disk replicate the state of the cell in one group; its leader decides and talks to the workers. Entry VMs
-//! keep no state: they take callers' requests and pass them to the leader. Two threads: control owns all state, traffic
-//! carries the connections.
+//! VMs with a disk replicate the state of the cell in one group; its leader schedules and talks to the workers. Entry
+//! VMs keep no state: they take callers' requests and pass them to the leader. There are two threads: the control thread
+//! owns all state, the traffic thread serves the connections.
 
 pub mod calls;
 pub mod client;
-pub mod contact;
 mod controller;
+mod directives;
+pub mod discovery;
 mod frames;
 mod http;
-mod leading;
+mod leader;
 mod member;
 mod membership;
 mod metric;
-mod orders;
 pub mod relay;
-mod relaying;
 mod replication;
+mod sender;
 mod start;
 pub mod wire;
 
@@ -30,55 +30,55 @@
 
 use crate::{disk, peer};
 
-/// What reaches the control thread.
+/// A message to the control thread.
 #[derive(Debug)]
 pub enum Message {
-    /// The time of a planned tick has come; one that was planned earlier meanwhile makes it void.
+    /// A timer planned for this time has fired; ignored if an earlier tick was planned meanwhile.
     Tick(Duration),
-    /// Frames wait that go before all other messages.
+    /// Frames wait in the queue that is handled before all other messages.
     Urgent,
     /// A frame from another daemon.
     Frame {
-        /// Frame.
+        /// Frame that was received.
         frame: peer::wire::Frame,
-        /// When it came.
+        /// When the frame arrived.
         received: Instant,
     },
-    /// A call from outside.
+    /// A call from a caller, an operator or a worker.
     Call {
-        /// Call.
+        /// Call to serve.
         call: call::Call,
-        /// How long the caller waits.
-        patience: Duration,
-        /// When it came.
+        /// How long the caller waits for the reply.
+        timeout: Duration,
+        /// When the call arrived.
         received: Instant,
-        /// Takes the reply.
+        /// Receives the reply.
         responder: oneshot::Sender<call::Reply>,
     },
-    /// A worker answered an order, or did not.
-    Ordered {
-        /// Who gave the order.
+    /// A directive was answered by its worker, or timed out.
+    DirectiveAnswered {
+        /// Daemon that issued the directive.
         origin: relay::Origin,
-        /// Order.
-        order: directive::Directive,
-        /// Answer.
+        /// Directive that was sent.
+        directive: directive::Directive,
+        /// Answer of the worker; `None` if none arrived.
         answer: Option<directive::Answer>,
     },
-    /// The eligibility service answered a question that this daemon was asked to pass on.
-    Advised {
-        /// Who wanted to know.
-        asker: wire::Place,
-        /// Number of the question.
+    /// The eligibility service answered a query that this daemon sent as a proxy.
+    QueryAnswered {
+        /// Daemon that issued the query.
+        requester: wire::Endpoint,
+        /// Number of the query.
         number: u64,
-        /// Answer.
+        /// Answer of the service, or why there is none.
         answer: eligibility::Answer,
     },
     /// Writes are durable, or failed.
     Disk(disk::Done),
     /// The settings file changed.
     Settings(Box<settings::Settings>),
-    /// The daemon is to stop: leadership is handed over.
-    Leave,
+    /// The daemon is about to stop: it transfers leadership and takes no more calls.
+    TransferLeadership,
     /// Ends the control thread.
     Stop,
 }
--- a/crates/daemon/src/fleet/relay.rs
+++ b/crates/daemon/src/fleet/relay.rs
@@ -2,8 +2,8 @@
 //!
 //! Answers a large fleet on small VMs: one call for each start, and a report of each worker every second, take more
 //! processor time than the VM of the leader has. The daemon with a disk in a worker's availability zone carries the calls
-//! there, and many orders and answers share a frame between the two. Decisions, fencing tokens and records stay with the
-//! leader. An order may be carried twice, or late, as any order may: the number of its run, its lease and its token tell the
+//! there, and many directives and answers share a frame between the two. Decisions, fencing tokens and records stay with the
+//! leader. An directive may be carried twice, or late, as any directive may: the number of its run, its lease and its token tell the
 //! worker what to make of it.
 
 use std::{
@@ -15,36 +15,36 @@
 use bronzespoke_model::id;
 use bronzespoke_workload::directive;
 
-use crate::fleet::{orders, wire};
+use crate::fleet::{sender, wire};
 
 /// Workers that the leader calls by itself. A call takes about 0.15 ms, and this many workers take some 300 calls a second.
-const OWN_WORKERS: usize = 96;
-/// How much longer than the call itself a carried order may take: two ways between regions, and the batches at both ends.
-const CARRY_SLACK: Duration = Duration::from_millis(300);
+const DIRECT_WORKERS: usize = 96;
+/// How much longer than the call itself a carried directive may take: two ways between regions, and the batches at both ends.
+const RELAY_SLACK: Duration = Duration::from_millis(300);
 /// Orders that one frame holds. Their descriptions take up to 4,000 bytes each, and a frame may have 1 MiB.
-const ORDERS_PER_FRAME: usize = 128;
+const DIRECTIVES_PER_FRAME: usize = 128;
 /// Runs and ends that the answers of one frame list; each takes some 60 bytes.
 const ENTRIES_PER_FRAME: usize = 4_096;
 /// How long an answer waits for others to share its frame.
 const ANSWER_DELAY: Duration = Duration::from_millis(2);
 
-/// Who gave an order.
+/// Who gave an directive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Origin {
     /// This daemon.
-    Own(Decision),
+    Local(Decision),
     /// Another daemon, which leads.
     Leader {
         /// That daemon.
-        place: wire::Place,
+        endpoint: wire::Endpoint,
         /// Its term.
         token: directive::Token,
-        /// Its number of the order.
+        /// Its number of the directive.
         number: u64,
     },
 }
 
-/// A leader's decision to give an order.
+/// A leader's decision to give an directive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Decision {
     /// Term.
@@ -57,111 +57,111 @@
 
 #[derive(Debug)]
 struct Sent {
-    carrier: id::VmId,
+    relay: id::VmId,
     decision: Decision,
-    order: directive::Directive,
-    give_up_at: Duration,
+    directive: directive::Directive,
+    expires_at: Duration,
 }
 
 /// The leader's side: which daemon carries, and what is under way.
 #[derive(Debug, Default)]
 pub struct Relays {
     /// Carrier of each availability zone that has one.
-    carriers: HashMap<String, wire::Place>,
+    relays: HashMap<String, wire::Endpoint>,
     next: u64,
-    queued: BTreeMap<wire::Place, Vec<wire::Order>>,
+    queued: BTreeMap<wire::Endpoint, Vec<wire::Directive>>,
     sent: HashMap<u64, Sent>,
 }
 
 impl Relays {
-    /// Replaces the daemons that may carry orders, with the availability zone of each. A small fleet needs none.
-    pub fn set_carriers(&mut self, workers: usize, mut reached: Vec<(wire::Place, String)>) {
-        self.carriers.clear();
-        if workers <= OWN_WORKERS {
+    /// Replaces the daemons that may carry directives, with the availability zone of each. A small fleet needs none.
+    pub fn set_relays(&mut self, workers: usize, mut reachable: Vec<(wire::Endpoint, String)>) {
+        self.relays.clear();
+        if workers <= DIRECT_WORKERS {
             return;
         }
-        reached.sort_unstable();
-        for (place, zone) in reached {
-            self.carriers.entry(zone).or_insert(place);
+        reachable.sort_unstable();
+        for (endpoint, zone) in reachable {
+            self.relays.entry(zone).or_insert(endpoint);
         }
     }
 
-    /// Daemon that carries orders into an availability zone; `None` if the leader does.
-    pub fn carrier(&self, zone: &str) -> Option<wire::Place> {
-        self.carriers.get(zone).copied()
+    /// Daemon that carries directives into an availability zone; `None` if the leader does.
+    pub fn relay(&self, zone: &str) -> Option<wire::Endpoint> {
+        self.relays.get(zone).copied()
     }
 
-    /// Adds an order to the next frame for a carrier.
+    /// Adds an directive to the next frame for a relay.
     pub fn queue(
         &mut self,
         now: Duration,
-        carrier: wire::Place,
+        relay: wire::Endpoint,
         decision: Decision,
         recipient: wire::Recipient,
-        order: directive::Directive,
+        directive: directive::Directive,
     ) {
         self.next += 1;
         let sent = Sent {
-            carrier: carrier.vm,
+            relay: relay.vm,
             decision,
-            order: order.clone(),
-            give_up_at: now + orders::timeout(&order) + CARRY_SLACK,
+            directive: directive.clone(),
+            expires_at: now + sender::timeout(&directive) + RELAY_SLACK,
         };
         self.sent.insert(self.next, sent);
-        self.queued.entry(carrier).or_default().push(wire::Order {
+        self.queued.entry(relay).or_default().push(wire::Directive {
             number: self.next,
             recipient,
-            order,
+            directive,
         });
     }
 
     /// Takes out the frames to send.
-    pub fn take_frames(&mut self) -> Vec<(wire::Place, Vec<wire::Order>)> {
+    pub fn take_frames(&mut self) -> Vec<(wire::Endpoint, Vec<wire::Directive>)> {
         let mut frames = Vec::new();
-        for (place, mut orders) in std::mem::take(&mut self.queued) {
-            while orders.len() > ORDERS_PER_FRAME {
-                let rest = orders.split_off(ORDERS_PER_FRAME);
-                frames.push((place, std::mem::replace(&mut orders, rest)));
+        for (endpoint, mut directives) in std::mem::take(&mut self.queued) {
+            while directives.len() > DIRECTIVES_PER_FRAME {
+                let rest = directives.split_off(DIRECTIVES_PER_FRAME);
+                frames.push((endpoint, std::mem::replace(&mut directives, rest)));
             }
-            frames.push((place, orders));
+            frames.push((endpoint, directives));
         }
         frames
     }
 
-    /// Takes the answer to an order; `None` if it was given up.
+    /// Takes the answer to an directive; `None` if it was given up.
     pub fn answered(&mut self, number: u64) -> Option<(Decision, directive::Directive)> {
         let sent = self.sent.remove(&number)?;
-        Some((sent.decision, sent.order))
+        Some((sent.decision, sent.directive))
     }
 
-    /// Gives up orders that take too long or whose carrier is not reached any more. They may have been carried out.
-    pub fn give_up(&mut self, now: Duration) -> Vec<(Decision, directive::Directive)> {
-        let reached: Vec<id::VmId> = self.carriers.values().map(|place| place.vm).collect();
-        let lost = |sent: &Sent| now >= sent.give_up_at || !reached.contains(&sent.carrier);
+    /// Gives up directives that take too long or whose relay is not reachable any more. They may have been carried out.
+    pub fn expire(&mut self, now: Duration) -> Vec<(Decision, directive::Directive)> {
+        let reachable: Vec<id::VmId> = self.relays.values().map(|endpoint| endpoint.vm).collect();
+        let lost = |sent: &Sent| now >= sent.expires_at || !reachable.contains(&sent.relay);
         let numbers: Vec<u64> = self
             .sent
             .iter()
             .filter(|(_, sent)| lost(sent))
             .map(|(number, _)| *number)
             .collect();
-        let given_up = numbers.iter().filter_map(|number| self.answered(*number));
-        given_up.collect()
+        let expired = numbers.iter().filter_map(|number| self.answered(*number));
+        expired.collect()
     }
 }
 
-/// The carrier's side: answers that wait for a frame to their leader.
+/// The relay's side: answers that wait for a frame to their leader.
 #[derive(Debug, Default)]
-pub struct Carried {
+pub struct Answers {
     since: Option<Duration>,
-    answers: BTreeMap<(wire::Place, directive::Token), Vec<wire::Answered>>,
+    answers: BTreeMap<(wire::Endpoint, directive::Token), Vec<wire::Answered>>,
 }
 
-impl Carried {
+impl Answers {
     /// Adds an answer.
     pub fn add(
         &mut self,
         now: Duration,
-        leader: wire::Place,
+        leader: wire::Endpoint,
         token: directive::Token,
         number: u64,
         answer: Option<directive::Answer>,
@@ -177,13 +177,13 @@
     }
 
     /// Takes out the frames that are due, each for a leader and its term.
-    pub fn take_frames(&mut self, now: Duration) -> Vec<(wire::Place, wire::Message)> {
+    pub fn take_frames(&mut self, now: Duration) -> Vec<(wire::Endpoint, wire::Message)> {
         if self.due().is_none_or(|due| now < due) {
             return Vec::new();
         }
         self.since = None;
         let mut frames = Vec::new();
-        for ((place, token), answers) in std::mem::take(&mut self.answers) {
+        for ((endpoint, token), answers) in std::mem::take(&mut self.answers) {
             let mut entries = 0;
             let mut frame = Vec::new();
             for (number, answer) in answers {
@@ -193,14 +193,14 @@
                 };
                 if entries + listed > ENTRIES_PER_FRAME && !frame.is_empty() {
                     let answers = std::mem::take(&mut frame);
-                    frames.push((place, wire::Message::Answers { token, answers }));
+                    frames.push((endpoint, wire::Message::Answers { token, answers }));
                     entries = 0;
                 }
                 entries += listed + 1;
                 frame.push((number, answer));
             }
             let answers = frame;
-            frames.push((place, wire::Message::Answers { token, answers }));
+            frames.push((endpoint, wire::Message::Answers { token, answers }));
         }
         frames
     }
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -12,7 +12,7 @@
     disk,
     fleet::{
         Message,
-        controller::{COMMAND_DELAY, Controller, Responder, Waiting},
+        controller::{COMMAND_DELAY, Controller, Pending, Responder},
         member, wire,
     },
     identity, peer,
@@ -33,7 +33,7 @@
     /// Whether a submission of a job is on its way to the log.
     pub(super) fn is_submitting(&self, key: bronzespoke_workload::job::Key) -> bool {
         let under_way = self.proposed.values().flatten().chain(&self.batch);
-        let mut submissions = under_way.filter_map(|waiting| match &waiting.command {
+        let mut submissions = under_way.filter_map(|pending| match &pending.command {
             cell::Command::Submit { key, .. } => Some(*key),
             _ => None,
         });
@@ -44,7 +44,7 @@
     pub(super) fn enqueue(&mut self, command: cell::Command, responder: Responder) {
         let now = self.now();
         self.batch_since.get_or_insert(now);
-        self.batch.push(Waiting { command, responder });
+        self.batch.push(Pending { command, responder });
     }
 
     pub(super) fn propose_batch(&mut self, now: Duration) {
@@ -55,15 +55,15 @@
         }
         self.batch_since = None;
         let at_ms = context::Context::wall_ms();
-        let mut waiting = std::mem::take(&mut self.batch).into_iter();
-        let commands: Vec<_> = waiting
+        let mut pending = std::mem::take(&mut self.batch).into_iter();
+        let commands: Vec<_> = pending
             .as_slice()
             .iter()
-            .map(|waiting| envelope::Envelope::new(at_ms, waiting.command.clone()))
+            .map(|pending| envelope::Envelope::new(at_ms, pending.command.clone()))
             .collect();
         for (proposal, count) in member.propose(now, &commands, &mut self.events) {
             self.proposed
-                .insert(proposal, waiting.by_ref().take(count).collect());
+                .insert(proposal, pending.by_ref().take(count).collect());
         }
     }
 
@@ -81,17 +81,17 @@
                 member::Event::Send(to, message) => self.send_consensus(to, message),
                 member::Event::Apply(entry) => applied = self.apply(entry),
                 member::Event::Committed { proposal, index } => {
-                    let waiting = self.proposed.remove(&proposal).unwrap_or_default();
+                    let pending = self.proposed.remove(&proposal).unwrap_or_default();
                     let outcomes = applied.take().map(|(_, outcomes)| outcomes).unwrap_or_default();
                     log::debug!(
                         "decision=commit proposal={proposal} index={index} commands={}",
-                        waiting.len()
+                        pending.len()
                     );
-                    self.committed(waiting, outcomes);
+                    self.committed(pending, outcomes);
                 }
                 member::Event::Rejected { proposal, never } => {
-                    for waiting in self.proposed.remove(&proposal).unwrap_or_default() {
-                        self.rejected(waiting, never);
+                    for pending in self.proposed.remove(&proposal).unwrap_or_default() {
+                        self.rejected(pending, never);
                     }
                 }
                 member::Event::Install(snapshot) => match cell::State::decode(&snapshot.data) {
@@ -109,12 +109,12 @@
     }
 
     pub(super) fn send_consensus(&self, to: id::VmId, message: bronzespoke_consensus::message::Message) {
-        let known = self.contact.address(to);
+        let known = self.discovery.address(to);
         let Some(peer) = known.or_else(|| self.state.peers().get(&to).copied()) else {
             return;
         };
         let body = peer::wire::Body::Consensus(member::GROUP, message);
-        self.send(wire::Place { vm: to, peer }, body);
+        self.send(wire::Endpoint { vm: to, peer }, body);
     }
 
     pub(super) fn apply(
@@ -142,30 +142,30 @@
         Some((commands, outcomes))
     }
 
-    pub(super) fn committed(&mut self, waiting: Vec<Waiting>, outcomes: Vec<cell::Outcome>) {
+    pub(super) fn committed(&mut self, pending: Vec<Pending>, outcomes: Vec<cell::Outcome>) {
         let now = self.times();
-        for (waiting, outcome) in waiting.into_iter().zip(outcomes) {
+        for (pending, outcome) in pending.into_iter().zip(outcomes) {
             if let Some(dispatch) = &mut self.dispatch {
-                dispatch.committed(&self.state, now, &waiting.command, &outcome);
+                dispatch.committed(&self.state, now, &pending.command, &outcome);
             }
             let reply = match outcome {
                 cell::Outcome::NoJob => call::Reply::NoJob,
                 _ => call::Reply::Done,
             };
-            self.respond(waiting.responder, reply);
+            self.respond(pending.responder, reply);
         }
     }
 
-    pub(super) fn rejected(&mut self, waiting: Waiting, never: bool) {
+    pub(super) fn rejected(&mut self, pending: Pending, never: bool) {
         if never && let Some(dispatch) = &mut self.dispatch {
-            dispatch.rejected(&self.state, &waiting.command);
+            dispatch.rejected(&self.state, &pending.command);
         }
         let reply = if never {
             call::Reply::NotLeader
         } else {
             call::Reply::Unknown
         };
-        self.respond(waiting.responder, reply);
+        self.respond(pending.responder, reply);
     }
 
     pub(super) fn open_member(&mut self) {
@@ -198,16 +198,16 @@
 
     /// Founders know each other's ids from their addresses.
     pub(super) fn locate_founders(&mut self) {
-        let places: Vec<_> = self
+        let endpoints: Vec<_> = self
             .settings
             .seeds
             .iter()
-            .map(|seed| wire::Place {
+            .map(|seed| wire::Endpoint {
                 vm: founder_id(*seed),
                 peer: *seed,
             })
             .collect();
-        self.contact.learn(&places);
+        self.discovery.learn(&endpoints);
     }
 
     pub(super) fn reopen(&mut self, now: Duration) {
@@ -217,19 +217,19 @@
             self.state = cell::State::default();
             self.events.clear();
             self.reopen_at = now + REOPEN_PAUSE;
-            for waiting in self
+            for pending in self
                 .proposed
                 .drain()
-                .flat_map(|(_, waiting)| waiting)
+                .flat_map(|(_, pending)| pending)
                 .collect::<Vec<_>>()
             {
-                self.respond(waiting.responder, call::Reply::Unknown);
+                self.respond(pending.responder, call::Reply::Unknown);
             }
         }
         let removed = |member: &member::Member| member.replica().role() == replica::Role::Removed;
         if self.member.as_ref().is_some_and(removed) && now >= self.reopen_at {
             self.reopen_at = now + REOPEN_PAUSE;
-            self.join_anew();
+            self.rejoin();
         }
         if self.member.is_none() && self.settings.data.is_some() && now >= self.reopen_at {
             self.open_member();
@@ -237,7 +237,7 @@
     }
 
     /// Returns to the group under a new id after the group has removed this member.
-    pub(super) fn join_anew(&mut self) {
+    pub(super) fn rejoin(&mut self) {
         let Some(folder) = self.settings.data.clone() else {
             return;
         };
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -24,7 +24,7 @@
     fleet::{
         Message,
         controller::{self, Control, Start},
-        http, orders,
+        http, sender,
     },
     metric, peer,
 };
@@ -38,7 +38,7 @@
 /// Part of the grace period that is left for the end of the process.
 const END_RESERVE: Duration = Duration::from_millis(700);
 /// Pause between the hand-over of leadership and the end of a daemon without callers.
-const HAND_OVER: Duration = Duration::from_millis(700);
+const TRANSFER_WAIT: Duration = Duration::from_millis(700);
 /// Connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
 
@@ -81,7 +81,7 @@
         .build()
         .map_err(|error| Error::System(format!("threads cannot be started: {error}")))?;
     traffic.block_on(async {
-        let signals = Signals::take_over()?;
+        let signals = Signals::install()?;
         let settings = read(path, adapter.as_ref())?;
         crate::logging::start_structured(&settings.name);
         log::info!(
@@ -116,7 +116,7 @@
     let start = Start {
         settings: settings.clone(),
         network,
-        orders: orders::Sender::new(
+        sender: sender::Sender::new(
             handle,
             Arc::clone(&adapter),
             settings.advice,
@@ -238,7 +238,7 @@
 
 impl Signals {
     /// Takes over the signals. Until then a hang-up ends the process, as one that came half a second after a start did.
-    fn take_over() -> Result<Self, Error> {
+    fn install() -> Result<Self, Error> {
         let failed = |error: io::Error| Error::System(format!("signals cannot be received: {error}"));
         Ok(Self {
             terminate: signal(SignalKind::terminate()).map_err(failed)?,
@@ -292,7 +292,7 @@
     cancel: &CancellationToken,
 ) {
     log::info!("event=draining connections={}", context.tracker.len());
-    if actor.send_message(Message::Leave).is_err() {
+    if actor.send_message(Message::TransferLeadership).is_err() {
         return;
     }
     let begun = Instant::now();
@@ -300,7 +300,7 @@
     if settings.entry.is_some() {
         time::sleep(DRAIN_NOTICE.min(grace)).await;
     } else {
-        time::sleep(HAND_OVER).await;
+        time::sleep(TRANSFER_WAIT).await;
     }
     context.closing.cancel();
     context.tracker.close();
--- a/crates/daemon/src/fleet/wire.rs
+++ b/crates/daemon/src/fleet/wire.rs
@@ -1,7 +1,7 @@
 //! Messages between the daemons of a fleet.
 //!
-//! Entry VMs keep no state: they pass calls to the leader of the cell's group. Messages may be lost; calls are sent again
-//! until they are answered or their time is over, which is safe because every call may be repeated.
+//! Entry VMs keep no state: they pass calls to the leader of the cell's group. Messages may be lost; calls are resent
+//! until they are answered or their deadline has passed, which is safe because every call is idempotent.
 
 use std::net::SocketAddr;
 
@@ -9,7 +9,7 @@
 use bronzespoke_workload::{call, directive, eligibility};
 use serde::{Deserialize, Serialize};
 
-/// A message.
+/// A message between two daemons.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Message {
     /// Announces a daemon; answered with `Welcome` by daemons with a disk.
@@ -22,83 +22,90 @@
     /// What a daemon with a disk knows about the cell.
     Welcome {
         /// Leader and the term in which it leads.
-        leader: Option<(u64, Place)>,
+        leader: Option<(u64, Endpoint)>,
         /// Daemons with a disk that are known.
-        known: Vec<Place>,
+        known: Vec<Endpoint>,
     },
     /// A call for the leader.
-    Ask {
+    #[serde(rename = "Ask")]
+    Request {
         /// Number that the reply carries.
         number: u64,
-        /// Call.
+        /// Call to serve.
         call: Box<call::Call>,
     },
     /// Reply to a call.
     Reply {
         /// Number of the call.
         number: u64,
-        /// Reply.
+        /// Outcome of the call; `NotLeader` if the receiver did not take it.
         reply: call::Reply,
     },
-    /// The leader has the receiver ask the eligibility service.
-    Question {
+    /// The leader has the receiver query the eligibility service.
+    #[serde(rename = "Question")]
+    Query {
         /// Number that the answer carries.
         number: u64,
-        /// Question.
-        question: eligibility::Query,
+        /// Query to pass on.
+        #[serde(rename = "question")]
+        query: eligibility::Query,
     },
     /// Answer of the eligibility service.
     Eligibility {
-        /// Number of the question.
+        /// Number of the query.
         number: u64,
-        /// Answer.
+        /// Answer of the service, or why there is none.
         answer: eligibility::Answer,
     },
-    /// The leader has the receiver carry orders to workers.
-    Orders {
+    /// The leader has the receiver relay directives to workers.
+    #[serde(rename = "Orders")]
+    Directives {
         /// Term of the leader.
         token: directive::Token,
-        /// Orders.
-        orders: Vec<Order>,
+        /// Directives to send.
+        #[serde(rename = "orders")]
+        directives: Vec<Directive>,
     },
-    /// What workers answered.
+    /// Answers of workers to relayed directives.
     Answers {
-        /// Term of the leader that gave the orders.
+        /// Term of the leader that issued the directives.
         token: directive::Token,
-        /// Answers.
+        /// Answers in the order in which they arrived.
         answers: Vec<Answered>,
     },
 }
 
-/// Number of an order and the worker's answer, if there was one.
+/// Number of a directive and the worker's answer, if there was one.
 pub type Answered = (u64, Option<directive::Answer>);
 
-/// An order that another daemon carries to a worker.
+/// A directive that another daemon relays to a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Order {
+pub struct Directive {
     /// Number that the answer carries.
     pub number: u64,
-    /// Worker.
+    /// Worker that gets the directive.
     pub recipient: Recipient,
-    /// Order.
-    pub order: directive::Directive,
+    /// Directive to send.
+    #[serde(rename = "order")]
+    pub directive: directive::Directive,
 }
 
-/// How a life of a worker is called.
+/// How an incarnation of a worker is addressed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Recipient {
-    /// Fencing token of the life.
-    pub fence: directive::Token,
-    /// Name.
+    /// Fencing token of the incarnation.
+    #[serde(rename = "fence")]
+    pub token: directive::Token,
+    /// Name under which the worker registered.
     pub name: String,
-    /// Address.
+    /// Address for directives.
     pub address: SocketAddr,
 }
 
-/// A daemon and where it listens for frames.
+/// A daemon and the address at which it listens for frames.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
-pub struct Place {
-    /// Life of the daemon.
+pub struct Endpoint {
+    /// Incarnation of the daemon.
     pub vm: id::VmId,
     /// Address for frames.
     pub peer: SocketAddr,
