--- a/crates/bench/benches/capacity/replication.rs
+++ b/crates/bench/benches/capacity/replication.rs
@@ -362,7 +362,10 @@
             age: Some(120_000),
             content: feed::Content::Entries(items),
         };
-        (entries as f64, frame_bytes(wire::Body::FeedAnswer(answer)) as f64)
+        (
+            entries as f64,
+            frame_bytes(wire::Body::FeedResponse(answer)) as f64,
+        )
     };
     let request = |after: u64| {
         let request = feed::Request {
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -10,7 +10,8 @@
 
 use crate::{
     control::{
-        Controller, Inbox, Listing, Message, Published, asks, claims, context, responder, root, targets, zone,
+        Controller, Inbox, Listing, Message, Published, claims, context, requests, responder, root, targets,
+        zone,
     },
     disk, settings,
 };
@@ -20,7 +21,7 @@
 /// Shortest time between two ticks, which bounds the work of timers.
 const SHORTEST_TICK: Duration = Duration::from_millis(1);
 /// Longest wait for the hand-over of leadership at shutdown.
-const HAND_OVER: Duration = Duration::from_secs(2);
+const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// What the control thread starts from.
 #[derive(Debug)]
@@ -93,7 +94,7 @@
             targets: targets::Targets::new(targets),
             zones: std::collections::BTreeMap::new(),
             known: std::collections::BTreeSet::new(),
-            asks: asks::Asks::default(),
+            requests: requests::Requests::default(),
             claims: claims::Claims::default(),
             ends: claims::Ends::default(),
             former: claims::Former::default(),
@@ -107,13 +108,13 @@
             caught_up: false,
             hello_at: now,
             enlist_at: now,
-            duties_at: now,
+            maintenance_at: now,
             tick_at: None,
             leaving: None,
             reporter: None,
             demand: None,
             led: Vec::new(),
-            forces: Vec::new(),
+            pending_effects: Vec::new(),
             context,
             settings,
             inbox,
@@ -142,8 +143,8 @@
             Message::FormerEnded(zone, ended) => self.former_ended(zone, ended),
             Message::Submitted(submission, answer) => self.submitted(submission, answer),
             Message::Found(submission, found) => self.found_submission(submission, found),
-            Message::Answered(number, reply) => self.asks.answer(&self.context, number, reply),
-            Message::Await(force) => self.forces.push(force),
+            Message::Replied(number, reply) => self.requests.receive(&self.context, number, reply),
+            Message::AwaitEffect(pending) => self.pending_effects.push(pending),
             Message::RootSnapshot(done) => self.root.snapshot_done(&self.context, done),
             Message::ZoneSnapshot(zone, number, done) => {
                 // A replica that was opened again has a state of its own.
@@ -153,9 +154,9 @@
                 }
             }
             Message::Tick => self.tick(),
-            Message::HandOver(reply) => {
-                self.leaving = Some((reply, self.context.now() + HAND_OVER));
-                self.hand_over();
+            Message::TransferLeadership(reply) => {
+                self.leaving = Some((reply, self.context.now() + TRANSFER_TIMEOUT));
+                self.transfer_leadership();
             }
             Message::Stop => {}
         }
@@ -197,11 +198,11 @@
             self.announce();
         }
         self.enlist();
-        if now >= self.duties_at {
-            self.duties();
+        if now >= self.maintenance_at {
+            self.run_maintenance();
         }
         self.gossip_tick(now);
-        self.ask_tick();
+        self.request_tick();
         self.record_ends();
         let own = self.context.me.place.zone;
         if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get_mut(&own)) {
@@ -221,15 +222,20 @@
         }
     }
 
-    fn ask_tick(&mut self) {
-        let mut asks = std::mem::take(&mut self.asks);
-        let own = asks.tick(&self.context, &|group| self.leader(group));
+    fn request_tick(&mut self) {
+        let mut requests = std::mem::take(&mut self.requests);
+        let own = requests.tick(&self.context, &|group| self.leader(group));
         // Continuations only send messages, so no call was opened meanwhile.
-        self.asks = asks;
-        for asks::Own { number, group, ask } in own {
+        self.requests = requests;
+        for requests::Own {
+            number,
+            group,
+            request,
+        } in own
+        {
             let inbox = self.inbox.clone();
-            let then = Box::new(move |reply| inbox.send(Message::Answered(number, reply)));
-            self.serve(group, ask, responder::Responder::Local(then));
+            let then = Box::new(move |reply| inbox.send(Message::Replied(number, reply)));
+            self.serve(group, request, responder::Responder::Local(then));
         }
     }
 
@@ -239,7 +245,7 @@
         let mut next = now + LONGEST_TICK;
         next = next
             .min(self.hello_at)
-            .min(self.duties_at)
+            .min(self.maintenance_at)
             .min(self.gossip.next_wake());
         if let Some(member) = self.root.member() {
             next = next.min(member.replica().next_wake());
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -15,7 +15,7 @@
     pub(super) fn advance(&mut self) {
         let now = self.context.now();
         for _ in 0..MAX_ROUNDS {
-            let progressed = self.apply_root() | self.apply_zones() | self.tend_scheduling(now);
+            let progressed = self.apply_root() | self.apply_zones() | self.update_scheduling(now);
             if !progressed {
                 break;
             }
@@ -25,10 +25,10 @@
         self.publish_targets(now);
         let own = self.context.me.place.zone;
         if let (Some(scheduling), Some(zone)) = (&mut self.scheduling, self.zones.get(&own)) {
-            scheduling.settle(now, zone);
+            scheduling.respond(now, zone);
         }
-        self.note_leads(now);
-        self.check_forces(now);
+        self.check_leadership(now);
+        self.check_effects(now);
         self.check_leaving(now);
     }
 
@@ -67,7 +67,7 @@
     }
 
     /// Starts the scheduler when this VM takes the lead of its zone, and drops it when the lead is lost.
-    fn tend_scheduling(&mut self, now: Duration) -> bool {
+    fn update_scheduling(&mut self, now: Duration) -> bool {
         let own = self.context.me.place.zone;
         let Some(zone) = self.zones.get_mut(&own) else {
             return false;
@@ -77,7 +77,7 @@
             return false;
         }
         if !leads {
-            zone.settle();
+            zone.discard_proposals();
         }
         self.scheduling = leads.then(|| {
             let view = Arc::clone(self.root.view());
@@ -131,8 +131,8 @@
     }
 
     fn publish_freshness(&mut self, now: Duration) {
-        if let Some(basis) = self.root.basis(now) {
-            self.published.freshness.advance(basis);
+        if let Some(freshness) = self.root.freshness(now) {
+            self.published.freshness.advance(freshness);
         }
         let fresh = self.published.freshness.is_fresh();
         self.caught_up |= fresh;
@@ -169,7 +169,7 @@
         let me = self.context.me.id;
         let leads = self.replicas().any(|(_, member)| member.leader(me) == Some(me));
         let over = self.leaving.as_ref().is_some_and(|(_, deadline)| {
-            !leads && self.asks.is_empty() && self.ends.is_empty() || now >= *deadline
+            !leads && self.requests.is_empty() && self.ends.is_empty() || now >= *deadline
         });
         if over && let Some((reply, _)) = self.leaving.take() {
             self.listing = Listing::Unlisted;
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -8,7 +8,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    control::{Controller, Message, asks, claims, context, responder},
+    control::{Controller, Message, claims, context, requests, responder},
     peer::wire,
 };
 
@@ -44,12 +44,12 @@
             }
             control::Call::Register(registration, reply) => self.register(registration, reply),
             control::Call::Report(report, reply) => self.report(report, reply),
-            control::Call::Load(target, load) => self.note_load(target, load),
+            control::Call::Load(target, load) => self.publish_load(target, load),
             control::Call::Event(kind) => self.context.record(kind),
         }
     }
 
-    fn note_load(&mut self, target: id::TargetId, load: u32) {
+    fn publish_load(&mut self, target: id::TargetId, load: u32) {
         let now = self.context.now();
         let value = bronzespoke_gossip::Value::Load(load);
         if self
@@ -71,13 +71,13 @@
         let zones = &self.root.view().zones;
         let Some(owners) = request_id::owners(key, zones, context::Context::wall_ms()) else {
             let message = String::from("no availability zone is known yet");
-            self.answer_claim(waiter, control::Claimed::NotRun(message));
+            self.deliver_claim(waiter, control::Claimed::NotRun(message));
             return;
         };
         let remaining = owners.second.into_iter().collect();
         let asked = owners.first;
         let command = 0;
-        self.ask_owner(claims::Pending {
+        self.claim_at_owner(claims::Pending {
             key,
             remaining,
             asked,
@@ -88,7 +88,7 @@
     }
 
     /// Gives the answer to a claim; an unwanted grant is given back.
-    fn answer_claim(&mut self, waiter: claims::Waiter, claimed: control::Claimed) {
+    fn deliver_claim(&mut self, waiter: claims::Waiter, claimed: control::Claimed) {
         let granted = match claimed {
             control::Claimed::Granted(number) => Some(number),
             _ => None,
@@ -104,7 +104,7 @@
         }
     }
 
-    fn ask_owner(&mut self, pending: claims::Pending) {
+    fn claim_at_owner(&mut self, pending: claims::Pending) {
         let zone = pending.asked;
         // A VM without a data folder has a new id in every life.
         if !self.context.me.durable || self.former.has_ended(zone) {
@@ -119,7 +119,7 @@
 
     /// Ends the claims of former processes of this VM in a zone, unless that is done or under way.
     pub(super) fn end_former(&mut self, zone: id::AvailabilityZoneId) {
-        let Some(id) = self.former.ask(zone) else {
+        let Some(id) = self.former.begin(zone) else {
             return;
         };
         let command = zone::Command::HolderGone {
@@ -133,8 +133,8 @@
             let ended = matches!(answer, wire::Reply::Zone(_));
             inbox.send(Message::FormerEnded(zone, ended));
         });
-        let ask = wire::Ask::Zone(envelope);
-        self.dispatch(id::GroupId::Zone(zone), ask, asks::DEADLINE, then);
+        let request = wire::Request::Zone(envelope);
+        self.dispatch(id::GroupId::Zone(zone), request, requests::DEADLINE, then);
     }
 
     /// Goes on with the claims that waited for the end of those of former processes.
@@ -152,20 +152,20 @@
     fn send_claim(&mut self, mut pending: claims::Pending) {
         pending.command = rand::random();
         let group = id::GroupId::Zone(pending.asked);
-        let ask = self.claim_command(&pending);
+        let request = self.claim_command(&pending);
         let inbox = self.inbox.clone();
         let then = Box::new(move |answer| inbox.send(Message::Claimed(pending, answer)));
-        self.dispatch(group, ask, asks::DEADLINE, then);
+        self.dispatch(group, request, requests::DEADLINE, then);
     }
 
-    fn claim_command(&self, pending: &claims::Pending) -> wire::Ask {
+    fn claim_command(&self, pending: &claims::Pending) -> wire::Request {
         let command = zone::Command::Claim {
             key: pending.key,
             holder: self.context.me.id,
         };
         let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(pending.command);
-        wire::Ask::Zone(envelope)
+        wire::Request::Zone(envelope)
     }
 
     /// Learns the outcome of a claim whose answer did not come in time, and gives a grant back.
@@ -173,14 +173,14 @@
     /// The command id makes this the same claim, so that the id does not stay in progress for nobody.
     fn abandon(&mut self, pending: &claims::Pending) {
         let zone = pending.asked;
-        let ask = self.claim_command(pending);
+        let request = self.claim_command(pending);
         let inbox = self.inbox.clone();
         let then = Box::new(move |answer| {
             if let wire::Reply::Zone(zone::Outcome::Claim(zone::Claimed::Granted(number))) = answer {
                 inbox.send(Message::Abandoned(zone, number));
             }
         });
-        self.dispatch(id::GroupId::Zone(zone), ask, ABANDON_DEADLINE, then);
+        self.dispatch(id::GroupId::Zone(zone), request, ABANDON_DEADLINE, then);
     }
 
     /// Gives back a claim that nobody waits for any more.
@@ -205,7 +205,7 @@
                 match pending.remaining.pop() {
                     Some(next) => {
                         pending.asked = next;
-                        self.ask_owner(pending);
+                        self.claim_at_owner(pending);
                     }
                     None => self.grant_claim(pending),
                 }
@@ -224,7 +224,7 @@
 
     fn grant_claim(&mut self, pending: claims::Pending) {
         let number = self.claims.keep(pending.granted);
-        self.answer_claim(pending.waiter, control::Claimed::Granted(number));
+        self.deliver_claim(pending.waiter, control::Claimed::Granted(number));
     }
 
     fn refuse_claim(&mut self, pending: claims::Pending, reason: String) {
@@ -236,7 +236,7 @@
         for (zone, number) in pending.granted {
             self.complete_at(zone, number, &control::Completion::NotRun, None);
         }
-        self.answer_claim(pending.waiter, claimed);
+        self.deliver_claim(pending.waiter, claimed);
     }
 
     /// Records the end of a claim at its owners; `done` is dropped when all of them have recorded it, or after a
@@ -272,14 +272,14 @@
         };
         let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(end.command);
-        let time = end.call_time(self.context.now());
+        let time = end.request_timeout(self.context.now());
         let inbox = self.inbox.clone();
         let then = Box::new(move |answer| {
             if !matches!(answer, wire::Reply::Zone(_)) {
                 inbox.send(Message::Unrecorded(end));
             }
         });
-        self.dispatch(group, wire::Ask::Zone(envelope), time, then);
+        self.dispatch(group, wire::Request::Zone(envelope), time, then);
     }
 
     /// Keeps the end of a claim that its owner refused or did not answer, to be sent again.
@@ -301,25 +301,30 @@
         results: bool,
         reply: control::Reply<control::JobStatus>,
     ) {
-        let ask = wire::Ask::Job {
+        let request = wire::Request::Job {
             team: Some(team),
             job,
             results,
         };
-        self.ask_job(job, ask, reply);
+        self.request_job(job, request, reply);
     }
 
     fn cancel_job(&mut self, team: id::TeamId, job: id::JobId, reply: control::Reply<control::JobStatus>) {
-        let ask = wire::Ask::Cancel {
+        let request = wire::Request::Cancel {
             team: Some(team),
             job,
         };
-        self.ask_job(job, ask, reply);
+        self.request_job(job, request, reply);
     }
 
-    fn ask_job(&mut self, job: id::JobId, ask: wire::Ask, reply: control::Reply<control::JobStatus>) {
+    fn request_job(
+        &mut self,
+        job: id::JobId,
+        request: wire::Request,
+        reply: control::Reply<control::JobStatus>,
+    ) {
         let group = id::GroupId::Zone(id::job_zone(job));
-        let then: responder::Then = Box::new(move |answer| {
+        let then: responder::Callback = Box::new(move |answer| {
             let result = match answer {
                 wire::Reply::Job(Some(job)) => Ok(status(job)),
                 wire::Reply::Job(None) => Err(control::Refusal::NotFound),
@@ -331,7 +336,7 @@
             then(wire::Reply::Job(None));
             return;
         }
-        self.dispatch(group, ask, asks::DEADLINE, then);
+        self.dispatch(group, request, requests::DEADLINE, then);
     }
 
     fn register(&mut self, registration: worker::Registration, reply: control::Reply<()>) {
@@ -350,7 +355,7 @@
             drop(reply.send(result));
         });
         let group = id::GroupId::Zone(self.context.me.place.zone);
-        self.command_zone(group, command, asks::DEADLINE, then);
+        self.command_zone(group, command, requests::DEADLINE, then);
     }
 
     fn report(&mut self, report: worker::Report, reply: control::Reply<worker::Reply>) {
@@ -383,11 +388,11 @@
         group: id::GroupId,
         command: zone::Command,
         deadline: Duration,
-        then: responder::Then,
+        then: responder::Callback,
     ) {
         let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(rand::random());
-        self.dispatch(group, wire::Ask::Zone(envelope), deadline, then);
+        self.dispatch(group, wire::Request::Zone(envelope), deadline, then);
     }
 }
 
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -11,17 +11,17 @@
 use bytes::Bytes;
 use tokio::sync::oneshot;
 
-use crate::control::{asks, submissions};
+use crate::control::{requests, submissions};
 
 /// Time for which the end of a claim is sent again; a lost one leaves the id in progress.
 const RECORD_DEADLINE: Duration = Duration::from_mins(1);
 /// Longest time for which somebody waits until the end of a claim is recorded.
-const WAIT: Duration = asks::DEADLINE;
+const WAIT: Duration = requests::DEADLINE;
 /// Pause before an end that was not recorded is sent again; a refused one is refused again until the leader changes.
 const PAUSE: Duration = Duration::from_millis(300);
 /// Ends that may wait to be sent again; further ones are given up, and their ids stay in progress until they are
 /// overdue.
-const MAX_ENDS: usize = asks::MAX_OPEN;
+const MAX_ENDS: usize = requests::MAX_OPEN;
 
 /// Dropped when the end of a claim is recorded, or the wait for it is over.
 pub type Done = Arc<dyn std::fmt::Debug + Send + Sync>;
@@ -88,13 +88,13 @@
     }
 
     /// Returns how long one call may take. A call is made anew after that, because this VM may lead the group by then.
-    pub fn call_time(&self, now: Duration) -> Duration {
+    pub fn request_timeout(&self, now: Duration) -> Duration {
         let end = if self.done.is_some() {
             self.done_by
         } else {
             self.until
         };
-        end.saturating_sub(now).min(asks::DEADLINE)
+        end.saturating_sub(now).min(requests::DEADLINE)
     }
 }
 
@@ -166,7 +166,7 @@
     }
 
     /// Returns the id of the command that is to be sent to a zone now, if any.
-    pub fn ask(&mut self, zone: id::AvailabilityZoneId) -> Option<id::CommandId> {
+    pub fn begin(&mut self, zone: id::AvailabilityZoneId) -> Option<id::CommandId> {
         let ending = self.ending(zone);
         let due = !ending.ended && !ending.asked;
         ending.asked |= due;
--- a/crates/daemon/src/control/context.rs
+++ b/crates/daemon/src/control/context.rs
@@ -32,7 +32,7 @@
     /// Root index that it applied.
     pub applied: u64,
     /// When it was last heard.
-    pub heard: Duration,
+    pub last_seen: Duration,
 }
 
 /// Shared by all controllers of one daemon.
@@ -100,7 +100,7 @@
             || self
                 .peers
                 .get(&vm)
-                .is_some_and(|peer| now.saturating_sub(peer.heard) < SILENCE)
+                .is_some_and(|peer| now.saturating_sub(peer.last_seen) < SILENCE)
     }
 
     /// Returns the leader of a group, as far as this VM knows; `own` is the term and the leader that its replica knows.
@@ -116,7 +116,7 @@
         let now = self.now();
         self.peers
             .values()
-            .filter(|peer| now.saturating_sub(peer.heard) < SILENCE)
+            .filter(|peer| now.saturating_sub(peer.last_seen) < SILENCE)
             .filter_map(|peer| {
                 let (_, term) = peer.leads.iter().find(|(led, _)| *led == group)?;
                 Some((*term, peer.vm.id))
--- a/crates/daemon/src/control/demand.rs
+++ b/crates/daemon/src/control/demand.rs
@@ -21,7 +21,7 @@
         let mut reporter = same.unwrap_or_else(|| demand::Reporter::new(zone, term, now));
         let leader = self.leader(id::GroupId::Root);
         if let Some(leader) = leader.filter(|_| reporter.is_due(now)) {
-            for (team, wanted, released) in wishes(group.state()) {
+            for (team, wanted, released) in team_demand(group.state()) {
                 reporter.set(team, wanted, released);
             }
             if let Some(report) = reporter.report(now, leader) {
@@ -70,7 +70,7 @@
 }
 
 /// Returns what the tasks of each team use or wait for, and what the zone has released of its part.
-fn wishes(state: &zone::State) -> impl Iterator<Item = (id::TeamId, resource::Amount, escrow::Total)> {
+fn team_demand(state: &zone::State) -> impl Iterator<Item = (id::TeamId, resource::Amount, escrow::Total)> {
     let mut wishes: BTreeMap<id::TeamId, (escrow::Total, escrow::Total)> = BTreeMap::new();
     for (_, job) in state.jobs().filter(|(_, job)| !job.state.is_terminal()) {
         let tasks = u64::from(job.spec.tasks.saturating_sub(job.succeeded));
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -7,7 +7,7 @@
 use bronzespoke_model::id;
 
 use crate::{
-    control::{Controller, Listing, asks, context, member},
+    control::{Controller, Listing, context, member, requests},
     peer::wire,
 };
 
@@ -65,7 +65,7 @@
     }
 
     /// Announces at once when the groups that this VM leads changed, so that calls find their leader.
-    pub(super) fn note_leads(&mut self, now: Duration) {
+    pub(super) fn check_leadership(&mut self, now: Duration) {
         let led: Vec<_> = self
             .replicas()
             .filter(|(_, member)| member.leads(now))
@@ -74,16 +74,16 @@
         if led != self.led {
             self.led = led;
             self.hello_at = now;
-            self.duties_at = now;
+            self.maintenance_at = now;
         }
     }
 
     /// Peer addresses of all daemons that this one knows.
     fn addresses(&self) -> BTreeSet<SocketAddr> {
         let listed = self.root.view().vms.values().map(|vm| vm.peer);
-        let heard = self.context.peers.values().map(|peer| peer.vm.peer);
+        let seen = self.context.peers.values().map(|peer| peer.vm.peer);
         let seeds = self.settings.seeds.iter().copied();
-        let all = listed.chain(heard).chain(seeds).chain(self.known.iter().copied());
+        let all = listed.chain(seen).chain(seeds).chain(self.known.iter().copied());
         all.filter(|address| *address != self.context.me.peer)
             .take(MAX_KNOWN)
             .collect()
@@ -91,7 +91,7 @@
 
     /// Takes another daemon's announcement.
     pub(super) fn hello(&mut self, from: id::VmId, hello: wire::Hello) {
-        let heard = self.context.now();
+        let now = self.context.now();
         let known = self.context.peers.get(&from).map(|peer| peer.incarnation);
         if known.is_some_and(|known| known > hello.incarnation) {
             // A late frame of an earlier life tells nothing about the present one.
@@ -101,8 +101,8 @@
             self.end_claims_of(from);
         }
         if self.root.view().vms.is_empty() {
-            let room = MAX_KNOWN.saturating_sub(self.known.len());
-            self.known.extend(hello.known.into_iter().take(room));
+            let free = MAX_KNOWN.saturating_sub(self.known.len());
+            self.known.extend(hello.known.into_iter().take(free));
         }
         let peer = context::Peer {
             vm: hello.vm,
@@ -111,12 +111,12 @@
             replicas: hello.replicas,
             cell_known: hello.cell_known,
             applied: hello.applied,
-            heard,
+            last_seen: now,
         };
         self.context.peers.insert(from, peer);
         if known.is_none() {
             // The newcomer learns of this daemon without waiting for the next round.
-            self.hello_at = heard;
+            self.hello_at = now;
         }
     }
 
@@ -130,7 +130,7 @@
         }
         self.context
             .peers
-            .retain(|vm, peer| listed.contains_key(vm) || now.saturating_sub(peer.heard) < FORGET);
+            .retain(|vm, peer| listed.contains_key(vm) || now.saturating_sub(peer.last_seen) < FORGET);
         let addresses = self.addresses();
         self.context
             .network
@@ -180,7 +180,7 @@
         if !self.settings.found || self.root.member().is_some() {
             return;
         }
-        let heard_all = self
+        let all_seeds_seen = self
             .settings
             .seeds
             .iter()
@@ -189,7 +189,7 @@
                 let peer = self.context.peers.values().find(|peer| peer.vm.peer == *seed);
                 peer.is_some_and(|peer| !peer.cell_known)
             });
-        if !heard_all {
+        if !all_seeds_seen {
             log::info!("directory: Waiting for all seeds before the cell is founded.");
             return;
         }
@@ -227,8 +227,8 @@
         let then = Box::new(|_answer| {});
         self.dispatch(
             id::GroupId::Root,
-            crate::peer::wire::Ask::Root(envelope),
-            asks::DEADLINE,
+            crate::peer::wire::Request::Root(envelope),
+            requests::DEADLINE,
             then,
         );
     }
--- a/crates/daemon/src/control/force.rs
+++ b/crates/daemon/src/control/effect.rs
@@ -30,7 +30,7 @@
 
 /// A command that waits to be in force.
 #[derive(Debug)]
-pub struct Force {
+pub struct Pending {
     /// Index of the entry.
     pub index: u64,
     /// What is waited for.
@@ -45,51 +45,51 @@
 
 impl Controller {
     /// Answers the commands that are in force, or have waited long enough.
-    pub(super) fn check_forces(&mut self, now: Duration) {
-        let mut waiting = std::mem::take(&mut self.forces);
-        waiting.retain_mut(|force| {
-            let since = *force.since.get_or_insert(now);
-            !self.settle_force(now, since, force)
+    pub(super) fn check_effects(&mut self, now: Duration) {
+        let mut waiting = std::mem::take(&mut self.pending_effects);
+        waiting.retain_mut(|pending| {
+            let since = *pending.since.get_or_insert(now);
+            !self.complete_effect(now, since, pending)
         });
-        self.forces = waiting;
+        self.pending_effects = waiting;
     }
 
     /// Returns whether the command was answered.
-    fn settle_force(&self, now: Duration, since: Duration, force: &mut Force) -> bool {
+    fn complete_effect(&self, now: Duration, since: Duration, pending: &mut Pending) -> bool {
         let waited = now.saturating_sub(since);
-        let ending = if self.is_in_force(now, waited, force) {
+        let ending = if self.is_in_effect(now, waited, pending) {
             log::info!(
                 "operator: Entry {} is in force after {} ms.",
-                force.index,
+                pending.index,
                 waited.as_millis()
             );
             // A resend gets the same text, so the time stands in the log only.
             String::from("It is in force everywhere.")
         } else if waited >= LONGEST {
-            format!("It is not in force yet in {}.", self.lagging(now, force.index))
+            format!("It is not in force yet in {}.", self.lagging(now, pending.index))
         } else {
             return false;
         };
         let (closed, _receiver) = oneshot::channel();
-        let reply = std::mem::replace(&mut force.reply, closed);
+        let reply = std::mem::replace(&mut pending.reply, closed);
         // The operator may have gone away.
-        drop(reply.send(answer::Answer::text(format!("{} {ending}", force.text))));
+        drop(reply.send(answer::Answer::text(format!("{} {ending}", pending.text))));
         true
     }
 
-    fn is_in_force(&self, now: Duration, waited: Duration, force: &Force) -> bool {
+    fn is_in_effect(&self, now: Duration, waited: Duration, pending: &Pending) -> bool {
         let members: Vec<_> = self.root.view().vms.keys().copied().collect();
         let applied = self
             .gossip
             .min_applied_index(&members, now)
-            .is_some_and(|applied| applied >= force.index);
-        match force.condition {
+            .is_some_and(|applied| applied >= pending.index);
+        match pending.condition {
             Condition::Withdrawal => {
                 applied || waited >= control::Freshness::MAX_KEY_VIEW_AGE.mul_f64(1.0 + DRIFT)
             }
             Condition::Everywhere => applied,
             Condition::Limit(team) => {
-                self.root.view().applied >= force.index && self.root.state().limit_in_force(team)
+                self.root.view().applied >= pending.index && self.root.state().limit_in_force(team)
             }
         }
     }
--- a/crates/daemon/src/control/inbox.rs
+++ b/crates/daemon/src/control/inbox.rs
@@ -20,7 +20,7 @@
 #[derive(Debug, Clone)]
 pub struct Inbox {
     actor: ActorRef<Message>,
-    room: Arc<Semaphore>,
+    permits: Arc<Semaphore>,
 }
 
 impl Inbox {
@@ -28,13 +28,13 @@
     pub fn new(actor: ActorRef<Message>) -> Self {
         Self {
             actor,
-            room: Arc::new(Semaphore::new(CAPACITY)),
+            permits: Arc::new(Semaphore::new(CAPACITY)),
         }
     }
 
     /// Waits for room for one message; `None` when the control thread has stopped.
-    pub async fn room(&self) -> Option<Permit> {
-        Arc::clone(&self.room).acquire_owned().await.ok()
+    pub async fn reserve(&self) -> Option<Permit> {
+        Arc::clone(&self.permits).acquire_owned().await.ok()
     }
 
     /// Sends a message; it is lost when the control thread has stopped.
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/maintenance.rs
@@ -26,15 +26,15 @@
 
 impl Controller {
     /// Does one round.
-    pub(super) fn duties(&mut self) {
-        self.duties_at = self.context.now() + INTERVAL;
+    pub(super) fn run_maintenance(&mut self) {
+        self.maintenance_at = self.context.now() + INTERVAL;
         self.targets.expire(&self.context, &mut self.gossip);
         self.forget_peers();
         self.reopen_failed();
         self.publish_self();
         self.end_all_former();
-        self.lead_root();
-        self.lead_zones();
+        self.maintain_root();
+        self.maintain_zones();
     }
 
     /// Ends the claims of former processes of this VM wherever that is not done, also when it makes no claims there.
@@ -63,7 +63,7 @@
         }
     }
 
-    fn lead_root(&mut self) {
+    fn maintain_root(&mut self) {
         let now = self.context.now();
         if !self.root.leads(now) {
             self.demand = None;
@@ -71,17 +71,17 @@
         }
         if let Some(member) = self.root.member() {
             let status = member.replica().status();
-            let wanted = self.wanted_root();
+            let wanted = self.desired_root_voters();
             if let Some(change) = self.next_change(&status, &wanted) {
                 self.root
-                    .change(&self.context, change, responder::Responder::Nobody);
+                    .change(&self.context, change, responder::Responder::Discard);
             }
         }
-        self.move_parts(now);
+        self.rebalance_allotments(now);
     }
 
     /// One durable VM of each zone is a root voter; present voters stay as long as they are listed.
-    fn wanted_root(&self) -> Vec<id::VmId> {
+    fn desired_root_voters(&self) -> Vec<id::VmId> {
         let view = self.root.view();
         let members = self
             .root
@@ -105,7 +105,7 @@
     }
 
     /// Records what zones released and moves parts towards the demand.
-    fn move_parts(&mut self, now: Duration) {
+    fn rebalance_allotments(&mut self, now: Duration) {
         let table = self.demand.get_or_insert_with(|| demand::Table::new(now));
         let demand = table.demand(now, self.root.state());
         let released = table.released(self.root.state());
@@ -124,17 +124,17 @@
         led.map(|(zone, _)| *zone).collect()
     }
 
-    fn lead_zones(&mut self) {
+    fn maintain_zones(&mut self) {
         let now = self.context.now();
         for zone in self.led_zones(now) {
-            self.tend_members(zone);
-            self.tend_parts(zone);
-            self.tend_claims(zone);
+            self.reconcile_membership(zone);
+            self.reconcile_allotments(zone);
+            self.expire_claims(zone);
             if zone == self.context.me.place.zone {
                 self.publish_zone(now, zone);
                 self.report_demand(now, zone);
             } else {
-                self.hand_to_zone(zone);
+                self.transfer_to_zone(zone);
             }
         }
     }
@@ -143,7 +143,7 @@
     ///
     /// A witness may win an election, but the zone's workers report to the zone's own VMs, and the scheduler runs
     /// there.
-    fn hand_to_zone(&mut self, zone: id::AvailabilityZoneId) {
+    fn transfer_to_zone(&mut self, zone: id::AvailabilityZoneId) {
         let Some(group) = self.zones.get(&zone) else {
             return;
         };
@@ -165,17 +165,17 @@
         }
     }
 
-    fn tend_members(&mut self, zone: id::AvailabilityZoneId) {
-        let wanted = self.wanted_zone(zone);
+    fn reconcile_membership(&mut self, zone: id::AvailabilityZoneId) {
+        let wanted = self.desired_zone_members(zone);
         let status = self.zones[&zone].member().replica().status();
         let change = self.next_change(&status, &wanted);
         if let (Some(change), Some(group)) = (change, self.zones.get_mut(&zone)) {
-            group.change(&self.context, change, responder::Responder::Nobody);
+            group.change(&self.context, change, responder::Responder::Discard);
         }
     }
 
     /// The VMs of the zone and one witness in the nearest other zone.
-    fn wanted_zone(&self, zone: id::AvailabilityZoneId) -> Vec<id::VmId> {
+    fn desired_zone_members(&self, zone: id::AvailabilityZoneId) -> Vec<id::VmId> {
         let view = self.root.view();
         let members = self.zones[&zone].member().replica().status().membership;
         // A removed id never becomes a member again.
@@ -194,7 +194,7 @@
         let now = self.context.now();
         let silent = |vm: id::VmId| {
             let peer = self.context.peers.get(&vm);
-            peer.is_some_and(|peer| now.saturating_sub(peer.heard) >= LOST_WITNESS)
+            peer.is_some_and(|peer| now.saturating_sub(peer.last_seen) >= LOST_WITNESS)
         };
         let elsewhere = view.vms.values().filter(|vm| vm.place.zone != zone);
         let witness = elsewhere
@@ -252,7 +252,7 @@
     }
 
     /// Takes over granted counters and releases what is above the target parts.
-    fn tend_parts(&mut self, zone: id::AvailabilityZoneId) {
+    fn reconcile_allotments(&mut self, zone: id::AvailabilityZoneId) {
         let view = std::sync::Arc::clone(self.root.view());
         let Some(group) = self.zones.get_mut(&zone) else {
             return;
@@ -271,7 +271,7 @@
     }
 
     /// Ends the claims of VMs that left the directory or were silent for long.
-    fn tend_claims(&mut self, zone: id::AvailabilityZoneId) {
+    fn expire_claims(&mut self, zone: id::AvailabilityZoneId) {
         let Some(group) = self.zones.get(&zone) else {
             return;
         };
@@ -292,11 +292,11 @@
             return false;
         }
         let now = self.context.now();
-        let silent = |peer: &context::Peer| now.saturating_sub(peer.heard) >= LOST_HOLDER;
-        let heard = self.context.peers.get(&vm);
+        let silent = |peer: &context::Peer| now.saturating_sub(peer.last_seen) >= LOST_HOLDER;
+        let contact = self.context.peers.get(&vm);
         // A VM that was listed just now may be missing from the view that this VM has.
         let unlisted = !self.root.view().vms.contains_key(&vm) && !self.context.is_alive(vm);
-        unlisted || heard.is_some_and(silent)
+        unlisted || contact.is_some_and(silent)
     }
 
     /// Ends the open claims of a VM in the groups that this VM leads; a restarted process cannot complete them.
@@ -333,7 +333,7 @@
     }
 
     /// Hands over what this VM leads, before it shuts down.
-    pub(super) fn hand_over(&mut self) {
+    pub(super) fn transfer_leadership(&mut self) {
         // A leader that hands over takes no more commands.
         self.root.flush(&self.context);
         for zone in self.zones.values_mut() {
@@ -357,7 +357,7 @@
             id::GroupId::Root => self.root.change(&self.context, change, responder),
             id::GroupId::Zone(zone) => match self.zones.get_mut(&zone) {
                 Some(zone) => zone.change(&self.context, change, responder),
-                None => responder.answer(&self.context, wire::Reply::NotLeader),
+                None => responder.reply(&self.context, wire::Reply::NotLeader),
             },
         }
     }
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -173,12 +173,12 @@
         while let Some(input) = inputs.pop_front() {
             let mut outputs = std::mem::take(&mut self.outputs);
             self.replica.step(context.now(), input, &mut outputs);
-            self.carry_out(context, &mut outputs, &mut inputs, events);
+            self.process_outputs(context, &mut outputs, &mut inputs, events);
             self.outputs = outputs;
         }
     }
 
-    fn carry_out(
+    fn process_outputs(
         &mut self,
         context: &context::Context,
         outputs: &mut Vec<replica::Output>,
@@ -196,7 +196,7 @@
                 replica::Output::Install(snapshot) => {
                     self.applied = snapshot.position.index;
                     self.snapshot_index = self.applied;
-                    self.answer_skipped(context);
+                    self.reject_skipped(context);
                     inputs.push_back(replica::Input::Applied { index: self.applied });
                     events.push(Event::Install(snapshot));
                 }
@@ -211,7 +211,7 @@
                         replica::Rejection::QueueFull | replica::Rejection::Transferring
                     );
                     for responder in self.proposed.remove(&id).unwrap_or_default() {
-                        self.refused |= busy && matches!(responder, responder::Responder::Nobody);
+                        self.refused |= busy && matches!(responder, responder::Responder::Discard);
                         responder.reject(context, reason);
                     }
                 }
@@ -222,7 +222,7 @@
     }
 
     /// Answers who waits for commands that an installed snapshot contains: their outcomes are not known here.
-    fn answer_skipped(&mut self, context: &context::Context) {
+    fn reject_skipped(&mut self, context: &context::Context) {
         let applied = self.applied;
         let skipped = self.committed.extract_if(|index, _| *index <= applied);
         for responder in skipped.flat_map(|(_, responders)| responders) {
@@ -250,7 +250,7 @@
                     voters,
                 });
                 for responder in responders.drain(..) {
-                    responder.answer(context, wire::Reply::Done);
+                    responder.reply(context, wire::Reply::Done);
                 }
             }
             entries::Payload::Noop => {}
@@ -297,7 +297,7 @@
     }
 
     /// Tells whether the log has grown enough for a snapshot of the applied state.
-    pub const fn wants_snapshot(&self) -> bool {
+    pub const fn is_snapshot_due(&self) -> bool {
         let entries = self.applied - self.snapshot_index;
         entries >= ENTRIES_PER_SNAPSHOT || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
     }
@@ -340,7 +340,7 @@
     }
 
     /// Serves as leader only after everything that was proposed so far is applied.
-    pub fn settle(&mut self) {
+    pub fn defer_leading(&mut self) {
         self.lead_from = self.lead_from.max(self.replica.status().last.index);
     }
 
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -5,18 +5,18 @@
 
 mod actor;
 mod apply;
-pub mod asks;
 mod calls;
 mod claims;
 pub mod context;
 mod demand;
 mod directory;
-mod duties;
-mod force;
+mod effect;
 mod groups;
 mod inbox;
+mod maintenance;
 pub mod member;
 mod operator;
+pub mod requests;
 pub mod responder;
 mod restoration;
 mod root;
@@ -74,9 +74,9 @@
     /// What the zones know of a submission whose first attempt was lost.
     Found(submissions::Submission, search::Found),
     /// This VM's answer to a call that it had sent to a former leader.
-    Answered(u64, wire::Reply),
+    Replied(u64, wire::Reply),
     /// A committed command whose answer waits until it is in force.
-    Await(force::Force),
+    AwaitEffect(effect::Pending),
     /// Work on a snapshot of the root state is done.
     RootSnapshot(snapshots::Done<root_state::State>),
     /// Work on a snapshot of a zone state is done, for the replica with this number.
@@ -84,7 +84,7 @@
     /// A timer.
     Tick,
     /// Hand over what this VM leads; the answer comes when nothing is led any more, or after a short time.
-    HandOver(oneshot::Sender<()>),
+    TransferLeadership(oneshot::Sender<()>),
     /// Stop.
     Stop,
 }
@@ -124,7 +124,7 @@
     gossip: Gossip,
     targets: targets::Targets,
     targets_changed: bool,
-    asks: asks::Asks,
+    requests: requests::Requests,
     claims: claims::Claims,
     /// Ends of claims that have to be sent again.
     ends: claims::Ends,
@@ -144,7 +144,7 @@
     caught_up: bool,
     hello_at: Duration,
     enlist_at: Duration,
-    duties_at: Duration,
+    maintenance_at: Duration,
     tick_at: Option<Duration>,
     /// Reports of the zone that this VM leads.
     reporter: Option<bronzespoke_control::demand::Reporter>,
@@ -153,6 +153,6 @@
     /// Groups that this VM leads, as last announced.
     led: Vec<id::GroupId>,
     /// Commands that are not in force everywhere yet.
-    forces: Vec<force::Force>,
+    pending_effects: Vec<effect::Pending>,
     leaving: Option<(oneshot::Sender<()>, Duration)>,
 }
--- a/crates/daemon/src/control/operator/gather.rs
+++ b/crates/daemon/src/control/operator/collect.rs
@@ -13,14 +13,14 @@
 
 /// Answers of zones as they arrive.
 #[derive(Debug)]
-pub struct Gather {
+pub struct Collector {
     waiting: usize,
     joined: Option<answer::Answer>,
     unreachable: Vec<id::AvailabilityZoneId>,
     reply: Option<oneshot::Sender<answer::Answer>>,
 }
 
-impl Gather {
+impl Collector {
     /// Returns a record that waits for a number of zones.
     pub const fn new(waiting: usize, reply: oneshot::Sender<answer::Answer>) -> Self {
         Self {
@@ -76,12 +76,12 @@
 }
 
 /// Adds the answer of one zone; the last one completes the joined answer.
-pub fn add(gather: &Mutex<Gather>, zone: id::AvailabilityZoneId, reply: wire::Reply) {
-    let mut gather = gather.lock().unwrap_or_else(PoisonError::into_inner);
-    gather.join(zone, &reply);
+pub fn add(collector: &Mutex<Collector>, zone: id::AvailabilityZoneId, reply: wire::Reply) {
+    let mut collector = collector.lock().unwrap_or_else(PoisonError::into_inner);
+    collector.join(zone, &reply);
     drop(reply);
-    gather.waiting = gather.waiting.saturating_sub(1);
-    if gather.waiting == 0 {
-        gather.finish();
+    collector.waiting = collector.waiting.saturating_sub(1);
+    if collector.waiting == 0 {
+        collector.finish();
     }
 }
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -11,7 +11,7 @@
 
 use super::{Reply, local};
 use crate::{
-    control::{Controller, Message, asks, context, force},
+    control::{Controller, Message, context, effect, requests},
     peer::wire,
 };
 
@@ -19,7 +19,7 @@
 const KEY_BYTES: usize = 24;
 
 /// Why a command is not sent.
-type Fault = (answer::Code, String);
+type Error = (answer::Code, String);
 
 impl Controller {
     pub(super) fn command(&mut self, command: statement::Command, mut id: id::CommandId, reply: Reply) {
@@ -51,7 +51,7 @@
     }
 
     /// Returns the root command of a statement.
-    fn plan(&self, command: statement::Command) -> Result<root::Command, Fault> {
+    fn plan(&self, command: statement::Command) -> Result<root::Command, Error> {
         let view = self.root.view();
         Ok(match command {
             statement::Command::CreateTeam { name, quota } => root::Command::CreateTeam { name, quota },
@@ -113,17 +113,17 @@
     ///
     /// Silence alone does not prove that the zone is lost, which is the operator's word; but a zone that is heard
     /// of is not lost.
-    fn silence_of(&self, zone: id::AvailabilityZoneId) -> Result<u64, Fault> {
+    fn silence_of(&self, zone: id::AvailabilityZoneId) -> Result<u64, Error> {
         let now = self.context.now();
         let mut silence = now;
         for vm in self.root.view().vms.values().filter(|vm| vm.place.zone == zone) {
-            let heard = self
+            let contact = self
                 .context
                 .peers
                 .get(&vm.id)
-                .map_or(Duration::ZERO, |peer| peer.heard);
-            let heard = if vm.id == self.context.me.id { now } else { heard };
-            silence = silence.min(now.saturating_sub(heard));
+                .map_or(Duration::ZERO, |peer| peer.last_seen);
+            let contact = if vm.id == self.context.me.id { now } else { contact };
+            silence = silence.min(now.saturating_sub(contact));
         }
         let silence = silence.as_millis() as u64;
         if silence < root::LossProof::MIN_STOPPED_MS {
@@ -135,7 +135,7 @@
         Ok(silence)
     }
 
-    fn team(&self, name: &str) -> Result<id::TeamId, Fault> {
+    fn team(&self, name: &str) -> Result<id::TeamId, Error> {
         self.root
             .view()
             .team(name)
@@ -143,14 +143,14 @@
             .ok_or_else(|| missing("team", name))
     }
 
-    fn grant(&self, team: &str, hash: team::KeyHash) -> Result<root::Command, Fault> {
+    fn grant(&self, team: &str, hash: team::KeyHash) -> Result<root::Command, Error> {
         Ok(root::Command::GrantKey {
             hash,
             team: self.team(team)?,
         })
     }
 
-    fn key(&self, prefix: &str) -> Result<team::KeyHash, Fault> {
+    fn key(&self, prefix: &str) -> Result<team::KeyHash, Error> {
         let view = self.root.view();
         let mut found = view
             .keys
@@ -174,20 +174,25 @@
             let described = describe(answer, id, shown);
             match (condition, index, described) {
                 (Some(condition), Some(index), answer::Answer::Text(text)) => {
-                    let force = force::Force {
+                    let pending = effect::Pending {
                         index,
                         condition,
                         text: text.text,
                         since: None,
                         reply,
                     };
-                    inbox.send(Message::Await(force));
+                    inbox.send(Message::AwaitEffect(pending));
                 }
                 // The operator may have gone away.
                 (_, _, described) => drop(reply.send(described)),
             }
         });
-        self.dispatch(id::GroupId::Root, wire::Ask::Root(envelope), asks::DEADLINE, then);
+        self.dispatch(
+            id::GroupId::Root,
+            wire::Request::Root(envelope),
+            requests::DEADLINE,
+            then,
+        );
     }
 
     fn change(&mut self, group: id::GroupId, change: membership::Change, reply: Reply) {
@@ -198,7 +203,7 @@
             };
             drop(reply.send(answer));
         });
-        self.dispatch(group, wire::Ask::Change(change), asks::DEADLINE, then);
+        self.dispatch(group, wire::Request::Change(change), requests::DEADLINE, then);
     }
 
     fn cancel(&mut self, job: id::JobId, reply: Reply) {
@@ -214,8 +219,13 @@
             };
             drop(reply.send(answer));
         });
-        let ask = wire::Ask::Cancel { team: None, job };
-        self.dispatch(id::GroupId::Zone(id::job_zone(job)), ask, asks::DEADLINE, then);
+        let request = wire::Request::Cancel { team: None, job };
+        self.dispatch(
+            id::GroupId::Zone(id::job_zone(job)),
+            request,
+            requests::DEADLINE,
+            then,
+        );
     }
 
     /// Cancels the jobs of a team in the zones that have a replica here; the others are named.
@@ -252,11 +262,11 @@
 }
 
 /// Returns what a command waits for before it is answered.
-const fn condition(command: &root::Command) -> Option<force::Condition> {
+const fn condition(command: &root::Command) -> Option<effect::Condition> {
     match command {
-        root::Command::WithdrawKey { .. } => Some(force::Condition::Withdrawal),
-        root::Command::SetConfig { .. } | root::Command::Drain { .. } => Some(force::Condition::Everywhere),
-        root::Command::SetQuota { team, .. } => Some(force::Condition::Limit(*team)),
+        root::Command::WithdrawKey { .. } => Some(effect::Condition::Withdrawal),
+        root::Command::SetConfig { .. } | root::Command::Drain { .. } => Some(effect::Condition::Everywhere),
+        root::Command::SetQuota { team, .. } => Some(effect::Condition::Limit(*team)),
         _ => None,
     }
 }
@@ -269,7 +279,7 @@
     }
 }
 
-fn missing(kind: &str, name: &str) -> Fault {
+fn missing(kind: &str, name: &str) -> Error {
     (answer::Code::NotFound, format!("there is no {kind} {name}"))
 }
 
--- a/crates/daemon/src/control/operator/mod.rs
+++ b/crates/daemon/src/control/operator/mod.rs
@@ -4,8 +4,8 @@
 //! zone, and the rows are joined; a zone that cannot be reached is named in the title instead of being left out
 //! silently. Commands are committed by the leader of the group that owns the state.
 
+mod collect;
 mod command;
-mod gather;
 mod local;
 mod zone;
 
@@ -16,7 +16,7 @@
 use tokio::sync::oneshot;
 
 use crate::{
-    control::{Controller, asks},
+    control::{Controller, requests},
     peer::wire,
 };
 
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Asks the leaders of all zones, or of one, and joins their rows.
+    /// Requests the leaders of all zones, or of one, and joins their rows.
     fn query_zones(&mut self, line: &str, only: Option<id::AvailabilityZoneId>, reply: Reply) {
         let zones: Vec<_> = self
             .root
@@ -59,12 +59,12 @@
             drop(reply.send(answer::Answer::error(answer::Code::NotFound, message)));
             return;
         }
-        let gather = Arc::new(Mutex::new(gather::Gather::new(zones.len(), reply)));
+        let collector = Arc::new(Mutex::new(collect::Collector::new(zones.len(), reply)));
         for zone in zones {
-            let gather = Arc::clone(&gather);
-            let then = Box::new(move |answer| gather::add(&gather, zone, answer));
-            let ask = wire::Ask::Query(String::from(line));
-            self.dispatch(id::GroupId::Zone(zone), ask, asks::DEADLINE, then);
+            let collector = Arc::clone(&collector);
+            let then = Box::new(move |answer| collect::add(&collector, zone, answer));
+            let request = wire::Request::Query(String::from(line));
+            self.dispatch(id::GroupId::Zone(zone), request, requests::DEADLINE, then);
         }
     }
 }
--- a/crates/daemon/src/control/operator/zone.rs
+++ b/crates/daemon/src/control/operator/zone.rs
@@ -48,7 +48,7 @@
             .map_or_else(|| team.to_string(), |team| team.name.clone())
     }
 
-    fn wants_team(&self, filter: &statement::Filter, team: id::TeamId) -> bool {
+    fn matches_team(&self, filter: &statement::Filter, team: id::TeamId) -> bool {
         filter
             .team
             .as_ref()
@@ -79,7 +79,7 @@
             let chosen = wants(statement::State::Running)
                 && filter.job.is_none_or(|job| job == task.job)
                 && filter.worker.is_none_or(|worker| worker == run.worker)
-                && self.wants_team(filter, job.team);
+                && self.matches_team(filter, job.team);
             if chosen {
                 table.push(vec![
                     u32::from(zone).into(),
@@ -115,7 +115,7 @@
         for (id, job) in state.jobs() {
             let chosen = filter.job.is_none_or(|wanted| wanted == id)
                 && filter.state.is_none_or(|wanted| matches_state(wanted, job.state))
-                && self.wants_team(filter, job.team);
+                && self.matches_team(filter, job.team);
             if chosen {
                 table.push(vec![
                     u32::from(zone).into(),
@@ -152,7 +152,7 @@
         for (team, holding) in state
             .holdings()
             .iter()
-            .filter(|(team, _)| self.wants_team(filter, *team))
+            .filter(|(team, _)| self.matches_team(filter, *team))
         {
             let part = holding.allotment();
             table.push(vec![
--- a/crates/daemon/src/control/asks.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -24,8 +24,8 @@
 
 struct Open {
     group: id::GroupId,
-    ask: wire::Ask,
-    then: responder::Then,
+    request: wire::Request,
+    then: responder::Callback,
     deadline: Duration,
     resend_at: Duration,
     /// Copies that were sent and not answered with the statement that nothing was done.
@@ -35,21 +35,21 @@
 /// A copy of a call for a group that this VM leads by now.
 #[derive(Debug)]
 pub struct Own {
-    /// Number of the call; its answer goes to `Asks::answer`.
+    /// Number of the call; its answer goes to `Requests::answer`.
     pub number: u64,
     /// Group.
     pub group: id::GroupId,
     /// Call.
-    pub ask: wire::Ask,
+    pub request: wire::Request,
 }
 
 /// Open calls of this process.
-pub struct Asks {
+pub struct Requests {
     next: u64,
     open: BTreeMap<u64, Open>,
 }
 
-impl Default for Asks {
+impl Default for Requests {
     /// The first number is drawn, so that a late answer to a former life of this process finds no call.
     fn default() -> Self {
         Self {
@@ -59,24 +59,24 @@
     }
 }
 
-impl std::fmt::Debug for Asks {
+impl std::fmt::Debug for Requests {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.debug_struct("Asks")
+        f.debug_struct("Requests")
             .field("open", &self.open.len())
             .finish_non_exhaustive()
     }
 }
 
-impl Asks {
+impl Requests {
     /// Opens a call; `leader` is the leader that is known now.
     pub fn open(
         &mut self,
         context: &context::Context,
         group: id::GroupId,
-        ask: wire::Ask,
+        request: wire::Request,
         deadline: Duration,
         leader: Option<id::VmId>,
-        then: responder::Then,
+        then: responder::Callback,
     ) {
         if self.open.len() >= MAX_OPEN {
             then(wire::Reply::NotDone(String::from(
@@ -89,7 +89,7 @@
         let deadline = now + deadline;
         let mut open = Open {
             group,
-            ask,
+            request,
             then,
             deadline,
             resend_at: now,
@@ -107,7 +107,7 @@
     }
 
     /// Takes an answer. Late and repeated answers change nothing.
-    pub fn answer(&mut self, context: &context::Context, number: u64, reply: wire::Reply) {
+    pub fn receive(&mut self, context: &context::Context, number: u64, reply: wire::Reply) {
         let Some(open) = self.open.get_mut(&number) else {
             return;
         };
@@ -172,10 +172,14 @@
     open.resend_at = context.now() + RESEND;
     let leader = leader?;
     open.copies = open.copies.saturating_add(1);
-    let (group, ask) = (open.group, open.ask.clone());
+    let (group, request) = (open.group, open.request.clone());
     if leader == context.me.id {
-        return Some(Own { number, group, ask });
+        return Some(Own {
+            number,
+            group,
+            request,
+        });
     }
-    context.send(leader, wire::Body::Ask(number, group, ask));
+    context.send(leader, wire::Body::Request(number, group, request));
     None
 }
--- a/crates/daemon/src/control/responder.rs
+++ b/crates/daemon/src/control/responder.rs
@@ -7,14 +7,14 @@
 use crate::{control::context, peer::wire};
 
 /// Continuation of a local call.
-pub type Then = Box<dyn FnOnce(wire::Reply) + Send>;
+pub type Callback = Box<dyn FnOnce(wire::Reply) + Send>;
 
 /// Who gets the answer to a call.
 pub enum Responder {
-    /// Nobody; the outcome is handled when the command is applied.
-    Nobody,
+    /// Discard; the outcome is handled when the command is applied.
+    Discard,
     /// A call of this process.
-    Local(Then),
+    Local(Callback),
     /// A call of another daemon, under its number.
     Remote {
         /// The other daemon.
@@ -29,7 +29,7 @@
 impl std::fmt::Debug for Responder {
     fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
         match self {
-            Self::Nobody => f.write_str("Nobody"),
+            Self::Discard => f.write_str("Discard"),
             Self::Local(_) => f.write_str("Local"),
             Self::Remote { to, number } => write!(f, "Remote({to}, {number})"),
             Self::Cancellation(inner, _) => write!(f, "Cancellation({inner:?})"),
@@ -39,12 +39,12 @@
 
 impl Responder {
     /// Gives the answer.
-    pub fn answer(self, context: &context::Context, reply: wire::Reply) {
+    pub fn reply(self, context: &context::Context, reply: wire::Reply) {
         match self {
-            Self::Nobody => {}
+            Self::Discard => {}
             Self::Local(then) => then(reply),
             Self::Remote { to, number } => context.send(to, wire::Body::Reply(number, reply)),
-            Self::Cancellation(inner, job) => inner.answer(context, cancelled(job, reply)),
+            Self::Cancellation(inner, job) => inner.reply(context, cancelled(job, reply)),
         }
     }
 
@@ -55,7 +55,7 @@
             replica::Rejection::NotLeader { .. } | replica::Rejection::Transferring => wire::Reply::NotLeader,
             other => wire::Reply::NotDone(format!("the log does not take commands now: {other:?}")),
         };
-        self.answer(context, reply);
+        self.reply(context, reply);
     }
 }
 
--- a/crates/daemon/src/control/restoration.rs
+++ b/crates/daemon/src/control/restoration.rs
@@ -66,7 +66,7 @@
 
 fn restored_worker(state: &state::State, id: id::WorkerId) -> Option<message::Restore> {
     let worker = state.worker(id).filter(|worker| !worker.gone)?;
-    let incarnation = first_life(state, id, worker.registration.incarnation);
+    let incarnation = oldest_incarnation(state, id, worker.registration.incarnation);
     Some(message::Restore::Worker(worker::Registration {
         incarnation,
         ..worker.registration
@@ -90,7 +90,11 @@
 }
 
 /// Oldest life of a worker that has runs; the latest life without any.
-fn first_life(state: &state::State, worker: id::WorkerId, latest: id::Incarnation) -> id::Incarnation {
+fn oldest_incarnation(
+    state: &state::State,
+    worker: id::WorkerId,
+    latest: id::Incarnation,
+) -> id::Incarnation {
     let lives = state.runs_of_worker(worker).map(|(_, run)| run.incarnation);
     lives.min().unwrap_or(latest)
 }
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -138,7 +138,7 @@
     }
 
     /// Instant before which nothing is missing from the state; `None` while a received snapshot is not installed.
-    pub fn basis(&self, now: Duration) -> Option<Duration> {
+    pub fn freshness(&self, now: Duration) -> Option<Duration> {
         if self.installing {
             return None;
         }
@@ -164,7 +164,7 @@
             Role::Member(member) => member.propose_batch(context, &mut self.batch, &mut self.events),
             Role::Follower(_) => {
                 for responder in self.batch.take(context.now()).1 {
-                    responder.answer(context, wire::Reply::NotLeader);
+                    responder.reply(context, wire::Reply::NotLeader);
                 }
             }
         }
@@ -201,7 +201,7 @@
     ) {
         match &mut self.role {
             Role::Member(member) => member.change(context, change, responder, &mut self.events),
-            Role::Follower(_) => responder.answer(context, wire::Reply::NotLeader),
+            Role::Follower(_) => responder.reply(context, wire::Reply::NotLeader),
         }
     }
 
@@ -222,8 +222,8 @@
             return;
         }
         let now = context.now();
-        let answer = self.source.respond(now, self.basis(now), request);
-        context.send(from, wire::Body::FeedAnswer(answer));
+        let answer = self.source.respond(now, self.freshness(now), request);
+        context.send(from, wire::Body::FeedResponse(answer));
     }
 
     /// Takes a relay's answer.
@@ -337,7 +337,7 @@
             record(context, &envelope.command, outcome);
         }
         for (responder, outcome) in responders.into_iter().zip(outcomes) {
-            responder.answer(context, wire::Reply::Root(outcome, entry.position.index));
+            responder.reply(context, wire::Reply::Root(outcome, entry.position.index));
         }
     }
 
@@ -345,7 +345,7 @@
         let Role::Member(member) = &mut self.role else {
             return;
         };
-        if self.installing || self.encoding || !member.wants_snapshot() {
+        if self.installing || self.encoding || !member.is_snapshot_due() {
             return;
         }
         self.encoding = true;
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -81,11 +81,11 @@
     pub fn feed(&mut self, context: &context::Context, zone: &mut zone::Zone, input: schedule::Input) {
         let mut outputs = std::mem::take(&mut self.outputs);
         self.scheduler.step(context.now(), input, &mut outputs);
-        self.carry_out(context, zone, &mut outputs);
+        self.process_outputs(context, zone, &mut outputs);
         self.outputs = outputs;
     }
 
-    fn carry_out(
+    fn process_outputs(
         &mut self,
         context: &context::Context,
         zone: &mut zone::Zone,
@@ -131,7 +131,7 @@
                 output => {
                     propose_starts(context, zone, &mut starts);
                     propose_ends(context, zone, &mut ends);
-                    self.carry_out_one(context, zone, &output);
+                    self.process_output(context, zone, &output);
                 }
             }
         }
@@ -139,7 +139,7 @@
         propose_ends(context, zone, &mut ends);
     }
 
-    fn carry_out_one(
+    fn process_output(
         &mut self,
         context: &context::Context,
         zone: &mut zone::Zone,
@@ -154,7 +154,7 @@
                 token,
                 reason,
             } => {
-                note_preemption(context, reason, task, worker);
+                record_preemption(context, reason, task, worker);
                 self.direct(worker, token, task::Directive::Stop { task, token });
             }
             schedule::Output::Checkpoint {
@@ -163,7 +163,7 @@
                 token,
                 reason,
             } => {
-                note_preemption(context, reason, task, worker);
+                record_preemption(context, reason, task, worker);
                 self.direct(worker, token, task::Directive::Checkpoint { task, token });
             }
             schedule::Output::Throttle {
@@ -253,7 +253,7 @@
                 (state::Command::Finish { job, state }, state::Outcome::Done)
                     if state != job::State::Succeeded =>
                 {
-                    note_end(context, zone, job, state);
+                    record_job_end(context, zone, job, state);
                 }
                 (state::Command::WorkerGone { worker, .. }, state::Outcome::Done) => {
                     self.sessions.close(worker);
@@ -308,7 +308,7 @@
             });
         }
         for job in jobs {
-            note_end(context, zone, *job, job::State::Succeeded);
+            record_job_end(context, zone, *job, job::State::Succeeded);
         }
     }
 
@@ -344,7 +344,7 @@
 
     fn follow_teams(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         for team in view.teams.values() {
-            let part = usable_part(zone, view, team);
+            let part = usable_allotment(zone, view, team);
             let current = (team.quota, part);
             if self.teams.insert(team.id, current) != Some(current) {
                 let input = schedule::Input::Team {
@@ -413,13 +413,13 @@
     }
 
     /// Answers the workers that there is something for.
-    pub fn settle(&mut self, now: Duration, zone: &zone::Zone) {
+    pub fn respond(&mut self, now: Duration, zone: &zone::Zone) {
         let scheduler = &self.scheduler;
         let may_start = |worker, token| scheduler.may_start(worker, token);
         for worker in std::mem::take(&mut self.touched) {
-            self.sessions.settle(now, worker, zone.state(), &may_start);
+            self.sessions.respond(now, worker, zone.state(), &may_start);
         }
-        self.sessions.settle_all(now, zone.state(), &may_start);
+        self.sessions.respond_due(now, zone.state(), &may_start);
     }
 
     /// Time of the next tick.
@@ -438,7 +438,7 @@
 
 /// Returns what the team's tasks may use here: the part that the zone holds, but no more than its target while all
 /// parts together exceed a lowered limit. Targets that move between zones stop nothing that runs.
-fn usable_part(zone: &zone::Zone, view: &root::View, team: &team::Team) -> resource::Amount {
+fn usable_allotment(zone: &zone::Zone, view: &root::View, team: &team::Team) -> resource::Amount {
     let part = zone.state().holdings().get(team.id).allotment();
     let parts = view.allotments.get(&team.id);
     let outstanding = parts.into_iter().flat_map(|parts| parts.values());
@@ -467,7 +467,7 @@
     }
 }
 
-fn note_preemption(
+fn record_preemption(
     context: &context::Context,
     reason: message::Reason,
     task: task::Ref,
@@ -478,7 +478,7 @@
     }
 }
 
-fn note_end(context: &context::Context, zone: &zone::Zone, job: id::JobId, state: job::State) {
+fn record_job_end(context: &context::Context, zone: &zone::Zone, job: id::JobId, state: job::State) {
     let team = zone.state().job(job).map_or(0, |record| record.team);
     context.record(event::Kind::JobEnded { job, team, state });
 }
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -21,13 +21,13 @@
             wire::Body::Hello(hello) => self.hello(from, hello),
             wire::Body::Consensus(group, message) => self.consensus(from, group, message),
             wire::Body::FeedRequest(request) => self.root.serve_follower(&self.context, from, &request),
-            wire::Body::FeedAnswer(answer) => self.root.receive_feed(&self.context, from, answer),
+            wire::Body::FeedResponse(answer) => self.root.receive_feed(&self.context, from, answer),
             wire::Body::Gossip(message) => self.receive_gossip(from, message),
-            wire::Body::Ask(number, group, ask) => {
+            wire::Body::Request(number, group, request) => {
                 let responder = responder::Responder::Remote { to: from, number };
-                self.serve(group, ask, responder);
+                self.serve(group, request, responder);
             }
-            wire::Body::Reply(number, reply) => self.asks.answer(&self.context, number, reply),
+            wire::Body::Reply(number, reply) => self.requests.receive(&self.context, number, reply),
             wire::Body::Demand(report) => self.receive_demand(from, &report),
             wire::Body::DemandReceipt(receipt) => self.demand_received(from, &receipt),
             // A daemon of another kind of cell; a wrong seed can lead here.
@@ -102,58 +102,69 @@
     pub(super) fn dispatch(
         &mut self,
         group: id::GroupId,
-        ask: wire::Ask,
+        request: wire::Request,
         deadline: std::time::Duration,
-        then: responder::Then,
+        then: responder::Callback,
     ) {
         if self.leads(group) {
-            self.serve(group, ask, responder::Responder::Local(then));
+            self.serve(group, request, responder::Responder::Local(then));
             return;
         }
         let leader = self.leader(group);
-        self.asks.open(&self.context, group, ask, deadline, leader, then);
+        self.requests
+            .open(&self.context, group, request, deadline, leader, then);
     }
 
     /// Serves a call as the leader of a group.
-    pub(super) fn serve(&mut self, group: id::GroupId, ask: wire::Ask, responder: responder::Responder) {
+    pub(super) fn serve(
+        &mut self,
+        group: id::GroupId,
+        request: wire::Request,
+        responder: responder::Responder,
+    ) {
         if !self.leads(group) {
-            responder.answer(&self.context, wire::Reply::NotLeader);
+            responder.reply(&self.context, wire::Reply::NotLeader);
             return;
         }
-        match (group, ask) {
-            (id::GroupId::Root, wire::Ask::Root(envelope)) => {
+        match (group, request) {
+            (id::GroupId::Root, wire::Request::Root(envelope)) => {
                 self.root.propose(self.context.now(), envelope, responder);
             }
-            (_, wire::Ask::Change(change)) => self.change_members(group, change, responder),
-            (id::GroupId::Zone(zone), ask) => self.serve_zone(zone, ask, responder),
+            (_, wire::Request::Change(change)) => self.change_members(group, change, responder),
+            (id::GroupId::Zone(zone), request) => self.serve_zone(zone, request, responder),
             (id::GroupId::Root, _) => {
                 let reason = String::from("the call does not belong to the root group");
-                responder.answer(&self.context, wire::Reply::NotDone(reason));
+                responder.reply(&self.context, wire::Reply::NotDone(reason));
             }
         }
     }
 
-    fn serve_zone(&mut self, zone: id::AvailabilityZoneId, ask: wire::Ask, responder: responder::Responder) {
+    fn serve_zone(
+        &mut self,
+        zone: id::AvailabilityZoneId,
+        request: wire::Request,
+        responder: responder::Responder,
+    ) {
         let Some(group) = self.zones.get_mut(&zone) else {
-            responder.answer(&self.context, wire::Reply::NotLeader);
+            responder.reply(&self.context, wire::Reply::NotLeader);
             return;
         };
-        match ask {
-            wire::Ask::Zone(envelope) => match refusal(group.state(), &envelope) {
-                Some(reason) => responder.answer(&self.context, wire::Reply::Impossible(reason)),
+        match request {
+            wire::Request::Zone(envelope) => match refusal(group.state(), &envelope) {
+                Some(reason) => responder.reply(&self.context, wire::Reply::Impossible(reason)),
                 None => group.propose_envelope(self.context.now(), envelope, responder),
             },
-            wire::Ask::Job { team, job, results } => {
+            wire::Request::Job { team, job, results } => {
                 let found = find(group.state(), team, job, results);
-                responder.answer(&self.context, wire::Reply::Job(found));
+                responder.reply(&self.context, wire::Reply::Job(found));
             }
-            wire::Ask::Cancel { team, job } => {
+            wire::Request::Cancel { team, job } => {
                 let Some(found) = find(group.state(), team, job, false) else {
-                    responder.answer(&self.context, wire::Reply::Job(None));
+                    responder.reply(&self.context, wire::Reply::Job(None));
                     return;
                 };
                 if found.state.is_terminal() {
-                    responder.answer(&self.context, wire::Reply::Job(Some(found)));
+                    responder.reply(&self.context, wire::Reply::Job(Some(found)));
                     return;
                 }
                 let responder = responder::Responder::Cancellation(Box::new(responder), found);
@@ -161,17 +172,17 @@
                 let envelope = zone::Envelope::new(context::Context::wall_ms(), command);
                 group.propose_envelope(self.context.now(), envelope, responder);
             }
-            wire::Ask::Submitted(key) => {
+            wire::Request::Submitted(key) => {
                 let found = group.state().submitted(key);
-                responder.answer(&self.context, wire::Reply::Submitted(found));
+                responder.reply(&self.context, wire::Reply::Submitted(found));
             }
-            wire::Ask::Query(line) => {
+            wire::Request::Query(line) => {
                 let answer = self.query_zone(zone, &line);
-                responder.answer(&self.context, wire::Reply::Answer(answer));
+                responder.reply(&self.context, wire::Reply::Answer(answer));
             }
-            wire::Ask::Root(_) | wire::Ask::Change(_) => {
+            wire::Request::Root(_) | wire::Request::Change(_) => {
                 let reason = String::from("the call does not belong to a zone group");
-                responder.answer(&self.context, wire::Reply::NotDone(reason));
+                responder.reply(&self.context, wire::Reply::NotDone(reason));
             }
         }
     }
--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -130,7 +130,7 @@
     /// Answers the held report of a worker when there is something to say.
     ///
     /// `may_start` tells whether a worker may still begin a run.
-    pub fn settle(
+    pub fn respond(
         &mut self,
         now: Duration,
         worker: id::WorkerId,
@@ -176,7 +176,7 @@
     }
 
     /// Answers every held report that has something to say or has waited long enough.
-    pub fn settle_all(
+    pub fn respond_due(
         &mut self,
         now: Duration,
         state: &zone::State,
@@ -189,7 +189,7 @@
             .map(|(worker, _)| *worker)
             .collect();
         for worker in due {
-            self.settle(now, worker, state, may_start);
+            self.respond(now, worker, state, may_start);
         }
     }
 }
--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -16,7 +16,7 @@
 use bytes::Bytes;
 
 use crate::{
-    control::{Controller, Message, asks, calls, claims, context, search},
+    control::{Controller, Message, calls, claims, context, requests, search},
     peer::wire,
 };
 
@@ -126,7 +126,7 @@
         drop(submission.reply.send(Err(refusal)));
     }
 
-    /// Asks every zone for the job of a submission whose first attempt was lost.
+    /// Requests every zone for the job of a submission whose first attempt was lost.
     fn find_submission(&mut self, submission: Submission) {
         let zones: Vec<_> = self.root.state().open_zones().collect();
         let Some(key) = submission.key else {
@@ -144,8 +144,8 @@
                     inbox.send(Message::Found(submission, found));
                 }
             });
-            let ask = wire::Ask::Submitted(key);
-            self.dispatch(id::GroupId::Zone(zone), ask, asks::DEADLINE, then);
+            let request = wire::Request::Submitted(key);
+            self.dispatch(id::GroupId::Zone(zone), request, requests::DEADLINE, then);
         }
     }
 
@@ -185,7 +185,7 @@
         };
         let inbox = self.inbox.clone();
         let then = Box::new(move |answer| inbox.send(Message::Submitted(submission, answer)));
-        self.command_zone(id::GroupId::Zone(zone), command, asks::DEADLINE, then);
+        self.command_zone(id::GroupId::Zone(zone), command, requests::DEADLINE, then);
     }
 
     /// Handles a zone's answer.
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -60,22 +60,22 @@
 
     /// Drops the commands that nobody waits for, and waits for those that are in the log, so that no command of a
     /// former scheduler changes the state after the next one was built from it.
-    pub fn settle(&mut self) {
+    pub fn discard_proposals(&mut self) {
         self.batch
-            .retain(|responder| !matches!(responder, responder::Responder::Nobody));
-        self.member.settle();
+            .retain(|responder| !matches!(responder, responder::Responder::Discard));
+        self.member.defer_leading();
     }
 
     /// Ends the replica; commands that were not proposed are not done.
     pub fn close(self, context: &context::Context) {
         let mut batch = self.batch;
         for responder in batch.take(context.now()).1 {
-            responder.answer(context, wire::Reply::NotLeader);
+            responder.reply(context, wire::Reply::NotLeader);
         }
         for event in self.events {
             if let member::Event::Apply { responders, .. } = event {
                 for responder in responders {
-                    responder.answer(context, wire::Reply::Unknown);
+                    responder.reply(context, wire::Reply::Unknown);
                 }
             }
         }
@@ -102,7 +102,7 @@
         let urgency = self.urgency(&command);
         let envelope = zone::Envelope::new(context::Context::wall_ms(), command);
         self.batch
-            .push(now, envelope, responder::Responder::Nobody, urgency);
+            .push(now, envelope, responder::Responder::Discard, urgency);
     }
 
     /// Takes a command that somebody waits for.
@@ -189,7 +189,7 @@
                 }
             }
         }
-        if self.member.wants_snapshot() && !self.encoding {
+        if self.member.is_snapshot_due() && !self.encoding {
             self.encoding = true;
             let (index, number) = (self.member.begin_snapshot(), self.member.number());
             let state = self.state.clone();
@@ -246,7 +246,7 @@
         };
         let outcomes = self.state.apply_all(entry.position.index, &envelopes);
         for (responder, outcome) in responders.into_iter().zip(outcomes.iter().cloned()) {
-            responder.answer(context, wire::Reply::Zone(outcome));
+            responder.reply(context, wire::Reply::Zone(outcome));
         }
         applied.extend(
             envelopes
--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -250,7 +250,7 @@
         traffic.block_on(self.server.drain());
         traffic.block_on(self.pass_on_calls());
         let (sender, receiver) = oneshot::channel();
-        self.inbox.send(Message::HandOver(sender));
+        self.inbox.send(Message::TransferLeadership(sender));
         // The control thread answers within its own time limit.
         drop(traffic.block_on(receiver));
         self.end(traffic);
@@ -326,7 +326,7 @@
             () = cancel.cancelled() => return,
             received = frames.recv() => received,
         };
-        let (Some(received), Some(permit)) = (received, inbox.room().await) else {
+        let (Some(received), Some(permit)) = (received, inbox.reserve().await) else {
             return;
         };
         inbox.send(Message::Frame(Box::new(received.frame), permit));
@@ -339,7 +339,7 @@
             () = cancel.cancelled() => return,
             call = calls.recv() => call,
         };
-        let (Some(call), Some(permit)) = (call, inbox.room().await) else {
+        let (Some(call), Some(permit)) = (call, inbox.reserve().await) else {
             return;
         };
         inbox.send(Message::Call(call, permit));
--- a/crates/daemon/src/peer/wire.rs
+++ b/crates/daemon/src/peer/wire.rs
@@ -37,11 +37,13 @@
     /// A follower asks its relay for committed root entries.
     FeedRequest(feed::Request),
     /// The relay's answer.
-    FeedAnswer(feed::Response),
+    #[serde(rename = "FeedAnswer")]
+    FeedResponse(feed::Response),
     /// Soft state.
     Gossip(bronzespoke_gossip::Message),
     /// A call to the leader of a group, answered with the same number.
-    Ask(u64, id::GroupId, Ask),
+    #[serde(rename = "Ask")]
+    Request(u64, id::GroupId, Request),
     /// Answer to a call.
     Reply(u64, Reply),
     /// A zone leader reports the demand of teams to the root leader.
@@ -73,7 +75,7 @@
 
 /// A call between daemons, made to the leader of a group.
 #[derive(Debug, Clone, Serialize, Deserialize)]
-pub enum Ask {
+pub enum Request {
     /// Commit a root command.
     Root(root::Envelope),
     /// Commit a zone command.
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -60,7 +60,7 @@
 
 /// One wrong setting.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Fault {
+pub struct Error {
     /// Flag of the setting.
     pub setting: String,
     /// Value as given; empty when missing.
@@ -69,7 +69,7 @@
     pub allowed: String,
 }
 
-impl fmt::Display for Fault {
+impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
             setting,
@@ -90,7 +90,7 @@
 pub fn read(
     arguments: Vec<OsString>,
     environment: &dyn Fn(&str) -> Option<String>,
-) -> Result<Request, Vec<Fault>> {
+) -> Result<Request, Vec<Error>> {
     read::read(arguments, environment)
 }
 
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -5,7 +5,7 @@
 use bronzespoke_model::vm;
 
 use crate::settings::{
-    DEFAULT_DRAIN_NOTICE, DEFAULT_TRAFFIC_THREADS, Fault, MAX_PLACE, MAX_SEEDS, Request, Settings,
+    DEFAULT_DRAIN_NOTICE, DEFAULT_TRAFFIC_THREADS, Error, MAX_PLACE, MAX_SEEDS, Request, Settings,
 };
 
 struct Definition {
@@ -130,12 +130,12 @@
 struct Reader<'a> {
     arguments: pico_args::Arguments,
     environment: &'a dyn Fn(&str) -> Option<String>,
-    faults: Vec<Fault>,
+    faults: Vec<Error>,
 }
 
 impl Reader<'_> {
     fn fault(&mut self, definition: &Definition, value: &str, allowed: &str) {
-        self.faults.push(Fault {
+        self.faults.push(Error {
             setting: String::from(definition.flag),
             value: String::from(value),
             allowed: String::from(allowed),
@@ -257,7 +257,7 @@
 pub fn read(
     arguments: Vec<OsString>,
     environment: &dyn Fn(&str) -> Option<String>,
-) -> Result<Request, Vec<Fault>> {
+) -> Result<Request, Vec<Error>> {
     let mut arguments = pico_args::Arguments::from_vec(arguments);
     if arguments.contains(["-h", "--help"]) {
         return Ok(Request::Help);
@@ -297,7 +297,7 @@
     }
     for rest in reader.arguments.finish() {
         let flag = rest.to_string_lossy().into_owned();
-        reader.faults.push(Fault {
+        reader.faults.push(Error {
             setting: flag.clone(),
             value: flag,
             allowed: String::from("a flag that --help lists"),
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -7,7 +7,7 @@
 };
 
 use bronzespoke_daemon::{
-    control::{asks, context, search},
+    control::{context, requests, search},
     peer::{Network, fault, wire},
     timeline,
 };
@@ -68,20 +68,23 @@
 }
 
 /// Opens a search for a job at a leader that does not answer.
-fn open(context: &context::Context, leader: Option<id::VmId>) -> (asks::Asks, mpsc::Receiver<wire::Reply>) {
-    let mut asks = asks::Asks::default();
+fn open(
+    context: &context::Context,
+    leader: Option<id::VmId>,
+) -> (requests::Requests, mpsc::Receiver<wire::Reply>) {
+    let mut requests = requests::Requests::default();
     let (sender, receiver) = mpsc::channel();
     let key = bronzespoke_control::request_id::Key::new(1, "job 1");
     let then = Box::new(move |reply| drop(sender.send(reply)));
-    asks.open(
+    requests.open(
         context,
         GROUP,
-        wire::Ask::Submitted(key),
-        asks::DEADLINE,
+        wire::Request::Submitted(key),
+        requests::DEADLINE,
         leader,
         then,
     );
-    (asks, receiver)
+    (requests, receiver)
 }
 
 /// Guards against a call that expires as `unknown` because this VM itself became the leader that it waits for.
@@ -89,22 +92,22 @@
 fn a_call_is_served_here_when_this_vm_becomes_the_leader() {
     let runtime = runtime();
     let mut context = context(&runtime);
-    let (mut asks, answers) = open(&context, Some(OTHER));
+    let (mut requests, answers) = open(&context, Some(OTHER));
     wait(&mut context, LATER);
-    let own = asks.tick(&context, &|_| Some(ME));
+    let own = requests.tick(&context, &|_| Some(ME));
     let [copy] = own.as_slice() else {
         panic!("one copy is for this VM: {own:?}");
     };
     assert_eq!(copy.group, GROUP);
     // The lease is not held yet.
-    asks.answer(&context, copy.number, wire::Reply::NotLeader);
+    requests.receive(&context, copy.number, wire::Reply::NotLeader);
     assert!(answers.try_recv().is_err(), "the call stays open");
     wait(&mut context, LATER);
-    let own = asks.tick(&context, &|_| Some(ME));
+    let own = requests.tick(&context, &|_| Some(ME));
     assert_eq!(own.len(), 1, "the call is tried again");
-    asks.answer(&context, own[0].number, wire::Reply::Submitted(Some(7)));
+    requests.receive(&context, own[0].number, wire::Reply::Submitted(Some(7)));
     assert!(matches!(answers.try_recv(), Ok(wire::Reply::Submitted(Some(7)))));
-    assert!(asks.is_empty());
+    assert!(requests.is_empty());
 }
 
 /// Guards against a call that is lost when no leader is known at first, or that is kept after its time.
@@ -112,11 +115,11 @@
 fn a_call_is_sent_until_its_deadline() {
     let runtime = runtime();
     let mut context = context(&runtime);
-    let (mut asks, answers) = open(&context, None);
+    let (mut requests, answers) = open(&context, None);
     wait(&mut context, LATER);
-    assert!(asks.tick(&context, &|_| None).is_empty());
-    wait(&mut context, asks::DEADLINE);
-    assert!(asks.tick(&context, &|_| Some(ME)).is_empty());
+    assert!(requests.tick(&context, &|_| None).is_empty());
+    wait(&mut context, requests::DEADLINE);
+    assert!(requests.tick(&context, &|_| Some(ME)).is_empty());
     assert!(matches!(answers.try_recv(), Ok(wire::Reply::NotDone(_))));
 }
 
@@ -133,7 +136,7 @@
         replicas: vec![GROUP],
         cell_known: true,
         applied: 1,
-        heard: Duration::ZERO,
+        last_seen: Duration::ZERO,
     };
     let peers = [(OTHER, peer(OTHER, 5)), (3, peer(3, 6))];
     assert_eq!(context.leader(GROUP, Some((4, 9))), Some(9));
--- a/crates/daemon/tests/session.rs
+++ b/crates/daemon/tests/session.rs
@@ -365,12 +365,12 @@
     }
 
     fn settle(&mut self, at: Duration) {
-        self.sessions.settle(at, WORKER, &self.state, &|_, _| true);
+        self.sessions.respond(at, WORKER, &self.state, &|_, _| true);
     }
 
     /// Lets time pass as the control thread does, without a reason to look at this worker.
     fn pass(&mut self, at: Duration) {
-        self.sessions.settle_all(at, &self.state, &|_, _| true);
+        self.sessions.respond_due(at, &self.state, &|_, _| true);
     }
 }
 
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -2,7 +2,7 @@
 
 use std::{collections::HashMap, ffi::OsString, process::Command};
 
-use bronzespoke_daemon::settings::{self, Fault, Request, Settings};
+use bronzespoke_daemon::settings::{self, Error, Request, Settings};
 use yare::parameterized;
 
 /// Flag, environment variable, and two different allowed values.
@@ -36,7 +36,7 @@
 
 type Environment = HashMap<&'static str, &'static str>;
 
-fn read(arguments: &[&str], environment: &Environment) -> Result<Request, Vec<Fault>> {
+fn read(arguments: &[&str], environment: &Environment) -> Result<Request, Vec<Error>> {
     let arguments = arguments.iter().map(OsString::from).collect();
     settings::read(arguments, &|name| environment.get(name).map(ToString::to_string))
 }
@@ -57,14 +57,14 @@
     all
 }
 
-fn settings(request: Result<Request, Vec<Fault>>) -> Settings {
+fn settings(request: Result<Request, Vec<Error>>) -> Settings {
     match request {
         Ok(Request::Run(settings)) => *settings,
         other => panic!("settings were expected, not {other:?}"),
     }
 }
 
-fn faults(request: Result<Request, Vec<Fault>>) -> Vec<String> {
+fn faults(request: Result<Request, Vec<Error>>) -> Vec<String> {
     let faults = request.expect_err("the settings are wrong");
     faults.iter().map(ToString::to_string).collect()
 }
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -114,7 +114,7 @@
         let inbox = Inbox::new(actor);
         let pump = inbox.clone();
         tokio::spawn(async move {
-            while let (Some(received), Some(permit)) = (frames.recv().await, pump.room().await) {
+            while let (Some(received), Some(permit)) = (frames.recv().await, pump.reserve().await) {
                 pump.send(Message::Frame(Box::new(received.frame), permit));
             }
         });
@@ -141,7 +141,7 @@
 
     /// Makes a call of the gateway.
     pub async fn call(&self, call: Call) {
-        let permit = self.inbox.room().await.expect("control runs");
+        let permit = self.inbox.reserve().await.expect("control runs");
         self.inbox.send(Message::Call(call, permit));
     }
 
@@ -183,7 +183,7 @@
 
     /// Takes a frame of another VM.
     pub async fn receive(&self, from: &vm::Vm, body: wire::Body) {
-        let permit = self.inbox.room().await.expect("control runs");
+        let permit = self.inbox.reserve().await.expect("control runs");
         let frame = wire::Frame {
             from: from.id,
             to: Some(self.me.id),
@@ -341,9 +341,12 @@
         leader.announce(of).await;
         for number in 0..u64::from(TRIES) {
             let envelope = root::Envelope::new(0, root::Command::AddZone { place });
-            let ask = wire::Ask::Root(envelope);
-            of.receive(&leader.me, wire::Body::Ask(number, id::GroupId::Root, ask))
-                .await;
+            let request = wire::Request::Root(envelope);
+            of.receive(
+                &leader.me,
+                wire::Body::Request(number, id::GroupId::Root, request),
+            )
+            .await;
             if matches!(leader.reply().await, wire::Reply::Root(root::Outcome::Done, _)) {
                 return leader;
             }
@@ -407,7 +410,7 @@
     /// before every claim.
     pub async fn command(&mut self, of: &Vm) -> (u64, zone::Command) {
         let pick = |body| match body {
-            wire::Body::Ask(number, _, wire::Ask::Zone(envelope)) => Some((number, envelope.command)),
+            wire::Body::Request(number, _, wire::Request::Zone(envelope)) => Some((number, envelope.command)),
             _ => None,
         };
         loop {
