storage, model, language, standin: usual terms for public items

Newcomers met constructors named `of`, a parse error named Fault, unit readers and writers, and record fields such as doubled and overfilled whose sense had to be guessed.

--- a/crates/bench/benches/capacity/daemons.rs
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -192,7 +192,7 @@
             let options = standin::Options {
                 registration,
                 entries: cell.http[..2].to_vec(),
-                fails_everything: false,
+                fail_all: false,
             };
             runtime.spawn(standin::run(options, Arc::clone(&ledger), cancel.child_token()));
         }
@@ -298,12 +298,12 @@
     println!(
         "\n165 workers of one zone with up to {} running tasks, {} starts and as many ends a second: {} answers to reports a \
          second, {} % of a core for all threads of six daemons. Tasks in two places: {}, workers over their size: {}.",
-        totals.most_running,
+        totals.peak_running,
         line::short(loaded.starts),
         line::short(loaded.answers),
         line::short(loaded.micros / 1e4),
-        totals.doubled,
-        totals.overfilled,
+        totals.overlapping,
+        totals.over_capacity,
     );
     fleet.stop();
     cell.stop();
--- a/crates/bench/benches/capacity/reports.rs
+++ b/crates/bench/benches/capacity/reports.rs
@@ -221,7 +221,7 @@
 
 fn compact_exchange(runs: u32, ends: u32, starts: u32) -> Exchange {
     let body = Bytes::from(encode(&report(runs, ends, Some(99_999))));
-    Counter::new(starts).measure(&client::Client::new_two(), compact::MEDIA_TYPE, &body)
+    Counter::new(starts).measure(&client::Client::new_http2(), compact::MEDIA_TYPE, &body)
 }
 
 fn full_exchange(runs: u32, starts: u32) -> Exchange {
--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -75,7 +75,7 @@
                 let options = standin::Options {
                     registration,
                     entries: entries.clone(),
-                    fails_everything: false,
+                    fail_all: false,
                 };
                 tokio::spawn(standin::run(
                     options,
--- a/crates/cli/src/demo/outcome.rs
+++ b/crates/cli/src/demo/outcome.rs
@@ -27,10 +27,10 @@
     let mut tally_holds = demo.tally.holds();
     println!(
         "Workers: {} runs started, {} at the same time, {} in two places, {} over capacity, {} repeated after success.",
-        totals.starts, totals.most_running, totals.doubled, totals.overfilled, totals.repeated
+        totals.starts, totals.peak_running, totals.overlapping, totals.over_capacity, totals.reruns
     );
-    let doubled = demo.tally.doubled + totals.doubled + totals.repeated;
-    tally_holds &= totals.doubled == 0 && totals.overfilled == 0 && totals.repeated == 0;
+    let doubled = demo.tally.doubled + totals.overlapping + totals.reruns;
+    tally_holds &= totals.overlapping == 0 && totals.over_capacity == 0 && totals.reruns == 0;
     for promise in &demo.tally.broken {
         println!("BROKEN: {promise}");
     }
--- a/crates/cli/src/demo/requests.rs
+++ b/crates/cli/src/demo/requests.rs
@@ -45,7 +45,7 @@
 }
 
 /// Sends one request to an open queue.
-async fn open(address: std::net::SocketAddr, body: String) -> Result<caller::Answer, caller::Error> {
+async fn open(address: std::net::SocketAddr, body: String) -> Result<caller::Response, caller::Error> {
     caller::send(address, Method::POST, "/v2/queues/open-desk/requests", &[], body).await
 }
 
@@ -132,7 +132,7 @@
         let key = self.grant_key("dojos").await?;
         settle(&self.cell, &key).await?;
         let hash = sha2::Sha256::digest(key.as_bytes());
-        let mut prefix = bronzespoke_language::hexadecimal(&hash);
+        let mut prefix = bronzespoke_language::encode_hex(&hash);
         prefix.truncate(16);
         self.cell
             .insist(2, &format!("withdraw key {prefix}"), COMMAND)
--- a/crates/cli/src/settings/mod.rs
+++ b/crates/cli/src/settings/mod.rs
@@ -107,7 +107,7 @@
         text.parse().ok()
     });
     let timeout = reader.one(TIMEOUT, "a duration from 10ms to 10m is allowed", |text| {
-        unit::read_duration(text).filter(|value| TIMEOUT_MS.contains(value))
+        unit::parse_duration(text).filter(|value| TIMEOUT_MS.contains(value))
     });
     let json = reader.switch(JSON);
     let levels = "off, error, warn, info, debug or trace is allowed";
--- a/crates/cli/src/shell.rs
+++ b/crates/cli/src/shell.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, Read};
 
-use bronzespoke_language::{self as language, answer, fault, render, statement};
+use bronzespoke_language::{self as language, answer, error, render, statement};
 use bronzespoke_rpc::command;
 use rustyline::error::ReadlineError;
 use serde::Serialize;
@@ -138,7 +138,7 @@
         }
     }
 
-    fn refuse(&self, line: &str, fault: &fault::Fault) -> Result<(), failure::Failure> {
+    fn refuse(&self, line: &str, fault: &error::Error) -> Result<(), failure::Failure> {
         if self.json {
             output::json(&answer::Answer::from(fault.clone()))?;
         }
--- a/crates/cli/tests/processes.rs
+++ b/crates/cli/tests/processes.rs
@@ -200,7 +200,7 @@
         let prefix = {
             use sha2::Digest;
             let hash = sha2::Sha256::digest(withdrawn.as_bytes());
-            bronzespoke_language::hexadecimal(&hash)
+            bronzespoke_language::encode_hex(&hash)
         };
         cell.kill(number);
         let load = Load::start(&cell.contact, &others(number));
@@ -345,7 +345,7 @@
         let hash = {
             use sha2::Digest;
             let hash = sha2::Sha256::digest(key.as_bytes());
-            bronzespoke_language::hexadecimal(&hash)
+            bronzespoke_language::encode_hex(&hash)
         };
         let address = cell.contact.http[paused];
         until("the second key works", async || {
--- a/crates/cli/tests/system/fleet.rs
+++ b/crates/cli/tests/system/fleet.rs
@@ -71,7 +71,7 @@
                 let options = standin::Options {
                     registration,
                     entries: entries.to_vec(),
-                    fails_everything: false,
+                    fail_all: false,
                 };
                 let ledger = Arc::clone(&fleet.ledger);
                 tokio::spawn(standin::run(options, ledger, fleet.cancel.child_token()));
@@ -89,13 +89,10 @@
     /// Checks what the workers themselves recorded: nothing ran twice, nowhere was overfilled.
     pub fn check_tasks(&self) {
         let totals = self.ledger.totals();
-        assert_eq!(totals.doubled, 0, "tasks that ran in two places: {totals:?}");
+        assert_eq!(totals.overlapping, 0, "tasks that ran in two places: {totals:?}");
+        assert_eq!(totals.reruns, 0, "tasks that ran again after success: {totals:?}");
         assert_eq!(
-            totals.repeated, 0,
-            "tasks that ran again after success: {totals:?}"
-        );
-        assert_eq!(
-            totals.overfilled, 0,
+            totals.over_capacity, 0,
             "workers that held more than they have: {totals:?}"
         );
     }
@@ -141,7 +138,7 @@
     Foreign(String),
 }
 
-fn known(body: &str, result: Result<caller::Answer, caller::Error>) -> Known {
+fn known(body: &str, result: Result<caller::Response, caller::Error>) -> Known {
     match result {
         Ok(answer) if answer.status == StatusCode::OK && answer.body == body.as_bytes() => Known::Answered,
         Ok(answer) if answer.status == StatusCode::OK => Known::Foreign(answer.text()),
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -4,7 +4,7 @@
 
 use bronzespoke_consensus::membership;
 use bronzespoke_control::{root, zone};
-use bronzespoke_language::{answer, hexadecimal, statement};
+use bronzespoke_language::{answer, encode_hex, statement};
 use bronzespoke_model::{id, team};
 use sha2::{Digest, Sha256};
 use tokio::sync::oneshot;
@@ -36,7 +36,7 @@
             statement::Command::GrantKey { team, hash: None } => {
                 // The state holds command ids and hashes only, so a lost answer loses the key. A resend grants
                 // another key; the unused one shows up in `show keys`.
-                let key = hexadecimal(&rand::random::<[u8; KEY_BYTES]>());
+                let key = encode_hex(&rand::random::<[u8; KEY_BYTES]>());
                 let hash = Sha256::digest(key.as_bytes()).into();
                 shown = Some(key);
                 id = rand::random();
@@ -155,7 +155,7 @@
         let mut found = view
             .keys
             .keys()
-            .filter(|hash| hexadecimal(*hash).starts_with(prefix));
+            .filter(|hash| encode_hex(*hash).starts_with(prefix));
         let first = found.next().ok_or_else(|| missing("key", prefix))?;
         if found.next().is_some() {
             let message = format!("more than one key starts with {prefix}; give more digits");
--- a/crates/daemon/src/control/operator/local.rs
+++ b/crates/daemon/src/control/operator/local.rs
@@ -4,7 +4,7 @@
 use bronzespoke_gossip::{Key, Value};
 use bronzespoke_language::{
     answer::{self, Kind},
-    hexadecimal, statement,
+    encode_hex, statement,
 };
 use bronzespoke_model::id;
 
@@ -65,7 +65,7 @@
         for (hash, team) in view.keys.iter() {
             let name = view.teams.get(team).map_or("", |team| team.name.as_str());
             if filter.team.as_deref().is_none_or(|wanted| wanted == name) {
-                let mut digits = hexadecimal(hash);
+                let mut digits = encode_hex(hash);
                 digits.truncate(HASH_DIGITS);
                 table.push(vec![digits.into(), name.into()]);
             }
--- a/crates/gateway/src/routes/compact.rs
+++ b/crates/gateway/src/routes/compact.rs
@@ -32,7 +32,7 @@
         let message = format!("{} bytes follow the report; none are allowed", rest.len());
         return Err(error::Error::field("body", message));
     }
-    Ok(report.of(worker))
+    Ok(report.with_worker(worker))
 }
 
 /// Returns a response with a binary reply.
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -158,7 +158,7 @@
 /// Guards against a caller that does not read its response and so holds a slot of a target indefinitely.
 #[tokio::test]
 async fn caller_that_does_not_read_is_disconnected() {
-    let target = target(Behaviour::Long(64 << 20)).await;
+    let target = target(Behaviour::LongBody(64 << 20)).await;
     let cell = common::cell_with(&[&target], short_timeouts(), common::view()).await;
     let head = format!(
         "POST {PATH} HTTP/1.1\r\nhost: e\r\nauthorization: Bearer dojo-key\r\ncontent-length: 0\r\n\r\n"
--- a/crates/gateway/tests/control.rs
+++ b/crates/gateway/tests/control.rs
@@ -20,7 +20,7 @@
     Target::start(8, behaviour).await.expect("the target starts")
 }
 
-fn run_field(answer: &caller::Answer) -> String {
+fn run_field(answer: &caller::Response) -> String {
     answer.json()["error"]["run"]
         .as_str()
         .unwrap_or("none")
--- a/crates/gateway/tests/targets.rs
+++ b/crates/gateway/tests/targets.rs
@@ -20,7 +20,7 @@
     Target::start(8, behaviour).await.expect("the target starts")
 }
 
-async fn send(cell: &common::Cell, id: Option<&str>, deadline_ms: &str, body: &str) -> caller::Answer {
+async fn send(cell: &common::Cell, id: Option<&str>, deadline_ms: &str, body: &str) -> caller::Response {
     let mut headers = vec![
         ("authorization", "Bearer dojo-key"),
         ("bronzespoke-deadline-ms", deadline_ms),
@@ -36,7 +36,7 @@
     sent.await.expect("answers")
 }
 
-fn run_field(answer: &caller::Answer) -> String {
+fn run_field(answer: &caller::Response) -> String {
     answer.json()["error"]["run"]
         .as_str()
         .unwrap_or("none")
@@ -47,7 +47,7 @@
 #[tokio::test]
 async fn target_that_refuses_connections_is_skipped() {
     let gone = target(ECHO).await;
-    gone.vanish();
+    gone.crash();
     let good = target(ECHO).await;
     common::eventually("the port is closed", || {
         std::net::TcpStream::connect(gone.address()).is_err()
@@ -143,7 +143,7 @@
     let bad = target(Behaviour::Raw(bytes.into())).await;
     let cell = common::cell(&[&bad]).await;
     let answer = caller::request(cell.server.address(), "lineage", common::KEY, None, "x").await;
-    assert!(matches!(answer, Err(caller::Error::Cut(_))), "{answer:?}");
+    assert!(matches!(answer, Err(caller::Error::Truncated(_))), "{answer:?}");
 }
 
 /// Guards against bytes beyond the content length that become part of the next response.
@@ -177,7 +177,7 @@
     let first = target(ECHO).await;
     let cell = common::cell(&[&first]).await;
     assert_eq!(send(&cell, Some("a"), "5000", "a").await.status, StatusCode::OK);
-    first.vanish();
+    first.crash();
     common::eventually("the connections are closed", || first.connections().0 == 0).await;
     let mut second = Target::start_at(first.address(), 8, ECHO).await;
     for _ in 0..100 {
@@ -267,7 +267,7 @@
 #[yare::parameterized(repeatable = { None }, claimed = { Some("id") })]
 #[test_macro(tokio::test)]
 async fn long_response_is_complete(id: Option<&'static str>) {
-    let target = target(Behaviour::Long(8 << 20)).await;
+    let target = target(Behaviour::LongBody(8 << 20)).await;
     let cell = common::cell(&[&target]).await;
     let answer = send(&cell, id, "30000", "x").await;
     assert_eq!((answer.status, answer.body.len()), (StatusCode::OK, 8 << 20));
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -46,7 +46,7 @@
 async fn encodings(content_type: &str, accept: &str, http2: bool, expected: &str) {
     let cell = common::cell(&[]).await;
     let client = if http2 {
-        client::Client::new_two()
+        client::Client::new_http2()
     } else {
         client::Client::new()
     };
@@ -88,7 +88,7 @@
     let mut body = body(compact::MEDIA_TYPE);
     damage(&mut body);
     let headers = [("content-type", compact::MEDIA_TYPE)];
-    let answer = client::Client::new_two()
+    let answer = client::Client::new_http2()
         .call(
             Method::POST,
             cell.server.address(),
@@ -108,7 +108,7 @@
 async fn only_workers_may_use_http2() {
     let cell = common::cell(&[]).await;
     let path = "/v2/queues/diplomas/requests";
-    let answer = client::Client::new_two()
+    let answer = client::Client::new_http2()
         .call(
             Method::POST,
             cell.server.address(),
@@ -170,7 +170,7 @@
             },
         },
         entries,
-        fails_everything: false,
+        fail_all: false,
     };
     let cancel = CancellationToken::new();
     let ledger = Arc::new(ledger::Ledger::default());
--- a/crates/language/src/answer.rs
+++ b/crates/language/src/answer.rs
@@ -7,7 +7,7 @@
 
 use serde::{Deserialize, Serialize};
 
-use crate::fault;
+use crate::error;
 
 /// Most rows in one answer; further rows are counted in [`Table::omitted`].
 pub const MAX_ROWS: usize = 20_000;
@@ -177,8 +177,8 @@
     }
 }
 
-impl From<fault::Fault> for Answer {
-    fn from(fault: fault::Fault) -> Self {
+impl From<error::Error> for Answer {
+    fn from(fault: error::Error) -> Self {
         Self::Error(Error {
             code: Code::Syntax,
             message: fault.to_string(),
--- a/crates/language/src/display.rs
+++ b/crates/language/src/display.rs
@@ -83,7 +83,7 @@
                 team,
                 hash: Some(hash),
             } => {
-                write!(f, "grant key to team {team} hash={}", hexadecimal(hash))
+                write!(f, "grant key to team {team} hash={}", encode_hex(hash))
             }
             Self::WithdrawKey { prefix } => write!(f, "withdraw key {prefix}"),
             Self::CreateService { name } => write!(f, "create service {name}"),
@@ -120,8 +120,8 @@
 impl Display for statement::QuotaChange {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         field(f, "weight", self.weight)?;
-        field(f, "cpu", self.cpu_milli.map(unit::write_cpu))?;
-        field(f, "memory", self.memory_mib.map(unit::write_memory))?;
+        field(f, "cpu", self.cpu_milli.map(unit::format_cpu))?;
+        field(f, "memory", self.memory_mib.map(unit::format_memory))?;
         field(f, "accelerators", self.accelerators)?;
         field(f, "requests", self.requests)
     }
@@ -140,8 +140,8 @@
 impl statement::ConfigChange {
     /// Returns the name and rendered value of each field that is present, for `show config` and answers.
     pub fn fields(&self) -> Vec<(&'static str, String)> {
-        let bytes = |value: u32| unit::write_bytes(u64::from(value));
-        let duration = |value: u32| unit::write_duration(u64::from(value));
+        let bytes = |value: u32| unit::format_bytes(u64::from(value));
+        let duration = |value: u32| unit::format_duration(u64::from(value));
         let switch = |on: bool| String::from(if on { "on" } else { "off" });
         let number = |value: u32| value.to_string();
         let fields = [
@@ -164,7 +164,7 @@
 }
 
 /// Renders bytes, such as a key hash, as two lower-case hexadecimal digits each.
-pub fn hexadecimal(bytes: &[u8]) -> String {
+pub fn encode_hex(bytes: &[u8]) -> String {
     let mut text = String::with_capacity(2 * bytes.len());
     for byte in bytes {
         write!(text, "{byte:02x}").expect("writing to a string succeeds");
--- a/crates/language/src/fault.rs
+++ b/crates/language/src/error.rs
@@ -6,7 +6,7 @@
 
 /// Why a line is not a statement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Fault {
+pub struct Error {
     /// Column of the first character that does not fit, in characters from 1.
     pub column: usize,
     /// Word at that column, shortened; empty at the end of the line.
@@ -15,7 +15,7 @@
     pub expected: String,
 }
 
-impl fmt::Display for Fault {
+impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(f, "column {}: ", self.column)?;
         if self.found.is_empty() {
@@ -27,4 +27,4 @@
     }
 }
 
-impl std::error::Error for Fault {}
+impl std::error::Error for Error {}
--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -5,7 +5,7 @@
 //! agree on one meaning of a line. The grammar is in [`parse`](mod@parse).
 
 pub mod answer;
-pub mod fault;
+pub mod error;
 pub mod parse;
 pub mod render;
 pub mod statement;
@@ -13,6 +13,6 @@
 
 mod display;
 
-pub use display::hexadecimal;
-pub use fault::Fault;
+pub use display::encode_hex;
+pub use error::Error;
 pub use parse::parse;
--- a/crates/language/src/parse/field.rs
+++ b/crates/language/src/parse/field.rs
@@ -89,20 +89,20 @@
 
     /// Reads the value as processors, in thousandths of a core.
     pub(super) fn cpu(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
-        let value = unit::read_cpu(self.value.text).filter(|value| range.contains(value));
+        let value = unit::parse_cpu(self.value.text).filter(|value| range.contains(value));
         value.ok_or_else(|| {
-            let (low, high) = (unit::write_cpu(*range.start()), unit::write_cpu(*range.end()));
+            let (low, high) = (unit::format_cpu(*range.start()), unit::format_cpu(*range.end()));
             self.reject(format!("processors from {low} to {high}, such as 2.5 or 2500m"))
         })
     }
 
     /// Reads the value as memory, in MiB.
     pub(super) fn memory(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
-        let value = unit::read_memory(self.value.text).filter(|value| range.contains(value));
+        let value = unit::parse_memory(self.value.text).filter(|value| range.contains(value));
         value.ok_or_else(|| {
             let (low, high) = (
-                unit::write_memory(*range.start()),
-                unit::write_memory(*range.end()),
+                unit::format_memory(*range.start()),
+                unit::format_memory(*range.end()),
             );
             self.reject(format!("memory from {low} to {high}, such as 512MiB or 4GiB"))
         })
@@ -110,20 +110,20 @@
 
     /// Reads the value as bytes.
     pub(super) fn bytes(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
-        let value = unit::read_bytes(self.value.text).and_then(|value| u32::try_from(value).ok());
+        let value = unit::parse_bytes(self.value.text).and_then(|value| u32::try_from(value).ok());
         value.filter(|value| range.contains(value)).ok_or_else(|| {
-            let low = unit::write_bytes(u64::from(*range.start()));
-            let high = unit::write_bytes(u64::from(*range.end()));
+            let low = unit::format_bytes(u64::from(*range.start()));
+            let high = unit::format_bytes(u64::from(*range.end()));
             self.reject(format!("a size from {low} to {high}, such as 64KiB"))
         })
     }
 
     /// Reads the value as a duration, in milliseconds.
     pub(super) fn duration(&self, range: RangeInclusive<u32>) -> Outcome<u32> {
-        let value = unit::read_duration(self.value.text).and_then(|value| u32::try_from(value).ok());
+        let value = unit::parse_duration(self.value.text).and_then(|value| u32::try_from(value).ok());
         value.filter(|value| range.contains(value)).ok_or_else(|| {
-            let low = unit::write_duration(u64::from(*range.start()));
-            let high = unit::write_duration(u64::from(*range.end()));
+            let low = unit::format_duration(u64::from(*range.start()));
+            let high = unit::format_duration(u64::from(*range.end()));
             self.reject(format!("a duration from {low} to {high}, such as 250ms or 30s"))
         })
     }
--- a/crates/language/src/parse/mod.rs
+++ b/crates/language/src/parse/mod.rs
@@ -50,7 +50,7 @@
 use winnow::error::ErrMode;
 use winnow::stream::LocatingSlice;
 
-use crate::{fault, statement};
+use crate::{error, statement};
 
 /// Longest line, in bytes.
 pub const MAX_LINE_BYTES: usize = 4096;
@@ -92,9 +92,9 @@
 ];
 
 /// Parses one line of at most [`MAX_LINE_BYTES`].
-pub fn parse(line: &str) -> Result<statement::Statement, fault::Fault> {
+pub fn parse(line: &str) -> Result<statement::Statement, error::Error> {
     if line.len() > MAX_LINE_BYTES {
-        return Err(fault::Fault {
+        return Err(error::Error {
             column: 1,
             found: shorten(line.split_whitespace().next().unwrap_or_default()),
             expected: format!("a line of at most {MAX_LINE_BYTES} bytes"),
@@ -123,13 +123,13 @@
     Ok(statement)
 }
 
-fn explain(line: &str, error: ErrMode<expectation::Expectation>) -> fault::Fault {
+fn explain(line: &str, error: ErrMode<expectation::Expectation>) -> error::Error {
     let expectation = match error {
         ErrMode::Backtrack(expectation) | ErrMode::Cut(expectation) => expectation,
         ErrMode::Incomplete(_) => expectation::Expectation::new(line.len(), "the rest of the line"),
     };
     let (before, rest) = line.split_at(expectation.offset);
-    fault::Fault {
+    error::Error {
         column: before.chars().count() + 1,
         found: shorten(rest.split_whitespace().next().unwrap_or_default()),
         expected: expectation.expected,
--- a/crates/language/src/parse/word.rs
+++ b/crates/language/src/parse/word.rs
@@ -94,7 +94,7 @@
 
 /// Reads a whole number in a range.
 pub(super) fn number(word: Word<'_>, range: &RangeInclusive<u64>) -> Outcome<u64> {
-    unit::read_digits(word.text)
+    unit::parse_digits(word.text)
         .filter(|value| range.contains(value))
         .ok_or_else(|| {
             let expected = format!("a whole number from {} to {}", range.start(), range.end());
--- a/crates/language/src/render.rs
+++ b/crates/language/src/render.rs
@@ -48,12 +48,12 @@
 
 fn number(kind: answer::Kind, value: u64) -> String {
     match kind {
-        answer::Kind::CpuMilli => u32::try_from(value).map_or_else(|_| value.to_string(), unit::write_cpu),
+        answer::Kind::CpuMilli => u32::try_from(value).map_or_else(|_| value.to_string(), unit::format_cpu),
         answer::Kind::MemoryMib => {
-            u32::try_from(value).map_or_else(|_| value.to_string(), unit::write_memory)
+            u32::try_from(value).map_or_else(|_| value.to_string(), unit::format_memory)
         }
-        answer::Kind::Bytes => unit::write_bytes(value),
-        answer::Kind::DurationMs => unit::write_duration(value),
+        answer::Kind::Bytes => unit::format_bytes(value),
+        answer::Kind::DurationMs => unit::format_duration(value),
         answer::Kind::Share => format!("{:.1}%", value as f64 * 100.0),
         answer::Kind::Text | answer::Kind::Id | answer::Kind::Count | answer::Kind::Flag => value.to_string(),
     }
--- a/crates/model/src/compact.rs
+++ b/crates/model/src/compact.rs
@@ -27,7 +27,7 @@
 
 impl Report {
     /// Returns the report of a worker.
-    pub fn of(self, worker: id::WorkerId) -> worker::Report {
+    pub fn with_worker(self, worker: id::WorkerId) -> worker::Report {
         worker::Report {
             worker,
             incarnation: self.incarnation,
--- a/crates/standin/src/caller.rs
+++ b/crates/standin/src/caller.rs
@@ -11,7 +11,7 @@
 
 /// A whole answer.
 #[derive(Debug, Clone)]
-pub struct Answer {
+pub struct Response {
     /// HTTP status.
     pub status: StatusCode,
     /// Headers.
@@ -20,7 +20,7 @@
     pub body: Bytes,
 }
 
-impl Answer {
+impl Response {
     /// Returns the body as text; bytes that are not text are replaced.
     pub fn text(&self) -> String {
         String::from_utf8_lossy(&self.body).into_owned()
@@ -43,17 +43,17 @@
     /// No connection.
     Connect(String),
     /// The connection ended before an answer began.
-    NoAnswer(String),
+    NoResponse(String),
     /// The answer was cut short.
-    Cut(String),
+    Truncated(String),
 }
 
 impl fmt::Display for Error {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::Connect(text) => write!(f, "no connection: {text}"),
-            Self::NoAnswer(text) => write!(f, "no answer: {text}"),
-            Self::Cut(text) => write!(f, "the answer was cut short: {text}"),
+            Self::NoResponse(text) => write!(f, "no answer: {text}"),
+            Self::Truncated(text) => write!(f, "the answer was cut short: {text}"),
         }
     }
 }
@@ -90,8 +90,8 @@
         path: &str,
         headers: &[(&str, &str)],
         body: impl Into<Bytes>,
-    ) -> Result<Answer, Error> {
-        let failed = |error: &dyn fmt::Display| Error::NoAnswer(error.to_string());
+    ) -> Result<Response, Error> {
+        let failed = |error: &dyn fmt::Display| Error::NoResponse(error.to_string());
         let mut builder = Request::builder()
             .method(method)
             .uri(path)
@@ -108,8 +108,8 @@
         let body = body
             .collect()
             .await
-            .map_err(|error| Error::Cut(error.to_string()))?;
-        Ok(Answer {
+            .map_err(|error| Error::Truncated(error.to_string()))?;
+        Ok(Response {
             status: head.status,
             headers: head.headers,
             body: body.to_bytes(),
@@ -124,7 +124,7 @@
     path: &str,
     headers: &[(&str, &str)],
     body: impl Into<Bytes>,
-) -> Result<Answer, Error> {
+) -> Result<Response, Error> {
     Caller::connect(address)
         .await?
         .send(method, path, headers, body)
@@ -138,7 +138,7 @@
     key: &str,
     id: Option<&str>,
     body: impl Into<Bytes>,
-) -> Result<Answer, Error> {
+) -> Result<Response, Error> {
     let path = format!("/v2/services/{service}/requests");
     let key = format!("Bearer {key}");
     let mut headers = vec![("authorization", key.as_str())];
--- a/crates/standin/src/client.rs
+++ b/crates/standin/src/client.rs
@@ -57,7 +57,7 @@
     }
 
     /// Returns a client without open connections that speaks HTTP/2 with prior knowledge.
-    pub fn new_two() -> Self {
+    pub fn new_http2() -> Self {
         Self::with_version(true)
     }
 
--- a/crates/standin/src/ledger.rs
+++ b/crates/standin/src/ledger.rs
@@ -18,13 +18,13 @@
     /// Runs that ended.
     pub ends: u64,
     /// Starts of a task while another run of it was still going.
-    pub doubled: u64,
+    pub overlapping: u64,
     /// Starts that took a worker over its capacity.
-    pub overfilled: u64,
+    pub over_capacity: u64,
     /// Starts of a task that had succeeded before.
-    pub repeated: u64,
+    pub reruns: u64,
     /// Most tasks running at the same time.
-    pub most_running: usize,
+    pub peak_running: usize,
 }
 
 #[derive(Debug, Default)]
@@ -60,18 +60,18 @@
         inner.totals.starts += 1;
         *inner.started.entry(task).or_default() += 1;
         if inner.running.insert(task, (worker, token, granted)).is_some() {
-            inner.totals.doubled += 1;
+            inner.totals.overlapping += 1;
         }
         if inner.succeeded.contains_key(&task) {
-            inner.totals.repeated += 1;
+            inner.totals.reruns += 1;
         }
         let held = inner.held.entry(worker).or_default();
         *held = held.saturating_add(&granted);
         let over = !held.fits(&capacity);
         if over {
-            inner.totals.overfilled += 1;
+            inner.totals.over_capacity += 1;
         }
-        inner.totals.most_running = inner.totals.most_running.max(inner.running.len());
+        inner.totals.peak_running = inner.totals.peak_running.max(inner.running.len());
     }
 
     /// Records that the run of `task` under `token` ended.
--- a/crates/standin/src/target.rs
+++ b/crates/standin/src/target.rs
@@ -32,7 +32,7 @@
     /// Answers with the request's body after a run of this length.
     Echo(Duration),
     /// Answers with this many bytes.
-    Long(usize),
+    LongBody(usize),
     /// Answers with this status.
     Status(u16),
     /// Says that it did not run the request.
@@ -130,7 +130,7 @@
     }
 
     /// Closes the listener and every connection at once, as a lost VM would.
-    pub fn vanish(&self) {
+    pub fn crash(&self) {
         self.cancel.cancel();
     }
 
@@ -289,7 +289,7 @@
         // A sleep of no length would still wait for the next tick of the timer.
         Behaviour::Echo(time) if time.is_zero() => {}
         Behaviour::Echo(time) => tokio::time::sleep(time).await,
-        Behaviour::Long(length) => *response.body_mut() = Full::new(Bytes::from(vec![b'x'; length])),
+        Behaviour::LongBody(length) => *response.body_mut() = Full::new(Bytes::from(vec![b'x'; length])),
         Behaviour::Status(status) => {
             *response.status_mut() = StatusCode::from_u16(status).map_err(io::Error::other)?;
         }
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -39,7 +39,7 @@
     /// HTTP addresses of entry VMs, tried in turn.
     pub entries: Vec<SocketAddr>,
     /// Whether every task fails at once.
-    pub fails_everything: bool,
+    pub fail_all: bool,
 }
 
 #[derive(Debug)]
@@ -96,7 +96,7 @@
     let mut worker = Worker {
         options,
         ledger,
-        client: client::Client::new_two(),
+        client: client::Client::new_http2(),
         entry,
         leader: None,
         sequence: 0,
@@ -182,7 +182,7 @@
     /// A leader that was reached as the entry is not asked again at once: two reports without an answer would use up
     /// the lease.
     async fn move_on(&mut self) {
-        self.client = client::Client::new_two();
+        self.client = client::Client::new_http2();
         let failed = self.address();
         self.leader = None;
         if self.address() == failed {
@@ -295,7 +295,7 @@
                 ends: ends.clone(),
             },
         );
-        let plan = if self.options.fails_everything {
+        let plan = if self.options.fail_all {
             (Duration::ZERO, false)
         } else {
             plan(command)
--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -49,7 +49,7 @@
 
 impl Error {
     /// Classifies a fault of the file system.
-    pub fn of(path: &Path, source: io::Error) -> Self {
+    pub fn from_io(path: &Path, source: io::Error) -> Self {
         let path = path.to_path_buf();
         match source.kind() {
             io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => Self::DiskFull { path },
--- a/crates/storage/src/file.rs
+++ b/crates/storage/src/file.rs
@@ -33,7 +33,7 @@
 /// Makes the entries of a folder durable.
 pub(crate) fn sync_folder(folder: &Path) -> Result<(), Error> {
     let synced = File::open(folder).and_then(|file| file.sync_all());
-    synced.map_err(|source| Error::of(folder, source))
+    synced.map_err(|source| Error::from_io(folder, source))
 }
 
 /// Replaces a file so that either the old or the new content survives a crash.
@@ -48,7 +48,7 @@
     if let Err(source) = renamed {
         // A leftover file would only take space; opening the store removes it as well.
         let _ = fs::remove_file(&temporary);
-        return Err(Error::of(&path, source));
+        return Err(Error::from_io(&path, source));
     }
     sync_folder(folder)
 }
@@ -58,14 +58,14 @@
     match fs::read(path) {
         Ok(data) => Ok(Some(data)),
         Err(source) if source.kind() == io::ErrorKind::NotFound => Ok(None),
-        Err(source) => Err(Error::of(path, source)),
+        Err(source) => Err(Error::from_io(path, source)),
     }
 }
 
 /// Removes a file that may not exist.
 pub(crate) fn remove(path: &Path) -> Result<(), Error> {
     match fs::remove_file(path) {
-        Err(source) if source.kind() != io::ErrorKind::NotFound => Err(Error::of(path, source)),
+        Err(source) if source.kind() != io::ErrorKind::NotFound => Err(Error::from_io(path, source)),
         _ => Ok(()),
     }
 }
--- a/crates/storage/src/segment.rs
+++ b/crates/storage/src/segment.rs
@@ -113,7 +113,7 @@
             file.sync_all()?;
             Ok(file)
         });
-        let file = opened.map_err(|source| Error::of(&path, source))?;
+        let file = opened.map_err(|source| Error::from_io(&path, source))?;
         Ok(Self {
             folder: folder.to_path_buf(),
             group,
@@ -146,7 +146,7 @@
                 file.sync_all()?;
                 Ok(file)
             });
-        let file = created.map_err(|source| Error::of(&path, source))?;
+        let file = created.map_err(|source| Error::from_io(&path, source))?;
         file::sync_folder(folder)?;
         let size = buffer.len() as u64;
         Ok(Self {
@@ -174,7 +174,7 @@
         if let Err(source) = written {
             // The record was not acknowledged. If cutting fails too, opening the store cuts the torn tail.
             let _ = self.file.set_len(self.size);
-            return Err(Error::of(&self.path, source));
+            return Err(Error::from_io(&self.path, source));
         }
         self.size += buffer.len() as u64;
         self.last = self.last.max(last_index(items));
@@ -230,12 +230,12 @@
         }
         Ok(names)
     });
-    listed.map_err(|source| Error::of(folder, source))
+    listed.map_err(|source| Error::from_io(folder, source))
 }
 
 /// Reads a segment; returns the length up to the last valid record and the largest index.
 fn read(path: &Path, header: &Header, newest: bool, content: &mut Content) -> Result<(u64, u64), Error> {
-    let data = std::fs::read(path).map_err(|source| Error::of(path, source))?;
+    let data = std::fs::read(path).map_err(|source| Error::from_io(path, source))?;
     let mut offset = 0;
     let mut last = 0;
     loop {
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -31,7 +31,7 @@
     /// Opens or creates the files of a group below a data folder and returns what they hold.
     pub fn open(folder: &Path, group: id::GroupId) -> Result<(Self, replica::Restored), Error> {
         let folder = Self::folder(folder, group);
-        fs::create_dir_all(&folder).map_err(|source| Error::of(&folder, source))?;
+        fs::create_dir_all(&folder).map_err(|source| Error::from_io(&folder, source))?;
         let lock = lock(&folder)?;
         remove_temporary(&folder)?;
         let vote = read_vote(&folder)?;
@@ -175,11 +175,11 @@
 
 fn lock(folder: &Path) -> Result<File, Error> {
     let path = folder.join(LOCK);
-    let file = File::create(&path).map_err(|source| Error::of(&path, source))?;
+    let file = File::create(&path).map_err(|source| Error::from_io(&path, source))?;
     match file.try_lock() {
         Ok(()) => Ok(file),
         Err(TryLockError::WouldBlock) => Err(Error::Locked { path }),
-        Err(TryLockError::Error(source)) => Err(Error::of(&path, source)),
+        Err(TryLockError::Error(source)) => Err(Error::from_io(&path, source)),
     }
 }
 
--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -324,6 +324,6 @@
     denied = { std::io::ErrorKind::PermissionDenied, "writing is not allowed" },
 )]
 fn faults_are_typed(kind: std::io::ErrorKind, expected: &str) {
-    let error = Error::of(Path::new("vote"), kind.into());
+    let error = Error::from_io(Path::new("vote"), kind.into());
     assert_eq!(error.to_string(), format!("vote: {expected}"));
 }
