standin: usual terms for public items of the fleet simulation

They are now proxies, partitions, leader_changes, late_directives, departures, reuse_names, on_time, violations, wasted_core_ms, value and Counters; Kind.faults is failing_share, eligible is eligible_share, two_steps is two_step_share, most_tasks is max_tasks, load::draw is generate and Job.hopeless is always_fails. Of the worker, born is started_ms, room is capacity, take is execute, noted_up_to is ends_up_to, alone is awaits_gang; Plan.length is duration.

--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -23,9 +23,9 @@
     let seed = plan.seed;
     let report = Simulation::new(plan).run(DRAIN);
     assert!(
-        report.broken.is_empty(),
+        report.violations.is_empty(),
         "seed {seed}: {:#?}",
-        &report.broken[..report.broken.len().min(5)]
+        &report.violations[..report.violations.len().min(5)]
     );
     assert!(
         report.unfinished.is_empty(),
@@ -47,10 +47,10 @@
 /// Guards against broken invariants under each kind of fault alone.
 #[parameterized(
     crashes = { Faults { crashes: 0.5, ..Faults::default() } },
-    cuts = { Faults { cuts: 0.5, ..Faults::default() } },
+    partitions = { Faults { partitions: 0.5, ..Faults::default() } },
     lost_answers = { Faults { lost_answers: 0.05, ..Faults::default() } },
-    late_orders = { Faults { late_orders: 0.05, ..Faults::default() } },
-    elections = { Faults { elections: 0.2, ..Faults::default() } },
+    late_directives = { Faults { late_directives: 0.05, ..Faults::default() } },
+    leader_changes = { Faults { leader_changes: 0.2, ..Faults::default() } },
     cancels = { Faults { cancels: 0.2, ..Faults::default() } },
     failing = { Faults { failing: 0.3, ..Faults::default() } },
 )]
@@ -71,15 +71,15 @@
         run(Plan {
             faults: Faults {
                 crashes: 0.2,
-                cuts: 0.2,
+                partitions: 0.2,
                 lost_answers: 0.02,
-                late_orders: 0.02,
-                elections: 0.15,
+                late_directives: 0.02,
+                leader_changes: 0.15,
                 cancels: 0.1,
                 failing: 0.1,
                 losses: 0.0,
-                leaves: 0.0,
-                same_names: false,
+                departures: 0.0,
+                reuse_names: false,
             },
             ..common::calm(200 + seed)
         });
@@ -94,8 +94,8 @@
         run(Plan {
             faults: Faults {
                 crashes: 0.8,
-                late_orders: 0.05,
-                same_names: true,
+                late_directives: 0.05,
+                reuse_names: true,
                 ..Faults::default()
             },
             ..common::calm(300 + seed)
@@ -113,7 +113,7 @@
         *limit = small;
     }
     // Gangs that are wider than the upper limit of their team can never start.
-    plan.kinds[0].most_tasks = 6;
+    plan.kinds[0].max_tasks = 6;
     run(plan);
 }
 
@@ -121,7 +121,7 @@
 fn shrinking(seed: u64, faults: Faults) -> Plan {
     let mut plan = common::calm(seed);
     plan.kinds = common::kinds(0.6);
-    plan.kinds[0].most_tasks = 6;
+    plan.kinds[0].max_tasks = 6;
     plan.faults = faults;
     plan
 }
@@ -142,17 +142,17 @@
 /// Guards against work that stays on a worker that has announced when it leaves, and is lost with it.
 #[test]
 fn work_moves_off_a_worker_before_it_leaves() {
-    let in_time = |faults: Faults| -> usize {
+    let on_time = |faults: Faults| -> usize {
         let reports = (0..4).map(|seed| run(shrinking(500 + seed, faults)));
         reports
-            .map(|report| report.kinds.iter().map(|kind| kind.in_time).sum::<usize>())
+            .map(|report| report.kinds.iter().map(|kind| kind.on_time).sum::<usize>())
             .sum()
     };
-    let noticed = in_time(Faults {
-        leaves: 0.7,
+    let noticed = on_time(Faults {
+        departures: 0.7,
         ..Faults::default()
     });
-    let silent = in_time(Faults {
+    let silent = on_time(Faults {
         losses: 0.7,
         ..Faults::default()
     });
@@ -168,7 +168,7 @@
             faults: Faults {
                 crashes: 0.8,
                 lost_answers: 0.03,
-                same_names: true,
+                reuse_names: true,
                 ..Faults::default()
             },
             ..common::calm(600 + seed)
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -17,7 +17,7 @@
     /// Mean number of tasks of a step.
     pub tasks: f64,
     /// Most tasks of a step.
-    pub most_tasks: u32,
+    pub max_tasks: u32,
     /// Mean size of a task.
     pub size: resource::Amount,
     /// Mean run time of a task.
@@ -25,13 +25,13 @@
     /// Whether steps are gangs.
     pub gang: bool,
     /// Share of jobs with a second step after the first.
-    pub two_steps: f64,
+    pub two_step_share: f64,
     /// Share of workers that may run a step.
-    pub eligible: f64,
+    pub eligible_share: f64,
     /// Value of a job that is completed within its objective.
-    pub worth: f64,
+    pub value: f64,
     /// Share of tasks that fail by their own fault.
-    pub faults: f64,
+    pub failing_share: f64,
 }
 
 /// A job with what the scheduler is not told.
@@ -50,23 +50,27 @@
     /// Longest chain of true run times.
     pub chain: Duration,
     /// Whether its tasks always fail.
-    pub hopeless: bool,
+    pub always_fails: bool,
 }
 
 /// Largest factor by which an estimate is wrong, either way.
 const ESTIMATE_ERROR: f64 = 2.5;
 
 /// Draws a job.
-pub fn draw(rng: &mut impl Rng, kinds: &[Kind], kind: usize, teams: &[String]) -> Job {
+pub fn generate(rng: &mut impl Rng, kinds: &[Kind], kind: usize, teams: &[String]) -> Job {
     let form = &kinds[kind];
-    let steps = if rng.random_bool(form.two_steps) { 2 } else { 1 };
+    let steps = if rng.random_bool(form.two_step_share) {
+        2
+    } else {
+        1
+    };
     let mut run_times = HashMap::new();
     let mut submitted = Vec::new();
     let mut chain = Duration::ZERO;
     for step in 0..steps {
         // A skewed width: most steps are narrow and a few are wide.
         let width = form.tasks * -rng.random_range(0.05_f64..1.0).ln();
-        let tasks = (width.round() as u32).clamp(1, form.most_tasks);
+        let tasks = (width.round() as u32).clamp(1, form.max_tasks);
         let base = form.run_time.mul_f64(rng.random_range(0.4..1.6));
         let mut longest = Duration::ZERO;
         for index in 0..tasks {
@@ -89,7 +93,7 @@
         },
         run_times,
         chain,
-        hopeless: rng.random_bool(form.faults),
+        always_fails: rng.random_bool(form.failing_share),
     }
 }
 
--- a/crates/standin/src/fleet/simulation/check.rs
+++ b/crates/standin/src/fleet/simulation/check.rs
@@ -16,8 +16,8 @@
         }
     }
 
-    pub(super) fn break_promise(&mut self, what: &str) {
-        self.report.broken.push(format!("{:?}: {what}", self.now));
+    pub(super) fn record_violation(&mut self, what: &str) {
+        self.report.violations.push(format!("{:?}: {what}", self.now));
     }
 
     pub(super) fn check_start(&mut self, index: usize, task: directive::Task, run: directive::Run) {
@@ -33,13 +33,13 @@
             }
         }
         for name in elsewhere {
-            self.break_promise(&format!("{task} run {run} starts while it runs on {name}"));
+            self.record_violation(&format!("{task} run {run} starts while it runs on {name}"));
         }
         if self.noted.contains(&task) {
-            self.break_promise(&format!("{task} run {run} starts after its end was noted"));
+            self.record_violation(&format!("{task} run {run} starts after its end was noted"));
         }
         let Some(job) = self.jobs.get(&task.job) else {
-            self.break_promise(&format!("{task} was never submitted"));
+            self.record_violation(&format!("{task} was never submitted"));
             return;
         };
         let spec = &job.submission.steps[usize::from(task.step)];
@@ -54,7 +54,7 @@
                 !self.done.contains(&other)
             });
             if let Some(open) = open {
-                self.break_promise(&format!(
+                self.record_violation(&format!(
                     "{task} starts before task {open} of step {before} is done"
                 ));
                 return;
@@ -65,8 +65,8 @@
         self.check_attempts(key);
         let limit_ms = Duration::from_secs(3);
         let cancelled = self.cancelled.get(&task.job).copied();
-        if cancelled.is_some_and(|at| self.now > at + limit_ms) && self.plan.faults.late_orders == 0.0 {
-            self.break_promise(&format!("{task} starts after its job was cancelled"));
+        if cancelled.is_some_and(|at| self.now > at + limit_ms) && self.plan.faults.late_directives == 0.0 {
+            self.record_violation(&format!("{task} starts after its job was cancelled"));
         }
         self.check_limit(task);
     }
@@ -84,7 +84,7 @@
             .iter()
             .any(|begun| failures.values().filter(|ended| *ended < begun).count() >= attempts);
         if late {
-            self.break_promise(&format!("{key} starts after {attempts} failures"));
+            self.record_violation(&format!("{key} starts after {attempts} failures"));
         }
     }
 
@@ -117,7 +117,7 @@
             }
         }
         if limit.cpu_milli > 0 && used > u64::from(limit.cpu_milli) * 11 / 10 {
-            self.break_promise(&format!("{team} runs {used} thousandths of a core"));
+            self.record_violation(&format!("{team} runs {used} thousandths of a core"));
         }
     }
 
@@ -137,10 +137,10 @@
         let took = self.now.saturating_sub(self.submitted[&key]);
         let objective = load.chain.mul_f64(queue.stretch) + queue.objective;
         tally.times.push(took.as_millis() as u64);
-        if phase == job::Phase::Failed && !load.hopeless {
+        if phase == job::Phase::Failed && !load.always_fails {
             tally.failed += 1;
         } else if took <= objective {
-            tally.in_time += 1;
+            tally.on_time += 1;
         } else if took <= objective * 3 {
             tally.late += 1;
         }
--- a/crates/standin/src/fleet/simulation/faults.rs
+++ b/crates/standin/src/fleet/simulation/faults.rs
@@ -14,16 +14,16 @@
         let faults = self.plan.faults;
         let rates: [(f64, fn() -> Event); 6] = [
             (faults.crashes, || Event::Crash),
-            (faults.cuts, || Event::Cut),
-            (faults.elections, || Event::Depose),
+            (faults.partitions, || Event::Cut),
+            (faults.leader_changes, || Event::Depose),
             (faults.failing, || Event::Fail),
             (faults.losses, || Event::Lose),
-            (faults.leaves, || Event::Leave),
+            (faults.departures, || Event::Leave),
         ];
         for (rate, event) in rates {
-            let count = (rate * self.plan.length.as_secs_f64()).round() as usize;
+            let count = (rate * self.plan.duration.as_secs_f64()).round() as usize;
             for _ in 0..count {
-                let at = self.plan.length.mul_f64(self.rng.random());
+                let at = self.plan.duration.mul_f64(self.rng.random());
                 self.at(at, event());
             }
         }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -46,15 +46,15 @@
     /// Workers.
     pub workers: usize,
     /// Room of each worker.
-    pub room: resource::Amount,
+    pub capacity: resource::Amount,
     /// VMs that may ask the eligibility service.
-    pub helpers: usize,
+    pub proxies: usize,
     /// Kinds of requests.
     pub kinds: Vec<load::Kind>,
     /// Teams and their upper limits.
     pub teams: Vec<(String, resource::Amount)>,
     /// How long jobs are submitted.
-    pub length: Duration,
+    pub duration: Duration,
     /// Bursts: kind, begin, length and factor.
     pub bursts: Vec<(usize, Duration, Duration, f64)>,
     /// Faults.
@@ -69,13 +69,13 @@
     /// Crashes of workers; they return as a new life.
     pub crashes: f64,
     /// Workers that are cut off for some seconds.
-    pub cuts: f64,
+    pub partitions: f64,
     /// Share of orders whose answer is lost.
     pub lost_answers: f64,
     /// Share of orders that are carried out 2 to 12 s late and not answered.
-    pub late_orders: f64,
+    pub late_directives: f64,
     /// Changes of leader.
-    pub elections: f64,
+    pub leader_changes: f64,
     /// Share of jobs that are cancelled after a while.
     pub cancels: f64,
     /// Workers that fail all that they start for some seconds.
@@ -83,18 +83,18 @@
     /// Workers that are lost for good without a word.
     pub losses: f64,
     /// Workers that announce that they leave, and are gone two seconds later.
-    pub leaves: f64,
+    pub departures: f64,
     /// Whether a worker returns under its former name, so that orders to its former life reach it.
-    pub same_names: bool,
+    pub reuse_names: bool,
 }
 
 /// What came of one kind of request.
 #[derive(Debug, Clone, Default)]
-pub struct Tally {
+pub struct Counters {
     /// Jobs that were submitted.
     pub submitted: usize,
     /// Completed, or failed when hopeless, within the objective.
-    pub in_time: usize,
+    pub on_time: usize,
     /// The same within three times the objective.
     pub late: usize,
     /// Failed without being hopeless.
@@ -107,13 +107,13 @@
 #[derive(Debug, Clone, Default)]
 pub struct Report {
     /// By kind.
-    pub kinds: Vec<Tally>,
+    pub kinds: Vec<Counters>,
     /// Broken promises, each a sentence.
-    pub broken: Vec<String>,
+    pub violations: Vec<String>,
     /// Starts on workers.
     pub starts: usize,
     /// Core-milliseconds of work that did not count.
-    pub wasted: u64,
+    pub wasted_core_ms: u64,
     /// Jobs without a final state at the end.
     pub unfinished: Vec<job::Key>,
     /// Decisions about the traced job, and what became of the workers meanwhile.
@@ -160,7 +160,7 @@
     cut: bool,
     gone_at: Option<Duration>,
     waiting: Vec<u64>,
-    lives: u64,
+    incarnations: u64,
 }
 
 /// One run.
@@ -180,8 +180,8 @@
     sent: HashMap<u64, Sent>,
     next_order: u64,
     places: Vec<Place>,
-    helpers: Vec<id::VmId>,
-    helper_free: HashMap<id::VmId, Duration>,
+    proxies: Vec<id::VmId>,
+    proxy_free: HashMap<id::VmId, Duration>,
     jobs: HashMap<job::Key, load::Job>,
     submitted: HashMap<job::Key, Duration>,
     finished: HashSet<job::Key>,
@@ -212,8 +212,8 @@
             sent: HashMap::new(),
             next_order: 0,
             places: Vec::new(),
-            helpers: (1..=plan.helpers as u64).collect(),
-            helper_free: HashMap::new(),
+            proxies: (1..=plan.proxies as u64).collect(),
+            proxy_free: HashMap::new(),
             jobs: HashMap::new(),
             submitted: HashMap::new(),
             finished: HashSet::new(),
@@ -223,7 +223,7 @@
             failures: HashMap::new(),
             begun: HashMap::new(),
             report: Report {
-                kinds: vec![Tally::default(); plan.kinds.len()],
+                kinds: vec![Counters::default(); plan.kinds.len()],
                 ..Report::default()
             },
             plan,
@@ -238,11 +238,12 @@
 
     /// Runs to the end: until `drain` after the last submission, or until every job has a final state.
     pub fn run(mut self, drain: Duration) -> Report {
-        let end = self.plan.length + drain;
+        let end = self.plan.duration + drain;
         self.at(TICK, Event::Tick);
         while let Some(Reverse((at, number))) = self.events.pop() {
             self.now = self.now.max(at);
-            if self.now > end || (self.now > self.plan.length && self.finished.len() == self.submitted.len())
+            if self.now > end
+                || (self.now > self.plan.duration && self.finished.len() == self.submitted.len())
             {
                 break;
             }
@@ -256,7 +257,7 @@
 
     fn close(mut self) -> Report {
         if let Err(fault) = self.state.verify() {
-            self.report.broken.push(fault);
+            self.report.violations.push(fault);
         }
         let open = self.submitted.keys().filter(|key| !self.finished.contains(key));
         self.report.unfinished = open.copied().collect();
@@ -314,28 +315,34 @@
                 cut: false,
                 gone_at: None,
                 waiting: Vec::new(),
-                lives: 0,
+                incarnations: 0,
             });
-            self.give_life(index);
+            self.start_incarnation(index);
         }
     }
 
-    fn give_life(&mut self, index: usize) {
+    fn start_incarnation(&mut self, index: usize) {
         let rate = self.rng.random_range(0.981..1.0);
         let place = &mut self.places[index];
-        place.lives += 1;
-        let born = EPOCH_MS + self.now.as_millis() as u64 + place.lives;
-        let life = if self.plan.faults.same_names {
+        place.incarnations += 1;
+        let started_ms = EPOCH_MS + self.now.as_millis() as u64 + place.incarnations;
+        let life = if self.plan.faults.reuse_names {
             1
         } else {
-            place.lives
+            place.incarnations
         };
         let name = format!("w-{index}-{life}");
-        place.worker = Some(worker::Worker::new(name, born, self.plan.room, self.now, rate));
+        place.worker = Some(worker::Worker::new(
+            name,
+            started_ms,
+            self.plan.capacity,
+            self.now,
+            rate,
+        ));
         // A restarted worker that keeps its name gets repeated orders to its former life before it is heard of. A late order
         // that comes in this time is beyond anyone's power, so that the two faults are not combined.
         let faults = self.plan.faults;
-        let silent = if faults.same_names && faults.late_orders == 0.0 {
+        let silent = if faults.reuse_names && faults.late_directives == 0.0 {
             self.rng.random_range(3..LONGEST_ANNOUNCEMENT_MS)
         } else {
             3
@@ -344,7 +351,7 @@
     }
 
     fn plan_load(&mut self) {
-        let end = self.plan.length;
+        let end = self.plan.duration;
         for kind in 0..self.plan.kinds.len() {
             let mut at = Duration::ZERO;
             loop {
@@ -384,7 +391,7 @@
             Event::Announce(index) => self.announce(index),
             Event::Cancel(key) => self.cancel(key),
             Event::Crash => self.crash(),
-            Event::Return(index) => self.give_life(index),
+            Event::Return(index) => self.start_incarnation(index),
             Event::Cut => self.cut(),
             Event::Heal(index) => self.places[index].cut = false,
             Event::Fail => self.fail(),
@@ -416,7 +423,7 @@
             bounds: settings::Bounds::default(),
         };
         let mut dispatch = Dispatch::new(config, &self.state, self.times());
-        dispatch.set_proxies(&self.helpers);
+        dispatch.set_proxies(&self.proxies);
         self.dispatch = Some(dispatch);
         for index in 0..self.places.len() {
             self.at(Duration::from_millis(3), Event::Announce(index));
@@ -448,9 +455,9 @@
             return;
         }
         let names: Vec<String> = self.plan.teams.iter().map(|(name, _)| name.clone()).collect();
-        let mut job = load::draw(&mut self.rng, &self.plan.kinds, kind, &names);
+        let mut job = load::generate(&mut self.rng, &self.plan.kinds, kind, &names);
         while !self.is_feasible(&job) {
-            job = load::draw(&mut self.rng, &self.plan.kinds, kind, &names);
+            job = load::generate(&mut self.rng, &self.plan.kinds, kind, &names);
         }
         let key = job.key;
         self.report.kinds[kind].submitted += 1;
@@ -484,8 +491,8 @@
             let eligible = (0..self.plan.workers)
                 .filter(|worker| is_eligible(job.key, index as u16, *worker, kind))
                 .count() as u32;
-            let cpu = self.plan.room.cpu_milli / step.size.cpu_milli.max(1);
-            let memory = self.plan.room.memory_mib / step.size.memory_mib.max(1);
+            let cpu = self.plan.capacity.cpu_milli / step.size.cpu_milli.max(1);
+            let memory = self.plan.capacity.memory_mib / step.size.memory_mib.max(1);
             eligible * cpu.min(memory) >= step.tasks
         })
     }
@@ -503,7 +510,7 @@
 /// Eligibility does not change: it follows from the step and the place of the worker.
 fn is_eligible(key: job::Key, step: u16, worker: usize, kind: &load::Kind) -> bool {
     let mut rng = SmallRng::seed_from_u64(key ^ (u64::from(step) << 32) ^ worker as u64);
-    rng.random_bool(kind.eligible)
+    rng.random_bool(kind.eligible_share)
 }
 
 const fn same_step(left: directive::Task, right: directive::Task) -> bool {
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -53,7 +53,7 @@
         let announcement = announced::Announcement {
             incarnation: announced::Incarnation {
                 name: worker.name.clone(),
-                started_ms: worker.born,
+                started_ms: worker.started_ms,
             },
             sequence: 1,
             worker: announced::Worker {
@@ -63,7 +63,7 @@
                 kind: String::from("a"),
                 rack: format!("r{}", index / 8),
                 labels: vec![String::from("a"), format!("r{}", index / 8)],
-                room: worker.room,
+                room: worker.capacity,
                 machine: None,
             },
             state: match self.places[index].gone_at {
@@ -99,7 +99,7 @@
             _ => ORDER_TIMEOUT,
         };
         self.sent.insert(number, sent);
-        let late = self.rng.random_bool(self.plan.faults.late_orders);
+        let late = self.rng.random_bool(self.plan.faults.late_directives);
         if late {
             let delay = Duration::from_millis(self.rng.random_range(2_000..12_000));
             self.at(delay, Event::Late(number));
@@ -127,7 +127,7 @@
             return;
         };
         if let directive::Directive::Renew { acknowledged, .. } = &order {
-            let noted = worker.noted_up_to(*acknowledged);
+            let noted = worker.ends_up_to(*acknowledged);
             self.note_ends(noted);
         }
         self.take(number, answered);
@@ -144,7 +144,7 @@
         let Some(worker) = &mut self.places[target].worker else {
             return;
         };
-        let (answer, started) = worker.take(self.now, fence, &name, &order);
+        let (answer, started) = worker.execute(self.now, fence, &name, &order);
         let waits = matches!(&order, directive::Directive::Renew { wait, .. } if !wait.is_zero());
         let has_ends = worker.has_ends();
         if let Some((task, run)) = started {
@@ -209,7 +209,7 @@
             valid: None,
         };
         let took = cost.decision + cost.per_worker * ask.query.workers.len() as u32;
-        let free = self.helper_free.entry(ask.proxy).or_default();
+        let free = self.proxy_free.entry(ask.proxy).or_default();
         *free = (*free).max(self.now) + took;
         let delay = free.saturating_sub(self.now) + LATENCY * 2;
         self.at(delay, Event::Advised(ask.number, answer));
--- a/crates/standin/src/fleet/simulation/work.rs
+++ b/crates/standin/src/fleet/simulation/work.rs
@@ -14,28 +14,28 @@
         self.check_start(index, task, run);
         let job = &self.jobs[&task.job];
         let spec = &job.submission.steps[usize::from(task.step)];
-        let (size, gang, hopeless) = (spec.size, spec.gang, job.hopeless);
+        let (size, gang, always_fails) = (spec.size, spec.gang, job.always_fails);
         let run_time = load::run_time(job, task);
         let now = self.now;
         let Some(worker) = &mut self.places[index].worker else {
             return;
         };
         let took = run_time.mul_f64(worker.slowness);
-        let fails = worker.failing || hopeless;
+        let fails = worker.failing || always_fails;
         let active = worker::Active {
             run,
             size,
             started: now,
             done_at: (!gang).then_some(now + if fails { took / 4 } else { took }),
             stopped_at: None,
-            alone: gang,
+            awaits_gang: gang,
             fails,
         };
         worker.runs.insert(task, active);
-        let (room, used) = (worker.room, worker.used());
+        let (room, used) = (worker.capacity, worker.used());
         let name = worker.name.clone();
         if !used.fits(&room) {
-            self.break_promise(&format!("{name} runs {used:?} in {room:?}"));
+            self.record_violation(&format!("{name} runs {used:?} in {room:?}"));
         }
         if gang {
             self.complete_gang(task, run);
@@ -49,7 +49,7 @@
 
     pub(super) fn waste(&mut self, active: &worker::Active) {
         let took = self.now.saturating_sub(active.started);
-        self.report.wasted += took.as_millis() as u64 * u64::from(active.size.cpu_milli) / 1_000;
+        self.report.wasted_core_ms += took.as_millis() as u64 * u64::from(active.size.cpu_milli) / 1_000;
     }
 
     /// Lets a gang work when all of its members are there.
@@ -79,7 +79,7 @@
         for worker in self.places.iter_mut().filter_map(|place| place.worker.as_mut()) {
             for (other, active) in &mut worker.runs {
                 if same_step(*other, task) && active.run == run {
-                    active.alone = false;
+                    active.awaits_gang = false;
                     active.done_at = Some(done_at);
                 }
             }
@@ -161,7 +161,7 @@
         for (index, place) in self.places.iter().enumerate() {
             let Some(worker) = &place.worker else { continue };
             for (other, active) in &worker.runs {
-                if same_step(*other, task) && active.run == run && !active.alone {
+                if same_step(*other, task) && active.run == run && !active.awaits_gang {
                     broken.push((index, *other, active.clone()));
                 }
             }
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -32,7 +32,7 @@
     /// When its stop is over.
     pub stopped_at: Option<Duration>,
     /// Whether it belongs to a gang that is not complete.
-    pub alone: bool,
+    pub awaits_gang: bool,
     /// Whether it fails instead of being done.
     pub fails: bool,
 }
@@ -43,9 +43,9 @@
     /// Name.
     pub name: String,
     /// Start of the life in milliseconds since the Unix epoch.
-    pub born: u64,
+    pub started_ms: u64,
     /// What it offers.
-    pub room: resource::Amount,
+    pub capacity: resource::Amount,
     /// Simulated time at which its clock was zero.
     pub clock_zero: Duration,
     /// Rate of its clock; it may be 2% slow.
@@ -68,11 +68,17 @@
 
 impl Worker {
     /// Returns a life that runs nothing.
-    pub fn new(name: String, born: u64, room: resource::Amount, now: Duration, clock_rate: f64) -> Self {
+    pub fn new(
+        name: String,
+        started_ms: u64,
+        capacity: resource::Amount,
+        now: Duration,
+        clock_rate: f64,
+    ) -> Self {
         Self {
             name,
-            born,
-            room,
+            started_ms,
+            capacity,
             clock_zero: now,
             clock_rate,
             slowness: 1.0,
@@ -105,7 +111,7 @@
     }
 
     /// Takes an order; `Ok` with the run to begin when it is a start that was taken.
-    pub fn take(
+    pub fn execute(
         &mut self,
         now: Duration,
         token: Token,
@@ -180,7 +186,7 @@
     pub fn report(&self, clock: Duration) -> directive::Report {
         directive::Report {
             clock,
-            started_ms: Some(self.born),
+            started_ms: Some(self.started_ms),
             running: self
                 .runs
                 .iter()
@@ -203,7 +209,7 @@
 
     /// Ends up to a number with their times, as far as the lease has not run out since: whoever acknowledges those has
     /// taken note of them.
-    pub fn noted_up_to(&self, acknowledged: u64) -> Vec<(directive::Ended, Duration)> {
+    pub fn ends_up_to(&self, acknowledged: u64) -> Vec<(directive::Ended, Duration)> {
         let mut noted = Vec::new();
         for ended in self.ended.iter().filter(|ended| ended.number <= acknowledged) {
             let at = self.ended_at.get(&ended.number).copied().unwrap_or_default();
@@ -250,7 +256,7 @@
                 }
             } else if lapsed {
                 Outcome::Lapsed
-            } else if active.alone && now >= active.started + GANG_WAIT {
+            } else if active.awaits_gang && now >= active.started + GANG_WAIT {
                 Outcome::Alone
             } else {
                 continue;
