--- a/crates/storage/src/error.rs
+++ b/crates/storage/src/error.rs
@@ -1,54 +1,54 @@
-//! Faults of a store.
+//! Errors of a store.
 
 use std::fmt;
 use std::io;
 use std::path::{Path, PathBuf};
 
-/// Why the store could not be opened or written.
+/// Error of opening or writing a store.
 #[derive(Debug)]
 pub enum Error {
-    /// The disk or quota is full.
+    /// The file system or the disk quota is full.
     DiskFull {
-        /// File that was written.
+        /// File that could not be written.
         path: PathBuf,
     },
-    /// The folder or file system does not allow writing.
+    /// The file system is read-only, or the process lacks permission to write.
     ReadOnly {
-        /// File that was written.
+        /// File that could not be written.
         path: PathBuf,
     },
-    /// Another process uses the folder.
+    /// Another process holds the lock of the folder.
     Locked {
-        /// Lock file.
+        /// Path of the lock file.
         path: PathBuf,
     },
-    /// Durable data is damaged or missing. The member must be replaced by one with a new id.
+    /// Durable data is damaged or missing. The replica must be replaced by one with a new id.
     Corrupt {
-        /// Damaged file.
+        /// File that is damaged or missing.
         path: PathBuf,
-        /// Place in the file in bytes.
+        /// Offset of the damage in the file, in bytes.
         offset: u64,
-        /// What is wrong.
+        /// Description of the damage.
         reason: &'static str,
     },
-    /// An earlier write failed; the store has to be opened again.
+    /// An earlier write failed, and the store must be reopened before it is used again.
     Failed,
-    /// A record is larger than `MAX_RECORD_BYTES`.
+    /// A record is larger than the maximum record size.
     TooLarge {
-        /// Size in bytes.
+        /// Size of the record, in bytes.
         bytes: u64,
     },
-    /// Any other fault of the file system.
+    /// Any other error of the file system.
     Io {
-        /// File.
+        /// File or folder that was accessed.
         path: PathBuf,
-        /// Fault.
+        /// Error that the operating system returned.
         source: io::Error,
     },
 }
 
 impl Error {
-    /// Classifies a fault of the file system.
+    /// Classifies an I/O error on a file or folder.
     pub fn from_io(path: &Path, source: io::Error) -> Self {
         let path = path.to_path_buf();
         match source.kind() {
--- a/crates/storage/src/file.rs
+++ b/crates/storage/src/file.rs
@@ -1,4 +1,4 @@
-//! Small helpers for durable files.
+//! Helpers for durable file operations.
 
 use std::fs::{self, File};
 use std::io::{self, Write};
@@ -6,7 +6,8 @@
 
 use crate::error::Error;
 
-/// Bytes that may still be written; lets a test fill the disk at any byte.
+/// Number of bytes that may still be written, or no limit. Tests use a limit to simulate a disk that is full after any
+/// given byte.
 #[derive(Debug, Clone, Copy, Default)]
 pub(crate) struct Budget(Option<u64>);
 
@@ -15,13 +16,13 @@
         Self(Some(bytes))
     }
 
-    /// Writes all bytes, or as many as the budget allows and then reports a full disk.
+    /// Writes all of `data`, or writes the part that the budget allows and returns `StorageFull`.
     pub(crate) fn write(&mut self, file: &mut File, data: &[u8]) -> io::Result<()> {
-        let Some(left) = &mut self.0 else {
+        let Some(remaining) = &mut self.0 else {
             return file.write_all(data);
         };
-        let allowed = data.len().min(usize::try_from(*left).unwrap_or(usize::MAX));
-        *left -= allowed as u64;
+        let allowed = data.len().min(usize::try_from(*remaining).unwrap_or(usize::MAX));
+        *remaining -= allowed as u64;
         file.write_all(&data[..allowed])?;
         if allowed < data.len() {
             return Err(io::ErrorKind::StorageFull.into());
@@ -30,14 +31,19 @@
     }
 }
 
-/// Makes the entries of a folder durable.
+/// Syncs a folder, so that created, renamed and removed files in it survive a crash.
 pub(crate) fn sync_folder(folder: &Path) -> Result<(), Error> {
     let synced = File::open(folder).and_then(|file| file.sync_all());
     synced.map_err(|source| Error::from_io(folder, source))
 }
 
-/// Replaces a file so that either the old or the new content survives a crash.
-pub(crate) fn replace(folder: &Path, name: &str, data: &[u8], budget: &mut Budget) -> Result<(), Error> {
+/// Replaces a file atomically: after a crash it has either the old or the new content.
+pub(crate) fn replace_atomically(
+    folder: &Path,
+    name: &str,
+    data: &[u8],
+    budget: &mut Budget,
+) -> Result<(), Error> {
     let path = folder.join(name);
     let temporary = folder.join(format!("{name}.tmp"));
     let written = File::create(&temporary).and_then(|mut file| {
@@ -46,15 +52,15 @@
     });
     let renamed = written.and_then(|()| fs::rename(&temporary, &path));
     if let Err(source) = renamed {
-        // A leftover file would only take space; opening the store removes it as well.
+        // A failed removal is harmless: opening the store removes temporary files.
         let _ = fs::remove_file(&temporary);
         return Err(Error::from_io(&path, source));
     }
     sync_folder(folder)
 }
 
-/// Reads a file that may not exist.
-pub(crate) fn read(path: &Path) -> Result<Option<Vec<u8>>, Error> {
+/// Reads a file; returns `None` if it does not exist.
+pub(crate) fn read_if_exists(path: &Path) -> Result<Option<Vec<u8>>, Error> {
     match fs::read(path) {
         Ok(data) => Ok(Some(data)),
         Err(source) if source.kind() == io::ErrorKind::NotFound => Ok(None),
@@ -62,8 +68,8 @@
     }
 }
 
-/// Removes a file that may not exist.
-pub(crate) fn remove(path: &Path) -> Result<(), Error> {
+/// Removes a file, if it exists.
+pub(crate) fn remove_if_exists(path: &Path) -> Result<(), Error> {
     match fs::remove_file(path) {
         Err(source) if source.kind() != io::ErrorKind::NotFound => Err(Error::from_io(path, source)),
         _ => Ok(()),
--- a/crates/storage/src/lib.rs
+++ b/crates/storage/src/lib.rs
@@ -1,13 +1,14 @@
 //! Durable files of a replica: checksummed log segments, snapshots and votes.
 //!
-//! Layout below the data folder, one folder for each group:
-//! - `lock`: held while a process uses the folder.
-//! - `vote`: newest term and vote, replaced by rename.
-//! - `snapshot-<index>`: newest snapshot, written under a temporary name and renamed.
-//! - `segment-<number>`: log records, appended and never rewritten; old segments are removed after a snapshot.
+//! Layout of the data folder; each group has a folder of its own:
+//! - `lock`: locked while a process uses the folder.
+//! - `vote`: latest term and vote, replaced atomically by a rename.
+//! - `snapshot-<index>`: latest snapshot, written to a temporary file and renamed.
+//! - `segment-<number>`: append-only log records; segments that a snapshot covers are removed.
 //!
-//! One `Store::write` call becomes one log record with one checksum. A damaged record that is followed by a valid
-//! one was therefore durable once, so it is reported as corruption; a damaged last record is a torn write and cut.
+//! Consecutive log changes of a `Store::write` call become one record with one checksum, synced before the next
+//! record. A damaged record that is followed by a valid one was therefore durable before, and is reported as
+//! corruption. A damaged last record is a torn write and is truncated.
 
 mod error;
 mod file;
--- a/crates/storage/src/store.rs
+++ b/crates/storage/src/store.rs
@@ -1,4 +1,4 @@
-//! The durable side of one replica.
+//! Durable storage of one replica.
 
 use std::fs::{self, File, TryLockError};
 use std::path::{Path, PathBuf};
@@ -16,34 +16,34 @@
 const SNAPSHOT_PREFIX: &str = "snapshot-";
 const TEMPORARY_SUFFIX: &str = ".tmp";
 
-/// The files of one replica. A failed write leaves the store unusable until it is opened again.
+/// The files of one replica. After a failed write, the store rejects further writes until it is reopened.
 #[derive(Debug)]
 pub struct Store {
     folder: PathBuf,
     chain: Chain,
     budget: Budget,
     failed: bool,
-    /// Keeps the lock until the store is dropped.
+    /// Holds the lock until the store is dropped.
     _lock: File,
 }
 
 impl Store {
-    /// Opens or creates the files of a group below a data folder and returns what they hold.
+    /// Opens or creates the files of a group in a data folder and returns the state that they hold.
     pub fn open(folder: &Path, group: id::GroupId) -> Result<(Self, replica::Restored), Error> {
         let folder = Self::folder(folder, group);
         fs::create_dir_all(&folder).map_err(|source| Error::from_io(&folder, source))?;
-        let lock = lock(&folder)?;
-        remove_temporary(&folder)?;
+        let lock = acquire_lock(&folder)?;
+        remove_temporary_files(&folder)?;
         let vote = read_vote(&folder)?;
         let snapshot = read_snapshot(&folder)?;
         let (mut chain, content) = Chain::open(&folder, group)?;
         let position = snapshot
             .as_ref()
             .map_or_else(log::Position::default, |snapshot| snapshot.position);
-        let entries = reconcile(&folder, position, content.entries, &mut chain)?;
+        let entries = reconcile_with_snapshot(&folder, position, content.entries, &mut chain)?;
         let newest = entries.last().map_or(position, |entry| entry.position);
         if newest.term > vote.term {
-            // A term is stored before its first entry, so the vote file was lost or replaced.
+            // A replica stores a term before its first entry, so the vote file was lost or replaced.
             return Err(Error::corrupt(
                 &folder.join(VOTE),
                 0,
@@ -70,12 +70,12 @@
         Ok((store, restored))
     }
 
-    /// Folder of a group below a data folder.
+    /// Returns the folder of a group in a data folder.
     pub fn folder(data: &Path, group: id::GroupId) -> PathBuf {
-        data.join(group_name(group))
+        data.join(group_folder_name(group))
     }
 
-    /// Stores the first members of a new group and returns the state that each first voter starts from.
+    /// Stores the initial members of a new group and returns the state from which each initial voter starts.
     pub fn bootstrap(&mut self, members: membership::Membership) -> Result<replica::Restored, Error> {
         let restored = replica::Restored::bootstrap(members);
         let kind = write::Kind::Append {
@@ -86,7 +86,7 @@
         Ok(restored)
     }
 
-    /// Carries out writes in order. All are durable on return; after a fault, none of them may be relied on.
+    /// Performs writes in order. All of them are durable on success; on an error, any of them may be lost.
     pub fn write(&mut self, writes: &[write::Write]) -> Result<(), Error> {
         if self.failed {
             return Err(Error::Failed);
@@ -96,12 +96,12 @@
         outcome
     }
 
-    /// Number of log segment files.
+    /// Returns the number of log segment files.
     pub fn segments(&self) -> usize {
         self.chain.count()
     }
 
-    /// Lets the disk become full after a number of further bytes.
+    /// Simulates a disk that is full after `bytes` further bytes. For tests only.
     #[doc(hidden)]
     pub fn limit_bytes(&mut self, bytes: u64) {
         self.budget = Budget::limited(bytes);
@@ -120,7 +120,7 @@
                 write::Kind::Commit(commit) => items.push(Item::Commit(*commit)),
                 write::Kind::Vote(vote) => {
                     self.flush(&mut items)?;
-                    self.replace(VOTE, vote)?;
+                    self.replace_file(VOTE, vote)?;
                 }
                 write::Kind::Compact { snapshot, first } => {
                     self.flush(&mut items)?;
@@ -139,6 +139,7 @@
         self.flush(&mut items)
     }
 
+    /// Appends the collected log changes as one record.
     fn flush(&mut self, items: &mut Vec<Item>) -> Result<(), Error> {
         if items.is_empty() {
             return Ok(());
@@ -148,32 +149,33 @@
         Ok(())
     }
 
-    fn replace<T: serde::Serialize>(&mut self, name: &str, value: &T) -> Result<(), Error> {
+    fn replace_file<T: serde::Serialize>(&mut self, name: &str, value: &T) -> Result<(), Error> {
         let mut buffer = Vec::new();
-        record::put(value, &mut buffer)?;
-        file::replace(&self.folder, name, &buffer, &mut self.budget)
+        record::append(value, &mut buffer)?;
+        file::replace_atomically(&self.folder, name, &buffer, &mut self.budget)
     }
 
+    /// Writes a snapshot, then removes older ones.
     fn write_snapshot(&mut self, snapshot: &snapshot::Snapshot) -> Result<(), Error> {
         let name = format!("{SNAPSHOT_PREFIX}{:020}", snapshot.position.index);
-        self.replace(&name, snapshot)?;
-        for older in snapshots(&self.folder)? {
+        self.replace_file(&name, snapshot)?;
+        for older in snapshot_names(&self.folder)? {
             if older < name {
-                file::remove(&self.folder.join(older))?;
+                file::remove_if_exists(&self.folder.join(older))?;
             }
         }
         Ok(())
     }
 }
 
-fn group_name(group: id::GroupId) -> String {
+fn group_folder_name(group: id::GroupId) -> String {
     match group {
         id::GroupId::Root => String::from("root"),
         id::GroupId::Zone(zone) => format!("zone-{zone}"),
     }
 }
 
-fn lock(folder: &Path) -> Result<File, Error> {
+fn acquire_lock(folder: &Path) -> Result<File, Error> {
     let path = folder.join(LOCK);
     let file = File::create(&path).map_err(|source| Error::from_io(&path, source))?;
     match file.try_lock() {
@@ -183,11 +185,11 @@
     }
 }
 
-/// Removes files whose writing was interrupted.
-fn remove_temporary(folder: &Path) -> Result<(), Error> {
-    for name in segment::names(folder)? {
+/// Removes temporary files that an interrupted write left behind.
+fn remove_temporary_files(folder: &Path) -> Result<(), Error> {
+    for name in segment::file_names(folder)? {
         if name.ends_with(TEMPORARY_SUFFIX) {
-            file::remove(&folder.join(name))?;
+            file::remove_if_exists(&folder.join(name))?;
         }
     }
     Ok(())
@@ -195,35 +197,37 @@
 
 fn read_vote(folder: &Path) -> Result<write::Vote, Error> {
     let path = folder.join(VOTE);
-    match file::read(&path)? {
-        Some(data) => record::single(&path, &data),
+    match file::read_if_exists(&path)? {
+        Some(data) => record::decode_single(&path, &data),
         None => Ok(write::Vote::default()),
     }
 }
 
-/// Names of the snapshot files, oldest first.
-fn snapshots(folder: &Path) -> Result<Vec<String>, Error> {
-    let mut names = segment::names(folder)?;
+/// Returns the names of the snapshot files, oldest first.
+fn snapshot_names(folder: &Path) -> Result<Vec<String>, Error> {
+    let mut names = segment::file_names(folder)?;
     names.retain(|name| name.starts_with(SNAPSHOT_PREFIX) && !name.ends_with(TEMPORARY_SUFFIX));
     names.sort_unstable();
     Ok(names)
 }
 
-/// Reads the newest snapshot. An older one is no substitute: entries after it may be removed.
+/// Reads the latest snapshot. An older one is no substitute, because log entries after it may have been removed.
 fn read_snapshot(folder: &Path) -> Result<Option<snapshot::Snapshot>, Error> {
-    let Some(name) = snapshots(folder)?.pop() else {
+    let Some(name) = snapshot_names(folder)?.pop() else {
         return Ok(None);
     };
     let path = folder.join(name);
-    let Some(data) = file::read(&path)? else {
+    let Some(data) = file::read_if_exists(&path)? else {
         return Ok(None);
     };
-    record::single(&path, &data).map(Some)
+    record::decode_single(&path, &data).map(Some)
 }
 
-/// Checks the entries against the snapshot. A crash between a received snapshot and its log record leaves entries
-/// that the snapshot replaced; they are dropped here, durably, before anything is appended after the snapshot.
-fn reconcile(
+/// Checks that the log continues the snapshot at `position`.
+///
+/// A crash after an installed snapshot was written, but before its log record was, leaves entries that the snapshot
+/// replaces. They are removed durably here, before anything is appended after the snapshot.
+fn reconcile_with_snapshot(
     folder: &Path,
     position: log::Position,
     entries: Vec<log::Entry>,
--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -1,4 +1,4 @@
-//! Damaged files, full disks and two processes on one folder.
+//! Damaged files, full disks, and two processes that use the same folder.
 
 use std::fs;
 use std::path::{Path, PathBuf};
@@ -51,7 +51,7 @@
     Store::open(folder, GROUP).expect("the store opens")
 }
 
-/// Writes ten records of one entry each and returns the segment file.
+/// Writes ten records of one entry each and returns the path of the segment file.
 fn ten_records(folder: &Path) -> PathBuf {
     let (mut store, _) = open(folder);
     store.write(&[vote(2)]).expect("the disk has space");
@@ -68,10 +68,10 @@
         .expect("a segment exists")
 }
 
-/// Guards against writes that a restart loses, reorders or takes back.
+/// Guards against writes that are lost, reordered or reverted by a restart.
 #[test]
 fn everything_written_is_restored() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let (mut store, _) = open(folder.path());
     store
         .write(&[vote(4), append(1..=9, 1), append(5..=6, 2)])
@@ -108,10 +108,11 @@
     );
 }
 
-/// Guards against a crash between a received snapshot and its log record: the entries before it must not return.
+/// Guards against a crash between an installed snapshot and its log record: entries that the snapshot replaced must not
+/// reappear.
 #[test]
 fn replaced_entries_do_not_return() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let (mut store, _) = open(folder.path());
     store
         .write(&[vote(3), append(1..=60, 1)])
@@ -136,15 +137,15 @@
     assert_eq!(open(folder.path()).1.entries, entries(41..=42, 3));
 }
 
-/// Guards against a torn write that stops a restart, or that loses an earlier record.
+/// Guards against a torn write that prevents a restart, or that loses an earlier record.
 #[test]
-fn torn_tail_is_cut_at_every_byte() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+fn torn_record_is_truncated_at_every_byte() {
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let segment = ten_records(folder.path());
-    let whole = fs::read(&segment).expect("the segment is readable");
-    let record = (whole.len() - 20) / 10;
+    let intact = fs::read(&segment).expect("the segment is readable");
+    let record = (intact.len() - 20) / 10;
     for cut in 1..record {
-        fs::write(&segment, &whole[..whole.len() - cut]).expect("the segment is writable");
+        fs::write(&segment, &intact[..intact.len() - cut]).expect("the segment is writable");
         let (mut store, restored) = open(folder.path());
         assert_eq!(restored.entries, entries(1..=9, 1), "{cut} bytes cut");
         store.write(&[append(10..=11, 2)]).expect("the disk has space");
@@ -153,15 +154,15 @@
     }
 }
 
-/// Guards against silent damage: a flipped bit in the last record cuts it, anywhere else it is refused.
+/// Guards against undetected corruption: a flipped bit truncates the last record and is an error anywhere else.
 #[test]
-fn flipped_bit_is_cut_at_the_tail_and_refused_before_it() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+fn flipped_bit_truncates_the_last_record_and_is_an_error_before_it() {
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let segment = ten_records(folder.path());
-    let whole = fs::read(&segment).expect("the segment is readable");
-    let tail = whole.len() - (whole.len() - 20) / 10;
-    for place in (0..whole.len()).step_by(3) {
-        let mut damaged = whole.clone();
+    let intact = fs::read(&segment).expect("the segment is readable");
+    let tail = intact.len() - (intact.len() - 20) / 10;
+    for place in (0..intact.len()).step_by(3) {
+        let mut damaged = intact.clone();
         damaged[place] ^= 1 << (place % 8);
         fs::write(&segment, &damaged).expect("the segment is writable");
         match Store::open(folder.path(), GROUP) {
@@ -178,10 +179,10 @@
     }
 }
 
-/// Guards against a damaged vote or snapshot that is taken as absent.
+/// Guards against a damaged vote or snapshot that is treated as absent.
 #[yare::parameterized(vote_file = { "vote" }, snapshot_file = { "snapshot-" })]
 fn damaged_file_is_refused(name: &str) {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let (mut store, _) = open(folder.path());
     let compact = write::Kind::Compact {
         snapshot: snapshot_at(5, 1),
@@ -196,7 +197,7 @@
                 kind: compact,
             },
         ])
-        .expect("space");
+        .expect("the disk has space");
     drop(store);
     let files = fs::read_dir(folder.path().join("root"))
         .expect("the folder exists")
@@ -214,10 +215,10 @@
     ));
 }
 
-/// Guards against a lost vote file: the member would vote a second time in a term.
+/// Guards against a lost vote file: the replica could vote twice in one term.
 #[test]
 fn missing_vote_is_refused() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     ten_records(folder.path());
     fs::remove_file(folder.path().join("root/vote")).expect("the vote is stored");
     assert!(matches!(
@@ -226,11 +227,11 @@
     ));
 }
 
-/// Guards against a full disk that loses durable data, panics, or lets a later write succeed over a gap.
+/// Guards against a full disk that loses durable data, causes a panic, or lets a later write succeed after a gap.
 #[test]
-fn full_disk_is_an_outcome_at_every_byte() {
+fn full_disk_is_an_error_at_every_byte() {
     for space in 0..400 {
-        let folder = tempfile::tempdir().expect("a temporary folder");
+        let folder = tempfile::tempdir().expect("a temporary folder is created");
         let (mut store, _) = open(folder.path());
         store
             .write(&[vote(1), append(1..=3, 1)])
@@ -255,19 +256,19 @@
     }
 }
 
-/// Guards against old segments that fill the disk, and against a removal that takes needed entries.
+/// Guards against old segments that are never removed, and against a removal of entries that are still needed.
 #[test]
 fn old_segments_are_removed_after_compaction() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let (mut store, _) = open(folder.path());
-    let big = |index| log::Entry {
+    let large_entry = |index| log::Entry {
         position: log::Position { term: 1, index },
         payload: log::Payload::Command(vec![0; 1_000_000].into()),
     };
     store.write(&[vote(1)]).expect("the disk has space");
     for index in 1..=30 {
         let kind = write::Kind::Append {
-            entries: vec![big(index)],
+            entries: vec![large_entry(index)],
             commit: index,
         };
         store
@@ -300,10 +301,10 @@
     assert!(held.contains(&28) && held.contains(&30), "{held:?}");
 }
 
-/// Guards against two processes that write one folder.
+/// Guards against two processes that write to the same folder.
 #[test]
 fn second_process_is_refused() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let (store, _) = open(folder.path());
     assert!(matches!(
         Store::open(folder.path(), GROUP),
@@ -317,13 +318,13 @@
     open(folder.path());
 }
 
-/// Guards against faults of the file system that lose their kind.
+/// Guards against I/O errors that are mapped to the wrong variant.
 #[yare::parameterized(
     full = { std::io::ErrorKind::StorageFull, "the disk is full" },
     read_only = { std::io::ErrorKind::ReadOnlyFilesystem, "writing is not allowed" },
     denied = { std::io::ErrorKind::PermissionDenied, "writing is not allowed" },
 )]
-fn faults_are_typed(kind: std::io::ErrorKind, expected: &str) {
+fn io_errors_are_classified(kind: std::io::ErrorKind, expected: &str) {
     let error = Error::from_io(Path::new("vote"), kind.into());
     assert_eq!(error.to_string(), format!("vote: {expected}"));
 }
--- a/crates/storage/tests/model.rs
+++ b/crates/storage/tests/model.rs
@@ -1,10 +1,10 @@
-//! Random writes, compared with a plain model after every restart.
+//! Random writes, compared with an in-memory model after every restart.
 
 use bronzespoke_consensus::{log, membership, snapshot, write};
 use bronzespoke_model::id::GroupId;
 use bronzespoke_storage::Store;
 
-/// Linear congruential generator; good enough to choose the next write.
+/// Linear congruential generator that chooses the writes; its low bits are weak and are discarded.
 struct Random(u64);
 
 impl Random {
@@ -17,7 +17,7 @@
     }
 }
 
-/// What must be restored: all entries from `first` on, and the newest vote and snapshot.
+/// State that a restart must restore: the retained entries, and the latest vote and snapshot.
 #[derive(Default)]
 struct Model {
     vote: write::Vote,
@@ -44,6 +44,7 @@
         }
     }
 
+    /// Draws the next write and applies it to the model.
     fn next(&mut self, random: &mut Random) -> write::Kind {
         let base = self
             .snapshot
@@ -64,7 +65,7 @@
                     .entries
                     .iter()
                     .find(|entry| entry.position.index == index)
-                    .expect("it is held");
+                    .expect("the model holds every entry after its snapshot");
                 let snapshot = Self::snapshot_at(index, held.position.term);
                 let first = (index + 1)
                     .saturating_sub(random.below(5))
@@ -90,7 +91,7 @@
                         term: self.term,
                         index,
                     };
-                    // Large entries now and then make the log span several segments.
+                    // Occasional large entries make the log span several segments.
                     let size = if random.below(20) == 0 { 3_000_000 } else { 20 };
                     entries.push(log::Entry {
                         position,
@@ -107,12 +108,12 @@
     }
 }
 
-/// Guards against any order of appends, replacements, compactions and received snapshots that a restart shows
-/// differently, over several segments.
+/// Guards against a restart that restores another state than was written, for random sequences of appends,
+/// replaced entries, compactions and installed snapshots over several segments.
 #[test]
-fn restart_shows_what_was_written() {
+fn restart_restores_what_was_written() {
     for seed in 0..5 {
-        let folder = tempfile::tempdir().expect("a temporary folder");
+        let folder = tempfile::tempdir().expect("a temporary folder is created");
         let mut random = Random(seed);
         let mut model = Model::default();
         for round in 0..16 {
@@ -120,6 +121,7 @@
             let place = format!("seed {seed} round {round}");
             assert_eq!(restored.snapshot, model.snapshot, "{place}");
             assert_eq!(restored.vote, model.vote, "{place}");
+            // The store may retain entries that the model has compacted.
             let tail = restored
                 .entries
                 .len()
--- a/crates/storage/tests/restart.rs
+++ b/crates/storage/tests/restart.rs
@@ -1,4 +1,4 @@
-//! A replica restarts from its files.
+//! Restart of a replica from its files.
 
 use std::time::Duration;
 
@@ -7,6 +7,7 @@
 use bronzespoke_model::id::GroupId;
 use bronzespoke_storage::Store;
 
+/// Steps the replica and persists its writes until it has no further input; returns the entries that it applied.
 fn run(replica: &mut Replica, store: &mut Store, now: Duration, input: Input) -> Vec<log::Entry> {
     let mut inputs = vec![input];
     let mut applied = Vec::new();
@@ -36,10 +37,10 @@
     applied
 }
 
-/// Guards against a single voter that cannot elect itself, and against commits that a restart loses.
+/// Guards against a single voter that cannot elect itself, and against committed entries that are lost on restart.
 #[test]
 fn single_voter_commits_and_restarts() {
-    let folder = tempfile::tempdir().expect("a temporary folder");
+    let folder = tempfile::tempdir().expect("a temporary folder is created");
     let group = GroupId::Zone(3);
     let second = Duration::from_secs(1);
     let (mut store, restored) = Store::open(folder.path(), group).expect("a new store");
@@ -58,7 +59,7 @@
             data: "a".into(),
         },
     );
-    assert_eq!(applied.len(), 1, "the proposal commits at once");
+    assert_eq!(applied.len(), 1, "the proposal commits immediately");
     assert!(replica.holds_lease(second), "one voter is a majority");
     drop(store);
     let (mut store, restored) = Store::open(folder.path(), group).expect("the store of the first run");
