model, rpc: doc comments that say what a field refers to

Many doc comments only repeated the name (Team., Worker., Life number.) or used private words (life, told, stands, time line). They now name unit, range and subject in the shared vocabulary. No item changes.

--- a/crates/model/src/compact.rs
+++ b/crates/model/src/compact.rs
@@ -1,32 +1,33 @@
-//! Binary forms of a worker's report and of its answer.
+//! Binary encoding of a worker's report and of the reply to it.
 //!
-//! They travel as `postcard`, which has no names of fields and cannot read internally tagged enums. Their shape is
-//! fixed by [`MEDIA_TYPE`]; another shape needs another version in it.
+//! The encoding is `postcard`, which has no field names and cannot decode internally tagged enums; therefore these
+//! types mirror those of [`worker`] and [`task`]. [`MEDIA_TYPE`] fixes their layout: a changed layout needs a new
+//! version in it.
 
 use serde::{Deserialize, Serialize};
 
 use crate::{id, resource, task, worker};
 
-/// Media type of both forms, for `Content-Type` and `Accept`.
+/// Media type of reports and replies in this encoding, for `Content-Type` and `Accept`.
 pub const MEDIA_TYPE: &str = "application/vnd.bronzespoke.report.v1+postcard";
 
-/// A [`worker::Report`] without the worker, which the path names.
+/// A [`worker::Report`] without the worker id, which the request path contains.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Life number.
+    /// Incarnation of the worker.
     pub incarnation: id::Incarnation,
-    /// Number of the report in this life.
+    /// Sequence number of the report in this incarnation.
     pub sequence: u64,
-    /// Answered report that this one is a change of.
+    /// Acknowledged report that this one is a delta to; `None` in a full report.
     pub base: Option<u64>,
-    /// Tasks that run, or with a base those that changed.
+    /// Running tasks; in a delta, only those that changed.
     pub running: Vec<worker::Running>,
-    /// Tasks that ended.
+    /// Ended tasks whose end is not acknowledged.
     pub ended: Vec<worker::Ended>,
 }
 
 impl Report {
-    /// Returns the report of a worker.
+    /// Returns the [`worker::Report`] of the worker that sent the report.
     pub fn with_worker(self, worker: id::WorkerId) -> worker::Report {
         worker::Report {
             worker,
@@ -51,14 +52,14 @@
     }
 }
 
-/// A [`worker::Reply`].
+/// Binary form of a [`worker::Reply`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
-    /// Highest report number whose ended tasks are durably recorded.
+    /// Highest sequence number of a report whose ended tasks are durably recorded.
     pub acknowledged: u64,
-    /// Lease length from the time the report was sent, in milliseconds.
+    /// Lease duration from the time the report was sent, in milliseconds.
     pub lease_ms: u64,
-    /// What to do, in order.
+    /// Directives to execute, in order.
     pub directives: Vec<Directive>,
 }
 
@@ -82,16 +83,16 @@
     }
 }
 
-/// A [`task::Directive`].
+/// Binary form of a [`task::Directive`].
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Directive {
-    /// Start the task: its token, most that it may use, and what to run.
+    /// Start the task: its token, the maximum that it may use, and the command to run.
     Start(task::Ref, id::Token, resource::Amount, String),
-    /// Stop the task.
+    /// Stop the task that holds the lease with this token.
     Stop(task::Ref, id::Token),
-    /// Save the task's progress, then stop it.
+    /// Save a checkpoint of the task, then stop it.
     Checkpoint(task::Ref, id::Token),
-    /// Hold the task to thousandths of its granted processors.
+    /// Limit the task to a share of its granted processors, in thousandths.
     Throttle(task::Ref, id::Token, u32),
 }
 
--- a/crates/model/src/config.rs
+++ b/crates/model/src/config.rs
@@ -1,24 +1,24 @@
-//! Cell-wide configuration, changed by operators under a version.
+//! Cell-wide, versioned configuration that operators change.
 
 use serde::{Deserialize, Serialize};
 
-/// Values in force in every process of the cell.
+/// Configuration that is in force in every process of the cell.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Config {
-    /// Longest time that a request may take, in milliseconds; callers may ask for less.
+    /// Maximum duration of a request, in milliseconds; callers may request a shorter deadline.
     pub request_deadline_ms: u32,
-    /// Largest request body, in bytes.
+    /// Maximum size of a request body, in bytes.
     pub request_body_bytes: u32,
-    /// Retries allowed per hundred requests of a team and service.
+    /// Maximum retries per hundred requests of a team to a service.
     pub retry_percent: u32,
-    /// Bytes per second that one VM may send to targets in other regions.
+    /// Maximum rate at which one VM sends to targets in other regions, in bytes per second.
     pub remote_bytes_per_second: u32,
     /// Whether the version-1 interface is served.
     pub version_one: bool,
-    /// Most tasks that may be stopped per second to make room for urgent work, per availability zone.
+    /// Maximum preemptions per second, by which tasks are stopped in favor of urgent work, per availability zone.
     pub preemptions_per_second: u32,
-    /// Starts per second while work of a lost zone or worker is placed again, per availability zone.
+    /// Maximum starts per second while the work of a lost zone or worker is rescheduled, per availability zone.
     pub recovery_starts_per_second: u32,
 }
 
--- a/crates/model/src/event.rs
+++ b/crates/model/src/event.rs
@@ -1,23 +1,23 @@
-//! Events of the time line.
+//! Events of the timeline.
 
 use serde::{Deserialize, Serialize};
 
 use crate::{id, job, stamp, task};
 
-/// One event in one process.
+/// One event that a daemon recorded.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Event {
-    /// When it happened.
+    /// Time of the event.
     pub stamp: stamp::Stamp,
     /// Name of the VM whose daemon recorded it.
     pub process: String,
-    /// Number in the process, without gaps; a gap in a reading means that the ring lost events.
+    /// Sequence number in the process. Numbers are consecutive, so a gap means that the ring buffer overwrote events.
     pub sequence: u64,
-    /// What happened.
+    /// Type of the event and its attributes.
     pub kind: Kind,
 }
 
-/// What happened. Internally tagged, so it travels as JSON only.
+/// Type of an event. The enum is internally tagged, so JSON is its only encoding.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "event", rename_all = "snake_case")]
 pub enum Kind {
@@ -25,116 +25,116 @@
     Started,
     /// The daemon is shutting down.
     Stopping,
-    /// The VM took the lead of a group.
+    /// The VM became leader of a group.
     LeaderElected {
-        /// Group.
+        /// Group that the VM leads.
         group: id::GroupId,
-        /// Term.
+        /// Term of the leadership.
         term: u64,
     },
-    /// The VM lost the lead of a group.
+    /// The VM lost the leadership of a group.
     LeaderLost {
-        /// Group.
+        /// Group that the VM no longer leads.
         group: id::GroupId,
     },
     /// The VM applied a configuration version.
     ConfigApplied {
-        /// Version now in force here.
+        /// Version that is in force on this VM.
         version: id::ConfigVersion,
     },
     /// A key was granted.
     KeyGranted {
-        /// Team.
+        /// Team that the key authenticates.
         team: id::TeamId,
     },
-    /// A key was withdrawn here.
+    /// A withdrawn key became invalid on this VM.
     KeyWithdrawn {
-        /// Team.
+        /// Team that the key authenticated.
         team: id::TeamId,
     },
-    /// The view of the root group became too old for keyed work.
+    /// The view of the root group became too stale for requests that carry a key.
     ViewStale,
     /// The view of the root group is fresh again.
     ViewFresh,
     /// A target announced itself.
     TargetAnnounced {
-        /// Target.
+        /// Target that was announced.
         target: id::TargetId,
     },
-    /// A target is departing.
+    /// A target takes no further requests because it departs.
     TargetDeparting {
-        /// Target.
+        /// Target that departs.
         target: id::TargetId,
     },
-    /// A target is out of use.
+    /// A target is no longer used.
     TargetLost {
-        /// Target.
+        /// Target that was lost.
         target: id::TargetId,
     },
     /// A worker registered.
     WorkerRegistered {
-        /// Worker.
+        /// Worker that registered.
         worker: id::WorkerId,
     },
-    /// A worker's lease ran out.
+    /// The lease of a worker expired.
     WorkerLost {
-        /// Worker.
+        /// Worker that was lost.
         worker: id::WorkerId,
     },
-    /// A job was accepted durably.
+    /// A job was durably accepted.
     JobAccepted {
-        /// Job.
+        /// Job that was accepted.
         job: id::JobId,
-        /// Team.
+        /// Team that submitted the job.
         team: id::TeamId,
     },
-    /// A job reached its last state.
+    /// A job reached a terminal state.
     JobEnded {
-        /// Job.
+        /// Job that ended.
         job: id::JobId,
-        /// Team.
+        /// Team that submitted the job.
         team: id::TeamId,
-        /// Last state.
+        /// Terminal state.
         state: job::State,
     },
     /// A task start was committed.
     TaskStarted {
-        /// Task.
+        /// Task that starts.
         task: task::Ref,
-        /// Worker.
+        /// Worker on which it starts.
         worker: id::WorkerId,
-        /// Lease token.
+        /// Fencing token of the lease.
         token: id::Token,
     },
     /// The end of a task run was committed.
     TaskEnded {
-        /// Task.
+        /// Task whose run ended.
         task: task::Ref,
-        /// Lease token.
+        /// Fencing token of the lease.
         token: id::Token,
-        /// Whether it succeeded.
+        /// Whether the run succeeded.
         succeeded: bool,
     },
-    /// A task was told to make room.
+    /// A task was instructed to stop in favor of urgent work.
     TaskPreempted {
-        /// Task.
+        /// Task that was preempted.
         task: task::Ref,
-        /// Worker.
+        /// Worker on which it ran.
         worker: id::WorkerId,
     },
     /// A request id was claimed.
     RequestClaimed {
-        /// Team.
+        /// Team that sent the request.
         team: id::TeamId,
     },
-    /// Links to another VM were cut by a test.
+    /// A test disconnected this VM from another one.
     LinkCut {
-        /// The other VM.
+        /// VM at the other end of the link.
         peer: id::VmId,
     },
     /// A member joined or left a group.
     MembershipChanged {
-        /// Group.
+        /// Group whose membership changed.
         group: id::GroupId,
         /// Voters after the change.
         voters: Vec<id::VmId>,
--- a/crates/model/src/job.rs
+++ b/crates/model/src/job.rs
@@ -6,48 +6,48 @@
 
 use crate::{id, resource};
 
-/// Most tasks that one job may have.
+/// Maximum number of tasks of a job.
 pub const MAX_TASKS: u32 = 10_000;
-/// Longest command line of a task, in bytes.
+/// Maximum length of the command of a task, in bytes.
 pub const MAX_COMMAND_BYTES: usize = 4096;
 
 /// How the tasks of a job are run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
-    /// Long-running; replaced whenever a task ends.
+    /// Long-running tasks; a task that ends is replaced.
     Service,
-    /// Each task runs to its end on its own.
+    /// Independent tasks, each of which runs to completion.
     Batch,
-    /// All tasks start together or none does.
+    /// Tasks that all start together or not at all.
     Gang,
 }
 
-/// How soon a job has to start.
+/// How soon a job must start.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Priority {
-    /// In the order of fair share.
+    /// Scheduled by fair share.
     #[default]
     Normal,
-    /// Within 1.6 s, stopping others where needed.
+    /// Starts within 1.6 s; other tasks are preempted if necessary.
     Urgent,
 }
 
-/// A job as submitted.
+/// Specification of a job, as submitted.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Spec {
-    /// Policy for the tasks.
+    /// Execution model of the tasks.
     pub kind: Kind,
-    /// Urgency.
+    /// Scheduling priority.
     #[serde(default)]
     pub priority: Priority,
     /// Number of tasks, 1 to [`MAX_TASKS`].
     pub tasks: u32,
     /// Declared size of each task.
     pub size: resource::Amount,
-    /// Accelerator kind that each task needs; 0 for none.
+    /// Kind of accelerator that each task requires; 0 for none.
     #[serde(default)]
     pub accelerator: id::AcceleratorKind,
     /// Declared run time of each task; zero for a service.
@@ -56,26 +56,26 @@
     /// Whether a task can be checkpointed and resumed.
     #[serde(default)]
     pub checkpoint: bool,
-    /// What the worker runs; opaque to the scheduler.
+    /// Command that the worker runs; opaque to the scheduler.
     #[serde(default)]
     pub command: String,
 }
 
-/// Why a job can never run as it is.
+/// Reason why a job can never run as specified.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Impossible {
     /// One task is larger than every worker.
     LargerThanAnyWorker,
-    /// No worker has the accelerator kind.
+    /// No worker has accelerators of the required kind.
     NoSuchAccelerator,
-    /// The job needs more at once than the team's upper limit.
+    /// The job requires more at one time than the team's upper limit.
     OverTeamLimit,
     /// All tasks together are larger than the fleet.
     LargerThanFleet,
 }
 
-/// State of a whole job.
+/// State of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum State {
@@ -85,16 +85,16 @@
     Running,
     /// Every task succeeded.
     Succeeded,
-    /// The retry budget is spent.
+    /// The retry budget is exhausted.
     Failed,
     /// Cancelled by its team or an operator.
     Cancelled,
-    /// Can never run as it is.
+    /// Can never run as specified.
     Impossible(Impossible),
 }
 
 impl State {
-    /// Tells whether the job has reached its last state.
+    /// Returns whether the state is terminal.
     pub const fn is_terminal(self) -> bool {
         match self {
             Self::Waiting | Self::Running => false,
--- a/crates/model/src/lib.rs
+++ b/crates/model/src/lib.rs
@@ -1,7 +1,7 @@
 //! Domain types that every other package shares.
 //!
-//! The package holds data only. Decisions live in the packages above it, so that a change of policy never
-//! changes what is stored or sent.
+//! The package defines data only. Policies are implemented by the packages that depend on it, so a change of policy
+//! does not change stored or transmitted data.
 
 pub mod compact;
 pub mod config;
--- a/crates/model/src/resource.rs
+++ b/crates/model/src/resource.rs
@@ -17,7 +17,7 @@
 }
 
 impl Amount {
-    /// An amount of nothing.
+    /// The empty amount.
     pub const ZERO: Self = Self {
         cpu_milli: 0,
         memory_mib: 0,
@@ -33,14 +33,14 @@
         }
     }
 
-    /// Tells whether every dimension of `self` is at most that of `other`.
+    /// Returns whether every dimension of `self` is at most that of `other`.
     pub const fn fits(&self, other: &Self) -> bool {
         self.cpu_milli <= other.cpu_milli
             && self.memory_mib <= other.memory_mib
             && self.accelerators <= other.accelerators
     }
 
-    /// Adds each dimension; `None` on overflow.
+    /// Adds each dimension; returns `None` on overflow.
     pub const fn checked_add(&self, other: &Self) -> Option<Self> {
         let (Some(cpu_milli), Some(memory_mib), Some(accelerators)) = (
             self.cpu_milli.checked_add(other.cpu_milli),
@@ -56,7 +56,7 @@
         })
     }
 
-    /// Subtracts each dimension; `None` when any would go below zero.
+    /// Subtracts each dimension; returns `None` if any would become negative.
     pub const fn checked_sub(&self, other: &Self) -> Option<Self> {
         let (Some(cpu_milli), Some(memory_mib), Some(accelerators)) = (
             self.cpu_milli.checked_sub(other.cpu_milli),
@@ -72,7 +72,7 @@
         })
     }
 
-    /// Subtracts each dimension, stopping at zero.
+    /// Subtracts each dimension, saturating at zero.
     pub const fn saturating_sub(&self, other: &Self) -> Self {
         Self {
             cpu_milli: self.cpu_milli.saturating_sub(other.cpu_milli),
@@ -81,7 +81,7 @@
         }
     }
 
-    /// Adds each dimension, stopping at the largest value.
+    /// Adds each dimension, saturating at the maximum value.
     pub const fn saturating_add(&self, other: &Self) -> Self {
         Self {
             cpu_milli: self.cpu_milli.saturating_add(other.cpu_milli),
@@ -90,12 +90,12 @@
         }
     }
 
-    /// Tells whether every dimension is zero.
+    /// Returns whether every dimension is zero.
     pub const fn is_zero(&self) -> bool {
         self.cpu_milli == 0 && self.memory_mib == 0 && self.accelerators == 0
     }
 
-    /// Returns the largest share of `total` that `self` takes in any dimension, from 0.0 (dominant share).
+    /// Returns the dominant share: the largest share of `total` that `self` takes in any dimension.
     pub fn dominant_share(&self, total: &Self) -> f64 {
         let share = |used: u32, all: u32| {
             if all == 0 {
@@ -110,7 +110,7 @@
     }
 }
 
-/// What a worker offers.
+/// Resources that a worker offers.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields, default)]
 pub struct Capacity {
--- a/crates/model/src/service.rs
+++ b/crates/model/src/service.rs
@@ -1,10 +1,10 @@
-//! Services that targets answer for, and open queues that feed them.
+//! Services that targets provide, and open queues that accept requests for them.
 
 use serde::{Deserialize, Serialize};
 
 use crate::id;
 
-/// A service.
+/// A service that an operator created.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Service {
     /// The service's id.
@@ -20,8 +20,8 @@
     pub id: id::QueueId,
     /// The name in request paths; unique.
     pub name: String,
-    /// Service that answers.
+    /// Service that handles the requests.
     pub service: id::ServiceId,
-    /// Requests that may be in flight fleet-wide.
+    /// Maximum number of requests in flight, fleet-wide.
     pub requests: u32,
 }
--- a/crates/model/src/stamp.rs
+++ b/crates/model/src/stamp.rs
@@ -1,11 +1,12 @@
-//! Hybrid logical time stamps for the time line.
+//! Hybrid logical timestamps for the timeline.
 //!
-//! Wall clocks of VMs differ. A hybrid stamp follows the wall clock but never goes back and orders causes before
-//! effects over processes. It is for people and for merging only; safety never depends on it.
+//! Wall clocks of VMs differ. A hybrid logical timestamp follows the wall clock but never decreases, and orders causes
+//! before effects across processes. Timestamps serve for display and for merging events; safety does not depend on
+//! them.
 
 use serde::{Deserialize, Serialize};
 
-/// A point on the time line.
+/// A hybrid logical timestamp.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Stamp {
     /// Wall time in microseconds since the Unix epoch.
@@ -14,14 +15,14 @@
     pub logical: u32,
 }
 
-/// Source of stamps for one process.
+/// Hybrid logical clock of one process.
 #[derive(Debug, Default, Clone)]
 pub struct Clock {
     last: Stamp,
 }
 
 impl Clock {
-    /// Returns the stamp of a local event at wall time `micros`.
+    /// Returns the timestamp of a local event at wall time `micros`.
     pub fn local(&mut self, micros: u64) -> Stamp {
         self.last = if micros > self.last.micros {
             Stamp { micros, logical: 0 }
@@ -34,7 +35,7 @@
         self.last
     }
 
-    /// Merges the stamp of a received message, so that later local events sort after it.
+    /// Advances the clock past the timestamp of a received message, so that later local events sort after it.
     pub fn receive(&mut self, micros: u64, remote: Stamp) -> Stamp {
         self.last = self.last.max(remote);
         self.local(micros)
--- a/crates/model/src/target.rs
+++ b/crates/model/src/target.rs
@@ -1,4 +1,4 @@
-//! Targets, as they announce themselves.
+//! Targets: their announcements and their state.
 
 use std::net::SocketAddr;
 
@@ -6,33 +6,33 @@
 
 use crate::{id, vm};
 
-/// A target's announcement; it is renewed while the target serves.
+/// Announcement of a target, which the target renews while it accepts requests.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Announcement {
-    /// The target.
+    /// Id of the target.
     pub target: id::TargetId,
-    /// Life number; an announcement of an earlier life is refused.
+    /// Incarnation of the target; announcements of earlier incarnations are rejected.
     pub incarnation: id::Incarnation,
-    /// Name of the service that it answers for.
+    /// Name of the service that the target provides.
     pub service: String,
-    /// Address that takes requests.
+    /// Address to which requests are sent.
     pub address: SocketAddr,
-    /// Requests that it runs at the same time.
+    /// Maximum number of requests that the target runs concurrently.
     pub slots: u32,
-    /// Connections that it accepts from all VMs together.
+    /// Maximum number of connections that the target accepts, from all VMs together.
     pub connections: u32,
 }
 
-/// State of a target as other VMs learn it.
+/// State of a target as distributed to other VMs.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Status {
-    /// The announcement.
+    /// Latest announcement of the target.
     pub announcement: Announcement,
-    /// Where the target stands.
+    /// Location of the target.
     pub place: vm::Place,
-    /// Whether it takes no new work.
+    /// Whether the target departs and accepts no new requests.
     pub departing: bool,
-    /// Requests in flight as last reported by the VM that it announces to.
+    /// Requests in flight, as last reported by the VM that receives the announcements.
     pub in_flight: u32,
 }
--- a/crates/model/src/task.rs
+++ b/crates/model/src/task.rs
@@ -1,67 +1,67 @@
-//! Tasks: the unit that a worker runs under a lease.
+//! Tasks, the units of work that a worker runs under a lease.
 
 use serde::{Deserialize, Serialize};
 
 use crate::id;
 
-/// Longest result of a task, in bytes.
+/// Maximum size of the result of a task, in bytes.
 pub const MAX_RESULT_BYTES: usize = 64 * 1024;
 
-/// Names one task of one job.
+/// Reference to a task of a job.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Ref {
-    /// The job.
+    /// Job that the task belongs to.
     pub job: id::JobId,
     /// Index in the job, from 0.
     pub index: id::TaskIndex,
 }
 
-/// How a run of a task ended, as the worker reports it.
+/// Outcome of a run of a task, as reported by the worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Outcome {
-    /// Ran to its end; carries the result, at most [`MAX_RESULT_BYTES`].
+    /// Completed; holds the result, of at most [`MAX_RESULT_BYTES`].
     Succeeded(String),
-    /// Ended with an error.
+    /// Completed with an error.
     Failed,
     /// Stopped on request.
     Stopped,
-    /// Saved its progress and stopped on request.
+    /// Saved a checkpoint and stopped on request.
     Checkpointed,
-    /// The lease ran out without a report.
+    /// The lease expired without a renewal.
     LeaseExpired,
 }
 
-/// What a worker is told to do. Internally tagged, so it travels as JSON only.
+/// Instruction to a worker. The enum is internally tagged, so JSON is its only encoding.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(tag = "directive", rename_all = "snake_case")]
 pub enum Directive {
-    /// Start the task under this token.
+    /// Start a task under a new lease.
     Start {
         /// Task to start.
         task: Ref,
         /// Token of the new lease.
         token: id::Token,
-        /// Most that the task may use.
+        /// Maximum amount that the task may use.
         granted: crate::resource::Amount,
-        /// What to run.
+        /// Command to run.
         command: String,
     },
-    /// Stop the task.
+    /// Stop a task.
     Stop {
         /// Task to stop.
         task: Ref,
         /// Token of its lease.
         token: id::Token,
     },
-    /// Save the task's progress, then stop it.
+    /// Save a checkpoint of a task, then stop the task.
     Checkpoint {
         /// Task to checkpoint.
         task: Ref,
         /// Token of its lease.
         token: id::Token,
     },
-    /// Hold the task to this share of its granted processors.
+    /// Limit a task to a share of its granted processors.
     Throttle {
         /// Task to throttle.
         task: Ref,
--- a/crates/model/src/vm.rs
+++ b/crates/model/src/vm.rs
@@ -1,4 +1,4 @@
-//! VMs that run a daemon, and where they stand.
+//! VMs that run a daemon, and their locations.
 
 use std::net::SocketAddr;
 
@@ -6,17 +6,17 @@
 
 use crate::id;
 
-/// Where a VM stands.
+/// Location of a VM, target or worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct Place {
-    /// Region.
+    /// Region that contains the availability zone.
     pub region: id::RegionId,
-    /// Availability zone in that region.
+    /// Availability zone; its id is unique in the cell.
     pub zone: id::AvailabilityZoneId,
 }
 
 impl Place {
-    /// Returns how far another place is.
+    /// Returns the distance to another place.
     pub const fn distance(&self, other: &Self) -> Distance {
         if self.zone == other.zone {
             Distance::Zone
@@ -28,7 +28,7 @@
     }
 }
 
-/// Class of the link between two places; nearest first.
+/// Distance between two places, ordered from nearest to farthest.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Distance {
@@ -40,21 +40,21 @@
     Remote,
 }
 
-/// A VM in the directory.
+/// Directory entry of a VM.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Vm {
-    /// This life of the daemon.
+    /// Id of the daemon on the VM.
     pub id: id::VmId,
-    /// Name that operators use.
+    /// Name of the VM, as used by operators.
     pub name: String,
-    /// Where it stands.
+    /// Location of the VM.
     pub place: Place,
-    /// Address for frames between daemons.
+    /// Address for messages between daemons.
     pub peer: SocketAddr,
     /// Address for callers, targets and workers.
     pub http: SocketAddr,
     /// Address for JSON-RPC calls.
     pub rpc: SocketAddr,
-    /// Whether it has a data folder.
+    /// Whether the daemon has a data folder, and thus durable state.
     pub durable: bool,
 }
--- a/crates/model/src/worker.rs
+++ b/crates/model/src/worker.rs
@@ -1,77 +1,78 @@
-//! Workers, as they register and report.
+//! Registrations and reports of workers.
 
 use serde::{Deserialize, Serialize};
 
 use crate::{id, resource, task};
 
-/// Most tasks that one report may name.
+/// Maximum number of tasks in one report.
 pub const MAX_TASKS_IN_REPORT: usize = 1024;
 
-/// A worker at registration.
+/// Registration of a worker.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Registration {
-    /// The worker.
+    /// Id of the worker.
     pub worker: id::WorkerId,
-    /// Life number; a later life replaces an earlier one.
+    /// Incarnation of the worker; a higher incarnation replaces a lower one.
     pub incarnation: id::Incarnation,
-    /// Rack in the availability zone.
+    /// Rack of the worker in its availability zone.
     pub rack: id::RackId,
-    /// What the worker has.
+    /// Resources of the worker.
     pub capacity: resource::Capacity,
 }
 
-/// A task that a worker runs at the time of a report.
+/// A task that runs on the worker at the time of a report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Running {
-    /// The task.
+    /// Task that runs.
     pub task: task::Ref,
-    /// Token of its lease.
+    /// Fencing token of its lease.
     pub token: id::Token,
-    /// Measured use.
+    /// Measured resource usage.
     pub usage: resource::Amount,
 }
 
 /// A task that ended since the last acknowledged report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Ended {
-    /// The task.
+    /// Task that ended.
     pub task: task::Ref,
-    /// Token of its lease.
+    /// Fencing token of its lease.
     pub token: id::Token,
-    /// How it ended.
+    /// Outcome of the run.
     pub outcome: task::Outcome,
 }
 
-/// A worker's periodic report, which also renews the leases of all its tasks.
+/// Periodic report of a worker, which also renews the leases of all its tasks.
 ///
-/// A report with a `base` names only what changed since that report: `running` holds the runs that began or whose use
-/// changed, and runs end only by an entry in `ended`. A run that is lost without an end needs a full report.
+/// A report with a `base` is a delta to that earlier report: `running` contains only the runs that started or whose
+/// usage changed, and a run ends only by an entry in `ended`. A run that disappears without such an entry requires a
+/// full report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(deny_unknown_fields)]
 pub struct Report {
-    /// The worker.
+    /// Id of the worker.
     pub worker: id::WorkerId,
-    /// Life number.
+    /// Incarnation of the worker.
     pub incarnation: id::Incarnation,
-    /// Number of the report in this life; earlier numbers are ignored.
+    /// Sequence number of the report in this incarnation; reports with lower numbers than the latest are ignored.
     pub sequence: u64,
-    /// Answered report that this one is a change of; none in a full report.
+    /// Acknowledged report that this one is a delta to; `None` in a full report.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub base: Option<u64>,
-    /// Tasks that run now, at most [`MAX_TASKS_IN_REPORT`]; with a base only those that changed.
+    /// Running tasks, at most [`MAX_TASKS_IN_REPORT`]; in a delta, only those that changed.
     pub running: Vec<Running>,
-    /// Tasks that ended; repeated until a reply acknowledges them.
+    /// Ended tasks; each is repeated until a reply acknowledges it.
     pub ended: Vec<Ended>,
 }
 
-/// Answer to a report.
+/// Reply to a report.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Reply {
-    /// Highest report number whose ended tasks are durably recorded.
+    /// Highest sequence number of a report whose ended tasks are durably recorded.
     pub acknowledged: u64,
-    /// Lease length from the time the report was sent, in milliseconds; tasks must stop when it runs out.
+    /// Lease duration from the time the report was sent, in milliseconds; tasks must stop when the lease expires.
     pub lease_ms: u64,
-    /// What to do, in order.
+    /// Directives to execute, in order.
     pub directives: Vec<task::Directive>,
 }
--- a/crates/rpc/src/command.rs
+++ b/crates/rpc/src/command.rs
@@ -1,18 +1,19 @@
-//! Command ids on the wire.
+//! Text encoding of command ids.
 
 use std::{fmt, str};
 
 use bronzespoke_model::id;
 use serde::{Deserialize, Serialize};
 
+/// Number of hexadecimal digits of a command id.
 const DIGITS: usize = 32;
 
-/// A command id. It travels as text of 32 hexadecimal digits, because JSON numbers do not hold 128 bits.
+/// A command id. It is encoded as a string of 32 hexadecimal digits, because JSON numbers do not hold 128 bits.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 #[serde(into = "String", try_from = "String")]
 pub struct Id(pub id::CommandId);
 
-/// A text that is not a command id.
+/// Error of parsing a text that is not a command id.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Malformed {
     text: String,
@@ -27,11 +28,11 @@
 impl str::FromStr for Id {
     type Err = Malformed;
 
-    /// Reads 1 to 32 hexadecimal digits.
+    /// Parses 1 to 32 hexadecimal digits.
     fn from_str(text: &str) -> Result<Self, Self::Err> {
-        let digits =
+        let well_formed =
             text.len() <= DIGITS && !text.is_empty() && text.bytes().all(|byte| byte.is_ascii_hexdigit());
-        let value = digits.then(|| u128::from_str_radix(text, 16).ok()).flatten();
+        let value = well_formed.then(|| u128::from_str_radix(text, 16).ok()).flatten();
         value.map(Self).ok_or_else(|| Malformed {
             text: text.chars().take(DIGITS * 2).collect(),
         })
--- a/crates/rpc/src/lib.rs
+++ b/crates/rpc/src/lib.rs
@@ -1,7 +1,7 @@
 //! The JSON-RPC interface between the daemon and the operators' command line.
 //!
-//! The package exists so that both sides compile the same method names and types. The daemon implements
-//! [`OperatorServer`]; a program holds a `jsonrpsee` HTTP client and calls [`OperatorClient`].
+//! The package defines the method names and types for both sides. The daemon implements [`OperatorServer`]; clients
+//! call [`OperatorClient`] on a `jsonrpsee` HTTP client.
 
 use bronzespoke_language::answer;
 use bronzespoke_model::vm;
@@ -11,22 +11,22 @@
 pub mod command;
 pub mod timeline;
 
-/// Methods that every daemon serves to operators.
+/// Methods that every daemon provides to operators.
 #[rpc(client, server, namespace = "operator")]
 pub trait Operator {
     /// Executes one statement of the operators' language.
     ///
-    /// A refused statement is an [`answer::Answer::Error`], not a JSON-RPC error, so that the answer of a command
-    /// can be stored and returned again to a resend. `command_id` is ignored for queries. A command without an id
-    /// receives one from the daemon, and cannot be resent safely.
+    /// A rejected statement yields an [`answer::Answer::Error`], not a JSON-RPC error, so that the answer to a command
+    /// can be stored and returned again when the command is resent. `command_id` is ignored for queries. A command
+    /// without an id gets one from the daemon and cannot be resent safely.
     #[method(name = "execute")]
     async fn execute(&self, line: String, command_id: Option<command::Id>) -> RpcResult<answer::Answer>;
 
-    /// Reads events of this process with sequence numbers greater than `after`, in order, at most `limit`.
+    /// Returns at most `limit` events of this process, in order, starting after the sequence number `after`.
     #[method(name = "timeline")]
     async fn timeline(&self, after: u64, limit: u32) -> RpcResult<timeline::Page>;
 
-    /// Returns the VMs in the directory as this process knows it.
+    /// Returns the VMs in the directory, as known to this process.
     #[method(name = "directory")]
     async fn directory(&self) -> RpcResult<Vec<vm::Vm>>;
 }
