--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -1,43 +1,45 @@
-//! Calls that this daemon passes to the leader and has not answered; without I/O.
+//! Calls that this daemon has forwarded to the leader and not answered yet; without I/O.
 //!
-//! Answers the time without a leader after a crash or a cut: a call waits a little for the next leader, which takes about
-//! a second, and is then refused with a time to come back, so that no caller is held until its own deadline.
+//! Handles the time without a leader after a crash or a network partition: a call waits a short time for the next
+//! leader, whose election takes about a second, and is then refused with a retry time, so that no caller is held until
+//! its own deadline.
 
 use std::{collections::BTreeMap, time::Duration};
 
 use bronzespoke_model::id;
 use bronzespoke_workload::call;
 
-/// A call that got no reply in this time is sent again; covers two ways between regions, a commit and a busy leader.
+/// A call without a reply for this long is resent; covers two one-way trips between regions, a commit and a busy
+/// leader.
 const RESEND_AFTER: Duration = Duration::from_millis(700);
-/// Pause before a call that a former leader sent back is sent to it once more.
+/// Pause before a call is resent to a daemon that rejected it because it does not lead.
 const REJECTED_PAUSE: Duration = Duration::from_millis(100);
-/// How long a call waits for a leader while none is known. A call that a lost leader got is then answered as of
-/// unknown fate, so that its caller repeats it.
+/// How long a call waits while no leader is known. A call that was sent to a leader that failed is then answered as of
+/// unknown outcome, so that its caller retries it.
 const LEADER_WAIT: Duration = Duration::from_millis(1_200);
-/// When a caller that found no leader may come back: an election takes up to 1.6 s.
+/// Retry time for callers that found no leader: an election takes up to 1.6 s.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
-/// Calls that may wait; further ones are refused.
+/// Upper bound on pending calls; further ones are refused.
 const MAX_PENDING: usize = 4_096;
 
-/// A call under way.
+/// A call in flight.
 #[derive(Debug)]
 pub struct Pending<R> {
-    /// Call.
+    /// Call to forward.
     pub call: call::Call,
     responder: R,
     begun: Duration,
     deadline: Duration,
     sent: Option<(id::VmId, Duration)>,
-    /// No sending before this time.
+    /// Not sent before this time.
     pause_until: Duration,
-    /// Multiple of the usual time after which it is sent again.
+    /// Multiple of `RESEND_AFTER` after which the call is resent.
     resend_factor: u32,
-    /// Whether every daemon that got it sent it back unexecuted.
+    /// Whether no copy of the call can have been executed: every daemon that received one rejected it.
     unexecuted: bool,
 }
 
-/// Calls under way. `R` is what takes the reply.
+/// Calls in flight. `R` receives the reply.
 #[derive(Debug)]
 pub struct Calls<R> {
     next: u64,
@@ -53,7 +55,7 @@
     }
 }
 
-/// Reply to a call that no leader took.
+/// Returns the reply to a call that no leader accepted.
 pub const fn no_leader() -> call::Reply {
     call::Reply::Refused {
         reason: call::Refusal::NoLeader,
@@ -62,7 +64,7 @@
 }
 
 impl<R> Calls<R> {
-    /// Adds a call; it is refused at once when too many wait.
+    /// Adds a call; it is refused immediately when too many are pending.
     pub fn add(
         &mut self,
         now: Duration,
@@ -88,11 +90,11 @@
         Ok(self.next)
     }
 
-    /// Takes a reply; returns who waits for it.
+    /// Handles a reply; returns the receiver and its reply, or `None` if the call is resent or has ended.
     pub fn reply(&mut self, now: Duration, number: u64, reply: call::Reply) -> Option<(R, call::Reply)> {
         if reply == call::Reply::NotLeader {
             if let Some(pending) = self.pending.get_mut(&number) {
-                // It was not taken there; the next leader gets it.
+                // The call was not executed there; the next leader gets it.
                 pending.sent = None;
                 pending.pause_until = now + REJECTED_PAUSE;
             }
@@ -100,7 +102,7 @@
         }
         let pending = self.pending.remove(&number)?;
         let is_refused = matches!(reply, call::Reply::Refused { .. });
-        // The leader may take another sending of the call after it has refused this one.
+        // The leader may execute another copy of the call after it has refused this one.
         let reply = if is_refused && !pending.unexecuted {
             call::Reply::Unknown
         } else {
@@ -113,14 +115,14 @@
     pub fn due(&mut self, now: Duration, leader: id::VmId) -> Vec<(u64, call::Call)> {
         let mut due = Vec::new();
         for (number, pending) in &mut self.pending {
-            let wanted = match pending.sent {
+            let is_due = match pending.sent {
                 None => now >= pending.pause_until,
                 Some((to, at)) => to != leader || now >= at + RESEND_AFTER * pending.resend_factor,
             };
-            if wanted {
-                // An earlier sending got no answer, so that its fate is not known.
+            if is_due {
+                // An earlier copy was not answered, so its outcome is unknown.
                 pending.unexecuted &= pending.sent.is_none();
-                // A leader that does not keep up must not get more and more copies.
+                // A leader that falls behind must not receive ever more copies.
                 if pending.sent.is_some_and(|(to, _)| to == leader) {
                     pending.resend_factor *= 2;
                 }
@@ -131,16 +133,16 @@
         due
     }
 
-    /// Takes out the calls whose time is over, each with its reply.
+    /// Removes the calls that have expired and returns each with its reply.
     pub fn expired(&mut self, now: Duration, has_leader: bool) -> Vec<(R, call::Reply)> {
-        let over = |pending: &Pending<R>| {
-            let stranded = !has_leader && now >= pending.begun + LEADER_WAIT;
-            stranded || now >= pending.deadline
+        let is_expired = |pending: &Pending<R>| {
+            let is_leaderless = !has_leader && now >= pending.begun + LEADER_WAIT;
+            is_leaderless || now >= pending.deadline
         };
         let numbers: Vec<u64> = self
             .pending
             .iter()
-            .filter(|(_, pending)| over(pending))
+            .filter(|(_, pending)| is_expired(pending))
             .map(|(number, _)| *number)
             .collect();
         let mut expired = Vec::new();
@@ -148,7 +150,7 @@
             let Some(pending) = self.pending.remove(&number) else {
                 continue;
             };
-            // A call that was sent may have been taken, whatever happened to its reply.
+            // A call that was sent may have been executed even if its reply was lost.
             let reply = if pending.sent.is_none() && pending.unexecuted {
                 no_leader()
             } else {
@@ -159,12 +161,12 @@
         expired
     }
 
-    /// Number of calls that wait.
+    /// Returns the number of pending calls.
     pub fn len(&self) -> usize {
         self.pending.len()
     }
 
-    /// Tells whether no call waits.
+    /// Returns whether no call is pending.
     pub fn is_empty(&self) -> bool {
         self.pending.is_empty()
     }
--- a/crates/daemon/src/fleet/client.rs
+++ b/crates/daemon/src/fleet/client.rs
@@ -1,4 +1,4 @@
-//! Calls to workers and to the eligibility service over kept connections.
+//! HTTP client for workers and the eligibility service, with persistent connections.
 
 use std::{
     collections::HashMap,
@@ -14,9 +14,9 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time};
 
-/// Longest wait for a connection: two ways between regions and a lost packet.
+/// Longest wait for a connection: two one-way trips between regions and a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
-/// Idle connections kept for each address. One carries the report; a burst of starts needs more only for a moment, and each
+/// Idle connections kept for each address. One carries the report; a burst of starts needs more only briefly, and each
 /// costs memory.
 const MAX_IDLE: usize = 8;
 /// Largest answer: 500 ends and the runs of one worker.
@@ -27,23 +27,23 @@
 
 type Sender = http1::SendRequest<Full<Bytes>>;
 
-/// Client with kept connections.
+/// Client with persistent connections.
 #[derive(Debug, Clone, Default)]
 pub struct Client {
     idle: Arc<Mutex<HashMap<SocketAddr, Vec<Sender>>>>,
 }
 
-/// Why there is no answer.
+/// Reason for a missing answer.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Error {
     /// No connection was made; the request was not sent.
     NotSent,
-    /// The request may have been carried out.
+    /// The request may have been executed.
     NoAnswer,
 }
 
 impl Client {
-    /// Sends a request and waits for its whole answer.
+    /// Sends a request and waits for the complete answer.
     pub async fn call(
         &self,
         address: SocketAddr,
@@ -66,14 +66,14 @@
             }
             Ok(Err(error)) => Err(error),
             Err(_elapsed) => {
-                // Connections of the same age may be silent as well.
+                // Other connections to this address may be silent as well.
                 self.close(address);
                 Err(Error::NoAnswer)
             }
         }
     }
 
-    /// Closes the kept connections to an address.
+    /// Closes the idle connections to an address.
     pub fn close(&self, address: SocketAddr) {
         self.lock().remove(&address);
     }
@@ -101,7 +101,7 @@
             .handshake(TokioIo::new(stream))
             .await
             .ok()?;
-        // A fault of the connection also reaches the call that uses it.
+        // An error of the connection also reaches the call that uses it.
         tokio::spawn(async move { drop(connection.await) });
         Some(sender)
     }
@@ -132,7 +132,7 @@
 async fn exchange(sender: &mut Sender, request: Request<Full<Bytes>>) -> Result<(StatusCode, Bytes), Error> {
     let response = match sender.try_send_request(request).await {
         Ok(response) => response,
-        // A request that comes back was not written.
+        // A request that is returned with the error was not written.
         Err(error) if error.message().is_some() => return Err(Error::NotSent),
         Err(_error) => return Err(Error::NoAnswer),
     };
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -1,4 +1,4 @@
-//! The actor on the control thread.
+//! The actor on the control thread, which owns all state of the daemon.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -20,66 +20,66 @@
     identity, peer,
 };
 
-/// Time between two updates of the daemon's gauges.
+/// Interval at which the gauges of the daemon are updated.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time between two ticks.
 const LONGEST_TICK: Duration = Duration::from_millis(50);
-/// Shortest time between two ticks, which bounds the work of timers.
+/// Shortest time between two ticks; limits the work that timers cause.
 const SHORTEST_TICK: Duration = Duration::from_millis(2);
 /// How long a command waits for others to share its log entry.
 pub(super) const COMMAND_DELAY: Duration = Duration::from_millis(2);
 
-/// Who waits for the outcome of a command.
+/// Receiver of the outcome of a command.
 #[derive(Debug)]
 pub enum Responder {
-    /// Nobody.
+    /// Nobody; the command was not issued by a call.
     Nobody,
-    /// A call of this daemon.
+    /// A caller that is connected to this daemon.
     Local(oneshot::Sender<call::Reply>),
-    /// A call that another daemon passed on.
+    /// A call that another daemon forwarded.
     Remote {
-        /// That daemon.
+        /// Daemon that forwarded the call.
         endpoint: wire::Endpoint,
-        /// Its number of the call.
+        /// Number of the call at that daemon.
         number: u64,
     },
 }
 
-/// A command that waits for its proposal or its commit.
+/// A command that waits to be proposed or committed.
 #[derive(Debug)]
 pub struct Pending {
-    /// Command.
+    /// Command to apply.
     pub command: cell::Command,
-    /// Who waits.
+    /// Receiver of the outcome.
     pub responder: Responder,
 }
 
-/// What the control thread starts from.
+/// Arguments with which the control thread starts.
 #[derive(Debug)]
 pub struct Start {
-    /// Settings.
+    /// Settings of the process.
     pub settings: settings::Settings,
     /// Links to other daemons.
     pub network: peer::Network,
-    /// Orders and questions.
+    /// Sends directives and eligibility queries.
     pub sender: sender::Sender,
     /// Whether the balancer may send callers here.
     pub ready: watch::Sender<bool>,
-    /// Start of the process.
+    /// Start of the process; zero of the monotonic clock.
     pub origin: Instant,
-    /// Messages between members of the group, which go before all others.
+    /// Frames that are handled before all other messages.
     pub urgent: Urgent,
 }
 
-/// Frames that go before all other messages: a heartbeat that waits behind calls costs the leader its lease, just when
-/// calls are many.
+/// Frames of the consensus group, which are handled before all other messages: a heartbeat queued behind calls would
+/// cost the leader its lease exactly when it has many calls to serve.
 pub type Urgent = Arc<Mutex<VecDeque<peer::wire::Frame>>>;
 
-/// The actor type; its state is the controller.
+/// Actor of the control thread; its state is the controller.
 #[derive(Debug)]
 pub struct Control;
 
-/// Owner of all control state.
+/// All control state of the daemon.
 #[derive(Debug)]
 pub struct Controller {
     pub(super) settings: settings::Settings,
@@ -103,7 +103,7 @@
     pub(super) ready: watch::Sender<bool>,
     pub(super) hello_at: Duration,
     metrics_at: Duration,
-    /// How long the newest frame or call waited for this thread.
+    /// How long the newest frame or call was queued for this thread.
     pub(super) lag: Duration,
     pub(super) reopen_at: Duration,
     pub(super) origin: Instant,
@@ -202,12 +202,12 @@
         Ok(controller)
     }
 
-    /// Time since the start of the process, on the monotonic clock.
+    /// Returns the time since the start of the process on the monotonic clock.
     pub(super) fn now(&self) -> Duration {
         self.origin.elapsed()
     }
 
-    /// Both clocks.
+    /// Returns the time of the monotonic and of the wall clock.
     pub(super) fn times(&self) -> dispatch::Now {
         dispatch::Now {
             steady: self.now(),
@@ -215,7 +215,7 @@
         }
     }
 
-    /// Sends a frame to a daemon.
+    /// Sends a frame to a daemon, which drops it if its incarnation is another one.
     pub(super) fn send(&self, to: wire::Endpoint, body: peer::wire::Body) {
         self.send_frame(to.peer, Some(to.vm), body);
     }
@@ -265,7 +265,7 @@
             Message::Disk(done) => self.persisted(&done),
             Message::Settings(settings) => self.reload(*settings),
             Message::TransferLeadership => self.transfer_leadership(),
-            // Urgent frames were taken before, and a stop ends the actor.
+            // Urgent frames were handled before this message, and a stop ends the actor.
             Message::Urgent | Message::Stop => {}
         }
     }
@@ -274,7 +274,7 @@
         self.member.as_ref().is_some_and(|member| member.holds_lease(now))
     }
 
-    /// Does everything that time or the last message made due.
+    /// Performs all work that became due by the passage of time or by the last message.
     fn advance(&mut self) {
         let now = self.now();
         self.send_hello(now);
@@ -286,20 +286,20 @@
         self.propose_batch(now);
         self.take_events();
         self.send_answers(now);
-        self.pass_calls(now);
+        self.forward_calls(now);
         self.reconcile_membership(now);
         self.reopen(now);
         self.publish_ready(now);
         self.publish_state(now);
     }
 
-    /// Answers whoever waits.
+    /// Sends a reply to the receiver of an outcome.
     pub(super) fn respond(&mut self, responder: Responder, reply: call::Reply) {
         match responder {
             Responder::Nobody => {}
             Responder::Local(sender) => answer(sender, reply),
             Responder::Remote { endpoint, number } => {
-                // The requester sends a call of unknown fate again by itself.
+                // The daemon that forwarded a call of unknown outcome resends it by itself.
                 if reply != call::Reply::Unknown {
                     let message = wire::Message::Reply { number, reply };
                     self.send(endpoint, peer::wire::Body::Fleet(message));
@@ -319,8 +319,8 @@
         }
     }
 
-    /// Passes calls to the leader and gives up those whose time is over.
-    fn pass_calls(&mut self, now: Duration) {
+    /// Forwards calls to the leader and replies to those that have expired.
+    fn forward_calls(&mut self, now: Duration) {
         if let Some((term, endpoint)) = self.own_leader(now) {
             self.record_leader(now, term, endpoint);
         }
@@ -392,7 +392,7 @@
         let wake = wake.max(now + SHORTEST_TICK);
         if self.tick_at.is_none_or(|planned| wake + SHORTEST_TICK < planned) {
             self.tick_at = Some(wake);
-            // The handle of the timer task is not needed; the timer ends by itself.
+            // The handle of the timer task is not needed: the timer ends by itself.
             drop(
                 self.actor
                     .send_after(wake.saturating_sub(now), move || Message::Tick(wake)),
@@ -401,7 +401,7 @@
     }
 }
 
-/// Sends a reply to a connection; a caller that has left takes none.
+/// Sends a reply to a connection; it is dropped if the caller has disconnected.
 pub(super) fn answer(responder: oneshot::Sender<call::Reply>, reply: call::Reply) {
     if let Err(reply) = responder.send(reply) {
         log::debug!("decision=drop_reply reason=caller_gone reply={reply:?}");
--- a/crates/daemon/src/fleet/directives.rs
+++ b/crates/daemon/src/fleet/directives.rs
@@ -1,4 +1,4 @@
-//! Orders on their way: by this daemon's own calls, or through the daemon that carries them.
+//! Sends directives to workers, by own calls or through relays, and handles their answers.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
 };
 
 impl Controller {
-    /// Sends an directive of this leader.
+    /// Sends a directive that this leader issued.
     pub(super) fn send_directive(
         &mut self,
         decided: Duration,
@@ -44,7 +44,7 @@
         }
     }
 
-    /// Sends the directives that wait for their frames.
+    /// Sends the frames with the directives for relays.
     pub(super) fn flush_relays(&mut self) {
         let Some(token) = self.dispatch.as_ref().map(Dispatch::token) else {
             return;
@@ -55,7 +55,7 @@
         }
     }
 
-    /// Chooses the relays anew and gives up directives whose answers will not come.
+    /// Selects the relays and expires directives whose answers will not arrive.
     pub(super) fn update_relays(&mut self, now: Duration) {
         let workers = self
             .dispatch
@@ -67,7 +67,7 @@
         }
     }
 
-    /// Carries directives of another leader.
+    /// Sends directives to workers as the relay of a leader.
     pub(super) fn relay_directives(
         &self,
         leader: wire::Endpoint,
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Takes answers that another daemon got; those to directives of a former term change nothing.
+    /// Handles answers from a relay; answers from a former term are ignored.
     pub(super) fn receive_answers(&mut self, token: directive::Token, answers: Vec<wire::Answered>) {
         if self.dispatch.as_ref().map(Dispatch::token) != Some(token) {
             return;
@@ -99,7 +99,7 @@
         }
     }
 
-    /// Takes a worker's answer to an directive that this daemon sent.
+    /// Handles the answer of a worker to a directive that this daemon sent.
     pub(super) fn directive_answered(
         &mut self,
         origin: relay::Origin,
@@ -119,14 +119,14 @@
         }
     }
 
-    /// Returns the answers that are due to the leaders that gave the directives.
+    /// Sends the answers that are due to the leaders that issued the directives.
     pub(super) fn send_answers(&mut self, now: Duration) {
         for (leader, message) in self.relay_answers.take_frames(now) {
             self.send(leader, peer::wire::Body::Fleet(message));
         }
     }
 
-    /// An answer to an directive of a former term changes nothing.
+    /// Applies an answer; answers to directives of a former term are ignored.
     fn apply_answer(
         &mut self,
         decision: relay::Decision,
--- a/crates/daemon/src/fleet/discovery.rs
+++ b/crates/daemon/src/fleet/discovery.rs
@@ -1,4 +1,4 @@
-//! Which daemons are reachable, and which one leads; without I/O.
+//! Tracks which daemons are reachable and which one leads; without I/O.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,20 +10,20 @@
 
 use crate::fleet::wire::Endpoint;
 
-/// Time between two announcements to a daemon that is reachable.
+/// Interval of announcements to a daemon while a leader is known.
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
-/// The same while no leader is known.
+/// Interval of announcements while no leader is known.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
-/// A daemon that was not heard for this long is not reachable: two announcements in a row were lost.
+/// A daemon without contact for this long counts as unreachable: two announcements in a row were lost.
 const REACHABLE_TIMEOUT: Duration = Duration::from_millis(1_300);
-/// A daemon with a disk that was not heard for this long carries no orders; members of the group are heard several times in
-/// this time, and each order that goes to a lost daemon delays its task.
+/// A daemon with a disk without contact for this long is not used as a relay. Members of the group are in contact
+/// several times within this period, and each directive sent to a failed daemon delays its task.
 const RELAY_TIMEOUT: Duration = Duration::from_millis(700);
-/// A connection without word for this long is made anew; it may be silent for good.
+/// A connection without contact for this long is reopened, since it may stay silent permanently.
 const RECONNECT_AFTER: Duration = Duration::from_millis(1_600);
-/// A leader that has not said so for this long is not believed to lead any more.
+/// A leader that has not confirmed its role for this long is not assumed to lead any more.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Addresses without a sign of life for this long are forgotten, unless they are seeds.
+/// Addresses without contact for this long are forgotten, unless they are seeds.
 const FORGET_AFTER: Duration = Duration::from_mins(1);
 
 #[derive(Debug, Clone, Default)]
@@ -31,21 +31,21 @@
     vm: Option<id::VmId>,
     durable: bool,
     zone: Option<String>,
-    heard: Option<Duration>,
+    last_contact: Option<Duration>,
     hello_sent: Option<Duration>,
-    reset: Duration,
+    reset_at: Duration,
 }
 
-/// What has to be sent.
+/// Announcements that are due.
 #[derive(Debug, Default, PartialEq, Eq)]
 pub struct Actions {
     /// Addresses that get an announcement.
     pub hello: Vec<SocketAddr>,
-    /// Addresses whose connection is to be made anew first.
+    /// Addresses whose connection has to be reopened before that.
     pub reset: Vec<SocketAddr>,
 }
 
-/// Daemons of the cell as this one sees them.
+/// The daemons of the cell as this one sees them.
 #[derive(Debug)]
 pub struct Discovery {
     me: SocketAddr,
@@ -55,7 +55,7 @@
 }
 
 impl Discovery {
-    /// Knows the seeds only.
+    /// Returns a table that holds the seeds only.
     pub fn new(me: SocketAddr, seeds: &[SocketAddr]) -> Self {
         let mut discovery = Self {
             me,
@@ -67,7 +67,7 @@
         discovery
     }
 
-    /// Replaces the seeds; daemons that are known stay known.
+    /// Replaces the seeds; daemons that are already known are kept.
     pub fn set_seeds(&mut self, seeds: &[SocketAddr]) {
         self.seeds = seeds.iter().copied().filter(|seed| *seed != self.me).collect();
         for seed in &self.seeds {
@@ -75,31 +75,32 @@
         }
     }
 
-    /// Notes a frame from a daemon. `durable` is told by announcements only.
+    /// Records a frame from a daemon. `durable` is known from announcements only.
     pub fn record_contact(&mut self, now: Duration, endpoint: Endpoint, durable: Option<bool>) {
         if endpoint.peer == self.me {
             return;
         }
         let peer = self.peers.entry(endpoint.peer).or_default();
         peer.vm = Some(endpoint.vm);
-        peer.heard = Some(now);
+        peer.last_contact = Some(now);
         if let Some(durable) = durable {
             peer.durable = durable;
         }
     }
 
-    /// Notes the availability zone that a daemon announced.
+    /// Records the availability zone that a daemon announced.
     pub fn record_zone(&mut self, endpoint: Endpoint, zone: String) {
         if let Some(peer) = self.peers.get_mut(&endpoint.peer) {
             peer.zone = Some(zone);
         }
     }
 
-    /// Daemons with a disk that were heard just now, and the availability zone of each.
+    /// Returns the daemons that can act as relays, with the availability zone of each.
     pub fn relays(&self, now: Duration) -> Vec<(Endpoint, String)> {
         let fresh = |peer: &&Peer| {
-            let heard = peer.heard;
-            peer.durable && heard.is_some_and(|heard| now.saturating_sub(heard) <= RELAY_TIMEOUT)
+            let last_contact = peer.last_contact;
+            peer.durable
+                && last_contact.is_some_and(|last_contact| now.saturating_sub(last_contact) <= RELAY_TIMEOUT)
         };
         let peers = self.peers.iter().filter(|(_, peer)| fresh(peer));
         peers
@@ -113,7 +114,7 @@
             .collect()
     }
 
-    /// Learns addresses of daemons with a disk.
+    /// Records daemons with a disk that another daemon named.
     pub fn learn(&mut self, endpoints: &[Endpoint]) {
         for endpoint in endpoints.iter().filter(|endpoint| endpoint.peer != self.me) {
             let peer = self.peers.entry(endpoint.peer).or_default();
@@ -122,7 +123,7 @@
         }
     }
 
-    /// Notes who leads. An older term never replaces a newer one while that one is fresh.
+    /// Records the leader. An older term does not replace a newer one that has not timed out.
     pub fn record_leader(&mut self, now: Duration, term: u64, leader: Endpoint) {
         let newer = self
             .leader
@@ -132,32 +133,32 @@
         }
     }
 
-    /// Forgets a leader that said that it does not lead.
+    /// Forgets a leader that replied that it does not lead.
     pub fn clear_leader(&mut self, vm: id::VmId) {
         if self.leader.is_some_and(|(_, endpoint, _)| endpoint.vm == vm) {
             self.leader = None;
         }
     }
 
-    /// The leader, while it is fresh.
+    /// Returns the leader, unless its last confirmation has timed out.
     pub fn leader(&self, now: Duration) -> Option<Endpoint> {
         let (_, endpoint, at) = self.leader?;
         (now.saturating_sub(at) <= LEADER_TIMEOUT).then_some(endpoint)
     }
 
-    /// Daemons that were heard lately.
+    /// Returns the reachable daemons, each with whether it has a disk.
     pub fn reachable(&self, now: Duration) -> impl Iterator<Item = (Endpoint, bool)> + '_ {
         self.peers.iter().filter_map(move |(address, peer)| {
-            let heard = peer.heard?;
+            let last_contact = peer.last_contact?;
             let endpoint = Endpoint {
                 vm: peer.vm?,
                 peer: *address,
             };
-            (now.saturating_sub(heard) <= REACHABLE_TIMEOUT).then_some((endpoint, peer.durable))
+            (now.saturating_sub(last_contact) <= REACHABLE_TIMEOUT).then_some((endpoint, peer.durable))
         })
     }
 
-    /// Known daemons with a disk.
+    /// Returns the known daemons with a disk, reachable or not.
     pub fn durable(&self) -> Vec<Endpoint> {
         let endpoints = self.peers.iter().filter(|(_, peer)| peer.durable);
         endpoints
@@ -170,16 +171,18 @@
             .collect()
     }
 
-    /// Address of a daemon.
+    /// Returns the address of a daemon.
     pub fn address(&self, vm: id::VmId) -> Option<SocketAddr> {
         let found = self.peers.iter().find(|(_, peer)| peer.vm == Some(vm));
         found.map(|(address, _)| *address)
     }
 
-    /// When a daemon was last heard.
+    /// Returns when a daemon was last in contact.
     pub fn last_contact(&self, vm: id::VmId) -> Option<Duration> {
         let mut peers = self.peers.values();
-        peers.find(|peer| peer.vm == Some(vm)).and_then(|peer| peer.heard)
+        peers
+            .find(|peer| peer.vm == Some(vm))
+            .and_then(|peer| peer.last_contact)
     }
 
     /// Returns the announcements that are due: to seeds and daemons with a disk.
@@ -187,8 +190,8 @@
         let seeds = &self.seeds;
         self.peers.retain(|address, peer| {
             let fresh = peer
-                .heard
-                .is_none_or(|heard| now.saturating_sub(heard) < FORGET_AFTER);
+                .last_contact
+                .is_none_or(|last_contact| now.saturating_sub(last_contact) < FORGET_AFTER);
             fresh || seeds.contains(address)
         });
         let interval = match self.leader(now) {
@@ -197,14 +200,14 @@
         };
         let mut actions = Actions::default();
         for (address, peer) in &mut self.peers {
-            let wanted = peer.durable || seeds.contains(address);
-            let due = peer.hello_sent.is_none_or(|said| now >= said + interval);
-            if !wanted || !due {
+            let is_target = peer.durable || seeds.contains(address);
+            let due = peer.hello_sent.is_none_or(|sent| now >= sent + interval);
+            if !is_target || !due {
                 continue;
             }
-            let silent = now.saturating_sub(peer.heard.unwrap_or_default().max(peer.reset));
+            let silent = now.saturating_sub(peer.last_contact.unwrap_or_default().max(peer.reset_at));
             if silent > RECONNECT_AFTER {
-                peer.reset = now;
+                peer.reset_at = now;
                 actions.reset.push(*address);
             }
             peer.hello_sent = Some(now);
--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -13,7 +13,7 @@
     peer,
 };
 
-/// Time between two looks at which announcements are due.
+/// Interval at which due announcements are checked.
 const HELLO_CHECK: Duration = Duration::from_millis(50);
 
 impl Controller {
@@ -45,7 +45,7 @@
                 }
             }
             peer::wire::Body::Fleet(message) => self.receive_fleet(now, from, message),
-            // Frames of another kind of cell; a wrong seed can lead here.
+            // Frame of another kind of cell; a wrong seed can cause this.
             _ => log::debug!("decision=drop_frame peer={} reason=kind", from.peer),
         }
     }
@@ -112,7 +112,7 @@
         self.send(to, peer::wire::Body::Fleet(message));
     }
 
-    /// Leader that this member's replica knows, and its term.
+    /// Returns the leader that this member's replica knows, and its term.
     pub(super) fn own_leader(&self, now: Duration) -> Option<(u64, wire::Endpoint)> {
         let replica = self.member.as_ref()?.replica();
         let leader = replica.leader()?;
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -23,58 +23,58 @@
 
 use crate::fleet::{Message, metric};
 
-/// Largest body; a configuration with many routes is the largest that is sent.
+/// Largest request body; the largest ones are configurations with many routes.
 const MAX_BODY_BYTES: usize = 4 << 20;
 /// Time for the headers of a request to arrive.
 const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time for the body of a request to arrive.
 const BODY_TIMEOUT: Duration = Duration::from_secs(5);
-/// How long a caller waits that does not say so.
+/// Timeout of callers that do not give one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
-/// A reply has to reach the caller before its deadline; one way to a client takes up to 3 ms and both ends are busy.
+/// A reply has to reach the caller before its deadline: one way to a client takes up to 3 ms, and both ends are busy.
 const REPLY_MARGIN: Duration = Duration::from_millis(100);
-/// How long operators and workers wait before they turn to another daemon.
+/// How long operators and workers wait before they try another daemon.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(900);
 /// Open connections of one listener; further ones wait in the backlog.
 const MAX_CONNECTIONS: usize = 3_000;
-/// Pause after a failed accept, such as one without free file descriptors.
+/// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// What a listener serves.
+/// Who uses a listener.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
-    /// Callers.
+    /// Callers that submit and inspect jobs.
     Entry,
-    /// The balancer's probes.
+    /// The balancer, which probes readiness.
     Readiness,
     /// Operators and workers.
     Control,
-    /// Metrics.
+    /// Collectors of metrics.
     Metrics,
 }
 
-/// Shared by all listeners.
+/// State that all listeners share.
 #[derive(Clone)]
 pub struct Context {
-    /// Control thread.
+    /// The control thread, which serves the calls.
     pub control: ActorRef<Message>,
-    /// Platform.
+    /// Decoder and encoder of the platform's interface.
     pub adapter: Arc<dyn adapter::Adapter>,
-    /// Whether callers may come.
+    /// Whether the balancer may send callers here.
     pub ready: watch::Receiver<bool>,
-    /// Cancelled when connections are to be closed after their current request.
+    /// Cancelled when connections have to be closed after their current request.
     pub closing: CancellationToken,
-    /// Connections that are open.
+    /// Tracks the open connections.
     pub tracker: TaskTracker,
-    /// Renders metrics.
+    /// Renders the metrics as text.
     pub metrics: bronzespoke_gateway::server::MetricsRenderer,
 }
 
-/// Accepts connections until the listener is dropped or `stop` is cancelled.
+/// Accepts connections until `stop` is cancelled.
 pub async fn serve(context: Context, kind: Kind, listener: TcpListener, stop: CancellationToken) {
-    let room = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
     loop {
-        let Ok(permit) = Arc::clone(&room).acquire_owned().await else {
+        let Ok(permit) = Arc::clone(&slots).acquire_owned().await else {
             return;
         };
         let accepted = tokio::select! {
@@ -163,7 +163,7 @@
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
-        let reason = format!("the body did not arrive whole, or is over {MAX_BODY_BYTES} bytes");
+        let reason = format!("request body incomplete or larger than {MAX_BODY_BYTES} bytes");
         return context.adapter.error(&adapter::Error::Content(reason));
     };
     let body = body.to_bytes();
@@ -173,9 +173,9 @@
     };
     let call = match decoded {
         Ok(call) => call,
-        Err(fault) => {
-            log::info!("decision=refuse path={} reason=\"{fault:?}\"", head.uri.path());
-            return context.adapter.error(&fault);
+        Err(error) => {
+            log::info!("decision=refuse path={} reason=\"{error:?}\"", head.uri.path());
+            return context.adapter.error(&error);
         }
     };
     let timeout = match kind {
@@ -197,7 +197,7 @@
     }
     let reply = match time::timeout(timeout + REPLY_MARGIN / 2, reply).await {
         Ok(Ok(reply)) => reply,
-        // The call may have been taken.
+        // The call may have been executed.
         Ok(Err(_)) | Err(_) => call::Reply::Unknown,
     };
     context.adapter.reply(&reply)
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -1,4 +1,4 @@
-//! What the leader does: serves calls, carries out decisions.
+//! Work of the leader: serves calls and executes scheduling decisions.
 
 use std::time::Duration;
 
@@ -17,18 +17,18 @@
     peer,
 };
 
-/// When a caller whose job does not fit any worker may come back: workers come and go over minutes.
+/// Retry time for a caller whose job does not fit any worker: workers join and leave over minutes.
 const NO_ROOM_RETRY: Duration = Duration::from_secs(30);
 
-/// When a caller may come back whose job was refused because the leader does not keep up: the messages that wait are done
-/// in about this time once no jobs are added.
+/// Retry time for a caller whose job was refused because the leader falls behind: the queued messages are handled
+/// within about this time once no jobs are added.
 const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
 
-/// Time between two looks at which VMs may ask the eligibility service.
+/// Interval at which the proxies for eligibility queries are selected.
 const PROXIES_INTERVAL: Duration = Duration::from_millis(100);
 
 impl Controller {
-    /// Begins or ends a term.
+    /// Begins or ends a term when the role of the replica has changed.
     pub(super) fn update_leadership(&mut self) {
         let term = self.member.as_ref().and_then(super::member::Member::leading_term);
         let token = self.dispatch.as_ref().map(Dispatch::token);
@@ -69,7 +69,7 @@
         }
     }
 
-    /// Lets the leader's timers run and carries out what it decided.
+    /// Advances the scheduler to the current time and executes its decisions.
     pub(super) fn run_dispatch(&mut self) {
         let now = self.times();
         if self.dispatch.is_none() || !self.holds_lease(now.steady) {
@@ -97,7 +97,7 @@
         self.flush_relays();
     }
 
-    /// VMs that may ask the eligibility service: all that are reachable, and this one.
+    /// Returns the VMs that can query the eligibility service: all that are reachable, and this one.
     fn proxies(&self, now: Duration) -> Vec<bronzespoke_model::id::VmId> {
         if self.settings.advice.is_none() {
             return Vec::new();
@@ -136,7 +136,7 @@
         }
     }
 
-    /// Returns the answer of the eligibility service to whoever wanted to know.
+    /// Passes an answer of the eligibility service to the daemon that issued the query.
     pub(super) fn query_answered(
         &mut self,
         requester: wire::Endpoint,
@@ -220,7 +220,7 @@
         }
     }
 
-    /// Finds the queue and the team of a call.
+    /// Returns the queue and the team of a call.
     fn route(&self, call: &call::Job) -> Result<(catalog::Queue, Option<String>), call::Reply> {
         let Some(catalog) = self.state.catalog() else {
             return Err(refused(call::Refusal::NoConfiguration, Duration::from_secs(1)));
@@ -270,7 +270,7 @@
         }
     }
 
-    /// Returns a job that a team may see.
+    /// Returns a job if the team may see it.
     fn visible(&self, key: job::Key, team: Option<&str>) -> Option<&cell::Job> {
         let job = self.state.job(key)?;
         (job.team.is_none() || job.team.as_deref() == team).then_some(job)
@@ -289,7 +289,7 @@
             self.respond(responder, call::Reply::Done);
             return;
         }
-        // A submission whose first sending is being committed must not be refused.
+        // A submission whose first copy is being committed must not be refused.
         let is_known = admission::is_behind(self.lag) && self.is_submitting(key);
         let lag = if is_known { Duration::ZERO } else { self.lag };
         if let Err(reason) = admission::admit(&self.state, queue, &submission, lag) {
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -1,4 +1,4 @@
-//! The replica of the cell's group in this process, with its disk and the commands that wait for their commit.
+//! The replica of the cell's group in this process, with its disk and the proposals that wait for their commit.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -12,16 +12,16 @@
 
 use crate::disk;
 
-/// Group of the cell.
+/// Consensus group of the cell.
 pub const GROUP: id::GroupId = id::GroupId::Root;
-/// Entries after which a snapshot is made and the log is cut.
+/// Number of entries after which a snapshot is taken and the log is truncated.
 const ENTRIES_PER_SNAPSHOT: u64 = 16_384;
-/// Bytes of commands after which a snapshot is made and the log is cut.
+/// Bytes of commands after which a snapshot is taken and the log is truncated.
 const BYTES_PER_SNAPSHOT: usize = 12 << 20;
-/// Entries before a snapshot that stay for members that are a little behind; they cost memory.
+/// Entries before a snapshot that are retained for members that lag slightly; they cost memory.
 const RETAINED_ENTRIES: u64 = 1_024;
 
-/// What the owner of the state has to do, in order.
+/// What the owner of the state has to do, in this order.
 #[derive(Debug)]
 pub enum Event {
     /// Apply a committed entry.
@@ -30,17 +30,17 @@
     Committed {
         /// Number of the proposal.
         proposal: u64,
-        /// Index.
+        /// Log index of the entry.
         index: u64,
     },
     /// A proposal failed.
     Rejected {
         /// Number of the proposal.
         proposal: u64,
-        /// Whether it will never be committed.
+        /// Whether it is certain that the proposal is never committed.
         never: bool,
     },
-    /// Replace the state.
+    /// Replace the state by a snapshot.
     Install(snapshot::Snapshot),
     /// Send a message to another member.
     Send(id::VmId, message::Message),
@@ -63,8 +63,8 @@
 }
 
 impl Member {
-    /// Opens the durable state. `found` gives the first members when nothing is stored and the system starts for the
-    /// first time.
+    /// Opens the durable state. `found` gives the first members if nothing is stored and the cell starts for the first
+    /// time.
     pub fn open(
         vm: id::VmId,
         folder: &Path,
@@ -73,8 +73,8 @@
         now: Duration,
     ) -> Result<Self, bronzespoke_storage::Error> {
         let mut config = replica::Config::new(vm, GROUP, rand::random());
-        // Reads are answered by a leader only, after an entry of its own term, so that the applied index need not
-        // survive a restart; storing it would cost one more sync for each commit.
+        // Only a leader answers reads, after an entry of its own term, so the applied index need not survive a restart;
+        // storing it would cost one more sync for each commit.
         config.store_commit = false;
         config.retained_entries = RETAINED_ENTRIES;
         let entry_bytes = config.max_entry_bytes;
@@ -94,7 +94,7 @@
         })
     }
 
-    /// Removes the durable state of a member that its group has removed for good.
+    /// Deletes the durable state of a member that its group has removed permanently.
     pub fn discard(folder: &Path) -> std::io::Result<()> {
         match std::fs::remove_dir_all(bronzespoke_storage::Store::folder(folder, GROUP)) {
             Err(error) if error.kind() != std::io::ErrorKind::NotFound => Err(error),
@@ -102,8 +102,8 @@
         }
     }
 
-    /// Proposes commands in as many entries as their size needs; returns the number of each entry's proposal and the
-    /// count of its commands.
+    /// Proposes commands in as many entries as their size needs; returns the number of each proposal and its count of
+    /// commands.
     pub fn propose(
         &mut self,
         now: Duration,
@@ -120,14 +120,14 @@
         proposals
     }
 
-    /// Proposes a change of the members; its outcome shows in the status.
+    /// Proposes a membership change; its outcome is visible in the status.
     pub fn change(&mut self, now: Duration, change: membership::Change, events: &mut VecDeque<Event>) {
         self.next_proposal += 1;
         let id = self.next_proposal;
         self.step(now, replica::Input::ChangeMembership { id, change }, events);
     }
 
-    /// Takes the result of a write.
+    /// Handles the result of a write.
     pub fn persisted(&mut self, now: Duration, done: &disk::Done, events: &mut VecDeque<Event>) {
         let input = match &done.result {
             Ok(through) => replica::Input::Persisted { through: *through },
@@ -140,7 +140,7 @@
         self.step(now, input, events);
     }
 
-    /// Feeds one input.
+    /// Feeds one input to the replica and handles the outputs.
     pub fn step(&mut self, now: Duration, input: replica::Input, events: &mut VecDeque<Event>) {
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
@@ -223,24 +223,24 @@
         );
     }
 
-    /// Term in which this member leads with all earlier entries applied, whether its lease is in force or not.
+    /// Returns the term in which this member leads with all earlier entries applied, whether or not it holds the lease.
     pub fn leading_term(&self) -> Option<u64> {
         let leads = self.replica.role() == replica::Role::Leader && self.applied >= self.lead_from;
         leads.then(|| self.replica.term())
     }
 
-    /// Tells whether this member may answer reads and renew leases now.
+    /// Returns whether this member may answer reads and renew leases now.
     pub fn holds_lease(&self, now: Duration) -> bool {
         self.replica.holds_lease(now)
     }
 
-    /// Tells whether the log has grown enough for a snapshot.
+    /// Returns whether the log has grown enough for a snapshot.
     pub const fn wants_snapshot(&self) -> bool {
         self.applied - self.snapshot_index >= ENTRIES_PER_SNAPSHOT
             || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
     }
 
-    /// Stores a snapshot of the applied state and cuts the log.
+    /// Stores a snapshot of the applied state and truncates the log.
     pub fn compact(&mut self, now: Duration, state: &cell::State, events: &mut VecDeque<Event>) {
         self.snapshot_index = self.applied;
         self.snapshot_bytes = 0;
@@ -249,12 +249,12 @@
         }
     }
 
-    /// Whether a write failed, so that the replica has to be opened anew.
+    /// Returns whether a write failed, so that the replica has to be reopened.
     pub const fn has_failed(&self) -> bool {
         self.failed
     }
 
-    /// The replica, for reads.
+    /// Returns the replica, for reads.
     pub const fn replica(&self) -> &replica::Replica {
         &self.replica
     }
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -1,4 +1,4 @@
-//! The leader keeps as many voters with a disk as the tolerated losses ask for.
+//! Membership changes by which the leader keeps as many voters with a disk as the tolerated losses require.
 
 use std::time::Duration;
 
@@ -10,9 +10,9 @@
     wire,
 };
 
-/// Time between two looks at the members.
+/// Interval at which the membership is reconciled.
 const INTERVAL: Duration = Duration::from_millis(300);
-/// A voter that was silent for this long is replaced if a learner has caught up. The platform counts a successor as
+/// A voter without contact for this long is replaced if a learner has caught up. The platform counts a successor as
 /// ready 4 s after it starts.
 const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
 
@@ -33,7 +33,7 @@
             self.enqueue(command, Responder::Nobody);
             return;
         }
-        if let Some(change) = self.wanted_change(now) {
+        if let Some(change) = self.required_change(now) {
             log::info!("decision=change_members change={change:?}");
             if let Some(member) = &mut self.member {
                 member.change(now, change, &mut self.events);
@@ -41,14 +41,14 @@
         }
     }
 
-    /// A daemon with a disk whose address is not recorded.
+    /// Returns a daemon with a disk whose address is not recorded in the state.
     fn unlocated(&self, now: Duration) -> Option<wire::Endpoint> {
         let reachable = self.discovery.reachable(now).filter(|(_, durable)| *durable);
         let mut endpoints = reachable.map(|(endpoint, _)| endpoint).chain([self.me]);
         endpoints.find(|endpoint| self.state.peers().get(&endpoint.vm) != Some(&endpoint.peer))
     }
 
-    fn wanted_change(&self, now: Duration) -> Option<Change> {
+    fn required_change(&self, now: Duration) -> Option<Change> {
         let status = self.member.as_ref()?.replica().status();
         if status.change_pending {
             return None;
@@ -60,7 +60,7 @@
             .filter(|(_, durable)| *durable)
             .map(|(endpoint, _)| endpoint)
             .collect();
-        // A member whose address another life has taken has lost its disk.
+        // A member whose address is used by another incarnation has lost its disk.
         for endpoint in &reachable {
             let all = members.voters.iter().chain(&members.learners);
             let mut former = all.filter(|vm| **vm != endpoint.vm);
@@ -78,13 +78,13 @@
         let ready = status.peers.iter().find(|peer| {
             !peer.voter && peer.caught_up && reachable.iter().any(|endpoint| endpoint.vm == peer.id)
         });
-        let wanted = (2 * self.settings.tolerated_losses + 1).max(1);
-        if members.voters.len() < wanted {
+        let required = (2 * self.settings.tolerated_losses + 1).max(1);
+        if members.voters.len() < required {
             return ready.map(|learner| Change::Promote(learner.id));
         }
         let silent = members.voters.iter().find(|vm| {
-            let heard = self.discovery.last_contact(**vm).unwrap_or_default();
-            **vm != self.me.vm && now.saturating_sub(heard) > REPLACE_AFTER
+            let last_contact = self.discovery.last_contact(**vm).unwrap_or_default();
+            **vm != self.me.vm && now.saturating_sub(last_contact) > REPLACE_AFTER
         });
         match (ready, silent) {
             (Some(_), Some(silent)) => Some(Change::Remove(*silent)),
@@ -92,7 +92,7 @@
         }
     }
 
-    /// Address under which a member was last known.
+    /// Returns the address at which a member was last known.
     fn address_of(&self, vm: bronzespoke_model::id::VmId) -> Option<std::net::SocketAddr> {
         self.state
             .peers()
--- a/crates/daemon/src/fleet/relay.rs
+++ b/crates/daemon/src/fleet/relay.rs
@@ -1,10 +1,10 @@
-//! Orders that other daemons carry to workers for the leader; without I/O.
+//! Directives that other daemons relay to workers for the leader; without I/O.
 //!
-//! Answers a large fleet on small VMs: one call for each start, and a report of each worker every second, take more
-//! processor time than the VM of the leader has. The daemon with a disk in a worker's availability zone carries the calls
-//! there, and many directives and answers share a frame between the two. Decisions, fencing tokens and records stay with the
-//! leader. An directive may be carried twice, or late, as any directive may: the number of its run, its lease and its token tell the
-//! worker what to make of it.
+//! Handles a large fleet on small VMs: one call for each start and one report of each worker every second take more
+//! processor time than the VM of the leader has. A daemon with a disk in the worker's availability zone therefore makes
+//! these calls, and many directives and answers share a frame between leader and relay. Decisions, fencing tokens and
+//! records stay with the leader. As any directive, a relayed one may arrive twice or late; the worker handles it by its
+//! run number, lease and token.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -17,41 +17,43 @@
 
 use crate::fleet::{sender, wire};
 
-/// Workers that the leader calls by itself. A call takes about 0.15 ms, and this many workers take some 300 calls a second.
+/// Largest number of workers that the leader calls itself. A call takes about 0.15 ms, and this many workers take some
+/// 300 calls per second.
 const DIRECT_WORKERS: usize = 96;
-/// How much longer than the call itself a carried directive may take: two ways between regions, and the batches at both ends.
+/// Time that a relayed directive may take beyond the call itself: two one-way trips between regions, and batching at
+/// both ends.
 const RELAY_SLACK: Duration = Duration::from_millis(300);
-/// Orders that one frame holds. Their descriptions take up to 4,000 bytes each, and a frame may have 1 MiB.
+/// Directives per frame. Their specs take up to 4,000 bytes each, and a frame may have 1 MiB.
 const DIRECTIVES_PER_FRAME: usize = 128;
 /// Runs and ends that the answers of one frame list; each takes some 60 bytes.
 const ENTRIES_PER_FRAME: usize = 4_096;
 /// How long an answer waits for others to share its frame.
 const ANSWER_DELAY: Duration = Duration::from_millis(2);
 
-/// Who gave an directive.
+/// Daemon that issued a directive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Origin {
     /// This daemon.
     Local(Decision),
     /// Another daemon, which leads.
     Leader {
-        /// That daemon.
+        /// Endpoint of the leader.
         endpoint: wire::Endpoint,
-        /// Its term.
+        /// Term of the leader.
         token: directive::Token,
-        /// Its number of the directive.
+        /// Number of the directive at the leader.
         number: u64,
     },
 }
 
-/// A leader's decision to give an directive.
+/// A decision of the leader to issue a directive.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Decision {
-    /// Term.
+    /// Term in which the decision was made.
     pub token: directive::Token,
-    /// Worker.
+    /// Worker that gets the directive.
     pub worker: cell::WorkerIndex,
-    /// When it was decided.
+    /// When the decision was made.
     pub at: Duration,
 }
 
@@ -63,10 +65,10 @@
     expires_at: Duration,
 }
 
-/// The leader's side: which daemon carries, and what is under way.
+/// State of the leader: relay of each availability zone, and directives in flight.
 #[derive(Debug, Default)]
 pub struct Relays {
-    /// Carrier of each availability zone that has one.
+    /// Relay of each availability zone that has one.
     relays: HashMap<String, wire::Endpoint>,
     next: u64,
     queued: BTreeMap<wire::Endpoint, Vec<wire::Directive>>,
@@ -74,7 +76,7 @@
 }
 
 impl Relays {
-    /// Replaces the daemons that may carry directives, with the availability zone of each. A small fleet needs none.
+    /// Replaces the relays by one daemon for each availability zone of `reachable`. A small fleet has none.
     pub fn set_relays(&mut self, workers: usize, mut reachable: Vec<(wire::Endpoint, String)>) {
         self.relays.clear();
         if workers <= DIRECT_WORKERS {
@@ -86,12 +88,12 @@
         }
     }
 
-    /// Daemon that carries directives into an availability zone; `None` if the leader does.
+    /// Returns the relay of an availability zone; `None` if the leader calls its workers itself.
     pub fn relay(&self, zone: &str) -> Option<wire::Endpoint> {
         self.relays.get(zone).copied()
     }
 
-    /// Adds an directive to the next frame for a relay.
+    /// Adds a directive to the next frame for a relay.
     pub fn queue(
         &mut self,
         now: Duration,
@@ -115,7 +117,7 @@
         });
     }
 
-    /// Takes out the frames to send.
+    /// Removes and returns the frames to send.
     pub fn take_frames(&mut self) -> Vec<(wire::Endpoint, Vec<wire::Directive>)> {
         let mut frames = Vec::new();
         for (endpoint, mut directives) in std::mem::take(&mut self.queued) {
@@ -128,20 +130,20 @@
         frames
     }
 
-    /// Takes the answer to an directive; `None` if it was given up.
+    /// Removes an answered directive; `None` if it has expired.
     pub fn answered(&mut self, number: u64) -> Option<(Decision, directive::Directive)> {
         let sent = self.sent.remove(&number)?;
         Some((sent.decision, sent.directive))
     }
 
-    /// Gives up directives that take too long or whose relay is not reachable any more. They may have been carried out.
+    /// Removes directives that timed out or whose relay is not reachable any more. They may have been executed.
     pub fn expire(&mut self, now: Duration) -> Vec<(Decision, directive::Directive)> {
         let reachable: Vec<id::VmId> = self.relays.values().map(|endpoint| endpoint.vm).collect();
-        let lost = |sent: &Sent| now >= sent.expires_at || !reachable.contains(&sent.relay);
+        let is_expired = |sent: &Sent| now >= sent.expires_at || !reachable.contains(&sent.relay);
         let numbers: Vec<u64> = self
             .sent
             .iter()
-            .filter(|(_, sent)| lost(sent))
+            .filter(|(_, sent)| is_expired(sent))
             .map(|(number, _)| *number)
             .collect();
         let expired = numbers.iter().filter_map(|number| self.answered(*number));
@@ -149,7 +151,7 @@
     }
 }
 
-/// The relay's side: answers that wait for a frame to their leader.
+/// State of a relay: answers that wait for a frame to the leader of their term.
 #[derive(Debug, Default)]
 pub struct Answers {
     since: Option<Duration>,
@@ -157,7 +159,7 @@
 }
 
 impl Answers {
-    /// Adds an answer.
+    /// Adds an answer of a worker to the next frame.
     pub fn add(
         &mut self,
         now: Duration,
@@ -171,12 +173,12 @@
         answers.push((number, answer));
     }
 
-    /// When the next frame is due.
+    /// Returns when the next frame is due.
     pub fn due(&self) -> Option<Duration> {
         Some(self.since? + ANSWER_DELAY)
     }
 
-    /// Takes out the frames that are due, each for a leader and its term.
+    /// Removes and returns the frames that are due, each for one leader and term.
     pub fn take_frames(&mut self, now: Duration) -> Vec<(wire::Endpoint, wire::Message)> {
         if self.due().is_none_or(|due| now < due) {
             return Vec::new();
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -1,4 +1,4 @@
-//! The cell's group in this process: proposals, commits and the life of the replica.
+//! The cell's consensus group in this process: proposals, commits, and opening and closing of the replica.
 
 use std::time::Duration;
 
@@ -18,7 +18,7 @@
     identity, peer,
 };
 
-/// Pause before a replica whose disk failed is opened again.
+/// Pause before a replica whose disk failed is reopened.
 const REOPEN_PAUSE: Duration = Duration::from_secs(2);
 
 impl Controller {
@@ -30,7 +30,7 @@
         }
     }
 
-    /// Whether a submission of a job is on its way to the log.
+    /// Returns whether a submission of a job waits to be proposed or committed.
     pub(super) fn is_submitting(&self, key: bronzespoke_workload::job::Key) -> bool {
         let under_way = self.proposed.values().flatten().chain(&self.batch);
         let mut submissions = under_way.filter_map(|pending| match &pending.command {
@@ -196,7 +196,7 @@
         }
     }
 
-    /// Founders know each other's ids from their addresses.
+    /// Records the endpoints of the founders, whose ids follow from their addresses.
     pub(super) fn locate_founders(&mut self) {
         let endpoints: Vec<_> = self
             .settings
@@ -236,7 +236,7 @@
         }
     }
 
-    /// Returns to the group under a new id after the group has removed this member.
+    /// Rejoins the group under a new id after the group has removed this member.
     pub(super) fn rejoin(&mut self) {
         let Some(folder) = self.settings.data.clone() else {
             return;
@@ -245,7 +245,7 @@
         self.dispatch = None;
         self.state = cell::State::default();
         self.events.clear();
-        // The disk thread ends with the member; its lock goes with it.
+        // The disk thread ends with the member and releases the lock of the folder.
         let renewed = member::Member::discard(&folder).and_then(|()| identity::renew(&folder));
         match renewed {
             Ok(vm) => {
@@ -258,7 +258,8 @@
     }
 }
 
-/// Ids of the founders, known to all of them before they have met. Drawn ids have 32 bits, so these are none of them.
+/// Returns the ids of the founders, which follow from their addresses, so that all founders know them before any
+/// contact. Random ids have 32 bits and cannot collide with them.
 pub(super) fn founders(settings: &settings::Settings) -> Vec<id::VmId> {
     settings.seeds.iter().map(|seed| founder_id(*seed)).collect()
 }
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -29,27 +29,28 @@
     metric, peer,
 };
 
-/// Time between two times at which the samples of histograms are sorted.
+/// Interval of the upkeep of histograms.
 const METRICS_INTERVAL: Duration = Duration::from_secs(5);
-/// Time between two looks at the settings file.
+/// Interval at which the settings file is checked for changes.
 const SETTINGS_INTERVAL: Duration = Duration::from_secs(1);
-/// Time for which callers still come after readiness turned off: the balancer misses two probes, a second apart.
+/// Time for which callers still arrive after readiness was turned off: the balancer misses two probes, which are a
+/// second apart.
 const DRAIN_NOTICE: Duration = Duration::from_millis(2_600);
-/// Part of the grace period that is left for the end of the process.
+/// Part of the grace period that is reserved for the end of the process.
 const END_RESERVE: Duration = Duration::from_millis(700);
-/// Pause between the hand-over of leadership and the end of a daemon without callers.
+/// Pause between the transfer of leadership and the end of a daemon without callers.
 const TRANSFER_WAIT: Duration = Duration::from_millis(700);
-/// Connections that wait to be accepted.
+/// Connections that may wait to be accepted.
 const BACKLOG: u32 = 1024;
 
-/// Why a daemon did not start.
+/// Reason for which a daemon did not start or ended.
 #[derive(Debug)]
 pub enum Error {
     /// The settings file cannot be read.
     File(String, io::Error),
-    /// The settings are wrong; one sentence for each fault.
+    /// The settings are invalid; one sentence for each error.
     Settings(Vec<String>),
-    /// An address cannot be used.
+    /// An address cannot be bound.
     Address(std::net::SocketAddr, io::Error),
     /// Threads, signals or the data folder cannot be used.
     System(String),
@@ -59,14 +60,14 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::File(path, error) => write!(f, "{path} cannot be read: {error}"),
-            Self::Settings(faults) => f.write_str(&faults.join("\n")),
+            Self::Settings(errors) => f.write_str(&errors.join("\n")),
             Self::Address(address, error) => write!(f, "{address} cannot be used: {error}"),
             Self::System(reason) => f.write_str(reason),
         }
     }
 }
 
-/// Reads and checks a settings file.
+/// Reads and validates a settings file.
 pub fn read(path: &Path, adapter: &dyn adapter::Adapter) -> Result<settings::Settings, Error> {
     let text = fs::read_to_string(path).map_err(|error| Error::File(path.display().to_string(), error))?;
     adapter.settings(&text).map_err(Error::Settings)
@@ -74,7 +75,7 @@
 
 /// Runs a daemon until SIGTERM or SIGINT.
 ///
-/// `listen` is the address for frames where a forwarder stands before the one that other daemons use.
+/// `listen` is the address for frames if it differs from the one that other daemons use, for example behind a proxy.
 pub fn run(path: &Path, adapter: Arc<dyn adapter::Adapter>, listen: Option<SocketAddr>) -> Result<(), Error> {
     let traffic = runtime::Builder::new_current_thread()
         .enable_all()
@@ -127,14 +128,14 @@
         urgent: controller::Urgent::default(),
     };
     let urgent = Arc::clone(&start.urgent);
-    let (started, begun) = tokio::sync::oneshot::channel();
+    let (started, start_result) = tokio::sync::oneshot::channel();
     let thread = thread::Builder::new()
         .name(String::from("control"))
         .spawn(move || control_thread(start, started))
         .map_err(|error| Error::System(format!("the control thread cannot be started: {error}")))?;
-    let actor = begun
+    let actor = start_result
         .await
-        .map_err(|_closed| Error::System(String::from("the control thread ended at the start")))?
+        .map_err(|_closed| Error::System(String::from("the control thread ended while starting")))?
         .map_err(Error::System)?;
     if control.set(actor.clone()).is_err() {
         return Err(Error::System(String::from(
@@ -171,7 +172,7 @@
     tokio::spawn(async {
         loop {
             time::sleep(METRICS_INTERVAL).await;
-            metric::tidy();
+            metric::run_upkeep();
         }
     });
     let listeners = [
@@ -190,18 +191,16 @@
     shut_down(&settings, &context, &actor, &cancel).await;
     actor.stop(None);
     if thread.join().is_err() {
-        return Err(Error::System(String::from(
-            "the control thread ended with a fault",
-        )));
+        return Err(Error::System(String::from("the control thread panicked")));
     }
     log::info!("event=stop");
     crate::logging::flush();
     Ok(())
 }
 
-type Begun = tokio::sync::oneshot::Sender<Result<ractor::ActorRef<Message>, String>>;
+type Started = tokio::sync::oneshot::Sender<Result<ractor::ActorRef<Message>, String>>;
 
-fn control_thread(start: Start, started: Begun) {
+fn control_thread(start: Start, started: Started) {
     let runtime = match runtime::Builder::new_current_thread().enable_all().build() {
         Ok(runtime) => runtime,
         Err(error) => {
@@ -223,7 +222,7 @@
 fn bind(address: std::net::SocketAddr) -> Result<TcpListener, Error> {
     let failed = |error| Error::Address(address, error);
     let socket = tokio::net::TcpSocket::new_v4().map_err(failed)?;
-    // A restarted daemon takes its address back while old connections are still closing.
+    // A restarted daemon binds its address while old connections are still closing.
     socket.set_reuseaddr(true).map_err(failed)?;
     socket.bind(address).map_err(failed)?;
     socket.listen(BACKLOG).map_err(failed)
@@ -237,7 +236,8 @@
 }
 
 impl Signals {
-    /// Takes over the signals. Until then a hang-up ends the process, as one that came half a second after a start did.
+    /// Installs the signal handlers. Before that SIGHUP ends the process, so they are installed first: a SIGHUP half a
+    /// second after the start once ended a daemon.
     fn install() -> Result<Self, Error> {
         let failed = |error: io::Error| Error::System(format!("signals cannot be received: {error}"));
         Ok(Self {
@@ -284,7 +284,7 @@
     fs::metadata(path).and_then(|metadata| metadata.modified()).ok()
 }
 
-/// Turns readiness off, lets callers finish and hands leadership over.
+/// Turns readiness off, lets callers finish and transfers leadership.
 async fn shut_down(
     settings: &settings::Settings,
     context: &http::Context,
@@ -304,8 +304,8 @@
     }
     context.closing.cancel();
     context.tracker.close();
-    let left = grace.saturating_sub(begun.elapsed());
-    if time::timeout(left, context.tracker.wait()).await.is_err() {
+    let remaining = grace.saturating_sub(begun.elapsed());
+    if time::timeout(remaining, context.tracker.wait()).await.is_err() {
         log::warn!("event=drain_incomplete connections={}", context.tracker.len());
     }
     cancel.cancel();
--- a/crates/daemon/src/lib.rs
+++ b/crates/daemon/src/lib.rs
@@ -1,6 +1,6 @@
-//! The daemon: control thread, traffic runtime, peers and outside interfaces.
+//! The daemon: control thread, traffic runtime, links to peers and external interfaces.
 //!
-//! The packages below decide; this one feeds them time, messages and files, and carries out what they ask for.
+//! The other packages make the decisions; this one feeds them time, messages and files, and executes their outputs.
 
 pub mod control;
 pub mod daemon;
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -1,10 +1,11 @@
-//! Log set-up.
+//! Set-up of the log.
 //!
-//! Lines go to standard error with a wall-clock time, the level, the VM's name and the prefix of the part.
+//! Lines are written to standard error with the wall-clock time, the level, the name of the VM and a prefix that names
+//! the component.
 //!
-//! A daemon of a fleet writes structured lines to standard output instead: `time level vm key=value …`. A line is handed
-//! to a thread of its own and dropped when too many wait, so that a reader that does not keep up never blocks a
-//! decision; the next line that is written tells how many were dropped.
+//! A daemon of a fleet writes structured lines to standard output instead: `time level vm key=value …`. Lines pass
+//! through a bounded queue to a writer thread and are dropped when the queue is full, so that a slow reader never
+//! blocks a scheduling decision; the next line that is written gives the number of dropped lines.
 
 use std::{
     io::Write,
@@ -17,7 +18,7 @@
     time::{Duration, SystemTime},
 };
 
-/// Starts logging; a second call in one process keeps the first set-up.
+/// Starts logging; further calls in the same process have no effect.
 pub fn start(name: &str, level: log::LevelFilter) {
     let name = String::from(name);
     let dispatch = fern::Dispatch::new()
@@ -36,12 +37,12 @@
     }
 }
 
-/// Lines that may wait to be written; at the peak of 2,500 starts a second this is half a second of lines.
+/// Capacity of the queue of lines; at the peak of 2,500 starts per second this is half a second of lines.
 const WAITING_LINES: usize = 4_096;
-/// Pause in which lines gather for one write. Without it each line of a busy daemon woke the thread and was a write of its
-/// own; a daemon that is killed loses the lines of this time.
-const GATHER: Duration = Duration::from_millis(20);
-/// Bytes of one write; a pipe takes this many at once, so that readers get whole lines.
+/// Delay in which lines are batched for one write. Without it each line of a busy daemon would wake the thread and
+/// cause a write of its own; a daemon that is killed loses the lines of this period.
+const BATCH_DELAY: Duration = Duration::from_millis(20);
+/// Bytes per write; a pipe accepts this many atomically, so that readers get complete lines.
 const WRITE_BYTES: usize = 4_096;
 /// Longest wait for the last lines at the end of the process.
 const FLUSH_WAIT: Duration = Duration::from_millis(200);
@@ -54,7 +55,7 @@
 static WRITER: OnceLock<mpsc::SyncSender<Line>> = OnceLock::new();
 static DROPPED: AtomicU64 = AtomicU64::new(0);
 
-/// Starts structured logging to standard output; a second call in one process keeps the first set-up.
+/// Starts structured logging to standard output; further calls in the same process have no effect.
 pub fn start_structured(name: &str) {
     let (sender, receiver) = mpsc::sync_channel(WAITING_LINES);
     if WRITER.set(sender).is_err() {
@@ -80,17 +81,17 @@
     }
 }
 
-/// Lines that were dropped because too many waited.
+/// Returns the number of lines that were dropped because the queue was full.
 pub fn dropped_lines() -> u64 {
     DROPPED.load(Ordering::Relaxed)
 }
 
-/// Waits until the lines so far are written.
+/// Waits until all lines logged so far are written.
 pub fn flush() {
     let Some(writer) = WRITER.get() else { return };
     let (done, written) = mpsc::sync_channel(1);
     if writer.try_send(Line::Flush(done)).is_ok() && written.recv_timeout(FLUSH_WAIT).is_err() {
-        eprintln!("bronzespoked: the last log lines are not written");
+        eprintln!("bronzespoked: the last log lines were not written");
     }
 }
 
@@ -102,11 +103,11 @@
 }
 
 fn write_lines(lines: &mpsc::Receiver<Line>) {
-    let mut told = 0;
+    let mut reported = 0;
     let mut buffer = Vec::with_capacity(WRITE_BYTES);
     while let Ok(first) = lines.recv() {
         if matches!(first, Line::Text(_)) {
-            thread::sleep(GATHER);
+            thread::sleep(BATCH_DELAY);
         }
         let mut flushed = Vec::new();
         let mut next = Some(first);
@@ -123,9 +124,9 @@
             next = lines.try_recv().ok();
         }
         let dropped = dropped_lines();
-        if dropped > told {
-            buffer.extend_from_slice(format!("event=log_dropped lines={}\n", dropped - told).as_bytes());
-            told = dropped;
+        if dropped > reported {
+            buffer.extend_from_slice(format!("event=log_dropped lines={}\n", dropped - reported).as_bytes());
+            reported = dropped;
         }
         write_out(&mut buffer);
         for done in flushed {
@@ -136,7 +137,7 @@
 
 fn write_out(buffer: &mut Vec<u8>) {
     let mut output = std::io::stdout().lock();
-    // Nothing can be told about a standard output that takes nothing.
+    // An error of standard output cannot be reported anywhere.
     drop(output.write_all(buffer).and_then(|()| output.flush()));
     buffer.clear();
 }
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,20 +1,21 @@
-//! `bronzespoked`: the daemon on each entry VM.
+//! `bronzespoked`: the daemon on each VM.
 
 use std::{ffi::OsString, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc};
 
 use bronzespoke_daemon::{daemon, fleet, logging, settings};
 use bronzespoke_platform as platform;
 
-/// Exit status for wrong settings.
+/// Exit status for invalid settings or arguments.
 const USAGE: u8 = 2;
 
-/// First argument of a daemon whose workers take orders.
+/// First argument of a daemon of a fleet, whose workers receive directives.
 const FLEET: &str = "fleet";
-/// Flag that names the platform's settings file.
+/// Flag for the path of the platform's settings file.
 const SETTINGS_FLAG: &str = "--settings";
-/// Environment variable that names the platform's settings file.
+/// Environment variable for the path of the platform's settings file.
 const SETTINGS_VARIABLE: &str = "BRONZESPOKE_SETTINGS";
-/// Flag that names the address for frames where a forwarder stands before the one that other daemons use.
+/// Flag for the address at which frames are received if it differs from the one that other daemons use, for example
+/// behind a proxy.
 const LISTEN_FLAG: &str = "--listen-frames";
 
 fn main() -> ExitCode {
@@ -28,16 +29,16 @@
         Ok(settings::Request::Version) => print(concat!("bronzespoked ", env!("CARGO_PKG_VERSION"), "\n")),
         Ok(settings::Request::Check(_)) => print("The settings are valid.\n"),
         Ok(settings::Request::Run(settings)) => run(*settings),
-        Err(faults) => {
-            for fault in faults {
-                eprintln!("bronzespoked: {fault}");
+        Err(errors) => {
+            for error in errors {
+                eprintln!("bronzespoked: {error}");
             }
             ExitCode::from(USAGE)
         }
     }
 }
 
-/// Runs a daemon with the settings file of the platform, named by `--settings` or the environment.
+/// Runs a daemon of a fleet with the platform's settings file, given by `--settings` or the environment.
 fn run_fleet(arguments: Vec<OsString>) -> ExitCode {
     let mut arguments = pico_args::Arguments::from_vec(arguments);
     let check = arguments.contains("--check");
@@ -52,19 +53,19 @@
         Ok(listen) => listen,
         Err(error) => {
             return usage(&format!(
-                "{LISTEN_FLAG}: {error}; an IP address and port is needed"
+                "{LISTEN_FLAG}: {error}; expected an IP address and port"
             ));
         }
     };
     if let Some(unknown) = arguments.finish().first() {
         return usage(&format!(
-            "{} is not known; {SETTINGS_FLAG} FILE, {LISTEN_FLAG} ADDRESS and --check are",
+            "unknown argument {}; expected {SETTINGS_FLAG} FILE, {LISTEN_FLAG} ADDRESS or --check",
             unknown.display()
         ));
     }
     let Some(path) = path else {
         return usage(&format!(
-            "{SETTINGS_FLAG} or {SETTINGS_VARIABLE} has to name a settings file"
+            "no settings file given; set {SETTINGS_FLAG} or {SETTINGS_VARIABLE}"
         ));
     };
     let adapter = Arc::new(platform::Platform);
@@ -83,9 +84,9 @@
     }
 }
 
-fn usage(faults: &str) -> ExitCode {
-    for fault in faults.lines() {
-        eprintln!("bronzespoked: {fault}");
+fn usage(errors: &str) -> ExitCode {
+    for error in errors.lines() {
+        eprintln!("bronzespoked: {error}");
     }
     ExitCode::from(USAGE)
 }
@@ -107,7 +108,7 @@
         }
     };
     if let Err(error) = wait_for_signal() {
-        log::error!("daemon: Signals cannot be received: {error}");
+        log::error!("daemon: Signal handlers cannot be installed: {error}");
         return ExitCode::FAILURE;
     }
     daemon.shut_down();
--- a/crates/daemon/src/metric.rs
+++ b/crates/daemon/src/metric.rs
@@ -1,4 +1,4 @@
-//! Metrics in the usual text format.
+//! Metrics in the Prometheus text format.
 
 use std::{
     fmt::Write as _,
@@ -10,12 +10,13 @@
 
 use crate::peer;
 
-/// Begin of the names of a fleet's metrics.
+/// Prefix of the names of a fleet's metrics.
 const FLEET_PREFIX: &str = "bronzespoke_fleet_";
-/// Upper bounds of the buckets of a fleet's histograms, in seconds: from an order within a zone to a caller's deadline.
+/// Upper bounds of the buckets of a fleet's histograms, in seconds: from a directive within a zone to a caller's
+/// deadline.
 const FLEET_BUCKETS: [f64; 11] = [0.001, 0.005, 0.01, 0.025, 0.05, 0.1, 0.25, 0.5, 1.0, 2.0, 5.0];
 
-/// The recorder of this process; several daemons of one process share it.
+/// Returns the recorder of this process; several daemons of one process share it.
 fn recorder() -> Option<&'static PrometheusHandle> {
     static RECORDER: OnceLock<Option<PrometheusHandle>> = OnceLock::new();
     let install = || {
@@ -26,14 +27,14 @@
     RECORDER.get_or_init(install).as_ref()
 }
 
-/// Sorts the samples that have gathered; without it they take memory until somebody reads the metrics.
-pub fn tidy() {
+/// Moves recorded samples into the histograms; otherwise they accumulate in memory until the metrics are read.
+pub fn run_upkeep() {
     if let Some(recorder) = recorder() {
         recorder.run_upkeep();
     }
 }
 
-/// Returns what renders `/metrics`.
+/// Returns the function that renders `/metrics`.
 pub fn render(network: peer::Network) -> server::MetricsRenderer {
     let handle = recorder();
     Arc::new(move || {
