--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -163,7 +163,7 @@
     let (head, body) = request.into_parts();
     let body = Limited::new(body, MAX_BODY_BYTES).collect();
     let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
-        let reason = format!("request body incomplete or larger than {MAX_BODY_BYTES} bytes");
+        let reason = format!("the body did not arrive whole, or is over {MAX_BODY_BYTES} bytes");
         return context.adapter.error(&adapter::Error::Content(reason));
     };
     let body = body.to_bytes();
