--- a/crates/cli/src/demo/cell.rs
+++ b/crates/cli/src/demo/cell.rs
@@ -1,4 +1,4 @@
-//! A cell of six daemons in one process, with the Registry's shape: two regions, three availability zones.
+//! A cell of six daemons in one process, in two regions and three availability zones.
 
 use std::{
     collections::HashSet,
@@ -13,19 +13,19 @@
 use bronzespoke_rpc::OperatorClient;
 use jsonrpsee::http_client::HttpClientBuilder;
 
-/// VMs in the cell.
+/// Number of VMs in the cell.
 pub const VMS: usize = 6;
-/// Availability zones with their regions: two in `litoral-sur` (1), one in `interior-nte` (2).
+/// Availability zones with their regions: two zones in region 1 and one in region 2.
 pub const ZONES: [vm::Place; 3] = [
     vm::Place { region: 1, zone: 1 },
     vm::Place { region: 1, zone: 2 },
     vm::Place { region: 2, zone: 3 },
 ];
 
-const POLL: Duration = Duration::from_millis(20);
+const POLL_INTERVAL: Duration = Duration::from_millis(20);
 const RPC_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// The cell. Two VMs stand in each zone; the first of them has a data folder.
+/// Cell with two VMs in each zone, the first of which has a data folder.
 #[derive(Debug)]
 pub struct Cell {
     daemons: Vec<Option<daemon::Daemon>>,
@@ -35,12 +35,12 @@
 }
 
 impl Cell {
-    /// Starts six daemons with data folders below `folder`.
+    /// Starts the daemons, with data folders below `folder`.
     pub fn start(folder: &std::path::Path, seed: u64) -> Result<Self, daemon::Error> {
         let mut all = Vec::new();
         let mut listeners = Vec::new();
         for number in 0..VMS {
-            let mut settings = template(number, folder, seed);
+            let mut settings = vm_settings(number, folder, seed);
             listeners.push(daemon::Listeners::bind(&mut settings)?);
             all.push(settings);
         }
@@ -65,31 +65,31 @@
         Ok(cell)
     }
 
-    /// HTTP address of a VM.
+    /// Returns the HTTP address of a VM.
     pub fn http(&self, number: usize) -> SocketAddr {
         self.settings[number].http
     }
 
-    /// HTTP addresses of the VMs in a zone.
+    /// Returns the HTTP addresses of the VMs in a zone.
     pub fn entries(&self, zone: id::AvailabilityZoneId) -> Vec<SocketAddr> {
-        let there = self
+        let in_zone = self
             .settings
             .iter()
             .filter(|settings| settings.place.zone == zone);
-        there.map(|settings| settings.http).collect()
+        in_zone.map(|settings| settings.http).collect()
     }
 
-    /// The running daemons.
+    /// Returns the running daemons.
     pub fn running(&self) -> impl Iterator<Item = &daemon::Daemon> {
         self.daemons.iter().flatten()
     }
 
-    /// Tells whether every running VM takes work.
+    /// Returns whether all running VMs are ready for work.
     pub fn is_ready(&self) -> bool {
         self.running().all(daemon::Daemon::is_ready)
     }
 
-    /// Executes an operator's line at a VM.
+    /// Executes an operator's statement at a VM, once. A connection failure becomes an error answer.
     pub async fn execute(&self, number: usize, line: &str) -> answer::Answer {
         let url = format!("http://{}", self.settings[number].rpc);
         let failed = |error: &dyn std::fmt::Display| {
@@ -107,14 +107,19 @@
         }
     }
 
-    /// Executes a line until it is accepted or the time is over.
-    pub async fn insist(&self, number: usize, line: &str, limit: Duration) -> Result<answer::Answer, String> {
+    /// Executes a statement, and retries it on retryable errors until `limit` has passed.
+    pub async fn execute_until_accepted(
+        &self,
+        number: usize,
+        line: &str,
+        limit: Duration,
+    ) -> Result<answer::Answer, String> {
         let start = Instant::now();
         loop {
             let answer = self.execute(number, line).await;
             match &answer {
                 answer::Answer::Error(error) if error.code.is_retryable() && start.elapsed() < limit => {
-                    tokio::time::sleep(POLL).await;
+                    tokio::time::sleep(POLL_INTERVAL).await;
                 }
                 answer::Answer::Error(error) => return Err(format!("{line}: {}", error.message)),
                 _ => return Ok(answer),
@@ -122,13 +127,13 @@
         }
     }
 
-    /// Cuts a zone off from all others, silently.
+    /// Silently drops all traffic between a zone and the others.
     pub fn cut(&mut self, zone: id::AvailabilityZoneId) {
         self.cut = Some(zone);
         self.apply_cut();
     }
 
-    /// Heals every cut.
+    /// Ends the partition.
     pub fn heal(&mut self) {
         self.cut = None;
         self.apply_cut();
@@ -152,7 +157,7 @@
         }
     }
 
-    /// Stops a VM at once, as if it were lost.
+    /// Stops a VM abruptly, as if it had crashed.
     pub fn kill(&mut self, number: usize) {
         if let Some(daemon) = self.daemons[number].take() {
             daemon.kill();
@@ -166,7 +171,7 @@
         }
     }
 
-    /// Starts a stopped VM again at its addresses.
+    /// Restarts a stopped VM at its previous addresses.
     pub fn restart(&mut self, number: usize) -> Result<(), daemon::Error> {
         let mut settings = self.settings[number].clone();
         let listeners = daemon::Listeners::bind(&mut settings)?;
@@ -177,25 +182,25 @@
         Ok(())
     }
 
-    /// Events of all running processes, in the order of their stamps.
+    /// Returns the events of all running processes, in order of their stamps.
     pub fn events(&self) -> Vec<event::Event> {
         let mut events: Vec<_> = self
             .running()
             .flat_map(|daemon| daemon.ring().read(0, usize::MAX).events)
             .collect();
-        events.sort_by(|one, other| {
-            (one.stamp, &one.process, one.sequence).cmp(&(other.stamp, &other.process, other.sequence))
+        events.sort_by(|left, right| {
+            (left.stamp, &left.process, left.sequence).cmp(&(right.stamp, &right.process, right.sequence))
         });
         events
     }
 
-    /// Bytes that the daemons sent to each other.
+    /// Returns the number of bytes that the running daemons have sent to each other.
     pub fn sent_bytes(&self) -> u64 {
         let sent = |daemon: &daemon::Daemon| daemon.traffic().sent.load(std::sync::atomic::Ordering::Relaxed);
         self.running().map(sent).sum()
     }
 
-    /// Stops every VM.
+    /// Stops all VMs abruptly.
     pub fn stop(&mut self) {
         for number in 0..self.daemons.len() {
             self.kill(number);
@@ -203,7 +208,7 @@
     }
 }
 
-fn template(number: usize, folder: &std::path::Path, seed: u64) -> settings::Settings {
+fn vm_settings(number: usize, folder: &std::path::Path, seed: u64) -> settings::Settings {
     let place = ZONES[number / 2];
     let letter = ["a", "b", "c"][number / 2];
     let durable = number.is_multiple_of(2);
@@ -225,14 +230,14 @@
     }
 }
 
-/// Waits until a condition holds; returns how long it took, or `None` when the time is over.
-pub async fn wait(limit: Duration, mut condition: impl FnMut() -> bool) -> Option<Duration> {
+/// Waits until `condition` holds. Returns the elapsed time, or `None` after `limit`.
+pub async fn wait_until(limit: Duration, mut condition: impl FnMut() -> bool) -> Option<Duration> {
     let start = Instant::now();
     while !condition() {
         if start.elapsed() >= limit {
             return None;
         }
-        tokio::time::sleep(POLL).await;
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
     Some(start.elapsed())
 }
--- a/crates/cli/src/demo/fleet.rs
+++ b/crates/cli/src/demo/fleet.rs
@@ -8,13 +8,13 @@
 
 use crate::demo::cell;
 
-/// Targets in each zone.
-const TARGETS: u64 = 3;
-/// Workers in each zone.
-const WORKERS: u64 = 4;
-/// Workers in a rack.
-const RACK: u64 = 2;
-/// Requests that a target runs at the same time.
+/// Number of targets in each zone.
+const TARGETS_PER_ZONE: u64 = 3;
+/// Number of workers in each zone.
+const WORKERS_PER_ZONE: u64 = 4;
+/// Number of workers in each rack.
+const WORKERS_PER_RACK: u64 = 2;
+/// Number of requests that a target runs concurrently.
 const SLOTS: u32 = 8;
 /// Processors of a worker, in thousandths of a core.
 const CPU_MILLI: u32 = 64_000;
@@ -22,23 +22,23 @@
 const MEMORY_MIB: u32 = 128 * 1024;
 /// Accelerators of the first worker of each zone.
 const ACCELERATORS: u32 = 4;
-/// How long a target runs a request.
-const RUN: Duration = Duration::from_millis(5);
-/// Time between renewals of an announcement.
-const RENEWAL: Duration = Duration::from_secs(1);
+/// Time that a target takes to run a request.
+const RUN_TIME: Duration = Duration::from_millis(5);
+/// Interval at which a target renews its announcement.
+const RENEWAL_INTERVAL: Duration = Duration::from_secs(1);
 
-/// The stand-ins.
+/// Stand-in targets and workers of all zones.
 #[derive(Debug)]
 pub struct Fleet {
     cancel: CancellationToken,
-    /// What really ran.
+    /// Runs as recorded by the workers, independent of the daemons.
     pub ledger: Arc<ledger::Ledger>,
-    /// Targets with their ids and zones.
+    /// Targets with their ids and availability zones.
     pub targets: Vec<(id::TargetId, id::AvailabilityZoneId, Arc<target::Target>)>,
 }
 
 impl Fleet {
-    /// Returns a fleet that stops with `cancel`.
+    /// Returns an empty fleet, whose stand-ins stop when `cancel` is cancelled.
     pub fn new(cancel: CancellationToken) -> Self {
         Self {
             cancel,
@@ -51,22 +51,27 @@
     pub async fn start(&mut self, cell: &cell::Cell) -> Result<(), String> {
         for place in cell::ZONES {
             let entries = cell.entries(place.zone);
-            for number in 0..TARGETS {
+            for number in 0..TARGETS_PER_ZONE {
                 let target = u64::from(place.zone) * 100 + number;
-                let started = target::Target::start(SLOTS, target::Behaviour::Echo(RUN)).await;
+                let started = target::Target::start(SLOTS, target::Behaviour::Echo(RUN_TIME)).await;
                 let running = Arc::new(started.map_err(|error| error.to_string())?);
                 let announcement = running.announcement(target, "reconciliations", SLOTS);
                 let entry = entries[number as usize % entries.len()];
                 let cancel = self.cancel.child_token();
-                tokio::spawn(target::Target::announce(announcement, entry, RENEWAL, cancel));
+                tokio::spawn(target::Target::announce(
+                    announcement,
+                    entry,
+                    RENEWAL_INTERVAL,
+                    cancel,
+                ));
                 self.targets.push((target, place.zone, running));
             }
-            for number in 0..WORKERS {
+            for number in 0..WORKERS_PER_ZONE {
                 let accelerators = if number == 0 { ACCELERATORS } else { 0 };
                 let registration = worker::Registration {
                     worker: u64::from(place.zone) * 1000 + number,
                     incarnation: 1,
-                    rack: (number / RACK) as id::RackId,
+                    rack: (number / WORKERS_PER_RACK) as id::RackId,
                     capacity: resource::Capacity {
                         amount: resource::Amount::new(CPU_MILLI, MEMORY_MIB, accelerators),
                         accelerator: u16::from(accelerators > 0),
@@ -87,7 +92,7 @@
         Ok(())
     }
 
-    /// Runs of a request with this body, over all targets.
+    /// Returns how often a request with this body ran, summed over all targets.
     pub fn runs_of(&self, body: &[u8]) -> u32 {
         self.targets
             .iter()
--- a/crates/cli/src/demo/jobs.rs
+++ b/crates/cli/src/demo/jobs.rs
@@ -1,4 +1,4 @@
-//! Jobs: batch, service, gang, urgent.
+//! Demo steps for batch, service, gang and urgent jobs.
 
 use std::time::{Duration, Instant};
 
@@ -8,12 +8,12 @@
 
 use crate::demo::{Demo, cell};
 
-/// Longest wait for a job of the demo.
-const JOB: Duration = Duration::from_secs(20);
-/// Urgent work starts within this time.
-const URGENT: Duration = Duration::from_millis(1_600);
+/// Timeout for a job of the demo.
+const JOB_TIMEOUT: Duration = Duration::from_secs(20);
+/// Maximum time from the submission of urgent work to its start.
+const URGENT_LIMIT: Duration = Duration::from_millis(1_600);
 
-/// Returns a job of the demo.
+/// Returns the specification of a job; each task gets `cpu` cores and 1 GiB of memory for each core.
 pub(super) fn spec(kind: job::Kind, tasks: u32, cpu: u32, command: &str) -> job::Spec {
     job::Spec {
         kind,
@@ -28,12 +28,12 @@
 }
 
 impl Demo {
-    /// Submits a job of the first team at a VM; returns its id once it is accepted.
+    /// Submits a job of the first team at a VM. Returns the id once the job is accepted.
     pub(super) async fn submit(&self, number: usize, spec: &job::Spec) -> Result<id::JobId, String> {
         self.submit_with(&self.key, number, spec).await
     }
 
-    /// Submits a job with a key at a VM; returns its id once it is accepted.
+    /// Submits a job with `key` at a VM. Returns the id once the job is accepted.
     pub(super) async fn submit_with(
         &self,
         key: &str,
@@ -61,7 +61,7 @@
             .ok_or_else(|| format!("no job id in {}", answer.text()))
     }
 
-    /// Reads a job at a VM.
+    /// Reads the status of a job at a VM. Returns `None` if the request fails.
     pub(super) async fn job(&self, number: usize, job: id::JobId) -> Option<serde_json::Value> {
         let key = format!("Bearer {}", self.key);
         let headers = [("authorization", key.as_str())];
@@ -72,69 +72,76 @@
         (answer.status == StatusCode::OK).then(|| answer.json())
     }
 
-    /// Waits until a job has succeeded, and counts it.
-    pub(super) async fn finish(&mut self, kind: &'static str, number: usize, job: id::JobId, tasks: u32) {
+    /// Waits until a job has succeeded, and records it as completed if the workers' ledger has all its tasks as
+    /// succeeded.
+    pub(super) async fn wait_for_job(
+        &mut self,
+        kind: &'static str,
+        number: usize,
+        job: id::JobId,
+        tasks: u32,
+    ) {
         let start = Instant::now();
         let mut done = false;
-        while !done && start.elapsed() < JOB {
+        while !done && start.elapsed() < JOB_TIMEOUT {
             let status = self.job(number, job).await;
             done = status.is_some_and(|status| status["state"] == "succeeded");
             tokio::time::sleep(Duration::from_millis(20)).await;
         }
         let ran = self.fleet.ledger.succeeded(job) == tasks as usize;
-        self.tally.count(kind, done && ran, start.elapsed());
+        self.counters.record(kind, done && ran, start.elapsed());
     }
 
     pub(super) async fn jobs(&mut self) -> Result<(), String> {
         println!("Jobs: batch, service, all at once, urgent.");
-        let workers = cell::wait(JOB, || self.registered() == 12).await;
+        let workers = cell::wait_until(JOB_TIMEOUT, || self.registered_workers() == 12).await;
         workers.ok_or("not all workers registered")?;
         let batch = self
             .submit(0, &spec(job::Kind::Batch, 40, 4, "sleep 200"))
             .await?;
         let service = self.submit(1, &spec(job::Kind::Service, 6, 2, "serve")).await?;
         let gang = self.submit(4, &spec(job::Kind::Gang, 8, 16, "sleep 300")).await?;
-        self.finish("batch job", 3, batch, 40).await;
-        self.finish("gang job", 5, gang, 8).await;
+        self.wait_for_job("batch job", 3, batch, 40).await;
+        self.wait_for_job("gang job", 5, gang, 8).await;
         let start = Instant::now();
-        let serving = cell::wait(JOB, || self.fleet.ledger.running(service).len() == 6).await;
-        self.tally
-            .count("service job", serving.is_some(), start.elapsed());
-        self.urgent().await
+        let serving = cell::wait_until(JOB_TIMEOUT, || self.fleet.ledger.running(service).len() == 6).await;
+        self.counters
+            .record("service job", serving.is_some(), start.elapsed());
+        self.urgent_job().await
     }
 
-    /// Fills a zone, then submits an urgent job that has to push others aside.
-    async fn urgent(&mut self) -> Result<(), String> {
+    /// Fills a zone, then submits an urgent job that has to preempt other tasks.
+    async fn urgent_job(&mut self) -> Result<(), String> {
         let filler = self
             .submit(0, &spec(job::Kind::Batch, 64, 4, "sleep 60000"))
             .await?;
         let home = id::job_zone(filler);
-        let full = cell::wait(JOB, || self.fleet.ledger.running(filler).len() >= 58).await;
+        let full = cell::wait_until(JOB_TIMEOUT, || self.fleet.ledger.running(filler).len() >= 58).await;
         full.ok_or("the zone was not filled")?;
         let mut urgent = spec(job::Kind::Batch, 4, 8, "sleep 100");
         urgent.priority = job::Priority::Urgent;
         let number = (usize::from(home) - 1) * 2;
         let start = Instant::now();
         let job = self.submit(number, &urgent).await?;
-        let started = cell::wait(JOB, || self.fleet.ledger.started(job) == 4).await;
-        let took = start.elapsed();
-        println!("  Urgent tasks started after {} ms.", took.as_millis());
-        self.tally.check(
-            started.is_some() && took <= URGENT,
+        let started = cell::wait_until(JOB_TIMEOUT, || self.fleet.ledger.started(job) == 4).await;
+        let elapsed = start.elapsed();
+        println!("  Urgent tasks started after {} ms.", elapsed.as_millis());
+        self.counters.check(
+            started.is_some() && elapsed <= URGENT_LIMIT,
             "urgent work starts within 1.6 s",
         );
-        self.finish("urgent job", number, job, 4).await;
+        self.wait_for_job("urgent job", number, job, 4).await;
         let path = format!("/v2/jobs/{filler}");
         let key = format!("Bearer {}", self.key);
         let headers = [("authorization", key.as_str())];
         let cancelled = caller::send(self.cell.http(3), Method::DELETE, &path, &headers, "").await;
-        let ended = cell::wait(JOB, || self.fleet.ledger.running(filler).is_empty()).await;
+        let ended = cell::wait_until(JOB_TIMEOUT, || self.fleet.ledger.running(filler).is_empty()).await;
         let cancelled = cancelled.is_ok_and(|answer| answer.status.is_success()) && ended.is_some();
-        self.tally.check(cancelled, "a cancelled job stops everywhere");
+        self.counters.check(cancelled, "a cancelled job stops everywhere");
         Ok(())
     }
 
-    fn registered(&self) -> usize {
+    fn registered_workers(&self) -> usize {
         let registered = |event: &bronzespoke_model::event::Event| {
             matches!(
                 event.kind,
@@ -148,17 +155,17 @@
             .count()
     }
 
-    /// Submits a small batch job and waits for it.
-    pub(super) async fn small_job(&mut self, number: usize) -> Result<(), String> {
+    /// Submits a small batch job and waits until it has succeeded.
+    pub(super) async fn run_small_job(&mut self, number: usize) -> Result<(), String> {
         let job = self
             .submit(number, &spec(job::Kind::Batch, 4, 1, "sleep 100"))
             .await?;
-        self.finish("batch job", number, job, 4).await;
+        self.wait_for_job("batch job", number, job, 4).await;
         Ok(())
     }
 
-    /// Submits a job that runs for a while.
-    pub(super) async fn long_job(&mut self, number: usize) -> Result<id::JobId, String> {
+    /// Submits a job whose tasks run for 1.5 s, so that a failure can be injected while they run.
+    pub(super) async fn submit_long_job(&mut self, number: usize) -> Result<id::JobId, String> {
         self.submit(number, &spec(job::Kind::Batch, 20, 1, "sleep 1500"))
             .await
     }
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -1,39 +1,39 @@
-//! The demo: a whole cell in one process, every kind of work over real sockets, and the failures that the promises
-//! are about.
+//! Demo: runs a complete cell in one process, sends every kind of work over real sockets, injects failures, and checks
+//! the guarantees of the scheduler.
 
 pub mod cell;
+pub mod counters;
 mod fleet;
 mod jobs;
-mod outcome;
 mod partitions;
 mod requests;
 mod shares;
-pub mod tally;
+mod summary;
 
 use std::{ffi::OsString, process::ExitCode, time::Duration};
 
 use tokio_util::sync::CancellationToken;
 
-/// Longest wait for the cell to be ready.
-const START: Duration = Duration::from_secs(20);
-/// Longest wait for one command of an operator.
-const COMMAND: Duration = Duration::from_secs(10);
-/// Exit status for wrong flags.
-const USAGE: u8 = 2;
+/// Timeout for the cell to become ready.
+const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Timeout for one operator command, including retries.
+const COMMAND_TIMEOUT: Duration = Duration::from_secs(10);
+/// Exit status for invalid flags.
+const USAGE_STATUS: u8 = 2;
 
-/// Everything that the steps of the demo share.
+/// State shared by the steps of the demo.
 #[derive(Debug)]
 struct Demo {
     cell: cell::Cell,
     fleet: fleet::Fleet,
-    tally: tally::Tally,
+    counters: counters::Counters,
     /// Key of the team `federations`, of weight 2.
     key: String,
     /// Key of the team `dojos`, of weight 1.
-    other_key: String,
+    second_key: String,
 }
 
-/// Runs the demo; the exit status is 0 only when every promise held.
+/// Runs the demo. The exit status is 0 only if all checks passed.
 pub fn run(arguments: &[OsString]) -> ExitCode {
     let mut arguments = pico_args::Arguments::from_vec(arguments.to_vec());
     let seed = arguments.opt_value_from_str("--seed");
@@ -69,7 +69,7 @@
             return ExitCode::FAILURE;
         }
     };
-    match start_and_play(&runtime, seed, quiet) {
+    match start_and_run(&runtime, seed, quiet) {
         Ok(true) => ExitCode::SUCCESS,
         Ok(false) => ExitCode::FAILURE,
         Err(error) => {
@@ -81,69 +81,72 @@
 
 fn usage(message: &str) -> ExitCode {
     eprintln!("demo: {message}; --seed NUMBER, --log-level LEVEL and --no-timeline are allowed");
-    ExitCode::from(USAGE)
+    ExitCode::from(USAGE_STATUS)
 }
 
-fn start_and_play(runtime: &tokio::runtime::Runtime, seed: u64, quiet: bool) -> Result<bool, String> {
+fn start_and_run(runtime: &tokio::runtime::Runtime, seed: u64, quiet: bool) -> Result<bool, String> {
     let folder = tempfile::tempdir().map_err(|error| error.to_string())?;
     println!("Starting a cell: 2 regions, 3 availability zones, 6 entry VMs.");
-    // Daemons own runtimes, which may be neither started nor dropped inside another one.
+    // Daemons own runtimes, which must be neither started nor dropped inside another runtime.
     let cell = cell::Cell::start(folder.path(), seed).map_err(|error| error.to_string())?;
     let cancel = CancellationToken::new();
     let fleet = fleet::Fleet::new(cancel.clone());
     let mut demo = Demo {
         cell,
         fleet,
-        tally: tally::Tally::default(),
+        counters: counters::Counters::default(),
         key: String::new(),
-        other_key: String::new(),
+        second_key: String::new(),
     };
-    let result = play(runtime, &mut demo);
+    let result = run_steps(runtime, &mut demo);
     cancel.cancel();
-    let holds = result.map(|()| outcome::print(&demo, quiet));
+    let holds = result.map(|()| summary::print(&demo, quiet));
     demo.cell.stop();
     holds
 }
 
-fn play(runtime: &tokio::runtime::Runtime, demo: &mut Demo) -> Result<(), String> {
+fn run_steps(runtime: &tokio::runtime::Runtime, demo: &mut Demo) -> Result<(), String> {
     runtime.block_on(async {
         demo.set_up().await?;
         demo.requests().await?;
         demo.jobs().await?;
         demo.shares().await?;
-        demo.keys().await?;
-        demo.drain().await?;
+        demo.withdraw_key().await?;
+        demo.drain_target().await?;
         demo.configuration().await?;
-        demo.zone_cut().await
+        demo.partition_zone().await
     })?;
-    demo.vm_lost(runtime)
+    demo.lose_vm(runtime)
 }
 
 impl Demo {
     async fn set_up(&mut self) -> Result<(), String> {
-        let ready = cell::wait(START, || self.cell.is_ready()).await;
-        let took = ready.ok_or("the cell did not become ready")?;
-        println!("The cell is ready after {} ms.", took.as_millis());
+        let ready = cell::wait_until(START_TIMEOUT, || self.cell.is_ready()).await;
+        let elapsed = ready.ok_or("the cell did not become ready")?;
+        println!("The cell is ready after {} ms.", elapsed.as_millis());
         for line in [
             "create team federations weight=2 cpu=2000 memory=4000GiB accelerators=64 requests=2000",
             "create team dojos weight=1 cpu=2000 memory=4000GiB accelerators=64 requests=2000",
             "create service reconciliations",
             "create queue open-desk service=reconciliations requests=100",
         ] {
-            self.cell.insist(0, line, COMMAND).await?;
+            self.cell.execute_until_accepted(0, line, COMMAND_TIMEOUT).await?;
         }
         self.key = self.grant_key("federations").await?;
-        self.other_key = self.grant_key("dojos").await?;
+        self.second_key = self.grant_key("dojos").await?;
         self.fleet.start(&self.cell).await?;
         let cell = &self.cell;
         let key = self.key.clone();
-        requests::settle(cell, &key).await
+        requests::wait_until_serving(cell, &key).await
     }
 
     /// Grants a generated key and returns it.
     async fn grant_key(&self, team: &str) -> Result<String, String> {
         let line = format!("grant key to team {team}");
-        let answer = self.cell.insist(0, &line, COMMAND).await?;
+        let answer = self
+            .cell
+            .execute_until_accepted(0, &line, COMMAND_TIMEOUT)
+            .await?;
         let bronzespoke_language::answer::Answer::Text(text) = answer else {
             return Err(String::from("a granted key was not shown"));
         };
--- a/crates/cli/src/demo/requests.rs
+++ b/crates/cli/src/demo/requests.rs
@@ -1,4 +1,4 @@
-//! Requests, keys, drains and configuration.
+//! Demo steps for requests, keys, drains and configuration.
 
 use std::time::{Duration, Instant};
 
@@ -7,23 +7,23 @@
 use http::{Method, StatusCode};
 use sha2::Digest;
 
-use crate::demo::{COMMAND, Demo, cell};
+use crate::demo::{COMMAND_TIMEOUT, Demo, cell};
 
-/// Keyed requests of the demo.
-const KEYED: usize = 60;
-/// Open-queue requests of the demo.
-const OPEN: usize = 20;
-/// Further non-repeatable requests of the demo.
-const ONCE: usize = 30;
-/// A withdrawn key stops within the freshness lease of 3 s, 2% drift and the time of one request.
-const WITHDRAWN: Duration = Duration::from_millis(3_500);
-/// A departing target gets nothing new after this time.
-const DEPARTED: Duration = Duration::from_secs(3);
-/// A configuration is in force everywhere within this time.
-const IN_FORCE: Duration = Duration::from_secs(11);
+/// Number of keyed requests.
+const KEYED_REQUESTS: usize = 60;
+/// Number of requests to the open queue.
+const OPEN_REQUESTS: usize = 20;
+/// Number of non-repeatable requests, in addition to the one that is resent.
+const NON_REPEATABLE_REQUESTS: usize = 30;
+/// Maximum time until a withdrawn key is refused: the freshness lease of 3 s, 2% clock drift and one request.
+const WITHDRAWAL_LIMIT: Duration = Duration::from_millis(3_500);
+/// Time after which a departing target must receive no new requests.
+const DEPARTURE_LIMIT: Duration = Duration::from_secs(3);
+/// Maximum time until an accepted configuration is in force on all VMs.
+const CONFIG_LIMIT: Duration = Duration::from_secs(11);
 
-/// Waits until every VM serves keyed requests.
-pub async fn settle(cell: &cell::Cell, key: &str) -> Result<(), String> {
+/// Waits until all VMs serve keyed requests with `key`.
+pub async fn wait_until_serving(cell: &cell::Cell, key: &str) -> Result<(), String> {
     let start = Instant::now();
     for number in 0..cell::VMS {
         loop {
@@ -44,68 +44,71 @@
     Ok(())
 }
 
-/// Sends one request to an open queue.
-async fn open(address: std::net::SocketAddr, body: String) -> Result<caller::Answer, caller::Error> {
+/// Sends one request to the open queue.
+async fn send_open(address: std::net::SocketAddr, body: String) -> Result<caller::Answer, caller::Error> {
     caller::send(address, Method::POST, "/v2/queues/open-desk/requests", &[], body).await
 }
 
 impl Demo {
     pub(super) async fn requests(&mut self) -> Result<(), String> {
         println!(
-            "Requests: {KEYED} keyed, {OPEN} on an open queue, one that must not be repeated, one of version 1."
+            "Requests: {KEYED_REQUESTS} keyed, {OPEN_REQUESTS} on an open queue, one that must not be repeated, one of version 1."
         );
-        for number in 0..KEYED {
+        for number in 0..KEYED_REQUESTS {
             let body = format!("reconciliation {number}");
             let address = self.cell.http(number % cell::VMS);
             let start = Instant::now();
             let answer = caller::request(address, "reconciliations", &self.key, None, body.clone()).await;
-            let whole = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
-            self.tally.count("keyed request", whole, start.elapsed());
+            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            self.counters.record("keyed request", complete, start.elapsed());
         }
-        for number in 0..OPEN {
+        for number in 0..OPEN_REQUESTS {
             let body = format!("open {number}");
             let start = Instant::now();
-            let answer = open(self.cell.http(number % cell::VMS), body.clone()).await;
-            let whole = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
-            self.tally.count("open request", whole, start.elapsed());
+            let answer = send_open(self.cell.http(number % cell::VMS), body.clone()).await;
+            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            self.counters.record("open request", complete, start.elapsed());
         }
-        self.once().await;
-        self.version_one().await;
+        self.non_repeatable_requests().await;
+        self.version_one_request().await;
         Ok(())
     }
 
-    /// The same non-repeatable request at two VMs of different zones.
-    async fn once(&mut self) {
+    /// Sends the same non-repeatable request at two VMs of different zones, then further ones once each.
+    async fn non_repeatable_requests(&mut self) {
         let body = "diploma check 1";
         let start = Instant::now();
         let id = Some("diploma-1");
         let first = caller::request(self.cell.http(0), "reconciliations", &self.key, id, body).await;
-        let whole = first
+        let complete = first
             .as_ref()
             .is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
-        self.tally.count("non-repeatable request", whole, start.elapsed());
+        self.counters
+            .record("non-repeatable request", complete, start.elapsed());
         let again = caller::request(self.cell.http(5), "reconciliations", &self.key, id, body).await;
         let same = matches!((&first, &again), (Ok(first), Ok(again)) if first.body == again.body);
-        self.tally.check(
+        self.counters.check(
             same,
             "a resent non-repeatable request gets the first answer at another VM",
         );
         let mut runs = self.fleet.runs_of(body.as_bytes());
-        for number in 0..ONCE {
+        for number in 0..NON_REPEATABLE_REQUESTS {
             let (id, body) = (format!("credit-{number}"), format!("credit {number}"));
             let start = Instant::now();
             let address = self.cell.http(number % cell::VMS);
             let answer =
                 caller::request(address, "reconciliations", &self.key, Some(&id), body.clone()).await;
-            let whole = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
-            self.tally.count("non-repeatable request", whole, start.elapsed());
+            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            self.counters
+                .record("non-repeatable request", complete, start.elapsed());
             runs = runs.max(self.fleet.runs_of(body.as_bytes()));
         }
-        self.tally.doubled += u64::from(runs.saturating_sub(1));
-        self.tally.check(runs == 1, "a non-repeatable request ran once");
+        self.counters.doubled += u64::from(runs.saturating_sub(1));
+        self.counters
+            .check(runs == 1, "a non-repeatable request ran once");
     }
 
-    async fn version_one(&mut self) {
+    async fn version_one_request(&mut self) {
         let body = serde_json::json!({ "key": self.key, "service": "reconciliations", "body": "old form" });
         let answer = caller::send(
             self.cell.http(1),
@@ -120,22 +123,22 @@
                 && answer.header("deprecation").is_some()
                 && answer.header("sunset").is_some()
         });
-        self.tally.check(
+        self.counters.check(
             served,
             "the version-1 interface still answers and says that it is deprecated",
         );
     }
 
-    /// A key is granted, used, withdrawn, and then refused everywhere.
-    pub(super) async fn keys(&mut self) -> Result<(), String> {
+    /// Grants, uses and withdraws a key, and checks that all VMs then refuse it.
+    pub(super) async fn withdraw_key(&mut self) -> Result<(), String> {
         println!("Keys: one is granted and withdrawn.");
         let key = self.grant_key("dojos").await?;
-        settle(&self.cell, &key).await?;
+        wait_until_serving(&self.cell, &key).await?;
         let hash = sha2::Sha256::digest(key.as_bytes());
         let mut prefix = bronzespoke_language::hexadecimal(&hash);
         prefix.truncate(16);
         self.cell
-            .insist(2, &format!("withdraw key {prefix}"), COMMAND)
+            .execute_until_accepted(2, &format!("withdraw key {prefix}"), COMMAND_TIMEOUT)
             .await?;
         let start = Instant::now();
         let mut refused = 0;
@@ -147,7 +150,7 @@
                     refused += 1;
                     break;
                 }
-                if start.elapsed() > WITHDRAWN {
+                if start.elapsed() > WITHDRAWAL_LIMIT {
                     break;
                 }
                 tokio::time::sleep(Duration::from_millis(20)).await;
@@ -157,50 +160,51 @@
             "  The withdrawn key is refused by {refused} VMs after {} ms.",
             start.elapsed().as_millis()
         );
-        self.tally.check(
+        self.counters.check(
             refused == cell::VMS,
             "a withdrawn key is refused everywhere within seconds",
         );
         Ok(())
     }
 
-    /// A target is drained and gets nothing new after 3 s.
-    pub(super) async fn drain(&mut self) -> Result<(), String> {
+    /// Drains a target and checks that it receives no new requests after [`DEPARTURE_LIMIT`].
+    pub(super) async fn drain_target(&mut self) -> Result<(), String> {
         println!("Drain: one target.");
         let (target, _, standin) = self.fleet.targets[0].clone();
         self.cell
-            .insist(1, &format!("drain target {target}"), COMMAND)
+            .execute_until_accepted(1, &format!("drain target {target}"), COMMAND_TIMEOUT)
             .await?;
         let start = Instant::now();
-        while start.elapsed() < DEPARTED {
-            self.burst(6).await;
+        while start.elapsed() < DEPARTURE_LIMIT {
+            self.send_burst(6).await;
         }
         let runs = standin.runs();
         for _ in 0..10 {
-            self.burst(6).await;
+            self.send_burst(6).await;
         }
         let after = standin.runs() - runs;
-        self.tally
+        self.counters
             .check(after == 0, "a departing target receives no new work after 3 s");
         self.cell
-            .insist(1, &format!("undrain target {target}"), COMMAND)
+            .execute_until_accepted(1, &format!("undrain target {target}"), COMMAND_TIMEOUT)
             .await?;
         Ok(())
     }
 
-    /// One keyed request at each of some VMs.
-    async fn burst(&mut self, count: usize) {
+    /// Sends `count` keyed requests, spread over the VMs.
+    async fn send_burst(&mut self, count: usize) {
         for number in 0..count {
             let body = format!("burst {number}");
             let start = Instant::now();
             let address = self.cell.http(number % cell::VMS);
             let answer = caller::request(address, "reconciliations", &self.key, None, body.clone()).await;
-            let whole = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
-            self.tally.count("keyed request", whole, start.elapsed());
+            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            self.counters.record("keyed request", complete, start.elapsed());
         }
     }
 
-    /// Two operators change the configuration from the same version; one wins, and it is in force everywhere.
+    /// Changes the configuration twice from the same version. Checks that exactly one change is accepted, and that it
+    /// comes into force on all VMs.
     pub(super) async fn configuration(&mut self) -> Result<(), String> {
         println!("Configuration: two operators start from the same version.");
         let one = self.cell.execute(0, "set config retry_percent=11 expect 0");
@@ -212,13 +216,13 @@
         if !one_wins {
             println!("  {one:?}\n  {other:?}");
         }
-        self.tally.check(
+        self.counters.check(
             one_wins,
             "of two changes from the same version exactly one is accepted",
         );
         let start = Instant::now();
         let mut applied = false;
-        while !applied && start.elapsed() < IN_FORCE {
+        while !applied && start.elapsed() < CONFIG_LIMIT {
             let events = self.cell.events();
             let mut processes: Vec<_> = events
                 .iter()
@@ -239,15 +243,16 @@
             "  The configuration is in force everywhere after {} ms.",
             start.elapsed().as_millis()
         );
-        self.tally.check(
+        self.counters.check(
             applied,
             "an accepted configuration is in force everywhere within 11 s",
         );
         Ok(())
     }
 
+    /// Sends one request to the open queue at a VM. Returns whether it was served.
     pub(super) async fn open_request(&mut self, number: usize) -> bool {
-        let answer = open(self.cell.http(number), String::from("open during a partition")).await;
+        let answer = send_open(self.cell.http(number), String::from("open during a partition")).await;
         answer.is_ok_and(|answer| answer.status == StatusCode::OK)
     }
 }
--- a/crates/cli/src/demo/outcome.rs
+++ b/crates/cli/src/demo/summary.rs
@@ -1,10 +1,10 @@
-//! What the demo prints at its end: timeline, measures, promises and the counts.
+//! Prints the timeline, measures, violated guarantees and counters at the end of the demo.
 
 use bronzespoke_model::event;
 
 use crate::demo::Demo;
 
-/// Kinds of work in the table of waiting times.
+/// Kinds of work, in the order of the table of waiting times.
 const KINDS: [&str; 8] = [
     "keyed request",
     "open request",
@@ -16,7 +16,7 @@
     "job of a lost VM",
 ];
 
-/// Prints everything and tells whether every promise held.
+/// Prints the summary, without the timeline if `quiet`. Returns whether all guarantees held.
 pub fn print(demo: &Demo, quiet: bool) -> bool {
     let events = demo.cell.events();
     if !quiet {
@@ -24,23 +24,23 @@
     }
     print_measures(demo, &events);
     let totals = demo.fleet.ledger.totals();
-    let mut tally_holds = demo.tally.holds();
+    let mut holds = demo.counters.holds();
     println!(
         "Workers: {} runs started, {} at the same time, {} in two places, {} over capacity, {} repeated after success.",
         totals.starts, totals.most_running, totals.doubled, totals.overfilled, totals.repeated
     );
-    let doubled = demo.tally.doubled + totals.doubled + totals.repeated;
-    tally_holds &= totals.doubled == 0 && totals.overfilled == 0 && totals.repeated == 0;
-    for promise in &demo.tally.broken {
-        println!("BROKEN: {promise}");
+    let doubled = demo.counters.doubled + totals.doubled + totals.repeated;
+    holds &= totals.doubled == 0 && totals.overfilled == 0 && totals.repeated == 0;
+    for guarantee in &demo.counters.broken {
+        println!("BROKEN: {guarantee}");
     }
     println!(
         "demo: accepted={} completed={} lost={} doubled={doubled}",
-        demo.tally.accepted,
-        demo.tally.completed,
-        demo.tally.lost()
+        demo.counters.accepted,
+        demo.counters.completed,
+        demo.counters.lost()
     );
-    tally_holds
+    holds
 }
 
 fn print_timeline(events: &[event::Event]) {
@@ -60,18 +60,18 @@
         "waiting time", "count", "median ms", "largest ms"
     );
     for kind in KINDS {
-        if let Some((count, median, largest)) = demo.tally.wait_of(kind) {
+        if let Some((count, median, largest)) = demo.counters.wait_summary(kind) {
             let (median, largest) = (median.as_secs_f64() * 1000.0, largest.as_secs_f64() * 1000.0);
             println!("{kind:<24} {count:>6} {median:>12.1} {largest:>12.1}");
         }
     }
-    if let Some(packing) = demo.tally.packing {
+    if let Some(packing) = demo.counters.packing {
         println!(
             "Packing: {:.1}% of the processors of a full zone in use while work waited.",
             packing * 100.0
         );
     }
-    for (team, entitled, got) in &demo.tally.shares {
+    for (team, entitled, got) in &demo.counters.shares {
         println!(
             "Share of team {team}: {:.1}% of what was in use, {:.1}% by weight.",
             got * 100.0,
--- a/crates/cli/src/failure.rs
+++ b/crates/cli/src/failure.rs
@@ -1,23 +1,23 @@
-//! Why the program ends with an exit status other than 0.
+//! Failures that end the program, and their exit statuses.
 
 use std::process::ExitCode;
 
-const REFUSED: u8 = 1;
-const USAGE: u8 = 2;
+const REFUSED_STATUS: u8 = 1;
+const USAGE_STATUS: u8 = 2;
 
-/// A failure of the whole program.
+/// Reason why the program ends early.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Failure {
-    /// The statement was refused or could not be done; one sentence. Exit status 1.
+    /// The statement was refused or failed; a message of one sentence. Exit status 1.
     Refused(String),
-    /// The flags, the environment or the statement are not understood; one sentence for each fault. Exit status 2.
+    /// Flags, environment or statement are invalid; one message for each error. Exit status 2.
     Usage(Vec<String>),
-    /// The reader of standard output went away. Exit status 0, as for other programs in a pipe.
+    /// The reader closed standard output. Exit status 0, since a pipeline such as `| head` is not a failure.
     OutputClosed,
 }
 
 impl Failure {
-    /// Returns a refusal.
+    /// Returns [`Failure::Refused`] with `message`.
     pub fn refused(message: impl Into<String>) -> Self {
         Self::Refused(message.into())
     }
@@ -27,13 +27,13 @@
         match self {
             Self::Refused(message) => {
                 eprintln!("bronzespoke: {message}");
-                ExitCode::from(REFUSED)
+                ExitCode::from(REFUSED_STATUS)
             }
-            Self::Usage(faults) => {
-                for fault in faults {
-                    eprintln!("bronzespoke: {fault}");
+            Self::Usage(errors) => {
+                for error in errors {
+                    eprintln!("bronzespoke: {error}");
                 }
-                ExitCode::from(USAGE)
+                ExitCode::from(USAGE_STATUS)
             }
             Self::OutputClosed => ExitCode::SUCCESS,
         }
--- a/crates/cli/src/lib.rs
+++ b/crates/cli/src/lib.rs
@@ -1,6 +1,6 @@
-//! The operators' command line, the demo and the report.
+//! Command line for operators, the demo and the HTML report.
 //!
-//! The package is a library with a small program around it, so that its tests call the same code as the program.
+//! The binary is a thin wrapper around this library, so that tests call the same code as the program.
 
 pub mod demo;
 pub mod failure;
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,4 +1,4 @@
-//! The operators' command line.
+//! Entry point of the `bronzespoke` binary.
 
 use std::{
     env,
@@ -15,8 +15,8 @@
         return demo::run(&arguments[1..]);
     }
     let environment = |name: &str| env::var(name).ok();
-    let done = settings::read(arguments, &environment, wall_micros()).and_then(run);
-    match done {
+    let result = settings::read(arguments, &environment, wall_micros()).and_then(run);
+    match result {
         Ok(()) => ExitCode::SUCCESS,
         Err(failure) => failure.report(),
     }
--- a/crates/cli/src/output.rs
+++ b/crates/cli/src/output.rs
@@ -1,4 +1,4 @@
-//! Standard output.
+//! Writes results to standard output.
 
 use std::io::{self, Write};
 
@@ -6,7 +6,7 @@
 
 use crate::failure;
 
-/// Writes text to standard output.
+/// Writes `text` to standard output and flushes it.
 pub(crate) fn text(text: &str) -> Result<(), failure::Failure> {
     let mut out = io::stdout().lock();
     let written = out.write_all(text.as_bytes()).and_then(|()| out.flush());
@@ -16,7 +16,7 @@
     })
 }
 
-/// Writes a value as one line of JSON.
+/// Writes `value` to standard output as one line of JSON.
 pub(crate) fn json(value: &impl Serialize) -> Result<(), failure::Failure> {
     let mut line = serde_json::to_string(value).expect("answers and events are plain data");
     line.push('\n');
--- a/crates/cli/src/report/chart.rs
+++ b/crates/cli/src/report/chart.rs
@@ -1,4 +1,4 @@
-//! Charts as SVG text.
+//! Draws charts as SVG text.
 
 use std::error::Error;
 
@@ -11,11 +11,11 @@
 const WIDTH: u32 = 1100;
 const LABEL_WIDTH: u32 = 380;
 const ROW_HEIGHT: u32 = 26;
-/// Fewest rows of a chart; a segmented axis needs two.
+/// Minimum number of rows of a chart; a segmented axis needs two.
 const MIN_ROWS: i32 = 2;
 const MARGIN_HEIGHT: u32 = 70;
 const TEXT: (&str, u32) = ("sans-serif", 13);
-/// Most points in the chart of a timeline; browsers draw this many without delay.
+/// Maximum number of points in the chart of a timeline; browsers draw this many without delay.
 pub const MAX_POINTS: usize = 20_000;
 
 const GOOD: RGBColor = RGBColor(46, 125, 80);
@@ -23,9 +23,10 @@
 const PLAIN: RGBColor = RGBColor(60, 90, 150);
 const LIMIT: RGBColor = RGBColor(40, 40, 40);
 
-/// Draws a bar for the part of its bound that each measure uses. Measures without a bound have no bar.
+/// Draws for each measure with a bound a bar of the fraction of its bound that it uses. Returns an empty string if no
+/// measure has a bound.
 pub fn bounds(measures: &[&measures::Measure]) -> Result<String, String> {
-    // The lowest row of a chart is its first.
+    // The first row is drawn at the bottom, so the rows are in reverse order.
     let bounded = measures
         .iter()
         .rev()
@@ -83,13 +84,14 @@
     Ok(())
 }
 
-/// Draws one lane for each process with a point for each of the first [`MAX_POINTS`] events.
+/// Draws one lane for each process, with a point for each of the first [`MAX_POINTS`] events. Returns an empty string
+/// if there are no events.
 pub fn lanes(events: &[event::Event]) -> Result<String, String> {
     let mut processes = events
         .iter()
         .map(|event| event.process.as_str())
         .collect::<Vec<_>>();
-    // The lowest row of a chart is its first.
+    // The first row is drawn at the bottom, so the rows are in reverse order.
     processes.sort_unstable_by(|left, right| right.cmp(left));
     processes.dedup();
     if processes.is_empty() {
@@ -141,11 +143,11 @@
         let row = processes
             .binary_search_by(|process| event.process.as_str().cmp(process))
             .unwrap_or_default();
-        let place = (
+        let point = (
             seconds(event.stamp.micros),
             SegmentValue::CenterOf(row_number(row)),
         );
-        Circle::new(place, 3, color(event).filled())
+        Circle::new(point, 3, color(event).filled())
     });
     chart.draw_series(points)?;
     drop(chart);
@@ -153,7 +155,7 @@
     Ok(())
 }
 
-/// Returns the edge between a row and the next one.
+/// Returns the upper edge of a row.
 fn edge_after(row: i32, rows: i32) -> SegmentValue<i32> {
     if row + 1 < rows {
         SegmentValue::Exact(row + 1)
@@ -162,12 +164,12 @@
     }
 }
 
-/// Returns a row number of a chart; inputs are bounded far below 2^31 rows.
+/// Converts an index to the row number of a chart. The limit on the input size keeps it far below 2^31.
 fn row_number(index: usize) -> i32 {
     i32::try_from(index).unwrap_or(i32::MAX)
 }
 
-/// Losses and faults are red, normal progress is green, everything else is blue.
+/// Returns the color of an event: red for losses and failures, green for normal progress, blue for all others.
 fn color(event: &event::Event) -> RGBColor {
     let (name, _) = render::describe(event);
     match name.as_str() {
--- a/crates/cli/src/report/measures.rs
+++ b/crates/cli/src/report/measures.rs
@@ -1,18 +1,18 @@
-//! Measures of a policy run.
+//! Measures of a policy run, and whether they meet their bounds.
 
 use std::collections::BTreeMap;
 
 use serde::Deserialize;
 use serde_json::Value;
 
-/// Largest ratio that a chart shows; larger ones end there.
+/// Maximum ratio that a chart shows; larger ratios are clamped to it.
 pub const MAX_RATIO: f64 = 2.0;
 
-/// A bound on a measured value, as `bronzespoke-bench` prints it.
+/// Bound on a measured value, in the form that `bronzespoke-bench` prints.
 #[derive(Debug, Clone, Copy, PartialEq, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Bound {
-    /// Reported without a verdict.
+    /// No bound; the value is only reported.
     None,
     /// The value must not be larger.
     AtMost(f64),
@@ -20,34 +20,34 @@
     AtLeast(f64),
 }
 
-/// A measured value with its bound.
+/// Measured value with its bound.
 #[derive(Debug, Clone, PartialEq, Deserialize)]
 pub struct Measure {
-    /// What was measured, as `part.measure.variant`.
+    /// Dotted name of the measure, such as `part.measure.variant`.
     pub name: String,
-    /// Measured value; absent when it was not a finite number.
+    /// Measured value; `None` if it was not a finite number.
     pub value: Option<f64>,
-    /// Unit of the value.
+    /// Unit of `value` and of the bound.
     pub unit: String,
-    /// Bound.
+    /// Bound that `value` is checked against.
     pub bound: Bound,
-    /// Where the bound comes from.
+    /// Origin of the bound.
     pub source: String,
 }
 
-/// Whether the bound of a measure holds.
+/// Result of checking a measure against its bound.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Verdict {
-    /// There is no bound.
+    /// The measure has no bound.
     Unbounded,
-    /// The bound holds.
+    /// The value is within the bound.
     Holds,
-    /// The bound is broken, or the value is not a number.
+    /// The value is outside the bound, or is not a finite number.
     Broken,
 }
 
 impl Measure {
-    /// Returns whether the bound holds.
+    /// Checks the value against the bound.
     pub fn verdict(&self) -> Verdict {
         let holds = match (self.bound, self.value) {
             (Bound::None, Some(_)) => return Verdict::Unbounded,
@@ -60,7 +60,8 @@
 
     /// Returns how much of the bound is used, from 0.0 to [`MAX_RATIO`]; at most 1.0 when the bound holds.
     ///
-    /// For an upper bound this is value / bound, for a lower bound it is bound / value. `None` without a bound.
+    /// The ratio is value / bound for an upper bound and bound / value for a lower bound. Returns `None` if the bound
+    /// or the value is absent.
     pub fn ratio(&self) -> Option<f64> {
         let (used, allowed) = match (self.bound, self.value?) {
             (Bound::None, _) => return None,
@@ -77,17 +78,17 @@
         Some(ratio.min(MAX_RATIO))
     }
 
-    /// Returns the part, which is the name up to the first dot.
+    /// Returns the part that the measure belongs to: the name up to the first dot.
     pub fn part(&self) -> &str {
         self.name.split('.').next().unwrap_or_default()
     }
 }
 
-/// Reads the rows of a policy run.
+/// Parses the rows of a policy run.
 ///
 /// # Errors
 ///
-/// One sentence that names the first wrong row.
+/// Returns a message of one sentence that names the first invalid row.
 pub fn read(rows: Vec<Value>) -> Result<Vec<Measure>, String> {
     let read = |(index, row): (usize, Value)| {
         let measure = serde_json::from_value::<Measure>(row);
--- a/crates/cli/src/report/mod.rs
+++ b/crates/cli/src/report/mod.rs
@@ -1,4 +1,4 @@
-//! Turns the JSON of a policy run or a timeline into one self-contained HTML page.
+//! Renders the JSON of a policy run or a timeline as one self-contained HTML page.
 
 use std::{fs, path::Path};
 
@@ -10,10 +10,10 @@
 pub mod measures;
 pub mod page;
 
-/// Largest input file, in bytes: 256 MiB.
+/// Maximum size of the input file, in bytes.
 const MAX_INPUT_BYTES: u64 = 256 << 20;
 
-/// Reads `input` and writes the page to `file`, or to standard output.
+/// Reads the JSON file `input` and writes the page to `file`, or to standard output if `file` is absent.
 pub fn run(input: &Path, file: Option<&Path>) -> Result<(), failure::Failure> {
     let shown = input.display();
     let fail = |reason: String| failure::Failure::refused(format!("{shown}: {reason}"));
@@ -38,7 +38,7 @@
 ///
 /// # Errors
 ///
-/// One sentence that says what is wrong with the JSON.
+/// Returns a message of one sentence that says what is wrong with the JSON.
 pub fn html(json: &[u8]) -> Result<String, String> {
     let value = serde_json::from_slice::<Value>(json).map_err(|error| format!("it is not JSON: {error}"))?;
     match value {
--- a/crates/cli/src/report/page.rs
+++ b/crates/cli/src/report/page.rs
@@ -1,11 +1,11 @@
-//! The HTML page.
+//! Renders measures and timelines as HTML pages.
 
 use std::fmt::Write;
 
 use super::{chart, measures};
 use crate::timeline::{filter, merge, render};
 
-/// Most events in the table of a timeline.
+/// Maximum number of events in the table of a timeline.
 pub const MAX_EVENT_ROWS: usize = 5000;
 
 const STYLE: &str = "\
@@ -16,7 +16,7 @@
 tr.broken{background:#fde3e3}\
 svg{max-width:100%;height:auto}";
 
-/// Returns the page for the measures of a policy run.
+/// Renders the measures of a policy run: for each part a chart and a table.
 pub fn measures(all: &[measures::Measure]) -> Result<String, String> {
     let broken = all
         .iter()
@@ -65,14 +65,14 @@
     );
 }
 
-/// Returns the page for a timeline.
+/// Renders a timeline as a chart and a table, preceded by notices of lost events and unreachable processes.
 pub fn timeline(history: &merge::History) -> Result<String, String> {
     let mut body = format!("<p>{} events.</p>\n", history.events.len());
-    let lost = history.lost.iter().map(merge::Loss::sentence);
-    for sentence in lost.chain(history.unreachable.iter().map(merge::Unreachable::sentence)) {
+    let lost = history.lost.iter().map(merge::Loss::message);
+    for message in lost.chain(history.unreachable.iter().map(merge::Unreachable::message)) {
         push(
             &mut body,
-            format_args!("<p><strong>{}</strong></p>\n", escape(&sentence)),
+            format_args!("<p><strong>{}</strong></p>\n", escape(&message)),
         );
     }
     if history.events.len() > chart::MAX_POINTS {
--- a/crates/cli/src/session.rs
+++ b/crates/cli/src/session.rs
@@ -1,7 +1,7 @@
 //! A session with the daemons of a cell.
 //!
-//! Any daemon takes any statement. When one does not answer, the session sends the statement to the next address. A
-//! command keeps its id in every attempt, so that it is done once even when the first answer was lost.
+//! Every daemon accepts every statement. If one does not answer, the session retries the statement at the next address.
+//! A command keeps its id in all attempts, so that it is executed only once even if the first answer was lost.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -12,14 +12,14 @@
 
 use crate::failure;
 
-/// Times that the list of addresses is tried; a leader election may take several seconds.
-const ROUNDS: usize = 3;
-/// Pause between two rounds.
-const PAUSE: Duration = Duration::from_millis(500);
-/// Largest answer, in bytes; an answer of 20,000 rows fits.
+/// Maximum number of passes over the addresses; a leader election can take several seconds.
+const MAX_ROUNDS: usize = 3;
+/// Pause between two passes over the addresses.
+const ROUND_PAUSE: Duration = Duration::from_millis(500);
+/// Maximum size of an answer, in bytes; 20,000 rows fit.
 const MAX_ANSWER_BYTES: u32 = 32 << 20;
 
-/// A session.
+/// Client of the daemons of one cell.
 #[derive(Debug)]
 pub struct Session {
     addresses: Vec<SocketAddr>,
@@ -27,16 +27,16 @@
     current: usize,
 }
 
-/// How an attempt at one address ended without an answer.
-enum Lost {
-    /// No connection, so the daemon did not see the statement.
+/// Reason why an attempt at one address ended without an answer.
+enum Error {
+    /// No connection was established, so the daemon did not receive the statement.
     NotSent(String),
-    /// The daemon may have seen the statement.
+    /// The daemon may have received the statement.
     MaybeSent(String),
 }
 
 impl Session {
-    /// Returns a session that starts with the first address. `timeout` bounds each attempt.
+    /// Returns a session that tries the first address first. `timeout` limits each attempt.
     pub fn new(addresses: Vec<SocketAddr>, timeout: Duration) -> Self {
         Self {
             addresses,
@@ -45,27 +45,27 @@
         }
     }
 
-    /// Executes one statement. `command_id` is the same in every attempt.
+    /// Executes one statement, with the same `command_id` in every attempt.
     ///
-    /// When no daemon gives a final answer, the answer is an error with [`answer::Code::Unavailable`], or with
-    /// [`answer::Code::Unconfirmed`] when a daemon may have done the command.
+    /// If no daemon gives a final answer, returns an error with [`answer::Code::Unavailable`], or with
+    /// [`answer::Code::Unconfirmed`] if a daemon may have executed the command.
     pub async fn execute(&mut self, line: &str, command_id: Option<command::Id>) -> answer::Answer {
         let mut reason = String::from("no address is known");
-        let mut maybe_done = false;
-        for attempt in 0..ROUNDS * self.addresses.len() {
+        let mut maybe_executed = false;
+        for attempt in 0..MAX_ROUNDS * self.addresses.len() {
             if attempt > 0 && attempt % self.addresses.len() == 0 {
-                tokio::time::sleep(PAUSE).await;
+                tokio::time::sleep(ROUND_PAUSE).await;
             }
             let address = self.addresses[self.current];
             let cause = match self.attempt(address, line, command_id).await {
                 Ok(answer::Answer::Error(error)) if error.code.is_retryable() => {
-                    maybe_done |= error.code == answer::Code::Unconfirmed;
+                    maybe_executed |= error.code == answer::Code::Unconfirmed;
                     error.message
                 }
                 Ok(answer) => return answer,
-                Err(Lost::NotSent(cause)) => cause,
-                Err(Lost::MaybeSent(cause)) => {
-                    maybe_done = true;
+                Err(Error::NotSent(cause)) => cause,
+                Err(Error::MaybeSent(cause)) => {
+                    maybe_executed = true;
                     cause
                 }
             };
@@ -74,7 +74,7 @@
             self.current = (self.current + 1) % self.addresses.len();
         }
         match command_id {
-            Some(id) if maybe_done => answer::Answer::error(
+            Some(id) if maybe_executed => answer::Answer::error(
                 answer::Code::Unconfirmed,
                 format!("the command may have been done ({reason}); resend it with --command-id {id}"),
             ),
@@ -100,20 +100,20 @@
                 .await
             {
                 Ok(directory) => return Ok(directory),
-                Err(error) => reason = format!("{address}: {}", sentence(&error)),
+                Err(error) => reason = format!("{address}: {}", describe(&error)),
             }
         }
         Err(failure::Failure::refused(format!("no daemon answers ({reason})")))
     }
 
-    /// Reads one page of the timeline of the daemon at an address.
+    /// Reads one page of a daemon's timeline: the events with sequence numbers above `after`.
     pub async fn timeline(&self, address: SocketAddr, after: u64) -> Result<timeline::Page, String> {
         let client = self.client(address)?;
         let page = client.timeline(after, timeline::MAX_EVENTS).await;
-        page.map_err(|error| sentence(&error))
+        page.map_err(|error| describe(&error))
     }
 
-    /// Returns the addresses that were given.
+    /// Returns the configured addresses.
     pub fn addresses(&self) -> &[SocketAddr] {
         &self.addresses
     }
@@ -123,14 +123,14 @@
         address: SocketAddr,
         line: &str,
         command_id: Option<command::Id>,
-    ) -> Result<answer::Answer, Lost> {
-        self.connect(address).await.map_err(Lost::NotSent)?;
-        let client = self.client(address).map_err(Lost::NotSent)?;
+    ) -> Result<answer::Answer, Error> {
+        self.connect(address).await.map_err(Error::NotSent)?;
+        let client = self.client(address).map_err(Error::NotSent)?;
         let answer = client.execute(String::from(line), command_id).await;
-        answer.map_err(|error| Lost::MaybeSent(sentence(&error)))
+        answer.map_err(|error| Error::MaybeSent(describe(&error)))
     }
 
-    /// Opens and closes a connection, because only a failure to connect proves that a command was not sent.
+    /// Opens and closes a connection: only a failed connection attempt proves that a command was not sent.
     async fn connect(&self, address: SocketAddr) -> Result<(), String> {
         let connecting = tokio::net::TcpStream::connect(address);
         match tokio::time::timeout(self.timeout, connecting).await {
@@ -145,11 +145,11 @@
             .request_timeout(self.timeout)
             .max_response_size(MAX_ANSWER_BYTES)
             .build(format!("http://{address}"))
-            .map_err(|error| sentence(&error))
+            .map_err(|error| describe(&error))
     }
 }
 
-fn sentence(error: &client::Error) -> String {
+fn describe(error: &client::Error) -> String {
     match error {
         client::Error::RequestTimeout => String::from("no answer in time"),
         other => bronzespoke_language::render::printable(&other.to_string()),
--- a/crates/cli/src/settings/help.rs
+++ b/crates/cli/src/settings/help.rs
@@ -1,6 +1,6 @@
-//! The text of `--help`.
+//! Help text of the command line.
 
-/// The text of `--help`.
+/// Text that `--help` prints.
 pub const TEXT: &str = "\
 bronzespoke: the operators' command line of the bronzespoke cluster scheduler
 
--- a/crates/cli/src/settings/mod.rs
+++ b/crates/cli/src/settings/mod.rs
@@ -1,6 +1,6 @@
 //! Settings from flags and the environment.
 //!
-//! All faults are found before anything is done, and are reported together.
+//! All settings are checked before the program does anything, and all errors are reported together.
 
 use std::{ffi::OsString, net::SocketAddr, path::PathBuf, time::Duration};
 
@@ -16,9 +16,9 @@
 use reader::{Flag, Reader, flag};
 
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(5);
-/// Shortest and longest wait for one answer, in milliseconds.
+/// Allowed timeouts of one attempt, in milliseconds.
 const TIMEOUT_MS: std::ops::RangeInclusive<u64> = 10..=600_000;
-/// Most daemon addresses; more than the entry VMs of the target size (34).
+/// Maximum number of daemon addresses; the largest supported cell has 34 entry VMs.
 const MAX_ADDRESSES: usize = 64;
 
 const ADDRESS: Flag = flag("--address", "BRONZESPOKE_ADDRESS");
@@ -28,7 +28,7 @@
 const STATEMENT: Flag = Flag {
     short: Some("-c"),
     name: "--statement",
-    twin: "BRONZESPOKE_STATEMENT",
+    variable: "BRONZESPOKE_STATEMENT",
 };
 const COMMAND_ID: Flag = flag("--command-id", "BRONZESPOKE_COMMAND_ID");
 const TEAM: Flag = flag("--team", "BRONZESPOKE_TEAM");
@@ -45,22 +45,22 @@
 const TIMELINE_FLAGS: [Flag; 8] = [TEAM, JOB, TASK, TARGET, WORKER, PROCESS, SINCE, UNTIL];
 const REPORT_FLAGS: [Flag; 1] = [OUTPUT];
 
-/// Checked settings.
+/// Validated settings.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Settings {
     /// Addresses of daemons, in the order in which they are tried.
     pub addresses: Vec<SocketAddr>,
-    /// Longest wait for one answer.
+    /// Timeout of one attempt to get an answer.
     pub timeout: Duration,
-    /// Whether output is JSON.
+    /// Whether to print JSON instead of tables and text.
     pub json: bool,
-    /// Log level.
+    /// Level of the log on standard error.
     pub log: log::LevelFilter,
-    /// What to do.
+    /// Action to perform.
     pub action: Action,
 }
 
-/// What to do.
+/// Action of one run of the program.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Action {
     /// Print the help text.
@@ -69,32 +69,34 @@
     Version,
     /// Execute one statement.
     Statement {
-        /// The line.
+        /// Statement in the operators' language.
         line: String,
-        /// Id of the command; generated when absent.
+        /// Id of the command; a random one is generated if absent.
         command_id: Option<command::Id>,
     },
-    /// Execute statements from standard input or a prompt.
+    /// Execute statements from standard input or an interactive prompt.
     Statements,
-    /// Show the merged timeline.
+    /// Show the merged timeline of all processes.
     Timeline(filter::Filter),
-    /// Turn a JSON file into an HTML page.
+    /// Render a JSON file as an HTML page.
     Report {
-        /// JSON file.
+        /// JSON file with policy measures or a timeline.
         input: PathBuf,
-        /// HTML file; standard output when absent.
+        /// HTML file; standard output if absent.
         output: Option<PathBuf>,
     },
 }
 
+/// Subcommand, which decides which flags are allowed.
 #[derive(Clone, Copy, PartialEq, Eq)]
-enum Part {
+enum Mode {
     Statements,
     Timeline,
     Report,
 }
 
-/// Reads the settings. `now_micros` is the wall time since the Unix epoch, for durations ago.
+/// Reads the settings. `now_micros` is the wall time in microseconds since the Unix epoch, against which durations in
+/// `--since` and `--until` are resolved.
 pub fn read(
     arguments: Vec<OsString>,
     environment: Environment<'_>,
@@ -103,71 +105,71 @@
     let mut reader = Reader::new(arguments, environment);
     let help = reader.contains(["-h", "--help"]);
     let version = reader.contains(["-V", "--version"]);
-    let addresses = reader.many(ADDRESS, "IP:PORT such as 10.0.0.1:7431 is allowed", |text| {
+    let addresses = reader.read_list(ADDRESS, "IP:PORT such as 10.0.0.1:7431 is allowed", |text| {
         text.parse().ok()
     });
-    let timeout = reader.one(TIMEOUT, "a duration from 10ms to 10m is allowed", |text| {
+    let timeout = reader.read_single(TIMEOUT, "a duration from 10ms to 10m is allowed", |text| {
         unit::read_duration(text).filter(|value| TIMEOUT_MS.contains(value))
     });
-    let json = reader.switch(JSON);
+    let json = reader.read_switch(JSON);
     let levels = "off, error, warn, info, debug or trace is allowed";
-    let log = reader.one(LOG, levels, |text| text.parse().ok());
-    let statement = reader.one(STATEMENT, "a statement is allowed", |text| {
+    let log = reader.read_single(LOG, levels, |text| text.parse().ok());
+    let statement = reader.read_single(STATEMENT, "a statement is allowed", |text| {
         Some(String::from(text))
     });
-    let command_id = reader.one(COMMAND_ID, "1 to 32 hexadecimal digits are allowed", |text| {
+    let command_id = reader.read_single(COMMAND_ID, "1 to 32 hexadecimal digits are allowed", |text| {
         text.parse().ok()
     });
-    let filter = filter(&mut reader, now_micros);
-    let output = reader.one(OUTPUT, "a file is allowed", |text| Some(PathBuf::from(text)));
-    let given = given_flags(&reader);
-    let (free, mut faults) = reader.finish();
+    let filter = read_filter(&mut reader, now_micros);
+    let output = reader.read_single(OUTPUT, "a file is allowed", |text| Some(PathBuf::from(text)));
+    let given = mode_flags(&reader);
+    let (positional, mut errors) = reader.finish();
     if help || version {
         let action = if help { Action::Help } else { Action::Version };
         return Ok(settings(Vec::new(), None, json, None, action));
     }
-    let free = free.iter().map(String::as_str).collect::<Vec<_>>();
-    let (part, input) = match free.as_slice() {
-        [] => (Part::Statements, None),
-        ["timeline"] => (Part::Timeline, None),
-        ["report", file] => (Part::Report, Some(PathBuf::from(file))),
+    let positional = positional.iter().map(String::as_str).collect::<Vec<_>>();
+    let (mode, input) = match positional.as_slice() {
+        [] => (Mode::Statements, None),
+        ["timeline"] => (Mode::Timeline, None),
+        ["report", file] => (Mode::Report, Some(PathBuf::from(file))),
         ["report", ..] => {
-            faults.push(String::from("report: exactly one FILE is needed"));
-            (Part::Report, None)
+            errors.push(String::from("report: exactly one FILE is needed"));
+            (Mode::Report, None)
         }
         ["timeline", other, ..] | [other, ..] => {
             let other = bronzespoke_language::render::printable(other);
-            faults.push(format!(
+            errors.push(format!(
                 "`{other}`: this argument is not known; a statement goes after -c, see --help"
             ));
-            (Part::Statements, None)
+            (Mode::Statements, None)
         }
     };
-    for (name, owner) in given.into_iter().filter(|(_, owner)| *owner != part) {
-        faults.push(format!("{name}: this flag is for {} only", describe(owner)));
+    for (name, owner) in given.into_iter().filter(|(_, owner)| *owner != mode) {
+        errors.push(format!("{name}: this flag is for {} only", describe(owner)));
     }
-    if part != Part::Report && addresses.is_empty() && !faults.iter().any(|fault| names(fault, ADDRESS)) {
-        faults.push(String::from(
+    if mode != Mode::Report && addresses.is_empty() && !errors.iter().any(|error| concerns(error, ADDRESS)) {
+        errors.push(String::from(
             "--address: at least one IP:PORT is needed (or BRONZESPOKE_ADDRESS)",
         ));
     }
     if addresses.len() > MAX_ADDRESSES {
-        faults.push(format!(
+        errors.push(format!(
             "--address: it is given {} times; at most {MAX_ADDRESSES} are allowed",
             addresses.len()
         ));
     }
-    if part == Part::Statements && statement.is_none() && command_id.is_some() {
-        faults.push(String::from(
+    if mode == Mode::Statements && statement.is_none() && command_id.is_some() {
+        errors.push(String::from(
             "--command-id: it belongs to one command, which -c gives",
         ));
     }
-    if !faults.is_empty() {
-        return Err(failure::Failure::Usage(faults));
+    if !errors.is_empty() {
+        return Err(failure::Failure::Usage(errors));
     }
-    let action = match (part, input, statement) {
-        (Part::Timeline, _, _) => Action::Timeline(filter),
-        (Part::Report, Some(input), _) => Action::Report { input, output },
+    let action = match (mode, input, statement) {
+        (Mode::Timeline, _, _) => Action::Timeline(filter),
+        (Mode::Report, Some(input), _) => Action::Report { input, output },
         (_, _, Some(line)) => Action::Statement { line, command_id },
         (_, _, None) => Action::Statements,
     };
@@ -190,53 +192,55 @@
     }
 }
 
-fn filter(reader: &mut Reader<'_>, now_micros: u64) -> filter::Filter {
+fn read_filter(reader: &mut Reader<'_>, now_micros: u64) -> filter::Filter {
     let number = "a whole number is allowed";
     let time = "a time such as 2026-12-04T09:30:00Z or a duration ago such as 10m is allowed";
     let read_time = |text: &str| filter::read_time(text, now_micros);
     let filter = filter::Filter {
-        team: reader.one(TEAM, "a team's id or name is allowed", filter::Team::read),
-        job: reader.one(JOB, number, |text| text.parse().ok()),
-        task: reader.one(
+        team: reader.read_single(TEAM, "a team's id or name is allowed", filter::Team::read),
+        job: reader.read_single(JOB, number, |text| text.parse().ok()),
+        task: reader.read_single(
             TASK,
             "JOB/INDEX such as 281474976710657/0 is allowed",
             filter::read_task,
         ),
-        target: reader.one(TARGET, number, |text| text.parse().ok()),
-        worker: reader.one(WORKER, number, |text| text.parse().ok()),
-        process: reader.one(PROCESS, "the name of a VM is allowed", |text| {
+        target: reader.read_single(TARGET, number, |text| text.parse().ok()),
+        worker: reader.read_single(WORKER, number, |text| text.parse().ok()),
+        process: reader.read_single(PROCESS, "the name of a VM is allowed", |text| {
             Some(String::from(text))
         }),
-        since: reader.one(SINCE, time, read_time),
-        until: reader.one(UNTIL, time, read_time),
+        since: reader.read_single(SINCE, time, read_time),
+        until: reader.read_single(UNTIL, time, read_time),
     };
     if let (Some(since), Some(until)) = (filter.since, filter.until)
         && since > until
     {
-        reader.fault(String::from("--since: it is later than --until"));
+        reader.record_error(String::from("--since: it is later than --until"));
     }
     filter
 }
 
-fn given_flags(reader: &Reader<'_>) -> Vec<(&'static str, Part)> {
-    let owned = |flags: &[Flag], part: Part| {
+/// Returns the names of the given flags that belong to one mode, with that mode.
+fn mode_flags(reader: &Reader<'_>) -> Vec<(&'static str, Mode)> {
+    let owned = |flags: &[Flag], mode: Mode| {
         let given = flags.iter().filter(|flag| reader.was_given(**flag));
-        given.map(|flag| (flag.name, part)).collect::<Vec<_>>()
+        given.map(|flag| (flag.name, mode)).collect::<Vec<_>>()
     };
-    let mut given = owned(&STATEMENT_FLAGS, Part::Statements);
-    given.extend(owned(&TIMELINE_FLAGS, Part::Timeline));
-    given.extend(owned(&REPORT_FLAGS, Part::Report));
+    let mut given = owned(&STATEMENT_FLAGS, Mode::Statements);
+    given.extend(owned(&TIMELINE_FLAGS, Mode::Timeline));
+    given.extend(owned(&REPORT_FLAGS, Mode::Report));
     given
 }
 
-const fn describe(part: Part) -> &'static str {
-    match part {
-        Part::Statements => "statements",
-        Part::Timeline => "`timeline`",
-        Part::Report => "`report`",
+const fn describe(mode: Mode) -> &'static str {
+    match mode {
+        Mode::Statements => "statements",
+        Mode::Timeline => "`timeline`",
+        Mode::Report => "`report`",
     }
 }
 
-fn names(fault: &str, flag: Flag) -> bool {
-    fault.starts_with(flag.name) || fault.starts_with(flag.twin)
+/// Returns whether an error message is about a flag or its environment variable.
+fn concerns(error: &str, flag: Flag) -> bool {
+    error.starts_with(flag.name) || error.starts_with(flag.variable)
 }
--- a/crates/cli/src/shell.rs
+++ b/crates/cli/src/shell.rs
@@ -11,7 +11,7 @@
 use crate::{failure, output, session};
 
 const PROMPT: &str = "bronzespoke> ";
-/// Lines that the prompt keeps in memory.
+/// Maximum number of lines in the history of the prompt, which is kept in memory only.
 const HISTORY_LINES: usize = 1000;
 const PROMPT_HELP: &str = "\
 show tasks|jobs|teams|keys|holdings|targets|workers|services|queues|config|versions|members|old-callers
@@ -22,7 +22,7 @@
 A wrong line is answered with what is allowed. `exit` or Ctrl-D ends.
 ";
 
-/// Executes statements on a session.
+/// Executes statements through a session and prints the answers.
 #[derive(Debug)]
 pub struct Shell {
     runtime: runtime::Runtime,
@@ -30,7 +30,7 @@
     json: bool,
 }
 
-/// An answer as one line of JSON.
+/// JSON form of an answer, with the id of the command that it belongs to.
 #[derive(Debug, Serialize)]
 struct Record<'a> {
     #[serde(skip_serializing_if = "Option::is_none")]
@@ -40,7 +40,7 @@
 }
 
 impl Shell {
-    /// Returns a shell.
+    /// Returns a shell that prints JSON if `json` is set, and tables and text otherwise.
     pub fn new(runtime: runtime::Runtime, session: session::Session, json: bool) -> Self {
         Self {
             runtime,
@@ -49,12 +49,13 @@
         }
     }
 
-    /// Executes one line. A command without an id receives a random one, which is printed before it is sent.
+    /// Executes one line. A command without an id gets a random one, which is printed to standard error before the
+    /// command is sent, so that the command can be resent with it.
     pub fn execute(&mut self, line: &str, command_id: Option<command::Id>) -> Result<(), failure::Failure> {
         let id = match language::parse(line) {
             Ok(statement::Statement::Query(_)) if command_id.is_some() => {
-                let fault = "--command-id: a query does not carry one";
-                return Err(failure::Failure::Usage(vec![String::from(fault)]));
+                let error = "--command-id: a query does not carry one";
+                return Err(failure::Failure::Usage(vec![String::from(error)]));
             }
             Ok(statement::Statement::Query(_)) => None,
             Ok(statement::Statement::Command(_)) => {
@@ -62,7 +63,7 @@
                 eprintln!("command id {id}");
                 Some(id)
             }
-            Err(fault) => return self.refuse(line, &fault),
+            Err(fault) => return self.reject(line, &fault),
         };
         let answer = self.runtime.block_on(self.session.execute(line, id));
         if self.json {
@@ -81,14 +82,14 @@
         }
     }
 
-    /// Executes the lines of `input` up to the first failure. Blank lines and lines that start with `#` are skipped.
+    /// Executes the lines of `input` and stops at the first failure. Skips blank lines and lines that start with `#`.
     pub fn run_script(&mut self, mut input: impl BufRead) -> Result<(), failure::Failure> {
         let mut number = 0_u64;
         loop {
             number += 1;
             let mut bytes = Vec::new();
-            let most = language::parse::MAX_LINE_BYTES as u64 + 2;
-            let read = input.by_ref().take(most).read_until(b'\n', &mut bytes);
+            let max_bytes = language::parse::MAX_LINE_BYTES as u64 + 2;
+            let read = input.by_ref().take(max_bytes).read_until(b'\n', &mut bytes);
             let count =
                 read.map_err(|error| failure::Failure::refused(format!("standard input: {error}")))?;
             if count == 0 {
@@ -108,21 +109,22 @@
         }
     }
 
-    /// Reads lines from a prompt until the user ends it. Failures are shown and do not end the prompt.
+    /// Executes lines from an interactive prompt until end of input, `exit` or `quit`. Failures are printed and do not
+    /// end the prompt.
     pub fn run_prompt(&mut self) -> Result<(), failure::Failure> {
-        let broken = |error: ReadlineError| failure::Failure::refused(format!("prompt: {error}"));
+        let prompt_failure = |error: ReadlineError| failure::Failure::refused(format!("prompt: {error}"));
         let config = rustyline::Config::builder()
             .max_history_size(HISTORY_LINES)
-            .map_err(broken)?
+            .map_err(prompt_failure)?
             .build();
         let history = rustyline::history::MemHistory::with_config(&config);
-        let mut editor = rustyline::Editor::<(), _>::with_history(config, history).map_err(broken)?;
+        let mut editor = rustyline::Editor::<(), _>::with_history(config, history).map_err(prompt_failure)?;
         loop {
             let line = match editor.readline(PROMPT) {
                 Ok(line) => line,
                 Err(ReadlineError::Interrupted) => continue,
                 Err(ReadlineError::Eof) => return Ok(()),
-                Err(error) => return Err(broken(error)),
+                Err(error) => return Err(prompt_failure(error)),
             };
             match line.trim() {
                 "" => continue,
@@ -134,11 +136,12 @@
                     Ok(()) => {}
                 },
             }
-            editor.add_history_entry(line).map_err(broken)?;
+            editor.add_history_entry(line).map_err(prompt_failure)?;
         }
     }
 
-    fn refuse(&self, line: &str, fault: &fault::Fault) -> Result<(), failure::Failure> {
+    /// Reports a syntax error, with a caret below the column.
+    fn reject(&self, line: &str, fault: &fault::Fault) -> Result<(), failure::Failure> {
         if self.json {
             output::json(&answer::Answer::from(fault.clone()))?;
         }
@@ -153,12 +156,13 @@
     }
 }
 
+/// Prefixes the messages of a failure with a line number.
 fn at_line(number: u64, failure: failure::Failure) -> failure::Failure {
     match failure {
         failure::Failure::Refused(message) => failure::Failure::Refused(format!("line {number}: {message}")),
-        failure::Failure::Usage(faults) => {
-            let faults = faults.into_iter().map(|fault| format!("line {number}: {fault}"));
-            failure::Failure::Usage(faults.collect())
+        failure::Failure::Usage(errors) => {
+            let errors = errors.into_iter().map(|error| format!("line {number}: {error}"));
+            failure::Failure::Usage(errors.collect())
         }
         failure::Failure::OutputClosed => failure::Failure::OutputClosed,
     }
--- a/crates/cli/src/timeline/merge.rs
+++ b/crates/cli/src/timeline/merge.rs
@@ -1,4 +1,4 @@
-//! Merges the readings of all processes.
+//! Merges the events of all processes into one timeline.
 
 use std::{collections::BTreeMap, net::SocketAddr};
 
@@ -10,44 +10,44 @@
 /// The merged timeline.
 #[derive(Debug, Default, Clone, PartialEq, Serialize, Deserialize)]
 pub struct History {
-    /// Events in order of stamp, process and sequence number, each once.
+    /// Events without duplicates, in order of stamp, process and sequence number.
     pub events: Vec<event::Event>,
-    /// Processes whose ring has lost events.
+    /// Processes whose event ring has overwritten events before they were read.
     pub lost: Vec<Loss>,
-    /// Processes that did not answer.
+    /// Processes whose timeline could not be read.
     pub unreachable: Vec<Unreachable>,
 }
 
-/// Events that a ring has lost.
+/// Number of events that the ring of one process has lost.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Loss {
-    /// Name of the VM.
+    /// Name of the VM that the process runs on.
     pub process: String,
-    /// Number of events.
+    /// Number of lost events.
     pub count: u64,
 }
 
-/// A process that did not answer.
+/// Process whose timeline could not be read.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Unreachable {
-    /// Name of the VM, or its address when the name is not known.
+    /// Name of the VM, or its address if the name is unknown.
     pub name: String,
     /// Address that was tried.
     pub address: SocketAddr,
-    /// Why there is no answer.
+    /// Cause of the failure.
     pub reason: String,
 }
 
 impl Loss {
-    /// Says what was lost.
-    pub fn sentence(&self) -> String {
+    /// Returns the message for people.
+    pub fn message(&self) -> String {
         format!("the ring of {} has lost {} events", self.process, self.count)
     }
 }
 
 impl Unreachable {
-    /// Says who did not answer.
-    pub fn sentence(&self) -> String {
+    /// Returns the message for people.
+    pub fn message(&self) -> String {
         format!(
             "{} at {} does not answer: {}",
             self.name, self.address, self.reason
@@ -55,9 +55,9 @@
     }
 }
 
-/// Merges readings. Events that two readings of one process share appear once; gaps are counted as lost.
+/// Merges readings. An event that is in two readings appears once; missing sequence numbers count as lost events.
 ///
-/// Two readings of one process happen when it is in the directory under another address than the given one.
+/// A process is read twice if the directory lists it under an address other than the one given by the operator.
 pub fn merge(readings: Vec<Result<read::Reading, Unreachable>>) -> History {
     let mut history = History::default();
     let mut lost = BTreeMap::<String, u64>::new();
--- a/crates/cli/src/timeline/mod.rs
+++ b/crates/cli/src/timeline/mod.rs
@@ -1,4 +1,4 @@
-//! The timeline of all processes, merged by hybrid stamp.
+//! Timeline of all processes, merged by hybrid timestamp.
 
 use tokio::runtime;
 
@@ -21,10 +21,10 @@
     let mut history = merge::merge(readings);
     filter.apply(team, &mut history.events);
     for loss in &history.lost {
-        log::warn!("timeline: {}", loss.sentence());
+        log::warn!("timeline: {}", loss.message());
     }
-    for silent in &history.unreachable {
-        log::warn!("timeline: {}", silent.sentence());
+    for unreachable in &history.unreachable {
+        log::warn!("timeline: {}", unreachable.message());
     }
     if json {
         return output::json(&history);
--- a/crates/cli/src/timeline/read.rs
+++ b/crates/cli/src/timeline/read.rs
@@ -1,4 +1,4 @@
-//! Reads the timeline of every process.
+//! Reads the timelines of all processes.
 
 use std::{net::SocketAddr, sync::Arc};
 
@@ -8,21 +8,23 @@
 use super::{filter, merge};
 use crate::{failure, session};
 
-/// Most pages read from one process; a process that records faster than it is read does not hold up the rest.
+/// Maximum number of pages read from one process, so that a process that records events faster than they are read does
+/// not delay the others.
 const MAX_PAGES: usize = 100;
 
-/// What was read from one process.
+/// Events read from one process.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Reading {
     /// Name of the VM.
     pub process: String,
     /// Events in order of sequence number.
     pub events: Vec<event::Event>,
-    /// Events that the ring no longer held before the first one read; later losses are gaps in the numbers.
+    /// Number of events that the ring had lost before the first event read. Later losses show as gaps in the sequence
+    /// numbers.
     pub lost: u64,
 }
 
-/// Returns the id of the team in a filter. A name is looked up in `show teams`, in the columns `id` and `name`.
+/// Returns the id of the team in a filter. Resolves a name through the columns `id` and `name` of `show teams`.
 pub async fn team(
     session: &mut session::Session,
     team: Option<&filter::Team>,
@@ -37,40 +39,42 @@
         answer::Answer::Error(error) => return Err(failure::Failure::Refused(error.message)),
         answer::Answer::Text(_) => return Err(failure::Failure::refused("`show teams` gave no table")),
     };
-    let place = |wanted: &str| table.columns.iter().position(|column| column.name == wanted);
-    let found = place("id").zip(place("name")).and_then(|(id, column)| {
-        let wanted = answer::Value::Text(name.clone());
-        let row = table.rows.iter().find(|row| row.get(column) == Some(&wanted))?;
-        match row.get(id) {
-            Some(answer::Value::Number(id)) => id::TeamId::try_from(*id).ok(),
-            _ => None,
-        }
-    });
+    let column_index = |searched: &str| table.columns.iter().position(|column| column.name == searched);
+    let found = column_index("id")
+        .zip(column_index("name"))
+        .and_then(|(id, column)| {
+            let searched = answer::Value::Text(name.clone());
+            let row = table.rows.iter().find(|row| row.get(column) == Some(&searched))?;
+            match row.get(id) {
+                Some(answer::Value::Number(id)) => id::TeamId::try_from(*id).ok(),
+                _ => None,
+            }
+        });
     found
         .map(Some)
         .ok_or_else(|| failure::Failure::refused(format!("there is no team `{name}`")))
 }
 
-/// Reads all processes in the directory, and those at the given addresses that are not in it.
+/// Reads all processes in the directory, and those at the addresses of the session that the directory does not list.
 pub async fn all(
     session: session::Session,
 ) -> Result<Vec<Result<Reading, merge::Unreachable>>, failure::Failure> {
     let directory = session.directory().await?;
-    let mut places = directory
+    let mut processes = directory
         .into_iter()
         .map(|vm| (vm.name, vm.rpc))
         .collect::<Vec<_>>();
     for address in session.addresses() {
-        if !places.iter().any(|(_, known)| known == address) {
-            places.push((address.to_string(), *address));
+        if !processes.iter().any(|(_, known)| known == address) {
+            processes.push((address.to_string(), *address));
         }
     }
     let session = Arc::new(session);
     let mut tasks = tokio::task::JoinSet::new();
-    for (name, address) in places {
+    for (name, address) in processes {
         let session = Arc::clone(&session);
         tasks.spawn(async move {
-            let reading = process(&session, address).await;
+            let reading = read_process(&session, address).await;
             reading.map_err(|reason| merge::Unreachable {
                 name,
                 address,
@@ -81,7 +85,7 @@
     Ok(tasks.join_all().await)
 }
 
-async fn process(session: &session::Session, address: SocketAddr) -> Result<Reading, String> {
+async fn read_process(session: &session::Session, address: SocketAddr) -> Result<Reading, String> {
     let mut reading = Reading {
         process: String::new(),
         events: Vec::new(),
@@ -94,9 +98,9 @@
         if after == 0 {
             reading.lost = page.first_sequence_kept.saturating_sub(1);
         }
-        let ended = page.events.is_empty() || page.next <= after;
+        let at_end = page.events.is_empty() || page.next <= after;
         reading.events.extend(page.events);
-        if ended {
+        if at_end {
             break;
         }
         after = page.next;
--- a/crates/cli/src/timeline/render.rs
+++ b/crates/cli/src/timeline/render.rs
@@ -1,4 +1,4 @@
-//! Rendering of the timeline for people.
+//! Renders the timeline as text.
 
 use bronzespoke_language::render::printable;
 use bronzespoke_model::event;
@@ -7,7 +7,7 @@
 
 use super::{filter, merge};
 
-/// Renders one line for each event, then what is missing.
+/// Renders one line for each event, followed by notices of lost events and unreachable processes.
 pub fn text(history: &merge::History) -> String {
     let mut table = comfy_table::Table::new();
     table.load_preset(presets::NOTHING);
@@ -28,21 +28,21 @@
         history
             .lost
             .iter()
-            .map(merge::Loss::sentence)
+            .map(merge::Loss::message)
             .map(|text| printable(&text)),
     );
     lines.extend(
         history
             .unreachable
             .iter()
-            .map(merge::Unreachable::sentence)
+            .map(merge::Unreachable::message)
             .map(|text| printable(&text)),
     );
     lines.push(String::new());
     lines.join("\n")
 }
 
-/// Returns the name of an event's kind, and its fields as `name=value` in alphabetical order.
+/// Returns the name of an event's kind and its fields as `name=value`, in alphabetical order.
 pub(crate) fn describe(event: &event::Event) -> (String, String) {
     let kind = filter::fields(event);
     let name = kind["event"].as_str().unwrap_or_default();
