cli: standard terms in the tests

Names of test functions, assertions, bounds and patterns are unchanged, apart from the words of assertion messages and one case name (program_ends_with_the_status: fault is now unknown_flag).

--- a/crates/cli/tests/common/mod.rs
+++ b/crates/cli/tests/common/mod.rs
@@ -1,4 +1,4 @@
-//! A stand-in daemon.
+//! Stand-in daemon that answers every statement in the same way.
 
 use std::{
     net::SocketAddr,
@@ -16,23 +16,23 @@
 /// Statements that the stand-in received, with their command ids.
 pub type Received = Arc<Mutex<Vec<(String, Option<command::Id>)>>>;
 
-/// A stand-in daemon.
+/// Stand-in daemon with fixed answers.
 #[derive(Debug, Clone)]
 pub struct Daemon {
-    /// Name of the process.
+    /// Process name that its timeline reports.
     pub name: String,
     /// Answer to every statement.
     pub answer: answer::Answer,
-    /// Its timeline.
+    /// Events of its timeline.
     pub events: Vec<event::Event>,
-    /// Its directory.
+    /// VMs that its directory lists.
     pub directory: Vec<vm::Vm>,
-    /// What it received.
+    /// Statements that it has received.
     pub received: Received,
 }
 
 impl Daemon {
-    /// Returns a daemon that gives one answer.
+    /// Returns a daemon that gives `answer` to every statement, with an empty timeline and directory.
     pub fn new(name: &str, answer: answer::Answer) -> Self {
         Self {
             name: String::from(name),
@@ -43,7 +43,7 @@
         }
     }
 
-    /// Starts serving; the daemon ends with the returned handle.
+    /// Starts serving. The daemon stops when the returned handle is dropped.
     pub async fn start(self) -> (SocketAddr, server::ServerHandle) {
         let server = server::Server::builder()
             .build("127.0.0.1:0")
@@ -77,7 +77,7 @@
     }
 }
 
-/// Locks what a stand-in shares with its test.
+/// Locks a value that a stand-in shares with its test.
 pub fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().expect("no test panics while it holds the lock")
 }
--- a/crates/cli/tests/report.rs
+++ b/crates/cli/tests/report.rs
@@ -1,4 +1,4 @@
-//! Guards against a report that leaves out measures, breaks on odd names or loads anything from elsewhere.
+//! Guards against a report that omits measures, does not escape names, or loads external resources.
 
 use bronzespoke_bench::measure;
 use bronzespoke_cli::report::{self, measures};
@@ -95,8 +95,8 @@
     timeline = { r#"{"events": [1]}"#, "it is not a timeline" },
 )]
 fn wrong_input_is_explained(json: &str, expected: &str) {
-    let fault = report::html(json.as_bytes()).expect_err("the input is wrong");
-    assert!(fault.starts_with(expected), "{fault}");
+    let error = report::html(json.as_bytes()).expect_err("the input is wrong");
+    assert!(error.starts_with(expected), "{error}");
 }
 
 #[parameterized(
@@ -111,7 +111,7 @@
     );
 }
 
-/// Guards against a chart of one row, whose axis would have no length.
+/// Guards against an axis of length zero in a chart of one row.
 #[parameterized(
     measure = { r#"[{"name":"a.b","value":1,"unit":"s","bound":{"at_most":2},"source":"x"}]"#, ">\na.b\n<" },
     event = { r#"{"events": [{"stamp": {"micros": 1, "logical": 0}, "process": "vm-a", "sequence": 1,
@@ -126,7 +126,7 @@
     );
 }
 
-/// Guards against an axis that skips labels when there are many rows.
+/// Guards against an axis that omits labels if there are many rows.
 #[test]
 fn every_bar_has_a_label() {
     let names = (0..150)
@@ -143,7 +143,7 @@
     }
 }
 
-/// Guards against a policy run whose JSON the report cannot read.
+/// Guards against a JSON form of measures in `bronzespoke-bench` that the report cannot read.
 #[parameterized(
     none = { measure::Bound::None, measures::Bound::None },
     at_most = { measure::Bound::AtMost(2.5), measures::Bound::AtMost(2.5) },
--- a/crates/cli/tests/session.rs
+++ b/crates/cli/tests/session.rs
@@ -1,4 +1,4 @@
-//! Guards against commands that are done twice, or lost without a word, when daemons or answers are lost.
+//! Guards against commands that are executed twice, or lost without an error, when daemons fail or answers are lost.
 
 use std::{
     io::Write,
@@ -27,13 +27,13 @@
     answer::Answer::text("created")
 }
 
-/// Returns an address that refuses connections.
+/// Returns a loopback address that refuses connections.
 fn closed() -> SocketAddr {
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a free port");
     listener.local_addr().expect("a bound socket")
 }
 
-/// Starts a proxy to `daemon` that passes requests on, but loses the first answer after the daemon has given it.
+/// Starts a proxy that forwards requests to `daemon` but drops the first answer.
 async fn lose_first_answer(daemon: SocketAddr) -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").await.expect("a free port");
     let address = listener.local_addr().expect("a bound socket");
@@ -46,15 +46,16 @@
                     .await
                     .expect("both sides end");
             } else {
-                lost = pass_requests(&mut client, &mut server).await;
+                lost = forward_requests(&mut client, &mut server).await;
             }
         }
     });
     address
 }
 
-/// Passes bytes to the server until the client ends or the server answers; tells whether it answered.
-async fn pass_requests(client: &mut TcpStream, server: &mut TcpStream) -> bool {
+/// Forwards bytes to the server until the client closes its connection or the server answers. Returns whether the
+/// server answered.
+async fn forward_requests(client: &mut TcpStream, server: &mut TcpStream) -> bool {
     let mut request = [0; 4096];
     let mut answer = [0; 4096];
     loop {
@@ -96,7 +97,7 @@
     }
 }
 
-/// Guards against a refusal that is sent on to other daemons as if it could succeed there.
+/// Guards against a refused command that is retried at other daemons.
 #[tokio::test]
 async fn refusal_is_final() {
     let refusal = answer::Answer::error(answer::Code::Exists, "the name is taken");
@@ -110,7 +111,7 @@
     assert!(common::lock(&received).is_empty());
 }
 
-/// Guards against "not done" for a command that a daemon may have seen, and against the opposite.
+/// Guards against the message "not done" for a command that a daemon may have executed, and against the opposite.
 #[parameterized(
     unconfirmed = { Some(answer::Code::Unconfirmed), answer::Code::Unconfirmed,
         "resend it with --command-id 00000000000000000000000000001234" },
@@ -142,7 +143,7 @@
     assert!(error.message.contains(message), "{error:?}");
 }
 
-/// Guards against a program whose status or output does not tell a script what happened.
+/// Guards against an exit status or output from which a script cannot determine the result.
 #[tokio::test(flavor = "multi_thread")]
 async fn program_prints_json_and_ends_with_the_status() {
     let refusal = answer::Answer::error(answer::Code::NotFound, "there is no team `a`");
@@ -172,7 +173,7 @@
     assert_eq!(common::lock(&received)[0].1, Some(command::Id(0xab)));
 }
 
-/// Guards against a script that goes on after a failure, or does not say which line failed.
+/// Guards against a script that continues after a failure, or whose error does not name the line.
 #[tokio::test(flavor = "multi_thread")]
 async fn script_stops_at_the_first_failure() {
     let daemon = common::Daemon::new("a", done());
--- a/crates/cli/tests/settings.rs
+++ b/crates/cli/tests/settings.rs
@@ -1,4 +1,4 @@
-//! Guards against settings that are ignored, or faults that are reported one at a time.
+//! Guards against settings that are ignored, and against errors that are reported one at a time.
 
 use std::{collections::HashMap, ffi::OsString, process::Command, time::Duration};
 
@@ -17,9 +17,9 @@
     )
 }
 
-fn faults(arguments: &[&str], environment: &[(&str, &str)]) -> Vec<String> {
+fn errors(arguments: &[&str], environment: &[(&str, &str)]) -> Vec<String> {
     match read(arguments, environment) {
-        Err(failure::Failure::Usage(faults)) => faults,
+        Err(failure::Failure::Usage(errors)) => errors,
         other => panic!("{other:?}"),
     }
 }
@@ -113,7 +113,7 @@
         "--output",
         "x",
     ];
-    let faults = faults(
+    let errors = errors(
         &arguments,
         &[
             ("BRONZESPOKE_JSON", "maybe"),
@@ -129,10 +129,10 @@
         "--adress: this flag is not known",
         "--output: this flag is for `report` only",
     ];
-    for (fault, expected) in faults.iter().zip(expected) {
-        assert!(fault.starts_with(expected), "{faults:?}");
+    for (error, expected) in errors.iter().zip(expected) {
+        assert!(error.starts_with(expected), "{errors:?}");
     }
-    assert_eq!(faults.len(), expected.len(), "{faults:?}");
+    assert_eq!(errors.len(), expected.len(), "{errors:?}");
 }
 
 #[parameterized(
@@ -148,16 +148,16 @@
     task = { &["--address", "10.0.0.1:1", "timeline", "--task", "7"], "--task: `7`" },
 )]
 fn fault_names_the_setting(arguments: &[&str], expected: &str) {
-    let faults = faults(arguments, &[]);
-    assert_eq!(faults.len(), 1, "{faults:?}");
-    assert!(faults[0].starts_with(expected), "{faults:?}");
+    let errors = errors(arguments, &[]);
+    assert_eq!(errors.len(), 1, "{errors:?}");
+    assert!(errors[0].starts_with(expected), "{errors:?}");
 }
 
 #[parameterized(
     help = { &["--help"], 0, "USAGE", "" },
     help_with_faults = { &["-h", "--unknown"], 0, "USAGE", "" },
     version = { &["--version"], 0, "bronzespoke 0.1.0", "" },
-    fault = { &["--unknown"], 2, "", "--unknown: this flag is not known" },
+    unknown_flag = { &["--unknown"], 2, "", "--unknown: this flag is not known" },
     syntax = { &["--address", "127.0.0.1:1", "-c", "show task"], 2, "", "column 6: found `task`" },
     query_id = { &["--address", "127.0.0.1:1", "-c", "show teams", "--command-id", "1"], 2, "", "a query does not" },
     no_file = { &["report", "/nonexistent.json"], 1, "", "/nonexistent.json: " },
--- a/crates/cli/tests/system/contact.rs
+++ b/crates/cli/tests/system/client.rs
@@ -1,4 +1,4 @@
-//! What operators and callers do with a cell, whichever way it was started.
+//! Client of a cell for operators and callers; works with in-process cells and with cells of processes.
 
 use std::{
     net::SocketAddr,
@@ -12,35 +12,38 @@
 use http::{Method, StatusCode};
 use jsonrpsee::http_client::{HttpClient, HttpClientBuilder};
 
-/// Safety limit of every wait; no bound of the design depends on it.
-pub const LIMIT: Duration = Duration::from_secs(50);
-/// Pause between two looks.
-const POLL: Duration = Duration::from_millis(25);
-/// Service of the tests.
+/// Timeout of every wait, so that a failing test ends. It is not a latency bound of the system.
+pub const WAIT_LIMIT: Duration = Duration::from_secs(50);
+/// Interval at which a condition is evaluated.
+const POLL_INTERVAL: Duration = Duration::from_millis(25);
+/// Name of the service that the tests use.
 pub const SERVICE: &str = "reconciliations";
-/// Open queue of the tests.
+/// Name of the open queue that the tests use.
 pub const QUEUE: &str = "open-desk";
-/// Upper limit of processors of the team, in cores.
-pub const CPU: u32 = 2_000;
+/// The team's upper limit of processors, in cores.
+pub const TEAM_CORES: u32 = 2_000;
 
-/// Addresses of a cell, and the key of its team.
+/// Addresses of a cell, and the key of its team; indexed by VM number.
 #[derive(Debug, Clone)]
-pub struct Contact {
+pub struct Client {
     pub http: Vec<SocketAddr>,
     pub rpc: Vec<SocketAddr>,
     pub key: String,
 }
 
-/// Waits until a condition holds; a test fails after the safety limit.
-pub async fn until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
+/// Waits until `condition` holds; fails the test after [`WAIT_LIMIT`].
+pub async fn wait_until(what: &str, mut condition: impl AsyncFnMut() -> bool) {
     let start = Instant::now();
     while !condition().await {
-        assert!(start.elapsed() < LIMIT, "{what} did not happen within {LIMIT:?}");
-        tokio::time::sleep(POLL).await;
+        assert!(
+            start.elapsed() < WAIT_LIMIT,
+            "{what} did not happen within {WAIT_LIMIT:?}"
+        );
+        tokio::time::sleep(POLL_INTERVAL).await;
     }
 }
 
-/// A job of small tasks.
+/// Returns the specification of a job whose tasks use `cpu` cores and 1 GiB of memory each.
 pub fn spec(kind: job::Kind, tasks: u32, cpu: u32, command: &str) -> job::Spec {
     job::Spec {
         kind,
@@ -54,38 +57,38 @@
     }
 }
 
-impl Contact {
-    /// Returns the contact of a cell that nobody has set up yet.
+impl Client {
+    /// Returns a client without a key; see [`Client::set_up`].
     pub fn new(http: Vec<SocketAddr>, rpc: Vec<SocketAddr>) -> Self {
         let key = String::new();
         Self { http, rpc, key }
     }
 
-    fn client(&self, number: usize) -> HttpClient {
+    fn rpc_client(&self, number: usize) -> HttpClient {
         HttpClientBuilder::default()
             .request_timeout(Duration::from_secs(5))
             .build(format!("http://{}", self.rpc[number]))
             .expect("an address is a valid URL")
     }
 
-    /// Executes a line once.
+    /// Executes a statement once. A connection failure becomes an error answer.
     pub async fn execute(&self, number: usize, line: &str, id: Option<u128>) -> Answer {
         let call = self
-            .client(number)
+            .rpc_client(number)
             .execute(String::from(line), id.map(command::Id))
             .await;
         call.unwrap_or_else(|error| Answer::error(Code::Unconfirmed, error.to_string()))
     }
 
-    /// Executes a line under one command id until the cell answers it.
-    pub async fn insist(&self, number: usize, line: &str) -> Answer {
+    /// Executes a statement, and resends it under the same command id on retryable errors; fails the test on others.
+    pub async fn execute_until_accepted(&self, number: usize, line: &str) -> Answer {
         let id = rand::random();
         let start = Instant::now();
         loop {
             match self.execute(number, line, Some(id)).await {
                 Answer::Error(error) if error.code.is_retryable() => {
-                    assert!(start.elapsed() < LIMIT, "{line}: {}", error.message);
-                    tokio::time::sleep(POLL).await;
+                    assert!(start.elapsed() < WAIT_LIMIT, "{line}: {}", error.message);
+                    tokio::time::sleep(POLL_INTERVAL).await;
                 }
                 Answer::Error(error) => panic!("{line}: {:?} {}", error.code, error.message),
                 answer => return answer,
@@ -93,22 +96,22 @@
         }
     }
 
-    /// Rows of a table, each cell as JSON.
+    /// Returns the rows of the table that a query gives, as JSON values; empty on an error.
     pub async fn rows(&self, number: usize, line: &str) -> Vec<Vec<serde_json::Value>> {
         let answer = self.execute(number, line, None).await;
         let value = serde_json::to_value(answer).expect("an answer is plain data");
         serde_json::from_value(value["rows"].clone()).unwrap_or_default()
     }
 
-    /// The VMs that a daemon lists.
+    /// Returns the VMs in the directory of a daemon; empty on an error.
     pub async fn directory(&self, number: usize) -> Vec<vm::Vm> {
-        self.client(number).directory().await.unwrap_or_default()
+        self.rpc_client(number).directory().await.unwrap_or_default()
     }
 
-    /// Events of a process, the oldest kept first.
+    /// Returns the events that a process has kept, oldest first.
     pub async fn events(&self, number: usize) -> Vec<bronzespoke_model::event::Event> {
         let (mut events, mut after) = (Vec::new(), 0);
-        while let Ok(page) = self.client(number).timeline(after, 2_000).await {
+        while let Ok(page) = self.rpc_client(number).timeline(after, 2_000).await {
             if page.events.is_empty() {
                 break;
             }
@@ -118,7 +121,7 @@
         events
     }
 
-    /// Number of the VM that says that it leads a group, such as `root` or `zone 1`.
+    /// Returns the number of the VM that reports itself as leader of a group, such as `root` or `zone 1`.
     pub async fn leader(&self, group: &str) -> Option<usize> {
         for number in 0..self.http.len() {
             let name = super::NAMES[number];
@@ -133,10 +136,10 @@
         None
     }
 
-    /// Waits until a group has three voters, all alive, and a leader; returns the leader's number.
-    pub async fn whole(&self, group: &str) -> usize {
+    /// Waits until a group has a leader and three live voters. Returns the number of the leader.
+    pub async fn wait_membership(&self, group: &str) -> usize {
         let mut leader = None;
-        until(&format!("three voters of {group}"), async || {
+        wait_until(&format!("three voters of {group}"), async || {
             leader = self.leader(group).await;
             let Some(number) = leader else {
                 return false;
@@ -154,22 +157,26 @@
 
     /// Creates a team with a key, a service and an open queue.
     pub async fn set_up(&mut self) {
-        self.insist(
+        self.execute_until_accepted(
             0,
             &format!(
-                "create team federations weight=1 cpu={CPU} memory=4000GiB accelerators=0 requests=2000"
+                "create team federations weight=1 cpu={TEAM_CORES} memory=4000GiB accelerators=0 requests=2000"
             ),
         )
         .await;
-        self.insist(0, &format!("create service {SERVICE}")).await;
-        self.insist(0, &format!("create queue {QUEUE} service={SERVICE} requests=200"))
+        self.execute_until_accepted(0, &format!("create service {SERVICE}"))
+            .await;
+        self.execute_until_accepted(0, &format!("create queue {QUEUE} service={SERVICE} requests=200"))
             .await;
         self.key = self.grant_key().await;
     }
 
-    /// Grants a further key of the team.
+    /// Grants a further key to the team and returns it.
     pub async fn grant_key(&self) -> String {
-        let Answer::Text(text) = self.insist(0, "grant key to team federations").await else {
+        let Answer::Text(text) = self
+            .execute_until_accepted(0, "grant key to team federations")
+            .await
+        else {
             panic!("a granted key was not shown");
         };
         let key = text.text.split_whitespace().find(|word| word.len() > 40);
@@ -177,9 +184,9 @@
     }
 
     /// Waits until the given VMs serve keyed requests.
-    pub async fn settle(&self, numbers: &[usize]) {
+    pub async fn wait_serving(&self, numbers: &[usize]) {
         for number in numbers {
-            until(&format!("VM {number} serves keyed requests"), async || {
+            wait_until(&format!("VM {number} serves keyed requests"), async || {
                 let answer = caller::request(self.http[*number], SERVICE, &self.key, None, "ping").await;
                 answer.is_ok_and(|answer| answer.status == StatusCode::OK)
             })
@@ -187,7 +194,8 @@
         }
     }
 
-    /// Submits a job under an id until a VM accepts it; returns the job. The id decides which zone becomes its home.
+    /// Submits a job under a submission id, at the given VMs in turn, until one accepts it. Returns the job id. The
+    /// submission id decides which zone becomes the home of the job.
     pub async fn submit(&self, numbers: &[usize], submission: &str, spec: &job::Spec) -> id::JobId {
         let body = serde_json::to_vec(spec).expect("a job is plain data");
         let key = format!("Bearer {}", self.key);
@@ -210,16 +218,16 @@
                     return answer.json()["job"].as_u64().expect("a job id");
                 }
                 other => assert!(
-                    start.elapsed() < LIMIT,
+                    start.elapsed() < WAIT_LIMIT,
                     "job {submission} is not accepted: {other:?}"
                 ),
             }
-            tokio::time::sleep(POLL).await;
+            tokio::time::sleep(POLL_INTERVAL).await;
         }
         unreachable!("the numbers repeat")
     }
 
-    /// Submits a job without an id, which makes the zone of the VM its home when the job fits there.
+    /// Submits a job without a submission id. The home of such a job is the zone of the VM if the job fits there.
     pub async fn submit_here(&self, number: usize, spec: &job::Spec) -> id::JobId {
         let body = serde_json::to_vec(spec).expect("a job is plain data");
         let key = format!("Bearer {}", self.key);
@@ -236,7 +244,7 @@
         job
     }
 
-    /// Reads the state of a job.
+    /// Returns the state of a job, or `None` if the request fails.
     pub async fn job_state(&self, number: usize, job: id::JobId) -> Option<String> {
         let key = format!("Bearer {}", self.key);
         let headers = [("authorization", key.as_str())];
@@ -248,14 +256,14 @@
     }
 
     /// Waits until a job has succeeded.
-    pub async fn succeeded(&self, number: usize, job: id::JobId) {
-        until(&format!("job {job} succeeds"), async || {
+    pub async fn wait_succeeded(&self, number: usize, job: id::JobId) {
+        wait_until(&format!("job {job} succeeds"), async || {
             self.job_state(number, job).await.as_deref() == Some("succeeded")
         })
         .await;
     }
 
-    /// Configuration version that a VM has in force.
+    /// Returns the configuration version that a VM applies.
     pub async fn version(&self, number: usize) -> Option<u64> {
         let answer = self.execute(number, "show config", None).await;
         let value = serde_json::to_value(answer).ok()?;
--- a/crates/cli/tests/system/fleet.rs
+++ b/crates/cli/tests/system/fleet.rs
@@ -1,4 +1,4 @@
-//! Stand-in targets and workers, and callers that keep their own books.
+//! Stand-in targets and workers, and callers that record the outcomes of their requests.
 
 use std::{
     collections::BTreeMap,
@@ -13,23 +13,24 @@
 use tokio::task::JoinHandle;
 use tokio_util::sync::CancellationToken;
 
-use super::contact::{Contact, SERVICE};
+use super::client::{Client, SERVICE};
 
-/// Slots of a target.
-const SLOTS: u32 = 8;
-/// Targets and workers in each zone.
-const TARGETS: u64 = 3;
-const WORKERS: u64 = 4;
-/// How long a target runs a request.
-const RUN: Duration = Duration::from_millis(20);
-/// A call without an answer for this long is given up; the caller then does not know what happened.
-const GIVE_UP: Duration = Duration::from_secs(8);
+/// Number of requests that a target runs concurrently.
+const TARGET_SLOTS: u32 = 8;
+/// Number of targets in each zone.
+const TARGETS_PER_ZONE: u64 = 3;
+/// Number of workers in each zone.
+const WORKERS_PER_ZONE: u64 = 4;
+/// Time that a target takes to run a request.
+const RUN_TIME: Duration = Duration::from_millis(20);
+/// Timeout of a request; after it the outcome is unknown to the caller.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(8);
 
-/// The stand-ins; they stop when this is dropped.
+/// Stand-in targets and workers; they stop on drop.
 pub struct Fleet {
     cancel: CancellationToken,
     pub ledger: Arc<ledger::Ledger>,
-    /// Targets with their zone, from 1.
+    /// Targets with the numbers of their zones, which start at 1.
     pub targets: Vec<(usize, Arc<target::Target>)>,
 }
 
@@ -40,25 +41,25 @@
 }
 
 impl Fleet {
-    /// Starts targets and workers in each zone of a cell of two VMs a zone.
-    pub async fn start(contact: &Contact) -> Self {
+    /// Starts targets and workers in each zone of a cell that has two VMs in each zone.
+    pub async fn start(client: &Client) -> Self {
         let mut fleet = Self {
             cancel: CancellationToken::new(),
             ledger: Arc::default(),
             targets: Vec::new(),
         };
-        for (index, entries) in contact.http.chunks(2).enumerate() {
+        for (index, entries) in client.http.chunks(2).enumerate() {
             let zone = index + 1;
-            for number in 0..TARGETS {
-                // Each target announces at both entry VMs of its zone, so that the loss of one does not hide it.
-                let running = target::Target::start(SLOTS, target::Behaviour::Echo(RUN)).await;
+            for number in 0..TARGETS_PER_ZONE {
+                // A target announces itself at the other entry VM of its zone if one fails, so that it stays known.
+                let running = target::Target::start(TARGET_SLOTS, target::Behaviour::Echo(RUN_TIME)).await;
                 let running = Arc::new(running.expect("a loopback port"));
-                let announcement = running.announcement(zone as u64 * 100 + number, SERVICE, SLOTS);
+                let announcement = running.announcement(zone as u64 * 100 + number, SERVICE, TARGET_SLOTS);
                 let cancel = fleet.cancel.child_token();
                 tokio::spawn(announce(announcement, entries.to_vec(), cancel));
                 fleet.targets.push((zone, running));
             }
-            for number in 0..WORKERS {
+            for number in 0..WORKERS_PER_ZONE {
                 let registration = worker::Registration {
                     worker: zone as u64 * 1000 + number,
                     incarnation: 1,
@@ -80,13 +81,13 @@
         fleet
     }
 
-    /// How often a request with this body ran, over all targets.
+    /// Returns how often a request with this body ran, summed over all targets.
     pub fn runs_of(&self, body: &str) -> u32 {
         let runs = |(_, target): &(usize, Arc<target::Target>)| target.runs_of(body.as_bytes());
         self.targets.iter().map(runs).sum()
     }
 
-    /// Checks what the workers themselves recorded: nothing ran twice, nowhere was overfilled.
+    /// Checks the record of the workers: no task ran twice, and no worker exceeded its capacity.
     pub fn check_tasks(&self) {
         let totals = self.ledger.totals();
         assert_eq!(totals.doubled, 0, "tasks that ran in two places: {totals:?}");
@@ -101,7 +102,7 @@
     }
 }
 
-/// Announces a target once a second, at the first entry VM of its zone that answers.
+/// Announces a target once a second at an entry VM of its zone, and switches to the next one on an error.
 async fn announce(
     announcement: bronzespoke_model::target::Announcement,
     entries: Vec<SocketAddr>,
@@ -124,113 +125,116 @@
     }
 }
 
-/// What a caller knows of one request.
+/// Outcome of one attempt of a request, as the caller sees it.
 #[derive(Debug, Clone, PartialEq, Eq)]
-pub enum Known {
-    /// Whole answer.
+pub enum Outcome {
+    /// Complete and correct response.
     Answered,
-    /// Refused, and certainly not run.
+    /// Refused with `not run`.
     NotRun,
-    /// The cell says that it may have run.
+    /// Error response after which the request may have run.
     Unknown(String),
-    /// No connection.
+    /// No connection was established.
     NoConnection,
-    /// Broken off without a whole answer.
-    Cut(String),
-    /// A whole answer to something else.
-    Foreign(String),
+    /// The connection ended or the timeout passed before a complete response.
+    Interrupted(String),
+    /// Complete response to another request.
+    WrongResponse(String),
 }
 
-fn known(body: &str, result: Result<caller::Answer, caller::Error>) -> Known {
+fn classify(body: &str, result: Result<caller::Answer, caller::Error>) -> Outcome {
     match result {
-        Ok(answer) if answer.status == StatusCode::OK && answer.body == body.as_bytes() => Known::Answered,
-        Ok(answer) if answer.status == StatusCode::OK => Known::Foreign(answer.text()),
-        Ok(answer) if answer.json()["error"]["run"] == "not run" => Known::NotRun,
-        Ok(answer) => Known::Unknown(answer.text()),
-        Err(caller::Error::Connect(_)) => Known::NoConnection,
-        Err(error) => Known::Cut(error.to_string()),
+        Ok(answer) if answer.status == StatusCode::OK && answer.body == body.as_bytes() => Outcome::Answered,
+        Ok(answer) if answer.status == StatusCode::OK => Outcome::WrongResponse(answer.text()),
+        Ok(answer) if answer.json()["error"]["run"] == "not run" => Outcome::NotRun,
+        Ok(answer) => Outcome::Unknown(answer.text()),
+        Err(caller::Error::Connect(_)) => Outcome::NoConnection,
+        Err(error) => Outcome::Interrupted(error.to_string()),
     }
 }
 
-/// Sends one request once.
-pub async fn ask(address: SocketAddr, key: &str, id: Option<&str>, body: &str) -> Known {
+/// Sends a request once. A request with an id must not run twice.
+pub async fn send_request(address: SocketAddr, key: &str, id: Option<&str>, body: &str) -> Outcome {
     let call = caller::request(address, SERVICE, key, id, String::from(body));
-    match tokio::time::timeout(GIVE_UP, call).await {
-        Ok(result) => known(body, result),
-        Err(_) => Known::Cut(String::from("no answer in time")),
+    match tokio::time::timeout(REQUEST_TIMEOUT, call).await {
+        Ok(result) => classify(body, result),
+        Err(_) => Outcome::Interrupted(String::from("no answer in time")),
     }
 }
 
-type Book = Arc<Mutex<BTreeMap<String, (usize, Vec<Known>)>>>;
+/// For each body: the VM of the caller, and the outcomes of all attempts.
+type Record = Arc<Mutex<BTreeMap<String, (usize, Vec<Outcome>)>>>;
 
-/// Callers that send requests at a set of VMs until they are stopped.
+/// Callers that send requests to a set of VMs until they are stopped.
 pub struct Load {
-    book: Book,
+    record: Record,
     cancel: CancellationToken,
     callers: Vec<JoinHandle<()>>,
 }
 
 impl Load {
-    /// Starts two callers at each VM: one of plain requests, and one of requests that must not be repeated, which it
-    /// resends at the next VM until it has an answer.
-    pub fn start(contact: &Contact, numbers: &[usize]) -> Self {
-        let book = Book::default();
+    /// Starts two callers for each VM: one sends repeatable requests; the other sends non-repeatable requests, and
+    /// resends them at the next VM until it gets a response.
+    pub fn start(client: &Client, numbers: &[usize]) -> Self {
+        let record = Record::default();
         let cancel = CancellationToken::new();
         let mut callers = Vec::new();
         for number in numbers {
             for once in [false, true] {
-                let task = call(contact.clone(), *number, once, Arc::clone(&book), cancel.clone());
+                let task = call(client.clone(), *number, once, Arc::clone(&record), cancel.clone());
                 callers.push(tokio::spawn(task));
             }
         }
         Self {
-            book,
+            record,
             cancel,
             callers,
         }
     }
 
-    /// Number of requests that were answered so far.
+    /// Returns the number of requests answered so far.
     pub fn answered(&self) -> usize {
-        let book = self.book.lock().expect("no caller panics");
-        let answered = |(_, known): &&(usize, Vec<Known>)| known.last() == Some(&Known::Answered);
-        book.values().filter(answered).count()
+        let record = self.record.lock().expect("no caller panics");
+        let answered = |(_, attempts): &&(usize, Vec<Outcome>)| attempts.last() == Some(&Outcome::Answered);
+        record.values().filter(answered).count()
     }
 
-    /// Stops the callers and checks their books against the targets' own counts; returns the outcomes by VM.
-    pub async fn check(mut self, fleet: &Fleet) -> Vec<(usize, Vec<Known>)> {
+    /// Stops the callers and checks their records against the counts of the targets. Returns for each request the VM of
+    /// its caller and the outcomes of all attempts.
+    pub async fn check(mut self, fleet: &Fleet) -> Vec<(usize, Vec<Outcome>)> {
         self.cancel.cancel();
         for caller in self.callers.drain(..) {
             caller.await.expect("no caller panics");
         }
-        let book = self.book.lock().expect("no caller panics");
+        let record = self.record.lock().expect("no caller panics");
         let mut outcomes = Vec::new();
-        for (body, (number, known)) in book.iter() {
+        for (body, (number, attempts)) in record.iter() {
             let runs = fleet.runs_of(body);
-            for known in known {
-                let foreign = matches!(known, Known::Foreign(_));
-                assert!(!foreign, "{body} got the answer to something else: {known:?}");
+            for outcome in attempts {
+                let wrong = matches!(outcome, Outcome::WrongResponse(_));
+                assert!(!wrong, "{body} got the response to another request: {outcome:?}");
             }
-            if known
+            if attempts
                 .iter()
-                .all(|known| matches!(known, Known::NotRun | Known::NoConnection))
+                .all(|outcome| matches!(outcome, Outcome::NotRun | Outcome::NoConnection))
             {
-                assert_eq!(runs, 0, "{body} was refused with `not run` and ran: {known:?}");
+                assert_eq!(runs, 0, "{body} was refused with `not run` and ran: {attempts:?}");
             }
-            if known.last() == Some(&Known::Answered) {
-                assert!(runs >= 1, "{body} was answered and did not run: {known:?}");
+            if attempts.last() == Some(&Outcome::Answered) {
+                assert!(runs >= 1, "{body} was answered and did not run: {attempts:?}");
             }
             if body.starts_with("once") {
-                assert!(runs <= 1, "{body} ran {runs} times: {known:?}");
+                assert!(runs <= 1, "{body} ran {runs} times: {attempts:?}");
             }
-            outcomes.push((*number, known.clone()));
+            outcomes.push((*number, attempts.clone()));
         }
         assert!(!outcomes.is_empty(), "callers sent something");
         outcomes
     }
 }
 
-async fn call(contact: Contact, number: usize, once: bool, book: Book, cancel: CancellationToken) {
+/// Sends requests from one caller until cancelled.
+async fn call(client: Client, number: usize, once: bool, record: Record, cancel: CancellationToken) {
     for count in 0.. {
         if cancel.is_cancelled() {
             return;
@@ -238,24 +242,20 @@
         let kind = if once { "once" } else { "plain" };
         let body = format!("{kind}-{number}-{count}");
         let mut outcomes = Vec::new();
-        // Resends go round the cell; the cell answers them with the first outcome.
+        // Resends go to the VMs in turn; the cell responds to them with the first outcome.
         for attempt in 0..if once { 8 } else { 1 } {
-            let at = (number + attempt) % contact.http.len();
-            let outcome = ask(
-                contact.http[at],
-                &contact.key,
-                once.then_some(body.as_str()),
-                &body,
-            )
-            .await;
-            let done = outcome == Known::Answered;
+            let at = (number + attempt) % client.http.len();
+            let outcome =
+                send_request(client.http[at], &client.key, once.then_some(body.as_str()), &body).await;
+            let done = outcome == Outcome::Answered;
             outcomes.push(outcome);
             if done {
                 break;
             }
             tokio::time::sleep(Duration::from_millis(150)).await;
         }
-        book.lock()
+        record
+            .lock()
             .expect("no caller panics")
             .insert(body, (number, outcomes));
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/cli/tests/system/process.rs
+++ b/crates/cli/tests/system/process.rs
@@ -18,15 +18,15 @@
 
 use super::{
     NAMES, PLACES,
-    contact::{Contact, LIMIT, until},
+    client::{Client, WAIT_LIMIT, wait_until},
 };
 
-/// Attempts to start a cell; another program may take a noted port before a daemon does.
-const ATTEMPTS: usize = 3;
-/// Time between readiness off and the last accepted connection.
+/// Maximum number of attempts to start a cell; another program may take a reserved port before a daemon binds it.
+const START_ATTEMPTS: usize = 3;
+/// Time for which a stopping daemon still accepts connections after `/readyz` has failed.
 pub const DRAIN_NOTICE: Duration = Duration::from_secs(1);
 
-/// Builds the daemon from the present sources, once; `cargo test` builds only the programs of the tested package.
+/// Builds the daemon once and returns its path; `cargo test` builds only the binaries of the tested package.
 pub fn binary() -> &'static Path {
     static BINARY: OnceLock<PathBuf> = OnceLock::new();
     BINARY.get_or_init(|| {
@@ -53,7 +53,7 @@
     })
 }
 
-/// One process; it is killed when this is dropped, also by a failing test.
+/// Daemon process; killed on drop, also when a test fails.
 pub struct Process {
     child: Child,
 }
@@ -67,7 +67,7 @@
 }
 
 impl Process {
-    /// Starts a program; its log goes to a file.
+    /// Starts a program and appends its log to the file `log`.
     pub fn start(mut command: Command, log: &Path) -> Self {
         let log = File::options()
             .create(true)
@@ -83,7 +83,7 @@
         Self { child }
     }
 
-    /// Process id.
+    /// Returns the process id.
     pub fn id(&self) -> u32 {
         self.child.id()
     }
@@ -93,29 +93,29 @@
         kill_process(Pid::from_child(&self.child), signal).expect("the process exists");
     }
 
-    /// Kills at once, as a lost VM.
+    /// Kills the process with SIGKILL, as if its VM had crashed.
     pub fn kill(&mut self) {
         self.child.kill().expect("the process exists");
         self.child.wait().expect("the process is reaped");
     }
 
-    /// Waits for the end.
+    /// Waits until the process has ended; fails the test after [`WAIT_LIMIT`].
     pub fn wait(&mut self) -> ExitStatus {
         let start = Instant::now();
         loop {
             if let Some(status) = self.child.try_wait().expect("the process is a child") {
                 return status;
             }
-            assert!(start.elapsed() < LIMIT, "process {} does not end", self.id());
+            assert!(start.elapsed() < WAIT_LIMIT, "process {} does not end", self.id());
             std::thread::sleep(Duration::from_millis(20));
         }
     }
 }
 
-/// The cell. The first VM of each zone has a data folder.
+/// Cell of six processes. The first VM of each zone has a data folder.
 pub struct Cell {
     pub folder: tempfile::TempDir,
-    pub contact: Contact,
+    pub client: Client,
     peers: Vec<SocketAddr>,
     pub processes: Vec<Option<Process>>,
 }
@@ -137,21 +137,21 @@
     /// Starts six processes and waits until all are ready.
     pub async fn start() -> Self {
         binary();
-        for _ in 0..ATTEMPTS {
+        for _ in 0..START_ATTEMPTS {
             let mut cell = Self::prepare();
             for number in 0..NAMES.len() {
                 cell.spawn(number);
             }
-            if cell.ready().await {
+            if cell.all_ready().await {
                 return cell;
             }
         }
-        panic!("the noted ports were taken {ATTEMPTS} times");
+        panic!("the reserved ports were taken {START_ATTEMPTS} times");
     }
 
     fn prepare() -> Self {
-        // An address of its own keeps outgoing connections, which come from 127.0.0.1, off the ports of a stopped
-        // daemon, so that it can start again.
+        // Each cell has its own loopback address. Outgoing connections come from 127.0.0.1, so they cannot occupy the
+        // ports of a stopped daemon, which can start again.
         static CELL: AtomicU8 = AtomicU8::new(0);
         let [_, _, high, low] = std::process::id().to_be_bytes();
         let cell = CELL.fetch_add(1, Ordering::Relaxed) % 128 + 64;
@@ -159,20 +159,20 @@
         let bound: Vec<_> = (0..NAMES.len() * 3)
             .map(|_| TcpListener::bind((address, 0)).expect("a free port"))
             .collect();
-        let noted: Vec<_> = bound
+        let ports: Vec<_> = bound
             .iter()
             .map(|listener| listener.local_addr().expect("an address"))
             .collect();
-        let part = |part: usize| noted.iter().copied().skip(part).step_by(3).collect::<Vec<_>>();
+        let addresses = |offset: usize| ports.iter().copied().skip(offset).step_by(3).collect::<Vec<_>>();
         Self {
             folder: tempfile::tempdir().expect("a folder"),
-            contact: Contact::new(part(1), part(2)),
-            peers: part(0),
+            client: Client::new(addresses(1), addresses(2)),
+            peers: addresses(0),
             processes: NAMES.iter().map(|_| None).collect(),
         }
     }
 
-    /// Data folder of a VM.
+    /// Returns the data folder of a VM.
     pub fn data(&self, number: usize) -> PathBuf {
         self.folder.path().join(NAMES[number])
     }
@@ -181,7 +181,8 @@
         self.folder.path().join(format!("{name}.log"))
     }
 
-    /// The settings of a VM, by flags on the first VM of a zone and by the environment on the second.
+    /// Returns the command that starts a VM. The first VM of a zone is configured by flags, the second one by
+    /// environment variables.
     pub fn command(&self, number: usize) -> Command {
         let (region, zone) = PLACES[number / 2];
         let seeds: Vec<_> = self.peers.iter().map(ToString::to_string).collect();
@@ -190,8 +191,8 @@
             ("region", region.to_string()),
             ("zone", zone.to_string()),
             ("peer", self.peers[number].to_string()),
-            ("http", self.contact.http[number].to_string()),
-            ("rpc", self.contact.rpc[number].to_string()),
+            ("http", self.client.http[number].to_string()),
+            ("rpc", self.client.rpc[number].to_string()),
             ("seeds", seeds.join(",")),
             ("traffic-threads", String::from("1")),
             ("drain-notice", format!("{}s", DRAIN_NOTICE.as_secs())),
@@ -215,18 +216,18 @@
         command
     }
 
-    /// Starts a VM, again if it was stopped.
+    /// Starts or restarts a VM.
     pub fn spawn(&mut self, number: usize) {
         let command = self.command(number);
         self.processes[number] = Some(Process::start(command, &self.log(NAMES[number])));
     }
 
-    /// A running VM's process.
+    /// Returns the process of a running VM.
     pub fn process(&mut self, number: usize) -> &mut Process {
         self.processes[number].as_mut().expect("the VM runs")
     }
 
-    /// Kills a VM at once.
+    /// Kills a VM with SIGKILL.
     pub fn kill(&mut self, number: usize) {
         let mut process = self.processes[number].take().expect("the VM runs");
         process.kill();
@@ -235,19 +236,19 @@
     /// Waits until a VM is ready.
     pub async fn wait_ready(&self, number: usize) {
         let what = format!("{} is ready", NAMES[number]);
-        until(&what, async || is_ready(self.contact.http[number]).await).await;
+        wait_until(&what, async || is_ready(self.client.http[number]).await).await;
     }
 
-    /// Waits until all VMs are ready; tells whether none ended before.
-    async fn ready(&mut self) -> bool {
+    /// Waits until all VMs are ready. Returns `false` if a process has ended before.
+    async fn all_ready(&mut self) -> bool {
         for (number, name) in NAMES.iter().enumerate() {
             let start = Instant::now();
-            while !is_ready(self.contact.http[number]).await {
+            while !is_ready(self.client.http[number]).await {
                 let ended = self.process(number).child.try_wait().expect("a child");
                 if ended.is_some() {
                     return false;
                 }
-                assert!(start.elapsed() < LIMIT, "{name} is not ready");
+                assert!(start.elapsed() < WAIT_LIMIT, "{name} is not ready");
                 tokio::time::sleep(Duration::from_millis(20)).await;
             }
         }
@@ -255,7 +256,7 @@
     }
 }
 
-/// Tells whether `/readyz` answers 200.
+/// Returns whether `/readyz` responds with 200.
 pub async fn is_ready(address: SocketAddr) -> bool {
     let answer = caller::send(address, Method::GET, "/readyz", &[], "").await;
     answer.is_ok_and(|answer| answer.status == StatusCode::OK)
--- a/crates/cli/tests/timeline.rs
+++ b/crates/cli/tests/timeline.rs
@@ -1,4 +1,4 @@
-//! Guards against a timeline that is out of order, repeats events or hides lost ones.
+//! Guards against a timeline that is out of order, repeats events, or hides lost events.
 
 use std::time::Duration;
 
@@ -23,6 +23,7 @@
     }
 }
 
+/// Returns the merged history of two processes; one of them is read twice, and a third is unreachable.
 fn history() -> merge::History {
     let task = task::Ref { job: JOB, index: 3 };
     let accepted = event::Kind::JobAccepted { job: JOB, team: 5 };
@@ -45,20 +46,20 @@
         events: events.to_vec(),
         lost,
     };
-    let silent = merge::Unreachable {
+    let unreachable = merge::Unreachable {
         name: String::from("c"),
         address: "10.0.0.3:1".parse().expect("an address"),
         reason: String::from("no answer in time"),
     };
     merge::merge(vec![
         Ok(reading("b", &b, 0)),
-        Err(silent),
+        Err(unreachable),
         Ok(reading("a", &a, 7)),
         Ok(reading("b", &b[1..], 1)),
     ])
 }
 
-fn places(events: &[event::Event]) -> Vec<(&str, u64)> {
+fn positions(events: &[event::Event]) -> Vec<(&str, u64)> {
     events
         .iter()
         .map(|event| (event.process.as_str(), event.sequence))
@@ -69,7 +70,7 @@
 fn events_are_merged_by_stamp_each_once_and_losses_are_counted() {
     let history = history();
     assert_eq!(
-        places(&history.events),
+        positions(&history.events),
         [("b", 1), ("a", 8), ("b", 2), ("b", 5), ("a", 9)]
     );
     let lost = history
@@ -111,10 +112,10 @@
 fn filters_keep_what_matches(filter: filter::Filter, team: Option<u32>, expected: &[(&str, u64)]) {
     let mut events = history().events;
     filter.apply(team, &mut events);
-    assert_eq!(places(&events), expected);
+    assert_eq!(positions(&events), expected);
 }
 
-/// Guards against processes that are left out, and against one that does not answer ending the whole reading.
+/// Guards against processes that are left out, and against an unreachable process that fails the read of all others.
 #[tokio::test]
 async fn all_processes_of_the_directory_are_read_in_pages() {
     let text = answer::Answer::text("");
