--- a/crates/cli/src/demo/requests.rs
+++ b/crates/cli/src/demo/requests.rs
@@ -45,7 +45,7 @@
 }
 
 /// Sends one request to the open queue.
-async fn send_open(address: std::net::SocketAddr, body: String) -> Result<caller::Answer, caller::Error> {
+async fn send_open(address: std::net::SocketAddr, body: String) -> Result<caller::Response, caller::Error> {
     caller::send(address, Method::POST, "/v2/queues/open-desk/requests", &[], body).await
 }
 
@@ -135,7 +135,7 @@
         let key = self.grant_key("dojos").await?;
         wait_until_serving(&self.cell, &key).await?;
         let hash = sha2::Sha256::digest(key.as_bytes());
-        let mut prefix = bronzespoke_language::hexadecimal(&hash);
+        let mut prefix = bronzespoke_language::encode_hex(&hash);
         prefix.truncate(16);
         self.cell
             .execute_until_accepted(2, &format!("withdraw key {prefix}"), COMMAND_TIMEOUT)
--- a/crates/cli/src/demo/summary.rs
+++ b/crates/cli/src/demo/summary.rs
@@ -27,10 +27,10 @@
     let mut holds = demo.counters.holds();
     println!(
         "Workers: {} runs started, {} at the same time, {} in two places, {} over capacity, {} repeated after success.",
-        totals.starts, totals.most_running, totals.doubled, totals.overfilled, totals.repeated
+        totals.starts, totals.peak_running, totals.overlapping, totals.over_capacity, totals.reruns
     );
-    let doubled = demo.counters.doubled + totals.doubled + totals.repeated;
-    holds &= totals.doubled == 0 && totals.overfilled == 0 && totals.repeated == 0;
+    let doubled = demo.counters.doubled + totals.overlapping + totals.reruns;
+    holds &= totals.overlapping == 0 && totals.over_capacity == 0 && totals.reruns == 0;
     for guarantee in &demo.counters.broken {
         println!("BROKEN: {guarantee}");
     }
--- a/crates/cli/src/settings/mod.rs
+++ b/crates/cli/src/settings/mod.rs
@@ -109,7 +109,7 @@
         text.parse().ok()
     });
     let timeout = reader.read_single(TIMEOUT, "a duration from 10ms to 10m is allowed", |text| {
-        unit::read_duration(text).filter(|value| TIMEOUT_MS.contains(value))
+        unit::parse_duration(text).filter(|value| TIMEOUT_MS.contains(value))
     });
     let json = reader.read_switch(JSON);
     let levels = "off, error, warn, info, debug or trace is allowed";
--- a/crates/cli/src/shell.rs
+++ b/crates/cli/src/shell.rs
@@ -2,7 +2,7 @@
 
 use std::io::{BufRead, Read};
 
-use bronzespoke_language::{self as language, answer, fault, render, statement};
+use bronzespoke_language::{self as language, answer, error, render, statement};
 use bronzespoke_rpc::command;
 use rustyline::error::ReadlineError;
 use serde::Serialize;
@@ -63,7 +63,7 @@
                 eprintln!("command id {id}");
                 Some(id)
             }
-            Err(fault) => return self.reject(line, &fault),
+            Err(error) => return self.reject(line, &error),
         };
         let answer = self.runtime.block_on(self.session.execute(line, id));
         if self.json {
@@ -141,14 +141,14 @@
     }
 
     /// Reports a syntax error, with a caret below the column.
-    fn reject(&self, line: &str, fault: &fault::Fault) -> Result<(), failure::Failure> {
+    fn reject(&self, line: &str, error: &error::Error) -> Result<(), failure::Failure> {
         if self.json {
-            output::json(&answer::Answer::from(fault.clone()))?;
+            output::json(&answer::Answer::from(error.clone()))?;
         }
         let marked = format!(
-            "{}\n{}^ {fault}",
+            "{}\n{}^ {error}",
             render::printable(line),
-            " ".repeat(fault.column - 1)
+            " ".repeat(error.column - 1)
         );
         Err(failure::Failure::Usage(vec![format!(
             "the statement is not understood\n{marked}"
--- a/crates/cli/tests/system/fleet.rs
+++ b/crates/cli/tests/system/fleet.rs
@@ -72,7 +72,7 @@
                 let options = standin::Options {
                     registration,
                     entries: entries.to_vec(),
-                    fails_everything: false,
+                    fail_all: false,
                 };
                 let ledger = Arc::clone(&fleet.ledger);
                 tokio::spawn(standin::run(options, ledger, fleet.cancel.child_token()));
@@ -90,13 +90,10 @@
     /// Checks the record of the workers: no task ran twice, and no worker exceeded its capacity.
     pub fn check_tasks(&self) {
         let totals = self.ledger.totals();
-        assert_eq!(totals.doubled, 0, "tasks that ran in two places: {totals:?}");
+        assert_eq!(totals.overlapping, 0, "tasks that ran in two places: {totals:?}");
+        assert_eq!(totals.reruns, 0, "tasks that ran again after success: {totals:?}");
         assert_eq!(
-            totals.repeated, 0,
-            "tasks that ran again after success: {totals:?}"
-        );
-        assert_eq!(
-            totals.overfilled, 0,
+            totals.over_capacity, 0,
             "workers that held more than they have: {totals:?}"
         );
     }
@@ -142,7 +139,7 @@
     WrongResponse(String),
 }
 
-fn classify(body: &str, result: Result<caller::Answer, caller::Error>) -> Outcome {
+fn classify(body: &str, result: Result<caller::Response, caller::Error>) -> Outcome {
     match result {
         Ok(answer) if answer.status == StatusCode::OK && answer.body == body.as_bytes() => Outcome::Answered,
         Ok(answer) if answer.status == StatusCode::OK => Outcome::WrongResponse(answer.text()),
