language: usual terms of parsing, doc comments that say something

Fields are now zero_or_more, one_or_more and required, keywords one_of and lookup, the result is ParseResult; doc comments name subject, unit and effect. Grammar, messages and JSON are unchanged.

--- a/crates/language/src/answer.rs
+++ b/crates/language/src/answer.rs
@@ -1,7 +1,7 @@
-//! Answers as typed values.
+//! Typed answers.
 //!
-//! An answer keeps numbers as numbers and says their unit in the column, so that the table for people and the JSON
-//! for programs come from the same value.
+//! An answer contains numbers, and its columns specify their units, so that the text for operators and the JSON for
+//! programs are generated from the same value.
 
 use std::fmt;
 
@@ -9,14 +9,14 @@
 
 use crate::error;
 
-/// Most rows in one answer; further rows are counted in [`Table::omitted`].
+/// Maximum number of rows in one answer; further rows are counted in [`Table::omitted`].
 pub const MAX_ROWS: usize = 20_000;
 
 /// Answer to one statement.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(tag = "answer", rename_all = "snake_case")]
 pub enum Answer {
-    /// Rows.
+    /// Rows, as the answer to a query.
     Table(Table),
     /// One or more sentences.
     Text(Text),
@@ -27,42 +27,42 @@
 /// Rows under typed columns.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Table {
-    /// What the rows are, such as `tasks`.
+    /// Kind of objects in the rows, such as `tasks`.
     pub title: String,
-    /// Columns, in order.
+    /// Columns, in the order of the values in a row.
     pub columns: Vec<Column>,
-    /// Rows; each has one value for each column.
+    /// Rows; each has exactly one value per column.
     pub rows: Vec<Vec<Value>>,
-    /// Rows that were left out because of [`MAX_ROWS`].
+    /// Number of rows that were omitted because of [`MAX_ROWS`].
     pub omitted: u64,
 }
 
-/// A column.
+/// A column of a table.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Column {
-    /// Name, in lower case.
+    /// Name of the column, in lower case.
     pub name: String,
-    /// What its values are.
+    /// Type and unit of its values.
     pub kind: Kind,
 }
 
-/// What the values of a column are.
+/// Type and unit of the values of a column.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Kind {
-    /// Text.
+    /// Text without a unit.
     Text,
-    /// An identifier.
+    /// An id, such as that of a job.
     Id,
-    /// A count.
+    /// A number of items.
     Count,
-    /// Yes or no.
+    /// A boolean.
     Flag,
     /// Processors, in thousandths of a core.
     CpuMilli,
     /// Memory, in MiB.
     MemoryMib,
-    /// Bytes.
+    /// A size, in bytes.
     Bytes,
     /// A duration, in milliseconds.
     DurationMs,
@@ -74,15 +74,15 @@
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 #[serde(untagged)]
 pub enum Value {
-    /// Yes or no.
+    /// A boolean.
     Flag(bool),
     /// A whole number in the unit of the column.
     Number(u64),
     /// A fraction in the unit of the column.
     Fraction(f64),
-    /// Text.
+    /// A text.
     Text(String),
-    /// Not known or not applicable.
+    /// The value is unknown or not applicable.
     Absent,
 }
 
@@ -93,14 +93,14 @@
     pub text: String,
 }
 
-/// Why a statement was refused or failed.
+/// Reason why a statement was refused or failed.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Error {
-    /// Class of the error, for programs.
+    /// Class of the error, which programs evaluate.
     pub code: Code,
-    /// One sentence, for people.
+    /// Description of the error for operators, in one sentence.
     pub message: String,
-    /// Column in the line, in characters from 1, for [`Code::Syntax`].
+    /// For [`Code::Syntax`], the column of the error in the line, counted in characters from 1.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub column: Option<usize>,
 }
@@ -113,24 +113,24 @@
     Syntax,
     /// A value is not allowed in the current state.
     Invalid,
-    /// The named thing does not exist.
+    /// The named object does not exist.
     NotFound,
-    /// The name is taken.
+    /// An object with this name exists.
     Exists,
-    /// Another operator's change came first; the message names the winner's version and command id.
+    /// Another change was applied first; the message contains its version and command id.
     Conflict,
-    /// A bound is reached.
+    /// A limit is reached.
     Full,
-    /// Not done, because this process cannot reach a leader; safe to try again.
+    /// Not executed, because this process cannot reach a leader; the statement can be retried safely.
     Unavailable,
-    /// Perhaps done; resend with the same command id to learn the outcome.
+    /// The outcome is unknown; resending with the same command id returns it.
     Unconfirmed,
-    /// A fault in the program.
+    /// An internal error of the daemon.
     Internal,
 }
 
 impl Code {
-    /// Tells whether the same statement may succeed at another process.
+    /// Returns whether the same statement may succeed at another process.
     pub const fn is_retryable(self) -> bool {
         match self {
             Self::Unavailable | Self::Unconfirmed => true,
@@ -178,11 +178,11 @@
 }
 
 impl From<error::Error> for Answer {
-    fn from(fault: error::Error) -> Self {
+    fn from(error: error::Error) -> Self {
         Self::Error(Error {
             code: Code::Syntax,
-            message: fault.to_string(),
-            column: Some(fault.column),
+            message: error.to_string(),
+            column: Some(error.column),
         })
     }
 }
@@ -202,11 +202,11 @@
         }
     }
 
-    /// Appends a row, or counts it as omitted when the table is full.
+    /// Appends a row, or counts it as omitted if the table is full.
     ///
     /// # Panics
     ///
-    /// Panics when the row does not have one value for each column.
+    /// Panics if the row does not have exactly one value per column.
     pub fn push(&mut self, row: Vec<Value>) {
         assert_eq!(
             row.len(),
--- a/crates/language/src/display.rs
+++ b/crates/language/src/display.rs
@@ -1,4 +1,4 @@
-//! Rendering of statements. The text parses back into the same statement.
+//! Rendering of statements in canonical form, which parses into the same statement.
 
 use std::fmt::{self, Display, Formatter, Write};
 
@@ -36,7 +36,7 @@
     }
 }
 
-/// Renders nothing for an empty filter, and otherwise a space and the `where` part.
+/// Renders nothing for an empty filter, and otherwise a space and the `where` clause.
 impl Display for statement::Filter {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         let mut text = String::new();
@@ -116,7 +116,7 @@
     }
 }
 
-/// Renders each field that is present after a space.
+/// Renders each field that is present, preceded by a space.
 impl Display for statement::QuotaChange {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         field(f, "weight", self.weight)?;
@@ -127,7 +127,7 @@
     }
 }
 
-/// Renders each field that is present after a space.
+/// Renders each field that is present, preceded by a space.
 impl Display for statement::ConfigChange {
     fn fmt(&self, f: &mut Formatter<'_>) -> fmt::Result {
         for (name, value) in self.fields() {
@@ -163,7 +163,7 @@
     }
 }
 
-/// Renders bytes, such as a key hash, as two lower-case hexadecimal digits each.
+/// Encodes bytes, such as a key hash, as lower-case hexadecimal digits.
 pub fn encode_hex(bytes: &[u8]) -> String {
     let mut text = String::with_capacity(2 * bytes.len());
     for byte in bytes {
@@ -179,6 +179,7 @@
     }
 }
 
+/// Renders a field that is present, preceded by a space.
 fn field(out: &mut impl Write, name: &str, value: Option<impl Display>) -> fmt::Result {
     match value {
         Some(value) => write!(out, " {name}={value}"),
--- a/crates/language/src/error.rs
+++ b/crates/language/src/error.rs
@@ -1,17 +1,17 @@
-//! Faults in a line.
+//! Syntax errors.
 
 use std::fmt;
 
 use serde::{Deserialize, Serialize};
 
-/// Why a line is not a statement.
+/// Error of parsing a line that is not a statement.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Error {
-    /// Column of the first character that does not fit, in characters from 1.
+    /// Column of the first unexpected character, counted in characters from 1.
     pub column: usize,
-    /// Word at that column, shortened; empty at the end of the line.
+    /// Word at that column, truncated if it is long; empty at the end of the line.
     pub found: String,
-    /// What is allowed there.
+    /// Description of the input that is allowed at that column.
     pub expected: String,
 }
 
--- a/crates/language/src/lib.rs
+++ b/crates/language/src/lib.rs
@@ -1,8 +1,8 @@
 //! The operators' query and command language.
 //!
-//! The package parses a line into a typed [`statement::Statement`], renders a statement back, and holds the typed
-//! [`answer::Answer`]. It decides nothing and reads nothing, so that the daemon, the command line and the tests
-//! agree on one meaning of a line. The grammar is in [`parse`](mod@parse).
+//! The package parses a line into a typed [`statement::Statement`], renders a statement as text, and defines the typed
+//! [`answer::Answer`]. It executes nothing and performs no I/O, so that the daemon, the command line and the tests
+//! share one definition of the language. The grammar is in [`parse`](mod@parse).
 
 pub mod answer;
 pub mod error;
--- a/crates/language/src/parse/expectation.rs
+++ b/crates/language/src/parse/expectation.rs
@@ -1,14 +1,14 @@
-//! The parser's error: a place in the line and what is allowed there.
+//! Error type of the parser.
 
 use winnow::error::{ErrMode, ParserError};
 use winnow::stream::{Location, Stream};
 
-/// What is allowed at a place.
+/// Position of a syntax error, and the input that is allowed there.
 #[derive(Debug, Clone)]
 pub(super) struct Expectation {
-    /// Byte offset in the line; always on a character boundary.
+    /// Byte offset in the line, at a character boundary.
     pub(super) offset: usize,
-    /// What is allowed.
+    /// Description of the allowed input.
     pub(super) expected: String,
 }
 
@@ -20,7 +20,7 @@
         }
     }
 
-    /// Returns an error that ends the parse; every choice is made by one word, so no other branch can succeed.
+    /// Returns an error that ends parsing: one word determines every alternative, so no other one can succeed.
     pub(super) fn cut(offset: usize, expected: impl Into<String>) -> ErrMode<Self> {
         ErrMode::Cut(Self::new(offset, expected))
     }
--- a/crates/language/src/parse/mod.rs
+++ b/crates/language/src/parse/mod.rs
@@ -1,7 +1,7 @@
-//! The parser.
+//! Parser of the operators' language.
 //!
-//! A line is a sequence of words separated by white space. Every choice is made by the next word alone, so the
-//! parser never goes back and its work is linear in the length of the line.
+//! A line is a sequence of words separated by white space. The next word alone determines every alternative, so the
+//! parser does not backtrack, and its running time is linear in the length of the line.
 //!
 //! ```text
 //! statement = query | command
@@ -14,7 +14,7 @@
 //!                    | "workers"  [ "where" { zone= | state= } ]
 //!                    | "services" | "queues" | "config" | "versions" | "members" | "old-callers" )
 //!           | "why" "job" JOB
-//! command   = "create" ( "team" NAME quota            (every field is needed)
+//! command   = "create" ( "team" NAME quota            (every field is required)
 //!                      | "service" NAME
 //!                      | "queue" NAME "service=" NAME "requests=" COUNT )
 //!           | "set" ( "team" NAME quota               (at least one field)
@@ -38,8 +38,8 @@
 //! DURATION  = such as 250ms, 30s or 1m30s
 //! ```
 //!
-//! Fields have the form `name=value` without spaces, come in any order, and are given once at most. Ids are whole
-//! numbers as the answers show them.
+//! Fields have the form `name=value` without spaces, occur in any order, and at most once each. Ids are whole numbers,
+//! as shown in answers.
 
 mod command;
 mod expectation;
@@ -52,13 +52,13 @@
 
 use crate::{error, statement};
 
-/// Longest line, in bytes.
+/// Maximum length of a line, in bytes.
 pub const MAX_LINE_BYTES: usize = 4096;
-/// Longest part of a word that a fault shows, in characters.
-const MAX_SHOWN: usize = 32;
+/// Maximum number of characters of a word that an error shows.
+const MAX_FOUND_CHARS: usize = 32;
 
 type Input<'a> = LocatingSlice<&'a str>;
-type Outcome<T> = winnow::ModalResult<T, expectation::Expectation>;
+type ParseResult<T> = winnow::ModalResult<T, expectation::Expectation>;
 
 #[derive(Clone, Copy)]
 enum Verb {
@@ -96,16 +96,16 @@
     if line.len() > MAX_LINE_BYTES {
         return Err(error::Error {
             column: 1,
-            found: shorten(line.split_whitespace().next().unwrap_or_default()),
+            found: truncate(line.split_whitespace().next().unwrap_or_default()),
             expected: format!("a line of at most {MAX_LINE_BYTES} bytes"),
         });
     }
     let mut input = LocatingSlice::new(line);
-    statement(&mut input).map_err(|error| explain(line, error))
+    statement(&mut input).map_err(|error| into_error(line, error))
 }
 
-fn statement(input: &mut Input<'_>) -> Outcome<statement::Statement> {
-    let statement = match word::choice(input, &VERBS)? {
+fn statement(input: &mut Input<'_>) -> ParseResult<statement::Statement> {
+    let statement = match word::one_of(input, &VERBS)? {
         Verb::Show => statement::Statement::Query(query::show(input)?),
         Verb::Why => statement::Statement::Query(query::why(input)?),
         Verb::Create => statement::Statement::Command(command::create(input)?),
@@ -123,7 +123,8 @@
     Ok(statement)
 }
 
-fn explain(line: &str, error: ErrMode<expectation::Expectation>) -> error::Error {
+/// Converts an error of the parser into a syntax error with a column.
+fn into_error(line: &str, error: ErrMode<expectation::Expectation>) -> error::Error {
     let expectation = match error {
         ErrMode::Backtrack(expectation) | ErrMode::Cut(expectation) => expectation,
         ErrMode::Incomplete(_) => expectation::Expectation::new(line.len(), "the rest of the line"),
@@ -131,16 +132,16 @@
     let (before, rest) = line.split_at(expectation.offset);
     error::Error {
         column: before.chars().count() + 1,
-        found: shorten(rest.split_whitespace().next().unwrap_or_default()),
+        found: truncate(rest.split_whitespace().next().unwrap_or_default()),
         expected: expectation.expected,
     }
 }
 
-fn shorten(word: &str) -> String {
-    if word.chars().count() <= MAX_SHOWN {
+fn truncate(word: &str) -> String {
+    if word.chars().count() <= MAX_FOUND_CHARS {
         return String::from(word);
     }
-    let mut text = word.chars().take(MAX_SHOWN).collect::<String>();
+    let mut text = word.chars().take(MAX_FOUND_CHARS).collect::<String>();
     text.push('…');
     text
 }
--- a/crates/language/src/parse/query.rs
+++ b/crates/language/src/parse/query.rs
@@ -1,6 +1,6 @@
-//! Queries.
+//! Parser of queries.
 
-use super::{Input, Outcome, field, word};
+use super::{Input, ParseResult, field, word};
 use crate::statement;
 
 const TASK_FILTERS: [&str; 5] = ["team", "job", "worker", "zone", "state"];
@@ -35,7 +35,7 @@
 ];
 
 #[derive(Clone, Copy)]
-enum Subject {
+enum ShowSubject {
     Tasks,
     Jobs,
     Teams,
@@ -51,49 +51,50 @@
     OldCallers,
 }
 
-const SUBJECTS: [(&str, Subject); 13] = [
-    ("tasks", Subject::Tasks),
-    ("jobs", Subject::Jobs),
-    ("teams", Subject::Teams),
-    ("keys", Subject::Keys),
-    ("holdings", Subject::Holdings),
-    ("targets", Subject::Targets),
-    ("workers", Subject::Workers),
-    ("services", Subject::Services),
-    ("queues", Subject::Queues),
-    ("config", Subject::Config),
-    ("versions", Subject::Versions),
-    ("members", Subject::Members),
-    ("old-callers", Subject::OldCallers),
+const SHOW_SUBJECTS: [(&str, ShowSubject); 13] = [
+    ("tasks", ShowSubject::Tasks),
+    ("jobs", ShowSubject::Jobs),
+    ("teams", ShowSubject::Teams),
+    ("keys", ShowSubject::Keys),
+    ("holdings", ShowSubject::Holdings),
+    ("targets", ShowSubject::Targets),
+    ("workers", ShowSubject::Workers),
+    ("services", ShowSubject::Services),
+    ("queues", ShowSubject::Queues),
+    ("config", ShowSubject::Config),
+    ("versions", ShowSubject::Versions),
+    ("members", ShowSubject::Members),
+    ("old-callers", ShowSubject::OldCallers),
 ];
 
-/// Parses the part after `show`.
-pub(super) fn show(input: &mut Input<'_>) -> Outcome<statement::Query> {
-    Ok(match word::choice(input, &SUBJECTS)? {
-        Subject::Tasks => statement::Query::Tasks(filter(input, &TASK_FILTERS, &TASK_STATES)?),
-        Subject::Jobs => statement::Query::Jobs(filter(input, &JOB_FILTERS, &JOB_STATES)?),
-        Subject::Teams => statement::Query::Teams,
-        Subject::Keys => statement::Query::Keys(filter(input, &KEY_FILTERS, &[])?),
-        Subject::Holdings => statement::Query::Holdings(filter(input, &HOLDING_FILTERS, &[])?),
-        Subject::Targets => statement::Query::Targets(filter(input, &TARGET_FILTERS, &NODE_STATES)?),
-        Subject::Workers => statement::Query::Workers(filter(input, &WORKER_FILTERS, &NODE_STATES)?),
-        Subject::Services => statement::Query::Services,
-        Subject::Queues => statement::Query::Queues,
-        Subject::Config => statement::Query::Config,
-        Subject::Versions => statement::Query::Versions,
-        Subject::Members => statement::Query::Members,
-        Subject::OldCallers => statement::Query::OldCallers,
+/// Parses the rest of a statement after `show`.
+pub(super) fn show(input: &mut Input<'_>) -> ParseResult<statement::Query> {
+    Ok(match word::one_of(input, &SHOW_SUBJECTS)? {
+        ShowSubject::Tasks => statement::Query::Tasks(filter(input, &TASK_FILTERS, &TASK_STATES)?),
+        ShowSubject::Jobs => statement::Query::Jobs(filter(input, &JOB_FILTERS, &JOB_STATES)?),
+        ShowSubject::Teams => statement::Query::Teams,
+        ShowSubject::Keys => statement::Query::Keys(filter(input, &KEY_FILTERS, &[])?),
+        ShowSubject::Holdings => statement::Query::Holdings(filter(input, &HOLDING_FILTERS, &[])?),
+        ShowSubject::Targets => statement::Query::Targets(filter(input, &TARGET_FILTERS, &NODE_STATES)?),
+        ShowSubject::Workers => statement::Query::Workers(filter(input, &WORKER_FILTERS, &NODE_STATES)?),
+        ShowSubject::Services => statement::Query::Services,
+        ShowSubject::Queues => statement::Query::Queues,
+        ShowSubject::Config => statement::Query::Config,
+        ShowSubject::Versions => statement::Query::Versions,
+        ShowSubject::Members => statement::Query::Members,
+        ShowSubject::OldCallers => statement::Query::OldCallers,
     })
 }
 
-/// Parses the part after `why`.
-pub(super) fn why(input: &mut Input<'_>) -> Outcome<statement::Query> {
+/// Parses the rest of a statement after `why`.
+pub(super) fn why(input: &mut Input<'_>) -> ParseResult<statement::Query> {
     word::keyword(input, "job")?;
     let job = word::id(input)?;
     Ok(statement::Query::Why { job })
 }
 
-fn filter(input: &mut Input<'_>, allowed: &[&str], states: &States) -> Outcome<statement::Filter> {
+/// Parses an optional `where` clause.
+fn filter(input: &mut Input<'_>, allowed: &[&str], states: &States) -> ParseResult<statement::Filter> {
     let mut filter = statement::Filter::default();
     let next = word::peek(input)?;
     if next.text.is_empty() {
@@ -104,14 +105,14 @@
         return Err(super::expectation::Expectation::cut(next.offset, expected));
     }
     word::keyword(input, "where")?;
-    field::some(input, allowed, None, |field| {
+    field::one_or_more(input, allowed, None, |field| {
         match field.name.text {
             "team" => filter.team = Some(word::name(field.value)?),
             "service" => filter.service = Some(word::name(field.value)?),
             "job" => filter.job = Some(word::number(field.value, &(0..=u64::MAX))?),
             "worker" => filter.worker = Some(word::number(field.value, &(0..=u64::MAX))?),
             "zone" => filter.zone = Some(word::zone(field.value)?),
-            "state" => filter.state = Some(word::pick(field.value, states)?),
+            "state" => filter.state = Some(word::lookup(field.value, states)?),
             other => unreachable!("`{other}` is not in a list of filters"),
         }
         Ok(())
--- a/crates/language/src/parse/word.rs
+++ b/crates/language/src/parse/word.rs
@@ -1,4 +1,4 @@
-//! Words: keywords, names, numbers and hexadecimal digits.
+//! Parser of words: keywords, names, numbers and hexadecimal digits.
 
 use std::ops::RangeInclusive;
 
@@ -7,52 +7,52 @@
 use winnow::stream::{Location, Stream};
 use winnow::token::take_while;
 
-use super::{Input, Outcome, expectation::Expectation};
+use super::{Input, ParseResult, expectation::Expectation};
 use crate::unit;
 
-/// Longest name, in characters.
-const MAX_NAME: usize = 63;
-/// Fewest digits of a key's hash that name a key.
+/// Maximum length of a name, in characters.
+const MAX_NAME_CHARS: usize = 63;
+/// Minimum number of digits of a hash that identify a key.
 const MIN_HASH_PREFIX: usize = 8;
-/// Digits of a whole hash.
+/// Number of digits of a complete hash.
 const HASH_DIGITS: usize = 64;
 
-/// A word and where it starts.
+/// A word and its byte offset in the line.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Word<'a> {
     pub(super) text: &'a str,
     pub(super) offset: usize,
 }
 
-/// Takes the next word; it is empty at the end of the line.
-pub(super) fn next<'a>(input: &mut Input<'a>) -> Outcome<Word<'a>> {
+/// Consumes the next word; it is empty at the end of the line.
+pub(super) fn next<'a>(input: &mut Input<'a>) -> ParseResult<Word<'a>> {
     take_while(0.., char::is_whitespace).parse_next(input)?;
     let offset = input.current_token_start();
     let text = take_while(0.., |character: char| !character.is_whitespace()).parse_next(input)?;
     Ok(Word { text, offset })
 }
 
-/// Returns the next word without taking it.
-pub(super) fn peek<'a>(input: &mut Input<'a>) -> Outcome<Word<'a>> {
+/// Returns the next word without consuming it.
+pub(super) fn peek<'a>(input: &mut Input<'a>) -> ParseResult<Word<'a>> {
     let start = input.checkpoint();
     let word = next(input)?;
     input.reset(&start);
     Ok(word)
 }
 
-/// Takes the given keyword.
-pub(super) fn keyword(input: &mut Input<'_>, text: &str) -> Outcome<()> {
-    choice(input, &[(text, ())])
+/// Consumes the given keyword.
+pub(super) fn keyword(input: &mut Input<'_>, text: &str) -> ParseResult<()> {
+    one_of(input, &[(text, ())])
 }
 
-/// Takes one of the given keywords and returns its value.
-pub(super) fn choice<T: Copy>(input: &mut Input<'_>, table: &[(&str, T)]) -> Outcome<T> {
+/// Consumes one of the given keywords and returns its value.
+pub(super) fn one_of<T: Copy>(input: &mut Input<'_>, table: &[(&str, T)]) -> ParseResult<T> {
     let word = next(input)?;
-    pick(word, table)
+    lookup(word, table)
 }
 
-/// Returns the value of the keyword that the word is.
-pub(super) fn pick<T: Copy>(word: Word<'_>, table: &[(&str, T)]) -> Outcome<T> {
+/// Returns the value that the table assigns to a word.
+pub(super) fn lookup<T: Copy>(word: Word<'_>, table: &[(&str, T)]) -> ParseResult<T> {
     let found = table.iter().find(|(text, _)| *text == word.text);
     found.map(|(_, value)| *value).ok_or_else(|| {
         let names = table.iter().map(|(text, _)| *text).collect::<Vec<_>>();
@@ -70,8 +70,8 @@
     }
 }
 
-/// Takes the end of the line.
-pub(super) fn end(input: &mut Input<'_>) -> Outcome<()> {
+/// Requires the end of the line.
+pub(super) fn end(input: &mut Input<'_>) -> ParseResult<()> {
     let word = next(input)?;
     if word.text.is_empty() {
         return Ok(());
@@ -79,21 +79,22 @@
     Err(Expectation::cut(word.offset, "the end of the line"))
 }
 
-/// Reads a name.
-pub(super) fn name(word: Word<'_>) -> Outcome<String> {
+/// Parses a name.
+pub(super) fn name(word: Word<'_>) -> ParseResult<String> {
     let mut bytes = word.text.bytes();
     let first = bytes.next().is_some_and(|byte| byte.is_ascii_lowercase());
     let rest = bytes.all(|byte| byte.is_ascii_lowercase() || byte.is_ascii_digit() || byte == b'-');
-    if first && rest && word.text.len() <= MAX_NAME {
+    if first && rest && word.text.len() <= MAX_NAME_CHARS {
         return Ok(String::from(word.text));
     }
-    let expected =
-        format!("a name of 1 to {MAX_NAME} lower-case letters, digits or `-` that starts with a letter");
+    let expected = format!(
+        "a name of 1 to {MAX_NAME_CHARS} lower-case letters, digits or `-` that starts with a letter"
+    );
     Err(Expectation::cut(word.offset, expected))
 }
 
-/// Reads a whole number in a range.
-pub(super) fn number(word: Word<'_>, range: &RangeInclusive<u64>) -> Outcome<u64> {
+/// Parses a whole number in a range.
+pub(super) fn number(word: Word<'_>, range: &RangeInclusive<u64>) -> ParseResult<u64> {
     unit::parse_digits(word.text)
         .filter(|value| range.contains(value))
         .ok_or_else(|| {
@@ -102,19 +103,19 @@
         })
 }
 
-/// Reads an availability zone.
-pub(super) fn zone(word: Word<'_>) -> Outcome<id::AvailabilityZoneId> {
+/// Parses the id of an availability zone.
+pub(super) fn zone(word: Word<'_>) -> ParseResult<id::AvailabilityZoneId> {
     let value = number(word, &(0..=u64::from(id::AvailabilityZoneId::MAX)))?;
     Ok(value as id::AvailabilityZoneId)
 }
 
-/// Takes an id: a worker, target, VM or job.
-pub(super) fn id(input: &mut Input<'_>) -> Outcome<u64> {
+/// Consumes the id of a worker, target, VM or job, or a configuration version.
+pub(super) fn id(input: &mut Input<'_>) -> ParseResult<u64> {
     number(next(input)?, &(0..=u64::MAX))
 }
 
-/// Reads a whole hash.
-pub(super) fn hash(word: Word<'_>) -> Outcome<[u8; 32]> {
+/// Parses a complete hash.
+pub(super) fn hash(word: Word<'_>) -> ParseResult<[u8; 32]> {
     let mut hash = [0; 32];
     let complete = word.text.len() == HASH_DIGITS && is_hexadecimal(word.text);
     for (index, byte) in hash.iter_mut().enumerate().filter(|_| complete) {
@@ -127,8 +128,8 @@
         .ok_or_else(|| Expectation::cut(word.offset, expected()))
 }
 
-/// Reads the first digits of a hash.
-pub(super) fn hash_prefix(word: Word<'_>) -> Outcome<String> {
+/// Parses the first digits of a hash.
+pub(super) fn hash_prefix(word: Word<'_>) -> ParseResult<String> {
     let length = word.text.len();
     if (MIN_HASH_PREFIX..=HASH_DIGITS).contains(&length) && is_hexadecimal(word.text) {
         return Ok(word.text.to_ascii_lowercase());
--- a/crates/language/src/render.rs
+++ b/crates/language/src/render.rs
@@ -1,21 +1,22 @@
-//! Rendering of answers for people. Programs read the JSON of the same [`answer::Answer`].
+//! Rendering of answers as text for a terminal. Programs read the JSON of the same [`answer::Answer`].
 
 use comfy_table::{CellAlignment, presets};
 
 use crate::{answer, unit};
 
+/// Text of an absent value.
 const ABSENT: &str = "-";
 
-/// Renders an answer as text that ends with a line break.
+/// Renders an answer as text that ends with a newline.
 pub fn answer(answer: &answer::Answer) -> String {
     match answer {
-        answer::Answer::Table(table) => rows(table),
+        answer::Answer::Table(table) => render_table(table),
         answer::Answer::Text(text) => format!("{}\n", printable_lines(&text.text)),
         answer::Answer::Error(error) => format!("{}: {}\n", error.code, printable(&error.message)),
     }
 }
 
-/// Renders the value of a column.
+/// Renders a value in the unit of its column.
 pub fn value(kind: answer::Kind, value: &answer::Value) -> String {
     match value {
         answer::Value::Absent => String::from(ABSENT),
@@ -30,7 +31,7 @@
     }
 }
 
-/// Replaces control characters, which could change what a terminal shows.
+/// Replaces control characters, which could form escape sequences of a terminal.
 pub fn printable(text: &str) -> String {
     let replace = |character: char| {
         if character.is_control() {
@@ -59,7 +60,7 @@
     }
 }
 
-fn rows(table: &answer::Table) -> String {
+fn render_table(table: &answer::Table) -> String {
     let mut out = comfy_table::Table::new();
     out.load_preset(presets::NOTHING);
     out.set_header(table.columns.iter().map(|column| printable(&column.name)));
--- a/crates/language/src/statement.rs
+++ b/crates/language/src/statement.rs
@@ -1,37 +1,37 @@
-//! Statements as typed values.
+//! Typed statements.
 
 use bronzespoke_model::{config, id, resource, team};
 use serde::{Deserialize, Serialize};
 
-/// One line of the language.
+/// A statement, which is one line of the language.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Statement {
-    /// Reads state; may be answered by any process and repeated freely.
+    /// Reads state; any process can answer it, and it can be repeated safely.
     Query(Query),
-    /// Changes state; carries a command id so that a resend is safe.
+    /// Changes state; has a command id, so that it can be resent safely.
     Command(Command),
 }
 
-/// A question.
+/// A statement that reads state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Query {
-    /// `show tasks`: what runs where.
+    /// `show tasks`: tasks and the workers that they run on.
     Tasks(Filter),
-    /// `show jobs`.
+    /// `show jobs`: jobs and their states.
     Jobs(Filter),
     /// `show teams`: shares and upper limits.
     Teams,
     /// `show keys`: hashes of the granted keys.
     Keys(Filter),
-    /// `show holdings`: who holds what, by team and availability zone.
+    /// `show holdings`: resources in use by team and availability zone.
     Holdings(Filter),
-    /// `show targets`.
+    /// `show targets`: targets and their states.
     Targets(Filter),
-    /// `show workers`.
+    /// `show workers`: workers and their states.
     Workers(Filter),
-    /// `show services`.
+    /// `show services`: services that requests can name.
     Services,
     /// `show queues`: open queues.
     Queues,
@@ -41,16 +41,16 @@
     Versions,
     /// `show members`: members and leaders of the groups.
     Members,
-    /// `show old-callers`: who still uses the version-1 interface.
+    /// `show old-callers`: callers that still use the version-1 interface.
     OldCallers,
-    /// `why job J`: why a job waits or can never run.
+    /// `why job J`: the reason why a job waits or can never run.
     Why {
-        /// The job.
+        /// Job to explain.
         job: id::JobId,
     },
 }
 
-/// Conditions of a `where` part; all that are present must hold.
+/// Conditions of a `where` clause; all that are present must hold.
 #[derive(Debug, Default, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Filter {
@@ -58,13 +58,13 @@
     pub team: Option<String>,
     /// Name of the service.
     pub service: Option<String>,
-    /// Job.
+    /// Id of the job.
     pub job: Option<id::JobId>,
-    /// Worker.
+    /// Id of the worker.
     pub worker: Option<id::WorkerId>,
-    /// Availability zone.
+    /// Id of the availability zone.
     pub zone: Option<id::AvailabilityZoneId>,
-    /// State.
+    /// State of the task, job, worker or target.
     pub state: Option<State>,
 }
 
@@ -76,120 +76,120 @@
     Waiting,
     /// Task or job: started.
     Running,
-    /// Task: told to stop, not confirmed.
+    /// Task: instructed to stop; the stop is not confirmed.
     Stopping,
     /// Job: every task succeeded.
     Succeeded,
-    /// Job: the retry budget is spent.
+    /// Job: the retry budget is exhausted.
     Failed,
-    /// Job: cancelled.
+    /// Job: cancelled by its team or an operator.
     Cancelled,
-    /// Job: can never run as it is.
+    /// Job: can never run as specified.
     Impossible,
     /// Worker or target: in use.
     Ready,
-    /// Worker or target: takes no new work.
+    /// Worker or target: accepts no new work.
     Draining,
-    /// Worker or target: takes a little work after many failures.
+    /// Worker or target: receives little work after many failures.
     Probation,
     /// Worker or target: out of contact.
     Lost,
 }
 
-/// A change.
+/// A statement that changes state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Command {
-    /// `create team`.
+    /// `create team`: creates a team.
     CreateTeam {
         /// Name, unique in the cell.
         name: String,
-        /// Share and upper limits.
+        /// Fair-share weight and limits.
         quota: team::Quota,
     },
-    /// `set team`.
+    /// `set team`: changes the quota of a team.
     SetTeam {
         /// Name of the team.
         name: String,
-        /// What changes.
+        /// Fields of the quota to change.
         change: QuotaChange,
     },
-    /// `grant key`.
+    /// `grant key`: grants a key to a team.
     GrantKey {
         /// Name of the team.
         team: String,
-        /// Hash of the key; without it, the daemon generates a key and shows it once. Keys are not stored, so a resend
-        /// cannot show it again.
+        /// Hash of the key. Without it, the daemon generates a key and shows it once; keys are not stored, so a resent
+        /// command does not show it again.
         hash: Option<team::KeyHash>,
     },
-    /// `withdraw key`.
+    /// `withdraw key`: withdraws a granted key.
     WithdrawKey {
-        /// First lower-case hexadecimal digits of the hash; must match one key only.
+        /// First lower-case hexadecimal digits of the hash; they must match exactly one key.
         prefix: String,
     },
-    /// `create service`.
+    /// `create service`: creates a service.
     CreateService {
         /// Name, unique in the cell.
         name: String,
     },
-    /// `create queue`.
+    /// `create queue`: creates an open queue.
     CreateQueue {
         /// Name, unique in the cell.
         name: String,
-        /// Name of the service that answers.
+        /// Name of the service that handles the requests.
         service: String,
-        /// Requests that may be in flight fleet-wide.
+        /// Maximum number of requests in flight, fleet-wide.
         requests: u32,
     },
-    /// `drain`: no new work.
+    /// `drain`: stops new work from going to a node.
     Drain(Node),
-    /// `undrain`: takes new work again.
+    /// `undrain`: ends the drain of a node.
     Undrain(Node),
-    /// `set config`.
+    /// `set config`: changes the configuration.
     SetConfig {
-        /// What changes.
+        /// Fields of the configuration to change.
         change: ConfigChange,
-        /// Version that the change starts from; the command is refused when another version is in force.
+        /// Version that the change is based on; the command is refused if another version is in force.
         expect: id::ConfigVersion,
     },
-    /// `cancel job`.
+    /// `cancel job`: cancels one job.
     CancelJob {
-        /// The job.
+        /// Job to cancel.
         job: id::JobId,
     },
-    /// `cancel jobs of team`.
+    /// `cancel jobs of team`: cancels all jobs of a team.
     CancelJobs {
         /// Name of the team.
         team: String,
     },
-    /// `add member`.
+    /// `add member`: adds a voter to a group.
     AddMember {
         /// VM that becomes a voter.
         vm: id::VmId,
-        /// Group.
+        /// Group that the VM joins.
         group: id::GroupId,
     },
-    /// `remove member`.
+    /// `remove member`: removes a voter from a group.
     RemoveMember {
-        /// Voter that leaves.
+        /// Voter to remove.
         vm: id::VmId,
-        /// Group.
+        /// Group that the VM leaves.
         group: id::GroupId,
     },
-    /// `declare zone lost`.
+    /// `declare zone lost`: declares an availability zone permanently lost.
     DeclareLost {
-        /// Availability zone whose VMs and workers are physically gone.
+        /// Availability zone whose VMs and workers are no longer running.
         zone: id::AvailabilityZoneId,
     },
 }
 
-/// What a drain applies to.
+/// Subject of a drain.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Node {
-    /// A worker.
+    /// A worker, which runs tasks.
     Worker(id::WorkerId),
-    /// A target.
+    /// A target, which handles requests.
     Target(id::TargetId),
     /// A VM that runs a daemon.
     Vm(id::VmId),
@@ -241,19 +241,19 @@
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct ConfigChange {
-    /// New longest time of a request, in milliseconds.
+    /// New maximum duration of a request, in milliseconds.
     pub request_deadline_ms: Option<u32>,
-    /// New largest request body, in bytes.
+    /// New maximum size of a request body, in bytes.
     pub request_body_bytes: Option<u32>,
-    /// New retries per hundred requests.
+    /// New maximum of retries per hundred requests.
     pub retry_percent: Option<u32>,
-    /// New bytes per second from one VM to targets in other regions.
+    /// New maximum rate from one VM to targets in other regions, in bytes per second.
     pub remote_bytes_per_second: Option<u32>,
     /// Whether the version-1 interface is served.
     pub version_one: Option<bool>,
-    /// New bound on stops per second for urgent work.
+    /// New maximum of preemptions per second.
     pub preemptions_per_second: Option<u32>,
-    /// New bound on starts per second after a loss.
+    /// New maximum of starts per second while lost work is rescheduled.
     pub recovery_starts_per_second: Option<u32>,
 }
 
@@ -291,6 +291,7 @@
     }
 }
 
+/// Const form of `Option::unwrap_or`.
 const fn or(change: Option<u32>, current: u32) -> u32 {
     match change {
         Some(value) => value,
--- a/crates/language/tests/answer.rs
+++ b/crates/language/tests/answer.rs
@@ -1,4 +1,4 @@
-//! Guards against answers whose JSON changes shape, which would break operators' programs.
+//! Guards against changes to the JSON of answers, which would break operators' programs.
 
 use bronzespoke_language::{answer, parse, render};
 
@@ -57,15 +57,15 @@
 
 #[test]
 fn syntax_error_json_has_the_column() {
-    let fault = parse("show task").expect_err("unknown subject");
-    let json = serde_json::to_value(answer::Answer::from(fault)).expect("plain data");
+    let error = parse("show task").expect_err("unknown subject");
+    let json = serde_json::to_value(answer::Answer::from(error)).expect("plain data");
     assert_eq!(
         (&json["answer"], &json["code"], &json["column"]),
         (&"error".into(), &"syntax".into(), &6.into())
     );
 }
 
-/// Guards against raw milli units, and terminal control sequences in names, on an operator's screen.
+/// Guards against values without units, and against terminal escape sequences in names.
 #[test]
 fn table_text_has_units_and_no_control_characters() {
     let text = render::answer(&answer::Answer::Table(table()));
@@ -85,7 +85,7 @@
     assert!(!text.contains('\u{1b}'));
 }
 
-/// Guards against an answer that grows without bound.
+/// Guards against answers of unbounded size.
 #[test]
 fn rows_beyond_the_bound_are_counted() {
     let mut table = answer::Table::new("jobs", &[("job", answer::Kind::Id)]);
--- a/crates/language/tests/documentation.rs
+++ b/crates/language/tests/documentation.rs
@@ -1,4 +1,4 @@
-//! Guards against examples in the operators' guide that are not statements.
+//! Guards against examples in the operators' guide that do not parse.
 
 use bronzespoke_language::parse;
 
@@ -11,8 +11,8 @@
     let lines = lines.collect::<Vec<_>>();
     assert!(lines.len() > 40, "{} examples", lines.len());
     for line in lines {
-        if let Err(fault) = parse(line) {
-            panic!("{line}: {fault}");
+        if let Err(error) = parse(line) {
+            panic!("{line}: {error}");
         }
     }
 }
--- a/crates/language/tests/fault.rs
+++ b/crates/language/tests/fault.rs
@@ -1,4 +1,4 @@
-//! Guards against errors that point at the wrong place or do not say what is allowed.
+//! Guards against syntax errors that show the wrong column or do not describe the allowed input.
 
 use bronzespoke_language::{parse, parse::MAX_LINE_BYTES};
 use rand::{Rng, SeedableRng, rngs};
@@ -42,22 +42,22 @@
     lost = { "declare zone 2 gone", 16, "gone", "`lost`" },
 )]
 fn error_points_at_the_column(line: &str, column: usize, found: &str, expected: &str) {
-    let fault = parse(line).expect_err("the line is not a statement");
-    assert_eq!((fault.column, fault.found.as_str()), (column, found), "{fault}");
-    assert!(fault.expected.contains(expected), "{fault}");
+    let error = parse(line).expect_err("the line is not a statement");
+    assert_eq!((error.column, error.found.as_str()), (column, found), "{error}");
+    assert!(error.expected.contains(expected), "{error}");
 }
 
-/// Guards against a long line that is echoed whole or parsed at length.
+/// Guards against long lines that are parsed in full or repeated in full in the error.
 #[test]
-fn long_lines_are_refused_and_shortened() {
+fn long_lines_are_refused_and_truncated() {
     let long = format!("show {}", "x".repeat(MAX_LINE_BYTES));
-    let fault = parse(&long).expect_err("too long");
-    assert!(fault.expected.contains("at most 4096 bytes"), "{fault}");
-    let fault = parse(&long[..MAX_LINE_BYTES]).expect_err("unknown subject");
-    assert!(fault.to_string().len() < 400, "{fault}");
+    let error = parse(&long).expect_err("too long");
+    assert!(error.expected.contains("at most 4096 bytes"), "{error}");
+    let error = parse(&long[..MAX_LINE_BYTES]).expect_err("unknown subject");
+    assert!(error.to_string().len() < 400, "{error}");
 }
 
-/// Guards against panics, columns outside the line and statements that do not survive rendering.
+/// Guards against panics, columns outside the line, and statements whose rendering parses into another statement.
 #[test]
 fn random_lines_never_panic() {
     let mut random = rngs::SmallRng::seed_from_u64(SEED);
@@ -108,7 +108,7 @@
                 Ok(&statement),
                 "seed {SEED}"
             ),
-            Err(fault) => assert!(fault.column <= line.chars().count() + 1, "seed {SEED}: {line:?}"),
+            Err(error) => assert!(error.column <= line.chars().count() + 1, "seed {SEED}: {line:?}"),
         }
     }
 }
--- a/crates/language/tests/statement.rs
+++ b/crates/language/tests/statement.rs
@@ -1,4 +1,4 @@
-//! Guards against statements that parse into another meaning than the one that their rendering shows.
+//! Guards against statements whose rendering does not parse into the same statement.
 
 use bronzespoke_language::{parse, statement};
 use yare::parameterized;
@@ -44,7 +44,7 @@
     remove = { "remove member 5 from group zone 0" },
     declare = { "declare zone 2 lost" },
 )]
-fn canonical_text_survives(line: &str) {
+fn canonical_text_round_trips(line: &str) {
     let statement = parse(line).expect("the line is a statement");
     assert_eq!(statement.to_string(), line);
     let json = serde_json::to_string(&statement).expect("plain data");
