--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -16,27 +16,27 @@
     disk, settings,
 };
 
-/// Longest time between two ticks.
+/// Maximum interval between ticks.
 const LONGEST_TICK: Duration = Duration::from_millis(100);
-/// Shortest time between two ticks, which bounds the work of timers.
+/// Minimum interval between ticks, which bounds the cost of timers.
 const SHORTEST_TICK: Duration = Duration::from_millis(1);
-/// Longest wait for the hand-over of leadership at shutdown.
+/// Time limit for the transfer of leadership at shutdown.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// What the control thread starts from.
+/// Arguments of the control thread.
 #[derive(Debug)]
 pub struct Start {
-    /// Settings.
+    /// Settings of the daemon.
     pub settings: settings::Settings,
-    /// Time, timeline, network.
+    /// Clock, timeline and network.
     pub context: context::Context,
-    /// Views for traffic.
+    /// Channels for the views that the gateway reads.
     pub published: Published,
-    /// Targets for traffic.
+    /// Channel for the targets that the gateway may use.
     pub targets: tokio::sync::watch::Sender<Arc<gateway::Targets>>,
 }
 
-/// The actor type; its state is the controller.
+/// The actor; its state is the [`Controller`].
 #[derive(Debug)]
 pub struct Control;
 
@@ -137,17 +137,17 @@
             Message::Operator(line, command, reply) => self.operator(&line, command, reply),
             Message::Directory(reply) => drop(reply.send(self.directory())),
             Message::Persisted(number, done) => self.persisted(number, &done),
-            Message::Claimed(pending, answer) => self.claimed(pending, answer),
+            Message::Claimed(pending, reply) => self.claimed(pending, reply),
             Message::Abandoned(zone, number) => self.abandoned(zone, number),
             Message::Unrecorded(end) => self.unrecorded(end),
             Message::FormerEnded(zone, ended) => self.former_ended(zone, ended),
-            Message::Submitted(submission, answer) => self.submitted(submission, answer),
+            Message::Submitted(submission, reply) => self.submitted(submission, reply),
             Message::Found(submission, found) => self.found_submission(submission, found),
             Message::Replied(number, reply) => self.requests.receive(&self.context, number, reply),
             Message::AwaitEffect(pending) => self.pending_effects.push(pending),
             Message::RootSnapshot(done) => self.root.snapshot_done(&self.context, done),
             Message::ZoneSnapshot(zone, number, done) => {
-                // A replica that was opened again has a state of its own.
+                // Drop the result if the replica was reopened meanwhile: it has a new state.
                 let zone = self.zones.get_mut(&zone);
                 if let Some(zone) = zone.filter(|zone| zone.member().number() == number) {
                     zone.snapshot_done(&self.context, done);
@@ -169,7 +169,7 @@
     fn persisted(&mut self, number: u64, done: &disk::Done) {
         let mut replicas = self.replicas();
         if !replicas.any(|(group, member)| group == done.group && member.number() == number) {
-            // The write of a former replica says nothing about the present one, which counts its writes anew.
+            // The result belongs to a replica that was closed; its successor numbers its writes independently.
             return;
         }
         drop(replicas);
@@ -225,7 +225,7 @@
     fn request_tick(&mut self) {
         let mut requests = std::mem::take(&mut self.requests);
         let own = requests.tick(&self.context, &|group| self.leader(group));
-        // Continuations only send messages, so no call was opened meanwhile.
+        // Callbacks only send messages, so no request was opened meanwhile.
         self.requests = requests;
         for requests::Own {
             number,
@@ -239,7 +239,7 @@
         }
     }
 
-    /// Makes sure that a tick comes when the next timer is due.
+    /// Schedules a tick for the next timer unless an earlier one is already scheduled.
     fn schedule_tick(&mut self) {
         let now = self.context.now();
         let mut next = now + LONGEST_TICK;
--- a/crates/daemon/src/control/apply.rs
+++ b/crates/daemon/src/control/apply.rs
@@ -1,4 +1,4 @@
-//! What follows from an input: applies commits, publishes views, proposes batches.
+//! Work after each message: applies committed entries, publishes views and proposes batches.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -7,11 +7,11 @@
 
 use crate::control::{Controller, Listing, scheduling};
 
-/// Rounds of apply and propose in one turn; the rest follows in the next turn.
+/// Maximum number of apply rounds per message; the rest is done with the next message.
 const MAX_ROUNDS: usize = 16;
 
 impl Controller {
-    /// Carries on until nothing more follows.
+    /// Applies what was committed until there is nothing more to apply, then proposes, publishes and replies.
     pub(super) fn advance(&mut self) {
         let now = self.context.now();
         for _ in 0..MAX_ROUNDS {
@@ -66,7 +66,7 @@
         progressed
     }
 
-    /// Starts the scheduler when this VM takes the lead of its zone, and drops it when the lead is lost.
+    /// Starts the scheduler when this VM becomes leader of its zone, and drops it when leadership is lost.
     fn update_scheduling(&mut self, now: Duration) -> bool {
         let own = self.context.me.place.zone;
         let Some(zone) = self.zones.get_mut(&own) else {
@@ -150,8 +150,8 @@
             .send_if_modified(|current| std::mem::replace(current, ready) != ready);
     }
 
-    /// A VM is ready once its view was fresh, so that a restart never serves an older configuration; it stays ready
-    /// when its view ages, because open queues go on.
+    /// Returns whether the VM accepts requests. It is ready once its view was fresh, so that a restart never serves an
+    /// older configuration, and it stays ready when its view becomes stale, because open queues continue.
     pub(super) fn is_ready(&self) -> bool {
         let view = self.root.view();
         let drained = view.is_draining(bronzespoke_control::root::Subject::Vm(self.context.me.id));
@@ -165,15 +165,16 @@
     }
 
     fn check_leaving(&mut self, now: Duration) {
-        // The lease ends when the next leader is asked; the request has arrived only when this VM is deposed.
+        // The lease ends as soon as the transfer is requested; the request is known to have arrived only once this VM
+        // has lost leadership.
         let me = self.context.me.id;
         let leads = self.replicas().any(|(_, member)| member.leader(me) == Some(me));
-        let over = self.leaving.as_ref().is_some_and(|(_, deadline)| {
+        let finished = self.leaving.as_ref().is_some_and(|(_, deadline)| {
             !leads && self.requests.is_empty() && self.ends.is_empty() || now >= *deadline
         });
-        if over && let Some((reply, _)) = self.leaving.take() {
+        if finished && let Some((reply, _)) = self.leaving.take() {
             self.listing = Listing::Unlisted;
-            // The waiting task may have given up.
+            // The receiver may have given up.
             let _gone = reply.send(());
         }
     }
--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -1,4 +1,4 @@
-//! Calls of the gateway.
+//! Calls from the gateway: claims of request ids, jobs, targets and worker reports.
 
 use std::{sync::Arc, time::Duration};
 
@@ -12,11 +12,12 @@
     peer::wire,
 };
 
-/// Time for which the outcome of a claim is asked for whose answer did not come; a lost grant leaves the id in progress.
+/// How long the outcome of a claim without a reply is requested; a grant that is never found out leaves the id in
+/// progress.
 const ABANDON_DEADLINE: Duration = Duration::from_mins(1);
 
 impl Controller {
-    /// Handles one call.
+    /// Handles a call.
     pub(super) fn call(&mut self, call: control::Call) {
         match call {
             control::Call::Claim(claim, reply) => self.claim(&claim, reply),
@@ -57,7 +58,7 @@
             .set(now, bronzespoke_gossip::Key::Load(target), value)
             .is_err()
         {
-            log::debug!("targets: The load of target {target} is not published; the table is full.");
+            log::debug!("targets: The load of target {target} is not published: the gossip table is full.");
         }
     }
 
@@ -66,7 +67,7 @@
         self.claim_key(key, claims::Waiter::Request(reply));
     }
 
-    /// Claims a key at its owners.
+    /// Claims a key at its owner zones, one after the other.
     pub(super) fn claim_key(&mut self, key: request_id::Key, waiter: claims::Waiter) {
         let zones = &self.root.view().zones;
         let Some(owners) = request_id::owners(key, zones, context::Context::wall_ms()) else {
@@ -75,19 +76,19 @@
             return;
         };
         let remaining = owners.second.into_iter().collect();
-        let asked = owners.first;
+        let owner = owners.first;
         let command = 0;
         self.claim_at_owner(claims::Pending {
             key,
             remaining,
-            asked,
+            owner,
             command,
             granted: Vec::new(),
             waiter,
         });
     }
 
-    /// Gives the answer to a claim; an unwanted grant is given back.
+    /// Delivers the outcome of a claim; a grant that nobody receives is released.
     fn deliver_claim(&mut self, waiter: claims::Waiter, claimed: control::Claimed) {
         let granted = match claimed {
             control::Claimed::Granted(number) => Some(number),
@@ -95,8 +96,8 @@
         };
         match waiter {
             claims::Waiter::Request(reply) => {
-                let unwanted = reply.send(claimed).is_err();
-                if let Some(number) = granted.filter(|_| unwanted) {
+                let abandoned = reply.send(claimed).is_err();
+                if let Some(number) = granted.filter(|_| abandoned) {
                     self.complete(number, &control::Completion::NotRun, None);
                 }
             }
@@ -105,19 +106,19 @@
     }
 
     fn claim_at_owner(&mut self, pending: claims::Pending) {
-        let zone = pending.asked;
-        // A VM without a data folder has a new id in every life.
+        let zone = pending.owner;
+        // A VM without a data folder gets a new id at every start, so it has no earlier claims to end.
         if !self.context.me.durable || self.former.has_ended(zone) {
             self.send_claim(pending);
             return;
         }
         if let Some(pending) = self.former.wait(pending) {
-            self.refuse_claim(pending, String::from("too many claims wait for the owner"));
+            self.refuse_claim(pending, String::from("too many claims are waiting for the owner"));
         }
         self.end_former(zone);
     }
 
-    /// Ends the claims of former processes of this VM in a zone, unless that is done or under way.
+    /// Ends the claims of earlier incarnations of this VM's process in a zone, unless that is done or in progress.
     pub(super) fn end_former(&mut self, zone: id::AvailabilityZoneId) {
         let Some(id) = self.former.begin(zone) else {
             return;
@@ -129,15 +130,15 @@
         let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(id);
         let inbox = self.inbox.clone();
-        let then = Box::new(move |answer| {
-            let ended = matches!(answer, wire::Reply::Zone(_));
+        let then = Box::new(move |reply| {
+            let ended = matches!(reply, wire::Reply::Zone(_));
             inbox.send(Message::FormerEnded(zone, ended));
         });
         let request = wire::Request::Zone(envelope);
         self.dispatch(id::GroupId::Zone(zone), request, requests::DEADLINE, then);
     }
 
-    /// Goes on with the claims that waited for the end of those of former processes.
+    /// Continues with the claims that waited until the claims of earlier incarnations were ended.
     pub(super) fn former_ended(&mut self, zone: id::AvailabilityZoneId, ended: bool) {
         for pending in self.former.answered(zone, ended) {
             if ended {
@@ -151,10 +152,10 @@
 
     fn send_claim(&mut self, mut pending: claims::Pending) {
         pending.command = rand::random();
-        let group = id::GroupId::Zone(pending.asked);
+        let group = id::GroupId::Zone(pending.owner);
         let request = self.claim_command(&pending);
         let inbox = self.inbox.clone();
-        let then = Box::new(move |answer| inbox.send(Message::Claimed(pending, answer)));
+        let then = Box::new(move |reply| inbox.send(Message::Claimed(pending, reply)));
         self.dispatch(group, request, requests::DEADLINE, then);
     }
 
@@ -168,29 +169,29 @@
         wire::Request::Zone(envelope)
     }
 
-    /// Learns the outcome of a claim whose answer did not come in time, and gives a grant back.
+    /// Finds out the outcome of a claim whose reply did not arrive in time, and releases it if it was granted.
     ///
-    /// The command id makes this the same claim, so that the id does not stay in progress for nobody.
+    /// The command id identifies the same claim, so that the request id does not stay in progress without a holder.
     fn abandon(&mut self, pending: &claims::Pending) {
-        let zone = pending.asked;
+        let zone = pending.owner;
         let request = self.claim_command(pending);
         let inbox = self.inbox.clone();
-        let then = Box::new(move |answer| {
-            if let wire::Reply::Zone(zone::Outcome::Claim(zone::Claimed::Granted(number))) = answer {
+        let then = Box::new(move |reply| {
+            if let wire::Reply::Zone(zone::Outcome::Claim(zone::Claimed::Granted(number))) = reply {
                 inbox.send(Message::Abandoned(zone, number));
             }
         });
         self.dispatch(id::GroupId::Zone(zone), request, ABANDON_DEADLINE, then);
     }
 
-    /// Gives back a claim that nobody waits for any more.
+    /// Releases a claim whose caller is gone.
     pub(super) fn abandoned(&mut self, zone: id::AvailabilityZoneId, number: u64) {
         self.complete_at(zone, number, &control::Completion::NotRun, None);
     }
 
-    /// Handles an owner's answer to a claim.
-    pub(super) fn claimed(&mut self, mut pending: claims::Pending, answer: wire::Reply) {
-        let claimed = match answer {
+    /// Handles the reply of an owner to a claim.
+    pub(super) fn claimed(&mut self, mut pending: claims::Pending, reply: wire::Reply) {
+        let claimed = match reply {
             wire::Reply::Zone(zone::Outcome::Claim(claimed)) => claimed,
             wire::Reply::NotDone(reason) => return self.refuse_claim(pending, reason),
             _ => {
@@ -201,10 +202,10 @@
         };
         match claimed {
             zone::Claimed::Granted(number) => {
-                pending.granted.push((pending.asked, number));
+                pending.granted.push((pending.owner, number));
                 match pending.remaining.pop() {
                     Some(next) => {
-                        pending.asked = next;
+                        pending.owner = next;
                         self.claim_at_owner(pending);
                     }
                     None => self.grant_claim(pending),
@@ -212,7 +213,10 @@
             }
             zone::Claimed::InProgress => self.end_claim(pending, control::Claimed::InProgress),
             zone::Claimed::Answered(answer) => {
-                self.end_claim(pending, control::Claimed::Answered(claims::answer(answer)));
+                self.end_claim(
+                    pending,
+                    control::Claimed::Answered(claims::stored_response(answer)),
+                );
             }
             zone::Claimed::Unknown => self.end_claim(pending, control::Claimed::Unknown),
             zone::Claimed::Full => {
@@ -231,7 +235,7 @@
         self.end_claim(pending, control::Claimed::NotRun(reason));
     }
 
-    /// Gives back what other owners granted; nothing was sent to a target yet.
+    /// Refuses a claim and releases what other owners granted; nothing was sent to a target yet.
     fn end_claim(&mut self, pending: claims::Pending, claimed: control::Claimed) {
         for (zone, number) in pending.granted {
             self.complete_at(zone, number, &control::Completion::NotRun, None);
@@ -239,8 +243,8 @@
         self.deliver_claim(pending.waiter, claimed);
     }
 
-    /// Records the end of a claim at its owners; `done` is dropped when all of them have recorded it, or after a
-    /// bounded wait.
+    /// Records the end of a claim at its owners. `done` is dropped when all of them have recorded it, or after a
+    /// time limit.
     pub(super) fn complete(
         &mut self,
         number: u64,
@@ -272,22 +276,22 @@
         };
         let mut envelope = zone::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(end.command);
-        let time = end.request_timeout(self.context.now());
+        let timeout = end.request_timeout(self.context.now());
         let inbox = self.inbox.clone();
-        let then = Box::new(move |answer| {
-            if !matches!(answer, wire::Reply::Zone(_)) {
+        let then = Box::new(move |reply| {
+            if !matches!(reply, wire::Reply::Zone(_)) {
                 inbox.send(Message::Unrecorded(end));
             }
         });
-        self.dispatch(group, wire::Request::Zone(envelope), time, then);
+        self.dispatch(group, wire::Request::Zone(envelope), timeout, then);
     }
 
-    /// Keeps the end of a claim that its owner refused or did not answer, to be sent again.
+    /// Queues the end of a claim for resending after its owner refused it or did not reply.
     pub(super) fn unrecorded(&mut self, end: claims::End) {
         self.ends.keep(self.context.now(), end);
     }
 
-    /// Sends the ends of claims again that are due.
+    /// Resends the ends of claims that are due.
     pub(super) fn record_ends(&mut self) {
         for end in self.ends.take_due(self.context.now()) {
             self.record_end(end);
@@ -324,8 +328,8 @@
         reply: control::Reply<control::JobStatus>,
     ) {
         let group = id::GroupId::Zone(id::job_zone(job));
-        let then: responder::Callback = Box::new(move |answer| {
-            let result = match answer {
+        let then: responder::Callback = Box::new(move |response| {
+            let result = match response {
                 wire::Reply::Job(Some(job)) => Ok(status(job)),
                 wire::Reply::Job(None) => Err(control::Refusal::NotFound),
                 other => Err(refusal(other)),
@@ -341,12 +345,15 @@
 
     fn register(&mut self, registration: worker::Registration, reply: control::Reply<()>) {
         let command = zone::Command::Register(registration);
-        let then = Box::new(move |answer| {
-            let result = match answer {
+        let then = Box::new(move |response| {
+            let result = match response {
                 wire::Reply::Zone(zone::Outcome::Refused(zone::Refusal::StaleIncarnation)) => {
                     Err(control::Refusal::Invalid {
                         field: String::from("incarnation"),
-                        message: format!("{} is a former life of the worker", registration.incarnation),
+                        message: format!(
+                            "{} is an earlier incarnation of the worker",
+                            registration.incarnation
+                        ),
                     })
                 }
                 wire::Reply::Zone(zone::Outcome::Done) => Ok(()),
@@ -372,17 +379,17 @@
             .filter(|leader| *leader != self.context.me.id);
         let address = leader
             .and_then(|leader| self.context.peers.get(&leader))
-            // A witness that leads for a moment takes no reports.
+            // A witness that leads temporarily accepts no worker reports.
             .filter(|peer| peer.vm.place.zone == own)
             .map(|peer| peer.vm.http);
         let refusal = match address {
             Some(address) => control::Refusal::Redirect(address),
-            None => control::Refusal::Unavailable(String::from("the zone has no leader now")),
+            None => control::Refusal::Unavailable(String::from("the zone currently has no leader")),
         };
         drop(reply.send(Err(refusal)));
     }
 
-    /// Commits a zone command at the leader of its group.
+    /// Sends a zone command to the leader of its group to be committed.
     pub(super) fn command_zone(
         &mut self,
         group: id::GroupId,
@@ -396,9 +403,9 @@
     }
 }
 
-/// Returns the refusal for an answer that is not the wanted one.
-pub(super) fn refusal(answer: wire::Reply) -> control::Refusal {
-    match answer {
+/// Converts an unexpected reply into a refusal for the caller.
+pub(super) fn refusal(reply: wire::Reply) -> control::Refusal {
+    match reply {
         wire::Reply::NotDone(reason) => control::Refusal::Unavailable(reason),
         wire::Reply::NotLeader => control::Refusal::Unavailable(String::from("the leader is changing")),
         wire::Reply::Zone(zone::Outcome::Refused(refusal)) => {
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -1,7 +1,7 @@
-//! Claims of request ids, as the VM that sends the request makes them.
+//! Claims of request ids, on the VM that forwards the request.
 //!
-//! A claim needs the grant of its owner, and shortly after a change of the zones also that of its former owner.
-//! The gateway holds one number per claim; this table maps it to the numbers that the owners gave.
+//! A claim needs a grant from its owner zone and, for a while after the set of zones changed, also from the previous
+//! owner. The gateway holds one number per claim; this table maps it to the numbers that the owners assigned.
 
 use std::{collections::HashMap, sync::Arc, time::Duration};
 
@@ -13,55 +13,55 @@
 
 use crate::control::{requests, submissions};
 
-/// Time for which the end of a claim is sent again; a lost one leaves the id in progress.
+/// How long the end of a claim is resent; an end that is never recorded leaves the id in progress.
 const RECORD_DEADLINE: Duration = Duration::from_mins(1);
-/// Longest time for which somebody waits until the end of a claim is recorded.
-const WAIT: Duration = requests::DEADLINE;
-/// Pause before an end that was not recorded is sent again; a refused one is refused again until the leader changes.
-const PAUSE: Duration = Duration::from_millis(300);
-/// Ends that may wait to be sent again; further ones are given up, and their ids stay in progress until they are
-/// overdue.
+/// Maximum time for which a caller waits until the end of a claim is recorded.
+const CALLER_TIMEOUT: Duration = requests::DEADLINE;
+/// Pause before an end that was not recorded is resent; after a refusal, resends are refused until the leader changes.
+const RESEND_PAUSE: Duration = Duration::from_millis(300);
+/// Maximum number of ends that wait to be resent. Further ones are dropped, and their ids stay in progress until the
+/// owner ends them as overdue.
 const MAX_ENDS: usize = requests::MAX_OPEN;
 
-/// Dropped when the end of a claim is recorded, or the wait for it is over.
+/// Guard that is dropped when the end of a claim is recorded, or the wait for that times out.
 pub type Done = Arc<dyn std::fmt::Debug + Send + Sync>;
 
-/// A claim under way.
+/// A claim in progress.
 #[derive(Debug)]
 pub struct Pending {
-    /// Key of the id.
+    /// Key of the request id.
     pub key: request_id::Key,
-    /// Owners that have not been asked.
+    /// Owners whose grant is still to be requested.
     pub remaining: Vec<id::AvailabilityZoneId>,
-    /// Owner that is asked now.
-    pub asked: id::AvailabilityZoneId,
-    /// Id of the command at that owner.
+    /// Owner whose grant is being requested.
+    pub owner: id::AvailabilityZoneId,
+    /// Command id of the claim at that owner.
     pub command: id::CommandId,
-    /// Owners that granted, with their numbers.
+    /// Owners that granted the claim, with the numbers they assigned.
     pub granted: Vec<(id::AvailabilityZoneId, u64)>,
-    /// Who waits.
+    /// Receiver of the outcome.
     pub waiter: Waiter,
 }
 
-/// Who waits for a claim.
+/// Receiver of the outcome of a claim.
 #[derive(Debug)]
 pub enum Waiter {
     /// A request of the gateway.
     Request(oneshot::Sender<control::Claimed>),
-    /// A job with a submission id.
+    /// A job submission with a submission id.
     Submission(Box<submissions::Submission>),
 }
 
 /// The end of a claim at one of its owners.
 #[derive(Debug)]
 pub struct End {
-    /// Owner.
+    /// Zone that owns the request id.
     pub zone: id::AvailabilityZoneId,
-    /// Number that the owner gave.
+    /// Number that the owner assigned to the claim.
     pub number: u64,
-    /// How the claim ended.
+    /// Outcome to record.
     pub completion: zone::Completion,
-    /// Id of the command at the owner; every copy has the same.
+    /// Command id at the owner; the same in every copy, so that resends are idempotent.
     pub command: id::CommandId,
     done: Option<Done>,
     done_by: Duration,
@@ -69,7 +69,7 @@
 }
 
 impl End {
-    /// Returns an end that is to be recorded from now on.
+    /// Returns an end whose time limits start at `now`.
     pub fn new(
         now: Duration,
         (zone, number): (id::AvailabilityZoneId, u64),
@@ -82,12 +82,12 @@
             completion,
             command: rand::random(),
             done,
-            done_by: now + WAIT,
+            done_by: now + CALLER_TIMEOUT,
             until: now + RECORD_DEADLINE,
         }
     }
 
-    /// Returns how long one call may take. A call is made anew after that, because this VM may lead the group by then.
+    /// Returns the timeout of one request. After it a new request is made, because this VM may lead the group by then.
     pub fn request_timeout(&self, now: Duration) -> Duration {
         let end = if self.done.is_some() {
             self.done_by
@@ -98,18 +98,18 @@
     }
 }
 
-/// Ends of claims that were not recorded, with the time at which each one is sent again.
+/// Ends of claims that were not recorded, with the time at which each one is resent.
 #[derive(Debug, Default)]
 pub struct Ends {
     waiting: Vec<(Duration, End)>,
 }
 
 impl Ends {
-    /// Keeps an end that was not recorded, or gives it up when its time is over.
+    /// Queues an end that was not recorded, or drops it when its time limit has passed.
     pub fn keep(&mut self, now: Duration, mut end: End) {
         if now >= end.until || self.waiting.len() >= MAX_ENDS {
             log::warn!(
-                "claims: The end of claim {} in zone {} may not be recorded.",
+                "claims: The end of claim {} in zone {} may be unrecorded; giving up.",
                 end.number,
                 end.zone
             );
@@ -118,7 +118,7 @@
         if now >= end.done_by {
             end.done = None;
         }
-        self.waiting.push((now + PAUSE, end));
+        self.waiting.push((now + RESEND_PAUSE, end));
     }
 
     /// Takes the ends that are due.
@@ -127,30 +127,31 @@
         due.map(|(_, end)| end).collect()
     }
 
-    /// Tells whether no end waits.
+    /// Returns whether no end waits to be resent.
     pub const fn is_empty(&self) -> bool {
         self.waiting.is_empty()
     }
 }
 
-/// Claims that may wait for a zone to end those of former processes; further ones are refused with `not run`.
+/// Maximum number of claims that wait for a zone to end the claims of earlier incarnations; further ones are refused
+/// with `not run`.
 const MAX_WAITING: usize = 1024;
 
-/// Where the claims of former processes of this VM are ended.
+/// Progress of ending the claims of earlier incarnations of this VM's process, by zone.
 ///
-/// Claims name their holder by its VM id, which a data folder keeps over a restart. A process therefore has the open
-/// claims under its id ended in each zone before it makes its first claim there: they are all of former processes.
+/// A claim names its holder by VM id, which a VM with a data folder keeps over a restart. A process therefore ends all
+/// open claims under its id in a zone before it makes its first claim there: they belong to earlier incarnations.
 #[derive(Debug, Default)]
 pub struct Former {
     zones: HashMap<id::AvailabilityZoneId, Ending>,
 }
 
-/// The end of the claims of former processes in one zone.
+/// State of ending the claims of earlier incarnations in one zone.
 #[derive(Debug)]
 struct Ending {
-    /// Every copy has the same id, so that a late one ends no claim of this process.
+    /// The same in every copy, so that a late copy ends no claim of this process.
     command: id::CommandId,
-    asked: bool,
+    requested: bool,
     ended: bool,
     waiting: Vec<Pending>,
 }
@@ -159,28 +160,28 @@
     fn ending(&mut self, zone: id::AvailabilityZoneId) -> &mut Ending {
         self.zones.entry(zone).or_insert_with(|| Ending {
             command: rand::random(),
-            asked: false,
+            requested: false,
             ended: false,
             waiting: Vec::new(),
         })
     }
 
-    /// Returns the id of the command that is to be sent to a zone now, if any.
+    /// Returns the id of the command to send to a zone now, unless it is pending or done.
     pub fn begin(&mut self, zone: id::AvailabilityZoneId) -> Option<id::CommandId> {
         let ending = self.ending(zone);
-        let due = !ending.ended && !ending.asked;
-        ending.asked |= due;
+        let due = !ending.ended && !ending.requested;
+        ending.requested |= due;
         due.then_some(ending.command)
     }
 
-    /// Tells whether a zone has ended the claims of former processes.
+    /// Returns whether a zone has ended the claims of earlier incarnations.
     pub fn has_ended(&mut self, zone: id::AvailabilityZoneId) -> bool {
         self.ending(zone).ended
     }
 
-    /// Lets a claim wait for its zone; a claim for which there is no room is returned.
+    /// Queues a claim until its zone is ready; returns the claim when the queue is full.
     pub fn wait(&mut self, pending: Pending) -> Option<Pending> {
-        let waiting = &mut self.ending(pending.asked).waiting;
+        let waiting = &mut self.ending(pending.owner).waiting;
         if waiting.len() >= MAX_WAITING {
             return Some(pending);
         }
@@ -188,16 +189,16 @@
         None
     }
 
-    /// Takes a zone's answer; returns the claims that waited for it.
+    /// Records the result for a zone; returns the claims that waited for it.
     pub fn answered(&mut self, zone: id::AvailabilityZoneId, ended: bool) -> Vec<Pending> {
         let ending = self.ending(zone);
-        ending.asked = false;
+        ending.requested = false;
         ending.ended |= ended;
         std::mem::take(&mut ending.waiting)
     }
 }
 
-/// Grants that have not been completed.
+/// Granted claims that have not ended.
 #[derive(Debug, Default)]
 pub struct Claims {
     next: u64,
@@ -205,21 +206,21 @@
 }
 
 impl Claims {
-    /// Keeps the grants of a claim; returns the number for the gateway.
+    /// Stores the grants of a claim; returns the number under which the gateway refers to it.
     pub fn keep(&mut self, granted: Vec<(id::AvailabilityZoneId, u64)>) -> u64 {
         self.next += 1;
         self.granted.insert(self.next, granted);
         self.next
     }
 
-    /// Takes the grants of a claim that ended.
+    /// Removes and returns the grants of a claim that ended.
     pub fn take(&mut self, number: u64) -> Vec<(id::AvailabilityZoneId, u64)> {
         self.granted.remove(&number).unwrap_or_default()
     }
 }
 
-/// Returns a stored answer as the gateway knows it.
-pub fn answer(answer: zone::Answer) -> control::StoredResponse {
+/// Converts a stored response to the type of the gateway.
+pub fn stored_response(answer: zone::Answer) -> control::StoredResponse {
     control::StoredResponse {
         status: answer.status,
         content_type: answer.content_type,
@@ -227,7 +228,7 @@
     }
 }
 
-/// Returns a completion as the zone group knows it.
+/// Converts a completion to the type of the zone group.
 pub fn completion(completion: &control::Completion) -> zone::Completion {
     match completion {
         control::Completion::Answered(answer) => zone::Completion::Answered(zone::Answer {
--- a/crates/daemon/src/control/context.rs
+++ b/crates/daemon/src/control/context.rs
@@ -1,4 +1,4 @@
-//! What every controller needs: time, the timeline, the network and the other daemons.
+//! State shared by all controllers: clock, timeline, network and known peers.
 
 use std::{
     collections::HashMap,
@@ -13,59 +13,59 @@
     timeline,
 };
 
-/// A daemon that was not heard of for this long counts as silent.
+/// Time since the last contact after which a daemon counts as unreachable.
 pub const SILENCE: Duration = Duration::from_secs(3);
 
-/// Another daemon, as its announcements tell.
+/// Another daemon, as described by its announcements.
 #[derive(Debug, Clone)]
 pub struct Peer {
-    /// Its VM.
+    /// VM that the daemon runs on.
     pub vm: vm::Vm,
-    /// Life of its process.
+    /// Incarnation of its process.
     pub incarnation: id::Incarnation,
     /// Groups that it leads, with the term.
     pub leads: Vec<(id::GroupId, u64)>,
     /// Groups in which it holds a replica.
     pub replicas: Vec<id::GroupId>,
-    /// Whether it knows a cell.
+    /// Whether it belongs to a cell.
     pub cell_known: bool,
-    /// Root index that it applied.
+    /// Last root index that it applied.
     pub applied: u64,
-    /// When it was last heard.
+    /// Time of its last announcement.
     pub last_seen: Duration,
 }
 
-/// Shared by all controllers of one daemon.
+/// Clock, timeline, network and peers of one daemon.
 #[derive(Debug)]
 pub struct Context {
     /// Start of the process.
     pub origin: Instant,
-    /// This VM.
+    /// This VM, as the directory lists it.
     pub me: vm::Vm,
-    /// Life of this process: wall time of its start in milliseconds.
+    /// Incarnation of this process: wall time of its start in milliseconds.
     pub incarnation: id::Incarnation,
-    /// Timeline.
+    /// Timeline of this process.
     pub ring: timeline::Ring,
-    /// Outgoing links.
+    /// Outgoing links to other daemons.
     pub network: peer::Network,
-    /// Other daemons by id.
+    /// Other daemons, by the id of their VM.
     pub peers: HashMap<id::VmId, Peer>,
 }
 
 impl Context {
-    /// Time since the start of the process, on the monotonic clock.
+    /// Returns the time since the start of the process, on the monotonic clock.
     pub fn now(&self) -> Duration {
         self.origin.elapsed()
     }
 
-    /// Wall time in milliseconds since the Unix epoch; for records only.
+    /// Returns the wall time in milliseconds since the Unix epoch; used only in records, never for timers.
     pub fn wall_ms() -> u64 {
         SystemTime::now()
             .duration_since(UNIX_EPOCH)
             .map_or(0, |time| time.as_millis() as u64)
     }
 
-    /// Sends a frame to another daemon; a daemon that was never heard of is not reached.
+    /// Sends a frame to a known daemon; does nothing when the daemon has never announced itself.
     pub fn send(&self, to: id::VmId, body: wire::Body) {
         if let Some(peer) = self.peers.get(&to) {
             self.send_frame(peer.vm.peer, Some(to), body);
@@ -88,12 +88,12 @@
         self.network.send(address, &frame);
     }
 
-    /// Records an event.
+    /// Records an event on the timeline.
     pub fn record(&self, kind: event::Kind) {
         self.ring.record(kind);
     }
 
-    /// Tells whether another daemon, or this one, was heard of lately.
+    /// Returns whether a VM is this one, or its daemon announced itself within [`SILENCE`].
     pub fn is_alive(&self, vm: id::VmId) -> bool {
         let now = self.now();
         vm == self.me.id
@@ -105,13 +105,13 @@
 
     /// Returns the leader of a group, as far as this VM knows; `own` is the term and the leader that its replica knows.
     ///
-    /// The higher term decides: a learner, or a member that missed its removal, keeps the last leader that it heard.
+    /// The higher term wins: a learner, or a member that missed its own removal, still names the last leader it knew.
     pub fn leader(&self, group: id::GroupId, own: Option<(u64, id::VmId)>) -> Option<id::VmId> {
         let newest = own.max(self.announced_leader(group));
         newest.map(|(_, leader)| leader)
     }
 
-    /// Returns the daemon that claims to lead a group in the highest term among those heard of lately, and that term.
+    /// Returns the highest term in which a reachable daemon announces that it leads the group, and that daemon.
     fn announced_leader(&self, group: id::GroupId) -> Option<(u64, id::VmId)> {
         let now = self.now();
         self.peers
--- a/crates/daemon/src/control/demand.rs
+++ b/crates/daemon/src/control/demand.rs
@@ -1,4 +1,4 @@
-//! Demand of teams, from the leaders of zones to the leader of the root group.
+//! Demand reports from the leaders of zones to the leader of the root group.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -8,7 +8,7 @@
 use crate::{control::Controller, peer::wire};
 
 impl Controller {
-    /// Reports what the teams of a zone that this VM leads want and have released.
+    /// Reports the demand of each team, and the amounts released, for a zone that this VM leads.
     pub(super) fn report_demand(&mut self, now: Duration, zone: id::AvailabilityZoneId) {
         let Some(group) = self.zones.get(&zone) else {
             return;
@@ -21,8 +21,8 @@
         let mut reporter = same.unwrap_or_else(|| demand::Reporter::new(zone, term, now));
         let leader = self.leader(id::GroupId::Root);
         if let Some(leader) = leader.filter(|_| reporter.is_due(now)) {
-            for (team, wanted, released) in team_demand(group.state()) {
-                reporter.set(team, wanted, released);
+            for (team, demand, released) in team_demand(group.state()) {
+                reporter.set(team, demand, released);
             }
             if let Some(report) = reporter.report(now, leader) {
                 self.send_demand(now, leader, report, &mut reporter);
@@ -48,7 +48,7 @@
         }
     }
 
-    /// Takes a report as the leader of the root group. Another receiver leaves it unanswered; the sender learns of the
+    /// Handles a demand report as the leader of the root group. Other daemons ignore it; the sender learns of the
     /// leader from announcements.
     pub(super) fn receive_demand(&mut self, from: id::VmId, report: &demand::Report) {
         let now = self.context.now();
@@ -61,7 +61,7 @@
         }
     }
 
-    /// Takes the root leader's answer to a report.
+    /// Handles the receipt of the root leader for a report.
     pub(super) fn demand_received(&mut self, from: id::VmId, receipt: &demand::Receipt) {
         if let Some(reporter) = &mut self.reporter {
             reporter.acknowledge(from, receipt);
@@ -69,21 +69,21 @@
     }
 }
 
-/// Returns what the tasks of each team use or wait for, and what the zone has released of its part.
+/// Returns what the tasks of each team use or wait for, and what the zone has released of its allotment.
 fn team_demand(state: &zone::State) -> impl Iterator<Item = (id::TeamId, resource::Amount, escrow::Total)> {
-    let mut wishes: BTreeMap<id::TeamId, (escrow::Total, escrow::Total)> = BTreeMap::new();
+    let mut teams: BTreeMap<id::TeamId, (escrow::Total, escrow::Total)> = BTreeMap::new();
     for (_, job) in state.jobs().filter(|(_, job)| !job.state.is_terminal()) {
         let tasks = u64::from(job.spec.tasks.saturating_sub(job.succeeded));
         let size = escrow::Total::from(job.spec.size);
-        let all = size.zip(&size, |one, _| one.saturating_mul(tasks));
-        let (wanted, _) = wishes.entry(job.team).or_default();
-        *wanted = wanted.saturating_add(&all);
+        let all = size.zip(&size, |dimension, _| dimension.saturating_mul(tasks));
+        let (demand, _) = teams.entry(job.team).or_default();
+        *demand = demand.saturating_add(&all);
     }
     for (team, holding) in state.holdings().iter() {
-        let (wanted, released) = wishes.entry(team).or_default();
-        *wanted = wanted.max(&holding.used);
+        let (demand, released) = teams.entry(team).or_default();
+        *demand = demand.max(&holding.used);
         *released = holding.released;
     }
-    let amounts = |(team, (wanted, released)): (_, (escrow::Total, _))| (team, wanted.amount(), released);
-    wishes.into_iter().map(amounts)
+    let amounts = |(team, (demand, released)): (_, (escrow::Total, _))| (team, demand.amount(), released);
+    teams.into_iter().map(amounts)
 }
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -1,4 +1,4 @@
-//! Announcements between daemons, and this VM's place in the directory.
+//! Announcements between daemons, and this VM's entry in the directory.
 
 use std::{collections::BTreeSet, net::SocketAddr, time::Duration};
 
@@ -11,17 +11,17 @@
     peer::wire,
 };
 
-/// Time between two announcements.
+/// Interval between announcements.
 pub const HELLO_INTERVAL: Duration = Duration::from_secs(1);
-/// Time between two tries to be listed in the directory.
+/// Interval between attempts to be listed in the directory.
 const LISTING_INTERVAL: Duration = Duration::from_millis(500);
-/// Peer addresses that are remembered.
+/// Maximum number of peer addresses to which announcements are sent.
 const MAX_KNOWN: usize = 256;
-/// Time after which a silent daemon is forgotten unless the directory lists it.
+/// Time after which a daemon that sends no announcements is forgotten, unless the directory lists it.
 const FORGET: Duration = Duration::from_mins(1);
 
 impl Controller {
-    /// Announces this daemon to all others.
+    /// Sends this daemon's announcement to all known addresses.
     pub(super) fn announce(&mut self) {
         let now = self.context.now();
         let leads: Vec<_> = self
@@ -51,7 +51,7 @@
         self.hello_at = now + HELLO_INTERVAL;
     }
 
-    /// Replicas in this process.
+    /// Returns the replicas of this process, with their groups.
     pub(super) fn replicas(&self) -> impl Iterator<Item = (id::GroupId, &member::Member)> {
         let zones = self
             .zones
@@ -64,7 +64,7 @@
             .chain(zones)
     }
 
-    /// Announces at once when the groups that this VM leads changed, so that calls find their leader.
+    /// Announces immediately when the groups that this VM leads changed, so that requests reach their new leader.
     pub(super) fn check_leadership(&mut self, now: Duration) {
         let led: Vec<_> = self
             .replicas()
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Peer addresses of all daemons that this one knows.
+    /// Returns the peer addresses of all known daemons.
     fn addresses(&self) -> BTreeSet<SocketAddr> {
         let listed = self.root.view().vms.values().map(|vm| vm.peer);
         let seen = self.context.peers.values().map(|peer| peer.vm.peer);
@@ -89,12 +89,12 @@
             .collect()
     }
 
-    /// Takes another daemon's announcement.
+    /// Handles the announcement of another daemon.
     pub(super) fn hello(&mut self, from: id::VmId, hello: wire::Hello) {
         let now = self.context.now();
         let known = self.context.peers.get(&from).map(|peer| peer.incarnation);
         if known.is_some_and(|known| known > hello.incarnation) {
-            // A late frame of an earlier life tells nothing about the present one.
+            // A late frame of an earlier incarnation says nothing about the current one.
             return;
         }
         if known.is_some_and(|known| known != hello.incarnation) {
@@ -115,17 +115,17 @@
         };
         self.context.peers.insert(from, peer);
         if known.is_none() {
-            // The newcomer learns of this daemon without waiting for the next round.
+            // Announce immediately, so that the new daemon learns of this one without waiting for the next interval.
             self.hello_at = now;
         }
     }
 
-    /// Forgets daemons that are gone for long and closes their links.
+    /// Forgets daemons that are unlisted and silent for longer than [`FORGET`], and closes their links.
     pub(super) fn forget_peers(&mut self) {
         let now = self.context.now();
         let listed = &self.root.view().vms;
         if !listed.is_empty() {
-            // The directory names every daemon from now on.
+            // From now on the directory lists every daemon.
             self.known.clear();
         }
         self.context
@@ -137,7 +137,7 @@
             .retain(&|address| addresses.contains(&address));
     }
 
-    /// Founds the cell, lists this VM and founds its zone group, whichever comes next.
+    /// Takes the next step of joining: founds the cell, lists this VM in the directory, or founds its zone group.
     pub(super) fn enlist(&mut self) {
         let now = self.context.now();
         if now < self.enlist_at {
@@ -157,7 +157,7 @@
         }
         if self.listing != Listing::Unlisted && !view.vms.contains_key(&me.id) {
             if self.listing == Listing::Listed {
-                log::error!("directory: This VM was replaced or removed; it takes no more work.");
+                log::error!("directory: This VM was replaced or removed; it accepts no more requests.");
             }
             self.listing = Listing::Dropped;
             return;
@@ -175,7 +175,7 @@
         self.command_root(root::Command::AddVm(me));
     }
 
-    /// Founds the root group when this VM may, and no other daemon that it should know of knows a cell.
+    /// Founds the root group if the settings allow it and every seed has announced that it belongs to no cell.
     fn found_cell(&mut self) {
         if !self.settings.found || self.root.member().is_some() {
             return;
@@ -190,18 +190,18 @@
                 peer.is_some_and(|peer| !peer.cell_known)
             });
         if !all_seeds_seen {
-            log::info!("directory: Waiting for all seeds before the cell is founded.");
+            log::info!("directory: Waiting for announcements of all seeds before founding the cell.");
             return;
         }
         let members = membership::Membership::from_voters([self.context.me.id]);
         if let Some(member) = self.open(id::GroupId::Root, Some(members)) {
-            log::info!("directory: This VM founds the cell.");
+            log::info!("directory: Founding the cell.");
             self.root.promote(self.context.now(), member);
             self.root.step(&self.context, replica::Input::Tick);
         }
     }
 
-    /// Founds the group of this VM's zone when no other VM did.
+    /// Founds the group of this VM's zone unless another VM did.
     fn found_zone(&mut self) {
         let zone = self.context.me.place.zone;
         let me = self.context.me.id;
@@ -220,11 +220,11 @@
         }
     }
 
-    /// Commits a root command that nobody waits for.
+    /// Sends a root command to be committed and ignores the reply.
     pub(super) fn command_root(&mut self, command: root::Command) {
         let mut envelope = root::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(rand::random());
-        let then = Box::new(|_answer| {});
+        let then = Box::new(|_reply| {});
         self.dispatch(
             id::GroupId::Root,
             crate::peer::wire::Request::Root(envelope),
--- a/crates/daemon/src/control/effect.rs
+++ b/crates/daemon/src/control/effect.rs
@@ -1,7 +1,7 @@
-//! Commands that answer only when they are in force everywhere.
+//! Commands that are acknowledged only when they are in effect everywhere.
 //!
-//! A change is in force when every VM of the directory reported that it applied the entry. A withdrawn key is in force
-//! also when no view from before the withdrawal can be fresh any more, which bounds the wait when a VM is cut off.
+//! A change is in effect when every VM of the directory has reported that it applied the entry. The withdrawal of a key
+//! is also in effect when no view from before it can still be fresh, which bounds the wait when a VM is partitioned.
 
 use std::time::Duration;
 
@@ -12,39 +12,39 @@
 
 use crate::control::Controller;
 
-/// Relative drift between two monotonic clocks.
+/// Maximum relative drift between two monotonic clocks.
 const DRIFT: f64 = 0.02;
-/// Longest wait for other changes; after it the answer names the processes that lag behind.
-const LONGEST: Duration = Duration::from_millis(3_500);
+/// Maximum wait until a command is in effect; after it the answer names the VMs that lag behind.
+const TIMEOUT: Duration = Duration::from_millis(3_500);
 
-/// What has to be so for a command to be in force.
+/// Condition under which a command is in effect.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Condition {
-    /// Applied by every VM, or no view without it can be fresh.
+    /// Applied by every VM, or no view from before the withdrawal can still be fresh.
     Withdrawal,
     /// Applied by every VM.
     Everywhere,
-    /// The parts of a team fit its limit.
+    /// The allotments of a team fit its new limit.
     Limit(id::TeamId),
 }
 
-/// A command that waits to be in force.
+/// A committed command that is not in effect yet.
 #[derive(Debug)]
 pub struct Pending {
-    /// Index of the entry.
+    /// Log index of the command.
     pub index: u64,
-    /// What is waited for.
+    /// Condition to wait for.
     pub condition: Condition,
-    /// Start of the answer.
+    /// First part of the answer.
     pub text: String,
-    /// When the outcome was known here, which is after the commit.
+    /// When this VM learned that the command is committed; set at the first check.
     pub since: Option<Duration>,
-    /// Who waits.
+    /// Channel of the answer to the operator.
     pub reply: oneshot::Sender<answer::Answer>,
 }
 
 impl Controller {
-    /// Answers the commands that are in force, or have waited long enough.
+    /// Answers the commands that are in effect or have reached [`TIMEOUT`].
     pub(super) fn check_effects(&mut self, now: Duration) {
         let mut waiting = std::mem::take(&mut self.pending_effects);
         waiting.retain_mut(|pending| {
@@ -54,25 +54,25 @@
         self.pending_effects = waiting;
     }
 
-    /// Returns whether the command was answered.
+    /// Answers a command if it is in effect or has waited long enough; returns whether it did.
     fn complete_effect(&self, now: Duration, since: Duration, pending: &mut Pending) -> bool {
         let waited = now.saturating_sub(since);
         let ending = if self.is_in_effect(now, waited, pending) {
             log::info!(
-                "operator: Entry {} is in force after {} ms.",
+                "operator: Entry {} is in effect after {} ms.",
                 pending.index,
                 waited.as_millis()
             );
-            // A resend gets the same text, so the time stands in the log only.
+            // A resend has to get the same text, so the duration is only logged.
             String::from("It is in force everywhere.")
-        } else if waited >= LONGEST {
+        } else if waited >= TIMEOUT {
             format!("It is not in force yet in {}.", self.lagging(now, pending.index))
         } else {
             return false;
         };
         let (closed, _receiver) = oneshot::channel();
         let reply = std::mem::replace(&mut pending.reply, closed);
-        // The operator may have gone away.
+        // The operator may have disconnected.
         drop(reply.send(answer::Answer::text(format!("{} {ending}", pending.text))));
         true
     }
@@ -94,17 +94,17 @@
         }
     }
 
-    /// Names of the VMs that have not reported an index.
+    /// Returns the names of the VMs that have not reported to have applied an index.
     fn lagging(&self, now: Duration, index: u64) -> String {
         let view = self.root.view();
-        let behind = view.vms.values().filter(|vm| {
+        let lagging = view.vms.values().filter(|vm| {
             self.gossip
                 .min_applied_index(&[vm.id], now)
                 .is_none_or(|applied| applied < index)
         });
-        let names: Vec<_> = behind.map(|vm| vm.name.as_str()).collect();
+        let names: Vec<_> = lagging.map(|vm| vm.name.as_str()).collect();
         if names.is_empty() {
-            String::from("some zones: parts above the limit are not released")
+            String::from("some zones: allotments above the limit are not released")
         } else {
             names.join(", ")
         }
--- a/crates/daemon/src/control/groups.rs
+++ b/crates/daemon/src/control/groups.rs
@@ -1,4 +1,4 @@
-//! The groups of this VM: opens their replicas from the data folder.
+//! Opens, closes and reopens the replicas of this VM.
 
 use std::time::Duration;
 
@@ -10,18 +10,19 @@
     disk,
 };
 
-/// Pause before a group that could not be opened is tried again. Leaders send to it every 100 ms.
-const PAUSE: Duration = Duration::from_secs(5);
+/// Pause before another attempt to open a group. Without it, every message of its leader, which sends one each 100 ms,
+/// would cause an attempt.
+const OPEN_PAUSE: Duration = Duration::from_secs(5);
 
-/// Pause before a replica whose write failed is opened again; far above the time that the hand-over of the lead takes.
+/// Pause before a replica whose write failed is reopened; far longer than a change of leader takes.
 const REOPEN_PAUSE: Duration = Duration::from_secs(10);
 
-/// Why a group is not opened now.
+/// Why a group is currently not opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Closed {
-    /// Its stored state is corrupt; this process does not take part any more.
+    /// Its stored state is corrupt; this process no longer participates in the group.
     Corrupt,
-    /// The last try failed; the next one is due then.
+    /// The last attempt failed; the next one is made at this time.
     Until(Duration),
 }
 
@@ -35,21 +36,21 @@
 }
 
 impl Controller {
-    /// Opens the groups that the data folder holds. A group that cannot be opened stops the start: without the log
-    /// and the votes that it promised to keep, this VM must not take part under its old id.
+    /// Opens the groups stored in the data folder. Startup fails when one cannot be opened: without its log and votes,
+    /// this VM must not participate under its old id.
     pub(super) fn open_stored(&mut self) -> Result<(), bronzespoke_storage::Error> {
         let Some(folder) = self.settings.data.clone() else {
             return Ok(());
         };
         for group in disk::groups(&folder) {
             let member = self.try_open(group, None)?;
-            self.take_part(group, member);
+            self.join(group, member);
         }
         Ok(())
     }
 
-    /// Opens a replica of a group; a failure is logged and leaves the VM without it, for good when the stored state is
-    /// corrupt.
+    /// Opens a replica of a group. A failure is logged and leaves the VM without the replica until the next attempt, or
+    /// permanently if the stored state is corrupt.
     pub(super) fn open(
         &mut self,
         group: id::GroupId,
@@ -66,18 +67,18 @@
             }
             Err(error) => error,
         };
-        log::error!("disk: {group:?} cannot be opened: {error}");
+        log::error!("disk: Failed to open {group:?}: {error}");
         let closed = match error {
-            // Only a new member can replace damaged state; reading it again finds the same.
+            // Reading corrupt state again gives the same result; only a new member can replace it.
             bronzespoke_storage::Error::Corrupt { .. } => Closed::Corrupt,
-            _ => Closed::Until(now + PAUSE),
+            _ => Closed::Until(now + OPEN_PAUSE),
         };
         self.closed.insert(group, closed);
         None
     }
 
-    /// Opens replicas again whose writes failed, as a restart would, so that the VM takes part again once its disk takes
-    /// writes. While it does not, the next write fails and the replica is opened again after the next pause.
+    /// Reopens replicas whose writes failed, as a restart would, so that the VM participates again once its disk
+    /// accepts writes. Until then the next write fails, and the replica is reopened after the next pause.
     pub(super) fn reopen_failed(&mut self) {
         let now = self.context.now();
         let failed = self.replicas().filter(|(_, member)| member.has_failed());
@@ -97,14 +98,14 @@
         let healthy =
             |(other, member): (id::GroupId, &member::Member)| other == group && !member.has_failed();
         if self.replicas().any(healthy) {
-            // Its leader sent to it meanwhile.
+            // A message of its leader has reopened it meanwhile.
             return;
         }
-        // The files are locked until the former replica is closed.
+        // The files stay locked until the failed replica is closed.
         self.close(group);
         if let Some(member) = self.open(group, None) {
-            log::info!("disk: {group:?} is open again.");
-            self.take_part(group, member);
+            log::info!("disk: Reopened {group:?}.");
+            self.join(group, member);
         } else if self.closed.get(&group) != Some(&Closed::Corrupt) {
             self.reopen_at.insert(group, self.context.now() + REOPEN_PAUSE);
         }
@@ -124,7 +125,7 @@
         }
     }
 
-    fn take_part(&mut self, group: id::GroupId, member: member::Member) {
+    fn join(&mut self, group: id::GroupId, member: member::Member) {
         match group {
             id::GroupId::Root => self.root.promote(self.context.now(), member),
             id::GroupId::Zone(zone) => self.add_zone(zone, member),
@@ -140,7 +141,7 @@
             id::GroupId::Root => 0,
             id::GroupId::Zone(zone) => u64::from(zone) + 1,
         };
-        // The seed differs at every start, as the replica demands of its answer tokens.
+        // The replica requires a different seed at every start, so that its tokens do not repeat.
         let seed = self.settings.random_seed ^ (salt << 32) ^ context::Context::wall_ms();
         let config = replica::Config::new(self.context.me.id, group, seed);
         let inbox = self.inbox.clone();
@@ -157,7 +158,7 @@
         )
     }
 
-    /// Takes part in a zone group with an opened replica.
+    /// Adds the opened replica of a zone group.
     pub(super) fn add_zone(&mut self, zone: id::AvailabilityZoneId, member: member::Member) {
         let mut group = zone::Zone::new(zone, member, self.inbox.clone());
         group.step(&self.context, replica::Input::Tick);
--- a/crates/daemon/src/control/inbox.rs
+++ b/crates/daemon/src/control/inbox.rs
@@ -1,7 +1,7 @@
-//! The way into the control thread.
+//! Bounded inbox of the control thread.
 //!
-//! The actor's mailbox has no bound of its own. Producers hold a permit for every message that waits, so that the
-//! mailbox holds a bounded number of frames and calls and the sources slow down instead.
+//! The mailbox of the actor is unbounded. Producers therefore acquire a permit for every frame or call, which bounds
+//! the number of waiting messages and applies back-pressure to their sources.
 
 use std::sync::Arc;
 
@@ -10,10 +10,10 @@
 
 use crate::control::Message;
 
-/// Frames and calls that may wait in the mailbox.
+/// Maximum number of frames and calls that wait in the mailbox.
 pub const CAPACITY: usize = 1024;
 
-/// Room for one message; given back when the message was handled.
+/// Permit for one message in the mailbox; released when the message has been handled.
 pub type Permit = OwnedSemaphorePermit;
 
 /// Sends messages to the control thread.
@@ -32,7 +32,7 @@
         }
     }
 
-    /// Waits for room for one message; `None` when the control thread has stopped.
+    /// Waits for a permit for one message; returns `None` when the control thread has stopped.
     pub async fn reserve(&self) -> Option<Permit> {
         Arc::clone(&self.permits).acquire_owned().await.ok()
     }
@@ -40,13 +40,13 @@
     /// Sends a message; it is lost when the control thread has stopped.
     pub fn send(&self, message: Message) {
         if self.actor.send_message(message).is_err() {
-            log::debug!("control: A message came after the stop.");
+            log::debug!("control: A message arrived after the control thread had stopped.");
         }
     }
 
     /// Sends a tick after a delay.
     pub fn tick_after(&self, delay: std::time::Duration) {
-        // The handle of the timer task is not needed; the timer ends by itself.
+        // The handle of the timer task is not needed: the task ends after sending.
         drop(self.actor.send_after(delay, || Message::Tick));
     }
 }
--- a/crates/daemon/src/control/maintenance.rs
+++ b/crates/daemon/src/control/maintenance.rs
@@ -1,4 +1,4 @@
-//! Periodic duties of leaders: members, escrow parts, published soft state.
+//! Periodic maintenance: membership, allotments and claims of led groups, published soft state, failed replicas.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -12,20 +12,20 @@
     peer::wire,
 };
 
-/// Time between two rounds of duties.
+/// Interval between maintenance rounds.
 pub const INTERVAL: Duration = Duration::from_millis(500);
-/// A claim that has not ended after this time never will: a request lasts at most 30 s by default, and its end is
-/// sent again for 60 s. A late answer is still taken.
+/// Age at which the owner ends an open claim with an unknown outcome. No end is expected any more: a request lasts at
+/// most 30 s by default, and its end is resent for 60 s. A response that arrives later is still recorded.
 const OVERDUE_CLAIM: Duration = Duration::from_mins(10);
-/// A voter that answered within this time takes a lead that is handed to it.
+/// Maximum time since the last acknowledgement of a voter to which leadership is transferred.
 const RESPONSIVE: Duration = Duration::from_millis(500);
-/// A witness that was silent for this long is replaced by another VM.
+/// Time without contact after which a witness is replaced by another VM.
 const LOST_WITNESS: Duration = Duration::from_mins(10);
-/// A holder of claims that was silent for this long cannot complete them any more: longer than any request lasts.
+/// Time without contact after which the claims of a VM are ended; longer than any request lasts.
 const LOST_HOLDER: Duration = Duration::from_mins(1);
 
 impl Controller {
-    /// Does one round.
+    /// Runs one maintenance round.
     pub(super) fn run_maintenance(&mut self) {
         self.maintenance_at = self.context.now() + INTERVAL;
         self.targets.expire(&self.context, &mut self.gossip);
@@ -37,7 +37,8 @@
         self.maintain_zones();
     }
 
-    /// Ends the claims of former processes of this VM wherever that is not done, also when it makes no claims there.
+    /// Ends the claims of earlier incarnations of this VM's process in every zone where that is not done, even if it
+    /// makes no claims there.
     fn end_all_former(&mut self) {
         if self.context.me.durable {
             for zone in self.root.state().open_zones().collect::<Vec<_>>() {
@@ -59,7 +60,7 @@
 
     fn publish(&mut self, now: Duration, key: Key, value: Value) {
         if self.gossip.set(now, key, value).is_err() {
-            log::debug!("gossip: An entry is not published; the table is full.");
+            log::debug!("gossip: An entry is not published: the table is full.");
         }
     }
 
@@ -71,8 +72,8 @@
         }
         if let Some(member) = self.root.member() {
             let status = member.replica().status();
-            let wanted = self.desired_root_voters();
-            if let Some(change) = self.next_change(&status, &wanted) {
+            let desired = self.desired_root_voters();
+            if let Some(change) = self.next_change(&status, &desired) {
                 self.root
                     .change(&self.context, change, responder::Responder::Discard);
             }
@@ -80,7 +81,8 @@
         self.rebalance_allotments(now);
     }
 
-    /// One durable VM of each zone is a root voter; present voters stay as long as they are listed.
+    /// Returns the desired voters of the root group: one durable VM of each zone. Current voters are kept as long as
+    /// they are listed.
     fn desired_root_voters(&self) -> Vec<id::VmId> {
         let view = self.root.view();
         let members = self
@@ -104,7 +106,7 @@
         chosen.into_values().map(|(_, _, _, vm)| vm).collect()
     }
 
-    /// Records what zones released and moves parts towards the demand.
+    /// Records what zones have released and shifts allotments towards the demand.
     fn rebalance_allotments(&mut self, now: Duration) {
         let table = self.demand.get_or_insert_with(|| demand::Table::new(now));
         let demand = table.demand(now, self.root.state());
@@ -118,7 +120,7 @@
         }
     }
 
-    /// Zones whose group this VM leads.
+    /// Returns the zones whose group this VM leads.
     fn led_zones(&self, now: Duration) -> Vec<id::AvailabilityZoneId> {
         let led = self.zones.iter().filter(|(_, zone)| zone.leads(now));
         led.map(|(zone, _)| *zone).collect()
@@ -139,25 +141,26 @@
         }
     }
 
-    /// Hands the lead of another zone's group to a voter in that zone.
+    /// Transfers leadership of another zone's group to a voter in that zone.
     ///
-    /// A witness may win an election, but the zone's workers report to the zone's own VMs, and the scheduler runs
-    /// there.
+    /// A witness may win an election, but the workers of the zone report to the zone's own VMs, and only those run its
+    /// scheduler.
     fn transfer_to_zone(&mut self, zone: id::AvailabilityZoneId) {
         let Some(group) = self.zones.get(&zone) else {
             return;
         };
         let now = self.context.now();
         let view = self.root.view();
-        let there = |vm: id::VmId| view.vms.get(&vm).is_some_and(|vm| vm.place.zone == zone);
-        let answers = |acked: Option<Duration>| acked.is_some_and(|at| now.saturating_sub(at) < RESPONSIVE);
+        let in_zone = |vm: id::VmId| view.vms.get(&vm).is_some_and(|vm| vm.place.zone == zone);
+        let is_responsive =
+            |acked: Option<Duration>| acked.is_some_and(|at| now.saturating_sub(at) < RESPONSIVE);
         let peers = group.member().replica().status().peers;
         let next = peers
             .iter()
-            .find(|peer| peer.voter && there(peer.id) && answers(peer.acked));
+            .find(|peer| peer.voter && in_zone(peer.id) && is_responsive(peer.acked));
         let next = next.map(|peer| peer.id);
         if let (Some(next), Some(group)) = (next, self.zones.get_mut(&zone)) {
-            log::info!("group: The witness hands zone {zone} to VM {next}.");
+            log::info!("group: Transferring leadership of zone {zone} from the witness to VM {next}.");
             group.step(
                 &self.context,
                 replica::Input::TransferLeadership { to: Some(next) },
@@ -166,20 +169,20 @@
     }
 
     fn reconcile_membership(&mut self, zone: id::AvailabilityZoneId) {
-        let wanted = self.desired_zone_members(zone);
+        let desired = self.desired_zone_members(zone);
         let status = self.zones[&zone].member().replica().status();
-        let change = self.next_change(&status, &wanted);
+        let change = self.next_change(&status, &desired);
         if let (Some(change), Some(group)) = (change, self.zones.get_mut(&zone)) {
             group.change(&self.context, change, responder::Responder::Discard);
         }
     }
 
-    /// The VMs of the zone and one witness in the nearest other zone.
+    /// Returns the desired members of a zone group: the VMs of the zone and one witness in the nearest other zone.
     fn desired_zone_members(&self, zone: id::AvailabilityZoneId) -> Vec<id::VmId> {
         let view = self.root.view();
         let members = self.zones[&zone].member().replica().status().membership;
         // A removed id never becomes a member again.
-        let mut wanted: Vec<_> = view
+        let mut desired: Vec<_> = view
             .vms
             .values()
             .filter(|vm| vm.place.zone == zone && !members.removed.contains(&vm.id))
@@ -189,7 +192,7 @@
             region: record.region,
             zone,
         }) else {
-            return wanted;
+            return desired;
         };
         let now = self.context.now();
         let silent = |vm: id::VmId| {
@@ -200,24 +203,24 @@
         let witness = elsewhere
             .filter(|vm| !members.removed.contains(&vm.id))
             .min_by_key(|vm| {
-                let present = members.voters.contains(&vm.id) && !silent(vm.id);
+                let current = members.voters.contains(&vm.id) && !silent(vm.id);
                 (
-                    !present,
+                    !current,
                     place.distance(&vm.place),
                     !vm.durable,
                     !self.context.is_alive(vm.id),
                     vm.id,
                 )
             });
-        wanted.extend(witness.map(|vm| vm.id));
-        wanted
+        desired.extend(witness.map(|vm| vm.id));
+        desired
     }
 
-    /// Returns the next single change that brings the members towards the wanted ones.
+    /// Returns the next single change that brings the membership closer to `desired`.
     ///
-    /// A lost member is removed only when it is replaced or taken from the directory, so that a short absence does
-    /// not shrink the group.
-    fn next_change(&self, status: &replica::Status, wanted: &[id::VmId]) -> Option<membership::Change> {
+    /// An unreachable member is removed only when it is replaced or removed from the directory, so that a short absence
+    /// does not shrink the group.
+    fn next_change(&self, status: &replica::Status, desired: &[id::VmId]) -> Option<membership::Change> {
         if status.change_pending {
             return None;
         }
@@ -226,7 +229,7 @@
             .peers
             .iter()
             .find(|peer| peer.caught_up && members.learners.contains(&peer.id));
-        if let Some(peer) = caught_up.filter(|peer| wanted.contains(&peer.id)) {
+        if let Some(peer) = caught_up.filter(|peer| desired.contains(&peer.id)) {
             return Some(membership::Change::Promote(peer.id));
         }
         let listed = &self.root.view().vms;
@@ -238,20 +241,20 @@
         if let Some(gone) = gone {
             return Some(membership::Change::Remove(*gone));
         }
-        let missing = wanted.iter().find(|vm| {
+        let missing = desired.iter().find(|vm| {
             !members.contains(**vm) && !members.removed.contains(vm) && self.context.is_alive(**vm)
         });
         if let Some(vm) = missing {
             return Some(membership::Change::AddLearner(*vm));
         }
-        let surplus = members.learners.iter().find(|vm| !wanted.contains(vm));
-        // A voter leaves only after its replacement votes.
-        let complete = wanted.iter().all(|vm| members.voters.contains(vm));
-        let replaced = members.voters.iter().find(|vm| complete && !wanted.contains(vm));
+        let surplus = members.learners.iter().find(|vm| !desired.contains(vm));
+        // Remove a voter only after its replacement has become a voter.
+        let complete = desired.iter().all(|vm| members.voters.contains(vm));
+        let replaced = members.voters.iter().find(|vm| complete && !desired.contains(vm));
         surplus.or(replaced).map(|vm| membership::Change::Remove(*vm))
     }
 
-    /// Takes over granted counters and releases what is above the target parts.
+    /// Adopts the granted totals of the root state and releases what exceeds the target allotments.
     fn reconcile_allotments(&mut self, zone: id::AvailabilityZoneId) {
         let view = std::sync::Arc::clone(self.root.view());
         let Some(group) = self.zones.get_mut(&zone) else {
@@ -270,7 +273,7 @@
         }
     }
 
-    /// Ends the claims of VMs that left the directory or were silent for long.
+    /// Ends claims that are overdue, and those of VMs that left the directory or are unreachable for [`LOST_HOLDER`].
     fn expire_claims(&mut self, zone: id::AvailabilityZoneId) {
         let Some(group) = self.zones.get(&zone) else {
             return;
@@ -293,13 +296,14 @@
         }
         let now = self.context.now();
         let silent = |peer: &context::Peer| now.saturating_sub(peer.last_seen) >= LOST_HOLDER;
-        let contact = self.context.peers.get(&vm);
-        // A VM that was listed just now may be missing from the view that this VM has.
+        let peer = self.context.peers.get(&vm);
+        // A VM that was listed a moment ago may still be missing from this VM's view.
         let unlisted = !self.root.view().vms.contains_key(&vm) && !self.context.is_alive(vm);
-        unlisted || contact.is_some_and(silent)
+        unlisted || peer.is_some_and(silent)
     }
 
-    /// Ends the open claims of a VM in the groups that this VM leads; a restarted process cannot complete them.
+    /// Ends the open claims of a VM in the groups that this VM leads, because its restarted process cannot complete
+    /// them.
     pub(super) fn end_claims_of(&mut self, holder: id::VmId) {
         let now = self.context.now();
         for zone in self.led_zones(now) {
@@ -314,27 +318,27 @@
         }
     }
 
-    /// Publishes the zone's capacity.
+    /// Publishes the free capacity of the zone.
     fn publish_zone(&mut self, now: Duration, zone: id::AvailabilityZoneId) {
         let (Some(group), Some(scheduling)) = (self.zones.get(&zone), &self.scheduling) else {
             return;
         };
-        let measures = scheduling.scheduler().metrics(now);
+        let metrics = scheduling.scheduler().metrics(now);
         let free = |dimension: usize| {
-            let free = measures.capacity[dimension].saturating_sub(measures.used[dimension]);
+            let free = metrics.capacity[dimension].saturating_sub(metrics.used[dimension]);
             u32::try_from(free).unwrap_or(u32::MAX)
         };
         let value = Value::Capacity {
             term: group.member().replica().status().term,
             free: resource::Amount::new(free(0), free(1), free(2)),
-            workers: measures.workers,
+            workers: metrics.workers,
         };
         self.publish(now, Key::Capacity(zone), value);
     }
 
-    /// Hands over what this VM leads, before it shuts down.
+    /// Transfers leadership of every group that this VM leads, before it shuts down.
     pub(super) fn transfer_leadership(&mut self) {
-        // A leader that hands over takes no more commands.
+        // Propose what is queued first: a leader accepts no commands during a transfer.
         self.root.flush(&self.context);
         for zone in self.zones.values_mut() {
             zone.flush(&self.context);
@@ -346,7 +350,7 @@
         }
     }
 
-    /// Changes the members of a group that this VM leads, as an operator asks.
+    /// Changes the membership of a group that this VM leads, on behalf of an operator.
     pub(super) fn change_members(
         &mut self,
         group: id::GroupId,
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -1,4 +1,4 @@
-//! One replica with its disk: carries out what the replica asks for.
+//! One replica with its disk: executes the outputs of the replica.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -18,25 +18,25 @@
     peer::wire,
 };
 
-/// Entries after which a snapshot is made and the log is cut.
+/// Number of entries after which a snapshot is made and the log is compacted.
 const ENTRIES_PER_SNAPSHOT: u64 = 8_192;
-/// Bytes of commands after which a snapshot is made and the log is cut.
+/// Bytes of commands after which a snapshot is made and the log is compacted.
 const BYTES_PER_SNAPSHOT: usize = 8 << 20;
 
 /// Commands that wait to be proposed.
 pub type Batch<C> = batch::Batch<C, responder::Responder>;
 
-/// What the owner of the state machine has to do, in order.
+/// Action for the owner of the state machine; actions are executed in order.
 #[derive(Debug)]
 pub enum Event {
     /// Apply an entry; entries without a command only move the index.
     Apply {
         /// The entry.
         entry: entries::Entry,
-        /// Who waits for each command; empty on other members.
+        /// Receiver of the outcome of each command; empty on members that did not propose the entry.
         responders: Vec<responder::Responder>,
     },
-    /// Replace the state.
+    /// Replace the state by a snapshot.
     Install(snapshot::Snapshot),
 }
 
@@ -52,24 +52,24 @@
     proposed: HashMap<u64, Vec<responder::Responder>>,
     committed: HashMap<u64, Vec<responder::Responder>>,
     role: replica::Role,
-    /// Index that has to be applied before this member serves as leader.
+    /// Index that has to be applied before this member acts as leader.
     lead_from: u64,
-    /// Whether a command that nobody waits for was refused while this member led.
+    /// Whether a command without a receiver was refused while this member was leader.
     refused: bool,
     applied: u64,
     snapshot_index: u64,
     snapshot_bytes: usize,
-    /// Largest entry that the replica takes.
+    /// Maximum size of an entry.
     entry_bytes: usize,
-    /// Whether a write failed; the replica takes part again only when it is opened anew.
+    /// Whether a write failed; the replica participates again only after it is reopened.
     failed: bool,
 }
 
 impl Member {
-    /// Opens the durable state, or starts without any.
+    /// Opens the durable state in `folder`, or starts without one.
     ///
-    /// `found` gives the first members when nothing is stored and this process founds the group; `number` differs for
-    /// every replica that the process opens.
+    /// `found` is the initial membership if nothing is stored and this process founds the group. `number` is unique
+    /// among the replicas that the process opens.
     pub fn open(
         number: u64,
         config: replica::Config,
@@ -108,7 +108,7 @@
         })
     }
 
-    /// Proposes encoded commands; each responder waits for one of them.
+    /// Proposes encoded commands, with one responder for each.
     fn propose(
         &mut self,
         context: &context::Context,
@@ -122,7 +122,7 @@
         self.step(context, replica::Input::Propose { id, data }, events);
     }
 
-    /// Proposes the commands of a batch in order, in as many entries as their size needs.
+    /// Proposes the commands of a batch in order, split into entries of the allowed size.
     pub fn propose_batch<C: Serialize>(
         &mut self,
         context: &context::Context,
@@ -140,7 +140,7 @@
         }
     }
 
-    /// Proposes a change of the members.
+    /// Proposes a change of the membership.
     pub fn change(
         &mut self,
         context: &context::Context,
@@ -159,7 +159,7 @@
         let input = match &done.result {
             Ok(through) => replica::Input::Persisted { through: *through },
             Err(error) => {
-                log::error!("disk: {:?} is not durable any more: {error}", self.group);
+                log::error!("disk: Failed to persist {:?}: {error}", self.group);
                 self.failed = true;
                 replica::Input::PersistFailed
             }
@@ -167,7 +167,7 @@
         self.step(context, input, events);
     }
 
-    /// Feeds one input and carries out what follows from it.
+    /// Passes one input to the replica and executes its outputs, and the inputs that result from them.
     pub fn step(&mut self, context: &context::Context, input: replica::Input, events: &mut Vec<Event>) {
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
@@ -221,7 +221,7 @@
         self.write(writes, inputs);
     }
 
-    /// Answers who waits for commands that an installed snapshot contains: their outcomes are not known here.
+    /// Rejects commands that an installed snapshot covers: their outcomes are unknown on this member.
     fn reject_skipped(&mut self, context: &context::Context) {
         let applied = self.applied;
         let skipped = self.committed.extract_if(|index, _| *index <= applied);
@@ -267,7 +267,7 @@
             Some(disk) if disk.write(writes) => return,
             Some(_) => {
                 log::error!(
-                    "disk: {:?} is not durable any more: the disk does not keep up",
+                    "disk: Failed to persist {:?}: the disk does not keep up",
                     self.group
                 );
                 self.failed = true;
@@ -287,29 +287,33 @@
                 group: self.group,
                 term: status.term,
             });
-            log::info!("group: This VM leads {:?} in term {}.", self.group, status.term);
+            log::info!(
+                "group: Became leader of {:?} in term {}.",
+                self.group,
+                status.term
+            );
         }
         if led && !leads {
             context.record(event::Kind::LeaderLost { group: self.group });
-            log::info!("group: This VM no longer leads {:?}.", self.group);
+            log::info!("group: Lost leadership of {:?}.", self.group);
         }
         self.role = role;
     }
 
-    /// Tells whether the log has grown enough for a snapshot of the applied state.
+    /// Returns whether the log has grown enough for a snapshot of the applied state.
     pub const fn is_snapshot_due(&self) -> bool {
         let entries = self.applied - self.snapshot_index;
         entries >= ENTRIES_PER_SNAPSHOT || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
     }
 
-    /// Notes that a snapshot of the applied state is being made; returns its index.
+    /// Records that a snapshot of the applied state is being made; returns its index.
     pub const fn begin_snapshot(&mut self) -> u64 {
         self.snapshot_index = self.applied;
         self.snapshot_bytes = 0;
         self.applied
     }
 
-    /// Takes the snapshot of an index and cuts the log; a snapshot from before a received one changes nothing.
+    /// Compacts the log up to the snapshot of an index. Does nothing if a later snapshot has been received meanwhile.
     pub fn compact(
         &mut self,
         context: &context::Context,
@@ -328,38 +332,38 @@
         Some(snapshot)
     }
 
-    /// Tells whether this member leads, has applied all entries of earlier leaders and holds the lease.
+    /// Returns whether this member is leader, has applied all entries of earlier leaders and holds the lease.
     pub fn leads(&self, now: Duration) -> bool {
         let elected = matches!(self.role, replica::Role::Leader);
         elected && self.applied >= self.lead_from && self.replica.holds_lease(now)
     }
 
-    /// Takes the mark that a command which nobody waits for was refused.
+    /// Returns whether a command without a receiver was refused since the last call.
     pub const fn take_refused(&mut self) -> bool {
         std::mem::replace(&mut self.refused, false)
     }
 
-    /// Serves as leader only after everything that was proposed so far is applied.
+    /// Acts as leader only after everything proposed so far is applied.
     pub fn defer_leading(&mut self) {
         self.lead_from = self.lead_from.max(self.replica.status().last.index);
     }
 
-    /// Tells whether the group has removed this member for good.
+    /// Returns whether the group has permanently removed this member.
     pub const fn is_removed(&self) -> bool {
         matches!(self.role, replica::Role::Removed)
     }
 
-    /// Number under which it was opened.
+    /// Returns the number under which the replica was opened.
     pub const fn number(&self) -> u64 {
         self.number
     }
 
-    /// Tells whether a write failed, so that the replica has to be opened anew.
+    /// Returns whether a write failed, so that the replica has to be reopened.
     pub const fn has_failed(&self) -> bool {
         self.failed
     }
 
-    /// Ends the replica; whether the commands under way are committed is not known.
+    /// Closes the replica and rejects its pending commands with an unknown outcome.
     pub fn close(self, context: &context::Context) {
         let waiting = self.proposed.into_values().chain(self.committed.into_values());
         for responder in waiting.flatten() {
@@ -367,7 +371,7 @@
         }
     }
 
-    /// Leader that this member knows.
+    /// Returns the leader that this member knows.
     pub const fn leader(&self, me: id::VmId) -> Option<id::VmId> {
         match self.role {
             replica::Role::Leader => Some(me),
@@ -376,7 +380,7 @@
         }
     }
 
-    /// The replica, for reads.
+    /// Returns the replica, for reads.
     pub const fn replica(&self) -> &replica::Replica {
         &self.replica
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -1,7 +1,7 @@
 //! The control thread: one actor that owns all control state of the daemon.
 //!
-//! Traffic, links, disk and operators send it messages; it answers through channels and publishes immutable views.
-//! Everything that decides runs here in turn, so no control state needs a lock.
+//! The gateway, peer links, disk threads and operators send it messages; it replies through channels and publishes
+//! immutable views. Messages are handled one at a time, so control state needs no lock.
 
 mod actor;
 mod apply;
@@ -51,63 +51,64 @@
 /// A message to the control thread.
 #[derive(Debug)]
 pub enum Message {
-    /// A frame from another daemon.
+    /// Frame from another daemon.
     Frame(Box<wire::Frame>, Permit),
-    /// A call of the gateway.
+    /// Call from the gateway.
     Call(gateway::Call, Permit),
-    /// An operator's line, with the command id of a resend.
+    /// Operator statement, with the command id when the client supplied one.
     Operator(String, Option<id::CommandId>, oneshot::Sender<answer::Answer>),
-    /// The directory, for operators' programs.
+    /// Query for the directory, for operator tools.
     Directory(oneshot::Sender<Vec<vm::Vm>>),
-    /// The result of a write of the replica that was opened under a number.
+    /// Result of a write, with the number of the replica that issued it.
     Persisted(u64, disk::Done),
-    /// An owner's answer to a claim.
+    /// Reply of an owner to a claim.
     Claimed(claims::Pending, wire::Reply),
-    /// A claim that was granted after its caller had been refused.
+    /// Claim that was granted after its caller had been refused: the owner zone and its number there.
     Abandoned(id::AvailabilityZoneId, u64),
-    /// The end of a claim that its owner did not record.
+    /// End of a claim that its owner did not record.
     Unrecorded(claims::End),
-    /// Whether a zone has ended the claims of former processes of this VM.
+    /// Whether a zone has ended the claims of earlier incarnations of this VM's process.
     FormerEnded(id::AvailabilityZoneId, bool),
-    /// A zone's answer to a submission.
+    /// Reply of a zone to a submission.
     Submitted(submissions::Submission, wire::Reply),
-    /// What the zones know of a submission whose first attempt was lost.
+    /// Outcome of the search for a submission whose first attempt was lost.
     Found(submissions::Submission, search::Found),
-    /// This VM's answer to a call that it had sent to a former leader.
+    /// Local reply to a pending request, after this VM became leader of the group that the request was sent to.
     Replied(u64, wire::Reply),
-    /// A committed command whose answer waits until it is in force.
+    /// Committed command that is acknowledged once it is in effect.
     AwaitEffect(effect::Pending),
-    /// Work on a snapshot of the root state is done.
+    /// A snapshot of the root state was encoded or decoded.
     RootSnapshot(snapshots::Done<root_state::State>),
-    /// Work on a snapshot of a zone state is done, for the replica with this number.
+    /// A snapshot of a zone state was encoded or decoded, for the replica with this number.
     ZoneSnapshot(id::AvailabilityZoneId, u64, snapshots::Done<zone_state::State>),
-    /// A timer.
+    /// The next timer is due.
     Tick,
-    /// Hand over what this VM leads; the answer comes when nothing is led any more, or after a short time.
+    /// Request to transfer the leadership of every group that this VM leads. The reply comes when it leads none, or
+    /// after a time limit.
     TransferLeadership(oneshot::Sender<()>),
-    /// Stop.
+    /// Request to stop the actor.
     Stop,
 }
 
-/// What the control thread publishes to traffic.
+/// Channels through which the control thread publishes state to the gateway.
 #[derive(Debug)]
 pub struct Published {
     /// View of the root state.
     pub view: watch::Sender<Arc<gateway::View>>,
-    /// Whether the VM takes work.
+    /// Whether the VM accepts requests.
     pub ready: watch::Sender<bool>,
-    /// Freshness of the view.
+    /// Instant up to which the view is complete.
     pub freshness: gateway::Freshness,
 }
 
-/// This VM's place in the directory.
+/// State of this VM's entry in the directory.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Listing {
     /// The directory has not listed it yet.
     Unlisted,
     /// The directory lists it.
     Listed,
-    /// The directory dropped it; it takes no more work.
+    /// The directory removed it; it accepts no more requests.
     Dropped,
 }
 
@@ -126,33 +127,33 @@
     targets_changed: bool,
     requests: requests::Requests,
     claims: claims::Claims,
-    /// Ends of claims that have to be sent again.
+    /// Ends of claims that have to be resent.
     ends: claims::Ends,
-    /// Claims of former processes of this VM.
+    /// Claims of earlier incarnations of this VM's process.
     former: claims::Former,
-    /// Groups that are not opened now.
+    /// Groups whose replicas are currently kept closed.
     closed: BTreeMap<id::GroupId, groups::Closed>,
-    /// Number of the replica that was opened last.
+    /// Number of the most recently opened replica.
     opened: u64,
-    /// When groups whose writes failed are opened again.
+    /// When to reopen groups whose writes failed.
     reopen_at: BTreeMap<id::GroupId, Duration>,
-    /// Peer addresses learned from other daemons before the directory is known.
+    /// Peer addresses learned from other daemons while the directory is not known yet.
     known: BTreeSet<SocketAddr>,
     listing: Listing,
     fresh: bool,
-    /// Whether the view was fresh since the start of the process.
+    /// Whether the view has been fresh at least once since the start of the process.
     caught_up: bool,
     hello_at: Duration,
     enlist_at: Duration,
     maintenance_at: Duration,
     tick_at: Option<Duration>,
-    /// Reports of the zone that this VM leads.
+    /// Demand reporter of the zone that this VM leads.
     reporter: Option<bronzespoke_control::demand::Reporter>,
     /// Demand of all zones, while this VM leads the root group.
     demand: Option<bronzespoke_control::demand::Table>,
-    /// Groups that this VM leads, as last announced.
+    /// Groups that this VM leads, as of its last announcement.
     led: Vec<id::GroupId>,
-    /// Commands that are not in force everywhere yet.
+    /// Committed commands that are not in effect everywhere yet.
     pending_effects: Vec<effect::Pending>,
     leaving: Option<(oneshot::Sender<()>, Duration)>,
 }
--- a/crates/daemon/src/control/operator/collect.rs
+++ b/crates/daemon/src/control/operator/collect.rs
@@ -1,4 +1,4 @@
-//! Joins the answers of several zones into one.
+//! Collects the answers of several zones and joins them into one.
 
 use std::{
     fmt::Write as _,
@@ -11,7 +11,7 @@
 
 use crate::peer::wire;
 
-/// Answers of zones as they arrive.
+/// Answers of zones received so far.
 #[derive(Debug)]
 pub struct Collector {
     waiting: usize,
@@ -21,7 +21,7 @@
 }
 
 impl Collector {
-    /// Returns a record that waits for a number of zones.
+    /// Returns a collector that waits for the replies of `waiting` zones.
     pub const fn new(waiting: usize, reply: oneshot::Sender<answer::Answer>) -> Self {
         Self {
             waiting,
@@ -58,24 +58,24 @@
         let answer = match self.joined.take() {
             Some(answer::Answer::Table(mut table)) => {
                 for (position, zone) in self.unreachable.iter().enumerate() {
-                    let lead = if position == 0 {
+                    let separator = if position == 0 {
                         ", unreachable zones: "
                     } else {
                         ", "
                     };
-                    write!(table.title, "{lead}{zone}").expect("writing to a string does not fail");
+                    write!(table.title, "{separator}{zone}").expect("writing to a string does not fail");
                 }
                 answer::Answer::Table(table)
             }
             Some(answer) => answer,
             None => answer::Answer::error(answer::Code::Unavailable, "no zone leader can be reached"),
         };
-        // The operator may have gone away.
+        // The operator may have disconnected.
         drop(reply.send(answer));
     }
 }
 
-/// Adds the answer of one zone; the last one completes the joined answer.
+/// Adds the reply of one zone; after the last one, the joined answer is sent.
 pub fn add(collector: &Mutex<Collector>, zone: id::AvailabilityZoneId, reply: wire::Reply) {
     let mut collector = collector.lock().unwrap_or_else(PoisonError::into_inner);
     collector.join(zone, &reply);
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -1,4 +1,4 @@
-//! Operators' commands.
+//! Commands of operators.
 
 use std::{fmt::Write as _, time::Duration};
 
@@ -15,15 +15,15 @@
     peer::wire,
 };
 
-/// Random bytes of a generated key.
+/// Number of random bytes in a generated key.
 const KEY_BYTES: usize = 24;
 
-/// Why a command is not sent.
+/// Reason why a command is not sent.
 type Error = (answer::Code, String);
 
 impl Controller {
     pub(super) fn command(&mut self, command: statement::Command, mut id: id::CommandId, reply: Reply) {
-        let mut shown = None;
+        let mut generated_key = None;
         let planned = match command {
             statement::Command::CancelJob { job } => return self.cancel(job, reply),
             statement::Command::CancelJobs { team } => return self.cancel_team(&team, reply),
@@ -34,23 +34,23 @@
                 return self.change(group, membership::Change::Remove(vm), reply);
             }
             statement::Command::GrantKey { team, hash: None } => {
-                // The state holds command ids and hashes only, so a lost answer loses the key. A resend grants
-                // another key; the unused one shows up in `show keys`.
+                // The state stores command ids and hashes only, so a lost answer loses the key. A resend grants
+                // another key; the unused one is listed by `show keys`.
                 let key = hexadecimal(&rand::random::<[u8; KEY_BYTES]>());
                 let hash = Sha256::digest(key.as_bytes()).into();
-                shown = Some(key);
+                generated_key = Some(key);
                 id = rand::random();
                 self.grant(&team, hash)
             }
             other => self.plan(other),
         };
         match planned {
-            Ok(command) => self.commit(command, id, shown, reply),
+            Ok(command) => self.commit(command, id, generated_key, reply),
             Err((code, message)) => drop(reply.send(answer::Answer::error(code, message))),
         }
     }
 
-    /// Returns the root command of a statement.
+    /// Returns the root command for a statement.
     fn plan(&self, command: statement::Command) -> Result<root::Command, Error> {
         let view = self.root.view();
         Ok(match command {
@@ -103,16 +103,16 @@
             _ => {
                 return Err((
                     answer::Code::Internal,
-                    String::from("the command is not planned here"),
+                    String::from("the command is not a root command"),
                 ));
             }
         })
     }
 
-    /// Returns for how long this VM has not heard of any VM of a zone, in milliseconds.
+    /// Returns the time since the last contact with any VM of a zone, in milliseconds, or an error if it is too short.
     ///
-    /// Silence alone does not prove that the zone is lost, which is the operator's word; but a zone that is heard
-    /// of is not lost.
+    /// Silence alone does not prove that the zone is lost, which is the operator's statement; but a zone that is in
+    /// contact is not lost.
     fn silence_of(&self, zone: id::AvailabilityZoneId) -> Result<u64, Error> {
         let now = self.context.now();
         let mut silence = now;
@@ -128,8 +128,9 @@
         let silence = silence.as_millis() as u64;
         if silence < root::LossProof::MIN_STOPPED_MS {
             let least = root::LossProof::MIN_STOPPED_MS;
-            let message =
-                format!("zone {zone} was heard of {silence} ms ago; {least} ms of silence are needed");
+            let message = format!(
+                "last contact with zone {zone} was {silence} ms ago; {least} ms of silence are required"
+            );
             return Err((answer::Code::Invalid, message));
         }
         Ok(silence)
@@ -164,14 +165,20 @@
         Ok(*first)
     }
 
-    fn commit(&mut self, command: root::Command, id: id::CommandId, shown: Option<String>, reply: Reply) {
+    fn commit(
+        &mut self,
+        command: root::Command,
+        id: id::CommandId,
+        generated_key: Option<String>,
+        reply: Reply,
+    ) {
         let condition = condition(&command);
         let mut envelope = root::Envelope::new(context::Context::wall_ms(), command);
         envelope.id = Some(id);
         let inbox = self.inbox.clone();
-        let then = Box::new(move |answer| {
-            let index = accepted(&answer);
-            let described = describe(answer, id, shown);
+        let then = Box::new(move |response| {
+            let index = accepted(&response);
+            let described = describe(response, id, generated_key);
             match (condition, index, described) {
                 (Some(condition), Some(index), answer::Answer::Text(text)) => {
                     let pending = effect::Pending {
@@ -183,7 +190,7 @@
                     };
                     inbox.send(Message::AwaitEffect(pending));
                 }
-                // The operator may have gone away.
+                // The operator may have disconnected.
                 (_, _, described) => drop(reply.send(described)),
             }
         });
@@ -196,9 +203,9 @@
     }
 
     fn change(&mut self, group: id::GroupId, change: membership::Change, reply: Reply) {
-        let then = Box::new(move |answer| {
-            let answer = match answer {
-                wire::Reply::Done => answer::Answer::text("The change of members is committed."),
+        let then = Box::new(move |response| {
+            let answer = match response {
+                wire::Reply::Done => answer::Answer::text("The change of membership is committed."),
                 other => refused(other),
             };
             drop(reply.send(answer));
@@ -207,8 +214,8 @@
     }
 
     fn cancel(&mut self, job: id::JobId, reply: Reply) {
-        let then = Box::new(move |answer| {
-            let answer = match answer {
+        let then = Box::new(move |response| {
+            let answer = match response {
                 wire::Reply::Job(Some(found)) => {
                     answer::Answer::text(format!("Job {job} is {:?}.", found.state).to_lowercase())
                 }
@@ -228,7 +235,7 @@
         );
     }
 
-    /// Cancels the jobs of a team in the zones that have a replica here; the others are named.
+    /// Cancels the jobs of a team in the zones that have a replica on this VM; the answer names the other zones.
     fn cancel_team(&mut self, name: &str, reply: Reply) {
         let team = match self.team(name) {
             Ok(team) => team,
@@ -241,7 +248,7 @@
             .filter(|(_, job)| job.team == team && !job.state.is_terminal())
             .map(|(job, _)| job)
             .collect();
-        let unseen: Vec<_> = self
+        let without_replica: Vec<_> = self
             .root
             .state()
             .open_zones()
@@ -253,15 +260,18 @@
             self.cancel(job, sender);
         }
         let mut text = format!("{count} jobs of team {name} are being cancelled.");
-        if !unseen.is_empty() {
-            write!(text, " Repeat the command at a VM of the zones {unseen:?}.")
-                .expect("writing to a string does not fail");
+        if !without_replica.is_empty() {
+            write!(
+                text,
+                " Repeat the command at a VM of the zones {without_replica:?}."
+            )
+            .expect("writing to a string does not fail");
         }
         drop(reply.send(answer::Answer::text(text)));
     }
 }
 
-/// Returns what a command waits for before it is answered.
+/// Returns the condition that a command waits for before it is answered, if any.
 const fn condition(command: &root::Command) -> Option<effect::Condition> {
     match command {
         root::Command::WithdrawKey { .. } => Some(effect::Condition::Withdrawal),
@@ -271,9 +281,9 @@
     }
 }
 
-/// Returns the index of an accepted command.
-const fn accepted(answer: &wire::Reply) -> Option<u64> {
-    match answer {
+/// Returns the log index of an accepted command.
+const fn accepted(reply: &wire::Reply) -> Option<u64> {
+    match reply {
         wire::Reply::Root(root::Outcome::Done | root::Outcome::Config(_), index) => Some(*index),
         _ => None,
     }
@@ -283,13 +293,13 @@
     (answer::Code::NotFound, format!("there is no {kind} {name}"))
 }
 
-/// Describes the outcome of a root command.
-fn describe(answer: wire::Reply, id: id::CommandId, shown: Option<String>) -> answer::Answer {
-    let wire::Reply::Root(outcome, _) = answer else {
-        return refused(answer);
+/// Returns the answer that describes the outcome of a root command.
+fn describe(response: wire::Reply, id: id::CommandId, generated_key: Option<String>) -> answer::Answer {
+    let wire::Reply::Root(outcome, _) = response else {
+        return refused(response);
     };
     match outcome {
-        root::Outcome::Done => match shown {
+        root::Outcome::Done => match generated_key {
             Some(key) => answer::Answer::text(format!("The key is {key}. It is shown only here.")),
             None => answer::Answer::text(format!("Accepted, command id {id:x}.")),
         },
@@ -305,7 +315,7 @@
             let message = format!("version {version} was accepted first, by command {winner}");
             answer::Answer::error(answer::Code::Conflict, message)
         }
-        root::Outcome::Granted(_) => answer::Answer::text("The parts are changed."),
+        root::Outcome::Granted(_) => answer::Answer::text("The allotments are changed."),
         root::Outcome::Refused(refusal) => refuse(refusal),
     }
 }
@@ -335,8 +345,8 @@
     answer::Answer::error(code, message)
 }
 
-fn refused(answer: wire::Reply) -> answer::Answer {
-    match answer {
+fn refused(response: wire::Reply) -> answer::Answer {
+    match response {
         wire::Reply::NotDone(reason) => answer::Answer::error(answer::Code::Unavailable, reason),
         wire::Reply::NotLeader => answer::Answer::error(
             answer::Code::Unavailable,
--- a/crates/daemon/src/control/operator/local.rs
+++ b/crates/daemon/src/control/operator/local.rs
@@ -1,4 +1,4 @@
-//! Queries that every daemon answers from the root state and from soft state.
+//! Queries that every daemon answers locally, from the root state and from soft state.
 
 use bronzespoke_control::root;
 use bronzespoke_gossip::{Key, Value};
@@ -10,7 +10,7 @@
 
 use crate::control::Controller;
 
-/// Digits of a key hash that are shown.
+/// Number of digits shown of a key hash.
 const HASH_DIGITS: usize = 16;
 
 impl Controller {
@@ -146,7 +146,7 @@
         table
     }
 
-    /// The version in force in each process; a process that was not heard of lately has an unknown version.
+    /// Returns the configuration version in effect in each process; the version of an unreachable process is unknown.
     fn versions(&self) -> answer::Table {
         let columns = [
             ("process", Kind::Text),
@@ -209,7 +209,7 @@
             );
         for (group, member) in groups {
             let status = member.replica().status();
-            // A change that is not committed may be lost with its leader, so that it repairs nothing yet.
+            // Show committed members only: an uncommitted change may be lost with its leader.
             let members = status.committed;
             let learners = members.learners.iter().map(|vm| (vm, "learner"));
             for (vm, role) in members.voters.iter().map(|vm| (vm, "voter")).chain(learners) {
@@ -240,7 +240,7 @@
     }
 }
 
-/// Returns the name of a group for operators.
+/// Returns the name of a group as shown to operators.
 pub(super) fn group_name(group: id::GroupId) -> String {
     match group {
         id::GroupId::Root => String::from("root"),
--- a/crates/daemon/src/control/operator/mod.rs
+++ b/crates/daemon/src/control/operator/mod.rs
@@ -1,8 +1,8 @@
-//! Operators' statements.
+//! Execution of operators' statements.
 //!
-//! Queries about the root state are answered here. Queries about jobs, tasks and workers go to the leader of each
-//! zone, and the rows are joined; a zone that cannot be reached is named in the title instead of being left out
-//! silently. Commands are committed by the leader of the group that owns the state.
+//! Queries about the root state are answered locally. Queries about jobs, tasks and workers go to the leader of each
+//! zone, and their rows are joined; the title names zones that cannot be reached, so that missing rows are noticed.
+//! Commands are committed by the leader of the group that owns the state.
 
 mod collect;
 mod command;
@@ -20,14 +20,14 @@
     peer::wire,
 };
 
-/// Channel of an answer.
+/// Channel for the answer to a statement.
 type Reply = oneshot::Sender<answer::Answer>;
 
 impl Controller {
-    /// Executes one line.
+    /// Executes one statement.
     pub(super) fn operator(&mut self, line: &str, command_id: Option<id::CommandId>, reply: Reply) {
         match parse(line) {
-            Err(fault) => drop(reply.send(answer::Answer::from(fault))),
+            Err(error) => drop(reply.send(answer::Answer::from(error))),
             Ok(statement::Statement::Query(query)) => self.query(line, query, reply),
             Ok(statement::Statement::Command(command)) => {
                 self.command(command, command_id.unwrap_or_else(rand::random), reply);
@@ -46,7 +46,7 @@
         }
     }
 
-    /// Requests the leaders of all zones, or of one, and joins their rows.
+    /// Sends a query to the leaders of all zones, or of one, and joins their rows.
     fn query_zones(&mut self, line: &str, only: Option<id::AvailabilityZoneId>, reply: Reply) {
         let zones: Vec<_> = self
             .root
@@ -62,7 +62,7 @@
         let collector = Arc::new(Mutex::new(collect::Collector::new(zones.len(), reply)));
         for zone in zones {
             let collector = Arc::clone(&collector);
-            let then = Box::new(move |answer| collect::add(&collector, zone, answer));
+            let then = Box::new(move |reply| collect::add(&collector, zone, reply));
             let request = wire::Request::Query(String::from(line));
             self.dispatch(id::GroupId::Zone(zone), request, requests::DEADLINE, then);
         }
--- a/crates/daemon/src/control/operator/zone.rs
+++ b/crates/daemon/src/control/operator/zone.rs
@@ -1,4 +1,4 @@
-//! Queries about jobs, tasks and workers, answered by the leader of a zone.
+//! Queries about jobs, tasks, holdings and workers, answered by the leader of a zone.
 
 use std::collections::BTreeMap;
 
@@ -71,12 +71,12 @@
             ("token", Kind::Id),
         ];
         let mut table = answer::Table::new("tasks", &columns);
-        let wants = |wanted: statement::State| filter.state.is_none_or(|state| state == wanted);
+        let matches = |wanted: statement::State| filter.state.is_none_or(|state| state == wanted);
         for (task, run) in state.runs() {
             let Some(job) = state.job(task.job) else {
                 continue;
             };
-            let chosen = wants(statement::State::Running)
+            let chosen = matches(statement::State::Running)
                 && filter.job.is_none_or(|job| job == task.job)
                 && filter.worker.is_none_or(|worker| worker == run.worker)
                 && self.matches_team(filter, job.team);
@@ -154,16 +154,16 @@
             .iter()
             .filter(|(team, _)| self.matches_team(filter, *team))
         {
-            let part = holding.allotment();
+            let allotment = holding.allotment();
             table.push(vec![
                 u32::from(zone).into(),
                 self.team_name(team).into(),
                 holding.used.cpu_milli.into(),
-                part.cpu_milli.into(),
+                allotment.cpu_milli.into(),
                 holding.used.memory_mib.into(),
-                part.memory_mib.into(),
+                allotment.memory_mib.into(),
                 holding.used.accelerators.into(),
-                part.accelerators.into(),
+                allotment.accelerators.into(),
             ]);
         }
         table
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -1,7 +1,7 @@
-//! Calls to the leaders of groups that this process does not lead.
+//! Pending requests to the leaders of groups that this process does not lead.
 //!
-//! A call is sent again until it is answered or its time is over. Every command that travels this way has a command
-//! id or is idempotent by itself, so that a resend does no harm.
+//! A request is resent until a reply arrives or its deadline passes. Every command sent this way has a command id or is
+//! idempotent, so a resend is safe.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -12,14 +12,15 @@
     peer::wire,
 };
 
-/// Calls that may be open; further ones are answered with `NotDone`.
+/// Maximum number of pending requests; further ones fail with `NotDone`.
 pub const MAX_OPEN: usize = 8192;
-/// Time after which an unanswered call is sent again; several round trips between regions.
+/// Interval at which a request without a reply is resent; several round trips between regions.
 const RESEND: Duration = Duration::from_millis(300);
-/// Time after which an unanswered call is over.
+/// Default time after which a request without a reply fails.
 pub const DEADLINE: Duration = Duration::from_secs(3);
 
-/// Numbers between the first numbers of two lives of a process.
+/// Bits by which the random first number is shifted, so that the first numbers of two incarnations of a process lie at
+/// least 2^24 requests apart unless the same number is drawn.
 const NUMBER_BITS: u32 = 24;
 
 struct Open {
@@ -28,29 +29,30 @@
     then: responder::Callback,
     deadline: Duration,
     resend_at: Duration,
-    /// Copies that were sent and not answered with the statement that nothing was done.
+    /// Copies that were sent and may have taken effect; a reply that nothing was done takes one off.
     copies: u32,
 }
 
-/// A copy of a call for a group that this VM leads by now.
+/// A request for a group that this VM leads by now, to be served locally.
 #[derive(Debug)]
 pub struct Own {
-    /// Number of the call; its answer goes to `Requests::answer`.
+    /// Number of the request; its reply goes to [`Requests::receive`].
     pub number: u64,
-    /// Group.
+    /// Group that the request is for.
     pub group: id::GroupId,
-    /// Call.
+    /// The request itself.
     pub request: wire::Request,
 }
 
-/// Open calls of this process.
+/// Pending requests of this process.
 pub struct Requests {
     next: u64,
     open: BTreeMap<u64, Open>,
 }
 
 impl Default for Requests {
-    /// The first number is drawn, so that a late answer to a former life of this process finds no call.
+    /// Draws the first number at random, so that a late reply to an earlier incarnation of this process matches no
+    /// request.
     fn default() -> Self {
         Self {
             next: u64::from(rand::random::<u32>()) << NUMBER_BITS,
@@ -68,7 +70,7 @@
 }
 
 impl Requests {
-    /// Opens a call; `leader` is the leader that is known now.
+    /// Sends a request to `leader`, if known, and calls `then` with the reply, or with a failure after `deadline`.
     pub fn open(
         &mut self,
         context: &context::Context,
@@ -80,7 +82,7 @@
     ) {
         if self.open.len() >= MAX_OPEN {
             then(wire::Reply::NotDone(String::from(
-                "too many calls to other VMs are open",
+                "too many requests to other VMs are pending",
             )));
             return;
         }
@@ -95,26 +97,26 @@
             resend_at: now,
             copies: 0,
         };
-        // A leader that does not hold its lease yet serves the call at the next resend.
+        // This VM is the leader but does not hold its lease yet: the next resend serves the request locally.
         let leader = leader.filter(|leader| *leader != context.me.id);
         send(context, self.next, &mut open, leader);
         self.open.insert(self.next, open);
     }
 
-    /// Tells whether no call is open.
+    /// Returns whether no request is pending.
     pub fn is_empty(&self) -> bool {
         self.open.is_empty()
     }
 
-    /// Takes an answer. Late and repeated answers change nothing.
+    /// Handles a reply. Late and duplicate replies are ignored.
     pub fn receive(&mut self, context: &context::Context, number: u64, reply: wire::Reply) {
         let Some(open) = self.open.get_mut(&number) else {
             return;
         };
-        let not_led = matches!(reply, wire::Reply::NotLeader);
-        if not_led || (is_refusal(&reply) && open.copies > 1) {
+        let not_leader = matches!(reply, wire::Reply::NotLeader);
+        if not_leader || (is_refusal(&reply) && open.copies > 1) {
             open.copies = open.copies.saturating_sub(1);
-            // The next leader may not be known yet.
+            // Wait a little before the next try, since the new leader may not be known yet.
             open.resend_at = context.now() + RESEND / 3;
             return;
         }
@@ -123,21 +125,21 @@
         }
     }
 
-    /// Sends calls again and ends those whose time is over; returns the copies that this VM has to serve itself,
-    /// because it became the leader.
+    /// Resends requests that are due and fails those past their deadline. Returns the requests that this VM has to
+    /// serve itself, because it became the leader.
     pub fn tick(
         &mut self,
         context: &context::Context,
         leader: &dyn Fn(id::GroupId) -> Option<id::VmId>,
     ) -> Vec<Own> {
         let now = context.now();
-        let over: Vec<u64> = self
+        let overdue: Vec<u64> = self
             .open
             .iter()
             .filter(|(_, open)| now >= open.deadline)
             .map(|(number, _)| *number)
             .collect();
-        for number in over {
+        for number in overdue {
             if let Some(open) = self.open.remove(&number) {
                 (open.then)(expired(open.copies > 0));
             }
@@ -153,12 +155,12 @@
     }
 }
 
-/// Tells whether an answer says that its copy of the call did nothing. Another copy may have done it all the same.
+/// Returns whether a reply states that its copy of the request had no effect. Another copy may still have had one.
 const fn is_refusal(reply: &wire::Reply) -> bool {
     matches!(reply, wire::Reply::NotDone(_) | wire::Reply::Impossible(_))
 }
 
-/// Returns the answer to a call whose time is over; `open` tells whether a copy may still be done.
+/// Returns the reply for a request past its deadline; `open` means that a copy may still take effect.
 fn expired(open: bool) -> wire::Reply {
     if open {
         wire::Reply::Unknown
@@ -167,7 +169,7 @@
     }
 }
 
-/// Sends a copy to the leader; returns it when this VM leads.
+/// Sends a copy to the leader, or returns it when this VM is the leader.
 fn send(context: &context::Context, number: u64, open: &mut Open, leader: Option<id::VmId>) -> Option<Own> {
     open.resend_at = context.now() + RESEND;
     let leader = leader?;
--- a/crates/daemon/src/control/responder.rs
+++ b/crates/daemon/src/control/responder.rs
@@ -1,4 +1,4 @@
-//! Who waits for the outcome of a command.
+//! Receivers of the outcome of a command.
 
 use bronzespoke_consensus::replica;
 use bronzespoke_control::zone;
@@ -6,23 +6,23 @@
 
 use crate::{control::context, peer::wire};
 
-/// Continuation of a local call.
+/// Callback that receives the reply to a local request.
 pub type Callback = Box<dyn FnOnce(wire::Reply) + Send>;
 
-/// Who gets the answer to a call.
+/// Receiver of the reply to a request.
 pub enum Responder {
-    /// Discard; the outcome is handled when the command is applied.
+    /// No receiver; the outcome is handled when the command is applied.
     Discard,
-    /// A call of this process.
+    /// A request of this process.
     Local(Callback),
-    /// A call of another daemon, under its number.
+    /// A request of another daemon.
     Remote {
-        /// The other daemon.
+        /// VM of the other daemon.
         to: id::VmId,
-        /// Its number for the call.
+        /// Number that the other daemon assigned to the request.
         number: u64,
     },
-    /// Who waits for the cancellation of a job; gets the job as it is afterwards.
+    /// Receiver of the reply to a cancellation, and the job before it; the reply shows the job as it is afterwards.
     Cancellation(Box<Self>, wire::Job),
 }
 
@@ -38,7 +38,7 @@
 }
 
 impl Responder {
-    /// Gives the answer.
+    /// Sends the reply.
     pub fn reply(self, context: &context::Context, reply: wire::Reply) {
         match self {
             Self::Discard => {}
@@ -48,18 +48,18 @@
         }
     }
 
-    /// Gives the answer to a command that was not committed, or may not have been.
+    /// Sends the reply to a command that was not committed, or may not have been.
     pub fn reject(self, context: &context::Context, reason: replica::Rejection) {
         let reply = match reason {
             replica::Rejection::Unknown => wire::Reply::Unknown,
             replica::Rejection::NotLeader { .. } | replica::Rejection::Transferring => wire::Reply::NotLeader,
-            other => wire::Reply::NotDone(format!("the log does not take commands now: {other:?}")),
+            other => wire::Reply::NotDone(format!("the log does not accept commands now: {other:?}")),
         };
         self.reply(context, reply);
     }
 }
 
-/// Returns the answer to a cancellation, given the answer to its command.
+/// Converts the reply to the command of a cancellation into the reply to the cancellation.
 fn cancelled(mut job: wire::Job, reply: wire::Reply) -> wire::Reply {
     match reply {
         wire::Reply::Zone(zone::Outcome::Done) => {
@@ -67,7 +67,7 @@
             job.waiting = 0;
             wire::Reply::Job(Some(job))
         }
-        // The job ended first; the caller reads how.
+        // The job had already ended; the caller learns its state from the refusal.
         wire::Reply::Zone(zone::Outcome::Refused(refusal)) => {
             wire::Reply::NotDone(format!("the job was not cancelled: {refusal:?}"))
         }
--- a/crates/daemon/src/control/restoration.rs
+++ b/crates/daemon/src/control/restoration.rs
@@ -1,8 +1,8 @@
-//! Gives the committed state of a zone to a new scheduler.
+//! Restores the committed state of a zone into a new scheduler.
 //!
-//! The state is taken over several ticks, so that a leader with a large zone keeps its heartbeats meanwhile. Each
-//! worker and job is read when its turn comes, so that changes committed before that are included; a change committed
-//! later reaches the scheduler as usual.
+//! The restoration is spread over several ticks, so that the leader of a large zone continues to send heartbeats. Each
+//! worker and job is read when its turn comes and includes changes committed before that; a change committed later
+//! reaches the scheduler as usual.
 
 use std::collections::VecDeque;
 
@@ -10,10 +10,10 @@
 use bronzespoke_model::{id, task, worker};
 use bronzespoke_schedule::message;
 
-/// Workers and tasks that one tick restores; a job is restored as a whole.
+/// Maximum number of workers and tasks restored per tick; a job is never split.
 const RESTORED_PER_TICK: usize = 1024;
 
-/// What the scheduler has not taken yet.
+/// Workers and jobs that are still to be restored.
 #[derive(Debug)]
 pub struct Restoration {
     workers: VecDeque<id::WorkerId>,
@@ -21,7 +21,7 @@
 }
 
 impl Restoration {
-    /// Begins with the whole state.
+    /// Returns a restoration of the complete state.
     pub fn new(state: &state::State) -> Self {
         Self {
             workers: state.workers().map(|(id, _)| id).collect(),
@@ -29,33 +29,33 @@
         }
     }
 
-    /// Adds a job that was committed meanwhile.
+    /// Adds a job that was committed during the restoration.
     pub fn add(&mut self, job: id::JobId) {
         self.jobs.push_back(job);
     }
 
-    /// Returns the next parts in the order in which a scheduler takes them; the last part is
+    /// Returns the next inputs in the order that the scheduler requires; the last one of all is
     /// [`message::Restore::Done`].
     pub fn take(&mut self, state: &state::State) -> Vec<message::Restore> {
         let mut inputs = Vec::new();
-        let mut left = RESTORED_PER_TICK;
-        while left > 0
+        let mut remaining = RESTORED_PER_TICK;
+        while remaining > 0
             && let Some(id) = self.workers.pop_front()
         {
-            left -= 1;
+            remaining -= 1;
             inputs.extend(restored_worker(state, id));
         }
-        while left > 0
+        while remaining > 0
             && let Some(id) = self.jobs.pop_front()
         {
-            left -= 1;
+            remaining -= 1;
             if let Some(input) = restored_job(state, id) {
                 let tasks = state.job(id).map_or(0, |record| record.spec.tasks);
-                left = left.saturating_sub(tasks as usize);
+                remaining = remaining.saturating_sub(tasks as usize);
                 inputs.push(input);
             }
         }
-        if left > 0 {
+        if remaining > 0 {
             inputs.push(message::Restore::Done {
                 next_token: state.next_token(),
             });
@@ -75,7 +75,7 @@
 
 fn restored_job(state: &state::State, job: id::JobId) -> Option<message::Restore> {
     let record = state.job(job)?;
-    // Runs of a job in its last state still hold their leases until their ends are committed.
+    // Runs of a job in a terminal state hold their leases until their ends are committed.
     if record.state.is_terminal() && record.running == 0 {
         return None;
     }
@@ -89,17 +89,17 @@
     })
 }
 
-/// Oldest life of a worker that has runs; the latest life without any.
+/// Returns the oldest incarnation of a worker that has runs, or the latest one if there are no runs.
 fn oldest_incarnation(
     state: &state::State,
     worker: id::WorkerId,
     latest: id::Incarnation,
 ) -> id::Incarnation {
-    let lives = state.runs_of_worker(worker).map(|(_, run)| run.incarnation);
-    lives.min().unwrap_or(latest)
+    let incarnations = state.runs_of_worker(worker).map(|(_, run)| run.incarnation);
+    incarnations.min().unwrap_or(latest)
 }
 
-/// Returns the latest lives of all workers.
+/// Returns the registrations of the latest incarnations of all workers.
 pub fn registrations(state: &state::State) -> Vec<worker::Registration> {
     let workers = state.workers().filter(|(_, worker)| !worker.gone);
     workers.map(|(_, worker)| worker.registration).collect()
--- a/crates/daemon/src/control/root.rs
+++ b/crates/daemon/src/control/root.rs
@@ -1,4 +1,4 @@
-//! The root state in this process: as a member of the root group, or following it through a relay.
+//! The root state of this process, kept as a member of the root group or as a follower of a relay.
 
 use std::{sync::Arc, time::Duration};
 
@@ -11,18 +11,18 @@
     peer::wire,
 };
 
-/// Bytes of entries that are kept for followers.
+/// Bytes of entries kept for followers.
 const FEED_BYTES: usize = 1 << 20;
 
-/// A learner that heard no leader for this long follows through a relay again. Heartbeats come every 100 ms.
+/// Time without contact to a leader after which a learner follows through a relay again. Heartbeats come every 100 ms.
 const LEARNER_SILENCE: Duration = Duration::from_secs(5);
 
-/// How this process takes part.
+/// How this process receives the root state.
 #[derive(Debug)]
 enum Role {
     /// Member of the group.
     Member(Box<member::Member>),
-    /// Follows through a relay.
+    /// Follower of a relay.
     Follower(Box<feed::Follower>),
 }
 
@@ -42,14 +42,14 @@
     inbox: Inbox,
     /// Whether a snapshot of the state is being encoded.
     encoding: bool,
-    /// Whether a received snapshot is being decoded; the events after it wait.
+    /// Whether a received snapshot is being decoded; later events wait until it is installed.
     installing: bool,
-    /// Whether a received snapshot was installed since the view was made.
+    /// Whether a received snapshot was installed since the view was last updated.
     installed: bool,
 }
 
 impl Root {
-    /// Returns the state of a process that follows.
+    /// Returns an empty state that follows a relay.
     pub fn follow(seed: u64, now: Duration, inbox: Inbox) -> Self {
         let state = root::State::new();
         let view = state.view();
@@ -70,7 +70,7 @@
         }
     }
 
-    /// Makes a follower a member; the state stays, and entries that it has are ignored when they come again.
+    /// Turns a follower into a member. The state is kept, and entries that it already contains are ignored.
     pub fn promote(&mut self, now: Duration, member: member::Member) {
         if matches!(self.role, Role::Follower(_)) {
             self.role = Role::Member(Box::new(member));
@@ -78,8 +78,8 @@
         }
     }
 
-    /// Ends the replica of a member, which follows through a relay from now on. The state stays, so that it never goes
-    /// back.
+    /// Closes the replica of a member, which follows a relay from now on. The state is kept, so that it never goes
+    /// backwards.
     pub fn close(&mut self, context: &context::Context) {
         if self.member().is_none() {
             return;
@@ -91,8 +91,8 @@
         self.source = feed::Source::new(FEED_BYTES);
     }
 
-    /// Makes a member that the group has removed, or a learner that no leader talks to, a follower again; otherwise
-    /// its state would age for good.
+    /// Turns a member that the group has removed, or a learner without contact to a leader, into a follower again.
+    /// Otherwise its state would remain stale permanently.
     fn leave_group(&mut self, now: Duration, me: id::VmId) {
         let Role::Member(member) = &self.role else {
             return;
@@ -104,7 +104,7 @@
         if !member.is_removed() && !silent() {
             return;
         }
-        log::info!("root: This VM is not a member any more; it follows through a relay.");
+        log::info!("root: This VM is no longer a member; following a relay.");
         self.role = follower(self.seed, now);
         self.source = feed::Source::new(FEED_BYTES);
     }
@@ -117,7 +117,7 @@
         }
     }
 
-    /// Tells whether this process leads the root group.
+    /// Returns whether this process leads the root group.
     pub fn leads(&self, now: Duration) -> bool {
         !self.installing && self.member().is_some_and(|member| member.leads(now))
     }
@@ -132,12 +132,12 @@
         &self.view
     }
 
-    /// Tells whether a cell is known. A replica exists only in a cell, also before its first command.
+    /// Returns whether this VM belongs to a cell. A replica exists only in a cell, even before its first command.
     pub fn cell_known(&self) -> bool {
         self.view.applied > 0 || self.member().is_some()
     }
 
-    /// Instant before which nothing is missing from the state; `None` while a received snapshot is not installed.
+    /// Returns the instant up to which the state is complete; `None` until a received snapshot is installed.
     pub fn freshness(&self, now: Duration) -> Option<Duration> {
         if self.installing {
             return None;
@@ -148,17 +148,17 @@
         }
     }
 
-    /// Takes a command for the next entry of a leader.
+    /// Queues a command for the next entry.
     pub fn propose(&mut self, now: Duration, envelope: root::Envelope, responder: responder::Responder) {
         self.batch.push(now, envelope, responder, batch::Urgency::Prompt);
     }
 
-    /// Time at which the commands that were taken are proposed.
+    /// Returns the time at which the queued commands have to be proposed.
     pub const fn due(&self) -> Option<Duration> {
         self.batch.due()
     }
 
-    /// Proposes what was taken.
+    /// Proposes the queued commands.
     pub fn flush(&mut self, context: &context::Context) {
         match &mut self.role {
             Role::Member(member) => member.propose_batch(context, &mut self.batch, &mut self.events),
@@ -170,7 +170,7 @@
         }
     }
 
-    /// Feeds an input to the replica, on a member.
+    /// Passes an input to the replica, on a member.
     pub fn step(&mut self, context: &context::Context, input: replica::Input) {
         if let replica::Input::Receive { message, .. } = &input
             && matches!(
@@ -192,7 +192,7 @@
         }
     }
 
-    /// Changes the members of the root group, on its leader.
+    /// Changes the membership of the root group, on its leader.
     pub fn change(
         &mut self,
         context: &context::Context,
@@ -205,7 +205,7 @@
         }
     }
 
-    /// Lets time pass.
+    /// Handles timers.
     pub fn tick(&mut self, context: &context::Context) {
         self.leave_group(context.now(), context.me.id);
         if let Role::Member(member) = &mut self.role {
@@ -216,26 +216,20 @@
         self.follow_step(context, feed::Input::Relay { to: relay });
     }
 
-    /// Answers a follower, on a member; a follower keeps no entries for others.
+    /// Responds to the request of a follower, on a member; a follower keeps no entries for others.
     pub fn serve_follower(&self, context: &context::Context, from: id::VmId, request: &feed::Request) {
         if self.member().is_none() {
             return;
         }
         let now = context.now();
-        let answer = self.source.respond(now, self.freshness(now), request);
-        context.send(from, wire::Body::FeedResponse(answer));
+        let response = self.source.respond(now, self.freshness(now), request);
+        context.send(from, wire::Body::FeedResponse(response));
     }
 
-    /// Takes a relay's answer.
-    pub fn receive_feed(&mut self, context: &context::Context, from: id::VmId, answer: feed::Response) {
-        self.relays.record_response(context.now(), from, answer.age);
-        self.follow_step(
-            context,
-            feed::Input::Receive {
-                from,
-                response: answer,
-            },
-        );
+    /// Handles the response of a relay.
+    pub fn receive_feed(&mut self, context: &context::Context, from: id::VmId, response: feed::Response) {
+        self.relays.record_response(context.now(), from, response.age);
+        self.follow_step(context, feed::Input::Receive { from, response });
     }
 
     fn follow_step(&mut self, context: &context::Context, input: feed::Input) {
@@ -262,7 +256,7 @@
         }
     }
 
-    /// Chooses a relay among the members of the root group that were heard of lately.
+    /// Chooses a relay among the reachable members of the root group.
     fn choose_relay(&mut self, context: &context::Context) -> Option<id::VmId> {
         let place = context.me.place;
         let candidates = context
@@ -276,8 +270,8 @@
         self.relays.select(context.now(), candidates)
     }
 
-    /// Applies what was committed; returns whether the view changed. What follows a received snapshot waits until that is
-    /// decoded.
+    /// Applies committed entries; returns whether the view was updated. Entries after a received snapshot wait until it
+    /// is installed.
     pub fn apply(&mut self, context: &context::Context) -> bool {
         if self.installing || self.events.is_empty() && !std::mem::take(&mut self.installed) {
             return false;
@@ -327,8 +321,8 @@
         let envelopes = match envelope::decode::<root::Command>(data) {
             Ok(envelopes) => envelopes,
             Err(error) => {
-                // Every replica skips the same entry, so the states stay equal.
-                log::error!("root: Entry {} was not decoded: {error}", entry.position.index);
+                // Every replica skips the same entry, so their states remain equal.
+                log::error!("root: Failed to decode entry {}: {error}", entry.position.index);
                 return;
             }
         };
@@ -357,12 +351,12 @@
         });
     }
 
-    /// Takes a snapshot that was encoded or decoded on another thread.
+    /// Handles a snapshot that was encoded or decoded on another thread.
     pub fn snapshot_done(&mut self, context: &context::Context, done: snapshots::Done<root::State>) {
         match done {
             snapshots::Done::Encoded { index, data } => {
                 self.encoding = false;
-                log::debug!("root: A snapshot is encoded up to entry {index}.");
+                log::debug!("root: Encoded a snapshot up to entry {index}.");
                 if let Role::Member(member) = &mut self.role
                     && let Some(snapshot) = member.compact(context, index, data, &mut self.events)
                 {
@@ -373,27 +367,24 @@
                 self.installing = false;
                 self.installed = true;
                 match decoded.and_then(|state| self.state.replace(*state)) {
-                    Ok(former) => {
-                        log::info!(
-                            "root: A snapshot is installed up to entry {}.",
-                            self.state.applied()
-                        );
-                        snapshots::discard(former);
+                    Ok(previous) => {
+                        log::info!("root: Installed a snapshot up to entry {}.", self.state.applied());
+                        snapshots::discard(previous);
                     }
-                    Err(error) => log::warn!("root: A snapshot was not installed: {error}"),
+                    Err(error) => log::warn!("root: Failed to install a snapshot: {error}"),
                 }
             }
         }
     }
 }
 
-/// Returns the role of a process that follows; its request tokens differ from those of an earlier life.
+/// Returns the role of a follower. The seed makes its request tokens differ from those of earlier incarnations.
 fn follower(seed: u64, now: Duration) -> Role {
     let seed = seed ^ context::Context::wall_ms();
     Role::Follower(Box::new(feed::Follower::new(feed::Config::new(seed), now)))
 }
 
-/// Records the events that operators look for.
+/// Records accepted commands on the timeline.
 fn record(context: &context::Context, command: &root::Command, outcome: &root::Outcome) {
     if !matches!(outcome, root::Outcome::Done) {
         return;
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -1,8 +1,8 @@
 //! The scheduler of a zone, on the leader of its group.
 //!
-//! The scheduler proposes; its starts and ends count only when they are committed in the zone's log. When the lead
-//! is lost, scheduler and sessions are dropped, and the next leader builds them again from the committed state, over
-//! several ticks. Until then it takes no reports, because it could not tell which runs it knows.
+//! The scheduler only proposes starts and ends; they take effect when they are committed in the log of the zone. When
+//! leadership is lost, scheduler and sessions are dropped, and the next leader rebuilds them from the committed state,
+//! over several ticks. Until that is done it refuses worker reports, because it could not match them with known runs.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -16,12 +16,12 @@
 
 use crate::control::{context, restoration, session, zone};
 
-/// The scheduler with the workers' sessions.
+/// The scheduler and the sessions of the workers.
 #[derive(Debug)]
 pub struct Scheduling {
     scheduler: schedule::Scheduler,
     sessions: session::Sessions,
-    /// Committed state that the scheduler has not taken yet.
+    /// Restoration of the committed state, until it is complete.
     restoration: Option<restoration::Restoration>,
     outputs: Vec<schedule::Output>,
     touched: BTreeSet<id::WorkerId>,
@@ -31,7 +31,7 @@
 }
 
 impl Scheduling {
-    /// Builds the scheduler from the committed state.
+    /// Returns a scheduler that begins to restore the committed state.
     pub fn restore(context: &context::Context, seed: u64, zone: &mut zone::Zone, view: &root::View) -> Self {
         let now = context.now();
         let config = schedule::Config {
@@ -48,14 +48,14 @@
             teams: BTreeMap::new(),
             config: config::Config::default(),
         };
-        // Teams come before the jobs.
+        // Teams have to be known before their jobs.
         scheduling.follow_teams(context, zone, view);
-        scheduling.restore_some(context, zone, view);
+        scheduling.continue_restoration(context, zone, view);
         scheduling
     }
 
-    /// Gives the scheduler the next part of the committed state.
-    fn restore_some(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
+    /// Passes the next part of the committed state to the scheduler.
+    fn continue_restoration(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         let Some(restoration) = &mut self.restoration else {
             return;
         };
@@ -68,16 +68,16 @@
             return;
         }
         self.restoration = None;
-        // New workers, and new lives that began while a former one had runs, so that the scheduler waits for the
-        // lease of the former life. It ignores the others.
+        // Register workers without runs, and new incarnations of workers whose earlier incarnation still has runs, so
+        // that the scheduler waits for its lease. The scheduler ignores registrations that it already knows.
         for registration in restoration::registrations(zone.state()) {
             self.feed(context, zone, schedule::Input::Register(registration));
         }
-        // Drains come after the workers, because a scheduler ignores unknown ones.
+        // Drains have to follow the workers, because the scheduler ignores drains of unknown workers.
         self.follow_view(context, zone, view);
     }
 
-    /// Gives the scheduler one input and takes what it proposes.
+    /// Passes one input to the scheduler and processes its outputs.
     pub fn feed(&mut self, context: &context::Context, zone: &mut zone::Zone, input: schedule::Input) {
         let mut outputs = std::mem::take(&mut self.outputs);
         self.scheduler.step(context.now(), input, &mut outputs);
@@ -113,21 +113,21 @@
                     ..
                 } => {
                     propose_starts(context, zone, &mut starts);
-                    // A result may be long, so it does not share its command with others.
-                    let alone = matches!(outcome, task::Outcome::Succeeded(_));
-                    if alone {
+                    // A result may be long, so it gets a command of its own.
+                    let has_result = matches!(outcome, task::Outcome::Succeeded(_));
+                    if has_result {
                         propose_ends(context, zone, &mut ends);
                     }
                     ends.push(state::End { task, token, outcome });
                     let counted = attempts > zone.state().attempts(task);
-                    if alone || counted {
+                    if has_result || counted {
                         propose_ends(context, zone, &mut ends);
                     }
                     if counted {
                         zone.propose(context.now(), state::Command::Attempts { task, attempts });
                     }
                 }
-                // Ends, later starts of the same task, and the end of its job keep their order.
+                // Flush first, so that ends, later starts of the same task and the end of its job keep their order.
                 output => {
                     propose_starts(context, zone, &mut starts);
                     propose_ends(context, zone, &mut ends);
@@ -146,7 +146,7 @@
         output: &schedule::Output,
     ) {
         match *output {
-            // Proposed together by the caller.
+            // Collected and proposed by the caller.
             schedule::Output::Start { .. } | schedule::Output::Ended { .. } => {}
             schedule::Output::Stop {
                 task,
@@ -183,7 +183,7 @@
                 );
             }
             schedule::Output::Impossible { job, reason, refused } => {
-                log::info!("schedule: Job {job:x} cannot run now: {reason:?}.");
+                log::info!("schedule: Job {job:x} cannot run at present: {reason:?}.");
                 if refused {
                     let state = job::State::Impossible(reason);
                     zone.propose(context.now(), state::Command::Finish { job, state });
@@ -202,11 +202,11 @@
             }
             schedule::Output::WorkerHealth { worker, max_tasks } => match max_tasks {
                 Some(tasks) => log::warn!("schedule: Worker {worker} is limited to {tasks} tasks."),
-                None => log::info!("schedule: Worker {worker} is in full use again."),
+                None => log::info!("schedule: Worker {worker} is no longer limited."),
             },
             schedule::Output::Recovered { duration } => {
                 log::info!(
-                    "schedule: All workers are confirmed after {} ms.",
+                    "schedule: All workers confirmed their runs after {} ms.",
                     duration.as_millis()
                 );
             }
@@ -218,7 +218,7 @@
         self.touched.insert(worker);
     }
 
-    /// Handles commands that were committed.
+    /// Handles committed commands.
     pub fn applied(
         &mut self,
         context: &context::Context,
@@ -244,12 +244,12 @@
                     context.record(event::Kind::WorkerRegistered {
                         worker: registration.worker,
                     });
-                    // The end of the restoration registers all workers.
+                    // During a restoration, its last step registers all workers.
                     if self.restoration.is_none() {
                         self.feed(context, zone, schedule::Input::Register(registration));
                     }
                 }
-                // The end of the last task has recorded a success.
+                // A success was already recorded with the end of the last task.
                 (state::Command::Finish { job, state }, state::Outcome::Done)
                     if state != job::State::Succeeded =>
                 {
@@ -325,7 +325,7 @@
         self.feed(context, zone, schedule::Input::Submit { job, team, spec });
     }
 
-    /// Takes quotas, parts, drains and rates that changed.
+    /// Passes changed quotas, allotments, drains and rates to the scheduler.
     pub fn follow_view(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         self.follow_teams(context, zone, view);
         if self.restoration.is_some() {
@@ -344,13 +344,13 @@
 
     fn follow_teams(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         for team in view.teams.values() {
-            let part = usable_allotment(zone, view, team);
-            let current = (team.quota, part);
+            let allotment = usable_allotment(zone, view, team);
+            let current = (team.quota, allotment);
             if self.teams.insert(team.id, current) != Some(current) {
                 let input = schedule::Input::Team {
                     team: team.id,
                     quota: team.quota,
-                    allotment: part,
+                    allotment,
                 };
                 self.feed(context, zone, input);
             }
@@ -358,7 +358,7 @@
     }
 
     fn follow_drains(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
-        let wanted: BTreeSet<id::WorkerId> = view
+        let drained: BTreeSet<id::WorkerId> = view
             .drains
             .iter()
             .filter_map(|subject| match subject {
@@ -367,15 +367,15 @@
             })
             .filter(|worker| zone.state().worker(*worker).is_some())
             .collect();
-        let changed: Vec<_> = wanted.symmetric_difference(&self.drained).copied().collect();
+        let changed: Vec<_> = drained.symmetric_difference(&self.drained).copied().collect();
         for worker in changed {
-            let on = wanted.contains(&worker);
+            let on = drained.contains(&worker);
             self.feed(context, zone, schedule::Input::Drain { worker, on });
         }
-        self.drained = wanted;
+        self.drained = drained;
     }
 
-    /// Takes a worker's report.
+    /// Handles the report of a worker.
     pub fn report(
         &mut self,
         context: &context::Context,
@@ -392,7 +392,7 @@
             return;
         }
         if self.restoration.is_some() {
-            let reason = String::from("the new leader of the zone takes over its state");
+            let reason = String::from("the new leader of the zone is still restoring its state");
             drop(reply.send(Err(control::Refusal::Unavailable(reason))));
             return;
         }
@@ -403,16 +403,16 @@
         self.touched.insert(worker);
     }
 
-    /// Lets time pass.
+    /// Handles timers, and continues the restoration.
     pub fn tick(&mut self, context: &context::Context, zone: &mut zone::Zone, view: &root::View) {
         if self.restoration.is_some() {
-            self.restore_some(context, zone, view);
+            self.continue_restoration(context, zone, view);
         } else if self.scheduler.next_wake() <= context.now() {
             self.feed(context, zone, schedule::Input::Tick);
         }
     }
 
-    /// Answers the workers that there is something for.
+    /// Answers held reports of workers with new directives, and reports that have been held long enough.
     pub fn respond(&mut self, now: Duration, zone: &zone::Zone) {
         let scheduler = &self.scheduler;
         let may_start = |worker, token| scheduler.may_start(worker, token);
@@ -422,7 +422,7 @@
         self.sessions.respond_due(now, zone.state(), &may_start);
     }
 
-    /// Time of the next tick.
+    /// Returns the time at which the next tick is due.
     pub fn next_wake(&self) -> Duration {
         if self.restoration.is_some() {
             return Duration::ZERO;
@@ -430,29 +430,29 @@
         self.scheduler.next_wake()
     }
 
-    /// The scheduler, for reads.
+    /// Returns the scheduler, for reads.
     pub const fn scheduler(&self) -> &schedule::Scheduler {
         &self.scheduler
     }
 }
 
-/// Returns what the team's tasks may use here: the part that the zone holds, but no more than its target while all
-/// parts together exceed a lowered limit. Targets that move between zones stop nothing that runs.
+/// Returns what the tasks of a team may use in this zone: the allotment that the zone holds, capped at its target while
+/// all allotments together exceed a lowered limit. Targets that merely shift between zones stop no running task.
 fn usable_allotment(zone: &zone::Zone, view: &root::View, team: &team::Team) -> resource::Amount {
-    let part = zone.state().holdings().get(team.id).allotment();
-    let parts = view.allotments.get(&team.id);
-    let outstanding = parts.into_iter().flat_map(|parts| parts.values());
-    let all = outstanding.fold(escrow::Total::ZERO, |all, part| {
-        all.saturating_add(&part.outstanding())
+    let allotment = zone.state().holdings().get(team.id).allotment();
+    let allotments = view.allotments.get(&team.id);
+    let outstanding = allotments.into_iter().flat_map(|zones| zones.values());
+    let all = outstanding.fold(escrow::Total::ZERO, |all, zone| {
+        all.saturating_add(&zone.outstanding())
     });
     if all.fits(&team.quota.limit.into()) {
-        return part.amount();
+        return allotment.amount();
     }
     let target = view
         .allotment(team.id, zone.state().zone())
         .unwrap_or_default()
         .target;
-    part.min(&target.into()).amount()
+    allotment.min(&target.into()).amount()
 }
 
 fn propose_starts(context: &context::Context, zone: &mut zone::Zone, starts: &mut Vec<state::Start>) {
--- a/crates/daemon/src/control/search.rs
+++ b/crates/daemon/src/control/search.rs
@@ -1,56 +1,56 @@
-//! What the zones answer to the search for a job.
+//! Search for the job of a submission in all zones.
 
 use bronzespoke_model::id;
 
 use crate::peer::wire;
 
-/// What the zones know of a submission.
+/// Outcome of a search.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Found {
-    /// A zone has the job.
+    /// A zone has this job.
     At(id::JobId),
-    /// Every zone answered, and none has it.
+    /// Every zone replied, and none has the job.
     Nowhere,
-    /// No zone that answered has it, and not every zone answered.
+    /// Not every zone replied, and none of those that did has the job.
     Unreachable,
 }
 
-/// Answers of the zones as they arrive.
+/// A search in progress.
 #[derive(Debug)]
 pub struct Search {
     waiting: usize,
     unreachable: bool,
-    over: bool,
+    finished: bool,
 }
 
 impl Search {
-    /// Returns a search in this many zones.
+    /// Returns a search that expects a reply from each of `zones` zones.
     pub const fn new(zones: usize) -> Self {
         Self {
             waiting: zones,
             unreachable: false,
-            over: false,
+            finished: false,
         }
     }
 
-    /// Takes the answer of a zone; returns the outcome once. A job that was found needs no further answer, such as that
-    /// of a zone that cannot be reached.
-    pub fn add(&mut self, answer: &wire::Reply) -> Option<Found> {
-        if self.over {
+    /// Handles the reply of a zone; returns the outcome exactly once. The search ends as soon as a zone has the job,
+    /// without waiting for the other zones.
+    pub fn add(&mut self, reply: &wire::Reply) -> Option<Found> {
+        if self.finished {
             return None;
         }
         self.waiting -= 1;
-        if let wire::Reply::Submitted(Some(job)) = answer {
-            self.over = true;
+        if let wire::Reply::Submitted(Some(job)) = reply {
+            self.finished = true;
             return Some(Found::At(*job));
         }
-        self.unreachable |= !matches!(answer, wire::Reply::Submitted(None));
-        self.over = self.waiting == 0;
+        self.unreachable |= !matches!(reply, wire::Reply::Submitted(None));
+        self.finished = self.waiting == 0;
         let found = if self.unreachable {
             Found::Unreachable
         } else {
             Found::Nowhere
         };
-        self.over.then_some(found)
+        self.finished.then_some(found)
     }
 }
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -1,4 +1,4 @@
-//! Frames of other daemons, and calls to the groups that this VM leads.
+//! Handles frames from other daemons, and requests to the groups that this VM leads.
 
 use bronzespoke_consensus::message::Body;
 use bronzespoke_control::zone;
@@ -21,7 +21,7 @@
             wire::Body::Hello(hello) => self.hello(from, hello),
             wire::Body::Consensus(group, message) => self.consensus(from, group, message),
             wire::Body::FeedRequest(request) => self.root.serve_follower(&self.context, from, &request),
-            wire::Body::FeedResponse(answer) => self.root.receive_feed(&self.context, from, answer),
+            wire::Body::FeedResponse(response) => self.root.receive_feed(&self.context, from, response),
             wire::Body::Gossip(message) => self.receive_gossip(from, message),
             wire::Body::Request(number, group, request) => {
                 let responder = responder::Responder::Remote { to: from, number };
@@ -30,8 +30,8 @@
             wire::Body::Reply(number, reply) => self.requests.receive(&self.context, number, reply),
             wire::Body::Demand(report) => self.receive_demand(from, &report),
             wire::Body::DemandReceipt(receipt) => self.demand_received(from, &receipt),
-            // A daemon of another kind of cell; a wrong seed can lead here.
-            wire::Body::Fleet(_) => log::debug!("peer: A frame of another kind of cell was dropped."),
+            // The sender belongs to another kind of cell; a wrong seed address can cause this.
+            wire::Body::Fleet(_) => log::debug!("peer: Dropped a frame from another kind of cell."),
         }
     }
 
@@ -51,12 +51,12 @@
         group: id::GroupId,
         message: bronzespoke_consensus::message::Message,
     ) {
-        // A leader that adds this VM as a learner sends entries; other messages need no replica.
-        let joins = matches!(message.body, Body::Append(_) | Body::Snapshot { .. });
+        // A leader that adds this VM as a learner sends entries or a snapshot. Other messages do not open a replica.
+        let opens = matches!(message.body, Body::Append(_) | Body::Snapshot { .. });
         let input = bronzespoke_consensus::replica::Input::Receive { from, message };
         match group {
             id::GroupId::Root => {
-                if joins
+                if opens
                     && self.root.member().is_none()
                     && self.context.me.durable
                     && let Some(member) = self.open(group, None)
@@ -66,7 +66,7 @@
                 self.root.step(&self.context, input);
             }
             id::GroupId::Zone(zone) => {
-                if joins
+                if opens
                     && !self.zones.contains_key(&zone)
                     && let Some(member) = self.open(group, None)
                 {
@@ -98,7 +98,7 @@
         }
     }
 
-    /// Makes a call to the leader of a group, which may be this VM.
+    /// Sends a request to the leader of a group, or serves it here if this VM is the leader.
     pub(super) fn dispatch(
         &mut self,
         group: id::GroupId,
@@ -115,7 +115,7 @@
             .open(&self.context, group, request, deadline, leader, then);
     }
 
-    /// Serves a call as the leader of a group.
+    /// Serves a request as the leader of a group.
     pub(super) fn serve(
         &mut self,
         group: id::GroupId,
@@ -133,7 +133,7 @@
             (_, wire::Request::Change(change)) => self.change_members(group, change, responder),
             (id::GroupId::Zone(zone), request) => self.serve_zone(zone, request, responder),
             (id::GroupId::Root, _) => {
-                let reason = String::from("the call does not belong to the root group");
+                let reason = String::from("the request does not belong to the root group");
                 responder.reply(&self.context, wire::Reply::NotDone(reason));
             }
         }
@@ -181,14 +181,15 @@
                 responder.reply(&self.context, wire::Reply::Answer(answer));
             }
             wire::Request::Root(_) | wire::Request::Change(_) => {
-                let reason = String::from("the call does not belong to a zone group");
+                let reason = String::from("the request does not belong to a zone group");
                 responder.reply(&self.context, wire::Reply::NotDone(reason));
             }
         }
     }
 }
 
-/// Tells why a submission is not taken; a resend gets its first outcome whatever the fleet is now.
+/// Returns why a submission is refused. A resend gets the outcome of the first attempt, regardless of the workers that
+/// exist now.
 fn refusal(state: &zone::State, envelope: &zone::Envelope) -> Option<job::Impossible> {
     let zone::Command::Submit { spec, .. } = &envelope.command else {
         return None;
@@ -197,7 +198,7 @@
     submissions::impossible(state, spec).filter(|_| !resent)
 }
 
-/// Looks a job up for a team, or for an operator.
+/// Looks up a job for a team, or for an operator when `team` is `None`.
 fn find(state: &zone::State, team: Option<id::TeamId>, job: id::JobId, results: bool) -> Option<wire::Job> {
     let zone::Lookup::Found(status) = state.lookup(job, results) else {
         return None;
--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -1,11 +1,12 @@
 //! Sessions of workers at the leader of their zone: reports, long polls and directives.
 //!
-//! Directives are derived from the committed state on every report, so that a lost answer loses nothing: a start is
-//! repeated until the worker reports the run, a stop until the worker no longer does.
+//! Directives are derived from the committed state on every report, so a lost reply loses nothing: a start is repeated
+//! until the worker reports the run, a stop until the worker no longer reports it.
 //!
-//! A report may name only what changed since a report that was answered, its base. What runs at the base is kept beside
-//! what runs at the newest report, so that a change is applied to exactly the state that the worker meant; a change of
-//! anything else is refused, and the worker sends a full report. The rest of the daemon sees full reports only.
+//! A report may be incremental: it then lists only changes since an answered report, its base. The session stores the
+//! runs at the base and at the newest report, so that changes are applied to exactly the state the worker meant. A
+//! report with another base is refused, and the worker sends a full report. The rest of the daemon sees full reports
+//! only.
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
@@ -16,48 +17,50 @@
 use bronzespoke_gateway::control;
 use bronzespoke_model::{id, job, resource, task, worker};
 
-/// Lease that an answered report renews, counted from when the worker sent it.
+/// Duration of the lease that an answered report renews, starting when the worker sent the report.
 pub const LEASE: Duration = Duration::from_secs(10);
-/// Shortest time between two answers to a worker when neither is urgent, so that starts and acknowledgements share one.
-/// Workers keep ends back for as long; an urgent start does not wait, so that it has 1 s left of its 1.6 s after an end.
+/// Minimum interval between replies to a worker without urgent directives, so that starts and acknowledgements share
+/// one reply. Workers delay ends by the same time. An urgent start is not delayed, which leaves it 1 s of the 1.6 s
+/// that it may take after an end.
 pub const COLLECT: Duration = Duration::from_millis(500);
-/// Longest time that a report waits for directives. A third of the lease, so that two lost reports do no harm.
+/// Maximum time that a report is held for directives. Less than a third of the lease, so that two lost reports do no
+/// harm.
 pub const HOLD: Duration = Duration::from_secs(3);
 
 #[derive(Debug)]
 struct Held {
     reply: control::Reply<worker::Reply>,
     since: Duration,
-    /// When to answer, unless something urgent comes first; at most [`HOLD`] after `since`.
+    /// When to reply, unless an urgent directive comes first; at most [`HOLD`] after `since`.
     due: Duration,
 }
 
-/// What a worker runs.
+/// Runs of a worker, by token.
 type Runs = BTreeMap<id::Token, worker::Running>;
 
-/// What a worker ran at a report that it may name as a base.
+/// Runs of a worker at a report that it may name as base.
 #[derive(Debug)]
 struct Base {
     sequence: u64,
     running: Runs,
 }
 
-/// One worker's session.
+/// Session of one worker.
 #[derive(Debug, Default)]
 struct Session {
     incarnation: id::Incarnation,
     sequence: u64,
     acknowledged: u64,
-    /// Newest base that the worker named; it names no older one again.
+    /// Newest base that the worker has named; it never names an older one again.
     base: Option<Base>,
-    /// What runs at `sequence`.
+    /// Runs at the report `sequence`.
     running: Runs,
     ended: Vec<(task::Ref, id::Token)>,
     pending: HashMap<id::Token, task::Directive>,
-    /// Runs that the last answer had directives for.
-    told: HashSet<id::Token>,
-    /// Report that the last answer was for.
-    told_at: u64,
+    /// Runs for which the last reply contained directives.
+    sent: HashSet<id::Token>,
+    /// Sequence number of the report that was answered last.
+    sent_at: u64,
     answered: Option<Duration>,
     held: Option<Held>,
 }
@@ -70,9 +73,9 @@
 }
 
 impl Sessions {
-    /// Takes a report; returns it in full for the scheduler when it is new.
+    /// Handles a report; if it is accepted, returns it as a full report for the scheduler.
     ///
-    /// A refused report renews nothing, neither here nor at the worker, which gets no lease with the refusal.
+    /// A refused report changes nothing here, and the worker gets no lease with the refusal.
     pub fn report(
         &mut self,
         now: Duration,
@@ -105,31 +108,31 @@
         })
     }
 
-    /// Closes the session of a worker that is out of use; a held report ends without an answer.
+    /// Closes the session of a worker that is gone; a held report gets no reply.
     pub fn close(&mut self, worker: id::WorkerId) {
         self.sessions.remove(&worker);
     }
 
-    /// Notes the amount that a start grants.
+    /// Records the amount that a start grants.
     pub fn grant(&mut self, token: id::Token, granted: resource::Amount) {
         self.granted.insert(token, granted);
     }
 
-    /// Forgets a run that ended.
+    /// Removes the granted amount of a run that ended.
     pub fn forget(&mut self, token: id::Token) {
         self.granted.remove(&token);
     }
 
-    /// Keeps a directive until the worker no longer reports the run.
+    /// Adds a directive, which is repeated until the worker no longer reports the run.
     pub fn direct(&mut self, worker: id::WorkerId, token: id::Token, directive: task::Directive) {
         let session = self.sessions.entry(worker).or_default();
-        session.told.remove(&token);
+        session.sent.remove(&token);
         session.pending.insert(token, directive);
     }
 
-    /// Answers the held report of a worker when there is something to say.
+    /// Answers the held report of a worker if there are directives or acknowledgements due.
     ///
-    /// `may_start` tells whether a worker may still begin a run.
+    /// `may_start` returns whether a worker may still start a run.
     pub fn respond(
         &mut self,
         now: Duration,
@@ -157,25 +160,25 @@
             session.acknowledged = session.sequence;
         }
         session.answered = Some(now);
-        session.told_at = session.sequence;
-        session.told = directives.iter().map(token).collect();
-        let answer = worker::Reply {
+        session.sent_at = session.sequence;
+        session.sent = directives.iter().map(token).collect();
+        let response = worker::Reply {
             acknowledged: session.acknowledged,
             lease_ms: LEASE.as_millis() as u64,
             directives,
         };
         if let Some(held) = session.held.take() {
-            // The worker may have given up on this report; its next one gets the same directives.
-            drop(held.reply.send(Ok(answer)));
-            // A throttle that stayed would answer every report at once; the scheduler tells it again when it does
-            // not hold.
+            // The worker may have abandoned this report; its next one gets the same directives.
+            drop(held.reply.send(Ok(response)));
+            // A throttle that stayed pending would cause an immediate reply to every report. The scheduler repeats it
+            // if the worker does not follow it.
             session
                 .pending
                 .retain(|_, directive| !matches!(directive, task::Directive::Throttle { .. }));
         }
     }
 
-    /// Answers every held report that has something to say or has waited long enough.
+    /// Answers every held report that is due.
     pub fn respond_due(
         &mut self,
         now: Duration,
@@ -195,7 +198,7 @@
 }
 
 impl Session {
-    /// Takes what a report says, or refuses it and keeps everything as it was.
+    /// Applies a report, or refuses it without changing anything.
     fn take(&mut self, report: &worker::Report) -> Result<(), control::Refusal> {
         if report.sequence <= self.sequence {
             let message = format!(
@@ -206,16 +209,16 @@
         }
         let running = match report.base {
             None => by_token(&report.running),
-            Some(base) => self.changed(base, report)?,
+            Some(base) => self.runs_since(base, report)?,
         };
         if running.len() > worker::MAX_TASKS_IN_REPORT {
             let most = worker::MAX_TASKS_IN_REPORT;
             let message = format!("{} tasks run, at most {most} are allowed", running.len());
             return Err(invalid("running", message));
         }
-        if report.base.is_some_and(|base| base < self.told_at) {
-            // The last answer did not arrive.
-            self.told.clear();
+        if report.base.is_some_and(|base| base < self.sent_at) {
+            // The worker did not receive the last reply.
+            self.sent.clear();
         }
         self.sequence = report.sequence;
         self.running = running;
@@ -227,9 +230,9 @@
         Ok(())
     }
 
-    /// Returns what runs after a change of what ran at `base`.
-    fn changed(&mut self, base: u64, report: &worker::Report) -> Result<Runs, control::Refusal> {
-        // No report has the number 0, so a session without any report knows no base.
+    /// Returns the runs at an incremental report, given its base.
+    fn runs_since(&mut self, base: u64, report: &worker::Report) -> Result<Runs, control::Refusal> {
+        // No report has the number 0, so a session without reports knows no base.
         if base > 0 && base == self.sequence {
             self.base = Some(Base {
                 sequence: base,
@@ -248,7 +251,7 @@
         Ok(running)
     }
 
-    /// Time at which the held report has to be answered, given what there is to say.
+    /// Returns the time at which the held report has to be answered.
     fn due(
         &self,
         now: Duration,
@@ -269,28 +272,28 @@
             return self.answered.map_or(now, |answered| answered + COLLECT);
         }
         if recorded && !self.ended.is_empty() {
-            // The room that an end leaves is often given to the next run, whose start then takes the
-            // acknowledgement along.
+            // The capacity that an end frees is often used for the next run; its start then shares the reply with the
+            // acknowledgement.
             return held.since + COLLECT;
         }
         held.since + HOLD
     }
 
-    /// Tells whether a directive must not wait for others. One that the last answer had waits, because a worker that
-    /// is slow to stop would otherwise report without a pause.
+    /// Returns whether a directive must be sent without delay. A directive that the last reply already contained is not
+    /// urgent, because a worker that is slow to stop would otherwise report without a pause.
     fn is_urgent(&self, directive: &task::Directive, state: &zone::State) -> bool {
         let urgent = match directive {
             task::Directive::Start { task, .. } => state
                 .job(task.job)
                 .is_some_and(|job| job.spec.priority == job::Priority::Urgent),
-            // They may make room for urgent work.
+            // These may free capacity for urgent work.
             task::Directive::Stop { .. } | task::Directive::Checkpoint { .. } => true,
             task::Directive::Throttle { .. } => false,
         };
-        urgent && !self.told.contains(&token(directive))
+        urgent && !self.sent.contains(&token(directive))
     }
 
-    /// Tells whether the end of every run that the worker reported is committed.
+    /// Returns whether the end of every run that the worker reported as ended is committed.
     fn recorded(&self, state: &zone::State) -> bool {
         self.ended
             .iter()
@@ -306,7 +309,7 @@
     ) -> Vec<task::Directive> {
         let ended: HashSet<id::Token> = self.ended.iter().map(|(_, token)| *token).collect();
         let known: HashSet<id::Token> = state.runs_of_worker(worker).map(|(_, run)| run.token).collect();
-        // A run that the worker still reports is stopped even when the state has no record of it.
+        // A run that the worker still reports is stopped even if the state has no record of it.
         self.pending.retain(|token, _| {
             !ended.contains(token) && (known.contains(token) || self.running.contains_key(token))
         });
@@ -316,7 +319,8 @@
             let present = self.running.contains_key(&token)
                 || ended.contains(&token)
                 || self.pending.contains_key(&token);
-            // A run that ends, or that a former life of the worker may still run, must not begin here.
+            // A run that is ending, or that an earlier incarnation of the worker may still execute, must not be
+            // started.
             if present || run.incarnation != self.incarnation || !may_start(token) {
                 continue;
             }
--- a/crates/daemon/src/control/snapshots.rs
+++ b/crates/daemon/src/control/snapshots.rs
@@ -1,32 +1,32 @@
-//! Work on snapshots that would hold up the control thread: encoding, and decoding with its checks.
+//! Encodes and decodes snapshots on other threads, because that would block the control thread for too long.
 
 use bronzespoke_control::error;
 use bytes::Bytes;
 
 use crate::control::{Inbox, Message};
 
-/// What came of such work.
+/// Result of encoding or decoding a snapshot.
 #[derive(Debug)]
 pub enum Done<S> {
-    /// The state after an index, encoded.
+    /// Encoded state after an entry.
     Encoded {
-        /// Last index that is part of the state.
+        /// Index of the last entry that the state includes.
         index: u64,
         /// Encoded state.
         data: Bytes,
     },
-    /// A received state, checked.
+    /// Decoded and validated state of a received snapshot.
     Decoded(Result<Box<S>, error::Error>),
 }
 
-/// Does work on another thread; its message comes through the inbox.
+/// Runs `work` on another thread and sends the resulting message to the inbox.
 pub fn offload(inbox: &Inbox, work: impl FnOnce() -> Message + Send + 'static) {
     let inbox = inbox.clone();
-    // The handle is not needed; the work ends with its message.
+    // The handle is not needed: the result arrives as a message.
     drop(tokio::task::spawn_blocking(move || inbox.send(work())));
 }
 
-/// Drops a large state on another thread.
+/// Drops a large state on another thread, so that the control thread is not blocked.
 pub fn discard<S: Send + 'static>(state: S) {
     drop(tokio::task::spawn_blocking(move || drop(state)));
 }
--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -1,8 +1,8 @@
-//! Submissions of jobs: the choice of the home zone, and at most one job for each submission id.
+//! Submissions of jobs: choice of the home zone, and at most one job for each submission id.
 //!
 //! A submission without an id goes to the nearest zone in which it fits. One with an id first claims the id at its
-//! owner, as a non-repeatable request does, so that a resend at any VM meets the first submission whichever zone took
-//! the job.
+//! owner zone, as a non-repeatable request does, so that a resend through any VM finds the first submission, whichever
+//! zone accepted the job.
 
 use std::{
     sync::{Arc, Mutex, PoisonError},
@@ -20,38 +20,38 @@
     peer::wire,
 };
 
-/// Separates submission ids from request ids of the same team.
+/// Prefix that separates submission ids from request ids of the same team.
 const KEY_PREFIX: &str = "job ";
 
-/// A submission under way.
+/// A submission in progress.
 #[derive(Debug)]
 pub struct Submission {
     team: id::TeamId,
-    /// Key of the caller's id for the submission.
+    /// Key of the submission id, if the caller supplied one.
     key: Option<request_id::Key>,
     /// Number of the claim on the key.
     claim: Option<u64>,
     spec: job::Spec,
-    /// Zones that have not been asked, the next one last.
+    /// Zones that have not been tried, the next one last.
     zones: Vec<id::AvailabilityZoneId>,
     reply: control::Reply<id::JobId>,
 }
 
-/// The answer to a submission, given when it is dropped.
+/// Answer to a submission, sent when it is dropped.
 #[derive(Debug)]
 struct Answer(Option<(control::Reply<id::JobId>, Result<id::JobId, control::Refusal>)>);
 
 impl Drop for Answer {
     fn drop(&mut self) {
         if let Some((reply, result)) = self.0.take() {
-            // The caller may have gone away; the job is accepted all the same.
+            // The caller may have disconnected; the job is accepted regardless.
             drop(reply.send(result));
         }
     }
 }
 
 impl Controller {
-    /// Takes a submission of the gateway.
+    /// Handles a submission from the gateway.
     pub(super) fn submit(
         &mut self,
         team: id::TeamId,
@@ -79,18 +79,18 @@
         }
     }
 
-    /// Refuses what the team could never run, whatever the fleet is.
+    /// Refuses a job that exceeds the upper limit of the team, whatever workers exist.
     fn check_spec(&self, team: id::TeamId, spec: &job::Spec) -> Result<(), control::Refusal> {
         let Some(team) = self.root.view().teams.get(&team) else {
             return Err(control::Refusal::NotFound);
         };
-        let at_once = if spec.kind == job::Kind::Gang {
+        let concurrent = if spec.kind == job::Kind::Gang {
             u64::from(spec.tasks)
         } else {
             1
         };
         let limit = &team.quota.limit;
-        let within = |size: u32, limit: u32| u64::from(size) * at_once <= u64::from(limit);
+        let within = |size: u32, limit: u32| u64::from(size) * concurrent <= u64::from(limit);
         let fits = within(spec.size.cpu_milli, limit.cpu_milli)
             && within(spec.size.memory_mib, limit.memory_mib)
             && within(spec.size.accelerators, limit.accelerators);
@@ -101,7 +101,7 @@
         }
     }
 
-    /// Handles the claim on a submission id.
+    /// Handles the outcome of the claim on a submission id.
     pub(super) fn submission_claimed(&mut self, mut submission: Submission, claimed: control::Claimed) {
         let refusal = match claimed {
             control::Claimed::Granted(number) => {
@@ -116,7 +116,7 @@
                 }
                 None => return self.find_submission(submission),
             },
-            // The process that held the claim is gone; its job may be in any zone, or in none.
+            // The process that held the claim has failed; its job may be in any zone, or in none.
             control::Claimed::Unknown => return self.find_submission(submission),
             control::Claimed::InProgress => {
                 control::Refusal::Unknown(String::from("the first submission with this id is in progress"))
@@ -126,7 +126,7 @@
         drop(submission.reply.send(Err(refusal)));
     }
 
-    /// Requests every zone for the job of a submission whose first attempt was lost.
+    /// Searches all zones for the job of a submission whose first attempt was lost.
     fn find_submission(&mut self, submission: Submission) {
         let zones: Vec<_> = self.root.state().open_zones().collect();
         let Some(key) = submission.key else {
@@ -136,9 +136,9 @@
         let search = Arc::new(Mutex::new((search, Some(submission))));
         for zone in zones {
             let (search, inbox) = (Arc::clone(&search), self.inbox.clone());
-            let then = Box::new(move |answer| {
+            let then = Box::new(move |reply| {
                 let mut search = search.lock().unwrap_or_else(PoisonError::into_inner);
-                if let Some(found) = search.0.add(&answer)
+                if let Some(found) = search.0.add(&reply)
                     && let Some(submission) = search.1.take()
                 {
                     inbox.send(Message::Found(submission, found));
@@ -149,10 +149,10 @@
         }
     }
 
-    /// Handles what the zones know of a submission.
+    /// Handles the outcome of the search for a submission.
     ///
-    /// When all answered and none has the job, the first attempt was lost before it reached a zone. Every resend then
-    /// goes to the zone that owns the id, where the key keeps it one job.
+    /// If all zones replied and none has the job, the first attempt was lost before it reached a zone. Every resend
+    /// then goes to the zone that owns the id, where the key ensures a single job.
     pub(super) fn found_submission(&mut self, mut submission: Submission, found: search::Found) {
         match found {
             search::Found::At(job) => drop(submission.reply.send(Ok(job))),
@@ -171,7 +171,7 @@
         }
     }
 
-    /// Submits to the next zone, or gives up.
+    /// Submits to the next zone, or refuses the submission if no zone is left.
     fn try_next_zone(&mut self, mut submission: Submission) {
         let Some(zone) = submission.zones.pop() else {
             let impossible = job::Impossible::LargerThanAnyWorker;
@@ -184,16 +184,16 @@
             spec: submission.spec.clone(),
         };
         let inbox = self.inbox.clone();
-        let then = Box::new(move |answer| inbox.send(Message::Submitted(submission, answer)));
+        let then = Box::new(move |reply| inbox.send(Message::Submitted(submission, reply)));
         self.command_zone(id::GroupId::Zone(zone), command, requests::DEADLINE, then);
     }
 
-    /// Handles a zone's answer.
-    pub(super) fn submitted(&mut self, submission: Submission, answer: wire::Reply) {
+    /// Handles the reply of a zone to a submission.
+    pub(super) fn submitted(&mut self, submission: Submission, reply: wire::Reply) {
         let more = !submission.zones.is_empty();
-        match answer {
+        match reply {
             wire::Reply::Zone(zone::Outcome::Job(job)) => self.end_submission(submission, Ok(job)),
-            // Nothing was done there, so another zone may take the job.
+            // The zone did nothing, so the next zone may accept the job.
             wire::Reply::Impossible(_) | wire::Reply::NotDone(_) | wire::Reply::NotLeader if more => {
                 self.try_next_zone(submission);
             }
@@ -204,8 +204,8 @@
         }
     }
 
-    /// Records the end of a submission under its id, then answers the caller: a resend that follows the answer must meet
-    /// the recorded end.
+    /// Records the end of a submission under its id, then answers the caller: a resend after the answer must find the
+    /// recorded end.
     fn end_submission(&mut self, submission: Submission, result: Result<id::JobId, control::Refusal>) {
         let completion = match &result {
             Ok(job) => control::Completion::Answered(control::StoredResponse {
@@ -222,7 +222,8 @@
         }
     }
 
-    /// Returns the zones in which a job may run, the nearest with room last.
+    /// Returns the zones in which a job may run, in reverse order of preference: the nearest zone with free capacity
+    /// last.
     fn home_zones(&self, spec: &job::Spec) -> Vec<id::AvailabilityZoneId> {
         let now = self.context.now();
         let here = self.context.me.place;
@@ -234,14 +235,14 @@
             .map(|zone| {
                 let region = view.zones.get(&zone).map_or(0, |record| record.region);
                 let distance = here.distance(&vm::Place { region, zone });
-                (!self.has_room(now, zone, spec), distance, zone)
+                (!self.has_capacity(now, zone, spec), distance, zone)
             })
             .collect();
         zones.sort_unstable();
         zones.into_iter().rev().map(|(_, _, zone)| zone).collect()
     }
 
-    fn has_room(&self, now: Duration, zone: id::AvailabilityZoneId, spec: &job::Spec) -> bool {
+    fn has_capacity(&self, now: Duration, zone: id::AvailabilityZoneId, spec: &job::Spec) -> bool {
         let entry = self.gossip.get(Key::Capacity(zone), now);
         match entry.map(|entry| entry.value) {
             Some(Value::Capacity { free, workers, .. }) => *workers > 0 && spec.size.fits(free),
@@ -254,21 +255,21 @@
     std::str::from_utf8(body).ok()?.parse().ok()
 }
 
-/// Tells why no worker of a zone can run a task of a job; `None` when one can, or when the zone has no workers yet.
+/// Returns why no worker of a zone can run a task of a job; `None` if one can, or if the zone has no workers yet.
 pub(super) fn impossible(state: &zone::State, spec: &job::Spec) -> Option<job::Impossible> {
     let mut workers = state.workers().filter(|(_, worker)| !worker.gone).peekable();
     workers.peek()?;
-    let needs = spec.size.accelerators > 0;
-    let mut kind_seen = !needs;
+    let needs_accelerator = spec.size.accelerators > 0;
+    let mut kind_available = !needs_accelerator;
     for (_, worker) in workers {
         let capacity = &worker.registration.capacity;
-        let right_kind = !needs || spec.accelerator == capacity.accelerator;
-        kind_seen |= right_kind;
-        if right_kind && spec.size.fits(&capacity.amount) {
+        let kind_matches = !needs_accelerator || spec.accelerator == capacity.accelerator;
+        kind_available |= kind_matches;
+        if kind_matches && spec.size.fits(&capacity.amount) {
             return None;
         }
     }
-    Some(if kind_seen {
+    Some(if kind_available {
         job::Impossible::LargerThanAnyWorker
     } else {
         job::Impossible::NoSuchAccelerator
--- a/crates/daemon/src/control/targets.rs
+++ b/crates/daemon/src/control/targets.rs
@@ -1,4 +1,4 @@
-//! Targets that announce themselves to this VM, and the view of all targets that traffic uses.
+//! Targets that announce themselves to this VM, and the view of all targets for the gateway.
 
 use std::{
     collections::{HashMap, HashSet},
@@ -14,11 +14,11 @@
 
 use crate::control::context;
 
-/// Time after which a target is asked to renew.
+/// Interval at which a target has to renew its announcement.
 pub const RENEWAL: Duration = Duration::from_secs(2);
-/// An announcement that was not renewed for this long is withdrawn; two renewals may be lost.
+/// Time after which an announcement without renewal is withdrawn; tolerates two lost renewals.
 const EXPIRY: Duration = Duration::from_secs(6);
-/// Targets that may be announced at one VM.
+/// Maximum number of targets announced at one VM.
 const MAX_ANNOUNCED: usize = 4096;
 
 #[derive(Debug)]
@@ -27,7 +27,7 @@
     renewed: Duration,
 }
 
-/// Targets as this VM knows them.
+/// Targets announced at this VM, and the published view of all targets.
 #[derive(Debug)]
 pub struct Targets {
     announced: HashMap<id::TargetId, Announced>,
@@ -36,7 +36,7 @@
 }
 
 impl Targets {
-    /// Returns an empty table that publishes to traffic.
+    /// Returns an empty table that publishes to the gateway.
     pub fn new(published: watch::Sender<Arc<control::Targets>>) -> Self {
         Self {
             announced: HashMap::new(),
@@ -45,7 +45,7 @@
         }
     }
 
-    /// Takes an announcement or a renewal; returns the time after which to renew.
+    /// Handles an announcement or a renewal; returns the time after which to renew it.
     pub fn announce(
         &mut self,
         context: &context::Context,
@@ -101,7 +101,7 @@
         };
         if known.incarnation > announcement.incarnation {
             let message = format!(
-                "{} is a former life; at least {} is allowed",
+                "{} is an earlier incarnation; at least {} is allowed",
                 announcement.incarnation, known.incarnation
             );
             return Err(invalid("incarnation", message));
@@ -119,7 +119,7 @@
         Ok(())
     }
 
-    /// Takes a departure; the target gets no new work anywhere that gossip reaches.
+    /// Handles a departure; the target gets no new requests from any VM that gossip reaches.
     pub fn depart(
         &mut self,
         context: &context::Context,
@@ -136,13 +136,13 @@
     /// Withdraws announcements that were not renewed.
     pub fn expire(&mut self, context: &context::Context, gossip: &mut Gossip) {
         let now = context.now();
-        let over: Vec<_> = self
+        let expired: Vec<_> = self
             .announced
             .iter()
             .filter(|(_, announced)| now.saturating_sub(announced.renewed) >= EXPIRY)
             .map(|(target, _)| *target)
             .collect();
-        for target in over {
+        for target in expired {
             self.announced.remove(&target);
             gossip.remove(now, Key::Target(target));
             gossip.remove(now, Key::Load(target));
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Publishes the usable targets to traffic when they changed.
+    /// Publishes the usable targets to the gateway if they changed.
     pub fn publish(&mut self, now: Duration, gossip: &Gossip, view: &root::View) {
         let mut usable = gossip.targets(now);
         for status in &mut usable {
@@ -166,7 +166,7 @@
         });
     }
 
-    /// Returns the targets that traffic may use.
+    /// Returns the last published targets.
     pub fn usable(&self) -> Arc<control::Targets> {
         Arc::clone(&self.published.borrow())
     }
--- a/crates/daemon/src/control/zone.rs
+++ b/crates/daemon/src/control/zone.rs
@@ -1,4 +1,4 @@
-//! One zone group in this process: its replica and its state.
+//! A zone group in this process: its replica and its state.
 
 use std::time::Duration;
 
@@ -12,7 +12,7 @@
     peer::wire,
 };
 
-/// A zone group.
+/// Replica and state of a zone group.
 #[derive(Debug)]
 pub struct Zone {
     member: member::Member,
@@ -22,20 +22,20 @@
     inbox: Inbox,
     /// Whether a snapshot of the state is being encoded.
     encoding: bool,
-    /// Whether a received snapshot is being decoded; the events after it wait.
+    /// Whether a received snapshot is being decoded; later events wait until it is installed.
     installing: bool,
-    /// When a scheduler may run again after the log refused its commands.
+    /// When a scheduler may run again after one of its commands was refused.
     resume_at: Duration,
 }
 
-/// Pause of a scheduler whose commands the log refused; the log needs time to take commands again.
+/// Pause of a scheduler after one of its commands was refused, until the log is likely to accept commands again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(200);
 
 /// A command that was applied, with its outcome.
 pub type Applied = (zone::Command, zone::Outcome);
 
 impl Zone {
-    /// Returns the group of an availability zone with an opened replica.
+    /// Returns the group of an availability zone, with an empty state and an opened replica.
     pub fn new(zone: id::AvailabilityZoneId, member: member::Member, inbox: Inbox) -> Self {
         Self {
             member,
@@ -49,8 +49,8 @@
         }
     }
 
-    /// Tells whether a scheduler may run here. It may not when the log refused one of its commands: its view then
-    /// differs from the state, so that it has to be built again.
+    /// Returns whether a scheduler may run here. After one of its commands was refused it may not, because its view
+    /// differs from the state and it has to be rebuilt.
     pub fn may_schedule(&mut self, now: Duration) -> bool {
         if self.member.take_refused() {
             self.resume_at = now + REFUSED_PAUSE;
@@ -58,15 +58,15 @@
         now >= self.resume_at && self.leads(now)
     }
 
-    /// Drops the commands that nobody waits for, and waits for those that are in the log, so that no command of a
-    /// former scheduler changes the state after the next one was built from it.
+    /// Discards queued commands without a receiver, and defers leading until those in the log are applied, so that no
+    /// command of a dropped scheduler changes the state after its successor was built from it.
     pub fn discard_proposals(&mut self) {
         self.batch
             .retain(|responder| !matches!(responder, responder::Responder::Discard));
         self.member.defer_leading();
     }
 
-    /// Ends the replica; commands that were not proposed are not done.
+    /// Closes the replica; queued commands that were not proposed are rejected.
     pub fn close(self, context: &context::Context) {
         let mut batch = self.batch;
         for responder in batch.take(context.now()).1 {
@@ -82,7 +82,7 @@
         self.member.close(context);
     }
 
-    /// Returns the state.
+    /// Returns the applied state.
     pub const fn state(&self) -> &zone::State {
         &self.state
     }
@@ -92,12 +92,12 @@
         &self.member
     }
 
-    /// Tells whether this process leads the group.
+    /// Returns whether this process leads the group.
     pub fn leads(&self, now: Duration) -> bool {
         !self.installing && self.member.leads(now)
     }
 
-    /// Takes a command that nobody waits for.
+    /// Queues a command without a receiver.
     pub fn propose(&mut self, now: Duration, command: zone::Command) {
         let urgency = self.urgency(&command);
         let envelope = zone::Envelope::new(context::Context::wall_ms(), command);
@@ -105,7 +105,7 @@
             .push(now, envelope, responder::Responder::Discard, urgency);
     }
 
-    /// Takes a command that somebody waits for.
+    /// Queues a command whose outcome is sent to `responder`.
     pub fn propose_envelope(
         &mut self,
         now: Duration,
@@ -115,7 +115,7 @@
         self.batch.push(now, envelope, responder, batch::Urgency::Prompt);
     }
 
-    /// Commands for urgent work do not wait for others.
+    /// Returns the urgency of a command: commands for urgent jobs are not delayed for batching.
     fn urgency(&self, command: &zone::Command) -> batch::Urgency {
         let urgent = |job: id::JobId| {
             let job = self.state.job(job);
@@ -134,18 +134,18 @@
         }
     }
 
-    /// Time at which the commands that were taken are proposed.
+    /// Returns the time at which the queued commands have to be proposed.
     pub const fn due(&self) -> Option<Duration> {
         self.batch.due()
     }
 
-    /// Proposes what was taken.
+    /// Proposes the queued commands.
     pub fn flush(&mut self, context: &context::Context) {
         self.member
             .propose_batch(context, &mut self.batch, &mut self.events);
     }
 
-    /// Feeds an input to the replica.
+    /// Passes an input to the replica.
     pub fn step(&mut self, context: &context::Context, input: replica::Input) {
         self.member.step(context, input, &mut self.events);
     }
@@ -155,7 +155,7 @@
         self.member.persisted(context, done, &mut self.events);
     }
 
-    /// Changes the members, on the leader.
+    /// Changes the membership of the group, on its leader.
     pub fn change(
         &mut self,
         context: &context::Context,
@@ -165,7 +165,8 @@
         self.member.change(context, change, responder, &mut self.events);
     }
 
-    /// Applies what was committed and returns it. What follows a received snapshot waits until that is decoded.
+    /// Applies committed entries and returns their commands. Entries after a received snapshot wait until it is
+    /// installed.
     pub fn apply(&mut self, context: &context::Context) -> Vec<Applied> {
         let mut applied = Vec::new();
         if self.installing {
@@ -202,25 +203,22 @@
         applied
     }
 
-    /// Takes a snapshot that was encoded or decoded on another thread.
+    /// Handles a snapshot that was encoded or decoded on another thread.
     pub fn snapshot_done(&mut self, context: &context::Context, done: snapshots::Done<zone::State>) {
         match done {
             snapshots::Done::Encoded { index, data } => {
                 self.encoding = false;
-                log::debug!("zone: A snapshot is encoded up to entry {index}.");
+                log::debug!("zone: Encoded a snapshot up to entry {index}.");
                 self.member.compact(context, index, data, &mut self.events);
             }
             snapshots::Done::Decoded(decoded) => {
                 self.installing = false;
                 match decoded.and_then(|state| self.state.replace(*state)) {
-                    Ok(former) => {
-                        log::info!(
-                            "zone: A snapshot is installed up to entry {}.",
-                            self.state.applied()
-                        );
-                        snapshots::discard(former);
+                    Ok(previous) => {
+                        log::info!("zone: Installed a snapshot up to entry {}.", self.state.applied());
+                        snapshots::discard(previous);
                     }
-                    Err(error) => log::warn!("zone: A snapshot was not installed: {error}"),
+                    Err(error) => log::warn!("zone: Failed to install a snapshot: {error}"),
                 }
             }
         }
@@ -239,8 +237,8 @@
         let envelopes = match envelope::decode::<zone::Command>(data) {
             Ok(envelopes) => envelopes,
             Err(error) => {
-                // Every replica skips the same entry, so the states stay equal.
-                log::error!("zone: Entry {} was not decoded: {error}", entry.position.index);
+                // Every replica skips the same entry, so their states remain equal.
+                log::error!("zone: Failed to decode entry {}: {error}", entry.position.index);
                 return;
             }
         };
--- a/crates/daemon/tests/disk.rs
+++ b/crates/daemon/tests/disk.rs
@@ -73,7 +73,7 @@
     let obstacle = folder.path().join(format!("zone-{}/vote.tmp", vm::Leader::ZONE));
     fs::create_dir(&obstacle).expect("a folder");
     leader.heartbeat(&vm, 2).await;
-    while !LOG.contains("is not durable any more") {
+    while !LOG.contains("Failed to persist") {
         tokio::time::sleep(PAUSE).await;
     }
     fs::remove_dir(&obstacle).expect("the folder");
