daemon: plain comments and errors for links, settings, disk and life cycle

The heads and log lines of these modules described causes indirectly and many field comments restated names. They are reworded as limits, timeouts and conditions with their reasons; settings collect errors instead of faults; the forwarders of frames, calls and readiness are named so.

--- a/crates/daemon/src/daemon.rs
+++ b/crates/daemon/src/daemon.rs
@@ -1,4 +1,5 @@
-//! One daemon: binds its addresses, starts the control thread and the traffic runtime, and stops them in order.
+//! Life cycle of a daemon: binds its addresses, starts the control thread and the traffic runtime, and stops them in
+//! order.
 
 use std::{
     io,
@@ -23,17 +24,18 @@
     identity, metric, peer, rpc, settings, timeline,
 };
 
-/// Pause between two looks at the queue of calls at shutdown.
-const CALL_POLL: Duration = Duration::from_millis(10);
-/// Looks at the queue of calls at shutdown; control takes a full queue in far less than a second.
-const CALL_POLLS: usize = 100;
+/// Interval at which the queue of calls is checked during shutdown.
+const CALL_POLL_INTERVAL: Duration = Duration::from_millis(10);
+/// Maximum number of checks of the queue of calls during shutdown; the control thread drains a full queue in far less
+/// than a second.
+const MAX_CALL_POLLS: usize = 100;
 
-/// Why a daemon did not start.
+/// Reason why a daemon did not start.
 #[derive(Debug)]
 pub enum Error {
     /// An address cannot be used.
     Address(&'static str, std::net::SocketAddr, io::Error),
-    /// The data folder cannot be used; the sentence names the file.
+    /// The data folder cannot be used; the message names the file.
     Data(String),
     /// A runtime or thread cannot be started.
     Runtime(io::Error),
@@ -49,12 +51,12 @@
             }
             Self::Data(error) => write!(f, "--data: {error}"),
             Self::Runtime(error) => write!(f, "threads cannot be started: {error}"),
-            Self::Control => f.write_str("the control thread ended at the start"),
+            Self::Control => f.write_str("the control thread ended during startup"),
         }
     }
 }
 
-/// Listeners of one daemon. Bound before the start, so that a test can let the system choose the ports.
+/// Listeners of a daemon. They are bound before the start, so that a test can let the system choose the ports.
 #[derive(Debug)]
 pub struct Listeners {
     peer: TcpListener,
@@ -63,7 +65,7 @@
 }
 
 impl Listeners {
-    /// Binds the addresses of the settings and writes back the ports that the system chose.
+    /// Binds the addresses of the settings and stores the ports that the system chose in them.
     pub fn bind(settings: &mut settings::Settings) -> Result<Self, Error> {
         let peer = bind("--peer", &mut settings.peer)?;
         let http = bind("--http", &mut settings.http)?;
@@ -76,7 +78,7 @@
     let failed = |error| Error::Address(flag, *address, error);
     let kind = socket2::Domain::for_address(*address);
     let socket = socket2::Socket::new(kind, socket2::Type::STREAM, None).map_err(failed)?;
-    // A restarted daemon takes its address back while old connections are still closing.
+    // Allows a restarted daemon to bind its address while old connections are still closing.
     socket.set_reuse_address(true).map_err(failed)?;
     socket.bind(&(*address).into()).map_err(failed)?;
     socket.listen(1024).map_err(failed)?;
@@ -189,16 +191,17 @@
         };
         let http = tokio::net::TcpListener::from_std(listeners.http).map_err(Error::Runtime)?;
         let render = metric::render(network.clone());
-        // The server cancels its token at the end of a drain; links and control have to outlive it for the hand-over.
+        // The server cancels its token at the end of a drain; links and control have to outlive it to transfer
+        // leadership.
         let server = server::Server::start(http, gateway_settings, handle, render, cancel.child_token())
             .map_err(Error::Runtime)?;
         let rpc =
             rpc::Operator::start(listeners.rpc, inbox.clone(), ring.clone(), name).map_err(Error::Runtime)?;
-        traffic.spawn(pump_frames(frames, inbox.clone(), cancel.clone()));
-        traffic.spawn(pump_calls(call_receiver, inbox.clone(), cancel.clone()));
-        traffic.spawn(follow_ready(server.clone(), ready_receiver.clone()));
+        traffic.spawn(forward_frames(frames, inbox.clone(), cancel.clone()));
+        traffic.spawn(forward_calls(call_receiver, inbox.clone(), cancel.clone()));
+        traffic.spawn(forward_ready(server.clone(), ready_receiver.clone()));
         ring.record(event::Kind::Started);
-        log::info!("daemon: VM {} serves callers at {}.", vm.id, vm.http);
+        log::info!("daemon: VM {} is listening for callers at {}.", vm.id, vm.http);
         Ok(Self {
             vm,
             inbox,
@@ -215,32 +218,32 @@
         })
     }
 
-    /// The VM as the directory lists it.
+    /// Returns the VM as the directory lists it.
     pub const fn vm(&self) -> &vm::Vm {
         &self.vm
     }
 
-    /// The timeline of this process.
+    /// Returns the timeline of this process.
     pub const fn ring(&self) -> &timeline::Ring {
         &self.ring
     }
 
-    /// Byte counts of the links to other daemons.
+    /// Returns the traffic counters of the links to other daemons.
     pub fn traffic(&self) -> &peer::Traffic {
         self.network.traffic()
     }
 
-    /// The switch that cuts links, for the demo and for tests.
+    /// Returns the switch that cuts links, for the demo and for tests.
     pub const fn fault(&self) -> &peer::fault::Switch {
         &self.fault
     }
 
-    /// Tells whether the VM takes work.
+    /// Returns whether the VM accepts requests.
     pub fn is_ready(&self) -> bool {
         *self.ready.borrow()
     }
 
-    /// Stops without cutting a request: drains callers, hands over what the VM leads, then ends.
+    /// Stops gracefully: drains callers, transfers leadership of the groups that the VM leads, then ends.
     pub fn shut_down(mut self) {
         self.ring.record(event::Kind::Stopping);
         log::info!("daemon: Shutting down.");
@@ -248,26 +251,26 @@
             return;
         };
         traffic.block_on(self.server.drain());
-        traffic.block_on(self.pass_on_calls());
+        traffic.block_on(self.flush_calls());
         let (sender, receiver) = oneshot::channel();
         self.inbox.send(Message::TransferLeadership(sender));
-        // The control thread answers within its own time limit.
+        // The control thread replies within its own time limit.
         drop(traffic.block_on(receiver));
         self.end(traffic);
     }
 
-    /// Waits until control has the last calls of the gateway, such as the answers of claimed requests.
-    async fn pass_on_calls(&self) {
-        for _ in 0..CALL_POLLS {
-            time::sleep(CALL_POLL).await;
+    /// Waits until the control thread has received the last calls of the gateway, such as the ends of claims.
+    async fn flush_calls(&self) {
+        for _ in 0..MAX_CALL_POLLS {
+            time::sleep(CALL_POLL_INTERVAL).await;
             if self.calls.capacity() == self.calls.max_capacity() {
                 return;
             }
         }
-        log::warn!("daemon: Control did not take the last calls in time.");
+        log::warn!("daemon: The control thread did not receive the last calls in time.");
     }
 
-    /// Stops at once, as a lost VM does; requests in flight are cut.
+    /// Stops immediately, as a VM that fails; requests in flight are cut.
     pub fn kill(mut self) {
         if let Some(traffic) = self.traffic.take() {
             self.end(traffic);
@@ -277,13 +280,13 @@
     fn end(&mut self, traffic: runtime::Runtime) {
         self.cancel.cancel();
         if self.rpc.stop().is_err() {
-            log::debug!("daemon: JSON-RPC had stopped already.");
+            log::debug!("daemon: The JSON-RPC server had already stopped.");
         }
         self.inbox.send(Message::Stop);
         if let Some(control) = self.control.take()
             && control.join().is_err()
         {
-            log::error!("daemon: The control thread ended by a broken invariant.");
+            log::error!("daemon: The control thread panicked.");
         }
         traffic.shutdown_timeout(Duration::from_secs(1));
     }
@@ -304,14 +307,14 @@
                 let (actor, task) = match spawned {
                     Ok(spawned) => spawned,
                     Err(ractor::SpawnErr::StartupFailed(error)) => {
-                        // The caller waits for either message.
+                        // `spawn_control` is waiting for the result, so the channel is open.
                         drop(sender.send(Err(Error::Data(error.to_string()))));
                         return;
                     }
                     Err(_) => return,
                 };
                 if sender.send(Ok(Inbox::new(actor))).is_ok() && task.await.is_err() {
-                    log::error!("control: The actor ended by a broken invariant.");
+                    log::error!("control: The actor panicked.");
                 }
             });
         })
@@ -320,7 +323,7 @@
     Ok((inbox, thread))
 }
 
-async fn pump_frames(mut frames: mpsc::Receiver<peer::Received>, inbox: Inbox, cancel: CancellationToken) {
+async fn forward_frames(mut frames: mpsc::Receiver<peer::Received>, inbox: Inbox, cancel: CancellationToken) {
     loop {
         let received = tokio::select! {
             () = cancel.cancelled() => return,
@@ -333,7 +336,7 @@
     }
 }
 
-async fn pump_calls(mut calls: mpsc::Receiver<edge::Call>, inbox: Inbox, cancel: CancellationToken) {
+async fn forward_calls(mut calls: mpsc::Receiver<edge::Call>, inbox: Inbox, cancel: CancellationToken) {
     loop {
         let call = tokio::select! {
             () = cancel.cancelled() => return,
@@ -346,7 +349,7 @@
     }
 }
 
-async fn follow_ready(server: server::Server, mut ready: watch::Receiver<bool>) {
+async fn forward_ready(server: server::Server, mut ready: watch::Receiver<bool>) {
     loop {
         server.set_ready(*ready.borrow_and_update());
         if ready.changed().await.is_err() {
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -1,29 +1,29 @@
-//! The disk thread.
+//! Disk thread of a group.
 //!
-//! A sync may take many milliseconds. The control thread hands writes to this thread and goes on; a replica counts
-//! an entry only when the result has come back.
+//! A sync may take many milliseconds. The control thread therefore queues writes for this thread and continues; a
+//! replica treats an entry as durable only when the result of its write has arrived.
 
 use std::{path::Path, sync::mpsc, thread};
 
 use bronzespoke_consensus::{membership, replica, write};
 use bronzespoke_model::id;
 
-/// Writes that may wait for the disk.
+/// Maximum number of batches queued for the disk.
 const QUEUE: usize = 1024;
 
 /// Result of a batch of writes.
 #[derive(Debug)]
 pub struct Done {
-    /// Group.
+    /// Group that the writes belong to.
     pub group: id::GroupId,
-    /// Highest write number that is now durable, or the error.
+    /// Highest sequence number that is durable now, or the error.
     pub result: Result<u64, bronzespoke_storage::Error>,
 }
 
-/// Receives the results of writes.
+/// Callback that receives the results of writes.
 pub type Notify = Box<dyn Fn(Done) + Send>;
 
-/// Handle on the durable state of one group.
+/// Handle to the durable state of one group.
 #[derive(Debug)]
 pub struct Disk {
     sender: mpsc::SyncSender<Vec<write::Write>>,
@@ -32,7 +32,7 @@
 impl Disk {
     /// Opens the state of `group` below `folder` and starts its thread.
     ///
-    /// `found` gives the first members when nothing is stored and this process founds the group.
+    /// `found` is the initial membership if nothing is stored and this process founds the group.
     pub fn open(
         folder: &Path,
         group: id::GroupId,
@@ -52,9 +52,9 @@
         Ok((Self { sender }, restored))
     }
 
-    /// Hands writes over; their result arrives by the notification.
+    /// Queues writes; their result is passed to the [`Notify`] callback.
     ///
-    /// Returns whether they were taken; a full queue means that the disk does not keep up.
+    /// Returns whether they were queued; a full queue means that the disk does not keep up.
     pub fn write(&self, writes: Vec<write::Write>) -> bool {
         self.sender.try_send(writes).is_ok()
     }
@@ -67,7 +67,7 @@
     notify: &Notify,
 ) {
     while let Ok(mut writes) = receiver.recv() {
-        // One sync covers every batch that waited.
+        // One sync covers all batches that are queued.
         while let Ok(more) = receiver.try_recv() {
             writes.extend(more);
         }
--- a/crates/daemon/src/identity.rs
+++ b/crates/daemon/src/identity.rs
@@ -1,7 +1,7 @@
-//! The id of this VM's daemon.
+//! Persistent id of this VM's daemon.
 //!
-//! A daemon with a data folder keeps its id there. Without one, every start is a new life with a new id, so that a
-//! replica that has forgotten its votes never votes as its old self.
+//! A daemon with a data folder stores its id there. Without one, every incarnation draws a new id, so that a replica
+//! that has lost its votes never votes under its old id.
 
 use std::{
     fs::{self, File},
@@ -53,7 +53,8 @@
     }
 }
 
-/// Ids take 32 bits, which keeps them short in frames; a cell has tens of VMs and a few hundred lives a day.
+/// Draws a random id of 32 bits, which keeps frames short. Collisions are unlikely: a cell has tens of VMs and a few
+/// hundred incarnations a day.
 fn draw() -> id::VmId {
     u64::from(rand::random::<u32>()).max(1)
 }
--- a/crates/daemon/src/peer/inbound.rs
+++ b/crates/daemon/src/peer/inbound.rs
@@ -16,13 +16,13 @@
 
 use crate::peer::{MAX_FRAME_BYTES, Received, Traffic, fault, wire};
 
-/// Pause after a failed accept, such as one without free file descriptors.
+/// Pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// A link without a frame for this long is closed, so that lost VMs leave no links behind; daemons send an
+/// Time without a frame after which a link is closed, so that failed VMs leave no links behind; daemons send an
 /// announcement every second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 
-/// Accepts links until `cancel`.
+/// Accepts links until `cancel` is triggered.
 pub async fn accept(
     listener: TcpListener,
     sender: mpsc::Sender<Received>,
@@ -39,7 +39,7 @@
         let (stream, _address) = match accepted {
             Ok(accepted) => accepted,
             Err(error) => {
-                log::warn!("peer: accept failed: {error}");
+                log::warn!("peer: Failed to accept a connection: {error}");
                 time::sleep(ACCEPT_PAUSE).await;
                 continue;
             }
@@ -67,7 +67,7 @@
         };
         let length = length as usize;
         if length > MAX_FRAME_BYTES {
-            log::warn!("peer: a frame of {length} bytes is over the limit; the link is closed");
+            log::warn!("peer: A frame of {length} bytes exceeds the limit; closing the link.");
             return;
         }
         let mut buffer = vec![0; length];
@@ -76,7 +76,7 @@
         };
         traffic.received.fetch_add(length as u64, Ordering::Relaxed);
         let Ok(frame) = wire::decode(&Bytes::from(buffer)) else {
-            log::warn!("peer: a frame was not decoded; the link is closed");
+            log::warn!("peer: Failed to decode a frame; closing the link.");
             return;
         };
         if fault.is_cut(frame.from_peer) {
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -1,7 +1,7 @@
-//! Frames between daemons.
+//! Network links between daemons.
 //!
-//! Each daemon keeps one outgoing TCP connection to every other daemon and sends on it only; it receives on the
-//! connections that others opened. Frames may be lost, late or repeated; every protocol above copes with that.
+//! Each daemon keeps one outgoing TCP connection to every other daemon, used only for sending, and receives on the
+//! connections that others opened. Frames may be lost, delayed or duplicated; every protocol above tolerates that.
 
 pub mod fault;
 mod inbound;
@@ -21,14 +21,14 @@
 use tokio::{net::TcpListener, runtime, sync::mpsc};
 use tokio_util::sync::CancellationToken;
 
-/// Largest frame, in bytes.
+/// Maximum size of a frame, in bytes.
 pub const MAX_FRAME_BYTES: usize = 1 << 20;
-/// Frames that may wait for one peer; further frames are dropped, as on a lossy link.
+/// Maximum number of frames queued for one peer; further frames are dropped, as on a lossy link.
 pub const OUTBOUND_QUEUE: usize = 1024;
-/// Received frames that may wait for control; further frames stay in the sockets.
+/// Maximum number of received frames queued for the control thread; further frames stay in the sockets.
 pub const INBOUND_QUEUE: usize = 4096;
 
-/// Bytes sent and received by all links, for the control cost.
+/// Traffic counters of all links.
 #[derive(Debug, Default)]
 pub struct Traffic {
     /// Bytes of frames sent.
@@ -42,11 +42,11 @@
 /// A frame received from another daemon.
 #[derive(Debug)]
 pub struct Received {
-    /// The frame.
+    /// The decoded frame.
     pub frame: wire::Frame,
 }
 
-/// Outgoing side of all links.
+/// Outgoing links to all peers.
 #[derive(Debug, Clone)]
 pub struct Network {
     runtime: runtime::Handle,
@@ -57,7 +57,7 @@
 }
 
 impl Network {
-    /// Starts receiving on `listener` and returns the outgoing side and the received frames.
+    /// Starts receiving on `listener`; returns the outgoing links and the queue of received frames.
     pub fn start(
         runtime: runtime::Handle,
         listener: TcpListener,
@@ -86,7 +86,7 @@
         )
     }
 
-    /// Sends a frame to a peer address; the frame is dropped when the link is full or cut.
+    /// Queues a frame for a peer address; drops it when the queue is full or the link is cut.
     pub fn send(&self, to: SocketAddr, frame: &wire::Frame) {
         if self.fault.is_cut(to) {
             return;
@@ -94,14 +94,14 @@
         let bytes = match wire::encode(frame) {
             Ok(bytes) => bytes,
             Err(error) => {
-                log::error!("peer: a frame for {to} was not encoded: {error}");
+                log::error!("peer: Failed to encode a frame for {to}: {error}");
                 return;
             }
         };
         if bytes.len() > MAX_FRAME_BYTES {
-            // The receiver would close the link, and with it lose the frames of every group.
+            // The receiver would close the link, which would lose the frames of every group.
             log::error!(
-                "peer: a frame of {} bytes for {to} is over the limit",
+                "peer: Dropped a frame of {} bytes for {to}, which exceeds the limit.",
                 bytes.len()
             );
             self.traffic.dropped.fetch_add(1, Ordering::Relaxed);
@@ -116,7 +116,7 @@
         }
     }
 
-    /// Returns the byte counts.
+    /// Returns the traffic counters.
     pub fn traffic(&self) -> &Traffic {
         &self.traffic
     }
--- a/crates/daemon/src/peer/outbound.rs
+++ b/crates/daemon/src/peer/outbound.rs
@@ -1,4 +1,4 @@
-//! One outgoing link: connects, reconnects, writes frames.
+//! Outgoing link: connects, reconnects and writes frames.
 
 use std::{net::SocketAddr, time::Duration};
 
@@ -11,20 +11,20 @@
 };
 use tokio_util::sync::CancellationToken;
 
-/// Pause before a new connection; also bounds the work for an absent peer.
+/// Pause before a new connection; bounds the cost of an unreachable peer.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(200);
-/// Longest wait for a connection.
+/// Timeout for establishing a connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
-/// A write that makes no progress for this long ends the connection, so that a silent partition does not keep old
-/// frames for later.
+/// Timeout of a write, after which the connection is closed, so that frames from before a silent partition are not
+/// delivered after it.
 const WRITE_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A connection whose data is not acknowledged for this long is ended. Without it, the kernel waits longer for each
-/// retransmission, up to two minutes, so that a link came back long after a silent partition had ended.
+/// Time after which a connection with unacknowledged data is closed. Without this limit the kernel waits longer for
+/// each retransmission, up to two minutes, so that a link would recover long after a silent partition has ended.
 #[cfg(target_os = "linux")]
 const UNACKNOWLEDGED_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Writes frames until `cancel` or until the sending side is dropped.
+/// Writes frames until `cancel` is triggered or the sending side is dropped.
 pub async fn run(to: SocketAddr, mut frames: mpsc::Receiver<Bytes>, cancel: CancellationToken) {
     loop {
         tokio::select! {
@@ -33,7 +33,7 @@
                 return;
             },
         }
-        // Frames that waited during the outage are outdated; protocols send again what still matters.
+        // Frames queued during the outage are outdated; the protocols resend what is still needed.
         while frames.try_recv().is_ok() {}
         tokio::select! {
             () = cancel.cancelled() => return,
@@ -42,7 +42,7 @@
     }
 }
 
-/// Serves one connection; returns whether another one is wanted.
+/// Serves one connection; returns whether to reconnect.
 async fn serve(to: SocketAddr, frames: &mut mpsc::Receiver<Bytes>) -> bool {
     let Ok(Ok(stream)) = time::timeout(CONNECT_TIMEOUT, TcpStream::connect(to)).await else {
         return !frames.is_closed();
--- a/crates/daemon/src/peer/wire.rs
+++ b/crates/daemon/src/peer/wire.rs
@@ -8,72 +8,72 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-/// Groups that one daemon may lead at the same time and announce.
+/// Maximum number of groups that one daemon leads at the same time and announces.
 pub const MAX_LEADS: usize = 64;
 
-/// A frame.
+/// A frame between daemons.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Frame {
-    /// Sender.
+    /// VM of the sender.
     pub from: id::VmId,
-    /// Life of the daemon that it is meant for; `None` for whoever listens at the address. A VM without a data folder
-    /// returns at its address under a new id, and must not take what was sent to its former life.
+    /// VM of the intended receiver; `None` for whichever daemon listens at the address. A VM without a data folder
+    /// returns at its address under a new id and must not accept frames for its earlier incarnation.
     pub to: Option<id::VmId>,
     /// Peer address of the sender.
     pub from_peer: SocketAddr,
-    /// Time-line stamp of the sender.
+    /// Timeline stamp of the sender.
     pub stamp: stamp::Stamp,
-    /// What it carries.
+    /// Content of the frame.
     pub body: Body,
 }
 
-/// What a frame carries.
+/// Content of a frame.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Body {
     /// Periodic announcement of a daemon.
     Hello(Hello),
     /// A consensus message of a group.
     Consensus(id::GroupId, message::Message),
-    /// A follower asks its relay for committed root entries.
+    /// Request of a follower to its relay for committed root entries.
     FeedRequest(feed::Request),
-    /// The relay's answer.
+    /// Response of the relay.
     #[serde(rename = "FeedAnswer")]
     FeedResponse(feed::Response),
-    /// Soft state.
+    /// Gossip of soft state.
     Gossip(bronzespoke_gossip::Message),
-    /// A call to the leader of a group, answered with the same number.
+    /// Request to the leader of a group; its reply carries the same number.
     #[serde(rename = "Ask")]
     Request(u64, id::GroupId, Request),
-    /// Answer to a call.
+    /// Reply to the request with this number.
     Reply(u64, Reply),
-    /// A zone leader reports the demand of teams to the root leader.
+    /// Report of a zone leader to the root leader on the demand of teams.
     Demand(demand::Report),
-    /// The root leader's answer.
+    /// Receipt of the root leader for a demand report.
     DemandReceipt(demand::Receipt),
-    /// A message between the daemons of a fleet whose workers take orders.
+    /// Message between the daemons of a fleet.
     Fleet(crate::fleet::wire::Message),
 }
 
 /// Periodic announcement of a daemon.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Hello {
-    /// The daemon's VM.
+    /// VM that the daemon runs on.
     pub vm: vm::Vm,
-    /// Life of the process; a later life has forgotten the requests of an earlier one.
+    /// Incarnation of the process; a later one has no knowledge of the requests of an earlier one.
     pub incarnation: id::Incarnation,
     /// Groups that it leads, with the term.
     pub leads: Vec<(id::GroupId, u64)>,
     /// Groups in which it holds a replica.
     pub replicas: Vec<id::GroupId>,
-    /// Whether it knows a root state, that is, whether a cell exists.
+    /// Whether it belongs to a cell, that is, has a root state.
     pub cell_known: bool,
     /// Last applied root index.
     pub applied: u64,
-    /// Peer addresses that it knows, so that a newcomer finds every daemon.
+    /// Peer addresses that it knows, so that a new daemon finds all others.
     pub known: Vec<SocketAddr>,
 }
 
-/// A call between daemons, made to the leader of a group.
+/// A request to the leader of a group.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Request {
     /// Commit a root command.
@@ -82,29 +82,29 @@
     Zone(zone::Envelope),
     /// Read a job.
     Job {
-        /// The team that asks; `None` for an operator.
+        /// Team of the caller; `None` for an operator.
         team: Option<id::TeamId>,
-        /// The job.
+        /// Id of the job.
         job: id::JobId,
-        /// Whether results are wanted.
+        /// Whether to include the results.
         results: bool,
     },
     /// Cancel a job.
     Cancel {
-        /// The team that asks; `None` for an operator.
+        /// Team of the caller; `None` for an operator.
         team: Option<id::TeamId>,
-        /// The job.
+        /// Id of the job.
         job: id::JobId,
     },
     /// Look up the job that was submitted under a key.
     Submitted(request_id::Key),
-    /// Answer an operator's query about the zone that the receiver leads.
+    /// Execute an operator's query about the zone that the receiver leads.
     Query(String),
-    /// Change the members of the group.
+    /// Change the membership of the group.
     Change(membership::Change),
 }
 
-/// Answer to a call.
+/// Reply to a request.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub enum Reply {
     /// Outcome of a root command, and the index of its entry.
@@ -115,36 +115,36 @@
     Job(Option<Job>),
     /// The job that was submitted under a key; `None` when there is none.
     Submitted(Option<id::JobId>),
-    /// An operator's answer, as JSON.
+    /// Answer to an operator's query, as JSON.
     Answer(Bytes),
     /// The job can never run in the zone.
     Impossible(job::Impossible),
-    /// Done.
+    /// The request was executed and has no further result.
     Done,
-    /// Nothing was done; the reason is for people.
+    /// Nothing was done, with a human-readable reason.
     NotDone(String),
     /// Nothing was done; the receiver does not lead the group.
     NotLeader,
-    /// Whether it was done is not known.
+    /// Whether the request was executed is unknown.
     Unknown,
 }
 
 /// A job as its zone knows it.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub struct Job {
-    /// The job.
+    /// Id of the job.
     pub job: id::JobId,
-    /// Its team.
+    /// Team that submitted the job.
     pub team: id::TeamId,
-    /// State.
+    /// Current state.
     pub state: job::State,
-    /// Tasks that wait.
+    /// Number of waiting tasks.
     pub waiting: u32,
-    /// Tasks that run.
+    /// Number of running tasks.
     pub running: u32,
-    /// Tasks that succeeded.
+    /// Number of tasks that succeeded.
     pub succeeded: u32,
-    /// Results by task index, when they were asked for.
+    /// Results by task index, if they were requested.
     pub results: Vec<(id::TaskIndex, String)>,
 }
 
--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc.rs
@@ -1,4 +1,4 @@
-//! JSON-RPC for operators.
+//! JSON-RPC server for operators.
 
 use bronzespoke_language::answer;
 use bronzespoke_model::vm;
@@ -14,12 +14,12 @@
     timeline,
 };
 
-/// Operators' connections at one time.
+/// Maximum number of concurrent connections.
 const MAX_CONNECTIONS: u32 = 64;
-/// Largest call, in bytes.
+/// Maximum size of a request, in bytes.
 const MAX_REQUEST_BYTES: u32 = 64 * 1024;
 
-/// Serves operators.
+/// Implementation of the operators' JSON-RPC methods.
 #[derive(Debug)]
 pub struct Operator {
     inbox: Inbox,
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -1,7 +1,7 @@
 //! Settings of the daemon, from flags and the environment.
 //!
-//! Every value is checked before anything starts, and all faults are reported together, so that an operator fixes
-//! a unit file in one round.
+//! Every value is checked before anything starts, and all errors are reported together, so that an operator can fix a
+//! unit file in one pass.
 
 mod read;
 
@@ -11,17 +11,17 @@
 
 /// Default number of traffic threads.
 pub const DEFAULT_TRAFFIC_THREADS: usize = 2;
-/// Time for which the platform's balancer may still send requests after readiness turned off.
+/// Default time for which the load balancer of the platform may still send requests after the VM is not ready any more.
 pub const DEFAULT_DRAIN_NOTICE: Duration = Duration::from_secs(5);
-/// Most seeds that may be listed.
+/// Maximum number of seeds.
 pub const MAX_SEEDS: usize = 64;
 
-/// Checked settings of one daemon.
+/// Validated settings of one daemon.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Settings {
     /// Name of the VM.
     pub name: String,
-    /// Where the VM stands.
+    /// Region and availability zone of the VM.
     pub place: vm::Place,
     /// Address for frames between daemons.
     pub peer: SocketAddr,
@@ -29,28 +29,28 @@
     pub http: SocketAddr,
     /// Address for JSON-RPC calls.
     pub rpc: SocketAddr,
-    /// Peer addresses of other daemons that are asked for the directory at start.
+    /// Peer addresses of other daemons, from which this one learns the directory.
     pub seeds: Vec<SocketAddr>,
     /// Folder for durable state; `None` on a VM without a disk.
     pub data: Option<PathBuf>,
     /// Whether this daemon may found the cell when no seed knows one.
     pub found: bool,
-    /// Seed of the random choices; different on every VM.
+    /// Seed of random choices; different on every VM.
     pub random_seed: u64,
-    /// Traffic threads.
+    /// Number of traffic threads.
     pub traffic_threads: usize,
-    /// Time between readiness off and the last accepted connection.
+    /// Time for which connections are still accepted after readiness is turned off.
     pub drain_notice: Duration,
-    /// Level of the log.
+    /// Maximum level of log lines.
     pub log_level: log::LevelFilter,
 }
 
-/// What the command line asks for.
+/// Action requested by the command line.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Request {
     /// Run the daemon.
     Run(Box<Settings>),
-    /// Check the settings and stop.
+    /// Check the settings and exit.
     Check(Box<Settings>),
     /// Print the help text.
     Help,
@@ -58,14 +58,14 @@
     Version,
 }
 
-/// One wrong setting.
+/// An invalid setting.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Error {
     /// Flag of the setting.
     pub setting: String,
-    /// Value as given; empty when missing.
+    /// Value as given; empty if missing.
     pub value: String,
-    /// What is allowed.
+    /// Description of the allowed values.
     pub allowed: String,
 }
 
@@ -86,7 +86,7 @@
 
 /// Reads and checks the settings.
 ///
-/// `environment` looks up an environment variable. All faults are returned at once.
+/// `environment` looks up an environment variable. All errors are returned together.
 pub fn read(
     arguments: Vec<OsString>,
     environment: &dyn Fn(&str) -> Option<String>,
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -75,7 +75,7 @@
     "--data",
     "BRONZESPOKE_DATA",
     "FOLDER",
-    "folder for durable state; without it this VM keeps nothing over a restart",
+    "folder for durable state; without it this VM keeps no state across restarts",
 );
 const FOUND: Definition = define(
     "--found",
@@ -130,12 +130,12 @@
 struct Reader<'a> {
     arguments: pico_args::Arguments,
     environment: &'a dyn Fn(&str) -> Option<String>,
-    faults: Vec<Error>,
+    errors: Vec<Error>,
 }
 
 impl Reader<'_> {
-    fn fault(&mut self, definition: &Definition, value: &str, allowed: &str) {
-        self.faults.push(Error {
+    fn reject(&mut self, definition: &Definition, value: &str, allowed: &str) {
+        self.errors.push(Error {
             setting: String::from(definition.flag),
             value: String::from(value),
             allowed: String::from(allowed),
@@ -147,7 +147,7 @@
             Ok(Some(value)) => Some(value),
             Ok(None) => (self.environment)(definition.variable).filter(|value| !value.is_empty()),
             Err(_) => {
-                self.fault(definition, "", definition.help);
+                self.reject(definition, "", definition.help);
                 None
             }
         }
@@ -157,16 +157,16 @@
         let text = self.text(definition)?;
         let parsed = text.parse().ok();
         if parsed.is_none() {
-            self.fault(definition, &text, allowed);
+            self.reject(definition, &text, allowed);
         }
         parsed
     }
 
     fn required<T: FromStr>(&mut self, definition: &Definition, allowed: &str) -> Option<T> {
-        let faults = self.faults.len();
+        let errors = self.errors.len();
         let value = self.value(definition, allowed);
-        if value.is_none() && self.faults.len() == faults {
-            self.fault(definition, "", allowed);
+        if value.is_none() && self.errors.len() == errors {
+            self.reject(definition, "", allowed);
         }
         value
     }
@@ -174,7 +174,7 @@
     fn place(&mut self, definition: &Definition) -> u16 {
         let number = self.required::<u16>(definition, PLACE_RANGE).unwrap_or(1);
         if !(1..=MAX_PLACE).contains(&number) {
-            self.fault(definition, &number.to_string(), PLACE_RANGE);
+            self.reject(definition, &number.to_string(), PLACE_RANGE);
         }
         number
     }
@@ -190,11 +190,11 @@
         for part in text.split(',').map(str::trim).filter(|part| !part.is_empty()) {
             match part.parse() {
                 Ok(address) => seeds.push(address),
-                Err(_) => self.fault(&SEEDS, part, ADDRESS_FORM),
+                Err(_) => self.reject(&SEEDS, part, ADDRESS_FORM),
             }
         }
         if seeds.len() > MAX_SEEDS {
-            self.fault(&SEEDS, &text, "at most 64 addresses");
+            self.reject(&SEEDS, &text, "at most 64 addresses");
         }
         seeds
     }
@@ -205,7 +205,7 @@
         let legal = |character: char| character.is_ascii_alphanumeric() || ".-".contains(character);
         let fits = name.len() <= 63 && name.chars().all(legal);
         if !fits {
-            self.fault(&NAME, &name, allowed);
+            self.reject(&NAME, &name, allowed);
         }
         name
     }
@@ -221,7 +221,7 @@
             "1" | "true" => true,
             "0" | "false" => false,
             other => {
-                self.fault(definition, other, "true or false");
+                self.reject(definition, other, "true or false");
                 false
             }
         }
@@ -233,7 +233,7 @@
             .value(&TRAFFIC_THREADS, allowed)
             .unwrap_or(DEFAULT_TRAFFIC_THREADS);
         if !(1..=64).contains(&threads) {
-            self.fault(&TRAFFIC_THREADS, &threads.to_string(), allowed);
+            self.reject(&TRAFFIC_THREADS, &threads.to_string(), allowed);
         }
         threads
     }
@@ -246,7 +246,7 @@
         match humantime::parse_duration(&text) {
             Ok(duration) if duration <= Duration::from_mins(1) => duration,
             _ => {
-                self.fault(&DRAIN_NOTICE, &text, allowed);
+                self.reject(&DRAIN_NOTICE, &text, allowed);
                 DEFAULT_DRAIN_NOTICE
             }
         }
@@ -269,7 +269,7 @@
     let mut reader = Reader {
         arguments,
         environment,
-        faults: Vec::new(),
+        errors: Vec::new(),
     };
     let settings = Settings {
         name: reader.name(),
@@ -293,18 +293,18 @@
             .unwrap_or(log::LevelFilter::Info),
     };
     if settings.found && settings.data.is_none() {
-        reader.fault(&FOUND, "true", "this flag only together with --data");
+        reader.reject(&FOUND, "true", "this flag only together with --data");
     }
     for rest in reader.arguments.finish() {
         let flag = rest.to_string_lossy().into_owned();
-        reader.faults.push(Error {
+        reader.errors.push(Error {
             setting: flag.clone(),
             value: flag,
             allowed: String::from("a flag that --help lists"),
         });
     }
-    if !reader.faults.is_empty() {
-        return Err(reader.faults);
+    if !reader.errors.is_empty() {
+        return Err(reader.errors);
     }
     let settings = Box::new(settings);
     Ok(if check {
--- a/crates/daemon/src/timeline.rs
+++ b/crates/daemon/src/timeline.rs
@@ -1,7 +1,7 @@
 //! Bounded ring of events of this process.
 //!
-//! The ring keeps the newest events. Numbers have no gaps, so a reader that finds a gap knows that events were
-//! lost to the bound.
+//! The ring keeps the newest events. Sequence numbers are consecutive, so a reader that finds a gap knows that events
+//! were overwritten.
 
 use std::{
     collections::VecDeque,
@@ -11,34 +11,34 @@
 
 use bronzespoke_model::{event, stamp};
 
-/// Events that the ring keeps; about 1 MiB.
+/// Number of events that the ring keeps; about 1 MiB.
 pub const CAPACITY: usize = 8192;
-/// Most events in one reading.
+/// Maximum number of events in one page.
 pub const MAX_READ: usize = 2000;
 
 #[derive(Debug)]
 struct Inner {
     clock: stamp::Clock,
-    /// Number of the newest event; the first one has number 1.
+    /// Sequence number of the newest event; the first one has number 1.
     next: u64,
     events: VecDeque<event::Event>,
 }
 
-/// Ring shared by the control thread and traffic.
+/// Ring shared by the control thread and the gateway.
 #[derive(Debug, Clone)]
 pub struct Ring {
     process: Arc<str>,
     inner: Arc<Mutex<Inner>>,
 }
 
-/// Part of the ring.
+/// Consecutive events read from the ring.
 #[derive(Debug, Clone)]
 pub struct Page {
-    /// Number of the oldest event that is kept.
+    /// Sequence number of the oldest event in the ring.
     pub first: u64,
-    /// Number of the last event read; the next reading starts after it.
+    /// Sequence number of the last event read; the next page starts after it.
     pub next: u64,
-    /// Events in order.
+    /// Events in order of their sequence numbers.
     pub events: Vec<event::Event>,
 }
 
@@ -66,7 +66,7 @@
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Records an event now.
+    /// Records an event with the current time.
     pub fn record(&self, kind: event::Kind) {
         let mut inner = self.lock();
         let stamp = inner.clock.local(wall_micros());
@@ -84,17 +84,17 @@
         });
     }
 
-    /// Returns the stamp for a message that is sent now.
+    /// Advances the clock and returns the stamp for a message to send.
     pub fn send_stamp(&self) -> stamp::Stamp {
         self.lock().clock.local(wall_micros())
     }
 
-    /// Merges the stamp of a received message.
+    /// Merges the stamp of a received message into the clock.
     pub fn receive_stamp(&self, remote: stamp::Stamp) {
         self.lock().clock.receive(wall_micros(), remote);
     }
 
-    /// Returns at most `limit` events with numbers above `after`.
+    /// Returns at most `limit` events with sequence numbers above `after`.
     pub fn read(&self, after: u64, limit: usize) -> Page {
         let inner = self.lock();
         let first = inner.next - inner.events.len() as u64 + 1;
