--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -1,4 +1,4 @@
-//! The actor on the control thread.
+//! The actor on the control thread, which owns all state of the daemon.
 
 use std::{
     collections::{HashMap, VecDeque},
@@ -16,94 +16,94 @@
 
 use crate::{
     control::context,
-    fleet::{Message, calls, contact, member, metric, orders, relay, replication, wire},
+    fleet::{Message, calls, discovery, member, metric, relay, replication, sender, wire},
     identity, peer,
 };
 
-/// Time between two updates of the daemon's gauges.
+/// Interval at which the gauges of the daemon are updated.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time between two ticks.
 const LONGEST_TICK: Duration = Duration::from_millis(50);
-/// Shortest time between two ticks, which bounds the work of timers.
+/// Shortest time between two ticks; limits the work that timers cause.
 const SHORTEST_TICK: Duration = Duration::from_millis(2);
 /// How long a command waits for others to share its log entry.
 pub(super) const COMMAND_DELAY: Duration = Duration::from_millis(2);
 
-/// Who waits for the outcome of a command.
+/// Receiver of the outcome of a command.
 #[derive(Debug)]
 pub enum Responder {
-    /// Nobody.
+    /// Nobody; the command was not issued by a call.
     Nobody,
-    /// A call of this daemon.
+    /// A caller that is connected to this daemon.
     Local(oneshot::Sender<call::Reply>),
-    /// A call that another daemon passed on.
+    /// A call that another daemon forwarded.
     Remote {
-        /// That daemon.
-        place: wire::Place,
-        /// Its number of the call.
+        /// Daemon that forwarded the call.
+        endpoint: wire::Endpoint,
+        /// Number of the call at that daemon.
         number: u64,
     },
 }
 
-/// A command that waits for its proposal or its commit.
+/// A command that waits to be proposed or committed.
 #[derive(Debug)]
-pub struct Waiting {
-    /// Command.
+pub struct Pending {
+    /// Command to apply.
     pub command: cell::Command,
-    /// Who waits.
+    /// Receiver of the outcome.
     pub responder: Responder,
 }
 
-/// What the control thread starts from.
+/// Arguments with which the control thread starts.
 #[derive(Debug)]
 pub struct Start {
-    /// Settings.
+    /// Settings of the process.
     pub settings: settings::Settings,
     /// Links to other daemons.
     pub network: peer::Network,
-    /// Orders and questions.
-    pub orders: orders::Sender,
+    /// Sends directives and eligibility queries.
+    pub sender: sender::Sender,
     /// Whether the balancer may send callers here.
     pub ready: watch::Sender<bool>,
-    /// Start of the process.
+    /// Start of the process; zero of the monotonic clock.
     pub origin: Instant,
-    /// Messages between members of the group, which go before all others.
+    /// Frames that are handled before all other messages.
     pub urgent: Urgent,
 }
 
-/// Frames that go before all other messages: a heartbeat that waits behind calls costs the leader its lease, just when
-/// calls are many.
+/// Frames of the consensus group, which are handled before all other messages: a heartbeat queued behind calls would
+/// cost the leader its lease exactly when it has many calls to serve.
 pub type Urgent = Arc<Mutex<VecDeque<peer::wire::Frame>>>;
 
-/// The actor type; its state is the controller.
+/// Actor of the control thread; its state is the controller.
 #[derive(Debug)]
 pub struct Control;
 
-/// Owner of all control state.
+/// All control state of the daemon.
 #[derive(Debug)]
 pub struct Controller {
     pub(super) settings: settings::Settings,
-    pub(super) me: wire::Place,
+    pub(super) me: wire::Endpoint,
     pub(super) network: peer::Network,
-    pub(super) orders: orders::Sender,
-    pub(super) contact: contact::Contact,
+    pub(super) sender: sender::Sender,
+    pub(super) discovery: discovery::Discovery,
     pub(super) calls: calls::Calls<oneshot::Sender<call::Reply>>,
     pub(super) member: Option<member::Member>,
     pub(super) state: cell::State,
     pub(super) dispatch: Option<Dispatch>,
     pub(super) relays: relay::Relays,
-    pub(super) carried: relay::Carried,
-    pub(super) batch: Vec<Waiting>,
+    pub(super) relay_answers: relay::Answers,
+    pub(super) batch: Vec<Pending>,
     pub(super) batch_since: Option<Duration>,
-    pub(super) proposed: HashMap<u64, Vec<Waiting>>,
+    pub(super) proposed: HashMap<u64, Vec<Pending>>,
     pub(super) events: VecDeque<member::Event>,
-    pub(super) duties_at: Duration,
-    pub(super) helpers_at: Duration,
+    pub(super) membership_at: Duration,
+    pub(super) proxies_at: Duration,
     pub(super) leaving: bool,
     pub(super) ready: watch::Sender<bool>,
     pub(super) hello_at: Duration,
     metrics_at: Duration,
-    /// How long the newest frame or call waited for this thread.
+    /// How long the newest frame or call was queued for this thread.
     pub(super) lag: Duration,
     pub(super) reopen_at: Duration,
     pub(super) origin: Instant,
@@ -155,17 +155,17 @@
         let Start {
             settings,
             network,
-            orders,
+            sender,
             ready,
             origin,
             urgent,
         } = start;
-        let contact = contact::Contact::new(settings.peer, &settings.seeds);
+        let discovery = discovery::Discovery::new(settings.peer, &settings.seeds);
         let vm = match &settings.data {
             Some(folder) => identity::load_or(folder, replication::founder(&settings))?,
             None => identity::load(None)?,
         };
-        let me = wire::Place {
+        let me = wire::Endpoint {
             vm,
             peer: settings.peer,
         };
@@ -173,20 +173,20 @@
             settings,
             me,
             network,
-            orders,
-            contact,
+            sender,
+            discovery,
             calls: calls::Calls::default(),
             member: None,
             state: cell::State::default(),
             dispatch: None,
             relays: relay::Relays::default(),
-            carried: relay::Carried::default(),
+            relay_answers: relay::Answers::default(),
             batch: Vec::new(),
             batch_since: None,
             proposed: HashMap::new(),
             events: VecDeque::new(),
-            duties_at: Duration::ZERO,
-            helpers_at: Duration::ZERO,
+            membership_at: Duration::ZERO,
+            proxies_at: Duration::ZERO,
             hello_at: Duration::ZERO,
             metrics_at: Duration::ZERO,
             lag: Duration::ZERO,
@@ -202,12 +202,12 @@
         Ok(controller)
     }
 
-    /// Time since the start of the process, on the monotonic clock.
+    /// Returns the time since the start of the process on the monotonic clock.
     pub(super) fn now(&self) -> Duration {
         self.origin.elapsed()
     }
 
-    /// Both clocks.
+    /// Returns the time of the monotonic and of the wall clock.
     pub(super) fn times(&self) -> dispatch::Now {
         dispatch::Now {
             steady: self.now(),
@@ -215,8 +215,8 @@
         }
     }
 
-    /// Sends a frame to a daemon.
-    pub(super) fn send(&self, to: wire::Place, body: peer::wire::Body) {
+    /// Sends a frame to a daemon, which drops it if its incarnation is another one.
+    pub(super) fn send(&self, to: wire::Endpoint, body: peer::wire::Body) {
         self.send_frame(to.peer, Some(to.vm), body);
     }
 
@@ -245,27 +245,27 @@
             }
             Message::Call {
                 call,
-                patience,
+                timeout,
                 received,
                 responder,
             } => {
                 self.lag = received.elapsed();
-                self.call(call, patience, responder);
+                self.call(call, timeout, responder);
             }
-            Message::Ordered {
+            Message::DirectiveAnswered {
                 origin,
-                order,
+                directive,
                 answer,
-            } => self.ordered(origin, &order, answer),
-            Message::Advised {
-                asker,
+            } => self.directive_answered(origin, &directive, answer),
+            Message::QueryAnswered {
+                requester,
                 number,
                 answer,
-            } => self.advised(asker, number, answer),
+            } => self.query_answered(requester, number, answer),
             Message::Disk(done) => self.persisted(&done),
             Message::Settings(settings) => self.reload(*settings),
-            Message::Leave => self.leave(),
-            // Urgent frames were taken before, and a stop ends the actor.
+            Message::TransferLeadership => self.transfer_leadership(),
+            // Urgent frames were handled before this message, and a stop ends the actor.
             Message::Urgent | Message::Stop => {}
         }
     }
@@ -274,61 +274,61 @@
         self.member.as_ref().is_some_and(|member| member.holds_lease(now))
     }
 
-    /// Does everything that time or the last message made due.
+    /// Performs all work that became due by the passage of time or by the last message.
     fn advance(&mut self) {
         let now = self.now();
-        self.say_hello(now);
+        self.send_hello(now);
         self.step_replica(now);
         self.propose_batch(now);
         self.take_events();
-        self.follow_leadership();
-        self.lead();
+        self.update_leadership();
+        self.run_dispatch();
         self.propose_batch(now);
         self.take_events();
-        self.return_answers(now);
-        self.pass_calls(now);
-        self.look_after_members(now);
+        self.send_answers(now);
+        self.forward_calls(now);
+        self.reconcile_membership(now);
         self.reopen(now);
         self.publish_ready(now);
         self.publish_state(now);
     }
 
-    /// Answers whoever waits.
+    /// Sends a reply to the receiver of an outcome.
     pub(super) fn respond(&mut self, responder: Responder, reply: call::Reply) {
         match responder {
             Responder::Nobody => {}
             Responder::Local(sender) => answer(sender, reply),
-            Responder::Remote { place, number } => {
-                // The asker sends a call of unknown fate again by itself.
+            Responder::Remote { endpoint, number } => {
+                // The daemon that forwarded a call of unknown outcome resends it by itself.
                 if reply != call::Reply::Unknown {
                     let message = wire::Message::Reply { number, reply };
-                    self.send(place, peer::wire::Body::Fleet(message));
+                    self.send(endpoint, peer::wire::Body::Fleet(message));
                 }
             }
         }
     }
 
-    fn call(&mut self, call: call::Call, patience: Duration, responder: oneshot::Sender<call::Reply>) {
+    fn call(&mut self, call: call::Call, timeout: Duration, responder: oneshot::Sender<call::Reply>) {
         let now = self.now();
         if self.dispatch.is_some() {
             self.serve(call, Responder::Local(responder));
             return;
         }
-        if let Err((responder, reply)) = self.calls.add(now, now + patience, call, responder) {
+        if let Err((responder, reply)) = self.calls.add(now, now + timeout, call, responder) {
             answer(responder, reply);
         }
     }
 
-    /// Passes calls to the leader and gives up those whose time is over.
-    fn pass_calls(&mut self, now: Duration) {
-        if let Some((term, place)) = self.own_leader(now) {
-            self.note_leader(now, term, place);
+    /// Forwards calls to the leader and replies to those that have expired.
+    fn forward_calls(&mut self, now: Duration) {
+        if let Some((term, endpoint)) = self.own_leader(now) {
+            self.record_leader(now, term, endpoint);
         }
-        let leader = self.contact.leader(now);
+        let leader = self.discovery.leader(now);
         if let Some(leader) = leader.filter(|leader| leader.vm != self.me.vm) {
             for (number, call) in self.calls.due(now, leader.vm) {
                 let call = Box::new(call);
-                let message = wire::Message::Ask { number, call };
+                let message = wire::Message::Request { number, call };
                 self.send(leader, peer::wire::Body::Fleet(message));
             }
         }
@@ -339,11 +339,11 @@
 
     fn reload(&mut self, settings: settings::Settings) {
         log::info!("event=reload seeds={:?}", settings.seeds);
-        self.contact.set_seeds(&settings.seeds);
+        self.discovery.set_seeds(&settings.seeds);
         self.settings.seeds = settings.seeds;
     }
 
-    fn leave(&mut self) {
+    fn transfer_leadership(&mut self) {
         self.leaving = true;
         let now = self.now();
         if let Some(member) = &mut self.member {
@@ -356,7 +356,7 @@
     }
 
     fn publish_ready(&mut self, now: Duration) {
-        let ready = !self.leaving && self.contact.leader(now).is_some();
+        let ready = !self.leaving && self.discovery.leader(now).is_some();
         let changed = self.ready.send_if_modified(|published| {
             let changed = *published != ready;
             *published = ready;
@@ -386,13 +386,13 @@
         if let Some(dispatch) = &self.dispatch {
             wake = wake.min(dispatch.next_wake());
         }
-        if let Some(due) = self.carried.due() {
+        if let Some(due) = self.relay_answers.due() {
             wake = wake.min(due);
         }
         let wake = wake.max(now + SHORTEST_TICK);
         if self.tick_at.is_none_or(|planned| wake + SHORTEST_TICK < planned) {
             self.tick_at = Some(wake);
-            // The handle of the timer task is not needed; the timer ends by itself.
+            // The handle of the timer task is not needed: the timer ends by itself.
             drop(
                 self.actor
                     .send_after(wake.saturating_sub(now), move || Message::Tick(wake)),
@@ -401,7 +401,7 @@
     }
 }
 
-/// Sends a reply to a connection; a caller that has left takes none.
+/// Sends a reply to a connection; it is dropped if the caller has disconnected.
 pub(super) fn answer(responder: oneshot::Sender<call::Reply>, reply: call::Reply) {
     if let Err(reply) = responder.send(reply) {
         log::debug!("decision=drop_reply reason=caller_gone reply={reply:?}");
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -1,4 +1,4 @@
-//! The leader keeps as many voters with a disk as the tolerated losses ask for.
+//! Membership changes by which the leader keeps as many voters with a disk as the tolerated losses require.
 
 use std::time::Duration;
 
@@ -10,30 +10,30 @@
     wire,
 };
 
-/// Time between two looks at the members.
+/// Interval at which the membership is reconciled.
 const INTERVAL: Duration = Duration::from_millis(300);
-/// A voter that was silent for this long is replaced if a learner has caught up. The platform counts a successor as
+/// A voter without contact for this long is replaced if a learner has caught up. The platform counts a successor as
 /// ready 4 s after it starts.
 const REPLACE_AFTER: Duration = Duration::from_millis(2_500);
 
 impl Controller {
-    pub(super) fn look_after_members(&mut self, now: Duration) {
-        if now < self.duties_at {
+    pub(super) fn reconcile_membership(&mut self, now: Duration) {
+        if now < self.membership_at {
             return;
         }
-        self.duties_at = now + INTERVAL;
+        self.membership_at = now + INTERVAL;
         if self.dispatch.is_none() || !self.holds_lease(now) || self.leaving {
             return;
         }
-        if let Some(place) = self.unlocated(now) {
+        if let Some(endpoint) = self.unlocated(now) {
             let command = cell::Command::Locate {
-                vm: place.vm,
-                peer: place.peer,
+                vm: endpoint.vm,
+                peer: endpoint.peer,
             };
             self.enqueue(command, Responder::Nobody);
             return;
         }
-        if let Some(change) = self.wanted_change(now) {
+        if let Some(change) = self.required_change(now) {
             log::info!("decision=change_members change={change:?}");
             if let Some(member) = &mut self.member {
                 member.change(now, change, &mut self.events);
@@ -41,51 +41,50 @@
         }
     }
 
-    /// A daemon with a disk whose address is not recorded.
-    fn unlocated(&self, now: Duration) -> Option<wire::Place> {
-        let reached = self.contact.reached(now).filter(|(_, durable)| *durable);
-        let mut places = reached.map(|(place, _)| place).chain([self.me]);
-        places.find(|place| self.state.peers().get(&place.vm) != Some(&place.peer))
+    /// Returns a daemon with a disk whose address is not recorded in the state.
+    fn unlocated(&self, now: Duration) -> Option<wire::Endpoint> {
+        let reachable = self.discovery.reachable(now).filter(|(_, durable)| *durable);
+        let mut endpoints = reachable.map(|(endpoint, _)| endpoint).chain([self.me]);
+        endpoints.find(|endpoint| self.state.peers().get(&endpoint.vm) != Some(&endpoint.peer))
     }
 
-    fn wanted_change(&self, now: Duration) -> Option<Change> {
+    fn required_change(&self, now: Duration) -> Option<Change> {
         let status = self.member.as_ref()?.replica().status();
         if status.change_pending {
             return None;
         }
         let members = &status.membership;
-        let reached: Vec<wire::Place> = self
-            .contact
-            .reached(now)
+        let reachable: Vec<wire::Endpoint> = self
+            .discovery
+            .reachable(now)
             .filter(|(_, durable)| *durable)
-            .map(|(place, _)| place)
+            .map(|(endpoint, _)| endpoint)
             .collect();
-        // A member whose address another life has taken has lost its disk.
-        for place in &reached {
+        // A member whose address is used by another incarnation has lost its disk.
+        for endpoint in &reachable {
             let all = members.voters.iter().chain(&members.learners);
-            let mut former = all.filter(|vm| **vm != place.vm);
-            let replaced = former.find(|vm| self.address_of(**vm) == Some(place.peer));
+            let mut former = all.filter(|vm| **vm != endpoint.vm);
+            let replaced = former.find(|vm| self.address_of(**vm) == Some(endpoint.peer));
             if let Some(former) = replaced {
                 return Some(Change::Remove(*former));
             }
         }
-        if let Some(place) = reached
+        if let Some(endpoint) = reachable
             .iter()
-            .find(|place| !members.contains(place.vm) && !members.removed.contains(&place.vm))
+            .find(|endpoint| !members.contains(endpoint.vm) && !members.removed.contains(&endpoint.vm))
         {
-            return Some(Change::AddLearner(place.vm));
+            return Some(Change::AddLearner(endpoint.vm));
         }
-        let ready = status
-            .peers
-            .iter()
-            .find(|peer| !peer.voter && peer.caught_up && reached.iter().any(|place| place.vm == peer.id));
-        let wanted = (2 * self.settings.tolerated_losses + 1).max(1);
-        if members.voters.len() < wanted {
+        let ready = status.peers.iter().find(|peer| {
+            !peer.voter && peer.caught_up && reachable.iter().any(|endpoint| endpoint.vm == peer.id)
+        });
+        let required = (2 * self.settings.tolerated_losses + 1).max(1);
+        if members.voters.len() < required {
             return ready.map(|learner| Change::Promote(learner.id));
         }
         let silent = members.voters.iter().find(|vm| {
-            let heard = self.contact.last_heard(**vm).unwrap_or_default();
-            **vm != self.me.vm && now.saturating_sub(heard) > REPLACE_AFTER
+            let last_contact = self.discovery.last_contact(**vm).unwrap_or_default();
+            **vm != self.me.vm && now.saturating_sub(last_contact) > REPLACE_AFTER
         });
         match (ready, silent) {
             (Some(_), Some(silent)) => Some(Change::Remove(*silent)),
@@ -93,12 +92,12 @@
         }
     }
 
-    /// Address under which a member was last known.
+    /// Returns the address at which a member was last known.
     fn address_of(&self, vm: bronzespoke_model::id::VmId) -> Option<std::net::SocketAddr> {
         self.state
             .peers()
             .get(&vm)
             .copied()
-            .or_else(|| self.contact.address(vm))
+            .or_else(|| self.discovery.address(vm))
     }
 }
