--- a/crates/cli/src/demo/jobs.rs
+++ b/crates/cli/src/demo/jobs.rs
@@ -46,19 +46,19 @@
             ("authorization", key.as_str()),
             ("content-type", "application/json"),
         ];
-        let answer = caller::send(self.cell.http(number), Method::POST, "/v2/jobs", &headers, body)
+        let response = caller::send(self.cell.http(number), Method::POST, "/v2/jobs", &headers, body)
             .await
             .map_err(|error| error.to_string())?;
-        if answer.status != StatusCode::ACCEPTED {
+        if response.status != StatusCode::ACCEPTED {
             return Err(format!(
                 "a job was not accepted: {} {}",
-                answer.status,
-                answer.text()
+                response.status,
+                response.text()
             ));
         }
-        answer.json()["job"]
+        response.json()["job"]
             .as_u64()
-            .ok_or_else(|| format!("no job id in {}", answer.text()))
+            .ok_or_else(|| format!("no job id in {}", response.text()))
     }
 
     /// Reads the status of a job at a VM. Returns `None` if the request fails.
@@ -66,10 +66,10 @@
         let key = format!("Bearer {}", self.key);
         let headers = [("authorization", key.as_str())];
         let path = format!("/v2/jobs/{job}");
-        let answer = caller::send(self.cell.http(number), Method::GET, &path, &headers, "")
+        let response = caller::send(self.cell.http(number), Method::GET, &path, &headers, "")
             .await
             .ok()?;
-        (answer.status == StatusCode::OK).then(|| answer.json())
+        (response.status == StatusCode::OK).then(|| response.json())
     }
 
     /// Waits until a job has succeeded, and records it as completed if the workers' ledger has all its tasks as
@@ -136,7 +136,7 @@
         let headers = [("authorization", key.as_str())];
         let cancelled = caller::send(self.cell.http(3), Method::DELETE, &path, &headers, "").await;
         let ended = cell::wait_until(JOB_TIMEOUT, || self.fleet.ledger.running(filler).is_empty()).await;
-        let cancelled = cancelled.is_ok_and(|answer| answer.status.is_success()) && ended.is_some();
+        let cancelled = cancelled.is_ok_and(|response| response.status.is_success()) && ended.is_some();
         self.counters.check(cancelled, "a cancelled job stops everywhere");
         Ok(())
     }
--- a/crates/cli/src/demo/partitions.rs
+++ b/crates/cli/src/demo/partitions.rs
@@ -21,7 +21,7 @@
         self.cell.cut(CUT_ZONE.0);
         let start = Instant::now();
         let refused = loop {
-            let answer = caller::request(
+            let response = caller::request(
                 self.cell.http(CUT_ZONE.1),
                 "reconciliations",
                 &self.key,
@@ -29,8 +29,8 @@
                 "cut",
             )
             .await;
-            let refused = answer.is_ok_and(|answer| {
-                answer.status == StatusCode::SERVICE_UNAVAILABLE && answer.text().contains("not run")
+            let refused = response.is_ok_and(|response| {
+                response.status == StatusCode::SERVICE_UNAVAILABLE && response.text().contains("not run")
             });
             if refused || start.elapsed() > STALE_LIMIT {
                 break refused;
--- a/crates/cli/src/demo/requests.rs
+++ b/crates/cli/src/demo/requests.rs
@@ -27,8 +27,8 @@
     let start = Instant::now();
     for number in 0..cell::VMS {
         loop {
-            let answer = caller::request(cell.http(number), "reconciliations", key, None, "ping").await;
-            if answer.is_ok_and(|answer| answer.status == StatusCode::OK) {
+            let response = caller::request(cell.http(number), "reconciliations", key, None, "ping").await;
+            if response.is_ok_and(|response| response.status == StatusCode::OK) {
                 break;
             }
             if start.elapsed() > Duration::from_secs(15) {
@@ -58,15 +58,17 @@
             let body = format!("reconciliation {number}");
             let address = self.cell.http(number % cell::VMS);
             let start = Instant::now();
-            let answer = caller::request(address, "reconciliations", &self.key, None, body.clone()).await;
-            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            let response = caller::request(address, "reconciliations", &self.key, None, body.clone()).await;
+            let complete =
+                response.is_ok_and(|response| response.status == StatusCode::OK && response.body == body);
             self.counters.record("keyed request", complete, start.elapsed());
         }
         for number in 0..OPEN_REQUESTS {
             let body = format!("open {number}");
             let start = Instant::now();
-            let answer = send_open(self.cell.http(number % cell::VMS), body.clone()).await;
-            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            let response = send_open(self.cell.http(number % cell::VMS), body.clone()).await;
+            let complete =
+                response.is_ok_and(|response| response.status == StatusCode::OK && response.body == body);
             self.counters.record("open request", complete, start.elapsed());
         }
         self.non_repeatable_requests().await;
@@ -82,7 +84,7 @@
         let first = caller::request(self.cell.http(0), "reconciliations", &self.key, id, body).await;
         let complete = first
             .as_ref()
-            .is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            .is_ok_and(|response| response.status == StatusCode::OK && response.body == body);
         self.counters
             .record("non-repeatable request", complete, start.elapsed());
         let again = caller::request(self.cell.http(5), "reconciliations", &self.key, id, body).await;
@@ -96,9 +98,10 @@
             let (id, body) = (format!("credit-{number}"), format!("credit {number}"));
             let start = Instant::now();
             let address = self.cell.http(number % cell::VMS);
-            let answer =
+            let response =
                 caller::request(address, "reconciliations", &self.key, Some(&id), body.clone()).await;
-            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            let complete =
+                response.is_ok_and(|response| response.status == StatusCode::OK && response.body == body);
             self.counters
                 .record("non-repeatable request", complete, start.elapsed());
             runs = runs.max(self.fleet.runs_of(body.as_bytes()));
@@ -110,7 +113,7 @@
 
     async fn version_one_request(&mut self) {
         let body = serde_json::json!({ "key": self.key, "service": "reconciliations", "body": "old form" });
-        let answer = caller::send(
+        let response = caller::send(
             self.cell.http(1),
             Method::POST,
             "/v1/request",
@@ -118,10 +121,10 @@
             body.to_string(),
         )
         .await;
-        let served = answer.is_ok_and(|answer| {
-            answer.status == StatusCode::OK
-                && answer.header("deprecation").is_some()
-                && answer.header("sunset").is_some()
+        let served = response.is_ok_and(|response| {
+            response.status == StatusCode::OK
+                && response.header("deprecation").is_some()
+                && response.header("sunset").is_some()
         });
         self.counters.check(
             served,
@@ -144,9 +147,9 @@
         let mut refused = 0;
         for number in 0..cell::VMS {
             loop {
-                let answer =
+                let response =
                     caller::request(self.cell.http(number), "reconciliations", &key, None, "x").await;
-                if answer.is_ok_and(|answer| answer.status == StatusCode::UNAUTHORIZED) {
+                if response.is_ok_and(|response| response.status == StatusCode::UNAUTHORIZED) {
                     refused += 1;
                     break;
                 }
@@ -197,8 +200,9 @@
             let body = format!("burst {number}");
             let start = Instant::now();
             let address = self.cell.http(number % cell::VMS);
-            let answer = caller::request(address, "reconciliations", &self.key, None, body.clone()).await;
-            let complete = answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body);
+            let response = caller::request(address, "reconciliations", &self.key, None, body.clone()).await;
+            let complete =
+                response.is_ok_and(|response| response.status == StatusCode::OK && response.body == body);
             self.counters.record("keyed request", complete, start.elapsed());
         }
     }
@@ -252,7 +256,7 @@
 
     /// Sends one request to the open queue at a VM. Returns whether it was served.
     pub(super) async fn open_request(&mut self, number: usize) -> bool {
-        let answer = send_open(self.cell.http(number), String::from("open during a partition")).await;
-        answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+        let response = send_open(self.cell.http(number), String::from("open during a partition")).await;
+        response.is_ok_and(|response| response.status == StatusCode::OK)
     }
 }
--- a/crates/cli/tests/partition.rs
+++ b/crates/cli/tests/partition.rs
@@ -92,8 +92,8 @@
     /// Sends one request to the open queue. Returns whether the response is complete.
     async fn send_open(&self, number: usize, body: &'static str) -> bool {
         let path = format!("/v2/queues/{QUEUE}/requests");
-        let answer = caller::send(self.client.http[number], Method::POST, &path, &[], body).await;
-        answer.is_ok_and(|answer| answer.status == StatusCode::OK && answer.body == body)
+        let response = caller::send(self.client.http[number], Method::POST, &path, &[], body).await;
+        response.is_ok_and(|response| response.status == StatusCode::OK && response.body == body)
     }
 
     /// Waits until, after a partition, every VM has the configuration version and serves keyed requests, and every
--- a/crates/cli/tests/system/client.rs
+++ b/crates/cli/tests/system/client.rs
@@ -187,8 +187,8 @@
     pub async fn wait_serving(&self, numbers: &[usize]) {
         for number in numbers {
             wait_until(&format!("VM {number} serves keyed requests"), async || {
-                let answer = caller::request(self.http[*number], SERVICE, &self.key, None, "ping").await;
-                answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+                let response = caller::request(self.http[*number], SERVICE, &self.key, None, "ping").await;
+                response.is_ok_and(|response| response.status == StatusCode::OK)
             })
             .await;
         }
@@ -206,16 +206,16 @@
         ];
         let start = Instant::now();
         for number in numbers.iter().cycle() {
-            let answer = caller::send(
+            let response = caller::send(
                 self.http[*number],
                 Method::POST,
                 "/v2/jobs",
                 &headers,
                 body.clone(),
             );
-            match tokio::time::timeout(Duration::from_secs(6), answer).await {
-                Ok(Ok(answer)) if answer.status == StatusCode::ACCEPTED => {
-                    return answer.json()["job"].as_u64().expect("a job id");
+            match tokio::time::timeout(Duration::from_secs(6), response).await {
+                Ok(Ok(response)) if response.status == StatusCode::ACCEPTED => {
+                    return response.json()["job"].as_u64().expect("a job id");
                 }
                 other => assert!(
                     start.elapsed() < WAIT_LIMIT,
@@ -232,8 +232,8 @@
         let body = serde_json::to_vec(spec).expect("a job is plain data");
         let key = format!("Bearer {}", self.key);
         let headers = [("authorization", key.as_str())];
-        let answer = caller::send(self.http[number], Method::POST, "/v2/jobs", &headers, body).await;
-        let job = answer.expect("an answer").json()["job"]
+        let response = caller::send(self.http[number], Method::POST, "/v2/jobs", &headers, body).await;
+        let job = response.expect("a response").json()["job"]
             .as_u64()
             .expect("a job id");
         assert_eq!(
@@ -249,10 +249,10 @@
         let key = format!("Bearer {}", self.key);
         let headers = [("authorization", key.as_str())];
         let path = format!("/v2/jobs/{job}");
-        let answer = caller::send(self.http[number], Method::GET, &path, &headers, "")
+        let response = caller::send(self.http[number], Method::GET, &path, &headers, "")
             .await
             .ok()?;
-        answer.json()["state"].as_str().map(String::from)
+        response.json()["state"].as_str().map(String::from)
     }
 
     /// Waits until a job has succeeded.
--- a/crates/cli/tests/system/fleet.rs
+++ b/crates/cli/tests/system/fleet.rs
@@ -112,7 +112,7 @@
         let address = entries[entry % entries.len()];
         let call = caller::send(address, http::Method::PUT, &path, &[], body.clone());
         let sent = tokio::time::timeout(Duration::from_secs(1), call).await;
-        if !matches!(sent, Ok(Ok(answer)) if answer.status.is_success()) {
+        if !matches!(sent, Ok(Ok(response)) if response.status.is_success()) {
             entry += 1;
         }
         tokio::select! {
@@ -141,10 +141,12 @@
 
 fn classify(body: &str, result: Result<caller::Response, caller::Error>) -> Outcome {
     match result {
-        Ok(answer) if answer.status == StatusCode::OK && answer.body == body.as_bytes() => Outcome::Answered,
-        Ok(answer) if answer.status == StatusCode::OK => Outcome::WrongResponse(answer.text()),
-        Ok(answer) if answer.json()["error"]["run"] == "not run" => Outcome::NotRun,
-        Ok(answer) => Outcome::Unknown(answer.text()),
+        Ok(response) if response.status == StatusCode::OK && response.body == body.as_bytes() => {
+            Outcome::Answered
+        }
+        Ok(response) if response.status == StatusCode::OK => Outcome::WrongResponse(response.text()),
+        Ok(response) if response.json()["error"]["run"] == "not run" => Outcome::NotRun,
+        Ok(response) => Outcome::Unknown(response.text()),
         Err(caller::Error::Connect(_)) => Outcome::NoConnection,
         Err(error) => Outcome::Interrupted(error.to_string()),
     }
--- a/crates/cli/tests/system/process.rs
+++ b/crates/cli/tests/system/process.rs
@@ -258,6 +258,6 @@
 
 /// Returns whether `/readyz` responds with 200.
 pub async fn is_ready(address: SocketAddr) -> bool {
-    let answer = caller::send(address, Method::GET, "/readyz", &[], "").await;
-    answer.is_ok_and(|answer| answer.status == StatusCode::OK)
+    let response = caller::send(address, Method::GET, "/readyz", &[], "").await;
+    response.is_ok_and(|response| response.status == StatusCode::OK)
 }
