--- a/crates/bench/src/lib.rs
+++ b/crates/bench/src/lib.rs
@@ -1,7 +1,7 @@
-//! Measurements: policy tables with bounds and speed benchmarks.
+//! Policy measurements with bounds, and benchmarks.
 //!
-//! Each part of the system contributes a module that drives its decisions with small fakes in virtual time and
-//! returns rows. The benches print the rows; a broken bound fails the run.
+//! Each measured package has a module that drives its decision logic with small fakes in virtual time and returns
+//! rows. The `policy` bench prints the rows and fails when a value violates its bound.
 
 pub mod measure;
 pub mod policy;
--- a/crates/bench/src/measure.rs
+++ b/crates/bench/src/measure.rs
@@ -1,4 +1,4 @@
-//! One row of the policy table.
+//! Rows of the policy table and their bounds.
 
 use serde::Serialize;
 
@@ -6,31 +6,31 @@
 #[derive(Debug, Clone, Copy, PartialEq, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Bound {
-    /// Reported without a verdict.
+    /// No bound: the value is only reported.
     None,
-    /// The value must not be larger.
+    /// Upper bound, inclusive.
     AtMost(f64),
-    /// The value must not be smaller.
+    /// Lower bound, inclusive.
     AtLeast(f64),
 }
 
 /// A measured value with its bound.
 #[derive(Debug, Clone, PartialEq, Serialize)]
 pub struct Row {
-    /// What was measured, as `part.measure.variant`.
+    /// Name of the measure, as `package.measure.variant`.
     pub name: String,
-    /// Measured value; a count or simulated time, never elapsed time.
+    /// Measured value: a count or a simulated time, never wall-clock time, so that a seed reproduces it.
     pub value: f64,
     /// Unit of the value.
     pub unit: &'static str,
-    /// Bound.
+    /// Bound that the value must satisfy.
     pub bound: Bound,
     /// Where the bound comes from: the brief, the capacity target or an issue.
     pub source: &'static str,
 }
 
 impl Row {
-    /// Returns a row.
+    /// Creates a row from a measured value and its bound.
     pub fn new(
         name: impl Into<String>,
         value: f64,
@@ -47,7 +47,7 @@
         }
     }
 
-    /// Tells whether the bound holds.
+    /// Returns whether the value satisfies the bound.
     pub fn holds(&self) -> bool {
         match self.bound {
             Bound::None => true,
@@ -57,11 +57,11 @@
     }
 }
 
-/// How long a policy run takes.
+/// Length of a policy run: the number of trials and the simulated time of each.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Length {
-    /// Tens of seconds at most over all parts; for CI.
+    /// At most tens of seconds over all packages, for CI.
     Short,
-    /// Minutes.
+    /// Several minutes, with more trials, longer windows and larger fleets.
     Long,
 }
--- a/crates/bench/src/policy/consensus/feed.rs
+++ b/crates/bench/src/policy/consensus/feed.rs
@@ -1,14 +1,14 @@
-//! Followers of the feed: bytes, catch-up and the age of their basis.
+//! Measurements of followers of the feed: bytes, catch-up, and the age of the state that they have.
 
 use std::time::Duration;
 
 use bronzespoke_consensus::{feed, log};
 
 use super::world::World;
-use super::{CHANGE_BYTES, FRAME_BYTES, FRESHNESS, HEADER_BYTES, MISSED_CHANGES, ms, registry};
+use super::{CHANGE_BYTES, FRAME_BYTES, FRESHNESS_SOURCE, HEADER_BYTES, MISSED_CHANGES, ms, registry_delay};
 use crate::measure::{Bound, Row};
 
-/// A follower of the feed and its source over one link.
+/// Follower of the feed that reads from a source over one link.
 struct Feed {
     now: Duration,
     follower: feed::Follower,
@@ -40,14 +40,11 @@
                 continue;
             };
             let arrived = self.now + ms(12);
-            let answer = source.respond(arrived, Some(arrived), &request);
+            let response = source.respond(arrived, Some(arrived), &request);
             self.count(&request);
-            self.count(&answer);
+            self.count(&response);
             self.now = arrived + ms(12);
-            input = feed::Input::Receive {
-                from: 1,
-                response: answer,
-            };
+            input = feed::Input::Receive { from: 1, response };
         }
     }
 
@@ -70,42 +67,43 @@
     source
 }
 
+/// Returns the bytes per second of a follower whose source has no changes.
 pub(super) fn idle_feed_bytes(seed: u64) -> f64 {
     let mut feed = Feed::new(seed);
     feed.run_until(&changes(0), |feed| feed.now >= ms(60_000));
     feed.bytes as f64 / feed.now.as_secs_f64()
 }
 
-/// A message of the feed on its way: arrival, hop, content.
-enum Travel {
+/// Feed message in flight: arrival time, index of the hop, content.
+enum InFlight {
     Request(Duration, usize, feed::Request),
-    Answer(Duration, usize, feed::Response),
+    Response(Duration, usize, feed::Response),
 }
 
 /// One-way delay of each hop.
 const HOPS: [Duration; 2] = [ms(12), ms(1)];
 
-fn send(now: Duration, hop: usize, out: &mut Vec<feed::Output>, travels: &mut Vec<Travel>) {
+fn send(now: Duration, hop: usize, out: &mut Vec<feed::Output>, in_flight: &mut Vec<InFlight>) {
     for output in out.drain(..) {
         if let feed::Output::Send { request, .. } = output {
-            travels.push(Travel::Request(now + HOPS[hop], hop, request));
+            in_flight.push(InFlight::Request(now + HOPS[hop], hop, request));
         }
     }
 }
 
-/// Largest ages of the basis on an idle root group: at a voter, at a relay 12 ms away that asks it, and at a VM that
-/// asks the relay 1 ms away. At most `lost` answers to the relay are lost, 10 s apart.
-fn worst_ages(seed: u64, lost: u64) -> [f64; 3] {
-    let mut world = World::new(seed, 3, None, registry);
+/// Returns the maximum age of the state, in seconds, on an idle root group: at a voter, at a relay 12 ms away that reads
+/// from it, and at a VM 1 ms away that reads from the relay. At most `lost` responses to the relay are lost, 10 s apart.
+fn max_freshness_ages(seed: u64, lost: u64) -> [f64; 3] {
+    let mut world = World::new(seed, 3, None, registry_delay);
     let leader = world.wait_for_leader();
     let voter = if leader == 3 { 2 } else { 3 };
     let begin = world.now;
     let source = feed::Source::new(1);
     let mut hops = [1, 2].map(|hop| feed::Follower::new(feed::Config::new(seed + hop), begin));
-    let mut travels = Vec::new();
+    let mut in_flight = Vec::new();
     let mut out = Vec::new();
-    let mut worst = [0.0_f64; 3];
-    let mut answered = 0;
+    let mut maximum = [0.0_f64; 3];
+    let mut responses = 0;
     for hop in &mut hops {
         hop.step(begin, feed::Input::Relay { to: Some(1) }, &mut out);
     }
@@ -113,79 +111,87 @@
     while world.now < begin + ms(40_000) {
         world.run_for(ms(1));
         let now = world.now;
-        for travel in std::mem::take(&mut travels) {
-            match travel {
-                Travel::Request(at, hop, request) if at <= now => {
-                    let basis = if hop == 0 {
+        for message in std::mem::take(&mut in_flight) {
+            match message {
+                InFlight::Request(at, hop, request) if at <= now => {
+                    let freshness = if hop == 0 {
                         world.replicas[&voter].freshness(now)
                     } else {
                         hops[0].freshness()
                     };
-                    let answer = source.respond(now, basis, &request);
-                    answered += u64::from(hop == 0);
-                    let drop = hop == 0 && answered % 20 == 0 && answered / 20 <= lost;
+                    let response = source.respond(now, freshness, &request);
+                    responses += u64::from(hop == 0);
+                    let drop = hop == 0 && responses % 20 == 0 && responses / 20 <= lost;
                     if !drop {
-                        travels.push(Travel::Answer(now + HOPS[hop], hop, answer));
+                        in_flight.push(InFlight::Response(now + HOPS[hop], hop, response));
                     }
                 }
-                Travel::Answer(at, hop, answer) if at <= now => {
-                    hops[hop].step(
-                        now,
-                        feed::Input::Receive {
-                            from: 1,
-                            response: answer,
-                        },
-                        &mut out,
-                    );
-                    send(now, hop, &mut out, &mut travels);
+                InFlight::Response(at, hop, response) if at <= now => {
+                    hops[hop].step(now, feed::Input::Receive { from: 1, response }, &mut out);
+                    send(now, hop, &mut out, &mut in_flight);
                 }
-                waiting => travels.push(waiting),
+                pending => in_flight.push(pending),
             }
         }
         for (hop, follower) in hops.iter_mut().enumerate() {
             follower.step(now, feed::Input::Tick, &mut out);
-            send(now, hop, &mut out, &mut travels);
+            send(now, hop, &mut out, &mut in_flight);
         }
         if now > begin + ms(5_000) {
-            let bases = [
+            let times = [
                 world.replicas[&voter].freshness(now),
                 hops[0].freshness(),
                 hops[1].freshness(),
             ];
-            for (worst, basis) in worst.iter_mut().zip(bases) {
-                let age = basis.map_or(f64::INFINITY, |basis| now.saturating_sub(basis).as_secs_f64());
-                *worst = worst.max(age);
+            for (maximum, freshness) in maximum.iter_mut().zip(times) {
+                let age = freshness.map_or(f64::INFINITY, |freshness| {
+                    now.saturating_sub(freshness).as_secs_f64()
+                });
+                *maximum = maximum.max(age);
             }
         }
     }
-    worst
+    maximum
 }
 
-pub(super) fn basis_age(seed: u64) -> Vec<Row> {
+/// Measures the age of the state at each hop, without loss and with single lost responses.
+pub(super) fn freshness_age(seed: u64) -> Vec<Row> {
     let bound = Bound::AtMost(3.0);
-    let [voter, relay, follower] = worst_ages(seed, 0);
-    let [_, _, after_loss] = worst_ages(seed, 2);
+    let [voter, relay, follower] = max_freshness_ages(seed, 0);
+    let [_, _, after_loss] = max_freshness_ages(seed, 2);
     vec![
-        Row::new("consensus.basis_age.voter.worst", voter, "s", bound, FRESHNESS),
-        Row::new("consensus.basis_age.relay.worst", relay, "s", bound, FRESHNESS),
+        Row::new(
+            "consensus.basis_age.voter.worst",
+            voter,
+            "s",
+            bound,
+            FRESHNESS_SOURCE,
+        ),
+        Row::new(
+            "consensus.basis_age.relay.worst",
+            relay,
+            "s",
+            bound,
+            FRESHNESS_SOURCE,
+        ),
         Row::new(
             "consensus.basis_age.follower.worst",
             follower,
             "s",
             bound,
-            FRESHNESS,
+            FRESHNESS_SOURCE,
         ),
         Row::new(
             "consensus.basis_age.follower.one_loss",
             after_loss,
             "s",
             bound,
-            FRESHNESS,
+            FRESHNESS_SOURCE,
         ),
     ]
 }
 
-/// Time and bytes until a follower that is 12 ms away has the changes that it missed.
+/// Returns the seconds and the bytes until a follower 12 ms away has received the changes that it missed.
 pub(super) fn catch_up(seed: u64) -> (f64, f64) {
     let mut feed = Feed::new(seed);
     feed.run_until(&changes(MISSED_CHANGES), |feed| {
--- a/crates/bench/src/policy/consensus/mod.rs
+++ b/crates/bench/src/policy/consensus/mod.rs
@@ -1,8 +1,8 @@
 //! Policy measurements of `consensus`.
 //!
-//! Replicas exchange encoded messages over links with a fixed one-way delay and store with a fixed sync time. Bytes
-//! are those of the encoded message with its frame, and for the `wire` rows with the TCP and IP headers of one segment
-//! for each message, which is the worst case.
+//! Replicas exchange encoded messages over links with a fixed one-way delay, and their storage syncs in a fixed time.
+//! Byte counts cover the encoded message and its frame. The `wire` rows add the TCP and IP headers of one segment for
+//! each message, which is the worst case.
 
 mod feed;
 mod world;
@@ -17,30 +17,30 @@
 use crate::measure::{Bound, Length, Row};
 use world::World;
 
-/// Length prefix and group of a frame.
+/// Bytes of the length prefix and the group id of a frame.
 const FRAME_BYTES: u64 = 6;
-/// IPv4 and TCP headers with timestamps.
+/// Bytes of the IPv4 and TCP headers with the timestamp option.
 const HEADER_BYTES: u64 = 52;
-const SYNC: Duration = Duration::from_millis(1);
+const SYNC_TIME: Duration = Duration::from_millis(1);
 const ENTRY_BYTES: usize = 12;
-/// A configuration change; an assumption, the page gives no size.
+/// Assumed size of a configuration change; the design gives none.
 const CHANGE_BYTES: usize = 200;
 const MISSED_CHANGES: u64 = 1_000;
-/// Starts of one zone: 2,500 a second over 17 availability zones.
+/// Starts per second in one availability zone: 2,500 per second in the cell, spread over 17 zones.
 const STARTS_PER_SECOND: u64 = 150;
 
-const FRESHNESS: &str = "design 2.2: key freshness";
-const CONTROL_BYTES: &str = "design 1.7: 24 KB/s control";
-const IN_FORCE: &str = "design 1.2 I10: 11 s";
-const NO_BOUND: &str = "no figure on the page";
+const FRESHNESS_SOURCE: &str = "design 2.2: key freshness";
+const CONTROL_BYTES_SOURCE: &str = "design 1.7: 24 KB/s control";
+const IN_FORCE_SOURCE: &str = "design 1.2 I10: 11 s";
+const NO_BOUND_SOURCE: &str = "no figure on the page";
 
-/// Returns the rows of this part.
+/// Runs the measurements of `consensus` and returns their rows.
 pub fn rows(seed: u64, length: Length) -> Vec<Row> {
     let trials = match length {
         Length::Short => 60,
         Length::Long => 600,
     };
-    let mut rows = leaderless(seed, trials);
+    let mut rows = failover(seed, trials);
     for delay in [1, 12, 3] {
         let name = format!("consensus.commit_latency.one_way_{delay}ms");
         rows.push(Row::new(
@@ -48,7 +48,7 @@
             commit_latency(seed, delay),
             "ms",
             Bound::None,
-            NO_BOUND,
+            NO_BOUND_SOURCE,
         ));
     }
     for batch in [0, 1, 2, 10] {
@@ -59,9 +59,15 @@
             message,
             "B",
             Bound::None,
-            NO_BOUND,
+            NO_BOUND_SOURCE,
+        ));
+        rows.push(Row::new(
+            format!("{name}.wire"),
+            wire,
+            "B",
+            Bound::None,
+            NO_BOUND_SOURCE,
         ));
-        rows.push(Row::new(format!("{name}.wire"), wire, "B", Bound::None, NO_BOUND));
     }
     let budget = Bound::AtMost(24_000.0);
     rows.push(Row::new(
@@ -69,17 +75,17 @@
         idle_bytes(seed),
         "B/s",
         budget,
-        CONTROL_BYTES,
+        CONTROL_BYTES_SOURCE,
     ));
     rows.push(Row::new(
         "consensus.idle.feed.wire",
         feed::idle_feed_bytes(seed),
         "B/s",
         budget,
-        CONTROL_BYTES,
+        CONTROL_BYTES_SOURCE,
     ));
     rows.extend(catch_up(seed));
-    rows.extend(feed::basis_age(seed));
+    rows.extend(feed::freshness_age(seed));
     rows
 }
 
@@ -87,16 +93,16 @@
     Duration::from_millis(millis)
 }
 
-/// Two zones 1 ms apart, further ones 12 ms away, as the registry's topology today.
-fn registry(left: id::VmId, right: id::VmId) -> Duration {
+/// Returns the one-way delay in the registry's current topology: two zones 1 ms apart, further zones 12 ms away.
+fn registry_delay(left: id::VmId, right: id::VmId) -> Duration {
     if left <= 2 && right <= 2 { ms(1) } else { ms(12) }
 }
 
-/// Time from the crash of a leader to a leader that holds a lease, hence commits and serves reads.
-fn leaderless(seed: u64, trials: u64) -> Vec<Row> {
+/// Measures the time from the crash of a leader until another replica holds the lease, and so commits and serves reads.
+fn failover(seed: u64, trials: u64) -> Vec<Row> {
     let mut times = Vec::new();
     for trial in 0..trials {
-        let mut world = World::new(seed.wrapping_add(trial), 3, None, registry);
+        let mut world = World::new(seed.wrapping_add(trial), 3, None, registry_delay);
         let leader = world.wait_for_leader();
         world.run_for(ms(500 + (trial * 37) % 100));
         world.down.push(leader);
@@ -112,19 +118,19 @@
             times[times.len() / 2],
             "s",
             bound,
-            FRESHNESS,
+            FRESHNESS_SOURCE,
         ),
         Row::new(
             "consensus.leaderless.worst",
             times[times.len() - 1],
             "s",
             bound,
-            FRESHNESS,
+            FRESHNESS_SOURCE,
         ),
     ]
 }
 
-/// Median time from a proposal to its commit on the leader, with a store that syncs in 1 ms.
+/// Returns the median time in milliseconds from a proposal to its commit on the leader, with a sync time of 1 ms.
 fn commit_latency(seed: u64, delay: u64) -> f64 {
     let link: fn(id::VmId, id::VmId) -> Duration = match delay {
         1 => |_, _| ms(1),
@@ -153,7 +159,8 @@
     times[times.len() / 2]
 }
 
-/// Bytes of one follower's link, both directions, for each committed start.
+/// Returns the bytes per committed start on one follower's link, in both directions together, without and with TCP and
+/// IP headers.
 fn bytes_per_start(seed: u64, batch: u64) -> (f64, f64) {
     const SECONDS: u64 = 20;
     let mut world = World::new(seed, 3, Some(ms(batch)), |_, _| ms(1));
@@ -162,19 +169,19 @@
     world.traffic.clear();
     let starts = SECONDS * STARTS_PER_SECOND;
     let mut rng = SmallRng::seed_from_u64(seed);
-    let mut left = starts;
-    while left > 0 {
-        // Starts come in the bursts of scheduling rounds.
-        let burst = rng.random_range(1..=6).min(left);
+    let mut remaining = starts;
+    while remaining > 0 {
+        // A scheduling round proposes its starts in one burst.
+        let burst = rng.random_range(1..=6).min(remaining);
         for _ in 0..burst {
             world.input(
                 leader,
                 Input::Propose {
-                    id: left,
+                    id: remaining,
                     data: vec![0; ENTRY_BYTES].into(),
                 },
             );
-            left -= 1;
+            remaining -= 1;
         }
         world.run_for(Duration::from_micros(burst * 1_000_000 / STARTS_PER_SECOND));
     }
@@ -187,9 +194,9 @@
     )
 }
 
-/// Bytes of an idle follower's link, both directions, in a second.
+/// Returns the bytes per second on an idle follower's link, in both directions together.
 fn idle_bytes(seed: u64) -> f64 {
-    let mut world = World::new(seed, 3, None, registry);
+    let mut world = World::new(seed, 3, None, registry_delay);
     let leader = world.wait_for_leader();
     world.run_for(ms(1_000));
     world.traffic.clear();
@@ -199,7 +206,8 @@
     (bytes + messages * HEADER_BYTES) as f64 / 10.0
 }
 
-/// Bytes and time until a member, and a follower of the feed, has the changes that it missed, 12 ms away.
+/// Measures the bytes and the time until a member, and a follower of the feed, has received the changes that it missed
+/// over a link of 12 ms.
 fn catch_up(seed: u64) -> Vec<Row> {
     let mut world = World::new(seed, 3, None, |_, _| ms(12));
     let leader = world.wait_for_leader();
@@ -229,27 +237,33 @@
     let (feed_time, feed_wire) = feed::catch_up(seed);
     let bound = Bound::AtMost(11.0);
     vec![
-        Row::new("consensus.catch_up_1000.member.time", time, "s", bound, IN_FORCE),
+        Row::new(
+            "consensus.catch_up_1000.member.time",
+            time,
+            "s",
+            bound,
+            IN_FORCE_SOURCE,
+        ),
         Row::new(
             "consensus.catch_up_1000.member.wire",
             wire as f64,
             "B",
             Bound::None,
-            NO_BOUND,
+            NO_BOUND_SOURCE,
         ),
         Row::new(
             "consensus.catch_up_1000.feed.time",
             feed_time,
             "s",
             bound,
-            IN_FORCE,
+            IN_FORCE_SOURCE,
         ),
         Row::new(
             "consensus.catch_up_1000.feed.wire",
             feed_wire,
             "B",
             Bound::None,
-            NO_BOUND,
+            NO_BOUND_SOURCE,
         ),
     ]
 }
--- a/crates/bench/src/policy/consensus/world.rs
+++ b/crates/bench/src/policy/consensus/world.rs
@@ -1,4 +1,4 @@
-//! A group in simulated time, with counted bytes.
+//! Consensus group in simulated time that counts the bytes of its messages.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
@@ -10,7 +10,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-use super::{FRAME_BYTES, SYNC};
+use super::{FRAME_BYTES, SYNC_TIME};
 
 enum Event {
     Deliver {
@@ -44,18 +44,19 @@
     }
 }
 
-/// A group in simulated time.
+/// Consensus group in simulated time.
 pub(super) struct World {
     pub(super) now: Duration,
     pub(super) replicas: BTreeMap<id::VmId, Replica>,
-    /// Members that neither receive nor act.
+    /// Crashed members: they neither receive messages nor take steps.
     pub(super) down: Vec<id::VmId>,
-    /// Zone of each VM, from which the delay follows.
+    /// One-way delay between two VMs.
     delay: fn(id::VmId, id::VmId) -> Duration,
     queue: BinaryHeap<Reverse<Timed>>,
     sequence: u64,
-    /// Bytes and messages between each pair.
+    /// Bytes and messages by sender and receiver.
     pub(super) traffic: BTreeMap<(id::VmId, id::VmId), (u64, u64)>,
+    /// Id and commit time of each proposal.
     pub(super) committed: Vec<(u64, Duration)>,
 }
 
@@ -157,7 +158,7 @@
                 match output {
                     Output::Persist(write::Write { sequence, .. }) => {
                         self.schedule(
-                            self.now + SYNC,
+                            self.now + SYNC_TIME,
                             Event::Synced {
                                 node: vm,
                                 through: sequence,
@@ -191,10 +192,10 @@
         self.schedule(at, Event::Deliver { from, to, data });
     }
 
-    /// Bytes and messages in both directions between two members since the last call of `traffic.clear`.
+    /// Returns the bytes and messages in both directions between two members since `traffic` was last cleared.
     pub(super) fn between(&self, left: id::VmId, right: id::VmId) -> (u64, u64) {
-        let there = self.traffic.get(&(left, right)).copied().unwrap_or_default();
-        let back = self.traffic.get(&(right, left)).copied().unwrap_or_default();
-        (there.0 + back.0, there.1 + back.1)
+        let sent = self.traffic.get(&(left, right)).copied().unwrap_or_default();
+        let received = self.traffic.get(&(right, left)).copied().unwrap_or_default();
+        (sent.0 + received.0, sent.1 + received.1)
     }
 }
--- a/crates/bench/src/policy/control/collection.rs
+++ b/crates/bench/src/policy/control/batching.rs
@@ -1,4 +1,4 @@
-//! Collection of commands into log entries: entries in a second and the longest wait.
+//! Batching of commands into log entries: entries per second, and the maximum wait of a command.
 
 use std::time::Duration;
 
@@ -8,9 +8,9 @@
 use super::{NOW_MS, STARTS_PER_SECOND};
 use crate::measure::{Bound, Row};
 
-/// Collects the starts and ends of a peak minute into entries, with one command for urgent work in a second. Returns the
-/// entries in a second, and the longest waits of routine and urgent commands in milliseconds.
-fn collect(seed: u64, routine: batch::Urgency) -> (f64, [f64; 2]) {
+/// Batches the starts and ends of one minute at peak load into entries, with an average of one command per second for
+/// urgent work. Returns the entries per second, and the maximum waits of routine and urgent commands in milliseconds.
+fn simulate(seed: u64, routine: batch::Urgency) -> (f64, [f64; 2]) {
     const SECONDS: u64 = 60;
     let mut random = SmallRng::seed_from_u64(seed);
     let mut batch = batch::Batch::default();
@@ -35,25 +35,25 @@
     (f64::from(entries) / SECONDS as f64, waits)
 }
 
-/// Adds the rows of commands collected at peak.
-pub(super) fn collection(seed: u64, rows: &mut Vec<Row>) {
-    let (each, _) = collect(seed, batch::Urgency::Prompt);
-    let (collected, [routine, urgent]) = collect(seed, batch::Urgency::Routine);
+/// Adds the rows of command batching at peak load.
+pub(super) fn add_rows(seed: u64, rows: &mut Vec<Row>) {
+    let (unbatched, _) = simulate(seed, batch::Urgency::Prompt);
+    let (batched, [routine, urgent]) = simulate(seed, batch::Urgency::Routine);
     let prompt = batch::PROMPT_DELAY.as_secs_f64() * 1000.0;
-    let longest = batch::ROUTINE_DELAY.as_secs_f64() * 1000.0;
+    let max_routine = batch::ROUTINE_DELAY.as_secs_f64() * 1000.0;
     let source = "ten batches a second and one urgent command";
     let entries = "control.log_entries_per_second_at_peak";
     let waits = "control.command_wait_ms_at_peak";
     rows.push(Row::new(
         format!("{entries}.all_prompt"),
-        each,
+        unbatched,
         "1/s",
         Bound::None,
         source,
     ));
     rows.push(Row::new(
         format!("{entries}.collected"),
-        collected,
+        batched,
         "1/s",
         Bound::AtMost(12.0),
         source,
@@ -63,7 +63,7 @@
         format!("{waits}.longest_routine"),
         routine,
         "ms",
-        Bound::AtMost(longest),
+        Bound::AtMost(max_routine),
         source,
     ));
     rows.push(Row::new(
--- a/crates/bench/src/policy/control/escrow.rs
+++ b/crates/bench/src/policy/control/escrow.rs
@@ -1,4 +1,4 @@
-//! Parts of upper limits that follow a wandering demand, against fixed parts.
+//! Allotments of upper limits that follow a shifting demand, compared with fixed allotments.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -6,21 +6,23 @@
 use bronzespoke_model::{id, job, resource::Amount, task};
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
-use super::{NOW_MS, TEAMS, ZONES, Zone, apply, root_at};
+use super::{NOW_MS, TEAMS, ZONES, Zone, apply, build_root};
 use crate::measure::{Bound, Length, Row};
 
-/// Teams, limit per team in tasks, and steps of one second of the escrow runs.
+/// Teams of the simulated cell.
 const ESCROW_TEAMS: u32 = 20;
+/// Upper limit of each team, in tasks.
 const ESCROW_LIMIT: u32 = 170;
-/// Seconds that a task runs.
+/// Seconds that a task takes.
 const TASK_SECONDS: u64 = 30;
 
-/// Zones whose tasks follow a demand, under parts from the root state or under fixed ones.
-struct Run {
+/// Zones that start tasks to meet a demand, under allotments from the root state or under fixed ones.
+struct Simulation {
     root: root::State,
     zones: Vec<Zone>,
+    /// Job of each team and zone, with the index of its next task to start.
     jobs: BTreeMap<(id::TeamId, id::AvailabilityZoneId), (id::JobId, u32)>,
-    /// Runs by the second at which they end.
+    /// Running tasks with their zones, by the second at which they end.
     ends: BTreeMap<u64, Vec<(usize, task::Ref)>>,
     reporters: Vec<demand::Reporter>,
     table: demand::Table,
@@ -29,18 +31,18 @@
     second: u64,
 }
 
-impl Run {
-    fn new(seed: u64, moving: bool) -> Self {
+impl Simulation {
+    fn new(seed: u64, rebalanced: bool) -> Self {
         let limit = Amount::new(ESCROW_LIMIT * 1000, ESCROW_LIMIT, 0);
-        let part = if moving {
+        let allotment = if rebalanced {
             Amount::ZERO
         } else {
             Amount::new(limit.cpu_milli / ZONES as u32, limit.memory_mib / ZONES as u32, 0)
         };
-        let mut run = Self {
-            root: root_at(seed, ESCROW_TEAMS, ZONES as u16, limit),
+        let mut simulation = Self {
+            root: build_root(seed, ESCROW_TEAMS, ZONES as u16, limit),
             zones: (1..=ZONES as u16)
-                .map(|zone| Zone::new(zone, 8, ESCROW_TEAMS, part))
+                .map(|zone| Zone::new(zone, 8, ESCROW_TEAMS, allotment))
                 .collect(),
             jobs: BTreeMap::new(),
             ends: BTreeMap::new(),
@@ -53,12 +55,12 @@
             second: 0,
         };
         for team in 1..=ESCROW_TEAMS {
-            for (number, zone) in run.zones.iter_mut().enumerate() {
+            for (number, zone) in simulation.zones.iter_mut().enumerate() {
                 let job = zone.submit(team, job::Kind::Service, job::MAX_TASKS);
-                run.jobs.insert((team, number as u16 + 1), (job, 0));
+                simulation.jobs.insert((team, number as u16 + 1), (job, 0));
             }
         }
-        run
+        simulation
     }
 
     fn running(&self, team: id::TeamId, zone: usize) -> u32 {
@@ -66,22 +68,23 @@
         (used.cpu_milli / 1000) as u32
     }
 
-    /// One second: tasks end, zones start what they may, and each zone and the root exchange one message.
-    fn step(&mut self, demand: &BTreeMap<(id::TeamId, id::AvailabilityZoneId), u32>, moving: bool) {
+    /// Simulates one second: tasks end, zones start tasks within their allotments, and each zone exchanges one message with
+    /// the root.
+    fn step(&mut self, demand: &BTreeMap<(id::TeamId, id::AvailabilityZoneId), u32>, rebalanced: bool) {
         self.second += 1;
         for (zone, task) in self.ends.remove(&self.second).unwrap_or_default() {
             self.zones[zone].end(task, task::Outcome::Stopped);
         }
-        for (key, wanted) in demand {
+        for (key, demanded) in demand {
             let zone = usize::from(key.1) - 1;
-            let missing = wanted.saturating_sub(self.running(key.0, zone));
+            let missing = demanded.saturating_sub(self.running(key.0, zone));
             let free = self.zones[zone].state.holdings().get(key.0).free();
             let count = missing
                 .min((free.cpu_milli / 1000) as u32)
                 .min(free.memory_mib as u32);
             self.start(*key, count);
         }
-        if moving {
+        if rebalanced {
             self.exchange(demand);
         }
     }
@@ -106,10 +109,10 @@
         let now = Duration::from_secs(self.second);
         for (number, zone) in self.zones.iter_mut().enumerate() {
             let id = number as u16 + 1;
-            zone.run(zone::Command::Granted(view.granted(id)));
+            zone.apply(zone::Command::Granted(view.granted(id)));
             let released = zone.state.releases(|team| view.target(team, id));
             if !released.is_empty() {
-                zone.run(zone::Command::Release(released));
+                zone.apply(zone::Command::Release(released));
             }
             let reporter = &mut self.reporters[number];
             for ((team, _), tasks) in demand.iter().filter(|((_, zone), _)| *zone == id) {
@@ -138,8 +141,8 @@
     }
 }
 
-/// Demand that wanders: every ten seconds, some teams move their main zone.
-fn wander(
+/// Changes the demand for the next second: every ten seconds, some teams shift their demand to another main zone.
+fn shift_demand(
     random: &mut SmallRng,
     second: u64,
     demand: &mut BTreeMap<(id::TeamId, id::AvailabilityZoneId), u32>,
@@ -150,8 +153,8 @@
         for zone in 1..=ZONES as u16 {
             let tasks = demand.entry((team, zone)).or_default();
             if moves {
-                let most = if zone == main { ESCROW_LIMIT * 3 / 4 } else { 6 };
-                *tasks = random.random_range(0..=most);
+                let max_tasks = if zone == main { ESCROW_LIMIT * 3 / 4 } else { 6 };
+                *tasks = random.random_range(0..=max_tasks);
             } else if random.random::<f64>() < 0.2 {
                 *tasks = tasks.saturating_add_signed(random.random_range(-1..=1));
             }
@@ -159,56 +162,56 @@
     }
 }
 
-/// Returns the part of the demand within the limits that ran in its zone, and in each second the bytes of the root log
-/// and of the reports to the root leader.
-fn demand_met(seed: u64, seconds: u64, moving: bool) -> (f64, f64, f64) {
+/// Returns the share of the demand within the limits that ran in the zone where it arose, and the bytes per second of
+/// the root log and of the reports to the root leader.
+fn demand_met(seed: u64, seconds: u64, rebalanced: bool) -> (f64, f64, f64) {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut run = Run::new(seed, moving);
+    let mut simulation = Simulation::new(seed, rebalanced);
     let mut demand = BTreeMap::new();
     let (mut met, mut possible) = (0, 0);
     for second in 0..seconds {
-        wander(&mut random, second, &mut demand);
-        run.step(&demand, moving);
+        shift_demand(&mut random, second, &mut demand);
+        simulation.step(&demand, rebalanced);
         for team in 1..=ESCROW_TEAMS {
-            let wanted: u32 = (1..=ZONES as u16).map(|zone| demand[&(team, zone)]).sum();
-            possible += u64::from(wanted.min(ESCROW_LIMIT));
+            let demanded: u32 = (1..=ZONES as u16).map(|zone| demand[&(team, zone)]).sum();
+            possible += u64::from(demanded.min(ESCROW_LIMIT));
             for zone in 0..ZONES {
-                let wanted = demand[&(team, zone as u16 + 1)];
-                met += u64::from(run.running(team, zone).min(wanted));
+                let demanded = demand[&(team, zone as u16 + 1)];
+                met += u64::from(simulation.running(team, zone).min(demanded));
             }
         }
     }
     (
         met as f64 / possible as f64,
-        run.log_bytes as f64 / seconds as f64,
-        run.report_bytes as f64 / seconds as f64,
+        simulation.log_bytes as f64 / seconds as f64,
+        simulation.report_bytes as f64 / seconds as f64,
     )
 }
 
-/// Returns the seconds until a zone to which all demand of a team moved runs 95% of it. The tasks of the other zone
-/// ended, so that the time is that of the messages, one round of which takes a second.
-fn time_to_move(seed: u64, moving: bool) -> u64 {
-    let mut run = Run::new(seed, moving);
+/// Returns the seconds until a zone to which a team moved all its demand runs 95% of it. The tasks in the other zone
+/// have ended by then, so only the messages take time, a second for each round.
+fn time_to_move(seed: u64, rebalanced: bool) -> u64 {
+    let mut simulation = Simulation::new(seed, rebalanced);
     let mut demand = BTreeMap::from([((1, 1), ESCROW_LIMIT), ((1, 2), 0)]);
     for _ in 0..60 {
-        run.step(&demand, moving);
+        simulation.step(&demand, rebalanced);
     }
-    let running: Vec<task::Ref> = run.zones[0].state.runs().map(|(task, _)| task).collect();
+    let running: Vec<task::Ref> = simulation.zones[0].state.runs().map(|(task, _)| task).collect();
     for task in running {
-        run.zones[0].end(task, task::Outcome::Stopped);
+        simulation.zones[0].end(task, task::Outcome::Stopped);
     }
-    run.ends.clear();
+    simulation.ends.clear();
     demand = BTreeMap::from([((1, 1), 0), ((1, 2), ESCROW_LIMIT)]);
     (1..=600)
         .find(|_| {
-            run.step(&demand, moving);
-            run.running(1, 1) * 100 >= ESCROW_LIMIT * 95
+            simulation.step(&demand, rebalanced);
+            simulation.running(1, 1) * 100 >= ESCROW_LIMIT * 95
         })
         .unwrap_or(600)
 }
 
-/// Adds the rows of escrow parts.
-pub(super) fn escrow(seed: u64, length: Length, rows: &mut Vec<Row>) {
+/// Adds the rows that compare rebalanced with fixed allotments.
+pub(super) fn add_rows(seed: u64, length: Length, rows: &mut Vec<Row>) {
     let seconds = match length {
         Length::Short => 120,
         Length::Long => 1200,
--- a/crates/bench/src/policy/control/mod.rs
+++ b/crates/bench/src/policy/control/mod.rs
@@ -1,6 +1,6 @@
-//! Policy measurements of `control`: bytes in the log and in snapshots, and how well parts follow demand.
+//! Policy measurements of `control`: bytes in the log and in snapshots, and how closely allotments follow demand.
 
-mod collection;
+mod batching;
 mod escrow;
 
 use std::time::Duration;
@@ -13,29 +13,29 @@
 
 const ZONES: usize = 17;
 const TEAMS: u32 = 640;
-/// Jobs of the cell in a day; the zone at target size has all of them.
+/// Jobs of the cell in one day, all of which the zone at the target size holds.
 const CELL_JOBS: u32 = 13_000;
-/// Wall time of the runs, in milliseconds; its size counts in the envelopes.
+/// Wall time of all commands, in milliseconds. It has a present-day value because its size affects encoded envelopes.
 const NOW_MS: u64 = 1_796_000_000_000;
-const STATE: Bound = Bound::AtMost(64_000_000.0);
+const STATE_BOUND: Bound = Bound::AtMost(64_000_000.0);
 const STATE_SOURCE: &str = "design 1.7, 64 MB per daemon";
-const WIRE: Bound = Bound::AtMost(24_000.0);
+const WIRE_BOUND: Bound = Bound::AtMost(24_000.0);
 const WIRE_SOURCE: &str = "design 1.7, 24 KB/s per daemon";
 const STARTS_PER_SECOND: u64 = 150;
-const COMMAND: &str = "reconcile --federation judo --tournament 2026-11 --belts all";
-const RESULT: &str = "reconciled 48 of 48";
+const TASK_COMMAND: &str = "reconcile --federation judo --tournament 2026-11 --belts all";
+const TASK_RESULT: &str = "reconciled 48 of 48";
 
-/// Returns the rows of this part.
+/// Runs the measurements of `control` and returns their rows.
 pub fn rows(seed: u64, length: Length) -> Vec<Row> {
     let mut rows = Vec::new();
     log_bytes(seed, &mut rows);
-    collection::collection(seed, &mut rows);
+    batching::add_rows(seed, &mut rows);
     let zone = zone_state(seed, CELL_JOBS, &mut rows);
     let witnessed = zone_state(seed, CELL_JOBS / ZONES as u32, &mut Vec::new());
     let root = root_state(seed, &mut rows);
     memory_row("root_and_zone", root + zone, &mut rows);
     memory_row("root_zone_and_witnessed_zone", root + zone + witnessed, &mut rows);
-    escrow::escrow(seed, length, &mut rows);
+    escrow::add_rows(seed, length, &mut rows);
     rows
 }
 
@@ -52,11 +52,11 @@
         accelerator: 0,
         run_time: Duration::from_mins(10),
         checkpoint: false,
-        command: String::from(COMMAND),
+        command: String::from(TASK_COMMAND),
     }
 }
 
-/// Returns starts of random tasks in a zone that has run for two years.
+/// Returns starts of random tasks, with ids and tokens as large as in a zone that has run for two years.
 fn starts(
     random: &mut SmallRng,
     count: u64,
@@ -77,7 +77,7 @@
 
 fn log_bytes(seed: u64, rows: &mut Vec<Row>) {
     let mut random = SmallRng::seed_from_u64(seed);
-    // Ten entries a second at peak.
+    // At peak load the starts of one second go into ten entries.
     let batch = STARTS_PER_SECOND / 10;
     let mut per_start = |name: &str, worker: fn(&mut SmallRng) -> id::WorkerId| {
         let list = starts(&mut random, batch, worker);
@@ -99,7 +99,7 @@
         .map(|start| zone::End {
             task: start.task,
             token: start.token - random.random_range(0..100_000),
-            outcome: task::Outcome::Succeeded(String::from(RESULT)),
+            outcome: task::Outcome::Succeeded(String::from(TASK_RESULT)),
         })
         .collect();
     let end = entry_bytes(zone::Command::End(ends)) / batch as f64;
@@ -115,7 +115,7 @@
     });
     let completion = entry_bytes(zone::Command::Complete {
         number: 1 << 20,
-        completion: zone::Completion::Answered(answer(200)),
+        completion: zone::Completion::Answered(response(200)),
     });
     for (name, bytes) in [
         ("end_with_19_byte_result", end),
@@ -126,18 +126,18 @@
         let name = format!("control.log_bytes_per_{name}");
         rows.push(Row::new(name, bytes, "B", Bound::None, WIRE_SOURCE));
     }
-    // Starts and ends at the peak rate, to the two followers of the zone leader.
+    // The zone leader sends every start and end to its two followers.
     let rate = STARTS_PER_SECOND as f64 * (start + end) * 2.0;
     rows.push(Row::new(
         "control.log_bytes_per_second_at_peak.zone_leader",
         rate,
         "B/s",
-        WIRE,
+        WIRE_BOUND,
         WIRE_SOURCE,
     ));
 }
 
-fn answer(bytes: usize) -> zone::Answer {
+fn response(bytes: usize) -> zone::Answer {
     zone::Answer {
         status: 200,
         content_type: String::from("application/json"),
@@ -145,22 +145,22 @@
     }
 }
 
-/// A zone state with a part without bounds for each team.
+/// Zone state to which commands are applied directly, without a log.
 pub(crate) struct Zone {
-    /// State.
+    /// State after the commands so far.
     pub(crate) state: zone::State,
     at_ms: u64,
 }
 
 impl Zone {
-    /// Returns a zone with workers and parts.
-    pub(crate) fn new(id: id::AvailabilityZoneId, workers: u64, teams: u32, part: Amount) -> Self {
+    /// Creates a zone with workers of unlimited capacity and the same allotment for each team.
+    pub(crate) fn new(id: id::AvailabilityZoneId, workers: u64, teams: u32, allotment: Amount) -> Self {
         let mut zone = Self {
             state: zone::State::new(id),
             at_ms: NOW_MS,
         };
         for worker in 0..workers {
-            zone.run(zone::Command::Register(worker::Registration {
+            zone.apply(zone::Command::Register(worker::Registration {
                 worker,
                 incarnation: 1,
                 rack: (worker / 8) as id::RackId,
@@ -170,32 +170,32 @@
                 },
             }));
         }
-        let granted = (1..=teams).map(|team| (team, part.into())).collect();
-        zone.run(zone::Command::Granted(granted));
+        let granted = (1..=teams).map(|team| (team, allotment.into())).collect();
+        zone.apply(zone::Command::Granted(granted));
         zone
     }
 
-    /// Applies a command.
-    pub(crate) fn run(&mut self, command: zone::Command) -> zone::Outcome {
+    /// Applies a command as the next log entry.
+    pub(crate) fn apply(&mut self, command: zone::Command) -> zone::Outcome {
         let index = self.state.applied() + 1;
         self.state
             .apply(index, &envelope::Envelope::new(self.at_ms, command))
     }
 
-    /// Submits a job.
+    /// Submits a job, which must be accepted, and returns its id.
     pub(crate) fn submit(&mut self, team: id::TeamId, kind: job::Kind, tasks: u32) -> id::JobId {
         let command = zone::Command::Submit {
             team,
             submission: None,
             spec: spec(kind, tasks),
         };
-        match self.run(command) {
+        match self.apply(command) {
             zone::Outcome::Job(job) => job,
             other => unreachable!("the submission is refused: {other:?}"),
         }
     }
 
-    /// Starts tasks of a job one after another; returns how many were accepted.
+    /// Starts tasks of a job on the workers in rotation, and returns the number of accepted starts.
     pub(crate) fn start(&mut self, job: id::JobId, indices: std::ops::Range<u32>, workers: u64) -> u32 {
         let first = self.state.next_token();
         let starts: Vec<zone::Start> = indices
@@ -207,61 +207,62 @@
             })
             .collect();
         let count = starts.len();
-        match self.run(zone::Command::Start(starts)) {
+        match self.apply(zone::Command::Start(starts)) {
             zone::Outcome::Started(refused) => (count - refused.len()) as u32,
             other => unreachable!("starts have an outcome of their own: {other:?}"),
         }
     }
 
-    /// Ends a run.
+    /// Ends the run of a task, if it has one.
     pub(crate) fn end(&mut self, task: task::Ref, outcome: task::Outcome) {
         if let Some(run) = self.state.run(task) {
             let token = run.token;
-            self.run(zone::Command::End(vec![zone::End { task, token, outcome }]));
+            self.apply(zone::Command::End(vec![zone::End { task, token, outcome }]));
         }
     }
 }
 
-/// Encoded bytes and the estimate of memory of a zone at the target size, and what one more of each kind adds.
+/// Adds the snapshot size and the memory estimate of a zone at the target size, and the snapshot bytes that each further
+/// item of a kind takes. Returns the memory estimate.
 fn zone_state(seed: u64, jobs: u32, rows: &mut Vec<Row>) -> usize {
     let mut random = SmallRng::seed_from_u64(seed);
     let workers = 165;
     let mut zone = Zone::new(9, workers, TEAMS, Amount::new(u32::MAX, u32::MAX, u32::MAX));
-    let mut last = zone.state.encode().len();
-    let mut slope = |zone: &Zone, name: &str, count: u32, rows: &mut Vec<Row>| {
+    let mut previous = zone.state.encode().len();
+    let mut add_growth = |zone: &Zone, name: &str, count: u32, rows: &mut Vec<Row>| {
         let bytes = zone.state.encode().len();
         rows.push(Row::new(
             format!("control.snapshot_bytes_per_{name}"),
-            (bytes - last) as f64 / f64::from(count),
+            (bytes - previous) as f64 / f64::from(count),
             "B",
             Bound::None,
             STATE_SOURCE,
         ));
-        last = bytes;
+        previous = bytes;
     };
-    // Jobs of one day, ended and not yet dropped.
+    // Ended jobs are retained for a day.
     for number in 0..jobs {
         let job = zone.submit(number % TEAMS + 1, job::Kind::Batch, 1);
         zone.start(job, 0..1, workers);
         let task = task::Ref { job, index: 0 };
-        zone.end(task, task::Outcome::Succeeded(String::from(RESULT)));
+        zone.end(task, task::Outcome::Succeeded(String::from(TASK_RESULT)));
     }
-    slope(&zone, "ended_job", jobs, rows);
+    add_growth(&zone, "ended_job", jobs, rows);
     let open = zone.submit(1, job::Kind::Service, 10_000);
     zone.start(open, 0..1000, workers);
-    slope(&zone, "running_task", 1000, rows);
+    add_growth(&zone, "running_task", 1000, rows);
     let ids = zone::MAX_REQUEST_IDS as u32;
     for number in 0..ids {
         let key = request_id::Key::new(1, &number.to_string());
         let holder = random.random_range(0..34);
-        zone.run(zone::Command::Claim { key, holder });
-        let completion = zone::Completion::Answered(answer(100));
-        zone.run(zone::Command::Complete {
+        zone.apply(zone::Command::Claim { key, holder });
+        let completion = zone::Completion::Answered(response(100));
+        zone.apply(zone::Command::Complete {
             number: u64::from(number) + 1,
             completion,
         });
     }
-    slope(&zone, "request_id_with_100_byte_answer", ids, rows);
+    add_growth(&zone, "request_id_with_100_byte_answer", ids, rows);
     for number in 0..bronzespoke_control::dedupe::MAX_IDS {
         let index = zone.state.applied() + 1;
         let envelope = envelope::Envelope {
@@ -273,7 +274,7 @@
         };
         zone.state.apply(index, &envelope);
     }
-    slope(
+    add_growth(
         &zone,
         "command_id",
         bronzespoke_control::dedupe::MAX_IDS as u32,
@@ -281,9 +282,9 @@
     );
     rows.push(Row::new(
         "control.snapshot_bytes.zone_at_target_size",
-        last as f64,
+        previous as f64,
         "B",
-        STATE,
+        STATE_BOUND,
         STATE_SOURCE,
     ));
     memory_row("zone_at_target_size", zone.state.memory(), rows);
@@ -295,13 +296,13 @@
         format!("control.memory_estimate.{name}"),
         bytes as f64,
         "B",
-        STATE,
+        STATE_BOUND,
         STATE_SOURCE,
     ));
 }
 
-/// A root state at the target size.
-pub(crate) fn root_at(seed: u64, teams: u32, zones: u16, limit: Amount) -> root::State {
+/// Creates a root state with zones of two VMs each, and with teams of four keys each.
+pub(crate) fn build_root(seed: u64, teams: u32, zones: u16, limit: Amount) -> root::State {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut state = root::State::new();
     for zone in 1..=zones {
@@ -354,9 +355,10 @@
     state.apply(index, &envelope)
 }
 
+/// Adds the snapshot size and the memory estimate of a root at the target size. Returns the memory estimate.
 fn root_state(seed: u64, rows: &mut Vec<Row>) -> usize {
     let mut random = SmallRng::seed_from_u64(seed);
-    let mut state = root_at(seed, TEAMS, ZONES as u16, Amount::new(1_000_000, 4_000_000, 100));
+    let mut state = build_root(seed, TEAMS, ZONES as u16, Amount::new(1_000_000, 4_000_000, 100));
     let demand = (1..=TEAMS)
         .flat_map(|team| (1..=ZONES as u16).map(move |zone| ((team, zone), Amount::new(1000, 1000, 1))))
         .collect();
@@ -380,7 +382,7 @@
         "control.snapshot_bytes.root_at_target_size",
         state.encode().len() as f64,
         "B",
-        STATE,
+        STATE_BOUND,
         STATE_SOURCE,
     ));
     memory_row("root_at_target_size", state.memory(), rows);
--- a/crates/bench/src/policy/gossip.rs
+++ b/crates/bench/src/policy/gossip.rs
@@ -1,4 +1,4 @@
-//! Policy measurements of `gossip`: bytes on the links and time until news is everywhere.
+//! Policy measurements of `gossip`: bytes on the links and time until an update has reached all VMs.
 
 use std::time::Duration;
 
@@ -9,35 +9,39 @@
 use crate::measure::{Bound, Length, Row};
 
 #[path = "../../../gossip/tests/network/mod.rs"]
-#[allow(dead_code, missing_docs, reason = "the tests of gossip use the rest")]
+#[allow(
+    dead_code,
+    missing_docs,
+    reason = "shared with the tests of gossip, which use the other items"
+)]
 mod network;
 
 use network::{Faults, Network};
 
-/// Zones of both users today, by region.
-const TODAY: &[id::RegionId] = &[0, 0, 1];
-/// Zones at the target size, by region.
-const TARGET: &[id::RegionId] = &[0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5];
+/// Region of each zone in the current topology of both users.
+const CURRENT_REGIONS: &[id::RegionId] = &[0, 0, 1];
+/// Region of each zone at the target size.
+const TARGET_REGIONS: &[id::RegionId] = &[0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5];
 /// Bytes of the length prefix of a frame.
 const PREFIX_BYTES: usize = 4;
-/// Bytes of the IPv4 and TCP headers of a packet with time stamps, and of its acknowledgement.
+/// Bytes of the IPv4 and TCP headers of a packet with the timestamp option, and of its acknowledgement.
 const PACKET_BYTES: u64 = 52 + 52;
 const WARM_UP: Duration = Duration::from_secs(5);
 const STEP: Duration = Duration::from_millis(5);
-const CONTROL_BYTES: Bound = Bound::AtMost(24_000.0);
+const CONTROL_BOUND: Bound = Bound::AtMost(24_000.0);
 const CONTROL_SOURCE: &str = "design 1.7, control cost";
 
-/// Returns the rows of this part.
+/// Runs the measurements of `gossip` and returns their rows.
 pub fn rows(seed: u64, length: Length) -> Vec<Row> {
     let trials = match length {
         Length::Short => 5,
         Length::Long => 40,
     };
     let mut rows = Vec::new();
-    for (name, regions) in [("6_vms", TODAY), ("34_vms", TARGET)] {
+    for (name, regions) in [("6_vms", CURRENT_REGIONS), ("34_vms", TARGET_REGIONS)] {
         bytes(seed, name, regions, &mut rows);
     }
-    loaded(seed, &mut rows);
+    load_updates(seed, &mut rows);
     departures(seed, trials, &mut rows);
     rows.push(config_everywhere(seed, trials));
     rows.push(usable_under_loss(seed));
@@ -45,13 +49,13 @@
     rows
 }
 
-fn meter(message: &Message) -> usize {
+fn frame_size(message: &Message) -> usize {
     postcard::to_stdvec(message).map_or(0, |bytes| bytes.len()) + PREFIX_BYTES
 }
 
 fn build(seed: u64, regions: &[id::RegionId]) -> Network {
     let mut network = Network::new(seed, regions);
-    network.message_size = meter;
+    network.message_size = frame_size;
     for id in network.ids() {
         publish_vm(&mut network, id, 1);
     }
@@ -67,14 +71,14 @@
             version: applied,
             ready: true,
         };
-        // Few entries are published, so that the table is never full.
+        // Cannot fail: the table has space for these few entries.
         let _published = gossip.set(now, Key::Vm(id), value);
     });
 }
 
-/// Returns the largest number of bytes that one VM sends, and all bytes between regions, with the packets of each.
+/// Returns the maximum number of bytes that one VM sent, and the bytes and packets that were sent between regions.
 fn totals(network: &Network) -> (u64, u64, u64) {
-    let most = network
+    let maximum = network
         .ids()
         .into_iter()
         .map(|id| {
@@ -94,14 +98,14 @@
             remote = (remote.0 + messages, remote.1 + bytes);
         }
     }
-    (most, remote.1, remote.0)
+    (maximum, remote.1, remote.0)
 }
 
 fn bytes(seed: u64, name: &str, regions: &[id::RegionId], rows: &mut Vec<Row>) {
     let seconds = 30;
     let mut network = build(seed, regions);
     network.run(Duration::from_secs(seconds));
-    let (most, remote, packets) = totals(&network);
+    let (maximum, remote, packets) = totals(&network);
     let per_second = |value: u64| value as f64 / seconds as f64;
     let mut push = |measure: &str, value: u64, bound: Bound| {
         rows.push(Row::new(
@@ -112,8 +116,8 @@
             CONTROL_SOURCE,
         ));
     };
-    push("idle_sent_by_a_daemon", most, CONTROL_BYTES);
-    push("idle_between_regions", remote, CONTROL_BYTES);
+    push("idle_sent_by_a_daemon", maximum, CONTROL_BOUND);
+    push("idle_between_regions", remote, CONTROL_BOUND);
     push(
         "idle_between_regions_with_headers",
         remote + packets * PACKET_BYTES,
@@ -137,12 +141,12 @@
     });
 }
 
-/// Targets whose load changes once a second, as with steady traffic to all of them.
-fn loaded(seed: u64, rows: &mut Vec<Row>) {
+/// Measures traffic while the load of every target changes once a second, as it does with steady requests to all targets.
+fn load_updates(seed: u64, rows: &mut Vec<Row>) {
     let seconds = 10;
     for targets in [50, 1000] {
         let mut random = SmallRng::seed_from_u64(seed);
-        let mut network = build(seed, TARGET);
+        let mut network = build(seed, TARGET_REGIONS);
         let ids = network.ids();
         let names: Vec<id::TargetId> = (0..targets).map(|_| random.random()).collect();
         for (number, target) in names.iter().enumerate() {
@@ -159,13 +163,13 @@
             }
             network.run(Duration::from_secs(1));
         }
-        let (most, remote, _) = totals(&network);
+        let (maximum, remote, _) = totals(&network);
         let per_second = |value: u64| value as f64 / f64::from(seconds);
         rows.push(Row::new(
             format!("gossip.loaded_sent_by_a_daemon.{targets}_targets"),
-            per_second(most),
+            per_second(maximum),
             "B/s",
-            CONTROL_BYTES,
+            CONTROL_BOUND,
             CONTROL_SOURCE,
         ));
         rows.push(Row::new(
@@ -178,7 +182,7 @@
     }
 }
 
-/// Runs until a condition holds for all VMs that are up; returns the simulated time that it took.
+/// Runs until a condition holds for all VMs, for at most a simulated minute, and returns the simulated time.
 fn run_until(network: &mut Network, holds: impl Fn(&mut Network, id::VmId) -> bool) -> Duration {
     let start = network.now;
     let limit = Duration::from_mins(1);
@@ -192,20 +196,20 @@
     }
 }
 
-fn is_out_of_use(network: &mut Network, id: id::VmId, target: id::TargetId) -> bool {
+fn has_dropped(network: &mut Network, id: id::VmId, target: id::TargetId) -> bool {
     network.with_node(id, |gossip, now| {
-        let found = gossip.targets(now);
-        found.iter().all(|status| status.announcement.target != target)
+        let targets = gossip.targets(now);
+        targets.iter().all(|status| status.announcement.target != target)
     })
 }
 
 fn departures(seed: u64, trials: u64, rows: &mut Vec<Row>) {
-    let mut longest = [Duration::ZERO; 3];
+    let mut maximum = [Duration::ZERO; 3];
     for trial in 0..trials {
         let mut random = SmallRng::seed_from_u64(seed ^ trial);
-        let mut network = build(seed ^ trial, TARGET);
+        let mut network = build(seed ^ trial, TARGET_REGIONS);
         let ids = network.ids();
-        for (case, longest) in longest.iter_mut().enumerate() {
+        for (case, maximum) in maximum.iter_mut().enumerate() {
             let target = 1000 + case as u64;
             let (holder, other) = (
                 ids[random.random_range(0..ids.len())],
@@ -215,7 +219,7 @@
             network.run(WARM_UP);
             match case {
                 1 => network.faults.loss = 0.05,
-                // The VM that alone knows of the departure is cut off before it can tell.
+                // The only VM that has the departure is cut off before it can propagate it.
                 2 => network.set_cut(&[holder], true),
                 _ => {}
             }
@@ -223,8 +227,8 @@
             network.with_node(via, |gossip, now| {
                 let _published = gossip.set_departing(now, target, 1);
             });
-            let time = run_until(&mut network, |network, id| is_out_of_use(network, id, target));
-            *longest = time.max(*longest);
+            let time = run_until(&mut network, |network, id| has_dropped(network, id, target));
+            *maximum = time.max(*maximum);
             network.faults = Faults::default();
         }
     }
@@ -233,10 +237,10 @@
         ("loss_5_percent", 3.0, "design I8"),
         ("holder_cut_off", 3.0, "design I8"),
     ];
-    for ((name, bound, source), longest) in cases.into_iter().zip(longest) {
+    for ((name, bound, source), maximum) in cases.into_iter().zip(maximum) {
         rows.push(Row::new(
             format!("gossip.departing_known_everywhere.{name}"),
-            longest.as_secs_f64(),
+            maximum.as_secs_f64(),
             "s",
             Bound::AtMost(bound),
             source,
@@ -244,11 +248,11 @@
     }
 }
 
-/// Time from the application on all VMs until each of them knows that all have applied it.
+/// Measures the time from the application of a configuration on all VMs until each VM knows that all have applied it.
 fn config_everywhere(seed: u64, trials: u64) -> Row {
-    let mut longest = Duration::ZERO;
+    let mut maximum = Duration::ZERO;
     for trial in 0..trials {
-        let mut network = build(seed ^ trial, TARGET);
+        let mut network = build(seed ^ trial, TARGET_REGIONS);
         network.faults = Faults {
             loss: 0.05,
             ..Faults::default()
@@ -261,20 +265,20 @@
             let applied = network.with_node(id, |gossip, now| gossip.min_applied_index(&ids, now));
             applied.is_some_and(|applied| applied >= 2)
         });
-        longest = longest.max(time);
+        maximum = maximum.max(time);
     }
     Row::new(
         "gossip.config_known_in_force_everywhere.34_vms_loss_5_percent",
-        longest.as_secs_f64(),
+        maximum.as_secs_f64(),
         "s",
         Bound::AtMost(11.0),
         "design I10",
     )
 }
 
-/// Share of all pairs of VMs whose entries are young enough, with lost messages.
+/// Measures the share of VM pairs in which the entry of one is recent enough for the other to use, with message loss.
 fn usable_under_loss(seed: u64) -> Row {
-    let mut network = build(seed, TARGET);
+    let mut network = build(seed, TARGET_REGIONS);
     network.faults.loss = 0.05;
     network.run(WARM_UP);
     let ids = network.ids();
@@ -282,11 +286,11 @@
     for _ in 0..200 {
         network.run(Duration::from_millis(100));
         for id in &ids {
-            let young = |vm: &id::VmId, network: &mut Network| {
+            let is_fresh = |vm: &id::VmId, network: &mut Network| {
                 let age = network.with_node(*id, |gossip, now| gossip.vm_age(*vm, now));
                 age.is_some_and(|age| age < gossip::USABLE_AGE)
             };
-            usable += ids.iter().filter(|vm| young(vm, &mut network)).count() as u32;
+            usable += ids.iter().filter(|vm| is_fresh(vm, &mut network)).count() as u32;
             all += ids.len() as u32;
         }
     }
@@ -299,9 +303,9 @@
     )
 }
 
-/// Time until a VM that starts with nothing holds 1,000 targets again, and the largest message on the way.
+/// Measures the time until a restarted VM without state has received 1,000 targets, and the largest message meanwhile.
 fn restart(seed: u64, rows: &mut Vec<Row>) {
-    let mut network = build(seed, TARGET);
+    let mut network = build(seed, TARGET_REGIONS);
     let ids = network.ids();
     let targets = 1000;
     for target in 0..targets {
--- a/crates/bench/src/policy/mod.rs
+++ b/crates/bench/src/policy/mod.rs
@@ -1,4 +1,4 @@
-//! Policy measurements, one module per part.
+//! Policy measurements, one module per measured package.
 
 use crate::measure;
 
@@ -8,7 +8,7 @@
 pub mod request;
 pub mod schedule;
 
-/// Returns the rows of every part.
+/// Runs all measurements and returns their rows, ordered by package.
 pub fn rows(seed: u64, length: measure::Length) -> Vec<measure::Row> {
     let mut rows = Vec::new();
     rows.extend(consensus::rows(seed, length));
--- a/crates/bench/src/policy/request/mod.rs
+++ b/crates/bench/src/policy/request/mod.rs
@@ -1,4 +1,4 @@
-//! Policy measurements of `request`: six entry VMs in three zones over two regions share 50 targets.
+//! Policy measurements of `request`: six entry VMs in three zones of two regions send requests to 50 shared targets.
 
 mod simulation;
 mod vm;
@@ -10,29 +10,29 @@
 
 use simulation::{Outcome, Policy, Scenario};
 
-const GOODPUT: &str = "design 1.8";
-const TRUTH: &str = "design 1.8, I6, I7";
-const DEPARTING: &str = "design 1.2, I8";
-/// Share of capacity that has to be useful answers.
-const GOODPUT_MIN: f64 = 0.95;
-/// Longest time in which a departing target may get new work, in seconds.
-const DEPARTING_MAX: f64 = 3.0;
-/// Parts of a zone's callers at the first of its two VMs.
-const EVEN: f64 = 0.6;
-const UNEVEN: f64 = 0.95;
-/// Simulated seconds that are measured.
-const WINDOW_SHORT: f64 = 6.0;
-const WINDOW_LONG: f64 = 40.0;
+const GOODPUT_SOURCE: &str = "design 1.8";
+const RUN_STATE_SOURCE: &str = "design 1.8, I6, I7";
+const DEPARTING_SOURCE: &str = "design 1.2, I8";
+/// Minimum share of the targets' capacity that goes into successful responses.
+const MIN_GOODPUT: f64 = 0.95;
+/// Seconds after its departure in which a target may still receive new attempts.
+const MAX_DEPARTING_SECONDS: f64 = 3.0;
+/// Fractions of a zone's callers that are sent to the first of the zone's two VMs.
+const EVEN_SPLIT: f64 = 0.6;
+const UNEVEN_SPLIT: f64 = 0.95;
+/// Measured seconds of simulated time.
+const SHORT_WINDOW: f64 = 6.0;
+const LONG_WINDOW: f64 = 40.0;
 
-/// Returns the rows of this part.
+/// Runs the scenarios of `request` and returns their rows.
 pub fn rows(seed: u64, length: measure::Length) -> Vec<Row> {
     let window = match length {
-        measure::Length::Short => WINDOW_SHORT,
-        measure::Length::Long => WINDOW_LONG,
+        measure::Length::Short => SHORT_WINDOW,
+        measure::Length::Long => LONG_WINDOW,
     };
-    // Scenarios share nothing, so running some at the same time changes no figure.
+    // Scenarios share no state, so the values do not depend on which of them run in parallel.
     std::thread::scope(|scope| {
-        let sharing = scope.spawn(move || sharing_rows(seed, window));
+        let comparison = scope.spawn(move || load_source_rows(seed, window));
         let mut rows = Vec::new();
         for (overload, slow, cut) in scenarios() {
             let scenario = Scenario {
@@ -40,34 +40,35 @@
                 overload,
                 slow,
                 cut,
-                first_vm: EVEN,
+                first_vm: EVEN_SPLIT,
                 window,
             };
             rows.extend(scenario_rows(&scenario));
         }
-        rows.extend(sharing.join().expect("a scenario does not panic"));
+        rows.extend(comparison.join().expect("a scenario does not panic"));
         rows
     })
 }
 
-/// Measures the decisions beside plain round robin on the same seed.
+/// Runs one scenario with the production policy and with the round-robin baseline, from the same seed.
 fn scenario_rows(scenario: &Scenario) -> Vec<Row> {
     let cut = if scenario.cut { ".cut" } else { "" };
     let label = format!("x{}.slow{:.0}{cut}", scenario.overload, scenario.slow * 100.0);
     let mut rows = Vec::new();
     std::thread::scope(|scope| {
-        let plain = scope.spawn(|| simulation::run(scenario, Policy::RoundRobin));
-        let ours = simulation::run(scenario, Policy::Decided(router::LoadSource::default()));
-        bounded_rows(&mut rows, &label, &ours);
-        plain_rows(
+        let baseline = scope.spawn(|| simulation::run(scenario, Policy::RoundRobin));
+        let production = simulation::run(scenario, Policy::Production(router::LoadSource::default()));
+        production_rows(&mut rows, &label, &production);
+        baseline_rows(
             &mut rows,
             &label,
-            &plain.join().expect("a scenario does not panic"),
+            &baseline.join().expect("a scenario does not panic"),
         );
     });
     rows
 }
 
+/// Returns the scenarios as overload factor, share of slow targets, and whether a zone is cut off.
 fn scenarios() -> Vec<(f64, f64, bool)> {
     let mut list = Vec::new();
     for overload in [1.0, 2.0, 10.0] {
@@ -79,7 +80,7 @@
     list
 }
 
-fn bounded_rows(rows: &mut Vec<Row>, label: &str, outcome: &Outcome) {
+fn production_rows(rows: &mut Vec<Row>, label: &str, outcome: &Outcome) {
     let mut push = |name: &str, value: f64, unit, bound, source| {
         rows.push(Row::new(
             format!("request.{name}.{label}"),
@@ -93,8 +94,8 @@
         "goodput",
         outcome.goodput,
         "share",
-        Bound::AtLeast(GOODPUT_MIN),
-        GOODPUT,
+        Bound::AtLeast(MIN_GOODPUT),
+        GOODPUT_SOURCE,
     );
     push("wait_p50", outcome.wait[0], "ms", Bound::None, "design 1.3");
     push("wait_p95", outcome.wait[1], "ms", Bound::None, "design 1.3");
@@ -119,25 +120,25 @@
         outcome.duplicates,
         "runs",
         Bound::AtMost(0.0),
-        TRUTH,
+        RUN_STATE_SOURCE,
     );
     push(
         "wrong_not_run",
         outcome.wrong_not_run,
         "answers",
         Bound::AtMost(0.0),
-        TRUTH,
+        RUN_STATE_SOURCE,
     );
     push(
         "departing",
         outcome.departing,
         "s",
-        Bound::AtMost(DEPARTING_MAX),
-        DEPARTING,
+        Bound::AtMost(MAX_DEPARTING_SECONDS),
+        DEPARTING_SOURCE,
     );
 }
 
-fn plain_rows(rows: &mut Vec<Row>, label: &str, outcome: &Outcome) {
+fn baseline_rows(rows: &mut Vec<Row>, label: &str, outcome: &Outcome) {
     let mut push = |name: &str, value: f64, unit| {
         let name = format!("request.plain.{name}.{label}");
         rows.push(Row::new(name, value, unit, Bound::None, "round robin"));
@@ -149,23 +150,23 @@
     push("duplicates", outcome.duplicates, "runs");
 }
 
-/// Compares the ways to share slots between VMs where they differ most.
-fn sharing_rows(seed: u64, window: f64) -> Vec<Row> {
+/// Compares the sources of a target's load in the scenarios in which their results differ most.
+fn load_source_rows(seed: u64, window: f64) -> Vec<Row> {
     let mut rows = Vec::new();
-    let ways = [
+    let sources = [
         ("lent", router::LoadSource::Reserved),
         ("reported", router::LoadSource::Gossip),
         ("probed", router::LoadSource::Response),
     ];
     let cases = [
-        (1.0, 0.0, EVEN),
-        (1.0, 0.0, UNEVEN),
-        (1.0, 0.3, EVEN),
-        (2.0, 0.3, EVEN),
-        (10.0, 0.3, EVEN),
+        (1.0, 0.0, EVEN_SPLIT),
+        (1.0, 0.0, UNEVEN_SPLIT),
+        (1.0, 0.3, EVEN_SPLIT),
+        (2.0, 0.3, EVEN_SPLIT),
+        (10.0, 0.3, EVEN_SPLIT),
     ];
     for (overload, slow, first_vm) in cases {
-        for (name, sharing) in ways {
+        for (name, load_source) in sources {
             let scenario = Scenario {
                 seed,
                 overload,
@@ -174,8 +175,8 @@
                 first_vm,
                 window,
             };
-            let outcome = simulation::run(&scenario, Policy::Decided(sharing));
-            let uneven = if first_vm > EVEN { ".uneven" } else { "" };
+            let outcome = simulation::run(&scenario, Policy::Production(load_source));
+            let uneven = if first_vm > EVEN_SPLIT { ".uneven" } else { "" };
             let label = format!("x{overload}.slow{:.0}{uneven}", slow * 100.0);
             let mut push = |measure: &str, value, unit| {
                 let name = format!("request.sharing.{name}.{measure}.{label}");
--- a/crates/bench/src/policy/request/simulation.rs
+++ b/crates/bench/src/policy/request/simulation.rs
@@ -1,4 +1,4 @@
-//! The simulation itself: events in virtual time.
+//! Discrete-event simulation of the request path in virtual time.
 
 use std::{
     cmp::Reverse,
@@ -11,7 +11,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 use super::{
-    vm::{self, Mind, SERVICE},
+    vm::{self, Engine, SERVICE},
     world,
 };
 
@@ -19,46 +19,51 @@
 const DEADLINE: Duration = Duration::from_secs(2);
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 const GOSSIP_INTERVAL: Duration = Duration::from_millis(500);
-/// Time after which targets that are not heard of any more are dropped (design 5).
-const REMOTE_DROP: Duration = Duration::from_millis(2500);
+/// Time without contact after which a VM drops remote targets (design 5).
+const REMOTE_DROP_AFTER: Duration = Duration::from_millis(2500);
 const CUT_LENGTH: Duration = Duration::from_secs(4);
 const REQUEST_BYTES: u32 = 1024;
-const ANSWER_BYTES: u64 = 2048;
-/// Part of requests that must not be repeated.
-const CLAIMED: f64 = 0.2;
-/// Weights of the teams, which all ask for the same.
+const RESPONSE_BYTES: u64 = 2048;
+/// Fraction of requests that must not be repeated.
+const UNREPEATABLE: f64 = 0.2;
+/// Weights of the teams, all of which offer the same load.
 const WEIGHTS: [u32; 4] = [1, 1, 2, 4];
 
-/// How requests are routed.
+/// Policy that admits, routes and retries requests.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Policy {
-    Decided(router::LoadSource),
+    Production(router::LoadSource),
     RoundRobin,
 }
 
-/// One measurement.
+/// Parameters of one run.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Scenario {
     pub seed: u64,
     pub overload: f64,
     pub slow: f64,
     pub cut: bool,
-    /// Part of a zone's callers that the balancer sends to the first of its two VMs.
+    /// Fraction of a zone's callers that the load balancer sends to the first of the zone's two VMs.
     pub first_vm: f64,
     pub window: f64,
 }
 
-/// What was measured.
+/// Measured values of one run.
 #[derive(Debug, Default)]
 pub(super) struct Outcome {
     pub goodput: f64,
-    /// Milliseconds at 50, 95 and 99 per cent.
+    /// Waiting time without the run time, in milliseconds: 50th, 95th and 99th percentile.
     pub wait: [f64; 3],
+    /// Attempts after the first, in percent of first attempts.
     pub extra: f64,
     pub remote_kib: f64,
+    /// Largest deviation of a team's share of successes from its weighted share.
     pub share_error: f64,
+    /// Unrepeatable requests that ran more than once.
     pub duplicates: f64,
+    /// Requests that were reported as not run although they ran.
     pub wrong_not_run: f64,
+    /// Seconds from a target's departure to the last attempt that it received.
     pub departing: f64,
 }
 
@@ -75,7 +80,10 @@
     Deadline(usize),
 }
 
-#[expect(clippy::struct_excessive_bools, reason = "each is a fact about the request")]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "the flags are independent of each other"
+)]
 struct Request {
     vm: usize,
     team: usize,
@@ -88,7 +96,7 @@
     admitted: bool,
     ended: bool,
     runs: u32,
-    told_not_run: bool,
+    reported_not_run: bool,
 }
 
 struct Attempt {
@@ -110,10 +118,11 @@
     requests: Vec<Request>,
     attempts: Vec<Attempt>,
     waits: Vec<f64>,
-    useful: u64,
+    succeeded: u64,
     by_team: [u64; WEIGHTS.len()],
     remote: u64,
-    gap: f64,
+    /// Mean interval between arrivals, in seconds.
+    mean_gap: f64,
     end: Duration,
 }
 
@@ -122,10 +131,10 @@
     let targets = world::targets(scenario.slow);
     let capacity: f64 = targets
         .iter()
-        .map(|target| f64::from(world::SLOTS) / target.mean())
+        .map(|target| f64::from(world::SLOTS) / target.mean_run_time())
         .sum();
-    let sharing = match policy {
-        Policy::Decided(sharing) => Some(sharing),
+    let load_source = match policy {
+        Policy::Production(load_source) => Some(load_source),
         Policy::RoundRobin => None,
     };
     let mut simulation = Simulation {
@@ -135,21 +144,21 @@
         events: BinaryHeap::new(),
         sequence: 0,
         targets,
-        vms: vm::vms(scenario.seed, sharing),
+        vms: vm::vms(scenario.seed, load_source),
         requests: Vec::new(),
         attempts: Vec::new(),
         waits: Vec::new(),
-        useful: 0,
+        succeeded: 0,
         by_team: [0; WEIGHTS.len()],
         remote: 0,
-        gap: 1.0 / (capacity * scenario.overload),
+        mean_gap: 1.0 / (capacity * scenario.overload),
         end: WARM_UP + Duration::from_secs_f64(scenario.window),
     };
     simulation.push(Duration::ZERO, Event::Gossip);
     simulation.push(Duration::from_millis(1), Event::Arrive);
     simulation.push(cut_start() + Duration::from_millis(600), Event::Depart);
     while let Some(Reverse((at, _, event))) = simulation.events.pop() {
-        // A cut, a departure and every deadline have passed a while after the last arrival.
+        // By this time the cut, the departure and all deadlines have passed.
         if at > simulation.end + DEADLINE * 2 {
             break;
         }
@@ -175,7 +184,7 @@
             Event::Arrive => self.arrive(),
             Event::Gossip => self.gossip(),
             Event::Depart => {
-                // The target stands in the zone that a cut separates, which is the harder case.
+                // A target in the zone that is cut off is the harder case: the departure may not reach the other zones.
                 let target = &mut self.targets[usize::from(world::CUT_ZONE)];
                 target.status.departing = true;
                 target.departed = Some((self.now, self.now));
@@ -204,23 +213,23 @@
         self.scenario.cut && during && apart
     }
 
-    /// Every VM takes in the targets that it hears of, with loads and departures as they are now.
+    /// Updates every VM with the targets that gossip shows it, with their current loads and departures.
     fn gossip(&mut self) {
         for target in &mut self.targets {
             target.status.in_flight = target.load();
         }
         for index in 0..self.vms.len() {
             let zone = self.vms[index].zone;
-            let long_cut = self.now >= cut_start() + REMOTE_DROP;
-            let heard: Vec<(id::ServiceId, target::Status)> = self
+            let long_cut = self.now >= cut_start() + REMOTE_DROP_AFTER;
+            let visible: Vec<(id::ServiceId, target::Status)> = self
                 .targets
                 .iter()
                 .filter(|target| !(long_cut && self.is_cut(zone, target.status.place.zone)))
                 .map(|target| (SERVICE, target.status.clone()))
                 .collect();
             let during_cut = |status: &target::Status| !long_cut && self.is_cut(zone, status.place.zone);
-            // A cut VM keeps what it heard last until the drop: it does not learn of the departure.
-            let heard: Vec<_> = heard
+            // Until it drops them, a VM keeps targets beyond the cut as last received, and does not see the departure.
+            let visible: Vec<_> = visible
                 .into_iter()
                 .map(|(service, mut status)| {
                     status.departing &= !during_cut(&status);
@@ -228,8 +237,8 @@
                 })
                 .collect();
             let now = self.now;
-            if let Mind::Decided(mind) = &mut self.vms[index].mind {
-                mind.router.apply(now, router::Update::Targets(&heard));
+            if let Engine::Production(engine) = &mut self.vms[index].engine {
+                engine.router.apply(now, router::Update::Targets(&visible));
             }
             self.wake(index);
         }
@@ -240,15 +249,15 @@
         if self.now >= self.end {
             return;
         }
-        let gap = -self.gap * self.random.random_range(f64::MIN_POSITIVE..1.0_f64).ln();
-        self.push(Duration::from_secs_f64(gap), Event::Arrive);
+        let interval = -self.mean_gap * self.random.random_range(f64::MIN_POSITIVE..1.0_f64).ln();
+        self.push(Duration::from_secs_f64(interval), Event::Arrive);
         let zone = self.random.random_range(0..world::TARGETS) % world::ZONES;
         let second = usize::from(!self.random.random_bool(self.scenario.first_vm));
         let request = self.requests.len();
         self.requests.push(Request {
             vm: zone + second * world::ZONES,
             team: self.random.random_range(0..WEIGHTS.len()),
-            repeatable: !self.random.random_bool(CLAIMED),
+            repeatable: !self.random.random_bool(UNREPEATABLE),
             arrived: self.now,
             attempts: 0,
             tried: Vec::new(),
@@ -257,7 +266,7 @@
             admitted: false,
             ended: false,
             runs: 0,
-            told_not_run: false,
+            reported_not_run: false,
         });
         self.push(DEADLINE, Event::Deadline(request));
         self.admit(request);
@@ -273,7 +282,7 @@
     fn admit(&mut self, request: usize) {
         let flow = self.flow(request);
         let state = &self.requests[request];
-        let ticket = admission::Request {
+        let pending = admission::Request {
             id: request as u64,
             flow,
             weight: WEIGHTS[state.team],
@@ -281,17 +290,17 @@
             deadline: state.arrived + DEADLINE,
         };
         let now = self.now;
-        let verdict = match &mut self.vms[state.vm].mind {
-            Mind::RoundRobin { .. } => admission::Decision::Admitted,
-            Mind::Decided(mind) => {
+        let decision = match &mut self.vms[state.vm].engine {
+            Engine::RoundRobin { .. } => admission::Decision::Admitted,
+            Engine::Production(engine) => {
                 if state.attempts == 0 {
-                    mind.retry.record_request(flow);
+                    engine.retry.record_request(flow);
                 }
-                let free = mind.router.free_slots(now, SERVICE);
-                mind.admission.admit(now, ticket, free)
+                let free = engine.router.free_slots(now, SERVICE);
+                engine.admission.admit(now, pending, free)
             }
         };
-        match verdict {
+        match decision {
             admission::Decision::Admitted => {
                 self.requests[request].admitted = true;
                 self.send(request);
@@ -301,29 +310,29 @@
         }
     }
 
-    /// Sends an admitted request; without room it goes back to admission.
+    /// Sends an admitted request, or returns it to admission when no target has a free slot.
     fn send(&mut self, request: usize) {
         let now = self.now;
         let index = self.requests[request].vm;
-        let target = match &mut self.vms[index].mind {
-            Mind::RoundRobin { next } => {
+        let target = match &mut self.vms[index].engine {
+            Engine::RoundRobin { next } => {
                 *next += 1;
                 Some((*next % world::TARGETS) as u64 + 1)
             }
-            Mind::Decided(mind) => {
+            Engine::Production(engine) => {
                 let query = router::Request {
                     service: SERVICE,
                     exclude: &self.requests[request].tried,
-                    bytes: REQUEST_BYTES + ANSWER_BYTES as u32,
+                    bytes: REQUEST_BYTES + RESPONSE_BYTES as u32,
                 };
-                match mind.router.pick(now, &query) {
+                match engine.router.pick(now, &query) {
                     router::Choice::Target(target) => Some(target),
                     router::Choice::Full | router::Choice::NoTarget => None,
                 }
             }
         };
         let Some(target) = target else {
-            // A new admission may use a target that was tried before, as in the gateway.
+            // As in the gateway, a request that is admitted again may use targets that it tried before.
             self.requests[request].tried.clear();
             self.release(request, admission::Outcome::Ignored);
             self.admit(request);
@@ -345,7 +354,7 @@
             connecting: self.is_cut(zone, place.zone),
         });
         if world::place(zone).region != place.region {
-            self.remote += u64::from(REQUEST_BYTES) + ANSWER_BYTES;
+            self.remote += u64::from(REQUEST_BYTES) + RESPONSE_BYTES;
         }
         if self.is_cut(zone, place.zone) {
             self.push(CONNECT_TIMEOUT, Event::ConnectFailed(attempt));
@@ -400,7 +409,7 @@
         if self.requests[request].ended || self.requests[request].current != Some(attempt) {
             return;
         }
-        if self.random.random_bool(world::RESETS) {
+        if self.random.random_bool(world::RESET_PROBABILITY) {
             self.failed(attempt, attempt::Progress::Sent, attempt::Outcome::Failed);
             return;
         }
@@ -416,7 +425,7 @@
         let state = &mut self.requests[request];
         state.ended = true;
         if now >= WARM_UP && now < self.end {
-            self.useful += 1;
+            self.succeeded += 1;
             self.by_team[state.team] += 1;
             let wait = now.saturating_sub(state.arrived).saturating_sub(run_time);
             self.waits.push(wait.as_secs_f64() * 1000.0);
@@ -425,30 +434,30 @@
         self.release(request, admission::Outcome::Success { latency });
     }
 
-    fn failed(&mut self, attempt: usize, state: attempt::Progress, end: attempt::Outcome) {
+    fn failed(&mut self, attempt: usize, progress: attempt::Progress, outcome: attempt::Outcome) {
         let request = self.attempts[attempt].request;
         if self.requests[request].ended || self.requests[request].current != Some(attempt) {
             return;
         }
         self.requests[request].current = None;
-        self.end_attempt(attempt, end);
-        let known = &self.requests[request];
-        let question = retry::Attempt {
+        self.end_attempt(attempt, outcome);
+        let state = &self.requests[request];
+        let failed_attempt = retry::Attempt {
             flow: self.flow(request),
-            repeatable: known.repeatable,
-            progress: state,
-            history: known.history,
-            attempts: known.attempts,
+            repeatable: state.repeatable,
+            progress,
+            history: state.history,
+            attempts: state.attempts,
             response_started: false,
-            deadline: known.arrived + DEADLINE,
+            deadline: state.arrived + DEADLINE,
         };
         let now = self.now;
-        let decision = match &mut self.vms[known.vm].mind {
-            Mind::Decided(mind) => mind.retry.decide(now, &question),
-            Mind::RoundRobin { .. } if known.attempts < vm::PLAIN_ATTEMPTS => {
-                retry::Decision::Retry(known.history.max(state.execution()))
+        let decision = match &mut self.vms[state.vm].engine {
+            Engine::Production(engine) => engine.retry.decide(now, &failed_attempt),
+            Engine::RoundRobin { .. } if state.attempts < vm::BASELINE_ATTEMPTS => {
+                retry::Decision::Retry(state.history.max(progress.execution()))
             }
-            Mind::RoundRobin { .. } => retry::Decision::GiveUp(known.history.max(state.execution())),
+            Engine::RoundRobin { .. } => retry::Decision::GiveUp(state.history.max(progress.execution())),
         };
         match decision {
             retry::Decision::Retry(history) => {
@@ -456,7 +465,7 @@
                 self.send(request);
             }
             retry::Decision::GiveUp(history) => {
-                let done = match end {
+                let done = match outcome {
                     attempt::Outcome::Busy { .. } => admission::Outcome::Overloaded,
                     _ => admission::Outcome::Ignored,
                 };
@@ -472,14 +481,14 @@
         }
         let flow = self.flow(request);
         let index = self.requests[request].vm;
-        if let Mind::Decided(mind) = &mut self.vms[index].mind
+        if let Engine::Production(engine) = &mut self.vms[index].engine
             && !self.requests[request].admitted
         {
-            mind.admission.cancel(flow, request as u64);
+            engine.admission.cancel(flow, request as u64);
         }
         let mut history = self.requests[request].history;
         if let Some(attempt) = self.requests[request].current.take() {
-            // Bytes may have been read unless the connection was still being made.
+            // Once connected, the target may have read the request and started the run.
             if !self.attempts[attempt].connecting {
                 history = history.max(attempt::Execution::Unknown);
             }
@@ -489,19 +498,19 @@
         self.release(request, admission::Outcome::Overloaded);
     }
 
-    /// Tells the caller that there is no answer.
-    fn stop(&mut self, request: usize, known: attempt::Execution) {
+    /// Reports an error with the state of the run to the caller.
+    fn stop(&mut self, request: usize, execution: attempt::Execution) {
         let state = &mut self.requests[request];
         state.ended = true;
-        state.told_not_run = known == attempt::Execution::NotRun;
+        state.reported_not_run = execution == attempt::Execution::NotRun;
     }
 
-    fn end_attempt(&mut self, attempt: usize, end: attempt::Outcome) {
+    fn end_attempt(&mut self, attempt: usize, outcome: attempt::Outcome) {
         let now = self.now;
         let target = self.attempts[attempt].target as u64 + 1;
         let index = self.requests[self.attempts[attempt].request].vm;
-        if let Mind::Decided(mind) = &mut self.vms[index].mind {
-            mind.router.finish(now, target, end);
+        if let Engine::Production(engine) = &mut self.vms[index].engine {
+            engine.router.finish(now, target, outcome);
         }
     }
 
@@ -512,8 +521,8 @@
         let now = self.now;
         let flow = self.flow(request);
         let index = self.requests[request].vm;
-        if let Mind::Decided(mind) = &mut self.vms[index].mind {
-            mind.admission.finish(now, flow, done);
+        if let Engine::Production(engine) = &mut self.vms[index].engine {
+            engine.admission.finish(now, flow, done);
         }
         self.wake(index);
     }
@@ -521,24 +530,24 @@
     fn wake(&mut self, index: usize) {
         let now = self.now;
         loop {
-            let Mind::Decided(mind) = &mut self.vms[index].mind else {
+            let Engine::Production(engine) = &mut self.vms[index].engine else {
                 return;
             };
-            let free = mind.router.free_slots(now, SERVICE);
-            let next = mind.admission.dequeue(now, SERVICE, free);
-            if let Some(expired) = mind.admission.pop_expired() {
+            let free = engine.router.free_slots(now, SERVICE);
+            let next = engine.admission.dequeue(now, SERVICE, free);
+            if let Some(expired) = engine.admission.pop_expired() {
                 let request = expired.id as usize;
                 self.stop(request, self.requests[request].history);
-                if let Some(ticket) = next {
-                    self.requests[ticket.id as usize].admitted = true;
-                    self.send(ticket.id as usize);
+                if let Some(admitted) = next {
+                    self.requests[admitted.id as usize].admitted = true;
+                    self.send(admitted.id as usize);
                 }
                 continue;
             }
-            let Some(ticket) = next else {
+            let Some(admitted) = next else {
                 return;
             };
-            let request = ticket.id as usize;
+            let request = admitted.id as usize;
             self.requests[request].admitted = true;
             self.send(request);
         }
@@ -546,8 +555,8 @@
 
     fn outcome(mut self, capacity: f64) -> Outcome {
         self.waits.sort_unstable_by(f64::total_cmp);
-        let quantile = |part: f64| {
-            let index = (self.waits.len() as f64 * part) as usize;
+        let quantile = |fraction: f64| {
+            let index = (self.waits.len() as f64 * fraction) as usize;
             self.waits
                 .get(index.min(self.waits.len().saturating_sub(1)))
                 .copied()
@@ -559,8 +568,8 @@
             .by_team
             .iter()
             .zip(WEIGHTS)
-            .map(|(useful, weight)| {
-                let share = *useful as f64 / self.useful.max(1) as f64;
+            .map(|(succeeded, weight)| {
+                let share = *succeeded as f64 / self.succeeded.max(1) as f64;
                 (share - f64::from(weight) / f64::from(weights)).abs()
             })
             .fold(0.0, f64::max);
@@ -579,14 +588,14 @@
         let wrong = self
             .requests
             .iter()
-            .filter(|request| request.told_not_run && request.runs > 0)
+            .filter(|request| request.reported_not_run && request.runs > 0)
             .count();
         let departing = self.targets.iter().filter_map(|target| target.departed);
         let departing = departing
             .map(|(at, last)| last.saturating_sub(at).as_secs_f64())
             .fold(0.0, f64::max);
         Outcome {
-            goodput: self.useful as f64 / (capacity * window),
+            goodput: self.succeeded as f64 / (capacity * window),
             wait: [quantile(0.5), quantile(0.95), quantile(0.99)],
             extra: extra / first * 100.0,
             remote_kib: self.remote as f64 / 1024.0 / (self.end.as_secs_f64()),
--- a/crates/bench/src/policy/request/world.rs
+++ b/crates/bench/src/policy/request/world.rs
@@ -1,48 +1,48 @@
-//! Targets, links and places of the simulation.
+//! Targets, places and link delays of the simulation.
 
 use std::{collections::VecDeque, time::Duration};
 
 use bronzespoke_model::{target, vm};
 use rand::{Rng, rngs::SmallRng};
 
-/// Targets over all zones.
+/// Targets in all zones together.
 pub(super) const TARGETS: usize = 50;
 /// Slots of each target.
 pub(super) const SLOTS: u32 = 8;
-/// Requests that wait at a target before it refuses: its 64 connections without those that hold a slot.
+/// Requests that queue at a target before it refuses further ones: its 64 connections less those that occupy a slot.
 pub(super) const BACKLOG: usize = 64 - SLOTS as usize;
 /// Entry VMs, two in each zone.
 pub(super) const VMS: usize = 6;
 /// Zones; the first two are in one region.
 pub(super) const ZONES: usize = 3;
-/// Zone that the cut separates from the others.
+/// Zone that the network cut separates from the others.
 pub(super) const CUT_ZONE: u16 = 1;
-/// Mean run time.
+/// Mean run time of a request at a target of normal speed.
 pub(super) const RUN_TIME: Duration = Duration::from_millis(100);
-/// How much longer a slow target takes.
+/// Factor by which a slow target takes longer.
 pub(super) const SLOW_FACTOR: f64 = 5.0;
-/// Part of attempts whose connection is reset after the run.
-pub(super) const RESETS: f64 = 0.002;
+/// Probability that the connection of an attempt is reset after the run.
+pub(super) const RESET_PROBABILITY: f64 = 0.002;
 
-/// A simulated target.
+/// Simulated target.
 pub(super) struct Target {
     pub status: target::Status,
     pub slow: bool,
     pub busy: u32,
-    /// Attempts that wait for a slot.
+    /// Attempts that are queued for a slot.
     pub waiting: VecDeque<usize>,
-    /// When the target departed, and when it last got an attempt after that.
+    /// Time of the departure and of the last attempt received after it.
     pub departed: Option<(Duration, Duration)>,
 }
 
 impl Target {
-    pub(super) fn mean(&self) -> f64 {
+    pub(super) fn mean_run_time(&self) -> f64 {
         RUN_TIME.as_secs_f64() * if self.slow { SLOW_FACTOR } else { 1.0 }
     }
 
-    /// Returns a run time between half and one and a half of the mean.
+    /// Returns a run time that is uniformly distributed between 0.5 and 1.5 times the target's average.
     pub(super) fn run_time(&self, random: &mut SmallRng) -> Duration {
-        Duration::from_secs_f64(self.mean() * random.random_range(0.5..1.5))
+        Duration::from_secs_f64(self.mean_run_time() * random.random_range(0.5..1.5))
     }
 
     pub(super) fn load(&self) -> u32 {
@@ -50,7 +50,7 @@
     }
 }
 
-/// Returns the place of a zone.
+/// Returns the place of a VM or target in a zone.
 pub(super) const fn place(zone: u16) -> vm::Place {
     vm::Place {
         region: if zone < 2 { 0 } else { 1 },
@@ -58,7 +58,7 @@
     }
 }
 
-/// Returns the targets; `slow` is the part of them that is slow, spread over the zones.
+/// Creates the targets; `slow` is the fraction of slow ones, which are spread over the zones.
 pub(super) fn targets(slow: f64) -> Vec<Target> {
     let slow_count = (TARGETS as f64 * slow).round() as usize;
     (0..TARGETS)
--- a/crates/bench/src/policy/schedule/baseline.rs
+++ b/crates/bench/src/policy/schedule/baseline.rs
@@ -1,19 +1,19 @@
-//! The two baselines: plain first fit over one queue, and a plain queue per team in rotation.
+//! Two baselines: first fit over one queue, and one queue per team served in rotation.
 //!
-//! Both know the declared sizes, place gangs whole, and try a failed task again up to four times. They know neither
-//! shares, estimates, urgency nor the health of workers.
+//! Both respect declared sizes, place gangs as a unit, and retry a task until its fourth failure. They ignore shares,
+//! estimated run times, urgency and the health of workers.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use bronzespoke_model::{id, job, resource, task};
 use bronzespoke_schedule::{Input, Output};
 
-/// Queue entries that first fit looks at when the first does not fit.
-const LOOKED_AT: usize = 64;
-/// Runs of a task that may fail.
-const ATTEMPTS: u32 = 4;
+/// Queue entries that first fit considers before it waits for resources.
+const LOOKAHEAD: usize = 64;
+/// Failures after which a task is not retried.
+const MAX_FAILURES: u32 = 4;
 
-/// Tasks of one job that wait.
+/// Waiting tasks of one job.
 #[derive(Debug, Clone)]
 struct Entry {
     job: id::JobId,
@@ -28,7 +28,7 @@
     alive: bool,
 }
 
-/// A baseline.
+/// Baseline scheduler.
 #[derive(Debug)]
 pub(super) struct Baseline {
     by_team: bool,
@@ -36,17 +36,18 @@
     jobs: HashMap<id::JobId, (id::TeamId, job::Spec)>,
     queues: BTreeMap<id::TeamId, VecDeque<Entry>>,
     running: BTreeMap<id::Token, (task::Ref, usize, resource::Amount)>,
-    attempts: HashMap<task::Ref, u32>,
-    /// Needs for which no worker has room, until room is freed; a shortcut that changes no decision.
+    failures: HashMap<task::Ref, u32>,
+    /// Sizes for which no worker has enough free resources, cleared when a run ends. Saves scans and changes no decision.
     full: Vec<(resource::Amount, id::AcceleratorKind)>,
     next_token: id::Token,
-    /// Team whose turn is next.
-    turn: id::TeamId,
-    pub(super) tries: u64,
+    /// Team that was served last; the rotation continues after it.
+    last_served: id::TeamId,
+    /// Placements tried so far, successful or not.
+    pub(super) placement_attempts: u64,
 }
 
 impl Baseline {
-    /// Returns a baseline with one queue, or with one for each team.
+    /// Creates a baseline with one queue, or with one queue for each team.
     pub(super) fn new(by_team: bool) -> Self {
         Self {
             by_team,
@@ -54,15 +55,15 @@
             jobs: HashMap::new(),
             queues: BTreeMap::new(),
             running: BTreeMap::new(),
-            attempts: HashMap::new(),
+            failures: HashMap::new(),
             full: Vec::new(),
             next_token: 1,
-            turn: 0,
-            tries: 0,
+            last_served: 0,
+            placement_attempts: 0,
         }
     }
 
-    /// Takes an input of the scheduler.
+    /// Handles an input of the scheduler, and places waiting tasks if the input may have changed what fits.
     pub(super) fn step(&mut self, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Register(registration) => self.workers.push(Worker {
@@ -78,7 +79,7 @@
             }
             Input::Cancel { job } => self.cancel(job, out),
             Input::Ended { task, token, outcome } => self.ended(task, token, &outcome),
-            Input::WorkerGone { worker, .. } => self.lose(worker),
+            Input::WorkerGone { worker, .. } => self.remove_worker(worker),
             _ => return,
         }
         self.place(out);
@@ -108,9 +109,9 @@
         self.workers[worker].free = self.workers[worker].free.saturating_add(&size);
         self.full.clear();
         if *outcome == task::Outcome::Failed && self.jobs.contains_key(&task.job) {
-            let attempts = self.attempts.entry(task).or_default();
-            *attempts += 1;
-            if *attempts < ATTEMPTS {
+            let failures = self.failures.entry(task).or_default();
+            *failures += 1;
+            if *failures < MAX_FAILURES {
                 self.push(Entry {
                     job: task.job,
                     tasks: vec![task.index],
@@ -119,7 +120,7 @@
         }
     }
 
-    fn lose(&mut self, worker: id::WorkerId) {
+    fn remove_worker(&mut self, worker: id::WorkerId) {
         let Some(position) = self.workers.iter().position(|other| other.id == worker) else {
             return;
         };
@@ -145,14 +146,14 @@
         while self.place_round(out) {}
     }
 
-    /// Gives each queue one turn; returns whether anything started.
+    /// Serves each queue once, and returns whether any task started.
     fn place_round(&mut self, out: &mut Vec<Output>) -> bool {
         let teams: Vec<_> = self.queues.keys().copied().collect();
-        let from = teams.partition_point(|team| *team <= self.turn);
+        let from = teams.partition_point(|team| *team <= self.last_served);
         let mut started = false;
         for team in teams[from..].iter().chain(&teams[..from]) {
             if self.place_queue(*team, out) {
-                self.turn = *team;
+                self.last_served = *team;
                 started = true;
             }
         }
@@ -160,9 +161,9 @@
     }
 
     fn place_queue(&mut self, team: id::TeamId, out: &mut Vec<Output>) -> bool {
-        let looked_at = if self.by_team { 1 } else { LOOKED_AT };
+        let lookahead = if self.by_team { 1 } else { LOOKAHEAD };
         let mut position = 0;
-        while position < looked_at {
+        while position < lookahead {
             let Some(entry) = self
                 .queues
                 .get(&team)
@@ -174,7 +175,7 @@
                 }
                 return false;
             };
-            let queue = self.queues.get_mut(&team).expect("the queue was found");
+            let queue = self.queues.get_mut(&team).expect("the queue was looked up above");
             let Some((_, spec)) = self.jobs.get(&entry.job) else {
                 queue.remove(position);
                 continue;
@@ -185,31 +186,31 @@
             } else {
                 1
             };
-            self.tries += 1;
-            let known = self
+            self.placement_attempts += 1;
+            let is_full = self
                 .full
                 .iter()
                 .any(|(full, other)| *other == kind && full.fits(&size));
-            let rooms = if known {
+            let positions = if is_full {
                 None
             } else {
-                self.rooms(&size, kind, count)
+                self.find_workers(&size, kind, count)
             };
-            let Some(rooms) = rooms else {
-                if count == 1 && !known {
+            let Some(positions) = positions else {
+                if count == 1 && !is_full {
                     self.full.push((size, kind));
                 }
                 position += 1;
                 continue;
             };
-            for (room, index) in rooms.into_iter().zip(entry.tasks) {
+            for (worker, index) in positions.into_iter().zip(entry.tasks) {
                 let task = task::Ref {
                     job: entry.job,
                     index,
                 };
-                self.start(task, room, &size, out);
+                self.start(task, worker, &size, out);
             }
-            let queue = self.queues.get_mut(&team).expect("the queue was found");
+            let queue = self.queues.get_mut(&team).expect("the queue was looked up above");
             queue[position].tasks.drain(..count);
             if queue[position].tasks.is_empty() {
                 queue.remove(position);
@@ -219,14 +220,20 @@
         false
     }
 
-    fn rooms(&self, size: &resource::Amount, kind: id::AcceleratorKind, count: usize) -> Option<Vec<usize>> {
-        let mut rooms = Vec::new();
+    /// Returns positions of workers that can run `count` tasks of a size, the same position once per task.
+    fn find_workers(
+        &self,
+        size: &resource::Amount,
+        kind: id::AcceleratorKind,
+        count: usize,
+    ) -> Option<Vec<usize>> {
+        let mut positions = Vec::new();
         for (position, worker) in self.workers.iter().enumerate() {
             let mut free = worker.free;
             while worker.alive && size.fits(&free) && (kind == 0 || kind == worker.kind) {
-                rooms.push(position);
-                if rooms.len() == count {
-                    return Some(rooms);
+                positions.push(position);
+                if positions.len() == count {
+                    return Some(positions);
                 }
                 free = free.saturating_sub(size);
             }
--- a/crates/bench/src/policy/schedule/mod.rs
+++ b/crates/bench/src/policy/schedule/mod.rs
@@ -1,5 +1,5 @@
-//! Policy measurements of `schedule`: one cell's work under the scheduler and under two baselines, plain first fit
-//! without fairness and a plain queue per team, from the same seed in simulated time.
+//! Policy measurements of `schedule`: one workload under the scheduler and under two baselines, first fit without
+//! fairness and one queue per team, from the same seed in simulated time.
 
 mod baseline;
 mod simulation;
@@ -7,12 +7,12 @@
 
 use crate::measure::{Bound, Length, Row};
 
-/// Returns the rows of this part.
+/// Runs the workload on each fleet under each driver and returns the rows.
 pub fn rows(seed: u64, length: Length) -> Vec<Row> {
     let mut rows = Vec::new();
-    let mut fleets = vec![work::TODAY, work::ZONE];
+    let mut fleets = vec![work::CURRENT_ZONE, work::TARGET_ZONE];
     if length == Length::Long {
-        fleets.push(work::FLEET);
+        fleets.push(work::TARGET_FLEET);
     }
     for fleet in fleets {
         let plan = work::plan(seed, &fleet);
@@ -25,9 +25,9 @@
 }
 
 fn add_rows(rows: &mut Vec<Row>, fleet: &str, driver: simulation::Driver, result: &simulation::Outcome) {
-    let own = driver == simulation::Driver::Scheduler;
+    let is_scheduler = driver == simulation::Driver::Scheduler;
     let mut add = |measure: &str, value: f64, unit: &'static str, bound: Bound, source: &'static str| {
-        let bound = if own { bound } else { Bound::None };
+        let bound = if is_scheduler { bound } else { Bound::None };
         let name = format!("schedule.{fleet}.{measure}.{}", driver.name());
         rows.push(Row::new(name, value, unit, bound, source));
     };
@@ -53,9 +53,15 @@
     {
         add(&format!("packing.{name}"), value, "share", Bound::None, "brief");
     }
-    add("share.distance", result.distance, "share", Bound::None, "brief");
-    add("stopped", result.stopped as f64, "tasks", Bound::None, "brief");
-    add("lost", result.lost, "core-s", Bound::None, "brief");
+    add(
+        "share.distance",
+        result.share_deficit,
+        "share",
+        Bound::None,
+        "brief",
+    );
+    add("stopped", result.preempted as f64, "tasks", Bound::None, "brief");
+    add("lost", result.lost_core_seconds, "core-s", Bound::None, "brief");
     add(
         "unstarted",
         result.unstarted as f64,
--- a/crates/bench/src/policy/schedule/simulation.rs
+++ b/crates/bench/src/policy/schedule/simulation.rs
@@ -1,4 +1,4 @@
-//! Runs a plan of work in simulated time under one driver.
+//! Simulation of a planned workload under one scheduler or baseline.
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap, HashSet};
@@ -13,22 +13,22 @@
 use super::baseline::Baseline;
 use super::work::{Fleet, Job};
 
-/// What decides.
+/// Scheduler or baseline that places the tasks.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(super) enum Driver {
-    /// The scheduler.
+    /// Scheduler of the `schedule` package.
     Scheduler,
-    /// Plain first fit over one queue.
+    /// First fit over one queue.
     FirstFit,
-    /// A plain queue per team.
+    /// One queue per team, served in rotation.
     TeamQueues,
 }
 
-/// All drivers.
+/// Drivers in the order of their rows.
 pub(super) const DRIVERS: [Driver; 3] = [Driver::Scheduler, Driver::FirstFit, Driver::TeamQueues];
 
 impl Driver {
-    /// Returns the name in the rows.
+    /// Returns the last part of the names of the driver's rows.
     pub(super) const fn name(self) -> &'static str {
         match self {
             Self::Scheduler => "scheduler",
@@ -38,41 +38,46 @@
     }
 }
 
-/// What was measured.
+/// Measured values of one run.
 #[derive(Debug, Default)]
 pub(super) struct Outcome {
     /// Seconds from the submission to the first start, by kind, sorted.
     pub(super) waits: BTreeMap<&'static str, Vec<f64>>,
-    /// Share of the capacity that tasks really use while work waits, by dimension.
+    /// Share of the capacity that tasks actually use while tasks wait, by dimension.
     pub(super) packing: [f64; 3],
-    /// Mean over time of the largest distance of a waiting team below its weighted share.
-    pub(super) distance: f64,
-    pub(super) stopped: u64,
-    pub(super) lost: f64,
+    /// Mean over time of the largest deficit of a waiting team against its weighted share.
+    pub(super) share_deficit: f64,
+    /// Runs that were preempted.
+    pub(super) preempted: u64,
+    /// Core-seconds of preempted runs without a checkpoint.
+    pub(super) lost_core_seconds: f64,
+    /// Tasks that had not started by the end.
     pub(super) unstarted: u64,
+    /// Placement attempts per start.
     pub(super) decisions: f64,
-    /// Workers seen with more granted than they have.
+    /// Starts that granted more of a worker than its capacity.
     pub(super) overfilled: u64,
 }
 
-/// Returns a quantile of sorted values.
+/// Returns a quantile of values in ascending order, or zero if there are none.
 pub(super) fn quantile(values: &[f64], quantile: f64) -> f64 {
     let last = values.len().saturating_sub(1) as f64;
     values.get((last * quantile) as usize).copied().unwrap_or(0.0)
 }
 
+/// Time after which the lease of a failed worker has expired, including clock drift.
 const LEASE_WITH_DRIFT: Duration = Duration::from_millis(10_200);
 const REPORT_INTERVAL: Duration = Duration::from_secs(3);
 const SAMPLE_INTERVAL: Duration = Duration::from_secs(5);
-/// Time from a directive to its effect and report.
+/// Time from a stop directive until the worker has ended the run and reported it.
 const STOP_TIME: Duration = Duration::from_millis(100);
 const CHECKPOINT_TIME: Duration = Duration::from_millis(300);
 const FAIL_TIME: Duration = Duration::from_millis(200);
-/// One worker in this many fails everything.
-const FAULTY: u64 = 50;
-const RACK: u64 = 8;
-/// One job in this many is cancelled in the wave.
-const CANCELLED: u64 = 4;
+/// One worker in this many fails all its runs.
+const FAULTY_EVERY: u64 = 50;
+const WORKERS_PER_RACK: u64 = 8;
+/// One job in this many is cancelled halfway through the run.
+const CANCEL_EVERY: u64 = 4;
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 enum Event {
@@ -83,7 +88,7 @@
     Report(id::WorkerId),
     Cancellations,
     RackLost,
-    LeasesOut,
+    LeasesExpired,
     Sample,
     Wake,
 }
@@ -95,7 +100,7 @@
     started: Duration,
 }
 
-enum Decider {
+enum Engine {
     Scheduler(Box<Scheduler>),
     Baseline(Box<Baseline>),
 }
@@ -104,44 +109,46 @@
     now: Duration,
     fleet: &'a Fleet,
     plan: &'a [Job],
-    decider: Decider,
+    engine: Engine,
     events: BinaryHeap<Reverse<(Duration, Event)>>,
     runs: BTreeMap<id::Token, Run>,
     by_worker: HashMap<id::WorkerId, HashSet<id::Token>>,
     sequence: HashMap<id::WorkerId, u64>,
-    dead: HashSet<id::WorkerId>,
-    /// Work done by checkpointed tasks.
+    failed: HashSet<id::WorkerId>,
+    /// Run time that checkpoints have preserved, by task.
     progress: HashMap<task::Ref, Duration>,
-    first: HashSet<task::Ref>,
+    /// Tasks that have started at least once, or were cancelled while they waited.
+    started: HashSet<task::Ref>,
     cancelled: HashSet<id::JobId>,
     waiting: BTreeMap<id::TeamId, i64>,
     granted: BTreeMap<id::WorkerId, resource::Amount>,
     starts: u64,
     next_wake: Duration,
     random: SmallRng,
+    /// Number of samples, and the sums of the share deficits and of the used shares by dimension.
     samples: (f64, f64, [f64; 3]),
     outcome: Outcome,
 }
 
-/// Runs the plan.
+/// Runs the plan under a driver and returns the measured values.
 pub(super) fn run(seed: u64, fleet: &Fleet, plan: &[Job], driver: Driver) -> Outcome {
-    let decider = match driver {
-        Driver::Scheduler => Decider::Scheduler(Box::new(Scheduler::new(Config::default(), Duration::ZERO))),
-        Driver::FirstFit => Decider::Baseline(Box::new(Baseline::new(false))),
-        Driver::TeamQueues => Decider::Baseline(Box::new(Baseline::new(true))),
+    let engine = match driver {
+        Driver::Scheduler => Engine::Scheduler(Box::new(Scheduler::new(Config::default(), Duration::ZERO))),
+        Driver::FirstFit => Engine::Baseline(Box::new(Baseline::new(false))),
+        Driver::TeamQueues => Engine::Baseline(Box::new(Baseline::new(true))),
     };
     let mut simulation = Simulation {
         now: Duration::ZERO,
         fleet,
         plan,
-        decider,
+        engine,
         events: BinaryHeap::new(),
         runs: BTreeMap::new(),
         by_worker: HashMap::new(),
         sequence: HashMap::new(),
-        dead: HashSet::new(),
+        failed: HashSet::new(),
         progress: HashMap::new(),
-        first: HashSet::new(),
+        started: HashSet::new(),
         cancelled: HashSet::new(),
         waiting: BTreeMap::new(),
         granted: BTreeMap::new(),
@@ -152,7 +159,7 @@
         outcome: Outcome::default(),
     };
     simulation.prepare();
-    simulation.play();
+    simulation.run_events();
     simulation.finish()
 }
 
@@ -176,11 +183,11 @@
             self.step(Input::Register(worker::Registration {
                 worker,
                 incarnation: 1,
-                rack: (worker / RACK) as id::RackId,
+                rack: (worker / WORKERS_PER_RACK) as id::RackId,
                 capacity: self.fleet.capacity(worker),
             }));
-            let first = Duration::from_millis(self.random.random_range(0..3000));
-            self.at(first, Event::Report(worker));
+            let first_report = Duration::from_millis(self.random.random_range(0..3000));
+            self.at(first_report, Event::Report(worker));
         }
         for (index, job) in self.plan.iter().enumerate() {
             self.at(job.at, Event::Arrival(index));
@@ -195,7 +202,7 @@
         self.events.push(Reverse((at, event)));
     }
 
-    fn play(&mut self) {
+    fn run_events(&mut self) {
         let end = Duration::from_secs(self.fleet.seconds);
         while let Some(Reverse((at, event))) = self.events.pop() {
             if at > end {
@@ -218,7 +225,7 @@
                 let faulty = self
                     .runs
                     .get(&token)
-                    .is_some_and(|run| run.worker % FAULTY == FAULTY - 1);
+                    .is_some_and(|run| run.worker % FAULTY_EVERY == FAULTY_EVERY - 1);
                 let outcome = if faulty {
                     task::Outcome::Failed
                 } else {
@@ -236,10 +243,11 @@
             Event::Report(worker) => self.report(worker),
             Event::Cancellations => self.cancel_wave(),
             Event::RackLost => {
-                self.dead.extend(0..RACK.min(self.fleet.workers / 2));
-                self.at(self.now + LEASE_WITH_DRIFT, Event::LeasesOut);
+                self.failed
+                    .extend(0..WORKERS_PER_RACK.min(self.fleet.workers / 2));
+                self.at(self.now + LEASE_WITH_DRIFT, Event::LeasesExpired);
             }
-            Event::LeasesOut => self.lose_rack(),
+            Event::LeasesExpired => self.expire_leases(),
             Event::Sample => {
                 self.sample();
                 self.at(self.now + SAMPLE_INTERVAL, Event::Sample);
@@ -252,11 +260,11 @@
     }
 
     fn end(&mut self, token: id::Token, outcome: task::Outcome) {
-        let dead = self
+        let failed = self
             .runs
             .get(&token)
-            .is_none_or(|run| self.dead.contains(&run.worker));
-        if dead {
+            .is_none_or(|run| self.failed.contains(&run.worker));
+        if failed {
             return;
         }
         if let Some(run) = self.remove(token) {
@@ -277,7 +285,7 @@
     }
 
     fn report(&mut self, worker: id::WorkerId) {
-        if self.dead.contains(&worker) {
+        if self.failed.contains(&worker) {
             return;
         }
         self.at(self.now + REPORT_INTERVAL, Event::Report(worker));
@@ -289,7 +297,7 @@
             running.push(worker::Running {
                 task: run.task,
                 token: *token,
-                usage: real(&self.plan[run.task.job as usize - 1]),
+                usage: actual_usage(&self.plan[run.task.job as usize - 1]),
             });
         }
         running.sort_by_key(|running| running.token);
@@ -306,12 +314,15 @@
 
     fn cancel_wave(&mut self) {
         let known = self.plan.iter().filter(|job| job.at < self.now);
-        let chosen: Vec<_> = known.map(|job| job.id).filter(|id| id % CANCELLED == 0).collect();
+        let chosen: Vec<_> = known
+            .map(|job| job.id)
+            .filter(|id| id % CANCEL_EVERY == 0)
+            .collect();
         for job in chosen {
             self.cancelled.insert(job);
             let plan = &self.plan[job as usize - 1];
             for index in 0..plan.spec.tasks {
-                if self.first.insert(task::Ref { job, index }) {
+                if self.started.insert(task::Ref { job, index }) {
                     *self.waiting.entry(plan.team).or_default() -= 1;
                 }
             }
@@ -319,15 +330,15 @@
         }
     }
 
-    fn lose_rack(&mut self) {
-        let mut dead: Vec<_> = self.dead.iter().copied().collect();
-        dead.sort_unstable();
-        for worker in dead {
+    fn expire_leases(&mut self) {
+        let mut failed: Vec<_> = self.failed.iter().copied().collect();
+        failed.sort_unstable();
+        for worker in failed {
             let tokens: Vec<_> = self.by_worker.remove(&worker).into_iter().flatten().collect();
             for token in tokens {
                 self.remove(token);
             }
-            if matches!(self.decider, Decider::Baseline(_)) {
+            if matches!(self.engine, Engine::Baseline(_)) {
                 self.step(Input::WorkerGone { worker, at: self.now });
             }
         }
@@ -335,8 +346,8 @@
 
     fn step(&mut self, input: Input) {
         let mut out = Vec::new();
-        match &mut self.decider {
-            Decider::Scheduler(scheduler) => {
+        match &mut self.engine {
+            Engine::Scheduler(scheduler) => {
                 scheduler.step(self.now, input, &mut out);
                 let wake = scheduler.next_wake().max(self.now);
                 if wake < self.next_wake {
@@ -344,14 +355,14 @@
                     self.events.push(Reverse((wake, Event::Wake)));
                 }
             }
-            Decider::Baseline(baseline) => baseline.step(input, &mut out),
+            Engine::Baseline(baseline) => baseline.step(input, &mut out),
         }
         for output in out {
-            self.obey(&output);
+            self.apply_output(&output);
         }
     }
 
-    fn obey(&mut self, output: &Output) {
+    fn apply_output(&mut self, output: &Output) {
         match *output {
             Output::Start {
                 task,
@@ -360,32 +371,32 @@
                 granted,
             } => self.start(task, worker, token, granted),
             Output::Stop { token, reason, .. } => {
-                self.count_stop(token, reason, true);
+                self.count_preemption(token, reason, true);
                 self.at(self.now + STOP_TIME, Event::Stopped(token));
             }
             Output::Checkpoint { token, reason, .. } => {
-                self.count_stop(token, reason, false);
+                self.count_preemption(token, reason, false);
                 self.at(self.now + CHECKPOINT_TIME, Event::Checkpointed(token));
             }
             _ => {}
         }
     }
 
-    fn count_stop(&mut self, token: id::Token, reason: Reason, lost: bool) {
+    fn count_preemption(&mut self, token: id::Token, reason: Reason, loses_work: bool) {
         if reason != Reason::Preempted {
             return;
         }
-        self.outcome.stopped += 1;
-        if let Some(run) = self.runs.get(&token).filter(|_| lost) {
+        self.outcome.preempted += 1;
+        if let Some(run) = self.runs.get(&token).filter(|_| loses_work) {
             let cores = f64::from(run.granted.cpu_milli) / 1000.0;
-            self.outcome.lost += cores * self.now.saturating_sub(run.started).as_secs_f64();
+            self.outcome.lost_core_seconds += cores * self.now.saturating_sub(run.started).as_secs_f64();
         }
     }
 
     fn start(&mut self, task: task::Ref, worker: id::WorkerId, token: id::Token, granted: resource::Amount) {
         self.starts += 1;
         let job = &self.plan[task.job as usize - 1];
-        if self.first.insert(task) {
+        if self.started.insert(task) {
             *self.waiting.entry(job.team).or_default() -= 1;
             let kind = match (job.spec.priority, job.spec.kind) {
                 (job::Priority::Urgent, _) => "urgent",
@@ -402,11 +413,11 @@
             self.outcome.overfilled += 1;
         }
         let done = self.progress.get(&task).copied().unwrap_or_default();
-        let left = job.real.saturating_sub(done).max(FAIL_TIME);
-        if worker % FAULTY == FAULTY - 1 {
+        let remaining = job.run_time.saturating_sub(done).max(FAIL_TIME);
+        if worker % FAULTY_EVERY == FAULTY_EVERY - 1 {
             self.at(self.now + FAIL_TIME, Event::End(token));
         } else if job.spec.kind != job::Kind::Service {
-            self.at(self.now + left, Event::End(token));
+            self.at(self.now + remaining, Event::End(token));
         }
         self.by_worker.entry(worker).or_default().insert(token);
         self.runs.insert(
@@ -426,30 +437,34 @@
             return;
         }
         let mut total = [0.0; 3];
-        for worker in (0..self.fleet.workers).filter(|worker| !self.dead.contains(worker)) {
+        for worker in (0..self.fleet.workers).filter(|worker| !self.failed.contains(worker)) {
             add(&mut total, &self.fleet.capacity(worker).amount);
         }
         let mut used = [0.0; 3];
         let mut teams: BTreeMap<id::TeamId, [f64; 3]> = BTreeMap::new();
-        for run in self.runs.values().filter(|run| !self.dead.contains(&run.worker)) {
+        for run in self
+            .runs
+            .values()
+            .filter(|run| !self.failed.contains(&run.worker))
+        {
             let job = &self.plan[run.task.job as usize - 1];
-            add(&mut used, &real(job));
+            add(&mut used, &actual_usage(job));
             add(teams.entry(job.team).or_default(), &job.spec.size);
         }
         let active = |team: &id::TeamId| {
             teams.contains_key(team) || self.waiting.get(team).is_some_and(|count| *count > 0)
         };
         let weights: u32 = (1..=self.fleet.teams).filter(active).map(Fleet::weight).sum();
-        let mut distance = 0.0_f64;
+        let mut share_deficit = 0.0_f64;
         for (&team, _) in self.waiting.iter().filter(|(_, count)| **count > 0) {
             let used = teams.get(&team).copied().unwrap_or_default();
             let share = (0..3)
                 .map(|dimension| used[dimension] / total[dimension].max(1.0))
                 .fold(0.0, f64::max);
-            distance = distance.max(f64::from(Fleet::weight(team)) / f64::from(weights) - share);
+            share_deficit = share_deficit.max(f64::from(Fleet::weight(team)) / f64::from(weights) - share);
         }
         self.samples.0 += 1.0;
-        self.samples.1 += distance;
+        self.samples.1 += share_deficit;
         for dimension in 0..3 {
             self.samples.2[dimension] += used[dimension] / total[dimension].max(1.0);
         }
@@ -461,23 +476,23 @@
         }
         let samples = self.samples.0.max(1.0);
         self.outcome.packing = self.samples.2.map(|sum| sum / samples);
-        self.outcome.distance = self.samples.1 / samples;
+        self.outcome.share_deficit = self.samples.1 / samples;
         self.outcome.unstarted = self.waiting.values().sum::<i64>().max(0) as u64;
-        let tries = match &self.decider {
-            Decider::Scheduler(scheduler) => scheduler.metrics(self.now).placement_attempts,
-            Decider::Baseline(baseline) => baseline.tries,
+        let placement_attempts = match &self.engine {
+            Engine::Scheduler(scheduler) => scheduler.metrics(self.now).placement_attempts,
+            Engine::Baseline(baseline) => baseline.placement_attempts,
         };
-        self.outcome.decisions = tries as f64 / self.starts.max(1) as f64;
+        self.outcome.decisions = placement_attempts as f64 / self.starts.max(1) as f64;
         self.outcome
     }
 }
 
-/// Returns what a task of a job really uses.
-fn real(job: &Job) -> resource::Amount {
-    let part = |declared: u32| (u64::from(declared) * u64::from(job.percent) / 100) as u32;
+/// Returns the actual usage of a task of a job, which is at most its declared size.
+fn actual_usage(job: &Job) -> resource::Amount {
+    let used = |declared: u32| (u64::from(declared) * u64::from(job.percent) / 100) as u32;
     resource::Amount::new(
-        part(job.spec.size.cpu_milli),
-        part(job.spec.size.memory_mib),
+        used(job.spec.size.cpu_milli),
+        used(job.spec.size.memory_mib),
         job.spec.size.accelerators,
     )
 }
--- a/crates/bench/src/policy/schedule/work.rs
+++ b/crates/bench/src/policy/schedule/work.rs
@@ -1,4 +1,4 @@
-//! The work of a simulated cell.
+//! Workload of a simulated cell.
 
 use std::time::Duration;
 
@@ -6,7 +6,7 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-/// Sizes of a simulated zone or fleet.
+/// Size of a simulated zone or fleet, and length of its run.
 #[derive(Debug, Clone, Copy)]
 pub(super) struct Fleet {
     pub(super) name: &'static str,
@@ -16,24 +16,24 @@
     pub(super) seconds: u64,
 }
 
-/// One of three zones today.
-pub(super) const TODAY: Fleet = Fleet {
+/// One of the three current zones.
+pub(super) const CURRENT_ZONE: Fleet = Fleet {
     name: "today",
     workers: 17,
     accelerators: 0,
     teams: 6,
     seconds: 900,
 };
-/// One of 17 zones at the target.
-pub(super) const ZONE: Fleet = Fleet {
+/// One of 17 zones at the target size.
+pub(super) const TARGET_ZONE: Fleet = Fleet {
     name: "zone",
     workers: 165,
     accelerators: 265,
     teams: 640,
     seconds: 300,
 };
-/// The whole target fleet in one scheduler.
-pub(super) const FLEET: Fleet = Fleet {
+/// Complete fleet at the target size, under one scheduler.
+pub(super) const TARGET_FLEET: Fleet = Fleet {
     name: "fleet",
     workers: 2_800,
     accelerators: 4_500,
@@ -41,35 +41,38 @@
     seconds: 60,
 };
 
-/// Cores of a worker.
+/// Cores of each worker.
 const CORES: u64 = 64;
 /// Accelerators of a worker that has any.
-const PER_WORKER: u32 = 8;
-/// Offered load as a share of the processors, on average; bursts come on top.
+const ACCELERATORS_PER_WORKER: u32 = 8;
+/// Average offered load as a share of the cores, before bursts.
 const LOAD: f64 = 1.1;
-/// Part of the processors that services take.
-const SERVICES: f64 = 0.2;
-/// Mean core-seconds of a generated batch task: 5.25 cores, 28.7 s declared, 0.633 of it real.
+/// Share of the cores that services take.
+const SERVICE_SHARE: f64 = 0.2;
+/// Mean core-seconds of a generated batch task: 5.25 cores for 0.633 of 28.7 s declared run time.
 const TASK_CORE_SECONDS: f64 = 95.0;
 
-/// A job with what the scheduler does not know.
+/// Planned job, with actual values that the scheduler does not see.
 #[derive(Debug, Clone)]
 pub(super) struct Job {
     pub(super) at: Duration,
     pub(super) id: id::JobId,
     pub(super) team: id::TeamId,
     pub(super) spec: job::Spec,
-    /// Real run time of each task.
-    pub(super) real: Duration,
-    /// What each task uses, in percent of the declared size.
+    /// Actual run time of each task.
+    pub(super) run_time: Duration,
+    /// Actual usage of each task, in percent of the declared size.
     pub(super) percent: u32,
 }
 
 impl Fleet {
     /// Returns the capacity of a worker.
     pub(super) fn capacity(&self, worker: id::WorkerId) -> resource::Capacity {
-        let first = worker as u32 * PER_WORKER;
-        let accelerators = self.accelerators.saturating_sub(first).min(PER_WORKER);
+        let first = worker as u32 * ACCELERATORS_PER_WORKER;
+        let accelerators = self
+            .accelerators
+            .saturating_sub(first)
+            .min(ACCELERATORS_PER_WORKER);
         resource::Capacity {
             amount: resource::Amount::new(CORES as u32 * 1000, 128 * 1024, accelerators),
             accelerator: if accelerators > 0 {
@@ -94,17 +97,17 @@
 pub(super) fn plan(seed: u64, fleet: &Fleet) -> Vec<Job> {
     let mut random = SmallRng::seed_from_u64(seed);
     let mut jobs = Vec::new();
-    let mut service_cores = fleet.cores() * SERVICES;
+    let mut service_cores = fleet.cores() * SERVICE_SHARE;
     while service_cores > 0.0 {
         let spec = service(&mut random);
         service_cores -= f64::from(spec.size.cpu_milli * spec.tasks) / 1000.0;
         push(&mut jobs, &mut random, fleet, 0.0, spec);
     }
-    let tasks_per_second = fleet.cores() * LOAD * (1.0 - SERVICES) / TASK_CORE_SECONDS;
+    let tasks_per_second = fleet.cores() * LOAD * (1.0 - SERVICE_SHARE) / TASK_CORE_SECONDS;
     let mut at = 1.0;
     let end = fleet.seconds as f64;
     while at < end {
-        // One minute in three brings twice the work of the others.
+        // In one minute of three, jobs arrive at twice the rate of the other two.
         let burst = if (at / 60.0) as u64 % 3 == 1 { 1.5 } else { 0.75 };
         let spec = task_job(&mut random, fleet);
         at += f64::from(spec.tasks) / (tasks_per_second * burst) * random.random_range(0.5..1.5);
@@ -114,17 +117,17 @@
 }
 
 fn push(jobs: &mut Vec<Job>, random: &mut SmallRng, fleet: &Fleet, at: f64, spec: job::Spec) {
-    // A few teams bring most of the work.
+    // A few teams submit most of the work.
     let team = 1 + (f64::from(fleet.teams) * random.random::<f64>().powi(3)) as id::TeamId;
-    let off = 10.0_f64.powf(random.random_range(-1.0..0.3));
+    let estimate_error = 10.0_f64.powf(random.random_range(-1.0..0.3));
     let urgent = spec.priority == job::Priority::Urgent;
-    let real = spec.run_time.as_secs_f64() * if urgent { 1.0 } else { off };
+    let run_time = spec.run_time.as_secs_f64() * if urgent { 1.0 } else { estimate_error };
     jobs.push(Job {
         at: Duration::from_secs_f64(at),
         id: jobs.len() as id::JobId + 1,
         team,
         spec,
-        real: Duration::from_secs_f64(real),
+        run_time: Duration::from_secs_f64(run_time),
         percent: random.random_range(10..=100),
     });
 }
@@ -152,7 +155,7 @@
     } else {
         0
     };
-    // Pareto with a tail cut at 100 times the smallest value.
+    // Pareto distribution, cut off at its 99th percentile.
     let seconds = 10.0 * (1.0 - random.random::<f64>() * 0.99).powf(-0.77);
     let mut spec = job::Spec {
         kind: job::Kind::Batch,
