--- a/crates/bench/benches/capacity/choices.rs
+++ b/crates/bench/benches/capacity/choices.rs
@@ -1,4 +1,5 @@
-//! Figures behind the decisions on the control thread and on frames: codecs, reads of a view, synced writes.
+//! Measurements for the choice of the frame codec and for the design of the control thread: codecs, reads of a view,
+//! and synced writes.
 
 use std::{hint::black_box, sync::Arc, time::Instant};
 
@@ -10,9 +11,9 @@
 
 use crate::{count, line, links, replication, reports};
 
-const SYNCS: u64 = 60;
+const SYNCED_WRITES: u64 = 60;
 
-/// Measures and prints.
+/// Runs the measurements of this module and prints them.
 pub fn measure() {
     println!("\n### Codecs\n");
     println!(
@@ -30,18 +31,18 @@
         "full report of a worker with 6 tasks",
         &reports::report(6, 0, None),
     );
-    line::head("Views and the disk");
+    line::print_heading("Views and the disk");
     line::fit(
         "time to read a view through a watch channel",
         "readers' copies alive",
         "µs",
-        &[1, 8, 64, 512].map(reads),
+        &[1, 8, 64, 512].map(view_read),
     );
     line::fit(
         "time of a synced write, mean",
         "entries in the write",
         "µs",
-        &[1, 15, 75, 150].map(|entries| (entries as f64, syncs(entries))),
+        &[1, 15, 75, 150].map(|entries| (entries as f64, synced_write(entries))),
     );
 }
 
@@ -87,23 +88,23 @@
     );
 }
 
-fn reads(copies: usize) -> (f64, f64) {
+fn view_read(copies: usize) -> (f64, f64) {
     let (_sender, receiver) = watch::channel(Arc::new(0_u64));
-    let held: Vec<_> = (0..copies).map(|_| Arc::clone(&receiver.borrow())).collect();
+    let copies_alive: Vec<_> = (0..copies).map(|_| Arc::clone(&receiver.borrow())).collect();
     let micros = count::micros(|| drop(black_box(Arc::clone(&receiver.borrow()))));
-    drop(held);
+    drop(copies_alive);
     (copies as f64, micros)
 }
 
-fn syncs(entries: u64) -> f64 {
+fn synced_write(entries: u64) -> f64 {
     let folder = tempfile::tempdir().expect("a temporary folder can be made");
     let (mut store, _) =
         bronzespoke_storage::Store::open(folder.path(), id::GroupId::Zone(9)).expect("the folder is empty");
     store
         .bootstrap(membership::Membership::from_voters([1]))
-        .expect("the disk has room");
-    let begun = Instant::now();
-    for sequence in 1..=SYNCS {
+        .expect("the disk has space");
+    let started = Instant::now();
+    for sequence in 1..=SYNCED_WRITES {
         let first = 2 + (sequence - 1) * entries;
         let entry = |index| log::Entry {
             position: log::Position { term: 1, index },
@@ -115,7 +116,7 @@
         };
         store
             .write(&[write::Write { sequence, kind }])
-            .expect("the disk has room");
+            .expect("the disk has space");
     }
-    begun.elapsed().as_secs_f64() * 1e6 / SYNCS as f64
+    started.elapsed().as_secs_f64() * 1e6 / SYNCED_WRITES as f64
 }
--- a/crates/bench/benches/capacity/count.rs
+++ b/crates/bench/benches/capacity/count.rs
@@ -1,4 +1,4 @@
-//! Memory by a counting allocator, and processor time.
+//! Measurement of memory with a counting allocator, and of time.
 
 #![allow(
     unsafe_code,
@@ -12,15 +12,15 @@
     time::{Duration, Instant},
 };
 
-/// Bookkeeping of the allocator and rounding, per allocation; an allowance, not a measurement.
+/// Assumed bytes per allocation for the allocator's metadata and rounding.
 pub const ALLOWANCE_BYTES: usize = 16;
-/// Timing runs; the median is reported, because the machine is shared.
-const RUNS: usize = 9;
+/// Timed runs, of which the median is reported because other load on the machine distorts single runs.
+const TIMED_RUNS: usize = 9;
 
 static BYTES: AtomicUsize = AtomicUsize::new(0);
 static BLOCKS: AtomicUsize = AtomicUsize::new(0);
 
-/// Counts live bytes and live blocks.
+/// Global allocator that counts live bytes and live blocks.
 #[derive(Debug)]
 pub struct Counting;
 
@@ -48,39 +48,40 @@
     }
 }
 
-/// Live bytes with the allowance for each block.
+/// Returns the live bytes, including the assumed overhead of each block.
 pub fn live() -> f64 {
     (BYTES.load(Ordering::Relaxed) + ALLOWANCE_BYTES * BLOCKS.load(Ordering::Relaxed)) as f64
 }
 
-/// Returns what a build keeps, in bytes.
+/// Returns the live bytes of the value that a closure builds.
 pub fn memory<T>(build: impl FnOnce() -> T) -> f64 {
     let before = live();
-    let kept = build();
+    let value = build();
     let bytes = live() - before;
-    drop(black_box(kept));
+    drop(black_box(value));
     bytes
 }
 
-/// Returns the median over several runs of the microseconds of one operation.
+/// Returns the median time of one operation in microseconds, over several runs of at least a few milliseconds.
 pub fn micros(mut operation: impl FnMut()) -> f64 {
     let mut repeats = 1;
     while time(repeats, &mut operation) < Duration::from_millis(5) {
         repeats *= 2;
     }
-    let runs = (0..RUNS).map(|_| time(repeats, &mut operation).as_secs_f64() * 1e6 / f64::from(repeats));
+    let runs =
+        (0..TIMED_RUNS).map(|_| time(repeats, &mut operation).as_secs_f64() * 1e6 / f64::from(repeats));
     median(runs.collect())
 }
 
 fn time(repeats: u32, operation: &mut impl FnMut()) -> Duration {
-    let begun = Instant::now();
+    let started = Instant::now();
     for _ in 0..repeats {
         operation();
     }
-    begun.elapsed()
+    started.elapsed()
 }
 
-/// Returns the median.
+/// Returns the median of the values, of which there must be at least one.
 pub fn median(mut values: Vec<f64>) -> f64 {
     values.sort_by(f64::total_cmp);
     values[values.len() / 2]
--- a/crates/bench/benches/capacity/daemons.rs
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -1,4 +1,5 @@
-//! Whole daemons on loopback in this process: bytes between them, processor time of their threads, and memory.
+//! Cost of complete daemons on loopback in this process: bytes between them, processor time of their threads, and
+//! memory.
 
 use std::{
     collections::BTreeMap,
@@ -20,12 +21,12 @@
 const SETTLE: Duration = Duration::from_secs(6);
 const MEASURE: Duration = Duration::from_secs(10);
 const START_LIMIT: Duration = Duration::from_mins(1);
-/// Threads that only work for daemons, by the first letters of their names.
+/// Name prefixes of the threads that belong to daemons; the control threads come first.
 const DAEMON_THREADS: [&str; 3] = ["control", "traffic", "disk"];
-/// Jobs of 50 tasks, enough for the whole measurement at the target rate of starts.
+/// Jobs of 50 tasks, enough for the complete measurement at the target rate of starts.
 const JOBS: u64 = 105;
-/// Clock ticks in a second on Linux.
-const TICKS: f64 = 100.0;
+/// Clock ticks per second in `/proc` on Linux.
+const TICKS_PER_SECOND: f64 = 100.0;
 
 struct Cell {
     daemons: Vec<daemon::Daemon>,
@@ -34,18 +35,18 @@
     _folder: tempfile::TempDir,
 }
 
-/// What the daemons of a cell cost in a second.
+/// Cost of the daemons of a cell per second.
 #[derive(Debug, Clone, Copy)]
 struct Second {
-    /// Bytes that the busiest daemon sent to others.
-    most_sent: f64,
-    /// Bytes that a daemon sent to others, on average.
+    /// Maximum over the daemons of the bytes sent to others.
+    max_sent: f64,
+    /// Mean over the daemons of the bytes sent to others.
     mean_sent: f64,
-    /// Microseconds of all daemon threads.
+    /// Processor time of all daemon threads, in microseconds.
     micros: f64,
-    /// Microseconds of the busiest control thread.
-    busiest: f64,
-    /// Live heap of the process.
+    /// Maximum over the control threads of their processor time, in microseconds.
+    max_control_micros: f64,
+    /// Live heap of the process, in bytes.
     heap: f64,
 }
 
@@ -70,9 +71,12 @@
             daemon::Daemon::start(settings, listeners).expect("a daemon starts")
         };
         let daemons: Vec<_> = bound.into_iter().map(start).collect();
-        let begun = Instant::now();
+        let started = Instant::now();
         while !daemons.iter().all(daemon::Daemon::is_ready) {
-            assert!(begun.elapsed() < START_LIMIT, "the daemons do not become ready");
+            assert!(
+                started.elapsed() < START_LIMIT,
+                "the daemons did not become ready"
+            );
             thread::sleep(Duration::from_millis(50));
         }
         thread::sleep(SETTLE);
@@ -92,9 +96,9 @@
     }
 
     fn second(&self) -> Second {
-        let (sent, before, begun) = (self.sent(), thread_micros(), Instant::now());
+        let (sent, before, started) = (self.sent(), thread_micros(), Instant::now());
         thread::sleep(MEASURE);
-        let seconds = begun.elapsed().as_secs_f64();
+        let seconds = started.elapsed().as_secs_f64();
         let sent: Vec<f64> = self
             .sent()
             .iter()
@@ -110,10 +114,10 @@
             .collect();
         let control = threads.iter().filter(|(name, _)| name == DAEMON_THREADS[0]);
         Second {
-            most_sent: sent.iter().copied().fold(0.0, f64::max),
+            max_sent: sent.iter().copied().fold(0.0, f64::max),
             mean_sent: sent.iter().sum::<f64>() / sent.len() as f64,
             micros: threads.iter().map(|(_, micros)| micros).sum(),
-            busiest: control.map(|(_, micros)| *micros).fold(0.0, f64::max),
+            max_control_micros: control.map(|(_, micros)| *micros).fold(0.0, f64::max),
             heap: count::live(),
         }
     }
@@ -146,7 +150,7 @@
     }
 }
 
-/// Name and processor time so far, in microseconds, of the threads that work for daemons.
+/// Returns the names of the daemon threads and the processor time that they have used, in microseconds, by thread id.
 fn thread_micros() -> BTreeMap<String, (String, f64)> {
     let tasks = fs::read_dir("/proc/self/task").into_iter().flatten().flatten();
     let stats = tasks.filter_map(|task| fs::read_to_string(task.path().join("stat")).ok());
@@ -155,14 +159,14 @@
         let (name, rest) = rest.rsplit_once(')')?;
         let fields: Vec<&str> = rest.split_whitespace().collect();
         let ticks = |field: usize| fields.get(field)?.parse::<f64>().ok();
-        let micros = (ticks(11)? + ticks(12)?) * 1e6 / TICKS;
-        let ours = DAEMON_THREADS.iter().any(|prefix| name.starts_with(prefix));
-        ours.then(|| (String::from(task), (String::from(name), micros)))
+        let micros = (ticks(11)? + ticks(12)?) * 1e6 / TICKS_PER_SECOND;
+        let is_daemon = DAEMON_THREADS.iter().any(|prefix| name.starts_with(prefix));
+        is_daemon.then(|| (String::from(task), (String::from(name), micros)))
     };
     stats.filter_map(thread).collect()
 }
 
-/// Stand-in workers of one zone, outside the threads that count.
+/// Stand-in workers of one zone, whose threads are not measured.
 struct Fleet {
     runtime: tokio::runtime::Runtime,
     ledger: Arc<ledger::Ledger>,
@@ -208,7 +212,7 @@
         self.runtime.shutdown_timeout(Duration::from_secs(1));
     }
 
-    /// Sends a request to a daemon and returns the answer.
+    /// Sends a request to a daemon and returns the body of the response.
     fn call(&self, method: Method, address: SocketAddr, path: &str, key: &str, body: String) -> String {
         let client = client::Client::new();
         let headers = [
@@ -216,8 +220,8 @@
             ("authorization", &format!("Bearer {key}")),
         ];
         let call = client.call(method, address, path, &headers, body.into(), START_LIMIT);
-        let answer = self.runtime.block_on(call).expect("the daemon answers");
-        String::from_utf8_lossy(&answer.body).into_owned()
+        let response = self.runtime.block_on(call).expect("the daemon answers");
+        String::from_utf8_lossy(&response.body).into_owned()
     }
 
     fn operator(&self, cell: &Cell, line: &str) -> String {
@@ -225,15 +229,15 @@
         self.call(Method::POST, cell.rpc, "/", "", request.to_string())
     }
 
-    /// Reports that the daemons answered so far.
-    fn answers(&self, cell: &Cell) -> f64 {
+    /// Returns the number of successful responses to reports so far.
+    fn responses(&self, cell: &Cell) -> f64 {
         let metrics = self.call(Method::GET, cell.http[0], "/metrics", "", String::new());
-        let answered = |line: &str| {
-            let wanted = line.starts_with("bronzespoke_requests_total") && line.contains("worker");
-            let counted = wanted && line.contains("200");
+        let response_count = |line: &str| {
+            let is_report = line.starts_with("bronzespoke_requests_total") && line.contains("worker");
+            let counted = is_report && line.contains("200");
             counted.then(|| line.rsplit(' ').next()?.parse::<f64>().ok())?
         };
-        metrics.lines().filter_map(answered).sum()
+        metrics.lines().filter_map(response_count).sum()
     }
 }
 
@@ -247,18 +251,18 @@
     second
 }
 
-/// What a zone with the workers, running tasks and starts of the target size costs.
+/// Cost of a zone with the workers, running tasks and starts of the target size.
 #[derive(Debug, Clone, Copy)]
 pub struct Loaded {
-    /// Starts in a second.
+    /// Starts per second.
     pub starts: f64,
-    /// Answers to reports in a second.
-    pub answers: f64,
-    /// Microseconds of all threads of six daemons in a second.
+    /// Responses to reports per second.
+    pub responses: f64,
+    /// Processor time of all threads of six daemons, in microseconds per second.
     pub micros: f64,
 }
 
-/// Runs jobs with tasks of 6.8 s on average in one zone of three, with room for six tasks on each worker.
+/// Runs tasks of 6.8 s on average in one of three zones, whose workers run up to six tasks each.
 fn loaded() -> Loaded {
     let cell = Cell::start(3);
     let fleet = Fleet::start(&cell, 165, 60_000);
@@ -271,10 +275,10 @@
         .split(|byte: char| !byte.is_ascii_alphanumeric() && byte != '-' && byte != '_')
         .find(|word| word.len() > 40)
         .unwrap_or_else(|| panic!("no key in {granted}"));
-    // The parts of the team's limit go to the zones that ask for them.
+    // Allotments of the team's limit are granted to zones that report demand, which takes a few rounds.
     thread::sleep(SETTLE);
     for number in 0..JOBS {
-        // Run times of 3.4 s to 10.2 s, so that the ends do not come in waves.
+        // Run times are spread from 3.4 s to 10.2 s, so that tasks do not end in waves.
         let sleep = 3400 + number * 7 % 21 * 340;
         let job = serde_json::json!({
             "kind": "batch",
@@ -286,13 +290,13 @@
         assert!(accepted.contains("job"), "{accepted}");
     }
     thread::sleep(MEASURE + SETTLE);
-    let (starts, answers) = (fleet.ledger.totals().starts, fleet.answers(&cell));
+    let (starts, responses) = (fleet.ledger.totals().starts, fleet.responses(&cell));
     let second = cell.second();
     let seconds = MEASURE.as_secs_f64();
     let totals = fleet.ledger.totals();
     let loaded = Loaded {
         starts: (totals.starts - starts) as f64 / seconds,
-        answers: (fleet.answers(&cell) - answers) / seconds,
+        responses: (fleet.responses(&cell) - responses) / seconds,
         micros: second.micros,
     };
     println!(
@@ -300,7 +304,7 @@
          second, {} % of a core for all threads of six daemons. Tasks in two places: {}, workers over their size: {}.",
         totals.most_running,
         line::short(loaded.starts),
-        line::short(loaded.answers),
+        line::short(loaded.responses),
         line::short(loaded.micros / 1e4),
         totals.doubled,
         totals.overfilled,
@@ -310,20 +314,20 @@
     loaded
 }
 
-/// Slopes of whole daemons.
+/// Cost of complete daemons.
 #[derive(Debug)]
 pub struct Slopes {
-    /// Microseconds of all threads of an idle daemon in a second, by VMs.
+    /// Processor time of all threads of an idle daemon, in microseconds per second, by VMs.
     pub idle: line::Line,
-    /// Microseconds of all threads of six daemons in a second, by idle workers of one zone.
+    /// Processor time of all threads of six daemons, in microseconds per second, by idle workers of one zone.
     pub workers: line::Line,
-    /// A zone with starts and ends.
+    /// Cost with starts and ends at the target rate.
     pub loaded: Loaded,
 }
 
-/// Measures and prints.
+/// Runs the measurements of this module, prints them, and returns the fitted lines.
 pub fn measure() -> Slopes {
-    line::head("Whole daemons on loopback, idle (`crates/daemon`)");
+    line::print_heading("Whole daemons on loopback, idle (`crates/daemon`)");
     let before = count::live();
     let idle = [3_u16, 6, 10, 17].map(|zones| {
         let cell = Cell::start(zones);
@@ -336,7 +340,7 @@
         line::fit(name, "VMs", y, &points)
     };
     column("bytes sent to daemons, the busiest", "B/s", &|_, second| {
-        second.most_sent
+        second.max_sent
     });
     column("bytes sent to daemons, mean", "B/s", &|_, second| {
         second.mean_sent
@@ -345,7 +349,7 @@
         (second.heap - before) / vms
     });
     column("time of the busiest control thread", "µs/s", &|_, second| {
-        second.busiest
+        second.max_control_micros
     });
     let idle = column(
         "time of all threads of a daemon, mean",
--- a/crates/bench/benches/capacity/line.rs
+++ b/crates/bench/benches/capacity/line.rs
@@ -1,18 +1,18 @@
-//! Straight lines through measured points.
+//! Linear fits through measured points.
 
 use std::fmt::Write;
 
-/// A line `fixed + slope * x`.
+/// Linear function `fixed + slope * x`.
 #[derive(Debug, Clone, Copy)]
 pub struct Line {
-    /// Value at 0.
+    /// Value at x = 0.
     pub fixed: f64,
-    /// Growth per unit of x.
+    /// Increase per unit of x.
     pub slope: f64,
 }
 
 impl Line {
-    /// Value at `x`; never below 0.
+    /// Returns the value at `x`, or 0 if it is negative.
     pub fn at(&self, x: f64) -> f64 {
         self.slope.mul_add(x, self.fixed).max(0.0)
     }
@@ -31,11 +31,11 @@
         slope,
     };
     let total: f64 = points.iter().map(|(_, y)| (y - mean_y).powi(2)).sum();
-    let rest: f64 = points
+    let residual: f64 = points
         .iter()
         .map(|(x, y)| (y - slope.mul_add(*x, line.fixed)).powi(2))
         .sum();
-    let explained = if total > 0.0 { 1.0 - rest / total } else { 1.0 };
+    let explained = if total > 0.0 { 1.0 - residual / total } else { 1.0 };
     let mut list = String::new();
     for (x, y) in points {
         let separator = if list.is_empty() { "" } else { "; " };
@@ -49,13 +49,13 @@
     line
 }
 
-/// Prints the head of a table of lines.
-pub fn head(part: &str) {
-    println!("\n### {part}\n");
+/// Prints the heading and the header row of a table of fits.
+pub fn print_heading(title: &str) {
+    println!("\n### {title}\n");
     println!("| measure | x | points (x: y) | fit | R² |\n| --- | --- | --- | --- | --- |");
 }
 
-/// Writes a number with a readable number of digits.
+/// Formats a number with about three significant digits.
 pub fn short(value: f64) -> String {
     match value.abs() {
         size if size >= 100.0 => format!("{value:.0}"),
--- a/crates/bench/benches/capacity/links.rs
+++ b/crates/bench/benches/capacity/links.rs
@@ -1,4 +1,4 @@
-//! Announcements between daemons, and the cost of a frame on a loopback connection.
+//! Cost of announcements between daemons, and of a frame on a loopback connection.
 
 use std::{
     hint::black_box,
@@ -12,18 +12,18 @@
 
 use crate::{count, line, replication, state};
 
-/// Slopes of links.
+/// Cost of announcements and frames.
 #[derive(Debug)]
 pub struct Slopes {
-    /// Bytes of an announcement by groups led, of a daemon with three replicas.
+    /// Bytes of the announcement of a daemon with three replicas, by groups that it leads.
     pub hello: line::Line,
-    /// Microseconds to encode and to decode a frame by its bytes.
+    /// Microseconds to encode and to decode a frame, by its size in bytes.
     pub codec: [line::Line; 2],
-    /// Microseconds to write and read a frame on loopback by its bytes.
+    /// Microseconds to write and read a frame on loopback, by its size in bytes.
     pub socket: line::Line,
 }
 
-/// Returns an announcement of a daemon that leads some groups.
+/// Returns the announcement of a daemon with three replicas that leads a number of groups.
 pub fn hello(leads: u16) -> wire::Body {
     wire::Body::Hello(wire::Hello {
         vm: state::vm(9, 1),
@@ -37,13 +37,13 @@
 }
 
 fn frame(payload: usize) -> wire::Frame {
-    let answer = Bytes::from(vec![7; payload]);
-    replication::frame(wire::Body::Reply(1, wire::Reply::Answer(answer)))
+    let payload_bytes = Bytes::from(vec![7; payload]);
+    replication::frame(wire::Body::Reply(1, wire::Reply::Answer(payload_bytes)))
 }
 
-/// Measures and prints.
+/// Runs the measurements of this module, prints them, and returns the fitted lines.
 pub fn measure() -> Slopes {
-    line::head("Announcements and frames (`crates/daemon/src/peer`)");
+    line::print_heading("Announcements and frames (`crates/daemon/src/peer`)");
     let hello = line::fit(
         "announcement, three replicas",
         "groups led",
@@ -59,7 +59,7 @@
         )
     });
     let decode = sizes.map(|size| {
-        let bytes = wire::encode(&frame(size)).expect("frames have no form that postcard refuses");
+        let bytes = wire::encode(&frame(size)).expect("every frame can be encoded");
         (
             size as f64,
             count::micros(|| drop(black_box(wire::decode(&bytes)))),
@@ -73,22 +73,22 @@
         "time to write and read a frame on loopback, without a runtime",
         "bytes",
         "µs",
-        &sockets(&sizes),
+        &socket_times(&sizes),
     );
     Slopes { hello, codec, socket }
 }
 
-fn sockets(sizes: &[usize]) -> Vec<(f64, f64)> {
+fn socket_times(sizes: &[usize]) -> Vec<(f64, f64)> {
     let listener = TcpListener::bind(("127.0.0.1", 0)).expect("loopback has a free port");
     let address = listener.local_addr().expect("a listener has an address");
     let mut writer = TcpStream::connect(address).expect("the listener accepts");
-    let (mut reader, _) = listener.accept().expect("the connection is there");
+    let (mut reader, _) = listener.accept().expect("a connection is pending");
     writer.set_nodelay(true).expect("the option is supported");
     let time = |size: &usize| {
         let mut buffer = vec![7; *size];
         let micros = count::micros(|| {
-            writer.write_all(&buffer).expect("the reader is there");
-            reader.read_exact(&mut buffer).expect("the writer is there");
+            writer.write_all(&buffer).expect("the reader is open");
+            reader.read_exact(&mut buffer).expect("the writer is open");
         });
         (*size as f64, micros)
     };
--- a/crates/bench/benches/capacity/main.rs
+++ b/crates/bench/benches/capacity/main.rs
@@ -1,7 +1,7 @@
-//! Measures the slopes behind `docs/CAPACITY.md` on this machine and works out each role at the target size.
+//! Measures unit costs on this machine, from which the cost of each role at the target size is computed.
 //!
-//! The output is Markdown; it replaces the generated part of the page. Nothing here fails: a bound that does not hold
-//! is printed as such.
+//! The output is Markdown and replaces the generated part of `docs/CAPACITY.md`. The run does not fail when a bound is
+//! exceeded, but prints that it does not hold.
 
 mod choices;
 mod count;
--- a/crates/bench/benches/capacity/replication.rs
+++ b/crates/bench/benches/capacity/replication.rs
@@ -1,4 +1,5 @@
-//! A group of replicas in virtual time: frames and bytes of each member, time per entry, memory of the log.
+//! Cost of replication, from a group in virtual time: frames and bytes of each member, time per entry, and memory of the
+//! log.
 
 use std::{
     collections::BTreeMap,
@@ -13,12 +14,12 @@
 
 use crate::{count, line, state};
 
-/// Bytes of the length before a frame.
+/// Bytes of a frame's length prefix.
 pub const PREFIX_BYTES: usize = 4;
 const STEP: Duration = Duration::from_millis(1);
 const SECONDS: u64 = 10;
 
-/// What one member sends and receives in a second.
+/// Frames and bytes that one member sends and receives per second.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Traffic {
     /// Frames sent.
@@ -31,7 +32,7 @@
     pub bytes_in: f64,
 }
 
-/// Lines of each column of [`Traffic`].
+/// Linear fit of each field of [`Traffic`].
 #[derive(Debug, Clone, Copy)]
 pub struct Lines {
     frames_out: line::Line,
@@ -41,7 +42,7 @@
 }
 
 impl Lines {
-    /// Values at `x`.
+    /// Returns the traffic at `x`.
     pub fn at(&self, x: f64) -> Traffic {
         Traffic {
             frames_out: self.frames_out.at(x),
@@ -52,29 +53,29 @@
     }
 }
 
-/// Slopes of replication.
+/// Cost of replication and of the feed.
 #[derive(Debug)]
 pub struct Slopes {
-    /// Leader and one follower of a group of three, by entries per second.
+    /// Traffic of the leader and of one follower in a group of three, by entries per second.
     pub loaded: [Lines; 2],
-    /// Leader and one follower of an idle group, by voters.
+    /// Traffic of the leader and of one follower in an idle group, by voters.
     pub idle: [Lines; 2],
-    /// Microseconds of the leader and of a follower in a second, by entries per second.
+    /// Microseconds per second of the leader and of a follower, by entries per second.
     pub micros: [line::Line; 2],
-    /// Microseconds of the leader in an idle second, by voters.
+    /// Microseconds per second of the leader of an idle group, by voters.
     pub idle_micros: line::Line,
-    /// Bytes that the leader sends in a second with 300 starts and ends a second, by entries per second.
+    /// Bytes per second that the leader sends for 300 starts and ends per second, by entries that they are batched into.
     pub batched: line::Line,
-    /// Bytes of memory by entries in the log.
+    /// Bytes of memory of a replica, by entries in its log.
     pub memory: line::Line,
-    /// Bytes of a poll of the feed and its answer, by entries in the answer.
+    /// Bytes of a poll of the feed, by index, and of its response, by entries.
     pub feed: [line::Line; 2],
 }
 
-/// Returns a frame from one VM to another.
+/// Wraps a message body in a frame from one VM to another.
 pub fn frame(body: wire::Body) -> wire::Frame {
     let vm = state::vm(9, 1);
-    // Announcements go to whoever listens at an address.
+    // Announcements carry no recipient: they go to any daemon that listens at the address.
     let is_addressed = !matches!(body, wire::Body::Hello(_));
     wire::Frame {
         from: vm.id,
@@ -88,13 +89,13 @@
     }
 }
 
-/// Bytes of a frame on the link.
+/// Returns the size of a message's frame on the link, in bytes.
 pub fn frame_bytes(body: wire::Body) -> usize {
-    let bytes = wire::encode(&frame(body)).expect("frames have no form that postcard refuses");
+    let bytes = wire::encode(&frame(body)).expect("every frame can be encoded");
     bytes.len() + PREFIX_BYTES
 }
 
-/// Returns an entry with a number of starts and ends in turn.
+/// Returns a log entry of commands that are alternately a start and the end of a run.
 pub fn entry(number: u64, commands: u64) -> Bytes {
     let commands: Vec<_> = (0..commands)
         .map(|offset| envelope::Envelope::new(state::NOW_MS, command(number * commands + offset)))
@@ -102,7 +103,7 @@
     envelope::encode(&commands)
 }
 
-/// Returns a start, or the end of a run.
+/// Returns a start if the number is even, and the end of that run if it is odd.
 fn command(number: u64) -> zone::Command {
     let task = task::Ref {
         job: id::job(9, 500_000 + number / 20),
@@ -121,7 +122,7 @@
 struct Group {
     now: Duration,
     replicas: BTreeMap<id::VmId, replica::Replica>,
-    flight: Vec<(Duration, id::VmId, id::VmId, message::Message)>,
+    in_flight: Vec<(Duration, id::VmId, id::VmId, message::Message)>,
     traffic: BTreeMap<id::VmId, Traffic>,
     busy: BTreeMap<id::VmId, Duration>,
     leader: Option<id::VmId>,
@@ -141,7 +142,7 @@
         let mut group = Self {
             now: Duration::ZERO,
             replicas,
-            flight: Vec::new(),
+            in_flight: Vec::new(),
             traffic: BTreeMap::new(),
             busy: BTreeMap::new(),
             leader: None,
@@ -160,9 +161,9 @@
                 return;
             };
             let mut out = Vec::new();
-            let begun = Instant::now();
+            let started = Instant::now();
             replica.step(self.now, input, &mut out);
-            *self.busy.entry(id).or_default() += begun.elapsed();
+            *self.busy.entry(id).or_default() += started.elapsed();
             for output in out {
                 match output {
                     replica::Output::Persist(write) => inputs.push(replica::Input::Persisted {
@@ -176,7 +177,7 @@
                     _ => {}
                 }
             }
-            // Writes and applications are reported in order.
+            // Completed writes and applied entries have to be reported in order.
             inputs.sort_by_key(|input| match input {
                 replica::Input::Persisted { through } => std::cmp::Reverse(*through),
                 replica::Input::Applied { index } => std::cmp::Reverse(*index),
@@ -193,16 +194,19 @@
         let receiver = self.traffic.entry(to).or_default();
         receiver.frames_in += 1.0;
         receiver.bytes_in += bytes;
-        self.flight.push((self.now + STEP, from, to, message));
+        self.in_flight.push((self.now + STEP, from, to, message));
     }
 
-    /// Runs for a time with a number of proposals in each second, spread evenly.
+    /// Runs for a time, with a number of evenly spread proposals per second.
     fn run(&mut self, time: Duration, rate: u64, commands: u64) {
         let begin = self.now;
         let mut proposed = 0_u64;
         while self.now < begin + time {
             self.now += STEP;
-            let due: Vec<_> = self.flight.extract_if(.., |(at, ..)| *at <= self.now).collect();
+            let due: Vec<_> = self
+                .in_flight
+                .extract_if(.., |(at, ..)| *at <= self.now)
+                .collect();
             for (_, from, to, message) in due {
                 self.step(to, replica::Input::Receive { from, message });
             }
@@ -212,8 +216,8 @@
                     self.step(id, replica::Input::Tick);
                 }
             }
-            let wanted = rate as f64 * self.now.saturating_sub(begin).as_secs_f64();
-            while (proposed as f64) < wanted.floor() {
+            let due_proposals = rate as f64 * self.now.saturating_sub(begin).as_secs_f64();
+            while (proposed as f64) < due_proposals.floor() {
                 proposed += 1;
                 self.proposed += 1;
                 let (id, data) = (self.proposed, entry(self.proposed, commands));
@@ -224,7 +228,7 @@
         }
     }
 
-    /// Returns the traffic and the busy microseconds in a second of the leader and of one follower.
+    /// Returns the traffic and the processing time, in microseconds per second, of the leader and of one follower.
     fn second(&self) -> [(Traffic, f64); 2] {
         let leader = self.leader.expect("a group without faults elects a leader");
         let follower = *self
@@ -263,9 +267,9 @@
     }
 }
 
-/// Measures and prints.
+/// Runs the measurements of this module, prints them, and returns the fitted lines.
 pub fn measure() -> Slopes {
-    line::head("Replication (`crates/consensus`, frames of `crates/daemon/src/peer/wire.rs`)");
+    line::print_heading("Replication (`crates/consensus`, frames of `crates/daemon/src/peer/wire.rs`)");
     let mut loaded: [Vec<(f64, Traffic)>; 2] = Default::default();
     let mut micros: [Vec<(f64, f64)>; 2] = Default::default();
     for rate in [15, 50, 150, 300, 600] {
@@ -292,7 +296,7 @@
         let bytes = count::memory(|| {
             let mut group = Group::new(3);
             group.run(Duration::from_secs(2), u64::from(entries) / 2, 1);
-            group.flight.clear();
+            group.in_flight.clear();
             group
         });
         (f64::from(entries), bytes / 3.0)
@@ -349,14 +353,14 @@
 }
 
 fn feed_lines() -> [line::Line; 2] {
-    let answer = |entries: u64| {
+    let response = |entries: u64| {
         let items = (0..entries)
             .map(|number| message::Item::Command {
                 term: 7,
                 data: entry(number, 1),
             })
             .collect();
-        let answer = feed::Response {
+        let response = feed::Response {
             token: u32::MAX / 3,
             through: 200_000,
             age: Some(120_000),
@@ -364,7 +368,7 @@
         };
         (
             entries as f64,
-            frame_bytes(wire::Body::FeedResponse(answer)) as f64,
+            frame_bytes(wire::Body::FeedResponse(response)) as f64,
         )
     };
     let request = |after: u64| {
@@ -382,6 +386,6 @@
             "B",
             &[100, 10_000, 200_000, 2_000_000].map(request),
         ),
-        line::fit("answer of the feed", "entries", "B", &[0, 1, 5, 20].map(answer)),
+        line::fit("answer of the feed", "entries", "B", &[0, 1, 5, 20].map(response)),
     ]
 }
--- a/crates/bench/benches/capacity/reports.rs
+++ b/crates/bench/benches/capacity/reports.rs
@@ -1,4 +1,4 @@
-//! Workers' reports and their answers: bytes through a real gateway on loopback, and the time of the codecs.
+//! Cost of workers' reports and their responses: bytes through a gateway on loopback, and codec time.
 
 use std::{
     hint::black_box,
@@ -24,22 +24,22 @@
 
 const WORKER: id::WorkerId = 12_345_678_901_234_567;
 const JSON: &str = "application/json";
-/// Reports before the bytes are counted: they open the connection and fill the table of header fields.
-const FIRST: u64 = 10;
-const COUNTED: u64 = 200;
+/// Reports before bytes are counted, which open the connection and fill its table of compressed header fields.
+const WARM_UP_REPORTS: u64 = 10;
+const COUNTED_REPORTS: u64 = 200;
 
-/// Slopes of reports.
+/// Cost of reports and their responses.
 #[derive(Debug)]
 pub struct Slopes {
-    /// Bytes of a report with its head by runs that it names, and by ends.
+    /// Bytes of a report with its HTTP headers, by runs that it lists and by ends.
     pub report: [line::Line; 2],
-    /// Bytes of an answer with its head by starts.
-    pub answer: line::Line,
-    /// Microseconds to decode a report by runs that it names, and to encode an answer by starts.
+    /// Bytes of a response with its HTTP headers, by starts.
+    pub response: line::Line,
+    /// Microseconds to decode a report, by runs that it lists, and to encode a response, by starts.
     pub micros: [line::Line; 2],
 }
 
-/// Returns a report of a worker in one zone; one that names all its runs when `base` is none.
+/// Returns a report of a worker: a full one if `base` is `None`, else the changes since that report.
 pub fn report(runs: u32, ends: u32, base: Option<u64>) -> worker::Report {
     let task = |number: u32| task::Ref {
         job: id::job(9, 500_000 + u64::from(number)),
@@ -87,20 +87,20 @@
     }
 }
 
-/// Encodes a report in the binary form.
+/// Encodes a report in the compact binary form.
 pub fn encode(report: &worker::Report) -> Vec<u8> {
     postcard::to_stdvec(&compact::Report::from(report.clone())).expect("a report is plain data")
 }
 
-/// Bytes of one exchange.
+/// Mean bytes of one exchange, with HTTP headers.
 #[derive(Debug, Clone, Copy)]
 struct Exchange {
     report: f64,
-    answer: f64,
+    response: f64,
 }
 
-/// A gateway whose control answers every report in the same way, behind a relay that counts bytes.
-struct Counter {
+/// Gateway whose control thread gives every report the same response, behind a proxy that counts bytes.
+struct ByteCounter {
     runtime: tokio::runtime::Runtime,
     address: SocketAddr,
     received: Arc<AtomicU64>,
@@ -108,7 +108,7 @@
     cancel: CancellationToken,
 }
 
-impl Counter {
+impl ByteCounter {
     fn new(starts: u32) -> Self {
         let runtime = tokio::runtime::Builder::new_multi_thread()
             .worker_threads(1)
@@ -121,11 +121,11 @@
         let address = listener.local_addr().expect("a listener has an address");
         let (received, sent) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
         let counters = (Arc::clone(&received), Arc::clone(&sent));
-        // A client opens a further connection when the last one is not yet back in its pool.
+        // The client opens another connection if the previous one has not returned to its pool.
         thread::spawn(move || {
             for client in listener.incoming().flatten() {
                 let server = TcpStream::connect(server).expect("the gateway accepts");
-                relay(&client, &server, &counters);
+                forward(&client, &server, &counters);
             }
         });
         Self {
@@ -144,29 +144,29 @@
             for _ in 0..times {
                 let limit = Duration::from_secs(5);
                 let call = client.call(Method::POST, self.address, &path, &headers, body.clone(), limit);
-                let answer = self.runtime.block_on(call).expect("the gateway answers");
-                assert_eq!(answer.status, 200, "{:?}", answer.body);
+                let response = self.runtime.block_on(call).expect("the gateway answers");
+                assert_eq!(response.status, 200, "{:?}", response.body);
             }
         };
-        run(FIRST);
+        run(WARM_UP_REPORTS);
         let now = || [&self.received, &self.sent].map(|count| count.load(Ordering::SeqCst));
         let before = now();
-        run(COUNTED);
-        let mean = |index: usize| (now()[index] - before[index]) as f64 / COUNTED as f64;
+        run(COUNTED_REPORTS);
+        let mean = |index: usize| (now()[index] - before[index]) as f64 / COUNTED_REPORTS as f64;
         Exchange {
             report: mean(0),
-            answer: mean(1),
+            response: mean(1),
         }
     }
 }
 
-impl Drop for Counter {
+impl Drop for ByteCounter {
     fn drop(&mut self) {
         self.cancel.cancel();
     }
 }
 
-fn relay(client: &TcpStream, server: &TcpStream, counters: &(Arc<AtomicU64>, Arc<AtomicU64>)) {
+fn forward(client: &TcpStream, server: &TcpStream, counters: &(Arc<AtomicU64>, Arc<AtomicU64>)) {
     let copies = [(client, server, &counters.0), (server, client, &counters.1)];
     for (from, to, count) in copies {
         from.set_nodelay(true).expect("the option is supported");
@@ -198,8 +198,8 @@
     };
     tokio::spawn(async move {
         while let Some(call) = receiver.recv().await {
-            if let control::Call::Report(_, answer) = call {
-                drop(answer.send(Ok(reply(starts))));
+            if let control::Call::Report(_, response) = call {
+                drop(response.send(Ok(reply(starts))));
             }
         }
     });
@@ -211,7 +211,7 @@
     let server = server::Server::start(listener, settings, handle, render, cancel.clone())
         .expect("the gateway starts");
     let address = server.address();
-    // The server ends when it is dropped.
+    // Dropping the server stops it.
     tokio::spawn(async move {
         cancel.cancelled().await;
         drop(server);
@@ -221,17 +221,19 @@
 
 fn compact_exchange(runs: u32, ends: u32, starts: u32) -> Exchange {
     let body = Bytes::from(encode(&report(runs, ends, Some(99_999))));
-    Counter::new(starts).measure(&client::Client::new_two(), compact::MEDIA_TYPE, &body)
+    ByteCounter::new(starts).measure(&client::Client::new_two(), compact::MEDIA_TYPE, &body)
 }
 
 fn full_exchange(runs: u32, starts: u32) -> Exchange {
     let json = serde_json::to_vec(&report(runs, 0, None)).expect("a report is plain data");
-    Counter::new(starts).measure(&client::Client::new(), JSON, &Bytes::from(json))
+    ByteCounter::new(starts).measure(&client::Client::new(), JSON, &Bytes::from(json))
 }
 
-/// Measures and prints.
+/// Runs the measurements of this module, prints them, and returns the fitted lines.
 pub fn measure() -> Slopes {
-    line::head("Workers' reports (`crates/daemon/src/control/session.rs`), through a gateway on loopback");
+    line::print_heading(
+        "Workers' reports (`crates/daemon/src/control/session.rs`), through a gateway on loopback",
+    );
     let (runs, ends, starts) = ([0, 1, 3, 6], [0, 1, 2, 4], [0, 1, 2, 4]);
     let points = |numbers: [u32; 4], value: &dyn Fn(u32) -> f64| {
         numbers.map(|number| (f64::from(number), value(number)))
@@ -246,7 +248,7 @@
         "answer with its head, JSON over HTTP/1.1",
         "starts",
         "B",
-        &points(starts, &|starts| full_exchange(6, starts).answer),
+        &points(starts, &|starts| full_exchange(6, starts).response),
     );
     let report_bytes = [
         line::fit(
@@ -262,11 +264,11 @@
             &points(ends, &|ends| compact_exchange(0, ends, 0).report),
         ),
     ];
-    let answer = line::fit(
+    let response = line::fit(
         "answer with its head, binary over HTTP/2",
         "starts",
         "B",
-        &points(starts, &|starts| compact_exchange(0, 0, starts).answer),
+        &points(starts, &|starts| compact_exchange(0, 0, starts).response),
     );
     let micros = [
         line::fit(
@@ -290,7 +292,7 @@
     ];
     Slopes {
         report: report_bytes,
-        answer,
+        response,
         micros,
     }
 }
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -1,4 +1,4 @@
-//! What each role costs at the target size, and what the daemons that combine them cost.
+//! Computes the cost of each role at the target size, and of daemons that combine several roles.
 
 use std::ops::Add;
 
@@ -12,63 +12,64 @@
 const RUNNING: f64 = 17_000.0 / ZONES;
 const RUNNING_PER_WORKER: f64 = 17_000.0 / 2800.0;
 const STARTS: f64 = 2500.0 / ZONES;
-/// Jobs of one day stay for 24 hours after their end.
+/// Retained jobs: ended jobs are kept for 24 hours.
 const ENDED_JOBS: f64 = 13_000.0 / ZONES;
-/// Submissions in a second, spread over the day.
+/// Submissions per second, spread over the day.
 const SUBMISSIONS: f64 = 13_000.0 / 86_400.0 / ZONES;
-/// The queue of section 1.8, divided among the zones.
+/// Waiting tasks: the queue of design section 1.8, divided among the zones.
 const WAITING: f64 = 100_000.0 / ZONES;
 const TEAMS: f64 = 640.0;
+/// Changes of the root state per second, 3,600 per day.
 const CHANGES: f64 = 3600.0 / 86_400.0;
 const TARGETS: f64 = 1000.0;
-const REPORT_SECONDS: f64 = 3.0;
-/// A frame of HTTP/2 that ends a request whose answer is not wanted any more.
+const REPORT_INTERVAL_SECONDS: f64 = 3.0;
+/// Bytes of the HTTP/2 frame that resets a request whose response is no longer needed.
 const RESET_BYTES: f64 = 13.0;
-/// Part of the runs whose use changed by enough to be named again in a report without starts. An assumption.
-const CHANGED_USE: f64 = 0.5;
-/// Full tables of `crates/control/src/zone/claims.rs` and `crates/control/src/dedupe.rs`.
+/// Assumed fraction of runs whose usage changes by enough that a report without starts lists them again.
+const CHANGED_USAGE: f64 = 0.5;
+/// Capacities of the tables in `crates/control/src/zone/claims.rs` and `crates/control/src/dedupe.rs`.
 const REQUEST_IDS: f64 = 49_152.0;
 const COMMAND_IDS: f64 = 65_536.0;
-/// Entries of `ENTRIES_PER_SNAPSHOT` in `crates/daemon/src/control/member.rs` and of `RETAINED_ENTRIES` in
+/// `ENTRIES_PER_SNAPSHOT` of `crates/daemon/src/control/member.rs` and `RETAINED_ENTRIES` of
 /// `crates/consensus/src/replica/config.rs`.
 const ENTRIES_PER_SNAPSHOT: f64 = 8192.0;
-const LOG_ENTRIES: f64 = ENTRIES_PER_SNAPSHOT + 4096.0;
-/// Entries in a second into which starts and ends are collected at peak, by `ROUTINE_DELAY` of `crates/control/src/batch.rs`.
+const MAX_LOG_ENTRIES: f64 = ENTRIES_PER_SNAPSHOT + 4096.0;
+/// Log entries per second into which starts and ends are batched at peak, by `ROUTINE_DELAY` of `crates/control/src/batch.rs`.
 const ENTRIES: f64 = 10.0;
-/// Polls of the feed in a second.
+/// Polls of the feed per second.
 const POLLS: f64 = 2.0;
-/// Rounds of duties in a second, `INTERVAL` in `crates/daemon/src/control/duties.rs`.
-const DUTIES: f64 = 2.0;
+/// Rounds of leader maintenance per second, by `INTERVAL` of `crates/daemon/src/control/maintenance.rs`.
+const MAINTENANCE_ROUNDS: f64 = 2.0;
 
-/// `MAX_OPEN_BYTES`, `MAX_ENDED_BYTES` and `MAX_ANSWERS_BYTES` of `crates/control/src/zone`.
+/// Sum of `MAX_OPEN_BYTES`, `MAX_ENDED_BYTES` and `MAX_ANSWERS_BYTES` of `crates/control/src/zone`.
 const TABLE_BYTES: f64 = 32.0 * 1024.0 * 1024.0;
 
-const CORE_PERCENT: f64 = 1.9;
-const MEGABYTES: f64 = 64.0;
-const BYTES_PER_SECOND: f64 = 24_000.0;
+const MAX_CORE_PERCENT: f64 = 1.9;
+const MAX_MEGABYTES: f64 = 64.0;
+const MAX_BYTES_PER_SECOND: f64 = 24_000.0;
 
-/// Everything measured.
+/// Measured unit costs.
 #[derive(Debug)]
 pub struct Slopes {
-    /// Scheduler.
+    /// Scheduler of a zone.
     pub scheduler: scheduler::Slopes,
-    /// Zone state.
+    /// State of a zone group.
     pub state: state::ZoneSlopes,
-    /// Root state.
+    /// State of the root group.
     pub root: state::RootSlopes,
     /// Replication and the feed.
     pub replication: replication::Slopes,
-    /// Announcements, frames.
+    /// Announcements and frames between daemons.
     pub links: links::Slopes,
-    /// Workers' reports.
+    /// Workers' reports and their responses.
     pub reports: reports::Slopes,
-    /// Soft state.
+    /// Gossip and reports of demand.
     pub soft: soft::Slopes,
-    /// Whole daemons.
+    /// Complete daemons.
     pub daemons: daemons::Slopes,
 }
 
-/// Cost of a role.
+/// Cost of a role: bytes and processor time per second, and bytes of memory.
 #[derive(Debug, Clone, Copy, Default)]
 struct Cost {
     sent: f64,
@@ -91,7 +92,7 @@
 }
 
 impl Slopes {
-    /// Time to encode, write, read and decode frames, each half on one side.
+    /// Returns the microseconds to encode and write outgoing frames, and to read and decode incoming ones.
     fn frames(&self, out: f64, bytes_out: f64, inward: f64, bytes_in: f64) -> f64 {
         let size = |frames: f64, bytes: f64| if frames > 0.0 { bytes / frames } else { 0.0 };
         let (size_out, size_in) = (size(out, bytes_out), size(inward, bytes_in));
@@ -124,18 +125,18 @@
         }
     }
 
-    /// Soft state with loads of all targets.
+    /// Gossip with a number of targets, all of whose loads change.
     fn gossip(&self, targets: f64) -> Cost {
-        let sum = |lines: &[crate::line::Line; 2]| lines[0].at(VMS) + lines[1].slope * targets;
+        let total = |lines: &[crate::line::Line; 2]| lines[0].at(VMS) + lines[1].slope * targets;
         Cost {
-            sent: sum(&self.soft.sent),
-            received: sum(&self.soft.received),
-            micros: sum(&self.soft.micros),
+            sent: total(&self.soft.sent),
+            received: total(&self.soft.received),
+            micros: total(&self.soft.micros),
             bytes: 0.0,
         }
     }
 
-    /// Reports of demand, at the leader of a zone and at the root leader, which leads a zone too.
+    /// Reports of demand at a zone leader, and at the root leader, which leads a zone as well.
     fn demand(&self, changed: f64) -> [Cost; 2] {
         let demand = &self.soft.demand;
         let report = demand.report.at(changed);
@@ -157,7 +158,7 @@
     }
 
     fn root_state(&self) -> f64 {
-        self.root.memory.at(TEAMS) + self.replication.memory.at(LOG_ENTRIES)
+        self.root.memory.at(TEAMS) + self.replication.memory.at(MAX_LOG_ENTRIES)
     }
 
     fn learner(&self) -> Cost {
@@ -191,8 +192,9 @@
         let entry =
             self.replication.loaded[0].at(1.0).bytes_out - self.replication.loaded[0].at(0.0).bytes_out;
         traffic.bytes_out += CHANGES * entry / 2.0 * (ZONES - 1.0);
-        let duties = DUTIES * self.root.rebalance.at(TEAMS);
-        let micros = self.replication.idle_micros.at(ZONES) + CHANGES * self.root.change.at(TEAMS) + duties;
+        let maintenance = MAINTENANCE_ROUNDS * self.root.rebalance.at(TEAMS);
+        let micros =
+            self.replication.idle_micros.at(ZONES) + CHANGES * self.root.change.at(TEAMS) + maintenance;
         self.traffic(traffic, micros, self.root_state())
     }
 
@@ -205,10 +207,10 @@
                 .zip(sizes)
                 .map(|(line, size)| line.slope * size)
                 .sum::<f64>()
-            + self.replication.memory.at(LOG_ENTRIES)
+            + self.replication.memory.at(MAX_LOG_ENTRIES)
     }
 
-    /// Time to apply the starts and ends of a second and to encode a snapshot when the log has grown.
+    /// Returns the microseconds per second to apply starts and ends, and to encode the snapshots that log growth causes.
     fn apply(&self, starts: f64) -> f64 {
         let snapshots = 2.0 * starts / ENTRIES_PER_SNAPSHOT;
         let encode = self.encode();
@@ -217,7 +219,7 @@
             + snapshots * encode
     }
 
-    /// Time to encode a snapshot of a zone with full id tables.
+    /// Returns the microseconds to encode a snapshot of a zone with full id tables.
     fn encode(&self) -> f64 {
         by_tables(&self.state.encode)
     }
@@ -266,21 +268,21 @@
         }
     }
 
-    /// Reports of all workers of the zone. With starts, the rate of answers is the one of the loaded zone. Each answer is
-    /// followed by a report, and at most one more replaces it, to name an end.
+    /// Reports of all workers of a zone. With starts, the rate of responses is as measured in the loaded zone. A report
+    /// follows each response, and is replaced at most once, by a report that lists an end.
     fn reports(&self, starts: f64) -> Cost {
-        let idle = WORKERS / REPORT_SECONDS;
+        let idle = WORKERS / REPORT_INTERVAL_SECONDS;
         let loaded = &self.daemons.loaded;
-        let answers = idle.max(starts * loaded.answers / loaded.starts);
-        let replaced = if starts > 0.0 { answers } else { 0.0 };
-        let reports = answers + replaced;
-        let changed = WORKERS / REPORT_SECONDS * RUNNING_PER_WORKER * CHANGED_USE + starts;
+        let responses = idle.max(starts * loaded.responses / loaded.starts);
+        let replaced = if starts > 0.0 { responses } else { 0.0 };
+        let reports = responses + replaced;
+        let changed = WORKERS / REPORT_INTERVAL_SECONDS * RUNNING_PER_WORKER * CHANGED_USAGE + starts;
         let [runs, ends] = &self.reports.report;
         let received =
             reports * runs.fixed + changed * runs.slope + starts * ends.slope + replaced * RESET_BYTES;
-        let sent = answers * self.reports.answer.fixed + starts * self.reports.answer.slope;
-        // The measured reports are empty; what they name and the tasks of the scheduler's full view come on top.
-        let micros = reports * self.daemons.workers.slope * REPORT_SECONDS
+        let sent = responses * self.reports.response.fixed + starts * self.reports.response.slope;
+        // The reports of idle workers are empty, so listed runs and the scheduler's work for them are added.
+        let micros = reports * self.daemons.workers.slope * REPORT_INTERVAL_SECONDS
             + (changed + starts) * self.reports.micros[0].slope
             + starts * self.reports.micros[1].slope
             + reports * RUNNING_PER_WORKER * self.scheduler.report.slope;
@@ -292,7 +294,7 @@
         }
     }
 
-    /// Threads, timers, sockets and periodic messages of a daemon without load, as measured.
+    /// Threads, timers, sockets and periodic messages of a daemon without load.
     fn daemon(&self) -> Cost {
         Cost {
             micros: self.daemons.idle.at(VMS),
@@ -311,7 +313,7 @@
             .sum::<f64>()
 }
 
-fn row(name: &str, cost: Cost) {
+fn print_role(name: &str, cost: Cost) {
     println!(
         "| {name} | {} | {} | {} | {} |",
         short(cost.sent),
@@ -321,7 +323,7 @@
     );
 }
 
-fn verdict(name: &str, value: f64, bound: f64, unit: &str) -> String {
+fn compare(name: &str, value: f64, bound: f64, unit: &str) -> String {
     let holds = if value <= bound { "holds" } else { "DOES NOT HOLD" };
     format!(
         "{name} {} of {bound} {unit} ({:.2} x), {holds}",
@@ -330,25 +332,25 @@
     )
 }
 
-fn sum(name: &str, parts: &[Cost]) {
+fn print_total(name: &str, parts: &[Cost]) {
     let cost = parts.iter().copied().fold(Cost::default(), Cost::add);
     println!(
         "| {name} | {} | {} | {} | {} |",
-        verdict("sent", cost.sent, BYTES_PER_SECOND, "B/s"),
-        verdict("received", cost.received, BYTES_PER_SECOND, "B/s"),
-        verdict("CPU", cost.micros / 1e4, CORE_PERCENT, "% of a core"),
-        verdict("memory", cost.bytes / 1e6, MEGABYTES, "MB"),
+        compare("sent", cost.sent, MAX_BYTES_PER_SECOND, "B/s"),
+        compare("received", cost.received, MAX_BYTES_PER_SECOND, "B/s"),
+        compare("CPU", cost.micros / 1e4, MAX_CORE_PERCENT, "% of a core"),
+        compare("memory", cost.bytes / 1e6, MAX_MEGABYTES, "MB"),
     );
 }
 
-/// Teams whose wish changes in a zone in a second, at most: ends spread evenly over the teams, each of which changes a
-/// wish by more than the rounding.
+/// Returns an upper estimate of the teams per second whose demand changes in a zone: ends are spread evenly over the
+/// teams, and each end changes the demand by more than the rounding.
 fn changed_teams(ends: f64) -> f64 {
     let changed = TEAMS * (1.0 - (1.0 - 1.0 / TEAMS).powf(ends));
     changed.min(demand::MAX_ENTRIES as f64)
 }
 
-/// Prints roles and daemons, quiet and at peak.
+/// Prints the cost of roles and daemons, without load and at peak load.
 pub fn print(slopes: &Slopes) {
     for (name, starts) in [
         ("no starts", 0.0),
@@ -367,38 +369,38 @@
         println!(
             "| role | sent, B/s | received, B/s | CPU, % of a core | memory, MB |\n| --- | --- | --- | --- | --- |"
         );
-        row("daemon without load, measured as a whole", slopes.daemon());
-        row("announcements (every daemon)", announcements);
-        row("gossip member, idle table", idle);
-        row(&format!("gossip member, {targets} targets"), gossip);
+        print_role("daemon without load, measured as a whole", slopes.daemon());
+        print_role("announcements (every daemon)", announcements);
+        print_role("gossip member, idle table", idle);
+        print_role(&format!("gossip member, {targets} targets"), gossip);
         let teams = format!("{} changed teams per zone and second", short(changed));
-        row(&format!("zone leader, demand of {teams}"), zone_demand);
-        row(&format!("root leader, demand of {teams}"), root_demand);
-        row("root learner", learner);
-        row("root voter, one learner served", voter);
-        row("root leader, 17 voters", leader);
-        row("zone follower or witness", follower);
-        row("zone leader, log and state", zone_leader);
-        row("zone leader, scheduler", scheduler);
-        row("zone leader, workers' reports", reports);
+        print_role(&format!("zone leader, demand of {teams}"), zone_demand);
+        print_role(&format!("root leader, demand of {teams}"), root_demand);
+        print_role("root learner", learner);
+        print_role("root voter, one learner served", voter);
+        print_role("root leader, 17 voters", leader);
+        print_role("zone follower or witness", follower);
+        print_role("zone leader, log and state", zone_leader);
+        print_role("zone leader, scheduler", scheduler);
+        print_role("zone leader, workers' reports", reports);
         println!("\n### Daemons, {name}\n");
         println!("| daemon | sent | received | CPU | memory |\n| --- | --- | --- | --- | --- |");
         let all = slopes.daemon() + announcements + gossip;
-        sum("entry: zone follower, root learner", &[all, learner, follower]);
-        sum(
+        print_total("entry: zone follower, root learner", &[all, learner, follower]);
+        print_total(
             "entry: zone follower and witness, root voter",
             &[all, voter, follower, follower],
         );
-        sum(
+        print_total(
             "entry: zone leader, root learner",
             &[all, learner, zone_leader, zone_demand, scheduler, reports],
         );
-        // The witness is the nearest VM with the lowest id, so that one VM may be that of two other zones.
+        // A zone's witness is the nearest VM with the lowest id, so one VM may be the witness of two other zones.
         let leads = leader + root_demand + zone_leader + scheduler;
-        let worst = [all, leads, reports, follower, follower];
-        sum("entry: zone leader, witness of two zones, root leader", &worst);
+        let busiest = [all, leads, reports, follower, follower];
+        print_total("entry: zone leader, witness of two zones, root leader", &busiest);
         let remaining = [all, leads, follower, follower];
-        sum("the same without workers' reports", &remaining);
+        print_total("the same without workers' reports", &remaining);
         let remote = slopes.soft.remote[0].at(VMS)
             + slopes.soft.remote[1].slope * targets
             + (ZONES - 1.0) * (zone_demand.sent + zone_demand.received);
@@ -415,12 +417,13 @@
         short(by_tables(&slopes.state.decode) / 1000.0),
     );
     let tables = TABLE_BYTES / 1e6;
-    let worst = (slopes.root_leader().bytes + 3.0 * slopes.zone_state() + slopes.scheduler(0.0).bytes) / 1e6;
+    let without_tables =
+        (slopes.root_leader().bytes + 3.0 * slopes.zone_state() + slopes.scheduler(0.0).bytes) / 1e6;
     println!(
         "\nWith the tables of open jobs, ended jobs and answers at their bounds, each replica of a zone takes up to {} MB \
          more; with three replicas that makes {} MB.",
         short(tables),
-        short(3.0f64.mul_add(tables, worst)),
+        short(3.0f64.mul_add(tables, without_tables)),
     );
     println!(
         "\nLeader of a zone with {} starts and ends a second, bytes sent for the log: {} with an entry for each, {} with \
--- a/crates/bench/benches/capacity/scheduler.rs
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -1,4 +1,4 @@
-//! The scheduler of a zone: time and bytes per placement, memory by kind of entity.
+//! Cost of a zone's scheduler: time per placement and report, and memory by kind of entity.
 
 use std::time::{Duration, Instant};
 
@@ -9,16 +9,16 @@
 use crate::{count, line};
 
 const NOW: Duration = Duration::from_secs(100);
-const ALL: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
+const UNLIMITED: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
 
-/// Slopes of the scheduler.
+/// Cost of the scheduler.
 #[derive(Debug)]
 pub struct Slopes {
     /// Mean, median and 99th percentile of the microseconds from the end of a run to the next start, by workers.
     pub placement: [line::Line; 3],
     /// Microseconds of a report, by running tasks of the worker.
     pub report: line::Line,
-    /// Bytes by workers, teams, waiting tasks, running tasks.
+    /// Bytes of memory by workers, teams, waiting tasks and running tasks.
     pub memory: [line::Line; 4],
 }
 
@@ -45,10 +45,10 @@
         for team in 1..=teams {
             let quota = team::Quota {
                 weight: 1 + team % 8,
-                limit: ALL,
+                limit: UNLIMITED,
                 requests: 0,
             };
-            let allotment = ALL;
+            let allotment = UNLIMITED;
             cell.step(Input::Team {
                 team,
                 quota,
@@ -100,7 +100,7 @@
         self.step(Input::Submit { job, team, spec });
     }
 
-    /// Submits until tasks of 10 cores fill the fleet and `waiting` more wait.
+    /// Submits tasks of 10 cores until they occupy all workers and about `waiting` more are queued.
     fn fill(&mut self, workers: u64, teams: u32, waiting: u32) {
         for _ in 0..(workers as u32 * 6 + waiting).div_ceil(10) {
             self.submit(teams, 10, 10_000);
@@ -111,9 +111,9 @@
     }
 }
 
-/// Measures and prints.
+/// Runs the measurements of this module, prints them, and returns the fitted lines.
 pub fn measure() -> Slopes {
-    line::head("Scheduler (`crates/schedule`)");
+    line::print_heading("Scheduler (`crates/schedule`)");
     let points = placements();
     let placement = [("mean", 0), ("median", 1), ("p99", 2)].map(|(name, column)| {
         let points: Vec<_> = points
@@ -146,12 +146,12 @@
             number = (number + 7919) % cell.running.len();
             let (task, _, token) = cell.running.swap_remove(number);
             let outcome = task::Outcome::Succeeded(String::new());
-            let begun = Instant::now();
+            let started = Instant::now();
             cell.step(Input::Ended { task, token, outcome });
             if cell.scheduler.next_wake() == Duration::ZERO {
                 cell.step(Input::Tick);
             }
-            times.push(begun.elapsed().as_secs_f64() * 1e6);
+            times.push(started.elapsed().as_secs_f64() * 1e6);
         }
         times.sort_by(f64::total_cmp);
         let mean = times.iter().sum::<f64>() / times.len() as f64;
--- a/crates/bench/benches/capacity/soft.rs
+++ b/crates/bench/benches/capacity/soft.rs
@@ -1,4 +1,4 @@
-//! Soft state: bytes and time by VMs and targets; reports of demand by changed teams.
+//! Cost of soft state: gossip by VMs and targets, and reports of demand by changed teams.
 
 use std::time::{Duration, Instant};
 
@@ -18,37 +18,37 @@
 const REGIONS: [id::RegionId; 17] = [0, 0, 0, 1, 1, 1, 2, 2, 2, 3, 3, 3, 4, 4, 4, 5, 5];
 const SECONDS: u64 = 6;
 
-/// Slopes of soft state.
+/// Cost of gossip and of reports of demand.
 #[derive(Debug)]
 pub struct Slopes {
-    /// Bytes that the busiest VM sends in a second: by VMs, targets.
+    /// Maximum bytes per second that a VM sends, by VMs and by targets.
     pub sent: [line::Line; 2],
-    /// The same received.
+    /// Maximum bytes per second that a VM receives, by VMs and by targets.
     pub received: [line::Line; 2],
-    /// Microseconds of one VM in a second.
+    /// Microseconds per second of one VM, by VMs and by targets.
     pub micros: [line::Line; 2],
-    /// Bytes between regions in a second.
+    /// Bytes per second between regions, by VMs and by targets.
     pub remote: [line::Line; 2],
-    /// Reports of demand.
+    /// Cost of reports of demand.
     pub demand: Demand,
 }
 
-/// Slopes of the reports of demand, by teams whose wish changed in a second in each zone.
+/// Cost of reports of demand, by teams per second whose demand changes in each zone.
 #[derive(Debug)]
 pub struct Demand {
-    /// Bytes of a report, one in a second from each zone.
+    /// Bytes of a report, which each zone sends once per second.
     pub report: line::Line,
-    /// Bytes of the answer.
+    /// Bytes of the receipt for a report.
     pub receipt: f64,
-    /// Microseconds of a zone leader in a second.
+    /// Microseconds per second of a zone leader.
     pub zone_micros: line::Line,
-    /// Microseconds of the root leader in a second: reports of all zones, and two reads of the whole demand.
+    /// Microseconds per second of the root leader, for reports of all zones and two reads of the complete demand.
     pub root_micros: line::Line,
-    /// Bytes of memory of the root leader by team entries of all zones.
+    /// Bytes of memory of the root leader's table, by team entries of all zones.
     pub memory: line::Line,
 }
 
-/// Measured in one run.
+/// Measured values of one run, per second.
 #[derive(Debug, Clone, Copy)]
 struct Second {
     sent: f64,
@@ -57,13 +57,13 @@
     remote: f64,
 }
 
-fn meter(message: &Message) -> usize {
+fn frame_size(message: &Message) -> usize {
     replication::frame_bytes(wire::Body::Gossip(message.clone()))
 }
 
 fn build(zones: usize) -> Network {
     let mut network = Network::new(1, &REGIONS[..zones]);
-    network.message_size = meter;
+    network.message_size = frame_size;
     for id in network.ids() {
         network.with_node(id, |gossip, now| {
             let value = Value::Vm {
@@ -71,7 +71,7 @@
                 version: 1,
                 ready: true,
             };
-            gossip.set(now, Key::Vm(id), value).expect("the table has room");
+            gossip.set(now, Key::Vm(id), value).expect("the table has space");
         });
     }
     network
@@ -93,18 +93,18 @@
         let value = Value::Target { announcement, place };
         network
             .with_node(id, |gossip, now| gossip.set(now, Key::Target(number), value))
-            .expect("the table has room");
+            .expect("the table has space");
     }
 }
 
-fn load(network: &mut Network, targets: u64, round: u64) {
+fn update_loads(network: &mut Network, targets: u64, round: u64) {
     let ids = network.ids();
     for number in 0..targets {
         let value = Value::Load(((number + round) % 8) as u32);
         let id = ids[number as usize % ids.len()];
         network
             .with_node(id, |gossip, now| gossip.set(now, Key::Load(number), value))
-            .expect("the table has room");
+            .expect("the table has space");
     }
 }
 
@@ -112,9 +112,9 @@
 const TEAMS: u32 = 640;
 const ZONES: id::AvailabilityZoneId = 17;
 
-/// Takes the wishes of all teams of a zone; those of some teams have changed by more than the rounding.
-fn wish(reporter: &mut demand::Reporter, teams: u32, first: u32, count: u32, round: u32) {
-    // Zones release rarely, and a counter that is recorded is looked at no more.
+/// Records the demand of all teams of a zone; that of `count` teams has changed by more than the rounding.
+fn set_demand(reporter: &mut demand::Reporter, teams: u32, first: u32, count: u32, round: u32) {
+    // Zones rarely release anything, and a released total that is already recorded is not evaluated again.
     let released = escrow::Total::ZERO;
     for team in 0..teams {
         let changed = (team + teams - first % teams) % teams < count;
@@ -123,8 +123,8 @@
     }
 }
 
-/// A table that knows all teams of all zones, and the reporters.
-fn reported(teams: u32) -> (demand::Table, Vec<demand::Reporter>, Duration) {
+/// Creates a table that has received the demand of all teams in all zones, and the reporters of the zones.
+fn build_table(teams: u32) -> (demand::Table, Vec<demand::Reporter>, Duration) {
     let mut table = demand::Table::new(Duration::ZERO);
     let mut reporters: Vec<_> = (1..=ZONES)
         .map(|zone| demand::Reporter::new(zone, 1, Duration::ZERO))
@@ -133,14 +133,14 @@
     for _ in 0..=(2 * teams as usize).div_ceil(demand::MAX_ENTRIES) {
         now += demand::REPORT_INTERVAL;
         for reporter in &mut reporters {
-            wish(reporter, teams, 0, 0, 0);
+            set_demand(reporter, teams, 0, 0, 0);
             exchange(reporter, &mut table, now);
         }
     }
     (table, reporters, now)
 }
 
-/// Sends a report and its answer; returns their bytes.
+/// Delivers a report and its receipt, and returns their sizes in bytes.
 fn exchange(reporter: &mut demand::Reporter, table: &mut demand::Table, now: Duration) -> (usize, usize) {
     let report = reporter.report(now, 1).expect("a report is due");
     let receipt = table.receive(now, &report).expect("the term is the only one");
@@ -155,26 +155,26 @@
     let state = state::root_state(TEAMS);
     let mut receipt = 0.0;
     let points = [0, 12, 24, 48].map(|changes| {
-        let (mut table, mut reporters, mut now) = reported(TEAMS);
+        let (mut table, mut reporters, mut now) = build_table(TEAMS);
         let (mut bytes, mut zone_micros, mut root_micros) = (0, 0.0, 0.0);
         for second in 0..SECONDS as u32 {
             now += demand::REPORT_INTERVAL;
-            let begun = Instant::now();
+            let started = Instant::now();
             for reporter in &mut reporters {
-                wish(reporter, TEAMS, second * changes, changes, second + 20);
+                set_demand(reporter, TEAMS, second * changes, changes, second + 20);
             }
-            zone_micros += begun.elapsed().as_secs_f64() * 1e6 / f64::from(ZONES);
-            let begun = Instant::now();
+            zone_micros += started.elapsed().as_secs_f64() * 1e6 / f64::from(ZONES);
+            let started = Instant::now();
             for reporter in &mut reporters {
-                let (report, answer) = exchange(reporter, &mut table, now);
+                let (report, receipt_bytes) = exchange(reporter, &mut table, now);
                 bytes += report;
-                receipt = answer as f64;
+                receipt = receipt_bytes as f64;
             }
             for _ in 0..2 {
                 drop(table.demand(now, &state));
                 drop(table.released(&state));
             }
-            root_micros += begun.elapsed().as_secs_f64() * 1e6;
+            root_micros += started.elapsed().as_secs_f64() * 1e6;
         }
         let seconds = SECONDS as f64;
         let bytes = bytes as f64 / f64::from(ZONES) / seconds;
@@ -196,18 +196,18 @@
     }
 }
 
-/// Runs rounds of half a second, as the duties of the daemon do.
+/// Runs the network in rounds of half a second, the interval of the daemon's maintenance.
 fn run(mut network: Network, mut change: impl FnMut(&mut Network, u64)) -> Second {
     network.run(Duration::from_secs(5));
     network.sent.clear();
-    let begun = Instant::now();
+    let started = Instant::now();
     for round in 0..SECONDS * 2 {
         change(&mut network, round);
         network.run(Duration::from_millis(500));
     }
     let vms = network.nodes.len() as f64;
-    let micros = begun.elapsed().as_secs_f64() * 1e6 / SECONDS as f64 / vms;
-    let most = |side: &dyn Fn(&(id::VmId, id::VmId)) -> id::VmId| {
+    let micros = started.elapsed().as_secs_f64() * 1e6 / SECONDS as f64 / vms;
+    let max_bytes = |side: &dyn Fn(&(id::VmId, id::VmId)) -> id::VmId| {
         let sum = |id: id::VmId| -> u64 {
             network
                 .sent
@@ -226,23 +226,23 @@
         .map(|(_, (_, bytes))| bytes)
         .sum();
     Second {
-        sent: most(&|(from, _)| *from),
-        received: most(&|(_, to)| *to),
+        sent: max_bytes(&|(from, _)| *from),
+        received: max_bytes(&|(_, to)| *to),
         micros,
         remote: remote as f64 / SECONDS as f64,
     }
 }
 
-/// Measures and prints.
+/// Runs the measurements of this module, prints them, and returns the fitted lines.
 pub fn measure() -> Slopes {
-    line::head("Soft state (`crates/gossip`, frames of `crates/daemon/src/peer/wire.rs`)");
+    line::print_heading("Soft state (`crates/gossip`, frames of `crates/daemon/src/peer/wire.rs`)");
     let vms = [3, 6, 10, 17].map(|zones| (2.0 * zones as f64, run(build(zones), |_, _| {})));
     let targets = [50, 200, 500, 1000].map(|targets| {
         let mut network = build(17);
         announce(&mut network, targets);
         let second = run(network, |network, round| {
             if round % 2 == 0 {
-                load(network, targets, round);
+                update_loads(network, targets, round);
             }
         });
         (targets as f64, second)
@@ -274,7 +274,7 @@
 
 fn memory() -> line::Line {
     let points = [80, 160, 320, 640].map(|count: u32| {
-        let bytes = count::memory(|| reported(count).0);
+        let bytes = count::memory(|| build_table(count).0);
         (f64::from(count) * f64::from(ZONES), bytes)
     });
     line::fit(
--- a/crates/bench/benches/capacity/state.rs
+++ b/crates/bench/benches/capacity/state.rs
@@ -1,4 +1,4 @@
-//! The states of the zone group and the root group: time per command, memory, snapshots.
+//! Cost of the state of a zone group and of the root group: time per command, memory and snapshots.
 
 use std::{hint::black_box, time::Duration};
 
@@ -7,40 +7,41 @@
 
 use crate::{count, line};
 
-/// Wall time in milliseconds; its size counts in the envelopes.
+/// Wall time of all commands, in milliseconds. It has a present-day value because its size affects encoded envelopes.
 pub const NOW_MS: u64 = 1_796_000_000_000;
-const ALL: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
+const UNLIMITED: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
 const WORKERS: u64 = 165;
-const IDS: [u32; 4] = [1000, 5000, 20_000, 49_000];
+const ID_COUNTS: [u32; 4] = [1000, 5000, 20_000, 49_000];
 
-/// Slopes of the zone state.
+/// Cost of the state of a zone group.
 #[derive(Debug)]
 pub struct ZoneSlopes {
-    /// Microseconds of one start and its end, by running tasks.
+    /// Microseconds to apply one start and its end, by running tasks.
     pub start_and_end: line::Line,
-    /// Microseconds of a submission, by jobs.
+    /// Microseconds to apply a submission, by jobs.
     pub submit: line::Line,
-    /// Zone bytes by running tasks, ended jobs, request ids, command ids, teams.
+    /// Bytes of memory by running tasks, ended jobs, request ids, command ids and teams.
     pub memory: [line::Line; 5],
-    /// Snapshot bytes by ended jobs, request ids, command ids.
+    /// Snapshot bytes by ended jobs, request ids and command ids.
     pub snapshot: [line::Line; 3],
-    /// Microseconds to encode a snapshot, by the same.
+    /// Microseconds to encode a snapshot, by the same variables.
     pub encode: [line::Line; 3],
-    /// Microseconds to decode and verify a snapshot, by the same.
+    /// Microseconds to decode and verify a snapshot, by the same variables.
     pub decode: [line::Line; 3],
 }
 
-/// Slopes of the root state.
+/// Cost of the state of the root group.
 #[derive(Debug)]
 pub struct RootSlopes {
-    /// Root bytes by teams with four keys each in 17 zones, with the view.
+    /// Bytes of memory of the state and its view in 17 zones, by teams with four keys each.
     pub memory: line::Line,
-    /// Microseconds of a key change and the new view, by teams.
+    /// Microseconds to apply a change of a key and to create the new view, by teams.
     pub change: line::Line,
-    /// Microseconds of one round of moving parts, by teams.
+    /// Microseconds of one rebalancing of allotments, by teams.
     pub rebalance: line::Line,
 }
 
+/// Zone state to which commands are applied directly, without a log.
 struct Zone(zone::State);
 
 impl Zone {
@@ -55,7 +56,7 @@
             }));
         }
         zone.run(zone::Command::Granted(
-            (1..=teams).map(|team| (team, ALL.into())).collect(),
+            (1..=teams).map(|team| (team, UNLIMITED.into())).collect(),
         ));
         zone
     }
@@ -138,14 +139,20 @@
     }
 }
 
-fn by(name: &str, unit: &str, y: &str, sizes: [u32; 4], value: &mut dyn FnMut(u32) -> f64) -> line::Line {
+fn fit_sizes(
+    name: &str,
+    unit: &str,
+    y: &str,
+    sizes: [u32; 4],
+    value: &mut dyn FnMut(u32) -> f64,
+) -> line::Line {
     line::fit(name, unit, y, &sizes.map(|size| (f64::from(size), value(size))))
 }
 
-/// Measures and prints the zone state.
+/// Measures the state of a zone group, prints the table, and returns the fitted lines.
 pub fn measure_zone() -> ZoneSlopes {
-    line::head("Zone state (`crates/control/src/zone`)");
-    let start_and_end = by(
+    line::print_heading("Zone state (`crates/control/src/zone`)");
+    let start_and_end = fit_sizes(
         "time to apply a start and its end",
         "running tasks",
         "µs",
@@ -161,7 +168,7 @@
             })
         },
     );
-    let submit = by(
+    let submit = fit_sizes(
         "time to apply a submission",
         "open jobs",
         "µs",
@@ -175,16 +182,16 @@
             let mut runs = Vec::new();
             for _ in 0..31 {
                 let mut zone = Zone(full.clone());
-                let begun = std::time::Instant::now();
+                let started = std::time::Instant::now();
                 for number in 0..20 {
                     black_box(zone.submit((1 << 40) + number, 1));
                 }
-                runs.push(begun.elapsed().as_secs_f64() * 1e6 / 20.0);
+                runs.push(started.elapsed().as_secs_f64() * 1e6 / 20.0);
             }
             count::median(runs)
         },
     );
-    by(
+    fit_sizes(
         "time to apply a claim",
         "request ids",
         "µs",
@@ -192,9 +199,9 @@
         &mut |ids| {
             let mut zone = Zone::new(640);
             (0..ids).for_each(|number| zone.claim(number));
-            let begun = std::time::Instant::now();
+            let started = std::time::Instant::now();
             (ids..ids + 5000).for_each(|number| zone.claim(number));
-            begun.elapsed().as_secs_f64() * 1e6 / 5000.0
+            started.elapsed().as_secs_f64() * 1e6 / 5000.0
         },
     );
     let memory = zone_memory();
@@ -216,10 +223,10 @@
     }
 }
 
-/// Measures and prints the root state.
+/// Measures the state of the root group, prints the table, and returns the fitted lines.
 pub fn measure_root() -> RootSlopes {
-    line::head("Root state (`crates/control/src/root`)");
-    let memory = by(
+    line::print_heading("Root state (`crates/control/src/root`)");
+    let memory = fit_sizes(
         "memory of the root state and its view, 17 zones, 34 VMs, 4 keys a team",
         "teams",
         "B",
@@ -232,7 +239,7 @@
             })
         },
     );
-    let change = by(
+    let change = fit_sizes(
         "time of a key change with a new view",
         "teams",
         "µs",
@@ -252,7 +259,7 @@
             })
         },
     );
-    let rebalance = by(
+    let rebalance = fit_sizes(
         "time of one round of moving parts, demand of every team in every zone",
         "teams",
         "µs",
@@ -281,12 +288,12 @@
 
 fn snapshots(name: &str, y: &str, value: &dyn Fn(&Zone) -> f64) -> [line::Line; 3] {
     let line = |unit: &str, sizes, build: &dyn Fn(u32) -> Zone| {
-        by(name, unit, y, sizes, &mut |size| value(&build(size)))
+        fit_sizes(name, unit, y, sizes, &mut |size| value(&build(size)))
     };
     [
         line("ended jobs", [100, 765, 3000, 13_000], &with_jobs),
-        line("request ids", IDS, &with_claims),
-        line("command ids", IDS, &with_commands),
+        line("request ids", ID_COUNTS, &with_claims),
+        line("command ids", ID_COUNTS, &with_commands),
     ]
 }
 
@@ -314,7 +321,7 @@
 
 fn zone_memory() -> [line::Line; 5] {
     let by_memory = |name: &str, unit: &str, sizes: [u32; 4], build: &dyn Fn(u32) -> Zone| {
-        by(name, unit, "B", sizes, &mut |size| count::memory(|| build(size)))
+        fit_sizes(name, unit, "B", sizes, &mut |size| count::memory(|| build(size)))
     };
     [
         by_memory(
@@ -333,8 +340,13 @@
             [100, 765, 3000, 13_000],
             &with_jobs,
         ),
-        by_memory("memory by request ids without answers", "ids", IDS, &with_claims),
-        by_memory("memory by command ids", "ids", IDS, &with_commands),
+        by_memory(
+            "memory by request ids without answers",
+            "ids",
+            ID_COUNTS,
+            &with_claims,
+        ),
+        by_memory("memory by command ids", "ids", ID_COUNTS, &with_commands),
         by_memory("memory by teams", "teams", [80, 160, 320, 640], &Zone::new),
     ]
 }
@@ -344,7 +356,7 @@
     state.apply(index, &envelope::Envelope::new(NOW_MS, command));
 }
 
-/// A VM as the directory of the target size has it.
+/// Returns a VM as it appears in the directory at the target size.
 pub fn vm(zone: u16, side: u16) -> vm::Vm {
     let port = zone * 10 + side;
     let address = |base: u16| ([10, 0, 0, 1], base + port).into();
@@ -362,7 +374,7 @@
     }
 }
 
-/// Returns a root state with teams, their keys and the parts of zones that want nothing.
+/// Creates a root state with teams, their keys, and the allotments of zones without demand.
 pub fn root_state(teams: u32) -> root::State {
     let mut state = root::State::new();
     for zone in 1..=17 {
--- a/crates/bench/benches/policy.rs
+++ b/crates/bench/benches/policy.rs
@@ -1,6 +1,6 @@
-//! Prints the policy table and fails when a bound is broken.
+//! Runs the policy measurements, prints their table, and fails when a value violates its bound.
 //!
-//! Flags: `--short` for the CI form, `--seed N`, `--json` for programs.
+//! Flags: `--short` for the short run of CI, `--seed N`, `--json` for machine-readable output.
 
 use std::process::ExitCode;
 
--- a/crates/bench/benches/speed/consensus.rs
+++ b/crates/bench/benches/speed/consensus.rs
@@ -1,4 +1,4 @@
-//! Speed of `consensus` and `storage`.
+//! Benchmarks of `consensus` and `storage`.
 
 use std::hint::black_box;
 use std::time::Duration;
@@ -12,9 +12,9 @@
 const ENTRY_BYTES: usize = 12;
 const GROUP: id::GroupId = id::GroupId::Zone(1);
 const SNAPSHOT_BYTES: [usize; 4] = [16 * 1024, 256 * 1024, 2 * 1024 * 1024, 8 * 1024 * 1024];
-const APPENDS: [u64; 2] = [1, 100];
+const APPENDED_ENTRIES: [u64; 2] = [1, 100];
 
-/// Registers the benchmarks of this part.
+/// Registers the benchmarks of this module.
 pub fn register(criterion: &mut Criterion) {
     single_voter(criterion);
     replicate(criterion);
@@ -34,7 +34,7 @@
     Restored::bootstrap(membership::Membership::from_voters(1..=voters))
 }
 
-/// Carries out the outputs of members until nothing is left to do; writes succeed at once.
+/// Group that processes the outputs of its members until none remain. Writes are durable immediately.
 struct Group {
     replicas: Vec<Replica>,
     now: Duration,
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Proposes, and drops the log now and then, as compaction does.
+    /// Proposes an entry, and compacts the logs every 10,000 proposals so that they stay small.
     fn propose(&mut self, id: u64) {
         self.now += Duration::from_micros(10);
         self.run(
@@ -112,7 +112,7 @@
     }
 }
 
-/// Log append, commit and apply without messages.
+/// Append, commit and apply in a group of one voter, without messages.
 fn single_voter(criterion: &mut Criterion) {
     let mut group = Group::new(1);
     let mut id = 0;
@@ -124,7 +124,7 @@
     });
 }
 
-/// The same with the messages of a leader and two followers.
+/// Append, commit and apply with the messages between a leader and two followers.
 fn replicate(criterion: &mut Criterion) {
     let mut group = Group::new(3);
     let mut id = 0;
@@ -136,9 +136,9 @@
     });
 }
 
-/// One synced write of one or more entries.
+/// One synced write of one entry, and of several.
 fn append(criterion: &mut Criterion) {
-    for count in APPENDS {
+    for count in APPENDED_ENTRIES {
         let folder = tempfile::tempdir().expect("a temporary folder");
         let (mut store, _) = Store::open(folder.path(), GROUP).expect("the store opens");
         let vote = write::Kind::Vote(write::Vote {
@@ -167,7 +167,7 @@
     }
 }
 
-/// Labelling a snapshot in memory, and storing it with a sync.
+/// Computation of a snapshot's label, and a synced write of the snapshot.
 fn snapshots(criterion: &mut Criterion) {
     for size in SNAPSHOT_BYTES {
         let folder = tempfile::tempdir().expect("a temporary folder");
--- a/crates/bench/benches/speed/control.rs
+++ b/crates/bench/benches/speed/control.rs
@@ -1,4 +1,4 @@
-//! Speed of `control`.
+//! Benchmarks of `control`.
 
 use std::hint::black_box;
 
@@ -8,9 +8,10 @@
 
 const TEAMS: u32 = 640;
 const WORKERS: u64 = 165;
+/// Starts in one command.
 const STARTS: u64 = 150;
 
-/// Registers the benchmarks of this part.
+/// Registers the benchmarks of this module.
 pub fn register(criterion: &mut Criterion) {
     starts(criterion);
     snapshots(criterion);
@@ -39,8 +40,8 @@
             }),
         );
     }
-    let part = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
-    let granted = (1..=TEAMS).map(|team| (team, part.into())).collect();
+    let allotment = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
+    let granted = (1..=TEAMS).map(|team| (team, allotment.into())).collect();
     run(&mut state, zone::Command::Granted(granted));
     for number in 0..(tasks + STARTS).div_ceil(10) {
         run(
@@ -123,7 +124,7 @@
         criterion.bench_function(&format!("control/snapshot_copy/{name}"), |bencher| {
             bencher.iter_batched(|| (), |()| black_box(&state).clone(), BatchSize::PerIteration);
         });
-        // The entry that changes most after a copy was made of all tables.
+        // Starts right after a copy, when no table has been unshared yet, are the most expensive entry.
         let first = starts_from(&state, tasks, STARTS);
         criterion.bench_function(
             &format!("control/apply_150_starts_after_copy/{name}"),
@@ -168,7 +169,7 @@
                 apply(&mut state, root::Command::GrantKey { hash, team });
             }
         }
-        // A reader holds the view before the change, so that the changed table is copied.
+        // A reader keeps the previous view, so every change copies the table.
         criterion.bench_function(&format!("control/key_change_and_view/{teams}_teams"), |bencher| {
             let mut view = state.view();
             let mut key = 0_u64;
@@ -185,7 +186,7 @@
     }
 }
 
-/// A round of the root leader over all teams, with wishes that change every target.
+/// One rebalancing of all teams by the root leader, with unchanged demand and with demand that changes every target.
 fn rebalance(criterion: &mut Criterion) {
     for (teams, zones) in [(6, 3), (640, 17)] {
         let mut state = root::State::new();
@@ -210,18 +211,18 @@
             let pairs = (1..=teams).flat_map(|team| (1..=zones).map(move |zone| (team, zone)));
             pairs
                 .map(|(team, zone)| {
-                    let wish = u32::from((zone + shift) % zones) * 1000;
-                    ((team, zone), resource::Amount::new(wish, wish, 0))
+                    let amount = u32::from((zone + shift) % zones) * 1000;
+                    ((team, zone), resource::Amount::new(amount, amount, 0))
                 })
                 .collect()
         };
         let grants = root::rebalance(&state, &demand(0));
         apply(&mut state, root::Command::Grant(grants));
-        for (name, wishes) in [("steady", demand(0)), ("all_change", demand(1))] {
+        for (name, demand) in [("steady", demand(0)), ("all_change", demand(1))] {
             criterion.bench_function(
                 &format!("control/rebalance_{name}/{teams}_teams_{zones}_zones"),
                 |bencher| {
-                    bencher.iter(|| root::rebalance(black_box(&state), &wishes));
+                    bencher.iter(|| root::rebalance(black_box(&state), &demand));
                 },
             );
         }
--- a/crates/bench/benches/speed/gossip.rs
+++ b/crates/bench/benches/speed/gossip.rs
@@ -1,4 +1,4 @@
-//! Speed of `gossip`.
+//! Benchmarks of `gossip`.
 
 use std::{hint::black_box, time::Duration};
 
@@ -8,7 +8,7 @@
 
 const PLACE: vm::Place = vm::Place { region: 0, zone: 0 };
 
-/// Registers the benchmarks of this part.
+/// Registers the benchmarks of this module.
 pub fn register(criterion: &mut Criterion) {
     for targets in [8, 50, 200, 1000] {
         merge(criterion, targets);
@@ -27,23 +27,24 @@
     gossip
 }
 
+/// Runs one round of gossip in both directions and returns the messages to the right-hand node.
 fn exchange(left: &mut Gossip, right: &mut Gossip, now: Duration) -> Vec<Message> {
-    let mut seen = Vec::new();
+    let mut received = Vec::new();
     let mut out = Vec::new();
     left.tick(now, &mut out);
     right.tick(now, &mut out);
     while let Some((to, message)) = out.pop() {
         if to == 2 {
-            seen.push(message.clone());
+            received.push(message.clone());
             right.receive(now, 1, message, &mut out);
         } else {
             left.receive(now, 2, message, &mut out);
         }
     }
-    seen
+    received
 }
 
-/// Merges the changes of all targets of another VM, and reads the targets.
+/// Merges load updates of all targets of another VM, and reads the targets.
 fn merge(criterion: &mut Criterion, targets: u64) {
     let (mut left, mut right) = (node(1), node(2));
     for target in 0..targets {
--- a/crates/bench/benches/speed/main.rs
+++ b/crates/bench/benches/speed/main.rs
@@ -1,4 +1,4 @@
-//! Elapsed-time benchmarks of the decisions and codecs, at today's sizes and at the target's.
+//! Wall-clock benchmarks of decision logic and codecs, at current sizes and at the target size.
 
 mod consensus;
 mod control;
--- a/crates/bench/benches/speed/request.rs
+++ b/crates/bench/benches/speed/request.rs
@@ -1,5 +1,5 @@
-//! Speed of `request`: the decisions at several numbers of targets, and the entry path beside a direct connection
-//! to the same stand-in target in the same run.
+//! Benchmarks of `request`: its decisions at several numbers of targets, and requests through a gateway compared with
+//! a direct connection to the same stand-in target in the same run.
 
 use std::{
     hint::black_box,
@@ -18,10 +18,10 @@
 
 const PATH: &str = "/v2/queues/diplomas/requests";
 const PLACE: vm::Place = vm::Place { region: 0, zone: 0 };
-/// Connections of the throughput measurement.
+/// Concurrent connections of the throughput benchmark.
 const CALLERS: usize = 32;
 
-/// Registers the benchmarks of this part.
+/// Registers the benchmarks of this module.
 pub fn register(criterion: &mut criterion::Criterion) {
     decisions(criterion);
     replace(criterion);
@@ -43,7 +43,7 @@
             bencher.iter(|| {
                 id += 1;
                 let now = Duration::from_micros(id);
-                let ticket = admission::Request {
+                let pending = admission::Request {
                     id,
                     flow,
                     weight: 1,
@@ -51,7 +51,7 @@
                     deadline: now + Duration::from_secs(1),
                 };
                 let free = router.free_slots(now, 1);
-                black_box(admission.admit(now, ticket, free));
+                black_box(admission.admit(now, pending, free));
                 let query = router::Request {
                     service: 1,
                     exclude: &[],
@@ -72,7 +72,7 @@
     group.finish();
 }
 
-/// Taking in a new list of targets, which holds the lock that requests need.
+/// Replacement of the target list, during which the lock that requests need is held.
 fn replace(criterion: &mut criterion::Criterion) {
     let mut group = criterion.benchmark_group("request/replace_targets");
     for count in [50, 1000, 5000] {
@@ -97,7 +97,7 @@
     group.finish();
 }
 
-/// Returns a router with `count` targets, half of whose room is in use.
+/// Creates a router with `count` targets, half of whose slots are in use.
 fn loaded_router(count: u64) -> router::Router {
     let mut router = router::Router::new(router::Config {
         own: allotment::Entry { vm: 1, place: PLACE },
@@ -173,7 +173,8 @@
     entry_on_one_core(criterion);
 }
 
-/// Callers, gateway and target on one thread: the difference of the sides is the gateway's processor time.
+/// Callers, gateway and target share one thread, so that the difference between the two cases is the gateway's processor
+/// time.
 fn entry_on_one_core(criterion: &mut criterion::Criterion) {
     let runtime = tokio::runtime::Builder::new_current_thread()
         .enable_all()
@@ -192,7 +193,7 @@
     cancel.cancel();
 }
 
-/// Sends `count` requests over all callers and returns the time taken.
+/// Sends `count` requests, spread over all connections, and returns the time taken.
 async fn load(address: SocketAddr, count: u64) -> Duration {
     let mut callers = Vec::new();
     for _ in 0..CALLERS {
--- a/crates/bench/benches/speed/schedule.rs
+++ b/crates/bench/benches/speed/schedule.rs
@@ -1,5 +1,5 @@
-//! Speed of `schedule`: one task ends and its room is filled from a full queue, at four fleet sizes, with a plain
-//! first fit over all workers beside it. A table of step times follows, because the bounds are on quantiles.
+//! Benchmarks of `schedule`: a task ends and a queued one takes its place, at four fleet sizes, compared with first fit
+//! over all workers. Quantiles of the step time are printed separately, because the bounds apply to them.
 
 use std::time::{Duration, Instant};
 
@@ -10,11 +10,11 @@
 use rand::rngs::SmallRng;
 use rand::{Rng, SeedableRng};
 
-const FLEETS: [u64; 4] = [50, 500, 2_800, 5_000];
+const FLEET_SIZES: [u64; 4] = [50, 500, 2_800, 5_000];
 const TEAMS: u32 = 640;
 const QUEUED_TASKS: u32 = 100_000;
 const SEED: u64 = 20_261_204;
-/// Target fleet, for the table of step times.
+/// Workers of the target fleet, at which the quantiles are taken.
 const TARGET: u64 = 2_800;
 const SAMPLES: usize = 50_000;
 
@@ -60,7 +60,7 @@
     }
 }
 
-/// A full fleet with a full queue.
+/// Fully loaded fleet with a long queue.
 struct Fixture {
     now: Duration,
     random: SmallRng,
@@ -147,22 +147,22 @@
         }
     }
 
-    /// Ends one run; its room is filled in the same step. Returns the time of the step.
-    fn turn_over(&mut self) -> Duration {
+    /// Ends a random run, upon which queued tasks start in its place, and returns the time that both took.
+    fn end_run(&mut self) -> Duration {
         self.now += Duration::from_micros(400);
         let position = self.random.random_range(0..self.running.len());
         let (task, token) = self.running.swap_remove(position);
         let outcome = task::Outcome::Succeeded(String::new());
-        let begun = Instant::now();
+        let started = Instant::now();
         self.step(Input::Ended { task, token, outcome });
         if self.scheduler.next_wake() == Duration::ZERO {
             self.step(Input::Tick);
         }
-        begun.elapsed()
+        started.elapsed()
     }
 }
 
-/// First fit over all workers, without an index.
+/// Baseline: first fit by linear search over all workers.
 struct FirstFit {
     free: Vec<(resource::Amount, id::AcceleratorKind)>,
 }
@@ -177,18 +177,18 @@
 
     fn place(&mut self, size: &resource::Amount, freed: usize) -> Option<usize> {
         self.free[freed].0 = *size;
-        let found = self.free.iter().position(|(free, _)| size.fits(free))?;
-        self.free[found].0 = resource::Amount::new(500, 500, 0);
-        Some(found)
+        let position = self.free.iter().position(|(free, _)| size.fits(free))?;
+        self.free[position].0 = resource::Amount::new(500, 500, 0);
+        Some(position)
     }
 }
 
-/// Registers the benchmarks of this part.
+/// Registers the benchmarks of this module.
 pub fn register(criterion: &mut Criterion) {
-    // First, so that memory freed by the other fixtures does not hide what this one takes.
+    // Runs first: memory that other fixtures have freed would be reused and hide what this one takes.
     print_quantiles();
     let mut group = criterion.benchmark_group("schedule/placement");
-    for workers in FLEETS {
+    for workers in FLEET_SIZES {
         let mut fixture = Fixture::new(workers);
         group.bench_function(BenchmarkId::new("scheduler", workers), |bencher| {
             bencher.iter_custom(|count| {
@@ -196,7 +196,7 @@
                 let before = fixture.starts;
                 let mut done = 0;
                 while done < count {
-                    time += fixture.turn_over();
+                    time += fixture.end_run();
                     if fixture.next_job.is_multiple_of(2) || fixture.running.len() < 2 * workers as usize {
                         fixture.submit();
                     }
@@ -218,7 +218,7 @@
     group.finish();
 }
 
-/// Returns the resident memory of this process in KiB; zero where the system does not tell.
+/// Returns the resident memory of this process in KiB, or zero on systems without `/proc`.
 fn resident_kib() -> u64 {
     let status = std::fs::read_to_string("/proc/self/status").unwrap_or_default();
     let line = status.lines().find_map(|line| line.strip_prefix("VmRSS:"));
@@ -226,7 +226,7 @@
     value.and_then(|value| value.parse().ok()).unwrap_or(0)
 }
 
-/// Prints quantiles of the step time at the target fleet; the bounds are 10 µs, 100 µs and 5 ms.
+/// Prints the median, 99th percentile and maximum of the step time at the target fleet, whose bounds are 10 µs, 100 µs and 5 ms.
 fn print_quantiles() {
     let before_memory = resident_kib();
     let mut fixture = Fixture::new(TARGET);
@@ -234,7 +234,7 @@
     let mut times = Vec::with_capacity(SAMPLES);
     let before = fixture.starts;
     for _ in 0..SAMPLES {
-        times.push(fixture.turn_over());
+        times.push(fixture.end_run());
         if fixture.scheduler.metrics(fixture.now).waiting < u64::from(QUEUED_TASKS) {
             fixture.submit();
         }
--- a/crates/bench/benches/speed/steps.rs
+++ b/crates/bench/benches/speed/steps.rs
@@ -1,5 +1,5 @@
-//! Longest step of the scheduler in the situations that touch many tasks at once, at the target size. No step may
-//! take longer than 5 ms, because it holds the control thread.
+//! Maximum step time of the scheduler at the target size, in situations that affect many tasks together. The limit is
+//! 5 ms, because a step blocks the control thread.
 
 use std::time::{Duration, Instant};
 
@@ -9,16 +9,16 @@
 
 const WORKERS: u64 = 2_800;
 const TEAMS: u32 = 640;
-const RUNNING: u32 = 17_000;
-const QUEUED: u32 = 100_000;
-const GANG: u32 = 10_000;
-const CANCELLED: u64 = 10_000;
+const RUNNING_TASKS: u32 = 17_000;
+const QUEUED_TASKS: u32 = 100_000;
+const GANG_TASKS: u32 = 10_000;
+const CANCELLED_JOBS: u64 = 10_000;
 const TASKS_PER_JOB: u32 = 10;
-/// Longest delay between two steps while the scheduler has more to do.
+/// Interval between steps while the scheduler has pending work.
 const TICK: Duration = Duration::from_millis(1);
-/// Team that runs most of the tasks.
-const LARGE: id::TeamId = 1;
-const PLENTY: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
+/// Team to which most running tasks belong.
+const LARGE_TEAM: id::TeamId = 1;
+const UNLIMITED: resource::Amount = resource::Amount::new(u32::MAX, u32::MAX, u32::MAX);
 
 fn spec(kind: job::Kind, tasks: u32, cpu: u32) -> job::Spec {
     job::Spec {
@@ -45,14 +45,14 @@
     }
 }
 
-/// A scheduler whose steps are timed.
+/// Scheduler whose steps are timed.
 struct Fixture {
     now: Duration,
     scheduler: Scheduler,
     next_job: id::JobId,
-    longest: Duration,
+    max_step: Duration,
     steps: u64,
-    most: usize,
+    max_outputs: usize,
     out: Vec<Output>,
     running: Vec<(task::Ref, id::WorkerId, id::Token, resource::Amount)>,
 }
@@ -64,9 +64,9 @@
             now,
             scheduler: Scheduler::new(Config::default(), now),
             next_job: 1,
-            longest: Duration::ZERO,
+            max_step: Duration::ZERO,
             steps: 0,
-            most: 0,
+            max_outputs: 0,
             out: Vec::new(),
             running: Vec::new(),
         };
@@ -74,7 +74,7 @@
         fixture
     }
 
-    /// A fleet with all its workers.
+    /// Creates a fleet of idle workers.
     fn with_workers() -> Self {
         let mut fixture = Self::new();
         fixture.step(Input::Restore(Restore::Done { next_token: 1 }));
@@ -84,39 +84,39 @@
         fixture
     }
 
-    /// A fleet at the target size: running tasks, most of them of one team, and a long queue.
+    /// Creates a fleet at the target size with a long queue and running tasks that mostly belong to one team.
     fn full() -> Self {
         let mut fixture = Self::with_workers();
-        // A fleet of 2,800 workers with 64 cores has room for 16,800 tasks of 10 cores.
-        for number in 0..RUNNING / TASKS_PER_JOB {
-            fixture.submit(LARGE, &spec(job::Kind::Batch, TASKS_PER_JOB, 10_000));
-            fixture.settle();
+        // 2,800 workers of 64 cores can run 16,800 tasks of 10 cores.
+        for number in 0..RUNNING_TASKS / TASKS_PER_JOB {
+            fixture.submit(LARGE_TEAM, &spec(job::Kind::Batch, TASKS_PER_JOB, 10_000));
+            fixture.run_until_idle();
             assert!(number == 0 || !fixture.running.is_empty(), "work starts");
         }
-        for number in 0..QUEUED / TASKS_PER_JOB {
+        for number in 0..QUEUED_TASKS / TASKS_PER_JOB {
             let team = 1 + number % TEAMS;
             fixture.submit(team, &spec(job::Kind::Batch, TASKS_PER_JOB, 10_000));
         }
-        fixture.settle();
+        fixture.run_until_idle();
         fixture
     }
 
     fn set_teams(&mut self) {
         for team in 1..=TEAMS {
-            self.set_part(team, PLENTY);
+            self.set_allotment(team, UNLIMITED);
         }
     }
 
-    fn set_part(&mut self, team: id::TeamId, part: resource::Amount) {
+    fn set_allotment(&mut self, team: id::TeamId, allotment: resource::Amount) {
         let quota = team::Quota {
             weight: 1,
-            limit: PLENTY,
+            limit: UNLIMITED,
             requests: 0,
         };
         self.step(Input::Team {
             team,
             quota,
-            allotment: part,
+            allotment,
         });
     }
 
@@ -130,11 +130,11 @@
 
     fn step(&mut self, input: Input) {
         self.out.clear();
-        let begun = Instant::now();
+        let started = Instant::now();
         self.scheduler.step(self.now, input, &mut self.out);
-        self.longest = self.longest.max(begun.elapsed());
+        self.max_step = self.max_step.max(started.elapsed());
         self.steps += 1;
-        self.most = self.most.max(self.out.len());
+        self.max_outputs = self.max_outputs.max(self.out.len());
         for output in &self.out {
             if let Output::Start {
                 task,
@@ -148,78 +148,78 @@
         }
     }
 
-    /// Ticks while there is more to do.
-    fn settle(&mut self) {
+    /// Ticks until the scheduler has no pending work.
+    fn run_until_idle(&mut self) {
         while self.scheduler.next_wake() <= self.now {
             self.now += TICK;
             self.step(Input::Tick);
         }
     }
 
-    /// Forgets what the steps so far took.
-    fn begin(&mut self) {
-        self.longest = Duration::ZERO;
+    /// Resets the counters, so that the earlier steps are excluded.
+    fn reset_counters(&mut self) {
+        self.max_step = Duration::ZERO;
         self.steps = 0;
-        self.most = 0;
+        self.max_outputs = 0;
     }
 
     fn print(&self, name: &str) {
         println!(
             "schedule/longest step, {name}: {:.3} ms in {} steps, at most {} outputs in one",
-            self.longest.as_secs_f64() * 1e3,
+            self.max_step.as_secs_f64() * 1e3,
             self.steps,
-            self.most
+            self.max_outputs
         );
     }
 }
 
 fn gang() -> (Fixture, id::JobId) {
     let mut fixture = Fixture::with_workers();
-    fixture.begin();
-    let job = fixture.submit(LARGE, &spec(job::Kind::Gang, GANG, 10_000));
-    fixture.settle();
-    assert_eq!(fixture.running.len() as u32, GANG, "the gang starts");
+    fixture.reset_counters();
+    let job = fixture.submit(LARGE_TEAM, &spec(job::Kind::Gang, GANG_TASKS, 10_000));
+    fixture.run_until_idle();
+    assert_eq!(fixture.running.len() as u32, GANG_TASKS, "the gang starts");
     (fixture, job)
 }
 
-/// Prints the longest steps.
+/// Prints the maximum step time of each situation.
 pub fn print() {
     let (mut fixture, job) = gang();
     fixture.print("start of a gang of 10,000 tasks");
-    fixture.begin();
+    fixture.reset_counters();
     fixture.step(Input::Cancel { job });
-    fixture.settle();
+    fixture.run_until_idle();
     fixture.print("cancellation of a gang of 10,000 tasks");
 
     let (mut fixture, _) = gang();
-    fixture.begin();
-    lose(&mut fixture);
+    fixture.reset_counters();
+    expire_leases(&mut fixture);
     fixture.print("loss of all workers of a gang of 10,000 tasks");
 
     let mut fixture = Fixture::full();
     println!("schedule/longest step: {} tasks run", fixture.running.len());
-    fixture.begin();
-    fixture.set_part(LARGE, resource::Amount::ZERO);
-    fixture.settle();
+    fixture.reset_counters();
+    fixture.set_allotment(LARGE_TEAM, resource::Amount::ZERO);
+    fixture.run_until_idle();
     fixture.print("a team's part lowered to nothing");
 
     let mut fixture = Fixture::full();
-    fixture.begin();
-    lose(&mut fixture);
+    fixture.reset_counters();
+    expire_leases(&mut fixture);
     fixture.print("loss of 2,800 workers");
 
     let mut fixture = Fixture::full();
-    fixture.begin();
-    for job in 1..=CANCELLED {
+    fixture.reset_counters();
+    for job in 1..=CANCELLED_JOBS {
         fixture.step(Input::Cancel { job });
     }
-    fixture.settle();
+    fixture.run_until_idle();
     fixture.print("10,000 cancellations");
     restore();
 }
 
-/// Lets the leases of all workers run out at the same time.
-fn lose(fixture: &mut Fixture) {
+/// Expires the leases of all workers at the same time.
+fn expire_leases(fixture: &mut Fixture) {
     fixture.now += Duration::from_secs(11);
     fixture.step(Input::Tick);
     let end = fixture.now + Duration::from_secs(5);
@@ -242,7 +242,7 @@
         tasks.entry(task.job).or_default().push(running);
     }
     let mut fixture = Fixture::new();
-    fixture.begin();
+    fixture.reset_counters();
     for worker in 0..WORKERS {
         fixture.step(Input::Restore(Restore::Worker(registration(worker))));
     }
@@ -251,8 +251,8 @@
         tasks.resize(TASKS_PER_JOB as usize, Progress::Waiting { attempts: 0 });
         fixture.step(Input::Restore(Restore::Job {
             job,
-            team: if job <= u64::from(RUNNING / TASKS_PER_JOB) {
-                LARGE
+            team: if job <= u64::from(RUNNING_TASKS / TASKS_PER_JOB) {
+                LARGE_TEAM
             } else {
                 2
             },
@@ -262,12 +262,12 @@
         }));
     }
     fixture.step(Input::Restore(Restore::Done { next_token: 1 << 40 }));
-    fixture.settle();
+    fixture.run_until_idle();
     fixture.print("restore with half of the jobs cancelled");
     restore_gang();
 }
 
-/// One job is restored in one step.
+/// A job is restored in one step, however many tasks it has.
 fn restore_gang() {
     let (mut full, _) = gang();
     full.running.sort_unstable_by_key(|run| run.0.index);
@@ -277,10 +277,10 @@
         granted: run.3,
         attempts: 0,
     });
-    let part = Restore::Job {
+    let job = Restore::Job {
         job: 1,
-        team: LARGE,
-        spec: spec(job::Kind::Gang, GANG, 10_000),
+        team: LARGE_TEAM,
+        spec: spec(job::Kind::Gang, GANG_TASKS, 10_000),
         cancelled: false,
         tasks: running.collect(),
     };
@@ -288,7 +288,7 @@
     for worker in 0..WORKERS {
         fixture.step(Input::Restore(Restore::Worker(registration(worker))));
     }
-    fixture.begin();
-    fixture.step(Input::Restore(part));
+    fixture.reset_counters();
+    fixture.step(Input::Restore(job));
     fixture.print("restore of a running gang of 10,000 tasks");
 }
