--- a/crates/bench/tests/proof.rs
+++ b/crates/bench/tests/proof.rs
@@ -16,21 +16,21 @@
     fs::read_to_string(root().join(path)).unwrap_or_else(|error| panic!("{path}: {error}"))
 }
 
-/// Returns the texts between backquotes on a page.
+/// Returns the texts between backquotes on the page.
 fn quoted(page: &str) -> Vec<&str> {
     page.lines()
         .flat_map(|line| line.split('`').skip(1).step_by(2))
         .collect()
 }
 
-/// Returns all Rust files below a folder.
-fn sources(folder: &Path, found: &mut Vec<PathBuf>) {
+/// Collects all Rust files below a folder.
+fn sources(folder: &Path, files: &mut Vec<PathBuf>) {
     for entry in fs::read_dir(folder).into_iter().flatten().flatten() {
         let path = entry.path();
         if path.is_dir() {
-            sources(&path, found);
+            sources(&path, files);
         } else if path.extension().is_some_and(|extension| extension == "rs") {
-            found.push(path);
+            files.push(path);
         }
     }
 }
@@ -59,8 +59,8 @@
     assert!(missing.is_empty(), "files that do not exist: {missing:?}");
 }
 
-/// Guards against a page that claims a test which was renamed, removed or never written. A test is named as
-/// `path::name`; the file must hold a function of that name, and a case after a second `::` must appear in it.
+/// Guards against a page that names a test that was renamed, removed or never written. A test is named as `path::name`:
+/// the file must contain a function of that name. A test case is named after a second `::` and must appear in the file.
 #[test]
 fn every_named_test_exists() {
     let page = read(PAGE);
@@ -85,8 +85,8 @@
     assert!(missing.is_empty(), "tests that do not exist: {missing:?}");
 }
 
-/// Guards against a page that cites a policy row which no policy module prints. The variable parts of a name are
-/// written by the modules with `format!`, so the first two parts are looked for.
+/// Guards against a page that cites a policy row that no policy module prints. The modules build the last parts of a
+/// row's name with `format!`, so only the package and the measure are checked.
 #[test]
 fn every_named_policy_row_exists() {
     let mut files = Vec::new();
@@ -95,11 +95,11 @@
         .iter()
         .map(|file| fs::read_to_string(file).unwrap())
         .collect();
-    let parts = ["consensus.", "control.", "gossip.", "request.", "schedule."];
+    let packages = ["consensus.", "control.", "gossip.", "request.", "schedule."];
     let page = read(PAGE);
     let rows: BTreeSet<&str> = quoted(&page)
         .into_iter()
-        .filter(|text| parts.iter().any(|part| text.starts_with(part)))
+        .filter(|text| packages.iter().any(|package| text.starts_with(package)))
         .collect();
     assert!(!rows.is_empty(), "the page names its measures");
     let is_printed = |row: &&str| {
