--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -1,4 +1,4 @@
-//! Jobs that callers submit, by kind of request.
+//! Random generation of the jobs that callers submit, by kind of request.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -7,80 +7,80 @@
 use bytes::Bytes;
 use rand::Rng;
 
-/// A kind of request.
+/// A kind of request, with the distributions of its jobs.
 #[derive(Debug, Clone)]
 pub struct Kind {
-    /// Queue.
+    /// Queue that the jobs are submitted to.
     pub queue: catalog::Queue,
-    /// Submissions a second.
+    /// Mean number of submissions per second.
     pub rate: f64,
-    /// Mean number of tasks of a step.
+    /// Mean number of tasks per step.
     pub tasks: f64,
-    /// Most tasks of a step.
+    /// Maximum number of tasks per step.
     pub max_tasks: u32,
     /// Mean size of a task.
     pub size: resource::Amount,
     /// Mean run time of a task.
     pub run_time: Duration,
-    /// Whether steps are gangs.
+    /// Whether each step is a gang.
     pub gang: bool,
-    /// Share of jobs with a second step after the first.
+    /// Share of jobs that have a second step after the first.
     pub two_step_share: f64,
-    /// Share of workers that may run a step.
+    /// Share of workers that are eligible for a step.
     pub eligible_share: f64,
     /// Value of a job that is completed within its objective.
     pub value: f64,
-    /// Share of tasks that fail by their own fault.
+    /// Share of jobs whose tasks always fail.
     pub failing_share: f64,
 }
 
-/// A job with what the scheduler is not told.
+/// A job, with properties that are unknown to the scheduler.
 #[derive(Debug, Clone)]
 pub struct Job {
-    /// Id.
+    /// Id of the job.
     pub key: job::Key,
-    /// Index of its kind.
+    /// Index of the job's kind.
     pub kind: usize,
-    /// Team.
+    /// Name of the team that submits the job.
     pub team: String,
-    /// What is submitted.
+    /// Submission as sent to the scheduler.
     pub submission: job::Submission,
-    /// True run times by step and task.
+    /// Actual run times by step and task index.
     pub run_times: HashMap<(u16, u32), Duration>,
-    /// Longest chain of true run times.
-    pub chain: Duration,
-    /// Whether its tasks always fail.
+    /// Sum of the longest actual run times of consecutive steps.
+    pub critical_path: Duration,
+    /// Whether the tasks of the job always fail.
     pub always_fails: bool,
 }
 
-/// Largest factor by which an estimate is wrong, either way.
-const ESTIMATE_ERROR: f64 = 2.5;
+/// Maximum factor by which an estimated run time is too high or too low.
+const MAX_ESTIMATE_ERROR: f64 = 2.5;
 
-/// Draws a job.
+/// Generates a random job of a kind.
 pub fn generate(rng: &mut impl Rng, kinds: &[Kind], kind: usize, teams: &[String]) -> Job {
-    let form = &kinds[kind];
-    let steps = if rng.random_bool(form.two_step_share) {
+    let parameters = &kinds[kind];
+    let steps = if rng.random_bool(parameters.two_step_share) {
         2
     } else {
         1
     };
     let mut run_times = HashMap::new();
     let mut submitted = Vec::new();
-    let mut chain = Duration::ZERO;
+    let mut critical_path = Duration::ZERO;
     for step in 0..steps {
-        // A skewed width: most steps are narrow and a few are wide.
-        let width = form.tasks * -rng.random_range(0.05_f64..1.0).ln();
-        let tasks = (width.round() as u32).clamp(1, form.max_tasks);
-        let base = form.run_time.mul_f64(rng.random_range(0.4..1.6));
+        // Exponential distribution: most steps have few tasks, and a few steps have many.
+        let count = parameters.tasks * -rng.random_range(0.05_f64..1.0).ln();
+        let tasks = (count.round() as u32).clamp(1, parameters.max_tasks);
+        let base = parameters.run_time.mul_f64(rng.random_range(0.4..1.6));
         let mut longest = Duration::ZERO;
         for index in 0..tasks {
-            let own = base.mul_f64(rng.random_range(0.85..1.15));
-            longest = longest.max(own);
-            run_times.insert((step, index), own);
+            let run_time = base.mul_f64(rng.random_range(0.85..1.15));
+            longest = longest.max(run_time);
+            run_times.insert((step, index), run_time);
         }
-        chain += longest;
+        critical_path += longest;
         let scale = rng.random_range(0.6..1.4);
-        submitted.push(step_of(form, step, tasks, base, scale, rng));
+        submitted.push(generate_step(parameters, step, tasks, base, scale, rng));
     }
     Job {
         key: rng.random(),
@@ -92,24 +92,35 @@
             schedule: None,
         },
         run_times,
-        chain,
-        always_fails: rng.random_bool(form.failing_share),
+        critical_path,
+        always_fails: rng.random_bool(parameters.failing_share),
     }
 }
 
-fn step_of(form: &Kind, step: u16, tasks: u32, base: Duration, scale: f64, rng: &mut impl Rng) -> job::Step {
+fn generate_step(
+    parameters: &Kind,
+    step: u16,
+    tasks: u32,
+    base: Duration,
+    scale: f64,
+    rng: &mut impl Rng,
+) -> job::Step {
     let scaled = |amount: u32| (f64::from(amount) * scale) as u32;
     job::Step {
         tasks,
-        size: resource::Amount::new(scaled(form.size.cpu_milli), scaled(form.size.memory_mib), 0),
-        run_time: base.mul_f64(rng.random_range(1.0 / ESTIMATE_ERROR..ESTIMATE_ERROR)),
+        size: resource::Amount::new(
+            scaled(parameters.size.cpu_milli),
+            scaled(parameters.size.memory_mib),
+            0,
+        ),
+        run_time: base.mul_f64(rng.random_range(1.0 / MAX_ESTIMATE_ERROR..MAX_ESTIMATE_ERROR)),
         after: (0..step).collect(),
-        gang: form.gang,
+        gang: parameters.gang,
         ..job::Step::default()
     }
 }
 
-/// Queue with usual settings.
+/// Returns a queue with the given policy and common settings.
 pub fn queue(name: &str, priority: u32, objective: Duration, stretch: f64, attempts: u32) -> catalog::Queue {
     catalog::Queue {
         name: String::from(name),
@@ -126,7 +137,7 @@
     }
 }
 
-/// Returns the true run time of a task.
+/// Returns the actual run time of a task.
 pub fn run_time(job: &Job, task: directive::Task) -> Duration {
     job.run_times
         .get(&(task.step, task.index))
--- a/crates/standin/src/fleet/mod.rs
+++ b/crates/standin/src/fleet/mod.rs
@@ -1,5 +1,5 @@
-//! A fleet in simulated time: workers that take orders, the eligibility service, callers, and the leader's decisions
-//! between them. Nothing here uses sockets or clocks; a run depends on its seed only.
+//! A fleet in simulated time: workers that execute directives, the eligibility service, callers, and the leader that
+//! schedules the work. The simulation uses no sockets and no clocks, so that a run depends only on its seed.
 
 pub mod load;
 pub mod simulation;
--- a/crates/standin/src/fleet/simulation/check.rs
+++ b/crates/standin/src/fleet/simulation/invariants.rs
@@ -1,4 +1,4 @@
-//! Promises, checked from what the workers see.
+//! Checks of the invariants, from the point of view of the workers.
 
 use std::time::Duration;
 
@@ -8,7 +8,7 @@
 use super::{Simulation, failure_key};
 
 impl Simulation {
-    pub(super) fn trace(&mut self, event: &dispatch::Event) {
+    pub(super) fn trace_event(&mut self, event: &dispatch::Event) {
         let Some(key) = self.plan.trace else { return };
         let text = event.to_string();
         if text.contains(&format!("{key:016x}")) || text.starts_with("belief") {
@@ -16,27 +16,32 @@
         }
     }
 
-    pub(super) fn record_violation(&mut self, what: &str) {
-        self.report.violations.push(format!("{:?}: {what}", self.now));
+    /// Adds a violated invariant to the report.
+    pub(super) fn record_violation(&mut self, description: &str) {
+        self.report
+            .violations
+            .push(format!("{:?}: {description}", self.now));
     }
 
+    /// Checks a start: the task must not run elsewhere or be done, earlier steps must be done, and the attempts, a
+    /// cancellation and the team's upper limit must be respected.
     pub(super) fn check_start(&mut self, index: usize, task: directive::Task, run: directive::Run) {
         let mut elsewhere = Vec::new();
-        for (other, place) in self.places.iter().enumerate() {
-            let Some(worker) = &place.worker else { continue };
-            let twice = worker
+        for (other, host) in self.hosts.iter().enumerate() {
+            let Some(worker) = &host.worker else { continue };
+            let runs_here = worker
                 .runs
                 .get(&task)
                 .is_some_and(|active| active.run != run || other != index);
-            if twice {
+            if runs_here {
                 elsewhere.push(worker.name.clone());
             }
         }
         for name in elsewhere {
             self.record_violation(&format!("{task} run {run} starts while it runs on {name}"));
         }
-        if self.noted.contains(&task) {
-            self.record_violation(&format!("{task} run {run} starts after its end was noted"));
+        if self.acknowledged.contains(&task) {
+            self.record_violation(&format!("{task} run {run} starts after its end was acknowledged"));
         }
         let Some(job) = self.jobs.get(&task.job) else {
             self.record_violation(&format!("{task} was never submitted"));
@@ -61,38 +66,38 @@
             }
         }
         let key = failure_key(task, spec.gang);
-        self.begun.entry(key).or_default().push(self.now);
+        self.run_starts.entry(key).or_default().push(self.now);
         self.check_attempts(key);
-        let limit_ms = Duration::from_secs(3);
+        let grace = Duration::from_secs(3);
         let cancelled = self.cancelled.get(&task.job).copied();
-        if cancelled.is_some_and(|at| self.now > at + limit_ms) && self.plan.faults.late_directives == 0.0 {
+        if cancelled.is_some_and(|at| self.now > at + grace) && self.plan.faults.late_directives == 0.0 {
             self.record_violation(&format!("{task} starts after its job was cancelled"));
         }
         self.check_limit(task);
     }
 
-    /// Checks that no run of a task began after its last attempt had failed.
+    /// Checks that no run of a task started after its last attempt had failed.
     pub(super) fn check_attempts(&mut self, key: directive::Task) {
         let Some(job) = self.jobs.get(&key.job) else {
             return;
         };
         let attempts = self.plan.kinds[job.kind].queue.attempts as usize;
-        let (Some(failures), Some(begun)) = (self.failures.get(&key), self.begun.get(&key)) else {
+        let (Some(failures), Some(run_starts)) = (self.failures.get(&key), self.run_starts.get(&key)) else {
             return;
         };
-        let late = begun
+        let late = run_starts
             .iter()
-            .any(|begun| failures.values().filter(|ended| *ended < begun).count() >= attempts);
+            .any(|run_starts| failures.values().filter(|ended| *ended < run_starts).count() >= attempts);
         if late {
             self.record_violation(&format!("{key} starts after {attempts} failures"));
         }
     }
 
-    pub(super) fn note_ends(&mut self, noted: Vec<(directive::Ended, Duration)>) {
-        for (ended, at) in noted {
+    pub(super) fn record_ends(&mut self, acknowledged: Vec<(directive::Ended, Duration)>) {
+        for (ended, at) in acknowledged {
             match ended.outcome {
                 directive::Outcome::Done => {
-                    self.noted.insert(ended.task);
+                    self.acknowledged.insert(ended.task);
                 }
                 directive::Outcome::Failed => {
                     let key = failure_key(ended.task, self.is_gang(ended.task));
@@ -109,7 +114,7 @@
         let limit = self.plan.teams.iter().find(|(name, _)| *name == team);
         let Some((_, limit)) = limit.cloned() else { return };
         let mut used = 0_u64;
-        for worker in self.places.iter().filter_map(|place| place.worker.as_ref()) {
+        for worker in self.hosts.iter().filter_map(|host| host.worker.as_ref()) {
             for (other, active) in &worker.runs {
                 if self.jobs.get(&other.job).is_some_and(|job| job.team == team) {
                     used += u64::from(active.size.cpu_milli);
@@ -121,8 +126,8 @@
         }
     }
 
-    /// Notes the final state of a job the first time.
-    pub(super) fn note_job(&mut self, key: job::Key) {
+    /// Counts a job when it reaches a terminal state.
+    pub(super) fn record_job_end(&mut self, key: job::Key) {
         let Some(job) = self.state.job(key) else { return };
         if !job.is_final() || !self.finished.insert(key) {
             return;
@@ -132,17 +137,17 @@
             return;
         }
         let load = &self.jobs[&key];
-        let tally = &mut self.report.kinds[load.kind];
+        let counters = &mut self.report.kinds[load.kind];
         let queue = &self.plan.kinds[load.kind].queue;
         let took = self.now.saturating_sub(self.submitted[&key]);
-        let objective = load.chain.mul_f64(queue.stretch) + queue.objective;
-        tally.times.push(took.as_millis() as u64);
+        let objective = load.critical_path.mul_f64(queue.stretch) + queue.objective;
+        counters.times.push(took.as_millis() as u64);
         if phase == job::Phase::Failed && !load.always_fails {
-            tally.failed += 1;
+            counters.failed += 1;
         } else if took <= objective {
-            tally.on_time += 1;
+            counters.on_time += 1;
         } else if took <= objective * 3 {
-            tally.late += 1;
+            counters.late += 1;
         }
     }
 }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -1,10 +1,10 @@
-//! Drives the leader's decisions against workers, callers and faults in simulated time, and checks the promises from what
-//! the workers see.
+//! Discrete-event simulation of the leader with workers, callers and faults, in simulated time. The scheduler's
+//! invariants are checked from the point of view of the workers.
 
-mod check;
 mod faults;
+mod invariants;
+mod runs;
 mod wire;
-mod work;
 
 use std::{
     cmp::Reverse,
@@ -23,100 +23,100 @@
 
 /// Wall time at the start of a run, in milliseconds since the Unix epoch.
 const EPOCH_MS: u64 = 1_700_000_000_000;
-/// Time between two steps of the leader without any event.
+/// Interval at which the workers and the leader are stepped, in addition to other events.
 const TICK: Duration = Duration::from_millis(5);
-/// One way to a worker.
+/// Minimum one-way latency of a message.
 const LATENCY: Duration = Duration::from_millis(2);
-/// Longest further delay of a message.
+/// Maximum additional latency of a message.
 const JITTER: Duration = Duration::from_millis(10);
-/// Time until a proposal is committed.
+/// Time from a proposal to its commit.
 const COMMIT: Duration = Duration::from_millis(8);
-/// Time after which an order counts as unanswered.
-const ORDER_TIMEOUT: Duration = Duration::from_millis(900);
-/// Longest time from the start of a worker to its first announcement, in milliseconds.
-const LONGEST_ANNOUNCEMENT_MS: u64 = 500;
-/// Time without a leader between two terms.
+/// Time after which a directive is unacknowledged.
+const DIRECTIVE_TIMEOUT: Duration = Duration::from_millis(900);
+/// Maximum time from the start of a worker to its first announcement, in milliseconds.
+const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 500;
+/// Time without a leader before an election.
 const ELECTION: Duration = Duration::from_millis(1_200);
 
-/// What a run is made of.
+/// Parameters of a simulation.
 #[derive(Debug, Clone)]
 pub struct Plan {
-    /// Seed of everything that is drawn.
+    /// Seed of the random number generator.
     pub seed: u64,
-    /// Workers.
+    /// Number of workers.
     pub workers: usize,
-    /// Room of each worker.
+    /// Resources of each worker.
     pub capacity: resource::Amount,
-    /// VMs that may ask the eligibility service.
+    /// Number of VMs that can query the eligibility service.
     pub proxies: usize,
-    /// Kinds of requests.
+    /// Kinds of requests that are submitted.
     pub kinds: Vec<load::Kind>,
     /// Teams and their upper limits.
     pub teams: Vec<(String, resource::Amount)>,
-    /// How long jobs are submitted.
+    /// Time during which jobs are submitted.
     pub duration: Duration,
-    /// Bursts: kind, begin, length and factor.
+    /// Bursts of submissions: index of the kind, start, duration, and factor on the rate.
     pub bursts: Vec<(usize, Duration, Duration, f64)>,
-    /// Faults.
+    /// Faults to inject.
     pub faults: Faults,
-    /// Job whose decisions are kept in the report.
+    /// Job for which the report contains a trace of the decisions.
     pub trace: Option<job::Key>,
 }
 
-/// Faults of a run; rates are per second over the whole fleet.
+/// Faults to inject. Rates are per second over the whole fleet; shares are probabilities.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
-    /// Crashes of workers; they return as a new life.
+    /// Rate of worker crashes; a crashed worker restarts as a new incarnation.
     pub crashes: f64,
-    /// Workers that are cut off for some seconds.
+    /// Rate at which a worker is disconnected for some seconds.
     pub partitions: f64,
-    /// Share of orders whose answer is lost.
+    /// Share of directives whose answer is lost.
     pub lost_answers: f64,
-    /// Share of orders that are carried out 2 to 12 s late and not answered.
+    /// Share of directives that are executed 2 to 12 s late and not answered.
     pub late_directives: f64,
-    /// Changes of leader.
+    /// Rate of leader changes.
     pub leader_changes: f64,
-    /// Share of jobs that are cancelled after a while.
+    /// Share of jobs that are cancelled after submission.
     pub cancels: f64,
-    /// Workers that fail all that they start for some seconds.
+    /// Rate at which all new runs on a worker start to fail for some seconds.
     pub failing: f64,
-    /// Workers that are lost for good without a word.
+    /// Rate of workers that are lost permanently without notice.
     pub losses: f64,
-    /// Workers that announce that they leave, and are gone two seconds later.
+    /// Rate of workers that announce their departure and are gone two seconds later.
     pub departures: f64,
-    /// Whether a worker returns under its former name, so that orders to its former life reach it.
+    /// Whether a restarted worker keeps its name, so that directives to its earlier incarnation reach it.
     pub reuse_names: bool,
 }
 
-/// What came of one kind of request.
+/// Results of one kind of request.
 #[derive(Debug, Clone, Default)]
 pub struct Counters {
-    /// Jobs that were submitted.
+    /// Number of submitted jobs.
     pub submitted: usize,
-    /// Completed, or failed when hopeless, within the objective.
+    /// Jobs that reached the expected state within the objective: completed, or failed if their tasks always fail.
     pub on_time: usize,
-    /// The same within three times the objective.
+    /// Jobs that reached the expected state later, but within three times the objective.
     pub late: usize,
-    /// Failed without being hopeless.
+    /// Jobs that failed although their tasks do not always fail.
     pub failed: usize,
-    /// Times from submission to the end, in milliseconds, of the jobs that ended.
+    /// Times from submission to the end of the jobs that ended, in milliseconds.
     pub times: Vec<u64>,
 }
 
-/// Result of a run.
+/// Results of a simulation.
 #[derive(Debug, Clone, Default)]
 pub struct Report {
-    /// By kind.
+    /// Results by kind of request.
     pub kinds: Vec<Counters>,
-    /// Broken promises, each a sentence.
+    /// Descriptions of violated invariants.
     pub violations: Vec<String>,
-    /// Starts on workers.
+    /// Number of runs that started on workers.
     pub starts: usize,
-    /// Core-milliseconds of work that did not count.
+    /// Work of runs that were lost, stopped or failed, in core-milliseconds.
     pub wasted_core_ms: u64,
-    /// Jobs without a final state at the end.
+    /// Jobs that are not in a terminal state at the end.
     pub unfinished: Vec<job::Key>,
-    /// Decisions about the traced job, and what became of the workers meanwhile.
+    /// Decisions about the traced job, and changes in the leader's beliefs.
     pub trace: Vec<String>,
 }
 
@@ -125,84 +125,93 @@
     Submit(usize),
     Commit(u64),
     Deliver(u64),
-    Late(u64),
+    DeliverLate(u64),
     Answer(u64, Option<directive::Answer>),
-    Advised(u64, eligibility::Answer),
+    QueryAnswered(u64, eligibility::Answer),
     Announce(usize),
     Cancel(job::Key),
     Crash,
-    Return(usize),
-    Cut,
-    Heal(usize),
-    Fail,
-    Recover(usize),
+    Restart(usize),
+    Disconnect,
+    Reconnect(usize),
+    StartFailing,
+    StopFailing(usize),
     Lose,
-    Leave,
-    Gone(usize),
-    Depose,
+    Depart,
+    Departed(usize),
+    LoseLeader,
     Elect,
     Tick,
 }
 
+/// A directive that was sent to a worker.
 #[derive(Debug)]
 struct Sent {
     term: u64,
     worker: cell::WorkerIndex,
-    order: directive::Directive,
+    directive: directive::Directive,
     decided: Duration,
     target: usize,
     name: String,
 }
 
+/// A host with at most one running incarnation of a worker.
 #[derive(Debug)]
-struct Place {
+struct Host {
     worker: Option<worker::Worker>,
-    cut: bool,
-    gone_at: Option<Duration>,
-    waiting: Vec<u64>,
+    disconnected: bool,
+    departs_at: Option<Duration>,
+    /// Numbers of the directives whose report is delayed until a run ends.
+    waiting_reports: Vec<u64>,
     incarnations: u64,
 }
 
-/// One run.
+/// State of a simulation.
 #[derive(Debug)]
 pub struct Simulation {
     plan: Plan,
     rng: SmallRng,
     now: Duration,
+    /// Times and numbers of the scheduled events.
     events: BinaryHeap<Reverse<(Duration, u64)>>,
-    bodies: HashMap<u64, Event>,
+    /// Scheduled events by number.
+    scheduled: HashMap<u64, Event>,
     next_event: u64,
     state: cell::State,
     dispatch: Option<Dispatch>,
     term: u64,
+    /// Proposals that are not committed, with the term of each.
     proposals: BTreeMap<u64, (u64, cell::Command)>,
     next_proposal: u64,
     sent: HashMap<u64, Sent>,
-    next_order: u64,
-    places: Vec<Place>,
+    next_directive: u64,
+    hosts: Vec<Host>,
     proxies: Vec<id::VmId>,
+    /// Time at which each proxy has completed its queries.
     proxy_free: HashMap<id::VmId, Duration>,
     jobs: HashMap<job::Key, load::Job>,
     submitted: HashMap<job::Key, Duration>,
     finished: HashSet<job::Key>,
     cancelled: HashMap<job::Key, Duration>,
+    /// Tasks that succeeded on a worker.
     done: HashSet<directive::Task>,
-    noted: HashSet<directive::Task>,
-    /// Failed runs that were taken note of, with the time at which each ended.
+    /// Tasks whose success the leader has acknowledged.
+    acknowledged: HashSet<directive::Task>,
+    /// Failed runs that the leader has acknowledged, with the time of each end.
     failures: HashMap<directive::Task, BTreeMap<directive::Run, Duration>>,
-    /// Times at which the runs of a task began.
-    begun: HashMap<directive::Task, Vec<Duration>>,
+    /// Start times of the runs of each task.
+    run_starts: HashMap<directive::Task, Vec<Duration>>,
     report: Report,
 }
 
 impl Simulation {
-    /// Sets up a run.
+    /// Prepares a simulation.
     pub fn new(plan: Plan) -> Self {
         let mut simulation = Self {
             rng: SmallRng::seed_from_u64(plan.seed),
             now: Duration::ZERO,
             events: BinaryHeap::new(),
-            bodies: HashMap::new(),
+            scheduled: HashMap::new(),
             next_event: 0,
             state: cell::State::default(),
             dispatch: None,
@@ -210,8 +219,8 @@
             proposals: BTreeMap::new(),
             next_proposal: 0,
             sent: HashMap::new(),
-            next_order: 0,
-            places: Vec::new(),
+            next_directive: 0,
+            hosts: Vec::new(),
             proxies: (1..=plan.proxies as u64).collect(),
             proxy_free: HashMap::new(),
             jobs: HashMap::new(),
@@ -219,9 +228,9 @@
             finished: HashSet::new(),
             cancelled: HashMap::new(),
             done: HashSet::new(),
-            noted: HashSet::new(),
+            acknowledged: HashSet::new(),
             failures: HashMap::new(),
-            begun: HashMap::new(),
+            run_starts: HashMap::new(),
             report: Report {
                 kinds: vec![Counters::default(); plan.kinds.len()],
                 ..Report::default()
@@ -236,10 +245,10 @@
         simulation
     }
 
-    /// Runs to the end: until `drain` after the last submission, or until every job has a final state.
+    /// Runs the simulation until every job is in a terminal state, or until `drain` after the last submission.
     pub fn run(mut self, drain: Duration) -> Report {
         let end = self.plan.duration + drain;
-        self.at(TICK, Event::Tick);
+        self.schedule(TICK, Event::Tick);
         while let Some(Reverse((at, number))) = self.events.pop() {
             self.now = self.now.max(at);
             if self.now > end
@@ -247,35 +256,35 @@
             {
                 break;
             }
-            if let Some(event) = self.bodies.remove(&number) {
+            if let Some(event) = self.scheduled.remove(&number) {
                 self.handle(event);
-                self.lead();
+                self.step_leader();
             }
         }
-        self.close()
+        self.into_report()
     }
 
-    fn close(mut self) -> Report {
-        if let Err(fault) = self.state.verify() {
-            self.report.violations.push(fault);
+    fn into_report(mut self) -> Report {
+        if let Err(violation) = self.state.verify() {
+            self.report.violations.push(violation);
         }
-        let open = self.submitted.keys().filter(|key| !self.finished.contains(key));
-        self.report.unfinished = open.copied().collect();
+        let unfinished = self.submitted.keys().filter(|key| !self.finished.contains(key));
+        self.report.unfinished = unfinished.copied().collect();
         self.report
     }
 
-    fn at(&mut self, delay: Duration, event: Event) {
+    fn schedule(&mut self, delay: Duration, event: Event) {
         let number = self.next_event;
         self.next_event += 1;
         self.events.push(Reverse((self.now + delay, number)));
-        self.bodies.insert(number, event);
+        self.scheduled.insert(number, event);
     }
 
     fn latency(&mut self) -> Duration {
         LATENCY + JITTER.mul_f64(self.rng.random::<f64>().powi(3))
     }
 
-    fn times(&self) -> dispatch::Now {
+    fn dispatch_now(&self) -> dispatch::Now {
         dispatch::Now {
             steady: self.now,
             wall_ms: EPOCH_MS + self.now.as_millis() as u64,
@@ -310,11 +319,11 @@
 
     fn set_up_workers(&mut self) {
         for index in 0..self.plan.workers {
-            self.places.push(Place {
+            self.hosts.push(Host {
                 worker: None,
-                cut: false,
-                gone_at: None,
-                waiting: Vec::new(),
+                disconnected: false,
+                departs_at: None,
+                waiting_reports: Vec::new(),
                 incarnations: 0,
             });
             self.start_incarnation(index);
@@ -323,31 +332,32 @@
 
     fn start_incarnation(&mut self, index: usize) {
         let rate = self.rng.random_range(0.981..1.0);
-        let place = &mut self.places[index];
-        place.incarnations += 1;
-        let started_ms = EPOCH_MS + self.now.as_millis() as u64 + place.incarnations;
-        let life = if self.plan.faults.reuse_names {
+        let host = &mut self.hosts[index];
+        host.incarnations += 1;
+        let started_ms = EPOCH_MS + self.now.as_millis() as u64 + host.incarnations;
+        let incarnation = if self.plan.faults.reuse_names {
             1
         } else {
-            place.incarnations
+            host.incarnations
         };
-        let name = format!("w-{index}-{life}");
-        place.worker = Some(worker::Worker::new(
+        let name = format!("w-{index}-{incarnation}");
+        host.worker = Some(worker::Worker::new(
             name,
             started_ms,
             self.plan.capacity,
             self.now,
             rate,
         ));
-        // A restarted worker that keeps its name gets repeated orders to its former life before it is heard of. A late order
-        // that comes in this time is beyond anyone's power, so that the two faults are not combined.
+        // A restarted worker that keeps its name receives repeated directives to its earlier incarnation until its first
+        // announcement. The leader cannot detect a late directive that arrives in this time, so the two faults are not
+        // combined.
         let faults = self.plan.faults;
-        let silent = if faults.reuse_names && faults.late_directives == 0.0 {
-            self.rng.random_range(3..LONGEST_ANNOUNCEMENT_MS)
+        let delay_ms = if faults.reuse_names && faults.late_directives == 0.0 {
+            self.rng.random_range(3..MAX_ANNOUNCEMENT_DELAY_MS)
         } else {
             3
         };
-        self.at(Duration::from_millis(silent), Event::Announce(index));
+        self.schedule(Duration::from_millis(delay_ms), Event::Announce(index));
     }
 
     fn plan_load(&mut self) {
@@ -361,7 +371,7 @@
                 if at >= end {
                     break;
                 }
-                self.at(at, Event::Submit(kind));
+                self.schedule(at, Event::Submit(kind));
             }
         }
     }
@@ -381,9 +391,9 @@
             Event::Submit(kind) => self.submit(kind),
             Event::Commit(proposal) => self.commit(proposal),
             Event::Deliver(number) => self.deliver(number, true),
-            Event::Late(number) => self.deliver(number, false),
+            Event::DeliverLate(number) => self.deliver(number, false),
             Event::Answer(number, answer) => self.answer(number, answer.as_ref()),
-            Event::Advised(number, answer) => {
+            Event::QueryAnswered(number, answer) => {
                 if let Some(dispatch) = &mut self.dispatch {
                     dispatch.query_answered(self.now, number, &answer);
                 }
@@ -391,28 +401,28 @@
             Event::Announce(index) => self.announce(index),
             Event::Cancel(key) => self.cancel(key),
             Event::Crash => self.crash(),
-            Event::Return(index) => self.start_incarnation(index),
-            Event::Cut => self.cut(),
-            Event::Heal(index) => self.places[index].cut = false,
-            Event::Fail => self.fail(),
-            Event::Recover(index) => {
-                if let Some(worker) = &mut self.places[index].worker {
+            Event::Restart(index) => self.start_incarnation(index),
+            Event::Disconnect => self.disconnect(),
+            Event::Reconnect(index) => self.hosts[index].disconnected = false,
+            Event::StartFailing => self.start_failing(),
+            Event::StopFailing(index) => {
+                if let Some(worker) = &mut self.hosts[index].worker {
                     worker.failing = false;
                 }
             }
             Event::Lose => {
-                let index = self.rng.random_range(0..self.places.len());
-                self.lose(index);
+                let index = self.rng.random_range(0..self.hosts.len());
+                self.stop_worker(index);
             }
-            Event::Leave => self.leave(),
-            Event::Gone(index) => self.lose(index),
-            Event::Depose => self.depose(),
+            Event::Depart => self.announce_departure(),
+            Event::Departed(index) => self.stop_worker(index),
+            Event::LoseLeader => self.lose_leader(),
             Event::Elect => self.elect(),
             Event::Tick => {
-                for index in 0..self.places.len() {
-                    self.work_ends(index);
+                for index in 0..self.hosts.len() {
+                    self.end_due_runs(index);
                 }
-                self.at(TICK, Event::Tick);
+                self.schedule(TICK, Event::Tick);
             }
         }
     }
@@ -422,16 +432,16 @@
             token: self.term,
             bounds: settings::Bounds::default(),
         };
-        let mut dispatch = Dispatch::new(config, &self.state, self.times());
+        let mut dispatch = Dispatch::new(config, &self.state, self.dispatch_now());
         dispatch.set_proxies(&self.proxies);
         self.dispatch = Some(dispatch);
-        for index in 0..self.places.len() {
-            self.at(Duration::from_millis(3), Event::Announce(index));
+        for index in 0..self.hosts.len() {
+            self.schedule(Duration::from_millis(3), Event::Announce(index));
         }
     }
 
-    fn lead(&mut self) {
-        let now = self.times();
+    fn step_leader(&mut self) {
+        let now = self.dispatch_now();
         let Some(dispatch) = &mut self.dispatch else {
             return;
         };
@@ -444,8 +454,8 @@
                     directive,
                     decided,
                 } => self.send(worker, directive, decided),
-                Output::Query(ask) => self.ask(&ask),
-                Output::Event(event) => self.trace(&event),
+                Output::Query(assignment) => self.send_query(&assignment),
+                Output::Event(event) => self.trace_event(&event),
             }
         }
     }
@@ -470,19 +480,19 @@
         };
         self.jobs.insert(key, job);
         self.next_proposal += 1;
-        // A submission without an answer is repeated until it is taken, so that it survives a change of leader.
+        // A submission without an answer is repeated until it is accepted, so that it survives a change of leader.
         let outcome = self.apply(command.clone());
-        let now = self.times();
+        let now = self.dispatch_now();
         if let Some(dispatch) = &mut self.dispatch {
             dispatch.committed(&self.state, now, &command, &outcome);
         }
         if self.rng.random_bool(self.plan.faults.cancels) {
             let delay = Duration::from_millis(self.rng.random_range(50..4_000));
-            self.at(delay, Event::Cancel(key));
+            self.schedule(delay, Event::Cancel(key));
         }
     }
 
-    /// Whether the eligible workers together have room for each gang.
+    /// Returns whether the eligible workers together have enough resources for each gang of a job.
     fn is_feasible(&self, job: &load::Job) -> bool {
         let kind = &self.plan.kinds[job.kind];
         let steps = job.submission.steps.iter().enumerate();
@@ -507,17 +517,19 @@
     }
 }
 
-/// Eligibility does not change: it follows from the step and the place of the worker.
+/// Returns whether a worker is eligible for a step. The result is a function of its arguments, so it does not change
+/// during a simulation.
 fn is_eligible(key: job::Key, step: u16, worker: usize, kind: &load::Kind) -> bool {
     let mut rng = SmallRng::seed_from_u64(key ^ (u64::from(step) << 32) ^ worker as u64);
     rng.random_bool(kind.eligible_share)
 }
 
+/// Returns whether two tasks belong to the same step of the same occurrence.
 const fn same_step(left: directive::Task, right: directive::Task) -> bool {
     left.job == right.job && left.occurrence == right.occurrence && left.step == right.step
 }
 
-/// A gang counts its failures together.
+/// Returns the task under which failures are counted; the members of a gang are counted together.
 const fn failure_key(task: directive::Task, gang: bool) -> directive::Task {
     if gang {
         directive::Task { index: 0, ..task }
--- a/crates/standin/src/fleet/simulation/work.rs
+++ b/crates/standin/src/fleet/simulation/runs.rs
@@ -1,4 +1,4 @@
-//! Work on the workers: runs that begin, gangs that come together, and ends.
+//! Runs on the workers: starts, completion of gangs, and ends.
 
 use std::time::Duration;
 
@@ -8,8 +8,8 @@
 use crate::fleet::{load, worker};
 
 impl Simulation {
-    /// Checks a start and lets it run.
-    pub(super) fn begin(&mut self, index: usize, task: directive::Task, run: directive::Run) {
+    /// Checks the invariants for a start, then starts the run.
+    pub(super) fn start_run(&mut self, index: usize, task: directive::Task, run: directive::Run) {
         self.report.starts += 1;
         self.check_start(index, task, run);
         let job = &self.jobs[&task.job];
@@ -17,28 +17,28 @@
         let (size, gang, always_fails) = (spec.size, spec.gang, job.always_fails);
         let run_time = load::run_time(job, task);
         let now = self.now;
-        let Some(worker) = &mut self.places[index].worker else {
+        let Some(worker) = &mut self.hosts[index].worker else {
             return;
         };
-        let took = run_time.mul_f64(worker.slowness);
+        let duration = run_time.mul_f64(worker.slowness);
         let fails = worker.failing || always_fails;
         let active = worker::Active {
             run,
             size,
             started: now,
-            done_at: (!gang).then_some(now + if fails { took / 4 } else { took }),
+            done_at: (!gang).then_some(now + if fails { duration / 4 } else { duration }),
             stopped_at: None,
             awaits_gang: gang,
             fails,
         };
         worker.runs.insert(task, active);
-        let (room, used) = (worker.capacity, worker.used());
+        let (capacity, used) = (worker.capacity, worker.used());
         let name = worker.name.clone();
-        if !used.fits(&room) {
-            self.record_violation(&format!("{name} runs {used:?} in {room:?}"));
+        if !used.fits(&capacity) {
+            self.record_violation(&format!("{name} runs {used:?} with {capacity:?}"));
         }
         if gang {
-            self.complete_gang(task, run);
+            self.start_complete_gang(task, run);
         }
     }
 
@@ -47,13 +47,14 @@
         job.is_some_and(|job| job.submission.steps[usize::from(task.step)].gang)
     }
 
-    pub(super) fn waste(&mut self, active: &worker::Active) {
+    /// Adds the work of a run that did not succeed to the report.
+    pub(super) fn count_wasted_work(&mut self, active: &worker::Active) {
         let took = self.now.saturating_sub(active.started);
         self.report.wasted_core_ms += took.as_millis() as u64 * u64::from(active.size.cpu_milli) / 1_000;
     }
 
-    /// Lets a gang work when all of its members are there.
-    pub(super) fn complete_gang(&mut self, task: directive::Task, run: directive::Run) {
+    /// Starts the work of a gang once all of its members have started.
+    pub(super) fn start_complete_gang(&mut self, task: directive::Task, run: directive::Run) {
         let job = &self.jobs[&task.job];
         let tasks = job.submission.steps[usize::from(task.step)].tasks;
         let longest = (0..tasks)
@@ -62,7 +63,7 @@
             .unwrap_or_default();
         let mut present = 0;
         let mut slowest = 1.0_f64;
-        for worker in self.places.iter().filter_map(|place| place.worker.as_ref()) {
+        for worker in self.hosts.iter().filter_map(|host| host.worker.as_ref()) {
             let members = worker.runs.iter().filter(|(other, active)| {
                 same_step(**other, task) && active.run == run && active.stopped_at.is_none()
             });
@@ -76,7 +77,7 @@
             return;
         }
         let done_at = self.now + longest.mul_f64(slowest);
-        for worker in self.places.iter_mut().filter_map(|place| place.worker.as_mut()) {
+        for worker in self.hosts.iter_mut().filter_map(|host| host.worker.as_mut()) {
             for (other, active) in &mut worker.runs {
                 if same_step(*other, task) && active.run == run {
                     active.awaits_gang = false;
@@ -86,24 +87,24 @@
         }
     }
 
-    /// Ends what is due on a worker.
-    pub(super) fn work_ends(&mut self, index: usize) {
+    /// Ends the runs on a worker that are due.
+    pub(super) fn end_due_runs(&mut self, index: usize) {
         let now = self.now;
-        let due = match &mut self.places[index].worker {
+        let due = match &mut self.hosts[index].worker {
             Some(worker) => worker.due(now),
             None => return,
         };
         for (task, run, outcome) in due {
             self.end(index, task, run, outcome);
         }
-        self.release_reports(index);
+        self.answer_waiting_reports(index);
     }
 
-    /// Answers the reports that wait for an end at a worker.
-    pub(super) fn release_reports(&mut self, index: usize) {
+    /// Sends the reports of a worker that were delayed until a run ends or the wait is over.
+    pub(super) fn answer_waiting_reports(&mut self, index: usize) {
         let now = self.now;
-        let place = &mut self.places[index];
-        let Some(worker) = &place.worker else { return };
+        let host = &mut self.hosts[index];
+        let Some(worker) = &host.worker else { return };
         let has_ends = worker.has_ends();
         let report = directive::Answer::Report(worker.report(worker.clock(now)));
         let sent = &self.sent;
@@ -111,14 +112,14 @@
             let wait = Duration::from_secs(1);
             has_ends || sent.get(number).is_none_or(|sent| now >= sent.decided + wait)
         };
-        let (due, waiting): (Vec<u64>, Vec<u64>) = place.waiting.drain(..).partition(due);
-        place.waiting = waiting;
-        if place.cut {
+        let (due, waiting): (Vec<u64>, Vec<u64>) = host.waiting_reports.drain(..).partition(due);
+        host.waiting_reports = waiting;
+        if host.disconnected {
             return;
         }
         for number in due {
             let latency = self.latency();
-            self.at(latency, Event::Answer(number, Some(report.clone())));
+            self.schedule(latency, Event::Answer(number, Some(report.clone())));
         }
     }
 
@@ -130,7 +131,7 @@
         outcome: directive::Outcome,
     ) {
         let now = self.now;
-        let Some(worker) = &mut self.places[index].worker else {
+        let Some(worker) = &mut self.hosts[index].worker else {
             return;
         };
         let Some(active) = worker.runs.get(&task).cloned() else {
@@ -139,7 +140,7 @@
         worker.end(now, task, outcome);
         let gang = self.jobs[&task.job].submission.steps[usize::from(task.step)].gang;
         match outcome {
-            // The end of one member stands for the whole gang.
+            // The success of one member implies the success of the gang.
             directive::Outcome::Done if gang => {
                 let tasks = self.jobs[&task.job].submission.steps[usize::from(task.step)].tasks;
                 let members = (0..tasks).map(|index| directive::Task { index, ..task });
@@ -148,18 +149,19 @@
             directive::Outcome::Done => {
                 self.done.insert(task);
             }
-            _ => self.waste(&active),
+            _ => self.count_wasted_work(&active),
         }
         if gang && outcome != directive::Outcome::Done {
             self.break_gang(task, run);
         }
     }
 
+    /// Ends the runs of the other members of a gang.
     pub(super) fn break_gang(&mut self, task: directive::Task, run: directive::Run) {
         let now = self.now;
         let mut broken = Vec::new();
-        for (index, place) in self.places.iter().enumerate() {
-            let Some(worker) = &place.worker else { continue };
+        for (index, host) in self.hosts.iter().enumerate() {
+            let Some(worker) = &host.worker else { continue };
             for (other, active) in &worker.runs {
                 if same_step(*other, task) && active.run == run && !active.awaits_gang {
                     broken.push((index, *other, active.clone()));
@@ -167,10 +169,10 @@
             }
         }
         for (index, other, active) in broken {
-            if let Some(worker) = &mut self.places[index].worker {
+            if let Some(worker) = &mut self.hosts[index].worker {
                 worker.end(now, other, directive::Outcome::Broken);
             }
-            self.waste(&active);
+            self.count_wasted_work(&active);
         }
     }
 }
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -1,4 +1,4 @@
-//! What goes between the leader, its log, the workers and the eligibility service.
+//! Messages between the leader, its log, the workers and the eligibility service.
 
 use std::time::Duration;
 
@@ -11,13 +11,13 @@
 use bytes::Bytes;
 use rand::Rng;
 
-use super::{COMMIT, EPOCH_MS, Event, LATENCY, ORDER_TIMEOUT, Sent, Simulation, is_eligible};
+use super::{COMMIT, DIRECTIVE_TIMEOUT, EPOCH_MS, Event, LATENCY, Sent, Simulation, is_eligible};
 
 impl Simulation {
     pub(super) fn propose(&mut self, command: cell::Command) {
         self.next_proposal += 1;
         self.proposals.insert(self.next_proposal, (self.term, command));
-        self.at(COMMIT, Event::Commit(self.next_proposal));
+        self.schedule(COMMIT, Event::Commit(self.next_proposal));
     }
 
     pub(super) fn commit(&mut self, proposal: u64) {
@@ -25,7 +25,7 @@
             return;
         };
         let outcome = self.apply(command.clone());
-        let now = self.times();
+        let now = self.dispatch_now();
         if let Some(dispatch) = &mut self.dispatch {
             dispatch.committed(&self.state, now, &command, &outcome);
         }
@@ -36,18 +36,18 @@
             cell::Command::End(ends) => ends.clone(),
             _ => Vec::new(),
         };
-        let outcome = self.state.apply(self.times().wall_ms, command);
+        let outcome = self.state.apply(self.dispatch_now().wall_ms, command);
         for end in ends {
-            self.note_job(end.task.job);
+            self.record_job_end(end.task.job);
         }
         outcome
     }
 
     pub(super) fn announce(&mut self, index: usize) {
-        let (Some(worker), Some(dispatch)) = (&self.places[index].worker, &mut self.dispatch) else {
+        let (Some(worker), Some(dispatch)) = (&self.hosts[index].worker, &mut self.dispatch) else {
             return;
         };
-        if self.places[index].cut {
+        if self.hosts[index].disconnected {
             return;
         }
         let announcement = announced::Announcement {
@@ -66,7 +66,7 @@
                 room: worker.capacity,
                 machine: None,
             },
-            state: match self.places[index].gone_at {
+            state: match self.hosts[index].departs_at {
                 Some(at) => announced::State::Draining {
                     remaining: Some(at.saturating_sub(self.now)),
                 },
@@ -79,7 +79,12 @@
         }
     }
 
-    pub(super) fn send(&mut self, worker: cell::WorkerIndex, order: directive::Directive, decided: Duration) {
+    pub(super) fn send(
+        &mut self,
+        worker: cell::WorkerIndex,
+        directive: directive::Directive,
+        decided: Duration,
+    ) {
         let Some(registered) = self.state.workers().get(&worker) else {
             return;
         };
@@ -87,27 +92,27 @@
         let sent = Sent {
             term: self.term,
             worker,
-            order,
+            directive,
             decided,
             target,
             name: registered.incarnation.name.clone(),
         };
-        let number = self.next_order;
-        self.next_order += 1;
-        let timeout = match &sent.order {
-            directive::Directive::Renew { wait, .. } => ORDER_TIMEOUT + *wait,
-            _ => ORDER_TIMEOUT,
+        let number = self.next_directive;
+        self.next_directive += 1;
+        let timeout = match &sent.directive {
+            directive::Directive::Renew { wait, .. } => DIRECTIVE_TIMEOUT + *wait,
+            _ => DIRECTIVE_TIMEOUT,
         };
         self.sent.insert(number, sent);
         let late = self.rng.random_bool(self.plan.faults.late_directives);
         if late {
             let delay = Duration::from_millis(self.rng.random_range(2_000..12_000));
-            self.at(delay, Event::Late(number));
+            self.schedule(delay, Event::DeliverLate(number));
         } else {
             let latency = self.latency();
-            self.at(latency, Event::Deliver(number));
+            self.schedule(latency, Event::Deliver(number));
         }
-        self.at(timeout, Event::Answer(number, None));
+        self.schedule(timeout, Event::Answer(number, None));
     }
 
     pub(super) fn deliver(&mut self, number: u64, answered: bool) {
@@ -115,50 +120,50 @@
             return;
         };
         let target = sent.target;
-        let order = sent.order.clone();
-        let place = &mut self.places[target];
-        if place.cut {
+        let directive = sent.directive.clone();
+        let host = &mut self.hosts[target];
+        if host.disconnected {
             return;
         }
-        let Some(worker) = &mut place.worker else {
-            // Nothing listens there: the connection is refused.
+        let Some(worker) = &mut host.worker else {
+            // No worker listens on the host, so the connection is refused.
             let latency = self.latency();
-            self.at(latency, Event::Answer(number, Some(directive::Answer::NotSent)));
+            self.schedule(latency, Event::Answer(number, Some(directive::Answer::NotSent)));
             return;
         };
-        if let directive::Directive::Renew { acknowledged, .. } = &order {
-            let noted = worker.ends_up_to(*acknowledged);
-            self.note_ends(noted);
+        if let directive::Directive::Renew { acknowledged, .. } = &directive {
+            let acknowledged = worker.ends_up_to(*acknowledged);
+            self.record_ends(acknowledged);
         }
-        self.take(number, answered);
+        self.execute(number, answered);
     }
 
-    /// Has a worker carry an order out.
-    pub(super) fn take(&mut self, number: u64, answered: bool) {
+    /// Executes a directive on its worker and sends the answer, if `answered`.
+    pub(super) fn execute(&mut self, number: u64, answered: bool) {
         let Some(sent) = self.sent.get(&number) else {
             return;
         };
-        let (target, order) = (sent.target, sent.order.clone());
+        let (target, directive) = (sent.target, sent.directive.clone());
         let fence = worker::fencing_token(sent.term, sent.worker);
         let name = sent.name.clone();
-        let Some(worker) = &mut self.places[target].worker else {
+        let Some(worker) = &mut self.hosts[target].worker else {
             return;
         };
-        let (answer, started) = worker.execute(self.now, fence, &name, &order);
-        let waits = matches!(&order, directive::Directive::Renew { wait, .. } if !wait.is_zero());
+        let (answer, started) = worker.execute(self.now, fence, &name, &directive);
+        let waits = matches!(&directive, directive::Directive::Renew { wait, .. } if !wait.is_zero());
         let has_ends = worker.has_ends();
         if let Some((task, run)) = started {
-            self.begin(target, task, run);
+            self.start_run(target, task, run);
         }
         if !answered || self.rng.random_bool(self.plan.faults.lost_answers) {
             return;
         }
         if waits && !has_ends && matches!(answer, directive::Answer::Report(_)) {
-            self.places[target].waiting.push(number);
+            self.hosts[target].waiting_reports.push(number);
             return;
         }
         let latency = self.latency();
-        self.at(latency, Event::Answer(number, Some(answer)));
+        self.schedule(latency, Event::Answer(number, Some(answer)));
     }
 
     pub(super) fn answer(&mut self, number: u64, answer: Option<&directive::Answer>) {
@@ -167,12 +172,12 @@
         };
         if answer.is_none()
             && matches!(
-                &sent.order,
+                &sent.directive,
                 directive::Directive::Start { .. } | directive::Directive::Stop { .. }
             )
         {
-            // Kept for an order that is carried out late.
-        } else if answer.is_some() && self.places[sent.target].cut {
+            // The directive is kept because it may be executed late.
+        } else if answer.is_some() && self.hosts[sent.target].disconnected {
             return;
         }
         if let Some(dispatch) = self
@@ -184,21 +189,21 @@
                 steady: self.now,
                 wall_ms: EPOCH_MS + self.now.as_millis() as u64,
             };
-            let (worker, order, decided) = (sent.worker, sent.order.clone(), sent.decided);
-            dispatch.answered(&self.state, now, worker, &order, decided, answer);
+            let (worker, directive, decided) = (sent.worker, sent.directive.clone(), sent.decided);
+            dispatch.answered(&self.state, now, worker, &directive, decided, answer);
         }
         if answer.is_some() {
             self.sent.remove(&number);
         }
     }
 
-    pub(super) fn ask(&mut self, ask: &query_queue::Assignment) {
-        let key = ask.query.step.job;
+    pub(super) fn send_query(&mut self, assignment: &query_queue::Assignment) {
+        let key = assignment.query.step.job;
         let Some(job) = self.jobs.get(&key) else { return };
         let kind = &self.plan.kinds[job.kind];
         let Some(cost) = kind.queue.advice else { return };
-        let step = ask.query.step.step;
-        let workers = ask.query.workers.iter().filter(|name| {
+        let step = assignment.query.step.step;
+        let workers = assignment.query.workers.iter().filter(|name| {
             let index = name.split('-').nth(1).and_then(|index| index.parse().ok());
             index.is_some_and(|index| is_eligible(key, step, index, kind))
         });
@@ -208,10 +213,10 @@
                 .collect(),
             valid: None,
         };
-        let took = cost.decision + cost.per_worker * ask.query.workers.len() as u32;
-        let free = self.proxy_free.entry(ask.proxy).or_default();
+        let took = cost.decision + cost.per_worker * assignment.query.workers.len() as u32;
+        let free = self.proxy_free.entry(assignment.proxy).or_default();
         *free = (*free).max(self.now) + took;
         let delay = free.saturating_sub(self.now) + LATENCY * 2;
-        self.at(delay, Event::Advised(ask.number, answer));
+        self.schedule(delay, Event::QueryAnswered(assignment.number, answer));
     }
 }
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -1,4 +1,4 @@
-//! A worker that takes orders, as the platform describes it.
+//! Model of a worker that executes the leader's directives.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -9,65 +9,67 @@
 use bronzespoke_workload::directive::{self, Answer, Outcome, Refusal, Run, Task, Token};
 use bytes::Bytes;
 
-/// Ends that one report lists.
-const ENDS_AT_ONCE: usize = 500;
-/// Longest lease.
-const LONGEST_LEASE: Duration = Duration::from_secs(10);
-/// Time that a stop takes.
-const STOP: Duration = Duration::from_millis(200);
-/// How long a member of a gang waits for the others.
-const GANG_WAIT: Duration = Duration::from_secs(3);
+/// Maximum number of ended runs in one report.
+const MAX_ENDS_PER_REPORT: usize = 500;
+/// Maximum duration of a lease.
+const MAX_LEASE: Duration = Duration::from_secs(10);
+/// Time from a stop directive to the end of the run.
+const STOP_DURATION: Duration = Duration::from_millis(200);
+/// Time for which a member of a gang waits for the other members.
+const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// A run on the worker.
+/// An active run on a worker.
 #[derive(Debug, Clone)]
 pub struct Active {
     /// Number of the start.
     pub run: Run,
-    /// What it uses.
+    /// Resources that the run uses.
     pub size: resource::Amount,
-    /// When it was started, in simulated time.
+    /// Simulated time of the start.
     pub started: Duration,
-    /// When its work is done; `None` while a gang is not complete, and for work that stands still.
+    /// Simulated time at which the work is done; `None` while the gang is incomplete, and for work that stalls.
     pub done_at: Option<Duration>,
-    /// When its stop is over.
+    /// Simulated time at which a requested stop takes effect; `None` if no stop is requested.
     pub stopped_at: Option<Duration>,
-    /// Whether it belongs to a gang that is not complete.
+    /// Whether the run waits for the other members of its gang.
     pub awaits_gang: bool,
-    /// Whether it fails instead of being done.
+    /// Whether the run fails instead of succeeding.
     pub fails: bool,
 }
 
-/// One life of a worker.
+/// An incarnation of a worker.
 #[derive(Debug)]
 pub struct Worker {
-    /// Name.
+    /// Name of the worker; directives to another name are refused.
     pub name: String,
-    /// Start of the life in milliseconds since the Unix epoch.
+    /// Start time of the incarnation, in milliseconds since the Unix epoch.
     pub started_ms: u64,
-    /// What it offers.
+    /// Resources that the worker offers.
     pub capacity: resource::Amount,
-    /// Simulated time at which its clock was zero.
+    /// Simulated time at which the worker's clock was zero.
     pub clock_zero: Duration,
-    /// Rate of its clock; it may be 2% slow.
+    /// Rate of the worker's clock relative to simulated time; the clock may be 2% slow.
     pub clock_rate: f64,
-    /// Factor on run times.
+    /// Factor by which run times are multiplied.
     pub slowness: f64,
-    /// Whether everything that it starts fails.
+    /// Whether every run that starts on the worker fails.
     pub failing: bool,
-    /// Runs.
+    /// Active runs by task.
     pub runs: BTreeMap<Task, Active>,
-    /// Highest fencing token that it has seen.
+    /// Highest fencing token received; directives with a lower token are refused.
     pub token: Token,
     lease_end: Duration,
     ended: Vec<directive::Ended>,
     next_end: u64,
+    /// Highest run of each task that ended or was stopped.
     highest: HashMap<Task, Run>,
+    /// Simulated time of each end, by its number.
     ended_at: HashMap<u64, Duration>,
-    lapsed_at: Option<Duration>,
+    lease_expired_at: Option<Duration>,
 }
 
 impl Worker {
-    /// Returns a life that runs nothing.
+    /// Returns an incarnation without runs.
     pub fn new(
         name: String,
         started_ms: u64,
@@ -90,16 +92,16 @@
             next_end: 1,
             highest: HashMap::new(),
             ended_at: HashMap::new(),
-            lapsed_at: None,
+            lease_expired_at: None,
         }
     }
 
-    /// Its clock.
+    /// Returns the reading of the worker's clock.
     pub fn clock(&self, now: Duration) -> Duration {
         now.saturating_sub(self.clock_zero).mul_f64(self.clock_rate)
     }
 
-    /// What its runs use.
+    /// Returns the resources that the runs use.
     pub fn used(&self) -> resource::Amount {
         let mut used = resource::Amount::ZERO;
         for run in self.runs.values() {
@@ -110,13 +112,13 @@
         used
     }
 
-    /// Takes an order; `Ok` with the run to begin when it is a start that was taken.
+    /// Executes a directive. Returns the answer, and the run to start if the directive is an accepted start.
     pub fn execute(
         &mut self,
         now: Duration,
         token: Token,
         name: &str,
-        order: &directive::Directive,
+        directive: &directive::Directive,
     ) -> (Answer, Option<(Task, Run)>) {
         let clock = self.clock(now);
         if name != self.name {
@@ -130,7 +132,7 @@
             return (refuse(Refusal::Fenced, clock), None);
         }
         self.token = token;
-        match order {
+        match directive {
             directive::Directive::Start {
                 task, run, lease_end, ..
             } => self.start(clock, *task, *run, *lease_end),
@@ -138,7 +140,7 @@
                 let highest = self.highest.entry(*task).or_default();
                 *highest = (*highest).max(*run);
                 if let Some(active) = self.runs.get_mut(task).filter(|active| active.run <= *run) {
-                    active.stopped_at.get_or_insert(now + STOP);
+                    active.stopped_at.get_or_insert(now + STOP_DURATION);
                 }
                 (Answer::Done { clock }, None)
             }
@@ -158,7 +160,7 @@
     }
 
     fn extend(&mut self, clock: Duration, end: Duration) {
-        self.lease_end = self.lease_end.max(end.min(clock + LONGEST_LEASE));
+        self.lease_end = self.lease_end.max(end.min(clock + MAX_LEASE));
     }
 
     fn start(
@@ -182,7 +184,7 @@
         (Answer::Done { clock }, Some((task, run)))
     }
 
-    /// Reports without renewing anything.
+    /// Returns a report, without renewing the lease.
     pub fn report(&self, clock: Duration) -> directive::Report {
         directive::Report {
             clock,
@@ -198,29 +200,29 @@
                     load: None,
                 })
                 .collect(),
-            ended: self.ended.iter().take(ENDS_AT_ONCE).cloned().collect(),
+            ended: self.ended.iter().take(MAX_ENDS_PER_REPORT).cloned().collect(),
         }
     }
 
-    /// Whether a report has ends to tell.
+    /// Returns whether the next report contains ended runs.
     pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
     }
 
-    /// Ends up to a number with their times, as far as the lease has not run out since: whoever acknowledges those has
-    /// taken note of them.
+    /// Returns the ends up to a number, with their times, except those before the latest expiry of the lease. Whoever
+    /// acknowledges an end has recorded it, unless the lease has expired since.
     pub fn ends_up_to(&self, acknowledged: u64) -> Vec<(directive::Ended, Duration)> {
-        let mut noted = Vec::new();
+        let mut ends = Vec::new();
         for ended in self.ended.iter().filter(|ended| ended.number <= acknowledged) {
             let at = self.ended_at.get(&ended.number).copied().unwrap_or_default();
-            if self.lapsed_at.is_none_or(|lapsed| lapsed < at) {
-                noted.push((ended.clone(), at));
+            if self.lease_expired_at.is_none_or(|expired| expired < at) {
+                ends.push((ended.clone(), at));
             }
         }
-        noted
+        ends
     }
 
-    /// Ends a run.
+    /// Ends the run of a task, if there is one, and queues the end for the next report.
     pub fn end(&mut self, now: Duration, task: Task, outcome: Outcome) {
         let Some(active) = self.runs.remove(&task) else {
             return;
@@ -238,11 +240,11 @@
         self.next_end += 1;
     }
 
-    /// Returns the runs that end by themselves up to now, and how.
+    /// Returns the runs that are due to end by `now`, with their outcomes.
     pub fn due(&mut self, now: Duration) -> Vec<(Task, Run, Outcome)> {
-        let lapsed = self.clock(now) > self.lease_end;
-        if lapsed {
-            self.lapsed_at = Some(now);
+        let expired = self.clock(now) > self.lease_end;
+        if expired {
+            self.lease_expired_at = Some(now);
         }
         let mut due = Vec::new();
         for (task, active) in &self.runs {
@@ -254,9 +256,9 @@
                 } else {
                     Outcome::Done
                 }
-            } else if lapsed {
+            } else if expired {
                 Outcome::Lapsed
-            } else if active.awaits_gang && now >= active.started + GANG_WAIT {
+            } else if active.awaits_gang && now >= active.started + GANG_TIMEOUT {
                 Outcome::Alone
             } else {
                 continue;
--- a/crates/standin/src/worker.rs
+++ b/crates/standin/src/worker.rs
@@ -3,8 +3,8 @@
 //! The command of a task selects its behaviour: `sleep MS` succeeds after that time, `fail MS` fails after that time,
 //! and `serve` runs until it is stopped.
 //!
-//! Reports are sent in the binary encoding over HTTP/2. A report is a delta to the last acknowledged one. After a report
-//! without a reply, the next one is a full report.
+//! Reports are sent in the binary encoding over HTTP/2. A report is a delta to the last acknowledged one. After a
+//! report without a reply, the next one is a full report.
 
 use std::{
     collections::{HashMap, VecDeque},
