--- a/crates/standin/src/fleet/simulation/invariants.rs
+++ b/crates/standin/src/fleet/simulation/invariants.rs
@@ -87,7 +87,7 @@
         };
         let late = run_starts
             .iter()
-            .any(|run_starts| failures.values().filter(|ended| *ended < run_starts).count() >= attempts);
+            .any(|start| failures.values().filter(|ended| *ended < start).count() >= attempts);
         if late {
             self.record_violation(&format!("{key} starts after {attempts} failures"));
         }
