--- a/crates/daemon/src/fleet/relay.rs
+++ b/crates/daemon/src/fleet/relay.rs
@@ -68,8 +68,8 @@
 /// State of the leader: relay of each availability zone, and directives in flight.
 #[derive(Debug, Default)]
 pub struct Relays {
-    /// Relay of each availability zone that has one.
-    relays: HashMap<String, wire::Endpoint>,
+    /// Relays by availability zone; empty in a small fleet.
+    by_zone: HashMap<String, wire::Endpoint>,
     next: u64,
     queued: BTreeMap<wire::Endpoint, Vec<wire::Directive>>,
     sent: HashMap<u64, Sent>,
@@ -78,19 +78,19 @@
 impl Relays {
     /// Replaces the relays by one daemon for each availability zone of `reachable`. A small fleet has none.
     pub fn set_relays(&mut self, workers: usize, mut reachable: Vec<(wire::Endpoint, String)>) {
-        self.relays.clear();
+        self.by_zone.clear();
         if workers <= DIRECT_WORKERS {
             return;
         }
         reachable.sort_unstable();
         for (endpoint, zone) in reachable {
-            self.relays.entry(zone).or_insert(endpoint);
+            self.by_zone.entry(zone).or_insert(endpoint);
         }
     }
 
     /// Returns the relay of an availability zone; `None` if the leader calls its workers itself.
     pub fn relay(&self, zone: &str) -> Option<wire::Endpoint> {
-        self.relays.get(zone).copied()
+        self.by_zone.get(zone).copied()
     }
 
     /// Adds a directive to the next frame for a relay.
@@ -138,7 +138,7 @@
 
     /// Removes directives that timed out or whose relay is not reachable any more. They may have been executed.
     pub fn expire(&mut self, now: Duration) -> Vec<(Decision, directive::Directive)> {
-        let reachable: Vec<id::VmId> = self.relays.values().map(|endpoint| endpoint.vm).collect();
+        let reachable: Vec<id::VmId> = self.by_zone.values().map(|endpoint| endpoint.vm).collect();
         let is_expired = |sent: &Sent| now >= sent.expires_at || !reachable.contains(&sent.relay);
         let numbers: Vec<u64> = self
             .sent
@@ -155,7 +155,7 @@
 #[derive(Debug, Default)]
 pub struct Answers {
     since: Option<Duration>,
-    answers: BTreeMap<(wire::Endpoint, directive::Token), Vec<wire::Answered>>,
+    by_leader: BTreeMap<(wire::Endpoint, directive::Token), Vec<wire::Answered>>,
 }
 
 impl Answers {
@@ -169,7 +169,7 @@
         answer: Option<directive::Answer>,
     ) {
         self.since.get_or_insert(now);
-        let answers = self.answers.entry((leader, token)).or_default();
+        let answers = self.by_leader.entry((leader, token)).or_default();
         answers.push((number, answer));
     }
 
@@ -185,7 +185,7 @@
         }
         self.since = None;
         let mut frames = Vec::new();
-        for ((endpoint, token), answers) in std::mem::take(&mut self.answers) {
+        for ((endpoint, token), answers) in std::mem::take(&mut self.by_leader) {
             let mut entries = 0;
             let mut frame = Vec::new();
             for (number, answer) in answers {
