daemon: tests with plain heads and names

Heads of the daemon's tests named callers, lives and faults indirectly; they now name the failure that each test guards against in the usual terms, and most test functions follow. Assertions, bounds and seeds are as before, and so is the number of tests.

--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -37,7 +37,7 @@
 const ENTRIES: f64 = 10.0;
 /// Polls of the feed in a second.
 const POLLS: f64 = 2.0;
-/// Rounds of duties in a second, `INTERVAL` in `crates/daemon/src/control/duties.rs`.
+/// Rounds of duties in a second, `INTERVAL` in `crates/daemon/src/control/maintenance.rs`.
 const DUTIES: f64 = 2.0;
 
 /// `MAX_OPEN_BYTES`, `MAX_ENDED_BYTES` and `MAX_ANSWERS_BYTES` of `crates/control/src/zone`.
--- a/crates/daemon/tests/calls.rs
+++ b/crates/daemon/tests/calls.rs
@@ -1,4 +1,4 @@
-//! Calls to the leaders of groups while leaders change.
+//! Pending requests to the leaders of groups while leaders change.
 
 use std::{
     collections::HashMap,
@@ -17,7 +17,7 @@
 const ME: id::VmId = 1;
 const OTHER: id::VmId = 2;
 const GROUP: id::GroupId = id::GroupId::Zone(1);
-/// More than the time between two copies of a call, and less than its deadline.
+/// Longer than the resend interval of a request, and shorter than its deadline.
 const LATER: Duration = Duration::from_millis(400);
 
 fn some_vm(id: id::VmId, peer: std::net::SocketAddr) -> vm::Vm {
@@ -32,7 +32,7 @@
     }
 }
 
-/// A context whose links lead nowhere; its time is moved by its origin.
+/// Returns a context without peers. Tests advance its clock by moving its origin.
 fn context(runtime: &tokio::runtime::Runtime) -> context::Context {
     let _entered = runtime.enter();
     let listener = std::net::TcpListener::bind("127.0.0.1:0").expect("a loopback port");
@@ -63,11 +63,11 @@
         .expect("a runtime")
 }
 
-fn wait(context: &mut context::Context, time: Duration) {
+fn advance(context: &mut context::Context, time: Duration) {
     context.origin -= time;
 }
 
-/// Opens a search for a job at a leader that does not answer.
+/// Opens a request for a job to a leader that does not reply.
 fn open(
     context: &context::Context,
     leader: Option<id::VmId>,
@@ -87,13 +87,13 @@
     (requests, receiver)
 }
 
-/// Guards against a call that expires as `unknown` because this VM itself became the leader that it waits for.
+/// Guards against a request that expires as `unknown` because this VM itself became the leader that it waits for.
 #[test]
-fn a_call_is_served_here_when_this_vm_becomes_the_leader() {
+fn a_request_is_served_locally_when_this_vm_becomes_leader() {
     let runtime = runtime();
     let mut context = context(&runtime);
-    let (mut requests, answers) = open(&context, Some(OTHER));
-    wait(&mut context, LATER);
+    let (mut requests, replies) = open(&context, Some(OTHER));
+    advance(&mut context, LATER);
     let own = requests.tick(&context, &|_| Some(ME));
     let [copy] = own.as_slice() else {
         panic!("one copy is for this VM: {own:?}");
@@ -101,32 +101,32 @@
     assert_eq!(copy.group, GROUP);
     // The lease is not held yet.
     requests.receive(&context, copy.number, wire::Reply::NotLeader);
-    assert!(answers.try_recv().is_err(), "the call stays open");
-    wait(&mut context, LATER);
+    assert!(replies.try_recv().is_err(), "the request stays pending");
+    advance(&mut context, LATER);
     let own = requests.tick(&context, &|_| Some(ME));
-    assert_eq!(own.len(), 1, "the call is tried again");
+    assert_eq!(own.len(), 1, "the request is tried again");
     requests.receive(&context, own[0].number, wire::Reply::Submitted(Some(7)));
-    assert!(matches!(answers.try_recv(), Ok(wire::Reply::Submitted(Some(7)))));
+    assert!(matches!(replies.try_recv(), Ok(wire::Reply::Submitted(Some(7)))));
     assert!(requests.is_empty());
 }
 
-/// Guards against a call that is lost when no leader is known at first, or that is kept after its time.
+/// Guards against a request that is lost because no leader is known at first, or that is kept after its deadline.
 #[test]
-fn a_call_is_sent_until_its_deadline() {
+fn a_request_is_pending_until_its_deadline() {
     let runtime = runtime();
     let mut context = context(&runtime);
-    let (mut requests, answers) = open(&context, None);
-    wait(&mut context, LATER);
+    let (mut requests, replies) = open(&context, None);
+    advance(&mut context, LATER);
     assert!(requests.tick(&context, &|_| None).is_empty());
-    wait(&mut context, requests::DEADLINE);
+    advance(&mut context, requests::DEADLINE);
     assert!(requests.tick(&context, &|_| Some(ME)).is_empty());
-    assert!(matches!(answers.try_recv(), Ok(wire::Reply::NotDone(_))));
+    assert!(matches!(replies.try_recv(), Ok(wire::Reply::NotDone(_))));
 }
 
-/// Guards against calls that go to a former leader for good, because a replica that gets no entries any more still
-/// names it.
+/// Guards against requests that go permanently to a former leader, because a replica that no longer receives entries
+/// still names it.
 #[test]
-fn the_leader_of_the_highest_term_is_called() {
+fn requests_go_to_the_leader_of_the_highest_term() {
     let runtime = runtime();
     let mut context = context(&runtime);
     let peer = |id, term| context::Peer {
@@ -146,16 +146,16 @@
     assert_eq!(context.leader(GROUP, Some((7, 9))), Some(9), "a newer leader");
 }
 
-/// Guards against a search that waits for a zone that cannot be reached after another one has named the job, or that
-/// takes a missing answer for `no`.
+/// Guards against a search that waits for an unreachable zone after another one has found the job, or that treats a
+/// missing reply as a negative one.
 #[test]
-fn a_search_ends_with_the_first_job() {
+fn a_search_ends_when_a_zone_has_the_job() {
     use search::Found;
     use wire::Reply;
     let mut search = search::Search::new(3);
     assert_eq!(search.add(&Reply::Submitted(None)), None);
     assert_eq!(search.add(&Reply::Submitted(Some(7))), Some(Found::At(7)));
-    assert_eq!(search.add(&Reply::Unknown), None, "the outcome comes once");
+    assert_eq!(search.add(&Reply::Unknown), None, "the outcome is returned once");
     let mut search = search::Search::new(2);
     assert_eq!(search.add(&Reply::Unknown), None);
     assert_eq!(search.add(&Reply::Submitted(None)), Some(Found::Unreachable));
--- a/crates/daemon/tests/claims.rs
+++ b/crates/daemon/tests/claims.rs
@@ -1,4 +1,4 @@
-//! Claims of ids at the group of another zone, whose leader the test plays.
+//! Claims of request ids at the group of another zone, whose leader the test simulates.
 
 mod vm;
 
@@ -9,11 +9,11 @@
 use bytes::Bytes;
 use tokio::sync::oneshot::{self, error::TryRecvError};
 
-/// Number under which the played leader grants every claim.
+/// Number under which the simulated leader grants every claim.
 const GRANT: u64 = 5;
 
-/// Guards against a caller that learns its job before the job is recorded under the submission's id: a resend that
-/// arrives in between would be told that the submission is still in progress.
+/// Guards against answering a submission before the job is recorded under the submission id: a resend that arrives in
+/// between would be refused because the submission is still in progress.
 #[tokio::test]
 async fn a_submission_is_recorded_before_it_is_answered() {
     const JOB: id::JobId = 1234;
@@ -25,7 +25,7 @@
     let submission = Some(vm::owned(team, "job "));
     vm.call(Call::Submit(team, submission, vm::batch(1), sender))
         .await;
-    // The home zone is the VM's own or the played one; the claim is made at the played one in either case.
+    // The home zone is the VM's own or the simulated one; the claim is made at the simulated one in either case.
     let number = loop {
         let (number, command) = owner.command(&vm).await;
         let outcome = match command {
@@ -42,8 +42,8 @@
     vm.stop().await;
 }
 
-/// Guards against an end of a claim that is given up because the owner's leader refused it once: the id would stay in
-/// progress, and a resend would get no answer.
+/// Guards against dropping the end of a claim because the leader of the owner refused it: the id would stay in
+/// progress, and a resend would get no response.
 #[tokio::test]
 async fn the_end_of_a_claim_is_sent_until_it_is_recorded() {
     const REFUSALS: usize = 3;
@@ -71,18 +71,18 @@
     vm.call(end).await;
     for _ in 0..REFUSALS {
         let number = completion(&mut owner, &vm).await;
-        let refusal = wire::Reply::NotDone(String::from("the log does not take commands now"));
-        owner.answer(&vm, number, refusal).await;
+        let refusal = wire::Reply::NotDone(String::from("the log does not accept commands now"));
+        owner.send_reply(&vm, number, refusal).await;
     }
     let number = completion(&mut owner, &vm).await;
     assert_eq!(receiver.try_recv(), Err(TryRecvError::Empty));
     owner.done(&vm, number, zone::Outcome::Done).await;
-    // Only the end of the wait counts: control drops the sender.
+    // The end of the wait is signalled by dropping the sender.
     receiver.await.expect_err("nothing is sent");
     vm.stop().await;
 }
 
-/// Takes the next end of the claim; a claim that is sent again is passed over.
+/// Waits for the next end of the claim; resent claims are ignored.
 async fn completion(owner: &mut vm::Leader, vm: &vm::Vm) -> u64 {
     loop {
         let (number, command) = owner.command(vm).await;
--- a/crates/daemon/tests/control.rs
+++ b/crates/daemon/tests/control.rs
@@ -1,12 +1,12 @@
-//! Decisions of the control thread that outlive a process or a leader.
+//! State that a new leader or a restarted process has to keep.
 
 mod vm;
 
 use bronzespoke_gateway::control::{Call, Claim, Claimed};
 use bronzespoke_model::{event, id, job, task};
 
-/// Guards against a new leader that places tasks on drained workers, because it was told of the drains before it knew
-/// the workers.
+/// Guards against a new leader that places tasks on drained workers, because the drains were restored before the
+/// workers.
 #[tokio::test]
 async fn a_new_leader_keeps_workers_drained() {
     const DRAINED: id::WorkerId = 7;
@@ -20,7 +20,7 @@
     vm.stop().await;
 
     let vm = vm::Vm::start(folder.path()).await;
-    // Two tasks that each fill a worker: one pass would start both if the drain were forgotten.
+    // Two tasks that each fill a worker: one scheduling pass would start both if the drain were forgotten.
     vm.eventually(|reply| Call::Submit(team, None, vm::batch(2), reply))
         .await;
     let mut placed = Vec::new();
@@ -30,11 +30,11 @@
             vm.report(FREE, sequence, vm::Work::default()),
         );
         placed = started(&vm);
-        let told = [drained, free]
+        let directed = [drained, free]
             .into_iter()
             .flatten()
             .any(|reply| !reply.directives.is_empty());
-        if told {
+        if directed {
             break;
         }
     }
@@ -42,11 +42,11 @@
     vm.stop().await;
 }
 
-/// Guards against a job that fails everywhere and gets its whole retry budget again with every change of leader.
+/// Guards against a job that fails everywhere and gets its full retry budget again with every change of leader.
 #[tokio::test]
 async fn a_new_leader_knows_the_failed_runs() {
     const WORKER: id::WorkerId = 7;
-    /// Runs of a task that may fail before its job fails.
+    /// Number of failed runs of a task after which its job fails.
     const BUDGET: usize = 4;
     let folder = tempfile::tempdir().expect("a folder");
     let vm = vm::Vm::start(folder.path()).await;
@@ -65,8 +65,8 @@
     vm.stop().await;
 }
 
-/// Guards against claims that stay in progress because the process that held them was the leader's own former one, and
-/// against the end of claims that the present process holds.
+/// Guards against claims that stay in progress because their holder was an earlier incarnation of the leader itself,
+/// and against ending claims that the current incarnation holds.
 #[tokio::test]
 async fn a_restarted_leader_ends_its_former_claims() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -84,7 +84,7 @@
     vm.stop().await;
 }
 
-/// Claims a request id, again while no leader takes the claim.
+/// Claims a request id, and retries until a leader accepts the claim.
 async fn claim(vm: &vm::Vm, team: id::TeamId, request: &str) -> Claimed {
     loop {
         let request = String::from(request);
@@ -96,7 +96,7 @@
     }
 }
 
-/// Lets a worker fail the runs that it is told to start, until so many have failed and are recorded.
+/// Fails the runs that a worker is directed to start, until `count` failures are recorded.
 async fn fail_runs(vm: &vm::Vm, worker: id::WorkerId, mut count: usize) {
     const REPORTS: u64 = 100;
     let mut work = vm::Work::default();
@@ -121,7 +121,7 @@
     panic!("{count} runs were not started");
 }
 
-/// Workers on which tasks were started, in order.
+/// Returns the workers on which tasks were started, in order.
 fn started(vm: &vm::Vm) -> Vec<id::WorkerId> {
     let events = vm.events().into_iter();
     let starts = events.filter_map(|event| match event {
--- a/crates/daemon/tests/disk.rs
+++ b/crates/daemon/tests/disk.rs
@@ -1,10 +1,10 @@
-//! Groups whose files cannot be used.
+//! Groups whose files are corrupt or cannot be written.
 
 mod vm;
 
 use std::{fs, sync::Mutex, time::Duration};
 
-/// Error lines of this process.
+/// Error lines that this process has logged.
 struct Log(Mutex<Vec<String>>);
 
 static LOG: Log = Log(Mutex::new(Vec::new()));
@@ -31,16 +31,16 @@
     fn flush(&self) {}
 }
 
-/// Guards against a group with corrupt files that is opened and reported again with every message of its leader.
+/// Guards against opening and reporting a group with corrupt files again at every message of its leader.
 #[tokio::test]
-async fn a_corrupt_group_is_refused_once() {
+async fn a_corrupt_group_is_opened_once() {
     let folder = tempfile::tempdir().expect("a folder");
     let vm = vm::Vm::start(folder.path()).await;
     let leader = vm::Leader::start(&vm).await;
     let files = folder.path().join(format!("zone-{}", vm::Leader::ZONE));
     fs::create_dir(&files).expect("a folder");
     fs::write(files.join("vote"), "damaged").expect("a file");
-    // Every try to open the group creates the lock file.
+    // Every attempt to open the group creates the lock file.
     let lock = files.join("lock");
     leader.heartbeat(&vm, 1).await;
     vm.settle().await;
@@ -54,14 +54,14 @@
     vm.stop().await;
 }
 
-/// Guards against a replica that stays out of its group until an operator restarts the process, although its disk takes
-/// writes again.
+/// Guards against a replica that stays out of its group until an operator restarts the process, although its disk
+/// accepts writes again.
 #[tokio::test]
 async fn a_replica_returns_when_its_disk_takes_writes_again() {
-    /// Heartbeats that are sent; far more than the pause before a replica is opened again lets pass.
+    /// Number of heartbeats sent; they last far longer than the pause before a replica is reopened.
     const HEARTBEATS: u32 = 300;
     const PAUSE: Duration = Duration::from_millis(100);
-    // The first test that needs the log sets it.
+    // Another test may have set the logger already.
     drop(log::set_logger(&LOG));
     log::set_max_level(log::LevelFilter::Error);
     let folder = tempfile::tempdir().expect("a folder");
@@ -69,7 +69,7 @@
     let mut leader = vm::Leader::start(&vm).await;
     leader.heartbeat(&vm, 1).await;
     leader.accepted(1).await;
-    // A new term is stored first, under this name until it is whole.
+    // A new term is first written to this temporary file.
     let obstacle = folder.path().join(format!("zone-{}/vote.tmp", vm::Leader::ZONE));
     fs::create_dir(&obstacle).expect("a folder");
     leader.heartbeat(&vm, 2).await;
--- a/crates/daemon/tests/member.rs
+++ b/crates/daemon/tests/member.rs
@@ -1,4 +1,4 @@
-//! A replica with its disk, whose writes are reported when the test says so.
+//! A replica with its disk, where the test controls when completed writes are reported.
 
 use std::{
     collections::HashMap,
@@ -30,7 +30,7 @@
 const OTHER: u64 = 2;
 const PLACE: vm::Place = vm::Place { region: 1, zone: 1 };
 
-/// A member of the root group, in which entries are applied only after their commit is stored.
+/// A member of the root group whose write results are delivered by the test.
 struct Driven {
     context: Context,
     member: Member,
@@ -79,14 +79,14 @@
         self.member.step(&self.context, input, &mut self.events);
     }
 
-    /// Reports the next finished write.
+    /// Reports the next completed write.
     fn report(&mut self) {
         let done = self.done.recv().expect("a write is under way");
         self.member.persisted(&self.context, &done, &mut self.events);
     }
 }
 
-/// Guards against a caller that waits for good because a snapshot of the next leader skipped its committed command.
+/// Guards against a caller that waits forever because a snapshot of the next leader skipped its committed command.
 #[tokio::test]
 async fn a_command_that_a_snapshot_skips_is_answered() {
     let folder = tempfile::tempdir().expect("a folder");
@@ -110,10 +110,10 @@
     driven
         .member
         .propose_batch(&driven.context, &mut batch, &mut driven.events);
-    // The proposal waits for others to share its message.
+    // The proposal is delayed so that others can share its message.
     tokio::time::sleep(Duration::from_millis(50)).await;
     driven.step(Input::Tick);
-    // The entry is stored and thereby committed; that the commit is stored is not reported yet.
+    // The entry is stored and thereby committed; the write of the commit itself is not reported yet.
     driven.report();
 
     let status = driven.member.replica().status();
--- a/crates/daemon/tests/session.rs
+++ b/crates/daemon/tests/session.rs
@@ -1,4 +1,4 @@
-//! Reports of workers that name only what changed, and how long answers wait for each other.
+//! Incremental reports of workers, and when reports are answered.
 
 use std::{collections::BTreeMap, time::Duration};
 
@@ -47,12 +47,12 @@
     }
 }
 
-/// Gives a report to the sessions; returns what the scheduler sees, or the field that was refused.
-fn give(sessions: &mut session::Sessions, report: worker::Report) -> Result<Runs, String> {
+/// Passes a report to the sessions; returns the runs that the scheduler sees, or the field that was refused.
+fn submit(sessions: &mut session::Sessions, report: worker::Report) -> Result<Runs, String> {
     let (reply, mut answer) = oneshot::channel();
     match sessions.report(Duration::ZERO, report, reply) {
         Some(full) => {
-            assert_eq!(full.base, None, "the scheduler takes full reports only");
+            assert_eq!(full.base, None, "the scheduler gets full reports only");
             Ok(full
                 .running
                 .iter()
@@ -61,7 +61,7 @@
         }
         None => match answer.try_recv() {
             Ok(Err(control::Refusal::Invalid { field, .. })) => Err(field),
-            other => panic!("a report that is not taken has to be refused, not {other:?}"),
+            other => panic!("a report that is not accepted has to be refused, not {other:?}"),
         },
     }
 }
@@ -70,11 +70,11 @@
     Err(String::from(field))
 }
 
-/// Guards against a change applied to another state than the worker meant: a lost change that stays lost, one that
-/// counts twice, and one that an older report undoes. Either would leave a run without an account or without an end.
+/// Guards against applying a change to another state than the worker meant: a lost change that stays lost, one that
+/// counts twice, or one that an older report reverts. Each would leave a run without accounting or without an end.
 #[parameterized(
     lost = { vec![report(3, Some(1), &[(12, 5)], &[10])], vec![Ok(Runs::from([(11, 1), (12, 5)]))] },
-    // The worker took back the use of run 11 after a report whose answer was lost.
+    // The worker reverted the usage of run 11 after a report whose answer was lost.
     lost_answer = {
         vec![report(2, Some(1), &[(11, 9)], &[]), report(3, Some(1), &[(12, 5)], &[])],
         vec![Ok(Runs::from([(10, 1), (11, 9)])), Ok(Runs::from([(10, 1), (11, 1), (12, 5)]))],
@@ -97,59 +97,65 @@
         vec![refused("base"), refused("base"), Ok(Runs::from([(11, 2)]))],
     },
 )]
-fn changes_count_from_their_base(reports: Vec<worker::Report>, expected: Vec<Result<Runs, String>>) {
+fn changes_apply_to_their_base(reports: Vec<worker::Report>, expected: Vec<Result<Runs, String>>) {
     let mut sessions = session::Sessions::default();
-    let first = give(&mut sessions, report(1, None, &[(10, 1), (11, 1)], &[]));
+    let first = submit(&mut sessions, report(1, None, &[(10, 1), (11, 1)], &[]));
     assert_eq!(first, Ok(Runs::from([(10, 1), (11, 1)])));
     let seen: Vec<_> = reports
         .into_iter()
-        .map(|report| give(&mut sessions, report))
+        .map(|report| submit(&mut sessions, report))
         .collect();
     assert_eq!(seen, expected);
 }
 
-/// Guards against a leader that takes a change without what it is a change of: all other runs of the worker would
-/// count as missing and be started elsewhere while they still run.
+/// Guards against a leader that accepts an incremental report without knowing its base: all other runs of the worker
+/// would count as missing and be started elsewhere while they still run.
 #[test]
-fn a_new_leader_wants_a_full_report() {
+fn a_new_leader_requires_a_full_report() {
     let mut sessions = session::Sessions::default();
-    assert!(give(&mut sessions, report(1, None, &[(10, 1)], &[])).is_ok());
+    assert!(submit(&mut sessions, report(1, None, &[(10, 1)], &[])).is_ok());
     let mut sessions = session::Sessions::default();
-    assert_eq!(give(&mut sessions, report(2, Some(1), &[], &[])), refused("base"));
-    assert_eq!(give(&mut sessions, report(3, Some(0), &[], &[])), refused("base"));
-    let full = give(&mut sessions, report(4, None, &[(10, 1)], &[]));
+    assert_eq!(
+        submit(&mut sessions, report(2, Some(1), &[], &[])),
+        refused("base")
+    );
+    assert_eq!(
+        submit(&mut sessions, report(3, Some(0), &[], &[])),
+        refused("base")
+    );
+    let full = submit(&mut sessions, report(4, None, &[(10, 1)], &[]));
     assert_eq!(full, Ok(Runs::from([(10, 1)])));
 }
 
-/// Guards against a new life of a worker that inherits the runs of its former one.
+/// Guards against a new incarnation of a worker that inherits the runs of the previous one.
 #[test]
-fn a_new_life_shares_no_base_with_the_former_one() {
+fn a_new_incarnation_shares_no_base_with_the_previous_one() {
     let mut sessions = session::Sessions::default();
-    assert!(give(&mut sessions, report(1, None, &[(10, 1)], &[])).is_ok());
+    assert!(submit(&mut sessions, report(1, None, &[(10, 1)], &[])).is_ok());
     let later = worker::Report {
         incarnation: 2,
         ..report(2, Some(1), &[], &[])
     };
-    assert_eq!(give(&mut sessions, later), refused("base"));
+    assert_eq!(submit(&mut sessions, later), refused("base"));
 }
 
-/// Guards against changes that together pass the bound which one report has to keep.
+/// Guards against incremental reports that together exceed the limit of a full report.
 #[test]
-fn changes_keep_the_bound_of_a_full_report() {
+fn changes_keep_the_limit_of_a_full_report() {
     let mut sessions = session::Sessions::default();
     let most = worker::MAX_TASKS_IN_REPORT as u64;
     let all: Vec<_> = (1..=most).map(|token| (token, 1)).collect();
-    assert!(give(&mut sessions, report(1, None, &all, &[])).is_ok());
+    assert!(submit(&mut sessions, report(1, None, &all, &[])).is_ok());
     let more = report(2, Some(1), &[(most + 1, 1)], &[]);
-    assert_eq!(give(&mut sessions, more), refused("running"));
+    assert_eq!(submit(&mut sessions, more), refused("running"));
     let swapped = report(3, Some(1), &[(most + 1, 1)], &[1]);
     assert_eq!(
-        give(&mut sessions, swapped).map(|runs| runs.len()),
+        submit(&mut sessions, swapped).map(|runs| runs.len()),
         Ok(most as usize)
     );
 }
 
-/// A worker that keeps the rules, for random histories.
+/// A worker that follows the protocol, for random histories.
 #[derive(Default)]
 struct Worker {
     sequence: u64,
@@ -157,7 +163,7 @@
     next: id::Token,
     ends: Vec<(u64, id::Token)>,
     base: Option<(u64, Runs)>,
-    /// What ran at each report.
+    /// Runs at each report.
     truth: BTreeMap<u64, Runs>,
 }
 
@@ -204,7 +210,7 @@
 }
 
 /// Guards against any order of lost, duplicated and delayed reports, lost answers and changes of leader after which the
-/// scheduler sees something else than the worker ran when it sent the report.
+/// scheduler sees other runs than the worker had when it sent the report.
 #[test]
 fn random_histories_show_the_scheduler_what_the_worker_runs() {
     for seed in 0..200 {
@@ -230,7 +236,7 @@
                 _ => {}
             }
             let change = report.base.is_some();
-            match give(&mut sessions, report) {
+            match submit(&mut sessions, report) {
                 Ok(seen) => {
                     assert_eq!(seen, worker.truth[&sequence], "seed {seed}, report {sequence}");
                     taken += 1;
@@ -245,7 +251,7 @@
             if !delayed.is_empty() && random.random_range(0..2) == 0 {
                 let late = delayed.swap_remove(random.random_range(0..delayed.len()));
                 let sequence = late.sequence;
-                if let Ok(seen) = give(&mut sessions, late) {
+                if let Ok(seen) = submit(&mut sessions, late) {
                     assert_eq!(
                         seen, worker.truth[&sequence],
                         "seed {seed}, late report {sequence}"
@@ -260,7 +266,7 @@
     }
 }
 
-/// A zone with one worker and the sessions of its leader.
+/// A zone with one worker, and the sessions of its leader.
 struct Zone {
     state: zone::State,
     sessions: session::Sessions,
@@ -331,7 +337,7 @@
         (task, token)
     }
 
-    /// Reports at a time; the runs are named as changes of the report before when `base` says so.
+    /// Sends a report at a given time, incremental to the previous report if `base` is set.
     fn report(
         &mut self,
         at: Duration,
@@ -360,15 +366,15 @@
             .collect();
         let (reply, answer) = oneshot::channel();
         assert!(self.sessions.report(at, report, reply).is_some());
-        self.settle(at);
+        self.respond(at);
         answer
     }
 
-    fn settle(&mut self, at: Duration) {
+    fn respond(&mut self, at: Duration) {
         self.sessions.respond(at, WORKER, &self.state, &|_, _| true);
     }
 
-    /// Lets time pass as the control thread does, without a reason to look at this worker.
+    /// Advances the time as the control thread does, without an event for this worker.
     fn pass(&mut self, at: Duration) {
         self.sessions.respond_due(at, &self.state, &|_, _| true);
     }
@@ -389,8 +395,8 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Guards against an answer for every start, which the control budget does not hold, and against starts that are kept
-/// back for longer than the time for collecting.
+/// Guards against a separate answer for every start, which exceeds the control budget, and against starts that are
+/// delayed for longer than the collection interval.
 #[test]
 fn starts_share_an_answer() {
     let mut zone = Zone::new();
@@ -404,7 +410,7 @@
     let mut answer = zone.report(2 * MS, true, &[first], &[]);
     for token in [2, 3] {
         assert_eq!(zone.start(job::Priority::Normal).1, token);
-        zone.settle(10 * MS);
+        zone.respond(10 * MS);
         assert_eq!(directives(&mut answer), None);
     }
     zone.pass(session::COLLECT);
@@ -413,7 +419,7 @@
     assert_eq!(directives(&mut answer), Some(vec![2, 3]));
 }
 
-/// Guards against urgent work that waits until other starts are collected; it has to begin within 1.6 s.
+/// Guards against urgent work that waits for the collection of other starts; it has to start within 1.6 s.
 #[test]
 fn urgent_starts_and_stops_do_not_wait() {
     let mut zone = Zone::new();
@@ -422,10 +428,10 @@
     assert_eq!(directives(&mut answer), Some(vec![1]));
     let mut answer = zone.report(2 * MS, true, &[first], &[]);
     zone.start(job::Priority::Normal);
-    zone.settle(3 * MS);
+    zone.respond(3 * MS);
     assert_eq!(directives(&mut answer), None);
     let urgent = zone.start(job::Priority::Urgent);
-    zone.settle(4 * MS);
+    zone.respond(4 * MS);
     assert_eq!(
         directives(&mut answer),
         Some(vec![2, 3]),
@@ -435,40 +441,40 @@
     let (task, token) = first;
     zone.sessions
         .direct(WORKER, token, task::Directive::Stop { task, token });
-    zone.settle(6 * MS);
+    zone.respond(6 * MS);
     assert!(directives(&mut answer).is_some_and(|tokens| tokens.contains(&1)));
 }
 
-/// Guards against a lost answer that keeps an urgent start back until the time for collecting is over.
+/// Guards against a lost answer that delays an urgent start until the end of the collection interval.
 #[test]
-fn an_urgent_start_is_repeated_at_once_after_a_lost_answer() {
+fn an_urgent_start_is_repeated_immediately_after_a_lost_answer() {
     let mut zone = Zone::new();
     drop(zone.report(MS, false, &[], &[]));
     zone.pass(MS + session::HOLD);
     let late = MS + session::HOLD;
     let held = zone.report(late, true, &[], &[]);
     zone.start(job::Priority::Urgent);
-    zone.settle(late);
+    zone.respond(late);
     drop(held);
-    // The worker replaced the report before the answer came, and names the same base again.
+    // The worker replaced the report before the answer arrived, and names the same base again.
     zone.sequence += 1;
     let (reply, mut answer) = oneshot::channel();
     let again = report(zone.sequence, Some(1), &[], &[]);
     assert!(zone.sessions.report(late, again, reply).is_some());
-    zone.settle(late);
+    zone.respond(late);
     assert_eq!(directives(&mut answer), Some(vec![1]));
 }
 
-/// Guards against a worker that is slow to stop and is answered, and so reports, without a pause.
+/// Guards against answering a worker that is slow to stop without a pause, which would make it report without a pause.
 #[test]
-fn a_stop_that_was_told_is_repeated_with_pauses() {
+fn a_sent_stop_is_repeated_with_pauses() {
     let mut zone = Zone::new();
     let run = zone.start(job::Priority::Normal);
     let mut answer = zone.report(MS, false, &[run], &[]);
     let (task, token) = run;
     zone.sessions
         .direct(WORKER, token, task::Directive::Stop { task, token });
-    zone.settle(MS);
+    zone.respond(MS);
     assert_eq!(directives(&mut answer), Some(vec![1]));
     let mut answer = zone.report(2 * MS, true, &[], &[]);
     assert_eq!(directives(&mut answer), None);
@@ -476,8 +482,8 @@
     assert_eq!(directives(&mut answer), Some(vec![1]));
 }
 
-/// Guards against an end that is never acknowledged, which the worker would send again with every report, and against
-/// an answer that acknowledges an end before it is committed.
+/// Guards against an end that is never acknowledged, which the worker would resend with every report, and against
+/// acknowledging an end before it is committed.
 #[test]
 fn an_end_is_acknowledged_once_it_is_committed() {
     let mut zone = Zone::new();
@@ -490,7 +496,7 @@
     let (task, token) = run;
     let outcome = task::Outcome::Failed;
     zone.apply(zone::Command::End(vec![zone::End { task, token, outcome }]));
-    zone.settle(3 * MS + session::COLLECT);
+    zone.respond(3 * MS + session::COLLECT);
     let reply = answer
         .try_recv()
         .expect("the end is committed")
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -1,11 +1,11 @@
-//! Settings of the daemon: flags, their environment twins, and all faults in one report.
+//! Settings of the daemon: flags, environment variables, and the report of all errors.
 
 use std::{collections::HashMap, ffi::OsString, process::Command};
 
 use bronzespoke_daemon::settings::{self, Error, Request, Settings};
 use yare::parameterized;
 
-/// Flag, environment variable, and two different allowed values.
+/// Flags, their environment variables, and two different allowed values each.
 const TWINS: [(&str, &str, [&str; 2]); 12] = [
     ("--name", "BRONZESPOKE_NAME", ["sur-1", "sur-2.example"]),
     ("--region", "BRONZESPOKE_REGION", ["2", "9999"]),
@@ -64,14 +64,14 @@
     }
 }
 
-fn faults(request: Result<Request, Vec<Error>>) -> Vec<String> {
-    let faults = request.expect_err("the settings are wrong");
-    faults.iter().map(ToString::to_string).collect()
+fn errors(request: Result<Request, Vec<Error>>) -> Vec<String> {
+    let errors = request.expect_err("the settings are wrong");
+    errors.iter().map(ToString::to_string).collect()
 }
 
 /// Guards against a flag that a unit file cannot set, and against a variable that overrides a flag.
 #[test]
-fn every_flag_has_an_environment_twin_and_takes_precedence() {
+fn every_flag_has_an_environment_variable_and_takes_precedence() {
     for (flag, variable, [one, other]) in TWINS {
         let from = |arguments: &[&'static str], environment: &Environment| {
             settings(read(&with(flag, arguments), environment))
@@ -86,7 +86,7 @@
     }
 }
 
-/// Guards against a variable of a flag without a value that is read as set when it says that it is not.
+/// Guards against reading the variable of a flag without a value as set although it says `false`.
 #[parameterized(
     one = { "1", true },
     yes = { "true", true },
@@ -100,7 +100,7 @@
     assert_eq!(settings(read(&arguments, &environment)).found, expected);
 }
 
-/// Guards against help that leaves out a flag or its variable.
+/// Guards against help that omits a flag or its variable.
 #[test]
 fn help_lists_every_flag_with_its_variable() {
     let help = settings::help();
@@ -111,7 +111,7 @@
     }
 }
 
-/// Guards against a wrong value that is accepted, or refused without its name, its value and what is allowed.
+/// Guards against an invalid value that is accepted, or refused without naming the flag, the value and what is allowed.
 #[parameterized(
     name = { "--name", "a b", "1 to 63 letters" },
     region_zero = { "--region", "0", "1 to 9999" },
@@ -129,18 +129,18 @@
 )]
 fn a_wrong_value_is_named(flag: &str, value: &str, allowed: &str) {
     let arguments = with(flag, &[flag, value]);
-    let faults = faults(read(&arguments, &Environment::new()));
-    assert_eq!(faults.len(), 1, "one fault, not {faults:?}");
+    let errors = errors(read(&arguments, &Environment::new()));
+    assert_eq!(errors.len(), 1, "one error, not {errors:?}");
     for part in [flag, value, allowed] {
-        assert!(faults[0].contains(part), "`{}` has `{part}`", faults[0]);
+        assert!(errors[0].contains(part), "`{}` has `{part}`", errors[0]);
     }
 }
 
-/// Guards against a list of seeds that loses its wrong members, or grows without bound.
+/// Guards against a list of seeds that ignores invalid entries or grows without bound.
 #[test]
 fn every_wrong_seed_is_named() {
     let arguments = with("", &["--seeds", "127.0.0.1:1,one,127.0.0.1:2,two"]);
-    let found = faults(read(&arguments, &Environment::new()));
+    let found = errors(read(&arguments, &Environment::new()));
     assert_eq!(found.len(), 2, "{found:?}");
     assert!(
         found[0].contains("\"one\"") && found[1].contains("\"two\""),
@@ -148,13 +148,13 @@
     );
     let many = vec!["127.0.0.1:1"; 65].join(",");
     let arguments = with("", &["--seeds", &many]);
-    let found = faults(read(&arguments, &Environment::new()));
+    let found = errors(read(&arguments, &Environment::new()));
     assert!(found[0].contains("at most 64"), "{found:?}");
 }
 
-/// Guards against reports of one fault a round, which cost an operator one restart each.
+/// Guards against reporting one error at a time, which costs an operator one restart each.
 #[test]
-fn all_faults_are_reported_at_once() {
+fn all_errors_are_reported_at_once() {
     let arguments = [
         "--name",
         "a b",
@@ -167,7 +167,7 @@
         "--speed",
     ];
     let environment = Environment::from([("BRONZESPOKE_LOG_LEVEL", "loud")]);
-    let faults = faults(read(&arguments, &environment));
+    let errors = errors(read(&arguments, &environment));
     let settings = [
         "--name",
         "--region",
@@ -178,18 +178,18 @@
         "--traffic-threads",
     ];
     for setting in settings.into_iter().chain(["--log-level", "--speed"]) {
-        let of_setting = faults.iter().filter(|fault| fault.starts_with(setting)).count();
-        assert_eq!(of_setting, 1, "{setting} is reported once in {faults:#?}");
+        let of_setting = errors.iter().filter(|fault| fault.starts_with(setting)).count();
+        assert_eq!(of_setting, 1, "{setting} is reported once in {errors:#?}");
     }
-    assert_eq!(faults.len(), 9, "{faults:#?}");
+    assert_eq!(errors.len(), 9, "{errors:#?}");
 }
 
-/// Guards against a founder without durable state, whose cell would be lost at its first restart.
+/// Guards against founding a cell without durable state: it would be lost at the first restart.
 #[test]
 fn a_founder_needs_a_data_folder() {
     let arguments = with("", &["--found"]);
-    let faults = faults(read(&arguments, &Environment::new()));
-    assert!(faults.len() == 1 && faults[0].contains("--data"), "{faults:?}");
+    let errors = errors(read(&arguments, &Environment::new()));
+    assert!(errors.len() == 1 && errors[0].contains("--data"), "{errors:?}");
 }
 
 fn daemon(arguments: &[&str]) -> (Option<i32>, String, String) {
@@ -202,9 +202,9 @@
     (output.status.code(), text(&output.stdout), text(&output.stderr))
 }
 
-/// Guards against a program that ends with the wrong status or on the wrong stream.
+/// Guards against a wrong exit status, or output on the wrong stream.
 #[test]
-fn the_program_checks_explains_and_refuses() {
+fn the_program_exits_with_status_and_output() {
     let (status, out, _) = daemon(&["--help"]);
     assert!(status == Some(0) && out == settings::help(), "{out}");
     let (status, out, _) = daemon(&["--version"]);
@@ -213,7 +213,7 @@
     assert_eq!((status, error.as_str()), (Some(0), ""), "{out}");
     let (status, out, error) = daemon(&["--check", "--region", "0", "--http", "x"]);
     assert_eq!((status, out.as_str()), (Some(2), ""), "{error}");
-    assert_eq!(error.lines().count(), 6, "one line for each fault: {error}");
+    assert_eq!(error.lines().count(), 6, "one line for each error: {error}");
 }
 
 /// Guards against `--check` that touches the data folder or an address.
@@ -229,9 +229,9 @@
     assert!(!data.exists(), "a check creates no folder");
 }
 
-/// Guards against a taken address that is reported as a panic or as success.
+/// Guards against reporting an address in use as a panic or as success.
 #[test]
-fn a_taken_address_is_one_clear_error() {
+fn an_address_in_use_is_one_clear_error() {
     let taken = std::net::TcpListener::bind("127.0.0.1:0").expect("a port");
     let address = taken.local_addr().expect("an address").to_string();
     let arguments = with("--http", &["--http", &address]);
--- a/crates/daemon/tests/timeline.rs
+++ b/crates/daemon/tests/timeline.rs
@@ -1,4 +1,4 @@
-//! The ring of events: its bound, its gaps and its pages.
+//! The ring of events: capacity, gaps and pages.
 
 use bronzespoke_daemon::timeline::{self, CAPACITY, MAX_READ};
 use bronzespoke_model::event::Kind;
@@ -35,14 +35,14 @@
             return sequences;
         }
         sequences.extend(page.events.iter().map(|event| event.sequence));
-        assert!(page.next > after, "a page with events moves on");
+        assert!(page.next > after, "a page with events advances the position");
         after = page.next;
     }
 }
 
-/// Guards against pages that leave out, repeat or reorder events.
+/// Guards against pages that omit, repeat or reorder events.
 #[parameterized(
-    whole = { 5_000, 0, 1 },
+    complete = { 5_000, 0, 1 },
     middle = { 5_000, 4_321, 4_322 },
     overwritten = { CAPACITY + 10, 3, 11 },
 )]
@@ -52,7 +52,7 @@
     assert_eq!(read, expected);
 }
 
-/// Guards against a page larger than a JSON-RPC answer may be, and against a limit that is ignored.
+/// Guards against a page larger than a JSON-RPC response may be, and against ignoring the limit.
 #[parameterized(
     huge = { usize::MAX, MAX_READ },
     small = { 7, 7 },
@@ -77,12 +77,12 @@
     assert_eq!(
         page.first - (before.next + 1),
         5,
-        "five events are lost to the reader"
+        "five events were overwritten before the reader saw them"
     );
     assert_eq!(page.events[0].sequence, page.first);
 }
 
-/// Guards against a position at or beyond the end that restarts the reading or overflows.
+/// Guards against a position at or beyond the end that restarts from the beginning or overflows.
 #[parameterized(
     empty = { 0, 0 },
     end = { 5, 5 },
@@ -95,7 +95,7 @@
     assert_eq!(page.next, after);
 }
 
-/// Guards against stamps that go back, which would sort an effect before its cause.
+/// Guards against stamps that go backwards, which would order an effect before its cause.
 #[test]
 fn stamps_only_grow() {
     let ring = ring(1_000);
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -1,4 +1,4 @@
-//! One VM's control thread under test, without traffic. Other VMs are played by frames that the test sends.
+//! Control thread of one VM under test, without a gateway. Other VMs are simulated by frames that the test sends.
 #![allow(dead_code, reason = "each test program uses a part of this module")]
 
 use std::{
@@ -33,16 +33,16 @@
 
 /// Zone of the VM.
 pub const ZONE: id::AvailabilityZoneId = 1;
-/// Tries of what may need a leader first; each one waits for up to 3 s.
+/// Number of attempts for calls that need an elected leader; each one waits for up to 3 s.
 const TRIES: u32 = 40;
-/// Pause between two tries.
+/// Pause between two attempts.
 pub const PAUSE: Duration = Duration::from_millis(50);
 
 /// A VM of a cell, with its data folder.
 pub struct Vm {
-    /// As the directory lists it.
+    /// VM as the directory lists it.
     pub me: vm::Vm,
-    /// Its timeline.
+    /// Timeline of the process.
     pub ring: timeline::Ring,
     inbox: Inbox,
     folder: PathBuf,
@@ -58,7 +58,7 @@
     (listener, address)
 }
 
-/// Returns a VM of the directory.
+/// Returns a VM as the directory lists it.
 pub fn listed(id: id::VmId, name: &str, place: vm::Place, peer: SocketAddr) -> vm::Vm {
     vm::Vm {
         id,
@@ -129,11 +129,11 @@
         }
     }
 
-    /// Stops at once; nothing is handed over.
+    /// Stops immediately, without a transfer of leadership.
     pub async fn stop(self) {
         self.cancel.cancel();
         self.inbox.send(Message::Stop);
-        self.task.await.expect("no broken invariant");
+        self.task.await.expect("the control thread does not panic");
         for group in disk::groups(&self.folder) {
             wait_for_release(&self.folder, group).await;
         }
@@ -152,7 +152,7 @@
         receiver.await.expect("every call is answered")
     }
 
-    /// Makes a call until it is taken, because a leader has to be elected first.
+    /// Repeats a call until it is accepted, because a leader has to be elected first.
     pub async fn eventually<T>(&self, call: impl Fn(Reply<T>) -> Call) -> T {
         let mut last = None;
         for _ in 0..TRIES {
@@ -165,7 +165,7 @@
         panic!("the call was refused: {last:?}");
     }
 
-    /// Gives an operator's command until it is done.
+    /// Repeats an operator's command until it succeeds.
     pub async fn operate(&self, line: &str) {
         let mut last = None;
         for _ in 0..TRIES {
@@ -181,7 +181,7 @@
         panic!("{line}: {last:?}");
     }
 
-    /// Takes a frame of another VM.
+    /// Delivers a frame from another VM.
     pub async fn receive(&self, from: &vm::Vm, body: wire::Body) {
         let permit = self.inbox.reserve().await.expect("control runs");
         let frame = wire::Frame {
@@ -194,7 +194,7 @@
         self.inbox.send(Message::Frame(Box::new(frame), permit));
     }
 
-    /// Creates the team `kodokan`, and waits until its limit is divided.
+    /// Creates the team `kodokan`, and waits until its limit is divided into allotments.
     pub async fn create_team(&self) -> id::TeamId {
         self.operate("create team kodokan weight=1 cpu=64 memory=64GiB accelerators=0 requests=200")
             .await;
@@ -222,7 +222,7 @@
         self.eventually(|reply| Call::Register(registration, reply)).await;
     }
 
-    /// Reports for a worker, and waits for the answer.
+    /// Sends the report of a worker, and waits for the answer.
     pub async fn report(
         &self,
         worker: id::WorkerId,
@@ -240,21 +240,21 @@
         self.ask(|reply| Call::Report(report, reply)).await
     }
 
-    /// Waits until everything that was sent before is handled.
+    /// Waits until everything sent before has been handled.
     pub async fn settle(&self) {
         let (sender, receiver) = oneshot::channel();
         self.inbox.send(Message::Directory(sender));
         receiver.await.expect("control runs");
     }
 
-    /// Events of the timeline, in order.
+    /// Returns the events of the timeline, in order.
     pub fn events(&self) -> Vec<event::Kind> {
         let page = self.ring.read(0, timeline::MAX_READ);
         page.events.into_iter().map(|event| event.kind).collect()
     }
 }
 
-/// What a worker reports.
+/// Content of a worker's report.
 #[derive(Default)]
 pub struct Work {
     /// Tasks that run.
@@ -264,7 +264,7 @@
 }
 
 impl Work {
-    /// The failure of one run.
+    /// Returns a report of one failed run.
     pub fn failed(task: task::Ref, token: id::Token) -> Self {
         let outcome = task::Outcome::Failed;
         Self {
@@ -274,7 +274,7 @@
     }
 }
 
-/// A batch job of tasks that each fill a worker.
+/// Returns a batch job whose tasks each fill a worker.
 pub fn batch(tasks: u32) -> job::Spec {
     job::Spec {
         kind: job::Kind::Batch,
@@ -305,9 +305,9 @@
     }
 }
 
-/// Another VM, played by the test, which leads the group of another zone.
+/// Another VM, simulated by the test, which leads the group of another zone.
 pub struct Leader {
-    /// As its announcements tell.
+    /// VM as described by its announcements.
     pub me: vm::Vm,
     frames: mpsc::Receiver<peer::Received>,
     former_ended: bool,
@@ -316,7 +316,7 @@
 impl Leader {
     /// Zone whose group the VM leads.
     pub const ZONE: id::AvailabilityZoneId = 2;
-    /// Longest wait for a call; far above every pause after which a call is made again.
+    /// Timeout for the arrival of a frame; far longer than every resend interval.
     const PATIENCE: Duration = Duration::from_secs(10);
 
     /// Starts listening, and adds the zone to the cell of another VM.
@@ -355,7 +355,7 @@
         panic!("the zone was not added");
     }
 
-    /// Announces itself; it would seem silent after 3 s.
+    /// Sends an announcement; without one for 3 s the VM counts as unreachable.
     pub async fn announce(&self, to: &Vm) {
         let hello = wire::Hello {
             vm: self.me.clone(),
@@ -390,7 +390,7 @@
         self.next(|body| is_acceptance(&body, term).then_some(())).await;
     }
 
-    /// Tells whether a heartbeat of a term was accepted.
+    /// Returns whether a heartbeat of a term was accepted.
     pub fn has_accepted(&mut self, term: u64) -> bool {
         let received = std::iter::from_fn(|| self.frames.try_recv().ok());
         received
@@ -406,8 +406,8 @@
         self.next(pick).await
     }
 
-    /// Takes the next command for the zone; the end of claims of former processes is answered here, and has to come
-    /// before every claim.
+    /// Waits for the next command for the zone. The command that ends the claims of earlier incarnations is answered
+    /// here, and has to come before every claim.
     pub async fn command(&mut self, of: &Vm) -> (u64, zone::Command) {
         let pick = |body| match body {
             wire::Body::Request(number, _, wire::Request::Zone(envelope)) => Some((number, envelope.command)),
@@ -421,14 +421,14 @@
                     self.done(of, number, zone::Outcome::Done).await;
                 }
                 zone::Command::Claim { .. } if !self.former_ended => {
-                    panic!("a claim came before the end of former claims");
+                    panic!("a claim arrived before the claims of earlier incarnations were ended");
                 }
                 _ => return (number, command),
             }
         }
     }
 
-    /// Takes the next frame that is wanted.
+    /// Waits for the next frame that `pick` selects.
     async fn next<T>(&mut self, pick: impl Fn(wire::Body) -> Option<T>) -> T {
         let wanted = async {
             loop {
@@ -439,18 +439,18 @@
             }
         };
         let found = tokio::time::timeout(Self::PATIENCE, wanted).await;
-        found.expect("the frame comes")
+        found.expect("the frame arrives")
     }
 
-    /// Answers a command.
-    pub async fn answer(&self, to: &Vm, number: u64, reply: wire::Reply) {
+    /// Replies to a command.
+    pub async fn send_reply(&self, to: &Vm, number: u64, reply: wire::Reply) {
         self.announce(to).await;
         to.receive(&self.me, wire::Body::Reply(number, reply)).await;
     }
 
-    /// Answers a command with its outcome.
+    /// Replies to a command with its outcome.
     pub async fn done(&self, to: &Vm, number: u64, outcome: zone::Outcome) {
-        self.answer(to, number, wire::Reply::Zone(outcome)).await;
+        self.send_reply(to, number, wire::Reply::Zone(outcome)).await;
     }
 }
 
@@ -468,7 +468,7 @@
     accepted && message.term == term
 }
 
-/// Returns an id that the played zone owns under a prefix.
+/// Returns an id that, with the prefix, is owned by the simulated zone.
 pub fn owned(team: id::TeamId, prefix: &str) -> String {
     let zones = [ZONE, Leader::ZONE].map(|zone| {
         let record = root::Zone {
@@ -489,7 +489,7 @@
         .expect("half of all ids")
 }
 
-/// Waits until the thread of a group's disk has given the files back.
+/// Waits until the disk thread of a group has released its files.
 async fn wait_for_release(folder: &Path, group: id::GroupId) {
     for _ in 0..TRIES {
         if !matches!(
