--- a/crates/standin/src/fleet/simulation/faults.rs
+++ b/crates/standin/src/fleet/simulation/faults.rs
@@ -4,7 +4,7 @@
 
 use rand::Rng;
 
-use super::{ELECTION, Event, Simulation};
+use super::{ELECTION_DELAY, Event, Simulation};
 
 /// Time from the announcement of a departure to the end of the worker.
 const DEPARTURE_NOTICE: Duration = Duration::from_secs(2);
@@ -88,6 +88,6 @@
         for (_, (_, command)) in proposals.into_iter().take(keep) {
             self.apply(command);
         }
-        self.schedule(ELECTION, Event::Elect);
+        self.schedule(ELECTION_DELAY, Event::Elect);
     }
 }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -30,13 +30,13 @@
 /// Maximum additional latency of a message.
 const JITTER: Duration = Duration::from_millis(10);
 /// Time from a proposal to its commit.
-const COMMIT: Duration = Duration::from_millis(8);
+const COMMIT_LATENCY: Duration = Duration::from_millis(8);
 /// Time after which a directive is unacknowledged.
 const DIRECTIVE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum time from the start of a worker to its first announcement, in milliseconds.
 const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 500;
-/// Time without a leader before an election.
-const ELECTION: Duration = Duration::from_millis(1_200);
+/// Time without a leader between two terms.
+const ELECTION_DELAY: Duration = Duration::from_millis(1_200);
 
 /// Parameters of a simulation.
 #[derive(Debug, Clone)]
@@ -146,7 +146,7 @@
 
 /// A directive that was sent to a worker.
 #[derive(Debug)]
-struct Sent {
+struct SentDirective {
     term: u64,
     worker: cell::WorkerIndex,
     directive: directive::Directive,
@@ -183,7 +183,7 @@
     /// Proposals that are not committed, with the term of each.
     proposals: BTreeMap<u64, (u64, cell::Command)>,
     next_proposal: u64,
-    sent: HashMap<u64, Sent>,
+    sent: HashMap<u64, SentDirective>,
     next_directive: u64,
     hosts: Vec<Host>,
     proxies: Vec<id::VmId>,
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -11,13 +11,15 @@
 use bytes::Bytes;
 use rand::Rng;
 
-use super::{COMMIT, DIRECTIVE_TIMEOUT, EPOCH_MS, Event, LATENCY, Sent, Simulation, is_eligible};
+use super::{
+    COMMIT_LATENCY, DIRECTIVE_TIMEOUT, EPOCH_MS, Event, LATENCY, SentDirective, Simulation, is_eligible,
+};
 
 impl Simulation {
     pub(super) fn propose(&mut self, command: cell::Command) {
         self.next_proposal += 1;
         self.proposals.insert(self.next_proposal, (self.term, command));
-        self.schedule(COMMIT, Event::Commit(self.next_proposal));
+        self.schedule(COMMIT_LATENCY, Event::Commit(self.next_proposal));
     }
 
     pub(super) fn commit(&mut self, proposal: u64) {
@@ -89,7 +91,7 @@
             return;
         };
         let target = usize::from(registered.worker.address.port() - 1_000);
-        let sent = Sent {
+        let sent = SentDirective {
             term: self.term,
             worker,
             directive,
--- a/crates/storage/tests/damage.rs
+++ b/crates/storage/tests/damage.rs
@@ -144,13 +144,13 @@
     let segment = ten_records(folder.path());
     let intact = fs::read(&segment).expect("the segment is readable");
     let record = (intact.len() - 20) / 10;
-    for cut in 1..record {
-        fs::write(&segment, &intact[..intact.len() - cut]).expect("the segment is writable");
+    for missing in 1..record {
+        fs::write(&segment, &intact[..intact.len() - missing]).expect("the segment is writable");
         let (mut store, restored) = open(folder.path());
-        assert_eq!(restored.entries, entries(1..=9, 1), "{cut} bytes cut");
+        assert_eq!(restored.entries, entries(1..=9, 1), "{missing} bytes missing");
         store.write(&[append(10..=11, 2)]).expect("the disk has space");
         drop(store);
-        assert_eq!(open(folder.path()).1.entries.len(), 11, "{cut} bytes cut");
+        assert_eq!(open(folder.path()).1.entries.len(), 11, "{missing} bytes missing");
     }
 }
 
@@ -161,19 +161,19 @@
     let segment = ten_records(folder.path());
     let intact = fs::read(&segment).expect("the segment is readable");
     let tail = intact.len() - (intact.len() - 20) / 10;
-    for place in (0..intact.len()).step_by(3) {
+    for offset in (0..intact.len()).step_by(3) {
         let mut damaged = intact.clone();
-        damaged[place] ^= 1 << (place % 8);
+        damaged[offset] ^= 1 << (offset % 8);
         fs::write(&segment, &damaged).expect("the segment is writable");
         match Store::open(folder.path(), GROUP) {
-            Ok((_, restored)) => assert_eq!(restored.entries, entries(1..=9, 1), "byte {place}"),
-            Err(Error::Corrupt { .. }) => assert!(place < tail + 8, "byte {place} is in the tail"),
-            Err(error) => panic!("byte {place}: {error}"),
+            Ok((_, restored)) => assert_eq!(restored.entries, entries(1..=9, 1), "byte {offset}"),
+            Err(Error::Corrupt { .. }) => assert!(offset < tail + 8, "byte {offset} is in the tail"),
+            Err(error) => panic!("byte {offset}: {error}"),
         }
-        if place < tail - 80 {
+        if offset < tail - 80 {
             assert!(
                 Store::open(folder.path(), GROUP).is_err(),
-                "byte {place} is in the middle"
+                "byte {offset} is in the middle"
             );
         }
     }
@@ -181,7 +181,7 @@
 
 /// Guards against a damaged vote or snapshot that is treated as absent.
 #[yare::parameterized(vote_file = { "vote" }, snapshot_file = { "snapshot-" })]
-fn damaged_file_is_refused(name: &str) {
+fn damaged_file_is_an_error(name: &str) {
     let folder = tempfile::tempdir().expect("a temporary folder is created");
     let (mut store, _) = open(folder.path());
     let compact = write::Kind::Compact {
@@ -217,7 +217,7 @@
 
 /// Guards against a lost vote file: the replica could vote twice in one term.
 #[test]
-fn missing_vote_is_refused() {
+fn missing_vote_is_an_error() {
     let folder = tempfile::tempdir().expect("a temporary folder is created");
     ten_records(folder.path());
     fs::remove_file(folder.path().join("root/vote")).expect("the vote is stored");
--- a/crates/storage/tests/model.rs
+++ b/crates/storage/tests/model.rs
@@ -118,16 +118,16 @@
         let mut model = Model::default();
         for round in 0..16 {
             let (mut store, restored) = Store::open(folder.path(), GroupId::Root).expect("the store opens");
-            let place = format!("seed {seed} round {round}");
-            assert_eq!(restored.snapshot, model.snapshot, "{place}");
-            assert_eq!(restored.vote, model.vote, "{place}");
+            let context = format!("seed {seed} round {round}");
+            assert_eq!(restored.snapshot, model.snapshot, "{context}");
+            assert_eq!(restored.vote, model.vote, "{context}");
             // The store may retain entries that the model has compacted.
             let tail = restored
                 .entries
                 .len()
                 .checked_sub(model.entries.len())
                 .expect("no entry is missing");
-            assert_eq!(restored.entries[tail..], model.entries, "{place}");
+            assert_eq!(restored.entries[tail..], model.entries, "{context}");
             let mut writes = Vec::new();
             for sequence in 0..random.below(6) {
                 let kind = model.next(&mut random);
