--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -35,7 +35,7 @@
     pause_until: Duration,
     /// Multiple of `RESEND_AFTER` after which the call is resent.
     resend_factor: u32,
-    /// Whether no copy of the call can have been executed: every daemon that received one rejected it.
+    /// Whether all copies before the newest were rejected, so that none of them can have been executed.
     unexecuted: bool,
 }
 
--- a/crates/daemon/src/fleet/discovery.rs
+++ b/crates/daemon/src/fleet/discovery.rs
@@ -38,7 +38,7 @@
 
 /// Announcements that are due.
 #[derive(Debug, Default, PartialEq, Eq)]
-pub struct Actions {
+pub struct Announcements {
     /// Addresses that get an announcement.
     pub hello: Vec<SocketAddr>,
     /// Addresses whose connection has to be reopened before that.
@@ -186,7 +186,7 @@
     }
 
     /// Returns the announcements that are due: to seeds and daemons with a disk.
-    pub fn due(&mut self, now: Duration) -> Actions {
+    pub fn due(&mut self, now: Duration) -> Announcements {
         let seeds = &self.seeds;
         self.peers.retain(|address, peer| {
             let fresh = peer
@@ -198,7 +198,7 @@
             Some(_) => HELLO_INTERVAL,
             None => SEARCH_INTERVAL,
         };
-        let mut actions = Actions::default();
+        let mut announcements = Announcements::default();
         for (address, peer) in &mut self.peers {
             let is_target = peer.durable || seeds.contains(address);
             let due = peer.hello_sent.is_none_or(|sent| now >= sent + interval);
@@ -208,11 +208,11 @@
             let silent = now.saturating_sub(peer.last_contact.unwrap_or_default().max(peer.reset_at));
             if silent > RECONNECT_AFTER {
                 peer.reset_at = now;
-                actions.reset.push(*address);
+                announcements.reset.push(*address);
             }
             peer.hello_sent = Some(now);
-            actions.hello.push(*address);
+            announcements.hello.push(*address);
         }
-        actions
+        announcements
     }
 }
--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -142,12 +142,12 @@
             return;
         }
         self.hello_at = now + HELLO_CHECK;
-        let actions = self.discovery.due(now);
-        for address in actions.reset {
+        let announcements = self.discovery.due(now);
+        for address in announcements.reset {
             self.network.reset(address);
         }
         let durable = self.settings.data.is_some();
-        for address in actions.hello {
+        for address in announcements.hello {
             let zone = self.settings.zone.clone();
             let message = wire::Message::Hello { durable, zone };
             self.send_frame(address, None, peer::wire::Body::Fleet(message));
