cli: violations of guarantees in the demo, verbs for its steps

The field broken held the names of violated guarantees; the steps shares and configuration read like accessors. Printed texts are unchanged.

Checks: cargo check of the package with all targets is clean.

--- a/crates/cli/src/demo/counters.rs
+++ b/crates/cli/src/demo/counters.rs
@@ -12,7 +12,7 @@
     /// Number of repeated runs of work that must run only once.
     pub doubled: u64,
     /// Guarantees that were violated.
-    pub broken: Vec<String>,
+    pub violations: Vec<String>,
     /// Fraction of the processors of a full zone that were in use while work waited; `None` if not measured.
     pub packing: Option<f64>,
     /// Team, its share by weight, and its measured share while all teams had work waiting.
@@ -28,7 +28,7 @@
         self.completed += u64::from(completed);
         self.waits.push((kind, wait));
         if !completed {
-            self.broken
+            self.violations
                 .push(format!("one {kind} was accepted and not completed"));
         }
     }
@@ -37,7 +37,7 @@
     pub fn check(&mut self, holds: bool, guarantee: &str) {
         println!("  {} {guarantee}", if holds { "held:  " } else { "BROKEN:" });
         if !holds {
-            self.broken.push(String::from(guarantee));
+            self.violations.push(String::from(guarantee));
         }
     }
 
@@ -48,7 +48,7 @@
 
     /// Returns whether all guarantees held.
     pub const fn holds(&self) -> bool {
-        self.broken.is_empty() && self.lost() == 0 && self.doubled == 0
+        self.violations.is_empty() && self.lost() == 0 && self.doubled == 0
     }
 
     /// Returns the number of waits of a kind, and the median and largest waiting time.
--- a/crates/cli/src/demo/mod.rs
+++ b/crates/cli/src/demo/mod.rs
@@ -110,10 +110,10 @@
         demo.set_up().await?;
         demo.requests().await?;
         demo.jobs().await?;
-        demo.shares().await?;
+        demo.measure_shares().await?;
         demo.withdraw_key().await?;
         demo.drain_target().await?;
-        demo.configuration().await?;
+        demo.change_configuration().await?;
         demo.partition_zone().await
     })?;
     demo.lose_vm(runtime)
--- a/crates/cli/src/demo/requests.rs
+++ b/crates/cli/src/demo/requests.rs
@@ -209,7 +209,7 @@
 
     /// Changes the configuration twice from the same version. Checks that exactly one change is accepted, and that it
     /// comes into force on all VMs.
-    pub(super) async fn configuration(&mut self) -> Result<(), String> {
+    pub(super) async fn change_configuration(&mut self) -> Result<(), String> {
         println!("Configuration: two operators start from the same version.");
         let one = self.cell.execute(0, "set config retry_percent=11 expect 0");
         let other = self.cell.execute(5, "set config retry_percent=12 expect 0");
--- a/crates/cli/src/demo/shares.rs
+++ b/crates/cli/src/demo/shares.rs
@@ -19,7 +19,7 @@
 const WARM_UP: Duration = Duration::from_millis(700);
 
 impl Demo {
-    pub(super) async fn shares(&mut self) -> Result<(), String> {
+    pub(super) async fn measure_shares(&mut self) -> Result<(), String> {
         println!("Shares: two teams of weights 2 and 1 want more than a zone has.");
         let spec = jobs::spec(job::Kind::Batch, TASKS, CORES, "sleep 200");
         let first = self.submit(0, &spec);
--- a/crates/cli/src/demo/summary.rs
+++ b/crates/cli/src/demo/summary.rs
@@ -31,7 +31,7 @@
     );
     let doubled = demo.counters.doubled + totals.overlapping + totals.reruns;
     holds &= totals.overlapping == 0 && totals.over_capacity == 0 && totals.reruns == 0;
-    for guarantee in &demo.counters.broken {
+    for guarantee in &demo.counters.violations {
         println!("BROKEN: {guarantee}");
     }
     println!(
