bench: fits instead of slopes in the capacity bench

The types named Slopes hold linear fits with a fixed part, not only slopes; they are now Fits. The cost of frames says again that each side is charged half of a write with its read. Printed names are unchanged.

--- a/crates/bench/benches/capacity/daemons.rs
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -316,7 +316,7 @@
 
 /// Cost of complete daemons.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct Fits {
     /// Processor time of all threads of an idle daemon, in microseconds per second, by VMs.
     pub idle: line::Line,
     /// Processor time of all threads of six daemons, in microseconds per second, by idle workers of one zone.
@@ -326,7 +326,7 @@
 }
 
 /// Runs the measurements of this module, prints them, and returns the fitted lines.
-pub fn measure() -> Slopes {
+pub fn measure() -> Fits {
     line::print_heading("Whole daemons on loopback, idle (`crates/daemon`)");
     let before = count::live();
     let idle = [3_u16, 6, 10, 17].map(|zones| {
@@ -364,7 +364,7 @@
         &idle_workers,
     );
     let loaded = loaded();
-    Slopes {
+    Fits {
         idle,
         workers,
         loaded,
--- a/crates/bench/benches/capacity/links.rs
+++ b/crates/bench/benches/capacity/links.rs
@@ -14,7 +14,7 @@
 
 /// Cost of announcements and frames.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct Fits {
     /// Bytes of the announcement of a daemon with three replicas, by groups that it leads.
     pub hello: line::Line,
     /// Microseconds to encode and to decode a frame, by its size in bytes.
@@ -42,7 +42,7 @@
 }
 
 /// Runs the measurements of this module, prints them, and returns the fitted lines.
-pub fn measure() -> Slopes {
+pub fn measure() -> Fits {
     line::print_heading("Announcements and frames (`crates/daemon/src/peer`)");
     let hello = line::fit(
         "announcement, three replicas",
@@ -75,7 +75,7 @@
         "µs",
         &socket_times(&sizes),
     );
-    Slopes { hello, codec, socket }
+    Fits { hello, codec, socket }
 }
 
 fn socket_times(sizes: &[usize]) -> Vec<(f64, f64)> {
--- a/crates/bench/benches/capacity/main.rs
+++ b/crates/bench/benches/capacity/main.rs
@@ -20,7 +20,7 @@
 
 fn main() {
     choices::measure();
-    let slopes = role::Slopes {
+    let fits = role::Fits {
         scheduler: scheduler::measure(),
         state: state::measure_zone(),
         root: state::measure_root(),
@@ -30,5 +30,5 @@
         soft: soft::measure(),
         daemons: daemons::measure(),
     };
-    role::print(&slopes);
+    role::print(&fits);
 }
--- a/crates/bench/benches/capacity/replication.rs
+++ b/crates/bench/benches/capacity/replication.rs
@@ -55,7 +55,7 @@
 
 /// Cost of replication and of the feed.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct Fits {
     /// Traffic of the leader and of one follower in a group of three, by entries per second.
     pub loaded: [Lines; 2],
     /// Traffic of the leader and of one follower in an idle group, by voters.
@@ -251,9 +251,9 @@
 }
 
 fn lines(name: &str, unit: &str, points: &[(f64, Traffic)]) -> Lines {
-    let column = |part: &str, y: &str, value: &dyn Fn(&Traffic) -> f64| {
+    let column = |measure: &str, y: &str, value: &dyn Fn(&Traffic) -> f64| {
         let points: Vec<_> = points.iter().map(|(x, traffic)| (*x, value(traffic))).collect();
-        line::fit(&format!("{name}, {part}"), unit, y, &points)
+        line::fit(&format!("{name}, {measure}"), unit, y, &points)
     };
     Lines {
         frames_out: column("frames sent per second", "frames/s", &|traffic| {
@@ -268,7 +268,7 @@
 }
 
 /// Runs the measurements of this module, prints them, and returns the fitted lines.
-pub fn measure() -> Slopes {
+pub fn measure() -> Fits {
     line::print_heading("Replication (`crates/consensus`, frames of `crates/daemon/src/peer/wire.rs`)");
     let mut loaded: [Vec<(f64, Traffic)>; 2] = Default::default();
     let mut micros: [Vec<(f64, f64)>; 2] = Default::default();
@@ -307,7 +307,7 @@
         (rate as f64, group.second()[0].0.bytes_out)
     });
     let by_rate = "entries/s, one start or end each";
-    Slopes {
+    Fits {
         loaded: [
             lines("leader of 3", by_rate, &loaded[0]),
             lines("follower of 3", by_rate, &loaded[1]),
--- a/crates/bench/benches/capacity/reports.rs
+++ b/crates/bench/benches/capacity/reports.rs
@@ -30,7 +30,7 @@
 
 /// Cost of reports and their responses.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct Fits {
     /// Bytes of a report with its HTTP headers, by runs that it lists and by ends.
     pub report: [line::Line; 2],
     /// Bytes of a response with its HTTP headers, by starts.
@@ -230,7 +230,7 @@
 }
 
 /// Runs the measurements of this module, prints them, and returns the fitted lines.
-pub fn measure() -> Slopes {
+pub fn measure() -> Fits {
     line::print_heading(
         "Workers' reports (`crates/daemon/src/control/session.rs`), through a gateway on loopback",
     );
@@ -290,7 +290,7 @@
             }),
         ),
     ];
-    Slopes {
+    Fits {
         report: report_bytes,
         response,
         micros,
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -48,25 +48,25 @@
 const MAX_MEGABYTES: f64 = 64.0;
 const MAX_BYTES_PER_SECOND: f64 = 24_000.0;
 
-/// Measured unit costs.
+/// Linear fits of the measured costs, from which the cost of roles is computed.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct Fits {
     /// Scheduler of a zone.
-    pub scheduler: scheduler::Slopes,
+    pub scheduler: scheduler::Fits,
     /// State of a zone group.
-    pub state: state::ZoneSlopes,
+    pub state: state::ZoneFits,
     /// State of the root group.
-    pub root: state::RootSlopes,
+    pub root: state::RootFits,
     /// Replication and the feed.
-    pub replication: replication::Slopes,
+    pub replication: replication::Fits,
     /// Announcements and frames between daemons.
-    pub links: links::Slopes,
+    pub links: links::Fits,
     /// Workers' reports and their responses.
-    pub reports: reports::Slopes,
+    pub reports: reports::Fits,
     /// Gossip and reports of demand.
-    pub soft: soft::Slopes,
+    pub soft: soft::Fits,
     /// Complete daemons.
-    pub daemons: daemons::Slopes,
+    pub daemons: daemons::Fits,
 }
 
 /// Cost of a role: bytes and processor time per second, and bytes of memory.
@@ -91,8 +91,9 @@
     }
 }
 
-impl Slopes {
-    /// Returns the microseconds to encode and write outgoing frames, and to read and decode incoming ones.
+impl Fits {
+    /// Returns the microseconds to encode and write outgoing frames, and to read and decode incoming ones. Each side is
+    /// charged half of the measured time of a write with its read.
     fn frames(&self, out: f64, bytes_out: f64, inward: f64, bytes_in: f64) -> f64 {
         let size = |frames: f64, bytes: f64| if frames > 0.0 { bytes / frames } else { 0.0 };
         let (size_out, size_in) = (size(out, bytes_out), size(inward, bytes_in));
@@ -332,8 +333,8 @@
     )
 }
 
-fn print_total(name: &str, parts: &[Cost]) {
-    let cost = parts.iter().copied().fold(Cost::default(), Cost::add);
+fn print_total(name: &str, roles: &[Cost]) {
+    let cost = roles.iter().copied().fold(Cost::default(), Cost::add);
     println!(
         "| {name} | {} | {} | {} | {} |",
         compare("sent", cost.sent, MAX_BYTES_PER_SECOND, "B/s"),
@@ -351,25 +352,25 @@
 }
 
 /// Prints the cost of roles and daemons, without load and at peak load.
-pub fn print(slopes: &Slopes) {
+pub fn print(fits: &Fits) {
     for (name, starts) in [
         ("no starts", 0.0),
         ("peak, 147 starts and ends a second in each zone", STARTS),
     ] {
         let changed = changed_teams(starts);
         let targets = if starts > 0.0 { TARGETS } else { 0.0 };
-        let announcements = slopes.announcements();
-        let idle = slopes.gossip(0.0);
-        let gossip = slopes.gossip(targets);
-        let [zone_demand, root_demand] = slopes.demand(changed);
-        let (learner, voter, leader) = (slopes.learner(), slopes.root_voter(), slopes.root_leader());
-        let (follower, zone_leader) = (slopes.zone_follower(starts), slopes.zone_leader(starts));
-        let (scheduler, reports) = (slopes.scheduler(starts), slopes.reports(starts));
+        let announcements = fits.announcements();
+        let idle = fits.gossip(0.0);
+        let gossip = fits.gossip(targets);
+        let [zone_demand, root_demand] = fits.demand(changed);
+        let (learner, voter, leader) = (fits.learner(), fits.root_voter(), fits.root_leader());
+        let (follower, zone_leader) = (fits.zone_follower(starts), fits.zone_leader(starts));
+        let (scheduler, reports) = (fits.scheduler(starts), fits.reports(starts));
         println!("\n### Roles, {name}\n");
         println!(
             "| role | sent, B/s | received, B/s | CPU, % of a core | memory, MB |\n| --- | --- | --- | --- | --- |"
         );
-        print_role("daemon without load, measured as a whole", slopes.daemon());
+        print_role("daemon without load, measured as a whole", fits.daemon());
         print_role("announcements (every daemon)", announcements);
         print_role("gossip member, idle table", idle);
         print_role(&format!("gossip member, {targets} targets"), gossip);
@@ -385,7 +386,7 @@
         print_role("zone leader, workers' reports", reports);
         println!("\n### Daemons, {name}\n");
         println!("| daemon | sent | received | CPU | memory |\n| --- | --- | --- | --- | --- |");
-        let all = slopes.daemon() + announcements + gossip;
+        let all = fits.daemon() + announcements + gossip;
         print_total("entry: zone follower, root learner", &[all, learner, follower]);
         print_total(
             "entry: zone follower and witness, root voter",
@@ -401,8 +402,8 @@
         print_total("entry: zone leader, witness of two zones, root leader", &busiest);
         let remaining = [all, leads, follower, follower];
         print_total("the same without workers' reports", &remaining);
-        let remote = slopes.soft.remote[0].at(VMS)
-            + slopes.soft.remote[1].slope * targets
+        let remote = fits.soft.remote[0].at(VMS)
+            + fits.soft.remote[1].slope * targets
             + (ZONES - 1.0) * (zone_demand.sent + zone_demand.received);
         println!(
             "\nSoft state between all regions together: {} B/s.",
@@ -412,13 +413,13 @@
     println!(
         "\nSnapshot of a zone at the target size with full id tables and no answers: {} bytes, {} ms to encode, {} ms to \
          decode and verify.",
-        short(by_tables(&slopes.state.snapshot)),
-        short(by_tables(&slopes.state.encode) / 1000.0),
-        short(by_tables(&slopes.state.decode) / 1000.0),
+        short(by_tables(&fits.state.snapshot)),
+        short(by_tables(&fits.state.encode) / 1000.0),
+        short(by_tables(&fits.state.decode) / 1000.0),
     );
     let tables = TABLE_BYTES / 1e6;
     let without_tables =
-        (slopes.root_leader().bytes + 3.0 * slopes.zone_state() + slopes.scheduler(0.0).bytes) / 1e6;
+        (fits.root_leader().bytes + 3.0 * fits.zone_state() + fits.scheduler(0.0).bytes) / 1e6;
     println!(
         "\nWith the tables of open jobs, ended jobs and answers at their bounds, each replica of a zone takes up to {} MB \
          more; with three replicas that makes {} MB.",
@@ -429,7 +430,7 @@
         "\nLeader of a zone with {} starts and ends a second, bytes sent for the log: {} with an entry for each, {} with \
          10 entries a second.",
         short(2.0 * STARTS),
-        short(slopes.replication.batched.at(2.0 * STARTS)),
-        short(slopes.replication.batched.at(10.0)),
+        short(fits.replication.batched.at(2.0 * STARTS)),
+        short(fits.replication.batched.at(10.0)),
     );
 }
--- a/crates/bench/benches/capacity/scheduler.rs
+++ b/crates/bench/benches/capacity/scheduler.rs
@@ -13,7 +13,7 @@
 
 /// Cost of the scheduler.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct Fits {
     /// Mean, median and 99th percentile of the microseconds from the end of a run to the next start, by workers.
     pub placement: [line::Line; 3],
     /// Microseconds of a report, by running tasks of the worker.
@@ -112,7 +112,7 @@
 }
 
 /// Runs the measurements of this module, prints them, and returns the fitted lines.
-pub fn measure() -> Slopes {
+pub fn measure() -> Fits {
     line::print_heading("Scheduler (`crates/schedule`)");
     let points = placements();
     let placement = [("mean", 0), ("median", 1), ("p99", 2)].map(|(name, column)| {
@@ -129,7 +129,7 @@
         "µs",
         &reports(),
     );
-    Slopes {
+    Fits {
         placement,
         report,
         memory: memory(),
--- a/crates/bench/benches/capacity/soft.rs
+++ b/crates/bench/benches/capacity/soft.rs
@@ -20,7 +20,7 @@
 
 /// Cost of gossip and of reports of demand.
 #[derive(Debug)]
-pub struct Slopes {
+pub struct Fits {
     /// Maximum bytes per second that a VM sends, by VMs and by targets.
     pub sent: [line::Line; 2],
     /// Maximum bytes per second that a VM receives, by VMs and by targets.
@@ -234,7 +234,7 @@
 }
 
 /// Runs the measurements of this module, prints them, and returns the fitted lines.
-pub fn measure() -> Slopes {
+pub fn measure() -> Fits {
     line::print_heading("Soft state (`crates/gossip`, frames of `crates/daemon/src/peer/wire.rs`)");
     let vms = [3, 6, 10, 17].map(|zones| (2.0 * zones as f64, run(build(zones), |_, _| {})));
     let targets = [50, 200, 500, 1000].map(|targets| {
@@ -257,7 +257,7 @@
             line::fit(name, x, y, &points)
         })
     };
-    Slopes {
+    Fits {
         sent: column("bytes sent by the busiest VM", "B/s", &|second| second.sent),
         received: column("bytes received by the busiest VM", "B/s", &|second| {
             second.received
--- a/crates/bench/benches/capacity/state.rs
+++ b/crates/bench/benches/capacity/state.rs
@@ -15,7 +15,7 @@
 
 /// Cost of the state of a zone group.
 #[derive(Debug)]
-pub struct ZoneSlopes {
+pub struct ZoneFits {
     /// Microseconds to apply one start and its end, by running tasks.
     pub start_and_end: line::Line,
     /// Microseconds to apply a submission, by jobs.
@@ -32,7 +32,7 @@
 
 /// Cost of the state of the root group.
 #[derive(Debug)]
-pub struct RootSlopes {
+pub struct RootFits {
     /// Bytes of memory of the state and its view in 17 zones, by teams with four keys each.
     pub memory: line::Line,
     /// Microseconds to apply a change of a key and to create the new view, by teams.
@@ -150,7 +150,7 @@
 }
 
 /// Measures the state of a zone group, prints the table, and returns the fitted lines.
-pub fn measure_zone() -> ZoneSlopes {
+pub fn measure_zone() -> ZoneFits {
     line::print_heading("Zone state (`crates/control/src/zone`)");
     let start_and_end = fit_sizes(
         "time to apply a start and its end",
@@ -213,7 +213,7 @@
         let bytes = zone.0.encode();
         count::micros(|| drop(black_box(zone::State::decode(&bytes))))
     });
-    ZoneSlopes {
+    ZoneFits {
         start_and_end,
         submit,
         memory,
@@ -224,7 +224,7 @@
 }
 
 /// Measures the state of the root group, prints the table, and returns the fitted lines.
-pub fn measure_root() -> RootSlopes {
+pub fn measure_root() -> RootFits {
     line::print_heading("Root state (`crates/control/src/root`)");
     let memory = fit_sizes(
         "memory of the root state and its view, 17 zones, 34 VMs, 4 keys a team",
@@ -279,7 +279,7 @@
             count::micros(|| drop(black_box(root::rebalance(&state, &demand))))
         },
     );
-    RootSlopes {
+    RootFits {
         memory,
         change,
         rebalance,
--- a/crates/bench/benches/speed/request.rs
+++ b/crates/bench/benches/speed/request.rs
@@ -160,11 +160,11 @@
     for (name, address) in [("direct", target.address()), ("gateway", server.address())] {
         let mut caller = runtime
             .block_on(caller::Caller::connect(address))
-            .expect("the side accepts");
+            .expect("the server accepts");
         group.bench_function(name, |bencher| {
             bencher.iter(|| {
-                let answer = runtime.block_on(caller.send(Method::POST, PATH, &[], "belt"));
-                assert_eq!(answer.expect("an answer").body.len(), 4);
+                let response = runtime.block_on(caller.send(Method::POST, PATH, &[], "belt"));
+                assert_eq!(response.expect("the server responds").body.len(), 4);
             });
         });
     }
@@ -197,7 +197,11 @@
 async fn load(address: SocketAddr, count: u64) -> Duration {
     let mut callers = Vec::new();
     for _ in 0..CALLERS {
-        callers.push(caller::Caller::connect(address).await.expect("the side accepts"));
+        callers.push(
+            caller::Caller::connect(address)
+                .await
+                .expect("the server accepts"),
+        );
     }
     let each = count.div_ceil(CALLERS as u64);
     let started = Instant::now();
@@ -205,8 +209,8 @@
     for mut caller in callers {
         tasks.spawn(async move {
             for _ in 0..each {
-                let answer = caller.send(Method::POST, PATH, &[], "belt").await;
-                assert_eq!(answer.expect("an answer").status.as_u16(), 200);
+                let response = caller.send(Method::POST, PATH, &[], "belt").await;
+                assert_eq!(response.expect("the server responds").status.as_u16(), 200);
             }
         });
     }
@@ -218,6 +222,7 @@
         .mul_f64(count as f64 / (each * CALLERS as u64) as f64)
 }
 
+/// Channel ends that the gateway expects to stay open while it runs.
 type Views = (
     mpsc::Receiver<control::Call>,
     watch::Sender<Arc<control::View>>,
