daemon: names for the resend interval and the answered report

RESEND is an interval, and sent_at held a sequence number rather than a time; both names now say so. No other change.

--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -15,7 +15,7 @@
 /// Maximum number of pending requests; further ones fail with `NotDone`.
 pub const MAX_OPEN: usize = 8192;
 /// Interval at which a request without a reply is resent; several round trips between regions.
-const RESEND: Duration = Duration::from_millis(300);
+const RESEND_INTERVAL: Duration = Duration::from_millis(300);
 /// Default time after which a request without a reply fails.
 pub const DEADLINE: Duration = Duration::from_secs(3);
 
@@ -29,7 +29,7 @@
     then: responder::Callback,
     deadline: Duration,
     resend_at: Duration,
-    /// Copies that were sent and may have taken effect; a reply that nothing was done takes one off.
+    /// Copies that were sent and may have taken effect; a reply that nothing was done subtracts one.
     copies: u32,
 }
 
@@ -117,7 +117,7 @@
         if not_leader || (is_refusal(&reply) && open.copies > 1) {
             open.copies = open.copies.saturating_sub(1);
             // Wait a little before the next try, since the new leader may not be known yet.
-            open.resend_at = context.now() + RESEND / 3;
+            open.resend_at = context.now() + RESEND_INTERVAL / 3;
             return;
         }
         if let Some(open) = self.open.remove(&number) {
@@ -171,7 +171,7 @@
 
 /// Sends a copy to the leader, or returns it when this VM is the leader.
 fn send(context: &context::Context, number: u64, open: &mut Open, leader: Option<id::VmId>) -> Option<Own> {
-    open.resend_at = context.now() + RESEND;
+    open.resend_at = context.now() + RESEND_INTERVAL;
     let leader = leader?;
     open.copies = open.copies.saturating_add(1);
     let (group, request) = (open.group, open.request.clone());
--- a/crates/daemon/src/control/session.rs
+++ b/crates/daemon/src/control/session.rs
@@ -60,7 +60,7 @@
     /// Runs for which the last reply contained directives.
     sent: HashSet<id::Token>,
     /// Sequence number of the report that was answered last.
-    sent_at: u64,
+    answered_sequence: u64,
     answered: Option<Duration>,
     held: Option<Held>,
 }
@@ -160,7 +160,7 @@
             session.acknowledged = session.sequence;
         }
         session.answered = Some(now);
-        session.sent_at = session.sequence;
+        session.answered_sequence = session.sequence;
         session.sent = directives.iter().map(token).collect();
         let response = worker::Reply {
             acknowledged: session.acknowledged,
@@ -216,7 +216,7 @@
             let message = format!("{} tasks run, at most {most} are allowed", running.len());
             return Err(invalid("running", message));
         }
-        if report.base.is_some_and(|base| base < self.sent_at) {
+        if report.base.is_some_and(|base| base < self.answered_sequence) {
             // The worker did not receive the last reply.
             self.sent.clear();
         }
