daemon: texts of answers as they were

The change of wording also reworded texts that leave the process. Tools of operators and callers may match them, so they have to stay letter for letter.

- answers and errors of operators' commands: the change of members, changed parts, a command that is not planned here, the silence of a zone that is declared lost, zones with parts above the limit;
- messages of refusals to callers and workers: former lives of workers and targets, a zone without a leader, a new leader that takes over its state, too many claims that wait for the owner;
- reasons in replies between daemons, which also reach operators and callers: too many open calls, calls that do not belong to a group, a log that takes no commands;

Log lines, startup errors on standard error, expect texts and texts of verify stay reworded.

--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -113,7 +113,7 @@
             return;
         }
         if let Some(pending) = self.former.wait(pending) {
-            self.refuse_claim(pending, String::from("too many claims are waiting for the owner"));
+            self.refuse_claim(pending, String::from("too many claims wait for the owner"));
         }
         self.end_former(zone);
     }
@@ -350,10 +350,7 @@
                 wire::Reply::Zone(zone::Outcome::Refused(zone::Refusal::StaleIncarnation)) => {
                     Err(control::Refusal::Invalid {
                         field: String::from("incarnation"),
-                        message: format!(
-                            "{} is an earlier incarnation of the worker",
-                            registration.incarnation
-                        ),
+                        message: format!("{} is a former life of the worker", registration.incarnation),
                     })
                 }
                 wire::Reply::Zone(zone::Outcome::Done) => Ok(()),
@@ -384,7 +381,7 @@
             .map(|peer| peer.vm.http);
         let refusal = match address {
             Some(address) => control::Refusal::Redirect(address),
-            None => control::Refusal::Unavailable(String::from("the zone currently has no leader")),
+            None => control::Refusal::Unavailable(String::from("the zone has no leader now")),
         };
         drop(reply.send(Err(refusal)));
     }
--- a/crates/daemon/src/control/effect.rs
+++ b/crates/daemon/src/control/effect.rs
@@ -104,7 +104,7 @@
         });
         let names: Vec<_> = lagging.map(|vm| vm.name.as_str()).collect();
         if names.is_empty() {
-            String::from("some zones: allotments above the limit are not released")
+            String::from("some zones: parts above the limit are not released")
         } else {
             names.join(", ")
         }
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -103,7 +103,7 @@
             _ => {
                 return Err((
                     answer::Code::Internal,
-                    String::from("the command is not a root command"),
+                    String::from("the command is not planned here"),
                 ));
             }
         })
@@ -128,9 +128,8 @@
         let silence = silence.as_millis() as u64;
         if silence < root::LossProof::MIN_STOPPED_MS {
             let least = root::LossProof::MIN_STOPPED_MS;
-            let message = format!(
-                "last contact with zone {zone} was {silence} ms ago; {least} ms of silence are required"
-            );
+            let message =
+                format!("zone {zone} was heard of {silence} ms ago; {least} ms of silence are needed");
             return Err((answer::Code::Invalid, message));
         }
         Ok(silence)
@@ -205,7 +204,7 @@
     fn change(&mut self, group: id::GroupId, change: membership::Change, reply: Reply) {
         let then = Box::new(move |response| {
             let answer = match response {
-                wire::Reply::Done => answer::Answer::text("The change of membership is committed."),
+                wire::Reply::Done => answer::Answer::text("The change of members is committed."),
                 other => refused(other),
             };
             drop(reply.send(answer));
@@ -315,7 +314,7 @@
             let message = format!("version {version} was accepted first, by command {winner}");
             answer::Answer::error(answer::Code::Conflict, message)
         }
-        root::Outcome::Granted(_) => answer::Answer::text("The allotments are changed."),
+        root::Outcome::Granted(_) => answer::Answer::text("The parts are changed."),
         root::Outcome::Refused(refusal) => refuse(refusal),
     }
 }
--- a/crates/daemon/src/control/requests.rs
+++ b/crates/daemon/src/control/requests.rs
@@ -82,7 +82,7 @@
     ) {
         if self.open.len() >= MAX_OPEN {
             then(wire::Reply::NotDone(String::from(
-                "too many requests to other VMs are pending",
+                "too many calls to other VMs are open",
             )));
             return;
         }
--- a/crates/daemon/src/control/responder.rs
+++ b/crates/daemon/src/control/responder.rs
@@ -53,7 +53,7 @@
         let reply = match reason {
             replica::Rejection::Unknown => wire::Reply::Unknown,
             replica::Rejection::NotLeader { .. } | replica::Rejection::Transferring => wire::Reply::NotLeader,
-            other => wire::Reply::NotDone(format!("the log does not accept commands now: {other:?}")),
+            other => wire::Reply::NotDone(format!("the log does not take commands now: {other:?}")),
         };
         self.reply(context, reply);
     }
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -392,7 +392,7 @@
             return;
         }
         if self.restoration.is_some() {
-            let reason = String::from("the new leader of the zone is still restoring its state");
+            let reason = String::from("the new leader of the zone takes over its state");
             drop(reply.send(Err(control::Refusal::Unavailable(reason))));
             return;
         }
--- a/crates/daemon/src/control/serve.rs
+++ b/crates/daemon/src/control/serve.rs
@@ -133,7 +133,7 @@
             (_, wire::Request::Change(change)) => self.change_members(group, change, responder),
             (id::GroupId::Zone(zone), request) => self.serve_zone(zone, request, responder),
             (id::GroupId::Root, _) => {
-                let reason = String::from("the request does not belong to the root group");
+                let reason = String::from("the call does not belong to the root group");
                 responder.reply(&self.context, wire::Reply::NotDone(reason));
             }
         }
@@ -181,7 +181,7 @@
                 responder.reply(&self.context, wire::Reply::Answer(answer));
             }
             wire::Request::Root(_) | wire::Request::Change(_) => {
-                let reason = String::from("the request does not belong to a zone group");
+                let reason = String::from("the call does not belong to a zone group");
                 responder.reply(&self.context, wire::Reply::NotDone(reason));
             }
         }
--- a/crates/daemon/src/control/targets.rs
+++ b/crates/daemon/src/control/targets.rs
@@ -101,7 +101,7 @@
         };
         if known.incarnation > announcement.incarnation {
             let message = format!(
-                "{} is an earlier incarnation; at least {} is allowed",
+                "{} is a former life; at least {} is allowed",
                 announcement.incarnation, known.incarnation
             );
             return Err(invalid("incarnation", message));
--- a/crates/daemon/src/settings/read.rs
+++ b/crates/daemon/src/settings/read.rs
@@ -75,7 +75,7 @@
     "--data",
     "BRONZESPOKE_DATA",
     "FOLDER",
-    "folder for durable state; without it this VM keeps no state across restarts",
+    "folder for durable state; without it this VM keeps nothing over a restart",
 );
 const FOUND: Definition = define(
     "--found",
