--- a/crates/cli/tests/settings.rs
+++ b/crates/cli/tests/settings.rs
@@ -100,7 +100,7 @@
 }
 
 #[test]
-fn all_faults_are_reported_at_once() {
+fn all_errors_are_reported_at_once() {
     let arguments = [
         "--timeout",
         "1h",
--- a/crates/daemon/src/control/actor.rs
+++ b/crates/daemon/src/control/actor.rs
@@ -17,9 +17,9 @@
 };
 
 /// Maximum interval between ticks.
-const LONGEST_TICK: Duration = Duration::from_millis(100);
+const MAX_TICK: Duration = Duration::from_millis(100);
 /// Minimum interval between ticks, which bounds the cost of timers.
-const SHORTEST_TICK: Duration = Duration::from_millis(1);
+const MIN_TICK: Duration = Duration::from_millis(1);
 /// Time limit for the transfer of leadership at shutdown.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -242,7 +242,7 @@
     /// Schedules a tick for the next timer unless an earlier one is already scheduled.
     fn schedule_tick(&mut self) {
         let now = self.context.now();
-        let mut next = now + LONGEST_TICK;
+        let mut next = now + MAX_TICK;
         next = next
             .min(self.hello_at)
             .min(self.maintenance_at)
@@ -260,8 +260,8 @@
         if let Some(due) = due.chain(self.root.due()).min() {
             next = next.min(due);
         }
-        let next = next.max(now + SHORTEST_TICK);
-        if self.tick_at.is_none_or(|at| next + SHORTEST_TICK < at) {
+        let next = next.max(now + MIN_TICK);
+        if self.tick_at.is_none_or(|at| next + MIN_TICK < at) {
             self.tick_at = Some(next);
             self.inbox.tick_after(next.saturating_sub(now));
         }
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -17,8 +17,8 @@
 const LISTING_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of peer addresses to which announcements are sent.
 const MAX_KNOWN: usize = 256;
-/// Time after which a daemon that sends no announcements is forgotten, unless the directory lists it.
-const FORGET: Duration = Duration::from_mins(1);
+/// Time after which a daemon that sends no announcements is evicted, unless the directory lists it.
+const EVICT_AFTER: Duration = Duration::from_mins(1);
 
 impl Controller {
     /// Sends this daemon's announcement to all known addresses.
@@ -120,8 +120,8 @@
         }
     }
 
-    /// Forgets daemons that are unlisted and silent for longer than [`FORGET`], and closes their links.
-    pub(super) fn forget_peers(&mut self) {
+    /// Evicts daemons that are unlisted and silent for longer than [`EVICT_AFTER`], and closes their links.
+    pub(super) fn evict_peers(&mut self) {
         let now = self.context.now();
         let listed = &self.root.view().vms;
         if !listed.is_empty() {
@@ -130,7 +130,7 @@
         }
         self.context
             .peers
-            .retain(|vm, peer| listed.contains_key(vm) || now.saturating_sub(peer.last_seen) < FORGET);
+            .retain(|vm, peer| listed.contains_key(vm) || now.saturating_sub(peer.last_seen) < EVICT_AFTER);
         let addresses = self.addresses();
         self.context
             .network
--- a/crates/daemon/src/control/maintenance.rs
+++ b/crates/daemon/src/control/maintenance.rs
@@ -29,7 +29,7 @@
     pub(super) fn run_maintenance(&mut self) {
         self.maintenance_at = self.context.now() + INTERVAL;
         self.targets.expire(&self.context, &mut self.gossip);
-        self.forget_peers();
+        self.evict_peers();
         self.reopen_failed();
         self.publish_self();
         self.end_all_former();
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -23,17 +23,17 @@
 /// Interval at which the gauges of the daemon are updated.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
 /// Longest time between two ticks.
-const LONGEST_TICK: Duration = Duration::from_millis(50);
+const MAX_TICK: Duration = Duration::from_millis(50);
 /// Shortest time between two ticks; limits the work that timers cause.
-const SHORTEST_TICK: Duration = Duration::from_millis(2);
+const MIN_TICK: Duration = Duration::from_millis(2);
 /// How long a command waits for others to share its log entry.
 pub(super) const COMMAND_DELAY: Duration = Duration::from_millis(2);
 
 /// Receiver of the outcome of a command.
 #[derive(Debug)]
 pub enum Responder {
-    /// Nobody; the command was not issued by a call.
-    Nobody,
+    /// No receiver; the command was not issued by a call.
+    Discard,
     /// A caller that is connected to this daemon.
     Local(oneshot::Sender<call::Reply>),
     /// A call that another daemon forwarded.
@@ -296,7 +296,7 @@
     /// Sends a reply to the receiver of an outcome.
     pub(super) fn respond(&mut self, responder: Responder, reply: call::Reply) {
         match responder {
-            Responder::Nobody => {}
+            Responder::Discard => {}
             Responder::Local(sender) => answer(sender, reply),
             Responder::Remote { endpoint, number } => {
                 // The daemon that forwarded a call of unknown outcome resends it by itself.
@@ -376,7 +376,7 @@
 
     fn schedule_tick(&mut self) {
         let now = self.now();
-        let mut wake = now + LONGEST_TICK;
+        let mut wake = now + MAX_TICK;
         if let Some(member) = &self.member {
             wake = wake.min(member.replica().next_wake());
         }
@@ -389,8 +389,8 @@
         if let Some(due) = self.relay_answers.due() {
             wake = wake.min(due);
         }
-        let wake = wake.max(now + SHORTEST_TICK);
-        if self.tick_at.is_none_or(|planned| wake + SHORTEST_TICK < planned) {
+        let wake = wake.max(now + MIN_TICK);
+        if self.tick_at.is_none_or(|planned| wake + MIN_TICK < planned) {
             self.tick_at = Some(wake);
             // The handle of the timer task is not needed: the timer ends by itself.
             drop(
--- a/crates/daemon/src/fleet/discovery.rs
+++ b/crates/daemon/src/fleet/discovery.rs
@@ -23,8 +23,8 @@
 const RECONNECT_AFTER: Duration = Duration::from_millis(1_600);
 /// A leader that has not confirmed its role for this long is not assumed to lead any more.
 const LEADER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// Addresses without contact for this long are forgotten, unless they are seeds.
-const FORGET_AFTER: Duration = Duration::from_mins(1);
+/// Addresses without contact for this long are evicted, unless they are seeds.
+const EVICT_AFTER: Duration = Duration::from_mins(1);
 
 #[derive(Debug, Clone, Default)]
 struct Peer {
@@ -115,7 +115,7 @@
     }
 
     /// Records daemons with a disk that another daemon named.
-    pub fn learn(&mut self, endpoints: &[Endpoint]) {
+    pub fn add_endpoints(&mut self, endpoints: &[Endpoint]) {
         for endpoint in endpoints.iter().filter(|endpoint| endpoint.peer != self.me) {
             let peer = self.peers.entry(endpoint.peer).or_default();
             peer.durable = true;
@@ -191,7 +191,7 @@
         self.peers.retain(|address, peer| {
             let fresh = peer
                 .last_contact
-                .is_none_or(|last_contact| now.saturating_sub(last_contact) < FORGET_AFTER);
+                .is_none_or(|last_contact| now.saturating_sub(last_contact) < EVICT_AFTER);
             fresh || seeds.contains(address)
         });
         let interval = match self.leader(now) {
--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -61,7 +61,7 @@
             }
             wire::Message::Welcome { leader, known } => {
                 self.discovery.record_contact(now, from, Some(true));
-                self.discovery.learn(&known);
+                self.discovery.add_endpoints(&known);
                 if let Some((term, endpoint)) = leader {
                     self.record_leader(now, term, endpoint);
                 }
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -108,7 +108,7 @@
 
     fn execute(&mut self, output: Output) {
         match output {
-            Output::Propose(command) => self.enqueue(command, Responder::Nobody),
+            Output::Propose(command) => self.enqueue(command, Responder::Discard),
             Output::Directive {
                 worker,
                 directive,
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -146,12 +146,12 @@
         while let Some(input) = inputs.pop_front() {
             let mut outputs = std::mem::take(&mut self.outputs);
             self.replica.step(now, input, &mut outputs);
-            self.carry_out(&mut outputs, &mut inputs, events);
+            self.process_outputs(&mut outputs, &mut inputs, events);
             self.outputs = outputs;
         }
     }
 
-    fn carry_out(
+    fn process_outputs(
         &mut self,
         outputs: &mut Vec<replica::Output>,
         inputs: &mut VecDeque<replica::Input>,
@@ -235,7 +235,7 @@
     }
 
     /// Returns whether the log has grown enough for a snapshot.
-    pub const fn wants_snapshot(&self) -> bool {
+    pub const fn is_snapshot_due(&self) -> bool {
         self.applied - self.snapshot_index >= ENTRIES_PER_SNAPSHOT
             || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
     }
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -30,7 +30,7 @@
                 vm: endpoint.vm,
                 peer: endpoint.peer,
             };
-            self.enqueue(command, Responder::Nobody);
+            self.enqueue(command, Responder::Discard);
             return;
         }
         if let Some(change) = self.required_change(now) {
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -102,7 +102,7 @@
         }
         let now = self.now();
         if let Some(member) = &mut self.member
-            && member.wants_snapshot()
+            && member.is_snapshot_due()
         {
             member.compact(now, &self.state, &mut self.events);
         }
@@ -207,7 +207,7 @@
                 peer: *seed,
             })
             .collect();
-        self.discovery.learn(&endpoints);
+        self.discovery.add_endpoints(&endpoints);
     }
 
     pub(super) fn reopen(&mut self, now: Duration) {
--- a/crates/daemon/tests/fleet_decisions.rs
+++ b/crates/daemon/tests/fleet_decisions.rs
@@ -117,7 +117,7 @@
 #[test]
 fn learned_daemons_survive_a_change_of_seeds() {
     let mut discovery = Discovery::new(endpoint(1).peer, &[endpoint(2).peer]);
-    discovery.learn(&[endpoint(3)]);
+    discovery.add_endpoints(&[endpoint(3)]);
     discovery.set_seeds(&[endpoint(4).peer]);
     let hello = discovery.due(at(0)).hello;
     assert!(
