--- a/crates/daemon/src/control/calls.rs
+++ b/crates/daemon/src/control/calls.rs
@@ -108,19 +108,19 @@
     fn claim_at_owner(&mut self, pending: claims::Pending) {
         let zone = pending.owner;
         // A VM without a data folder gets a new id at every start, so it has no earlier claims to end.
-        if !self.context.me.durable || self.former.has_ended(zone) {
+        if !self.context.me.durable || self.earlier_claims.has_ended(zone) {
             self.send_claim(pending);
             return;
         }
-        if let Some(pending) = self.former.wait(pending) {
+        if let Some(pending) = self.earlier_claims.wait(pending) {
             self.refuse_claim(pending, String::from("too many claims are waiting for the owner"));
         }
-        self.end_former(zone);
+        self.end_earlier_claims(zone);
     }
 
     /// Ends the claims of earlier incarnations of this VM's process in a zone, unless that is done or in progress.
-    pub(super) fn end_former(&mut self, zone: id::AvailabilityZoneId) {
-        let Some(id) = self.former.begin(zone) else {
+    pub(super) fn end_earlier_claims(&mut self, zone: id::AvailabilityZoneId) {
+        let Some(id) = self.earlier_claims.begin(zone) else {
             return;
         };
         let command = zone::Command::HolderGone {
@@ -132,15 +132,15 @@
         let inbox = self.inbox.clone();
         let then = Box::new(move |reply| {
             let ended = matches!(reply, wire::Reply::Zone(_));
-            inbox.send(Message::FormerEnded(zone, ended));
+            inbox.send(Message::EarlierClaimsEnded(zone, ended));
         });
         let request = wire::Request::Zone(envelope);
         self.dispatch(id::GroupId::Zone(zone), request, requests::DEADLINE, then);
     }
 
     /// Continues with the claims that waited until the claims of earlier incarnations were ended.
-    pub(super) fn former_ended(&mut self, zone: id::AvailabilityZoneId, ended: bool) {
-        for pending in self.former.answered(zone, ended) {
+    pub(super) fn earlier_claims_ended(&mut self, zone: id::AvailabilityZoneId, ended: bool) {
+        for pending in self.earlier_claims.answered(zone, ended) {
             if ended {
                 self.send_claim(pending);
             } else {
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -142,7 +142,7 @@
 /// A claim names its holder by VM id, which a VM with a data folder keeps over a restart. A process therefore ends all
 /// open claims under its id in a zone before it makes its first claim there: they belong to earlier incarnations.
 #[derive(Debug, Default)]
-pub struct Former {
+pub struct EarlierClaims {
     zones: HashMap<id::AvailabilityZoneId, Ending>,
 }
 
@@ -156,7 +156,7 @@
     waiting: Vec<Pending>,
 }
 
-impl Former {
+impl EarlierClaims {
     fn ending(&mut self, zone: id::AvailabilityZoneId) -> &mut Ending {
         self.zones.entry(zone).or_insert_with(|| Ending {
             command: rand::random(),
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -115,7 +115,7 @@
         };
         self.context.peers.insert(from, peer);
         if known.is_none() {
-            // Announce immediately, so that the new daemon learns of this one without waiting for the next interval.
+            // Announce immediately, so that the new daemon is informed of this one without waiting for the next interval.
             self.hello_at = now;
         }
     }
@@ -165,12 +165,12 @@
         if !view.zones.contains_key(&me.place.zone) {
             self.command_root(root::Command::AddZone { place: me.place });
         }
-        for former in view
+        for replaced in view
             .vms
             .values()
             .filter(|vm| vm.name == me.name && vm.id != me.id)
         {
-            self.command_root(root::Command::RemoveVm(former.id));
+            self.command_root(root::Command::RemoveVm(replaced.id));
         }
         self.command_root(root::Command::AddVm(me));
     }
--- a/crates/daemon/src/control/maintenance.rs
+++ b/crates/daemon/src/control/maintenance.rs
@@ -32,17 +32,17 @@
         self.evict_peers();
         self.reopen_failed();
         self.publish_self();
-        self.end_all_former();
+        self.end_all_earlier_claims();
         self.maintain_root();
         self.maintain_zones();
     }
 
     /// Ends the claims of earlier incarnations of this VM's process in every zone where that is not done, even if it
     /// makes no claims there.
-    fn end_all_former(&mut self) {
+    fn end_all_earlier_claims(&mut self) {
         if self.context.me.durable {
             for zone in self.root.state().open_zones().collect::<Vec<_>>() {
-                self.end_former(zone);
+                self.end_earlier_claims(zone);
             }
         }
     }
--- a/crates/daemon/src/control/mod.rs
+++ b/crates/daemon/src/control/mod.rs
@@ -68,7 +68,7 @@
     /// End of a claim that its owner did not record.
     Unrecorded(claims::End),
     /// Whether a zone has ended the claims of earlier incarnations of this VM's process.
-    FormerEnded(id::AvailabilityZoneId, bool),
+    EarlierClaimsEnded(id::AvailabilityZoneId, bool),
     /// Reply of a zone to a submission.
     Submitted(submissions::Submission, wire::Reply),
     /// Outcome of the search for a submission whose first attempt was lost.
@@ -130,7 +130,7 @@
     /// Ends of claims that have to be resent.
     ends: claims::Ends,
     /// Claims of earlier incarnations of this VM's process.
-    former: claims::Former,
+    earlier_claims: claims::EarlierClaims,
     /// Groups whose replicas are currently kept closed.
     closed: BTreeMap<id::GroupId, groups::Closed>,
     /// Number of the most recently opened replica.
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -22,9 +22,9 @@
 
 /// Interval at which the gauges of the daemon are updated.
 const METRICS_INTERVAL: Duration = Duration::from_secs(1);
-/// Longest time between two ticks.
+/// Maximum time between two ticks.
 const MAX_TICK: Duration = Duration::from_millis(50);
-/// Shortest time between two ticks; limits the work that timers cause.
+/// Minimum time between two ticks; limits the work that timers cause.
 const MIN_TICK: Duration = Duration::from_millis(2);
 /// How long a command waits for others to share its log entry.
 pub(super) const COMMAND_DELAY: Duration = Duration::from_millis(2);
@@ -262,7 +262,7 @@
                 number,
                 answer,
             } => self.query_answered(requester, number, answer),
-            Message::Disk(done) => self.persisted(&done),
+            Message::Persisted(done) => self.persisted(&done),
             Message::Settings(settings) => self.reload(*settings),
             Message::TransferLeadership => self.transfer_leadership(),
             // Urgent frames were handled before this message, and a stop ends the actor.
--- a/crates/daemon/src/fleet/directives.rs
+++ b/crates/daemon/src/fleet/directives.rs
@@ -87,7 +87,7 @@
         }
     }
 
-    /// Handles answers from a relay; answers from a former term are ignored.
+    /// Handles answers from a relay; answers from an earlier term are ignored.
     pub(super) fn receive_answers(&mut self, token: directive::Token, answers: Vec<wire::Answered>) {
         if self.dispatch.as_ref().map(Dispatch::token) != Some(token) {
             return;
@@ -126,7 +126,7 @@
         }
     }
 
-    /// Applies an answer; answers to directives of a former term are ignored.
+    /// Applies an answer; answers to directives of an earlier term are ignored.
     fn apply_answer(
         &mut self,
         decision: relay::Decision,
--- a/crates/daemon/src/fleet/discovery.rs
+++ b/crates/daemon/src/fleet/discovery.rs
@@ -14,7 +14,7 @@
 const HELLO_INTERVAL: Duration = Duration::from_millis(500);
 /// Interval of announcements while no leader is known.
 const SEARCH_INTERVAL: Duration = Duration::from_millis(150);
-/// A daemon without contact for this long counts as unreachable: two announcements in a row were lost.
+/// A daemon without contact for this long counts as unreachable: two consecutive announcements were lost.
 const REACHABLE_TIMEOUT: Duration = Duration::from_millis(1_300);
 /// A daemon with a disk without contact for this long is not used as a relay. Members of the group are in contact
 /// several times within this period, and each directive sent to a failed daemon delays its task.
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -14,9 +14,9 @@
 
 /// Consensus group of the cell.
 pub const GROUP: id::GroupId = id::GroupId::Root;
-/// Number of entries after which a snapshot is taken and the log is truncated.
+/// Number of entries after which a snapshot is made and the log is compacted.
 const ENTRIES_PER_SNAPSHOT: u64 = 16_384;
-/// Bytes of commands after which a snapshot is taken and the log is truncated.
+/// Bytes of commands after which a snapshot is made and the log is compacted.
 const BYTES_PER_SNAPSHOT: usize = 12 << 20;
 /// Entries before a snapshot that are retained for members that lag slightly; they cost memory.
 const RETAINED_ENTRIES: u64 = 1_024;
@@ -240,7 +240,7 @@
             || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
     }
 
-    /// Stores a snapshot of the applied state and truncates the log.
+    /// Stores a snapshot of the applied state and compacts the log.
     pub fn compact(&mut self, now: Duration, state: &cell::State, events: &mut VecDeque<Event>) {
         self.snapshot_index = self.applied;
         self.snapshot_bytes = 0;
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -63,10 +63,10 @@
         // A member whose address is used by another incarnation has lost its disk.
         for endpoint in &reachable {
             let all = members.voters.iter().chain(&members.learners);
-            let mut former = all.filter(|vm| **vm != endpoint.vm);
-            let replaced = former.find(|vm| self.address_of(**vm) == Some(endpoint.peer));
-            if let Some(former) = replaced {
-                return Some(Change::Remove(*former));
+            let mut others = all.filter(|vm| **vm != endpoint.vm);
+            let replaced = others.find(|vm| self.address_of(**vm) == Some(endpoint.peer));
+            if let Some(replaced) = replaced {
+                return Some(Change::Remove(*replaced));
             }
         }
         if let Some(endpoint) = reachable
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -74,7 +74,7 @@
         answer: eligibility::Answer,
     },
     /// Writes are durable, or failed.
-    Disk(disk::Done),
+    Persisted(disk::Done),
     /// The settings file changed.
     Settings(Box<settings::Settings>),
     /// The daemon is about to stop: it transfers leadership and takes no more calls.
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -177,7 +177,7 @@
             .then(|| membership::Membership::from_voters(founders));
         let actor = self.actor.clone();
         let notify: disk::Notify = Box::new(move |done| {
-            if actor.send_message(Message::Disk(done)).is_err() {
+            if actor.send_message(Message::Persisted(done)).is_err() {
                 log::debug!("event=late_write");
             }
         });
--- a/crates/daemon/tests/timeline.rs
+++ b/crates/daemon/tests/timeline.rs
@@ -64,7 +64,7 @@
     assert_eq!(page.next, expected as u64);
 }
 
-/// Guards against a reader that cannot tell that events were overwritten between two readings.
+/// Guards against a reader that cannot detect that events were overwritten between two readings.
 #[test]
 fn a_reader_sees_a_gap() {
     let ring = ring(10);
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -310,14 +310,14 @@
     /// VM as described by its announcements.
     pub me: vm::Vm,
     frames: mpsc::Receiver<peer::Received>,
-    former_ended: bool,
+    earlier_claims_ended: bool,
 }
 
 impl Leader {
     /// Zone whose group the VM leads.
     pub const ZONE: id::AvailabilityZoneId = 2;
     /// Timeout for the arrival of a frame; far longer than every resend interval.
-    const PATIENCE: Duration = Duration::from_secs(10);
+    const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
 
     /// Starts listening, and adds the zone to the cell of another VM.
     pub async fn start(of: &Vm) -> Self {
@@ -336,7 +336,7 @@
         let mut leader = Self {
             me,
             frames,
-            former_ended: false,
+            earlier_claims_ended: false,
         };
         leader.announce(of).await;
         for number in 0..u64::from(TRIES) {
@@ -417,10 +417,10 @@
             let (number, command) = self.next(pick).await;
             match &command {
                 zone::Command::HolderGone { holder, .. } if *holder == of.me.id => {
-                    self.former_ended = true;
+                    self.earlier_claims_ended = true;
                     self.done(of, number, zone::Outcome::Done).await;
                 }
-                zone::Command::Claim { .. } if !self.former_ended => {
+                zone::Command::Claim { .. } if !self.earlier_claims_ended => {
                     panic!("a claim arrived before the claims of earlier incarnations were ended");
                 }
                 _ => return (number, command),
@@ -438,7 +438,7 @@
                 }
             }
         };
-        let found = tokio::time::timeout(Self::PATIENCE, wanted).await;
+        let found = tokio::time::timeout(Self::FRAME_TIMEOUT, wanted).await;
         found.expect("the frame arrives")
     }
 
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -318,7 +318,7 @@
             }
         };
         let answer = match refusal {
-            // Another leader decides from now on; this one will learn of it from its replication group.
+            // Another leader decides from now on; this one is informed by its replication group.
             directive::Refusal::Fenced | directive::Refusal::OtherIncarnation => return,
             directive::Refusal::Outdated => "outdated",
             directive::Refusal::Late => "late",
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -109,7 +109,7 @@
             announced::State::Ready => None,
         };
         let known = state.workers().iter();
-        let mut former = Vec::new();
+        let mut replaced = Vec::new();
         for (index, registered) in known {
             if registered.incarnation == *incarnation {
                 let changed = (draining && !registered.draining)
@@ -136,10 +136,10 @@
                 if registered.incarnation.started_ms > incarnation.started_ms {
                     return Registration::Outdated;
                 }
-                former.push(*index);
+                replaced.push(*index);
             }
         }
-        for index in former {
+        for index in replaced {
             self.end_incarnation(index, Loss::Replaced);
         }
         Registration::Propose(register(announcement, draining))
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -111,13 +111,13 @@
     /// Proposes the loss of runs that no incarnation can start any more.
     pub(super) fn settle_uncertain(&mut self, now: Duration) {
         let runs = std::mem::take(&mut self.uncertain);
-        let (settled, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(|run| now >= run.until);
+        let (expired, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(|run| now >= run.until);
         self.uncertain = open;
-        for run in &settled {
+        for run in &expired {
             let lost = vec![(run.task, run.run, run.checkpoint.clone())];
             self.propose_lost(run.worker, lost);
         }
-        let workers: BTreeSet<cell::WorkerIndex> = settled.iter().map(|run| run.worker).collect();
+        let workers: BTreeSet<cell::WorkerIndex> = expired.iter().map(|run| run.worker).collect();
         for worker in workers {
             self.retire(worker);
         }
@@ -195,7 +195,7 @@
         self.propose_ends(worker, ends);
     }
 
-    /// Gives up the runs of workers whose lease has expired, and removes workers that have not reported for a long
+    /// Abandons the runs of workers whose lease has expired, and removes workers that have not reported for a long
     /// time.
     pub(super) fn expire_leases(&mut self, now: Duration) {
         let expired: Vec<cell::WorkerIndex> = self
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -242,9 +242,9 @@
         }
         let run = subject.progress.run;
         for (index, worker) in placed {
-            let former = subject.progress.tasks[index as usize].run;
+            let previous = subject.progress.tasks[index as usize].run;
             // Members of a gang share the number of their run.
-            let run = if subject.spec.gang { run + 1 } else { former + 1 };
+            let run = if subject.spec.gang { run + 1 } else { previous + 1 };
             self.start(now, subject, index, worker, run, starts);
             if let Some(slot) = slots.iter_mut().find(|slot| slot.index == worker) {
                 slot.free = slot.free.saturating_sub(&subject.size);
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -185,7 +185,7 @@
         true
     }
 
-    /// Gives up overdue answers and assigns waiting queries to free VMs, in the order of `ranked`.
+    /// Times out overdue answers and assigns waiting queries to free VMs, in the order of `ranked`.
     pub fn assign(&mut self, now: Duration, ranked: &[eligibility::Step], out: &mut Vec<Assignment>) {
         self.expire_overdue(now);
         if self.waiting.is_empty() {
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -17,7 +17,7 @@
 /// Maximum relative difference between the rates of two monotonic clocks, as the platform states it.
 pub const CLOCK_DRIFT: f64 = 0.02;
 /// Number of consecutive failed starts and runs after which a worker gets no work for a while. Where 3% of the jobs
-/// fail by themselves, two failures can be chance, while three in a row have a probability of one in 37,000.
+/// fail by themselves, two failures can be chance, while three consecutive ones have a probability of one in 37,000.
 pub const SUSPECT_AFTER: u32 = 3;
 
 /// Tolerance in the comparison of clocks: they are reported in whole milliseconds. A later incarnation starts at least
@@ -30,7 +30,7 @@
 /// Returns the fencing token of the directives to one incarnation of a worker.
 ///
 /// It grows with the term and with each incarnation: a worker that returns under its name refuses directives to its
-/// previous incarnation as soon as it has received one of its own.
+/// earlier incarnation as soon as it has received one of its own.
 pub const fn fencing_token(term: directive::Token, worker: u32) -> directive::Token {
     (term << INCARNATION_BITS) | worker as u64
 }
@@ -212,8 +212,8 @@
     /// Adds a run, replacing an earlier run of the same task.
     pub fn add(&mut self, task: directive::Task, run: Run) {
         let size = run.size;
-        if let Some(former) = self.runs.insert(task, run) {
-            self.used = self.used.saturating_sub(&former.size);
+        if let Some(replaced) = self.runs.insert(task, run) {
+            self.used = self.used.saturating_sub(&replaced.size);
         }
         self.used = add(self.used, size);
     }
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -24,7 +24,7 @@
 const HTTP2_PREFACE: &[u8; 3] = b"PRI";
 
 /// Maximum number of concurrent streams of an HTTP/2 connection. A worker needs one for its current report and one for
-/// a report that it gave up.
+/// a report that it abandoned.
 const MAX_STREAMS: u32 = 8;
 
 /// Drives a pinned connection to its end. A macro, because hyper's connections of both versions share no trait.
--- a/crates/schedule/src/backlog.rs
+++ b/crates/schedule/src/backlog.rs
@@ -9,7 +9,7 @@
 /// Work that continues in the next steps.
 #[derive(Debug, Default)]
 pub(crate) struct Backlog {
-    /// Jobs all of whose runs are being stopped. The id tells whether the slot still holds the same job.
+    /// Jobs all of whose runs are being stopped. The id shows whether the slot still holds the same job.
     pub(crate) stopping: VecDeque<(table::Job, id::JobId)>,
     /// Teams that use more than their allotment.
     pub(crate) shrinking: VecDeque<table::Team>,
--- a/crates/schedule/src/config.rs
+++ b/crates/schedule/src/config.rs
@@ -77,7 +77,7 @@
     pub await_lease_expiry: bool,
     /// A team stays within its allotment.
     pub team_limit: bool,
-    /// Reports from a former incarnation of a worker are ignored.
+    /// Reports from an earlier incarnation of a worker are ignored.
     pub fence_incarnation: bool,
     /// Reports that are not newer than the last one, by sequence number, are ignored.
     pub fence_sequence: bool,
--- a/crates/schedule/src/pass/end.rs
+++ b/crates/schedule/src/pass/end.rs
@@ -392,7 +392,7 @@
             return;
         };
         let record = &mut self.runs[run];
-        if now < record.due || record.former {
+        if now < record.due || record.earlier_incarnation {
             return;
         }
         match record.phase {
--- a/crates/schedule/src/pass/lease.rs
+++ b/crates/schedule/src/pass/lease.rs
@@ -44,7 +44,7 @@
             sequence: 0,
             last_report: Some(now),
             lease_until: until,
-            former_until: None,
+            earlier_until: None,
             confirmed,
             draining: false,
             hold: None,
@@ -63,7 +63,7 @@
         self.schedule_feasibility_check(now);
     }
 
-    /// Replaces the incarnation of a worker. Runs of the former incarnation may continue until its lease expires.
+    /// Replaces the incarnation of a worker. Runs of the earlier incarnation may continue until its lease expires.
     fn begin_incarnation(
         &mut self,
         now: Duration,
@@ -75,7 +75,7 @@
         let rack = self.rack(registration.rack);
         let until = now + self.config.lease_expiry();
         let record = &mut self.workers[worker];
-        let former = record.lease_until;
+        let earlier_until = record.lease_until;
         self.total = self.total.saturating_sub(&record.capacity.amount);
         self.total = self.total.saturating_add(&registration.capacity.amount);
         record.incarnation = registration.incarnation;
@@ -87,13 +87,15 @@
         record.confirmed = true;
         let old_rack = std::mem::replace(&mut record.rack, rack);
         if !record.runs.is_empty() {
-            record.former_until = Some(former);
-            self.timers
-                .push(former, timer::Event::Former(worker, registration.worker));
+            record.earlier_until = Some(earlier_until);
+            self.timers.push(
+                earlier_until,
+                timer::Event::EarlierLease(worker, registration.worker),
+            );
         }
         for position in 0..self.workers[worker].runs.len() {
             let run = self.workers[worker].runs[position];
-            self.runs[run].former = true;
+            self.runs[run].earlier_incarnation = true;
         }
         self.count_capacity(old, false);
         self.count_capacity(registration.capacity, true);
@@ -164,8 +166,8 @@
         self.lose_worker(now, worker, out);
     }
 
-    /// Ends the runs of a worker's former incarnations if their lease has expired.
-    pub(crate) fn former_due(
+    /// Ends the runs of a worker's earlier incarnations if their lease has expired.
+    pub(crate) fn earlier_lease_due(
         &mut self,
         now: Duration,
         worker: table::Worker,
@@ -175,13 +177,13 @@
         let Some(record) = self.workers.get_mut(worker) else {
             return;
         };
-        if record.id != id || record.former_until.is_none_or(|until| now < until) {
+        if record.id != id || record.earlier_until.is_none_or(|until| now < until) {
             return;
         }
-        record.former_until = None;
+        record.earlier_until = None;
         let runs = record.runs.clone();
         for run in runs {
-            if self.runs.get(run).is_some_and(|run| run.former) {
+            if self.runs.get(run).is_some_and(|run| run.earlier_incarnation) {
                 self.end_run(now, run, task::Outcome::LeaseExpired, out);
             }
         }
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -221,7 +221,7 @@
             let other = &self.runs[run];
             if other.is_ending() {
                 room = room.saturating_add(&other.size);
-            } else if self.jobs[other.job].priority == job::Priority::Normal && !other.former {
+            } else if self.jobs[other.job].priority == job::Priority::Normal && !other.earlier_incarnation {
                 let checkpointable = self.is_checkpointable(other.job) && other.confirmed;
                 let method = if checkpointable {
                     Method::Checkpoint
--- a/crates/schedule/src/pass/report.rs
+++ b/crates/schedule/src/pass/report.rs
@@ -62,7 +62,7 @@
     ) {
         let known = self.tokens.get(&running.token).copied().filter(|run| {
             let record = &self.runs[*run];
-            record.worker == worker && !record.former && self.task_of(*run) == running.task
+            record.worker == worker && !record.earlier_incarnation && self.task_of(*run) == running.task
         });
         let Some(run) = known else {
             out.push(Output::Stop {
@@ -89,7 +89,7 @@
         while let Some(&run) = self.workers[worker].runs.get(position) {
             position += 1;
             let record = &mut self.runs[run];
-            if record.former || !record.confirmed || record.last_sequence == sequence {
+            if record.earlier_incarnation || !record.confirmed || record.last_sequence == sequence {
                 continue;
             }
             record.missed_reports += 1;
--- a/crates/schedule/src/pass/restore.rs
+++ b/crates/schedule/src/pass/restore.rs
@@ -114,7 +114,7 @@
     fn restore_done(&mut self, now: Duration, next_token: id::Token, out: &mut Vec<Output>) {
         self.restored = Some(now);
         self.next_token = self.next_token.max(next_token);
-        // The former leader may just have used up the preemption rate of this second.
+        // The previous leader may just have used up the preemption rate of this second.
         let rate = self.config.preemptions_per_second as usize;
         self.preemptions.extend(std::iter::repeat_n(now, rate));
         let ids: Vec<_> = self.jobs.iter().map(|(index, _)| index).collect();
--- a/crates/schedule/src/run.rs
+++ b/crates/schedule/src/run.rs
@@ -65,8 +65,8 @@
     pub(crate) phase: Phase,
     /// Whether a report of the present incarnation of the worker has listed the run.
     pub(crate) confirmed: bool,
-    /// Whether the run belongs to a former incarnation of its worker.
-    pub(crate) former: bool,
+    /// Whether the run belongs to an earlier incarnation of its worker.
+    pub(crate) earlier_incarnation: bool,
     /// Sequence number of the last report that listed the run.
     pub(crate) last_sequence: u64,
     /// When an unconfirmed start or stop is checked again.
@@ -120,7 +120,7 @@
             started: now,
             phase: Phase::Starting,
             confirmed: false,
-            former: false,
+            earlier_incarnation: false,
             last_sequence: 0,
             due,
             missed_reports: 0,
--- a/crates/schedule/src/scheduler.rs
+++ b/crates/schedule/src/scheduler.rs
@@ -252,7 +252,7 @@
     pub fn may_start(&self, worker: id::WorkerId, token: id::Token) -> bool {
         self.tokens.get(&token).is_some_and(|run| {
             let run = &self.runs[*run];
-            !run.former && self.workers[run.worker].id == worker
+            !run.earlier_incarnation && self.workers[run.worker].id == worker
         })
     }
 
@@ -280,7 +280,7 @@
     fn fire(&mut self, now: Duration, event: timer::Event, out: &mut Vec<Output>) {
         match event {
             timer::Event::Lease(worker, id) => self.lease_due(now, worker, id, out),
-            timer::Event::Former(worker, id) => self.former_due(now, worker, id, out),
+            timer::Event::EarlierLease(worker, id) => self.earlier_lease_due(now, worker, id, out),
             timer::Event::Run(token) => self.run_due(now, token, out),
             timer::Event::Retry(job, id, index) => self.release_task(job, id, index),
             timer::Event::Hold(worker, id) => self.hold_due(now, worker, id),
--- a/crates/schedule/src/timer.rs
+++ b/crates/schedule/src/timer.rs
@@ -13,8 +13,8 @@
 pub(crate) enum Event {
     /// A worker's lease may have expired.
     Lease(table::Worker, id::WorkerId),
-    /// The lease of a former incarnation of a worker may have expired.
-    Former(table::Worker, id::WorkerId),
+    /// The lease of an earlier incarnation of a worker may have expired.
+    EarlierLease(table::Worker, id::WorkerId),
     /// A start or stop of a run may still be unconfirmed.
     Run(id::Token),
     /// The retry delay of a task has elapsed.
--- a/crates/schedule/src/worker.rs
+++ b/crates/schedule/src/worker.rs
@@ -50,7 +50,7 @@
     pub(crate) launching_amount: resource::Amount,
     /// Measured usage above the granted amounts.
     pub(crate) excess: resource::Amount,
-    /// Runs under a lease on this worker, of the present incarnation or a former one.
+    /// Runs under a lease on this worker, of the present incarnation or an earlier one.
     pub(crate) runs: Vec<table::Run>,
     pub(crate) sequence: u64,
     /// When the worker last registered or reported. Cleared when a hold for urgent work expires unfilled, so that
@@ -58,8 +58,8 @@
     pub(crate) last_report: Option<Duration>,
     /// When the lease of the present incarnation expires, unless a report renews it.
     pub(crate) lease_until: Duration,
-    /// When the leases of former incarnations expire.
-    pub(crate) former_until: Option<Duration>,
+    /// When the leases of earlier incarnations expire.
+    pub(crate) earlier_until: Option<Duration>,
     /// Whether the worker has registered with or reported to this scheduler.
     pub(crate) confirmed: bool,
     pub(crate) draining: bool,
--- a/crates/schedule/tests/behaviour/cell/check.rs
+++ b/crates/schedule/tests/behaviour/cell/check.rs
@@ -127,7 +127,7 @@
         }
     }
 
-    /// Marks all leases as running, since a new leader does not know which runs the former one has stopped.
+    /// Marks all leases as running, since a new leader does not know which runs the previous one has stopped.
     pub fn reset_ending(&mut self) {
         for lease in self.leases.values_mut() {
             lease.ending = false;
--- a/crates/schedule/tests/behaviour/cell/machine.rs
+++ b/crates/schedule/tests/behaviour/cell/machine.rs
@@ -17,7 +17,7 @@
     pub granted: resource::Amount,
     pub ends_at: Duration,
     pub stop_at: Option<(Duration, task::Outcome)>,
-    /// End of the lease of a former incarnation, set for the runs that it left behind.
+    /// End of the lease of an earlier incarnation, set for the runs that it left behind.
     pub orphan_until: Option<Duration>,
 }
 
--- a/crates/schedule/tests/behaviour/scenario.rs
+++ b/crates/schedule/tests/behaviour/scenario.rs
@@ -388,7 +388,7 @@
     assert_no_violation(&cell);
 }
 
-/// Guards against a report of a former incarnation that renews the lease of the present one.
+/// Guards against a report of an earlier incarnation that renews the lease of the present one.
 #[test]
 fn a_report_of_a_former_incarnation_is_ignored() {
     let mut cell = cell(1, Rules::default());
