--- a/crates/bench/benches/capacity/daemons.rs
+++ b/crates/bench/benches/capacity/daemons.rs
@@ -18,7 +18,7 @@
 
 use crate::{count, line};
 
-const SETTLE: Duration = Duration::from_secs(6);
+const STABILIZATION_TIME: Duration = Duration::from_secs(6);
 const MEASURE: Duration = Duration::from_secs(10);
 const START_LIMIT: Duration = Duration::from_mins(1);
 /// Name prefixes of the threads that belong to daemons; the control threads come first.
@@ -79,7 +79,7 @@
             );
             thread::sleep(Duration::from_millis(50));
         }
-        thread::sleep(SETTLE);
+        thread::sleep(STABILIZATION_TIME);
         Self {
             daemons,
             http,
@@ -244,7 +244,7 @@
 fn workers(count: u64) -> Second {
     let cell = Cell::start(3);
     let fleet = Fleet::start(&cell, count, 64_000);
-    thread::sleep(SETTLE);
+    thread::sleep(STABILIZATION_TIME);
     let second = cell.second();
     fleet.stop();
     cell.stop();
@@ -276,7 +276,7 @@
         .find(|word| word.len() > 40)
         .unwrap_or_else(|| panic!("no key in {granted}"));
     // Allotments of the team's limit are granted to zones that report demand, which takes a few rounds.
-    thread::sleep(SETTLE);
+    thread::sleep(STABILIZATION_TIME);
     for number in 0..JOBS {
         // Run times are spread from 3.4 s to 10.2 s, so that tasks do not end in waves.
         let sleep = 3400 + number * 7 % 21 * 340;
@@ -289,7 +289,7 @@
         let accepted = fleet.call(Method::POST, cell.http[0], "/v2/jobs", key, job.to_string());
         assert!(accepted.contains("job"), "{accepted}");
     }
-    thread::sleep(MEASURE + SETTLE);
+    thread::sleep(MEASURE + STABILIZATION_TIME);
     let (starts, responses) = (fleet.ledger.totals().starts, fleet.responses(&cell));
     let second = cell.second();
     let seconds = MEASURE.as_secs_f64();
--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -41,7 +41,7 @@
 /// Rounds of leader maintenance per second, by `INTERVAL` of `crates/daemon/src/control/maintenance.rs`.
 const MAINTENANCE_ROUNDS: f64 = 2.0;
 
-/// Sum of `MAX_OPEN_BYTES`, `MAX_ENDED_BYTES` and `MAX_ANSWERS_BYTES` of `crates/control/src/zone`.
+/// Sum of `MAX_OPEN_BYTES`, `MAX_ENDED_BYTES` and `MAX_RESPONSES_BYTES` of `crates/control/src/zone`.
 const TABLE_BYTES: f64 = 32.0 * 1024.0 * 1024.0;
 
 const MAX_CORE_PERCENT: f64 = 1.9;
--- a/crates/bench/src/policy/control/mod.rs
+++ b/crates/bench/src/policy/control/mod.rs
@@ -137,8 +137,8 @@
     ));
 }
 
-fn response(bytes: usize) -> zone::Answer {
-    zone::Answer {
+fn response(bytes: usize) -> zone::StoredResponse {
+    zone::StoredResponse {
         status: 200,
         content_type: String::from("application/json"),
         body: vec![b'a'; bytes].into(),
--- a/crates/consensus/tests/driver/node.rs
+++ b/crates/consensus/tests/driver/node.rs
@@ -25,7 +25,7 @@
     pub applied: u64,
     /// Hash chain over the applied entries.
     pub state: u64,
-    /// Applied index of the earlier incarnation.
+    /// Applied index of an earlier incarnation.
     pub applied_before: u64,
 }
 
--- a/crates/consensus/tests/driver/scenarios.rs
+++ b/crates/consensus/tests/driver/scenarios.rs
@@ -9,8 +9,8 @@
 
 fn wait_for_leader(cluster: &mut Cluster) -> VmId {
     cluster.run_until_condition(ms(5_000), |cluster| cluster.leader().is_some());
-    let settled = cluster.now + ms(200);
-    cluster.run_until(settled);
+    let until = cluster.now + ms(200);
+    cluster.run_until(until);
     cluster.leader().unwrap_or(1)
 }
 
--- a/crates/control/src/request_id.rs
+++ b/crates/control/src/request_id.rs
@@ -51,7 +51,8 @@
         zone.lost_ms
             .is_none_or(|lost| now_ms < lost.saturating_add(OVERLAP_MS))
     };
-    let settled = |zone: &root::Zone| now_ms >= zone.added_ms.saturating_add(OVERLAP_MS) || zone.founding;
+    let past_overlap =
+        |zone: &root::Zone| now_ms >= zone.added_ms.saturating_add(OVERLAP_MS) || zone.founding;
     let best = |candidate: &dyn Fn(&root::Zone) -> bool| {
         zones
             .iter()
@@ -60,7 +61,7 @@
             .map(|(zone, _)| *zone)
     };
     let first = best(&retained)?;
-    let second = best(&|zone| retained(zone) && settled(zone)).filter(|zone| *zone != first);
+    let second = best(&|zone| retained(zone) && past_overlap(zone)).filter(|zone| *zone != first);
     Some(Owners { first, second })
 }
 
--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -1,4 +1,4 @@
-//! Request ids: ensures that a request with an id runs at most once, and stores its answer for retries.
+//! Request ids: ensures that a request with an id runs at most once, and stores its response for retries.
 
 use std::sync::Arc;
 
@@ -17,18 +17,18 @@
 /// The table has to fit the 64 MB of a daemon together with the root state and the state of a zone that it is a witness
 /// of.
 pub const MAX_IDS: usize = 49_152;
-/// Maximum body size of a stored answer, in bytes.
-pub const MAX_ANSWER_BYTES: usize = 64 * 1024;
-/// Maximum size of all stored answers, in bytes; the oldest are evicted first.
-pub const MAX_ANSWERS_BYTES: usize = 16 * 1024 * 1024;
+/// Maximum body size of a stored response, in bytes.
+pub const MAX_RESPONSE_BYTES: usize = 64 * 1024;
+/// Maximum size of all stored responses, in bytes; the oldest are evicted first.
+pub const MAX_RESPONSES_BYTES: usize = 16 * 1024 * 1024;
 /// Maximum number of expired ids that one command drops, which bounds the time to apply it.
 const MAX_EXPIRED_AT_ONCE: usize = 256;
-/// Bytes counted for an answer in addition to its encoded form: the map entry and the allocation.
-const ANSWER_OVERHEAD_BYTES: usize = 60;
+/// Bytes counted for a response in addition to its encoded form: the map entry and the allocation.
+const RESPONSE_OVERHEAD_BYTES: usize = 60;
 
-/// A stored answer.
+/// A stored response.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Answer {
+pub struct StoredResponse {
     /// HTTP status code.
     pub status: u16,
     /// Value of the `content-type` header.
@@ -40,12 +40,12 @@
 /// Result of a claimed request.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Completion {
-    /// The target answered. An answer above [`MAX_ANSWER_BYTES`] is not stored, and the result of the id becomes
+    /// The target answered. A response above [`MAX_RESPONSE_BYTES`] is not stored, and the result of the id becomes
     /// unknown.
-    Answered(Answer),
+    Answered(StoredResponse),
     /// The request is known not to have run; the id may be claimed again.
     NotRun,
-    /// The request may have run; its answer is not known.
+    /// The request may have run; its response is not known.
     Unknown,
 }
 
@@ -57,9 +57,9 @@
     Granted(u64),
     /// The id is claimed by an attempt that has not completed.
     InProgress,
-    /// The stored answer of the first attempt.
-    Answered(Answer),
-    /// The request may have run; its answer is not known.
+    /// The stored response of the first attempt.
+    Answered(StoredResponse),
+    /// The request may have run; its response is not known.
     Unknown,
     /// The table is full; the claim was not recorded and the request must not be sent.
     Full,
@@ -79,7 +79,7 @@
 }
 
 const fn accounted_bytes(encoded: &[u8]) -> usize {
-    encoded.len() + ANSWER_OVERHEAD_BYTES
+    encoded.len() + RESPONSE_OVERHEAD_BYTES
 }
 
 /// Table of request ids.
@@ -90,7 +90,7 @@
     order: shared::Map<u64, (Key, u32)>,
     /// Holders of the claims that have not completed.
     held: shared::Map<u64, id::VmId>,
-    /// Encoded answers, by number. Apart from the texts, they take a third of the memory of the decoded form.
+    /// Encoded responses, by number. Apart from the texts, they take a third of the memory of the decoded form.
     answers: shared::Map<u64, Arc<[u8]>>,
     answers_bytes: usize,
     next_number: u64,
@@ -131,7 +131,7 @@
 
     /// Completes a claim. A number that was never granted, or whose claim is already answered or free, has no effect.
     ///
-    /// A claim that became unknown because its holder was presumed gone accepts a late answer, which is the first one.
+    /// A claim that became unknown because its holder was presumed lost accepts a late response, which is the first one.
     pub(super) fn complete(&mut self, number: u64, completion: &Completion) {
         let Some(key) = self.order.get(&number).map(|(key, _)| *key) else {
             return;
@@ -148,9 +148,9 @@
                 self.entries.remove(&key);
                 self.order.remove(&number);
             }
-            Completion::Answered(answer) if answer.body.len() <= MAX_ANSWER_BYTES => {
+            Completion::Answered(response) if response.body.len() <= MAX_RESPONSE_BYTES => {
                 entry.state = State::Answered;
-                let encoded: Arc<[u8]> = envelope::to_bytes(answer).as_ref().into();
+                let encoded: Arc<[u8]> = envelope::to_bytes(response).as_ref().into();
                 self.answers_bytes += accounted_bytes(&encoded);
                 self.answers.insert(number, encoded);
                 self.evict_answers();
@@ -160,11 +160,11 @@
     }
 
     fn evict_answers(&mut self) {
-        while self.answers_bytes > MAX_ANSWERS_BYTES {
-            let Some((number, answer)) = self.answers.pop_first() else {
+        while self.answers_bytes > MAX_RESPONSES_BYTES {
+            let Some((number, response)) = self.answers.pop_first() else {
                 break;
             };
-            self.answers_bytes -= accounted_bytes(&answer);
+            self.answers_bytes -= accounted_bytes(&response);
             let entry = self
                 .order
                 .get(&number)
@@ -200,8 +200,8 @@
             self.order.remove(&number);
             self.entries.remove(&key);
             self.held.remove(&number);
-            if let Some(answer) = self.answers.remove(&number) {
-                self.answers_bytes -= accounted_bytes(&answer);
+            if let Some(response) = self.answers.remove(&number) {
+                self.answers_bytes -= accounted_bytes(&response);
             }
         }
     }
@@ -216,7 +216,7 @@
         self.entries.is_empty()
     }
 
-    /// Returns the size of all stored answers, in bytes.
+    /// Returns the size of all stored responses, in bytes.
     pub const fn answers_bytes(&self) -> usize {
         self.answers_bytes
     }
@@ -256,8 +256,12 @@
         self.order.verify()?;
         self.held.verify()?;
         self.answers.verify()?;
-        let bytes: usize = self.answers.values().map(|answer| accounted_bytes(answer)).sum();
-        if bytes != self.answers_bytes || bytes > MAX_ANSWERS_BYTES {
+        let bytes: usize = self
+            .answers
+            .values()
+            .map(|response| accounted_bytes(response))
+            .sum();
+        if bytes != self.answers_bytes || bytes > MAX_RESPONSES_BYTES {
             return Err(format!(
                 "answers take {bytes} bytes, counted {}",
                 self.answers_bytes
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -12,7 +12,8 @@
 
 pub use apply::{JOB_RETENTION_MS, MAX_ATTEMPTS, MAX_ENDED_BYTES, MAX_OPEN_BYTES};
 pub use claims::{
-    Answer, Claimed, Claims, Completion, MAX_ANSWER_BYTES, MAX_ANSWERS_BYTES, MAX_IDS as MAX_REQUEST_IDS,
+    Claimed, Claims, Completion, MAX_IDS as MAX_REQUEST_IDS, MAX_RESPONSE_BYTES, MAX_RESPONSES_BYTES,
+    StoredResponse,
 };
 pub use command::{Command, End, Outcome, Refusal, Start};
 pub use holdings::{Holding, Holdings};
--- a/crates/control/tests/basics.rs
+++ b/crates/control/tests/basics.rs
@@ -194,7 +194,7 @@
     assert_eq!(zone.run(claim()), zone::Outcome::Claim(zone::Claimed::InProgress));
     zone.run(zone::Command::HolderGone { holder: 9, before: 2 });
     assert_eq!(zone.run(claim()), zone::Outcome::Claim(zone::Claimed::Unknown));
-    let answer = zone::Answer {
+    let answer = zone::StoredResponse {
         status: 200,
         content_type: "text/plain".into(),
         body: "done".into(),
@@ -271,14 +271,14 @@
     state.verify().unwrap();
 }
 
-/// Guards against a batch that the log refuses because its answers together exceed the size limit of an entry.
+/// Guards against a batch that the log refuses because its responses together exceed the size limit of an entry.
 #[test]
 fn a_large_batch_is_split_into_entries_within_the_limit_and_in_order() {
     let complete = |number| {
-        let answer = zone::Answer {
+        let answer = zone::StoredResponse {
             status: 200,
             content_type: String::new(),
-            body: Bytes::from(vec![0; zone::MAX_ANSWER_BYTES]),
+            body: Bytes::from(vec![0; zone::MAX_RESPONSE_BYTES]),
         };
         let completion = zone::Completion::Answered(answer);
         envelope::Envelope::new(0, zone::Command::Complete { number, completion })
--- a/crates/control/tests/bounds.rs
+++ b/crates/control/tests/bounds.rs
@@ -44,7 +44,7 @@
     }
 
     fn answer(&mut self, number: u64, bytes: usize) {
-        let answer = zone::Answer {
+        let answer = zone::StoredResponse {
             status: 200,
             content_type: String::new(),
             body: vec![1; bytes].into(),
@@ -105,17 +105,17 @@
 #[test]
 fn the_oldest_answers_are_evicted_and_their_ids_retained() {
     let mut zone = Zone::new();
-    let count = zone::MAX_ANSWERS_BYTES / zone::MAX_ANSWER_BYTES + 2;
+    let count = zone::MAX_RESPONSES_BYTES / zone::MAX_RESPONSE_BYTES + 2;
     for number in 0..count {
         zone.claim(number);
-        zone.answer(number as u64 + 1, zone::MAX_ANSWER_BYTES);
+        zone.answer(number as u64 + 1, zone::MAX_RESPONSE_BYTES);
     }
     zone.state.verify().unwrap();
     assert_eq!(zone.claim(0), zone::Claimed::Unknown);
     assert!(matches!(zone.claim(count - 1), zone::Claimed::Answered(_)));
     assert_eq!(zone.state.claims().len(), count);
     zone.claim(count);
-    zone.answer(count as u64 + 1, zone::MAX_ANSWER_BYTES + 1);
+    zone.answer(count as u64 + 1, zone::MAX_RESPONSE_BYTES + 1);
     assert_eq!(zone.claim(count), zone::Claimed::Unknown);
 }
 
--- a/crates/control/tests/escrow.rs
+++ b/crates/control/tests/escrow.rs
@@ -314,7 +314,7 @@
     }
 
     /// Heals the network and ends all tasks, then returns whether all limits are in force.
-    fn settle(&mut self) -> bool {
+    fn converge(&mut self) -> bool {
         self.cut = [false; 3];
         for _ in 0..4 {
             self.rebalance();
@@ -357,7 +357,7 @@
     fn allotments_stay_within_limits(seed in any::<u64>()) {
         let mut cell = Cell::new(seed, root::Rules::default(), zone::Rules::default());
         prop_assert_eq!(cell.run(), Ok(()));
-        prop_assert!(cell.settle(), "limits do not come into force");
+        prop_assert!(cell.converge(), "limits do not come into force");
         prop_assert_eq!(cell.check(), Ok(()));
     }
 }
--- a/crates/control/tests/zone.rs
+++ b/crates/control/tests/zone.rs
@@ -138,7 +138,7 @@
 
     fn complete(&mut self) {
         let number = self.random.random_range(1..8);
-        let answer = zone::Answer {
+        let answer = zone::StoredResponse {
             status: 200,
             content_type: String::new(),
             body: "ok".into(),
--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -220,7 +220,7 @@
 }
 
 /// Converts a stored response to the type of the gateway.
-pub fn stored_response(answer: zone::Answer) -> control::StoredResponse {
+pub fn stored_response(answer: zone::StoredResponse) -> control::StoredResponse {
     control::StoredResponse {
         status: answer.status,
         content_type: answer.content_type,
@@ -231,7 +231,7 @@
 /// Converts a completion to the type of the zone group.
 pub fn completion(completion: &control::Completion) -> zone::Completion {
     match completion {
-        control::Completion::Answered(answer) => zone::Completion::Answered(zone::Answer {
+        control::Completion::Answered(answer) => zone::Completion::Answered(zone::StoredResponse {
             status: answer.status,
             content_type: answer.content_type.clone(),
             body: Bytes::clone(&answer.body),
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -115,7 +115,7 @@
         };
         self.context.peers.insert(from, peer);
         if known.is_none() {
-            // Announce immediately, so that the new daemon is informed of this one without waiting for the next interval.
+            // Announce immediately, so that the new daemon need not wait for the next interval to discover this one.
             self.hello_at = now;
         }
     }
--- a/crates/daemon/src/control/maintenance.rs
+++ b/crates/daemon/src/control/maintenance.rs
@@ -233,13 +233,13 @@
             return Some(membership::Change::Promote(peer.id));
         }
         let listed = &self.root.view().vms;
-        let gone = members
+        let unlisted = members
             .voters
             .iter()
             .chain(&members.learners)
             .find(|vm| !listed.contains_key(vm));
-        if let Some(gone) = gone {
-            return Some(membership::Change::Remove(*gone));
+        if let Some(unlisted) = unlisted {
+            return Some(membership::Change::Remove(*unlisted));
         }
         let missing = desired.iter().find(|vm| {
             !members.contains(**vm) && !members.removed.contains(vm) && self.context.is_alive(**vm)
@@ -280,8 +280,8 @@
         };
         let claims = group.state().claims();
         let overdue = claims.overdue(context::Context::wall_ms(), OVERDUE_CLAIM.as_millis() as u64);
-        let gone = claims.held().find(|(_, holder)| self.is_lost(*holder));
-        if let Some((_, holder)) = gone {
+        let lost = claims.held().find(|(_, holder)| self.is_lost(*holder));
+        if let Some((_, holder)) = lost {
             self.end_claims(zone, holder);
         }
         if let (Some(number), Some(group)) = (overdue, self.zones.get_mut(&zone)) {
--- a/crates/daemon/src/control/operator/local.rs
+++ b/crates/daemon/src/control/operator/local.rs
@@ -87,12 +87,12 @@
         for status in &self.targets.usable().usable {
             let state = if status.departing { "draining" } else { "ready" };
             let announcement = &status.announcement;
-            let wanted = filter.zone.is_none_or(|zone| zone == status.place.zone)
+            let chosen = filter.zone.is_none_or(|zone| zone == status.place.zone)
                 && filter
                     .service
                     .as_deref()
                     .is_none_or(|service| service == announcement.service);
-            if wanted {
+            if chosen {
                 table.push(vec![
                     announcement.target.into(),
                     announcement.service.clone().into(),
--- a/crates/daemon/src/control/operator/zone.rs
+++ b/crates/daemon/src/control/operator/zone.rs
@@ -192,7 +192,7 @@
         }
         for (id, worker) in state.workers() {
             let draining = self.root.view().is_draining(root::Subject::Worker(id));
-            let (name, wanted) = if worker.gone {
+            let (name, worker_state) = if worker.gone {
                 ("lost", statement::State::Lost)
             } else if draining {
                 ("draining", statement::State::Draining)
@@ -200,7 +200,7 @@
                 ("ready", statement::State::Ready)
             };
             let chosen = filter.worker.is_none_or(|wanted| wanted == id)
-                && filter.state.is_none_or(|state| state == wanted);
+                && filter.state.is_none_or(|state| state == worker_state);
             if chosen {
                 let amount = worker.registration.capacity.amount;
                 table.push(vec![
--- a/crates/daemon/src/control/submissions.rs
+++ b/crates/daemon/src/control/submissions.rs
@@ -37,11 +37,11 @@
     reply: control::Reply<id::JobId>,
 }
 
-/// Answer to a submission, sent when it is dropped.
+/// Reply to a submission, sent when it is dropped.
 #[derive(Debug)]
-struct Answer(Option<(control::Reply<id::JobId>, Result<id::JobId, control::Refusal>)>);
+struct PendingReply(Option<(control::Reply<id::JobId>, Result<id::JobId, control::Refusal>)>);
 
-impl Drop for Answer {
+impl Drop for PendingReply {
     fn drop(&mut self) {
         if let Some((reply, result)) = self.0.take() {
             // The caller may have disconnected; the job is accepted regardless.
@@ -204,7 +204,7 @@
         }
     }
 
-    /// Records the end of a submission under its id, then answers the caller: a resend after the answer must find the
+    /// Records the end of a submission under its id, then replies to the caller: a resend after the reply must find the
     /// recorded end.
     fn end_submission(&mut self, submission: Submission, result: Result<id::JobId, control::Refusal>) {
         let completion = match &result {
@@ -216,7 +216,7 @@
             Err(control::Refusal::Unknown(_)) => control::Completion::Unknown,
             Err(_) => control::Completion::NotRun,
         };
-        let answer: claims::Done = Arc::new(Answer(Some((submission.reply, result))));
+        let answer: claims::Done = Arc::new(PendingReply(Some((submission.reply, result))));
         if let Some(number) = submission.claim {
             self.complete(number, &completion, Some(&answer));
         }
--- a/crates/daemon/src/fleet/client.rs
+++ b/crates/daemon/src/fleet/client.rs
@@ -14,12 +14,12 @@
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time};
 
-/// Longest wait for a connection: two one-way trips between regions and a lost packet.
+/// Maximum wait for a connection: two one-way trips between regions and a lost packet.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(400);
 /// Idle connections kept for each address. One carries the report; a burst of starts needs more only briefly, and each
 /// costs memory.
 const MAX_IDLE: usize = 8;
-/// Largest answer: 500 ends and the runs of one worker.
+/// Maximum size of an answer: 500 ends and the runs of one worker.
 const MAX_ANSWER_BYTES: usize = 4 << 20;
 
 /// Bytes that a connection may buffer; longer answers are read in pieces.
--- a/crates/daemon/src/logging.rs
+++ b/crates/daemon/src/logging.rs
@@ -44,7 +44,7 @@
 const BATCH_DELAY: Duration = Duration::from_millis(20);
 /// Bytes per write; a pipe accepts this many atomically, so that readers get complete lines.
 const WRITE_BYTES: usize = 4_096;
-/// Longest wait for the last lines at the end of the process.
+/// Maximum wait for the last lines at the end of the process.
 const FLUSH_WAIT: Duration = Duration::from_millis(200);
 
 enum Line {
--- a/crates/daemon/tests/disk.rs
+++ b/crates/daemon/tests/disk.rs
@@ -43,13 +43,13 @@
     // Every attempt to open the group creates the lock file.
     let lock = files.join("lock");
     leader.heartbeat(&vm, 1).await;
-    vm.settle().await;
+    vm.wait_until_handled().await;
     assert!(lock.exists(), "the group is tried once");
     fs::remove_file(&lock).expect("the lock file");
     for _ in 0..3 {
         leader.heartbeat(&vm, 1).await;
     }
-    vm.settle().await;
+    vm.wait_until_handled().await;
     assert!(!lock.exists(), "the group is not tried again");
     vm.stop().await;
 }
--- a/crates/daemon/tests/session.rs
+++ b/crates/daemon/tests/session.rs
@@ -11,7 +11,7 @@
 use yare::parameterized;
 
 const WORKER: id::WorkerId = 7;
-type Answer = oneshot::Receiver<Result<worker::Reply, control::Refusal>>;
+type PendingReply = oneshot::Receiver<Result<worker::Reply, control::Refusal>>;
 type Runs = BTreeMap<id::Token, u32>;
 
 fn running(token: id::Token, usage: u32) -> worker::Running {
@@ -74,7 +74,7 @@
 /// counts twice, or one that an older report reverts. Each would leave a run without accounting or without an end.
 #[parameterized(
     lost = { vec![report(3, Some(1), &[(12, 5)], &[10])], vec![Ok(Runs::from([(11, 1), (12, 5)]))] },
-    // The worker reverted the usage of run 11 after a report whose answer was lost.
+    // The worker reverted the usage of run 11 after a report whose reply was lost.
     lost_answer = {
         vec![report(2, Some(1), &[(11, 9)], &[]), report(3, Some(1), &[(12, 5)], &[])],
         vec![Ok(Runs::from([(10, 1), (11, 9)])), Ok(Runs::from([(10, 1), (11, 1), (12, 5)]))],
@@ -209,7 +209,7 @@
     }
 }
 
-/// Guards against any order of lost, duplicated and delayed reports, lost answers and changes of leader after which the
+/// Guards against any order of lost, duplicated and delayed reports, lost replies and changes of leader after which the
 /// scheduler sees other runs than the worker had when it sent the report.
 #[test]
 fn random_histories_show_the_scheduler_what_the_worker_runs() {
@@ -344,7 +344,7 @@
         base: bool,
         runs: &[(task::Ref, id::Token)],
         ends: &[(task::Ref, id::Token)],
-    ) -> Answer {
+    ) -> PendingReply {
         let base = base.then_some(self.sequence);
         self.sequence += 1;
         let mut report = report(self.sequence, base, &[], &[]);
@@ -380,7 +380,7 @@
     }
 }
 
-fn directives(answer: &mut Answer) -> Option<Vec<id::Token>> {
+fn directives(answer: &mut PendingReply) -> Option<Vec<id::Token>> {
     let reply = answer.try_recv().ok()?.expect("the report is in order");
     let token = |directive: &task::Directive| match directive {
         task::Directive::Start { token, .. }
@@ -395,7 +395,7 @@
 
 const MS: Duration = Duration::from_millis(1);
 
-/// Guards against a separate answer for every start, which exceeds the control budget, and against starts that are
+/// Guards against a separate reply for every start, which exceeds the control budget, and against starts that are
 /// delayed for longer than the collection interval.
 #[test]
 fn starts_share_an_answer() {
@@ -445,7 +445,7 @@
     assert!(directives(&mut answer).is_some_and(|tokens| tokens.contains(&1)));
 }
 
-/// Guards against a lost answer that delays an urgent start until the end of the collection interval.
+/// Guards against a lost reply that delays an urgent start until the end of the collection interval.
 #[test]
 fn an_urgent_start_is_repeated_immediately_after_a_lost_answer() {
     let mut zone = Zone::new();
@@ -456,7 +456,7 @@
     zone.start(job::Priority::Urgent);
     zone.respond(late);
     drop(held);
-    // The worker replaced the report before the answer arrived, and names the same base again.
+    // The worker replaced the report before the reply arrived, and names the same base again.
     zone.sequence += 1;
     let (reply, mut answer) = oneshot::channel();
     let again = report(zone.sequence, Some(1), &[], &[]);
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -145,7 +145,7 @@
         self.inbox.send(Message::Call(call, permit));
     }
 
-    /// Makes a call and waits for its answer.
+    /// Makes a call and waits for its reply.
     pub async fn ask<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> T {
         let (sender, receiver) = oneshot::channel();
         self.call(call(sender)).await;
@@ -222,7 +222,7 @@
         self.eventually(|reply| Call::Register(registration, reply)).await;
     }
 
-    /// Sends the report of a worker, and waits for the answer.
+    /// Sends the report of a worker, and waits for the reply.
     pub async fn report(
         &self,
         worker: id::WorkerId,
@@ -241,7 +241,7 @@
     }
 
     /// Waits until everything sent before has been handled.
-    pub async fn settle(&self) {
+    pub async fn wait_until_handled(&self) {
         let (sender, receiver) = oneshot::channel();
         self.inbox.send(Message::Directory(sender));
         receiver.await.expect("control runs");
@@ -430,7 +430,7 @@
 
     /// Waits for the next frame that `pick` selects.
     async fn next<T>(&mut self, pick: impl Fn(wire::Body) -> Option<T>) -> T {
-        let wanted = async {
+        let selected = async {
             loop {
                 let received = self.frames.recv().await.expect("the listener runs");
                 if let Some(found) = pick(received.frame.body) {
@@ -438,7 +438,7 @@
                 }
             }
         };
-        let found = tokio::time::timeout(Self::FRAME_TIMEOUT, wanted).await;
+        let found = tokio::time::timeout(Self::FRAME_TIMEOUT, selected).await;
         found.expect("the frame arrives")
     }
 
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -109,7 +109,7 @@
         });
     }
 
-    /// Sends unacknowledged starts again while their lease is in force; a worker treats a repeated start as the same
+    /// Sends unacknowledged starts again while their lease is valid; a worker treats a repeated start as the same
     /// one.
     pub(super) fn resend_starts(&mut self, state: &cell::State, now: Duration) {
         let mut due = Vec::new();
@@ -398,7 +398,7 @@
             return;
         };
         // A run that has ended needs no stop; its end is reported.
-        let settled = matches!(
+        let acknowledged = matches!(
             answer,
             Some(
                 directive::Answer::Done { .. }
@@ -408,7 +408,7 @@
                     }
             )
         );
-        if settled {
+        if acknowledged {
             entry.stop = Stop::Acknowledged(now);
         }
     }
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -109,7 +109,7 @@
     }
 
     /// Proposes the loss of runs that no incarnation can start any more.
-    pub(super) fn settle_uncertain(&mut self, now: Duration) {
+    pub(super) fn expire_uncertain(&mut self, now: Duration) {
         let runs = std::mem::take(&mut self.uncertain);
         let (expired, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(|run| now >= run.until);
         self.uncertain = open;
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -204,7 +204,7 @@
         if now.steady >= self.timers_at {
             self.timers_at = now.steady + TIMER_INTERVAL;
             self.expire_leases(now.steady);
-            self.settle_uncertain(now.steady);
+            self.expire_uncertain(now.steady);
             let is_late = now.steady >= self.pass_at + WAITING_INTERVAL;
             self.dirty |= is_late && !self.waiting.is_empty();
             self.renew_leases(now.steady);
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -209,18 +209,18 @@
     ) {
         let team = subject.job.team.as_deref();
         let allowed = self.allowed(subject, team);
-        let wanted = if subject.spec.gang {
+        let requested = if subject.spec.gang {
             subject.tasks.len() as u32
         } else {
             allowed.min(subject.tasks.len() as u32)
         };
-        if wanted == 0 || wanted > allowed {
+        if requested == 0 || requested > allowed {
             return;
         }
-        let needed = if subject.spec.gang { wanted } else { 1 };
+        let needed = if subject.spec.gang { requested } else { 1 };
         let mut candidates = self.candidates(now, subject, slots, reserved, true);
         if subject.spec.one_rack && subject.spec.gang {
-            self.restrict_to_rack(&mut candidates, subject, wanted);
+            self.restrict_to_rack(&mut candidates, subject, requested);
         }
         if let Some(cost) = &subject.queue.advice {
             self.query_tickets(now, subject, cost, needed, &candidates, slots, reserved);
@@ -230,11 +230,11 @@
         }
         if place::fitting(&candidates, &subject.size) < needed {
             if subject.spec.gang {
-                self.reserve(now, subject, wanted, slots, reserved);
+                self.reserve(now, subject, requested, slots, reserved);
             }
             return;
         }
-        let tasks = &subject.tasks[..wanted as usize];
+        let tasks = &subject.tasks[..requested as usize];
         let avoid = self.avoided(subject);
         let placed = place::best_fit(&mut candidates, &subject.size, tasks, &avoid);
         if subject.spec.gang && placed.len() < tasks.len() {
@@ -384,7 +384,7 @@
     }
 
     /// Restricts the candidates to one rack, if one has room for all tasks.
-    fn restrict_to_rack(&self, candidates: &mut Vec<Candidate>, subject: &Subject<'_>, wanted: u32) {
+    fn restrict_to_rack(&self, candidates: &mut Vec<Candidate>, subject: &Subject<'_>, requested: u32) {
         let mut racks: HashMap<&str, u32> = HashMap::new();
         let rack_of = |worker: cell::WorkerIndex| {
             let record = self.workers.get(&worker);
@@ -394,7 +394,7 @@
             let sum = racks.entry(rack_of(candidate.worker)).or_default();
             *sum = sum.saturating_add(candidate.fitting(&subject.size));
         }
-        let fitting = racks.into_iter().filter(|(_, fitting)| *fitting >= wanted);
+        let fitting = racks.into_iter().filter(|(_, fitting)| *fitting >= requested);
         // The rack with the least remaining room is chosen.
         if let Some((rack, _)) = fitting.min_by_key(|(rack, fitting)| (*fitting, *rack)) {
             let rack = String::from(rack);
@@ -407,7 +407,7 @@
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
-        wanted: u32,
+        requested: u32,
         slots: &[Slot<'_>],
         reserved: &mut Reserved,
     ) {
@@ -431,7 +431,7 @@
                     Some((candidate.worker, times))
                 })
                 .collect();
-            let choice = reserve::choose(openings, wanted, now);
+            let choice = reserve::choose(openings, requested, now);
             let is_late = choice
                 .as_ref()
                 .is_none_or(|choice| choice.due > now + LATE_GANG_DELAY);
--- a/crates/dispatch/src/reserve.rs
+++ b/crates/dispatch/src/reserve.rs
@@ -81,10 +81,10 @@
     openings
 }
 
-/// Chooses the workers on which `wanted` tasks have room first. Returns `None` if they never have.
+/// Chooses the workers on which `requested` tasks have room first. Returns `None` if they never have.
 pub fn choose(
     openings: Vec<(cell::WorkerIndex, Vec<Duration>)>,
-    wanted: u32,
+    requested: u32,
     now: Duration,
 ) -> Option<Choice> {
     let mut all: Vec<(Duration, cell::WorkerIndex)> = openings
@@ -92,12 +92,12 @@
         .flat_map(|(worker, times)| times.into_iter().map(move |time| (time, worker)))
         .collect();
     all.sort_unstable();
-    let wanted = wanted as usize;
-    if all.len() < wanted || wanted == 0 {
+    let requested = requested as usize;
+    if all.len() < requested || requested == 0 {
         return None;
     }
-    let due = all[wanted - 1].0;
-    let mut workers: Vec<_> = all[..wanted].iter().map(|(_, worker)| *worker).collect();
+    let due = all[requested - 1].0;
+    let mut workers: Vec<_> = all[..requested].iter().map(|(_, worker)| *worker).collect();
     workers.sort_unstable();
     workers.dedup();
     Some(Choice {
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -120,7 +120,7 @@
     pub sample: Option<Sample>,
     /// Latest end of a lease in any directive, on its clock.
     pub lease_end: Duration,
-    /// Local time after which no lease of an earlier leader can be in force.
+    /// Local time after which no lease of an earlier leader can be valid.
     pub inherited_until: Duration,
     /// Highest number of an end that it has reported.
     pub reported_end: u64,
--- a/crates/gateway/tests/workers.rs
+++ b/crates/gateway/tests/workers.rs
@@ -241,7 +241,7 @@
     cancel.cancel();
 }
 
-/// Guards against a worker that sends its report to an unresponsive leader twice consecutively because that VM is also its
+/// Guards against a worker that sends its report to an unresponsive leader twice, because that VM is also its
 /// entry VM. Its lease would expire, and its runs would be started elsewhere.
 #[tokio::test]
 async fn unresponsive_leader_is_tried_once() {
--- a/crates/schedule/src/pass/preempt.rs
+++ b/crates/schedule/src/pass/preempt.rs
@@ -113,8 +113,8 @@
             .sum();
         let min_tasks = if gang { job.waiting.len() } else { held + 1 };
         let (team, size) = (job.team, job.size);
-        for wanted in held..job.waiting.len() {
-            let sum = multiply(&size, min_tasks.max(wanted + 1));
+        for slots in held..job.waiting.len() {
+            let sum = multiply(&size, min_tasks.max(slots + 1));
             let admitted = sum.is_some_and(|sum| self.teams[team].admits(&sum));
             if search.tasks == 0 || search.workers == 0 || !admitted {
                 return;
--- a/crates/schedule/tests/basic.rs
+++ b/crates/schedule/tests/basic.rs
@@ -199,7 +199,7 @@
 fn a_run_may_start_only_on_the_incarnation_it_was_placed_on_and_before_it_ends() {
     let mut scheduler = scheduler();
     let running = starts(&step(&mut scheduler, NOW, submit(1, 2)));
-    let [(first, ended), (_, former)] = running[..] else {
+    let [(first, ended), (_, earlier)] = running[..] else {
         panic!("two tasks start");
     };
     assert!(scheduler.may_start(1, ended));
@@ -220,5 +220,5 @@
         ..registration(1)
     };
     step(&mut scheduler, NOW, Input::Register(later));
-    assert!(!scheduler.may_start(1, former));
+    assert!(!scheduler.may_start(1, earlier));
 }
--- a/crates/schedule/tests/behaviour/history.rs
+++ b/crates/schedule/tests/behaviour/history.rs
@@ -1,5 +1,5 @@
 //! Random histories: guards against overcommitted workers, tasks that run twice, teams above their allotment,
-//! incomplete gangs and corrupt data structures, under late, lost and duplicate messages, messages from former
+//! incomplete gangs and corrupt data structures, under late, lost and duplicate messages, messages from earlier
 //! incarnations, restarts and changes of leader. Single rules are also disabled, to show that the checker detects the
 //! violation.
 
--- a/crates/schedule/tests/behaviour/steps.rs
+++ b/crates/schedule/tests/behaviour/steps.rs
@@ -123,7 +123,7 @@
         self.step(Input::Tick);
     }
 
-    fn settle(&mut self) {
+    fn run_due_timers(&mut self) {
         while self.scheduler.next_wake() <= self.now {
             self.tick();
         }
@@ -135,7 +135,7 @@
             let spec = spec(job::Kind::Batch, 10, 1_000, 1_000);
             self.step(Input::Submit { job, team: 1, spec });
         }
-        self.settle();
+        self.run_due_timers();
         assert_eq!(self.runs.len() as u32, TASKS);
     }
 
@@ -186,7 +186,7 @@
     let gang = fixture.submit_gang();
     assert!(fixture.runs.len() as u32 <= BOUND);
     assert!(fixture.urgent_starts());
-    fixture.settle();
+    fixture.run_due_timers();
     let started = fixture.runs.iter().filter(|run| run.0.job == gang).count();
     assert_eq!(started as u32, TASKS);
     assert!(fixture.max_work <= BOUND + 1, "{} in one step", fixture.max_work);
@@ -199,12 +199,12 @@
     let mut fixture = Fixture::new();
     let job = fixture.submit_gang();
     if running {
-        fixture.settle();
+        fixture.run_due_timers();
     }
     fixture.reset_counters();
     let started = fixture.runs.len();
     fixture.step(Input::Cancel { job });
-    fixture.settle();
+    fixture.run_due_timers();
     assert_eq!(fixture.stopped.len(), started);
     assert!(fixture.max_work <= BOUND, "{} in one step", fixture.max_work);
     fixture.end_stopped();
@@ -225,7 +225,7 @@
     let started = fixture.runs.len();
     assert!(started as u32 <= 2 * BOUND);
     cause(&mut fixture);
-    fixture.settle();
+    fixture.run_due_timers();
     assert_eq!(fixture.runs.len() + fixture.ended as usize, started);
     assert_eq!(fixture.stopped.len() + fixture.ended as usize, started);
     fixture.end_stopped();
@@ -265,7 +265,7 @@
     fixture.set_allotment(1, resource::Amount::new(100_000, 100_000, 0));
     assert!(fixture.stopped.len() as u32 <= BOUND);
     assert!(fixture.urgent_starts());
-    fixture.settle();
+    fixture.run_due_timers();
     assert_eq!(fixture.stopped.len() as u32, TASKS - 100);
     assert!(fixture.max_work <= BOUND + 1, "{} in one step", fixture.max_work);
 }
@@ -278,7 +278,7 @@
     fixture.set_allotment(1, resource::Amount::ZERO);
     let stopped = fixture.stopped.len();
     fixture.set_allotment(1, UNLIMITED);
-    fixture.settle();
+    fixture.run_due_timers();
     assert_eq!(fixture.stopped.len(), stopped);
 }
 
@@ -289,13 +289,13 @@
     let mut fixture = Fixture::new();
     if gang {
         fixture.submit_gang();
-        fixture.settle();
+        fixture.run_due_timers();
     } else {
         fixture.fill();
     }
     fixture.reset_counters();
     fixture.now += Duration::from_secs(11);
-    fixture.settle();
+    fixture.run_due_timers();
     assert_eq!(fixture.scheduler.metrics(fixture.now).workers, 0);
     assert_eq!(fixture.ended, TASKS);
     // All runs of a lost worker end in the same step, so a step may exceed the bound by the runs of one worker.
@@ -317,7 +317,7 @@
         fixture.step(Input::Cancel { job });
     }
     assert!(fixture.urgent_starts());
-    fixture.settle();
+    fixture.run_due_timers();
     assert_eq!(fixture.stopped.len() as u32, TASKS);
     assert!(fixture.max_work <= BOUND + 1, "{} in one step", fixture.max_work);
 }
@@ -331,7 +331,7 @@
         let spec = spec(job::Kind::Batch, 1, TASKS_PER_WORKER * 1_000, 1_000);
         fixture.step(Input::Submit { job, team: 1, spec });
     }
-    fixture.settle();
+    fixture.run_due_timers();
     let waiting = WAITING - fixture.runs.len();
     let quota = team::Quota {
         weight: 1,
@@ -388,7 +388,7 @@
         }));
     }
     fixture.step(Input::Restore(Restore::Done { next_token: 10_000 }));
-    fixture.settle();
+    fixture.run_due_timers();
     assert_eq!(
         (fixture.stopped.len() as u32, fixture.done.len() as u32),
         (TASKS / 2, TASKS / 2)
@@ -407,7 +407,7 @@
         };
         fixture.step(Input::Submit { job, team: 1, spec });
     }
-    fixture.settle();
+    fixture.run_due_timers();
     for job in 1..=100 {
         let job = 1_000 + job;
         let spec = job::Spec {
@@ -416,7 +416,7 @@
         };
         fixture.step(Input::Submit { job, team: 2, spec });
     }
-    fixture.settle();
+    fixture.run_due_timers();
     let before = fixture.scheduler.metrics(fixture.now).workers_evaluated;
     fixture.now += Duration::from_millis(50);
     fixture.step(Input::Tick);
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -480,7 +480,7 @@
         };
         self.jobs.insert(key, job);
         self.next_proposal += 1;
-        // A submission without an answer is repeated until it is accepted, so that it survives a change of leader.
+        // A submission without a reply is repeated until it is accepted, so that it survives a change of leader.
         let outcome = self.apply(command.clone());
         let now = self.dispatch_now();
         if let Some(dispatch) = &mut self.dispatch {
