--- a/crates/daemon/src/control/claims.rs
+++ b/crates/daemon/src/control/claims.rs
@@ -142,7 +142,7 @@
 /// A claim names its holder by VM id, which a VM with a data folder keeps over a restart. A process therefore ends all
 /// open claims under its id in a zone before it makes its first claim there: they belong to earlier incarnations.
 #[derive(Debug, Default)]
-pub struct Former {
+pub struct EarlierClaims {
     zones: HashMap<id::AvailabilityZoneId, Ending>,
 }
 
@@ -156,7 +156,7 @@
     waiting: Vec<Pending>,
 }
 
-impl Former {
+impl EarlierClaims {
     fn ending(&mut self, zone: id::AvailabilityZoneId) -> &mut Ending {
         self.zones.entry(zone).or_insert_with(|| Ending {
             command: rand::random(),
@@ -220,7 +220,7 @@
 }
 
 /// Converts a stored response to the type of the gateway.
-pub fn stored_response(answer: zone::Answer) -> control::StoredResponse {
+pub fn stored_response(answer: zone::StoredResponse) -> control::StoredResponse {
     control::StoredResponse {
         status: answer.status,
         content_type: answer.content_type,
@@ -231,7 +231,7 @@
 /// Converts a completion to the type of the zone group.
 pub fn completion(completion: &control::Completion) -> zone::Completion {
     match completion {
-        control::Completion::Answered(answer) => zone::Completion::Answered(zone::Answer {
+        control::Completion::Answered(answer) => zone::Completion::Answered(zone::StoredResponse {
             status: answer.status,
             content_type: answer.content_type.clone(),
             body: Bytes::clone(&answer.body),
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -17,8 +17,8 @@
 const LISTING_INTERVAL: Duration = Duration::from_millis(500);
 /// Maximum number of peer addresses to which announcements are sent.
 const MAX_KNOWN: usize = 256;
-/// Time after which a daemon that sends no announcements is forgotten, unless the directory lists it.
-const FORGET: Duration = Duration::from_mins(1);
+/// Time after which a daemon that sends no announcements is evicted, unless the directory lists it.
+const EVICT_AFTER: Duration = Duration::from_mins(1);
 
 impl Controller {
     /// Sends this daemon's announcement to all known addresses.
@@ -115,13 +115,13 @@
         };
         self.context.peers.insert(from, peer);
         if known.is_none() {
-            // Announce immediately, so that the new daemon learns of this one without waiting for the next interval.
+            // Announce immediately, so that the new daemon need not wait for the next interval to discover this one.
             self.hello_at = now;
         }
     }
 
-    /// Forgets daemons that are unlisted and silent for longer than [`FORGET`], and closes their links.
-    pub(super) fn forget_peers(&mut self) {
+    /// Evicts daemons that are unlisted and silent for longer than [`EVICT_AFTER`], and closes their links.
+    pub(super) fn evict_peers(&mut self) {
         let now = self.context.now();
         let listed = &self.root.view().vms;
         if !listed.is_empty() {
@@ -130,14 +130,14 @@
         }
         self.context
             .peers
-            .retain(|vm, peer| listed.contains_key(vm) || now.saturating_sub(peer.last_seen) < FORGET);
+            .retain(|vm, peer| listed.contains_key(vm) || now.saturating_sub(peer.last_seen) < EVICT_AFTER);
         let addresses = self.addresses();
         self.context
             .network
             .retain(&|address| addresses.contains(&address));
     }
 
-    /// Takes the next step of joining: founds the cell, lists this VM in the directory, or founds its zone group.
+    /// Takes the next step of joining: bootstraps the cell, lists this VM, or bootstraps its zone group.
     pub(super) fn enlist(&mut self) {
         let now = self.context.now();
         if now < self.enlist_at {
@@ -145,14 +145,14 @@
         }
         self.enlist_at = now + LISTING_INTERVAL;
         if !self.root.cell_known() {
-            self.found_cell();
+            self.bootstrap_cell();
             return;
         }
         let me = self.context.me.clone();
         let view = std::sync::Arc::clone(self.root.view());
         if view.vms.get(&me.id) == Some(&me) {
             self.listing = Listing::Listed;
-            self.found_zone();
+            self.bootstrap_zone();
             return;
         }
         if self.listing != Listing::Unlisted && !view.vms.contains_key(&me.id) {
@@ -165,18 +165,18 @@
         if !view.zones.contains_key(&me.place.zone) {
             self.command_root(root::Command::AddZone { place: me.place });
         }
-        for former in view
+        for replaced in view
             .vms
             .values()
             .filter(|vm| vm.name == me.name && vm.id != me.id)
         {
-            self.command_root(root::Command::RemoveVm(former.id));
+            self.command_root(root::Command::RemoveVm(replaced.id));
         }
         self.command_root(root::Command::AddVm(me));
     }
 
     /// Founds the root group if the settings allow it and every seed has announced that it belongs to no cell.
-    fn found_cell(&mut self) {
+    fn bootstrap_cell(&mut self) {
         if !self.settings.found || self.root.member().is_some() {
             return;
         }
@@ -202,7 +202,7 @@
     }
 
     /// Founds the group of this VM's zone unless another VM did.
-    fn found_zone(&mut self) {
+    fn bootstrap_zone(&mut self) {
         let zone = self.context.me.place.zone;
         let me = self.context.me.id;
         if !self.context.me.durable || self.zones.contains_key(&zone) {
--- a/crates/daemon/src/control/maintenance.rs
+++ b/crates/daemon/src/control/maintenance.rs
@@ -29,20 +29,20 @@
     pub(super) fn run_maintenance(&mut self) {
         self.maintenance_at = self.context.now() + INTERVAL;
         self.targets.expire(&self.context, &mut self.gossip);
-        self.forget_peers();
+        self.evict_peers();
         self.reopen_failed();
         self.publish_self();
-        self.end_all_former();
+        self.end_all_earlier_claims();
         self.maintain_root();
         self.maintain_zones();
     }
 
     /// Ends the claims of earlier incarnations of this VM's process in every zone where that is not done, even if it
     /// makes no claims there.
-    fn end_all_former(&mut self) {
+    fn end_all_earlier_claims(&mut self) {
         if self.context.me.durable {
             for zone in self.root.state().open_zones().collect::<Vec<_>>() {
-                self.end_former(zone);
+                self.end_earlier_claims(zone);
             }
         }
     }
@@ -233,13 +233,13 @@
             return Some(membership::Change::Promote(peer.id));
         }
         let listed = &self.root.view().vms;
-        let gone = members
+        let unlisted = members
             .voters
             .iter()
             .chain(&members.learners)
             .find(|vm| !listed.contains_key(vm));
-        if let Some(gone) = gone {
-            return Some(membership::Change::Remove(*gone));
+        if let Some(unlisted) = unlisted {
+            return Some(membership::Change::Remove(*unlisted));
         }
         let missing = desired.iter().find(|vm| {
             !members.contains(**vm) && !members.removed.contains(vm) && self.context.is_alive(**vm)
@@ -280,8 +280,8 @@
         };
         let claims = group.state().claims();
         let overdue = claims.overdue(context::Context::wall_ms(), OVERDUE_CLAIM.as_millis() as u64);
-        let gone = claims.held().find(|(_, holder)| self.is_lost(*holder));
-        if let Some((_, holder)) = gone {
+        let lost = claims.held().find(|(_, holder)| self.is_lost(*holder));
+        if let Some((_, holder)) = lost {
             self.end_claims(zone, holder);
         }
         if let (Some(number), Some(group)) = (overdue, self.zones.get_mut(&zone)) {
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -14,9 +14,9 @@
 
 /// Consensus group of the cell.
 pub const GROUP: id::GroupId = id::GroupId::Root;
-/// Number of entries after which a snapshot is taken and the log is truncated.
+/// Number of entries after which a snapshot is made and the log is compacted.
 const ENTRIES_PER_SNAPSHOT: u64 = 16_384;
-/// Bytes of commands after which a snapshot is taken and the log is truncated.
+/// Bytes of commands after which a snapshot is made and the log is compacted.
 const BYTES_PER_SNAPSHOT: usize = 12 << 20;
 /// Entries before a snapshot that are retained for members that lag slightly; they cost memory.
 const RETAINED_ENTRIES: u64 = 1_024;
@@ -37,7 +37,7 @@
     Rejected {
         /// Number of the proposal.
         proposal: u64,
-        /// Whether it is certain that the proposal is never committed.
+        /// Whether it is known that the proposal is never committed.
         never: bool,
     },
     /// Replace the state by a snapshot.
@@ -63,12 +63,12 @@
 }
 
 impl Member {
-    /// Opens the durable state. `found` gives the first members if nothing is stored and the cell starts for the first
-    /// time.
+    /// Opens the durable state. `bootstrap` is the initial membership if nothing is stored and the cell starts for the
+    /// first time.
     pub fn open(
         vm: id::VmId,
         folder: &Path,
-        found: Option<membership::Membership>,
+        bootstrap: Option<membership::Membership>,
         notify: disk::Notify,
         now: Duration,
     ) -> Result<Self, bronzespoke_storage::Error> {
@@ -78,7 +78,7 @@
         config.store_commit = false;
         config.retained_entries = RETAINED_ENTRIES;
         let entry_bytes = config.max_entry_bytes;
-        let (disk, restored) = disk::Disk::open(folder, GROUP, found, notify)?;
+        let (disk, restored) = disk::Disk::open(folder, GROUP, bootstrap, notify)?;
         Ok(Self {
             replica: replica::Replica::new(config, restored, now),
             disk,
@@ -146,12 +146,12 @@
         while let Some(input) = inputs.pop_front() {
             let mut outputs = std::mem::take(&mut self.outputs);
             self.replica.step(now, input, &mut outputs);
-            self.carry_out(&mut outputs, &mut inputs, events);
+            self.process_outputs(&mut outputs, &mut inputs, events);
             self.outputs = outputs;
         }
     }
 
-    fn carry_out(
+    fn process_outputs(
         &mut self,
         outputs: &mut Vec<replica::Output>,
         inputs: &mut VecDeque<replica::Input>,
@@ -235,12 +235,12 @@
     }
 
     /// Returns whether the log has grown enough for a snapshot.
-    pub const fn wants_snapshot(&self) -> bool {
+    pub const fn is_snapshot_due(&self) -> bool {
         self.applied - self.snapshot_index >= ENTRIES_PER_SNAPSHOT
             || self.snapshot_bytes >= BYTES_PER_SNAPSHOT
     }
 
-    /// Stores a snapshot of the applied state and truncates the log.
+    /// Stores a snapshot of the applied state and compacts the log.
     pub fn compact(&mut self, now: Duration, state: &cell::State, events: &mut VecDeque<Event>) {
         self.snapshot_index = self.applied;
         self.snapshot_bytes = 0;
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -102,7 +102,7 @@
         }
         let now = self.now();
         if let Some(member) = &mut self.member
-            && member.wants_snapshot()
+            && member.is_snapshot_due()
         {
             member.compact(now, &self.state, &mut self.events);
         }
@@ -173,16 +173,16 @@
             return;
         };
         let founders = founders(&self.settings);
-        let found = (self.settings.found && founders.contains(&self.me.vm))
+        let bootstrap = (self.settings.found && founders.contains(&self.me.vm))
             .then(|| membership::Membership::from_voters(founders));
         let actor = self.actor.clone();
         let notify: disk::Notify = Box::new(move |done| {
-            if actor.send_message(Message::Disk(done)).is_err() {
+            if actor.send_message(Message::Persisted(done)).is_err() {
                 log::debug!("event=late_write");
             }
         });
         let now = self.now();
-        match member::Member::open(self.me.vm, &folder, found, notify, now) {
+        match member::Member::open(self.me.vm, &folder, bootstrap, notify, now) {
             Ok(member) => {
                 self.member = Some(member);
                 if self.settings.found {
@@ -207,7 +207,7 @@
                 peer: *seed,
             })
             .collect();
-        self.discovery.learn(&endpoints);
+        self.discovery.add_endpoints(&endpoints);
     }
 
     pub(super) fn reopen(&mut self, now: Duration) {
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -72,7 +72,7 @@
 }
 
 impl Vm {
-    /// Starts the process on a data folder; it founds the cell when the folder is empty.
+    /// Starts the process on a data folder; it bootstraps the cell when the folder is empty.
     pub async fn start(folder: &Path) -> Self {
         let (listener, address) = listen().await;
         let id = identity::load(Some(folder)).expect("a folder for the id");
@@ -145,7 +145,7 @@
         self.inbox.send(Message::Call(call, permit));
     }
 
-    /// Makes a call and waits for its answer.
+    /// Makes a call and waits for its reply.
     pub async fn ask<T>(&self, call: impl FnOnce(oneshot::Sender<T>) -> Call) -> T {
         let (sender, receiver) = oneshot::channel();
         self.call(call(sender)).await;
@@ -222,7 +222,7 @@
         self.eventually(|reply| Call::Register(registration, reply)).await;
     }
 
-    /// Sends the report of a worker, and waits for the answer.
+    /// Sends the report of a worker, and waits for the reply.
     pub async fn report(
         &self,
         worker: id::WorkerId,
@@ -241,7 +241,7 @@
     }
 
     /// Waits until everything sent before has been handled.
-    pub async fn settle(&self) {
+    pub async fn wait_until_handled(&self) {
         let (sender, receiver) = oneshot::channel();
         self.inbox.send(Message::Directory(sender));
         receiver.await.expect("control runs");
@@ -310,14 +310,14 @@
     /// VM as described by its announcements.
     pub me: vm::Vm,
     frames: mpsc::Receiver<peer::Received>,
-    former_ended: bool,
+    earlier_claims_ended: bool,
 }
 
 impl Leader {
     /// Zone whose group the VM leads.
     pub const ZONE: id::AvailabilityZoneId = 2;
     /// Timeout for the arrival of a frame; far longer than every resend interval.
-    const PATIENCE: Duration = Duration::from_secs(10);
+    const FRAME_TIMEOUT: Duration = Duration::from_secs(10);
 
     /// Starts listening, and adds the zone to the cell of another VM.
     pub async fn start(of: &Vm) -> Self {
@@ -336,7 +336,7 @@
         let mut leader = Self {
             me,
             frames,
-            former_ended: false,
+            earlier_claims_ended: false,
         };
         leader.announce(of).await;
         for number in 0..u64::from(TRIES) {
@@ -417,10 +417,10 @@
             let (number, command) = self.next(pick).await;
             match &command {
                 zone::Command::HolderGone { holder, .. } if *holder == of.me.id => {
-                    self.former_ended = true;
+                    self.earlier_claims_ended = true;
                     self.done(of, number, zone::Outcome::Done).await;
                 }
-                zone::Command::Claim { .. } if !self.former_ended => {
+                zone::Command::Claim { .. } if !self.earlier_claims_ended => {
                     panic!("a claim arrived before the claims of earlier incarnations were ended");
                 }
                 _ => return (number, command),
@@ -430,7 +430,7 @@
 
     /// Waits for the next frame that `pick` selects.
     async fn next<T>(&mut self, pick: impl Fn(wire::Body) -> Option<T>) -> T {
-        let wanted = async {
+        let selected = async {
             loop {
                 let received = self.frames.recv().await.expect("the listener runs");
                 if let Some(found) = pick(received.frame.body) {
@@ -438,7 +438,7 @@
                 }
             }
         };
-        let found = tokio::time::timeout(Self::PATIENCE, wanted).await;
+        let found = tokio::time::timeout(Self::FRAME_TIMEOUT, selected).await;
         found.expect("the frame arrives")
     }
 
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -63,7 +63,7 @@
     pub trace: Option<job::Key>,
 }
 
-/// Faults to inject. Rates are per second over the whole fleet; shares are probabilities.
+/// Faults to inject. Rates are per second over the entire fleet; shares are probabilities.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
     /// Rate of worker crashes; a crashed worker restarts as a new incarnation.
@@ -480,7 +480,7 @@
         };
         self.jobs.insert(key, job);
         self.next_proposal += 1;
-        // A submission without an answer is repeated until it is accepted, so that it survives a change of leader.
+        // A submission without a reply is repeated until it is accepted, so that it survives a change of leader.
         let outcome = self.apply(command.clone());
         let now = self.dispatch_now();
         if let Some(dispatch) = &mut self.dispatch {
