--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -26,7 +26,7 @@
 /// Changes in a report. At up to 21 bytes each, full reports of 17 zones stay below the 24 KB/s of a daemon.
 pub const MAX_ENTRIES: usize = 64;
 
-/// A zone that was not heard for this long wants nothing. It keeps its part until another zone lacks something.
+/// A zone that was not heard for this long wants nothing. It keeps its allotment until another zone lacks something.
 pub const SILENCE: Duration = Duration::from_secs(5);
 
 /// Teams of a zone that the root leader remembers; reports of further teams are ignored.
@@ -280,7 +280,7 @@
     /// Returns the demand of all zones.
     ///
     /// A zone that has not told everything yet is taken to want the targets that it has. A new root leader would
-    /// otherwise move parts to the zones that happen to report first.
+    /// otherwise move allotments to the zones that happen to report first.
     pub fn demand(&self, now: Duration, state: &root::State) -> root::Demand {
         // A map is built from a list in a fraction of the time that single insertions take.
         let mut demand = Vec::new();
@@ -296,8 +296,8 @@
                     demand.extend(wanted.map(|(team, (wanted, _))| ((*team, zone), *wanted)));
                 }
                 None => demand.extend(state.teams().keys().filter_map(|team| {
-                    let part = state.part(*team, zone)?;
-                    Some(((*team, zone), part.target))
+                    let allotment = state.allotment(*team, zone)?;
+                    Some(((*team, zone), allotment.target))
                 })),
             }
         }
@@ -313,7 +313,7 @@
         for (zone, known) in &mut self.zones {
             let teams = &known.teams;
             known.ahead.retain(|team| {
-                let before = state.part(*team, *zone).unwrap_or_default().released;
+                let before = state.allotment(*team, *zone).unwrap_or_default().released;
                 teams.get(team).is_some_and(|(_, total)| !total.fits(&before))
             });
             let ahead: Vec<_> = known.ahead.iter().map(|team| (*team, teams[team].1)).collect();
--- a/crates/control/src/root/parts.rs
+++ b/crates/control/src/root/allotments.rs
@@ -1,4 +1,4 @@
-//! Division of upper limits into parts per availability zone.
+//! Division of upper limits into allotments per availability zone.
 
 use std::collections::BTreeMap;
 
@@ -12,25 +12,25 @@
 /// part in this number; otherwise every change of a wish would change all targets.
 const TOLERANCE: u64 = 8;
 
-/// Part of one team in one zone.
+/// Allotment of one team in one zone.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Part {
+pub struct Allotment {
     /// Cumulative counter of what was granted.
     pub granted: escrow::Total,
     /// Cumulative counter of what the zone reported as released.
     pub released: escrow::Total,
-    /// Size that the part should have; the zone releases what it has above it.
+    /// Size that the allotment should have; the zone releases what it has above it.
     pub target: resource::Amount,
 }
 
-impl Part {
+impl Allotment {
     /// Returns what the zone may still use, as far as the root group knows.
     pub fn outstanding(&self) -> escrow::Total {
         self.granted.minus(&self.released)
     }
 }
 
-/// A new value of a granted counter and a target part.
+/// A new value of a granted counter and a target allotment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
     /// Team.
@@ -39,14 +39,14 @@
     pub zone: id::AvailabilityZoneId,
     /// Cumulative counter after the grant; a smaller value than the present one changes nothing.
     pub granted: escrow::Total,
-    /// Size that the part should have.
+    /// Size that the allotment should have.
     pub target: resource::Amount,
 }
 
-/// Wish for a part: what the zone's tasks of the team use and what waits to start.
+/// Wish for an allotment: what the zone's tasks of the team use and what waits to start.
 pub type Demand = BTreeMap<(id::TeamId, id::AvailabilityZoneId), resource::Amount>;
 
-/// Returns the grants that move parts towards the demand.
+/// Returns the grants that move allotments towards the demand.
 ///
 /// Targets change only where a zone lacks something, and then as few as will do, because each change is an entry in the
 /// log that every VM follows. Zones that hold more than their new target release the surplus first; a zone gets its
@@ -55,7 +55,7 @@
     let zones: Vec<id::AvailabilityZoneId> = state.open_zones().collect();
     let mut grants = Vec::new();
     let mut wishes = vec![escrow::Total::ZERO; zones.len()];
-    let mut present = vec![Part::default(); zones.len()];
+    let mut present = vec![Allotment::default(); zones.len()];
     for team in state.teams().values() {
         wishes.fill(escrow::Total::ZERO);
         for ((_, zone), wish) in demand.range((team.id, 0)..=(team.id, id::AvailabilityZoneId::MAX)) {
@@ -63,62 +63,65 @@
                 wishes[number] = (*wish).into();
             }
         }
-        present.fill(Part::default());
-        for (zone, part) in state
-            .parts
+        present.fill(Allotment::default());
+        for (zone, allotment) in state
+            .allotments
             .get(&team.id)
             .into_iter()
-            .flat_map(|parts| parts.iter())
+            .flat_map(|allotments| allotments.iter())
         {
             if let Ok(number) = zones.binary_search(zone) {
-                present[number] = *part;
+                present[number] = *allotment;
             }
         }
         let limit = escrow::Total::from(team.quota.limit);
         let targets = divide(&limit, &wishes, &present);
         let mut room = state.room(team.id);
-        for ((zone, part), target) in zones.iter().zip(&present).zip(targets) {
-            grants.extend(grant(team.id, *zone, part, &target, &mut room));
+        for ((zone, allotment), target) in zones.iter().zip(&present).zip(targets) {
+            grants.extend(grant(team.id, *zone, allotment, &target, &mut room));
         }
     }
     grants
 }
 
-/// Returns the grant that brings a part to its target as far as there is room; `None` when nothing changes.
+/// Returns the grant that brings an allotment to its target as far as there is room; `None` when nothing changes.
 fn grant(
     team: id::TeamId,
     zone: id::AvailabilityZoneId,
-    part: &Part,
+    allotment: &Allotment,
     target: &escrow::Total,
     room: &mut escrow::Total,
 ) -> Option<Grant> {
-    let added = target.minus(&part.outstanding()).min(room);
+    let added = target.minus(&allotment.outstanding()).min(room);
     *room = room.minus(&added);
     let target = target.amount();
-    let changes = added != escrow::Total::ZERO || target != part.target;
+    let changes = added != escrow::Total::ZERO || target != allotment.target;
     changes.then(|| Grant {
         team,
         zone,
-        granted: part.granted.plus(&added),
+        granted: allotment.granted.plus(&added),
         target,
     })
 }
 
 /// Divides a limit among zones, each dimension on its own.
-fn divide(limit: &escrow::Total, wishes: &[escrow::Total], present: &[Part]) -> Vec<escrow::Total> {
-    let mut parts = vec![[0; 3]; wishes.len()];
+fn divide(limit: &escrow::Total, wishes: &[escrow::Total], present: &[Allotment]) -> Vec<escrow::Total> {
+    let mut allotments = vec![[0; 3]; wishes.len()];
     for (dimension, total) in limit.dimensions().into_iter().enumerate() {
         let wishes: Vec<u64> = wishes.iter().map(|wish| wish.dimensions()[dimension]).collect();
         let present: Vec<u64> = present
             .iter()
-            .map(|part| escrow::Total::from(part.target).dimensions()[dimension])
+            .map(|allotment| escrow::Total::from(allotment.target).dimensions()[dimension])
             .collect();
         let shares = divide_one(total, &wishes, &present);
-        for (part, share) in parts.iter_mut().zip(shares) {
-            part[dimension] = share;
+        for (allotment, share) in allotments.iter_mut().zip(shares) {
+            allotment[dimension] = share;
         }
     }
-    parts.into_iter().map(escrow::Total::from_dimensions).collect()
+    allotments
+        .into_iter()
+        .map(escrow::Total::from_dimensions)
+        .collect()
 }
 
 /// Changes the present targets of one dimension as far as the wishes need it.
@@ -167,14 +170,17 @@
 }
 
 /// Scales targets down so that they fit a lower limit.
-pub(super) fn shrink(limit: &escrow::Total, parts: &mut BTreeMap<id::AvailabilityZoneId, Part>) {
-    let targets: Vec<escrow::Total> = parts.values().map(|part| part.target.into()).collect();
+pub(super) fn shrink(limit: &escrow::Total, allotments: &mut BTreeMap<id::AvailabilityZoneId, Allotment>) {
+    let targets: Vec<escrow::Total> = allotments
+        .values()
+        .map(|allotment| allotment.target.into())
+        .collect();
     if escrow::sum(&targets).fits(limit) {
         return;
     }
     let sum = escrow::sum(&targets);
-    for part in parts.values_mut() {
-        let target = escrow::Total::from(part.target).dimensions();
+    for allotment in allotments.values_mut() {
+        let target = escrow::Total::from(allotment.target).dimensions();
         let mut scaled = [0; 3];
         for (dimension, value) in target.into_iter().enumerate() {
             let (most, all) = (limit.dimensions()[dimension], sum.dimensions()[dimension]);
@@ -184,6 +190,6 @@
                 (u128::from(value) * u128::from(most) / u128::from(all)) as u64
             };
         }
-        part.target = escrow::Total::from_dimensions(scaled).amount();
+        allotment.target = escrow::Total::from_dimensions(scaled).amount();
     }
 }
--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -5,9 +5,8 @@
 use bronzespoke_model::{config, id, service, team, vm};
 
 use super::{
-    Envelope,
+    Envelope, allotments,
     command::{Command, Lost, Outcome, Refusal, Subject},
-    parts,
     state::{State, Zone},
 };
 use crate::escrow;
@@ -112,8 +111,8 @@
         let teams = Arc::make_mut(&mut self.teams);
         let team = teams.get_mut(&id).ok_or(Refusal::NoSuchTeam)?;
         Arc::make_mut(team).quota = quota;
-        if let Some(parts) = Arc::make_mut(&mut self.parts).get_mut(&id) {
-            parts::shrink(&quota.limit.into(), Arc::make_mut(parts));
+        if let Some(allotments) = Arc::make_mut(&mut self.allotments).get_mut(&id) {
+            allotments::shrink(&quota.limit.into(), Arc::make_mut(allotments));
         }
         self.set_ceiling(id);
         Ok(Outcome::Done)
@@ -263,13 +262,13 @@
         }
         zone.lost_ms = Some(self.now_ms);
         Arc::make_mut(&mut self.vms).retain(|_, vm| vm.place.zone != id);
-        for parts in Arc::make_mut(&mut self.parts).values_mut() {
-            if let Some(part) = Arc::make_mut(parts).get_mut(&id) {
-                part.released = part.granted;
-                part.target = bronzespoke_model::resource::Amount::ZERO;
+        for allotments in Arc::make_mut(&mut self.allotments).values_mut() {
+            if let Some(allotment) = Arc::make_mut(allotments).get_mut(&id) {
+                allotment.released = allotment.granted;
+                allotment.target = bronzespoke_model::resource::Amount::ZERO;
             }
         }
-        let teams: Vec<id::TeamId> = self.parts.keys().copied().collect();
+        let teams: Vec<id::TeamId> = self.allotments.keys().copied().collect();
         for team in teams {
             self.set_ceiling(team);
         }
@@ -307,14 +306,15 @@
         Ok(Outcome::Done)
     }
 
-    fn grant(&mut self, grants: &[parts::Grant]) -> Outcome {
+    fn grant(&mut self, grants: &[allotments::Grant]) -> Outcome {
         let mut by_team: BTreeMap<id::TeamId, Vec<u32>> = BTreeMap::new();
         for (number, grant) in grants.iter().enumerate() {
             by_team.entry(grant.team).or_default().push(number as u32);
         }
         let mut refused = Vec::new();
         for (team, numbers) in by_team {
-            let of_team: Vec<parts::Grant> = numbers.iter().map(|number| grants[*number as usize]).collect();
+            let of_team: Vec<allotments::Grant> =
+                numbers.iter().map(|number| grants[*number as usize]).collect();
             if !self.grant_team(team, &of_team) {
                 refused.extend(numbers);
             }
@@ -323,8 +323,8 @@
         Outcome::Granted(refused)
     }
 
-    /// Changes the parts of one team as a whole, or not at all when they would break its limit.
-    fn grant_team(&mut self, team: id::TeamId, grants: &[parts::Grant]) -> bool {
+    /// Changes the allotments of one team as a whole, or not at all when they would break its limit.
+    fn grant_team(&mut self, team: id::TeamId, grants: &[allotments::Grant]) -> bool {
         let is_open =
             |zone: id::AvailabilityZoneId| self.zones.get(&zone).is_some_and(|zone| zone.lost_ms.is_none());
         let Some(record) = self.teams.get(&team) else {
@@ -334,29 +334,32 @@
             return false;
         }
         let limit = escrow::Total::from(record.quota.limit);
-        let mut parts = self
-            .parts
+        let mut allotments = self
+            .allotments
             .get(&team)
-            .map(|parts| (**parts).clone())
+            .map(|allotments| (**allotments).clone())
             .unwrap_or_default();
         let mut added = escrow::Total::ZERO;
         for grant in grants {
-            let part = parts.entry(grant.zone).or_default();
+            let allotment = allotments.entry(grant.zone).or_default();
             let granted = if self.rules.monotonic {
-                grant.granted.max(&part.granted)
+                grant.granted.max(&allotment.granted)
             } else {
                 grant.granted
             };
-            added = added.plus(&granted.minus(&part.granted));
-            part.granted = granted;
-            part.target = grant.target;
-        }
-        let targets: Vec<escrow::Total> = parts.values().map(|part| part.target.into()).collect();
+            added = added.plus(&granted.minus(&allotment.granted));
+            allotment.granted = granted;
+            allotment.target = grant.target;
+        }
+        let targets: Vec<escrow::Total> = allotments
+            .values()
+            .map(|allotment| allotment.target.into())
+            .collect();
         let fits = added.fits(&self.room(team)) && escrow::sum(&targets).fits(&limit);
         if self.rules.limit && !fits {
             return false;
         }
-        Arc::make_mut(&mut self.parts).insert(team, Arc::new(parts));
+        Arc::make_mut(&mut self.allotments).insert(team, Arc::new(allotments));
         true
     }
 
@@ -369,14 +372,14 @@
             return Err(Refusal::NoSuchZone);
         }
         for (team, total) in released {
-            let parts = Arc::make_mut(&mut self.parts);
-            let Some(part) = parts
+            let allotments = Arc::make_mut(&mut self.allotments);
+            let Some(allotment) = allotments
                 .get_mut(team)
-                .and_then(|parts| Arc::make_mut(parts).get_mut(&zone))
+                .and_then(|allotments| Arc::make_mut(allotments).get_mut(&zone))
             else {
                 continue;
             };
-            part.released = part.released.max(total).min(&part.granted);
+            allotment.released = allotment.released.max(total).min(&allotment.granted);
             self.set_ceiling(*team);
         }
         Ok(Outcome::Done)
--- a/crates/control/src/root/command.rs
+++ b/crates/control/src/root/command.rs
@@ -3,7 +3,7 @@
 use bronzespoke_model::{config, id, team, vm};
 use serde::{Deserialize, Serialize};
 
-use super::parts;
+use super::allotments;
 use crate::escrow;
 
 /// What a drain mark is set on.
@@ -106,8 +106,8 @@
         /// Whether the mark is set.
         on: bool,
     },
-    /// Grow granted counters and set target parts.
-    Grant(Vec<parts::Grant>),
+    /// Grow granted counters and set target allotments.
+    Grant(Vec<allotments::Grant>),
     /// Record released counters that a zone group has committed.
     Released {
         /// Zone.
--- a/crates/control/src/root/memory.rs
+++ b/crates/control/src/root/memory.rs
@@ -4,7 +4,7 @@
 
 use bronzespoke_model::{id, service, team, vm};
 
-use super::{command, parts, state};
+use super::{allotments, command, state};
 use crate::memory::{ALLOCATION_BYTES, map};
 
 impl state::State {
@@ -15,10 +15,12 @@
             .keys()
             .map(|name| 2 * (name.len() + ALLOCATION_BYTES))
             .sum();
-        let parts: usize = self
-            .parts
+        let allotments: usize = self
+            .allotments
             .values()
-            .map(|parts| map::<(id::AvailabilityZoneId, parts::Part)>(parts.len()) + ALLOCATION_BYTES)
+            .map(|allotments| {
+                map::<(id::AvailabilityZoneId, allotments::Allotment)>(allotments.len()) + ALLOCATION_BYTES
+            })
             .sum();
         map::<(team::KeyHash, id::TeamId)>(self.keys.len())
             + self.withdrawn.memory()
@@ -29,7 +31,7 @@
             + map::<(String, service::Queue)>(self.services.len() + self.queues.len())
             + map::<(id::VmId, vm::Vm)>(self.vms.len())
             + map::<command::Subject>(self.drains.len())
-            + parts
+            + allotments
             + self.commands.memory()
     }
 }
--- a/crates/control/src/root/mod.rs
+++ b/crates/control/src/root/mod.rs
@@ -1,14 +1,14 @@
 //! State of the root group: what holds for the whole cell.
 
+mod allotments;
 mod apply;
 mod command;
 mod memory;
-mod parts;
 mod state;
 mod view;
 
+pub use allotments::{Allotment, Demand, Grant, rebalance};
 pub use command::{Command, Lost, Outcome, Refusal, Subject};
-pub use parts::{Demand, Grant, Part, rebalance};
 pub use state::{Rules, State, Zone, Zones};
 pub use view::View;
 
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -9,7 +9,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::{command, parts, view};
+use super::{allotments, command, view};
 use crate::{dedupe, envelope, error, escrow, shared};
 
 /// An availability zone.
@@ -28,8 +28,8 @@
 /// Availability zones.
 pub type Zones = BTreeMap<id::AvailabilityZoneId, Zone>;
 
-/// Parts of all teams.
-pub type Parts = BTreeMap<id::TeamId, Arc<BTreeMap<id::AvailabilityZoneId, parts::Part>>>;
+/// Allotments of all teams.
+pub type Allotments = BTreeMap<id::TeamId, Arc<BTreeMap<id::AvailabilityZoneId, allotments::Allotment>>>;
 
 /// Safety rules that tests switch off to show that the checks catch their absence.
 #[doc(hidden)]
@@ -87,8 +87,9 @@
     /// VM that founded the group of each zone.
     pub(super) founders: BTreeMap<id::AvailabilityZoneId, id::VmId>,
     pub(super) drains: Arc<BTreeSet<command::Subject>>,
-    pub(super) parts: Arc<Parts>,
-    /// Most that the parts of a team may add up to: the limit, or what was out when the limit was lowered.
+    #[serde(rename = "parts")]
+    pub(super) allotments: Arc<Allotments>,
+    /// Most that the allotments of a team may add up to: the limit, or what was out when the limit was lowered.
     pub(super) ceilings: BTreeMap<id::TeamId, escrow::Total>,
     pub(super) commands: dedupe::Table<command::Outcome>,
     #[serde(skip)]
@@ -143,18 +144,20 @@
             .map(|(zone, _)| *zone)
     }
 
-    /// Returns the part of a team in a zone.
-    pub fn part(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> Option<parts::Part> {
-        self.parts.get(&team)?.get(&zone).copied()
+    /// Returns the allotment of a team in a zone.
+    pub fn allotment(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> Option<allotments::Allotment> {
+        self.allotments.get(&team)?.get(&zone).copied()
     }
 
-    /// Returns the sum of the parts of a team that are not known to be released.
+    /// Returns the sum of the allotments of a team that are not known to be released.
     pub fn outstanding(&self, team: id::TeamId) -> escrow::Total {
-        self.parts.get(&team).map_or(escrow::Total::ZERO, |parts| {
-            parts
-                .values()
-                .fold(escrow::Total::ZERO, |all, part| all.plus(&part.outstanding()))
-        })
+        self.allotments
+            .get(&team)
+            .map_or(escrow::Total::ZERO, |allotments| {
+                allotments.values().fold(escrow::Total::ZERO, |all, allotment| {
+                    all.plus(&allotment.outstanding())
+                })
+            })
     }
 
     /// Returns what may still be granted to a team.
@@ -164,7 +167,7 @@
         })
     }
 
-    /// Tells whether the limit of a team is in force: its parts add up to no more than the limit.
+    /// Tells whether the limit of a team is in force: its allotments add up to no more than the limit.
     pub fn limit_in_force(&self, team: id::TeamId) -> bool {
         self.teams
             .get(&team)
@@ -190,7 +193,7 @@
             vms: Arc::clone(&self.vms),
             zones: Arc::clone(&self.zones),
             drains: Arc::clone(&self.drains),
-            parts: Arc::clone(&self.parts),
+            allotments: Arc::clone(&self.allotments),
         })
     }
 
@@ -230,8 +233,8 @@
         self.commands.verify()?;
         self.verify_names()?;
         self.verify_keys()?;
-        for (team, parts) in self.parts.iter() {
-            self.verify_parts(*team, parts)?;
+        for (team, allotments) in self.allotments.iter() {
+            self.verify_parts(*team, allotments)?;
         }
         Ok(())
     }
@@ -271,22 +274,27 @@
     fn verify_parts(
         &self,
         team: id::TeamId,
-        parts: &BTreeMap<id::AvailabilityZoneId, parts::Part>,
+        allotments: &BTreeMap<id::AvailabilityZoneId, allotments::Allotment>,
     ) -> Result<(), String> {
         let Some(record) = self.teams.get(&team) else {
-            return Err(format!("team {team} has parts but does not exist"));
+            return Err(format!("team {team} has allotments but does not exist"));
         };
         let limit = escrow::Total::from(record.quota.limit);
-        let targets: Vec<escrow::Total> = parts.values().map(|part| part.target.into()).collect();
+        let targets: Vec<escrow::Total> = allotments
+            .values()
+            .map(|allotment| allotment.target.into())
+            .collect();
         if !escrow::sum(&targets).fits(&limit) {
             return Err(format!("targets of team {team} add up to more than its limit"));
         }
         let ceiling = self.ceilings.get(&team).copied().unwrap_or(limit);
         if !self.outstanding(team).fits(&ceiling) {
-            return Err(format!("parts of team {team} add up to more than its ceiling"));
+            return Err(format!(
+                "allotments of team {team} add up to more than its ceiling"
+            ));
         }
-        for (zone, part) in parts {
-            if !part.released.fits(&part.granted) {
+        for (zone, allotment) in allotments {
+            if !allotment.released.fits(&allotment.granted) {
                 return Err(format!(
                     "zone {zone} released more than was granted to team {team}"
                 ));
--- a/crates/control/src/root/view.rs
+++ b/crates/control/src/root/view.rs
@@ -7,7 +7,7 @@
 
 use bronzespoke_model::{config, id, resource, service, team, vm};
 
-use super::{command, parts, state};
+use super::{allotments, command, state};
 use crate::escrow;
 
 /// The root state at one index. A clone of the state's shared tables: building it copies no table.
@@ -35,8 +35,8 @@
     pub zones: Arc<state::Zones>,
     /// Drain marks.
     pub drains: Arc<BTreeSet<command::Subject>>,
-    /// Parts by team and zone.
-    pub parts: Arc<state::Parts>,
+    /// Allotments by team and zone.
+    pub allotments: Arc<state::Allotments>,
 }
 
 impl View {
@@ -50,22 +50,22 @@
         self.teams.get(self.team_names.get(name)?)
     }
 
-    /// Returns the part of a team in a zone.
-    pub fn part(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> Option<parts::Part> {
-        self.parts.get(&team)?.get(&zone).copied()
+    /// Returns the allotment of a team in a zone.
+    pub fn allotment(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> Option<allotments::Allotment> {
+        self.allotments.get(&team)?.get(&zone).copied()
     }
 
     /// Returns the granted counters of a zone, for [`crate::zone::Command::Granted`].
     pub fn granted(&self, zone: id::AvailabilityZoneId) -> Vec<(id::TeamId, escrow::Total)> {
-        self.parts
+        self.allotments
             .iter()
-            .filter_map(|(team, parts)| Some((*team, parts.get(&zone)?.granted)))
+            .filter_map(|(team, allotments)| Some((*team, allotments.get(&zone)?.granted)))
             .collect()
     }
 
-    /// Returns the size that the part of a team in a zone should have, for [`crate::zone::State::releases`].
+    /// Returns the size that the allotment of a team in a zone should have, for [`crate::zone::State::releases`].
     pub fn target(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> resource::Amount {
-        self.part(team, zone).unwrap_or_default().target
+        self.allotment(team, zone).unwrap_or_default().target
     }
 
     /// Tells whether a drain mark is set.
--- a/crates/control/src/zone/apply.rs
+++ b/crates/control/src/zone/apply.rs
@@ -166,7 +166,7 @@
         if self.rules.capacity && !worker.has_room(&job.spec) {
             return Err(Refusal::OverCapacity);
         }
-        if !self.holdings.start(job.team, job.spec.size, self.rules.part) {
+        if !self.holdings.start(job.team, job.spec.size, self.rules.allotment) {
             return Err(Refusal::OverPart);
         }
         worker.runs.insert(key);
--- a/crates/control/src/zone/command.rs
+++ b/crates/control/src/zone/command.rs
@@ -88,7 +88,7 @@
     },
     /// Take over granted counters from the root group.
     Granted(Vec<(id::TeamId, escrow::Total)>),
-    /// Grow released counters; each is cut so that the part still covers what runs.
+    /// Grow released counters; each is cut so that the allotment still covers what runs.
     Release(Vec<(id::TeamId, escrow::Total)>),
     /// Drop what has expired by the time of the envelope.
     Expire,
@@ -124,7 +124,7 @@
     StaleToken,
     /// The start would take the worker over its capacity.
     OverCapacity,
-    /// The start would take the team over its part.
+    /// The start would take the team over its allotment.
     OverPart,
     /// The number of tasks or the length of the command line is out of bounds.
     BadSpec,
--- a/crates/control/src/zone/holdings.rs
+++ b/crates/control/src/zone/holdings.rs
@@ -1,4 +1,4 @@
-//! The zone's parts of upper limits, and what each team uses of them.
+//! The zone's allotments of upper limits, and what each team uses of them.
 
 use std::collections::BTreeMap;
 
@@ -20,18 +20,18 @@
 
 impl Holding {
     /// Returns what the team may use in the zone.
-    pub fn part(&self) -> Total {
+    pub fn allotment(&self) -> Total {
         self.granted.minus(&self.released)
     }
 
     /// Returns what the team may start in addition.
     pub fn free(&self) -> Total {
-        self.part().minus(&self.used)
+        self.allotment().minus(&self.used)
     }
 
-    /// Returns the released counter that brings the part down to a target, as far as nothing in use is released.
+    /// Returns the released counter that brings the allotment down to a target, as far as nothing in use is released.
     pub fn release_to(&self, target: resource::Amount) -> Total {
-        let surplus = self.part().minus(&self.used.max(&target.into()));
+        let surplus = self.allotment().minus(&self.used.max(&target.into()));
         self.released.plus(&surplus)
     }
 }
@@ -59,7 +59,7 @@
         holding.granted = holding.granted.max(granted);
     }
 
-    /// Grows a released counter as far as the part still covers what is used.
+    /// Grows a released counter as far as the allotment still covers what is used.
     pub(super) fn release(&mut self, team: id::TeamId, released: &Total, keep_used: bool) {
         let holding = self.teams.entry(team).or_default();
         let most = if keep_used {
@@ -70,11 +70,11 @@
         holding.released = holding.released.max(&released.min(&most));
     }
 
-    /// Adds a run; `false` when it does not fit the part.
+    /// Adds a run; `false` when it does not fit the allotment.
     pub(super) fn start(&mut self, team: id::TeamId, size: resource::Amount, check: bool) -> bool {
         let holding = self.teams.entry(team).or_default();
         let used = holding.used.plus(&size.into());
-        if check && !used.fits(&holding.part()) {
+        if check && !used.fits(&holding.allotment()) {
             return false;
         }
         holding.used = used;
@@ -87,14 +87,14 @@
         holding.used = holding.used.minus(&size.into());
     }
 
-    /// Checks that each part covers what is used, and that the use is that of the runs.
+    /// Checks that each allotment covers what is used, and that the use is that of the runs.
     pub(super) fn verify(&self, used: &BTreeMap<id::TeamId, Total>) -> Result<(), String> {
         for (team, holding) in &self.teams {
             if !holding.released.fits(&holding.granted) {
                 return Err(format!("team {team} released more than it was granted"));
             }
-            if !holding.used.fits(&holding.part()) {
-                return Err(format!("team {team} uses more than its part"));
+            if !holding.used.fits(&holding.allotment()) {
+                return Err(format!("team {team} uses more than its allotment"));
             }
             if holding.used != used.get(team).copied().unwrap_or_default() {
                 return Err(format!("use of team {team} is not that of its runs"));
--- a/crates/control/src/zone/mod.rs
+++ b/crates/control/src/zone/mod.rs
@@ -1,4 +1,4 @@
-//! State of a zone group: jobs, task leases, workers, request ids and the zone's parts of upper limits.
+//! State of a zone group: jobs, task leases, workers, request ids and the zone's allotments of upper limits.
 
 mod apply;
 mod claims;
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -23,8 +23,8 @@
 pub struct Rules {
     /// A start must fit beside what its worker holds.
     pub capacity: bool,
-    /// A start must fit the part of its team.
-    pub part: bool,
+    /// A start must fit the allotment of its team.
+    pub allotment: bool,
     /// A task that runs is not started again.
     pub single_run: bool,
     /// Tokens grow.
@@ -41,7 +41,7 @@
     fn default() -> Self {
         Self {
             capacity: true,
-            part: true,
+            allotment: true,
             single_run: true,
             token: true,
             claim_once: true,
@@ -211,7 +211,7 @@
         self.commands.get(id)
     }
 
-    /// Returns the released counters that bring parts down to their targets; nothing in use is released.
+    /// Returns the released counters that bring allotments down to their targets; nothing in use is released.
     pub fn releases(
         &self,
         target: impl Fn(id::TeamId) -> resource::Amount,
--- a/crates/control/tests/demand.rs
+++ b/crates/control/tests/demand.rs
@@ -163,7 +163,7 @@
         self.deliver(faults);
     }
 
-    /// A released counter above the committed one would let parts add up to more than the limit.
+    /// A released counter above the committed one would let allotments add up to more than the limit.
     fn check_released(&mut self) -> Result<(), String> {
         for (zone, released) in self.table.released(&self.state) {
             for (team, known) in released {
@@ -265,7 +265,7 @@
     }
 }
 
-/// Guards against parts that a new root leader takes from zones that have not reported yet.
+/// Guards against allotments that a new root leader takes from zones that have not reported yet.
 #[test]
 fn a_new_root_leader_moves_nothing_before_all_zones_reported() {
     let mut state = root_state();
--- a/crates/daemon/src/control/operator/zone.rs
+++ b/crates/daemon/src/control/operator/zone.rs
@@ -154,7 +154,7 @@
             .iter()
             .filter(|(team, _)| self.wants_team(filter, *team))
         {
-            let part = holding.part();
+            let part = holding.allotment();
             table.push(vec![
                 u32::from(zone).into(),
                 self.team_name(team).into(),
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -439,14 +439,17 @@
 /// Returns what the team's tasks may use here: the part that the zone holds, but no more than its target while all
 /// parts together exceed a lowered limit. Targets that move between zones stop nothing that runs.
 fn usable_part(zone: &zone::Zone, view: &root::View, team: &team::Team) -> resource::Amount {
-    let part = zone.state().holdings().get(team.id).part();
-    let parts = view.parts.get(&team.id);
+    let part = zone.state().holdings().get(team.id).allotment();
+    let parts = view.allotments.get(&team.id);
     let outstanding = parts.into_iter().flat_map(|parts| parts.values());
     let all = outstanding.fold(escrow::Total::ZERO, |all, part| all.plus(&part.outstanding()));
     if all.fits(&team.quota.limit.into()) {
         return part.amount();
     }
-    let target = view.part(team.id, zone.state().zone()).unwrap_or_default().target;
+    let target = view
+        .allotment(team.id, zone.state().zone())
+        .unwrap_or_default()
+        .target;
     part.min(&target.into()).amount()
 }
 
