--- a/crates/bench/benches/capacity/role.rs
+++ b/crates/bench/benches/capacity/role.rs
@@ -33,7 +33,7 @@
 /// `crates/consensus/src/replica/config.rs`.
 const ENTRIES_PER_SNAPSHOT: f64 = 8192.0;
 const LOG_ENTRIES: f64 = ENTRIES_PER_SNAPSHOT + 4096.0;
-/// Entries in a second into which starts and ends are collected at peak, by `COLLECT` of `crates/control/src/batch.rs`.
+/// Entries in a second into which starts and ends are collected at peak, by `ROUTINE_DELAY` of `crates/control/src/batch.rs`.
 const ENTRIES: f64 = 10.0;
 /// Polls of the feed in a second.
 const POLLS: f64 = 2.0;
--- a/crates/bench/src/policy/control/collection.rs
+++ b/crates/bench/src/policy/control/collection.rs
@@ -39,8 +39,8 @@
 pub(super) fn collection(seed: u64, rows: &mut Vec<Row>) {
     let (each, _) = collect(seed, batch::Urgency::Prompt);
     let (collected, [routine, urgent]) = collect(seed, batch::Urgency::Routine);
-    let prompt = batch::PROMPT.as_secs_f64() * 1000.0;
-    let longest = batch::COLLECT.as_secs_f64() * 1000.0;
+    let prompt = batch::PROMPT_DELAY.as_secs_f64() * 1000.0;
+    let longest = batch::ROUTINE_DELAY.as_secs_f64() * 1000.0;
     let source = "ten batches a second and one urgent command";
     let entries = "control.log_entries_per_second_at_peak";
     let waits = "control.command_wait_ms_at_peak";
--- a/crates/control/src/batch.rs
+++ b/crates/control/src/batch.rs
@@ -3,21 +3,21 @@
 //! Each entry costs frames to every member, their answers and a write to disk, so that commands are collected. This
 //! happens before the log: only the proposer knows which commands are urgent, and the log would still carry an entry
 //! for each command. Isolated commands are proposed at once. When commands keep coming, those that nobody waits for
-//! share about [`COLLECT`] of time.
+//! share about [`ROUTINE_DELAY`] of time.
 
 use std::time::Duration;
 
 use crate::envelope;
 
 /// Longest wait of a prompt command.
-pub const PROMPT: Duration = Duration::from_millis(2);
+pub const PROMPT_DELAY: Duration = Duration::from_millis(2);
 
 /// Longest wait of a routine command, and time between two batches of them under load. Ten entries a second take
 /// about a third of the bytes of an entry for each of 300 commands.
-pub const COLLECT: Duration = Duration::from_millis(100);
+pub const ROUTINE_DELAY: Duration = Duration::from_millis(100);
 
 /// Batches of routine commands that are proposed at once before collection begins. It is refilled at one in
-/// [`COLLECT`].
+/// [`ROUTINE_DELAY`].
 const BURST: u32 = 8;
 
 /// Commands with which a batch is due at once.
@@ -26,9 +26,9 @@
 /// How long a command may wait.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Urgency {
-    /// At most [`PROMPT`]: urgent work, and commands that somebody waits for.
+    /// At most [`PROMPT_DELAY`]: urgent work, and commands that somebody waits for.
     Prompt,
-    /// At most [`COLLECT`].
+    /// At most [`ROUTINE_DELAY`].
     Routine,
 }
 
@@ -58,11 +58,11 @@
     pub fn push(&mut self, now: Duration, command: envelope::Envelope<C>, waiter: W, urgency: Urgency) {
         self.commands.push(command);
         self.waiters.push(waiter);
-        let prompt = now + PROMPT;
+        let prompt = now + PROMPT_DELAY;
         let due = match urgency {
             _ if self.commands.len() >= MAX_COMMANDS => now,
             Urgency::Prompt => prompt,
-            Urgency::Routine => prompt.max(self.charged.saturating_sub(COLLECT * (BURST - 1))),
+            Urgency::Routine => prompt.max(self.charged.saturating_sub(ROUTINE_DELAY * (BURST - 1))),
         };
         self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
     }
@@ -75,7 +75,7 @@
     /// Takes all commands with those who wait for them.
     pub fn take(&mut self, now: Duration) -> (Vec<envelope::Envelope<C>>, Vec<W>) {
         if !self.commands.is_empty() {
-            self.charged = (self.charged.max(now) + COLLECT).min(now + COLLECT * BURST);
+            self.charged = (self.charged.max(now) + ROUTINE_DELAY).min(now + ROUTINE_DELAY * BURST);
         }
         self.due = None;
         (
--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -275,7 +275,7 @@
         if !entry.done {
             entry.done = true;
             entry.checkpoint = None;
-            step.left -= 1;
+            step.remaining -= 1;
         }
     }
 }
@@ -312,5 +312,5 @@
 
 fn is_done(job: &Job) -> bool {
     let mut steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-    steps.all(|step| step.left == 0)
+    steps.all(|step| step.remaining == 0)
 }
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -82,7 +82,8 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Step {
     /// Tasks that are not done.
-    pub left: u32,
+    #[serde(rename = "left")]
+    pub remaining: u32,
     /// Tasks that are placed.
     pub placed: u32,
     /// Failed runs of a gang as a whole.
@@ -147,7 +148,7 @@
         self.jobs.values()
     }
 
-    /// Jobs with work left or runs that have not ended.
+    /// Jobs with work remaining or runs that have not ended.
     pub fn active(&self) -> impl Iterator<Item = &Job> {
         self.active.iter().filter_map(|key| self.jobs.get(key))
     }
@@ -211,7 +212,9 @@
     pub fn is_ready(&self, occurrence: u32, step: u16) -> bool {
         let steps = &self.occurrences[occurrence as usize].steps;
         let after = &self.submission.steps[usize::from(step)].after;
-        after.iter().all(|other| steps[usize::from(*other)].left == 0)
+        after
+            .iter()
+            .all(|other| steps[usize::from(*other)].remaining == 0)
     }
 
     /// Creates an accepted job.
@@ -242,7 +245,7 @@
 impl Step {
     fn new(step: &job::Step) -> Self {
         Self {
-            left: step.tasks,
+            remaining: step.tasks,
             placed: 0,
             failures: 0,
             failed_run: 0,
--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -7,7 +7,7 @@
 //! Nothing here is logged. A wrong demand moves targets; the limits hold whatever is reported, because the root group
 //! grants by its committed counters and a zone group releases by its own.
 //!
-//! With at most [`MAX_ENTRIES`] changes at once a change is known [`INTERVAL`] later; each lost report, and each further
+//! With at most [`MAX_ENTRIES`] changes at once a change is known [`REPORT_INTERVAL`] later; each lost report, and each further
 //! [`MAX_ENTRIES`] changes that came before, add an interval.
 
 use std::{
@@ -21,13 +21,13 @@
 use crate::{escrow, root};
 
 /// Time between two reports of a zone. Reports without changes show that the zone is heard.
-pub const INTERVAL: Duration = Duration::from_secs(1);
+pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Changes in a report. At up to 21 bytes each, full reports of 17 zones stay below the 24 KB/s of a daemon.
 pub const MAX_ENTRIES: usize = 64;
 
 /// A zone that was not heard for this long wants nothing. It keeps its allotment until another zone lacks something.
-pub const SILENCE: Duration = Duration::from_secs(5);
+pub const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Teams of a zone that the root leader remembers; reports of further teams are ignored.
 pub const MAX_TEAMS: usize = 8_192;
@@ -43,7 +43,8 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
     /// What the team's tasks use and what waits to start, rounded up.
-    Wanted(resource::Amount),
+    #[serde(rename = "Wanted")]
+    Demand(resource::Amount),
     /// Cumulative released counter.
     Released(escrow::Total),
 }
@@ -113,7 +114,7 @@
     }
 
     /// Tells whether this reporter belongs to a leadership.
-    pub const fn is_of(&self, zone: id::AvailabilityZoneId, term: u64) -> bool {
+    pub const fn is_for(&self, zone: id::AvailabilityZoneId, term: u64) -> bool {
         self.zone == zone && self.term == term
     }
 
@@ -145,14 +146,14 @@
         if !self.is_due(now) {
             return None;
         }
-        self.due = now + INTERVAL;
+        self.due = now + REPORT_INTERVAL;
         if self.receiver != Some(receiver) {
             self.receiver = Some(receiver);
             self.acknowledged = 0;
         }
         let since = self.acknowledged;
         let values = self.teams.iter().flat_map(|(team, known)| {
-            let wanted = (known.wanted.0, *team, Change::Wanted(known.wanted.1));
+            let wanted = (known.wanted.0, *team, Change::Demand(known.wanted.1));
             let released = (known.released.0, *team, Change::Released(known.released.1));
             [wanted, released]
         });
@@ -180,7 +181,7 @@
     /// Takes an answer. An answer that is late makes the next report longer or refused, and is corrected by the answer
     /// to that report.
     pub fn acknowledge(&mut self, from: id::VmId, receipt: &Receipt) {
-        if self.is_of(receipt.zone, receipt.term) && self.receiver == Some(from) {
+        if self.is_for(receipt.zone, receipt.term) && self.receiver == Some(from) {
             self.acknowledged = receipt.through.min(self.version);
         }
     }
@@ -262,7 +263,7 @@
                 }
                 let (wanted, released) = zone.teams.entry(*team).or_default();
                 match change {
-                    Change::Wanted(amount) => *wanted = *amount,
+                    Change::Demand(amount) => *wanted = *amount,
                     Change::Released(total) => {
                         *released = *total;
                         zone.ahead.insert(*team);
@@ -287,7 +288,7 @@
         for zone in state.open_zones() {
             let known = self.zones.get(&zone);
             let heard = known.map_or(self.since, |known| known.heard);
-            if now.saturating_sub(heard) >= SILENCE {
+            if now.saturating_sub(heard) >= REPORT_TIMEOUT {
                 continue;
             }
             match known.filter(|known| known.through >= known.goal) {
--- a/crates/control/src/escrow.rs
+++ b/crates/control/src/escrow.rs
@@ -35,12 +35,12 @@
     }
 
     /// Adds each dimension, stopping at the largest value.
-    pub fn plus(&self, other: &Self) -> Self {
+    pub fn saturating_add(&self, other: &Self) -> Self {
         self.zip(other, u64::saturating_add)
     }
 
     /// Subtracts each dimension, stopping at zero.
-    pub fn minus(&self, other: &Self) -> Self {
+    pub fn saturating_sub(&self, other: &Self) -> Self {
         self.zip(other, u64::saturating_sub)
     }
 
@@ -94,5 +94,7 @@
 
 /// Returns the sum of totals.
 pub fn sum<'a>(totals: impl IntoIterator<Item = &'a Total>) -> Total {
-    totals.into_iter().fold(Total::ZERO, |all, one| all.plus(one))
+    totals
+        .into_iter()
+        .fold(Total::ZERO, |all, one| all.saturating_add(one))
 }
--- a/crates/control/src/root/allotments.rs
+++ b/crates/control/src/root/allotments.rs
@@ -26,7 +26,7 @@
 impl Allotment {
     /// Returns what the zone may still use, as far as the root group knows.
     pub fn outstanding(&self) -> escrow::Total {
-        self.granted.minus(&self.released)
+        self.granted.saturating_sub(&self.released)
     }
 }
 
@@ -92,14 +92,14 @@
     target: &escrow::Total,
     room: &mut escrow::Total,
 ) -> Option<Grant> {
-    let added = target.minus(&allotment.outstanding()).min(room);
-    *room = room.minus(&added);
+    let added = target.saturating_sub(&allotment.outstanding()).min(room);
+    *room = room.saturating_sub(&added);
     let target = target.amount();
     let changes = added != escrow::Total::ZERO || target != allotment.target;
     changes.then(|| Grant {
         team,
         zone,
-        granted: allotment.granted.plus(&added),
+        granted: allotment.granted.saturating_add(&added),
         target,
     })
 }
--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -251,7 +251,7 @@
     }
 
     fn lose_zone(&mut self, id: id::AvailabilityZoneId, proof: Lost) -> Result<Outcome, Refusal> {
-        if proof.stopped_ms < Lost::LEAST_STOPPED_MS {
+        if proof.stopped_ms < Lost::MIN_STOPPED_MS {
             return Err(Refusal::LeasesMayRun);
         }
         let zone = Arc::make_mut(&mut self.zones)
@@ -347,7 +347,7 @@
             } else {
                 grant.granted
             };
-            added = added.plus(&granted.minus(&allotment.granted));
+            added = added.saturating_add(&granted.saturating_sub(&allotment.granted));
             allotment.granted = granted;
             allotment.target = grant.target;
         }
--- a/crates/control/src/root/command.rs
+++ b/crates/control/src/root/command.rs
@@ -30,7 +30,7 @@
 
 impl Lost {
     /// Shortest time after which all leases of a stopped zone are over: the lease of 10 s and 2% drift.
-    pub const LEAST_STOPPED_MS: u64 = 10_200;
+    pub const MIN_STOPPED_MS: u64 = 10_200;
 }
 
 /// A change of the root state.
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -155,7 +155,7 @@
             .get(&team)
             .map_or(escrow::Total::ZERO, |allotments| {
                 allotments.values().fold(escrow::Total::ZERO, |all, allotment| {
-                    all.plus(&allotment.outstanding())
+                    all.saturating_add(&allotment.outstanding())
                 })
             })
     }
@@ -163,7 +163,7 @@
     /// Returns what may still be granted to a team.
     pub fn room(&self, team: id::TeamId) -> escrow::Total {
         self.teams.get(&team).map_or(escrow::Total::ZERO, |record| {
-            escrow::Total::from(record.quota.limit).minus(&self.outstanding(team))
+            escrow::Total::from(record.quota.limit).saturating_sub(&self.outstanding(team))
         })
     }
 
--- a/crates/control/src/zone/holdings.rs
+++ b/crates/control/src/zone/holdings.rs
@@ -21,18 +21,18 @@
 impl Holding {
     /// Returns what the team may use in the zone.
     pub fn allotment(&self) -> Total {
-        self.granted.minus(&self.released)
+        self.granted.saturating_sub(&self.released)
     }
 
     /// Returns what the team may start in addition.
     pub fn free(&self) -> Total {
-        self.allotment().minus(&self.used)
+        self.allotment().saturating_sub(&self.used)
     }
 
     /// Returns the released counter that brings the allotment down to a target, as far as nothing in use is released.
     pub fn release_to(&self, target: resource::Amount) -> Total {
-        let surplus = self.allotment().minus(&self.used.max(&target.into()));
-        self.released.plus(&surplus)
+        let surplus = self.allotment().saturating_sub(&self.used.max(&target.into()));
+        self.released.saturating_add(&surplus)
     }
 }
 
@@ -63,7 +63,7 @@
     pub(super) fn release(&mut self, team: id::TeamId, released: &Total, keep_used: bool) {
         let holding = self.teams.entry(team).or_default();
         let most = if keep_used {
-            holding.granted.minus(&holding.used)
+            holding.granted.saturating_sub(&holding.used)
         } else {
             holding.granted
         };
@@ -73,7 +73,7 @@
     /// Adds a run; `false` when it does not fit the allotment.
     pub(super) fn start(&mut self, team: id::TeamId, size: resource::Amount, check: bool) -> bool {
         let holding = self.teams.entry(team).or_default();
-        let used = holding.used.plus(&size.into());
+        let used = holding.used.saturating_add(&size.into());
         if check && !used.fits(&holding.allotment()) {
             return false;
         }
@@ -84,7 +84,7 @@
     /// Removes a run.
     pub(super) fn end(&mut self, team: id::TeamId, size: resource::Amount) {
         let holding = self.teams.entry(team).or_default();
-        holding.used = holding.used.minus(&size.into());
+        holding.used = holding.used.saturating_sub(&size.into());
     }
 
     /// Checks that each allotment covers what is used, and that the use is that of the runs.
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -350,7 +350,7 @@
                 return Err(format!("a task of job {} runs, but the job is not known", key.0));
             };
             let total = used.entry(job.team).or_default();
-            *total = total.plus(&job.spec.size.into());
+            *total = total.saturating_add(&job.spec.size.into());
             tokens.push(run.token);
             let indexed = self
                 .workers
--- a/crates/daemon/src/control/demand.rs
+++ b/crates/daemon/src/control/demand.rs
@@ -14,7 +14,10 @@
             return;
         };
         let term = group.member().replica().status().term;
-        let same = self.reporter.take().filter(|reporter| reporter.is_of(zone, term));
+        let same = self
+            .reporter
+            .take()
+            .filter(|reporter| reporter.is_for(zone, term));
         let mut reporter = same.unwrap_or_else(|| demand::Reporter::new(zone, term, now));
         let leader = self.leader(id::GroupId::Root);
         if let Some(leader) = leader.filter(|_| reporter.is_due(now)) {
@@ -74,7 +77,7 @@
         let size = escrow::Total::from(job.spec.size);
         let all = size.zip(&size, |one, _| one.saturating_mul(tasks));
         let (wanted, _) = wishes.entry(job.team).or_default();
-        *wanted = wanted.plus(&all);
+        *wanted = wanted.saturating_add(&all);
     }
     for (team, holding) in state.holdings().iter() {
         let (wanted, released) = wishes.entry(team).or_default();
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -126,8 +126,8 @@
             silence = silence.min(now.saturating_sub(heard));
         }
         let silence = silence.as_millis() as u64;
-        if silence < root::Lost::LEAST_STOPPED_MS {
-            let least = root::Lost::LEAST_STOPPED_MS;
+        if silence < root::Lost::MIN_STOPPED_MS {
+            let least = root::Lost::MIN_STOPPED_MS;
             let message =
                 format!("zone {zone} was heard of {silence} ms ago; {least} ms of silence are needed");
             return Err((answer::Code::Invalid, message));
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -442,7 +442,9 @@
     let part = zone.state().holdings().get(team.id).allotment();
     let parts = view.allotments.get(&team.id);
     let outstanding = parts.into_iter().flat_map(|parts| parts.values());
-    let all = outstanding.fold(escrow::Total::ZERO, |all, part| all.plus(&part.outstanding()));
+    let all = outstanding.fold(escrow::Total::ZERO, |all, part| {
+        all.saturating_add(&part.outstanding())
+    });
     if all.fits(&team.quota.limit.into()) {
         return part.amount();
     }
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -187,7 +187,7 @@
             open.then_some(index)
         };
         let tasks: Vec<u32> = progress.tasks.iter().enumerate().filter_map(open).collect();
-        let apart = spec.gang && tasks.len() < progress.left as usize;
+        let apart = spec.gang && tasks.len() < progress.remaining as usize;
         if tasks.is_empty() || apart {
             return None;
         }
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -36,7 +36,7 @@
                     occurrence,
                     step,
                 };
-                let open = entry.left > entry.placed && !job.is_final();
+                let open = entry.remaining > entry.placed && !job.is_final();
                 if open && job.is_ready(occurrence, step) {
                     self.waiting
                         .entry(id)
@@ -45,10 +45,10 @@
                 }
                 let was_waiting = self.waiting.remove(&id).is_some();
                 self.reservations.drop_gang(id);
-                if entry.left == 0 || job.is_final() {
+                if entry.remaining == 0 || job.is_final() {
                     self.slowness.forget(id);
                 }
-                if entry.left == 0 || (was_waiting && job.is_final()) {
+                if entry.remaining == 0 || (was_waiting && job.is_final()) {
                     self.desk.forget(id);
                 }
             }
