--- a/crates/control/src/escrow.rs
+++ b/crates/control/src/escrow.rs
@@ -1,7 +1,7 @@
 //! Cumulative counters of granted and released resources.
 //!
-//! An upper limit is divided into parts, one per availability zone. A part is the difference of two counters that
-//! only grow, so that duplicated, reordered and lost messages never make the parts add up to more than the limit.
+//! An upper limit is divided into allotments, one per availability zone. A allotment is the difference of two counters that
+//! only grow, so that duplicated, reordered and lost messages never make the allotments add up to more than the limit.
 
 use bronzespoke_model::resource;
 use serde::{Deserialize, Serialize};
@@ -35,12 +35,12 @@
     }
 
     /// Adds each dimension, stopping at the largest value.
-    pub fn plus(&self, other: &Self) -> Self {
+    pub fn saturating_add(&self, other: &Self) -> Self {
         self.zip(other, u64::saturating_add)
     }
 
     /// Subtracts each dimension, stopping at zero.
-    pub fn minus(&self, other: &Self) -> Self {
+    pub fn saturating_sub(&self, other: &Self) -> Self {
         self.zip(other, u64::saturating_sub)
     }
 
@@ -94,5 +94,7 @@
 
 /// Returns the sum of totals.
 pub fn sum<'a>(totals: impl IntoIterator<Item = &'a Total>) -> Total {
-    totals.into_iter().fold(Total::ZERO, |all, one| all.plus(one))
+    totals
+        .into_iter()
+        .fold(Total::ZERO, |all, one| all.saturating_add(one))
 }
--- a/crates/control/src/root/command.rs
+++ b/crates/control/src/root/command.rs
@@ -3,7 +3,7 @@
 use bronzespoke_model::{config, id, team, vm};
 use serde::{Deserialize, Serialize};
 
-use super::parts;
+use super::allotments;
 use crate::escrow;
 
 /// What a drain mark is set on.
@@ -30,7 +30,7 @@
 
 impl Lost {
     /// Shortest time after which all leases of a stopped zone are over: the lease of 10 s and 2% drift.
-    pub const LEAST_STOPPED_MS: u64 = 10_200;
+    pub const MIN_STOPPED_MS: u64 = 10_200;
 }
 
 /// A change of the root state.
@@ -106,8 +106,8 @@
         /// Whether the mark is set.
         on: bool,
     },
-    /// Grow granted counters and set target parts.
-    Grant(Vec<parts::Grant>),
+    /// Grow granted counters and set target allotments.
+    Grant(Vec<allotments::Grant>),
     /// Record released counters that a zone group has committed.
     Released {
         /// Zone.
