--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -208,8 +208,8 @@
         self.update_phase(task.job, failed, at_ms);
     }
 
-    /// Moves a job to its final phase when all steps are done or a task has no attempts left, and removes it from the active
-    /// jobs once it has no runs.
+    /// Moves a job to its final phase when all steps are done or a task has no attempts left, and removes it from the
+    /// active jobs once it has no runs.
     fn update_phase(&mut self, key: job::Key, failed: bool, at_ms: u64) {
         let Some(job) = self.jobs.get(&key) else {
             return;
--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -7,8 +7,8 @@
 //! Nothing here is logged. A wrong demand moves targets; the limits hold whatever is reported, because the root group
 //! grants by its committed counters and a zone group releases by its own.
 //!
-//! With at most [`MAX_ENTRIES`] changes at once a change is known [`REPORT_INTERVAL`] later; each lost report, and each further
-//! [`MAX_ENTRIES`] changes that came before, add an interval.
+//! With at most [`MAX_ENTRIES`] changes at once a change is known [`REPORT_INTERVAL`] later; each lost report, and each
+//! further [`MAX_ENTRIES`] changes that came before, add an interval.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
--- a/crates/control/src/escrow.rs
+++ b/crates/control/src/escrow.rs
@@ -1,7 +1,8 @@
 //! Cumulative counters of granted and released resources.
 //!
-//! An upper limit is divided into allotments, one per availability zone. A allotment is the difference of two counters that
-//! only grow, so that duplicated, reordered and lost messages never make the allotments add up to more than the limit.
+//! An upper limit is divided into allotments, one per availability zone. A allotment is the difference of two counters
+//! that only grow, so that duplicated, reordered and lost messages never make the allotments add up to more than the
+//! limit.
 
 use bronzespoke_model::resource;
 use serde::{Deserialize, Serialize};
--- a/crates/control/src/root/allotments.rs
+++ b/crates/control/src/root/allotments.rs
@@ -8,62 +8,63 @@
 use super::state;
 use crate::escrow;
 
-/// While wishes exceed a limit, a zone lacks something only when its target is below its proportion by more than one
-/// part in this number; otherwise every change of a wish would change all targets.
-const TOLERANCE: u64 = 8;
+/// Divisor of the tolerance while demand exceeds a limit: a zone is under-allotted only when its target is below its
+/// proportional share by more than one part in this number. Without a tolerance every change of demand would change all
+/// targets.
+const TOLERANCE_DIVISOR: u64 = 8;
 
-/// Allotment of one team in one zone.
+/// Portion of a team's upper limit that one zone may use.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Allotment {
-    /// Cumulative counter of what was granted.
+    /// Cumulative counter of resources granted to the zone.
     pub granted: escrow::Total,
-    /// Cumulative counter of what the zone reported as released.
+    /// Cumulative counter of resources that the zone reported as released.
     pub released: escrow::Total,
-    /// Size that the allotment should have; the zone releases what it has above it.
+    /// Size that the allotment should have; the zone releases any surplus.
     pub target: resource::Amount,
 }
 
 impl Allotment {
-    /// Returns what the zone may still use, as far as the root group knows.
+    /// Returns the amount that the root group must assume the zone may use.
     pub fn outstanding(&self) -> escrow::Total {
         self.granted.saturating_sub(&self.released)
     }
 }
 
-/// A new value of a granted counter and a target allotment.
+/// New values of the granted counter and the target of one allotment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Grant {
-    /// Team.
+    /// Team whose limit is divided.
     pub team: id::TeamId,
-    /// Zone.
+    /// Zone that receives the grant.
     pub zone: id::AvailabilityZoneId,
-    /// Cumulative counter after the grant; a smaller value than the present one changes nothing.
+    /// Cumulative counter after the grant; a value below the current one leaves the counter unchanged.
     pub granted: escrow::Total,
     /// Size that the allotment should have.
     pub target: resource::Amount,
 }
 
-/// Wish for an allotment: what the zone's tasks of the team use and what waits to start.
+/// Demand by team and zone: resources used by the running tasks of the team plus those requested by waiting tasks.
 pub type Demand = BTreeMap<(id::TeamId, id::AvailabilityZoneId), resource::Amount>;
 
 /// Returns the grants that move allotments towards the demand.
 ///
-/// Targets change only where a zone lacks something, and then as few as will do, because each change is an entry in the
-/// log that every VM follows. Zones that hold more than their new target release the surplus first; a zone gets its
-/// addition once the release is reported. Demand of lost zones is ignored.
+/// Targets change only when a zone is under-allotted, and then as few of them as possible, because each change is an
+/// entry in the log that every VM replicates. Zones that hold more than their new target release the surplus first; the
+/// receiving zone gets its grant once the release is reported. Demand of lost zones is ignored.
 pub fn rebalance(state: &state::State, demand: &Demand) -> Vec<Grant> {
     let zones: Vec<id::AvailabilityZoneId> = state.open_zones().collect();
     let mut grants = Vec::new();
-    let mut wishes = vec![escrow::Total::ZERO; zones.len()];
-    let mut present = vec![Allotment::default(); zones.len()];
+    let mut demands = vec![escrow::Total::ZERO; zones.len()];
+    let mut current = vec![Allotment::default(); zones.len()];
     for team in state.teams().values() {
-        wishes.fill(escrow::Total::ZERO);
-        for ((_, zone), wish) in demand.range((team.id, 0)..=(team.id, id::AvailabilityZoneId::MAX)) {
+        demands.fill(escrow::Total::ZERO);
+        for ((_, zone), amount) in demand.range((team.id, 0)..=(team.id, id::AvailabilityZoneId::MAX)) {
             if let Ok(number) = zones.binary_search(zone) {
-                wishes[number] = (*wish).into();
+                demands[number] = (*amount).into();
             }
         }
-        present.fill(Allotment::default());
+        current.fill(Allotment::default());
         for (zone, allotment) in state
             .allotments
             .get(&team.id)
@@ -71,20 +72,21 @@
             .flat_map(|allotments| allotments.iter())
         {
             if let Ok(number) = zones.binary_search(zone) {
-                present[number] = *allotment;
+                current[number] = *allotment;
             }
         }
         let limit = escrow::Total::from(team.quota.limit);
-        let targets = divide(&limit, &wishes, &present);
+        let targets = divide(&limit, &demands, &current);
         let mut room = state.room(team.id);
-        for ((zone, allotment), target) in zones.iter().zip(&present).zip(targets) {
+        for ((zone, allotment), target) in zones.iter().zip(&current).zip(targets) {
             grants.extend(grant(team.id, *zone, allotment, &target, &mut room));
         }
     }
     grants
 }
 
-/// Returns the grant that brings an allotment to its target as far as there is room; `None` when nothing changes.
+/// Returns the grant that raises an allotment towards its target within `room`, the ungranted rest of the limit; `None`
+/// when nothing changes.
 fn grant(
     team: id::TeamId,
     zone: id::AvailabilityZoneId,
@@ -104,16 +106,19 @@
     })
 }
 
-/// Divides a limit among zones, each dimension on its own.
-fn divide(limit: &escrow::Total, wishes: &[escrow::Total], present: &[Allotment]) -> Vec<escrow::Total> {
-    let mut allotments = vec![[0; 3]; wishes.len()];
+/// Divides a limit among zones, each resource dimension independently.
+fn divide(limit: &escrow::Total, demands: &[escrow::Total], current: &[Allotment]) -> Vec<escrow::Total> {
+    let mut allotments = vec![[0; 3]; demands.len()];
     for (dimension, total) in limit.dimensions().into_iter().enumerate() {
-        let wishes: Vec<u64> = wishes.iter().map(|wish| wish.dimensions()[dimension]).collect();
-        let present: Vec<u64> = present
+        let demands: Vec<u64> = demands
+            .iter()
+            .map(|demand| demand.dimensions()[dimension])
+            .collect();
+        let current: Vec<u64> = current
             .iter()
             .map(|allotment| escrow::Total::from(allotment.target).dimensions()[dimension])
             .collect();
-        let shares = divide_one(total, &wishes, &present);
+        let shares = divide_dimension(total, &demands, &current);
         for (allotment, share) in allotments.iter_mut().zip(shares) {
             allotment[dimension] = share;
         }
@@ -124,52 +129,59 @@
         .collect()
 }
 
-/// Changes the present targets of one dimension as far as the wishes need it.
-fn divide_one(limit: u64, wishes: &[u64], present: &[u64]) -> Vec<u64> {
-    let aims = aims(limit, wishes);
-    if present.iter().all(|target| *target == 0) {
-        return aims;
+/// Adjusts the current targets of one resource dimension where demand requires it.
+fn divide_dimension(limit: u64, demands: &[u64], current: &[u64]) -> Vec<u64> {
+    let desired = desired_targets(limit, demands);
+    if current.iter().all(|target| *target == 0) {
+        return desired;
     }
-    let scarce = wishes.iter().sum::<u64>() > limit;
-    let lacks = |zone: usize| {
+    let scarce = demands.iter().sum::<u64>() > limit;
+    let is_short = |zone: usize| {
         let enough = if scarce {
-            aims[zone] - aims[zone] / TOLERANCE
+            desired[zone] - desired[zone] / TOLERANCE_DIVISOR
         } else {
-            wishes[zone]
+            demands[zone]
         };
-        present[zone] < enough
+        current[zone] < enough
     };
-    let mut targets: Vec<u64> = (0..wishes.len())
-        .map(|zone| if lacks(zone) { aims[zone] } else { present[zone] })
+    let mut targets: Vec<u64> = (0..demands.len())
+        .map(|zone| {
+            if is_short(zone) {
+                desired[zone]
+            } else {
+                current[zone]
+            }
+        })
         .collect();
     let mut excess = targets.iter().sum::<u64>().saturating_sub(limit);
-    let mut donors: Vec<usize> = (0..wishes.len())
-        .filter(|zone| targets[*zone] > aims[*zone])
+    let mut donors: Vec<usize> = (0..demands.len())
+        .filter(|zone| targets[*zone] > desired[*zone])
         .collect();
-    donors.sort_by_key(|zone| std::cmp::Reverse(targets[*zone] - aims[*zone]));
+    donors.sort_by_key(|zone| std::cmp::Reverse(targets[*zone] - desired[*zone]));
     for zone in donors {
-        let taken = excess.min(targets[zone] - aims[zone]);
+        let taken = excess.min(targets[zone] - desired[zone]);
         targets[zone] -= taken;
         excess -= taken;
     }
     targets
 }
 
-/// Returns what each zone is meant to have: its wish and an equal share of half of what is left over, so that it can
-/// start more work before the next round; or, when the wishes exceed the limit, its proportion of the limit.
-fn aims(limit: u64, wishes: &[u64]) -> Vec<u64> {
-    let wanted: u64 = wishes.iter().sum();
-    if wanted <= limit {
-        let spare = (limit - wanted) / 2 / (wishes.len().max(1) as u64);
-        return wishes.iter().map(|wish| wish + spare).collect();
+/// Returns the desired target of each zone: its demand plus an equal share of half of the spare capacity, so that the
+/// zone can start more work before the next rebalancing; or, when demand exceeds the limit, its proportional share of
+/// the limit.
+fn desired_targets(limit: u64, demands: &[u64]) -> Vec<u64> {
+    let total: u64 = demands.iter().sum();
+    if total <= limit {
+        let spare = (limit - total) / 2 / (demands.len().max(1) as u64);
+        return demands.iter().map(|demand| demand + spare).collect();
     }
-    wishes
+    demands
         .iter()
-        .map(|wish| (u128::from(limit) * u128::from(*wish) / u128::from(wanted)) as u64)
+        .map(|demand| (u128::from(limit) * u128::from(*demand) / u128::from(total)) as u64)
         .collect()
 }
 
-/// Scales targets down so that they fit a lower limit.
+/// Scales targets down proportionally so that their sum fits a lowered limit.
 pub(super) fn shrink(limit: &escrow::Total, allotments: &mut BTreeMap<id::AvailabilityZoneId, Allotment>) {
     let targets: Vec<escrow::Total> = allotments
         .values()
--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -11,25 +11,25 @@
 };
 use crate::escrow;
 
-/// Longest name, in bytes.
+/// Maximum length of a name, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
-/// Most teams.
+/// Maximum number of teams.
 pub const MAX_TEAMS: usize = 4096;
-/// Most keys that are granted at the same time.
+/// Maximum number of granted keys.
 pub const MAX_KEYS: usize = 16_384;
-/// Withdrawn keys that are remembered; the oldest is forgotten first.
+/// Maximum number of withdrawn keys that are retained; the oldest is evicted first.
 pub const MAX_WITHDRAWN: usize = 32_768;
-/// Most services, and most open queues.
+/// Maximum number of services, and maximum number of open queues.
 pub const MAX_SERVICES: usize = 1024;
-/// Most VMs in the directory.
+/// Maximum number of VMs in the directory.
 pub const MAX_VMS: usize = 512;
-/// Most availability zones, lost ones included.
+/// Maximum number of availability zones, including lost ones.
 pub const MAX_ZONES: usize = 64;
-/// Most drain marks.
+/// Maximum number of workers, targets and VMs that are marked as draining.
 pub const MAX_DRAINS: usize = 16_384;
 
 impl State {
-    /// Applies the commands of one log entry; an index that was applied earlier is ignored.
+    /// Applies the commands of the log entry at `index`. An entry that was applied earlier is ignored.
     pub fn apply_all(&mut self, index: u64, envelopes: &[Envelope]) -> Vec<Outcome> {
         if index <= self.applied {
             return vec![Outcome::Ignored; envelopes.len()];
@@ -37,17 +37,17 @@
         self.applied = index;
         envelopes
             .iter()
-            .map(|envelope| self.apply_one(envelope))
+            .map(|envelope| self.apply_envelope(envelope))
             .collect()
     }
 
-    /// Applies a log entry with one command; an index that was applied earlier is ignored.
+    /// Applies a log entry with a single command. An entry that was applied earlier is ignored.
     pub fn apply(&mut self, index: u64, envelope: &Envelope) -> Outcome {
         let outcome = self.apply_all(index, std::slice::from_ref(envelope)).pop();
         outcome.expect("each command has an outcome")
     }
 
-    fn apply_one(&mut self, envelope: &Envelope) -> Outcome {
+    fn apply_envelope(&mut self, envelope: &Envelope) -> Outcome {
         self.now_ms = self.now_ms.max(envelope.at_ms);
         let known = envelope.id.and_then(|id| self.commands.get(id));
         if let Some(outcome) = known
@@ -89,7 +89,7 @@
     fn create_team(&mut self, name: &str, quota: team::Quota) -> Result<Outcome, Refusal> {
         check_name(name)?;
         check_quota(&quota)?;
-        check_room(self.teams.len(), MAX_TEAMS)?;
+        check_space(self.teams.len(), MAX_TEAMS)?;
         if self.team_names.contains_key(name) {
             return Err(Refusal::NameTaken);
         }
@@ -118,7 +118,7 @@
         Ok(Outcome::Done)
     }
 
-    /// Lowers the ceiling of a team to its limit, or to what is out while that is more.
+    /// Sets the ceiling of a team to its limit, or to its outstanding allotments while they exceed the limit.
     fn set_ceiling(&mut self, team: id::TeamId) {
         if let Some(record) = self.teams.get(&team) {
             let limit = escrow::Total::from(record.quota.limit);
@@ -137,7 +137,7 @@
         match self.keys.get(&hash) {
             Some(owner) if *owner == team => return Ok(Outcome::Done),
             Some(_) => return Err(Refusal::KeyTaken),
-            None => check_room(self.keys.len(), MAX_KEYS)?,
+            None => check_space(self.keys.len(), MAX_KEYS)?,
         }
         Arc::make_mut(&mut self.keys).insert(hash, team);
         Ok(Outcome::Done)
@@ -151,7 +151,7 @@
             .remove(hash)
             .ok_or(Refusal::NoSuchKey)?;
         if self.withdrawn.len() >= MAX_WITHDRAWN {
-            let oldest = self.withdrawn.iter().min_by_key(|(_, order)| **order);
+            let oldest = self.withdrawn.iter().min_by_key(|(_, sequence)| **sequence);
             let oldest = oldest.map(|(hash, _)| *hash);
             oldest.and_then(|oldest| self.withdrawn.remove(&oldest));
         }
@@ -162,7 +162,7 @@
 
     fn create_service(&mut self, name: &str) -> Result<Outcome, Refusal> {
         check_name(name)?;
-        check_room(self.services.len(), MAX_SERVICES)?;
+        check_space(self.services.len(), MAX_SERVICES)?;
         if self.services.contains_key(name) {
             return Err(Refusal::NameTaken);
         }
@@ -182,7 +182,7 @@
         requests: u32,
     ) -> Result<Outcome, Refusal> {
         check_name(name)?;
-        check_room(self.queues.len(), MAX_SERVICES)?;
+        check_space(self.queues.len(), MAX_SERVICES)?;
         if self.queues.contains_key(name) {
             return Err(Refusal::NameTaken);
         }
@@ -227,7 +227,7 @@
                 Err(Refusal::ZoneTaken)
             };
         }
-        check_room(self.zones.len(), MAX_ZONES)?;
+        check_space(self.zones.len(), MAX_ZONES)?;
         let zone = Zone {
             region: place.region,
             added_ms: self.now_ms,
@@ -282,7 +282,7 @@
             return Err(Refusal::NoSuchZone);
         }
         if !self.vms.contains_key(&vm.id) {
-            check_room(self.vms.len(), MAX_VMS)?;
+            check_space(self.vms.len(), MAX_VMS)?;
         }
         Arc::make_mut(&mut self.vms).insert(vm.id, vm.clone());
         Ok(Outcome::Done)
@@ -298,7 +298,7 @@
 
     fn drain(&mut self, subject: Subject, on: bool) -> Result<Outcome, Refusal> {
         if on && !self.drains.contains(&subject) {
-            check_room(self.drains.len(), MAX_DRAINS)?;
+            check_space(self.drains.len(), MAX_DRAINS)?;
             Arc::make_mut(&mut self.drains).insert(subject);
         } else if !on {
             Arc::make_mut(&mut self.drains).remove(&subject);
@@ -323,7 +323,8 @@
         Outcome::Granted(refused)
     }
 
-    /// Changes the allotments of one team as a whole, or not at all when they would break its limit.
+    /// Applies the grants of one team atomically; returns `false`, without a change, when they would exceed its limit
+    /// or name an unknown team or zone.
     fn grant_team(&mut self, team: id::TeamId, grants: &[allotments::Grant]) -> bool {
         let is_open =
             |zone: id::AvailabilityZoneId| self.zones.get(&zone).is_some_and(|zone| zone.lost_ms.is_none());
@@ -400,8 +401,8 @@
     Ok(())
 }
 
-const fn check_room(present: usize, most: usize) -> Result<(), Refusal> {
-    if present >= most {
+const fn check_space(len: usize, max: usize) -> Result<(), Refusal> {
+    if len >= max {
         return Err(Refusal::Full);
     }
     Ok(())
--- a/crates/control/src/root/command.rs
+++ b/crates/control/src/root/command.rs
@@ -6,179 +6,180 @@
 use super::allotments;
 use crate::escrow;
 
-/// What a drain mark is set on.
+/// What can be marked as draining.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum Subject {
-    /// A worker: it gets no new tasks, and the tasks that it runs move away.
+    /// A worker: it receives no new tasks, and its running tasks are moved to other workers.
     Worker(id::WorkerId),
-    /// A target: it gets no new requests.
+    /// A target: it receives no new requests.
     Target(id::TargetId),
-    /// A VM with a daemon: it reports that it is not ready and hands over its groups.
+    /// A VM that runs a daemon: it reports itself as not ready and transfers the leadership of its groups.
     Vm(id::VmId),
 }
 
 /// An operator's statement that an availability zone is physically lost.
 ///
-/// The operator confirms that every worker and entry VM of the zone is without power or was destroyed. The time since
-/// that confirmation is measured on the monotonic clock of one process, because wall clocks may jump. A zone that is
-/// only cut off keeps renewing its leases and must not be declared lost.
+/// The operator confirms that every worker and entry VM of the zone is powered off or destroyed. The time since that
+/// confirmation is measured on the monotonic clock of one process, because wall clocks may jump. A zone that is merely
+/// partitioned keeps renewing its leases and must not be declared lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Lost {
-    /// Milliseconds, by one monotonic clock, for which the zone is confirmed to be stopped.
+    /// Time for which the zone is confirmed to be stopped, in milliseconds of one monotonic clock.
     pub stopped_ms: u64,
 }
 
 impl Lost {
-    /// Shortest time after which all leases of a stopped zone are over: the lease of 10 s and 2% drift.
+    /// Time after which all leases of a stopped zone have expired: the lease duration of 10 s plus 2% clock drift.
     pub const MIN_STOPPED_MS: u64 = 10_200;
 }
 
 /// A change of the root state.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Command {
-    /// Create a team.
+    /// Creates a team.
     CreateTeam {
         /// Name; unique.
         name: String,
-        /// Share and limits.
+        /// Weight and limits.
         quota: team::Quota,
     },
-    /// Change the share and the limits of a team.
+    /// Replaces the weight and the limits of a team.
     SetQuota {
-        /// Team.
+        /// Team to change.
         team: id::TeamId,
-        /// Share and limits.
+        /// Weight and limits.
         quota: team::Quota,
     },
-    /// Let a key speak for a team.
+    /// Lets a key authenticate requests of a team.
     GrantKey {
         /// Hash of the key.
         hash: team::KeyHash,
-        /// Team.
+        /// Team that the key authenticates.
         team: id::TeamId,
     },
-    /// Take a key back for good.
+    /// Withdraws a key permanently.
     WithdrawKey {
         /// Hash of the key.
         hash: team::KeyHash,
     },
-    /// Create a service.
+    /// Creates a service.
     CreateService {
         /// Name; unique.
         name: String,
     },
-    /// Create an open queue.
+    /// Creates an open queue.
     CreateQueue {
         /// Name; unique.
         name: String,
-        /// Service that answers.
+        /// Service that handles the requests of the queue.
         service: id::ServiceId,
-        /// Requests that may be in flight fleet-wide.
+        /// Maximum number of requests in flight across the fleet.
         requests: u32,
     },
-    /// Replace the configuration.
+    /// Replaces the configuration.
     SetConfig {
-        /// Version that the operator saw; the command is refused when another one is in force.
+        /// Version that the change is based on; the command fails with a conflict when another version is in force.
         expected: id::ConfigVersion,
         /// New configuration.
         config: config::Config,
     },
-    /// Add an availability zone.
+    /// Adds an availability zone.
     AddZone {
-        /// Place.
+        /// Region and id of the zone.
         place: vm::Place,
     },
-    /// Declare an availability zone lost for good; its id never comes back into use.
+    /// Declares an availability zone permanently lost. Its id is never reused.
     LoseZone {
-        /// Zone.
+        /// Zone that is lost.
         zone: id::AvailabilityZoneId,
-        /// Evidence that no lease of the zone is left.
+        /// Evidence that all leases of the zone have expired.
         proof: Lost,
     },
-    /// Add a VM to the directory, or replace its addresses.
+    /// Adds a VM to the directory, or replaces its entry.
     AddVm(vm::Vm),
-    /// Remove a VM from the directory.
+    /// Removes a VM from the directory.
     RemoveVm(id::VmId),
-    /// Set or clear a drain mark.
+    /// Marks something as draining, or clears the mark.
     Drain {
-        /// What to drain.
+        /// Worker, target or VM to mark.
         subject: Subject,
-        /// Whether the mark is set.
+        /// `true` to set the mark, `false` to clear it.
         on: bool,
     },
-    /// Grow granted counters and set target allotments.
+    /// Raises granted counters and sets the targets of allotments.
     Grant(Vec<allotments::Grant>),
-    /// Record released counters that a zone group has committed.
+    /// Records released counters that a zone group has committed.
     Released {
-        /// Zone.
+        /// Zone that released the resources.
         zone: id::AvailabilityZoneId,
         /// Cumulative released counter of each team.
         released: Vec<(id::TeamId, escrow::Total)>,
     },
-    /// Let one VM found the group of a zone; the first VM that asks wins, for good.
+    /// Lets one VM bootstrap the group of a zone. The first VM to request it is recorded permanently.
     FoundZone {
-        /// Zone.
+        /// Zone whose group is bootstrapped.
         zone: id::AvailabilityZoneId,
-        /// VM that would found the group.
+        /// VM that requests to bootstrap the group.
         founder: id::VmId,
     },
 }
 
-/// Why a root command changed nothing.
+/// Reason why a root command was refused.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Refusal {
-    /// The name is taken.
+    /// The name is already in use.
     NameTaken,
     /// The name is empty or longer than 128 bytes.
     BadName,
-    /// A weight of 0.
+    /// The weight is 0.
     BadQuota,
-    /// There is no such team.
+    /// The team does not exist.
     NoSuchTeam,
-    /// There is no such service.
+    /// The service does not exist.
     NoSuchService,
-    /// There is no such zone, or it was declared lost.
+    /// The zone does not exist or was declared lost.
     NoSuchZone,
-    /// There is no such key.
+    /// The key is not granted.
     NoSuchKey,
-    /// There is no such VM.
+    /// The VM is not in the directory.
     NoSuchVm,
-    /// The key was withdrawn earlier; a withdrawn key never comes back.
+    /// The key was withdrawn earlier and cannot be granted again.
     KeyWithdrawn,
-    /// The key already speaks for another team.
+    /// The key already authenticates another team.
     KeyTaken,
-    /// The zone exists in another region, was declared lost, or was founded by another VM.
+    /// The zone exists in another region, was declared lost, or was bootstrapped by another VM.
     ZoneTaken,
     /// The table is full.
     Full,
-    /// The leases of the zone may still be running.
+    /// Leases of the zone may not have expired yet.
     LeasesMayRun,
 }
 
-/// What a root command did.
+/// Effect of a root command.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Outcome {
-    /// Done, or already so.
+    /// The command took effect, or had taken effect earlier.
     Done,
-    /// The index was applied earlier; nothing was done.
+    /// The log entry was applied earlier; the command had no effect.
     Ignored,
-    /// The team was created.
+    /// The team was created with this id.
     Team(id::TeamId),
-    /// The service was created.
+    /// The service was created with this id.
     Service(id::ServiceId),
-    /// The open queue was created.
+    /// The open queue was created with this id.
     Queue(id::QueueId),
-    /// The configuration is accepted under this version.
+    /// The configuration was accepted as this version.
     Config(id::ConfigVersion),
-    /// Another configuration was accepted first.
+    /// Another configuration was accepted before this one.
     Conflict {
-        /// Version that is accepted.
+        /// Version in force.
         version: id::ConfigVersion,
-        /// Id of the command that won.
+        /// Id of the command that set the version in force.
         winner: Option<id::CommandId>,
     },
-    /// Numbers, from 0, of the grants that would break a limit or name no team or zone; the others are done.
+    /// Zero-based positions of the grants that were refused because they would exceed a limit or name an unknown team
+    /// or zone. The others were applied.
     Granted(Vec<u32>),
-    /// Nothing was changed.
+    /// The command was refused and had no effect.
     Refused(Refusal),
 }
--- a/crates/control/src/root/memory.rs
+++ b/crates/control/src/root/memory.rs
@@ -1,4 +1,4 @@
-//! Estimate of the memory of the root state.
+//! Memory estimate of the root state.
 
 use std::sync::Arc;
 
@@ -8,7 +8,8 @@
 use crate::memory::{ALLOCATION_BYTES, map};
 
 impl state::State {
-    /// Returns the estimated bytes of memory. Exact for counts, approximate for what the allocator and maps add.
+    /// Returns the estimated memory in bytes. Entry counts are exact; the overhead of maps and the allocator is
+    /// approximate.
     pub fn memory(&self) -> usize {
         let names: usize = self
             .team_names
--- a/crates/control/src/root/mod.rs
+++ b/crates/control/src/root/mod.rs
@@ -1,4 +1,5 @@
-//! State of the root group: what holds for the whole cell.
+//! Replicated state of the root group, which is shared by the whole cell: teams, keys, services, configuration, the VM
+//! directory and the division of upper limits.
 
 mod allotments;
 mod apply;
@@ -12,5 +13,5 @@
 pub use state::{Rules, State, Zone, Zones};
 pub use view::View;
 
-/// A root command with its envelope.
+/// Log entry payload of the root group: a root command with its id and time.
 pub type Envelope = crate::envelope::Envelope<Command>;
--- a/crates/control/src/root/view.rs
+++ b/crates/control/src/root/view.rs
@@ -1,4 +1,4 @@
-//! Immutable view of the root state for readers on other threads.
+//! Immutable view of the root state, shared with readers on other threads.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -10,18 +10,19 @@
 use super::{allotments, command, state};
 use crate::escrow;
 
-/// The root state at one index. A clone of the state's shared tables: building it copies no table.
+/// Root state at one log index. The tables are shared with the state by reference count, so building a view copies
+/// none.
 #[derive(Debug, Clone)]
 pub struct View {
-    /// Last index applied.
+    /// Last log index applied.
     pub applied: u64,
-    /// Version of the configuration.
+    /// Version of [`View::config`].
     pub version: id::ConfigVersion,
-    /// Configuration.
+    /// Configuration in force.
     pub config: config::Config,
-    /// Teams by the hash of each key that is granted and not withdrawn.
+    /// Team of each granted key, by hash. Withdrawn keys are absent.
     pub keys: Arc<BTreeMap<team::KeyHash, id::TeamId>>,
-    /// Teams.
+    /// Teams by id.
     pub teams: Arc<BTreeMap<id::TeamId, Arc<team::Team>>>,
     /// Team ids by name.
     pub team_names: Arc<BTreeMap<String, id::TeamId>>,
@@ -29,18 +30,18 @@
     pub services: Arc<BTreeMap<String, service::Service>>,
     /// Open queues by name.
     pub queues: Arc<BTreeMap<String, service::Queue>>,
-    /// Directory of VMs.
+    /// VM directory, by id.
     pub vms: Arc<BTreeMap<id::VmId, vm::Vm>>,
-    /// Availability zones.
+    /// Availability zones by id, lost ones included.
     pub zones: Arc<state::Zones>,
-    /// Drain marks.
+    /// Workers, targets and VMs that are marked as draining.
     pub drains: Arc<BTreeSet<command::Subject>>,
     /// Allotments by team and zone.
     pub allotments: Arc<state::Allotments>,
 }
 
 impl View {
-    /// Returns the team that a key speaks for.
+    /// Returns the team that a key authenticates.
     pub fn team_of_key(&self, hash: &team::KeyHash) -> Option<id::TeamId> {
         self.keys.get(hash).copied()
     }
@@ -63,12 +64,12 @@
             .collect()
     }
 
-    /// Returns the size that the allotment of a team in a zone should have, for [`crate::zone::State::releases`].
+    /// Returns the target size of the allotment of a team in a zone, for [`crate::zone::State::releases`].
     pub fn target(&self, team: id::TeamId, zone: id::AvailabilityZoneId) -> resource::Amount {
         self.allotment(team, zone).unwrap_or_default().target
     }
 
-    /// Tells whether a drain mark is set.
+    /// Returns whether a worker, target or VM is marked as draining.
     pub fn is_draining(&self, subject: command::Subject) -> bool {
         self.drains.contains(&subject)
     }
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -225,7 +225,8 @@
         entry
     }
 
-    /// Joins a leaf with the next one when they fill at most half a leaf, so that removals do not leave many small ones.
+    /// Joins a leaf with the next one when they fill at most half a leaf, so that removals do not leave many small
+    /// ones.
     fn join(&mut self, number: usize) {
         let Some(next) = self.leaves.get(number + 1) else {
             return;
--- a/crates/control/src/zone/jobs.rs
+++ b/crates/control/src/zone/jobs.rs
@@ -9,8 +9,8 @@
 pub const MAX_RESULTS_BYTES: usize = 4 * 1024 * 1024;
 
 const WORD_BITS: usize = 64;
-// Fixed values close to what the maps take: the bounds decide what a replica drops, so replicas of different builds must
-// count alike.
+// Fixed values close to what the maps take: the bounds decide what a replica drops, so replicas of different builds
+// must count alike.
 const JOB_OVERHEAD_BYTES: usize = 384;
 const RESULT_OVERHEAD_BYTES: usize = 64;
 
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -268,8 +268,8 @@
         self.replace(Self::decode(bytes)?).map(drop)
     }
 
-    /// Replaces the state by a decoded snapshot and returns the former one, which takes milliseconds to drop. A snapshot
-    /// older than the state is refused and changes nothing.
+    /// Replaces the state by a decoded snapshot and returns the former one, which takes milliseconds to drop. A
+    /// snapshot older than the state is refused and changes nothing.
     pub fn replace(&mut self, mut state: Self) -> Result<Self, error::Error> {
         if state.applied < self.applied {
             return Err(error::Error::Older {
