--- a/crates/control/src/root/mod.rs
+++ b/crates/control/src/root/mod.rs
@@ -1,16 +1,17 @@
-//! State of the root group: what holds for the whole cell.
+//! Replicated state of the root group, which is shared by the whole cell: teams, keys, services, configuration, the VM
+//! directory and the division of upper limits.
 
+mod allotments;
 mod apply;
 mod command;
 mod memory;
-mod parts;
 mod state;
 mod view;
 
+pub use allotments::{Allotment, Demand, Grant, rebalance};
 pub use command::{Command, Lost, Outcome, Refusal, Subject};
-pub use parts::{Demand, Grant, Part, rebalance};
 pub use state::{Rules, State, Zone, Zones};
 pub use view::View;
 
-/// A root command with its envelope.
+/// Log entry payload of the root group: a root command with its id and time.
 pub type Envelope = crate::envelope::Envelope<Command>;
