--- a/crates/consensus/src/feed/follower.rs
+++ b/crates/consensus/src/feed/follower.rs
@@ -1,4 +1,4 @@
-//! The polling side of the feed.
+//! Polling side of the feed.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -6,79 +6,80 @@
 use bronzespoke_model::id;
 use rand::{Rng, SeedableRng, rngs};
 
-use super::{Answer, Content, Request};
+use super::{Content, Request, Response};
 use crate::snapshot;
 
-const INTERVAL: Duration = Duration::from_millis(500);
-/// Late answers still count, so this may be shorter than the slowest answer; a second made one loss cost a second.
-const TIMEOUT: Duration = Duration::from_millis(300);
-/// Doublings of the time-out at most.
-const LONGEST_BACKOFF: u32 = 2;
-/// Requests that may still be answered; the oldest is forgotten first.
-const OUTSTANDING: usize = 16;
-const DRIFT: f64 = 0.02;
+const POLL_INTERVAL: Duration = Duration::from_millis(500);
+/// Late responses are still accepted, so this may be shorter than the slowest response. It bounds the delay that a lost
+/// message causes; with 1 s, one loss delayed the follower by a second.
+const REQUEST_TIMEOUT: Duration = Duration::from_millis(300);
+/// Maximum number of times that the time-out is doubled.
+const MAX_BACKOFF_DOUBLINGS: u32 = 2;
+/// Maximum number of requests whose responses are accepted; the oldest is dropped first.
+const MAX_PENDING: usize = 16;
+const CLOCK_DRIFT: f64 = 0.02;
 
-/// Settings of a follower.
+/// Configuration of a follower.
 #[derive(Debug, Clone)]
 pub struct Config {
-    /// Seed of the request tokens; must differ at every start of a process.
+    /// Seed of the request tokens; must differ at each start of the process.
     pub seed: u64,
-    /// Time between two requests when there is nothing new.
-    pub interval: Duration,
-    /// When another request is sent although the last one is unanswered.
-    pub timeout: Duration,
-    /// Largest difference between the rates of two monotonic clocks, as a fraction.
-    pub drift: f64,
+    /// Time between two requests while the follower is up to date.
+    pub poll_interval: Duration,
+    /// Time without a response after which another request is sent.
+    pub request_timeout: Duration,
+    /// Maximum difference between the rates of two monotonic clocks, as a fraction.
+    pub clock_drift: f64,
 }
 
 impl Config {
-    /// Returns the default settings.
+    /// Returns the default configuration.
     pub const fn new(seed: u64) -> Self {
         Self {
             seed,
-            interval: INTERVAL,
-            timeout: TIMEOUT,
-            drift: DRIFT,
+            poll_interval: POLL_INTERVAL,
+            request_timeout: REQUEST_TIMEOUT,
+            clock_drift: CLOCK_DRIFT,
         }
     }
 }
 
-/// What happened.
+/// Event for a follower to process.
 #[derive(Debug, Clone)]
 pub enum Input {
-    /// Time passed.
+    /// No event; runs due timers.
     Tick,
-    /// An answer arrived.
+    /// A response arrived.
     Receive {
-        /// Sender.
+        /// Relay that sent it.
         from: id::VmId,
-        /// Answer.
-        answer: Answer,
+        /// Received response.
+        response: Response,
     },
-    /// Another VM answers from now on, or none.
+    /// The relay to poll was selected.
     Relay {
-        /// That VM.
+        /// Selected relay, or `None` if there is none.
         to: Option<id::VmId>,
     },
 }
 
-/// What the caller has to do, before the next step.
+/// Action for the caller to perform before the next step.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Output {
     /// Send a request; it may be lost.
     Send {
-        /// Receiver.
+        /// Relay to send it to.
         to: id::VmId,
-        /// Request.
+        /// Request to send.
         request: Request,
     },
-    /// Apply an entry. Indices are consecutive.
+    /// Apply a committed entry. Indices are consecutive.
     Apply(crate::log::Entry),
-    /// Replace the state by a snapshot.
+    /// Replace the applied state by a snapshot.
     Install(snapshot::Snapshot),
-    /// A request got no answer in time; the caller may choose another relay.
-    Unanswered {
-        /// Relay that was asked.
+    /// A request timed out; the caller may select another relay.
+    TimedOut {
+        /// Relay that did not respond in time.
         relay: id::VmId,
     },
 }
@@ -92,26 +93,26 @@
 
 /// Follows the committed entries of a group through a relay.
 ///
-/// Invariant: neither `applied` nor `basis` ever goes back.
+/// Invariant: neither `applied` nor `freshness` ever decreases.
 #[derive(Debug)]
 pub struct Follower {
     config: Config,
     rng: rngs::SmallRng,
     relay: Option<id::VmId>,
-    /// Unanswered requests, oldest first.
+    /// Requests whose response is still accepted, oldest first.
     pending: VecDeque<Pending>,
-    /// Requests since the last answer that got none in time.
-    unanswered: u32,
-    /// Whether the newest request may still be answered in time.
+    /// Time-outs since the last response, capped at [`MAX_BACKOFF_DOUBLINGS`].
+    timeouts: u32,
+    /// Whether the newest request has neither been answered nor timed out.
     waiting: bool,
     request_at: Duration,
     partial: Option<snapshot::Partial>,
     applied: u64,
-    basis: Option<Duration>,
+    freshness: Option<Duration>,
 }
 
 impl Follower {
-    /// Returns a follower that has nothing yet.
+    /// Returns a follower with an empty state and no relay.
     pub fn new(config: Config, now: Duration) -> Self {
         let rng = rngs::SmallRng::seed_from_u64(config.seed);
         Self {
@@ -119,20 +120,20 @@
             rng,
             relay: None,
             pending: VecDeque::new(),
-            unanswered: 0,
+            timeouts: 0,
             waiting: false,
             request_at: now,
             partial: None,
             applied: 0,
-            basis: None,
+            freshness: None,
         }
     }
 
-    /// Handles one input and appends what has to be done.
+    /// Processes an input and appends the resulting actions to `out`.
     pub fn step(&mut self, now: Duration, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Tick => {}
-            Input::Receive { from, answer } => self.receive(now, from, answer, out),
+            Input::Receive { from, response } => self.receive(now, from, response, out),
             Input::Relay { to } => {
                 if to != self.relay {
                     self.relay = to;
@@ -146,7 +147,7 @@
         self.request(now, out);
     }
 
-    /// Time at which the follower must be stepped again.
+    /// Returns the time by which the follower must be stepped again.
     pub fn next_wake(&self) -> Duration {
         match self.pending.back() {
             Some(newest) if self.waiting => newest.sent + self.timeout(),
@@ -154,24 +155,24 @@
         }
     }
 
-    /// Last entry or snapshot that was handed out.
+    /// Returns the index of the last entry or snapshot that was output.
     pub const fn applied(&self) -> u64 {
         self.applied
     }
 
-    /// Relay that is asked.
+    /// Returns the relay that is polled.
     pub const fn relay(&self) -> Option<id::VmId> {
         self.relay
     }
 
-    /// Instant on the local clock before which nothing is missing from the state.
-    pub const fn basis(&self) -> Option<Duration> {
-        self.basis
+    /// Returns the time on the local clock up to which the state is complete.
+    pub const fn freshness(&self) -> Option<Duration> {
+        self.freshness
     }
 
-    /// Doubles with each unanswered request, so that a slow link is not filled with repeated answers.
+    /// Doubles with each time-out, so that a slow link is not filled with repeated responses.
     fn timeout(&self) -> Duration {
-        self.config.timeout * (1 << self.unanswered)
+        self.config.request_timeout * (1 << self.timeouts)
     }
 
     fn expire(&mut self, now: Duration, out: &mut Vec<Output>) {
@@ -180,23 +181,23 @@
             return;
         }
         self.waiting = false;
-        self.unanswered = (self.unanswered + 1).min(LONGEST_BACKOFF);
+        self.timeouts = (self.timeouts + 1).min(MAX_BACKOFF_DOUBLINGS);
         self.request_at = now;
         if let Some(relay) = self.relay {
-            out.push(Output::Unanswered { relay });
+            out.push(Output::TimedOut { relay });
         }
     }
 
     fn request(&mut self, now: Duration, out: &mut Vec<Output>) {
         let Some(to) = self.relay else {
-            self.request_at = now + self.config.interval;
+            self.request_at = now + self.config.poll_interval;
             return;
         };
         if self.waiting || now < self.request_at {
             return;
         }
         let token = self.rng.random();
-        if self.pending.len() >= OUTSTANDING {
+        if self.pending.len() >= MAX_PENDING {
             self.pending.pop_front();
         }
         self.pending.push_back(Pending {
@@ -219,44 +220,44 @@
         });
     }
 
-    fn receive(&mut self, now: Duration, from: id::VmId, answer: Answer, out: &mut Vec<Output>) {
+    fn receive(&mut self, now: Duration, from: id::VmId, response: Response, out: &mut Vec<Output>) {
         let place = self
             .pending
             .iter()
-            .position(|pending| pending.token == answer.token);
+            .position(|pending| pending.token == response.token);
         let Some(place) = place.filter(|_| self.relay == Some(from)) else {
             return;
         };
         let pending = self.pending[place];
         let newest = place + 1 == self.pending.len();
         self.pending.drain(..=place);
-        self.unanswered = 0;
+        self.timeouts = 0;
         if newest {
-            let more = !answer.content.is_empty();
+            let more = !response.content.is_empty();
             self.waiting = false;
             self.request_at = if more {
                 now
             } else {
-                pending.sent + self.config.interval
+                pending.sent + self.config.poll_interval
             };
         }
-        match answer.content {
+        match response.content {
             Content::Entries(items) => {
                 for (index, item) in (pending.after + 1..).zip(items) {
-                    // An answer to an older request may repeat entries that a newer one brought.
+                    // A response to an older request may repeat entries that a newer one delivered.
                     if index == self.applied + 1 {
                         self.applied = index;
-                        out.push(Output::Apply(item.at(index)));
+                        out.push(Output::Apply(item.into_entry(index)));
                     }
                 }
             }
-            Content::Chunk(chunk) => self.take_chunk(&chunk, out),
+            Content::Chunk(chunk) => self.receive_chunk(&chunk, out),
         }
-        self.note_basis(pending.sent, answer.age, answer.through);
+        self.update_freshness(pending.sent, response.age, response.through);
     }
 
-    fn take_chunk(&mut self, chunk: &snapshot::Chunk, out: &mut Vec<Output>) {
-        // A relay that is behind must not take this state back.
+    fn receive_chunk(&mut self, chunk: &snapshot::Chunk, out: &mut Vec<Output>) {
+        // A relay that lags behind must not revert the state of this follower.
         let older = chunk.label.position.index <= self.applied;
         if older || chunk.label.total > snapshot::MAX_SNAPSHOT_BYTES {
             return;
@@ -278,12 +279,12 @@
         }
     }
 
-    /// Counts the age back from the instant of the own request, so that delays only make the state look older.
-    fn note_basis(&mut self, sent: Duration, age: Option<u64>, through: u64) {
+    /// Subtracts the reported age from the send time of the request, so that delays only make the state look older.
+    fn update_freshness(&mut self, sent: Duration, age: Option<u64>, through: u64) {
         let Some(age) = age else { return };
-        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.drift);
+        let age = Duration::from_micros(age).mul_f64(1.0 + self.config.clock_drift);
         if self.applied >= through {
-            self.basis = self.basis.max(sent.checked_sub(age));
+            self.freshness = self.freshness.max(sent.checked_sub(age));
         }
     }
 }
--- a/crates/consensus/src/replica/election.rs
+++ b/crates/consensus/src/replica/election.rs
@@ -1,4 +1,4 @@
-//! Elections: pre-vote, votes and the silence that protects a leader's lease.
+//! Leader election: pre-votes, votes, and the denial of votes while a leader may hold its lease.
 
 use std::collections::BTreeSet;
 
@@ -9,25 +9,27 @@
 use crate::message::{Body, Message};
 use crate::{log, write};
 
-/// Shortest and longest time until a pre-vote is asked again, in election timeouts; 75 to 300 ms by default.
+/// Minimum and maximum time until a pre-vote is retried, in election timeouts; 75 to 300 ms by default.
 const PRE_VOTE_RETRY: (f64, f64) = (0.125, 0.5);
-/// Shortest and longest time of an election; the votes of a slow disk need more time than pre-votes.
+/// Minimum and maximum time until an election is retried, in election timeouts. Votes need more time than pre-votes
+/// because they are written to disk.
 const VOTE_RETRY: (f64, f64) = (0.4, 1.0);
 
 impl Replica {
-    pub(super) fn reset_election(&mut self) {
+    pub(super) fn reset_election_timer(&mut self) {
         let factor = self.rng.random_range(1.0..2.0);
-        self.election_at = self.now + self.config.election.mul_f64(factor);
+        self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
 
-    /// Sets when a candidate asks again. The voters' silence protects the lease, so this may be sooner than a first
-    /// attempt: most attempts fail because the other voters heard the leader a little later.
-    fn reset_retry(&mut self, shortest: f64, longest: f64) {
+    /// Sets the time of the next attempt of a candidate. It may be shorter than an election timeout, because voters
+    /// deny votes while the lease may be valid. Most attempts fail because the other voters had contact from the leader
+    /// slightly later.
+    fn reset_retry_timer(&mut self, shortest: f64, longest: f64) {
         let factor = self.rng.random_range(shortest..longest);
-        self.election_at = self.now + self.config.election.mul_f64(factor);
+        self.election_at = self.now + self.config.election_timeout.mul_f64(factor);
     }
 
-    /// A voter of the newest or of the committed members may stand for election.
+    /// Returns whether this member may campaign: it must be a voter in the latest or in the committed membership.
     pub(super) fn may_campaign(&self) -> bool {
         let id = self.config.id;
         let voter =
@@ -41,7 +43,7 @@
         }
         self.state = State::Follower;
         self.leader = leader;
-        self.reset_election();
+        self.reset_election_timer();
     }
 
     pub(super) fn adopt_term(&mut self, term: u64, out: &mut Vec<Output>) {
@@ -55,7 +57,7 @@
 
     pub(super) fn start_pre_vote(&mut self, out: &mut Vec<Output>) {
         self.leader = None;
-        self.reset_retry(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
+        self.reset_retry_timer(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
         self.state = State::PreCandidate(BTreeSet::new());
         if self.count_vote(self.config.id) {
             self.start_election(false, out);
@@ -82,21 +84,21 @@
         };
         self.persist_vote(out);
         self.leader = None;
-        self.reset_retry(VOTE_RETRY.0, VOTE_RETRY.1);
+        self.reset_retry_timer(VOTE_RETRY.0, VOTE_RETRY.1);
         self.state = State::Candidate(BTreeSet::new());
         if !self.config.rules.acknowledge_after_sync {
-            self.count_own_vote(out);
+            self.count_self_vote(out);
         }
         let body = Body::Vote {
             last: self.log.last(),
             transfer,
         };
         for to in self.other_voters() {
-            self.send_after(self.sequence, to, body.clone(), out);
+            self.send_once_durable(self.sequence, to, body.clone(), out);
         }
     }
 
-    /// Counts a vote and tells whether the votes make a majority.
+    /// Counts a vote and returns whether the votes form a majority.
     fn count_vote(&mut self, from: id::VmId) -> bool {
         let members = self.membership();
         let counts = members.voters.contains(&from) || !self.config.rules.count_voters_only;
@@ -110,9 +112,9 @@
         granted.len() >= quorum
     }
 
-    /// Counts the own vote once it is durable. A sole voter that led before that could lead the same term again
-    /// after a crash and write different entries to its learners.
-    pub(super) fn count_own_vote(&mut self, out: &mut Vec<Output>) {
+    /// Counts the candidate's own vote once it is durable. If a sole voter became leader earlier, it could lead the
+    /// same term again after a crash and send different entries to its learners.
+    pub(super) fn count_self_vote(&mut self, out: &mut Vec<Output>) {
         let candidate = matches!(self.state, State::Candidate(_));
         if candidate && self.count_vote(self.config.id) {
             self.become_leader(out);
@@ -129,20 +131,20 @@
         others.into_iter().collect()
     }
 
-    /// Tells whether a leader may still rely on this member's silence.
-    fn owes_silence(&self) -> bool {
-        if !self.config.rules.refuse_vote_under_lease {
+    /// Returns whether a leader's lease may still depend on this member not voting for another candidate.
+    fn is_under_leader_lease(&self) -> bool {
+        if !self.config.rules.reject_vote_under_lease {
             return false;
         }
         let contact = match &self.state {
-            State::Leader(leader) => self.quorum_basis(self.now).max(Some(leader.elected_at)),
-            _ => self.contact,
+            State::Leader(leader) => self.quorum_acked(self.now).max(Some(leader.elected_at)),
+            _ => self.leader_contact,
         };
-        contact.is_some_and(|contact| self.now < contact + self.config.election)
+        contact.is_some_and(|contact| self.now < contact + self.config.election_timeout)
     }
 
-    fn is_newer_or_same(&self, last: log::Position) -> bool {
-        last >= self.log.last() || !self.config.rules.compare_logs
+    fn is_up_to_date(&self, last: log::Position) -> bool {
+        last >= self.log.last() || !self.config.rules.require_up_to_date_log
     }
 
     pub(super) fn on_pre_vote(
@@ -153,8 +155,8 @@
         out: &mut Vec<Output>,
     ) {
         let granted = term > self.vote.term
-            && self.is_newer_or_same(last)
-            && !self.owes_silence()
+            && self.is_up_to_date(last)
+            && !self.is_under_leader_lease()
             && !self.store_failed
             && !self.removed;
         let term = if granted { term } else { self.vote.term };
@@ -192,28 +194,29 @@
         transfer: bool,
         out: &mut Vec<Output>,
     ) {
-        let silent = self.owes_silence() && !transfer;
-        if silent || self.store_failed || self.removed {
+        let under_lease = self.is_under_leader_lease() && !transfer;
+        if under_lease || self.store_failed || self.removed {
             self.send(from, Body::VoteReply { granted: false }, out);
             return;
         }
         if term > self.vote.term {
             self.adopt_term(term, out);
         }
-        let free = self.vote.candidate.is_none_or(|candidate| candidate == from);
-        let granted = term == self.vote.term && free && self.is_newer_or_same(last) && self.leader.is_none();
+        let available = self.vote.candidate.is_none_or(|candidate| candidate == from);
+        let granted =
+            term == self.vote.term && available && self.is_up_to_date(last) && self.leader.is_none();
         if !granted {
             self.send(from, Body::VoteReply { granted }, out);
             return;
         }
         if self.vote.candidate.is_none() {
             self.vote.candidate = Some(from);
-            if self.config.rules.remember_vote {
+            if self.config.rules.persist_vote {
                 self.persist_vote(out);
             }
         }
-        self.reset_election();
-        self.send_after(self.sequence, from, Body::VoteReply { granted }, out);
+        self.reset_election_timer();
+        self.send_once_durable(self.sequence, from, Body::VoteReply { granted }, out);
     }
 
     pub(super) fn on_vote_reply(&mut self, from: id::VmId, granted: bool, out: &mut Vec<Output>) {
@@ -221,9 +224,9 @@
         if candidate && granted && self.count_vote(from) {
             self.become_leader(out);
         } else if candidate && !granted {
-            // A split vote: two candidates that wait for each other would both wait the whole election.
+            // After a split vote, retry early; otherwise both candidates would wait for the full election time-out.
             let planned = self.election_at;
-            self.reset_retry(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
+            self.reset_retry_timer(PRE_VOTE_RETRY.0, PRE_VOTE_RETRY.1);
             self.election_at = self.election_at.min(planned);
         }
     }
--- a/crates/consensus/src/replica/transfer.rs
+++ b/crates/consensus/src/replica/transfer.rs
@@ -1,4 +1,4 @@
-//! Handing the leadership over.
+//! Leadership transfer.
 
 use std::time::Duration;
 
@@ -7,12 +7,13 @@
 use super::{Output, Replica, State};
 use crate::message::Body;
 
-/// A handover that waits until the next leader holds the whole log.
+/// A leadership transfer that waits until the next leader has the complete log.
 #[derive(Debug)]
 pub(crate) struct Transfer {
     to: id::VmId,
     pub(crate) deadline: Duration,
-    asked: bool,
+    /// Whether the next leader was asked to campaign.
+    requested: bool,
 }
 
 impl Replica {
@@ -36,18 +37,18 @@
             }
             return;
         };
-        let deadline = self.now + self.config.election;
+        let deadline = self.now + self.config.election_timeout;
         if let State::Leader(leader) = &mut self.state {
             leader.transfer = Some(Transfer {
                 to,
                 deadline,
-                asked: false,
+                requested: false,
             });
         }
         self.continue_transfer(out);
     }
 
-    /// Asks the next leader to stand for election once it holds the whole log.
+    /// Asks the next leader to campaign once it has the complete log.
     pub(super) fn continue_transfer(&mut self, out: &mut Vec<Output>) {
         let last = self.log.last().index;
         let State::Leader(leader) = &mut self.state else {
@@ -60,10 +61,10 @@
             .progress
             .get(&transfer.to)
             .is_some_and(|progress| progress.matched >= last);
-        if !ready || transfer.asked {
+        if !ready || transfer.requested {
             return;
         }
-        transfer.asked = true;
+        transfer.requested = true;
         leader.lease_void = true;
         let to = transfer.to;
         self.send(to, Body::TimeoutNow, out);
@@ -77,10 +78,10 @@
         if self.now < transfer.deadline {
             return;
         }
-        let asked = transfer.asked;
+        let requested = transfer.requested;
         leader.transfer = None;
-        if asked || self.store_failed {
-            // The lease is void for the rest of the term, so only a new election gives a useful leader.
+        if requested || self.store_failed {
+            // The lease is void for the rest of the term, so a new election is needed to restore a leader with a lease.
             self.become_follower(None, out);
         }
     }
--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -5,32 +5,31 @@
 use bronzespoke_model::{config, id, service, team, vm};
 
 use super::{
-    Envelope,
+    Envelope, allotments,
     command::{Command, Lost, Outcome, Refusal, Subject},
-    parts,
     state::{State, Zone},
 };
 use crate::escrow;
 
-/// Longest name, in bytes.
+/// Maximum length of a name, in bytes.
 pub const MAX_NAME_BYTES: usize = 128;
-/// Most teams.
+/// Maximum number of teams.
 pub const MAX_TEAMS: usize = 4096;
-/// Most keys that are granted at the same time.
+/// Maximum number of granted keys.
 pub const MAX_KEYS: usize = 16_384;
-/// Withdrawn keys that are remembered; the oldest is forgotten first.
+/// Maximum number of withdrawn keys that are retained; the oldest is evicted first.
 pub const MAX_WITHDRAWN: usize = 32_768;
-/// Most services, and most open queues.
+/// Maximum number of services, and maximum number of open queues.
 pub const MAX_SERVICES: usize = 1024;
-/// Most VMs in the directory.
+/// Maximum number of VMs in the directory.
 pub const MAX_VMS: usize = 512;
-/// Most availability zones, lost ones included.
+/// Maximum number of availability zones, including lost ones.
 pub const MAX_ZONES: usize = 64;
-/// Most drain marks.
+/// Maximum number of workers, targets and VMs that are marked as draining.
 pub const MAX_DRAINS: usize = 16_384;
 
 impl State {
-    /// Applies the commands of one log entry; an index that was applied earlier is ignored.
+    /// Applies the commands of the log entry at `index`. An entry that was applied earlier is ignored.
     pub fn apply_all(&mut self, index: u64, envelopes: &[Envelope]) -> Vec<Outcome> {
         if index <= self.applied {
             return vec![Outcome::Ignored; envelopes.len()];
@@ -38,17 +37,17 @@
         self.applied = index;
         envelopes
             .iter()
-            .map(|envelope| self.apply_one(envelope))
+            .map(|envelope| self.apply_envelope(envelope))
             .collect()
     }
 
-    /// Applies a log entry with one command; an index that was applied earlier is ignored.
+    /// Applies a log entry with a single command. An entry that was applied earlier is ignored.
     pub fn apply(&mut self, index: u64, envelope: &Envelope) -> Outcome {
         let outcome = self.apply_all(index, std::slice::from_ref(envelope)).pop();
         outcome.expect("each command has an outcome")
     }
 
-    fn apply_one(&mut self, envelope: &Envelope) -> Outcome {
+    fn apply_envelope(&mut self, envelope: &Envelope) -> Outcome {
         self.now_ms = self.now_ms.max(envelope.at_ms);
         let known = envelope.id.and_then(|id| self.commands.get(id));
         if let Some(outcome) = known
@@ -90,7 +89,7 @@
     fn create_team(&mut self, name: &str, quota: team::Quota) -> Result<Outcome, Refusal> {
         check_name(name)?;
         check_quota(&quota)?;
-        check_room(self.teams.len(), MAX_TEAMS)?;
+        check_space(self.teams.len(), MAX_TEAMS)?;
         if self.team_names.contains_key(name) {
             return Err(Refusal::NameTaken);
         }
@@ -112,14 +111,14 @@
         let teams = Arc::make_mut(&mut self.teams);
         let team = teams.get_mut(&id).ok_or(Refusal::NoSuchTeam)?;
         Arc::make_mut(team).quota = quota;
-        if let Some(parts) = Arc::make_mut(&mut self.parts).get_mut(&id) {
-            parts::shrink(&quota.limit.into(), Arc::make_mut(parts));
+        if let Some(allotments) = Arc::make_mut(&mut self.allotments).get_mut(&id) {
+            allotments::shrink(&quota.limit.into(), Arc::make_mut(allotments));
         }
         self.set_ceiling(id);
         Ok(Outcome::Done)
     }
 
-    /// Lowers the ceiling of a team to its limit, or to what is out while that is more.
+    /// Sets the ceiling of a team to its limit, or to its outstanding allotments while they exceed the limit.
     fn set_ceiling(&mut self, team: id::TeamId) {
         if let Some(record) = self.teams.get(&team) {
             let limit = escrow::Total::from(record.quota.limit);
@@ -138,7 +137,7 @@
         match self.keys.get(&hash) {
             Some(owner) if *owner == team => return Ok(Outcome::Done),
             Some(_) => return Err(Refusal::KeyTaken),
-            None => check_room(self.keys.len(), MAX_KEYS)?,
+            None => check_space(self.keys.len(), MAX_KEYS)?,
         }
         Arc::make_mut(&mut self.keys).insert(hash, team);
         Ok(Outcome::Done)
@@ -152,7 +151,7 @@
             .remove(hash)
             .ok_or(Refusal::NoSuchKey)?;
         if self.withdrawn.len() >= MAX_WITHDRAWN {
-            let oldest = self.withdrawn.iter().min_by_key(|(_, order)| **order);
+            let oldest = self.withdrawn.iter().min_by_key(|(_, sequence)| **sequence);
             let oldest = oldest.map(|(hash, _)| *hash);
             oldest.and_then(|oldest| self.withdrawn.remove(&oldest));
         }
@@ -163,7 +162,7 @@
 
     fn create_service(&mut self, name: &str) -> Result<Outcome, Refusal> {
         check_name(name)?;
-        check_room(self.services.len(), MAX_SERVICES)?;
+        check_space(self.services.len(), MAX_SERVICES)?;
         if self.services.contains_key(name) {
             return Err(Refusal::NameTaken);
         }
@@ -183,7 +182,7 @@
         requests: u32,
     ) -> Result<Outcome, Refusal> {
         check_name(name)?;
-        check_room(self.queues.len(), MAX_SERVICES)?;
+        check_space(self.queues.len(), MAX_SERVICES)?;
         if self.queues.contains_key(name) {
             return Err(Refusal::NameTaken);
         }
@@ -228,7 +227,7 @@
                 Err(Refusal::ZoneTaken)
             };
         }
-        check_room(self.zones.len(), MAX_ZONES)?;
+        check_space(self.zones.len(), MAX_ZONES)?;
         let zone = Zone {
             region: place.region,
             added_ms: self.now_ms,
@@ -252,7 +251,7 @@
     }
 
     fn lose_zone(&mut self, id: id::AvailabilityZoneId, proof: Lost) -> Result<Outcome, Refusal> {
-        if proof.stopped_ms < Lost::LEAST_STOPPED_MS {
+        if proof.stopped_ms < Lost::MIN_STOPPED_MS {
             return Err(Refusal::LeasesMayRun);
         }
         let zone = Arc::make_mut(&mut self.zones)
@@ -263,13 +262,13 @@
         }
         zone.lost_ms = Some(self.now_ms);
         Arc::make_mut(&mut self.vms).retain(|_, vm| vm.place.zone != id);
-        for parts in Arc::make_mut(&mut self.parts).values_mut() {
-            if let Some(part) = Arc::make_mut(parts).get_mut(&id) {
-                part.released = part.granted;
-                part.target = bronzespoke_model::resource::Amount::ZERO;
+        for allotments in Arc::make_mut(&mut self.allotments).values_mut() {
+            if let Some(allotment) = Arc::make_mut(allotments).get_mut(&id) {
+                allotment.released = allotment.granted;
+                allotment.target = bronzespoke_model::resource::Amount::ZERO;
             }
         }
-        let teams: Vec<id::TeamId> = self.parts.keys().copied().collect();
+        let teams: Vec<id::TeamId> = self.allotments.keys().copied().collect();
         for team in teams {
             self.set_ceiling(team);
         }
@@ -283,7 +282,7 @@
             return Err(Refusal::NoSuchZone);
         }
         if !self.vms.contains_key(&vm.id) {
-            check_room(self.vms.len(), MAX_VMS)?;
+            check_space(self.vms.len(), MAX_VMS)?;
         }
         Arc::make_mut(&mut self.vms).insert(vm.id, vm.clone());
         Ok(Outcome::Done)
@@ -299,7 +298,7 @@
 
     fn drain(&mut self, subject: Subject, on: bool) -> Result<Outcome, Refusal> {
         if on && !self.drains.contains(&subject) {
-            check_room(self.drains.len(), MAX_DRAINS)?;
+            check_space(self.drains.len(), MAX_DRAINS)?;
             Arc::make_mut(&mut self.drains).insert(subject);
         } else if !on {
             Arc::make_mut(&mut self.drains).remove(&subject);
@@ -307,14 +306,15 @@
         Ok(Outcome::Done)
     }
 
-    fn grant(&mut self, grants: &[parts::Grant]) -> Outcome {
+    fn grant(&mut self, grants: &[allotments::Grant]) -> Outcome {
         let mut by_team: BTreeMap<id::TeamId, Vec<u32>> = BTreeMap::new();
         for (number, grant) in grants.iter().enumerate() {
             by_team.entry(grant.team).or_default().push(number as u32);
         }
         let mut refused = Vec::new();
         for (team, numbers) in by_team {
-            let of_team: Vec<parts::Grant> = numbers.iter().map(|number| grants[*number as usize]).collect();
+            let of_team: Vec<allotments::Grant> =
+                numbers.iter().map(|number| grants[*number as usize]).collect();
             if !self.grant_team(team, &of_team) {
                 refused.extend(numbers);
             }
@@ -323,8 +323,9 @@
         Outcome::Granted(refused)
     }
 
-    /// Changes the parts of one team as a whole, or not at all when they would break its limit.
-    fn grant_team(&mut self, team: id::TeamId, grants: &[parts::Grant]) -> bool {
+    /// Applies the grants of one team atomically; returns `false`, without a change, when they would exceed its limit
+    /// or name an unknown team or zone.
+    fn grant_team(&mut self, team: id::TeamId, grants: &[allotments::Grant]) -> bool {
         let is_open =
             |zone: id::AvailabilityZoneId| self.zones.get(&zone).is_some_and(|zone| zone.lost_ms.is_none());
         let Some(record) = self.teams.get(&team) else {
@@ -334,29 +335,32 @@
             return false;
         }
         let limit = escrow::Total::from(record.quota.limit);
-        let mut parts = self
-            .parts
+        let mut allotments = self
+            .allotments
             .get(&team)
-            .map(|parts| (**parts).clone())
+            .map(|allotments| (**allotments).clone())
             .unwrap_or_default();
         let mut added = escrow::Total::ZERO;
         for grant in grants {
-            let part = parts.entry(grant.zone).or_default();
+            let allotment = allotments.entry(grant.zone).or_default();
             let granted = if self.rules.monotonic {
-                grant.granted.max(&part.granted)
+                grant.granted.max(&allotment.granted)
             } else {
                 grant.granted
             };
-            added = added.plus(&granted.minus(&part.granted));
-            part.granted = granted;
-            part.target = grant.target;
-        }
-        let targets: Vec<escrow::Total> = parts.values().map(|part| part.target.into()).collect();
+            added = added.saturating_add(&granted.saturating_sub(&allotment.granted));
+            allotment.granted = granted;
+            allotment.target = grant.target;
+        }
+        let targets: Vec<escrow::Total> = allotments
+            .values()
+            .map(|allotment| allotment.target.into())
+            .collect();
         let fits = added.fits(&self.room(team)) && escrow::sum(&targets).fits(&limit);
         if self.rules.limit && !fits {
             return false;
         }
-        Arc::make_mut(&mut self.parts).insert(team, Arc::new(parts));
+        Arc::make_mut(&mut self.allotments).insert(team, Arc::new(allotments));
         true
     }
 
@@ -369,14 +373,14 @@
             return Err(Refusal::NoSuchZone);
         }
         for (team, total) in released {
-            let parts = Arc::make_mut(&mut self.parts);
-            let Some(part) = parts
+            let allotments = Arc::make_mut(&mut self.allotments);
+            let Some(allotment) = allotments
                 .get_mut(team)
-                .and_then(|parts| Arc::make_mut(parts).get_mut(&zone))
+                .and_then(|allotments| Arc::make_mut(allotments).get_mut(&zone))
             else {
                 continue;
             };
-            part.released = part.released.max(total).min(&part.granted);
+            allotment.released = allotment.released.max(total).min(&allotment.granted);
             self.set_ceiling(*team);
         }
         Ok(Outcome::Done)
@@ -397,8 +401,8 @@
     Ok(())
 }
 
-const fn check_room(present: usize, most: usize) -> Result<(), Refusal> {
-    if present >= most {
+const fn check_space(len: usize, max: usize) -> Result<(), Refusal> {
+    if len >= max {
         return Err(Refusal::Full);
     }
     Ok(())
