--- a/crates/control/src/batch.rs
+++ b/crates/control/src/batch.rs
@@ -1,44 +1,45 @@
-//! Commands on their way into a log entry.
+//! Batching of commands into log entries.
 //!
-//! Each entry costs frames to every member, their answers and a write to disk, so that commands are collected. This
-//! happens before the log: only the proposer knows which commands are urgent, and the log would still carry an entry
-//! for each command. Isolated commands are proposed at once. When commands keep coming, those that nobody waits for
-//! share about [`ROUTINE_DELAY`] of time.
+//! Each entry costs frames to every member, their replies and a disk write, so commands are collected into batches. The
+//! proposer does this rather than the log, because only the proposer knows which commands are urgent, and because the
+//! log would still have one entry per command. Isolated commands are proposed without collection. Under sustained load,
+//! commands that nobody waits for are collected for about [`ROUTINE_DELAY`].
 
 use std::time::Duration;
 
 use crate::envelope;
 
-/// Longest wait of a prompt command.
+/// Maximum delay of a prompt command.
 pub const PROMPT_DELAY: Duration = Duration::from_millis(2);
 
-/// Longest wait of a routine command, and time between two batches of them under load. Ten entries a second take
-/// about a third of the bytes of an entry for each of 300 commands.
+/// Maximum delay of a routine command, and time between batches of them under sustained load. Ten entries per second
+/// take about a third of the bytes of 300 entries with one command each.
 pub const ROUTINE_DELAY: Duration = Duration::from_millis(100);
 
-/// Batches of routine commands that are proposed at once before collection begins. It is refilled at one in
-/// [`ROUTINE_DELAY`].
+/// Number of batches of routine commands that are proposed without collection after an idle period. One is regained
+/// every [`ROUTINE_DELAY`].
 const BURST: u32 = 8;
 
-/// Commands with which a batch is due at once.
+/// Number of commands at which a batch becomes due immediately.
 pub const MAX_COMMANDS: usize = 1_024;
 
-/// How long a command may wait.
+/// How long a command may wait before it is proposed.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Urgency {
-    /// At most [`PROMPT_DELAY`]: urgent work, and commands that somebody waits for.
+    /// At most [`PROMPT_DELAY`]: urgent work, and commands whose sender waits for the outcome.
     Prompt,
-    /// At most [`ROUTINE_DELAY`].
+    /// At most [`ROUTINE_DELAY`]: all other commands.
     Routine,
 }
 
-/// Commands in the order in which they are proposed, each with who waits for it.
+/// Pending commands in the order in which they will be proposed, each with the waiter for its outcome.
 #[derive(Debug)]
 pub struct Batch<C, W> {
     commands: Vec<envelope::Envelope<C>>,
     waiters: Vec<W>,
     due: Option<Duration>,
-    /// Time up to which the batches that were taken use the rate; at most [`BURST`] intervals ahead of the last one.
+    /// Time until which the batches already taken use up the permitted rate; at most [`BURST`] intervals after the last
+    /// batch.
     charged: Duration,
 }
 
@@ -54,7 +55,7 @@
 }
 
 impl<C, W> Batch<C, W> {
-    /// Adds a command.
+    /// Appends a command and updates the due time.
     pub fn push(&mut self, now: Duration, command: envelope::Envelope<C>, waiter: W, urgency: Urgency) {
         self.commands.push(command);
         self.waiters.push(waiter);
@@ -67,12 +68,12 @@
         self.due = Some(self.due.map_or(due, |earlier| earlier.min(due)));
     }
 
-    /// Time at which the commands are proposed; `None` when there are none.
+    /// Returns the time at which the commands have to be proposed; `None` when there are none.
     pub const fn due(&self) -> Option<Duration> {
         self.due
     }
 
-    /// Takes all commands with those who wait for them.
+    /// Removes and returns all commands with their waiters, and charges the batch to the rate.
     pub fn take(&mut self, now: Duration) -> (Vec<envelope::Envelope<C>>, Vec<W>) {
         if !self.commands.is_empty() {
             self.charged = (self.charged.max(now) + ROUTINE_DELAY).min(now + ROUTINE_DELAY * BURST);
@@ -84,7 +85,7 @@
         )
     }
 
-    /// Drops the commands whose waiters do not match.
+    /// Keeps only the commands for whose waiter `keep` returns `true`.
     pub fn retain(&mut self, keep: impl Fn(&W) -> bool) {
         let commands = std::mem::take(&mut self.commands).into_iter();
         let waiters = std::mem::take(&mut self.waiters).into_iter();
--- a/crates/control/src/dedupe.rs
+++ b/crates/control/src/dedupe.rs
@@ -1,4 +1,4 @@
-//! Table of the newest command ids with their first outcomes.
+//! Deduplication of resent commands: the most recent command ids with their first outcomes.
 
 use std::marker::PhantomData;
 
@@ -6,21 +6,22 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize, Serializer, de::DeserializeOwned, ser::SerializeSeq};
 
-use crate::{envelope, memory, name, shared};
+use crate::{envelope, id_bytes, memory, shared};
 
-/// Command ids that are remembered; the oldest is forgotten first.
+/// Maximum number of command ids that are retained; the oldest is evicted first.
 pub const MAX_IDS: usize = 65_536;
 
+/// Size up to which an encoded outcome is stored without an allocation.
 const INLINE_BYTES: usize = 22;
 
-/// The bytes of a command id; a `u128` would align the entries to 16 bytes.
-type Name = [u8; name::BYTES];
+/// Bytes of a command id. A `u128` would align the entries to 16 bytes.
+type Id = [u8; id_bytes::BYTES];
 
-/// One id with its outcome, as encoded.
+/// Serialized form of one id with its encoded outcome.
 #[derive(Deserialize)]
-struct Entry(#[serde(with = "name")] Name, Bytes);
+struct Entry(#[serde(with = "id_bytes")] Id, Bytes);
 
-/// An encoded outcome. Nearly all outcomes fit the inline form, which saves an allocation per id.
+/// An encoded outcome. Nearly all outcomes fit inline, which saves an allocation per id.
 #[derive(Debug, Clone)]
 enum Stored {
     Inline(u8, [u8; INLINE_BYTES]),
@@ -45,13 +46,13 @@
     }
 }
 
-/// The newest command ids and their first outcomes, oldest first.
+/// The most recent command ids and their first outcomes, serialized oldest first.
 #[derive(Debug, Clone, Deserialize)]
 #[serde(from = "Vec<Entry>", bound = "")]
 pub struct Table<O> {
-    /// Ids by the order in which they came.
-    order: shared::Map<u64, Name>,
-    outcomes: shared::Map<Name, Stored>,
+    /// Ids by sequence number of their insertion.
+    order: shared::Map<u64, Id>,
+    outcomes: shared::Map<Id, Stored>,
     next: u64,
     kind: PhantomData<O>,
 }
@@ -70,8 +71,8 @@
 impl<O> From<Vec<Entry>> for Table<O> {
     fn from(entries: Vec<Entry>) -> Self {
         let mut table = Self::default();
-        for Entry(name, bytes) in entries {
-            table.put(name, Stored::new(&bytes));
+        for Entry(id, bytes) in entries {
+            table.put(id, Stored::new(&bytes));
         }
         table
     }
@@ -80,15 +81,15 @@
 impl<O> Serialize for Table<O> {
     fn serialize<S: Serializer>(&self, serializer: S) -> Result<S::Ok, S::Error> {
         let mut entries = serializer.serialize_seq(Some(self.order.len()))?;
-        for name in self.order.values() {
-            let bytes = self.outcomes.get(name).map_or(&[][..], Stored::bytes);
-            entries.serialize_element(&(Encoded(name), Encoded(bytes)))?;
+        for id in self.order.values() {
+            let bytes = self.outcomes.get(id).map_or(&[][..], Stored::bytes);
+            entries.serialize_element(&(Encoded(id), Encoded(bytes)))?;
         }
         entries.end()
     }
 }
 
-/// Bytes in the form of [`Bytes`], without a copy.
+/// Borrowed bytes that serialize like [`Bytes`], without a copy.
 struct Encoded<'a>(&'a [u8]);
 
 impl Serialize for Encoded<'_> {
@@ -98,8 +99,8 @@
 }
 
 impl<O> Table<O> {
-    fn put(&mut self, name: Name, outcome: Stored) {
-        if self.outcomes.contains_key(&name) {
+    fn put(&mut self, id: Id, outcome: Stored) {
+        if self.outcomes.contains_key(&id) {
             return;
         }
         if self.order.len() == MAX_IDS
@@ -107,22 +108,22 @@
         {
             self.outcomes.remove(&oldest);
         }
-        self.order.insert(self.next, name);
+        self.order.insert(self.next, id);
         self.next += 1;
-        self.outcomes.insert(name, outcome);
+        self.outcomes.insert(id, outcome);
     }
 
-    /// Returns the number of ids.
+    /// Returns the number of retained ids.
     pub fn len(&self) -> usize {
         self.order.len()
     }
 
-    /// Tells whether there are no ids.
+    /// Returns whether no ids are retained.
     pub fn is_empty(&self) -> bool {
         self.order.is_empty()
     }
 
-    /// Returns the estimated bytes of memory.
+    /// Returns the estimated memory in bytes.
     pub(crate) fn memory(&self) -> usize {
         let boxed: usize = self
             .outcomes
@@ -137,24 +138,24 @@
 }
 
 impl<O: Serialize + DeserializeOwned> Table<O> {
-    /// Returns the first outcome of a command id.
+    /// Returns the first outcome of a command id that is still retained.
     pub fn get(&self, id: id::CommandId) -> Option<O> {
         let stored = self.outcomes.get(&id.to_le_bytes())?;
         envelope::from_bytes(stored.bytes()).ok()
     }
 
-    /// Records the first outcome of a command id; a later outcome of the same id changes nothing.
+    /// Records the first outcome of a command id; a later outcome of the same id has no effect.
     pub fn insert(&mut self, id: id::CommandId, outcome: &O) {
         self.put(id.to_le_bytes(), Stored::new(&envelope::to_bytes(outcome)));
     }
 
-    /// Checks that the order and the outcomes name the same ids, and that the outcomes decode.
+    /// Checks that the order and the outcomes contain the same ids, and that all outcomes decode.
     pub fn verify(&self) -> Result<(), String> {
-        let known = |name: &Name| self.get(id::CommandId::from_le_bytes(*name)).is_some();
+        let known = |id: &Id| self.get(id::CommandId::from_le_bytes(*id)).is_some();
         self.order.verify()?;
         self.outcomes.verify()?;
-        let same = self.order.len() == self.outcomes.len() && self.order.values().all(known);
-        if !same || self.order.len() > MAX_IDS {
+        let consistent = self.order.len() == self.outcomes.len() && self.order.values().all(known);
+        if !consistent || self.order.len() > MAX_IDS {
             return Err(format!(
                 "command ids: {} in order, {} with outcomes, at most {MAX_IDS}",
                 self.order.len(),
--- a/crates/control/src/demand.rs
+++ b/crates/control/src/demand.rs
@@ -1,14 +1,14 @@
-//! Demand of teams: soft state that the leader of each zone reports to the leader of the root group.
+//! Demand of teams: soft state that each zone leader reports to the leader of the root group.
 //!
-//! Only the root leader divides limits, so that a report goes to it alone. A report has everything that changed since
-//! the version that the root leader acknowledged last. A lost, repeated or late report therefore delays a change and
-//! never loses one, and a root leader that knows nothing answers with version 0 and gets everything again.
+//! Only the root leader divides limits, so reports are sent to it alone. A report contains everything that changed
+//! since the version that the root leader acknowledged last. A lost, repeated or late report therefore delays a change
+//! but never loses it, and a new root leader acknowledges version 0 and receives everything again.
 //!
-//! Nothing here is logged. A wrong demand moves targets; the limits hold whatever is reported, because the root group
-//! grants by its committed counters and a zone group releases by its own.
+//! None of this is replicated. A wrong demand only moves targets. The limits hold whatever is reported, because the
+//! root group grants by its committed counters and a zone group releases by its own.
 //!
-//! With at most [`MAX_ENTRIES`] changes at once a change is known [`REPORT_INTERVAL`] later; each lost report, and each
-//! further [`MAX_ENTRIES`] changes that came before, add an interval.
+//! A change reaches the root leader within [`REPORT_INTERVAL`] if at most [`MAX_ENTRIES`] changes are pending. Each
+//! lost report, and each further [`MAX_ENTRIES`] changes that came before, add an interval.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -20,78 +20,80 @@
 
 use crate::{escrow, root};
 
-/// Time between two reports of a zone. Reports without changes show that the zone is heard.
+/// Time between two reports of a zone. A report without changes serves as a heartbeat.
 pub const REPORT_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Changes in a report. At up to 21 bytes each, full reports of 17 zones stay below the 24 KB/s of a daemon.
+/// Maximum number of changes in a report. At up to 21 bytes each, full reports of 17 zones stay below the 24 KB/s
+/// budget of a daemon.
 pub const MAX_ENTRIES: usize = 64;
 
-/// A zone that was not heard for this long wants nothing. It keeps its allotment until another zone lacks something.
+/// Time without a report after which the demand of a zone is taken to be zero. Its allotment remains until another zone
+/// needs it.
 pub const REPORT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// Teams of a zone that the root leader remembers; reports of further teams are ignored.
+/// Maximum number of teams per zone that the root leader tracks; reports of further teams are ignored.
 pub const MAX_TEAMS: usize = 8_192;
 
-/// Bits of a wanted amount that are reported. A wish is rounded up by less than one part in 16.
-const KEPT_BITS: u32 = 5;
+/// Number of significant bits of a reported demand. It is rounded up by less than one part in 16.
+const SIGNIFICANT_BITS: u32 = 5;
 
-/// A reported wish stays while it covers what is wanted and is above the rounded wish by less than one part in this
-/// number, so that work which starts and ends at a steady rate changes nothing.
-const HELD_PART: u32 = 16;
+/// Divisor of the hysteresis: a reported demand is retained while it covers the actual demand and exceeds the rounded
+/// demand by less than one part in this number, so that work that starts and ends at a steady rate causes no changes.
+const HYSTERESIS_DIVISOR: u32 = 16;
 
-/// A value that changed.
+/// A changed value of a team.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Change {
-    /// What the team's tasks use and what waits to start, rounded up.
+    /// Resources of the running tasks plus those requested by waiting tasks, rounded up.
     #[serde(rename = "Wanted")]
     Demand(resource::Amount),
-    /// Cumulative released counter.
+    /// Cumulative counter of resources that the zone released.
     Released(escrow::Total),
 }
 
 /// Report of a zone leader.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Report {
-    /// Zone.
+    /// Zone that reports.
     pub zone: id::AvailabilityZoneId,
-    /// Term of its leader; versions count within a term.
+    /// Term of the zone leader. Versions start anew in each term.
     pub term: u64,
-    /// Version that the receiver is taken to have.
+    /// Version that the sender assumes the receiver to have.
     pub since: u64,
-    /// Version that the receiver has afterwards.
+    /// Version that the receiver has after it applied the changes.
     pub through: u64,
     /// Newest version of the sender.
     pub newest: u64,
-    /// What changed between the versions.
+    /// Changes between `since` and `through`.
     pub changes: Vec<(id::TeamId, Change)>,
 }
 
-/// The root leader's answer.
+/// Acknowledgement of a report by the root leader.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Receipt {
-    /// Zone.
+    /// Zone whose report is acknowledged.
     pub zone: id::AvailabilityZoneId,
-    /// Term of the zone's leader.
+    /// Term of the zone leader.
     pub term: u64,
     /// Version that the root leader has.
     pub through: u64,
 }
 
-/// What a zone leader knows of a team: each value with the version of its last change.
+/// Values of a team, each with the version of its last change.
 #[derive(Debug, Default, Clone, Copy)]
 struct Team {
-    wanted: (u64, resource::Amount),
+    demand: (u64, resource::Amount),
     released: (u64, escrow::Total),
 }
 
-/// Reports of a zone leader in one term.
+/// Sends the reports of a zone leader during one term.
 #[derive(Debug)]
 pub struct Reporter {
     zone: id::AvailabilityZoneId,
     term: u64,
     teams: BTreeMap<id::TeamId, Team>,
     version: u64,
-    /// Highest version that was sent to any receiver.
+    /// Highest version sent to any receiver.
     sent: u64,
     acknowledged: u64,
     receiver: Option<id::VmId>,
@@ -99,7 +101,7 @@
 }
 
 impl Reporter {
-    /// Returns a reporter that has reported nothing.
+    /// Returns a reporter whose first report is due at `now`.
     pub const fn new(zone: id::AvailabilityZoneId, term: u64, now: Duration) -> Self {
         Self {
             zone,
@@ -113,35 +115,35 @@
         }
     }
 
-    /// Tells whether this reporter belongs to a leadership.
+    /// Returns whether this reporter belongs to the leader of a zone in a term.
     pub const fn is_for(&self, zone: id::AvailabilityZoneId, term: u64) -> bool {
         self.zone == zone && self.term == term
     }
 
-    /// Tells whether a report is due.
+    /// Returns whether a report is due.
     pub fn is_due(&self, now: Duration) -> bool {
         now >= self.due
     }
 
-    /// Takes what a team wants and has released.
-    pub fn set(&mut self, team: id::TeamId, wanted: resource::Amount, released: escrow::Total) {
+    /// Records the demand and the released counter of a team.
+    pub fn set(&mut self, team: id::TeamId, demand: resource::Amount, released: escrow::Total) {
         let known = self.teams.entry(team).or_default();
-        let wanted = held(known.wanted.1, wanted);
+        let demand = with_hysteresis(known.demand.1, demand);
         for (changed, version) in [
-            (known.wanted.1 != wanted, &mut known.wanted.0),
+            (known.demand.1 != demand, &mut known.demand.0),
             (known.released.1 != released, &mut known.released.0),
         ] {
-            // A change that was not sent yet keeps its place, so that a team that changes all the time has its turn.
+            // An unsent change keeps its version, so that a team that changes constantly is not starved.
             if changed && *version <= self.sent {
                 self.version += 1;
                 *version = self.version;
             }
         }
-        known.wanted.1 = wanted;
+        known.demand.1 = demand;
         known.released.1 = released;
     }
 
-    /// Returns the report that is due to the leader of the root group.
+    /// Returns the report to send to the leader of the root group; `None` when none is due.
     pub fn report(&mut self, now: Duration, receiver: id::VmId) -> Option<Report> {
         if !self.is_due(now) {
             return None;
@@ -153,9 +155,9 @@
         }
         let since = self.acknowledged;
         let values = self.teams.iter().flat_map(|(team, known)| {
-            let wanted = (known.wanted.0, *team, Change::Demand(known.wanted.1));
+            let demand = (known.demand.0, *team, Change::Demand(known.demand.1));
             let released = (known.released.0, *team, Change::Released(known.released.1));
-            [wanted, released]
+            [demand, released]
         });
         let mut newer: Vec<_> = values.filter(|(version, ..)| *version > since).collect();
         newer.sort_unstable_by_key(|(version, ..)| *version);
@@ -178,8 +180,8 @@
         Some(report)
     }
 
-    /// Takes an answer. An answer that is late makes the next report longer or refused, and is corrected by the answer
-    /// to that report.
+    /// Processes an acknowledgement. A stale one makes the next report longer than necessary or rejected; the
+    /// acknowledgement of that report corrects it.
     pub fn acknowledge(&mut self, from: id::VmId, receipt: &Receipt) {
         if self.is_for(receipt.zone, receipt.term) && self.receiver == Some(from) {
             self.acknowledged = receipt.through.min(self.version);
@@ -187,40 +189,41 @@
     }
 }
 
-/// Returns the wish to report: the one reported before where it still holds, otherwise the wanted amount rounded up.
-fn held(reported: resource::Amount, wanted: resource::Amount) -> resource::Amount {
-    let hold = |reported: u32, wanted: u32| {
-        let rounded = rounded(wanted);
-        let holds = wanted <= reported && reported - reported / HELD_PART <= rounded;
-        if holds { reported } else { rounded }
+/// Returns the demand to report: in each dimension the previously reported value within the hysteresis, otherwise the
+/// actual demand rounded up.
+fn with_hysteresis(reported: resource::Amount, demand: resource::Amount) -> resource::Amount {
+    let select = |reported: u32, demand: u32| {
+        let rounded = round_up(demand);
+        let retained = demand <= reported && reported - reported / HYSTERESIS_DIVISOR <= rounded;
+        if retained { reported } else { rounded }
     };
     resource::Amount::new(
-        hold(reported.cpu_milli, wanted.cpu_milli),
-        hold(reported.memory_mib, wanted.memory_mib),
-        hold(reported.accelerators, wanted.accelerators),
+        select(reported.cpu_milli, demand.cpu_milli),
+        select(reported.memory_mib, demand.memory_mib),
+        select(reported.accelerators, demand.accelerators),
     )
 }
 
-/// Rounds up to the highest bits.
-fn rounded(value: u32) -> u32 {
-    let dropped = (u32::BITS - value.leading_zeros()).saturating_sub(KEPT_BITS);
+/// Rounds up to [`SIGNIFICANT_BITS`].
+fn round_up(value: u32) -> u32 {
+    let dropped = (u32::BITS - value.leading_zeros()).saturating_sub(SIGNIFICANT_BITS);
     value.checked_next_multiple_of(1 << dropped).unwrap_or(u32::MAX)
 }
 
-/// What the root leader knows of a zone.
+/// Reported state of a zone, as tracked by the root leader.
 #[derive(Debug)]
 struct Zone {
     term: u64,
     through: u64,
-    /// Newest version of the sender at its first report; below it, something of the zone is still unknown.
-    goal: u64,
-    heard: Duration,
+    /// Newest version of the sender at its first report. Until `through` reaches it, the demand is incomplete.
+    complete_at: u64,
+    last_report: Duration,
     teams: BTreeMap<id::TeamId, (resource::Amount, escrow::Total)>,
-    /// Teams whose released counter the root state may not have yet.
-    ahead: BTreeSet<id::TeamId>,
+    /// Teams whose released counter may not be recorded in the root state yet.
+    unrecorded: BTreeSet<id::TeamId>,
 }
 
-/// Demand that the root leader was told in its leadership.
+/// Demand reported to a root leader during its leadership.
 #[derive(Debug)]
 pub struct Table {
     since: Duration,
@@ -236,15 +239,16 @@
         }
     }
 
-    /// Takes a report of a zone in the directory; `None` when a later leader of the zone has reported.
+    /// Processes a report of a zone in the directory. Returns `None` when a leader of a later term has already
+    /// reported.
     pub fn receive(&mut self, now: Duration, report: &Report) -> Option<Receipt> {
         let fresh = || Zone {
             term: report.term,
             through: 0,
-            goal: report.newest,
-            heard: now,
+            complete_at: report.newest,
+            last_report: now,
             teams: BTreeMap::new(),
-            ahead: BTreeSet::new(),
+            unrecorded: BTreeSet::new(),
         };
         let zone = self.zones.entry(report.zone).or_insert_with(fresh);
         if report.term < zone.term {
@@ -253,20 +257,20 @@
         if report.term > zone.term {
             *zone = fresh();
         }
-        zone.heard = now;
-        // A gap is answered with the version that is known; what was applied before is not applied again.
+        zone.last_report = now;
+        // A report that leaves a gap or is older is not applied; the receipt names the version that the table has.
         if report.since <= zone.through && report.through >= zone.through {
             zone.through = report.through;
             for (team, change) in &report.changes {
                 if zone.teams.len() >= MAX_TEAMS && !zone.teams.contains_key(team) {
                     continue;
                 }
-                let (wanted, released) = zone.teams.entry(*team).or_default();
+                let (demand, released) = zone.teams.entry(*team).or_default();
                 match change {
-                    Change::Demand(amount) => *wanted = *amount,
+                    Change::Demand(amount) => *demand = *amount,
                     Change::Released(total) => {
                         *released = *total;
-                        zone.ahead.insert(*team);
+                        zone.unrecorded.insert(*team);
                     }
                 }
             }
@@ -280,21 +284,21 @@
 
     /// Returns the demand of all zones.
     ///
-    /// A zone that has not told everything yet is taken to want the targets that it has. A new root leader would
-    /// otherwise move allotments to the zones that happen to report first.
+    /// While the reports of a zone are incomplete, its current targets are taken as its demand. Otherwise a new root
+    /// leader would move allotments to the zones that happen to report first.
     pub fn demand(&self, now: Duration, state: &root::State) -> root::Demand {
-        // A map is built from a list in a fraction of the time that single insertions take.
+        // Building the map from a list takes a fraction of the time of single insertions.
         let mut demand = Vec::new();
         for zone in state.open_zones() {
             let known = self.zones.get(&zone);
-            let heard = known.map_or(self.since, |known| known.heard);
-            if now.saturating_sub(heard) >= REPORT_TIMEOUT {
+            let last_report = known.map_or(self.since, |known| known.last_report);
+            if now.saturating_sub(last_report) >= REPORT_TIMEOUT {
                 continue;
             }
-            match known.filter(|known| known.through >= known.goal) {
+            match known.filter(|known| known.through >= known.complete_at) {
                 Some(known) => {
-                    let wanted = known.teams.iter();
-                    demand.extend(wanted.map(|(team, (wanted, _))| ((*team, zone), *wanted)));
+                    let teams = known.teams.iter();
+                    demand.extend(teams.map(|(team, (amount, _))| ((*team, zone), *amount)));
                 }
                 None => demand.extend(state.teams().keys().filter_map(|team| {
                     let allotment = state.allotment(*team, zone)?;
@@ -305,7 +309,7 @@
         demand.into_iter().collect()
     }
 
-    /// Returns the released counters that are ahead of the root state, by zone.
+    /// Returns the released counters that are not recorded in the root state yet, by zone.
     pub fn released(
         &mut self,
         state: &root::State,
@@ -313,13 +317,17 @@
         let mut released = BTreeMap::new();
         for (zone, known) in &mut self.zones {
             let teams = &known.teams;
-            known.ahead.retain(|team| {
+            known.unrecorded.retain(|team| {
                 let before = state.allotment(*team, *zone).unwrap_or_default().released;
                 teams.get(team).is_some_and(|(_, total)| !total.fits(&before))
             });
-            let ahead: Vec<_> = known.ahead.iter().map(|team| (*team, teams[team].1)).collect();
-            if !ahead.is_empty() {
-                released.insert(*zone, ahead);
+            let unrecorded: Vec<_> = known
+                .unrecorded
+                .iter()
+                .map(|team| (*team, teams[team].1))
+                .collect();
+            if !unrecorded.is_empty() {
+                released.insert(*zone, unrecorded);
             }
         }
         released
--- a/crates/control/src/error.rs
+++ b/crates/control/src/error.rs
@@ -1,17 +1,17 @@
-//! Errors of encoding and decoding.
+//! Errors of decoding commands and installing snapshots.
 
-/// Why bytes could not be turned into state or a command.
+/// Reason why bytes could not be decoded, or a snapshot not installed.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub enum Error {
-    /// The bytes do not have the expected form.
+    /// The bytes are malformed.
     Format(String),
-    /// The bytes decode, but the state that they describe breaks an invariant.
+    /// The bytes decode to a state that violates an invariant.
     Invariant(String),
     /// The snapshot is older than the state that it would replace.
     Older {
-        /// Last index in the snapshot.
+        /// Last log index in the snapshot.
         snapshot: u64,
-        /// Last index applied here.
+        /// Last log index applied to the state.
         applied: u64,
     },
 }
--- a/crates/control/src/escrow.rs
+++ b/crates/control/src/escrow.rs
@@ -1,16 +1,16 @@
 //! Cumulative counters of granted and released resources.
 //!
-//! An upper limit is divided into allotments, one per availability zone. A allotment is the difference of two counters
-//! that only grow, so that duplicated, reordered and lost messages never make the allotments add up to more than the
+//! An upper limit is divided into allotments, one per availability zone. An allotment is the difference of two counters
+//! that never decrease, so duplicated, reordered and lost messages cannot make the sum of the allotments exceed the
 //! limit.
 
 use bronzespoke_model::resource;
 use serde::{Deserialize, Serialize};
 
-/// A cumulative amount of each resource dimension.
+/// Amount of each resource dimension, wide enough for cumulative counters.
 #[derive(Debug, Default, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Total {
-    /// Processors, in thousandths of a core.
+    /// CPU, in thousandths of a core.
     pub cpu_milli: u64,
     /// Memory, in MiB.
     pub memory_mib: u64,
@@ -19,14 +19,14 @@
 }
 
 impl Total {
-    /// A total of nothing.
+    /// Zero in each dimension.
     pub const ZERO: Self = Self {
         cpu_milli: 0,
         memory_mib: 0,
         accelerators: 0,
     };
 
-    /// Applies `combine` to each dimension.
+    /// Combines each dimension of two totals.
     pub fn zip(&self, other: &Self, combine: impl Fn(u64, u64) -> u64) -> Self {
         Self {
             cpu_milli: combine(self.cpu_milli, other.cpu_milli),
@@ -35,12 +35,12 @@
         }
     }
 
-    /// Adds each dimension, stopping at the largest value.
+    /// Adds each dimension, saturating at the maximum value.
     pub fn saturating_add(&self, other: &Self) -> Self {
         self.zip(other, u64::saturating_add)
     }
 
-    /// Subtracts each dimension, stopping at zero.
+    /// Subtracts each dimension, saturating at zero.
     pub fn saturating_sub(&self, other: &Self) -> Self {
         self.zip(other, u64::saturating_sub)
     }
@@ -55,14 +55,14 @@
         self.zip(other, u64::min)
     }
 
-    /// Tells whether every dimension of `self` is at most that of `other`.
+    /// Returns whether every dimension of `self` is at most that of `other`.
     pub const fn fits(&self, other: &Self) -> bool {
         self.cpu_milli <= other.cpu_milli
             && self.memory_mib <= other.memory_mib
             && self.accelerators <= other.accelerators
     }
 
-    /// Returns the dimensions in a fixed order: processors, memory, accelerators.
+    /// Returns the dimensions in a fixed order: CPU, memory, accelerators.
     pub const fn dimensions(&self) -> [u64; 3] {
         [self.cpu_milli, self.memory_mib, self.accelerators]
     }
@@ -76,10 +76,14 @@
         }
     }
 
-    /// Returns the total as an amount, each dimension cut at the largest value.
+    /// Converts the total to an amount, saturating each dimension at the maximum value.
     pub fn amount(&self) -> resource::Amount {
-        let cut = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
-        resource::Amount::new(cut(self.cpu_milli), cut(self.memory_mib), cut(self.accelerators))
+        let saturate = |value: u64| u32::try_from(value).unwrap_or(u32::MAX);
+        resource::Amount::new(
+            saturate(self.cpu_milli),
+            saturate(self.memory_mib),
+            saturate(self.accelerators),
+        )
     }
 }
 
@@ -97,5 +101,5 @@
 pub fn sum<'a>(totals: impl IntoIterator<Item = &'a Total>) -> Total {
     totals
         .into_iter()
-        .fold(Total::ZERO, |all, one| all.saturating_add(one))
+        .fold(Total::ZERO, |sum, total| sum.saturating_add(total))
 }
--- a/crates/control/src/name.rs
+++ b/crates/control/src/id_bytes.rs
@@ -1,7 +1,7 @@
-//! Encoded form of 16-byte names.
+//! Serde encoding of 16-byte ids.
 //!
-//! Serde writes an array byte by byte; as one string of bytes, with one more byte for the length, large tables encode
-//! and decode in a fraction of the time.
+//! Serde encodes an array element by element. Encoded as a byte string, which takes one more byte for the length, large
+//! tables encode and decode in a fraction of the time.
 
 use std::fmt;
 
@@ -9,8 +9,8 @@
 
 pub(crate) const BYTES: usize = 16;
 
-pub(crate) fn serialize<S: Serializer>(name: &[u8; BYTES], serializer: S) -> Result<S::Ok, S::Error> {
-    serializer.serialize_bytes(name)
+pub(crate) fn serialize<S: Serializer>(id: &[u8; BYTES], serializer: S) -> Result<S::Ok, S::Error> {
+    serializer.serialize_bytes(id)
 }
 
 pub(crate) fn deserialize<'de, D: Deserializer<'de>>(deserializer: D) -> Result<[u8; BYTES], D::Error> {
--- a/crates/control/src/lib.rs
+++ b/crates/control/src/lib.rs
@@ -1,7 +1,7 @@
-//! Replicated control state: root group and zone group state machines.
+//! Replicated control state: the state machines of the cell, the root group and the zone groups.
 //!
-//! The package applies committed log entries to state and answers reads of it. It has no I/O and reads no clock:
-//! wall time comes with each command, set by the leader that proposed it, so that every replica reaches the same state.
+//! The package applies committed log entries to state and serves reads of it. It performs no I/O and reads no clock:
+//! the leader that proposes a command attaches the wall time, so that every replica reaches the same state.
 
 pub mod batch;
 pub mod cell;
@@ -10,10 +10,9 @@
 pub mod envelope;
 pub mod error;
 pub mod escrow;
+mod id_bytes;
 mod memory;
-mod name;
 pub mod request_id;
 pub mod root;
 pub mod shared;
-
 pub mod zone;
--- a/crates/control/src/root/memory.rs
+++ b/crates/control/src/root/memory.rs
@@ -5,7 +5,7 @@
 use bronzespoke_model::{id, service, team, vm};
 
 use super::{allotments, command, state};
-use crate::memory::{ALLOCATION_BYTES, map};
+use crate::memory::{ALLOCATION_BYTES, btree_bytes};
 
 impl state::State {
     /// Returns the estimated memory in bytes. Entry counts are exact; the overhead of maps and the allocator is
@@ -20,18 +20,19 @@
             .allotments
             .values()
             .map(|allotments| {
-                map::<(id::AvailabilityZoneId, allotments::Allotment)>(allotments.len()) + ALLOCATION_BYTES
+                btree_bytes::<(id::AvailabilityZoneId, allotments::Allotment)>(allotments.len())
+                    + ALLOCATION_BYTES
             })
             .sum();
-        map::<(team::KeyHash, id::TeamId)>(self.keys.len())
+        btree_bytes::<(team::KeyHash, id::TeamId)>(self.keys.len())
             + self.withdrawn.memory()
-            + map::<(id::TeamId, Arc<team::Team>)>(self.teams.len())
+            + btree_bytes::<(id::TeamId, Arc<team::Team>)>(self.teams.len())
             + self.teams.len() * (size_of::<team::Team>() + ALLOCATION_BYTES)
-            + map::<(String, id::TeamId)>(self.team_names.len())
+            + btree_bytes::<(String, id::TeamId)>(self.team_names.len())
             + names
-            + map::<(String, service::Queue)>(self.services.len() + self.queues.len())
-            + map::<(id::VmId, vm::Vm)>(self.vms.len())
-            + map::<command::Subject>(self.drains.len())
+            + btree_bytes::<(String, service::Queue)>(self.services.len() + self.queues.len())
+            + btree_bytes::<(id::VmId, vm::Vm)>(self.vms.len())
+            + btree_bytes::<command::Subject>(self.drains.len())
             + allotments
             + self.commands.memory()
     }
--- a/crates/control/src/shared.rs
+++ b/crates/control/src/shared.rs
@@ -1,8 +1,8 @@
-//! An ordered map whose copy is cheap.
+//! An ordered map that is cheap to clone.
 //!
-//! A snapshot is encoded on another thread from a copy of the state, so that the copy is made while commands wait.
-//! Entries are kept in leaves that copies share: a copy takes a reference to each leaf, and a change copies the leaf
-//! that it changes, when another copy has it.
+//! A snapshot is encoded on another thread from a clone of the state, and commands wait while the clone is made.
+//! Entries are therefore stored in reference-counted leaves with copy-on-write: a clone takes a reference to each leaf,
+//! and a change copies the affected leaf if another clone shares it.
 
 use std::{
     fmt,
@@ -13,13 +13,14 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer, de, ser::SerializeMap};
 
-/// Entries of a leaf: few enough that the copy of one takes microseconds, many enough that a copy of the largest table
-/// (65,536 entries) takes about a thousand references.
+/// Maximum number of entries in a leaf. Small enough that copying a leaf takes microseconds, and large enough that a
+/// clone of the largest table (65,536 entries) takes about a thousand references.
 const LEAF_ENTRIES: usize = 128;
 
-/// An ordered map; copies share what neither of them has changed.
+/// An ordered map whose clones share the leaves that none of them has changed.
 ///
-/// Invariant: no leaf is empty or has more than [`LEAF_ENTRIES`] entries, and keys grow within and across leaves.
+/// Invariant: no leaf is empty or has more than [`LEAF_ENTRIES`] entries, and keys are strictly ascending within and
+/// across leaves.
 #[derive(Clone)]
 pub struct Map<K, V> {
     leaves: Vec<Arc<Vec<(K, V)>>>,
@@ -44,26 +45,26 @@
     }
 }
 
-/// Where a key is, or belongs.
+/// Position at which a key is found, or at which it would be inserted.
 #[derive(Clone, Copy)]
-struct Place {
+struct Position {
     leaf: usize,
     slot: usize,
     found: bool,
 }
 
 impl<K: Ord, V> Map<K, V> {
-    fn place(&self, key: &K) -> Place {
+    fn find(&self, key: &K) -> Position {
         let leaf = self.leaves.partition_point(|leaf| leaf[0].0 <= *key);
         let Some(leaf) = leaf.checked_sub(1) else {
-            return Place {
+            return Position {
                 leaf: 0,
                 slot: 0,
                 found: false,
             };
         };
         let slot = self.leaves[leaf].binary_search_by(|(other, _)| other.cmp(key));
-        Place {
+        Position {
             leaf,
             slot: slot.unwrap_or_else(|slot| slot),
             found: slot.is_ok(),
@@ -75,20 +76,22 @@
         self.len
     }
 
-    /// Tells whether there are no entries.
+    /// Returns whether there are no entries.
     pub const fn is_empty(&self) -> bool {
         self.len == 0
     }
 
-    /// Returns the value of a key.
+    /// Returns the value of a key, if present.
     pub fn get(&self, key: &K) -> Option<&V> {
-        let place = self.place(key);
-        place.found.then(|| &self.leaves[place.leaf][place.slot].1)
+        let position = self.find(key);
+        position
+            .found
+            .then(|| &self.leaves[position.leaf][position.slot].1)
     }
 
-    /// Tells whether a key has a value.
+    /// Returns whether the map has an entry with a key.
     pub fn contains_key(&self, key: &K) -> bool {
-        self.place(key).found
+        self.find(key).found
     }
 
     /// Returns the entry with the smallest key.
@@ -97,28 +100,28 @@
         Some((key, value))
     }
 
-    /// Returns the entries in the order of their keys.
+    /// Returns the entries in ascending order of their keys.
     pub fn iter(&self) -> impl Iterator<Item = (&K, &V)> {
         let entries = self.leaves.iter().flat_map(|leaf| leaf.iter());
         entries.map(|(key, value)| (key, value))
     }
 
-    /// Returns the values in the order of their keys.
+    /// Returns the values in ascending order of their keys.
     pub fn values(&self) -> impl Iterator<Item = &V> {
         self.iter().map(|(_, value)| value)
     }
 
-    /// Returns the entries with keys in a range.
+    /// Returns the entries with keys in a range, in ascending order.
     pub fn range(&self, range: impl RangeBounds<K>) -> impl Iterator<Item = (&K, &V)> {
         let (leaf, slot) = match range.start_bound() {
             Bound::Unbounded => (0, 0),
             Bound::Included(key) => {
-                let place = self.place(key);
-                (place.leaf, place.slot)
+                let position = self.find(key);
+                (position.leaf, position.slot)
             }
             Bound::Excluded(key) => {
-                let place = self.place(key);
-                (place.leaf, place.slot + usize::from(place.found))
+                let position = self.find(key);
+                (position.leaf, position.slot + usize::from(position.found))
             }
         };
         let rest = self.leaves[leaf.min(self.leaves.len())..].iter().enumerate();
@@ -133,13 +136,13 @@
             })
     }
 
-    /// Returns the bytes of the leaves, without what the entries point to.
+    /// Returns the memory of the leaves in bytes, without heap data of the entries.
     pub fn memory(&self) -> usize {
         let leaves: usize = self.leaves.iter().map(|leaf| leaf.capacity()).sum();
         leaves * size_of::<(K, V)>() + self.leaves.len() * (size_of::<Vec<(K, V)>>() + 4 * size_of::<usize>())
     }
 
-    /// Checks the invariant.
+    /// Checks the invariant of the leaves.
     pub fn verify(&self) -> Result<(), String> {
         let sized = |leaf: &Arc<Vec<(K, V)>>| (1..=LEAF_ENTRIES).contains(&leaf.len());
         let count: usize = self.leaves.iter().map(|leaf| leaf.len()).sum();
@@ -148,64 +151,69 @@
             .map(|(key, _)| key)
             .is_sorted_by(|left, right| left < right);
         if !self.leaves.iter().all(sized) || count != self.len || !sorted {
-            return Err(String::from("the leaves of a map are not in order"));
+            return Err(String::from(
+                "the leaves of a map are empty, too large, unsorted or miscounted",
+            ));
         }
         Ok(())
     }
 }
 
 impl<K: Ord + Clone, V: Clone> Map<K, V> {
-    /// Returns the value of a key for a change.
+    /// Returns a mutable reference to the value of a key, if present.
     pub fn get_mut(&mut self, key: &K) -> Option<&mut V> {
-        let place = self.place(key);
-        place
+        let position = self.find(key);
+        position
             .found
-            .then(|| &mut Arc::make_mut(&mut self.leaves[place.leaf])[place.slot].1)
+            .then(|| &mut Arc::make_mut(&mut self.leaves[position.leaf])[position.slot].1)
     }
 
-    /// Sets the value of a key; returns the one that it had.
+    /// Sets the value of a key and returns the previous one.
     pub fn insert(&mut self, key: K, value: V) -> Option<V> {
-        let place = self.place(&key);
-        if place.found {
-            let entry = &mut Arc::make_mut(&mut self.leaves[place.leaf])[place.slot];
+        let position = self.find(&key);
+        if position.found {
+            let entry = &mut Arc::make_mut(&mut self.leaves[position.leaf])[position.slot];
             return Some(std::mem::replace(&mut entry.1, value));
         }
         self.len += 1;
-        let Some(leaf) = self.leaves.get_mut(place.leaf) else {
+        let Some(leaf) = self.leaves.get_mut(position.leaf) else {
             self.leaves.push(Arc::new(vec![(key, value)]));
             return None;
         };
         if leaf.len() < LEAF_ENTRIES {
             let leaf = Arc::make_mut(leaf);
             if leaf.len() == leaf.capacity() {
-                // A vector that grows by itself may get twice the room of a full leaf.
+                // Amortized growth could reserve twice the size of a full leaf.
                 leaf.reserve_exact(leaf.len().max(4).min(LEAF_ENTRIES - leaf.len()));
             }
-            leaf.insert(place.slot, (key, value));
+            leaf.insert(position.slot, (key, value));
             return None;
         }
-        if place.slot == LEAF_ENTRIES {
-            // Keys that only grow fill their leaves.
-            self.leaves.insert(place.leaf + 1, Arc::new(vec![(key, value)]));
+        if position.slot == LEAF_ENTRIES {
+            // Append without a split, so that ascending insertions fill their leaves.
+            self.leaves
+                .insert(position.leaf + 1, Arc::new(vec![(key, value)]));
             return None;
         }
         let leaf = Arc::make_mut(leaf);
         let mut upper = leaf.split_off(LEAF_ENTRIES / 2);
-        match place.slot.checked_sub(leaf.len()) {
+        match position.slot.checked_sub(leaf.len()) {
             Some(slot) => upper.insert(slot, (key, value)),
-            None => leaf.insert(place.slot, (key, value)),
+            None => leaf.insert(position.slot, (key, value)),
         }
-        self.leaves.insert(place.leaf + 1, Arc::new(upper));
+        self.leaves.insert(position.leaf + 1, Arc::new(upper));
         None
     }
 
-    /// Removes a key; returns its value.
+    /// Removes a key and returns its value.
     pub fn remove(&mut self, key: &K) -> Option<V> {
-        let place = self.place(key);
-        place.found.then(|| self.remove_at(place.leaf, place.slot).1)
+        let position = self.find(key);
+        position
+            .found
+            .then(|| self.remove_at(position.leaf, position.slot).1)
     }
 
-    /// Removes the entry with the smallest key.
+    /// Removes and returns the entry with the smallest key.
     pub fn pop_first(&mut self) -> Option<(K, V)> {
         (!self.is_empty()).then(|| self.remove_at(0, 0))
     }
@@ -218,16 +226,16 @@
             self.leaves.remove(number);
             return entry;
         }
-        self.join(number);
+        self.merge_with_next(number);
         if let Some(previous) = number.checked_sub(1) {
-            self.join(previous);
+            self.merge_with_next(previous);
         }
         entry
     }
 
-    /// Joins a leaf with the next one when they fill at most half a leaf, so that removals do not leave many small
-    /// ones.
-    fn join(&mut self, number: usize) {
+    /// Merges a leaf with the next one if together they fill at most half a leaf, so that removals do not leave many
+    /// small leaves.
+    fn merge_with_next(&mut self, number: usize) {
         let Some(next) = self.leaves.get(number + 1) else {
             return;
         };
