--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -54,7 +54,8 @@
     Start(Vec<Start>),
     /// Records the ends of runs.
     End(Vec<End>),
-    /// Removes finished jobs whose status is no longer retained.
+    /// Removes jobs whose status need not be retained any longer. Jobs that are not in a final phase or have runs that
+    /// have not ended are kept.
     Forget(Vec<job::Key>),
     /// Records the peer address of a VM.
     Locate {
--- a/crates/control/src/root/allotments.rs
+++ b/crates/control/src/root/allotments.rs
@@ -60,8 +60,8 @@
     for team in state.teams().values() {
         demands.fill(escrow::Total::ZERO);
         for ((_, zone), amount) in demand.range((team.id, 0)..=(team.id, id::AvailabilityZoneId::MAX)) {
-            if let Ok(number) = zones.binary_search(zone) {
-                demands[number] = (*amount).into();
+            if let Ok(index) = zones.binary_search(zone) {
+                demands[index] = (*amount).into();
             }
         }
         current.fill(Allotment::default());
@@ -71,8 +71,8 @@
             .into_iter()
             .flat_map(|allotments| allotments.iter())
         {
-            if let Ok(number) = zones.binary_search(zone) {
-                current[number] = *allotment;
+            if let Ok(index) = zones.binary_search(zone) {
+                current[index] = *allotment;
             }
         }
         let limit = escrow::Total::from(team.quota.limit);
@@ -108,7 +108,7 @@
 
 /// Divides a limit among zones, each resource dimension independently.
 fn divide(limit: &escrow::Total, demands: &[escrow::Total], current: &[Allotment]) -> Vec<escrow::Total> {
-    let mut allotments = vec![[0; 3]; demands.len()];
+    let mut targets = vec![[0; 3]; demands.len()];
     for (dimension, total) in limit.dimensions().into_iter().enumerate() {
         let demands: Vec<u64> = demands
             .iter()
@@ -119,14 +119,11 @@
             .map(|allotment| escrow::Total::from(allotment.target).dimensions()[dimension])
             .collect();
         let shares = divide_dimension(total, &demands, &current);
-        for (allotment, share) in allotments.iter_mut().zip(shares) {
-            allotment[dimension] = share;
+        for (target, share) in targets.iter_mut().zip(shares) {
+            target[dimension] = share;
         }
     }
-    allotments
-        .into_iter()
-        .map(escrow::Total::from_dimensions)
-        .collect()
+    targets.into_iter().map(escrow::Total::from_dimensions).collect()
 }
 
 /// Adjusts the current targets of one resource dimension where demand requires it.
@@ -195,11 +192,11 @@
         let target = escrow::Total::from(allotment.target).dimensions();
         let mut scaled = [0; 3];
         for (dimension, value) in target.into_iter().enumerate() {
-            let (most, all) = (limit.dimensions()[dimension], sum.dimensions()[dimension]);
-            scaled[dimension] = if all <= most {
+            let (max, total) = (limit.dimensions()[dimension], sum.dimensions()[dimension]);
+            scaled[dimension] = if total <= max {
                 value
             } else {
-                (u128::from(value) * u128::from(most) / u128::from(all)) as u64
+                (u128::from(value) * u128::from(max) / u128::from(total)) as u64
             };
         }
         allotment.target = escrow::Total::from_dimensions(scaled).amount();
--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -324,7 +324,7 @@
     }
 
     /// Applies the grants of one team atomically; returns `false`, without a change, when they would exceed its limit
-    /// or name an unknown team or zone.
+    /// or when the team or a zone does not exist or a zone is lost.
     fn grant_team(&mut self, team: id::TeamId, grants: &[allotments::Grant]) -> bool {
         let is_open =
             |zone: id::AvailabilityZoneId| self.zones.get(&zone).is_some_and(|zone| zone.lost_ms.is_none());
--- a/crates/control/src/root/command.rs
+++ b/crates/control/src/root/command.rs
@@ -177,8 +177,8 @@
         /// Id of the command that set the version in force.
         winner: Option<id::CommandId>,
     },
-    /// Zero-based positions of the grants that were refused because they would exceed a limit or name an unknown team
-    /// or zone. The others were applied.
+    /// Zero-based positions of the grants that were refused because they would exceed a limit, or because the
+    /// team or zone does not exist or the zone is lost. The others were applied.
     Granted(Vec<u32>),
     /// The command was refused and had no effect.
     Refused(Refusal),
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -179,7 +179,7 @@
             .is_some_and(|record| self.outstanding(team).fits(&record.quota.limit.into()))
     }
 
-    /// Returns the first outcome of a command id that is still remembered.
+    /// Returns the first outcome of a command id that is still retained.
     pub fn outcome(&self, id: id::CommandId) -> Option<command::Outcome> {
         self.commands.get(id)
     }
--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -1,4 +1,4 @@
-//! Request ids: guarantees that a request with an id is sent at most once, and stores its answer for retries.
+//! Request ids: ensures that a request with an id runs at most once, and stores its answer for retries.
 
 use std::sync::Arc;
 
@@ -52,7 +52,8 @@
 /// Result of a claim.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Claimed {
-    /// The claim was recorded and the request may be sent once. Holds the number for [`Claims::complete`].
+    /// The claim was recorded and the request may be sent once. Holds the number for
+    /// [`crate::zone::Command::Complete`].
     Granted(u64),
     /// The id is claimed by an attempt that has not completed.
     InProgress,
@@ -85,7 +86,7 @@
 #[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Claims {
     entries: shared::Map<Key, Entry>,
-    /// Keys and claim times in seconds, by number. Both numbers and times are non-decreasing.
+    /// Keys and claim times in seconds, by number. Times do not decrease as numbers grow.
     order: shared::Map<u64, (Key, u32)>,
     /// Holders of the claims that have not completed.
     held: shared::Map<u64, id::VmId>,
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -211,7 +211,7 @@
         &self.claims
     }
 
-    /// Returns the first outcome of a command id that is still remembered.
+    /// Returns the first outcome of a command id that is still retained.
     pub fn outcome(&self, id: id::CommandId) -> Option<command::Outcome> {
         self.commands.get(id)
     }
