--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -1,8 +1,8 @@
-//! Application of commands. A command never fails: what does not fit the state changes nothing.
+//! Application of commands. A command that does not match the state has no effect; none returns an error.
 
 use std::sync::Arc;
 
-use bronzespoke_workload::{catalog, job, order, worker};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 
 use super::{
@@ -11,7 +11,7 @@
 };
 
 impl State {
-    /// Applies a command that was proposed at a wall time.
+    /// Applies a command that was proposed at wall time `at_ms`, in milliseconds since the Unix epoch.
     pub fn apply(&mut self, at_ms: u64, command: Command) -> Outcome {
         match command {
             Command::Configure { catalog, document } => self.configure(*catalog, document),
@@ -29,10 +29,10 @@
             )),
             Command::Cancel { key } => self.cancel(key, at_ms),
             Command::Register {
-                life,
+                incarnation,
                 worker,
                 draining,
-            } => self.register(life, *worker, draining),
+            } => self.register(incarnation, *worker, draining),
             Command::Retire { worker } => {
                 self.workers.remove(&worker);
                 Outcome::Done
@@ -51,8 +51,8 @@
     }
 
     fn configure(&mut self, catalog: catalog::Catalog, document: Bytes) -> Outcome {
-        let held = self.catalog.as_ref().map(|held| held.version);
-        if held.is_none_or(|held| catalog.version > held) {
+        let current = self.catalog.as_ref().map(|current| current.version);
+        if current.is_none_or(|current| catalog.version > current) {
             self.catalog = Some(Arc::new(catalog));
             self.document = document;
         }
@@ -79,11 +79,16 @@
         Outcome::Done
     }
 
-    fn register(&mut self, life: worker::Life, worker: worker::Worker, draining: bool) -> Outcome {
+    fn register(
+        &mut self,
+        incarnation: worker::Incarnation,
+        worker: worker::Worker,
+        draining: bool,
+    ) -> Outcome {
         let mut known = self.workers.values_mut();
-        if let Some(registered) = known.find(|registered| registered.life == life) {
+        if let Some(registered) = known.find(|registered| registered.incarnation == incarnation) {
             registered.worker = Arc::new(worker);
-            // A worker that leaves does not change its mind; a late announcement may say otherwise.
+            // Draining is permanent; a delayed announcement may still report the worker as ready.
             registered.draining |= draining;
             return Outcome::Done;
         }
@@ -93,7 +98,7 @@
         self.workers.insert(
             index,
             Registered {
-                life,
+                incarnation,
                 worker,
                 draining,
             },
@@ -127,7 +132,7 @@
         if first {
             job.phase = job::Phase::Running;
             let queue = job.queue.name.clone();
-            self.leave_pending(&queue);
+            self.decrement_pending(&queue);
         }
         true
     }
@@ -166,12 +171,12 @@
         let Some(entry) = step.tasks.get_mut(task.index as usize) else {
             return;
         };
-        // Numbers of runs are never used twice, so that the end may also be told by a later life of the worker that took a
-        // repeated order.
+        // Run numbers are never reused. The worker is not compared: a later incarnation of it may have received the
+        // resent start and report the end.
         let current = entry.placed.is_some() && entry.run == run;
-        // A run that was given up may turn out to be done: its work counts, and a later run is stopped. Or it may have
-        // failed, which counts as an attempt.
-        let late = matches!(outcome, order::Outcome::Done | order::Outcome::Failed) && !spec.lasting;
+        // A run that was recorded as ended may still report its real outcome. A success counts, and the later run is
+        // stopped; a failure counts as an attempt.
+        let late = matches!(outcome, directive::Outcome::Done | directive::Outcome::Failed) && !spec.lasting;
         if !current && !late {
             return;
         }
@@ -188,23 +193,24 @@
             step.placed -= 1;
         }
         let failed = match outcome {
-            // A lasting task starts again however it ends.
+            // A lasting task is restarted whatever its outcome.
             _ if spec.lasting => false,
-            order::Outcome::Done => {
-                note_done(step, task.index, spec.gang);
+            directive::Outcome::Done => {
+                record_done(step, task.index, spec.gang);
                 false
             }
-            order::Outcome::Failed => note_failure(step, task.index, run, spec.gang),
+            directive::Outcome::Failed => record_failure(step, task.index, run, spec.gang),
             _ => false,
         };
         if current {
             job.placed -= 1;
         }
-        self.settle(task.job, failed, at_ms);
+        self.update_phase(task.job, failed, at_ms);
     }
 
-    /// Finishes a job whose work is done or has failed too often.
-    fn settle(&mut self, key: job::Key, failed: bool, at_ms: u64) {
+    /// Moves a job to its final phase when all steps are done or a task has no attempts left, and removes it from the
+    /// active jobs once it has no runs.
+    fn update_phase(&mut self, key: job::Key, failed: bool, at_ms: u64) {
         let Some(job) = self.jobs.get(&key) else {
             return;
         };
@@ -231,14 +237,14 @@
         let idle = job.placed == 0;
         let queue = job.queue.name.clone();
         if before == job::Phase::Queued {
-            self.leave_pending(&queue);
+            self.decrement_pending(&queue);
         }
         if idle {
             self.active.remove(&key);
         }
     }
 
-    fn leave_pending(&mut self, queue: &str) {
+    fn decrement_pending(&mut self, queue: &str) {
         if let Some(count) = self.pending.get_mut(queue) {
             *count -= 1;
             if *count == 0 {
@@ -249,8 +255,8 @@
 
     fn forget(&mut self, keys: &[job::Key]) -> Outcome {
         for key in keys {
-            let unused = |job: &Job| job.is_final() && job.placed == 0;
-            if self.jobs.get(key).is_some_and(unused) {
+            let removable = |job: &Job| job.is_final() && job.placed == 0;
+            if self.jobs.get(key).is_some_and(removable) {
                 self.jobs.remove(key);
                 self.active.remove(key);
             }
@@ -259,13 +265,13 @@
     }
 }
 
-fn step_mut(job: &mut Job, task: order::Task) -> Option<&mut super::state::Step> {
+fn step_mut(job: &mut Job, task: directive::Task) -> Option<&mut super::state::Step> {
     let occurrence = job.occurrences.get_mut(task.occurrence as usize)?;
     occurrence.steps.get_mut(usize::from(task.step))
 }
 
-/// The end of one member stands for the whole gang.
-fn note_done(step: &mut super::state::Step, index: u32, gang: bool) {
+/// Marks a task as done. The success of one member completes the whole gang.
+fn record_done(step: &mut super::state::Step, index: u32, gang: bool) {
     let members = if gang {
         0..step.tasks.len()
     } else {
@@ -275,19 +281,19 @@
         if !entry.done {
             entry.done = true;
             entry.checkpoint = None;
-            step.left -= 1;
+            step.remaining -= 1;
         }
     }
 }
 
-/// Counts a failed run; a gang counts each run once.
-fn note_failure(step: &mut super::state::Step, index: u32, run: order::Run, gang: bool) -> bool {
+/// Counts a failed run and returns whether it had not been counted before. A gang counts each run once.
+fn record_failure(step: &mut super::state::Step, index: u32, run: directive::Run, gang: bool) -> bool {
     let entry = &mut step.tasks[index as usize];
     if entry.done {
         return false;
     }
     if !gang {
-        // The end of one run may be told again, to a new leader.
+        // The end of a run may be reported again to a new leader.
         let counts = run > entry.failed_run;
         entry.failed_run = entry.failed_run.max(run);
         entry.failures += u32::from(counts);
@@ -312,5 +318,5 @@
 
 fn is_done(job: &Job) -> bool {
     let mut steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-    steps.all(|step| step.left == 0)
+    steps.all(|step| step.remaining == 0)
 }
--- a/crates/control/src/root/memory.rs
+++ b/crates/control/src/root/memory.rs
@@ -1,24 +1,27 @@
-//! Estimate of the memory of the root state.
+//! Memory estimate of the root state.
 
 use std::sync::Arc;
 
 use bronzespoke_model::{id, service, team, vm};
 
-use super::{command, parts, state};
+use super::{allotments, command, state};
 use crate::memory::{ALLOCATION_BYTES, map};
 
 impl state::State {
-    /// Returns the estimated bytes of memory. Exact for counts, approximate for what the allocator and maps add.
+    /// Returns the estimated memory in bytes. Entry counts are exact; the overhead of maps and the allocator is
+    /// approximate.
     pub fn memory(&self) -> usize {
         let names: usize = self
             .team_names
             .keys()
             .map(|name| 2 * (name.len() + ALLOCATION_BYTES))
             .sum();
-        let parts: usize = self
-            .parts
+        let allotments: usize = self
+            .allotments
             .values()
-            .map(|parts| map::<(id::AvailabilityZoneId, parts::Part)>(parts.len()) + ALLOCATION_BYTES)
+            .map(|allotments| {
+                map::<(id::AvailabilityZoneId, allotments::Allotment)>(allotments.len()) + ALLOCATION_BYTES
+            })
             .sum();
         map::<(team::KeyHash, id::TeamId)>(self.keys.len())
             + self.withdrawn.memory()
@@ -29,7 +32,7 @@
             + map::<(String, service::Queue)>(self.services.len() + self.queues.len())
             + map::<(id::VmId, vm::Vm)>(self.vms.len())
             + map::<command::Subject>(self.drains.len())
-            + parts
+            + allotments
             + self.commands.memory()
     }
 }
--- a/crates/daemon/src/control/duties.rs
+++ b/crates/daemon/src/control/duties.rs
@@ -158,7 +158,10 @@
         let next = next.map(|peer| peer.id);
         if let (Some(next), Some(group)) = (next, self.zones.get_mut(&zone)) {
             log::info!("group: The witness hands zone {zone} to VM {next}.");
-            group.step(&self.context, replica::Input::Transfer { to: Some(next) });
+            group.step(
+                &self.context,
+                replica::Input::TransferLeadership { to: Some(next) },
+            );
         }
     }
 
@@ -316,7 +319,7 @@
         let (Some(group), Some(scheduling)) = (self.zones.get(&zone), &self.scheduling) else {
             return;
         };
-        let measures = scheduling.scheduler().measures(now);
+        let measures = scheduling.scheduler().metrics(now);
         let free = |dimension: usize| {
             let free = measures.capacity[dimension].saturating_sub(measures.used[dimension]);
             u32::try_from(free).unwrap_or(u32::MAX)
@@ -337,9 +340,9 @@
             zone.flush(&self.context);
         }
         self.root
-            .step(&self.context, replica::Input::Transfer { to: None });
+            .step(&self.context, replica::Input::TransferLeadership { to: None });
         for zone in self.zones.values_mut() {
-            zone.step(&self.context, replica::Input::Transfer { to: None });
+            zone.step(&self.context, replica::Input::TransferLeadership { to: None });
         }
     }
 
--- a/crates/daemon/src/control/scheduling.rs
+++ b/crates/daemon/src/control/scheduling.rs
@@ -189,7 +189,7 @@
                     zone.propose(context.now(), state::Command::Finish { job, state });
                 }
             }
-            schedule::Output::JobDone { job, outcome } => {
+            schedule::Output::JobEnded { job, outcome } => {
                 zone.propose(context.now(), state::Command::Finish { job, state: outcome });
             }
             schedule::Output::WorkerLost { worker } => {
@@ -200,14 +200,14 @@
                     zone.propose(context.now(), state::Command::WorkerGone { worker, incarnation });
                 }
             }
-            schedule::Output::WorkerHealth { worker, allowed } => match allowed {
+            schedule::Output::WorkerHealth { worker, max_tasks } => match max_tasks {
                 Some(tasks) => log::warn!("schedule: Worker {worker} is limited to {tasks} tasks."),
                 None => log::info!("schedule: Worker {worker} is in full use again."),
             },
-            schedule::Output::Recovered { took } => {
+            schedule::Output::Recovered { duration } => {
                 log::info!(
                     "schedule: All workers are confirmed after {} ms.",
-                    took.as_millis()
+                    duration.as_millis()
                 );
             }
         }
@@ -350,7 +350,7 @@
                 let input = schedule::Input::Team {
                     team: team.id,
                     quota: team.quota,
-                    part,
+                    allotment: part,
                 };
                 self.feed(context, zone, input);
             }
@@ -398,7 +398,7 @@
         }
         let worker = report.worker;
         if let Some(report) = self.sessions.report(context.now(), report, reply) {
-            self.feed(context, zone, schedule::Input::Worker(report));
+            self.feed(context, zone, schedule::Input::Report(report));
         }
         self.touched.insert(worker);
     }
@@ -439,14 +439,19 @@
 /// Returns what the team's tasks may use here: the part that the zone holds, but no more than its target while all
 /// parts together exceed a lowered limit. Targets that move between zones stop nothing that runs.
 fn usable_part(zone: &zone::Zone, view: &root::View, team: &team::Team) -> resource::Amount {
-    let part = zone.state().holdings().get(team.id).part();
-    let parts = view.parts.get(&team.id);
+    let part = zone.state().holdings().get(team.id).allotment();
+    let parts = view.allotments.get(&team.id);
     let outstanding = parts.into_iter().flat_map(|parts| parts.values());
-    let all = outstanding.fold(escrow::Total::ZERO, |all, part| all.plus(&part.outstanding()));
+    let all = outstanding.fold(escrow::Total::ZERO, |all, part| {
+        all.saturating_add(&part.outstanding())
+    });
     if all.fits(&team.quota.limit.into()) {
         return part.amount();
     }
-    let target = view.part(team.id, zone.state().zone()).unwrap_or_default().target;
+    let target = view
+        .allotment(team.id, zone.state().zone())
+        .unwrap_or_default()
+        .target;
     part.min(&target.into()).amount()
 }
 
