--- a/crates/control/src/root/allotments.rs
+++ b/crates/control/src/root/allotments.rs
@@ -77,25 +77,25 @@
         }
         let limit = escrow::Total::from(team.quota.limit);
         let targets = divide(&limit, &demands, &current);
-        let mut room = state.room(team.id);
+        let mut headroom = state.headroom(team.id);
         for ((zone, allotment), target) in zones.iter().zip(&current).zip(targets) {
-            grants.extend(grant(team.id, *zone, allotment, &target, &mut room));
+            grants.extend(grant(team.id, *zone, allotment, &target, &mut headroom));
         }
     }
     grants
 }
 
-/// Returns the grant that raises an allotment towards its target within `room`, the ungranted rest of the limit; `None`
-/// when nothing changes.
+/// Returns the grant that raises an allotment towards its target within `headroom`, the ungranted rest of the limit;
+/// `None` when nothing changes.
 fn grant(
     team: id::TeamId,
     zone: id::AvailabilityZoneId,
     allotment: &Allotment,
     target: &escrow::Total,
-    room: &mut escrow::Total,
+    headroom: &mut escrow::Total,
 ) -> Option<Grant> {
-    let added = target.saturating_sub(&allotment.outstanding()).min(room);
-    *room = room.saturating_sub(&added);
+    let added = target.saturating_sub(&allotment.outstanding()).min(headroom);
+    *headroom = headroom.saturating_sub(&added);
     let target = target.amount();
     let changes = added != escrow::Total::ZERO || target != allotment.target;
     changes.then(|| Grant {
--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -6,7 +6,7 @@
 
 use super::{
     Envelope, allotments,
-    command::{Command, Lost, Outcome, Refusal, Subject},
+    command::{Command, LossProof, Outcome, Refusal, Subject},
     state::{State, Zone},
 };
 use crate::escrow;
@@ -250,8 +250,8 @@
         }
     }
 
-    fn lose_zone(&mut self, id: id::AvailabilityZoneId, proof: Lost) -> Result<Outcome, Refusal> {
-        if proof.stopped_ms < Lost::MIN_STOPPED_MS {
+    fn lose_zone(&mut self, id: id::AvailabilityZoneId, proof: LossProof) -> Result<Outcome, Refusal> {
+        if proof.stopped_ms < LossProof::MIN_STOPPED_MS {
             return Err(Refusal::LeasesMayRun);
         }
         let zone = Arc::make_mut(&mut self.zones)
@@ -356,7 +356,7 @@
             .values()
             .map(|allotment| allotment.target.into())
             .collect();
-        let fits = added.fits(&self.room(team)) && escrow::sum(&targets).fits(&limit);
+        let fits = added.fits(&self.headroom(team)) && escrow::sum(&targets).fits(&limit);
         if self.rules.limit && !fits {
             return false;
         }
--- a/crates/control/src/root/command.rs
+++ b/crates/control/src/root/command.rs
@@ -23,12 +23,12 @@
 /// confirmation is measured on the monotonic clock of one process, because wall clocks may jump. A zone that is merely
 /// partitioned keeps renewing its leases and must not be declared lost.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Lost {
+pub struct LossProof {
     /// Time for which the zone is confirmed to be stopped, in milliseconds of one monotonic clock.
     pub stopped_ms: u64,
 }
 
-impl Lost {
+impl LossProof {
     /// Time after which all leases of a stopped zone have expired: the lease duration of 10 s plus 2% clock drift.
     pub const MIN_STOPPED_MS: u64 = 10_200;
 }
@@ -93,7 +93,7 @@
         /// Zone that is lost.
         zone: id::AvailabilityZoneId,
         /// Evidence that all leases of the zone have expired.
-        proof: Lost,
+        proof: LossProof,
     },
     /// Adds a VM to the directory, or replaces its entry.
     AddVm(vm::Vm),
--- a/crates/control/src/root/mod.rs
+++ b/crates/control/src/root/mod.rs
@@ -9,7 +9,7 @@
 mod view;
 
 pub use allotments::{Allotment, Demand, Grant, rebalance};
-pub use command::{Command, Lost, Outcome, Refusal, Subject};
+pub use command::{Command, LossProof, Outcome, Refusal, Subject};
 pub use state::{Rules, State, Zone, Zones};
 pub use view::View;
 
--- a/crates/control/src/root/state.rs
+++ b/crates/control/src/root/state.rs
@@ -165,7 +165,7 @@
     }
 
     /// Returns the amount that may still be granted to a team: its limit without the outstanding allotments.
-    pub fn room(&self, team: id::TeamId) -> escrow::Total {
+    pub fn headroom(&self, team: id::TeamId) -> escrow::Total {
         self.teams.get(&team).map_or(escrow::Total::ZERO, |record| {
             escrow::Total::from(record.quota.limit).saturating_sub(&self.outstanding(team))
         })
--- a/crates/daemon/src/control/operator/command.rs
+++ b/crates/daemon/src/control/operator/command.rs
@@ -97,7 +97,7 @@
                 let stopped_ms = self.silence_of(zone)?;
                 root::Command::LoseZone {
                     zone,
-                    proof: root::Lost { stopped_ms },
+                    proof: root::LossProof { stopped_ms },
                 }
             }
             _ => {
@@ -126,8 +126,8 @@
             silence = silence.min(now.saturating_sub(heard));
         }
         let silence = silence.as_millis() as u64;
-        if silence < root::Lost::MIN_STOPPED_MS {
-            let least = root::Lost::MIN_STOPPED_MS;
+        if silence < root::LossProof::MIN_STOPPED_MS {
+            let least = root::LossProof::MIN_STOPPED_MS;
             let message =
                 format!("zone {zone} was heard of {silence} ms ago; {least} ms of silence are needed");
             return Err((answer::Code::Invalid, message));
