--- a/crates/control/src/root/apply.rs
+++ b/crates/control/src/root/apply.rs
@@ -76,7 +76,7 @@
             } => self.create_queue(name, *service, *requests),
             Command::SetConfig { expected, config } => Ok(self.set_config(*expected, config, envelope.id)),
             Command::AddZone { place } => self.add_zone(*place),
-            Command::FoundZone { zone, founder } => self.found_zone(*zone, *founder),
+            Command::FoundZone { zone, founder } => self.bootstrap_zone(*zone, *founder),
             Command::LoseZone { zone, proof } => self.lose_zone(*zone, *proof),
             Command::AddVm(vm) => self.add_vm(vm),
             Command::RemoveVm(id) => self.remove_vm(*id),
@@ -238,7 +238,11 @@
         Ok(Outcome::Done)
     }
 
-    fn found_zone(&mut self, zone: id::AvailabilityZoneId, founder: id::VmId) -> Result<Outcome, Refusal> {
+    fn bootstrap_zone(
+        &mut self,
+        zone: id::AvailabilityZoneId,
+        founder: id::VmId,
+    ) -> Result<Outcome, Refusal> {
         if !self.zones.contains_key(&zone) {
             return Err(Refusal::NoSuchZone);
         }
--- a/crates/control/src/zone/state.rs
+++ b/crates/control/src/zone/state.rs
@@ -241,7 +241,7 @@
         }
     }
 
-    /// Encodes the whole state as a snapshot.
+    /// Encodes the complete state as a snapshot.
     pub fn encode(&self) -> Bytes {
         envelope::to_bytes(self)
     }
--- a/crates/daemon/src/control/directory.rs
+++ b/crates/daemon/src/control/directory.rs
@@ -137,7 +137,7 @@
             .retain(&|address| addresses.contains(&address));
     }
 
-    /// Takes the next step of joining: founds the cell, lists this VM in the directory, or founds its zone group.
+    /// Takes the next step of joining: bootstraps the cell, lists this VM, or bootstraps its zone group.
     pub(super) fn enlist(&mut self) {
         let now = self.context.now();
         if now < self.enlist_at {
@@ -145,14 +145,14 @@
         }
         self.enlist_at = now + LISTING_INTERVAL;
         if !self.root.cell_known() {
-            self.found_cell();
+            self.bootstrap_cell();
             return;
         }
         let me = self.context.me.clone();
         let view = std::sync::Arc::clone(self.root.view());
         if view.vms.get(&me.id) == Some(&me) {
             self.listing = Listing::Listed;
-            self.found_zone();
+            self.bootstrap_zone();
             return;
         }
         if self.listing != Listing::Unlisted && !view.vms.contains_key(&me.id) {
@@ -176,7 +176,7 @@
     }
 
     /// Founds the root group if the settings allow it and every seed has announced that it belongs to no cell.
-    fn found_cell(&mut self) {
+    fn bootstrap_cell(&mut self) {
         if !self.settings.found || self.root.member().is_some() {
             return;
         }
@@ -202,7 +202,7 @@
     }
 
     /// Founds the group of this VM's zone unless another VM did.
-    fn found_zone(&mut self) {
+    fn bootstrap_zone(&mut self) {
         let zone = self.context.me.place.zone;
         let me = self.context.me.id;
         if !self.context.me.durable || self.zones.contains_key(&zone) {
--- a/crates/daemon/src/control/groups.rs
+++ b/crates/daemon/src/control/groups.rs
@@ -54,13 +54,13 @@
     pub(super) fn open(
         &mut self,
         group: id::GroupId,
-        found: Option<membership::Membership>,
+        bootstrap: Option<membership::Membership>,
     ) -> Option<member::Member> {
         let now = self.context.now();
         if self.closed.get(&group).is_some_and(|closed| closed.holds(now)) {
             return None;
         }
-        let error = match self.try_open(group, found) {
+        let error = match self.try_open(group, bootstrap) {
             Ok(member) => {
                 self.closed.remove(&group);
                 return Some(member);
@@ -135,7 +135,7 @@
     fn try_open(
         &mut self,
         group: id::GroupId,
-        found: Option<membership::Membership>,
+        bootstrap: Option<membership::Membership>,
     ) -> Result<member::Member, bronzespoke_storage::Error> {
         let salt = match group {
             id::GroupId::Root => 0,
@@ -152,7 +152,7 @@
             number,
             config,
             self.settings.data.as_deref(),
-            found,
+            bootstrap,
             notify,
             self.context.now(),
         )
--- a/crates/daemon/src/control/member.rs
+++ b/crates/daemon/src/control/member.rs
@@ -68,13 +68,13 @@
 impl Member {
     /// Opens the durable state in `folder`, or starts without one.
     ///
-    /// `found` is the initial membership if nothing is stored and this process founds the group. `number` is unique
-    /// among the replicas that the process opens.
+    /// `bootstrap` is the initial membership if nothing is stored and this process bootstraps the group. `number` is
+    /// unique among the replicas that the process opens.
     pub fn open(
         number: u64,
         config: replica::Config,
         folder: Option<&Path>,
-        found: Option<membership::Membership>,
+        bootstrap: Option<membership::Membership>,
         notify: disk::Notify,
         now: Duration,
     ) -> Result<Self, bronzespoke_storage::Error> {
@@ -82,7 +82,7 @@
         let entry_bytes = config.max_entry_bytes;
         let (disk, restored) = match folder {
             Some(folder) => {
-                let (disk, restored) = disk::Disk::open(folder, group, found, notify)?;
+                let (disk, restored) = disk::Disk::open(folder, group, bootstrap, notify)?;
                 (Some(disk), restored)
             }
             None => (None, replica::Restored::default()),
--- a/crates/daemon/src/disk.rs
+++ b/crates/daemon/src/disk.rs
@@ -32,15 +32,15 @@
 impl Disk {
     /// Opens the state of `group` below `folder` and starts its thread.
     ///
-    /// `found` is the initial membership if nothing is stored and this process founds the group.
+    /// `bootstrap` is the initial membership if nothing is stored and this process bootstraps the group.
     pub fn open(
         folder: &Path,
         group: id::GroupId,
-        found: Option<membership::Membership>,
+        bootstrap: Option<membership::Membership>,
         notify: Notify,
     ) -> Result<(Self, replica::Restored), bronzespoke_storage::Error> {
         let (mut store, mut restored) = bronzespoke_storage::Store::open(folder, group)?;
-        if let Some(members) = found.filter(|_| restored.is_empty()) {
+        if let Some(members) = bootstrap.filter(|_| restored.is_empty()) {
             restored = store.bootstrap(members)?;
         }
         let (sender, receiver) = mpsc::sync_channel(QUEUE);
--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -37,7 +37,7 @@
     Rejected {
         /// Number of the proposal.
         proposal: u64,
-        /// Whether it is certain that the proposal is never committed.
+        /// Whether it is known that the proposal is never committed.
         never: bool,
     },
     /// Replace the state by a snapshot.
@@ -63,12 +63,12 @@
 }
 
 impl Member {
-    /// Opens the durable state. `found` gives the first members if nothing is stored and the cell starts for the first
-    /// time.
+    /// Opens the durable state. `bootstrap` is the initial membership if nothing is stored and the cell starts for the
+    /// first time.
     pub fn open(
         vm: id::VmId,
         folder: &Path,
-        found: Option<membership::Membership>,
+        bootstrap: Option<membership::Membership>,
         notify: disk::Notify,
         now: Duration,
     ) -> Result<Self, bronzespoke_storage::Error> {
@@ -78,7 +78,7 @@
         config.store_commit = false;
         config.retained_entries = RETAINED_ENTRIES;
         let entry_bytes = config.max_entry_bytes;
-        let (disk, restored) = disk::Disk::open(folder, GROUP, found, notify)?;
+        let (disk, restored) = disk::Disk::open(folder, GROUP, bootstrap, notify)?;
         Ok(Self {
             replica: replica::Replica::new(config, restored, now),
             disk,
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -173,7 +173,7 @@
             return;
         };
         let founders = founders(&self.settings);
-        let found = (self.settings.found && founders.contains(&self.me.vm))
+        let bootstrap = (self.settings.found && founders.contains(&self.me.vm))
             .then(|| membership::Membership::from_voters(founders));
         let actor = self.actor.clone();
         let notify: disk::Notify = Box::new(move |done| {
@@ -182,7 +182,7 @@
             }
         });
         let now = self.now();
-        match member::Member::open(self.me.vm, &folder, found, notify, now) {
+        match member::Member::open(self.me.vm, &folder, bootstrap, notify, now) {
             Ok(member) => {
                 self.member = Some(member);
                 if self.settings.found {
--- a/crates/daemon/src/settings/mod.rs
+++ b/crates/daemon/src/settings/mod.rs
@@ -33,7 +33,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Folder for durable state; `None` on a VM without a disk.
     pub data: Option<PathBuf>,
-    /// Whether this daemon may found the cell when no seed knows one.
+    /// Whether this daemon may bootstrap the cell when no seed knows one.
     pub found: bool,
     /// Seed of random choices; different on every VM.
     pub random_seed: u64,
--- a/crates/daemon/tests/settings.rs
+++ b/crates/daemon/tests/settings.rs
@@ -184,7 +184,7 @@
     assert_eq!(errors.len(), 9, "{errors:#?}");
 }
 
-/// Guards against founding a cell without durable state: it would be lost at the first restart.
+/// Guards against bootstrapping a cell without durable state: it would be lost at the first restart.
 #[test]
 fn a_founder_needs_a_data_folder() {
     let arguments = with("", &["--found"]);
--- a/crates/daemon/tests/vm/mod.rs
+++ b/crates/daemon/tests/vm/mod.rs
@@ -72,7 +72,7 @@
 }
 
 impl Vm {
-    /// Starts the process on a data folder; it founds the cell when the folder is empty.
+    /// Starts the process on a data folder; it bootstraps the cell when the folder is empty.
     pub async fn start(folder: &Path) -> Self {
         let (listener, address) = listen().await;
         let id = identity::load(Some(folder)).expect("a folder for the id");
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -32,7 +32,7 @@
         /// Time since the start was decided.
         after: Duration,
     },
-    /// The end of a run is certain.
+    /// The end of a run is confirmed.
     Ended {
         /// Task of the run.
         task: directive::Task,
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -55,7 +55,7 @@
     checkpoint: Option<Bytes>,
     /// End of its lease on the worker's clock.
     lease_end: Duration,
-    /// Local time from which it is certain that the run does not exist.
+    /// Local time from which it is known that the run does not exist.
     until: Duration,
 }
 
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -1,7 +1,7 @@
 //! Decisions of the leader during one term.
 //!
 //! A start is proposed, committed, sent and confirmed, in this sequence; its resources count as used from the proposal
-//! on. A task is placed again only when the end of its previous run is certain: the worker has reported it, the
+//! on. A task is placed again only when the end of its previous run is confirmed: the worker has reported it, the
 //! worker's incarnation or lease has ended, or the worker has shown that the run can no longer start.
 
 mod directives;
@@ -321,7 +321,7 @@
         }
     }
 
-    /// Removes a run whose end is certain.
+    /// Removes a run whose end is confirmed.
     fn drop_run(
         &mut self,
         worker: cell::WorkerIndex,
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -42,7 +42,7 @@
 /// Returns the rank of a step whose job is expected to need `remaining` from its start to the end of the job.
 ///
 /// `begun_ms` is the time of submission or the due time of the occurrence, and `chain` is the length of the critical
-/// path of the whole job.
+/// path of the complete job.
 pub fn compute(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
     let queue = &job.queue;
     let objective = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
--- a/crates/dispatch/src/usage.rs
+++ b/crates/dispatch/src/usage.rs
@@ -7,7 +7,7 @@
 
 use crate::worker;
 
-/// Amounts in use by team. A run counts from the proposal of its start until its end is certain.
+/// Amounts in use by team. A run counts from the proposal of its start until its end is confirmed.
 #[derive(Debug, Default)]
 pub struct Usage {
     teams: HashMap<String, resource::Amount>,
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -1,7 +1,7 @@
 //! The leader's record of one incarnation of a worker.
 //!
 //! Invariant: `used` is the sum of the sizes of `runs`. A run is in `runs` from the proposal of its start until its
-//! end is certain.
+//! end is confirmed.
 
 use std::{
     collections::{BTreeMap, VecDeque},
--- a/crates/schedule/src/pass/health.rs
+++ b/crates/schedule/src/pass/health.rs
@@ -24,7 +24,7 @@
 const MAX_DOUBLINGS: u32 = 7;
 /// Number of tasks at which the limit of a worker is lifted.
 const FULL_USE: u32 = 16;
-/// At most one in this many workers is on probation, so that a failure shared by many jobs cannot take the whole fleet
+/// At most one in this many workers is on probation, so that a failure shared by many jobs cannot take the entire fleet
 /// out of use.
 const WORKERS_PER_PROBATION: usize = 4;
 /// Minimum number of workers on probation in one rack for a common cause to be assumed.
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -63,7 +63,7 @@
     pub trace: Option<job::Key>,
 }
 
-/// Faults to inject. Rates are per second over the whole fleet; shares are probabilities.
+/// Faults to inject. Rates are per second over the entire fleet; shares are probabilities.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
     /// Rate of worker crashes; a crashed worker restarts as a new incarnation.
--- a/crates/workload/src/directive.rs
+++ b/crates/workload/src/directive.rs
@@ -187,7 +187,7 @@
     Broken,
     /// The other members of the gang did not start in time.
     Alone,
-    /// It is certain that the run never started.
+    /// It is known that the run never started.
     NeverStarted,
     /// The worker failed or left, or its lease expired.
     Lost,
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -27,7 +27,7 @@
     pub seeds: Vec<SocketAddr>,
     /// Directory for durable state; `None` if the daemon has no disk.
     pub data: Option<PathBuf>,
-    /// Whether the whole system starts for the first time.
+    /// Whether the complete system starts for the first time.
     pub found: bool,
     /// Number of VMs with a disk that may be lost at the same time.
     pub tolerated_losses: usize,
