--- a/crates/control/src/root/mod.rs
+++ b/crates/control/src/root/mod.rs
@@ -1,4 +1,4 @@
-//! Replicated state of the root group, which is shared by all of the cell: teams, keys, services, configuration, the VM
+//! Replicated state of the root group, which is shared by the entire cell: teams, keys, services, configuration, the VM
 //! directory and the division of upper limits.
 
 mod allotments;
--- a/crates/control/src/zone/claims.rs
+++ b/crates/control/src/zone/claims.rs
@@ -131,7 +131,7 @@
 
     /// Completes a claim. A number that was never granted, or whose claim is already answered or free, has no effect.
     ///
-    /// A claim that became unknown because its holder was presumed lost accepts a late response, which is the first one.
+    /// A claim that became unknown because its holder was presumed lost accepts a late response; it is the first one.
     pub(super) fn complete(&mut self, number: u64, completion: &Completion) {
         let Some(key) = self.order.get(&number).map(|(key, _)| *key) else {
             return;
