dispatch: the work for an event does not grow with the fleet

Cause: each scheduling pass collected and sorted all workers, and looked at all of them for each waiting step, 4 to 100 ms apart. With 1,100 workers and 40 waiting steps that took most of the leader's 0.6 core; a burst raised the number of waiting steps, which raised the time of a pass, which raised the number of waiting steps, and the leader never came back. Each submission, announcement and check of timers also looked at all workers. Change: an index of free resources, updated where a worker's runs change and verified in the simulation; a step with known eligibility looks at its permitted workers, a query reads from the index only what it names, a step whose first answer is outstanding is skipped; a directory of names and addresses for announcements; timers of 256 workers per check; admission stops at the first worker that fits. Work of passes is counted (Dispatch::work).

--- a/crates/dispatch/src/admission.rs
+++ b/crates/dispatch/src/admission.rs
@@ -31,23 +31,23 @@
     if is_behind(lag) {
         return Err(call::Refusal::Overload);
     }
-    let mut workers = state
-        .workers()
-        .values()
-        .filter(|registered| registered.worker.pool == queue.pool)
-        .peekable();
+    let in_pool = || {
+        let workers = state.workers().values();
+        workers
+            .map(|registered| &registered.worker)
+            .filter(|worker| worker.pool == queue.pool)
+    };
     // Without any worker, it is unknown what fits.
-    if workers.peek().is_none() {
+    if in_pool().next().is_none() {
         return Ok(());
     }
-    let workers: Vec<_> = workers.map(|registered| &registered.worker).collect();
     for step in &submission.steps {
         let fits = |worker: &&std::sync::Arc<worker::Worker>| {
             let label = step.label.as_ref();
             let has_label = label.is_none_or(|label| worker.labels.contains(label));
             has_label && (step.fills || step.size.fits(&worker.room))
         };
-        if !workers.iter().any(fits) {
+        if !in_pool().any(|worker| fits(&worker)) {
             return Err(call::Refusal::NoRoom);
         }
     }
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -6,7 +6,7 @@
 use bronzespoke_workload::directive;
 use bytes::Bytes;
 
-use super::{Dispatch, Event, Now, Output, START_LEASE, lost::Loss, report};
+use super::{Dispatch, Event, Now, Output, START_LEASE, TimerGroup, lost::Loss, report};
 use crate::{
     orphan,
     worker::{self, Phase, Stop},
@@ -111,9 +111,13 @@
 
     /// Sends unacknowledged starts again while their lease is valid; a worker treats a repeated start as the same
     /// one.
-    pub(super) fn resend_starts(&mut self, state: &cell::State, now: Duration) {
+    pub(super) fn resend_starts(&mut self, state: &cell::State, now: Duration, group: TimerGroup) {
         let mut due = Vec::new();
-        for (index, record) in &mut self.workers {
+        for (index, record) in self
+            .workers
+            .iter_mut()
+            .filter(|(index, _)| group.contains(**index))
+        {
             let Some(clock) = record.clock(now) else { continue };
             for (task, run) in &mut record.runs {
                 let waits = run.phase == Phase::Unacknowledged && run.stop == Stop::NotRequested;
@@ -147,8 +151,12 @@
     }
 
     /// Sends the stops that are due.
-    pub(super) fn resend_stops(&mut self, now: Duration) {
-        for (index, record) in &mut self.workers {
+    pub(super) fn resend_stops(&mut self, now: Duration, group: TimerGroup) {
+        for (index, record) in self
+            .workers
+            .iter_mut()
+            .filter(|(index, _)| group.contains(**index))
+        {
             for (task, run) in &mut record.runs {
                 let due = match run.stop {
                     Stop::Requested(sent) => sent.is_none_or(|sent| now >= sent + STOP_RETRY),
@@ -166,9 +174,13 @@
     }
 
     /// Requests the reports that are due; each request renews the lease.
-    pub(super) fn renew_leases(&mut self, now: Duration) {
+    pub(super) fn renew_leases(&mut self, now: Duration, group: TimerGroup) {
         let lease = self.config.lease();
-        for (index, record) in &mut self.workers {
+        for (index, record) in self
+            .workers
+            .iter_mut()
+            .filter(|(index, _)| group.contains(**index))
+        {
             self.outputs.extend(renewal(*index, record, lease, now));
         }
     }
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -38,6 +38,8 @@
                 until,
             );
             self.workers.insert(*index, record);
+            self.rooms.touch(*index);
+            self.directory.insert(*index, registered);
         }
         for job in state.active() {
             self.inherit_runs(job, now.steady);
@@ -108,22 +110,26 @@
             announced::State::Draining { remaining } => remaining.map(|remaining| now + remaining),
             announced::State::Ready => None,
         };
-        let known = state.workers().iter();
         let mut replaced = Vec::new();
-        for (index, registered) in known {
+        for index in self
+            .directory
+            .find(&incarnation.name, announcement.worker.address)
+        {
+            let Some(registered) = state.workers().get(&index) else {
+                continue;
+            };
             if registered.incarnation == *incarnation {
                 let changed = (draining && !registered.draining)
                     || registered.worker.address != announcement.worker.address
                     || registered.worker.room != announcement.worker.room
                     || registered.worker.labels != announcement.worker.labels;
-                if let Some(record) = self.workers.get_mut(index) {
+                if let Some(record) = self.workers.get_mut(&index) {
                     record.draining |= draining;
                     record.departs_at = departs_at.or(record.departs_at);
                     if record.report_requested_at.is_none() && record.last_report_at.is_none() {
                         record.next_report_at = now;
                     }
                 }
-                let index = *index;
                 self.move_from_draining(state, now, index);
                 return if changed {
                     Registration::Propose(register(announcement, draining))
@@ -131,13 +137,10 @@
                     Registration::Known
                 };
             }
-            let same_place = registered.worker.address == announcement.worker.address;
-            if registered.incarnation.name == incarnation.name || same_place {
-                if registered.incarnation.started_ms > incarnation.started_ms {
-                    return Registration::Outdated;
-                }
-                replaced.push(*index);
+            if registered.incarnation.started_ms > incarnation.started_ms {
+                return Registration::Outdated;
             }
+            replaced.push(index);
         }
         for index in replaced {
             self.end_incarnation(index, Loss::Replaced);
@@ -152,32 +155,49 @@
         }
     }
 
-    /// Adds newly registered workers and updates the known ones.
-    pub(super) fn sync_workers(&mut self, state: &cell::State, now: Duration) {
-        self.ended.retain(|index| state.workers().contains_key(index));
-        for (index, registered) in state.workers() {
-            if self.ended.contains(index) {
-                continue;
-            }
-            let worker = std::sync::Arc::clone(&registered.worker);
-            if let Some(record) = self.workers.get_mut(index) {
-                record.announced = worker;
-                record.draining |= registered.draining;
-                continue;
-            }
-            let incarnation = registered.incarnation.clone();
-            self.outputs.push(Output::Event(Event::WorkerKnown {
-                index: *index,
-                worker: incarnation.name.clone(),
-                inherited: 0,
-            }));
-            let starts = self.unacknowledged.outstanding(&incarnation.name, now);
-            let mut record = worker::Worker::new(incarnation, worker, registered.draining, now, now);
-            for start in starts {
-                record.orphans.expect(&start);
-            }
-            self.workers.insert(*index, record);
+    /// Handles the committed registration of an incarnation: adds its worker, or updates it.
+    pub(super) fn registered(
+        &mut self,
+        state: &cell::State,
+        now: Duration,
+        incarnation: &announced::Incarnation,
+    ) {
+        // The newest incarnation of a name is found first.
+        let mut registered = state.workers().iter().rev();
+        let Some((index, registered)) =
+            registered.find(|(_, registered)| registered.incarnation == *incarnation)
+        else {
+            return;
+        };
+        let index = *index;
+        self.directory.insert(index, registered);
+        if self.ended.contains(&index) {
+            return;
+        }
+        self.rooms.touch(index);
+        let worker = std::sync::Arc::clone(&registered.worker);
+        if let Some(record) = self.workers.get_mut(&index) {
+            record.announced = worker;
+            record.draining |= registered.draining;
+            return;
+        }
+        self.outputs.push(Output::Event(Event::WorkerKnown {
+            index,
+            worker: incarnation.name.clone(),
+            inherited: 0,
+        }));
+        let starts = self.unacknowledged.outstanding(&incarnation.name, now);
+        let mut record = worker::Worker::new(incarnation.clone(), worker, registered.draining, now, now);
+        for start in starts {
+            record.orphans.expect(&start);
         }
+        self.workers.insert(index, record);
+    }
+
+    /// Handles the committed removal of an incarnation.
+    pub(super) fn retired(&mut self, index: cell::WorkerIndex) {
+        self.ended.remove(&index);
+        self.directory.remove(index);
     }
 
     /// Stops the runs of a step up to a number.
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -6,7 +6,7 @@
 use bronzespoke_workload::directive;
 use bytes::Bytes;
 
-use super::{Dispatch, Event, Output};
+use super::{Dispatch, Event, Output, TimerGroup};
 use crate::{orphan, worker};
 
 /// Time without a report after which a worker without runs is removed.
@@ -64,6 +64,7 @@
     pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, loss: Loss) {
         self.lose_runs(index, loss);
         self.slowness.remove_worker(index);
+        self.rooms.touch(index);
         if self.workers.remove(&index).is_some() {
             self.ended.insert(index);
             self.retire(index);
@@ -130,6 +131,7 @@
         };
         let runs = std::mem::take(&mut record.runs);
         record.used = bronzespoke_model::resource::Amount::ZERO;
+        self.rooms.touch(index);
         let name = record.incarnation.name.clone();
         let event = Event::WorkerUnusable {
             worker: name.clone(),
@@ -197,10 +199,11 @@
 
     /// Abandons the runs of workers whose lease has expired, and removes workers that have not reported for a long
     /// time.
-    pub(super) fn expire_leases(&mut self, now: Duration) {
+    pub(super) fn expire_leases(&mut self, now: Duration, group: TimerGroup) {
         let expired: Vec<cell::WorkerIndex> = self
             .workers
             .iter()
+            .filter(|(index, _)| group.contains(**index))
             .filter(|(_, record)| !record.runs.is_empty() && record.leases_expired(now))
             .filter(|(_, record)| {
                 record
@@ -216,6 +219,7 @@
         let silent: Vec<cell::WorkerIndex> = self
             .workers
             .iter()
+            .filter(|(index, _)| group.contains(**index))
             .filter(|(_, record)| record.runs.is_empty() && record.proposed_ends.is_empty())
             .filter(|(_, record)| {
                 now > record.last_report_at.unwrap_or(record.inherited_until) + RETIRE_AFTER
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -4,9 +4,11 @@
 //! on. A task is placed again only when the end of its previous run is confirmed: the worker has reported it, the
 //! worker's incarnation or lease has ended, or the worker has shown that the run can no longer start.
 
+mod candidate;
 mod directives;
 mod event;
 mod fleet;
+mod gang;
 mod lost;
 mod report;
 mod schedule;
@@ -25,7 +27,7 @@
 pub use event::Event;
 pub use fleet::Registration;
 
-use crate::{estimate, orphan, query_queue, reserve, slowness, usage, worker};
+use crate::{directory, estimate, orphan, query_queue, reserve, room, slowness, usage, work, worker};
 
 /// Lease of a worker without contact to the leader. It has to outlast the loss of a leader (an election of at most 1.6
 /// s and the first round of reports), and each additional second delays the work of a lost worker by as much.
@@ -34,16 +36,18 @@
 const START_LEASE: Duration = Duration::from_secs(3);
 /// Minimum interval between two scheduling passes, so that a burst of events shares one pass.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
-/// Additional interval for each waiting step, since a pass evaluates all of them.
-const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(100);
-/// Maximum interval between two scheduling passes. With several hundred waiting steps, a pass takes a few milliseconds
-/// of a processor of which the leader has less than half.
-const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
+/// Additional interval for each waiting step, since a pass evaluates all of them: about ten times as long as it takes.
+const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(30);
+/// Maximum interval between two scheduling passes.
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(60);
 /// Time without any event after which waiting steps are evaluated again, since queries, tickets and pauses expire by
 /// time alone.
 const WAITING_INTERVAL: Duration = Duration::from_millis(200);
-/// Interval between two checks of the timers of all workers and runs.
+/// Interval between two checks of the timers of workers and runs.
 const TIMER_INTERVAL: Duration = Duration::from_millis(20);
+/// Workers whose timers one check handles at most. A large fleet takes several checks, since each worker's timers last
+/// hundreds of milliseconds and a check of all workers would cost the same however few of them are due.
+const WORKERS_PER_CHECK: u32 = 256;
 /// Interval between two checks for jobs whose retention has expired.
 const FORGET_INTERVAL: Duration = Duration::from_secs(5);
 /// Maximum number of finished jobs that one command removes.
@@ -104,11 +108,28 @@
     pub wall_ms: u64,
 }
 
+/// Workers whose timers are checked together.
+#[derive(Debug, Clone, Copy)]
+struct TimerGroup {
+    groups: u32,
+    turn: u32,
+}
+
+impl TimerGroup {
+    const fn contains(self, worker: cell::WorkerIndex) -> bool {
+        worker % self.groups == self.turn
+    }
+}
+
 /// Scheduling state and decisions of a leader.
 #[derive(Debug)]
 pub struct Dispatch {
     config: Config,
     workers: BTreeMap<cell::WorkerIndex, worker::Worker>,
+    /// Registered incarnations, including those that have ended.
+    directory: directory::Directory,
+    /// Free resources of the workers.
+    rooms: room::Index,
     usage: usage::Usage,
     estimates: estimate::Estimates,
     slowness: slowness::Slowness,
@@ -132,7 +153,9 @@
     dirty: bool,
     pass_at: Duration,
     timers_at: Duration,
+    timer_turn: u32,
     forget_at: Duration,
+    work: work::Work,
     outputs: Vec<Output>,
 }
 
@@ -142,6 +165,8 @@
         let mut dispatch = Self {
             config,
             workers: BTreeMap::new(),
+            directory: directory::Directory::default(),
+            rooms: room::Index::default(),
             usage: usage::Usage::default(),
             estimates: estimate::Estimates::default(),
             slowness: slowness::Slowness::default(),
@@ -158,7 +183,9 @@
             dirty: true,
             pass_at: now.steady,
             timers_at: now.steady,
+            timer_turn: 0,
             forget_at: now.steady + FORGET_INTERVAL,
+            work: work::Work::default(),
             outputs: Vec::new(),
         };
         dispatch.inherit(state, now);
@@ -185,6 +212,17 @@
         self.waiting.len()
     }
 
+    /// Returns the work of the scheduling passes of this term.
+    pub const fn work(&self) -> work::Work {
+        self.work
+    }
+
+    /// Compares the derived tables with those that they are derived from.
+    pub fn verify(&mut self) -> Result<(), String> {
+        self.rooms.refresh(&self.workers);
+        self.rooms.verify(&self.workers)
+    }
+
     /// Returns the time at which [`Dispatch::tick`] has to be called next.
     pub fn next_wake(&self) -> Duration {
         if self.dirty {
@@ -203,13 +241,14 @@
     pub fn tick(&mut self, state: &cell::State, now: Now) {
         if now.steady >= self.timers_at {
             self.timers_at = now.steady + TIMER_INTERVAL;
-            self.expire_leases(now.steady);
+            let group = self.next_timer_group();
+            self.expire_leases(now.steady, group);
             self.expire_uncertain(now.steady);
             let is_late = now.steady >= self.pass_at + WAITING_INTERVAL;
             self.dirty |= is_late && !self.waiting.is_empty();
-            self.renew_leases(now.steady);
-            self.resend_stops(now.steady);
-            self.resend_starts(state, now.steady);
+            self.renew_leases(now.steady, group);
+            self.resend_stops(now.steady, group);
+            self.resend_starts(state, now.steady, group);
         }
         if self.dirty && now.steady >= self.pass_at {
             self.schedule(state, now);
@@ -223,6 +262,16 @@
         }
     }
 
+    /// Returns the workers whose timers are checked next.
+    fn next_timer_group(&mut self) -> TimerGroup {
+        let groups = (self.workers.len() as u32).div_ceil(WORKERS_PER_CHECK).max(1);
+        self.timer_turn = self.timer_turn.wrapping_add(1);
+        TimerGroup {
+            groups,
+            turn: self.timer_turn % groups,
+        }
+    }
+
     /// Handles a command that was committed in this term, after it was applied to the state.
     pub fn committed(
         &mut self,
@@ -241,9 +290,10 @@
                 }
             }
             cell::Command::End(ends) => self.ends_recorded(state, now, ends),
-            cell::Command::Register { .. } | cell::Command::Retire { .. } => {
-                self.sync_workers(state, now.steady);
+            cell::Command::Register { incarnation, .. } => {
+                self.registered(state, now.steady, incarnation);
             }
+            cell::Command::Retire { worker } => self.retired(*worker),
             cell::Command::Configure { .. } => {
                 self.limits = state.catalog().cloned();
                 self.refresh_all(state);
@@ -330,6 +380,7 @@
     ) -> Option<worker::Run> {
         let removed = self.workers.get_mut(&worker)?.remove(task, run)?;
         self.usage.remove(removed.team.as_deref(), removed.size);
+        self.rooms.touch(worker);
         self.dirty = true;
         Some(removed)
     }
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -233,6 +233,7 @@
             })
             .collect();
         record.orphans.observe(now, sent, &orphans);
+        self.rooms.touch(worker);
         for (task, run, outcome, checkpoint) in ended {
             self.drop_run(worker, task, run);
             self.propose_end(worker, task, run, outcome, checkpoint);
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -2,18 +2,17 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    sync::Arc,
     time::Duration,
 };
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{catalog, directive, eligibility, job, worker as announced};
+use bronzespoke_workload::{catalog, directive, eligibility, job};
 
-use super::{Dispatch, Event, Now, Output, fleet, waiting};
+use super::{Dispatch, Event, Now, Output, candidate::is_unknown, fleet, waiting};
 use crate::{
     place::{self, Candidate},
-    query_queue, rank, reserve,
+    rank,
     worker::{self, Phase, Stop},
 };
 
@@ -22,68 +21,38 @@
 const MAX_REPORT_AGE: Duration = Duration::from_millis(1_600);
 /// Maximum number of starts in one command.
 const MAX_STARTS_PER_COMMAND: usize = 256;
-/// Minimum number of workers in a query about a step, if there are as many.
-const MIN_QUERIED_WORKERS: usize = 60;
-/// Number of workers in a query for each member of a gang. On a fleet at 80% utilization, a third of the workers may
-/// run a gang, and a third of these have room for a member.
-const QUERIED_PER_MEMBER: usize = 8;
-/// A gang whose room is expected later than this queries further workers.
-const LATE_GANG_DELAY: Duration = Duration::from_secs(1);
-/// The tickets of the workers that are reserved for a gang are renewed this long before its room is expected; a query
-/// takes about as long.
-const TICKET_RENEWAL_LEAD: Duration = Duration::from_millis(900);
 /// One worker in this many may be reserved for waiting gangs.
 const RESERVED_RATIO: usize = 2;
 
 /// Workers that are reserved for gangs in this pass, with the time at which each gang is expected to start.
 #[derive(Debug, Default)]
-struct Reserved {
-    workers: HashMap<cell::WorkerIndex, Duration>,
-    max: usize,
-}
-
-/// A usable worker in one pass.
-#[derive(Debug)]
-struct Slot<'a> {
-    index: cell::WorkerIndex,
-    worker: &'a announced::Worker,
-    free: resource::Amount,
-    /// Free processors at the start of the pass, in thousandths of a core; the slots are sorted by it.
-    free_cpu: u32,
+pub(super) struct Reserved {
+    pub(super) workers: HashMap<cell::WorkerIndex, Duration>,
+    pub(super) max: usize,
 }
 
 /// Properties of a step that a pass needs.
-struct Subject<'a> {
-    id: eligibility::Step,
-    job: &'a cell::Job,
-    queue: &'a catalog::Queue,
-    spec: &'a job::Step,
-    progress: &'a cell::Step,
-    size: resource::Amount,
-    tasks: Vec<u32>,
-    tier: u8,
-    run_time: Duration,
+pub(super) struct Subject<'a> {
+    pub(super) id: eligibility::Step,
+    pub(super) job: &'a cell::Job,
+    pub(super) queue: &'a catalog::Queue,
+    pub(super) spec: &'a job::Step,
+    pub(super) progress: &'a cell::Step,
+    pub(super) size: resource::Amount,
+    pub(super) tasks: Vec<u32>,
+    pub(super) tier: u8,
+    pub(super) run_time: Duration,
 }
 
 impl Dispatch {
     pub(super) fn schedule(&mut self, state: &cell::State, now: Now) {
         self.dirty = false;
+        self.work.passes += 1;
+        self.rooms.refresh(&self.workers);
         let ranked = self.ranked(state, now);
-        let mut workers: Vec<_> = self.usable(now.steady);
-        // A step scans the workers with the most free processors first and stops at the first one without enough.
-        workers.sort_unstable_by_key(|(index, _, free)| (std::cmp::Reverse(free.cpu_milli), *index));
-        let mut slots: Vec<Slot<'_>> = workers
-            .iter()
-            .map(|(index, worker, free)| Slot {
-                index: *index,
-                worker,
-                free: *free,
-                free_cpu: free.cpu_milli,
-            })
-            .collect();
         let mut reserved = Reserved {
             workers: HashMap::new(),
-            max: slots.len() / RESERVED_RATIO,
+            max: self.workers.len() / RESERVED_RATIO,
         };
         let mut starts = Vec::new();
         let mut order = std::mem::take(&mut self.prefetched);
@@ -93,8 +62,12 @@
                 self.dirty = true;
                 continue;
             }
+            self.work.steps += 1;
+            if self.awaits_eligibility(state, id) {
+                continue;
+            }
             if let Some(subject) = self.subject(state, id, rank.tier) {
-                self.place(now.steady, &subject, &mut slots, &mut reserved, &mut starts);
+                self.place(now.steady, &subject, &mut reserved, &mut starts);
             }
         }
         if !starts.is_empty() {
@@ -111,45 +84,13 @@
         }
     }
 
-    /// Returns the workers that the first query about a step names, those with the most room first.
-    pub(super) fn query_candidates(
-        &self,
-        now: Duration,
-        queue: &catalog::Queue,
-        spec: &job::Step,
-    ) -> Vec<(cell::WorkerIndex, String)> {
-        let size = fleet::counted_size(spec);
-        let fits = |record: &worker::Worker| {
-            let label = spec.label.as_ref();
-            record.announced.pool == queue.pool
-                && size.fits(&record.announced.room)
-                && label.is_none_or(|label| record.announced.labels.contains(label))
-        };
-        let mut workers: Vec<_> = self
-            .workers
-            .iter()
-            .filter(|(index, record)| {
-                let slow = self.slowness.factor(**index, now).is_some();
-                !slow && is_usable(record, now) && fits(record)
-            })
-            .map(|(index, record)| {
-                let free = record.free();
-                ((place::count(&free, &size), free.cpu_milli), index, record)
-            })
-            .collect();
-        workers.sort_by_key(|(room, _, _)| std::cmp::Reverse(*room));
-        let named = workers.into_iter().take(query_size(spec));
-        named
-            .map(|(_, index, record)| (*index, record.incarnation.name.clone()))
-            .collect()
-    }
-
-    /// Returns the workers that may get new work.
-    fn usable(&self, now: Duration) -> Vec<(cell::WorkerIndex, Arc<announced::Worker>, resource::Amount)> {
-        let usable = self.workers.iter().filter(|(_, record)| is_usable(record, now));
-        usable
-            .map(|(index, record)| (*index, Arc::clone(&record.announced), record.free()))
-            .collect()
+    /// Returns whether nothing can be decided about a step before the first answer about its workers.
+    fn awaits_eligibility(&self, state: &cell::State, id: eligibility::Step) -> bool {
+        let has_advice = state
+            .job(id.job)
+            .is_some_and(|job| state.queue_of(job).advice.is_some());
+        let known = self.queries.eligibility(id);
+        has_advice && known.is_some_and(|known| known.is_outstanding() && !known.is_known())
     }
 
     /// Returns the waiting steps that are due, in the order of their ranks.
@@ -203,12 +144,10 @@
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
-        slots: &mut [Slot<'_>],
         reserved: &mut Reserved,
         starts: &mut Vec<cell::Start>,
     ) {
-        let team = subject.job.team.as_deref();
-        let allowed = self.allowed(subject, team);
+        let allowed = self.allowed(subject.job.team.as_deref(), subject.size);
         let requested = if subject.spec.gang {
             subject.tasks.len() as u32
         } else {
@@ -218,19 +157,10 @@
             return;
         }
         let needed = if subject.spec.gang { requested } else { 1 };
-        let mut candidates = self.candidates(now, subject, slots, reserved, true);
-        if subject.spec.one_rack && subject.spec.gang {
-            self.restrict_to_rack(&mut candidates, subject, requested);
-        }
-        if let Some(cost) = &subject.queue.advice {
-            self.query_tickets(now, subject, cost, needed, &candidates, slots, reserved);
-            let known = self.queries.eligibility(subject.id);
-            candidates
-                .retain(|candidate| known.is_some_and(|known| known.is_permitted(candidate.worker, now)));
-        }
+        let mut candidates = self.usable(now, subject, requested, needed, reserved);
         if place::fitting(&candidates, &subject.size) < needed {
             if subject.spec.gang {
-                self.reserve(now, subject, requested, slots, reserved);
+                self.reserve(now, subject, requested, reserved);
             }
             return;
         }
@@ -246,141 +176,66 @@
             // Members of a gang share the number of their run.
             let run = if subject.spec.gang { run + 1 } else { previous + 1 };
             self.start(now, subject, index, worker, run, starts);
-            if let Some(slot) = slots.iter_mut().find(|slot| slot.index == worker) {
-                slot.free = slot.free.saturating_sub(&subject.size);
-            }
         }
+        self.rooms.refresh(&self.workers);
     }
 
-    /// Returns the number of tasks that the team's upper limit allows.
-    fn allowed(&self, subject: &Subject<'_>, team: Option<&str>) -> u32 {
-        self.limits.as_ref().map_or(u32::MAX, |catalog| {
-            self.usage.tasks_allowed(catalog, team, subject.size)
-        })
-    }
-
-    /// Returns the workers that may run the step as far as is known; with `fitting`, only those that have room for a
-    /// task now.
-    fn candidates(
-        &self,
+    /// Returns the workers on which tasks of the step may start now, and queries further ones if they do not suffice.
+    fn usable(
+        &mut self,
         now: Duration,
         subject: &Subject<'_>,
-        slots: &[Slot<'_>],
+        requested: u32,
+        needed: u32,
         reserved: &Reserved,
-        fitting: bool,
     ) -> Vec<Candidate> {
-        let known = self.queries.eligibility(subject.id);
-        let mut candidates = Vec::new();
-        for slot in slots {
-            if fitting && slot.free_cpu < subject.size.cpu_milli {
-                break;
-            }
-            if fitting && !subject.size.fits(&slot.free) {
-                continue;
+        let wants_rack = subject.spec.one_rack && subject.spec.gang;
+        let Some(cost) = &subject.queue.advice else {
+            let mut candidates = self.possible(now, subject, requested, reserved);
+            if wants_rack {
+                self.restrict_to_rack(&mut candidates, subject, requested);
             }
-            if slot.worker.pool != subject.queue.pool {
-                continue;
-            }
-            let label = subject.spec.label.as_ref();
-            if label.is_some_and(|label| !slot.worker.labels.contains(label)) {
-                continue;
-            }
-            let reserved_until = reserved.workers.get(&slot.index);
-            let delays_gang = reserved_until.is_some_and(|due| now + subject.run_time > *due);
-            if subject.tier > 0 && delays_gang {
-                continue;
-            }
-            if known.is_some_and(|known| known.is_denied(slot.index)) {
-                continue;
-            }
-            let near = subject.spec.near_rack.as_ref();
-            candidates.push(Candidate {
-                worker: slot.index,
-                free: slot.free,
-                room: slot.worker.room,
-                slots: self.slots(slot.index, subject),
-                remote: near.is_some_and(|rack| !slot.worker.labels.contains(rack)),
-                reserved: delays_gang,
-            });
+            return candidates;
+        };
+        if is_unknown(self.queries.eligibility(subject.id)) {
+            let workers = self.query_candidates(now, subject.queue, subject.spec);
+            self.queries.enqueue(now, subject.id, cost, workers);
+            return Vec::new();
+        }
+        if wants_rack {
+            return self.permitted_in_rack(now, subject, cost, requested, reserved);
+        }
+        let candidates = self.permitted(now, subject, reserved);
+        let room = place::fitting(&candidates, &subject.size);
+        if room < needed {
+            self.query_further(now, subject, cost, needed, room, reserved);
         }
         candidates
     }
 
-    /// Queries missing tickets: for a new step, and for one that would fit if it had them.
-    #[expect(
-        clippy::too_many_arguments,
-        reason = "all parts of one decision about one step"
-    )]
-    fn query_tickets(
+    /// Returns the workers in the chosen rack for which the gang holds valid tickets, and queries the others there.
+    fn permitted_in_rack(
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
         cost: &catalog::QueryCost,
-        needed: u32,
-        candidates: &[Candidate],
-        slots: &[Slot<'_>],
+        requested: u32,
         reserved: &Reserved,
-    ) {
-        let known = self.queries.eligibility(subject.id);
-        if known.is_some_and(query_queue::Eligibility::is_outstanding) {
-            return;
-        }
-        let missing: Vec<Candidate> = match known.filter(|known| known.is_known()) {
-            None => self.candidates(now, subject, slots, reserved, false),
-            Some(known) => {
-                let permitted = |candidate: &&Candidate| known.is_permitted(candidate.worker, now);
-                let usable: u32 = candidates
-                    .iter()
-                    .filter(permitted)
-                    .map(|candidate| candidate.fitting(&subject.size))
-                    .fold(0, u32::saturating_add);
-                if usable >= needed || place::fitting(candidates, &subject.size) < needed {
-                    return;
-                }
-                let missing = candidates.iter().filter(|candidate| !permitted(candidate));
-                missing.cloned().collect()
-            }
+    ) -> Vec<Candidate> {
+        let mut candidates = self.possible(now, subject, requested, reserved);
+        self.restrict_to_rack(&mut candidates, subject, requested);
+        let Some(known) = self.queries.eligibility(subject.id) else {
+            return Vec::new();
         };
-        self.enqueue_query(now, subject, cost, missing);
-    }
-
-    /// Enqueues a query about workers, those with the most room first.
-    fn enqueue_query(
-        &mut self,
-        now: Duration,
-        subject: &Subject<'_>,
-        cost: &catalog::QueryCost,
-        mut workers: Vec<Candidate>,
-    ) {
-        workers.sort_by_key(|candidate| {
-            let room = (candidate.fitting(&subject.size), candidate.free.cpu_milli);
-            std::cmp::Reverse(room)
-        });
-        let queried = workers.into_iter().take(query_size(subject.spec));
-        let workers = queried
-            .filter_map(|candidate| self.named_worker(candidate.worker))
-            .collect();
-        self.queries.enqueue(now, subject.id, cost, workers);
-    }
-
-    /// Returns the index and name of a worker, as queries need them.
-    fn named_worker(&self, worker: cell::WorkerIndex) -> Option<(cell::WorkerIndex, String)> {
-        let record = self.workers.get(&worker)?;
-        Some((worker, record.incarnation.name.clone()))
-    }
-
-    /// Returns the number of further tasks of the step that a worker may run.
-    fn slots(&self, worker: cell::WorkerIndex, subject: &Subject<'_>) -> u32 {
-        if subject.spec.per_worker == 0 {
-            return u32::MAX;
+        let (permitted, missing): (Vec<_>, Vec<_>) = candidates
+            .into_iter()
+            .partition(|candidate| known.is_permitted(candidate.worker, now));
+        let room = place::fitting(&permitted, &subject.size);
+        let total = room.saturating_add(place::fitting(&missing, &subject.size));
+        if room < requested && total >= requested && !known.is_outstanding() {
+            self.enqueue_query(now, subject, cost, missing);
         }
-        let Some(record) = self.workers.get(&worker) else {
-            return 0;
-        };
-        let first = task_id(subject.id, 0);
-        let last = task_id(subject.id, u32::MAX);
-        let here = record.runs.range(first..=last).count() as u32;
-        subject.spec.per_worker.saturating_sub(here)
+        permitted
     }
 
     /// Restricts the candidates to one rack, if one has room for all tasks.
@@ -402,80 +257,6 @@
         }
     }
 
-    /// Reserves workers for a gang that does not fit yet: those on which room is expected first.
-    fn reserve(
-        &mut self,
-        now: Duration,
-        subject: &Subject<'_>,
-        requested: u32,
-        slots: &[Slot<'_>],
-        reserved: &mut Reserved,
-    ) {
-        let known = self.queries.eligibility(subject.id);
-        let is_open = subject.queue.advice.is_some() && known.is_none_or(|known| !known.is_known());
-        if reserved.workers.len() >= reserved.max || is_open {
-            return;
-        }
-        if self.reservations.recent(subject.id, now).is_none() {
-            let candidates = self.candidates(now, subject, slots, reserved, false);
-            let (eligible, unknown): (Vec<_>, Vec<_>) = candidates
-                .into_iter()
-                .filter(|candidate| !candidate.reserved)
-                .partition(|candidate| self.may_run(subject, candidate.worker));
-            let openings = eligible
-                .iter()
-                .filter_map(|candidate| {
-                    let record = self.workers.get(&candidate.worker)?;
-                    let most = candidate.slots;
-                    let times = reserve::openings(record, candidate.free, &subject.size, most, now);
-                    Some((candidate.worker, times))
-                })
-                .collect();
-            let choice = reserve::choose(openings, requested, now);
-            let is_late = choice
-                .as_ref()
-                .is_none_or(|choice| choice.due > now + LATE_GANG_DELAY);
-            match choice {
-                Some(choice) => self.reservations.insert(subject.id, choice),
-                None => self.reservations.remove(subject.id),
-            }
-            if let Some(cost) = subject.queue.advice.filter(|_| is_late) {
-                self.enqueue_query(now, subject, &cost, unknown);
-            }
-        }
-        if let Some(choice) = self.reservations.recent(subject.id, now) {
-            for worker in &choice.workers {
-                reserved.workers.entry(*worker).or_insert(choice.due);
-            }
-        }
-        self.renew_tickets(now, subject);
-    }
-
-    /// Returns whether a worker is known to be eligible for the step, or no query is needed.
-    fn may_run(&self, subject: &Subject<'_>, worker: cell::WorkerIndex) -> bool {
-        let known = self.queries.eligibility(subject.id);
-        subject.queue.advice.is_none() || known.is_some_and(|known| known.is_eligible(worker))
-    }
-
-    /// Renews the tickets of the workers that are reserved for a gang shortly before it starts.
-    fn renew_tickets(&mut self, now: Duration, subject: &Subject<'_>) {
-        let Some(cost) = subject.queue.advice else { return };
-        let (Some(choice), Some(known)) = (
-            self.reservations.recent(subject.id, now),
-            self.queries.eligibility(subject.id),
-        ) else {
-            return;
-        };
-        if now + TICKET_RENEWAL_LEAD < choice.due || known.is_outstanding() {
-            return;
-        }
-        let until = choice.due.max(now) + TICKET_RENEWAL_LEAD;
-        let lacks = |worker: &&cell::WorkerIndex| !known.is_permitted(**worker, until);
-        let lacking = choice.workers.iter().filter(lacks);
-        let workers = lacking.filter_map(|worker| self.named_worker(*worker)).collect();
-        self.queries.enqueue(now, subject.id, &cost, workers);
-    }
-
     /// Returns the workers on which tasks of the step have failed.
     fn avoided(&self, subject: &Subject<'_>) -> BTreeMap<u32, Vec<cell::WorkerIndex>> {
         let failed = |index: &u32| {
@@ -523,20 +304,12 @@
                 checkpoint: None,
             },
         );
+        self.rooms.touch(worker);
         self.proposed.insert(task);
         starts.push(cell::Start { task, run, worker });
     }
 }
 
-/// Returns the maximum number of workers in a query about a step.
-fn query_size(spec: &job::Step) -> usize {
-    if spec.gang {
-        MIN_QUERIED_WORKERS.max(spec.tasks as usize * QUERIED_PER_MEMBER)
-    } else {
-        MIN_QUERIED_WORKERS
-    }
-}
-
 /// Returns the id of a task of a step.
 pub(super) const fn task_id(step: eligibility::Step, index: u32) -> directive::Task {
     directive::Task {
@@ -548,7 +321,7 @@
 }
 
 /// Returns whether a worker may get new work.
-fn is_usable(record: &worker::Worker, now: Duration) -> bool {
+pub(super) fn is_usable(record: &worker::Worker, now: Duration) -> bool {
     let is_fresh = record
         .last_report_at
         .is_some_and(|reported| now < reported + MAX_REPORT_AGE);
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -14,6 +14,8 @@
     /// Wall-clock time from which its objective counts: its submission or due time, in milliseconds since the Unix
     /// epoch.
     pub begun_ms: u64,
+    /// Time before which it looks for no further workers.
+    pub search_at: Duration,
 }
 
 impl Dispatch {
@@ -62,7 +64,10 @@
         let begun_ms = job.submission.schedule.map_or(job.submitted_ms, |schedule| {
             (schedule.first + schedule.interval * occurrence).as_millis() as u64
         });
-        Self { begun_ms }
+        Self {
+            begun_ms,
+            search_at: Duration::ZERO,
+        }
     }
 }
 
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! when its term begins and drops it when the term ends.
 
 pub mod admission;
+pub mod directory;
 pub mod dispatch;
 pub mod estimate;
 pub mod orphan;
@@ -14,6 +15,8 @@
 pub mod query_queue;
 pub mod rank;
 pub mod reserve;
+pub mod room;
 pub mod slowness;
 pub mod usage;
+pub mod work;
 pub mod worker;
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -45,7 +45,7 @@
 #[derive(Debug, Default)]
 pub struct Eligibility {
     /// Answer about each worker.
-    permits: HashMap<cell::WorkerIndex, Permit>,
+    permits: BTreeMap<cell::WorkerIndex, Permit>,
     /// Number of queries that are waiting or in flight.
     outstanding: usize,
     /// Time before which no query is sent.
@@ -79,6 +79,18 @@
         )
     }
 
+    /// Returns the workers whose ticket is still valid for long enough.
+    pub fn permitted(&self, now: Duration) -> impl Iterator<Item = cell::WorkerIndex> + '_ {
+        let workers = self.permits.keys().copied();
+        workers.filter(move |worker| self.is_permitted(*worker, now))
+    }
+
+    /// Returns the workers that are known to be eligible, with or without a valid ticket.
+    pub fn eligible(&self) -> impl Iterator<Item = cell::WorkerIndex> + '_ {
+        let workers = self.permits.keys().copied();
+        workers.filter(|worker| self.is_eligible(*worker))
+    }
+
     /// Returns whether a query is waiting or in flight.
     pub const fn is_outstanding(&self) -> bool {
         self.outstanding > 0
--- a/crates/dispatch/src/slowness.rs
+++ b/crates/dispatch/src/slowness.rs
@@ -44,11 +44,13 @@
                 .filter(|(other, _)| **other != worker)
                 .map(|(_, total)| *total)
                 .collect();
-            others.sort_unstable();
+            if others.is_empty() {
+                continue;
+            }
             // The lower median: with two siblings of which one is on a slow worker, the other one is the reference.
-            if let Some(reference) = others.get(others.len().saturating_sub(1) / 2)
-                && !reference.is_zero()
-            {
+            let middle = (others.len() - 1) / 2;
+            let (_, reference, _) = others.select_nth_unstable(middle);
+            if !reference.is_zero() {
                 let ratio = total.as_secs_f64() / reference.as_secs_f64();
                 ratios.insert(step.job, ratio.max(0.01).ln());
             }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -25,6 +25,8 @@
 const EPOCH_MS: u64 = 1_700_000_000_000;
 /// Interval at which the workers and the leader are stepped, in addition to other events.
 const TICK: Duration = Duration::from_millis(5);
+/// Largest fleet in which the leader's tables are verified at each tick.
+const MAX_VERIFIED_WORKERS: usize = 64;
 /// Minimum one-way latency of a message.
 const LATENCY: Duration = Duration::from_millis(2);
 /// Maximum additional latency of a message.
@@ -268,11 +270,20 @@
         if let Err(violation) = self.state.verify() {
             self.report.violations.push(violation);
         }
+        self.verify_tables();
         let unfinished = self.submitted.keys().filter(|key| !self.finished.contains(key));
         self.report.unfinished = unfinished.copied().collect();
         self.report
     }
 
+    /// Compares the leader's derived tables with those that they are derived from.
+    fn verify_tables(&mut self) {
+        let verified = self.dispatch.as_mut().map_or(Ok(()), Dispatch::verify);
+        if let Err(difference) = verified {
+            self.record_violation(&difference);
+        }
+    }
+
     fn schedule(&mut self, delay: Duration, event: Event) {
         let number = self.next_event;
         self.next_event += 1;
@@ -422,6 +433,9 @@
                 for index in 0..self.hosts.len() {
                     self.end_due_runs(index);
                 }
+                if self.hosts.len() <= MAX_VERIFIED_WORKERS {
+                    self.verify_tables();
+                }
                 self.schedule(TICK, Event::Tick);
             }
         }
