dispatch: a restarted worker's end is neither acknowledged unseen nor run again

The next request for a report still carried the number of the last end of the earlier incarnation and acknowledged the new end unseen. After a change of leader the successor counted the run, which it had inherited, as lost at once and started the task elsewhere: only the leader that sent a start knows that it was not acknowledged. Change: a request after a missed report acknowledges nothing; inherited runs of a worker that is replaced by a later incarnation with its name wait for the first report of that incarnation, which carries the newer token (13 s at most). A worker with another name at the same address is a loss of its own (address_taken): it refuses directives to the earlier name, so that nothing has to be waited for.

--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -528,9 +528,16 @@
     } else {
         Duration::ZERO
     };
+    // After a missed report the worker may have restarted under its name, and it then counts its ends anew. Its report
+    // shows whether it has; until then an acknowledgement could concern an end that no leader has seen.
+    let acknowledged = if record.report_missed {
+        0
+    } else {
+        record.recorded_end
+    };
     let directive = directive::Directive::Renew {
         lease_end,
-        acknowledged: record.recorded_end,
+        acknowledged,
         wait,
     };
     Some(Output::Directive {
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -140,10 +140,15 @@
             if registered.incarnation.started_ms > incarnation.started_ms {
                 return Registration::Outdated;
             }
-            replaced.push(index);
+            let loss = if registered.incarnation.name == incarnation.name {
+                Loss::Replaced
+            } else {
+                Loss::AddressTaken
+            };
+            replaced.push((index, loss));
         }
-        for index in replaced {
-            self.end_incarnation(index, Loss::Replaced);
+        for (index, loss) in replaced {
+            self.end_incarnation(index, loss);
         }
         Registration::Propose(register(announcement, draining))
     }
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -21,8 +21,10 @@
     Departed,
     /// Another incarnation answered a directive.
     OtherIncarnation,
-    /// A later incarnation announced itself.
+    /// A later incarnation with the same name announced itself.
     Replaced,
+    /// A worker with another name announced itself at the same address.
+    AddressTaken,
     /// A later incarnation reported.
     Restarted,
     /// The worker has no runs and has not reported for a long time.
@@ -30,6 +32,11 @@
 }
 
 impl Loss {
+    /// Returns whether the next incarnation with the same name may have carried out a start to this one.
+    const fn has_successor(self) -> bool {
+        matches!(self, Self::Replaced | Self::Restarted)
+    }
+
     /// Returns the reason as it appears in logs.
     const fn name(self) -> &'static str {
         match self {
@@ -37,6 +44,7 @@
             Self::Departed => "left",
             Self::OtherIncarnation => "other_life",
             Self::Replaced => "replaced",
+            Self::AddressTaken => "address_taken",
             Self::Restarted => "restarted",
             Self::Silent => "silent",
         }
@@ -156,6 +164,15 @@
             // This is not waited for if a worker is lost because its lease expired: it would delay each of these tasks
             // by the 13 s of a late directive, and the worker is hardly ever back with its next incarnation by then.
             let newest = self.unacknowledged.newest(&name, task, run.run);
+            // Only the leader that sent a start knows whether it was acknowledged.
+            let inherited = orphan::Start {
+                task,
+                run: run.run,
+                size: run.size,
+                sent: run.since,
+            };
+            let is_inherited = run.phase == worker::Phase::Inherited && loss.has_successor();
+            let newest = newest.or(is_inherited.then_some(inherited));
             if let Some(start) = newest.filter(|_| loss != Loss::Lease) {
                 self.uncertain.push(Uncertain {
                     worker: index,
--- /dev/null
+++ b/crates/dispatch/tests/restarts.rs
@@ -0,0 +1,256 @@
+//! A worker that restarts under its name while its leader changes, directive by directive.
+
+use std::{net::SocketAddr, time::Duration};
+
+use bronzespoke_control::cell;
+use bronzespoke_dispatch::dispatch::{Config, Dispatch, Now, Output, Registration};
+use bronzespoke_model::resource;
+use bronzespoke_standin::fleet::load;
+use bronzespoke_workload::{catalog, directive, job, settings, worker};
+use bytes::Bytes;
+
+const KEY: job::Key = 7;
+const TASK: directive::Task = directive::Task {
+    job: KEY,
+    occurrence: 0,
+    step: 0,
+    index: 0,
+};
+
+const fn at(millis: u64) -> Now {
+    Now {
+        steady: Duration::from_millis(millis),
+        wall_ms: 1_700_000_000_000 + millis,
+    }
+}
+
+/// A leader that commits each command at once and leaves the directives to the test.
+struct Leader {
+    state: cell::State,
+    dispatch: Dispatch,
+    now: Now,
+}
+
+impl Leader {
+    fn new() -> Self {
+        let mut state = cell::State::default();
+        let catalog = catalog::Catalog {
+            version: 1,
+            queues: vec![load::queue("check", 0, Duration::from_millis(400), 1.5, 2)],
+            pools: Vec::new(),
+            teams: Vec::new(),
+        };
+        let configure = cell::Command::Configure {
+            catalog: Box::new(catalog),
+            document: Bytes::new(),
+        };
+        state.apply(1, configure);
+        let dispatch = Dispatch::new(config(1), &state, at(0));
+        let now = at(0);
+        Self { state, dispatch, now }
+    }
+
+    fn elect(&mut self, term: u64) {
+        self.dispatch = Dispatch::new(config(term), &self.state, self.now);
+    }
+
+    fn announce(&mut self, number: u16, started_ms: u64) {
+        let announcement = worker::Announcement {
+            incarnation: worker::Incarnation {
+                name: format!("w-{number}"),
+                started_ms,
+            },
+            sequence: 1,
+            worker: worker::Worker {
+                address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
+                pool: String::from("fleet"),
+                zone: String::from("zone"),
+                kind: String::from("a"),
+                rack: String::from("r"),
+                labels: Vec::new(),
+                room: resource::Amount::new(8_000, 8_000, 0),
+                machine: None,
+            },
+            state: worker::State::Ready,
+            cold: Duration::ZERO,
+        };
+        let steady = self.now.steady;
+        if let Registration::Propose(command) = self.dispatch.announce(&self.state, steady, &announcement) {
+            self.commit(&command);
+        }
+    }
+
+    fn submit(&mut self) {
+        let step = job::Step {
+            tasks: 1,
+            size: resource::Amount::new(1_000, 100, 0),
+            run_time: Duration::from_secs(1),
+            ..job::Step::default()
+        };
+        self.commit(&cell::Command::Submit {
+            key: KEY,
+            queue: Box::new(load::queue("check", 0, Duration::from_millis(400), 1.5, 2)),
+            team: None,
+            submission: Box::new(job::Submission {
+                spec: Bytes::new(),
+                steps: vec![step],
+                schedule: None,
+            }),
+        });
+    }
+
+    fn commit(&mut self, command: &cell::Command) {
+        let outcome = self.state.apply(self.now.wall_ms, command.clone());
+        self.dispatch.committed(&self.state, self.now, command, &outcome);
+    }
+
+    /// Advances the time and returns the directives that are sent.
+    fn run(&mut self, millis: u64) -> Vec<(cell::WorkerIndex, directive::Directive, Duration)> {
+        let mut directives = Vec::new();
+        for _ in 0..millis {
+            self.now = at(self.now.steady.as_millis() as u64 + 1);
+            self.dispatch.tick(&self.state, self.now);
+            for output in self.dispatch.take_outputs() {
+                match output {
+                    Output::Propose(command) => self.commit(&command),
+                    Output::Directive {
+                        worker,
+                        directive,
+                        decided,
+                    } => directives.push((worker, directive, decided)),
+                    Output::Query(_) | Output::Event(_) => {}
+                }
+            }
+        }
+        directives
+    }
+
+    /// Answers a request for a report.
+    fn report(
+        &mut self,
+        request: &(cell::WorkerIndex, directive::Directive, Duration),
+        started_ms: u64,
+        ended: Vec<directive::Ended>,
+    ) {
+        let answer = directive::Answer::Report(directive::Report {
+            clock: self.now.steady,
+            started_ms: Some(started_ms),
+            running: Vec::new(),
+            ended,
+        });
+        let (worker, directive, decided) = request;
+        self.dispatch
+            .answered(&self.state, self.now, *worker, directive, *decided, Some(&answer));
+    }
+}
+
+fn config(token: u64) -> Config {
+    Config {
+        token,
+        bounds: settings::Bounds::default(),
+    }
+}
+
+fn is_start(directive: &directive::Directive) -> bool {
+    matches!(directive, directive::Directive::Start { .. })
+}
+
+const fn done(run: directive::Run) -> directive::Ended {
+    directive::Ended {
+        number: 1,
+        task: TASK,
+        run,
+        outcome: directive::Outcome::Done,
+        checkpoint: None,
+    }
+}
+
+/// Guards against a task that runs twice: the worker restarted under its name and completed a resent start; the next
+/// request for a report acknowledged that end with the number of an end of its earlier incarnation.
+#[test]
+fn a_request_after_a_missed_report_acknowledges_nothing() {
+    let mut leader = Leader::new();
+    leader.announce(0, 5);
+    let first = leader.run(30).remove(0);
+    leader.report(&first, 5, Vec::new());
+    leader.submit();
+    let sent = leader.run(30);
+    assert!(
+        sent.iter().any(|(_, directive, _)| is_start(directive)),
+        "{sent:?}"
+    );
+    let request = sent.iter().find(|(_, directive, _)| !is_start(directive));
+    leader.report(request.expect("a report is requested"), 5, vec![done(1)]);
+    let acknowledged = |directives: &[(u32, directive::Directive, Duration)]| {
+        directives.iter().find_map(|(_, directive, _)| match directive {
+            directive::Directive::Renew { acknowledged, .. } => Some(*acknowledged),
+            _ => None,
+        })
+    };
+    let requests = leader.run(400);
+    assert_eq!(acknowledged(&requests), Some(1), "{requests:?}");
+    // No answer arrives.
+    let requests = leader.run(3_000);
+    assert_eq!(acknowledged(&requests), Some(0), "{requests:?}");
+}
+
+/// Guards against a task that runs twice: a new leader does not know which starts its predecessor resent, and the next
+/// incarnation of the worker may have carried one out.
+#[test]
+fn a_new_leader_waits_for_the_report_of_a_restarted_worker() {
+    let mut leader = Leader::new();
+    for number in 0..2 {
+        leader.announce(number, 5);
+    }
+    for request in leader.run(30) {
+        leader.report(&request, 5, Vec::new());
+    }
+    leader.submit();
+    let sent = leader.run(30);
+    let start = sent.iter().find(|(_, directive, _)| is_start(directive));
+    let (placed, ..) = *start.expect("the task is started");
+    leader.elect(2);
+    leader.announce(placed as u16, 9);
+    let requests = leader.run(30);
+    let (own, others): (Vec<_>, Vec<_>) = requests
+        .into_iter()
+        .partition(|(worker, ..)| *worker != 1 - placed);
+    for request in &others {
+        leader.report(request, 5, Vec::new());
+    }
+    let early = leader.run(200);
+    let started = early.iter().any(|(_, directive, _)| is_start(directive));
+    assert!(
+        !started,
+        "the task runs elsewhere before the worker has reported: {early:?}"
+    );
+    leader.report(
+        own.last().expect("the next incarnation is asked"),
+        9,
+        vec![done(1)],
+    );
+    let later = leader.run(500);
+    let started = later.iter().any(|(_, directive, _)| is_start(directive));
+    assert!(!started, "the task runs again after it was done: {later:?}");
+    let task = leader.state.task(TASK).expect("the job is retained");
+    assert!(task.done && task.placed.is_none(), "{task:?}");
+}
+
+/// Guards against a task that waits for its worker although the next incarnation has shown that it does not run there.
+#[test]
+fn the_report_of_a_restarted_worker_frees_its_tasks() {
+    let mut leader = Leader::new();
+    leader.announce(0, 5);
+    for request in leader.run(30) {
+        leader.report(&request, 5, Vec::new());
+    }
+    leader.submit();
+    leader.run(30);
+    leader.elect(2);
+    leader.announce(0, 9);
+    let request = leader.run(30).pop().expect("the next incarnation is asked");
+    leader.report(&request, 9, Vec::new());
+    let later = leader.run(200);
+    let started = later.iter().any(|(_, directive, _)| is_start(directive));
+    assert!(started, "{later:?}");
+}
