fleet: messages wait for the control thread in lanes

Cause: all messages of the leader shared the unbounded mailbox of its actor, in the order of arrival, except those of the group. Under a backlog of submissions a report waited as long as they did, leases expired, and their runs were started again: work that overload adds to itself. Each message also paid for a round of timers, commits, replies and frames. Considered: a separate thread or queue for reports (two owners of the decisions); entry VMs that refuse by themselves while the leader refuses (an entry VM cannot know whether an earlier copy of the submission was accepted elsewhere, so that its 'not run' could be false). Change: lanes in the order group, answers and reports, announcements and operators and cancellations, submissions; each bounded but the answers, whose number is that of the requests; the mailbox holds one wake-up for all of it; 32 messages share a round. Messages, time and longest wait for each lane, and the work of passes, are metrics. A daemon whose control thread has ended ends, instead of refusing every call. Tests: tests/lanes.rs; service_recovers_after_a_burst plays the large deployment with a burst of 2.5 times the checks on a leader whose messages and passes take processor time.

--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -2,14 +2,16 @@
 
 use std::{
     collections::{HashMap, VecDeque},
-    sync::{Arc, Mutex},
     time::Duration,
 };
 
 use bronzespoke_clock as clock;
 use bronzespoke_consensus::replica;
 use bronzespoke_control::cell;
-use bronzespoke_dispatch::dispatch::{self, Dispatch};
+use bronzespoke_dispatch::{
+    dispatch::{self, Dispatch},
+    lane::Lane,
+};
 use bronzespoke_model::{id, stamp};
 use bronzespoke_workload::{call, settings};
 use ractor::{Actor, ActorProcessingErr, ActorRef};
@@ -18,7 +20,7 @@
 use crate::{
     control::context,
     disk,
-    fleet::{Message, calls, discovery, member, metric, relay, replication, sender, wire},
+    fleet::{Message, calls, discovery, inbox, member, metric, relay, replication, sender, wire},
     identity, peer,
 };
 
@@ -28,6 +30,8 @@
 const MAX_TICK: Duration = Duration::from_millis(50);
 /// Minimum time between two ticks; limits the work that timers cause.
 const MIN_TICK: Duration = Duration::from_millis(2);
+/// Messages that are handled before timers, commits and replies are.
+const MESSAGES_PER_ADVANCE: usize = 32;
 /// How long a command waits for others to share its log entry.
 pub(super) const COMMAND_DELAY: Duration = Duration::from_millis(2);
 
@@ -69,14 +73,10 @@
     pub ready: watch::Sender<bool>,
     /// Start of the process, from which all times are counted.
     pub origin: clock::Origin,
-    /// Frames that are handled before all other messages.
-    pub urgent: Urgent,
+    /// Messages that wait for the control thread.
+    pub inbox: inbox::Inbox,
 }
 
-/// Frames of the consensus group, which are handled before all other messages: a heartbeat queued behind calls would
-/// cost the leader its lease exactly when it has many calls to serve.
-pub type Urgent = Arc<Mutex<VecDeque<peer::wire::Frame>>>;
-
 /// Actor of the control thread; its state is the controller.
 #[derive(Debug)]
 pub struct Control;
@@ -112,11 +112,12 @@
     pub(super) hello_at: Duration,
     metrics_at: Duration,
     suspensions: clock::Monitor,
-    /// How long the newest frame or call was queued for this thread.
+    /// How long the newest submission or query of a job waited for this thread.
     pub(super) lag: Duration,
     pub(super) reopen_at: Duration,
     pub(super) origin: clock::Origin,
-    pub(super) urgent: Urgent,
+    inbox: inbox::Inbox,
+    load: inbox::Load,
     pub(super) tick_at: Option<Duration>,
     pub(super) actor: ActorRef<Message>,
 }
@@ -131,8 +132,10 @@
         myself: ActorRef<Message>,
         args: Start,
     ) -> Result<Controller, ActorProcessingErr> {
-        let mut controller = Controller::start(args, myself)?;
+        let inbox = args.inbox.clone();
+        let mut controller = Controller::start(args, myself.clone())?;
         controller.schedule_tick();
+        inbox.attach(myself);
         Ok(controller)
     }
 
@@ -152,7 +155,6 @@
             return Ok(());
         }
         state.report_suspension();
-        state.handle_urgent();
         state.handle(message);
         state.advance();
         state.schedule_tick();
@@ -168,7 +170,7 @@
             sender,
             ready,
             origin,
-            urgent,
+            inbox,
         } = start;
         let discovery = discovery::Discovery::new(settings.peer, &settings.seeds);
         let vm = match &settings.data {
@@ -208,7 +210,8 @@
             ready,
             reopen_at: Duration::ZERO,
             origin,
-            urgent,
+            inbox,
+            load: inbox::Load::default(),
             tick_at: None,
             actor,
         };
@@ -256,22 +259,34 @@
         self.network.send(address, &frame);
     }
 
+    /// Handles messages that wait in the inbox, up to a number, since timers and commits wait meanwhile.
+    fn handle_waiting(&mut self) {
+        for _ in 0..MESSAGES_PER_ADVANCE {
+            let Some(waited) = self.inbox.pop() else { return };
+            let begun = self.now();
+            let lag = begun.saturating_sub(waited.since);
+            if waited.lane == Lane::Work {
+                self.lag = lag;
+            }
+            match waited.message {
+                inbox::Traffic::Frame(frame) => self.receive(*frame),
+                inbox::Traffic::Message(message) => self.handle(*message),
+            }
+            let took = self.now().saturating_sub(begun);
+            self.load.record(waited.lane, lag, took);
+        }
+        self.inbox.wake();
+    }
+
     fn handle(&mut self, message: Message) {
         match message {
             Message::Tick(_) => self.tick_at = None,
-            Message::Frame { frame, received } => {
-                self.lag = received.elapsed();
-                self.receive(frame);
-            }
+            Message::Wake => self.handle_waiting(),
             Message::Call {
                 call,
                 timeout,
-                received,
                 responder,
-            } => {
-                self.lag = received.elapsed();
-                self.call(call, timeout, responder);
-            }
+            } => self.call(call, timeout, responder),
             Message::DirectiveAnswered {
                 origin,
                 directive,
@@ -285,8 +300,8 @@
             Message::Persisted(number, done) => self.persisted(number, &done),
             Message::Settings(settings) => self.reload(*settings),
             Message::TransferLeadership => self.transfer_leadership(),
-            // Urgent frames were handled before this message, and a stop ends the actor.
-            Message::Urgent | Message::Stop => {}
+            // The actor has ended.
+            Message::Stop => {}
         }
     }
 
@@ -391,6 +406,7 @@
         if now >= self.metrics_at {
             self.metrics_at = now + METRICS_INTERVAL;
             metric::state(self.dispatch.is_some(), self.calls.len(), self.lag);
+            metric::lanes(&std::mem::take(&mut self.load), &self.inbox.lengths());
         }
     }
 
--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -1,6 +1,6 @@
 //! Frames from and to other daemons: announcements, the leader that they name, calls and answers.
 
-use std::{sync::PoisonError, time::Duration};
+use std::time::Duration;
 
 use bronzespoke_consensus::replica;
 use bronzespoke_workload::call;
@@ -17,13 +17,6 @@
 const HELLO_CHECK: Duration = Duration::from_millis(50);
 
 impl Controller {
-    pub(super) fn handle_urgent(&mut self) {
-        let frames = std::mem::take(&mut *self.urgent.lock().unwrap_or_else(PoisonError::into_inner));
-        for frame in frames {
-            self.receive(frame);
-        }
-    }
-
     pub(super) fn receive(&mut self, frame: peer::wire::Frame) {
         if frame.to.is_some_and(|to| to != self.me.vm) {
             return;
--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -13,7 +13,6 @@
 use http_body_util::{BodyExt, Full, Limited};
 use hyper::{body::Incoming, server::conn::http1, service};
 use hyper_util::rt::{TokioIo, TokioTimer};
-use ractor::ActorRef;
 use tokio::{
     net::{TcpListener, TcpStream},
     sync::{Semaphore, oneshot, watch},
@@ -21,7 +20,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::fleet::{Message, metric};
+use crate::fleet::{Message, inbox, metric};
 
 /// Largest request body; the largest ones are configurations with many routes.
 const MAX_BODY_BYTES: usize = 4 << 20;
@@ -57,7 +56,7 @@
 #[derive(Clone)]
 pub struct Context {
     /// The control thread, which serves the calls.
-    pub control: ActorRef<Message>,
+    pub control: inbox::Inbox,
     /// Decoder and encoder of the platform's interface.
     pub adapter: Arc<dyn adapter::Adapter>,
     /// Whether the balancer may send callers here.
@@ -189,10 +188,13 @@
     let message = Message::Call {
         call,
         timeout,
-        received: Instant::now(),
         responder,
     };
-    if context.control.send_message(message).is_err() {
+    if context
+        .control
+        .send(inbox::Traffic::Message(Box::new(message)))
+        .is_err()
+    {
         return context.adapter.reply(&crate::fleet::calls::no_leader());
     }
     let reply = match time::timeout(timeout + REPLY_MARGIN / 2, reply).await {
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -2,9 +2,14 @@
 
 use std::time::Duration;
 
-use bronzespoke_dispatch::dispatch::{self, Dispatch};
+use bronzespoke_dispatch::{
+    dispatch::{self, Dispatch},
+    lane::Lane,
+};
 use bronzespoke_workload::directive;
 
+use crate::fleet::inbox;
+
 /// Records an answered call from outside. `kind` is the listener.
 pub fn call(kind: &'static str, status: http::StatusCode, took: Duration) {
     let class = match status.as_u16() {
@@ -63,6 +68,29 @@
     metrics::gauge!("bronzespoke_fleet_waiting_steps").set(dispatch.waiting_steps() as f64);
     metrics::gauge!("bronzespoke_fleet_workers").set(dispatch.workers().len() as f64);
     metrics::gauge!("bronzespoke_fleet_active_jobs").set(active_jobs as f64);
+    let work = dispatch.work();
+    metrics::counter!("bronzespoke_fleet_passes_total").absolute(work.passes);
+    metrics::counter!("bronzespoke_fleet_pass_steps_total").absolute(work.steps);
+    metrics::counter!("bronzespoke_fleet_pass_workers_total").absolute(work.workers);
+}
+
+/// Records the work of the control thread in each lane since the last call, and the messages that wait now.
+pub fn lanes(load: &inbox::Load, waiting: &[usize]) {
+    for (lane, waiting) in Lane::ALL.into_iter().zip(waiting) {
+        let work = load.lane(lane);
+        let name = lane.name();
+        metrics::counter!("bronzespoke_fleet_messages_total", "lane" => name).increment(work.handled);
+        metrics::counter!("bronzespoke_fleet_busy_microseconds_total", "lane" => name)
+            .increment(work.busy.as_micros() as u64);
+        metrics::gauge!("bronzespoke_fleet_longest_wait_seconds", "lane" => name)
+            .set(work.longest_wait.as_secs_f64());
+        metrics::gauge!("bronzespoke_fleet_waiting_messages", "lane" => name).set(*waiting as f64);
+    }
+}
+
+/// Records a frame that was dropped because its lane was full.
+pub fn dropped(lane: Lane) {
+    metrics::counter!("bronzespoke_fleet_frames_dropped_total", "lane" => lane.name()).increment(1);
 }
 
 /// Records whether this daemon leads, how many calls wait for a leader, how long the newest message waited for the
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -11,6 +11,7 @@
 pub mod discovery;
 mod frames;
 mod http;
+pub mod inbox;
 mod leader;
 pub mod member;
 mod membership;
@@ -22,37 +23,28 @@
 mod trace;
 pub mod wire;
 
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use bronzespoke_workload::{call, directive, eligibility, settings};
 use tokio::sync::oneshot;
 
 pub use start::{Error, read, run};
 
-use crate::{disk, peer};
+use crate::disk;
 
 /// A message to the control thread.
 #[derive(Debug)]
 pub enum Message {
     /// A timer planned for this time has fired; ignored if an earlier tick was planned meanwhile.
     Tick(Duration),
-    /// Frames wait in the queue that is handled before all other messages.
-    Urgent,
-    /// A frame from another daemon.
-    Frame {
-        /// Frame that was received.
-        frame: peer::wire::Frame,
-        /// When the frame arrived.
-        received: Instant,
-    },
+    /// Messages wait in the inbox.
+    Wake,
     /// A call from a caller, an operator or a worker.
     Call {
         /// Call to serve.
         call: call::Call,
         /// How long the caller waits for the reply.
         timeout: Duration,
-        /// When the call arrived.
-        received: Instant,
         /// Receives the reply.
         responder: oneshot::Sender<call::Reply>,
     },
--- a/crates/daemon/src/fleet/sender.rs
+++ b/crates/daemon/src/fleet/sender.rs
@@ -7,10 +7,9 @@
 };
 
 use bronzespoke_workload::{adapter, directive, eligibility};
-use ractor::ActorRef;
-use tokio::{runtime, sync::OnceCell};
+use tokio::runtime;
 
-use crate::fleet::{Message, client, metric, relay, wire};
+use crate::fleet::{Message, client, inbox, metric, relay, wire};
 
 /// Time after which a directive counts as unacknowledged: two one-way trips between regions and a busy worker.
 const DIRECTIVE_TIMEOUT: Duration = Duration::from_millis(900);
@@ -45,16 +44,16 @@
     adapter: Arc<dyn adapter::Adapter>,
     /// Address of the eligibility service.
     eligibility: Option<SocketAddr>,
-    control: Arc<OnceCell<ActorRef<Message>>>,
+    control: inbox::Inbox,
 }
 
 impl Sender {
-    /// Returns a handle; `control` is set when the control thread runs.
+    /// Returns a handle; `control` receives the answers.
     pub fn new(
         runtime: runtime::Handle,
         adapter: Arc<dyn adapter::Adapter>,
         eligibility: Option<SocketAddr>,
-        control: Arc<OnceCell<ActorRef<Message>>>,
+        control: inbox::Inbox,
     ) -> Self {
         Self {
             runtime,
@@ -124,11 +123,11 @@
     }
 
     fn report(&self, message: Message) {
-        let delivered = self
+        if self
             .control
-            .get()
-            .is_some_and(|control| control.send_message(message).is_ok());
-        if !delivered {
+            .send(inbox::Traffic::Message(Box::new(message)))
+            .is_err()
+        {
             log::debug!("decision=drop_answer reason=control_stopped");
         }
     }
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -4,7 +4,7 @@
     fmt, fs, io,
     net::SocketAddr,
     path::Path,
-    sync::{Arc, PoisonError},
+    sync::Arc,
     thread,
     time::{Duration, Instant, SystemTime},
 };
@@ -16,7 +16,7 @@
     net::TcpListener,
     runtime,
     signal::unix::{Signal, SignalKind, signal},
-    sync::{OnceCell, watch},
+    sync::watch,
     time,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
@@ -24,8 +24,8 @@
 use crate::{
     fleet::{
         Message,
-        controller::{self, Control, Start},
-        http, sender,
+        controller::{Control, Start},
+        http, inbox, sender,
     },
     metric, peer,
 };
@@ -113,57 +113,42 @@
     let switch = peer::fault::Switch::default();
     let (network, mut frames) = peer::Network::start(handle.clone(), listener, switch, cancel.clone());
     let traffic = network.clone();
-    let control = Arc::new(OnceCell::new());
+    let origin = clock::Origin::now();
+    let inbox = inbox::Inbox::new(origin);
     let (ready_sender, ready) = watch::channel(false);
     let start = Start {
         settings: settings.clone(),
         network,
-        sender: sender::Sender::new(
-            handle,
-            Arc::clone(&adapter),
-            settings.advice,
-            Arc::clone(&control),
-        ),
+        sender: sender::Sender::new(handle, Arc::clone(&adapter), settings.advice, inbox.clone()),
         ready: ready_sender,
-        origin: clock::Origin::now(),
-        urgent: controller::Urgent::default(),
+        origin,
+        inbox: inbox.clone(),
     };
-    let urgent = Arc::clone(&start.urgent);
     let (started, start_result) = tokio::sync::oneshot::channel();
+    let (ended, control_ended) = tokio::sync::oneshot::channel();
     let thread = thread::Builder::new()
         .name(String::from("control"))
-        .spawn(move || control_thread(start, started))
+        .spawn(move || {
+            control_thread(start, started);
+            // The receiver is gone if the process is ending.
+            ended.send(()).unwrap_or_default();
+        })
         .map_err(|error| Error::System(format!("the control thread cannot be started: {error}")))?;
     let actor = start_result
         .await
         .map_err(|_closed| Error::System(String::from("the control thread ended while starting")))?
         .map_err(Error::System)?;
-    if control.set(actor.clone()).is_err() {
-        return Err(Error::System(String::from(
-            "the control thread was started twice",
-        )));
-    }
-    let receiver = actor.clone();
+    let receiver = inbox.clone();
     tokio::spawn(async move {
         while let Some(received) = frames.recv().await {
-            let message = match received.frame.body {
-                peer::wire::Body::Consensus(..) => {
-                    let mut waiting = urgent.lock().unwrap_or_else(PoisonError::into_inner);
-                    waiting.push_back(received.frame);
-                    Message::Urgent
-                }
-                _ => Message::Frame {
-                    frame: received.frame,
-                    received: Instant::now(),
-                },
-            };
-            if receiver.send_message(message).is_err() {
-                return;
+            // The sender of a dropped frame sends again what is still needed.
+            if let Err(dropped) = receiver.send(inbox::Traffic::Frame(Box::new(received.frame))) {
+                crate::fleet::metric::dropped(dropped.lane());
             }
         }
     });
     let context = http::Context {
-        control: actor.clone(),
+        control: inbox,
         adapter: Arc::clone(&adapter),
         ready,
         closing: CancellationToken::new(),
@@ -188,7 +173,16 @@
             tokio::spawn(http::serve(context.clone(), kind, listener, cancel.clone()));
         }
     }
-    signals.wait(path, adapter.as_ref(), &actor).await?;
+    tokio::select! {
+        stopped = signals.wait(path, adapter.as_ref(), &actor) => stopped?,
+        // Without its control thread the daemon would refuse every call and still be taken for a working one. It ends,
+        // and is started again with the state that it has stored.
+        _ = control_ended => {
+            log::error!("event=control_thread_ended");
+            crate::logging::flush();
+            return Err(Error::System(String::from("the control thread ended")));
+        }
+    }
     shut_down(&settings, &context, &actor, &cancel).await;
     actor.stop(None);
     if thread.join().is_err() {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod directory;
 pub mod dispatch;
 pub mod estimate;
+pub mod lane;
 pub mod orphan;
 pub mod place;
 pub mod progress;
--- a/crates/standin/src/fleet/simulation/invariants.rs
+++ b/crates/standin/src/fleet/simulation/invariants.rs
@@ -146,6 +146,8 @@
             counters.failed += 1;
         } else if took <= objective {
             counters.on_time += 1;
+            let second = self.submitted[&key].as_secs();
+            self.report.seconds.entry(second).or_default().1 += 1;
         } else if took <= objective * 3 {
             counters.late += 1;
         }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -3,6 +3,7 @@
 
 mod faults;
 mod invariants;
+mod leader;
 mod runs;
 mod wire;
 
@@ -19,6 +20,8 @@
 use bytes::Bytes;
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
+pub use leader::Costs;
+
 use crate::fleet::{load, worker};
 
 /// Wall time at the start of a run, in milliseconds since the Unix epoch.
@@ -61,6 +64,8 @@
     pub bursts: Vec<(usize, Duration, Duration, f64)>,
     /// Faults to inject.
     pub faults: Faults,
+    /// Processor time of the leader; `None` if its work takes no time.
+    pub costs: Option<Costs>,
     /// Job for which the report contains a trace of the decisions.
     pub trace: Option<job::Key>,
 }
@@ -112,6 +117,10 @@
     pub kinds: Vec<Counters>,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
+    /// Submissions that the leader refused because they had waited too long.
+    pub refused: usize,
+    /// Number of submitted jobs, and of those that ended within their objective, by the second of the submission.
+    pub seconds: BTreeMap<u64, (usize, usize)>,
     /// Number of runs that started on workers.
     pub starts: usize,
     /// Work of runs that were lost, stopped or failed, in core-milliseconds.
@@ -143,6 +152,7 @@
     Departed(usize),
     LoseLeader,
     Elect,
+    LeaderFree,
     Tick,
 }
 
@@ -195,6 +205,7 @@
     submitted: HashMap<job::Key, Duration>,
     finished: HashSet<job::Key>,
     cancelled: HashMap<job::Key, Duration>,
+    processor: leader::Processor,
     /// Tasks that succeeded on a worker.
     done: HashSet<directive::Task>,
     /// Tasks whose success the leader has acknowledged.
@@ -229,6 +240,7 @@
             submitted: HashMap::new(),
             finished: HashSet::new(),
             cancelled: HashMap::new(),
+            processor: leader::Processor::default(),
             done: HashSet::new(),
             acknowledged: HashSet::new(),
             failures: HashMap::new(),
@@ -259,8 +271,7 @@
                 break;
             }
             if let Some(event) = self.scheduled.remove(&number) {
-                self.handle(event);
-                self.step_leader();
+                self.receive(event);
             }
         }
         self.into_report()
@@ -429,6 +440,8 @@
             Event::Departed(index) => self.stop_worker(index),
             Event::LoseLeader => self.lose_leader(),
             Event::Elect => self.elect(),
+            // Handled where it is received.
+            Event::LeaderFree => {}
             Event::Tick => {
                 for index in 0..self.hosts.len() {
                     self.end_due_runs(index);
@@ -485,6 +498,7 @@
         }
         let key = job.key;
         self.report.kinds[kind].submitted += 1;
+        self.report.seconds.entry(self.now.as_secs()).or_default().0 += 1;
         self.submitted.insert(key, self.now);
         let command = cell::Command::Submit {
             key,
--- a/crates/standin/src/fleet/simulation/runs.rs
+++ b/crates/standin/src/fleet/simulation/runs.rs
@@ -104,7 +104,9 @@
     pub(super) fn answer_waiting_reports(&mut self, index: usize) {
         let now = self.now;
         let host = &mut self.hosts[index];
-        let Some(worker) = &host.worker else { return };
+        let Some(worker) = host.worker.as_ref().filter(|_| !host.waiting_reports.is_empty()) else {
+            return;
+        };
         let has_ends = worker.has_ends();
         let report = directive::Answer::Report(worker.report(worker.clock(now)));
         let sent = &self.sent;
