fleet: a leader refuses a submission whose steps depend on missing ones

Cause: callers' submissions are verified where they are decoded, on entry VMs. A leader recorded what a frame carried. A well-formed frame with a step that depends on a missing step panicked the control thread of the leader after the commit, and that of each successor, which refreshes all jobs. A step that depends on itself was accepted and never ran. Change: the leader verifies each submission and answers it as invalid.

--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -162,7 +162,13 @@
             return;
         }
         match call {
-            call::Call::Job(job) => self.serve_job(job, responder),
+            call::Call::Job(job) => match verified(&job.action) {
+                Ok(()) => self.serve_job(job, responder),
+                Err(reason) => {
+                    log::warn!("decision=refuse path={} reason=\"{reason}\"", job.path);
+                    self.respond(responder, call::Reply::Invalid(reason));
+                }
+            },
             call::Call::Configure { catalog, document } => {
                 log::info!("decision=configure version={}", catalog.version);
                 self.enqueue(cell::Command::Configure { catalog, document }, responder);
@@ -327,6 +333,15 @@
     }
 }
 
+/// Checks a submission that another daemon decoded. One whose steps depend on missing ones must not be recorded: no
+/// replica could apply it.
+fn verified(action: &call::Action) -> Result<(), String> {
+    match action {
+        call::Action::Submit(_, submission) => submission.verify().map_err(|error| error.to_string()),
+        call::Action::Show(_) | call::Action::Cancel(_) | call::Action::CountPending => Ok(()),
+    }
+}
+
 const fn refused(reason: call::Refusal, retry_after: Duration) -> call::Reply {
     call::Reply::Refused { reason, retry_after }
 }
