fleet: a configuration of 256 KiB is accepted

Cause: a configuration is stored as its document and as the catalog decoded from it, in one entry of at most 256 KiB. Change: the group of a fleet allows commands of 768 KiB; other commands share entries up to 256 KiB as before. A message with such an entry and a batch before it fits into a frame of 1 MiB.

--- a/crates/daemon/src/fleet/member.rs
+++ b/crates/daemon/src/fleet/member.rs
@@ -18,6 +18,9 @@
 const ENTRIES_PER_SNAPSHOT: u64 = 16_384;
 /// Bytes of commands after which a snapshot is made and the log is compacted.
 const BYTES_PER_SNAPSHOT: usize = 12 << 20;
+/// Maximum size of a command. A configuration is stored as its document, of 256 KiB at most, and as the catalog that was
+/// decoded from it; a message with one entry of this size, and a batch before it, fits into a frame.
+const MAX_COMMAND_BYTES: usize = 768 * 1024;
 /// Entries before a snapshot that are retained for members that lag slightly; they cost memory.
 const RETAINED_ENTRIES: u64 = 1_024;
 
@@ -80,7 +83,9 @@
         // storing it would cost one more sync for each commit.
         config.store_commit = false;
         config.retained_entries = RETAINED_ENTRIES;
+        // Commands share entries up to the usual size.
         let entry_bytes = config.max_entry_bytes;
+        config.max_entry_bytes = MAX_COMMAND_BYTES;
         let (disk, restored) = disk::Disk::open(folder, GROUP, bootstrap, notify)?;
         log::info!(
             "event=store_opened vm={vm} term={} candidate={:?} snapshot={} last={}",
