--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -25,7 +25,7 @@
     fleet::{
         Message,
         controller::{Control, Start},
-        http, inbox, sender,
+        http, inbox, metric as fleet_metric, sender,
     },
     metric, peer,
 };
@@ -143,7 +143,7 @@
         while let Some(received) = frames.recv().await {
             // The sender of a dropped frame sends again what is still needed.
             if let Err(dropped) = receiver.send(inbox::Traffic::Frame(Box::new(received.frame))) {
-                crate::fleet::metric::dropped(dropped.lane());
+                fleet_metric::dropped(dropped.lane());
             }
         }
     });
--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -13,7 +13,10 @@
     Dispatch, fleet,
     schedule::{Reserved, Subject, is_usable, task_id},
 };
-use crate::{place, place::Candidate, query_queue, worker};
+use crate::{
+    place::{self, Candidate},
+    query_queue, worker,
+};
 
 /// Minimum number of workers in a query about a step, if there are as many.
 const MIN_QUERIED_WORKERS: usize = 60;
@@ -233,7 +236,7 @@
     }
 }
 
-/// Returns the tickets that a step may need: whether its queue has queries at all, and what is known.
+/// Returns whether no answer about the workers of a step has arrived.
 pub(super) fn is_unknown(known: Option<&query_queue::Eligibility>) -> bool {
     known.is_none_or(|known| !known.is_known())
 }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -36,7 +36,7 @@
 const START_LEASE: Duration = Duration::from_secs(3);
 /// Minimum interval between two scheduling passes, so that a burst of events shares one pass.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
-/// Additional interval for each waiting step, since a pass evaluates all of them: about ten times as long as it takes.
+/// Additional interval for each waiting step, since a pass evaluates all of them.
 const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(30);
 /// Maximum interval between two scheduling passes.
 const MAX_PASS_INTERVAL: Duration = Duration::from_millis(60);
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -1,12 +1,12 @@
 //! A worker that restarts under its name while its leader changes, directive by directive.
 
-use std::{net::SocketAddr, time::Duration};
+use std::time::Duration;
 
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::dispatch::{Config, Dispatch, Now, Output, Registration};
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{catalog, directive, job, settings, worker};
+use bronzespoke_workload::{directive, job, settings};
 use bytes::Bytes;
 
 const KEY: job::Key = 7;
@@ -33,18 +33,7 @@
 
 impl Leader {
     fn new() -> Self {
-        let mut state = cell::State::default();
-        let catalog = catalog::Catalog {
-            version: 1,
-            queues: vec![load::queue("check", 0, Duration::from_millis(400), 1.5, 2)],
-            pools: Vec::new(),
-            teams: Vec::new(),
-        };
-        let configure = cell::Command::Configure {
-            catalog: Box::new(catalog),
-            document: Bytes::new(),
-        };
-        state.apply(1, configure);
+        let state = load::configured(load::queue("check", 0, Duration::from_millis(400), 1.5, 2));
         let dispatch = Dispatch::new(config(1), &state, at(0));
         let now = at(0);
         Self { state, dispatch, now }
@@ -55,25 +44,8 @@
     }
 
     fn announce(&mut self, number: u16, started_ms: u64) {
-        let announcement = worker::Announcement {
-            incarnation: worker::Incarnation {
-                name: format!("w-{number}"),
-                started_ms,
-            },
-            sequence: 1,
-            worker: worker::Worker {
-                address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
-                pool: String::from("fleet"),
-                zone: String::from("zone"),
-                kind: String::from("a"),
-                rack: String::from("r"),
-                labels: Vec::new(),
-                room: resource::Amount::new(8_000, 8_000, 0),
-                machine: None,
-            },
-            state: worker::State::Ready,
-            cold: Duration::ZERO,
-        };
+        let room = resource::Amount::new(8_000, 8_000, 0);
+        let announcement = load::announcement(number, started_ms, room);
         let steady = self.now.steady;
         if let Registration::Propose(command) = self.dispatch.announce(&self.state, steady, &announcement) {
             self.commit(&command);
--- a/crates/standin/src/fleet/full.rs
+++ b/crates/standin/src/fleet/full.rs
@@ -2,7 +2,6 @@
 
 use std::{
     collections::{BTreeMap, HashMap},
-    net::SocketAddr,
     time::Duration,
 };
 
@@ -12,13 +11,15 @@
     work,
 };
 use bronzespoke_model::resource;
-use bronzespoke_workload::{catalog, directive, eligibility, job, settings, worker};
+use bronzespoke_workload::{catalog, directive, eligibility, job, settings};
 use bytes::Bytes;
 
 use super::load;
 
 /// Processors of a worker, in thousandths of a core, and its memory in MiB.
 const CAPACITY: u32 = 64_000;
+/// Start time of each worker, in milliseconds since the Unix epoch.
+const STARTED_MS: u64 = 5;
 /// Tasks that fill a worker.
 pub const TASKS_PER_WORKER: u32 = 4;
 /// Id of the first job that waits.
@@ -51,18 +52,7 @@
             }),
             ..load::queue("check", 0, Duration::from_millis(400), 1.5, 2)
         };
-        let catalog = catalog::Catalog {
-            version: 1,
-            queues: vec![queue],
-            pools: Vec::new(),
-            teams: Vec::new(),
-        };
-        let mut state = cell::State::default();
-        let configure = cell::Command::Configure {
-            catalog: Box::new(catalog),
-            document: Bytes::new(),
-        };
-        state.apply(1, configure);
+        let state = load::configured(queue);
         let config = Config {
             token: 1,
             bounds: settings::Bounds::default(),
@@ -121,25 +111,8 @@
     }
 
     fn announce(&mut self, number: u16) {
-        let announcement = worker::Announcement {
-            incarnation: worker::Incarnation {
-                name: format!("w-{number}"),
-                started_ms: 5,
-            },
-            sequence: 1,
-            worker: worker::Worker {
-                address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
-                pool: String::from("fleet"),
-                zone: String::from("zone"),
-                kind: String::from("a"),
-                rack: String::from("r"),
-                labels: Vec::new(),
-                room: resource::Amount::new(CAPACITY, CAPACITY, 0),
-                machine: None,
-            },
-            state: worker::State::Ready,
-            cold: Duration::ZERO,
-        };
+        let room = resource::Amount::new(CAPACITY, CAPACITY, 0);
+        let announcement = load::announcement(number, STARTED_MS, room);
         let steady = now(self.millis).steady;
         if let Registration::Propose(command) = self.dispatch.announce(&self.state, steady, &announcement) {
             self.commit(&command);
@@ -231,7 +204,7 @@
         {
             let answer = directive::Answer::Report(directive::Report {
                 clock: now.steady,
-                started_ms: Some(5),
+                started_ms: Some(STARTED_MS),
                 running: self.running.get(&worker).cloned().unwrap_or_default(),
                 ended: Vec::new(),
             });
--- a/crates/standin/src/fleet/load.rs
+++ b/crates/standin/src/fleet/load.rs
@@ -1,9 +1,10 @@
 //! Random generation of the jobs that callers submit, by kind of request.
 
-use std::{collections::HashMap, time::Duration};
+use std::{collections::HashMap, net::SocketAddr, time::Duration};
 
+use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_workload::{catalog, directive, job};
+use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
 use rand::Rng;
 
@@ -137,6 +138,46 @@
     }
 }
 
+/// Returns the state of a cell whose configuration has one queue.
+pub fn configured(queue: catalog::Queue) -> cell::State {
+    let catalog = catalog::Catalog {
+        version: 1,
+        queues: vec![queue],
+        pools: Vec::new(),
+        teams: Vec::new(),
+    };
+    let mut state = cell::State::default();
+    let configure = cell::Command::Configure {
+        catalog: Box::new(catalog),
+        document: Bytes::new(),
+    };
+    state.apply(1, configure);
+    state
+}
+
+/// Returns the announcement of a worker of the pool that all queues use.
+pub fn announcement(number: u16, started_ms: u64, room: resource::Amount) -> worker::Announcement {
+    worker::Announcement {
+        incarnation: worker::Incarnation {
+            name: format!("w-{number}"),
+            started_ms,
+        },
+        sequence: 1,
+        worker: worker::Worker {
+            address: SocketAddr::from(([127, 0, 0, 1], 1_000 + number)),
+            pool: String::from("fleet"),
+            zone: String::from("zone"),
+            kind: String::from("a"),
+            rack: String::from("r"),
+            labels: Vec::new(),
+            room,
+            machine: None,
+        },
+        state: worker::State::Ready,
+        cold: Duration::ZERO,
+    }
+}
+
 /// Returns the actual run time of a task.
 pub fn run_time(job: &Job, task: directive::Task) -> Duration {
     job.run_times
