dispatch: a step that knows most of the fleet reads the workers with room instead

Change: the smaller of two sets is read, the known workers or those with room. Tests: service_recovers_after_a_burst also bounds the workers that passes look at for each step. It passed before this change too: its steps do not wait long enough.

--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -106,6 +106,9 @@
     }
 
     /// Returns the workers with room for which the step holds valid tickets.
+    ///
+    /// A step that waits for long comes to know most of the fleet, while few workers have room; a new step knows few, while
+    /// many may have room. The smaller of the two sets is read.
     pub(super) fn permitted(
         &mut self,
         now: Duration,
@@ -115,12 +118,23 @@
         let Some(known) = self.queries.eligibility(subject.id) else {
             return Vec::new();
         };
-        let mut looked_at = 0;
-        let mut candidates = Vec::new();
-        for worker in known.permitted(now) {
-            looked_at += 1;
-            candidates.extend(self.candidate(now, subject, reserved, worker, true));
-        }
+        let with_room = self
+            .rooms
+            .most_free(&subject.queue.pool, subject.size.cpu_milli)
+            .take(known.len() + 1);
+        let with_room: Vec<cell::WorkerIndex> = with_room.collect();
+        let workers: Vec<cell::WorkerIndex> = if with_room.len() > known.len() {
+            known.permitted(now).collect()
+        } else {
+            with_room
+        };
+        let looked_at = workers.len() as u64;
+        let permitted = workers
+            .into_iter()
+            .filter(|worker| known.is_permitted(*worker, now));
+        let candidates = permitted
+            .filter_map(|worker| self.candidate(now, subject, reserved, worker, true))
+            .collect();
         self.work.workers += looked_at;
         candidates
     }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -37,9 +37,9 @@
 /// Minimum interval between two scheduling passes, so that a burst of events shares one pass.
 const PASS_INTERVAL: Duration = Duration::from_millis(4);
 /// Additional interval for each waiting step, since a pass evaluates all of them.
-const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(30);
+const PASS_INTERVAL_PER_STEP: Duration = Duration::from_micros(60);
 /// Maximum interval between two scheduling passes.
-const MAX_PASS_INTERVAL: Duration = Duration::from_millis(60);
+const MAX_PASS_INTERVAL: Duration = Duration::from_millis(100);
 /// Time without any event after which waiting steps are evaluated again, since queries, tickets and pauses expire by
 /// time alone.
 const WAITING_INTERVAL: Duration = Duration::from_millis(200);
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -96,6 +96,16 @@
         self.outstanding > 0
     }
 
+    /// Returns the number of workers about which an answer has arrived.
+    pub fn len(&self) -> usize {
+        self.permits.len()
+    }
+
+    /// Returns whether no answer has arrived.
+    pub fn is_empty(&self) -> bool {
+        self.permits.is_empty()
+    }
+
     /// Returns whether the eligibility of any worker is known.
     pub fn is_known(&self) -> bool {
         !self.permits.is_empty()
--- a/crates/dispatch/tests/large.rs
+++ b/crates/dispatch/tests/large.rs
@@ -125,6 +125,8 @@
     assert!(report.violations.is_empty(), "{:?}", report.violations);
     let before = served(&report, 1..6);
     let after = served(&report, 15..20);
+    let work = report.work;
+    assert!(work.workers <= work.steps * 2 * QUERIED, "{work:?}");
     assert!(before > 0.9, "{before} before the burst: {:?}", report.seconds);
     assert!(
         after >= before - 0.03,
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -14,7 +14,10 @@
 };
 
 use bronzespoke_control::cell;
-use bronzespoke_dispatch::dispatch::{self, Dispatch, Output};
+use bronzespoke_dispatch::{
+    dispatch::{self, Dispatch, Output},
+    work,
+};
 use bronzespoke_model::{id, resource};
 use bronzespoke_workload::{catalog, directive, eligibility, job, settings};
 use bytes::Bytes;
@@ -121,6 +124,8 @@
     pub refused: usize,
     /// Number of submitted jobs, and of those that ended within their objective, by the second of the submission.
     pub seconds: BTreeMap<u64, (usize, usize)>,
+    /// Work of the scheduling passes of the last leader.
+    pub work: work::Work,
     /// Number of runs that started on workers.
     pub starts: usize,
     /// Work of runs that were lost, stopped or failed, in core-milliseconds.
@@ -282,6 +287,7 @@
             self.report.violations.push(violation);
         }
         self.verify_tables();
+        self.report.work = self.dispatch.as_ref().map(Dispatch::work).unwrap_or_default();
         let unfinished = self.submitted.keys().filter(|key| !self.finished.contains(key));
         self.report.unfinished = unfinished.copied().collect();
         self.report
