--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -121,9 +121,9 @@
         let with_room = self
             .rooms
             .most_free(&subject.queue.pool, subject.size.cpu_milli)
-            .take(known.len() + 1);
+            .take(known.known_workers() + 1);
         let with_room: Vec<cell::WorkerIndex> = with_room.collect();
-        let workers: Vec<cell::WorkerIndex> = if with_room.len() > known.len() {
+        let workers: Vec<cell::WorkerIndex> = if with_room.len() > known.known_workers() {
             known.permitted(now).collect()
         } else {
             with_room
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -151,13 +151,13 @@
         let mut ends = Vec::new();
         for (task, run) in runs {
             let is_open = matches!(run.phase, worker::Phase::Sent | worker::Phase::Unacknowledged);
+            let start = orphan::Start {
+                task,
+                run: run.run,
+                size: run.size,
+                sent: run.since,
+            };
             if is_open {
-                let start = orphan::Start {
-                    task,
-                    run: run.run,
-                    size: run.size,
-                    sent: run.since,
-                };
                 self.unacknowledged.record(&name, start);
             }
             // An unacknowledged start may reach the next incarnation although this one carried out a repeated start.
@@ -165,14 +165,8 @@
             // by the 13 s of a late directive, and the worker is hardly ever back with its next incarnation by then.
             let newest = self.unacknowledged.newest(&name, task, run.run);
             // Only the leader that sent a start knows whether it was acknowledged.
-            let inherited = orphan::Start {
-                task,
-                run: run.run,
-                size: run.size,
-                sent: run.since,
-            };
             let is_inherited = run.phase == worker::Phase::Inherited && loss.has_successor();
-            let newest = newest.or(is_inherited.then_some(inherited));
+            let newest = newest.or(is_inherited.then_some(start));
             if let Some(start) = newest.filter(|_| loss != Loss::Lease) {
                 self.uncertain.push(Uncertain {
                     worker: index,
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -97,15 +97,10 @@
     }
 
     /// Returns the number of workers about which an answer has arrived.
-    pub fn len(&self) -> usize {
+    pub fn known_workers(&self) -> usize {
         self.permits.len()
     }
 
-    /// Returns whether no answer has arrived.
-    pub fn is_empty(&self) -> bool {
-        self.permits.is_empty()
-    }
-
     /// Returns whether the eligibility of any worker is known.
     pub fn is_known(&self) -> bool {
         !self.permits.is_empty()
