--- a/review/standin/http.rs
+++ b/review/standin/http.rs
@@ -11,6 +11,9 @@
     time::Duration,
 };
 
+/// Status with which a handler ends the connection without an answer.
+pub const SILENT: u16 = 0;
+
 pub struct Request {
     pub method: String,
     pub path: String,
@@ -148,7 +151,8 @@
             body,
         };
         let (status, body) = handler(&request);
-        if closed.load(Ordering::SeqCst) {
+        if closed.load(Ordering::SeqCst) || status == SILENT {
+            output.shutdown(std::net::Shutdown::Both).ok();
             return;
         }
         let text = format!(
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -78,6 +78,7 @@
     match case {
         "late-leave" => late_leave(&mut stage),
         "foreign-heartbeat" => foreign_heartbeat(&mut stage),
+        "long-lease" => long_lease(&mut stage),
         "many-ends" => many_ends(&mut stage),
         "long-schedule" => long_schedule(&mut stage),
         _ => Err(String::from("there is no such case")),
@@ -133,8 +134,7 @@
             let front = self.cell.front(attempt % 2);
             let path = format!("{PREFIX}{id}");
             let answer = http::call(front, method, &path, &headers, body, Duration::from_secs(3));
-            let shown: String = body.chars().take(200).collect();
-            record::line(&format!("client: {method} {path} {shown} -> {answer:?}"));
+            record::line(&format!("client: {method} {path} {body} -> {answer:?}"));
             match answer {
                 Ok((502 | 503 | 504 | 429, _)) | Err(_) => thread::sleep(Duration::from_millis(500)),
                 Ok(answer) => return Some(answer),
@@ -145,7 +145,7 @@
 
     pub fn submit(&self, id: &str, tasks: u32, cpu: u32, work_ms: u32) -> bool {
         let body = format!(
-            "{{\"spec\":\"work_ms={work_ms}\",\"steps\":[{{\"count\":{tasks},\"cpu\":{cpu},\"mem_mb\":100,\
+            "{{\"spec\":\"work_ms={work_ms} cpu={cpu}\",\"steps\":[{{\"count\":{tasks},\"cpu\":{cpu},\"mem_mb\":100,\
              \"est_runtime_ms\":{work_ms}}}]}}"
         );
         self.client("POST", id, &body).is_some_and(|status| (200..300).contains(&status))
@@ -401,3 +401,74 @@
     record::line(&format!("{} runs began after their task was done", found.len()));
     Ok(found.is_empty() && runs_once(stage))
 }
+
+/// A minion crashes at an order to start a run, is back under its id, and is cut off some seconds later.
+fn long_lease(stage: &mut Stage) -> Outcome {
+    const MINIONS: usize = 9;
+    let mut minions: Vec<Arc<Minion>> = (0..MINIONS)
+        .map(|index| stage.minion(&format!("i-00{index}"), index % 3 + 1, 64_000))
+        .collect();
+    warm_up(stage)?;
+    // The clock of the first life has to be well ahead of that of the next one.
+    thread::sleep(Duration::from_secs(12));
+    // Work that leaves room on one minion only.
+    if !stage.submit("00000000000000a0", 32, 16_000, 2_500) {
+        return Err(String::from("the first job was not accepted"));
+    }
+    wait_until(Duration::from_secs(1), || stage.ledger.lock().unwrap().len() >= 33);
+    let empty = minions.iter().position(|minion| minion.running().is_empty());
+    let index = empty.ok_or("no minion is empty")?;
+    let old = minions[index].clone();
+    record::line(&format!("{} is empty", old.config.id));
+    old.crash_at_start.store(stage.trouble, std::sync::atomic::Ordering::SeqCst);
+    if !stage.submit("00000000000000b0", 1, 16_000, 400) {
+        return Err(String::from("the second job was not accepted"));
+    }
+    if stage.trouble {
+        if !wait_until(Duration::from_secs(1), || !old.crash_at_start.load(std::sync::atomic::Ordering::SeqCst)) {
+            return Err(String::from("the minion was not told to start a run"));
+        }
+        thread::sleep(Duration::from_millis(200));
+        let config = minion::Config {
+            id: old.config.id.clone(),
+            address: old.config.address,
+            zone: old.config.zone.clone(),
+            service: old.config.service.clone(),
+            cpu: old.config.cpu,
+            control: old.config.control.clone(),
+        };
+        minions[index] = Minion::start_quiet(config, stage.ledger.clone(), Duration::from_millis(1_000));
+        thread::sleep(Duration::from_millis(1_000));
+    } else {
+        thread::sleep(Duration::from_millis(400));
+    }
+    let new = minions[index].clone();
+    record::line(&format!("the lease at {} lasts {} ms more", new.config.id, new.lease_left().as_millis()));
+    thread::sleep(Duration::from_millis(200));
+    if !stage.submit("00000000000000c0", 4, 16_000, 15_000) {
+        return Err(String::from("the third job was not accepted"));
+    }
+    let runs = |minion: &Minion| minion.running().iter().filter(|task| task.starts_with("00000000000000c0")).count();
+    wait_until(Duration::from_secs(1), || runs(&new) == 4);
+    record::line(&format!("{} runs {:?}", new.config.id, new.running()));
+    if runs(&new) == 0 {
+        return Err(String::from("the third job does not run on that minion"));
+    }
+    if stage.trouble {
+        // The cut begins while a report is under way.
+        let held_at = *new.held_at.lock().unwrap();
+        wait_until(Duration::from_secs(2), || *new.held_at.lock().unwrap() != held_at);
+        thread::sleep(Duration::from_millis(700));
+        record::line(&format!(
+            "{} is cut off; its lease lasts {} ms more",
+            new.config.id,
+            new.lease_left().as_millis()
+        ));
+        new.cut.store(true, std::sync::atomic::Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(6_000));
+        new.cut.store(false, std::sync::atomic::Ordering::SeqCst);
+        record::line("the cut is over");
+    }
+    thread::sleep(Duration::from_secs(20));
+    Ok(runs_once(stage))
+}
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -24,6 +24,8 @@
     pub task: String,
     pub run: u64,
     pub minion: String,
+    /// Whether it brought the minion over its room.
+    pub over_room: bool,
     pub begun_ms: u64,
     pub ended: Option<(u64, &'static str)>,
     /// When its end was taken note of, unless the minion's lease lapsed before that.
@@ -35,6 +37,7 @@
 
 struct Active {
     run: u64,
+    cpu: u64,
     row: usize,
     done_at: u64,
     stop_at: Option<u64>,
@@ -71,6 +74,12 @@
     changed: Condvar,
     ledger: Ledger,
     over: AtomicBool,
+    /// Whether it crashes at the next order to start a run, before it answers.
+    pub crash_at_start: AtomicBool,
+    /// Whether nothing reaches it and nothing that it sends arrives.
+    pub cut: AtomicBool,
+    /// When the last call of `hold` arrived.
+    pub held_at: Mutex<Option<Instant>>,
     server: Mutex<Option<http::Server>>,
     /// The control address that is used first for heartbeats.
     preferred: Mutex<Option<SocketAddr>>,
@@ -79,6 +88,11 @@
 impl Minion {
     /// Starts a new life of a minion.
     pub fn start(config: Config, ledger: Ledger) -> Arc<Self> {
+        Self::start_quiet(config, ledger, Duration::ZERO)
+    }
+
+    /// Starts a new life whose first heartbeat is sent after a time.
+    pub fn start_quiet(config: Config, ledger: Ledger, quiet: Duration) -> Arc<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let minion = Arc::new(Self {
             config,
@@ -91,6 +105,9 @@
             changed: Condvar::new(),
             ledger,
             over: AtomicBool::new(false),
+            crash_at_start: AtomicBool::new(false),
+            cut: AtomicBool::new(false),
+            held_at: Mutex::new(None),
             server: Mutex::new(None),
             preferred: Mutex::new(None),
         });
@@ -122,6 +139,7 @@
         });
         let beats = minion.clone();
         thread::spawn(move || {
+            thread::sleep(quiet);
             while !beats.over.load(Ordering::SeqCst) {
                 beats.heartbeat();
                 let begun = Instant::now();
@@ -140,11 +158,14 @@
 
     /// Sends one heartbeat to the first daemon that answers it; returns whether one did.
     pub fn heartbeat(&self) -> bool {
+        if self.cut.load(Ordering::SeqCst) {
+            return false;
+        }
         let body = {
             let mut state = self.state.lock().unwrap();
             state.sequence += 1;
             format!(
-                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":1000,\
+                "{{\"service\":\"{}\",\"address\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\"slots\":8,\
                  \"state\":\"{}\",\"cold_left_ms\":0,\"room\":{{\"cpu\":{},\"mem_mb\":131072,\"gpu\":0}},\
                  \"labels\":[\"a\",\"r1-1\"],\"machine\":\"m-{}\",\"born\":{},\"clock_ms\":{},\"sequence\":{}}}",
                 self.config.service,
@@ -247,8 +268,18 @@
     }
 
     fn serve(&self, request: &http::Request) -> (u16, String) {
+        if self.cut.load(Ordering::SeqCst) {
+            // The call is lost: its connection stays silent until the cut is over, and then ends.
+            while self.cut.load(Ordering::SeqCst) {
+                thread::sleep(Duration::from_millis(5));
+            }
+            return (http::SILENT, String::new());
+        }
+        if request.path.ends_with("/run-start") && self.crash_at_start.swap(false, Ordering::SeqCst) {
+            self.end();
+        }
         if self.over.load(Ordering::SeqCst) {
-            return (503, String::from("{}"));
+            return (http::SILENT, String::new());
         }
         let expected = request.header("expect-instance");
         if expected.is_some_and(|expected| expected != self.config.id) {
@@ -268,11 +299,24 @@
         match request.path.as_str() {
             "/bronzespoke/run-start" => self.start_run(&body),
             "/bronzespoke/run-stop" => self.stop_run(&body),
-            "/bronzespoke/hold" => self.hold(&body),
+            "/bronzespoke/hold" => {
+                *self.held_at.lock().unwrap() = Some(Instant::now());
+                let answer = self.hold(&body);
+                if self.cut.load(Ordering::SeqCst) {
+                    return (http::SILENT, String::new());
+                }
+                answer
+            }
             _ => (404, String::from("{}")),
         }
     }
 
+    /// Time until the lease of everything that runs here ends.
+    pub fn lease_left(&self) -> Duration {
+        let left = self.state.lock().unwrap().lease_end.saturating_sub(self.clock());
+        Duration::from_millis(left)
+    }
+
     fn refuse(&self, reason: &str) -> (u16, String) {
         let clock = self.clock();
         (409, format!("{{\"clock_ms\":{clock},\"reason\":\"{reason}\"}}"))
@@ -306,16 +350,20 @@
             return self.refuse("old");
         }
         let spec = body.get("spec").text().unwrap_or_default();
-        let work: u64 = spec
-            .strip_prefix("work_ms=")
-            .and_then(|text| text.parse().ok())
-            .unwrap_or(1_000);
+        let field = |name: &str| {
+            let mut fields = spec.split(' ').filter_map(|field| field.split_once('='));
+            fields.find(|(known, _)| *known == name)?.1.parse::<u64>().ok()
+        };
+        let work = field("work_ms").unwrap_or(1_000);
+        let cpu = field("cpu").unwrap_or(0);
+        let used: u64 = state.active.values().map(|active| active.cpu).sum();
         let mut ledger = self.ledger.lock().unwrap();
         let row = ledger.len();
         ledger.push(Run {
             task: task.to_string(),
             run,
             minion: format!("{} (born {})", self.config.id, self.born),
+            over_room: used + cpu > self.config.cpu,
             begun_ms: record::now_ms(),
             ended: None,
             noted_ms: None,
@@ -326,6 +374,7 @@
             task.to_string(),
             Active {
                 run,
+                cpu,
                 row,
                 done_at: clock + work,
                 stop_at: None,
@@ -437,3 +486,8 @@
     }
     found
 }
+
+/// Returns the number of starts that brought a minion over its room.
+pub fn over_room(ledger: &Ledger) -> usize {
+    ledger.lock().unwrap().iter().filter(|run| run.over_room).count()
+}
