--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -11,7 +11,7 @@
 use std::{
     fs,
     net::SocketAddr,
-    path::{Path, PathBuf},
+    path::Path,
     process::ExitCode,
     sync::{Arc, Mutex},
     thread,
@@ -63,7 +63,7 @@
     ExitCode::from(code)
 }
 
-fn play(case: &str, root: &Path, folder: &PathBuf, trouble: bool) -> Outcome {
+fn play(case: &str, root: &Path, folder: &Path, trouble: bool) -> Outcome {
     fs::create_dir_all(folder).map_err(|error| error.to_string())?;
     let cell = Cell::start(root, folder, 2);
     let mut stage = Stage {
@@ -79,6 +79,7 @@
         "late-leave" => late_leave(&mut stage),
         "foreign-heartbeat" => foreign_heartbeat(&mut stage),
         "long-lease" => long_lease(&mut stage),
+        "late-start" => late_start(&mut stage),
         "many-ends" => many_ends(&mut stage),
         "long-schedule" => long_schedule(&mut stage),
         _ => Err(String::from("there is no such case")),
@@ -405,6 +406,8 @@
 /// A minion crashes at an order to start a run, is back under its id, and is cut off some seconds later.
 fn long_lease(stage: &mut Stage) -> Outcome {
     const MINIONS: usize = 9;
+    // ONLY=cut leaves the crash out, for comparison.
+    let crash = stage.trouble && std::env::var("ONLY").as_deref() != Ok("cut");
     let mut minions: Vec<Arc<Minion>> = (0..MINIONS)
         .map(|index| stage.minion(&format!("i-00{index}"), index % 3 + 1, 64_000))
         .collect();
@@ -420,11 +423,11 @@
     let index = empty.ok_or("no minion is empty")?;
     let old = minions[index].clone();
     record::line(&format!("{} is empty", old.config.id));
-    old.crash_at_start.store(stage.trouble, std::sync::atomic::Ordering::SeqCst);
+    old.crash_at_start.store(crash, std::sync::atomic::Ordering::SeqCst);
     if !stage.submit("00000000000000b0", 1, 16_000, 400) {
         return Err(String::from("the second job was not accepted"));
     }
-    if stage.trouble {
+    if crash {
         if !wait_until(Duration::from_secs(1), || !old.crash_at_start.load(std::sync::atomic::Ordering::SeqCst)) {
             return Err(String::from("the minion was not told to start a run"));
         }
@@ -472,3 +475,53 @@
     thread::sleep(Duration::from_secs(20));
     Ok(runs_once(stage))
 }
+
+/// An order to start a run is carried out late, by the next life of its minion, after the lease of the first has ended.
+fn late_start(stage: &mut Stage) -> Outcome {
+    const MINIONS: usize = 9;
+    let mut minions: Vec<Arc<Minion>> = (0..MINIONS)
+        .map(|index| stage.minion(&format!("i-00{index}"), index % 3 + 1, 64_000))
+        .collect();
+    warm_up(stage)?;
+    thread::sleep(Duration::from_secs(12));
+    if !stage.submit("00000000000000a0", 32, 16_000, 2_000) {
+        return Err(String::from("the first job was not accepted"));
+    }
+    wait_until(Duration::from_secs(1), || stage.ledger.lock().unwrap().len() >= 33);
+    let empty = minions.iter().position(|minion| minion.running().is_empty());
+    let index = empty.ok_or("no minion is empty")?;
+    let old = minions[index].clone();
+    if stage.trouble {
+        // The order comes just after a report has been asked for, and is held back for 6.6 s.
+        let held_at = *old.held_at.lock().unwrap();
+        wait_until(Duration::from_secs(2), || *old.held_at.lock().unwrap() != held_at);
+        old.starts_late_ms.store(6_900, std::sync::atomic::Ordering::SeqCst);
+    }
+    let begun = Instant::now();
+    if !stage.submit("00000000000000b0", 1, 16_000, 9_000) {
+        return Err(String::from("the second job was not accepted"));
+    }
+    if stage.trouble {
+        thread::sleep(Duration::from_millis(700).saturating_sub(begun.elapsed()));
+        record::line(&format!("{} is cut off", old.config.id));
+        old.cut.store(true, std::sync::atomic::Ordering::SeqCst);
+        thread::sleep(Duration::from_millis(300));
+        old.end();
+        let config = minion::Config {
+            id: old.config.id.clone(),
+            address: old.config.address,
+            zone: old.config.zone.clone(),
+            service: old.config.service.clone(),
+            cpu: old.config.cpu,
+            control: old.config.control.clone(),
+        };
+        thread::sleep(Duration::from_millis(700));
+        let new = Minion::start_cut(config, stage.ledger.clone());
+        minions[index] = new.clone();
+        thread::sleep(Duration::from_millis(6_700).saturating_sub(begun.elapsed()));
+        new.cut.store(false, std::sync::atomic::Ordering::SeqCst);
+        record::line("the cut is over");
+    }
+    thread::sleep(Duration::from_secs(22));
+    Ok(runs_once(stage))
+}
--- a/review/standin/minion.rs
+++ b/review/standin/minion.rs
@@ -76,6 +76,8 @@
     over: AtomicBool,
     /// Whether it crashes at the next order to start a run, before it answers.
     pub crash_at_start: AtomicBool,
+    /// How late orders to start runs are carried out, by whichever life is at the address then; 0: at once.
+    pub starts_late_ms: std::sync::atomic::AtomicU64,
     /// Whether nothing reaches it and nothing that it sends arrives.
     pub cut: AtomicBool,
     /// When the last call of `hold` arrived.
@@ -91,8 +93,17 @@
         Self::start_quiet(config, ledger, Duration::ZERO)
     }
 
+    /// Starts a new life that is cut off from the beginning.
+    pub fn start_cut(config: Config, ledger: Ledger) -> Arc<Self> {
+        Self::start_as(config, ledger, Duration::ZERO, true)
+    }
+
     /// Starts a new life whose first heartbeat is sent after a time.
     pub fn start_quiet(config: Config, ledger: Ledger, quiet: Duration) -> Arc<Self> {
+        Self::start_as(config, ledger, quiet, false)
+    }
+
+    fn start_as(config: Config, ledger: Ledger, quiet: Duration, is_cut: bool) -> Arc<Self> {
         let born = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let minion = Arc::new(Self {
             config,
@@ -106,7 +117,8 @@
             ledger,
             over: AtomicBool::new(false),
             crash_at_start: AtomicBool::new(false),
-            cut: AtomicBool::new(false),
+            starts_late_ms: std::sync::atomic::AtomicU64::new(0),
+            cut: AtomicBool::new(is_cut),
             held_at: Mutex::new(None),
             server: Mutex::new(None),
             preferred: Mutex::new(None),
@@ -281,6 +293,11 @@
         if self.over.load(Ordering::SeqCst) {
             return (http::SILENT, String::new());
         }
+        let late = self.starts_late_ms.load(Ordering::SeqCst);
+        if late > 0 && request.path.ends_with("/run-start") {
+            self.hold_back(request, Duration::from_millis(late));
+            return (http::SILENT, String::new());
+        }
         let expected = request.header("expect-instance");
         if expected.is_some_and(|expected| expected != self.config.id) {
             return (421, format!("{{\"clock_ms\":{}}}", self.clock()));
@@ -317,6 +334,20 @@
         Duration::from_millis(left)
     }
 
+    /// Leaves an order unanswered and hands it on later.
+    fn hold_back(&self, request: &http::Request, late: Duration) {
+        let (address, id) = (self.config.address, self.config.id.clone());
+        let (path, body) = (request.path.clone(), request.body.clone());
+        record::line(&format!("order held back for {} ms: {path} {body}", late.as_millis()));
+        thread::spawn(move || {
+            thread::sleep(late);
+            let headers = [("Expect-Instance", id.as_str())];
+            let answer = http::call(address, "POST", &path, &headers, &body, Duration::from_secs(1));
+            record::line(&format!("late order: {path} {body} -> {answer:?}"));
+        });
+        thread::sleep(Duration::from_secs(2));
+    }
+
     fn refuse(&self, reason: &str) -> (u16, String) {
         let clock = self.clock();
         (409, format!("{{\"clock_ms\":{clock},\"reason\":\"{reason}\"}}"))
