--- a/crates/daemon/src/fleet/directives.rs
+++ b/crates/daemon/src/fleet/directives.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_dispatch::{dispatch::Dispatch, worker};
+use bronzespoke_dispatch::dispatch::Dispatch;
 use bronzespoke_workload::directive;
 
 use crate::{
@@ -30,7 +30,7 @@
             at: decided,
         };
         let recipient = wire::Recipient {
-            token: worker::fencing_token(dispatch.token(), worker),
+            token: receiver.fencing_token(dispatch.token()),
             name: receiver.incarnation.name.clone(),
             address: receiver.announced.address,
         };
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -199,6 +199,15 @@
         };
         match dispatch.announce(&self.state, now, announcement) {
             Registration::Known | Registration::Outdated => self.respond(responder, call::Reply::Done),
+            Registration::UnknownPool => {
+                log::info!(
+                    "decision=ignore_announcement worker={} reason=unknown_pool pool={} address={}",
+                    announcement.incarnation.name,
+                    announcement.worker.pool,
+                    announcement.worker.address
+                );
+                self.respond(responder, call::Reply::Done);
+            }
             Registration::Propose(command) => {
                 log::info!(
                     "decision=register worker={} born={} state={:?} address={}",
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -6,7 +6,7 @@
 use bronzespoke_workload::directive;
 use bytes::Bytes;
 
-use super::{Dispatch, Event, Now, Output, START_LEASE, TimerGroup, lost::Loss, report};
+use super::{Dispatch, Event, Now, Output, START_LEASE, TimerGroup, proof::Proof, report};
 use crate::{
     orphan,
     worker::{self, Phase, Stop},
@@ -206,12 +206,10 @@
     ) {
         let answer = answer.filter(|answer| !self.is_of_later_incarnation(worker, sent, answer));
         self.record_clock(worker, now.steady, answer);
-        if let Some(directive::Answer::Refused {
-            reason: directive::Refusal::OtherIncarnation,
-            ..
-        }) = answer
+        if let Some(directive::Answer::Refused { reason, .. }) = answer
+            && let Some(proof) = Proof::refusal(*reason)
         {
-            self.end_incarnation(worker, Loss::OtherIncarnation);
+            self.end_incarnation(worker, proof);
             return;
         }
         if let Some(directive::Answer::Refused {
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -5,7 +5,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_workload::{directive, eligibility, worker as announced};
 
-use super::{Dispatch, Event, Now, Output, directives, lost::Loss, schedule};
+use super::{Dispatch, Event, Now, Output, directives, proof::Proof, schedule};
 use crate::worker;
 
 /// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the directive.
@@ -20,6 +20,8 @@
     Known,
     /// The announcement comes from an earlier incarnation.
     Outdated,
+    /// The configuration has no such pool, so that the announcement describes no worker.
+    UnknownPool,
     /// The command has to be committed before the announcement is acknowledged.
     Propose(cell::Command),
 }
@@ -30,13 +32,7 @@
         let lease = self.config.lease().max(super::LEASE);
         let until = now.steady + lease.div_f64(1.0 - worker::CLOCK_DRIFT) + INHERITED_MARGIN;
         for (index, registered) in state.workers() {
-            let record = worker::Worker::new(
-                registered.incarnation.clone(),
-                std::sync::Arc::clone(&registered.worker),
-                registered.draining,
-                now.steady,
-                until,
-            );
+            let record = worker::Worker::new(*index, registered, now.steady, until);
             self.workers.insert(*index, record);
             self.rooms.touch(*index);
             self.directory.insert(*index, registered);
@@ -98,6 +94,9 @@
     }
 
     /// Handles an announcement and returns its consequence.
+    ///
+    /// An announcement under the name or at the address of another incarnation ends nothing: the workers concerned are
+    /// asked, and their answers show which of them exists.
     pub fn announce(
         &mut self,
         state: &cell::State,
@@ -110,7 +109,7 @@
             announced::State::Draining { remaining } => remaining.map(|remaining| now + remaining),
             announced::State::Ready => None,
         };
-        let mut replaced = Vec::new();
+        let mut claimed = Vec::new();
         for index in self
             .directory
             .find(&incarnation.name, announcement.worker.address)
@@ -120,7 +119,8 @@
             };
             if registered.incarnation == *incarnation {
                 let changed = (draining && !registered.draining)
-                    || registered.worker.address != announcement.worker.address
+                    || (registered.worker.address != announcement.worker.address
+                        && incarnation.started_ms == 0)
                     || registered.worker.room != announcement.worker.room
                     || registered.worker.labels != announcement.worker.labels;
                 if let Some(record) = self.workers.get_mut(&index) {
@@ -137,18 +137,24 @@
                     Registration::Known
                 };
             }
-            if registered.incarnation.started_ms > incarnation.started_ms {
+            let Some(record) = self.workers.get(&index) else {
+                continue;
+            };
+            let is_earlier = registered.incarnation.started_ms > incarnation.started_ms;
+            if is_earlier && schedule::has_fresh_report(record, now) {
                 return Registration::Outdated;
             }
-            let loss = if registered.incarnation.name == incarnation.name {
-                Loss::Replaced
-            } else {
-                Loss::AddressTaken
-            };
-            replaced.push((index, loss));
+            claimed.push(index);
         }
-        for (index, loss) in replaced {
-            self.end_incarnation(index, loss);
+        let catalog = state.catalog();
+        if catalog.is_some_and(|catalog| !catalog.has_pool(&announcement.worker.pool)) {
+            return Registration::UnknownPool;
+        }
+        for index in claimed {
+            if let Some(record) = self.workers.get_mut(&index) {
+                record.verify_claim(now);
+            }
+            self.renew_lease(index, now);
         }
         Registration::Propose(register(announcement, draining))
     }
@@ -156,7 +162,7 @@
     /// Handles the notice of a worker that it leaves now.
     pub fn leave(&mut self, state: &cell::State, name: &str) {
         if let Some((index, _)) = state.worker_named(name) {
-            self.end_incarnation(index, Loss::Departed);
+            self.end_incarnation(index, Proof::departure());
         }
     }
 
@@ -180,9 +186,8 @@
             return;
         }
         self.rooms.touch(index);
-        let worker = std::sync::Arc::clone(&registered.worker);
         if let Some(record) = self.workers.get_mut(&index) {
-            record.announced = worker;
+            record.announced = std::sync::Arc::clone(&registered.worker);
             record.draining |= registered.draining;
             return;
         }
@@ -192,11 +197,21 @@
             inherited: 0,
         }));
         let starts = self.unacknowledged.outstanding(&incarnation.name, now);
-        let mut record = worker::Worker::new(incarnation.clone(), worker, registered.draining, now, now);
+        let mut record = worker::Worker::new(index, registered, now, now);
         for start in starts {
             record.orphans.expect(&start);
         }
         self.workers.insert(index, record);
+        // The tasks of an incarnation that this one has replaced wait for its answer. All others are asked in the turns
+        // of their timers, so that the reports of a fleet that registers at once are spread.
+        let address = registered.worker.address;
+        let known = self.directory.find(&incarnation.name, address);
+        if known
+            .iter()
+            .any(|other| *other != index && self.workers.contains_key(other))
+        {
+            self.renew_lease(index, now);
+        }
     }
 
     /// Handles the committed removal of an incarnation.
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -6,51 +6,9 @@
 use bronzespoke_workload::directive;
 use bytes::Bytes;
 
-use super::{Dispatch, Event, Output, TimerGroup};
+use super::{Dispatch, Event, Output, TimerGroup, proof::Proof};
 use crate::{orphan, worker};
 
-/// Time without a report after which a worker without runs is removed.
-const RETIRE_AFTER: Duration = Duration::from_mins(1);
-
-/// Reason for which the runs of a worker are lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(super) enum Loss {
-    /// The worker did not report until its lease had expired.
-    Lease,
-    /// The worker gave notice that it leaves.
-    Departed,
-    /// Another incarnation answered a directive.
-    OtherIncarnation,
-    /// A later incarnation with the same name announced itself.
-    Replaced,
-    /// A worker with another name announced itself at the same address.
-    AddressTaken,
-    /// A later incarnation reported.
-    Restarted,
-    /// The worker has no runs and has not reported for a long time.
-    Silent,
-}
-
-impl Loss {
-    /// Returns whether the next incarnation with the same name may have carried out a start to this one.
-    const fn has_successor(self) -> bool {
-        matches!(self, Self::Replaced | Self::Restarted)
-    }
-
-    /// Returns the reason as it appears in logs.
-    const fn name(self) -> &'static str {
-        match self {
-            Self::Lease => "lease",
-            Self::Departed => "left",
-            Self::OtherIncarnation => "other_life",
-            Self::Replaced => "replaced",
-            Self::AddressTaken => "address_taken",
-            Self::Restarted => "restarted",
-            Self::Silent => "silent",
-        }
-    }
-}
-
 /// A run of a lost worker whose start directive was not acknowledged. The directive may be carried out late, by the
 /// next incarnation with the same name before that one has received its own fencing token; until then the task must
 /// not run elsewhere.
@@ -69,17 +27,55 @@
 
 impl Dispatch {
     /// Handles the end of an incarnation: its runs are lost, and it is removed.
-    pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, loss: Loss) {
-        self.lose_runs(index, loss);
+    pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, proof: Proof) {
+        self.lose_runs(index, proof);
         self.slowness.remove_worker(index);
         self.rooms.touch(index);
-        if self.workers.remove(&index).is_some() {
+        if let Some(record) = self.workers.remove(&index) {
+            self.raise_fences(&record);
             self.ended.insert(index);
             self.retire(index);
         }
         self.dirty = true;
     }
 
+    /// Raises the fencing tokens of the other incarnations with the name of an ended one.
+    ///
+    /// An announcement under a worker's name may be false. The worker has then received the higher token of an
+    /// incarnation that does not exist, and refuses directives with its own.
+    fn raise_fences(&mut self, ended: &worker::Worker) {
+        let named = self
+            .directory
+            .find(&ended.incarnation.name, ended.announced.address);
+        for index in named {
+            if let Some(record) = self.workers.get_mut(&index)
+                && record.incarnation.name == ended.incarnation.name
+            {
+                record.fence = record.fence.max(ended.fence);
+            }
+        }
+    }
+
+    /// Ends the incarnations that a worker has replaced, as its first report proves.
+    pub(super) fn end_replaced(&mut self, worker: cell::WorkerIndex, report: &directive::Report) {
+        let Some(record) = self.workers.get(&worker) else {
+            return;
+        };
+        let known = self
+            .directory
+            .find(&record.incarnation.name, record.announced.address);
+        let mut replaced = Vec::new();
+        for index in known.range(..worker) {
+            let earlier = self.workers.get(index);
+            if let Some(proof) = earlier.and_then(|earlier| Proof::successor(earlier, record, report)) {
+                replaced.push((*index, proof));
+            }
+        }
+        for (index, proof) in replaced {
+            self.end_incarnation(index, proof);
+        }
+    }
+
     /// Proposes the removal of an ended incarnation, unless the outcome of one of its runs is unknown.
     fn retire(&mut self, index: cell::WorkerIndex) {
         let has_uncertain_run = self.uncertain.iter().any(|run| run.worker == index);
@@ -133,7 +129,7 @@
     }
 
     /// Handles the loss of all runs of a worker.
-    pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, loss: Loss) {
+    pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, proof: Proof) {
         let Some(record) = self.workers.get_mut(&index) else {
             return;
         };
@@ -143,7 +139,7 @@
         let name = record.incarnation.name.clone();
         let event = Event::WorkerUnusable {
             worker: name.clone(),
-            reason: loss.name(),
+            reason: proof.name(),
             runs: runs.len(),
             silent: None,
         };
@@ -165,9 +161,9 @@
             // by the 13 s of a late directive, and the worker is hardly ever back with its next incarnation by then.
             let newest = self.unacknowledged.newest(&name, task, run.run);
             // Only the leader that sent a start knows whether it was acknowledged.
-            let is_inherited = run.phase == worker::Phase::Inherited && loss.has_successor();
+            let is_inherited = run.phase == worker::Phase::Inherited && proof.has_successor();
             let newest = newest.or(is_inherited.then_some(start));
-            if let Some(start) = newest.filter(|_| loss != Loss::Lease) {
+            if let Some(start) = newest.filter(|_| !proof.is_lease()) {
                 self.uncertain.push(Uncertain {
                     worker: index,
                     name: name.clone(),
@@ -211,34 +207,27 @@
     /// Abandons the runs of workers whose lease has expired, and removes workers that have not reported for a long
     /// time.
     pub(super) fn expire_leases(&mut self, now: Duration, group: TimerGroup) {
-        let expired: Vec<cell::WorkerIndex> = self
+        let has_sent_runs = |record: &worker::Worker| {
+            let mut runs = record.runs.values();
+            runs.any(|run| run.phase != worker::Phase::Proposed)
+        };
+        let expired: Vec<(cell::WorkerIndex, Proof)> = self
             .workers
             .iter()
-            .filter(|(index, _)| group.contains(**index))
-            .filter(|(_, record)| !record.runs.is_empty() && record.leases_expired(now))
-            .filter(|(_, record)| {
-                record
-                    .runs
-                    .values()
-                    .any(|run| run.phase != worker::Phase::Proposed)
-            })
-            .map(|(index, _)| *index)
+            .filter(|(index, record)| group.contains(**index) && has_sent_runs(record))
+            .filter_map(|(index, record)| Some((*index, Proof::lease(record, now)?)))
             .collect();
-        for index in expired {
-            self.lose_runs(index, Loss::Lease);
+        for (index, proof) in expired {
+            self.lose_runs(index, proof);
         }
-        let silent: Vec<cell::WorkerIndex> = self
+        let silent: Vec<(cell::WorkerIndex, Proof)> = self
             .workers
             .iter()
             .filter(|(index, _)| group.contains(**index))
-            .filter(|(_, record)| record.runs.is_empty() && record.proposed_ends.is_empty())
-            .filter(|(_, record)| {
-                now > record.last_report_at.unwrap_or(record.inherited_until) + RETIRE_AFTER
-            })
-            .map(|(index, _)| *index)
+            .filter_map(|(index, record)| Some((*index, Proof::silence(record, now)?)))
             .collect();
-        for index in silent {
-            self.end_incarnation(index, Loss::Silent);
+        for (index, proof) in silent {
+            self.end_incarnation(index, proof);
         }
     }
 }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -1,8 +1,9 @@
 //! Decisions of the leader during one term.
 //!
 //! A start is proposed, committed, sent and confirmed, in this sequence; its resources count as used from the proposal
-//! on. A task is placed again only when the end of its previous run is confirmed: the worker has reported it, the
-//! worker's incarnation or lease has ended, or the worker has shown that the run can no longer start.
+//! on. A task is placed again only when the end of its previous run is proved: the worker has reported it, the worker's
+//! incarnation or lease has ended, or the worker has shown that the run can no longer start. What proves the end of an
+//! incarnation is defined in `proof`.
 
 mod candidate;
 mod directives;
@@ -10,6 +11,7 @@
 mod fleet;
 mod gang;
 mod lost;
+mod proof;
 mod report;
 mod schedule;
 mod waiting;
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -9,7 +9,7 @@
 use bronzespoke_model::resource;
 use bronzespoke_workload::{directive, eligibility};
 
-use super::{Dispatch, Event, Now, Output, lost::Loss};
+use super::{Dispatch, Event, Now, Output, proof::Proof};
 use crate::{
     progress,
     worker::{self, Phase, Stop},
@@ -40,18 +40,17 @@
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let is_other_incarnation = report.started_ms.is_some_and(|started_ms| {
-            record.incarnation.started_ms != 0 && started_ms != record.incarnation.started_ms
-        });
-        if is_other_incarnation {
-            self.end_incarnation(worker, Loss::Restarted);
+        if let Some(proof) = Proof::report(record, report) {
+            self.end_incarnation(worker, proof);
             return;
         }
         record.report_missed = false;
+        record.claimed_at = record.claimed_at.filter(|claimed_at| sent < *claimed_at);
         let first = record.last_report_at.is_none();
         record.last_report_at = Some(record.last_report_at.unwrap_or_default().max(now.steady));
         if first {
             self.dirty = true;
+            self.end_replaced(worker, report);
         }
         self.review_uncertain(now.steady, worker, report);
         self.handle_ends(state, now.steady, worker, report);
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -320,10 +320,19 @@
     }
 }
 
+/// Returns whether a worker has reported recently.
+pub(super) fn has_fresh_report(record: &worker::Worker, now: Duration) -> bool {
+    record
+        .last_report_at
+        .is_some_and(|reported| now < reported + MAX_REPORT_AGE)
+}
+
 /// Returns whether a worker may get new work.
 pub(super) fn is_usable(record: &worker::Worker, now: Duration) -> bool {
-    let is_fresh = record
-        .last_report_at
-        .is_some_and(|reported| now < reported + MAX_REPORT_AGE);
-    is_fresh && !record.draining && now >= record.suspect_until && record.sample.is_some()
+    let is_fresh = has_fresh_report(record, now);
+    is_fresh
+        && !record.draining
+        && record.claimed_at.is_none()
+        && now >= record.suspect_until
+        && record.sample.is_some()
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -9,6 +9,7 @@
     time::Duration,
 };
 
+use bronzespoke_control::cell;
 use bronzespoke_model::resource;
 use bronzespoke_workload::{directive, worker as announced};
 
@@ -27,14 +28,6 @@
 /// Bits of a fencing token below the term; a cell registers fewer incarnations of workers.
 const INCARNATION_BITS: u32 = 24;
 
-/// Returns the fencing token of the directives to one incarnation of a worker.
-///
-/// It grows with the term and with each incarnation: a worker that returns under its name refuses directives to its
-/// earlier incarnation as soon as it has received one of its own.
-pub const fn fencing_token(term: directive::Token, worker: u32) -> directive::Token {
-    (term << INCARNATION_BITS) | worker as u64
-}
-
 /// Phase of a run as far as the leader knows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Phase {
@@ -106,6 +99,8 @@
 pub struct Worker {
     /// Name and start time of the incarnation.
     pub incarnation: announced::Incarnation,
+    /// Part of the fencing token below the term; the index of the incarnation, or a higher one.
+    pub fence: cell::WorkerIndex,
     /// Description that the worker announced.
     pub announced: Arc<announced::Worker>,
     /// Whether it is draining.
@@ -134,6 +129,8 @@
     pub next_report_at: Duration,
     /// Whether the last request for a report was not answered.
     pub report_missed: bool,
+    /// Time of an unverified announcement by which another incarnation has its name or its address.
+    pub claimed_at: Option<Duration>,
     /// Earliest local time at which it leaves, if it is draining and has announced a time.
     pub departs_at: Option<Duration>,
     /// Time at which the last report arrived.
@@ -151,16 +148,16 @@
 impl Worker {
     /// Creates the record of a worker that has not reported yet.
     pub fn new(
-        incarnation: announced::Incarnation,
-        announced: Arc<announced::Worker>,
-        draining: bool,
+        index: cell::WorkerIndex,
+        registered: &cell::Registered,
         now: Duration,
         inherited_until: Duration,
     ) -> Self {
         Self {
-            incarnation,
-            announced,
-            draining,
+            incarnation: registered.incarnation.clone(),
+            fence: index,
+            announced: Arc::clone(&registered.worker),
+            draining: registered.draining,
             runs: BTreeMap::new(),
             used: resource::Amount::ZERO,
             orphans: orphan::Orphans::default(),
@@ -173,6 +170,7 @@
             report_requested_at: None,
             next_report_at: now,
             report_missed: false,
+            claimed_at: None,
             departs_at: None,
             last_report_at: None,
             failures: 0,
@@ -182,6 +180,23 @@
         }
     }
 
+    /// Returns the fencing token of the directives to this incarnation in a term.
+    ///
+    /// It grows with the term and with each incarnation: a worker that returns under its name refuses directives to its
+    /// earlier incarnation as soon as it has received one of its own.
+    pub const fn fencing_token(&self, term: directive::Token) -> directive::Token {
+        (term << INCARNATION_BITS) | self.fence as u64
+    }
+
+    /// Requests a report immediately, because an announcement claims the worker's name or address for another
+    /// incarnation. Until it arrives, no lease is renewed: another incarnation with this name would receive it.
+    pub fn verify_claim(&mut self, now: Duration) {
+        self.claimed_at = Some(now);
+        self.report_missed = true;
+        self.report_requested_at = None;
+        self.next_report_at = now;
+    }
+
     /// Returns the free resources.
     pub fn free(&self) -> resource::Amount {
         let used = add(self.used, self.orphans.used());
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -270,7 +270,12 @@
         name: String::from("w"),
         started_ms: 1,
     };
-    let mut record = Worker::new(incarnation, Arc::new(worker), false, at(0), at(0));
+    let registered = cell::Registered {
+        incarnation,
+        worker: Arc::new(worker),
+        draining: false,
+    };
+    let mut record = Worker::new(0, &registered, at(0), at(0));
     for (index, (cpu, end)) in runs.iter().enumerate() {
         let task = directive::Task {
             job: 1,
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -8,6 +8,7 @@
 use bronzespoke_standin::fleet::load;
 use bronzespoke_workload::{directive, job, settings};
 use bytes::Bytes;
+use yare::parameterized;
 
 const KEY: job::Key = 7;
 const TASK: directive::Task = directive::Task {
@@ -24,6 +25,9 @@
     }
 }
 
+/// Worker of a directive, the directive, and the time of its decision.
+type Sent = (cell::WorkerIndex, directive::Directive, Duration);
+
 /// A leader that commits each command at once and leaves the directives to the test.
 struct Leader {
     state: cell::State,
@@ -44,14 +48,83 @@
     }
 
     fn announce(&mut self, number: u16, started_ms: u64) {
+        self.announce_as(&format!("w-{number}"), number, started_ms);
+    }
+
+    /// Announces a worker with any name at the address of a worker.
+    fn announce_as(&mut self, name: &str, at: u16, started_ms: u64) {
         let room = resource::Amount::new(8_000, 8_000, 0);
-        let announcement = load::announcement(number, started_ms, room);
+        let mut announcement = load::announcement(at, started_ms, room);
+        announcement.incarnation.name = String::from(name);
         let steady = self.now.steady;
         if let Registration::Propose(command) = self.dispatch.announce(&self.state, steady, &announcement) {
             self.commit(&command);
         }
     }
 
+    /// Returns a leader with two workers, the index of the one that runs the only task, and that of the other one.
+    fn with_run() -> (Self, cell::WorkerIndex, cell::WorkerIndex) {
+        let mut leader = Self::new();
+        for number in 0..2 {
+            leader.announce(number, 5);
+        }
+        for request in leader.run(30) {
+            leader.report(&request, 5, Vec::new());
+        }
+        leader.submit();
+        let sent = leader.run(30);
+        let start = sent.iter().find(|(_, directive, _)| is_start(directive));
+        let (placed, start, decided) = start.expect("the task is started").clone();
+        let done = directive::Answer::Done {
+            clock: leader.now.steady,
+        };
+        leader
+            .dispatch
+            .answered(&leader.state, leader.now, placed, &start, decided, Some(&done));
+        for request in sent.iter().filter(|(_, directive, _)| !is_start(directive)) {
+            leader.report_running(request, placed);
+        }
+        (leader, placed, 1 - placed)
+    }
+
+    /// Answers a request for a report as the worker at the address of `worker` with start time 5. The one at the address
+    /// of `placed` runs the task.
+    fn report_running(&mut self, request: &Sent, placed: cell::WorkerIndex) {
+        let (worker, directive, decided) = request;
+        let Some(record) = self.dispatch.workers().get(worker) else {
+            return;
+        };
+        let names = [0, 1].map(|number| format!("w-{number}"));
+        let address = record.announced.address;
+        let answering = usize::from(address.port() - 1_000);
+        let answer = if record.incarnation.name == names[answering] {
+            let running = directive::Running {
+                task: TASK,
+                run: 1,
+                checkpoint: None,
+                percent: 1,
+                load: None,
+            };
+            directive::Answer::Report(directive::Report {
+                clock: self.now.steady,
+                started_ms: Some(5),
+                running: if answering == placed as usize {
+                    vec![running]
+                } else {
+                    Vec::new()
+                },
+                ended: Vec::new(),
+            })
+        } else {
+            directive::Answer::Refused {
+                reason: directive::Refusal::OtherIncarnation,
+                clock: None,
+            }
+        };
+        self.dispatch
+            .answered(&self.state, self.now, *worker, directive, *decided, Some(&answer));
+    }
+
     fn submit(&mut self) {
         let step = job::Step {
             tasks: 1,
@@ -77,7 +150,7 @@
     }
 
     /// Advances the time and returns the directives that are sent.
-    fn run(&mut self, millis: u64) -> Vec<(cell::WorkerIndex, directive::Directive, Duration)> {
+    fn run(&mut self, millis: u64) -> Vec<Sent> {
         let mut directives = Vec::new();
         for _ in 0..millis {
             self.now = at(self.now.steady.as_millis() as u64 + 1);
@@ -98,12 +171,7 @@
     }
 
     /// Answers a request for a report.
-    fn report(
-        &mut self,
-        request: &(cell::WorkerIndex, directive::Directive, Duration),
-        started_ms: u64,
-        ended: Vec<directive::Ended>,
-    ) {
+    fn report(&mut self, request: &Sent, started_ms: u64, ended: Vec<directive::Ended>) {
         let answer = directive::Answer::Report(directive::Report {
             clock: self.now.steady,
             started_ms: Some(started_ms),
@@ -153,7 +221,7 @@
     );
     let request = sent.iter().find(|(_, directive, _)| !is_start(directive));
     leader.report(request.expect("a report is requested"), 5, vec![done(1)]);
-    let acknowledged = |directives: &[(u32, directive::Directive, Duration)]| {
+    let acknowledged = |directives: &[Sent]| {
         directives.iter().find_map(|(_, directive, _)| match directive {
             directive::Directive::Renew { acknowledged, .. } => Some(*acknowledged),
             _ => None,
@@ -226,3 +294,86 @@
     let started = later.iter().any(|(_, directive, _)| is_start(directive));
     assert!(started, "{later:?}");
 }
+
+/// Guards against a task that runs twice: an announcement by another sender, at the address or under the name of a worker
+/// at work, was taken for proof that the worker's runs had ended.
+#[parameterized(
+    address = { "log-shipper-1", 1_000 },
+    address_without_start_time = { "log-shipper-1", 0 },
+    name = { "placed", 1_000 },
+)]
+fn an_announcement_by_another_sender_ends_no_run(name: &str, started_ms: u64) {
+    let (mut leader, placed, _) = Leader::with_run();
+    let own_name = format!("w-{placed}");
+    let name = if name == "placed" { &own_name } else { name };
+    let mut sent = Vec::new();
+    // The other sender repeats its heartbeats.
+    for _ in 0..6 {
+        leader.announce_as(name, placed as u16, started_ms);
+        for _ in 0..30 {
+            let requests = leader.run(50);
+            for request in &requests {
+                leader.report_running(request, placed);
+            }
+            sent.extend(requests);
+        }
+    }
+    let started = sent.iter().any(|(_, directive, _)| is_start(directive));
+    assert!(!started, "the task runs elsewhere although its worker is at work");
+    let record = leader.dispatch.workers().get(&placed);
+    let record = record.expect("the worker is registered");
+    assert!(record.runs.contains_key(&TASK), "{record:?}");
+    // The lease has to be renewed in time, too.
+    let lease_left = record.lease_end.saturating_sub(leader.now.steady);
+    assert!(
+        lease_left > Duration::from_secs(3),
+        "the lease lasts {lease_left:?} more"
+    );
+    assert_eq!(
+        leader.dispatch.workers().len(),
+        2,
+        "{:?}",
+        leader.dispatch.workers()
+    );
+}
+
+/// Guards against a worker that refuses its directives as fenced: it has received the higher fencing token of an
+/// incarnation that a false announcement had claimed.
+#[test]
+fn a_false_claim_of_a_name_does_not_fence_its_worker() {
+    let (mut leader, placed, _) = Leader::with_run();
+    let token = |leader: &Leader, worker: cell::WorkerIndex| {
+        let record = leader.dispatch.workers().get(&worker);
+        record.expect("the worker is registered").fencing_token(1)
+    };
+    let own = token(&leader, placed);
+    leader.announce(placed as u16, 1_000);
+    let requests = leader.run(30);
+    let claimed = requests.iter().map(|(worker, ..)| *worker).max();
+    let claimed = token(&leader, claimed.expect("the claimed incarnation is asked"));
+    assert!(claimed > own, "{claimed} {own}");
+    for request in &requests {
+        leader.report_running(request, placed);
+    }
+    assert_eq!(token(&leader, placed), claimed);
+}
+
+/// Guards against a crashed worker whose tasks wait for its lease although another worker answers at its address or under
+/// its name.
+#[parameterized(
+    address = { "w-9" },
+    name = { "placed" },
+)]
+fn the_tasks_of_a_replaced_worker_move_with_the_first_answer(name: &str) {
+    let (mut leader, placed, _) = Leader::with_run();
+    let own_name = format!("w-{placed}");
+    let name = if name == "placed" { &own_name } else { name };
+    leader.announce_as(name, placed as u16, 1_000);
+    let requests = leader.run(30);
+    let asked = requests.iter().filter(|(worker, ..)| *worker == 2);
+    let request = asked.last().expect("the next incarnation is asked").clone();
+    leader.report(&request, 1_000, Vec::new());
+    let later = leader.run(50);
+    let started = later.iter().any(|(_, directive, _)| is_start(directive));
+    assert!(started, "{later:?}");
+}
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -165,6 +165,7 @@
 #[derive(Debug)]
 struct SentDirective {
     term: u64,
+    fence: directive::Token,
     worker: cell::WorkerIndex,
     directive: directive::Directive,
     decided: Duration,
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -5,7 +5,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::{
     dispatch::{self, Registration},
-    query_queue, worker,
+    query_queue,
 };
 use bronzespoke_workload::{directive, eligibility, worker as announced};
 use bytes::Bytes;
@@ -93,9 +93,14 @@
         let Some(registered) = self.state.workers().get(&worker) else {
             return;
         };
+        let record = self.dispatch.as_ref().map(dispatch::Dispatch::workers);
+        let Some(record) = record.and_then(|workers| workers.get(&worker)) else {
+            return;
+        };
         let target = usize::from(registered.worker.address.port() - 1_000);
         let sent = SentDirective {
             term: self.term,
+            fence: record.fencing_token(self.term),
             worker,
             directive,
             decided,
@@ -155,7 +160,7 @@
             return;
         };
         let (target, directive) = (sent.target, sent.directive.clone());
-        let fence = worker::fencing_token(sent.term, sent.worker);
+        let fence = sent.fence;
         let name = sent.name.clone();
         let Some(worker) = &mut self.hosts[target].worker else {
             return;
--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -159,6 +159,12 @@
             .max_by_key(|queue| queue.prefix.len())
     }
 
+    /// Returns whether a pool is defined or a queue uses it.
+    pub fn has_pool(&self, name: &str) -> bool {
+        let defined = self.pools.iter().any(|pool| pool.name == name);
+        defined || self.queues.iter().any(|queue| queue.pool == name)
+    }
+
     /// Returns the queue with a name.
     pub fn queue(&self, name: &str) -> Option<&Queue> {
         self.queues.iter().find(|queue| queue.name == name)
