--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -92,6 +92,8 @@
             registered.draining |= draining;
             return Outcome::Done;
         }
+        let mut known = self.workers.values();
+        let succeeds = known.any(|registered| registered.incarnation.name == incarnation.name);
         let index = self.next_worker;
         self.next_worker += 1;
         let worker = Arc::new(worker);
@@ -101,6 +103,7 @@
                 incarnation,
                 worker,
                 draining,
+                succeeds,
             },
         );
         Outcome::Done
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -47,6 +47,9 @@
     pub worker: Arc<worker::Worker>,
     /// Whether the worker accepts no new tasks because it is leaving.
     pub draining: bool,
+    /// Whether an earlier incarnation with the same name was still registered. Directives to that one may have reached
+    /// this one.
+    pub succeeds: bool,
 }
 
 /// An accepted job.
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -209,7 +209,7 @@
         if let Some(directive::Answer::Refused { reason, .. }) = answer
             && let Some(proof) = Proof::refusal(*reason)
         {
-            self.end_incarnation(worker, proof);
+            self.end_incarnation(worker, proof, now.steady);
             return;
         }
         if let Some(directive::Answer::Refused {
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -29,9 +29,17 @@
 impl Dispatch {
     /// Creates the records of workers and runs from the replicated state.
     pub(super) fn inherit(&mut self, state: &cell::State, now: Now) {
-        let lease = self.config.lease().max(super::LEASE);
-        let until = now.steady + lease.div_f64(1.0 - worker::CLOCK_DRIFT) + INHERITED_MARGIN;
+        let until = |lease: Duration| {
+            let lease = lease.max(super::LEASE);
+            now.steady + lease.div_f64(1.0 - worker::CLOCK_DRIFT) + INHERITED_MARGIN
+        };
         for (index, registered) in state.workers() {
+            // A lease in a directive to an earlier incarnation ends at a time on another clock.
+            let until = if registered.succeeds {
+                until(self.config.bounds.longest_lease)
+            } else {
+                until(self.config.lease())
+            };
             let record = worker::Worker::new(*index, registered, now.steady, until);
             self.workers.insert(*index, record);
             self.rooms.touch(*index);
@@ -160,9 +168,9 @@
     }
 
     /// Handles the notice of a worker that it leaves now.
-    pub fn leave(&mut self, state: &cell::State, name: &str) {
+    pub fn leave(&mut self, state: &cell::State, now: Duration, name: &str) {
         if let Some((index, _)) = state.worker_named(name) {
-            self.end_incarnation(index, Proof::departure());
+            self.end_incarnation(index, Proof::departure(), now);
         }
     }
 
@@ -182,7 +190,7 @@
         };
         let index = *index;
         self.directory.insert(index, registered);
-        if self.ended.contains(&index) {
+        if self.ended.contains_key(&index) {
             return;
         }
         self.rooms.touch(index);
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -1,6 +1,6 @@
 //! Incarnations of workers that have ended, and the outcome of their runs.
 
-use std::{collections::BTreeSet, time::Duration};
+use std::time::Duration;
 
 use bronzespoke_control::cell;
 use bronzespoke_workload::directive;
@@ -9,6 +9,9 @@
 use super::{Dispatch, Event, Output, TimerGroup, proof::Proof};
 use crate::{orphan, worker};
 
+/// Pause before the removal of an ended incarnation is proposed again.
+const RETIRE_RETRY: Duration = Duration::from_secs(2);
+
 /// A run of a lost worker whose start directive was not acknowledged. The directive may be carried out late, by the
 /// next incarnation with the same name before that one has received its own fencing token; until then the task must
 /// not run elsewhere.
@@ -27,14 +30,21 @@
 
 impl Dispatch {
     /// Handles the end of an incarnation: its runs are lost, and it is removed.
-    pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, proof: Proof) {
+    ///
+    /// It stays registered while directives to it may still be carried out, so that the next incarnation with its name
+    /// is known to succeed it, by this leader and later ones.
+    pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, proof: Proof, now: Duration) {
         self.lose_runs(index, proof);
         self.slowness.remove_worker(index);
         self.rooms.touch(index);
         if let Some(record) = self.workers.remove(&index) {
             self.raise_fences(&record);
-            self.ended.insert(index);
-            self.retire(index);
+            let keep = if proof.leaves_directives() {
+                orphan::MAX_DELAY
+            } else {
+                Duration::ZERO
+            };
+            self.ended.insert(index, now + keep);
         }
         self.dirty = true;
     }
@@ -57,7 +67,12 @@
     }
 
     /// Ends the incarnations that a worker has replaced, as its first report proves.
-    pub(super) fn end_replaced(&mut self, worker: cell::WorkerIndex, report: &directive::Report) {
+    pub(super) fn end_replaced(
+        &mut self,
+        worker: cell::WorkerIndex,
+        report: &directive::Report,
+        now: Duration,
+    ) {
         let Some(record) = self.workers.get(&worker) else {
             return;
         };
@@ -72,16 +87,20 @@
             }
         }
         for (index, proof) in replaced {
-            self.end_incarnation(index, proof);
+            self.end_incarnation(index, proof, now);
         }
     }
 
-    /// Proposes the removal of an ended incarnation, unless the outcome of one of its runs is unknown.
-    fn retire(&mut self, index: cell::WorkerIndex) {
-        let has_uncertain_run = self.uncertain.iter().any(|run| run.worker == index);
-        if self.ended.contains(&index) && !has_uncertain_run {
-            let command = cell::Command::Retire { worker: index };
-            self.outputs.push(Output::Propose(command));
+    /// Proposes the removal of the ended incarnations that need not be registered any longer, unless the outcome of one
+    /// of their runs is unknown. A proposal without outcome is repeated.
+    pub(super) fn retire_ended(&mut self, now: Duration) {
+        for (index, due) in &mut self.ended {
+            let has_uncertain_run = self.uncertain.iter().any(|run| run.worker == *index);
+            if now >= *due && !has_uncertain_run {
+                *due = now + RETIRE_RETRY;
+                let command = cell::Command::Retire { worker: *index };
+                self.outputs.push(Output::Propose(command));
+            }
         }
     }
 
@@ -122,10 +141,6 @@
             let lost = vec![(run.task, run.run, run.checkpoint.clone())];
             self.propose_lost(run.worker, lost);
         }
-        let workers: BTreeSet<cell::WorkerIndex> = expired.iter().map(|run| run.worker).collect();
-        for worker in workers {
-            self.retire(worker);
-        }
     }
 
     /// Handles the loss of all runs of a worker.
@@ -227,7 +242,7 @@
             .filter_map(|(index, record)| Some((*index, Proof::silence(record, now)?)))
             .collect();
         for (index, proof) in silent {
-            self.end_incarnation(index, proof);
+            self.end_incarnation(index, proof, now);
         }
     }
 }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -138,8 +138,8 @@
     unacknowledged: orphan::Unacknowledged,
     /// Runs of lost workers whose start directive may still be carried out by the next incarnation.
     uncertain: Vec<lost::Uncertain>,
-    /// Incarnations that have ended and whose removal is not committed.
-    ended: HashSet<cell::WorkerIndex>,
+    /// Incarnations that have ended and whose removal is not committed, with the time at which it is proposed.
+    ended: BTreeMap<cell::WorkerIndex, Duration>,
     /// Configuration with the upper limits of the teams.
     limits: Option<Arc<catalog::Catalog>>,
     queries: query_queue::Queue,
@@ -174,7 +174,7 @@
             slowness: slowness::Slowness::default(),
             unacknowledged: orphan::Unacknowledged::default(),
             uncertain: Vec::new(),
-            ended: HashSet::new(),
+            ended: BTreeMap::new(),
             limits: state.catalog().cloned(),
             queries: query_queue::Queue::new(config.token),
             reservations: reserve::Reservations::default(),
@@ -246,6 +246,7 @@
             let group = self.next_timer_group();
             self.expire_leases(now.steady, group);
             self.expire_uncertain(now.steady);
+            self.retire_ended(now.steady);
             let is_late = now.steady >= self.pass_at + WAITING_INTERVAL;
             self.dirty |= is_late && !self.waiting.is_empty();
             self.renew_leases(now.steady, group);
--- a/crates/dispatch/src/dispatch/proof.rs
+++ b/crates/dispatch/src/dispatch/proof.rs
@@ -77,6 +77,11 @@
         (is_idle && is_silent).then_some(Evidence::Silent.into())
     }
 
+    /// Returns whether directives to the incarnation may still be carried out by the next one with its name.
+    pub(super) fn leaves_directives(self) -> bool {
+        self.evidence != Evidence::Silent
+    }
+
     /// Returns whether only the lease is known to have ended; the incarnation may still be active.
     pub(super) fn is_lease(self) -> bool {
         self.evidence == Evidence::Lease
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -41,7 +41,7 @@
             return;
         };
         if let Some(proof) = Proof::report(record, report) {
-            self.end_incarnation(worker, proof);
+            self.end_incarnation(worker, proof, now.steady);
             return;
         }
         record.report_missed = false;
@@ -49,8 +49,9 @@
         let first = record.last_report_at.is_none();
         record.last_report_at = Some(record.last_report_at.unwrap_or_default().max(now.steady));
         if first {
+            record.first_report(report.clock, self.config.bounds.longest_lease);
             self.dirty = true;
-            self.end_replaced(worker, report);
+            self.end_replaced(worker, report, now.steady);
         }
         self.review_uncertain(now.steady, worker, report);
         self.handle_ends(state, now.steady, worker, report);
--- a/crates/dispatch/src/orphan.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -13,8 +13,8 @@
 use bronzespoke_model::resource;
 use bronzespoke_workload::directive;
 
-/// Maximum delay after which an unacknowledged directive may still be carried out; the platform states 12 s.
-const MAX_DELAY: Duration = Duration::from_secs(13);
+/// Maximum delay after which a directive without an answer may still be carried out; the platform states 12 s.
+pub(crate) const MAX_DELAY: Duration = Duration::from_secs(13);
 /// Pause before stops are sent again.
 const STOP_RETRY: Duration = Duration::from_millis(500);
 /// How long a reported run counts as active; the next report arrives sooner.
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -113,9 +113,11 @@
     pub orphans: orphan::Orphans,
     /// Newest sample of its clock.
     pub sample: Option<Sample>,
-    /// Latest end of a lease in any directive, on its clock.
+    /// Whether directives to an earlier incarnation with its name may have reached it.
+    pub succeeds: bool,
+    /// Latest end of the lease that any directive may have given to it, on its clock.
     pub lease_end: Duration,
-    /// Local time after which no lease of an earlier leader can be valid.
+    /// Local time after which no lease that an earlier leader granted can be valid.
     pub inherited_until: Duration,
     /// Highest number of an end that it has reported.
     pub reported_end: u64,
@@ -162,6 +164,7 @@
             used: resource::Amount::ZERO,
             orphans: orphan::Orphans::default(),
             sample: None,
+            succeeds: registered.succeeds,
             lease_end: Duration::ZERO,
             inherited_until,
             reported_end: 0,
@@ -219,6 +222,17 @@
         clock + CLOCK_TOLERANCE < then
     }
 
+    /// Handles the first report in a term, which shows that the worker has received a fencing token of this term and of
+    /// its own incarnation.
+    ///
+    /// Until then, it may have carried out directives to an earlier incarnation with its name. The lease in them ends at
+    /// a time on another clock, and is only bounded by `longest_lease`.
+    pub fn first_report(&mut self, clock: Duration, longest_lease: Duration) {
+        if self.succeeds {
+            self.lease_end = self.lease_end.max(clock + longest_lease);
+        }
+    }
+
     /// Returns whether every lease that any leader granted has expired.
     pub fn leases_expired(&self, now: Duration) -> bool {
         now >= self.inherited_until && self.clock(now).is_none_or(|clock| clock > self.lease_end)
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -274,6 +274,7 @@
         incarnation,
         worker: Arc::new(worker),
         draining: false,
+        succeeds: false,
     };
     let mut record = Worker::new(0, &registered, at(0), at(0));
     for (index, (cpu, end)) in runs.iter().enumerate() {
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -170,6 +170,15 @@
         directives
     }
 
+    /// Returns the time until which the task stays placed while nothing answers, at most 20 s from now.
+    fn placed_until(&mut self) -> Duration {
+        let limit = self.now.steady + Duration::from_secs(20);
+        while self.now.steady < limit && self.state.task(TASK).is_some_and(|task| task.placed.is_some()) {
+            self.run(1);
+        }
+        self.now.steady
+    }
+
     /// Answers a request for a report.
     fn report(&mut self, request: &Sent, started_ms: u64, ended: Vec<directive::Ended>) {
         let answer = directive::Answer::Report(directive::Report {
@@ -377,3 +386,67 @@
     let started = later.iter().any(|(_, directive, _)| is_start(directive));
     assert!(started, "{later:?}");
 }
+
+/// Guards against tasks that run twice: the lease of a worker was counted from the directives to its own incarnation, and
+/// directives to the earlier one with its name, with a time on another clock, had given it the longest one.
+#[test]
+fn the_lease_of_a_next_incarnation_counts_directives_to_the_earlier_one() {
+    let mut leader = Leader::new();
+    leader.announce(0, 5);
+    for request in leader.run(30) {
+        leader.report(&request, 5, Vec::new());
+    }
+    leader.announce(0, 9);
+    let request = leader.run(30).pop().expect("the next incarnation is asked");
+    leader.report(&request, 9, Vec::new());
+    let reported_at = leader.now.steady;
+    leader.submit();
+    let sent = leader.run(30);
+    let start = sent.iter().find(|(_, directive, _)| is_start(directive));
+    let (worker, start, decided) = start.expect("the task is started").clone();
+    let done = directive::Answer::Done {
+        clock: leader.now.steady,
+    };
+    leader
+        .dispatch
+        .answered(&leader.state, leader.now, worker, &start, decided, Some(&done));
+    let placed_until = leader.placed_until();
+    let longest = settings::Bounds::default().longest_lease;
+    assert!(placed_until >= reported_at + longest, "{placed_until:?}");
+    assert!(
+        placed_until < reported_at + longest.mul_f64(1.05),
+        "{placed_until:?}"
+    );
+}
+
+/// Guards against tasks that run twice after a change of leader: the new leader does not know which directives to an
+/// earlier incarnation have reached its successor. Others must not wait longer for it.
+#[parameterized(
+    next_incarnation = { true, 10_000 },
+    first_incarnation = { false, 6_000 },
+)]
+fn a_new_leader_counts_the_longest_lease_of_a_next_incarnation(is_next: bool, lease_ms: u64) {
+    let mut leader = Leader::new();
+    let mut started_ms = 5;
+    leader.announce(0, started_ms);
+    if is_next {
+        for request in leader.run(30) {
+            leader.report(&request, started_ms, Vec::new());
+        }
+        started_ms = 9;
+        leader.announce(0, started_ms);
+    }
+    let request = leader.run(30).pop().expect("the worker is asked");
+    leader.report(&request, started_ms, Vec::new());
+    leader.submit();
+    leader.run(30);
+    leader.elect(2);
+    let elected_at = leader.now.steady;
+    let placed_until = leader.placed_until();
+    let lease = Duration::from_millis(lease_ms);
+    assert!(placed_until >= elected_at + lease, "{placed_until:?}");
+    assert!(
+        placed_until < elected_at + lease.mul_f64(1.05) + Duration::from_millis(500),
+        "{placed_until:?}"
+    );
+}
