--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -7,7 +7,7 @@
 
 use super::{
     command::{Command, End, Outcome, Start},
-    state::{Job, Registered, State},
+    state::{Job, Occurrence, Registered, State},
 };
 
 impl State {
@@ -118,6 +118,12 @@
             return false;
         }
         let first = job.phase == job::Phase::Queued;
+        if task.occurrence >= job.begun {
+            if !job.may_begin(task.occurrence) {
+                return false;
+            }
+            job.begin(task.occurrence);
+        }
         let Some(step) = step_mut(job, task) else {
             return false;
         };
@@ -209,6 +215,19 @@
             job.placed -= 1;
         }
         self.update_phase(task.job, failed, at_ms);
+        self.drop_completed(task);
+    }
+
+    /// Drops the progress of a task's occurrence if it is completed and others are still to come. The last one is
+    /// retained with the job.
+    fn drop_completed(&mut self, task: directive::Task) {
+        let Some(job) = self.jobs.get_mut(&task.job) else {
+            return;
+        };
+        let occurrence = job.open.get(&task.occurrence);
+        if !job.is_final() && occurrence.is_some_and(Occurrence::is_completed) {
+            job.open.remove(&task.occurrence);
+        }
     }
 
     /// Moves a job to its final phase when all steps are done or a task has no attempts left, and removes it from the
@@ -269,7 +288,7 @@
 }
 
 fn step_mut(job: &mut Job, task: directive::Task) -> Option<&mut super::state::Step> {
-    let occurrence = job.occurrences.get_mut(task.occurrence as usize)?;
+    let occurrence = job.open.get_mut(&task.occurrence)?;
     occurrence.steps.get_mut(usize::from(task.step))
 }
 
@@ -311,7 +330,7 @@
 }
 
 fn has_failed(job: &Job, attempts: u32) -> bool {
-    let steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
+    let steps = job.open.values().flat_map(|occurrence| &occurrence.steps);
     let mut counts = steps.flat_map(|step| {
         let tasks = step.tasks.iter().map(|task| task.failures);
         tasks.chain([step.failures])
@@ -320,6 +339,5 @@
 }
 
 fn is_done(job: &Job) -> bool {
-    let mut steps = job.occurrences.iter().flat_map(|occurrence| &occurrence.steps);
-    steps.all(|step| step.remaining == 0)
+    job.begun == job.submission.occurrences() && job.open.values().all(Occurrence::is_done)
 }
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -1,6 +1,7 @@
 //! Tables of the cell state, reads and snapshots.
 
 use std::{
+    borrow::Cow,
     collections::{BTreeMap, BTreeSet},
     net::SocketAddr,
     sync::Arc,
@@ -13,6 +14,9 @@
 
 use crate::{envelope, error};
 
+/// Maximum number of occurrences of a job that begin with one start.
+const MAX_BEGUN_TOGETHER: u32 = 256;
+
 /// Index of an incarnation of a worker. Assigned consecutively and never reused.
 pub type WorkerIndex = u32;
 
@@ -69,8 +73,11 @@
     pub finished_ms: u64,
     /// Phase that is reported to callers.
     pub phase: job::Phase,
-    /// Progress of each occurrence of the schedule.
-    pub occurrences: Vec<Occurrence>,
+    /// Number of occurrences that have begun; those with this index and higher ones have no progress. A job without a
+    /// schedule has one occurrence, which begins with the submission; others begin with their first start.
+    pub begun: u32,
+    /// Progress of the occurrences that have begun, except those that were completed before the job ended.
+    pub open: BTreeMap<u32, Occurrence>,
     /// Runs that are placed and have not ended.
     pub placed: u32,
 }
@@ -188,7 +195,7 @@
 
     /// Returns the progress of a step.
     pub fn step(&self, job: job::Key, occurrence: u32, step: u16) -> Option<&Step> {
-        let occurrence = self.jobs.get(&job)?.occurrences.get(occurrence as usize)?;
+        let occurrence = self.jobs.get(&job)?.open.get(&occurrence)?;
         occurrence.steps.get(usize::from(step))
     }
 
@@ -214,11 +221,48 @@
 
     /// Returns whether all steps that a step depends on are done.
     pub fn is_ready(&self, occurrence: u32, step: u16) -> bool {
-        let steps = &self.occurrences[occurrence as usize].steps;
         let after = &self.submission.steps[usize::from(step)].after;
-        after
-            .iter()
-            .all(|other| steps[usize::from(*other)].remaining == 0)
+        match self.open.get(&occurrence) {
+            Some(progress) => {
+                let mut before = after.iter().map(|other| &progress.steps[usize::from(*other)]);
+                before.all(|step| step.remaining == 0)
+            }
+            None => after.is_empty(),
+        }
+    }
+
+    /// Returns the progress of a step; `None` if its occurrence is completed or does not exist.
+    pub fn progress(&self, occurrence: u32, step: u16) -> Option<Cow<'_, Step>> {
+        let step = usize::from(step);
+        if occurrence < self.begun {
+            return self.open.get(&occurrence)?.steps.get(step).map(Cow::Borrowed);
+        }
+        let spec = self.submission.steps.get(step)?;
+        (occurrence < self.submission.occurrences()).then(|| Cow::Owned(Step::new(spec)))
+    }
+
+    /// Returns whether an occurrence can begin.
+    ///
+    /// Occurrences begin in the order of their due times, and the progress of all that are open takes no more room than
+    /// that of the largest job without a schedule.
+    pub fn may_begin(&self, occurrence: u32) -> bool {
+        let Some(earlier) = occurrence.checked_sub(self.begun) else {
+            return false;
+        };
+        if occurrence >= self.submission.occurrences() || earlier >= MAX_BEGUN_TOGETHER {
+            return false;
+        }
+        let open = self.open.len() as u64 + u64::from(earlier) + 1;
+        open == 1 || open * u64::from(self.submission.tasks()) <= u64::from(job::MAX_TASKS)
+    }
+
+    /// Begins an occurrence, and the earlier ones that have not begun.
+    pub(super) fn begin(&mut self, occurrence: u32) {
+        for begun in self.begun..=occurrence {
+            let occurrence = Occurrence::new(&self.submission);
+            self.open.insert(begun, occurrence);
+        }
+        self.begun = self.begun.max(occurrence + 1);
     }
 
     /// Returns a job that was accepted at `at_ms` and of which no task has started.
@@ -229,10 +273,8 @@
         submission: Arc<job::Submission>,
         at_ms: u64,
     ) -> Self {
-        let steps = submission.steps.iter().map(Step::new).collect();
-        let occurrence = Occurrence { steps };
-        let occurrences = vec![occurrence; submission.occurrences() as usize];
-        Self {
+        let is_immediate = submission.schedule.is_none();
+        let mut job = Self {
             key,
             queue,
             team,
@@ -240,10 +282,33 @@
             submitted_ms: at_ms,
             finished_ms: 0,
             phase: job::Phase::Queued,
-            occurrences,
+            begun: 0,
+            open: BTreeMap::new(),
             placed: 0,
+        };
+        if is_immediate {
+            job.begin(0);
+        }
+        job
+    }
+}
+
+impl Occurrence {
+    fn new(submission: &job::Submission) -> Self {
+        Self {
+            steps: submission.steps.iter().map(Step::new).collect(),
         }
     }
+
+    /// Returns whether all tasks are done.
+    pub(super) fn is_done(&self) -> bool {
+        self.steps.iter().all(|step| step.remaining == 0)
+    }
+
+    /// Returns whether all tasks are done and no run is left.
+    pub(super) fn is_completed(&self) -> bool {
+        self.is_done() && self.steps.iter().all(|step| step.placed == 0)
+    }
 }
 
 impl Step {
--- a/crates/control/src/cell/verify.rs
+++ b/crates/control/src/cell/verify.rs
@@ -33,7 +33,16 @@
 
 fn verify_job(job: &Job) -> Result<(), String> {
     let mut placed = 0;
-    for step in job.occurrences.iter().flat_map(|occurrence| &occurrence.steps) {
+    let last = job.open.keys().next_back();
+    if last.is_some_and(|last| *last >= job.begun) || job.begun > job.submission.occurrences() {
+        return Err(format!(
+            "job {:016x}: {} of {} occurrences have begun, and {last:?} is open",
+            job.key,
+            job.begun,
+            job.submission.occurrences()
+        ));
+    }
+    for step in job.open.values().flat_map(|occurrence| &occurrence.steps) {
         let remaining = step.tasks.iter().filter(|task| !task.done).count() as u32;
         let step_placed = step.tasks.iter().filter(|task| task.placed.is_some()).count() as u32;
         if (remaining, step_placed) != (step.remaining, step.placed) {
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -37,6 +37,20 @@
 }
 
 fn submit(key: job::Key, steps: Vec<job::Step>) -> Command {
+    submit_scheduled(key, steps, None)
+}
+
+/// Returns the submission of a job that is repeated every five minutes.
+fn submit_repeated(key: job::Key, steps: Vec<job::Step>, times: u32) -> Command {
+    let schedule = job::Schedule {
+        first: std::time::Duration::from_secs(1),
+        interval: std::time::Duration::from_mins(5),
+        times,
+    };
+    submit_scheduled(key, steps, Some(schedule))
+}
+
+fn submit_scheduled(key: job::Key, steps: Vec<job::Step>, schedule: Option<job::Schedule>) -> Command {
     Command::Submit {
         key,
         queue: Box::new(queue(2)),
@@ -44,15 +58,19 @@
         submission: Box::new(job::Submission {
             spec: Bytes::new(),
             steps,
-            schedule: None,
+            schedule,
         }),
     }
 }
 
 const fn task(step: u16, index: u32) -> directive::Task {
+    task_of(0, step, index)
+}
+
+const fn task_of(occurrence: u32, step: u16, index: u32) -> directive::Task {
     directive::Task {
         job: KEY,
-        occurrence: 0,
+        occurrence,
         step,
         index,
     }
@@ -284,3 +302,68 @@
     state.apply(4, end(task(0, 0), 1, 9, directive::Outcome::Lost));
     state.verify().expect("the counters are consistent");
 }
+
+/// Guards against replicas that run out of memory: a job that was repeated every five minutes for a year took 36 MB on
+/// each of them, in the log's replay as well as at the submission.
+#[test]
+fn a_schedule_takes_the_room_of_its_open_occurrences() {
+    let size = |times: u32| {
+        let mut state = State::default();
+        state.apply(1, submit_repeated(KEY, vec![step(4, false, &[])], times));
+        state.encode().len()
+    };
+    // The number of times itself takes a few bytes more.
+    assert!(size(u32::MAX) <= size(1) + 4, "{} {}", size(u32::MAX), size(1));
+
+    let mut state = State::default();
+    state.apply(1, submit_repeated(KEY, vec![step(1, false, &[])], 105_120));
+    let mut largest = 0;
+    for occurrence in 0..1_000 {
+        let task = task_of(occurrence, 0, 0);
+        let started = state.apply(2, start(task, 1, 9));
+        assert_eq!(started, Outcome::Started(vec![true]), "{occurrence}");
+        largest = largest.max(state.encode().len());
+        state.apply(3, end(task, 1, 9, directive::Outcome::Done));
+        state.verify().expect("the counters are consistent");
+    }
+    let job = state.job(KEY).expect("the job exists");
+    assert!(job.open.is_empty(), "{job:?}");
+    assert!(largest < 400, "{largest} bytes");
+}
+
+/// Guards against a repeated job that never ends, ends early, or runs an occurrence again: occurrences may be completed in
+/// any order, and their progress is dropped then.
+#[test]
+fn a_repeated_job_is_completed_after_all_its_occurrences() {
+    let mut state = State::default();
+    state.apply(1, submit_repeated(KEY, vec![step(1, false, &[])], 3));
+    // The start of the last occurrence begins the earlier ones.
+    for occurrence in [2, 0, 1] {
+        assert_ne!(phase(&state), job::Phase::Completed);
+        let task = task_of(occurrence, 0, 0);
+        state.apply(2, start(task, 1, 9));
+        state.apply(3, end(task, 1, 9, directive::Outcome::Done));
+        state.verify().expect("the counters are consistent");
+        let again = state.apply(4, start(task, 2, 9));
+        assert_eq!(again, Outcome::Started(vec![false]), "{occurrence}");
+    }
+    assert_eq!(phase(&state), job::Phase::Completed);
+    let beyond = state.apply(5, start(task_of(3, 0, 0), 1, 9));
+    assert_eq!(beyond, Outcome::Started(vec![false]));
+}
+
+/// Guards against occurrences that pile up: all that have begun together take no more room than the largest job without
+/// a schedule, and one start begins a limited number.
+#[test]
+fn the_open_occurrences_of_a_job_are_limited() {
+    let begin = |tasks: u32, occurrence: u32| {
+        let mut state = State::default();
+        state.apply(1, submit_repeated(KEY, vec![step(tasks, false, &[])], u32::MAX));
+        let started = state.apply(2, start(task_of(occurrence, 0, 0), 1, 9));
+        started == Outcome::Started(vec![true])
+    };
+    assert!(begin(job::MAX_TASKS, 0));
+    assert!(!begin(job::MAX_TASKS, 1));
+    assert!(begin(1, 255));
+    assert!(!begin(1, 256));
+}
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -62,14 +62,14 @@
     }
 
     fn inherit_runs(&mut self, job: &cell::Job, now: Duration) {
-        for (occurrence, progress) in job.occurrences.iter().enumerate() {
+        for (occurrence, progress) in &job.open {
             for (step, entry) in progress.steps.iter().enumerate() {
                 let spec = &job.submission.steps[step];
                 for (index, task) in entry.tasks.iter().enumerate() {
                     let Some(worker) = task.placed else { continue };
                     let name = directive::Task {
                         job: job.key,
-                        occurrence: occurrence as u32,
+                        occurrence: *occurrence,
                         step: step as u16,
                         index: index as u32,
                     };
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -29,7 +29,9 @@
 pub use event::Event;
 pub use fleet::Registration;
 
-use crate::{directory, estimate, orphan, query_queue, reserve, room, slowness, usage, work, worker};
+use crate::{
+    calendar, directory, estimate, orphan, query_queue, reserve, room, slowness, usage, work, worker,
+};
 
 /// Lease of a worker without contact to the leader. It has to outlast the loss of a leader (an election of at most 1.6
 /// s and the first round of reports), and each additional second delays the work of a lost worker by as much.
@@ -144,6 +146,8 @@
     limits: Option<Arc<catalog::Catalog>>,
     queries: query_queue::Queue,
     reservations: reserve::Reservations,
+    /// Next occurrences of scheduled jobs.
+    calendar: calendar::Calendar,
     /// Steps with tasks to place.
     waiting: HashMap<eligibility::Step, waiting::Waiting>,
     /// Steps of submissions that are being committed, for which queries are already enqueued.
@@ -151,7 +155,7 @@
     /// Tasks whose start is proposed and not committed.
     proposed: HashSet<directive::Task>,
     /// Workers on which a task has failed.
-    failed_on: HashMap<directive::Task, Vec<cell::WorkerIndex>>,
+    failed_on: BTreeMap<directive::Task, Vec<cell::WorkerIndex>>,
     dirty: bool,
     pass_at: Duration,
     timers_at: Duration,
@@ -178,10 +182,11 @@
             limits: state.catalog().cloned(),
             queries: query_queue::Queue::new(config.token),
             reservations: reserve::Reservations::default(),
+            calendar: calendar::Calendar::default(),
             waiting: HashMap::new(),
             prefetched: Vec::new(),
             proposed: HashSet::new(),
-            failed_on: HashMap::new(),
+            failed_on: BTreeMap::new(),
             dirty: true,
             pass_at: now.steady,
             timers_at: now.steady,
@@ -247,6 +252,7 @@
             self.expire_leases(now.steady, group);
             self.expire_uncertain(now.steady);
             self.retire_ended(now.steady);
+            self.open_due(state, now.wall_ms);
             let is_late = now.steady >= self.pass_at + WAITING_INTERVAL;
             self.dirty |= is_late && !self.waiting.is_empty();
             self.renew_leases(now.steady, group);
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -377,7 +377,13 @@
             }
             let job = state.job(end.task.job);
             if job.is_none_or(cell::Job::is_final) {
-                self.failed_on.remove(&end.task);
+                self.forget_failures(end.task.job, 0..=u32::MAX);
+            }
+            if let Some(job) = job
+                && end.task.occurrence < job.begun
+                && !job.open.contains_key(&end.task.occurrence)
+            {
+                self.forget_occurrence(job, end.task.occurrence);
             }
             if job.is_some_and(|job| job.is_final() && job.placed > 0) {
                 self.stop_job(end.task.job, now.steady, state);
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -1,6 +1,7 @@
 //! Scheduling pass: places the tasks of the waiting steps in the order of their ranks.
 
 use std::{
+    borrow::Cow,
     collections::{BTreeMap, HashMap},
     time::Duration,
 };
@@ -37,7 +38,7 @@
     pub(super) job: &'a cell::Job,
     pub(super) queue: &'a catalog::Queue,
     pub(super) spec: &'a job::Step,
-    pub(super) progress: &'a cell::Step,
+    pub(super) progress: Cow<'a, cell::Step>,
     pub(super) size: resource::Amount,
     pub(super) tasks: Vec<u32>,
     pub(super) tier: u8,
@@ -115,7 +116,7 @@
     fn subject<'a>(&self, state: &'a cell::State, id: eligibility::Step, tier: u8) -> Option<Subject<'a>> {
         let job = state.job(id.job)?;
         let spec = job.submission.steps.get(usize::from(id.step))?;
-        let progress = state.step(id.job, id.occurrence, id.step)?;
+        let progress = job.progress(id.occurrence, id.step)?;
         let open = |(index, task): (usize, &cell::Task)| {
             let index = index as u32;
             let task_id = task_id(id, index);
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -1,13 +1,16 @@
 //! Steps with tasks to place.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use bronzespoke_control::cell;
-use bronzespoke_workload::{eligibility, job};
+use bronzespoke_workload::{directive, eligibility, job};
 
 use super::Dispatch;
 use crate::estimate;
 
+/// Maximum number of occurrences that are added to the waiting steps at once; further ones follow with the next check.
+const MAX_OPENED: usize = 256;
+
 /// A waiting step.
 #[derive(Debug, Clone)]
 pub(super) struct Waiting {
@@ -30,8 +33,11 @@
     /// Updates the waiting steps of a job.
     pub(super) fn refresh_job(&mut self, state: &cell::State, key: job::Key) {
         let Some(job) = state.job(key) else { return };
-        for (occurrence, progress) in job.occurrences.iter().enumerate() {
-            let occurrence = occurrence as u32;
+        if job.submission.schedule.is_some() {
+            self.refresh_schedule(job);
+        }
+        for (occurrence, progress) in &job.open {
+            let occurrence = *occurrence;
             for (step, entry) in progress.steps.iter().enumerate() {
                 let step = step as u16;
                 let id = eligibility::Step {
@@ -57,15 +63,96 @@
             }
         }
     }
+
+    /// Updates the position of a job in its schedule.
+    fn refresh_schedule(&mut self, job: &cell::Job) {
+        let next = self.calendar.next(job.key).max(job.begun);
+        if job.is_final() {
+            for occurrence in job.begun..next {
+                self.forget_occurrence(job, occurrence);
+            }
+            self.calendar.remove(job.key);
+        } else if !self.calendar.is_waiting(job.key) || next > self.calendar.next(job.key) {
+            let due_ms = job.may_begin(next).then(|| due_ms(job, next));
+            self.calendar.set(job.key, next, due_ms);
+        }
+    }
+
+    /// Adds the first steps of the occurrences that have become due to the waiting ones.
+    pub(super) fn open_due(&mut self, state: &cell::State, wall_ms: u64) {
+        for _ in 0..MAX_OPENED {
+            let Some(key) = self.calendar.first_due(wall_ms) else {
+                return;
+            };
+            let Some(job) = state.job(key).filter(|job| !job.is_final()) else {
+                self.calendar.remove(key);
+                continue;
+            };
+            let occurrence = self.calendar.next(key);
+            let next = occurrence.saturating_add(1);
+            let due_ms = job.may_begin(next).then(|| due_ms(job, next));
+            self.calendar.set(key, next, due_ms);
+            for step in 0..job.submission.steps.len() as u16 {
+                if job.is_ready(occurrence, step) {
+                    let id = eligibility::Step {
+                        job: key,
+                        occurrence,
+                        step,
+                    };
+                    self.waiting.insert(id, Waiting::new(job, occurrence));
+                }
+            }
+            self.dirty = true;
+        }
+    }
+
+    /// Removes what is known of the steps and tasks of an occurrence.
+    pub(super) fn forget_occurrence(&mut self, job: &cell::Job, occurrence: u32) {
+        for step in 0..job.submission.steps.len() as u16 {
+            let id = eligibility::Step {
+                job: job.key,
+                occurrence,
+                step,
+            };
+            self.waiting.remove(&id);
+            self.reservations.remove(id);
+            self.slowness.remove_step(id);
+            self.queries.remove(id);
+        }
+        self.forget_failures(job.key, occurrence..=occurrence);
+    }
+
+    /// Removes the workers on which tasks of some occurrences of a job have failed.
+    pub(super) fn forget_failures(&mut self, key: job::Key, occurrences: RangeInclusive<u32>) {
+        let task = |occurrence, step, index| directive::Task {
+            job: key,
+            occurrence,
+            step,
+            index,
+        };
+        let first = task(*occurrences.start(), 0, 0);
+        let last = task(*occurrences.end(), u16::MAX, u32::MAX);
+        let forgotten: Vec<directive::Task> = self
+            .failed_on
+            .range(first..=last)
+            .map(|(task, _)| *task)
+            .collect();
+        for task in forgotten {
+            self.failed_on.remove(&task);
+        }
+    }
+}
+
+/// Returns the time from which the objective of an occurrence counts, in milliseconds since the Unix epoch.
+fn due_ms(job: &cell::Job, occurrence: u32) -> u64 {
+    let schedule = job.submission.schedule;
+    schedule.map_or(job.submitted_ms, |schedule| schedule.due_ms(occurrence))
 }
 
 impl Waiting {
     fn new(job: &cell::Job, occurrence: u32) -> Self {
-        let begun_ms = job.submission.schedule.map_or(job.submitted_ms, |schedule| {
-            (schedule.first + schedule.interval * occurrence).as_millis() as u64
-        });
         Self {
-            begun_ms,
+            begun_ms: due_ms(job, occurrence),
             search_at: Duration::ZERO,
         }
     }
--- a/crates/dispatch/src/estimate.rs
+++ b/crates/dispatch/src/estimate.rs
@@ -14,6 +14,9 @@
 /// Variance that is added to that of the stated run times, so that equal stated times give a slope of 0.
 const RIDGE: f64 = 0.05;
 
+/// Longest expected run time. Stated times are not limited, and sums of several have to fit into a `Duration`.
+const MAX_EXPECTED: Duration = Duration::from_hours(24 * 365);
+
 #[derive(Debug, Clone, Copy, Default)]
 struct Fit {
     weight: f64,
@@ -50,6 +53,10 @@
 
     /// Returns the expected run time of a task with a stated one.
     pub fn expected(&self, queue: &str, stated: Duration) -> Duration {
+        self.fitted(queue, stated).min(MAX_EXPECTED)
+    }
+
+    fn fitted(&self, queue: &str, stated: Duration) -> Duration {
         let Some(fit) = self.queues.get(queue).filter(|fit| fit.weight >= MIN_WEIGHT) else {
             return stated;
         };
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -6,6 +6,7 @@
 //! when its term begins and drops it when the term ends.
 
 pub mod admission;
+pub mod calendar;
 pub mod directory;
 pub mod dispatch;
 pub mod estimate;
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -45,13 +45,16 @@
 /// path of the complete job.
 pub fn compute(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
     let queue = &job.queue;
-    let objective = chain.mul_f64(queue.stretch.max(1.0)) + queue.objective;
-    let objective_ms = objective.as_millis() as u64;
+    // The operator's numbers are not limited; the conversion to an integer saturates.
+    let stretched_ms = (chain.as_secs_f64() * 1_000.0 * queue.stretch.max(1.0)) as u64;
+    let constant_ms = u64::try_from(queue.objective.as_millis()).unwrap_or(u64::MAX);
+    let objective_ms = stretched_ms.saturating_add(constant_ms);
     let remaining_ms = remaining.as_millis() as u64;
-    let end_ms = wall_ms + remaining_ms;
-    let useful_ms = begun_ms + USEFUL_MULTIPLE * objective_ms;
-    let goal_ms = if end_ms <= begun_ms + objective_ms {
-        begun_ms + objective_ms
+    let end_ms = wall_ms.saturating_add(remaining_ms);
+    let useful_ms = begun_ms.saturating_add(objective_ms.saturating_mul(USEFUL_MULTIPLE));
+    let first_goal_ms = begun_ms.saturating_add(objective_ms);
+    let goal_ms = if end_ms <= first_goal_ms {
+        first_goal_ms
     } else {
         useful_ms
     };
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -195,7 +195,8 @@
         submitted_ms: 0,
         finished_ms: 0,
         phase: job::Phase::Queued,
-        occurrences: Vec::new(),
+        begun: 0,
+        open: BTreeMap::new(),
         placed: 0,
     }
 }
--- a/crates/workload/src/job.rs
+++ b/crates/workload/src/job.rs
@@ -131,6 +131,16 @@
     }
 }
 
+impl Schedule {
+    /// Returns the due time of an occurrence in milliseconds since the Unix epoch. One beyond the range of the clock is
+    /// never due.
+    pub fn due_ms(&self, occurrence: u32) -> u64 {
+        let after = self.interval.as_millis().saturating_mul(u128::from(occurrence));
+        let due = self.first.as_millis().saturating_add(after);
+        u64::try_from(due).unwrap_or(u64::MAX)
+    }
+}
+
 impl Submission {
     /// Checks the limits and dependencies.
     pub fn verify(&self) -> Result<(), Error> {
@@ -161,6 +171,12 @@
         self.schedule.map_or(1, |schedule| schedule.times)
     }
 
+    /// Returns the number of tasks of one occurrence.
+    pub fn tasks(&self) -> u32 {
+        let tasks = self.steps.iter().map(|step| step.tasks);
+        tasks.fold(0, u32::saturating_add)
+    }
+
     /// Returns the length of the critical path: the longest chain of run times over dependent steps, where `expected`
     /// maps a stated run time to the expected one.
     pub fn chain(&self, expected: impl Fn(Duration) -> Duration) -> Duration {
