--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -124,7 +124,7 @@
             }
             let mut running = report.running.iter();
             let is_there = running.any(|running| running.task == run.task && running.run == run.run);
-            run.until = if is_there {
+            run.until = if is_there || report.truncated {
                 now + orphan::MAX_REPORT_AGE
             } else {
                 now
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -204,6 +204,8 @@
                 continue;
             }
             let has_ended = match (run.phase, run.stop) {
+                // Its end may be among those that the report leaves out.
+                _ if report.truncated => false,
                 (Phase::Proposed, _) => false,
                 // The worker refuses directives of an earlier leader once it has received one of this leader.
                 (Phase::Inherited, _) => true,
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -114,6 +114,7 @@
                     Vec::new()
                 },
                 ended: Vec::new(),
+                truncated: false,
             })
         } else {
             directive::Answer::Refused {
@@ -179,13 +180,24 @@
         self.now.steady
     }
 
-    /// Answers a request for a report.
+    /// Answers a request for a report with one that lists no runs.
     fn report(&mut self, request: &Sent, started_ms: u64, ended: Vec<directive::Ended>) {
+        self.report_ends(request, started_ms, ended, false);
+    }
+
+    fn report_ends(
+        &mut self,
+        request: &Sent,
+        started_ms: u64,
+        ended: Vec<directive::Ended>,
+        truncated: bool,
+    ) {
         let answer = directive::Answer::Report(directive::Report {
             clock: self.now.steady,
             started_ms: Some(started_ms),
             running: Vec::new(),
             ended,
+            truncated,
         });
         let (worker, directive, decided) = request;
         self.dispatch
@@ -450,3 +462,56 @@
         "{placed_until:?}"
     );
 }
+
+/// Guards against a task that runs again after it was done: its end was among those that a report left out, and its
+/// absence from the report was taken for a loss.
+#[parameterized(
+    same_leader = { false },
+    new_leader = { true },
+)]
+fn a_run_that_a_truncated_report_leaves_out_is_not_lost(is_new: bool) {
+    let (mut leader, placed, _) = Leader::with_run();
+    if is_new {
+        leader.elect(2);
+    }
+    let mut starts = 0;
+    for round in 0..20 {
+        for request in leader.run(50) {
+            let is_own = request.0 == placed;
+            let ended = if is_own && round >= 10 {
+                vec![done(1)]
+            } else {
+                Vec::new()
+            };
+            starts += usize::from(is_start(&request.1));
+            leader.report_ends(&request, 5, ended, is_own && round < 10);
+        }
+    }
+    assert_eq!(starts, 0);
+    let task = leader.state.task(TASK).expect("the job is retained");
+    assert!(task.done && task.placed.is_none(), "{task:?}");
+}
+
+/// Guards against a task that runs again after it was done by the next incarnation of its worker, which had carried out a
+/// start to the earlier one: the report that showed its end was truncated.
+#[test]
+fn an_uncertain_run_that_a_truncated_report_leaves_out_is_not_lost() {
+    let (mut leader, placed, _) = Leader::with_run();
+    leader.elect(2);
+    leader.announce(placed as u16, 9);
+    let mut starts = 0;
+    for round in 0..20 {
+        for request in leader.run(50) {
+            starts += usize::from(is_start(&request.1));
+            if request.0 == 1 - placed {
+                leader.report(&request, 5, Vec::new());
+                continue;
+            }
+            let ended = if round >= 10 { vec![done(1)] } else { Vec::new() };
+            leader.report_ends(&request, 9, ended, round < 10);
+        }
+    }
+    assert_eq!(starts, 0);
+    let task = leader.state.task(TASK).expect("the job is retained");
+    assert!(task.done, "{task:?}");
+}
--- a/crates/dispatch/tests/schedules.rs
+++ b/crates/dispatch/tests/schedules.rs
@@ -167,6 +167,7 @@
                     })
                     .collect(),
                 ended: self.ended.clone(),
+                truncated: false,
             }),
             _ => directive::Answer::Done { clock },
         };
--- a/crates/standin/src/fleet/full.rs
+++ b/crates/standin/src/fleet/full.rs
@@ -207,6 +207,7 @@
                 started_ms: Some(STARTED_MS),
                 running: self.running.get(&worker).cloned().unwrap_or_default(),
                 ended: Vec::new(),
+                truncated: false,
             });
             self.dispatch
                 .answered(&self.state, now, worker, &directive, decided, Some(&answer));
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -201,6 +201,7 @@
                 })
                 .collect(),
             ended: self.ended.iter().take(MAX_ENDS_PER_REPORT).cloned().collect(),
+            truncated: self.ended.len() >= MAX_ENDS_PER_REPORT,
         }
     }
 
--- a/crates/workload/src/directive.rs
+++ b/crates/workload/src/directive.rs
@@ -140,6 +140,8 @@
     pub running: Vec<Running>,
     /// Ends that have not been acknowledged, oldest first.
     pub ended: Vec<Ended>,
+    /// Whether further ends may follow in the next reports. A run that such a report does not list may have ended.
+    pub truncated: bool,
 }
 
 /// An active run on a worker.
