--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -142,13 +142,6 @@
         &self.workers
     }
 
-    /// Returns the newest incarnation of the worker with a name.
-    pub fn worker_named(&self, name: &str) -> Option<(WorkerIndex, &Registered)> {
-        let mut newest = self.workers.iter().rev();
-        let found = newest.find(|(_, registered)| registered.incarnation.name == name);
-        found.map(|(index, registered)| (*index, registered))
-    }
-
     /// Returns the job with an id.
     pub fn job(&self, key: job::Key) -> Option<&Job> {
         self.jobs.get(&key)
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -185,7 +185,7 @@
             call::Call::Leave { name } => {
                 if let Some(dispatch) = &mut self.dispatch {
                     log::info!("belief=worker_left worker={name}");
-                    dispatch.leave(&self.state, now, &name);
+                    dispatch.leave(now, &name);
                 }
                 self.respond(responder, call::Reply::Done);
             }
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -167,10 +167,26 @@
         Registration::Propose(register(announcement, draining))
     }
 
-    /// Handles the notice of a worker that it leaves now.
-    pub fn leave(&mut self, state: &cell::State, now: Duration, name: &str) {
-        if let Some((index, _)) = state.worker_named(name) {
-            self.end_incarnation(index, Proof::departure(), now);
+    /// Handles the notice of a worker that it leaves now. It names no incarnation: one that has not announced its
+    /// departure is asked.
+    pub fn leave(&mut self, now: Duration, name: &str) {
+        let named = self.workers.iter_mut();
+        let named = named.filter(|(_, record)| record.incarnation.name == name);
+        let mut left = Vec::new();
+        let mut asked = Vec::new();
+        for (index, record) in named {
+            if let Some(proof) = Proof::departure(record) {
+                left.push((*index, proof));
+            } else {
+                record.verify_claim(now);
+                asked.push(*index);
+            }
+        }
+        for (index, proof) in left {
+            self.end_incarnation(index, proof, now);
+        }
+        for index in asked {
+            self.renew_lease(index, now);
         }
     }
 
--- a/crates/dispatch/src/dispatch/proof.rs
+++ b/crates/dispatch/src/dispatch/proof.rs
@@ -35,9 +35,10 @@
         record.leases_expired(now).then_some(Evidence::Lease.into())
     }
 
-    /// A notice of departure has arrived under its name.
-    pub(super) fn departure() -> Self {
-        Evidence::Departed.into()
+    /// A notice of departure has arrived under the name of a worker that has announced its departure itself. Without
+    /// that, the notice may be a late one of an earlier incarnation.
+    pub(super) fn departure(record: &worker::Worker) -> Option<Self> {
+        record.draining.then_some(Evidence::Departed.into())
     }
 
     /// The worker at its address refused a directive because it has another name.
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -131,7 +131,8 @@
     pub next_report_at: Duration,
     /// Whether the last request for a report was not answered.
     pub report_missed: bool,
-    /// Time of an unverified announcement by which another incarnation has its name or its address.
+    /// Time of an unverified announcement by which another incarnation has its name or its address, or of an unverified
+    /// notice that it has left.
     pub claimed_at: Option<Duration>,
     /// Earliest local time at which it leaves, if it is draining and has announced a time.
     pub departs_at: Option<Duration>,
@@ -191,8 +192,7 @@
         (term << INCARNATION_BITS) | self.fence as u64
     }
 
-    /// Requests a report immediately, because an announcement claims the worker's name or address for another
-    /// incarnation. Until it arrives, no lease is renewed: another incarnation with this name would receive it.
+    /// Requests a report immediately, because an unverified message says that the worker is gone. Until it arrives, no lease is renewed: another incarnation with this name would receive it.
     pub fn verify_claim(&mut self, now: Duration) {
         self.claimed_at = Some(now);
         self.report_missed = true;
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -6,7 +6,7 @@
 use bronzespoke_dispatch::dispatch::{Config, Dispatch, Now, Output, Registration};
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{directive, job, settings};
+use bronzespoke_workload::{directive, job, settings, worker};
 use bytes::Bytes;
 use yare::parameterized;
 
@@ -515,3 +515,43 @@
     let task = leader.state.task(TASK).expect("the job is retained");
     assert!(task.done, "{task:?}");
 }
+
+/// Guards against tasks that run twice: a late notice of departure of an earlier incarnation ended the next one, which
+/// was at work.
+#[test]
+fn a_late_notice_of_departure_ends_no_run() {
+    let (mut leader, placed, _) = Leader::with_run();
+    leader.dispatch.leave(leader.now.steady, &format!("w-{placed}"));
+    let mut starts = 0;
+    for _ in 0..200 {
+        for request in leader.run(50) {
+            starts += usize::from(is_start(&request.1));
+            leader.report_running(&request, placed);
+        }
+    }
+    assert_eq!(
+        starts, 0,
+        "the task runs elsewhere although its worker is at work"
+    );
+    assert!(
+        leader.dispatch.workers()[&placed].claimed_at.is_none(),
+        "the worker gets no work"
+    );
+}
+
+/// Guards against tasks that wait for the lease of a worker that has announced its departure and left.
+#[test]
+fn the_tasks_of_a_worker_that_has_left_move_at_once() {
+    let (mut leader, placed, _) = Leader::with_run();
+    let room = resource::Amount::new(8_000, 8_000, 0);
+    let mut announcement = load::announcement(placed as u16, 5, room);
+    announcement.state = worker::State::Draining {
+        remaining: Some(Duration::from_mins(1)),
+    };
+    let steady = leader.now.steady;
+    leader.dispatch.announce(&leader.state, steady, &announcement);
+    leader.dispatch.leave(steady, &format!("w-{placed}"));
+    let sent = leader.run(50);
+    let start = sent.iter().find(|(_, directive, _)| is_start(directive));
+    assert_eq!(start.map(|(worker, ..)| *worker), Some(1 - placed), "{sent:?}");
+}
