A run on the next incarnation is kept until its lease ends

What callers would have seen: a task runs twice when the next incarnation of its worker has carried out a start to the earlier one, reported the run, and is cut off for over 3 s.

Cause: the run was kept for 3 s after the last report that listed it, whatever the lease.

Change: the record of the run names the incarnation that reported it. The run is over when a complete report no longer lists it, when the lease of that incarnation has expired, or when it has ended.

--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -24,8 +24,10 @@
     checkpoint: Option<Bytes>,
     /// End of its lease on the worker's clock.
     lease_end: Duration,
-    /// Local time from which it is known that the run does not exist.
+    /// Local time from which its directive is not carried out any more.
     until: Duration,
+    /// Incarnation whose report lists the run, or may have left its end out.
+    found_at: Option<cell::WorkerIndex>,
 }
 
 impl Dispatch {
@@ -124,18 +126,24 @@
             }
             let mut running = report.running.iter();
             let is_there = running.any(|running| running.task == run.task && running.run == run.run);
-            run.until = if is_there || report.truncated {
-                now + orphan::MAX_REPORT_AGE
+            if is_there || report.truncated {
+                run.found_at = Some(worker);
             } else {
-                now
-            };
+                run.found_at = None;
+                run.until = now;
+            }
         }
     }
 
     /// Proposes the loss of runs that no incarnation can start any more.
     pub(super) fn expire_uncertain(&mut self, now: Duration) {
         let runs = std::mem::take(&mut self.uncertain);
-        let (expired, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(|run| now >= run.until);
+        let is_over = |run: &Uncertain| match run.found_at.and_then(|found_at| self.workers.get(&found_at)) {
+            Some(record) => Proof::lease(record, now).is_some(),
+            // The incarnation with the run has ended, or none is known to have it.
+            None => run.found_at.is_some() || now >= run.until,
+        };
+        let (expired, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(is_over);
         self.uncertain = open;
         for run in &expired {
             let lost = vec![(run.task, run.run, run.checkpoint.clone())];
@@ -187,6 +195,7 @@
                     checkpoint: run.checkpoint,
                     lease_end: run.lease_end,
                     until: start.expires_at(),
+                    found_at: None,
                 });
             } else {
                 ends.push((task, run.run, run.checkpoint));
--- a/crates/dispatch/src/orphan.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -18,7 +18,7 @@
 /// Pause before stops are sent again.
 const STOP_RETRY: Duration = Duration::from_millis(500);
 /// How long a reported run counts as active; the next report arrives sooner.
-pub(crate) const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
+const MAX_REPORT_AGE: Duration = Duration::from_secs(3);
 
 /// A start that the worker has not acknowledged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -555,3 +555,45 @@
     let start = sent.iter().find(|(_, directive, _)| is_start(directive));
     assert_eq!(start.map(|(worker, ..)| *worker), Some(1 - placed), "{sent:?}");
 }
+
+/// Guards against a task that runs twice: the next incarnation of its worker had taken a start to the earlier one, reported
+/// the run and was cut off, and the run was given up before the lease of that incarnation had ended.
+#[test]
+fn a_run_on_the_next_incarnation_is_kept_until_its_lease_ends() {
+    let (mut leader, placed, _) = Leader::with_run();
+    leader.elect(2);
+    leader.announce(placed as u16, 9);
+    let requests = leader.run(30);
+    let request = requests.iter().find(|(worker, ..)| *worker == 2);
+    let request = request.expect("the next incarnation is asked");
+    let running = directive::Running {
+        task: TASK,
+        run: 1,
+        checkpoint: None,
+        percent: 1,
+        load: None,
+    };
+    let answer = directive::Answer::Report(directive::Report {
+        clock: leader.now.steady,
+        started_ms: Some(9),
+        running: vec![running],
+        ..directive::Report::default()
+    });
+    let (worker, directive, decided) = request;
+    leader.dispatch.answered(
+        &leader.state,
+        leader.now,
+        *worker,
+        directive,
+        *decided,
+        Some(&answer),
+    );
+    let reported_at = leader.now.steady;
+    let placed_until = leader.placed_until();
+    let longest = settings::Bounds::default().longest_lease;
+    assert!(placed_until >= reported_at + longest, "{placed_until:?}");
+    assert!(
+        placed_until < reported_at + longest.mul_f64(1.05),
+        "{placed_until:?}"
+    );
+}
