An unacknowledged start is waited for after the end of a lease, too

Cause: all losses waited 13 s for a start without an answer, but not the one by an expired lease, on purpose.

Change: that exception is taken out. A report of the worker or of its next incarnation still ends the wait earlier.

--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -180,13 +180,11 @@
                 self.unacknowledged.record(&name, start);
             }
             // An unacknowledged start may reach the next incarnation although this one carried out a repeated start.
-            // This is not waited for if a worker is lost because its lease expired: it would delay each of these tasks
-            // by the 13 s of a late directive, and the worker is hardly ever back with its next incarnation by then.
             let newest = self.unacknowledged.newest(&name, task, run.run);
             // Only the leader that sent a start knows whether it was acknowledged.
             let is_inherited = run.phase == worker::Phase::Inherited && proof.has_successor();
             let newest = newest.or(is_inherited.then_some(start));
-            if let Some(start) = newest.filter(|_| !proof.is_lease()) {
+            if let Some(start) = newest {
                 self.uncertain.push(Uncertain {
                     worker: index,
                     name: name.clone(),
--- a/crates/dispatch/src/dispatch/proof.rs
+++ b/crates/dispatch/src/dispatch/proof.rs
@@ -83,11 +83,6 @@
         self.evidence != Evidence::Silent
     }
 
-    /// Returns whether only the lease is known to have ended; the incarnation may still be active.
-    pub(super) fn is_lease(self) -> bool {
-        self.evidence == Evidence::Lease
-    }
-
     /// Returns whether the next incarnation with the same name may have carried out a start to this one.
     pub(super) fn has_successor(self) -> bool {
         self.evidence == Evidence::Restarted
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -597,3 +597,32 @@
         "{placed_until:?}"
     );
 }
+
+/// Guards against a task that runs twice: a start without an answer was carried out by the next incarnation of its worker
+/// after the lease of the earlier one had expired and the task had been started elsewhere.
+#[test]
+fn an_unacknowledged_start_outlasts_the_lease_of_its_worker() {
+    let mut leader = Leader::new();
+    leader.announce(0, 5);
+    for request in leader.run(30) {
+        leader.report(&request, 5, Vec::new());
+    }
+    leader.submit();
+    let sent = leader.run(30);
+    let start = sent.iter().find(|(_, directive, _)| is_start(directive));
+    let (worker, start, decided) = start.expect("the task is started").clone();
+    leader
+        .dispatch
+        .answered(&leader.state, leader.now, worker, &start, decided, None);
+    let sent_at = leader.now.steady;
+    let placed_until = leader.placed_until();
+    // The platform carries a directive out within 12 s or not at all.
+    assert!(
+        placed_until >= sent_at + Duration::from_secs(12),
+        "{placed_until:?}"
+    );
+    assert!(
+        placed_until < sent_at + Duration::from_secs(14),
+        "{placed_until:?}"
+    );
+}
