--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -199,7 +199,6 @@
                 ends.push((task, run.run, run.checkpoint));
             }
             self.usage.remove(run.team.as_deref(), run.size);
-            self.proposed.remove(&task);
         }
         self.propose_lost(index, ends);
         self.dirty = true;
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -152,7 +152,8 @@
     waiting: HashMap<eligibility::Step, waiting::Waiting>,
     /// Steps of submissions that are being committed, for which queries are already enqueued.
     prefetched: Vec<eligibility::Step>,
-    /// Tasks whose start is proposed and not committed.
+    /// Tasks whose start is proposed and not committed. A task stays here when its worker is lost meanwhile: another
+    /// start of it would have the same run number.
     proposed: HashSet<directive::Task>,
     /// Workers on which a task has failed.
     failed_on: BTreeMap<directive::Task, Vec<cell::WorkerIndex>>,
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -33,6 +33,8 @@
     state: cell::State,
     dispatch: Dispatch,
     now: Now,
+    /// Proposed starts that are not committed; `None` if starts are committed at once.
+    proposed: Option<Vec<cell::Command>>,
 }
 
 impl Leader {
@@ -40,7 +42,12 @@
         let state = load::configured(load::queue("check", 0, Duration::from_millis(400), 1.5, 2));
         let dispatch = Dispatch::new(config(1), &state, at(0));
         let now = at(0);
-        Self { state, dispatch, now }
+        Self {
+            state,
+            dispatch,
+            now,
+            proposed: None,
+        }
     }
 
     fn elect(&mut self, term: u64) {
@@ -145,6 +152,13 @@
         });
     }
 
+    fn propose(&mut self, command: cell::Command) {
+        match (&command, &mut self.proposed) {
+            (cell::Command::Start(_), Some(proposed)) => proposed.push(command),
+            _ => self.commit(&command),
+        }
+    }
+
     fn commit(&mut self, command: &cell::Command) {
         let outcome = self.state.apply(self.now.wall_ms, command.clone());
         self.dispatch.committed(&self.state, self.now, command, &outcome);
@@ -158,7 +172,7 @@
             self.dispatch.tick(&self.state, self.now);
             for output in self.dispatch.take_outputs() {
                 match output {
-                    Output::Propose(command) => self.commit(&command),
+                    Output::Propose(command) => self.propose(command),
                     Output::Directive {
                         worker,
                         directive,
@@ -626,3 +640,40 @@
         "{placed_until:?}"
     );
 }
+
+/// Guards against a worker that gets more than it has room for: its worker was lost while a start was proposed and not
+/// committed, and a second start with the same run number was proposed. When that one was rejected, the run of the first
+/// was forgotten while it was at work.
+#[test]
+fn a_task_whose_start_is_proposed_is_not_proposed_again() {
+    let mut leader = Leader::new();
+    for number in 0..2 {
+        leader.announce(number, 5);
+    }
+    for request in leader.run(30) {
+        leader.report(&request, 5, Vec::new());
+    }
+    leader.proposed = Some(Vec::new());
+    leader.submit();
+    leader.run(30);
+    let proposed = leader.proposed.clone().unwrap_or_default();
+    let [cell::Command::Start(starts)] = proposed.as_slice() else {
+        panic!("one start is proposed: {proposed:?}");
+    };
+    let placed = starts[0].worker;
+    leader.announce(placed as u16, 9);
+    let requests = leader.run(30);
+    let request = requests.iter().find(|(worker, ..)| *worker == 2);
+    leader.report(request.expect("the next incarnation is asked"), 9, Vec::new());
+    leader.run(100);
+    let proposals = leader.proposed.take().unwrap_or_default();
+    assert_eq!(proposals.len(), 1, "{proposals:?}");
+    // The commit shows that the first start was not sent, and the task is placed again.
+    leader.commit(&proposed[0]);
+    let sent = leader.run(100);
+    let runs = sent.iter().filter_map(|(_, directive, _)| match directive {
+        directive::Directive::Start { run, .. } => Some(*run),
+        _ => None,
+    });
+    assert_eq!(runs.collect::<Vec<_>>(), [2]);
+}
