--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -266,7 +266,10 @@
             call::Action::Submit(key, submission) => self.submit(queue, team, key, submission, responder),
             call::Action::Show(key) => {
                 let reply = match self.visible(key, team.as_deref()) {
-                    Some(job) => call::Reply::Phase(job.phase),
+                    Some(job) => {
+                        let phase = self.dispatch.as_ref().map(|dispatch| dispatch.phase(job));
+                        call::Reply::Phase(phase.unwrap_or(job.phase))
+                    }
                     None => call::Reply::NoJob,
                 };
                 self.respond(responder, reply);
@@ -280,7 +283,10 @@
                 self.enqueue(cell::Command::Cancel { key }, responder);
             }
             call::Action::CountPending => {
-                let pending = self.state.pending(&queue.name);
+                let pending = match &self.dispatch {
+                    Some(dispatch) => dispatch.pending(&self.state, &queue.name),
+                    None => self.state.pending(&queue.name),
+                };
                 self.respond(responder, call::Reply::Pending(pending));
             }
         }
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -293,6 +293,7 @@
                     entry.phase = Phase::Running(now);
                     entry.since = now;
                 }
+                self.unconfirmed.remove(&task.job);
                 self.log_start(task, run, name, "started", after);
                 return;
             }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -155,6 +155,8 @@
     /// Tasks whose start is proposed and not committed. A task stays here when its worker is lost meanwhile: another
     /// start of it would have the same run number.
     proposed: HashSet<directive::Task>,
+    /// Jobs whose first start was decided in this term, while no worker has confirmed any of their runs.
+    unconfirmed: HashSet<job::Key>,
     /// Workers on which a task has failed.
     failed_on: BTreeMap<directive::Task, Vec<cell::WorkerIndex>>,
     dirty: bool,
@@ -187,6 +189,7 @@
             waiting: HashMap::new(),
             prefetched: Vec::new(),
             proposed: HashSet::new(),
+            unconfirmed: HashSet::new(),
             failed_on: BTreeMap::new(),
             dirty: true,
             pass_at: now.steady,
@@ -220,6 +223,23 @@
         self.waiting.len()
     }
 
+    /// Returns the phase of a job as far as workers have confirmed it: a start that is recorded may not have been carried
+    /// out.
+    pub fn phase(&self, job: &cell::Job) -> job::Phase {
+        if job.phase == job::Phase::Running && self.unconfirmed.contains(&job.key) {
+            job::Phase::Queued
+        } else {
+            job.phase
+        }
+    }
+
+    /// Returns the number of jobs of a queue of which no task is known to have started.
+    pub fn pending(&self, state: &cell::State, queue: &str) -> u64 {
+        let started = self.unconfirmed.iter().filter_map(|key| state.job(*key));
+        let started = started.filter(|job| job.queue.name == queue && job.phase == job::Phase::Running);
+        state.pending(queue) + started.count() as u64
+    }
+
     /// Returns the work of the scheduling passes of this term.
     pub const fn work(&self) -> work::Work {
         self.work
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -105,6 +105,7 @@
     }
 
     fn handle_end(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
+        self.unconfirmed.remove(&end.task.job);
         self.log_end(end.worker, end.task, end.run, end.outcome);
         let removed = self.drop_run(end.worker, end.task, end.run);
         if end.outcome == directive::Outcome::Done {
@@ -194,6 +195,7 @@
         for (task, run) in &mut record.runs {
             if let Some(found) = running.get(task).filter(|found| found.run == run.run) {
                 if !matches!(run.phase, Phase::Running(_)) {
+                    self.unconfirmed.remove(&task.job);
                     run.phase = Phase::Running(now);
                     run.since = now;
                 }
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -286,6 +286,9 @@
             worker: record.incarnation.name.clone(),
             free_cpu: record.free().cpu_milli,
         }));
+        if subject.job.phase == job::Phase::Queued {
+            self.unconfirmed.insert(subject.job.key);
+        }
         self.usage.add(subject.job.team.as_deref(), subject.size);
         record.add(
             task,
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -33,6 +33,9 @@
     /// Updates the waiting steps of a job.
     pub(super) fn refresh_job(&mut self, state: &cell::State, key: job::Key) {
         let Some(job) = state.job(key) else { return };
+        if job.is_final() {
+            self.unconfirmed.remove(&key);
+        }
         if job.submission.schedule.is_some() {
             self.refresh_schedule(job);
         }
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -235,3 +235,22 @@
     leader.run(2_000);
     assert_eq!(leader.queries, 2);
 }
+
+/// Guards against jobs that are shown as running, and not counted as pending, although no worker has carried out a start
+/// of theirs.
+#[test]
+fn a_job_is_pending_until_a_worker_confirms_a_start() {
+    let (mut leader, start) = Leader::with_start();
+    let shown = |leader: &Leader| {
+        let job = leader.state.job(KEY).expect("the job is retained");
+        let pending = leader.dispatch.pending(&leader.state, "check");
+        (leader.dispatch.phase(job), pending)
+    };
+    assert_eq!(shown(&leader), (job::Phase::Queued, 1));
+    leader.answer(&start, None);
+    assert_eq!(shown(&leader), (job::Phase::Queued, 1));
+    let repeated = leader.run(400);
+    let clock = leader.now.steady;
+    leader.answer(&repeated[0], Some(&directive::Answer::Done { clock }));
+    assert_eq!(shown(&leader), (job::Phase::Running, 0));
+}
