--- a/crates/control/src/cell/mod.rs
+++ b/crates/control/src/cell/mod.rs
@@ -5,6 +5,7 @@
 
 mod apply;
 mod command;
+mod former;
 mod state;
 mod verify;
 
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -12,8 +12,12 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
+use super::former;
 use crate::{envelope, error};
 
+/// Number of the format of snapshots, in their first byte.
+const FORMAT: u8 = 2;
+
 /// Maximum number of occurrences of a job that begin with one start.
 const MAX_BEGUN_TOGETHER: u32 = 256;
 
@@ -194,12 +198,22 @@
 
     /// Encodes the state for a snapshot.
     pub fn encode(&self) -> Bytes {
-        envelope::to_bytes(self)
+        envelope::to_bytes(&(FORMAT, self))
     }
 
-    /// Decodes the state from a snapshot.
+    /// Decodes the state from a snapshot, also from one in the former format.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
-        envelope::from_bytes(bytes)
+        match bytes.split_first() {
+            Some((&FORMAT, rest)) => envelope::from_bytes(rest),
+            // The former format has no number. It begins with an optional configuration: 0 or 1.
+            Some((0 | 1, _)) => envelope::from_bytes::<former::State>(bytes).map(Self::from),
+            Some((format, _)) => {
+                let detail =
+                    format!("the format of the snapshot is {format}; {FORMAT} and older ones are read");
+                Err(error::Error::Format(detail))
+            }
+            None => Err(error::Error::Format(String::from("the snapshot is empty"))),
+        }
     }
 }
 
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -367,3 +367,76 @@
     assert!(begin(1, 255));
     assert!(!begin(1, 256));
 }
+
+/// Mirror of the former format of snapshots, in which each job had a list of all its occurrences.
+mod former {
+    use std::collections::{BTreeMap, BTreeSet};
+
+    use super::{Bytes, catalog, job, worker};
+
+    #[derive(serde::Serialize)]
+    pub struct State {
+        pub catalog: Option<catalog::Catalog>,
+        pub document: Bytes,
+        pub workers: BTreeMap<u32, (worker::Incarnation, worker::Worker, bool)>,
+        pub next_worker: u32,
+        pub jobs: BTreeMap<job::Key, Job>,
+        pub active: BTreeSet<job::Key>,
+        pub pending: BTreeMap<String, u64>,
+        pub peers: BTreeMap<u64, std::net::SocketAddr>,
+    }
+
+    #[derive(serde::Serialize)]
+    pub struct Job {
+        pub key: job::Key,
+        pub queue: catalog::Queue,
+        pub team: Option<String>,
+        pub submission: job::Submission,
+        pub submitted_ms: u64,
+        pub finished_ms: u64,
+        pub phase: job::Phase,
+        pub occurrences: Vec<bronzespoke_control::cell::Occurrence>,
+        pub placed: u32,
+    }
+}
+
+/// Guards against accepted jobs that are lost in an upgrade: the daemon starts from a snapshot in the former format.
+#[test]
+fn a_snapshot_in_the_former_format_is_read() {
+    let once = 6;
+    let mut state = State::default();
+    state.apply(1, submit_repeated(KEY, vec![step(1, false, &[])], 4));
+    state.apply(1, submit(once, vec![step(2, false, &[])]));
+    state.apply(2, start(task_of(1, 0, 0), 1, 9));
+    let fresh = state.job(KEY).expect("the job exists").open[&0].clone();
+    let job = |key: job::Key, occurrences| {
+        let job = state.job(key).expect("the job exists");
+        former::Job {
+            key,
+            queue: catalog::Queue::clone(&job.queue),
+            team: job.team.clone(),
+            submission: job::Submission::clone(&job.submission),
+            submitted_ms: job.submitted_ms,
+            finished_ms: job.finished_ms,
+            phase: job.phase,
+            occurrences,
+            placed: job.placed,
+        }
+    };
+    let open = |key: job::Key, index: u32| state.job(key).expect("the job exists").open[&index].clone();
+    let repeated = vec![fresh.clone(), open(KEY, 1), fresh.clone(), fresh];
+    let bytes = postcard::to_stdvec(&former::State {
+        catalog: None,
+        document: Bytes::new(),
+        workers: [].into(),
+        next_worker: 0,
+        jobs: [(KEY, job(KEY, repeated)), (once, job(once, vec![open(once, 0)]))].into(),
+        active: [KEY, once].into(),
+        pending: [(String::from("audit"), 1)].into(),
+        peers: [].into(),
+    });
+    let decoded = State::decode(&bytes.expect("the state can be encoded")).expect("the snapshot is valid");
+    assert_eq!(decoded, state);
+    decoded.verify().expect("the counters are consistent");
+    State::decode(&[9]).expect_err("a later format is refused");
+}
