An answer from before a claim renews no lease

What callers would have seen: an end on the next incarnation of a worker is acknowledged unseen, or that incarnation gets a lease, when an old answer of the earlier one arrives after the request that was to verify a claim has failed.

Cause: verify_claim marked the last report as missed, and any later answer took the mark off.

Change: requests renew and acknowledge nothing as long as the claim is open, whatever was answered. Calendar::len and is_empty had no caller.

After: none; the tests in crates/dispatch/tests/restarts.rs pass.

--- a/crates/dispatch/src/calendar.rs
+++ b/crates/dispatch/src/calendar.rs
@@ -54,14 +54,4 @@
         let (due_ms, key) = self.due.first()?;
         (*due_ms <= wall_ms).then_some(*key)
     }
-
-    /// Returns the number of jobs.
-    pub fn len(&self) -> usize {
-        self.positions.len()
-    }
-
-    /// Returns whether there are no jobs.
-    pub fn is_empty(&self) -> bool {
-        self.positions.is_empty()
-    }
 }
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -516,7 +516,7 @@
     record.report_requested_at = Some(now);
     // A worker that has not answered keeps its current lease. Its runs have certainly ended only when the latest lease
     // that it may have received has expired, and if each request extended that lease, this would never happen.
-    let clock = record.clock(now).filter(|_| !record.report_missed);
+    let clock = record.clock(now).filter(|_| !record.may_be_replaced());
     let lease_end = clock.map(|clock| clock + lease);
     if let Some(end) = lease_end {
         record.lease_end = record.lease_end.max(end);
@@ -527,9 +527,9 @@
     } else {
         Duration::ZERO
     };
-    // After a missed report the worker may have restarted under its name, and it then counts its ends anew. Its report
-    // shows whether it has; until then an acknowledgement could concern an end that no leader has seen.
-    let acknowledged = if record.report_missed {
+    // The worker may have restarted under its name, and it then counts its ends anew. Its report shows whether it has;
+    // until then an acknowledgement could concern an end that no leader has seen.
+    let acknowledged = if record.may_be_replaced() {
         0
     } else {
         record.recorded_end
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -192,14 +192,19 @@
         (term << INCARNATION_BITS) | self.fence as u64
     }
 
-    /// Requests a report immediately, because an unverified message says that the worker is gone. Until it arrives, no lease is renewed: another incarnation with this name would receive it.
+    /// Requests a report immediately, because an unverified message says that the worker is gone. Until it arrives, no
+    /// lease is renewed: another incarnation with this name would receive it.
     pub fn verify_claim(&mut self, now: Duration) {
         self.claimed_at = Some(now);
-        self.report_missed = true;
         self.report_requested_at = None;
         self.next_report_at = now;
     }
 
+    /// Returns whether another incarnation with its name may receive its directives.
+    pub const fn may_be_replaced(&self) -> bool {
+        self.report_missed || self.claimed_at.is_some()
+    }
+
     /// Returns the free resources.
     pub fn free(&self) -> resource::Amount {
         let used = add(self.used, self.orphans.used());
--- a/crates/dispatch/tests/restarts.rs
+++ b/crates/dispatch/tests/restarts.rs
@@ -677,3 +677,34 @@
     });
     assert_eq!(runs.collect::<Vec<_>>(), [2]);
 }
+
+/// Guards against ends that are acknowledged unseen, and leases that the next incarnation receives: an answer of the earlier
+/// one, requested before the next one announced itself, was taken for a sign that the earlier one was still there.
+#[test]
+fn an_answer_from_before_a_claim_renews_nothing() {
+    let (mut leader, placed, _) = Leader::with_run();
+    let before = leader.run(400);
+    let request = before.iter().find(|(worker, ..)| *worker == placed);
+    let request = request.expect("a report is requested").clone();
+    leader.announce(placed as u16, 9);
+    for (worker, directive, decided) in leader.run(30) {
+        leader
+            .dispatch
+            .answered(&leader.state, leader.now, worker, &directive, decided, None);
+    }
+    leader.report_running(&request, placed);
+    for (worker, directive, _) in leader.run(1_000) {
+        let directive::Directive::Renew {
+            lease_end,
+            acknowledged,
+            ..
+        } = directive
+        else {
+            continue;
+        };
+        assert!(
+            worker != placed || (lease_end, acknowledged) == (None, 0),
+            "{lease_end:?} {acknowledged}"
+        );
+    }
+}
