--- a/crates/dispatch/tests/restarts/claims.rs
+++ b/crates/dispatch/tests/restarts/claims.rs
@@ -102,10 +102,8 @@
     let request = before.iter().find(|(worker, ..)| *worker == placed);
     let request = request.expect("a report is requested").clone();
     leader.announce(placed as u16, 9);
-    for (worker, directive, decided) in leader.run(30) {
-        leader
-            .dispatch
-            .answered(&leader.state, leader.now, worker, &directive, decided, None);
+    for request in leader.run(30) {
+        leader.answer(&request, None);
     }
     leader.report_running(&request, placed);
     for (worker, directive, _) in leader.run(1_000) {
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -68,26 +68,48 @@
         }
     }
 
-    /// Returns a leader with two workers, the index of the one that runs the only task, and that of the other one.
-    pub fn with_run() -> (Self, cell::WorkerIndex, cell::WorkerIndex) {
+    /// Returns a leader with workers that have reported.
+    pub fn with_workers(count: u16) -> Self {
         let mut leader = Self::new();
-        for number in 0..2 {
+        for number in 0..count {
             leader.announce(number, 5);
         }
         for request in leader.run(30) {
             leader.report(&request, 5, Vec::new());
         }
-        leader.submit();
-        let sent = leader.run(30);
-        let start = sent.iter().find(|(_, directive, _)| is_start(directive));
-        let (placed, start, decided) = start.expect("the task is started").clone();
-        let done = directive::Answer::Done {
-            clock: leader.now.steady,
-        };
         leader
-            .dispatch
-            .answered(&leader.state, leader.now, placed, &start, decided, Some(&done));
-        for request in sent.iter().filter(|(_, directive, _)| !is_start(directive)) {
+    }
+
+    /// Submits the task; returns its start, which is not answered yet, and the other directives.
+    pub fn start_task(&mut self) -> (Sent, Vec<Sent>) {
+        self.submit();
+        let sent = self.run(30);
+        let (starts, others): (Vec<_>, Vec<_>) = sent
+            .into_iter()
+            .partition(|(_, directive, _)| is_start(directive));
+        let [start] = starts.try_into().expect("the task is started once");
+        (start, others)
+    }
+
+    /// Answers a start or a stop: the directive was carried out.
+    pub fn confirm(&mut self, sent: &Sent) {
+        let clock = self.now.steady;
+        self.answer(sent, Some(&directive::Answer::Done { clock }));
+    }
+
+    /// Passes the answer to a directive, or its absence, to the leader.
+    pub fn answer(&mut self, (worker, directive, decided): &Sent, answer: Option<&directive::Answer>) {
+        self.dispatch
+            .answered(&self.state, self.now, *worker, directive, *decided, answer);
+    }
+
+    /// Returns a leader with two workers, the index of the one that runs the only task, and that of the other one.
+    pub fn with_run() -> (Self, cell::WorkerIndex, cell::WorkerIndex) {
+        let mut leader = Self::with_workers(2);
+        let (start, others) = leader.start_task();
+        leader.confirm(&start);
+        let placed = start.0;
+        for request in &others {
             leader.report_running(request, placed);
         }
         (leader, placed, 1 - placed)
@@ -96,8 +118,7 @@
     /// Answers a request for a report as the worker at the address of `worker` with start time 5. The one at the address
     /// of `placed` runs the task.
     pub fn report_running(&mut self, request: &Sent, placed: cell::WorkerIndex) {
-        let (worker, directive, decided) = request;
-        let Some(record) = self.dispatch.workers().get(worker) else {
+        let Some(record) = self.dispatch.workers().get(&request.0) else {
             return;
         };
         let names = [0, 1].map(|number| format!("w-{number}"));
@@ -128,8 +149,7 @@
                 clock: None,
             }
         };
-        self.dispatch
-            .answered(&self.state, self.now, *worker, directive, *decided, Some(&answer));
+        self.answer(request, Some(&answer));
     }
 
     pub fn submit(&mut self) {
@@ -212,9 +232,7 @@
             ended,
             truncated,
         });
-        let (worker, directive, decided) = request;
-        self.dispatch
-            .answered(&self.state, self.now, *worker, directive, *decided, Some(&answer));
+        self.answer(request, Some(&answer));
     }
 }
 
--- a/crates/dispatch/tests/restarts/leases.rs
+++ b/crates/dispatch/tests/restarts/leases.rs
@@ -5,31 +5,19 @@
 use bronzespoke_workload::{directive, settings};
 use yare::parameterized;
 
-use super::leader::{Leader, TASK, is_start};
+use super::leader::{Leader, TASK};
 
 /// Guards against tasks that run twice: the lease of a worker was counted from the directives to its own incarnation, and
 /// directives to the earlier one with its name, with a time on another clock, had given it the longest one.
 #[test]
 fn the_lease_of_a_next_incarnation_counts_directives_to_the_earlier_one() {
-    let mut leader = Leader::new();
-    leader.announce(0, 5);
-    for request in leader.run(30) {
-        leader.report(&request, 5, Vec::new());
-    }
+    let mut leader = Leader::with_workers(1);
     leader.announce(0, 9);
     let request = leader.run(30).pop().expect("the next incarnation is asked");
     leader.report(&request, 9, Vec::new());
     let reported_at = leader.now.steady;
-    leader.submit();
-    let sent = leader.run(30);
-    let start = sent.iter().find(|(_, directive, _)| is_start(directive));
-    let (worker, start, decided) = start.expect("the task is started").clone();
-    let done = directive::Answer::Done {
-        clock: leader.now.steady,
-    };
-    leader
-        .dispatch
-        .answered(&leader.state, leader.now, worker, &start, decided, Some(&done));
+    let (start, _) = leader.start_task();
+    leader.confirm(&start);
     let placed_until = leader.placed_until();
     let longest = settings::Bounds::default().longest_lease;
     assert!(placed_until >= reported_at + longest, "{placed_until:?}");
@@ -117,18 +105,9 @@
 /// after the lease of the earlier one had expired and the task had been started elsewhere.
 #[test]
 fn an_unacknowledged_start_outlasts_the_lease_of_its_worker() {
-    let mut leader = Leader::new();
-    leader.announce(0, 5);
-    for request in leader.run(30) {
-        leader.report(&request, 5, Vec::new());
-    }
-    leader.submit();
-    let sent = leader.run(30);
-    let start = sent.iter().find(|(_, directive, _)| is_start(directive));
-    let (worker, start, decided) = start.expect("the task is started").clone();
-    leader
-        .dispatch
-        .answered(&leader.state, leader.now, worker, &start, decided, None);
+    let mut leader = Leader::with_workers(1);
+    let (start, _) = leader.start_task();
+    leader.answer(&start, None);
     let sent_at = leader.now.steady;
     let placed_until = leader.placed_until();
     // The platform carries a directive out within 12 s or not at all.
--- a/crates/dispatch/tests/restarts/reports.rs
+++ b/crates/dispatch/tests/restarts/reports.rs
@@ -39,17 +39,8 @@
 /// incarnation of the worker may have carried one out.
 #[test]
 fn a_new_leader_waits_for_the_report_of_a_restarted_worker() {
-    let mut leader = Leader::new();
-    for number in 0..2 {
-        leader.announce(number, 5);
-    }
-    for request in leader.run(30) {
-        leader.report(&request, 5, Vec::new());
-    }
-    leader.submit();
-    let sent = leader.run(30);
-    let start = sent.iter().find(|(_, directive, _)| is_start(directive));
-    let (placed, ..) = *start.expect("the task is started");
+    let mut leader = Leader::with_workers(2);
+    let ((placed, ..), _) = leader.start_task();
     leader.elect(2);
     leader.announce(placed as u16, 9);
     let requests = leader.run(30);
@@ -80,11 +71,7 @@
 /// Guards against a task that waits for its worker although the next incarnation has shown that it does not run there.
 #[test]
 fn the_report_of_a_restarted_worker_frees_its_tasks() {
-    let mut leader = Leader::new();
-    leader.announce(0, 5);
-    for request in leader.run(30) {
-        leader.report(&request, 5, Vec::new());
-    }
+    let mut leader = Leader::with_workers(1);
     leader.submit();
     leader.run(30);
     leader.elect(2);
@@ -154,13 +141,7 @@
 /// was forgotten while it was at work.
 #[test]
 fn a_task_whose_start_is_proposed_is_not_proposed_again() {
-    let mut leader = Leader::new();
-    for number in 0..2 {
-        leader.announce(number, 5);
-    }
-    for request in leader.run(30) {
-        leader.report(&request, 5, Vec::new());
-    }
+    let mut leader = Leader::with_workers(2);
     leader.proposed = Some(Vec::new());
     leader.submit();
     leader.run(30);
