--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -1,6 +1,6 @@
 //! Registration, draining and removal of workers.
 
-use std::time::Duration;
+use std::{ops::RangeInclusive, time::Duration};
 
 use bronzespoke_control::cell;
 use bronzespoke_workload::{directive, eligibility, worker as announced};
@@ -126,6 +126,7 @@
                 continue;
             };
             if registered.incarnation == *incarnation {
+                // An incarnation keeps its address. Without a start time, a later one of the name may be meant.
                 let changed = (draining && !registered.draining)
                     || (registered.worker.address != announcement.worker.address
                         && incarnation.started_ms == 0)
@@ -159,10 +160,7 @@
             return Registration::UnknownPool;
         }
         for index in claimed {
-            if let Some(record) = self.workers.get_mut(&index) {
-                record.verify_claim(now);
-            }
-            self.renew_lease(index, now);
+            self.verify_claim(index, now);
         }
         Registration::Propose(register(announcement, draining))
     }
@@ -170,24 +168,25 @@
     /// Handles the notice of a worker that it leaves now. It names no incarnation: one that has not announced its
     /// departure is asked.
     pub fn leave(&mut self, now: Duration, name: &str) {
-        let named = self.workers.iter_mut();
+        let named = self.workers.iter();
         let named = named.filter(|(_, record)| record.incarnation.name == name);
-        let mut left = Vec::new();
-        let mut asked = Vec::new();
-        for (index, record) in named {
-            if let Some(proof) = Proof::departure(record) {
-                left.push((*index, proof));
-            } else {
-                record.verify_claim(now);
-                asked.push(*index);
+        let named: Vec<_> = named
+            .map(|(index, record)| (*index, Proof::departure(record)))
+            .collect();
+        for (index, proof) in named {
+            match proof {
+                Some(proof) => self.end_incarnation(index, proof, now),
+                None => self.verify_claim(index, now),
             }
         }
-        for (index, proof) in left {
-            self.end_incarnation(index, proof, now);
-        }
-        for index in asked {
-            self.renew_lease(index, now);
+    }
+
+    /// Asks a worker whether it is still there, because an unverified message says that it is gone.
+    fn verify_claim(&mut self, index: cell::WorkerIndex, now: Duration) {
+        if let Some(record) = self.workers.get_mut(&index) {
+            record.verify_claim(now);
         }
+        self.renew_lease(index, now);
     }
 
     /// Handles the committed registration of an incarnation: adds its worker, or updates it.
@@ -247,19 +246,13 @@
     /// Stops the runs of a step up to a number.
     pub(super) fn stop_step(&mut self, step: eligibility::Step, run: directive::Run, now: Duration) {
         let (first, last) = (schedule::task_id(step, 0), schedule::task_id(step, u32::MAX));
-        self.stop_runs_in(first, last, run, now);
+        self.stop_runs_in(first..=last, run, now);
     }
 
     /// Stops the runs up to a number in a range of tasks.
-    fn stop_runs_in(
-        &mut self,
-        first: directive::Task,
-        last: directive::Task,
-        run: directive::Run,
-        now: Duration,
-    ) {
+    fn stop_runs_in(&mut self, tasks: RangeInclusive<directive::Task>, run: directive::Run, now: Duration) {
         for (index, record) in &mut self.workers {
-            for (task, entry) in record.runs.range_mut(first..=last) {
+            for (task, entry) in record.runs.range_mut(tasks.clone()) {
                 if entry.run > run || entry.stop != worker::Stop::NotRequested {
                     continue;
                 }
@@ -284,19 +277,7 @@
     }
 
     fn stop_runs_of(&mut self, key: bronzespoke_workload::job::Key, now: Duration) {
-        let first = directive::Task {
-            job: key,
-            occurrence: 0,
-            step: 0,
-            index: 0,
-        };
-        let last = directive::Task {
-            job: key,
-            occurrence: u32::MAX,
-            step: u16::MAX,
-            index: u32::MAX,
-        };
-        self.stop_runs_in(first, last, directive::Run::MAX, now);
+        self.stop_runs_in(super::tasks_of(key, 0..=u32::MAX), directive::Run::MAX, now);
     }
 }
 
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -18,6 +18,7 @@
 
 use std::{
     collections::{BTreeMap, HashMap, HashSet},
+    ops::RangeInclusive,
     sync::Arc,
     time::Duration,
 };
@@ -70,6 +71,23 @@
     }
 }
 
+/// Returns the range of the tasks of some occurrences of a job.
+const fn tasks_of(job: job::Key, occurrences: RangeInclusive<u32>) -> RangeInclusive<directive::Task> {
+    let first = directive::Task {
+        job,
+        occurrence: *occurrences.start(),
+        step: 0,
+        index: 0,
+    };
+    let last = directive::Task {
+        job,
+        occurrence: *occurrences.end(),
+        step: u16::MAX,
+        index: u32::MAX,
+    };
+    first..=last
+}
+
 /// Action for the caller of [`Dispatch`] to carry out.
 #[derive(Debug, Clone, PartialEq)]
 pub enum Output {
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -76,11 +76,16 @@
             }
             self.calendar.remove(job.key);
         } else if !self.calendar.is_waiting(job.key) || next > self.calendar.next(job.key) {
-            let due_ms = job.may_begin(next).then(|| due_ms(job, next));
-            self.calendar.set(job.key, next, due_ms);
+            self.set_next(job, next);
         }
     }
 
+    /// Sets the next occurrence of a job, which waits for its due time if it can begin.
+    fn set_next(&mut self, job: &cell::Job, next: u32) {
+        let due_ms = job.may_begin(next).then(|| due_ms(job, next));
+        self.calendar.set(job.key, next, due_ms);
+    }
+
     /// Adds the first steps of the occurrences that have become due to the waiting ones.
     pub(super) fn open_due(&mut self, state: &cell::State, wall_ms: u64) {
         for _ in 0..MAX_OPENED {
@@ -92,9 +97,7 @@
                 continue;
             };
             let occurrence = self.calendar.next(key);
-            let next = occurrence.saturating_add(1);
-            let due_ms = job.may_begin(next).then(|| due_ms(job, next));
-            self.calendar.set(key, next, due_ms);
+            self.set_next(job, occurrence.saturating_add(1));
             for step in 0..job.submission.steps.len() as u16 {
                 if job.is_ready(occurrence, step) {
                     let id = eligibility::Step {
@@ -127,19 +130,8 @@
 
     /// Removes the workers on which tasks of some occurrences of a job have failed.
     pub(super) fn forget_failures(&mut self, key: job::Key, occurrences: RangeInclusive<u32>) {
-        let task = |occurrence, step, index| directive::Task {
-            job: key,
-            occurrence,
-            step,
-            index,
-        };
-        let first = task(*occurrences.start(), 0, 0);
-        let last = task(*occurrences.end(), u16::MAX, u32::MAX);
-        let forgotten: Vec<directive::Task> = self
-            .failed_on
-            .range(first..=last)
-            .map(|(task, _)| *task)
-            .collect();
+        let failed = self.failed_on.range(super::tasks_of(key, occurrences));
+        let forgotten: Vec<directive::Task> = failed.map(|(task, _)| *task).collect();
         for task in forgotten {
             self.failed_on.remove(&task);
         }
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -125,18 +125,11 @@
         let address = record.announced.address;
         let answering = usize::from(address.port() - 1_000);
         let answer = if record.incarnation.name == names[answering] {
-            let running = directive::Running {
-                task: TASK,
-                run: 1,
-                checkpoint: None,
-                percent: 1,
-                load: None,
-            };
             directive::Answer::Report(directive::Report {
                 clock: self.now.steady,
                 started_ms: Some(5),
                 running: if answering == placed as usize {
-                    vec![running]
+                    vec![running()]
                 } else {
                     Vec::new()
                 },
@@ -247,6 +240,17 @@
     matches!(directive, directive::Directive::Start { .. })
 }
 
+/// Returns the row of the first run of the task in a report.
+pub const fn running() -> directive::Running {
+    directive::Running {
+        task: TASK,
+        run: 1,
+        checkpoint: None,
+        percent: 1,
+        load: None,
+    }
+}
+
 pub const fn done(run: directive::Run) -> directive::Ended {
     directive::Ended {
         number: 1,
--- a/crates/dispatch/tests/restarts/leases.rs
+++ b/crates/dispatch/tests/restarts/leases.rs
@@ -5,7 +5,15 @@
 use bronzespoke_workload::{directive, settings};
 use yare::parameterized;
 
-use super::leader::{Leader, TASK};
+use super::leader::{self, Leader};
+
+/// Checks that the task stays placed for the longest lease from a time on, and not for much longer.
+fn assert_kept_for_the_longest_lease(leader: &mut Leader, from: Duration) {
+    let placed_until = leader.placed_until();
+    let longest = settings::Bounds::default().longest_lease;
+    assert!(placed_until >= from + longest, "{placed_until:?}");
+    assert!(placed_until < from + longest.mul_f64(1.05), "{placed_until:?}");
+}
 
 /// Guards against tasks that run twice: the lease of a worker was counted from the directives to its own incarnation, and
 /// directives to the earlier one with its name, with a time on another clock, had given it the longest one.
@@ -18,13 +26,7 @@
     let reported_at = leader.now.steady;
     let (start, _) = leader.start_task();
     leader.confirm(&start);
-    let placed_until = leader.placed_until();
-    let longest = settings::Bounds::default().longest_lease;
-    assert!(placed_until >= reported_at + longest, "{placed_until:?}");
-    assert!(
-        placed_until < reported_at + longest.mul_f64(1.05),
-        "{placed_until:?}"
-    );
+    assert_kept_for_the_longest_lease(&mut leader, reported_at);
 }
 
 /// Guards against tasks that run twice after a change of leader: the new leader does not know which directives to an
@@ -69,36 +71,15 @@
     let requests = leader.run(30);
     let request = requests.iter().find(|(worker, ..)| *worker == 2);
     let request = request.expect("the next incarnation is asked");
-    let running = directive::Running {
-        task: TASK,
-        run: 1,
-        checkpoint: None,
-        percent: 1,
-        load: None,
-    };
     let answer = directive::Answer::Report(directive::Report {
         clock: leader.now.steady,
         started_ms: Some(9),
-        running: vec![running],
+        running: vec![leader::running()],
         ..directive::Report::default()
     });
-    let (worker, directive, decided) = request;
-    leader.dispatch.answered(
-        &leader.state,
-        leader.now,
-        *worker,
-        directive,
-        *decided,
-        Some(&answer),
-    );
+    leader.answer(request, Some(&answer));
     let reported_at = leader.now.steady;
-    let placed_until = leader.placed_until();
-    let longest = settings::Bounds::default().longest_lease;
-    assert!(placed_until >= reported_at + longest, "{placed_until:?}");
-    assert!(
-        placed_until < reported_at + longest.mul_f64(1.05),
-        "{placed_until:?}"
-    );
+    assert_kept_for_the_longest_lease(&mut leader, reported_at);
 }
 
 /// Guards against a task that runs twice: a start without an answer was carried out by the next incarnation of its worker
