--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -349,6 +349,9 @@
             self.serve(call, Responder::Local(responder));
             return;
         }
+        if let call::Call::Leave { name } = &call {
+            log::info!("decision=forward_departure worker={name}");
+        }
         if let Err((responder, reply)) = self.calls.add(now, now + timeout, call, responder) {
             answer(responder, reply);
         }
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -183,8 +183,8 @@
             }
             call::Call::Announce(announcement) => self.announce(now, &announcement, responder),
             call::Call::Leave { name } => {
+                self.trace_departure(&name, &responder);
                 if let Some(dispatch) = &mut self.dispatch {
-                    log::info!("belief=worker_left worker={name}");
                     dispatch.leave(now, &name);
                 }
                 self.respond(responder, call::Reply::Done);
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -59,6 +59,12 @@
         dispatch::Event::QuerySent { .. } => {
             metrics::counter!("bronzespoke_fleet_questions_total").increment(1);
         }
+        dispatch::Event::DepartureNoticed { .. } => {
+            metrics::counter!("bronzespoke_fleet_departure_notices_total").increment(1);
+        }
+        dispatch::Event::DepartureRefuted { .. } => {
+            metrics::counter!("bronzespoke_fleet_departures_refuted_total").increment(1);
+        }
         dispatch::Event::WorkerKnown { .. } | dispatch::Event::Fenced { .. } => {}
     }
 }
--- a/crates/daemon/src/fleet/trace.rs
+++ b/crates/daemon/src/fleet/trace.rs
@@ -9,10 +9,7 @@
     /// Logs that this leader answers a call about the configuration, and from which state.
     pub(super) fn trace_configuration(&self, decision: &str, version: Option<u64>, responder: &Responder) {
         let now = self.now();
-        let (requester, number) = match responder {
-            Responder::Remote { endpoint, number } => (endpoint.vm, *number),
-            Responder::Local(_) | Responder::Discard => (self.me.vm, 0),
-        };
+        let (requester, number) = self.requester(responder);
         let in_force = self.state.catalog().map(|catalog| catalog.version);
         let replica = self.member.as_ref().map(|member| member.replica().status());
         let lease_age = self
@@ -29,6 +26,20 @@
         );
     }
 
+    /// Logs that a notice of departure has reached this leader, and through which daemon.
+    pub(super) fn trace_departure(&self, worker: &str, responder: &Responder) {
+        let (through, _) = self.requester(responder);
+        log::info!("event=departure_notice worker={worker} through={through}");
+    }
+
+    /// Returns the daemon that a call came through, and the number of the call there.
+    fn requester(&self, responder: &Responder) -> (id::VmId, u64) {
+        match responder {
+            Responder::Remote { endpoint, number } => (endpoint.vm, *number),
+            Responder::Local(_) | Responder::Discard => (self.me.vm, 0),
+        }
+    }
+
     /// Logs the reply to a call about the configuration that this daemon forwarded.
     pub(super) fn trace_reply(&self, from: id::VmId, number: u64, reply: &call::Reply) {
         let Some(pending) = self.calls.pending(number) else {
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -517,6 +517,7 @@
     // A worker that has not answered keeps its current lease. Its runs have certainly ended only when the latest lease
     // that it may have received has expired, and if each request extended that lease, this would never happen.
     let clock = record.clock(now).filter(|_| !record.may_be_replaced());
+    let lease = record.lease(now, lease);
     let lease_end = clock.map(|clock| clock + lease);
     if let Some(end) = lease_end {
         record.lease_end = record.lease_end.max(end);
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -63,6 +63,32 @@
         /// Age of its last report, if known.
         silent: Option<Duration>,
     },
+    /// A notice says that a worker has left; each incarnation with its name is asked.
+    DepartureNoticed {
+        /// Index of the incarnation.
+        index: cell::WorkerIndex,
+        /// Name of the worker.
+        worker: String,
+        /// Start time of the incarnation, in milliseconds since the Unix epoch.
+        started_ms: u64,
+        /// Whether it is draining.
+        draining: bool,
+        /// Number of runs on it.
+        runs: usize,
+        /// Age of its last report, if known.
+        silent: Option<Duration>,
+    },
+    /// An incarnation has answered since the notice that it has left.
+    DepartureRefuted {
+        /// Index of the incarnation.
+        index: cell::WorkerIndex,
+        /// Name of the worker.
+        worker: String,
+        /// Number of runs in its report.
+        runs: usize,
+        /// Time since the notice arrived.
+        after: Duration,
+    },
     /// A query was sent to the eligibility service.
     QuerySent {
         /// Step that the query is about.
@@ -124,12 +150,35 @@
                 runs,
                 silent,
             } => {
-                let silent = silent.map_or(-1, |silent| silent.as_millis() as i64);
                 write!(
                     f,
-                    "belief=worker_unusable worker={worker} reason={reason} runs={runs} report_age_ms={silent}"
+                    "belief=worker_unusable worker={worker} reason={reason} runs={runs} report_age_ms={}",
+                    millis(*silent)
                 )
             }
+            Self::DepartureNoticed {
+                index,
+                worker,
+                started_ms,
+                draining,
+                runs,
+                silent,
+            } => write!(
+                f,
+                "decision=ask_departed worker={worker} index={index} born={started_ms} draining={draining} \
+                 runs={runs} report_age_ms={}",
+                millis(*silent)
+            ),
+            Self::DepartureRefuted {
+                index,
+                worker,
+                runs,
+                after,
+            } => write!(
+                f,
+                "belief=worker_present worker={worker} index={index} runs={runs} after_ms={}",
+                after.as_millis()
+            ),
             Self::QuerySent { step, workers } => write!(
                 f,
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
@@ -139,3 +188,8 @@
         }
     }
 }
+
+/// Returns the milliseconds of a duration as they appear in logs; -1 if it is not known.
+fn millis(duration: Option<Duration>) -> i64 {
+    duration.map_or(-1, |duration| duration.as_millis() as i64)
+}
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -5,7 +5,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_workload::{directive, eligibility, worker as announced};
 
-use super::{Dispatch, Event, Now, Output, directives, proof::Proof, schedule};
+use super::{Dispatch, Event, Now, Output, directives, schedule};
 use crate::worker;
 
 /// Margin on the lease of an earlier leader, for the time between its last decision and the arrival of the directive.
@@ -165,19 +165,28 @@
         Registration::Propose(register(announcement, draining))
     }
 
-    /// Handles the notice of a worker that it leaves now. It names no incarnation: one that has not announced its
-    /// departure is asked.
+    /// Handles the notice of a worker that it leaves now.
+    ///
+    /// It names no incarnation and may arrive late, and its sender may work on until it is acknowledged. All incarnations
+    /// with the name are therefore asked: a report of the next one, or the end of the lease, shows that one has ended.
     pub fn leave(&mut self, now: Duration, name: &str) {
-        let named = self.workers.iter();
+        let named = self.workers.iter_mut();
         let named = named.filter(|(_, record)| record.incarnation.name == name);
-        let named: Vec<_> = named
-            .map(|(index, record)| (*index, Proof::departure(record)))
-            .collect();
-        for (index, proof) in named {
-            match proof {
-                Some(proof) => self.end_incarnation(index, proof, now),
-                None => self.verify_claim(index, now),
-            }
+        let mut asked = Vec::new();
+        for (index, record) in named {
+            record.noticed_at = Some(now);
+            self.outputs.push(Output::Event(Event::DepartureNoticed {
+                index: *index,
+                worker: String::from(name),
+                started_ms: record.incarnation.started_ms,
+                draining: record.draining,
+                runs: record.runs.len(),
+                silent: record.last_report_at.map(|reported| now.saturating_sub(reported)),
+            }));
+            asked.push(*index);
+        }
+        for index in asked {
+            self.verify_claim(index, now);
         }
     }
 
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -225,13 +225,25 @@
         self.propose_ends(worker, ends);
     }
 
-    /// Abandons the runs of workers whose lease has expired, and removes workers that have not reported for a long
-    /// time.
+    /// Abandons the runs of workers whose lease has expired, and removes workers that have left, or have not reported
+    /// for a long time.
     pub(super) fn expire_leases(&mut self, now: Duration, group: TimerGroup) {
         let has_sent_runs = |record: &worker::Worker| {
             let mut runs = record.runs.values();
             runs.any(|run| run.phase != worker::Phase::Proposed)
         };
+        let ended: Vec<(cell::WorkerIndex, Proof)> = self
+            .workers
+            .iter()
+            .filter(|(index, _)| group.contains(**index))
+            .filter_map(|(index, record)| {
+                let proof = Proof::departure(record, now).or_else(|| Proof::silence(record, now));
+                Some((*index, proof?))
+            })
+            .collect();
+        for (index, proof) in ended {
+            self.end_incarnation(index, proof, now);
+        }
         let expired: Vec<(cell::WorkerIndex, Proof)> = self
             .workers
             .iter()
@@ -241,14 +253,5 @@
         for (index, proof) in expired {
             self.lose_runs(index, proof);
         }
-        let silent: Vec<(cell::WorkerIndex, Proof)> = self
-            .workers
-            .iter()
-            .filter(|(index, _)| group.contains(**index))
-            .filter_map(|(index, record)| Some((*index, Proof::silence(record, now)?)))
-            .collect();
-        for (index, proof) in silent {
-            self.end_incarnation(index, proof, now);
-        }
     }
 }
--- a/crates/dispatch/src/dispatch/proof.rs
+++ b/crates/dispatch/src/dispatch/proof.rs
@@ -35,10 +35,13 @@
         record.leases_expired(now).then_some(Evidence::Lease.into())
     }
 
-    /// A notice of departure has arrived under the name of a worker that has announced its departure itself. Without
-    /// that, the notice may be a late one of an earlier incarnation.
-    pub(super) fn departure(record: &worker::Worker) -> Option<Self> {
-        record.draining.then_some(Evidence::Departed.into())
+    /// A draining worker has not answered since a notice of its departure arrived, and its lease has expired.
+    ///
+    /// The notice alone proves nothing, even if the worker is draining: it names no incarnation, may be a late one of
+    /// an earlier incarnation, and is sent before the worker ends.
+    pub(super) fn departure(record: &worker::Worker, now: Duration) -> Option<Self> {
+        let has_left = record.draining && record.noticed_at.is_some() && record.leases_expired(now);
+        has_left.then_some(Evidence::Departed.into())
     }
 
     /// The worker at its address refused a directive because it has another name.
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -45,7 +45,15 @@
             return;
         }
         record.report_missed = false;
-        record.claimed_at = record.claimed_at.filter(|claimed_at| sent < *claimed_at);
+        if let Some(noticed_at) = record.noticed_at.filter(|noticed_at| sent >= *noticed_at) {
+            self.outputs.push(Output::Event(Event::DepartureRefuted {
+                index: worker,
+                worker: record.incarnation.name.clone(),
+                runs: report.running.len(),
+                after: now.steady.saturating_sub(noticed_at),
+            }));
+        }
+        record.refute_claims(sent);
         let first = record.last_report_at.is_none();
         record.last_report_at = Some(record.last_report_at.unwrap_or_default().max(now.steady));
         if first {
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -25,6 +25,10 @@
 /// half a second after the previous one.
 const CLOCK_TOLERANCE: Duration = Duration::from_millis(20);
 
+/// Minimum lease of a draining worker. The tasks of one that has left wait until its lease has expired, so that it is
+/// shorter than that of other workers; it has to outlast the loss of a leader.
+const DRAINING_LEASE: Duration = Duration::from_secs(3);
+
 /// Bits of a fencing token below the term; a cell registers fewer incarnations of workers.
 const INCARNATION_BITS: u32 = 24;
 
@@ -134,6 +138,8 @@
     /// Time of an unverified announcement by which another incarnation has its name or its address, or of an unverified
     /// notice that it has left.
     pub claimed_at: Option<Duration>,
+    /// Time of a notice that it has left, since which it has not answered.
+    pub noticed_at: Option<Duration>,
     /// Earliest local time at which it leaves, if it is draining and has announced a time.
     pub departs_at: Option<Duration>,
     /// Time at which the last report arrived.
@@ -175,6 +181,7 @@
             next_report_at: now,
             report_missed: false,
             claimed_at: None,
+            noticed_at: None,
             departs_at: None,
             last_report_at: None,
             failures: 0,
@@ -195,9 +202,29 @@
     /// Requests a report immediately, because an unverified message says that the worker is gone. Until it arrives, no
     /// lease is renewed: another incarnation with this name would receive it.
     pub fn verify_claim(&mut self, now: Duration) {
+        // Messages may be repeated at any rate: the request that an earlier one has caused is not repeated with them.
+        let is_asked = self.claimed_at.is_some() && self.report_requested_at.is_some();
         self.claimed_at = Some(now);
-        self.report_requested_at = None;
-        self.next_report_at = now;
+        if !is_asked {
+            self.report_requested_at = None;
+            self.next_report_at = now;
+        }
+    }
+
+    /// Handles a report that was requested at a time: claims and notices from before it are refuted.
+    pub fn refute_claims(&mut self, requested_at: Duration) {
+        self.claimed_at = self.claimed_at.filter(|claimed_at| requested_at < *claimed_at);
+        self.noticed_at = self.noticed_at.filter(|noticed_at| requested_at < *noticed_at);
+    }
+
+    /// Returns the duration to which a request for a report renews the lease; `longest` is that of a worker that is not
+    /// draining.
+    pub fn lease(&self, now: Duration, longest: Duration) -> Duration {
+        if !self.draining {
+            return longest;
+        }
+        let remaining = self.departs_at.unwrap_or_default().saturating_sub(now);
+        remaining.max(DRAINING_LEASE).min(longest)
     }
 
     /// Returns whether another incarnation with its name may receive its directives.
--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -79,6 +79,7 @@
                 failing: 0.1,
                 losses: 0.0,
                 departures: 0.0,
+                restarts: 0.0,
                 reuse_names: false,
             },
             ..common::calm(200 + seed)
@@ -175,3 +176,24 @@
         });
     }
 }
+
+/// Guards against tasks that run twice around planned restarts under the same name: notices of departure that arrive
+/// late, twice or while the sender works on, also when the next incarnation drains, crashes or is cut off, and around
+/// changes of leader.
+#[parameterized(
+    alone = { Faults { restarts: 2.0, ..Faults::default() } },
+    leader_changes = { Faults { restarts: 2.0, leader_changes: 0.2, ..Faults::default() } },
+    partitions = { Faults { restarts: 2.0, partitions: 0.5, ..Faults::default() } },
+    crashes = { Faults { restarts: 2.0, crashes: 0.8, lost_answers: 0.03, ..Faults::default() } },
+)]
+fn planned_restarts_run_no_task_twice(faults: Faults) {
+    for seed in 0..seeds() {
+        run(Plan {
+            faults: Faults {
+                reuse_names: true,
+                ..faults
+            },
+            ..common::calm(700 + seed)
+        });
+    }
+}
--- a/crates/dispatch/tests/restarts/claims.rs
+++ b/crates/dispatch/tests/restarts/claims.rs
@@ -3,9 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_model::resource;
-use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{directive, worker};
+use bronzespoke_workload::directive;
 use yare::parameterized;
 
 use super::leader::{Leader, TASK, is_start};
@@ -122,14 +120,39 @@
     }
 }
 
+/// What happens to a worker at work before a late notice of an earlier incarnation arrives.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Before {
+    Nothing,
+    Draining,
+    Election,
+    DrainingAndElection,
+}
+
 /// Guards against tasks that run twice: a late notice of departure of an earlier incarnation ended the next one, which
-/// was at work.
-#[test]
-fn a_late_notice_of_departure_ends_no_run() {
+/// was at work, and also if that one was draining.
+#[parameterized(
+    ready = { Before::Nothing, 1 },
+    ready_repeated = { Before::Nothing, 40 },
+    draining = { Before::Draining, 1 },
+    draining_twice = { Before::Draining, 2 },
+    draining_repeated = { Before::Draining, 40 },
+    new_leader = { Before::Election, 2 },
+    draining_new_leader = { Before::DrainingAndElection, 2 },
+)]
+fn a_late_notice_of_departure_ends_no_run(before: Before, notices: usize) {
     let (mut leader, placed, _) = Leader::with_run();
-    leader.dispatch.leave(leader.now.steady, &format!("w-{placed}"));
+    if matches!(before, Before::Draining | Before::DrainingAndElection) {
+        leader.announce_draining(placed as u16, 5);
+    }
+    if matches!(before, Before::Election | Before::DrainingAndElection) {
+        leader.elect(2);
+    }
     let mut starts = 0;
-    for _ in 0..200 {
+    for round in 0..200 {
+        if round < notices {
+            leader.dispatch.leave(leader.now.steady, &format!("w-{placed}"));
+        }
         for request in leader.run(50) {
             starts += usize::from(is_start(&request.1));
             leader.report_running(&request, placed);
@@ -139,25 +162,81 @@
         starts, 0,
         "the task runs elsewhere although its worker is at work"
     );
+    let record = &leader.dispatch.workers()[&placed];
+    assert!(record.runs.contains_key(&TASK), "{record:?}");
+    assert!(record.claimed_at.is_none(), "the worker gets no work");
+    let lease_left = record.lease_end.saturating_sub(leader.now.steady);
     assert!(
-        leader.dispatch.workers()[&placed].claimed_at.is_none(),
-        "the worker gets no work"
+        lease_left > Duration::from_secs(1),
+        "the lease lasts {lease_left:?} more"
     );
 }
 
-/// Guards against tasks that wait for the lease of a worker that has announced its departure and left.
+/// Guards against tasks that run twice: a worker that has sent its notice works on until it is acknowledged, and the
+/// answer to the leader's question, out of order with an earlier one, was overlooked.
 #[test]
-fn the_tasks_of_a_worker_that_has_left_move_at_once() {
+fn an_answer_from_before_a_notice_does_not_refute_it() {
     let (mut leader, placed, _) = Leader::with_run();
-    let room = resource::Amount::new(8_000, 8_000, 0);
-    let mut announcement = load::announcement(placed as u16, 5, room);
-    announcement.state = worker::State::Draining {
-        remaining: Some(Duration::from_mins(1)),
-    };
-    let steady = leader.now.steady;
-    leader.dispatch.announce(&leader.state, steady, &announcement);
-    leader.dispatch.leave(steady, &format!("w-{placed}"));
+    leader.announce_draining(placed as u16, 5);
+    let before = leader.run(400);
+    let earlier = before.iter().find(|(worker, ..)| *worker == placed);
+    let earlier = earlier.expect("a report is requested").clone();
+    leader.dispatch.leave(leader.now.steady, &format!("w-{placed}"));
+    let asked = leader.run(30);
+    let request = asked.iter().find(|(worker, ..)| *worker == placed);
+    let request = request.expect("the worker is asked").clone();
+    let noticed = |leader: &Leader| leader.dispatch.workers()[&placed].noticed_at.is_some();
+    leader.report_running(&earlier, placed);
+    assert!(noticed(&leader));
+    leader.report_running(&request, placed);
+    assert!(!noticed(&leader));
+}
+
+/// Guards against tasks that wait for the lease of other workers, and against requests to a worker that has left.
+#[test]
+fn the_tasks_of_a_worker_that_has_left_move_when_its_lease_ends() {
+    let (mut leader, placed, _) = Leader::with_run();
+    leader.announce_draining(placed as u16, 5);
+    // The lease from before the announcement expires meanwhile.
+    for _ in 0..80 {
+        for request in leader.run(50) {
+            leader.report_running(&request, placed);
+        }
+    }
+    let left_at = leader.now.steady;
+    let lease_end = leader.dispatch.workers()[&placed].lease_end;
+    leader.dispatch.leave(left_at, &format!("w-{placed}"));
+    let placed_until = leader.placed_until();
+    assert!(placed_until >= lease_end, "{placed_until:?} {lease_end:?}");
+    let longest = Duration::from_secs(3).mul_f64(1.05);
+    assert!(placed_until < left_at + longest, "{placed_until:?} {left_at:?}");
+    assert!(!leader.dispatch.workers().contains_key(&placed));
+}
+
+/// Guards against tasks that wait for the lease of a worker that has left although its next incarnation answers.
+#[test]
+fn the_tasks_of_a_worker_that_has_left_move_with_the_next_answer() {
+    let (mut leader, placed, _) = Leader::with_run();
+    leader.announce_draining(placed as u16, 5);
+    leader.dispatch.leave(leader.now.steady, &format!("w-{placed}"));
+    let asked = leader.run(30);
+    let request = asked.iter().find(|(worker, ..)| *worker == placed);
+    leader.report(request.expect("the worker is asked"), 1_000, Vec::new());
     let sent = leader.run(50);
     let start = sent.iter().find(|(_, directive, _)| is_start(directive));
     assert_eq!(start.map(|(worker, ..)| *worker), Some(1 - placed), "{sent:?}");
 }
+
+/// Guards against a request to the worker for each notice, which anybody may repeat at any rate.
+#[test]
+fn repeated_notices_cause_one_request_at_a_time() {
+    let (mut leader, placed, _) = Leader::with_run();
+    leader.run(30);
+    let mut requests = 0;
+    for _ in 0..500 {
+        leader.dispatch.leave(leader.now.steady, &format!("w-{placed}"));
+        let sent = leader.run(1);
+        requests += sent.iter().filter(|(worker, ..)| *worker == placed).count();
+    }
+    assert_eq!(requests, 1);
+}
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -6,7 +6,7 @@
 use bronzespoke_dispatch::dispatch::{Config, Dispatch, Now, Output, Registration};
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
-use bronzespoke_workload::{directive, job, settings};
+use bronzespoke_workload::{directive, job, settings, worker};
 use bytes::Bytes;
 
 pub const KEY: job::Key = 7;
@@ -17,6 +17,9 @@
     index: 0,
 };
 
+/// Resources of each worker.
+const ROOM: resource::Amount = resource::Amount::new(8_000, 8_000, 0);
+
 pub const fn at(millis: u64) -> Now {
     Now {
         steady: Duration::from_millis(millis),
@@ -59,11 +62,21 @@
 
     /// Announces a worker with any name at the address of a worker.
     pub fn announce_as(&mut self, name: &str, at: u16, started_ms: u64) {
-        let room = resource::Amount::new(8_000, 8_000, 0);
-        let mut announcement = load::announcement(at, started_ms, room);
+        let mut announcement = load::announcement(at, started_ms, ROOM);
         announcement.incarnation.name = String::from(name);
+        self.receive(&announcement);
+    }
+
+    /// Announces that a worker is draining, as it does before a planned end.
+    pub fn announce_draining(&mut self, number: u16, started_ms: u64) {
+        let mut announcement = load::announcement(number, started_ms, ROOM);
+        announcement.state = worker::State::Draining { remaining: None };
+        self.receive(&announcement);
+    }
+
+    pub fn receive(&mut self, announcement: &worker::Announcement) {
         let steady = self.now.steady;
-        if let Registration::Propose(command) = self.dispatch.announce(&self.state, steady, &announcement) {
+        if let Registration::Propose(command) = self.dispatch.announce(&self.state, steady, announcement) {
             self.commit(&command);
         }
     }
--- a/crates/standin/src/fleet/simulation/faults.rs
+++ b/crates/standin/src/fleet/simulation/faults.rs
@@ -9,16 +9,22 @@
 /// Time from the announcement of a departure to the end of the worker.
 const DEPARTURE_NOTICE: Duration = Duration::from_secs(2);
 
+/// Maximum time for which a notice of departure is held up, in milliseconds.
+const MAX_NOTICE_DELAY_MS: u64 = 14_000;
+/// Pause of a notice of departure while there is no leader.
+const NOTICE_RETRY: Duration = Duration::from_millis(100);
+
 impl Simulation {
     pub(super) fn plan_faults(&mut self) {
         let faults = self.plan.faults;
-        let rates: [(f64, fn() -> Event); 6] = [
+        let rates: [(f64, fn() -> Event); 7] = [
             (faults.crashes, || Event::Crash),
             (faults.partitions, || Event::Disconnect),
             (faults.leader_changes, || Event::LoseLeader),
             (faults.failing, || Event::StartFailing),
             (faults.losses, || Event::Lose),
             (faults.departures, || Event::Depart),
+            (faults.restarts, || Event::Drain),
         ];
         for (rate, event) in rates {
             let count = (rate * self.plan.duration.as_secs_f64()).round() as usize;
@@ -52,6 +58,71 @@
         }
     }
 
+    /// Begins the planned restart of a worker.
+    pub(super) fn drain(&mut self) {
+        let index = self.rng.random_range(0..self.hosts.len());
+        let host = &mut self.hosts[index];
+        if host.worker.is_none() || host.draining {
+            return;
+        }
+        host.draining = true;
+        let incarnation = host.incarnations;
+        self.announce(index);
+        let delay = Duration::from_millis(self.rng.random_range(2_500..8_000));
+        self.schedule(delay, Event::Notify(index, incarnation));
+    }
+
+    /// Sends the notice of departure of an incarnation, unless it has ended meanwhile.
+    pub(super) fn notify(&mut self, index: usize, incarnation: u64) {
+        let Some(worker) = self.named_incarnation(index, incarnation) else {
+            return;
+        };
+        let is_held_up = self.rng.random_bool(0.5);
+        let copies = if self.rng.random_bool(0.3) { 2 } else { 1 };
+        for _ in 0..copies {
+            let delay = if is_held_up {
+                Duration::from_millis(self.rng.random_range(500..MAX_NOTICE_DELAY_MS))
+            } else {
+                self.latency()
+            };
+            self.schedule(delay, Event::Notice(worker.clone()));
+        }
+        // Without an acknowledgement, it ends some seconds later.
+        let works_on = if is_held_up {
+            Duration::from_millis(self.rng.random_range(500..4_000))
+        } else {
+            self.latency() * 2
+        };
+        self.schedule(works_on, Event::Leave(index, incarnation));
+    }
+
+    /// Delivers a notice of departure. A daemon that knows no leader keeps it for the next one.
+    pub(super) fn notice(&mut self, name: String) {
+        match &mut self.dispatch {
+            Some(dispatch) => dispatch.leave(self.now, &name),
+            None => self.schedule(NOTICE_RETRY, Event::Notice(name)),
+        }
+    }
+
+    /// Ends an incarnation that has sent its notice, and starts the next one.
+    pub(super) fn leave(&mut self, index: usize, incarnation: u64) {
+        if self.named_incarnation(index, incarnation).is_some() {
+            self.stop_worker(index);
+            let delay = Duration::from_millis(self.rng.random_range(100..3_000));
+            self.schedule(delay, Event::Restart(index));
+        }
+    }
+
+    /// Returns the name of a host's worker if it is still this incarnation.
+    fn named_incarnation(&self, index: usize, incarnation: u64) -> Option<String> {
+        let host = &self.hosts[index];
+        let worker = host
+            .worker
+            .as_ref()
+            .filter(|_| host.incarnations == incarnation)?;
+        Some(worker.name.clone())
+    }
+
     pub(super) fn crash(&mut self) {
         let index = self.rng.random_range(0..self.hosts.len());
         if self.hosts[index].worker.is_some() {
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -94,6 +94,9 @@
     pub losses: f64,
     /// Rate of workers that announce their departure and are gone two seconds later.
     pub departures: f64,
+    /// Rate of planned restarts under the same name: the worker drains, sends a notice that may be held up or repeated,
+    /// works on until it is acknowledged, or for some seconds, and starts again.
+    pub restarts: f64,
     /// Whether a restarted worker keeps its name, so that directives to its earlier incarnation reach it.
     pub reuse_names: bool,
 }
@@ -155,6 +158,10 @@
     Lose,
     Depart,
     Departed(usize),
+    Drain,
+    Notify(usize, u64),
+    Notice(String),
+    Leave(usize, u64),
     LoseLeader,
     Elect,
     LeaderFree,
@@ -179,6 +186,8 @@
     worker: Option<worker::Worker>,
     disconnected: bool,
     departs_at: Option<Duration>,
+    /// Whether the worker is draining before a planned restart.
+    draining: bool,
     /// Numbers of the directives whose report is delayed until a run ends.
     waiting_reports: Vec<u64>,
     incarnations: u64,
@@ -352,6 +361,7 @@
                 worker: None,
                 disconnected: false,
                 departs_at: None,
+                draining: false,
                 waiting_reports: Vec::new(),
                 incarnations: 0,
             });
@@ -363,6 +373,7 @@
         let rate = self.rng.random_range(0.981..1.0);
         let host = &mut self.hosts[index];
         host.incarnations += 1;
+        host.draining = false;
         let started_ms = EPOCH_MS + self.now.as_millis() as u64 + host.incarnations;
         let incarnation = if self.plan.faults.reuse_names {
             1
@@ -445,6 +456,10 @@
             }
             Event::Depart => self.announce_departure(),
             Event::Departed(index) => self.stop_worker(index),
+            Event::Drain => self.drain(),
+            Event::Notify(index, incarnation) => self.notify(index, incarnation),
+            Event::Notice(name) => self.notice(name),
+            Event::Leave(index, incarnation) => self.leave(index, incarnation),
             Event::LoseLeader => self.lose_leader(),
             Event::Elect => self.elect(),
             // Handled where it is received.
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -15,6 +15,8 @@
     COMMIT_LATENCY, DIRECTIVE_TIMEOUT, EPOCH_MS, Event, LATENCY, SentDirective, Simulation, is_eligible,
 };
 
+/// Time after which an announcement that was lost is repeated.
+const HEARTBEAT: Duration = Duration::from_millis(1_500);
 /// Pause of a late directive whose worker has just restarted.
 const LATE_RETRY: Duration = Duration::from_millis(20);
 
@@ -53,6 +55,7 @@
             return;
         };
         if self.hosts[index].disconnected {
+            self.schedule(HEARTBEAT, Event::Announce(index));
             return;
         }
         let announcement = announced::Announcement {
@@ -75,6 +78,7 @@
                 Some(at) => announced::State::Draining {
                     remaining: Some(at.saturating_sub(self.now)),
                 },
+                None if self.hosts[index].draining => announced::State::Draining { remaining: None },
                 None => announced::State::Ready,
             },
             cold: Duration::ZERO,
