An announcement from another address changes no worker

What callers would see: an announcement under the name and start time of a worker at work, with another address and other resources, replaced its description. Its directives went to the other address, the worker there refused them, and the tasks ran twice. Found by listing who can say what each proof takes for evidence; not seen in operation.

Cause: the address alone did not make announce() propose a change, but any other difference replaced the whole description.

Change: an incarnation keeps its address; such an announcement is acknowledged, logged and ignored.

--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -199,15 +199,8 @@
         };
         match dispatch.announce(&self.state, now, announcement) {
             Registration::Known | Registration::Outdated => self.respond(responder, call::Reply::Done),
-            Registration::UnknownPool => {
-                log::info!(
-                    "decision=ignore_announcement worker={} reason=unknown_pool pool={} address={}",
-                    announcement.incarnation.name,
-                    announcement.worker.pool,
-                    announcement.worker.address
-                );
-                self.respond(responder, call::Reply::Done);
-            }
+            Registration::UnknownPool => self.ignore(announcement, "unknown_pool", responder),
+            Registration::OtherAddress => self.ignore(announcement, "other_address", responder),
             Registration::Propose(command) => {
                 log::info!(
                     "decision=register worker={} born={} state={:?} address={}",
@@ -221,6 +214,17 @@
         }
     }
 
+    /// Acknowledges an announcement that describes no worker.
+    fn ignore(&mut self, announcement: &worker::Announcement, reason: &'static str, responder: Responder) {
+        log::info!(
+            "decision=ignore_announcement worker={} reason={reason} pool={} address={}",
+            announcement.incarnation.name,
+            announcement.worker.pool,
+            announcement.worker.address
+        );
+        self.respond(responder, call::Reply::Done);
+    }
+
     fn serve_job(&mut self, call: call::Job, responder: Responder) {
         match self.route(&call) {
             Err(reply) => {
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -20,6 +20,9 @@
     Known,
     /// The announcement comes from an earlier incarnation.
     Outdated,
+    /// The announcement names another address than the one at which the incarnation is registered, so that its sender is
+    /// another one.
+    OtherAddress,
     /// The configuration has no such pool, so that the announcement describes no worker.
     UnknownPool,
     /// The command has to be committed before the announcement is acknowledged.
@@ -127,9 +130,12 @@
             };
             if registered.incarnation == *incarnation {
                 // An incarnation keeps its address. Without a start time, a later one of the name may be meant.
+                let has_moved = registered.worker.address != announcement.worker.address;
+                if has_moved && incarnation.started_ms != 0 {
+                    return Registration::OtherAddress;
+                }
                 let changed = (draining && !registered.draining)
-                    || (registered.worker.address != announcement.worker.address
-                        && incarnation.started_ms == 0)
+                    || has_moved
                     || registered.worker.room != announcement.worker.room
                     || registered.worker.labels != announcement.worker.labels;
                 if let Some(record) = self.workers.get_mut(&index) {
