--- a/crates/dispatch/tests/restarts/claims.rs
+++ b/crates/dispatch/tests/restarts/claims.rs
@@ -148,20 +148,12 @@
     if matches!(before, Before::Election | Before::DrainingAndElection) {
         leader.elect(2);
     }
-    let mut starts = 0;
     for round in 0..200 {
         if round < notices {
             leader.dispatch.leave(leader.now.steady, &format!("w-{placed}"));
         }
-        for request in leader.run(50) {
-            starts += usize::from(is_start(&request.1));
-            leader.report_running(&request, placed);
-        }
+        leader.run_undisturbed(placed);
     }
-    assert_eq!(
-        starts, 0,
-        "the task runs elsewhere although its worker is at work"
-    );
     let record = &leader.dispatch.workers()[&placed];
     assert!(record.runs.contains_key(&TASK), "{record:?}");
     assert!(record.claimed_at.is_none(), "the worker gets no work");
@@ -199,9 +191,7 @@
     leader.announce_draining(placed as u16, 5);
     // The lease from before the announcement expires meanwhile.
     for _ in 0..80 {
-        for request in leader.run(50) {
-            leader.report_running(&request, placed);
-        }
+        leader.run_undisturbed(placed);
     }
     let left_at = leader.now.steady;
     let lease_end = leader.dispatch.workers()[&placed].lease_end;
--- a/crates/dispatch/tests/restarts/evidence.rs
+++ b/crates/dispatch/tests/restarts/evidence.rs
@@ -134,18 +134,10 @@
     let (mut leader, placed, other) = Leader::with_run();
     let mut foreign = load::announcement(other as u16, 5, resource::Amount::new(4_000, 4_000, 0));
     foreign.incarnation.name = format!("w-{placed}");
-    let mut starts = 0;
     for _ in 0..100 {
         leader.receive(&foreign);
-        for request in leader.run(50) {
-            starts += usize::from(is_start(&request.1));
-            leader.report_running(&request, placed);
-        }
+        leader.run_undisturbed(placed);
     }
-    assert_eq!(
-        starts, 0,
-        "the task runs elsewhere although its worker is at work"
-    );
     let announced = &leader.dispatch.workers()[&placed].announced;
     assert_eq!(usize::from(announced.address.port()), 1_000 + placed as usize);
 }
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -158,6 +158,17 @@
         self.answer(request, Some(&answer));
     }
 
+    /// Advances the time by 50 ms while the task runs on `placed`, and checks that it is not started elsewhere.
+    pub fn run_undisturbed(&mut self, placed: cell::WorkerIndex) {
+        for request in self.run(50) {
+            assert!(
+                !is_start(&request.1),
+                "the task runs elsewhere although its worker is at work: {request:?}"
+            );
+            self.report_running(&request, placed);
+        }
+    }
+
     pub fn submit(&mut self) {
         let step = job::Step {
             tasks: 1,
