A rejection does not settle a call of which another copy may have been executed

The leader that had acknowledged the removal of a key was killed; the next one committed the submissions of its log and judged the resent copies by the configuration without the key.

Cause: after an unanswered copy, `Calls::reply` replaced refusals (429, 503) by an unknown outcome, and passed on any other rejection (400, 401, 404, 410). On one leader, a copy could also be rejected while the first one was being committed and the configuration was applied in between.

Change: after a copy of unknown outcome only a confirmation settles a call that changes state, and any reply settles a read. Everything else is "unknown" (504), so no list of rejections has to be kept. A leader drops a copy that it would reject while it commits a command of the same call; the commit answers both. The table of waiting commands moves to `fleet::commands`, where it can be tested.

Ruled out: to answer from the record whatever became of the key. A leader can't tell a copy from before the change from a new call with the withdrawn key, which has to be rejected (decision 0005).

--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -115,13 +115,10 @@
             return None;
         }
         let pending = self.pending.remove(&number)?;
-        let is_refused = matches!(reply, call::Reply::Refused { .. });
-        // The leader may execute another copy of the call after it has refused this one.
-        let reply = if is_refused && !pending.unexecuted {
-            call::Reply::Unknown
-        } else {
-            reply
-        };
+        // A rejection says nothing of the other copies: one of them may have been executed under an earlier leader or
+        // configuration, or may still be.
+        let is_settled = pending.unexecuted || pending.call.is_read() || reply == call::Reply::Done;
+        let reply = if is_settled { reply } else { call::Reply::Unknown };
         Some((pending.responder, reply))
     }
 
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -1,9 +1,6 @@
 //! The actor on the control thread, which owns all state of the daemon.
 
-use std::{
-    collections::{HashMap, VecDeque},
-    time::Duration,
-};
+use std::{collections::VecDeque, time::Duration};
 
 use bronzespoke_clock as clock;
 use bronzespoke_consensus::replica;
@@ -20,7 +17,11 @@
 use crate::{
     control::context,
     disk,
-    fleet::{Message, calls, discovery, inbox, member, metric, relay, replication, sender, wire},
+    fleet::{
+        Message, calls,
+        commands::{Commands, Responder},
+        discovery, inbox, member, metric, relay, replication, sender, wire,
+    },
     identity, peer,
 };
 
@@ -32,33 +33,6 @@
 const MIN_TICK: Duration = Duration::from_millis(2);
 /// Messages that are handled before timers, commits and replies are.
 const MESSAGES_PER_ADVANCE: usize = 32;
-/// How long a command waits for others to share its log entry.
-pub(super) const COMMAND_DELAY: Duration = Duration::from_millis(2);
-
-/// Receiver of the outcome of a command.
-#[derive(Debug)]
-pub enum Responder {
-    /// No receiver; the command was not issued by a call.
-    Discard,
-    /// A caller that is connected to this daemon.
-    Local(oneshot::Sender<call::Reply>),
-    /// A call that another daemon forwarded.
-    Remote {
-        /// Daemon that forwarded the call.
-        endpoint: wire::Endpoint,
-        /// Number of the call at that daemon.
-        number: u64,
-    },
-}
-
-/// A command that waits to be proposed or committed.
-#[derive(Debug)]
-pub struct Pending {
-    /// Command to apply.
-    pub command: cell::Command,
-    /// Receiver of the outcome.
-    pub responder: Responder,
-}
 
 /// Arguments with which the control thread starts.
 #[derive(Debug)]
@@ -101,9 +75,7 @@
     pub(super) dispatch: Option<Dispatch>,
     pub(super) relays: relay::Relays,
     pub(super) relay_answers: relay::Answers,
-    pub(super) batch: Vec<Pending>,
-    pub(super) batch_since: Option<Duration>,
-    pub(super) proposed: HashMap<u64, Vec<Pending>>,
+    pub(super) commands: Commands,
     pub(super) events: VecDeque<member::Event>,
     pub(super) membership_at: Duration,
     pub(super) proxies_at: Duration,
@@ -196,9 +168,7 @@
             dispatch: None,
             relays: relay::Relays::default(),
             relay_answers: relay::Answers::default(),
-            batch: Vec::new(),
-            batch_since: None,
-            proposed: HashMap::new(),
+            commands: Commands::default(),
             events: VecDeque::new(),
             membership_at: Duration::ZERO,
             proxies_at: Duration::ZERO,
@@ -419,8 +389,8 @@
         if let Some(member) = &self.member {
             wake = wake.min(member.replica().next_wake());
         }
-        if let Some(since) = self.batch_since {
-            wake = wake.min(since + COMMAND_DELAY);
+        if let Some(due) = self.commands.due() {
+            wake = wake.min(due);
         }
         if let Some(dispatch) = &self.dispatch {
             wake = wake.min(dispatch.next_wake());
--- a/crates/daemon/src/fleet/frames.rs
+++ b/crates/daemon/src/fleet/frames.rs
@@ -7,7 +7,8 @@
 
 use crate::{
     fleet::{
-        controller::{Controller, Responder, answer},
+        commands::Responder,
+        controller::{Controller, answer},
         wire,
     },
     peer,
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -10,10 +10,7 @@
 use bronzespoke_workload::{call, catalog, eligibility, job, worker};
 
 use crate::{
-    fleet::{
-        controller::{Controller, Responder},
-        metric, relay, wire,
-    },
+    fleet::{commands::Responder, controller::Controller, metric, relay, wire},
     peer,
 };
 
@@ -39,10 +36,9 @@
             log::info!("belief=term_over token={token:?}");
             self.dispatch = None;
             self.relays = relay::Relays::default();
-            for pending in std::mem::take(&mut self.batch) {
+            for pending in self.commands.take_batch() {
                 self.respond(pending.responder, call::Reply::NotLeader);
             }
-            self.batch_since = None;
         }
         if let Some(term) = term {
             let config = dispatch::Config {
@@ -234,12 +230,22 @@
                     call.path,
                     action_name(&call.action)
                 );
-                self.respond(responder, reply);
+                self.reject(responder, reply);
             }
             Ok((queue, team)) => self.serve_routed(&queue, team, call.action, responder),
         }
     }
 
+    /// Sends a rejection of a call, unless an earlier copy of the call is being committed: that one's outcome is the
+    /// reply to both.
+    fn reject(&mut self, responder: Responder, reply: call::Reply) {
+        if self.commands.is_under_way(&responder) {
+            log::info!("decision=drop_copy responder={responder:?} reason=under_way");
+            return;
+        }
+        self.respond(responder, reply);
+    }
+
     /// Returns the queue and the team of a call.
     fn route(&self, call: &call::Job) -> Result<(catalog::Queue, Option<String>), call::Reply> {
         let Some(catalog) = self.state.catalog() else {
@@ -280,7 +286,7 @@
             }
             call::Action::Cancel(key) => {
                 if self.visible(key, team.as_deref()).is_none() {
-                    self.respond(responder, call::Reply::NoJob);
+                    self.reject(responder, call::Reply::NoJob);
                     return;
                 }
                 log::info!("decision=cancel job={key:016x}");
@@ -316,7 +322,7 @@
             return;
         }
         // A submission whose first copy is being committed must not be refused.
-        let is_known = admission::is_behind(self.lag) && self.is_submitting(key);
+        let is_known = admission::is_behind(self.lag) && self.commands.is_submitting(key);
         let lag = if is_known { Duration::ZERO } else { self.lag };
         if let Err(reason) = admission::admit(&self.state, queue, &submission, lag) {
             log::info!(
@@ -329,7 +335,7 @@
                 call::Refusal::Overload => OVERLOAD_RETRY,
                 _ => NO_ROOM_RETRY,
             };
-            self.respond(responder, refused(reason, retry_after));
+            self.reject(responder, refused(reason, retry_after));
             return;
         }
         log::info!(
--- a/crates/daemon/src/fleet/membership.rs
+++ b/crates/daemon/src/fleet/membership.rs
@@ -5,10 +5,7 @@
 use bronzespoke_consensus::membership::Change;
 use bronzespoke_control::cell;
 
-use crate::fleet::{
-    controller::{Controller, Responder},
-    wire,
-};
+use crate::fleet::{commands::Responder, controller::Controller, wire};
 
 /// Interval at which the membership is reconciled.
 const INTERVAL: Duration = Duration::from_millis(300);
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -6,6 +6,7 @@
 
 pub mod calls;
 pub mod client;
+pub mod commands;
 mod controller;
 mod directives;
 pub mod discovery;
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -12,7 +12,8 @@
     disk,
     fleet::{
         Message,
-        controller::{COMMAND_DELAY, Controller, Pending, Responder},
+        commands::{Pending, Responder},
+        controller::Controller,
         member, wire,
     },
     identity, peer,
@@ -30,40 +31,28 @@
         }
     }
 
-    /// Returns whether a submission of a job waits to be proposed or committed.
-    pub(super) fn is_submitting(&self, key: bronzespoke_workload::job::Key) -> bool {
-        let under_way = self.proposed.values().flatten().chain(&self.batch);
-        let mut submissions = under_way.filter_map(|pending| match &pending.command {
-            cell::Command::Submit { key, .. } => Some(*key),
-            _ => None,
-        });
-        submissions.any(|other| other == key)
-    }
-
     /// Adds a command to the next log entry.
     pub(super) fn enqueue(&mut self, command: cell::Command, responder: Responder) {
         let now = self.now();
-        self.batch_since.get_or_insert(now);
-        self.batch.push(Pending { command, responder });
+        self.commands.add(now, command, responder);
     }
 
     pub(super) fn propose_batch(&mut self, now: Duration) {
-        let due = self.batch_since.is_some_and(|since| now >= since + COMMAND_DELAY);
+        let is_due = self.commands.due().is_some_and(|due| now >= due);
         let Some(member) = &mut self.member else { return };
-        if !due {
+        if !is_due {
             return;
         }
-        self.batch_since = None;
         let at_ms = context::Context::wall_ms();
-        let mut pending = std::mem::take(&mut self.batch).into_iter();
+        let mut pending = self.commands.take_batch().into_iter();
         let commands: Vec<_> = pending
             .as_slice()
             .iter()
             .map(|pending| envelope::Envelope::new(at_ms, pending.command.clone()))
             .collect();
         for (proposal, count) in member.propose(now, &commands, &mut self.events) {
-            self.proposed
-                .insert(proposal, pending.by_ref().take(count).collect());
+            self.commands
+                .propose(proposal, pending.by_ref().take(count).collect());
         }
     }
 
@@ -81,7 +70,7 @@
                 member::Event::Send(to, message) => self.send_consensus(to, message),
                 member::Event::Apply(entry) => applied = self.apply(entry),
                 member::Event::Committed { proposal, index } => {
-                    let pending = self.proposed.remove(&proposal).unwrap_or_default();
+                    let pending = self.commands.take_proposal(proposal);
                     let outcomes = applied.take().map(|(_, outcomes)| outcomes).unwrap_or_default();
                     log::debug!(
                         "decision=commit proposal={proposal} index={index} commands={}",
@@ -90,7 +79,7 @@
                     self.committed(pending, outcomes);
                 }
                 member::Event::Rejected { proposal, never } => {
-                    for pending in self.proposed.remove(&proposal).unwrap_or_default() {
+                    for pending in self.commands.take_proposal(proposal) {
                         self.rejected(pending, never);
                     }
                 }
@@ -244,11 +233,10 @@
         self.dispatch = None;
         self.state = cell::State::default();
         self.events.clear();
-        self.batch_since = None;
-        for pending in std::mem::take(&mut self.batch) {
+        for pending in self.commands.take_batch() {
             self.respond(pending.responder, call::Reply::NotLeader);
         }
-        for pending in std::mem::take(&mut self.proposed).into_values().flatten() {
+        for pending in self.commands.take_proposals() {
             self.respond(pending.responder, call::Reply::Unknown);
         }
     }
--- a/crates/daemon/src/fleet/trace.rs
+++ b/crates/daemon/src/fleet/trace.rs
@@ -3,7 +3,7 @@
 use bronzespoke_model::id;
 use bronzespoke_workload::call;
 
-use crate::fleet::controller::{Controller, Responder};
+use crate::fleet::{commands::Responder, controller::Controller};
 
 impl Controller {
     /// Logs that this leader answers a call about the configuration, and from which state.
--- a/crates/daemon/tests/fleet_decisions.rs
+++ b/crates/daemon/tests/fleet_decisions.rs
@@ -2,15 +2,17 @@
 
 use std::{net::SocketAddr, time::Duration};
 
+use bronzespoke_control::cell;
 use bronzespoke_daemon::fleet::{
     calls::{self, Calls},
+    commands::{Commands, Responder},
     discovery::Discovery,
     relay,
     wire::{self, Endpoint},
 };
 use bronzespoke_workload::{
     call::{self, Call, Reply},
-    directive,
+    directive, job,
 };
 
 const fn at(millis: u64) -> Duration {
@@ -59,6 +61,95 @@
     assert_eq!(calls.expired(at(3_000), true), [(1, Reply::Unknown)]);
 }
 
+fn job_call(action: call::Action) -> Call {
+    Call::Job(call::Job {
+        host: String::from("office.example"),
+        path: String::from("/assay/"),
+        key: Some(String::from("key")),
+        action,
+    })
+}
+
+fn submission() -> Call {
+    let submission = job::Submission {
+        spec: bytes::Bytes::new(),
+        steps: Vec::new(),
+        schedule: None,
+    };
+    job_call(call::Action::Submit(7, Box::new(submission)))
+}
+
+/// Sends a call twice, because the first leader does not answer, and returns the reply to the caller if the second
+/// leader gives a reply.
+fn reply_after_an_unanswered_copy(call: Call, reply: Reply) -> Option<Reply> {
+    let mut calls = Calls::default();
+    let number = calls.add(at(0), at(3_000), call, 1).expect("there is room");
+    calls.due(at(0), 7);
+    calls.due(at(800), 8);
+    calls.reply(at(810), number, reply).map(|(_, reply)| reply)
+}
+
+/// Guards against a rejection as the only answer to a submission or cancellation of which a copy was executed: the
+/// earlier leader recorded it under a configuration in which its key and its queue were still there.
+#[yare::parameterized(
+    key = { Reply::BadKey },
+    queue = { Reply::NoQueue },
+    job = { Reply::NoJob },
+    invalid = { Reply::Invalid(String::new()) },
+    overload = { Reply::Refused { reason: call::Refusal::Overload, retry_after: at(1_000) } },
+    no_room = { Reply::Refused { reason: call::Refusal::NoRoom, retry_after: at(1_000) } },
+    no_configuration = { Reply::Refused { reason: call::Refusal::NoConfiguration, retry_after: at(1_000) } },
+)]
+fn a_rejection_after_an_unanswered_copy_has_an_unknown_outcome(rejection: Reply) {
+    let cancellation = job_call(call::Action::Cancel(7));
+    for call in [submission(), cancellation] {
+        let reply = reply_after_an_unanswered_copy(call, rejection.clone());
+        assert_eq!(reply, Some(Reply::Unknown));
+    }
+}
+
+/// Guards against an unknown outcome of a call whose outcome is known: one that has no effect, one that has taken
+/// effect, and one whose only other copy was not executed.
+#[test]
+fn a_known_outcome_is_passed_on() {
+    let read = job_call(call::Action::Show(7));
+    let shown = reply_after_an_unanswered_copy(read, Reply::NoJob);
+    assert_eq!(shown, Some(Reply::NoJob));
+    let accepted = reply_after_an_unanswered_copy(submission(), Reply::Done);
+    assert_eq!(accepted, Some(Reply::Done));
+    let mut calls = Calls::default();
+    let number = calls
+        .add(at(0), at(3_000), submission(), 1)
+        .expect("there is room");
+    calls.due(at(0), 7);
+    calls.reply(at(5), number, Reply::NotLeader);
+    calls.due(at(800), 8);
+    let rejected = calls.reply(at(810), number, Reply::BadKey);
+    assert_eq!(rejected, Some((1, Reply::BadKey)));
+}
+
+/// Guards against a rejection in reply to a resent copy while the first one is being committed: the first one's outcome
+/// is that of both, and the configuration may have changed in between.
+#[test]
+fn a_copy_is_recognised_until_its_command_is_committed() {
+    let remote = |vm, number| Responder::Remote {
+        endpoint: endpoint(vm),
+        number,
+    };
+    let mut commands = Commands::default();
+    commands.add(at(0), cell::Command::Cancel { key: 7 }, Responder::Discard);
+    commands.add(at(0), cell::Command::Cancel { key: 7 }, remote(1, 5));
+    assert!(commands.is_under_way(&remote(1, 5)), "not proposed");
+    assert!(!commands.is_under_way(&remote(1, 6)), "another call");
+    assert!(!commands.is_under_way(&remote(2, 5)), "another daemon's call");
+    assert!(!commands.is_under_way(&Responder::Discard), "no call");
+    let batch = commands.take_batch();
+    commands.propose(1, batch);
+    assert!(commands.is_under_way(&remote(1, 5)), "proposed");
+    assert_eq!(commands.take_proposal(1).len(), 2);
+    assert!(!commands.is_under_way(&remote(1, 5)), "committed");
+}
+
 /// Guards against a call that bounces without pause between daemons of which none leads.
 #[test]
 fn a_rejected_call_is_resent_after_a_pause() {
--- a/crates/workload/src/call.rs
+++ b/crates/workload/src/call.rs
@@ -30,6 +30,20 @@
     },
 }
 
+impl Call {
+    /// Returns whether the call only reads, so that its copies have no effect.
+    pub const fn is_read(&self) -> bool {
+        match self {
+            Self::Job(job) => match job.action {
+                Action::Show(_) | Action::CountPending => true,
+                Action::Submit(..) | Action::Cancel(_) => false,
+            },
+            Self::ShowConfiguration => true,
+            Self::Configure { .. } | Self::Announce(_) | Self::Leave { .. } => false,
+        }
+    }
+}
+
 /// A caller's call about a job or a queue.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Job {
