Acknowledge an end of a run only when its own record is committed

Cause: commits of ends were matched to a worker's queue of proposals by order. A rejection emptied the queue while earlier proposals were being committed; the commit of one of these then took the entry of a proposal made after the rejection, and everything that one contains counted as recorded. Proposals are rejected while the leadership is transferred, and when the queue of proposals is full.

Change: `ends::Ends` keeps each reported end until a commit contains it; the acknowledgement ends before the first one that is not recorded. The log names the evidence and the number of each end, the acknowledgements and the rejections, and the ends of lost runs, which it left out.

Before the change an_end_is_acknowledged_only_when_its_own_record_is_committed failed: end 2 was acknowledged while end 1 alone was recorded.

--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -65,7 +65,12 @@
         dispatch::Event::DepartureRefuted { .. } => {
             metrics::counter!("bronzespoke_fleet_departures_refuted_total").increment(1);
         }
-        dispatch::Event::WorkerKnown { .. } | dispatch::Event::Fenced { .. } => {}
+        dispatch::Event::EndsRejected { ends, .. } => {
+            metrics::counter!("bronzespoke_fleet_ends_rejected_total").increment(*ends as u64);
+        }
+        dispatch::Event::WorkerKnown { .. }
+        | dispatch::Event::EndsRecorded { .. }
+        | dispatch::Event::Fenced { .. } => {}
     }
 }
 
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -56,8 +56,7 @@
             return;
         }
         self.drop_run(start.worker, start.task, start.run);
-        let outcome = directive::Outcome::NeverStarted;
-        self.propose_end(start.worker, start.task, start.run, outcome, None);
+        self.propose_never_started(start.worker, start.task, start.run, "not_sent");
     }
 
     /// Assigns a lease to a recorded start; returns `false` if it must not be sent any more.
@@ -307,7 +306,7 @@
                 self.log_start(task, run, name, "not_sent", after);
                 if is_certain {
                     self.drop_run(worker, task, run);
-                    self.propose_end(worker, task, run, directive::Outcome::NeverStarted, None);
+                    self.propose_never_started(worker, task, run, "not_sent");
                 }
                 return;
             }
@@ -369,7 +368,7 @@
             return;
         }
         self.drop_run(worker, task, run);
-        self.propose_end(worker, task, run, directive::Outcome::NeverStarted, None);
+        self.propose_never_started(worker, task, run, answer);
     }
 
     fn log_start(
@@ -424,42 +423,46 @@
         }
     }
 
-    /// Proposes the end of one run and logs it.
-    pub(super) fn propose_end(
+    /// Proposes the end of a run whose start was certainly not carried out.
+    fn propose_never_started(
         &mut self,
         worker: cell::WorkerIndex,
         task: directive::Task,
         run: directive::Run,
-        outcome: directive::Outcome,
-        checkpoint: Option<Bytes>,
+        reason: &'static str,
     ) {
-        self.log_end(worker, task, run, outcome);
         let end = cell::End {
             task,
             run,
             worker,
-            outcome,
-            checkpoint,
+            outcome: directive::Outcome::NeverStarted,
+            checkpoint: None,
         };
-        self.propose_ends(worker, vec![end]);
+        self.propose_derived(vec![end], reason);
     }
 
-    pub(super) fn log_end(
-        &mut self,
-        worker: cell::WorkerIndex,
-        task: directive::Task,
-        run: directive::Run,
-        outcome: directive::Outcome,
-    ) {
-        let name = self
-            .workers
-            .get(&worker)
-            .map(|record| record.incarnation.name.clone());
+    /// Proposes and logs ends of one worker that this leader derives, because the worker doesn't report them.
+    pub(super) fn propose_derived(&mut self, ends: Vec<cell::End>, reason: &'static str) {
+        let Some(first) = ends.first() else { return };
+        let worker = first.worker;
+        for end in &ends {
+            self.log_end(end, None, reason);
+        }
+        self.propose_ends(worker, ends);
+    }
+
+    pub(super) fn log_end(&mut self, end: &cell::End, number: Option<u64>, reason: &'static str) {
+        let record = self.workers.get(&end.worker);
         self.outputs.push(Output::Event(Event::Ended {
-            task,
-            run,
-            worker: name.unwrap_or_default(),
-            outcome,
+            task: end.task,
+            run: end.run,
+            index: end.worker,
+            worker: record
+                .map(|record| record.incarnation.name.clone())
+                .unwrap_or_default(),
+            outcome: end.outcome,
+            number,
+            reason,
         }));
     }
 
@@ -533,7 +536,7 @@
     let acknowledged = if record.may_be_replaced() {
         0
     } else {
-        record.recorded_end
+        record.ends.recorded()
     };
     let directive = directive::Directive::Renew {
         lease_end,
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -32,16 +32,38 @@
         /// Time since the start was decided.
         after: Duration,
     },
-    /// The end of a run is confirmed.
+    /// The end of a run is proved, and its record is proposed.
     Ended {
         /// Task of the run.
         task: directive::Task,
         /// Number of the run.
         run: directive::Run,
-        /// Name of the worker.
+        /// Index of the worker's incarnation.
+        index: cell::WorkerIndex,
+        /// Name of the worker; empty if it is not known any more.
         worker: String,
         /// Outcome of the run.
         outcome: directive::Outcome,
+        /// Number of the end at the worker, if the worker has reported it.
+        number: Option<u64>,
+        /// Evidence of the end as it appears in logs.
+        reason: &'static str,
+    },
+    /// The ends of a worker up to a number are recorded and will be acknowledged.
+    EndsRecorded {
+        /// Index of the worker's incarnation.
+        index: cell::WorkerIndex,
+        /// Name of the worker.
+        worker: String,
+        /// Number up to which all ends are recorded.
+        through: u64,
+    },
+    /// The record of ends was rejected; they are proposed again.
+    EndsRejected {
+        /// Index of the worker's incarnation.
+        index: cell::WorkerIndex,
+        /// Number of ends in the proposal.
+        ends: usize,
     },
     /// A worker was added to the record of workers.
     WorkerKnown {
@@ -130,12 +152,29 @@
             Self::Ended {
                 task,
                 run,
+                index,
                 worker,
                 outcome,
+                number,
+                reason,
+            } => {
+                write!(
+                    f,
+                    "decision=end task={task} run={run} worker={worker} index={index} outcome={outcome:?} reason={reason}"
+                )?;
+                number.map_or(Ok(()), |number| write!(f, " number={number}"))
+            }
+            Self::EndsRecorded {
+                index,
+                worker,
+                through,
             } => write!(
                 f,
-                "decision=end task={task} run={run} worker={worker} outcome={outcome:?}"
+                "decision=acknowledge_ends worker={worker} index={index} through={through}"
             ),
+            Self::EndsRejected { index, ends } => {
+                write!(f, "event=ends_rejected index={index} ends={ends}")
+            }
             Self::WorkerKnown {
                 index,
                 worker,
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -97,7 +97,7 @@
                     } else {
                         // The worker was removed, so its runs have ended; only their record is missing.
                         self.usage.remove(job.team.as_deref(), run.size);
-                        self.propose_lost(worker, vec![(name, task.run, None)]);
+                        self.propose_lost(worker, vec![(name, task.run, None)], "removed");
                     }
                 }
             }
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -147,7 +147,7 @@
         self.uncertain = open;
         for run in &expired {
             let lost = vec![(run.task, run.run, run.checkpoint.clone())];
-            self.propose_lost(run.worker, lost);
+            self.propose_lost(run.worker, lost, "uncertain_over");
         }
     }
 
@@ -200,7 +200,7 @@
             }
             self.usage.remove(run.team.as_deref(), run.size);
         }
-        self.propose_lost(index, ends);
+        self.propose_lost(index, ends, proof.name());
         self.dirty = true;
     }
 
@@ -208,10 +208,8 @@
         &mut self,
         worker: cell::WorkerIndex,
         runs: Vec<(directive::Task, directive::Run, Option<Bytes>)>,
+        reason: &'static str,
     ) {
-        if runs.is_empty() {
-            return;
-        }
         let ends = runs
             .into_iter()
             .map(|(task, run, checkpoint)| cell::End {
@@ -222,7 +220,7 @@
                 checkpoint,
             })
             .collect();
-        self.propose_ends(worker, ends);
+        self.propose_derived(ends, reason);
     }
 
     /// Abandons the runs of workers whose lease has expired, and removes workers that have left, or have not reported
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -369,9 +369,7 @@
                     self.queries.remove(first_occurrence(*key, step as u16));
                 }
             }
-            // Ends that were not recorded are handled again when they are reported again; without the acknowledgement,
-            // the worker repeats them.
-            cell::Command::End(ends) => self.reset_reported_ends(ends),
+            cell::Command::End(ends) => self.ends_rejected(ends),
             _ => {}
         }
     }
--- a/crates/dispatch/src/dispatch/proof.rs
+++ b/crates/dispatch/src/dispatch/proof.rs
@@ -76,7 +76,7 @@
 
     /// The worker has no runs and has not reported for a long time.
     pub(super) fn silence(record: &worker::Worker, now: Duration) -> Option<Self> {
-        let is_idle = record.runs.is_empty() && record.proposed_ends.is_empty();
+        let is_idle = record.runs.is_empty() && record.proposals == 0;
         let is_silent = now > record.last_report_at.unwrap_or(record.inherited_until) + RETIRE_AFTER;
         (is_idle && is_silent).then_some(Evidence::Silent.into())
     }
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -68,7 +68,7 @@
         self.move_from_slow(state, now.steady, worker);
         self.move_from_draining(state, now.steady, worker);
         if let Some(record) = self.workers.get_mut(&worker) {
-            record.next_report_at = if record.proposed_ends.is_empty() {
+            record.next_report_at = if record.proposals == 0 {
                 now.steady
             } else {
                 now.steady + RECORD_WAIT
@@ -85,36 +85,38 @@
         worker: cell::WorkerIndex,
         report: &directive::Report,
     ) {
-        let mut ends = Vec::new();
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let last_reported = record.reported_end;
-        for ended in report.ended.iter().filter(|ended| ended.number > last_reported) {
-            ends.push(cell::End {
+        let mut ends = Vec::new();
+        let mut first_reported = Vec::new();
+        for ended in &report.ended {
+            if !record.ends.is_due(ended.number) {
+                continue;
+            }
+            let end = cell::End {
                 task: ended.task,
                 run: ended.run,
                 worker,
                 outcome: ended.outcome,
                 checkpoint: ended.checkpoint.clone(),
-            });
+            };
+            if record.ends.propose(ended.number, end.clone()) {
+                first_reported.push((ended.number, end.clone()));
+            }
+            ends.push(end);
         }
-        let Some(last) = report.ended.iter().map(|ended| ended.number).max() else {
-            return;
-        };
-        if ends.is_empty() {
-            return;
+        for (number, end) in &first_reported {
+            self.handle_end(state, now, *number, end);
         }
-        record.reported_end = record.reported_end.max(last);
-        for end in &ends {
-            self.handle_end(state, now, end);
+        if !ends.is_empty() {
+            self.propose_ends(worker, ends);
         }
-        self.propose_ends(worker, ends);
     }
 
-    fn handle_end(&mut self, state: &cell::State, now: Duration, end: &cell::End) {
+    fn handle_end(&mut self, state: &cell::State, now: Duration, number: u64, end: &cell::End) {
         self.unconfirmed.remove(&end.task.job);
-        self.log_end(end.worker, end.task, end.run, end.outcome);
+        self.log_end(end, Some(number), "reported");
         let removed = self.drop_run(end.worker, end.task, end.run);
         if end.outcome == directive::Outcome::Done {
             self.record_run_time(state, now, end, removed.as_ref());
@@ -171,12 +173,9 @@
     }
 
     /// Proposes the record of ends of one worker.
-    ///
-    /// Records are committed in the order of their proposals, so the commit of any of them shows that every end that
-    /// was reported before is recorded.
     pub(super) fn propose_ends(&mut self, worker: cell::WorkerIndex, ends: Vec<cell::End>) {
         if let Some(record) = self.workers.get_mut(&worker) {
-            record.proposed_ends.push_back(record.reported_end);
+            record.proposals += 1;
         }
         self.outputs.push(Output::Propose(cell::Command::End(ends)));
     }
@@ -229,7 +228,13 @@
                     Phase::Running(_) => directive::Outcome::Stopped,
                     _ => directive::Outcome::NeverStarted,
                 };
-                ended.push((*task, run.run, outcome, run.checkpoint.clone()));
+                ended.push(cell::End {
+                    task: *task,
+                    run: run.run,
+                    worker,
+                    outcome,
+                    checkpoint: run.checkpoint.clone(),
+                });
             }
         }
         let orphans: Vec<_> = report
@@ -246,9 +251,9 @@
             .collect();
         record.orphans.observe(now, sent, &orphans);
         self.rooms.touch(worker);
-        for (task, run, outcome, checkpoint) in ended {
-            self.drop_run(worker, task, run);
-            self.propose_end(worker, task, run, outcome, checkpoint);
+        for end in ended {
+            self.drop_run(worker, end.task, end.run);
+            self.propose_derived(vec![end], "not_listed");
         }
     }
 
@@ -370,11 +375,19 @@
     pub(super) fn ends_recorded(&mut self, state: &cell::State, now: Now, ends: &[cell::End]) {
         // All ends in one command are of the same worker.
         let worker = ends.first().map(|end| end.worker);
-        if let Some(record) = worker.and_then(|worker| self.workers.get_mut(&worker))
-            && let Some(number) = record.proposed_ends.pop_front()
-        {
-            record.recorded_end = record.recorded_end.max(number);
+        if let Some(record) = worker.and_then(|worker| self.workers.get_mut(&worker)) {
+            record.proposals = record.proposals.saturating_sub(1);
+            let before = record.ends.recorded();
+            record.ends.commit(ends);
             record.next_report_at = record.next_report_at.min(now.steady);
+            let through = record.ends.recorded();
+            if through > before {
+                self.outputs.push(Output::Event(Event::EndsRecorded {
+                    index: ends[0].worker,
+                    worker: record.incarnation.name.clone(),
+                    through,
+                }));
+            }
         }
         let mut last = None;
         for end in ends {
@@ -430,13 +443,17 @@
         }
     }
 
-    /// Resets the reported ends of a worker after the proposal of their record was rejected, so that they are handled
-    /// again.
-    pub(super) fn reset_reported_ends(&mut self, ends: &[cell::End]) {
+    /// Handles ends whose record was rejected. Those that the worker has reported are proposed again when it repeats them,
+    /// as it does without an acknowledgement.
+    pub(super) fn ends_rejected(&mut self, ends: &[cell::End]) {
         let Some(first) = ends.first() else { return };
+        self.outputs.push(Output::Event(Event::EndsRejected {
+            index: first.worker,
+            ends: ends.len(),
+        }));
         if let Some(record) = self.workers.get_mut(&first.worker) {
-            record.proposed_ends.clear();
-            record.reported_end = record.recorded_end;
+            record.proposals = record.proposals.saturating_sub(1);
+            record.ends.reject(ends);
         }
     }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod calendar;
 pub mod directory;
 pub mod dispatch;
+pub mod ends;
 pub mod estimate;
 pub mod lane;
 pub mod orphan;
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -3,17 +3,13 @@
 //! Invariant: `used` is the sum of the sizes of `runs`. A run is in `runs` from the proposal of its start until its
 //! end is confirmed.
 
-use std::{
-    collections::{BTreeMap, VecDeque},
-    sync::Arc,
-    time::Duration,
-};
+use std::{collections::BTreeMap, sync::Arc, time::Duration};
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
 use bronzespoke_workload::{directive, worker as announced};
 
-use crate::{orphan, progress};
+use crate::{ends, orphan, progress};
 
 /// Maximum relative difference between the rates of two monotonic clocks, as the platform states it.
 pub const CLOCK_DRIFT: f64 = 0.02;
@@ -123,12 +119,10 @@
     pub lease_end: Duration,
     /// Local time after which no lease that an earlier leader granted can be valid.
     pub inherited_until: Duration,
-    /// Highest number of an end that it has reported.
-    pub reported_end: u64,
-    /// Highest number of an end that is recorded in the replicated state.
-    pub recorded_end: u64,
-    /// Reported ends whose record is not committed yet: the highest number in each proposal.
-    pub proposed_ends: VecDeque<u64>,
+    /// Ends that it has reported.
+    pub ends: ends::Ends,
+    /// Number of proposals of ends that are neither committed nor rejected.
+    pub proposals: u32,
     /// Time at which the outstanding report was requested.
     pub report_requested_at: Option<Duration>,
     /// Time at which the next report is to be requested.
@@ -174,9 +168,8 @@
             succeeds: registered.succeeds,
             lease_end: Duration::ZERO,
             inherited_until,
-            reported_end: 0,
-            recorded_end: 0,
-            proposed_ends: VecDeque::new(),
+            ends: ends::Ends::default(),
+            proposals: 0,
             report_requested_at: None,
             next_report_at: now,
             report_missed: false,
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -1,4 +1,4 @@
-//! A leader that commits each command at once and leaves the directives to the test.
+//! A leader that commits commands at once, unless the test keeps them, and leaves the directives to the test.
 
 use std::time::Duration;
 
@@ -30,13 +30,15 @@
 /// Worker of a directive, the directive, and the time of its decision.
 pub type Sent = (cell::WorkerIndex, directive::Directive, Duration);
 
-/// A leader that commits each command at once and leaves the directives to the test.
+/// A leader that commits commands at once, unless the test keeps them, and leaves the directives to the test.
 pub struct Leader {
     pub state: cell::State,
     pub dispatch: Dispatch,
     pub now: Now,
-    /// Proposed starts that are not committed; `None` if starts are committed at once.
-    pub proposed: Option<Vec<cell::Command>>,
+    /// Selects the commands that are kept in `proposed`; all others are committed at once.
+    pub keeps: fn(&cell::Command) -> bool,
+    /// Proposed commands that are not committed.
+    pub proposed: Vec<cell::Command>,
 }
 
 impl Leader {
@@ -48,7 +50,8 @@
             state,
             dispatch,
             now,
-            proposed: None,
+            keeps: |_| false,
+            proposed: Vec::new(),
         }
     }
 
@@ -189,12 +192,18 @@
     }
 
     pub fn propose(&mut self, command: cell::Command) {
-        match (&command, &mut self.proposed) {
-            (cell::Command::Start(_), Some(proposed)) => proposed.push(command),
-            _ => self.commit(&command),
+        if (self.keeps)(&command) {
+            self.proposed.push(command);
+        } else {
+            self.commit(&command);
         }
     }
 
+    /// Rejects a command that was kept.
+    pub fn reject(&mut self, command: &cell::Command) {
+        self.dispatch.rejected(&self.state, command);
+    }
+
     pub fn commit(&mut self, command: &cell::Command) {
         let outcome = self.state.apply(self.now.wall_ms, command.clone());
         self.dispatch.committed(&self.state, self.now, command, &outcome);
@@ -275,6 +284,19 @@
     }
 }
 
+pub const fn is_end_command(command: &cell::Command) -> bool {
+    matches!(command, cell::Command::End(_))
+}
+
+/// Returns the highest number that requests for reports acknowledge.
+pub fn acknowledged(sent: &[Sent]) -> Option<u64> {
+    let acknowledged = sent.iter().filter_map(|(_, directive, _)| match directive {
+        directive::Directive::Renew { acknowledged, .. } => Some(*acknowledged),
+        _ => None,
+    });
+    acknowledged.max()
+}
+
 pub const fn done(run: directive::Run) -> directive::Ended {
     directive::Ended {
         number: 1,
--- a/crates/dispatch/tests/restarts/reports.rs
+++ b/crates/dispatch/tests/restarts/reports.rs
@@ -4,7 +4,7 @@
 use bronzespoke_workload::directive;
 use yare::parameterized;
 
-use super::leader::{Leader, Sent, TASK, done, is_start};
+use super::leader::{Leader, Sent, TASK, acknowledged, done, is_end_command, is_start};
 
 /// Guards against a task that runs twice: the worker restarted under its name and completed a resent start; the next
 /// request for a report acknowledged that end with the number of an end of its earlier incarnation.
@@ -142,10 +142,10 @@
 #[test]
 fn a_task_whose_start_is_proposed_is_not_proposed_again() {
     let mut leader = Leader::with_workers(2);
-    leader.proposed = Some(Vec::new());
+    leader.keeps = |command| matches!(command, cell::Command::Start(_));
     leader.submit();
     leader.run(30);
-    let proposed = leader.proposed.clone().unwrap_or_default();
+    let proposed = leader.proposed.clone();
     let [cell::Command::Start(starts)] = proposed.as_slice() else {
         panic!("one start is proposed: {proposed:?}");
     };
@@ -155,8 +155,8 @@
     let request = requests.iter().find(|(worker, ..)| *worker == 2);
     leader.report(request.expect("the next incarnation is asked"), 9, Vec::new());
     leader.run(100);
-    let proposals = leader.proposed.take().unwrap_or_default();
-    assert_eq!(proposals.len(), 1, "{proposals:?}");
+    assert_eq!(leader.proposed.len(), 1, "{:?}", leader.proposed);
+    leader.keeps = |_| false;
     // The commit shows that the first start was not sent, and the task is placed again.
     leader.commit(&proposed[0]);
     let sent = leader.run(100);
@@ -166,3 +166,36 @@
     });
     assert_eq!(runs.collect::<Vec<_>>(), [2]);
 }
+
+/// Guards against a task that runs twice: the end of its run was acknowledged by the commit of an earlier proposal, while
+/// its own record was rejected and proposed again. If that one is lost with the leader, nobody knows the end.
+#[test]
+fn an_end_is_acknowledged_only_when_its_own_record_is_committed() {
+    let mut leader = Leader::with_workers(1);
+    let (start, others) = leader.start_task();
+    leader.confirm(&start);
+    leader.keeps = is_end_command;
+    let other = directive::Ended {
+        task: directive::Task { job: 8, ..TASK },
+        ..done(1)
+    };
+    let ends = vec![other.clone(), directive::Ended { number: 2, ..done(1) }];
+    leader.report(&others[0], 5, vec![other]);
+    let mut request = leader.run(400).remove(0);
+    leader.report(&request, 5, ends.clone());
+    leader.run(1);
+    let [earlier, rejected] = leader.proposed.clone().try_into().expect("two proposals");
+    leader.reject(&rejected);
+    request = leader.run(400).remove(0);
+    leader.report(&request, 5, ends);
+    leader.run(1);
+    let repeated = leader.proposed.pop().expect("the end is proposed again");
+
+    leader.commit(&earlier);
+    let requests = leader.run(100);
+    assert_eq!(acknowledged(&requests), Some(1), "{requests:?}");
+    leader.report(&requests[0], 5, Vec::new());
+    leader.commit(&repeated);
+    assert_eq!(acknowledged(&leader.run(400)), Some(2));
+    assert!(leader.state.task(TASK).is_some_and(|task| task.done));
+}
