Propose derived ends again after the rejection of their record

A run whose start was refused, or which was lost, is dropped by the leader when it proposes the end. If the proposal was rejected (a transfer that is given up, a full queue of proposals), nobody repeated it: the task stayed placed until the next change of leader. It is now proposed again after 300 ms; a record that has become outdated has no effect.

Before the change a_rejected_record_of_a_refused_start_is_proposed_again saw no start within a second.

--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -149,8 +149,9 @@
     }
 
     pub(super) fn rejected(&mut self, pending: Pending, never: bool) {
+        let now = self.now();
         if never && let Some(dispatch) = &mut self.dispatch {
-            dispatch.rejected(&self.state, &pending.command);
+            dispatch.rejected(&self.state, now, &pending.command);
         }
         let reply = if never {
             call::Reply::NotLeader
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -161,6 +161,8 @@
     unacknowledged: orphan::Unacknowledged,
     /// Runs of lost workers whose start directive may still be carried out by the next incarnation.
     uncertain: Vec<lost::Uncertain>,
+    /// Derived ends whose record was rejected, with the time at which they are proposed again.
+    rejected_ends: Vec<(Duration, cell::End)>,
     /// Incarnations that have ended and whose removal is not committed, with the time at which it is proposed.
     ended: BTreeMap<cell::WorkerIndex, Duration>,
     /// Configuration with the upper limits of the teams.
@@ -202,6 +204,7 @@
             slowness: slowness::Slowness::default(),
             unacknowledged: orphan::Unacknowledged::default(),
             uncertain: Vec::new(),
+            rejected_ends: Vec::new(),
             ended: BTreeMap::new(),
             limits: state.catalog().cloned(),
             queries: query_queue::Queue::new(config.token),
@@ -293,6 +296,7 @@
             let group = self.next_timer_group();
             self.expire_leases(now.steady, group);
             self.expire_uncertain(now.steady);
+            self.repeat_rejected_ends(now.steady);
             self.retire_ended(now.steady);
             self.open_due(state, now.wall_ms);
             let is_late = now.steady >= self.pass_at + WAITING_INTERVAL;
@@ -354,7 +358,7 @@
     }
 
     /// Handles a command that will never be committed.
-    pub fn rejected(&mut self, state: &cell::State, command: &cell::Command) {
+    pub fn rejected(&mut self, state: &cell::State, now: Duration, command: &cell::Command) {
         self.dirty = true;
         match command {
             cell::Command::Start(starts) => {
@@ -369,7 +373,7 @@
                     self.queries.remove(first_occurrence(*key, step as u16));
                 }
             }
-            cell::Command::End(ends) => self.ends_rejected(ends),
+            cell::Command::End(ends) => self.ends_rejected(now, ends),
             _ => {}
         }
     }
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -27,6 +27,8 @@
 const MOVE_COST: Duration = Duration::from_millis(800);
 /// Maximum delay of a request for a report that waits for the record of ends, so that leases are renewed.
 const RECORD_WAIT: Duration = Duration::from_millis(300);
+/// Pause before derived ends whose record was rejected are proposed again.
+const REJECTED_PAUSE: Duration = Duration::from_millis(300);
 
 impl Dispatch {
     pub(super) fn handle_report(
@@ -444,16 +446,31 @@
     }
 
     /// Handles ends whose record was rejected. Those that the worker has reported are proposed again when it repeats them,
-    /// as it does without an acknowledgement.
-    pub(super) fn ends_rejected(&mut self, ends: &[cell::End]) {
+    /// as it does without an acknowledgement; the others are proposed again after a pause, since nobody repeats them.
+    pub(super) fn ends_rejected(&mut self, now: Duration, ends: &[cell::End]) {
         let Some(first) = ends.first() else { return };
         self.outputs.push(Output::Event(Event::EndsRejected {
             index: first.worker,
             ends: ends.len(),
         }));
+        let mut derived = Vec::from(ends);
         if let Some(record) = self.workers.get_mut(&first.worker) {
             record.proposals = record.proposals.saturating_sub(1);
-            record.ends.reject(ends);
+            derived = record.ends.reject(ends);
+        }
+        let due = now + REJECTED_PAUSE;
+        self.rejected_ends
+            .extend(derived.into_iter().map(|end| (due, end)));
+    }
+
+    /// Proposes the derived ends again whose record was rejected.
+    pub(super) fn repeat_rejected_ends(&mut self, now: Duration) {
+        let mut due: BTreeMap<cell::WorkerIndex, Vec<cell::End>> = BTreeMap::new();
+        for (_, end) in self.rejected_ends.extract_if(.., |(at, _)| now >= *at) {
+            due.entry(end.worker).or_default().push(end);
+        }
+        for (worker, ends) in due {
+            self.propose_ends(worker, ends);
         }
     }
 }
--- a/crates/dispatch/src/ends.rs
+++ b/crates/dispatch/src/ends.rs
@@ -48,13 +48,17 @@
             .retain(|_, unrecorded| !ends.contains(&unrecorded.end));
     }
 
-    /// Handles the rejection of a proposal of ends.
-    pub fn reject(&mut self, ends: &[cell::End]) {
+    /// Handles the rejection of a proposal of ends, and returns those of them that the worker has not reported.
+    pub fn reject(&mut self, ends: &[cell::End]) -> Vec<cell::End> {
+        let mut others = Vec::from(ends);
         for unrecorded in self.unrecorded.values_mut() {
-            if ends.contains(&unrecorded.end) {
+            let before = others.len();
+            others.retain(|end| *end != unrecorded.end);
+            if others.len() < before {
                 unrecorded.is_proposed = false;
             }
         }
+        others
     }
 
     /// Returns the number up to which all ends are recorded.
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -201,7 +201,7 @@
 
     /// Rejects a command that was kept.
     pub fn reject(&mut self, command: &cell::Command) {
-        self.dispatch.rejected(&self.state, command);
+        self.dispatch.rejected(&self.state, self.now.steady, command);
     }
 
     pub fn commit(&mut self, command: &cell::Command) {
--- a/crates/dispatch/tests/restarts/reports.rs
+++ b/crates/dispatch/tests/restarts/reports.rs
@@ -199,3 +199,25 @@
     assert_eq!(acknowledged(&leader.run(400)), Some(2));
     assert!(leader.state.task(TASK).is_some_and(|task| task.done));
 }
+
+/// Guards against a task that stays placed until the next change of leader: its worker had refused the start, and the
+/// record of this was rejected.
+#[test]
+fn a_rejected_record_of_a_refused_start_is_proposed_again() {
+    let mut leader = Leader::with_workers(1);
+    let (start, _) = leader.start_task();
+    leader.keeps = is_end_command;
+    let clock = Some(leader.now.steady);
+    let reason = directive::Refusal::Room;
+    leader.answer(&start, Some(&directive::Answer::Refused { reason, clock }));
+    leader.run(1);
+    let rejected = leader.proposed.pop().expect("the end is proposed");
+    leader.reject(&rejected);
+    leader.keeps = |_| false;
+    let sent = leader.run(1_000);
+    let runs = sent.iter().filter_map(|(_, directive, _)| match directive {
+        directive::Directive::Start { run, .. } => Some(*run),
+        _ => None,
+    });
+    assert_eq!(runs.collect::<Vec<_>>(), [2], "{sent:?}");
+}
