Propose reported ends again, too, after the rejection of their record

A worker may report the end of a run and be gone before it repeats it. If the record was rejected, the task stayed placed until the next change of leader. The leader now proposes every rejected record again by itself; `ends::Ends` no longer has to know which ends are proposed.

--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 mod waiting;
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet},
+    collections::{BTreeMap, HashMap, HashSet, VecDeque},
     ops::RangeInclusive,
     sync::Arc,
     time::Duration,
@@ -161,8 +161,8 @@
     unacknowledged: orphan::Unacknowledged,
     /// Runs of lost workers whose start directive may still be carried out by the next incarnation.
     uncertain: Vec<lost::Uncertain>,
-    /// Derived ends whose record was rejected, with the time at which they are proposed again.
-    rejected_ends: Vec<(Duration, cell::End)>,
+    /// Ends whose record was rejected, by proposal, with the time at which it is proposed again.
+    rejected_ends: VecDeque<(Duration, Vec<cell::End>)>,
     /// Incarnations that have ended and whose removal is not committed, with the time at which it is proposed.
     ended: BTreeMap<cell::WorkerIndex, Duration>,
     /// Configuration with the upper limits of the teams.
@@ -204,7 +204,7 @@
             slowness: slowness::Slowness::default(),
             unacknowledged: orphan::Unacknowledged::default(),
             uncertain: Vec::new(),
-            rejected_ends: Vec::new(),
+            rejected_ends: VecDeque::new(),
             ended: BTreeMap::new(),
             limits: state.catalog().cloned(),
             queries: query_queue::Queue::new(config.token),
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -27,7 +27,7 @@
 const MOVE_COST: Duration = Duration::from_millis(800);
 /// Maximum delay of a request for a report that waits for the record of ends, so that leases are renewed.
 const RECORD_WAIT: Duration = Duration::from_millis(300);
-/// Pause before derived ends whose record was rejected are proposed again.
+/// Pause before ends whose record was rejected are proposed again.
 const REJECTED_PAUSE: Duration = Duration::from_millis(300);
 
 impl Dispatch {
@@ -90,12 +90,12 @@
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
-        let mut ends = Vec::new();
-        let mut first_reported = Vec::new();
-        for ended in &report.ended {
-            if !record.ends.is_due(ended.number) {
-                continue;
-            }
+        let mut numbered = Vec::new();
+        for ended in report
+            .ended
+            .iter()
+            .filter(|ended| record.ends.is_new(ended.number))
+        {
             let end = cell::End {
                 task: ended.task,
                 run: ended.run,
@@ -103,16 +103,16 @@
                 outcome: ended.outcome,
                 checkpoint: ended.checkpoint.clone(),
             };
-            if record.ends.propose(ended.number, end.clone()) {
-                first_reported.push((ended.number, end.clone()));
-            }
-            ends.push(end);
+            numbered.push((ended.number, end));
         }
-        for (number, end) in &first_reported {
+        for (number, end) in &numbered {
+            record.ends.add(*number, end.clone());
+        }
+        for (number, end) in &numbered {
             self.handle_end(state, now, *number, end);
         }
-        if !ends.is_empty() {
-            self.propose_ends(worker, ends);
+        if !numbered.is_empty() {
+            self.propose_ends(worker, numbered.into_iter().map(|(_, end)| end).collect());
         }
     }
 
@@ -445,32 +445,22 @@
         }
     }
 
-    /// Handles ends whose record was rejected. Those that the worker has reported are proposed again when it repeats them,
-    /// as it does without an acknowledgement; the others are proposed again after a pause, since nobody repeats them.
+    /// Handles ends whose record was rejected. They are proposed again after a pause: their runs are no longer counted, and
+    /// a worker that has reported some of them may be gone before it repeats them.
     pub(super) fn ends_rejected(&mut self, now: Duration, ends: &[cell::End]) {
         let Some(first) = ends.first() else { return };
         self.outputs.push(Output::Event(Event::EndsRejected {
             index: first.worker,
             ends: ends.len(),
         }));
-        let mut derived = Vec::from(ends);
-        if let Some(record) = self.workers.get_mut(&first.worker) {
-            record.proposals = record.proposals.saturating_sub(1);
-            derived = record.ends.reject(ends);
-        }
         let due = now + REJECTED_PAUSE;
-        self.rejected_ends
-            .extend(derived.into_iter().map(|end| (due, end)));
+        self.rejected_ends.push_back((due, Vec::from(ends)));
     }
 
-    /// Proposes the derived ends again whose record was rejected.
+    /// Proposes ends again whose record was rejected.
     pub(super) fn repeat_rejected_ends(&mut self, now: Duration) {
-        let mut due: BTreeMap<cell::WorkerIndex, Vec<cell::End>> = BTreeMap::new();
-        for (_, end) in self.rejected_ends.extract_if(.., |(at, _)| now >= *at) {
-            due.entry(end.worker).or_default().push(end);
-        }
-        for (worker, ends) in due {
-            self.propose_ends(worker, ends);
+        while let Some((_, ends)) = self.rejected_ends.pop_front_if(|(due, _)| now >= *due) {
+            self.outputs.push(Output::Propose(cell::Command::End(ends)));
         }
     }
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -121,7 +121,7 @@
     pub inherited_until: Duration,
     /// Ends that it has reported.
     pub ends: ends::Ends,
-    /// Number of proposals of ends that are neither committed nor rejected.
+    /// Number of proposals of ends that are not committed.
     pub proposals: u32,
     /// Time at which the outstanding report was requested.
     pub report_requested_at: Option<Duration>,
