A run whose end is reported is not given up as lost

TWICE in a test: after a change of leader, the next incarnation of a worker reports the end of a run that its predecessor was to carry out. The leader proposed this end, and the loss of the run after it. When the first proposal was rejected and the second one accepted, the task was started again although it was done.

Before the change a_run_whose_reported_end_is_rejected_is_not_lost saw a second start.

--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -28,6 +28,8 @@
     until: Duration,
     /// Incarnation whose report lists the run, or may have left its end out.
     found_at: Option<cell::WorkerIndex>,
+    /// Whether a report lists its end, whose record is proposed.
+    is_reported: bool,
 }
 
 impl Dispatch {
@@ -124,6 +126,8 @@
             if !is_refused || record.incarnation.name != run.name {
                 continue;
             }
+            let mut ended = report.ended.iter();
+            run.is_reported |= ended.any(|ended| ended.task == run.task && ended.run == run.run);
             let mut running = report.running.iter();
             let is_there = running.any(|running| running.task == run.task && running.run == run.run);
             if is_there || report.truncated {
@@ -143,7 +147,8 @@
             // The incarnation with the run has ended, or none is known to have it.
             None => run.found_at.is_some() || now >= run.until,
         };
-        let (expired, open): (Vec<_>, Vec<_>) = runs.into_iter().partition(is_over);
+        let (expired, open): (Vec<_>, Vec<_>) =
+            runs.into_iter().partition(|run| !run.is_reported && is_over(run));
         self.uncertain = open;
         for run in &expired {
             let lost = vec![(run.task, run.run, run.checkpoint.clone())];
@@ -151,6 +156,14 @@
         }
     }
 
+    /// Removes the runs whose reported end is recorded.
+    pub(super) fn forget_reported(&mut self, ends: &[cell::End]) {
+        self.uncertain.retain(|run| {
+            let mut recorded = ends.iter();
+            !run.is_reported || !recorded.any(|end| end.task == run.task && end.run == run.run)
+        });
+    }
+
     /// Handles the loss of all runs of a worker.
     pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, proof: Proof) {
         let Some(record) = self.workers.get_mut(&index) else {
@@ -194,6 +207,7 @@
                     lease_end: run.lease_end,
                     until: start.expires_at(),
                     found_at: None,
+                    is_reported: false,
                 });
             } else {
                 ends.push((task, run.run, run.checkpoint));
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -391,6 +391,7 @@
                 }));
             }
         }
+        self.forget_reported(ends);
         let mut last = None;
         for end in ends {
             if end.outcome == directive::Outcome::Done {
--- a/crates/dispatch/tests/restarts/reports.rs
+++ b/crates/dispatch/tests/restarts/reports.rs
@@ -221,3 +221,33 @@
     });
     assert_eq!(runs.collect::<Vec<_>>(), [2], "{sent:?}");
 }
+
+/// Guards against a task that runs again after it was done by the next incarnation of its worker: the record of the reported
+/// end was rejected, and the run was given up as lost meanwhile.
+#[test]
+fn a_run_whose_reported_end_is_rejected_is_not_lost() {
+    let (mut leader, placed, other) = Leader::with_run();
+    leader.elect(2);
+    leader.announce(placed as u16, 9);
+    let requests = leader.run(30);
+    leader.keeps = is_end_command;
+    for request in requests.iter().filter(|(worker, ..)| *worker != placed) {
+        if request.0 == other {
+            leader.report(request, 5, Vec::new());
+        } else {
+            leader.report(request, 9, vec![done(1)]);
+        }
+    }
+    leader.run(100);
+    let proposed = std::mem::take(&mut leader.proposed);
+    leader.reject(&proposed[0]);
+    for later in &proposed[1..] {
+        leader.commit(later);
+    }
+    leader.keeps = |_| false;
+    let sent = leader.run(1_000);
+    let started = sent.iter().any(|(_, directive, _)| is_start(directive));
+    assert!(!started, "{proposed:?} {sent:?}");
+    let task = leader.state.task(TASK).expect("the job is retained");
+    assert!(task.done, "{task:?}");
+}
