A task is not started while a worker reports another run of it

A reported run that is not placed was stopped and counted against the room, but its task could be started at once, also on the same worker.

Such a task now waits until a later report no longer lists the run, the incarnation has ended, or its lease is over. Runs that are found like this are logged (`belief=orphan`) and counted.

Before the change a_task_is_not_started_while_a_worker_reports_another_run_of_it saw run 3 start on the worker that reported run 1.

--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -68,6 +68,9 @@
         dispatch::Event::EndsRejected { ends, .. } => {
             metrics::counter!("bronzespoke_fleet_ends_rejected_total").increment(*ends as u64);
         }
+        dispatch::Event::Orphan { .. } => {
+            metrics::counter!("bronzespoke_fleet_orphans_total").increment(1);
+        }
         dispatch::Event::WorkerKnown { .. }
         | dispatch::Event::EndsRecorded { .. }
         | dispatch::Event::Fenced { .. } => {}
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -49,6 +49,17 @@
         /// Evidence of the end as it appears in logs.
         reason: &'static str,
     },
+    /// A worker reports a run that is not placed there; it is stopped, and its task is not started before it has ended.
+    Orphan {
+        /// Task of the run.
+        task: directive::Task,
+        /// Number of the run.
+        run: directive::Run,
+        /// Name of the worker.
+        worker: String,
+        /// Number of the run of the task that is placed there.
+        placed: Option<directive::Run>,
+    },
     /// The ends of a worker up to a number are recorded and will be acknowledged.
     EndsRecorded {
         /// Index of the worker's incarnation.
@@ -164,6 +175,15 @@
                 )?;
                 number.map_or(Ok(()), |number| write!(f, " number={number}"))
             }
+            Self::Orphan {
+                task,
+                run,
+                worker,
+                placed,
+            } => write!(
+                f,
+                "belief=orphan task={task} run={run} worker={worker} placed_run={placed:?}"
+            ),
             Self::EndsRecorded {
                 index,
                 worker,
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -42,6 +42,9 @@
         self.slowness.remove_worker(index);
         self.rooms.touch(index);
         if let Some(record) = self.workers.remove(&index) {
+            for (task, _) in record.orphans.listed() {
+                self.orphaned.remove(&(task, index));
+            }
             self.raise_fences(&record);
             let keep = if proof.leaves_directives() {
                 orphan::MAX_DELAY
@@ -156,6 +159,16 @@
         }
     }
 
+    /// Returns whether a run of a task that is not placed may be at work: a worker has reported it, and its lease is valid.
+    pub(super) fn has_orphan(&self, task: directive::Task, now: Duration) -> bool {
+        let first = (task, cell::WorkerIndex::MIN);
+        let mut listed = self.orphaned.range(first..=(task, cell::WorkerIndex::MAX));
+        listed.any(|(_, worker)| {
+            let record = self.workers.get(worker);
+            record.is_some_and(|record| !record.leases_expired(now))
+        })
+    }
+
     /// Removes the runs whose reported end is recorded.
     pub(super) fn forget_reported(&mut self, ends: &[cell::End]) {
         self.uncertain.retain(|run| {
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -17,7 +17,7 @@
 mod waiting;
 
 use std::{
-    collections::{BTreeMap, HashMap, HashSet, VecDeque},
+    collections::{BTreeMap, BTreeSet, HashMap, HashSet, VecDeque},
     ops::RangeInclusive,
     sync::Arc,
     time::Duration,
@@ -178,6 +178,8 @@
     /// Tasks whose start is proposed and not committed. A task stays here when its worker is lost meanwhile: another
     /// start of it would have the same run number.
     proposed: HashSet<directive::Task>,
+    /// Tasks of which a run exists that is not placed, with the workers whose newest report lists it.
+    orphaned: BTreeSet<(directive::Task, cell::WorkerIndex)>,
     /// Jobs whose first start was decided in this term, while no worker has confirmed any of their runs.
     unconfirmed: HashSet<job::Key>,
     /// Workers on which a task has failed.
@@ -213,6 +215,7 @@
             waiting: HashMap::new(),
             prefetched: Vec::new(),
             proposed: HashSet::new(),
+            orphaned: BTreeSet::new(),
             unconfirmed: HashSet::new(),
             failed_on: BTreeMap::new(),
             dirty: true,
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -251,7 +251,23 @@
                 ((running.task, running.run), size)
             })
             .collect();
+        let before: Vec<_> = record.orphans.listed().collect();
         record.orphans.observe(now, sent, &orphans);
+        for (task, _) in &before {
+            self.orphaned.remove(&(*task, worker));
+        }
+        for (task, run) in record.orphans.listed() {
+            self.orphaned.insert((task, worker));
+            if before.contains(&(task, run)) {
+                continue;
+            }
+            self.outputs.push(Output::Event(Event::Orphan {
+                task,
+                run,
+                worker: record.incarnation.name.clone(),
+                placed: record.runs.get(&task).map(|placed| placed.run),
+            }));
+        }
         self.rooms.touch(worker);
         for end in ended {
             self.drop_run(worker, end.task, end.run);
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -67,7 +67,7 @@
             if self.awaits_eligibility(state, id) {
                 continue;
             }
-            if let Some(subject) = self.subject(state, id, rank.tier) {
+            if let Some(subject) = self.subject(state, now.steady, id, rank.tier) {
                 self.place(now.steady, &subject, &mut reserved, &mut starts);
             }
         }
@@ -113,7 +113,13 @@
         ranked
     }
 
-    fn subject<'a>(&self, state: &'a cell::State, id: eligibility::Step, tier: u8) -> Option<Subject<'a>> {
+    fn subject<'a>(
+        &self,
+        state: &'a cell::State,
+        now: Duration,
+        id: eligibility::Step,
+        tier: u8,
+    ) -> Option<Subject<'a>> {
         let job = state.job(id.job)?;
         let spec = job.submission.steps.get(usize::from(id.step))?;
         let progress = job.progress(id.occurrence, id.step)?;
@@ -121,7 +127,7 @@
             let index = index as u32;
             let task_id = task_id(id, index);
             let open = !task.done && task.placed.is_none() && !self.proposed.contains(&task_id);
-            open.then_some(index)
+            (open && !self.has_orphan(task_id, now)).then_some(index)
         };
         let tasks: Vec<u32> = progress.tasks.iter().enumerate().filter_map(open).collect();
         let is_incomplete_gang = spec.gang && tasks.len() < progress.remaining as usize;
--- a/crates/dispatch/src/orphan.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -83,6 +83,8 @@
     size: resource::Amount,
     /// Time until which it counts at the latest.
     until: Duration,
+    /// Whether the newest report lists it.
+    is_listed: bool,
     /// Time at which the worker acknowledged the stop. The stop itself takes time, during which the resources remain
     /// in use.
     stop_acknowledged_at: Option<Duration>,
@@ -101,6 +103,7 @@
         let orphan = Orphan {
             size: start.size,
             until: start.expires_at(),
+            is_listed: false,
             stop_acknowledged_at: None,
         };
         self.runs.insert((start.task, start.run), orphan);
@@ -117,6 +120,7 @@
             |key: &(directive::Task, directive::Run)| running.iter().any(|(other, _)| other == key);
         self.runs.retain(|key, orphan| {
             let is_gone = orphan.stop_acknowledged_at.is_some_and(|at| sent > at) && !is_there(key);
+            orphan.is_listed = is_there(key);
             now < orphan.until && !is_gone
         });
         for (key, size) in running {
@@ -124,6 +128,7 @@
             let orphan = self.runs.entry(*key).or_insert(Orphan {
                 size: *size,
                 until,
+                is_listed: true,
                 stop_acknowledged_at: None,
             });
             orphan.size = *size;
@@ -131,6 +136,12 @@
         }
     }
 
+    /// Returns the runs that the newest report lists.
+    pub fn listed(&self) -> impl Iterator<Item = (directive::Task, directive::Run)> {
+        let listed = self.runs.iter().filter(|(_, orphan)| orphan.is_listed);
+        listed.map(|(key, _)| *key)
+    }
+
     /// Returns the runs for which a stop has to be sent now; it is repeated until the worker acknowledges it.
     pub fn due_stops(&mut self, now: Duration) -> Vec<(directive::Task, directive::Run)> {
         let open = self
--- a/crates/dispatch/tests/restarts/reports.rs
+++ b/crates/dispatch/tests/restarts/reports.rs
@@ -251,3 +251,50 @@
     let task = leader.state.task(TASK).expect("the job is retained");
     assert!(task.done, "{task:?}");
 }
+
+/// Guards against two runs of a task at once: an earlier leader had recorded the end of a run that was still at work, and
+/// placed the task on the same worker again. The next leader started it once more, although the worker reported the run.
+#[test]
+fn a_task_is_not_started_while_a_worker_reports_another_run_of_it() {
+    let (mut leader, placed, other) = Leader::with_run();
+    leader.commit(&cell::Command::End(vec![cell::End {
+        task: TASK,
+        run: 1,
+        worker: placed,
+        outcome: directive::Outcome::Lost,
+        checkpoint: None,
+    }]));
+    leader.commit(&cell::Command::Start(vec![cell::Start {
+        task: TASK,
+        run: 2,
+        worker: placed,
+    }]));
+    leader.elect(2);
+    for _ in 0..20 {
+        leader.run_undisturbed(placed);
+    }
+    let stopped = directive::Ended {
+        outcome: directive::Outcome::Stopped,
+        ..done(1)
+    };
+    let mut starts = Vec::new();
+    for (worker, directive, decided) in leader.run(500) {
+        if let directive::Directive::Renew { .. } = directive {
+            let request = (worker, directive, decided);
+            let ended = if worker == other {
+                Vec::new()
+            } else {
+                vec![stopped.clone()]
+            };
+            leader.report(&request, 5, ended);
+        } else if is_start(&directive) {
+            starts.push(directive);
+        }
+    }
+    starts.extend(leader.run(500).into_iter().map(|(_, directive, _)| directive));
+    let runs = starts.iter().filter_map(|directive| match directive {
+        directive::Directive::Start { run, .. } => Some(*run),
+        _ => None,
+    });
+    assert_eq!(runs.collect::<Vec<_>>(), [3]);
+}
