--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -49,8 +49,8 @@
             metrics::counter!("bronzespoke_fleet_starts_total", "answer" => *answer).increment(1);
             metrics::histogram!("bronzespoke_fleet_start_seconds").record(after.as_secs_f64());
         }
-        dispatch::Event::Ended { outcome, .. } => {
-            let outcome = outcome_name(*outcome);
+        dispatch::Event::Ended(ended) => {
+            let outcome = outcome_name(ended.outcome);
             metrics::counter!("bronzespoke_fleet_ends_total", "outcome" => outcome).increment(1);
         }
         dispatch::Event::WorkerUnusable { reason, .. } => {
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -6,7 +6,7 @@
 use bronzespoke_workload::directive;
 use bytes::Bytes;
 
-use super::{Dispatch, Event, Now, Output, START_LEASE, TimerGroup, proof::Proof, report};
+use super::{Dispatch, Event, Now, Output, START_LEASE, TimerGroup, event, proof::Proof, report};
 use crate::{
     orphan,
     worker::{self, Phase, Stop},
@@ -453,7 +453,7 @@
 
     pub(super) fn log_end(&mut self, end: &cell::End, number: Option<u64>, reason: &'static str) {
         let record = self.workers.get(&end.worker);
-        self.outputs.push(Output::Event(Event::Ended {
+        let ended = event::Ended {
             task: end.task,
             run: end.run,
             index: end.worker,
@@ -463,7 +463,8 @@
             outcome: end.outcome,
             number,
             reason,
-        }));
+        };
+        self.outputs.push(Output::Event(Event::Ended(ended)));
     }
 
     fn report_answered(
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -33,22 +33,7 @@
         after: Duration,
     },
     /// The end of a run is proved, and its record is proposed.
-    Ended {
-        /// Task of the run.
-        task: directive::Task,
-        /// Number of the run.
-        run: directive::Run,
-        /// Index of the worker's incarnation.
-        index: cell::WorkerIndex,
-        /// Name of the worker; empty if it is not known any more.
-        worker: String,
-        /// Outcome of the run.
-        outcome: directive::Outcome,
-        /// Number of the end at the worker, if the worker has reported it.
-        number: Option<u64>,
-        /// Evidence of the end as it appears in logs.
-        reason: &'static str,
-    },
+    Ended(Ended),
     /// A worker reports a run that is not placed there; it is stopped, and its task is not started before it has ended.
     Orphan {
         /// Task of the run.
@@ -137,6 +122,44 @@
     },
 }
 
+/// End of a run, with its evidence.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Ended {
+    /// Task of the run.
+    pub task: directive::Task,
+    /// Number of the run.
+    pub run: directive::Run,
+    /// Index of the worker's incarnation.
+    pub index: cell::WorkerIndex,
+    /// Name of the worker; empty if it is not known any more.
+    pub worker: String,
+    /// Outcome of the run.
+    pub outcome: directive::Outcome,
+    /// Number of the end at the worker, if the worker has reported it.
+    pub number: Option<u64>,
+    /// Evidence of the end as it appears in logs.
+    pub reason: &'static str,
+}
+
+impl fmt::Display for Ended {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            task,
+            run,
+            index,
+            worker,
+            outcome,
+            number,
+            reason,
+        } = self;
+        write!(
+            f,
+            "decision=end task={task} run={run} worker={worker} index={index} outcome={outcome:?} reason={reason}"
+        )?;
+        number.map_or(Ok(()), |number| write!(f, " number={number}"))
+    }
+}
+
 impl fmt::Display for Event {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
@@ -160,21 +183,7 @@
                 "decision=start task={task} run={run} worker={worker} answer={answer} after_ms={}",
                 after.as_millis()
             ),
-            Self::Ended {
-                task,
-                run,
-                index,
-                worker,
-                outcome,
-                number,
-                reason,
-            } => {
-                write!(
-                    f,
-                    "decision=end task={task} run={run} worker={worker} index={index} outcome={outcome:?} reason={reason}"
-                )?;
-                number.map_or(Ok(()), |number| write!(f, " number={number}"))
-            }
+            Self::Ended(ended) => ended.fmt(f),
             Self::Orphan {
                 task,
                 run,
