--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -125,12 +125,15 @@
             return;
         };
         for run in &mut self.uncertain {
-            let is_refused = worker > run.worker || (worker == run.worker && report.clock > run.lease_end);
-            if !is_refused || record.incarnation.name != run.name {
+            if worker < run.worker || record.incarnation.name != run.name {
                 continue;
             }
             let mut ended = report.ended.iter();
-            run.is_reported |= ended.any(|ended| ended.task == run.task && ended.run == run.run);
+            run.is_reported = ended.any(|ended| ended.task == run.task && ended.run == run.run);
+            let is_refused = worker > run.worker || report.clock > run.lease_end;
+            if !is_refused {
+                continue;
+            }
             let mut running = report.running.iter();
             let is_there = running.any(|running| running.task == run.task && running.run == run.run);
             if is_there || report.truncated {
