--- a/crates/cli/tests/partition.rs
+++ b/crates/cli/tests/partition.rs
@@ -351,10 +351,17 @@
     harness.block_on(async {
         let others: Vec<_> = ALL.into_iter().filter(|number| *number != leader).collect();
         for number in others {
+            let mut last = None;
             wait_until("a resend is answered after a change of the leader", async || {
                 let again = harness.client.execute(number, line, id).await;
                 assert!(!is_conflict(&again), "a resend is executed again: {again:?}");
-                matches!(again, Answer::Text(_))
+                // Shown only if the test fails.
+                if last.as_ref() != Some(&again) {
+                    println!("VM {number} without VM {leader}: {again:?}");
+                }
+                let is_answered = matches!(again, Answer::Text(_));
+                last = Some(again);
+                is_answered
             })
             .await;
         }
