--- a/crates/daemon/src/fleet/commands.rs
+++ b/crates/daemon/src/fleet/commands.rs
@@ -3,6 +3,7 @@
 use std::{collections::HashMap, time::Duration};
 
 use bronzespoke_control::cell;
+use bronzespoke_model::id;
 use bronzespoke_workload::{call, job};
 use tokio::sync::oneshot;
 
@@ -45,13 +46,12 @@
 }
 
 impl Responder {
-    /// Returns whether both receive the reply to the same forwarded call, so that one of them belongs to a resent copy.
-    fn is_same_call(&self, other: &Self) -> bool {
-        let call = |responder: &Self| match responder {
+    /// Returns the daemon that forwarded the call, and the number of the call there; copies of a call share both.
+    pub const fn forwarded(&self) -> Option<(id::VmId, u64)> {
+        match self {
             Self::Remote { endpoint, number } => Some((endpoint.vm, *number)),
             Self::Local(_) | Self::Discard => None,
-        };
-        call(self).is_some() && call(self) == call(other)
+        }
     }
 }
 
@@ -100,8 +100,11 @@
 
     /// Returns whether a command of the call that `responder` belongs to waits to be proposed or committed.
     pub fn is_under_way(&self, responder: &Responder) -> bool {
-        self.waiting()
-            .any(|pending| pending.responder.is_same_call(responder))
+        let call = responder.forwarded();
+        call.is_some()
+            && self
+                .waiting()
+                .any(|pending| pending.responder.forwarded() == call)
     }
 
     fn waiting(&self) -> impl Iterator<Item = &Pending> {
--- a/crates/daemon/src/fleet/trace.rs
+++ b/crates/daemon/src/fleet/trace.rs
@@ -34,10 +34,7 @@
 
     /// Returns the daemon that a call came through, and the number of the call there.
     fn requester(&self, responder: &Responder) -> (id::VmId, u64) {
-        match responder {
-            Responder::Remote { endpoint, number } => (endpoint.vm, *number),
-            Responder::Local(_) | Responder::Discard => (self.me.vm, 0),
-        }
+        responder.forwarded().unwrap_or((self.me.vm, 0))
     }
 
     /// Logs the reply to a call about the configuration that this daemon forwarded.
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -288,6 +288,15 @@
     matches!(command, cell::Command::End(_))
 }
 
+/// Returns the numbers of the runs that are started.
+pub fn started_runs(sent: &[Sent]) -> Vec<directive::Run> {
+    let runs = sent.iter().filter_map(|(_, directive, _)| match directive {
+        directive::Directive::Start { run, .. } => Some(*run),
+        _ => None,
+    });
+    runs.collect()
+}
+
 /// Returns the highest number that requests for reports acknowledge.
 pub fn acknowledged(sent: &[Sent]) -> Option<u64> {
     let acknowledged = sent.iter().filter_map(|(_, directive, _)| match directive {
--- a/crates/dispatch/tests/restarts/reports.rs
+++ b/crates/dispatch/tests/restarts/reports.rs
@@ -4,7 +4,7 @@
 use bronzespoke_workload::directive;
 use yare::parameterized;
 
-use super::leader::{Leader, Sent, TASK, acknowledged, done, is_end_command, is_start};
+use super::leader::{Leader, TASK, acknowledged, done, is_end_command, is_start, started_runs};
 
 /// Guards against a task that runs twice: the worker restarted under its name and completed a resent start; the next
 /// request for a report acknowledged that end with the number of an end of its earlier incarnation.
@@ -22,12 +22,6 @@
     );
     let request = sent.iter().find(|(_, directive, _)| !is_start(directive));
     leader.report(request.expect("a report is requested"), 5, vec![done(1)]);
-    let acknowledged = |directives: &[Sent]| {
-        directives.iter().find_map(|(_, directive, _)| match directive {
-            directive::Directive::Renew { acknowledged, .. } => Some(*acknowledged),
-            _ => None,
-        })
-    };
     let requests = leader.run(400);
     assert_eq!(acknowledged(&requests), Some(1), "{requests:?}");
     // No answer arrives.
@@ -160,11 +154,7 @@
     // The commit shows that the first start was not sent, and the task is placed again.
     leader.commit(&proposed[0]);
     let sent = leader.run(100);
-    let runs = sent.iter().filter_map(|(_, directive, _)| match directive {
-        directive::Directive::Start { run, .. } => Some(*run),
-        _ => None,
-    });
-    assert_eq!(runs.collect::<Vec<_>>(), [2]);
+    assert_eq!(started_runs(&sent), [2]);
 }
 
 /// Guards against a task that runs twice: the end of its run was acknowledged by the commit of an earlier proposal, while
@@ -215,11 +205,7 @@
     leader.reject(&rejected);
     leader.keeps = |_| false;
     let sent = leader.run(1_000);
-    let runs = sent.iter().filter_map(|(_, directive, _)| match directive {
-        directive::Directive::Start { run, .. } => Some(*run),
-        _ => None,
-    });
-    assert_eq!(runs.collect::<Vec<_>>(), [2], "{sent:?}");
+    assert_eq!(started_runs(&sent), [2], "{sent:?}");
 }
 
 /// Guards against a task that runs again after it was done by the next incarnation of its worker: the record of the reported
@@ -277,24 +263,17 @@
         outcome: directive::Outcome::Stopped,
         ..done(1)
     };
-    let mut starts = Vec::new();
-    for (worker, directive, decided) in leader.run(500) {
-        if let directive::Directive::Renew { .. } = directive {
-            let request = (worker, directive, decided);
-            let ended = if worker == other {
+    let mut sent = leader.run(500);
+    for request in &sent {
+        if let directive::Directive::Renew { .. } = request.1 {
+            let ended = if request.0 == other {
                 Vec::new()
             } else {
                 vec![stopped.clone()]
             };
-            leader.report(&request, 5, ended);
-        } else if is_start(&directive) {
-            starts.push(directive);
+            leader.report(request, 5, ended);
         }
     }
-    starts.extend(leader.run(500).into_iter().map(|(_, directive, _)| directive));
-    let runs = starts.iter().filter_map(|directive| match directive {
-        directive::Directive::Start { run, .. } => Some(*run),
-        _ => None,
-    });
-    assert_eq!(runs.collect::<Vec<_>>(), [3]);
+    sent.extend(leader.run(500));
+    assert_eq!(started_runs(&sent), [3]);
 }
