Interfaces for evacuated zones, learned speeds, shares, forecasts and preemption

Several parts are about to change the scheduler at the same time. This adds the modules, the fields and the calls at which they take effect, so that each of them has files of its own. Admission of submissions moves from the leader's module to one of its own. No decision changes yet: positions of teams are equal, speeds are 1.

--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -1,6 +1,6 @@
 //! Application of commands. A command that does not match the state has no effect; none returns an error.
 
-use std::sync::Arc;
+use std::{collections::BTreeMap, sync::Arc};
 
 use bronzespoke_workload::{catalog, directive, job, worker};
 use bytes::Bytes;
@@ -47,6 +47,19 @@
                 self.peers.insert(vm, peer);
                 Outcome::Done
             }
+            Command::Evacuate { zone, active } => {
+                if active {
+                    self.evacuated.insert(zone);
+                } else {
+                    self.evacuated.remove(&zone);
+                }
+                Outcome::Done
+            }
+            Command::Learn { speeds, past_use } => {
+                record(&mut self.speeds, speeds);
+                record(&mut self.past_use, past_use);
+                Outcome::Done
+            }
         }
     }
 
@@ -287,6 +300,20 @@
     }
 }
 
+/// Replaces the entries that are given and removes those without a value.
+fn record<V>(entries: &mut BTreeMap<String, V>, changes: Vec<(String, Option<V>)>) {
+    for (name, value) in changes {
+        match value {
+            Some(value) => {
+                entries.insert(name, value);
+            }
+            None => {
+                entries.remove(&name);
+            }
+        }
+    }
+}
+
 fn step_mut(job: &mut Job, task: directive::Task) -> Option<&mut super::state::Step> {
     let occurrence = job.open.get_mut(&task.occurrence)?;
     occurrence.steps.get_mut(usize::from(task.step))
--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::state;
+use super::{learned, state};
 
 /// A change of the replicated state.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -64,6 +64,20 @@
         /// Address for connections between daemons; belongs to at most one VM.
         peer: SocketAddr,
     },
+    /// Orders or withdraws the evacuation of an availability zone: its workers get no new tasks.
+    Evacuate {
+        /// Name of the zone.
+        zone: String,
+        /// Whether the zone is to be evacuated from now on.
+        active: bool,
+    },
+    /// Records what the leader has learned since the last such record; `None` removes an entry.
+    Learn {
+        /// Speeds by the name of the machine.
+        speeds: Vec<(String, Option<learned::Speed>)>,
+        /// Past use by the name of the team.
+        past_use: Vec<(String, Option<learned::PastUse>)>,
+    },
 }
 
 /// Placement of one task.
--- a/crates/control/src/cell/former.rs
+++ b/crates/control/src/cell/former.rs
@@ -1,4 +1,4 @@
-//! Reads snapshots in the former format, which stored the progress of every occurrence of a job.
+//! Reads snapshots in the first format, which stored the progress of every occurrence of a job.
 
 use std::{
     collections::{BTreeMap, BTreeSet},
@@ -59,6 +59,9 @@
             active: former.active,
             pending: former.pending,
             peers: former.peers,
+            evacuated: BTreeSet::new(),
+            speeds: BTreeMap::new(),
+            past_use: BTreeMap::new(),
         }
     }
 }
--- a/crates/control/src/cell/mod.rs
+++ b/crates/control/src/cell/mod.rs
@@ -6,8 +6,10 @@
 mod apply;
 mod command;
 mod former;
+mod learned;
 mod state;
 mod verify;
 
 pub use command::{Command, End, Outcome, Start};
+pub use learned::{PastUse, Speed};
 pub use state::{Job, Occurrence, Registered, State, Step, Task, WorkerIndex};
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -12,11 +12,15 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::former;
+use super::{former, learned};
 use crate::{envelope, error};
 
 /// Number of the format of snapshots, in their first byte.
-const FORMAT: u8 = 2;
+const FORMAT: u8 = 3;
+/// Number of the format before it, which lacks the last [`ADDED_COLLECTIONS`] collections of the state.
+const SECOND_FORMAT: u8 = 2;
+/// Number of collections at the end of the state that the second format lacks.
+const ADDED_COLLECTIONS: usize = 3;
 
 /// Maximum number of occurrences of a job that begin with one start.
 const MAX_BEGUN_TOGETHER: u32 = 256;
@@ -43,6 +47,12 @@
     pub(super) pending: BTreeMap<String, u64>,
     /// Addresses for connections between daemons, by VM.
     pub(super) peers: BTreeMap<id::VmId, SocketAddr>,
+    /// Availability zones whose evacuation is in force.
+    pub(super) evacuated: BTreeSet<String>,
+    /// Observed speeds by the name of the machine.
+    pub(super) speeds: BTreeMap<String, learned::Speed>,
+    /// Past use by the name of the team.
+    pub(super) past_use: BTreeMap<String, learned::PastUse>,
 }
 
 /// A registered incarnation of a worker.
@@ -171,6 +181,21 @@
         &self.peers
     }
 
+    /// Returns the availability zones whose evacuation is in force.
+    pub fn evacuated(&self) -> &BTreeSet<String> {
+        &self.evacuated
+    }
+
+    /// Returns the observed speeds by the name of the machine.
+    pub fn speeds(&self) -> &BTreeMap<String, learned::Speed> {
+        &self.speeds
+    }
+
+    /// Returns the past use by the name of the team.
+    pub fn past_use(&self) -> &BTreeMap<String, learned::PastUse> {
+        &self.past_use
+    }
+
     /// Returns the queue of a job as configured now or, if it was removed, as configured at the submission.
     pub fn queue_of<'a>(&'a self, job: &'a Job) -> &'a catalog::Queue {
         let current = self.catalog.as_ref();
@@ -201,11 +226,17 @@
         envelope::to_bytes(&(FORMAT, self))
     }
 
-    /// Decodes the state from a snapshot, also from one in the former format.
+    /// Decodes the state from a snapshot, also from one in a former format.
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
         match bytes.split_first() {
             Some((&FORMAT, rest)) => envelope::from_bytes(rest),
-            // The former format has no number. It begins with an optional configuration: 0 or 1.
+            Some((&SECOND_FORMAT, rest)) => {
+                // An empty collection is encoded as its length, 0.
+                let mut extended = rest.to_vec();
+                extended.resize(rest.len() + ADDED_COLLECTIONS, 0);
+                envelope::from_bytes(&extended)
+            }
+            // The first format has no number. It begins with an optional configuration: 0 or 1.
             Some((0 | 1, _)) => envelope::from_bytes::<former::State>(bytes).map(Self::from),
             Some((format, _)) => {
                 let detail =
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_dispatch::{
-    admission,
-    dispatch::{self, Dispatch, Output, Registration},
-};
+use bronzespoke_dispatch::dispatch::{self, Dispatch, Output, Registration};
 use bronzespoke_workload::{call, catalog, eligibility, job, worker};
 
 use crate::{
@@ -14,13 +11,6 @@
     peer,
 };
 
-/// Retry time for a caller whose job does not fit any worker: workers join and leave over minutes.
-const NO_ROOM_RETRY: Duration = Duration::from_secs(30);
-
-/// Retry time for a caller whose job was refused because the leader falls behind: the queued messages are handled
-/// within about this time once no jobs are added.
-const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
-
 /// Interval at which the proxies for eligibility queries are selected.
 const PROXIES_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -238,7 +228,7 @@
 
     /// Sends a rejection of a call, unless an earlier copy of the call is being committed: that one's outcome is the
     /// reply to both.
-    fn reject(&mut self, responder: Responder, reply: call::Reply) {
+    pub(super) fn reject(&mut self, responder: Responder, reply: call::Reply) {
         if self.commands.is_under_way(&responder) {
             log::info!("decision=drop_copy responder={responder:?} reason=under_way");
             return;
@@ -307,55 +297,6 @@
         let job = self.state.job(key)?;
         (job.team.is_none() || job.team.as_deref() == team).then_some(job)
     }
-
-    fn submit(
-        &mut self,
-        queue: &catalog::Queue,
-        team: Option<String>,
-        key: job::Key,
-        submission: Box<job::Submission>,
-        responder: Responder,
-    ) {
-        let now = self.now();
-        if self.state.job(key).is_some() {
-            self.respond(responder, call::Reply::Done);
-            return;
-        }
-        // A submission whose first copy is being committed must not be refused.
-        let is_known = admission::is_behind(self.lag) && self.commands.is_submitting(key);
-        let lag = if is_known { Duration::ZERO } else { self.lag };
-        if let Err(reason) = admission::admit(&self.state, queue, &submission, lag) {
-            log::info!(
-                "decision=refuse job={key:016x} queue={} reason={} lag_ms={}",
-                queue.name,
-                reason.name(),
-                lag.as_millis()
-            );
-            let retry_after = match reason {
-                call::Refusal::Overload => OVERLOAD_RETRY,
-                _ => NO_ROOM_RETRY,
-            };
-            self.reject(responder, refused(reason, retry_after));
-            return;
-        }
-        log::info!(
-            "decision=accept job={key:016x} queue={} team={} steps={} waiting_steps={}",
-            queue.name,
-            team.as_deref().unwrap_or("-"),
-            submission.steps.len(),
-            self.dispatch.as_ref().map_or(0, Dispatch::waiting_steps)
-        );
-        if let Some(dispatch) = &mut self.dispatch {
-            dispatch.prefetch_eligibility(now, key, queue, &submission);
-        }
-        let command = cell::Command::Submit {
-            key,
-            queue: Box::new(queue.clone()),
-            team,
-            submission,
-        };
-        self.enqueue(command, responder);
-    }
 }
 
 /// Checks a submission that another daemon decoded. One whose steps depend on missing ones must not be recorded: no
@@ -367,7 +308,7 @@
     }
 }
 
-const fn refused(reason: call::Refusal, retry_after: Duration) -> call::Reply {
+pub(super) const fn refused(reason: call::Refusal, retry_after: Duration) -> call::Reply {
     call::Reply::Refused { reason, retry_after }
 }
 
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -21,6 +21,7 @@
 mod replication;
 mod sender;
 mod start;
+mod submissions;
 mod trace;
 pub mod wire;
 
--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -100,6 +100,7 @@
             free,
             room: announced.room,
             slots: slots(record, subject),
+            speed: self.speeds.of(worker),
             remote: near.is_some_and(|rack| !announced.labels.contains(rack)),
             reserved: delays_gang,
         })
--- /dev/null
+++ b/crates/dispatch/src/dispatch/learned.rs
@@ -0,0 +1,12 @@
+//! Continues from what earlier leaders have learned.
+
+use bronzespoke_control::cell;
+
+use super::Dispatch;
+
+impl Dispatch {
+    /// Continues from what earlier leaders have learned.
+    pub(super) fn inherit_learned(&mut self, state: &cell::State) {
+        self.inherit_speeds(state);
+    }
+}
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -7,13 +7,19 @@
 
 mod candidate;
 mod directives;
+mod evacuation;
 mod event;
 mod fleet;
+mod forecasts;
 mod gang;
+mod learned;
 mod lost;
+mod preemption;
 mod proof;
 mod report;
 mod schedule;
+mod shares;
+mod speeds;
 mod waiting;
 
 use std::{
@@ -31,7 +37,8 @@
 pub use fleet::Registration;
 
 use crate::{
-    calendar, directory, estimate, orphan, query_queue, reserve, room, slowness, usage, work, worker,
+    calendar, directory, estimate, forecast, orphan, preempt, query_queue, reserve, room, share, slowness,
+    speed, usage, work, worker,
 };
 
 /// Lease of a worker without contact to the leader. It has to outlast the loss of a leader (an election of at most 1.6
@@ -158,6 +165,10 @@
     usage: usage::Usage,
     estimates: estimate::Estimates,
     slowness: slowness::Slowness,
+    speeds: speed::Speeds,
+    shares: share::Shares,
+    forecast: forecast::Forecast,
+    preemptions: preempt::Preemptions,
     unacknowledged: orphan::Unacknowledged,
     /// Runs of lost workers whose start directive may still be carried out by the next incarnation.
     uncertain: Vec<lost::Uncertain>,
@@ -204,6 +215,10 @@
             usage: usage::Usage::default(),
             estimates: estimate::Estimates::default(),
             slowness: slowness::Slowness::default(),
+            speeds: speed::Speeds::default(),
+            shares: share::Shares::default(),
+            forecast: forecast::Forecast::default(),
+            preemptions: preempt::Preemptions::default(),
             unacknowledged: orphan::Unacknowledged::default(),
             uncertain: Vec::new(),
             rejected_ends: VecDeque::new(),
@@ -227,6 +242,7 @@
             outputs: Vec::new(),
         };
         dispatch.inherit(state, now);
+        dispatch.inherit_learned(state);
         dispatch
     }
 
@@ -356,7 +372,8 @@
                 self.limits = state.catalog().cloned();
                 self.refresh_all(state);
             }
-            cell::Command::Forget(_) | cell::Command::Locate { .. } => {}
+            cell::Command::Evacuate { .. } => self.mark_evacuated(state),
+            cell::Command::Forget(_) | cell::Command::Locate { .. } | cell::Command::Learn { .. } => {}
         }
     }
 
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -50,6 +50,7 @@
         self.dirty = false;
         self.work.passes += 1;
         self.rooms.refresh(&self.workers);
+        self.update_shares();
         let ranked = self.ranked(state, now);
         let mut reserved = Reserved {
             workers: HashMap::new(),
@@ -74,6 +75,7 @@
         if !starts.is_empty() {
             self.outputs.push(Output::Propose(cell::Command::Start(starts)));
         }
+        self.update_forecast();
         let mut assignments = Vec::new();
         self.queries.assign(now.steady, &order, &mut assignments);
         for assignment in assignments {
@@ -106,7 +108,8 @@
             let expected = |stated| self.estimates.expected(queue, stated);
             let chain = job.submission.chain(expected);
             let remaining = waiting::remaining(&self.estimates, queue, &job.submission, id.step);
-            let rank = rank::compute(job, entry.begun_ms, chain, remaining, now.wall_ms);
+            let mut rank = rank::compute(job, entry.begun_ms, chain, remaining, now.wall_ms);
+            rank.share = self.shares.order(job.team.as_deref());
             ranked.push((rank, *id));
         }
         ranked.sort_unstable();
@@ -169,6 +172,7 @@
             if subject.spec.gang {
                 self.reserve(now, subject, requested, reserved);
             }
+            self.make_room(now, subject, needed);
             return;
         }
         let tasks = &subject.tasks[..requested as usize];
@@ -283,6 +287,7 @@
         starts: &mut Vec<cell::Start>,
     ) {
         let task = task_id(subject.id, index);
+        let expected_end = now + self.run_time_on(worker, subject.run_time);
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
@@ -306,7 +311,9 @@
                 since: now,
                 decided: now,
                 lease_end: Duration::ZERO,
-                expected_end: now + subject.run_time,
+                expected_end,
+                priority: subject.queue.priority,
+                checkpoints: subject.spec.checkpoints,
                 gang: subject.spec.gang,
                 run_time: subject.run_time,
                 progress: None,
@@ -342,6 +349,7 @@
     let is_fresh = has_fresh_report(record, now);
     is_fresh
         && !record.draining
+        && !record.evacuated
         && record.claimed_at.is_none()
         && now >= record.suspect_until
         && record.sample.is_some()
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -20,6 +20,8 @@
     pub room: resource::Amount,
     /// Number of further tasks of the step that it may run; `u32::MAX` means no limit.
     pub slots: u32,
+    /// Speed relative to the typical worker of the pool.
+    pub speed: f64,
     /// Whether tasks of the step run longer there because they are away from their data.
     pub remote: bool,
     /// Whether the worker is reserved for a gang that would be delayed.
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -20,6 +20,8 @@
     pub useless: bool,
     /// 0 for the highest priority, 1 for others.
     pub tier: u8,
+    /// Position of the job's team within the priority; smaller comes first.
+    pub share: u32,
     /// Latest start that meets the next goal, in milliseconds since the Unix epoch.
     pub latest_start: u64,
 }
@@ -34,7 +36,7 @@
 
 impl Ord for Rank {
     fn cmp(&self, other: &Self) -> Ordering {
-        let key = |rank: &Self| (rank.useless, rank.tier, rank.latest_start);
+        let key = |rank: &Self| (rank.useless, rank.tier, rank.share, rank.latest_start);
         key(self).cmp(&key(other))
     }
 }
@@ -61,6 +63,7 @@
     Rank {
         useless: end_ms > useful_ms,
         tier: u8::from(queue.priority > 0),
+        share: 0,
         latest_start: goal_ms.saturating_sub(remaining_ms),
     }
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -62,6 +62,10 @@
     pub lease_end: Duration,
     /// Expected end, in local time.
     pub expected_end: Duration,
+    /// Priority of its queue; 0 is the highest.
+    pub priority: u32,
+    /// Whether it stores checkpoints of its progress.
+    pub checkpoints: bool,
     /// Whether it is a member of a gang, which proceeds at the speed of its slowest member.
     pub gang: bool,
     /// Run time that was expected at the start.
@@ -96,6 +100,10 @@
 
 /// Record of one incarnation of a worker.
 #[derive(Debug)]
+#[expect(
+    clippy::struct_excessive_bools,
+    reason = "each property of a worker is independent"
+)]
 pub struct Worker {
     /// Name and start time of the incarnation.
     pub incarnation: announced::Incarnation,
@@ -105,6 +113,8 @@
     pub announced: Arc<announced::Worker>,
     /// Whether it is draining.
     pub draining: bool,
+    /// Whether its availability zone is evacuated, so that it gets no new tasks.
+    pub evacuated: bool,
     /// Runs that are placed on it.
     pub runs: BTreeMap<directive::Task, Run>,
     /// Sum of the sizes of `runs`.
@@ -161,6 +171,7 @@
             fence: index,
             announced: Arc::clone(&registered.worker),
             draining: registered.draining,
+            evacuated: false,
             runs: BTreeMap::new(),
             used: resource::Amount::ZERO,
             orphans: orphan::Orphans::default(),
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -152,6 +152,7 @@
         free: resource::Amount::new(free_cpu, 100_000, 0),
         room: resource::Amount::new(64_000, 100_000, 0),
         slots: u32::MAX,
+        speed: 1.0,
         remote: false,
         reserved: false,
     }
@@ -294,6 +295,8 @@
             decided: at(0),
             lease_end: at(0),
             expected_end: at(*end),
+            priority: 0,
+            checkpoints: false,
             gang: false,
             run_time: at(*end),
             progress: None,
--- a/crates/workload/src/adapter.rs
+++ b/crates/workload/src/adapter.rs
@@ -62,4 +62,17 @@
     Method,
     /// The content is invalid; the message names the field.
     Content(String),
+    /// The head of the request is too large; the message names the limit.
+    HeadTooLarge(String),
+    /// The body is too large; the message names the limit.
+    TooLarge(String),
+    /// The request did not arrive in time; the message names the limit.
+    Timeout(String),
+    /// The daemon cannot take the request now; it has not been executed.
+    Overload {
+        /// Reason, for the caller.
+        reason: String,
+        /// Delay after which the caller may retry.
+        retry_after: std::time::Duration,
+    },
 }
--- a/crates/workload/src/call.rs
+++ b/crates/workload/src/call.rs
@@ -109,10 +109,12 @@
     NoLeader,
     /// No configuration has been set yet.
     NoConfiguration,
-    /// The work cannot be completed in a useful time.
+    /// The leader does not keep up with its messages.
     Overload,
     /// No worker could ever run it: none is large enough and has the required label.
     NoRoom,
+    /// The forecast says that it would end too late to be useful.
+    Late,
 }
 
 impl Refusal {
@@ -123,6 +125,7 @@
             Self::NoConfiguration => "no configuration",
             Self::Overload => "overload",
             Self::NoRoom => "no room",
+            Self::Late => "too late",
         }
     }
 }
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -35,6 +35,12 @@
     pub advice: Option<SocketAddr>,
     /// Time bounds of the platform.
     pub bounds: Bounds,
+    /// Names of all availability zones; empty if they are not known.
+    pub zones: Vec<String>,
+    /// Memory of the VM that the process may use, in bytes; `None` if it is not known.
+    pub memory: Option<u64>,
+    /// Number of descriptors that the process may have open; `None` if it is not known.
+    pub descriptors: Option<u32>,
 }
 
 /// Properties of a platform that scheduling decisions depend on.
