dispatch: learn the speeds of workers and place tasks by them

Two thirds of a fleet ran at 0.7 of the nominal speed and one third at 1.7, and nothing knew: urgent jobs ended late on slow workers while long work filled the fast ones, and healthy slow workers were rated as faulty.

The leader learns a speed for each worker from the ratio of expected to actual run times, with clipped deviations weighted by the noise of the queue, and normalises them to a mean of 1 per pool. They are used only in pools whose speeds differ by more than their uncertainty. There, a step runs on the slowest workers on which it ends in time, and long work leaves room on the fast ones for the tight work of recent seconds.

Changes in files of other parts: schedule.rs passes the time and the pace of a step, mod.rs has the field kept and passes the pace to the first query, lost.rs removes the speed of an ended incarnation, candidate.rs chooses by speed.

--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -14,6 +14,7 @@
     schedule::{Reserved, Subject, is_usable, task_id},
 };
 use crate::{
+    pace::Pace,
     place::{self, Candidate},
     query_queue, worker,
 };
@@ -26,47 +27,61 @@
 /// Minimum number of workers among which a task is placed, if there are as many: those with the least free processors
 /// may differ in their other resources.
 const MIN_CHOICE: usize = 32;
+/// Maximum number of workers that the choice for a step looks at because of their speed.
+const MAX_SPEEDS: usize = 512;
 /// Pause before a step whose known workers have no room looks for further ones again.
 const SEARCH_PAUSE: Duration = Duration::from_millis(50);
 
 impl Dispatch {
-    /// Returns the workers that the first query about a step names, those with the most room first.
+    /// Returns the workers that the first query about a step names, those with the most room first. Where workers differ in
+    /// speed, those that suit the pace of the step come first.
     pub(super) fn query_candidates(
         &self,
         now: Duration,
         queue: &catalog::Queue,
         spec: &job::Step,
+        pace: Option<&Pace>,
     ) -> Vec<(cell::WorkerIndex, String)> {
         let size = fleet::counted_size(spec);
         let count = query_size(spec);
         let label = spec.label.as_ref();
         let mut fitting = Vec::new();
+        let mut unsuited = Vec::new();
         let mut full = Vec::new();
-        for index in self.rooms.most_free(&queue.pool, 0) {
+        for (number, index) in self.rooms.most_free(&queue.pool, 0).enumerate() {
             let Some(record) = self.workers.get(&index) else {
                 continue;
             };
             let free = record.free();
+            let named = fitting.len() + unsuited.len() + full.len();
             if fitting.len() == count
-                || (free.cpu_milli < size.cpu_milli && fitting.len() + full.len() >= count)
+                || (free.cpu_milli < size.cpu_milli && named >= count)
+                || (pace.is_some() && number >= MAX_SPEEDS)
             {
                 break;
             }
             let suits = size.fits(&record.announced.room)
                 && label.is_none_or(|label| record.announced.labels.contains(label));
-            if !suits || !is_usable(record, now) || self.slowness.factor(index, now).is_some() {
+            if !suits || !is_usable(record, now) || self.slow_factor(index, now).is_some() {
                 continue;
             }
-            let entry = (place::count(&free, &size), index, record.incarnation.name.clone());
-            if entry.0 > 0 {
-                fitting.push(entry);
+            let speed = self.speeds.of(index);
+            if pace.is_some_and(|pace| pace.excludes(speed)) {
+                continue;
+            }
+            let tasks = place::count(&free, &size);
+            if tasks > 0 && pace.is_none_or(|pace| pace.prefers(speed)) {
+                fitting.push((tasks, index));
+            } else if tasks > 0 {
+                unsuited.push((tasks, index));
             } else if full.len() < count {
-                full.push(entry);
+                full.push((tasks, index));
             }
         }
-        fitting.sort_by_key(|(tasks, ..)| std::cmp::Reverse(*tasks));
-        let named = fitting.into_iter().chain(full).take(count);
-        named.map(|(_, index, name)| (index, name)).collect()
+        fitting.sort_by_key(|(tasks, _)| std::cmp::Reverse(*tasks));
+        unsuited.sort_by_key(|(tasks, _)| std::cmp::Reverse(*tasks));
+        let named = fitting.into_iter().chain(unsuited).chain(full).take(count);
+        named.filter_map(|(_, index)| self.named_worker(index)).collect()
     }
 
     /// Returns a worker as a candidate if it may run the step as far as is known; with `fitting`, only if it has room
@@ -91,7 +106,9 @@
             && is_usable(record, now);
         let reserved_until = reserved.workers.get(&worker);
         let delays_gang = reserved_until.is_some_and(|due| now + subject.run_time > *due);
-        if !suits || (subject.tier > 0 && delays_gang) {
+        let speed = self.speeds.of(worker);
+        let excluded = subject.pace.is_some_and(|pace| pace.excludes(speed));
+        if !suits || excluded || (subject.tier > 0 && delays_gang) {
             return None;
         }
         let near = subject.spec.near_rack.as_ref();
@@ -100,7 +117,7 @@
             free,
             room: announced.room,
             slots: slots(record, subject),
-            speed: self.speeds.of(worker),
+            speed,
             remote: near.is_some_and(|rack| !announced.labels.contains(rack)),
             reserved: delays_gang,
         })
@@ -151,11 +168,13 @@
     ) -> Vec<Candidate> {
         let known = self.queries.eligibility(subject.id);
         let any_rack = subject.spec.near_rack.is_none() && !subject.spec.one_rack;
+        let pace = subject.pace.as_ref();
         let mut room = 0_u32;
         let mut looked_at = 0;
         let mut candidates = Vec::new();
         for worker in self.rooms.least_free(&subject.queue.pool, subject.size.cpu_milli) {
-            if any_rack && room >= requested && candidates.len() >= MIN_CHOICE {
+            let is_enough = room >= requested && candidates.len() >= MIN_CHOICE;
+            if any_rack && (is_enough || (pace.is_some() && candidates.len() >= MAX_SPEEDS)) {
                 break;
             }
             looked_at += 1;
@@ -163,7 +182,9 @@
                 continue;
             }
             if let Some(candidate) = self.candidate(now, subject, reserved, worker, true) {
-                room = room.saturating_add(candidate.fitting(&subject.size));
+                if pace.is_none_or(|pace| pace.prefers(candidate.speed)) {
+                    room = room.saturating_add(candidate.fitting(&subject.size));
+                }
                 candidates.push(candidate);
             }
         }
@@ -227,8 +248,9 @@
         mut workers: Vec<Candidate>,
     ) {
         workers.sort_by_key(|candidate| {
+            let suits = subject.pace.is_none_or(|pace| pace.prefers(candidate.speed));
             let room = (candidate.fitting(&subject.size), candidate.free.cpu_milli);
-            std::cmp::Reverse(room)
+            std::cmp::Reverse((suits, room))
         });
         let queried = workers.into_iter().take(query_size(subject.spec));
         let workers = queried
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -40,6 +40,7 @@
     pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, proof: Proof, now: Duration) {
         self.lose_runs(index, proof);
         self.slowness.remove_worker(index);
+        self.speeds.remove(index);
         self.rooms.touch(index);
         if let Some(record) = self.workers.remove(&index) {
             for (task, _) in record.orphans.listed() {
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -37,8 +37,8 @@
 pub use fleet::Registration;
 
 use crate::{
-    calendar, directory, estimate, forecast, orphan, preempt, query_queue, reserve, room, share, slowness,
-    speed, usage, work, worker,
+    calendar, directory, estimate, forecast, orphan, pace, preempt, query_queue, reserve, room, share,
+    slowness, speed, usage, work, worker,
 };
 
 /// Lease of a worker without contact to the leader. It has to outlast the loss of a leader (an election of at most 1.6
@@ -166,6 +166,7 @@
     estimates: estimate::Estimates,
     slowness: slowness::Slowness,
     speeds: speed::Speeds,
+    kept: pace::Kept,
     shares: share::Shares,
     forecast: forecast::Forecast,
     preemptions: preempt::Preemptions,
@@ -216,6 +217,7 @@
             estimates: estimate::Estimates::default(),
             slowness: slowness::Slowness::default(),
             speeds: speed::Speeds::default(),
+            kept: pace::Kept::default(),
             shares: share::Shares::default(),
             forecast: forecast::Forecast::default(),
             preemptions: preempt::Preemptions::default(),
@@ -421,7 +423,8 @@
                 continue;
             }
             let step = first_occurrence(key, index as u16);
-            let workers = self.query_candidates(now, queue, spec);
+            let pace = self.pace_of_submitted(now, queue, submission, index as u16);
+            let workers = self.query_candidates(now, queue, spec, pace.as_ref());
             if self.queries.enqueue(now, step, &cost, workers) {
                 self.prefetched.push(step);
                 self.dirty = true;
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -66,6 +66,7 @@
         self.review_uncertain(now.steady, worker, report);
         self.handle_ends(state, now.steady, worker, report);
         self.reconcile_runs(state, now.steady, worker, sent, report);
+        self.refresh_speeds(now.steady);
         self.stop_stalled(state, now.steady, worker);
         self.move_from_slow(state, now.steady, worker);
         self.move_from_draining(state, now.steady, worker);
@@ -170,7 +171,7 @@
         // A resumed run has completed a part of its work before.
         if run.run == 1 {
             let actual = now.saturating_sub(since);
-            self.estimates.record(&job.queue.name, step.run_time, actual);
+            self.learn(now, job, end, step, actual);
         }
     }
 
@@ -314,11 +315,11 @@
         let mut totals = BTreeMap::new();
         for (task, run) in record.runs.iter().filter(|(_, run)| !run.gang) {
             if let Some(total) = run.progress.and_then(|progress| progress.total()) {
-                totals.insert(step_of(*task), total);
+                totals.insert(step_of(*task), total.mul_f64(self.speeds.of(worker)));
             }
         }
         self.slowness.observe(now, worker, &totals);
-        let Some(factor) = self.slowness.factor(worker, now) else {
+        let Some(factor) = self.slow_factor(worker, now) else {
             return;
         };
         let mut moved = Vec::new();
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -12,6 +12,7 @@
 
 use super::{Dispatch, Event, Now, Output, candidate::is_unknown, fleet, waiting};
 use crate::{
+    pace::Pace,
     place::{self, Candidate},
     rank,
     worker::{self, Phase, Stop},
@@ -43,6 +44,8 @@
     pub(super) tasks: Vec<u32>,
     pub(super) tier: u8,
     pub(super) run_time: Duration,
+    /// Requirements on the speed of workers, if those of the pool differ.
+    pub(super) pace: Option<Pace>,
 }
 
 impl Dispatch {
@@ -68,7 +71,7 @@
             if self.awaits_eligibility(state, id) {
                 continue;
             }
-            if let Some(subject) = self.subject(state, now.steady, id, rank.tier) {
+            if let Some(subject) = self.subject(state, now, id, rank.tier) {
                 self.place(now.steady, &subject, &mut reserved, &mut starts);
             }
         }
@@ -119,7 +122,7 @@
     fn subject<'a>(
         &self,
         state: &'a cell::State,
-        now: Duration,
+        now: Now,
         id: eligibility::Step,
         tier: u8,
     ) -> Option<Subject<'a>> {
@@ -130,7 +133,7 @@
             let index = index as u32;
             let task_id = task_id(id, index);
             let open = !task.done && task.placed.is_none() && !self.proposed.contains(&task_id);
-            (open && !self.has_orphan(task_id, now)).then_some(index)
+            (open && !self.has_orphan(task_id, now.steady)).then_some(index)
         };
         let tasks: Vec<u32> = progress.tasks.iter().enumerate().filter_map(open).collect();
         let is_incomplete_gang = spec.gang && tasks.len() < progress.remaining as usize;
@@ -147,6 +150,7 @@
             tasks,
             tier,
             run_time: self.estimates.expected(&job.queue.name, spec.run_time),
+            pace: self.pace_of_waiting(state, now, job, id),
         })
     }
 
@@ -177,10 +181,12 @@
         }
         let tasks = &subject.tasks[..requested as usize];
         let avoid = self.avoided(subject);
-        let placed = place::best_fit(&mut candidates, &subject.size, tasks, &avoid);
+        let pace = subject.pace.as_ref();
+        let placed = place::by_pace(&mut candidates, &subject.size, tasks, &avoid, pace);
         if subject.spec.gang && placed.len() < tasks.len() {
             return;
         }
+        self.record_paced(now, subject, &placed);
         let run = subject.progress.run;
         for (index, worker) in placed {
             let previous = subject.progress.tasks[index as usize].run;
@@ -209,7 +215,7 @@
             return candidates;
         };
         if is_unknown(self.queries.eligibility(subject.id)) {
-            let workers = self.query_candidates(now, subject.queue, subject.spec);
+            let workers = self.query_candidates(now, subject.queue, subject.spec, subject.pace.as_ref());
             self.queries.enqueue(now, subject.id, cost, workers);
             return Vec::new();
         }
@@ -287,7 +293,7 @@
         starts: &mut Vec<cell::Start>,
     ) {
         let task = task_id(subject.id, index);
-        let expected_end = now + self.run_time_on(worker, subject.run_time);
+        let run_time = self.run_time_of(worker, subject);
         let Some(record) = self.workers.get_mut(&worker) else {
             return;
         };
@@ -311,11 +317,11 @@
                 since: now,
                 decided: now,
                 lease_end: Duration::ZERO,
-                expected_end,
+                expected_end: now + run_time,
                 priority: subject.queue.priority,
                 checkpoints: subject.spec.checkpoints,
                 gang: subject.spec.gang,
-                run_time: subject.run_time,
+                run_time,
                 progress: None,
                 stop: Stop::NotRequested,
                 checkpoint: None,
--- a/crates/dispatch/src/dispatch/speeds.rs
+++ b/crates/dispatch/src/dispatch/speeds.rs
@@ -1,10 +1,21 @@
 //! Speeds of workers in the decisions of a leader.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use bronzespoke_control::cell;
+use bronzespoke_workload::{catalog, eligibility, job};
 
-use super::Dispatch;
+use super::{
+    Dispatch, Now, fleet,
+    report::step_of,
+    schedule::{Subject, is_usable},
+    waiting,
+};
+use crate::{
+    pace::{Goal, Pace},
+    place,
+    speed::Observation,
+};
 
 impl Dispatch {
     /// Continues with the speeds that earlier leaders have recorded.
@@ -17,8 +28,200 @@
         }
     }
 
+    /// Ignores differences between workers from now on, for comparisons of decisions.
+    pub const fn ignore_speeds(&mut self) {
+        self.speeds.ignore();
+    }
+
+    /// Returns the observed speed of a worker, for metrics and tests; 1 if it is not known or does not differ.
+    pub fn speed(&self, worker: cell::WorkerIndex) -> f64 {
+        self.speeds.of(worker)
+    }
+
+    /// Returns whether a worker is rated as slower than its own speed, for metrics and tests.
+    pub fn is_slow(&self, worker: cell::WorkerIndex, now: Duration) -> bool {
+        self.slow_factor(worker, now).is_some()
+    }
+
     /// Returns the expected run time on a worker of a task that takes `run_time` on a typical one.
     pub(super) fn run_time_on(&self, worker: cell::WorkerIndex, run_time: Duration) -> Duration {
         run_time.div_f64(self.speeds.of(worker))
     }
+
+    /// Returns the expected run time of a task of a step on its worker; a gang proceeds at the speed of its slowest member.
+    pub(super) fn run_time_of(&self, worker: cell::WorkerIndex, subject: &Subject<'_>) -> Duration {
+        if subject.spec.gang && subject.pace.is_some() {
+            return subject.run_time.div_f64(self.speeds.gang(subject.id));
+        }
+        self.run_time_on(worker, subject.run_time)
+    }
+
+    /// Returns the factor by which a worker is slow in comparison with its own speed, if it is.
+    pub(super) fn slow_factor(&self, worker: cell::WorkerIndex, now: Duration) -> Option<f64> {
+        if self.speeds.is_known(worker) {
+            self.slowness.factor(worker, now)
+        } else {
+            self.slowness.factor_of_unknown(worker, now)
+        }
+    }
+
+    /// Learns from a completed run how long the tasks of its queue take, and how fast its worker is.
+    pub(super) fn learn(
+        &mut self,
+        now: Duration,
+        job: &cell::Job,
+        end: &cell::End,
+        step: &job::Step,
+        actual: Duration,
+    ) {
+        let queue = &job.queue.name;
+        if step.gang {
+            // The run time of a member shows the speed of the slowest one.
+            let nominal = actual.mul_f64(self.speeds.gang(step_of(end.task)));
+            self.estimates.record(queue, step.run_time, nominal);
+            return;
+        }
+        let expected = self.estimates.expected(queue, step.run_time);
+        let nominal = actual.mul_f64(self.speeds.of(end.worker));
+        self.estimates.record(queue, step.run_time, nominal);
+        let Some(record) = self.workers.get(&end.worker) else {
+            return;
+        };
+        // Tasks take longer away from their data and on idle processors only, and a fault is not a property of the machine.
+        let near = step.near_rack.as_ref();
+        let is_near = near.is_none_or(|rack| record.announced.labels.contains(rack));
+        let is_slow = self.slow_factor(end.worker, now).is_some();
+        if is_near && !is_slow && !step.fills && !step.lasting {
+            self.speeds.observe(&Observation {
+                worker: end.worker,
+                pool: &record.announced.pool,
+                queue,
+                job: end.task.job,
+                expected,
+                actual,
+            });
+        }
+    }
+
+    /// Compares the speeds of workers, and the room on the fast ones.
+    pub(super) fn refresh_speeds(&mut self, now: Duration) {
+        if !self.speeds.refresh(now) {
+            return;
+        }
+        let speeds = &self.speeds;
+        self.kept.retain(|pool| speeds.range(pool).is_some());
+        let mut rooms: BTreeMap<&str, f64> = BTreeMap::new();
+        for (index, record) in &self.workers {
+            let pool = record.announced.pool.as_str();
+            let (Some(range), Some(size)) = (self.speeds.range(pool), self.kept.size(pool)) else {
+                continue;
+            };
+            let room = rooms.entry(pool).or_default();
+            if self.speeds.of(*index) < range.middle() || !is_usable(record, now) {
+                continue;
+            }
+            let tasks = place::count(&record.free(), &size);
+            *room += f64::from(tasks) * f64::from(size.cpu_milli);
+        }
+        for (pool, room) in rooms {
+            self.kept.set_room(pool, room);
+        }
+    }
+
+    /// Returns what a waiting step requires of the speed of its workers, if those of its pool differ.
+    pub(super) fn pace_of_waiting(
+        &self,
+        state: &cell::State,
+        now: Now,
+        job: &cell::Job,
+        id: eligibility::Step,
+    ) -> Option<Pace> {
+        let queue = state.queue_of(job);
+        self.speeds.range(&queue.pool)?;
+        let begun_ms = self.waiting.get(&id)?.begun_ms;
+        let elapsed = Duration::from_millis(now.wall_ms.saturating_sub(begun_ms));
+        // The objective of a job is that of the queue at its submission.
+        self.pace(
+            now.steady,
+            &job.queue,
+            &queue.pool,
+            &job.submission,
+            id.step,
+            elapsed,
+        )
+    }
+
+    /// Returns what a step of a submission requires of the speed of its workers, if those of its pool differ.
+    pub(super) fn pace_of_submitted(
+        &self,
+        now: Duration,
+        queue: &catalog::Queue,
+        submission: &job::Submission,
+        step: u16,
+    ) -> Option<Pace> {
+        self.pace(now, queue, &queue.pool, submission, step, Duration::ZERO)
+    }
+
+    fn pace(
+        &self,
+        now: Duration,
+        queue: &catalog::Queue,
+        pool: &str,
+        submission: &job::Submission,
+        step: u16,
+        elapsed: Duration,
+    ) -> Option<Pace> {
+        let range = self.speeds.range(pool)?;
+        let spec = submission.steps.get(usize::from(step))?;
+        let expected = |stated| self.estimates.expected(&queue.name, stated);
+        let chain = submission.chain(expected);
+        let stretched = chain.as_secs_f64() * queue.stretch.max(1.0);
+        let objective = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
+        let goal = Goal {
+            chain,
+            remaining: waiting::remaining(&self.estimates, &queue.name, submission, step),
+            run_time: expected(spec.run_time),
+            elapsed,
+            objective: objective.saturating_add(queue.objective),
+            noise: self.estimates.noise(&queue.name),
+        };
+        let mut pace = Pace::new(&goal, range);
+        // Work that has waited until only fast workers end it in time is not held back any longer.
+        if !pace.tight && pace.suffices(range.slowest) {
+            let size = fleet::counted_size(spec);
+            pace.fast_tasks = self.kept.tasks_beside(now, pool, &size);
+            if spec.gang && pace.fast_tasks < spec.tasks {
+                pace.fast_tasks = 0;
+            }
+        }
+        Some(pace)
+    }
+
+    /// Records the placement of a step's tasks in a pool whose workers differ in speed.
+    pub(super) fn record_paced(
+        &mut self,
+        now: Duration,
+        subject: &Subject<'_>,
+        placed: &[(u32, cell::WorkerIndex)],
+    ) {
+        let Some(pace) = subject.pace else { return };
+        let pool = &subject.queue.pool;
+        let speeds = placed.iter().map(|(_, worker)| self.speeds.of(*worker));
+        let slowest = speeds.min_by(f64::total_cmp).unwrap_or(1.0);
+        let Some(range) = self.speeds.range(pool) else {
+            return;
+        };
+        if subject.spec.gang {
+            self.speeds.set_gang(subject.id, slowest);
+        }
+        for (_, worker) in placed {
+            if pace.tight {
+                let run_time = subject.run_time.div_f64(range.fastest);
+                self.kept.record(now, pool, &subject.size, run_time);
+            }
+            if self.speeds.of(*worker) >= pace.fast {
+                self.kept.take(pool, &subject.size);
+            }
+        }
+    }
 }
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod forecast;
 pub mod lane;
 pub mod orphan;
+pub mod pace;
 pub mod place;
 pub mod preempt;
 pub mod progress;
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -9,6 +9,8 @@
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
 
+use crate::pace::Pace;
+
 /// A worker that may run the step.
 #[derive(Debug, Clone)]
 pub struct Candidate {
@@ -88,23 +90,41 @@
     size: &resource::Amount,
     tasks: &[u32],
     avoid: &BTreeMap<u32, Vec<cell::WorkerIndex>>,
+) -> Vec<(u32, cell::WorkerIndex)> {
+    by_pace(candidates, size, tasks, avoid, None)
+}
+
+/// Places tasks like [`best_fit`]; with `pace`, workers are chosen by their speed first.
+pub fn by_pace(
+    candidates: &mut [Candidate],
+    size: &resource::Amount,
+    tasks: &[u32],
+    avoid: &BTreeMap<u32, Vec<cell::WorkerIndex>>,
+    pace: Option<&Pace>,
 ) -> Vec<(u32, cell::WorkerIndex)> {
     let mut placed = Vec::with_capacity(tasks.len());
+    let mut fast_tasks = pace.map_or(u32::MAX, |pace| pace.fast_tasks);
+    let is_fast = |candidate: &Candidate| pace.is_some_and(|pace| candidate.speed >= pace.fast);
     for task in tasks {
         let avoided = avoid.get(task);
         let key = |candidate: &Candidate| {
             let avoided = avoided.is_some_and(|avoided| avoided.contains(&candidate.worker));
-            (avoided, candidate.leftover(size))
+            let position = pace.map(|pace| pace.position(candidate));
+            ((avoided, position), candidate.leftover(size))
         };
         let best = candidates
             .iter_mut()
             .filter(|candidate| candidate.fitting(size) > 0)
+            .filter(|candidate| fast_tasks > 0 || !is_fast(candidate))
             .min_by(|left, right| {
                 let (left, right) = (key(left), key(right));
                 left.0.cmp(&right.0).then(left.1.total_cmp(&right.1))
             });
         let Some(best) = best else { break };
         best.take(size);
+        if fast_tasks != u32::MAX && is_fast(best) {
+            fast_tasks -= 1;
+        }
         placed.push((*task, best.worker));
     }
     placed
--- a/crates/dispatch/src/slowness.rs
+++ b/crates/dispatch/src/slowness.rs
@@ -17,6 +17,9 @@
 /// Factor from which a worker counts as slow. Run times of tasks of one step differ by a third, and those on different
 /// kinds of machines by less.
 const SLOW_FACTOR: f64 = 2.2;
+/// The same factor while the speed of the worker is not known: where machines differ, a healthy one may be slower than
+/// its siblings by 1.7 / 0.7 = 2.4.
+const UNKNOWN_SPEED_SLOW_FACTOR: f64 = 3.6;
 /// Age after which a rating is ignored; reports arrive at least once a second.
 const MAX_RATING_AGE: Duration = Duration::from_secs(2);
 
@@ -28,7 +31,8 @@
 }
 
 impl Slowness {
-    /// Records the projected run times of the tasks on one worker, one for each step, and rates the worker.
+    /// Records the projected run times of the tasks on one worker, one for each step, and rates the worker. The run times
+    /// are those on a worker of speed 1.
     pub fn observe(
         &mut self,
         now: Duration,
@@ -56,8 +60,11 @@
             }
         }
         if ratios.len() >= MIN_JOBS {
-            let mean = ratios.values().sum::<f64>() / ratios.len() as f64;
-            self.ratings.insert(worker, (mean.exp(), now));
+            // The lower median: a few runs take several times as long on any worker, while a slow one delays all of its runs.
+            let mut ordered: Vec<f64> = ratios.into_values().collect();
+            let middle = (ordered.len() - 1) / 2;
+            let (_, median, _) = ordered.select_nth_unstable_by(middle, f64::total_cmp);
+            self.ratings.insert(worker, (median.exp(), now));
         }
     }
 
@@ -67,6 +74,12 @@
         (*factor >= SLOW_FACTOR && now < *at + MAX_RATING_AGE).then_some(*factor)
     }
 
+    /// Returns the same for a worker whose speed is not known, and to which its run times are therefore not adjusted.
+    pub fn factor_of_unknown(&self, worker: cell::WorkerIndex, now: Duration) -> Option<f64> {
+        self.factor(worker, now)
+            .filter(|factor| *factor >= UNKNOWN_SPEED_SLOW_FACTOR)
+    }
+
     /// Removes the run times of a step.
     pub fn remove_step(&mut self, step: eligibility::Step) {
         self.steps.remove(&step);
