Tests of learned speeds on a simulated fleet of different workers

The simulated fleet gets workers of different speed, long runs, reports of progress and workers that turn slow.

--- a/crates/dispatch/tests/common/mod.rs
+++ b/crates/dispatch/tests/common/mod.rs
@@ -80,6 +80,7 @@
         duration: Duration::from_secs(20),
         bursts: Vec::new(),
         faults: simulation::Faults::default(),
+        variation: simulation::Variation::default(),
         costs: None,
         trace: None,
     }
--- a/crates/dispatch/tests/large.rs
+++ b/crates/dispatch/tests/large.rs
@@ -92,6 +92,7 @@
         duration: Duration::from_secs(22),
         bursts: Vec::new(),
         faults: simulation::Faults::default(),
+        variation: simulation::Variation::default(),
         // Processor time on 0.6 of a core.
         costs: Some(simulation::Costs {
             message: Duration::from_micros(100),
--- a/crates/standin/src/fleet/simulation/invariants.rs
+++ b/crates/standin/src/fleet/simulation/invariants.rs
@@ -1,6 +1,9 @@
 //! Checks of the invariants, from the point of view of the workers.
 
-use std::time::Duration;
+use std::{
+    hash::{DefaultHasher, Hash, Hasher},
+    time::Duration,
+};
 
 use bronzespoke_dispatch::dispatch;
 use bronzespoke_workload::{directive, job};
@@ -9,6 +12,18 @@
 
 impl Simulation {
     pub(super) fn trace_event(&mut self, event: &dispatch::Event) {
+        match event {
+            dispatch::Event::Placed { .. } => {
+                let mut hasher = DefaultHasher::new();
+                (self.report.decisions, event.to_string()).hash(&mut hasher);
+                self.report.decisions = hasher.finish();
+            }
+            dispatch::Event::WorkerUnusable { worker, reason, .. } if *reason == "slow" => {
+                let index = worker.split('-').nth(1).and_then(|index| index.parse().ok());
+                self.report.slow.extend(index.map(|index| (self.now, index)));
+            }
+            _ => {}
+        }
         let Some(key) = self.plan.trace else { return };
         let text = event.to_string();
         if text.contains(&format!("{key:016x}")) || text.starts_with("belief") {
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -5,6 +5,7 @@
 mod invariants;
 mod leader;
 mod runs;
+mod variation;
 mod wire;
 
 use std::{
@@ -24,6 +25,7 @@
 use rand::{Rng, SeedableRng, rngs::SmallRng};
 
 pub use leader::Costs;
+pub use variation::Variation;
 
 use crate::fleet::{load, worker};
 
@@ -67,6 +69,8 @@
     pub bursts: Vec<(usize, Duration, Duration, f64)>,
     /// Faults to inject.
     pub faults: Faults,
+    /// Differences between the workers and between the runs.
+    pub variation: Variation,
     /// Processor time of the leader; `None` if its work takes no time.
     pub costs: Option<Costs>,
     /// Job for which the report contains a trace of the decisions.
@@ -123,6 +127,14 @@
     pub kinds: Vec<Counters>,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
+    /// Times at which the leader moved runs off a worker because it is slow, with the number of the worker.
+    pub slow: Vec<(Duration, usize)>,
+    /// Times at which the leader first rated a worker in `Variation::slowed` as slow while it was, by its number.
+    pub found: BTreeMap<usize, Duration>,
+    /// Speeds of the workers that the last leader has observed, by the number of the worker.
+    pub speeds: BTreeMap<usize, f64>,
+    /// Digest of all placements in their order.
+    pub decisions: u64,
     /// Submissions that the leader refused because they had waited too long.
     pub refused: usize,
     /// Number of submitted jobs, and of those that ended within their objective, by the second of the submission.
@@ -298,6 +310,13 @@
         }
         self.verify_tables();
         self.report.work = self.dispatch.as_ref().map(Dispatch::work).unwrap_or_default();
+        if let Some(dispatch) = &self.dispatch {
+            let numbered = dispatch.workers().iter().map(|(worker, record)| {
+                let host = usize::from(record.announced.address.port() - 1_000);
+                (host, dispatch.speed(*worker))
+            });
+            self.report.speeds = numbered.collect();
+        }
         let unfinished = self.submitted.keys().filter(|key| !self.finished.contains(key));
         self.report.unfinished = unfinished.copied().collect();
         self.report
@@ -371,6 +390,8 @@
 
     fn start_incarnation(&mut self, index: usize) {
         let rate = self.rng.random_range(0.981..1.0);
+        let slowness = self.slowness(index);
+        let progress = self.plan.variation.progress;
         let host = &mut self.hosts[index];
         host.incarnations += 1;
         host.draining = false;
@@ -381,13 +402,10 @@
             host.incarnations
         };
         let name = format!("w-{index}-{incarnation}");
-        host.worker = Some(worker::Worker::new(
-            name,
-            started_ms,
-            self.plan.capacity,
-            self.now,
-            rate,
-        ));
+        let mut worker = worker::Worker::new(name, started_ms, self.plan.capacity, self.now, rate);
+        worker.slowness = slowness;
+        worker.reports_progress = progress;
+        host.worker = Some(worker);
         // A restarted worker that keeps its name receives repeated directives to its earlier incarnation until its first
         // announcement. The leader cannot detect a late directive that arrives in this time, so the two faults are not
         // combined.
@@ -468,6 +486,7 @@
                 for index in 0..self.hosts.len() {
                     self.end_due_runs(index);
                 }
+                self.find_slowed();
                 if self.hosts.len() <= MAX_VERIFIED_WORKERS {
                     self.verify_tables();
                 }
@@ -483,6 +502,9 @@
         };
         let mut dispatch = Dispatch::new(config, &self.state, self.dispatch_now());
         dispatch.set_proxies(&self.proxies);
+        if self.plan.variation.ignore_speeds {
+            dispatch.ignore_speeds();
+        }
         self.dispatch = Some(dispatch);
         for index in 0..self.hosts.len() {
             self.schedule(Duration::from_millis(3), Event::Announce(index));
@@ -518,6 +540,7 @@
         while !self.is_feasible(&job) {
             job = load::generate(&mut self.rng, &self.plan.kinds, kind, &names);
         }
+        self.vary(&mut job);
         let key = job.key;
         self.report.kinds[kind].submitted += 1;
         self.report.seconds.entry(self.now.as_secs()).or_default().0 += 1;
--- a/crates/standin/src/fleet/simulation/runs.rs
+++ b/crates/standin/src/fleet/simulation/runs.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_workload::directive;
+use rand::Rng;
 
 use super::{Event, Simulation, same_step};
 use crate::fleet::{load, worker};
@@ -17,10 +18,18 @@
         let (size, gang, always_fails) = (spec.size, spec.gang, job.always_fails);
         let run_time = load::run_time(job, task);
         let now = self.now;
+        let slowness = self.slowness(index);
+        let (share, factor) = self.plan.variation.tail;
+        let tail = if share > 0.0 && self.rng.random_bool(share) {
+            factor
+        } else {
+            1.0
+        };
         let Some(worker) = &mut self.hosts[index].worker else {
             return;
         };
-        let duration = run_time.mul_f64(worker.slowness);
+        worker.slowness = slowness;
+        let duration = run_time.mul_f64(worker.slowness * tail);
         let fails = worker.failing || always_fails;
         let active = worker::Active {
             run,
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -52,6 +52,8 @@
     pub clock_rate: f64,
     /// Factor by which run times are multiplied.
     pub slowness: f64,
+    /// Whether reports show the progress of runs; otherwise, each run is reported as complete.
+    pub reports_progress: bool,
     /// Whether every run that starts on the worker fails.
     pub failing: bool,
     /// Active runs by task.
@@ -84,6 +86,7 @@
             clock_zero: now,
             clock_rate,
             slowness: 1.0,
+            reports_progress: false,
             failing: false,
             runs: BTreeMap::new(),
             token: 0,
@@ -196,7 +199,7 @@
                     task: *task,
                     run: active.run,
                     checkpoint: None,
-                    percent: 100,
+                    percent: self.percent(active, clock),
                     load: None,
                 })
                 .collect(),
@@ -205,6 +208,18 @@
         }
     }
 
+    /// Returns the completed share of a run.
+    fn percent(&self, active: &Active, clock: Duration) -> u8 {
+        if !self.reports_progress {
+            return 100;
+        }
+        let now = self.clock_zero + clock.div_f64(self.clock_rate);
+        let Some(done_at) = active.done_at else { return 0 };
+        let total = done_at.saturating_sub(active.started).as_secs_f64();
+        let passed = now.saturating_sub(active.started).as_secs_f64();
+        (passed / total.max(0.001) * 100.0).min(100.0) as u8
+    }
+
     /// Returns whether the next report contains ended runs.
     pub fn has_ends(&self) -> bool {
         !self.ended.is_empty()
