Evacuation of an availability zone, from the control listener to the scheduler

Operators can order that no task start in a zone, but the call was answered 404 and the state's mark reached no worker that was inherited or registered later. A start that was committed after the order, waited to be sent or was repeated still went to the zone.

Workers of the zone are marked when they are inherited, registered or an order is committed. A start that was not sent is given up, and an unacknowledged one is not repeated but stays placed until a report decides. A late copy of an order has no effect: each transmission names the orders that the receiving daemon had applied while the operator waited. The remaining cold time of a worker is kept.

--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -7,9 +7,13 @@
 
 use super::{
     command::{Command, End, Outcome, Start},
-    state::{Job, Occurrence, Registered, State},
+    state::{Job, Occurrence, Registered, State, ZoneOrder},
 };
 
+/// Maximum number of zones whose newest order is remembered. Beyond it, the oldest withdrawal is forgotten, so that late
+/// copies of the order before it are not recognized any more; an evacuation is never forgotten.
+const MAX_ZONE_ORDERS: usize = 1_024;
+
 impl State {
     /// Applies a command that was proposed at wall time `at_ms`, in milliseconds since the Unix epoch.
     pub fn apply(&mut self, at_ms: u64, command: Command) -> Outcome {
@@ -47,14 +51,7 @@
                 self.peers.insert(vm, peer);
                 Outcome::Done
             }
-            Command::Evacuate { zone, active } => {
-                if active {
-                    self.evacuated.insert(zone);
-                } else {
-                    self.evacuated.remove(&zone);
-                }
-                Outcome::Done
-            }
+            Command::Evacuate { zone, active, seen } => self.order_zone(zone, active, seen, at_ms),
             Command::Learn { speeds, past_use } => {
                 record(&mut self.speeds, speeds);
                 record(&mut self.past_use, past_use);
@@ -288,6 +285,40 @@
         }
     }
 
+    /// Records an order about an availability zone, unless it is a late copy.
+    fn order_zone(&mut self, zone: String, active: bool, seen: Option<u64>, at_ms: u64) -> Outcome {
+        let current = self.zones.get(&zone).copied();
+        let since = current.and_then(|order| order.evacuated_ms);
+        let is_late = current
+            .zip(seen)
+            .is_some_and(|(current, seen)| seen < current.number);
+        if is_late {
+            // A copy of the order in force is acknowledged again, but does not count as a new one.
+            return if active == since.is_some() {
+                Outcome::Done
+            } else {
+                Outcome::Outdated
+            };
+        }
+        self.zone_orders += 1;
+        let order = ZoneOrder {
+            number: self.zone_orders,
+            evacuated_ms: active.then(|| since.unwrap_or(at_ms)),
+        };
+        self.zones.insert(zone, order);
+        if self.zones.len() > MAX_ZONE_ORDERS {
+            let withdrawn = self
+                .zones
+                .iter()
+                .filter(|(_, order)| order.evacuated_ms.is_none());
+            let oldest = withdrawn.min_by_key(|(_, order)| order.number);
+            if let Some(oldest) = oldest.map(|(zone, _)| zone.clone()) {
+                self.zones.remove(&oldest);
+            }
+        }
+        Outcome::Done
+    }
+
     fn forget(&mut self, keys: &[job::Key]) -> Outcome {
         for key in keys {
             let removable = |job: &Job| job.is_final() && job.placed == 0;
--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -70,6 +70,10 @@
         zone: String,
         /// Whether the zone is to be evacuated from now on.
         active: bool,
+        /// [`State::zone_orders`](state::State::zone_orders) at the daemon that received the order, when it last verified
+        /// that the operator waits for the reply; `None` if that daemon has no replica. A later order about the zone makes
+        /// this one a late copy.
+        seen: Option<u64>,
     },
     /// Records what the leader has learned since the last such record; `None` removes an entry.
     Learn {
@@ -113,6 +117,8 @@
     Done,
     /// The job does not exist.
     NoJob,
+    /// The order was received before a newer one about its zone was recorded, and has no effect.
+    Outdated,
     /// Whether each start of the command was recorded, in the order of the command.
     Started(Vec<bool>),
     /// Jobs that are in a final phase after the command.
--- a/crates/control/src/cell/former.rs
+++ b/crates/control/src/cell/former.rs
@@ -59,7 +59,8 @@
             active: former.active,
             pending: former.pending,
             peers: former.peers,
-            evacuated: BTreeSet::new(),
+            zones: BTreeMap::new(),
+            zone_orders: 0,
             speeds: BTreeMap::new(),
             past_use: BTreeMap::new(),
         }
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -17,10 +17,10 @@
 
 /// Number of the format of snapshots, in their first byte.
 const FORMAT: u8 = 3;
-/// Number of the format before it, which lacks the last [`ADDED_COLLECTIONS`] collections of the state.
+/// Number of the format before it, which lacks the last [`ADDED_FIELDS`] fields of the state.
 const SECOND_FORMAT: u8 = 2;
-/// Number of collections at the end of the state that the second format lacks.
-const ADDED_COLLECTIONS: usize = 3;
+/// Number of collections and counters at the end of the state that the second format lacks.
+const ADDED_FIELDS: usize = 4;
 
 /// Maximum number of occurrences of a job that begin with one start.
 const MAX_BEGUN_TOGETHER: u32 = 256;
@@ -47,14 +47,25 @@
     pub(super) pending: BTreeMap<String, u64>,
     /// Addresses for connections between daemons, by VM.
     pub(super) peers: BTreeMap<id::VmId, SocketAddr>,
-    /// Availability zones whose evacuation is in force.
-    pub(super) evacuated: BTreeSet<String>,
+    /// Newest order about each availability zone that has been evacuated or readmitted.
+    pub(super) zones: BTreeMap<String, ZoneOrder>,
+    /// Number of orders about zones that were recorded.
+    pub(super) zone_orders: u64,
     /// Observed speeds by the name of the machine.
     pub(super) speeds: BTreeMap<String, learned::Speed>,
     /// Past use by the name of the team.
     pub(super) past_use: BTreeMap<String, learned::PastUse>,
 }
 
+/// Newest order about an availability zone.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(super) struct ZoneOrder {
+    /// Number of the order among those about all zones.
+    pub(super) number: u64,
+    /// Wall time in milliseconds since the Unix epoch since which the zone is evacuated; `None` if it is not.
+    pub(super) evacuated_ms: Option<u64>,
+}
+
 /// A registered incarnation of a worker.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Registered {
@@ -181,9 +192,27 @@
         &self.peers
     }
 
-    /// Returns the availability zones whose evacuation is in force.
-    pub fn evacuated(&self) -> &BTreeSet<String> {
-        &self.evacuated
+    /// Returns the availability zones whose evacuation is in force, each with the wall time in milliseconds since the
+    /// Unix epoch at which it was ordered.
+    pub fn evacuated(&self) -> impl Iterator<Item = (&str, u64)> {
+        let zones = self.zones.iter();
+        zones.filter_map(|(zone, order)| Some((zone.as_str(), order.evacuated_ms?)))
+    }
+
+    /// Returns whether the evacuation of an availability zone is in force.
+    pub fn is_evacuated(&self, zone: &str) -> bool {
+        let order = self.zones.get(zone);
+        order.is_some_and(|order| order.evacuated_ms.is_some())
+    }
+
+    /// Returns whether an order about an availability zone was recorded and is remembered.
+    pub fn has_zone_order(&self, zone: &str) -> bool {
+        self.zones.contains_key(zone)
+    }
+
+    /// Returns the number of orders about zones that were recorded; orders that a daemon received at this state name it.
+    pub const fn zone_orders(&self) -> u64 {
+        self.zone_orders
     }
 
     /// Returns the observed speeds by the name of the machine.
@@ -231,9 +260,9 @@
         match bytes.split_first() {
             Some((&FORMAT, rest)) => envelope::from_bytes(rest),
             Some((&SECOND_FORMAT, rest)) => {
-                // An empty collection is encoded as its length, 0.
+                // An empty collection is encoded as its length, and a counter as its value: 0.
                 let mut extended = rest.to_vec();
-                extended.resize(rest.len() + ADDED_COLLECTIONS, 0);
+                extended.resize(rest.len() + ADDED_FIELDS, 0);
                 envelope::from_bytes(&extended)
             }
             // The first format has no number. It begins with an optional configuration: 0 or 1.
--- a/crates/daemon/src/fleet/calls.rs
+++ b/crates/daemon/src/fleet/calls.rs
@@ -106,9 +106,9 @@
 
     /// Handles a reply; returns the receiver and its reply, or `None` if the call is resent or has ended.
     pub fn reply(&mut self, now: Duration, number: u64, reply: call::Reply) -> Option<(R, call::Reply)> {
-        if reply == call::Reply::NotLeader {
+        if matches!(reply, call::Reply::NotLeader | call::Reply::Outdated) {
             if let Some(pending) = self.pending.get_mut(&number) {
-                // The call was not executed there; the next leader gets it.
+                // This copy was not executed; the next leader, or the same one, gets another.
                 pending.sent = None;
                 pending.pause_until = now + REJECTED_PAUSE;
             }
@@ -144,6 +144,14 @@
         due
     }
 
+    /// Removes the orders about zones whose operator waits no more, so that no later copy of them is sent. A call that was
+    /// not answered is over for its daemon, and might take effect after an order that the operator issued since.
+    pub fn drop_abandoned(&mut self, is_abandoned: impl Fn(&R) -> bool) {
+        self.pending.retain(|_, pending| {
+            !matches!(pending.call, call::Call::Evacuate { .. }) || !is_abandoned(&pending.responder)
+        });
+    }
+
     /// Removes the calls that have expired and returns each with its reply.
     pub fn expired(&mut self, now: Duration, has_leader: bool) -> Vec<(R, call::Reply)> {
         let is_expired = |pending: &Pending<R>| {
--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -316,6 +316,7 @@
     fn call(&mut self, call: call::Call, timeout: Duration, responder: oneshot::Sender<call::Reply>) {
         let now = self.now();
         if self.dispatch.is_some() {
+            let call = self.stamped(call);
             self.serve(call, Responder::Local(responder));
             return;
         }
@@ -333,9 +334,10 @@
             self.record_leader(now, term, endpoint);
         }
         let leader = self.discovery.leader(now);
+        self.calls.drop_abandoned(oneshot::Sender::is_closed);
         if let Some(leader) = leader.filter(|leader| leader.vm != self.me.vm) {
             for (number, call) in self.calls.due(now, leader.vm) {
-                let call = Box::new(call);
+                let call = Box::new(self.stamped(call));
                 let message = wire::Message::Request { number, call };
                 self.send(leader, peer::wire::Body::Fleet(message));
             }
@@ -379,6 +381,9 @@
         if now >= self.metrics_at {
             self.metrics_at = now + METRICS_INTERVAL;
             metric::state(self.dispatch.is_some(), self.calls.len(), self.lag);
+            if self.member.is_some() {
+                metric::evacuated_zones(self.state.evacuated().count());
+            }
             metric::lanes(&std::mem::take(&mut self.load), &self.inbox.lengths());
         }
     }
--- a/crates/daemon/src/fleet/inbox.rs
+++ b/crates/daemon/src/fleet/inbox.rs
@@ -71,9 +71,11 @@
             call::Action::Cancel(_) => Lane::Control,
             call::Action::Submit(..) | call::Action::Show(_) | call::Action::CountPending => Lane::Work,
         },
-        Call::Configure { .. } | Call::ShowConfiguration | Call::Announce(_) | Call::Leave { .. } => {
-            Lane::Control
-        }
+        Call::Configure { .. }
+        | Call::ShowConfiguration
+        | Call::Announce(_)
+        | Call::Leave { .. }
+        | Call::Evacuate { .. } => Lane::Control,
     }
 }
 
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -168,6 +168,7 @@
                 self.respond(responder, reply);
             }
             call::Call::Announce(announcement) => self.announce(now, &announcement, responder),
+            call::Call::Evacuate { zone, active, seen } => self.order_zone(zone, active, seen, responder),
             call::Call::Leave { name } => {
                 self.trace_departure(&name, &responder);
                 if let Some(dispatch) = &mut self.dispatch {
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -116,6 +116,11 @@
     metrics::counter!("bronzespoke_fleet_log_lines_dropped_total").absolute(crate::logging::dropped_lines());
 }
 
+/// Records how many availability zones are evacuated, as far as this daemon's replica knows.
+pub fn evacuated_zones(zones: usize) {
+    metrics::gauge!("bronzespoke_fleet_evacuated_zones").set(zones as f64);
+}
+
 const fn outcome_name(outcome: directive::Outcome) -> &'static str {
     match outcome {
         directive::Outcome::Done => "done",
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -10,6 +10,7 @@
 mod controller;
 mod directives;
 pub mod discovery;
+mod evacuation;
 mod frames;
 mod http;
 pub mod inbox;
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -140,6 +140,10 @@
             if let cell::Command::Configure { catalog, .. } = &pending.command {
                 self.trace_configuration("configured", Some(catalog.version), &pending.responder);
             }
+            if let cell::Command::Evacuate { zone, active, .. } = &pending.command {
+                self.zone_ordered(zone, *active, &outcome, pending.responder);
+                continue;
+            }
             let reply = match outcome {
                 cell::Outcome::NoJob => call::Reply::NoJob,
                 _ => call::Reply::Done,
--- a/crates/daemon/src/fleet/trace.rs
+++ b/crates/daemon/src/fleet/trace.rs
@@ -33,11 +33,11 @@
     }
 
     /// Returns the daemon that a call came through, and the number of the call there.
-    fn requester(&self, responder: &Responder) -> (id::VmId, u64) {
+    pub(super) fn requester(&self, responder: &Responder) -> (id::VmId, u64) {
         responder.forwarded().unwrap_or((self.me.vm, 0))
     }
 
-    /// Logs the reply to a call about the configuration that this daemon forwarded.
+    /// Logs the reply to an operator's call that this daemon forwarded.
     pub(super) fn trace_reply(&self, from: id::VmId, number: u64, reply: &call::Reply) {
         let Some(pending) = self.calls.pending(number) else {
             log::debug!("decision=drop_reply from={from} number={number} reason=not_pending");
@@ -46,12 +46,14 @@
         let name = match &pending.call {
             call::Call::Configure { .. } => "configure",
             call::Call::ShowConfiguration => "show_configuration",
+            call::Call::Evacuate { .. } => "evacuate",
             _ => return,
         };
         let outcome = match reply {
             call::Reply::Done => "done",
             call::Reply::Document(_) => "document",
             call::Reply::NotLeader => "not_leader",
+            call::Reply::Outdated => "outdated",
             _ => "other",
         };
         let now = self.now();
--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -55,8 +55,14 @@
             self.push_start(state, now, start.worker, start.task);
             return;
         }
+        let record = self.workers.get(&start.worker);
+        let reason = if record.is_some_and(|record| record.evacuated) {
+            "evacuated"
+        } else {
+            "not_sent"
+        };
         self.drop_run(start.worker, start.task, start.run);
-        self.propose_never_started(start.worker, start.task, start.run, "not_sent");
+        self.propose_never_started(start.worker, start.task, start.run, reason);
     }
 
     /// Assigns a lease to a recorded start; returns `false` if it must not be sent any more.
@@ -66,7 +72,7 @@
             // Its incarnation has ended in the meantime.
             return false;
         };
-        let clock = record.clock(now).filter(|_| !record.draining);
+        let clock = record.clock(now).filter(|_| record.accepts_starts());
         let run = record.runs.get_mut(&start.task);
         let (Some(clock), Some(run)) = (clock, run.filter(|run| run.stop == Stop::NotRequested)) else {
             return false;
@@ -109,13 +115,13 @@
     }
 
     /// Sends unacknowledged starts again while their lease is valid; a worker treats a repeated start as the same
-    /// one.
+    /// one. In an evacuated zone a start that did not arrive must not take effect through a repetition.
     pub(super) fn resend_starts(&mut self, state: &cell::State, now: Duration, group: TimerGroup) {
         let mut due = Vec::new();
         for (index, record) in self
             .workers
             .iter_mut()
-            .filter(|(index, _)| group.contains(**index))
+            .filter(|(index, record)| group.contains(**index) && !record.evacuated)
         {
             let Some(clock) = record.clock(now) else { continue };
             for (task, run) in &mut record.runs {
@@ -424,7 +430,7 @@
     }
 
     /// Proposes the end of a run whose start was certainly not carried out.
-    fn propose_never_started(
+    pub(super) fn propose_never_started(
         &mut self,
         worker: cell::WorkerIndex,
         task: directive::Task,
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -43,7 +43,8 @@
             } else {
                 until(self.config.lease())
             };
-            let record = worker::Worker::new(*index, registered, now.steady, until);
+            let mut record = worker::Worker::new(*index, registered, now.steady, until);
+            record.evacuated = state.is_evacuated(&registered.worker.zone);
             self.workers.insert(*index, record);
             self.rooms.touch(*index);
             self.directory.insert(*index, registered);
@@ -117,6 +118,7 @@
         announcement: &announced::Announcement,
     ) -> Registration {
         let incarnation = &announcement.incarnation;
+        let cold_until = now.saturating_add(announcement.cold);
         let draining = matches!(announcement.state, announced::State::Draining { .. });
         let departs_at = match announcement.state {
             announced::State::Draining { remaining } => remaining.map(|remaining| now + remaining),
@@ -143,6 +145,7 @@
                 if let Some(record) = self.workers.get_mut(&index) {
                     record.draining |= draining;
                     record.departs_at = departs_at.or(record.departs_at);
+                    record.cold_until = cold_until;
                     if record.report_requested_at.is_none() && record.last_report_at.is_none() {
                         record.next_report_at = now;
                     }
@@ -170,6 +173,7 @@
         for index in claimed {
             self.verify_claim(index, now);
         }
+        self.record_cold(now, announcement);
         Registration::Propose(register(announcement, draining))
     }
 
@@ -229,6 +233,7 @@
         if let Some(record) = self.workers.get_mut(&index) {
             record.announced = std::sync::Arc::clone(&registered.worker);
             record.draining |= registered.draining;
+            self.mark_worker(state, index);
             return;
         }
         self.outputs.push(Output::Event(Event::WorkerKnown {
@@ -238,6 +243,8 @@
         }));
         let starts = self.unacknowledged.outstanding(&incarnation.name, now);
         let mut record = worker::Worker::new(index, registered, now, now);
+        record.evacuated = state.is_evacuated(&registered.worker.zone);
+        record.cold_until = self.take_cold(incarnation);
         for start in starts {
             record.orphans.expect(&start);
         }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -31,7 +31,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::id;
-use bronzespoke_workload::{catalog, directive, eligibility, job, settings};
+use bronzespoke_workload::{catalog, directive, eligibility, job, settings, worker as announced};
 
 pub use event::Event;
 pub use fleet::Registration;
@@ -193,6 +193,9 @@
     orphaned: BTreeSet<(directive::Task, cell::WorkerIndex)>,
     /// Jobs whose first start was decided in this term, while no worker has confirmed any of their runs.
     unconfirmed: HashSet<job::Key>,
+    /// Announced incarnations whose registration is not committed, with the time until which they are slow after their
+    /// start.
+    cold: HashMap<announced::Incarnation, Duration>,
     /// Workers on which a task has failed.
     failed_on: BTreeMap<directive::Task, Vec<cell::WorkerIndex>>,
     dirty: bool,
@@ -232,6 +235,7 @@
             proposed: HashSet::new(),
             orphaned: BTreeSet::new(),
             unconfirmed: HashSet::new(),
+            cold: HashMap::new(),
             failed_on: BTreeMap::new(),
             dirty: true,
             pass_at: now.steady,
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -115,6 +115,8 @@
     pub draining: bool,
     /// Whether its availability zone is evacuated, so that it gets no new tasks.
     pub evacuated: bool,
+    /// Local time until which it is slow after its start.
+    pub cold_until: Duration,
     /// Runs that are placed on it.
     pub runs: BTreeMap<directive::Task, Run>,
     /// Sum of the sizes of `runs`.
@@ -172,6 +174,7 @@
             announced: Arc::clone(&registered.worker),
             draining: registered.draining,
             evacuated: false,
+            cold_until: Duration::ZERO,
             runs: BTreeMap::new(),
             used: resource::Amount::ZERO,
             orphans: orphan::Orphans::default(),
@@ -231,6 +234,16 @@
         remaining.max(DRAINING_LEASE).min(longest)
     }
 
+    /// Returns whether it may be sent starts, as far as its own announcement and operators' orders are concerned.
+    pub const fn accepts_starts(&self) -> bool {
+        !self.draining && !self.evacuated
+    }
+
+    /// Returns whether it is slow because it has started recently.
+    pub fn is_cold(&self, now: Duration) -> bool {
+        now < self.cold_until
+    }
+
     /// Returns whether another incarnation with its name may receive its directives.
     pub const fn may_be_replaced(&self) -> bool {
         self.report_missed || self.claimed_at.is_some()
--- a/crates/workload/src/call.rs
+++ b/crates/workload/src/call.rs
@@ -28,6 +28,16 @@
         /// Name of the worker.
         name: String,
     },
+    /// Orders that the workers of an availability zone get no new tasks, or withdraws this order.
+    Evacuate {
+        /// Name of the zone.
+        zone: String,
+        /// Whether the zone is to be evacuated from now on.
+        active: bool,
+        /// Number of orders about zones that the daemon which received this one had applied when it last verified that the
+        /// operator waits for the reply; `None` if that daemon has no replica. Shows a late copy.
+        seen: Option<u64>,
+    },
 }
 
 impl Call {
@@ -39,7 +49,7 @@
                 Action::Submit(..) | Action::Cancel(_) => false,
             },
             Self::ShowConfiguration => true,
-            Self::Configure { .. } | Self::Announce(_) | Self::Leave { .. } => false,
+            Self::Configure { .. } | Self::Announce(_) | Self::Leave { .. } | Self::Evacuate { .. } => false,
         }
     }
 }
@@ -100,6 +110,11 @@
     Unknown,
     /// The receiver is not the leader.
     NotLeader,
+    /// No availability zone has this name.
+    NoZone(String),
+    /// The order is older than another one about its zone that is recorded, and has no effect. The daemon that received it
+    /// passes it on again if the operator still waits.
+    Outdated,
 }
 
 /// Why a call was not accepted.
