--- a/crates/daemon/src/fleet/evacuation.rs
+++ b/crates/daemon/src/fleet/evacuation.rs
@@ -26,6 +26,10 @@
     /// Serves an order about a zone as the leader.
     pub(super) fn order_zone(&mut self, zone: String, active: bool, seen: Option<u64>, responder: Responder) {
         let (requester, number) = self.requester(&responder);
+        if matches!(&responder, Responder::Local(sender) if sender.is_closed()) {
+            log::info!("decision=drop_order zone={zone:?} active={active} reason=operator_gone");
+            return;
+        }
         if !self.is_known_zone(&zone) {
             log::info!(
                 "decision=refuse zone={zone:?} active={active} requester={requester} number={number} \
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -262,6 +262,64 @@
     assert_eq!(leader::started_runs(&starts), [2]);
 }
 
+/// Guards against a leader on the smaller side of a partition that starts tasks in a zone which the other side evacuates: it
+/// can neither commit its starts nor learn of the order.
+#[test]
+fn a_leader_that_is_cut_off_starts_nothing() {
+    let (mut leader, command, worker) = with_proposed_start();
+    let zone = zone(&leader, worker);
+    let mut other = with_zones();
+    other.state = leader.state.clone();
+    other.now = leader.now;
+    other.elect(2);
+    other.commit(&order(&zone, true));
+    leader.keeps = |_| true;
+    let starts = report_idle(&mut leader, 5_000);
+    assert!(starts.is_empty(), "{starts:?}");
+    // The other side neither has the start nor places the task in the zone.
+    assert_eq!(workers(&report_idle(&mut other, 2_000)), [1 - worker]);
+    // After the partition, the start is rejected, and its leader is deposed.
+    leader.reject(&command);
+    leader.state = other.state.clone();
+    leader.elect(3);
+    assert!(
+        report_idle(&mut leader, 100)
+            .iter()
+            .all(|start| start.0 != worker)
+    );
+}
+
+/// Guards against a gang that starts with the members outside of an evacuated zone only: the starts of the others were
+/// committed after the order.
+#[test]
+fn a_gang_with_a_member_in_the_zone_begins_anew() {
+    let mut leader = with_zones();
+    leader.keeps = is_start_command;
+    let step = job::Step {
+        gang: true,
+        ..job::Step::default()
+    };
+    submit(&mut leader, 3, step);
+    report_idle(&mut leader, 30);
+    leader.keeps = |_| false;
+    let command = leader.proposed.pop().expect("the gang is proposed");
+    leader.commit(&order("north", true));
+    leader.commit(&command);
+    let mut stopped = 0;
+    let mut started = Vec::new();
+    for _ in 0..20 {
+        for sent in leader.run(10) {
+            match &sent.1 {
+                directive::Directive::Start { .. } => started.push(sent),
+                directive::Directive::Stop { .. } => stopped += 1,
+                _ => leader.report(&sent, 5, Vec::new()),
+            }
+        }
+    }
+    assert!(started.iter().all(|start| start.0 == 1), "{started:?}");
+    assert!(stopped > 0, "the members outside of the zone wait for the others");
+}
+
 /// Guards against a worker that registers in an evacuated zone and gets work.
 #[test]
 fn a_worker_that_registers_in_an_evacuated_zone_gets_nothing() {
