The simulated fleet evacuates zones under faults

The tests of single directives do not play an order among changes of leader, crashes, lost answers and late directives. The simulated fleet now has three zones, orders their evacuation at a rate, and reports each task that starts in a zone more than 5 s after the order was recorded.

--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -80,6 +80,7 @@
                 losses: 0.0,
                 departures: 0.0,
                 restarts: 0.0,
+                evacuations: 0.0,
                 reuse_names: false,
             },
             ..common::calm(200 + seed)
--- a/crates/standin/src/fleet/simulation/faults.rs
+++ b/crates/standin/src/fleet/simulation/faults.rs
@@ -2,22 +2,25 @@
 
 use std::time::Duration;
 
+use bronzespoke_control::cell;
 use rand::Rng;
 
-use super::{ELECTION_DELAY, Event, Simulation};
+use super::{ELECTION_DELAY, Event, Simulation, ZONES, zone_of};
 
 /// Time from the announcement of a departure to the end of the worker.
 const DEPARTURE_NOTICE: Duration = Duration::from_secs(2);
 
 /// Maximum time for which a notice of departure is held up, in milliseconds.
 const MAX_NOTICE_DELAY_MS: u64 = 14_000;
+/// Pause before the withdrawal of an evacuation is repeated.
+const READMIT_RETRY: Duration = Duration::from_millis(500);
 /// Pause of a notice of departure while there is no leader.
 const NOTICE_RETRY: Duration = Duration::from_millis(100);
 
 impl Simulation {
     pub(super) fn plan_faults(&mut self) {
         let faults = self.plan.faults;
-        let rates: [(f64, fn() -> Event); 7] = [
+        let rates: [(f64, fn() -> Event); 8] = [
             (faults.crashes, || Event::Crash),
             (faults.partitions, || Event::Disconnect),
             (faults.leader_changes, || Event::LoseLeader),
@@ -25,6 +28,7 @@
             (faults.losses, || Event::Lose),
             (faults.departures, || Event::Depart),
             (faults.restarts, || Event::Drain),
+            (faults.evacuations, || Event::Evacuate),
         ];
         for (rate, event) in rates {
             let count = (rate * self.plan.duration.as_secs_f64()).round() as usize;
@@ -35,6 +39,36 @@
         }
     }
 
+    /// Orders the evacuation of a zone, unless there is no leader.
+    pub(super) fn evacuate(&mut self) {
+        let zone = zone_of(self.rng.random_range(0..ZONES));
+        if self.dispatch.is_none() {
+            return;
+        }
+        let delay = Duration::from_millis(self.rng.random_range(6_000..14_000));
+        self.propose(cell::Command::Evacuate {
+            zone: zone.clone(),
+            active: true,
+            seen: None,
+        });
+        self.schedule(delay, Event::Readmit(zone));
+    }
+
+    /// Withdraws the evacuation of a zone, and repeats this until it is withdrawn.
+    pub(super) fn readmit(&mut self, zone: String) {
+        if !self.state.is_evacuated(&zone) {
+            return;
+        }
+        if self.dispatch.is_some() {
+            self.propose(cell::Command::Evacuate {
+                zone: zone.clone(),
+                active: false,
+                seen: None,
+            });
+        }
+        self.schedule(READMIT_RETRY, Event::Readmit(zone));
+    }
+
     /// Ends the current incarnation of a worker, with all of its runs.
     pub(super) fn stop_worker(&mut self, index: usize) {
         let Some(worker) = self.hosts[index].worker.take() else {
--- a/crates/standin/src/fleet/simulation/invariants.rs
+++ b/crates/standin/src/fleet/simulation/invariants.rs
@@ -5,7 +5,10 @@
 use bronzespoke_dispatch::dispatch;
 use bronzespoke_workload::{directive, job};
 
-use super::{Simulation, failure_key};
+use super::{Simulation, failure_key, zone_of};
+
+/// Time from the record of an evacuation after which no task starts in the zone, as the platform states it.
+const EVACUATION_MS: u64 = 5_000;
 
 impl Simulation {
     pub(super) fn trace_event(&mut self, event: &dispatch::Event) {
@@ -40,6 +43,7 @@
         for name in elsewhere {
             self.record_violation(&format!("{task} run {run} starts while it runs on {name}"));
         }
+        self.check_zone(index, task, run);
         if self.acknowledged.contains(&task) {
             self.record_violation(&format!("{task} run {run} starts after its end was acknowledged"));
         }
@@ -76,6 +80,16 @@
         self.check_limit(task);
     }
 
+    /// Checks that the zone of a host is not evacuated, except for the time that the platform allows.
+    fn check_zone(&mut self, index: usize, task: directive::Task, run: directive::Run) {
+        let zone = zone_of(index);
+        let wall_ms = self.dispatch_now().wall_ms;
+        let is_in_force = |(name, since): (&str, u64)| name == zone && wall_ms > since + EVACUATION_MS;
+        if self.state.evacuated().any(is_in_force) {
+            self.record_violation(&format!("{task} run {run} starts in {zone}, which is evacuated"));
+        }
+    }
+
     /// Checks that no run of a task started after its last attempt had failed.
     pub(super) fn check_attempts(&mut self, key: directive::Task) {
         let Some(job) = self.jobs.get(&key.job) else {
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -43,6 +43,8 @@
 const DIRECTIVE_TIMEOUT: Duration = Duration::from_millis(900);
 /// Maximum time from the start of a worker to its first announcement, in milliseconds.
 const MAX_ANNOUNCEMENT_DELAY_MS: u64 = 500;
+/// Number of availability zones.
+const ZONES: usize = 3;
 /// Time without a leader between two terms.
 const ELECTION_DELAY: Duration = Duration::from_millis(1_200);
 
@@ -97,6 +99,8 @@
     /// Rate of planned restarts under the same name: the worker drains, sends a notice that may be held up or repeated,
     /// works on until it is acknowledged, or for some seconds, and starts again.
     pub restarts: f64,
+    /// Rate of orders to evacuate an availability zone; each is withdrawn some seconds later.
+    pub evacuations: f64,
     /// Whether a restarted worker keeps its name, so that directives to its earlier incarnation reach it.
     pub reuse_names: bool,
 }
@@ -164,6 +168,8 @@
     Leave(usize, u64),
     LoseLeader,
     Elect,
+    Evacuate,
+    Readmit(String),
     LeaderFree,
     Tick,
 }
@@ -462,6 +468,8 @@
             Event::Leave(index, incarnation) => self.leave(index, incarnation),
             Event::LoseLeader => self.lose_leader(),
             Event::Elect => self.elect(),
+            Event::Evacuate => self.evacuate(),
+            Event::Readmit(zone) => self.readmit(zone),
             // Handled where it is received.
             Event::LeaderFree => {}
             Event::Tick => {
@@ -574,6 +582,11 @@
     rng.random_bool(kind.eligible_share)
 }
 
+/// Returns the availability zone of a host.
+fn zone_of(host: usize) -> String {
+    format!("zone-{}", host % ZONES)
+}
+
 /// Returns whether two tasks belong to the same step of the same occurrence.
 const fn same_step(left: directive::Task, right: directive::Task) -> bool {
     left.job == right.job && left.occurrence == right.occurrence && left.step == right.step
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -13,6 +13,7 @@
 
 use super::{
     COMMIT_LATENCY, DIRECTIVE_TIMEOUT, EPOCH_MS, Event, LATENCY, SentDirective, Simulation, is_eligible,
+    zone_of,
 };
 
 /// Time after which an announcement that was lost is repeated.
@@ -67,7 +68,7 @@
             worker: announced::Worker {
                 address: std::net::SocketAddr::from(([127, 0, 0, 1], 1_000 + index as u16)),
                 pool: String::from("fleet"),
-                zone: String::from("zone"),
+                zone: zone_of(index),
                 kind: String::from("a"),
                 rack: format!("r{}", index / 8),
                 labels: vec![String::from("a"), format!("r{}", index / 8)],
