--- a/crates/schedule/src/pass/explain.rs
+++ b/crates/schedule/src/pass/explain.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_model::id;
+use bronzespoke_share::level;
 
 use crate::job::Phase;
 use crate::message::{Cause, Explanation, Metrics};
@@ -87,8 +88,8 @@
         for (_, team) in self.teams.iter() {
             waiting += u64::from(team.waiting);
             if team.waiting > 0 && !team.limited {
-                let fair = f64::from(team.weight) / (self.active_weight.max(1) as f64);
-                distance = distance.max(fair - team.share);
+                let fair = level::among(f64::from(team.weight), self.active_weight.max(1) as f64);
+                distance = distance.max(fair - team.past.share());
             }
         }
         Metrics {
--- a/crates/schedule/src/pass/limit.rs
+++ b/crates/schedule/src/pass/limit.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_model::{id, job, resource, team as model};
+use bronzespoke_share::past;
 
 use crate::amount::relieves;
 use crate::message::{Output, Reason};
@@ -28,9 +29,7 @@
                 launching_amount: resource::Amount::ZERO,
                 ending: resource::Amount::ZERO,
                 runs: 0,
-                past: 0.0,
-                past_at: now,
-                share: 0.0,
+                past: past::Average::new(0.0, now),
                 key: 0,
                 lanes: Default::default(),
                 limited: false,
--- a/crates/schedule/src/team.rs
+++ b/crates/schedule/src/team.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_model::resource;
+use bronzespoke_share::{order, past};
 
 use crate::lane;
 
@@ -21,13 +22,9 @@
     /// Portion of `used` whose runs have been instructed to end.
     pub(crate) ending: resource::Amount,
     pub(crate) runs: u32,
-    /// Exponentially decayed average of the dominant share at `past_at`.
-    pub(crate) past: f64,
-    pub(crate) past_at: Duration,
-    /// Dominant share since `past_at`.
-    pub(crate) share: f64,
-    /// Fair-share key; the team with the lowest one is next. It is the bit pattern of a non-negative float, which sorts
-    /// like the float.
+    /// Dominant share and its decayed average.
+    pub(crate) past: past::Average,
+    /// Fair-share key; the team with the lowest one is next.
     pub(crate) key: u64,
     /// Lanes of each tier.
     pub(crate) lanes: [Vec<lane::Entry>; lane::TIERS],
@@ -39,9 +36,6 @@
     pub(crate) retries_milli: u32,
 }
 
-/// Weight of a team's past usage in its key, relative to its present share.
-const PAST_WEIGHT: f64 = 0.5;
-
 impl Record {
     /// Returns whether the team has waiting or running tasks.
     pub(crate) const fn is_active(&self) -> bool {
@@ -57,12 +51,7 @@
 
     /// Updates the decayed average and the key.
     pub(crate) fn refresh(&mut self, now: Duration, decay: Duration, share: f64) {
-        let elapsed = now.saturating_sub(self.past_at).as_secs_f64();
-        let kept = (-elapsed / decay.as_secs_f64().max(1.0)).exp();
-        self.past = self.past * kept + self.share * (1.0 - kept);
-        self.past_at = now;
-        self.share = share;
-        let weighted = (share + PAST_WEIGHT * self.past) / f64::from(self.weight.max(1));
-        self.key = weighted.to_bits();
+        self.past.update(now, decay, share);
+        self.key = order::key(share, self.past.value(), f64::from(self.weight.max(1)));
     }
 }
