--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -68,8 +68,11 @@
                 dispatch.set_proxies(&proxies);
             }
             self.update_relays(now.steady);
-            if let Some(dispatch) = &self.dispatch {
+            if let Some(dispatch) = &mut self.dispatch {
                 metric::load(dispatch, self.state.active().count());
+                if let Some(shares) = dispatch.take_share_report(now.steady) {
+                    metric::shares(&shares);
+                }
             }
         }
         let Some(dispatch) = &mut self.dispatch else {
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -5,6 +5,7 @@
 use bronzespoke_dispatch::{
     dispatch::{self, Dispatch},
     lane::Lane,
+    share::TeamShare,
 };
 use bronzespoke_workload::directive;
 
@@ -71,6 +72,10 @@
         dispatch::Event::Orphan { .. } => {
             metrics::counter!("bronzespoke_fleet_orphans_total").increment(1);
         }
+        dispatch::Event::TeamShare(share) => {
+            let state = if share.beyond { "beyond" } else { "within" };
+            metrics::counter!("bronzespoke_fleet_share_changes_total", "state" => state).increment(1);
+        }
         dispatch::Event::WorkerKnown { .. }
         | dispatch::Event::EndsRecorded { .. }
         | dispatch::Event::Fenced { .. } => {}
@@ -88,6 +93,22 @@
     metrics::counter!("bronzespoke_fleet_pass_workers_total").absolute(work.workers);
 }
 
+/// Records the share and the fair share of each team.
+pub fn shares(shares: &[TeamShare]) {
+    for share in shares {
+        let gauge = |name: &'static str, value: f64| {
+            metrics::gauge!(name, "team" => share.team.clone()).set(value);
+        };
+        gauge("bronzespoke_fleet_team_share", share.share);
+        // 1 while the fleet has room for all work.
+        gauge(
+            "bronzespoke_fleet_team_fair_share",
+            share.fair.unwrap_or(1.0).min(1.0),
+        );
+        gauge("bronzespoke_fleet_team_beyond", f64::from(u8::from(share.beyond)));
+    }
+}
+
 /// Records the work of the control thread in each lane since the last call, and the messages that wait now.
 pub fn lanes(load: &inbox::Load, waiting: &[usize]) {
     for (lane, waiting) in Lane::ALL.into_iter().zip(waiting) {
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -114,6 +114,8 @@
         /// Number of workers that the query names.
         workers: usize,
     },
+    /// A team has passed its share, or returned to it.
+    TeamShare(TeamShare),
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
     /// leader.
     Fenced {
@@ -141,6 +143,41 @@
     pub reason: &'static str,
 }
 
+/// Share of a team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamShare {
+    /// Name of the team; empty for calls without a team.
+    pub team: String,
+    /// Dominant share of the fleet that its runs use, in millionths.
+    pub share_micro: u64,
+    /// Its fair share, in millionths; `None` while the fleet has room for all work.
+    pub fair_micro: Option<u64>,
+    /// Number of its waiting steps.
+    pub waiting: u32,
+    /// Number of waiting steps of jobs beyond the number that it is owed.
+    pub excess: u32,
+    /// Whether its work is placed after that of teams within their share.
+    pub beyond: bool,
+}
+
+impl fmt::Display for TeamShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            team,
+            share_micro,
+            fair_micro,
+            waiting,
+            excess,
+            beyond,
+        } = self;
+        write!(
+            f,
+            "decision=share team={team} beyond={beyond} share_micro={share_micro} waiting={waiting} excess={excess}"
+        )?;
+        fair_micro.map_or(Ok(()), |fair| write!(f, " fair_micro={fair}"))
+    }
+}
+
 impl fmt::Display for Ended {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
@@ -252,6 +289,7 @@
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
                 step.job, step.occurrence, step.step
             ),
+            Self::TeamShare(share) => share.fmt(f),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
     }
