Order waiting work by the shares of the teams when the fleet is full

Ordered by slack alone, the jobs of a team that sends several times its usual traffic took capacity that other teams are owed. Waiting work is now ordered between tier and slack by the team's weighted dominant share and by the number of jobs that it is owed. While all work fits, and among teams within their share, the order by slack is unchanged.

--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -2,7 +2,8 @@
 
 use std::{
     borrow::Cow,
-    collections::{BTreeMap, HashMap},
+    cmp::Reverse,
+    collections::{BTreeMap, BinaryHeap, HashMap},
     time::Duration,
 };
 
@@ -13,7 +14,7 @@
 use super::{Dispatch, Event, Now, Output, candidate::is_unknown, fleet, waiting};
 use crate::{
     place::{self, Candidate},
-    rank,
+    rank, share,
     worker::{self, Phase, Stop},
 };
 
@@ -32,6 +33,9 @@
     pub(super) max: usize,
 }
 
+/// Waiting steps by rank.
+type Ranked = BinaryHeap<Reverse<(rank::Rank, eligibility::Step)>>;
+
 /// Properties of a step that a pass needs.
 pub(super) struct Subject<'a> {
     pub(super) id: eligibility::Step,
@@ -50,15 +54,15 @@
         self.dirty = false;
         self.work.passes += 1;
         self.rooms.refresh(&self.workers);
-        self.update_shares();
-        let ranked = self.ranked(state, now);
+        self.update_shares(state, now);
+        let mut ranked = self.ranked(state, now);
         let mut reserved = Reserved {
             workers: HashMap::new(),
             max: self.workers.len() / RESERVED_RATIO,
         };
         let mut starts = Vec::new();
         let mut order = std::mem::take(&mut self.prefetched);
-        for (rank, id) in ranked {
+        while let Some((rank, id)) = self.next_ranked(state, &mut ranked) {
             order.push(id);
             if starts.len() >= MAX_STARTS_PER_COMMAND {
                 self.dirty = true;
@@ -96,8 +100,8 @@
         has_advice && known.is_some_and(|known| known.is_outstanding() && !known.is_known())
     }
 
-    /// Returns the waiting steps that are due, in the order of their ranks.
-    fn ranked(&self, state: &cell::State, now: Now) -> Vec<(rank::Rank, eligibility::Step)> {
+    /// Returns the waiting steps that are due, the one with the lowest rank first.
+    fn ranked(&self, state: &cell::State, now: Now) -> Ranked {
         let mut ranked = Vec::with_capacity(self.waiting.len());
         for (id, entry) in &self.waiting {
             if entry.begun_ms > now.wall_ms {
@@ -109,11 +113,36 @@
             let chain = job.submission.chain(expected);
             let remaining = waiting::remaining(&self.estimates, queue, &job.submission, id.step);
             let mut rank = rank::compute(job, entry.begun_ms, chain, remaining, now.wall_ms);
-            rank.share = self.shares.order(job.team.as_deref());
-            ranked.push((rank, *id));
+            rank.is_deferrable = rank.may_be_deferred(entry.begun_ms, now.wall_ms);
+            if rank.is_deferrable {
+                rank.share = self.shares.order_of_job(job);
+            }
+            ranked.push(Reverse((rank, *id)));
+        }
+        // The conversion takes linear time.
+        ranked.into()
+    }
+
+    /// Removes the step with the lowest rank. The starts of the pass itself may take a team beyond its share: much
+    /// capacity may become free at once, and the steps that follow are then placed after those of other teams.
+    fn next_ranked(
+        &mut self,
+        state: &cell::State,
+        ranked: &mut Ranked,
+    ) -> Option<(rank::Rank, eligibility::Step)> {
+        while let Some(Reverse((rank, id))) = ranked.pop() {
+            let job = state.job(id.job);
+            // A step that its share may not defer has position 0, as those within their share have.
+            let share = match job {
+                Some(job) if rank.is_deferrable => self.shares.revise(job, rank.share),
+                _ => rank.share,
+            };
+            if share <= rank.share {
+                return Some((rank, id));
+            }
+            ranked.push(Reverse((rank::Rank { share, ..rank }, id)));
         }
-        ranked.sort_unstable();
-        ranked
+        None
     }
 
     fn subject<'a>(
@@ -181,6 +210,10 @@
         if subject.spec.gang && placed.len() < tasks.len() {
             return;
         }
+        let amount = share::times(subject.size, placed.len() as u32);
+        let team = subject.job.team.as_deref();
+        self.shares
+            .note_started(team, &amount, now, now + subject.run_time);
         let run = subject.progress.run;
         for (index, worker) in placed {
             let previous = subject.progress.tasks[index as usize].run;
--- a/crates/dispatch/src/dispatch/waiting.rs
+++ b/crates/dispatch/src/dispatch/waiting.rs
@@ -24,8 +24,10 @@
 impl Dispatch {
     /// Updates the waiting steps of all jobs.
     pub(super) fn refresh_all(&mut self, state: &cell::State) {
-        let keys: Vec<job::Key> = state.active().map(|job| job.key).collect();
-        for key in keys {
+        let mut keys: Vec<(u64, job::Key)> = state.active().map(|job| (job.submitted_ms, job.key)).collect();
+        // A new leader counts the jobs of each team in the order in which they were submitted.
+        keys.sort_unstable();
+        for (_, key) in keys {
             self.refresh_job(state, key);
         }
     }
@@ -33,6 +35,8 @@
     /// Updates the waiting steps of a job.
     pub(super) fn refresh_job(&mut self, state: &cell::State, key: job::Key) {
         let Some(job) = state.job(key) else { return };
+        self.shares.configure(self.limits.as_deref());
+        self.shares.count_job(job);
         if job.is_final() {
             self.unconfirmed.remove(&key);
         }
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -1,7 +1,8 @@
 //! Order in which waiting steps are placed.
 //!
 //! In a burst, more work is ready than fits, and jobs of little work and short objectives arrive among wide ones.
-//! Steps of queues of the highest priority come first. The others are ordered by slack, the time that remains before a
+//! Steps of queues of the highest priority come first, and within a priority, when all is full, those of teams within
+//! their share (`share`). The others are ordered by slack, the time that remains before a
 //! job would miss its next goal. The first goal is the objective. A job that misses it is still useful until three
 //! times the objective, so that becomes its goal; it is therefore not starved by jobs that arrived later. A job that
 //! cannot meet this goal either is placed last.
@@ -12,9 +13,13 @@
 
 /// Multiple of its objective up to which a late job is still useful to its caller.
 const USEFUL_MULTIPLE: u64 = 3;
+/// Time since its begin after which a step is ordered by slack alone, whatever the share of its team, in milliseconds.
+/// Before, it is deferred only while its job can still be useful. A burst and the backlog that it leaves take less, so
+/// that the work of a team that sends too much does not pass that of others meanwhile.
+const MAX_DEFERRAL_MS: u64 = 60_000;
 
 /// Position of a step among the waiting ones; smaller comes first.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy)]
 pub struct Rank {
     /// Whether no goal can be met any more.
     pub useless: bool,
@@ -22,10 +27,25 @@
     pub tier: u8,
     /// Position of the job's team within the priority; smaller comes first.
     pub share: u32,
+    /// Whether the share of the team may place the step after others; does not affect the order.
+    pub is_deferrable: bool,
     /// Latest start that meets the next goal, in milliseconds since the Unix epoch.
     pub latest_start: u64,
 }
 
+impl Rank {
+    /// Returns whether the share of the team may place the step after others.
+    pub const fn may_be_deferred(&self, begun_ms: u64, wall_ms: u64) -> bool {
+        !self.useless && wall_ms < begun_ms.saturating_add(MAX_DEFERRAL_MS)
+    }
+}
+
+impl PartialEq for Rank {
+    fn eq(&self, other: &Self) -> bool {
+        self.cmp(other).is_eq()
+    }
+}
+
 impl Eq for Rank {}
 
 impl PartialOrd for Rank {
@@ -64,6 +84,7 @@
         useless: end_ms > useful_ms,
         tier: u8::from(queue.priority > 0),
         share: 0,
+        is_deferrable: false,
         latest_start: goal_ms.saturating_sub(remaining_ms),
     }
 }
--- a/crates/dispatch/src/usage.rs
+++ b/crates/dispatch/src/usage.rs
@@ -11,12 +11,17 @@
 #[derive(Debug, Default)]
 pub struct Usage {
     teams: HashMap<String, resource::Amount>,
+    /// Amount in use by runs without a team.
+    unowned: resource::Amount,
 }
 
 impl Usage {
     /// Adds the amount of a run.
     pub fn add(&mut self, team: Option<&str>, size: resource::Amount) {
-        let Some(team) = team else { return };
+        let Some(team) = team else {
+            self.unowned = worker::add(self.unowned, size);
+            return;
+        };
         match self.teams.get_mut(team) {
             Some(used) => *used = worker::add(*used, size),
             None => {
@@ -27,7 +32,11 @@
 
     /// Removes the amount of a run.
     pub fn remove(&mut self, team: Option<&str>, size: resource::Amount) {
-        if let Some(used) = team.and_then(|team| self.teams.get_mut(team)) {
+        let used = match team {
+            Some(team) => self.teams.get_mut(team),
+            None => Some(&mut self.unowned),
+        };
+        if let Some(used) = used {
             *used = used.saturating_sub(&size);
         }
     }
@@ -37,6 +46,11 @@
         self.teams.get(team).copied().unwrap_or_default()
     }
 
+    /// Returns the amount that runs without a team use.
+    pub const fn unowned(&self) -> resource::Amount {
+        self.unowned
+    }
+
     /// Returns the number of tasks of a size that a team may start now.
     pub fn tasks_allowed(
         &self,
