Take the past use of teams into account in the order of waiting work

A team far beyond its share for hours got the same turn as one that used little. The leader counts the dominant share of each team with a half-life, records it with Learn, and makes steps of teams beyond their entitlement less urgent by at most a quarter of the objective while the fleet is full. It is off unless Config::past_use is set.

--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -34,6 +34,7 @@
             let config = dispatch::Config {
                 token: term,
                 bounds: self.settings.bounds,
+                past_use: None,
             };
             let now = self.times();
             log::info!(
--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -76,6 +76,9 @@
             let state = if share.beyond { "beyond" } else { "within" };
             metrics::counter!("bronzespoke_fleet_share_changes_total", "state" => state).increment(1);
         }
+        dispatch::Event::PastUse(_) => {
+            metrics::counter!("bronzespoke_fleet_past_use_moves_total").increment(1);
+        }
         dispatch::Event::WorkerKnown { .. }
         | dispatch::Event::EndsRecorded { .. }
         | dispatch::Event::Fenced { .. } => {}
@@ -93,7 +96,7 @@
     metrics::counter!("bronzespoke_fleet_pass_workers_total").absolute(work.workers);
 }
 
-/// Records the share and the fair share of each team.
+/// Records the share, the fair share and the past use of each team.
 pub fn shares(shares: &[TeamShare]) {
     for share in shares {
         let gauge = |name: &'static str, value: f64| {
@@ -105,6 +108,7 @@
             "bronzespoke_fleet_team_fair_share",
             share.fair.unwrap_or(1.0).min(1.0),
         );
+        gauge("bronzespoke_fleet_team_past_use", share.past);
         gauge("bronzespoke_fleet_team_beyond", f64::from(u8::from(share.beyond)));
     }
 }
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -116,6 +116,8 @@
     },
     /// A team has passed its share, or returned to it.
     TeamShare(TeamShare),
+    /// Past use of a team has placed a step of it later.
+    PastUse(PastUse),
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
     /// leader.
     Fenced {
@@ -143,6 +145,35 @@
     pub reason: &'static str,
 }
 
+/// A step that the past use of its team has placed later.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PastUse {
+    /// Name of the team.
+    pub team: String,
+    /// First of the steps.
+    pub step: eligibility::Step,
+    /// Past use of the team, in millionths of the fleet.
+    pub past_micro: u64,
+    /// Time by which the step counts as less urgent.
+    pub shift_ms: u64,
+}
+
+impl fmt::Display for PastUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            team,
+            step,
+            past_micro,
+            shift_ms,
+        } = self;
+        write!(
+            f,
+            "decision=past_use team={team} step={:016x}.{}.{} past_micro={past_micro} shift_ms={shift_ms}",
+            step.job, step.occurrence, step.step
+        )
+    }
+}
+
 /// Share of a team.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TeamShare {
@@ -290,6 +321,7 @@
                 step.job, step.occurrence, step.step
             ),
             Self::TeamShare(share) => share.fmt(f),
+            Self::PastUse(moved) => moved.fmt(f),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
     }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -14,6 +14,7 @@
 mod gang;
 mod learned;
 mod lost;
+mod past_use;
 mod preemption;
 mod proof;
 mod report;
@@ -122,6 +123,8 @@
     pub token: directive::Token,
     /// Time bounds of the platform.
     pub bounds: settings::Bounds,
+    /// Half-life of the teams' past use; `None` if it is not counted.
+    pub past_use: Option<Duration>,
 }
 
 impl Config {
@@ -167,6 +170,8 @@
     slowness: slowness::Slowness,
     speeds: speed::Speeds,
     shares: share::Shares,
+    /// Time of the next record of past use.
+    past_use_at: Duration,
     forecast: forecast::Forecast,
     preemptions: preempt::Preemptions,
     unacknowledged: orphan::Unacknowledged,
@@ -217,6 +222,7 @@
             slowness: slowness::Slowness::default(),
             speeds: speed::Speeds::default(),
             shares: share::Shares::default(),
+            past_use_at: Duration::ZERO,
             forecast: forecast::Forecast::default(),
             preemptions: preempt::Preemptions::default(),
             unacknowledged: orphan::Unacknowledged::default(),
@@ -243,6 +249,7 @@
         };
         dispatch.inherit(state, now);
         dispatch.inherit_learned(state);
+        dispatch.inherit_past_use(state, now.steady);
         dispatch
     }
 
@@ -323,6 +330,7 @@
             self.renew_leases(now.steady, group);
             self.resend_stops(now.steady, group);
             self.resend_starts(state, now.steady, group);
+            self.record_past_use(state, now.steady);
         }
         if self.dirty && now.steady >= self.pass_at {
             self.schedule(state, now);
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -56,6 +56,10 @@
         self.rooms.refresh(&self.workers);
         self.update_shares(state, now);
         let mut ranked = self.ranked(state, now);
+        if self.config.past_use.is_some() {
+            let steps: Vec<_> = ranked.iter().map(|Reverse(step)| *step).collect();
+            self.report_moved(state, now.steady, &steps);
+        }
         let mut reserved = Reserved {
             workers: HashMap::new(),
             max: self.workers.len() / RESERVED_RATIO,
@@ -116,6 +120,10 @@
             rank.is_deferrable = rank.may_be_deferred(entry.begun_ms, now.wall_ms);
             if rank.is_deferrable {
                 rank.share = self.shares.order_of_job(job);
+                if self.config.past_use.is_some() {
+                    let portion = self.shares.past_excess(job.team.as_deref());
+                    rank.shift(portion, rank::objective_ms(job, chain));
+                }
             }
             ranked.push(Reverse((rank, *id)));
         }
--- a/crates/dispatch/src/dispatch/shares.rs
+++ b/crates/dispatch/src/dispatch/shares.rs
@@ -26,6 +26,9 @@
             }
         }
         self.shares.settle(&self.usage, now.steady, now.wall_ms);
+        if let Some(half_life) = self.config.past_use {
+            self.shares.count_past(now.steady, half_life);
+        }
         for change in self.shares.take_changes(now.steady) {
             self.outputs
                 .push(Output::Event(Event::TeamShare(event::TeamShare {
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -18,6 +18,10 @@
 /// that the work of a team that sends too much does not pass that of others meanwhile.
 const MAX_DEFERRAL_MS: u64 = 60_000;
 
+/// Past use moves a step by at most the objective divided by this: a step of a heavy team precedes any that arrive later
+/// than that with the same work.
+const MAX_SHIFT_DIVISOR: f64 = 4.0;
+
 /// Position of a step among the waiting ones; smaller comes first.
 #[derive(Debug, Clone, Copy)]
 pub struct Rank {
@@ -29,11 +33,28 @@
     pub share: u32,
     /// Whether the share of the team may place the step after others; does not affect the order.
     pub is_deferrable: bool,
+    /// Time by which the past use of the team makes the step less urgent, in milliseconds; contained in `latest_start`.
+    pub shift_ms: u64,
     /// Latest start that meets the next goal, in milliseconds since the Unix epoch.
     pub latest_start: u64,
 }
 
 impl Rank {
+    /// Makes the step less urgent by a portion of a quarter of its objective.
+    pub fn shift(&mut self, portion: f64, objective_ms: u64) {
+        self.shift_ms = (objective_ms as f64 / MAX_SHIFT_DIVISOR * portion.clamp(0.0, 1.0)) as u64;
+        self.latest_start = self.latest_start.saturating_add(self.shift_ms);
+    }
+
+    /// Returns the rank without the effect of past use.
+    pub const fn without_shift(&self) -> Self {
+        Self {
+            shift_ms: 0,
+            latest_start: self.latest_start - self.shift_ms,
+            ..*self
+        }
+    }
+
     /// Returns whether the share of the team may place the step after others.
     pub const fn may_be_deferred(&self, begun_ms: u64, wall_ms: u64) -> bool {
         !self.useless && wall_ms < begun_ms.saturating_add(MAX_DEFERRAL_MS)
@@ -67,10 +88,7 @@
 /// path of the complete job.
 pub fn compute(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
     let queue = &job.queue;
-    // The operator's numbers are not limited; the conversion to an integer saturates.
-    let stretched_ms = (chain.as_secs_f64() * 1_000.0 * queue.stretch.max(1.0)) as u64;
-    let constant_ms = u64::try_from(queue.objective.as_millis()).unwrap_or(u64::MAX);
-    let objective_ms = stretched_ms.saturating_add(constant_ms);
+    let objective_ms = objective_ms(job, chain);
     let remaining_ms = remaining.as_millis() as u64;
     let end_ms = wall_ms.saturating_add(remaining_ms);
     let useful_ms = begun_ms.saturating_add(objective_ms.saturating_mul(USEFUL_MULTIPLE));
@@ -85,6 +103,16 @@
         tier: u8::from(queue.priority > 0),
         share: 0,
         is_deferrable: false,
+        shift_ms: 0,
         latest_start: goal_ms.saturating_sub(remaining_ms),
     }
 }
+
+/// Returns the objective of a job with a critical path of length `chain`, in milliseconds.
+pub fn objective_ms(job: &cell::Job, chain: Duration) -> u64 {
+    let queue = &job.queue;
+    // The operator's numbers are not limited; the conversion to an integer saturates.
+    let stretched_ms = (chain.as_secs_f64() * 1_000.0 * queue.stretch.max(1.0)) as u64;
+    let constant_ms = u64::try_from(queue.objective.as_millis()).unwrap_or(u64::MAX);
+    stretched_ms.saturating_add(constant_ms)
+}
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -11,7 +11,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_model::resource;
-use bronzespoke_share::{DIMENSIONS, Portion, dominant, level, order, rate};
+use bronzespoke_share::{DIMENSIONS, Portion, dominant, level, order, past, rate};
 use bronzespoke_workload::{catalog, job};
 
 use crate::usage;
@@ -53,6 +53,8 @@
     pub share: f64,
     /// Fair share of the team; `None` while the fleet has room for all work.
     pub fair: Option<f64>,
+    /// Decayed average of the share; 0 if past use is not counted.
+    pub past: f64,
     /// Number of waiting steps of the team.
     pub waiting: u32,
     /// Number of waiting steps of jobs beyond the number that the team is owed.
@@ -76,6 +78,9 @@
     widest: (f64, Duration),
     used: Sum,
     share: f64,
+    past: past::Average,
+    /// Time of the last report that past use changed the order of the team's work.
+    moved_at: Option<Duration>,
     /// Whether the team was beyond its share in the last report, and the time of the report.
     reported: (bool, Duration),
 }
@@ -86,6 +91,8 @@
     version: Option<u64>,
     accounts: HashMap<String, Account>,
     mean_weight: f64,
+    /// Sum of the weights of the configured teams.
+    total_weight: f64,
     capacity: Sum,
     measured_at: Option<Duration>,
     /// Whether each active job exceeds the number that its team is owed.
@@ -109,7 +116,8 @@
         }
         self.version = Some(catalog.version);
         let weights = catalog.teams.iter().map(|team| team.weight.min(MAX_WEIGHT));
-        self.mean_weight = weights.sum::<f64>() / catalog.teams.len().max(1) as f64;
+        self.total_weight = weights.sum();
+        self.mean_weight = self.total_weight / catalog.teams.len().max(1) as f64;
         let names: HashSet<&str> = catalog.teams.iter().map(|team| team.name.as_str()).collect();
         for (name, account) in &mut self.accounts {
             account.configured = names.contains(name.as_str());
@@ -139,6 +147,8 @@
                 widest: (0.0, Duration::ZERO),
                 used: Sum::default(),
                 share: 0.0,
+                past: past::Average::default(),
+                moved_at: None,
                 reported: (false, Duration::ZERO),
             };
             self.accounts.insert(String::from(team), account);
@@ -297,6 +307,47 @@
         used.is_some_and(|used| used.ratio() >= 1.0)
     }
 
+    /// Continues a team's past use from a recorded value.
+    pub fn inherit_past(&mut self, team: &str, past: f64, now: Duration) {
+        self.account(team).past = past::Average::new(past, now);
+    }
+
+    /// Counts the use of each team up to now. It depends on the monotonic clock only.
+    pub fn count_past(&mut self, now: Duration, half_life: Duration) {
+        let decay = half_life.div_f64(std::f64::consts::LN_2);
+        for account in self.accounts.values_mut() {
+            account.past.update(now, decay, account.share);
+        }
+    }
+
+    /// Returns the past use of the configured teams.
+    pub fn past(&self) -> impl Iterator<Item = (&str, f64)> {
+        let configured = self.accounts.iter().filter(|(_, account)| account.configured);
+        configured.map(|(name, account)| (name.as_str(), account.past.value()))
+    }
+
+    /// Returns how far past use may move a team's waiting work, as a portion of the largest shift.
+    pub fn past_excess(&self, team: Option<&str>) -> f64 {
+        let account = team.and_then(|team| self.accounts.get(team));
+        let account = account.filter(|account| account.configured && self.level.is_some());
+        account.map_or(0.0, |account| {
+            past::excess(
+                account.past.value(),
+                level::among(account.weight, self.total_weight),
+            )
+        })
+    }
+
+    /// Returns the past use of a team whose work it has moved, if the last report is old enough.
+    pub fn take_moved(&mut self, team: &str, now: Duration) -> Option<f64> {
+        let account = self.accounts.get_mut(team)?;
+        if account.moved_at.is_some_and(|at| now < at + REPORT_INTERVAL) {
+            return None;
+        }
+        account.moved_at = Some(now);
+        Some(account.past.value())
+    }
+
     /// Returns the number of accounts and waiting steps that were visited, for tests of its growth.
     pub const fn visits(&self) -> u64 {
         self.visits
@@ -338,6 +389,7 @@
             weight: account.weight,
             share: account.share,
             fair: self.used_share(account).map(|used| used.fair),
+            past: account.past.value(),
             waiting: account.waiting,
             excess: account.excess,
             beyond: self.places_later(account),
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -36,6 +36,7 @@
         let config = Config {
             token: 1,
             bounds: settings::Bounds::default(),
+            past_use: None,
         };
         let dispatch = Dispatch::new(config, &state, at(0));
         let mut leader = Self {
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -266,6 +266,7 @@
     Config {
         token,
         bounds: settings::Bounds::default(),
+        past_use: None,
     }
 }
 
--- a/crates/dispatch/tests/schedules.rs
+++ b/crates/dispatch/tests/schedules.rs
@@ -24,6 +24,7 @@
     Config {
         token,
         bounds: settings::Bounds::default(),
+        past_use: None,
     }
 }
 
--- a/crates/dispatch/tests/shares/fleet.rs
+++ b/crates/dispatch/tests/shares/fleet.rs
@@ -72,6 +72,17 @@
 
 impl Fleet {
     pub fn new(workers: u16, weights: &[(&str, f64)], teams: bool) -> Self {
+        Self::with_past_use(workers, weights, teams, None, &[])
+    }
+
+    /// A fleet that counts past use with a half-life; `recorded` is what earlier leaders have recorded, in millionths.
+    pub fn with_past_use(
+        workers: u16,
+        weights: &[(&str, f64)],
+        teams: bool,
+        past_use: Option<Duration>,
+        recorded: &[(&str, u64)],
+    ) -> Self {
         let catalog = catalog::Catalog {
             version: 1,
             queues: vec![queue("urgent", 0, 1.5, 400)],
@@ -97,7 +108,19 @@
         let config = Config {
             token: 1,
             bounds: settings::Bounds::default(),
+            past_use,
+        };
+        let learn = |(team, share_micro): &(&str, u64)| {
+            let share_micro = *share_micro;
+            (String::from(*team), Some(cell::PastUse { share_micro }))
         };
+        state.apply(
+            1,
+            cell::Command::Learn {
+                speeds: Vec::new(),
+                past_use: recorded.iter().map(learn).collect(),
+            },
+        );
         let mut fleet = Self {
             dispatch: Dispatch::new(config, &state, at(0, 0)),
             state,
@@ -138,6 +161,11 @@
         self.reports.clear();
     }
 
+    /// Moves the wall clock.
+    pub const fn jump(&mut self, millis: i64) {
+        self.wall_offset += millis;
+    }
+
     pub fn submit(&mut self, job: Job) -> job::Key {
         let key = self.next;
         self.next += 1;
--- a/crates/dispatch/tests/shares/main.rs
+++ b/crates/dispatch/tests/shares/main.rs
@@ -2,4 +2,5 @@
 
 mod burst;
 mod fleet;
+mod past;
 mod policy;
--- a/crates/share/src/past.rs
+++ b/crates/share/src/past.rs
@@ -42,3 +42,13 @@
         self.share
     }
 }
+
+/// Returns the past use beyond what a team is entitled to over time, from 0 for the entitlement or less to 1 for twice the
+/// entitlement or more.
+pub fn excess(past: f64, entitled: f64) -> f64 {
+    if entitled > 0.0 {
+        (past / entitled - 1.0).clamp(0.0, 1.0)
+    } else {
+        0.0
+    }
+}
--- a/crates/standin/src/fleet/full.rs
+++ b/crates/standin/src/fleet/full.rs
@@ -56,6 +56,7 @@
         let config = Config {
             token: 1,
             bounds: settings::Bounds::default(),
+            past_use: None,
         };
         let dispatch = Dispatch::new(config, &state, now(0));
         let mut fleet = Self {
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -480,6 +480,7 @@
         let config = dispatch::Config {
             token: self.term,
             bounds: settings::Bounds::default(),
+            past_use: None,
         };
         let mut dispatch = Dispatch::new(config, &self.state, self.dispatch_now());
         dispatch.set_proxies(&self.proxies);
