--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -34,6 +34,7 @@
             let config = dispatch::Config {
                 token: term,
                 bounds: self.settings.bounds,
+                past_use: None,
             };
             let now = self.times();
             log::info!(
@@ -68,8 +69,11 @@
                 dispatch.set_proxies(&proxies);
             }
             self.update_relays(now.steady);
-            if let Some(dispatch) = &self.dispatch {
+            if let Some(dispatch) = &mut self.dispatch {
                 metric::load(dispatch, self.state.active().count());
+                if let Some(shares) = dispatch.take_share_report(now.steady) {
+                    metric::shares(&shares);
+                }
             }
         }
         let Some(dispatch) = &mut self.dispatch else {
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -114,6 +114,10 @@
         /// Number of workers that the query names.
         workers: usize,
     },
+    /// A team has passed its share, or returned to it.
+    TeamShare(TeamShare),
+    /// Past use of a team has placed a step of it later.
+    PastUse(PastUse),
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
     /// leader.
     Fenced {
@@ -141,6 +145,70 @@
     pub reason: &'static str,
 }
 
+/// A step that the past use of its team has placed later.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct PastUse {
+    /// Name of the team.
+    pub team: String,
+    /// First of the steps.
+    pub step: eligibility::Step,
+    /// Past use of the team, in millionths of the fleet.
+    pub past_micro: u64,
+    /// Time by which the step counts as less urgent.
+    pub shift_ms: u64,
+}
+
+impl fmt::Display for PastUse {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            team,
+            step,
+            past_micro,
+            shift_ms,
+        } = self;
+        write!(
+            f,
+            "decision=past_use team={team} step={:016x}.{}.{} past_micro={past_micro} shift_ms={shift_ms}",
+            step.job, step.occurrence, step.step
+        )
+    }
+}
+
+/// Share of a team.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct TeamShare {
+    /// Name of the team; empty for calls without a team.
+    pub team: String,
+    /// Dominant share of the fleet that its runs use, in millionths.
+    pub share_micro: u64,
+    /// Its fair share, in millionths; `None` while the fleet has room for all work.
+    pub fair_micro: Option<u64>,
+    /// Number of its waiting steps.
+    pub waiting: u32,
+    /// Number of waiting steps of jobs beyond the number that it is owed.
+    pub excess: u32,
+    /// Whether its work is placed after that of teams within their share.
+    pub beyond: bool,
+}
+
+impl fmt::Display for TeamShare {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            team,
+            share_micro,
+            fair_micro,
+            waiting,
+            excess,
+            beyond,
+        } = self;
+        write!(
+            f,
+            "decision=share team={team} beyond={beyond} share_micro={share_micro} waiting={waiting} excess={excess}"
+        )?;
+        fair_micro.map_or(Ok(()), |fair| write!(f, " fair_micro={fair}"))
+    }
+}
+
 impl fmt::Display for Ended {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
@@ -252,6 +320,8 @@
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
                 step.job, step.occurrence, step.step
             ),
+            Self::TeamShare(share) => share.fmt(f),
+            Self::PastUse(moved) => moved.fmt(f),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
     }
