--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -114,6 +114,19 @@
         /// Number of workers that the query names.
         workers: usize,
     },
+    /// A run is stopped in favour of a step of a higher priority.
+    Preempted {
+        /// Task of the run.
+        task: directive::Task,
+        /// Number of the run.
+        run: directive::Run,
+        /// Name of the worker.
+        worker: String,
+        /// Step that gets the capacity.
+        step: eligibility::Step,
+        /// Work that the stop is expected to cost, in core-milliseconds.
+        core_millis: u64,
+    },
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
     /// leader.
     Fenced {
@@ -252,6 +265,18 @@
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
                 step.job, step.occurrence, step.step
             ),
+            Self::Preempted {
+                task,
+                run,
+                worker,
+                step,
+                core_millis,
+            } => write!(
+                f,
+                "decision=preempt task={task} run={run} worker={worker} for={:016x}.{}.{} \
+                 lost_core_ms={core_millis}",
+                step.job, step.occurrence, step.step
+            ),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
     }
