dispatch: urgent steps stop checkpointing runs of lower priorities

On a full fleet, an urgent step waited for a gap between longer work, although most of that work stores checkpoints. After each pass, the leader now decides for the steps of priority 0 that found no room: it waits if enough runs are expected to end while the objective allows it, and otherwise stops the fewest runs on workers that may run the step, and holds their capacity for it. Runs without checkpoints, gangs, lasting tasks, and runs that end soon are left alone; stops under way and the stops of one task are bounded. Fleets without a full pool or without lower priorities decide as before.

--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -81,7 +81,8 @@
     ) -> Option<Candidate> {
         let record = self.workers.get(&worker)?;
         let announced = &record.announced;
-        let free = record.free();
+        let withheld = self.preemptions.withheld(worker, record, subject.id);
+        let free = record.free().saturating_sub(&withheld);
         if fitting && !subject.size.fits(&free) {
             return None;
         }
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -326,6 +326,7 @@
         }
         if self.dirty && now.steady >= self.pass_at {
             self.schedule(state, now);
+            self.preempt(state, now);
             let waiting = self.waiting.len() as u32;
             let interval = PASS_INTERVAL + PASS_INTERVAL_PER_STEP * waiting;
             self.pass_at = now.steady + interval.min(MAX_PASS_INTERVAL);
