--- a/crates/standin/src/fleet/simulation/faults.rs
+++ b/crates/standin/src/fleet/simulation/faults.rs
@@ -41,7 +41,7 @@
             return;
         };
         for (task, active) in worker.runs {
-            self.count_wasted_work(&active);
+            self.count_wasted_work(task, &active);
             if self.is_gang(task) {
                 self.break_gang(task, active.run);
             }
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -14,7 +14,7 @@
 /// Maximum duration of a lease.
 const MAX_LEASE: Duration = Duration::from_secs(10);
 /// Time from a stop directive to the end of the run.
-const STOP_DURATION: Duration = Duration::from_millis(200);
+pub const STOP_DURATION: Duration = Duration::from_millis(200);
 /// Time for which a member of a gang waits for the other members.
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -52,6 +52,8 @@
     pub clock_rate: f64,
     /// Factor by which run times are multiplied.
     pub slowness: f64,
+    /// Time from a stop directive to the end of the run.
+    pub stop_duration: Duration,
     /// Whether every run that starts on the worker fails.
     pub failing: bool,
     /// Active runs by task.
@@ -84,6 +86,7 @@
             clock_zero: now,
             clock_rate,
             slowness: 1.0,
+            stop_duration: STOP_DURATION,
             failing: false,
             runs: BTreeMap::new(),
             token: 0,
@@ -112,6 +115,11 @@
         used
     }
 
+    /// Returns whether a directive with a fencing token for a name is executed and not refused.
+    pub fn accepts(&self, token: Token, name: &str) -> bool {
+        name == self.name && token >= self.token
+    }
+
     /// Executes a directive. Returns the answer, and the run to start if the directive is an accepted start.
     pub fn execute(
         &mut self,
@@ -140,7 +148,7 @@
                 let highest = self.highest.entry(*task).or_default();
                 *highest = (*highest).max(*run);
                 if let Some(active) = self.runs.get_mut(task).filter(|active| active.run <= *run) {
-                    active.stopped_at.get_or_insert(now + STOP_DURATION);
+                    active.stopped_at.get_or_insert(now + self.stop_duration);
                 }
                 (Answer::Done { clock }, None)
             }
