--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -118,6 +118,19 @@
     TeamShare(TeamShare),
     /// Past use of a team has placed a step of it later.
     PastUse(PastUse),
+    /// A run is stopped in favour of a step of a higher priority.
+    Preempted {
+        /// Task of the run.
+        task: directive::Task,
+        /// Number of the run.
+        run: directive::Run,
+        /// Name of the worker.
+        worker: String,
+        /// Step that gets the capacity.
+        step: eligibility::Step,
+        /// Work that the stop is expected to cost, in core-milliseconds.
+        core_millis: u64,
+    },
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
     /// leader.
     Fenced {
@@ -322,6 +335,18 @@
             ),
             Self::TeamShare(share) => share.fmt(f),
             Self::PastUse(moved) => moved.fmt(f),
+            Self::Preempted {
+                task,
+                run,
+                worker,
+                step,
+                core_millis,
+            } => write!(
+                f,
+                "decision=preempt task={task} run={run} worker={worker} for={:016x}.{}.{} \
+                 lost_core_ms={core_millis}",
+                step.job, step.occurrence, step.step
+            ),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
     }
