Bound what clients hold in a fleet's daemon

Cause: each of 3,000 connections per listener could hold 408 KB of head and 4 MiB of body; nothing bounded the sum, and chunks of one byte kept the buffers in which they arrived.

Change: one ledger counts what all connections hold from their first byte, within a budget derived from limits.memory_mb. When it is spent, the connections that have held the most for longest without progress are shed. Heads, empty lines, chunks, bodies (by call), times and the rate under pressure have limits in the table [intake], with a metric per reason and one log line per decision. Each listener has its own places; a third of the descriptors is reserved. For declared bodies of 16 KiB and more the key is checked before the body is received.

--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -7,35 +7,47 @@
     time::{Duration, Instant},
 };
 
-use bronzespoke_workload::{adapter, call};
+use bronzespoke_workload::{adapter, call, settings};
 use bytes::Bytes;
-use http::{Request, Response, StatusCode, header, request};
-use http_body_util::{BodyExt, Full, Limited};
-use hyper::{body::Incoming, server::conn::http1, service};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use http::{Method, Request, Response, StatusCode, header, request};
+use http_body_util::Full;
+use hyper::{
+    body::{Body, Incoming},
+    server::conn::http1,
+    service,
+};
+use hyper_util::rt::TokioTimer;
 use tokio::{
     net::{TcpListener, TcpStream},
-    sync::{Semaphore, oneshot, watch},
+    sync::{OwnedSemaphorePermit, Semaphore, oneshot, watch},
     time,
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::fleet::{Message, inbox, metric};
+use crate::fleet::{
+    Message, inbox,
+    intake::{
+        self, Intake, Ticket,
+        ledger::{self, Class, Phase, Reason},
+    },
+    metric,
+};
 
-/// Largest request body; the largest ones are configurations with many routes.
-const MAX_BODY_BYTES: usize = 4 << 20;
-/// Time for the headers of a request to arrive.
-const HEADER_TIMEOUT: Duration = Duration::from_secs(15);
-/// Time for the body of a request to arrive.
-const BODY_TIMEOUT: Duration = Duration::from_secs(5);
+/// Declared size of a body from which on the key is checked before the body is received. Ordinary jobs are smaller and
+/// need no second exchange with the leader.
+const KEY_CHECK_BYTES: u64 = 16 * 1024;
 /// Timeout of callers that do not give one.
 const DEFAULT_TIMEOUT: Duration = Duration::from_secs(3);
 /// A reply has to reach the caller before its deadline: one way to a client takes up to 3 ms, and both ends are busy.
 const REPLY_MARGIN: Duration = Duration::from_millis(100);
 /// How long operators and workers wait before they try another daemon.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(900);
-/// Open connections of one listener; further ones wait in the backlog.
-const MAX_CONNECTIONS: usize = 3_000;
+/// Connections of the load balancer's probes.
+const READINESS_CONNECTIONS: usize = 64;
+/// Connections of collectors of metrics.
+const METRICS_CONNECTIONS: usize = 16;
+/// Interval at which a place for an accepted connection is looked for while all are taken.
+const PLACE_INTERVAL: Duration = Duration::from_millis(100);
 /// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -52,6 +64,25 @@
     Metrics,
 }
 
+impl Kind {
+    const fn class(self) -> Class {
+        match self {
+            Self::Entry => Class::Entry,
+            Self::Readiness => Class::Readiness,
+            Self::Control => Class::Control,
+            Self::Metrics => Class::Metrics,
+        }
+    }
+
+    const fn places(self, limits: &settings::Intake) -> usize {
+        match self {
+            Self::Entry | Self::Control => limits.connections,
+            Self::Readiness => READINESS_CONNECTIONS,
+            Self::Metrics => METRICS_CONNECTIONS,
+        }
+    }
+}
+
 /// State that all listeners share.
 #[derive(Clone)]
 pub struct Context {
@@ -65,23 +96,26 @@
     pub closing: CancellationToken,
     /// Tracks the open connections.
     pub tracker: TaskTracker,
+    /// What clients may hold.
+    pub intake: Arc<Intake>,
     /// Renders the metrics as text.
     pub metrics: bronzespoke_gateway::server::MetricsRenderer,
 }
 
 /// Accepts connections until `stop` is cancelled.
 pub async fn serve(context: Context, kind: Kind, listener: TcpListener, stop: CancellationToken) {
-    let slots = Arc::new(Semaphore::new(MAX_CONNECTIONS));
+    let places = Arc::new(Semaphore::new(kind.places(context.intake.limits())));
     loop {
-        let Ok(permit) = Arc::clone(&slots).acquire_owned().await else {
-            return;
-        };
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
             accepted = listener.accept() => accepted,
         };
         match accepted {
             Ok((stream, address)) => {
+                let permit = tokio::select! {
+                    () = stop.cancelled() => return,
+                    permit = place(&context, kind, &places) => permit,
+                };
                 let context = context.clone();
                 context.tracker.clone().spawn(async move {
                     connection(context, kind, stream, address).await;
@@ -96,48 +130,113 @@
     }
 }
 
+/// Returns a place for a connection. While all are taken, connections without progress are closed; further clients wait
+/// in the backlog.
+async fn place(context: &Context, kind: Kind, places: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+    loop {
+        match Arc::clone(places).try_acquire_owned() {
+            Ok(permit) => return Some(permit),
+            Err(_taken) => context.intake.displace(kind.class()),
+        }
+        let acquired = time::timeout(PLACE_INTERVAL, Arc::clone(places).acquire_owned()).await;
+        if let Ok(permit) = acquired {
+            return permit.ok();
+        }
+    }
+}
+
 async fn connection(context: Context, kind: Kind, stream: TcpStream, address: SocketAddr) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("decision=drop_connection peer={address} reason=\"{error}\"");
         return;
     }
     let closing = context.closing.clone();
+    let adapter = Arc::clone(&context.adapter);
+    let ticket = Arc::new(context.intake.open(kind.class()));
+    let stream = Arc::new(stream);
+    // The buffers of hyper are made when the first bytes have arrived: idle connections are cheap.
+    tokio::select! {
+        readable = stream.readable() => if readable.is_err() {
+            return;
+        },
+        _ = ticket.closed() => return,
+        () = closing.cancelled() => {}
+    }
+    let served = Arc::clone(&ticket);
     let handler = service::service_fn(move |request| {
         let context = context.clone();
-        async move { Ok::<_, Infallible>(handle(&context, kind, request).await) }
+        let ticket = Arc::clone(&served);
+        async move { Ok::<_, Infallible>(handle(&context, kind, request, &ticket).await) }
     });
+    let limits = ticket.limits();
     let connection = http1::Builder::new()
         .timer(TokioTimer::new())
-        .header_read_timeout(HEADER_TIMEOUT)
-        .serve_connection(TokioIo::new(stream), handler);
-    tokio::pin!(connection);
+        .header_read_timeout(limits.idle_timeout + limits.head_timeout)
+        .max_buf_size(limits.head_bytes)
+        .serve_connection(
+            intake::Stream::new(Arc::clone(&stream), Arc::clone(&ticket)),
+            handler,
+        );
+    let mut connection = Box::pin(connection);
     let ended = tokio::select! {
         biased;
-        ended = connection.as_mut() => ended,
+        ended = connection.as_mut() => Ok(ended),
+        decided = ticket.closed() => Err(decided),
         () = closing.cancelled() => {
             connection.as_mut().graceful_shutdown();
-            connection.as_mut().await
+            tokio::select! {
+                biased;
+                ended = connection.as_mut() => Ok(ended),
+                decided = ticket.closed() => Err(decided),
+            }
         }
     };
-    if let Err(error) = ended {
-        log::debug!("decision=close_connection peer={address} reason=\"{error}\"");
+    drop(connection);
+    match ended {
+        // The request has not been handed to the control thread, so a refusal is true.
+        Err((reason, Some(Phase::Head))) => {
+            intake::refuse(&stream, &adapter.error(&intake::error(reason, ticket.limits())));
+            intake::linger(&stream).await;
+        }
+        Err((reason, _)) => {
+            log::debug!(
+                "decision=close_connection peer={address} reason={}",
+                reason.name()
+            );
+        }
+        Ok(Err(error)) => {
+            if error.is_parse_too_large() {
+                ticket.count(Reason::HeadTooLarge);
+                intake::linger(&stream).await;
+            }
+            log::debug!("decision=close_connection peer={address} reason=\"{error}\"");
+        }
+        Ok(Ok(())) if ticket.is_refused() => intake::linger(&stream).await,
+        Ok(Ok(())) => {}
     }
 }
 
-async fn handle(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Full<Bytes>> {
+async fn handle(
+    context: &Context,
+    kind: Kind,
+    request: Request<Incoming>,
+    ticket: &Ticket,
+) -> Response<Full<Bytes>> {
     let begun = Instant::now();
     let response = match kind {
         Kind::Metrics => metrics(context),
         Kind::Readiness => readiness(context, &request.into_parts().0),
         Kind::Entry | Kind::Control => {
-            let response = handle_call(context, kind, request).await;
+            let response = handle_call(context, kind, request, ticket).await;
             let listener = if kind == Kind::Entry { "entry" } else { "control" };
             metric::call(listener, response.status(), begun.elapsed());
             response
         }
     };
     let (mut head, body) = response.into_parts();
-    if context.closing.is_cancelled() {
+    ticket.begin(Phase::Response);
+    ticket.set(ledger::ACTIVE_BYTES as usize + body.len());
+    if context.closing.is_cancelled() || ticket.is_refused() {
         head.headers
             .insert(header::CONNECTION, header::HeaderValue::from_static("close"));
     }
@@ -158,14 +257,79 @@
     response
 }
 
-async fn handle_call(context: &Context, kind: Kind, request: Request<Incoming>) -> Response<Bytes> {
+/// Returns the bytes of a head.
+fn head_bytes(head: &request::Parts) -> usize {
+    let path = head.uri.path_and_query().map_or(0, |path| path.as_str().len());
+    let fields = head.headers.iter();
+    path + fields
+        .map(|(name, value)| name.as_str().len() + value.len())
+        .sum::<usize>()
+}
+
+/// Returns the reply to a caller whose key or queue is not known, before its body is received.
+async fn check_key(context: &Context, head: &request::Parts) -> Option<call::Reply> {
+    let mut head = head.clone();
+    head.method = Method::GET;
+    let call = context.adapter.caller(&head, &Bytes::new()).ok()?;
+    let reply = exchange(
+        context,
+        call::Call::Job(call),
+        timeout(context, Kind::Entry, &head),
+    )
+    .await;
+    matches!(reply, call::Reply::BadKey | call::Reply::NoQueue).then_some(reply)
+}
+
+async fn receive(
+    context: &Context,
+    kind: Kind,
+    head: &request::Parts,
+    body: Incoming,
+    ticket: &Ticket,
+) -> Result<Bytes, Response<Bytes>> {
+    let limits = ticket.limits();
+    let limit = match kind {
+        Kind::Entry => limits.job_bytes,
+        _ => limits.control_limit(head.uri.path()),
+    };
+    let held = ledger::ACTIVE_BYTES as usize + head_bytes(head);
+    ticket.begin(Phase::Body);
+    let declared = body.size_hint().exact().unwrap_or(0);
+    if kind == Kind::Entry
+        && (KEY_CHECK_BYTES..=limit as u64).contains(&declared)
+        && let Some(reply) = check_key(context, head).await
+    {
+        ticket.refuse();
+        return Err(context.adapter.reply(&reply));
+    }
+    intake::body::receive(ticket, body, held, limit)
+        .await
+        .map_err(|error| match error {
+            intake::body::Error::Refused(reason) => {
+                ticket.count(reason);
+                ticket.refuse();
+                context.adapter.error(&intake::error(reason, limits))
+            }
+            intake::body::Error::Malformed => {
+                let reason = String::from("the body did not arrive whole");
+                context.adapter.error(&adapter::Error::Content(reason))
+            }
+        })
+}
+
+async fn handle_call(
+    context: &Context,
+    kind: Kind,
+    request: Request<Incoming>,
+    ticket: &Ticket,
+) -> Response<Bytes> {
     let (head, body) = request.into_parts();
-    let body = Limited::new(body, MAX_BODY_BYTES).collect();
-    let Ok(Ok(body)) = time::timeout(BODY_TIMEOUT, body).await else {
-        let reason = format!("the body did not arrive whole, or is over {MAX_BODY_BYTES} bytes");
-        return context.adapter.error(&adapter::Error::Content(reason));
+    let body = match receive(context, kind, &head, body, ticket).await {
+        Ok(body) => body,
+        Err(response) => return response,
     };
-    let body = body.to_bytes();
+    // From here on the request may be executed, and is not refused any more.
+    ticket.begin(Phase::Serving);
     let decoded = match kind {
         Kind::Entry => context.adapter.caller(&head, &body).map(call::Call::Job),
         _ => context.adapter.control(&head, &body),
@@ -177,13 +341,24 @@
             return context.adapter.error(&error);
         }
     };
-    let timeout = match kind {
+    drop(body);
+    let timeout = timeout(context, kind, &head);
+    context.adapter.reply(&exchange(context, call, timeout).await)
+}
+
+/// Returns how long the reply to a call may take.
+fn timeout(context: &Context, kind: Kind, head: &request::Parts) -> Duration {
+    match kind {
         Kind::Entry => {
-            let timeout = context.adapter.timeout(&head).unwrap_or(DEFAULT_TIMEOUT);
+            let timeout = context.adapter.timeout(head).unwrap_or(DEFAULT_TIMEOUT);
             timeout.saturating_sub(REPLY_MARGIN)
         }
         _ => CONTROL_TIMEOUT,
-    };
+    }
+}
+
+/// Has the control thread serve a call.
+async fn exchange(context: &Context, call: call::Call, timeout: Duration) -> call::Reply {
     let (responder, reply) = oneshot::channel();
     let message = Message::Call {
         call,
@@ -195,12 +370,11 @@
         .send(inbox::Traffic::Message(Box::new(message)))
         .is_err()
     {
-        return context.adapter.reply(&crate::fleet::calls::no_leader());
+        return crate::fleet::calls::no_leader();
     }
-    let reply = match time::timeout(timeout + REPLY_MARGIN / 2, reply).await {
+    match time::timeout(timeout + REPLY_MARGIN / 2, reply).await {
         Ok(Ok(reply)) => reply,
         // The call may have been executed.
         Ok(Err(_)) | Err(_) => call::Reply::Unknown,
-    };
-    context.adapter.reply(&reply)
+    }
 }
--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -13,6 +13,7 @@
 mod frames;
 mod http;
 pub mod inbox;
+pub mod intake;
 mod leader;
 pub mod member;
 mod membership;
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -25,7 +25,7 @@
     fleet::{
         Message,
         controller::{Control, Start},
-        http, inbox, metric as fleet_metric, sender,
+        http, inbox, intake, metric as fleet_metric, sender,
     },
     metric, peer,
 };
@@ -153,8 +153,10 @@
         ready,
         closing: CancellationToken::new(),
         tracker: TaskTracker::new(),
+        intake: intake::Intake::new(settings.intake.clone()),
         metrics: metric::render(traffic),
     };
+    tokio::spawn(Arc::clone(&context.intake).sweep(cancel.clone()));
     tokio::spawn(async {
         loop {
             time::sleep(METRICS_INTERVAL).await;
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -41,6 +41,91 @@
     pub memory: Option<u64>,
     /// Number of descriptors that the process may have open; `None` if it is not known.
     pub descriptors: Option<u32>,
+    /// Limits on what clients may hold.
+    pub intake: Intake,
+}
+
+/// Limits on what clients may hold in a daemon.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Intake {
+    /// Bytes that all connections together may hold: heads, bodies and responses that are not read.
+    pub budget: u64,
+    /// Open connections of each listener for callers, or for operators and workers.
+    pub connections: usize,
+    /// Largest head of a request.
+    pub head_bytes: usize,
+    /// Most bytes of empty lines before a request.
+    pub empty_bytes: usize,
+    /// Most chunks of a body.
+    pub max_chunks: usize,
+    /// Time from the first byte of a head to its end.
+    pub head_timeout: Duration,
+    /// Time without a request after which a connection is closed.
+    pub idle_timeout: Duration,
+    /// Time for a body to arrive.
+    pub body_timeout: Duration,
+    /// Time without progress after which the connection of a client that does not read its response is closed.
+    pub response_timeout: Duration,
+    /// Bytes per second below which a body is refused while more than half of the budget is held.
+    pub minimum_rate: u64,
+    /// Largest body of a caller's request.
+    pub job_bytes: usize,
+    /// Largest body of a request of an operator or a worker that has no limit of its own.
+    pub control_bytes: usize,
+    /// Limits of the bodies of single paths.
+    pub paths: Vec<(String, usize)>,
+}
+
+impl Default for Intake {
+    fn default() -> Self {
+        Self {
+            budget: 64 << 20,
+            connections: 3_000,
+            head_bytes: 20 * 1024,
+            empty_bytes: 256,
+            max_chunks: 262_144,
+            head_timeout: Duration::from_secs(5),
+            idle_timeout: Duration::from_secs(20),
+            body_timeout: Duration::from_secs(15),
+            response_timeout: Duration::from_secs(15),
+            minimum_rate: 16 * 1024,
+            job_bytes: 256 * 1024,
+            control_bytes: 256 * 1024,
+            paths: Vec::new(),
+        }
+    }
+}
+
+impl Intake {
+    /// Bytes that a connection with a request holds at least.
+    const CONNECTION_BYTES: u64 = 20 * 1024;
+    /// Smallest budget; a configuration of 4 MiB is held twice, once as it was received and once decoded.
+    pub const MIN_BUDGET: u64 = 12 << 20;
+
+    /// Returns the defaults for a VM with this memory and these descriptors, and this number of listeners.
+    ///
+    /// The budget is a quarter of the memory: the allocator may need twice the bytes that are counted, and the other
+    /// half is for everything else. A third of the descriptors is reserved for peers, outgoing connections, probes and
+    /// files.
+    pub fn derived(memory: Option<u64>, descriptors: Option<u32>, listeners: usize) -> Self {
+        let default = Self::default();
+        let budget = memory.map_or(default.budget, |memory| (memory / 4).max(Self::MIN_BUDGET));
+        let places = descriptors.map_or(default.connections, |count| {
+            (count - count / 3) as usize / listeners.max(1)
+        });
+        let affordable = usize::try_from(budget / Self::CONNECTION_BYTES).unwrap_or(usize::MAX);
+        Self {
+            budget,
+            connections: default.connections.min(places).min(affordable),
+            ..default
+        }
+    }
+
+    /// Returns the largest body of a request to the listener for operators and workers.
+    pub fn control_limit(&self, path: &str) -> usize {
+        let own = self.paths.iter().find(|(own, _)| own == path);
+        own.map_or(self.control_bytes, |(_, limit)| *limit)
+    }
 }
 
 /// Properties of a platform that scheduling decisions depend on.
