Bound links at the listener for frames that have not delivered a frame

Cause: a link could announce a frame of 1 MiB, got a buffer of that size at once and kept it for 30 s; nothing bounded the number of such links. Change: at most 64 links without a first frame, of which the oldest is closed for a new one, 5 s for the first frame, and buffers that grow with what arrives.

--- a/crates/daemon/src/peer/inbound.rs
+++ b/crates/daemon/src/peer/inbound.rs
@@ -14,13 +14,17 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::peer::{MAX_FRAME_BYTES, Received, Traffic, fault, wire};
+use crate::peer::{MAX_FRAME_BYTES, Received, Traffic, fault, unproven, wire};
 
 /// Pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 /// Time without a frame after which a link is closed, so that failed VMs leave no links behind; daemons send an
 /// announcement every second.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
+/// Time for the first frame of a link to arrive; a daemon sends it when it connects.
+const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(5);
+/// Frames up to this size are received at once; larger buffers grow with what arrives.
+const STEP_BYTES: usize = 64 * 1024;
 
 /// Accepts links until `cancel` is triggered.
 pub async fn accept(
@@ -31,6 +35,7 @@
     cancel: CancellationToken,
 ) {
     let tracker = TaskTracker::new();
+    let unproven = unproven::Links::default();
     loop {
         let accepted = tokio::select! {
             () = cancel.cancelled() => return,
@@ -44,11 +49,12 @@
                 continue;
             }
         };
-        let link = read(stream, sender.clone(), Arc::clone(&traffic), fault.clone());
-        let cancel = cancel.clone();
+        let link = unproven.add(cancel.child_token());
+        let closed = link.closed();
+        let link = read(stream, sender.clone(), Arc::clone(&traffic), fault.clone(), link);
         tracker.spawn(async move {
             tokio::select! {
-                () = cancel.cancelled() => {}
+                () = closed.cancelled() => {}
                 () = link => {}
             }
         });
@@ -60,9 +66,17 @@
     sender: mpsc::Sender<Received>,
     traffic: Arc<Traffic>,
     fault: fault::Switch,
+    link: unproven::Link,
 ) {
+    // Dropped when the first frame has been decoded.
+    let mut unproven = Some(link);
     loop {
-        let Ok(Ok(length)) = time::timeout(IDLE_TIMEOUT, stream.read_u32()).await else {
+        let timeout = if unproven.is_some() {
+            FIRST_FRAME_TIMEOUT
+        } else {
+            IDLE_TIMEOUT
+        };
+        let Ok(Ok(length)) = time::timeout(timeout, stream.read_u32()).await else {
             return;
         };
         let length = length as usize;
@@ -70,8 +84,7 @@
             log::warn!("peer: A frame of {length} bytes exceeds the limit; closing the link.");
             return;
         }
-        let mut buffer = vec![0; length];
-        let Ok(Ok(_)) = time::timeout(IDLE_TIMEOUT, stream.read_exact(&mut buffer)).await else {
+        let Ok(Ok(buffer)) = time::timeout(timeout, receive(&mut stream, length)).await else {
             return;
         };
         traffic.received.fetch_add(length as u64, Ordering::Relaxed);
@@ -79,6 +92,7 @@
             log::warn!("peer: Failed to decode a frame; closing the link.");
             return;
         };
+        unproven = None;
         if fault.is_cut(frame.from_peer) {
             continue;
         }
@@ -87,3 +101,15 @@
         }
     }
 }
+
+/// Receives a frame of this length. The buffer grows with what arrives, so that a length alone takes no memory.
+async fn receive(stream: &mut TcpStream, length: usize) -> std::io::Result<Vec<u8>> {
+    let mut buffer = Vec::new();
+    while buffer.len() < length {
+        let begin = buffer.len();
+        let next = length.min(begin + begin.max(STEP_BYTES));
+        buffer.resize(next, 0);
+        stream.read_exact(&mut buffer[begin..]).await?;
+    }
+    Ok(buffer)
+}
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -6,6 +6,7 @@
 pub mod fault;
 mod inbound;
 mod outbound;
+mod unproven;
 pub mod wire;
 
 use std::{
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -111,7 +111,7 @@
         let default = Self::default();
         let budget = memory.map_or(default.budget, |memory| (memory / 4).max(Self::MIN_BUDGET));
         let places = descriptors.map_or(default.connections, |count| {
-            (count - count / 3) as usize / listeners.max(1)
+            (u64::from(count) * 2 / 3) as usize / listeners.max(1)
         });
         let affordable = usize::try_from(budget / Self::CONNECTION_BYTES).unwrap_or(usize::MAX);
         Self {
