Reserve body memory of the older gateway for small requests

Cause: large bodies that stop just short of their end hold the memory for bodies for up to 10 s between two chunks and 30 s in all; every other request is refused meanwhile. Change: an eighth of the memory is left to declared bodies of at most 16 KiB, and the buffer of a connection is 32 KiB instead of 64 KiB.

--- a/crates/gateway/src/filter/body.rs
+++ b/crates/gateway/src/filter/body.rs
@@ -10,6 +10,12 @@
 
 use crate::{error, settings};
 
+/// Bodies up to this size may use the part of the memory that is reserved for them.
+const SMALL_BYTES: usize = 16 * 1024;
+/// Share of the memory that is reserved for small bodies: large ones that stop just short of their end hold theirs for
+/// up to the time limit of a body.
+const SMALL_SHARE: usize = 8;
+
 /// A received body, which holds its memory permit until it is dropped.
 #[derive(Debug)]
 pub(crate) struct Received {
@@ -30,7 +36,14 @@
         return Err(too_large(&format!("{length} bytes"), limit));
     }
     let reserved = length.map_or(limit, |length| length as usize);
-    let Ok(permit) = Arc::clone(memory).try_acquire_many_owned(reserved as u32) else {
+    let kept = if reserved > SMALL_BYTES {
+        settings.body_memory_bytes / SMALL_SHARE
+    } else {
+        0
+    };
+    let has_room = memory.available_permits() >= reserved.saturating_add(kept);
+    let permit = has_room.then(|| Arc::clone(memory).try_acquire_many_owned(reserved as u32));
+    let Some(Ok(permit)) = permit else {
         return Err(error::Error::not_run(
             StatusCode::SERVICE_UNAVAILABLE,
             "memory",
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -14,8 +14,9 @@
     server::{context, write_timeout},
 };
 
-/// Buffer size of hyper per connection, in bytes. hyper itself rejects larger headers with status 431.
-const BUFFER_BYTES: usize = 64 * 1024;
+/// Buffer size of hyper per connection, in bytes. hyper itself rejects larger headers with status 431. Twice the limit on
+/// headers, so that most requests over it get an error with a reason; more would only add to what a crowd can hold.
+const BUFFER_BYTES: usize = 32 * 1024;
 
 /// Time for a request that is in transit when the server closes its connections.
 const CLOSE_GRACE: Duration = Duration::from_secs(1);
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -332,3 +332,47 @@
     assert_eq!(old.status, StatusCode::GONE);
     assert!(old.header("sunset").is_some());
 }
+
+/// Guards against clients whose large bodies stop just short of their end and keep small requests out for as long as a
+/// body may take.
+#[tokio::test]
+async fn stalled_bodies_leave_memory_for_small_requests() {
+    use tokio::io::AsyncWriteExt;
+    const STALLED: usize = 40;
+    const BODY_BYTES: usize = 64 * 1024;
+    let target = target(ECHO).await;
+    let settings = settings::Settings {
+        body_memory_bytes: 1 << 20,
+        stall_timeout: Duration::from_mins(10),
+        body_timeout: Duration::from_mins(10),
+        ..settings::Settings::default()
+    };
+    let cell = common::cell_with(&[&target], settings, common::view()).await;
+    let address = cell.server.address();
+    let mut stalled = Vec::new();
+    for _ in 0..STALLED {
+        let mut stream = tokio::net::TcpStream::connect(address).await.expect("connects");
+        let head = format!(
+            "POST {PATH} HTTP/1.1\r\nhost: a\r\n{}: {}\r\ncontent-length: {BODY_BYTES}\r\n\r\n",
+            AUTH.0, AUTH.1
+        );
+        stream.write_all(head.as_bytes()).await.expect("the head is sent");
+        // The gateway may refuse the request before its body has arrived.
+        drop(stream.write_all(&[b'x'; BODY_BYTES - 1]).await);
+        stalled.push(stream);
+    }
+    let mut refused = 0;
+    for _ in 0..100 {
+        let large = caller::request(address, "lineage", common::KEY, None, vec![b'x'; BODY_BYTES]).await;
+        if large
+            .ok()
+            .is_none_or(|answer| answer.status == StatusCode::SERVICE_UNAVAILABLE)
+        {
+            refused += 1;
+            break;
+        }
+    }
+    assert_eq!(refused, 1, "the stalled bodies do not use up the memory");
+    let small = caller::request(address, "lineage", common::KEY, None, vec![b'x'; 900]).await;
+    assert_eq!(small.expect("answers").status, StatusCode::OK);
+}
