--- a/crates/daemon/src/fleet/mod.rs
+++ b/crates/daemon/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 mod frames;
 mod http;
 pub mod inbox;
+pub mod intake;
 mod leader;
 pub mod member;
 mod membership;
