Refuse jobs that the forecast says end after their late goal

In a burst, jobs were accepted that could no longer be useful, took capacity from others and still had to be run.

--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -35,6 +35,7 @@
 
 pub use event::Event;
 pub use fleet::Registration;
+pub use forecasts::{Late, Request};
 
 use crate::{
     calendar, directory, estimate, forecast, orphan, preempt, query_queue, reserve, room, share, slowness,
