--- a/crates/dispatch/src/dispatch/forecasts.rs
+++ b/crates/dispatch/src/dispatch/forecasts.rs
@@ -104,7 +104,7 @@
             gang: spec.gang,
             run_time: expected(spec.run_time),
         };
-        let mut start = Duration::ZERO;
+        let mut found = forecast::Expectation::default();
         if !self.waiting.is_empty() || self.forecast.recent() > 0 {
             let max_age = if self.forecast.recent() < MANY_RECENT {
                 MAX_SURVEY_AGE
@@ -117,7 +117,8 @@
             }
             let expectation = self.forecast.expect(now.steady, &queue.pool, &demand);
             if let Some(expectation) = expectation.filter(forecast::Expectation::may_refuse) {
-                start = expectation.start;
+                found = expectation;
+                let start = expectation.start;
                 let end = forecast::optimistic_end(start, self.forecast.at_best(&queue.pool, chain));
                 let useful = Duration::from_millis(useful_ms.saturating_sub(now.wall_ms));
                 if end > useful && state.job(key).is_none() && !is_submitting() {
@@ -140,7 +141,7 @@
                 }
             }
         }
-        self.forecast.accept(now.steady, key, &queue.pool, &demand, start);
+        self.forecast.accept(now.steady, key, &queue.pool, &demand, found);
         Ok(())
     }
 
--- a/crates/dispatch/src/forecast.rs
+++ b/crates/dispatch/src/forecast.rs
@@ -19,9 +19,10 @@
 const BUCKETS: usize = 240;
 /// Multiple of its objective up to which a late job is still useful to its caller, as in `rank`.
 const USEFUL_MULTIPLE: u64 = 3;
-/// Share of the expected wait and run time that is certain enough for a refusal. A single estimate errs by e^0.9, but a
-/// wait that leads to a refusal is the sum of many; its error is the bias of the queue's estimates.
-const CERTAIN_SHARE: f64 = 0.75;
+/// Share of the expected wait and run time that is certain enough for a refusal. The wait is a sum over many runs whose
+/// single errors cancel out. Work that is useless already does not count, so that the work ahead never exceeds what
+/// arrives in the time for which a job is useful: at 0.75, a load of 1.33 times the capacity caused no refusal.
+const CERTAIN_SHARE: f64 = 0.9;
 /// Work ahead below which nothing is refused.
 const MIN_AHEAD: Duration = Duration::from_secs(1);
 /// Minimum time after which a refused caller may return.
@@ -39,6 +40,12 @@
 const MAX_REFUSED: usize = 8_192;
 /// Maximum number of jobs whose forecast is compared with their start.
 const MAX_COMPARED: usize = 4_096;
+/// Factor on the weight of earlier waits with each new one, so that the correction follows changes within 50 starts.
+const DECAY: f64 = 0.98;
+/// Weight in seconds of the assumption that forecasts are right; it keeps the first few waits from deciding alone.
+const TRUST: f64 = 10.0;
+/// Maximum factor by which observed waits lengthen forecasts, so that a fault cannot refuse everything.
+const MAX_CORRECTION: f64 = 3.0;
 /// Time after which a job that has not started is not compared any more.
 const COMPARED_FOR: Duration = Duration::from_mins(5);
 /// Difference up to which a forecast counts as accurate.
@@ -143,10 +150,12 @@
 }
 
 /// What a job will find.
-#[derive(Debug, Clone, Copy, PartialEq)]
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Expectation {
-    /// Earliest start, counted from the time of the forecast.
+    /// Earliest start, counted from the time of the forecast, corrected by observed waits.
     pub start: Duration,
+    /// Earliest start without the correction.
+    pub uncorrected: Duration,
     /// Time that the whole pool needs for the work ahead of the same tier.
     pub ahead_in_tier: Duration,
     /// Time that the whole pool needs for all work ahead.
@@ -273,6 +282,7 @@
         }
         let mut expectation = Expectation {
             start: Duration::ZERO,
+            uncorrected: Duration::ZERO,
             ahead_in_tier: seconds(self.worth(&in_tier.work)),
             ahead: seconds(self.worth(&all.work)),
             ahead_steps: all.steps,
@@ -284,7 +294,7 @@
                 cost.buckets += BUCKETS as u64;
                 self.start(dimension, &all, needed[dimension], demand.class.within_share)
             });
-            expectation.start = starts.max().unwrap_or_default();
+            expectation.uncorrected = starts.max().unwrap_or_default();
         }
         expectation
     }
@@ -350,6 +360,36 @@
     pub buckets: u64,
 }
 
+/// Observed waits in relation to forecast ones. The fluid model does not know the eligible workers, the time of queries
+/// and fragmentation, which lengthen all waits of a tier alike.
+#[derive(Debug, Clone, Copy, Default)]
+struct Correction {
+    observed: f64,
+    forecast: f64,
+}
+
+impl Correction {
+    fn record(&mut self, forecast: Duration, observed: Duration) {
+        let forecast = forecast.as_secs_f64();
+        // Jobs that have become useless are placed last; their waits say nothing about the others.
+        let observed = observed.as_secs_f64().min(forecast * MAX_CORRECTION);
+        self.observed = self.observed * DECAY + observed;
+        self.forecast = self.forecast * DECAY + forecast;
+    }
+
+    fn factor(&self) -> f64 {
+        ((self.observed + TRUST) / (self.forecast + TRUST)).clamp(1.0, MAX_CORRECTION)
+    }
+}
+
+/// A job whose forecast is compared with its start.
+#[derive(Debug, Clone, Copy)]
+struct Compared {
+    tier: u8,
+    accepted: Duration,
+    expectation: Expectation,
+}
+
 /// Number of starts by their difference from the forecast.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
 pub struct Errors {
@@ -434,7 +474,8 @@
     refused: HashMap<job::Key, Refused>,
     /// Refused jobs in the order of their first refusals.
     refused_order: VecDeque<job::Key>,
-    compared: HashMap<job::Key, (u8, Duration)>,
+    compared: HashMap<job::Key, Compared>,
+    corrections: [Correction; 2],
     errors: [Errors; 2],
     cost: Cost,
 }
@@ -463,7 +504,8 @@
         self.recent
             .retain(|recent| now < recent.at + COMMITTED_WITHIN && !is_known(recent.key));
         if self.compared.len() >= MAX_COMPARED {
-            self.compared.retain(|_, (_, start)| now < *start + COMPARED_FOR);
+            self.compared
+                .retain(|_, compared| now < compared.accepted + COMPARED_FOR);
         }
     }
 
@@ -474,7 +516,9 @@
         let in_pool = self.recent.iter().filter(|recent| recent.pool == pool);
         let recent = in_pool.map(|recent| &recent.demand);
         let mut expectation = known.expect(demand, recent, &mut self.cost);
-        expectation.start = expectation.start.saturating_sub(age);
+        let correction = self.corrections[usize::from(demand.class.tier)].factor();
+        expectation.uncorrected = expectation.uncorrected.saturating_sub(age);
+        expectation.start = seconds(expectation.uncorrected.as_secs_f64() * correction);
         Some(expectation)
     }
 
@@ -488,8 +532,15 @@
         self.recent.len()
     }
 
-    /// Notes an accepted job and its expected start.
-    pub fn accept(&mut self, now: Duration, key: job::Key, pool: &str, demand: &Demand, start: Duration) {
+    /// Notes an accepted job and what it is expected to find.
+    pub fn accept(
+        &mut self,
+        now: Duration,
+        key: job::Key,
+        pool: &str,
+        demand: &Demand,
+        expectation: Expectation,
+    ) {
         if self.recent.len() >= MAX_RECENT || self.recent.iter().any(|recent| recent.key == key) {
             return;
         }
@@ -500,8 +551,12 @@
             demand: *demand,
         });
         if self.compared.len() < MAX_COMPARED {
-            self.compared
-                .insert(key, (demand.class.tier, now.saturating_add(start)));
+            let compared = Compared {
+                tier: demand.class.tier,
+                accepted: now,
+                expectation,
+            };
+            self.compared.insert(key, compared);
         }
     }
 
@@ -551,10 +606,19 @@
 
     /// Compares the first start of a job with its forecast.
     pub fn started(&mut self, now: Duration, key: job::Key) {
-        let Some((tier, expected)) = self.compared.remove(&key) else {
+        let Some(compared) = self.compared.remove(&key) else {
             return;
         };
-        let errors = &mut self.errors[usize::from(tier)];
+        let tier = usize::from(compared.tier);
+        let Expectation {
+            start, uncorrected, ..
+        } = compared.expectation;
+        if !uncorrected.is_zero() {
+            let observed = now.saturating_sub(compared.accepted);
+            self.corrections[tier].record(uncorrected, observed);
+        }
+        let expected = compared.accepted.saturating_add(start);
+        let errors = &mut self.errors[tier];
         let late = now.saturating_sub(expected);
         if expected > now + ACCURATE {
             errors.early += 1;
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -123,6 +123,8 @@
     pub kinds: Vec<Counters>,
     /// Descriptions of violated invariants.
     pub violations: Vec<String>,
+    /// Accepted jobs.
+    pub accepted: usize,
     /// Submissions that the leader refused because they had waited too long, or would end too late.
     pub refused: usize,
     /// Number of submitted jobs, and of those that ended within their objective, by the second of the submission.
@@ -560,11 +562,19 @@
             };
             if let Err(late) = dispatch.admit(&self.state, now, &request, || false) {
                 self.report.refused += 1;
-                self.schedule(late.retry_after, Event::Resubmit(Box::new(job)));
+                // A caller whose job would be useless by then does not return.
+                let queue = &self.plan.kinds[kind].queue;
+                let objective = job.critical_path.mul_f64(queue.stretch) + queue.objective;
+                if self.now + late.retry_after + job.critical_path
+                    <= self.first_submitted[&key] + objective * 3
+                {
+                    self.schedule(late.retry_after, Event::Resubmit(Box::new(job)));
+                }
                 return;
             }
         }
         self.submitted.insert(key, self.first_submitted[&key]);
+        self.report.accepted += 1;
         let command = cell::Command::Submit {
             key,
             queue: Box::new(self.plan.kinds[kind].queue.clone()),
