--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -36,6 +36,7 @@
 
 pub use event::Event;
 pub use fleet::Registration;
+pub use forecasts::{Late, Request};
 
 use crate::{
     calendar, directory, estimate, forecast, orphan, pace, preempt, query_queue, reserve, room, share,
