--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -71,6 +71,15 @@
         dispatch::Event::Orphan { .. } => {
             metrics::counter!("bronzespoke_fleet_orphans_total").increment(1);
         }
+        dispatch::Event::SpeedsLearned(learned) => {
+            for (edge, milli) in [
+                ("slowest", learned.slowest_milli),
+                ("fastest", learned.fastest_milli),
+            ] {
+                metrics::gauge!("bronzespoke_fleet_worker_speed", "pool" => learned.pool.clone(), "edge" => edge)
+                    .set(f64::from(milli) / 1_000.0);
+            }
+        }
         dispatch::Event::WorkerKnown { .. }
         | dispatch::Event::EndsRecorded { .. }
         | dispatch::Event::Fenced { .. } => {}
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -114,6 +114,8 @@
         /// Number of workers that the query names.
         workers: usize,
     },
+    /// The workers of a pool differ in speed, as far as their runs show, or do not differ any more.
+    SpeedsLearned(SpeedsLearned),
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
     /// leader.
     Fenced {
@@ -122,6 +124,29 @@
     },
 }
 
+/// Speeds of the workers of a pool.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct SpeedsLearned {
+    /// Name of the pool.
+    pub pool: String,
+    /// Number of workers whose speed is known.
+    pub workers: usize,
+    /// Speed of its slow workers, in thousandths of the mean speed.
+    pub slowest_milli: u32,
+    /// Speed of its fast workers, in thousandths of the mean speed.
+    pub fastest_milli: u32,
+}
+
+impl fmt::Display for SpeedsLearned {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(
+            f,
+            "decision=learn_speeds pool={} workers={} slowest_milli={} fastest_milli={}",
+            self.pool, self.workers, self.slowest_milli, self.fastest_milli
+        )
+    }
+}
+
 /// End of a run, with its evidence.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Ended {
@@ -252,6 +277,7 @@
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
                 step.job, step.occurrence, step.step
             ),
+            Self::SpeedsLearned(learned) => learned.fmt(f),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
     }
