dispatch: record learned speeds, and use idle fast workers for independent tasks

A new leader and the next incarnation of a worker began without speeds, and urgent jobs ended late until they were learned again. The leader now records changed speeds by machine every 2 s, and both continue with them.

--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -167,6 +167,11 @@
     slowness: slowness::Slowness,
     speeds: speed::Speeds,
     kept: pace::Kept,
+    /// Speeds of the pools as the log shows them, and the time of the newest line.
+    reported_speeds: HashMap<String, speed::Range>,
+    speeds_reported_at: Duration,
+    /// Time at which the age of the recorded speeds of absent machines was updated.
+    speeds_aged_at: Duration,
     shares: share::Shares,
     forecast: forecast::Forecast,
     preemptions: preempt::Preemptions,
@@ -218,6 +223,9 @@
             slowness: slowness::Slowness::default(),
             speeds: speed::Speeds::default(),
             kept: pace::Kept::default(),
+            reported_speeds: HashMap::new(),
+            speeds_reported_at: Duration::ZERO,
+            speeds_aged_at: now.steady,
             shares: share::Shares::default(),
             forecast: forecast::Forecast::default(),
             preemptions: preempt::Preemptions::default(),
@@ -244,7 +252,7 @@
             outputs: Vec::new(),
         };
         dispatch.inherit(state, now);
-        dispatch.inherit_learned(state);
+        dispatch.inherit_learned(state, now.steady);
         dispatch
     }
 
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -61,12 +61,13 @@
         if first {
             record.first_report(report.clock, self.config.bounds.longest_lease);
             self.dirty = true;
+            self.inherit_speed(state, worker);
             self.end_replaced(worker, report, now.steady);
         }
         self.review_uncertain(now.steady, worker, report);
         self.handle_ends(state, now.steady, worker, report);
         self.reconcile_runs(state, now.steady, worker, sent, report);
-        self.refresh_speeds(now.steady);
+        self.refresh_speeds(state, now.steady);
         self.stop_stalled(state, now.steady, worker);
         self.move_from_slow(state, now.steady, worker);
         self.move_from_draining(state, now.steady, worker);
--- a/crates/dispatch/src/dispatch/speeds.rs
+++ b/crates/dispatch/src/dispatch/speeds.rs
@@ -1,12 +1,17 @@
 //! Speeds of workers in the decisions of a leader.
 
-use std::{collections::BTreeMap, time::Duration};
+use std::{
+    collections::{BTreeMap, BTreeSet},
+    time::Duration,
+};
 
 use bronzespoke_control::cell;
 use bronzespoke_workload::{catalog, eligibility, job};
 
 use super::{
-    Dispatch, Now, fleet,
+    Dispatch, Event, Now, Output,
+    event::SpeedsLearned,
+    fleet,
     report::step_of,
     schedule::{Subject, is_usable},
     waiting,
@@ -14,18 +19,105 @@
 use crate::{
     pace::{Goal, Pace},
     place,
-    speed::Observation,
+    speed::{Observation, Range},
+    worker,
 };
 
+/// Relative change of a speed from which it is recorded again.
+const MIN_CHANGE: f64 = 0.05;
+/// Maximum number of machines in one record.
+const MAX_RECORDED: usize = 256;
+/// Maximum recorded weight, in hundredths of a run.
+const MAX_WEIGHT: f64 = 1e6;
+/// Interval at which the age of the records of absent machines is updated, in seconds.
+const AGE_STEP_S: u32 = 60;
+/// Age after which the record of an absent machine is removed, in seconds.
+const MAX_AGE_S: u32 = 3_600;
+/// Maximum number of records of absent machines.
+const MAX_ABSENT: usize = 1_024;
+/// Minimum interval between two log lines about the speeds of the pools.
+const REPORT_INTERVAL: Duration = Duration::from_secs(10);
+/// Relative change of the speeds of a pool from which they are logged again.
+const MIN_REPORTED_CHANGE: f64 = 0.15;
+
 impl Dispatch {
     /// Continues with the speeds that earlier leaders have recorded.
-    pub(super) fn inherit_speeds(&mut self, state: &cell::State) {
+    pub(super) fn inherit_speeds(&mut self, state: &cell::State, now: Duration) {
+        let workers: Vec<cell::WorkerIndex> = self.workers.keys().copied().collect();
+        for worker in workers {
+            self.inherit_speed(state, worker);
+        }
+        self.speeds.refresh(now);
+    }
+
+    /// Continues with the recorded speed of the machine of a worker.
+    pub(super) fn inherit_speed(&mut self, state: &cell::State, worker: cell::WorkerIndex) {
+        let Some(record) = self.workers.get(&worker) else {
+            return;
+        };
+        if let Some(speed) = state.speeds().get(machine(record)) {
+            let precision = f64::from(speed.weight) / 100.0;
+            let factor = f64::from(speed.milli) / 1_000.0;
+            self.speeds
+                .inherit(worker, &record.announced.pool, factor, precision);
+        }
+    }
+
+    /// Proposes the record of the speeds that have changed, so that the next leader and the next incarnation of a worker
+    /// continue with them.
+    fn record_speeds(&mut self, state: &cell::State, now: Duration) {
+        if !self.speeds.take_record_due(now) {
+            return;
+        }
+        let known = state.speeds();
+        let mut present = BTreeSet::new();
+        let mut changed = Vec::new();
         for (index, record) in &self.workers {
-            let machine = record.announced.machine.as_ref();
-            if let Some(speed) = machine.and_then(|machine| state.speeds().get(machine)) {
-                self.speeds.set(*index, f64::from(speed.milli) / 1_000.0);
+            let name = machine(record);
+            present.insert(name);
+            let recorded = known.get(name);
+            let Some((speed, precision)) = self.speeds.learned(*index) else {
+                // A record that stays would make a pool differ again for the next leader.
+                let is_equal = self.speeds.is_known(*index);
+                if recorded.is_some() && is_equal && self.speeds.range(&record.announced.pool).is_none() {
+                    changed.push((String::from(name), None));
+                }
+                continue;
+            };
+            let learned = cell::Speed {
+                milli: (speed * 1_000.0).round() as u32,
+                weight: (precision * 100.0).min(MAX_WEIGHT) as u32,
+                age_s: 0,
+            };
+            let is_current = recorded.is_some_and(|recorded| {
+                let difference = f64::from(learned.milli.abs_diff(recorded.milli));
+                recorded.age_s == 0 && difference <= f64::from(recorded.milli) * MIN_CHANGE
+            });
+            if !is_current {
+                changed.push((String::from(name), Some(learned)));
+            }
+        }
+        let absent = known.iter().filter(|(name, _)| !present.contains(name.as_str()));
+        let mut surplus = known.len().saturating_sub(present.len() + MAX_ABSENT);
+        for (name, speed) in absent {
+            let age_s = speed.age_s.saturating_add(AGE_STEP_S);
+            if surplus > 0 || age_s > MAX_AGE_S {
+                surplus = surplus.saturating_sub(1);
+                changed.push((name.clone(), None));
+            } else if now >= self.speeds_aged_at + Duration::from_secs(AGE_STEP_S.into()) {
+                changed.push((name.clone(), Some(cell::Speed { age_s, ..*speed })));
             }
         }
+        if now >= self.speeds_aged_at + Duration::from_secs(AGE_STEP_S.into()) {
+            self.speeds_aged_at = now;
+        }
+        changed.truncate(MAX_RECORDED);
+        if !changed.is_empty() {
+            self.outputs.push(Output::Propose(cell::Command::Learn {
+                speeds: changed,
+                past_use: Vec::new(),
+            }));
+        }
     }
 
     /// Ignores differences between workers from now on, for comparisons of decisions.
@@ -104,10 +196,12 @@
     }
 
     /// Compares the speeds of workers, and the room on the fast ones.
-    pub(super) fn refresh_speeds(&mut self, now: Duration) {
+    pub(super) fn refresh_speeds(&mut self, state: &cell::State, now: Duration) {
         if !self.speeds.refresh(now) {
             return;
         }
+        self.record_speeds(state, now);
+        self.report_speeds(now);
         let speeds = &self.speeds;
         self.kept.retain(|pool| speeds.range(pool).is_some());
         let mut rooms: BTreeMap<&str, f64> = BTreeMap::new();
@@ -190,6 +284,8 @@
         if !pace.tight && pace.suffices(range.slowest) {
             let size = fleet::counted_size(spec);
             pace.fast_tasks = self.kept.tasks_beside(now, pool, &size);
+            // A run that takes several times as long ends in time on a fast worker only, and a wide step has several such runs.
+            pace.eager = !spec.gang && pace.fast_tasks > 0;
             if spec.gang && pace.fast_tasks < spec.tasks {
                 pace.fast_tasks = 0;
             }
@@ -224,4 +320,51 @@
             }
         }
     }
+
+    /// Logs the speeds of the pools whose workers differ, when they have changed.
+    fn report_speeds(&mut self, now: Duration) {
+        if now < self.speeds_reported_at + REPORT_INTERVAL {
+            return;
+        }
+        let mut pools: BTreeMap<&str, usize> = BTreeMap::new();
+        for (index, record) in &self.workers {
+            if self.speeds.is_known(*index) {
+                *pools.entry(&record.announced.pool).or_default() += 1;
+            }
+        }
+        for (pool, workers) in pools {
+            let range = self.speeds.range(pool);
+            let reported = self.reported_speeds.get(pool).copied();
+            let is_same = match (range, reported) {
+                (Some(range), Some(reported)) => range.is_close(&reported, MIN_REPORTED_CHANGE),
+                (None, None) => true,
+                _ => false,
+            };
+            if is_same {
+                continue;
+            }
+            self.speeds_reported_at = now;
+            match range {
+                Some(range) => self.reported_speeds.insert(String::from(pool), range),
+                None => self.reported_speeds.remove(pool),
+            };
+            let range = range.unwrap_or(Range {
+                slowest: 1.0,
+                fastest: 1.0,
+            });
+            self.outputs
+                .push(Output::Event(Event::SpeedsLearned(SpeedsLearned {
+                    pool: String::from(pool),
+                    workers,
+                    slowest_milli: (range.slowest * 1_000.0) as u32,
+                    fastest_milli: (range.fastest * 1_000.0) as u32,
+                })));
+        }
+    }
+}
+
+/// Returns the name under which the speed of a worker's machine is recorded.
+fn machine(record: &worker::Worker) -> &str {
+    let machine = record.announced.machine.as_ref();
+    machine.unwrap_or(&record.incarnation.name)
 }
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -1,9 +1,10 @@
 //! Choice of workers by their speed, in pools whose workers differ.
 //!
-//! Handles a load of short urgent jobs among long ones with slack: a task that ends in time on any worker runs on a slow
-//! one, and a task that does not runs on the slowest worker on which it does. Tight work arrives all the time, so that
-//! long work leaves as much room free on the fast workers as the tight work of recent seconds occupies there; a burst of
-//! twice the usual rate then finds room. Fast workers beyond that are used by any work.
+//! Handles a load of short urgent jobs among long ones with slack. A task of tight work runs on the slowest worker on which
+//! it ends in time. Tight work arrives all the time, so that other work leaves as much room free on the fast workers as the
+//! tight work of recent seconds occupies there; a burst of twice the usual rate then finds room. Fast workers beyond that
+//! are used by any work: steps of independent tasks use them first, because a few tasks take several times as long as
+//! expected, and gangs use them when the slow ones are full.
 
 use std::{collections::HashMap, time::Duration};
 
@@ -56,6 +57,8 @@
     pub fast: f64,
     /// Number of tasks that may start on fast workers; `u32::MAX` means no limit.
     pub fast_tasks: u32,
+    /// Whether fast workers come first although slow ones suffice, because there is more room on them than is kept.
+    pub eager: bool,
 }
 
 impl Pace {
@@ -82,6 +85,7 @@
             tight: initially > range.slowest,
             fast: range.middle(),
             fast_tasks: u32::MAX,
+            eager: false,
         }
     }
 
@@ -98,7 +102,7 @@
     /// Returns whether a worker of a speed suits the step: it ends a task in time, and is not faster than needed if fast
     /// ones are kept for others.
     pub fn prefers(&self, speed: f64) -> bool {
-        self.suffices(speed) && (self.tight || speed < self.fast)
+        self.suffices(speed) && (self.tight || self.eager || speed < self.fast)
     }
 
     /// Returns the position of a candidate in the choice; smaller is better, and equal positions are ordered by room.
@@ -110,7 +114,7 @@
         };
         let class = (candidate.speed.ln() / CLASS_WIDTH).round() as i32;
         let is_late = !self.suffices(speed);
-        let class = if is_late { -class } else { class };
+        let class = if is_late || self.eager { -class } else { class };
         (candidate.reserved, is_late, candidate.remote, class)
     }
 }
--- a/crates/dispatch/src/speed.rs
+++ b/crates/dispatch/src/speed.rs
@@ -61,6 +61,11 @@
 const EDGE_SHARE: f64 = 0.05;
 /// Maximum factor by which a worker counts as faster or slower than the typical one.
 const MAX_FACTOR: f64 = 10.0;
+/// Precision of an inherited speed, in runs with a standard deviation of 1: about as much as seven runs of typical noise,
+/// so that a machine whose speed has changed is told soon.
+const INHERITED_PRECISION: f64 = 60.0;
+/// Interval between two records of speeds.
+const RECORD_INTERVAL: Duration = Duration::from_secs(2);
 /// Maximum number of gangs whose slowest member is remembered.
 const MAX_GANGS: usize = 4_096;
 
@@ -74,6 +79,12 @@
 }
 
 impl Range {
+    /// Returns whether both speeds differ from others by at most a share.
+    pub fn is_close(&self, other: &Self, share: f64) -> bool {
+        let is_close = |left: f64, right: f64| (left - right).abs() <= right * share;
+        is_close(self.slowest, other.slowest) && is_close(self.fastest, other.fastest)
+    }
+
     /// Returns the speed from which a worker counts as a fast one of its pool.
     pub fn middle(&self) -> f64 {
         (self.slowest * self.fastest).sqrt()
@@ -133,6 +144,7 @@
     /// Gangs in the order of their start.
     started: VecDeque<eligibility::Step>,
     refresh_at: Duration,
+    record_at: Duration,
     ignored: bool,
 }
 
@@ -142,9 +154,33 @@
         self.ignored = true;
     }
 
-    /// Records the speed of a worker.
-    pub fn set(&mut self, worker: cell::WorkerIndex, speed: f64) {
-        self.workers.entry(worker).or_default().speed = Some(speed);
+    /// Continues with the recorded speed of a worker about which nothing is known. `precision` is that of the record.
+    pub fn inherit(&mut self, worker: cell::WorkerIndex, pool: &str, speed: f64, precision: f64) {
+        let precision = precision.clamp(1.0, INHERITED_PRECISION);
+        let level = speed.clamp(1.0 / MAX_FACTOR, MAX_FACTOR).ln();
+        self.workers.entry(worker).or_insert_with(|| Record {
+            pool: String::from(pool),
+            mean: level * (precision + PRIOR_PRECISION) / precision,
+            precision,
+            runs: MIN_RUNS,
+            jobs: VecDeque::new(),
+            speed: None,
+        });
+    }
+
+    /// Returns the speed of a worker in use and its precision, if it is known.
+    pub fn learned(&self, worker: cell::WorkerIndex) -> Option<(f64, f64)> {
+        let record = self.workers.get(&worker)?;
+        Some((record.speed?, record.precision))
+    }
+
+    /// Returns whether the next record of speeds is due, and sets the time of the one after it.
+    pub fn take_record_due(&mut self, now: Duration) -> bool {
+        let is_due = now >= self.record_at;
+        if is_due {
+            self.record_at = now + RECORD_INTERVAL;
+        }
+        is_due
     }
 
     /// Returns the speed of a worker; 1 if nothing is known about it.
--- a/crates/dispatch/tests/speeds.rs
+++ b/crates/dispatch/tests/speeds.rs
@@ -1,10 +1,12 @@
 //! Workers of different speed: learning, placement and the detection of faults, in simulated time.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
 use bronzespoke_dispatch::{
     estimate::Estimates,
-    speed::{Observation, Speeds},
+    pace::{Goal, Kept, Pace},
+    place::{Candidate, by_pace},
+    speed::{Observation, Range, Speeds},
 };
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::{
@@ -330,3 +332,134 @@
     let fast = found.iter().filter(is_fast).count();
     assert!(found.len() >= 8 && fast >= 2, "{found:?}");
 }
+/// Guards against a new leader that begins without speeds: urgent jobs would end late until it has learned them again.
+#[test]
+fn a_new_leader_continues_with_the_recorded_speeds() {
+    let mut elections = 0;
+    for seed in 0..4 {
+        let mut plan = mixed_plan(40 + seed);
+        plan.faults.leader_changes = 0.1;
+        let report = run(plan);
+        let late = report
+            .inherited
+            .iter()
+            .filter(|(at, _)| *at > Duration::from_secs(12));
+        for (at, speeds) in late {
+            elections += 1;
+            let told = speeds
+                .iter()
+                .filter(|(worker, speed)| (**speed > 1.1) == (SPEEDS[**worker % SPEEDS.len()] > 1.1));
+            assert!(told.count() >= 66, "seed {seed} at {at:?}: {speeds:?}");
+        }
+    }
+    assert!(elections >= 3, "{elections}");
+}
+
+/// Guards against a machine whose speed is forgotten with the incarnation of its worker.
+#[test]
+fn the_next_incarnation_of_a_worker_keeps_its_speed() {
+    let speeds = mixed(60);
+    let mut bench = Bench::new(1);
+    for _ in 0..30 {
+        bench.round(&speeds, 0.2);
+    }
+    let (speed, precision) = bench.speeds.learned(2).expect("a known speed");
+    bench.speeds.remove(2);
+    assert_eq!(bench.speeds.learned(2), None);
+    bench.speeds.inherit(102, "fleet", speed, precision);
+    bench.now += Duration::from_secs(1);
+    bench.speeds.refresh(bench.now);
+    let inherited = bench.speeds.of(102);
+    assert!(
+        (inherited / speed - 1.0).abs() < 0.05,
+        "{inherited} instead of {speed}"
+    );
+}
+
+/// Guards against a leader whose placements move long work to fast workers that tight work needs, and against fast workers
+/// that stay idle.
+#[test]
+fn room_on_fast_workers_is_kept_for_tight_work_only_as_far_as_it_is_needed() {
+    let size = resource::Amount::new(5_000, 4_000, 0);
+    let now = Duration::from_secs(10);
+    let mut kept = Kept::default();
+    assert_eq!(kept.tasks_beside(now, "fleet", &size), u32::MAX, "no tight work");
+    for _ in 0..100 {
+        kept.record(now, "fleet", &size, Duration::from_millis(400));
+    }
+    // 100 tasks of 5 cores and 0.4 s within the 5 s of the window occupy 40 cores.
+    kept.set_room("fleet", 100_000.0);
+    assert_eq!(kept.tasks_beside(now, "fleet", &size), 12);
+    kept.take("fleet", &resource::Amount::new(60_000, 0, 0));
+    assert_eq!(kept.tasks_beside(now, "fleet", &size), 0);
+    let later = now + Duration::from_secs(30);
+    assert_eq!(
+        kept.tasks_beside(later, "fleet", &size),
+        7,
+        "the tight work has stopped"
+    );
+}
+
+/// Guards against tasks on workers on which they end late, and against fast workers that are taken without need.
+#[test]
+fn a_task_runs_on_the_slowest_worker_on_which_it_ends_in_time() {
+    let goal = Goal {
+        chain: Duration::from_millis(680),
+        remaining: Duration::from_millis(680),
+        run_time: Duration::from_millis(680),
+        elapsed: Duration::from_millis(100),
+        objective: Duration::from_millis(1_420),
+        noise: 0.3,
+    };
+    let range = Range {
+        slowest: 0.7,
+        fastest: 1.7,
+    };
+    let tight = Pace::new(&goal, range);
+    assert!(
+        tight.tight && !tight.suffices(0.7) && tight.suffices(1.0),
+        "{tight:?}"
+    );
+    let slack = Pace::new(
+        &Goal {
+            objective: Duration::from_secs(5),
+            ..goal
+        },
+        range,
+    );
+    assert!(!slack.tight && slack.suffices(0.7), "{slack:?}");
+    let candidates: Vec<_> = [0.7, 1.0, 1.7]
+        .into_iter()
+        .zip(0..)
+        .map(|(speed, worker)| Candidate {
+            worker,
+            free: resource::Amount::new(10_000, 10_000, 0),
+            room: resource::Amount::new(32_000, 32_000, 0),
+            slots: u32::MAX,
+            speed,
+            remote: false,
+            reserved: false,
+        })
+        .collect();
+    let size = resource::Amount::new(5_000, 5_000, 0);
+    let place = |pace: &Pace| {
+        let mut candidates = candidates.clone();
+        by_pace(
+            &mut candidates,
+            &size,
+            &[0, 1, 2, 3, 4, 5],
+            &BTreeMap::new(),
+            Some(pace),
+        )
+        .into_iter()
+        .map(|(_, worker)| worker)
+        .collect::<Vec<_>>()
+    };
+    assert_eq!(place(&tight), [1, 1, 2, 2, 0, 0]);
+    assert_eq!(place(&slack), [0, 0, 1, 1, 2, 2]);
+    let held = Pace {
+        fast_tasks: 1,
+        ..slack
+    };
+    assert_eq!(place(&held), [0, 0, 1, 1, 2], "room on the fast worker is kept");
+}
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -133,6 +133,8 @@
     pub found: BTreeMap<usize, Duration>,
     /// Speeds of the workers that the last leader has observed, by the number of the worker.
     pub speeds: BTreeMap<usize, f64>,
+    /// Speeds that each leader knew at its election, by the number of the worker, with the time of the election.
+    pub inherited: Vec<(Duration, BTreeMap<usize, f64>)>,
     /// Digest of all placements in their order.
     pub decisions: u64,
     /// Submissions that the leader refused because they had waited too long.
@@ -311,11 +313,7 @@
         self.verify_tables();
         self.report.work = self.dispatch.as_ref().map(Dispatch::work).unwrap_or_default();
         if let Some(dispatch) = &self.dispatch {
-            let numbered = dispatch.workers().iter().map(|(worker, record)| {
-                let host = usize::from(record.announced.address.port() - 1_000);
-                (host, dispatch.speed(*worker))
-            });
-            self.report.speeds = numbered.collect();
+            self.report.speeds = variation::speeds(dispatch);
         }
         let unfinished = self.submitted.keys().filter(|key| !self.finished.contains(key));
         self.report.unfinished = unfinished.copied().collect();
@@ -505,6 +503,8 @@
         if self.plan.variation.ignore_speeds {
             dispatch.ignore_speeds();
         }
+        let inherited = (self.now, variation::speeds(&dispatch));
+        self.report.inherited.push(inherited);
         self.dispatch = Some(dispatch);
         for index in 0..self.hosts.len() {
             self.schedule(Duration::from_millis(3), Event::Announce(index));
--- a/crates/standin/src/fleet/simulation/variation.rs
+++ b/crates/standin/src/fleet/simulation/variation.rs
@@ -1,7 +1,8 @@
 //! Workers of different speed, and run times that vary.
 
-use std::time::Duration;
+use std::{collections::BTreeMap, time::Duration};
 
+use bronzespoke_dispatch::dispatch::Dispatch;
 use rand::{Rng, rngs::SmallRng};
 
 use super::Simulation;
@@ -79,3 +80,13 @@
 fn normal(rng: &mut SmallRng) -> f64 {
     (0..12).map(|_| rng.random::<f64>()).sum::<f64>() - 6.0
 }
+
+/// Returns the speeds that a leader has observed, by the number of the worker.
+pub(super) fn speeds(dispatch: &Dispatch) -> BTreeMap<usize, f64> {
+    let workers = dispatch.workers().iter();
+    let numbered = workers.map(|(worker, record)| {
+        let host = usize::from(record.announced.address.port() - 1_000);
+        (host, dispatch.speed(*worker))
+    });
+    numbered.collect()
+}
