--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -152,6 +152,8 @@
     pub found: BTreeMap<usize, Duration>,
     /// Speeds of the workers that the last leader has observed, by the number of the worker.
     pub speeds: BTreeMap<usize, f64>,
+    /// Speeds that each leader knew at its election, by the number of the worker, with the time of the election.
+    pub inherited: Vec<(Duration, BTreeMap<usize, f64>)>,
     /// Digest of all placements in their order.
     pub decisions: u64,
     /// Accepted jobs.
@@ -373,11 +375,7 @@
         }
         self.report.work = self.dispatch.as_ref().map(Dispatch::work).unwrap_or_default();
         if let Some(dispatch) = &self.dispatch {
-            let numbered = dispatch.workers().iter().map(|(worker, record)| {
-                let host = usize::from(record.announced.address.port() - 1_000);
-                (host, dispatch.speed(*worker))
-            });
-            self.report.speeds = numbered.collect();
+            self.report.speeds = variation::speeds(dispatch);
         }
         let unfinished = self.submitted.keys().filter(|key| !self.finished.contains(key));
         self.report.unfinished = unfinished.copied().collect();
@@ -576,6 +574,8 @@
         if let Some(limit) = self.stops.limit {
             dispatch.limit_preemptions(limit);
         }
+        let inherited = (self.now, variation::speeds(&dispatch));
+        self.report.inherited.push(inherited);
         self.dispatch = Some(dispatch);
         for index in 0..self.hosts.len() {
             self.schedule(Duration::from_millis(3), Event::Announce(index));
