--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -115,18 +115,7 @@
         workers: usize,
     },
     /// A run is stopped in favour of a step of a higher priority.
-    Preempted {
-        /// Task of the run.
-        task: directive::Task,
-        /// Number of the run.
-        run: directive::Run,
-        /// Name of the worker.
-        worker: String,
-        /// Step that gets the capacity.
-        step: eligibility::Step,
-        /// Work that the stop is expected to cost, in core-milliseconds.
-        core_millis: u64,
-    },
+    Preempted(Preempted),
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
     /// leader.
     Fenced {
@@ -154,6 +143,38 @@
     pub reason: &'static str,
 }
 
+/// Stop of a run in favour of a step of a higher priority.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Preempted {
+    /// Task of the run.
+    pub task: directive::Task,
+    /// Number of the run.
+    pub run: directive::Run,
+    /// Name of the worker.
+    pub worker: String,
+    /// Step that gets the capacity.
+    pub step: eligibility::Step,
+    /// Work that the stop is expected to cost, in core-milliseconds.
+    pub core_millis: u64,
+}
+
+impl fmt::Display for Preempted {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            task,
+            run,
+            worker,
+            step,
+            core_millis,
+        } = self;
+        write!(
+            f,
+            "decision=preempt task={task} run={run} worker={worker} for={:016x}.{}.{} lost_core_ms={core_millis}",
+            step.job, step.occurrence, step.step
+        )
+    }
+}
+
 impl fmt::Display for Ended {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
@@ -265,18 +286,7 @@
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
                 step.job, step.occurrence, step.step
             ),
-            Self::Preempted {
-                task,
-                run,
-                worker,
-                step,
-                core_millis,
-            } => write!(
-                f,
-                "decision=preempt task={task} run={run} worker={worker} for={:016x}.{}.{} \
-                 lost_core_ms={core_millis}",
-                step.job, step.occurrence, step.step
-            ),
+            Self::Preempted(preempted) => preempted.fmt(f),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
     }
