--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -61,7 +61,8 @@
         }
         dispatch::Event::Preempted(preempted) => {
             metrics::counter!("bronzespoke_fleet_preempted_total").increment(1);
-            metrics::counter!("bronzespoke_fleet_preempted_core_milliseconds_total").increment(preempted.core_millis);
+            metrics::counter!("bronzespoke_fleet_preempted_core_milliseconds_total")
+                .increment(preempted.core_millis);
         }
         dispatch::Event::DepartureNoticed { .. } => {
             metrics::counter!("bronzespoke_fleet_departure_notices_total").increment(1);
