--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -39,6 +39,8 @@
 pub struct Start {
     /// Settings of the process.
     pub settings: settings::Settings,
+    /// Half-life of the teams' past use; `None` if it is not counted.
+    pub past_use: Option<Duration>,
     /// Links to other daemons.
     pub network: peer::Network,
     /// Sends directives and eligibility queries.
@@ -59,6 +61,7 @@
 #[derive(Debug)]
 pub struct Controller {
     pub(super) settings: settings::Settings,
+    pub(super) past_use: Option<Duration>,
     pub(super) me: wire::Endpoint,
     pub(super) network: peer::Network,
     pub(super) sender: sender::Sender,
@@ -138,6 +141,7 @@
     fn start(start: Start, actor: ActorRef<Message>) -> std::io::Result<Self> {
         let Start {
             settings,
+            past_use,
             network,
             sender,
             ready,
@@ -155,6 +159,7 @@
         };
         let mut controller = Self {
             settings,
+            past_use,
             me,
             network,
             sender,
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -34,7 +34,7 @@
             let config = dispatch::Config {
                 token: term,
                 bounds: self.settings.bounds,
-                past_use: None,
+                past_use: self.past_use,
             };
             let now = self.times();
             log::info!(
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -77,7 +77,13 @@
 /// Runs a daemon until SIGTERM or SIGINT.
 ///
 /// `listen` is the address for frames if it differs from the one that other daemons use, for example behind a proxy.
-pub fn run(path: &Path, adapter: Arc<dyn adapter::Adapter>, listen: Option<SocketAddr>) -> Result<(), Error> {
+/// `past_use` is the half-life of the teams' past use, if it is counted.
+pub fn run(
+    path: &Path,
+    adapter: Arc<dyn adapter::Adapter>,
+    listen: Option<SocketAddr>,
+    past_use: Option<Duration>,
+) -> Result<(), Error> {
     let traffic = runtime::Builder::new_current_thread()
         .enable_all()
         .build()
@@ -96,7 +102,7 @@
             settings.data.is_some(),
             settings.found
         );
-        serve(path, adapter, settings, listen, signals).await
+        serve(path, adapter, settings, listen, past_use, signals).await
     })
 }
 
@@ -105,6 +111,7 @@
     adapter: Arc<dyn adapter::Adapter>,
     settings: settings::Settings,
     listen: Option<SocketAddr>,
+    past_use: Option<Duration>,
     signals: Signals,
 ) -> Result<(), Error> {
     let cancel = CancellationToken::new();
@@ -118,6 +125,7 @@
     let (ready_sender, ready) = watch::channel(false);
     let start = Start {
         settings: settings.clone(),
+        past_use,
         network,
         sender: sender::Sender::new(handle, Arc::clone(&adapter), settings.advice, inbox.clone()),
         ready: ready_sender,
--- a/crates/daemon/src/main.rs
+++ b/crates/daemon/src/main.rs
@@ -1,6 +1,9 @@
 //! `bronzespoked`: the daemon on each VM.
 
-use std::{ffi::OsString, net::SocketAddr, path::PathBuf, process::ExitCode, sync::Arc};
+use std::{
+    ffi::OsString, net::SocketAddr, ops::RangeInclusive, path::PathBuf, process::ExitCode, sync::Arc,
+    time::Duration,
+};
 
 use bronzespoke_daemon::{daemon, fleet, logging, settings};
 use bronzespoke_platform as platform;
@@ -17,6 +20,11 @@
 /// Flag for the address at which frames are received if it differs from the one that other daemons use, for example
 /// behind a proxy.
 const LISTEN_FLAG: &str = "--listen-frames";
+/// Flag for the half-life of the teams' past use, which is not counted without it.
+const PAST_USE_FLAG: &str = "--past-use";
+/// Range of the half-life: shares are kept over seconds by themselves, and a month is the longest period after which teams
+/// still compare their use.
+const PAST_USE_RANGE: RangeInclusive<Duration> = Duration::from_mins(10)..=Duration::from_hours(30 * 24);
 
 fn main() -> ExitCode {
     let mut arguments: Vec<OsString> = std::env::args_os().skip(1).collect();
@@ -38,6 +46,14 @@
     }
 }
 
+/// Parses the half-life of past use.
+fn parse_half_life(text: &str) -> Result<Duration, String> {
+    let parsed = humantime::parse_duration(text).ok();
+    parsed
+        .filter(|half_life| PAST_USE_RANGE.contains(half_life))
+        .ok_or_else(|| format!("{text} is not a duration from 10m to 30d"))
+}
+
 /// Runs a daemon of a fleet with the platform's settings file, given by `--settings` or the environment.
 fn run_fleet(arguments: Vec<OsString>) -> ExitCode {
     let mut arguments = pico_args::Arguments::from_vec(arguments);
@@ -57,9 +73,14 @@
             ));
         }
     };
+    let past_use = match arguments.opt_value_from_fn(PAST_USE_FLAG, parse_half_life) {
+        Ok(past_use) => past_use,
+        Err(error) => return usage(&format!("{PAST_USE_FLAG}: {error}")),
+    };
     if let Some(unknown) = arguments.finish().first() {
         return usage(&format!(
-            "unknown argument {}; expected {SETTINGS_FLAG} FILE, {LISTEN_FLAG} ADDRESS or --check",
+            "unknown argument {}; expected {SETTINGS_FLAG} FILE, {LISTEN_FLAG} ADDRESS, {PAST_USE_FLAG} DURATION or \
+             --check",
             unknown.display()
         ));
     }
@@ -72,7 +93,7 @@
     let ended = if check {
         fleet::read(&path, adapter.as_ref()).map(|_settings| println!("The settings are valid."))
     } else {
-        fleet::run(&path, adapter, listen)
+        fleet::run(&path, adapter, listen, past_use)
     };
     match ended {
         Ok(()) => ExitCode::SUCCESS,
