Prefer other workers to those that are still cold

A zone that is readmitted may have cold workers, and a heartbeat says for how long. Placement prefers any other worker near the data while one has room.

--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -120,6 +120,7 @@
             slots: slots(record, subject),
             speed,
             remote: near.is_some_and(|rack| !announced.labels.contains(rack)),
+            cold: record.is_cold(now),
             reserved: delays_gang,
         })
     }
--- a/crates/dispatch/src/place.rs
+++ b/crates/dispatch/src/place.rs
@@ -26,6 +26,8 @@
     pub speed: f64,
     /// Whether tasks of the step run longer there because they are away from their data.
     pub remote: bool,
+    /// Whether the worker is still slow after its start.
+    pub cold: bool,
     /// Whether the worker is reserved for a gang that would be delayed.
     pub reserved: bool,
 }
@@ -33,6 +35,10 @@
 /// Penalty of a remote worker, in shares of a worker's resources; tasks away from their data run twice as long.
 const REMOTE_PENALTY: f64 = 4.0;
 
+/// Penalty of a worker that is still slow after its start: any other one near the data is better, however much it leaves
+/// free on a machine without accelerators.
+const COLD_PENALTY: f64 = 2.0;
+
 /// Penalty of a worker that is reserved for a gang; urgent tasks use it only if no other worker has room.
 const RESERVED_PENALTY: f64 = 8.0;
 
@@ -63,7 +69,8 @@
         let devices = share(self.free.accelerators, size.accelerators, self.room.accelerators);
         let remote = if self.remote { REMOTE_PENALTY } else { 0.0 };
         let reserved = if self.reserved { RESERVED_PENALTY } else { 0.0 };
-        cpu + memory + devices + remote + reserved
+        let cold = if self.cold { COLD_PENALTY } else { 0.0 };
+        cpu + memory + devices + remote + cold + reserved
     }
 }
 
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -154,6 +154,7 @@
         slots: u32::MAX,
         speed: 1.0,
         remote: false,
+        cold: false,
         reserved: false,
     }
 }
@@ -172,6 +173,29 @@
     assert!(first_fit_leaves < 60_000);
 }
 
+/// Guards against work on the cold workers of a zone that was readmitted while others have room.
+#[test]
+fn cold_workers_are_used_only_if_no_other_has_room() {
+    let cold = place::Candidate {
+        cold: true,
+        ..candidate(0, 8_000)
+    };
+    let mut candidates = [cold, candidate(1, 64_000)];
+    let size = resource::Amount::new(60_000, 0, 0);
+    let placed = place::best_fit(
+        &mut candidates,
+        &resource::Amount::new(4_000, 0, 0),
+        &[0],
+        &BTreeMap::new(),
+    );
+    assert_eq!(placed, [(0, 1)]);
+    let placed = place::best_fit(&mut candidates, &size, &[1], &BTreeMap::new());
+    assert_eq!(placed, [(1, 1)]);
+    let small = resource::Amount::new(8_000, 0, 0);
+    let placed = place::best_fit(&mut candidates, &small, &[2], &BTreeMap::new());
+    assert_eq!(placed, [(2, 0)]);
+}
+
 /// A task does not return to a worker on which it failed while another one has room.
 #[test]
 fn failed_tasks_move_to_another_worker() {
--- a/crates/dispatch/tests/speeds.rs
+++ b/crates/dispatch/tests/speeds.rs
@@ -438,6 +438,7 @@
             slots: u32::MAX,
             speed,
             remote: false,
+            cold: false,
             reserved: false,
         })
         .collect();
