--- a/crates/dispatch/tests/admission.rs
+++ b/crates/dispatch/tests/admission.rs
@@ -61,6 +61,7 @@
     let config = Config {
         token: 1,
         bounds: settings::Bounds::default(),
+        past_use: None,
     };
     Dispatch::new(config, state, now)
 }
--- a/crates/dispatch/tests/preempted_runs.rs
+++ b/crates/dispatch/tests/preempted_runs.rs
@@ -48,7 +48,15 @@
             stop: Duration::from_millis(400),
             ..settings::Bounds::default()
         };
-        let dispatch = Dispatch::new(Config { token: 1, bounds }, &state, at(0));
+        let dispatch = Dispatch::new(
+            Config {
+                token: 1,
+                bounds,
+                past_use: None,
+            },
+            &state,
+            at(0),
+        );
         let mut leader = Self {
             state,
             dispatch,
--- a/crates/dispatch/tests/preemption.rs
+++ b/crates/dispatch/tests/preemption.rs
@@ -5,7 +5,7 @@
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::{
     load,
-    simulation::{Faults, Plan, Report, Simulation, Stops},
+    simulation::{Faults, Plan, Report, Simulation, Stops, Variation},
 };
 use bronzespoke_workload::catalog;
 
@@ -93,6 +93,7 @@
         faults: Faults::default(),
         costs: None,
         trace: None,
+        variation: Variation::default(),
     }
 }
 
