--- a/crates/dispatch/src/dispatch/forecasts.rs
+++ b/crates/dispatch/src/dispatch/forecasts.rs
@@ -76,7 +76,7 @@
         now: Now,
         request: &Request<'_>,
         is_submitting: impl FnOnce() -> bool,
-    ) -> Result<(), Box<Late>> {
+    ) -> Result<(), Late> {
         let submission = request.submission;
         if submission.schedule.is_some() || submission.lasts() {
             return Ok(());
@@ -123,7 +123,7 @@
                 let useful = Duration::from_millis(useful_ms.saturating_sub(now.wall_ms));
                 if end > useful && state.job(key).is_none() && !is_submitting() {
                     let refused_before = begun_ms < now.wall_ms;
-                    return Err(Box::new(Late {
+                    return Err(Late {
                         end,
                         useful,
                         expectation,
@@ -137,7 +137,7 @@
                             &demand,
                             start,
                         ),
-                    }));
+                    });
                 }
             }
         }
@@ -192,9 +192,9 @@
         let mut waiting = self.useful_waiting(state, now);
         read += self.waiting.len() as u64;
         waiting.sort_unstable_by_key(|(id, demand, _)| (demand.latest_start, *id));
-        let mut taken = HashMap::new();
+        let mut rooms: HashMap<&str, resource::Amount> = HashMap::new();
         for (_, demand, job) in &mut waiting {
-            self.restrict_to_limit(now, demand, job.team.as_deref(), &mut taken);
+            self.restrict_to_limit(demand, job.team.as_deref(), &mut rooms);
             if demand.tasks > 0
                 && let Some(pool) = pools.get_mut(&job.queue.pool)
             {
@@ -250,44 +250,48 @@
         self.waiting.iter().filter_map(useful).collect()
     }
 
-    /// Removes the tasks that cannot start in time on an empty fleet either, because of the upper limit of their team.
-    /// `taken` is the work of the team's earlier steps, in amounts times seconds.
+    /// Removes the tasks that exceed the upper limit of their team. `rooms` is what remains of the limits.
     fn restrict_to_limit<'a>(
         &self,
-        now: Now,
         demand: &mut Demand,
         team: Option<&'a str>,
-        taken: &mut HashMap<&'a str, [f64; 3]>,
+        rooms: &mut HashMap<&'a str, resource::Amount>,
     ) {
         let Some(team) = team else { return };
         let limit = self.limits.as_ref().and_then(|catalog| catalog.team(team));
         let Some(limit) = limit.map(|team| team.limit) else {
             return;
         };
-        let dimensions = |amount: resource::Amount| {
-            [amount.cpu_milli, amount.memory_mib, amount.accelerators].map(f64::from)
+        let used = self.usage.used_by(team);
+        let dimension = |limit: u32, used: u32| match limit {
+            0 => u32::MAX,
+            _ => limit.saturating_sub(used),
         };
-        let run_time = demand.run_time.as_secs_f64();
-        let until_start = demand.latest_start.saturating_sub(now.wall_ms);
-        let time = Duration::from_millis(until_start).as_secs_f64() + run_time;
-        let taken = taken.entry(team).or_default();
-        let size = dimensions(demand.size);
-        let mut allowed = f64::from(demand.tasks);
-        for ((limit, size), taken) in dimensions(limit).into_iter().zip(size).zip(taken.iter()) {
-            let work = size * run_time;
-            if limit > 0.0 && work > 0.0 {
-                allowed = allowed.min((limit * time - taken).max(0.0) / work);
-            }
+        let room = rooms.entry(team).or_insert_with(|| {
+            resource::Amount::new(
+                dimension(limit.cpu_milli, used.cpu_milli),
+                dimension(limit.memory_mib, used.memory_mib),
+                dimension(limit.accelerators, used.accelerators),
+            )
+        });
+        let fitting = |room: u32, size: u32| room.checked_div(size).unwrap_or(u32::MAX);
+        let allowed = fitting(room.cpu_milli, demand.size.cpu_milli)
+            .min(fitting(room.memory_mib, demand.size.memory_mib))
+            .min(fitting(room.accelerators, demand.size.accelerators));
+        if demand.gang && allowed < demand.tasks {
+            demand.tasks = 0;
         }
-        let allowed = allowed as u32;
-        demand.tasks = if demand.gang && allowed < demand.tasks {
-            0
-        } else {
-            allowed
+        demand.tasks = demand.tasks.min(allowed);
+        let taken = |size: u32| size.saturating_mul(demand.tasks);
+        let take = |limit: u32, room: u32, size: u32| match limit {
+            0 => room,
+            _ => room.saturating_sub(taken(size)),
         };
-        for (taken, size) in taken.iter_mut().zip(size) {
-            *taken += size * run_time * f64::from(demand.tasks);
-        }
+        *room = resource::Amount::new(
+            take(limit.cpu_milli, room.cpu_milli, demand.size.cpu_milli),
+            take(limit.memory_mib, room.memory_mib, demand.size.memory_mib),
+            take(limit.accelerators, room.accelerators, demand.size.accelerators),
+        );
     }
 }
 
