Revert "Merge the forecast and admission by it"

Its surveys took part of the processor of the leader in bursts. It does not land until it serves callers better.

--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -108,20 +108,6 @@
     metrics::counter!("bronzespoke_fleet_passes_total").absolute(work.passes);
     metrics::counter!("bronzespoke_fleet_pass_steps_total").absolute(work.steps);
     metrics::counter!("bronzespoke_fleet_pass_workers_total").absolute(work.workers);
-    for (tier, errors) in ["0", "1"].into_iter().zip(dispatch.forecast_errors()) {
-        let counts = [
-            ("early", errors.early),
-            ("accurate", errors.accurate),
-            ("late", errors.late),
-            ("very_late", errors.very_late),
-        ];
-        for (error, count) in counts {
-            metrics::counter!("bronzespoke_fleet_forecast_starts_total", "tier" => tier, "error" => error)
-                .absolute(count);
-        }
-    }
-    let cost = dispatch.forecast_cost();
-    metrics::counter!("bronzespoke_fleet_forecast_surveys_total").absolute(cost.surveys);
 }
 
 /// Records the share, the fair share and the past use of each team.
--- a/crates/daemon/src/fleet/submissions.rs
+++ b/crates/daemon/src/fleet/submissions.rs
@@ -3,10 +3,7 @@
 use std::time::Duration;
 
 use bronzespoke_control::cell;
-use bronzespoke_dispatch::{
-    admission,
-    dispatch::{self, Dispatch},
-};
+use bronzespoke_dispatch::{admission, dispatch::Dispatch};
 use bronzespoke_workload::{call, catalog, job};
 
 use crate::fleet::{commands::Responder, controller::Controller, leader::refused};
@@ -28,7 +25,7 @@
         submission: Box<job::Submission>,
         responder: Responder,
     ) {
-        let now = self.times();
+        let now = self.now();
         if self.state.job(key).is_some() {
             self.respond(responder, call::Reply::Done);
             return;
@@ -50,21 +47,6 @@
             self.reject(responder, refused(reason, retry_after));
             return;
         }
-        let request = dispatch::Request {
-            key,
-            queue,
-            team: team.as_deref(),
-            submission: &submission,
-        };
-        let commands = &self.commands;
-        let admitted = self.dispatch.as_mut().map_or(Ok(()), |dispatch| {
-            dispatch.admit(&self.state, now, &request, || commands.is_submitting(key))
-        });
-        if let Err(late) = admitted {
-            refuse_late(&request, &late);
-            self.reject(responder, refused(call::Refusal::Late, late.retry_after));
-            return;
-        }
         log::info!(
             "decision=accept job={key:016x} queue={} team={} steps={} waiting_steps={}",
             queue.name,
@@ -73,7 +55,7 @@
             self.dispatch.as_ref().map_or(0, Dispatch::waiting_steps)
         );
         if let Some(dispatch) = &mut self.dispatch {
-            dispatch.prefetch_eligibility(now.steady, key, queue, &submission);
+            dispatch.prefetch_eligibility(now, key, queue, &submission);
         }
         let command = cell::Command::Submit {
             key,
@@ -84,28 +66,3 @@
         self.enqueue(command, responder);
     }
 }
-
-/// Logs and counts the refusal of a job that would end too late to be useful.
-fn refuse_late(request: &dispatch::Request<'_>, late: &dispatch::Late) {
-    let expectation = &late.expectation;
-    log::info!(
-        "decision=refuse job={:016x} queue={} team={} reason=\"{}\" forecast_ms={} useful_ms={} start_ms={} ahead_ms={} \
-         ahead_in_tier_ms={} ahead_steps={} within_share={} refused_before={} retry_ms={}",
-        request.key,
-        request.queue.name,
-        request.team.unwrap_or("-"),
-        call::Refusal::Late.name(),
-        late.end.as_millis(),
-        late.useful.as_millis(),
-        expectation.start.as_millis(),
-        expectation.ahead.as_millis(),
-        expectation.ahead_in_tier.as_millis(),
-        expectation.ahead_steps,
-        late.within_share,
-        late.refused_before,
-        late.retry_after.as_millis()
-    );
-    let tier = if request.queue.priority == 0 { "0" } else { "1" };
-    let share = if late.within_share { "within" } else { "beyond" };
-    metrics::counter!("bronzespoke_fleet_refused_late_total", "tier" => tier, "share" => share).increment(1);
-}
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -36,7 +36,6 @@
 
 pub use event::Event;
 pub use fleet::Registration;
-pub use forecasts::{Late, Request};
 
 use crate::{
     calendar, directory, estimate, forecast, orphan, pace, preempt, query_queue, reserve, room, share,
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -17,7 +17,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::{
     dispatch::{self, Dispatch, Output},
-    forecast, work,
+    work,
 };
 use bronzespoke_model::{id, resource};
 use bronzespoke_workload::{catalog, directive, eligibility, job, settings};
@@ -156,18 +156,12 @@
     pub inherited: Vec<(Duration, BTreeMap<usize, f64>)>,
     /// Digest of all placements in their order.
     pub decisions: u64,
-    /// Accepted jobs.
-    pub accepted: usize,
-    /// Submissions that the leader refused because they had waited too long, or would end too late.
+    /// Submissions that the leader refused because they had waited too long.
     pub refused: usize,
     /// Number of submitted jobs, and of those that ended within their objective, by the second of the submission.
     pub seconds: BTreeMap<u64, (usize, usize)>,
     /// Work of the scheduling passes of the last leader.
     pub work: work::Work,
-    /// How the starts of each tier differed from the forecasts of the last leader.
-    pub forecast_errors: [forecast::Errors; 2],
-    /// Operations that the forecasts of the last leader took.
-    pub forecast_cost: forecast::Cost,
     /// Number of runs that started on workers.
     pub starts: usize,
     /// Runs that were stopped in favour of urgent work, with the kind of each job.
@@ -185,7 +179,6 @@
 #[derive(Debug)]
 enum Event {
     Submit(usize),
-    Resubmit(Box<load::Job>),
     Commit(u64),
     Deliver(u64),
     DeliverLate(u64),
@@ -263,15 +256,10 @@
     /// Time at which each proxy has completed its queries.
     proxy_free: HashMap<id::VmId, Duration>,
     jobs: HashMap<job::Key, load::Job>,
-    /// Times of the first submissions, including those that were refused.
-    first_submitted: HashMap<job::Key, Duration>,
-    /// Times of the first submissions of the accepted jobs.
     submitted: HashMap<job::Key, Duration>,
     finished: HashSet<job::Key>,
     cancelled: HashMap<job::Key, Duration>,
     processor: leader::Processor,
-    /// Whether the leader refuses jobs that its forecast says end too late, and callers return when it tells them to.
-    admits: bool,
     /// Tasks that succeeded on a worker.
     done: HashSet<directive::Task>,
     /// Tasks whose success the leader has acknowledged.
@@ -306,12 +294,10 @@
             proxies: (1..=plan.proxies as u64).collect(),
             proxy_free: HashMap::new(),
             jobs: HashMap::new(),
-            first_submitted: HashMap::new(),
             submitted: HashMap::new(),
             finished: HashSet::new(),
             cancelled: HashMap::new(),
             processor: leader::Processor::default(),
-            admits: false,
             done: HashSet::new(),
             acknowledged: HashSet::new(),
             failures: HashMap::new(),
@@ -339,13 +325,6 @@
         self
     }
 
-    /// Lets the leader refuse jobs that its forecast says end too late.
-    #[must_use]
-    pub const fn with_admission(mut self) -> Self {
-        self.admits = true;
-        self
-    }
-
     /// Runs the simulation until every job is in a terminal state, or until `drain` after the last submission.
     pub fn run(mut self, drain: Duration) -> Report {
         let end = self.plan.duration + drain;
@@ -369,10 +348,6 @@
             self.report.violations.push(violation);
         }
         self.verify_tables();
-        if let Some(dispatch) = &self.dispatch {
-            self.report.forecast_errors = dispatch.forecast_errors();
-            self.report.forecast_cost = dispatch.forecast_cost();
-        }
         self.report.work = self.dispatch.as_ref().map(Dispatch::work).unwrap_or_default();
         if let Some(dispatch) = &self.dispatch {
             self.report.speeds = variation::speeds(dispatch);
@@ -507,7 +482,6 @@
     fn handle(&mut self, event: Event) {
         match event {
             Event::Submit(kind) => self.submit(kind),
-            Event::Resubmit(job) => self.submit_job(*job),
             Event::Commit(proposal) => self.commit(proposal),
             Event::Deliver(number) => self.deliver(number, true),
             Event::DeliverLate(number) => self.deliver(number, false),
@@ -621,37 +595,10 @@
         }
         self.vary(&mut job);
         self.set_checkpoints(&mut job);
+        let key = job.key;
         self.report.kinds[kind].submitted += 1;
         self.report.seconds.entry(self.now.as_secs()).or_default().0 += 1;
-        self.first_submitted.insert(job.key, self.now);
-        self.submit_job(job);
-    }
-
-    fn submit_job(&mut self, job: load::Job) {
-        let (key, kind) = (job.key, job.kind);
-        let now = self.dispatch_now();
-        if let Some(dispatch) = self.dispatch.as_mut().filter(|_| self.admits) {
-            let request = dispatch::Request {
-                key,
-                queue: &self.plan.kinds[kind].queue,
-                team: Some(&job.team),
-                submission: &job.submission,
-            };
-            if let Err(late) = dispatch.admit(&self.state, now, &request, || false) {
-                self.report.refused += 1;
-                // A caller whose job would be useless by then does not return.
-                let queue = &self.plan.kinds[kind].queue;
-                let objective = job.critical_path.mul_f64(queue.stretch) + queue.objective;
-                if self.now + late.retry_after + job.critical_path
-                    <= self.first_submitted[&key] + objective * 3
-                {
-                    self.schedule(late.retry_after, Event::Resubmit(Box::new(job)));
-                }
-                return;
-            }
-        }
-        self.submitted.insert(key, self.first_submitted[&key]);
-        self.report.accepted += 1;
+        self.submitted.insert(key, self.now);
         let command = cell::Command::Submit {
             key,
             queue: Box::new(self.plan.kinds[kind].queue.clone()),
@@ -662,6 +609,7 @@
         self.next_proposal += 1;
         // A submission without a reply is repeated until it is accepted, so that it survives a change of leader.
         let outcome = self.apply(command.clone());
+        let now = self.dispatch_now();
         if let Some(dispatch) = &mut self.dispatch {
             dispatch.committed(&self.state, now, &command, &outcome);
         }
