--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -10,7 +10,6 @@
 mod evacuation;
 mod event;
 mod fleet;
-mod forecasts;
 mod gang;
 mod learned;
 mod lost;
@@ -38,8 +37,8 @@
 pub use fleet::Registration;
 
 use crate::{
-    calendar, directory, estimate, forecast, orphan, pace, preempt, query_queue, reserve, room, share,
-    slowness, speed, usage, work, worker,
+    calendar, directory, estimate, orphan, pace, preempt, query_queue, reserve, room, share, slowness, speed,
+    usage, work, worker,
 };
 
 /// Lease of a worker without contact to the leader. It has to outlast the loss of a leader (an election of at most 1.6
@@ -178,7 +177,6 @@
     shares: share::Shares,
     /// Time of the next record of past use.
     past_use_at: Duration,
-    forecast: forecast::Forecast,
     preemptions: preempt::Preemptions,
     unacknowledged: orphan::Unacknowledged,
     /// Runs of lost workers whose start directive may still be carried out by the next incarnation.
@@ -236,7 +234,6 @@
             speeds_aged_at: now.steady,
             shares: share::Shares::default(),
             past_use_at: Duration::ZERO,
-            forecast: forecast::Forecast::default(),
             preemptions: preempt::Preemptions::default(),
             unacknowledged: orphan::Unacknowledged::default(),
             uncertain: Vec::new(),
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -86,7 +86,6 @@
         if !starts.is_empty() {
             self.outputs.push(Output::Propose(cell::Command::Start(starts)));
         }
-        self.update_forecast();
         let mut assignments = Vec::new();
         self.queries.assign(now.steady, &order, &mut assignments);
         for assignment in assignments {
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -11,7 +11,6 @@
 pub mod dispatch;
 pub mod ends;
 pub mod estimate;
-pub mod forecast;
 pub mod lane;
 pub mod orphan;
 pub mod pace;
--- a/crates/workload/src/call.rs
+++ b/crates/workload/src/call.rs
@@ -128,8 +128,6 @@
     Overload,
     /// No worker could ever run it: none is large enough and has the required label.
     NoRoom,
-    /// The forecast says that it would end too late to be useful.
-    Late,
 }
 
 impl Refusal {
@@ -140,7 +138,6 @@
             Self::NoConfiguration => "no configuration",
             Self::Overload => "overload",
             Self::NoRoom => "no room",
-            Self::Late => "too late",
         }
     }
 }
