--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -119,7 +119,18 @@
     /// Past use of a team has placed a step of it later.
     PastUse(PastUse),
     /// A run is stopped in favour of a step of a higher priority.
-    Preempted(Preempted),
+    Preempted {
+        /// Task of the run.
+        task: directive::Task,
+        /// Number of the run.
+        run: directive::Run,
+        /// Name of the worker.
+        worker: String,
+        /// Step that gets the capacity.
+        step: eligibility::Step,
+        /// Work that the stop is expected to cost, in core-milliseconds.
+        core_millis: u64,
+    },
     /// The workers of a pool differ in speed, as far as their runs show, or do not differ any more.
     SpeedsLearned(SpeedsLearned),
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
@@ -201,38 +212,6 @@
     }
 }
 
-/// Stop of a run in favour of a step of a higher priority.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Preempted {
-    /// Task of the run.
-    pub task: directive::Task,
-    /// Number of the run.
-    pub run: directive::Run,
-    /// Name of the worker.
-    pub worker: String,
-    /// Step that gets the capacity.
-    pub step: eligibility::Step,
-    /// Work that the stop is expected to cost, in core-milliseconds.
-    pub core_millis: u64,
-}
-
-impl fmt::Display for Preempted {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let Self {
-            task,
-            run,
-            worker,
-            step,
-            core_millis,
-        } = self;
-        write!(
-            f,
-            "decision=preempt task={task} run={run} worker={worker} for={:016x}.{}.{} lost_core_ms={core_millis}",
-            step.job, step.occurrence, step.step
-        )
-    }
-}
-
 /// Share of a team.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct TeamShare {
@@ -381,7 +360,18 @@
             ),
             Self::TeamShare(share) => share.fmt(f),
             Self::PastUse(moved) => moved.fmt(f),
-            Self::Preempted(preempted) => preempted.fmt(f),
+            Self::Preempted {
+                task,
+                run,
+                worker,
+                step,
+                core_millis,
+            } => write!(
+                f,
+                "decision=preempt task={task} run={run} worker={worker} for={:016x}.{}.{} \
+                 lost_core_ms={core_millis}",
+                step.job, step.occurrence, step.step
+            ),
             Self::SpeedsLearned(learned) => learned.fmt(f),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
--- a/crates/dispatch/src/dispatch/preemption.rs
+++ b/crates/dispatch/src/dispatch/preemption.rs
@@ -12,7 +12,6 @@
 
 use super::{
     Dispatch, Event, Now, Output,
-    event::Preempted,
     schedule::{Subject, is_usable},
     waiting,
 };
@@ -33,10 +32,6 @@
 /// Pause before a step for which nothing could be done is considered again.
 const RETRY_PAUSE: Duration = Duration::from_millis(50);
 
-/// Chooses the runs to stop on a worker, given what is free there and the number of tasks that it may run; returns them and
-/// the number of tasks that have room afterwards.
-type Choose<'a> = dyn Fn(&Worker, resource::Amount, u32) -> Option<(Vec<Stoppable>, u32)> + 'a;
-
 impl Dispatch {
     /// Replaces the bound on the stops that may be under way in favour of urgent work; 0 turns preemption off.
     pub fn limit_preemptions(&mut self, limit: usize) {
@@ -134,7 +129,12 @@
 
     /// Returns the choices of the workers that may run a step, the best first. `choose` gets the record of a worker, what is
     /// free there, and the number of tasks that it may run.
-    fn choices(&self, now: Now, demand: &Demand, choose: &Choose<'_>) -> Vec<Choice> {
+    fn choices(
+        &self,
+        now: Now,
+        demand: &Demand,
+        choose: &dyn Fn(&Worker, resource::Amount, u32) -> Option<(Vec<Stoppable>, u32)>,
+    ) -> Vec<Choice> {
         let mut choices: Vec<Choice> = self
             .considered(now, demand)
             .into_iter()
@@ -197,12 +197,12 @@
                 return None;
             }
             let stop_time = self.config.bounds.stop;
-            let wasted = if run.checkpoints {
+            let lost = if run.checkpoints {
                 stop_time + RESUME_TIME
             } else {
                 now.steady.saturating_sub(since) + stop_time
             };
-            let loss = core_millis(run.size, wasted);
+            let loss = core_millis(run.size, lost);
             let gain = core_millis(demand.size, demand.run_time);
             if !run.checkpoints && loss.saturating_mul(WORTH_RATIO) > gain {
                 return None;
@@ -286,19 +286,19 @@
         now: Duration,
         step: eligibility::Step,
         worker: cell::WorkerIndex,
-        chosen: &Stoppable,
+        stop: &Stoppable,
     ) {
         let name = self.workers.get(&worker);
-        self.outputs.push(Output::Event(Event::Preempted(Preempted {
-            task: chosen.task,
-            run: chosen.run,
+        self.outputs.push(Output::Event(Event::Preempted {
+            task: stop.task,
+            run: stop.run,
             worker: name
                 .map(|record| record.incarnation.name.clone())
                 .unwrap_or_default(),
             step,
-            core_millis: chosen.loss,
-        })));
-        self.stop_run(worker, chosen.task, chosen.run, now);
+            core_millis: stop.loss,
+        }));
+        self.stop_run(worker, stop.task, stop.run, now);
     }
 }
 
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -30,6 +30,8 @@
 const MAX_SHORT_COST: Duration = LONG_QUERY;
 /// Maximum number of workers in one query; the additional time of a larger one exceeds the cost of splitting it.
 const MAX_WORKERS_PER_QUERY: usize = 60;
+/// Minimum number of workers in a part of a query that is split to save time.
+const MIN_WORKERS_PER_PART: usize = 20;
 /// Delay beyond the expected duration after which an answer is given up; covers the round trip to another region and a
 /// busy VM.
 const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(800);
@@ -231,8 +233,9 @@
         }
         let mut parts = Vec::new();
         let mut remaining = workers;
+        let size = part_size(cost, remaining.len());
         while !remaining.is_empty() {
-            let later = remaining.split_off(remaining.len().min(MAX_WORKERS_PER_QUERY));
+            let later = remaining.split_off(remaining.len().min(size));
             parts.push(Waiting {
                 cost: cost.decision + cost.per_worker * remaining.len() as u32,
                 workers: std::mem::replace(&mut remaining, later),
@@ -371,3 +374,17 @@
         self.sent.len()
     }
 }
+
+/// Returns the number of workers in each part of a query.
+///
+/// Workers that cost much lengthen a query, and the step waits for it. If the workers of a full part take twice as long as
+/// the shortest long query, parts are made so small that their workers take at most half as long as the decision.
+fn part_size(cost: &catalog::QueryCost, workers: usize) -> usize {
+    let full = cost.per_worker * MAX_WORKERS_PER_QUERY as u32;
+    if workers <= MIN_WORKERS_PER_PART || full <= LONG_QUERY * 2 {
+        return MAX_WORKERS_PER_QUERY;
+    }
+    let half = cost.decision.as_secs_f64() / 2.0 / cost.per_worker.as_secs_f64();
+    let most = (half as usize).clamp(MIN_WORKERS_PER_PART, MAX_WORKERS_PER_QUERY);
+    workers.div_ceil(workers.div_ceil(most))
+}
--- a/crates/dispatch/tests/query_bursts.rs
+++ b/crates/dispatch/tests/query_bursts.rs
@@ -9,6 +9,8 @@
 
 /// Time of a query on its way to the service and back.
 const TRAVEL: Duration = Duration::from_millis(33);
+/// Calls of one VM that the service queues.
+const SERVICE_QUEUE: usize = 32;
 
 const fn millis(millis: u64) -> Duration {
     Duration::from_millis(millis)
@@ -108,8 +110,8 @@
         let ms = at.as_millis() as u64;
         // 300 urgent jobs per second, and more long queries than all VMs could take, as in a burst of all queues.
         let mut arrivals = vec![(URGENT, 60); usize::from(ms * 300 / 1_000 != (ms + 1) * 300 / 1_000)];
-        arrivals.extend(ms.is_multiple_of(50).then_some((GANG, 128)));
-        arrivals.extend(ms.is_multiple_of(25).then_some((BATCH, 60)));
+        arrivals.extend((ms % 50 == 0).then_some((GANG, 128)));
+        arrivals.extend((ms % 25 == 0).then_some((BATCH, 60)));
         for (cost, workers) in arrivals {
             next += 1;
             assert!(queries.enqueue(at, step(next), &cost, named(workers)));
@@ -124,13 +126,13 @@
             service.take(at, assignment.proxy, assignment.number, &query.workers, &cost);
             if cost == URGENT {
                 sent += 1;
-                longest = longest.max(at.saturating_sub(since));
+                longest = longest.max(at - since);
             }
         }
     }
     assert_eq!(sent, 1_200, "one message for each urgent step");
     assert!(longest <= millis(4), "{longest:?} from the step to its query");
-    assert!(service.most_in_flight <= 4, "the service queues 32");
+    assert!(service.most_in_flight <= 4 && service.most_in_flight < SERVICE_QUEUE);
 }
 
 /// Guards against first queries that wait behind repeated ones: a step whose workers are known has somewhere to start.
@@ -180,3 +182,20 @@
         assert!(jobs.len() <= 4, "{by_proxy:?}");
     }
 }
+
+/// Guards against gangs that wait for one query of 60 expensive workers: 0.8 s, of which a half is for the workers.
+#[test]
+fn expensive_workers_are_spread_over_more_queries() {
+    let mut queries = Queue::new(1);
+    queries.set_proxies(&(1..=48).collect::<Vec<_>>());
+    let mut out = Vec::new();
+    queries.enqueue(millis(0), step(1), &GANG, named(128));
+    queries.enqueue(millis(0), step(2), &BATCH, named(60));
+    queries.assign(millis(0), &[step(1), step(2)], &mut out);
+    let sizes = |job| -> Vec<usize> {
+        let of_step = out.iter().filter(|sent| sent.query.step == step(job));
+        of_step.map(|sent| sent.query.workers.len()).collect()
+    };
+    assert_eq!(sizes(1), [32, 32, 32, 32]);
+    assert_eq!(sizes(2), [60]);
+}
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -572,9 +572,8 @@
                 } => self.send(worker, directive, decided),
                 Output::Query(assignment) => self.send_query(&assignment),
                 Output::Event(event) => {
-                    if let dispatch::Event::Preempted(preempted) = &event {
-                        let task = preempted.task;
-                        self.report.preempted.push((self.jobs[&task.job].kind, task));
+                    if let dispatch::Event::Preempted { task, .. } = &event {
+                        self.report.preempted.push((self.jobs[&task.job].kind, *task));
                     }
                     self.trace_event(&event);
                 }
