--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -60,10 +60,6 @@
         dispatch::Event::QuerySent { .. } => {
             metrics::counter!("bronzespoke_fleet_questions_total").increment(1);
         }
-        dispatch::Event::Preempted { core_millis, .. } => {
-            metrics::counter!("bronzespoke_fleet_preempted_total").increment(1);
-            metrics::counter!("bronzespoke_fleet_preempted_core_milliseconds_total").increment(*core_millis);
-        }
         dispatch::Event::DepartureNoticed { .. } => {
             metrics::counter!("bronzespoke_fleet_departure_notices_total").increment(1);
         }
--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -96,8 +96,7 @@
     ) -> Option<Candidate> {
         let record = self.workers.get(&worker)?;
         let announced = &record.announced;
-        let withheld = self.preemptions.withheld(worker, record, subject.id);
-        let free = record.free().saturating_sub(&withheld);
+        let free = record.free();
         if fitting && !subject.size.fits(&free) {
             return None;
         }
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -118,19 +118,6 @@
     TeamShare(TeamShare),
     /// Past use of a team has placed a step of it later.
     PastUse(PastUse),
-    /// A run is stopped in favour of a step of a higher priority.
-    Preempted {
-        /// Task of the run.
-        task: directive::Task,
-        /// Number of the run.
-        run: directive::Run,
-        /// Name of the worker.
-        worker: String,
-        /// Step that gets the capacity.
-        step: eligibility::Step,
-        /// Work that the stop is expected to cost, in core-milliseconds.
-        core_millis: u64,
-    },
     /// The workers of a pool differ in speed, as far as their runs show, or do not differ any more.
     SpeedsLearned(SpeedsLearned),
     /// A worker refused a directive because it has received a higher fencing token, that is, it follows another
@@ -360,18 +347,6 @@
             ),
             Self::TeamShare(share) => share.fmt(f),
             Self::PastUse(moved) => moved.fmt(f),
-            Self::Preempted {
-                task,
-                run,
-                worker,
-                step,
-                core_millis,
-            } => write!(
-                f,
-                "decision=preempt task={task} run={run} worker={worker} for={:016x}.{}.{} \
-                 lost_core_ms={core_millis}",
-                step.job, step.occurrence, step.step
-            ),
             Self::SpeedsLearned(learned) => learned.fmt(f),
             Self::Fenced { worker } => write!(f, "belief=fenced worker={worker}"),
         }
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -86,8 +86,6 @@
                         decided: now,
                         lease_end: Duration::ZERO,
                         expected_end: now + INHERITED_RUN_TIME,
-                        priority: job.queue.priority,
-                        checkpoints: spec.checkpoints,
                         gang: spec.gang,
                         run_time: spec.run_time,
                         progress: None,
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -14,7 +14,6 @@
 mod learned;
 mod lost;
 mod past_use;
-mod preemption;
 mod proof;
 mod report;
 mod schedule;
@@ -37,8 +36,8 @@
 pub use fleet::Registration;
 
 use crate::{
-    calendar, directory, estimate, orphan, pace, preempt, query_queue, reserve, room, share, slowness, speed,
-    usage, work, worker,
+    calendar, directory, estimate, orphan, pace, query_queue, reserve, room, share, slowness, speed, usage,
+    work, worker,
 };
 
 /// Lease of a worker without contact to the leader. It has to outlast the loss of a leader (an election of at most 1.6
@@ -177,7 +176,6 @@
     shares: share::Shares,
     /// Time of the next record of past use.
     past_use_at: Duration,
-    preemptions: preempt::Preemptions,
     unacknowledged: orphan::Unacknowledged,
     /// Runs of lost workers whose start directive may still be carried out by the next incarnation.
     uncertain: Vec<lost::Uncertain>,
@@ -234,7 +232,6 @@
             speeds_aged_at: now.steady,
             shares: share::Shares::default(),
             past_use_at: Duration::ZERO,
-            preemptions: preempt::Preemptions::default(),
             unacknowledged: orphan::Unacknowledged::default(),
             uncertain: Vec::new(),
             rejected_ends: VecDeque::new(),
@@ -345,7 +342,6 @@
         }
         if self.dirty && now.steady >= self.pass_at {
             self.schedule(state, now);
-            self.preempt(state, now);
             let waiting = self.waiting.len() as u32;
             let interval = PASS_INTERVAL + PASS_INTERVAL_PER_STEP * waiting;
             self.pass_at = now.steady + interval.min(MAX_PASS_INTERVAL);
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -212,7 +212,6 @@
             if subject.spec.gang {
                 self.reserve(now, subject, requested, reserved);
             }
-            self.make_room(now, subject, needed);
             return;
         }
         let tasks = &subject.tasks[..requested as usize];
@@ -358,8 +357,6 @@
                 decided: now,
                 lease_end: Duration::ZERO,
                 expected_end: now + run_time,
-                priority: subject.queue.priority,
-                checkpoints: subject.spec.checkpoints,
                 gang: subject.spec.gang,
                 run_time,
                 progress: None,
--- a/crates/dispatch/src/lib.rs
+++ b/crates/dispatch/src/lib.rs
@@ -15,7 +15,6 @@
 pub mod orphan;
 pub mod pace;
 pub mod place;
-pub mod preempt;
 pub mod progress;
 pub mod query_queue;
 pub mod rank;
--- a/crates/dispatch/src/query_queue.rs
+++ b/crates/dispatch/src/query_queue.rs
@@ -1,13 +1,9 @@
 //! Queue of queries to the eligibility service.
 //!
 //! The service handles one query at a time from each VM, and a query about a wide job takes half a second. Queries are
-//! therefore spread over all VMs, which act as proxies, and some VMs are reserved for short queries, so that these do not
-//! wait behind long ones. A query about many workers is split into parts that are sent through several VMs at the same
-//! time.
-//!
-//! A short query spends most of its time on the way, and a burst brings hundreds per second. A proxy therefore has several
-//! of them in flight, and the service works on one while the others travel. A long query is alone on its proxy. The first
-//! short query of a step is sent before all others: its step cannot start anywhere without it.
+//! therefore spread over all VMs, which act as proxies with one query each at a time, and some VMs are reserved for
+//! short queries, so that these do not wait behind long ones. A query about many workers is split into parts that are
+//! sent through several VMs at the same time.
 
 use std::{
     collections::{BTreeMap, HashMap},
@@ -23,15 +19,8 @@
 const LONG_QUERY: Duration = Duration::from_millis(100);
 /// One VM in this many, and at least one, is not used for long queries.
 const SHORT_ONLY_RATIO: usize = 4;
-/// Maximum number of short queries in flight through one VM. The service refuses calls of a VM of which 32 wait.
-const MAX_SHORT_QUERIES: usize = 4;
-/// Maximum sum of the costs of the short queries in flight through one VM, so that the last one does not wait for longer
-/// than a long query takes.
-const MAX_SHORT_COST: Duration = LONG_QUERY;
 /// Maximum number of workers in one query; the additional time of a larger one exceeds the cost of splitting it.
 const MAX_WORKERS_PER_QUERY: usize = 60;
-/// Minimum number of workers in a part of a query that is split to save time.
-const MIN_WORKERS_PER_PART: usize = 20;
 /// Delay beyond the expected duration after which an answer is given up; covers the round trip to another region and a
 /// busy VM.
 const ANSWER_TIMEOUT_MARGIN: Duration = Duration::from_millis(800);
@@ -131,33 +120,10 @@
     step: eligibility::Step,
     workers: Vec<(cell::WorkerIndex, String)>,
     at: Duration,
-    cost: Duration,
     give_up_at: Duration,
     valid: Duration,
 }
 
-/// Queries in flight through one VM.
-#[derive(Debug, Default)]
-struct Proxy {
-    numbers: Vec<u64>,
-    cost: Duration,
-}
-
-impl Proxy {
-    /// Returns whether a query can be sent through the VM now.
-    fn admits(&self, cost: Duration) -> bool {
-        self.numbers.is_empty()
-            || (self.numbers.len() < MAX_SHORT_QUERIES
-                && cost <= LONG_QUERY
-                && self.cost + cost <= MAX_SHORT_COST)
-    }
-
-    fn remove(&mut self, number: u64, cost: Duration) {
-        self.numbers.retain(|other| *other != number);
-        self.cost = self.cost.saturating_sub(cost);
-    }
-}
-
 /// A query that is assigned to a proxy.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Assignment {
@@ -172,7 +138,7 @@
 /// Queries that are waiting or in flight, and the answers so far.
 #[derive(Debug, Default)]
 pub struct Queue {
-    proxies: BTreeMap<id::VmId, Proxy>,
+    proxies: BTreeMap<id::VmId, Option<u64>>,
     /// Parts of queries that are waiting.
     waiting: HashMap<eligibility::Step, Vec<Waiting>>,
     sent: BTreeMap<u64, Sent>,
@@ -233,9 +199,8 @@
         }
         let mut parts = Vec::new();
         let mut remaining = workers;
-        let size = part_size(cost, remaining.len());
         while !remaining.is_empty() {
-            let later = remaining.split_off(remaining.len().min(size));
+            let later = remaining.split_off(remaining.len().min(MAX_WORKERS_PER_QUERY));
             parts.push(Waiting {
                 cost: cost.decision + cost.per_worker * remaining.len() as u32,
                 workers: std::mem::replace(&mut remaining, later),
@@ -249,62 +214,47 @@
         true
     }
 
-    /// Times out overdue answers and assigns waiting queries to VMs: the first short queries of steps, then all others,
-    /// each in the order of `ranked`.
+    /// Times out overdue answers and assigns waiting queries to free VMs, in the order of `ranked`.
     pub fn assign(&mut self, now: Duration, ranked: &[eligibility::Step], out: &mut Vec<Assignment>) {
         self.expire_overdue(now);
         if self.waiting.is_empty() {
             return;
         }
         let short_only = (self.proxies.len() / SHORT_ONLY_RATIO).max(1);
-        let max_long = self.proxies.len().saturating_sub(short_only).max(1);
-        let mut long = self.sent.values().filter(|sent| sent.cost > LONG_QUERY).count();
-        for is_first in [true, false] {
-            for step in ranked {
-                while let Some(cost) = self.next_cost(*step, is_first) {
-                    let is_long = cost > LONG_QUERY;
-                    if is_long && long >= max_long {
-                        break;
-                    }
-                    let Some(proxy) = self.least_busy(cost) else { break };
-                    let Some(part) = self.next_part(*step) else { break };
-                    long += usize::from(is_long);
-                    out.push(self.send(now, proxy, *step, part));
+        let max_long = self.proxies.len().saturating_sub(short_only);
+        let mut long = self
+            .sent
+            .values()
+            .filter(|sent| sent.give_up_at.saturating_sub(sent.at + ANSWER_TIMEOUT_MARGIN) > LONG_QUERY)
+            .count();
+        for step in ranked {
+            while let Some(waiting) = self.waiting.get(step).and_then(|parts| parts.last()) {
+                let is_long = waiting.cost > LONG_QUERY;
+                if is_long && long >= max_long.max(1) {
+                    break;
                 }
+                let free = self.proxies.iter().find(|(_, busy)| busy.is_none());
+                let Some(proxy) = free.map(|(proxy, _)| *proxy) else {
+                    return;
+                };
+                let Some(part) = self.next_part(*step) else { break };
+                long += usize::from(is_long);
+                out.push(self.send(now, proxy, *step, part));
             }
         }
     }
 
-    /// Returns the cost of the next waiting part of a step; with `first`, only if it is short and nothing is known of the
-    /// step.
-    fn next_cost(&self, step: eligibility::Step, first: bool) -> Option<Duration> {
-        let cost = self.waiting.get(&step)?.last()?.cost;
-        let is_known = self.steps.get(&step).is_some_and(Eligibility::is_known);
-        (!first || (cost <= LONG_QUERY && !is_known)).then_some(cost)
-    }
-
-    /// Returns the VM with the least in flight, if it can take a query.
-    fn least_busy(&self, cost: Duration) -> Option<id::VmId> {
-        let least = self.proxies.iter().min_by_key(|(_, proxy)| proxy.cost)?;
-        let (vm, proxy) = least;
-        proxy.admits(cost).then_some(*vm)
-    }
-
     fn send(&mut self, now: Duration, proxy: id::VmId, step: eligibility::Step, part: Waiting) -> Assignment {
         self.next_number += 1;
         let number = self.next_number;
-        let load = self.proxies.entry(proxy).or_default();
-        load.numbers.push(number);
-        load.cost += part.cost;
+        self.proxies.insert(proxy, Some(number));
         let workers = part.workers.iter().map(|(_, name)| name.clone()).collect();
-        let before = load.cost.saturating_sub(part.cost);
         let sent = Sent {
             proxy,
             step,
             workers: part.workers,
             at: now,
-            cost: part.cost,
-            give_up_at: now + before + part.cost + ANSWER_TIMEOUT_MARGIN,
+            give_up_at: now + part.cost + ANSWER_TIMEOUT_MARGIN,
             valid: part.valid,
         };
         self.sent.insert(number, sent);
@@ -344,8 +294,10 @@
         answer: &eligibility::Answer,
     ) -> Option<eligibility::Step> {
         let sent = self.sent.remove(&number)?;
-        if let Some(proxy) = self.proxies.get_mut(&sent.proxy) {
-            proxy.remove(number, sent.cost);
+        if let Some(busy) = self.proxies.get_mut(&sent.proxy)
+            && *busy == Some(number)
+        {
+            *busy = None;
         }
         let known = self.steps.get_mut(&sent.step)?;
         known.outstanding = known.outstanding.saturating_sub(1);
@@ -374,17 +326,3 @@
         self.sent.len()
     }
 }
-
-/// Returns the number of workers in each part of a query.
-///
-/// Workers that cost much lengthen a query, and the step waits for it. If the workers of a full part take twice as long as
-/// the shortest long query, parts are made so small that their workers take at most half as long as the decision.
-fn part_size(cost: &catalog::QueryCost, workers: usize) -> usize {
-    let full = cost.per_worker * MAX_WORKERS_PER_QUERY as u32;
-    if workers <= MIN_WORKERS_PER_PART || full <= LONG_QUERY * 2 {
-        return MAX_WORKERS_PER_QUERY;
-    }
-    let half = cost.decision.as_secs_f64() / 2.0 / cost.per_worker.as_secs_f64();
-    let most = (half as usize).clamp(MIN_WORKERS_PER_PART, MAX_WORKERS_PER_QUERY);
-    workers.div_ceil(workers.div_ceil(most))
-}
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -62,10 +62,6 @@
     pub lease_end: Duration,
     /// Expected end, in local time.
     pub expected_end: Duration,
-    /// Priority of its queue; 0 is the highest.
-    pub priority: u32,
-    /// Whether it stores checkpoints of its progress.
-    pub checkpoints: bool,
     /// Whether it is a member of a gang, which proceeds at the speed of its slowest member.
     pub gang: bool,
     /// Run time that was expected at the start.
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -319,8 +319,6 @@
             decided: at(0),
             lease_end: at(0),
             expected_end: at(*end),
-            priority: 0,
-            checkpoints: false,
             gang: false,
             run_time: at(*end),
             progress: None,
--- a/crates/standin/src/fleet/simulation/faults.rs
+++ b/crates/standin/src/fleet/simulation/faults.rs
@@ -75,7 +75,7 @@
             return;
         };
         for (task, active) in worker.runs {
-            self.count_wasted_work(task, &active);
+            self.count_wasted_work(&active);
             if self.is_gang(task) {
                 self.break_gang(task, active.run);
             }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -109,21 +109,6 @@
     pub reuse_names: bool,
 }
 
-/// Runs that can be stopped and continue elsewhere.
-#[derive(Debug, Clone, Default)]
-pub struct Stops {
-    /// Share of the jobs of each kind whose tasks store checkpoints; 0 for kinds without an entry.
-    pub checkpoints: Vec<f64>,
-    /// Additional time of a run that continues from a checkpoint.
-    pub restore: Duration,
-    /// Time from a stop to the end of the run; `None` for the usual one.
-    pub stop: Option<Duration>,
-    /// Share of the stops that never reach their worker.
-    pub lost: f64,
-    /// Upper bound on the stops under way in favour of urgent work; `None` for that of the leader.
-    pub limit: Option<usize>,
-}
-
 /// Results of one kind of request.
 #[derive(Debug, Clone, Default)]
 pub struct Counters {
@@ -164,10 +149,6 @@
     pub work: work::Work,
     /// Number of runs that started on workers.
     pub starts: usize,
-    /// Runs that were stopped in favour of urgent work, with the kind of each job.
-    pub preempted: Vec<(usize, directive::Task)>,
-    /// Highest number of such stops under way.
-    pub most_under_way: usize,
     /// Work of runs that were lost, stopped or failed, in core-milliseconds.
     pub wasted_core_ms: u64,
     /// Jobs that are not in a terminal state at the end.
@@ -266,9 +247,6 @@
     acknowledged: HashSet<directive::Task>,
     /// Failed runs that the leader has acknowledged, with the time of each end.
     failures: HashMap<directive::Task, BTreeMap<directive::Run, Duration>>,
-    stops: Stops,
-    /// Progress of tasks in their newest checkpoint.
-    progress: HashMap<directive::Task, Duration>,
     /// Start times of the runs of each task.
     run_starts: HashMap<directive::Task, Vec<Duration>>,
     report: Report,
@@ -301,8 +279,6 @@
             done: HashSet::new(),
             acknowledged: HashSet::new(),
             failures: HashMap::new(),
-            stops: Stops::default(),
-            progress: HashMap::new(),
             run_starts: HashMap::new(),
             report: Report {
                 kinds: vec![Counters::default(); plan.kinds.len()],
@@ -318,13 +294,6 @@
         simulation
     }
 
-    /// Sets which runs store checkpoints, and how they are stopped.
-    pub fn with_stops(mut self, stops: Stops) -> Self {
-        self.stops = stops;
-        self.elect();
-        self
-    }
-
     /// Runs the simulation until every job is in a terminal state, or until `drain` after the last submission.
     pub fn run(mut self, drain: Duration) -> Report {
         let end = self.plan.duration + drain;
@@ -533,11 +502,9 @@
     }
 
     fn elect(&mut self) {
-        let mut bounds = settings::Bounds::default();
-        bounds.stop = self.stops.stop.unwrap_or(bounds.stop);
         let config = dispatch::Config {
             token: self.term,
-            bounds,
+            bounds: settings::Bounds::default(),
             past_use: None,
         };
         let mut dispatch = Dispatch::new(config, &self.state, self.dispatch_now());
@@ -545,9 +512,6 @@
         if self.plan.variation.ignore_speeds {
             dispatch.ignore_speeds();
         }
-        if let Some(limit) = self.stops.limit {
-            dispatch.limit_preemptions(limit);
-        }
         let inherited = (self.now, variation::speeds(&dispatch));
         self.report.inherited.push(inherited);
         self.dispatch = Some(dispatch);
@@ -571,16 +535,9 @@
                     decided,
                 } => self.send(worker, directive, decided),
                 Output::Query(assignment) => self.send_query(&assignment),
-                Output::Event(event) => {
-                    if let dispatch::Event::Preempted { task, .. } = &event {
-                        self.report.preempted.push((self.jobs[&task.job].kind, *task));
-                    }
-                    self.trace_event(&event);
-                }
+                Output::Event(event) => self.trace_event(&event),
             }
         }
-        let under_way = self.dispatch.as_ref().map(Dispatch::preemptions_under_way);
-        self.report.most_under_way = self.report.most_under_way.max(under_way.unwrap_or_default());
     }
 
     fn submit(&mut self, kind: usize) {
@@ -593,7 +550,6 @@
             job = load::generate(&mut self.rng, &self.plan.kinds, kind, &names);
         }
         self.vary(&mut job);
-        self.set_checkpoints(&mut job);
         let key = job.key;
         self.report.kinds[kind].submitted += 1;
         self.report.seconds.entry(self.now.as_secs()).or_default().0 += 1;
--- a/crates/standin/src/fleet/simulation/runs.rs
+++ b/crates/standin/src/fleet/simulation/runs.rs
@@ -16,7 +16,7 @@
         let job = &self.jobs[&task.job];
         let spec = &job.submission.steps[usize::from(task.step)];
         let (size, gang, always_fails) = (spec.size, spec.gang, job.always_fails);
-        let run_time = self.remaining_run_time(task);
+        let run_time = load::run_time(job, task);
         let now = self.now;
         let slowness = self.slowness(index);
         let (share, factor) = self.plan.variation.tail;
@@ -56,47 +56,9 @@
         job.is_some_and(|job| job.submission.steps[usize::from(task.step)].gang)
     }
 
-    /// Decides whether the tasks of a job store checkpoints.
-    pub(super) fn set_checkpoints(&mut self, job: &mut load::Job) {
-        let share = self.stops.checkpoints.get(job.kind).copied().unwrap_or_default();
-        if share > 0.0 && self.rng.random_bool(share) {
-            for step in &mut job.submission.steps {
-                step.checkpoints = true;
-            }
-        }
-    }
-
-    /// Returns the run time of a task from its newest checkpoint on.
-    fn remaining_run_time(&self, task: directive::Task) -> Duration {
-        let run_time = load::run_time(&self.jobs[&task.job], task);
-        let stored = self.progress.get(&task);
-        stored.map_or(run_time, |stored| {
-            run_time.saturating_sub(*stored) + self.stops.restore
-        })
-    }
-
-    /// Stores the progress of a stopped run in a checkpoint; returns the time that was spent without progress.
-    fn store_checkpoint(&mut self, task: directive::Task, active: &worker::Active) -> Option<Duration> {
-        let spec = &self.jobs[&task.job].submission.steps[usize::from(task.step)];
-        let stop = self.stops.stop.unwrap_or(worker::STOP_DURATION);
-        let asked = active.stopped_at?.saturating_sub(stop);
-        if !spec.checkpoints || spec.gang {
-            return None;
-        }
-        let stored = self.progress.entry(task).or_default();
-        let restore = if stored.is_zero() {
-            Duration::ZERO
-        } else {
-            self.stops.restore
-        };
-        *stored += asked.saturating_sub(active.started + restore);
-        Some(stop + restore)
-    }
-
     /// Adds the work of a run that did not succeed to the report.
-    pub(super) fn count_wasted_work(&mut self, task: directive::Task, active: &worker::Active) {
-        let stored = self.store_checkpoint(task, active);
-        let took = stored.unwrap_or_else(|| self.now.saturating_sub(active.started));
+    pub(super) fn count_wasted_work(&mut self, active: &worker::Active) {
+        let took = self.now.saturating_sub(active.started);
         self.report.wasted_core_ms += took.as_millis() as u64 * u64::from(active.size.cpu_milli) / 1_000;
     }
 
@@ -198,7 +160,7 @@
             directive::Outcome::Done => {
                 self.done.insert(task);
             }
-            _ => self.count_wasted_work(task, &active),
+            _ => self.count_wasted_work(&active),
         }
         if gang && outcome != directive::Outcome::Done {
             self.break_gang(task, run);
@@ -221,7 +183,7 @@
             if let Some(worker) = &mut self.hosts[index].worker {
                 worker.end(now, other, directive::Outcome::Broken);
             }
-            self.count_wasted_work(other, &active);
+            self.count_wasted_work(&active);
         }
     }
 }
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -119,11 +119,6 @@
             _ => DIRECTIVE_TIMEOUT,
         };
         self.sent.insert(number, sent);
-        let is_stop = matches!(&self.sent[&number].directive, directive::Directive::Stop { .. });
-        if is_stop && self.stops.lost > 0.0 && self.rng.random_bool(self.stops.lost) {
-            self.schedule(timeout, Event::Answer(number, None));
-            return;
-        }
         let late = self.rng.random_bool(self.plan.faults.late_directives);
         if late {
             let delay = Duration::from_millis(self.rng.random_range(2_000..12_000));
@@ -157,11 +152,7 @@
             self.schedule(LATE_RETRY, Event::DeliverLate(number));
             return;
         }
-        // A worker forgets no end because of a request that it refuses.
-        let accepted = worker.accepts(sent.fence, &sent.name);
-        if let directive::Directive::Renew { acknowledged, .. } = &directive
-            && accepted
-        {
+        if let directive::Directive::Renew { acknowledged, .. } = &directive {
             let acknowledged = worker.ends_up_to(*acknowledged);
             self.record_ends(acknowledged);
         }
@@ -179,7 +170,6 @@
         let Some(worker) = &mut self.hosts[target].worker else {
             return;
         };
-        worker.stop_duration = self.stops.stop.unwrap_or(worker.stop_duration);
         let (answer, started) = worker.execute(self.now, fence, &name, &directive);
         let waits = matches!(&directive, directive::Directive::Renew { wait, .. } if !wait.is_zero());
         let has_ends = worker.has_ends();
--- a/crates/standin/src/fleet/worker.rs
+++ b/crates/standin/src/fleet/worker.rs
@@ -14,7 +14,7 @@
 /// Maximum duration of a lease.
 const MAX_LEASE: Duration = Duration::from_secs(10);
 /// Time from a stop directive to the end of the run.
-pub const STOP_DURATION: Duration = Duration::from_millis(200);
+const STOP_DURATION: Duration = Duration::from_millis(200);
 /// Time for which a member of a gang waits for the other members.
 const GANG_TIMEOUT: Duration = Duration::from_secs(3);
 
@@ -54,8 +54,6 @@
     pub slowness: f64,
     /// Whether reports show the progress of runs; otherwise, each run is reported as complete.
     pub reports_progress: bool,
-    /// Time from a stop directive to the end of the run.
-    pub stop_duration: Duration,
     /// Whether every run that starts on the worker fails.
     pub failing: bool,
     /// Active runs by task.
@@ -89,7 +87,6 @@
             clock_rate,
             slowness: 1.0,
             reports_progress: false,
-            stop_duration: STOP_DURATION,
             failing: false,
             runs: BTreeMap::new(),
             token: 0,
@@ -118,11 +115,6 @@
         used
     }
 
-    /// Returns whether a directive with a fencing token for a name is executed and not refused.
-    pub fn accepts(&self, token: Token, name: &str) -> bool {
-        name == self.name && token >= self.token
-    }
-
     /// Executes a directive. Returns the answer, and the run to start if the directive is an accepted start.
     pub fn execute(
         &mut self,
@@ -151,7 +143,7 @@
                 let highest = self.highest.entry(*task).or_default();
                 *highest = (*highest).max(*run);
                 if let Some(active) = self.runs.get_mut(task).filter(|active| active.run <= *run) {
-                    active.stopped_at.get_or_insert(now + self.stop_duration);
+                    active.stopped_at.get_or_insert(now + STOP_DURATION);
                 }
                 (Answer::Done { clock }, None)
             }
