Remove code that nothing calls

The memory and the descriptors of the VM were stored in the settings, but only the intake limits that are derived from them are read. The module learned.rs passed one call on, and run_time_on had one caller. No behaviour changes.

--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -11,7 +11,6 @@
 mod event;
 mod fleet;
 mod gang;
-mod learned;
 mod lost;
 mod past_use;
 mod proof;
@@ -256,7 +255,7 @@
             outputs: Vec::new(),
         };
         dispatch.inherit(state, now);
-        dispatch.inherit_learned(state, now.steady);
+        dispatch.inherit_speeds(state, now.steady);
         dispatch.inherit_past_use(state, now.steady);
         dispatch
     }
--- a/crates/dispatch/src/dispatch/speeds.rs
+++ b/crates/dispatch/src/dispatch/speeds.rs
@@ -135,17 +135,14 @@
         self.slow_factor(worker, now).is_some()
     }
 
-    /// Returns the expected run time on a worker of a task that takes `run_time` on a typical one.
-    pub(super) fn run_time_on(&self, worker: cell::WorkerIndex, run_time: Duration) -> Duration {
-        run_time.div_f64(self.speeds.of(worker))
-    }
-
     /// Returns the expected run time of a task of a step on its worker; a gang proceeds at the speed of its slowest member.
     pub(super) fn run_time_of(&self, worker: cell::WorkerIndex, subject: &Subject<'_>) -> Duration {
-        if subject.spec.gang && subject.pace.is_some() {
-            return subject.run_time.div_f64(self.speeds.gang(subject.id));
-        }
-        self.run_time_on(worker, subject.run_time)
+        let speed = if subject.spec.gang && subject.pace.is_some() {
+            self.speeds.gang(subject.id)
+        } else {
+            self.speeds.of(worker)
+        };
+        subject.run_time.div_f64(speed)
     }
 
     /// Returns the factor by which a worker is slow in comparison with its own speed, if it is.
--- a/crates/dispatch/src/share.rs
+++ b/crates/dispatch/src/share.rs
@@ -179,12 +179,6 @@
         self.counted.insert(job.key, excess);
     }
 
-    /// Returns whether a job that a team submits now would exceed the number that the team is owed.
-    pub fn would_exceed(&self, team: Option<&str>, wall_ms: u64) -> bool {
-        let account = team.and_then(|team| self.accounts.get(team));
-        account.is_some_and(|account| account.configured && !account.has_room(wall_ms))
-    }
-
     /// Returns whether the capacity has to be measured again.
     pub fn needs_capacity(&self, now: Duration) -> bool {
         self.measured_at.is_none_or(|at| now >= at + CAPACITY_INTERVAL)
@@ -300,13 +294,6 @@
         used.map_or(order::WITHIN, |used| used.position(excess))
     }
 
-    /// Returns whether a team uses more than its fair share of a full fleet.
-    pub fn is_beyond(&self, team: Option<&str>) -> bool {
-        let account = self.accounts.get(team.unwrap_or(NO_TEAM));
-        let used = account.and_then(|account| self.used_share(account));
-        used.is_some_and(|used| used.ratio() >= 1.0)
-    }
-
     /// Continues a team's past use from a recorded value.
     pub fn inherit_past(&mut self, team: &str, past: f64, now: Duration) {
         self.account(team).past = past::Average::new(past, now);
@@ -353,11 +340,6 @@
         self.visits
     }
 
-    /// Returns whether the fleet has room for all work.
-    pub const fn has_room(&self) -> bool {
-        self.level.is_none()
-    }
-
     /// Returns the shares of all teams, by name.
     pub fn all(&self) -> Vec<TeamShare> {
         let accounts = self.accounts.iter();
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -37,10 +37,6 @@
     pub bounds: Bounds,
     /// Names of all availability zones; empty if they are not known.
     pub zones: Vec<String>,
-    /// Memory of the VM that the process may use, in bytes; `None` if it is not known.
-    pub memory: Option<u64>,
-    /// Number of descriptors that the process may have open; `None` if it is not known.
-    pub descriptors: Option<u32>,
     /// Limits on what clients may hold.
     pub intake: Intake,
 }
