Compute the times of a waiting step once per pass

The pace of a step computed its job's critical path, remaining path and objective again, with a formula of its own, after its rank had done so in the same pass; with past use the objective was computed a third time. The rank now carries these times, and the multiple of the late goal has one place. The objective in the pace is a whole number of milliseconds now, as in the rank; it was not rounded before. Millionths of a share and the ageing of recorded speeds are said once. The tests of dispatch pass.

--- a/crates/dispatch/src/dispatch/past_use.rs
+++ b/crates/dispatch/src/dispatch/past_use.rs
@@ -7,7 +7,7 @@
 use bronzespoke_control::cell;
 use bronzespoke_workload::eligibility;
 
-use super::{Dispatch, Event, Output, event};
+use super::{Dispatch, Event, Output, event, shares};
 use crate::rank;
 
 /// Part of the half-life after which changes are recorded. A new leader lacks at most one interval.
@@ -50,7 +50,7 @@
         let mut changes = Vec::new();
         for (team, past) in self.shares.past() {
             let recorded = state.past_use().get(team).map(|past| past.share_micro);
-            let micro = (past * 1e6).round() as u64;
+            let micro = shares::micro(past);
             let change = recorded.unwrap_or_default().abs_diff(micro);
             let threshold = (recorded.unwrap_or_default() / RECORDED_RATIO).max(MIN_RECORDED_MICRO);
             if micro < MIN_RECORDED_MICRO {
@@ -110,7 +110,7 @@
                 self.outputs.push(Output::Event(Event::PastUse(event::PastUse {
                     team: String::from(team),
                     step: id,
-                    past_micro: (past * 1e6).round() as u64,
+                    past_micro: shares::micro(past),
                     shift_ms: rank.shift_ms,
                 })));
             }
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -79,7 +79,7 @@
             if self.awaits_eligibility(state, id) {
                 continue;
             }
-            if let Some(subject) = self.subject(state, now, id, rank.tier) {
+            if let Some(subject) = self.subject(state, now, id, &rank) {
                 self.place(now.steady, &subject, &mut reserved, &mut starts);
             }
         }
@@ -124,7 +124,7 @@
                 rank.share = self.shares.order_of_job(job);
                 if self.config.past_use.is_some() {
                     let portion = self.shares.past_excess(job.team.as_deref());
-                    rank.shift(portion, rank::objective_ms(job, chain));
+                    rank.shift(portion);
                 }
             }
             ranked.push(Reverse((rank, *id)));
@@ -160,7 +160,7 @@
         state: &'a cell::State,
         now: Now,
         id: eligibility::Step,
-        tier: u8,
+        rank: &rank::Rank,
     ) -> Option<Subject<'a>> {
         let job = state.job(id.job)?;
         let spec = job.submission.steps.get(usize::from(id.step))?;
@@ -184,9 +184,9 @@
             progress,
             size: fleet::counted_size(spec),
             tasks,
-            tier,
+            tier: rank.tier,
             run_time: self.estimates.expected(&job.queue.name, spec.run_time),
-            pace: self.pace_of_waiting(state, now, job, id),
+            pace: self.pace_of_waiting(state, now, job, id, &rank.times),
         })
     }
 
--- a/crates/dispatch/src/dispatch/shares.rs
+++ b/crates/dispatch/src/dispatch/shares.rs
@@ -73,7 +73,7 @@
 }
 
 /// Returns a share in millionths.
-fn micro(share: f64) -> u64 {
+pub(super) fn micro(share: f64) -> u64 {
     (share * 1e6).round() as u64
 }
 
--- a/crates/dispatch/src/dispatch/speeds.rs
+++ b/crates/dispatch/src/dispatch/speeds.rs
@@ -18,7 +18,7 @@
 };
 use crate::{
     pace::{Goal, Pace},
-    place,
+    place, rank,
     speed::{Observation, Range},
     worker,
 };
@@ -98,17 +98,18 @@
             }
         }
         let absent = known.iter().filter(|(name, _)| !present.contains(name.as_str()));
+        let is_aging = now >= self.speeds_aged_at + Duration::from_secs(AGE_STEP_S.into());
         let mut surplus = known.len().saturating_sub(present.len() + MAX_ABSENT);
         for (name, speed) in absent {
             let age_s = speed.age_s.saturating_add(AGE_STEP_S);
             if surplus > 0 || age_s > MAX_AGE_S {
                 surplus = surplus.saturating_sub(1);
                 changed.push((name.clone(), None));
-            } else if now >= self.speeds_aged_at + Duration::from_secs(AGE_STEP_S.into()) {
+            } else if is_aging {
                 changed.push((name.clone(), Some(cell::Speed { age_s, ..*speed })));
             }
         }
-        if now >= self.speeds_aged_at + Duration::from_secs(AGE_STEP_S.into()) {
+        if is_aging {
             self.speeds_aged_at = now;
         }
         changed.truncate(MAX_RECORDED);
@@ -226,20 +227,15 @@
         now: Now,
         job: &cell::Job,
         id: eligibility::Step,
+        times: &rank::Times,
     ) -> Option<Pace> {
         let queue = state.queue_of(job);
         self.speeds.range(&queue.pool)?;
         let begun_ms = self.waiting.get(&id)?.begun_ms;
         let elapsed = Duration::from_millis(now.wall_ms.saturating_sub(begun_ms));
-        // The objective of a job is that of the queue at its submission.
-        self.pace(
-            now.steady,
-            &job.queue,
-            &queue.pool,
-            &job.submission,
-            id.step,
-            elapsed,
-        )
+        let spec = job.submission.steps.get(usize::from(id.step))?;
+        // Like its times, the estimates of a job are those of the queue at its submission.
+        self.pace(now.steady, &job.queue.name, &queue.pool, spec, times, elapsed)
     }
 
     /// Returns what a step of a submission requires of the speed of its workers, if those of its pool differ.
@@ -250,31 +246,31 @@
         submission: &job::Submission,
         step: u16,
     ) -> Option<Pace> {
-        self.pace(now, queue, &queue.pool, submission, step, Duration::ZERO)
+        self.speeds.range(&queue.pool)?;
+        let spec = submission.steps.get(usize::from(step))?;
+        let chain = submission.chain(|stated| self.estimates.expected(&queue.name, stated));
+        let remaining = waiting::remaining(&self.estimates, &queue.name, submission, step);
+        let times = rank::Times::new(queue, chain, remaining);
+        self.pace(now, &queue.name, &queue.pool, spec, &times, Duration::ZERO)
     }
 
     fn pace(
         &self,
         now: Duration,
-        queue: &catalog::Queue,
+        queue: &str,
         pool: &str,
-        submission: &job::Submission,
-        step: u16,
+        spec: &job::Step,
+        times: &rank::Times,
         elapsed: Duration,
     ) -> Option<Pace> {
         let range = self.speeds.range(pool)?;
-        let spec = submission.steps.get(usize::from(step))?;
-        let expected = |stated| self.estimates.expected(&queue.name, stated);
-        let chain = submission.chain(expected);
-        let stretched = chain.as_secs_f64() * queue.stretch.max(1.0);
-        let objective = Duration::try_from_secs_f64(stretched).unwrap_or(Duration::MAX);
         let goal = Goal {
-            chain,
-            remaining: waiting::remaining(&self.estimates, &queue.name, submission, step),
-            run_time: expected(spec.run_time),
+            chain: times.chain,
+            remaining: times.remaining,
+            run_time: self.estimates.expected(queue, spec.run_time),
             elapsed,
-            objective: objective.saturating_add(queue.objective),
-            noise: self.estimates.noise(&queue.name),
+            objective: Duration::from_millis(times.objective_ms),
+            noise: self.estimates.noise(queue),
         };
         let mut pace = Pace::new(&goal, range);
         // Work that has waited until only fast workers end it in time is not held back any longer.
--- a/crates/dispatch/src/pace.rs
+++ b/crates/dispatch/src/pace.rs
@@ -10,7 +10,7 @@
 
 use bronzespoke_model::resource;
 
-use crate::{place::Candidate, speed};
+use crate::{place::Candidate, rank, speed};
 
 /// Time constant of the observed rate of tight work. It covers several bursts' worth of arrivals and follows a change of
 /// load within seconds.
@@ -22,8 +22,6 @@
 const TRAVEL: f64 = 0.12;
 /// Time from the submission to the choice of a worker: a commit and an eligibility query.
 const PREPARATION: f64 = 0.1;
-/// Multiple of its objective up to which a late job is useful.
-const USEFUL_MULTIPLE: f64 = 3.0;
 /// Factor by which a task takes longer away from its data.
 const REMOTE_FACTOR: f64 = 2.0;
 /// Width of the classes of speed, as a logarithm; within a class, workers are chosen by their room.
@@ -77,7 +75,7 @@
         let left = objective - seconds(goal.elapsed) - TRAVEL - rest;
         let mut required = needed(run_time, left);
         if required > range.fastest {
-            let useful = left + objective * (USEFUL_MULTIPLE - 1.0);
+            let useful = left + objective * (rank::USEFUL_MULTIPLE - 1) as f64;
             required = needed(run_time, useful);
         }
         Self {
--- a/crates/dispatch/src/rank.rs
+++ b/crates/dispatch/src/rank.rs
@@ -10,9 +10,10 @@
 use std::{cmp::Ordering, time::Duration};
 
 use bronzespoke_control::cell;
+use bronzespoke_workload::catalog;
 
 /// Multiple of its objective up to which a late job is still useful to its caller.
-const USEFUL_MULTIPLE: u64 = 3;
+pub(crate) const USEFUL_MULTIPLE: u64 = 3;
 /// Time since its begin after which a step is ordered by slack alone, whatever the share of its team, in milliseconds.
 /// Before, it is deferred only while its job can still be useful. A burst and the backlog that it leaves take less, so
 /// that the work of a team that sends too much does not pass that of others meanwhile.
@@ -22,6 +23,31 @@
 /// than that with the same work.
 const MAX_SHIFT_DIVISOR: f64 = 4.0;
 
+/// Expected times of a step's job.
+#[derive(Debug, Clone, Copy)]
+pub struct Times {
+    /// Length of the critical path of the complete job.
+    pub chain: Duration,
+    /// Length of the critical path from the start of the step.
+    pub remaining: Duration,
+    /// Objective of the job in milliseconds.
+    pub objective_ms: u64,
+}
+
+impl Times {
+    /// Returns the times of a job in a queue, whose critical path is `chain`, and `remaining` from the start of the step.
+    pub fn new(queue: &catalog::Queue, chain: Duration, remaining: Duration) -> Self {
+        // The operator's numbers are not limited; the conversion to an integer saturates.
+        let stretched_ms = (chain.as_secs_f64() * 1_000.0 * queue.stretch.max(1.0)) as u64;
+        let constant_ms = u64::try_from(queue.objective.as_millis()).unwrap_or(u64::MAX);
+        Self {
+            chain,
+            remaining,
+            objective_ms: stretched_ms.saturating_add(constant_ms),
+        }
+    }
+}
+
 /// Position of a step among the waiting ones; smaller comes first.
 #[derive(Debug, Clone, Copy)]
 pub struct Rank {
@@ -35,14 +61,16 @@
     pub is_deferrable: bool,
     /// Time by which the past use of the team makes the step less urgent, in milliseconds; contained in `latest_start`.
     pub shift_ms: u64,
+    /// Times from which the rank was computed; they do not affect the order by themselves.
+    pub times: Times,
     /// Latest start that meets the next goal, in milliseconds since the Unix epoch.
     pub latest_start: u64,
 }
 
 impl Rank {
     /// Makes the step less urgent by a portion of a quarter of its objective.
-    pub fn shift(&mut self, portion: f64, objective_ms: u64) {
-        self.shift_ms = (objective_ms as f64 / MAX_SHIFT_DIVISOR * portion.clamp(0.0, 1.0)) as u64;
+    pub fn shift(&mut self, portion: f64) {
+        self.shift_ms = (self.times.objective_ms as f64 / MAX_SHIFT_DIVISOR * portion.clamp(0.0, 1.0)) as u64;
         self.latest_start = self.latest_start.saturating_add(self.shift_ms);
     }
 
@@ -88,7 +116,8 @@
 /// path of the complete job.
 pub fn compute(job: &cell::Job, begun_ms: u64, chain: Duration, remaining: Duration, wall_ms: u64) -> Rank {
     let queue = &job.queue;
-    let objective_ms = objective_ms(job, chain);
+    let times = Times::new(queue, chain, remaining);
+    let objective_ms = times.objective_ms;
     let remaining_ms = remaining.as_millis() as u64;
     let end_ms = wall_ms.saturating_add(remaining_ms);
     let useful_ms = begun_ms.saturating_add(objective_ms.saturating_mul(USEFUL_MULTIPLE));
@@ -104,15 +133,7 @@
         share: 0,
         is_deferrable: false,
         shift_ms: 0,
+        times,
         latest_start: goal_ms.saturating_sub(remaining_ms),
     }
 }
-
-/// Returns the objective of a job with a critical path of length `chain`, in milliseconds.
-pub fn objective_ms(job: &cell::Job, chain: Duration) -> u64 {
-    let queue = &job.queue;
-    // The operator's numbers are not limited; the conversion to an integer saturates.
-    let stretched_ms = (chain.as_secs_f64() * 1_000.0 * queue.stretch.max(1.0)) as u64;
-    let constant_ms = u64::try_from(queue.objective.as_millis()).unwrap_or(u64::MAX);
-    stretched_ms.saturating_add(constant_ms)
-}
