fleet::http: one type for the class of a listener

The intake limits had brought a second enum with the same four listeners as http::Kind, a conversion between the two, and the names of the listeners as text beside Class::name. Class serves both. No behaviour changes.

--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -51,35 +51,12 @@
 /// Pause after a failed accept, for example without free file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Who uses a listener.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Kind {
-    /// Callers that submit and inspect jobs.
-    Entry,
-    /// The balancer, which probes readiness.
-    Readiness,
-    /// Operators and workers.
-    Control,
-    /// Collectors of metrics.
-    Metrics,
-}
-
-impl Kind {
-    const fn class(self) -> Class {
-        match self {
-            Self::Entry => Class::Entry,
-            Self::Readiness => Class::Readiness,
-            Self::Control => Class::Control,
-            Self::Metrics => Class::Metrics,
-        }
-    }
-
-    const fn places(self, limits: &settings::Intake) -> usize {
-        match self {
-            Self::Entry | Self::Control => limits.connections,
-            Self::Readiness => READINESS_CONNECTIONS,
-            Self::Metrics => METRICS_CONNECTIONS,
-        }
+/// Returns the number of connections that a listener may have open.
+const fn places(class: Class, limits: &settings::Intake) -> usize {
+    match class {
+        Class::Entry | Class::Control => limits.connections,
+        Class::Readiness => READINESS_CONNECTIONS,
+        Class::Metrics => METRICS_CONNECTIONS,
     }
 }
 
@@ -103,8 +80,8 @@
 }
 
 /// Accepts connections until `stop` is cancelled.
-pub async fn serve(context: Context, kind: Kind, listener: TcpListener, stop: CancellationToken) {
-    let places = Arc::new(Semaphore::new(kind.places(context.intake.limits())));
+pub async fn serve(context: Context, class: Class, listener: TcpListener, stop: CancellationToken) {
+    let places = Arc::new(Semaphore::new(places(class, context.intake.limits())));
     loop {
         let accepted = tokio::select! {
             () = stop.cancelled() => return,
@@ -114,11 +91,11 @@
             Ok((stream, address)) => {
                 let permit = tokio::select! {
                     () = stop.cancelled() => return,
-                    permit = place(&context, kind, &places) => permit,
+                    permit = place(&context, class, &places) => permit,
                 };
                 let context = context.clone();
                 context.tracker.clone().spawn(async move {
-                    connection(context, kind, stream, address).await;
+                    connection(context, class, stream, address).await;
                     drop(permit);
                 });
             }
@@ -132,11 +109,11 @@
 
 /// Returns a place for a connection. While all are taken, connections without progress are closed; further clients wait
 /// in the backlog.
-async fn place(context: &Context, kind: Kind, places: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
+async fn place(context: &Context, class: Class, places: &Arc<Semaphore>) -> Option<OwnedSemaphorePermit> {
     loop {
         match Arc::clone(places).try_acquire_owned() {
             Ok(permit) => return Some(permit),
-            Err(_taken) => context.intake.displace(kind.class()),
+            Err(_taken) => context.intake.displace(class),
         }
         let acquired = time::timeout(PLACE_INTERVAL, Arc::clone(places).acquire_owned()).await;
         if let Ok(permit) = acquired {
@@ -145,14 +122,14 @@
     }
 }
 
-async fn connection(context: Context, kind: Kind, stream: TcpStream, address: SocketAddr) {
+async fn connection(context: Context, class: Class, stream: TcpStream, address: SocketAddr) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!("decision=drop_connection peer={address} reason=\"{error}\"");
         return;
     }
     let closing = context.closing.clone();
     let adapter = Arc::clone(&context.adapter);
-    let ticket = Arc::new(context.intake.open(kind.class()));
+    let ticket = Arc::new(context.intake.open(class));
     let stream = Arc::new(stream);
     // The buffers of hyper are made when the first bytes have arrived: idle connections are cheap.
     tokio::select! {
@@ -166,7 +143,7 @@
     let handler = service::service_fn(move |request| {
         let context = context.clone();
         let ticket = Arc::clone(&served);
-        async move { Ok::<_, Infallible>(handle(&context, kind, request, &ticket).await) }
+        async move { Ok::<_, Infallible>(handle(&context, class, request, &ticket).await) }
     });
     let limits = ticket.limits();
     let connection = http1::Builder::new()
@@ -218,18 +195,17 @@
 
 async fn handle(
     context: &Context,
-    kind: Kind,
+    class: Class,
     request: Request<Incoming>,
     ticket: &Ticket,
 ) -> Response<Full<Bytes>> {
     let begun = Instant::now();
-    let response = match kind {
-        Kind::Metrics => metrics(context),
-        Kind::Readiness => readiness(context, &request.into_parts().0),
-        Kind::Entry | Kind::Control => {
-            let response = handle_call(context, kind, request, ticket).await;
-            let listener = if kind == Kind::Entry { "entry" } else { "control" };
-            metric::call(listener, response.status(), begun.elapsed());
+    let response = match class {
+        Class::Metrics => metrics(context),
+        Class::Readiness => readiness(context, &request.into_parts().0),
+        Class::Entry | Class::Control => {
+            let response = handle_call(context, class, request, ticket).await;
+            metric::call(class.name(), response.status(), begun.elapsed());
             response
         }
     };
@@ -274,7 +250,7 @@
     let reply = exchange(
         context,
         call::Call::Job(call),
-        timeout(context, Kind::Entry, &head),
+        timeout(context, Class::Entry, &head),
     )
     .await;
     matches!(reply, call::Reply::BadKey | call::Reply::NoQueue).then_some(reply)
@@ -282,20 +258,20 @@
 
 async fn receive(
     context: &Context,
-    kind: Kind,
+    class: Class,
     head: &request::Parts,
     body: Incoming,
     ticket: &Ticket,
 ) -> Result<Bytes, Response<Bytes>> {
     let limits = ticket.limits();
-    let limit = match kind {
-        Kind::Entry => limits.job_bytes,
+    let limit = match class {
+        Class::Entry => limits.job_bytes,
         _ => limits.control_limit(head.uri.path()),
     };
     let besides = ledger::ACTIVE_BYTES as usize + head_bytes(head);
     ticket.begin(Phase::Body);
     let declared = body.size_hint().exact().unwrap_or(0);
-    if kind == Kind::Entry
+    if class == Class::Entry
         && (KEY_CHECK_BYTES..=limit as u64).contains(&declared)
         && let Some(reply) = check_key(context, head).await
     {
@@ -319,19 +295,19 @@
 
 async fn handle_call(
     context: &Context,
-    kind: Kind,
+    class: Class,
     request: Request<Incoming>,
     ticket: &Ticket,
 ) -> Response<Bytes> {
     let (head, body) = request.into_parts();
-    let body = match receive(context, kind, &head, body, ticket).await {
+    let body = match receive(context, class, &head, body, ticket).await {
         Ok(body) => body,
         Err(response) => return response,
     };
     // From here on the request may be executed, and is not refused any more.
     ticket.begin(Phase::Serving);
-    let decoded = match kind {
-        Kind::Entry => context.adapter.caller(&head, &body).map(call::Call::Job),
+    let decoded = match class {
+        Class::Entry => context.adapter.caller(&head, &body).map(call::Call::Job),
         _ => context.adapter.control(&head, &body),
     };
     let call = match decoded {
@@ -342,14 +318,14 @@
         }
     };
     drop(body);
-    let timeout = timeout(context, kind, &head);
+    let timeout = timeout(context, class, &head);
     context.adapter.reply(&exchange(context, call, timeout).await)
 }
 
 /// Returns how long the reply to a call may take.
-fn timeout(context: &Context, kind: Kind, head: &request::Parts) -> Duration {
-    match kind {
-        Kind::Entry => {
+fn timeout(context: &Context, class: Class, head: &request::Parts) -> Duration {
+    match class {
+        Class::Entry => {
             let timeout = context.adapter.timeout(head).unwrap_or(DEFAULT_TIMEOUT);
             timeout.saturating_sub(REPLY_MARGIN)
         }
--- a/crates/daemon/src/fleet/intake/ledger.rs
+++ b/crates/daemon/src/fleet/intake/ledger.rs
@@ -27,11 +27,11 @@
 /// Listener of a connection.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Class {
-    /// Callers.
+    /// Callers that submit and inspect jobs.
     Entry,
     /// Operators and workers.
     Control,
-    /// The load balancer's probes.
+    /// The load balancer, which probes readiness.
     Readiness,
     /// Collectors of metrics.
     Metrics,
--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -25,7 +25,9 @@
     fleet::{
         Message,
         controller::{Control, Start},
-        http, inbox, intake, metric as fleet_metric, sender,
+        http, inbox,
+        intake::{self, ledger::Class},
+        metric as fleet_metric, sender,
     },
     metric, peer,
 };
@@ -172,15 +174,15 @@
         }
     });
     let listeners = [
-        (http::Kind::Entry, settings.entry),
-        (http::Kind::Readiness, settings.readiness),
-        (http::Kind::Control, settings.control),
-        (http::Kind::Metrics, Some(settings.metrics)),
+        (Class::Entry, settings.entry),
+        (Class::Readiness, settings.readiness),
+        (Class::Control, settings.control),
+        (Class::Metrics, Some(settings.metrics)),
     ];
-    for (kind, address) in listeners {
+    for (class, address) in listeners {
         if let Some(address) = address {
             let listener = bind(address)?;
-            tokio::spawn(http::serve(context.clone(), kind, listener, cancel.clone()));
+            tokio::spawn(http::serve(context.clone(), class, listener, cancel.clone()));
         }
     }
     tokio::select! {
