--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -11,8 +11,7 @@
 use bronzespoke_model::resource;
 use bronzespoke_standin::fleet::load;
 use bronzespoke_workload::{directive, job};
-use bytes::Bytes;
-use leader::{KEY, Leader, Sent, TASK, at, is_start, running};
+use leader::{Leader, Sent, TASK, at, is_start, running};
 use yare::parameterized;
 
 const ROOM: resource::Amount = resource::Amount::new(8_000, 8_000, 0);
@@ -68,16 +67,7 @@
         run_time: Duration::from_secs(1),
         ..step
     };
-    leader.commit(&cell::Command::Submit {
-        key: KEY,
-        queue: Box::new(load::queue("check", 0, Duration::from_millis(400), 1.5, 2)),
-        team: None,
-        submission: Box::new(job::Submission {
-            spec: Bytes::new(),
-            steps: vec![step],
-            schedule: None,
-        }),
-    });
+    leader.submit_step(step);
 }
 
 fn zone(leader: &Leader, worker: cell::WorkerIndex) -> String {
@@ -150,13 +140,9 @@
     assert_eq!(workers(&report_idle(&mut leader, 100)), [1, 1]);
 }
 
-/// Guards against a start that was proposed before the order and is sent when its commit follows that of the order.
-#[test]
-fn a_start_that_is_committed_after_the_order_is_not_sent() {
-    let (mut leader, command, worker) = with_proposed_start();
-    leader.commit(&order(&zone(&leader, worker), true));
-    leader.commit(&command);
-    let starts = report_idle(&mut leader, 200);
+/// Checks that the task whose first start on a worker was withheld starts on the other worker, as its second run.
+fn assert_continues_beside(leader: &mut Leader, worker: cell::WorkerIndex) {
+    let starts = report_idle(leader, 200);
     assert_eq!(
         workers(&starts),
         [1 - worker],
@@ -165,19 +151,22 @@
     assert_eq!(leader::started_runs(&starts), [2]);
 }
 
+/// Guards against a start that was proposed before the order and is sent when its commit follows that of the order.
+#[test]
+fn a_start_that_is_committed_after_the_order_is_not_sent() {
+    let (mut leader, command, worker) = with_proposed_start();
+    leader.commit(&order(&zone(&leader, worker), true));
+    leader.commit(&command);
+    assert_continues_beside(&mut leader, worker);
+}
+
 /// Guards against a start that was committed before the order and leaves the leader after it.
 #[test]
 fn a_start_that_waits_to_be_sent_is_withheld() {
     let (mut leader, command, worker) = with_proposed_start();
     leader.commit(&command);
     leader.commit(&order(&zone(&leader, worker), true));
-    let starts = report_idle(&mut leader, 200);
-    assert_eq!(
-        workers(&starts),
-        [1 - worker],
-        "the task continues elsewhere at once"
-    );
-    assert_eq!(leader::started_runs(&starts), [2]);
+    assert_continues_beside(&mut leader, worker);
 }
 
 /// Guards against an unacknowledged start that is sent again into an evacuated zone, and against a second run of its task
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -179,6 +179,11 @@
             run_time: Duration::from_secs(1),
             ..job::Step::default()
         };
+        self.submit_step(step);
+    }
+
+    /// Submits a job with one step.
+    pub fn submit_step(&mut self, step: job::Step) {
         self.commit(&cell::Command::Submit {
             key: KEY,
             queue: Box::new(load::queue("check", 0, Duration::from_millis(400), 1.5, 2)),
