dispatch: log what a new leader knows of a lost worker

The logs did not show whether a leader had ever heard of a worker whose runs it recorded as lost: report_age_ms was always -1. It is the age of the last report now, and -1 only without one in the term. belief=run_uncertain names each run that waits because its start may still be carried out by the next incarnation, with the evidence of the loss and the longest wait; uncertain_runs_total counts them by reason.

No decision changes.

--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -72,6 +72,10 @@
         dispatch::Event::Orphan { .. } => {
             metrics::counter!("bronzespoke_fleet_orphans_total").increment(1);
         }
+        dispatch::Event::RunUncertain(uncertain) => {
+            metrics::counter!("bronzespoke_fleet_uncertain_runs_total", "reason" => uncertain.reason)
+                .increment(1);
+        }
         dispatch::Event::TeamShare(share) => {
             let state = if share.beyond { "beyond" } else { "within" };
             metrics::counter!("bronzespoke_fleet_share_changes_total", "state" => state).increment(1);
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -45,6 +45,9 @@
         /// Number of the run of the task that is placed there.
         placed: Option<directive::Run>,
     },
+    /// The worker of a run is lost, and the directive that starts the run may still be carried out by the next incarnation.
+    /// The task waits for the report of that one.
+    RunUncertain(UncertainRun),
     /// The ends of a worker up to a number are recorded and will be acknowledged.
     EndsRecorded {
         /// Index of the worker's incarnation.
@@ -170,6 +173,41 @@
     pub reason: &'static str,
 }
 
+/// A run of a lost worker whose start may still be carried out.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct UncertainRun {
+    /// Task of the run.
+    pub task: directive::Task,
+    /// Number of the run.
+    pub run: directive::Run,
+    /// Name of the worker.
+    pub worker: String,
+    /// Index of the worker's incarnation.
+    pub index: cell::WorkerIndex,
+    /// Evidence of the loss as it appears in logs.
+    pub reason: &'static str,
+    /// Time for which the task waits if nothing reports.
+    pub wait: Duration,
+}
+
+impl fmt::Display for UncertainRun {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let Self {
+            task,
+            run,
+            worker,
+            index,
+            reason,
+            wait,
+        } = self;
+        write!(
+            f,
+            "belief=run_uncertain task={task} run={run} worker={worker} index={index} reason={reason} wait_ms={}",
+            wait.as_millis()
+        )
+    }
+}
+
 /// A step that the past use of its team has placed later.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct PastUse {
@@ -286,6 +324,7 @@
                 f,
                 "belief=orphan task={task} run={run} worker={worker} placed_run={placed:?}"
             ),
+            Self::RunUncertain(uncertain) => uncertain.fmt(f),
             Self::EndsRecorded {
                 index,
                 worker,
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -6,7 +6,7 @@
 use bronzespoke_workload::directive;
 use bytes::Bytes;
 
-use super::{Dispatch, Event, Output, TimerGroup, proof::Proof};
+use super::{Dispatch, Event, Output, TimerGroup, event, proof::Proof};
 use crate::{orphan, worker};
 
 /// Pause before the removal of an ended incarnation is proposed again.
@@ -38,7 +38,7 @@
     /// It stays registered while directives to it may still be carried out, so that the next incarnation with its name
     /// is known to succeed it, by this leader and later ones.
     pub(super) fn end_incarnation(&mut self, index: cell::WorkerIndex, proof: Proof, now: Duration) {
-        self.lose_runs(index, proof);
+        self.lose_runs(index, proof, now);
         self.slowness.remove_worker(index);
         self.speeds.remove(index);
         self.rooms.touch(index);
@@ -182,7 +182,7 @@
     }
 
     /// Handles the loss of all runs of a worker.
-    pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, proof: Proof) {
+    pub(super) fn lose_runs(&mut self, index: cell::WorkerIndex, proof: Proof, now: Duration) {
         let Some(record) = self.workers.get_mut(&index) else {
             return;
         };
@@ -194,7 +194,7 @@
             worker: name.clone(),
             reason: proof.name(),
             runs: runs.len(),
-            silent: None,
+            silent: record.last_report_at.map(|reported| now.saturating_sub(reported)),
         };
         self.outputs.push(Output::Event(event));
         let mut ends = Vec::new();
@@ -215,6 +215,15 @@
             let is_inherited = run.phase == worker::Phase::Inherited && proof.has_successor();
             let newest = newest.or(is_inherited.then_some(start));
             if let Some(start) = newest {
+                self.outputs
+                    .push(Output::Event(Event::RunUncertain(event::UncertainRun {
+                        task,
+                        run: run.run,
+                        worker: name.clone(),
+                        index,
+                        reason: proof.name(),
+                        wait: start.expires_at().saturating_sub(now),
+                    })));
                 self.uncertain.push(Uncertain {
                     worker: index,
                     name: name.clone(),
@@ -280,7 +289,7 @@
             .filter_map(|(index, record)| Some((*index, Proof::lease(record, now)?)))
             .collect();
         for (index, proof) in expired {
-            self.lose_runs(index, proof);
+            self.lose_runs(index, proof, now);
         }
     }
 }
