standin simulation: a refused request acknowledges no end

The simulation counted the ends up to the cursor of a request for a report as acknowledged before the worker had checked the fencing token. A late request of an earlier term, which the worker refuses, acknowledged ends that the worker kept and lost with its next crash, and the start that rightly followed was reported as "starts after its end was acknowledged".

Only a request that is answered with a report counts now.

--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -135,13 +135,11 @@
         let Some(sent) = self.sent.get(&number) else {
             return;
         };
-        let target = sent.target;
-        let directive = sent.directive.clone();
-        let host = &mut self.hosts[target];
+        let host = &self.hosts[sent.target];
         if host.disconnected {
             return;
         }
-        let Some(worker) = &mut host.worker else {
+        let Some(worker) = &host.worker else {
             // No worker listens on the host, so the connection is refused.
             let latency = self.latency();
             self.schedule(latency, Event::Answer(number, Some(directive::Answer::NotSent)));
@@ -153,10 +151,6 @@
             self.schedule(LATE_RETRY, Event::DeliverLate(number));
             return;
         }
-        if let directive::Directive::Renew { acknowledged, .. } = &directive {
-            let acknowledged = worker.ends_up_to(*acknowledged);
-            self.record_ends(acknowledged);
-        }
         self.execute(number, answered);
     }
 
@@ -171,12 +165,20 @@
         let Some(worker) = &mut self.hosts[target].worker else {
             return;
         };
+        let acknowledged = match &directive {
+            directive::Directive::Renew { acknowledged, .. } => worker.ends_up_to(*acknowledged),
+            _ => Vec::new(),
+        };
         let (answer, started) = worker.execute(self.now, fence, &name, &directive);
         let waits = matches!(&directive, directive::Directive::Renew { wait, .. } if !wait.is_zero());
         let has_ends = worker.has_ends();
         if let Some((task, run)) = started {
             self.start_run(target, task, run);
         }
+        // A refused request acknowledges nothing.
+        if matches!(answer, directive::Answer::Report(_)) {
+            self.record_ends(acknowledged);
+        }
         if !answered || self.rng.random_bool(self.plan.faults.lost_answers) {
             return;
         }
