standin simulation: accept queues, long absences and planned changes of leader

Three options of `Faults`, all off by default: - `accept_queue`: directives to such a host wait, 128 at most, and the next incarnation executes them in their order and without an answer before its first announcement. Further ones, and those older than the 12 s after which the platform executes no directive, are dropped. - `long_absences`: a crashed worker is absent for 0.5 to 12 s. - `planned_changes`: share of the changes of leader that take 5 to 60 ms.

--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -71,10 +71,12 @@
         run(Plan {
             faults: Faults {
                 crashes: 0.2,
+                long_absences: false,
                 partitions: 0.2,
                 lost_answers: 0.02,
                 late_directives: 0.02,
                 leader_changes: 0.15,
+                planned_changes: 0.0,
                 cancels: 0.1,
                 failing: 0.1,
                 losses: 0.0,
@@ -82,6 +84,7 @@
                 restarts: 0.0,
                 evacuations: 0.0,
                 reuse_names: false,
+                accept_queue: false,
             },
             ..common::calm(200 + seed)
         });
--- a/crates/standin/src/fleet/simulation/faults.rs
+++ b/crates/standin/src/fleet/simulation/faults.rs
@@ -1,6 +1,6 @@
 //! Injection of faults.
 
-use std::time::Duration;
+use std::{ops::Range, time::Duration};
 
 use bronzespoke_control::cell;
 use rand::Rng;
@@ -10,6 +10,12 @@
 /// Time from the announcement of a departure to the end of the worker.
 const DEPARTURE_NOTICE: Duration = Duration::from_secs(2);
 
+/// Maximum time for which a crashed worker is absent, in milliseconds.
+const MAX_ABSENCE_MS: u64 = 6_000;
+/// Maximum time for which a crashed worker is absent with `Faults::long_absences`, in milliseconds.
+const MAX_LONG_ABSENCE_MS: u64 = 12_000;
+/// Time without a leader in a planned change, in milliseconds.
+const PLANNED_ELECTION_MS: Range<u64> = 5..60;
 /// Maximum time for which a notice of departure is held up, in milliseconds.
 const MAX_NOTICE_DELAY_MS: u64 = 14_000;
 /// Pause before the withdrawal of an evacuation is repeated.
@@ -161,7 +167,12 @@
         let index = self.rng.random_range(0..self.hosts.len());
         if self.hosts[index].worker.is_some() {
             self.stop_worker(index);
-            let delay = Duration::from_millis(self.rng.random_range(500..6_000));
+            let max_absence_ms = if self.plan.faults.long_absences {
+                MAX_LONG_ABSENCE_MS
+            } else {
+                MAX_ABSENCE_MS
+            };
+            let delay = Duration::from_millis(self.rng.random_range(500..max_absence_ms));
             self.schedule(delay, Event::Restart(index));
         }
     }
@@ -193,6 +204,12 @@
         for (_, (_, command)) in proposals.into_iter().take(keep) {
             self.apply(command);
         }
-        self.schedule(ELECTION_DELAY, Event::Elect);
+        let planned = self.plan.faults.planned_changes;
+        let delay = if planned > 0.0 && self.rng.random_bool(planned) {
+            Duration::from_millis(self.rng.random_range(PLANNED_ELECTION_MS))
+        } else {
+            ELECTION_DELAY
+        };
+        self.schedule(delay, Event::Elect);
     }
 }
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -49,6 +49,10 @@
 const ZONES: usize = 3;
 /// Time without a leader between two terms.
 const ELECTION_DELAY: Duration = Duration::from_millis(1_200);
+/// Time after which the platform no longer executes a directive.
+const MAX_DIRECTIVE_DELAY: Duration = Duration::from_secs(12);
+/// Maximum number of directives that wait in the accept queue of a host.
+const MAX_ACCEPT_QUEUE: usize = 128;
 
 /// Parameters of a simulation.
 #[derive(Debug, Clone)]
@@ -82,8 +86,10 @@
 /// Faults to inject. Rates are per second over the entire fleet; shares are probabilities.
 #[derive(Debug, Clone, Copy, Default)]
 pub struct Faults {
-    /// Rate of worker crashes; a crashed worker restarts as a new incarnation.
+    /// Rate of worker crashes; a crashed worker restarts within 6 s as a new incarnation.
     pub crashes: f64,
+    /// Whether a crashed worker restarts within 12 s instead.
+    pub long_absences: bool,
     /// Rate at which a worker is disconnected for some seconds.
     pub partitions: f64,
     /// Share of directives whose answer is lost.
@@ -92,6 +98,8 @@
     pub late_directives: f64,
     /// Rate of leader changes.
     pub leader_changes: f64,
+    /// Share of leader changes that are planned: the next leader takes over within 60 ms.
+    pub planned_changes: f64,
     /// Share of jobs that are cancelled after submission.
     pub cancels: f64,
     /// Rate at which all new runs on a worker start to fail for some seconds.
@@ -107,6 +115,9 @@
     pub evacuations: f64,
     /// Whether a restarted worker keeps its name, so that directives to its earlier incarnation reach it.
     pub reuse_names: bool,
+    /// Whether directives to a host without a worker wait in its accept queue. The next incarnation executes them in their
+    /// order before its first announcement, and does not answer. Otherwise, the connections are refused.
+    pub accept_queue: bool,
 }
 
 /// Results of one kind of request.
@@ -208,6 +219,8 @@
     departs_at: Option<Duration>,
     /// Whether the worker is draining before a planned restart.
     draining: bool,
+    /// Numbers of the directives that wait for the next incarnation.
+    accept_queue: Vec<u64>,
     /// Numbers of the directives whose report is delayed until a run ends.
     waiting_reports: Vec<u64>,
     incarnations: u64,
@@ -388,6 +401,7 @@
                 disconnected: false,
                 departs_at: None,
                 draining: false,
+                accept_queue: Vec::new(),
                 waiting_reports: Vec::new(),
                 incarnations: 0,
             });
@@ -413,6 +427,12 @@
         worker.slowness = slowness;
         worker.reports_progress = progress;
         host.worker = Some(worker);
+        for number in std::mem::take(&mut host.accept_queue) {
+            let sent = self.sent.get(&number);
+            if sent.is_some_and(|sent| self.now <= sent.decided + MAX_DIRECTIVE_DELAY) {
+                self.execute(number, false);
+            }
+        }
         // A restarted worker that keeps its name receives repeated directives to its earlier incarnation until its first
         // announcement. The leader cannot detect a late directive that arrives in this time, so the two faults are not
         // combined.
--- a/crates/standin/src/fleet/simulation/wire.rs
+++ b/crates/standin/src/fleet/simulation/wire.rs
@@ -12,8 +12,8 @@
 use rand::Rng;
 
 use super::{
-    COMMIT_LATENCY, DIRECTIVE_TIMEOUT, EPOCH_MS, Event, LATENCY, SentDirective, Simulation, is_eligible,
-    zone_of,
+    COMMIT_LATENCY, DIRECTIVE_TIMEOUT, EPOCH_MS, Event, LATENCY, MAX_ACCEPT_QUEUE, SentDirective, Simulation,
+    is_eligible, zone_of,
 };
 
 /// Time after which an announcement that was lost is repeated.
@@ -135,11 +135,18 @@
         let Some(sent) = self.sent.get(&number) else {
             return;
         };
-        let host = &self.hosts[sent.target];
+        let host = &mut self.hosts[sent.target];
         if host.disconnected {
             return;
         }
         let Some(worker) = &host.worker else {
+            if self.plan.faults.accept_queue {
+                // A connection that does not fit into the queue is dropped, and its directive is not answered either.
+                if host.accept_queue.len() < MAX_ACCEPT_QUEUE {
+                    host.accept_queue.push(number);
+                }
+                return;
+            }
             // No worker listens on the host, so the connection is refused.
             let latency = self.latency();
             self.schedule(latency, Event::Answer(number, Some(directive::Answer::NotSent)));
