dispatch tests: starts of a former leader on the next incarnation (TWICE)

A worker crashes around a change of leader. The new leader does not know which starts of the former one were unacknowledged, gives their runs up when the lease of the absent worker has ended, and starts the tasks elsewhere. The next incarnation then finds the first starts in its accept queue and executes them: two runs at once, or a run after the end.

--- a/crates/dispatch/tests/fleet.rs
+++ b/crates/dispatch/tests/fleet.rs
@@ -201,3 +201,26 @@
         });
     }
 }
+
+/// Guards against tasks that run twice after a change of leader: the next incarnation of a worker found starts of the
+/// former leader in its accept queue, after the new leader had given their runs up.
+#[parameterized(
+    alone = { Faults::default() },
+    partitions_and_restarts = { Faults { partitions: 0.5, restarts: 0.3, ..Faults::default() } },
+)]
+fn starts_of_a_former_leader_run_no_task_twice(faults: Faults) {
+    for seed in 0..seeds() / 2 {
+        run(Plan {
+            faults: Faults {
+                crashes: 1.5,
+                long_absences: true,
+                leader_changes: 0.15,
+                planned_changes: 0.5,
+                reuse_names: true,
+                accept_queue: true,
+                ..faults
+            },
+            ..common::calm(5_000 + seed)
+        });
+    }
+}
