peer: bound accepted links and the frames that they are receiving

A link counted towards a bound only until its first frame. After it, any number of links could stop within a frame of 1 MiB and hold its buffer and a descriptor for 30 s.

All links are in one table now: at most `links` that have delivered a frame, and at most `frames_mb` of frames that are being received. Those without progress for longest are closed.

--- a/crates/daemon/src/fleet/start.rs
+++ b/crates/daemon/src/fleet/start.rs
@@ -120,7 +120,12 @@
     let handle = runtime::Handle::current();
     let listener = bind(listen.unwrap_or(settings.peer))?;
     let switch = peer::fault::Switch::default();
-    let (network, mut frames) = peer::Network::start(handle.clone(), listener, switch, cancel.clone());
+    let limits = peer::links::Limits {
+        links: settings.intake.links,
+        held_bytes: settings.intake.frame_bytes,
+    };
+    let (network, mut frames) =
+        peer::Network::start_within(handle.clone(), listener, switch, limits, cancel.clone());
     let traffic = network.clone();
     let origin = clock::Origin::now();
     let inbox = inbox::Inbox::new(origin);
--- a/crates/daemon/src/peer/inbound.rs
+++ b/crates/daemon/src/peer/inbound.rs
@@ -14,7 +14,7 @@
 };
 use tokio_util::{sync::CancellationToken, task::TaskTracker};
 
-use crate::peer::{MAX_FRAME_BYTES, Received, Traffic, fault, unproven, wire};
+use crate::peer::{MAX_FRAME_BYTES, Received, Traffic, fault, links, wire};
 
 /// Pause after a failed accept, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -23,8 +23,9 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
 /// Time for the first frame of a link to arrive; a daemon sends it when it connects.
 const FIRST_FRAME_TIMEOUT: Duration = Duration::from_secs(5);
-/// Frames up to this size are received at once; larger buffers grow with what arrives.
-const STEP_BYTES: usize = 64 * 1024;
+/// Frames up to this size are received at once, and are not counted, so that announcements arrive while strangers hold
+/// all that is allowed; larger buffers grow with what arrives.
+const STEP_BYTES: usize = 4 * 1024;
 
 /// Accepts links until `cancel` is triggered.
 pub async fn accept(
@@ -32,10 +33,11 @@
     sender: mpsc::Sender<Received>,
     traffic: Arc<Traffic>,
     fault: fault::Switch,
+    limits: links::Limits,
     cancel: CancellationToken,
 ) {
     let tracker = TaskTracker::new();
-    let unproven = unproven::Links::default();
+    let links = links::Links::new(limits);
     loop {
         let accepted = tokio::select! {
             () = cancel.cancelled() => return,
@@ -49,7 +51,7 @@
                 continue;
             }
         };
-        let link = unproven.add(cancel.child_token());
+        let link = links.add(cancel.child_token());
         let closed = link.closed();
         let link = read(stream, sender.clone(), Arc::clone(&traffic), fault.clone(), link);
         tracker.spawn(async move {
@@ -66,16 +68,10 @@
     sender: mpsc::Sender<Received>,
     traffic: Arc<Traffic>,
     fault: fault::Switch,
-    link: unproven::Link,
+    mut link: links::Link,
 ) {
-    // Dropped when the first frame has been decoded.
-    let mut unproven = Some(link);
+    let mut timeout = FIRST_FRAME_TIMEOUT;
     loop {
-        let timeout = if unproven.is_some() {
-            FIRST_FRAME_TIMEOUT
-        } else {
-            IDLE_TIMEOUT
-        };
         let Ok(Ok(length)) = time::timeout(timeout, stream.read_u32()).await else {
             return;
         };
@@ -84,7 +80,7 @@
             log::warn!("peer: A frame of {length} bytes exceeds the limit; closing the link.");
             return;
         }
-        let Ok(Ok(buffer)) = time::timeout(timeout, receive(&mut stream, length)).await else {
+        let Ok(Ok(buffer)) = time::timeout(timeout, receive(&mut stream, length, &mut link)).await else {
             return;
         };
         traffic.received.fetch_add(length as u64, Ordering::Relaxed);
@@ -92,7 +88,10 @@
             log::warn!("peer: Failed to decode a frame; closing the link.");
             return;
         };
-        unproven = None;
+        if !link.record_frame() {
+            return;
+        }
+        timeout = IDLE_TIMEOUT;
         if fault.is_cut(frame.from_peer) {
             continue;
         }
@@ -103,11 +102,15 @@
 }
 
 /// Receives a frame of this length. The buffer grows with what arrives, so that a length alone takes no memory.
-async fn receive(stream: &mut TcpStream, length: usize) -> std::io::Result<Vec<u8>> {
+async fn receive(stream: &mut TcpStream, length: usize, link: &mut links::Link) -> std::io::Result<Vec<u8>> {
     let mut buffer = Vec::new();
     while buffer.len() < length {
         let begin = buffer.len();
         let next = length.min(begin + begin.max(STEP_BYTES));
+        if next > STEP_BYTES && !link.hold(next) {
+            return Err(std::io::ErrorKind::ConnectionAborted.into());
+        }
+        buffer.reserve_exact(next - begin);
         buffer.resize(next, 0);
         stream.read_exact(&mut buffer[begin..]).await?;
     }
--- a/crates/daemon/src/peer/mod.rs
+++ b/crates/daemon/src/peer/mod.rs
@@ -5,8 +5,8 @@
 
 pub mod fault;
 mod inbound;
+pub mod links;
 mod outbound;
-mod unproven;
 pub mod wire;
 
 use std::{
@@ -74,6 +74,17 @@
         listener: TcpListener,
         fault: fault::Switch,
         cancel: CancellationToken,
+    ) -> (Self, mpsc::Receiver<Received>) {
+        Self::start_within(runtime, listener, fault, links::Limits::default(), cancel)
+    }
+
+    /// Starts receiving on `listener` within limits on the accepted links.
+    pub fn start_within(
+        runtime: runtime::Handle,
+        listener: TcpListener,
+        fault: fault::Switch,
+        limits: links::Limits,
+        cancel: CancellationToken,
     ) -> (Self, mpsc::Receiver<Received>) {
         let (sender, receiver) = mpsc::channel(INBOUND_QUEUE);
         let traffic = Arc::new(Traffic::default());
@@ -82,6 +93,7 @@
             sender,
             Arc::clone(&traffic),
             fault.clone(),
+            limits,
             cancel.clone(),
         ));
         let links = Arc::new(Mutex::new(HashMap::new()));
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -68,6 +68,10 @@
     pub job_bytes: usize,
     /// Largest body of a request of an operator or a worker that has no limit of its own.
     pub control_bytes: usize,
+    /// Accepted links of other daemons.
+    pub links: usize,
+    /// Bytes of frames that all links together are receiving.
+    pub frame_bytes: usize,
     /// Limits of the bodies of single paths.
     pub paths: Vec<(String, usize)>,
 }
@@ -87,6 +91,8 @@
             minimum_rate: 16 * 1024,
             job_bytes: 256 * 1024,
             control_bytes: 256 * 1024,
+            links: 1_024,
+            frame_bytes: 64 << 20,
             paths: Vec::new(),
         }
     }
@@ -97,6 +103,10 @@
     const CONNECTION_BYTES: u64 = 20 * 1024;
     /// Smallest budget; a configuration of 4 MiB is held twice, once as it was received and once decoded.
     pub const MIN_BUDGET: u64 = 12 << 20;
+    /// Smallest number of bytes for frames: four of the largest size.
+    pub const MIN_FRAME_BYTES: u64 = 4 << 20;
+    /// Smallest number of links.
+    pub const MIN_LINKS: usize = 16;
 
     /// Returns the defaults for a VM with this memory and these descriptors, and this number of listeners.
     ///
@@ -109,10 +119,17 @@
         let places = descriptors.map_or(default.connections, |count| {
             (u64::from(count) * 2 / 3) as usize / listeners.max(1)
         });
+        // An eighth of the memory is left for frames, and of the descriptors for links.
+        let frame_bytes = memory.map_or(default.frame_bytes as u64, |memory| {
+            (memory / 8).max(Self::MIN_FRAME_BYTES)
+        });
+        let links = descriptors.map_or(default.links, |count| (count / 8) as usize);
         let affordable = usize::try_from(budget / Self::CONNECTION_BYTES).unwrap_or(usize::MAX);
         Self {
             budget,
             connections: default.connections.min(places).min(affordable),
+            links: links.max(Self::MIN_LINKS),
+            frame_bytes: usize::try_from(frame_bytes).unwrap_or(usize::MAX),
             ..default
         }
     }
