fleet::http: bound the description of a worker

The leader keeps the texts of an announcement for as long as the worker is registered. A body of 262,144 bytes may have 86,000 labels, which take 2 MB as texts, and each name adds another worker.

An announcement whose texts take more than `worker_bytes` (4,096 by default; an ordinary one takes some 300) is refused with 413 and registers no worker.

--- a/crates/daemon/src/fleet/http.rs
+++ b/crates/daemon/src/fleet/http.rs
@@ -7,7 +7,7 @@
     time::{Duration, Instant},
 };
 
-use bronzespoke_workload::{adapter, call, settings};
+use bronzespoke_workload::{adapter, call, settings, worker};
 use bytes::Bytes;
 use http::{Method, Request, Response, StatusCode, header, request};
 use http_body_util::Full;
@@ -318,10 +318,31 @@
         }
     };
     drop(body);
+    let described = match &call {
+        call::Call::Announce(announcement) => description_bytes(&announcement.worker),
+        _ => 0,
+    };
+    let limit = ticket.limits().worker_bytes;
+    if described > limit {
+        log::info!(
+            "decision=refuse path={} reason=worker_bytes bytes={described}",
+            head.uri.path()
+        );
+        return context.adapter.error(&adapter::Error::TooLarge(format!(
+            "the description of the worker has {described} bytes; {limit} are allowed"
+        )));
+    }
     let timeout = timeout(context, class, &head);
     context.adapter.reply(&exchange(context, call, timeout).await)
 }
 
+/// Returns the bytes that the description of a worker takes at the leader, besides numbers.
+fn description_bytes(worker: &worker::Worker) -> usize {
+    let named = [&worker.pool, &worker.zone, &worker.kind, &worker.rack];
+    let texts = named.into_iter().chain(&worker.labels).chain(&worker.machine);
+    texts.map(|text| text.len() + size_of::<String>()).sum()
+}
+
 /// Returns how long the reply to a call may take.
 fn timeout(context: &Context, class: Class, head: &request::Parts) -> Duration {
     match class {
--- a/crates/workload/src/settings.rs
+++ b/crates/workload/src/settings.rs
@@ -68,6 +68,8 @@
     pub job_bytes: usize,
     /// Largest body of a request of an operator or a worker that has no limit of its own.
     pub control_bytes: usize,
+    /// Largest description of a worker that is kept, as its texts and 24 bytes for each.
+    pub worker_bytes: usize,
     /// Accepted links of other daemons.
     pub links: usize,
     /// Bytes of frames that all links together are receiving.
@@ -91,6 +93,7 @@
             minimum_rate: 16 * 1024,
             job_bytes: 256 * 1024,
             control_bytes: 256 * 1024,
+            worker_bytes: 4 * 1024,
             links: 1_024,
             frame_bytes: 64 << 20,
             paths: Vec::new(),
