--- a/crates/daemon/tests/peer_links.rs
+++ b/crates/daemon/tests/peer_links.rs
@@ -5,7 +5,7 @@
     time::{Duration, Instant},
 };
 
-use bronzespoke_daemon::peer::{Network, fault, wire};
+use bronzespoke_daemon::peer::{Network, fault, links, wire};
 use bronzespoke_model::stamp;
 use tokio::{
     io::{AsyncReadExt, AsyncWriteExt},
@@ -89,3 +89,54 @@
     cancel.cancel();
     assert!(open <= OPEN, "{open} hostile links are open");
 }
+
+/// Guards against links that stop within their second frame: each held a buffer of 1 MiB and a descriptor for 30 s, and
+/// once the sum is bounded, no announcement may wait for theirs to end.
+#[tokio::test]
+async fn links_that_stop_after_a_frame_keep_no_announcement_out() {
+    const LINKS: usize = 100;
+    let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port is free");
+    let address = listener.local_addr().expect("the address is known");
+    let cancel = CancellationToken::new();
+    let (_network, mut received) = Network::start_within(
+        Handle::current(),
+        listener,
+        fault::Switch::default(),
+        links::Limits {
+            links: LINKS,
+            held_bytes: 4 << 20,
+        },
+        cancel.clone(),
+    );
+    let mut hostile = Vec::new();
+    for _ in 0..HOSTILE {
+        let mut stream = TcpStream::connect(address).await.expect("the listener accepts");
+        let second = [(1_u32 << 20).to_be_bytes().as_slice(), &[0; 100_000]].concat();
+        let sent = [frame(address), second].concat();
+        // The listener may have closed the link.
+        drop(time::timeout(TIMEOUT, stream.write_all(&sent)).await);
+        let first = time::timeout(TIMEOUT, received.recv()).await;
+        assert!(matches!(first, Ok(Some(_))), "the first frame does not arrive");
+        hostile.push(stream);
+    }
+    let mut peer = TcpStream::connect(address).await.expect("the listener accepts");
+    for _ in 0..3 {
+        peer.write_all(&frame(address)).await.expect("the link is open");
+        let announced = time::timeout(TIMEOUT, received.recv()).await;
+        assert!(matches!(announced, Ok(Some(_))), "a peer's frame does not arrive");
+    }
+    let begun = Instant::now();
+    while hostile.len() > LINKS && begun.elapsed() < TIMEOUT {
+        let mut kept = Vec::new();
+        for mut stream in hostile {
+            let mut byte = [0];
+            let read = time::timeout(Duration::from_millis(5), stream.read(&mut byte));
+            if read.await.is_err() {
+                kept.push(stream);
+            }
+        }
+        hostile = kept;
+    }
+    cancel.cancel();
+    assert!(hostile.len() <= LINKS, "{} hostile links are open", hostile.len());
+}
