--- a/crates/daemon/tests/peer_links.rs
+++ b/crates/daemon/tests/peer_links.rs
@@ -111,7 +111,7 @@
     let mut hostile = Vec::new();
     for _ in 0..HOSTILE {
         let mut stream = TcpStream::connect(address).await.expect("the listener accepts");
-        let second = [(1_u32 << 20).to_be_bytes().as_slice(), &[0; 100_000]].concat();
+        let second = [(1_u32 << 20).to_be_bytes().as_slice(), &vec![0; 100_000]].concat();
         let sent = [frame(address), second].concat();
         // The listener may have closed the link.
         drop(time::timeout(TIMEOUT, stream.write_all(&sent)).await);
