catalog: check keys and routes in linear time

A configuration within the limits stopped the control daemon that decoded it: each key of a team was compared with each key of all other teams, and each route with all earlier ones.

--- a/crates/workload/src/catalog.rs
+++ b/crates/workload/src/catalog.rs
@@ -1,6 +1,10 @@
 //! Configuration of a fleet: queues, pools of workers and teams.
 
-use std::{collections::HashSet, fmt, time::Duration};
+use std::{
+    collections::{HashMap, HashSet},
+    fmt,
+    time::Duration,
+};
 
 use bronzespoke_model::resource;
 use serde::{Deserialize, Serialize};
@@ -122,15 +126,16 @@
 
     fn verify_queues(&self) -> Result<(), Error> {
         let pools: HashSet<_> = self.pools.iter().map(|pool| pool.name.as_str()).collect();
-        for (index, queue) in self.queues.iter().enumerate() {
+        let mut routes = HashMap::new();
+        for queue in &self.queues {
             if !pools.contains(queue.pool.as_str()) {
                 return Err(Error::UnknownPool(queue.name.clone(), queue.pool.clone()));
             }
             if queue.timeout.is_zero() {
                 return Err(Error::NoTimeout(queue.name.clone()));
             }
-            let is_same_route = |other: &&Queue| other.host == queue.host && other.prefix == queue.prefix;
-            if let Some(other) = self.queues[..index].iter().find(is_same_route) {
+            let route = (queue.host.as_str(), queue.prefix.as_str());
+            if let Some(other) = routes.insert(route, queue) {
                 return Err(Error::DuplicateRoute(other.name.clone(), queue.name.clone()));
             }
         }
@@ -138,13 +143,17 @@
     }
 
     fn verify_teams(&self) -> Result<(), Error> {
+        let mut owners: HashMap<&str, usize> = HashMap::new();
         for (index, team) in self.teams.iter().enumerate() {
             if team.weight.is_nan() || team.weight <= 0.0 {
                 return Err(Error::NoWeight(team.name.clone()));
             }
-            let shares_key = |other: &&Team| other.keys.iter().any(|key| team.keys.contains(key));
-            if let Some(other) = self.teams[..index].iter().find(shares_key) {
-                return Err(Error::SharedKey(other.name.clone(), team.name.clone()));
+            for key in &team.keys {
+                let owner = *owners.entry(key).or_insert(index);
+                if owner != index {
+                    let other = &self.teams[owner];
+                    return Err(Error::SharedKey(other.name.clone(), team.name.clone()));
+                }
             }
         }
         Ok(())
