JSON-RPC: a place for each connection, given up by stalled clients

Seen: clients that stop just short of the end of a body, or that stay connected after one request, keep operators out for good; with few descriptors, callers too. Heads without end exceed the memory.

Cause: the library took one of the 64 places when a request began and kept it until the body was complete, without a limit of time. Connections were not bounded in number, and each could hold about 400 KB of a head.

Change: the daemon accepts the connections itself. Each has a place from its first moment; when all 64 are taken, the connection without progress for longest is closed, and limits of time close the others. `rpc::places` decides, without I/O. A statement that is being executed is never cut. The buffer of a head is 16 KiB; bodies are copied out of the buffers in which they arrive. Only HTTP/1.1 is served; WebSocket and HTTP/2, which no client of ours uses, are not.

--- a/crates/daemon/src/rpc.rs
+++ b/crates/daemon/src/rpc/mod.rs
@@ -1,5 +1,11 @@
 //! JSON-RPC server for operators.
 
+mod connection;
+mod listener;
+pub mod places;
+
+use std::{sync::Arc, time::Duration};
+
 use bronzespoke_language::answer;
 use bronzespoke_model::vm;
 use bronzespoke_rpc::{OperatorServer, command, timeline as page};
@@ -14,10 +20,22 @@
     timeline,
 };
 
-/// Maximum number of concurrent connections.
-const MAX_CONNECTIONS: u32 = 64;
+/// Limits on connections. A client that executes statements one after another stays far below the time without one.
+const LIMITS: places::Limits = places::Limits {
+    connections: 64,
+    idle: Duration::from_mins(1),
+    request: Duration::from_secs(15),
+    response: Duration::from_secs(10),
+};
 /// Maximum size of a request, in bytes.
 const MAX_REQUEST_BYTES: u32 = 64 * 1024;
+/// Returns the limits of the JSON-RPC library.
+fn config() -> server::ServerConfig {
+    server::ServerConfig::builder()
+        .max_request_body_size(MAX_REQUEST_BYTES)
+        .http_only()
+        .build()
+}
 
 /// Implementation of the operators' JSON-RPC methods.
 #[derive(Debug)]
@@ -35,14 +53,14 @@
         ring: timeline::Ring,
         process: String,
     ) -> std::io::Result<server::ServerHandle> {
-        let config = server::ServerConfig::builder()
-            .max_connections(MAX_CONNECTIONS)
-            .max_request_body_size(MAX_REQUEST_BYTES)
-            .build();
-        let server = server::Server::builder()
-            .set_config(config)
-            .build_from_tcp(listener)?;
-        Ok(server.start(Self { inbox, ring, process }.into_rpc()))
+        let methods = Self { inbox, ring, process }.into_rpc();
+        let (stopped, handle) = server::stop_channel();
+        let places = places::Places::new(LIMITS);
+        let shared = listener::Listener::new(methods.into(), stopped, places);
+        let listener = tokio::net::TcpListener::from_std(listener)?;
+        tokio::spawn(Arc::clone(&shared).sweep());
+        tokio::spawn(shared.run(listener));
+        Ok(handle)
     }
 }
 
