JSON-RPC: bounded memory for responses

Seen: 40 clients that each ask for a batch of lists and do not read the answers take 174 MB; 121 MB with places.

Cause: a response has up to 10 MiB, and nothing bounded their sum: a client that does not read keeps its response.

Change: a request reserves the largest response before it is executed, and returns what its response does not need; the rest is released when the client has read it. 20 MiB are available. A request that waits has the response that has been unread for longest closed. Requests that wait have not been executed; at most two are executed at a time.

--- a/crates/daemon/src/rpc/connection.rs
+++ b/crates/daemon/src/rpc/connection.rs
@@ -21,7 +21,7 @@
 use jsonrpsee::server;
 use tokio::net::TcpStream;
 
-use crate::rpc::{MAX_REQUEST_BYTES, listener::Place};
+use crate::rpc::{MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, listener::Place};
 
 /// Buffer size of hyper per connection, in bytes. hyper rejects larger heads with status 431.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -72,8 +72,10 @@
             return server::http::response::malformed();
         }
     };
-    // The places bound the number of calls, so this guard of the library is always free.
-    let Some(permit) = server::ConnectionGuard::new(1).try_acquire() else {
+    let Some(mut memory) = place.listener.reserve(MAX_RESPONSE_BYTES).await else {
+        return server::http::response::internal_error();
+    };
+    let Some(permit) = memory.split(0) else {
         return server::http::response::internal_error();
     };
     if !place.execute() {
@@ -87,7 +89,12 @@
         server::middleware::rpc::RpcServiceBuilder::new(),
     )
     .await;
-    place.respond();
+    let length = response.body().size_hint().upper();
+    let length = length.map_or(MAX_RESPONSE_BYTES, |length| {
+        length.min(u64::from(MAX_RESPONSE_BYTES)) as u32
+    });
+    drop(memory.split((MAX_RESPONSE_BYTES - length) as usize));
+    place.respond(memory);
     response
 }
 
--- a/crates/daemon/src/rpc/listener.rs
+++ b/crates/daemon/src/rpc/listener.rs
@@ -7,7 +7,11 @@
 };
 
 use jsonrpsee::server;
-use tokio::{net::TcpListener, sync::Notify, time};
+use tokio::{
+    net::TcpListener,
+    sync::{Notify, OwnedSemaphorePermit, Semaphore},
+    time,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::rpc::{
@@ -21,8 +25,8 @@
 const SWEEPS_PER_LINE: u32 = 20;
 /// Pause after a failed accept, which would otherwise spin while descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
-/// Time after which another connection is closed for a new one that still has no place.
-const PLACE_WAIT: Duration = Duration::from_millis(100);
+/// Time for a client to read before its connection may be closed for the memory of its response.
+const READ_TIME: Duration = Duration::from_millis(100);
 
 /// State of the listener, shared by its connections.
 #[derive(Debug)]
@@ -33,6 +37,8 @@
     state: Mutex<State>,
     /// Wakes the accepting task when a place is free.
     freed: Notify,
+    /// Permits for the bytes of responses, computed and unread.
+    responses: Arc<Semaphore>,
 }
 
 #[derive(Debug)]
@@ -45,7 +51,12 @@
 
 impl Listener {
     /// Returns a listener without connections.
-    pub fn new(methods: server::Methods, stopped: server::StopHandle, places: Places) -> Arc<Self> {
+    pub fn new(
+        methods: server::Methods,
+        stopped: server::StopHandle,
+        places: Places,
+        response_bytes: u32,
+    ) -> Arc<Self> {
         Arc::new(Self {
             methods,
             stopped,
@@ -56,6 +67,7 @@
                 closed: 0,
             }),
             freed: Notify::new(),
+            responses: Arc::new(Semaphore::new(response_bytes as usize)),
         })
     }
 
@@ -94,7 +106,7 @@
                 return place;
             }
             // While all connections are being served, the next check waits for one to become idle.
-            let freed = time::timeout(PLACE_WAIT, self.freed.notified());
+            let freed = time::timeout(READ_TIME, self.freed.notified());
             drop(freed.await);
         }
     }
@@ -111,7 +123,12 @@
         state.tokens.insert(id, token.clone());
         drop(state);
         let listener = Arc::clone(self);
-        Some(Arc::new(Place { listener, id, token }))
+        Some(Arc::new(Place {
+            listener,
+            id,
+            token,
+            response: Mutex::new(None),
+        }))
     }
 
     /// Closes connections whose time is over until the server is stopped.
@@ -138,6 +155,22 @@
             }
         }
     }
+
+    /// Reserves memory for a response. Responses that are not being read give up theirs.
+    pub async fn reserve(&self, bytes: u32) -> Option<OwnedSemaphorePermit> {
+        // One future for all attempts keeps the turn of this request.
+        let mut permit = std::pin::pin!(Arc::clone(&self.responses).acquire_many_owned(bytes));
+        loop {
+            match time::timeout(READ_TIME, permit.as_mut()).await {
+                Ok(permit) => return permit.ok(),
+                Err(_elapsed) => {
+                    let mut state = self.lock();
+                    let displaced = state.places.displaced_response();
+                    state.close(displaced);
+                }
+            }
+        }
+    }
 }
 
 impl State {
@@ -157,6 +190,7 @@
     pub listener: Arc<Listener>,
     id: Id,
     token: CancellationToken,
+    response: Mutex<Option<OwnedSemaphorePermit>>,
 }
 
 impl Drop for Place {
@@ -210,8 +244,9 @@
         self.listener.lock().places.advance(now, self.id);
     }
 
-    /// Begins the response.
-    pub fn respond(&self) {
+    /// Begins the response; its memory is released when it has been sent.
+    pub fn respond(&self, memory: OwnedSemaphorePermit) {
+        *self.response.lock().unwrap_or_else(PoisonError::into_inner) = Some(memory);
         self.begin(Phase::Response);
     }
 
@@ -221,6 +256,8 @@
         let mut state = self.listener.lock();
         if state.places.phase(self.id) == Some(Phase::Response) {
             state.places.begin(now, self.id, Phase::Idle);
+            drop(state);
+            *self.response.lock().unwrap_or_else(PoisonError::into_inner) = None;
         }
     }
 }
--- a/crates/daemon/src/rpc/mod.rs
+++ b/crates/daemon/src/rpc/mod.rs
@@ -29,10 +29,16 @@
 };
 /// Maximum size of a request, in bytes.
 const MAX_REQUEST_BYTES: u32 = 64 * 1024;
+/// Maximum size of a response, in bytes.
+const MAX_RESPONSE_BYTES: u32 = 10 << 20;
+/// Maximum size of all responses that are being computed or read, in bytes. It holds two of the largest ones.
+const RESPONSES_BYTES: u32 = 2 * MAX_RESPONSE_BYTES;
+
 /// Returns the limits of the JSON-RPC library.
 fn config() -> server::ServerConfig {
     server::ServerConfig::builder()
         .max_request_body_size(MAX_REQUEST_BYTES)
+        .max_response_body_size(MAX_RESPONSE_BYTES)
         .http_only()
         .build()
 }
@@ -56,7 +62,7 @@
         let methods = Self { inbox, ring, process }.into_rpc();
         let (stopped, handle) = server::stop_channel();
         let places = places::Places::new(LIMITS);
-        let shared = listener::Listener::new(methods.into(), stopped, places);
+        let shared = listener::Listener::new(methods.into(), stopped, places, RESPONSES_BYTES);
         let listener = tokio::net::TcpListener::from_std(listener)?;
         tokio::spawn(Arc::clone(&shared).sweep());
         tokio::spawn(shared.run(listener));
--- a/crates/daemon/src/rpc/places.rs
+++ b/crates/daemon/src/rpc/places.rs
@@ -104,6 +104,11 @@
         self.longest_stalled(|phase| phase != Phase::Serving)
     }
 
+    /// Returns the connection that gives up its response for one that cannot begin without memory.
+    pub fn displaced_response(&self) -> Option<Id> {
+        self.longest_stalled(|phase| phase == Phase::Response)
+    }
+
     fn longest_stalled(&self, eligible: impl Fn(Phase) -> bool) -> Option<Id> {
         let places = self.open.iter().filter(|(_, place)| eligible(place.phase));
         places.min_by_key(|(_, place)| place.progress).map(|(id, _)| *id)
--- a/crates/daemon/tests/rpc_places.rs
+++ b/crates/daemon/tests/rpc_places.rs
@@ -50,6 +50,18 @@
     assert_eq!(places.displaced(), Some(1));
 }
 
+/// Guards against requests that are cut because others need memory for their responses.
+#[test]
+fn only_responses_give_up_memory() {
+    let mut places = full();
+    places.begin(at(4), 0, Phase::Request);
+    assert_eq!(places.displaced_response(), None);
+    places.begin(at(5), 1, Phase::Response);
+    places.begin(at(6), 2, Phase::Response);
+    places.advance(at(7), 1);
+    assert_eq!(places.displaced_response(), Some(2));
+}
+
 /// Guards against a request that is extended byte by byte, and against a response that is read slowly and is cut.
 #[test]
 fn requests_have_a_total_time_and_responses_need_progress() {
