Gateway: bounded memory for large heads

Seen: 3,000 callers whose heads of 31 KB stop short take 148 MB, of 128 MB (64 MB for control, 64 MB for request bodies). 10,000 connections are allowed.

Cause: hyper keeps the buffer of a connection for as long as it is open, twice the limit on heads and more, and nothing bounded the sum.

Change: at most 512 connections may have had a head of more than 4 KiB (`head_memory_bytes`, 16 MiB). For a further one, the one of them that has been without a request for longest is closed, or the new one if all others are being served. Reads are limited to 4 KiB, so that bodies do not enlarge the buffers.

Connections with smaller heads are not bounded by this budget.

--- a/crates/gateway/src/body.rs
+++ b/crates/gateway/src/body.rs
@@ -13,7 +13,7 @@
 use hyper::body::{Body as _, Frame, Incoming, SizeHint};
 use tokio::sync::mpsc;
 
-use crate::{balancer, pool};
+use crate::{balancer, pool, server::connections};
 
 /// Why a response was truncated. The connection to the caller is closed before the end of the body, so that the
 /// caller detects the truncation.
@@ -62,6 +62,7 @@
 pub struct Body {
     kind: Kind,
     in_flight: Option<InFlight>,
+    connection: Option<connections::Request>,
 }
 
 impl fmt::Debug for Body {
@@ -76,6 +77,7 @@
         Self {
             kind: Kind::Full(Some(bytes)),
             in_flight: None,
+            connection: None,
         }
     }
 
@@ -83,6 +85,7 @@
         Self {
             kind: Kind::Stream(stream),
             in_flight: None,
+            connection: None,
         }
     }
 
@@ -90,9 +93,15 @@
         Self {
             kind: Kind::Channel(receiver),
             in_flight: None,
+            connection: None,
         }
     }
 
+    /// Keeps the connection from being closed for another one until the body has been sent.
+    pub(crate) fn keep_open(&mut self, request: connections::Request) {
+        self.connection = Some(request);
+    }
+
     /// Keeps the request counted as in flight until the body has been sent.
     pub(crate) fn hold(&mut self, in_flight: InFlight) {
         self.in_flight = Some(in_flight);
--- a/crates/gateway/src/server/connection.rs
+++ b/crates/gateway/src/server/connection.rs
@@ -11,12 +11,12 @@
 
 use crate::{
     routes,
-    server::{context, write_timeout},
+    server::{connections, context, stream},
 };
 
 /// Buffer size of hyper per connection, in bytes. hyper itself rejects larger headers with status 431. Twice the limit on
 /// headers, so that most requests over it get an error with a reason; more would only add to what a crowd can hold.
-const BUFFER_BYTES: usize = 32 * 1024;
+pub(crate) const BUFFER_BYTES: usize = 32 * 1024;
 
 /// Time for a request that is in transit when the server closes its connections.
 const CLOSE_GRACE: Duration = Duration::from_secs(1);
@@ -30,13 +30,16 @@
 
 /// Drives a pinned connection to its end. A macro, because hyper's connections of both versions share no trait.
 macro_rules! drive {
-    ($context:expr, $connection:expr) => {
+    ($context:expr, $place:expr, $connection:expr) => {
         // The connection is polled first, so that a request that has arrived is read before the connection is closed.
         tokio::select! {
             biased;
             ended = $connection.as_mut() => ended,
             () = $context.cancel.cancelled() => return,
-            () = idle_close(&$context) => {
+            () = closing(&$context, &$place) => {
+                if $place.is_displaced() && !$place.is_serving() {
+                    return;
+                }
                 $connection.as_mut().graceful_shutdown();
                 tokio::select! {
                     ended = $connection.as_mut() => ended,
@@ -64,14 +67,27 @@
         log::debug!("gateway: setting TCP_NODELAY on an accepted connection failed: {error}");
         return;
     }
-    let Some(is_http2) = detect_http2(&context, &stream).await else {
+    let place: Arc<connections::Connection> = Arc::new(context.open_connections.open());
+    let detected = tokio::select! {
+        biased;
+        detected = detect_http2(&context, &stream) => detected,
+        () = place.closed() => return,
+    };
+    let Some(is_http2) = detected else {
         return;
     };
-    let io = write_timeout::Io::new(TokioIo::new(stream), context.settings.stall_timeout);
-    let shared = Arc::clone(&context);
+    // The heads of HTTP/2 have a limit of their own, over all streams of a connection.
+    let counted = (!is_http2).then(|| Arc::clone(&place));
+    let io = stream::Stream::new(TokioIo::new(stream), context.settings.stall_timeout, counted);
+    let shared = (Arc::clone(&context), Arc::clone(&place));
     let handler = service::service_fn(move |request| {
-        let context = Arc::clone(&shared);
-        async move { Ok::<_, Infallible>(routes::handle(context, request).await) }
+        let context = Arc::clone(&shared.0);
+        let request_guard = shared.1.begin();
+        async move {
+            let mut response = routes::handle(context, request).await;
+            response.body_mut().keep_open(request_guard);
+            Ok::<_, Infallible>(response)
+        }
     });
     let ended = if is_http2 {
         let connection = http2::Builder::new(TokioExecutor::new())
@@ -83,7 +99,7 @@
             .max_send_buf_size(BUFFER_BYTES)
             .serve_connection(io, handler);
         tokio::pin!(connection);
-        drive!(context, connection)
+        drive!(context, place, connection)
     } else {
         // `pipeline_flush` stays off: with it, hyper buffers responses without bound when the caller reads slowly.
         let connection = http1::Builder::new()
@@ -92,7 +108,7 @@
             .max_buf_size(BUFFER_BYTES)
             .serve_connection(io, handler);
         tokio::pin!(connection);
-        drive!(context, connection)
+        drive!(context, place, connection)
     };
     if let Err(error) = ended {
         log::debug!("gateway: an accepted connection failed: {error}");
@@ -115,6 +131,14 @@
     Some(start[..peeked] == *HTTP2_PREFACE)
 }
 
+/// Resolves when a connection is to be closed after its current request.
+async fn closing(context: &context::Context, place: &connections::Connection) {
+    tokio::select! {
+        () = place.closed() => {}
+        () = idle_close(context) => {}
+    }
+}
+
 /// Resolves when a connection without a request may be closed.
 ///
 /// A graceful shutdown by hyper closes an idle connection immediately, even if a request is in transit. While the
--- a/crates/gateway/src/server/context.rs
+++ b/crates/gateway/src/server/context.rs
@@ -19,6 +19,8 @@
     pub pool: Arc<pool::Pool>,
     /// Permits for the bytes held by request bodies.
     pub body_memory: Arc<Semaphore>,
+    /// Connections that are open, with what they are doing.
+    pub open_connections: Arc<server::connections::Connections>,
     /// Permits for open connections.
     pub connection_slots: Arc<Semaphore>,
     /// Tasks of connections, and of requests that outlive their caller's connection.
@@ -49,6 +51,9 @@
             body_memory: Arc::new(Semaphore::new(
                 settings.body_memory_bytes.min(Semaphore::MAX_PERMITS),
             )),
+            open_connections: server::connections::Connections::new(
+                settings.head_memory_bytes / server::connection::BUFFER_BYTES,
+            ),
             connection_slots: Arc::new(Semaphore::new(settings.max_connections)),
             tracker: TaskTracker::new(),
             closing: cancel.child_token(),
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -1,9 +1,10 @@
 //! Accepts connections from callers, targets and workers, and drains them at shutdown.
 
 mod connection;
+pub(crate) mod connections;
 pub(crate) mod context;
 mod maintenance;
-mod write_timeout;
+mod stream;
 
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
--- a/crates/gateway/src/server/write_timeout.rs
+++ b/crates/gateway/src/server/stream.rs
@@ -1,29 +1,42 @@
-//! Write timeout: fails a connection whose caller does not read its response.
+//! A connection that fails if its caller does not read its response, and whose heads are counted.
 
 use std::{
     io,
     pin::Pin,
-    task::{Context, Poll},
+    sync::Arc,
+    task::{Context, Poll, ready},
     time::Duration,
 };
 
-use hyper::rt::{Read, ReadBufCursor, Write};
+use hyper::rt::{Read, ReadBuf, ReadBufCursor, Write};
 use hyper_util::rt::TokioIo;
 use tokio::{net::TcpStream, time::Sleep};
 
+use crate::server::connections;
+
+/// Bytes that are read at once.
+const READ_BYTES: usize = 4 * 1024;
+
 /// A connection on which a write fails if it cannot make progress within a timeout.
-pub(crate) struct Io {
+pub(crate) struct Stream {
     inner: TokioIo<TcpStream>,
     timeout: Duration,
     timer: Option<Pin<Box<Sleep>>>,
+    /// Connection whose heads are counted.
+    counted: Option<Arc<connections::Connection>>,
 }
 
-impl Io {
-    pub(crate) const fn new(inner: TokioIo<TcpStream>, timeout: Duration) -> Self {
+impl Stream {
+    pub(crate) const fn new(
+        inner: TokioIo<TcpStream>,
+        timeout: Duration,
+        counted: Option<Arc<connections::Connection>>,
+    ) -> Self {
         Self {
             inner,
             timeout,
             timer: None,
+            counted,
         }
     }
 
@@ -48,17 +61,27 @@
     }
 }
 
-impl Read for Io {
+impl Read for Stream {
     fn poll_read(
         mut self: Pin<&mut Self>,
         cx: &mut Context<'_>,
-        buf: ReadBufCursor<'_>,
+        mut buf: ReadBufCursor<'_>,
     ) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.inner).poll_read(cx, buf)
+        let Some(counted) = self.counted.clone() else {
+            return Pin::new(&mut self.inner).poll_read(cx, buf);
+        };
+        // hyper enlarges its buffer when a read fills it.
+        let mut bytes = [0; READ_BYTES];
+        let room = buf.remaining().min(READ_BYTES);
+        let mut part = ReadBuf::new(&mut bytes[..room]);
+        ready!(Pin::new(&mut self.inner).poll_read(cx, part.unfilled()))?;
+        counted.count(part.filled().len());
+        buf.put_slice(part.filled());
+        Poll::Ready(Ok(()))
     }
 }
 
-impl Write for Io {
+impl Write for Stream {
     fn poll_write(mut self: Pin<&mut Self>, cx: &mut Context<'_>, buf: &[u8]) -> Poll<io::Result<usize>> {
         let result = Pin::new(&mut self.inner).poll_write(cx, buf);
         self.with_timeout(cx, result)
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -15,6 +15,9 @@
     pub max_connections: usize,
     /// Maximum size of all headers of a request together, in bytes.
     pub max_header_bytes: usize,
+    /// Maximum size of the buffers of all large heads, in bytes; for a further one, the connection with a large head that
+    /// has been without a request for longest is closed.
+    pub head_memory_bytes: usize,
     /// Maximum time for a caller to send the headers of its next request.
     pub header_timeout: Duration,
     /// Maximum pause between two chunks of a request body, and while a caller does not read its response.
@@ -40,6 +43,7 @@
             seed: 0,
             max_connections: 10_000,
             max_header_bytes: 16 * 1024,
+            head_memory_bytes: 16 << 20,
             header_timeout: Duration::from_secs(15),
             stall_timeout: Duration::from_secs(10),
             body_timeout: Duration::from_secs(30),
