Gateway: connections without a request give way to new ones

Seen: with all connections taken by callers that send nothing or the begin of a head, a new caller waits in the listen queue until one of them reaches its limit of time (15 s), and a crowd that returns takes each free one first.

Cause: a new connection waited for a free one, and none was closed for it.

Change: the new connection is accepted, and the one that has been without a request for longest is closed. A connection with a request is closed only after its response.

Test: idle_connections_give_way_to_new_ones fails on the previous commit (no answer within 60 s, limit of time 10 min) and passes now; requests_in_flight_do_not_give_way passes on both.

--- a/crates/gateway/src/server/connections.rs
+++ b/crates/gateway/src/server/connections.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Closes the connection that has been without a request for longest.
+    pub(crate) fn displace(&self) {
+        self.close_longest(|_, _| true);
+    }
+
     /// Closes the connection without a request that is eligible and has been so for longest; returns whether there is one.
     fn close_longest(&self, eligible: impl Fn(u64, &State) -> bool) -> bool {
         let open = self.lock();
--- a/crates/gateway/src/server/mod.rs
+++ b/crates/gateway/src/server/mod.rs
@@ -8,7 +8,10 @@
 
 use std::{fmt, io, net::SocketAddr, sync::Arc, time::Duration};
 
-use tokio::net::{TcpListener, TcpStream};
+use tokio::{
+    net::{TcpListener, TcpStream},
+    sync::OwnedSemaphorePermit,
+};
 use tokio_util::sync::CancellationToken;
 
 use crate::{control, settings};
@@ -18,6 +21,8 @@
 
 /// Pause after a failed accept, which would otherwise spin while file descriptors are exhausted.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
+/// Time after which another connection is closed for a new one that still has no slot.
+const SLOT_WAIT: Duration = Duration::from_millis(100);
 
 /// Handle of a running server.
 #[derive(Clone)]
@@ -99,15 +104,6 @@
 
 async fn accept(listener: TcpListener, context: Arc<context::Context>) {
     loop {
-        let permit = tokio::select! {
-            biased;
-            () = context.cancel.cancelled() => return,
-            () = context.closing.cancelled() => break,
-            permit = Arc::clone(&context.connection_slots).acquire_owned() => permit,
-        };
-        let Ok(permit) = permit else {
-            return;
-        };
         let accepted = tokio::select! {
             biased;
             () = context.cancel.cancelled() => return,
@@ -115,7 +111,15 @@
             () = context.closing.cancelled() => break,
         };
         match accepted {
-            Ok((stream, _)) => connection::spawn(&context, stream, Some(permit)),
+            Ok((stream, _)) => {
+                let permit = tokio::select! {
+                    biased;
+                    () = context.cancel.cancelled() => return,
+                    permit = slot(&context) => permit,
+                    () = context.closing.cancelled() => None,
+                };
+                connection::spawn(&context, stream, permit);
+            }
             Err(error) => {
                 log::warn!("gateway: accept failed: {error}");
                 tokio::time::sleep(ACCEPT_PAUSE).await;
@@ -127,6 +131,21 @@
     }
 }
 
+/// Waits for a slot for a connection. While there is none, the connection that has been without a request for longest is
+/// closed.
+async fn slot(context: &context::Context) -> Option<OwnedSemaphorePermit> {
+    loop {
+        let slots = Arc::clone(&context.connection_slots);
+        if let Ok(permit) = Arc::clone(&slots).try_acquire_owned() {
+            return Some(permit);
+        }
+        context.open_connections.displace();
+        if let Ok(permit) = tokio::time::timeout(SLOT_WAIT, slots.acquire_owned()).await {
+            return permit.ok();
+        }
+    }
+}
+
 /// Accepts the connections in the kernel's backlog, which closing the listener would reset.
 ///
 /// Calls the non-blocking `accept` of the standard library, because the runtime may not have received the readiness
--- a/crates/gateway/src/settings.rs
+++ b/crates/gateway/src/settings.rs
@@ -11,7 +11,8 @@
     pub vm: id::VmId,
     /// Seed of random choices and of jitter, so that a run can be repeated.
     pub seed: u64,
-    /// Maximum number of open connections from callers; further ones wait in the listen queue.
+    /// Maximum number of open connections from callers; for a further one, the connection that has been without a request
+    /// for longest is closed.
     pub max_connections: usize,
     /// Maximum size of all headers of a request together, in bytes.
     pub max_header_bytes: usize,
--- a/crates/gateway/tests/callers.rs
+++ b/crates/gateway/tests/callers.rs
@@ -376,3 +376,49 @@
     let small = caller::request(address, "lineage", common::KEY, None, vec![b'x'; 900]).await;
     assert_eq!(small.expect("answers").status, StatusCode::OK);
 }
+
+/// Guards against callers who are kept out by connections without a request.
+#[tokio::test]
+async fn idle_connections_give_way_to_new_ones() {
+    const PLACES: usize = 10;
+    let target = target(ECHO).await;
+    let settings = settings::Settings {
+        max_connections: PLACES,
+        header_timeout: Duration::from_mins(10),
+        ..settings::Settings::default()
+    };
+    let cell = common::cell_with(&[&target], settings, common::view()).await;
+    let address = cell.server.address();
+    let mut idle = Vec::new();
+    for number in 0..2 * PLACES {
+        let start: &[u8] = if number % 2 == 0 { b"" } else { b"POST /v2/ser" };
+        idle.push(raw(&cell, start).await);
+    }
+    let answer = caller::request(address, "lineage", common::KEY, None, "x");
+    let answer = tokio::time::timeout(Duration::from_mins(1), answer).await;
+    assert_eq!(
+        answer.expect("a slot is free").expect("answers").status,
+        StatusCode::OK
+    );
+}
+
+/// Guards against a request that is cut because its connection gives way to another one.
+#[tokio::test]
+async fn requests_in_flight_do_not_give_way() {
+    let target = target(Behaviour::Echo(Duration::from_millis(500))).await;
+    let settings = settings::Settings {
+        max_connections: 2,
+        ..settings::Settings::default()
+    };
+    let cell = common::cell_with(&[&target], settings, common::view()).await;
+    let address = cell.server.address();
+    let mut running = tokio::task::JoinSet::new();
+    for _ in 0..6 {
+        running.spawn(caller::request(address, "lineage", common::KEY, None, "x"));
+    }
+    while let Some(answer) = running.join_next().await {
+        let answer = answer.expect("no panic").expect("answers");
+        assert_eq!(answer.status, StatusCode::OK);
+    }
+    assert_eq!(target.runs(), 6);
+}
