--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -268,8 +268,8 @@
         let (Some(clock), Some(record)) = (clock, self.workers.get_mut(&worker)) else {
             return;
         };
-        // Answers may arrive out of order; the clock itself never goes back.
-        if record.sample.is_none_or(|known| clock >= known.clock) {
+        // An answer that arrives late shows less than the clock does; of the lower bounds, the highest one counts.
+        if record.clock(now).is_none_or(|known| clock >= known) {
             record.sample = Some(worker::Sample { clock, at: now });
         }
     }
--- a/crates/dispatch/tests/restarts/leases.rs
+++ b/crates/dispatch/tests/restarts/leases.rs
@@ -153,3 +153,45 @@
     let sent_at = leader.now.steady;
     assert_kept_for_the_longest_delay(&mut leader, sent_at);
 }
+
+/// Guards against a task that runs twice: late answers had set the leader's estimate of the worker's clock back, so that it
+/// repeated a start for longer than the next leader assumed.
+#[test]
+fn a_start_repeated_after_late_answers_outlasts_the_lease_of_its_worker() {
+    /// Time from the reading of the worker's clock to the arrival of the answer; within the timeout of a request.
+    const ANSWER_DELAY: Duration = Duration::from_millis(1_800);
+    let mut leader = Leader::with_workers(1);
+    let (start, others) = leader.start_task();
+    leader.answer(&start, None);
+    let mut last_sent_at = leader.now.steady;
+    let mut open: Vec<(Duration, leader::Sent)> = Vec::new();
+    let due = |leader: &Leader, sent: leader::Sent| (leader.now.steady + ANSWER_DELAY, sent);
+    open.extend(others.into_iter().map(|sent| due(&leader, sent)));
+    // No report with a clock after the lease of the start has arrived by then.
+    let until = leader.now.steady + Duration::from_millis(4_700);
+    while leader.now.steady < until {
+        for sent in leader.run(10) {
+            if leader::is_start(&sent.1) {
+                last_sent_at = leader.now.steady;
+                leader.answer(&sent, None);
+            } else {
+                open.push(due(&leader, sent));
+            }
+        }
+        let now = leader.now.steady;
+        let (arrived, waiting) = open.into_iter().partition(|(at, _)| *at <= now);
+        open = waiting;
+        let arrived: Vec<_> = arrived;
+        for (_, request) in arrived {
+            let report = directive::Report {
+                clock: now.saturating_sub(ANSWER_DELAY),
+                started_ms: Some(5),
+                ..directive::Report::default()
+            };
+            leader.answer(&request, Some(&directive::Answer::Report(report)));
+        }
+    }
+    assert_eq!(leader.state.task(leader::TASK).map(|task| task.run), Some(1));
+    leader.elect(2);
+    assert_kept_for_the_longest_delay(&mut leader, last_sent_at);
+}
