dispatch: an inherited run waits for the next incarnation that has answered (TWICE)

After an election that takes long, the next incarnation of a worker answers the first request to the earlier one, before any leader has registered it. The start of the former leader was recorded over 16 s ago, and the run was given up at once, although the next incarnation may have carried the start out within its 12 s and be at work on it.

--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -211,9 +211,14 @@
             }
             // An unacknowledged start may reach the next incarnation although this one carried out a repeated start.
             let own = self.unacknowledged.newest(&name, task, run.run);
-            let inherited = self.inherited_starts.newest(&name, task, run.run);
-            let newest =
-                own.or(inherited.filter(|start| proof.may_have_successor() && now < start.expires_at()));
+            let inherited = if run.phase == worker::Phase::Inherited && proof.has_successor() {
+                // The next incarnation has answered, and may have carried out the start before any leader registered it.
+                Some(orphan::Start { sent: now, ..start })
+            } else {
+                let newest = self.inherited_starts.newest(&name, task, run.run);
+                newest.filter(|start| proof.may_have_successor() && now < start.expires_at())
+            };
+            let newest = own.or(inherited);
             if let Some(start) = newest {
                 self.outputs
                     .push(Output::Event(Event::RunUncertain(event::UncertainRun {
--- a/crates/dispatch/src/dispatch/proof.rs
+++ b/crates/dispatch/src/dispatch/proof.rs
@@ -92,6 +92,11 @@
         !matches!(self.evidence, Evidence::OtherIncarnation | Evidence::AddressTaken)
     }
 
+    /// Returns whether the next incarnation with the same name has answered.
+    pub(super) fn has_successor(self) -> bool {
+        self.evidence == Evidence::Restarted
+    }
+
     /// Returns the evidence as it appears in logs.
     pub(super) const fn name(self) -> &'static str {
         match self.evidence {
--- a/crates/dispatch/tests/restarts/leases.rs
+++ b/crates/dispatch/tests/restarts/leases.rs
@@ -195,3 +195,25 @@
     leader.elect(2);
     assert_kept_for_the_longest_delay(&mut leader, last_sent_at);
 }
+
+/// Guards against a task that runs twice: the next incarnation of its worker had carried out a start of the former leader
+/// before any leader could register it, and its answer to the first request of the new leader ended the run.
+#[test]
+fn an_old_start_on_an_unregistered_next_incarnation_is_kept() {
+    let mut leader = Leader::with_workers(2);
+    let (start, _) = leader.start_task();
+    let placed = start.0;
+    leader.answer(&start, None);
+    // The next incarnation carries the start out within 12 s. Without a majority, no leader registers it.
+    leader.now = leader::at(leader.now.steady.as_millis() as u64 + 17_000);
+    leader.elect(2);
+    for request in leader.run(30) {
+        if request.0 == placed {
+            leader.report_run(&request, 9);
+        } else {
+            leader.report(&request, 5, Vec::new());
+        }
+    }
+    let later = leader.run(500);
+    assert_eq!(leader::started_runs(&later), Vec::<directive::Run>::new());
+}
