--- a/crates/daemon/src/fleet/controller.rs
+++ b/crates/daemon/src/fleet/controller.rs
@@ -173,7 +173,7 @@
             is_removed: false,
             members_opened: 0,
             state: cell::State::default(),
-            recent: recent::Starts::default(),
+            recent: recent::Starts::new(Duration::ZERO),
             dispatch: None,
             relays: relay::Relays::default(),
             relay_answers: relay::Answers::default(),
--- a/crates/dispatch/src/recent.rs
+++ b/crates/dispatch/src/recent.rs
@@ -20,7 +20,7 @@
 
 /// Starts that this replica has applied, with the local time of each. A replica applies a start after the leader has
 /// recorded it, so that these times are never too early.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Starts {
     /// Time since which no start was forgotten.
     complete_from: Duration,
--- a/crates/dispatch/tests/orders.rs
+++ b/crates/dispatch/tests/orders.rs
@@ -41,7 +41,7 @@
             bounds: settings::Bounds::default(),
             past_use: None,
         };
-        let dispatch = Dispatch::new(config, &state, &recent::Starts::default(), at(0));
+        let dispatch = Dispatch::new(config, &state, &recent::Starts::new(Duration::ZERO), at(0));
         let mut leader = Self {
             state,
             dispatch,
--- a/crates/dispatch/tests/restarts/leader.rs
+++ b/crates/dispatch/tests/restarts/leader.rs
@@ -49,11 +49,11 @@
 impl Leader {
     pub fn new() -> Self {
         let state = load::configured(load::queue("check", 0, Duration::from_millis(400), 1.5, 2));
-        let dispatch = Dispatch::new(config(1), &state, &recent::Starts::default(), at(0));
+        let dispatch = Dispatch::new(config(1), &state, &recent::Starts::new(Duration::ZERO), at(0));
         let now = at(0);
         Self {
             state,
-            recent: recent::Starts::default(),
+            recent: recent::Starts::new(Duration::ZERO),
             dispatch,
             now,
             keeps: |_| false,
--- a/crates/dispatch/tests/restarts/leases.rs
+++ b/crates/dispatch/tests/restarts/leases.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use bronzespoke_control::cell;
 use bronzespoke_dispatch::recent;
 use bronzespoke_workload::{directive, settings};
 use yare::parameterized;
@@ -217,3 +218,50 @@
     let later = leader.run(500);
     assert_eq!(leader::started_runs(&later), Vec::<directive::Run>::new());
 }
+
+/// Guards against a task that runs twice: a new leader took a start that it had forgotten, among more than it remembers, for
+/// an old one.
+#[test]
+fn a_start_among_more_than_are_remembered_is_not_taken_for_an_old_one() {
+    let mut leader = Leader::with_workers(1);
+    leader.now = leader::at(10_000);
+    for request in leader.run(30) {
+        leader.report(&request, 5, Vec::new());
+    }
+    let (start, _) = leader.start_task();
+    leader.answer(&start, None);
+    let others = (1..=70_000).map(|index| cell::Start {
+        task: directive::Task {
+            index,
+            ..leader::TASK
+        },
+        run: 1,
+        worker: start.0,
+    });
+    let others = cell::Command::Start(others.collect());
+    leader.recent.observe(leader.now.steady, &others);
+    leader.elect(2);
+    let elected_at = leader.now.steady;
+    assert_kept_for_the_longest_delay(&mut leader, elected_at);
+}
+
+/// Guards against a task that runs twice: the next incarnation of its worker, which the former leader had registered, had an
+/// old run of it and was cut off as the leader changed.
+#[test]
+fn an_old_run_on_a_registered_next_incarnation_outlasts_the_lease_of_its_worker() {
+    let mut leader = Leader::with_workers(1);
+    let (start, _) = leader.start_task();
+    leader.answer(&start, None);
+    leader.announce(0, 9);
+    let until = leader.now.steady + START_WINDOW;
+    while leader.now.steady < until {
+        for request in leader.run(50) {
+            if request.0 == 1 {
+                leader.report_run(&request, 9);
+            }
+        }
+    }
+    leader.elect(2);
+    let elected_at = leader.now.steady;
+    assert_kept_for_the_longest_delay(&mut leader, elected_at);
+}
--- a/crates/dispatch/tests/schedules.rs
+++ b/crates/dispatch/tests/schedules.rs
@@ -49,7 +49,7 @@
     fn new() -> Self {
         let state = load::configured(load::queue("check", 0, Duration::from_millis(400), 1.5, 2));
         let mut leader = Self {
-            dispatch: Dispatch::new(config(1), &state, &recent::Starts::default(), at(0)),
+            dispatch: Dispatch::new(config(1), &state, &recent::Starts::new(Duration::ZERO), at(0)),
             state,
             millis: 0,
             running: BTreeMap::new(),
@@ -75,7 +75,7 @@
         self.dispatch = Dispatch::new(
             config(term),
             &self.state,
-            &recent::Starts::default(),
+            &recent::Starts::new(Duration::ZERO),
             at(self.millis),
         );
     }
--- a/crates/dispatch/tests/shares/fleet.rs
+++ b/crates/dispatch/tests/shares/fleet.rs
@@ -125,7 +125,7 @@
             },
         );
         let mut fleet = Self {
-            dispatch: Dispatch::new(config, &state, &recent::Starts::default(), at(0, 0)),
+            dispatch: Dispatch::new(config, &state, &recent::Starts::new(Duration::ZERO), at(0, 0)),
             state,
             millis: 0,
             teams,
@@ -160,7 +160,12 @@
     /// Replaces the leader by a new one, which has only the replicated state.
     pub fn elect(&mut self) {
         self.config.token += 1;
-        self.dispatch = Dispatch::new(self.config, &self.state, &recent::Starts::default(), self.now());
+        self.dispatch = Dispatch::new(
+            self.config,
+            &self.state,
+            &recent::Starts::new(Duration::ZERO),
+            self.now(),
+        );
         self.reports.clear();
     }
 
--- a/crates/standin/src/fleet/full.rs
+++ b/crates/standin/src/fleet/full.rs
@@ -58,7 +58,7 @@
             bounds: settings::Bounds::default(),
             past_use: None,
         };
-        let dispatch = Dispatch::new(config, &state, &recent::Starts::default(), now(0));
+        let dispatch = Dispatch::new(config, &state, &recent::Starts::new(Duration::ZERO), now(0));
         let mut fleet = Self {
             state,
             dispatch,
--- a/crates/standin/src/fleet/simulation/mod.rs
+++ b/crates/standin/src/fleet/simulation/mod.rs
@@ -277,7 +277,7 @@
             scheduled: HashMap::new(),
             next_event: 0,
             state: cell::State::default(),
-            recent: recent::Starts::default(),
+            recent: recent::Starts::new(Duration::ZERO),
             dispatch: None,
             term: 1,
             proposals: BTreeMap::new(),
