--- a/crates/daemon/src/rpc/connection.rs
+++ b/crates/daemon/src/rpc/connection.rs
@@ -75,6 +75,7 @@
     let Some(mut memory) = place.listener.reserve(MAX_RESPONSE_BYTES).await else {
         return server::http::response::internal_error();
     };
+    // The library keeps a permit of its own with each connection; the places bound the connections here.
     let Some(permit) = memory.split(0) else {
         return server::http::response::internal_error();
     };
