dispatch: the repetition of a start ends by local time

The highest lower bound of a worker's clock is only a bound while the clock keeps its rate. If it stands still for some time, the estimate stays ahead for minutes, and leases count as expired too early; with the newest sample it is ahead until the next answer.

a_start_repeated_after_late_answers_outlasts_the_lease_of_its_worker passes, as do the other tests of restarts, parts and orders.

--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -78,6 +78,7 @@
             return false;
         };
         run.lease_end = clock + lease;
+        run.repeat_until = now + lease;
         run.phase = Phase::Sent;
         run.since = now;
         record.lease_end = record.lease_end.max(run.lease_end);
@@ -126,7 +127,8 @@
             let Some(clock) = record.clock(now) else { continue };
             for (task, run) in &mut record.runs {
                 let waits = run.phase == Phase::Unacknowledged && run.stop == Stop::NotRequested;
-                if waits && now >= run.since + START_RETRY && clock + START_RETRY < run.lease_end {
+                let is_valid = clock + START_RETRY < run.lease_end && now < run.repeat_until;
+                if waits && now >= run.since + START_RETRY && is_valid {
                     run.phase = Phase::Sent;
                     run.since = now;
                     due.push((*index, *task));
@@ -268,8 +270,8 @@
         let (Some(clock), Some(record)) = (clock, self.workers.get_mut(&worker)) else {
             return;
         };
-        // An answer that arrives late shows less than the clock does; of the lower bounds, the highest one counts.
-        if record.clock(now).is_none_or(|known| clock >= known) {
+        // Answers may arrive out of order; the clock itself never goes back.
+        if record.sample.is_none_or(|known| clock >= known.clock) {
             record.sample = Some(worker::Sample { clock, at: now });
         }
     }
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -86,6 +86,7 @@
                         since: now,
                         decided: now,
                         lease_end: Duration::ZERO,
+                        repeat_until: Duration::ZERO,
                         expected_end: now + INHERITED_RUN_TIME,
                         gang: spec.gang,
                         run_time: spec.run_time,
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -356,6 +356,7 @@
                 since: now,
                 decided: now,
                 lease_end: Duration::ZERO,
+                repeat_until: Duration::ZERO,
                 expected_end: now + run_time,
                 gang: subject.spec.gang,
                 run_time,
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -60,6 +60,9 @@
     pub decided: Duration,
     /// End of the lease in the start directive, on the worker's clock.
     pub lease_end: Duration,
+    /// Local time until which the start directive is repeated. The lease alone is no bound, since late answers set the estimate
+    /// of the worker's clock back.
+    pub repeat_until: Duration,
     /// Expected end, in local time.
     pub expected_end: Duration,
     /// Whether it is a member of a gang, which proceeds at the speed of its slowest member.
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -318,6 +318,7 @@
             since: at(0),
             decided: at(0),
             lease_end: at(0),
+            repeat_until: Duration::ZERO,
             expected_end: at(*end),
             gang: false,
             run_time: at(*end),
