JSON-RPC: statements that wait do not keep others out

A single call reserves 256 KiB, so that all 64 places together fit; a batch reserves 10 MiB as before.

--- a/crates/daemon/src/rpc/connection.rs
+++ b/crates/daemon/src/rpc/connection.rs
@@ -21,7 +21,7 @@
 use jsonrpsee::server;
 use tokio::net::TcpStream;
 
-use crate::rpc::{MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, listener::Place};
+use crate::rpc::{CALL_RESPONSE_BYTES, MAX_REQUEST_BYTES, MAX_RESPONSE_BYTES, listener::Place};
 
 /// Buffer size of hyper per connection, in bytes. hyper rejects larger heads with status 431.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -72,7 +72,14 @@
             return server::http::response::malformed();
         }
     };
-    let Some(mut memory) = place.listener.reserve(MAX_RESPONSE_BYTES).await else {
+    // The response to a batch may take as much as is allowed; statements may wait for seconds and must not keep others out.
+    let is_batch = body.trim_ascii_start().starts_with(b"[");
+    let reserved = if is_batch {
+        MAX_RESPONSE_BYTES
+    } else {
+        CALL_RESPONSE_BYTES
+    };
+    let Some(mut memory) = place.listener.reserve(reserved).await else {
         return server::http::response::internal_error();
     };
     // The library keeps a permit of its own with each connection; the places bound the connections here.
@@ -94,7 +101,16 @@
     let length = length.map_or(MAX_RESPONSE_BYTES, |length| {
         length.min(u64::from(MAX_RESPONSE_BYTES)) as u32
     });
-    drop(memory.split((MAX_RESPONSE_BYTES - length) as usize));
+    if length > reserved {
+        // Requests that wait for more hold nothing, so that none waits for another one.
+        drop(memory);
+        let Some(all) = place.listener.reserve(length).await else {
+            return server::http::response::internal_error();
+        };
+        memory = all;
+    } else {
+        drop(memory.split((reserved - length) as usize));
+    }
     place.respond(memory);
     response
 }
--- a/crates/daemon/src/rpc/mod.rs
+++ b/crates/daemon/src/rpc/mod.rs
@@ -31,6 +31,9 @@
 const MAX_REQUEST_BYTES: u32 = 64 * 1024;
 /// Maximum size of a response, in bytes.
 const MAX_RESPONSE_BYTES: u32 = 10 << 20;
+/// Size that is reserved for the response to a single call before it is executed, in bytes. All places together stay below
+/// `RESPONSES_BYTES`.
+const CALL_RESPONSE_BYTES: u32 = 256 << 10;
 /// Maximum size of all responses that are being computed or read, in bytes. It holds two of the largest ones.
 const RESPONSES_BYTES: u32 = 2 * MAX_RESPONSE_BYTES;
 
