review: case 11, a late start is carried out by the next life of its worker

Found: three orders to start a task are carried out 8 s late; their worker has crashed meanwhile, is back under its id, and starts the task while it is at work on another worker (TWICE).

Cause, as far as known: a start that was never acknowledged is given up as soon as its lease is over on the worker's clock, which proves nothing for the worker's next life; the wait of 13 s is made for lost workers only.

The other cases move up by one, gravest first.

--- a/review/12/run.sh
+++ b/review/12/run.sh
@@ -3,7 +3,7 @@
 set -u
 folder=$(cd "$(dirname "$0")" && pwd)
 cd "$folder/../.." || exit 2
-program=target/review-3/lasting_tasks_fail
+program=target/review-3/waiting_gang
 [ -x "$program" ] && [ -x target/release/bronzespoked ] || exit 2
 "$program" "$folder"
 status=$?
--- a/review/standin-3/base.rs
+++ b/review/standin-3/base.rs
@@ -380,11 +380,14 @@
 #[derive(Clone)]
 pub struct Worker {
     pub id: String,
+    /// Address that the worker announces.
     pub address: SocketAddr,
-    pub born: u64,
+    /// Start of its life in milliseconds since the Unix epoch.
+    pub born: Arc<AtomicU64>,
     pub labels: Vec<String>,
     pub room_cpu: u64,
-    origin: Instant,
+    /// Start of its clock.
+    origin: Arc<Mutex<Instant>>,
     pub life: Arc<Mutex<Life>>,
     pub record: Record,
     pub seen: Arc<Mutex<Vec<Seen>>>,
@@ -392,6 +395,8 @@
     pub beats: Arc<AtomicBool>,
     /// Whether the worker is without power: requests get no answer and have no effect.
     pub dark: Arc<AtomicBool>,
+    /// Whether the worker's process has crashed: connections are closed.
+    pub down: Arc<AtomicBool>,
 }
 
 fn run_time(spec: &str, task: &str) -> u64 {
@@ -427,13 +432,27 @@
         seen: &Arc<Mutex<Vec<Seen>>>,
     ) -> Option<Self> {
         let listener = TcpListener::bind(SocketAddr::new(ip, 0)).ok()?;
+        let address = listener.local_addr().ok()?;
+        Self::start_behind(id, listener, address, rack, controls, record, seen)
+    }
+
+    /// Starts a worker that announces another address than the one at which it listens, that of a proxy.
+    pub fn start_behind(
+        id: &str,
+        listener: TcpListener,
+        address: SocketAddr,
+        rack: &str,
+        controls: &[SocketAddr],
+        record: &Record,
+        seen: &Arc<Mutex<Vec<Seen>>>,
+    ) -> Option<Self> {
         let worker = Self {
             id: String::from(id),
-            address: listener.local_addr().ok()?,
-            born: unix_ms(),
+            address,
+            born: Arc::new(AtomicU64::new(unix_ms())),
             labels: vec![String::from("a"), String::from(rack)],
             room_cpu: 16_000,
-            origin: Instant::now(),
+            origin: Arc::new(Mutex::new(Instant::now())),
             life: Arc::new(Mutex::new(Life {
                 next_end: 1,
                 ..Life::default()
@@ -443,6 +462,7 @@
             stop_ms: 300,
             beats: Arc::new(AtomicBool::new(true)),
             dark: Arc::default(),
+            down: Arc::default(),
         };
         let served = worker.clone();
         serve(listener, move |request| served.handle(&request));
@@ -458,7 +478,10 @@
         thread::spawn(move || {
             let mut next = 0;
             loop {
-                if beating.beats.load(Ordering::Relaxed) {
+                while !beating.beats.load(Ordering::Relaxed) {
+                    sleep_ms(10);
+                }
+                {
                     let path = format!("/bronzespoke/instances/{}", beating.id);
                     for _ in 0..controls.len() {
                         let body = beating.heartbeat();
@@ -476,7 +499,7 @@
     }
 
     pub fn clock(&self) -> u64 {
-        1_000 + self.origin.elapsed().as_millis() as u64
+        1_000 + lock(&self.origin).elapsed().as_millis() as u64
     }
 
     pub fn heartbeat(&self) -> String {
@@ -493,7 +516,7 @@
             self.id,
             self.clock(),
             life.sequence,
-            self.born
+            self.born.load(Ordering::Relaxed)
         )
     }
 
@@ -518,7 +541,7 @@
 
     fn tick(&self) {
         let clock = self.clock();
-        if self.dark.load(Ordering::Relaxed) {
+        if self.dark.load(Ordering::Relaxed) || self.down.load(Ordering::Relaxed) {
             return;
         }
         let mut life = lock(&self.life);
@@ -560,7 +583,38 @@
         life.lease_end = life.lease_end.max(deadline.min(self.clock() + 10_000));
     }
 
+    /// Ends the worker's life; its runs end with it.
+    pub fn crash(&self) {
+        self.down.store(true, Ordering::Relaxed);
+        self.beats.store(false, Ordering::Relaxed);
+        let runs = std::mem::take(&mut lock(&self.life).runs);
+        self.record.note(&format!("worker {} crashes", self.id));
+        for (task, run) in runs {
+            self.see(&task, run.run, "crashed");
+        }
+    }
+
+    /// Starts the next life under the same id. It knows nothing of before, and sends its first heartbeat after a time.
+    pub fn start_again(&self, beats_after_ms: u64) {
+        *lock(&self.life) = Life {
+            next_end: 1,
+            ..Life::default()
+        };
+        *lock(&self.origin) = Instant::now();
+        self.born.store(unix_ms(), Ordering::Relaxed);
+        self.down.store(false, Ordering::Relaxed);
+        self.record.note(&format!("worker {} starts again under its id", self.id));
+        let beats = Arc::clone(&self.beats);
+        thread::spawn(move || {
+            sleep_ms(beats_after_ms);
+            beats.store(true, Ordering::Relaxed);
+        });
+    }
+
     fn handle(&self, request: &Request) -> Option<(u16, String)> {
+        if self.down.load(Ordering::Relaxed) {
+            return None;
+        }
         if self.dark.load(Ordering::Relaxed) {
             self.record.note(&format!("worker {} has no power; {} {} is lost", self.id, request.path, request.body));
             sleep_ms(60_000);
@@ -635,6 +689,9 @@
                 let wait = body.get("wait_ms").number().unwrap_or(0).min(2_000);
                 let until = Instant::now() + Duration::from_millis(wait);
                 while Instant::now() < until && lock(&self.life).ended.is_empty() {
+                    if self.down.load(Ordering::Relaxed) {
+                        return None;
+                    }
                     sleep_ms(5);
                 }
                 if self.dark.load(Ordering::Relaxed) {
@@ -671,7 +728,7 @@
             .collect();
         format!(
             "{{\"clock_ms\":{clock},\"born\":{},\"running\":[{}],\"ended\":[{}]}}",
-            self.born,
+            self.born.load(Ordering::Relaxed),
             running.join(","),
             ended.join(",")
         )
