dispatch: starts a task elsewhere only when no earlier start of it can arrive

Cause: a refusal, or a report after the end of the lease, proves that this incarnation does not carry a start out. It was used as a proof about the next one, which has another clock and no fencing token. `Unacknowledged` knew the start, and was asked only for runs of lost workers.

Fix: placement asks for each task whether a transmission of an earlier start can still arrive, whatever ended that run (reported, refused, failed, stopped, lost). Until then the task starts only on the newest incarnation with the name of that worker, which refuses the earlier start and whose end ends the new run. Gangs wait, and so do batch tasks that have failed there. A new leader counts the starts of the last 16 s as unacknowledged if the end of their run is recorded. Expired starts are forgotten every 5 s; before, they were kept for the term.

Ruled out: waiting for every task without the exception for the own worker. It delayed the tasks of restarted workers (the_report_of_a_restarted_worker_frees_its_tasks) and of workers that are found slow after a change of leader (a_new_leader_continues_with_the_recorded_speeds).

Two tests of evacuation.rs required a start elsewhere right after the report that followed the lease, which is the fault; they now require that nothing starts for 12 s, and the same start after that.

--- a/crates/dispatch/src/dispatch/directives.rs
+++ b/crates/dispatch/src/dispatch/directives.rs
@@ -92,12 +92,13 @@
         worker: cell::WorkerIndex,
         task: directive::Task,
     ) {
-        let (Some(record), Some(job)) = (self.workers.get(&worker), state.job(task.job)) else {
+        let (Some(record), Some(job)) = (self.workers.get_mut(&worker), state.job(task.job)) else {
             return;
         };
-        let Some(run) = record.runs.get(&task) else {
+        let Some(run) = record.runs.get_mut(&task) else {
             return;
         };
+        run.awaits_answer = true;
         let known = self.queries.eligibility(report::step_of(task));
         let ticket = known.and_then(|known| known.ticket(worker, now).cloned());
         let directive = directive::Directive::Start {
@@ -291,6 +292,7 @@
         let Some(entry) = record.runs.get_mut(&task).filter(|entry| entry.run == run) else {
             return;
         };
+        entry.awaits_answer = false;
         let after = now.saturating_sub(entry.decided);
         // An earlier directive of this start was not acknowledged and may have reached the worker.
         let maybe_sent = self.unacknowledged.newest(&name, task, run).is_some();
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -3,6 +3,7 @@
 use std::{ops::RangeInclusive, time::Duration};
 
 use bronzespoke_control::cell;
+use bronzespoke_model::resource;
 use bronzespoke_workload::{directive, eligibility, worker as announced};
 
 use super::{Dispatch, Event, Now, Output, directives, schedule};
@@ -71,13 +72,18 @@
             for (step, entry) in progress.steps.iter().enumerate() {
                 let spec = &job.submission.steps[step];
                 for (index, task) in entry.tasks.iter().enumerate() {
-                    let Some(worker) = task.placed else { continue };
                     let name = directive::Task {
                         job: job.key,
                         occurrence: *occurrence,
                         step: step as u16,
                         index: index as u32,
                     };
+                    let Some(worker) = task.placed else {
+                        if task.run > 0 && !task.done {
+                            self.inherit_late(name, task.run, counted_size(spec), sent, now);
+                        }
+                        continue;
+                    };
                     let run = worker::Run {
                         run: task.run,
                         size: counted_size(spec),
@@ -87,6 +93,7 @@
                         decided: now,
                         lease_end: Duration::ZERO,
                         repeat_until: Duration::ZERO,
+                        awaits_answer: false,
                         expected_end: now + INHERITED_RUN_TIME,
                         gang: spec.gang,
                         run_time: spec.run_time,
@@ -124,6 +131,31 @@
         }
     }
 
+    /// Treats the newest start of a task that is not placed as unacknowledged: the record of its end does not say whether
+    /// the former leader had an answer to each transmission.
+    fn inherit_late(
+        &mut self,
+        task: directive::Task,
+        run: directive::Run,
+        size: resource::Amount,
+        sent: &recent::Sent,
+        now: Duration,
+    ) {
+        let start = orphan::Start {
+            task,
+            run,
+            size,
+            sent: sent.latest(task, run),
+        };
+        if now < start.expires_at() {
+            let worker = sent
+                .worker(task, run)
+                .and_then(|worker| self.workers.get(&worker));
+            let name = worker.map_or("", |record| record.incarnation.name.as_str());
+            self.inherited_starts.record(name, start);
+        }
+    }
+
     /// Returns whether a later incarnation with the name of a worker is registered.
     fn is_replaced(&self, worker: cell::WorkerIndex) -> bool {
         let Some(record) = self.workers.get(&worker) else {
--- a/crates/dispatch/src/dispatch/lost.rs
+++ b/crates/dispatch/src/dispatch/lost.rs
@@ -43,6 +43,9 @@
         self.speeds.remove(index);
         self.rooms.touch(index);
         if let Some(record) = self.workers.remove(&index) {
+            if !proof.may_have_successor() {
+                self.inherited_starts.forget_worker(&record.incarnation.name);
+            }
             for (task, _) in record.orphans.listed() {
                 self.orphaned.remove(&(task, index));
             }
@@ -199,7 +202,7 @@
         self.outputs.push(Output::Event(event));
         let mut ends = Vec::new();
         for (task, run) in runs {
-            let is_open = matches!(run.phase, worker::Phase::Sent | worker::Phase::Unacknowledged);
+            let is_open = run.awaits_answer || run.phase == worker::Phase::Unacknowledged;
             let start = orphan::Start {
                 task,
                 run: run.run,
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -11,6 +11,7 @@
 mod event;
 mod fleet;
 mod gang;
+mod late;
 mod lost;
 mod past_use;
 mod proof;
@@ -351,6 +352,7 @@
         if now.steady >= self.forget_at {
             self.forget_at = now.steady + FORGET_INTERVAL;
             self.inherited_starts.forget_expired(now.steady);
+            self.unacknowledged.forget_expired(now.steady);
             self.forget_finished(state, now.steady, now.wall_ms);
         }
     }
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -122,6 +122,7 @@
         self.unconfirmed.remove(&end.task.job);
         self.log_end(end, Some(number), "reported");
         let removed = self.drop_run(end.worker, end.task, end.run);
+        self.record_outstanding(end.worker, end.task, removed.as_ref(), now);
         if end.outcome == directive::Outcome::Done {
             self.record_run_time(state, now, end, removed.as_ref());
         }
@@ -206,6 +207,9 @@
         for (task, run) in &mut record.runs {
             if let Some(found) = running.get(task).filter(|found| found.run == run.run) {
                 if !matches!(run.phase, Phase::Running(_)) {
+                    if run.phase == Phase::Inherited {
+                        self.inherited_starts.confirm(*task);
+                    }
                     self.unconfirmed.remove(&task.job);
                     run.phase = Phase::Running(now);
                     run.since = now;
@@ -272,7 +276,8 @@
         }
         self.rooms.touch(worker);
         for end in ended {
-            self.drop_run(worker, end.task, end.run);
+            let removed = self.drop_run(worker, end.task, end.run);
+            self.record_outstanding(worker, end.task, removed.as_ref(), now);
             self.propose_derived(vec![end], "not_listed");
         }
     }
@@ -415,6 +420,7 @@
             if end.outcome == directive::Outcome::Done {
                 self.stop_later_runs(state, now.steady, end);
             } else {
+                self.log_late_start(now.steady, end);
                 self.abandon_gang(state, now.steady, end);
             }
             if last != Some(end.task.job) {
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -46,6 +46,8 @@
     pub(super) progress: Cow<'a, cell::Step>,
     pub(super) size: resource::Amount,
     pub(super) tasks: Vec<u32>,
+    /// Tasks that may start on one worker only.
+    pub(super) bound: Vec<(u32, cell::WorkerIndex)>,
     pub(super) tier: u8,
     pub(super) run_time: Duration,
     /// Requirements on the speed of workers, if those of the pool differ.
@@ -81,6 +83,7 @@
             }
             if let Some(subject) = self.subject(state, now, id, &rank) {
                 self.place(now.steady, &subject, &mut reserved, &mut starts);
+                self.place_bound(now.steady, &subject, &reserved, &mut starts);
             }
         }
         if !starts.is_empty() {
@@ -165,15 +168,25 @@
         let job = state.job(id.job)?;
         let spec = job.submission.steps.get(usize::from(id.step))?;
         let progress = job.progress(id.occurrence, id.step)?;
-        let open = |(index, task): (usize, &cell::Task)| {
+        let mut tasks = Vec::new();
+        let mut bound = Vec::new();
+        for (index, task) in progress.tasks.iter().enumerate() {
             let index = index as u32;
             let task_id = task_id(id, index);
             let open = !task.done && task.placed.is_none() && !self.proposed.contains(&task_id);
-            (open && !self.has_orphan(task_id, now.steady)).then_some(index)
-        };
-        let tasks: Vec<u32> = progress.tasks.iter().enumerate().filter_map(open).collect();
+            if !open || self.has_orphan(task_id, now.steady) {
+                continue;
+            }
+            match self.late_start(task_id, now.steady) {
+                None => tasks.push(index),
+                Some(late) => bound.extend(
+                    self.bound_worker(spec, task_id, late)
+                        .map(|worker| (index, worker)),
+                ),
+            }
+        }
         let is_incomplete_gang = spec.gang && tasks.len() < progress.remaining as usize;
-        if tasks.is_empty() || is_incomplete_gang {
+        if (tasks.is_empty() && bound.is_empty()) || is_incomplete_gang {
             return None;
         }
         Some(Subject {
@@ -184,6 +197,7 @@
             progress,
             size: fleet::counted_size(spec),
             tasks,
+            bound,
             tier: rank.tier,
             run_time: self.estimates.expected(&job.queue.name, spec.run_time),
             pace: self.pace_of_waiting(state, now, job, id, &rank.times),
@@ -322,7 +336,7 @@
         subject.tasks.iter().filter_map(failed).collect()
     }
 
-    fn start(
+    pub(super) fn start(
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
@@ -357,6 +371,7 @@
                 decided: now,
                 lease_end: Duration::ZERO,
                 repeat_until: Duration::ZERO,
+                awaits_answer: false,
                 expected_end: now + run_time,
                 gang: subject.spec.gang,
                 run_time,
--- a/crates/dispatch/src/orphan.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -40,15 +40,34 @@
     }
 }
 
+/// Worker whose next incarnation may carry out an earlier start of a task, and the time until which it may.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Late {
+    /// Name of the worker; empty if it is not known.
+    pub worker: String,
+    /// Time after which no start of the task is carried out any more.
+    pub until: Duration,
+}
+
 /// Unacknowledged starts by name of the worker.
 #[derive(Debug, Default)]
 pub struct Unacknowledged {
     workers: HashMap<String, Vec<Start>>,
+    /// The newest start of each task.
+    tasks: HashMap<directive::Task, Late>,
 }
 
 impl Unacknowledged {
     /// Records a start that was not acknowledged.
     pub fn record(&mut self, worker: &str, start: Start) {
+        let late = self.tasks.entry(start.task).or_insert(Late {
+            worker: String::from(worker),
+            until: Duration::ZERO,
+        });
+        if start.expires_at() > late.until {
+            late.worker = String::from(worker);
+            late.until = start.expires_at();
+        }
         match self.workers.get_mut(worker) {
             Some(starts) => {
                 starts.retain(|known| start.sent < known.sent + MAX_DELAY);
@@ -69,8 +88,26 @@
             .copied()
     }
 
+    /// Returns where a start of a task may still be carried out.
+    pub fn late(&self, task: directive::Task, now: Duration) -> Option<&Late> {
+        self.tasks.get(&task).filter(|late| now < late.until)
+    }
+
+    /// Handles a report that lists the newest run of a task: its start counts as acknowledged for the next run. If the worker
+    /// is lost, the start may still have been repeated.
+    pub fn confirm(&mut self, task: directive::Task) {
+        self.tasks.remove(&task);
+    }
+
+    /// Removes the starts to a worker that no next incarnation can receive.
+    pub fn forget_worker(&mut self, worker: &str) {
+        self.workers.remove(worker);
+        self.tasks.retain(|_, late| late.worker != worker);
+    }
+
     /// Removes the starts that are not carried out any more.
     pub fn forget_expired(&mut self, now: Duration) {
+        self.tasks.retain(|_, late| now < late.until);
         self.workers.retain(|_, starts| {
             starts.retain(|start| now < start.expires_at());
             !starts.is_empty()
--- a/crates/dispatch/src/recent.rs
+++ b/crates/dispatch/src/recent.rs
@@ -24,7 +24,7 @@
 pub struct Starts {
     /// Time since which no start was forgotten.
     complete_from: Duration,
-    starts: VecDeque<(Duration, directive::Task, directive::Run)>,
+    starts: VecDeque<(Duration, cell::Start)>,
 }
 
 impl Starts {
@@ -42,7 +42,7 @@
         let cell::Command::Start(starts) = command else {
             return;
         };
-        let applied = starts.iter().map(|start| (now, start.task, start.run));
+        let applied = starts.iter().map(|start| (now, *start));
         self.starts.extend(applied);
         let excess = self.starts.len().saturating_sub(MAX_STARTS);
         self.forget(excess);
@@ -60,12 +60,12 @@
 
     /// Returns when the directives of runs were sent at the latest.
     pub(crate) fn sent(&self, now: Duration) -> Sent {
-        let applied_at = self.starts.iter();
+        let starts = self.starts.iter();
         Sent {
             now,
             complete_from: self.complete_from,
-            applied_at: applied_at
-                .map(|(applied_at, task, run)| ((*task, *run), *applied_at))
+            starts: starts
+                .map(|(applied_at, start)| ((start.task, start.run), (*applied_at, start.worker)))
                 .collect(),
         }
     }
@@ -76,14 +76,20 @@
 pub(crate) struct Sent {
     now: Duration,
     complete_from: Duration,
-    applied_at: HashMap<(directive::Task, directive::Run), Duration>,
+    starts: HashMap<(directive::Task, directive::Run), (Duration, cell::WorkerIndex)>,
 }
 
 impl Sent {
     /// Returns the time after which no leader has sent the start of a run.
     pub(crate) fn latest(&self, task: directive::Task, run: directive::Run) -> Duration {
-        let applied_at = self.applied_at.get(&(task, run));
-        let applied_at = applied_at.copied().unwrap_or(self.complete_from);
+        let known = self.starts.get(&(task, run));
+        let applied_at = known.map_or(self.complete_from, |(applied_at, _)| *applied_at);
         self.now.min(applied_at.saturating_add(dispatch::START_LEASE))
     }
+
+    /// Returns the worker to which the start of a run was sent, if that is known.
+    pub(crate) fn worker(&self, task: directive::Task, run: directive::Run) -> Option<cell::WorkerIndex> {
+        let (_, worker) = self.starts.get(&(task, run))?;
+        Some(*worker)
+    }
 }
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -63,6 +63,8 @@
     /// Local time until which the start directive is repeated. The lease alone is no bound, since late answers set the estimate
     /// of the worker's clock back.
     pub repeat_until: Duration,
+    /// Whether an answer to its start directive is outstanding.
+    pub awaits_answer: bool,
     /// Expected end, in local time.
     pub expected_end: Duration,
     /// Whether it is a member of a gang, which proceeds at the speed of its slowest member.
--- a/crates/dispatch/tests/evacuation.rs
+++ b/crates/dispatch/tests/evacuation.rs
@@ -19,6 +19,8 @@
 const ZONES: [&str; 2] = ["north", "south"];
 /// Time from the acknowledgement of an order to its full effect, as the platform states it.
 const EFFECT: Duration = Duration::from_secs(5);
+/// The platform carries a directive out within this time or not at all.
+const LONGEST_DELAY: Duration = Duration::from_secs(12);
 
 fn order(zone: &str, active: bool) -> cell::Command {
     cell::Command::Evacuate {
@@ -190,8 +192,13 @@
             .task(TASK)
             .is_some_and(|task| task.placed == Some(start.0))
     );
-    // A report after the lease of the start shows that it was not carried out.
-    let later = report_idle(&mut leader, 2_000);
+    // A report after the lease of the start shows that this incarnation does not carry it out; the next one may until no
+    // transmission of it can arrive.
+    let sent_at = start.2;
+    let until_arrival = (sent_at + LONGEST_DELAY).saturating_sub(leader.now.steady);
+    let early = report_idle(&mut leader, until_arrival.as_millis() as u64);
+    assert!(early.is_empty(), "{early:?}");
+    let later = report_idle(&mut leader, 3_000);
     assert_eq!(workers(&later), [1 - start.0]);
 }
 
@@ -246,7 +253,15 @@
     leader.state.apply(leader.now.wall_ms, command);
     leader.state.apply(leader.now.wall_ms, order(&zone, true));
     leader.elect(2);
-    let starts = report_idle(&mut leader, 2_000);
+    // The next leader cannot know that the start was not sent.
+    let early = report_idle(&mut leader, LONGEST_DELAY.as_millis() as u64);
+    assert!(early.is_empty(), "{early:?}");
+    let mut starts = Vec::new();
+    for _ in 0..60 {
+        if starts.is_empty() {
+            starts = report_idle(&mut leader, 100);
+        }
+    }
     assert_eq!(workers(&starts), [1 - worker]);
     assert_eq!(leader::started_runs(&starts), [2]);
 }
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -319,6 +319,7 @@
             decided: at(0),
             lease_end: at(0),
             repeat_until: Duration::ZERO,
+            awaits_answer: false,
             expected_end: at(*end),
             gang: false,
             run_time: at(*end),
--- a/crates/dispatch/tests/restarts/leases.rs
+++ b/crates/dispatch/tests/restarts/leases.rs
@@ -4,7 +4,8 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::recent;
-use bronzespoke_workload::{directive, settings};
+use bronzespoke_model::resource;
+use bronzespoke_workload::{directive, job, settings};
 use yare::parameterized;
 
 use super::leader::{self, Leader};
@@ -265,3 +266,135 @@
     let elected_at = leader.now.steady;
     assert_kept_for_the_longest_delay(&mut leader, elected_at);
 }
+
+/// What becomes of the transmissions of the first start of the task.
+#[derive(Debug, Clone, Copy)]
+enum Outcome {
+    /// None is answered, and the worker does not list the run.
+    NotListed,
+    /// The first one is not answered, and the worker refuses the repetition after the end of its lease.
+    Late,
+    /// The first one is not answered; the repetition is carried out, and the run fails.
+    Failed,
+    /// None is answered, and the leader changes after the run was given up.
+    LeaderChanged,
+}
+
+/// The second run of the task, after a first one that did not succeed.
+struct Restart {
+    /// Time of the last transmission of the first start without an answer.
+    unanswered_at: Duration,
+    /// Worker of the first run.
+    first: cell::WorkerIndex,
+    /// Time of the second start.
+    started_at: Duration,
+    /// Worker of the second run.
+    second: cell::WorkerIndex,
+}
+
+/// Starts the only task on one of two workers, both of which report all the time. With `drains`, the first one accepts no
+/// work after the first run was given up.
+fn restart_after(outcome: Outcome, lasting: bool, drains: bool) -> Restart {
+    let mut leader = Leader::with_workers(2);
+    leader.submit_step(job::Step {
+        tasks: 1,
+        size: resource::Amount::new(1_000, 100, 0),
+        run_time: Duration::from_secs(1),
+        lasting,
+        ..job::Step::default()
+    });
+    let mut unanswered: Option<(Duration, cell::WorkerIndex)> = None;
+    let mut ends = Vec::new();
+    let mut is_given_up = false;
+    for _ in 0..2_000 {
+        for sent in leader.run(10) {
+            let now = leader.now.steady;
+            let (unanswered_at, first) = unanswered.unwrap_or((now, sent.0));
+            let is_start = leader::is_start(&sent.1);
+            if leader::started_runs(std::slice::from_ref(&sent)) == [2] {
+                return Restart {
+                    unanswered_at,
+                    first,
+                    started_at: now,
+                    second: sent.0,
+                };
+            }
+            match outcome {
+                _ if !is_start => {
+                    let listed = if sent.0 == first { ends.clone() } else { Vec::new() };
+                    leader.report(&sent, 5, listed);
+                }
+                Outcome::Late if unanswered.is_some() => {
+                    let refusal = directive::Answer::Refused {
+                        reason: directive::Refusal::Late,
+                        clock: Some(now),
+                    };
+                    leader.answer(&sent, Some(&refusal));
+                }
+                Outcome::Failed if unanswered.is_some() => {
+                    leader.confirm(&sent);
+                    ends.push(directive::Ended {
+                        outcome: directive::Outcome::Failed,
+                        ..leader::done(1)
+                    });
+                }
+                _ => {
+                    unanswered = Some((now, sent.0));
+                    leader.answer(&sent, None);
+                }
+            }
+        }
+        let task = leader.state.task(leader::TASK);
+        let is_free = task.is_some_and(|task| task.run == 1 && task.placed.is_none());
+        if is_free && !is_given_up {
+            is_given_up = true;
+            if drains && let Some((_, first)) = unanswered {
+                leader.announce_draining(first as u16, 5);
+            }
+            if matches!(outcome, Outcome::LeaderChanged) {
+                leader.elect(2);
+            }
+        }
+    }
+    panic!("the task is not started again");
+}
+
+/// Guards against a task that runs twice: its start was given up because its worker refused it from then on, and the next
+/// incarnation of the worker carried it out while the task ran elsewhere.
+#[parameterized(
+    not_listed = { Outcome::NotListed },
+    late = { Outcome::Late },
+    failed = { Outcome::Failed },
+    leader_changed = { Outcome::LeaderChanged },
+)]
+fn a_task_starts_elsewhere_only_when_its_earlier_start_cannot_arrive(outcome: Outcome) {
+    for lasting in [false, true] {
+        let restart = restart_after(outcome, lasting, true);
+        let waited = restart.started_at.saturating_sub(restart.unanswered_at);
+        assert_ne!(restart.second, restart.first);
+        assert!(waited >= LONGEST_DELAY, "{waited:?}");
+        assert!(waited < START_WINDOW, "{waited:?}");
+    }
+}
+
+/// Guards against a task that waits for a start that its own worker refuses: it may start again where the earlier run would
+/// end with the newer one.
+#[parameterized(
+    not_listed = { Outcome::NotListed, false },
+    late = { Outcome::Late, false },
+    leader_changed = { Outcome::LeaderChanged, false },
+    failed_lasting = { Outcome::Failed, true },
+)]
+fn a_task_starts_again_on_the_worker_of_its_earlier_start(outcome: Outcome, lasting: bool) {
+    let restart = restart_after(outcome, lasting, false);
+    assert_eq!(restart.second, restart.first);
+    let waited = restart.started_at.saturating_sub(restart.unanswered_at);
+    assert!(waited < Duration::from_secs(4), "{waited:?}");
+}
+
+/// Guards against a worker that fails everything and uses up the attempts of a task that is bound to it.
+#[test]
+fn a_failed_task_does_not_return_to_its_worker() {
+    let restart = restart_after(Outcome::Failed, false, false);
+    assert_ne!(restart.second, restart.first);
+}
