fleet: cancels an unknown job through the log and refuses its late submission

Cause: the leader answered from its committed state. A submission in its batch, in the lane behind the cancellation, in the log of its predecessor or at an entry daemon was not considered, and began after the answer.

Fix: a cancellation of an unknown job is committed before it is answered. A submission that precedes it in the log is cancelled; a later one is refused with 503 and the remaining time, for the timeout of the queue and 15 s. Looking at the leader's own batch only would leave submissions that are still on their way.

--- a/crates/control/src/cell/apply.rs
+++ b/crates/control/src/cell/apply.rs
@@ -24,14 +24,12 @@
                 queue,
                 team,
                 submission,
-            } => self.submit(Job::new(
-                key,
-                Arc::new(*queue),
-                team,
-                Arc::new(*submission),
-                at_ms,
-            )),
+            } => {
+                let job = Job::new(key, Arc::new(*queue), team, Arc::new(*submission), at_ms);
+                self.submit(job, at_ms)
+            }
             Command::Cancel { key } => self.cancel(key, at_ms),
+            Command::Withdraw { key, team, keep_ms } => self.withdraw(key, team, keep_ms, at_ms),
             Command::Register {
                 incarnation,
                 worker,
@@ -69,10 +67,13 @@
         Outcome::Done
     }
 
-    fn submit(&mut self, job: Job) -> Outcome {
+    fn submit(&mut self, job: Job, at_ms: u64) -> Outcome {
         if self.jobs.contains_key(&job.key) {
             return Outcome::Done;
         }
+        if let Some(wait_ms) = self.withdrawn_for(at_ms, job.key, job.team.as_deref()) {
+            return Outcome::Withdrawn(wait_ms);
+        }
         *self.pending.entry(job.queue.name.clone()).or_default() += 1;
         self.active.insert(job.key);
         self.jobs.insert(job.key, job);
@@ -89,6 +90,21 @@
         Outcome::Done
     }
 
+    fn withdraw(&mut self, key: job::Key, team: Option<String>, keep_ms: u64, at_ms: u64) -> Outcome {
+        if let Some(job) = self.jobs.get(&key) {
+            return if job.is_visible(team.as_deref()) {
+                self.cancel(key, at_ms)
+            } else {
+                Outcome::NoJob
+            };
+        }
+        if self.withdrawn.record(at_ms, key, team, keep_ms) {
+            Outcome::NoJob
+        } else {
+            Outcome::Full
+        }
+    }
+
     fn register(
         &mut self,
         incarnation: worker::Incarnation,
--- a/crates/control/src/cell/command.rs
+++ b/crates/control/src/cell/command.rs
@@ -82,6 +82,16 @@
         /// Past use by the name of the team.
         past_use: Vec<(String, Option<learned::PastUse>)>,
     },
+    /// Cancels a job that the leader does not know: cancels it if its submission was recorded first, and refuses its
+    /// submissions for a while if not.
+    Withdraw {
+        /// Id of the job.
+        key: job::Key,
+        /// Team whose key authenticated the cancellation; `None` without a key.
+        team: Option<String>,
+        /// Milliseconds for which a submission may still arrive.
+        keep_ms: u64,
+    },
 }
 
 /// Placement of one task.
@@ -117,6 +127,11 @@
     Done,
     /// The job does not exist.
     NoJob,
+    /// The job was cancelled before its submission was recorded. The submission has no effect, now or later; contains the
+    /// number of milliseconds after which the id may be submitted again.
+    Withdrawn(u64),
+    /// Too many cancellations are remembered. The command has no effect.
+    Full,
     /// The order was received before a newer one about its zone was recorded, and has no effect.
     Outdated,
     /// Whether each start of the command was recorded, in the order of the command.
--- a/crates/control/src/cell/former.rs
+++ b/crates/control/src/cell/former.rs
@@ -11,7 +11,7 @@
 use bytes::Bytes;
 use serde::Deserialize;
 
-use super::state;
+use super::{state, withdrawn};
 
 /// State in the former format.
 #[derive(Debug, Deserialize)]
@@ -63,6 +63,7 @@
             zone_orders: 0,
             speeds: BTreeMap::new(),
             past_use: BTreeMap::new(),
+            withdrawn: withdrawn::Withdrawn::default(),
         }
     }
 }
--- a/crates/control/src/cell/mod.rs
+++ b/crates/control/src/cell/mod.rs
@@ -9,6 +9,7 @@
 mod learned;
 mod state;
 mod verify;
+mod withdrawn;
 
 pub use command::{Command, End, Outcome, Start};
 pub use learned::{PastUse, Speed};
--- a/crates/control/src/cell/state.rs
+++ b/crates/control/src/cell/state.rs
@@ -12,15 +12,15 @@
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 
-use super::{former, learned};
+use super::{former, learned, withdrawn};
 use crate::{envelope, error};
 
 /// Number of the format of snapshots, in their first byte.
-const FORMAT: u8 = 3;
-/// Number of the format before it, which lacks the last [`ADDED_FIELDS`] fields of the state.
-const SECOND_FORMAT: u8 = 2;
-/// Number of collections and counters at the end of the state that the second format lacks.
-const ADDED_FIELDS: usize = 4;
+const FORMAT: u8 = 4;
+/// Number of the format before it, and how many collections and counters at the end of the state it lacks.
+const THIRD_FORMAT: (u8, usize) = (3, 2);
+/// The same of the format before that.
+const SECOND_FORMAT: (u8, usize) = (2, 6);
 
 /// Maximum number of occurrences of a job that begin with one start.
 const MAX_BEGUN_TOGETHER: u32 = 256;
@@ -55,6 +55,8 @@
     pub(super) speeds: BTreeMap<String, learned::Speed>,
     /// Past use by the name of the team.
     pub(super) past_use: BTreeMap<String, learned::PastUse>,
+    /// Cancellations of jobs that do not exist.
+    pub(super) withdrawn: withdrawn::Withdrawn,
 }
 
 /// Newest order about an availability zone.
@@ -215,6 +217,12 @@
         self.zone_orders
     }
 
+    /// Returns the milliseconds for which a submission is refused, because its job was cancelled before.
+    pub fn withdrawn_for(&self, at_ms: u64, key: job::Key, team: Option<&str>) -> Option<u64> {
+        let until_ms = self.withdrawn.until(at_ms, key, team)?;
+        Some(until_ms - at_ms)
+    }
+
     /// Returns the observed speeds by the name of the machine.
     pub fn speeds(&self) -> &BTreeMap<String, learned::Speed> {
         &self.speeds
@@ -259,12 +267,8 @@
     pub fn decode(bytes: &[u8]) -> Result<Self, error::Error> {
         match bytes.split_first() {
             Some((&FORMAT, rest)) => envelope::from_bytes(rest),
-            Some((&SECOND_FORMAT, rest)) => {
-                // An empty collection is encoded as its length, and a counter as its value: 0.
-                let mut extended = rest.to_vec();
-                extended.resize(rest.len() + ADDED_FIELDS, 0);
-                envelope::from_bytes(&extended)
-            }
+            Some((format, rest)) if *format == THIRD_FORMAT.0 => extended(rest, THIRD_FORMAT.1),
+            Some((format, rest)) if *format == SECOND_FORMAT.0 => extended(rest, SECOND_FORMAT.1),
             // The first format has no number. It begins with an optional configuration: 0 or 1.
             Some((0 | 1, _)) => envelope::from_bytes::<former::State>(bytes).map(Self::from),
             Some((format, _)) => {
@@ -277,7 +281,19 @@
     }
 }
 
+/// Decodes a state without its last fields. An empty collection is encoded as its length, and a counter as its value: 0.
+fn extended(bytes: &[u8], missing: usize) -> Result<State, error::Error> {
+    let mut extended = bytes.to_vec();
+    extended.resize(bytes.len() + missing, 0);
+    envelope::from_bytes(&extended)
+}
+
 impl Job {
+    /// Returns whether a team, or a caller without one, may see and cancel the job.
+    pub fn is_visible(&self, team: Option<&str>) -> bool {
+        self.team.is_none() || self.team.as_deref() == team
+    }
+
     /// Returns whether the job is in a final phase, in which no task is started.
     pub const fn is_final(&self) -> bool {
         matches!(
--- a/crates/control/tests/cell.rs
+++ b/crates/control/tests/cell.rs
@@ -208,6 +208,78 @@
     assert_eq!(state.apply(6, Command::Cancel { key: 77 }), Outcome::NoJob);
 }
 
+fn withdraw(key: job::Key, team: Option<&str>) -> Command {
+    Command::Withdraw {
+        key,
+        team: team.map(String::from),
+        keep_ms: 1_000,
+    }
+}
+
+/// Guards against a job that runs although its cancellation was answered with "no such job": its submission was on its way
+/// behind the cancellation.
+#[test]
+fn a_submission_behind_its_cancellation_is_refused() {
+    let mut state = State::default();
+    assert_eq!(state.apply(10, withdraw(KEY, Some("parish"))), Outcome::NoJob);
+    let submission = || submit(KEY, vec![step(1, false, &[])]);
+    assert_eq!(state.apply(10, submission()), Outcome::Withdrawn(1_000));
+    let mut state = State::decode(&state.encode()).expect("the snapshot is valid");
+    assert_eq!(state.apply(1_009, submission()), Outcome::Withdrawn(1));
+    assert!(state.job(KEY).is_none());
+    state.verify().expect("the counters are consistent");
+    assert_eq!(state.apply(1_010, submission()), Outcome::Done);
+    assert_eq!(phase(&state), job::Phase::Queued);
+}
+
+/// Guards against a job that runs although it was cancelled: the leader did not know its submission yet, which was recorded
+/// before the cancellation.
+#[test]
+fn a_cancellation_behind_an_unknown_submission_cancels() {
+    let mut state = State::default();
+    state.apply(1, submit(KEY, vec![step(1, false, &[])]));
+    assert_eq!(state.apply(1, withdraw(KEY, Some("parish"))), Outcome::Done);
+    assert_eq!(phase(&state), job::Phase::Cancelled);
+}
+
+/// Guards against a team that cancels the jobs of another one.
+#[test]
+fn a_cancellation_concerns_the_jobs_of_its_team() {
+    let mut state = State::default();
+    state.apply(1, withdraw(KEY, Some("other")));
+    state.apply(1, withdraw(KEY, None));
+    assert_eq!(
+        state.apply(2, submit(KEY, vec![step(1, false, &[])])),
+        Outcome::Done
+    );
+    assert_eq!(state.apply(3, withdraw(KEY, Some("other"))), Outcome::NoJob);
+    assert_eq!(phase(&state), job::Phase::Queued);
+}
+
+/// Guards against cancellations of jobs that do not exist which take ever more memory, and against a reply that promises
+/// more than is remembered.
+#[test]
+fn cancellations_beyond_the_bound_are_not_answered_with_no_job() {
+    let mut state = State::default();
+    let refused = (0..100_000).find(|key| state.apply(1, withdraw(*key, None)) == Outcome::Full);
+    let refused = refused.expect("there is a bound");
+    assert!(state.encode().len() < 2_000_000, "{refused}");
+    assert_eq!(state.apply(1, withdraw(0, None)), Outcome::NoJob);
+    assert_eq!(state.apply(1_001, withdraw(refused, None)), Outcome::NoJob);
+    assert!(state.encode().len() < 100, "the expired cancellations are kept");
+}
+
+/// Guards against accepted jobs that are lost in an upgrade: the daemon starts from a snapshot without cancellations.
+#[test]
+fn a_snapshot_in_the_third_format_is_read() {
+    let mut state = State::default();
+    state.apply(1, submit(KEY, vec![step(2, false, &[])]));
+    let encoded = state.encode();
+    let mut bytes = encoded[..encoded.len() - 2].to_vec();
+    bytes[0] = 3;
+    assert_eq!(State::decode(&bytes).expect("the snapshot is valid"), state);
+}
+
 /// Guards against a configuration that reverts to an older version or changes under the same version.
 #[test]
 fn the_highest_configuration_version_is_retained() {
--- a/crates/daemon/src/fleet/leader.rs
+++ b/crates/daemon/src/fleet/leader.rs
@@ -4,7 +4,7 @@
 
 use bronzespoke_control::cell;
 use bronzespoke_dispatch::dispatch::{self, Dispatch, Output, Registration};
-use bronzespoke_workload::{call, catalog, eligibility, job, worker};
+use bronzespoke_workload::{call, catalog, eligibility, worker};
 
 use crate::{
     fleet::{commands::Responder, controller::Controller, metric, relay, wire},
@@ -270,7 +270,8 @@
         match action {
             call::Action::Submit(key, submission) => self.submit(queue, team, key, submission, responder),
             call::Action::Show(key) => {
-                let reply = match self.visible(key, team.as_deref()) {
+                let job = self.state.job(key);
+                let reply = match job.filter(|job| job.is_visible(team.as_deref())) {
                     Some(job) => {
                         let phase = self.dispatch.as_ref().map(|dispatch| dispatch.phase(job));
                         call::Reply::Phase(phase.unwrap_or(job.phase))
@@ -279,14 +280,7 @@
                 };
                 self.respond(responder, reply);
             }
-            call::Action::Cancel(key) => {
-                if self.visible(key, team.as_deref()).is_none() {
-                    self.reject(responder, call::Reply::NoJob);
-                    return;
-                }
-                log::info!("decision=cancel job={key:016x}");
-                self.enqueue(cell::Command::Cancel { key }, responder);
-            }
+            call::Action::Cancel(key) => self.cancel(queue, team, key, responder),
             call::Action::CountPending => {
                 let pending = match &self.dispatch {
                     Some(dispatch) => dispatch.pending(&self.state, &queue.name),
@@ -296,12 +290,6 @@
             }
         }
     }
-
-    /// Returns a job if the team may see it.
-    fn visible(&self, key: job::Key, team: Option<&str>) -> Option<&cell::Job> {
-        let job = self.state.job(key)?;
-        (job.team.is_none() || job.team.as_deref() == team).then_some(job)
-    }
 }
 
 /// Checks a submission that another daemon decoded. One whose steps depend on missing ones must not be recorded: no
--- a/crates/daemon/src/fleet/replication.rs
+++ b/crates/daemon/src/fleet/replication.rs
@@ -15,7 +15,8 @@
         Message,
         commands::{Pending, Responder},
         controller::Controller,
-        member, wire,
+        leader::refused,
+        member, submissions, wire,
     },
     identity, peer,
 };
@@ -152,6 +153,8 @@
             }
             let reply = match outcome {
                 cell::Outcome::NoJob => call::Reply::NoJob,
+                cell::Outcome::Withdrawn(wait_ms) => submissions::withdrawn(wait_ms),
+                cell::Outcome::Full => refused(call::Refusal::Overload, submissions::OVERLOAD_RETRY),
                 _ => call::Reply::Done,
             };
             self.respond(pending.responder, reply);
--- a/crates/daemon/src/fleet/submissions.rs
+++ b/crates/daemon/src/fleet/submissions.rs
@@ -13,9 +13,38 @@
 
 /// Retry time for a caller whose job was refused because the leader falls behind: the queued messages are handled
 /// within about this time once no jobs are added.
-const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
+pub(super) const OVERLOAD_RETRY: Duration = Duration::from_secs(1);
+
+/// Time beyond the timeout of a call in which a copy of it may arrive: connections that were cut deliver what they hold, and
+/// the clocks of two leaders differ.
+const COPY_DELAY: Duration = Duration::from_secs(15);
+
+/// Returns the reply to a submission whose job was cancelled before.
+pub(super) const fn withdrawn(wait_ms: u64) -> call::Reply {
+    refused(call::Refusal::Withdrawn, Duration::from_millis(wait_ms))
+}
 
 impl Controller {
+    /// Cancels a job. One that is not known is cancelled through the log too, in the order of its submission, which may be
+    /// under way.
+    pub(super) fn cancel(
+        &mut self,
+        queue: &catalog::Queue,
+        team: Option<String>,
+        key: job::Key,
+        responder: Responder,
+    ) {
+        let job = self.state.job(key);
+        if job.is_some_and(|job| job.is_visible(team.as_deref())) {
+            log::info!("decision=cancel job={key:016x}");
+            self.enqueue(cell::Command::Cancel { key }, responder);
+            return;
+        }
+        log::info!("decision=withdraw job={key:016x} queue={}", queue.name);
+        let keep_ms = (queue.timeout + COPY_DELAY).as_millis() as u64;
+        self.enqueue(cell::Command::Withdraw { key, team, keep_ms }, responder);
+    }
+
     /// Admits a job and proposes its record, or refuses it.
     pub(super) fn submit(
         &mut self,
@@ -30,6 +59,15 @@
             self.respond(responder, call::Reply::Done);
             return;
         }
+        let wall_ms = self.times().wall_ms;
+        if let Some(wait_ms) = self.state.withdrawn_for(wall_ms, key, team.as_deref()) {
+            log::info!(
+                "decision=refuse job={key:016x} queue={} reason=withdrawn",
+                queue.name
+            );
+            self.reject(responder, withdrawn(wait_ms));
+            return;
+        }
         // A submission whose first copy is being committed must not be refused.
         let is_known = admission::is_behind(self.lag) && self.commands.is_submitting(key);
         let lag = if is_known { Duration::ZERO } else { self.lag };
--- a/crates/dispatch/src/dispatch/mod.rs
+++ b/crates/dispatch/src/dispatch/mod.rs
@@ -377,8 +377,14 @@
     ) {
         self.dirty = true;
         match command {
+            cell::Command::Submit { .. } if matches!(outcome, cell::Outcome::Withdrawn(_)) => {
+                self.rejected(state, now.steady, command);
+            }
             cell::Command::Submit { key, .. } => self.refresh_job(state, *key),
-            cell::Command::Cancel { key } => self.stop_job(*key, now.steady, state),
+            cell::Command::Withdraw { .. } if *outcome != cell::Outcome::Done => {}
+            cell::Command::Cancel { key } | cell::Command::Withdraw { key, .. } => {
+                self.stop_job(*key, now.steady, state);
+            }
             cell::Command::Start(starts) => {
                 if let cell::Outcome::Started(accepted) = outcome {
                     self.send_starts(state, now, starts, accepted);
--- a/crates/workload/src/call.rs
+++ b/crates/workload/src/call.rs
@@ -128,6 +128,8 @@
     Overload,
     /// No worker could ever run it: none is large enough and has the required label.
     NoRoom,
+    /// The job was cancelled before its submission arrived.
+    Withdrawn,
 }
 
 impl Refusal {
@@ -138,6 +140,7 @@
             Self::NoConfiguration => "no configuration",
             Self::Overload => "overload",
             Self::NoRoom => "no room",
+            Self::Withdrawn => "cancelled before",
         }
     }
 }
