dispatch: reserves no room that is not coming for a waiting gang

Cause: each run was expected to end at its stated time, or now if that had passed. A run that lasts has no end. The reservation was due at once, was renewed every 300 ms, and kept all less urgent work off its workers. The limit on reserved workers was checked before a choice and not for it, and a whole worker was kept for a gang that needs a part of it.

Fix: a lasting run has no expected end and makes no room, also after a change of leader; an overdue run is expected to take as long again as it is overdue; a choice takes no more workers than the limit leaves; and while less than half of a pool is in use, work may start beside the gang if its members still fit when they are due. Reservations are logged (`decision=reserve`).

Ruled out: work beside the gang on a full fleet.

--- a/crates/daemon/src/fleet/metric.rs
+++ b/crates/daemon/src/fleet/metric.rs
@@ -60,6 +60,9 @@
         dispatch::Event::QuerySent { .. } => {
             metrics::counter!("bronzespoke_fleet_questions_total").increment(1);
         }
+        dispatch::Event::GangReserved(_) => {
+            metrics::counter!("bronzespoke_fleet_gang_reservations_total").increment(1);
+        }
         dispatch::Event::DepartureNoticed { .. } => {
             metrics::counter!("bronzespoke_fleet_departure_notices_total").increment(1);
         }
--- a/crates/dispatch/src/dispatch/candidate.rs
+++ b/crates/dispatch/src/dispatch/candidate.rs
@@ -104,19 +104,28 @@
         let suits = announced.pool == subject.queue.pool
             && label.is_none_or(|label| announced.labels.contains(label))
             && is_usable(record, now);
-        let reserved_until = reserved.workers.get(&worker);
-        let delays_gang = reserved_until.is_some_and(|due| now + subject.run_time > *due);
+        // Tasks that the worker can take without delaying the gang that it is reserved for.
+        let beside_gang = reserved
+            .workers
+            .get(&worker)
+            .map_or(u32::MAX, |hold| hold.allowed(&subject.size, subject.end(now)));
+        let delays_gang = beside_gang == 0;
         let speed = self.speeds.of(worker);
         let excluded = subject.pace.is_some_and(|pace| pace.excludes(speed));
         if !suits || excluded || (subject.tier > 0 && delays_gang) {
             return None;
         }
         let near = subject.spec.near_rack.as_ref();
+        let slots = slots(record, subject);
         Some(Candidate {
             worker,
             free,
             room: announced.room,
-            slots: slots(record, subject),
+            slots: if subject.tier > 0 {
+                slots.min(beside_gang)
+            } else {
+                slots
+            },
             speed,
             remote: near.is_some_and(|rack| !announced.labels.contains(rack)),
             cold: record.is_cold(now),
--- a/crates/dispatch/src/dispatch/event.rs
+++ b/crates/dispatch/src/dispatch/event.rs
@@ -117,6 +117,8 @@
         /// Number of workers that the query names.
         workers: usize,
     },
+    /// Workers are reserved for a gang that does not fit.
+    GangReserved(GangReserved),
     /// A team has passed its share, or returned to it.
     TeamShare(TeamShare),
     /// Past use of a team has placed a step of it later.
@@ -190,6 +192,36 @@
     pub wait: Duration,
 }
 
+/// A gang for which workers are reserved.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct GangReserved {
+    /// Step of the gang.
+    pub step: eligibility::Step,
+    /// Number of workers.
+    pub workers: usize,
+    /// Number of members.
+    pub members: u32,
+    /// Time until the gang is expected to fit.
+    pub due: Duration,
+}
+
+impl fmt::Display for GangReserved {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let eligibility::Step {
+            job,
+            occurrence,
+            step,
+        } = self.step;
+        write!(
+            f,
+            "decision=reserve step={job:016x}.{occurrence}.{step} workers={} members={} due_in_ms={}",
+            self.workers,
+            self.members,
+            self.due.as_millis()
+        )
+    }
+}
+
 impl fmt::Display for UncertainRun {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         let Self {
@@ -384,6 +416,7 @@
                 "decision=ask_eligibility step={:016x}.{}.{} workers={workers}",
                 step.job, step.occurrence, step.step
             ),
+            Self::GangReserved(reserved) => reserved.fmt(f),
             Self::TeamShare(share) => share.fmt(f),
             Self::PastUse(moved) => moved.fmt(f),
             Self::SpeedsLearned(learned) => learned.fmt(f),
--- a/crates/dispatch/src/dispatch/fleet.rs
+++ b/crates/dispatch/src/dispatch/fleet.rs
@@ -94,7 +94,7 @@
                         lease_end: Duration::ZERO,
                         repeat_until: Duration::ZERO,
                         awaits_answer: false,
-                        expected_end: now + INHERITED_RUN_TIME,
+                        expected_end: (!spec.lasting).then_some(now + INHERITED_RUN_TIME),
                         gang: spec.gang,
                         run_time: spec.run_time,
                         progress: None,
@@ -212,7 +212,7 @@
                         record.next_report_at = now;
                     }
                 }
-                self.move_from_draining(state, now, index);
+                self.move_from_draining(now, index);
                 return if changed {
                     Registration::Propose(register(announcement, draining))
                 } else {
--- a/crates/dispatch/src/dispatch/gang.rs
+++ b/crates/dispatch/src/dispatch/gang.rs
@@ -5,11 +5,12 @@
 use bronzespoke_control::cell;
 
 use super::{
-    Dispatch,
+    Dispatch, Event, Output,
     candidate::{is_unknown, query_size},
+    event,
     schedule::{Reserved, Subject},
 };
-use crate::{place::Candidate, reserve};
+use crate::{place::Candidate, reserve, share};
 
 /// A gang whose room is expected later than this queries further workers.
 const LATE_GANG_DELAY: Duration = Duration::from_secs(1);
@@ -34,13 +35,44 @@
             self.choose_reserved(now, subject, requested, reserved);
         }
         if let Some(choice) = self.reservations.recent(subject.id, now) {
-            for worker in &choice.workers {
-                reserved.workers.entry(*worker).or_insert(choice.due);
+            for (worker, members) in &choice.workers {
+                let Some(record) = self.workers.get(worker) else {
+                    continue;
+                };
+                if reserved.workers.len() >= reserved.max {
+                    break;
+                }
+                // On a full fleet, the next gangs need what is free beside this one.
+                let hold = || {
+                    if choice.is_sparse {
+                        reserve::Hold::beside(record, &subject.size, *members, choice.due, now)
+                    } else {
+                        reserve::Hold::complete(choice.due)
+                    }
+                };
+                reserved.workers.entry(*worker).or_insert_with(hold);
             }
         }
         self.renew_tickets(now, subject);
     }
 
+    /// Returns whether less than half of each resource of a pool is in use: a gang then waits for room on certain workers, and
+    /// not for capacity.
+    fn is_sparse(&mut self, pool: &str) -> bool {
+        self.work.workers += self.workers.len() as u64;
+        let mut free = share::Sum::default();
+        let mut room = share::Sum::default();
+        for record in self.workers.values() {
+            if record.announced.pool == pool {
+                share::add(&mut free, &share::times(record.free(), 1));
+                share::add(&mut room, &share::times(record.announced.room, 1));
+            }
+        }
+        free.iter()
+            .zip(room)
+            .all(|(free, room)| free * 2 > room || room == 0)
+    }
+
     fn choose_reserved(&mut self, now: Duration, subject: &Subject<'_>, requested: u32, reserved: &Reserved) {
         let known = self.queries.eligibility(subject.id);
         let eligible: Vec<cell::WorkerIndex> = match (subject.queue.advice, known) {
@@ -59,12 +91,23 @@
                 Some((worker, times))
             })
             .collect();
-        let choice = reserve::choose(openings, requested, now);
+        let is_sparse = self.is_sparse(&subject.queue.pool);
+        let choice = reserve::choose(openings, requested, is_sparse, now);
         let is_late = choice
             .as_ref()
             .is_none_or(|choice| choice.due > now + LATE_GANG_DELAY);
         match choice {
-            Some(choice) => self.reservations.insert(subject.id, choice),
+            Some(choice) => {
+                let event = event::GangReserved {
+                    step: subject.id,
+                    workers: choice.workers.len(),
+                    members: requested,
+                    due: choice.due.saturating_sub(now),
+                };
+                if self.reservations.insert(subject.id, choice) {
+                    self.outputs.push(Output::Event(Event::GangReserved(event)));
+                }
+            }
             None => self.reservations.remove(subject.id),
         }
         if let Some(cost) = subject.queue.advice.filter(|_| is_late) {
@@ -122,7 +165,7 @@
         }
         let until = choice.due.max(now) + TICKET_RENEWAL_LEAD;
         let lacks = |worker: &&cell::WorkerIndex| !known.is_permitted(**worker, until);
-        let lacking = choice.workers.iter().filter(lacks);
+        let lacking = choice.workers.iter().map(|(worker, _)| worker).filter(lacks);
         let workers = lacking.filter_map(|worker| self.named_worker(*worker)).collect();
         self.queries.enqueue(now, subject.id, &cost, workers);
     }
--- a/crates/dispatch/src/dispatch/late.rs
+++ b/crates/dispatch/src/dispatch/late.rs
@@ -51,7 +51,7 @@
         &mut self,
         now: Duration,
         subject: &Subject<'_>,
-        reserved: &Reserved,
+        reserved: &mut Reserved,
         starts: &mut Vec<cell::Start>,
     ) {
         for (index, worker) in &subject.bound {
@@ -73,6 +73,7 @@
             self.shares
                 .note_started(team, &share::times(subject.size, 1), now, now + subject.run_time);
             let run = subject.progress.tasks[*index as usize].run + 1;
+            reserved.take(*worker, &subject.size, subject.end(now));
             self.start(now, subject, *index, *worker, run, starts);
         }
         self.rooms.refresh(&self.workers);
--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -70,7 +70,7 @@
         self.refresh_speeds(state, now.steady);
         self.stop_stalled(state, now.steady, worker);
         self.move_from_slow(state, now.steady, worker);
-        self.move_from_draining(state, now.steady, worker);
+        self.move_from_draining(now.steady, worker);
         if let Some(record) = self.workers.get_mut(&worker) {
             record.next_report_at = if record.proposals == 0 {
                 now.steady
@@ -357,12 +357,7 @@
 
     /// Stops runs that are not expected to end before their worker leaves, so that they continue elsewhere immediately
     /// and with their newest progress.
-    pub(super) fn move_from_draining(
-        &mut self,
-        state: &cell::State,
-        now: Duration,
-        worker: cell::WorkerIndex,
-    ) {
+    pub(super) fn move_from_draining(&mut self, now: Duration, worker: cell::WorkerIndex) {
         let Some(record) = self.workers.get(&worker) else {
             return;
         };
@@ -371,8 +366,7 @@
         };
         let mut moved = Vec::new();
         for (task, run) in &record.runs {
-            let is_lasting = state.spec(*task).is_some_and(|step| step.lasting);
-            let ends_in_time = !is_lasting && run.expected_end <= departs_at;
+            let ends_in_time = run.expected_end.is_some_and(|end| end <= departs_at);
             let is_there = matches!(run.phase, Phase::Running(_));
             if is_there && run.stop == Stop::NotRequested && !ends_in_time {
                 moved.push((*task, run.run, run.gang));
@@ -500,8 +494,11 @@
         Some(progress) => progress.observe(now, percent),
         None => run.progress = Some(progress::Progress::new(now, percent)),
     }
-    if let Some(end) = run.progress.and_then(|progress| progress.end()) {
-        run.expected_end = end;
+    // The progress of a lasting run says nothing about its end.
+    if run.expected_end.is_some()
+        && let Some(end) = run.progress.and_then(|progress| progress.end())
+    {
+        run.expected_end = Some(end);
     }
 }
 
--- a/crates/dispatch/src/dispatch/schedule.rs
+++ b/crates/dispatch/src/dispatch/schedule.rs
@@ -15,7 +15,7 @@
 use crate::{
     pace::Pace,
     place::{self, Candidate},
-    rank, share,
+    rank, reserve, share,
     worker::{self, Phase, Stop},
 };
 
@@ -27,13 +27,22 @@
 /// One worker in this many may be reserved for waiting gangs.
 const RESERVED_RATIO: usize = 2;
 
-/// Workers that are reserved for gangs in this pass, with the time at which each gang is expected to start.
+/// Workers that are reserved for gangs in this pass.
 #[derive(Debug, Default)]
 pub(super) struct Reserved {
-    pub(super) workers: HashMap<cell::WorkerIndex, Duration>,
+    pub(super) workers: HashMap<cell::WorkerIndex, reserve::Hold>,
     pub(super) max: usize,
 }
 
+impl Reserved {
+    /// Subtracts a placed task from what its worker can take beside a gang.
+    pub(super) fn take(&mut self, worker: cell::WorkerIndex, size: &resource::Amount, end: Option<Duration>) {
+        if let Some(hold) = self.workers.get_mut(&worker) {
+            hold.take(size, end);
+        }
+    }
+}
+
 /// Waiting steps by rank.
 type Ranked = BinaryHeap<Reverse<(rank::Rank, eligibility::Step)>>;
 
@@ -54,6 +63,13 @@
     pub(super) pace: Option<Pace>,
 }
 
+impl Subject<'_> {
+    /// Returns when a task that starts now is expected to end; `None` if it lasts.
+    pub(super) fn end(&self, now: Duration) -> Option<Duration> {
+        (!self.spec.lasting).then_some(now + self.run_time)
+    }
+}
+
 impl Dispatch {
     pub(super) fn schedule(&mut self, state: &cell::State, now: Now) {
         self.dirty = false;
@@ -83,7 +99,7 @@
             }
             if let Some(subject) = self.subject(state, now, id, &rank) {
                 self.place(now.steady, &subject, &mut reserved, &mut starts);
-                self.place_bound(now.steady, &subject, &reserved, &mut starts);
+                self.place_bound(now.steady, &subject, &mut reserved, &mut starts);
             }
         }
         if !starts.is_empty() {
@@ -245,6 +261,7 @@
             let previous = subject.progress.tasks[index as usize].run;
             // Members of a gang share the number of their run.
             let run = if subject.spec.gang { run + 1 } else { previous + 1 };
+            reserved.take(worker, &subject.size, subject.end(now));
             self.start(now, subject, index, worker, run, starts);
         }
         self.rooms.refresh(&self.workers);
@@ -372,7 +389,7 @@
                 lease_end: Duration::ZERO,
                 repeat_until: Duration::ZERO,
                 awaits_answer: false,
-                expected_end: now + run_time,
+                expected_end: (!subject.spec.lasting).then_some(now + run_time),
                 gang: subject.spec.gang,
                 run_time,
                 progress: None,
--- a/crates/dispatch/src/worker.rs
+++ b/crates/dispatch/src/worker.rs
@@ -65,8 +65,8 @@
     pub repeat_until: Duration,
     /// Whether an answer to its start directive is outstanding.
     pub awaits_answer: bool,
-    /// Expected end, in local time.
-    pub expected_end: Duration,
+    /// Expected end, in local time; `None` if it lasts until its job is cancelled.
+    pub expected_end: Option<Duration>,
     /// Whether it is a member of a gang, which proceeds at the speed of its slowest member.
     pub gang: bool,
     /// Run time that was expected at the start.
@@ -79,6 +79,15 @@
     pub checkpoint: Option<bytes::Bytes>,
 }
 
+impl Run {
+    /// Returns the time at which the run is expected to end as seen at `now`; `None` if it lasts. One that is overdue is
+    /// expected to take as long again.
+    pub fn projected_end(&self, now: Duration) -> Option<Duration> {
+        let expected = self.expected_end?;
+        Some(expected.max(now + now.saturating_sub(expected)))
+    }
+}
+
 /// State of the stop of a run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Stop {
--- a/crates/dispatch/tests/parts.rs
+++ b/crates/dispatch/tests/parts.rs
@@ -320,7 +320,7 @@
             lease_end: at(0),
             repeat_until: Duration::ZERO,
             awaits_answer: false,
-            expected_end: at(*end),
+            expected_end: Some(at(*end)),
             gang: false,
             run_time: at(*end),
             progress: None,
@@ -340,10 +340,44 @@
     let size = resource::Amount::new(30_000, 0, 0);
     let openings = |record: &Worker| reserve::openings(record, record.free(), &size, u32::MAX, at(0));
     assert_eq!(openings(&soon), [at(500), at(700)]);
-    let choice = reserve::choose(vec![(0, openings(&late)), (1, openings(&soon))], 2, at(0));
+    let choice = reserve::choose(vec![(0, openings(&late)), (1, openings(&soon))], 2, false, at(0));
     let choice = choice.expect("there is room for two");
-    assert_eq!((choice.workers, choice.due), (vec![1], at(700)));
-    assert!(reserve::choose(vec![(0, openings(&late))], 9, at(0)).is_none());
+    assert_eq!((choice.workers, choice.due), (vec![(1, 2)], at(700)));
+    assert!(reserve::choose(vec![(0, openings(&late))], 9, false, at(0)).is_none());
+}
+
+/// Guards against a reservation without end: a run that lasts, or that is overdue, counted as one that ends now.
+#[test]
+fn no_room_is_expected_from_runs_that_do_not_end() {
+    let size = resource::Amount::new(30_000, 0, 0);
+    let mut record = worker_with(&[(40_000, 1_000)]);
+    let openings = |record: &Worker, now| reserve::openings(record, record.free(), &size, 1, now);
+    assert_eq!(openings(&record, at(900)), [at(1_000)]);
+    assert_eq!(openings(&record, at(1_100)), [at(1_200)]);
+    assert_eq!(openings(&record, at(9_000)), [at(17_000)]);
+    for run in record.runs.values_mut() {
+        run.expected_end = None;
+    }
+    assert!(openings(&record, at(900)).is_empty());
+}
+
+/// Guards against a reserved worker whose whole room is kept free, although the gang needs a part of it.
+#[test]
+fn a_reserved_worker_takes_what_fits_beside_the_gang() {
+    let record = worker_with(&[(40_000, 1_000)]);
+    let member = resource::Amount::new(30_000, 0, 0);
+    let mut hold = reserve::Hold::beside(&record, &member, 1, at(1_000), at(0));
+    assert_eq!(hold.spare.cpu_milli, 34_000);
+    let size = resource::Amount::new(16_000, 0, 0);
+    assert_eq!(hold.allowed(&size, Some(at(1_000))), u32::MAX, "it ends in time");
+    assert_eq!(hold.allowed(&size, Some(at(1_001))), 2);
+    assert_eq!(hold.allowed(&size, None), 2);
+    hold.take(&size, Some(at(1_000)));
+    assert_eq!(hold.allowed(&size, None), 2);
+    hold.take(&size, None);
+    assert_eq!(hold.allowed(&size, None), 1);
+    let earlier = reserve::Hold::beside(&record, &member, 1, at(500), at(0));
+    assert_eq!(earlier.spare.cpu_milli, 0, "the run is still there");
 }
 
 /// A worker that fails what it starts is suspected after failures of three jobs; failures of a single job are not
