dispatch: a reported end shows that the start of an inherited run was carried out

Since a new leader kept each task of the former one that failed from starting for up to 16 s after its start, as if the start had not been answered.

A listed run already counts as an answer for the next run of its task; a listed end is the same evidence.

a_reported_end_counts_as_an_answer_to_the_former_leader fails without the change.

--- a/crates/dispatch/src/dispatch/report.rs
+++ b/crates/dispatch/src/dispatch/report.rs
@@ -122,6 +122,7 @@
         self.unconfirmed.remove(&end.task.job);
         self.log_end(end, Some(number), "reported");
         let removed = self.drop_run(end.worker, end.task, end.run);
+        self.inherited_starts.confirm(end.task);
         self.record_outstanding(end.worker, end.task, removed.as_ref(), now);
         if end.outcome == directive::Outcome::Done {
             self.record_run_time(state, now, end, removed.as_ref());
--- a/crates/dispatch/tests/restarts/leases.rs
+++ b/crates/dispatch/tests/restarts/leases.rs
@@ -398,3 +398,20 @@
     let restart = restart_after(Outcome::Failed, false, false);
     assert_ne!(restart.second, restart.first);
 }
+
+/// Guards against tasks that wait after each change of leader although the report of their worker lists the end of their run.
+#[test]
+fn a_reported_end_counts_as_an_answer_to_the_former_leader() {
+    let (mut leader, placed, _) = Leader::with_run();
+    leader.elect(2);
+    let failed = directive::Ended {
+        outcome: directive::Outcome::Failed,
+        ..leader::done(1)
+    };
+    let ends = [failed];
+    for request in leader.run(30) {
+        let listed = if request.0 == placed { &ends[..] } else { &[] };
+        leader.report(&request, 5, listed.to_vec());
+    }
+    assert_eq!(leader::started_runs(&leader.run(200)), [2]);
+}
