dispatch: counts the members of a second gang on a reserved worker

Two gangs may reserve one worker while less than half of the pool is in use; the members of the second one did not count against what other work may take there. The newest incarnation of a name is read from the directory instead of a search through all workers, and the pass does nothing more for steps without bound tasks.

--- a/crates/dispatch/src/directory.rs
+++ b/crates/dispatch/src/directory.rs
@@ -51,6 +51,11 @@
         }
     }
 
+    /// Returns the incarnation with a name that registered last.
+    pub fn newest(&self, name: &str) -> Option<cell::WorkerIndex> {
+        self.names.get(name)?.last().copied()
+    }
+
     /// Returns the incarnations with a name or at an address, in the order of their registration.
     pub fn find(&self, name: &str, address: SocketAddr) -> BTreeSet<cell::WorkerIndex> {
         let named = self.names.get(name).into_iter().flatten();
--- a/crates/dispatch/src/dispatch/gang.rs
+++ b/crates/dispatch/src/dispatch/gang.rs
@@ -1,6 +1,6 @@
 //! Gangs that do not fit yet: their reserved workers, and the tickets that they need at their start.
 
-use std::time::Duration;
+use std::{collections::hash_map, time::Duration};
 
 use bronzespoke_control::cell;
 
@@ -50,7 +50,17 @@
                         reserve::Hold::complete(choice.due)
                     }
                 };
-                reserved.workers.entry(*worker).or_insert_with(hold);
+                match reserved.workers.entry(*worker) {
+                    hash_map::Entry::Vacant(entry) => {
+                        entry.insert(hold());
+                    }
+                    // The members fit beside those of another gang.
+                    hash_map::Entry::Occupied(mut entry) => {
+                        for _ in 0..*members {
+                            entry.get_mut().take(&subject.size, None);
+                        }
+                    }
+                }
             }
         }
         self.renew_tickets(now, subject);
--- a/crates/dispatch/src/dispatch/late.rs
+++ b/crates/dispatch/src/dispatch/late.rs
@@ -41,9 +41,7 @@
         if spec.gang || (has_failed && !spec.lasting) {
             return None;
         }
-        let mut newest = self.workers.iter().rev();
-        let (index, _) = newest.find(|(_, record)| record.incarnation.name == late.worker)?;
-        Some(*index)
+        self.directory.newest(&late.worker)
     }
 
     /// Starts the tasks of a step that may start on one worker only, if it has room.
@@ -54,6 +52,9 @@
         reserved: &mut Reserved,
         starts: &mut Vec<cell::Start>,
     ) {
+        if subject.bound.is_empty() {
+            return;
+        }
         for (index, worker) in &subject.bound {
             let team = subject.job.team.as_deref();
             if self.allowed(team, subject.size) == 0 {
--- a/crates/dispatch/src/reserve.rs
+++ b/crates/dispatch/src/reserve.rs
@@ -2,7 +2,8 @@
 //!
 //! On a fleet that is nearly full of small tasks, every gap is immediately filled by another small task, so the room
 //! for a wide gang never comes together. A gang that does not fit therefore reserves the workers on which enough room
-//! is expected first. Until then they accept only work that is expected to end before, or that fits beside the gang.
+//! is expected first. Until then they accept only work that is expected to end before or, while less than half of the
+//! pool is in use, that fits beside the gang.
 //!
 //! Tasks that last never make room. A gang that fits only without them reserves nothing, so that it keeps no other work
 //! from free capacity.
