--- a/crates/dispatch/src/orphan.rs
+++ b/crates/dispatch/src/orphan.rs
@@ -93,8 +93,8 @@
         self.tasks.get(&task).filter(|late| now < late.until)
     }
 
-    /// Handles a report that lists the newest run of a task, or its end: its start counts as acknowledged for the next run. If the worker
-    /// is lost, the start may still have been repeated.
+    /// Handles a report that lists the newest run of a task, or its end: its start counts as acknowledged for the next
+    /// run. If the worker is lost, the start may still have been repeated.
     pub fn confirm(&mut self, task: directive::Task) {
         self.tasks.remove(&task);
     }
